--- /dev/null
+++ b/auditorium/burden.go
@@ -0,0 +1,81 @@
+package auditorium
+
+import (
+	"dunlinloom/house"
+)
+
+// ledger is what this node itself has placed on one engine, with enough of its
+// past to tell how much of a late report was ours.
+type ledger struct {
+	own     int64
+	streams int
+	past    []ledgerMark
+}
+
+type ledgerMark struct {
+	at  house.Micros
+	own int64
+}
+
+const (
+	ledgerStep = 50 * house.Millisecond
+	ledgerSpan = 30 * house.Second
+)
+
+func (l *ledger) add(now house.Micros, tokens int64) {
+	l.own += tokens
+	// Marks closer than a step are folded: a report's age is no finer than that.
+	if last := len(l.past) - 1; last >= 0 && now-l.past[last].at < ledgerStep {
+		l.past[last].own = l.own
+		return
+	}
+	l.past = append(l.past, ledgerMark{now, l.own})
+	cut := 0
+	for cut < len(l.past)-1 && now-l.past[cut+1].at > ledgerSpan {
+		cut++
+	}
+	if cut > 64 {
+		l.past = append([]ledgerMark(nil), l.past[cut:]...)
+	}
+}
+
+// at gives the own burden at an earlier moment.
+func (l *ledger) at(moment house.Micros) int64 {
+	for i := len(l.past) - 1; i >= 0; i-- {
+		if l.past[i].at <= moment {
+			return l.past[i].own
+		}
+	}
+	return 0
+}
+
+// foreign is the burden that other nodes had placed by a late report: all of it
+// less what was ours then, fading with age since it can only have been worked off.
+func (l *ledger) foreign(now, asOf house.Micros, reported int64, fade house.Micros) float64 {
+	rest := reported - l.at(asOf)
+	age := now - asOf
+	if rest <= 0 || age >= fade {
+		return 0
+	}
+	return float64(rest) * (1 - float64(max(age, 0))/float64(fade))
+}
+
+// budget lets retries be only a small ratio of this node's own first rounds. Each
+// node keeps to it alone, so the fleet as a whole does too.
+type budget struct {
+	saved float64
+	ratio float64
+}
+
+// budgetCap bounds what a quiet hour can save up for a bad minute.
+const budgetCap = 10
+
+func (b *budget) earn() { b.saved = min(b.saved+b.ratio, budgetCap) }
+
+func (b *budget) spend() bool {
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
--- /dev/null
+++ b/auditorium/desk.go
@@ -0,0 +1,568 @@
+package auditorium
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// RunState says whether an engine may have started on a request.
+type RunState string
+
+// What a decline can promise. NotRun is final: nothing will run it later.
+const (
+	NotRun     RunState = "not_run"
+	MayHaveRun RunState = "may_have_run"
+)
+
+// Decline is the final answer to a request that is not served.
+type Decline struct {
+	Reason     string // a word for programs
+	Detail     string // a sentence for people
+	Status     int
+	Run        RunState
+	RetryAfter house.Micros // when to come back; zero: no use
+}
+
+func (d *Decline) Error() string { return fmt.Sprintf("%s: %s (%s)", d.Reason, d.Detail, d.Run) }
+
+// Engine is what the data plane needs to know of one engine.
+type Engine struct {
+	ID, Address, Zone, Pool string
+	Start                   uint64
+	IsLeaving               bool
+	IsUnlisted              bool
+	IsDark                  bool
+	HasReport               bool
+	Burden                  int64
+	AsOf                    house.Micros
+	StartedAt               house.Micros
+	IsStartKnown            bool
+}
+
+// Scene is all that the control plane has told this router, as one picture.
+type Scene struct {
+	Generation uint64
+	Spec       *playbill.Spec
+	Evacuated  map[string]bool
+	Engines    []Engine
+	Routers    []string // the registered routers, in order
+	Until      house.Micros
+	Lapse      string // why there is no licence
+}
+
+// Request is what the policy needs to know of a request.
+type Request struct {
+	ID           string
+	Kind, Model  string
+	Prefix       []uint32 // at least as many tokens as any prefix length asks for, or all
+	PromptTokens int
+	MaxTokens    int
+}
+
+// Round is one try at one engine.
+type Round struct {
+	Number  int
+	Engine  Engine
+	Binding string
+	// Generation is the spec's under which the round was picked.
+	Generation uint64
+	opened     house.Micros
+	burden     float64 // of the engine when the round was opened, the request included
+	placed     int64   // tokens still on the ledger
+	isFirst    bool    // the first token has come
+	isOver     bool
+}
+
+// Call is the request owner's state of one request.
+type Call struct {
+	Request Request
+	Round   *Round
+	tried   map[string]bool
+	rounds  int
+}
+
+// Ending is how a round ended.
+type Ending int
+
+// The endings of a round.
+const (
+	Served     Ending = iota // to its closing mark
+	NotSent                  // not one byte was written to the engine
+	Withdrawn                // the round was called off before a byte was written
+	SaidNotRun               // the engine said that it did not run it
+	Lost                     // after bytes were written, without the engine's word
+	CallerGone               // the caller hung up
+)
+
+func (e Ending) String() string {
+	return [...]string{"served", "not sent", "withdrawn", "engine said not run", "lost", "caller gone"}[e]
+}
+
+const (
+	maxRounds       = 4
+	breakdownFirst  = 500 * house.Millisecond
+	breakdownLast   = 5 * house.Second
+	paceFade        = 5 * house.Second // an estimate that old counts half
+	defaultRetryDue = house.Second
+)
+
+type engineState struct {
+	ledger     ledger
+	start      uint64
+	breakdowns int
+	brokenTill house.Micros
+	isProbing  bool // one request is trying an engine that was broken
+	// pace is the learned time to the first token per token of burden.
+	pace   float64
+	paceAt house.Micros
+}
+
+// Counts are the desk's running figures.
+type Counts struct {
+	Requests, FirstRounds, Retries, Diverts, AdmissionDiverts uint64
+	Served, CallersGone, Resumes                              uint64
+	Declined                                                  map[string]uint64
+	Broken                                                    map[string]uint64
+}
+
+// Desk is the owner of all requests of a router: what happens to them goes in,
+// what is to be done comes out. Its one lock is held only for the decision.
+type Desk struct {
+	self   string
+	salt   uint64
+	note   func(now house.Micros, subject, decision, why string)
+	lock   sync.Mutex
+	scene  *Scene
+	states map[string]*engineState
+	budget budget
+	counts Counts
+	turn   uint64
+	isShut bool
+}
+
+// NewDesk makes a desk that declines until it is shown a scene.
+func NewDesk(self string, note func(now house.Micros, subject, decision, why string)) *Desk {
+	return &Desk{
+		self: self, salt: xxhash.Sum64String(self), note: note, scene: &Scene{Lapse: "no document has reached this router yet"},
+		states: map[string]*engineState{},
+		counts: Counts{Declined: map[string]uint64{}, Broken: map[string]uint64{}},
+	}
+}
+
+// Show puts a new scene in force.
+func (d *Desk) Show(scene *Scene) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.scene = scene
+	if scene.Spec != nil {
+		d.budget.ratio = scene.Spec.Policy.RetryRatio
+	}
+}
+
+// Shut makes the desk decline new requests while it finishes the accepted ones.
+func (d *Desk) Shut() {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.isShut = true
+}
+
+// Counts gives a copy of the figures.
+func (d *Desk) Counts() Counts {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	counts := d.counts
+	counts.Declined, counts.Broken = map[string]uint64{}, map[string]uint64{}
+	for reason, count := range d.counts.Declined {
+		counts.Declined[reason] = count
+	}
+	for reason, count := range d.counts.Broken {
+		counts.Broken[reason] = count
+	}
+	return counts
+}
+
+func (d *Desk) state(id string) *engineState {
+	state := d.states[id]
+	if state == nil {
+		state = &engineState{}
+		d.states[id] = state
+	}
+	return state
+}
+
+// Arrive takes a new request: a call with its first round, or a decline.
+func (d *Desk) Arrive(now house.Micros, request Request) (*Call, *Decline) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.counts.Requests++
+	call := &Call{Request: request, tried: map[string]bool{}}
+	if d.isShut {
+		return nil, d.decline(now, call, &Decline{"stopping", "this router is stopping; another one serves", 503, NotRun, defaultRetryDue})
+	}
+	if decline := d.open(now, call); decline != nil {
+		return nil, d.decline(now, call, decline)
+	}
+	d.counts.FirstRounds++
+	d.budget.earn()
+	return call, nil
+}
+
+func (d *Desk) decline(now house.Micros, call *Call, decline *Decline) *Decline {
+	d.counts.Declined[decline.Reason]++
+	d.note(now, call.Request.ID, "decline "+decline.Reason, decline.Detail)
+	return decline
+}
+
+// open picks an engine for the call's next round, judged against what holds now.
+func (d *Desk) open(now house.Micros, call *Call) *Decline {
+	scene := d.scene
+	if now >= scene.Until || scene.Spec == nil {
+		why := scene.Lapse
+		if why == "" {
+			why = "the licence has lapsed"
+		}
+		return &Decline{"no_licence", why, 503, NotRun, defaultRetryDue}
+	}
+	binding, isBound := scene.Spec.Bind(call.Request.Kind, call.Request.Model)
+	if !isBound {
+		return &Decline{"unknown_binding", fmt.Sprintf("no binding takes kind %q and model %q", call.Request.Kind, call.Request.Model), 404, NotRun, 0}
+	}
+	candidates, engines, why := d.candidates(now, call, binding)
+	if len(candidates) == 0 {
+		return &Decline{"no_engine", "no engine of binding " + binding.Name + " can take it: " + why, 503, NotRun, defaultRetryDue}
+	}
+	policy := scene.Spec.Policy
+	prefix := PrefixHash(call.Request.Prefix, policy.PrefixLength)
+	preferred := Preferred(SlotOf(prefix), candidates)
+	d.turn++
+	choice := Choose(candidates, preferred, policy.MaxImbalance, policy.NearTie, d.salt^d.turn*0x9e3779b97f4a7c15)
+	if choice.Index < 0 {
+		return &Decline{"ramping", "every engine of binding " + binding.Name + " is starting up and full", 503, NotRun, defaultRetryDue}
+	}
+	why = choice.Why
+	size := int64(call.Request.PromptTokens + call.Request.MaxTokens)
+	// Admission judges the policy's choice. Only if that would be late is the least
+	// burdened engine tried too: a decline there costs a caller, the miss of a
+	// cached prefix only time.
+	foreseen := d.foresee(now, engines[choice.Index], candidates[choice.Index].Burden, call)
+	if binding.TTFTLimit > 0 && foreseen > binding.TTFTLimit {
+		other := fewest(candidates, policy.NearTie, d.salt)
+		again := foreseen
+		if other >= 0 {
+			again = d.foresee(now, engines[other], candidates[other].Burden, call)
+		}
+		if again > binding.TTFTLimit {
+			return &Decline{"late", fmt.Sprintf("the first token is foreseen in %d us on %s, above the limit of %d us", again, engines[choice.Index].ID, binding.TTFTLimit),
+				503, NotRun, max(again-binding.TTFTLimit, defaultRetryDue)}
+		}
+		why = fmt.Sprintf("admission: %d us foreseen on %s", foreseen, engines[choice.Index].ID)
+		choice.Index, choice.IsDivert = other, true
+		d.counts.AdmissionDiverts++
+	}
+	if choice.IsDivert {
+		d.counts.Diverts++
+	}
+	engine := engines[choice.Index]
+	call.rounds++
+	call.Round = &Round{
+		Number: call.rounds, Engine: engine, Binding: binding.Name, Generation: scene.Generation,
+		opened: now, placed: size, burden: candidates[choice.Index].Burden + float64(call.Request.PromptTokens),
+	}
+	state := d.state(engine.ID)
+	state.ledger.add(now, size)
+	state.ledger.streams++
+	if state.breakdowns > 0 {
+		state.isProbing = true
+	}
+	d.note(now, call.Request.ID, fmt.Sprintf("round %d to %s", call.rounds, engine.ID),
+		fmt.Sprintf("%s; binding %s, generation %d, burden %.0f of mean %.0f over %d engines, preferred %s",
+			why, binding.Name, scene.Generation, candidates[choice.Index].Burden, choice.Mean, len(candidates), engines[preferred].ID))
+	return nil
+}
+
+// why an engine may not take a request now; empty when it may.
+func (d *Desk) bar(now house.Micros, engine Engine) string {
+	switch state := d.states[engine.ID]; {
+	case engine.Address == "":
+		return "has no address"
+	case engine.IsLeaving:
+		return "leaving"
+	case d.scene.Evacuated[engine.Zone]:
+		return "in an emptied zone"
+	case engine.IsUnlisted:
+		return "gone from the platform's list"
+	case engine.IsDark:
+		return "dark"
+	case state != nil && state.start == engine.Start && state.breakdowns > 0 && (now < state.brokenTill || state.isProbing):
+		return "broken"
+	}
+	return ""
+}
+
+func (d *Desk) candidates(now house.Micros, call *Call, binding *playbill.Binding) ([]Candidate, []Engine, string) {
+	candidates, engines := []Candidate{}, []Engine{}
+	barred := map[string]int{}
+	for _, engine := range d.scene.Engines {
+		weight := binding.Weight(engine.ID, engine.Pool, engine.Zone)
+		if weight == 0 {
+			continue
+		}
+		why := d.bar(now, engine)
+		if why == "" && call.tried[engine.ID] {
+			why = "tried already"
+		}
+		if why != "" {
+			barred[why]++
+			continue
+		}
+		state := d.state(engine.ID)
+		if state.start != engine.Start {
+			// Another process: neither its breakdowns nor its pace are the old one's.
+			state.start, state.breakdowns, state.isProbing, state.pace = engine.Start, 0, false, 0
+		}
+		burden := float64(max(state.ledger.own, 0))
+		if engine.HasReport {
+			burden += state.ledger.foreign(now, engine.AsOf, engine.Burden, d.scene.Spec.Policy.ReportFade)
+		}
+		isFull := state.ledger.streams >= d.rampShare(now, engine)
+		candidates = append(candidates, Candidate{engine.ID, weight, burden, isFull})
+		engines = append(engines, engine)
+	}
+	reasons := []string{}
+	for reason, count := range barred {
+		reasons = append(reasons, fmt.Sprintf("%d %s", count, reason))
+	}
+	sort.Strings(reasons)
+	if len(reasons) == 0 {
+		reasons = append(reasons, "none is known")
+	}
+	return candidates, engines, fmt.Sprint(reasons)
+}
+
+// rampShare is how many streams this router may hold on an engine that started
+// lately. The cap is one for the fleet; each registered router computes the same
+// split of it, so the parts add up to the cap without a word between them.
+func (d *Desk) rampShare(now house.Micros, engine Engine) int {
+	policy := d.scene.Spec.Policy
+	age := now - engine.StartedAt
+	if !engine.IsStartKnown || age >= policy.RampTotal {
+		return math.MaxInt
+	}
+	whole := int(float64(policy.RampStreams) * math.Pow(2, float64(max(age, 0))/float64(policy.RampDouble)))
+	routers := max(len(d.scene.Routers), 1)
+	share := whole / routers
+	rank := rankOf(d.self, d.scene.Routers, engine)
+	if rank < whole%routers {
+		share++
+	}
+	return share
+}
+
+// rankOf orders the routers differently for each engine and start, so that the
+// odd streams of a small cap do not always fall to the same routers.
+func rankOf(self string, routers []string, engine Engine) int {
+	score := func(router string) uint64 {
+		return xxhash.Sum64String(fmt.Sprintf("%s|%s|%d", router, engine.ID, engine.Start))
+	}
+	own, rank := score(self), 0
+	for _, router := range routers {
+		if router != self && score(router) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// foresee estimates the time to the first token on an engine.
+func (d *Desk) foresee(now house.Micros, engine Engine, burden float64, call *Call) house.Micros {
+	state := d.state(engine.ID)
+	if state.pace == 0 {
+		return 0
+	}
+	// An old estimate loses weight, or an engine once slow would never be tried again.
+	faded := state.pace * math.Pow(0.5, float64(now-state.paceAt)/float64(paceFade))
+	return house.Micros(faded * (burden + float64(call.Request.PromptTokens)))
+}
+
+// MayWrite is asked at the last moment before the first byte goes to an engine:
+// a router that was frozen since it picked must not act on what it knew then.
+func (d *Desk) MayWrite(now house.Micros, call *Call) string {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if now >= d.scene.Until {
+		return "the licence lapsed meanwhile"
+	}
+	binding, isBound := d.scene.Spec.Bind(call.Request.Kind, call.Request.Model)
+	if !isBound {
+		return "no binding takes it any more"
+	}
+	for _, engine := range d.scene.Engines {
+		if engine.ID != call.Round.Engine.ID || engine.Start != call.Round.Engine.Start {
+			continue
+		}
+		if engine.IsLeaving || engine.IsUnlisted || d.scene.Evacuated[engine.Zone] || binding.Weight(engine.ID, engine.Pool, engine.Zone) == 0 {
+			return "the engine may not take it any more"
+		}
+		return ""
+	}
+	return "the engine is not known any more"
+}
+
+// Produced counts tokens that the engine has sent.
+func (d *Desk) Produced(now house.Micros, call *Call, tokens int) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	round := call.Round
+	state := d.state(round.Engine.ID)
+	if !round.isFirst {
+		round.isFirst = true
+		seen := float64(now-round.opened) / max(round.burden, 1)
+		if state.pace == 0 {
+			state.pace = seen
+		} else {
+			state.pace += 0.2 * (seen - state.pace)
+		}
+		state.paceAt = now
+		// The prompt is worked off once the first token is there, but it still takes
+		// room on the engine, so as the source has it, it stays in the burden.
+	}
+	// More tokens than the budget can't make the burden negative.
+	worked := min(int64(tokens), max(round.placed-int64(call.Request.PromptTokens), 0))
+	round.placed -= worked
+	state.ledger.add(now, -worked)
+}
+
+// Close ends the call's round. It gives the next round, in the call, when one may
+// follow, and otherwise the decline that the caller is owed, if anything is.
+func (d *Desk) Close(now house.Micros, call *Call, ending Ending, why string) (isAgain bool, decline *Decline) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	round := call.Round
+	if round.isOver {
+		return false, nil
+	}
+	round.isOver = true
+	state := d.state(round.Engine.ID)
+	state.ledger.add(now, -round.placed)
+	state.ledger.streams--
+	d.judge(now, state, round, ending, why)
+	d.note(now, call.Request.ID, "round over: "+ending.String(), why)
+	switch ending {
+	case Served:
+		d.counts.Served++
+		return false, nil
+	case CallerGone:
+		d.counts.CallersGone++
+		return false, nil
+	case Lost:
+		d.counts.Broken["lost"]++
+		return false, &Decline{"engine_lost", "the engine was lost after the request had been sent: " + why, 502, MayHaveRun, 0}
+	}
+	call.tried[round.Engine.ID] = true
+	if ending == Withdrawn {
+		delete(call.tried, round.Engine.ID)
+	}
+	fail := &Decline{"engines_failed", fmt.Sprintf("round %d: %s", round.Number, why), 503, NotRun, defaultRetryDue}
+	if round.Number >= maxRounds {
+		return false, d.decline(now, call, fail)
+	}
+	// A withdrawn round touched no engine, so it is picked anew without a retry.
+	if ending != Withdrawn && !d.budget.spend() {
+		fail.Reason, fail.Detail = "retry_budget", fail.Detail+"; the retry budget is spent"
+		return false, d.decline(now, call, fail)
+	}
+	if decline := d.open(now, call); decline != nil {
+		return false, d.decline(now, call, decline)
+	}
+	if ending != Withdrawn {
+		d.counts.Retries++
+	}
+	return true, nil
+}
+
+// judge keeps the engine's record of breakdowns.
+func (d *Desk) judge(now house.Micros, state *engineState, round *Round, ending Ending, why string) {
+	if state.start != round.Engine.Start {
+		return
+	}
+	state.isProbing = false
+	switch ending {
+	case NotSent, Lost:
+		state.breakdowns++
+		pause := min(breakdownFirst<<min(state.breakdowns-1, 8), breakdownLast)
+		state.brokenTill = now + pause
+		d.note(now, "engine "+round.Engine.ID, "broken", fmt.Sprintf("%s; left alone for %d us", why, pause))
+	case Served, SaidNotRun:
+		if state.breakdowns > 0 {
+			d.note(now, "engine "+round.Engine.ID, "mended", "it answered again")
+		}
+		state.breakdowns = 0
+	}
+}
+
+// Answered tells that an engine has begun to answer, which ends its breakdown.
+func (d *Desk) Answered(call *Call) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	state := d.state(call.Round.Engine.ID)
+	if state.start == call.Round.Engine.Start {
+		state.breakdowns, state.isProbing = 0, false
+	}
+}
+
+// Resume asks whether a broken stream may be taken up again: the same run, on
+// the same engine and start, within the retry budget.
+func (d *Desk) Resume(now house.Micros, call *Call) bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if !d.budget.spend() {
+		return false
+	}
+	d.counts.Resumes++
+	d.note(now, call.Request.ID, "resume", "the same run on "+call.Round.Engine.ID)
+	return true
+}
+
+// EngineView is one engine as this router sees it, for operators.
+type EngineView struct {
+	ID      string  `json:"id"`
+	Zone    string  `json:"zone"`
+	Address string  `json:"address"`
+	Start   uint64  `json:"start"`
+	Own     int64   `json:"own_burden"`
+	Foreign float64 `json:"foreign_burden"`
+	Streams int     `json:"own_streams"`
+	Bar     string  `json:"barred,omitempty"`
+}
+
+// View pictures the engines for operators.
+func (d *Desk) View(now house.Micros) []EngineView {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	views := []EngineView{}
+	for _, engine := range d.scene.Engines {
+		view := EngineView{ID: engine.ID, Zone: engine.Zone, Address: engine.Address, Start: engine.Start, Bar: d.bar(now, engine)}
+		if state := d.states[engine.ID]; state != nil {
+			view.Own, view.Streams = state.ledger.own, state.ledger.streams
+			if engine.HasReport && d.scene.Spec != nil {
+				view.Foreign = state.ledger.foreign(now, engine.AsOf, engine.Burden, d.scene.Spec.Policy.ReportFade)
+			}
+		}
+		views = append(views, view)
+	}
+	slices.SortFunc(views, func(a, b EngineView) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return views
+}
--- /dev/null
+++ b/auditorium/policy.go
@@ -0,0 +1,111 @@
+// Package auditorium is the data plane: the policy that picks an engine, the
+// burden it goes by, admission, the retry budget, and the relay of a stream.
+package auditorium
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// slotCount is the fixed table that a prefix's hash is taken modulo of. Slots
+// are dealt to engines by rendezvous, so the table's size never depends on how
+// many engines there are and a lost engine moves only its own slots.
+const slotCount = 4096
+
+// Candidate is an engine that a request may go to.
+type Candidate struct {
+	ID     string
+	Weight uint32
+	Burden float64 // outstanding tokens, own and foreign
+	IsFull bool    // its ramp or cap lets this node send it nothing now
+}
+
+// SlotOf gives the slot of a prefix's hash.
+func SlotOf(prefix uint64) uint32 { return uint32(prefix % slotCount) }
+
+// Preferred is the index of the engine that a slot belongs to.
+func Preferred(slot uint32, candidates []Candidate) int {
+	best, bestScore := -1, math.Inf(-1)
+	var key [4]byte
+	binary.LittleEndian.PutUint32(key[:], slot)
+	for i, candidate := range candidates {
+		digest := xxhash.New()
+		digest.WriteString(candidate.ID)
+		digest.Write(key[:])
+		// Uniform in (0,1), never 0 or 1, so that the logarithm is finite.
+		draw := (float64(digest.Sum64()>>11) + 0.5) / (1 << 53)
+		score := float64(candidate.Weight) / -math.Log(draw)
+		if score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// Choice is what the policy decided and by what figures.
+type Choice struct {
+	Index     int
+	Preferred int
+	IsDivert  bool
+	Mean      float64
+	Why       string
+}
+
+// Choose is the paper's rule: the preferred engine, unless its burden exceeds
+// maxImbalance times the mean; then the engine with the fewest outstanding
+// tokens. Engines within nearTie of the fewest count as tied and salt decides
+// between them, so that nodes with the same late picture do not all pick one.
+func Choose(candidates []Candidate, preferred int, maxImbalance, nearTie float64, salt uint64) Choice {
+	total := 0.0
+	for _, candidate := range candidates {
+		total += candidate.Burden
+	}
+	choice := Choice{Index: preferred, Preferred: preferred, Mean: total / float64(len(candidates)), Why: "preferred"}
+	isAbove := choice.Mean > 0 && candidates[preferred].Burden > maxImbalance*choice.Mean
+	if !isAbove && !candidates[preferred].IsFull {
+		return choice
+	}
+	choice.Index = fewest(candidates, nearTie, salt)
+	choice.IsDivert = choice.Index != preferred
+	choice.Why = "the preferred engine's burden is above the multiple of the mean"
+	if !isAbove {
+		choice.Why = "the preferred engine is ramping up and full"
+	}
+	return choice
+}
+
+// fewest gives the index of the least burdened engine that may take more, or -1.
+func fewest(candidates []Candidate, nearTie float64, salt uint64) int {
+	least := math.Inf(1)
+	for _, candidate := range candidates {
+		if !candidate.IsFull {
+			least = min(least, candidate.Burden)
+		}
+	}
+	best, bestDraw := -1, uint64(0)
+	for i, candidate := range candidates {
+		if candidate.IsFull || candidate.Burden > least*(1+nearTie) {
+			continue
+		}
+		draw := xxhash.Sum64String(candidate.ID) ^ salt
+		draw *= 0x9e3779b97f4a7c15
+		draw ^= draw >> 32
+		if best < 0 || draw > bestDraw {
+			best, bestDraw = i, draw
+		}
+	}
+	return best
+}
+
+// PrefixHash hashes the first tokens of a prompt.
+func PrefixHash(tokens []uint32, length int) uint64 {
+	digest := xxhash.New()
+	var key [4]byte
+	for _, token := range tokens[:min(length, len(tokens))] {
+		binary.LittleEndian.PutUint32(key[:], token)
+		digest.Write(key[:])
+	}
+	return digest.Sum64()
+}
--- /dev/null
+++ b/auditorium/usher.go
@@ -0,0 +1,403 @@
+package auditorium
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dunlinloom/house"
+)
+
+// Headers of the project's interfaces.
+const (
+	HeaderRequest = "Dunlinloom-Request" // the request's id, to callers and engines
+	HeaderKind    = "Dunlinloom-Kind"    // the kind of request, from callers
+	HeaderEngine  = "Dunlinloom-Engine"  // the engine that served, to callers
+	HeaderRun     = "Dunlinloom-Run"     // not_run or may_have_run, on declines
+	HeaderNotRun  = "Dunlinloom-Not-Run" // an engine's word that it ran nothing
+	HeaderRunID   = "Dunlinloom-Run-Id"  // names a run that can be resumed
+	HeaderStart   = "Dunlinloom-Start"   // an engine's start identity
+	HeaderOffset  = "Dunlinloom-Offset"  // where a resumed body begins
+	// HeaderGeneration names the generation that a request was handled under.
+	HeaderGeneration = "Dunlinloom-Generation"
+)
+
+// Spans hold the times the usher keeps to.
+type Spans struct {
+	Dial          house.Micros
+	EngineSilence house.Micros // an engine that sends nothing for so long is lost
+	CallerBody    house.Micros // in which a caller has to deliver its body
+	CallerStall   house.Micros // a caller that takes nothing for so long is gone
+}
+
+// DefaultSpans suit engines that answer within seconds.
+func DefaultSpans() Spans {
+	return Spans{Dial: house.Second, EngineSilence: 20 * house.Second, CallerBody: 20 * house.Second, CallerStall: 60 * house.Second}
+}
+
+// Usher serves callers: it carries out what the desk decides.
+type Usher struct {
+	Cue   house.Cue
+	Desk  *Desk
+	Spans Spans
+	// Dial opens a channel to an engine.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Served waits for every accepted request to get its answer.
+	Served sync.WaitGroup
+	live   atomic.Int64
+}
+
+// Live is how many requests are being served now.
+func (u *Usher) Live() int64 { return u.live.Load() }
+
+// withdrawn is the breakdown of a channel that may not be written to any more.
+type withdrawn struct{ why string }
+
+func (b withdrawn) Error() string { return "round withdrawn: " + b.why }
+
+// watchedChannel counts what is written to an engine and asks once more, before
+// the first byte, whether the round may still begin.
+type watchedChannel struct {
+	net.Conn
+	mayWrite func() string
+	written  *atomic.Int64
+}
+
+func (c *watchedChannel) Write(chunk []byte) (int, error) {
+	if c.written.Load() == 0 {
+		if why := c.mayWrite(); why != "" {
+			return 0, withdrawn{why}
+		}
+	}
+	// Counted before the write: a write that fails may have put bytes on the wire.
+	c.written.Add(int64(len(chunk)))
+	return c.Conn.Write(chunk)
+}
+
+// ServeHTTP takes POST /v1/completions.
+func (u *Usher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u.Served.Add(1)
+	u.live.Add(1)
+	defer u.Served.Done()
+	defer u.live.Add(-1)
+	id := rand.Text()
+	w.Header().Set(HeaderRequest, id)
+	body, decline := u.readBody(w, r)
+	if decline != nil {
+		u.Refuse(w, decline)
+		return
+	}
+	request, err := ReadPrompt(body)
+	if err != nil {
+		u.Refuse(w, &Decline{"bad_request", err.Error(), http.StatusBadRequest, NotRun, 0})
+		return
+	}
+	request.ID, request.Kind = id, r.Header.Get(HeaderKind)
+	call, decline := u.Desk.Arrive(u.Cue.Clock.Now(), request)
+	if decline != nil {
+		u.Refuse(w, decline)
+		return
+	}
+	for {
+		ending, why, begun := u.round(w, r, call, body)
+		isAgain, decline := u.Desk.Close(u.Cue.Clock.Now(), call, ending, why)
+		switch {
+		case isAgain:
+			continue
+		case ending == Served:
+			return
+		case begun || ending == CallerGone:
+			// The caller has part of a body. Only a torn channel tells it so; a clean end would lie.
+			panic(http.ErrAbortHandler)
+		default:
+			u.Refuse(w, decline)
+			return
+		}
+	}
+}
+
+func (u *Usher) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Decline) {
+	control := http.NewResponseController(w)
+	// A caller that trickles its body must not hold a place for ever.
+	if err := control.SetReadDeadline(time.Now().Add(u.Spans.CallerBody.Duration())); err != nil {
+		return nil, &Decline{"bad_request", "the channel takes no deadline: " + err.Error(), http.StatusInternalServerError, NotRun, 0}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &Decline{"too_large", fmt.Sprintf("the body is above the bound of %d bytes", MaxBody), http.StatusRequestEntityTooLarge, NotRun, 0}
+	case err != nil:
+		return nil, &Decline{"bad_request", "the body did not arrive whole: " + err.Error(), http.StatusRequestTimeout, NotRun, 0}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return nil, &Decline{"bad_request", "the channel takes no deadline: " + err.Error(), http.StatusInternalServerError, NotRun, 0}
+	}
+	return body, nil
+}
+
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Type       string   `json:"type"`
+	Message    string   `json:"message"`
+	Run        RunState `json:"run"`
+	Request    string   `json:"request,omitempty"`
+	RetryAfter float64  `json:"retry_after_s,omitempty"`
+}
+
+// Refuse writes a decline at once, with when to come back.
+func (u *Usher) Refuse(w http.ResponseWriter, decline *Decline) {
+	fields := errorFields{Type: decline.Reason, Message: decline.Detail, Run: decline.Run, Request: w.Header().Get(HeaderRequest)}
+	if decline.RetryAfter > 0 {
+		seconds := (decline.RetryAfter + house.Second - 1) / house.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+		fields.RetryAfter = float64(decline.RetryAfter) / float64(house.Second)
+	}
+	w.Header().Set(HeaderRun, string(decline.Run))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(decline.Status)
+	// A caller that is gone can't be told; there is nobody else to tell.
+	if err := json.NewEncoder(w).Encode(errorBody{fields}); err != nil {
+		u.Cue.Log.V(2).Info("a decline could not be delivered", "error", err)
+	}
+}
+
+// Headers that belong to one channel and are not passed on.
+var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+func copyHeaders(to, from http.Header) {
+	dropped := map[string]bool{}
+	for _, name := range hopHeaders {
+		dropped[name] = true
+	}
+	for _, line := range from.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for name, lines := range from {
+		if !dropped[name] {
+			to[name] = append([]string(nil), lines...)
+		}
+	}
+}
+
+// newTransport makes a transport for a single round. One channel a round: bytes
+// written can then be told for certain, and the library has no reused channel on
+// which it would send a request again by itself.
+func (u *Usher) newTransport(watch func(net.Conn) net.Conn) *http.Transport {
+	return &http.Transport{
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: 1 << 20,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, u.Spans.Dial.Duration())
+			defer cancel()
+			channel, err := u.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return watch(channel), nil
+		},
+	}
+}
+
+// round tries one engine; begun tells that the caller has got a first part.
+func (u *Usher) round(w http.ResponseWriter, r *http.Request, call *Call, body []byte) (ending Ending, why string, begun bool) {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	var written atomic.Int64
+	transport := u.newTransport(func(channel net.Conn) net.Conn {
+		return &watchedChannel{channel, func() string { return u.Desk.MayWrite(u.Cue.Clock.Now(), call) }, &written}
+	})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Round.Engine.Address+"/v1/completions", io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return NotSent, err.Error(), false
+	}
+	copyHeaders(request.Header, r.Header)
+	request.Header.Set(HeaderRequest, call.Request.ID)
+	// The stream is counted as it passes, so it has to come as it is.
+	request.Header.Del("Accept-Encoding")
+	request.Header.Del("Expect")
+	if _, isSet := request.Header["User-Agent"]; !isSet {
+		request.Header.Set("User-Agent", "")
+	}
+	// Without GetBody the library can't rewind the body, so it never sends it twice.
+	request.ContentLength, request.GetBody = int64(len(body)), nil
+
+	silence := time.AfterFunc(u.Spans.EngineSilence.Duration(), func() { cancel(engineSilent{u.Spans.EngineSilence}) })
+	defer silence.Stop()
+	// RoundTrip, not Do: redirects are for the caller to follow or not.
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return u.blame(r, ctx, err, written.Load())
+	}
+	defer func() { response.Body.Close() }()
+	if hasNotRun(response) {
+		return SaidNotRun, fmt.Sprintf("status %d", response.StatusCode), false
+	}
+	u.Desk.Answered(call)
+	copyHeaders(w.Header(), response.Header)
+	w.Header().Set(HeaderRequest, call.Request.ID)
+	w.Header().Set(HeaderEngine, call.Round.Engine.ID)
+	w.Header().Set(HeaderGeneration, strconv.FormatUint(call.Round.Generation, 10))
+	if response.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	w.WriteHeader(response.StatusCode)
+	relay := &relay{usher: u, call: call, w: w, control: http.NewResponseController(w), silence: silence, whole: response.ContentLength}
+	kind, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	relay.isStream = kind == "text/event-stream"
+	if err := relay.control.Flush(); err != nil {
+		return CallerGone, err.Error(), true
+	}
+	runID, start := response.Header.Get(HeaderRunID), response.Header.Get(HeaderStart)
+	source := response.Body
+	for tries := 0; ; tries++ {
+		broken, gone := relay.copy(source)
+		if gone != nil || r.Context().Err() != nil {
+			return CallerGone, "the caller hung up", true
+		}
+		if broken == nil {
+			return Served, "", true
+		}
+		source.Close()
+		if cause := context.Cause(ctx); cause != nil {
+			broken = cause
+		}
+		if runID == "" || tries >= 3 || context.Cause(ctx) != nil || !u.Desk.Resume(u.Cue.Clock.Now(), call) {
+			return Lost, broken.Error(), true
+		}
+		again, err := u.resume(ctx, call, runID, start, relay.sent)
+		if err != nil {
+			return Lost, fmt.Sprintf("%v, and the run can't be resumed: %v", broken, err), true
+		}
+		source = again
+	}
+}
+
+type engineSilent struct{ span house.Micros }
+
+func (b engineSilent) Error() string { return fmt.Sprintf("the engine sent nothing for %d us", b.span) }
+
+// blame sorts out what a failed round trip proves.
+func (u *Usher) blame(r *http.Request, ctx context.Context, err error, written int64) (Ending, string, bool) {
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+		err = cause
+	}
+	var called withdrawn
+	switch {
+	case r.Context().Err() != nil:
+		return CallerGone, "the caller hung up", false
+	case written == 0 && errors.As(err, &called):
+		return Withdrawn, called.why, false
+	case written == 0:
+		return NotSent, err.Error(), false
+	}
+	return Lost, err.Error(), false
+}
+
+// hasNotRun tells that the engine gives its word. Only these two statuses carry
+// it: on any other one a body is an answer.
+func hasNotRun(response *http.Response) bool {
+	isDeclined := response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
+	return isDeclined && response.Header.Get(HeaderNotRun) == "1"
+}
+
+// openEnd says that a stream stopped without its closing mark.
+type openEnd struct{ sent int64 }
+
+func (b openEnd) Error() string {
+	return fmt.Sprintf("the stream ended after %d bytes without its closing mark", b.sent)
+}
+
+type relay struct {
+	usher    *Usher
+	call     *Call
+	w        io.Writer
+	control  *http.ResponseController
+	silence  *time.Timer
+	tally    Tally
+	isStream bool
+	whole    int64 // the length the engine announced, or -1
+	sent     int64
+}
+
+// copy passes bytes on as they come until the source ends. broken says that the
+// engine's part failed, gone that the caller's did.
+func (l *relay) copy(source io.Reader) (broken, gone error) {
+	buffer := make([]byte, 32<<10)
+	for {
+		count, err := source.Read(buffer)
+		l.silence.Reset(l.usher.Spans.EngineSilence.Duration())
+		if count > 0 {
+			if tokens := l.tally.Take(buffer[:count]); tokens > 0 && l.isStream {
+				l.usher.Desk.Produced(l.usher.Cue.Clock.Now(), l.call, tokens)
+			}
+			deadline := time.Now().Add(l.usher.Spans.CallerStall.Duration())
+			if err := l.control.SetWriteDeadline(deadline); err != nil {
+				return nil, err
+			}
+			if _, err := l.w.Write(buffer[:count]); err != nil {
+				return nil, err
+			}
+			if err := l.control.Flush(); err != nil {
+				return nil, err
+			}
+			l.sent += int64(count)
+		}
+		switch {
+		case err == io.EOF && l.isStream && !l.tally.IsClosed, err == io.EOF && l.whole >= 0 && l.sent < l.whole:
+			return openEnd{l.sent}, nil
+		case err == io.EOF:
+			return nil, nil
+		case err != nil:
+			return err, nil
+		}
+	}
+}
+
+// notResumed says why a run could not be taken up again.
+type notResumed struct{ why string }
+
+func (b notResumed) Error() string { return b.why }
+
+// resume opens the same run on the same engine at the byte the caller has reached.
+func (u *Usher) resume(ctx context.Context, call *Call, runID, start string, offset int64) (io.ReadCloser, error) {
+	transport := u.newTransport(func(channel net.Conn) net.Conn { return channel })
+	url := fmt.Sprintf("http://%s/v1/runs/%s?offset=%d", call.Round.Engine.Address, runID, offset)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(HeaderRequest, call.Request.ID)
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	headers := response.Header
+	// Any doubt that it is the same run of the same process ends the try: a body
+	// stitched from two runs is worse than a broken one.
+	isSame := response.StatusCode == http.StatusOK && headers.Get(HeaderRunID) == runID && headers.Get(HeaderStart) == start && start != "" &&
+		headers.Get(HeaderOffset) == strconv.FormatInt(offset, 10)
+	if !isSame {
+		response.Body.Close()
+		return nil, notResumed{fmt.Sprintf("status %d, run %q, start %q, offset %q", response.StatusCode, headers.Get(HeaderRunID), headers.Get(HeaderStart), headers.Get(HeaderOffset))}
+	}
+	return response.Body, nil
+}
--- /dev/null
+++ b/claque/claque.go
@@ -0,0 +1,273 @@
+// Package claque plays the callers: kinds of request with shared prefixes, each
+// answer checked byte for byte against what the engine must have sent.
+package claque
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"dunlinloom/auditorium"
+	"dunlinloom/critic"
+	"dunlinloom/house"
+	"dunlinloom/understudy"
+)
+
+// Kind is one kind of request.
+type Kind struct {
+	Name       string  `json:"name"`
+	Share      float64 `json:"share"`    // of all requests
+	Prefixes   int     `json:"prefixes"` // shared leading prefixes
+	Hot        float64 `json:"hot"`      // share that the first prefix draws beyond its own
+	PrefixLen  int     `json:"prefix_len"`
+	PromptLow  int     `json:"prompt_low"` // tokens after the prefix
+	PromptHigh int     `json:"prompt_high"`
+	OutLow     int     `json:"out_low"`
+	OutHigh    int     `json:"out_high"`
+	IsPlain    bool    `json:"plain,omitempty"` // not streamed
+}
+
+// Kinds of the two deployments.
+var (
+	Qurum = []Kind{
+		{Name: "writeup", Share: 0.35, Prefixes: 8, PrefixLen: 96, PromptLow: 300, PromptHigh: 900, OutLow: 20, OutHigh: 60},
+		{Name: "quote", Share: 0.45, Prefixes: 12, PrefixLen: 80, PromptLow: 10, PromptHigh: 60, OutLow: 5, OutHigh: 20},
+		{Name: "teardown", Share: 0.2, Prefixes: 6, PrefixLen: 128, PromptLow: 40, PromptHigh: 200, OutLow: 150, OutHigh: 400},
+	}
+	Cronometro = []Kind{
+		{Name: "review", Share: 0.3, Prefixes: 8, PrefixLen: 96, PromptLow: 300, PromptHigh: 800, OutLow: 30, OutHigh: 80},
+		{Name: "rules", Share: 0.5, Prefixes: 10, PrefixLen: 80, PromptLow: 8, PromptHigh: 50, OutLow: 5, OutHigh: 20},
+		{Name: "commentary", Share: 0.2, Prefixes: 6, PrefixLen: 128, PromptLow: 20, PromptHigh: 120, OutLow: 150, OutHigh: 400},
+	}
+)
+
+// Caller sends requests to nodes and checks what comes back.
+type Caller struct {
+	client *http.Client
+}
+
+// NewCaller makes a caller.
+func NewCaller() *Caller {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &Caller{&http.Client{
+		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Ask is one request to make.
+type Ask struct {
+	Tag    string
+	Kind   string
+	Prompt []uint32
+	Out    int
+	Plain  bool
+}
+
+// NewAsk draws a request of a kind.
+func NewAsk(random *rand.Rand, kind Kind, tag string) Ask {
+	ask := Ask{Tag: tag, Kind: kind.Name, Plain: kind.IsPlain}
+	prefix := random.IntN(max(kind.Prefixes, 1))
+	if random.Float64() < kind.Hot {
+		prefix = 0
+	}
+	// The shared part depends on kind and prefix alone.
+	shared := rand.New(rand.NewPCG(uint64(prefix), uint64(len(kind.Name))<<32|uint64(kind.Name[0])))
+	for range kind.PrefixLen {
+		ask.Prompt = append(ask.Prompt, shared.Uint32N(50000))
+	}
+	for range kind.PromptLow + random.IntN(kind.PromptHigh-kind.PromptLow+1) {
+		ask.Prompt = append(ask.Prompt, random.Uint32N(50000))
+	}
+	ask.Out = kind.OutLow + random.IntN(kind.OutHigh-kind.OutLow+1)
+	return ask
+}
+
+func now() house.Micros { return house.Micros(time.Now().UnixMicro()) }
+
+// Call makes one request and tells how it ended.
+func (c *Caller) Call(ctx context.Context, node string, ask Ask) critic.Event {
+	event := critic.Event{What: critic.CallEnded, Tag: ask.Tag, Node: node, Kind: ask.Kind, Began: now()}
+	event.Outcome, event.Reason = c.call(ctx, node, ask, &event)
+	event.At = now()
+	if ctx.Err() != nil && event.Outcome != critic.Wrong && event.Outcome != critic.FalseEnd {
+		event.Outcome, event.Reason = critic.HungUp, "the caller left"
+	}
+	return event
+}
+
+type body struct {
+	Model     string   `json:"model"`
+	Prompt    []uint32 `json:"prompt"`
+	MaxTokens int      `json:"max_tokens"`
+	Stream    bool     `json:"stream"`
+}
+
+func (c *Caller) call(ctx context.Context, node string, ask Ask, event *critic.Event) (critic.Outcome, string) {
+	content, err := json.Marshal(body{"understudy", ask.Prompt, ask.Out, !ask.Plain})
+	if err != nil {
+		return critic.Unreached, err.Error()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/completions", io.NopCloser(bytes.NewReader(content)))
+	if err != nil {
+		return critic.Unreached, err.Error()
+	}
+	request.ContentLength = int64(len(content))
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(auditorium.HeaderKind, ask.Kind)
+	request.Header.Set(understudy.HeaderTag, ask.Tag)
+	response, err := c.client.Do(request)
+	if err != nil {
+		var dialing *net.OpError
+		if errors.As(err, &dialing) && dialing.Op == "dial" {
+			return critic.Unreached, err.Error()
+		}
+		return critic.NoAnswer, err.Error()
+	}
+	defer response.Body.Close()
+	event.ID = response.Header.Get(auditorium.HeaderRequest)
+	event.Engine = response.Header.Get(auditorium.HeaderEngine)
+	if text := response.Header.Get(auditorium.HeaderGeneration); text != "" {
+		if event.Generation, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return critic.Wrong, "generation " + text
+		}
+	}
+	got, readErr := io.ReadAll(response.Body)
+	return Compare(response, got, readErr, ask)
+}
+
+// Compare sorts out what a caller got.
+func Compare(response *http.Response, got []byte, readErr error, ask Ask) (critic.Outcome, string) {
+	run := response.Header.Get(understudy.HeaderRun)
+	if run == "" {
+		return declined(response, got, readErr)
+	}
+	want, done := understudy.Script(run, ask.Out, !ask.Plain), critic.Served
+	if response.StatusCode != http.StatusOK {
+		want, done = understudy.FailScript(run), critic.EngineSays
+	}
+	switch {
+	case !bytes.HasPrefix(want, got):
+		return critic.Wrong, fmt.Sprintf("%d bytes of run %s differ from its %d", len(got), run, len(want))
+	case readErr != nil:
+		return critic.Torn, readErr.Error()
+	case len(got) < len(want):
+		return critic.FalseEnd, fmt.Sprintf("%d of %d bytes of run %s", len(got), len(want), run)
+	}
+	return done, ""
+}
+
+func declined(response *http.Response, got []byte, readErr error) (critic.Outcome, string) {
+	var said struct {
+		Error struct {
+			Type string `json:"type"`
+		} `json:"error"`
+	}
+	if readErr != nil {
+		return critic.Torn, readErr.Error()
+	}
+	if err := json.Unmarshal(got, &said); err != nil {
+		return critic.Wrong, fmt.Sprintf("status %d with a body of no engine: %.60q", response.StatusCode, got)
+	}
+	switch response.Header.Get(auditorium.HeaderRun) {
+	case string(auditorium.NotRun):
+		return critic.NotRun, said.Error.Type
+	case string(auditorium.MayHaveRun):
+		return critic.MayHaveRun, said.Error.Type
+	}
+	return critic.Wrong, fmt.Sprintf("status %d does not say whether it ran", response.StatusCode)
+}
+
+// Performance is a span of calls at a rate.
+type Performance struct {
+	Nodes   []string
+	Kinds   []Kind
+	Rate    float64 // requests a second
+	Span    house.Micros
+	Seed    uint64
+	Prefix  string // of the tags
+	Patient house.Micros
+	// Retries tells whether callers come again after a decline that says when.
+	Retries int
+}
+
+// Run makes the calls and hands over each event as it comes.
+func (p Performance) Run(ctx context.Context, take func(critic.Event)) {
+	random := rand.New(rand.NewPCG(p.Seed, 1))
+	caller := NewCaller()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	end := time.NewTimer(p.Span.Duration())
+	defer end.Stop()
+	for count := 0; ; count++ {
+		pause := time.Duration(random.ExpFloat64() / p.Rate * float64(time.Second))
+		select {
+		case <-ctx.Done():
+			return
+		case <-end.C:
+			return
+		case <-time.After(pause):
+		}
+		kind := pick(random, p.Kinds)
+		ask := NewAsk(random, kind, fmt.Sprintf("%s-%d", p.Prefix, count))
+		// The platform hands channels to the nodes in turn.
+		turn := random.IntN(len(p.Nodes))
+		calls.Go(func() { p.serve(ctx, caller, ask, turn, take) })
+	}
+}
+
+func (p Performance) serve(ctx context.Context, caller *Caller, ask Ask, turn int, take func(critic.Event)) {
+	limit, cancel := context.WithTimeout(ctx, p.Patient.Duration())
+	defer cancel()
+	tag := ask.Tag
+	for try := 0; ; try++ {
+		// Each try is a request of its own: what was promised of one says nothing of the next.
+		ask.Tag = fmt.Sprintf("%s/%d", tag, try)
+		event := caller.Call(limit, p.Nodes[(turn+try)%len(p.Nodes)], ask)
+		isAgain := (event.Outcome == critic.NotRun || event.Outcome == critic.Unreached) && try < p.Retries && limit.Err() == nil
+		take(event)
+		if !isAgain {
+			return
+		}
+		if event.Outcome == critic.Unreached {
+			continue
+		}
+		select {
+		case <-limit.Done():
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func pick(random *rand.Rand, kinds []Kind) Kind {
+	draw := random.Float64()
+	for _, kind := range kinds {
+		if draw < kind.Share {
+			return kind
+		}
+		draw -= kind.Share
+	}
+	return kinds[len(kinds)-1]
+}
+
+// KindsOf gives a deployment's kinds by its name.
+func KindsOf(name string) ([]Kind, bool) {
+	switch strings.ToLower(name) {
+	case "qurum":
+		return Qurum, true
+	case "cronometro":
+		return Cronometro, true
+	}
+	return nil, false
+}
--- /dev/null
+++ b/cmd/callboard/main.go
@@ -0,0 +1,458 @@
+// Callboard is the operator's command line over the whole fleet.
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+	"dunlinloom/wings"
+)
+
+// Exit statuses, as docs/operators.md gives them.
+const (
+	exitYes      = 0
+	exitTrouble  = 1 // no node answered, or the words were wrong
+	exitNo       = 2 // a final no, or a spec with faults
+	exitUnproved = 3 // neither yes nor no could be shown
+	exitMissing  = 4 // what was asked for is not there
+)
+
+type words struct {
+	Spec       *specWords       `arg:"subcommand:spec" help:"put, get, history, check"`
+	Zone       *zoneWords       `arg:"subcommand:zone" help:"empty, refill"`
+	Router     *routerWords     `arg:"subcommand:router" help:"forget"`
+	Submission *submissionWords `arg:"subcommand:submission" help:"how an order ended"`
+	Fleet      *struct{}        `arg:"subcommand:fleet" help:"nodes, engines, zones, who leads"`
+	Explain    *explainWords    `arg:"subcommand:explain" help:"why a request went where it did"`
+	Journal    *journalWords    `arg:"subcommand:journal" help:"decisions of all nodes"`
+	Nodes      []string         `arg:"--node,separate,env:CALLBOARD_NODES" help:"public address of a node; several are tried in turn"`
+	JSON       bool             `arg:"--json" help:"print the nodes' own JSON"`
+}
+
+type specWords struct {
+	Put *struct {
+		File       string  `arg:"positional,required"`
+		Base       *uint64 `arg:"--base" help:"the generation the edit began from"`
+		Submission string  `arg:"--submission" help:"id; the same one again gets the same receipt"`
+	} `arg:"subcommand:put"`
+	Get *struct {
+		Generation uint64 `arg:"--generation"`
+	} `arg:"subcommand:get"`
+	History *struct{} `arg:"subcommand:history"`
+	Check   *struct {
+		File string `arg:"positional,required"`
+	} `arg:"subcommand:check"`
+}
+
+type zoneWords struct {
+	Empty  *zoneName `arg:"subcommand:empty"`
+	Refill *zoneName `arg:"subcommand:refill"`
+}
+
+type zoneName struct {
+	Zone       string `arg:"positional,required"`
+	Submission string `arg:"--submission"`
+}
+
+type routerWords struct {
+	Forget *struct {
+		Address string `arg:"positional,required" help:"peer address of a router that you know to be dead"`
+	} `arg:"subcommand:forget"`
+}
+
+type submissionWords struct {
+	ID string `arg:"positional,required" help:"asking makes an order that is still open a final no"`
+}
+
+type explainWords struct {
+	Request string `arg:"positional,required" help:"the Dunlinloom-Request header of the answer"`
+}
+
+type journalWords struct {
+	Part    string `arg:"--part" help:"flyloft, auditorium or platform"`
+	Subject string `arg:"--subject" help:"core, licence, home, \"engine ID\", \"node ADDRESS\", \"submission ID\" or a request's id"`
+	Last    int    `arg:"--last" default:"50"`
+}
+
+func (words) Description() string { return "callboard drives a dunlinloom fleet through any of its nodes." }
+
+// unreachable says that no node gave an answer.
+type unreachable struct {
+	nodes []string
+	cause error
+}
+
+func (b unreachable) Error() string {
+	return fmt.Sprintf("none of %v answered: %v", b.nodes, b.cause)
+}
+
+func (b unreachable) Unwrap() error { return b.cause }
+
+// misread says that a node's answer was not what its interface promises.
+type misread struct {
+	what  string
+	cause error
+}
+
+func (b misread) Error() string { return fmt.Sprintf("read %s: %v", b.what, b.cause) }
+
+func (b misread) Unwrap() error { return b.cause }
+
+type board struct {
+	words  words
+	client *http.Client
+	out    io.Writer
+}
+
+func main() {
+	var words words
+	parser := arg.MustParse(&words)
+	if len(words.Nodes) == 0 {
+		parser.Fail("name a node with --node or CALLBOARD_NODES")
+	}
+	b := &board{words, &http.Client{Timeout: 30 * time.Second}, os.Stdout}
+	status, err := b.run(parser)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "callboard:", err)
+	}
+	os.Exit(status)
+}
+
+func (b *board) run(parser *arg.Parser) (int, error) {
+	w := b.words
+	switch {
+	case w.Spec != nil && w.Spec.Put != nil:
+		return b.put(w.Spec.Put.File, w.Spec.Put.Base, w.Spec.Put.Submission)
+	case w.Spec != nil && w.Spec.Get != nil:
+		query := ""
+		if w.Spec.Get.Generation > 0 {
+			query = fmt.Sprintf("?generation=%d", w.Spec.Get.Generation)
+		}
+		return b.show(http.MethodGet, "/v1/spec"+query, nil, nil)
+	case w.Spec != nil && w.Spec.History != nil:
+		return b.show(http.MethodGet, "/v1/spec/history", nil, b.printHistory)
+	case w.Spec != nil && w.Spec.Check != nil:
+		content, err := os.ReadFile(w.Spec.Check.File)
+		if err != nil {
+			return exitTrouble, fmt.Errorf("read the spec: %w", err)
+		}
+		return b.show(http.MethodPost, "/v1/spec/check", content, func([]byte) error {
+			fmt.Fprintln(b.out, "the spec is good")
+			return nil
+		})
+	case w.Zone != nil && w.Zone.Empty != nil:
+		return b.order(http.MethodPut, "/v1/zones/"+url.PathEscape(w.Zone.Empty.Zone)+"/evacuation", nil, w.Zone.Empty.Submission)
+	case w.Zone != nil && w.Zone.Refill != nil:
+		return b.order(http.MethodDelete, "/v1/zones/"+url.PathEscape(w.Zone.Refill.Zone)+"/evacuation", nil, w.Zone.Refill.Submission)
+	case w.Router != nil && w.Router.Forget != nil:
+		return b.order(http.MethodDelete, "/v1/routers/"+url.PathEscape(w.Router.Forget.Address), nil, "")
+	case w.Submission != nil:
+		return b.order(http.MethodGet, "/v1/submissions/"+url.PathEscape(w.Submission.ID), nil, w.Submission.ID)
+	case w.Fleet != nil:
+		return b.show(http.MethodGet, "/v1/fleet", nil, b.printFleet)
+	case w.Explain != nil:
+		return b.gather("/v1/explain/"+url.PathEscape(w.Explain.Request))
+	case w.Journal != nil:
+		query := url.Values{"part": {w.Journal.Part}, "subject": {w.Journal.Subject}, "last": {fmt.Sprint(w.Journal.Last)}}
+		return b.gather("/v1/journal?"+query.Encode())
+	}
+	parser.WriteHelp(os.Stderr)
+	return exitTrouble, nil
+}
+
+// do asks the nodes in turn until one answers.
+func (b *board) do(method, path string, body []byte, submission string) (int, []byte, error) {
+	var last error
+	for _, node := range b.words.Nodes {
+		status, got, err := b.doAt(node, method, path, body, submission)
+		if err == nil {
+			return status, got, nil
+		}
+		last = err
+	}
+	return 0, nil, unreachable{b.words.Nodes, last}
+}
+
+func (b *board) doAt(node, method, path string, body []byte, submission string) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+node+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("make a request: %w", err)
+	}
+	if submission != "" {
+		request.Header.Set(wings.HeaderSubmission, submission)
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return 0, nil, fmt.Errorf("ask %s: %w", node, err)
+	}
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("hear %s: %w", node, err)
+	}
+	return response.StatusCode, got, nil
+}
+
+func (b *board) put(file string, base *uint64, submission string) (int, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return exitTrouble, fmt.Errorf("read the spec: %w", err)
+	}
+	path := "/v1/spec"
+	if base != nil {
+		path += fmt.Sprintf("?base=%d", *base)
+	}
+	return b.order(http.MethodPut, path, content, submission)
+}
+
+// order sends an order with one id to all nodes in turn, so that a second try
+// can never be a second order.
+func (b *board) order(method, path string, body []byte, submission string) (int, error) {
+	if submission == "" {
+		submission = rand.Text()
+	}
+	status, got, err := b.do(method, path, body, submission)
+	if err != nil {
+		return exitUnproved, fmt.Errorf("%w; ask how it ended with: callboard submission %s", err, submission)
+	}
+	var receipt flyloft.SubmitReceipt
+	if err := json.Unmarshal(got, &receipt); err != nil || receipt.Outcome == "" {
+		return b.fail(status, got)
+	}
+	if b.words.JSON {
+		b.out.Write(got)
+	} else {
+		switch receipt.Outcome {
+		case flyloft.Yes:
+			fmt.Fprintf(b.out, "yes, generation %d (submission %s)\n", receipt.Generation, receipt.ID)
+		case flyloft.No:
+			fmt.Fprintf(b.out, "no, %s: %s (submission %s)\n", receipt.Reason, receipt.Detail, receipt.ID)
+		default:
+			fmt.Fprintf(b.out, "unproved, %s; ask again with: callboard submission %s\n", receipt.Detail, receipt.ID)
+		}
+	}
+	switch receipt.Outcome {
+	case flyloft.Yes:
+		return exitYes, nil
+	case flyloft.No:
+		return exitNo, nil
+	}
+	return exitUnproved, nil
+}
+
+// fail prints a typed error of a node with all its faults.
+func (b *board) fail(status int, got []byte) (int, error) {
+	var said struct {
+		Error struct {
+			Type    string `json:"type"`
+			Message string `json:"message"`
+			Faults  []struct {
+				Path string `json:"path"`
+				Why  string `json:"why"`
+			} `json:"faults"`
+			More int `json:"more_faults"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(got, &said); err != nil {
+		return exitTrouble, misread{fmt.Sprintf("an answer of status %d", status), err}
+	}
+	if b.words.JSON {
+		b.out.Write(got)
+	} else {
+		fmt.Fprintf(b.out, "%s: %s\n", said.Error.Type, said.Error.Message)
+		for _, fault := range said.Error.Faults {
+			fmt.Fprintf(b.out, "  %s: %s\n", fault.Path, fault.Why)
+		}
+		if said.Error.More > 0 {
+			fmt.Fprintf(b.out, "  and %d more\n", said.Error.More)
+		}
+	}
+	switch status {
+	case http.StatusNotFound:
+		return exitMissing, nil
+	case http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge, http.StatusConflict, http.StatusBadRequest:
+		return exitNo, nil
+	}
+	return exitTrouble, nil
+}
+
+func (b *board) show(method, path string, body []byte, print func([]byte) error) (int, error) {
+	status, got, err := b.do(method, path, body, "")
+	if err != nil {
+		return exitTrouble, err
+	}
+	if status != http.StatusOK {
+		return b.fail(status, got)
+	}
+	if b.words.JSON || print == nil {
+		b.out.Write(got)
+		return exitYes, nil
+	}
+	if err := print(got); err != nil {
+		return exitTrouble, err
+	}
+	return exitYes, nil
+}
+
+func (b *board) printHistory(got []byte) error {
+	var history struct {
+		Generations []uint64 `json:"generations"`
+		Current     uint64   `json:"current"`
+	}
+	if err := json.Unmarshal(got, &history); err != nil {
+		return misread{"the history", err}
+	}
+	for _, generation := range history.Generations {
+		mark := ""
+		if generation == history.Current {
+			mark = "  in force"
+		}
+		fmt.Fprintf(b.out, "%d%s\n", generation, mark)
+	}
+	return nil
+}
+
+func (b *board) printFleet(got []byte) error {
+	var view wings.FleetView
+	if err := json.Unmarshal(got, &view); err != nil {
+		return misread{"the fleet", err}
+	}
+	fmt.Fprintf(b.out, "generation %d, spec of %d, seen from %s in %s\n", view.Generation, view.SpecGeneration, view.Self.Address, view.Self.Zone)
+	if view.Why != "" {
+		fmt.Fprintf(b.out, "NO LICENCE: %s\n", view.Why)
+	}
+	if view.Ailment != "" {
+		fmt.Fprintf(b.out, "DISK: %s\n", view.Ailment)
+	}
+	for _, zone := range sorted(view.Evacuated) {
+		fmt.Fprintf(b.out, "zone %s is emptied since generation %d\n", zone, view.Evacuated[zone])
+	}
+	isVoter, isHome, isRegistered := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for _, member := range view.Voters {
+		isVoter[member.Address] = true
+	}
+	for _, home := range view.Homes {
+		isHome[home] = true
+	}
+	for _, address := range view.Register {
+		isRegistered[address] = true
+	}
+	fmt.Fprintf(b.out, "\n%-22s %-22s %-8s %10s  %s\n", "NODE", "PUBLIC", "ZONE", "GENERATION", "DUTIES")
+	seen := map[string]bool{}
+	for _, node := range view.Nodes {
+		seen[node.Address] = true
+		duties := []string{}
+		for _, duty := range []struct {
+			name    string
+			isThere bool
+		}{{"leads", node.Address == view.Leader}, {"votes", isVoter[node.Address]}, {"home", isHome[node.Address]}, {"routes", isRegistered[node.Address]}, {"leaving", node.IsLeaving}} {
+			if duty.isThere {
+				duties = append(duties, duty.name)
+			}
+		}
+		fmt.Fprintf(b.out, "%-22s %-22s %-8s %10d  %s\n", node.Address, node.Public, node.Zone, node.Applied, strings.Join(duties, " "))
+	}
+	for _, address := range view.Register {
+		if !seen[address] {
+			fmt.Fprintf(b.out, "%-22s registered but not heard of\n", address)
+		}
+	}
+	for _, member := range view.Voters {
+		if !seen[member.Address] {
+			fmt.Fprintf(b.out, "%-22s votes but is not heard of\n", member.Address)
+		}
+	}
+	fmt.Fprintf(b.out, "\n%-16s %-22s %-8s %10s %10s %8s  %s\n", "ENGINE", "ADDRESS", "ZONE", "OWN", "FOREIGN", "STREAMS", "")
+	for _, engine := range view.Engines {
+		fmt.Fprintf(b.out, "%-16s %-22s %-8s %10d %10.0f %8d  %s\n", engine.ID, engine.Address, engine.Zone, engine.Own, engine.Foreign, engine.Streams, engine.Bar)
+	}
+	return nil
+}
+
+func sorted(from map[string]uint64) []string {
+	names := make([]string, 0, len(from))
+	for name := range from {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+type journalPage struct {
+	Node    house.Identity `json:"node"`
+	Entries []house.Entry  `json:"entries"`
+}
+
+// gather asks every node of the fleet and puts their journals together.
+func (b *board) gather(path string) (int, error) {
+	status, got, err := b.do(http.MethodGet, "/v1/fleet", nil, "")
+	if err != nil {
+		return exitTrouble, err
+	}
+	if status != http.StatusOK {
+		return b.fail(status, got)
+	}
+	var view wings.FleetView
+	if err := json.Unmarshal(got, &view); err != nil {
+		return exitTrouble, misread{"the fleet", err}
+	}
+	publics := append([]string(nil), b.words.Nodes...)
+	for _, node := range view.Nodes {
+		publics = append(publics, node.Public)
+	}
+	sort.Strings(publics)
+	pages, asked, failed := []journalPage{}, map[string]bool{}, []error{}
+	for _, public := range publics {
+		if asked[public] {
+			continue
+		}
+		asked[public] = true
+		status, got, err := b.doAt(public, http.MethodGet, path, nil, "")
+		var page journalPage
+		if err == nil && status == http.StatusOK {
+			err = json.Unmarshal(got, &page)
+		}
+		if err != nil {
+			failed = append(failed, err)
+			continue
+		}
+		if len(page.Entries) > 0 {
+			pages = append(pages, page)
+		}
+	}
+	if len(failed) > 0 {
+		fmt.Fprintln(os.Stderr, "callboard: some nodes did not tell:", errors.Join(failed...))
+	}
+	if b.words.JSON {
+		if err := json.NewEncoder(b.out).Encode(pages); err != nil {
+			return exitTrouble, fmt.Errorf("print: %w", err)
+		}
+	} else {
+		for _, page := range pages {
+			fmt.Fprintf(b.out, "%s in %s\n", page.Node.Address, page.Node.Zone)
+			for _, entry := range page.Entries {
+				fmt.Fprintf(b.out, "  %14.6f s  %-28s %-24s %s\n", float64(entry.At)/1e6, entry.Subject, entry.Decision, entry.Why)
+			}
+		}
+	}
+	if len(pages) == 0 {
+		fmt.Fprintln(os.Stderr, "callboard: no journal speaks of it; journals are bounded, and end with their process")
+		return exitMissing, nil
+	}
+	return exitYes, nil
+}
--- /dev/null
+++ b/cmd/claque/main.go
@@ -0,0 +1,96 @@
+// Claque plays the callers against a fleet and writes what each of them saw.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"dunlinloom/claque"
+	"dunlinloom/critic"
+	"dunlinloom/house"
+)
+
+type words struct {
+	Nodes     []string `arg:"--node,separate,required" help:"public address of a node"`
+	Kinds     string   `arg:"--kinds" default:"qurum" help:"qurum or cronometro"`
+	Rate      float64  `arg:"--rate" default:"20" help:"requests a second"`
+	SpanUS    int64    `arg:"--span-us" default:"10000000"`
+	PatientUS int64    `arg:"--patient-us" default:"30000000" help:"how long a caller waits at most"`
+	Seed      uint64   `arg:"--seed" default:"1"`
+	Retries   int      `arg:"--retries" default:"2" help:"times a declined caller comes again"`
+	Hot       float64  `arg:"--hot" help:"share of each kind that its first prefix draws"`
+	Prefix    string   `arg:"--prefix" default:"c"`
+	Log       string   `arg:"--log" help:"file for the events; a summary goes to standard output"`
+}
+
+// kindsBreakdown says that no deployment has that name.
+type kindsBreakdown struct{ name string }
+
+func (b kindsBreakdown) Error() string {
+	return fmt.Sprintf("there are no kinds %q; qurum and cronometro are known", b.name)
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "claque:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	var words words
+	arg.MustParse(&words)
+	known, isKnown := claque.KindsOf(words.Kinds)
+	if !isKnown {
+		return kindsBreakdown{words.Kinds}
+	}
+	kinds := append([]claque.Kind(nil), known...)
+	for i := range kinds {
+		kinds[i].Hot = words.Hot
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	var lock sync.Mutex
+	events := []critic.Event{}
+	var lines *json.Encoder
+	if words.Log != "" {
+		file, err := os.OpenFile(words.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return fmt.Errorf("open the log: %w", err)
+		}
+		defer file.Close()
+		lines = json.NewEncoder(file)
+	}
+	var failed error
+	claque.Performance{
+		Nodes: words.Nodes, Kinds: kinds, Rate: words.Rate, Span: house.Micros(words.SpanUS), Seed: words.Seed,
+		Prefix: words.Prefix, Patient: house.Micros(words.PatientUS), Retries: words.Retries,
+	}.Run(ctx, func(event critic.Event) {
+		lock.Lock()
+		defer lock.Unlock()
+		events = append(events, event)
+		if lines != nil && failed == nil {
+			failed = lines.Encode(event)
+		}
+	})
+	if failed != nil {
+		return fmt.Errorf("write the log: %w", failed)
+	}
+	review := critic.Judge(events, critic.BriefBounds())
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(review); err != nil {
+		return fmt.Errorf("write the summary: %w", err)
+	}
+	if len(review.Breaches) > 0 {
+		os.Exit(3)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/rehearsal/main.go
@@ -0,0 +1,95 @@
+// Rehearsal plays a scenario of faults on a whole fleet of real processes on
+// this machine, and judges what callers, engines and operators saw.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"dunlinloom/playbill"
+	"dunlinloom/rehearsal"
+)
+
+type words struct {
+	Scenario string `arg:"positional,required" help:"scenario file, see scenarios/"`
+	Bin      string `arg:"--bin" help:"folder of the programs; that of rehearsal itself if not given"`
+	Folder   string `arg:"--folder" help:"where logs and data go; a temporary folder if not given"`
+	Port     int    `arg:"--port" default:"21000" help:"first of 400 ports on 127.0.0.1"`
+	Seed     uint64 `arg:"--seed" help:"instead of the scenario's"`
+	Report   string `arg:"--report" help:"file for the report; standard output if not given"`
+}
+
+func main() {
+	status, err := run()
+	var faults *playbill.Faults
+	if errors.As(err, &faults) {
+		for _, fault := range faults.List {
+			fmt.Fprintln(os.Stderr, "rehearsal: scenario:", fault.Error())
+		}
+		os.Exit(2)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rehearsal:", err)
+	}
+	os.Exit(status)
+}
+
+func run() (int, error) {
+	var words words
+	arg.MustParse(&words)
+	scenario, err := rehearsal.ReadScenario(words.Scenario)
+	if err != nil {
+		return 2, err
+	}
+	if words.Seed != 0 {
+		scenario.Seed = words.Seed
+	}
+	if words.Bin == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return 1, fmt.Errorf("find the programs: %w", err)
+		}
+		words.Bin = filepath.Dir(self)
+	}
+	if words.Folder == "" {
+		if words.Folder, err = os.MkdirTemp("", "rehearsal-"); err != nil {
+			return 1, fmt.Errorf("make a folder: %w", err)
+		}
+	} else if err := os.MkdirAll(words.Folder, 0o755); err != nil {
+		return 1, fmt.Errorf("make a folder: %w", err)
+	}
+	deployment, _ := rehearsal.DeploymentOf(scenario.Deployment)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	stage := rehearsal.NewStage(words.Bin, words.Folder, deployment, words.Port)
+	report, err := rehearsal.Play(ctx, stage, scenario, func(format string, args ...any) {
+		fmt.Fprintf(os.Stderr, format+"\n", args...)
+	})
+	if err != nil {
+		return 1, err
+	}
+	to := os.Stdout
+	if words.Report != "" {
+		if to, err = os.Create(words.Report); err != nil {
+			return 1, fmt.Errorf("write the report: %w", err)
+		}
+		defer to.Close()
+	}
+	encoder := json.NewEncoder(to)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(report); err != nil {
+		return 1, fmt.Errorf("write the report: %w", err)
+	}
+	if len(report.Review.Breaches) > 0 || len(report.Problems) > 0 {
+		return 3, nil
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/cmd/understudy/main.go
@@ -0,0 +1,94 @@
+// Understudy stands in for an engine, or with --list for the platform's list.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"dunlinloom/house"
+	"dunlinloom/understudy"
+)
+
+type words struct {
+	List        bool     `arg:"--list" help:"stand in for the platform's list instead of an engine"`
+	Listen      string   `arg:"--listen,required" help:"IP:port"`
+	ID          string   `arg:"--id" help:"the engine's name"`
+	Zone        string   `arg:"--zone"`
+	Pool        string   `arg:"--pool" default:"main"`
+	Nodes       []string `arg:"--node,separate" help:"public address of a node that gets reports"`
+	Slots       int      `arg:"--slots" default:"8" help:"requests that run at once"`
+	Inbox       int      `arg:"--inbox" default:"64" help:"requests that may wait"`
+	PrefillUS   int64    `arg:"--prefill-us" default:"100" help:"a prompt token that is not cached"`
+	CachedUS    int64    `arg:"--cached-us" default:"5"`
+	DecodeUS    int64    `arg:"--decode-us" default:"5000"`
+	Blocks      int      `arg:"--blocks" default:"512" help:"cached blocks of 16 prompt tokens"`
+	ColdUS      int64    `arg:"--cold-us" default:"0"`
+	ColdFactor  int      `arg:"--cold-factor" default:"4"`
+	ColdBears   int      `arg:"--cold-bears" default:"0"`
+	ReportUS    int64    `arg:"--report-us" default:"500000" help:"between reports; 0 sends none"`
+	LagUS       int64    `arg:"--lag-us" default:"500000" help:"how late a report, or a change of the list, is"`
+	IsResumable bool     `arg:"--resumable"`
+	Start       uint64   `arg:"--start" help:"start identity; the time if not given"`
+	Log         string   `arg:"--log" help:"file for the engine's events"`
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "understudy:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	var words words
+	arg.MustParse(&words)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	var handler http.Handler
+	if words.List {
+		handler = understudy.NewPlatform(house.Micros(words.LagUS)).Handler()
+	} else {
+		settings := understudy.EngineSettings{
+			ID: words.ID, Zone: words.Zone, Pool: words.Pool, Address: words.Listen, Start: words.Start,
+			Slots: words.Slots, Inbox: words.Inbox, Prefill: house.Micros(words.PrefillUS), Cached: house.Micros(words.CachedUS),
+			Decode: house.Micros(words.DecodeUS), Blocks: words.Blocks, Cold: house.Micros(words.ColdUS),
+			ColdFactor: words.ColdFactor, ColdBears: words.ColdBears, IsResumable: words.IsResumable,
+		}
+		if settings.Start == 0 {
+			settings.Start = uint64(time.Now().UnixMicro())
+		}
+		if words.Log != "" {
+			file, err := understudy.OpenLog(words.Log)
+			if err != nil {
+				return err
+			}
+			defer file.Close()
+			settings.Log = file
+		}
+		engine := understudy.NewEngine(settings)
+		handler = engine.Handler()
+		if words.ReportUS > 0 && len(words.Nodes) > 0 {
+			go engine.PostReports(ctx, words.Nodes, house.Micros(words.ReportUS), house.Micros(words.LagUS))
+		}
+	}
+	server := &http.Server{Addr: words.Listen, Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	stopped := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		last, done := context.WithTimeout(context.Background(), 5*time.Second)
+		defer done()
+		stopped <- server.Shutdown(last)
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return <-stopped
+}
--- /dev/null
+++ b/flyloft/cell.go
@@ -0,0 +1,334 @@
+package flyloft
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/benbjohnson/immutable"
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/house"
+)
+
+// EngineRecord is what the fleet knows of one engine. Records merge to the same
+// whatever order they arrive in: a later start replaces an earlier one, a
+// leaving mark of a start never goes away, and counters only grow.
+type EngineRecord struct {
+	ID           string `json:"id"`
+	Address      string `json:"address"`
+	Zone         string `json:"zone"`
+	Pool         string `json:"pool,omitempty"`
+	Start        uint64 `json:"start"` // the start identity; later starts are larger
+	IsLeaving    bool   `json:"leaving,omitempty"`
+	ListRevision uint64 `json:"list_revision,omitempty"`
+	IsUnlisted   bool   `json:"unlisted,omitempty"`
+	IsDark       bool   `json:"dark,omitempty"` // the zone's home can't reach it
+	DarkSeq      uint64 `json:"dark_seq,omitempty"`
+	Seq          uint64 `json:"seq,omitempty"` // of its reports; zero means it never reported
+	Burden       int64  `json:"burden,omitempty"`
+	Streams      int64  `json:"streams,omitempty"`
+	// On the wire times are ages, since clocks differ between machines.
+	Age house.Micros `json:"age_us"`
+	Up  house.Micros `json:"up_us"`
+	// In memory they are points on the own clock.
+	AsOf      house.Micros `json:"-"`
+	StartedAt house.Micros `json:"-"`
+}
+
+// NodeRecord is what the fleet knows of one of its own nodes.
+type NodeRecord struct {
+	Address    string       `json:"address"`
+	Public     string       `json:"public"`
+	Zone       string       `json:"zone"`
+	IsRouter   bool         `json:"router,omitempty"`
+	IsPrompter bool         `json:"prompter,omitempty"`
+	IsLeaving  bool         `json:"leaving,omitempty"`
+	Start      uint64       `json:"start"`
+	Seq        uint64       `json:"seq"`
+	Applied    uint64       `json:"applied"`
+	Age        house.Micros `json:"age_us"`
+	AsOf       house.Micros `json:"-"`
+}
+
+// Listing is the platform's list of engines at one revision.
+type Listing struct {
+	Revision uint64          `json:"revision"`
+	Engines  []ListingEngine `json:"engines"`
+}
+
+// ListingEngine is one engine of the platform's list.
+type ListingEngine struct {
+	ID      string       `json:"id"`
+	Address string       `json:"address"`
+	Zone    string       `json:"zone"`
+	Pool    string       `json:"pool,omitempty"`
+	Start   uint64       `json:"start"`
+	Up      house.Micros `json:"up_us"`
+	State   string       `json:"state"` // "serving" or "leaving"
+}
+
+const (
+	rangeCount = 16
+	// A record nobody has refreshed for so long is dropped, and not taken back.
+	engineGone = 120 * house.Second
+)
+
+type cellMark struct {
+	rev   uint64
+	isOwn bool // learned in this zone, not from another home
+}
+
+// Cell keeps the engines and nodes that this node knows of.
+type Cell struct {
+	incarnation string
+	timing      Timing
+	engines     *immutable.SortedMap[string, EngineRecord]
+	nodes       *immutable.SortedMap[string, NodeRecord]
+	engineMarks map[string]cellMark
+	nodeMarks   map[string]cellMark
+	rev         uint64
+	engineRev   uint64 // the last change that the data plane has to see
+	note        func(subject, decision, why string)
+}
+
+// NewCell makes an empty cell; the incarnation tells its numbering from an earlier one's.
+func NewCell(incarnation string, timing Timing, note func(subject, decision, why string)) *Cell {
+	return &Cell{
+		incarnation: incarnation, timing: timing, note: note,
+		engines:     immutable.NewSortedMap[string, EngineRecord](nil),
+		nodes:       immutable.NewSortedMap[string, NodeRecord](nil),
+		engineMarks: map[string]cellMark{}, nodeMarks: map[string]cellMark{},
+	}
+}
+
+// mergeEngine joins two records of one engine.
+func mergeEngine(old, brought EngineRecord) EngineRecord {
+	if brought.Start < old.Start {
+		old, brought = brought, old
+	}
+	merged := old
+	if brought.Start > old.Start {
+		// Another process under the same name: nothing of the old one's state holds.
+		merged = brought
+		if old.ListRevision > brought.ListRevision {
+			merged.ListRevision, merged.IsUnlisted = old.ListRevision, old.IsUnlisted
+		}
+		return merged
+	}
+	merged.IsLeaving = old.IsLeaving || brought.IsLeaving
+	if brought.ListRevision > old.ListRevision {
+		merged.ListRevision, merged.IsUnlisted = brought.ListRevision, brought.IsUnlisted
+		merged.Address, merged.Zone, merged.Pool = brought.Address, brought.Zone, brought.Pool
+	} else if old.ListRevision == 0 && brought.Address != "" && (old.Address == "" || old.Address < brought.Address) {
+		// Reports alone can't say which address is newer; any fixed choice makes copies agree.
+		merged.Address, merged.Zone, merged.Pool = brought.Address, brought.Zone, brought.Pool
+	}
+	if brought.DarkSeq > old.DarkSeq {
+		merged.IsDark, merged.DarkSeq = brought.IsDark, brought.DarkSeq
+	}
+	if brought.Seq > old.Seq {
+		merged.Seq, merged.Burden, merged.Streams = brought.Seq, brought.Burden, brought.Streams
+	}
+	merged.AsOf = max(old.AsOf, brought.AsOf)
+	merged.StartedAt = min(old.StartedAt, brought.StartedAt)
+	return merged
+}
+
+// standing is the part of a record on which routing depends, apart from burden.
+func (e EngineRecord) standing() string {
+	return fmt.Sprint(e.Address, "|", e.Zone, "|", e.Pool, "|", e.Start, e.IsLeaving, e.IsUnlisted, e.IsDark)
+}
+
+// TakeEngine merges a record in; it tells whether the leaving mark is news.
+func (c *Cell) TakeEngine(now house.Micros, brought EngineRecord, isOwn bool) bool {
+	if brought.ID == "" || now-brought.AsOf > engineGone {
+		return false
+	}
+	old, isThere := c.engines.Get(brought.ID)
+	merged := brought
+	if isThere {
+		merged = mergeEngine(old, brought)
+		isSame := merged.standing() == old.standing() && merged.Seq == old.Seq && merged.DarkSeq == old.DarkSeq && merged.ListRevision == old.ListRevision
+		if isSame {
+			// Only its freshness grew; that is no news worth carrying on.
+			c.engines = c.engines.Set(merged.ID, merged)
+			return false
+		}
+	}
+	c.rev++
+	c.engineRev = c.rev
+	c.engines = c.engines.Set(merged.ID, merged)
+	mark := c.engineMarks[merged.ID]
+	c.engineMarks[merged.ID] = cellMark{c.rev, isOwn || mark.isOwn && isThere && old.Start == merged.Start}
+	isLeavingNews := merged.IsLeaving && !(isThere && old.IsLeaving && old.Start == merged.Start)
+	switch {
+	case isLeavingNews:
+		c.note("engine "+merged.ID, "leaving", fmt.Sprintf("marked at start %d", merged.Start))
+	case !isThere:
+		c.note("engine "+merged.ID, "known", fmt.Sprintf("at %s in zone %s", merged.Address, merged.Zone))
+	case merged.Start != old.Start:
+		c.note("engine "+merged.ID, "restarted", fmt.Sprintf("start %d after %d", merged.Start, old.Start))
+	case merged.IsUnlisted != old.IsUnlisted:
+		c.note("engine "+merged.ID, "listing", fmt.Sprintf("unlisted: %v, at revision %d", merged.IsUnlisted, merged.ListRevision))
+	case merged.IsDark != old.IsDark:
+		c.note("engine "+merged.ID, "reach", fmt.Sprintf("dark: %v, by its home's probe", merged.IsDark))
+	}
+	return isLeavingNews
+}
+
+// TakeListing merges the platform's list; engines that it no longer has are unlisted.
+func (c *Cell) TakeListing(now house.Micros, listing Listing) bool {
+	isLeavingNews := false
+	listed := map[string]bool{}
+	for _, engine := range listing.Engines {
+		listed[engine.ID] = true
+		record := EngineRecord{
+			ID: engine.ID, Address: engine.Address, Zone: engine.Zone, Pool: engine.Pool, Start: engine.Start,
+			IsLeaving: engine.State == "leaving", ListRevision: listing.Revision, AsOf: now, StartedAt: now - engine.Up,
+		}
+		// The list lags: it may still show a start that has been replaced.
+		if old, isThere := c.engines.Get(engine.ID); isThere && old.Start > record.Start {
+			continue
+		}
+		isLeavingNews = c.TakeEngine(now, record, true) || isLeavingNews
+	}
+	for _, old := range c.Engines() {
+		if !listed[old.ID] && old.ListRevision > 0 && old.ListRevision < listing.Revision && !old.IsUnlisted {
+			gone := old
+			gone.ListRevision, gone.IsUnlisted = listing.Revision, true
+			c.TakeEngine(now, gone, true)
+		}
+	}
+	return isLeavingNews
+}
+
+// TakeNode merges a node's record in.
+func (c *Cell) TakeNode(now house.Micros, brought NodeRecord, isOwn bool) {
+	if brought.Address == "" || now-brought.AsOf > c.timing.NodeGone {
+		return
+	}
+	old, isThere := c.nodes.Get(brought.Address)
+	if isThere && (brought.Start < old.Start || brought.Start == old.Start && brought.Seq <= old.Seq) {
+		return
+	}
+	c.rev++
+	c.nodes = c.nodes.Set(brought.Address, brought)
+	c.nodeMarks[brought.Address] = cellMark{c.rev, isOwn}
+	if !isThere {
+		c.note("node "+brought.Address, "known", "in zone "+brought.Zone)
+	}
+}
+
+// Sweep drops what nobody has refreshed.
+func (c *Cell) Sweep(now house.Micros) {
+	for _, node := range c.Nodes() {
+		if now-node.AsOf > c.timing.NodeGone {
+			c.nodes = c.nodes.Delete(node.Address)
+			delete(c.nodeMarks, node.Address)
+			c.note("node "+node.Address, "dropped", "not heard of any more")
+		}
+	}
+	for _, engine := range c.Engines() {
+		// A listed engine stays, however silent: engines that send no reports still work.
+		isListed := engine.ListRevision > 0 && !engine.IsUnlisted
+		if !isListed && now-engine.AsOf > engineGone {
+			c.engines = c.engines.Delete(engine.ID)
+			delete(c.engineMarks, engine.ID)
+			c.rev++
+			c.engineRev = c.rev
+		}
+	}
+}
+
+// Engines gives all engines in order of their ids.
+func (c *Cell) Engines() []EngineRecord { return values(c.engines) }
+
+// Nodes gives all nodes in order of their addresses.
+func (c *Cell) Nodes() []NodeRecord { return values(c.nodes) }
+
+func values[V any](from *immutable.SortedMap[string, V]) []V {
+	found := make([]V, 0, from.Len())
+	for each := from.Iterator(); !each.Done(); {
+		_, value, _ := each.Next()
+		found = append(found, value)
+	}
+	return found
+}
+
+// NewsSince gives what changed since a revision; isOwnOnly keeps to what this zone learned itself.
+func (c *Cell) NewsSince(now house.Micros, seenHome string, seen uint64, isOwnOnly bool) *News {
+	news := &News{Home: c.incarnation, Upto: c.rev}
+	if seenHome != c.incarnation {
+		seen, news.IsAll = 0, true
+	}
+	for _, engine := range c.Engines() {
+		if mark := c.engineMarks[engine.ID]; mark.rev > seen && (mark.isOwn || !isOwnOnly) {
+			news.Engines = append(news.Engines, engine.aged(now))
+		}
+	}
+	for _, node := range c.Nodes() {
+		if mark := c.nodeMarks[node.Address]; mark.rev > seen && (mark.isOwn || !isOwnOnly) {
+			news.Nodes = append(news.Nodes, node.aged(now))
+		}
+	}
+	return news
+}
+
+func (e EngineRecord) aged(now house.Micros) EngineRecord {
+	e.Age, e.Up = max(now-e.AsOf, 0), max(now-e.StartedAt, 0)
+	return e
+}
+
+func (e EngineRecord) placed(now house.Micros) EngineRecord {
+	e.AsOf, e.StartedAt = now-max(e.Age, 0), now-max(e.Up, 0)
+	return e
+}
+
+func (n NodeRecord) aged(now house.Micros) NodeRecord {
+	n.Age = max(now-n.AsOf, 0)
+	return n
+}
+
+func (n NodeRecord) placed(now house.Micros) NodeRecord {
+	n.AsOf = now - max(n.Age, 0)
+	return n
+}
+
+// TakeNews merges news in; it tells whether there was a leaving mark among it.
+func (c *Cell) TakeNews(now house.Micros, news *News, isOwn bool) bool {
+	isLeavingNews := false
+	for _, engine := range news.Engines {
+		isLeavingNews = c.TakeEngine(now, engine.placed(now), isOwn) || isLeavingNews
+	}
+	for _, node := range news.Nodes {
+		c.TakeNode(now, node.placed(now), isOwn)
+	}
+	return isLeavingNews
+}
+
+func rangeOf(id string) int { return int(xxhash.Sum64String(id) % rangeCount) }
+
+// Digests sums up the standing of the engines in each range. Reports are left
+// out: they change all the time and repair themselves with the next one.
+func (c *Cell) Digests() []uint64 {
+	digests := make([]uint64, rangeCount)
+	for _, engine := range c.Engines() {
+		digests[rangeOf(engine.ID)] ^= xxhash.Sum64String(engine.ID + "|" + engine.standing())
+	}
+	return digests
+}
+
+// Differing gives every record of the ranges whose digests differ.
+func (c *Cell) Differing(now house.Micros, theirs []uint64) []EngineRecord {
+	mine := c.Digests()
+	if len(theirs) != rangeCount || slices.Equal(mine, theirs) {
+		return nil
+	}
+	found := []EngineRecord{}
+	for _, engine := range c.Engines() {
+		if index := rangeOf(engine.ID); mine[index] != theirs[index] {
+			found = append(found, engine.aged(now))
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/flyloft/core.go
@@ -0,0 +1,1143 @@
+package flyloft
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+
+	"dunlinloom/house"
+)
+
+// voterCount is how many voters the core keeps.
+const voterCount = 3
+
+type role int
+
+const (
+	follower role = iota
+	preCandidate
+	candidate
+	leader
+)
+
+func (r role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// CoreSettings is what a core is told at its start.
+type CoreSettings struct {
+	Self      Member
+	HasFolder bool
+	Founders  []string // the three seeds
+	Timing    Timing
+	Random    *rand.Rand
+	CheckSpec func([]byte) error
+	Note      func(subject, decision, why string)
+	// Restored from the data folder.
+	Ballot   Ballot
+	Document *Document
+}
+
+type peer struct {
+	member    Member
+	lastHeard house.Micros
+	lastSent  house.Micros // when a document last went to it
+	sentDoc   Stamp
+	round     uint64
+	synced    Stamp
+	isLeaving bool
+	isAiling  bool
+	hasFolder bool
+}
+
+type sighting struct {
+	at       house.Micros
+	applied  uint64
+	zone     string
+	isRouter bool
+}
+
+type waitingBatch struct {
+	from  string
+	batch *AskBatch
+	round uint64
+}
+
+type waitingSubmit struct {
+	from       string
+	id         string
+	generation uint64
+	isFence    bool // the asker wants the id fenced
+	isFenced   bool // the id is fenced at that generation
+}
+
+type queuedSubmit struct {
+	from   string
+	submit *Submit
+}
+
+type pendingSave struct {
+	save    Save
+	since   house.Micros
+	retryAt house.Micros
+	isLost  bool // the last try failed
+	after   []func()
+}
+
+// Core agrees on the document. A nil document is a member that knows no fleet yet.
+type Core struct {
+	settings CoreSettings
+	now      house.Micros
+	out      []any
+
+	role     role
+	term     uint64
+	votedFor MemberID
+	votes    map[MemberID]bool
+	doc      *Document // the newest accepted, maybe still on its way to disk
+	synced   Stamp     // the newest that is surely on disk
+	// committed is the newest document known to be kept by a majority.
+	committed *Document
+
+	leaderMember Member
+	lastPulse    house.Micros // when a leader was last heard
+	alarm        house.Micros // the next election
+	joinAlarm    house.Micros
+	hintTurn     int
+	hints        []string
+
+	saves     []*pendingSave
+	nextToken uint64
+	diskWhy   string
+
+	// Leading only.
+	leadSince     house.Micros
+	peers         map[MemberID]*peer
+	round         uint64
+	roundAlarm    house.Micros
+	isRoundWanted bool
+	isOwnTerm     bool // a document of this term is committed
+	batches       []waitingBatch
+	seen          map[string]*sighting
+	homeSeen      map[string]house.Micros
+	successors    map[string]string
+	inbox         []queuedSubmit
+	receipts      []waitingSubmit
+	isLeaving     bool
+	lastMajority  house.Micros
+
+	mustered    map[string]musterNote
+	musterAlarm house.Micros
+}
+
+type musterNote struct {
+	at      house.Micros
+	receipt MusterReceipt
+}
+
+// maxInbox bounds the orders a leader holds; more are told to come back.
+const maxInbox = 1024
+
+// NewCore makes a core from what the data folder held.
+func NewCore(settings CoreSettings, now house.Micros) *Core {
+	c := &Core{
+		settings: settings, now: now,
+		term: settings.Ballot.Term, votedFor: settings.Ballot.VotedFor,
+		doc: settings.Document, synced: settings.Document.stamp(),
+		mustered: map[string]musterNote{},
+	}
+	if c.doc != nil && c.doc.Term > c.term {
+		c.term = c.doc.Term
+	}
+	// A first election soon after the start: a fleet started cold must serve quickly.
+	c.alarm = now + c.electionSpan()
+	return c
+}
+
+func (c *Core) note(subject, decision, why string, args ...any) {
+	if c.settings.Note != nil {
+		c.settings.Note(subject, decision, fmt.Sprintf(why, args...))
+	}
+}
+
+func (c *Core) electionSpan() house.Micros {
+	t := c.settings.Timing
+	return t.ElectionLow + house.Micros(c.settings.Random.Int64N(int64(t.ElectionHigh-t.ElectionLow)))
+}
+
+func (c *Core) send(to string, message Message) {
+	if to != "" {
+		c.out = append(c.out, Send{to, message})
+	}
+}
+
+// take hands over the commands that have gathered.
+func (c *Core) take() []any {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) isVoter() bool {
+	_, isIn := c.doc.voter(c.settings.Self.ID)
+	return isIn && c.settings.HasFolder
+}
+
+// Committed gives the newest committed document, or nil.
+func (c *Core) Committed() *Document { return c.committed }
+
+// Leader gives the address of the leader as far as known.
+func (c *Core) Leader() string {
+	if c.role == leader {
+		return c.settings.Self.Address
+	}
+	if c.now-c.lastPulse < 2*c.settings.Timing.ElectionHigh {
+		return c.leaderMember.Address
+	}
+	return ""
+}
+
+// ---- disk ----
+
+// save queues a write; after runs once it is synced. Writes stay in order, so
+// whatever after promises is on disk by then.
+func (c *Core) save(document *Document, after func()) {
+	c.nextToken++
+	save := Save{Token: c.nextToken, Ballot: &Ballot{c.term, c.votedFor}, Document: document}
+	if document != nil && c.doc != nil && c.doc != document {
+		old := c.doc.stamp()
+		isKnown := c.committed != nil && c.committed.Generation >= old.Generation
+		isSame := old.Generation == document.Generation && slices.Equal(c.doc.Spec, document.Spec) && c.doc.SpecGeneration == document.SpecGeneration
+		// A replaced document of another term may never have been committed; left on
+		// disk it could later be read back as history that never was.
+		if !isKnown && !isSame && old.Term != document.Term {
+			save.Stale = &old
+		}
+	}
+	pending := &pendingSave{save: save, since: c.now}
+	if after != nil {
+		pending.after = append(pending.after, after)
+	}
+	c.saves = append(c.saves, pending)
+	if len(c.saves) == 1 {
+		c.out = append(c.out, save)
+	}
+}
+
+// Saved reports on the oldest write.
+func (c *Core) Saved(now house.Micros, token uint64, err error) {
+	c.now = now
+	if len(c.saves) == 0 || c.saves[0].save.Token != token {
+		return
+	}
+	head := c.saves[0]
+	if err != nil {
+		head.isLost, head.retryAt = true, now+c.settings.Timing.DiskRetry
+		if c.diskWhy == "" {
+			c.note("disk", "ail", "a write failed: %v", err)
+		}
+		c.diskWhy = err.Error()
+		if c.role == leader {
+			c.yieldLead("its disk fails: " + c.diskWhy)
+		}
+		return
+	}
+	if c.diskWhy != "" {
+		c.note("disk", "mend", "a write went through again")
+		c.diskWhy = ""
+	}
+	c.saves = c.saves[1:]
+	if document := head.save.Document; document != nil && c.synced.before(document.stamp()) {
+		c.synced = document.stamp()
+	}
+	if len(c.saves) > 0 {
+		c.saves[0].since = now
+		c.out = append(c.out, c.saves[0].save)
+	}
+	for _, run := range head.after {
+		run()
+	}
+}
+
+// Ailment says why this member's disk can't be trusted to keep anything now.
+func (c *Core) Ailment() string {
+	if c.diskWhy != "" {
+		return c.diskWhy
+	}
+	if len(c.saves) > 0 && c.now-c.saves[0].since > c.settings.Timing.DiskStall {
+		return "a write has stalled"
+	}
+	return ""
+}
+
+func (c *Core) tickDisk() {
+	if len(c.saves) == 0 {
+		return
+	}
+	head := c.saves[0]
+	if head.isLost && c.now >= head.retryAt {
+		head.isLost, head.since = false, c.now
+		c.out = append(c.out, head.save)
+	}
+	if c.role == leader && c.Ailment() != "" {
+		c.yieldLead("its disk: " + c.Ailment())
+	}
+}
+
+// ---- terms and elections ----
+
+func (c *Core) adoptTerm(term uint64) {
+	if term <= c.term {
+		return
+	}
+	if c.role != follower {
+		c.stepDown(fmt.Sprintf("term %d was seen", term))
+	}
+	c.term, c.votedFor = term, ""
+}
+
+func (c *Core) stepDown(why string) {
+	if c.role == leader {
+		c.note("core", "step down", "term %d: %s", c.term, why)
+		// Whoever waits here can be told nothing final by a leader that is none.
+		for _, waiting := range c.receipts {
+			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{ID: waiting.id, Outcome: Unproved, Reason: "leader_changed"}})
+		}
+		c.receipts, c.batches, c.inbox = nil, nil, nil
+	}
+	c.role = follower
+	c.alarm = c.now + c.electionSpan()
+}
+
+// yieldLead names the best successor and steps down.
+func (c *Core) yieldLead(why string) {
+	var best *peer
+	for _, id := range c.peerIDs() {
+		p := c.peers[id]
+		if _, isIn := c.doc.voter(p.member.ID); !isIn || p.isAiling || p.isLeaving || c.now-p.lastHeard > c.settings.Timing.ElectionLow {
+			continue
+		}
+		if best == nil || best.synced.before(p.synced) {
+			best = p
+		}
+	}
+	if best != nil {
+		c.note("core", "name successor", "%s, because %s", best.member.Address, why)
+		c.send(best.member.Address, Message{Inherit: &Inherit{c.term, best.member.ID}})
+	}
+	c.stepDown(why)
+	// The successor needs time to be elected before this member stands again.
+	c.alarm = c.now + 2*c.settings.Timing.ElectionHigh
+}
+
+func (c *Core) startElection(isPre, isNamed bool) {
+	if !c.isVoter() || c.Ailment() != "" {
+		c.alarm = c.now + c.electionSpan()
+		return
+	}
+	c.alarm = c.now + c.electionSpan()
+	c.votes = map[MemberID]bool{c.settings.Self.ID: true}
+	ask := func() {
+		for _, member := range c.doc.Voters {
+			if member.ID == c.settings.Self.ID {
+				continue
+			}
+			term := c.term
+			if isPre {
+				term++
+			}
+			c.send(member.Address, Message{VoteAsk: &VoteAsk{
+				Term: term, IsPre: isPre, IsNamed: isNamed, Candidate: c.settings.Self, Voter: member.ID, Newest: c.synced,
+			}})
+		}
+		c.countVotes()
+	}
+	if isPre {
+		c.role = preCandidate
+		ask()
+		return
+	}
+	c.term++
+	c.votedFor = c.settings.Self.ID
+	c.role = candidate
+	term := c.term
+	c.note("core", "stand", "term %d, holding generation %d", term, c.doc.Generation)
+	// The own vote counts only once it is on disk.
+	c.save(nil, func() {
+		if c.role == candidate && c.term == term {
+			ask()
+		}
+	})
+}
+
+func (c *Core) onVoteAsk(from string, m *VoteAsk) {
+	if m.Voter != c.settings.Self.ID || !c.settings.HasFolder {
+		return
+	}
+	vote := Vote{Term: m.Term, IsPre: m.IsPre, Voter: c.settings.Self.ID}
+	// A member that heard a leader just now keeps to it, so that one that merely
+	// lost touch can't unseat a working leader.
+	isLed := c.role == leader || c.now-c.lastPulse < c.settings.Timing.ElectionLow && c.leaderMember.ID != m.Candidate.ID
+	isBehind := m.Newest.before(c.synced)
+	if c.Ailment() != "" || isBehind || (isLed && !m.IsNamed) {
+		vote.Known = c.term
+		c.send(from, Message{Vote: &vote})
+		return
+	}
+	if m.IsPre {
+		vote.IsGranted, vote.Known = m.Term > c.term, c.term
+		c.send(from, Message{Vote: &vote})
+		return
+	}
+	c.adoptTerm(m.Term)
+	vote.Known = c.term
+	if m.Term < c.term || (c.votedFor != "" && c.votedFor != m.Candidate.ID) || c.role != follower {
+		c.send(from, Message{Vote: &vote})
+		return
+	}
+	c.votedFor = m.Candidate.ID
+	c.alarm = c.now + c.electionSpan()
+	vote.IsGranted = true
+	c.save(nil, func() { c.send(from, Message{Vote: &vote}) })
+}
+
+func (c *Core) onVote(m *Vote) {
+	if m.Known > c.term {
+		c.adoptTerm(m.Known)
+		c.save(nil, nil)
+		return
+	}
+	isCurrent := m.IsPre && c.role == preCandidate && m.Term == c.term+1 || !m.IsPre && c.role == candidate && m.Term == c.term
+	if !isCurrent || !m.IsGranted {
+		return
+	}
+	c.votes[m.Voter] = true
+	c.countVotes()
+}
+
+func (c *Core) countVotes() {
+	count := 0
+	for _, member := range c.doc.Voters {
+		if c.votes[member.ID] {
+			count++
+		}
+	}
+	if count <= len(c.doc.Voters)/2 {
+		return
+	}
+	switch c.role {
+	case preCandidate:
+		c.startElection(false, false)
+	case candidate:
+		c.lead()
+	}
+}
+
+func (c *Core) lead() {
+	c.role, c.leadSince, c.lastMajority = leader, c.now, c.now
+	c.peers, c.round, c.isOwnTerm = map[MemberID]*peer{}, 0, false
+	c.seen, c.homeSeen = map[string]*sighting{}, map[string]house.Micros{}
+	c.successors = map[string]string{}
+	for _, member := range c.doc.Voters {
+		if member.ID != c.settings.Self.ID {
+			c.peers[member.ID] = &peer{member: member, lastHeard: c.now, hasFolder: true}
+		}
+	}
+	c.note("core", "lead", "term %d, elected by a majority of %d voters", c.term, len(c.doc.Voters))
+	// What an earlier leader left may or may not be committed. Proposing it again
+	// under this term settles that before anything new is built on it.
+	again := *c.doc
+	again.Term = c.term
+	c.propose(&again)
+}
+
+// ---- replication ----
+
+func (c *Core) propose(document *Document) {
+	// Saved before it becomes c.doc, so that save can see what it replaces.
+	c.save(document, func() { c.countCommit() })
+	c.doc = document
+	for _, member := range document.Voters {
+		if c.peers[member.ID] == nil && member.ID != c.settings.Self.ID {
+			c.peers[member.ID] = &peer{member: member, lastHeard: c.now, hasFolder: true}
+		}
+	}
+	c.pulse()
+}
+
+// peerIDs in a fixed order: ranging over a map would make runs differ under one seed.
+func (c *Core) peerIDs() []MemberID {
+	ids := make([]MemberID, 0, len(c.peers))
+	for id := range c.peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *Core) pulse() {
+	c.round++
+	c.isRoundWanted = false
+	c.roundAlarm = c.now + c.settings.Timing.Pulse
+	newest := c.doc.stamp()
+	for _, id := range c.peerIDs() {
+		p := c.peers[id]
+		message := &Pulse{Term: c.term, Leader: c.settings.Self, Target: id, Round: c.round, Committed: c.committedStamp()}
+		// A document is large: it goes again only after a pause without a word of it.
+		if p.synced != newest && (p.sentDoc != newest || c.now-p.lastSent > 5*c.settings.Timing.Pulse) {
+			message.Document, p.sentDoc, p.lastSent = c.doc, newest, c.now
+		}
+		c.send(p.member.Address, Message{Pulse: message})
+	}
+	c.confirmRounds()
+}
+
+// committedStamp is what followers may take as committed: only documents of the
+// present term count, as those of older terms are not settled by being stored.
+func (c *Core) committedStamp() Stamp {
+	if !c.isOwnTerm {
+		return Stamp{}
+	}
+	return c.committed.stamp()
+}
+
+func (c *Core) onPulse(from string, m *Pulse) {
+	if m.Target != c.settings.Self.ID {
+		return
+	}
+	receipt := &PulseReceipt{Term: c.term, Round: m.Round, Member: c.settings.Self, IsLeaving: c.isLeaving, IsAiling: c.Ailment() != ""}
+	if m.Term < c.term {
+		receipt.Round, receipt.Synced = 0, c.synced
+		c.send(from, Message{PulseReceipt: receipt})
+		return
+	}
+	isNewTerm := m.Term > c.term
+	c.adoptTerm(m.Term)
+	if c.role != follower {
+		c.stepDown("another leads this term")
+	}
+	if c.leaderMember.ID != m.Leader.ID || isNewTerm {
+		c.note("core", "follow", "%s leads term %d", m.Leader.Address, m.Term)
+	}
+	c.leaderMember, c.lastPulse = m.Leader, c.now
+	c.alarm = c.now + c.electionSpan()
+	receipt.Term = c.term
+	answer := func() {
+		receipt.Synced = c.synced
+		c.send(from, Message{PulseReceipt: receipt})
+	}
+	isNews := m.Document != nil && m.Document.Term == m.Term && c.doc.stamp().before(m.Document.stamp())
+	switch {
+	case isNews:
+		c.save(m.Document, answer)
+		c.doc = m.Document
+	case isNewTerm:
+		c.save(nil, answer)
+	default:
+		answer()
+	}
+	if c.doc != nil && m.Committed.Term == c.term && c.doc.stamp() == m.Committed {
+		c.commit(c.doc)
+	}
+}
+
+func (c *Core) onPulseReceipt(m *PulseReceipt) {
+	if m.Term > c.term {
+		c.adoptTerm(m.Term)
+		c.save(nil, nil)
+		return
+	}
+	if c.role != leader || m.Term != c.term {
+		return
+	}
+	p := c.peers[m.Member.ID]
+	if p == nil {
+		return
+	}
+	p.lastHeard, p.isLeaving, p.isAiling = c.now, m.IsLeaving, m.IsAiling
+	p.member.Address = m.Member.Address
+	if m.Round > p.round {
+		p.round = m.Round
+	}
+	if p.synced.before(m.Synced) {
+		p.synced = m.Synced
+	}
+	c.countCommit()
+	c.confirmRounds()
+}
+
+// countVoters counts the voters of the newest document that meet a test, this one by isSelf.
+func (c *Core) hasVoters(isSelf bool, isMet func(*peer) bool) bool {
+	count := 0
+	for _, member := range c.doc.Voters {
+		if member.ID == c.settings.Self.ID {
+			if isSelf {
+				count++
+			}
+		} else if p := c.peers[member.ID]; p != nil && isMet(p) {
+			count++
+		}
+	}
+	return count > len(c.doc.Voters)/2
+}
+
+func (c *Core) countCommit() {
+	if c.role != leader {
+		return
+	}
+	newest := c.doc.stamp()
+	if c.committed.stamp() == newest && c.isOwnTerm {
+		return
+	}
+	if !c.hasVoters(c.synced == newest, func(p *peer) bool { return p.synced == newest }) {
+		return
+	}
+	c.isOwnTerm = true
+	c.commit(c.doc)
+	c.build()
+	// Homes ask again at once, so that a new generation need not wait for their next turn.
+	homes := map[string]bool{}
+	for _, address := range c.committed.Homes {
+		homes[address] = true
+	}
+	for _, address := range sortedKeys(homes) {
+		c.send(address, Message{Nudge: &Nudge{c.committed.Generation}})
+	}
+	c.isRoundWanted = true
+	c.settleReceipts()
+}
+
+func (c *Core) commit(document *Document) {
+	if c.committed != nil && !c.committed.stamp().before(document.stamp()) {
+		return
+	}
+	c.committed = document
+}
+
+// confirmRounds grants the batches whose round a majority has confirmed: at that
+// moment no later leader could have committed anything newer.
+func (c *Core) confirmRounds() {
+	if c.role != leader || !c.isOwnTerm {
+		return
+	}
+	kept := c.batches[:0]
+	for _, waiting := range c.batches {
+		if !c.hasVoters(true, func(p *peer) bool { return p.round >= waiting.round }) {
+			kept = append(kept, waiting)
+			continue
+		}
+		grant := &GrantBatch{Generation: c.committed.Generation, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks}
+		if waiting.batch.Generation < c.committed.Generation {
+			grant.Document = c.committed
+		}
+		c.send(waiting.from, Message{GrantBatch: grant})
+	}
+	c.batches = kept
+}
+
+// ---- receiving ----
+
+// Receive takes a message meant for the core.
+func (c *Core) Receive(now house.Micros, from string, m Message) {
+	c.now = now
+	switch {
+	case m.VoteAsk != nil:
+		c.onVoteAsk(from, m.VoteAsk)
+	case m.Vote != nil:
+		c.onVote(m.Vote)
+	case m.Pulse != nil:
+		c.onPulse(from, m.Pulse)
+	case m.PulseReceipt != nil:
+		c.onPulseReceipt(m.PulseReceipt)
+	case m.Inherit != nil:
+		if m.Inherit.Target == c.settings.Self.ID && m.Inherit.Term == c.term && c.role == follower {
+			c.note("core", "take over", "the leader named this member")
+			c.startElection(false, true)
+		}
+	case m.Join != nil:
+		c.onJoin(from, m.Join)
+	case m.Muster != nil:
+		c.send(from, Message{MusterReceipt: &MusterReceipt{c.settings.Self, c.doc == nil, c.settings.HasFolder}})
+	case m.MusterReceipt != nil:
+		c.mustered[from] = musterNote{now, *m.MusterReceipt}
+	case m.Submit != nil:
+		c.onSubmit(from, m.Submit)
+	case m.AskBatch != nil:
+		c.onAskBatch(from, m.AskBatch)
+	case m.Succeed != nil:
+		if c.role == leader {
+			c.successors[m.Succeed.Zone] = m.Succeed.To
+		}
+	case m.Elsewhere != nil:
+		c.hints = append([]string{m.Elsewhere.Leader}, m.Elsewhere.Voters...)
+	}
+}
+
+// elsewhere tells an asker whom to ask instead.
+func (c *Core) elsewhere(from string) {
+	hint := &Elsewhere{Leader: c.Leader()}
+	if c.doc != nil {
+		for _, member := range c.doc.Voters {
+			hint.Voters = append(hint.Voters, member.Address)
+		}
+	}
+	c.send(from, Message{Elsewhere: hint})
+}
+
+func (c *Core) onJoin(from string, m *Join) {
+	if c.role != leader {
+		c.elsewhere(from)
+		return
+	}
+	p := c.peers[m.Member.ID]
+	if p == nil {
+		p = &peer{}
+		c.peers[m.Member.ID] = p
+		c.note("core", "take standby", "%s in zone %s asked to join", m.Member.Address, m.Member.Zone)
+	}
+	p.member, p.hasFolder, p.lastHeard = m.Member, m.HasFolder, c.now
+	// A member that joins anew says what it really holds, even if that is less.
+	p.synced, p.sentDoc = m.Synced, Stamp{}
+}
+
+func (c *Core) onAskBatch(from string, m *AskBatch) {
+	if c.role != leader {
+		c.elsewhere(from)
+		return
+	}
+	for _, ask := range m.Asks {
+		old := c.seen[ask.Address]
+		if old == nil || ask.Applied >= old.applied || ask.Applied == 0 {
+			c.seen[ask.Address] = &sighting{c.now, ask.Applied, ask.Zone, ask.IsRouter}
+		} else {
+			old.at = c.now
+		}
+	}
+	if m.IsHome {
+		c.homeSeen[m.Zone] = c.now
+	}
+	c.batches = append(c.batches, waitingBatch{from, m, c.round + 1})
+	c.isRoundWanted = true
+	c.settleReceipts()
+}
+
+// ---- orders ----
+
+func (c *Core) onSubmit(from string, m *Submit) {
+	if c.role != leader {
+		c.elsewhere(from)
+		return
+	}
+	if len(c.inbox) >= maxInbox {
+		c.send(from, Message{SubmitReceipt: &SubmitReceipt{ID: m.ID, Outcome: Unproved, Reason: "busy"}})
+		return
+	}
+	// The sender repeats itself until it hears; one copy in the inbox is enough.
+	for _, queued := range c.inbox {
+		if queued.submit.ID == m.ID && queued.submit.Order == m.Order && queued.from == from {
+			return
+		}
+	}
+	for _, waiting := range c.receipts {
+		if waiting.id == m.ID && waiting.from == from && waiting.isFence == (m.Order == Fence) {
+			return
+		}
+	}
+	c.inbox = append(c.inbox, queuedSubmit{from, m})
+	c.build()
+}
+
+func (c *Core) decline(to string, m *Submit, reason, why string, args ...any) {
+	detail := fmt.Sprintf(why, args...)
+	c.note("submission "+m.ID, "decline", "%s: %s", reason, detail)
+	c.send(to, Message{SubmitReceipt: &SubmitReceipt{ID: m.ID, Outcome: No, Reason: reason, Detail: detail}})
+}
+
+// build makes the next document out of what is due, if none is in flight.
+func (c *Core) build() {
+	if c.role != leader || !c.isOwnTerm || c.committed.stamp() != c.doc.stamp() {
+		return
+	}
+	next := c.doc.next(c.term)
+	reasons := []string{}
+	c.tendVoters(next, &reasons)
+	c.tendRegister(next, &reasons)
+	c.tendHomes(next, &reasons)
+	for len(c.inbox) > 0 {
+		queued := c.inbox[0]
+		c.inbox = c.inbox[1:]
+		// One order a document: each yes stays readable under its own generation.
+		if c.order(next, queued) {
+			reasons = append(reasons, "submission "+queued.submit.ID)
+			break
+		}
+	}
+	if len(reasons) == 0 {
+		return
+	}
+	c.note("core", "propose", "generation %d: %v", next.Generation, reasons)
+	c.propose(next)
+}
+
+// order applies one submission to the next document; false when nothing has to change.
+func (c *Core) order(next *Document, queued queuedSubmit) bool {
+	m := queued.submit
+	wait := func(generation uint64, isFenced bool) {
+		c.receipts = append(c.receipts, waitingSubmit{queued.from, m.ID, generation, m.Order == Fence, isFenced})
+	}
+	if entry, isThere := c.doc.submission(m.ID); isThere {
+		switch {
+		case entry.IsFenced:
+			c.decline(queued.from, m, "fenced", "this submission was given up on and will never take effect")
+		case m.Order != Fence && entry.Digest != m.digest():
+			c.decline(queued.from, m, "id_reused", "another submission had this id at generation %d", entry.Generation)
+		default:
+			wait(entry.Generation, false)
+		}
+		c.settleReceipts()
+		return false
+	}
+	switch m.Order {
+	case Fence:
+		next.remember(Submission{ID: m.ID, Generation: next.Generation, IsFenced: true})
+		wait(next.Generation, true)
+		return true
+	case PutSpec:
+		if c.settings.CheckSpec != nil {
+			if err := c.settings.CheckSpec(m.Spec); err != nil {
+				c.decline(queued.from, m, "invalid_spec", "%v", err)
+				return false
+			}
+		}
+		// The generation only grows, so a clash stays a clash: this no needs no fence.
+		if m.Base != nil && *m.Base != next.SpecGeneration {
+			c.decline(queued.from, m, "clash", "the spec is at generation %d, not %d", next.SpecGeneration, *m.Base)
+			return false
+		}
+		next.Spec, next.SpecGeneration = m.Spec, next.Generation
+	case EmptyZone:
+		next.Evacuated[m.Zone] = next.Generation
+	case RefillZone:
+		delete(next.Evacuated, m.Zone)
+	case Forget:
+		// Should it ask again after all, it is registered anew like any other.
+		delete(c.seen, m.Zone)
+		if index := slices.Index(next.Register, m.Zone); index >= 0 {
+			next.Register = slices.Delete(next.Register, index, index+1)
+		}
+		// The operator vouches that the router is dead, so it needs no counting in the old register either.
+		if index := slices.Index(next.PriorRegister, m.Zone); index >= 0 {
+			next.PriorRegister = slices.Delete(next.PriorRegister, index, index+1)
+		}
+	default:
+		c.decline(queued.from, m, "unknown_order", "%q", m.Order)
+		return false
+	}
+	next.remember(Submission{ID: m.ID, Digest: m.digest(), Generation: next.Generation})
+	wait(next.Generation, false)
+	return true
+}
+
+// isApplied tells whether a majority of every register that counts has applied a generation.
+func (c *Core) isApplied(generation uint64) bool {
+	hasApplied := func(address string) bool {
+		seen := c.seen[address]
+		return seen != nil && seen.applied >= generation
+	}
+	return majority(c.committed.Register, hasApplied) && (c.isSettled() || majority(c.committed.PriorRegister, hasApplied))
+}
+
+// isSettled tells whether the newest change of the register has been applied by
+// a majority of the one before; until then that one counts as well.
+func (c *Core) isSettled() bool {
+	return majority(c.committed.PriorRegister, func(address string) bool {
+		seen := c.seen[address]
+		return seen != nil && seen.applied >= c.committed.RegisterSince
+	}) && majority(c.committed.Register, func(address string) bool {
+		seen := c.seen[address]
+		return seen != nil && seen.applied >= c.committed.RegisterSince
+	})
+}
+
+func (c *Core) settleReceipts() {
+	if c.role != leader || !c.isOwnTerm {
+		return
+	}
+	kept := c.receipts[:0]
+	for _, waiting := range c.receipts {
+		isDone := waiting.generation <= c.committed.Generation
+		switch {
+		case isDone && waiting.isFenced:
+			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{
+				ID: waiting.id, Outcome: No, Reason: "fenced", Detail: "given up on; it will never take effect"}})
+		case isDone && c.isApplied(waiting.generation):
+			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and applied by a majority of routers", waiting.generation)
+			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{ID: waiting.id, Outcome: Yes, Generation: waiting.generation}})
+		default:
+			kept = append(kept, waiting)
+		}
+	}
+	c.receipts = kept
+}
+
+// ---- what the leader tends by itself ----
+
+func (c *Core) isLost(member Member) bool {
+	if member.ID == c.settings.Self.ID {
+		return false
+	}
+	p := c.peers[member.ID]
+	return p == nil || c.now-p.lastHeard > c.settings.Timing.Replace
+}
+
+func (c *Core) isGoing(member Member) bool {
+	if member.ID == c.settings.Self.ID {
+		return c.isLeaving
+	}
+	p := c.peers[member.ID]
+	return p != nil && p.isLeaving
+}
+
+func (c *Core) tendVoters(next *Document, reasons *[]string) {
+	// An address may change under the same member: the folder moved to another machine's name.
+	for i, member := range next.Voters {
+		if p := c.peers[member.ID]; p != nil && p.member.Address != "" && p.member.Address != member.Address {
+			next.Voters[i].Address = p.member.Address
+			*reasons = append(*reasons, "voter moved to "+p.member.Address)
+			return
+		}
+	}
+	zones := map[string]int{}
+	weak := -1
+	for i, member := range next.Voters {
+		zones[member.Zone]++
+		if c.isLost(member) || c.isGoing(member) {
+			weak = i
+		}
+	}
+	if len(next.Voters) > voterCount {
+		// Fewer voters again: the lost one first, then one that goes, then one that shares a zone.
+		drop := weak
+		for i, member := range next.Voters {
+			if c.isLost(member) {
+				drop = i
+			}
+		}
+		for i := 0; drop < 0 && i < len(next.Voters); i++ {
+			if zones[next.Voters[i].Zone] > 1 && next.Voters[i].ID != c.settings.Self.ID {
+				drop = i
+			}
+		}
+		if drop < 0 {
+			drop = len(next.Voters) - 1
+		}
+		if next.Voters[drop].ID == c.settings.Self.ID {
+			return // a leader that goes names its successor first
+		}
+		*reasons = append(*reasons, "voter dropped: "+next.Voters[drop].Address)
+		next.Voters = slices.Delete(next.Voters, drop, drop+1)
+		return
+	}
+	hasDouble := len(zones) < len(next.Voters)
+	if len(next.Voters) == voterCount && weak < 0 && !hasDouble {
+		return
+	}
+	if weak >= 0 {
+		zones[next.Voters[weak].Zone]--
+	}
+	var best *peer
+	for _, id := range c.peerIDs() {
+		p := c.peers[id]
+		if _, isIn := next.voter(id); isIn || !p.hasFolder || p.isLeaving || p.isAiling {
+			continue
+		}
+		isCaughtUp := p.synced == c.committed.stamp() && c.now-p.lastHeard < c.settings.Timing.ElectionLow
+		if isCaughtUp && (best == nil || zones[p.member.Zone] < zones[best.member.Zone]) {
+			best = p
+		}
+	}
+	if best == nil {
+		return
+	}
+	// With all voters well, a swap is worth it only for a zone that has none.
+	if len(next.Voters) == voterCount && weak < 0 && zones[best.member.Zone] > 0 {
+		return
+	}
+	next.Voters = append(next.Voters, best.member)
+	*reasons = append(*reasons, "voter added: "+best.member.Address)
+}
+
+func (c *Core) tendRegister(next *Document, reasons *[]string) {
+	// A register may change only once a majority of the last one knows of the last change.
+	if !c.isSettled() {
+		return
+	}
+	changed := slices.Clone(next.Register)
+	for _, address := range sortedKeys(c.seen) {
+		seen := c.seen[address]
+		if seen.isRouter && c.now-seen.at < 2*house.Second && !slices.Contains(changed, address) {
+			changed = append(changed, address)
+			*reasons = append(*reasons, "router registered: "+address)
+		}
+	}
+	if len(changed) == len(next.Register) && c.now-c.leadSince > c.settings.Timing.Strike {
+		for i, address := range changed {
+			seen := c.seen[address]
+			if seen == nil || c.now-seen.at > c.settings.Timing.Strike {
+				// One at a time, so that each step is applied by a majority before the next.
+				changed = slices.Delete(changed, i, i+1)
+				*reasons = append(*reasons, "router struck off: "+address)
+				break
+			}
+		}
+	}
+	if len(changed) != len(next.Register) {
+		next.PriorRegister, next.RegisterSince = next.Register, next.Generation
+		next.Register = sorted(changed)
+	}
+}
+
+func (c *Core) tendHomes(next *Document, reasons *[]string) {
+	nodes := map[string][]string{}
+	for _, address := range sortedKeys(c.seen) {
+		if seen := c.seen[address]; c.now-seen.at < c.settings.Timing.HomeSilent {
+			nodes[seen.zone] = append(nodes[seen.zone], address)
+		}
+	}
+	for _, zone := range sortedKeys(nodes) {
+		home := next.Homes[zone]
+		if named := c.successors[zone]; named != "" && named != home {
+			delete(c.successors, zone)
+			next.Homes[zone] = named
+			*reasons = append(*reasons, "home of "+zone+": "+named+", named by "+home)
+			c.homeSeen[zone] = c.now
+			continue
+		}
+		lastSeen, isSeen := c.homeSeen[zone]
+		if !isSeen {
+			lastSeen = c.leadSince
+		}
+		if home != "" && c.now-lastSeen < c.settings.Timing.HomeSilent {
+			continue
+		}
+		for _, address := range nodes[zone] {
+			if address != home {
+				next.Homes[zone] = address
+				c.homeSeen[zone] = c.now
+				*reasons = append(*reasons, "home of "+zone+": "+address+", the last fell silent")
+				break
+			}
+		}
+	}
+}
+
+// ---- time ----
+
+// Tick lets due alarms go off.
+func (c *Core) Tick(now house.Micros) {
+	c.now = now
+	c.tickDisk()
+	switch c.role {
+	case leader:
+		if c.hasVoters(true, func(p *peer) bool { return now-p.lastHeard < c.settings.Timing.ElectionHigh }) {
+			c.lastMajority = now
+		} else if now-c.lastMajority > c.settings.Timing.ElectionLow {
+			c.stepDown("no majority of voters was heard")
+			return
+		}
+		if now >= c.roundAlarm || c.isRoundWanted {
+			c.pulse()
+		}
+		c.build()
+		c.settleReceipts()
+		if c.isLeaving && len(c.doc.Voters) > 1 && c.committed.stamp() == c.doc.stamp() {
+			c.yieldLead("this member is leaving")
+		}
+	default:
+		if now >= c.alarm && c.isVoter() && !c.isLeaving {
+			c.startElection(true, false)
+		}
+		c.found()
+		c.join()
+	}
+}
+
+// found makes the first document, if every founder is there and empty. The
+// lowest address does it, so that there is only one who may.
+func (c *Core) found() {
+	if c.doc != nil || !c.settings.HasFolder || c.now < c.musterAlarm {
+		return
+	}
+	founders := slices.Clone(c.settings.Founders)
+	sort.Strings(founders)
+	if len(founders) == 0 || founders[0] != c.settings.Self.Address {
+		return
+	}
+	c.musterAlarm = c.now + 3*c.settings.Timing.Pulse
+	voters := []Member{c.settings.Self}
+	for _, address := range founders[1:] {
+		c.send(address, Message{Muster: &Muster{}})
+		note, isThere := c.mustered[address]
+		if isThere && c.now-note.at < house.Second && note.receipt.IsEmpty && note.receipt.HasFolder {
+			voters = append(voters, note.receipt.Member)
+		}
+	}
+	if len(voters) < len(founders) {
+		return
+	}
+	first := &Document{
+		Founding:   digestOf([]byte(fmt.Sprint(c.settings.Random.Uint64(), c.settings.Random.Uint64()))),
+		Generation: 1, Term: 1, Voters: voters, Homes: map[string]string{}, Evacuated: map[string]uint64{},
+	}
+	c.note("core", "found", "all %d founders are there and empty", len(founders))
+	c.term = max(c.term, 1)
+	c.save(first, func() { c.startElection(true, false) })
+	c.doc = first
+}
+
+// join makes this prompter known while no leader speaks to it.
+func (c *Core) join() {
+	if c.now < c.joinAlarm || c.now-c.lastPulse < 2*c.settings.Timing.ElectionLow {
+		return
+	}
+	c.joinAlarm = c.now + 3*c.settings.Timing.Pulse
+	// The leader if someone named it, then one other in turn.
+	targets := []string{}
+	if len(c.hints) > 0 && c.hints[0] != "" {
+		targets = append(targets, c.hints[0])
+	}
+	others := slices.Clone(c.settings.Founders)
+	if len(c.hints) > 1 {
+		others = append(others, c.hints[1:]...)
+	}
+	if c.doc != nil {
+		for _, member := range c.doc.Voters {
+			others = append(others, member.Address)
+		}
+	}
+	if len(others) > 0 {
+		c.hintTurn++
+		targets = append(targets, others[c.hintTurn%len(others)])
+	}
+	for _, target := range targets {
+		if target != c.settings.Self.Address {
+			c.send(target, Message{Join: &Join{c.settings.Self, c.synced, c.settings.HasFolder}})
+		}
+	}
+}
+
+// Leave begins a planned stop: the lead and the vote go to others.
+func (c *Core) Leave(now house.Micros) {
+	c.now, c.isLeaving = now, true
+	c.note("core", "leave", "a planned stop was asked for")
+}
+
+func sortedKeys[V any](from map[string]V) []string {
+	keys := make([]string, 0, len(from))
+	for key := range from {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/flyloft/document.go
@@ -0,0 +1,150 @@
+// Package flyloft is the control plane: the core that agrees on one document a
+// generation, the licences under which routers serve, the cells that keep a
+// zone's engines and nodes, and the views by which nodes know each other.
+//
+// Every protocol here is an owner without clock or socket: events go in,
+// commands come out. Daemons and the simulator run the same owners.
+package flyloft
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"sort"
+)
+
+// MemberID is made at random with a data folder, so that an emptied disk can
+// never speak for the member that it once held.
+type MemberID string
+
+// Member is a prompter that may vote.
+type Member struct {
+	ID      MemberID `json:"id"`
+	Address string   `json:"address"`
+	Zone    string   `json:"zone"`
+}
+
+// Outcome is how a submission ended.
+type Outcome string
+
+// The outcomes that a receipt can state.
+const (
+	Yes      Outcome = "yes"      // kept by a majority of voters, applied by a majority of routers
+	No       Outcome = "no"       // final: it will never take effect
+	Unproved Outcome = "unproved" // neither could be shown; ask again by id
+)
+
+// Submission is what the document remembers of an operator's order.
+type Submission struct {
+	ID         string `json:"id"`
+	Digest     string `json:"digest,omitempty"`
+	Generation uint64 `json:"generation"`
+	IsFenced   bool   `json:"fenced,omitempty"`
+}
+
+// Document is the whole agreed state at one generation.
+type Document struct {
+	Founding       string            `json:"founding"` // random, made once, when the fleet was founded
+	Generation     uint64            `json:"generation"`
+	Term           uint64            `json:"term"`
+	Voters         []Member          `json:"voters"`
+	Register       []string          `json:"register"`
+	PriorRegister  []string          `json:"prior_register"`
+	RegisterSince  uint64            `json:"register_since"` // the generation that last changed the register
+	Homes          map[string]string `json:"homes"`
+	Spec           []byte            `json:"spec"`
+	SpecGeneration uint64            `json:"spec_generation"`
+	Evacuated      map[string]uint64 `json:"evacuated"` // zone to the generation that emptied it
+	Submissions    []Submission      `json:"submissions"`
+}
+
+// keptSubmissions bounds how far back a repeated send is recognised.
+const keptSubmissions = 512
+
+// next copies a document for a change; the copy shares nothing that is changed in place.
+func (d *Document) next(term uint64) *Document {
+	copied := *d
+	copied.Term, copied.Generation = term, d.Generation+1
+	copied.Voters = slices.Clone(d.Voters)
+	copied.Register = slices.Clone(d.Register)
+	copied.PriorRegister = slices.Clone(d.PriorRegister)
+	copied.Submissions = slices.Clone(d.Submissions)
+	copied.Homes, copied.Evacuated = cloneMap(d.Homes), cloneMap(d.Evacuated)
+	return &copied
+}
+
+func cloneMap[V any](from map[string]V) map[string]V {
+	to := make(map[string]V, len(from))
+	for key, value := range from {
+		to[key] = value
+	}
+	return to
+}
+
+// Stamp orders documents: the term first, then the generation.
+type Stamp struct{ Term, Generation uint64 }
+
+func (d *Document) stamp() Stamp {
+	if d == nil {
+		return Stamp{}
+	}
+	return Stamp{d.Term, d.Generation}
+}
+
+func (s Stamp) before(other Stamp) bool {
+	return s.Term < other.Term || s.Term == other.Term && s.Generation < other.Generation
+}
+
+func (d *Document) voter(id MemberID) (Member, bool) {
+	if d == nil {
+		return Member{}, false
+	}
+	for _, member := range d.Voters {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+func (d *Document) submission(id string) (Submission, bool) {
+	for i := len(d.Submissions) - 1; i >= 0; i-- {
+		if d.Submissions[i].ID == id {
+			return d.Submissions[i], true
+		}
+	}
+	return Submission{}, false
+}
+
+func (d *Document) remember(entry Submission) {
+	d.Submissions = append(d.Submissions, entry)
+	if surplus := len(d.Submissions) - keptSubmissions; surplus > 0 {
+		d.Submissions = slices.Clone(d.Submissions[surplus:])
+	}
+}
+
+// majority of a list of routers satisfied by a test. An empty register has no
+// router that could serve an old generation, so it is satisfied.
+func majority(addresses []string, isMet func(string) bool) bool {
+	count := 0
+	for _, address := range addresses {
+		if isMet(address) {
+			count++
+		}
+	}
+	return len(addresses) == 0 || count > len(addresses)/2
+}
+
+func sorted(addresses []string) []string {
+	sort.Strings(addresses)
+	return addresses
+}
+
+func digestOf(parts ...[]byte) string {
+	hash := sha256.New()
+	for _, part := range parts {
+		hash.Write(part)
+		hash.Write([]byte{0})
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:16])
+}
--- /dev/null
+++ b/flyloft/licence.go
@@ -0,0 +1,295 @@
+package flyloft
+
+import (
+	"fmt"
+	"slices"
+
+	"dunlinloom/house"
+)
+
+// Licence lets this node's router serve. It is counted from the moment the ask
+// was sent, so no clock but the own one matters and a slow network only makes
+// it shorter.
+type Licence struct {
+	self     string
+	isRouter bool
+	timing   Timing
+	note     func(subject, decision, why string)
+
+	applied *Document
+	until   house.Micros
+	// isProven: the leader itself has granted since this process started. A
+	// restarted router has forgotten what it once applied; until the leader has
+	// spoken to it, its word must not count towards others' licences.
+	isProven bool
+
+	seq         uint64
+	askedAt     map[uint64]house.Micros
+	grantedAsk  house.Micros // when the newest granted ask was sent
+	isFresh     bool         // a grant has come at all
+	attestSeq   uint64
+	attestAlarm house.Micros
+	attested    map[string]uint64
+	isDark      bool
+}
+
+// NewLicence makes a licence that has lapsed.
+func NewLicence(self string, isRouter bool, timing Timing, note func(subject, decision, why string)) *Licence {
+	return &Licence{self: self, isRouter: isRouter, timing: timing, note: note, askedAt: map[uint64]house.Micros{}}
+}
+
+// Applied is the document in force here, or nil.
+func (l *Licence) Applied() *Document { return l.applied }
+
+// Generation of the document in force here.
+func (l *Licence) Generation() uint64 {
+	if l.applied == nil {
+		return 0
+	}
+	return l.applied.Generation
+}
+
+// Until is the moment up to which the router may serve.
+func (l *Licence) Until() house.Micros { return l.until }
+
+// Apply takes a committed document; older ones are passed over.
+func (l *Licence) Apply(document *Document) bool {
+	if document == nil || document.Generation <= l.Generation() {
+		return false
+	}
+	l.applied = document
+	return true
+}
+
+// NewAsk opens an ask; its number ties the grant to the moment of sending.
+func (l *Licence) NewAsk(now house.Micros) uint64 {
+	l.seq++
+	l.askedAt[l.seq] = now
+	for seq, at := range l.askedAt {
+		if now-at > l.timing.Licence {
+			delete(l.askedAt, seq)
+		}
+	}
+	return l.seq
+}
+
+// TakeGrant takes the leader's grant; true when the document here changed.
+func (l *Licence) TakeGrant(now house.Micros, grant *Grant) bool {
+	isNews := l.Apply(grant.Document)
+	askedAt, isMine := l.askedAt[grant.Seq]
+	// The grant stands for its generation: with an older document it gives nothing.
+	if !isMine || l.Generation() < grant.Generation {
+		return isNews
+	}
+	delete(l.askedAt, grant.Seq)
+	if l.isDark {
+		l.note("licence", "core back", "the leader grants again")
+		l.isDark = false
+	}
+	l.isProven, l.isFresh = true, true
+	l.grantedAsk = max(l.grantedAsk, askedAt)
+	l.extend(askedAt)
+	return isNews
+}
+
+func (l *Licence) extend(askedAt house.Micros) {
+	l.until = max(l.until, askedAt+l.timing.Licence)
+}
+
+// Attest answers another router's question.
+func (l *Licence) Attest(m *Attest) *AttestReceipt {
+	receipt := &AttestReceipt{Seq: m.Seq, Generation: l.Generation(), IsProven: l.isProven && l.isRouter}
+	if l.Generation() > m.Applied {
+		receipt.Document = l.applied
+	}
+	return receipt
+}
+
+// TickDark asks the registered routers when the core has been silent too long.
+// Others are whom to ask when not even a document is at hand.
+func (l *Licence) TickDark(now house.Micros, others []string) (to []string, ask *Attest) {
+	if !l.isRouter || now < l.attestAlarm || l.isFresh && now-l.grantedAsk < 7*house.Second/10 {
+		return nil, nil
+	}
+	l.attestAlarm = now + 300*house.Millisecond
+	if !l.isDark && l.isFresh {
+		l.note("licence", "core dark", "no grant for 700 ms; asking the registered routers")
+		l.isDark = true
+	}
+	if l.applied != nil {
+		others = l.applied.Register
+	}
+	l.attestSeq = l.NewAsk(now)
+	l.attested = map[string]uint64{}
+	for _, address := range others {
+		if address != l.self {
+			to = append(to, address)
+		}
+	}
+	l.judge()
+	return to, &Attest{l.attestSeq, l.Generation()}
+}
+
+// TakeAttest counts a router's word; true when the document here changed.
+func (l *Licence) TakeAttest(from string, m *AttestReceipt) bool {
+	isNews := l.Apply(m.Document)
+	if m.Seq != l.attestSeq || l.attested == nil {
+		return isNews
+	}
+	if isNews {
+		// Words given on the older generation say nothing on this one; ask anew.
+		l.attestAlarm = 0
+	}
+	if m.IsProven {
+		l.attested[from] = m.Generation
+	}
+	l.judge()
+	return isNews
+}
+
+func (l *Licence) judge() {
+	askedAt, isMine := l.askedAt[l.attestSeq]
+	if l.applied == nil || !isMine || len(l.applied.Register) == 0 {
+		return
+	}
+	count := 0
+	for _, address := range l.applied.Register {
+		generation, hasSpoken := l.attested[address]
+		if address == l.self {
+			generation, hasSpoken = l.Generation(), l.isProven
+		}
+		if !hasSpoken {
+			continue
+		}
+		if generation > l.Generation() {
+			return
+		}
+		count++
+	}
+	if count > len(l.applied.Register)/2 {
+		l.extend(askedAt)
+	}
+}
+
+// Why explains a lapsed licence.
+func (l *Licence) Why(now house.Micros) string {
+	switch {
+	case l.applied == nil:
+		return "no document has reached this router yet"
+	case now >= l.until:
+		return fmt.Sprintf("the licence lapsed %d us ago: neither the core nor a majority of the %d registered routers vouched for generation %d",
+			now-l.until, len(l.applied.Register), l.Generation())
+	}
+	return ""
+}
+
+// Views keeps a partial view of the fleet's nodes and shuffles it with neighbours.
+type Views struct {
+	self   Neighbour
+	view   []Neighbour
+	seeds  []string
+	alarm  house.Micros
+	every  house.Micros
+	sentTo string
+	sent   []Neighbour
+	pick   func(int) int
+}
+
+const (
+	viewSize    = 8
+	shuffleSize = 4
+)
+
+// NewViews starts from the seeds.
+func NewViews(self Neighbour, seeds []string, every house.Micros, pick func(int) int) *Views {
+	return &Views{self: self, seeds: seeds, every: every, pick: pick}
+}
+
+// Neighbours gives the addresses in view.
+func (v *Views) Neighbours() []string {
+	addresses := make([]string, 0, len(v.view))
+	for _, neighbour := range v.view {
+		addresses = append(addresses, neighbour.Address)
+	}
+	return addresses
+}
+
+// Tick gives the neighbour to shuffle with, when it is time.
+func (v *Views) Tick(now house.Micros) (to string, shuffle *Shuffle) {
+	if now < v.alarm {
+		return "", nil
+	}
+	v.alarm = now + v.every
+	if len(v.view) == 0 {
+		seeds := slices.DeleteFunc(slices.Clone(v.seeds), func(seed string) bool { return seed == v.self.Address })
+		if len(seeds) == 0 {
+			return "", nil
+		}
+		v.sentTo, v.sent = seeds[v.pick(len(seeds))], nil
+		return v.sentTo, &Shuffle{View: []Neighbour{v.self}}
+	}
+	oldest := 0
+	for i := range v.view {
+		v.view[i].Age++
+		if v.view[i].Age > v.view[oldest].Age {
+			oldest = i
+		}
+	}
+	// The oldest leaves the view: if it lives it comes back with its receipt.
+	v.sentTo = v.view[oldest].Address
+	v.view = slices.Delete(v.view, oldest, oldest+1)
+	v.sent = v.sample(shuffleSize - 1)
+	return v.sentTo, &Shuffle{View: append(slices.Clone(v.sent), v.self)}
+}
+
+func (v *Views) sample(most int) []Neighbour {
+	rest := slices.Clone(v.view)
+	chosen := []Neighbour{}
+	for len(rest) > 0 && len(chosen) < most {
+		index := v.pick(len(rest))
+		chosen = append(chosen, rest[index])
+		rest = slices.Delete(rest, index, index+1)
+	}
+	return chosen
+}
+
+// Take merges a neighbour's part; it gives the own part when one is owed.
+func (v *Views) Take(from string, m *Shuffle) *Shuffle {
+	var receipt *Shuffle
+	given := v.sent
+	if !m.IsReply {
+		given = v.sample(shuffleSize)
+		receipt = &Shuffle{View: given, IsReply: true}
+	} else if from == v.sentTo {
+		v.merge([]Neighbour{{Address: from}}, nil)
+	}
+	v.merge(m.View, given)
+	return receipt
+}
+
+func (v *Views) merge(brought, given []Neighbour) {
+	for _, neighbour := range brought {
+		if neighbour.Address == v.self.Address {
+			continue
+		}
+		index := slices.IndexFunc(v.view, func(known Neighbour) bool { return known.Address == neighbour.Address })
+		if index >= 0 {
+			v.view[index].Age = min(v.view[index].Age, neighbour.Age)
+			if neighbour.Zone != "" {
+				v.view[index].Zone = neighbour.Zone
+			}
+			continue
+		}
+		if len(v.view) >= viewSize {
+			// What was handed over makes room first, so that entries are traded and not copied.
+			drop := slices.IndexFunc(v.view, func(known Neighbour) bool {
+				return slices.ContainsFunc(given, func(gone Neighbour) bool { return gone.Address == known.Address })
+			})
+			if drop < 0 {
+				continue
+			}
+			v.view = slices.Delete(v.view, drop, drop+1)
+		}
+		v.view = append(v.view, neighbour)
+	}
+}
--- /dev/null
+++ b/flyloft/messages.go
@@ -0,0 +1,295 @@
+package flyloft
+
+import "dunlinloom/house"
+
+// Envelope is one message between two nodes. Messages may be lost, doubled,
+// late or out of order; every owner has to bear that.
+type Envelope struct {
+	Fleet    string  `json:"fleet"`              // the fleet's name in the settings
+	Founding string  `json:"founding,omitempty"` // the founding the sender belongs to, once it knows
+	From     string  `json:"from"`
+	To       string  `json:"to"`
+	Message  Message `json:"message"`
+}
+
+// Message holds exactly one of its fields.
+type Message struct {
+	VoteAsk       *VoteAsk       `json:"vote_ask,omitempty"`
+	Vote          *Vote          `json:"vote,omitempty"`
+	Pulse         *Pulse         `json:"pulse,omitempty"`
+	PulseReceipt  *PulseReceipt  `json:"pulse_receipt,omitempty"`
+	Inherit       *Inherit       `json:"inherit,omitempty"`
+	Join          *Join          `json:"join,omitempty"`
+	Muster        *Muster        `json:"muster,omitempty"`
+	MusterReceipt *MusterReceipt `json:"muster_receipt,omitempty"`
+	Submit        *Submit        `json:"submit,omitempty"`
+	SubmitReceipt *SubmitReceipt `json:"submit_receipt,omitempty"`
+	AskBatch      *AskBatch      `json:"ask_batch,omitempty"`
+	GrantBatch    *GrantBatch    `json:"grant_batch,omitempty"`
+	Succeed       *Succeed       `json:"succeed,omitempty"`
+	Elsewhere     *Elsewhere     `json:"elsewhere,omitempty"`
+	Ask           *Ask           `json:"ask,omitempty"`
+	Grant         *Grant         `json:"grant,omitempty"`
+	Nudge         *Nudge         `json:"nudge,omitempty"`
+	Attest        *Attest        `json:"attest,omitempty"`
+	AttestReceipt *AttestReceipt `json:"attest_receipt,omitempty"`
+	News          *News          `json:"news,omitempty"`
+	Heard         *Heard         `json:"heard,omitempty"`
+	Mend          *Mend          `json:"mend,omitempty"`
+	Shuffle       *Shuffle       `json:"shuffle,omitempty"`
+}
+
+// VoteAsk asks one member, by its id, for its vote.
+type VoteAsk struct {
+	Term      uint64   `json:"term"`
+	IsPre     bool     `json:"pre,omitempty"`
+	IsNamed   bool     `json:"named,omitempty"` // the leader itself named this candidate
+	Candidate Member   `json:"candidate"`
+	Voter     MemberID `json:"voter"`
+	Newest    Stamp    `json:"newest"`
+}
+
+// Vote is a member's word on a VoteAsk.
+type Vote struct {
+	Term      uint64   `json:"term"` // the term that was asked for
+	Known     uint64   `json:"known"`
+	IsPre     bool     `json:"pre,omitempty"`
+	IsGranted bool     `json:"granted"`
+	Voter     MemberID `json:"voter"`
+}
+
+// Pulse is the leader's regular word to voters and standbys.
+type Pulse struct {
+	Term      uint64    `json:"term"`
+	Leader    Member    `json:"leader"`
+	Target    MemberID  `json:"target"`
+	Round     uint64    `json:"round"`
+	Committed Stamp     `json:"committed"`
+	Document  *Document `json:"document,omitempty"`
+}
+
+// PulseReceipt tells the leader what its receiver has synced.
+type PulseReceipt struct {
+	Term      uint64 `json:"term"`
+	Round     uint64 `json:"round"`
+	Member    Member `json:"member"`
+	Synced    Stamp  `json:"synced"`
+	IsLeaving bool   `json:"leaving,omitempty"`
+	IsAiling  bool   `json:"ailing,omitempty"` // the disk stalls or is full
+}
+
+// Inherit names the receiver as the successor in the lead.
+type Inherit struct {
+	Term   uint64   `json:"term"`
+	Target MemberID `json:"target"`
+}
+
+// Join makes a prompter known to the leader as a standby.
+type Join struct {
+	Member    Member `json:"member"`
+	Synced    Stamp  `json:"synced"`
+	HasFolder bool   `json:"folder"`
+}
+
+// Muster asks a founder whether it is empty.
+type Muster struct{}
+
+// MusterReceipt is a founder's word to the one that would found the fleet.
+type MusterReceipt struct {
+	Member    Member `json:"member"`
+	IsEmpty   bool   `json:"empty"`
+	HasFolder bool   `json:"folder"`
+}
+
+// Order says what a submission wants.
+type Order string
+
+// The orders an operator can give.
+const (
+	PutSpec    Order = "spec"
+	EmptyZone  Order = "empty"
+	RefillZone Order = "refill"
+	Forget     Order = "forget" // strike a router off the register: the operator vouches that it is dead
+	Fence      Order = "fence"  // make a submission id final
+)
+
+// Submit carries an operator's order to the leader.
+type Submit struct {
+	ID    string  `json:"id"`
+	Order Order   `json:"order"`
+	Spec  []byte  `json:"spec,omitempty"`
+	Zone  string  `json:"zone,omitempty"`
+	Base  *uint64 `json:"base,omitempty"`
+}
+
+func (s *Submit) digest() string {
+	return digestOf([]byte(s.Order), s.Spec, []byte(s.Zone))
+}
+
+// SubmitReceipt is the leader's word on a submission.
+type SubmitReceipt struct {
+	ID         string  `json:"id"`
+	Outcome    Outcome `json:"outcome"`
+	Generation uint64  `json:"generation,omitempty"`
+	Reason     string  `json:"reason,omitempty"`
+	Detail     string  `json:"detail,omitempty"`
+}
+
+// RouterAsk is one node's ask for a licence, as it goes to the leader.
+type RouterAsk struct {
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Seq      uint64 `json:"seq"`
+	Applied  uint64 `json:"applied"`
+	IsRouter bool   `json:"router,omitempty"`
+}
+
+// AskBatch carries a zone's asks from its home, or one node's own.
+type AskBatch struct {
+	Zone       string      `json:"zone"`
+	IsHome     bool        `json:"home,omitempty"`
+	Generation uint64      `json:"generation"` // the document the sender holds
+	Asks       []RouterAsk `json:"asks"`
+}
+
+// GrantBatch grants what a batch asked for, under one generation.
+type GrantBatch struct {
+	Generation uint64      `json:"generation"`
+	Leader     string      `json:"leader"`
+	Asks       []RouterAsk `json:"asks"`
+	Document   *Document   `json:"document,omitempty"`
+}
+
+// Succeed is a home's own naming of its successor.
+type Succeed struct {
+	Zone string `json:"zone"`
+	To   string `json:"to"`
+}
+
+// Elsewhere tells who leads, or who may know.
+type Elsewhere struct {
+	Leader string   `json:"leader,omitempty"`
+	Voters []string `json:"voters,omitempty"`
+}
+
+// Ask is a node's ask to its home: for a licence, for news, and to be known.
+type Ask struct {
+	RouterAsk
+	Node     NodeRecord `json:"node"`
+	SeenHome string     `json:"seen_home,omitempty"`
+	SeenNews uint64     `json:"seen_news,omitempty"`
+}
+
+// Grant lets a router serve under a generation for a while from its ask on.
+type Grant struct {
+	Seq        uint64    `json:"seq"`
+	Generation uint64    `json:"generation"`
+	Leader     string    `json:"leader,omitempty"`
+	Document   *Document `json:"document,omitempty"`
+}
+
+// Nudge says that there is a newer generation to ask for.
+type Nudge struct {
+	Generation uint64 `json:"generation"`
+}
+
+// Attest asks another router what generation it holds, while the core is dark.
+type Attest struct {
+	Seq     uint64 `json:"seq"`
+	Applied uint64 `json:"applied"`
+}
+
+// AttestReceipt is a router's word on its own generation.
+type AttestReceipt struct {
+	Seq        uint64    `json:"seq"`
+	Generation uint64    `json:"generation"`
+	IsProven   bool      `json:"proven"`
+	Document   *Document `json:"document,omitempty"`
+}
+
+// News brings records of a cell that changed.
+type News struct {
+	Home     string         `json:"home"` // the sender's incarnation
+	Upto     uint64         `json:"upto"`
+	IsAll    bool           `json:"all,omitempty"`
+	Engines  []EngineRecord `json:"engines,omitempty"`
+	Nodes    []NodeRecord   `json:"nodes,omitempty"`
+	Dropped  []string       `json:"dropped,omitempty"`
+	IsUrgent bool           `json:"urgent,omitempty"`
+}
+
+// Heard carries engine records that a node learned first-hand to its home.
+type Heard struct {
+	Engines []EngineRecord `json:"engines"`
+}
+
+// Mend compares two cells by digests over ranges of keys.
+type Mend struct {
+	SeenHome string   `json:"seen_home,omitempty"`
+	SeenNews uint64   `json:"seen_news,omitempty"`
+	Digests  []uint64 `json:"digests,omitempty"`
+	IsHome   bool     `json:"home,omitempty"`
+}
+
+// Shuffle trades parts of two partial views.
+type Shuffle struct {
+	View    []Neighbour `json:"view"`
+	IsReply bool        `json:"reply,omitempty"`
+}
+
+// Neighbour is one entry of a partial view.
+type Neighbour struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Age     uint32 `json:"age"`
+}
+
+// Send asks the shell to carry a message; it may get lost.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Save asks the shell to sync a ballot, a document or both, in this order of
+// tokens, and to bring a Saved event back.
+type Save struct {
+	Token    uint64
+	Ballot   *Ballot
+	Document *Document
+	// Stale names a document that this one replaces and that was never known committed.
+	Stale *Stamp
+}
+
+// Ballot is what a voter must not forget.
+type Ballot struct {
+	Term     uint64   `json:"term"`
+	VotedFor MemberID `json:"voted_for,omitempty"`
+}
+
+// Timing holds every span of the control plane.
+type Timing struct {
+	Pulse        house.Micros // between a leader's pulses
+	ElectionLow  house.Micros // an election starts this long after the last pulse,
+	ElectionHigh house.Micros // at the latest
+	DiskStall    house.Micros // a write that takes longer is a stalled disk
+	DiskRetry    house.Micros
+	Replace      house.Micros // silence after which a voter counts as lost
+	Ask          house.Micros // between a node's asks
+	Licence      house.Micros // from sending the ask
+	HomeSilent   house.Micros // after which a zone gets another home
+	Strike       house.Micros // silence after which a router leaves the register
+	NodeGone     house.Micros // silence after which a node leaves the cell
+	Shuffle      house.Micros
+	Mend         house.Micros
+}
+
+// DefaultTiming keeps inside the rules' bounds with margin.
+func DefaultTiming() Timing {
+	return Timing{
+		Pulse: 100 * house.Millisecond, ElectionLow: 600 * house.Millisecond, ElectionHigh: 1200 * house.Millisecond,
+		DiskStall: house.Second, DiskRetry: 500 * house.Millisecond, Replace: 8 * house.Second,
+		Ask: 250 * house.Millisecond, Licence: 1700 * house.Millisecond, HomeSilent: 1500 * house.Millisecond,
+		Strike: 30 * house.Second, NodeGone: 5 * house.Second,
+		Shuffle: house.Second, Mend: house.Second,
+	}
+}
--- /dev/null
+++ b/flyloft/node.go
@@ -0,0 +1,717 @@
+package flyloft
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"dunlinloom/house"
+)
+
+// NodeSettings is what a node's control plane is told at its start.
+type NodeSettings struct {
+	Identity   house.Identity
+	IsRouter   bool
+	IsPrompter bool
+	HasFolder  bool
+	Member     MemberID
+	Seeds      []string
+	Start      uint64 // the process's start identity, larger at each start
+	RandomSeed uint64
+	Timing     Timing
+	CheckSpec  func([]byte) error
+	Journal    *house.Journal
+	Ballot     Ballot
+	Document   *Document
+}
+
+// Outgoing is a message for the shell to carry.
+type Outgoing struct{ Envelope Envelope }
+
+// Receipt is the final word on a submission made at this node.
+type Receipt struct{ SubmitReceipt SubmitReceipt }
+
+// Spans of a submission made here: how long to try, and how long to seek a final no after.
+const (
+	submitTry    = 6 * house.Second
+	submitFence  = 3 * house.Second
+	submitResend = 500 * house.Millisecond
+)
+
+type errand struct {
+	submit   *Submit
+	deadline house.Micros
+	resendAt house.Micros
+	isFence  bool // this errand only asks how the id ended
+}
+
+// Node joins the owners of one process and carries messages between them.
+type Node struct {
+	settings NodeSettings
+	now      house.Micros
+	random   *rand.Rand
+	core     *Core
+	licence  *Licence
+	cell     *Cell
+	views    *Views
+	out      []any
+	loop     []Envelope
+
+	leaderHint   string
+	leaderWord   house.Micros // when the hint last proved good
+	otherHints   []string
+	hintTurn     int
+	homeWord     house.Micros // when the zone's home was last heard
+	seenHome     string
+	seenNews     uint64
+	askAlarm     house.Micros
+	nodeSeq      uint64
+	nodeSeqAlarm house.Micros
+	isLeaving    bool
+
+	batch       map[string]RouterAsk
+	batchAlarm  house.Micros
+	isBatchHot  bool
+	zoneApplied map[string]uint64
+
+	peerNews  map[string]newsMark
+	mendAlarm house.Micros
+	mendTurn  int
+	sweep     house.Micros
+	errands   map[string]*errand
+	declined  map[string]house.Micros // foreign senders noted lately
+}
+
+type newsMark struct {
+	home string
+	upto uint64
+}
+
+// NewNode makes a node.
+func NewNode(settings NodeSettings, now house.Micros) *Node {
+	random := rand.New(rand.NewPCG(settings.RandomSeed, settings.Start))
+	n := &Node{
+		settings: settings, now: now, random: random,
+		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{},
+		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, declined: map[string]house.Micros{},
+	}
+	self := settings.Identity
+	n.licence = NewLicence(self.Address, settings.IsRouter, settings.Timing, n.note)
+	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
+	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
+	if settings.IsPrompter {
+		n.core = NewCore(CoreSettings{
+			Self:      Member{settings.Member, self.Address, self.Zone},
+			HasFolder: settings.HasFolder, Founders: settings.Seeds, Timing: settings.Timing,
+			Random: random, CheckSpec: settings.CheckSpec, Note: n.note,
+			Ballot: settings.Ballot, Document: settings.Document,
+		}, now)
+	}
+	return n
+}
+
+func (n *Node) note(subject, decision, why string) {
+	n.settings.Journal.Note(n.now, "flyloft", subject, decision, why)
+}
+
+func (n *Node) self() string { return n.settings.Identity.Address }
+
+func (n *Node) founding() string {
+	if n.core != nil && n.core.doc != nil {
+		return n.core.doc.Founding
+	}
+	if n.licence.applied != nil {
+		return n.licence.applied.Founding
+	}
+	return ""
+}
+
+func (n *Node) send(to string, message Message) {
+	if to == "" {
+		return
+	}
+	envelope := Envelope{n.settings.Identity.Fleet, n.founding(), n.self(), to, message}
+	if to == n.self() {
+		n.loop = append(n.loop, envelope)
+		return
+	}
+	n.out = append(n.out, Outgoing{envelope})
+}
+
+// finish drains the core's commands and the messages to oneself, then hands all over.
+func (n *Node) finish() []any {
+	for {
+		if n.core != nil {
+			for _, command := range n.core.take() {
+				if send, isSend := command.(Send); isSend {
+					n.send(send.To, send.Message)
+					continue
+				}
+				n.out = append(n.out, command)
+			}
+			n.applied(n.licence.Apply(n.core.Committed()))
+		}
+		if len(n.loop) == 0 {
+			break
+		}
+		envelope := n.loop[0]
+		n.loop = n.loop[1:]
+		n.receive(envelope)
+	}
+	out := n.out
+	n.out = nil
+	return out
+}
+
+// applied follows a change of the document in force.
+func (n *Node) applied(isNews bool) {
+	if !isNews {
+		return
+	}
+	n.note("spec", "apply", fmt.Sprintf("generation %d", n.licence.Generation()))
+	// The leader counts who has applied what, so it should hear at once.
+	n.askAlarm = n.now
+	if n.isHome() {
+		n.isBatchHot = true
+		for _, node := range n.zoneNodes() {
+			n.send(node, Message{Grant: &Grant{Generation: n.licence.Generation(), Document: n.licence.applied}})
+		}
+	}
+}
+
+func (n *Node) home() string {
+	if n.licence.applied == nil {
+		return ""
+	}
+	return n.licence.applied.Homes[n.settings.Identity.Zone]
+}
+
+func (n *Node) isHome() bool { return n.home() == n.self() }
+
+// isHomeless tells that the zone's home has been silent, so that other ways are taken.
+func (n *Node) isHomeless() bool {
+	return !n.isHome() && n.now-n.homeWord > 600*house.Millisecond
+}
+
+func (n *Node) zoneNodes() []string {
+	found := []string{}
+	for _, node := range n.cell.Nodes() {
+		if node.Zone == n.settings.Identity.Zone && node.Address != n.self() {
+			found = append(found, node.Address)
+		}
+	}
+	return found
+}
+
+func (n *Node) otherHomes() []string {
+	found := []string{}
+	if n.licence.applied != nil {
+		for _, zone := range sortedKeys(n.licence.applied.Homes) {
+			if home := n.licence.applied.Homes[zone]; home != n.self() && !slices.Contains(found, home) {
+				found = append(found, home)
+			}
+		}
+	}
+	return found
+}
+
+// leaderTarget is whom to take for the leader now.
+func (n *Node) leaderTarget() string {
+	if n.core != nil && n.core.Leader() != "" {
+		return n.core.Leader()
+	}
+	if n.leaderHint != "" && n.now-n.leaderWord < 700*house.Millisecond {
+		return n.leaderHint
+	}
+	// Whoever may know, one after another: voters first, then seeds and neighbours.
+	candidates := []string{}
+	if n.licence.applied != nil {
+		for _, member := range n.licence.applied.Voters {
+			candidates = append(candidates, member.Address)
+		}
+	}
+	candidates = append(candidates, n.otherHints...)
+	candidates = append(candidates, n.settings.Seeds...)
+	candidates = append(candidates, n.views.Neighbours()...)
+	if len(candidates) == 0 {
+		return ""
+	}
+	n.hintTurn++
+	return candidates[n.hintTurn%len(candidates)]
+}
+
+// ---- events ----
+
+// Deliver takes a message from another node.
+func (n *Node) Deliver(now house.Micros, envelope Envelope) []any {
+	n.now = now
+	why := ""
+	switch mine := n.founding(); {
+	case envelope.Fleet != n.settings.Identity.Fleet:
+		why = fmt.Sprintf("it belongs to fleet %q", envelope.Fleet)
+	case mine != "" && envelope.Founding != "" && mine != envelope.Founding:
+		why = "it belongs to another founding of the fleet"
+	case envelope.To != n.self():
+		why = fmt.Sprintf("it was meant for %s", envelope.To)
+	}
+	if why != "" {
+		if now-n.declined[envelope.From] > 10*house.Second || n.declined[envelope.From] == 0 {
+			n.declined[envelope.From] = now
+			n.note("node "+envelope.From, "decline message", why)
+		}
+		return n.finish()
+	}
+	n.receive(envelope)
+	return n.finish()
+}
+
+// Saved reports on a write.
+func (n *Node) Saved(now house.Micros, token uint64, err error) []any {
+	n.now = now
+	if n.core != nil {
+		n.core.Saved(now, token, err)
+	}
+	return n.finish()
+}
+
+// Submit takes an operator's order made at this node.
+func (n *Node) Submit(now house.Micros, submit *Submit) []any {
+	n.now = now
+	if n.errands[submit.ID] == nil {
+		n.errands[submit.ID] = &errand{submit: submit, deadline: now + submitTry, isFence: submit.Order == Fence}
+	}
+	n.tickErrands()
+	return n.finish()
+}
+
+// Hear takes engine records that this node learned first-hand.
+func (n *Node) Hear(now house.Micros, records []EngineRecord) []any {
+	n.now = now
+	for i := range records {
+		records[i] = records[i].placed(now)
+	}
+	n.hear(records)
+	return n.finish()
+}
+
+// TakeListing takes the platform's list as this node polled it.
+func (n *Node) TakeListing(now house.Micros, listing Listing) []any {
+	n.now = now
+	if n.cell.TakeListing(now, listing) {
+		n.spread(n.leavingRecords(), true)
+	}
+	return n.finish()
+}
+
+// Leave begins a planned stop.
+func (n *Node) Leave(now house.Micros) []any {
+	n.now, n.isLeaving = now, true
+	if n.core != nil {
+		n.core.Leave(now)
+	}
+	if n.isHome() {
+		// The holder names its successor itself: the zone should not wait out a silence.
+		for _, node := range n.cell.Nodes() {
+			if node.Zone == n.settings.Identity.Zone && node.Address != n.self() && !node.IsLeaving {
+				n.note("home", "name successor", node.Address)
+				n.send(n.leaderTarget(), Message{Succeed: &Succeed{n.settings.Identity.Zone, node.Address}})
+				break
+			}
+		}
+	}
+	n.nodeSeqAlarm, n.askAlarm = now, now
+	return n.finish()
+}
+
+// HasDuties tells whether a leaving node still leads or keeps its zone's home.
+func (n *Node) HasDuties() bool {
+	isLeading := n.core != nil && n.core.role == leader
+	return isLeading || n.isHome() && len(n.zoneNodes()) > 0
+}
+
+func (n *Node) leavingRecords() []EngineRecord {
+	found := []EngineRecord{}
+	for _, engine := range n.cell.Engines() {
+		if engine.IsLeaving {
+			found = append(found, engine.aged(n.now))
+		}
+	}
+	return found
+}
+
+func (n *Node) hear(records []EngineRecord) {
+	fresh := []EngineRecord{}
+	for _, record := range records {
+		if n.cell.TakeEngine(n.now, record, true) {
+			fresh = append(fresh, record.aged(n.now))
+		}
+	}
+	if n.isHome() {
+		n.spread(fresh, true)
+		return
+	}
+	aged := make([]EngineRecord, 0, len(records))
+	for _, record := range records {
+		aged = append(aged, record.aged(n.now))
+	}
+	n.send(n.home(), Message{Heard: &Heard{aged}})
+	// Without a home there is nobody to pass a leaving mark on, so it goes to everyone known.
+	if n.isHomeless() {
+		n.spread(fresh, true)
+	}
+}
+
+// spread pushes urgent records to the zone, and from a home or a homeless node beyond it.
+func (n *Node) spread(records []EngineRecord, isBeyond bool) {
+	if len(records) == 0 {
+		return
+	}
+	targets := n.zoneNodes()
+	if isBeyond {
+		targets = append(targets, n.otherHomes()...)
+		if n.isHomeless() {
+			for _, node := range n.cell.Nodes() {
+				targets = append(targets, node.Address)
+			}
+		}
+	}
+	slices.Sort(targets)
+	for _, target := range slices.Compact(targets) {
+		if target != n.self() {
+			n.send(target, Message{News: &News{Home: n.cell.incarnation, Engines: records, IsUrgent: true}})
+		}
+	}
+}
+
+func (n *Node) receive(envelope Envelope) {
+	from, m := envelope.From, envelope.Message
+	switch {
+	case m.Ask != nil:
+		n.onAsk(from, m.Ask)
+	case m.Grant != nil:
+		if from == n.home() {
+			n.homeWord = n.now
+		}
+		if m.Grant.Leader != "" {
+			n.leaderHint, n.leaderWord = m.Grant.Leader, n.now
+		}
+		n.applied(n.licence.TakeGrant(n.now, m.Grant))
+	case m.GrantBatch != nil:
+		n.onGrantBatch(m.GrantBatch)
+	case m.Nudge != nil:
+		if m.Nudge.Generation > n.licence.Generation() {
+			n.askAlarm, n.isBatchHot = n.now, true
+			n.ask()
+		}
+	case m.Attest != nil:
+		n.send(from, Message{AttestReceipt: n.licence.Attest(m.Attest)})
+	case m.AttestReceipt != nil:
+		n.applied(n.licence.TakeAttest(from, m.AttestReceipt))
+	case m.Heard != nil:
+		records := make([]EngineRecord, 0, len(m.Heard.Engines))
+		for _, record := range m.Heard.Engines {
+			records = append(records, record.placed(n.now))
+		}
+		n.hearForZone(records)
+	case m.News != nil:
+		n.onNews(from, m.News)
+	case m.Mend != nil:
+		n.onMend(from, m.Mend)
+	case m.Shuffle != nil:
+		if receipt := n.views.Take(from, m.Shuffle); receipt != nil {
+			n.send(from, Message{Shuffle: receipt})
+		}
+	case m.SubmitReceipt != nil:
+		n.onSubmitReceipt(m.SubmitReceipt)
+	case m.Elsewhere != nil:
+		if m.Elsewhere.Leader != "" && m.Elsewhere.Leader != n.self() {
+			n.leaderHint, n.leaderWord = m.Elsewhere.Leader, n.now
+		}
+		if len(m.Elsewhere.Voters) > 0 {
+			n.otherHints = m.Elsewhere.Voters
+		}
+		if n.core != nil {
+			n.core.Receive(n.now, from, m)
+		}
+	case n.core != nil:
+		n.core.Receive(n.now, from, m)
+	case m.AskBatch != nil, m.Submit != nil, m.Join != nil:
+		// No prompter here, but this node may know who is.
+		hint := &Elsewhere{Leader: n.leaderHint}
+		if n.licence.applied != nil {
+			for _, member := range n.licence.applied.Voters {
+				hint.Voters = append(hint.Voters, member.Address)
+			}
+		}
+		n.send(from, Message{Elsewhere: hint})
+	}
+}
+
+// hearForZone takes what a node of the zone heard. It is passed on only by the
+// home: a node that is none any more would otherwise bounce it back and forth.
+func (n *Node) hearForZone(records []EngineRecord) {
+	fresh := []EngineRecord{}
+	for _, record := range records {
+		if n.cell.TakeEngine(n.now, record, true) {
+			fresh = append(fresh, record.aged(n.now))
+		}
+	}
+	n.spread(fresh, true)
+}
+
+func (n *Node) onAsk(from string, m *Ask) {
+	n.cell.TakeNode(n.now, m.Node.placed(n.now), true)
+	if news := n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false); true {
+		n.send(from, Message{News: news})
+	}
+	// A node that is behind need not wait for the leader's word to get the document.
+	if m.Applied < n.licence.Generation() {
+		n.send(from, Message{Grant: &Grant{Generation: n.licence.Generation(), Document: n.licence.applied}})
+	}
+	if m.Applied > n.zoneApplied[m.Address] {
+		n.isBatchHot = true
+	}
+	n.zoneApplied[m.Address] = m.Applied
+	n.batch[m.Address] = m.RouterAsk
+}
+
+func (n *Node) onGrantBatch(m *GrantBatch) {
+	n.leaderHint, n.leaderWord = m.Leader, n.now
+	n.applied(n.licence.Apply(m.Document))
+	for _, ask := range m.Asks {
+		grant := &Grant{Seq: ask.Seq, Generation: m.Generation, Leader: m.Leader}
+		if ask.Address == n.self() {
+			n.applied(n.licence.TakeGrant(n.now, grant))
+			continue
+		}
+		if ask.Applied < m.Generation && n.licence.Generation() >= m.Generation {
+			grant.Document = n.licence.applied
+		}
+		n.send(ask.Address, Message{Grant: grant})
+	}
+}
+
+func (n *Node) onNews(from string, m *News) {
+	if from == n.home() {
+		n.homeWord = n.now
+		if m.Upto > 0 {
+			if n.seenHome != m.Home {
+				n.seenHome, n.seenNews = m.Home, 0
+			}
+			n.seenNews = max(n.seenNews, m.Upto)
+		}
+	}
+	if m.Upto > 0 && n.isHome() {
+		mark := n.peerNews[from]
+		if mark.home != m.Home {
+			mark = newsMark{home: m.Home}
+		}
+		mark.upto = max(mark.upto, m.Upto)
+		n.peerNews[from] = mark
+	}
+	if n.cell.TakeNews(n.now, m, false) && n.isHome() {
+		n.spread(m.Engines, false)
+	}
+}
+
+func (n *Node) onMend(from string, m *Mend) {
+	if m.IsHome {
+		if news := n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, true); len(news.Engines)+len(news.Nodes) > 0 || news.IsAll {
+			n.send(from, Message{News: news})
+		}
+	}
+	if m.Digests != nil {
+		if differing := n.cell.Differing(n.now, m.Digests); len(differing) > 0 {
+			n.note("cell", "mend", fmt.Sprintf("%d records of differing ranges go to %s", len(differing), from))
+			n.send(from, Message{News: &News{Home: n.cell.incarnation, Engines: differing}})
+		}
+	}
+}
+
+// ---- time ----
+
+// Tick lets due alarms go off.
+func (n *Node) Tick(now house.Micros) []any {
+	n.now = now
+	if n.core != nil {
+		n.core.Tick(now)
+	}
+	if now >= n.askAlarm {
+		n.ask()
+	}
+	n.sendBatch()
+	if to, ask := n.licence.TickDark(now, n.attestTargets()); ask != nil {
+		for _, address := range to {
+			n.send(address, Message{Attest: ask})
+		}
+	}
+	if to, shuffle := n.views.Tick(now); shuffle != nil {
+		n.send(to, Message{Shuffle: shuffle})
+	}
+	if now >= n.sweep {
+		n.sweep = now + 500*house.Millisecond
+		n.cell.Sweep(now)
+	}
+	n.tickMend()
+	n.tickErrands()
+	return n.finish()
+}
+
+// attestTargets are whom to ask for a document when there is none at all.
+func (n *Node) attestTargets() []string {
+	return append(slices.Clone(n.settings.Seeds), n.views.Neighbours()...)
+}
+
+func (n *Node) record() NodeRecord {
+	if n.now >= n.nodeSeqAlarm {
+		n.nodeSeqAlarm = n.now + house.Second
+		n.nodeSeq++
+	}
+	identity := n.settings.Identity
+	return NodeRecord{
+		Address: identity.Address, Public: identity.Public, Zone: identity.Zone,
+		IsRouter: n.settings.IsRouter, IsPrompter: n.settings.IsPrompter, IsLeaving: n.isLeaving,
+		Start: n.settings.Start, Seq: n.nodeSeq, Applied: n.licence.Generation(), AsOf: n.now,
+	}
+}
+
+func (n *Node) ask() {
+	n.askAlarm = n.now + n.settings.Timing.Ask
+	record := n.record()
+	n.cell.TakeNode(n.now, record, true)
+	own := RouterAsk{
+		Address: n.self(), Zone: n.settings.Identity.Zone, Seq: n.licence.NewAsk(n.now),
+		Applied: n.licence.Generation(), IsRouter: n.settings.IsRouter && !n.isLeaving,
+	}
+	if n.isHome() {
+		n.batch[n.self()] = own
+		return
+	}
+	if home := n.home(); home != "" {
+		n.send(home, Message{Ask: &Ask{RouterAsk: own, Node: record.aged(n.now), SeenHome: n.seenHome, SeenNews: n.seenNews}})
+	}
+	// A silent home must not cost the licence: the leader is asked directly as well.
+	if n.isHomeless() {
+		n.send(n.leaderTarget(), Message{AskBatch: &AskBatch{Zone: own.Zone, Generation: own.Applied, Asks: []RouterAsk{own}}})
+	}
+}
+
+func (n *Node) sendBatch() {
+	if len(n.batch) == 0 || n.now < n.batchAlarm && !n.isBatchHot {
+		return
+	}
+	// Waiting a little lets one crossing between zones carry the whole zone's asks.
+	n.batchAlarm, n.isBatchHot = n.now+100*house.Millisecond, false
+	batch := &AskBatch{Zone: n.settings.Identity.Zone, IsHome: n.isHome(), Generation: n.licence.Generation()}
+	for _, address := range sortedKeys(n.batch) {
+		batch.Asks = append(batch.Asks, n.batch[address])
+	}
+	n.batch = map[string]RouterAsk{}
+	n.send(n.leaderTarget(), Message{AskBatch: batch})
+}
+
+func (n *Node) tickMend() {
+	if n.now < n.mendAlarm {
+		return
+	}
+	n.mendAlarm = n.now + n.settings.Timing.Mend/4
+	n.mendTurn++
+	if n.isHome() {
+		for _, home := range n.otherHomes() {
+			mark := n.peerNews[home]
+			mend := &Mend{IsHome: true, SeenHome: mark.home, SeenNews: mark.upto}
+			// Digests only now and then: they mend what was lost, news does the rest.
+			if n.mendTurn%4 == 0 {
+				mend.Digests = n.cell.Digests()
+			}
+			n.send(home, Message{Mend: mend})
+		}
+		return
+	}
+	if n.isHomeless() && n.mendTurn%2 == 0 {
+		if neighbours := n.views.Neighbours(); len(neighbours) > 0 {
+			n.send(neighbours[n.random.IntN(len(neighbours))], Message{Mend: &Mend{Digests: n.cell.Digests()}})
+		}
+	}
+}
+
+func (n *Node) tickErrands() {
+	for _, id := range sortedKeys(n.errands) {
+		errand := n.errands[id]
+		if n.now >= errand.deadline {
+			if errand.submit.Order == Fence {
+				n.finishErrand(SubmitReceipt{ID: id, Outcome: Unproved, Reason: "no_majority",
+					Detail: "neither a yes nor a final no could be shown; ask again by this id"})
+				continue
+			}
+			// Trying is over. A fence makes a no final, or finds that it was a yes after all.
+			n.note("submission "+id, "fence", "no receipt in time")
+			errand.submit = &Submit{ID: id, Order: Fence}
+			errand.deadline, errand.resendAt = n.now+submitFence, n.now
+		}
+		if n.now >= errand.resendAt {
+			errand.resendAt = n.now + submitResend
+			n.send(n.leaderTarget(), Message{Submit: errand.submit})
+		}
+	}
+}
+
+func (n *Node) onSubmitReceipt(m *SubmitReceipt) {
+	errand := n.errands[m.ID]
+	// An unproved word from a leader that stepped down is no end: the next one is asked.
+	if errand == nil || m.Outcome == Unproved {
+		return
+	}
+	// While the order itself is still being tried, a fence's no belongs to an older try.
+	n.finishErrand(*m)
+}
+
+func (n *Node) finishErrand(receipt SubmitReceipt) {
+	delete(n.errands, receipt.ID)
+	n.note("submission "+receipt.ID, "receipt "+string(receipt.Outcome), receipt.Reason)
+	n.out = append(n.out, Receipt{receipt})
+}
+
+// ---- what the shell and the data plane may see ----
+
+// State is a picture of a node at one moment; nothing in it is changed later.
+type State struct {
+	Document   *Document
+	Until      house.Micros
+	Why        string
+	Leader     string
+	Home       string
+	IsHome     bool
+	IsHomeless bool
+	IsLeader   bool
+	Role       string
+	Term       uint64
+	Ailment    string
+	Engines    []EngineRecord
+	EngineRev  uint64
+	Nodes      []NodeRecord
+	Neighbours []string
+	Founding   string
+}
+
+// State pictures the node. The engines of an earlier picture are kept when nothing changed.
+func (n *Node) State(earlier *State) *State {
+	state := &State{
+		Document: n.licence.applied, Until: n.licence.until, Why: n.licence.Why(n.now),
+		Home: n.home(), IsHome: n.isHome(), IsHomeless: n.isHomeless(),
+		EngineRev: n.cell.engineRev, Neighbours: n.views.Neighbours(), Founding: n.founding(), Leader: n.leaderHint,
+	}
+	if n.core != nil {
+		state.IsLeader, state.Role, state.Term, state.Ailment = n.core.role == leader, n.core.role.String(), n.core.term, n.core.Ailment()
+		if known := n.core.Leader(); known != "" {
+			state.Leader = known
+		}
+	}
+	if earlier != nil && earlier.EngineRev == state.EngineRev {
+		state.Engines = earlier.Engines
+	} else {
+		state.Engines = n.cell.Engines()
+	}
+	state.Nodes = n.cell.Nodes()
+	return state
+}
--- /dev/null
+++ b/flyloft/store.go
@@ -0,0 +1,284 @@
+package flyloft
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"dunlinloom/house"
+)
+
+// What a data folder keeps at most, so that a small disk does not fill by itself.
+const (
+	keptGenerations = 32
+	keptSpecs       = 64
+	keptBytes       = 96 << 20
+)
+
+// DamagedFile says that a file does not hold what was written.
+type DamagedFile struct {
+	Name string
+	Why  string
+}
+
+func (b DamagedFile) Error() string { return fmt.Sprintf("file %s is damaged: %s", b.Name, b.Why) }
+
+// MissingGeneration says that no copy of a generation is kept here.
+type MissingGeneration struct{ Generation uint64 }
+
+func (b MissingGeneration) Error() string {
+	return fmt.Sprintf("generation %d is not kept here", b.Generation)
+}
+
+type kept struct {
+	stamp          Stamp
+	specGeneration uint64
+	size           int
+}
+
+// Store keeps a member's ballot and documents in a data folder, one file a generation.
+type Store struct {
+	lock   sync.Mutex
+	folder house.Folder
+	member MemberID
+	files  []kept // in order of stamps
+	aside  []string
+}
+
+type memberFile struct {
+	Member MemberID `json:"member"`
+	Fleet  string   `json:"fleet"`
+}
+
+func seal(content []byte) []byte {
+	sum := sha256.Sum256(content)
+	return append([]byte(hex.EncodeToString(sum[:])+"\n"), content...)
+}
+
+func unseal(name string, file []byte) ([]byte, error) {
+	const head = 2*sha256.Size + 1
+	if len(file) < head {
+		return nil, DamagedFile{name, "it is too short"}
+	}
+	sum := sha256.Sum256(file[head:])
+	if string(file[:head-1]) != hex.EncodeToString(sum[:]) {
+		return nil, DamagedFile{name, "its checksum does not fit"}
+	}
+	return file[head:], nil
+}
+
+func (s *Store) get(name string, to any) (int, error) {
+	file, err := s.folder.Get(name)
+	if err != nil {
+		return 0, err
+	}
+	content, err := unseal(name, file)
+	if err != nil {
+		return 0, err
+	}
+	if err := json.Unmarshal(content, to); err != nil {
+		return 0, DamagedFile{name, err.Error()}
+	}
+	return len(file), nil
+}
+
+func (s *Store) put(name string, from any) (int, error) {
+	content, err := json.Marshal(from)
+	if err != nil {
+		return 0, fmt.Errorf("encode %s: %w", name, err)
+	}
+	file := seal(content)
+	return len(file), s.folder.Put(name, file)
+}
+
+func fileName(s Stamp) string {
+	return fmt.Sprintf("generation-%016d-%016d.json", s.Generation, s.Term)
+}
+
+// OpenStore reads a data folder, or makes a new member in an empty one.
+func OpenStore(folder house.Folder, fleet string) (*Store, Ballot, *Document, error) {
+	s := &Store{folder: folder}
+	var member memberFile
+	var ballot Ballot
+	_, memberErr := s.get("member.json", &member)
+	_, ballotErr := s.get("ballot.json", &ballot)
+	if errors.As(memberErr, new(house.DiskBreakdown)) || errors.As(ballotErr, new(house.DiskBreakdown)) {
+		return nil, ballot, nil, fmt.Errorf("open the store: %w", errors.Join(memberErr, ballotErr))
+	}
+	if memberErr == nil && member.Fleet != fleet {
+		return nil, ballot, nil, fmt.Errorf("open the store: %w", DamagedFile{"member.json", fmt.Sprintf("it belongs to fleet %q, not %q", member.Fleet, fleet)})
+	}
+	if memberErr == nil && (ballotErr == nil || errors.As(ballotErr, new(house.MissingFile))) {
+		s.member = member.Member
+		document, err := s.load()
+		return s, ballot, document, err
+	}
+	// Without a sound ballot this member could vote twice in a term. What the
+	// folder holds is set aside and it goes on as a new member.
+	if err := s.setAsideAll(); err != nil {
+		return nil, Ballot{}, nil, fmt.Errorf("open the store: %w", err)
+	}
+	s.member = MemberID(rand.Text())
+	if _, err := s.put("member.json", memberFile{s.member, fleet}); err != nil {
+		return nil, Ballot{}, nil, fmt.Errorf("open the store: %w", err)
+	}
+	return s, Ballot{}, nil, nil
+}
+
+func (s *Store) setAsideAll() error {
+	names, err := s.folder.List("")
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if err := s.setAside(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) setAside(name string) error {
+	if strings.HasPrefix(name, "damaged-") {
+		return nil
+	}
+	s.aside = append(s.aside, name)
+	return s.folder.Rename(name, "damaged-"+name)
+}
+
+// Aside names the files that were set aside when the store was opened.
+func (s *Store) Aside() []string { return s.aside }
+
+// Member is the id made with this folder.
+func (s *Store) Member() MemberID { return s.member }
+
+func (s *Store) load() (*Document, error) {
+	names, err := s.folder.List("generation-")
+	if err != nil {
+		return nil, fmt.Errorf("open the store: %w", err)
+	}
+	var newest *Document
+	for _, name := range names {
+		var document Document
+		size, err := s.get(name, &document)
+		if errors.As(err, new(DamagedFile)) {
+			if err := s.setAside(name); err != nil {
+				return nil, fmt.Errorf("open the store: %w", err)
+			}
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("open the store: %w", err)
+		}
+		s.files = append(s.files, kept{document.stamp(), document.SpecGeneration, size})
+		if newest.stamp().before(document.stamp()) {
+			newest = &document
+		}
+	}
+	slices.SortFunc(s.files, func(a, b kept) int {
+		if a.stamp.before(b.stamp) {
+			return -1
+		}
+		return 1
+	})
+	return newest, nil
+}
+
+// Save does what the core asked for; when it returns nil all of it is synced.
+func (s *Store) Save(save Save) error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	// The ballot first: a document of a term must never be on disk under an older ballot.
+	if save.Ballot != nil {
+		if _, err := s.put("ballot.json", save.Ballot); err != nil {
+			return fmt.Errorf("save the ballot: %w", err)
+		}
+	}
+	if save.Document == nil {
+		return nil
+	}
+	// Room is made before the write, so that a full disk can recover by itself.
+	if err := s.prune(); err != nil {
+		return fmt.Errorf("save generation %d: %w", save.Document.Generation, err)
+	}
+	size, err := s.put(fileName(save.Document.stamp()), save.Document)
+	if err != nil {
+		return fmt.Errorf("save generation %d: %w", save.Document.Generation, err)
+	}
+	if save.Stale != nil {
+		if err := s.drop(*save.Stale); err != nil {
+			return fmt.Errorf("drop a generation that never was: %w", err)
+		}
+	}
+	s.files = append(s.files, kept{save.Document.stamp(), save.Document.SpecGeneration, size})
+	return nil
+}
+
+func (s *Store) drop(gone Stamp) error {
+	if err := s.folder.Remove(fileName(gone)); err != nil {
+		return err
+	}
+	s.files = slices.DeleteFunc(s.files, func(k kept) bool { return k.stamp == gone })
+	return nil
+}
+
+// prune keeps the newest generations and one of each of the newest specs.
+func (s *Store) prune() error {
+	specs, bytes := map[uint64]bool{}, 0
+	gone := []Stamp{}
+	for i := len(s.files) - 1; i >= 0; i-- {
+		file := s.files[i]
+		isNewest := len(s.files)-1-i < keptGenerations
+		isNewSpec := !specs[file.specGeneration] && len(specs) < keptSpecs
+		// The newest two stay whatever their size: they are what this member has promised.
+		if i < len(s.files)-2 && (!isNewest && !isNewSpec || bytes+file.size > keptBytes) {
+			gone = append(gone, file.stamp)
+			continue
+		}
+		specs[file.specGeneration] = true
+		bytes += file.size
+	}
+	for _, stamp := range gone {
+		if err := s.drop(stamp); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SpecAt gives a kept document in which the spec of a generation can be read.
+func (s *Store) SpecAt(generation uint64) (*Document, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, file := range s.files {
+		// One that spans the generation holds the very spec that was in force then.
+		if file.specGeneration <= generation && generation <= file.stamp.Generation {
+			var document Document
+			if _, err := s.get(fileName(file.stamp), &document); err != nil {
+				return nil, fmt.Errorf("read generation %d: %w", generation, err)
+			}
+			return &document, nil
+		}
+	}
+	return nil, MissingGeneration{generation}
+}
+
+// SpecGenerations lists the specs kept here, oldest first.
+func (s *Store) SpecGenerations() []uint64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	found := []uint64{}
+	for _, file := range s.files {
+		if file.specGeneration > 0 {
+			found = append(found, file.specGeneration)
+		}
+	}
+	slices.Sort(found)
+	return slices.Compact(found)
+}
--- /dev/null
+++ b/house/clock.go
@@ -0,0 +1,54 @@
+// Package house is the micro-kernel that every program of the fleet stands in:
+// the clock, the one context type, the journal, clean-up stacks and the table
+// by which services find each other.
+package house
+
+import (
+	"fmt"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Micros is a time or a span in whole microseconds.
+type Micros int64
+
+// Spans that settings and alarms are written in.
+const (
+	Millisecond Micros = 1000
+	Second      Micros = 1000 * Millisecond
+)
+
+// Duration turns a span into the standard library's type, for timers and contexts.
+func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
+
+// MicrosOf rounds a duration down to whole microseconds.
+func MicrosOf(d time.Duration) Micros { return Micros(d / time.Microsecond) }
+
+// Clock tells a time that never goes back on one machine.
+type Clock interface {
+	Now() Micros
+}
+
+// BootClock counts from the machine's start and goes on while it sleeps. A
+// licence must not outlive a suspended machine, which the runtime's monotonic
+// clock would allow, since that one stands still in a suspend.
+type BootClock struct{}
+
+// Now reads CLOCK_BOOTTIME.
+func (BootClock) Now() Micros {
+	var stamp unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &stamp); err != nil {
+		// Without this clock no licence can be judged, so going on would be unsafe.
+		panic(ClockBreakdown{err})
+	}
+	return Micros(stamp.Nano() / 1000)
+}
+
+// ClockBreakdown says that the machine's clock could not be read.
+type ClockBreakdown struct{ Cause error }
+
+func (b ClockBreakdown) Error() string { return fmt.Sprintf("read the boot clock: %v", b.Cause) }
+
+// Unwrap gives the system's own error.
+func (b ClockBreakdown) Unwrap() error { return b.Cause }
--- /dev/null
+++ b/house/house.go
@@ -0,0 +1,119 @@
+package house
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"sync"
+
+	"k8s.io/klog/v2"
+)
+
+// Identity says which node of which fleet is speaking.
+type Identity struct {
+	Fleet   string `json:"fleet"`
+	Address string `json:"address"` // the peer address, by which other nodes know it
+	Public  string `json:"public"`  // where callers and operators reach it
+	Zone    string `json:"zone"`
+}
+
+// Cue is the one context type: whatever a piece of work needs to know of its
+// surroundings, in place of many arguments.
+type Cue struct {
+	context.Context
+	Clock   Clock
+	Log     klog.Logger
+	Self    Identity
+	Journal *Journal
+}
+
+// With gives the same surroundings under another context.
+func (c Cue) With(ctx context.Context) Cue {
+	c.Context = ctx
+	return c
+}
+
+// Note puts a decision and its reason into the journal.
+func (c Cue) Note(part, subject, decision, why string) {
+	c.Journal.Note(c.Clock.Now(), part, subject, decision, why)
+}
+
+// LogJSON makes klog write JSON lines to standard error.
+func LogJSON(attrs ...slog.Attr) klog.Logger {
+	handler := slog.NewJSONHandler(os.Stderr, nil).WithAttrs(attrs)
+	klog.SetSlogLogger(slog.New(handler))
+	return klog.Background()
+}
+
+// Strike is a stack of clean-up steps, run in reverse when the scene ends.
+type Strike struct {
+	lock  sync.Mutex
+	steps []func() error
+}
+
+// Defer adds a step.
+func (s *Strike) Defer(step func() error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.steps = append(s.steps, step)
+}
+
+// Run takes every step, the newest first, and joins what failed.
+func (s *Strike) Run() error {
+	s.lock.Lock()
+	steps := s.steps
+	s.steps = nil
+	s.lock.Unlock()
+	var failed []error
+	for i := len(steps) - 1; i >= 0; i-- {
+		failed = append(failed, steps[i]())
+	}
+	return errors.Join(failed...)
+}
+
+// House is the table of services.
+type House struct {
+	lock     sync.RWMutex
+	services map[string]any
+	Strike   Strike
+}
+
+// ServiceBreakdown says why a service could not be found or placed.
+type ServiceBreakdown struct {
+	Name string
+	Why  string
+}
+
+func (b ServiceBreakdown) Error() string { return fmt.Sprintf("service %q: %s", b.Name, b.Why) }
+
+// Open makes an empty house.
+func Open() *House { return &House{services: map[string]any{}} }
+
+// Place enters a service under a name that is still free.
+func (h *House) Place(name string, service any) error {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if _, isTaken := h.services[name]; isTaken {
+		return ServiceBreakdown{name, "the name is taken"}
+	}
+	h.services[name] = service
+	return nil
+}
+
+// Find looks a service up by name and checks that it is of the wanted type.
+func Find[T any](h *House, name string) (T, error) {
+	h.lock.RLock()
+	defer h.lock.RUnlock()
+	var none T
+	found, isThere := h.services[name]
+	if !isThere {
+		return none, ServiceBreakdown{name, "there is none"}
+	}
+	service, isFit := found.(T)
+	if !isFit {
+		return none, ServiceBreakdown{name, fmt.Sprintf("it is a %T", found)}
+	}
+	return service, nil
+}
--- /dev/null
+++ b/playbill/playbill.go
@@ -0,0 +1,336 @@
+// Package playbill reads, checks and compiles the operator's spec: the whole
+// picture of engines, bindings, zones and policy.
+package playbill
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"dunlinloom/house"
+	"dunlinloom/playbill/playbillpb"
+)
+
+//go:generate go run dunlinloom/tools/scribe spec.proto playbillpb
+
+// Bounds of a spec, stated to operators in docs/operators.md.
+const (
+	MaxBytes    = 4 << 20
+	MaxBindings = 20000
+	MaxShares   = 200000
+	MaxWeight   = 1000
+	maxFaults   = 200
+)
+
+// Fault is one thing wrong with a document, with its path in it.
+type Fault struct {
+	Path string `json:"path"`
+	Why  string `json:"why"`
+}
+
+func (f Fault) Error() string { return f.Path + ": " + f.Why }
+
+// Faults is every fault of a document at once.
+type Faults struct {
+	List []Fault `json:"faults"`
+	More int     `json:"more,omitempty"` // how many were left out of the list
+}
+
+func (f *Faults) Error() string {
+	lines := make([]string, 0, len(f.List))
+	for _, fault := range f.List {
+		lines = append(lines, fault.Error())
+	}
+	if f.More > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", f.More))
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Add enters a fault, or only counts it when the list is long enough already.
+func (f *Faults) Add(path, why string, args ...any) {
+	if len(f.List) >= maxFaults {
+		f.More++
+		return
+	}
+	f.List = append(f.List, Fault{path, fmt.Sprintf(why, args...)})
+}
+
+// Err gives the faults as an error when there are any.
+func (f *Faults) Err() error {
+	if len(f.List) == 0 {
+		return nil
+	}
+	return f
+}
+
+// TooLarge says that a document is above the stated bound.
+type TooLarge struct {
+	What  string
+	Size  int
+	Bound int
+}
+
+func (b TooLarge) Error() string {
+	return fmt.Sprintf("%s: %d is above the bound of %d", b.What, b.Size, b.Bound)
+}
+
+// Policy is the compiled policy with every default filled in.
+type Policy struct {
+	PrefixLength int
+	MaxImbalance float64
+	NearTie      float64
+	RetryRatio   float64
+	RampStreams  int
+	RampDouble   house.Micros
+	RampTotal    house.Micros
+	ReportFade   house.Micros
+}
+
+// DefaultPolicy holds the paper's figures where it gives any, and ours elsewhere.
+func DefaultPolicy() Policy {
+	return Policy{
+		PrefixLength: 64, MaxImbalance: 2.0, NearTie: 0.05, RetryRatio: 0.05,
+		RampStreams: 2, RampDouble: 2 * house.Second, RampTotal: 20 * house.Second,
+		ReportFade: 10 * house.Second,
+	}
+}
+
+// Share is one selector of a binding.
+type Share struct {
+	Engine, Pool, Zone string
+	Weight             uint32
+}
+
+// Fits tells whether the selector takes an engine.
+func (s Share) Fits(id, pool, zone string) bool {
+	return (s.Engine == "" || s.Engine == id) && (s.Pool == "" || s.Pool == pool) && (s.Zone == "" || s.Zone == zone)
+}
+
+// Binding is a compiled binding.
+type Binding struct {
+	Name        string
+	Kind, Model string
+	Shares      []Share
+	TTFTLimit   house.Micros
+}
+
+// Engine is an engine named in the spec.
+type Engine struct{ ID, Address, Zone, Pool string }
+
+// Spec is a compiled spec, never changed once made.
+type Spec struct {
+	Engines  map[string]Engine
+	Bindings []Binding
+	Zones    map[string]bool
+	Policy   Policy
+	byPair   map[[2]string]int
+}
+
+// Bind finds the first binding that fits a request.
+func (s *Spec) Bind(kind, model string) (*Binding, bool) {
+	best := -1
+	// With thousands of bindings a scan per request is too slow: exact pairs are
+	// looked up, and order is kept by taking the lowest index.
+	for _, pair := range [][2]string{{kind, model}, {kind, ""}, {"", model}, {"", ""}} {
+		if index, isThere := s.byPair[pair]; isThere && (best < 0 || index < best) {
+			best = index
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	return &s.Bindings[best], true
+}
+
+// Weight gives an engine's weight under a binding; zero means not eligible.
+func (b *Binding) Weight(id, pool, zone string) uint32 {
+	// The first share that fits counts, so an exception can stand before the rule.
+	for _, share := range b.Shares {
+		if share.Fits(id, pool, zone) {
+			return share.Weight
+		}
+	}
+	return 0
+}
+
+// Read takes an operator's document to a compiled spec and its canonical bytes,
+// or to every fault in it.
+func Read(document []byte) (*Spec, []byte, error) {
+	if len(document) > MaxBytes {
+		return nil, nil, fmt.Errorf("read the spec: %w", TooLarge{"bytes of the spec", len(document), MaxBytes})
+	}
+	if err := walk(document); err != nil {
+		return nil, nil, fmt.Errorf("read the spec: %w", err)
+	}
+	message := &playbillpb.Spec{}
+	if err := protojson.Unmarshal(document, message); err != nil {
+		return nil, nil, fmt.Errorf("read the spec: %w", &Faults{List: []Fault{{"$", err.Error()}}})
+	}
+	if err := check(message); err != nil {
+		return nil, nil, fmt.Errorf("check the spec: %w", err)
+	}
+	return compile(message), document, nil
+}
+
+func check(message *playbillpb.Spec) error {
+	faults := &Faults{}
+	if count := len(message.Bindings); count > MaxBindings {
+		return TooLarge{"bindings", count, MaxBindings}
+	}
+	zones := map[string]bool{}
+	for i, zone := range message.Zones {
+		path := fmt.Sprintf("zones[%d].name", i)
+		checkName(faults, path, zone.Name)
+		if zones[zone.Name] {
+			faults.Add(path, "zone %q is named twice", zone.Name)
+		}
+		zones[zone.Name] = true
+	}
+	checkZone := func(path, name string) {
+		if name != "" && len(zones) > 0 && !zones[name] {
+			faults.Add(path, "zone %q is not among the spec's zones", name)
+		}
+	}
+	engines := map[string]bool{}
+	for i, engine := range message.Engines {
+		path := fmt.Sprintf("engines[%d]", i)
+		checkName(faults, path+".id", engine.Id)
+		if engines[engine.Id] {
+			faults.Add(path+".id", "engine %q is named twice", engine.Id)
+		}
+		engines[engine.Id] = true
+		if engine.Address != "" {
+			if _, err := netip.ParseAddrPort(engine.Address); err != nil {
+				faults.Add(path+".address", "%q is not an IP and port", engine.Address)
+			}
+		}
+		checkZone(path+".zone", engine.Zone)
+	}
+	if len(message.Bindings) == 0 {
+		faults.Add("bindings", "a spec needs at least one binding")
+	}
+	names, matches, shareCount := map[string]bool{}, map[[2]string]int{}, 0
+	for i, binding := range message.Bindings {
+		path := fmt.Sprintf("bindings[%d]", i)
+		checkName(faults, path+".name", binding.Name)
+		if names[binding.Name] {
+			faults.Add(path+".name", "binding %q is named twice", binding.Name)
+		}
+		names[binding.Name] = true
+		pair := [2]string{binding.Match.GetKind(), binding.Match.GetModel()}
+		if earlier, isThere := matches[pair]; isThere {
+			faults.Add(path+".match", "never reached: bindings[%d] has the same match", earlier)
+		} else {
+			matches[pair] = i
+		}
+		if len(binding.Shares) == 0 {
+			faults.Add(path+".shares", "a binding needs at least one share")
+		}
+		shareCount += len(binding.Shares)
+		for j, share := range binding.Shares {
+			path := fmt.Sprintf("%s.shares[%d]", path, j)
+			if share.Weight < 1 || share.Weight > MaxWeight {
+				faults.Add(path+".weight", "%d is not from 1 to %d", share.Weight, MaxWeight)
+			}
+			checkZone(path+".zone", share.Zone)
+		}
+	}
+	if shareCount > MaxShares {
+		return TooLarge{"shares", shareCount, MaxShares}
+	}
+	checkPolicy(faults, message.Policy)
+	return faults.Err()
+}
+
+func checkName(faults *Faults, path, name string) {
+	if name == "" || len(name) > 128 {
+		faults.Add(path, "has to have 1 to 128 bytes")
+		return
+	}
+	// Names stand in URLs, logs and headers, so they keep to a plain alphabet.
+	for _, sign := range name {
+		isPlain := sign >= 'a' && sign <= 'z' || sign >= 'A' && sign <= 'Z' || sign >= '0' && sign <= '9' || strings.ContainsRune("-_.:", sign)
+		if !isPlain {
+			faults.Add(path, "%q has a sign other than letters, digits and -_.:", name)
+			return
+		}
+	}
+}
+
+func checkPolicy(faults *Faults, policy *playbillpb.Policy) {
+	if policy == nil {
+		return
+	}
+	checkCount := func(name string, value *uint32, low, high uint32) {
+		if value != nil && (*value < low || *value > high) {
+			faults.Add("policy."+name, "%d is not from %d to %d", *value, low, high)
+		}
+	}
+	checkRatio := func(name string, value *float64, low, high float64) {
+		if value != nil && !(*value >= low && *value <= high) {
+			faults.Add("policy."+name, "%v is not from %v to %v", *value, low, high)
+		}
+	}
+	checkCount("prefixLength", policy.PrefixLength, 1, 4096)
+	checkRatio("maxImbalance", policy.MaxImbalance, 1, 100)
+	checkRatio("nearTie", policy.NearTie, 0, 0.5)
+	// Retries have to stay a small share of real traffic whatever is asked for.
+	checkRatio("retryRatio", policy.RetryRatio, 0, 0.1)
+	checkCount("rampStreams", policy.RampStreams, 1, 10000)
+	checkCount("rampDoubleUs", policy.RampDoubleUs, 100_000, 600_000_000)
+	checkCount("rampTotalUs", policy.RampTotalUs, 0, 3_600_000_000)
+	checkCount("reportFadeUs", policy.ReportFadeUs, 100_000, 600_000_000)
+}
+
+func compile(message *playbillpb.Spec) *Spec {
+	spec := &Spec{
+		Engines: map[string]Engine{}, Zones: map[string]bool{},
+		Policy: DefaultPolicy(), byPair: map[[2]string]int{},
+	}
+	for _, zone := range message.Zones {
+		spec.Zones[zone.Name] = true
+	}
+	for _, engine := range message.Engines {
+		spec.Engines[engine.Id] = Engine{engine.Id, engine.Address, engine.Zone, engine.Pool}
+	}
+	for i, from := range message.Bindings {
+		binding := Binding{
+			Name: from.Name, Kind: from.Match.GetKind(), Model: from.Match.GetModel(),
+			TTFTLimit: house.Micros(from.TtftLimitUs),
+		}
+		for _, share := range from.Shares {
+			binding.Shares = append(binding.Shares, Share{share.Engine, share.Pool, share.Zone, share.Weight})
+		}
+		spec.Bindings = append(spec.Bindings, binding)
+		spec.byPair[[2]string{binding.Kind, binding.Model}] = i
+	}
+	if policy := message.Policy; policy != nil {
+		setCount := func(to *int, from *uint32) {
+			if from != nil {
+				*to = int(*from)
+			}
+		}
+		setSpan := func(to *house.Micros, from *uint32) {
+			if from != nil {
+				*to = house.Micros(*from)
+			}
+		}
+		setRatio := func(to, from *float64) {
+			if from != nil {
+				*to = *from
+			}
+		}
+		setCount(&spec.Policy.PrefixLength, policy.PrefixLength)
+		setRatio(&spec.Policy.MaxImbalance, policy.MaxImbalance)
+		setRatio(&spec.Policy.NearTie, policy.NearTie)
+		setRatio(&spec.Policy.RetryRatio, policy.RetryRatio)
+		setCount(&spec.Policy.RampStreams, policy.RampStreams)
+		setSpan(&spec.Policy.RampDouble, policy.RampDoubleUs)
+		setSpan(&spec.Policy.RampTotal, policy.RampTotalUs)
+		setSpan(&spec.Policy.ReportFade, policy.ReportFadeUs)
+	}
+	return spec
+}
--- /dev/null
+++ b/rehearsal/scenario.go
@@ -0,0 +1,145 @@
+package rehearsal
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"dunlinloom/playbill"
+)
+
+// Step is one thing done to the fleet at a moment.
+type Step struct {
+	AtMS   int64  `json:"at_ms"`
+	Do     string `json:"do"`
+	Target string `json:"target,omitempty"`
+	ForMS  int64  `json:"for_ms,omitempty"`
+	Count  int    `json:"count,omitempty"`
+}
+
+// Scenario is a day of faults, compressed.
+type Scenario struct {
+	Name       string  `json:"name"`
+	Deployment string  `json:"deployment"`
+	Seed       uint64  `json:"seed"`
+	SpanMS     int64   `json:"span_ms"`
+	Rate       float64 `json:"rate"`
+	Hot        float64 `json:"hot,omitempty"`
+	Steps      []Step  `json:"steps"`
+}
+
+// The verbs of a scenario, and what each needs as its target.
+var verbs = map[string]string{
+	"kill":          "node",   // SIGKILL, and start it again after for_ms (0: never)
+	"stop":          "node",   // SIGTERM, and start it again for_ms after its end (0: never)
+	"freeze":        "node",   // SIGSTOP for for_ms
+	"wipe":          "node",   // SIGKILL, empty its data folder, start it again after for_ms
+	"kill-core":     "",       // SIGKILL to every prompter at once, started again after for_ms
+	"kill-all":      "",       // SIGKILL to every node at once, started again after for_ms
+	"kill-zone":     "zone",   // SIGKILL to all of a zone, engines too, started again after for_ms
+	"spec":          "",       // put the next spec at some node
+	"clash":         "",       // put two specs on the same base at once
+	"storm":         "",       // put count specs in a row
+	"empty":         "zone",   // empty a zone, and refill it after for_ms (0: never)
+	"engine-kill":   "engine", // SIGKILL, started again after for_ms as a new start
+	"engine-leave":  "engine", // mark it leaving at one node, kill it 5 s later, start a new one
+	"engine-dark":   "engine", // it takes channels and says nothing for for_ms
+	"engine-break":  "engine", // tears its next stream
+	"engine-freeze": "engine", // SIGSTOP for for_ms
+	"not-run":       "engine", // declines its next count requests
+	"repaired":      "",       // from here on the fleet has to recover
+}
+
+// ReadScenario reads a scenario file and names every fault in it.
+func ReadScenario(path string) (*Scenario, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read the scenario: %w", err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	scenario := &Scenario{}
+	if err := decoder.Decode(scenario); err != nil {
+		return nil, fmt.Errorf("read the scenario %s: %w", path, err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, fmt.Errorf("read the scenario %s: %w", path, &playbill.Faults{List: []playbill.Fault{{Path: "$", Why: "there is more after the JSON value"}}})
+	}
+	return scenario, scenario.Check()
+}
+
+// Check names every fault of a scenario at once.
+func (s *Scenario) Check() error {
+	faults := &playbill.Faults{}
+	deployment, isKnown := DeploymentOf(s.Deployment)
+	if !isKnown {
+		faults.Add("deployment", "%q is not qurum or cronometro", s.Deployment)
+	}
+	if s.Name == "" {
+		faults.Add("name", "is missing")
+	}
+	if s.SpanMS < 1000 || s.SpanMS > 24*3600*1000 {
+		faults.Add("span_ms", "%d is not from 1000 to a day", s.SpanMS)
+	}
+	if !(s.Rate > 0 && s.Rate <= 1000) {
+		faults.Add("rate", "%v is not above 0 and up to 1000", s.Rate)
+	}
+	if !(s.Hot >= 0 && s.Hot <= 1) {
+		faults.Add("hot", "%v is not from 0 to 1", s.Hot)
+	}
+	for i, step := range s.Steps {
+		path := fmt.Sprintf("steps[%d]", i)
+		if step.AtMS < 0 || step.AtMS > s.SpanMS {
+			faults.Add(path+".at_ms", "%d is not within the span", step.AtMS)
+		}
+		if step.ForMS < 0 || step.Count < 0 {
+			faults.Add(path, "for_ms and count can't be below zero")
+		}
+		wanted, isVerb := verbs[step.Do]
+		if !isVerb {
+			faults.Add(path+".do", "there is no verb %q", step.Do)
+			continue
+		}
+		if !isKnown {
+			continue
+		}
+		if why := checkTarget(deployment, wanted, step.Target); why != "" {
+			faults.Add(path+".target", "%s", why)
+		}
+	}
+	return faults.Err()
+}
+
+// Targets of nodes: node:N, leader, home:ZONE, router (any that leads nothing).
+func checkTarget(deployment Deployment, wanted, target string) string {
+	var index int
+	switch wanted {
+	case "":
+		if target != "" {
+			return "this verb takes no target"
+		}
+	case "zone":
+		if !slices.Contains(deployment.Zones, target) {
+			return fmt.Sprintf("%q is not a zone of the deployment", target)
+		}
+	case "engine":
+		if n, err := fmt.Sscanf(target, "engine:%d", &index); n != 1 || err != nil || index < 0 || index >= deployment.Engines {
+			return fmt.Sprintf("%q is not engine:0 to engine:%d", target, deployment.Engines-1)
+		}
+	case "node":
+		if target == "leader" || target == "router" {
+			return ""
+		}
+		if zone, isHome := strings.CutPrefix(target, "home:"); isHome && slices.Contains(deployment.Zones, zone) {
+			return ""
+		}
+		if n, err := fmt.Sscanf(target, "node:%d", &index); n != 1 || err != nil || index < 0 || index >= len(deployment.Nodes) {
+			return fmt.Sprintf("%q is not leader, router, home:ZONE or node:0 to node:%d", target, len(deployment.Nodes)-1)
+		}
+	}
+	return ""
+}
