--- /dev/null
+++ b/rehearsal/stage.go
@@ -0,0 +1,383 @@
+package rehearsal
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunlinloom/critic"
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+	"dunlinloom/wings"
+)
+
+// actor is one process of the fleet or of its surroundings.
+type actor struct {
+	name    string
+	program string
+	zone    string
+	words   []string
+	public  string
+	peer    string
+	data    string
+	lock    sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	start   uint64 // engines
+}
+
+// Stage runs the processes of one rehearsal.
+type Stage struct {
+	bin, folder string
+	deployment  Deployment
+	platform    *actor
+	nodes       []*actor
+	engines     []*actor
+	ports       int
+
+	lock      sync.Mutex // guards everything below
+	events    []critic.Event
+	counters  map[string]map[string]float64 // by node and start of process
+	starts    map[string]int
+	peerBytes map[string]float64
+	problems  []string
+}
+
+// StageBreakdown says what of a rehearsal itself went wrong, as opposed to the fleet.
+type StageBreakdown struct {
+	What  string
+	Cause error
+}
+
+func (b StageBreakdown) Error() string { return fmt.Sprintf("%s: %v", b.What, b.Cause) }
+
+// Unwrap gives the cause.
+func (b StageBreakdown) Unwrap() error { return b.Cause }
+
+func now() house.Micros { return house.Micros(time.Now().UnixMicro()) }
+
+// NewStage plans a rehearsal; Open starts it.
+func NewStage(bin, folder string, deployment Deployment, basePort int) *Stage {
+	s := &Stage{
+		bin: bin, folder: folder, deployment: deployment, ports: basePort,
+		counters: map[string]map[string]float64{}, starts: map[string]int{}, peerBytes: map[string]float64{},
+	}
+	address := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", basePort+offset) }
+	s.platform = &actor{name: "platform", program: "understudy", public: address(0), words: []string{"--list", "--listen", address(0)}}
+	seeds := []string{}
+	for i := range deployment.Nodes {
+		if deployment.Nodes[i].HasDisk && len(seeds) < 3 {
+			seeds = append(seeds, address(200+i))
+		}
+	}
+	for i, plan := range deployment.Nodes {
+		node := &actor{name: fmt.Sprintf("node%d", i), program: plan.Program, zone: plan.Zone, public: address(100 + i), peer: address(200 + i)}
+		node.words = []string{"--fleet", deployment.Name, "--public", node.public, "--peer", node.peer, "--zone", plan.Zone,
+			"--platform", "http://" + s.platform.public + "/v1/engines"}
+		for _, seed := range seeds {
+			node.words = append(node.words, "--seed", seed)
+		}
+		if plan.HasDisk {
+			node.data = filepath.Join(folder, node.name+"-data")
+			node.words = append(node.words, "--data", node.data)
+		}
+		s.nodes = append(s.nodes, node)
+	}
+	for i := range deployment.Engines {
+		zone := deployment.Zones[i%len(deployment.Zones)]
+		engine := &actor{name: fmt.Sprintf("e%02d", i), program: "understudy", zone: zone, public: address(300 + i)}
+		engine.words = []string{"--listen", engine.public, "--id", engine.name, "--zone", zone, "--log", filepath.Join(folder, "engine-"+engine.name+".jsonl"),
+			"--cold-us", "3000000", "--cold-factor", "2", "--cold-bears", "24", "--decode-us", "4000", "--prefill-us", "60"}
+		for _, node := range s.nodes {
+			engine.words = append(engine.words, "--node", node.public)
+		}
+		s.engines = append(s.engines, engine)
+	}
+	return s
+}
+
+func (s *Stage) take(event critic.Event) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.events = append(s.events, event)
+}
+
+func (s *Stage) problem(what string, args ...any) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.problems = append(s.problems, fmt.Sprintf(what, args...))
+}
+
+// start launches an actor's process.
+func (s *Stage) start(a *actor) error {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if a.process != nil {
+		return nil
+	}
+	words := a.words
+	if strings.HasPrefix(a.name, "e") {
+		a.start = uint64(time.Now().UnixMicro())
+		words = append(slices.Clone(words), "--start", fmt.Sprint(a.start))
+	}
+	log, err := os.OpenFile(filepath.Join(s.folder, a.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return StageBreakdown{"open a log", err}
+	}
+	process := exec.Command(filepath.Join(s.bin, a.program), words...)
+	process.Stdout, process.Stderr = log, log
+	// A rehearsal that dies must not leave a fleet behind.
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := process.Start(); err != nil {
+		log.Close()
+		return StageBreakdown{"start " + a.name, err}
+	}
+	ended := make(chan struct{})
+	a.process, a.ended = process, ended
+	go func() {
+		// How it ended is seen in its log; what matters here is that it did.
+		if err := process.Wait(); err != nil {
+			fmt.Fprintln(log, "ended:", err)
+		}
+		log.Close()
+		a.lock.Lock()
+		if a.process == process {
+			a.process = nil
+		}
+		a.lock.Unlock()
+		close(ended)
+	}()
+	s.lock.Lock()
+	s.starts[a.name]++
+	s.lock.Unlock()
+	return nil
+}
+
+func (a *actor) signal(signal syscall.Signal) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if a.process != nil {
+		// It may have ended by itself just now, which is as good.
+		if err := a.process.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			panic(StageBreakdown{"signal " + a.name, err})
+		}
+	}
+}
+
+// halt kills an actor and waits for its end.
+func (a *actor) halt() {
+	a.lock.Lock()
+	ended := a.ended
+	a.lock.Unlock()
+	a.signal(syscall.SIGKILL)
+	if ended != nil {
+		<-ended
+	}
+}
+
+func (s *Stage) actors() []*actor {
+	return append(append([]*actor{s.platform}, s.engines...), s.nodes...)
+}
+
+// Open starts everything and waits until the list and the engines answer.
+func (s *Stage) Open(ctx context.Context) error {
+	for _, a := range s.actors() {
+		if err := s.start(a); err != nil {
+			return err
+		}
+	}
+	if err := s.await(ctx, s.platform.public); err != nil {
+		return err
+	}
+	for _, engine := range s.engines {
+		if err := s.list(engine, "serving"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close kills everything that is left.
+func (s *Stage) Close() {
+	for _, a := range s.actors() {
+		a.signal(syscall.SIGCONT)
+		a.halt()
+	}
+}
+
+func (s *Stage) await(ctx context.Context, address string) error {
+	for {
+		channel, err := net.DialTimeout("tcp", address, time.Second)
+		if err == nil {
+			return channel.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return StageBreakdown{"wait for " + address, ctx.Err()}
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+var plain = &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func do(ctx context.Context, method, url string, body []byte, headers map[string]string) (int, http.Header, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil, StageBreakdown{"make a request", err}
+	}
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := plain.Do(request)
+	if err != nil {
+		return 0, nil, nil, StageBreakdown{method + " " + url, err}
+	}
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil, nil, StageBreakdown{"read " + url, err}
+	}
+	return response.StatusCode, response.Header, got, nil
+}
+
+// list tells the platform of an engine's state.
+func (s *Stage) list(engine *actor, state string) error {
+	content, err := json.Marshal(flyloft.ListingEngine{ID: engine.name, Address: engine.public, Zone: engine.zone, Pool: "main", Start: engine.start, State: state})
+	if err != nil {
+		return StageBreakdown{"encode a listing", err}
+	}
+	_, _, _, err = do(context.Background(), http.MethodPut, "http://"+s.platform.public+"/control/engines", content, nil)
+	return err
+}
+
+// Fleet asks one node after another for its picture of the fleet.
+func (s *Stage) Fleet(ctx context.Context) (*wings.FleetView, error) {
+	var last error
+	for _, node := range s.nodes {
+		limit, cancel := context.WithTimeout(ctx, time.Second)
+		status, _, body, err := do(limit, http.MethodGet, "http://"+node.public+"/v1/fleet", nil, nil)
+		cancel()
+		if err != nil || status != http.StatusOK {
+			last = err
+			continue
+		}
+		var view wings.FleetView
+		if err := json.Unmarshal(body, &view); err != nil {
+			return nil, StageBreakdown{"read a fleet", err}
+		}
+		// A node without a licence may be far behind.
+		if view.LicenceLeft > 0 {
+			return &view, nil
+		}
+	}
+	return nil, StageBreakdown{"no node with a licence answers", last}
+}
+
+// Ready waits until every router would take callers.
+func (s *Stage) Ready(ctx context.Context) error {
+	for {
+		count := 0
+		for _, node := range s.nodes {
+			limit, cancel := context.WithTimeout(ctx, time.Second)
+			status, _, _, err := do(limit, http.MethodGet, "http://"+node.public+"/readyz", nil, nil)
+			cancel()
+			if err == nil && status == http.StatusOK {
+				count++
+			}
+		}
+		if count == len(s.nodes) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return StageBreakdown{fmt.Sprintf("%d of %d routers are ready", count, len(s.nodes)), ctx.Err()}
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// target finds the node that a step means.
+func (s *Stage) target(ctx context.Context, target string) (*actor, error) {
+	var index int
+	if n, err := fmt.Sscanf(target, "node:%d", &index); n == 1 && err == nil {
+		return s.nodes[index], nil
+	}
+	view, err := s.Fleet(ctx)
+	if err != nil {
+		return nil, err
+	}
+	wanted := view.Leader
+	if zone, isHome := strings.CutPrefix(target, "home:"); isHome {
+		wanted = view.Homes[zone]
+	}
+	for _, node := range s.nodes {
+		isPlain := node.data == "" && node.process != nil
+		for _, home := range view.Homes {
+			isPlain = isPlain && home != node.peer
+		}
+		if target == "router" && isPlain || target != "router" && node.peer == wanted {
+			return node, nil
+		}
+	}
+	return nil, StageBreakdown{"find " + target, StageMissing{wanted}}
+}
+
+// StageMissing says that no process of the stage has an address.
+type StageMissing struct{ Address string }
+
+func (b StageMissing) Error() string { return fmt.Sprintf("no process at %q", b.Address) }
+
+// scrape keeps the newest counters of every process of a node, so that a kill
+// loses no more than the time since the last look.
+func (s *Stage) scrape(ctx context.Context) {
+	for _, node := range s.nodes {
+		limit, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+		status, _, body, err := do(limit, http.MethodGet, "http://"+node.public+"/metrics", nil, nil)
+		cancel()
+		if err != nil || status != http.StatusOK {
+			continue
+		}
+		s.lock.Lock()
+		key := fmt.Sprintf("%s#%d", node.name, s.starts[node.name])
+		counters := map[string]float64{}
+		lines := bufio.NewScanner(bytes.NewReader(body))
+		for lines.Scan() {
+			var name string
+			var value float64
+			if n, err := fmt.Sscanf(lines.Text(), "%s %g", &name, &value); n == 2 && err == nil {
+				counters[name] = value
+			}
+		}
+		s.counters[key] = counters
+		s.lock.Unlock()
+	}
+}
+
+func (s *Stage) total(name string) float64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	sum := 0.0
+	for _, counters := range s.counters {
+		for key, value := range counters {
+			if key == name || strings.HasPrefix(key, name+"{") {
+				sum += value
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/understudy/engine.go
@@ -0,0 +1,535 @@
+// Package understudy stands in for what the project does not own: engines that
+// serve a language model, and the platform's list of them. Its answers are
+// computed from the run's name, so that a caller can check every byte.
+package understudy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/auditorium"
+	"dunlinloom/critic"
+	"dunlinloom/house"
+)
+
+// Headers by which a caller can check an answer.
+const (
+	HeaderRun  = "Understudy-Run"
+	HeaderTag  = "Understudy-Tag" // the caller's own name for its request
+	HeaderText = "Understudy-Text"
+)
+
+// EngineSettings say how an engine behaves.
+type EngineSettings struct {
+	ID, Zone, Pool, Address string
+	Start                   uint64
+	Slots                   int          // requests that run at once
+	Inbox                   int          // requests that may wait
+	Prefill                 house.Micros // a prompt token that is not cached
+	Cached                  house.Micros // one that is
+	Decode                  house.Micros // a token of output
+	Blocks                  int          // cached blocks of 16 tokens
+	Cold                    house.Micros // how long it is slow after its start
+	ColdFactor              int
+	ColdBears               int // requests it can bear at once while cold; 0: any
+	IsResumable             bool
+	Log                     io.Writer // events as JSON lines
+}
+
+// Engine is a stand-in for one engine process.
+type Engine struct {
+	settings EngineSettings
+	born     time.Time
+	lock     sync.Mutex
+	runs     map[string]*run
+	runCount uint64
+	waiting  int
+	held     int // waiting and running
+	slots    chan struct{}
+	tokens   int64 // outstanding, as the paper counts them
+	cache    map[uint64]uint64
+	cacheUse uint64
+	seq      uint64
+	faults   Faults
+	leaving  bool
+	Hits     uint64 // prompt blocks found in the cache
+	Misses   uint64
+}
+
+// Faults are what the engine is told to do wrong.
+type Faults struct {
+	Dark       bool  `json:"dark"`                  // takes channels and says nothing
+	BreakAfter int64 `json:"break_after,omitempty"` // tears the next stream after so many bytes
+	NotRun     int   `json:"not_run,omitempty"`     // declines the next few
+	Fail       int   `json:"fail,omitempty"`        // answers the next few with an error of its own
+	ShortEnd   int   `json:"short_end,omitempty"`   // ends the next few cleanly without the closing mark
+}
+
+type run struct {
+	lock   sync.Mutex
+	grown  chan struct{} // closed and renewed at each growth
+	body   []byte
+	isDone bool
+	isDead bool
+}
+
+// NewEngine makes an engine that has just started.
+func NewEngine(settings EngineSettings) *Engine {
+	return &Engine{
+		settings: settings, born: time.Now(), runs: map[string]*run{},
+		slots: make(chan struct{}, max(settings.Slots, 1)), cache: map[uint64]uint64{},
+	}
+}
+
+// Piece is the text of one output token of a run.
+func Piece(runID string, index int) string {
+	return fmt.Sprintf("w%x ", xxhash.Sum64String(fmt.Sprintf("%s/%d", runID, index))&0xffffff)
+}
+
+func event(runID, text string) []byte {
+	return fmt.Appendf(nil, "data: {\"id\":%q,\"object\":\"text_completion\",\"choices\":[{\"index\":0,\"text\":%q}]}\n\n", runID, text)
+}
+
+// Script is the whole body of a run, streamed or not.
+func Script(runID string, tokens int, isStream bool) []byte {
+	var body bytes.Buffer
+	if isStream {
+		for i := range tokens {
+			body.Write(event(runID, Piece(runID, i)))
+		}
+		body.WriteString("data: [DONE]\n\n")
+		return body.Bytes()
+	}
+	text := ""
+	for i := range tokens {
+		text += Piece(runID, i)
+	}
+	fmt.Fprintf(&body, "{\"id\":%q,\"object\":\"text_completion\",\"choices\":[{\"index\":0,\"text\":%q}]}\n", runID, text)
+	return body.Bytes()
+}
+
+// FailScript is the body of the engine's own error.
+func FailScript(runID string) []byte {
+	return fmt.Appendf(nil, "{\"error\":{\"message\":\"understudy was told to fail\",\"run\":%q}}\n", runID)
+}
+
+// Handler serves the engine's address.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("GET /v1/runs/{run}", e.resume)
+	mux.HandleFunc("GET /v1/health", func(w http.ResponseWriter, r *http.Request) {
+		if e.faultsNow().Dark {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("PUT /control/faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults Faults
+		if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		e.lock.Lock()
+		e.faults = faults
+		e.lock.Unlock()
+	})
+	mux.HandleFunc("GET /control/cache", func(w http.ResponseWriter, _ *http.Request) {
+		e.lock.Lock()
+		defer e.lock.Unlock()
+		fmt.Fprintf(w, "{\"hits\":%d,\"misses\":%d}\n", e.Hits, e.Misses)
+	})
+	return mux
+}
+
+func (e *Engine) faultsNow() Faults {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return e.faults
+}
+
+// SetFaults tells the engine what to do wrong from now on.
+func (e *Engine) SetFaults(faults Faults) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.faults = faults
+}
+
+// Leave marks the engine as leaving in its reports.
+func (e *Engine) Leave() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.leaving = true
+}
+
+func (e *Engine) log(what critic.Happening, tag, reason string) {
+	if e.settings.Log == nil {
+		return
+	}
+	line, err := json.Marshal(critic.Event{
+		At: house.Micros(time.Now().UnixMicro()), What: what, Tag: tag, Reason: reason,
+		Engine: e.settings.ID, Start: e.settings.Start, Zone: e.settings.Zone,
+	})
+	if err != nil {
+		panic(LogBreakdown{err})
+	}
+	// One write a line, so that a kill can't leave half of one between two others.
+	if _, err := e.settings.Log.Write(append(line, '\n')); err != nil {
+		panic(LogBreakdown{err})
+	}
+}
+
+// LogBreakdown says that an engine could not write down what it did; what a
+// checker then concludes would be worth nothing.
+type LogBreakdown struct{ Cause error }
+
+func (b LogBreakdown) Error() string { return fmt.Sprintf("write the engine's log: %v", b.Cause) }
+
+// OpenLog opens a log that outlives the process.
+func OpenLog(path string) (*os.File, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("open the engine's log: %w", err)
+	}
+	return file, nil
+}
+
+func (e *Engine) isCold() bool {
+	return house.MicrosOf(time.Since(e.born)) < e.settings.Cold
+}
+
+// span scales a step by the engine's coldness.
+func (e *Engine) span(m house.Micros) time.Duration {
+	if e.isCold() {
+		m *= house.Micros(max(e.settings.ColdFactor, 1))
+	}
+	return m.Duration()
+}
+
+type wanted struct {
+	Stream bool `json:"stream"`
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	request, err := auditorium.ReadPrompt(body)
+	var want wanted
+	if err == nil {
+		err = json.Unmarshal(body, &want)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	tag := r.Header.Get(HeaderTag)
+	if e.faultsNow().Dark {
+		<-r.Context().Done()
+		return
+	}
+	e.lock.Lock()
+	isDeclined := e.faults.NotRun > 0 || e.waiting >= e.settings.Inbox
+	if e.faults.NotRun > 0 {
+		e.faults.NotRun--
+	}
+	isFailing := !isDeclined && e.faults.Fail > 0
+	if isFailing {
+		e.faults.Fail--
+	}
+	if isDeclined {
+		e.lock.Unlock()
+		e.log(critic.RunDeclined, tag, "full")
+		w.Header().Set(auditorium.HeaderNotRun, "1")
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	e.runCount++
+	runID := fmt.Sprintf("%s-%d-%d", e.settings.ID, e.settings.Start, e.runCount)
+	size := int64(request.PromptTokens + request.MaxTokens)
+	e.tokens += size
+	e.waiting++
+	e.held++
+	isFlooded := e.isCold() && e.settings.ColdBears > 0 && e.held > e.settings.ColdBears
+	held := e.held
+	e.lock.Unlock()
+	e.log(critic.RunBegan, tag, "")
+	if isFlooded {
+		e.log(critic.RunOvercrowd, tag, fmt.Sprintf("%d requests at once, %d are bearable", held, e.settings.ColdBears))
+	}
+	w.Header().Set(HeaderRun, runID)
+	w.Header().Set(auditorium.HeaderStart, strconv.FormatUint(e.settings.Start, 10))
+	if isFailing {
+		e.finish(size, true)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusInternalServerError)
+		w.Write(FailScript(runID))
+		return
+	}
+	this := &run{grown: make(chan struct{})}
+	ctx := r.Context()
+	if e.settings.IsResumable {
+		w.Header().Set(auditorium.HeaderRunID, runID)
+		// A run that can be taken up again goes on when its channel breaks.
+		ctx = context.WithoutCancel(ctx)
+		e.lock.Lock()
+		e.runs[runID] = this
+		e.lock.Unlock()
+	}
+	go e.perform(ctx, this, runID, request, want.Stream, size)
+	if want.Stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+	} else {
+		w.Header().Set("Content-Type", "application/json")
+	}
+	e.play(w, r, this, 0)
+}
+
+func (e *Engine) finish(tokens int64, isWaiting bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.tokens -= tokens
+	e.held--
+	if isWaiting {
+		e.waiting--
+	}
+}
+
+// perform computes a run into its body, token by token.
+func (e *Engine) perform(ctx context.Context, this *run, runID string, request auditorium.Request, isStream bool, size int64) {
+	left, isWaiting := size, true
+	defer func() { e.finish(left, isWaiting); this.end(ctx.Err() != nil) }()
+	select {
+	case e.slots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-e.slots }()
+	e.lock.Lock()
+	e.waiting--
+	isWaiting = false
+	fresh := e.look(request)
+	e.lock.Unlock()
+	prefill := e.settings.Prefill*house.Micros(fresh) + e.settings.Cached*house.Micros(request.PromptTokens-fresh)
+	if !rest(ctx, e.span(prefill)) {
+		return
+	}
+	if !isStream {
+		if rest(ctx, e.span(e.settings.Decode*house.Micros(request.MaxTokens))) {
+			this.grow(Script(runID, request.MaxTokens, false))
+		}
+		return
+	}
+	for i := range request.MaxTokens {
+		if !rest(ctx, e.span(e.settings.Decode)) {
+			return
+		}
+		left--
+		e.lock.Lock()
+		e.tokens--
+		e.lock.Unlock()
+		this.grow(event(runID, Piece(runID, i)))
+	}
+	this.grow([]byte("data: [DONE]\n\n"))
+}
+
+func rest(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// look counts the prompt tokens that are not in the cache, and puts them there.
+func (e *Engine) look(request auditorium.Request) (fresh int) {
+	const block = 16
+	chain, isHit := uint64(0), true
+	for at := 0; at+block <= len(request.Prefix); at += block {
+		chain = xxhash.Sum64(fmt.Appendf(nil, "%d%v", chain, request.Prefix[at:at+block]))
+		e.cacheUse++
+		if _, isThere := e.cache[chain]; !isThere {
+			isHit = false
+		}
+		if isHit {
+			e.Hits++
+		} else {
+			e.Misses++
+			fresh += block
+		}
+		e.cache[chain] = e.cacheUse
+	}
+	// The block used longest ago goes first.
+	for len(e.cache) > max(e.settings.Blocks, 1) {
+		oldest, oldestUse := uint64(0), uint64(1<<63)
+		for key, use := range e.cache {
+			if use < oldestUse {
+				oldest, oldestUse = key, use
+			}
+		}
+		delete(e.cache, oldest)
+	}
+	return min(fresh+len(request.Prefix)%block, request.PromptTokens)
+}
+
+func (r *run) grow(piece []byte) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.body = append(r.body, piece...)
+	close(r.grown)
+	r.grown = make(chan struct{})
+}
+
+func (r *run) end(isDead bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.isDone, r.isDead = true, isDead
+	close(r.grown)
+	r.grown = make(chan struct{})
+}
+
+func (r *run) from(offset int64) (piece []byte, isDone bool, grown chan struct{}) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if offset < int64(len(r.body)) {
+		piece = append(piece, r.body[offset:]...)
+	}
+	return piece, r.isDone, r.grown
+}
+
+// play sends a run's body from an offset on as it grows.
+func (e *Engine) play(w http.ResponseWriter, r *http.Request, this *run, offset int64) {
+	control := http.NewResponseController(w)
+	begun := offset
+	for {
+		piece, isDone, grown := this.from(offset)
+		if len(piece) > 0 {
+			e.lock.Lock()
+			breakAfter, isShort := e.faults.BreakAfter, e.faults.ShortEnd > 0
+			isBreak := breakAfter > 0 && offset-begun+int64(len(piece)) > breakAfter
+			if isBreak {
+				piece = piece[:max(breakAfter-(offset-begun), 0)]
+				e.faults.BreakAfter = 0
+			}
+			isMark := bytes.HasSuffix(piece, []byte("data: [DONE]\n\n"))
+			if isShort && isMark {
+				e.faults.ShortEnd--
+				piece = bytes.TrimSuffix(piece, []byte("data: [DONE]\n\n"))
+			}
+			e.lock.Unlock()
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+			if err := control.Flush(); err != nil {
+				return
+			}
+			if isBreak {
+				panic(http.ErrAbortHandler)
+			}
+			if isShort && isMark {
+				return
+			}
+			offset += int64(len(piece))
+			continue
+		}
+		if isDone {
+			return
+		}
+		select {
+		case <-grown:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.ParseInt(r.URL.Query().Get("offset"), 10, 64)
+	runID := r.PathValue("run")
+	e.lock.Lock()
+	this := e.runs[runID]
+	e.lock.Unlock()
+	if this == nil || err != nil || offset < 0 {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set(auditorium.HeaderRunID, runID)
+	w.Header().Set(auditorium.HeaderStart, strconv.FormatUint(e.settings.Start, 10))
+	w.Header().Set(auditorium.HeaderOffset, strconv.FormatInt(offset, 10))
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.play(w, r, this, offset)
+}
+
+// Report pictures the engine's load for its next late report.
+func (e *Engine) Report() Report {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.seq++
+	return Report{
+		ID: e.settings.ID, Address: e.settings.Address, Zone: e.settings.Zone, Pool: e.settings.Pool,
+		Start: e.settings.Start, Seq: e.seq, Outstanding: e.tokens, Streams: int64(e.held),
+		Up: house.MicrosOf(time.Since(e.born)), IsLeaving: e.leaving, taken: time.Now(),
+	}
+}
+
+// Report is an engine's word on its load, in the format of docs/interfaces.md.
+type Report struct {
+	ID          string       `json:"id"`
+	Address     string       `json:"address"`
+	Zone        string       `json:"zone"`
+	Pool        string       `json:"pool,omitempty"`
+	Start       uint64       `json:"start"`
+	Seq         uint64       `json:"seq"`
+	Outstanding int64        `json:"outstanding_tokens"`
+	Streams     int64        `json:"streams"`
+	Age         house.Micros `json:"age_us"`
+	Up          house.Micros `json:"up_us"`
+	IsLeaving   bool         `json:"leaving,omitempty"`
+	taken       time.Time
+}
+
+// PostReports sends a report every so often to one node after another, each so late.
+func (e *Engine) PostReports(ctx context.Context, nodes []string, every, lag house.Micros) {
+	client := &http.Client{Timeout: time.Second}
+	ticker := time.NewTicker(every.Duration())
+	defer ticker.Stop()
+	late := []Report{}
+	for turn := 0; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		late = append(late, e.Report())
+		for len(late) > 0 && house.MicrosOf(time.Since(late[0].taken)) >= lag {
+			report := late[0]
+			late = late[1:]
+			report.Age = house.MicrosOf(time.Since(report.taken))
+			content, err := json.Marshal(report)
+			if err != nil {
+				panic(LogBreakdown{err})
+			}
+			response, err := client.Post("http://"+nodes[turn%len(nodes)]+"/v1/engines/report", "application/json", bytes.NewReader(content))
+			// A lost report is part of the engine's contract; the next one follows.
+			if err == nil {
+				response.Body.Close()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/understudy/platform.go
@@ -0,0 +1,96 @@
+package understudy
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+)
+
+// Platform stands in for the platform's lagging list of engines.
+type Platform struct {
+	lock     sync.Mutex
+	lag      house.Micros
+	revision uint64
+	engines  map[string]listed
+	past     []snapshot
+}
+
+type listed struct {
+	engine flyloft.ListingEngine
+	born   time.Time
+}
+
+type snapshot struct {
+	at       time.Time
+	revision uint64
+	engines  []listed
+}
+
+// NewPlatform makes a list that shows each change only after a lag.
+func NewPlatform(lag house.Micros) *Platform {
+	return &Platform{lag: lag, engines: map[string]listed{}, past: []snapshot{{revision: 1}}, revision: 1}
+}
+
+// Set enters or changes an engine.
+func (p *Platform) Set(engine flyloft.ListingEngine) {
+	p.change(func() { p.engines[engine.ID] = listed{engine, time.Now().Add(-engine.Up.Duration())} })
+}
+
+// Remove takes an engine off the list.
+func (p *Platform) Remove(id string) { p.change(func() { delete(p.engines, id) }) }
+
+func (p *Platform) change(edit func()) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	edit()
+	p.revision++
+	now := snapshot{at: time.Now(), revision: p.revision}
+	for _, entry := range p.engines {
+		now.engines = append(now.engines, entry)
+	}
+	p.past = append(p.past, now)
+}
+
+// List is what the platform shows now.
+func (p *Platform) List() flyloft.Listing {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	shown := p.past[0]
+	for _, snapshot := range p.past {
+		if time.Since(snapshot.at) >= p.lag.Duration() {
+			shown = snapshot
+		}
+	}
+	listing := flyloft.Listing{Revision: shown.revision, Engines: []flyloft.ListingEngine{}}
+	for _, entry := range shown.engines {
+		engine := entry.engine
+		engine.Up = house.MicrosOf(time.Since(entry.born))
+		listing.Engines = append(listing.Engines, engine)
+	}
+	return listing
+}
+
+// Handler serves the list, and the controls by which a rehearsal changes it.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/engines", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(p.List()); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		}
+	})
+	mux.HandleFunc("PUT /control/engines", func(w http.ResponseWriter, r *http.Request) {
+		var engine flyloft.ListingEngine
+		if err := json.NewDecoder(r.Body).Decode(&engine); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.Set(engine)
+	})
+	mux.HandleFunc("DELETE /control/engines/{id}", func(_ http.ResponseWriter, r *http.Request) { p.Remove(r.PathValue("id")) })
+	return mux
+}
--- /dev/null
+++ b/wings/channel.go
@@ -0,0 +1,189 @@
+package wings
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+)
+
+// Procedures between the fleet's own processes.
+const (
+	procedureDeliver = "/dunlinloom.Peer/Deliver"
+	procedureRecall  = "/dunlinloom.Peer/Recall"
+)
+
+// jsonCodec lets connect carry the owners' own message types.
+type jsonCodec struct{}
+
+func (jsonCodec) Name() string                     { return "json" }
+func (jsonCodec) Marshal(from any) ([]byte, error) { return json.Marshal(from) }
+func (jsonCodec) Unmarshal(content []byte, to any) error {
+	return json.Unmarshal(content, to)
+}
+
+type parcel struct {
+	Envelopes []flyloft.Envelope `json:"envelopes"`
+}
+
+type nothing struct{}
+
+// RecallAsk asks a prompter for the spec of an older generation.
+type RecallAsk struct {
+	Generation uint64 `json:"generation"`
+	IsList     bool   `json:"list,omitempty"`
+}
+
+// RecallReceipt brings it, or the list of the generations kept.
+type RecallReceipt struct {
+	Spec           []byte   `json:"spec,omitempty"`
+	SpecGeneration uint64   `json:"spec_generation,omitempty"`
+	Generations    []uint64 `json:"generations,omitempty"`
+}
+
+const (
+	inboxBound  = 512
+	parcelBound = 32
+	// Generous, so that a document of megabytes gets through to a slow machine.
+	channelSpan = 3 * house.Second
+	parcelBytes = 64 << 20
+)
+
+// Channels carry envelopes to other nodes: an inbox and a worker for each, so
+// that one that does not answer holds up nobody else.
+type Channels struct {
+	cue    house.Cue
+	client *http.Client
+	lock   sync.Mutex
+	peers  map[string]*peerInbox
+	// Sent counts bytes and messages by kind and by whether they left the zone.
+	Sent, Dropped atomic.Uint64
+	bytes         atomic.Uint64
+}
+
+type peerInbox struct {
+	address string
+	inbox   chan flyloft.Envelope
+	deliver *connect.Client[parcel, nothing]
+}
+
+// Dialer opens a channel; tests and rehearsals bring one that can fail.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewChannels makes channels that live as long as the cue.
+func NewChannels(cue house.Cue, dial Dialer) *Channels {
+	c := &Channels{cue: cue, peers: map[string]*peerInbox{}}
+	c.client = &http.Client{
+		Timeout: channelSpan.Duration(),
+		Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: 2,
+			IdleConnTimeout:     30 * time.Second,
+		},
+	}
+	return c
+}
+
+// BytesSent is how many bytes of envelopes have gone out.
+func (c *Channels) BytesSent() uint64 { return c.bytes.Load() }
+
+// Send puts an envelope into its receiver's inbox; a full inbox loses its oldest,
+// since every owner repeats what matters and newer words are worth more.
+func (c *Channels) Send(envelope flyloft.Envelope) {
+	c.lock.Lock()
+	peer := c.peers[envelope.To]
+	if peer == nil {
+		peer = &peerInbox{
+			address: envelope.To, inbox: make(chan flyloft.Envelope, inboxBound),
+			deliver: connect.NewClient[parcel, nothing](c.client, "http://"+envelope.To+procedureDeliver,
+				connect.WithCodec(jsonCodec{}), connect.WithSendMaxBytes(parcelBytes)),
+		}
+		c.peers[envelope.To] = peer
+		go c.work(peer)
+	}
+	c.lock.Unlock()
+	for {
+		select {
+		case peer.inbox <- envelope:
+			return
+		default:
+		}
+		select {
+		case <-peer.inbox:
+			c.Dropped.Add(1)
+		default:
+		}
+	}
+}
+
+func (c *Channels) work(peer *peerInbox) {
+	for {
+		var batch parcel
+		select {
+		case <-c.cue.Done():
+			return
+		case envelope := <-peer.inbox:
+			batch.Envelopes = append(batch.Envelopes, envelope)
+		}
+		for len(batch.Envelopes) < parcelBound {
+			select {
+			case envelope := <-peer.inbox:
+				batch.Envelopes = append(batch.Envelopes, envelope)
+				continue
+			default:
+			}
+			break
+		}
+		if _, err := peer.deliver.CallUnary(c.cue, connect.NewRequest(&batch)); err != nil {
+			c.Dropped.Add(uint64(len(batch.Envelopes)))
+			c.cue.Log.V(3).Info("a parcel was lost", "to", peer.address, "error", err.Error())
+			continue
+		}
+		c.Sent.Add(uint64(len(batch.Envelopes)))
+	}
+}
+
+// Recall asks another node for an older spec.
+func (c *Channels) Recall(ctx context.Context, address string, ask RecallAsk) (*RecallReceipt, error) {
+	client := connect.NewClient[RecallAsk, RecallReceipt](c.client, "http://"+address+procedureRecall, connect.WithCodec(jsonCodec{}))
+	receipt, err := client.CallUnary(ctx, connect.NewRequest(&ask))
+	if err != nil {
+		return nil, fmt.Errorf("recall generation %d from %s: %w", ask.Generation, address, err)
+	}
+	return receipt.Msg, nil
+}
+
+// NewPeerHandler serves the procedures to the other nodes.
+func NewPeerHandler(deliver func(flyloft.Envelope), recall func(RecallAsk) (*RecallReceipt, error)) http.Handler {
+	options := []connect.HandlerOption{connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(parcelBytes)}
+	mux := http.NewServeMux()
+	mux.Handle(procedureDeliver, connect.NewUnaryHandler(procedureDeliver,
+		func(_ context.Context, request *connect.Request[parcel]) (*connect.Response[nothing], error) {
+			for _, envelope := range request.Msg.Envelopes {
+				deliver(envelope)
+			}
+			return connect.NewResponse(&nothing{}), nil
+		}, options...))
+	mux.Handle(procedureRecall, connect.NewUnaryHandler(procedureRecall,
+		func(_ context.Context, request *connect.Request[RecallAsk]) (*connect.Response[RecallReceipt], error) {
+			receipt, err := recall(*request.Msg)
+			if err != nil {
+				return nil, connect.NewError(connect.CodeNotFound, err)
+			}
+			return connect.NewResponse(receipt), nil
+		}, options...))
+	return mux
+}
+
+// zoneLabel keeps a zone's name fit for a metric's label.
+func zoneLabel(zone string) string { return strings.ReplaceAll(zone, `"`, "'") }
--- /dev/null
+++ b/wings/process.go
@@ -0,0 +1,206 @@
+package wings
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"dunlinloom/auditorium"
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// Parts says which planes a program puts together.
+type Parts struct {
+	Program    string
+	IsRouter   bool
+	IsPrompter bool
+}
+
+// Main runs a daemon with the process's flags and gives its exit status.
+func Main(parts Parts) int {
+	settings, err := ReadSettings(parts.Program, os.Args[1:])
+	if err == nil {
+		err = settings.Check(parts.IsPrompter)
+	}
+	var faults *playbill.Faults
+	if errors.As(err, &faults) {
+		fmt.Fprintf(os.Stderr, "%s: the settings have faults:\n", parts.Program)
+		for _, fault := range faults.List {
+			fmt.Fprintln(os.Stderr, "  "+fault.Error())
+		}
+		return 2
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", parts.Program, err)
+		return 2
+	}
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := Run(stop, settings, parts); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", parts.Program, err)
+		return 1
+	}
+	return 0
+}
+
+// Names of the services in a house.
+const (
+	ServiceDesk     = "desk"
+	ServiceRunner   = "runner"
+	ServiceChannels = "channels"
+	ServiceUsher    = "usher"
+)
+
+// Run puts a node together and serves until stop ends, then drains it.
+func Run(stop context.Context, settings Settings, parts Parts) (err error) {
+	self := house.Identity{Fleet: settings.Fleet, Address: settings.Peer, Public: settings.Public, Zone: settings.Zone}
+	log := house.LogJSON(slog.String("program", parts.Program), slog.String("node", self.Address), slog.String("zone", self.Zone))
+	life, end := context.WithCancel(context.Background())
+	cue := house.Cue{Context: life, Clock: house.BootClock{}, Log: log, Self: self, Journal: house.NewJournal(settings.Journal)}
+	stage := house.Open()
+	defer func() { err = errors.Join(err, stage.Strike.Run()) }()
+	stage.Strike.Defer(func() error { end(); return nil })
+
+	start := uint64(time.Now().UnixMicro())
+	node := flyloft.NodeSettings{
+		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: settings.Data != "",
+		Seeds: settings.Seeds, Start: start, RandomSeed: randomSeed(self.Address), Timing: settings.Timing(), Journal: cue.Journal,
+		CheckSpec: func(document []byte) error { _, _, err := playbill.Read(document); return err },
+	}
+	var store *flyloft.Store
+	if settings.Data != "" {
+		folder, err := house.OpenFolder(settings.Data)
+		if err != nil {
+			return fmt.Errorf("start: %w", err)
+		}
+		if store, node.Ballot, node.Document, err = flyloft.OpenStore(folder, settings.Fleet); err != nil {
+			return fmt.Errorf("start: %w", err)
+		}
+		node.Member = store.Member()
+		for _, name := range store.Aside() {
+			log.Info("a damaged file was set aside", "file", name)
+		}
+	} else {
+		node.Member = flyloft.MemberID("no-folder-" + self.Address)
+	}
+	channels := NewChannels(cue, peerDialer())
+	var desk *auditorium.Desk
+	var usher *auditorium.Usher
+	if parts.IsRouter {
+		desk = auditorium.NewDesk(self.Address, func(now house.Micros, subject, decision, why string) {
+			cue.Journal.Note(now, "auditorium", subject, decision, why)
+		})
+		usher = &auditorium.Usher{Cue: cue, Desk: desk, Spans: settings.Spans(), Dial: engineDialer()}
+	}
+	runner := NewRunner(cue, flyloft.NewNode(node, cue.Clock.Now()), store, channels, desk, settings.Platform)
+	for name, service := range map[string]any{ServiceDesk: desk, ServiceRunner: runner, ServiceChannels: channels, ServiceUsher: usher} {
+		if err := stage.Place(name, service); err != nil {
+			return fmt.Errorf("start: %w", err)
+		}
+	}
+
+	var isStopping atomic.Bool
+	public, err := net.Listen("tcp", settings.Public)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	stage.Strike.Defer(func() error { return ignoreClosed(public.Close()) })
+	peer, err := net.Listen("tcp", settings.Peer)
+	if err != nil {
+		return fmt.Errorf("listen for nodes: %w", err)
+	}
+	stage.Strike.Defer(func() error { return ignoreClosed(peer.Close()) })
+	face := &http.Server{
+		Handler:           NewFace(cue, runner, usher, channels, isStopping.Load),
+		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 120 * time.Second, MaxHeaderBytes: 64 << 10,
+	}
+	back := &http.Server{
+		Handler:           NewPeerHandler(runner.Deliver, runner.Recall),
+		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second,
+	}
+	failed := make(chan error, 2)
+	serve := func(server *http.Server, listener net.Listener) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			failed <- err
+		}
+	}
+	go serve(face, public)
+	go serve(back, peer)
+	ended := make(chan struct{})
+	go func() { runner.Run(); close(ended) }()
+	stage.Strike.Defer(func() error { end(); <-ended; return ignoreClosed(back.Close()) })
+	log.Info("serving", "public", self.Public, "member", string(node.Member))
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-stop.Done():
+	}
+
+	// A planned stop: say so and hand duties on, take callers a little longer while
+	// the platform learns of it, then close the door and finish what was accepted.
+	log.Info("stopping")
+	isStopping.Store(true)
+	runner.Leave()
+	waitUntil(settings.LameDuckUS, func() bool { return false })
+	if err := ignoreClosed(public.Close()); err != nil {
+		log.Error(err, "close the door")
+	}
+	if desk != nil {
+		desk.Shut()
+		waitUntil(settings.DrainUS, func() bool { return usher.Live() == 0 })
+		log.Info("drained", "live", usher.Live())
+	}
+	waitUntil(int64(2*house.Second), func() bool { return !runner.HasDuties() })
+	last, done := context.WithTimeout(context.Background(), 5*time.Second)
+	defer done()
+	if err := face.Shutdown(last); err != nil {
+		log.Error(err, "some channels had to be cut")
+	}
+	return nil
+}
+
+// waitUntil looks again and again until a condition holds or the span is over.
+func waitUntil(span int64, isMet func() bool) {
+	end := time.NewTimer(house.Micros(span).Duration())
+	defer end.Stop()
+	again := time.NewTicker(20 * time.Millisecond)
+	defer again.Stop()
+	for !isMet() {
+		select {
+		case <-end.C:
+			return
+		case <-again.C:
+		}
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// randomSeed differs from node to node, so that their elections do not collide.
+func randomSeed(address string) uint64 {
+	seed := uint64(14695981039346656037)
+	for i := 0; i < len(address); i++ {
+		seed = (seed ^ uint64(address[i])) * 1099511628211
+	}
+	return seed
+}
+
+func plainDialer() Dialer {
+	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
+	return dialer.DialContext
+}
--- /dev/null
+++ b/wings/runner.go
@@ -0,0 +1,331 @@
+package wings
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dunlinloom/auditorium"
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// tickSpan is the grain of every alarm of the control plane.
+const tickSpan = 20 * house.Millisecond
+
+// Runner is the shell round a node's owners: it alone touches them, carries out
+// their commands and publishes a picture of their state.
+type Runner struct {
+	cue      house.Cue
+	node     *flyloft.Node
+	store    *flyloft.Store // nil without a data folder
+	channels *Channels
+	desk     *auditorium.Desk // nil without a router
+	platform string
+
+	inbox chan func() []any
+	saves chan flyloft.Save
+	state atomic.Pointer[flyloft.State]
+
+	lock    sync.Mutex // guards waiters alone
+	waiters map[string][]chan flyloft.SubmitReceipt
+
+	spec           *playbill.Spec
+	specGeneration uint64
+	shown          sceneMark
+}
+
+type sceneMark struct {
+	generation, engineRev uint64
+	until                 house.Micros
+	why                   string
+}
+
+// NewRunner makes a shell; Run starts it.
+func NewRunner(cue house.Cue, node *flyloft.Node, store *flyloft.Store, channels *Channels, desk *auditorium.Desk, platform string) *Runner {
+	r := &Runner{
+		cue: cue, node: node, store: store, channels: channels, desk: desk, platform: platform,
+		inbox: make(chan func() []any, 1024), saves: make(chan flyloft.Save, 64),
+		waiters: map[string][]chan flyloft.SubmitReceipt{},
+	}
+	r.state.Store(node.State(nil))
+	return r
+}
+
+// State is the newest picture.
+func (r *Runner) State() *flyloft.State { return r.state.Load() }
+
+// Deliver brings a message from another node.
+func (r *Runner) Deliver(envelope flyloft.Envelope) {
+	r.post(func() []any { return r.node.Deliver(r.cue.Clock.Now(), envelope) })
+}
+
+func (r *Runner) post(event func() []any) {
+	select {
+	case r.inbox <- event:
+	case <-r.cue.Done():
+	}
+}
+
+// Run turns events into commands until the cue ends.
+func (r *Runner) Run() {
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	if r.store != nil {
+		workers.Go(r.runSaves)
+	}
+	if r.platform != "" {
+		workers.Go(r.pollPlatform)
+	}
+	ticker := time.NewTicker(tickSpan.Duration())
+	defer ticker.Stop()
+	for {
+		var out []any
+		select {
+		case <-r.cue.Done():
+			return
+		case event := <-r.inbox:
+			out = event()
+		case <-ticker.C:
+			out = r.node.Tick(r.cue.Clock.Now())
+		}
+		for _, command := range out {
+			r.carryOut(command)
+		}
+		r.publish()
+	}
+}
+
+func (r *Runner) carryOut(command any) {
+	switch command := command.(type) {
+	case flyloft.Outgoing:
+		r.channels.Send(command.Envelope)
+	case flyloft.Save:
+		// The core has one write out at a time, so this never waits.
+		r.saves <- command
+	case flyloft.Receipt:
+		r.lock.Lock()
+		waiters := r.waiters[command.SubmitReceipt.ID]
+		delete(r.waiters, command.SubmitReceipt.ID)
+		r.lock.Unlock()
+		for _, waiter := range waiters {
+			waiter <- command.SubmitReceipt
+		}
+	}
+}
+
+// runSaves syncs to disk beside the owners, so that a stalled disk stalls nothing else.
+func (r *Runner) runSaves() {
+	for {
+		select {
+		case <-r.cue.Done():
+			return
+		case save := <-r.saves:
+			err := r.store.Save(save)
+			if err != nil {
+				r.cue.Log.Error(err, "a write failed")
+			}
+			r.post(func() []any { return r.node.Saved(r.cue.Clock.Now(), save.Token, err) })
+		}
+	}
+}
+
+func (r *Runner) publish() {
+	earlier := r.state.Load()
+	state := r.node.State(earlier)
+	r.state.Store(state)
+	if state.Document != nil && state.Document.SpecGeneration != r.specGeneration {
+		r.specGeneration = state.Document.SpecGeneration
+		spec, _, err := playbill.Read(state.Document.Spec)
+		if err != nil {
+			// The leader checked it; only a node of another build can get here. Serving
+			// by a spec that is no longer in force would be worse than not serving.
+			r.cue.Log.Error(err, "a committed spec can't be read here")
+			spec = nil
+		}
+		r.spec = spec
+	}
+	if r.desk == nil {
+		return
+	}
+	mark := sceneMark{0, state.EngineRev, state.Until, state.Why}
+	if state.Document != nil {
+		mark.generation = state.Document.Generation
+	}
+	if mark != r.shown {
+		r.shown = mark
+		r.desk.Show(r.scene(state))
+	}
+}
+
+func (r *Runner) scene(state *flyloft.State) *auditorium.Scene {
+	scene := &auditorium.Scene{Spec: r.spec, Evacuated: map[string]bool{}, Until: state.Until, Lapse: state.Why}
+	if state.Document != nil {
+		scene.Generation, scene.Routers = state.Document.Generation, state.Document.Register
+		for zone := range state.Document.Evacuated {
+			scene.Evacuated[zone] = true
+		}
+	}
+	scene.Engines = MergeEngines(r.spec, state.Engines)
+	return scene
+}
+
+// MergeEngines joins the engines that the spec names with those that the cell knows.
+func MergeEngines(spec *playbill.Spec, records []flyloft.EngineRecord) []auditorium.Engine {
+	engines, known := []auditorium.Engine{}, map[string]bool{}
+	for _, record := range records {
+		known[record.ID] = true
+		engine := auditorium.Engine{
+			ID: record.ID, Address: record.Address, Zone: record.Zone, Pool: record.Pool, Start: record.Start,
+			IsLeaving: record.IsLeaving, IsUnlisted: record.IsUnlisted, IsDark: record.IsDark,
+			HasReport: record.Seq > 0, Burden: record.Burden, AsOf: record.AsOf, StartedAt: record.StartedAt, IsStartKnown: true,
+		}
+		if spec != nil {
+			named := spec.Engines[record.ID]
+			if named.Pool != "" {
+				engine.Pool = named.Pool
+			}
+			if named.Zone != "" {
+				engine.Zone = named.Zone
+			}
+			if named.Address != "" && record.ListRevision == 0 {
+				engine.Address = named.Address
+			}
+			// An engine named by hand serves even where the platform's list lacks it.
+			engine.IsUnlisted = engine.IsUnlisted && named.Address == ""
+		}
+		engines = append(engines, engine)
+	}
+	if spec != nil {
+		for id, named := range spec.Engines {
+			if !known[id] && named.Address != "" {
+				engines = append(engines, auditorium.Engine{ID: id, Address: named.Address, Zone: named.Zone, Pool: named.Pool})
+			}
+		}
+	}
+	// One order on every node: ties in the policy are broken by it.
+	slices.SortFunc(engines, func(a, b auditorium.Engine) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return engines
+}
+
+// Submit hands an order in and waits for its receipt.
+func (r *Runner) Submit(ctx context.Context, submit *flyloft.Submit) (flyloft.SubmitReceipt, error) {
+	waiter := make(chan flyloft.SubmitReceipt, 1)
+	r.lock.Lock()
+	r.waiters[submit.ID] = append(r.waiters[submit.ID], waiter)
+	r.lock.Unlock()
+	r.post(func() []any { return r.node.Submit(r.cue.Clock.Now(), submit) })
+	select {
+	case receipt := <-waiter:
+		return receipt, nil
+	case <-ctx.Done():
+		return flyloft.SubmitReceipt{}, fmt.Errorf("wait for submission %s: %w", submit.ID, ctx.Err())
+	case <-r.cue.Done():
+		return flyloft.SubmitReceipt{ID: submit.ID, Outcome: flyloft.Unproved, Reason: "stopping"}, nil
+	}
+}
+
+// Hear brings engine records learned first-hand.
+func (r *Runner) Hear(records []flyloft.EngineRecord) {
+	r.post(func() []any { return r.node.Hear(r.cue.Clock.Now(), records) })
+}
+
+// Leave begins a planned stop.
+func (r *Runner) Leave() {
+	r.post(func() []any { return r.node.Leave(r.cue.Clock.Now()) })
+}
+
+// HasDuties asks the owners whether duties are still held.
+func (r *Runner) HasDuties() bool {
+	receipt := make(chan bool, 1)
+	r.post(func() []any { receipt <- r.node.HasDuties(); return nil })
+	select {
+	case hasDuties := <-receipt:
+		return hasDuties
+	case <-r.cue.Done():
+		return false
+	}
+}
+
+// Recall reads an older spec from this node's data folder.
+func (r *Runner) Recall(ask RecallAsk) (*RecallReceipt, error) {
+	if r.store == nil {
+		return nil, flyloft.MissingGeneration{Generation: ask.Generation}
+	}
+	if ask.IsList {
+		return &RecallReceipt{Generations: r.store.SpecGenerations()}, nil
+	}
+	document, err := r.store.SpecAt(ask.Generation)
+	if err != nil {
+		return nil, err
+	}
+	return &RecallReceipt{Spec: document.Spec, SpecGeneration: document.SpecGeneration}, nil
+}
+
+// platformBreakdown says what was wrong with the platform's list.
+type platformBreakdown struct{ why string }
+
+func (b platformBreakdown) Error() string { return "platform list: " + b.why }
+
+// pollPlatform fetches the list where it is this node's duty.
+func (r *Runner) pollPlatform() {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	client := &http.Client{Timeout: 2 * time.Second}
+	isFailing := false
+	for {
+		// One fetch a zone is enough; a node without a home looks for itself.
+		if state := r.State(); state.IsHome || state.IsHomeless {
+			listing, err := fetchListing(r.cue, client, r.platform)
+			switch {
+			case err != nil && !isFailing:
+				r.cue.Log.Error(err, "the platform's list can't be read")
+				r.cue.Note("platform", "list", "unreadable", err.Error())
+			case err == nil:
+				r.post(func() []any { return r.node.TakeListing(r.cue.Clock.Now(), listing) })
+			}
+			isFailing = err != nil
+		}
+		select {
+		case <-r.cue.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func fetchListing(ctx context.Context, client *http.Client, url string) (flyloft.Listing, error) {
+	var listing flyloft.Listing
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return listing, fmt.Errorf("ask the platform: %w", err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return listing, fmt.Errorf("ask the platform: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return listing, platformBreakdown{response.Status}
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, 16<<20)).Decode(&listing); err != nil {
+		return listing, fmt.Errorf("read the platform's list: %w", err)
+	}
+	// A list without a revision can't be told from an older one, so it is no use.
+	if listing.Revision == 0 {
+		return listing, platformBreakdown{"it has no revision"}
+	}
+	return listing, nil
+}
--- /dev/null
+++ b/wings/settings.go
@@ -0,0 +1,225 @@
+// Package wings holds what the programs share off stage: settings, the channels
+// between nodes, the shell that runs a node's owners, and the HTTP face.
+package wings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"dunlinloom/auditorium"
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// Settings are what a process is told of its place, by a file or by flags; a
+// flag goes before the file.
+type Settings struct {
+	File     string   `arg:"--settings" json:"-" help:"JSON file with any of the settings below"`
+	Fleet    string   `arg:"--fleet" json:"fleet" help:"name of the fleet; messages of others are declined"`
+	Public   string   `arg:"--public" json:"public" help:"IP:port for callers, engines and operators"`
+	Peer     string   `arg:"--peer" json:"peer" help:"IP:port for the other nodes"`
+	Zone     string   `arg:"--zone" json:"zone" help:"zone of this machine"`
+	Seeds    []string `arg:"--seed,separate" json:"seeds" help:"peer address of a seed; three of them, which are also the founders"`
+	Data     string   `arg:"--data" json:"data" help:"data folder of a prompter with a disk"`
+	Platform string   `arg:"--platform" json:"platform" help:"URL of the platform's list of engines"`
+	Journal  int      `arg:"--journal" json:"journal" help:"entries kept in the journal"`
+
+	PulseUS         int64 `arg:"--pulse-us" json:"pulse_us" help:"between a leader's pulses"`
+	ElectionLowUS   int64 `arg:"--election-low-us" json:"election_low_us" help:"shortest silence before an election"`
+	ElectionHighUS  int64 `arg:"--election-high-us" json:"election_high_us" help:"longest silence before an election"`
+	DiskStallUS     int64 `arg:"--disk-stall-us" json:"disk_stall_us" help:"a write that takes longer counts as stalled"`
+	ReplaceUS       int64 `arg:"--replace-us" json:"replace_us" help:"silence after which a voter is replaced"`
+	AskUS           int64 `arg:"--ask-us" json:"ask_us" help:"between asks for a licence"`
+	LicenceUS       int64 `arg:"--licence-us" json:"licence_us" help:"how long a licence lasts from its ask on"`
+	HomeSilentUS    int64 `arg:"--home-silent-us" json:"home_silent_us" help:"silence after which a zone gets another home"`
+	StrikeUS        int64 `arg:"--strike-us" json:"strike_us" help:"silence after which a router leaves the register"`
+	EngineSilenceUS int64 `arg:"--engine-silence-us" json:"engine_silence_us" help:"an engine that sends nothing for so long is lost"`
+	DrainUS         int64 `arg:"--drain-us" json:"drain_us" help:"longest wait for accepted requests at a planned stop"`
+	LameDuckUS      int64 `arg:"--lame-duck-us" json:"lame_duck_us" help:"how long a stopping node still takes channels and says that it is stopping"`
+}
+
+// Version is what --version prints.
+func (Settings) Version() string { return "dunlinloom 0.1.0" }
+
+// DefaultSettings are in force where neither file nor flags speak.
+func DefaultSettings() Settings {
+	timing, spans := flyloft.DefaultTiming(), auditorium.DefaultSpans()
+	return Settings{
+		Fleet: "dunlinloom", Journal: 4096,
+		PulseUS: int64(timing.Pulse), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
+		DiskStallUS: int64(timing.DiskStall), ReplaceUS: int64(timing.Replace), AskUS: int64(timing.Ask),
+		LicenceUS: int64(timing.Licence), HomeSilentUS: int64(timing.HomeSilent), StrikeUS: int64(timing.Strike),
+		EngineSilenceUS: int64(spans.EngineSilence), DrainUS: int64(120 * house.Second), LameDuckUS: int64(house.Second),
+	}
+}
+
+// Timing gives the control plane's spans.
+func (s Settings) Timing() flyloft.Timing {
+	timing := flyloft.DefaultTiming()
+	timing.Pulse, timing.ElectionLow, timing.ElectionHigh = house.Micros(s.PulseUS), house.Micros(s.ElectionLowUS), house.Micros(s.ElectionHighUS)
+	timing.DiskStall, timing.Replace, timing.Ask = house.Micros(s.DiskStallUS), house.Micros(s.ReplaceUS), house.Micros(s.AskUS)
+	timing.Licence, timing.HomeSilent, timing.Strike = house.Micros(s.LicenceUS), house.Micros(s.HomeSilentUS), house.Micros(s.StrikeUS)
+	return timing
+}
+
+// Spans gives the data plane's spans.
+func (s Settings) Spans() auditorium.Spans {
+	spans := auditorium.DefaultSpans()
+	spans.EngineSilence = house.Micros(s.EngineSilenceUS)
+	return spans
+}
+
+// SettingsBreakdown says that the settings could not be read.
+type SettingsBreakdown struct {
+	What  string
+	Cause error
+}
+
+func (b SettingsBreakdown) Error() string { return fmt.Sprintf("%s: %v", b.What, b.Cause) }
+
+// Unwrap gives the cause.
+func (b SettingsBreakdown) Unwrap() error { return b.Cause }
+
+// ReadSettings reads flags and the file that they may name, and checks all of it.
+func ReadSettings(program string, words []string) (Settings, error) {
+	parse := func(into *Settings) error {
+		parser, err := arg.NewParser(arg.Config{Program: program}, into)
+		if err != nil {
+			return SettingsBreakdown{"flags", err}
+		}
+		err = parser.Parse(words)
+		if errors.Is(err, arg.ErrHelp) {
+			parser.WriteHelp(os.Stdout)
+			os.Exit(0)
+		}
+		if errors.Is(err, arg.ErrVersion) {
+			fmt.Println(into.Version())
+			os.Exit(0)
+		}
+		if err != nil {
+			return SettingsBreakdown{"flags", err}
+		}
+		return nil
+	}
+	// Read once for the file's name, and once more so that flags go before the file.
+	settings := DefaultSettings()
+	if err := parse(&settings); err != nil {
+		return settings, err
+	}
+	if settings.File != "" {
+		fromFile := DefaultSettings()
+		content, err := os.ReadFile(settings.File)
+		if err != nil {
+			return settings, SettingsBreakdown{"settings file", err}
+		}
+		decoder := json.NewDecoder(bytes.NewReader(content))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&fromFile); err != nil {
+			return settings, SettingsBreakdown{"settings file " + settings.File, err}
+		}
+		if _, err := decoder.Token(); err != io.EOF {
+			return settings, SettingsBreakdown{"settings file " + settings.File, BreakdownTrailing{}}
+		}
+		if err := parse(&fromFile); err != nil {
+			return settings, err
+		}
+		settings = fromFile
+	}
+	return settings, nil
+}
+
+// BreakdownTrailing says that a file goes on after its one JSON value.
+type BreakdownTrailing struct{}
+
+func (BreakdownTrailing) Error() string { return "there is more after the JSON value" }
+
+// Check names every fault of the settings at once.
+func (s Settings) Check(isPrompter bool) error {
+	faults := &playbill.Faults{}
+	checkAddress := func(name, address string) {
+		if parsed, err := netip.ParseAddrPort(address); err != nil {
+			faults.Add(name, "%q is not an IP and port", address)
+		} else if parsed.Port() == 0 || parsed.Addr().IsUnspecified() {
+			faults.Add(name, "%q can't be reached from another machine", address)
+		}
+	}
+	if s.Fleet == "" {
+		faults.Add("fleet", "has to be named")
+	}
+	if s.Zone == "" {
+		faults.Add("zone", "has to be named")
+	}
+	checkAddress("public", s.Public)
+	checkAddress("peer", s.Peer)
+	if s.Public == s.Peer {
+		faults.Add("peer", "is the public address as well")
+	}
+	if len(s.Seeds) != 3 {
+		faults.Add("seeds", "there have to be three, not %d", len(s.Seeds))
+	}
+	known := map[string]bool{}
+	for i, seed := range s.Seeds {
+		checkAddress(fmt.Sprintf("seeds[%d]", i), seed)
+		if known[seed] {
+			faults.Add(fmt.Sprintf("seeds[%d]", i), "%q is named twice", seed)
+		}
+		known[seed] = true
+	}
+	if !isPrompter && s.Data != "" {
+		faults.Add("data", "a router keeps nothing on disk; only prompter and playhouse take a data folder")
+	}
+	if isPrompter && known[s.Peer] && s.Data == "" {
+		faults.Add("data", "a prompter that is a seed is a founder and needs a data folder")
+	}
+	if s.Platform != "" {
+		if parsed, err := url.Parse(s.Platform); err != nil || parsed.Scheme != "http" || parsed.Host == "" {
+			faults.Add("platform", "%q is not an http URL", s.Platform)
+		}
+	}
+	if s.Journal < 16 || s.Journal > 1<<20 {
+		faults.Add("journal", "%d is not from 16 to %d", s.Journal, 1<<20)
+	}
+	s.checkSpans(faults)
+	return faults.Err()
+}
+
+// checkSpans holds the spans against the rules that they keep together.
+func (s Settings) checkSpans(faults *playbill.Faults) {
+	checkRange := func(name string, value, low, high int64) {
+		if value < low || value > high {
+			faults.Add(name, "%d is not from %d to %d", value, low, high)
+		}
+	}
+	// A licence of two seconds would leave no margin under the rule's two seconds.
+	checkRange("licence_us", s.LicenceUS, 300_000, 1_900_000)
+	checkRange("pulse_us", s.PulseUS, 20_000, 1_000_000)
+	checkRange("election_high_us", s.ElectionHighUS, 100_000, 3_000_000)
+	checkRange("disk_stall_us", s.DiskStallUS, 100_000, 3_000_000)
+	checkRange("replace_us", s.ReplaceUS, 3_000_000, 3_600_000_000)
+	checkRange("home_silent_us", s.HomeSilentUS, 500_000, 2_000_000)
+	checkRange("strike_us", s.StrikeUS, 5_000_000, 3_600_000_000)
+	checkRange("engine_silence_us", s.EngineSilenceUS, 100_000, 600_000_000)
+	checkRange("drain_us", s.DrainUS, 0, 3_600_000_000)
+	checkRange("lame_duck_us", s.LameDuckUS, 0, 60_000_000)
+	if s.AskUS < 50_000 || s.AskUS*4 > s.LicenceUS {
+		faults.Add("ask_us", "%d has to be at least 50000 and four asks have to fit into the licence of %d", s.AskUS, s.LicenceUS)
+	}
+	if s.ElectionLowUS < 4*s.PulseUS {
+		faults.Add("election_low_us", "%d has to hold at least four pulses of %d", s.ElectionLowUS, s.PulseUS)
+	}
+	if s.ElectionHighUS <= s.ElectionLowUS {
+		faults.Add("election_high_us", "%d has to be above election_low_us of %d", s.ElectionHighUS, s.ElectionLowUS)
+	}
+	if s.ReplaceUS < 3*s.ElectionHighUS {
+		faults.Add("replace_us", "%d has to hold at least three elections of %d", s.ReplaceUS, s.ElectionHighUS)
+	}
+}
