Streams are relayed in chunks: with a length, a missing closing mark looked whole

Cause: an engine that announces a length and ends its event stream without the closing mark had that length passed on, so the caller saw every announced byte and a clean end. Conclusion: the length of a stream belongs to one channel and is not relayed; other bodies keep theirs.

--- a/auditorium/usher.go
+++ b/auditorium/usher.go
@@ -256,13 +256,17 @@
 	w.Header().Set(HeaderRequest, call.Request.ID)
 	w.Header().Set(HeaderEngine, call.Round.Engine.ID)
 	w.Header().Set(HeaderGeneration, strconv.FormatUint(call.Round.Generation, 10))
-	if response.ContentLength >= 0 {
-		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
-	}
-	w.WriteHeader(response.StatusCode)
 	relay := &relay{usher: u, call: call, w: w, control: http.NewResponseController(w), silence: silence, whole: response.ContentLength}
 	kind, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	relay.isStream = kind == "text/event-stream"
+	// With a length announced, a stream that lacks its closing mark would look whole
+	// once its bytes are there. Sent in chunks, the missing end can be seen.
+	if relay.isStream {
+		w.Header().Del("Content-Length")
+	} else if response.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	w.WriteHeader(response.StatusCode)
 	if err := relay.control.Flush(); err != nil {
 		return CallerGone, err.Error(), true
 	}
--- a/auditorium/usher_test.go
+++ b/auditorium/usher_test.go
@@ -568,4 +568,3 @@
 	c.Assert(counts.Retries > 0, qt.IsTrue)
 	c.Assert(float64(counts.Retries) <= 0.1*float64(counts.FirstRounds), qt.IsTrue, qt.Commentf("%+v", counts))
 }
-
