--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -178,6 +178,7 @@
 	Node     NodeRecord `json:"node"`
 	SeenHome string     `json:"seen_home,omitempty"`
 	SeenNews uint64     `json:"seen_news,omitempty"`
+	Digests  []uint64   `json:"digests,omitempty"` // now and then, to mend what was lost
 }
 
 // Grant lets a router serve under a generation for a while from its ask on.
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -78,10 +78,20 @@
 	mendAlarm house.Micros
 	mendTurn  int
 	sweep     house.Micros
+	askTurn   int
+	urgent    []urgentNews
 	errands   map[string]*errand
 	declined  map[string]house.Micros // foreign senders noted lately
 }
 
+// urgentNews is sent again a few times: a single loss must not cost the seconds
+// in which a leaving mark has to be everywhere.
+type urgentNews struct {
+	records []EngineRecord
+	at      house.Micros
+	left    int
+}
+
 type newsMark struct {
 	home string
 	upto uint64
@@ -298,7 +308,20 @@
 func (n *Node) TakeListing(now house.Micros, listing Listing) []any {
 	n.now = now
 	if n.cell.TakeListing(now, listing) {
-		n.spread(n.leavingRecords(), true)
+		n.announce(n.leavingRecords())
+	}
+	return n.finish()
+}
+
+// Probed takes what this node found when it tried to reach an engine.
+func (n *Node) Probed(now house.Micros, id string, start uint64, isDark bool) []any {
+	n.now = now
+	if engine, isThere := n.cell.engines.Get(id); isThere && engine.Start == start && engine.IsDark != isDark {
+		engine.IsDark = isDark
+		engine.DarkSeq++
+		n.hear([]EngineRecord{engine})
+		// Dark engines swallow requests that can't be tried again, so routers hear at once.
+		n.spread([]EngineRecord{engine.aged(now)}, true)
 	}
 	return n.finish()
 }
@@ -340,14 +363,8 @@
 }
 
 func (n *Node) hear(records []EngineRecord) {
-	fresh := []EngineRecord{}
-	for _, record := range records {
-		if n.cell.TakeEngine(n.now, record, true) {
-			fresh = append(fresh, record.aged(n.now))
-		}
-	}
+	n.takeHeard(records)
 	if n.isHome() {
-		n.spread(fresh, true)
 		return
 	}
 	aged := make([]EngineRecord, 0, len(records))
@@ -355,10 +372,42 @@
 		aged = append(aged, record.aged(n.now))
 	}
 	n.send(n.home(), Message{Heard: &Heard{aged}})
-	// Without a home there is nobody to pass a leaving mark on, so it goes to everyone known.
-	if n.isHomeless() {
-		n.spread(fresh, true)
+}
+
+// takeHeard takes records that were learned in this zone and announces the
+// leaving marks among them.
+func (n *Node) takeHeard(records []EngineRecord) {
+	fresh := []EngineRecord{}
+	for _, record := range records {
+		if n.cell.TakeEngine(n.now, record, true) {
+			fresh = append(fresh, record.aged(n.now))
+		}
 	}
+	n.announce(fresh)
+}
+
+// announce spreads leaving marks at once and twice again. It does not lean on
+// the home alone: that one may have died a moment ago and nobody know it yet.
+func (n *Node) announce(records []EngineRecord) {
+	if len(records) == 0 {
+		return
+	}
+	n.spread(records, true)
+	n.urgent = append(n.urgent, urgentNews{records, n.now + 300*house.Millisecond, 2})
+}
+
+func (n *Node) tickUrgent() {
+	kept := n.urgent[:0]
+	for _, news := range n.urgent {
+		if n.now >= news.at {
+			n.spread(news.records, true)
+			news.at, news.left = n.now+600*house.Millisecond, news.left-1
+		}
+		if news.left > 0 {
+			kept = append(kept, news)
+		}
+	}
+	n.urgent = kept
 }
 
 // spread pushes urgent records to the zone, and from a home or a homeless node beyond it.
@@ -412,7 +461,7 @@
 		for _, record := range m.Heard.Engines {
 			records = append(records, record.placed(n.now))
 		}
-		n.hearForZone(records)
+		n.takeHeard(records)
 	case m.News != nil:
 		n.onNews(from, m.News)
 	case m.Mend != nil:
@@ -447,23 +496,17 @@
 	}
 }
 
-// hearForZone takes what a node of the zone heard. It is passed on only by the
-// home: a node that is none any more would otherwise bounce it back and forth.
-func (n *Node) hearForZone(records []EngineRecord) {
-	fresh := []EngineRecord{}
-	for _, record := range records {
-		if n.cell.TakeEngine(n.now, record, true) {
-			fresh = append(fresh, record.aged(n.now))
-		}
-	}
-	n.spread(fresh, true)
-}
-
 func (n *Node) onAsk(from string, m *Ask) {
 	n.cell.TakeNode(n.now, m.Node.placed(n.now), true)
 	if news := n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false); true {
 		n.send(from, Message{News: news})
 	}
+	// Where the two differ, each gets what the other has: what only this node
+	// knows, say a mark from before this home was one, would else stay with it.
+	if differing := n.cell.Differing(n.now, m.Digests); len(differing) > 0 {
+		n.send(from, Message{News: &News{Home: n.cell.incarnation, Engines: differing}})
+		n.send(from, Message{Mend: &Mend{Digests: n.cell.Digests()}})
+	}
 	// A node that is behind need not wait for the leader's word to get the document.
 	if m.Applied < n.licence.Generation() {
 		n.send(from, Message{Grant: &Grant{Generation: n.licence.Generation(), Document: n.licence.applied}})
@@ -553,6 +596,7 @@
 		n.cell.Sweep(now)
 	}
 	n.tickMend()
+	n.tickUrgent()
 	n.tickErrands()
 	return n.finish()
 }
@@ -588,7 +632,11 @@
 		return
 	}
 	if home := n.home(); home != "" {
-		n.send(home, Message{Ask: &Ask{RouterAsk: own, Node: record.aged(n.now), SeenHome: n.seenHome, SeenNews: n.seenNews}})
+		ask := &Ask{RouterAsk: own, Node: record.aged(n.now), SeenHome: n.seenHome, SeenNews: n.seenNews}
+		if n.askTurn++; n.askTurn%4 == 0 {
+			ask.Digests = n.cell.Digests()
+		}
+		n.send(home, Message{Ask: ask})
 	}
 	// A silent home must not cost the licence: the leader is asked directly as well.
 	if n.isHomeless() {
--- a/traproom/drama.go
+++ b/traproom/drama.go
@@ -212,6 +212,7 @@
 		w.in(w.between(sec, 8*sec), func() { e.isDark = false })
 	}},
 	{"an engine leaves", 4, func(w *World) { w.retireEngine(w.anyEngine()) }},
+	{"an engine is marked leaving at one node", 3, func(w *World) { w.mark(w.any(), w.anyEngine()) }},
 	{"engines are rolled", 1, func(w *World) {
 		for i, e := range w.engines[:6] {
 			w.in(house.Micros(i)*1500*ms, func() { w.retireEngine(e) })
@@ -352,6 +353,44 @@
 	})
 }
 
+// mark tells one node, once and by no other way, that an engine is leaving. Where
+// that node is cut off or dies at once, nobody else can have learned of it.
+func (w *World) mark(m *machine, e *engine) {
+	if !m.isUp || m.isFrozen || !e.isUp || e.isLeaving || w.isCutOff(m) {
+		return
+	}
+	start, epoch, at := e.start, m.epoch, w.now
+	for _, known := range m.node.State(nil).Engines {
+		if known.ID != e.id || known.Start != start {
+			continue
+		}
+		w.trace("engine %s is marked leaving at %s", e.id, m.name)
+		now := m.clock()
+		known.IsLeaving, known.Age, known.Up = true, now-known.AsOf, now-known.StartedAt
+		m.carry(m.node.Hear(now, []flyloft.EngineRecord{known}))
+		w.in(300*ms, func() {
+			if m.epoch == epoch && !m.isFrozen && !w.isCutOff(m) {
+				w.events = append(w.events, critic.Event{At: at, What: critic.EngineLeaving, Engine: e.id, Start: start})
+			}
+		})
+		w.in(8*sec, func() {
+			if e.start == start && e.isUp {
+				e.halt()
+				w.in(sec, e.boot)
+			}
+		})
+	}
+}
+
+func (w *World) isCutOff(m *machine) bool {
+	for way, count := range w.blocked {
+		if count > 0 && way[0] == m.identity.Address {
+			return true
+		}
+	}
+	return w.lossShare > 0
+}
+
 func draw(w *World, from []fault) fault {
 	total := 0
 	for _, fault := range from {
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -237,6 +237,7 @@
 	m.node = flyloft.NewNode(settings, m.clock())
 	m.tick(m.epoch)
 	m.poll(m.epoch)
+	m.probe(m.epoch, map[string]int{})
 	w.trace("%s up", m.name)
 }
 
@@ -407,6 +408,32 @@
 	m.world.in(sec, func() { m.poll(epoch) })
 }
 
+// probe tries the zone's engines, as a home does.
+func (m *machine) probe(epoch int, missed map[string]int) {
+	if m.epoch != epoch || !m.isUp {
+		return
+	}
+	if state := m.node.State(nil); !m.isFrozen && state.IsHome {
+		for _, known := range state.Engines {
+			for _, e := range m.world.engines {
+				if e.id != known.ID || known.Zone != m.identity.Zone || known.IsUnlisted {
+					continue
+				}
+				isThere := e.isUp && !e.isDark
+				if isThere {
+					missed[e.id] = 0
+				} else {
+					missed[e.id]++
+				}
+				if isDark := missed[e.id] >= 3; isDark != known.IsDark && (isDark || isThere) {
+					m.carry(m.node.Probed(m.clock(), known.ID, known.Start, isDark))
+				}
+			}
+		}
+	}
+	m.world.in(500*ms, func() { m.probe(epoch, missed) })
+}
+
 // ---- network ----
 
 func (w *World) block(from, to string) { w.blocked[[2]string{from, to}]++ }
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -76,6 +76,7 @@
 	if r.platform != "" {
 		workers.Go(r.pollPlatform)
 	}
+	workers.Go(r.probeEngines)
 	ticker := time.NewTicker(tickSpan.Duration())
 	defer ticker.Stop()
 	for {
@@ -335,3 +336,65 @@
 	}
 	return listing, nil
 }
+
+// Probing: a home tries its zone's engines so often, and after so many silences
+// in a row calls one dark.
+const (
+	probeEvery = 500 * time.Millisecond
+	probeSpan  = 700 * time.Millisecond
+	probeMiss  = 3
+)
+
+// probeEngines looks whether the engines of this zone still answer. Any answer
+// will do: a status says that a process is there, whatever it thinks of the path.
+func (r *Runner) probeEngines() {
+	client := &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: engineDialer(), MaxIdleConnsPerHost: 1}}
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	missed := map[string]int{}
+	for {
+		select {
+		case <-r.cue.Done():
+			return
+		case <-ticker.C:
+		}
+		state := r.State()
+		if !state.IsHome {
+			continue
+		}
+		var probes sync.WaitGroup
+		var lock sync.Mutex
+		for _, engine := range state.Engines {
+			if engine.Zone != r.cue.Self.Zone || engine.IsUnlisted || engine.Address == "" {
+				continue
+			}
+			probes.Go(func() {
+				isThere := probe(r.cue, client, engine.Address)
+				lock.Lock()
+				defer lock.Unlock()
+				if isThere {
+					missed[engine.ID] = 0
+				} else {
+					missed[engine.ID]++
+				}
+				if isDark := missed[engine.ID] >= probeMiss; isDark != engine.IsDark && (isDark || isThere) {
+					r.post(func() []any { return r.node.Probed(r.cue.Clock.Now(), engine.ID, engine.Start, isDark) })
+				}
+			})
+		}
+		probes.Wait()
+	}
+}
+
+func probe(ctx context.Context, client *http.Client, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/health", nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return true
+}
