Hard cases of the core as tests; a restarted router finds its fleet when all seeds are gone

Cause: a router restarted after all three seeds had been swapped knew nobody to ask. The leader now writes to registered routers it does not hear, and whoever writes first is somebody to ask. Before: no service on that router; after: within 12 s.

--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -117,6 +117,7 @@
 	round         uint64
 	roundAlarm    house.Micros
 	isRoundWanted bool
+	nudgeAlarm    house.Micros
 	isOwnTerm     bool // a document of this term is committed
 	batches       []waitingBatch
 	seen          map[string]*sighting
@@ -1051,6 +1052,7 @@
 		}
 		c.build()
 		c.settleReceipts()
+		c.nudgeSilent()
 		if c.isLeaving && len(c.doc.Voters) > 1 && c.committed.stamp() == c.doc.stamp() {
 			c.yieldLead("this member is leaving")
 		}
@@ -1063,6 +1065,20 @@
 	}
 }
 
+// nudgeSilent writes to registered routers that are not heard of. One that was
+// restarted and whose seeds are all gone by now learns in this way who is there.
+func (c *Core) nudgeSilent() {
+	if c.now < c.nudgeAlarm || !c.isOwnTerm {
+		return
+	}
+	c.nudgeAlarm = c.now + 2*house.Second
+	for _, address := range c.committed.Register {
+		if seen := c.seen[address]; seen == nil || c.now-seen.at > house.Second {
+			c.send(address, Message{Nudge: &Nudge{c.committed.Generation}})
+		}
+	}
+}
+
 // found makes the first document, if every founder is there and empty. The
 // lowest address does it, so that there is only one who may.
 func (c *Core) found() {
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -434,6 +434,10 @@
 
 func (n *Node) receive(envelope Envelope) {
 	from, m := envelope.From, envelope.Message
+	// Before anything else is known, whoever writes is somebody to ask.
+	if n.licence.applied == nil && from != n.self() && !slices.Contains(n.otherHints, from) {
+		n.otherHints = append(n.otherHints, from)
+	}
 	switch {
 	case m.Ask != nil:
 		n.onAsk(from, m.Ask)
@@ -477,7 +481,7 @@
 			n.leaderHint, n.leaderWord = m.Elsewhere.Leader, n.now
 		}
 		if len(m.Elsewhere.Voters) > 0 {
-			n.otherHints = m.Elsewhere.Voters
+			n.otherHints = append([]string{from}, m.Elsewhere.Voters...)
 		}
 		if n.core != nil {
 			n.core.Receive(n.now, from, m)
--- /dev/null
+++ b/traproom/core_test.go
@@ -0,0 +1,409 @@
+package traproom
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/critic"
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+)
+
+// newest is the newest document that any live node has applied.
+func (w *World) newest() *flyloft.Document {
+	var newest *flyloft.Document
+	for _, m := range w.machines {
+		if !m.isUp || m.isFrozen {
+			continue
+		}
+		if document := m.node.State(nil).Document; document != nil && (newest == nil || newest.Generation < document.Generation) {
+			newest = document
+		}
+	}
+	return newest
+}
+
+func (w *World) votes(m *machine) bool {
+	for _, voter := range w.newest().Voters {
+		if voter.Address == m.identity.Address && m.isUp && voter.ID == m.store.Member() {
+			return true
+		}
+	}
+	return false
+}
+
+// await runs until a condition holds, and fails when it does not in time.
+func (w *World) await(c *qt.C, what string, most house.Micros, isMet func() bool) house.Micros {
+	c.Helper()
+	for begun := w.now; w.now-begun <= most; w.Run(50 * ms) {
+		if isMet() {
+			return w.now - begun
+		}
+	}
+	c.Fatalf("not within %d us: %s", most, what)
+	return 0
+}
+
+// servedBetween counts requests that were sent and served within a span.
+func (w *World) servedBetween(from, to house.Micros) int {
+	count := 0
+	for _, event := range w.events {
+		if event.What == critic.CallEnded && event.Outcome == critic.Served && event.Began >= from && event.Began < to {
+			count++
+		}
+	}
+	return count
+}
+
+func TestAVoterWithALostDiskComesBackAsANewMember(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 11)
+	victim := w.machines[1]
+	old := victim.store.Member()
+	w.loseDisk(victim)
+	w.Run(500 * ms)
+	victim.boot()
+	c.Assert(victim.store.Member(), qt.Not(qt.Equals), old)
+	w.await(c, "the emptied member votes again under its new id", 20*sec, func() bool { return w.votes(victim) && len(w.newest().Voters) == 3 })
+	for _, voter := range w.newest().Voters {
+		c.Assert(voter.ID, qt.Not(qt.Equals), old)
+	}
+	finish(c, w)
+}
+
+func TestAnEmptyMachineElsewhereTakesALostVotersPlaceUnattended(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 12)
+	lost := w.machines[2]
+	w.replace(lost)
+	fresh := w.machines[len(w.machines)-1]
+	w.await(c, "the empty machine votes", 25*sec, func() bool { return fresh.isUp && w.votes(fresh) && len(w.newest().Voters) == 3 })
+	finish(c, w)
+}
+
+func TestAllVotersAreSwappedOneAfterAnother(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 13)
+	founding := w.newest().Founding
+	first := append([]*machine(nil), w.machines[:3]...)
+	for _, old := range first {
+		w.replace(old)
+		fresh := w.machines[len(w.machines)-1]
+		w.await(c, "the next swap", 25*sec, func() bool { return fresh.isUp && w.votes(fresh) && len(w.newest().Voters) == 3 })
+	}
+	// No seed is left: a router that starts now has only its neighbours' word.
+	late := w.machines[7]
+	bounce(late, 200*ms)
+	w.await(c, "service with none of the seeds alive", 12*sec, func() bool { return w.ready() == len(w.machines)-3 })
+	c.Assert(w.newest().Founding, qt.Equals, founding)
+	finish(c, w)
+}
+
+func TestALeaderWithAStalledDiskYields(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 14)
+	leader := w.leader()
+	leader.disk.isStall = true
+	yes := w.operator.Yes
+	w.operator.putSpec(nil)
+	w.await(c, "another leader and a yes", 8*sec, func() bool { return w.operator.Yes > yes && w.leader() != leader })
+	leader.disk.isStall = false
+	finish(c, w)
+}
+
+func TestAFullDiskServesOnAndRecovers(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 15)
+	for _, m := range w.core() {
+		m.disk.isFull = true
+	}
+	begun, yes := w.now, w.operator.Yes
+	w.operator.putSpec(nil)
+	w.Run(15 * sec)
+	c.Assert(w.operator.Yes, qt.Equals, yes)
+	ailing := 0
+	for _, m := range w.core() {
+		if m.node.State(nil).Ailment != "" {
+			ailing++
+		}
+	}
+	c.Assert(ailing > 0, qt.IsTrue)
+	c.Assert(w.servedBetween(begun+4*sec, w.now) > 50, qt.IsTrue)
+	for _, m := range w.core() {
+		m.disk.isFull = false
+	}
+	finish(c, w)
+}
+
+func TestRoutersOutliveTheCore(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 16)
+	for _, m := range w.core() {
+		m.halt()
+	}
+	begun := w.now
+	w.Run(20 * sec)
+	// Seven of eleven registered routers are left, which is a majority.
+	c.Assert(w.ready(), qt.Equals, 7)
+	c.Assert(w.servedBetween(begun+3*sec, w.now) > 60, qt.IsTrue)
+	for _, m := range w.core() {
+		m.boot()
+	}
+	finish(c, w)
+}
+
+// With the core and half of the routers gone there is no majority of any kind, and
+// the rest has to stop: it can't know of a spec acknowledged on the other side.
+func TestAMinorityOfRoutersStopsServingInTime(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 17)
+	minority := w.machines[8:]
+	w.cut(minority, w.others(minority), false, 10*sec)
+	w.Run(2 * sec)
+	for _, m := range minority {
+		c.Assert(m.clock() >= m.node.State(nil).Until, qt.IsTrue)
+	}
+	yes := w.operator.Yes
+	w.operator.at = w.machines[5]
+	w.operator.putSpec(nil)
+	w.await(c, "a yes on the larger side", 8*sec, func() bool { return w.operator.Yes > yes })
+	w.Run(10 * sec)
+	finish(c, w)
+}
+
+func TestAColdFleetServesSoonAndKeepsItsOrders(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 18)
+	yes := w.operator.Yes
+	w.operator.empty("z3", 60*sec)
+	w.operator.putSpec(nil)
+	w.await(c, "both orders", 8*sec, func() bool { return w.operator.Yes == yes+2 })
+	before := w.newest()
+	for _, m := range w.machines {
+		m.halt()
+	}
+	w.Run(5 * sec)
+	for _, m := range w.machines {
+		m.boot()
+	}
+	w.await(c, "every router serves", 12*sec, func() bool { return w.ready() == len(w.machines) })
+	after := w.newest()
+	c.Assert(after.Evacuated, qt.DeepEquals, before.Evacuated)
+	c.Assert(string(after.Spec), qt.Equals, string(before.Spec))
+	finish(c, w)
+}
+
+func TestALeaderThatWakesPastItsTermGrantsNothingOld(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 19)
+	leader := w.leader()
+	leader.freeze(8 * sec)
+	w.Run(3 * sec)
+	yes := w.operator.Yes
+	w.operator.putSpec(nil)
+	w.await(c, "a yes from the next leader", 8*sec, func() bool { return w.operator.Yes > yes })
+	w.Run(8 * sec)
+	c.Assert(leader.node.State(nil).Role, qt.Equals, "follower")
+	finish(c, w)
+}
+
+func TestFoundingWaitsForEveryFounder(t *testing.T) {
+	c := qt.New(t)
+	w := WorldOf(20, "qurum")
+	missing := w.machines[1]
+	missing.halt()
+	w.Run(15 * sec)
+	c.Assert(w.newest(), qt.IsNil)
+	missing.boot()
+	w.await(c, "the founding", 8*sec, func() bool { return w.newest() != nil })
+	c.Assert(w.newest().Voters, qt.HasLen, 3)
+	w.operator.putSpec(nil)
+	w.await(c, "every router serves", 12*sec, func() bool { return w.ready() == len(w.machines) })
+}
+
+// A founder whose disk is lost later must not found a second fleet beside the first.
+func TestNobodyFoundsTwice(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 21)
+	founding := w.newest().Founding
+	for _, m := range w.core() {
+		m.halt()
+	}
+	// Two of three founders are lost for good: the fleet may stand still, but not begin anew.
+	w.machines[0].disk.files = map[string][]byte{}
+	w.machines[1].disk.files = map[string][]byte{}
+	for _, m := range w.core() {
+		m.boot()
+	}
+	w.Run(20 * sec)
+	for _, m := range w.machines {
+		if state := m.node.State(nil); state.Founding != "" {
+			c.Assert(state.Founding, qt.Equals, founding)
+		}
+	}
+	c.Assert(w.wrongs, qt.HasLen, 0)
+}
+
+func TestAMemberOfAnotherFleetIsDeclined(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 22)
+	target := w.leader()
+	before := len(w.newest().Voters)
+	for _, stray := range []flyloft.Envelope{
+		{Fleet: "another", From: "10.9.9.9:1", To: target.identity.Address, Message: flyloft.Message{VoteAsk: &flyloft.VoteAsk{
+			Term: 1000, Candidate: flyloft.Member{ID: "x", Address: "10.9.9.9:1"}, Voter: target.store.Member(), IsNamed: true, Newest: flyloft.Stamp{Term: 999, Generation: 999}}}},
+		{Fleet: "sim", Founding: "someone else's", From: "10.9.9.9:1", To: target.identity.Address, Message: flyloft.Message{Join: &flyloft.Join{
+			Member: flyloft.Member{ID: "y", Address: "10.9.9.9:1", Zone: "z9"}, HasFolder: true}}},
+	} {
+		target.carry(target.node.Deliver(target.clock(), stray))
+	}
+	entries := target.journal.Read("flyloft", "node 10.9.9.9:1", 0)
+	c.Assert(entries, qt.HasLen, 1) // the second comes within the span in which one note is enough
+	c.Assert(entries[0].Decision, qt.Equals, "decline message")
+	c.Assert(target.node.State(nil).IsLeader, qt.IsTrue)
+	w.Run(2 * sec)
+	c.Assert(w.newest().Voters, qt.HasLen, before)
+	finish(c, w)
+}
+
+func TestSplitsOfTheCore(t *testing.T) {
+	for name, cut := range map[string]func(w *World){
+		"two and two": func(w *World) { w.cut(w.core()[:2], w.core()[2:], false, 8*sec) },
+		"nothing gets out of the leader": func(w *World) {
+			one := []*machine{w.leader()}
+			w.cut(one, w.others(one), true, 8*sec)
+		},
+		"nothing gets to the leader": func(w *World) {
+			one := []*machine{w.leader()}
+			w.cut(w.others(one), one, true, 8*sec)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := openWorld(c, "qurum", 23)
+			cut(w)
+			yes := w.operator.Yes
+			w.operator.at = w.machines[6]
+			w.operator.putSpec(nil)
+			w.await(c, "a yes on the side with the majority", 9*sec, func() bool { return w.operator.Yes > yes })
+			w.Run(8 * sec)
+			finish(c, w)
+		})
+	}
+}
+
+func TestAFencedSubmissionNeverTakesEffect(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 24)
+	m := w.machines[5]
+	spec := w.nextSpec()
+	ends := []flyloft.SubmitReceipt{}
+	submit := func(order flyloft.Order) {
+		m.receipts["late"] = func(receipt flyloft.SubmitReceipt) { ends = append(ends, receipt) }
+		m.carry(m.node.Submit(m.clock(), &flyloft.Submit{ID: "late", Order: order, Spec: spec}))
+		w.Run(3 * sec)
+	}
+	submit(flyloft.Fence)
+	submit(flyloft.PutSpec)
+	c.Assert(ends, qt.HasLen, 2)
+	for _, end := range ends {
+		c.Assert(end.Outcome, qt.Equals, flyloft.No)
+		c.Assert(end.Reason, qt.Equals, "fenced")
+	}
+	c.Assert(string(w.newest().Spec), qt.Not(qt.Equals), string(spec))
+	finish(c, w)
+}
+
+func TestRepeatsClashesAndReusedIDs(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 25)
+	send := func(at int, submit flyloft.Submit) flyloft.SubmitReceipt {
+		m := w.machines[at]
+		var end *flyloft.SubmitReceipt
+		m.receipts[submit.ID] = func(receipt flyloft.SubmitReceipt) { end = &receipt }
+		m.carry(m.node.Submit(m.clock(), &submit))
+		w.await(c, "a receipt", 8*sec, func() bool { return end != nil })
+		return *end
+	}
+	base := w.newest().SpecGeneration
+	one, two := w.nextSpec(), w.nextSpec()
+	first := send(4, flyloft.Submit{ID: "one", Order: flyloft.PutSpec, Spec: one, Base: &base})
+	c.Assert(first.Outcome, qt.Equals, flyloft.Yes)
+	again := send(9, flyloft.Submit{ID: "one", Order: flyloft.PutSpec, Spec: one, Base: &base})
+	c.Assert(again, qt.DeepEquals, first)
+	reused := send(2, flyloft.Submit{ID: "one", Order: flyloft.PutSpec, Spec: two})
+	c.Assert(reused.Reason, qt.Equals, "id_reused")
+	clash := send(7, flyloft.Submit{ID: "two", Order: flyloft.PutSpec, Spec: two, Base: &base})
+	c.Assert(clash.Outcome, qt.Equals, flyloft.No)
+	c.Assert(clash.Reason, qt.Equals, "clash")
+	bad := send(7, flyloft.Submit{ID: "bad", Order: flyloft.PutSpec, Spec: []byte(`{"bindings":3}`)})
+	c.Assert(bad.Reason, qt.Equals, "invalid_spec")
+	c.Assert(string(w.newest().Spec), qt.Equals, string(one))
+	finish(c, w)
+}
+
+func TestDeadRoutersLeaveTheRegisterOneAtATime(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 26)
+	for _, m := range w.machines[7:11] {
+		m.halt()
+		m.isGone = true
+	}
+	sizes := map[int]bool{}
+	w.await(c, "the dead are struck off", 60*sec, func() bool {
+		sizes[len(w.newest().Register)] = true
+		return len(w.newest().Register) == 7
+	})
+	for size := 7; size <= 11; size++ {
+		c.Assert(sizes[size], qt.IsTrue, qt.Commentf("the register never had %d", size))
+	}
+	finish(c, w)
+}
+
+func TestTheHomeIsHandedOnAndReplaced(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 27)
+	home := func() *machine { return w.byPeer[w.newest().Homes["z2"]] }
+	first := home()
+	w.leave(first)
+	took := w.await(c, "the named successor is home", 3*sec, func() bool { return home() != first })
+	c.Assert(took < 1500*ms, qt.IsTrue, qt.Commentf("a silence had to pass first: %d us", took))
+	second := home()
+	second.halt()
+	w.await(c, "a majority names another home", 6*sec, func() bool { return home() != second })
+	w.await(c, "the zone serves", 6*sec, func() bool { return w.ready() >= len(w.machines)-2 })
+	second.boot()
+	finish(c, w)
+}
+
+// A mark known to one node only has to get round while the core is dark and the
+// zone's home is dead.
+func TestALeavingMarkGetsRoundWithoutCoreAndHome(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 28)
+	for _, m := range w.core() {
+		m.halt()
+	}
+	w.Run(sec)
+	for _, e := range w.engines {
+		e.isMute = true
+	}
+	w.mark(w.machines[9], w.engines[3])
+	w.Run(3 * sec)
+	for _, m := range w.machines {
+		if !m.isUp {
+			continue
+		}
+		for _, known := range m.node.State(nil).Engines {
+			if known.ID == w.engines[3].id {
+				c.Assert(known.IsLeaving, qt.IsTrue, qt.Commentf("%s does not know", m.name))
+			}
+		}
+	}
+	for _, m := range w.core() {
+		m.boot()
+	}
+	w.Run(8 * sec)
+	finish(c, w)
+}
--- a/traproom/drama.go
+++ b/traproom/drama.go
@@ -308,6 +308,13 @@
 	m.halt()
 	m.isGone = true
 	fresh := w.addMachine(m.identity.Zone, true)
+	// Who sets a machine up later names processes that are there by then.
+	fresh.seeds = nil
+	for _, other := range w.machines {
+		if other.isUp && len(fresh.seeds) < 3 {
+			fresh.seeds = append(fresh.seeds, other.identity.Address)
+		}
+	}
 	w.trace("%s is replaced by %s", m.name, fresh.name)
 	w.in(w.between(500*ms, 3*sec), fresh.boot)
 }
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -339,6 +339,7 @@
 
 type operator struct {
 	world  *World
+	at     *machine // whom orders go to; anyone when nil
 	count  int
 	acked  map[uint64]string
 	open   map[string]bool
@@ -384,6 +385,9 @@
 		}
 	}
 	m := w.machines[w.random.IntN(len(w.machines))]
+	if o.at != nil {
+		m = o.at
+	}
 	// The operator's own patience; also what it waits when the node is down.
 	patience := 11 * sec
 	if !m.isUp {
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -49,6 +49,7 @@
 	identity house.Identity
 	isRouter bool
 	isCore   bool // runs a prompter
+	seeds    []string
 	disk     *disk
 
 	// The own clock: an offset and a rate of its own.
@@ -125,6 +126,9 @@
 	for _, m := range w.machines[:3] {
 		w.seeds = append(w.seeds, m.identity.Address)
 	}
+	for _, m := range w.machines {
+		m.seeds = w.seeds
+	}
 	for i := range engines {
 		w.engines = append(w.engines, &engine{
 			world: w, id: fmt.Sprintf("e%02d", i), zone: w.zones[i%zones], start: 1, isUp: true, bornAt: beginning - 100*sec,
@@ -154,6 +158,7 @@
 	}
 	w.machines = append(w.machines, m)
 	w.byPeer[m.identity.Address] = m
+	m.seeds = w.seeds
 	return m
 }
 
@@ -209,7 +214,7 @@
 	w.startTick++
 	settings := flyloft.NodeSettings{
 		Identity: m.identity, IsRouter: m.isRouter, IsPrompter: m.isCore, HasFolder: m.disk != nil,
-		Seeds: w.seeds, Start: w.startTick, RandomSeed: w.random.Uint64(), Timing: flyloft.DefaultTiming(), Journal: m.journal,
+		Seeds: m.seeds, Start: w.startTick, RandomSeed: w.random.Uint64(), Timing: flyloft.DefaultTiming(), Journal: m.journal,
 		CheckSpec: func(document []byte) error { _, _, err := playbill.Read(document); return err },
 		Member:    flyloft.MemberID("none-" + m.name),
 	}
