--- /dev/null
+++ b/contracts/contracts.go
@@ -0,0 +1,244 @@
+// Package contracts holds what every folder, store and transport has to keep to,
+// whether it is real or simulated. Tests of each kind run these.
+package contracts
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+)
+
+// Folder is the contract of a data folder.
+func Folder(t *testing.T, open func(t *testing.T) house.Folder) {
+	c := qt.New(t)
+	folder := open(t)
+	_, err := folder.Get("none")
+	var missing house.MissingFile
+	c.Assert(errors.As(err, &missing), qt.IsTrue)
+	c.Assert(missing.Name, qt.Equals, "none")
+	for i, content := range []string{"", "one", "two\x00\n"} {
+		c.Assert(folder.Put(fmt.Sprintf("file-%d", i), []byte(content)), qt.IsNil)
+		got, err := folder.Get(fmt.Sprintf("file-%d", i))
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(got), qt.Equals, content)
+	}
+	c.Assert(folder.Put("file-1", []byte("again")), qt.IsNil)
+	got, err := folder.Get("file-1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, "again")
+	// What is handed out is a copy.
+	got[0] = 'X'
+	got, err = folder.Get("file-1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, "again")
+	c.Assert(folder.Put("other", []byte("x")), qt.IsNil)
+	names, err := folder.List("file-")
+	c.Assert(err, qt.IsNil)
+	c.Assert(names, qt.DeepEquals, []string{"file-0", "file-1", "file-2"})
+	c.Assert(folder.Rename("file-2", "moved"), qt.IsNil)
+	c.Assert(folder.Remove("file-0"), qt.IsNil)
+	c.Assert(folder.Remove("file-0"), qt.IsNil)
+	names, err = folder.List("")
+	c.Assert(err, qt.IsNil)
+	c.Assert(names, qt.DeepEquals, []string{"file-1", "moved", "other"})
+}
+
+// Document makes a document for tests.
+func Document(generation, term, specGeneration uint64) *flyloft.Document {
+	return &flyloft.Document{
+		Founding: "f", Generation: generation, Term: term, SpecGeneration: specGeneration,
+		Spec:   fmt.Appendf(nil, `{"bindings":[{"name":"b%d","shares":[{"weight":1}]}]}`, specGeneration),
+		Voters: []flyloft.Member{{ID: "m", Address: "10.0.0.1:1", Zone: "z"}}, Homes: map[string]string{"z": "10.0.0.1:1"},
+		Evacuated: map[string]uint64{"z2": 2},
+	}
+}
+
+// Store is the contract of the store over a folder. The folder outlives a crash;
+// cutAfter lets the power go after so many steps of the next save.
+func Store(t *testing.T, open func(t *testing.T) house.Folder, cutAfter func(folder house.Folder, steps int)) {
+	fresh := func() string { return "fresh" }
+	t.Run("a new folder makes a member, and keeps it", func(t *testing.T) {
+		c := qt.New(t)
+		folder := open(t)
+		store, ballot, document, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		c.Assert(store.Member(), qt.Equals, flyloft.MemberID("fresh"))
+		c.Assert(ballot, qt.Equals, flyloft.Ballot{})
+		c.Assert(document, qt.IsNil)
+		again, _, _, err := flyloft.OpenStore(folder, "fleet", func() string { return "another" })
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Member(), qt.Equals, flyloft.MemberID("fresh"))
+		_, _, _, err = flyloft.OpenStore(folder, "other fleet", fresh)
+		c.Assert(errors.As(err, new(flyloft.DamagedFile)), qt.IsTrue)
+	})
+	t.Run("what was saved is there after a crash", func(t *testing.T) {
+		c := qt.New(t)
+		folder := open(t)
+		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		wanted := Document(7, 3, 5)
+		c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3, VotedFor: "x"}, Document: wanted}), qt.IsNil)
+		_, ballot, document, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		c.Assert(ballot, qt.Equals, flyloft.Ballot{Term: 3, VotedFor: "x"})
+		c.Assert(document, qt.DeepEquals, wanted)
+	})
+	t.Run("the power may go between any two steps", func(t *testing.T) {
+		c := qt.New(t)
+		for steps := range 8 {
+			folder := open(t)
+			store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+			c.Assert(err, qt.IsNil)
+			old := Document(7, 3, 5)
+			c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: old}), qt.IsNil)
+			cutAfter(folder, steps)
+			next, stale := Document(7, 4, 6), flyloft.Stamp{Term: 3, Generation: 7}
+			failed := store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 4}, Document: next, Stale: &stale})
+			cutAfter(folder, -1)
+			_, ballot, document, err := flyloft.OpenStore(folder, "fleet", fresh)
+			c.Assert(err, qt.IsNil)
+			comment := qt.Commentf("%d steps, save: %v", steps, failed)
+			isNew := document.Term == 4
+			c.Assert(isNew || document.Term == 3, qt.IsTrue, comment)
+			if isNew {
+				c.Assert(document, qt.DeepEquals, next, comment)
+				c.Assert(ballot.Term, qt.Equals, uint64(4), comment)
+			} else {
+				c.Assert(document, qt.DeepEquals, old, comment)
+			}
+			if failed == nil {
+				c.Assert(isNew, qt.IsTrue, comment)
+			}
+		}
+	})
+	t.Run("a damaged generation is set aside and the one before is taken", func(t *testing.T) {
+		c := qt.New(t)
+		folder := open(t)
+		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		c.Assert(store.Save(flyloft.Save{Document: Document(7, 3, 5)}), qt.IsNil)
+		c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: Document(8, 3, 8)}), qt.IsNil)
+		names, err := folder.List("generation-")
+		c.Assert(err, qt.IsNil)
+		torn, err := folder.Get(names[1])
+		c.Assert(err, qt.IsNil)
+		c.Assert(folder.Put(names[1], torn[:len(torn)/2]), qt.IsNil)
+		store, ballot, document, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		c.Assert(store.Aside(), qt.DeepEquals, []string{names[1]})
+		c.Assert(document.Generation, qt.Equals, uint64(7))
+		c.Assert(ballot.Term, qt.Equals, uint64(3))
+	})
+	t.Run("without a sound ballot it is a new member with nothing", func(t *testing.T) {
+		c := qt.New(t)
+		folder := open(t)
+		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: Document(7, 3, 5)}), qt.IsNil)
+		c.Assert(folder.Put("ballot.json", []byte("torn")), qt.IsNil)
+		store, ballot, document, err := flyloft.OpenStore(folder, "fleet", func() string { return "newer" })
+		c.Assert(err, qt.IsNil)
+		c.Assert(store.Member(), qt.Equals, flyloft.MemberID("newer"))
+		c.Assert(ballot, qt.Equals, flyloft.Ballot{})
+		c.Assert(document, qt.IsNil)
+		c.Assert(store.Aside(), qt.HasLen, 3)
+	})
+	t.Run("specs of the past are read by any generation they were in force at", func(t *testing.T) {
+		c := qt.New(t)
+		folder := open(t)
+		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		// Every third generation brings a spec; the others change something else.
+		for generation := uint64(1); generation <= 150; generation++ {
+			c.Assert(store.Save(flyloft.Save{Document: Document(generation, 1, generation-generation%3)}), qt.IsNil)
+		}
+		names, err := folder.List("generation-")
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(names) < 100, qt.IsTrue, qt.Commentf("%d files are kept", len(names)))
+		for _, generation := range []uint64{150, 149, 148, 147, 120, 90, 60} {
+			document, err := store.SpecAt(generation)
+			c.Assert(err, qt.IsNil, qt.Commentf("generation %d", generation))
+			c.Assert(document.SpecGeneration, qt.Equals, generation-generation%3)
+		}
+		_, err = store.SpecAt(400)
+		c.Assert(errors.As(err, new(flyloft.MissingGeneration)), qt.IsTrue)
+	})
+}
+
+// Link is a transport between two nodes: send goes out from the first, and
+// arrived hands over what comes to the second, in any order.
+type Link struct {
+	From, To string
+	Send     func(flyloft.Envelope)
+	// Arrived waits for so many envelopes, as long as the transport may take.
+	Arrived func(count int) []flyloft.Envelope
+	// Nowhere is an address where nobody listens.
+	Nowhere string
+}
+
+// Transport is the contract of whatever carries envelopes.
+func Transport(t *testing.T, open func(t *testing.T) Link) {
+	t.Run("every kind of message arrives as it was sent", func(t *testing.T) {
+		c := qt.New(t)
+		link := open(t)
+		base := uint64(4)
+		sent := map[string]flyloft.Message{}
+		for _, message := range []flyloft.Message{
+			{VoteAsk: &flyloft.VoteAsk{Term: 3, IsPre: true, Candidate: flyloft.Member{ID: "a", Address: "b", Zone: "c"}, Voter: "v", Newest: flyloft.Stamp{Term: 1, Generation: 2}}},
+			{Pulse: &flyloft.Pulse{Term: 3, Target: "t", Round: 9, Committed: flyloft.Stamp{Term: 3, Generation: 8}, Document: Document(9, 3, 5)}},
+			{Submit: &flyloft.Submit{ID: "s", Order: flyloft.PutSpec, Spec: []byte("{\x00\xff}"), Base: &base}},
+			{Ask: &flyloft.Ask{RouterAsk: flyloft.RouterAsk{Address: "r", Seq: 7, Applied: 6, IsRouter: true}, Node: flyloft.NodeRecord{Address: "r", Age: 12}, Digests: []uint64{1<<64 - 1}}},
+			{News: &flyloft.News{Home: "h", Upto: 3, Engines: []flyloft.EngineRecord{{ID: "e", Start: 1<<63 + 1, IsLeaving: true, Age: 5, Up: 6}}}},
+			{Shuffle: &flyloft.Shuffle{View: []flyloft.Neighbour{{Address: "n", Zone: "z", Age: 2}}, IsReply: true}},
+		} {
+			envelope := flyloft.Envelope{Fleet: "fleet", Founding: "f", From: link.From, To: link.To, Message: message}
+			sent[text(c, message)] = message
+			link.Send(envelope)
+		}
+		got := link.Arrived(len(sent))
+		c.Assert(got, qt.HasLen, len(sent))
+		for _, envelope := range got {
+			message, isSent := sent[text(c, envelope.Message)]
+			c.Assert(isSent, qt.IsTrue)
+			c.Assert(envelope.Message, qt.DeepEquals, message)
+			c.Assert(envelope.From, qt.Equals, link.From)
+			c.Assert(envelope.Founding, qt.Equals, "f")
+		}
+	})
+	t.Run("a document of megabytes arrives", func(t *testing.T) {
+		c := qt.New(t)
+		link := open(t)
+		document := Document(9, 3, 5)
+		document.Spec = make([]byte, 4<<20)
+		for i := range document.Spec {
+			document.Spec[i] = byte(i * i)
+		}
+		link.Send(flyloft.Envelope{Fleet: "fleet", From: link.From, To: link.To, Message: flyloft.Message{Grant: &flyloft.Grant{Document: document}}})
+		got := link.Arrived(1)
+		c.Assert(got, qt.HasLen, 1)
+		c.Assert(string(got[0].Message.Grant.Document.Spec) == string(document.Spec), qt.IsTrue)
+	})
+	t.Run("nobody waits for a receiver that is not there", func(t *testing.T) {
+		c := qt.New(t)
+		link := open(t)
+		for i := range 2000 {
+			link.Send(flyloft.Envelope{Fleet: "fleet", From: link.From, To: link.Nowhere, Message: flyloft.Message{Nudge: &flyloft.Nudge{Generation: uint64(i)}}})
+		}
+		link.Send(flyloft.Envelope{Fleet: "fleet", From: link.From, To: link.To, Message: flyloft.Message{Nudge: &flyloft.Nudge{Generation: 77}}})
+		got := link.Arrived(1)
+		c.Assert(got, qt.HasLen, 1)
+		c.Assert(got[0].Message.Nudge.Generation, qt.Equals, uint64(77))
+	})
+}
+
+func text(c *qt.C, message flyloft.Message) string {
+	content, err := json.Marshal(message)
+	c.Assert(err, qt.IsNil)
+	return string(content)
+}
--- a/traproom/core_test.go
+++ b/traproom/core_test.go
@@ -407,3 +407,41 @@
 	w.Run(8 * sec)
 	finish(c, w)
 }
+
+// A leader that has lost its voters may not grant for the second or two until it
+// notices: each grant needs a round that a majority confirmed after the ask.
+func TestALeaderCutOffGrantsNothingMore(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 29)
+	leader := w.leader()
+	one := []*machine{leader}
+	w.cut(one, w.others(one), false, 8*sec)
+	w.Run(flyloft.DefaultTiming().Licence + 100*ms)
+	c.Assert(leader.clock() >= leader.node.State(nil).Until, qt.IsTrue)
+	w.Run(8 * sec)
+	finish(c, w)
+}
+
+// A restarted router has forgotten what it applied. While the core is dark its word
+// must not help an old generation past a newer one that it had helped to a yes.
+func TestARestartedRouterAttestsNothingUntilTheLeaderSpoke(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 30)
+	for _, m := range w.core() {
+		m.halt()
+	}
+	w.Run(3 * sec)
+	// Seven of eleven are left and six are a majority. One restarts: it gets a
+	// licence from the six others, but two restarted ones leave only five words.
+	bounce(w.machines[5], 200*ms)
+	w.Run(4 * sec)
+	c.Assert(w.ready(), qt.Equals, 7)
+	bounce(w.machines[6], 200*ms)
+	w.Run(4 * sec)
+	c.Assert(w.ready(), qt.Equals, 0)
+	for _, m := range w.core() {
+		m.boot()
+	}
+	w.await(c, "service with the core back", 12*sec, func() bool { return w.ready() == len(w.machines) })
+	finish(c, w)
+}
--- a/traproom/disk.go
+++ b/traproom/disk.go
@@ -31,6 +31,9 @@
 
 func newDisk() *disk { return &disk{files: map[string][]byte{}, stepsTo: -1} }
 
+// cutAfter lets the power go after so many steps; negative, never.
+func (d *disk) cutAfter(steps int) { d.stepsTo = steps }
+
 func (d *disk) step(name string) error {
 	if d.stepsTo == 0 {
 		return house.DiskBreakdown{Step: "reach", Name: name, Cause: diskLost{name}}
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -70,6 +70,8 @@
 	saving   *flyloft.Save
 	top      uint64 // the highest generation that this process has applied
 	receipts map[string]func(flyloft.SubmitReceipt)
+	// deliver takes what the network brings; tests of the network put their own here.
+	deliver func(flyloft.Envelope)
 }
 
 // World is one simulated fleet with its surroundings.
@@ -240,6 +242,7 @@
 		m.journal.Note(now, "auditorium", subject, decision, why)
 	})
 	m.node = flyloft.NewNode(settings, m.clock())
+	m.deliver = func(envelope flyloft.Envelope) { m.carry(m.node.Deliver(m.clock(), envelope)) }
 	m.tick(m.epoch)
 	m.poll(m.epoch)
 	m.probe(m.epoch, map[string]int{})
@@ -506,7 +509,7 @@
 				if err := json.Unmarshal(content, &arrived); err != nil {
 					panic(house.ServiceBreakdown{Name: "wire", Why: err.Error()})
 				}
-				to.carry(to.node.Deliver(to.clock(), arrived))
+				to.deliver(arrived)
 			})
 		})
 	}
--- /dev/null
+++ b/wings/contract_test.go
@@ -0,0 +1,85 @@
+package wings
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"k8s.io/klog/v2"
+
+	"dunlinloom/contracts"
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+)
+
+// cutFolder lets the power go after some steps, on a real disk.
+type cutFolder struct {
+	house.Folder
+	steps int
+}
+
+type powerGone struct{}
+
+func (powerGone) Error() string { return "the power is gone" }
+
+func (f *cutFolder) step() error {
+	if f.steps == 0 {
+		return house.DiskBreakdown{Step: "reach", Cause: powerGone{}}
+	}
+	f.steps--
+	return nil
+}
+
+func (f *cutFolder) Put(name string, content []byte) error {
+	if err := f.step(); err != nil {
+		return err
+	}
+	return f.Folder.Put(name, content)
+}
+
+func (f *cutFolder) Remove(name string) error {
+	if err := f.step(); err != nil {
+		return err
+	}
+	return f.Folder.Remove(name)
+}
+
+func TestTheRealDiskKeepsTheContracts(t *testing.T) {
+	open := func(t *testing.T) house.Folder {
+		folder, err := house.OpenFolder(t.TempDir())
+		qt.Assert(t, err, qt.IsNil)
+		return &cutFolder{folder, -1}
+	}
+	contracts.Folder(t, open)
+	contracts.Store(t, open, func(folder house.Folder, steps int) { folder.(*cutFolder).steps = steps })
+}
+
+func TestConnectKeepsTheContract(t *testing.T) {
+	contracts.Transport(t, func(t *testing.T) contracts.Link {
+		c := qt.New(t)
+		arrived := make(chan flyloft.Envelope, 64)
+		server := httptest.NewServer(NewPeerHandler(func(envelope flyloft.Envelope) { arrived <- envelope }, nil))
+		c.Cleanup(server.Close)
+		ctx, end := context.WithCancel(context.Background())
+		c.Cleanup(end)
+		gone := httptest.NewServer(http.NotFoundHandler())
+		gone.Close()
+		cue := house.Cue{Context: ctx, Clock: house.BootClock{}, Log: klog.Background()}
+		channels := NewChannels(cue, (&net.Dialer{}).DialContext)
+		return contracts.Link{
+			From: "10.0.0.1:1", To: strings.TrimPrefix(server.URL, "http://"), Nowhere: strings.TrimPrefix(gone.URL, "http://"),
+			Send: channels.Send,
+			Arrived: func(count int) []flyloft.Envelope {
+				got := []flyloft.Envelope{}
+				for len(got) < count {
+					got = append(got, <-arrived)
+				}
+				return got
+			},
+		}
+	})
+}
