Marks of leaving engines given by hand are kept by the core

Ruled out: the spread (all routers had it before the kill). The mark is now an order with a receipt, kept in the document; routers are told first, as before.

--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -831,6 +831,8 @@
 		if index := slices.Index(next.PriorRegister, m.Zone); index >= 0 {
 			next.PriorRegister = slices.Delete(next.PriorRegister, index, index+1)
 		}
+	case MarkEngine:
+		next.markLeaving(m.Engine, m.Start)
 	default:
 		c.decline(queued.from, m, "unknown_order", "%q", m.Order)
 		return false
--- a/flyloft/document.go
+++ b/flyloft/document.go
@@ -56,6 +56,34 @@
 	SpecGeneration uint64            `json:"spec_generation"`
 	Evacuated      map[string]uint64 `json:"evacuated"` // zone to the generation that emptied it
 	Submissions    []Submission      `json:"submissions"`
+	// Leaving holds the marks that were given to a node by hand. Reports and the
+	// platform's list repeat themselves; these are said once and must outlive us.
+	Leaving map[string]LeavingMark `json:"leaving,omitempty"`
+}
+
+// LeavingMark says up to which start an engine is leaving.
+type LeavingMark struct {
+	Start      uint64 `json:"start"`
+	Generation uint64 `json:"generation"`
+}
+
+// keptLeaving bounds the marks; the oldest give way.
+const keptLeaving = 256
+
+func (d *Document) markLeaving(engine string, start uint64) {
+	if known, isThere := d.Leaving[engine]; isThere && known.Start >= start {
+		return
+	}
+	d.Leaving[engine] = LeavingMark{start, d.Generation}
+	for len(d.Leaving) > keptLeaving {
+		oldest := ""
+		for _, name := range sortedKeys(d.Leaving) {
+			if oldest == "" || d.Leaving[name].Generation < d.Leaving[oldest].Generation {
+				oldest = name
+			}
+		}
+		delete(d.Leaving, oldest)
+	}
 }
 
 // keptSubmissions bounds how far back a repeated send is recognised.
@@ -69,7 +97,7 @@
 	copied.Register = slices.Clone(d.Register)
 	copied.PriorRegister = slices.Clone(d.PriorRegister)
 	copied.Submissions = slices.Clone(d.Submissions)
-	copied.Homes, copied.Evacuated = cloneMap(d.Homes), cloneMap(d.Evacuated)
+	copied.Homes, copied.Evacuated, copied.Leaving = cloneMap(d.Homes), cloneMap(d.Evacuated), cloneMap(d.Leaving)
 	return &copied
 }
 
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -1,6 +1,10 @@
 package flyloft
 
-import "dunlinloom/house"
+import (
+	"fmt"
+
+	"dunlinloom/house"
+)
 
 // Envelope is one message between two nodes. Messages may be lost, doubled,
 // late or out of order; every owner has to bear that.
@@ -111,6 +115,7 @@
 	RefillZone Order = "refill"
 	Forget     Order = "forget" // strike a router off the register: the operator vouches that it is dead
 	Fence      Order = "fence"  // make a submission id final
+	MarkEngine Order = "mark"   // keep the mark of a leaving engine
 )
 
 // Submit carries an operator's order to the leader.
@@ -120,10 +125,13 @@
 	Spec  []byte  `json:"spec,omitempty"`
 	Zone  string  `json:"zone,omitempty"`
 	Base  *uint64 `json:"base,omitempty"`
+	// Of a mark.
+	Engine string `json:"engine,omitempty"`
+	Start  uint64 `json:"start,omitempty"`
 }
 
 func (s *Submit) digest() string {
-	return digestOf([]byte(s.Order), s.Spec, []byte(s.Zone))
+	return digestOf([]byte(s.Order), s.Spec, []byte(s.Zone), []byte(s.Engine), fmt.Append(nil, s.Start))
 }
 
 // SubmitReceipt is the leader's word on a submission.
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -691,6 +691,12 @@
 	for _, id := range sortedKeys(n.errands) {
 		errand := n.errands[id]
 		if n.now >= errand.deadline {
+			if errand.submit.Order == MarkEngine {
+				// The mark has gone round already, so a no would not be true.
+				n.finishErrand(SubmitReceipt{ID: id, Outcome: Unproved, Reason: "not_kept",
+					Detail: "the routers were told, but the core could not keep the mark"})
+				continue
+			}
 			if errand.submit.Order == Fence {
 				n.finishErrand(SubmitReceipt{ID: id, Outcome: Unproved, Reason: "no_majority",
 					Detail: "neither a yes nor a final no could be shown; ask again by this id"})
--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -416,14 +416,15 @@
 		return faults(fmt.Sprintf(`{"not_run":%d}`, max(step.Count, 1)))
 	case "engine-leave":
 		node := s.nodes[int(engine.start)%len(s.nodes)]
+		marked := now()
 		status, _, body, err := do(ctx, http.MethodPut, fmt.Sprintf("http://%s/v1/engines/%s/leaving?start=%d", node.public, engine.name, engine.start), nil, nil)
 		if err != nil {
 			return err
 		}
-		if status != http.StatusNoContent {
+		if status != http.StatusOK {
 			return StageBreakdown{"mark " + engine.name, StageMissing{string(body)}}
 		}
-		s.take(critic.Event{At: now(), What: critic.EngineLeaving, Engine: engine.name, Start: engine.start})
+		s.take(critic.Event{At: marked, What: critic.EngineLeaving, Engine: engine.name, Start: engine.start})
 		pause(ctx, 5000)
 		failed()
 		engine.halt()
--- a/traproom/drama.go
+++ b/traproom/drama.go
@@ -366,7 +366,7 @@
 	if !m.isUp || m.isFrozen || !e.isUp || e.isLeaving || w.isCutOff(m) {
 		return
 	}
-	start, epoch, at := e.start, m.epoch, w.now
+	start, at := e.start, w.now
 	for _, known := range m.node.State(nil).Engines {
 		if known.ID != e.id || known.Start != start {
 			continue
@@ -375,11 +375,16 @@
 		now := m.clock()
 		known.IsLeaving, known.Age, known.Up = true, now-known.AsOf, now-known.StartedAt
 		m.carry(m.node.Hear(now, []flyloft.EngineRecord{known}))
-		w.in(300*ms, func() {
-			if m.epoch == epoch && !m.isFrozen && !w.isCutOff(m) {
+		// It counts as learned once the operator has the receipt; until then the one
+		// node that was told may have died with it.
+		mark := flyloft.Submit{ID: fmt.Sprintf("leaving-%s-%d", e.id, start), Order: flyloft.MarkEngine, Engine: e.id, Start: start}
+		m.receipts[mark.ID] = func(receipt flyloft.SubmitReceipt) {
+			if receipt.Outcome == flyloft.Yes {
+				w.trace("the mark of engine %s is kept", e.id)
 				w.events = append(w.events, critic.Event{At: at, What: critic.EngineLeaving, Engine: e.id, Start: start})
 			}
-		})
+		}
+		m.carry(m.node.Submit(now, &mark))
 		w.in(8*sec, func() {
 			if e.start == start && e.isUp {
 				e.halt()
--- a/wings/face.go
+++ b/wings/face.go
@@ -337,8 +337,12 @@
 		now := f.cue.Clock.Now()
 		marked := engine
 		marked.IsLeaving, marked.Age, marked.Up = true, max(now-engine.AsOf, 0), max(now-engine.StartedAt, 0)
+		// The routers are told first; then the core keeps the mark, so that it outlives
+		// even a fleet that is stopped as a whole.
 		f.runner.Hear([]flyloft.EngineRecord{marked})
-		w.WriteHeader(http.StatusNoContent)
+		f.submit(w, r, &flyloft.Submit{
+			ID: fmt.Sprintf("leaving-%s-%d", id, engine.Start), Order: flyloft.MarkEngine, Engine: id, Start: engine.Start,
+		})
 		return
 	}
 	f.fail(w, http.StatusNotFound, "unknown_engine", "this node knows no engine "+id)
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -181,6 +181,12 @@
 		}
 	}
 	scene.Engines = MergeEngines(h.spec, state.Engines)
+	if state.Document != nil {
+		for i, engine := range scene.Engines {
+			mark, isMarked := state.Document.Leaving[engine.ID]
+			scene.Engines[i].IsLeaving = engine.IsLeaving || isMarked && engine.Start <= mark.Start
+		}
+	}
 	return scene, failed
 }
 
