Specs of the past survive lost disks: members mend their history by a digest chain

Each document now names the last 64 specs by digest; members fetch what they lack, a standby is promoted once whole, and copies prove themselves, so nothing needs dropping.

--- a/cmd/traproom/main.go
+++ b/cmd/traproom/main.go
@@ -21,6 +21,7 @@
 	SpanUS     int64   `arg:"--span-us" default:"60000000" help:"how long faults go on"`
 	Rate       float64 `arg:"--rate" default:"20" help:"requests a second"`
 	Workers    int     `arg:"--workers" default:"6"`
+	Storm      bool    `arg:"--storm" help:"quick faults on a core of four instead of a day of a whole fleet"`
 	Trace      bool    `arg:"--trace" help:"print what happens; best with one seed"`
 }
 
@@ -48,7 +49,11 @@
 				if words.Trace {
 					plan.Trace = func(at house.Micros, text string) { fmt.Printf("%10.3f s  %s\n", float64(at)/1e6, text) }
 				}
-				outcome := traproom.Play(plan)
+				play := traproom.Play
+				if words.Storm {
+					play = traproom.Storm
+				}
+				outcome := play(plan)
 				lock.Lock()
 				calls += outcome.Review.Calls
 				served += outcome.Review.Outcomes["served"]
--- a/contracts/contracts.go
+++ b/contracts/contracts.go
@@ -98,8 +98,8 @@
 			old := Document(7, 3, 5)
 			c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: old}), qt.IsNil)
 			cutAfter(folder, steps)
-			next, stale := Document(7, 4, 6), flyloft.Stamp{Term: 3, Generation: 7}
-			failed := store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 4}, Document: next, Stale: &stale})
+			next := Document(7, 4, 6)
+			failed := store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 4}, Document: next})
 			cutAfter(folder, -1)
 			_, ballot, document, err := flyloft.OpenStore(folder, "fleet", fresh)
 			c.Assert(err, qt.IsNil)
@@ -149,7 +149,7 @@
 		c.Assert(document, qt.IsNil)
 		c.Assert(store.Aside(), qt.HasLen, 3)
 	})
-	t.Run("specs of the past are read by any generation they were in force at", func(t *testing.T) {
+	t.Run("specs of the past are read by what they held", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
 		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
@@ -161,13 +161,32 @@
 		names, err := folder.List("generation-")
 		c.Assert(err, qt.IsNil)
 		c.Assert(len(names) < 100, qt.IsTrue, qt.Commentf("%d files are kept", len(names)))
-		for _, generation := range []uint64{150, 149, 148, 147, 120, 90, 60} {
-			document, err := store.SpecAt(generation)
+		for _, generation := range []uint64{150, 147, 120, 90, 60} {
+			mark := flyloft.MarkOf(Document(generation, 1, generation))
+			document, err := store.SpecAt(mark)
 			c.Assert(err, qt.IsNil, qt.Commentf("generation %d", generation))
-			c.Assert(document.SpecGeneration, qt.Equals, generation-generation%3)
+			c.Assert(document.SpecGeneration, qt.Equals, generation)
+			// A copy of the right generation with other content is no copy.
+			mark.Digest = "other"
+			_, err = store.SpecAt(mark)
+			c.Assert(errors.As(err, new(flyloft.MissingGeneration)), qt.IsTrue)
 		}
-		_, err = store.SpecAt(400)
-		c.Assert(errors.As(err, new(flyloft.MissingGeneration)), qt.IsTrue)
+	})
+	t.Run("a spec of the past can be added, the future can't", func(t *testing.T) {
+		c := qt.New(t)
+		folder := open(t)
+		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: Document(20, 3, 18)}), qt.IsNil)
+		c.Assert(store.Keep(Document(21, 3, 21)), qt.IsNotNil)
+		past := Document(9, 2, 9)
+		c.Assert(store.Keep(past), qt.IsNil)
+		c.Assert(store.Keep(past), qt.IsNil)
+		again, ballot, newest, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		c.Assert(newest.Generation, qt.Equals, uint64(20))
+		c.Assert(ballot.Term, qt.Equals, uint64(3))
+		c.Assert(again.SpecGenerations(), qt.DeepEquals, []uint64{9, 18})
 	})
 }
 
--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -37,6 +37,7 @@
 	// Restored from the data folder.
 	Ballot   Ballot
 	Document *Document
+	Kept     []uint64 // generations of the specs in the folder
 }
 
 type peer struct {
@@ -48,7 +49,9 @@
 	synced    Stamp
 	isLeaving bool
 	isAiling  bool
+	isPartial bool
 	hasFolder bool
+	since     house.Micros // when it was first heard in this term
 }
 
 type sighting struct {
@@ -128,6 +131,9 @@
 	isLeaving     bool
 	lastMajority  house.Micros
 
+	kept        map[uint64]bool // specs in the own folder
+	recallAlarm house.Micros
+
 	mustered    map[string]musterNote
 	musterAlarm house.Micros
 }
@@ -146,7 +152,10 @@
 		settings: settings, now: now,
 		term: settings.Ballot.Term, votedFor: settings.Ballot.VotedFor,
 		doc: settings.Document, synced: settings.Document.stamp(),
-		mustered: map[string]musterNote{},
+		mustered: map[string]musterNote{}, kept: map[uint64]bool{},
+	}
+	for _, generation := range settings.Kept {
+		c.kept[generation] = true
 	}
 	if c.doc != nil && c.doc.Term > c.term {
 		c.term = c.doc.Term
@@ -206,16 +215,6 @@
 func (c *Core) save(document *Document, after func()) {
 	c.nextToken++
 	save := Save{Token: c.nextToken, Ballot: &Ballot{c.term, c.votedFor}, Document: document}
-	if document != nil && c.doc != nil && c.doc != document {
-		old := c.doc.stamp()
-		isKnown := c.committed != nil && c.committed.Generation >= old.Generation
-		isSame := old.Generation == document.Generation && slices.Equal(c.doc.Spec, document.Spec) && c.doc.SpecGeneration == document.SpecGeneration
-		// A replaced document of another term may never have been committed; left on
-		// disk it could later be read back as history that never was.
-		if !isKnown && !isSame && old.Term != document.Term {
-			save.Stale = &old
-		}
-	}
 	pending := &pendingSave{save: save, since: c.now}
 	if after != nil {
 		pending.after = append(pending.after, after)
@@ -251,6 +250,7 @@
 	c.saves = c.saves[1:]
 	if document := head.save.Document; document != nil && c.synced.before(document.stamp()) {
 		c.synced = document.stamp()
+		c.kept[document.SpecGeneration] = true
 	}
 	if len(c.saves) > 0 {
 		c.saves[0].since = now
@@ -456,7 +456,6 @@
 // ---- replication ----
 
 func (c *Core) propose(document *Document) {
-	// Saved before it becomes c.doc, so that save can see what it replaces.
 	c.save(document, func() { c.countCommit() })
 	c.doc = document
 	for _, member := range document.Voters {
@@ -507,7 +506,7 @@
 	if m.Target != c.settings.Self.ID {
 		return
 	}
-	receipt := &PulseReceipt{Term: c.term, Round: m.Round, Member: c.settings.Self, IsLeaving: c.isLeaving, IsAiling: c.Ailment() != ""}
+	receipt := &PulseReceipt{Term: c.term, Round: m.Round, Member: c.settings.Self, IsLeaving: c.isLeaving, IsAiling: c.Ailment() != "", IsPartial: c.isPartial()}
 	if m.Term < c.term {
 		receipt.Round, receipt.Synced = 0, c.synced
 		c.send(from, Message{PulseReceipt: receipt})
@@ -556,7 +555,7 @@
 	if p == nil {
 		return
 	}
-	p.lastHeard, p.isLeaving, p.isAiling = c.now, m.IsLeaving, m.IsAiling
+	p.lastHeard, p.isLeaving, p.isAiling, p.isPartial = c.now, m.IsLeaving, m.IsAiling, m.IsPartial
 	p.member.Address = m.Member.Address
 	if m.Round > p.round {
 		p.round = m.Round
@@ -670,6 +669,12 @@
 		if c.role == leader {
 			c.successors[m.Succeed.Zone] = m.Succeed.To
 		}
+	case m.Recall != nil:
+		if c.kept[m.Recall.Mark.Generation] {
+			c.out = append(c.out, Load{from, m.Recall.Mark})
+		}
+	case m.Recalled != nil:
+		c.onRecalled(m.Recalled.Document)
 	case m.Elsewhere != nil:
 		c.hints = append([]string{m.Elsewhere.Leader}, m.Elsewhere.Voters...)
 	}
@@ -693,7 +698,7 @@
 	}
 	p := c.peers[m.Member.ID]
 	if p == nil {
-		p = &peer{}
+		p = &peer{since: c.now, isPartial: true}
 		c.peers[m.Member.ID] = p
 		c.note("core", "take standby", "%s in zone %s asked to join", m.Member.Address, m.Member.Zone)
 	}
@@ -816,7 +821,7 @@
 			c.decline(queued.from, m, "clash", "the spec is at generation %d, not %d", next.SpecGeneration, *m.Base)
 			return false
 		}
-		next.Spec, next.SpecGeneration = m.Spec, next.Generation
+		next.putSpec(m.Spec)
 	case EmptyZone:
 		next.Evacuated[m.Zone] = next.Generation
 	case RefillZone:
@@ -956,6 +961,9 @@
 			continue
 		}
 		isCaughtUp := p.synced == c.committed.stamp() && c.now-p.lastHeard < c.settings.Timing.ElectionLow
+		// A voter should hold the past too, or losing disks one after the other loses
+		// it. What nobody has any more must not keep a place empty for ever.
+		isCaughtUp = isCaughtUp && (!p.isPartial || c.now-p.since > 30*house.Second)
 		if isCaughtUp && (best == nil || zones[p.member.Zone] < zones[best.member.Zone]) {
 			best = p
 		}
@@ -1035,12 +1043,69 @@
 	}
 }
 
+// recall mends the own history: a member that was empty a while ago holds only
+// what came since, and the others may be the next to lose their disks.
+func (c *Core) recall() {
+	if c.now < c.recallAlarm || !c.settings.HasFolder || c.committed == nil || c.Ailment() != "" {
+		return
+	}
+	c.recallAlarm = c.now + 3*c.settings.Timing.Pulse
+	for _, mark := range c.committed.Chain {
+		if c.kept[mark.Generation] {
+			continue
+		}
+		others := []string{}
+		for _, member := range c.committed.Voters {
+			if member.ID != c.settings.Self.ID {
+				others = append(others, member.Address)
+			}
+		}
+		for _, id := range c.peerIDs() {
+			others = append(others, c.peers[id].member.Address)
+		}
+		if len(others) > 0 {
+			c.send(others[c.settings.Random.IntN(len(others))], Message{Recall: &Recall{mark}})
+		}
+		return
+	}
+}
+
+// isPartial tells that specs of the chain are missing in the own folder.
+func (c *Core) isPartial() bool {
+	if c.committed == nil {
+		return true
+	}
+	for _, mark := range c.committed.Chain {
+		if !c.kept[mark.Generation] {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) onRecalled(document *Document) {
+	if document == nil || c.committed == nil || c.kept[document.SpecGeneration] {
+		return
+	}
+	mark, isThere := c.committed.SpecAt(document.SpecGeneration)
+	if isThere && mark.Generation == document.SpecGeneration && mark.Digest == digestOf(document.Spec) {
+		c.out = append(c.out, Keep{document})
+	}
+}
+
+// Kept tells that a spec of the past is in the folder now.
+func (c *Core) Kept(generation uint64) {
+	c.kept[generation] = true
+	c.recallAlarm = 0
+}
+
 // ---- time ----
 
 // Tick lets due alarms go off.
 func (c *Core) Tick(now house.Micros) {
 	c.now = now
 	c.tickDisk()
+	c.recall()
 	switch c.role {
 	case leader:
 		if c.hasVoters(true, func(p *peer) bool { return now-p.lastHeard < c.settings.Timing.ElectionHigh }) {
--- a/flyloft/document.go
+++ b/flyloft/document.go
@@ -56,11 +56,42 @@
 	SpecGeneration uint64            `json:"spec_generation"`
 	Evacuated      map[string]uint64 `json:"evacuated"` // zone to the generation that emptied it
 	Submissions    []Submission      `json:"submissions"`
+	// Chain names the newest specs, oldest first. By it a copy of an older spec
+	// proves itself, wherever it was kept, and a member knows what it lacks.
+	Chain []SpecMark `json:"chain,omitempty"`
 	// Leaving holds the marks that were given to a node by hand. Reports and the
 	// platform's list repeat themselves; these are said once and must outlive us.
 	Leaving map[string]LeavingMark `json:"leaving,omitempty"`
 }
 
+// SpecMark names one spec of the past by its generation and what it held.
+type SpecMark struct {
+	Generation uint64 `json:"generation"`
+	Digest     string `json:"digest"`
+}
+
+// SpecAt names the spec that was in force at a generation, as far back as the
+// chain goes.
+func (d *Document) SpecAt(generation uint64) (SpecMark, bool) {
+	for i := len(d.Chain) - 1; i >= 0 && generation <= d.Generation; i-- {
+		if d.Chain[i].Generation <= generation {
+			return d.Chain[i], true
+		}
+	}
+	return SpecMark{}, false
+}
+
+// MarkOf names a document's spec.
+func MarkOf(d *Document) SpecMark { return SpecMark{d.SpecGeneration, digestOf(d.Spec)} }
+
+func (d *Document) putSpec(spec []byte) {
+	d.Spec, d.SpecGeneration = spec, d.Generation
+	d.Chain = append(slices.Clone(d.Chain), MarkOf(d))
+	if surplus := len(d.Chain) - keptSpecs; surplus > 0 {
+		d.Chain = d.Chain[surplus:]
+	}
+}
+
 // LeavingMark says up to which start an engine is leaving.
 type LeavingMark struct {
 	Start      uint64 `json:"start"`
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -41,6 +41,18 @@
 	Heard         *Heard         `json:"heard,omitempty"`
 	Mend          *Mend          `json:"mend,omitempty"`
 	Shuffle       *Shuffle       `json:"shuffle,omitempty"`
+	Recall        *Recall        `json:"recall,omitempty"`
+	Recalled      *Recalled      `json:"recalled,omitempty"`
+}
+
+// Recall asks another member for a spec of the past that this one lacks.
+type Recall struct {
+	Mark SpecMark `json:"mark"`
+}
+
+// Recalled brings it.
+type Recalled struct {
+	Document *Document `json:"document"`
 }
 
 // VoteAsk asks one member, by its id, for its vote.
@@ -79,7 +91,8 @@
 	Member    Member `json:"member"`
 	Synced    Stamp  `json:"synced"`
 	IsLeaving bool   `json:"leaving,omitempty"`
-	IsAiling  bool   `json:"ailing,omitempty"` // the disk stalls or is full
+	IsAiling  bool   `json:"ailing,omitempty"`  // the disk stalls or is full
+	IsPartial bool   `json:"partial,omitempty"` // specs of the past are still missing
 }
 
 // Inherit names the receiver as the successor in the lead.
@@ -265,10 +278,17 @@
 	Token    uint64
 	Ballot   *Ballot
 	Document *Document
-	// Stale names a document that this one replaces and that was never known committed.
-	Stale *Stamp
 }
 
+// Load asks the shell to read a spec of the past for another member.
+type Load struct {
+	To   string
+	Mark SpecMark
+}
+
+// Keep asks the shell to keep a spec of the past that another member had.
+type Keep struct{ Document *Document }
+
 // Ballot is what a voter must not forget.
 type Ballot struct {
 	Term     uint64   `json:"term"`
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -23,6 +23,7 @@
 	Journal    *house.Journal
 	Ballot     Ballot
 	Document   *Document
+	Kept       []uint64
 }
 
 // Outgoing is a message for the shell to carry.
@@ -114,7 +115,7 @@
 			Self:      Member{settings.Member, self.Address, self.Zone},
 			HasFolder: settings.HasFolder, Founders: settings.Seeds, Timing: settings.Timing,
 			Random: random, CheckSpec: settings.CheckSpec, Note: n.note,
-			Ballot: settings.Ballot, Document: settings.Document,
+			Ballot: settings.Ballot, Document: settings.Document, Kept: settings.Kept,
 		}, now)
 	}
 	return n
@@ -284,6 +285,23 @@
 	return n.finish()
 }
 
+// Loaded brings a spec of the past that another member asked for.
+func (n *Node) Loaded(now house.Micros, to string, document *Document) []any {
+	n.now = now
+	n.send(to, Message{Recalled: &Recalled{document}})
+	return n.finish()
+}
+
+// Kept tells that a spec of the past is in the folder now.
+func (n *Node) Kept(now house.Micros, generation uint64) []any {
+	n.now = now
+	if n.core != nil {
+		n.note("history", "mend", fmt.Sprintf("the spec of generation %d was fetched from another member", generation))
+		n.core.Kept(generation)
+	}
+	return n.finish()
+}
+
 // Submit takes an operator's order made at this node.
 func (n *Node) Submit(now house.Micros, submit *Submit) []any {
 	n.now = now
--- a/flyloft/store.go
+++ b/flyloft/store.go
@@ -181,13 +181,20 @@
 			newest = &document
 		}
 	}
+	s.sort()
+	return newest, nil
+}
+
+func (s *Store) sort() {
 	slices.SortFunc(s.files, func(a, b kept) int {
-		if a.stamp.before(b.stamp) {
+		switch {
+		case a.stamp.before(b.stamp):
 			return -1
+		case b.stamp.before(a.stamp):
+			return 1
 		}
-		return 1
+		return 0
 	})
-	return newest, nil
 }
 
 // Save does what the core asked for; when it returns nil all of it is synced.
@@ -211,11 +218,6 @@
 	if err != nil {
 		return fmt.Errorf("save generation %d: %w", save.Document.Generation, err)
 	}
-	if save.Stale != nil {
-		if err := s.drop(*save.Stale); err != nil {
-			return fmt.Errorf("drop a generation that never was: %w", err)
-		}
-	}
 	s.files = append(s.files, kept{save.Document.stamp(), save.Document.SpecGeneration, size})
 	return nil
 }
@@ -252,21 +254,47 @@
 	return nil
 }
 
-// SpecAt gives a kept document in which the spec of a generation can be read.
-func (s *Store) SpecAt(generation uint64) (*Document, error) {
+// SpecAt gives a kept document that holds the spec of a mark. The digest is what
+// counts: a file may be left of a generation that was never committed.
+func (s *Store) SpecAt(mark SpecMark) (*Document, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	for _, file := range s.files {
-		// One that spans the generation holds the very spec that was in force then.
-		if file.specGeneration <= generation && generation <= file.stamp.Generation {
-			var document Document
-			if _, err := s.get(fileName(file.stamp), &document); err != nil {
-				return nil, fmt.Errorf("read generation %d: %w", generation, err)
-			}
+		if file.specGeneration != mark.Generation {
+			continue
+		}
+		var document Document
+		if _, err := s.get(fileName(file.stamp), &document); err != nil {
+			return nil, fmt.Errorf("read the spec of generation %d: %w", mark.Generation, err)
+		}
+		if digestOf(document.Spec) == mark.Digest {
 			return &document, nil
 		}
 	}
-	return nil, MissingGeneration{generation}
+	return nil, MissingGeneration{mark.Generation}
+}
+
+// Keep adds a document of the past beside what this member itself accepted.
+func (s *Store) Keep(document *Document) error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	this := document.stamp()
+	for _, file := range s.files {
+		if file.stamp == this {
+			return nil
+		}
+	}
+	// Only the past may be added: the newest file is this member's own promise.
+	if len(s.files) == 0 || !this.before(s.files[len(s.files)-1].stamp) {
+		return MissingGeneration{document.Generation}
+	}
+	size, err := s.put(fileName(this), document)
+	if err != nil {
+		return fmt.Errorf("keep generation %d: %w", document.Generation, err)
+	}
+	s.files = append(s.files, kept{this, document.SpecGeneration, size})
+	s.sort()
+	return nil
 }
 
 // SpecGenerations lists the specs kept here, oldest first.
--- /dev/null
+++ b/traproom/storm.go
@@ -0,0 +1,108 @@
+package traproom
+
+import (
+	"dunlinloom/critic"
+	"dunlinloom/house"
+)
+
+// storms strike a small core in quick succession, to get elections, lost writes
+// and old messages into each other's way far more often than a day would.
+var storms = []fault{
+	{"kill", 6, func(w *World) { bounce(w.any(), w.between(50*ms, 900*ms)) }},
+	{"kill the leader", 6, func(w *World) { bounce(w.leader(), w.between(50*ms, 900*ms)) }},
+	{"kill all", 1, func(w *World) {
+		for _, m := range w.machines {
+			bounce(m, w.between(50*ms, 900*ms))
+		}
+	}},
+	{"freeze", 4, func(w *World) { w.any().freeze(w.between(100*ms, 3*sec)) }},
+	{"freeze the leader", 4, func(w *World) { w.leader().freeze(w.between(500*ms, 3*sec)) }},
+	{"cut", 6, func(w *World) {
+		at := 1 + w.random.IntN(len(w.machines)-1)
+		shuffled := append([]*machine(nil), w.machines...)
+		w.random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		w.cut(shuffled[:at], shuffled[at:], w.random.IntN(2) == 0, w.between(300*ms, 4*sec))
+	}},
+	{"cut off the leader", 4, func(w *World) {
+		one := []*machine{w.leader()}
+		w.cut(one, w.others(one), w.random.IntN(2) == 0, w.between(500*ms, 4*sec))
+	}},
+	{"lose and double", 2, func(w *World) {
+		w.lossShare, w.dupShare, w.slow = 0.3*w.random.Float64(), 0.2, w.between(0, 500*ms)
+		w.in(w.between(300*ms, 3*sec), func() { w.lossShare, w.dupShare, w.slow = 0, 0, 0 })
+	}},
+	{"slow disk", 2, func(w *World) {
+		d := w.any().disk
+		d.slowness = w.between(20*ms, 900*ms)
+		w.in(w.between(500*ms, 4*sec), func() { d.slowness = 0 })
+	}},
+	{"stalled disk", 2, func(w *World) {
+		d := w.any().disk
+		d.isStall = true
+		w.in(w.between(300*ms, 3*sec), func() { d.isStall = false })
+	}},
+	{"lost disk", 1, func(w *World) {
+		m := w.any()
+		if len(w.newestVoters()) == voterCountWanted {
+			w.loseDisk(m)
+			m.restart(w.between(50*ms, sec))
+		}
+	}},
+	{"spec", 10, func(w *World) { w.operator.putSpec(nil) }},
+	{"two specs on one base", 4, func(w *World) {
+		base := uint64(1)
+		for generation := range w.operator.acked {
+			base = max(base, generation)
+		}
+		w.operator.putSpec(&base)
+		w.operator.putSpec(&base)
+	}},
+}
+
+const voterCountWanted = 3
+
+func (w *World) newestVoters() []string {
+	found := []string{}
+	for _, m := range w.machines {
+		if !m.isUp {
+			continue
+		}
+		if document := m.node.State(nil).Document; document != nil && len(document.Voters) > len(found) {
+			found = nil
+			for _, voter := range document.Voters {
+				found = append(found, voter.Address)
+			}
+		}
+	}
+	return found
+}
+
+// Storm runs one seed of quick faults on a core of four.
+func Storm(plan Plan) Outcome {
+	w := NewWorld(plan.Seed, 3, 4, 4, 1)
+	w.Trace = plan.Trace
+	outcome := Outcome{Plan: plan, Final: "storm"}
+	if !w.Open() {
+		w.wrong("the fleet did not found itself in 20 s")
+	}
+	w.Traffic(plan.Rate, house.Micros(1<<60), 0)
+	for end := w.now + plan.Span; w.now < end; {
+		w.Run(w.between(20*ms, 700*ms))
+		struck := draw(w, storms)
+		w.trace("STORM %s", struck.name)
+		struck.strike(w)
+	}
+	w.Run(5 * sec)
+	w.repair()
+	w.Run(14 * sec)
+	yes := w.operator.Yes
+	w.operator.putSpec(nil)
+	w.Run(12 * sec)
+	outcome.Repaired = w.operator.Yes > yes
+	w.operator.readBack()
+	w.totals()
+	outcome.Review = critic.Judge(w.events, critic.BriefBounds())
+	outcome.Inside, outcome.Events = w.wrongs, w.events
+	outcome.Orders = [3]int{w.operator.Yes, w.operator.No, w.operator.Unsure}
+	return outcome
+}
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -465,11 +465,18 @@
 			break
 		}
 		digest := "(unreadable)"
+		mark, isKnown := flyloft.SpecMark{}, false
 		for _, m := range w.machines {
-			if !m.isUp || m.store == nil {
+			if m.isUp && m.clock() < m.node.State(nil).Until {
+				mark, isKnown = m.node.State(nil).Document.SpecAt(generation)
+				break
+			}
+		}
+		for _, m := range w.machines {
+			if !m.isUp || m.store == nil || !isKnown || mark.Generation != generation {
 				continue
 			}
-			if document, err := m.store.SpecAt(generation); err == nil && document.SpecGeneration == generation {
+			if document, err := m.store.SpecAt(mark); err == nil {
 				digest = string(document.Spec)
 				break
 			}
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -236,7 +236,7 @@
 			})
 			return
 		}
-		settings.Member = m.store.Member()
+		settings.Member, settings.Kept = m.store.Member(), m.store.SpecGenerations()
 	}
 	m.desk = auditorium.NewDesk(m.identity.Address, func(now house.Micros, subject, decision, why string) {
 		m.journal.Note(now, "auditorium", subject, decision, why)
@@ -347,6 +347,18 @@
 			w.post(m, command.Envelope)
 		case flyloft.Save:
 			m.save(command)
+		case flyloft.Load:
+			m.later(ms, func() {
+				if document, err := m.store.SpecAt(command.Mark); err == nil {
+					m.carry(m.node.Loaded(m.clock(), command.To, document))
+				}
+			})
+		case flyloft.Keep:
+			m.later(ms, func() {
+				if err := m.store.Keep(command.Document); err == nil {
+					m.carry(m.node.Kept(m.clock(), command.Document.SpecGeneration))
+				}
+			})
 		case flyloft.Receipt:
 			if take := m.receipts[command.SubmitReceipt.ID]; take != nil {
 				delete(m.receipts, command.SubmitReceipt.ID)
--- a/wings/channel.go
+++ b/wings/channel.go
@@ -40,15 +40,13 @@
 
 // RecallAsk asks a prompter for the spec of an older generation.
 type RecallAsk struct {
-	Generation uint64 `json:"generation"`
-	IsList     bool   `json:"list,omitempty"`
+	Mark flyloft.SpecMark `json:"mark"`
 }
 
-// RecallReceipt brings it, or the list of the generations kept.
+// RecallReceipt brings it.
 type RecallReceipt struct {
-	Spec           []byte   `json:"spec,omitempty"`
-	SpecGeneration uint64   `json:"spec_generation,omitempty"`
-	Generations    []uint64 `json:"generations,omitempty"`
+	Spec           []byte `json:"spec"`
+	SpecGeneration uint64 `json:"spec_generation"`
 }
 
 const (
@@ -158,7 +156,7 @@
 	client := connect.NewClient[RecallAsk, RecallReceipt](c.client, "http://"+address+procedureRecall, connect.WithCodec(jsonCodec{}))
 	receipt, err := client.CallUnary(ctx, connect.NewRequest(&ask))
 	if err != nil {
-		return nil, fmt.Errorf("recall generation %d from %s: %w", ask.Generation, address, err)
+		return nil, fmt.Errorf("recall generation %d from %s: %w", ask.Mark.Generation, address, err)
 	}
 	return receipt.Msg, nil
 }
--- a/wings/face.go
+++ b/wings/face.go
@@ -246,7 +246,12 @@
 	}
 	receipt := &RecallReceipt{Spec: document.Spec, SpecGeneration: document.SpecGeneration}
 	if wanted < document.SpecGeneration {
-		receipt = f.recall(r, document, RecallAsk{Generation: wanted})
+		mark, isKnown := document.SpecAt(wanted)
+		if !isKnown {
+			f.fail(w, http.StatusNotFound, "no_spec", fmt.Sprintf("no spec of generation %d is kept", wanted))
+			return
+		}
+		receipt = f.recall(r, document, RecallAsk{Mark: mark})
 	}
 	if receipt == nil || receipt.SpecGeneration == 0 {
 		f.fail(w, http.StatusNotFound, "no_spec", fmt.Sprintf("no spec of generation %d is kept", wanted))
@@ -277,18 +282,17 @@
 	return nil
 }
 
-func (f *Face) history(w http.ResponseWriter, r *http.Request) {
+func (f *Face) history(w http.ResponseWriter, _ *http.Request) {
 	document := f.runner.State().Document
 	if document == nil {
 		f.fail(w, http.StatusNotFound, "no_spec", "no document has reached this node")
 		return
 	}
-	receipt := f.recall(r, document, RecallAsk{IsList: true})
-	if receipt == nil {
-		f.fail(w, http.StatusServiceUnavailable, "no_history", "no voter with a data folder answered")
-		return
+	generations := []uint64{}
+	for _, mark := range document.Chain {
+		generations = append(generations, mark.Generation)
 	}
-	f.reply(w, http.StatusOK, map[string]any{"generations": receipt.Generations, "current": document.SpecGeneration})
+	f.reply(w, http.StatusOK, map[string]any{"generations": generations, "current": document.SpecGeneration})
 }
 
 // EngineReport is what an engine tells any node about itself.
--- a/wings/process.go
+++ b/wings/process.go
@@ -87,7 +87,7 @@
 		if store, node.Ballot, node.Document, err = flyloft.OpenStore(folder, settings.Fleet, rand.Text); err != nil {
 			return fmt.Errorf("start: %w", err)
 		}
-		node.Member = store.Member()
+		node.Member, node.Kept = store.Member(), store.SpecGenerations()
 		for _, name := range store.Aside() {
 			log.Info("a damaged file was set aside", "file", name)
 		}
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -31,7 +31,8 @@
 	platform string
 
 	inbox chan func() []any
-	saves chan flyloft.Save
+	// What goes to the disk, in order: Save, Load or Keep.
+	saves chan any
 	state atomic.Pointer[flyloft.State]
 
 	lock    sync.Mutex // guards waiters alone
@@ -44,7 +45,7 @@
 func NewRunner(cue house.Cue, node *flyloft.Node, store *flyloft.Store, channels *Channels, desk *auditorium.Desk, platform string) *Runner {
 	r := &Runner{
 		cue: cue, node: node, store: store, channels: channels, desk: desk, platform: platform,
-		inbox: make(chan func() []any, 1024), saves: make(chan flyloft.Save, 64),
+		inbox: make(chan func() []any, 1024), saves: make(chan any, 256),
 		waiters: map[string][]chan flyloft.SubmitReceipt{},
 	}
 	r.state.Store(node.State(nil))
@@ -103,6 +104,12 @@
 	case flyloft.Save:
 		// The core has one write out at a time, so this never waits.
 		r.saves <- command
+	case flyloft.Load, flyloft.Keep:
+		// History can be asked for again; it must not hold up the owners on a slow disk.
+		select {
+		case r.saves <- command:
+		default:
+		}
 	case flyloft.Receipt:
 		r.lock.Lock()
 		waiters := r.waiters[command.SubmitReceipt.ID]
@@ -120,13 +127,30 @@
 		select {
 		case <-r.cue.Done():
 			return
-		case save := <-r.saves:
-			err := r.store.Save(save)
-			if err != nil {
-				r.cue.Log.Error(err, "a write failed")
-			}
-			r.post(func() []any { return r.node.Saved(r.cue.Clock.Now(), save.Token, err) })
+		case work := <-r.saves:
+			r.workDisk(work)
+		}
+	}
+}
+
+func (r *Runner) workDisk(work any) {
+	switch work := work.(type) {
+	case flyloft.Save:
+		err := r.store.Save(work)
+		if err != nil {
+			r.cue.Log.Error(err, "a write failed")
+		}
+		r.post(func() []any { return r.node.Saved(r.cue.Clock.Now(), work.Token, err) })
+	case flyloft.Load:
+		if document, err := r.store.SpecAt(work.Mark); err == nil {
+			r.post(func() []any { return r.node.Loaded(r.cue.Clock.Now(), work.To, document) })
 		}
+	case flyloft.Keep:
+		if err := r.store.Keep(work.Document); err != nil {
+			r.cue.Log.Error(err, "a spec of the past could not be kept")
+			return
+		}
+		r.post(func() []any { return r.node.Kept(r.cue.Clock.Now(), work.Document.SpecGeneration) })
 	}
 }
 
@@ -275,12 +299,9 @@
 // Recall reads an older spec from this node's data folder.
 func (r *Runner) Recall(ask RecallAsk) (*RecallReceipt, error) {
 	if r.store == nil {
-		return nil, flyloft.MissingGeneration{Generation: ask.Generation}
-	}
-	if ask.IsList {
-		return &RecallReceipt{Generations: r.store.SpecGenerations()}, nil
+		return nil, flyloft.MissingGeneration{Generation: ask.Mark.Generation}
 	}
-	document, err := r.store.SpecAt(ask.Generation)
+	document, err := r.store.SpecAt(ask.Mark)
 	if err != nil {
 		return nil, err
 	}
