--- a/auditorium/desk.go
+++ b/auditorium/desk.go
@@ -133,6 +133,13 @@
 	Broken                                                    map[string]uint64
 }
 
+// Trial puts other rules in the policy's place, to measure against. Daemons have none.
+type Trial struct {
+	Choose func(candidates []Candidate, preferred int, turn uint64) int
+	Narrow func(engine Engine) bool
+	Burden func(own int64, engine Engine, foreign float64) float64
+}
+
 // Desk is the owner of all requests of a router: what happens to them goes in,
 // what is to be done comes out. Its one lock is held only for the decision.
 type Desk struct {
@@ -146,6 +153,7 @@
 	counts Counts
 	turn   uint64
 	isShut bool
+	Trial  Trial
 }
 
 // NewDesk makes a desk that declines until it is shown a scene.
@@ -244,6 +252,10 @@
 	preferred := Preferred(SlotOf(prefix), candidates)
 	d.turn++
 	choice := Choose(candidates, preferred, policy.MaxImbalance, policy.NearTie, d.salt^d.turn*0x9e3779b97f4a7c15)
+	if d.Trial.Choose != nil {
+		choice = Choice{Index: d.Trial.Choose(candidates, preferred, d.turn), Preferred: preferred, Why: "trial"}
+		choice.IsDivert = choice.Index != preferred
+	}
 	if choice.Index < 0 {
 		return &Decline{"ramping", "every engine of binding " + binding.Name + " is starting up and full", 503, NotRun, defaultRetryDue}
 	}
@@ -316,6 +328,9 @@
 			continue
 		}
 		why := d.bar(now, engine)
+		if why == "" && d.Trial.Narrow != nil && !d.Trial.Narrow(engine) {
+			why = "left out by a trial"
+		}
 		if why == "" && call.tried[engine.ID] {
 			why = "tried already"
 		}
@@ -328,9 +343,13 @@
 			// Another process: neither its breakdowns nor its pace are the old one's.
 			state.start, state.breakdowns, state.isProbing, state.pace = engine.Start, 0, false, 0
 		}
-		burden := float64(max(state.ledger.own, 0))
+		burden, foreign := float64(max(state.ledger.own, 0)), 0.0
 		if engine.HasReport {
-			burden += state.ledger.foreign(now, engine.AsOf, engine.Burden, d.scene.Spec.Policy.ReportFade)
+			foreign = state.ledger.foreign(now, engine.AsOf, engine.Burden, d.scene.Spec.Policy.ReportFade)
+		}
+		burden += foreign
+		if d.Trial.Burden != nil {
+			burden = d.Trial.Burden(state.ledger.own, engine, foreign)
 		}
 		isFull := state.ledger.streams >= d.rampShare(now, engine)
 		candidates = append(candidates, Candidate{engine.ID, weight, burden, isFull})
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -21,9 +21,12 @@
 	isLeaving       bool // it says so in its reports
 	isLeavingListed bool
 	isUnlisted      bool
-	isMute          bool // sends no reports
-	slots           int
-	runs            map[string]*call
+	isMute          bool             // sends no reports
+	runs            map[string]*call // waiting and running
+	queue           []*call
+	running         int
+	cache           map[uint32]uint64 // prefix to its last use
+	cacheUse        uint64
 	tokens          int64
 	seq             uint64
 }
@@ -31,7 +34,6 @@
 const (
 	coldSpan  = 5 * sec
 	coldBears = 30
-	reportLag = 500 * ms
 )
 
 // report sends the load as it was a while ago to some node, again and again.
@@ -42,6 +44,7 @@
 		return
 	}
 	e.seq++
+	reportLag := w.knobs.ReportLag
 	record := flyloft.EngineRecord{
 		ID: e.id, Address: "10.1.0.1:" + e.id[1:], Zone: e.zone, Pool: "main", Start: e.start, Seq: e.seq,
 		Burden: e.tokens, Streams: int64(len(e.runs)), Age: reportLag, Up: w.now - e.bornAt + reportLag, IsLeaving: e.isLeaving,
@@ -68,7 +71,7 @@
 	for _, tag := range sortedTags(e.runs) {
 		e.runs[tag].engineDied("the channel was reset")
 	}
-	e.runs = map[string]*call{}
+	e.runs, e.queue, e.running, e.cache = map[string]*call{}, nil, 0, map[uint32]uint64{}
 }
 
 func (e *engine) boot() {
@@ -96,6 +99,8 @@
 	attempt int
 	tokens  int
 	placed  int64
+	prefix  uint32
+	isRun   bool // on a slot of the engine
 }
 
 func sortedTags(from map[string]*call) []string {
@@ -129,14 +134,17 @@
 		c.end(critic.Unreached, "the machine is down")
 		return
 	}
-	prefix := uint32(w.random.IntN(24))
+	k := w.knobs
+	c.prefix = uint32(w.random.IntN(k.Prefixes))
 	if w.random.Float64() < hot {
-		prefix = 0
+		c.prefix = 0
 	}
+	prefix := c.prefix
 	request := auditorium.Request{
-		ID: c.tag, Kind: "sim", PromptTokens: 80 + w.random.IntN(300), MaxTokens: 5 + w.random.IntN(120),
+		ID: c.tag, Kind: "sim", PromptTokens: k.PrefixLen + k.TailLow + w.random.IntN(k.TailHigh-k.TailLow),
+		MaxTokens: k.OutLow + w.random.IntN(k.OutHigh-k.OutLow),
 	}
-	for i := range uint32(80) {
+	for i := range uint32(k.PrefixLen) {
 		request.Prefix = append(request.Prefix, prefix<<16|i)
 	}
 	router.calls[c.tag] = c
@@ -144,14 +152,31 @@
 		if c.isOver {
 			return
 		}
-		made, decline := router.desk.Arrive(router.clock(), request)
-		if decline != nil {
-			c.declined(decline)
+		c.arriveAtDesk(request)
+	})
+}
+
+func (c *call) arriveAtDesk(request auditorium.Request) {
+	w, router := c.world, c.router
+	made, decline := router.desk.Arrive(router.clock(), request)
+	if decline != nil && decline.Reason == "late" {
+		// A measurement may let a request wait and look again before it is declined.
+		if w.now-c.began < w.knobs.AdmissionWait {
+			router.later(100*ms, func() {
+				if !c.isOver {
+					c.arriveAtDesk(request)
+				}
+			})
 			return
 		}
-		c.call = made
-		c.open()
-	})
+		w.figures.lateDeclines = append(w.figures.lateDeclines, w.now-c.began)
+	}
+	if decline != nil {
+		c.declined(decline)
+		return
+	}
+	c.call = made
+	c.open()
 }
 
 func (c *call) declined(decline *auditorium.Decline) {
@@ -246,13 +271,71 @@
 	if isCold := w.now-e.bornAt < coldSpan; isCold && len(e.runs) > coldBears {
 		w.take(critic.Event{What: critic.RunOvercrowd, Engine: e.id, Reason: fmt.Sprintf("%d at once", len(e.runs))})
 	}
-	crowd := house.Micros(1 + len(e.runs)/e.slots)
-	first := house.Micros(c.call.Request.PromptTokens) * 60 * crowd
-	w.in(first, func() { c.produce(e, e.start, crowd) })
+	w.figures.work[e.id] += c.placed
+	if w.now-e.bornAt < coldSpan && e.start > 1 {
+		w.figures.coldPeak = max(w.figures.coldPeak, len(e.runs))
+	}
+	if w.knobs.DataBytes {
+		// What the prompt and the streamed tokens weigh on the wire.
+		bytes := int64(c.call.Request.PromptTokens)*6 + int64(c.call.Request.MaxTokens)*90
+		if e.zone == c.router.identity.Zone {
+			w.figures.within += bytes
+		} else {
+			w.figures.crossed += bytes
+		}
+	}
+	e.queue = append(e.queue, c)
+	e.pull()
+}
+
+// pull starts waiting requests while there are slots.
+func (e *engine) pull() {
+	w := e.world
+	for e.running < w.knobs.Slots && len(e.queue) > 0 {
+		c := e.queue[0]
+		e.queue = e.queue[1:]
+		if e.runs[c.tag] != c {
+			continue
+		}
+		e.running++
+		c.isRun = true
+		fresh := c.call.Request.PromptTokens
+		if e.look(c.prefix) {
+			fresh -= w.knobs.PrefixLen
+			w.figures.hits += w.knobs.PrefixLen
+		} else {
+			w.figures.misses += w.knobs.PrefixLen
+		}
+		w.in(house.Micros(fresh)*w.knobs.Prefill*e.slowness(), func() { c.produce(e, e.start) })
+	}
+}
+
+func (e *engine) slowness() house.Micros {
+	if e.start > 1 && e.world.now-e.bornAt < coldSpan {
+		return house.Micros(e.world.knobs.ColdSlow)
+	}
+	return 1
+}
+
+// look tells whether a prefix is cached, and caches it; the one used longest ago goes.
+func (e *engine) look(prefix uint32) bool {
+	e.cacheUse++
+	_, isThere := e.cache[prefix]
+	e.cache[prefix] = e.cacheUse
+	if len(e.cache) > e.world.knobs.Cache {
+		oldest, oldestUse := prefix, e.cacheUse
+		for known, use := range e.cache {
+			if use < oldestUse {
+				oldest, oldestUse = known, use
+			}
+		}
+		delete(e.cache, oldest)
+	}
+	return isThere
 }
 
 // produce sends the next few tokens, until the end.
-func (c *call) produce(e *engine, start uint64, crowd house.Micros) {
+func (c *call) produce(e *engine, start uint64) {
 	w := c.world
 	if c.isOver || !e.isUp || e.start != start || e.runs[c.tag] != c {
 		return
@@ -276,6 +359,7 @@
 		if !c.isFirst {
 			c.router.desk.Answered(c.call)
 			c.isFirst = true
+			w.figures.ttft = append(w.figures.ttft, w.now-c.began)
 		}
 		c.router.desk.Produced(c.router.clock(), c.call, step)
 		if isLast {
@@ -284,7 +368,7 @@
 		}
 	})
 	if !isLast {
-		w.in(house.Micros(step)*4*ms*crowd, func() { c.produce(e, start, crowd) })
+		w.in(house.Micros(step)*w.knobs.Decode*e.slowness(), func() { c.produce(e, start) })
 	}
 }
 
@@ -292,6 +376,10 @@
 	if e.runs[c.tag] == c {
 		delete(e.runs, c.tag)
 		e.tokens -= c.placed - int64(c.tokens)
+		if c.isRun {
+			e.running--
+		}
+		e.pull()
 	}
 }
 
@@ -350,9 +438,15 @@
 
 func (w *World) nextSpec() []byte {
 	w.specCount++
-	content, err := json.Marshal(map[string]any{"bindings": []any{map[string]any{
+	binding := map[string]any{
 		"name": fmt.Sprintf("b%d", w.specCount), "shares": []any{map[string]any{"pool": "main", "weight": 1 + w.specCount%9}},
-	}}})
+		"ttftLimitUs": w.knobs.TTFTLimit,
+	}
+	spec := map[string]any{"bindings": []any{binding}}
+	if w.knobs.Policy != nil {
+		spec["policy"] = w.knobs.Policy
+	}
+	content, err := json.Marshal(spec)
 	if err != nil {
 		panic(house.ServiceBreakdown{Name: "spec", Why: err.Error()})
 	}
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -105,6 +105,44 @@
 	Crossed   map[string]int // bytes between zones by kind of message
 	Within    int
 	retired   auditorium.Counts
+	knobs     Knobs
+	figures   figures
+}
+
+// Knobs shape the load and what the engines can do.
+type Knobs struct {
+	Prefixes, PrefixLen int
+	TailLow, TailHigh   int // prompt tokens after the prefix
+	OutLow, OutHigh     int
+	Prefill, Decode     house.Micros // a prompt token that is not cached, a token of output
+	Cache               int          // prefixes that an engine's cache holds
+	Slots               int
+	ReportLag           house.Micros
+	TTFTLimit           house.Micros
+	Policy              map[string]any // of the spec
+	Trial               func(m *machine) auditorium.Trial
+	AdmissionWait       house.Micros
+	ColdSlow            int // how much slower an engine is while it is cold
+	DataBytes           bool
+}
+
+func defaultKnobs() Knobs {
+	return Knobs{
+		Prefixes: 24, PrefixLen: 80, TailHigh: 300, OutLow: 5, OutHigh: 125, Prefill: 60, Decode: 4 * ms,
+		Cache: 64, Slots: 8, ReportLag: 500 * ms, ColdSlow: 1,
+	}
+}
+
+// figures gather what the measurements are about.
+type figures struct {
+	ttft         []house.Micros
+	hits, misses int // prefix tokens that were cached, and that were not
+	work         map[string]int64
+	coldPeak     int
+	lateDeclines []house.Micros
+	crossed      int64 // bytes of requests and answers between zones
+	within       int64
+	errors       []float64 // of the burden a router reckoned with, by the true one
 }
 
 type pastListing struct {
@@ -114,10 +152,15 @@
 
 // NewWorld lays out a deployment: disk machines first, one a zone.
 func NewWorld(seed uint64, zones, nodes, disks, engines int) *World {
+	return newWorld(seed, zones, nodes, disks, engines, defaultKnobs())
+}
+
+func newWorld(seed uint64, zones, nodes, disks, engines int, knobs Knobs) *World {
 	w := &World{
 		Seed: seed, now: beginning, random: rand.New(rand.NewPCG(seed, 0x7a9)),
 		byPeer: map[string]*machine{}, blocked: map[[2]string]int{}, truths: map[uint64]string{},
 		listLag: 2 * sec, startTick: 1, Crossed: map[string]int{},
+		knobs: knobs, figures: figures{work: map[string]int64{}},
 	}
 	for i := range zones {
 		w.zones = append(w.zones, fmt.Sprintf("z%d", i+1))
@@ -134,7 +177,7 @@
 	for i := range engines {
 		w.engines = append(w.engines, &engine{
 			world: w, id: fmt.Sprintf("e%02d", i), zone: w.zones[i%zones], start: 1, isUp: true, bornAt: beginning - 100*sec,
-			slots: 8, runs: map[string]*call{},
+			runs: map[string]*call{}, cache: map[uint32]uint64{},
 		})
 	}
 	w.operator = &operator{world: w, acked: map[uint64]string{}, open: map[string]bool{}}
@@ -241,6 +284,9 @@
 	m.desk = auditorium.NewDesk(m.identity.Address, func(now house.Micros, subject, decision, why string) {
 		m.journal.Note(now, "auditorium", subject, decision, why)
 	})
+	if w.knobs.Trial != nil {
+		m.desk.Trial = w.knobs.Trial(m)
+	}
 	m.node = flyloft.NewNode(settings, m.clock())
 	m.deliver = func(envelope flyloft.Envelope) { m.carry(m.node.Deliver(m.clock(), envelope)) }
 	m.tick(m.epoch)
