--- a/cmd/traproom/main.go
+++ b/cmd/traproom/main.go
@@ -22,6 +22,7 @@
 	Rate       float64 `arg:"--rate" default:"20" help:"requests a second"`
 	Workers    int     `arg:"--workers" default:"6"`
 	Storm      bool    `arg:"--storm" help:"quick faults on a core of four instead of a day of a whole fleet"`
+	Measure    string  `arg:"--measure" help:"compare ways of routing instead; \"all\" or one of admission, divert, policy, ramp, reports, salt, zones"`
 	Trace      bool    `arg:"--trace" help:"print what happens; best with one seed"`
 }
 
@@ -37,7 +38,19 @@
 
 func main() {
 	var words words
-	arg.MustParse(&words)
+	parser := arg.MustParse(&words)
+	if words.Measure != "" {
+		names := []string{words.Measure}
+		if words.Measure == "all" {
+			names = traproom.Measurements()
+		}
+		for _, name := range names {
+			if !traproom.Measure(os.Stdout, name, words.First, words.Count) {
+				parser.Fail(fmt.Sprintf("there is no measurement %q; known are %v", name, traproom.Measurements()))
+			}
+		}
+		return
+	}
 	seeds := make(chan uint64)
 	var workers sync.WaitGroup
 	var lock sync.Mutex
--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,14 +26,16 @@
 
 // Report is what a rehearsal ends with.
 type Report struct {
-	Scenario    string             `json:"scenario"`
-	Deployment  string             `json:"deployment"`
-	Seed        uint64             `json:"seed"`
-	Review      critic.Review      `json:"review"`
-	ServedShare float64            `json:"served_share"`
-	Counters    map[string]float64 `json:"counters"`
-	Orders      map[string]int     `json:"orders"`
-	Problems    []string           `json:"problems,omitempty"`
+	Scenario    string        `json:"scenario"`
+	Deployment  string        `json:"deployment"`
+	Seed        uint64        `json:"seed"`
+	Review      critic.Review `json:"review"`
+	ServedShare float64       `json:"served_share"` // of all tries
+	// CallersServed counts callers that came again after a decline once.
+	CallersServed float64            `json:"callers_served_share"`
+	Counters      map[string]float64 `json:"counters"`
+	Orders        map[string]int     `json:"orders"`
+	Problems      []string           `json:"problems,omitempty"`
 }
 
 // Operator sends orders and remembers what was acknowledged.
@@ -495,6 +498,19 @@
 	if report.Review.Calls > 0 {
 		report.ServedShare = float64(report.Review.Outcomes[string(critic.Served)]) / float64(report.Review.Calls)
 	}
+	callers, served := map[string]bool{}, map[string]bool{}
+	for _, event := range events {
+		if event.What == critic.CallEnded {
+			caller, _, _ := strings.Cut(event.Tag, "/")
+			callers[caller] = true
+			if event.Outcome == critic.Served {
+				served[caller] = true
+			}
+		}
+	}
+	if len(callers) > 0 {
+		report.CallersServed = float64(len(served)) / float64(len(callers))
+	}
 	s.lock.Lock()
 	report.Problems = s.problems
 	s.lock.Unlock()
--- /dev/null
+++ b/traproom/measure.go
@@ -0,0 +1,327 @@
+package traproom
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+
+	"dunlinloom/auditorium"
+	"dunlinloom/critic"
+	"dunlinloom/house"
+)
+
+// variant is one setting that a measurement compares.
+type variant struct {
+	name  string
+	shape func(*Knobs)
+}
+
+type measurement struct {
+	title      string
+	deployment string
+	rate       float64
+	hot        float64
+	span       house.Micros
+	shape      func(*Knobs)
+	variants   []variant
+	columns    []string
+	faults     func(*World) // strikes when the load is on
+}
+
+// figure reads one column's value off a finished run.
+var columnOf = map[string]func(w *World, begun house.Micros) float64{
+	"prefix reuse %": func(w *World, _ house.Micros) float64 {
+		return 100 * share(float64(w.figures.hits), float64(w.figures.hits+w.figures.misses))
+	},
+	"imbalance max/mean": func(w *World, _ house.Micros) float64 {
+		most, total := int64(0), int64(0)
+		for _, work := range w.figures.work {
+			most, total = max(most, work), total+work
+		}
+		return share(float64(most)*float64(len(w.engines)), float64(total))
+	},
+	"diverts %": func(w *World, _ house.Micros) float64 {
+		diverts, rounds := uint64(0), uint64(0)
+		for _, m := range w.machines {
+			counts := m.desk.Counts()
+			diverts, rounds = diverts+counts.Diverts, rounds+counts.FirstRounds
+		}
+		return 100 * share(float64(diverts), float64(rounds))
+	},
+	"TTFT p50 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.ttft, 0.5) / 1000 },
+	"TTFT p95 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.ttft, 0.95) / 1000 },
+	"TTFT p99 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.ttft, 0.99) / 1000 },
+	"served %": func(w *World, begun house.Micros) float64 {
+		served, all := 0, 0
+		for _, event := range w.events {
+			if event.What == critic.CallEnded && event.Began >= begun {
+				all++
+				if event.Outcome == critic.Served {
+					served++
+				}
+			}
+		}
+		return 100 * share(float64(served), float64(all))
+	},
+	"late declines %": func(w *World, begun house.Micros) float64 {
+		all := 0
+		for _, event := range w.events {
+			if event.What == critic.CallEnded && event.Began >= begun {
+				all++
+			}
+		}
+		return 100 * share(float64(len(w.figures.lateDeclines)), float64(all))
+	},
+	"decline after p95 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.lateDeclines, 0.95) / 1000 },
+	"cold engine's peak":   func(w *World, _ house.Micros) float64 { return float64(w.figures.coldPeak) },
+	"crossing KB/request": func(w *World, _ house.Micros) float64 {
+		return float64(w.figures.crossed) / 1024 / float64(max(w.callCount, 1))
+	},
+	"estimate off by %": func(w *World, _ house.Micros) float64 {
+		total := 0.0
+		for _, off := range w.figures.errors {
+			total += off
+		}
+		return 100 * total / float64(max(len(w.figures.errors), 1))
+	},
+}
+
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
+
+func percentile(values []house.Micros, at float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	ordered := slices.Sorted(slices.Values(values))
+	return float64(ordered[min(int(at*float64(len(ordered))), len(ordered)-1)])
+}
+
+func choosing(choose func(candidates []auditorium.Candidate, preferred int, turn uint64) int) func(*Knobs) {
+	return func(k *Knobs) {
+		k.Trial = func(*machine) auditorium.Trial { return auditorium.Trial{Choose: choose} }
+	}
+}
+
+func roundRobin(candidates []auditorium.Candidate, _ int, turn uint64) int {
+	return int(turn % uint64(len(candidates)))
+}
+
+func leastBurden(candidates []auditorium.Candidate, _ int, _ uint64) int {
+	best := 0
+	for i, candidate := range candidates {
+		if candidate.Burden < candidates[best].Burden {
+			best = i
+		}
+	}
+	return best
+}
+
+func policyOf(name string, value any) func(*Knobs) {
+	return func(k *Knobs) { k.Policy = map[string]any{name: value} }
+}
+
+// heavyPrompts make a shared prefix worth having: most of a prompt is its prefix,
+// and the caches hold a third of all prefixes.
+func heavyPrompts(k *Knobs) {
+	k.Prefixes, k.PrefixLen, k.TailLow, k.TailHigh = 24, 512, 16, 64
+	k.OutLow, k.OutHigh, k.Prefill, k.Decode, k.Cache, k.Slots = 8, 48, 500, 6*ms, 8, 4
+}
+
+// burdenBy sets how the burden of other nodes enters; the error against the truth
+// is recorded either way.
+func burdenBy(name string) func(*Knobs) {
+	return func(k *Knobs) {
+		k.Trial = func(m *machine) auditorium.Trial {
+			return auditorium.Trial{Burden: func(own int64, engine auditorium.Engine, foreign float64) float64 {
+				burden := float64(max(own, 0))
+				switch name {
+				case "inferred":
+					burden += foreign
+				case "report":
+					burden = float64(engine.Burden)
+				case "sum":
+					burden += float64(engine.Burden)
+				}
+				for _, e := range m.world.engines {
+					if e.id == engine.ID && m.world.now%7 == 0 {
+						truth := float64(e.tokens)
+						m.world.figures.errors = append(m.world.figures.errors, math.Abs(burden-truth)/math.Max(truth, 200))
+					}
+				}
+				return burden
+			}}
+		}
+	}
+}
+
+func localFirst(k *Knobs) {
+	k.Trial = func(m *machine) auditorium.Trial {
+		return auditorium.Trial{Narrow: func(engine auditorium.Engine) bool { return engine.Zone == m.identity.Zone }}
+	}
+}
+
+func withLag(lag house.Micros, burden string) variant {
+	return variant{fmt.Sprintf("%s, reports %.1f s late", burden, float64(lag)/1e6), func(k *Knobs) {
+		k.ReportLag = lag
+		burdenBy(burden)(k)
+	}}
+}
+
+func waiting(wait house.Micros) variant {
+	return variant{fmt.Sprintf("wait %d ms", wait/ms), func(k *Knobs) { k.AdmissionWait = wait }}
+}
+
+var measurements = map[string]measurement{
+	"policy": {
+		title: "The paper's policy against its baselines", deployment: "qurum", rate: 60, hot: 0, span: 40 * sec, shape: heavyPrompts,
+		variants: []variant{
+			{"round robin", choosing(roundRobin)}, {"least burden", choosing(leastBurden)}, {"prefix with divert above 2.0 x mean", func(*Knobs) {}},
+		},
+		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "served %"},
+	},
+	"divert": {
+		title: "The divert factor under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.6, span: 40 * sec, shape: heavyPrompts,
+		variants: []variant{
+			{"1.2", policyOf("maxImbalance", 1.2)}, {"1.5", policyOf("maxImbalance", 1.5)}, {"2.0", policyOf("maxImbalance", 2.0)},
+			{"3.0", policyOf("maxImbalance", 3.0)}, {"6.0", policyOf("maxImbalance", 6.0)}, {"never", policyOf("maxImbalance", 100)},
+		},
+		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "TTFT p99 ms"},
+	},
+	"salt": {
+		title: "Near ties salted or not, under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.6, span: 40 * sec, shape: heavyPrompts,
+		variants: []variant{
+			{"always the first of the least", choosing(func(candidates []auditorium.Candidate, preferred int, _ uint64) int {
+				total := 0.0
+				for _, candidate := range candidates {
+					total += candidate.Burden
+				}
+				if mean := total / float64(len(candidates)); mean == 0 || candidates[preferred].Burden <= 2*mean {
+					return preferred
+				}
+				return leastBurden(candidates, preferred, 0)
+			})},
+			{"salted, ties within 0", policyOf("nearTie", 0.0)}, {"salted, ties within 0.05", policyOf("nearTie", 0.05)},
+			{"salted, ties within 0.2", policyOf("nearTie", 0.2)}, {"salted, ties within 0.5", policyOf("nearTie", 0.5)},
+		},
+		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "TTFT p99 ms"},
+	},
+	"reports": {
+		title: "How the burden of other nodes is reckoned, by the lag of reports", deployment: "cronometro", rate: 60, hot: 0.3, span: 30 * sec, shape: heavyPrompts,
+		variants: []variant{
+			withLag(200*ms, "own"), withLag(200*ms, "report"), withLag(200*ms, "sum"), withLag(200*ms, "inferred"),
+			withLag(sec, "own"), withLag(sec, "report"), withLag(sec, "sum"), withLag(sec, "inferred"),
+			withLag(4*sec, "own"), withLag(4*sec, "report"), withLag(4*sec, "sum"), withLag(4*sec, "inferred"),
+		},
+		columns: []string{"estimate off by %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms"},
+	},
+	"ramp": {
+		title: "The ramp of fresh engines under a crowd", deployment: "qurum", rate: 90, hot: 0, span: 20 * sec,
+		shape: func(k *Knobs) { heavyPrompts(k); k.ColdSlow = 4 },
+		variants: []variant{
+			{"no ramp", policyOf("rampTotalUs", 0)}, {"8 streams, doubled every 2 s", policyOf("rampStreams", 8)},
+			{"2 streams, doubled every 2 s", policyOf("rampStreams", 2)}, {"1 stream, doubled every 2 s", policyOf("rampStreams", 1)},
+		},
+		columns: []string{"cold engine's peak", "TTFT p50 ms", "TTFT p95 ms", "TTFT p99 ms", "served %"},
+		faults: func(w *World) {
+			for _, e := range w.engines[:6] {
+				e.halt()
+				w.in(2*sec, e.boot)
+			}
+		},
+	},
+	"zones": {
+		title: "Engines of the own zone only, against all", deployment: "qurum", rate: 60, hot: 0, span: 40 * sec,
+		shape: func(k *Knobs) { heavyPrompts(k); k.DataBytes = true },
+		variants: []variant{
+			{"all engines", func(*Knobs) {}}, {"the own zone's engines", localFirst},
+		},
+		columns: []string{"crossing KB/request", "prefix reuse %", "imbalance max/mean", "TTFT p50 ms", "TTFT p95 ms", "served %"},
+	},
+	"admission": {
+		title: "Waiting before a late decline, under more load than there is room for", deployment: "cronometro", rate: 150, hot: 0, span: 30 * sec,
+		shape:    func(k *Knobs) { heavyPrompts(k); k.TTFTLimit = 2 * sec },
+		variants: []variant{waiting(0), waiting(300 * ms), waiting(sec), waiting(3 * sec)},
+		columns:  []string{"served %", "late declines %", "decline after p95 ms", "TTFT p50 ms", "TTFT p95 ms"},
+	},
+}
+
+// Measurements names what can be measured.
+func Measurements() []string {
+	names := []string{}
+	for name := range measurements {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Measure runs a measurement over seeds and writes a table: the median of the
+// seeds, with the least and the most.
+func Measure(to io.Writer, name string, first uint64, count int) bool {
+	plan, isKnown := measurements[name]
+	if !isKnown {
+		return false
+	}
+	fmt.Fprintf(to, "### %s\n\n%s, %v requests a second for %d s, hot prefix %v, seeds %d to %d\n\n", plan.title, plan.deployment, plan.rate, plan.span/sec, plan.hot, first, first+uint64(count)-1)
+	fmt.Fprintf(to, "| variant | %s |\n|---|%s\n", strings.Join(plan.columns, " | "), strings.Repeat("---|", len(plan.columns)))
+	for _, variant := range plan.variants {
+		// Each seed is a world of its own, so they can run side by side.
+		runs := make([]map[string]float64, count)
+		var seeds sync.WaitGroup
+		for i := range count {
+			seeds.Go(func() { runs[i] = plan.run(first+uint64(i), variant) })
+		}
+		seeds.Wait()
+		values := map[string][]float64{}
+		for _, run := range runs {
+			for _, column := range plan.columns {
+				values[column] = append(values[column], run[column])
+			}
+		}
+		fmt.Fprintf(to, "| %s |", variant.name)
+		for _, column := range plan.columns {
+			ordered := slices.Sorted(slices.Values(values[column]))
+			fmt.Fprintf(to, " %.3g (%.3g to %.3g) |", ordered[len(ordered)/2], ordered[0], ordered[len(ordered)-1])
+		}
+		fmt.Fprintln(to)
+	}
+	fmt.Fprintln(to)
+	return true
+}
+
+func (m measurement) run(seed uint64, variant variant) map[string]float64 {
+	knobs := defaultKnobs()
+	if m.shape != nil {
+		m.shape(&knobs)
+	}
+	variant.shape(&knobs)
+	zones, nodes, disks := 4, 11, 4
+	if m.deployment == "cronometro" {
+		zones, nodes, disks = 3, 12, 3
+	}
+	w := newWorld(seed, zones, nodes, disks, 18, knobs)
+	if !w.Open() {
+		panic(house.ServiceBreakdown{Name: "measurement", Why: "the fleet did not open"})
+	}
+	begun := w.now
+	w.Traffic(m.rate, m.span, m.hot)
+	if m.faults != nil {
+		w.Run(2 * sec)
+		m.faults(w)
+	}
+	w.Run(m.span + 10*sec)
+	values := map[string]float64{}
+	for _, column := range m.columns {
+		values[column] = columnOf[column](w, begun)
+	}
+	return values
+}
