A router that cannot reach an engine has the zone's home look at once

Cause: when an engine crashed, every router ran into it once by itself and paid with its retry budget; young routers had none and declined. Ruled out: the regular probe (three misses take 1.5 s by design).

--- a/auditorium/usher.go
+++ b/auditorium/usher.go
@@ -54,6 +54,8 @@
 	Spans Spans
 	// Dial opens a channel to an engine.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Suspect hears of engines that could not be reached; nil: nobody does.
+	Suspect func(Engine)
 	// Served waits for every accepted request to get its answer.
 	Served sync.WaitGroup
 	live   atomic.Int64
@@ -111,7 +113,11 @@
 		return
 	}
 	for {
+		engine := call.Round.Engine
 		ending, why, begun := u.round(w, r, call, body)
+		if ending == NotSent && u.Suspect != nil {
+			u.Suspect(engine)
+		}
 		isAgain, decline := u.Desk.Close(u.Cue.Clock.Now(), call, ending, why)
 		switch {
 		case isAgain:
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -43,6 +43,13 @@
 	Shuffle       *Shuffle       `json:"shuffle,omitempty"`
 	Recall        *Recall        `json:"recall,omitempty"`
 	Recalled      *Recalled      `json:"recalled,omitempty"`
+	Suspect       *Suspect       `json:"suspect,omitempty"`
+}
+
+// Suspect tells the home that a router could not reach an engine.
+type Suspect struct {
+	Engine string `json:"engine"`
+	Start  uint64 `json:"start"`
 }
 
 // Recall asks another member for a spec of the past that this one lacks.
@@ -286,6 +293,9 @@
 	Mark SpecMark
 }
 
+// Probe asks the shell to try an engine at once, and to tell with Probed.
+type Probe struct{ Engine EngineRecord }
+
 // Keep asks the shell to keep a spec of the past that another member had.
 type Keep struct{ Document *Document }
 
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -81,6 +81,7 @@
 	sweep     house.Micros
 	askTurn   int
 	urgent    []urgentNews
+	probedAt  map[string]house.Micros
 	errands   map[string]*errand
 	declined  map[string]house.Micros // foreign senders noted lately
 }
@@ -105,6 +106,7 @@
 		settings: settings, now: now, random: random,
 		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{},
 		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, declined: map[string]house.Micros{},
+		probedAt: map[string]house.Micros{},
 	}
 	self := settings.Identity
 	n.licence = NewLicence(self.Address, settings.IsRouter, settings.Timing, n.note)
@@ -344,6 +346,31 @@
 	return n.finish()
 }
 
+// Suspect takes that a router here could not reach an engine. One failure may be
+// the router's own, so the home of the engine's zone looks before it tells all.
+func (n *Node) Suspect(now house.Micros, id string, start uint64) []any {
+	n.now = now
+	n.suspect(&Suspect{id, start})
+	return n.finish()
+}
+
+func (n *Node) suspect(m *Suspect) {
+	engine, isThere := n.cell.engines.Get(m.Engine)
+	if !isThere || engine.Start != m.Start || engine.IsDark || n.licence.applied == nil {
+		return
+	}
+	home := n.licence.applied.Homes[engine.Zone]
+	if home != n.self() {
+		n.send(home, Message{Suspect: m})
+		return
+	}
+	if n.now-n.probedAt[m.Engine] < 200*house.Millisecond && n.probedAt[m.Engine] > 0 {
+		return
+	}
+	n.probedAt[m.Engine] = n.now
+	n.out = append(n.out, Probe{engine})
+}
+
 // Leave begins a planned stop.
 func (n *Node) Leave(now house.Micros) []any {
 	n.now, n.isLeaving = now, true
@@ -484,6 +511,11 @@
 			records = append(records, record.placed(n.now))
 		}
 		n.takeHeard(records)
+	case m.Suspect != nil:
+		// Passed on no further: where the picture of the homes differs, the next one mends it.
+		if n.isHome() {
+			n.suspect(m.Suspect)
+		}
 	case m.News != nil:
 		n.onNews(from, m.News)
 	case m.Mend != nil:
--- a/traproom/measure.go
+++ b/traproom/measure.go
@@ -56,28 +56,22 @@
 	"TTFT p95 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.ttft, 0.95) / 1000 },
 	"TTFT p99 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.ttft, 0.99) / 1000 },
 	"served %": func(w *World, begun house.Micros) float64 {
-		served, all := 0, 0
-		for _, event := range w.events {
-			if event.What == critic.CallEnded && event.Began >= begun {
-				all++
-				if event.Outcome == critic.Served {
-					served++
-				}
-			}
-		}
-		return 100 * share(float64(served), float64(all))
+		return 100 * share(float64(w.ended(begun, critic.Served)), float64(w.calls(begun)))
 	},
 	"late declines %": func(w *World, begun house.Micros) float64 {
-		all := 0
-		for _, event := range w.events {
-			if event.What == critic.CallEnded && event.Began >= begun {
-				all++
-			}
-		}
-		return 100 * share(float64(len(w.figures.lateDeclines)), float64(all))
+		return 100 * share(float64(len(w.figures.lateDeclines)), float64(w.calls(begun)))
 	},
 	"decline after p95 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.lateDeclines, 0.95) / 1000 },
-	"cold engine's peak":   func(w *World, _ house.Micros) float64 { return float64(w.figures.coldPeak) },
+	"retries %": func(w *World, _ house.Micros) float64 {
+		w.totals()
+		totals := w.events[len(w.events)-1]
+		return 100 * share(float64(totals.Retries), float64(totals.First))
+	},
+	"declines": func(w *World, begun house.Micros) float64 { return float64(w.ended(begun, critic.NotRun)) },
+	"torn or may have run": func(w *World, begun house.Micros) float64 {
+		return float64(w.ended(begun, critic.Torn, critic.MayHaveRun))
+	},
+	"cold engine's peak": func(w *World, _ house.Micros) float64 { return float64(w.figures.coldPeak) },
 	"crossing KB/request": func(w *World, _ house.Micros) float64 {
 		return float64(w.figures.crossed) / 1024 / float64(max(w.callCount, 1))
 	},
@@ -90,6 +84,27 @@
 	},
 }
 
+func (w *World) calls(begun house.Micros) int {
+	count := 0
+	for _, event := range w.events {
+		if event.What == critic.CallEnded && event.Began >= begun {
+			count++
+		}
+	}
+	return count
+}
+
+// ended counts the requests sent since a moment that ended in one of these ways.
+func (w *World) ended(begun house.Micros, outcomes ...critic.Outcome) int {
+	count := 0
+	for _, event := range w.events {
+		if event.What == critic.CallEnded && event.Began >= begun && slices.Contains(outcomes, event.Outcome) {
+			count++
+		}
+	}
+	return count
+}
+
 func share(part, whole float64) float64 {
 	if whole == 0 {
 		return 0
@@ -246,9 +261,22 @@
 		},
 		columns: []string{"crossing KB/request", "prefix reuse %", "imbalance max/mean", "TTFT p50 ms", "TTFT p95 ms", "served %"},
 	},
+	"crash": {
+		title: "Engines crash one after another and stay away for 5 s", deployment: "qurum", rate: 60, hot: 0, span: 30 * sec,
+		variants: []variant{{"as built", func(*Knobs) {}}},
+		columns:  []string{"served %", "retries %", "declines", "torn or may have run"},
+		faults: func(w *World) {
+			for i, e := range w.engines {
+				w.in(house.Micros(i)*1500*ms, func() {
+					e.halt()
+					w.in(5*sec, e.boot)
+				})
+			}
+		},
+	},
 	"admission": {
-		title: "Waiting before a late decline, under more load than there is room for", deployment: "cronometro", rate: 150, hot: 0, span: 30 * sec,
-		shape:    func(k *Knobs) { heavyPrompts(k); k.TTFTLimit = 2 * sec },
+		title: "Waiting before a late decline, under more load than there is room for", deployment: "cronometro", rate: 360, hot: 0, span: 15 * sec,
+		shape:    func(k *Knobs) { heavyPrompts(k); k.TTFTLimit = sec },
 		variants: []variant{waiting(0), waiting(300 * ms), waiting(sec), waiting(3 * sec)},
 		columns:  []string{"served %", "late declines %", "decline after p95 ms", "TTFT p50 ms", "TTFT p95 ms"},
 	},
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -220,6 +220,9 @@
 }
 
 func (c *call) close(ending auditorium.Ending, why string) {
+	if m, engine := c.router, c.call.Round.Engine; ending == auditorium.NotSent {
+		defer func() { m.carry(m.node.Suspect(m.clock(), engine.ID, engine.Start)) }()
+	}
 	isAgain, decline := c.router.desk.Close(c.router.clock(), c.call, ending, why)
 	switch {
 	case isAgain:
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -393,6 +393,14 @@
 			w.post(m, command.Envelope)
 		case flyloft.Save:
 			m.save(command)
+		case flyloft.Probe:
+			m.later(w.between(ms, 3*ms), func() {
+				for _, e := range w.engines {
+					if e.id == command.Engine.ID && (!e.isUp || e.start != command.Engine.Start) {
+						m.carry(m.node.Probed(m.clock(), command.Engine.ID, command.Engine.Start, true))
+					}
+				}
+			})
 		case flyloft.Load:
 			m.later(ms, func() {
 				if document, err := m.store.SpecAt(command.Mark); err == nil {
--- a/wings/process.go
+++ b/wings/process.go
@@ -104,6 +104,9 @@
 		usher = &auditorium.Usher{Cue: cue, Desk: desk, Spans: settings.Spans(), Dial: engineDialer()}
 	}
 	runner := NewRunner(cue, flyloft.NewNode(node, cue.Clock.Now()), store, channels, desk, settings.Platform)
+	if usher != nil {
+		usher.Suspect = runner.Suspect
+	}
 	for name, service := range map[string]any{ServiceDesk: desk, ServiceRunner: runner, ServiceChannels: channels, ServiceUsher: usher} {
 		if err := stage.Place(name, service); err != nil {
 			return fmt.Errorf("start: %w", err)
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -38,7 +38,8 @@
 	lock    sync.Mutex // guards waiters alone
 	waiters map[string][]chan flyloft.SubmitReceipt
 
-	hand Stagehand
+	hand   Stagehand
+	prober *http.Client
 }
 
 // NewRunner makes a shell; Run starts it.
@@ -47,6 +48,7 @@
 		cue: cue, node: node, store: store, channels: channels, desk: desk, platform: platform,
 		inbox: make(chan func() []any, 1024), saves: make(chan any, 256),
 		waiters: map[string][]chan flyloft.SubmitReceipt{},
+		prober:  &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: engineDialer(), MaxIdleConnsPerHost: 1}},
 	}
 	r.state.Store(node.State(nil))
 	return r
@@ -110,6 +112,13 @@
 		case r.saves <- command:
 		default:
 		}
+	case flyloft.Probe:
+		go func() {
+			// One look is enough here: a router has failed to get through already.
+			if !probe(r.cue, r.prober, command.Engine.Address) {
+				r.post(func() []any { return r.node.Probed(r.cue.Clock.Now(), command.Engine.ID, command.Engine.Start, true) })
+			}
+		}()
 	case flyloft.Receipt:
 		r.lock.Lock()
 		waiters := r.waiters[command.SubmitReceipt.ID]
@@ -279,6 +288,11 @@
 	r.post(func() []any { return r.node.Hear(r.cue.Clock.Now(), records) })
 }
 
+// Suspect tells the control plane of an engine that could not be reached.
+func (r *Runner) Suspect(engine auditorium.Engine) {
+	r.post(func() []any { return r.node.Suspect(r.cue.Clock.Now(), engine.ID, engine.Start) })
+}
+
 // Leave begins a planned stop.
 func (r *Runner) Leave() {
 	r.post(func() []any { return r.node.Leave(r.cue.Clock.Now()) })
@@ -375,7 +389,6 @@
 // probeEngines looks whether the engines of this zone still answer. Any answer
 // will do: a status says that a process is there, whatever it thinks of the path.
 func (r *Runner) probeEngines() {
-	client := &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: engineDialer(), MaxIdleConnsPerHost: 1}}
 	ticker := time.NewTicker(probeEvery)
 	defer ticker.Stop()
 	missed := map[string]int{}
@@ -396,7 +409,7 @@
 				continue
 			}
 			probes.Go(func() {
-				isThere := probe(r.cue, client, engine.Address)
+				isThere := probe(r.cue, r.prober, engine.Address)
 				lock.Lock()
 				defer lock.Unlock()
 				if isThere {
