--- /dev/null
+++ b/flyloft/core_test.go
@@ -0,0 +1,387 @@
+package flyloft
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/house"
+)
+
+// bench holds one core and plays its shell by hand.
+type bench struct {
+	c     *qt.C
+	core  *Core
+	now   house.Micros
+	saves []Save
+	sent  []Send
+}
+
+var (
+	memberA = Member{"a", "10.0.0.1:1", "z1"}
+	memberB = Member{"b", "10.0.0.2:1", "z2"}
+	memberC = Member{"c", "10.0.0.3:1", "z3"}
+)
+
+func document(term, generation uint64) *Document {
+	return &Document{Founding: "f", Term: term, Generation: generation, Voters: []Member{memberA, memberB, memberC},
+		Homes: map[string]string{}, Evacuated: map[string]uint64{}}
+}
+
+func newBench(c *qt.C, ballot Ballot, newest *Document) *bench {
+	b := &bench{c: c, now: 100 * house.Second}
+	b.core = NewCore(CoreSettings{
+		Self: memberB, HasFolder: true, Timing: DefaultTiming(), Random: rand.New(rand.NewPCG(1, 1)), Ballot: ballot, Document: newest,
+		Founders: []string{memberA.Address, memberB.Address, memberC.Address},
+	}, b.now)
+	return b
+}
+
+func (b *bench) drain() {
+	for _, command := range b.core.take() {
+		switch command := command.(type) {
+		case Send:
+			b.sent = append(b.sent, command)
+		case Save:
+			b.saves = append(b.saves, command)
+		}
+	}
+}
+
+func (b *bench) receive(from Member, message Message) {
+	b.core.Receive(b.now, from.Address, message)
+	b.drain()
+}
+
+// sync lets all writes go through.
+func (b *bench) sync() {
+	for len(b.saves) > 0 {
+		save := b.saves[0]
+		b.saves = b.saves[1:]
+		b.core.Saved(b.now, save.Token, nil)
+		b.drain()
+	}
+}
+
+func (b *bench) pass(span house.Micros) {
+	for end := b.now + span; b.now < end; {
+		b.now += 20 * house.Millisecond
+		b.core.Tick(b.now)
+		b.drain()
+		b.sync()
+	}
+}
+
+func (b *bench) votes() []Vote {
+	found := []Vote{}
+	for _, send := range b.sent {
+		if send.Message.Vote != nil {
+			found = append(found, *send.Message.Vote)
+		}
+	}
+	return found
+}
+
+func ask(candidate Member, term uint64, newest Stamp) Message {
+	return Message{VoteAsk: &VoteAsk{Term: term, Candidate: candidate, Voter: memberB.ID, Newest: newest}}
+}
+
+func TestAVoteIsGivenOnceATermAndOnlyOnceItIsOnDisk(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, Ballot{Term: 4}, document(4, 9))
+	b.receive(memberA, ask(memberA, 5, Stamp{4, 9}))
+	c.Assert(b.votes(), qt.HasLen, 0)
+	c.Assert(b.saves, qt.HasLen, 1)
+	c.Assert(*b.saves[0].Ballot, qt.Equals, Ballot{5, "a"})
+	b.sync()
+	c.Assert(b.votes(), qt.HasLen, 1)
+	c.Assert(b.votes()[0].IsGranted, qt.IsTrue)
+	b.receive(memberC, ask(memberC, 5, Stamp{4, 9}))
+	b.sync()
+	c.Assert(b.votes(), qt.HasLen, 2)
+	c.Assert(b.votes()[1].IsGranted, qt.IsFalse)
+	// After a crash the same holds from the disk.
+	again := newBench(c, Ballot{5, "a"}, document(4, 9))
+	again.receive(memberC, ask(memberC, 5, Stamp{4, 9}))
+	again.sync()
+	c.Assert(again.votes()[0].IsGranted, qt.IsFalse)
+}
+
+func TestNoVoteForACandidateThatIsBehind(t *testing.T) {
+	c := qt.New(t)
+	for _, example := range []struct {
+		newest  Stamp
+		granted bool
+	}{
+		{Stamp{4, 9}, true}, {Stamp{4, 8}, false}, {Stamp{3, 20}, false}, {Stamp{5, 1}, true},
+	} {
+		b := newBench(c, Ballot{Term: 5}, document(4, 9))
+		b.receive(memberA, ask(memberA, 6, example.newest))
+		b.sync()
+		c.Assert(b.votes()[0].IsGranted, qt.Equals, example.granted, qt.Commentf("%v", example.newest))
+	}
+}
+
+func TestNoVoteForAnotherMembersNameAndNoneWhileALeaderSpeaks(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, Ballot{Term: 4}, document(4, 9))
+	// Meant for the member that this address had before its disk was lost.
+	b.receive(memberA, Message{VoteAsk: &VoteAsk{Term: 5, Candidate: memberA, Voter: "gone", Newest: Stamp{4, 9}}})
+	b.sync()
+	c.Assert(b.votes(), qt.HasLen, 0)
+	b.receive(memberC, Message{Pulse: &Pulse{Term: 4, Leader: memberC, Target: memberB.ID, Round: 1}})
+	b.receive(memberA, ask(memberA, 5, Stamp{4, 9}))
+	b.sync()
+	c.Assert(b.votes()[0].IsGranted, qt.IsFalse)
+	// Named by the leader itself, a candidate need not wait.
+	named := ask(memberA, 5, Stamp{4, 9})
+	named.VoteAsk.IsNamed = true
+	b.receive(memberA, named)
+	b.sync()
+	c.Assert(b.votes()[1].IsGranted, qt.IsTrue)
+}
+
+func TestADocumentIsAnsweredForOnlyOnceItIsOnDisk(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, Ballot{Term: 4}, document(4, 9))
+	b.receive(memberA, Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 7, Document: document(4, 10)}})
+	receipts := func() []PulseReceipt {
+		found := []PulseReceipt{}
+		for _, send := range b.sent {
+			if send.Message.PulseReceipt != nil {
+				found = append(found, *send.Message.PulseReceipt)
+			}
+		}
+		return found
+	}
+	c.Assert(receipts(), qt.HasLen, 0)
+	// Pulses that come meanwhile hear of the old one.
+	b.receive(memberA, Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 8}})
+	c.Assert(receipts()[0].Synced, qt.Equals, Stamp{4, 9})
+	b.sync()
+	c.Assert(receipts()[1].Synced, qt.Equals, Stamp{4, 10})
+	// It counts as committed only when the leader says so.
+	c.Assert(b.core.Committed(), qt.IsNil)
+	b.receive(memberA, Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 9, Committed: Stamp{4, 10}}})
+	c.Assert(b.core.Committed().Generation, qt.Equals, uint64(10))
+	// A late pulse of an older term changes nothing.
+	b.receive(memberC, Message{Pulse: &Pulse{Term: 3, Leader: memberC, Target: memberB.ID, Round: 2, Document: document(3, 30)}})
+	b.sync()
+	c.Assert(b.core.Committed().Generation, qt.Equals, uint64(10))
+	last := receipts()[len(receipts())-1]
+	c.Assert(last.Term, qt.Equals, uint64(4))
+	c.Assert(last.Round, qt.Equals, uint64(0))
+}
+
+// elect makes the bench's core the leader of a new term.
+func (b *bench) elect() {
+	for range 200 {
+		b.pass(20 * house.Millisecond)
+		for _, send := range b.sent {
+			if ask := send.Message.VoteAsk; ask != nil && ask.Voter == memberA.ID {
+				b.core.Receive(b.now, memberA.Address, Message{Vote: &Vote{Term: ask.Term, IsPre: ask.IsPre, IsGranted: true, Voter: memberA.ID}})
+				b.drain()
+				b.sync()
+			}
+		}
+		if b.core.role == leader {
+			b.sent = nil
+			return
+		}
+	}
+	b.c.Fatal("no lead")
+}
+
+func (b *bench) confirm(from Member, synced Stamp) {
+	b.receive(from, Message{PulseReceipt: &PulseReceipt{Term: b.core.term, Round: b.core.round, Member: from, Synced: synced}})
+}
+
+func TestANewLeaderSettlesWhatItFoundBeforeAnythingElse(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, Ballot{Term: 4}, document(4, 9))
+	b.elect()
+	term := b.core.term
+	c.Assert(b.core.doc.stamp(), qt.Equals, Stamp{term, 9})
+	b.receive(memberC, Message{Submit: &Submit{ID: "s", Order: PutSpec, Spec: []byte("{}")}})
+	b.receive(memberC, Message{AskBatch: &AskBatch{Zone: "z3", Asks: []RouterAsk{{Address: memberC.Address, Zone: "z3", Seq: 1, Applied: 9}}}})
+	b.pass(100 * house.Millisecond)
+	// A word on the same generation of the older term settles nothing.
+	b.confirm(memberA, Stamp{4, 9})
+	b.pass(100 * house.Millisecond)
+	c.Assert(b.core.doc.Generation, qt.Equals, uint64(9))
+	c.Assert(b.core.Committed(), qt.IsNil)
+	for _, send := range b.sent {
+		c.Assert(send.Message.GrantBatch, qt.IsNil)
+	}
+	b.confirm(memberA, Stamp{term, 9})
+	c.Assert(b.core.Committed().Generation, qt.Equals, uint64(9))
+	c.Assert(b.core.doc.Generation, qt.Equals, uint64(10))
+	c.Assert(string(b.core.doc.Spec), qt.Equals, "{}")
+}
+
+func TestAGrantNeedsARoundConfirmedAfterTheAsk(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, Ballot{Term: 4}, document(4, 9))
+	b.elect()
+	b.confirm(memberA, Stamp{b.core.term, 9})
+	b.pass(50 * house.Millisecond)
+	b.confirm(memberA, Stamp{b.core.term, 9})
+	b.sent = nil
+	before := b.core.round
+	b.receive(memberC, Message{AskBatch: &AskBatch{Zone: "z3", Asks: []RouterAsk{{Address: memberC.Address, Zone: "z3", Seq: 1, Applied: 9}}}})
+	grants := func() int {
+		count := 0
+		for _, send := range b.sent {
+			if send.Message.GrantBatch != nil {
+				count++
+			}
+		}
+		return count
+	}
+	// A receipt for a round that went out before the ask proves nothing about now.
+	b.receive(memberA, Message{PulseReceipt: &PulseReceipt{Term: b.core.term, Round: before, Member: memberA, Synced: Stamp{b.core.term, 9}}})
+	c.Assert(grants(), qt.Equals, 0)
+	b.pass(40 * house.Millisecond)
+	c.Assert(grants(), qt.Equals, 0)
+	b.confirm(memberA, Stamp{b.core.term, 9})
+	c.Assert(grants(), qt.Equals, 1)
+}
+
+func TestMembershipChangesOneMemberAtATime(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, Ballot{Term: 4}, document(4, 9))
+	b.elect()
+	fresh := Member{"d", "10.0.0.4:1", "z1"}
+	seen := []int{}
+	look := func() {
+		if count := len(b.core.doc.Voters); len(seen) == 0 || seen[len(seen)-1] != count {
+			seen = append(seen, count)
+		}
+	}
+	for range 1200 {
+		b.pass(20 * house.Millisecond)
+		// A answers, C is silent for good, D is a whole standby.
+		b.confirm(memberA, b.core.doc.stamp())
+		look()
+		if b.core.peers["d"] == nil {
+			b.receive(fresh, Message{Join: &Join{Member: fresh, HasFolder: true}})
+		}
+		b.confirm(fresh, b.core.doc.stamp())
+		look()
+	}
+	c.Assert(seen, qt.DeepEquals, []int{3, 4, 3})
+	_, isLostIn := b.core.doc.voter(memberC.ID)
+	c.Assert(isLostIn, qt.IsFalse)
+	_, isFreshIn := b.core.doc.voter(fresh.ID)
+	c.Assert(isFreshIn, qt.IsTrue)
+}
+
+func TestAYesNeedsBothRegistersWhileAChangeIsNotSettled(t *testing.T) {
+	c := qt.New(t)
+	newest := document(4, 9)
+	newest.Register, newest.PriorRegister, newest.RegisterSince = []string{"r1", "r2", "r3", "r4", "r5"}, []string{"r1", "r2", "r3"}, 9
+	b := newBench(c, Ballot{Term: 4}, newest)
+	b.elect()
+	b.confirm(memberA, Stamp{b.core.term, 9})
+	b.receive(memberC, Message{Submit: &Submit{ID: "s", Order: PutSpec, Spec: []byte("{}")}})
+	b.pass(40 * house.Millisecond)
+	b.confirm(memberA, b.core.doc.stamp())
+	applied := func(routers ...string) bool {
+		asks := []RouterAsk{}
+		for _, router := range routers {
+			asks = append(asks, RouterAsk{Address: router, Zone: "z1", Applied: 10, IsRouter: true})
+		}
+		b.receive(memberC, Message{AskBatch: &AskBatch{Zone: "z1", Asks: asks}})
+		for _, send := range b.sent {
+			if receipt := send.Message.SubmitReceipt; receipt != nil && receipt.Outcome == Yes {
+				return true
+			}
+		}
+		return false
+	}
+	// Three of the five, but only one of the three before.
+	c.Assert(applied("r1", "r4", "r5"), qt.IsFalse)
+	c.Assert(applied("r2"), qt.IsTrue)
+}
+
+func TestEngineRecordsMergeTheSameInAnyOrder(t *testing.T) {
+	c := qt.New(t)
+	records := []EngineRecord{
+		{ID: "e", Address: "1", Zone: "z", Start: 1, ListRevision: 3, AsOf: 10, StartedAt: 5},
+		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 4, Burden: 70, AsOf: 20, StartedAt: 6},
+		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 3, Burden: 90, IsLeaving: true, AsOf: 15, StartedAt: 6},
+		{ID: "e", Address: "1", Zone: "z", Start: 1, IsDark: true, DarkSeq: 2, AsOf: 12, StartedAt: 6},
+		{ID: "e", Address: "2", Zone: "z", Start: 2, Seq: 1, Burden: 5, AsOf: 30, StartedAt: 25},
+		{ID: "e", Address: "2", Zone: "z", Start: 2, ListRevision: 5, AsOf: 31, StartedAt: 25},
+	}
+	random := rand.New(rand.NewPCG(3, 3))
+	var wanted string
+	for round := range 200 {
+		order := random.Perm(len(records))
+		cell := NewCell("x", DefaultTiming(), func(string, string, string) {})
+		for _, index := range append(order, order[0]) {
+			cell.TakeEngine(40, records[index], true)
+		}
+		got := cell.Engines()[0]
+		text := got.standing()
+		if round == 0 {
+			wanted = text
+			c.Assert(got.Start, qt.Equals, uint64(2))
+			c.Assert(got.IsLeaving, qt.IsFalse)
+			c.Assert(got.Burden, qt.Equals, int64(5))
+		}
+		c.Assert(text, qt.Equals, wanted)
+	}
+	// Within one start a leaving mark stays, whatever comes later.
+	cell := NewCell("x", DefaultTiming(), func(string, string, string) {})
+	for _, record := range []EngineRecord{records[2], records[1], records[0]} {
+		cell.TakeEngine(40, record, true)
+	}
+	c.Assert(cell.Engines()[0].IsLeaving, qt.IsTrue)
+	c.Assert(cell.Engines()[0].Burden, qt.Equals, int64(70))
+}
+
+func TestALicenceCountsFromTheAskAndStandsForItsGeneration(t *testing.T) {
+	c := qt.New(t)
+	l := NewLicence("r", true, DefaultTiming(), func(string, string, string) {})
+	span := DefaultTiming().Licence
+	first := l.NewAsk(1000)
+	c.Assert(l.TakeGrant(500_000, &Grant{Seq: first, Generation: 9, Document: document(4, 9)}), qt.IsTrue)
+	c.Assert(l.Until(), qt.Equals, 1000+span)
+	// A grant for a generation that is not here yet gives nothing.
+	second := l.NewAsk(600_000)
+	l.TakeGrant(700_000, &Grant{Seq: second, Generation: 10})
+	c.Assert(l.Until(), qt.Equals, 1000+span)
+	// Nor does one that was never asked for, or a second time.
+	l.TakeGrant(700_000, &Grant{Seq: 99, Generation: 9})
+	l.TakeGrant(900_000, &Grant{Seq: first, Generation: 9})
+	c.Assert(l.Until(), qt.Equals, 1000+span)
+	// An older document never comes back.
+	l.TakeGrant(800_000, &Grant{Generation: 10, Document: document(4, 10)})
+	l.TakeGrant(800_000, &Grant{Generation: 9, Document: document(4, 9)})
+	c.Assert(l.Generation(), qt.Equals, uint64(10))
+}
+
+func TestTheDarkLicenceNeedsAMajorityThatTheLeaderHasProven(t *testing.T) {
+	c := qt.New(t)
+	held := document(4, 9)
+	held.Register = []string{"r", "s", "t", "u", "v"}
+	l := NewLicence("r", true, DefaultTiming(), func(string, string, string) {})
+	l.TakeGrant(0, &Grant{Seq: l.NewAsk(0), Generation: 9, Document: held})
+	begun := 10 * house.Second
+	_, ask := l.TickDark(begun, nil)
+	c.Assert(ask, qt.IsNotNil)
+	l.TakeAttest("s", &AttestReceipt{Seq: ask.Seq, Generation: 9, IsProven: true})
+	l.TakeAttest("t", &AttestReceipt{Seq: ask.Seq, Generation: 9, IsProven: false})
+	l.TakeAttest("w", &AttestReceipt{Seq: ask.Seq, Generation: 9, IsProven: true}) // not registered
+	c.Assert(l.Until() < begun, qt.IsTrue)
+	l.TakeAttest("u", &AttestReceipt{Seq: ask.Seq, Generation: 8, IsProven: true})
+	c.Assert(l.Until(), qt.Equals, begun+DefaultTiming().Licence)
+	// One that holds a newer generation ends it, and brings the document.
+	_, ask = l.TickDark(begun+house.Second, nil)
+	newer := document(4, 10)
+	newer.Register = held.Register
+	c.Assert(l.TakeAttest("s", &AttestReceipt{Seq: ask.Seq, Generation: 10, IsProven: true, Document: newer}), qt.IsTrue)
+	c.Assert(l.Generation(), qt.Equals, uint64(10))
+}
