--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -27,6 +27,11 @@
 	Report   string `arg:"--report" help:"file for the report; standard output if not given"`
 }
 
+// folderInUse says that a rehearsal's folder is not empty.
+type folderInUse struct{ entries int }
+
+func (b folderInUse) Error() string { return fmt.Sprintf("it is not empty (%d entries)", b.entries) }
+
 func main() {
 	status, err := run()
 	var faults *playbill.Faults
@@ -66,6 +71,10 @@
 	} else if err := os.MkdirAll(words.Folder, 0o755); err != nil {
 		return 1, fmt.Errorf("make a folder: %w", err)
 	}
+	// Logs of an earlier run would be judged together with this one's.
+	if left, err := os.ReadDir(words.Folder); err != nil || len(left) > 0 {
+		return 2, fmt.Errorf("take folder %s: %w", words.Folder, folderInUse{len(left)})
+	}
 	deployment, _ := rehearsal.DeploymentOf(scenario.Deployment)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
