--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -163,6 +163,20 @@
 		acked[generation] = digest
 	}
 	o.lock.Unlock()
+	// The whole history too, or a declined spec that took effect would not be seen.
+	if status, _, got, err := do(ctx, http.MethodGet, "http://"+o.node().public+"/v1/spec/history", nil, nil); err == nil && status == http.StatusOK {
+		var history struct {
+			Generations []uint64 `json:"generations"`
+		}
+		if err := json.Unmarshal(got, &history); err != nil {
+			o.stage.problem("the history can't be read: %v", err)
+		}
+		for _, generation := range history.Generations {
+			acked[generation] = ""
+		}
+	} else {
+		o.stage.problem("the history can't be read: status %d, %v", status, err)
+	}
 	for generation := range acked {
 		isRead := false
 		for try := 0; try < 40 && !isRead && ctx.Err() == nil; try++ {
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 
 	"dunlinloom/auditorium"
@@ -548,29 +549,23 @@
 	})
 }
 
-// readBack reads the newest specs that were acknowledged, as an operator could at the end.
+// readBack reads every spec of the past that the fleet names, as an operator could
+// at the end: what was acknowledged has to be there, what was declined must not.
 func (o *operator) readBack() {
 	w := o.world
-	generations := make([]uint64, 0, len(o.acked))
-	for generation := range o.acked {
-		generations = append(generations, generation)
-	}
-	sort.Slice(generations, func(i, j int) bool { return generations[i] > generations[j] })
-	for i, generation := range generations {
-		// What a folder keeps of the past is bounded; docs/limits.md says how far.
-		if i >= 40 {
+	var chain []flyloft.SpecMark
+	for _, m := range w.machines {
+		if m.isUp && m.clock() < m.node.State(nil).Until {
+			chain = m.node.State(nil).Document.Chain
 			break
 		}
+	}
+	named := map[uint64]bool{}
+	for _, mark := range chain {
+		named[mark.Generation] = true
 		digest := "(unreadable)"
-		mark, isKnown := flyloft.SpecMark{}, false
-		for _, m := range w.machines {
-			if m.isUp && m.clock() < m.node.State(nil).Until {
-				mark, isKnown = m.node.State(nil).Document.SpecAt(generation)
-				break
-			}
-		}
 		for _, m := range w.machines {
-			if !m.isUp || m.store == nil || !isKnown || mark.Generation != generation {
+			if !m.isUp || m.store == nil {
 				continue
 			}
 			if document, err := m.store.SpecAt(mark); err == nil {
@@ -578,6 +573,22 @@
 				break
 			}
 		}
-		w.take(critic.Event{What: critic.SpecRead, Generation: generation, Digest: digest})
+		w.take(critic.Event{What: critic.SpecRead, Generation: mark.Generation, Digest: digest})
+	}
+	for _, generation := range sortedGenerations(o.acked) {
+		// What a fleet keeps of the past is bounded; docs/limits.md says how far.
+		isKept := len(chain) > 0 && generation >= chain[0].Generation
+		if (isKept || len(chain) == 0) && !named[generation] {
+			w.take(critic.Event{What: critic.SpecRead, Generation: generation, Digest: "(not named)"})
+		}
+	}
+}
+
+func sortedGenerations(from map[uint64]string) []uint64 {
+	generations := make([]uint64, 0, len(from))
+	for generation := range from {
+		generations = append(generations, generation)
 	}
+	slices.Sort(generations)
+	return generations
 }
