Foreign burden fades as ours does, and what is unseen is reckoned from our own placing

Cause: a late report faded over a fixed 10 s, so with short streams it told mostly of work long done (off by 137 to 145 % of the truth), and with long streams and late reports all nodes diverted to the same stale engine (TTFT p95 3.2 s at 4 s lag). Ruled out: the tie width (no effect, since the least was idle and a share of nothing is nothing; it is now a share of the mean). Now a report fades at the pace at which our rounds end, and half of what we placed since counts for each other router. With it: tests of the spec's faults, the settings, and a whole fleet over HTTP.

--- a/auditorium/burden.go
+++ b/auditorium/burden.go
@@ -1,6 +1,8 @@
 package auditorium
 
 import (
+	"math"
+
 	"dunlinloom/house"
 )
 
@@ -49,15 +51,33 @@
 	return 0
 }
 
-// foreign is the burden that other nodes had placed by a late report: all of it
-// less what was ours then, fading with age since it can only have been worked off.
-func (l *ledger) foreign(now, asOf house.Micros, reported int64, fade house.Micros) float64 {
+// survival is the part of some work that is still there after a while: it is
+// worked off like ours, so it fades at the pace at which rounds end here, and to
+// nothing by the end of the fade.
+func survival(age, fade house.Micros, drain float64) float64 {
+	if age >= fade {
+		return 0
+	}
+	left := 1 - float64(max(age, 0))/float64(fade)
+	if drain > 0 {
+		left = min(left, math.Exp(-float64(max(age, 0))/drain))
+	}
+	return left
+}
+
+// foreign is what is left of the burden that other nodes had placed by a late
+// report: all of it less what was ours then.
+func (l *ledger) foreign(now, asOf house.Micros, reported int64, fade house.Micros, drain float64) float64 {
 	rest := reported - l.at(asOf)
-	age := now - asOf
-	if rest <= 0 || age >= fade {
+	if rest <= 0 {
 		return 0
 	}
-	return float64(rest) * (1 - float64(max(age, 0))/float64(fade))
+	return float64(rest) * survival(now-asOf, fade, drain)
+}
+
+// since is what of our own burden has come after a moment.
+func (l *ledger) since(now, asOf house.Micros, fade house.Micros, drain float64) float64 {
+	return max(float64(l.own)-float64(l.at(asOf))*survival(now-asOf, fade, drain), 0)
 }
 
 // budget lets retries be only a small ratio of this node's own first rounds. Each
--- a/auditorium/desk.go
+++ b/auditorium/desk.go
@@ -106,6 +106,9 @@
 	return [...]string{"served", "not sent", "withdrawn", "engine said not run", "lost", "caller gone"}[e]
 }
 
+// unseenShare is how far other nodes are taken to do as this one does.
+const unseenShare = 0.5
+
 const (
 	maxRounds       = 4
 	breakdownFirst  = 500 * house.Millisecond
@@ -138,12 +141,14 @@
 	Choose func(candidates []Candidate, preferred int, turn uint64) int
 	Narrow func(engine Engine) bool
 	Burden func(own int64, engine Engine, foreign float64) float64
+	Unseen *float64
 }
 
 // Desk is the owner of all requests of a router: what happens to them goes in,
 // what is to be done comes out. Its one lock is held only for the decision.
 type Desk struct {
 	self   string
+	zone   string
 	salt   uint64
 	note   func(now house.Micros, subject, decision, why string)
 	lock   sync.Mutex
@@ -154,12 +159,15 @@
 	turn   uint64
 	isShut bool
 	Trial  Trial
+	// drain is how long a round lasts here of late: other nodes' work is worked off
+	// at about the same pace as ours.
+	drain float64
 }
 
 // NewDesk makes a desk that declines until it is shown a scene.
-func NewDesk(self string, note func(now house.Micros, subject, decision, why string)) *Desk {
+func NewDesk(self, zone string, note func(now house.Micros, subject, decision, why string)) *Desk {
 	return &Desk{
-		self: self, salt: xxhash.Sum64String(self), note: note, scene: &Scene{Lapse: "no document has reached this router yet"},
+		self: self, zone: zone, salt: xxhash.Sum64String(self), note: note, scene: &Scene{Lapse: "no document has reached this router yet"},
 		states: map[string]*engineState{},
 		counts: Counts{Declined: map[string]uint64{}, Broken: map[string]uint64{}},
 	}
@@ -247,7 +255,31 @@
 	if len(candidates) == 0 {
 		return &Decline{"no_engine", "no engine of binding " + binding.Name + " can take it: " + why, 503, NotRun, defaultRetryDue}
 	}
-	policy := scene.Spec.Policy
+	if scene.Spec.Policy.OwnZoneFirst {
+		// Where crossing zones is dear, the own zone's engines are the whole pool as
+		// long as one of them can take the request in time.
+		if near, nearEngines := ownZone(d.zone, candidates, engines); len(near) > 0 {
+			if decline := d.pick(now, call, binding, near, nearEngines); decline == nil {
+				return nil
+			}
+		}
+	}
+	return d.pick(now, call, binding, candidates, engines)
+}
+
+func ownZone(zone string, candidates []Candidate, engines []Engine) ([]Candidate, []Engine) {
+	near, nearEngines := []Candidate{}, []Engine{}
+	for i, engine := range engines {
+		if engine.Zone == zone {
+			near, nearEngines = append(near, candidates[i]), append(nearEngines, engine)
+		}
+	}
+	return near, nearEngines
+}
+
+// pick chooses between candidates, judges the choice and opens the round.
+func (d *Desk) pick(now house.Micros, call *Call, binding *playbill.Binding, candidates []Candidate, engines []Engine) *Decline {
+	policy := d.scene.Spec.Policy
 	prefix := PrefixHash(call.Request.Prefix, policy.PrefixLength)
 	preferred := Preferred(SlotOf(prefix), candidates)
 	d.turn++
@@ -259,14 +291,14 @@
 	if choice.Index < 0 {
 		return &Decline{"ramping", "every engine of binding " + binding.Name + " is starting up and full", 503, NotRun, defaultRetryDue}
 	}
-	why = choice.Why
+	why := choice.Why
 	size := int64(call.Request.PromptTokens + call.Request.MaxTokens)
 	// Admission judges the policy's choice. Only if that would be late is the least
 	// burdened engine tried too: a decline there costs a caller, the miss of a
 	// cached prefix only time.
 	foreseen := d.foresee(now, engines[choice.Index], candidates[choice.Index].Burden, call)
 	if binding.TTFTLimit > 0 && foreseen > binding.TTFTLimit {
-		other := fewest(candidates, policy.NearTie, d.salt)
+		other := fewest(candidates, policy.NearTie*choice.Mean, d.salt)
 		again := foreseen
 		if other >= 0 {
 			again = d.foresee(now, engines[other], candidates[other].Burden, call)
@@ -285,7 +317,7 @@
 	engine := engines[choice.Index]
 	call.rounds++
 	call.Round = &Round{
-		Number: call.rounds, Engine: engine, Binding: binding.Name, Generation: scene.Generation,
+		Number: call.rounds, Engine: engine, Binding: binding.Name, Generation: d.scene.Generation,
 		opened: now, placed: size, burden: candidates[choice.Index].Burden + float64(call.Request.PromptTokens),
 	}
 	state := d.state(engine.ID)
@@ -296,7 +328,7 @@
 	}
 	d.note(now, call.Request.ID, fmt.Sprintf("round %d to %s", call.rounds, engine.ID),
 		fmt.Sprintf("%s; binding %s, generation %d, burden %.0f of mean %.0f over %d engines, preferred %s",
-			why, binding.Name, scene.Generation, candidates[choice.Index].Burden, choice.Mean, len(candidates), engines[preferred].ID))
+			why, binding.Name, d.scene.Generation, candidates[choice.Index].Burden, choice.Mean, len(candidates), engines[preferred].ID))
 	return nil
 }
 
@@ -345,7 +377,7 @@
 		}
 		burden, foreign := float64(max(state.ledger.own, 0)), 0.0
 		if engine.HasReport {
-			foreign = state.ledger.foreign(now, engine.AsOf, engine.Burden, d.scene.Spec.Policy.ReportFade)
+			foreign = d.foreign(now, state, engine)
 		}
 		burden += foreign
 		if d.Trial.Burden != nil {
@@ -366,6 +398,19 @@
 	return candidates, engines, fmt.Sprint(reasons)
 }
 
+// foreign reckons what other nodes have on an engine: what is left of the late
+// report, and what they will have placed since, for which our own placing stands.
+func (d *Desk) foreign(now house.Micros, state *engineState, engine Engine) float64 {
+	fade := d.scene.Spec.Policy.ReportFade
+	seen := state.ledger.foreign(now, engine.AsOf, engine.Burden, fade, d.drain)
+	share := unseenShare
+	if d.Trial.Unseen != nil {
+		share = *d.Trial.Unseen
+	}
+	others := float64(max(len(d.scene.Routers)-1, 0))
+	return seen + share*others*state.ledger.since(now, engine.AsOf, fade, d.drain)
+}
+
 // rampShare is how many streams this router may hold on an engine that started
 // lately. The cap is one for the fleet; each registered router computes the same
 // split of it, so the parts add up to the cap without a word between them.
@@ -477,6 +522,7 @@
 	switch ending {
 	case Served:
 		d.counts.Served++
+		d.learnDrain(float64(now - round.opened))
 		return false, nil
 	case CallerGone:
 		d.counts.CallersGone++
@@ -527,6 +573,13 @@
 	}
 }
 
+func (d *Desk) learnDrain(lasted float64) {
+	if d.drain == 0 {
+		d.drain = lasted
+	}
+	d.drain += 0.05 * (lasted - d.drain)
+}
+
 // Answered tells that an engine has begun to answer, which ends its breakdown.
 func (d *Desk) Answered(call *Call) {
 	d.lock.Lock()
@@ -572,7 +625,7 @@
 		if state := d.states[engine.ID]; state != nil {
 			view.Own, view.Streams = state.ledger.own, state.ledger.streams
 			if engine.HasReport && d.scene.Spec != nil {
-				view.Foreign = state.ledger.foreign(now, engine.AsOf, engine.Burden, d.scene.Spec.Policy.ReportFade)
+				view.Foreign = d.foreign(now, state, engine)
 			}
 		}
 		views = append(views, view)
--- a/auditorium/policy.go
+++ b/auditorium/policy.go
@@ -55,8 +55,9 @@
 
 // Choose is the paper's rule: the preferred engine, unless its burden exceeds
 // maxImbalance times the mean; then the engine with the fewest outstanding
-// tokens. Engines within nearTie of the fewest count as tied and salt decides
-// between them, so that nodes with the same late picture do not all pick one.
+// tokens. Engines within nearTie of the mean above the fewest count as tied and
+// salt decides between them, so that nodes with the same late picture do not all
+// pick one.
 func Choose(candidates []Candidate, preferred int, maxImbalance, nearTie float64, salt uint64) Choice {
 	total := 0.0
 	for _, candidate := range candidates {
@@ -67,7 +68,7 @@
 	if !isAbove && !candidates[preferred].IsFull {
 		return choice
 	}
-	choice.Index = fewest(candidates, nearTie, salt)
+	choice.Index = fewest(candidates, nearTie*choice.Mean, salt)
 	choice.IsDivert = choice.Index != preferred
 	choice.Why = "the preferred engine's burden is above the multiple of the mean"
 	if !isAbove {
@@ -77,7 +78,8 @@
 }
 
 // fewest gives the index of the least burdened engine that may take more, or -1.
-func fewest(candidates []Candidate, nearTie float64, salt uint64) int {
+// The slack is in tokens: a share of the least would be nothing when that is idle.
+func fewest(candidates []Candidate, slack float64, salt uint64) int {
 	least := math.Inf(1)
 	for _, candidate := range candidates {
 		if !candidate.IsFull {
@@ -86,7 +88,7 @@
 	}
 	best, bestDraw := -1, uint64(0)
 	for i, candidate := range candidates {
-		if candidate.IsFull || candidate.Burden > least*(1+nearTie) {
+		if candidate.IsFull || candidate.Burden > least+slack {
 			continue
 		}
 		draw := xxhash.Sum64String(candidate.ID) ^ salt
--- a/auditorium/policy_test.go
+++ b/auditorium/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -113,9 +114,11 @@
 	l.add(1_000_000, 500) // placed at 1 s
 	l.add(3_000_000, 300) // placed at 3 s
 	// A report as of 2 s says 900: 500 of it were ours then, whatever we placed since.
-	c.Assert(l.foreign(2_000_000, 2_000_000, 900, 10_000_000), qt.Equals, 400.0)
+	c.Assert(l.foreign(2_000_000, 2_000_000, 900, 10_000_000, 0), qt.Equals, 400.0)
 	// Half the fade later half of it counts.
-	c.Assert(l.foreign(7_000_000, 2_000_000, 900, 10_000_000), qt.Equals, 200.0)
-	c.Assert(l.foreign(12_000_000, 2_000_000, 900, 10_000_000), qt.Equals, 0.0)
-	c.Assert(l.foreign(2_000_000, 2_000_000, 100, 10_000_000), qt.Equals, 0.0)
+	c.Assert(l.foreign(7_000_000, 2_000_000, 900, 10_000_000, 0), qt.Equals, 200.0)
+	c.Assert(l.foreign(12_000_000, 2_000_000, 900, 10_000_000, 0), qt.Equals, 0.0)
+	c.Assert(l.foreign(2_000_000, 2_000_000, 100, 10_000_000, 0), qt.Equals, 0.0)
+	// Where rounds last a second, a report of a second ago counts by 1/e.
+	c.Assert(math.Abs(l.foreign(3_000_000, 2_000_000, 900, 10_000_000, 1_000_000)-400/math.E) < 0.001, qt.IsTrue)
 }
--- a/auditorium/usher_test.go
+++ b/auditorium/usher_test.go
@@ -49,7 +49,7 @@
 			ID: fmt.Sprintf("e%d", i), Address: strings.TrimPrefix(engine.URL, "http://"), Zone: fmt.Sprintf("z%d", i), Start: 1,
 		})
 	}
-	s.desk = NewDesk("r", func(house.Micros, string, string, string) {})
+	s.desk = NewDesk("r", "z0", func(house.Micros, string, string, string) {})
 	s.desk.Show(s.shown)
 	// As if there had been traffic, so that the budget allows retries.
 	s.desk.budget.saved = 5
--- a/playbill/playbill.go
+++ b/playbill/playbill.go
@@ -87,6 +87,7 @@
 	RampDouble   house.Micros
 	RampTotal    house.Micros
 	ReportFade   house.Micros
+	OwnZoneFirst bool
 }
 
 // DefaultPolicy holds the paper's figures where it gives any, and ours elsewhere.
@@ -331,6 +332,7 @@
 		setSpan(&spec.Policy.RampDouble, policy.RampDoubleUs)
 		setSpan(&spec.Policy.RampTotal, policy.RampTotalUs)
 		setSpan(&spec.Policy.ReportFade, policy.ReportFadeUs)
+		spec.Policy.OwnZoneFirst = policy.GetOwnZoneFirst()
 	}
 	return spec
 }
--- /dev/null
+++ b/playbill/playbill_test.go
@@ -0,0 +1,112 @@
+package playbill
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/house"
+)
+
+func TestEveryFaultIsNamedWithItsPath(t *testing.T) {
+	for _, example := range []struct {
+		name     string
+		document string
+		paths    []string
+	}{
+		{"not JSON", `{"bindings":`, []string{"$"}},
+		{"not an object", `[]`, []string{"$"}},
+		{"nothing", `{}`, []string{"bindings"}},
+		{"unknown fields and wrong types, all at once",
+			`{"bindigns":[],"bindings":[{"name":7,"shares":[{"weight":-1,"colour":"red"}],"ttftLimitUs":"soon"}],"policy":{"maxImbalance":"two","ownZoneFirst":1}}`,
+			[]string{"bindigns", "bindings[0].name", "bindings[0].shares[0].colour", "bindings[0].shares[0].weight", "bindings[0].ttftLimitUs", "policy.maxImbalance", "policy.ownZoneFirst"}},
+		{"lists that are none", `{"bindings":{},"zones":"z1"}`, []string{"bindings", "zones"}},
+		{"values out of range, all at once",
+			`{"zones":[{"name":"z1"},{"name":"z1"}],"engines":[{"id":"e 1","address":"host:80","zone":"z9"},{"id":"e2"},{"id":"e2"}],
+			  "bindings":[{"name":"a","shares":[]},{"name":"a","match":{"kind":"k"},"shares":[{"weight":0},{"weight":1001,"zone":"z9"}]},{"name":"b","match":{"kind":"k"},"shares":[{"weight":1}]}],
+			  "policy":{"prefixLength":0,"maxImbalance":0.5,"retryRatio":0.2,"rampStreams":0}}`,
+			[]string{"zones[1].name", "engines[0].id", "engines[0].address", "engines[0].zone", "engines[2].id", "bindings[0].shares", "bindings[1].name",
+				"bindings[1].shares[0].weight", "bindings[1].shares[1].weight", "bindings[1].shares[1].zone", "bindings[2].match",
+				"policy.prefixLength", "policy.maxImbalance", "policy.retryRatio", "policy.rampStreams"}},
+		{"the same key twice", `{"bindings":[{"name":"a","name":"b","shares":[{"weight":1}]}]}`, []string{"$"}},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, _, err := Read([]byte(example.document))
+			var faults *Faults
+			c.Assert(errors.As(err, &faults), qt.IsTrue, qt.Commentf("%v", err))
+			paths := []string{}
+			for _, fault := range faults.List {
+				paths = append(paths, fault.Path)
+			}
+			c.Assert(paths, qt.DeepEquals, example.paths)
+		})
+	}
+}
+
+func TestTheFirstBindingThatFitsIsTaken(t *testing.T) {
+	c := qt.New(t)
+	spec, _, err := Read([]byte(`{"bindings":[
+		{"name":"quotes","match":{"kind":"quote"},"shares":[{"engine":"e1","weight":7},{"pool":"fast","weight":3},{"zone":"z1","weight":1}],"ttftLimitUs":1500000},
+		{"name":"big-quotes","match":{"kind":"quote","model":"big"},"shares":[{"weight":1}]},
+		{"name":"big","match":{"model":"big"},"shares":[{"weight":1}]}]}`))
+	c.Assert(err, qt.IsNil)
+	for _, example := range []struct{ kind, model, want string }{
+		{"quote", "", "quotes"}, {"quote", "big", "quotes"}, {"", "big", "big"}, {"other", "big", "big"}, {"other", "small", ""},
+	} {
+		binding, isBound := spec.Bind(example.kind, example.model)
+		c.Assert(isBound, qt.Equals, example.want != "")
+		if isBound {
+			c.Assert(binding.Name, qt.Equals, example.want)
+		}
+	}
+	quotes, _ := spec.Bind("quote", "")
+	c.Assert(quotes.TTFTLimit, qt.Equals, 1500*house.Millisecond)
+	c.Assert(quotes.Weight("e1", "fast", "z1"), qt.Equals, uint32(7))
+	c.Assert(quotes.Weight("e2", "fast", "z1"), qt.Equals, uint32(3))
+	c.Assert(quotes.Weight("e2", "slow", "z1"), qt.Equals, uint32(1))
+	c.Assert(quotes.Weight("e2", "slow", "z2"), qt.Equals, uint32(0))
+}
+
+func TestDefaultsArePapersAndOurs(t *testing.T) {
+	c := qt.New(t)
+	spec, _, err := Read([]byte(`{"bindings":[{"name":"a","shares":[{"weight":1}]}],"policy":{"rampTotalUs":0}}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(spec.Policy.PrefixLength, qt.Equals, 64)
+	c.Assert(spec.Policy.MaxImbalance, qt.Equals, 2.0)
+	// Zero that was said is not the same as nothing said.
+	c.Assert(spec.Policy.RampTotal, qt.Equals, house.Micros(0))
+}
+
+func TestLargeSpecsWorkUpToTheBound(t *testing.T) {
+	c := qt.New(t)
+	large := func(count int) []byte {
+		text := strings.Builder{}
+		text.WriteString(`{"bindings":[`)
+		for i := range count {
+			if i > 0 {
+				text.WriteByte(',')
+			}
+			fmt.Fprintf(&text, `{"name":"binding-%d","match":{"kind":"kind-%d","model":"some model of a longer name"},"shares":[{"pool":"main","weight":10}]}`, i, i)
+		}
+		text.WriteString(`]}`)
+		return []byte(text.String())
+	}
+	document := large(20000)
+	c.Assert(len(document) > 2<<20, qt.IsTrue)
+	spec, kept, err := Read(document)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(kept) == string(document), qt.IsTrue)
+	binding, isBound := spec.Bind("kind-19999", "some model of a longer name")
+	c.Assert(isBound, qt.IsTrue)
+	c.Assert(binding.Name, qt.Equals, "binding-19999")
+	var above TooLarge
+	_, _, err = Read(large(20001))
+	c.Assert(errors.As(err, &above), qt.IsTrue)
+	c.Assert(above.What, qt.Equals, "bindings")
+	_, _, err = Read(make([]byte, MaxBytes+1))
+	c.Assert(errors.As(err, &above), qt.IsTrue)
+}
--- a/playbill/walk.go
+++ b/playbill/walk.go
@@ -82,6 +82,10 @@
 		if !isFit || err != nil || whole < 0 || whole > 1<<32-1 {
 			faults.Add(path, "has to be a whole number from 0 to %d", uint32(1<<32-1))
 		}
+	case protoreflect.BoolKind:
+		if _, isFit := value.(bool); !isFit {
+			faults.Add(path, "has to be true or false")
+		}
 	case protoreflect.DoubleKind:
 		if _, isFit := value.(json.Number); !isFit {
 			faults.Add(path, "has to be a number")
--- a/traproom/measure.go
+++ b/traproom/measure.go
@@ -156,10 +156,15 @@
 func burdenBy(name string) func(*Knobs) {
 	return func(k *Knobs) {
 		k.Trial = func(m *machine) auditorium.Trial {
-			return auditorium.Trial{Burden: func(own int64, engine auditorium.Engine, foreign float64) float64 {
+			var unseen *float64
+			if share, isShare := map[string]float64{"inferred 0": 0, "inferred 0.25": 0.25, "inferred 0.5": 0.5}[name]; isShare {
+				unseen = &share
+			}
+			return auditorium.Trial{Unseen: unseen, Burden: func(own int64, engine auditorium.Engine, foreign float64) float64 {
 				burden := float64(max(own, 0))
 				switch name {
-				case "inferred":
+				case "own":
+				default:
 					burden += foreign
 				case "report":
 					burden = float64(engine.Burden)
@@ -178,10 +183,10 @@
 	}
 }
 
-func localFirst(k *Knobs) {
-	k.Trial = func(m *machine) auditorium.Trial {
-		return auditorium.Trial{Narrow: func(engine auditorium.Engine) bool { return engine.Zone == m.identity.Zone }}
-	}
+// longStreams keep engines busy for seconds with each request.
+func longStreams(k *Knobs) {
+	heavyPrompts(k)
+	k.OutLow, k.OutHigh, k.Decode, k.Slots = 100, 400, 20*ms, 24
 }
 
 func withLag(lag house.Micros, burden string) variant {
@@ -232,11 +237,20 @@
 	"reports": {
 		title: "How the burden of other nodes is reckoned, by the lag of reports", deployment: "cronometro", rate: 60, hot: 0.3, span: 30 * sec, shape: heavyPrompts,
 		variants: []variant{
-			withLag(200*ms, "own"), withLag(200*ms, "report"), withLag(200*ms, "sum"), withLag(200*ms, "inferred"),
-			withLag(sec, "own"), withLag(sec, "report"), withLag(sec, "sum"), withLag(sec, "inferred"),
-			withLag(4*sec, "own"), withLag(4*sec, "report"), withLag(4*sec, "sum"), withLag(4*sec, "inferred"),
+			withLag(200*ms, "own"), withLag(200*ms, "report"), withLag(200*ms, "inferred 0"), withLag(200*ms, "inferred 0.25"), withLag(200*ms, "inferred 0.5"),
+			withLag(sec, "own"), withLag(sec, "report"), withLag(sec, "inferred 0"), withLag(sec, "inferred 0.25"), withLag(sec, "inferred 0.5"),
+			withLag(4*sec, "own"), withLag(4*sec, "report"), withLag(4*sec, "inferred 0"), withLag(4*sec, "inferred 0.25"), withLag(4*sec, "inferred 0.5"),
+		},
+		columns: []string{"estimate off by %", "prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms"},
+	},
+	"reports-long": {
+		title: "The same with streams of seconds", deployment: "cronometro", rate: 45, hot: 0.3, span: 30 * sec, shape: longStreams,
+		variants: []variant{
+			withLag(200*ms, "own"), withLag(200*ms, "report"), withLag(200*ms, "inferred 0"), withLag(200*ms, "inferred 0.25"), withLag(200*ms, "inferred 0.5"),
+			withLag(sec, "own"), withLag(sec, "report"), withLag(sec, "inferred 0"), withLag(sec, "inferred 0.25"), withLag(sec, "inferred 0.5"),
+			withLag(4*sec, "own"), withLag(4*sec, "report"), withLag(4*sec, "inferred 0"), withLag(4*sec, "inferred 0.25"), withLag(4*sec, "inferred 0.5"),
 		},
-		columns: []string{"estimate off by %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms"},
+		columns: []string{"estimate off by %", "prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms"},
 	},
 	"ramp": {
 		title: "The ramp of fresh engines under a crowd", deployment: "qurum", rate: 90, hot: 0, span: 20 * sec,
@@ -257,7 +271,7 @@
 		title: "Engines of the own zone only, against all", deployment: "qurum", rate: 60, hot: 0, span: 40 * sec,
 		shape: func(k *Knobs) { heavyPrompts(k); k.DataBytes = true },
 		variants: []variant{
-			{"all engines", func(*Knobs) {}}, {"the own zone's engines", localFirst},
+			{"all engines", func(*Knobs) {}}, {"the own zone first", policyOf("ownZoneFirst", true)},
 		},
 		columns: []string{"crossing KB/request", "prefix reuse %", "imbalance max/mean", "TTFT p50 ms", "TTFT p95 ms", "served %"},
 	},
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -283,7 +283,7 @@
 		}
 		settings.Member, settings.Kept = m.store.Member(), m.store.SpecGenerations()
 	}
-	m.desk = auditorium.NewDesk(m.identity.Address, func(now house.Micros, subject, decision, why string) {
+	m.desk = auditorium.NewDesk(m.identity.Address, m.identity.Zone, func(now house.Micros, subject, decision, why string) {
 		m.journal.Note(now, "auditorium", subject, decision, why)
 	})
 	if w.knobs.Trial != nil {
--- a/wings/process.go
+++ b/wings/process.go
@@ -98,7 +98,7 @@
 	var desk *auditorium.Desk
 	var usher *auditorium.Usher
 	if parts.IsRouter {
-		desk = auditorium.NewDesk(self.Address, func(now house.Micros, subject, decision, why string) {
+		desk = auditorium.NewDesk(self.Address, self.Zone, func(now house.Micros, subject, decision, why string) {
 			cue.Journal.Note(now, "auditorium", subject, decision, why)
 		})
 		usher = &auditorium.Usher{Cue: cue, Desk: desk, Spans: settings.Spans(), Dial: engineDialer()}
--- /dev/null
+++ b/wings/wings_test.go
@@ -0,0 +1,257 @@
+package wings
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/auditorium"
+	"dunlinloom/flyloft"
+	"dunlinloom/playbill"
+	"dunlinloom/understudy"
+)
+
+func goodSettings() Settings {
+	s := DefaultSettings()
+	s.Public, s.Peer, s.Zone = "10.0.0.1:8000", "10.0.0.1:7000", "z1"
+	s.Seeds = []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}
+	s.Data = "/var/lib/x"
+	return s
+}
+
+func TestSettingsNameEveryFault(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(goodSettings().Check(true), qt.IsNil)
+	bad := goodSettings()
+	bad.Fleet, bad.Zone, bad.Public, bad.Peer = "", "", "host:80", "0.0.0.0:7000"
+	bad.Seeds = []string{"10.0.0.2:7000", "10.0.0.2:7000"}
+	bad.Platform, bad.Journal = "ftp://x", 1
+	bad.LicenceUS, bad.AskUS, bad.PulseUS, bad.ElectionLowUS = 2_000_000, 600_000, 300_000, 600_000
+	var faults *playbill.Faults
+	c.Assert(errors.As(bad.Check(true), &faults), qt.IsTrue)
+	paths := []string{}
+	for _, fault := range faults.List {
+		paths = append(paths, fault.Path)
+	}
+	c.Assert(paths, qt.DeepEquals, []string{"fleet", "zone", "public", "peer", "seeds", "seeds[1]", "platform", "journal", "licence_us", "ask_us", "election_low_us"})
+	// A router has no folder, a founder needs one.
+	c.Assert(goodSettings().Check(false), qt.IsNotNil)
+	founder := goodSettings()
+	founder.Data = ""
+	c.Assert(founder.Check(true), qt.IsNotNil)
+}
+
+func TestFlagsGoBeforeTheFile(t *testing.T) {
+	c := qt.New(t)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	c.Assert(os.WriteFile(file, []byte(`{"zone":"z7","fleet":"f","ask_us":200000}`), 0o600), qt.IsNil)
+	settings, err := ReadSettings("test", []string{"--settings", file, "--zone", "z9"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(settings.Zone, qt.Equals, "z9")
+	c.Assert(settings.Fleet, qt.Equals, "f")
+	c.Assert(settings.AskUS, qt.Equals, int64(200000))
+	c.Assert(settings.LicenceUS, qt.Equals, DefaultSettings().LicenceUS)
+	for _, content := range []string{`{"zoen":"z7"}`, `{"zone":7}`, `{} {}`, `{`} {
+		c.Assert(os.WriteFile(file, []byte(content), 0o600), qt.IsNil)
+		_, err = ReadSettings("test", []string{"--settings", file})
+		c.Assert(errors.As(err, new(SettingsBreakdown)), qt.IsTrue, qt.Commentf("%s", content))
+	}
+}
+
+// free gives an address that nobody listens on just now.
+func free(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// fleet runs three whole nodes and two engines in this process, over real channels.
+type fleet struct {
+	c      *qt.C
+	public []string
+	stop   []context.CancelFunc
+	ended  []chan error
+}
+
+func openFleet(c *qt.C) *fleet {
+	f := &fleet{c: c}
+	seeds := []string{free(c), free(c), free(c)}
+	platform := understudy.NewPlatform(0)
+	listen := func(handler http.Handler) string {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		server := &http.Server{Handler: handler}
+		go server.Serve(listener)
+		c.Cleanup(func() { server.Close() })
+		return listener.Addr().String()
+	}
+	list := listen(platform.Handler())
+	for i, seed := range seeds {
+		settings := DefaultSettings()
+		settings.Public, settings.Peer, settings.Zone = free(c), seed, fmt.Sprintf("z%d", i)
+		settings.Seeds, settings.Data, settings.Platform = seeds, c.TempDir(), "http://"+list+"/v1/engines"
+		settings.LameDuckUS = 100_000
+		c.Assert(settings.Check(true), qt.IsNil)
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- Run(ctx, settings, Parts{Program: "test", IsRouter: true, IsPrompter: true}) }()
+		f.public, f.stop, f.ended = append(f.public, settings.Public), append(f.stop, stop), append(f.ended, ended)
+	}
+	c.Cleanup(func() {
+		for i := range f.stop {
+			f.stop[i]()
+			c.Check(<-f.ended[i], qt.IsNil)
+		}
+	})
+	for i := range 2 {
+		settings := understudy.EngineSettings{ID: fmt.Sprintf("e%d", i), Zone: "z0", Pool: "main", Start: 5, Slots: 4, Inbox: 16, Blocks: 64}
+		engine := understudy.NewEngine(settings)
+		platform.Set(flyloft.ListingEngine{ID: settings.ID, Address: listen(engine.Handler()), Zone: settings.Zone, Pool: "main", Start: 5, Up: 3600_000_000, State: "serving"})
+	}
+	return f
+}
+
+func (f *fleet) do(node int, method, path, body string, headers ...string) (int, http.Header, string) {
+	request, err := http.NewRequest(method, "http://"+f.public[node]+path, strings.NewReader(body))
+	f.c.Assert(err, qt.IsNil)
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	for {
+		response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request.Clone(context.Background()))
+		if err != nil {
+			// The node may not listen yet; the test's own time limit ends this.
+			request.Body = io.NopCloser(strings.NewReader(body))
+			continue
+		}
+		got, err := io.ReadAll(response.Body)
+		f.c.Assert(err, qt.IsNil)
+		response.Body.Close()
+		return response.StatusCode, response.Header, string(got)
+	}
+}
+
+// await asks until an answer has the wanted status.
+func (f *fleet) await(node int, path string, status int) string {
+	for {
+		if got, _, body := f.do(node, http.MethodGet, path, ""); got == status {
+			return body
+		}
+	}
+}
+
+const (
+	specOne = `{"bindings":[{"name":"one","shares":[{"weight":1}]}]}`
+	specTwo = `{ "bindings": [ {"name":"two","shares":[{"weight":1}]} ] }`
+)
+
+func TestAWholeFleetOverRealChannels(t *testing.T) {
+	c := qt.New(t)
+	f := openFleet(c)
+	var receipt flyloft.SubmitReceipt
+	order := func(node int, method, path, body string, headers ...string) (int, flyloft.SubmitReceipt) {
+		status, _, got := f.do(node, method, path, body, headers...)
+		receipt = flyloft.SubmitReceipt{}
+		c.Assert(json.Unmarshal([]byte(got), &receipt), qt.IsNil, qt.Commentf("%s", got))
+		return status, receipt
+	}
+	// Put at one node, read at another, byte for byte.
+	for {
+		if status, _ := order(0, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first"); status == http.StatusOK {
+			break
+		}
+	}
+	first := receipt.Generation
+	for node := range f.public {
+		f.await(node, "/readyz", http.StatusOK)
+	}
+	status, headers, got := f.do(1, http.MethodGet, "/v1/spec", "")
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(got, qt.Equals, specOne)
+	c.Assert(headers.Get(auditorium.HeaderGeneration), qt.Equals, fmt.Sprint(first))
+
+	// A stream comes through whole.
+	status, headers, got = f.do(2, http.MethodPost, "/v1/completions", `{"prompt":"one two three","max_tokens":6,"stream":true}`)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(got, qt.Equals, string(understudy.Script(headers.Get(understudy.HeaderRun), 6, true)))
+	request := headers.Get(auditorium.HeaderRequest)
+	_, _, explained := f.do(2, http.MethodGet, "/v1/explain/"+request, "")
+	c.Assert(strings.Contains(explained, "round 1 to "+headers.Get(auditorium.HeaderEngine)), qt.IsTrue, qt.Commentf("%s", explained))
+
+	// The same submission again, a clash, and a spec with faults.
+	_, again := order(1, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first")
+	c.Assert(again.Generation, qt.Equals, first)
+	status, second := order(2, http.MethodPut, fmt.Sprintf("/v1/spec?base=%d", first), specTwo)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	status, clash := order(0, http.MethodPut, fmt.Sprintf("/v1/spec?base=%d", first), specOne)
+	c.Assert(status, qt.Equals, http.StatusConflict)
+	c.Assert(clash.Reason, qt.Equals, "clash")
+	status, _, got = f.do(0, http.MethodPut, "/v1/spec", `{"bindings":[{"nam":"x"}]}`)
+	c.Assert(status, qt.Equals, http.StatusUnprocessableEntity)
+	c.Assert(strings.Contains(got, `"path":"bindings[0].nam"`), qt.IsTrue, qt.Commentf("%s", got))
+	status, _, _ = f.do(0, http.MethodPut, "/v1/spec", strings.Repeat(" ", playbill.MaxBytes+1))
+	c.Assert(status, qt.Equals, http.StatusRequestEntityTooLarge)
+
+	// History, by any node.
+	for node := range f.public {
+		f.await(node, fmt.Sprintf("/v1/spec?generation=%d", second.Generation), http.StatusOK)
+		status, _, got = f.do(node, http.MethodGet, fmt.Sprintf("/v1/spec?generation=%d", first), "")
+		c.Assert(status, qt.Equals, http.StatusOK)
+		c.Assert(got, qt.Equals, specOne)
+	}
+	status, _, _ = f.do(1, http.MethodGet, "/v1/spec?generation=999999", "")
+	c.Assert(status, qt.Equals, http.StatusNotFound)
+
+	// Empty the engines' zone: nothing may be served; refill it: it is again.
+	status, _ = order(1, http.MethodPut, "/v1/zones/z0/evacuation", "")
+	c.Assert(status, qt.Equals, http.StatusOK)
+	for node := range f.public {
+		for {
+			status, headers, _ = f.do(node, http.MethodPost, "/v1/completions", `{"prompt":"x","max_tokens":1}`)
+			if status == http.StatusServiceUnavailable {
+				c.Assert(headers.Get(auditorium.HeaderRun), qt.Equals, string(auditorium.NotRun))
+				break
+			}
+		}
+	}
+	status, _ = order(2, http.MethodDelete, "/v1/zones/z0/evacuation", "")
+	c.Assert(status, qt.Equals, http.StatusOK)
+	for {
+		if status, _, _ = f.do(0, http.MethodPost, "/v1/completions", `{"prompt":"x","max_tokens":1}`); status == http.StatusOK {
+			break
+		}
+	}
+
+	// A mark given by hand gets a receipt, and an unknown engine none.
+	status, _ = order(0, http.MethodPut, "/v1/engines/e0/leaving?start=5", "")
+	c.Assert(status, qt.Equals, http.StatusOK)
+	status, _, _ = f.do(0, http.MethodPut, "/v1/engines/e0/leaving?start=4", "")
+	c.Assert(status, qt.Equals, http.StatusConflict)
+	status, _, _ = f.do(0, http.MethodPut, "/v1/engines/none/leaving", "")
+	c.Assert(status, qt.Equals, http.StatusNotFound)
+
+	// Asking for a submission that never came makes it a final no.
+	status, lost := order(1, http.MethodGet, "/v1/submissions/never-sent", "")
+	c.Assert(status, qt.Equals, http.StatusConflict)
+	c.Assert(lost.Reason, qt.Equals, "fenced")
+
+	for _, path := range []string{"/v1/fleet", "/metrics", "/healthz", "/v1/spec/history", "/v1/journal?last=5"} {
+		status, _, _ = f.do(0, http.MethodGet, path, "")
+		c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", path))
+	}
+	for _, bad := range []string{`{}`, `not json`, `{"id":"e9","address":"host:1","start":1,"seq":1}`, `{"id":"e9","address":"10.0.0.1:1","start":1,"seq":1,"outstanding_tokens":-1}`} {
+		status, _, _ = f.do(0, http.MethodPost, "/v1/engines/report", bad)
+		c.Assert(status, qt.Equals, http.StatusBadRequest, qt.Commentf("%s", bad))
+	}
+}
