--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -22,7 +22,7 @@
 	Scenario string `arg:"positional,required" help:"scenario file, see scenarios/"`
 	Bin      string `arg:"--bin" help:"folder of the programs; that of rehearsal itself if not given"`
 	Folder   string `arg:"--folder" help:"where logs and data go; a temporary folder if not given"`
-	Port     int    `arg:"--port" default:"21000" help:"first of 400 ports on 127.0.0.1"`
+	Port     int    `arg:"--port" help:"first of 400 ports on 127.0.0.1; free ones if not given"`
 	Seed     uint64 `arg:"--seed" help:"instead of the scenario's"`
 	Report   string `arg:"--report" help:"file for the report; standard output if not given"`
 }
--- a/rehearsal/stage.go
+++ b/rehearsal/stage.go
@@ -47,7 +47,6 @@
 	platform    *actor
 	nodes       []*actor
 	engines     []*actor
-	ports       int
 
 	lock      sync.Mutex // guards everything below
 	events    []critic.Event
@@ -73,19 +72,39 @@
 // NewStage plans a rehearsal; Open starts it.
 func NewStage(bin, folder string, deployment Deployment, basePort int) *Stage {
 	s := &Stage{
-		bin: bin, folder: folder, deployment: deployment, ports: basePort,
+		bin: bin, folder: folder, deployment: deployment,
 		counters: map[string]map[string]float64{}, starts: map[string]int{}, peerBytes: map[string]float64{},
 	}
-	address := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", basePort+offset) }
-	s.platform = &actor{name: "platform", program: "understudy", public: address(0), words: []string{"--list", "--listen", address(0)}}
-	seeds := []string{}
+	taken := map[string]bool{}
+	address := func(offset int) string {
+		if basePort > 0 {
+			return fmt.Sprintf("127.0.0.1:%d", basePort+offset)
+		}
+		// Without a base every process gets a port that is free now.
+		for {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				panic(StageBreakdown{"find a port", err})
+			}
+			free := listener.Addr().String()
+			listener.Close()
+			if !taken[free] {
+				taken[free] = true
+				return free
+			}
+		}
+	}
+	listing := address(0)
+	s.platform = &actor{name: "platform", program: "understudy", public: listing, words: []string{"--list", "--listen", listing}}
+	seeds, peers := []string{}, []string{}
 	for i := range deployment.Nodes {
+		peers = append(peers, address(200+i))
 		if deployment.Nodes[i].HasDisk && len(seeds) < 3 {
-			seeds = append(seeds, address(200+i))
+			seeds = append(seeds, peers[i])
 		}
 	}
 	for i, plan := range deployment.Nodes {
-		node := &actor{name: fmt.Sprintf("node%d", i), program: plan.Program, zone: plan.Zone, public: address(100 + i), peer: address(200 + i)}
+		node := &actor{name: fmt.Sprintf("node%d", i), program: plan.Program, zone: plan.Zone, public: address(100 + i), peer: peers[i]}
 		node.words = []string{"--fleet", deployment.Name, "--public", node.public, "--peer", node.peer, "--zone", plan.Zone,
 			"--platform", "http://" + s.platform.public + "/v1/engines"}
 		for _, seed := range seeds {
