--- a/cmd/traproom/main.go
+++ b/cmd/traproom/main.go
@@ -27,13 +27,16 @@
 }
 
 type line struct {
-	Seed     uint64   `json:"seed"`
-	Final    string   `json:"final"`
-	Calls    int      `json:"calls"`
-	Served   int      `json:"served"`
-	RepairUS int64    `json:"repair_took_us"`
-	Orders   [3]int   `json:"orders_yes_no_unsure"`
-	Breaches []string `json:"breaches,omitempty"`
+	Seed     uint64 `json:"seed"`
+	Final    string `json:"final"`
+	Calls    int    `json:"calls"`
+	Served   int    `json:"served"`
+	RepairUS int64  `json:"repair_took_us"`
+	Orders   [3]int `json:"orders_yes_no_unsure"`
+	// Crossed is the control plane's bytes between zones by kind of message, for single seeds.
+	Crossed  map[string]int `json:"crossed,omitempty"`
+	Within   int            `json:"within,omitempty"`
+	Breaches []string       `json:"breaches,omitempty"`
 }
 
 func main() {
@@ -74,8 +77,12 @@
 					unclean++
 				}
 				if !outcome.IsClean() || words.Count <= 5 {
-					print(line{seed, outcome.Final, outcome.Review.Calls, outcome.Review.Outcomes["served"],
-						int64(outcome.Review.RepairTook), outcome.Orders, outcome.Lines()})
+					told := line{seed, outcome.Final, outcome.Review.Calls, outcome.Review.Outcomes["served"],
+						int64(outcome.Review.RepairTook), outcome.Orders, nil, 0, outcome.Lines()}
+					if words.Count <= 5 {
+						told.Crossed, told.Within = outcome.Crossed, outcome.Within
+					}
+					print(told)
 				}
 				lock.Unlock()
 			}
--- a/rehearsal/stage.go
+++ b/rehearsal/stage.go
@@ -52,7 +52,6 @@
 	events    []critic.Event
 	counters  map[string]map[string]float64 // by node and start of process
 	starts    map[string]int
-	peerBytes map[string]float64
 	problems  []string
 }
 
@@ -73,7 +72,7 @@
 func NewStage(bin, folder string, deployment Deployment, basePort int) *Stage {
 	s := &Stage{
 		bin: bin, folder: folder, deployment: deployment,
-		counters: map[string]map[string]float64{}, starts: map[string]int{}, peerBytes: map[string]float64{},
+		counters: map[string]map[string]float64{}, starts: map[string]int{},
 	}
 	taken := map[string]bool{}
 	address := func(offset int) string {
@@ -387,6 +386,27 @@
 	}
 }
 
+// crossed sums the bytes that nodes sent to nodes of other zones.
+func (s *Stage) crossed() float64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	sum := 0.0
+	for _, node := range s.nodes {
+		for key, counters := range s.counters {
+			if name, _, _ := strings.Cut(key, "#"); name != node.name {
+				continue
+			}
+			for metric, value := range counters {
+				isOwn := strings.Contains(metric, fmt.Sprintf("{to=%q}", node.zone))
+				if strings.HasPrefix(metric, "dunlinloom_peer_bytes_sent_total{") && !isOwn {
+					sum += value
+				}
+			}
+		}
+	}
+	return sum
+}
+
 func (s *Stage) total(name string) float64 {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/wings/channel.go
+++ b/wings/channel.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,15 +63,14 @@
 	client *http.Client
 	lock   sync.Mutex
 	peers  map[string]*peerInbox
-	// Sent counts bytes and messages by kind and by whether they left the zone.
 	Sent, Dropped atomic.Uint64
-	bytes         atomic.Uint64
 }
 
 type peerInbox struct {
 	address string
 	inbox   chan flyloft.Envelope
 	deliver *connect.Client[parcel, nothing]
+	bytes   atomic.Uint64
 }
 
 // Dialer opens a channel; tests and rehearsals bring one that can fail.
@@ -84,7 +82,13 @@
 	c.client = &http.Client{
 		Timeout: channelSpan.Duration(),
 		Transport: &http.Transport{
-			DialContext:         dial,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				channel, err := dial(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &countedChannel{channel, c.peer(address)}, nil
+			},
 			MaxIdleConnsPerHost: 2,
 			IdleConnTimeout:     30 * time.Second,
 		},
@@ -92,24 +96,49 @@
 	return c
 }
 
-// BytesSent is how many bytes of envelopes have gone out.
-func (c *Channels) BytesSent() uint64 { return c.bytes.Load() }
+// countedChannel counts what is written to a node, since bytes between zones cost.
+type countedChannel struct {
+	net.Conn
+	peer *peerInbox
+}
 
-// Send puts an envelope into its receiver's inbox; a full inbox loses its oldest,
-// since every owner repeats what matters and newer words are worth more.
-func (c *Channels) Send(envelope flyloft.Envelope) {
+func (c *countedChannel) Write(chunk []byte) (int, error) {
+	count, err := c.Conn.Write(chunk)
+	c.peer.bytes.Add(uint64(count))
+	return count, err
+}
+
+// BytesTo is how many bytes have gone to each node.
+func (c *Channels) BytesTo() map[string]uint64 {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	sent := map[string]uint64{}
+	for address, peer := range c.peers {
+		sent[address] = peer.bytes.Load()
+	}
+	return sent
+}
+
+func (c *Channels) peer(address string) *peerInbox {
 	c.lock.Lock()
-	peer := c.peers[envelope.To]
+	defer c.lock.Unlock()
+	peer := c.peers[address]
 	if peer == nil {
 		peer = &peerInbox{
-			address: envelope.To, inbox: make(chan flyloft.Envelope, inboxBound),
-			deliver: connect.NewClient[parcel, nothing](c.client, "http://"+envelope.To+procedureDeliver,
+			address: address, inbox: make(chan flyloft.Envelope, inboxBound),
+			deliver: connect.NewClient[parcel, nothing](c.client, "http://"+address+procedureDeliver,
 				connect.WithCodec(jsonCodec{}), connect.WithSendMaxBytes(parcelBytes)),
 		}
-		c.peers[envelope.To] = peer
+		c.peers[address] = peer
 		go c.work(peer)
 	}
-	c.lock.Unlock()
+	return peer
+}
+
+// Send puts an envelope into its receiver's inbox; a full inbox loses its oldest,
+// since every owner repeats what matters and newer words are worth more.
+func (c *Channels) Send(envelope flyloft.Envelope) {
+	peer := c.peer(envelope.To)
 	for {
 		select {
 		case peer.inbox <- envelope:
@@ -182,6 +211,3 @@
 		}, options...))
 	return mux
 }
-
-// zoneLabel keeps a zone's name fit for a metric's label.
-func zoneLabel(zone string) string { return strings.ReplaceAll(zone, `"`, "'") }
--- a/wings/face.go
+++ b/wings/face.go
@@ -460,7 +460,20 @@
 	}
 	line("engines_known", len(state.Engines))
 	line("nodes_known", len(state.Nodes))
-	line("peer_bytes_sent_total", f.channels.BytesSent(), "zone", f.cue.Self.Zone)
+	zones, bytes := map[string]string{}, map[string]uint64{}
+	for _, node := range state.Nodes {
+		zones[node.Address] = node.Zone
+	}
+	for address, sent := range f.channels.BytesTo() {
+		zone := zones[address]
+		if zone == "" {
+			zone = "unknown"
+		}
+		bytes[zone] += sent
+	}
+	for _, zone := range sortedNames(bytes) {
+		line("peer_bytes_sent_total", bytes[zone], "to", zone)
+	}
 	line("peer_messages_sent_total", f.channels.Sent.Load())
 	line("peer_messages_dropped_total", f.channels.Dropped.Load())
 	if f.usher == nil {
