News between zones carries only figures where the rest is known

Ruled out: the digests (1.1 MB) and the pulses (2.0 MB). Records whose standing the receiver has now carry seq, burden, streams and age alone.

--- a/flyloft/cell.go
+++ b/flyloft/cell.go
@@ -15,8 +15,8 @@
 // leaving mark of a start never goes away, and counters only grow.
 type EngineRecord struct {
 	ID           string `json:"id"`
-	Address      string `json:"address"`
-	Zone         string `json:"zone"`
+	Address      string `json:"address,omitempty"`
+	Zone         string `json:"zone,omitempty"`
 	Pool         string `json:"pool,omitempty"`
 	Start        uint64 `json:"start"` // the start identity; later starts are larger
 	IsLeaving    bool   `json:"leaving,omitempty"`
@@ -29,7 +29,7 @@
 	Streams      int64  `json:"streams,omitempty"`
 	// On the wire times are ages, since clocks differ between machines.
 	Age house.Micros `json:"age_us"`
-	Up  house.Micros `json:"up_us"`
+	Up  house.Micros `json:"up_us,omitempty"`
 	// In memory they are points on the own clock.
 	AsOf      house.Micros `json:"-"`
 	StartedAt house.Micros `json:"-"`
@@ -74,8 +74,9 @@
 )
 
 type cellMark struct {
-	rev   uint64
-	isOwn bool // learned in this zone, not from another home
+	rev      uint64
+	standing uint64 // the revision at which more than its burden changed
+	isOwn    bool   // learned in this zone, not from another home
 }
 
 // Cell keeps the engines and nodes that this node knows of.
@@ -145,6 +146,10 @@
 		return false
 	}
 	old, isThere := c.engines.Get(brought.ID)
+	// A record without an address brings only the burden of a start that is known.
+	if brought.Address == "" && (!isThere || old.Start != brought.Start) {
+		return false
+	}
 	merged := brought
 	if isThere {
 		merged = mergeEngine(old, brought)
@@ -159,7 +164,11 @@
 	c.engineRev = c.rev
 	c.engines = c.engines.Set(merged.ID, merged)
 	mark := c.engineMarks[merged.ID]
-	c.engineMarks[merged.ID] = cellMark{c.rev, isOwn || mark.isOwn && isThere && old.Start == merged.Start}
+	next := cellMark{c.rev, mark.standing, isOwn || mark.isOwn && isThere && old.Start == merged.Start}
+	if !isThere || merged.standing() != old.standing() || merged.ListRevision != old.ListRevision {
+		next.standing = c.rev
+	}
+	c.engineMarks[merged.ID] = next
 	isLeavingNews := merged.IsLeaving && !(isThere && old.IsLeaving && old.Start == merged.Start)
 	switch {
 	case isLeavingNews:
@@ -213,7 +222,7 @@
 	}
 	c.rev++
 	c.nodes = c.nodes.Set(brought.Address, brought)
-	c.nodeMarks[brought.Address] = cellMark{c.rev, isOwn}
+	c.nodeMarks[brought.Address] = cellMark{c.rev, c.rev, isOwn}
 	if !isThere {
 		c.note("node "+brought.Address, "known", "in zone "+brought.Zone)
 	}
@@ -263,7 +272,12 @@
 	}
 	for _, engine := range c.Engines() {
 		if mark := c.engineMarks[engine.ID]; mark.rev > seen && (mark.isOwn || !isOwnOnly) {
-			news.Engines = append(news.Engines, engine.aged(now))
+			record := engine.aged(now)
+			// Who has the rest of it needs only the new figures, which are most of the news.
+			if mark.standing <= seen {
+				record = EngineRecord{ID: record.ID, Start: record.Start, Seq: record.Seq, Burden: record.Burden, Streams: record.Streams, Age: record.Age}
+			}
+			news.Engines = append(news.Engines, record)
 		}
 	}
 	for _, node := range c.Nodes() {
--- a/rehearsal/stage.go
+++ b/rehearsal/stage.go
@@ -48,11 +48,11 @@
 	nodes       []*actor
 	engines     []*actor
 
-	lock      sync.Mutex // guards everything below
-	events    []critic.Event
-	counters  map[string]map[string]float64 // by node and start of process
-	starts    map[string]int
-	problems  []string
+	lock     sync.Mutex // guards everything below
+	events   []critic.Event
+	counters map[string]map[string]float64 // by node and start of process
+	starts   map[string]int
+	problems []string
 }
 
 // StageBreakdown says what of a rehearsal itself went wrong, as opposed to the fleet.
--- a/wings/channel.go
+++ b/wings/channel.go
@@ -59,10 +59,10 @@
 // Channels carry envelopes to other nodes: an inbox and a worker for each, so
 // that one that does not answer holds up nobody else.
 type Channels struct {
-	cue    house.Cue
-	client *http.Client
-	lock   sync.Mutex
-	peers  map[string]*peerInbox
+	cue           house.Cue
+	client        *http.Client
+	lock          sync.Mutex
+	peers         map[string]*peerInbox
 	Sent, Dropped atomic.Uint64
 }
 
