Rehearsals cut channels between real processes; a dark engine counts as one that may run

Builds with -tags faults can have their peer channels cut by a list of ways; ordinary builds hold no such code.

--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -201,6 +201,11 @@
 // Play runs a scenario and judges it.
 func Play(ctx context.Context, stage *Stage, scenario *Scenario, say func(string, ...any)) (*Report, error) {
 	defer stage.Close()
+	if scenario.needsCuts() {
+		if err := stage.canCut(); err != nil {
+			return nil, err
+		}
+	}
 	say("opening %s: %d nodes, %d engines", stage.deployment.Name, len(stage.nodes), len(stage.engines))
 	if err := stage.Open(ctx); err != nil {
 		return nil, err
@@ -283,6 +288,14 @@
 	}
 }
 
+func (s *Stage) cutFor(ctx context.Context, ms int64, chosen ...*actor) error {
+	if err := s.cut(chosen, 1); err != nil {
+		return err
+	}
+	pause(ctx, ms)
+	return s.cut(chosen, -1)
+}
+
 // took notes that a fault takes an actor.
 func (s *Stage) took(a *actor) {
 	if a.peer == "" {
@@ -344,6 +357,14 @@
 	case "repaired":
 		s.take(critic.Event{At: now(), What: critic.Repaired})
 		return nil
+	case "cut-zone":
+		chosen := []*actor{}
+		for _, node := range s.nodes {
+			if node.zone == step.Target {
+				chosen = append(chosen, node)
+			}
+		}
+		return s.cutFor(ctx, step.ForMS, chosen...)
 	case "kill-core", "kill-all", "kill-zone":
 		chosen := []*actor{}
 		for _, a := range append(append([]*actor{}, s.nodes...), s.engines...) {
@@ -366,6 +387,8 @@
 		return err
 	}
 	switch step.Do {
+	case "cut":
+		return s.cutFor(ctx, step.ForMS, node)
 	case "kill":
 		s.took(node)
 		node.halt()
--- a/rehearsal/scenario.go
+++ b/rehearsal/scenario.go
@@ -38,6 +38,8 @@
 	"stop":          "node",   // SIGTERM, and start it again for_ms after its end (0: never)
 	"freeze":        "node",   // SIGSTOP for for_ms
 	"wipe":          "node",   // SIGKILL, empty its data folder, start it again after for_ms
+	"cut":           "node",   // cut it off from all other nodes for for_ms; needs programs built with -tags faults
+	"cut-zone":      "zone",   // cut a zone's nodes off from all others for for_ms; the same
 	"kill-core":     "",       // SIGKILL to every prompter at once, started again after for_ms
 	"kill-all":      "",       // SIGKILL to every node at once, started again after for_ms
 	"kill-zone":     "zone",   // SIGKILL to all of a zone, engines too, started again after for_ms
@@ -72,6 +74,11 @@
 	return scenario, scenario.Check()
 }
 
+// needsCuts tells whether the programs have to be built with -tags faults.
+func (s *Scenario) needsCuts() bool {
+	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.Do == "cut" || step.Do == "cut-zone" })
+}
+
 // Check names every fault of a scenario at once.
 func (s *Scenario) Check() error {
 	faults := &playbill.Faults{}
--- a/rehearsal/stage.go
+++ b/rehearsal/stage.go
@@ -53,6 +53,7 @@
 	counters map[string]map[string]float64 // by node and start of process
 	starts   map[string]int
 	problems []string
+	cuts     map[string]int // "FROM>TO" to how many cuts hold it
 }
 
 // StageBreakdown says what of a rehearsal itself went wrong, as opposed to the fleet.
@@ -72,7 +73,7 @@
 func NewStage(bin, folder string, deployment Deployment, basePort int) *Stage {
 	s := &Stage{
 		bin: bin, folder: folder, deployment: deployment,
-		counters: map[string]map[string]float64{}, starts: map[string]int{},
+		counters: map[string]map[string]float64{}, starts: map[string]int{}, cuts: map[string]int{},
 	}
 	taken := map[string]bool{}
 	address := func(offset int) string {
@@ -158,6 +159,7 @@
 	}
 	process := exec.Command(filepath.Join(s.bin, a.program), words...)
 	process.Stdout, process.Stderr = log, log
+	process.Env = append(os.Environ(), "DUNLINLOOM_CUTS="+s.cutsFile(), "DUNLINLOOM_SELF="+a.peer)
 	// A rehearsal that dies must not leave a fleet behind.
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
@@ -196,6 +198,59 @@
 	}
 }
 
+func (s *Stage) cutsFile() string { return filepath.Join(s.folder, "cuts.json") }
+
+// cut edits the list of cut ways between some nodes and all others.
+func (s *Stage) cut(chosen []*actor, by int) error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, one := range chosen {
+		for _, other := range s.nodes {
+			if !slices.Contains(chosen, other) {
+				s.cuts[one.peer+">"+other.peer] += by
+				s.cuts[other.peer+">"+one.peer] += by
+			}
+		}
+	}
+	ways := []string{}
+	for way, count := range s.cuts {
+		if count > 0 {
+			ways = append(ways, way)
+		}
+	}
+	content, err := json.Marshal(ways)
+	if err != nil {
+		return StageBreakdown{"encode the cuts", err}
+	}
+	// Renamed into place, so that no process reads half a list.
+	if err := os.WriteFile(s.cutsFile()+".new", content, 0o644); err != nil {
+		return StageBreakdown{"write the cuts", err}
+	}
+	if err := os.Rename(s.cutsFile()+".new", s.cutsFile()); err != nil {
+		return StageBreakdown{"write the cuts", err}
+	}
+	return nil
+}
+
+// canCut asks a program whether it is built with faults.
+func (s *Stage) canCut() error {
+	out, err := exec.Command(filepath.Join(s.bin, "playhouse"), "--version").Output()
+	if err != nil {
+		return StageBreakdown{"ask playhouse for its version", err}
+	}
+	if !strings.Contains(string(out), "with faults") {
+		return StageBreakdown{"cut channels", StageUnfit{}}
+	}
+	return nil
+}
+
+// StageUnfit says that the programs can't do what a scenario asks for.
+type StageUnfit struct{}
+
+func (StageUnfit) Error() string {
+	return "the scenario cuts channels; build the programs with -tags faults"
+}
+
 // halt kills an actor and waits for its end.
 func (a *actor) halt() {
 	a.lock.Lock()
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -251,6 +251,8 @@
 		return
 	}
 	if e.isDark {
+		// It has the request and says nothing: for all that anyone knows, it runs.
+		w.take(critic.Event{What: critic.RunBegan, Tag: c.tag, Engine: e.id, Start: e.start, Zone: e.zone})
 		c.router.later(8*sec, func() {
 			if attempt == c.attempt {
 				c.lost("the engine sent nothing")
--- a/wings/dial.go
+++ b/wings/dial.go
@@ -7,6 +7,9 @@
 	"net"
 )
 
+// BuildNote is empty in ordinary builds.
+const BuildNote = ""
+
 // Ordinary builds know no way to make a channel fail on purpose.
 func peerDialer() Dialer { return plainDialer() }
 
--- a/wings/settings.go
+++ b/wings/settings.go
@@ -48,7 +48,7 @@
 }
 
 // Version is what --version prints.
-func (Settings) Version() string { return "dunlinloom 0.1.0" }
+func (Settings) Version() string { return "dunlinloom 0.1.0" + BuildNote }
 
 // DefaultSettings are in force where neither file nor flags speak.
 func DefaultSettings() Settings {
