An engine that took an earlier one's address ramps up at once; a list refreshes no report

Cause: found by making the cold-engine test able to fail. An engine that died and came back at its address was taken for the old, warm process until a report or the list told of its start, and got up to 19 requests at once where the cap allowed 10. The platform's list also set the age of the last report to nothing each second, so stale figures counted as fresh. Ruled out: the split of the cap over routers (its parts add up). Now an engine back from the dark is fresh until its next report, a later start in any answer is told at once, and a report's age is its own.

--- a/auditorium/usher.go
+++ b/auditorium/usher.go
@@ -56,6 +56,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Suspect hears of engines that could not be reached; nil: nobody does.
 	Suspect func(Engine)
+	// Restarted hears of engines that answer under a later start than was known.
+	Restarted func(Engine, uint64)
 	// Served waits for every accepted request to get its answer.
 	Served sync.WaitGroup
 	live   atomic.Int64
@@ -258,6 +260,10 @@
 		return SaidNotRun, fmt.Sprintf("status %d", response.StatusCode), false
 	}
 	u.Desk.Answered(call)
+	// A process that took an earlier one's address may be cold; all should know soon.
+	if start, err := strconv.ParseUint(response.Header.Get(HeaderStart), 10, 64); err == nil && start > call.Round.Engine.Start && u.Restarted != nil {
+		u.Restarted(call.Round.Engine, start)
+	}
 	copyHeaders(w.Header(), response.Header)
 	w.Header().Set(HeaderRequest, call.Request.ID)
 	w.Header().Set(HeaderEngine, call.Round.Engine.ID)
--- a/flyloft/cell.go
+++ b/flyloft/cell.go
@@ -28,11 +28,21 @@
 	Burden       int64  `json:"burden,omitempty"`
 	Streams      int64  `json:"streams,omitempty"`
 	// On the wire times are ages, since clocks differ between machines.
-	Age house.Micros `json:"age_us"`
-	Up  house.Micros `json:"up_us,omitempty"`
+	Age  house.Micros `json:"age_us,omitempty"`  // of the report's figures
+	Up   house.Micros `json:"up_us,omitempty"`   // since the start
+	Idle house.Micros `json:"idle_us,omitempty"` // since anything was heard of it
+	Back house.Micros `json:"back_us,omitempty"` // since it last came back from the dark
 	// In memory they are points on the own clock.
 	AsOf      house.Micros `json:"-"`
 	StartedAt house.Micros `json:"-"`
+	Seen      house.Micros `json:"-"`
+	BackAt    house.Micros `json:"-"`
+}
+
+// IsUnsure tells that an engine came back and has not reported since. It may be
+// another process at the same address, so it is to be treated as a fresh one.
+func (e EngineRecord) IsUnsure() bool {
+	return e.DarkSeq > 0 && !e.IsDark && !(e.Seq > 0 && e.AsOf > e.BackAt)
 }
 
 // NodeRecord is what the fleet knows of one of its own nodes.
@@ -125,12 +135,12 @@
 		merged.Address, merged.Zone, merged.Pool = brought.Address, brought.Zone, brought.Pool
 	}
 	if brought.DarkSeq > old.DarkSeq {
-		merged.IsDark, merged.DarkSeq = brought.IsDark, brought.DarkSeq
+		merged.IsDark, merged.DarkSeq, merged.BackAt = brought.IsDark, brought.DarkSeq, brought.BackAt
 	}
 	if brought.Seq > old.Seq {
-		merged.Seq, merged.Burden, merged.Streams = brought.Seq, brought.Burden, brought.Streams
+		merged.Seq, merged.Burden, merged.Streams, merged.AsOf = brought.Seq, brought.Burden, brought.Streams, brought.AsOf
 	}
-	merged.AsOf = max(old.AsOf, brought.AsOf)
+	merged.Seen = max(old.Seen, brought.Seen)
 	merged.StartedAt = min(old.StartedAt, brought.StartedAt)
 	return merged
 }
@@ -142,7 +152,7 @@
 
 // TakeEngine merges a record in; it tells whether the leaving mark is news.
 func (c *Cell) TakeEngine(now house.Micros, brought EngineRecord, isOwn bool) bool {
-	if brought.ID == "" || now-brought.AsOf > engineGone {
+	if brought.ID == "" || now-brought.Seen > engineGone {
 		return false
 	}
 	old, isThere := c.engines.Get(brought.ID)
@@ -193,7 +203,7 @@
 		listed[engine.ID] = true
 		record := EngineRecord{
 			ID: engine.ID, Address: engine.Address, Zone: engine.Zone, Pool: engine.Pool, Start: engine.Start,
-			IsLeaving: engine.State == "leaving", ListRevision: listing.Revision, AsOf: now, StartedAt: now - engine.Up,
+			IsLeaving: engine.State == "leaving", ListRevision: listing.Revision, Seen: now, StartedAt: now - engine.Up,
 		}
 		// The list lags: it may still show a start that has been replaced.
 		if old, isThere := c.engines.Get(engine.ID); isThere && old.Start > record.Start {
@@ -240,7 +250,7 @@
 	for _, engine := range c.Engines() {
 		// A listed engine stays, however silent: engines that send no reports still work.
 		isListed := engine.ListRevision > 0 && !engine.IsUnlisted
-		if !isListed && now-engine.AsOf > engineGone {
+		if !isListed && now-engine.Seen > engineGone {
 			c.engines = c.engines.Delete(engine.ID)
 			delete(c.engineMarks, engine.ID)
 			c.rev++
@@ -289,12 +299,18 @@
 }
 
 func (e EngineRecord) aged(now house.Micros) EngineRecord {
-	e.Age, e.Up = max(now-e.AsOf, 0), max(now-e.StartedAt, 0)
+	e.Age, e.Up, e.Idle = max(now-e.AsOf, 0), max(now-e.StartedAt, 0), max(now-e.Seen, 0)
+	if e.DarkSeq > 0 {
+		e.Back = max(now-e.BackAt, 0)
+	}
 	return e
 }
 
 func (e EngineRecord) placed(now house.Micros) EngineRecord {
-	e.AsOf, e.StartedAt = now-max(e.Age, 0), now-max(e.Up, 0)
+	e.AsOf, e.StartedAt, e.Seen = now-max(e.Age, 0), now-max(e.Up, 0), now-max(e.Idle, 0)
+	if e.DarkSeq > 0 {
+		e.BackAt = now - max(e.Back, 0)
+	}
 	return e
 }
 
--- a/flyloft/core_test.go
+++ b/flyloft/core_test.go
@@ -308,12 +308,12 @@
 func TestEngineRecordsMergeTheSameInAnyOrder(t *testing.T) {
 	c := qt.New(t)
 	records := []EngineRecord{
-		{ID: "e", Address: "1", Zone: "z", Start: 1, ListRevision: 3, AsOf: 10, StartedAt: 5},
-		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 4, Burden: 70, AsOf: 20, StartedAt: 6},
-		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 3, Burden: 90, IsLeaving: true, AsOf: 15, StartedAt: 6},
-		{ID: "e", Address: "1", Zone: "z", Start: 1, IsDark: true, DarkSeq: 2, AsOf: 12, StartedAt: 6},
-		{ID: "e", Address: "2", Zone: "z", Start: 2, Seq: 1, Burden: 5, AsOf: 30, StartedAt: 25},
-		{ID: "e", Address: "2", Zone: "z", Start: 2, ListRevision: 5, AsOf: 31, StartedAt: 25},
+		{ID: "e", Address: "1", Zone: "z", Start: 1, ListRevision: 3, AsOf: 10, Seen: 10, StartedAt: 5},
+		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 4, Burden: 70, AsOf: 20, Seen: 20, StartedAt: 6},
+		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 3, Burden: 90, IsLeaving: true, AsOf: 15, Seen: 15, StartedAt: 6},
+		{ID: "e", Address: "1", Zone: "z", Start: 1, IsDark: true, DarkSeq: 2, AsOf: 12, Seen: 12, BackAt: 12, StartedAt: 6},
+		{ID: "e", Address: "2", Zone: "z", Start: 2, Seq: 1, Burden: 5, AsOf: 30, Seen: 30, StartedAt: 25},
+		{ID: "e", Address: "2", Zone: "z", Start: 2, ListRevision: 5, AsOf: 31, Seen: 31, StartedAt: 25},
 	}
 	random := rand.New(rand.NewPCG(3, 3))
 	var wanted string
@@ -333,6 +333,20 @@
 		}
 		c.Assert(text, qt.Equals, wanted)
 	}
+	// A list says nothing of how old the last report is, or whether who came back from
+	// the dark is who went there.
+	listed := NewCell("x", DefaultTiming(), func(string, string, string) {})
+	listed.TakeEngine(40, records[1], true)
+	listed.TakeListing(60, Listing{Revision: 9, Engines: []ListingEngine{{ID: "e", Address: "1", Zone: "z", Start: 1, State: "serving"}}})
+	c.Assert(listed.Engines()[0].AsOf, qt.Equals, house.Micros(20))
+	back := records[3]
+	back.IsDark, back.DarkSeq, back.BackAt = false, 3, 50
+	listed.TakeEngine(60, back, true)
+	c.Assert(listed.Engines()[0].IsUnsure(), qt.IsTrue)
+	listed.TakeListing(70, Listing{Revision: 10, Engines: []ListingEngine{{ID: "e", Address: "1", Zone: "z", Start: 1, State: "serving"}}})
+	c.Assert(listed.Engines()[0].IsUnsure(), qt.IsTrue)
+	listed.TakeEngine(80, EngineRecord{ID: "e", Start: 1, Seq: 5, Burden: 1, AsOf: 75, Seen: 80}, true)
+	c.Assert(listed.Engines()[0].IsUnsure(), qt.IsFalse)
 	// Within one start a leaving mark stays, whatever comes later.
 	cell := NewCell("x", DefaultTiming(), func(string, string, string) {})
 	for _, record := range []EngineRecord{records[2], records[1], records[0]} {
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -337,7 +337,7 @@
 func (n *Node) Probed(now house.Micros, id string, start uint64, isDark bool) []any {
 	n.now = now
 	if engine, isThere := n.cell.engines.Get(id); isThere && engine.Start == start && engine.IsDark != isDark {
-		engine.IsDark = isDark
+		engine.IsDark, engine.BackAt = isDark, now
 		engine.DarkSeq++
 		n.hear([]EngineRecord{engine})
 		// Dark engines swallow requests that can't be tried again, so routers hear at once.
@@ -346,6 +346,16 @@
 	return n.finish()
 }
 
+// Restarted takes that an engine answered a router here under a later start than
+// was known: its own word comes before any report or list.
+func (n *Node) Restarted(now house.Micros, id string, start uint64) []any {
+	n.now = now
+	if engine, isThere := n.cell.engines.Get(id); isThere && engine.Start < start {
+		n.hear([]EngineRecord{{ID: id, Address: engine.Address, Zone: engine.Zone, Pool: engine.Pool, Start: start, StartedAt: now, Seen: now, AsOf: now}})
+	}
+	return n.finish()
+}
+
 // Suspect takes that a router here could not reach an engine. One failure may be
 // the router's own, so the home of the engine's zone looks before it tells all.
 func (n *Node) Suspect(now house.Micros, id string, start uint64) []any {
--- a/traproom/data_test.go
+++ b/traproom/data_test.go
@@ -44,13 +44,14 @@
 func TestAColdEngineIsNotFlooded(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 32)
+	w.knobs.Decode = 25 * ms // streams of seconds, so that they pile up
 	for _, e := range w.engines[:9] {
 		e.halt()
 	}
 	w.Run(sec)
 	// A crowd is there when they come back, and all of them are the least burdened.
 	w.Traffic(150, 8*sec, 0.5)
-	w.Run(500 * ms)
+	w.Run(3 * sec)
 	for _, e := range w.engines[:9] {
 		e.boot()
 	}
--- a/traproom/drama.go
+++ b/traproom/drama.go
@@ -373,7 +373,7 @@
 		}
 		w.trace("engine %s is marked leaving at %s", e.id, m.name)
 		now := m.clock()
-		known.IsLeaving, known.Age, known.Up = true, now-known.AsOf, now-known.StartedAt
+		known.IsLeaving, known.Age, known.Up, known.Back = true, now-known.AsOf, now-known.StartedAt, now-known.BackAt
 		m.carry(m.node.Hear(now, []flyloft.EngineRecord{known}))
 		// It counts as learned once the operator has the receipt; until then the one
 		// node that was told may have died with it.
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -34,7 +34,7 @@
 
 const (
 	coldSpan  = 5 * sec
-	coldBears = 30
+	coldBears = 12
 )
 
 // report sends the load as it was a while ago to some node, again and again.
@@ -364,6 +364,9 @@
 		}
 		if !c.isFirst {
 			c.router.desk.Answered(c.call)
+			if engine := c.call.Round.Engine; start > engine.Start {
+				c.router.carry(c.router.node.Restarted(c.router.clock(), engine.ID, start))
+			}
 			c.isFirst = true
 			w.figures.ttft = append(w.figures.ttft, w.now-c.began)
 		}
--- a/wings/face.go
+++ b/wings/face.go
@@ -341,6 +341,7 @@
 		now := f.cue.Clock.Now()
 		marked := engine
 		marked.IsLeaving, marked.Age, marked.Up = true, max(now-engine.AsOf, 0), max(now-engine.StartedAt, 0)
+		marked.Back = max(now-engine.BackAt, 0)
 		// The routers are told first; then the core keeps the mark, so that it outlives
 		// even a fleet that is stopped as a whole.
 		f.runner.Hear([]flyloft.EngineRecord{marked})
--- a/wings/process.go
+++ b/wings/process.go
@@ -105,7 +105,7 @@
 	}
 	runner := NewRunner(cue, flyloft.NewNode(node, cue.Clock.Now()), store, channels, desk, settings.Platform)
 	if usher != nil {
-		usher.Suspect = runner.Suspect
+		usher.Suspect, usher.Restarted = runner.Suspect, runner.Restarted
 	}
 	for name, service := range map[string]any{ServiceDesk: desk, ServiceRunner: runner, ServiceChannels: channels, ServiceUsher: usher} {
 		if err := stage.Place(name, service); err != nil {
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -233,6 +233,9 @@
 			IsLeaving: record.IsLeaving, IsUnlisted: record.IsUnlisted, IsDark: record.IsDark,
 			HasReport: record.Seq > 0, Burden: record.Burden, AsOf: record.AsOf, StartedAt: record.StartedAt, IsStartKnown: true,
 		}
+		if record.IsUnsure() {
+			engine.StartedAt = record.BackAt
+		}
 		if spec != nil {
 			named := spec.Engines[record.ID]
 			if named.Pool != "" {
@@ -293,6 +296,11 @@
 	r.post(func() []any { return r.node.Suspect(r.cue.Clock.Now(), engine.ID, engine.Start) })
 }
 
+// Restarted tells the control plane of an engine that answered under a later start.
+func (r *Runner) Restarted(engine auditorium.Engine, start uint64) {
+	r.post(func() []any { return r.node.Restarted(r.cue.Clock.Now(), engine.ID, start) })
+}
+
 // Leave begins a planned stop.
 func (r *Runner) Leave() {
 	r.post(func() []any { return r.node.Leave(r.cue.Clock.Now()) })
