--- a/cmd/callboard/main.go
+++ b/cmd/callboard/main.go
@@ -9,9 +9,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -341,7 +343,7 @@
 	if view.Ailment != "" {
 		fmt.Fprintf(b.out, "DISK: %s\n", view.Ailment)
 	}
-	for _, zone := range sorted(view.Evacuated) {
+	for _, zone := range slices.Sorted(maps.Keys(view.Evacuated)) {
 		fmt.Fprintf(b.out, "zone %s is emptied since generation %d\n", zone, view.Evacuated[zone])
 	}
 	isVoter, isHome, isRegistered := map[string]bool{}, map[string]bool{}, map[string]bool{}
@@ -386,15 +388,6 @@
 	return nil
 }
 
-func sorted(from map[string]uint64) []string {
-	names := make([]string, 0, len(from))
-	for name := range from {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 type journalPage struct {
 	Node    house.Identity `json:"node"`
 	Entries []house.Entry  `json:"entries"`
--- a/flyloft/cell.go
+++ b/flyloft/cell.go
@@ -60,6 +60,21 @@
 	AsOf       house.Micros `json:"-"`
 }
 
+// Report is an engine's late word on its load, in the form of docs/interfaces.md.
+type Report struct {
+	ID          string       `json:"id"`
+	Address     string       `json:"address"`
+	Zone        string       `json:"zone"`
+	Pool        string       `json:"pool,omitempty"`
+	Start       uint64       `json:"start"`
+	Seq         uint64       `json:"seq"`
+	Outstanding int64        `json:"outstanding_tokens"`
+	Streams     int64        `json:"streams"`
+	Age         house.Micros `json:"age_us"`
+	Up          house.Micros `json:"up_us"`
+	IsLeaving   bool         `json:"leaving,omitempty"`
+}
+
 // Listing is the platform's list of engines at one revision.
 type Listing struct {
 	Revision uint64          `json:"revision"`
--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -601,7 +602,7 @@
 	for _, address := range c.committed.Homes {
 		homes[address] = true
 	}
-	for _, address := range sortedKeys(homes) {
+	for _, address := range slices.Sorted(maps.Keys(homes)) {
 		c.send(address, Message{Nudge: &Nudge{c.committed.Generation}})
 	}
 	c.isRoundWanted = true
@@ -985,7 +986,7 @@
 		return
 	}
 	changed := slices.Clone(next.Register)
-	for _, address := range sortedKeys(c.seen) {
+	for _, address := range slices.Sorted(maps.Keys(c.seen)) {
 		seen := c.seen[address]
 		if seen.isRouter && c.now-seen.at < 2*house.Second && !slices.Contains(changed, address) {
 			changed = append(changed, address)
@@ -1011,12 +1012,12 @@
 
 func (c *Core) tendHomes(next *Document, reasons *[]string) {
 	nodes := map[string][]string{}
-	for _, address := range sortedKeys(c.seen) {
+	for _, address := range slices.Sorted(maps.Keys(c.seen)) {
 		if seen := c.seen[address]; c.now-seen.at < c.settings.Timing.HomeSilent {
 			nodes[seen.zone] = append(nodes[seen.zone], address)
 		}
 	}
-	for _, zone := range sortedKeys(nodes) {
+	for _, zone := range slices.Sorted(maps.Keys(nodes)) {
 		home := next.Homes[zone]
 		if named := c.successors[zone]; named != "" && named != home {
 			delete(c.successors, zone)
@@ -1215,12 +1216,3 @@
 	c.now, c.isLeaving = now, true
 	c.note("core", "leave", "a planned stop was asked for")
 }
-
-func sortedKeys[V any](from map[string]V) []string {
-	keys := make([]string, 0, len(from))
-	for key := range from {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/flyloft/document.go
+++ b/flyloft/document.go
@@ -9,6 +9,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"sort"
 )
@@ -108,7 +109,7 @@
 	d.Leaving[engine] = LeavingMark{start, d.Generation}
 	for len(d.Leaving) > keptLeaving {
 		oldest := ""
-		for _, name := range sortedKeys(d.Leaving) {
+		for _, name := range slices.Sorted(maps.Keys(d.Leaving)) {
 			if oldest == "" || d.Leaving[name].Generation < d.Leaving[oldest].Generation {
 				oldest = name
 			}
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -219,7 +220,7 @@
 func (n *Node) otherHomes() []string {
 	found := []string{}
 	if n.licence.applied != nil {
-		for _, zone := range sortedKeys(n.licence.applied.Homes) {
+		for _, zone := range slices.Sorted(maps.Keys(n.licence.applied.Homes)) {
 			if home := n.licence.applied.Homes[zone]; home != n.self() && !slices.Contains(found, home) {
 				found = append(found, home)
 			}
@@ -715,7 +716,7 @@
 	// Waiting a little lets one crossing between zones carry the whole zone's asks.
 	n.batchAlarm, n.isBatchHot = n.now+100*house.Millisecond, false
 	batch := &AskBatch{Zone: n.settings.Identity.Zone, IsHome: n.isHome(), Generation: n.licence.Generation()}
-	for _, address := range sortedKeys(n.batch) {
+	for _, address := range slices.Sorted(maps.Keys(n.batch)) {
 		batch.Asks = append(batch.Asks, n.batch[address])
 	}
 	n.batch = map[string]RouterAsk{}
@@ -748,7 +749,7 @@
 }
 
 func (n *Node) tickErrands() {
-	for _, id := range sortedKeys(n.errands) {
+	for _, id := range slices.Sorted(maps.Keys(n.errands)) {
 		errand := n.errands[id]
 		if n.now >= errand.deadline {
 			if errand.submit.Order == MarkEngine {
--- a/traproom/drama.go
+++ b/traproom/drama.go
@@ -465,6 +465,12 @@
 	w.trace("FINAL %s", last.name)
 	last.strike(w)
 	w.Run(6 * sec)
+	w.settle(&outcome)
+	return outcome
+}
+
+// settle repairs everything, sees whether orders go through again and judges the run.
+func (w *World) settle(outcome *Outcome) {
 	w.repair()
 	w.Run(14 * sec)
 	yes := w.operator.Yes
@@ -477,7 +483,6 @@
 	outcome.Inside, outcome.Events = w.wrongs, w.events
 	outcome.Orders = [3]int{w.operator.Yes, w.operator.No, w.operator.Unsure}
 	outcome.Crossed, outcome.Within = w.Crossed, w.Within
-	return outcome
 }
 
 // repair brings everything back that can come back.
--- a/traproom/storm.go
+++ b/traproom/storm.go
@@ -1,7 +1,6 @@
 package traproom
 
 import (
-	"dunlinloom/critic"
 	"dunlinloom/house"
 )
 
@@ -93,16 +92,6 @@
 		struck.strike(w)
 	}
 	w.Run(5 * sec)
-	w.repair()
-	w.Run(14 * sec)
-	yes := w.operator.Yes
-	w.operator.putSpec(nil)
-	w.Run(12 * sec)
-	outcome.Repaired = w.operator.Yes > yes
-	w.operator.readBack()
-	w.totals()
-	outcome.Review = critic.Judge(w.events, critic.BriefBounds())
-	outcome.Inside, outcome.Events = w.wrongs, w.events
-	outcome.Orders = [3]int{w.operator.Yes, w.operator.No, w.operator.Unsure}
+	w.settle(&outcome)
 	return outcome
 }
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
-	"sort"
 
 	"dunlinloom/auditorium"
 	"dunlinloom/critic"
@@ -69,7 +69,7 @@
 	e.world.take(critic.Event{What: critic.EngineFailed, Engine: e.id})
 	e.isUp = false
 	e.tokens = 0
-	for _, tag := range sortedTags(e.runs) {
+	for _, tag := range slices.Sorted(maps.Keys(e.runs)) {
 		e.runs[tag].engineDied("the channel was reset")
 	}
 	e.runs, e.queue, e.running, e.cache = map[string]*call{}, nil, 0, map[uint32]uint64{}
@@ -104,15 +104,6 @@
 	isRun   bool // on a slot of the engine
 }
 
-func sortedTags(from map[string]*call) []string {
-	tags := make([]string, 0, len(from))
-	for tag := range from {
-		tags = append(tags, tag)
-	}
-	sort.Strings(tags)
-	return tags
-}
-
 func (c *call) end(outcome critic.Outcome, reason string) {
 	if c.isOver {
 		return
@@ -580,7 +571,7 @@
 		}
 		w.take(critic.Event{What: critic.SpecRead, Generation: mark.Generation, Digest: digest})
 	}
-	for _, generation := range sortedGenerations(o.acked) {
+	for _, generation := range slices.Sorted(maps.Keys(o.acked)) {
 		// What a fleet keeps of the past is bounded; docs/limits.md says how far.
 		isKept := len(chain) > 0 && generation >= chain[0].Generation
 		if (isKept || len(chain) == 0) && !named[generation] {
@@ -588,12 +579,3 @@
 		}
 	}
 }
-
-func sortedGenerations(from map[uint64]string) []uint64 {
-	generations := make([]uint64, 0, len(from))
-	for generation := range from {
-		generations = append(generations, generation)
-	}
-	slices.Sort(generations)
-	return generations
-}
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -4,8 +4,10 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 
 	"dunlinloom/auditorium"
 	"dunlinloom/critic"
@@ -373,7 +375,7 @@
 	w.retired.Retries += counts.Retries
 	m.isUp, m.isFrozen, m.held = false, false, nil
 	m.epoch++
-	for _, tag := range sortedTags(m.calls) {
+	for _, tag := range slices.Sorted(maps.Keys(m.calls)) {
 		m.calls[tag].routerDied()
 	}
 }
--- a/understudy/engine.go
+++ b/understudy/engine.go
@@ -19,6 +19,7 @@
 
 	"dunlinloom/auditorium"
 	"dunlinloom/critic"
+	"dunlinloom/flyloft"
 	"dunlinloom/house"
 )
 
@@ -477,31 +478,21 @@
 }
 
 // Report pictures the engine's load for its next late report.
-func (e *Engine) Report() Report {
+func (e *Engine) Report() flyloft.Report {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	e.seq++
-	return Report{
+	return flyloft.Report{
 		ID: e.settings.ID, Address: e.settings.Address, Zone: e.settings.Zone, Pool: e.settings.Pool,
 		Start: e.settings.Start, Seq: e.seq, Outstanding: e.tokens, Streams: int64(e.held),
-		Up: house.MicrosOf(time.Since(e.born)), IsLeaving: e.leaving, taken: time.Now(),
+		Up: house.MicrosOf(time.Since(e.born)), IsLeaving: e.leaving,
 	}
 }
 
-// Report is an engine's word on its load, in the format of docs/interfaces.md.
-type Report struct {
-	ID          string       `json:"id"`
-	Address     string       `json:"address"`
-	Zone        string       `json:"zone"`
-	Pool        string       `json:"pool,omitempty"`
-	Start       uint64       `json:"start"`
-	Seq         uint64       `json:"seq"`
-	Outstanding int64        `json:"outstanding_tokens"`
-	Streams     int64        `json:"streams"`
-	Age         house.Micros `json:"age_us"`
-	Up          house.Micros `json:"up_us"`
-	IsLeaving   bool         `json:"leaving,omitempty"`
-	taken       time.Time
+// lateReport is a report that waits until it is late.
+type lateReport struct {
+	flyloft.Report
+	taken time.Time
 }
 
 // PostReports sends a report every so often to one node after another, each so late.
@@ -509,19 +500,19 @@
 	client := &http.Client{Timeout: time.Second}
 	ticker := time.NewTicker(every.Duration())
 	defer ticker.Stop()
-	late := []Report{}
+	late := []lateReport{}
 	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		late = append(late, e.Report())
+		late = append(late, lateReport{e.Report(), time.Now()})
 		for len(late) > 0 && house.MicrosOf(time.Since(late[0].taken)) >= lag {
 			report := late[0]
 			late = late[1:]
 			report.Age = house.MicrosOf(time.Since(report.taken))
-			content, err := json.Marshal(report)
+			content, err := json.Marshal(report.Report)
 			if err != nil {
 				panic(LogBreakdown{err})
 			}
--- a/wings/face.go
+++ b/wings/face.go
@@ -6,9 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
-	"sort"
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,8 +31,19 @@
 	stopping func() bool
 }
 
-// NewFace builds the handler of a node's public address.
-func NewFace(cue house.Cue, runner *Runner, usher *auditorium.Usher, channels *Channels, stopping func() bool) http.Handler {
+// NewFace builds the handler of a node's public address out of the services that
+// the house holds.
+func NewFace(cue house.Cue, stage *house.House, stopping func() bool) (http.Handler, error) {
+	runner, runnerErr := house.Find[*Runner](stage, ServiceRunner)
+	channels, channelsErr := house.Find[*Channels](stage, ServiceChannels)
+	if err := errors.Join(runnerErr, channelsErr); err != nil {
+		return nil, fmt.Errorf("open the face: %w", err)
+	}
+	// A prompter routes nothing, so it has no usher and no completions.
+	usher, err := house.Find[*auditorium.Usher](stage, ServiceUsher)
+	if err != nil {
+		usher = nil
+	}
 	f := &Face{cue, runner, usher, channels, stopping}
 	mux := http.NewServeMux()
 	if usher != nil {
@@ -59,7 +71,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		mux.ServeHTTP(w, r)
-	})
+	}), nil
 }
 
 type faceError struct {
@@ -295,23 +307,8 @@
 	f.reply(w, http.StatusOK, map[string]any{"generations": generations, "current": document.SpecGeneration})
 }
 
-// EngineReport is what an engine tells any node about itself.
-type EngineReport struct {
-	ID          string       `json:"id"`
-	Address     string       `json:"address"`
-	Zone        string       `json:"zone"`
-	Pool        string       `json:"pool,omitempty"`
-	Start       uint64       `json:"start"`
-	Seq         uint64       `json:"seq"`
-	Outstanding int64        `json:"outstanding_tokens"`
-	Streams     int64        `json:"streams"`
-	Age         house.Micros `json:"age_us"`
-	Up          house.Micros `json:"up_us"`
-	IsLeaving   bool         `json:"leaving,omitempty"`
-}
-
 func (f *Face) report(w http.ResponseWriter, r *http.Request) {
-	var report EngineReport
+	var report flyloft.Report
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 64<<10)).Decode(&report); err != nil {
 		f.fail(w, http.StatusBadRequest, "bad_request", "not a report: "+err.Error())
 		return
@@ -472,7 +469,7 @@
 		}
 		bytes[zone] += sent
 	}
-	for _, zone := range sortedNames(bytes) {
+	for _, zone := range slices.Sorted(maps.Keys(bytes)) {
 		line("peer_bytes_sent_total", bytes[zone], "to", zone)
 	}
 	line("peer_messages_sent_total", f.channels.Sent.Load())
@@ -490,19 +487,10 @@
 	line("served_total", counts.Served)
 	line("callers_gone_total", counts.CallersGone)
 	line("requests_live", f.usher.Live())
-	for _, reason := range sortedNames(counts.Declined) {
+	for _, reason := range slices.Sorted(maps.Keys(counts.Declined)) {
 		line("declined_total", counts.Declined[reason], "reason", reason)
 	}
-	for _, reason := range sortedNames(counts.Broken) {
+	for _, reason := range slices.Sorted(maps.Keys(counts.Broken)) {
 		line("broken_total", counts.Broken[reason], "reason", reason)
 	}
 }
-
-func sortedNames(from map[string]uint64) []string {
-	names := make([]string, 0, len(from))
-	for name := range from {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/wings/process.go
+++ b/wings/process.go
@@ -56,7 +56,6 @@
 
 // Names of the services in a house.
 const (
-	ServiceDesk     = "desk"
 	ServiceRunner   = "runner"
 	ServiceChannels = "channels"
 	ServiceUsher    = "usher"
@@ -107,13 +106,21 @@
 	if usher != nil {
 		usher.Suspect, usher.Restarted = runner.Suspect, runner.Restarted
 	}
-	for name, service := range map[string]any{ServiceDesk: desk, ServiceRunner: runner, ServiceChannels: channels, ServiceUsher: usher} {
+	services := map[string]any{ServiceRunner: runner, ServiceChannels: channels}
+	if usher != nil {
+		services[ServiceUsher] = usher
+	}
+	for name, service := range services {
 		if err := stage.Place(name, service); err != nil {
 			return fmt.Errorf("start: %w", err)
 		}
 	}
 
 	var isStopping atomic.Bool
+	handler, err := NewFace(cue, stage, isStopping.Load)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
 	public, err := net.Listen("tcp", settings.Public)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
@@ -125,7 +132,7 @@
 	}
 	stage.Strike.Defer(func() error { return ignoreClosed(peer.Close()) })
 	face := &http.Server{
-		Handler:           NewFace(cue, runner, usher, channels, isStopping.Load),
+		Handler:           handler,
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 120 * time.Second, MaxHeaderBytes: 64 << 10,
 	}
 	back := &http.Server{
