A process compiles each spec once; tests of the micro-kernel

Cause: a spec of 4 MB was compiled up to three times in one process, twice of that in the loop that also keeps the leader's pulses.

--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -1037,7 +1037,11 @@
 			if address != home {
 				next.Homes[zone] = address
 				c.homeSeen[zone] = c.now
-				*reasons = append(*reasons, "home of "+zone+": "+address+", the last fell silent")
+				why := "the last fell silent"
+				if home == "" {
+					why = "the zone had none"
+				}
+				*reasons = append(*reasons, "home of "+zone+": "+address+", "+why)
 				break
 			}
 		}
--- a/playbill/playbill_test.go
+++ b/playbill/playbill_test.go
@@ -103,6 +103,20 @@
 	binding, isBound := spec.Bind("kind-19999", "some model of a longer name")
 	c.Assert(isBound, qt.IsTrue)
 	c.Assert(binding.Name, qt.Equals, "binding-19999")
+	// Compiled once for a whole process, however often it is read.
+	shelf := &Shelf{}
+	first, err := shelf.Read(document)
+	c.Assert(err, qt.IsNil)
+	again, err := shelf.Read(append([]byte(nil), document...))
+	c.Assert(err, qt.IsNil)
+	c.Assert(again == first, qt.IsTrue)
+	_, err = shelf.Read([]byte(`{}`))
+	c.Assert(err, qt.IsNotNil)
+	for i := range 10 {
+		_, err = shelf.Read(fmt.Appendf(nil, `{"bindings":[{"name":"b%d","shares":[{"weight":1}]}]}`, i))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(len(shelf.kept), qt.Equals, shelfBound)
 	var above TooLarge
 	_, _, err = Read(large(20001))
 	c.Assert(errors.As(err, &above), qt.IsTrue)
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -111,6 +111,7 @@
 	retired   auditorium.Counts
 	knobs     Knobs
 	figures   figures
+	shelf     playbill.Shelf
 }
 
 // Knobs shape the load and what the engines can do.
@@ -258,13 +259,13 @@
 	m.epoch++
 	m.isUp, m.isFrozen, m.held, m.saving, m.top = true, false, nil, nil, 0
 	m.calls, m.receipts = map[string]*call{}, map[string]func(flyloft.SubmitReceipt){}
-	m.hand = wings.Stagehand{}
+	m.hand = wings.Stagehand{Shelf: &w.shelf}
 	m.journal = house.NewJournal(4096)
 	w.startTick++
 	settings := flyloft.NodeSettings{
 		Identity: m.identity, IsRouter: m.isRouter, IsPrompter: m.isCore, HasFolder: m.disk != nil,
 		Seeds: m.seeds, Start: w.startTick, RandomSeed: w.random.Uint64(), Timing: flyloft.DefaultTiming(), Journal: m.journal,
-		CheckSpec: func(document []byte) error { _, _, err := playbill.Read(document); return err },
+		CheckSpec: func(document []byte) error { _, err := w.shelf.Read(document); return err },
 		Member:    flyloft.MemberID("none-" + m.name),
 	}
 	m.store = nil
--- a/wings/face.go
+++ b/wings/face.go
@@ -28,6 +28,7 @@
 	runner   *Runner
 	usher    *auditorium.Usher // nil without a router
 	channels *Channels
+	shelf    *playbill.Shelf
 	stopping func() bool
 }
 
@@ -36,7 +37,8 @@
 func NewFace(cue house.Cue, stage *house.House, stopping func() bool) (http.Handler, error) {
 	runner, runnerErr := house.Find[*Runner](stage, ServiceRunner)
 	channels, channelsErr := house.Find[*Channels](stage, ServiceChannels)
-	if err := errors.Join(runnerErr, channelsErr); err != nil {
+	shelf, shelfErr := house.Find[*playbill.Shelf](stage, ServiceShelf)
+	if err := errors.Join(runnerErr, channelsErr, shelfErr); err != nil {
 		return nil, fmt.Errorf("open the face: %w", err)
 	}
 	// A prompter routes nothing, so it has no usher and no completions.
@@ -44,7 +46,7 @@
 	if err != nil {
 		usher = nil
 	}
-	f := &Face{cue, runner, usher, channels, stopping}
+	f := &Face{cue, runner, usher, channels, shelf, stopping}
 	mux := http.NewServeMux()
 	if usher != nil {
 		mux.Handle("POST /v1/completions", usher)
@@ -113,7 +115,7 @@
 		f.fail(w, http.StatusBadRequest, "bad_request", err.Error())
 		return nil, false
 	}
-	_, _, err = playbill.Read(body)
+	_, err = f.shelf.Read(body)
 	var faults *playbill.Faults
 	var above playbill.TooLarge
 	switch {
--- a/wings/process.go
+++ b/wings/process.go
@@ -59,6 +59,7 @@
 	ServiceRunner   = "runner"
 	ServiceChannels = "channels"
 	ServiceUsher    = "usher"
+	ServiceShelf    = "shelf"
 )
 
 // Run puts a node together and serves until stop ends, then drains it.
@@ -71,11 +72,12 @@
 	defer func() { err = errors.Join(err, stage.Strike.Run()) }()
 	stage.Strike.Defer(func() error { end(); return nil })
 
+	shelf := &playbill.Shelf{}
 	start := uint64(time.Now().UnixMicro())
 	node := flyloft.NodeSettings{
 		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: settings.Data != "",
 		Seeds: settings.Seeds, Start: start, RandomSeed: randomSeed(self.Address), Timing: settings.Timing(), Journal: cue.Journal,
-		CheckSpec: func(document []byte) error { _, _, err := playbill.Read(document); return err },
+		CheckSpec: func(document []byte) error { _, err := shelf.Read(document); return err },
 	}
 	var store *flyloft.Store
 	if settings.Data != "" {
@@ -102,11 +104,11 @@
 		})
 		usher = &auditorium.Usher{Cue: cue, Desk: desk, Spans: settings.Spans(), Dial: engineDialer()}
 	}
-	runner := NewRunner(cue, flyloft.NewNode(node, cue.Clock.Now()), store, channels, desk, settings.Platform)
+	runner := NewRunner(cue, flyloft.NewNode(node, cue.Clock.Now()), store, channels, desk, shelf, settings.Platform)
 	if usher != nil {
 		usher.Suspect, usher.Restarted = runner.Suspect, runner.Restarted
 	}
-	services := map[string]any{ServiceRunner: runner, ServiceChannels: channels}
+	services := map[string]any{ServiceRunner: runner, ServiceChannels: channels, ServiceShelf: shelf}
 	if usher != nil {
 		services[ServiceUsher] = usher
 	}
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -43,12 +43,12 @@
 }
 
 // NewRunner makes a shell; Run starts it.
-func NewRunner(cue house.Cue, node *flyloft.Node, store *flyloft.Store, channels *Channels, desk *auditorium.Desk, platform string) *Runner {
+func NewRunner(cue house.Cue, node *flyloft.Node, store *flyloft.Store, channels *Channels, desk *auditorium.Desk, shelf *playbill.Shelf, platform string) *Runner {
 	r := &Runner{
 		cue: cue, node: node, store: store, channels: channels, desk: desk, platform: platform,
 		inbox: make(chan func() []any, 1024), saves: make(chan any, 256),
-		waiters: map[string][]chan flyloft.SubmitReceipt{},
-		prober:  &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: engineDialer(), MaxIdleConnsPerHost: 1}},
+		waiters: map[string][]chan flyloft.SubmitReceipt{}, hand: Stagehand{Shelf: shelf},
+		prober: &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: engineDialer(), MaxIdleConnsPerHost: 1}},
 	}
 	r.state.Store(node.State(nil))
 	return r
@@ -179,6 +179,7 @@
 
 // Stagehand turns pictures of the control plane into scenes for the data plane.
 type Stagehand struct {
+	Shelf          *playbill.Shelf
 	spec           *playbill.Spec
 	specGeneration uint64
 	shown          sceneMark
@@ -199,7 +200,7 @@
 		// A large spec is compiled once, not at every change of something else.
 		if state.Document.SpecGeneration != h.specGeneration {
 			h.specGeneration = state.Document.SpecGeneration
-			h.spec, _, failed = playbill.Read(state.Document.Spec)
+			h.spec, failed = h.Shelf.Read(state.Document.Spec)
 		}
 	}
 	if mark == h.shown {
