A restarted router serves only once the leader itself has granted

Ruled out: the disk (a router without one forgets as well) and the majority (no receipt had been given). Routers that the leader has not spoken to since their start are not granted by attestation any more. Cost: a router that restarts while the core is dark waits for the core.

--- a/flyloft/licence.go
+++ b/flyloft/licence.go
@@ -20,13 +20,13 @@
 	until   house.Micros
 	// isProven: the leader itself has granted since this process started. A
 	// restarted router has forgotten what it once applied; until the leader has
-	// spoken to it, its word must not count towards others' licences.
+	// spoken to it, its word must not count towards others' licences, nor theirs
+	// towards its own: it may have served under what none of them ever had.
 	isProven bool
 
 	seq         uint64
 	askedAt     map[uint64]house.Micros
 	grantedAsk  house.Micros // when the newest granted ask was sent
-	isFresh     bool         // a grant has come at all
 	attestSeq   uint64
 	attestAlarm house.Micros
 	attested    map[string]uint64
@@ -86,7 +86,7 @@
 		l.note("licence", "core back", "the leader grants again")
 		l.isDark = false
 	}
-	l.isProven, l.isFresh = true, true
+	l.isProven = true
 	l.grantedAsk = max(l.grantedAsk, askedAt)
 	l.extend(askedAt)
 	return isNews
@@ -106,22 +106,18 @@
 }
 
 // TickDark asks the registered routers when the core has been silent too long.
-// Others are whom to ask when not even a document is at hand.
-func (l *Licence) TickDark(now house.Micros, others []string) (to []string, ask *Attest) {
-	if !l.isRouter || now < l.attestAlarm || l.isFresh && now-l.grantedAsk < 7*house.Second/10 {
+func (l *Licence) TickDark(now house.Micros) (to []string, ask *Attest) {
+	if !l.isRouter || !l.isProven || now < l.attestAlarm || now-l.grantedAsk < 7*house.Second/10 {
 		return nil, nil
 	}
 	l.attestAlarm = now + 300*house.Millisecond
-	if !l.isDark && l.isFresh {
+	if !l.isDark {
 		l.note("licence", "core dark", "no grant for 700 ms; asking the registered routers")
 		l.isDark = true
 	}
-	if l.applied != nil {
-		others = l.applied.Register
-	}
 	l.attestSeq = l.NewAsk(now)
 	l.attested = map[string]uint64{}
-	for _, address := range others {
+	for _, address := range l.applied.Register {
 		if address != l.self {
 			to = append(to, address)
 		}
@@ -149,7 +145,7 @@
 
 func (l *Licence) judge() {
 	askedAt, isMine := l.askedAt[l.attestSeq]
-	if l.applied == nil || !isMine || len(l.applied.Register) == 0 {
+	if !l.isProven || !isMine || len(l.applied.Register) == 0 {
 		return
 	}
 	count := 0
@@ -176,6 +172,8 @@
 	switch {
 	case l.applied == nil:
 		return "no document has reached this router yet"
+	case now >= l.until && !l.isProven:
+		return "the leader has not granted since this router started; it may have forgotten a newer generation"
 	case now >= l.until:
 		return fmt.Sprintf("the licence lapsed %d us ago: neither the core nor a majority of the %d registered routers vouched for generation %d",
 			now-l.until, len(l.applied.Register), l.Generation())
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -648,7 +648,7 @@
 		n.ask()
 	}
 	n.sendBatch()
-	if to, ask := n.licence.TickDark(now, n.attestTargets()); ask != nil {
+	if to, ask := n.licence.TickDark(now); ask != nil {
 		for _, address := range to {
 			n.send(address, Message{Attest: ask})
 		}
@@ -666,11 +666,6 @@
 	return n.finish()
 }
 
-// attestTargets are whom to ask for a document when there is none at all.
-func (n *Node) attestTargets() []string {
-	return append(slices.Clone(n.settings.Seeds), n.views.Neighbours()...)
-}
-
 func (n *Node) record() NodeRecord {
 	if n.now >= n.nodeSeqAlarm {
 		n.nodeSeqAlarm = n.now + house.Second
