--- a/auditorium/desk.go
+++ b/auditorium/desk.go
@@ -107,7 +107,7 @@
 }
 
 // unseenShare is how far other nodes are taken to do as this one does.
-const unseenShare = 0.5
+const unseenShare = 0.25
 
 const (
 	maxRounds       = 4
--- a/wings/process.go
+++ b/wings/process.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"dunlinloom/auditorium"
 	"dunlinloom/flyloft"
 	"dunlinloom/house"
@@ -47,7 +49,9 @@
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := Run(stop, settings, parts); err != nil {
+	// The logger is the process's, set once here.
+	log := house.LogJSON(slog.String("program", parts.Program), slog.String("node", settings.Peer), slog.String("zone", settings.Zone))
+	if err := Run(stop, log, settings, parts); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", parts.Program, err)
 		return 1
 	}
@@ -63,9 +67,8 @@
 )
 
 // Run puts a node together and serves until stop ends, then drains it.
-func Run(stop context.Context, settings Settings, parts Parts) (err error) {
+func Run(stop context.Context, log klog.Logger, settings Settings, parts Parts) (err error) {
 	self := house.Identity{Fleet: settings.Fleet, Address: settings.Peer, Public: settings.Public, Zone: settings.Zone}
-	log := house.LogJSON(slog.String("program", parts.Program), slog.String("node", self.Address), slog.String("zone", self.Zone))
 	life, end := context.WithCancel(context.Background())
 	cue := house.Cue{Context: life, Clock: house.BootClock{}, Log: log, Self: self, Journal: house.NewJournal(settings.Journal)}
 	stage := house.Open()
--- a/wings/wings_test.go
+++ b/wings/wings_test.go
@@ -14,6 +14,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"k8s.io/klog/v2"
 
 	"dunlinloom/auditorium"
 	"dunlinloom/flyloft"
@@ -105,7 +106,9 @@
 		c.Assert(settings.Check(true), qt.IsNil)
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
-		go func() { ended <- Run(ctx, settings, Parts{Program: "test", IsRouter: true, IsPrompter: true}) }()
+		go func() {
+			ended <- Run(ctx, klog.Background(), settings, Parts{Program: "test", IsRouter: true, IsPrompter: true})
+		}()
 		f.public, f.stop, f.ended = append(f.public, settings.Public), append(f.stop, stop), append(f.ended, ended)
 	}
 	c.Cleanup(func() {
