--- a/traproom/core_test.go
+++ b/traproom/core_test.go
@@ -1,6 +1,8 @@
 package traproom
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -479,3 +481,23 @@
 	w.Run(10 * sec)
 	finish(c, w)
 }
+
+// A spec of thousands of bindings reaches everyone under the same rules.
+func TestALargeSpecKeepsTheRules(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 45)
+	text := strings.Builder{}
+	text.WriteString(`{"bindings":[`)
+	for i := range 4000 {
+		fmt.Fprintf(&text, `{"name":"b%d","match":{"kind":"k%d"},"shares":[{"pool":"main","weight":1}]},`, i, i)
+	}
+	text.WriteString(`{"name":"rest","shares":[{"pool":"main","weight":1}]}]}`)
+	yes := w.operator.Yes
+	w.operator.order(flyloft.Submit{Order: flyloft.PutSpec, Spec: []byte(text.String())}, func(receipt flyloft.SubmitReceipt) {
+		w.take(critic.Event{What: critic.SpecYes, ID: receipt.ID, Generation: receipt.Generation, Digest: text.String()})
+	})
+	w.await(c, "a yes", 8*sec, func() bool { return w.operator.Yes > yes })
+	w.leader().halt()
+	w.Run(6 * sec)
+	finish(c, w)
+}
