--- a/auditorium/desk.go
+++ b/auditorium/desk.go
@@ -582,8 +582,8 @@
 	d.drain += 0.05 * (lasted - d.drain)
 }
 
-// Answered tells that an engine has begun to answer, which ends its breakdown.
-func (d *Desk) Answered(call *Call) {
+// Responded tells that an engine has begun to answer, which ends its breakdown.
+func (d *Desk) Responded(call *Call) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	state := d.state(call.Round.Engine.ID)
--- a/auditorium/usher.go
+++ b/auditorium/usher.go
@@ -100,18 +100,18 @@
 	w.Header().Set(HeaderRequest, id)
 	body, decline := u.readBody(w, r)
 	if decline != nil {
-		u.Refuse(w, decline)
+		u.SendDecline(w, decline)
 		return
 	}
 	request, err := ReadPrompt(body)
 	if err != nil {
-		u.Refuse(w, &Decline{"bad_request", err.Error(), http.StatusBadRequest, NotRun, 0})
+		u.SendDecline(w, &Decline{"bad_request", err.Error(), http.StatusBadRequest, NotRun, 0})
 		return
 	}
 	request.ID, request.Kind = id, r.Header.Get(HeaderKind)
 	call, decline := u.Desk.Arrive(u.Cue.Clock.Now(), request)
 	if decline != nil {
-		u.Refuse(w, decline)
+		u.SendDecline(w, decline)
 		return
 	}
 	for {
@@ -130,7 +130,7 @@
 			// The caller has part of a body. Only a torn channel tells it so; a clean end would lie.
 			panic(http.ErrAbortHandler)
 		default:
-			u.Refuse(w, decline)
+			u.SendDecline(w, decline)
 			return
 		}
 	}
@@ -168,8 +168,8 @@
 	RetryAfter float64  `json:"retry_after_s,omitempty"`
 }
 
-// Refuse writes a decline at once, with when to come back.
-func (u *Usher) Refuse(w http.ResponseWriter, decline *Decline) {
+// SendDecline writes a decline at once, with when to come back.
+func (u *Usher) SendDecline(w http.ResponseWriter, decline *Decline) {
 	fields := errorFields{Type: decline.Reason, Message: decline.Detail, Run: decline.Run, Request: w.Header().Get(HeaderRequest)}
 	if decline.RetryAfter > 0 {
 		seconds := (decline.RetryAfter + house.Second - 1) / house.Second
@@ -259,7 +259,7 @@
 	if hasNotRun(response) {
 		return SaidNotRun, fmt.Sprintf("status %d", response.StatusCode), false
 	}
-	u.Desk.Answered(call)
+	u.Desk.Responded(call)
 	// A process that took an earlier one's address may be cold; all should know soon.
 	if start, err := strconv.ParseUint(response.Header.Get(HeaderStart), 10, 64); err == nil && start > call.Round.Engine.Start && u.Restarted != nil {
 		u.Restarted(call.Round.Engine, start)
--- a/claque/claque.go
+++ b/claque/claque.go
@@ -132,7 +132,7 @@
 		if errors.As(err, &dialing) && dialing.Op == "dial" {
 			return critic.Unreached, err.Error()
 		}
-		return critic.NoAnswer, err.Error()
+		return critic.NoReceipt, err.Error()
 	}
 	defer response.Body.Close()
 	event.ID = response.Header.Get(auditorium.HeaderRequest)
--- a/critic/critic.go
+++ b/critic/critic.go
@@ -68,7 +68,7 @@
 	Torn       Outcome = "torn"         // broken off, and seen to be
 	Wrong      Outcome = "wrong"        // bytes that are not the engine's, or of two runs
 	FalseEnd   Outcome = "false_end"    // ended as if complete when it was not
-	NoAnswer   Outcome = "no_answer"    // the channel closed without any answer
+	NoReceipt  Outcome = "no_receipt"   // the channel closed without any answer
 	Unreached  Outcome = "unreached"    // no channel could be opened
 	HungUp     Outcome = "hung_up"      // the caller itself left
 )
@@ -238,22 +238,22 @@
 		generation uint64
 	}
 	acked, newest := []Event{}, map[string][]seen{}
-	sent, refused := map[string]string{}, map[string]string{}
+	sent, declined := map[string]string{}, map[string]string{}
 	for _, event := range events {
 		switch event.What {
 		case SpecSent:
 			sent[event.ID] = event.Digest
 		case SpecYes:
 			acked = append(acked, event)
-			if reason, isRefused := refused[event.ID]; isRefused {
+			if reason, isDeclined := declined[event.ID]; isDeclined {
 				j.breach(NoTookEffect, event.At, "submission %s was declined (%s) and then acknowledged", event.ID, reason)
 			}
 		case SpecNo:
-			refused[event.ID] = event.Reason
+			declined[event.ID] = event.Reason
 		case SpecRead:
-			j.readBack(event, acked, sent, refused)
+			j.readBack(event, acked, sent, declined)
 		case CallEnded:
-			if event.Generation == 0 || event.Outcome == Unreached || event.Outcome == NoAnswer {
+			if event.Generation == 0 || event.Outcome == Unreached || event.Outcome == NoReceipt {
 				continue
 			}
 			for _, yes := range acked {
@@ -279,13 +279,13 @@
 }
 
 // readBack checks what an operator read under a generation.
-func (j *judge) readBack(read Event, acked []Event, sent, refused map[string]string) {
+func (j *judge) readBack(read Event, acked []Event, sent, declined map[string]string) {
 	for _, yes := range acked {
 		if yes.Generation == read.Generation && yes.Digest != read.Digest {
 			j.breach(ReceiptLost, read.At, "generation %d reads %q, acknowledged was %q", read.Generation, read.Digest, yes.Digest)
 		}
 	}
-	for id := range refused {
+	for id := range declined {
 		digest, isSent := sent[id]
 		if isSent && digest == read.Digest && digest != "" {
 			j.breach(NoTookEffect, read.At, "submission %s was declined, yet generation %d is its spec", id, read.Generation)
@@ -297,7 +297,7 @@
 // What a fault took, of the node or of the engine that served, is not the stop's.
 func (j *judge) stops(events []Event) {
 	type span struct{ from, to house.Micros }
-	spans, failures := map[string][]span{}, map[string][]house.Micros{}
+	spans, breakdowns := map[string][]span{}, map[string][]house.Micros{}
 	for _, event := range events {
 		switch event.What {
 		case NodeStopping:
@@ -313,13 +313,13 @@
 				}
 			}
 		case EngineFailed:
-			failures[event.Engine] = append(failures[event.Engine], event.At)
+			breakdowns[event.Engine] = append(breakdowns[event.Engine], event.At)
 		}
 	}
 	// A stream stands still for a while before a failed engine is given up.
 	const patience = 60 * house.Second
 	isExcused := func(call Event) bool {
-		for _, at := range failures[call.Engine] {
+		for _, at := range breakdowns[call.Engine] {
 			if call.Engine != "" && at >= call.Began-patience && at <= call.At {
 				return true
 			}
@@ -327,7 +327,7 @@
 		return false
 	}
 	for _, event := range events {
-		if event.What != CallEnded || event.Outcome != NoAnswer && event.Outcome != Torn || isExcused(event) {
+		if event.What != CallEnded || event.Outcome != NoReceipt && event.Outcome != Torn || isExcused(event) {
 			continue
 		}
 		for _, span := range spans[event.Node] {
--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -76,7 +76,7 @@
 	isFenced   bool // the id is fenced at that generation
 }
 
-type queuedSubmit struct {
+type heldSubmit struct {
 	from   string
 	submit *Submit
 }
@@ -127,7 +127,7 @@
 	seen          map[string]*sighting
 	homeSeen      map[string]house.Micros
 	successors    map[string]string
-	inbox         []queuedSubmit
+	inbox         []heldSubmit
 	receipts      []waitingSubmit
 	isLeaving     bool
 	lastMajority  house.Micros
@@ -524,19 +524,19 @@
 	c.leaderMember, c.lastPulse = m.Leader, c.now
 	c.alarm = c.now + c.electionSpan()
 	receipt.Term = c.term
-	answer := func() {
+	respond := func() {
 		receipt.Synced = c.synced
 		c.send(from, Message{PulseReceipt: receipt})
 	}
 	isNews := m.Document != nil && m.Document.Term == m.Term && c.doc.stamp().before(m.Document.stamp())
 	switch {
 	case isNews:
-		c.save(m.Document, answer)
+		c.save(m.Document, respond)
 		c.doc = m.Document
 	case isNewTerm:
-		c.save(nil, answer)
+		c.save(nil, respond)
 	default:
-		answer()
+		respond()
 	}
 	if c.doc != nil && m.Committed.Term == c.term && c.doc.stamp() == m.Committed {
 		c.commit(c.doc)
@@ -672,7 +672,7 @@
 		}
 	case m.Recall != nil:
 		if c.kept[m.Recall.Mark.Generation] {
-			c.out = append(c.out, Load{from, m.Recall.Mark})
+			c.out = append(c.out, Fetch{from, m.Recall.Mark})
 		}
 	case m.Recalled != nil:
 		c.onRecalled(m.Recalled.Document)
@@ -741,8 +741,8 @@
 		return
 	}
 	// The sender repeats itself until it hears; one copy in the inbox is enough.
-	for _, queued := range c.inbox {
-		if queued.submit.ID == m.ID && queued.submit.Order == m.Order && queued.from == from {
+	for _, held := range c.inbox {
+		if held.submit.ID == m.ID && held.submit.Order == m.Order && held.from == from {
 			return
 		}
 	}
@@ -751,7 +751,7 @@
 			return
 		}
 	}
-	c.inbox = append(c.inbox, queuedSubmit{from, m})
+	c.inbox = append(c.inbox, heldSubmit{from, m})
 	c.build()
 }
 
@@ -772,11 +772,11 @@
 	c.tendRegister(next, &reasons)
 	c.tendHomes(next, &reasons)
 	for len(c.inbox) > 0 {
-		queued := c.inbox[0]
+		held := c.inbox[0]
 		c.inbox = c.inbox[1:]
 		// One order a document: each yes stays readable under its own generation.
-		if c.order(next, queued) {
-			reasons = append(reasons, "submission "+queued.submit.ID)
+		if c.order(next, held) {
+			reasons = append(reasons, "submission "+held.submit.ID)
 			break
 		}
 	}
@@ -788,17 +788,17 @@
 }
 
 // order applies one submission to the next document; false when nothing has to change.
-func (c *Core) order(next *Document, queued queuedSubmit) bool {
-	m := queued.submit
+func (c *Core) order(next *Document, held heldSubmit) bool {
+	m := held.submit
 	wait := func(generation uint64, isFenced bool) {
-		c.receipts = append(c.receipts, waitingSubmit{queued.from, m.ID, generation, m.Order == Fence, isFenced})
+		c.receipts = append(c.receipts, waitingSubmit{held.from, m.ID, generation, m.Order == Fence, isFenced})
 	}
 	if entry, isThere := c.doc.submission(m.ID); isThere {
 		switch {
 		case entry.IsFenced:
-			c.decline(queued.from, m, "fenced", "this submission was given up on and will never take effect")
+			c.decline(held.from, m, "fenced", "this submission was given up on and will never take effect")
 		case m.Order != Fence && entry.Digest != m.digest():
-			c.decline(queued.from, m, "id_reused", "another submission had this id at generation %d", entry.Generation)
+			c.decline(held.from, m, "id_reused", "another submission had this id at generation %d", entry.Generation)
 		default:
 			wait(entry.Generation, false)
 		}
@@ -813,13 +813,13 @@
 	case PutSpec:
 		if c.settings.CheckSpec != nil {
 			if err := c.settings.CheckSpec(m.Spec); err != nil {
-				c.decline(queued.from, m, "invalid_spec", "%v", err)
+				c.decline(held.from, m, "invalid_spec", "%v", err)
 				return false
 			}
 		}
 		// The generation only grows, so a clash stays a clash: this no needs no fence.
 		if m.Base != nil && *m.Base != next.SpecGeneration {
-			c.decline(queued.from, m, "clash", "the spec is at generation %d, not %d", next.SpecGeneration, *m.Base)
+			c.decline(held.from, m, "clash", "the spec is at generation %d, not %d", next.SpecGeneration, *m.Base)
 			return false
 		}
 		next.putSpec(m.Spec)
@@ -840,7 +840,7 @@
 	case MarkEngine:
 		next.markLeaving(m.Engine, m.Start)
 	default:
-		c.decline(queued.from, m, "unknown_order", "%q", m.Order)
+		c.decline(held.from, m, "unknown_order", "%q", m.Order)
 		return false
 	}
 	next.remember(Submission{ID: m.ID, Digest: m.digest(), Generation: next.Generation})
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -287,8 +287,8 @@
 	Document *Document
 }
 
-// Load asks the shell to read a spec of the past for another member.
-type Load struct {
+// Fetch asks the shell to read a spec of the past for another member.
+type Fetch struct {
 	To   string
 	Mark SpecMark
 }
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -288,8 +288,8 @@
 	return n.finish()
 }
 
-// Loaded brings a spec of the past that another member asked for.
-func (n *Node) Loaded(now house.Micros, to string, document *Document) []any {
+// Fetched brings a spec of the past that another member asked for.
+func (n *Node) Fetched(now house.Micros, to string, document *Document) []any {
 	n.now = now
 	n.send(to, Message{Recalled: &Recalled{document}})
 	return n.finish()
--- a/flyloft/store.go
+++ b/flyloft/store.go
@@ -116,7 +116,7 @@
 	}
 	if memberErr == nil && (ballotErr == nil || errors.As(ballotErr, new(house.MissingFile))) {
 		s.member = member.Member
-		document, err := s.load()
+		document, err := s.restore()
 		return s, ballot, document, err
 	}
 	// Without a sound ballot this member could vote twice in a term. What the
@@ -158,7 +158,7 @@
 // Member is the id made with this folder.
 func (s *Store) Member() MemberID { return s.member }
 
-func (s *Store) load() (*Document, error) {
+func (s *Store) restore() (*Document, error) {
 	names, err := s.folder.List("generation-")
 	if err != nil {
 		return nil, fmt.Errorf("open the store: %w", err)
--- a/traproom/data_test.go
+++ b/traproom/data_test.go
@@ -136,7 +136,7 @@
 	w.Run(15 * sec)
 	// The critic finds a request that a stop dropped; here there is not one torn at all.
 	counts := w.outcomes(0)
-	c.Assert(counts[critic.Torn]+counts[critic.NoAnswer], qt.Equals, 0, qt.Commentf("%v", counts))
+	c.Assert(counts[critic.Torn]+counts[critic.NoReceipt], qt.Equals, 0, qt.Commentf("%v", counts))
 	finish(c, w)
 }
 
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -24,7 +24,7 @@
 	isUnlisted      bool
 	isMute          bool             // sends no reports
 	runs            map[string]*call // waiting and running
-	queue           []*call
+	inbox           []*call
 	running         int
 	cache           map[uint32]uint64 // prefix to its last use
 	cacheUse        uint64
@@ -72,7 +72,7 @@
 	for _, tag := range slices.Sorted(maps.Keys(e.runs)) {
 		e.runs[tag].engineDied("the channel was reset")
 	}
-	e.runs, e.queue, e.running, e.cache = map[string]*call{}, nil, 0, map[uint32]uint64{}
+	e.runs, e.inbox, e.running, e.cache = map[string]*call{}, nil, 0, map[uint32]uint64{}
 }
 
 func (e *engine) boot() {
@@ -97,7 +97,7 @@
 	start   uint64
 	isFirst bool // the caller has a first part of the answer
 	isOver  bool
-	attempt int
+	turn    int
 	tokens  int
 	placed  int64
 	prefix  uint32
@@ -185,8 +185,8 @@
 // open dials the round's engine and writes the request.
 func (c *call) open() {
 	w, m := c.world, c.router
-	c.attempt++
-	attempt := c.attempt
+	c.turn++
+	turn := c.turn
 	var chosen *engine
 	for _, e := range w.engines {
 		if e.id == c.call.Round.Engine.ID {
@@ -196,7 +196,7 @@
 	// The dial takes a moment, in which the machine may freeze; what it then wakes
 	// to do is judged again before the first byte.
 	m.later(w.between(200, 3*ms), func() {
-		if c.isOver || attempt != c.attempt {
+		if c.isOver || turn != c.turn {
 			return
 		}
 		if chosen == nil || !chosen.isUp {
@@ -207,7 +207,7 @@
 			c.close(auditorium.Withdrawn, why)
 			return
 		}
-		w.in(w.between(100, 500), func() { c.arrive(chosen, attempt) })
+		w.in(w.between(100, 500), func() { c.arrive(chosen, turn) })
 	})
 }
 
@@ -225,7 +225,7 @@
 }
 
 // arrive is the engine's side.
-func (c *call) arrive(e *engine, attempt int) {
+func (c *call) arrive(e *engine, turn int) {
 	w := c.world
 	if c.isOver && !c.router.isUp {
 		// The router died with the bytes under way; the engine may still get them.
@@ -234,7 +234,7 @@
 		}
 		return
 	}
-	if c.isOver || attempt != c.attempt {
+	if c.isOver || turn != c.turn {
 		return
 	}
 	if !e.isUp {
@@ -245,7 +245,7 @@
 		// It has the request and says nothing: for all that anyone knows, it runs.
 		w.take(critic.Event{What: critic.RunBegan, Tag: c.tag, Engine: e.id, Start: e.start, Zone: e.zone})
 		c.router.later(8*sec, func() {
-			if attempt == c.attempt {
+			if turn == c.turn {
 				c.lost("the engine sent nothing")
 			}
 		})
@@ -254,7 +254,7 @@
 	if len(e.runs) >= 64 {
 		w.take(critic.Event{What: critic.RunDeclined, Tag: c.tag, Engine: e.id, Start: e.start, Zone: e.zone})
 		c.router.later(w.between(200, ms), func() {
-			if !c.isOver && attempt == c.attempt {
+			if !c.isOver && turn == c.turn {
 				c.close(auditorium.SaidNotRun, "status 429")
 			}
 		})
@@ -281,16 +281,16 @@
 			w.figures.crossed += bytes
 		}
 	}
-	e.queue = append(e.queue, c)
+	e.inbox = append(e.inbox, c)
 	e.pull()
 }
 
 // pull starts waiting requests while there are slots.
 func (e *engine) pull() {
 	w := e.world
-	for e.running < w.knobs.Slots && len(e.queue) > 0 {
-		c := e.queue[0]
-		e.queue = e.queue[1:]
+	for e.running < w.knobs.Slots && len(e.inbox) > 0 {
+		c := e.inbox[0]
+		e.inbox = e.inbox[1:]
 		if e.runs[c.tag] != c {
 			continue
 		}
@@ -354,7 +354,7 @@
 			return
 		}
 		if !c.isFirst {
-			c.router.desk.Answered(c.call)
+			c.router.desk.Responded(c.call)
 			if engine := c.call.Round.Engine; start > engine.Start {
 				c.router.carry(c.router.node.Restarted(c.router.clock(), engine.ID, start))
 			}
@@ -402,7 +402,7 @@
 	if c.engine != nil && c.engine.start == c.start {
 		c.engine.release(c)
 	}
-	outcome := critic.NoAnswer
+	outcome := critic.NoReceipt
 	if c.isFirst {
 		outcome = critic.Torn
 	}
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -406,10 +406,10 @@
 					}
 				}
 			})
-		case flyloft.Load:
+		case flyloft.Fetch:
 			m.later(ms, func() {
 				if document, err := m.store.SpecAt(command.Mark); err == nil {
-					m.carry(m.node.Loaded(m.clock(), command.To, document))
+					m.carry(m.node.Fetched(m.clock(), command.To, document))
 				}
 			})
 		case flyloft.Keep:
--- a/understudy/engine.go
+++ b/understudy/engine.go
@@ -348,12 +348,12 @@
 }
 
 func rest(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
+	alarm := time.NewTimer(span)
+	defer alarm.Stop()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-timer.C:
+	case <-alarm.C:
 		return true
 	}
 }
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -31,7 +31,7 @@
 	platform string
 
 	inbox chan func() []any
-	// What goes to the disk, in order: Save, Load or Keep.
+	// What goes to the disk, in order: Save, Fetch or Keep.
 	saves chan any
 	state atomic.Pointer[flyloft.State]
 
@@ -106,7 +106,7 @@
 	case flyloft.Save:
 		// The core has one write out at a time, so this never waits.
 		r.saves <- command
-	case flyloft.Load, flyloft.Keep:
+	case flyloft.Fetch, flyloft.Keep:
 		// History can be asked for again; it must not hold up the owners on a slow disk.
 		select {
 		case r.saves <- command:
@@ -150,9 +150,9 @@
 			r.cue.Log.Error(err, "a write failed")
 		}
 		r.post(func() []any { return r.node.Saved(r.cue.Clock.Now(), work.Token, err) })
-	case flyloft.Load:
+	case flyloft.Fetch:
 		if document, err := r.store.SpecAt(work.Mark); err == nil {
-			r.post(func() []any { return r.node.Loaded(r.cue.Clock.Now(), work.To, document) })
+			r.post(func() []any { return r.node.Fetched(r.cue.Clock.Now(), work.To, document) })
 		}
 	case flyloft.Keep:
 		if err := r.store.Keep(work.Document); err != nil {
