--- a/auditorium/desk.go
+++ b/auditorium/desk.go
@@ -178,6 +178,17 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.scene = scene
+	// Engines come and go under new names for as long as a router runs; what is kept
+	// of one that is gone ends with its last stream.
+	known := make(map[string]bool, len(scene.Engines))
+	for _, engine := range scene.Engines {
+		known[engine.ID] = true
+	}
+	for id, state := range d.states {
+		if !known[id] && state.ledger.streams == 0 {
+			delete(d.states, id)
+		}
+	}
 	if scene.Spec != nil {
 		d.budget.ratio = scene.Spec.Policy.RetryRatio
 	}
--- a/auditorium/usher_test.go
+++ b/auditorium/usher_test.go
@@ -458,6 +458,20 @@
 	c.Assert(s.desk.Counts().CallersGone, qt.Equals, uint64(1))
 }
 
+func TestAnEngineThatIsGoneIsForgottenWithItsLastStream(t *testing.T) {
+	c := qt.New(t)
+	s := newScene(c, newEngine(c, func(http.ResponseWriter, *http.Request) {}))
+	call, decline := s.desk.Arrive(s.clock.Now(), Request{ID: "r", PromptTokens: 3, MaxTokens: 4, Prefix: []uint32{1, 2, 3}})
+	c.Assert(decline, qt.IsNil)
+	gone := *s.shown
+	gone.Engines = nil
+	s.desk.Show(&gone)
+	c.Assert(s.desk.states, qt.HasLen, 1)
+	s.desk.Close(s.clock.Now(), call, Served, "")
+	s.desk.Show(&gone)
+	c.Assert(s.desk.states, qt.HasLen, 0)
+}
+
 func TestBadInputIsDeclinedAsNotRun(t *testing.T) {
 	c := qt.New(t)
 	var seen atomic.Int64
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -269,7 +269,7 @@
 		why = fmt.Sprintf("it was meant for %s", envelope.To)
 	}
 	if why != "" {
-		if now-n.declined[envelope.From] > 10*house.Second || n.declined[envelope.From] == 0 {
+		if _, isNoted := n.declined[envelope.From]; !isNoted {
 			n.declined[envelope.From] = now
 			n.note("node "+envelope.From, "decline message", why)
 		}
@@ -375,7 +375,7 @@
 		n.send(home, Message{Suspect: m})
 		return
 	}
-	if n.now-n.probedAt[m.Engine] < 200*house.Millisecond && n.probedAt[m.Engine] > 0 {
+	if at, isProbed := n.probedAt[m.Engine]; isProbed && n.now-at < 200*house.Millisecond {
 		return
 	}
 	n.probedAt[m.Engine] = n.now
@@ -659,6 +659,13 @@
 	if now >= n.sweep {
 		n.sweep = now + 500*house.Millisecond
 		n.cell.Sweep(now)
+		for _, noted := range []map[string]house.Micros{n.probedAt, n.declined} {
+			for name, at := range noted {
+				if now-at > 10*house.Second {
+					delete(noted, name)
+				}
+			}
+		}
 	}
 	n.tickMend()
 	n.tickUrgent()
