--- a/playbill/playbill.go
+++ b/playbill/playbill.go
@@ -93,7 +93,7 @@
 // DefaultPolicy holds the paper's figures where it gives any, and ours elsewhere.
 func DefaultPolicy() Policy {
 	return Policy{
-		PrefixLength: 64, MaxImbalance: 2.0, NearTie: 0.05, RetryRatio: 0.05,
+		PrefixLength: 64, MaxImbalance: 2.0, NearTie: 0.05, RetryRatio: 0.08,
 		RampStreams: 2, RampDouble: 2 * house.Second, RampTotal: 20 * house.Second,
 		ReportFade: 10 * house.Second,
 	}
--- a/traproom/measure.go
+++ b/traproom/measure.go
@@ -276,9 +276,12 @@
 		columns: []string{"crossing KB/request", "prefix reuse %", "imbalance max/mean", "TTFT p50 ms", "TTFT p95 ms", "served %"},
 	},
 	"crash": {
-		title: "Engines crash one after another and stay away for 5 s", deployment: "qurum", rate: 60, hot: 0, span: 30 * sec,
-		variants: []variant{{"as built", func(*Knobs) {}}},
-		columns:  []string{"served %", "retries %", "declines", "torn or may have run"},
+		title: "Engines crash one after another and stay away for 5 s, right after the start", deployment: "qurum", rate: 25, hot: 0, span: 30 * sec,
+		variants: []variant{
+			{"retry ratio 0.02", policyOf("retryRatio", 0.02)}, {"retry ratio 0.05", policyOf("retryRatio", 0.05)},
+			{"retry ratio 0.08", policyOf("retryRatio", 0.08)}, {"retry ratio 0.1", policyOf("retryRatio", 0.1)},
+		},
+		columns: []string{"served %", "retries %", "declines", "torn or may have run"},
 		faults: func(w *World) {
 			for i, e := range w.engines {
 				w.in(house.Micros(i)*1500*ms, func() {
