--- a/auditorium/usher_test.go
+++ b/auditorium/usher_test.go
@@ -38,7 +38,7 @@
 }
 
 func newScene(c *qt.C, engines ...*httptest.Server) *scene {
-	spec, _, err := playbill.Read([]byte(`{"bindings":[{"name":"all","shares":[{"weight":1}]}],"policy":{"retryRatio":0.1}}`))
+	spec, err := playbill.Read([]byte(`{"bindings":[{"name":"all","shares":[{"weight":1}]}],"policy":{"retryRatio":0.1}}`))
 	c.Assert(err, qt.IsNil)
 	s := &scene{c: c, clock: &handClock{}}
 	s.clock.now.Store(int64(100 * house.Second))
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -238,13 +238,11 @@
 
 // News brings records of a cell that changed.
 type News struct {
-	Home     string         `json:"home"` // the sender's incarnation
-	Upto     uint64         `json:"upto"`
-	IsAll    bool           `json:"all,omitempty"`
-	Engines  []EngineRecord `json:"engines,omitempty"`
-	Nodes    []NodeRecord   `json:"nodes,omitempty"`
-	Dropped  []string       `json:"dropped,omitempty"`
-	IsUrgent bool           `json:"urgent,omitempty"`
+	Home    string         `json:"home"` // the sender's incarnation
+	Upto    uint64         `json:"upto"`
+	IsAll   bool           `json:"all,omitempty"`
+	Engines []EngineRecord `json:"engines,omitempty"`
+	Nodes   []NodeRecord   `json:"nodes,omitempty"`
 }
 
 // Heard carries engine records that a node learned first-hand to its home.
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -483,7 +483,7 @@
 	slices.Sort(targets)
 	for _, target := range slices.Compact(targets) {
 		if target != n.self() {
-			n.send(target, Message{News: &News{Home: n.cell.incarnation, Engines: records, IsUrgent: true}})
+			n.send(target, Message{News: &News{Home: n.cell.incarnation, Engines: records}})
 		}
 	}
 }
--- a/playbill/playbill.go
+++ b/playbill/playbill.go
@@ -157,23 +157,22 @@
 	return 0
 }
 
-// Read takes an operator's document to a compiled spec and its canonical bytes,
-// or to every fault in it.
-func Read(document []byte) (*Spec, []byte, error) {
+// Read takes an operator's document to a compiled spec, or to every fault in it.
+func Read(document []byte) (*Spec, error) {
 	if len(document) > MaxBytes {
-		return nil, nil, fmt.Errorf("read the spec: %w", TooLarge{"bytes of the spec", len(document), MaxBytes})
+		return nil, fmt.Errorf("read the spec: %w", TooLarge{"bytes of the spec", len(document), MaxBytes})
 	}
 	if err := walk(document); err != nil {
-		return nil, nil, fmt.Errorf("read the spec: %w", err)
+		return nil, fmt.Errorf("read the spec: %w", err)
 	}
 	message := &playbillpb.Spec{}
 	if err := protojson.Unmarshal(document, message); err != nil {
-		return nil, nil, fmt.Errorf("read the spec: %w", &Faults{List: []Fault{{"$", err.Error()}}})
+		return nil, fmt.Errorf("read the spec: %w", &Faults{List: []Fault{{"$", err.Error()}}})
 	}
 	if err := check(message); err != nil {
-		return nil, nil, fmt.Errorf("check the spec: %w", err)
+		return nil, fmt.Errorf("check the spec: %w", err)
 	}
-	return compile(message), document, nil
+	return compile(message), nil
 }
 
 func check(message *playbillpb.Spec) error {
--- a/playbill/playbill_test.go
+++ b/playbill/playbill_test.go
@@ -35,7 +35,7 @@
 	} {
 		t.Run(example.name, func(t *testing.T) {
 			c := qt.New(t)
-			_, _, err := Read([]byte(example.document))
+			_, err := Read([]byte(example.document))
 			var faults *Faults
 			c.Assert(errors.As(err, &faults), qt.IsTrue, qt.Commentf("%v", err))
 			paths := []string{}
@@ -49,7 +49,7 @@
 
 func TestTheFirstBindingThatFitsIsTaken(t *testing.T) {
 	c := qt.New(t)
-	spec, _, err := Read([]byte(`{"bindings":[
+	spec, err := Read([]byte(`{"bindings":[
 		{"name":"quotes","match":{"kind":"quote"},"shares":[{"engine":"e1","weight":7},{"pool":"fast","weight":3},{"zone":"z1","weight":1}],"ttftLimitUs":1500000},
 		{"name":"big-quotes","match":{"kind":"quote","model":"big"},"shares":[{"weight":1}]},
 		{"name":"big","match":{"model":"big"},"shares":[{"weight":1}]}]}`))
@@ -73,7 +73,7 @@
 
 func TestDefaultsArePapersAndOurs(t *testing.T) {
 	c := qt.New(t)
-	spec, _, err := Read([]byte(`{"bindings":[{"name":"a","shares":[{"weight":1}]}],"policy":{"rampTotalUs":0}}`))
+	spec, err := Read([]byte(`{"bindings":[{"name":"a","shares":[{"weight":1}]}],"policy":{"rampTotalUs":0}}`))
 	c.Assert(err, qt.IsNil)
 	c.Assert(spec.Policy.PrefixLength, qt.Equals, 64)
 	c.Assert(spec.Policy.MaxImbalance, qt.Equals, 2.0)
@@ -97,9 +97,8 @@
 	}
 	document := large(20000)
 	c.Assert(len(document) > 2<<20, qt.IsTrue)
-	spec, kept, err := Read(document)
+	spec, err := Read(document)
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(kept) == string(document), qt.IsTrue)
 	binding, isBound := spec.Bind("kind-19999", "some model of a longer name")
 	c.Assert(isBound, qt.IsTrue)
 	c.Assert(binding.Name, qt.Equals, "binding-19999")
@@ -118,9 +117,9 @@
 	}
 	c.Assert(len(shelf.kept), qt.Equals, shelfBound)
 	var above TooLarge
-	_, _, err = Read(large(20001))
+	_, err = Read(large(20001))
 	c.Assert(errors.As(err, &above), qt.IsTrue)
 	c.Assert(above.What, qt.Equals, "bindings")
-	_, _, err = Read(make([]byte, MaxBytes+1))
+	_, err = Read(make([]byte, MaxBytes+1))
 	c.Assert(errors.As(err, &above), qt.IsTrue)
 }
--- a/playbill/shelf.go
+++ b/playbill/shelf.go
@@ -27,7 +27,7 @@
 		return spec, nil
 	}
 	// Not under the lock: the owners must not wait for an operator's other spec.
-	spec, _, err := Read(document)
+	spec, err := Read(document)
 	if err != nil {
 		return nil, err
 	}
--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -454,6 +454,16 @@
 		return faults(`{"break_after":700}`)
 	case "not-run":
 		return faults(fmt.Sprintf(`{"not_run":%d}`, max(step.Count, 1)))
+	case "engine-retire":
+		if _, _, _, err := do(ctx, http.MethodPut, "http://"+engine.public+"/control/leave", nil, nil); err != nil {
+			return err
+		}
+		// Some node learns of it with the next report, which is half a second late.
+		s.take(critic.Event{At: now() + 1500*house.Millisecond, What: critic.EngineLeaving, Engine: engine.name, Start: engine.start})
+		pause(ctx, 6000)
+		failed()
+		engine.halt()
+		return s.again(ctx, max(step.ForMS, 500), engine)
 	case "engine-leave":
 		node := s.nodes[int(engine.start)%len(s.nodes)]
 		marked := now()
--- a/rehearsal/rehearsal_test.go
+++ b/rehearsal/rehearsal_test.go
@@ -31,7 +31,7 @@
 		c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
 	}
 	scenario := &Scenario{Name: "ci", Deployment: "cronometro", Seed: 5, SpanMS: 9000, Rate: 15, Steps: []Step{
-		{AtMS: 500, Do: "spec"}, {AtMS: 1000, Do: "engine-break", Target: "engine:1"}, {AtMS: 1500, Do: "not-run", Target: "engine:2", Count: 5},
+		{AtMS: 500, Do: "spec"}, {AtMS: 500, Do: "engine-retire", Target: "engine:7"}, {AtMS: 1000, Do: "engine-break", Target: "engine:1"}, {AtMS: 1500, Do: "not-run", Target: "engine:2", Count: 5},
 		{AtMS: 2000, Do: "kill", Target: "leader", ForMS: 1500}, {AtMS: 3000, Do: "engine-kill", Target: "engine:4", ForMS: 1500},
 		{AtMS: 4500, Do: "clash"}, {AtMS: 5500, Do: "kill", Target: "router", ForMS: 1000}, {AtMS: 6000, Do: "cut", Target: "leader", ForMS: 2000}, {AtMS: 6500, Do: "empty", Target: "z2", ForMS: 1000},
 	}}
--- a/rehearsal/scenario.go
+++ b/rehearsal/scenario.go
@@ -49,6 +49,7 @@
 	"empty":         "zone",   // empty a zone, and refill it after for_ms (0: never)
 	"engine-kill":   "engine", // SIGKILL, started again after for_ms as a new start
 	"engine-leave":  "engine", // mark it leaving at one node, kill it 5 s later, start a new one
+	"engine-retire": "engine", // it says in its reports that it leaves, is killed 6 s later, and starts anew
 	"engine-dark":   "engine", // it takes channels and says nothing for for_ms
 	"engine-break":  "engine", // tears its next stream
 	"engine-freeze": "engine", // SIGSTOP for for_ms
--- a/traproom/measure.go
+++ b/traproom/measure.go
@@ -164,12 +164,10 @@
 				burden := float64(max(own, 0))
 				switch name {
 				case "own":
-				default:
-					burden += foreign
 				case "report":
 					burden = float64(engine.Burden)
-				case "sum":
-					burden += float64(engine.Burden)
+				default:
+					burden += foreign
 				}
 				for _, e := range m.world.engines {
 					if e.id == engine.ID && m.world.now%7 == 0 {
--- a/understudy/engine.go
+++ b/understudy/engine.go
@@ -146,6 +146,7 @@
 		e.faults = faults
 		e.lock.Unlock()
 	})
+	mux.HandleFunc("PUT /control/leave", func(http.ResponseWriter, *http.Request) { e.leave() })
 	mux.HandleFunc("GET /control/cache", func(w http.ResponseWriter, _ *http.Request) {
 		e.lock.Lock()
 		defer e.lock.Unlock()
@@ -160,15 +161,8 @@
 	return e.faults
 }
 
-// SetFaults tells the engine what to do wrong from now on.
-func (e *Engine) SetFaults(faults Faults) {
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	e.faults = faults
-}
-
-// Leave marks the engine as leaving in its reports.
-func (e *Engine) Leave() {
+// leave makes the engine say in its reports that it is leaving.
+func (e *Engine) leave() {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	e.leaving = true
