--- a/traproom/core_test.go
+++ b/traproom/core_test.go
@@ -501,3 +501,31 @@
 	w.Run(6 * sec)
 	finish(c, w)
 }
+
+// Storm seeds 107, 118 and 232: each member that joined empty held only what came
+// since, so the last copy of an older spec went with the last old disk.
+func TestThePastOutlivesDisksLostOneAfterAnother(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 46)
+	for range 4 {
+		yes := w.operator.Yes
+		w.operator.putSpec(nil)
+		w.await(c, "a yes", 8*sec, func() bool { return w.operator.Yes > yes })
+	}
+	for _, victim := range w.core() {
+		w.loseDisk(victim)
+		w.Run(500 * ms)
+		victim.boot()
+		w.await(c, "the emptied member votes again", 25*sec, func() bool { return w.votes(victim) && len(w.newest().Voters) == 3 })
+	}
+	// Every disk is a new one by now; all five specs have to be read back.
+	review := finish(c, w)
+	c.Assert(len(review.Breaches), qt.Equals, 0)
+	read := 0
+	for _, event := range w.events {
+		if event.What == critic.SpecRead {
+			read++
+		}
+	}
+	c.Assert(read, qt.Equals, 6) // the first, four here, and the one that finish puts
+}
