One piece for register majorities, voters' addresses and acknowledged specs

Found on reading the whole change again: the majority of a register was counted in three places, the voters' addresses gathered in four, readiness pictured every engine to see whether there is any, and a hash was written by hand beside the library's.

--- a/auditorium/desk.go
+++ b/auditorium/desk.go
@@ -616,6 +616,13 @@
 	return true
 }
 
+// KnowsEngines tells whether there is any engine in the scene, barred or not.
+func (d *Desk) KnowsEngines() bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return len(d.scene.Engines) > 0
+}
+
 // EngineView is one engine as this router sees it, for operators.
 type EngineView struct {
 	ID      string  `json:"id"`
--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -683,13 +683,7 @@
 
 // elsewhere tells an asker whom to ask instead.
 func (c *Core) elsewhere(from string) {
-	hint := &Elsewhere{Leader: c.Leader()}
-	if c.doc != nil {
-		for _, member := range c.doc.Voters {
-			hint.Voters = append(hint.Voters, member.Address)
-		}
-	}
-	c.send(from, Message{Elsewhere: hint})
+	c.send(from, Message{Elsewhere: &Elsewhere{c.Leader(), c.doc.voterAddresses()}})
 }
 
 func (c *Core) onJoin(from string, m *Join) {
@@ -850,22 +844,21 @@
 
 // isApplied tells whether a majority of every register that counts has applied a generation.
 func (c *Core) isApplied(generation uint64) bool {
-	hasApplied := func(address string) bool {
-		seen := c.seen[address]
-		return seen != nil && seen.applied >= generation
-	}
-	return majority(c.committed.Register, hasApplied) && (c.isSettled() || majority(c.committed.PriorRegister, hasApplied))
+	return c.hasMajority(c.committed.Register, generation) && (c.isSettled() || c.hasMajority(c.committed.PriorRegister, generation))
 }
 
-// isSettled tells whether the newest change of the register has been applied by
-// a majority of the one before; until then that one counts as well.
+// isSettled tells whether the newest change of the register has been applied by a
+// majority of the one before and of its own; until then that one counts as well.
 func (c *Core) isSettled() bool {
-	return majority(c.committed.PriorRegister, func(address string) bool {
-		seen := c.seen[address]
-		return seen != nil && seen.applied >= c.committed.RegisterSince
-	}) && majority(c.committed.Register, func(address string) bool {
+	since := c.committed.RegisterSince
+	return c.hasMajority(c.committed.PriorRegister, since) && c.hasMajority(c.committed.Register, since)
+}
+
+// hasMajority tells whether a majority of a register has applied a generation.
+func (c *Core) hasMajority(register []string, generation uint64) bool {
+	return majority(register, func(address string) bool {
 		seen := c.seen[address]
-		return seen != nil && seen.applied >= c.committed.RegisterSince
+		return seen != nil && seen.applied >= generation
 	})
 }
 
@@ -1199,11 +1192,7 @@
 	if len(c.hints) > 1 {
 		others = append(others, c.hints[1:]...)
 	}
-	if c.doc != nil {
-		for _, member := range c.doc.Voters {
-			others = append(others, member.Address)
-		}
-	}
+	others = append(others, c.doc.voterAddresses()...)
 	if len(others) > 0 {
 		c.hintTurn++
 		targets = append(targets, others[c.hintTurn%len(others)])
--- a/flyloft/document.go
+++ b/flyloft/document.go
@@ -167,6 +167,18 @@
 	return Member{}, false
 }
 
+// voterAddresses says where the voters are; of no document, nowhere.
+func (d *Document) voterAddresses() []string {
+	if d == nil {
+		return nil
+	}
+	addresses := make([]string, 0, len(d.Voters))
+	for _, member := range d.Voters {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
 func (d *Document) submission(id string) (Submission, bool) {
 	for i := len(d.Submissions) - 1; i >= 0; i-- {
 		if d.Submissions[i].ID == id {
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -238,13 +238,7 @@
 		return n.leaderHint
 	}
 	// Whoever may know, one after another: voters first, then seeds and neighbours.
-	candidates := []string{}
-	if n.licence.applied != nil {
-		for _, member := range n.licence.applied.Voters {
-			candidates = append(candidates, member.Address)
-		}
-	}
-	candidates = append(candidates, n.otherHints...)
+	candidates := append(n.licence.applied.voterAddresses(), n.otherHints...)
 	candidates = append(candidates, n.settings.Seeds...)
 	candidates = append(candidates, n.views.Neighbours()...)
 	if len(candidates) == 0 {
@@ -551,21 +545,14 @@
 		n.core.Receive(n.now, from, m)
 	case m.AskBatch != nil, m.Submit != nil, m.Join != nil:
 		// No prompter here, but this node may know who is.
-		hint := &Elsewhere{Leader: n.leaderHint}
-		if n.licence.applied != nil {
-			for _, member := range n.licence.applied.Voters {
-				hint.Voters = append(hint.Voters, member.Address)
-			}
-		}
-		n.send(from, Message{Elsewhere: hint})
+		n.send(from, Message{Elsewhere: &Elsewhere{n.leaderHint, n.licence.applied.voterAddresses()}})
 	}
 }
 
 func (n *Node) onAsk(from string, m *Ask) {
 	n.cell.TakeNode(n.now, m.Node.placed(n.now), true)
-	if news := n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false); true {
-		n.send(from, Message{News: news})
-	}
+	// Sent even when empty: the node hears by it that its home is there.
+	n.send(from, Message{News: n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false)})
 	// Where the two differ, each gets what the other has: what only this node
 	// knows, say a mark from before this home was one, would else stay with it.
 	if differing := n.cell.Differing(n.now, m.Digests); len(differing) > 0 {
--- a/traproom/core_test.go
+++ b/traproom/core_test.go
@@ -47,6 +47,14 @@
 	return 0
 }
 
+// acknowledge puts a spec and waits for its yes.
+func (w *World) acknowledge(c *qt.C, what string, most house.Micros) {
+	c.Helper()
+	yes := w.operator.Yes
+	w.operator.putSpec(nil)
+	w.await(c, what, most, func() bool { return w.operator.Yes > yes })
+}
+
 // servedBetween counts requests that were sent and served within a span.
 func (w *World) servedBetween(from, to house.Micros) int {
 	count := 0
@@ -166,10 +174,8 @@
 	for _, m := range minority {
 		c.Assert(m.clock() >= m.node.State(nil).Until, qt.IsTrue)
 	}
-	yes := w.operator.Yes
 	w.operator.at = w.machines[5]
-	w.operator.putSpec(nil)
-	w.await(c, "a yes on the larger side", 8*sec, func() bool { return w.operator.Yes > yes })
+	w.acknowledge(c, "a yes on the larger side", 8*sec)
 	w.Run(10 * sec)
 	finish(c, w)
 }
@@ -202,9 +208,7 @@
 	leader := w.leader()
 	leader.freeze(8 * sec)
 	w.Run(3 * sec)
-	yes := w.operator.Yes
-	w.operator.putSpec(nil)
-	w.await(c, "a yes from the next leader", 8*sec, func() bool { return w.operator.Yes > yes })
+	w.acknowledge(c, "a yes from the next leader", 8*sec)
 	w.Run(8 * sec)
 	c.Assert(leader.node.State(nil).Role, qt.Equals, "follower")
 	finish(c, w)
@@ -285,10 +289,8 @@
 			c := qt.New(t)
 			w := openWorld(c, "qurum", 23)
 			cut(w)
-			yes := w.operator.Yes
 			w.operator.at = w.machines[6]
-			w.operator.putSpec(nil)
-			w.await(c, "a yes on the side with the majority", 9*sec, func() bool { return w.operator.Yes > yes })
+			w.acknowledge(c, "a yes on the side with the majority", 9*sec)
 			w.Run(8 * sec)
 			finish(c, w)
 		})
@@ -508,9 +510,7 @@
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 46)
 	for range 4 {
-		yes := w.operator.Yes
-		w.operator.putSpec(nil)
-		w.await(c, "a yes", 8*sec, func() bool { return w.operator.Yes > yes })
+		w.acknowledge(c, "a yes", 8*sec)
 	}
 	for _, victim := range w.core() {
 		w.loseDisk(victim)
--- a/wings/face.go
+++ b/wings/face.go
@@ -432,7 +432,7 @@
 		f.fail(w, http.StatusServiceUnavailable, "no_licence", state.Why)
 	case state.Document.SpecGeneration == 0:
 		f.fail(w, http.StatusServiceUnavailable, "no_spec", "no spec has been put yet")
-	case f.usher != nil && len(f.usher.Desk.View(f.cue.Clock.Now())) == 0:
+	case f.usher != nil && !f.usher.Desk.KnowsEngines():
 		// Only while none is known at all: with engines known but down the node stays
 		// ready, and tells callers when to come back.
 		f.fail(w, http.StatusServiceUnavailable, "no_engines", "no engine is known here yet")
--- a/wings/process.go
+++ b/wings/process.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"dunlinloom/auditorium"
@@ -79,7 +80,8 @@
 	start := uint64(time.Now().UnixMicro())
 	node := flyloft.NodeSettings{
 		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: settings.Data != "",
-		Seeds: settings.Seeds, Start: start, RandomSeed: randomSeed(self.Address), Timing: settings.Timing(), Journal: cue.Journal,
+		// Of the address, so that the elections of two nodes do not collide.
+		Seeds: settings.Seeds, Start: start, RandomSeed: xxhash.Sum64String(self.Address), Timing: settings.Timing(), Journal: cue.Journal,
 		CheckSpec: func(document []byte) error { _, err := shelf.Read(document); return err },
 	}
 	var store *flyloft.Store
@@ -207,15 +209,6 @@
 	return err
 }
 
-// randomSeed differs from node to node, so that their elections do not collide.
-func randomSeed(address string) uint64 {
-	seed := uint64(14695981039346656037)
-	for i := 0; i < len(address); i++ {
-		seed = (seed ^ uint64(address[i])) * 1099511628211
-	}
-	return seed
-}
-
 func plainDialer() Dialer {
 	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
 	return dialer.DialContext
