Broken builds kept as patches, with a command that applies each and names its finder

A body compressed on request: no test looked at what the engine was asked for. An engine left alone for ever once it broke: others served in its place; a test now has every engine go dark under a crowd and come back as the same process.

--- a/auditorium/usher_test.go
+++ b/auditorium/usher_test.go
@@ -124,6 +124,8 @@
 				got, err := io.ReadAll(r.Body)
 				c.Check(err, qt.IsNil)
 				c.Check(string(got), qt.Equals, ask)
+				// Asked to compress, it would send other bytes than its own.
+				c.Check(r.Header.Get("Accept-Encoding"), qt.Equals, "")
 				w.Header().Set("Content-Type", example.kind)
 				w.Header().Set("X-Engines-Own", "kept")
 				w.Header().Set("Location", "http://127.0.0.1:1/")
--- a/cmd/traproom/main.go
+++ b/cmd/traproom/main.go
@@ -26,6 +26,7 @@
 	Workers    int     `arg:"--workers" default:"6"`
 	Storm      bool    `arg:"--storm" help:"quick faults on a core of four instead of a day of a whole fleet"`
 	Measure    string  `arg:"--measure" help:"compare ways of routing instead; \"all\" or one of admission, divert, policy, ramp, reports, salt, zones"`
+	Stop       bool    `arg:"--stop" help:"stop at the first seed that breaks a rule"`
 	Counts     bool    `arg:"--counts" help:"tell which faults struck, what protections did, and what was not served and why"`
 	Trace      bool    `arg:"--trace" help:"print what happens; best with one seed"`
 }
@@ -99,6 +100,12 @@
 		})
 	}
 	for i := range words.Count {
+		lock.Lock()
+		isDone := words.Stop && unclean > 0
+		lock.Unlock()
+		if isDone {
+			break
+		}
 		seeds <- words.First + uint64(i)
 	}
 	close(seeds)
--- a/critic/critic.go
+++ b/critic/critic.go
@@ -243,7 +243,7 @@
 		start  uint64
 	}
 	leaving, emptied := map[start]house.Micros{}, map[string]house.Micros{}
-	refills := map[string]int{}
+	refills, refilled := map[string]int{}, map[string]uint64{}
 	for _, event := range events {
 		switch event.What {
 		case EngineLeaving:
@@ -253,7 +253,9 @@
 			}
 		case ZoneEmptied:
 			// While a refill is under way it may take effect after this receipt.
-			if _, isKnown := emptied[event.Zone]; !isKnown && refills[event.Zone] == 0 {
+			// Nor does a receipt that comes late make an order newer than the refill after it.
+			isOld := event.Generation > 0 && event.Generation < refilled[event.Zone]
+			if _, isKnown := emptied[event.Zone]; !isKnown && refills[event.Zone] == 0 && !isOld {
 				emptied[event.Zone] = event.At
 			}
 		case ZoneRefilling:
@@ -261,6 +263,7 @@
 			delete(emptied, event.Zone)
 		case ZoneRefilled:
 			refills[event.Zone]--
+			refilled[event.Zone] = max(refilled[event.Zone], event.Generation)
 		case RunBegan:
 			if since, isLeaving := leaving[start{event.Engine, event.Start}]; isLeaving && event.At-since > j.bounds.Leaving {
 				j.breach(LeavingUsed, event.At, "%s on %s, %d us after the mark", event.Tag, event.Engine, event.At-since)
@@ -579,7 +582,7 @@
 // within the stated past, the spec in force, and the emptied zones.
 func (j *judge) history(events []Event) {
 	var acked []Event
-	emptied, changing := map[string]bool{}, map[string]int{}
+	emptied, changing, refilled := map[string]bool{}, map[string]int{}, map[string]uint64{}
 	read, isReading := map[uint64]bool{}, false
 	for _, event := range events {
 		switch event.What {
@@ -588,7 +591,7 @@
 		case SpecRead:
 			read[event.Generation], isReading = true, true
 		case ZoneEmptied:
-			if changing[event.Zone] == 0 {
+			if changing[event.Zone] == 0 && !(event.Generation > 0 && event.Generation < refilled[event.Zone]) {
 				emptied[event.Zone] = true
 			}
 		case ZoneRefilling:
@@ -596,6 +599,7 @@
 			delete(emptied, event.Zone)
 		case ZoneRefilled:
 			changing[event.Zone]--
+			refilled[event.Zone] = max(refilled[event.Zone], event.Generation)
 		case SpecCurrent:
 			for _, yes := range acked {
 				if yes.Generation > event.Generation {
--- a/critic/critic_test.go
+++ b/critic/critic_test.go
@@ -105,7 +105,10 @@
 		"a spec that may be in force before its receipt": append(twoPools(), Event{At: 62*s + 1, What: RunBegan, Tag: "x", Engine: "e8", Pool: "q"}),
 		"a spec whose answer nobody had": append(twoPools(), Event{At: 66 * s, What: SpecSent, ID: "r", Pools: []string{"r"}},
 			Event{At: 76 * s, What: RunBegan, Tag: "x", Engine: "e8", Pool: "r"}, Event{At: 76 * s, What: RunBegan, Tag: "y", Engine: "e8", Pool: "q"}),
-		"a newer spec than any acknowledged":    {{At: 51 * s, What: SpecCurrent, Generation: 9}},
+		"a newer spec than any acknowledged": {{At: 51 * s, What: SpecCurrent, Generation: 9}},
+		"a zone whose refill is newer than the receipt that came late": {
+			{At: 53 * s, What: ZoneRefilling, Zone: "z3"}, {At: 54 * s, What: ZoneRefilled, Zone: "z3", Generation: 12},
+			{At: 55 * s, What: ZoneEmptied, Zone: "z3", Generation: 11}, {At: 61 * s, What: RunBegan, Tag: "x", Engine: "e2", Zone: "z3"}},
 		"a zone being refilled reads as either": {{At: 51 * s, What: ZoneEmptied, Zone: "z3"}, {At: 52 * s, What: ZoneRefilling, Zone: "z3"}, {At: 53 * s, What: ZonesRead}},
 		"a stream given up while its engine was dark": {
 			{At: 29 * s, What: EngineFailed, Engine: "e6"}, {At: 30 * s, What: RunBegan, Tag: "x", Engine: "e6"}, {At: 30*s + 1, What: EngineMended, Engine: "e6"},
--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -147,10 +147,10 @@
 		},
 		func(receipt flyloft.SubmitReceipt) {
 			if !isEmpty {
-				o.stage.take(critic.Event{At: now(), What: critic.ZoneRefilled, Zone: zone})
+				o.stage.take(critic.Event{At: now(), What: critic.ZoneRefilled, Zone: zone, Generation: receipt.Generation})
 			}
 			if isEmpty && receipt.Outcome == flyloft.Yes {
-				o.stage.take(critic.Event{At: now(), What: critic.ZoneEmptied, Zone: zone})
+				o.stage.take(critic.Event{At: now(), What: critic.ZoneEmptied, Zone: zone, Generation: receipt.Generation})
 			}
 		})
 }
--- /dev/null
+++ b/tools/heckler/main.go
@@ -0,0 +1,258 @@
+// Heckler breaks builds on purpose: each patch under breaks/ takes one protection
+// away, in a copy of this tree, and what the patch names has to find it. A check that
+// has never failed proves nothing.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/alexflint/go-arg"
+)
+
+type words struct {
+	Folder  string `arg:"--breaks" default:"breaks" help:"the folder of patches"`
+	Only    string `arg:"--only" help:"only patches whose name contains this"`
+	Workers int    `arg:"--workers" default:"3"`
+	Sound   bool   `arg:"--sound" help:"run everything the patches name on the unbroken tree instead: all of it has to pass"`
+}
+
+// patch is one break with its heading: lines of "Name: value" before the diff.
+type patch struct {
+	name, file    string
+	point, breaks string
+	finds         []string
+}
+
+// badPatch says what of a patch file is wrong.
+type badPatch struct {
+	name string
+	why  string
+}
+
+func (b badPatch) Error() string { return b.name + ": " + b.why }
+
+var planes = []string{"control", "data"}
+
+// readPatch reads a patch's heading and holds it against its form.
+func readPatch(file string) (patch, error) {
+	read := patch{name: strings.TrimSuffix(filepath.Base(file), ".patch"), file: file}
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return read, fmt.Errorf("read a patch: %w", err)
+	}
+	heading, _, isThere := strings.Cut(string(content), "\ndiff --git ")
+	if !isThere {
+		return read, badPatch{read.name, "there is no diff in it"}
+	}
+	faults := []error{}
+	plane := ""
+	for _, line := range strings.Split(heading, "\n") {
+		key, value, _ := strings.Cut(line, ": ")
+		switch key {
+		case "Point":
+			read.point = value
+		case "Plane":
+			plane = value
+		case "Breaks":
+			read.breaks = value
+		case "Find":
+			read.finds = append(read.finds, value)
+			if kind, _, _ := strings.Cut(value, " "); !slices.Contains([]string{"test", "days", "storms"}, kind) {
+				faults = append(faults, badPatch{read.name, fmt.Sprintf("Find %q is neither test, days nor storms", value)})
+			}
+		case "":
+		default:
+			faults = append(faults, badPatch{read.name, fmt.Sprintf("%q is no heading", key)})
+		}
+	}
+	if read.point == "" || read.breaks == "" || len(read.finds) == 0 || !slices.Contains(planes, plane) {
+		faults = append(faults, badPatch{read.name, "it needs Point, Plane (control or data), Breaks and a Find"})
+	}
+	return read, errors.Join(faults...)
+}
+
+func run(folder, name string, args ...string) (string, error) {
+	command := exec.Command(name, args...)
+	command.Dir = folder
+	content, err := command.CombinedOutput()
+	return string(content), err
+}
+
+// copyTree puts what git knows of this tree, as it is now, into a fresh folder.
+func copyTree() (string, error) {
+	folder, err := os.MkdirTemp("", "heckler-*")
+	if err != nil {
+		return "", fmt.Errorf("make a folder: %w", err)
+	}
+	listing, err := run(".", "git", "ls-files", "--cached", "--others", "--exclude-standard")
+	if err != nil {
+		return folder, fmt.Errorf("list the tree: %w", err)
+	}
+	for _, name := range strings.Fields(listing) {
+		content, err := os.ReadFile(name)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue // taken away and not committed yet
+		}
+		if err != nil {
+			return folder, fmt.Errorf("copy the tree: %w", err)
+		}
+		to := filepath.Join(folder, name)
+		if err := os.MkdirAll(filepath.Dir(to), 0o755); err != nil {
+			return folder, fmt.Errorf("copy the tree: %w", err)
+		}
+		if err := os.WriteFile(to, content, 0o644); err != nil {
+			return folder, fmt.Errorf("copy the tree: %w", err)
+		}
+	}
+	return folder, nil
+}
+
+var (
+	failedTest = regexp.MustCompile(`(?m)^\s*--- FAIL: (\S+)`)
+	brokenSeed = regexp.MustCompile(`(?m)^\{"seed":(\d+).*"breaches":\["[^:]*: ([^:"]*)`)
+)
+
+// find runs one line of a heading: what it found, or nothing.
+func find(folder, line string) (found string, err error) {
+	kind, rest, _ := strings.Cut(line, " ")
+	args := strings.Fields(rest)
+	if kind == "test" {
+		if len(args) != 2 {
+			return "", badPatch{line, "test takes a package and a name"}
+		}
+		content, failed := run(folder, "go", "test", "-count=1", args[0], "-run", "^("+args[1]+")$")
+		if failed == nil && strings.Contains(content, "no tests to run") {
+			return "", badPatch{line, "there is no such test"}
+		}
+		if failed == nil {
+			return "", nil
+		}
+		if match := failedTest.FindStringSubmatch(content); match != nil {
+			return match[1], nil
+		}
+		return "", badPatch{line, "it did not come to a verdict: " + content}
+	}
+	search := []string{"run", "./cmd/traproom", "--stop", "--workers", "4"}
+	if kind == "storms" {
+		search = append(search, "--storm", "--rate", "5", "--span-us", "40000000")
+	}
+	content, failed := run(folder, "go", append(search, args...)...)
+	if match := brokenSeed.FindStringSubmatch(content); match != nil {
+		return "seed " + match[1] + ": " + match[2], nil
+	}
+	if failed != nil {
+		return "", badPatch{line, "it did not come to a verdict: " + content}
+	}
+	return "", nil
+}
+
+// heckle applies one patch to a copy and tells what found it.
+func heckle(p patch) (string, error) {
+	folder, err := copyTree()
+	defer os.RemoveAll(folder)
+	if err != nil {
+		return "", err
+	}
+	full, err := filepath.Abs(p.file)
+	if err != nil {
+		return "", fmt.Errorf("find the patch: %w", err)
+	}
+	if content, err := run(folder, "git", "apply", "--recount", full); err != nil {
+		return "", badPatch{p.name, "it no longer applies: " + content}
+	}
+	if content, err := run(folder, "go", "build", "./..."); err != nil {
+		return "", badPatch{p.name, "the broken build is no build: " + content}
+	}
+	for _, line := range p.finds {
+		found, err := find(folder, line)
+		if err != nil || found != "" {
+			return found, err
+		}
+	}
+	return "", nil
+}
+
+func main() {
+	var words words
+	arg.MustParse(&words)
+	files, err := filepath.Glob(filepath.Join(words.Folder, "*.patch"))
+	if err != nil || len(files) == 0 {
+		fmt.Fprintln(os.Stderr, "heckler: there is no patch in", words.Folder)
+		os.Exit(1)
+	}
+	patches := []patch{}
+	for _, file := range files {
+		read, err := readPatch(file)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "heckler:", err)
+			os.Exit(1)
+		}
+		if strings.Contains(read.name, words.Only) {
+			patches = append(patches, read)
+		}
+	}
+	if words.Sound {
+		os.Exit(sound(patches))
+	}
+	var lock sync.Mutex
+	var hands sync.WaitGroup
+	inbox, bad := make(chan patch), 0
+	for range max(words.Workers, 1) {
+		hands.Go(func() {
+			for p := range inbox {
+				found, err := heckle(p)
+				lock.Lock()
+				switch {
+				case err != nil:
+					bad++
+					fmt.Printf("FAULT      %s: %v\n", p.name, err)
+				case found == "":
+					bad++
+					fmt.Printf("NOT FOUND  %s: %s\n", p.name, p.breaks)
+				default:
+					fmt.Printf("found      %s: %s, by %s\n", p.name, p.breaks, found)
+				}
+				lock.Unlock()
+			}
+		})
+	}
+	for _, p := range patches {
+		inbox <- p
+	}
+	close(inbox)
+	hands.Wait()
+	fmt.Printf("%d builds broken, %d not found or at fault\n", len(patches), bad)
+	if bad > 0 {
+		os.Exit(3)
+	}
+}
+
+// sound runs what the patches name, each once, where nothing is broken.
+func sound(patches []patch) int {
+	lines := []string{}
+	for _, p := range patches {
+		lines = append(lines, p.finds...)
+	}
+	slices.Sort(lines)
+	lines, bad := slices.Compact(lines), 0
+	for _, line := range lines {
+		if found, err := find(".", line); err != nil || found != "" {
+			bad++
+			fmt.Printf("FAULT  %s: %s %v\n", line, found, err)
+		}
+	}
+	fmt.Printf("%d checks on the unbroken tree, %d failed\n", len(lines), bad)
+	if bad > 0 {
+		return 3
+	}
+	return 0
+}
--- a/traproom/data_test.go
+++ b/traproom/data_test.go
@@ -80,6 +80,30 @@
 	finish(c, w)
 }
 
+// Engines that broke and come back as the same process must be tried again by every
+// router, not only by those that had nothing on them.
+func TestAllEnginesDarkThenBack(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 40)
+	w.Traffic(40, 60*sec, 0)
+	w.Run(2 * sec)
+	for _, e := range w.engines {
+		e.goDark(3 * sec)
+	}
+	// Enough of a crowd that every router loses something on nearly every engine.
+	w.Traffic(900, sec, 0)
+	w.Run(3 * sec)
+	repaired := critic.Event{What: critic.Repaired}
+	for _, m := range w.machines {
+		repaired.Roster = append(repaired.Roster, m.name)
+	}
+	w.take(repaired)
+	w.Run(critic.BriefBounds().Broken + 500*ms)
+	w.probeAll()
+	w.Run(sec)
+	finish(c, w)
+}
+
 func TestADarkEngineIsLeftAloneSoon(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 34)
--- a/traproom/traffic.go
+++ b/traproom/traffic.go
@@ -576,11 +576,11 @@
 			return
 		}
 		w.trace("zone %s is emptied", zone)
-		w.take(critic.Event{What: critic.ZoneEmptied, Zone: zone})
+		w.take(critic.Event{What: critic.ZoneEmptied, Zone: zone, Generation: receipt.Generation})
 		w.in(span, func() {
 			w.take(critic.Event{What: critic.ZoneRefilling, Zone: zone})
-			o.order(flyloft.Submit{Order: flyloft.RefillZone, Zone: zone}, func(flyloft.SubmitReceipt) {
-				w.take(critic.Event{What: critic.ZoneRefilled, Zone: zone})
+			o.order(flyloft.Submit{Order: flyloft.RefillZone, Zone: zone}, func(receipt flyloft.SubmitReceipt) {
+				w.take(critic.Event{What: critic.ZoneRefilled, Zone: zone, Generation: receipt.Generation})
 				w.trace("zone %s is refilled", zone)
 			})
 		})
