--- a/claque/claque.go
+++ b/claque/claque.go
@@ -60,7 +60,7 @@
 func NewCaller() *Caller {
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &Caller{&http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true},
+		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: 20 * time.Second},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -188,15 +188,21 @@
 	return critic.Wrong, fmt.Sprintf("status %d does not say whether it ran", response.StatusCode)
 }
 
+// Node is one that the platform may hand callers to.
+type Node struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
 // Performance is a span of calls at a rate.
 type Performance struct {
-	Nodes   []string
-	Kinds   []Kind
-	Rate    float64 // requests a second
-	Span    house.Micros
-	Seed    uint64
-	Prefix  string // of the tags
-	Patient house.Micros
+	Platform *Platform
+	Kinds    []Kind
+	Rate     float64 // requests a second
+	Span     house.Micros
+	Seed     uint64
+	Prefix   string // of the tags
+	Patient  house.Micros
 	// Retries tells whether callers come again after a decline that says when.
 	Retries int
 }
@@ -220,20 +226,24 @@
 		}
 		kind := pick(random, p.Kinds)
 		ask := NewAsk(random, kind, fmt.Sprintf("%s-%d", p.Prefix, count))
-		// The platform hands channels to the nodes in turn.
-		turn := random.IntN(len(p.Nodes))
-		calls.Go(func() { p.serve(ctx, caller, ask, turn, take) })
+		// Some callers leave in the middle.
+		patience := p.Patient
+		if random.IntN(50) == 0 {
+			patience = house.Micros(random.Int64N(int64(2 * house.Second)))
+		}
+		turn := random.IntN(1 << 30)
+		calls.Go(func() { p.serve(ctx, caller, ask, turn, patience, take) })
 	}
 }
 
-func (p Performance) serve(ctx context.Context, caller *Caller, ask Ask, turn int, take func(critic.Event)) {
-	limit, cancel := context.WithTimeout(ctx, p.Patient.Duration())
+func (p Performance) serve(ctx context.Context, caller *Caller, ask Ask, turn int, patience house.Micros, take func(critic.Event)) {
+	limit, cancel := context.WithTimeout(ctx, patience.Duration())
 	defer cancel()
 	tag := ask.Tag
 	for try := 0; ; try++ {
 		// Each try is a request of its own: what was promised of one says nothing of the next.
 		ask.Tag = fmt.Sprintf("%s/%d", tag, try)
-		event := caller.Call(limit, p.Nodes[(turn+try)%len(p.Nodes)], ask)
+		event := caller.Call(limit, p.Platform.Deal(turn, try), ask)
 		isAgain := (event.Outcome == critic.NotRun || event.Outcome == critic.Unreached) && try < p.Retries && limit.Err() == nil
 		take(event)
 		if !isAgain {
--- a/cmd/claque/main.go
+++ b/cmd/claque/main.go
@@ -18,7 +18,8 @@
 )
 
 type words struct {
-	Nodes     []string `arg:"--node,separate,required" help:"public address of a node"`
+	Nodes     []string `arg:"--node,separate" help:"public address of a node"`
+	NodesFile string   `arg:"--nodes-file" help:"JSON list of nodes with their zones, read again once a second"`
 	Kinds     string   `arg:"--kinds" default:"qurum" help:"qurum or cronometro"`
 	Rate      float64  `arg:"--rate" default:"20" help:"requests a second"`
 	SpanUS    int64    `arg:"--span-us" default:"10000000"`
@@ -68,9 +69,18 @@
 		defer file.Close()
 		lines = json.NewEncoder(file)
 	}
+	nodes := []claque.Node{}
+	for _, address := range words.Nodes {
+		nodes = append(nodes, claque.Node{Address: address})
+	}
+	platform, err := claque.NewPlatform(nodes, words.NodesFile)
+	if err != nil {
+		return err
+	}
+	go platform.Watch(ctx)
 	var failed error
 	claque.Performance{
-		Nodes: words.Nodes, Kinds: kinds, Rate: words.Rate, Span: house.Micros(words.SpanUS), Seed: words.Seed,
+		Platform: platform, Kinds: kinds, Rate: words.Rate, Span: house.Micros(words.SpanUS), Seed: words.Seed,
 		Prefix: words.Prefix, Patient: house.Micros(words.PatientUS), Retries: words.Retries,
 	}.Run(ctx, func(event critic.Event) {
 		lock.Lock()
--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -3,13 +3,17 @@
 import (
 	"bufio"
 	"context"
+	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,14 +52,24 @@
 	orders map[string]int
 }
 
-// spec makes the number-th spec of a rehearsal; its bytes differ with the number.
-func (s *Stage) spec(number int) []byte {
+// spec makes the number-th spec of a rehearsal; its bytes differ with the number, and
+// it leaves one pool out. More bindings than the kinds need make it large.
+func (s *Stage) spec(number, more int) (content []byte, pools []string) {
 	kinds, _ := claque.KindsOf(s.deployment.Name)
-	bindings := []any{}
+	bindings, shares := []any{}, []any{}
+	for i := range poolCount {
+		if i != number%poolCount {
+			pools = append(pools, fmt.Sprintf("p%d", i))
+			shares = append(shares, map[string]any{"pool": pools[len(pools)-1], "weight": 100 + number%7})
+		}
+	}
+	for i := range more {
+		bindings = append(bindings, map[string]any{"name": fmt.Sprintf("more-%d", i), "match": map[string]any{"kind": fmt.Sprintf("no-such-%d", i)}, "shares": shares[:1]})
+	}
 	for _, kind := range kinds {
 		bindings = append(bindings, map[string]any{
 			"name": fmt.Sprintf("%s-%d", kind.Name, number), "match": map[string]any{"kind": kind.Name},
-			"shares": []any{map[string]any{"pool": "main", "weight": 100 + number%7}}, "ttftLimitUs": 8_000_000,
+			"shares": shares, "ttftLimitUs": 8_000_000,
 		})
 	}
 	zones := []any{}
@@ -66,13 +80,14 @@
 	if err != nil {
 		panic(StageBreakdown{"encode a spec", err})
 	}
-	return content
+	return content, pools
 }
 
 func (o *Operator) node() *actor {
+	nodes := o.stage.members()
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	return o.stage.nodes[o.random.IntN(len(o.stage.nodes))]
+	return nodes[o.random.IntN(len(nodes))]
 }
 
 // order sends one order until it is answered for good, as an operator would: the
@@ -111,28 +126,38 @@
 }
 
 func (o *Operator) putSpec(ctx context.Context, number int, base string) {
-	spec := o.stage.spec(number)
+	o.putLarge(ctx, number, 0, base)
+}
+
+// putLarge puts a spec with so many bindings more than the kinds need.
+func (o *Operator) putLarge(ctx context.Context, number, more int, base string) (isYes bool) {
+	spec, pools := o.stage.spec(number, more)
 	path := "/v1/spec"
 	if base != "" {
 		path += "?base=" + url.QueryEscape(base)
 	}
 	o.order(ctx, "spec", http.MethodPut, path, spec,
 		func(id string) {
-			o.stage.take(critic.Event{At: now(), What: critic.SpecSent, ID: id, Digest: string(spec)})
+			o.stage.take(critic.Event{At: now(), What: critic.SpecSent, ID: id, Digest: digest(spec), Pools: pools})
 		},
 		func(receipt flyloft.SubmitReceipt) {
-			event := critic.Event{At: now(), What: critic.SpecYes, ID: receipt.ID, Generation: receipt.Generation, Digest: string(spec)}
+			isYes = receipt.Outcome == flyloft.Yes
+			event := critic.Event{At: now(), What: critic.SpecYes, ID: receipt.ID, Generation: receipt.Generation, Digest: digest(spec)}
 			if receipt.Outcome == flyloft.No {
 				event.What, event.Reason = critic.SpecNo, receipt.Reason
 			} else {
 				o.lock.Lock()
-				o.acked[receipt.Generation] = string(spec)
+				o.acked[receipt.Generation] = digest(spec)
 				o.lock.Unlock()
 			}
 			o.stage.take(event)
 		})
+	return isYes
 }
 
+// digest stands for a spec in the events, where megabytes would only be in the way.
+func digest(spec []byte) string { return fmt.Sprintf("%x", sha256.Sum256(spec)) }
+
 func (o *Operator) zone(ctx context.Context, zone string, isEmpty bool) {
 	method, name := http.MethodPut, "empty"
 	if !isEmpty {
@@ -183,7 +208,7 @@
 			status, headers, got, err := do(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/spec?generation=%d", o.node().public, generation), nil, nil)
 			if err == nil && status == http.StatusOK && headers.Get(auditorium.HeaderGeneration) == strconv.FormatUint(generation, 10) {
 				isRead = true
-				o.stage.take(critic.Event{At: now(), What: critic.SpecRead, Generation: generation, Digest: string(got)})
+				o.stage.take(critic.Event{At: now(), What: critic.SpecRead, Generation: generation, Digest: digest(got)})
 				continue
 			}
 			select {
@@ -198,6 +223,26 @@
 	}
 }
 
+// readNow reads the spec in force and the emptied zones at every node that serves.
+func (o *Operator) readNow(ctx context.Context) {
+	for _, node := range o.stage.members() {
+		if status, _, _, err := do(ctx, http.MethodGet, "http://"+node.public+"/readyz", nil, nil); err != nil || status != http.StatusOK {
+			continue
+		}
+		status, _, got, err := do(ctx, http.MethodGet, "http://"+node.public+"/v1/fleet", nil, nil)
+		var view wings.FleetView
+		if err == nil && status == http.StatusOK {
+			err = json.Unmarshal(got, &view)
+		}
+		if err != nil || status != http.StatusOK {
+			o.stage.problem("the fleet can't be read at %s: status %d, %v", node.name, status, err)
+			continue
+		}
+		o.stage.take(critic.Event{At: now(), What: critic.SpecCurrent, Node: node.public, Generation: view.SpecGeneration})
+		o.stage.take(critic.Event{At: now(), What: critic.ZonesRead, Node: node.public, Zones: slices.Sorted(maps.Keys(view.Evacuated))})
+	}
+}
+
 // Play runs a scenario and judges it.
 func Play(ctx context.Context, stage *Stage, scenario *Scenario, say func(string, ...any)) (*Report, error) {
 	defer stage.Close()
@@ -234,7 +279,7 @@
 		}
 	})
 	callsLog := filepath.Join(stage.folder, "calls.jsonl")
-	callers, err := stage.startClaque(scenario, callsLog)
+	callers, err := stage.startClaque(scenario, callsLog, "c", scenario.Rate, scenario.Hot, scenario.SpanMS)
 	if err != nil {
 		return nil, err
 	}
@@ -248,6 +293,7 @@
 	}
 	say("the callers are done")
 	operator.readBack(ctx)
+	operator.readNow(ctx)
 	stage.scrape(ctx)
 	end()
 	workers.Wait()
@@ -255,16 +301,37 @@
 	return report, err
 }
 
-func (s *Stage) startClaque(scenario *Scenario, log string) (*actor, error) {
-	words := []string{"--kinds", scenario.Deployment, "--rate", fmt.Sprint(scenario.Rate), "--span-us", fmt.Sprint(scenario.SpanMS * 1000),
-		"--seed", fmt.Sprint(scenario.Seed), "--hot", fmt.Sprint(scenario.Hot), "--log", log}
-	for _, node := range s.nodes {
-		words = append(words, "--node", node.public)
+func (s *Stage) startClaque(scenario *Scenario, log, name string, rate, hot float64, spanMS int64) (*actor, error) {
+	words := []string{"--kinds", scenario.Deployment, "--rate", fmt.Sprint(rate), "--span-us", fmt.Sprint(spanMS * 1000), "--prefix", name,
+		"--seed", fmt.Sprint(scenario.Seed), "--hot", fmt.Sprint(hot), "--log", log, "--nodes-file", s.nodesFile()}
+	if err := s.tellNodes(); err != nil {
+		return nil, err
 	}
-	callers := &actor{name: "claque", program: "claque", words: words}
+	callers := &actor{name: "claque-" + name, program: "claque", words: words}
 	return callers, s.start(callers)
 }
 
+func (s *Stage) nodesFile() string { return filepath.Join(s.folder, "nodes.json") }
+
+// tellNodes writes down which nodes there are, for the callers' side of the platform.
+func (s *Stage) tellNodes() error {
+	nodes := []claque.Node{}
+	for _, node := range s.members() {
+		nodes = append(nodes, claque.Node{Address: node.public, Zone: node.zone})
+	}
+	content, err := json.Marshal(nodes)
+	if err != nil {
+		return StageBreakdown{"encode the nodes", err}
+	}
+	if err := os.WriteFile(s.nodesFile()+".new", content, 0o644); err != nil {
+		return StageBreakdown{"write the nodes", err}
+	}
+	if err := os.Rename(s.nodesFile()+".new", s.nodesFile()); err != nil {
+		return StageBreakdown{"write the nodes", err}
+	}
+	return nil
+}
+
 // act does the scenario's steps, each at its moment.
 func (s *Stage) act(ctx context.Context, scenario *Scenario, operator *Operator, say func(string, ...any)) {
 	begun := time.Now()
@@ -288,12 +355,75 @@
 	}
 }
 
-func (s *Stage) cutFor(ctx context.Context, ms int64, chosen ...*actor) error {
-	if err := s.cut(chosen, 1); err != nil {
+func (s *Stage) cutFor(ctx context.Context, ms int64, ways int, chosen, others []*actor) error {
+	if err := s.cut(chosen, others, ways, 1); err != nil {
+		return err
+	}
+	pause(ctx, ms)
+	return s.cut(chosen, others, ways, -1)
+}
+
+// during has something fail on purpose for a while.
+func (s *Stage) during(ctx context.Context, ms int64, begin, end func()) error {
+	if err := s.mishap(begin); err != nil {
+		return err
+	}
+	pause(ctx, ms)
+	return s.mishap(end)
+}
+
+func (s *Stage) diskFails(ctx context.Context, node *actor, ms int64, how wings.DiskMishap) error {
+	return s.during(ctx, ms, func() { s.disks[node.peer] = how }, func() { delete(s.disks, node.peer) })
+}
+
+// core gives the nodes that have a data folder.
+func (s *Stage) core() []*actor {
+	return slices.DeleteFunc(s.members(), func(node *actor) bool { return node.data == "" })
+}
+
+// takePlace replaces a node and waits until a prompter's replacement votes.
+func (s *Stage) takePlace(ctx context.Context, node *actor, ms int64) error {
+	s.took(node)
+	fresh := s.replace(node)
+	if err := s.tellNodes(); err != nil {
 		return err
 	}
 	pause(ctx, ms)
-	return s.cut(chosen, -1)
+	if err := s.start(fresh); err != nil {
+		return err
+	}
+	for node.data != "" && ctx.Err() == nil && !s.hasVoter(ctx, fresh.peer) {
+		pause(ctx, 200)
+	}
+	return nil
+}
+
+// repair starts every process and lifts every fault.
+func (s *Stage) repair(ctx context.Context) error {
+	for _, a := range append(s.members(), s.engines...) {
+		a.signal(syscall.SIGCONT)
+		if err := s.start(a); err != nil {
+			return err
+		}
+		if a.start != 0 {
+			s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: a.name})
+			if err := s.list(a, "serving"); err != nil {
+				return err
+			}
+		}
+	}
+	repaired := critic.Event{At: now(), What: critic.Repaired}
+	for _, node := range s.members() {
+		repaired.Roster = append(repaired.Roster, node.public)
+	}
+	kinds, _ := claque.KindsOf(s.deployment.Name)
+	for _, kind := range kinds {
+		repaired.Kinds = append(repaired.Kinds, kind.Name)
+	}
+	s.take(repaired)
+	return s.mishap(func() {
+		s.cuts, s.lossy, s.disks = map[string]int{}, wings.WayMishap{}, map[string]wings.DiskMishap{}
+	})
 }
 
 // took notes that a fault takes an actor.
@@ -323,6 +453,7 @@
 			return err
 		}
 		if a.start != 0 {
+			s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: a.name})
 			if err := s.list(a, "serving"); err != nil {
 				return err
 			}
@@ -355,19 +486,63 @@
 		}
 		return nil
 	case "repaired":
-		s.take(critic.Event{At: now(), What: critic.Repaired})
-		return nil
+		return s.repair(ctx)
 	case "cut-zone":
-		chosen := []*actor{}
-		for _, node := range s.nodes {
-			if node.zone == step.Target {
-				chosen = append(chosen, node)
+		chosen := slices.DeleteFunc(s.members(), func(node *actor) bool { return node.zone != step.Target })
+		return s.cutFor(ctx, step.ForMS, wayOut|wayIn, chosen, s.members())
+	case "split-core":
+		core := s.core()
+		return s.cutFor(ctx, step.ForMS, wayOut|wayIn, core[:len(core)/2], core[len(core)/2:])
+	case "lossy":
+		return s.during(ctx, step.ForMS, func() { s.lossy = wings.WayMishap{Loss: 0.2, Double: 0.1, DelayUS: 50_000} },
+			func() { s.lossy = wings.WayMishap{} })
+	case "swap-core":
+		for _, node := range s.core() {
+			if err := s.takePlace(ctx, node, 500); err != nil {
+				return err
 			}
 		}
-		return s.cutFor(ctx, step.ForMS, chosen...)
+		return nil
+	case "roll":
+		var rolled sync.WaitGroup
+		defer rolled.Wait()
+		for _, engine := range s.engines {
+			rolled.Go(func() {
+				if err := s.stepEngine(ctx, Step{Do: "engine-retire", ForMS: 500}, engine); err != nil {
+					s.problem("roll %s: %v", engine.name, err)
+				}
+			})
+			pause(ctx, step.ForMS)
+		}
+		return nil
+	case "list-lag":
+		if err := s.listLag(ctx, int64(step.Count)*1000); err != nil {
+			return err
+		}
+		pause(ctx, step.ForMS)
+		return s.listLag(ctx, 500_000)
+	case "crowd", "hot-crowd":
+		hot := 0.0
+		if step.Do == "hot-crowd" {
+			hot = 0.9
+		}
+		name := fmt.Sprintf("crowd%d", step.AtMS)
+		crowd, err := s.startClaque(&Scenario{Deployment: s.deployment.Name, Seed: uint64(step.AtMS)}, filepath.Join(s.folder, "calls-"+name+".jsonl"), name, float64(step.Count), hot, step.ForMS)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-crowd.ended:
+		case <-ctx.Done():
+			crowd.halt()
+		}
+		return nil
+	case "large-spec":
+		operator.putLarge(ctx, number, step.Count, "")
+		return nil
 	case "kill-core", "kill-all", "kill-zone":
 		chosen := []*actor{}
-		for _, a := range append(append([]*actor{}, s.nodes...), s.engines...) {
+		for _, a := range append(s.members(), s.engines...) {
 			isEngine := a.peer == ""
 			if step.Do == "kill-core" && a.data != "" || step.Do == "kill-all" && !isEngine || step.Do == "kill-zone" && a.zone == step.Target {
 				chosen = append(chosen, a)
@@ -388,7 +563,28 @@
 	}
 	switch step.Do {
 	case "cut":
-		return s.cutFor(ctx, step.ForMS, node)
+		return s.cutFor(ctx, step.ForMS, wayOut|wayIn, []*actor{node}, s.members())
+	case "cut-out":
+		return s.cutFor(ctx, step.ForMS, wayOut, []*actor{node}, s.members())
+	case "cut-in":
+		return s.cutFor(ctx, step.ForMS, wayIn, []*actor{node}, s.members())
+	case "disk-slow":
+		return s.diskFails(ctx, node, step.ForMS, wings.DiskMishap{SlowUS: int64(step.Count) * 1000})
+	case "disk-stall":
+		return s.diskFails(ctx, node, step.ForMS, wings.DiskMishap{IsStalled: true})
+	case "disk-full":
+		return s.diskFails(ctx, node, step.ForMS, wings.DiskMishap{IsFull: true})
+	case "power-at-yes":
+		operator.putSpec(ctx, number, "")
+		fallthrough
+	case "power":
+		s.took(node)
+		if err := s.cutPower(node); err != nil {
+			return err
+		}
+		return s.again(ctx, step.ForMS, node)
+	case "replace":
+		return s.takePlace(ctx, node, step.ForMS)
 	case "kill":
 		s.took(node)
 		node.halt()
@@ -436,11 +632,19 @@
 		failed()
 		engine.halt()
 		return s.again(ctx, step.ForMS, engine)
+	case "engine-gone":
+		failed()
+		engine.halt()
+		if _, _, _, err := do(ctx, http.MethodDelete, "http://"+s.platform.public+"/control/engines/"+engine.name, nil, nil); err != nil {
+			return err
+		}
+		return s.again(ctx, step.ForMS, engine)
 	case "engine-freeze":
 		failed()
 		engine.signal(syscall.SIGSTOP)
 		pause(ctx, step.ForMS)
 		engine.signal(syscall.SIGCONT)
+		s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: engine.name})
 		return nil
 	case "engine-dark":
 		failed()
@@ -448,6 +652,7 @@
 			return err
 		}
 		pause(ctx, step.ForMS)
+		s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: engine.name})
 		return faults(`{}`)
 	case "engine-break":
 		failed()
@@ -465,7 +670,8 @@
 		engine.halt()
 		return s.again(ctx, max(step.ForMS, 500), engine)
 	case "engine-leave":
-		node := s.nodes[int(engine.start)%len(s.nodes)]
+		nodes := s.members()
+		node := nodes[int(engine.start)%len(nodes)]
 		marked := now()
 		status, _, body, err := do(ctx, http.MethodPut, fmt.Sprintf("http://%s/v1/engines/%s/leaving?start=%d", node.public, engine.name, engine.start), nil, nil)
 		if err != nil {
@@ -483,6 +689,11 @@
 	return StageBreakdown{"step", StageMissing{step.Do}}
 }
 
+func (s *Stage) listLag(ctx context.Context, us int64) error {
+	_, _, _, err := do(ctx, http.MethodPut, "http://"+s.platform.public+"/control/lag", []byte(fmt.Sprint(us)), nil)
+	return err
+}
+
 // clash puts two specs on one base; at most one may get a yes.
 func (o *Operator) clash(ctx context.Context, number int) error {
 	view, err := o.stage.Fleet(ctx)
@@ -521,9 +732,11 @@
 
 func (s *Stage) report(scenario *Scenario, operator *Operator, callsLog string) (*Report, error) {
 	paths, err := filepath.Glob(filepath.Join(s.folder, "engine-*.jsonl"))
-	if err != nil {
+	crowds, crowdErr := filepath.Glob(filepath.Join(s.folder, "calls-*.jsonl"))
+	if err := errors.Join(err, crowdErr); err != nil {
 		return nil, StageBreakdown{"list events", err}
 	}
+	paths = append(paths, crowds...)
 	s.lock.Lock()
 	events := append([]critic.Event(nil), s.events...)
 	s.lock.Unlock()
--- a/rehearsal/scenario.go
+++ b/rehearsal/scenario.go
@@ -39,6 +39,17 @@
 	"freeze":        "node",   // SIGSTOP for for_ms
 	"wipe":          "node",   // SIGKILL, empty its data folder, start it again after for_ms
 	"cut":           "node",   // cut it off from all other nodes for for_ms; needs programs built with -tags faults
+	"cut-out":       "node",   // nothing gets out of it to other nodes for for_ms; the same
+	"cut-in":        "node",   // nothing gets to it from other nodes for for_ms; the same
+	"split-core":    "",       // the first half of the prompters is cut off from the second for for_ms; the same
+	"lossy":         "",       // all messages between nodes are lost, doubled and late at times, for for_ms; the same
+	"disk-slow":     "node",   // each write of its data folder takes count ms longer for for_ms; the same
+	"disk-stall":    "node",   // no write of its data folder ends for for_ms; the same
+	"disk-full":     "node",   // every write of its data folder fails for for_ms; the same
+	"power":         "node",   // kill it, lose what was not synced, start it again after for_ms; the same
+	"power-at-yes":  "node",   // put a spec and cut the node's power at the moment of its yes; the same
+	"replace":       "node",   // kill it for good; an empty machine at a new address starts after for_ms
+	"swap-core":     "",       // replace every prompter, each once the last replacement votes
 	"cut-zone":      "zone",   // cut a zone's nodes off from all others for for_ms; the same
 	"kill-core":     "",       // SIGKILL to every prompter at once, started again after for_ms
 	"kill-all":      "",       // SIGKILL to every node at once, started again after for_ms
@@ -54,7 +65,22 @@
 	"engine-break":  "engine", // tears its next stream
 	"engine-freeze": "engine", // SIGSTOP for for_ms
 	"not-run":       "engine", // declines its next count requests
-	"repaired":      "",       // from here on the fleet has to recover
+	"engine-gone":   "engine", // SIGKILL and off the platform's list, back after for_ms (0: never)
+	"roll":          "",       // engine-retire for every engine, one each for_ms
+	"list-lag":      "",       // the platform's list is count ms late for for_ms
+	"crowd":         "",       // count more requests a second for for_ms
+	"hot-crowd":     "",       // the same, nearly all on one prefix of each kind
+	"large-spec":    "",       // put a spec of count bindings
+	"repaired":      "",       // every process is started, every fault lifted; from here on the fleet has to recover
+}
+
+// mostCounts are the verbs that can't do without a count.
+var mostCounts = map[string]int{"disk-slow": 5000, "list-lag": 120_000, "crowd": 500, "hot-crowd": 500, "large-spec": playbill.MaxBindings}
+
+// lastingVerbs are those that would do nothing, or never end, without a span.
+var lastingVerbs = map[string]bool{
+	"cut-out": true, "cut-in": true, "split-core": true, "lossy": true, "disk-slow": true, "disk-stall": true, "disk-full": true,
+	"roll": true, "list-lag": true, "crowd": true, "hot-crowd": true,
 }
 
 // ReadScenario reads a scenario file and names every fault in it.
@@ -77,7 +103,10 @@
 
 // needsCuts tells whether the programs have to be built with -tags faults.
 func (s *Scenario) needsCuts() bool {
-	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.Do == "cut" || step.Do == "cut-zone" })
+	return slices.ContainsFunc(s.Steps, func(step Step) bool {
+		return strings.HasPrefix(step.Do, "cut") || strings.HasPrefix(step.Do, "disk-") || strings.HasPrefix(step.Do, "power") ||
+			step.Do == "split-core" || step.Do == "lossy"
+	})
 }
 
 // Check names every fault of a scenario at once.
@@ -107,6 +136,12 @@
 		if step.ForMS < 0 || step.Count < 0 {
 			faults.Add(path, "for_ms and count can't be below zero")
 		}
+		if mostCount := mostCounts[step.Do]; mostCount > 0 && (step.Count < 1 || step.Count > mostCount) {
+			faults.Add(path+".count", "%s takes a count from 1 to %d", step.Do, mostCount)
+		}
+		if lastingVerbs[step.Do] && step.ForMS == 0 {
+			faults.Add(path+".for_ms", "%s has to last for a while", step.Do)
+		}
 		wanted, isVerb := verbs[step.Do]
 		if !isVerb {
 			faults.Add(path+".do", "there is no verb %q", step.Do)
--- a/rehearsal/stage.go
+++ b/rehearsal/stage.go
@@ -38,14 +38,20 @@
 	process *exec.Cmd
 	ended   chan struct{}
 	start   uint64 // engines
+	pool    string
 }
 
+// poolCount is how many pools engines are dealt to; each spec leaves one out, so that
+// an engine that runs tells by which spec.
+const poolCount = 6
+
 // Stage runs the processes of one rehearsal.
 type Stage struct {
 	bin, folder string
 	deployment  Deployment
 	platform    *actor
 	nodes       []*actor
+	gone        []*actor // machines whose places others took
 	engines     []*actor
 
 	lock     sync.Mutex // guards everything below
@@ -54,6 +60,10 @@
 	starts   map[string]int
 	problems []string
 	cuts     map[string]int // "FROM>TO" to how many cuts hold it
+	lossy    wings.WayMishap
+	disks    map[string]wings.DiskMishap
+	seats    int // addresses given away to machines that came later
+	address  func(offset int) string
 }
 
 // StageBreakdown says what of a rehearsal itself went wrong, as opposed to the fleet.
@@ -73,7 +83,7 @@
 func NewStage(bin, folder string, deployment Deployment, basePort int) *Stage {
 	s := &Stage{
 		bin: bin, folder: folder, deployment: deployment,
-		counters: map[string]map[string]float64{}, starts: map[string]int{}, cuts: map[string]int{},
+		counters: map[string]map[string]float64{}, starts: map[string]int{}, cuts: map[string]int{}, disks: map[string]wings.DiskMishap{},
 	}
 	taken := map[string]bool{}
 	address := func(offset int) string {
@@ -94,6 +104,7 @@
 			}
 		}
 	}
+	s.address = address
 	listing := address(0)
 	s.platform = &actor{name: "platform", program: "understudy", public: listing, words: []string{"--list", "--listen", listing}}
 	seeds, peers := []string{}, []string{}
@@ -118,8 +129,8 @@
 	}
 	for i := range deployment.Engines {
 		zone := deployment.Zones[i%len(deployment.Zones)]
-		engine := &actor{name: fmt.Sprintf("e%02d", i), program: "understudy", zone: zone, public: address(300 + i)}
-		engine.words = []string{"--listen", engine.public, "--id", engine.name, "--zone", zone, "--log", filepath.Join(folder, "engine-"+engine.name+".jsonl"),
+		engine := &actor{name: fmt.Sprintf("e%02d", i), program: "understudy", zone: zone, public: address(300 + i), pool: fmt.Sprintf("p%d", i%poolCount)}
+		engine.words = []string{"--listen", engine.public, "--id", engine.name, "--zone", zone, "--pool", engine.pool, "--log", filepath.Join(folder, "engine-"+engine.name+".jsonl"),
 			"--cold-us", "3000000", "--cold-factor", "2", "--cold-bears", "24", "--decode-us", "4000", "--prefill-us", "60"}
 		for _, node := range s.nodes {
 			engine.words = append(engine.words, "--node", node.public)
@@ -159,7 +170,7 @@
 	}
 	process := exec.Command(filepath.Join(s.bin, a.program), words...)
 	process.Stdout, process.Stderr = log, log
-	process.Env = append(os.Environ(), "DUNLINLOOM_CUTS="+s.cutsFile(), "DUNLINLOOM_SELF="+a.peer)
+	process.Env = append(os.Environ(), "DUNLINLOOM_FAULTS="+s.faultsFile(), "DUNLINLOOM_SELF="+a.peer)
 	// A rehearsal that dies must not leave a fleet behind.
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
@@ -198,40 +209,127 @@
 	}
 }
 
-func (s *Stage) cutsFile() string { return filepath.Join(s.folder, "cuts.json") }
+func (s *Stage) faultsFile() string { return filepath.Join(s.folder, "faults.json") }
 
-// cut edits the list of cut ways between some nodes and all others.
-func (s *Stage) cut(chosen []*actor, by int) error {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	for _, one := range chosen {
-		for _, other := range s.nodes {
-			if !slices.Contains(chosen, other) {
-				s.cuts[one.peer+">"+other.peer] += by
-				s.cuts[other.peer+">"+one.peer] += by
+// The ways that a cut closes.
+const (
+	wayOut = 1 << iota
+	wayIn
+)
+
+// cut edits the list of cut ways between some nodes and others.
+func (s *Stage) cut(chosen, others []*actor, ways, by int) error {
+	return s.mishap(func() {
+		for _, one := range chosen {
+			for _, other := range others {
+				if slices.Contains(chosen, other) {
+					continue
+				}
+				if ways&wayOut != 0 {
+					s.cuts[one.peer+">"+other.peer] += by
+				}
+				if ways&wayIn != 0 {
+					s.cuts[other.peer+">"+one.peer] += by
+				}
 			}
 		}
-	}
-	ways := []string{}
+	})
+}
+
+// mishap changes what fails on purpose and tells all processes.
+func (s *Stage) mishap(edit func()) error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	edit()
+	list := wings.Mishaps{Ways: map[string]wings.WayMishap{"*": s.lossy}, Disks: s.disks}
 	for way, count := range s.cuts {
 		if count > 0 {
-			ways = append(ways, way)
+			list.Ways[way] = wings.WayMishap{IsCut: true}
 		}
 	}
-	content, err := json.Marshal(ways)
+	content, err := json.Marshal(list)
 	if err != nil {
-		return StageBreakdown{"encode the cuts", err}
+		return StageBreakdown{"encode the faults", err}
 	}
 	// Renamed into place, so that no process reads half a list.
-	if err := os.WriteFile(s.cutsFile()+".new", content, 0o644); err != nil {
-		return StageBreakdown{"write the cuts", err}
+	if err := os.WriteFile(s.faultsFile()+".new", content, 0o644); err != nil {
+		return StageBreakdown{"write the faults", err}
+	}
+	if err := os.Rename(s.faultsFile()+".new", s.faultsFile()); err != nil {
+		return StageBreakdown{"write the faults", err}
+	}
+	return nil
+}
+
+// cutPower kills a node and takes back every write that had not returned as synced.
+func (s *Stage) cutPower(node *actor) error {
+	node.halt()
+	if node.data == "" {
+		return nil
 	}
-	if err := os.Rename(s.cutsFile()+".new", s.cutsFile()); err != nil {
-		return StageBreakdown{"write the cuts", err}
+	undo, err := os.ReadDir(node.data + wings.UndoSuffix)
+	if err != nil {
+		return StageBreakdown{"cut the power", err}
+	}
+	for _, entry := range undo {
+		kept := filepath.Join(node.data+wings.UndoSuffix, entry.Name())
+		if name, wasAbsent := strings.CutSuffix(entry.Name(), wings.UndoAbsent); wasAbsent {
+			err = errors.Join(os.RemoveAll(filepath.Join(node.data, name)), os.Remove(kept))
+		} else {
+			err = os.Rename(kept, filepath.Join(node.data, entry.Name()))
+		}
+		if err != nil {
+			return StageBreakdown{"cut the power", err}
+		}
 	}
 	return nil
 }
 
+// replace puts an empty machine at new addresses in the place of a node.
+func (s *Stage) replace(node *actor) *actor {
+	node.halt()
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.seats++
+	fresh := &actor{
+		name: fmt.Sprintf("%s-again%d", node.name, s.seats), program: node.program, zone: node.zone,
+		public: s.address(400 + 2*s.seats), peer: s.address(401 + 2*s.seats),
+	}
+	fresh.words = []string{"--fleet", s.deployment.Name, "--public", fresh.public, "--peer", fresh.peer, "--zone", node.zone,
+		"--platform", "http://" + s.platform.public + "/v1/engines"}
+	if node.data != "" {
+		fresh.data = filepath.Join(s.folder, fresh.name+"-data")
+		fresh.words = append(fresh.words, "--data", fresh.data)
+	}
+	named := 0
+	for i, other := range s.nodes {
+		if other == node {
+			s.nodes[i] = fresh
+			s.gone = append(s.gone, node)
+			continue
+		}
+		// Who sets a machine up names three that are there by then.
+		if other.process != nil && named < 3 {
+			fresh.words = append(fresh.words, "--seed", other.peer)
+			named++
+		}
+	}
+	return fresh
+}
+
+// members gives the nodes of now; machines may take others' places meanwhile.
+func (s *Stage) members() []*actor {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return slices.Clone(s.nodes)
+}
+
+// hasVoter tells whether the core counts a peer address among its three voters.
+func (s *Stage) hasVoter(ctx context.Context, peer string) bool {
+	view, err := s.Fleet(ctx)
+	return err == nil && len(view.Voters) == 3 && slices.ContainsFunc(view.Voters, func(voter flyloft.Member) bool { return voter.Address == peer })
+}
+
 // canCut asks a program whether it is built with faults.
 func (s *Stage) canCut() error {
 	out, err := exec.Command(filepath.Join(s.bin, "playhouse"), "--version").Output()
@@ -248,7 +346,7 @@
 type StageUnfit struct{}
 
 func (StageUnfit) Error() string {
-	return "the scenario cuts channels; build the programs with -tags faults"
+	return "the scenario has channels or disks fail; build the programs with -tags faults"
 }
 
 // halt kills an actor and waits for its end.
@@ -263,7 +361,7 @@
 }
 
 func (s *Stage) actors() []*actor {
-	return append(append([]*actor{s.platform}, s.engines...), s.nodes...)
+	return slices.Concat([]*actor{s.platform}, s.engines, s.members(), s.gone)
 }
 
 // Open starts everything and waits until the list and the engines answer.
@@ -330,7 +428,7 @@
 
 // list tells the platform of an engine's state.
 func (s *Stage) list(engine *actor, state string) error {
-	content, err := json.Marshal(flyloft.ListingEngine{ID: engine.name, Address: engine.public, Zone: engine.zone, Pool: "main", Start: engine.start, State: state})
+	content, err := json.Marshal(flyloft.ListingEngine{ID: engine.name, Address: engine.public, Zone: engine.zone, Pool: engine.pool, Start: engine.start, State: state})
 	if err != nil {
 		return StageBreakdown{"encode a listing", err}
 	}
@@ -341,7 +439,7 @@
 // Fleet asks one node after another for its picture of the fleet.
 func (s *Stage) Fleet(ctx context.Context) (*wings.FleetView, error) {
 	var last error
-	for _, node := range s.nodes {
+	for _, node := range s.members() {
 		limit, cancel := context.WithTimeout(ctx, time.Second)
 		status, _, body, err := do(limit, http.MethodGet, "http://"+node.public+"/v1/fleet", nil, nil)
 		cancel()
@@ -388,7 +486,7 @@
 func (s *Stage) target(ctx context.Context, target string) (*actor, error) {
 	var index int
 	if n, err := fmt.Sscanf(target, "node:%d", &index); n == 1 && err == nil {
-		return s.nodes[index], nil
+		return s.members()[index], nil
 	}
 	view, err := s.Fleet(ctx)
 	if err != nil {
@@ -398,7 +496,7 @@
 	if zone, isHome := strings.CutPrefix(target, "home:"); isHome {
 		wanted = view.Homes[zone]
 	}
-	for _, node := range s.nodes {
+	for _, node := range s.members() {
 		isPlain := node.data == "" && node.process != nil
 		for _, home := range view.Homes {
 			isPlain = isPlain && home != node.peer
@@ -418,7 +516,7 @@
 // scrape keeps the newest counters of every process of a node, so that a kill
 // loses no more than the time since the last look.
 func (s *Stage) scrape(ctx context.Context) {
-	for _, node := range s.nodes {
+	for _, node := range s.members() {
 		limit, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 		status, _, body, err := do(limit, http.MethodGet, "http://"+node.public+"/metrics", nil, nil)
 		cancel()
--- a/traproom/storm.go
+++ b/traproom/storm.go
@@ -1,6 +1,8 @@
 package traproom
 
 import (
+	"slices"
+
 	"dunlinloom/house"
 )
 
@@ -26,6 +28,15 @@
 		one := []*machine{w.leader()}
 		w.cut(one, w.others(one), w.random.IntN(2) == 0, w.between(500*ms, 4*sec))
 	}},
+	{"the leader restarts with the others cut from each other", 4, func(w *World) {
+		// Both can reach only the third, so its one vote decides.
+		leader, voters := w.leader(), w.newestVoters()
+		others := slices.DeleteFunc(w.others([]*machine{leader}), func(m *machine) bool { return !slices.Contains(voters, m.identity.Address) })
+		if len(others) == 2 {
+			w.cut(others[:1], others[1:], false, w.between(2*sec, 5*sec))
+			bounce(leader, w.between(20*ms, 200*ms))
+		}
+	}},
 	{"lose and double", 2, func(w *World) {
 		w.lossShare, w.dupShare, w.slow = 0.3*w.random.Float64(), 0.2, w.between(0, 500*ms)
 		w.in(w.between(300*ms, 3*sec), func() { w.lossShare, w.dupShare, w.slow = 0, 0, 0 })
--- a/understudy/engine.go
+++ b/understudy/engine.go
@@ -174,7 +174,7 @@
 	}
 	line, err := json.Marshal(critic.Event{
 		At: house.Micros(time.Now().UnixMicro()), What: what, Tag: tag, Reason: reason,
-		Engine: e.settings.ID, Start: e.settings.Start, Zone: e.settings.Zone,
+		Engine: e.settings.ID, Start: e.settings.Start, Zone: e.settings.Zone, Pool: e.settings.Pool,
 	})
 	if err != nil {
 		panic(LogBreakdown{err})
--- a/understudy/platform.go
+++ b/understudy/platform.go
@@ -91,6 +91,16 @@
 		}
 		p.Set(engine)
 	})
+	mux.HandleFunc("PUT /control/lag", func(w http.ResponseWriter, r *http.Request) {
+		var lag house.Micros
+		if err := json.NewDecoder(r.Body).Decode(&lag); err != nil || lag < 0 {
+			http.Error(w, "a whole number of microseconds is wanted", http.StatusBadRequest)
+			return
+		}
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		p.lag = lag
+	})
 	mux.HandleFunc("DELETE /control/engines/{id}", func(_ http.ResponseWriter, r *http.Request) { p.Remove(r.PathValue("id")) })
 	return mux
 }
--- a/wings/channel.go
+++ b/wings/channel.go
@@ -139,6 +139,12 @@
 // since every owner repeats what matters and newer words are worth more.
 func (c *Channels) Send(envelope flyloft.Envelope) {
 	peer := c.peer(envelope.To)
+	for copies, _ := mishap(envelope.To); copies > 0; copies-- {
+		c.put(peer, envelope)
+	}
+}
+
+func (c *Channels) put(peer *peerInbox, envelope flyloft.Envelope) {
 	for {
 		select {
 		case peer.inbox <- envelope:
@@ -171,6 +177,9 @@
 			}
 			break
 		}
+		if _, delay := mishap(peer.address); delay > 0 {
+			time.Sleep(delay)
+		}
 		if _, err := peer.deliver.CallUnary(c.cue, connect.NewRequest(&batch)); err != nil {
 			c.Dropped.Add(uint64(len(batch.Envelopes)))
 			c.cue.Log.V(3).Info("a parcel was lost", "to", peer.address, "error", err.Error())
--- a/wings/process.go
+++ b/wings/process.go
@@ -86,7 +86,7 @@
 	}
 	var store *flyloft.Store
 	if settings.Data != "" {
-		folder, err := house.OpenFolder(settings.Data)
+		folder, err := openData(settings.Data)
 		if err != nil {
 			return fmt.Errorf("start: %w", err)
 		}
@@ -107,7 +107,7 @@
 		desk = auditorium.NewDesk(self.Address, self.Zone, func(now house.Micros, subject, decision, why string) {
 			cue.Journal.Note(now, "auditorium", subject, decision, why)
 		})
-		usher = &auditorium.Usher{Cue: cue, Desk: desk, Spans: settings.Spans(), Dial: engineDialer()}
+		usher = &auditorium.Usher{Cue: cue, Desk: desk, Spans: settings.Spans(), Dial: plainDialer()}
 	}
 	runner := NewRunner(cue, flyloft.NewNode(node, cue.Clock.Now()), store, channels, desk, shelf, settings.Platform)
 	if usher != nil {
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -48,7 +48,7 @@
 		cue: cue, node: node, store: store, channels: channels, desk: desk, platform: platform,
 		inbox: make(chan func() []any, 1024), saves: make(chan any, 256),
 		waiters: map[string][]chan flyloft.SubmitReceipt{}, hand: Stagehand{Shelf: shelf},
-		prober: &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: engineDialer(), MaxIdleConnsPerHost: 1}},
+		prober: &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: plainDialer(), MaxIdleConnsPerHost: 1}},
 	}
 	r.state.Store(node.State(nil))
 	return r
--- a/wings/wings_test.go
+++ b/wings/wings_test.go
@@ -18,6 +18,7 @@
 
 	"dunlinloom/auditorium"
 	"dunlinloom/flyloft"
+	"dunlinloom/house"
 	"dunlinloom/playbill"
 	"dunlinloom/understudy"
 )
@@ -85,7 +86,7 @@
 	ended  []chan error
 }
 
-func openFleet(c *qt.C) *fleet {
+func openFleet(c *qt.C, decode house.Micros) *fleet {
 	f := &fleet{c: c}
 	seeds := []string{free(c), free(c), free(c)}
 	platform := understudy.NewPlatform(0)
@@ -118,7 +119,7 @@
 		}
 	})
 	for i := range 2 {
-		settings := understudy.EngineSettings{ID: fmt.Sprintf("e%d", i), Zone: "z0", Pool: "main", Start: 5, Slots: 4, Inbox: 16, Blocks: 64}
+		settings := understudy.EngineSettings{ID: fmt.Sprintf("e%d", i), Zone: "z0", Pool: "main", Start: 5, Slots: 4, Inbox: 16, Blocks: 64, Decode: decode}
 		engine := understudy.NewEngine(settings)
 		platform.Set(flyloft.ListingEngine{ID: settings.ID, Address: listen(engine.Handler()), Zone: settings.Zone, Pool: "main", Start: 5, Up: 3600_000_000, State: "serving"})
 	}
@@ -161,7 +162,7 @@
 
 func TestAWholeFleetOverRealChannels(t *testing.T) {
 	c := qt.New(t)
-	f := openFleet(c)
+	f := openFleet(c, 0)
 	var receipt flyloft.SubmitReceipt
 	order := func(node int, method, path, body string, headers ...string) (int, flyloft.SubmitReceipt) {
 		status, _, got := f.do(node, method, path, body, headers...)
@@ -258,3 +259,34 @@
 		c.Assert(status, qt.Equals, http.StatusBadRequest, qt.Commentf("%s", bad))
 	}
 }
+
+// A stream that is half done when its node is asked to stop still comes to its end,
+// over a channel that other requests were served on before.
+func TestAPlannedStopFinishesWhatItAccepted(t *testing.T) {
+	c := qt.New(t)
+	f := openFleet(c, 5*house.Millisecond)
+	for {
+		if status, _, _ := f.do(0, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first"); status == http.StatusOK {
+			break
+		}
+	}
+	f.await(2, "/readyz", http.StatusOK)
+	client := &http.Client{Transport: &http.Transport{}}
+	post := func(tokens int) *http.Response {
+		response, err := client.Post("http://"+f.public[2]+"/v1/completions", "application/json", strings.NewReader(fmt.Sprintf(`{"prompt":"x","max_tokens":%d,"stream":true}`, tokens)))
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+		return response
+	}
+	short := post(1)
+	_, err := io.ReadAll(short.Body)
+	c.Assert(err, qt.IsNil)
+	held := post(200)
+	first := make([]byte, 64)
+	_, err = io.ReadFull(held.Body, first)
+	c.Assert(err, qt.IsNil)
+	f.stop[2]()
+	rest, err := io.ReadAll(held.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(first)+string(rest), qt.Equals, string(understudy.Script(held.Header.Get(understudy.HeaderRun), 200, true)))
+}
