The prompt that an engine is working on counts once more, as the source has it

Cause: the design's burden adds the prompt of the request in work; ours left it out. Engines do not say which request that is, so the oldest of our own that waits for its first token is taken. Worked examples by hand are a test.

A rehearsal that swaps the core waits for the core to be whole, not for the newcomer to vote: with four disks the newcomer may stay a standby, and the rehearsal hung.

--- a/auditorium/policy_test.go
+++ b/auditorium/policy_test.go
@@ -6,6 +6,9 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/house"
+	"dunlinloom/playbill"
 )
 
 // The paper's rule on figures worked out by hand.
@@ -122,3 +125,38 @@
 	// Where rounds last a second, a report of a second ago counts by 1/e.
 	c.Assert(math.Abs(l.foreign(3_000_000, 2_000_000, 900, 10_000_000, 1_000_000)-400/math.E) < 0.001, qt.IsTrue)
 }
+
+// The source's burden worked out by hand: for each request its prompt and what is left
+// of its budget, and once more the prompt of the one that the engine is working on.
+func TestBurdenWorkedExamples(t *testing.T) {
+	c := qt.New(t)
+	spec, err := playbill.Read([]byte(`{"bindings":[{"name":"all","shares":[{"weight":1}]}]}`))
+	c.Assert(err, qt.IsNil)
+	desk := NewDesk("r", "z", func(house.Micros, string, string, string) {})
+	scene := &Scene{Spec: spec, Evacuated: map[string]bool{}, Until: house.Second, Engines: []Engine{{ID: "e", Address: "10.0.0.1:1", Start: 1}}}
+	desk.Show(scene)
+	arrive := func(id string, prompt, budget int) *Call {
+		call, decline := desk.Arrive(0, Request{ID: id, Prefix: []uint32{1}, PromptTokens: prompt, MaxTokens: budget})
+		c.Assert(decline == nil, qt.IsTrue)
+		return call
+	}
+	wants := func(what string, want float64) {
+		c.Helper()
+		binding, _ := spec.Bind("", "")
+		candidates, _, _ := desk.candidates(0, &Call{}, binding)
+		c.Assert(candidates[0].Burden, qt.Equals, want, qt.Commentf("%s", what))
+	}
+	wants("idle", 0)
+	first := arrive("first", 100, 50)
+	wants("100 + 50, and 100 in work", 250)
+	second := arrive("second", 30, 20)
+	wants("200 of two requests, and the first one's 100", 300)
+	desk.Produced(0, first, 10)
+	wants("10 of 50 are done, and the second's 30 are in work", 220)
+	desk.Produced(0, second, 25)
+	wants("more tokens than its budget leave 30, never less; none waits for its first", 170)
+	desk.Close(0, first, Served, "")
+	wants("the second's prompt is left", 30)
+	desk.Close(0, second, Served, "")
+	wants("idle again", 0)
+}
--- a/rehearsal/stage.go
+++ b/rehearsal/stage.go
@@ -324,10 +324,10 @@
 	return slices.Clone(s.nodes)
 }
 
-// hasVoter tells whether the core counts a peer address among its three voters.
-func (s *Stage) hasVoter(ctx context.Context, peer string) bool {
+// isDropped tells that the core has three voters again and the peer is none of them.
+func (s *Stage) isDropped(ctx context.Context, peer string) bool {
 	view, err := s.Fleet(ctx)
-	return err == nil && len(view.Voters) == 3 && slices.ContainsFunc(view.Voters, func(voter flyloft.Member) bool { return voter.Address == peer })
+	return err == nil && len(view.Voters) == 3 && !slices.ContainsFunc(view.Voters, func(voter flyloft.Member) bool { return voter.Address == peer })
 }
 
 // canCut asks a program whether it is built with faults.
--- a/traproom/measure.go
+++ b/traproom/measure.go
@@ -206,6 +206,16 @@
 		},
 		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "served %"},
 	},
+	"current": {
+		title: "The prompt that an engine is working on, counted once more or not, under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.3, span: 40 * sec, shape: heavyPrompts,
+		variants: []variant{
+			{"once", func(k *Knobs) {
+				k.Trial = func(*machine) auditorium.Trial { return auditorium.Trial{HasNoCurrent: true} }
+			}},
+			{"once more, as the source has it", func(*Knobs) {}},
+		},
+		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "served %"},
+	},
 	"divert": {
 		title: "The divert factor under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.6, span: 40 * sec, shape: heavyPrompts,
 		variants: []variant{
