A spec goes over the wire once, to who does not hold it

Cause: every document carried its spec, so each evacuation, register or home change and every new leader sent it again to all. A receiver puts the spec back by its digest, or says that it is bare.

--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -51,6 +51,7 @@
 	isLeaving bool
 	isAiling  bool
 	isPartial bool
+	isBare    bool // it does not hold the spec in force
 	hasFolder bool
 	since     house.Micros // when it was first heard in this term
 }
@@ -489,6 +490,11 @@
 		// A document is large: it goes again only after a pause without a word of it.
 		if p.synced != newest && (p.sentDoc != newest || c.now-p.lastSent > 5*c.settings.Timing.Pulse) {
 			message.Document, p.sentDoc, p.lastSent = c.doc, newest, c.now
+			// Nearly every document keeps the spec of the one before. A member that has
+			// it not says so, and is sent the whole.
+			if c.doc.SpecGeneration < c.doc.Generation && !p.isBare {
+				message.Document = c.doc.light()
+			}
 		}
 		c.send(p.member.Address, Message{Pulse: message})
 	}
@@ -529,11 +535,13 @@
 		receipt.Synced = c.synced
 		c.send(from, Message{PulseReceipt: receipt})
 	}
-	isNews := m.Document != nil && m.Document.Term == m.Term && c.doc.stamp().before(m.Document.stamp())
+	document := m.Document.whole(c.doc, c.committed)
+	receipt.IsBare = document == nil && m.Document != nil
+	isNews := document != nil && document.Term == m.Term && c.doc.stamp().before(document.stamp())
 	switch {
 	case isNews:
-		c.save(m.Document, respond)
-		c.doc = m.Document
+		c.save(document, respond)
+		c.doc = document
 	case isNewTerm:
 		c.save(nil, respond)
 	default:
@@ -559,11 +567,15 @@
 	}
 	p.lastHeard, p.isLeaving, p.isAiling, p.isPartial = c.now, m.IsLeaving, m.IsAiling, m.IsPartial
 	p.member.Address = m.Member.Address
+	if m.IsBare && !p.isBare {
+		p.isBare, p.sentDoc, c.isRoundWanted = true, Stamp{}, true
+	}
 	if m.Round > p.round {
 		p.round = m.Round
 	}
 	if p.synced.before(m.Synced) {
 		p.synced = m.Synced
+		p.isBare = p.isBare && p.synced != c.doc.stamp()
 	}
 	c.countCommit()
 	c.confirmRounds()
@@ -631,7 +643,7 @@
 		}
 		grant := &GrantBatch{Generation: c.committed.Generation, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks}
 		if waiting.batch.Generation < c.committed.Generation {
-			grant.Document = c.committed
+			grant.Document = c.committed.lightFor(waiting.batch.Generation)
 		}
 		c.send(waiting.from, Message{GrantBatch: grant})
 	}
@@ -700,7 +712,7 @@
 	}
 	p.member, p.hasFolder, p.lastHeard = m.Member, m.HasFolder, c.now
 	// A member that joins anew says what it really holds, even if that is less.
-	p.synced, p.sentDoc = m.Synced, Stamp{}
+	p.synced, p.sentDoc, p.isBare = m.Synced, Stamp{}, m.Synced.Generation == 0
 }
 
 func (c *Core) onAskBatch(from string, m *AskBatch) {
--- a/flyloft/core_test.go
+++ b/flyloft/core_test.go
@@ -409,3 +409,71 @@
 	c.Assert(l.TakeAttest("s", &AttestReceipt{Seq: ask.Seq, Generation: 10, IsProven: true, Document: newer}), qt.IsTrue)
 	c.Assert(l.Generation(), qt.Equals, uint64(10))
 }
+
+// A spec that a member has already is not sent to it again. One that does not hold it
+// answers for nothing, says so, and gets the whole.
+func TestASpecIsLeftOutOnlyForWhoHoldsIt(t *testing.T) {
+	c := qt.New(t)
+	first := document(4, 9)
+	first.putSpec([]byte(`{"large":"one"}`))
+	next := first.next(4)
+	next.Evacuated["z1"] = next.Generation
+	pulse := Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 7, Document: next.light()}}
+	last := func(b *bench) PulseReceipt { return *b.sent[len(b.sent)-1].Message.PulseReceipt }
+
+	holder := newBench(c, Ballot{Term: 4}, first)
+	holder.receive(memberA, pulse)
+	c.Assert(string(holder.saves[0].Document.Spec), qt.Equals, string(first.Spec)) // whole on its disk
+	holder.sync()
+	c.Assert(last(holder).Synced, qt.Equals, Stamp{4, 10})
+	c.Assert(last(holder).IsBare, qt.IsFalse)
+
+	// Another spec under the same generation, as a leader that lost its lead may have left it.
+	other := document(4, 9)
+	other.putSpec([]byte(`{"large":"two"}`))
+	for name, held := range map[string]*Document{"nothing": nil, "another spec": other, "no spec": document(4, 9)} {
+		bare := newBench(c, Ballot{Term: 4}, held)
+		bare.receive(memberA, pulse)
+		bare.sync()
+		c.Assert(last(bare).IsBare, qt.IsTrue, qt.Commentf("%s", name))
+		c.Assert(last(bare).Synced, qt.Equals, held.stamp())
+		bare.receive(memberA, Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 8, Document: next}})
+		bare.sync()
+		c.Assert(last(bare).Synced, qt.Equals, Stamp{4, 10})
+	}
+
+	// The leader tries without, and sends the whole to who says that it is bare.
+	lead := newBench(c, Ballot{Term: 4}, next)
+	lead.elect()
+	lead.confirm(memberA, Stamp{lead.core.term, 10})
+	lead.core.Receive(lead.now, memberA.Address, Message{Submit: &Submit{ID: "s", Order: EmptyZone, Zone: "z2"}})
+	lead.drain()
+	specs := func() (sizes []int) {
+		for _, send := range lead.sent {
+			if pulse := send.Message.Pulse; pulse != nil && pulse.Target == memberC.ID && pulse.Document != nil && pulse.Document.Generation == 11 {
+				sizes = append(sizes, len(pulse.Document.Spec))
+			}
+		}
+		return sizes
+	}
+	c.Assert(specs(), qt.DeepEquals, []int{0})
+	lead.receive(memberC, Message{PulseReceipt: &PulseReceipt{Term: lead.core.term, Round: lead.core.round, Member: memberC, IsBare: true}})
+	lead.pass(40 * house.Millisecond)
+	c.Assert(specs(), qt.DeepEquals, []int{0, len(first.Spec)})
+}
+
+func TestALightDocumentIsAppliedOnlyWithItsSpec(t *testing.T) {
+	c := qt.New(t)
+	first := document(4, 9)
+	first.putSpec([]byte(`{"large":"one"}`))
+	next := first.next(4)
+	licence := NewLicence("10.0.0.9:1", true, DefaultTiming(), func(string, string, string) {})
+	c.Assert(licence.Apply(next.light()), qt.IsFalse)
+	c.Assert(licence.Generation(), qt.Equals, uint64(0))
+	c.Assert(licence.Apply(first), qt.IsTrue)
+	c.Assert(licence.Apply(next.light()), qt.IsTrue)
+	c.Assert(string(licence.Applied().Spec), qt.Equals, string(first.Spec))
+	// Who has applied nothing, or a generation before the spec's, gets the whole.
+	c.Assert(len(next.lightFor(8).Spec), qt.Equals, len(first.Spec))
+	c.Assert(len(next.lightFor(9).Spec), qt.Equals, 0)
+}
--- a/flyloft/document.go
+++ b/flyloft/document.go
@@ -86,6 +86,40 @@
 // MarkOf names a document's spec.
 func MarkOf(d *Document) SpecMark { return SpecMark{d.SpecGeneration, digestOf(d.Spec)} }
 
+// light leaves the spec out, for a receiver that is taken to hold it. Whether it does
+// shows by the digest in the chain: see whole.
+func (d *Document) light() *Document {
+	copied := *d
+	copied.Spec = nil
+	return &copied
+}
+
+// lightFor is the document as it goes to one that has applied a committed generation:
+// from the spec's own generation on it holds that spec.
+func (d *Document) lightFor(applied uint64) *Document {
+	if d == nil || applied < d.SpecGeneration {
+		return d
+	}
+	return d.light()
+}
+
+// whole puts back the spec that a sender left out, from a document held here. A receiver
+// goes by the digest alone, never by what the sender took it to hold; without the spec
+// there is no document, and it can be neither kept nor applied.
+func (d *Document) whole(held ...*Document) *Document {
+	if d == nil || len(d.Chain) == 0 || len(d.Spec) > 0 {
+		return d
+	}
+	for _, known := range held {
+		if known != nil && len(known.Chain) > 0 && known.Chain[len(known.Chain)-1] == d.Chain[len(d.Chain)-1] {
+			copied := *d
+			copied.Spec = known.Spec
+			return &copied
+		}
+	}
+	return nil
+}
+
 func (d *Document) putSpec(spec []byte) {
 	d.Spec, d.SpecGeneration = spec, d.Generation
 	d.Chain = append(slices.Clone(d.Chain), MarkOf(d))
--- a/flyloft/licence.go
+++ b/flyloft/licence.go
@@ -52,8 +52,10 @@
 // Until is the moment up to which the router may serve.
 func (l *Licence) Until() house.Micros { return l.until }
 
-// Apply takes a committed document; older ones are passed over.
+// Apply takes a committed document; older ones are passed over, and so are those whose
+// spec was left out and is not held here: the next ask says so and brings it.
 func (l *Licence) Apply(document *Document) bool {
+	document = document.whole(l.applied)
 	if document == nil || document.Generation <= l.Generation() {
 		return false
 	}
@@ -100,7 +102,7 @@
 func (l *Licence) Attest(m *Attest) *AttestReceipt {
 	receipt := &AttestReceipt{Seq: m.Seq, Generation: l.Generation(), IsProven: l.isProven && l.isRouter}
 	if l.Generation() > m.Applied {
-		receipt.Document = l.applied
+		receipt.Document = l.applied.lightFor(m.Applied)
 	}
 	return receipt
 }
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -100,6 +100,7 @@
 	IsLeaving bool   `json:"leaving,omitempty"`
 	IsAiling  bool   `json:"ailing,omitempty"`  // the disk stalls or is full
 	IsPartial bool   `json:"partial,omitempty"` // specs of the past are still missing
+	IsBare    bool   `json:"bare,omitempty"`    // the document came without its spec, and that is not held here
 }
 
 // Inherit names the receiver as the successor in the lead.
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -188,7 +188,7 @@
 	if n.isHome() {
 		n.isBatchHot = true
 		for _, node := range n.zoneNodes() {
-			n.send(node, Message{Grant: &Grant{Generation: n.licence.Generation(), Document: n.licence.applied}})
+			n.send(node, Message{Grant: &Grant{Generation: n.licence.Generation(), Document: n.licence.applied.lightFor(n.zoneApplied[node])}})
 		}
 	}
 }
@@ -572,7 +572,7 @@
 	}
 	// A node that is behind need not wait for the leader's word to get the document.
 	if m.Applied < n.licence.Generation() {
-		n.send(from, Message{Grant: &Grant{Generation: n.licence.Generation(), Document: n.licence.applied}})
+		n.send(from, Message{Grant: &Grant{Generation: n.licence.Generation(), Document: n.licence.applied.lightFor(m.Applied)}})
 	}
 	if m.Applied > n.zoneApplied[m.Address] {
 		n.isBatchHot = true
@@ -591,7 +591,7 @@
 			continue
 		}
 		if ask.Applied < m.Generation && n.licence.Generation() >= m.Generation {
-			grant.Document = n.licence.applied
+			grant.Document = n.licence.applied.lightFor(ask.Applied)
 		}
 		n.send(ask.Address, Message{Grant: grant})
 	}
--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -489,7 +489,13 @@
 		}
 		return nil
 	case "repaired":
-		return s.repair(ctx)
+		if err := s.repair(ctx); err != nil {
+			return err
+		}
+		// An order is part of what has to work again.
+		pause(ctx, 12_500)
+		operator.putSpec(ctx, number, "")
+		return nil
 	case "cut-zone":
 		chosen := slices.DeleteFunc(s.members(), func(node *actor) bool { return node.zone != step.Target })
 		return s.cutFor(ctx, step.ForMS, wayOut|wayIn, chosen, s.members())
--- a/traproom/drama.go
+++ b/traproom/drama.go
@@ -190,7 +190,7 @@
 		m.restart(w.between(500*ms, 5*sec))
 	}},
 	{"a core machine is replaced by an empty one elsewhere", 1, func(w *World) {
-		if len(w.machines) < 20 && w.voters() >= 3 {
+		if len(w.machines) < 20 && w.canLoseDisk() {
 			w.replace(w.anyCore())
 		}
 	}},
@@ -321,15 +321,22 @@
 		w.cut(core[:2], core[2:], false, 6*sec)
 	}},
 	{"a disk is lost for good", 2, func(w *World) {
-		if w.voters() >= 3 {
+		if w.canLoseDisk() {
 			w.loseDisk(w.anyCore())
 		}
 	}},
 	{"the leader freezes", 2, func(w *World) { w.leader().freeze(6 * sec) }},
 }
 
+// canLoseDisk tells that the core can bear the loss of one more disk: the brief promises
+// no more than one at a time, and in the middle of a change there are four voters.
+func (w *World) canLoseDisk() bool {
+	living, all := w.voters()
+	return living >= voterCountWanted && living-1 > all/2
+}
+
 // voters counts the voters that are up and have their folder, by the newest document.
-func (w *World) voters() int {
+func (w *World) voters() (living, all int) {
 	var newest *flyloft.Document
 	for _, m := range w.machines {
 		if m.isUp && m.node != nil {
@@ -338,21 +345,21 @@
 			}
 		}
 	}
-	count := 0
 	if newest != nil {
+		all = len(newest.Voters)
 		for _, voter := range newest.Voters {
 			if m := w.byPeer[voter.Address]; m != nil && m.isUp && m.store != nil && m.store.Member() == voter.ID {
-				count++
+				living++
 			}
 		}
 	}
-	return count
+	return living, all
 }
 
 // loseDisk takes a disk together with its machine, when the rest of the core can
 // bear it: the brief promises no more than one lost disk at a time.
 func (w *World) loseDisk(m *machine) {
-	if w.voters() < 3 || !m.isUp {
+	if !w.canLoseDisk() || !m.isUp {
 		return
 	}
 	w.trace("%s loses its disk", m.name)
--- a/traproom/measure.go
+++ b/traproom/measure.go
@@ -11,6 +11,7 @@
 
 	"dunlinloom/auditorium"
 	"dunlinloom/critic"
+	"dunlinloom/flyloft"
 	"dunlinloom/house"
 )
 
@@ -84,6 +85,81 @@
 	},
 }
 
+// trafficKinds are the kinds of message that a table of traffic names, in KB a second.
+var trafficKinds = []string{"AskBatch", "GrantBatch", "Pulse", "PulseReceipt", "News", "Mend", "Heard", "Attest", "AttestReceipt", "Shuffle", "Grant", "Submit"}
+
+func init() {
+	perSecond := func(count func(w *World) int) func(w *World, begun house.Micros) float64 {
+		return func(w *World, begun house.Micros) float64 {
+			return float64(count(w)) / 1024 / (float64(w.now-begun) / float64(sec))
+		}
+	}
+	for _, kind := range trafficKinds {
+		columnOf[kind] = perSecond(func(w *World) int { return w.Crossed[kind] })
+	}
+	columnOf["KB/s"] = perSecond(func(w *World) int {
+		sum := 0
+		for _, bytes := range w.Crossed {
+			sum += bytes
+		}
+		return sum
+	})
+}
+
+// orders are what operators and faults do again and again in a measurement.
+type orders struct {
+	specs, zones, kills house.Micros
+	large               int // bindings of the spec put first
+}
+
+func (w *World) giveOrders() {
+	every := func(span house.Micros, do func()) {
+		if span == 0 {
+			return
+		}
+		var again func()
+		again = func() {
+			do()
+			w.in(span, again)
+		}
+		w.in(span, again)
+	}
+	if w.knobs.Orders.large > 0 {
+		w.operator.order(flyloft.Submit{Order: flyloft.PutSpec, Spec: largeSpec(w.knobs.Orders.large, "main")}, func(flyloft.SubmitReceipt) {})
+		w.Run(5 * sec)
+	}
+	w.Crossed = map[string]int{}
+	every(w.knobs.Orders.specs, func() { w.operator.putSpec(nil) })
+	isEmpty := false
+	every(w.knobs.Orders.zones, func() {
+		isEmpty = !isEmpty
+		order := flyloft.RefillZone
+		if isEmpty {
+			order = flyloft.EmptyZone
+		}
+		w.operator.order(flyloft.Submit{Order: order, Zone: "z2"}, func(flyloft.SubmitReceipt) {})
+	})
+	every(w.knobs.Orders.kills, func() { bounce(w.leader(), 3*sec) })
+}
+
+// largeSpec has so many bindings that nothing asks for, and one for all.
+func largeSpec(bindings int, pools ...string) []byte {
+	text := strings.Builder{}
+	text.WriteString(`{"bindings":[`)
+	for i := range bindings {
+		fmt.Fprintf(&text, `{"name":"b%d","match":{"kind":"no-such-%d"},"shares":[{"pool":%q,"weight":1}]},`, i, i, pools[0])
+	}
+	text.WriteString(`{"name":"rest","shares":[`)
+	for i, pool := range pools {
+		if i > 0 {
+			text.WriteString(",")
+		}
+		fmt.Fprintf(&text, `{"pool":%q,"weight":1}`, pool)
+	}
+	text.WriteString(`]}]}`)
+	return []byte(text.String())
+}
+
 func (w *World) calls(begun house.Micros) int {
 	count := 0
 	for _, event := range w.events {
@@ -216,6 +292,17 @@
 		},
 		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "served %"},
 	},
+	"traffic": {
+		title: "The control plane's bytes between zones", deployment: "qurum", rate: 20, hot: 0, span: 60 * sec,
+		variants: []variant{
+			{"at rest", func(*Knobs) {}},
+			{"a spec of 0.3 KB every 5 s", func(k *Knobs) { k.Orders = orders{specs: 5 * sec} }},
+			{"a spec of 200 KB, a zone emptied or refilled every 5 s", func(k *Knobs) { k.Orders = orders{zones: 5 * sec, large: 2000} }},
+			{"a spec of 200 KB, and the leader killed every 10 s", func(k *Knobs) { k.Orders = orders{kills: 10 * sec, large: 2000} }},
+		},
+		columns: append([]string{"KB/s"}, trafficKinds...),
+		faults:  func(w *World) { w.giveOrders() },
+	},
 	"divert": {
 		title: "The divert factor under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.6, span: 40 * sec, shape: heavyPrompts,
 		variants: []variant{
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -143,6 +143,7 @@
 	AdmissionWait       house.Micros
 	ColdSlow            int // how much slower an engine is while it is cold
 	DataBytes           bool
+	Orders              orders
 }
 
 func defaultKnobs() Knobs {
