Every acknowledged spec in a Git object store; history and diff on the command line

Cause: the core lets go of specs after 64, and nothing showed what changed between two. Through go-git; wrapped so that files are synced and names written aside. A test with a disk that fills at any byte found that the library's own way of naming leaves an empty name that makes the whole store unreadable. Beside the core: no receipt waits for it. Ruled out: a chain of commits, as a late or a dropped generation would rewrite what follows.

--- a/cmd/callboard/main.go
+++ b/cmd/callboard/main.go
@@ -19,9 +19,12 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+	"github.com/go-git/go-git/v5/utils/diff"
+	"github.com/sergi/go-diff/diffmatchpatch"
 
 	"dunlinloom/flyloft"
 	"dunlinloom/house"
+	"dunlinloom/wardrobe"
 	"dunlinloom/wings"
 )
 
@@ -55,8 +58,12 @@
 	Get *struct {
 		Generation uint64 `arg:"--generation"`
 	} `arg:"subcommand:get"`
-	History *struct{} `arg:"subcommand:history"`
-	Check   *struct {
+	History *struct{} `arg:"subcommand:history" help:"the specs that can be read"`
+	Diff    *struct {
+		A uint64 `arg:"positional,required"`
+		B uint64 `arg:"positional,required"`
+	} `arg:"subcommand:diff" help:"what changed between the specs of two generations"`
+	Check *struct {
 		File string `arg:"positional,required"`
 	} `arg:"subcommand:check"`
 }
@@ -150,6 +157,8 @@
 		return b.show(http.MethodGet, "/v1/spec"+query, nil, nil)
 	case w.Spec != nil && w.Spec.History != nil:
 		return b.show(http.MethodGet, "/v1/spec/history", nil, b.printHistory)
+	case w.Spec != nil && w.Spec.Diff != nil:
+		return b.diff(w.Spec.Diff.A, w.Spec.Diff.B)
 	case w.Spec != nil && w.Spec.Check != nil:
 		content, err := os.ReadFile(w.Spec.Check.File)
 		if err != nil {
@@ -314,23 +323,66 @@
 }
 
 func (b *board) printHistory(got []byte) error {
-	var history struct {
-		Generations []uint64 `json:"generations"`
-		Current     uint64   `json:"current"`
-	}
+	var history wings.History
 	if err := json.Unmarshal(got, &history); err != nil {
 		return misread{"the history", err}
 	}
-	for _, generation := range history.Generations {
-		mark := ""
+	kept, all := map[uint64]wardrobe.Facts{}, slices.Clone(history.Generations)
+	for _, facts := range history.Kept {
+		kept[facts.Generation] = facts
+		all = append(all, facts.Generation)
+	}
+	slices.Sort(all)
+	for _, generation := range slices.Compact(all) {
+		line := fmt.Sprint(generation)
+		if facts, isKept := kept[generation]; isKept {
+			line += fmt.Sprintf("  submission %s, filed %s", facts.Submission, facts.Filed)
+		}
 		if generation == history.Current {
-			mark = "  in force"
+			line += "  in force"
 		}
-		fmt.Fprintf(b.out, "%d%s\n", generation, mark)
+		fmt.Fprintln(b.out, line)
 	}
 	return nil
 }
 
+// diff prints what changed between two specs, line by line of their indented JSON.
+func (b *board) diff(from, to uint64) (int, error) {
+	texts := [2]string{}
+	for i, generation := range []uint64{from, to} {
+		if generation == 0 {
+			return exitTrouble, misread{"the generations", noGeneration{}}
+		}
+		status, got, err := b.do(http.MethodGet, fmt.Sprintf("/v1/spec?generation=%d", generation), nil, "")
+		if err != nil {
+			return exitTrouble, err
+		}
+		if status != http.StatusOK {
+			return b.fail(status, got)
+		}
+		var indented bytes.Buffer
+		if err := json.Indent(&indented, got, "", "  "); err != nil {
+			return exitTrouble, misread{fmt.Sprintf("the spec of generation %d", generation), err}
+		}
+		texts[i] = indented.String() + "\n"
+	}
+	for _, part := range diff.Do(texts[0], texts[1]) {
+		sign := map[diffmatchpatch.Operation]string{diffmatchpatch.DiffInsert: "+", diffmatchpatch.DiffDelete: "-"}[part.Type]
+		if sign == "" {
+			continue
+		}
+		for _, line := range strings.Split(strings.TrimSuffix(part.Text, "\n"), "\n") {
+			fmt.Fprintln(b.out, sign+line)
+		}
+	}
+	return exitYes, nil
+}
+
+// noGeneration says that zero names none.
+type noGeneration struct{}
+
+func (noGeneration) Error() string { return "they count from 1" }
+
 func (b *board) printFleet(got []byte) error {
 	var view wings.FleetView
 	if err := json.Unmarshal(got, &view); err != nil {
--- /dev/null
+++ b/wardrobe/wardrobe.go
@@ -0,0 +1,511 @@
+// Package wardrobe keeps every acknowledged spec of the past in a Git object store, for
+// operators to read and compare. It is never on the path of a receipt: the core stays
+// the authority, and what is lost here is filed again from it or from other nodes.
+package wardrobe
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	billy "github.com/go-git/go-billy/v5"
+	"github.com/go-git/go-billy/v5/osfs"
+	git "github.com/go-git/go-git/v5"
+	"github.com/go-git/go-git/v5/plumbing"
+	"github.com/go-git/go-git/v5/plumbing/cache"
+	"github.com/go-git/go-git/v5/plumbing/filemode"
+	"github.com/go-git/go-git/v5/plumbing/object"
+	"github.com/go-git/go-git/v5/storage/filesystem"
+)
+
+// Names in the store: a tag for each generation, and the newest as the main branch.
+const (
+	tagPrefix  = "refs/tags/generation-"
+	fleetRef   = plumbing.ReferenceName("refs/dunlinloom/fleet")
+	newestRef  = plumbing.ReferenceName("refs/heads/master")
+	specName   = "spec.json"
+	factsName  = "receipt.json"
+	format     = 1
+	mostBytes  = 4 << 20
+	mostHeld   = 4096 // generations
+	damagedTag = ".damaged-"
+)
+
+// Facts are what is known of an acknowledged spec besides its bytes.
+type Facts struct {
+	Generation uint64 `json:"generation"`
+	Digest     string `json:"digest"`
+	Submission string `json:"submission,omitempty"`
+	Founding   string `json:"founding,omitempty"`
+	Filed      string `json:"filed"` // when this node filed it, by its own clock
+}
+
+// Wardrobe is one node's store.
+type Wardrobe struct {
+	lock  sync.Mutex // guards the store and all below; a stalled disk may hold it for long
+	path  string
+	fleet string
+	bound int64
+	repo  *git.Repository
+	files *filesystem.Storage
+	bytes int64
+	// Taken after the other, and never held over the disk: what is kept can be told
+	// while the disk stalls.
+	index sync.Mutex
+	held  map[uint64]Facts
+}
+
+// Foreign says that a store belongs to another fleet or a newer format; it is left as it is.
+type Foreign struct{ Path, Why string }
+
+func (b Foreign) Error() string { return fmt.Sprintf("object store %s: %s", b.Path, b.Why) }
+
+// Missing says that a generation is not kept here.
+type Missing struct{ Generation uint64 }
+
+func (b Missing) Error() string {
+	return fmt.Sprintf("generation %d is not in the object store", b.Generation)
+}
+
+// Damaged says that what is kept of a generation is not what was filed.
+type Damaged struct {
+	Generation uint64
+	Why        string
+}
+
+func (b Damaged) Error() string {
+	return fmt.Sprintf("generation %d in the object store is damaged: %s", b.Generation, b.Why)
+}
+
+// Digest names a spec's bytes as the core's chain does.
+func Digest(spec []byte) string {
+	hash := sha256.New()
+	hash.Write(spec)
+	hash.Write([]byte{0})
+	return hex.EncodeToString(hash.Sum(nil)[:16])
+}
+
+type marker struct {
+	Format int    `json:"format"`
+	Fleet  string `json:"fleet"`
+}
+
+// Open opens or makes the store of a fleet. One that is no store any more is set aside
+// and begun anew, since all of it can be filed again.
+func Open(path, fleet string, bound int64) (*Wardrobe, error) {
+	w := &Wardrobe{path: path, fleet: fleet, bound: bound}
+	err := w.open(osfs.New(path))
+	if foreign := (Foreign{}); err == nil || errors.As(err, &foreign) {
+		return w, err
+	}
+	aside := path + damagedTag + strconv.FormatInt(time.Now().Unix(), 10)
+	if renamed := os.Rename(path, aside); renamed != nil && !errors.Is(renamed, fs.ErrNotExist) {
+		return nil, fmt.Errorf("open the object store: %w", errors.Join(err, renamed))
+	}
+	if again := w.open(osfs.New(path)); again != nil {
+		return nil, fmt.Errorf("open the object store: %w", errors.Join(err, again))
+	}
+	return w, nil
+}
+
+func (w *Wardrobe) open(disk billy.Filesystem) error {
+	if err := os.MkdirAll(w.path, 0o755); err != nil {
+		return DiskBreakdown{"make", w.path, err}
+	}
+	w.files = filesystem.NewStorageWithOptions(syncedFiles{disk}, cache.NewObjectLRU(8*cache.MiByte), filesystem.Options{})
+	repo, err := git.Open(w.files, nil)
+	if errors.Is(err, git.ErrRepositoryNotExists) {
+		if repo, err = git.Init(w.files, nil); err == nil {
+			err = w.mark()
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("open the object store: %w", err)
+	}
+	w.repo = repo
+	if err := w.checkMark(); err != nil {
+		return err
+	}
+	w.clearAside()
+	return w.read()
+}
+
+// mark writes down whose store this is.
+func (w *Wardrobe) mark() error {
+	content, err := json.Marshal(marker{format, w.fleet})
+	if err != nil {
+		return fmt.Errorf("mark the object store: %w", err)
+	}
+	hash, err := w.put(plumbing.BlobObject, content)
+	if err != nil {
+		return err
+	}
+	return w.name(fleetRef, hash)
+}
+
+func (w *Wardrobe) checkMark() error {
+	ref, err := w.files.Reference(fleetRef)
+	if errors.Is(err, plumbing.ErrReferenceNotFound) {
+		// Made and not yet marked when the power went: nothing is in it.
+		return w.mark()
+	}
+	if err != nil {
+		return fmt.Errorf("whose object store it is: %w", err)
+	}
+	content, err := w.blob(ref.Hash())
+	var mark marker
+	if err == nil {
+		err = json.Unmarshal(content, &mark)
+	}
+	switch {
+	case err != nil:
+		return fmt.Errorf("whose object store it is: %w", err)
+	case mark.Format > format:
+		return Foreign{w.path, fmt.Sprintf("it is of format %d, this build knows up to %d", mark.Format, format)}
+	case mark.Fleet != w.fleet:
+		return Foreign{w.path, fmt.Sprintf("it belongs to fleet %q, not %q", mark.Fleet, w.fleet)}
+	}
+	return nil
+}
+
+// clearAside takes away what a crash left half written; no name led to it yet.
+func (w *Wardrobe) clearAside() {
+	left, err := filepath.Glob(filepath.Join(w.path, "objects", "pack", "tmp_*"))
+	if err != nil {
+		return
+	}
+	for _, name := range left {
+		os.Remove(name)
+	}
+}
+
+// read lists what is held. A generation that can't be read is as good as not there.
+func (w *Wardrobe) read() error {
+	held := map[uint64]Facts{}
+	refs, err := w.files.IterReferences()
+	if err != nil {
+		return fmt.Errorf("list the object store: %w", err)
+	}
+	err = refs.ForEach(func(ref *plumbing.Reference) error {
+		text, isTag := strings.CutPrefix(ref.Name().String(), tagPrefix)
+		generation, err := strconv.ParseUint(text, 10, 64)
+		if !isTag || err != nil {
+			return nil
+		}
+		if _, facts, err := w.at(generation); err == nil {
+			held[generation] = facts
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("list the object store: %w", err)
+	}
+	w.index.Lock()
+	w.held = held
+	w.index.Unlock()
+	return w.measure()
+}
+
+func (w *Wardrobe) measure() error {
+	w.bytes = 0
+	err := filepath.WalkDir(filepath.Join(w.path, "objects"), func(_ string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		info, err := entry.Info()
+		if err == nil {
+			w.bytes += info.Size()
+		}
+		return err
+	})
+	if err != nil {
+		return DiskBreakdown{"measure", w.path, err}
+	}
+	return nil
+}
+
+// put writes an object whole; a damaged one of the same name gives way.
+func (w *Wardrobe) put(kind plumbing.ObjectType, content []byte) (plumbing.Hash, error) {
+	fresh := &plumbing.MemoryObject{}
+	fresh.SetType(kind)
+	if _, err := fresh.Write(content); err != nil {
+		return plumbing.ZeroHash, fmt.Errorf("encode an object: %w", err)
+	}
+	hash := fresh.Hash()
+	if old, err := w.raw(hash); err == nil && string(old) == string(content) {
+		return hash, nil
+	}
+	if err := w.files.DeleteLooseObject(hash); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return hash, DiskBreakdown{"remove", hash.String(), err}
+	}
+	if _, err := w.files.SetEncodedObject(fresh); err != nil {
+		return hash, DiskBreakdown{"write", hash.String(), err}
+	}
+	return hash, nil
+}
+
+func (w *Wardrobe) raw(hash plumbing.Hash) ([]byte, error) {
+	// Not from the library's cache: what counts is what the disk gives back.
+	found, err := filesystem.NewStorageWithOptions(w.files.Filesystem(), cache.NewObjectLRU(0), filesystem.Options{}).EncodedObject(plumbing.AnyObject, hash)
+	if err != nil {
+		return nil, err
+	}
+	reader, err := found.Reader()
+	if err != nil {
+		return nil, err
+	}
+	defer reader.Close()
+	return io.ReadAll(io.LimitReader(reader, mostBytes+1))
+}
+
+func (w *Wardrobe) blob(hash plumbing.Hash) ([]byte, error) {
+	content, err := w.raw(hash)
+	if err != nil {
+		return nil, fmt.Errorf("read object %s: %w", hash, err)
+	}
+	return content, nil
+}
+
+// at reads a generation and holds it against its own facts.
+func (w *Wardrobe) at(generation uint64) ([]byte, Facts, error) {
+	ref, err := w.files.Reference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(generation, 10)))
+	if err != nil {
+		return nil, Facts{}, Missing{generation}
+	}
+	damaged := func(err error) ([]byte, Facts, error) { return nil, Facts{}, Damaged{generation, err.Error()} }
+	commit, err := w.repo.CommitObject(ref.Hash())
+	if err != nil {
+		return damaged(err)
+	}
+	tree, err := commit.Tree()
+	if err != nil {
+		return damaged(err)
+	}
+	contents := map[string][]byte{}
+	for _, entry := range tree.Entries {
+		if contents[entry.Name], err = w.blob(entry.Hash); err != nil {
+			return damaged(err)
+		}
+	}
+	var facts Facts
+	if err := json.Unmarshal(contents[factsName], &facts); err != nil {
+		return damaged(err)
+	}
+	if facts.Generation != generation || Digest(contents[specName]) != facts.Digest {
+		return nil, Facts{}, Damaged{generation, "its digest does not fit"}
+	}
+	return contents[specName], facts, nil
+}
+
+// Holds tells whether a generation is kept under a digest and can be read back whole.
+func (w *Wardrobe) Holds(generation uint64, digest string) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	_, facts, err := w.at(generation)
+	return err == nil && facts.Digest == digest
+}
+
+// Spec gives the spec of a generation.
+func (w *Wardrobe) Spec(generation uint64) ([]byte, Facts, error) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.at(generation)
+}
+
+// History tells what is kept, oldest first.
+func (w *Wardrobe) History() []Facts {
+	w.index.Lock()
+	defer w.index.Unlock()
+	history := make([]Facts, 0, len(w.held))
+	for _, facts := range w.held {
+		history = append(history, facts)
+	}
+	slices.SortFunc(history, func(a, b Facts) int {
+		if a.Generation < b.Generation {
+			return -1
+		}
+		return 1
+	})
+	return history
+}
+
+// File adds a spec with its facts; when it returns nil all of it is synced.
+func (w *Wardrobe) File(facts Facts, spec []byte) error {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if Digest(spec) != facts.Digest {
+		return Damaged{facts.Generation, "what was brought to be filed has another digest"}
+	}
+	if facts.Filed == "" {
+		facts.Filed = time.Now().UTC().Format(time.RFC3339)
+	}
+	if err := w.makeRoom(int64(len(spec))); err != nil {
+		return fmt.Errorf("file generation %d: %w", facts.Generation, err)
+	}
+	if err := w.commit(facts, spec); err != nil {
+		return fmt.Errorf("file generation %d: %w", facts.Generation, err)
+	}
+	w.index.Lock()
+	w.held[facts.Generation] = facts
+	w.index.Unlock()
+	return w.measure()
+}
+
+func (w *Wardrobe) commit(facts Facts, spec []byte) error {
+	told, err := json.MarshalIndent(facts, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode the facts: %w", err)
+	}
+	tree := &object.Tree{}
+	for name, content := range map[string][]byte{factsName: told, specName: spec} {
+		hash, err := w.put(plumbing.BlobObject, content)
+		if err != nil {
+			return err
+		}
+		tree.Entries = append(tree.Entries, object.TreeEntry{Name: name, Mode: filemode.Regular, Hash: hash})
+	}
+	slices.SortFunc(tree.Entries, func(a, b object.TreeEntry) int { return strings.Compare(a.Name, b.Name) })
+	treeHash, err := w.encode(tree)
+	if err != nil {
+		return err
+	}
+	when, err := time.Parse(time.RFC3339, facts.Filed)
+	if err != nil {
+		return fmt.Errorf("when it was filed: %w", err)
+	}
+	by := object.Signature{Name: "dunlinloom", Email: w.fleet + "@dunlinloom.invalid", When: when}
+	// Without parents: a generation that is filed late, or dropped, changes no other.
+	hash, err := w.encode(&object.Commit{Author: by, Committer: by, TreeHash: treeHash,
+		Message: fmt.Sprintf("generation %d\n\nsubmission %s\nfounding %s\n", facts.Generation, facts.Submission, facts.Founding)})
+	if err != nil {
+		return err
+	}
+	// The name comes last, so that it never leads to half of a generation.
+	if err := w.name(plumbing.ReferenceName(tagPrefix+strconv.FormatUint(facts.Generation, 10)), hash); err != nil {
+		return err
+	}
+	for generation := range w.held {
+		if generation > facts.Generation {
+			return nil
+		}
+	}
+	return w.name(newestRef, hash)
+}
+
+// name writes a reference aside and renames it: the library writes in place, and a name
+// cut short by a full disk would make the whole store unreadable.
+func (w *Wardrobe) name(ref plumbing.ReferenceName, hash plumbing.Hash) error {
+	disk := w.files.Filesystem()
+	aside, err := disk.TempFile(disk.Join("objects", "pack"), "tmp_ref_")
+	if err != nil {
+		return DiskBreakdown{"name", ref.String(), err}
+	}
+	_, err = aside.Write([]byte(hash.String() + "\n"))
+	if err = errors.Join(err, aside.Close()); err == nil {
+		err = disk.Rename(aside.Name(), ref.String())
+	}
+	if err != nil {
+		return DiskBreakdown{"name", ref.String(), errors.Join(err, disk.Remove(aside.Name()))}
+	}
+	return nil
+}
+
+type encoder interface {
+	Encode(plumbing.EncodedObject) error
+}
+
+func (w *Wardrobe) encode(from encoder) (plumbing.Hash, error) {
+	made := &plumbing.MemoryObject{}
+	if err := from.Encode(made); err != nil {
+		return plumbing.ZeroHash, fmt.Errorf("encode an object: %w", err)
+	}
+	reader, err := made.Reader()
+	if err != nil {
+		return plumbing.ZeroHash, fmt.Errorf("encode an object: %w", err)
+	}
+	content, err := io.ReadAll(reader)
+	if err != nil {
+		return plumbing.ZeroHash, fmt.Errorf("encode an object: %w", err)
+	}
+	return w.put(made.Type(), content)
+}
+
+// makeRoom drops the oldest generations until another spec fits under the bounds.
+func (w *Wardrobe) makeRoom(more int64) error {
+	if w.bytes+more <= w.bound && len(w.held) < mostHeld {
+		return nil
+	}
+	// A quarter at once, so that sweeping is not the price of every spec.
+	generations := []uint64{}
+	for generation := range w.held {
+		generations = append(generations, generation)
+	}
+	slices.Sort(generations)
+	for len(generations) > 1 && (w.bytes+more > w.bound*3/4 || len(generations) > mostHeld*3/4) {
+		drop := max(len(generations)/8, 1)
+		for _, generation := range generations[:drop] {
+			if err := w.files.RemoveReference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(generation, 10))); err != nil {
+				return DiskBreakdown{"drop", strconv.FormatUint(generation, 10), err}
+			}
+			w.index.Lock()
+			delete(w.held, generation)
+			w.index.Unlock()
+		}
+		generations = generations[drop:]
+		if err := w.sweep(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sweep removes every object that no name leads to any more.
+func (w *Wardrobe) sweep() error {
+	needed := map[plumbing.Hash]bool{}
+	refs, err := w.files.IterReferences()
+	if err != nil {
+		return fmt.Errorf("list the object store: %w", err)
+	}
+	if err := refs.ForEach(func(ref *plumbing.Reference) error {
+		needed[ref.Hash()] = true
+		commit, err := w.repo.CommitObject(ref.Hash())
+		if err != nil {
+			return nil // the marker, or damaged; what it led to is damaged too
+		}
+		needed[commit.TreeHash] = true
+		if tree, err := commit.Tree(); err == nil {
+			for _, entry := range tree.Entries {
+				needed[entry.Hash] = true
+			}
+		}
+		return nil
+	}); err != nil {
+		return fmt.Errorf("list the object store: %w", err)
+	}
+	surplus := []plumbing.Hash{}
+	if err := w.files.ForEachObjectHash(func(hash plumbing.Hash) error {
+		if !needed[hash] {
+			surplus = append(surplus, hash)
+		}
+		return nil
+	}); err != nil {
+		return fmt.Errorf("list the object store: %w", err)
+	}
+	for _, hash := range surplus {
+		if err := w.files.DeleteLooseObject(hash); err != nil {
+			return DiskBreakdown{"remove", hash.String(), err}
+		}
+	}
+	return w.measure()
+}
--- /dev/null
+++ b/wardrobe/wardrobe_test.go
@@ -0,0 +1,205 @@
+package wardrobe
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	billy "github.com/go-git/go-billy/v5"
+	"github.com/go-git/go-billy/v5/osfs"
+)
+
+const room = 64 << 20
+
+func facts(generation uint64, spec string) Facts {
+	return Facts{Generation: generation, Digest: Digest([]byte(spec)), Submission: fmt.Sprint("s", generation), Founding: "f", Filed: "2031-05-06T07:08:09Z"}
+}
+
+func open(c *qt.C, path string) *Wardrobe {
+	w, err := Open(path, "here", room)
+	c.Assert(err, qt.IsNil)
+	return w
+}
+
+func (w *Wardrobe) file(c *qt.C, generation uint64, spec string) {
+	c.Assert(w.File(facts(generation, spec), []byte(spec)), qt.IsNil)
+}
+
+func generations(w *Wardrobe) []uint64 {
+	found := []uint64{}
+	for _, each := range w.History() {
+		found = append(found, each.Generation)
+	}
+	return found
+}
+
+func TestWhatIsFiledIsReadBackAfterAStart(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "specs.git")
+	w := open(c, path)
+	// A gap that is filled later, the same bytes twice, and the same generation again.
+	for _, generation := range []uint64{3, 9, 5, 9} {
+		w.file(c, generation, fmt.Sprintf(`{"of":%d}`, generation%5))
+	}
+	again := open(c, path)
+	c.Assert(generations(again), qt.DeepEquals, []uint64{3, 5, 9})
+	for _, generation := range []uint64{3, 5, 9} {
+		spec, told, err := again.Spec(generation)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(spec), qt.Equals, fmt.Sprintf(`{"of":%d}`, generation%5))
+		c.Assert(told, qt.Equals, facts(generation, string(spec)))
+	}
+	newest, err := again.repo.Head()
+	c.Assert(err, qt.IsNil)
+	commit, err := again.repo.CommitObject(newest.Hash())
+	c.Assert(err, qt.IsNil)
+	c.Assert(strings.HasPrefix(commit.Message, "generation 9\n"), qt.IsTrue)
+	_, _, err = again.Spec(4)
+	c.Assert(errors.As(err, new(Missing)), qt.IsTrue)
+	// Bytes that are not those of the receipt are never filed.
+	c.Assert(errors.As(again.File(facts(11, "one"), []byte("other")), new(Damaged)), qt.IsTrue)
+}
+
+// damage rewrites every loose object of a store.
+func damage(c *qt.C, path string, edit func(name string) error) {
+	names, err := filepath.Glob(filepath.Join(path, "objects", "??", "*"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(names) > 3, qt.IsTrue)
+	for _, name := range names {
+		c.Assert(os.Chmod(name, 0o644), qt.IsNil)
+		c.Assert(edit(name), qt.IsNil)
+	}
+}
+
+func TestDamageIsSeenAndMendedByFilingAgain(t *testing.T) {
+	for name, edit := range map[string]func(string) error{
+		"cut short": func(name string) error { return os.Truncate(name, 9) },
+		"emptied":   func(name string) error { return os.Truncate(name, 0) },
+		"scribbled": func(name string) error { return os.WriteFile(name, []byte("scribbled over"), 0o644) },
+		"gone":      os.Remove,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			path := filepath.Join(c.TempDir(), "specs.git")
+			open(c, path).file(c, 7, `{"a":1}`)
+			damage(c, path, edit)
+			again := open(c, path)
+			_, _, err := again.Spec(7)
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(again.Holds(7, Digest([]byte(`{"a":1}`))), qt.IsFalse)
+			again.file(c, 7, `{"a":1}`)
+			spec, _, err := open(c, path).Spec(7)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(spec), qt.Equals, `{"a":1}`)
+		})
+	}
+}
+
+func TestWhatIsNoStoreIsSetAsideAndForeignOnesAreLeft(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "specs.git")
+	open(c, path).file(c, 7, `{"a":1}`)
+	_, err := Open(path, "another", room)
+	c.Assert(errors.As(err, new(Foreign)), qt.IsTrue)
+	c.Assert(generations(open(c, path)), qt.DeepEquals, []uint64{7})
+	// A newer format is left too.
+	newer := open(c, path)
+	hash, err := newer.put(1+2, []byte(`{"format":9,"fleet":"here"}`))
+	c.Assert(err, qt.IsNil)
+	ref, err := newer.files.Reference(fleetRef)
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.WriteFile(filepath.Join(path, string(fleetRef)), []byte(hash.String()+"\n"), 0o644), qt.IsNil)
+	_, err = Open(path, "here", room)
+	c.Assert(errors.As(err, new(Foreign)), qt.IsTrue)
+	c.Assert(os.WriteFile(filepath.Join(path, string(fleetRef)), []byte(ref.Hash().String()+"\n"), 0o644), qt.IsNil)
+	// What can't be read at all gives way to a fresh one, and is kept beside it.
+	c.Assert(os.WriteFile(filepath.Join(path, "config"), []byte("[[[ no config"), 0o644), qt.IsNil)
+	c.Assert(generations(open(c, path)), qt.HasLen, 0)
+	aside, err := filepath.Glob(path + damagedTag + "*")
+	c.Assert(err, qt.IsNil)
+	c.Assert(aside, qt.HasLen, 1)
+}
+
+// fullFiles runs out of room after so many bytes.
+type fullFiles struct {
+	billy.Filesystem
+	left *int
+}
+
+type fullFile struct {
+	billy.File
+	left *int
+}
+
+func (f fullFile) Write(chunk []byte) (int, error) {
+	if *f.left -= len(chunk); *f.left < 0 {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(chunk)
+}
+
+func (f fullFiles) TempFile(dir, prefix string) (billy.File, error) {
+	file, err := f.Filesystem.TempFile(dir, prefix)
+	return fullFile{file, f.left}, err
+}
+
+func (f fullFiles) OpenFile(name string, flag int, perm os.FileMode) (billy.File, error) {
+	file, err := f.Filesystem.OpenFile(name, flag, perm)
+	return fullFile{file, f.left}, err
+}
+
+// A disk that fills at any byte leaves what was there, and takes more once there is room.
+func TestAFullDiskCostsOnlyWhatWasBeingFiled(t *testing.T) {
+	c := qt.New(t)
+	failed := 0
+	for bytes := 0; bytes < 900; bytes += 60 {
+		path := filepath.Join(c.TempDir(), fmt.Sprint("specs", bytes))
+		left := 1 << 20
+		w := &Wardrobe{path: path, fleet: "here", bound: room}
+		c.Assert(w.open(fullFiles{osfs.New(path), &left}), qt.IsNil)
+		w.file(c, 3, `{"first":true}`)
+		left = bytes
+		err := w.File(facts(4, `{"second":true}`), []byte(`{"second":true}`))
+		if err != nil {
+			failed++
+			c.Assert(errors.Is(err, syscall.ENOSPC), qt.IsTrue, qt.Commentf("%v", err))
+			// Not there, or there whole: it may be named already when the room ends.
+			if spec, _, err := w.Spec(4); err == nil {
+				c.Assert(string(spec), qt.Equals, `{"second":true}`)
+			}
+		}
+		left = 1 << 20
+		again := open(c, path)
+		c.Assert(again.Holds(3, Digest([]byte(`{"first":true}`))), qt.IsTrue)
+		again.file(c, 4, `{"second":true}`)
+		c.Assert(generations(again), qt.DeepEquals, []uint64{3, 4})
+	}
+	c.Assert(failed > 5, qt.IsTrue)
+}
+
+func TestGrowthIsBounded(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "specs.git")
+	w, err := Open(path, "here", 60_000)
+	c.Assert(err, qt.IsNil)
+	for generation := range uint64(60) {
+		// Hardly to be compressed.
+		spec := strings.Builder{}
+		for i := range 60 {
+			spec.WriteString(Digest([]byte(fmt.Sprint(generation, "-", i))))
+		}
+		w.file(c, generation+1, spec.String())
+		c.Assert(w.bytes <= 60_000+8_000, qt.IsTrue, qt.Commentf("%d bytes at generation %d", w.bytes, generation+1))
+	}
+	kept := generations(open(c, path))
+	c.Assert(kept[len(kept)-1], qt.Equals, uint64(60))
+	c.Assert(len(kept) > 5 && len(kept) < 60, qt.IsTrue, qt.Commentf("%v", kept))
+	for i := 1; i < len(kept); i++ {
+		c.Assert(kept[i], qt.Equals, kept[i-1]+1, qt.Commentf("only the oldest go: %v", kept))
+	}
+}
--- a/wings/face.go
+++ b/wings/face.go
@@ -17,6 +17,7 @@
 	"dunlinloom/flyloft"
 	"dunlinloom/house"
 	"dunlinloom/playbill"
+	"dunlinloom/wardrobe"
 )
 
 // HeaderSubmission names an operator's order, so that a repeated send gets the same receipt.
@@ -29,7 +30,10 @@
 	usher    *auditorium.Usher // nil without a router
 	channels *Channels
 	shelf    *playbill.Shelf
-	stopping func() bool
+	// Nil where nothing of the past is kept.
+	wardrobe  *wardrobe.Wardrobe
+	librarian *Librarian
+	stopping  func() bool
 }
 
 // NewFace builds the handler of a node's public address out of the services that
@@ -41,12 +45,21 @@
 	if err := errors.Join(runnerErr, channelsErr, shelfErr); err != nil {
 		return nil, fmt.Errorf("open the face: %w", err)
 	}
+	// Only a node with a data folder keeps the past.
+	kept, err := house.Find[*wardrobe.Wardrobe](stage, ServiceWardrobe)
+	if err != nil {
+		kept = nil
+	}
+	librarian, err := house.Find[*Librarian](stage, ServiceLibrarian)
+	if err != nil {
+		librarian = nil
+	}
 	// A prompter routes nothing, so it has no usher and no completions.
 	usher, err := house.Find[*auditorium.Usher](stage, ServiceUsher)
 	if err != nil {
 		usher = nil
 	}
-	f := &Face{cue, runner, usher, channels, shelf, stopping}
+	f := &Face{cue, runner, usher, channels, shelf, kept, librarian, stopping}
 	mux := http.NewServeMux()
 	if usher != nil {
 		mux.Handle("POST /v1/completions", usher)
@@ -261,11 +274,13 @@
 	receipt := &RecallReceipt{Spec: document.Spec, SpecGeneration: document.SpecGeneration}
 	if wanted < document.SpecGeneration {
 		mark, isKnown := document.SpecAt(wanted)
-		if !isKnown {
-			f.fail(w, http.StatusNotFound, "no_spec", fmt.Sprintf("no spec of generation %d is kept", wanted))
-			return
+		receipt = nil
+		if isKnown {
+			receipt = f.recall(r, document, RecallAsk{Mark: mark})
+		}
+		if receipt == nil {
+			receipt = f.fromWardrobe(wanted, mark)
 		}
-		receipt = f.recall(r, document, RecallAsk{Mark: mark})
 	}
 	if receipt == nil || receipt.SpecGeneration == 0 {
 		f.fail(w, http.StatusNotFound, "no_spec", fmt.Sprintf("no spec of generation %d is kept", wanted))
@@ -278,6 +293,25 @@
 	}
 }
 
+// fromWardrobe reads a spec that the core has let go of. What the chain still names has
+// to be the same.
+func (f *Face) fromWardrobe(wanted uint64, mark flyloft.SpecMark) *RecallReceipt {
+	if f.wardrobe == nil {
+		return nil
+	}
+	newest := uint64(0)
+	for _, facts := range f.wardrobe.History() {
+		if facts.Generation <= wanted {
+			newest = facts.Generation
+		}
+	}
+	spec, facts, err := f.wardrobe.Spec(newest)
+	if err != nil || mark.Generation > 0 && (facts.Generation != mark.Generation || facts.Digest != mark.Digest) {
+		return nil
+	}
+	return &RecallReceipt{Spec: spec, SpecGeneration: facts.Generation}
+}
+
 // recall looks for an older spec here and then at the voters.
 func (f *Face) recall(r *http.Request, document *flyloft.Document, ask RecallAsk) *RecallReceipt {
 	if receipt, err := f.runner.Recall(ask); err == nil {
@@ -302,11 +336,22 @@
 		f.fail(w, http.StatusNotFound, "no_spec", "no document has reached this node")
 		return
 	}
-	generations := []uint64{}
+	history := History{Generations: []uint64{}, Current: document.SpecGeneration}
 	for _, mark := range document.Chain {
-		generations = append(generations, mark.Generation)
+		history.Generations = append(history.Generations, mark.Generation)
 	}
-	f.reply(w, http.StatusOK, map[string]any{"generations": generations, "current": document.SpecGeneration})
+	if f.wardrobe != nil {
+		history.Kept = f.wardrobe.History()
+	}
+	f.reply(w, http.StatusOK, history)
+}
+
+// History tells which specs can be read: those that the core names, and those that this
+// node's object store holds.
+type History struct {
+	Generations []uint64         `json:"generations"`
+	Current     uint64           `json:"current"`
+	Kept        []wardrobe.Facts `json:"kept,omitempty"`
 }
 
 func (f *Face) report(w http.ResponseWriter, r *http.Request) {
@@ -480,6 +525,10 @@
 	}
 	line("peer_messages_sent_total", f.channels.Sent.Load())
 	line("peer_messages_dropped_total", f.channels.Dropped.Load())
+	if f.librarian != nil {
+		line("history_filed_total", f.librarian.Filed.Load())
+		line("history_failed_total", f.librarian.Failed.Load())
+	}
 	if f.usher == nil {
 		return
 	}
--- a/wings/process.go
+++ b/wings/process.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,6 +22,7 @@
 	"dunlinloom/flyloft"
 	"dunlinloom/house"
 	"dunlinloom/playbill"
+	"dunlinloom/wardrobe"
 )
 
 // Parts says which planes a program puts together.
@@ -65,6 +67,9 @@
 	ServiceChannels = "channels"
 	ServiceUsher    = "usher"
 	ServiceShelf    = "shelf"
+	// Only with a data folder.
+	ServiceWardrobe  = "wardrobe"
+	ServiceLibrarian = "librarian"
 )
 
 // Run puts a node together and serves until stop ends, then drains it.
@@ -117,6 +122,20 @@
 	if usher != nil {
 		services[ServiceUsher] = usher
 	}
+	var librarian *Librarian
+	if settings.Data != "" && settings.ArchiveMB > 0 {
+		kept, err := wardrobe.Open(filepath.Join(settings.Data, "specs.git"), settings.Fleet, int64(settings.ArchiveMB)<<20)
+		switch {
+		case errors.As(err, new(wardrobe.Foreign)):
+			return fmt.Errorf("start: %w", err)
+		case err != nil:
+			// The past can be filed later; a node that serves now is worth more.
+			log.Error(err, "there is no object store for the past")
+		default:
+			librarian = NewLibrarian(cue, runner, channels, kept)
+			services[ServiceWardrobe], services[ServiceLibrarian] = kept, librarian
+		}
+	}
 	for name, service := range services {
 		if err := stage.Place(name, service); err != nil {
 			return fmt.Errorf("start: %w", err)
@@ -156,6 +175,10 @@
 	go serve(back, peer)
 	ended := make(chan struct{})
 	go func() { runner.Run(); close(ended) }()
+	if librarian != nil {
+		// Nobody waits for it: a stalled disk must not hold up a stop.
+		go librarian.Run()
+	}
 	stage.Strike.Defer(func() error { end(); <-ended; return ignoreClosed(back.Close()) })
 	log.Info("serving", "public", self.Public, "member", string(node.Member))
 	select {
--- a/wings/settings.go
+++ b/wings/settings.go
@@ -23,15 +23,16 @@
 // Settings are what a process is told of its place, by a file or by flags; a
 // flag goes before the file.
 type Settings struct {
-	File     string   `arg:"--settings" json:"-" help:"JSON file with any of the settings below"`
-	Fleet    string   `arg:"--fleet" json:"fleet" help:"name of the fleet; messages of others are declined"`
-	Public   string   `arg:"--public" json:"public" help:"IP:port for callers, engines and operators"`
-	Peer     string   `arg:"--peer" json:"peer" help:"IP:port for the other nodes"`
-	Zone     string   `arg:"--zone" json:"zone" help:"zone of this machine"`
-	Seeds    []string `arg:"--seed,separate" json:"seeds" help:"peer address of a seed; three of them, which are also the founders"`
-	Data     string   `arg:"--data" json:"data" help:"data folder of a prompter with a disk"`
-	Platform string   `arg:"--platform" json:"platform" help:"URL of the platform's list of engines"`
-	Journal  int      `arg:"--journal" json:"journal" help:"entries kept in the journal"`
+	File      string   `arg:"--settings" json:"-" help:"JSON file with any of the settings below"`
+	Fleet     string   `arg:"--fleet" json:"fleet" help:"name of the fleet; messages of others are declined"`
+	Public    string   `arg:"--public" json:"public" help:"IP:port for callers, engines and operators"`
+	Peer      string   `arg:"--peer" json:"peer" help:"IP:port for the other nodes"`
+	Zone      string   `arg:"--zone" json:"zone" help:"zone of this machine"`
+	Seeds     []string `arg:"--seed,separate" json:"seeds" help:"peer address of a seed; three of them, which are also the founders"`
+	Data      string   `arg:"--data" json:"data" help:"data folder of a prompter with a disk"`
+	Platform  string   `arg:"--platform" json:"platform" help:"URL of the platform's list of engines"`
+	ArchiveMB int      `arg:"--archive-mb" json:"archive_mb" help:"megabytes that the object store of past specs may take; 0 keeps none"`
+	Journal   int      `arg:"--journal" json:"journal" help:"entries kept in the journal"`
 
 	PulseUS         int64 `arg:"--pulse-us" json:"pulse_us" help:"between a leader's pulses"`
 	ElectionLowUS   int64 `arg:"--election-low-us" json:"election_low_us" help:"shortest silence before an election"`
@@ -54,7 +55,7 @@
 func DefaultSettings() Settings {
 	timing, spans := flyloft.DefaultTiming(), auditorium.DefaultSpans()
 	return Settings{
-		Fleet: "dunlinloom", Journal: 4096,
+		Fleet: "dunlinloom", Journal: 4096, ArchiveMB: 64,
 		PulseUS: int64(timing.Pulse), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
 		DiskStallUS: int64(timing.DiskStall), ReplaceUS: int64(timing.Replace), AskUS: int64(timing.Ask),
 		LicenceUS: int64(timing.Licence), HomeSilentUS: int64(timing.HomeSilent), StrikeUS: int64(timing.Strike),
@@ -185,6 +186,9 @@
 			faults.Add("platform", "%q is not an http URL", s.Platform)
 		}
 	}
+	if s.ArchiveMB < 0 || s.ArchiveMB > 1<<16 {
+		faults.Add("archive_mb", "%d is not from 0 to %d", s.ArchiveMB, 1<<16)
+	}
 	if s.Journal < 16 || s.Journal > 1<<20 {
 		faults.Add("journal", "%d is not from 16 to %d", s.Journal, 1<<20)
 	}
--- a/wings/wings_test.go
+++ b/wings/wings_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -21,6 +22,7 @@
 	"dunlinloom/house"
 	"dunlinloom/playbill"
 	"dunlinloom/understudy"
+	"dunlinloom/wardrobe"
 )
 
 func goodSettings() Settings {
@@ -82,6 +84,7 @@
 type fleet struct {
 	c      *qt.C
 	public []string
+	data   []string
 	stop   []context.CancelFunc
 	ended  []chan error
 }
@@ -103,6 +106,7 @@
 		settings := DefaultSettings()
 		settings.Public, settings.Peer, settings.Zone = free(c), seed, fmt.Sprintf("z%d", i)
 		settings.Seeds, settings.Data, settings.Platform = seeds, c.TempDir(), "http://"+list+"/v1/engines"
+		f.data = append(f.data, settings.Data)
 		settings.LameDuckUS = 100_000
 		c.Assert(settings.Check(true), qt.IsNil)
 		ctx, stop := context.WithCancel(context.Background())
@@ -126,6 +130,13 @@
 	return f
 }
 
+// wardrobe opens a node's object store beside the node, as an operator's git would.
+func (f *fleet) wardrobe(node int) *wardrobe.Wardrobe {
+	kept, err := wardrobe.Open(filepath.Join(f.data[node], "specs.git"), DefaultSettings().Fleet, 1<<30)
+	f.c.Assert(err, qt.IsNil)
+	return kept
+}
+
 func (f *fleet) do(node int, method, path, body string, headers ...string) (int, http.Header, string) {
 	request, err := http.NewRequest(method, "http://"+f.public[node]+path, strings.NewReader(body))
 	f.c.Assert(err, qt.IsNil)
@@ -217,6 +228,23 @@
 	status, _, _ = f.do(1, http.MethodGet, "/v1/spec?generation=999999", "")
 	c.Assert(status, qt.Equals, http.StatusNotFound)
 
+	// Each node files them, with the order's name, in its object store.
+	for node := range f.public {
+		for {
+			var history History
+			_, _, body := f.do(node, http.MethodGet, "/v1/spec/history", "")
+			c.Assert(json.Unmarshal([]byte(body), &history), qt.IsNil)
+			if len(history.Kept) == 2 {
+				c.Assert(history.Kept[0].Generation, qt.Equals, first)
+				c.Assert(history.Kept[0].Submission, qt.Equals, "first")
+				break
+			}
+		}
+		spec, _, err := f.wardrobe(node).Spec(first)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(spec), qt.Equals, specOne)
+	}
+
 	// Empty the engines' zone: nothing may be served; refill it: it is again.
 	status, _ = order(1, http.MethodPut, "/v1/zones/z0/evacuation", "")
 	c.Assert(status, qt.Equals, http.StatusOK)
@@ -290,3 +318,48 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(first)+string(rest), qt.Equals, string(understudy.Script(held.Header.Get(understudy.HeaderRun), 200, true)))
 }
+
+// A node whose disk was lost brings back from another what the core no longer names;
+// what comes with another digest, or of another founding, it does not take.
+func TestTheObjectStoreIsMendedFromAnotherNode(t *testing.T) {
+	c := qt.New(t)
+	kept := []wardrobe.Facts{}
+	specs := map[string]string{}
+	for generation := range uint64(6) {
+		spec := fmt.Sprintf(`{"of":%d}`, generation+1)
+		facts := wardrobe.Facts{Generation: generation + 1, Digest: wardrobe.Digest([]byte(spec)), Submission: "s", Founding: "f", Filed: "2031-05-06T07:08:09Z"}
+		specs[fmt.Sprint(generation+1)] = spec
+		switch generation + 1 {
+		case 2:
+			facts.Founding = "another"
+		case 3:
+			specs["3"] = `{"of":"something else"}`
+		}
+		kept = append(kept, facts)
+	}
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/spec/history" {
+			c.Check(json.NewEncoder(w).Encode(History{Kept: kept}), qt.IsNil)
+			return
+		}
+		generation := r.URL.Query().Get("generation")
+		w.Header().Set(auditorium.HeaderGeneration, generation)
+		fmt.Fprint(w, specs[generation])
+	}))
+	defer other.Close()
+	store, err := wardrobe.Open(filepath.Join(c.TempDir(), "specs.git"), "here", 1<<20)
+	c.Assert(err, qt.IsNil)
+	cue := house.Cue{Context: context.Background(), Clock: house.BootClock{}, Log: klog.Background(), Journal: house.NewJournal(16)}
+	librarian := NewLibrarian(cue, nil, nil, store)
+	// The core still names generation 5 and on: those are its own to give.
+	document := &flyloft.Document{Founding: "f", Chain: []flyloft.SpecMark{{Generation: 5, Digest: kept[4].Digest}}}
+	nodes := []flyloft.NodeRecord{{Address: "a", Public: "127.0.0.1:1", IsPrompter: true}, {Address: "b", Public: strings.TrimPrefix(other.URL, "http://"), IsPrompter: true}}
+	c.Assert(errors.As(librarian.mend(document, nodes), new(wardrobe.Damaged)), qt.IsTrue)
+	specs["3"] = `{"of":3}`
+	c.Assert(librarian.mend(document, nodes), qt.IsNil)
+	held := []uint64{}
+	for _, facts := range store.History() {
+		held = append(held, facts.Generation)
+	}
+	c.Assert(held, qt.DeepEquals, []uint64{1, 3, 4})
+}
