Bounds on requests, bodies, channels and files at a process, answered at once

Cause: a crowd held as many requests, bodies and channels as the system allowed, and the system's own answer is a reset, which says nothing about whether a request ran. Tests cause each: full of requests, of bodies with and without a length, of channels, a caller that reads nothing, too few files. With 2048 channels open readyz, fleet and metrics answer. Ruled out: queueing (held back), a port of its own for operators.

--- a/auditorium/usher.go
+++ b/auditorium/usher.go
@@ -58,9 +58,14 @@
 	Suspect func(Engine)
 	// Restarted hears of engines that answer under a later start than was known.
 	Restarted func(Engine, uint64)
+	// Bounds are what may be held at once.
+	Bounds Bounds
+	// IsCrowded tells that the process has no channel to spare; nil: it always has.
+	IsCrowded func() bool
 	// Served waits for every accepted request to get its answer.
 	Served sync.WaitGroup
 	live   atomic.Int64
+	held   atomic.Int64 // bytes of bodies
 }
 
 // Live is how many requests are being served now.
@@ -93,12 +98,22 @@
 // ServeHTTP takes POST /v1/completions.
 func (u *Usher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.Served.Add(1)
-	u.live.Add(1)
+	live := u.live.Add(1)
 	defer u.Served.Done()
 	defer u.live.Add(-1)
 	id := rand.Text()
 	w.Header().Set(HeaderRequest, id)
-	body, decline := u.readBody(w, r)
+	if why := u.crowded(live, r); why != "" {
+		u.turnAway(w, id, why)
+		return
+	}
+	held := &heldBody{Reader: http.MaxBytesReader(w, r.Body, MaxBody), all: &u.held, bound: u.Bounds.Bodies}
+	defer held.release()
+	body, decline := u.readBody(w, held)
+	if decline != nil && decline.Reason == "crowded" {
+		u.turnAway(w, id, decline.Detail)
+		return
+	}
 	if decline != nil {
 		u.SendDecline(w, decline)
 		return
@@ -136,15 +151,17 @@
 	}
 }
 
-func (u *Usher) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Decline) {
+func (u *Usher) readBody(w http.ResponseWriter, from io.Reader) ([]byte, *Decline) {
 	control := http.NewResponseController(w)
 	// A caller that trickles its body must not hold a place for ever.
 	if err := control.SetReadDeadline(time.Now().Add(u.Spans.CallerBody.Duration())); err != nil {
 		return nil, &Decline{"bad_request", "the channel takes no deadline: " + err.Error(), http.StatusInternalServerError, NotRun, 0}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	body, err := io.ReadAll(from)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case isNoRoom(err):
+		return nil, &Decline{"crowded", err.Error(), http.StatusServiceUnavailable, NotRun, defaultRetryDue}
 	case errors.As(err, &tooLarge):
 		return nil, &Decline{"too_large", fmt.Sprintf("the body is above the bound of %d bytes", MaxBody), http.StatusRequestEntityTooLarge, NotRun, 0}
 	case err != nil:
--- a/auditorium/usher_test.go
+++ b/auditorium/usher_test.go
@@ -580,3 +580,93 @@
 	c.Assert(counts.FirstRounds, qt.Equals, uint64(200))
 	c.Assert(counts.Retries >= 15 && counts.Retries <= 20, qt.IsTrue, qt.Commentf("%+v", counts))
 }
+
+// Beyond what the process may hold a request is declined at once, and what it holds
+// already goes on; a place that is given back is a place again.
+func TestACrowdIsTurnedAwayAtOnce(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	engine := newEngine(c, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.(http.Flusher).Flush()
+		<-release
+		io.WriteString(w, stream(2))
+	})
+	s := newScene(c, engine)
+	turnedAway := func(why, body string) {
+		c.Helper()
+		response := s.post(body)
+		defer response.Body.Close()
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(response.Header.Get(HeaderRun), qt.Equals, string(NotRun))
+		c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
+		got, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(strings.Contains(string(got), `"crowded"`) && strings.Contains(string(got), why), qt.IsTrue, qt.Commentf("%s", got))
+	}
+	first, second := s.post(ask), s.post(ask)
+	s.usher.Bounds = Bounds{Live: 2, Bodies: 1 << 20}
+	turnedAway("2 requests", ask)
+	s.usher.Bounds = Bounds{Live: 9, Bodies: 200}
+	turnedAway("200 bytes", `{"prompt":"`+strings.Repeat("x", 400)+`","max_tokens":1}`)
+	crowded := true
+	s.usher.Bounds, s.usher.IsCrowded = DefaultBounds(), func() bool { return crowded }
+	turnedAway("channels", ask)
+	crowded = false
+	c.Assert(s.usher.Held(), qt.Equals, int64(2*len(ask)))
+	close(release)
+	for _, response := range []*http.Response{first, second, s.post(ask)} {
+		got, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(got), qt.Equals, stream(2))
+		response.Body.Close()
+	}
+	s.usher.Served.Wait()
+	c.Assert(s.usher.Held(), qt.Equals, int64(0))
+	c.Assert(s.desk.Counts().Declined["crowded"], qt.Equals, uint64(3))
+}
+
+// A body without a length is counted as it comes.
+func TestABodyOfUnknownLengthIsBoundedToo(t *testing.T) {
+	c := qt.New(t)
+	s := newScene(c, newEngine(c, func(http.ResponseWriter, *http.Request) { c.Error("it may not get there") }))
+	s.usher.Bounds = Bounds{Live: 9, Bodies: 1000}
+	request, err := http.NewRequest(http.MethodPost, s.front.URL, io.MultiReader(strings.NewReader(`{"prompt":"`), strings.NewReader(strings.Repeat("x", 5000))))
+	c.Assert(err, qt.IsNil)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get(HeaderRun), qt.Equals, string(NotRun))
+	s.usher.Served.Wait()
+	c.Assert(s.usher.Held(), qt.Equals, int64(0))
+}
+
+// A caller that reads nothing holds its stream no longer than its stall is allowed to
+// last, and the engine's run ends with it.
+func TestASlowReaderIsLetGo(t *testing.T) {
+	c := qt.New(t)
+	ended := make(chan struct{})
+	engine := newEngine(c, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		defer close(ended)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, strings.Repeat("x", 64<<10)); err != nil {
+				return
+			}
+		}
+	})
+	s := newScene(c, engine)
+	s.usher.Spans.CallerStall = 50 * house.Millisecond
+	channel, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+	c.Assert(err, qt.IsNil)
+	defer channel.Close()
+	_, err = fmt.Fprintf(channel, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(ask), ask)
+	c.Assert(err, qt.IsNil)
+	<-ended
+	s.usher.Served.Wait()
+	c.Assert(s.usher.Held(), qt.Equals, int64(0))
+	c.Assert(s.desk.Counts().CallersGone, qt.Equals, uint64(1))
+}
--- a/wings/face.go
+++ b/wings/face.go
@@ -30,6 +30,7 @@
 	usher    *auditorium.Usher // nil without a router
 	channels *Channels
 	shelf    *playbill.Shelf
+	door     *Door
 	// Nil where nothing of the past is kept.
 	wardrobe  *wardrobe.Wardrobe
 	librarian *Librarian
@@ -42,7 +43,8 @@
 	runner, runnerErr := house.Find[*Runner](stage, ServiceRunner)
 	channels, channelsErr := house.Find[*Channels](stage, ServiceChannels)
 	shelf, shelfErr := house.Find[*playbill.Shelf](stage, ServiceShelf)
-	if err := errors.Join(runnerErr, channelsErr, shelfErr); err != nil {
+	door, doorErr := house.Find[*Door](stage, ServiceDoor)
+	if err := errors.Join(runnerErr, channelsErr, shelfErr, doorErr); err != nil {
 		return nil, fmt.Errorf("open the face: %w", err)
 	}
 	// Only a node with a data folder keeps the past.
@@ -59,7 +61,7 @@
 	if err != nil {
 		usher = nil
 	}
-	f := &Face{cue, runner, usher, channels, shelf, kept, librarian, stopping}
+	f := &Face{cue, runner, usher, channels, shelf, door, kept, librarian, stopping}
 	mux := http.NewServeMux()
 	if usher != nil {
 		mux.Handle("POST /v1/completions", usher)
@@ -525,6 +527,8 @@
 	}
 	line("peer_messages_sent_total", f.channels.Sent.Load())
 	line("peer_messages_dropped_total", f.channels.Dropped.Load())
+	line("channels_open", f.door.Open())
+	line("channels_turned_away_total", f.door.Turned.Load())
 	if f.librarian != nil {
 		line("history_filed_total", f.librarian.Filed.Load())
 		line("history_failed_total", f.librarian.Failed.Load())
@@ -542,6 +546,7 @@
 	line("served_total", counts.Served)
 	line("callers_gone_total", counts.CallersGone)
 	line("requests_live", f.usher.Live())
+	line("bodies_held_bytes", f.usher.Held())
 	for _, reason := range slices.Sorted(maps.Keys(counts.Declined)) {
 		line("declined_total", counts.Declined[reason], "reason", reason)
 	}
--- a/wings/process.go
+++ b/wings/process.go
@@ -67,6 +67,7 @@
 	ServiceChannels = "channels"
 	ServiceUsher    = "usher"
 	ServiceShelf    = "shelf"
+	ServiceDoor     = "door"
 	// Only with a data folder.
 	ServiceWardrobe  = "wardrobe"
 	ServiceLibrarian = "librarian"
@@ -142,16 +143,27 @@
 		}
 	}
 
-	var isStopping atomic.Bool
-	handler, err := NewFace(cue, stage, isStopping.Load)
-	if err != nil {
+	if err := checkFiles(settings.Channels, settings.Live); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	public, err := net.Listen("tcp", settings.Public)
+	listener, err := net.Listen("tcp", settings.Public)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	public := NewDoor(listener, settings.Channels)
 	stage.Strike.Defer(func() error { return ignoreClosed(public.Close()) })
+	if err := stage.Place(ServiceDoor, public); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	if usher != nil {
+		usher.Bounds = auditorium.Bounds{Live: int64(settings.Live), Bodies: int64(settings.BodiesMB) << 20}
+		usher.IsCrowded = public.IsCrowded
+	}
+	var isStopping atomic.Bool
+	handler, err := NewFace(cue, stage, isStopping.Load)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
 	peer, err := net.Listen("tcp", settings.Peer)
 	if err != nil {
 		return fmt.Errorf("listen for nodes: %w", err)
--- a/wings/settings.go
+++ b/wings/settings.go
@@ -32,6 +32,9 @@
 	Data      string   `arg:"--data" json:"data" help:"data folder of a prompter with a disk"`
 	Platform  string   `arg:"--platform" json:"platform" help:"URL of the platform's list of engines"`
 	ArchiveMB int      `arg:"--archive-mb" json:"archive_mb" help:"megabytes that the object store of past specs may take; 0 keeps none"`
+	Channels  int      `arg:"--channels" json:"channels" help:"channels that callers may hold open at once"`
+	Live      int      `arg:"--live" json:"live" help:"requests served at once"`
+	BodiesMB  int      `arg:"--bodies-mb" json:"bodies_mb" help:"megabytes of request bodies held at once"`
 	Journal   int      `arg:"--journal" json:"journal" help:"entries kept in the journal"`
 
 	PulseUS         int64 `arg:"--pulse-us" json:"pulse_us" help:"between a leader's pulses"`
@@ -53,9 +56,11 @@
 
 // DefaultSettings are in force where neither file nor flags speak.
 func DefaultSettings() Settings {
+	bounds := auditorium.DefaultBounds()
 	timing, spans := flyloft.DefaultTiming(), auditorium.DefaultSpans()
 	return Settings{
 		Fleet: "dunlinloom", Journal: 4096, ArchiveMB: 64,
+		Channels: 2048, Live: int(bounds.Live), BodiesMB: int(bounds.Bodies >> 20),
 		PulseUS: int64(timing.Pulse), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
 		DiskStallUS: int64(timing.DiskStall), ReplaceUS: int64(timing.Replace), AskUS: int64(timing.Ask),
 		LicenceUS: int64(timing.Licence), HomeSilentUS: int64(timing.HomeSilent), StrikeUS: int64(timing.Strike),
@@ -186,6 +191,14 @@
 			faults.Add("platform", "%q is not an http URL", s.Platform)
 		}
 	}
+	for _, bound := range []struct {
+		name             string
+		value, low, high int
+	}{{"channels", s.Channels, 16, 1 << 20}, {"live", s.Live, 1, 1 << 20}, {"bodies_mb", s.BodiesMB, 8, 1 << 20}} {
+		if bound.value < bound.low || bound.value > bound.high {
+			faults.Add(bound.name, "%d is not from %d to %d", bound.value, bound.low, bound.high)
+		}
+	}
 	if s.ArchiveMB < 0 || s.ArchiveMB > 1<<16 {
 		faults.Add("archive_mb", "%d is not from 0 to %d", s.ArchiveMB, 1<<16)
 	}
--- a/wings/wings_test.go
+++ b/wings/wings_test.go
@@ -1,6 +1,7 @@
 package wings
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -363,3 +365,84 @@
 	}
 	c.Assert(held, qt.DeepEquals, []uint64{1, 3, 4})
 }
+
+// Beyond its bound and the reserve the door answers at once and closes; within the
+// reserve it lets in, and tells that callers get no more room.
+func TestTheDoorTurnsAwayWithAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	door := NewDoor(listener, 2)
+	accepted := make(chan net.Conn, 4+channelReserve)
+	go func() {
+		for {
+			channel, err := door.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- channel
+		}
+	}()
+	dial := func() net.Conn {
+		channel, err := net.Dial("tcp", listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { channel.Close() })
+		return channel
+	}
+	held := []net.Conn{}
+	for range 2 + channelReserve {
+		dial()
+		held = append(held, <-accepted)
+		c.Assert(door.IsCrowded(), qt.Equals, len(held) > 2)
+	}
+	late := dial()
+	_, err = io.WriteString(late, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}")
+	c.Assert(err, qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(late), nil)
+	c.Assert(err, qt.IsNil)
+	got, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get(auditorium.HeaderRun), qt.Equals, string(auditorium.NotRun))
+	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
+	c.Assert(json.Valid(got), qt.IsTrue)
+	c.Assert(door.Turned.Load(), qt.Equals, uint64(1))
+	late.Close()
+	for _, channel := range held {
+		c.Assert(channel.Close(), qt.IsNil)
+		c.Assert(ignoreClosed(channel.Close()), qt.IsNil) // a second close gives no second place
+	}
+	for door.Open() > 0 {
+		runtime.Gosched()
+	}
+	dial()
+	c.Assert((<-accepted).Close(), qt.IsNil)
+	c.Assert(errors.As(checkFiles(1<<30, 1), new(FilesBreakdown)), qt.IsTrue)
+}
+
+// With as many channels open as callers may have, the platform's and the operators'
+// calls still get through, and a caller hears at once that it was not run.
+func TestOperatorsGetThroughACrowd(t *testing.T) {
+	c := qt.New(t)
+	f := openFleet(c, 0)
+	for {
+		if status, _, _ := f.do(0, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first"); status == http.StatusOK {
+			break
+		}
+	}
+	f.await(1, "/readyz", http.StatusOK)
+	for range DefaultSettings().Channels {
+		channel, err := net.Dial("tcp", f.public[1])
+		c.Assert(err, qt.IsNil)
+		defer channel.Close()
+	}
+	status, headers, got := f.do(1, http.MethodPost, "/v1/completions", `{"prompt":"x","max_tokens":1}`)
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(headers.Get(auditorium.HeaderRun), qt.Equals, string(auditorium.NotRun))
+	c.Assert(strings.Contains(got, `"crowded"`), qt.IsTrue, qt.Commentf("%s", got))
+	for _, path := range []string{"/readyz", "/v1/fleet", "/metrics"} {
+		status, _, _ = f.do(1, http.MethodGet, path, "")
+		c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", path))
+	}
+}
