Journals outlive their process; a night told over the fleet in causal order

Cause: entries ended with the process, and request entries pushed out what tells a night. Ruled out: a larger ring (a crowd fills any).

--- a/auditorium/desk.go
+++ b/auditorium/desk.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -140,6 +142,22 @@
 	Broken                                                    map[string]uint64
 }
 
+// Since tells what was not served since an earlier count; nothing when all was.
+func (c Counts) Since(before Counts) string {
+	parts := []string{}
+	for _, sort := range []struct{ now, before map[string]uint64 }{{c.Declined, before.Declined}, {c.Broken, before.Broken}} {
+		for _, reason := range slices.Sorted(maps.Keys(sort.now)) {
+			if more := sort.now[reason] - sort.before[reason]; more > 0 {
+				parts = append(parts, fmt.Sprintf("%s %d", reason, more))
+			}
+		}
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s; %d of %d served", strings.Join(parts, ", "), c.Served-before.Served, c.Requests-before.Requests)
+}
+
 // Trial puts other rules in the policy's place, to measure against. Daemons have none.
 type Trial struct {
 	HasNoCurrent bool // the prompt that an engine is working on counts once only
--- a/cmd/callboard/main.go
+++ b/cmd/callboard/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -14,7 +13,6 @@
 	"net/url"
 	"os"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -96,6 +94,7 @@
 	Part    string `arg:"--part" help:"flyloft, auditorium or platform"`
 	Subject string `arg:"--subject" help:"core, licence, home, \"engine ID\", \"node ADDRESS\", \"submission ID\" or a request's id"`
 	Last    int    `arg:"--last" default:"50"`
+	Since   string `arg:"--since" help:"tell what happened since then over the whole fleet: a span like 12h, or a moment like 2031-05-06T18:00:00Z"`
 }
 
 func (words) Description() string {
@@ -180,6 +179,8 @@
 		return b.show(http.MethodGet, "/v1/fleet", nil, b.printFleet)
 	case w.Explain != nil:
 		return b.gather("/v1/explain/" + url.PathEscape(w.Explain.Request))
+	case w.Journal != nil && w.Journal.Since != "":
+		return b.night(w.Journal.Since)
 	case w.Journal != nil:
 		query := url.Values{"part": {w.Journal.Part}, "subject": {w.Journal.Subject}, "last": {fmt.Sprint(w.Journal.Last)}}
 		return b.gather("/v1/journal?" + query.Encode())
@@ -445,46 +446,12 @@
 	Entries []house.Entry  `json:"entries"`
 }
 
-// gather asks every node of the fleet and puts their journals together.
+// gather asks every node of the fleet and prints their journals, a node after another.
 func (b *board) gather(path string) (int, error) {
-	status, got, err := b.do(http.MethodGet, "/v1/fleet", nil, "")
+	pages, _, err := b.pages(path)
 	if err != nil {
 		return exitTrouble, err
 	}
-	if status != http.StatusOK {
-		return b.fail(status, got)
-	}
-	var view wings.FleetView
-	if err := json.Unmarshal(got, &view); err != nil {
-		return exitTrouble, misread{"the fleet", err}
-	}
-	publics := append([]string(nil), b.words.Nodes...)
-	for _, node := range view.Nodes {
-		publics = append(publics, node.Public)
-	}
-	sort.Strings(publics)
-	pages, asked, failed := []journalPage{}, map[string]bool{}, []error{}
-	for _, public := range publics {
-		if asked[public] {
-			continue
-		}
-		asked[public] = true
-		status, got, err := b.doAt(public, http.MethodGet, path, nil, "")
-		var page journalPage
-		if err == nil && status == http.StatusOK {
-			err = json.Unmarshal(got, &page)
-		}
-		if err != nil {
-			failed = append(failed, err)
-			continue
-		}
-		if len(page.Entries) > 0 {
-			pages = append(pages, page)
-		}
-	}
-	if len(failed) > 0 {
-		fmt.Fprintln(os.Stderr, "callboard: some nodes did not tell:", errors.Join(failed...))
-	}
 	if b.words.JSON {
 		if err := json.NewEncoder(b.out).Encode(pages); err != nil {
 			return exitTrouble, fmt.Errorf("print: %w", err)
@@ -498,7 +465,7 @@
 		}
 	}
 	if len(pages) == 0 {
-		fmt.Fprintln(os.Stderr, "callboard: no journal speaks of it; journals are bounded, and end with their process")
+		fmt.Fprintln(os.Stderr, "callboard: no journal speaks of it; journals are bounded, and without a data folder they end with their process")
 		return exitMissing, nil
 	}
 	return exitYes, nil
--- a/cmd/callboard/main_test.go
+++ b/cmd/callboard/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,8 @@
 	"github.com/alexflint/go-arg"
 	qt "github.com/frankban/quicktest"
 
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
 	"dunlinloom/wings"
 )
 
@@ -79,3 +82,80 @@
 	c.Assert(exit, qt.Equals, exitUnproved)
 	c.Assert(strings.Contains(err.Error(), "callboard submission mine"), qt.IsTrue)
 }
+
+func TestTheDiffOfTwoSpecs(t *testing.T) {
+	c := qt.New(t)
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Query().Get("generation") {
+		case "3":
+			io.WriteString(w, `{"bindings":[{"name":"a","shares":[{"weight":1}]}]}`)
+		case "9":
+			io.WriteString(w, `{"bindings":[{"name":"a","shares":[{"weight":7}]}]}`)
+		default:
+			w.WriteHeader(http.StatusNotFound)
+			io.WriteString(w, `{"error":{"type":"no_spec","message":"gone"}}`)
+		}
+	}))
+	defer node.Close()
+	var out bytes.Buffer
+	b := &board{words{Nodes: []string{strings.TrimPrefix(node.URL, "http://")}}, http.DefaultClient, &out}
+	status, err := b.diff(3, 9)
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, exitYes)
+	c.Assert(out.String(), qt.Equals, "-          \"weight\": 1\n+          \"weight\": 7\n")
+	status, _ = b.diff(3, 5)
+	c.Assert(status, qt.Equals, exitMissing)
+	_, err = b.diff(0, 5)
+	c.Assert(err, qt.IsNotNil)
+}
+
+// Clocks differ by an hour, yet what was done under a generation comes after its
+// proposal; and a node that does not answer is named.
+func TestANightIsToldInCausalOrder(t *testing.T) {
+	c := qt.New(t)
+	entry := func(seq, era uint64, wall house.Micros, subject, decision, why string) house.Entry {
+		return house.Entry{Seq: seq, Start: 1, Era: era, Wall: wall * house.Second, Part: "flyloft", Subject: subject, Decision: decision, Why: why}
+	}
+	pages := map[string]journalPage{
+		"a": {house.Identity{Address: "10.0.0.1:7000", Zone: "z1"}, []house.Entry{
+			entry(1, 4, 7200, "core", "lead", "term 3, elected"), entry(2, 4, 7201, "core", "propose", "generation 5: [submission s1]"),
+			entry(3, 5, 7203, "submission s1", "yes", "kept and applied"), entry(4, 5, 7204, "core", "propose", "generation 6: [voter dropped: 10.0.0.9:7000]"),
+			entry(5, 6, 7206, "engine e1", "leaving", "marked"),
+		}},
+		"b": {house.Identity{Address: "10.0.0.2:7000", Zone: "z2"}, []house.Entry{
+			entry(1, 4, 3590, "licence", "core dark", "no grant"), entry(2, 5, 3602, "licence", "core back", "under 5"),
+			entry(3, 6, 3605, "engine e1", "leaving", "marked"), entry(4, 6, 3660, "declines", "count", "no_licence 3; 5 of 8 served"),
+		}},
+	}
+	handler := func(name string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/v1/journal" {
+				c.Check(r.URL.Query().Get("requests"), qt.Equals, "0")
+				c.Check(json.NewEncoder(w).Encode(pages[name]), qt.IsNil)
+				return
+			}
+			c.Check(json.NewEncoder(w).Encode(map[string]any{"register": []string{"10.0.0.7:7000"}, "voters": []flyloft.Member{}}), qt.IsNil)
+		}
+	}
+	one, other := httptest.NewServer(handler("a")), httptest.NewServer(handler("b"))
+	defer one.Close()
+	defer other.Close()
+	var out bytes.Buffer
+	b := &board{words{Nodes: []string{strings.TrimPrefix(one.URL, "http://"), strings.TrimPrefix(other.URL, "http://"), "127.0.0.1:1"}}, http.DefaultClient, &out}
+	status, err := b.night("12h")
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, exitYes)
+	at := -1
+	for _, want := range []string{"NO ANSWER from 10.0.0.7:7000", "NO ANSWER from 127.0.0.1:1", "hears no core", "leads: term 3", "generation 5: [submission s1]",
+		"hears the core again", "order acknowledged s1", "voter dropped", "engine leaves e1", "declined within a minute: no_licence 3"} {
+		next := strings.Index(out.String(), want)
+		c.Assert(next > at, qt.IsTrue, qt.Commentf("%q is not where it should be in\n%s", want, out.String()))
+		at = next
+	}
+	c.Assert(strings.Count(out.String(), "engine leaves e1"), qt.Equals, 1)
+	for _, bad := range []string{"yesterday", "-3h", "2999-01-01T00:00:00Z"} {
+		status, err = b.night(bad)
+		c.Assert(status, qt.Equals, exitTrouble)
+		c.Assert(err, qt.IsNotNil)
+	}
+}
--- /dev/null
+++ b/cmd/callboard/night.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+)
+
+// badSince says that a moment to look back to can't be understood.
+type badSince struct{ text string }
+
+func (b badSince) Error() string {
+	return fmt.Sprintf("--since %q is neither a span like 12h nor a moment like 2031-05-06T18:00:00Z", b.text)
+}
+
+// sinceOf reads how far to look back.
+func sinceOf(text string, now time.Time) (house.Micros, error) {
+	if span, err := time.ParseDuration(text); err == nil && span > 0 {
+		return house.Micros(now.Add(-span).UnixMicro()), nil
+	}
+	moment, err := time.Parse(time.RFC3339, text)
+	if err != nil || moment.After(now) {
+		return 0, badSince{text}
+	}
+	return house.Micros(moment.UnixMicro()), nil
+}
+
+// told is an entry with the node that made it.
+type told struct {
+	node  house.Identity
+	entry house.Entry
+}
+
+// merge puts the journals of several nodes into one order. A node's own entries keep
+// theirs. Between nodes the agreed generations tell: what was done under one came after
+// that was proposed. Where they say nothing, each node's own wall clock does.
+func merge(pages []journalPage) []told {
+	heads := make([]int, len(pages))
+	proposed := map[uint64]int{} // generation to how many proposals of it are still to come
+	for _, page := range pages {
+		for _, entry := range page.Entries {
+			if generation := flyloft.Proposes(entry); generation > 0 {
+				proposed[generation]++
+			}
+		}
+	}
+	generations := slices.Sorted(maps.Keys(proposed))
+	merged := []told{}
+	for {
+		best, bestFree := -1, false
+		for i, page := range pages {
+			if heads[i] == len(page.Entries) {
+				continue
+			}
+			entry := page.Entries[heads[i]]
+			first := slices.IndexFunc(generations, func(generation uint64) bool { return proposed[generation] > 0 })
+			isFree := first < 0 || entry.Era < generations[first]
+			switch {
+			case best < 0, isFree && !bestFree:
+			case isFree == bestFree && entry.Wall < pages[best].Entries[heads[best]].Wall:
+			default:
+				continue
+			}
+			best, bestFree = i, isFree
+		}
+		if best < 0 {
+			return merged
+		}
+		entry := pages[best].Entries[heads[best]]
+		heads[best]++
+		if generation := flyloft.Proposes(entry); generation > 0 {
+			proposed[generation]--
+		}
+		merged = append(merged, told{pages[best].Node, entry})
+	}
+}
+
+// tellings are the decisions that tell a night, and how an operator reads them.
+var tellings = []struct{ subject, decision, line string }{
+	{"core", "lead", "leads"}, {"core", "step down", "no longer leads"}, {"core", "name successor", "names a successor"},
+	{"core", "found", "founded the fleet"}, {"core", "leave", "is asked to stop"},
+	{"core", "propose", "the core changes"},
+	{"submission ", "yes", "order acknowledged"}, {"submission ", "decline", "order declined"}, {"submission ", "fence", "order without an answer"},
+	{"licence", "core dark", "hears no core"}, {"licence", "core back", "hears the core again"},
+	{"home", "name successor", "hands its zone on"},
+	{"disk", "ail", "disk trouble"}, {"disk", "mend", "disk well again"}, {"history", "lag", "the object store lags"},
+	{"engine ", "leaving", "engine leaves"}, {"engine ", "reach", "engine's reach"}, {"engine ", "listing", "engine's listing"}, {"engine ", "restarted", "engine restarted"},
+	{"node ", "dropped", "lost sight of"}, {"list", "unreadable", "platform's list unreadable"},
+	{"process", "start", "started"}, {"process", "stop", "stopped"}, {"declines", "count", "declined within a minute"},
+}
+
+func lineOf(entry house.Entry) string {
+	for _, telling := range tellings {
+		if strings.HasPrefix(entry.Subject, telling.subject) && entry.Decision == telling.decision {
+			_, name, _ := strings.Cut(entry.Subject, " ")
+			return strings.TrimSpace(telling.line + " " + name)
+		}
+	}
+	return ""
+}
+
+// night tells what happened since a moment, over the whole fleet.
+func (b *board) night(text string) (int, error) {
+	since, err := sinceOf(text, time.Now())
+	if err != nil {
+		return exitTrouble, err
+	}
+	pages, silent, err := b.pages("/v1/journal?" + url.Values{"since_us": {fmt.Sprint(since)}, "requests": {"0"}}.Encode())
+	if err != nil {
+		return exitTrouble, err
+	}
+	if b.words.JSON {
+		if err := json.NewEncoder(b.out).Encode(map[string]any{"silent": silent, "entries": pages}); err != nil {
+			return exitTrouble, fmt.Errorf("print: %w", err)
+		}
+		return exitYes, nil
+	}
+	for _, node := range silent {
+		fmt.Fprintf(b.out, "NO ANSWER from %s: what it alone knows is missing below\n", node)
+	}
+	seen := map[string]bool{}
+	lines := 0
+	for _, each := range merge(pages) {
+		line := lineOf(each.entry)
+		// What every node sees of an engine or an order is told once.
+		key := fmt.Sprint(each.entry.Subject, "|", each.entry.Decision, "|", each.entry.Why)
+		if line == "" || strings.HasPrefix(each.entry.Subject, "engine ") && seen[key] {
+			continue
+		}
+		seen[key] = true
+		lines++
+		moment := time.UnixMicro(int64(each.entry.Wall)).UTC().Format("2006-01-02 15:04:05.000")
+		fmt.Fprintf(b.out, "%s  %-6s %-21s %s: %s\n", moment, each.node.Zone, each.node.Address, line, each.entry.Why)
+	}
+	if lines == 0 {
+		fmt.Fprintln(b.out, "nothing to tell")
+	}
+	return exitYes, nil
+}
+
+// pages asks every node of the fleet, and says which did not answer.
+func (b *board) pages(path string) (pages []journalPage, silent []string, err error) {
+	status, got, err := b.do(http.MethodGet, "/v1/fleet", nil, "")
+	if err != nil {
+		return nil, nil, err
+	}
+	var view struct {
+		Nodes []struct {
+			Address string `json:"address"`
+			Public  string `json:"public"`
+		} `json:"nodes"`
+		Register []string         `json:"register"`
+		Voters   []flyloft.Member `json:"voters"`
+	}
+	if status != http.StatusOK {
+		return nil, nil, misread{"the fleet", unanswered{status}}
+	}
+	if err := json.Unmarshal(got, &view); err != nil {
+		return nil, nil, misread{"the fleet", err}
+	}
+	publics, known := slices.Clone(b.words.Nodes), map[string]bool{}
+	for _, node := range view.Nodes {
+		publics = append(publics, node.Public)
+		known[node.Address] = true
+	}
+	// Who should be there and is not heard of is asked for nothing, but named.
+	for _, voter := range view.Voters {
+		view.Register = append(view.Register, voter.Address)
+	}
+	slices.Sort(view.Register)
+	for _, address := range slices.Compact(view.Register) {
+		if !known[address] {
+			silent = append(silent, address)
+		}
+	}
+	slices.Sort(publics)
+	failed := []error{}
+	for _, public := range slices.Compact(publics) {
+		status, got, err := b.doAt(public, http.MethodGet, path, nil, "")
+		var page journalPage
+		if err == nil && status != http.StatusOK {
+			err = unanswered{status}
+		}
+		if err == nil {
+			err = json.Unmarshal(got, &page)
+		}
+		if err != nil {
+			failed = append(failed, err)
+			silent = append(silent, public)
+			continue
+		}
+		if len(page.Entries) > 0 {
+			pages = append(pages, page)
+		}
+	}
+	if len(failed) > 0 {
+		fmt.Fprintln(os.Stderr, "callboard: some nodes did not tell:", errors.Join(failed...))
+	}
+	return pages, silent, nil
+}
+
+// unanswered says that a node answered, but did not tell.
+type unanswered struct{ status int }
+
+func (b unanswered) Error() string { return fmt.Sprintf("status %d", b.status) }
--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -791,10 +791,27 @@
 	if len(reasons) == 0 {
 		return
 	}
-	c.note("core", "propose", "generation %d: %v", next.Generation, reasons)
+	c.note("core", proposes, proposeForm+"%v", next.Generation, reasons)
 	c.propose(next)
 }
 
+// How a proposal stands in the journal, to be written and read by the same form.
+const (
+	proposes    = "propose"
+	proposeForm = "generation %d: "
+)
+
+// Proposes tells which generation an entry of a journal proposes; zero for none.
+func Proposes(entry house.Entry) (generation uint64) {
+	if entry.Subject != "core" || entry.Decision != proposes {
+		return 0
+	}
+	if _, err := fmt.Sscanf(entry.Why, proposeForm, &generation); err != nil {
+		return 0
+	}
+	return generation
+}
+
 // order applies one submission to the next document; false when nothing has to change.
 func (c *Core) order(next *Document, held heldSubmit) bool {
 	m := held.submit
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -182,6 +182,7 @@
 	if !isNews {
 		return
 	}
+	n.settings.Journal.SetEra(n.licence.Generation())
 	n.note("spec", "apply", fmt.Sprintf("generation %d", n.licence.Generation()))
 	// The leader counts who has applied what, so it should hear at once.
 	n.askAlarm = n.now
--- a/house/journal.go
+++ b/house/journal.go
@@ -1,63 +1,131 @@
 package house
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Entry is one decision with its reason.
 type Entry struct {
 	Seq      uint64 `json:"seq"`
-	At       Micros `json:"at_us"`
+	Start    uint64 `json:"start,omitempty"` // of the process
+	At       Micros `json:"at_us"`           // by the node's own clock, which no other shares
+	Wall     Micros `json:"wall_us,omitempty"`
+	Era      uint64 `json:"era,omitempty"` // the generation in force at the node
 	Part     string `json:"part"`
 	Subject  string `json:"subject"`
 	Decision string `json:"decision"`
 	Why      string `json:"why"`
+	// IsRequest marks what is about one caller's request: such entries come by the
+	// hundred, and must not push out those that tell a night.
+	IsRequest bool `json:"request,omitempty"`
 }
 
-// Journal keeps the newest decisions of a node, and no more than its bound.
+// Journal keeps the newest decisions of a node, and no more than its bound of each sort.
 type Journal struct {
 	lock  sync.Mutex
-	ring  []Entry
+	rings [2]ring // of requests, and of all else
 	count uint64
+	start uint64
+	era   uint64
+	wall  func() Micros
 	// Watch, if set, hears of each entry as it is made; it may not call the journal.
 	Watch func(Entry)
 }
 
-// NewJournal makes a journal that holds at most so many entries.
-func NewJournal(bound int) *Journal { return &Journal{ring: make([]Entry, 0, max(bound, 1))} }
+type ring struct {
+	entries []Entry
+	count   uint64
+}
+
+func (r *ring) add(entry Entry) {
+	if len(r.entries) < cap(r.entries) {
+		r.entries = append(r.entries, entry)
+	} else {
+		r.entries[r.count%uint64(cap(r.entries))] = entry
+	}
+	r.count++
+}
+
+// NewJournal makes a journal that holds at most so many entries of each sort.
+func NewJournal(bound int) *Journal {
+	j := &Journal{}
+	for i := range j.rings {
+		j.rings[i].entries = make([]Entry, 0, max(bound, 1))
+	}
+	return j
+}
 
-// Note adds an entry; the oldest gives way. A nil journal takes nothing.
+// Open names the process and the wall clock that entries are to carry.
+func (j *Journal) Open(start uint64, wall func() Micros) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	j.start, j.wall = start, wall
+}
+
+// SetEra tells the generation in force here. By it the entries of several nodes can be
+// put in order: what was done under a generation came after that was proposed.
+func (j *Journal) SetEra(generation uint64) {
+	if j == nil {
+		return
+	}
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	j.era = generation
+}
+
+// Note adds an entry; the oldest of its sort gives way. A nil journal takes nothing.
 func (j *Journal) Note(at Micros, part, subject, decision, why string) {
+	j.add(Entry{At: at, Part: part, Subject: subject, Decision: decision, Why: why})
+}
+
+// NoteRequest adds an entry about one caller's request.
+func (j *Journal) NoteRequest(at Micros, part, subject, decision, why string) {
+	j.add(Entry{At: at, Part: part, Subject: subject, Decision: decision, Why: why, IsRequest: true})
+}
+
+func (j *Journal) add(entry Entry) {
 	if j == nil {
 		return
 	}
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	entry := Entry{j.count, at, part, subject, decision, why}
-	if len(j.ring) < cap(j.ring) {
-		j.ring = append(j.ring, entry)
-	} else {
-		j.ring[j.count%uint64(cap(j.ring))] = entry
+	entry.Seq, entry.Start, entry.Era = j.count, j.start, j.era
+	if j.wall != nil {
+		entry.Wall = j.wall()
 	}
 	j.count++
+	j.rings[sortOf(entry)].add(entry)
 	if j.Watch != nil {
 		j.Watch(entry)
 	}
 }
 
+func sortOf(entry Entry) int {
+	if entry.IsRequest {
+		return 0
+	}
+	return 1
+}
+
 // Read gives the entries in order; subject and part narrow them when not empty.
 func (j *Journal) Read(part, subject string, most int) []Entry {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	start := uint64(0)
-	if j.count > uint64(len(j.ring)) {
-		start = j.count - uint64(len(j.ring))
-	}
 	found := []Entry{}
-	for seq := start; seq < j.count; seq++ {
-		entry := j.ring[seq%uint64(cap(j.ring))]
-		if (part == "" || entry.Part == part) && (subject == "" || entry.Subject == subject) {
-			found = append(found, entry)
+	for _, ring := range j.rings {
+		for _, entry := range ring.entries {
+			if (part == "" || entry.Part == part) && (subject == "" || entry.Subject == subject) {
+				found = append(found, entry)
+			}
 		}
 	}
+	slices.SortFunc(found, func(a, b Entry) int {
+		if a.Seq < b.Seq {
+			return -1
+		}
+		return 1
+	})
 	if most > 0 && len(found) > most {
 		found = found[len(found)-most:]
 	}
--- a/wings/face.go
+++ b/wings/face.go
@@ -34,6 +34,7 @@
 	// Nil where nothing of the past is kept.
 	wardrobe  *wardrobe.Wardrobe
 	librarian *Librarian
+	diary     *house.Diary
 	stopping  func() bool
 }
 
@@ -56,12 +57,16 @@
 	if err != nil {
 		librarian = nil
 	}
+	diary, err := house.Find[*house.Diary](stage, ServiceDiary)
+	if err != nil {
+		diary = nil
+	}
 	// A prompter routes nothing, so it has no usher and no completions.
 	usher, err := house.Find[*auditorium.Usher](stage, ServiceUsher)
 	if err != nil {
 		usher = nil
 	}
-	f := &Face{cue, runner, usher, channels, shelf, door, kept, librarian, stopping}
+	f := &Face{cue, runner, usher, channels, shelf, door, kept, librarian, diary, stopping}
 	mux := http.NewServeMux()
 	if usher != nil {
 		mux.Handle("POST /v1/completions", usher)
@@ -450,7 +455,11 @@
 }
 
 func (f *Face) explain(w http.ResponseWriter, r *http.Request) {
-	f.reply(w, http.StatusOK, map[string]any{"node": f.cue.Self, "entries": f.cue.Journal.Read("", r.PathValue("request"), 0)})
+	entries := f.cue.Journal.Read("", r.PathValue("request"), 0)
+	if f.diary != nil {
+		entries = house.Join(f.diary.Read(0, func(entry house.Entry) bool { return entry.Subject == r.PathValue("request") }), entries)
+	}
+	f.reply(w, http.StatusOK, map[string]any{"node": f.cue.Self, "entries": entries})
 }
 
 func (f *Face) journal(w http.ResponseWriter, r *http.Request) {
@@ -459,10 +468,23 @@
 	if err != nil {
 		most = 100
 	}
-	f.reply(w, http.StatusOK, map[string]any{
-		"node": f.cue.Self, "now_us": f.cue.Clock.Now(),
-		"entries": f.cue.Journal.Read(query.Get("part"), query.Get("subject"), most),
-	})
+	entries := f.cue.Journal.Read(query.Get("part"), query.Get("subject"), most)
+	if text := query.Get("since_us"); text != "" {
+		since, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || since < 0 {
+			f.fail(w, http.StatusBadRequest, "bad_request", "since_us is not a moment in microseconds")
+			return
+		}
+		isWanted := func(entry house.Entry) bool {
+			return entry.Wall >= house.Micros(since) && (query.Get("part") == "" || entry.Part == query.Get("part")) &&
+				(query.Get("subject") == "" || entry.Subject == query.Get("subject")) && (query.Get("requests") != "0" || !entry.IsRequest)
+		}
+		entries = slices.DeleteFunc(f.cue.Journal.Read("", "", 0), func(entry house.Entry) bool { return !isWanted(entry) })
+		if f.diary != nil {
+			entries = house.Join(f.diary.Read(house.Micros(since), isWanted), entries)
+		}
+	}
+	f.reply(w, http.StatusOK, map[string]any{"node": f.cue.Self, "now_us": f.cue.Clock.Now(), "entries": entries})
 }
 
 func (f *Face) health(w http.ResponseWriter, _ *http.Request) {
@@ -529,6 +551,10 @@
 	line("peer_messages_dropped_total", f.channels.Dropped.Load())
 	line("channels_open", f.door.Open())
 	line("channels_turned_away_total", f.door.Turned.Load())
+	if f.diary != nil {
+		line("journal_written_total", f.diary.Written.Load())
+		line("journal_dropped_total", f.diary.Dropped.Load())
+	}
 	if f.librarian != nil {
 		line("history_filed_total", f.librarian.Filed.Load())
 		line("history_failed_total", f.librarian.Failed.Load())
--- a/wings/process.go
+++ b/wings/process.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -68,6 +69,7 @@
 	ServiceUsher    = "usher"
 	ServiceShelf    = "shelf"
 	ServiceDoor     = "door"
+	ServiceDiary    = "diary" // only with a data folder
 	// Only with a data folder.
 	ServiceWardrobe  = "wardrobe"
 	ServiceLibrarian = "librarian"
@@ -84,6 +86,35 @@
 
 	shelf := &playbill.Shelf{}
 	start := uint64(time.Now().UnixMicro())
+	cue.Journal.Open(start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
+	var diary *house.Diary
+	if settings.Data != "" && settings.JournalMB > 0 {
+		var err error
+		if diary, err = house.OpenDiary(filepath.Join(settings.Data, "journal"), int64(settings.JournalMB)<<20); err != nil {
+			// What happened can be told from memory too; serving must not hang on it.
+			log.Error(err, "the journal is kept in memory alone")
+		} else {
+			cue.Journal.Watch = diary.Take
+			if err := stage.Place(ServiceDiary, diary); err != nil {
+				return fmt.Errorf("start: %w", err)
+			}
+			// A life of its own, so that what the others note as they end is written too.
+			pages, endPages := context.WithCancel(context.Background())
+			written := make(chan struct{})
+			go func() { diary.Run(pages); close(written) }()
+			stage.Strike.Defer(func() error {
+				endPages()
+				// A stalled disk may keep the last entries; it must not keep the process.
+				select {
+				case <-written:
+				case <-time.After(2 * time.Second):
+				}
+				return nil
+			})
+		}
+	}
+	cue.Note("house", "process", "start", parts.Program+" "+settings.Version())
+	stage.Strike.Defer(func() error { cue.Note("house", "process", "stop", "its work is done"); return nil })
 	node := flyloft.NodeSettings{
 		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: settings.Data != "",
 		// Of the address, so that the elections of two nodes do not collide.
@@ -111,7 +142,11 @@
 	var usher *auditorium.Usher
 	if parts.IsRouter {
 		desk = auditorium.NewDesk(self.Address, self.Zone, func(now house.Micros, subject, decision, why string) {
-			cue.Journal.Note(now, "auditorium", subject, decision, why)
+			if strings.HasPrefix(subject, "engine ") {
+				cue.Journal.Note(now, "auditorium", subject, decision, why)
+				return
+			}
+			cue.Journal.NoteRequest(now, "auditorium", subject, decision, why)
 		})
 		usher = &auditorium.Usher{Cue: cue, Desk: desk, Spans: settings.Spans(), Dial: plainDialer()}
 	}
@@ -187,6 +222,9 @@
 	go serve(back, peer)
 	ended := make(chan struct{})
 	go func() { runner.Run(); close(ended) }()
+	if desk != nil {
+		go tellMinutes(cue, desk)
+	}
 	if librarian != nil {
 		// Nobody waits for it: a stalled disk must not hold up a stop.
 		go librarian.Run()
@@ -222,6 +260,26 @@
 	return nil
 }
 
+// tellMinutes notes once a minute what was declined in it. Requests come by the hundred
+// and their entries soon give way; the count of a night's declines has to stay.
+func tellMinutes(cue house.Cue, desk *auditorium.Desk) {
+	ticker := time.NewTicker(time.Minute)
+	defer ticker.Stop()
+	before := desk.Counts()
+	for {
+		select {
+		case <-cue.Done():
+			return
+		case <-ticker.C:
+		}
+		now := desk.Counts()
+		if line := now.Since(before); line != "" {
+			cue.Note("auditorium", "declines", "count", line)
+		}
+		before = now
+	}
+}
+
 // waitUntil looks again and again until a condition holds or the span is over.
 func waitUntil(span int64, isMet func() bool) {
 	end := time.NewTimer(house.Micros(span).Duration())
--- a/wings/settings.go
+++ b/wings/settings.go
@@ -35,6 +35,7 @@
 	Channels  int      `arg:"--channels" json:"channels" help:"channels that callers may hold open at once"`
 	Live      int      `arg:"--live" json:"live" help:"requests served at once"`
 	BodiesMB  int      `arg:"--bodies-mb" json:"bodies_mb" help:"megabytes of request bodies held at once"`
+	JournalMB int      `arg:"--journal-mb" json:"journal_mb" help:"megabytes of journal kept in the data folder, of decisions and of requests each; 0 keeps none"`
 	Journal   int      `arg:"--journal" json:"journal" help:"entries kept in the journal"`
 
 	PulseUS         int64 `arg:"--pulse-us" json:"pulse_us" help:"between a leader's pulses"`
@@ -59,7 +60,7 @@
 	bounds := auditorium.DefaultBounds()
 	timing, spans := flyloft.DefaultTiming(), auditorium.DefaultSpans()
 	return Settings{
-		Fleet: "dunlinloom", Journal: 4096, ArchiveMB: 64,
+		Fleet: "dunlinloom", Journal: 4096, ArchiveMB: 64, JournalMB: 8,
 		Channels: 2048, Live: int(bounds.Live), BodiesMB: int(bounds.Bodies >> 20),
 		PulseUS: int64(timing.Pulse), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
 		DiskStallUS: int64(timing.DiskStall), ReplaceUS: int64(timing.Replace), AskUS: int64(timing.Ask),
@@ -194,14 +195,11 @@
 	for _, bound := range []struct {
 		name             string
 		value, low, high int
-	}{{"channels", s.Channels, 16, 1 << 20}, {"live", s.Live, 1, 1 << 20}, {"bodies_mb", s.BodiesMB, 8, 1 << 20}} {
+	}{{"channels", s.Channels, 16, 1 << 20}, {"live", s.Live, 1, 1 << 20}, {"bodies_mb", s.BodiesMB, 8, 1 << 20}, {"journal_mb", s.JournalMB, 0, 1 << 14}, {"archive_mb", s.ArchiveMB, 0, 1 << 16}} {
 		if bound.value < bound.low || bound.value > bound.high {
 			faults.Add(bound.name, "%d is not from %d to %d", bound.value, bound.low, bound.high)
 		}
 	}
-	if s.ArchiveMB < 0 || s.ArchiveMB > 1<<16 {
-		faults.Add("archive_mb", "%d is not from 0 to %d", s.ArchiveMB, 1<<16)
-	}
 	if s.Journal < 16 || s.Journal > 1<<20 {
 		faults.Add("journal", "%d is not from 16 to %d", s.Journal, 1<<20)
 	}
