Bytes between nodes by kind and zone, in daemons and rehearsals; parcels compressed

Cause: only the simulator told which messages cross zones. News is the largest kind, then pulses. Ruled out: slower pulses, as elections are four of them.

--- a/cmd/callboard/main.go
+++ b/cmd/callboard/main.go
@@ -444,6 +444,10 @@
 	for _, engine := range view.Engines {
 		fmt.Fprintf(b.out, "%-16s %-22s %-8s %10d %10.0f %8d  %s\n", engine.ID, engine.Address, engine.Zone, engine.Own, engine.Foreign, engine.Streams, engine.Bar)
 	}
+	fmt.Fprintf(b.out, "\n%-16s %-8s %12s  sent by %s\n", "MESSAGES", "TO", "BYTES", view.Self.Address)
+	for _, traffic := range view.Traffic[:min(len(view.Traffic), 12)] {
+		fmt.Fprintf(b.out, "%-16s %-8s %12d\n", traffic.Kind, traffic.To, traffic.Bytes)
+	}
 	return nil
 }
 
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 
 	"dunlinloom/house"
 )
@@ -46,6 +47,17 @@
 	Suspect       *Suspect       `json:"suspect,omitempty"`
 }
 
+// Kind names the one field that is set.
+func (m Message) Kind() string {
+	fields := reflect.ValueOf(m)
+	for i := range fields.NumField() {
+		if !fields.Field(i).IsNil() {
+			return fields.Type().Field(i).Name
+		}
+	}
+	return "none"
+}
+
 // Suspect tells the home that a router could not reach an engine.
 type Suspect struct {
 	Engine string `json:"engine"`
--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -38,8 +38,10 @@
 	// CallersServed counts callers that came again after a decline once.
 	CallersServed float64            `json:"callers_served_share"`
 	Counters      map[string]float64 `json:"counters"`
-	Orders        map[string]int     `json:"orders"`
-	Problems      []string           `json:"problems,omitempty"`
+	// Crossing is the bytes that nodes encoded for nodes of other zones, by kind of message.
+	Crossing map[string]float64 `json:"crossing_bytes_by_kind"`
+	Orders   map[string]int     `json:"orders"`
+	Problems []string           `json:"problems,omitempty"`
 }
 
 // Operator sends orders and remembers what was acknowledged.
@@ -761,7 +763,7 @@
 		"served_total", "callers_gone_total", "declined_total", "broken_total", "peer_bytes_sent_total", "peer_messages_sent_total", "peer_messages_dropped_total"} {
 		report.Counters[name] = s.total("dunlinloom_" + name)
 	}
-	report.Counters["peer_bytes_between_zones"] = s.crossed()
+	report.Counters["peer_bytes_between_zones"], report.Crossing = s.crossed()
 	events = append(events, critic.Event{At: now(), What: critic.Totals,
 		First: uint64(report.Counters["rounds_first_total"]), Retries: uint64(report.Counters["retries_total"])})
 	report.Review = critic.Judge(events, critic.BriefBounds())
--- a/rehearsal/stage.go
+++ b/rehearsal/stage.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -539,27 +540,35 @@
 	}
 }
 
-// crossed sums the bytes that nodes sent to nodes of other zones.
-func (s *Stage) crossed() float64 {
+// crossed sums the bytes that nodes sent to nodes of other zones: on the wire, and as
+// encoded by kind of message.
+func (s *Stage) crossed() (wire float64, kinds map[string]float64) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	sum := 0.0
-	for _, node := range s.nodes {
+	kinds = map[string]float64{}
+	for _, node := range append(slices.Clone(s.nodes), s.gone...) {
 		for key, counters := range s.counters {
 			if name, _, _ := strings.Cut(key, "#"); name != node.name {
 				continue
 			}
 			for metric, value := range counters {
-				isOwn := strings.Contains(metric, fmt.Sprintf("{to=%q}", node.zone))
-				if strings.HasPrefix(metric, "dunlinloom_peer_bytes_sent_total{") && !isOwn {
-					sum += value
+				labels := metricOf.FindStringSubmatch(metric)
+				switch {
+				case labels == nil || labels[3] == node.zone:
+				case labels[2] == "":
+					wire += value
+				default:
+					kinds[labels[2]] += value
 				}
 			}
 		}
 	}
-	return sum
+	return wire, kinds
 }
 
+// metricOf reads the two metrics of bytes between nodes.
+var metricOf = regexp.MustCompile(`^dunlinloom_peer_(?:bytes_sent|message_bytes)_total\{(kind="(\w+)",)?to="(\w+)"\}$`)
+
 func (s *Stage) total(name string) float64 {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/traproom/world.go
+++ b/traproom/world.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"reflect"
 	"slices"
 
 	"dunlinloom/auditorium"
@@ -624,7 +623,7 @@
 		return
 	}
 	if to.identity.Zone != from.identity.Zone {
-		w.Crossed[kindOf(envelope.Message)] += len(content)
+		w.Crossed[envelope.Message.Kind()] += len(content)
 	} else {
 		w.Within += len(content)
 	}
@@ -655,16 +654,6 @@
 	}
 }
 
-func kindOf(message flyloft.Message) string {
-	fields := reflect.ValueOf(message)
-	for i := range fields.NumField() {
-		if !fields.Field(i).IsNil() {
-			return fields.Type().Field(i).Name
-		}
-	}
-	return "none"
-}
-
 // ---- the platform's list ----
 
 func (w *World) relist() {
--- a/wings/channel.go
+++ b/wings/channel.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -36,6 +37,11 @@
 	Envelopes []flyloft.Envelope `json:"envelopes"`
 }
 
+// parcelOut is a parcel whose envelopes are encoded already, to be counted by kind.
+type parcelOut struct {
+	Envelopes []json.RawMessage `json:"envelopes"`
+}
+
 type nothing struct{}
 
 // RecallAsk asks a prompter for the spec of an older generation.
@@ -55,6 +61,9 @@
 	// Generous, so that a document of megabytes gets through to a slow machine.
 	channelSpan = 3 * house.Second
 	parcelBytes = 64 << 20
+	// Names and addresses repeat themselves within a parcel; below this there is little
+	// to be won.
+	compressFrom = 300
 )
 
 // Channels carry envelopes to other nodes: an inbox and a worker for each, so
@@ -70,8 +79,16 @@
 type peerInbox struct {
 	address string
 	inbox   chan flyloft.Envelope
-	deliver *connect.Client[parcel, nothing]
-	bytes   atomic.Uint64
+	deliver *connect.Client[parcelOut, nothing]
+	bytes   atomic.Uint64 // on the wire
+	lock    sync.Mutex    // guards kinds alone
+	kinds   map[string]uint64
+}
+
+func (p *peerInbox) count(kind string, bytes int) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.kinds[kind] += uint64(bytes)
 }
 
 // Dialer opens a channel; tests and rehearsals bring one that can fail.
@@ -109,6 +126,19 @@
 	return count, err
 }
 
+// KindsTo is how many bytes of each kind of message have been encoded for each node.
+func (c *Channels) KindsTo() map[string]map[string]uint64 {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	sent := map[string]map[string]uint64{}
+	for address, peer := range c.peers {
+		peer.lock.Lock()
+		sent[address] = maps.Clone(peer.kinds)
+		peer.lock.Unlock()
+	}
+	return sent
+}
+
 // BytesTo is how many bytes have gone to each node.
 func (c *Channels) BytesTo() map[string]uint64 {
 	c.lock.Lock()
@@ -127,8 +157,10 @@
 	if peer == nil {
 		peer = &peerInbox{
 			address: address, inbox: make(chan flyloft.Envelope, inboxBound),
-			deliver: connect.NewClient[parcel, nothing](c.client, "http://"+address+procedureDeliver,
-				connect.WithCodec(jsonCodec{}), connect.WithSendMaxBytes(parcelBytes)),
+			kinds: map[string]uint64{},
+			deliver: connect.NewClient[parcelOut, nothing](c.client, "http://"+address+procedureDeliver,
+				connect.WithCodec(jsonCodec{}), connect.WithSendMaxBytes(parcelBytes),
+				connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom)),
 		}
 		c.peers[address] = peer
 		go c.work(peer)
@@ -162,17 +194,27 @@
 
 func (c *Channels) work(peer *peerInbox) {
 	for {
-		var batch parcel
+		var batch parcelOut
+		add := func(envelope flyloft.Envelope) {
+			content, err := json.Marshal(envelope)
+			if err != nil {
+				c.Dropped.Add(1)
+				c.cue.Log.Error(err, "a message can't be encoded", "kind", envelope.Message.Kind())
+				return
+			}
+			peer.count(envelope.Message.Kind(), len(content))
+			batch.Envelopes = append(batch.Envelopes, content)
+		}
 		select {
 		case <-c.cue.Done():
 			return
 		case envelope := <-peer.inbox:
-			batch.Envelopes = append(batch.Envelopes, envelope)
+			add(envelope)
 		}
 		for len(batch.Envelopes) < parcelBound {
 			select {
 			case envelope := <-peer.inbox:
-				batch.Envelopes = append(batch.Envelopes, envelope)
+				add(envelope)
 				continue
 			default:
 			}
--- a/wings/face.go
+++ b/wings/face.go
@@ -1,6 +1,7 @@
 package wings
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/json"
 	"errors"
@@ -435,13 +436,14 @@
 	Nodes          []NodeView              `json:"nodes"`
 	Engines        []auditorium.EngineView `json:"engines"`
 	Neighbours     []string                `json:"neighbours"`
+	Traffic        []Traffic               `json:"traffic"`
 }
 
 func (f *Face) fleet(w http.ResponseWriter, _ *http.Request) {
 	state, now := f.runner.State(), f.cue.Clock.Now()
 	view := FleetView{
 		Self: f.cue.Self, Founding: state.Founding, Leader: state.Leader, Role: state.Role, Term: state.Term,
-		Ailment: state.Ailment, LicenceLeft: max(state.Until-now, 0), Why: state.Why, Neighbours: state.Neighbours,
+		Ailment: state.Ailment, LicenceLeft: max(state.Until-now, 0), Why: state.Why, Neighbours: state.Neighbours, Traffic: f.traffic(state),
 	}
 	if document := state.Document; document != nil {
 		view.Generation, view.SpecGeneration = document.Generation, document.SpecGeneration
@@ -516,13 +518,51 @@
 	}
 }
 
+// Traffic is what a node has sent to the nodes of a zone in one kind of message.
+type Traffic struct {
+	Kind  string `json:"kind"`
+	To    string `json:"to"`
+	Bytes uint64 `json:"bytes"` // as encoded, before the wire's compression
+}
+
+func (f *Face) zoneOf(state *flyloft.State, address string) string {
+	for _, node := range state.Nodes {
+		if node.Address == address {
+			return node.Zone
+		}
+	}
+	return "unknown"
+}
+
+// traffic sums what this node has sent, the most first.
+func (f *Face) traffic(state *flyloft.State) []Traffic {
+	sums := map[Traffic]uint64{}
+	for address, kinds := range f.channels.KindsTo() {
+		for kind, bytes := range kinds {
+			sums[Traffic{Kind: kind, To: f.zoneOf(state, address)}] += bytes
+		}
+	}
+	sent := []Traffic{}
+	for key, bytes := range sums {
+		key.Bytes = bytes
+		sent = append(sent, key)
+	}
+	slices.SortFunc(sent, func(a, b Traffic) int {
+		return cmp.Or(cmp.Compare(b.Bytes, a.Bytes), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.To, b.To))
+	})
+	return sent
+}
+
 func (f *Face) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	state, now := f.runner.State(), f.cue.Clock.Now()
 	line := func(name string, value any, labels ...string) {
 		text := ""
-		if len(labels) == 2 {
-			text = fmt.Sprintf("{%s=%q}", labels[0], labels[1])
+		for i := 0; i+1 < len(labels); i += 2 {
+			text += fmt.Sprintf(",%s=%q", labels[i], labels[i+1])
+		}
+		if text != "" {
+			text = "{" + text[1:] + "}"
 		}
 		fmt.Fprintf(w, "dunlinloom_%s%s %v\n", name, text, value)
 	}
@@ -540,16 +580,12 @@
 	line("owners_longest_us", f.runner.Longest())
 	line("engines_known", len(state.Engines))
 	line("nodes_known", len(state.Nodes))
-	zones, bytes := map[string]string{}, map[string]uint64{}
-	for _, node := range state.Nodes {
-		zones[node.Address] = node.Zone
-	}
+	bytes := map[string]uint64{}
 	for address, sent := range f.channels.BytesTo() {
-		zone := zones[address]
-		if zone == "" {
-			zone = "unknown"
-		}
-		bytes[zone] += sent
+		bytes[f.zoneOf(state, address)] += sent
+	}
+	for _, traffic := range f.traffic(state) {
+		line("peer_message_bytes_total", traffic.Bytes, "kind", traffic.Kind, "to", traffic.To)
 	}
 	for _, zone := range slices.Sorted(maps.Keys(bytes)) {
 		line("peer_bytes_sent_total", bytes[zone], "to", zone)
