The object store is listed beside the start, and a generation's cost on disk is measured

Cause: opening read every kept spec whole, thousands at the bound, before the node served. Now names and facts are read in the background and a spec is held against its digest when it is asked for.

--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -763,6 +763,7 @@
 		"served_total", "callers_gone_total", "declined_total", "broken_total", "peer_bytes_sent_total", "peer_messages_sent_total", "peer_messages_dropped_total"} {
 		report.Counters[name] = s.total("dunlinloom_" + name)
 	}
+	report.Counters["owners_longest_us"] = s.most("dunlinloom_owners_longest_us")
 	report.Counters["peer_bytes_between_zones"], report.Crossing = s.crossed()
 	events = append(events, critic.Event{At: now(), What: critic.Totals,
 		First: uint64(report.Counters["rounds_first_total"]), Retries: uint64(report.Counters["retries_total"])})
--- a/rehearsal/stage.go
+++ b/rehearsal/stage.go
@@ -540,6 +540,17 @@
 	}
 }
 
+// most is the largest value that any process showed.
+func (s *Stage) most(name string) float64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	largest := 0.0
+	for _, counters := range s.counters {
+		largest = max(largest, counters[name])
+	}
+	return largest
+}
+
 // crossed sums the bytes that nodes sent to nodes of other zones: on the wire, and as
 // encoded by kind of message.
 func (s *Stage) crossed() (wire float64, kinds map[string]float64) {
--- a/wardrobe/wardrobe.go
+++ b/wardrobe/wardrobe.go
@@ -60,6 +60,8 @@
 	repo  *git.Repository
 	files *filesystem.Storage
 	bytes int64
+	// listing is done once all that was there at the start is in held.
+	listing sync.WaitGroup
 	// Taken after the other, and never held over the disk: what is kept can be told
 	// while the disk stalls.
 	index sync.Mutex
@@ -190,30 +192,37 @@
 	}
 }
 
-// read lists what is held. A generation that can't be read is as good as not there.
+// read lists what is held, beside whoever opened the store: thousands of generations
+// take a while, and nobody's start may wait for that. What can't be read is passed over.
 func (w *Wardrobe) read() error {
-	held := map[uint64]Facts{}
 	refs, err := w.files.IterReferences()
 	if err != nil {
 		return fmt.Errorf("list the object store: %w", err)
 	}
-	err = refs.ForEach(func(ref *plumbing.Reference) error {
+	generations := []uint64{}
+	if err := refs.ForEach(func(ref *plumbing.Reference) error {
 		text, isTag := strings.CutPrefix(ref.Name().String(), tagPrefix)
-		generation, err := strconv.ParseUint(text, 10, 64)
-		if !isTag || err != nil {
-			return nil
-		}
-		if _, facts, err := w.at(generation); err == nil {
-			held[generation] = facts
+		if generation, err := strconv.ParseUint(text, 10, 64); isTag && err == nil {
+			generations = append(generations, generation)
 		}
 		return nil
-	})
-	if err != nil {
+	}); err != nil {
 		return fmt.Errorf("list the object store: %w", err)
 	}
-	w.index.Lock()
-	w.held = held
-	w.index.Unlock()
+	w.held = map[uint64]Facts{}
+	w.listing.Go(func() {
+		for _, generation := range generations {
+			w.lock.Lock()
+			_, facts, err := w.at(generation, factsName)
+			w.lock.Unlock()
+			if err != nil {
+				continue
+			}
+			w.index.Lock()
+			w.held[generation] = facts
+			w.index.Unlock()
+		}
+	})
 	return w.measure()
 }
 
@@ -277,8 +286,8 @@
 	return content, nil
 }
 
-// at reads a generation and holds it against its own facts.
-func (w *Wardrobe) at(generation uint64) ([]byte, Facts, error) {
+// at reads the named files of a generation; its spec it holds against its facts.
+func (w *Wardrobe) at(generation uint64, names ...string) ([]byte, Facts, error) {
 	ref, err := w.files.Reference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(generation, 10)))
 	if err != nil {
 		return nil, Facts{}, Missing{generation}
@@ -294,6 +303,9 @@
 	}
 	contents := map[string][]byte{}
 	for _, entry := range tree.Entries {
+		if !slices.Contains(names, entry.Name) {
+			continue
+		}
 		if contents[entry.Name], err = w.blob(entry.Hash); err != nil {
 			return damaged(err)
 		}
@@ -302,7 +314,7 @@
 	if err := json.Unmarshal(contents[factsName], &facts); err != nil {
 		return damaged(err)
 	}
-	if facts.Generation != generation || Digest(contents[specName]) != facts.Digest {
+	if facts.Generation != generation || slices.Contains(names, specName) && Digest(contents[specName]) != facts.Digest {
 		return nil, Facts{}, Damaged{generation, "its digest does not fit"}
 	}
 	return contents[specName], facts, nil
@@ -312,7 +324,7 @@
 func (w *Wardrobe) Holds(generation uint64, digest string) bool {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	_, facts, err := w.at(generation)
+	_, facts, err := w.at(generation, factsName, specName)
 	return err == nil && facts.Digest == digest
 }
 
@@ -320,7 +332,7 @@
 func (w *Wardrobe) Spec(generation uint64) ([]byte, Facts, error) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	return w.at(generation)
+	return w.at(generation, factsName, specName)
 }
 
 // History tells what is kept, oldest first.
--- a/wardrobe/wardrobe_test.go
+++ b/wardrobe/wardrobe_test.go
@@ -23,6 +23,7 @@
 func open(c *qt.C, path string) *Wardrobe {
 	w, err := Open(path, "here", room)
 	c.Assert(err, qt.IsNil)
+	w.listing.Wait()
 	return w
 }
 
@@ -203,3 +204,30 @@
 		c.Assert(kept[i], qt.Equals, kept[i-1]+1, qt.Commentf("only the oldest go: %v", kept))
 	}
 }
+
+// BenchmarkFile tells what a generation costs on disk; the time says more of the machine.
+func BenchmarkFile(b *testing.B) {
+	for _, bindings := range []int{20, 20000} {
+		b.Run(fmt.Sprint(bindings, " bindings"), func(b *testing.B) {
+			w, err := Open(filepath.Join(b.TempDir(), "specs.git"), "here", 1<<40)
+			if err != nil {
+				b.Fatal(err)
+			}
+			size := 0
+			for generation := uint64(1); b.Loop(); generation++ {
+				spec := strings.Builder{}
+				spec.WriteString(`{"bindings":[`)
+				for i := range bindings {
+					fmt.Fprintf(&spec, `{"name":"b%d","match":{"kind":"kind-%d"},"shares":[{"pool":"main","weight":%d}]},`, i, i, generation)
+				}
+				spec.WriteString(`{"name":"rest","shares":[{"weight":1}]}]}`)
+				size = spec.Len()
+				if err := w.File(facts(generation, spec.String()), []byte(spec.String())); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "spec-bytes")
+			b.ReportMetric(float64(w.bytes)/float64(len(w.held)), "disk-bytes/generation")
+		})
+	}
+}
