A process's start in parts, its folder locked before anything in it is touched

Cause: Run had grown to six duties, and opening a data folder cleared half-written files before it was known whether another process holds it.

--- a/house/lock.go
+++ b/house/lock.go
@@ -18,6 +18,9 @@
 // LockFolder keeps others off a data folder until release is called or the process
 // ends. Two processes on one folder would be one member with two minds.
 func LockFolder(path string) (release func() error, err error) {
+	if err := os.MkdirAll(path, 0o755); err != nil {
+		return nil, fmt.Errorf("lock the data folder: %w", DiskBreakdown{"make", path, err})
+	}
 	file, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o644)
 	if err != nil {
 		return nil, fmt.Errorf("lock the data folder: %w", DiskBreakdown{"open", "lock", err})
--- a/wings/process.go
+++ b/wings/process.go
@@ -75,153 +75,203 @@
 	ServiceLibrarian = "librarian"
 )
 
+// assembly is a process while it is put together and while it runs.
+type assembly struct {
+	cue      house.Cue
+	stage    *house.House
+	settings Settings
+	parts    Parts
+	end      context.CancelFunc // ends the cue
+	shelf    *playbill.Shelf
+	store    *flyloft.Store // nil without a data folder
+	runner   *Runner
+	// Nil without a router.
+	desk  *auditorium.Desk
+	usher *auditorium.Usher
+	// Nil where nothing of the past is kept.
+	librarian  *Librarian
+	public     *Door
+	isStopping atomic.Bool
+}
+
 // Run puts a node together and serves until stop ends, then drains it.
 func Run(stop context.Context, log klog.Logger, settings Settings, parts Parts) (err error) {
 	self := house.Identity{Fleet: settings.Fleet, Address: settings.Peer, Public: settings.Public, Zone: settings.Zone}
 	life, end := context.WithCancel(context.Background())
-	cue := house.Cue{Context: life, Clock: house.BootClock{}, Log: log, Self: self, Journal: house.NewJournal(settings.Journal)}
-	stage := house.Open()
-	defer func() { err = errors.Join(err, stage.Strike.Run()) }()
-	stage.Strike.Defer(func() error { end(); return nil })
-
-	shelf := &playbill.Shelf{}
-	start := uint64(time.Now().UnixMicro())
-	cue.Journal.Open(start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
-	var diary *house.Diary
-	if settings.Data != "" && settings.JournalMB > 0 {
-		var err error
-		if diary, err = house.OpenDiary(filepath.Join(settings.Data, "journal"), int64(settings.JournalMB)<<20); err != nil {
-			// What happened can be told from memory too; serving must not hang on it.
-			log.Error(err, "the journal is kept in memory alone")
-		} else {
-			cue.Journal.Watch = diary.Take
-			if err := stage.Place(ServiceDiary, diary); err != nil {
-				return fmt.Errorf("start: %w", err)
-			}
-			// A life of its own, so that what the others note as they end is written too.
-			pages, endPages := context.WithCancel(context.Background())
-			written := make(chan struct{})
-			go func() { diary.Run(pages); close(written) }()
-			stage.Strike.Defer(func() error {
-				endPages()
-				// A stalled disk may keep the last entries; it must not keep the process.
-				select {
-				case <-written:
-				case <-time.After(2 * time.Second):
-				}
-				return nil
-			})
-		}
+	a := &assembly{
+		cue:   house.Cue{Context: life, Clock: house.BootClock{}, Log: log, Self: self, Journal: house.NewJournal(settings.Journal)},
+		stage: house.Open(), settings: settings, parts: parts, end: end, shelf: &playbill.Shelf{},
 	}
-	cue.Note("house", "process", "start", parts.Program+" "+settings.Version())
-	stage.Strike.Defer(func() error { cue.Note("house", "process", "stop", "its work is done"); return nil })
+	defer func() { err = errors.Join(err, a.stage.Strike.Run()) }()
+	a.stage.Strike.Defer(func() error { end(); return nil })
 	node := flyloft.NodeSettings{
 		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: settings.Data != "",
 		// Of the address, so that the elections of two nodes do not collide.
-		Seeds: settings.Seeds, Start: start, RandomSeed: xxhash.Sum64String(self.Address), Timing: settings.Timing(), Journal: cue.Journal,
-		CheckSpec: shelf.Check, IsCompiled: shelf.Has,
+		Seeds: settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: xxhash.Sum64String(self.Address),
+		Timing: settings.Timing(), Journal: a.cue.Journal, CheckSpec: a.shelf.Check, IsCompiled: a.shelf.Has,
+		Member: flyloft.MemberID("no-folder-" + self.Address),
 	}
-	var store *flyloft.Store
-	if settings.Data != "" {
-		folder, err := openData(settings.Data)
-		if err != nil {
+	a.cue.Journal.Open(node.Start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
+	// The folder first: it may be another process's, and then nothing in it is touched.
+	for _, step := range []func() error{
+		func() error { return a.openFolder(&node) }, a.openJournal, func() error { return a.openNode(node) }, a.openPast, a.openDoor,
+	} {
+		if err := step(); err != nil {
 			return fmt.Errorf("start: %w", err)
 		}
-		release, err := house.LockFolder(settings.Data)
-		if err != nil {
-			return fmt.Errorf("start: %w", err)
-		}
-		stage.Strike.Defer(release)
-		if store, node.Ballot, node.Document, err = flyloft.OpenStore(folder, settings.Fleet, rand.Text); err != nil {
-			return fmt.Errorf("start: %w", err)
-		}
-		node.Member, node.Kept = store.Member(), store.SpecGenerations()
-		for _, name := range store.Aside() {
-			log.Info("a damaged file was set aside", "file", name)
+	}
+	failed, err := a.serve(node.Member)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-stop.Done():
+	}
+	a.drain()
+	return nil
+}
+
+// openFolder reads the data folder, if there is one, into what the node starts with.
+func (a *assembly) openFolder(node *flyloft.NodeSettings) error {
+	if a.settings.Data == "" {
+		return nil
+	}
+	release, err := house.LockFolder(a.settings.Data)
+	if err != nil {
+		return err
+	}
+	a.stage.Strike.Defer(release)
+	folder, err := openData(a.settings.Data)
+	if err != nil {
+		return err
+	}
+	if a.store, node.Ballot, node.Document, err = flyloft.OpenStore(folder, a.settings.Fleet, rand.Text); err != nil {
+		return err
+	}
+	node.Member, node.Kept = a.store.Member(), a.store.SpecGenerations()
+	for _, name := range a.store.Aside() {
+		a.cue.Log.Info("a damaged file was set aside", "file", name)
+	}
+	return nil
+}
+
+// openJournal has the journal written to the data folder.
+func (a *assembly) openJournal() error {
+	defer a.cue.Note("house", "process", "start", a.parts.Program+" "+a.settings.Version())
+	if a.settings.Data == "" || a.settings.JournalMB == 0 {
+		return nil
+	}
+	diary, err := house.OpenDiary(filepath.Join(a.settings.Data, "journal"), int64(a.settings.JournalMB)<<20)
+	if err != nil {
+		// What happened can be told from memory too; serving must not hang on it.
+		a.cue.Log.Error(err, "the journal is kept in memory alone")
+		return nil
+	}
+	a.cue.Journal.Watch = diary.Take
+	// A life of its own, so that what the others note as they end is written too.
+	pages, endPages := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() { diary.Run(pages); close(written) }()
+	a.stage.Strike.Defer(func() error {
+		a.cue.Note("house", "process", "stop", "its work is done")
+		endPages()
+		// A stalled disk may keep the last entries; it must not keep the process.
+		select {
+		case <-written:
+		case <-time.After(2 * time.Second):
 		}
-	} else {
-		node.Member = flyloft.MemberID("no-folder-" + self.Address)
-	}
-	channels := NewChannels(cue, peerDialer())
-	var desk *auditorium.Desk
-	var usher *auditorium.Usher
-	if parts.IsRouter {
-		desk = auditorium.NewDesk(self.Address, self.Zone, func(now house.Micros, subject, decision, why string) {
+		return nil
+	})
+	return a.stage.Place(ServiceDiary, diary)
+}
+
+// openNode makes the owners, their shell and, on a router, the way of a request.
+func (a *assembly) openNode(node flyloft.NodeSettings) error {
+	channels := NewChannels(a.cue, peerDialer())
+	services := map[string]any{ServiceChannels: channels, ServiceShelf: a.shelf}
+	if a.parts.IsRouter {
+		a.desk = auditorium.NewDesk(a.cue.Self.Address, a.cue.Self.Zone, func(now house.Micros, subject, decision, why string) {
 			if strings.HasPrefix(subject, "engine ") {
-				cue.Journal.Note(now, "auditorium", subject, decision, why)
+				a.cue.Journal.Note(now, "auditorium", subject, decision, why)
 				return
 			}
-			cue.Journal.NoteRequest(now, "auditorium", subject, decision, why)
+			a.cue.Journal.NoteRequest(now, "auditorium", subject, decision, why)
 		})
-		usher = &auditorium.Usher{Cue: cue, Desk: desk, Spans: settings.Spans(), Dial: plainDialer()}
-	}
-	runner := NewRunner(cue, flyloft.NewNode(node, cue.Clock.Now()), store, channels, desk, shelf, settings.Platform)
-	if usher != nil {
-		usher.Suspect, usher.Restarted = runner.Suspect, runner.Restarted
+		a.usher = &auditorium.Usher{Cue: a.cue, Desk: a.desk, Spans: a.settings.Spans(), Dial: plainDialer()}
+		services[ServiceUsher] = a.usher
 	}
-	services := map[string]any{ServiceRunner: runner, ServiceChannels: channels, ServiceShelf: shelf}
-	if usher != nil {
-		services[ServiceUsher] = usher
-	}
-	var librarian *Librarian
-	if settings.Data != "" && settings.ArchiveMB > 0 {
-		kept, err := wardrobe.Open(filepath.Join(settings.Data, "specs.git"), settings.Fleet, int64(settings.ArchiveMB)<<20)
-		switch {
-		case errors.As(err, new(wardrobe.Foreign)):
-			return fmt.Errorf("start: %w", err)
-		case err != nil:
-			// The past can be filed later; a node that serves now is worth more.
-			log.Error(err, "there is no object store for the past")
-		default:
-			librarian = NewLibrarian(cue, runner, channels, kept)
-			services[ServiceWardrobe], services[ServiceLibrarian] = kept, librarian
-		}
+	a.runner = NewRunner(a.cue, flyloft.NewNode(node, a.cue.Clock.Now()), a.store, channels, a.desk, a.shelf, a.settings.Platform)
+	services[ServiceRunner] = a.runner
+	if a.usher != nil {
+		a.usher.Suspect, a.usher.Restarted = a.runner.Suspect, a.runner.Restarted
 	}
 	for name, service := range services {
-		if err := stage.Place(name, service); err != nil {
-			return fmt.Errorf("start: %w", err)
+		if err := a.stage.Place(name, service); err != nil {
+			return err
 		}
 	}
+	return nil
+}
 
-	if err := checkFiles(settings.Channels, settings.Live); err != nil {
-		return fmt.Errorf("start: %w", err)
+// openPast opens the object store of past specs.
+func (a *assembly) openPast() error {
+	if a.settings.Data == "" || a.settings.ArchiveMB == 0 {
+		return nil
 	}
-	listener, err := net.Listen("tcp", settings.Public)
+	kept, err := wardrobe.Open(filepath.Join(a.settings.Data, "specs.git"), a.settings.Fleet, int64(a.settings.ArchiveMB)<<20)
+	switch {
+	case errors.As(err, new(wardrobe.Foreign)):
+		return err
+	case err != nil:
+		// The past can be filed later; a node that serves now is worth more.
+		a.cue.Log.Error(err, "there is no object store for the past")
+		return nil
+	}
+	channels, err := house.Find[*Channels](a.stage, ServiceChannels)
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return err
 	}
-	public := NewDoor(listener, settings.Channels)
-	stage.Strike.Defer(func() error { return ignoreClosed(public.Close()) })
-	if err := stage.Place(ServiceDoor, public); err != nil {
-		return fmt.Errorf("start: %w", err)
+	a.librarian = NewLibrarian(a.cue, a.runner, channels, kept)
+	return errors.Join(a.stage.Place(ServiceWardrobe, kept), a.stage.Place(ServiceLibrarian, a.librarian))
+}
+
+// openDoor listens for callers, within what the system allows.
+func (a *assembly) openDoor() error {
+	if err := checkFiles(a.settings.Channels, a.settings.Live); err != nil {
+		return err
 	}
-	if usher != nil {
-		usher.Bounds = auditorium.Bounds{Live: int64(settings.Live), Bodies: int64(settings.BodiesMB) << 20}
-		usher.IsCrowded = public.IsCrowded
+	listener, err := net.Listen("tcp", a.settings.Public)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
 	}
-	var isStopping atomic.Bool
-	handler, err := NewFace(cue, stage, isStopping.Load)
+	a.public = NewDoor(listener, a.settings.Channels)
+	a.stage.Strike.Defer(func() error { return ignoreClosed(a.public.Close()) })
+	if a.usher != nil {
+		a.usher.Bounds = auditorium.Bounds{Live: int64(a.settings.Live), Bodies: int64(a.settings.BodiesMB) << 20}
+		a.usher.IsCrowded = a.public.IsCrowded
+	}
+	return a.stage.Place(ServiceDoor, a.public)
+}
+
+// serve sets everything going; what it gives back tells when a server ends by itself.
+func (a *assembly) serve(member flyloft.MemberID) (<-chan error, error) {
+	handler, err := NewFace(a.cue, a.stage, a.isStopping.Load)
 	if err != nil {
-		return fmt.Errorf("start: %w", err)
+		return nil, err
 	}
-	peer, err := net.Listen("tcp", settings.Peer)
+	peer, err := net.Listen("tcp", a.settings.Peer)
 	if err != nil {
-		return fmt.Errorf("listen for nodes: %w", err)
+		return nil, fmt.Errorf("listen for nodes: %w", err)
 	}
-	stage.Strike.Defer(func() error { return ignoreClosed(peer.Close()) })
+	a.stage.Strike.Defer(func() error { return ignoreClosed(peer.Close()) })
 	face := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 120 * time.Second, MaxHeaderBytes: 64 << 10,
 	}
 	back := &http.Server{
-		Handler: NewPeerHandler(runner.Deliver, runner.Recall, func() flyloft.Witness {
-			state := runner.State()
-			witness := flyloft.Witness{Address: self.Address, Member: node.Member, Founding: state.Founding}
-			if state.Document != nil {
-				witness.Generation = state.Document.Generation
-			}
-			return witness
-		}),
+		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Recall, func() flyloft.Witness { return a.runner.Witness(member) }),
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second,
 	}
 	failed := make(chan error, 2)
@@ -230,46 +280,48 @@
 			failed <- err
 		}
 	}
-	go serve(face, public)
+	go serve(face, a.public)
 	go serve(back, peer)
 	ended := make(chan struct{})
-	go func() { runner.Run(); close(ended) }()
-	if desk != nil {
-		go tellMinutes(cue, desk)
+	go func() { a.runner.Run(); close(ended) }()
+	if a.desk != nil {
+		go tellMinutes(a.cue, a.desk)
 	}
-	if librarian != nil {
+	if a.librarian != nil {
 		// Nobody waits for it: a stalled disk must not hold up a stop.
-		go librarian.Run()
-	}
-	stage.Strike.Defer(func() error { end(); <-ended; return ignoreClosed(back.Close()) })
-	log.Info("serving", "public", self.Public, "member", string(node.Member))
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-stop.Done():
+		go a.librarian.Run()
 	}
+	a.stage.Strike.Defer(func() error { a.end(); <-ended; return ignoreClosed(back.Close()) })
+	// Callers' channels are wound down before the owners end.
+	a.stage.Strike.Defer(func() error {
+		last, done := context.WithTimeout(context.Background(), 5*time.Second)
+		defer done()
+		if err := face.Shutdown(last); err != nil {
+			a.cue.Log.Error(err, "some channels had to be cut")
+		}
+		return nil
+	})
+	a.cue.Log.Info("serving", "public", a.cue.Self.Public, "member", string(member))
+	return failed, nil
+}
 
-	// A planned stop: say so and hand duties on, take callers a little longer while
-	// the platform learns of it, then close the door and finish what was accepted.
+// drain is a planned stop: say so and hand duties on, take callers a little longer while
+// the platform learns of it, then close the door and finish what was accepted.
+func (a *assembly) drain() {
+	log := a.cue.Log
 	log.Info("stopping")
-	isStopping.Store(true)
-	runner.Leave()
-	waitUntil(settings.LameDuckUS, func() bool { return false })
-	if err := ignoreClosed(public.Close()); err != nil {
+	a.isStopping.Store(true)
+	a.runner.Leave()
+	waitUntil(a.settings.LameDuckUS, func() bool { return false })
+	if err := ignoreClosed(a.public.Close()); err != nil {
 		log.Error(err, "close the door")
 	}
-	if desk != nil {
-		desk.Shut()
-		waitUntil(settings.DrainUS, func() bool { return usher.Live() == 0 })
-		log.Info("drained", "live", usher.Live())
+	if a.desk != nil {
+		a.desk.Shut()
+		waitUntil(a.settings.DrainUS, func() bool { return a.usher.Live() == 0 })
+		log.Info("drained", "live", a.usher.Live())
 	}
-	waitUntil(int64(2*house.Second), func() bool { return !runner.HasDuties() })
-	last, done := context.WithTimeout(context.Background(), 5*time.Second)
-	defer done()
-	if err := face.Shutdown(last); err != nil {
-		log.Error(err, "some channels had to be cut")
-	}
-	return nil
+	waitUntil(int64(2*house.Second), func() bool { return !a.runner.HasDuties() })
 }
 
 // tellMinutes notes once a minute what was declined in it. Requests come by the hundred
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -59,6 +59,16 @@
 // State is the newest picture.
 func (r *Runner) State() *flyloft.State { return r.state.Load() }
 
+// Witness tells who this node is, for an operator who would rebuild a core.
+func (r *Runner) Witness(member flyloft.MemberID) flyloft.Witness {
+	state := r.State()
+	witness := flyloft.Witness{Address: r.cue.Self.Address, Member: member, Founding: state.Founding}
+	if state.Document != nil {
+		witness.Generation = state.Document.Generation
+	}
+	return witness
+}
+
 // Deliver brings a message from another node.
 func (r *Runner) Deliver(envelope flyloft.Envelope) {
 	if submit := envelope.Message.Submit; submit != nil && len(submit.Spec) > 0 {
