--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -700,6 +700,13 @@
 	if now >= n.sweep {
 		n.sweep = now + 500*house.Millisecond
 		n.cell.Sweep(now)
+		// Of a node that is gone it is as well not to know what it held.
+		for address := range n.zoneHeld {
+			if _, isThere := n.cell.nodes.Get(address); !isThere {
+				delete(n.zoneHeld, address)
+				delete(n.zoneApplied, address)
+			}
+		}
 		if n.core != nil {
 			n.core.Learn(n.learnedMarks())
 		}
--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -614,6 +614,14 @@
 		pause(ctx, step.ForMS)
 		node.signal(syscall.SIGCONT)
 		return nil
+	case "stop-short":
+		s.take(critic.Event{At: now(), What: critic.NodeStopping, Node: node.public})
+		node.signal(syscall.SIGTERM)
+		pause(ctx, int64(step.Count))
+		// What is torn from here on is the kill's, and nobody's who promised to drain.
+		s.took(node)
+		node.halt()
+		return s.again(ctx, step.ForMS, node)
 	case "stop":
 		node.lock.Lock()
 		ended := node.ended
--- a/rehearsal/scenario.go
+++ b/rehearsal/scenario.go
@@ -36,6 +36,7 @@
 var verbs = map[string]string{
 	"kill":          "node",   // SIGKILL, and start it again after for_ms (0: never)
 	"stop":          "node",   // SIGTERM, and start it again for_ms after its end (0: never)
+	"stop-short":    "node",   // SIGTERM, SIGKILL count ms later, as a platform without patience, and start it again after for_ms
 	"freeze":        "node",   // SIGSTOP for for_ms
 	"wipe":          "node",   // SIGKILL, empty its data folder, start it again after for_ms
 	"cut":           "node",   // cut it off from all other nodes for for_ms; needs programs built with -tags faults
@@ -75,7 +76,7 @@
 }
 
 // mostCounts are the verbs that can't do without a count.
-var mostCounts = map[string]int{"disk-slow": 5000, "list-lag": 120_000, "crowd": 500, "hot-crowd": 500, "large-spec": playbill.MaxBindings}
+var mostCounts = map[string]int{"stop-short": 60_000, "disk-slow": 5000, "list-lag": 120_000, "crowd": 500, "hot-crowd": 500, "large-spec": playbill.MaxBindings}
 
 // lastingVerbs are those that would do nothing, or never end, without a span.
 var lastingVerbs = map[string]bool{
