--- a/traproom/storm.go
+++ b/traproom/storm.go
@@ -28,13 +28,17 @@
 		one := []*machine{w.leader()}
 		w.cut(one, w.others(one), w.random.IntN(2) == 0, w.between(500*ms, 4*sec))
 	}},
-	{"the leader restarts with the others cut from each other", 4, func(w *World) {
+	{"the leader stumbles with the others cut from each other", 6, func(w *World) {
 		// Both can reach only the third, so its one vote decides.
 		leader, voters := w.leader(), w.newestVoters()
 		others := slices.DeleteFunc(w.others([]*machine{leader}), func(m *machine) bool { return !slices.Contains(voters, m.identity.Address) })
 		if len(others) == 2 {
-			w.cut(others[:1], others[1:], false, w.between(2*sec, 5*sec))
-			bounce(leader, w.between(20*ms, 200*ms))
+			w.cut(others[:1], others[1:], false, w.between(3*sec, 6*sec))
+			if w.random.IntN(2) == 0 {
+				leader.freeze(w.between(650*ms, sec))
+			} else {
+				bounce(leader, w.between(400*ms, 700*ms))
+			}
 		}
 	}},
 	{"lose and double", 2, func(w *World) {
