Learned leaving marks take at most half of the room, so the core comes to rest

Cause, found on reading: with more leaving engines than marks kept, marks that the leader learned would push each other out and be learned again twice a second for ever.

--- a/flyloft/core_test.go
+++ b/flyloft/core_test.go
@@ -1,6 +1,7 @@
 package flyloft
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -477,3 +478,29 @@
 	c.Assert(len(next.lightFor(8).Spec), qt.Equals, len(first.Spec))
 	c.Assert(len(next.lightFor(9).Spec), qt.Equals, 0)
 }
+
+// More engines leave than marks are kept: the core comes to rest all the same.
+func TestLearnedMarksNeverPushEachOtherOutForEver(t *testing.T) {
+	c := qt.New(t)
+	node := NewNode(NodeSettings{Timing: DefaultTiming(), Journal: house.NewJournal(16)}, 0)
+	for i := range 2 * keptLeaving {
+		node.cell.TakeEngine(0, EngineRecord{ID: fmt.Sprintf("e%03d", i), Address: "10.0.0.1:1", Start: 1, IsLeaving: true}, true)
+	}
+	marks := node.learnedMarks()
+	c.Assert(marks, qt.HasLen, keptLeaving/2)
+	core := newBench(c, Ballot{}, document(1, 9)).core
+	core.role = leader
+	next := core.doc.next(1)
+	for i := range keptLeaving {
+		next.markLeaving(fmt.Sprint("by hand ", i), 1)
+	}
+	reasons := []string{}
+	core.Learn(marks)
+	core.tendMarks(next, &reasons)
+	c.Assert(reasons, qt.HasLen, keptLeaving/2)
+	again := next.next(1)
+	reasons = nil
+	core.Learn(marks)
+	core.tendMarks(again, &reasons)
+	c.Assert(reasons, qt.HasLen, 0)
+}
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -458,7 +458,8 @@
 func (n *Node) learnedMarks() []LearnedMark {
 	marks := []LearnedMark{}
 	for _, engine := range n.cell.Engines() {
-		if engine.IsLeaving && !engine.IsUnlisted {
+		// No more than half of what is kept, or two marks could push each other out for ever.
+		if engine.IsLeaving && !engine.IsUnlisted && len(marks) < keptLeaving/2 {
 			marks = append(marks, LearnedMark{engine.ID, engine.Start})
 		}
 	}
