A newer document is asked of one router, not sent by all

Cause: a router without a grant for 0.7 s asks all others to attest, and each that held a newer generation sent the whole document, again every 0.3 s. Ruled out: the core being dark, it was not; the routers were compiling. What counts towards a licence is unchanged.

--- a/flyloft/licence.go
+++ b/flyloft/licence.go
@@ -36,6 +36,10 @@
 	attestAlarm house.Micros
 	attested    map[string]uint64
 	isDark      bool
+	// Documents can be large, and every other router may hold a newer one: it is asked of
+	// one of them, and of another only after a while.
+	newerAt  string
+	keenFrom house.Micros // the next time at which one may be asked
 }
 
 // NewLicence makes a licence that has lapsed.
@@ -118,16 +122,17 @@
 // Attest answers another router's question.
 func (l *Licence) Attest(m *Attest) *AttestReceipt {
 	receipt := &AttestReceipt{Seq: m.Seq, Generation: l.Generation(), IsProven: l.isProven && l.isRouter}
-	if l.Generation() > m.Applied {
+	if m.IsKeen && l.Generation() > m.Applied {
 		receipt.Document = l.applied.lightFor(m.Applied)
 	}
 	return receipt
 }
 
-// TickDark asks the registered routers when the core has been silent too long.
-func (l *Licence) TickDark(now house.Micros) (to []string, ask *Attest) {
+// TickDark asks the registered routers when the core has been silent too long; keen is
+// the one to ask for its newer document, if any.
+func (l *Licence) TickDark(now house.Micros) (to []string, ask *Attest, keen string) {
 	if !l.isRouter || !l.isProven || now < l.attestAlarm || now-l.grantedAsk < 7*house.Second/10 {
-		return nil, nil
+		return nil, nil, ""
 	}
 	l.attestAlarm = now + 300*house.Millisecond
 	if !l.isDark {
@@ -142,12 +147,22 @@
 		}
 	}
 	l.judge()
-	return to, &Attest{l.attestSeq, l.Generation()}
+	if keen, l.newerAt = l.newerAt, ""; keen != "" {
+		l.keenFrom = now + keenPause
+	}
+	return to, &Attest{Seq: l.attestSeq, Applied: l.Generation()}, keen
 }
 
+// keenPause leaves a document of megabytes the time to arrive.
+const keenPause = house.Second / 2
+
 // TakeAttest counts a router's word; true when the document here changed.
-func (l *Licence) TakeAttest(from string, m *AttestReceipt) bool {
+func (l *Licence) TakeAttest(now house.Micros, from string, m *AttestReceipt) bool {
 	isNews := l.Apply(m.Document)
+	if m.Generation > l.Held() && now >= l.keenFrom && l.newerAt == "" {
+		// Asked for at once: without it there is no licence to be had.
+		l.newerAt, l.attestAlarm = from, 0
+	}
 	if m.Seq != l.attestSeq || l.attested == nil {
 		return isNews
 	}
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -240,6 +240,7 @@
 type Attest struct {
 	Seq     uint64 `json:"seq"`
 	Applied uint64 `json:"applied"`
+	IsKeen  bool   `json:"keen,omitempty"` // the asker wants the newer document from this one
 }
 
 // AttestReceipt is a router's word on its own generation.
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -563,7 +563,7 @@
 	case m.Attest != nil:
 		n.send(from, Message{AttestReceipt: n.licence.Attest(m.Attest)})
 	case m.AttestReceipt != nil:
-		n.applied(n.licence.TakeAttest(from, m.AttestReceipt))
+		n.applied(n.licence.TakeAttest(n.now, from, m.AttestReceipt))
 	case m.Heard != nil:
 		records := make([]EngineRecord, 0, len(m.Heard.Engines))
 		for _, record := range m.Heard.Engines {
@@ -690,9 +690,11 @@
 		n.ask()
 	}
 	n.sendBatch()
-	if to, ask := n.licence.TickDark(now); ask != nil {
+	if to, ask, keen := n.licence.TickDark(now); ask != nil {
 		for _, address := range to {
-			n.send(address, Message{Attest: ask})
+			each := *ask
+			each.IsKeen = address == keen
+			n.send(address, Message{Attest: &each})
 		}
 	}
 	if to, shuffle := n.views.Tick(now); shuffle != nil {
--- a/traproom/measure.go
+++ b/traproom/measure.go
@@ -353,6 +353,15 @@
 			{"at rest", func(*Knobs) {}},
 			{"a spec of 0.3 KB every 5 s", func(k *Knobs) { k.Orders = orders{specs: 5 * sec} }},
 			{"a spec of 200 KB, a zone emptied or refilled every 5 s", func(k *Knobs) { k.Orders = orders{zones: 5 * sec, large: 2000} }},
+			{"a spec of 200 KB every 10 s, which half of the nodes take 2 s to compile", func(k *Knobs) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) {
+					for _, m := range w.machines[:len(w.machines)/2] {
+						m.compileSlow = 2 * sec
+					}
+					w.specCount++
+					w.operator.order(flyloft.Submit{Order: flyloft.PutSpec, Spec: largeSpec(2000+w.specCount, "main")}, func(flyloft.SubmitReceipt) {})
+				}}
+			}},
 			{"a spec of 200 KB, and the leader killed every 10 s", func(k *Knobs) { k.Orders = orders{kills: 10 * sec, large: 2000} }},
 		},
 		columns: append([]string{"KB/s"}, trafficKinds...),
