--- a/cmd/traproom/main.go
+++ b/cmd/traproom/main.go
@@ -25,7 +25,7 @@
 	Rate       float64 `arg:"--rate" default:"20" help:"requests a second"`
 	Workers    int     `arg:"--workers" default:"6"`
 	Storm      bool    `arg:"--storm" help:"quick faults on a core of four instead of a day of a whole fleet"`
-	Measure    string  `arg:"--measure" help:"compare ways of routing instead; \"all\" or one of admission, divert, policy, ramp, reports, salt, zones"`
+	Measure    string  `arg:"--measure" help:"compare ways of routing instead; \"all\", \"rebuild\" or one of admission, crash, current, divert, licence, policy, ramp, reports, reports-long, salt, traffic, zones"`
 	Stop       bool    `arg:"--stop" help:"stop at the first seed that breaks a rule"`
 	Counts     bool    `arg:"--counts" help:"tell which faults struck, what protections did, and what was not served and why"`
 	Trace      bool    `arg:"--trace" help:"print what happens; best with one seed"`
@@ -47,6 +47,10 @@
 func main() {
 	var words words
 	parser := arg.MustParse(&words)
+	if words.Measure == "rebuild" {
+		traproom.MeasureRebuild(os.Stdout, words.First, words.Count)
+		return
+	}
 	if words.Measure != "" {
 		names := []string{words.Measure}
 		if words.Measure == "all" {
