--- a/rehearsal/rehearsal_test.go
+++ b/rehearsal/rehearsal_test.go
@@ -56,13 +56,15 @@
 	bad = Scenario{Name: "x", Deployment: "qurum", SpanMS: 5000, Rate: 1, Steps: []Step{
 		{AtMS: 9000, Do: "kill", Target: "node:11"}, {Do: "explode"}, {Do: "empty", Target: "z5"}, {Do: "engine-kill", Target: "engine:18"},
 		{Do: "spec", Target: "leader"}, {Do: "freeze", Target: "home:z9"}, {Do: "storm", Count: -1}, {Do: "kill", Target: "node:10"},
+		{Do: "disk-slow", Target: "leader", ForMS: 5}, {Do: "lossy"}, {Do: "crowd", ForMS: 5, Count: 501}, {Do: "list-lag", Target: "z1", ForMS: 5, Count: 1},
 	}}
 	c.Assert(errors.As(bad.Check(), &faults), qt.IsTrue)
 	paths := []string{}
 	for _, fault := range faults.List {
 		paths = append(paths, fault.Path)
 	}
-	c.Assert(paths, qt.DeepEquals, []string{"steps[0].at_ms", "steps[0].target", "steps[1].do", "steps[2].target", "steps[3].target", "steps[4].target", "steps[5].target", "steps[6]"})
+	c.Assert(paths, qt.DeepEquals, []string{"steps[0].at_ms", "steps[0].target", "steps[1].do", "steps[2].target", "steps[3].target", "steps[4].target", "steps[5].target", "steps[6]",
+		"steps[8].count", "steps[9].for_ms", "steps[10].count", "steps[11].target"})
 }
 
 func TestTheScenariosOfThisProjectAreGood(t *testing.T) {
--- a/wings/wings_test.go
+++ b/wings/wings_test.go
@@ -42,6 +42,7 @@
 	bad.Fleet, bad.Zone, bad.Public, bad.Peer = "", "", "host:80", "0.0.0.0:7000"
 	bad.Seeds = []string{"10.0.0.2:7000", "10.0.0.2:7000"}
 	bad.Platform, bad.Journal = "ftp://x", 1
+	bad.Channels, bad.Live, bad.BodiesMB, bad.JournalMB, bad.ArchiveMB = 1, 0, -1, -1, 1<<20
 	bad.LicenceUS, bad.AskUS, bad.PulseUS, bad.ElectionLowUS = 2_000_000, 600_000, 300_000, 600_000
 	var faults *playbill.Faults
 	c.Assert(errors.As(bad.Check(true), &faults), qt.IsTrue)
@@ -49,7 +50,7 @@
 	for _, fault := range faults.List {
 		paths = append(paths, fault.Path)
 	}
-	c.Assert(paths, qt.DeepEquals, []string{"fleet", "zone", "public", "peer", "seeds", "seeds[1]", "platform", "journal", "licence_us", "ask_us", "election_low_us"})
+	c.Assert(paths, qt.DeepEquals, []string{"fleet", "zone", "public", "peer", "seeds", "seeds[1]", "platform", "channels", "live", "bodies_mb", "journal_mb", "archive_mb", "journal", "licence_us", "ask_us", "election_low_us"})
 	// A router has no folder, a founder needs one.
 	c.Assert(goodSettings().Check(false), qt.IsNotNil)
 	founder := goodSettings()
