--- a/critic/critic.go
+++ b/critic/critic.go
@@ -236,39 +236,55 @@
 	}
 }
 
+// evacuations follows which zones are surely emptied.
+type evacuations struct {
+	since    map[string]house.Micros
+	refills  map[string]int    // under way
+	refilled map[string]uint64 // the newest generation that refilled one
+}
+
+func newEvacuations() *evacuations {
+	return &evacuations{map[string]house.Micros{}, map[string]int{}, map[string]uint64{}}
+}
+
+func (e *evacuations) take(event Event) {
+	switch event.What {
+	case ZoneEmptied:
+		// While a refill is under way it may take effect after this receipt. Nor does a
+		// receipt that comes late make an order newer than the refill after it.
+		isOld := event.Generation > 0 && event.Generation < e.refilled[event.Zone]
+		if _, isKnown := e.since[event.Zone]; !isKnown && e.refills[event.Zone] == 0 && !isOld {
+			e.since[event.Zone] = event.At
+		}
+	case ZoneRefilling:
+		e.refills[event.Zone]++
+		delete(e.since, event.Zone)
+	case ZoneRefilled:
+		e.refills[event.Zone]--
+		e.refilled[event.Zone] = max(e.refilled[event.Zone], event.Generation)
+	}
+}
+
 // marks checks engines that leave and zones that are emptied.
 func (j *judge) marks(events []Event) {
 	type start struct {
 		engine string
 		start  uint64
 	}
-	leaving, emptied := map[start]house.Micros{}, map[string]house.Micros{}
-	refills, refilled := map[string]int{}, map[string]uint64{}
+	leaving, zones := map[start]house.Micros{}, newEvacuations()
 	for _, event := range events {
+		zones.take(event)
 		switch event.What {
 		case EngineLeaving:
 			key := start{event.Engine, event.Start}
 			if _, isKnown := leaving[key]; !isKnown {
 				leaving[key] = event.At
 			}
-		case ZoneEmptied:
-			// While a refill is under way it may take effect after this receipt.
-			// Nor does a receipt that comes late make an order newer than the refill after it.
-			isOld := event.Generation > 0 && event.Generation < refilled[event.Zone]
-			if _, isKnown := emptied[event.Zone]; !isKnown && refills[event.Zone] == 0 && !isOld {
-				emptied[event.Zone] = event.At
-			}
-		case ZoneRefilling:
-			refills[event.Zone]++
-			delete(emptied, event.Zone)
-		case ZoneRefilled:
-			refills[event.Zone]--
-			refilled[event.Zone] = max(refilled[event.Zone], event.Generation)
 		case RunBegan:
 			if since, isLeaving := leaving[start{event.Engine, event.Start}]; isLeaving && event.At-since > j.bounds.Leaving {
 				j.breach(LeavingUsed, event.At, "%s on %s, %d us after the mark", event.Tag, event.Engine, event.At-since)
 			}
-			if since, isEmptied := emptied[event.Zone]; isEmptied && event.At-since > j.bounds.Emptied {
+			if since, isEmptied := zones.since[event.Zone]; isEmptied && event.At-since > j.bounds.Emptied {
 				j.breach(EmptiedUsed, event.At, "%s on %s in %s, %d us after the receipt", event.Tag, event.Engine, event.Zone, event.At-since)
 			}
 		}
@@ -582,24 +598,15 @@
 // within the stated past, the spec in force, and the emptied zones.
 func (j *judge) history(events []Event) {
 	var acked []Event
-	emptied, changing, refilled := map[string]bool{}, map[string]int{}, map[string]uint64{}
+	zones := newEvacuations()
 	read, isReading := map[uint64]bool{}, false
 	for _, event := range events {
+		zones.take(event)
 		switch event.What {
 		case SpecYes:
 			acked = append(acked, event)
 		case SpecRead:
 			read[event.Generation], isReading = true, true
-		case ZoneEmptied:
-			if changing[event.Zone] == 0 && !(event.Generation > 0 && event.Generation < refilled[event.Zone]) {
-				emptied[event.Zone] = true
-			}
-		case ZoneRefilling:
-			changing[event.Zone]++
-			delete(emptied, event.Zone)
-		case ZoneRefilled:
-			changing[event.Zone]--
-			refilled[event.Zone] = max(refilled[event.Zone], event.Generation)
 		case SpecCurrent:
 			for _, yes := range acked {
 				if yes.Generation > event.Generation {
@@ -608,7 +615,7 @@
 				}
 			}
 		case ZonesRead:
-			for zone := range emptied {
+			for zone := range zones.since {
 				if !slices.Contains(event.Zones, zone) {
 					j.breach(ReceiptLost, event.At, "zone %s was emptied with a yes and reads as filled", zone)
 				}
--- a/rehearsal/play.go
+++ b/rehearsal/play.go
@@ -407,15 +407,9 @@
 func (s *Stage) repair(ctx context.Context) error {
 	for _, a := range append(s.members(), s.engines...) {
 		a.signal(syscall.SIGCONT)
-		if err := s.start(a); err != nil {
+		if err := s.raise(a); err != nil {
 			return err
 		}
-		if a.start != 0 {
-			s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: a.name})
-			if err := s.list(a, "serving"); err != nil {
-				return err
-			}
-		}
 	}
 	repaired := critic.Event{At: now(), What: critic.Repaired}
 	for _, node := range s.members() {
@@ -454,19 +448,25 @@
 	}
 	pause(ctx, ms)
 	for _, a := range actors {
-		if err := s.start(a); err != nil {
+		if err := s.raise(a); err != nil {
 			return err
 		}
-		if a.start != 0 {
-			s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: a.name})
-			if err := s.list(a, "serving"); err != nil {
-				return err
-			}
-		}
 	}
 	return nil
 }
 
+// raise starts an actor that does not run, and has the platform list an engine.
+func (s *Stage) raise(a *actor) error {
+	if err := s.start(a); err != nil {
+		return err
+	}
+	if a.start == 0 {
+		return nil
+	}
+	s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: a.name})
+	return s.list(a, "serving")
+}
+
 func (s *Stage) step(ctx context.Context, step Step, number int, operator *Operator) error {
 	var index int
 	if n, err := fmt.Sscanf(step.Target, "engine:%d", &index); n == 1 && err == nil {
--- a/traproom/data_test.go
+++ b/traproom/data_test.go
@@ -93,11 +93,7 @@
 	// Enough of a crowd that every router loses something on nearly every engine.
 	w.Traffic(900, sec, 0)
 	w.Run(3 * sec)
-	repaired := critic.Event{What: critic.Repaired}
-	for _, m := range w.machines {
-		repaired.Roster = append(repaired.Roster, m.name)
-	}
-	w.take(repaired)
+	w.take(w.repaired())
 	w.Run(critic.BriefBounds().Broken + 500*ms)
 	w.probeAll()
 	w.Run(sec)
--- a/traproom/drama.go
+++ b/traproom/drama.go
@@ -624,6 +624,11 @@
 		e.isDeclining = false
 		e.boot()
 	}
+	w.take(w.repaired())
+}
+
+// repaired says that every machine is back, and what has to work from then on.
+func (w *World) repaired() critic.Event {
 	repaired := critic.Event{What: critic.Repaired}
 	for _, m := range w.machines {
 		if !m.isGone {
@@ -633,7 +638,7 @@
 	for _, kind := range w.knobs.Kinds {
 		repaired.Kinds = append(repaired.Kinds, kind.name)
 	}
-	w.take(repaired)
+	return repaired
 }
 
 func (w *World) totals() {
