A folder of a newer build is declined; a storm of large specs costs no leader, as a test

Cause of the first: the folder named its fleet and no format, so an older build would have set aside, or read wrongly, what a newer one wrote. Folders from before count as format 1.

--- a/flyloft/core_test.go
+++ b/flyloft/core_test.go
@@ -520,3 +520,29 @@
 	core.tendMarks(again, &reasons)
 	c.Assert(reasons, qt.HasLen, 0)
 }
+
+// A folder of a newer build, or of another fleet, is declined and left as it is.
+func TestForeignFoldersAreLeftAlone(t *testing.T) {
+	for name, kept := range map[string]memberFile{
+		"a newer format": {Member: "m", Fleet: "here", Format: folderFormat + 1},
+		"another fleet":  {Member: "m", Fleet: "there", Format: folderFormat},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			folder, err := house.OpenFolder(t.TempDir())
+			c.Assert(err, qt.IsNil)
+			_, err = (&Store{folder: folder}).put("member.json", kept)
+			c.Assert(err, qt.IsNil)
+			before, err := folder.Get("member.json")
+			c.Assert(err, qt.IsNil)
+			_, _, _, err = OpenStore(folder, "here", func() string { return "fresh" })
+			c.Assert(err, qt.IsNotNil)
+			names, err := folder.List("")
+			c.Assert(err, qt.IsNil)
+			c.Assert(names, qt.DeepEquals, []string{"member.json"})
+			after, err := folder.Get("member.json")
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(after), qt.Equals, string(before))
+		})
+	}
+}
--- a/flyloft/rebuild.go
+++ b/flyloft/rebuild.go
@@ -30,6 +30,9 @@
 	if _, err := s.get("member.json", &member); err != nil {
 		return Survivor{}, fmt.Errorf("look at the folder: %w", NoSurvivor{err.Error()})
 	}
+	if err := member.check(); err != nil {
+		return Survivor{}, fmt.Errorf("look at the folder: %w", err)
+	}
 	names, err := folder.List("generation-")
 	if err != nil {
 		return Survivor{}, fmt.Errorf("look at the folder: %w", err)
@@ -111,7 +114,7 @@
 // after a power cut in between the folder is that of a newcomer, which promises nothing.
 func WriteRebuilt(folder house.Folder, fleet string, document *Document) error {
 	s := &Store{folder: folder}
-	if _, err := s.put("member.json", memberFile{document.Voters[0].ID, fleet}); err != nil {
+	if _, err := s.put("member.json", memberFile{document.Voters[0].ID, fleet, folderFormat}); err != nil {
 		return fmt.Errorf("write the rebuilt core: %w", err)
 	}
 	if _, err := s.put("ballot.json", &Ballot{Term: document.Term}); err != nil {
--- a/flyloft/store.go
+++ b/flyloft/store.go
@@ -53,6 +53,24 @@
 type memberFile struct {
 	Member MemberID `json:"member"`
 	Fleet  string   `json:"fleet"`
+	Format int      `json:"format,omitempty"` // folders from before it was written count as 1
+}
+
+// folderFormat is the form of a data folder that this build writes, and the newest it reads.
+const folderFormat = 1
+
+// NewerFormat says that a folder was written by a newer build; it is left as it is.
+type NewerFormat struct{ Found, Known int }
+
+func (b NewerFormat) Error() string {
+	return fmt.Sprintf("the data folder is of format %d, this build knows up to %d", b.Found, b.Known)
+}
+
+func (m memberFile) check() error {
+	if m.Format > folderFormat {
+		return NewerFormat{m.Format, folderFormat}
+	}
+	return nil
 }
 
 func seal(content []byte) []byte {
@@ -111,6 +129,9 @@
 	if errors.As(memberErr, new(house.DiskBreakdown)) || errors.As(ballotErr, new(house.DiskBreakdown)) {
 		return nil, ballot, nil, fmt.Errorf("open the store: %w", errors.Join(memberErr, ballotErr))
 	}
+	if err := member.check(); err != nil {
+		return nil, ballot, nil, fmt.Errorf("open the store: %w", err)
+	}
 	if memberErr == nil && member.Fleet != fleet {
 		return nil, ballot, nil, fmt.Errorf("open the store: %w", DamagedFile{"member.json", fmt.Sprintf("it belongs to fleet %q, not %q", member.Fleet, fleet)})
 	}
@@ -125,7 +146,7 @@
 		return nil, Ballot{}, nil, fmt.Errorf("open the store: %w", err)
 	}
 	s.member = MemberID(freshID())
-	if _, err := s.put("member.json", memberFile{s.member, fleet}); err != nil {
+	if _, err := s.put("member.json", memberFile{s.member, fleet, folderFormat}); err != nil {
 		return nil, Ballot{}, nil, fmt.Errorf("open the store: %w", err)
 	}
 	return s, Ballot{}, nil, nil
--- a/traproom/core_test.go
+++ b/traproom/core_test.go
@@ -525,6 +525,35 @@
 	finish(c, w)
 }
 
+// A storm of large specs, half a second to compile on every node, on slow disks: the
+// leader leads on, each order gets its yes, and nothing is served under an old one.
+func TestAStormOfLargeSpecsCostsNoLeader(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 51)
+	w.Traffic(40, 40*sec, 0)
+	for _, m := range w.machines {
+		m.compileSlow = 500 * ms
+		if m.disk != nil {
+			m.disk.slowness = 300 * ms
+		}
+	}
+	leader, yes, stepped := w.leader(), w.operator.Yes, w.Tally["core step down"]
+	for i := range 6 {
+		spec := largeSpec(1500+i, "p0", "p1", "p2")
+		w.operator.order(flyloft.Submit{Order: flyloft.PutSpec, Spec: spec}, func(receipt flyloft.SubmitReceipt) {
+			w.take(critic.Event{What: critic.SpecYes, ID: receipt.ID, Generation: receipt.Generation, Digest: string(spec)})
+		})
+	}
+	w.await(c, "a yes to each", 40*sec, func() bool { return w.operator.Yes == yes+6 })
+	c.Assert(w.leader(), qt.Equals, leader)
+	c.Assert(w.Tally["core step down"], qt.Equals, stepped)
+	for _, m := range w.core() {
+		m.disk.slowness = 0
+	}
+	w.Run(5 * sec)
+	finish(c, w)
+}
+
 // Storm seeds 107, 118 and 232: each member that joined empty held only what came
 // since, so the last copy of an older spec went with the last old disk.
 func TestThePastOutlivesDisksLostOneAfterAnother(t *testing.T) {
