The fleet's view read by its own type; a merge looks for its next proposal once a step

Found on reading the whole change again: the command line had a second form of the fleet's view, merging journals searched all proposals for every node at each step, two places told whether a simulated router serves, and a comment named a count that is not there.

--- a/cmd/callboard/night.go
+++ b/cmd/callboard/night.go
@@ -14,6 +14,7 @@
 
 	"dunlinloom/flyloft"
 	"dunlinloom/house"
+	"dunlinloom/wings"
 )
 
 // badSince says that a moment to look back to can't be understood.
@@ -57,14 +58,17 @@
 	generations := slices.Sorted(maps.Keys(proposed))
 	merged := []told{}
 	for {
+		// Done with a generation's proposals, nothing waits for it any more.
+		for len(generations) > 0 && proposed[generations[0]] == 0 {
+			generations = generations[1:]
+		}
 		best, bestFree := -1, false
 		for i, page := range pages {
 			if heads[i] == len(page.Entries) {
 				continue
 			}
 			entry := page.Entries[heads[i]]
-			first := slices.IndexFunc(generations, func(generation uint64) bool { return proposed[generation] > 0 })
-			isFree := first < 0 || entry.Era < generations[first]
+			isFree := len(generations) == 0 || entry.Era < generations[0]
 			switch {
 			case best < 0, isFree && !bestFree:
 			case isFree == bestFree && entry.Wall < pages[best].Entries[heads[best]].Wall:
@@ -154,14 +158,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	var view struct {
-		Nodes []struct {
-			Address string `json:"address"`
-			Public  string `json:"public"`
-		} `json:"nodes"`
-		Register []string         `json:"register"`
-		Voters   []flyloft.Member `json:"voters"`
-	}
+	var view wings.FleetView
 	if status != http.StatusOK {
 		return nil, nil, misread{"the fleet", unanswered{status}}
 	}
--- a/traproom/drama.go
+++ b/traproom/drama.go
@@ -26,8 +26,7 @@
 	Crossed map[string]int
 	Within  int
 	Final   string // the fault that ended the day
-	// Tally counts what protections did, Struck which faults struck, Overlaps how
-	// many struck while another was on.
+	// Tally counts what protections did, Struck which faults struck.
 	Tally, Struck    map[string]int
 	Callers, Content int // callers, and those that were served in the end
 	Repaired         bool
@@ -541,11 +540,7 @@
 func (w *World) ready() int {
 	count := 0
 	for _, m := range w.machines {
-		if !m.isUp {
-			continue
-		}
-		state := m.node.State(nil)
-		if m.clock() < state.Until && state.Document.SpecGeneration > 0 && len(state.Engines) > 0 {
+		if m.isUp && m.serves() {
 			count++
 		}
 	}
