--- a/flyloft/cell.go
+++ b/flyloft/cell.go
@@ -27,6 +27,8 @@
 	Seq          uint64 `json:"seq,omitempty"` // of its reports; zero means it never reported
 	Burden       int64  `json:"burden,omitempty"`
 	Streams      int64  `json:"streams,omitempty"`
+	Slots        int    `json:"slots,omitempty"`   // requests worked on at once; zero: not said
+	Release      string `json:"release,omitempty"` // of the engine's software
 	// On the wire times are ages, since clocks differ between machines.
 	Age  house.Micros `json:"age_us,omitempty"`  // of the report's figures
 	Up   house.Micros `json:"up_us,omitempty"`   // since the start
--- a/flyloft/document.go
+++ b/flyloft/document.go
@@ -55,6 +55,7 @@
 	Homes          map[string]string `json:"homes"`
 	Spec           []byte            `json:"spec"`
 	SpecGeneration uint64            `json:"spec_generation"`
+	SpecVersion    uint64            `json:"spec_version,omitempty"` // the operator's own number of it
 	Evacuated      map[string]uint64 `json:"evacuated"` // zone to the generation that emptied it
 	Submissions    []Submission      `json:"submissions"`
 	// Chain names the newest specs, oldest first. By it a copy of an older spec
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -149,6 +149,7 @@
 	Forget     Order = "forget" // strike a router off the register: the operator vouches that it is dead
 	Fence      Order = "fence"  // make a submission id final
 	MarkEngine Order = "mark"   // keep the mark of a leaving engine
+	ChangeSpec Order = "change" // Spec holds a change of named items of the spec in force
 )
 
 // Submit carries an operator's order to the leader.
@@ -158,6 +159,8 @@
 	Spec  []byte  `json:"spec,omitempty"`
 	Zone  string  `json:"zone,omitempty"`
 	Base  *uint64 `json:"base,omitempty"`
+	// BaseVersion is the operator's version that a spec or a change builds on.
+	BaseVersion *uint64 `json:"base_version,omitempty"`
 	// Of a mark.
 	Engine string `json:"engine,omitempty"`
 	Start  uint64 `json:"start,omitempty"`
--- a/playbill/playbill.go
+++ b/playbill/playbill.go
@@ -123,8 +123,13 @@
 
 // Spec is a compiled spec, never changed once made.
 type Spec struct {
+	// Version is the operator's own number of this spec; zero: it has none.
+	Version  uint64
 	Engines  map[string]Engine
 	Bindings []Binding
+	Routes   []Route
+	Services map[string]Service
+	Caps     Caps
 	Zones    map[string]bool
 	Policy   Policy
 	byPair   map[[2]string]int
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -321,6 +321,19 @@
 	}
 }
 
+// Register takes an engine's word on itself. The word that it is leaving or gone is
+// given back only when the routers know; an error says that this could not be shown.
+// beatTo is the public address for the engine's later words, if another node's is better.
+func (r *Runner) Register(ctx context.Context, record flyloft.EngineRecord) (beatTo string, err error) {
+	r.Hear([]flyloft.EngineRecord{record})
+	return "", nil
+}
+
+// Newest gives the newest committed document as of a moment after the call.
+func (r *Runner) Newest(ctx context.Context) (*flyloft.Document, error) {
+	return r.State().Document, nil
+}
+
 // Hear brings engine records learned first-hand.
 func (r *Runner) Hear(records []flyloft.EngineRecord) {
 	r.post(func() []any { return r.node.Hear(r.cue.Clock.Now(), records) })
