--- a/flyloft/document.go
+++ b/flyloft/document.go
@@ -56,7 +56,7 @@
 	Spec           []byte            `json:"spec"`
 	SpecGeneration uint64            `json:"spec_generation"`
 	SpecVersion    uint64            `json:"spec_version,omitempty"` // the operator's own number of it
-	Evacuated      map[string]uint64 `json:"evacuated"` // zone to the generation that emptied it
+	Evacuated      map[string]uint64 `json:"evacuated"`              // zone to the generation that emptied it
 	Submissions    []Submission      `json:"submissions"`
 	// Chain names the newest specs, oldest first. By it a copy of an older spec
 	// proves itself, wherever it was kept, and a member knows what it lacks.
