Routes, services, caps and versions in the product's own form of the spec

Cause: the types of routes and services had no document that brought them. The schema now has them with names of its own; Compile checks and compiles a message that another form made, and tells faults in that form's words by a rename of path elements.

Ruled out: a scan over a host's routes, and trying every length of prefix. Prefixes end with a slash, so only the path's own slashes are looked up, none beyond the longest prefix. Ruled out too: enum values in capitals with the type's name before them, as documents would read worse than the terms they stand for.

--- a/playbill/routes.go
+++ b/playbill/routes.go
@@ -1,6 +1,13 @@
 package playbill
 
-import "dunlinloom/house"
+import (
+	"fmt"
+	"math/bits"
+	"strings"
+
+	"dunlinloom/house"
+	"dunlinloom/playbill/playbillpb"
+)
 
 // RouteKind says what may be done with a route's requests after a failure.
 type RouteKind int
@@ -60,3 +67,269 @@
 	// document that follows. It does not judge the result; Read does.
 	Change(document, change []byte) ([]byte, error)
 }
+
+// hostRoutes is a host's routes by prefix.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	longest  int // bytes of the longest prefix: no longer part of a path is looked up
+}
+
+// RouteOf finds, of a host's routes, the one whose prefix begins the path and is longest;
+// nil: there is none. Case and port of the host count for nothing. The path is taken as it
+// is: one that ends before the prefix's last slash is not under it. Nothing is allocated,
+// unless the host has capital letters.
+func (s *Spec) RouteOf(host, path string) *Route {
+	routes := s.byHost[bareHost(host)]
+	if routes == nil {
+		return nil
+	}
+	// Every prefix ends with a slash, so only what ends there is looked up, longest first.
+	for end := min(len(path), routes.longest); ; {
+		end = strings.LastIndexByte(path[:end], '/')
+		if end < 0 {
+			return nil
+		}
+		if route := routes.byPrefix[path[:end+1]]; route != nil {
+			return route
+		}
+	}
+}
+
+// bareHost takes the port and capitals off a Host header's value.
+func bareHost(host string) string {
+	if end := strings.LastIndexByte(host, ':'); end >= 0 && strings.IndexByte(host[end:], ']') < 0 {
+		// An address of IP version 6 without brackets has no port that could be told apart.
+		if host[0] == '[' || strings.IndexByte(host, ':') == end {
+			host = host[:end]
+		}
+	}
+	for i := range len(host) {
+		if 'A' <= host[i] && host[i] <= 'Z' {
+			return lowerASCII(host)
+		}
+	}
+	return host
+}
+
+// lowerASCII leaves other scripts alone: some of their signs would turn into plain letters.
+func lowerASCII(text string) string {
+	lower := []byte(text)
+	for i, sign := range lower {
+		if 'A' <= sign && sign <= 'Z' {
+			lower[i] = sign + 'a' - 'A'
+		}
+	}
+	return string(lower)
+}
+
+// Pick chooses a service by weight; the same hash goes to the same one. When weights change
+// between two services, only hashes at the border between them move.
+func (r *Route) Pick(hash uint64) string {
+	total := uint64(0)
+	for _, split := range r.Splits {
+		total += uint64(split.Weight)
+	}
+	// Callers may hash poorly, even count: mix first, then take the share by the high bits.
+	hash ^= hash >> 30
+	hash *= 0xbf58476d1ce4e5b9
+	hash ^= hash >> 27
+	hash *= 0x94d049bb133111eb
+	hash ^= hash >> 31
+	point, _ := bits.Mul64(hash, total)
+	for _, split := range r.Splits {
+		if point < uint64(split.Weight) {
+			return split.Service
+		}
+		point -= uint64(split.Weight)
+	}
+	return ""
+}
+
+// checkRouteCounts comes before all else, so that no work is done on what is too large.
+func checkRouteCounts(message *playbillpb.Spec) error {
+	if count := len(message.Routes); count > MaxRoutes {
+		return TooLarge{"routes", count, MaxRoutes}
+	}
+	if count := len(message.Services); count > MaxServices {
+		return TooLarge{"services", count, MaxServices}
+	}
+	splits := 0
+	for _, route := range message.Routes {
+		splits += len(route.Splits)
+	}
+	if splits > MaxSplits {
+		return TooLarge{"splits", splits, MaxSplits}
+	}
+	return nil
+}
+
+func checkRoutes(faults *Faults, message *playbillpb.Spec) {
+	services := make(map[string]bool, len(message.Services))
+	for i, service := range message.Services {
+		at := func(field string) string { return fmt.Sprintf("services[%d].%s", i, field) }
+		// Paths are made only for faults: there may be many thousand entries.
+		if why := faultOfName(service.Name); why != "" {
+			faults.Add(at("name"), "%s", why)
+		}
+		if services[service.Name] {
+			faults.Add(at("name"), "service %q is named twice", service.Name)
+		}
+		services[service.Name] = true
+		if why := faultOfPath(service.HealthPath); service.HealthPath != "" && why != "" {
+			faults.Add(at("healthPath"), "%q %s", service.HealthPath, why)
+		}
+		if service.MemoryTokens > MaxSize {
+			faults.Add(at("memoryTokens"), "%d is above %d", service.MemoryTokens, uint64(MaxSize))
+		}
+	}
+	names, places := make(map[string]bool, len(message.Routes)), make(map[[2]string]string, len(message.Routes))
+	for i, route := range message.Routes {
+		at := func(field string) string { return fmt.Sprintf("routes[%d].%s", i, field) }
+		if why := faultOfName(route.Name); why != "" {
+			faults.Add(at("name"), "%s", why)
+		}
+		if names[route.Name] {
+			faults.Add(at("name"), "route %q is named twice", route.Name)
+		}
+		names[route.Name] = true
+		host := bareHost(route.Host)
+		if !isPlainHost(host) {
+			faults.Add(at("host"), "%q is not a host's name", route.Host)
+		}
+		if why := faultOfPath(route.Prefix); why != "" {
+			faults.Add(at("prefix"), "%q %s", route.Prefix, why)
+		} else if !strings.HasSuffix(route.Prefix, "/") {
+			faults.Add(at("prefix"), "%q does not end with a slash", route.Prefix)
+		}
+		place := [2]string{host, route.Prefix}
+		if earlier, isThere := places[place]; isThere {
+			faults.Add(at("prefix"), "route %q has the same host and prefix", earlier)
+		} else {
+			places[place] = route.Name
+		}
+		if route.TimeoutUs == 0 {
+			faults.Add(at("timeoutUs"), "has to be above 0")
+		}
+		checkSpan(faults, at, "timeoutUs", route.TimeoutUs)
+		checkSpan(faults, at, "goalUs", route.GoalUs)
+		checkSpan(faults, at, "gapGoalUs", route.GapGoalUs)
+		checkSplits(faults, at, route, services)
+	}
+	if caps := message.Caps; caps != nil {
+		at := func(field string) string { return "caps." + field }
+		checkSize(faults, at, "headerBytes", caps.HeaderBytes)
+		checkSize(faults, at, "bodyBytes", caps.BodyBytes)
+		checkSpan(faults, at, "headerUs", caps.HeaderUs)
+		checkSpan(faults, at, "idleUs", caps.IdleUs)
+	}
+}
+
+func checkSplits(faults *Faults, at func(string) string, route *playbillpb.Route, services map[string]bool) {
+	if len(route.Splits) == 0 {
+		if route.Service == "" {
+			faults.Add(at("service"), "a route needs a service, or a split between several")
+		} else if !services[route.Service] {
+			faults.Add(at("service"), "service %q is not among the services", route.Service)
+		}
+		return
+	}
+	if route.Service != "" {
+		faults.Add(at("service"), "a route has either one service or a split, not both")
+	}
+	total := uint64(0)
+	for j, split := range route.Splits {
+		total += uint64(split.Weight)
+		if !services[split.Service] {
+			faults.Add(fmt.Sprintf("%s[%d].service", at("splits"), j), "service %q is not among the services", split.Service)
+		}
+	}
+	if total == 0 {
+		faults.Add(at("splits"), "the weights add up to 0")
+	}
+}
+
+func checkSpan(faults *Faults, at func(string) string, field string, span uint64) {
+	if span > uint64(MaxSpan) {
+		faults.Add(at(field), "is above a year")
+	}
+}
+
+func checkSize(faults *Faults, at func(string) string, field string, size uint64) {
+	if size > MaxSize {
+		faults.Add(at(field), "%d is above %d", size, uint64(MaxSize))
+	}
+}
+
+// isPlainHost tells whether a host, its port taken off, could stand in a Host header.
+func isPlainHost(host string) bool {
+	if host == "" || len(host) > 253 {
+		return false
+	}
+	for _, sign := range []byte(host) {
+		isPlain := sign >= 'a' && sign <= 'z' || sign >= '0' && sign <= '9' || strings.IndexByte("-_.:[]", sign) >= 0
+		if !isPlain {
+			return false
+		}
+	}
+	return true
+}
+
+// faultOfPath tells why a path can't begin a request's path; empty: it can.
+func faultOfPath(path string) string {
+	if !strings.HasPrefix(path, "/") {
+		return "does not begin with a slash"
+	}
+	if len(path) > MaxPrefix {
+		return fmt.Sprintf("has more than %d bytes", MaxPrefix)
+	}
+	for _, sign := range []byte(path) {
+		// A path ends before its query, so such a prefix would never be reached.
+		if sign <= ' ' || sign == 0x7f || sign == '?' || sign == '#' {
+			return "has a sign that no path has"
+		}
+	}
+	return ""
+}
+
+func compileRoutes(spec *Spec, message *playbillpb.Spec) {
+	spec.Version = message.Version
+	spec.Services = make(map[string]Service, len(message.Services))
+	for _, from := range message.Services {
+		spec.Services[from.Name] = Service{
+			Name: from.Name, HealthPath: from.HealthPath, MaxChannels: int(from.MaxConnections),
+			Slots: int(from.Slots), MemoryTokens: int64(from.MemoryTokens), Stride: int(from.Stride),
+		}
+	}
+	spec.Routes = make([]Route, len(message.Routes))
+	spec.byHost = map[string]*hostRoutes{}
+	for i, from := range message.Routes {
+		route := &spec.Routes[i]
+		*route = Route{
+			Name: from.Name, Host: bareHost(from.Host), Prefix: from.Prefix, Kind: kinds[from.Kind],
+			Timeout: house.Micros(from.TimeoutUs), Goal: house.Micros(from.GoalUs), GapGoal: house.Micros(from.GapGoalUs),
+			Priority: int(from.Priority), Tries: max(1, int(from.Tries)), IsPinned: from.Pinned, IsResumable: from.Resumable,
+		}
+		if len(from.Splits) == 0 {
+			route.Splits = []Split{{from.Service, 1}}
+		}
+		for _, split := range from.Splits {
+			route.Splits = append(route.Splits, Split{split.Service, split.Weight})
+		}
+		routes := spec.byHost[route.Host]
+		if routes == nil {
+			routes = &hostRoutes{byPrefix: map[string]*Route{}}
+			spec.byHost[route.Host] = routes
+		}
+		routes.byPrefix[route.Prefix] = route
+		routes.longest = max(routes.longest, len(route.Prefix))
+	}
+	spec.Caps = Caps{
+		HeaderBytes: int64(message.Caps.GetHeaderBytes()), BodyBytes: int64(message.Caps.GetBodyBytes()),
+		HeaderTime: house.Micros(message.Caps.GetHeaderUs()), IdleTime: house.Micros(message.Caps.GetIdleUs()),
+	}
+}
+
+// An unknown number of a later schema counts as the kind with which least may be done.
+var kinds = map[playbillpb.Route_Kind]RouteKind{
+	playbillpb.Route_unsafe: Unsafe, playbillpb.Route_safe: Safe, playbillpb.Route_stream: Stream,
+}
--- /dev/null
+++ b/playbill/routes_test.go
@@ -0,0 +1,275 @@
+package playbill
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/house"
+	"dunlinloom/playbill/playbillpb"
+)
+
+// faultPaths gives the paths of every fault in a document.
+func faultPaths(c *qt.C, err error) []string {
+	var faults *Faults
+	c.Assert(errors.As(err, &faults), qt.IsTrue, qt.Commentf("%v", err))
+	paths := []string{}
+	for _, fault := range faults.List {
+		paths = append(paths, fault.Path)
+	}
+	return paths
+}
+
+func TestEveryFaultOfRoutesIsNamedWithItsPath(t *testing.T) {
+	for _, example := range []struct {
+		name     string
+		document string
+		paths    []string
+	}{
+		{"wrong types, all at once",
+			`{"version":-1,"routes":[{"kind":"sometimes","timeoutUs":"soon","pinned":1,"splits":[{"weight":1.5}],"goalUs":18446744073709551616,"wt":1}],"services":{},"caps":[]}`,
+			[]string{"caps", "routes[0].goalUs", "routes[0].kind", "routes[0].pinned", "routes[0].splits[0].weight", "routes[0].timeoutUs", "routes[0].wt", "services", "version"}},
+		{"a kind by number", `{"routes":[{"kind":1}]}`, []string{"routes[0].kind"}},
+		{"unknown services, alone and in splits",
+			`{"services":[{"name":"s"}],"routes":[{"name":"a","host":"h","prefix":"/","timeoutUs":1,"service":"t"},
+			  {"name":"b","host":"h","prefix":"/b/","timeoutUs":1,"splits":[{"service":"s","weight":1},{"service":"u","weight":0},{"weight":1}]}]}`,
+			[]string{"routes[0].service", "routes[1].splits[1].service", "routes[1].splits[2].service"}},
+		{"neither service nor splits, and both",
+			`{"services":[{"name":"s"}],"routes":[{"name":"a","host":"h","prefix":"/","timeoutUs":1},
+			  {"name":"b","host":"h","prefix":"/b/","timeoutUs":1,"service":"s","splits":[{"service":"s","weight":1}]}]}`,
+			[]string{"routes[0].service", "routes[1].service"}},
+		{"the same host, but for case and port, and prefix",
+			`{"services":[{"name":"s"}],"routes":[{"name":"a","host":"Host.example","prefix":"/p/","timeoutUs":1,"service":"s"},
+			  {"name":"b","host":"hOST.example:80","prefix":"/p/","timeoutUs":1,"service":"s"},
+			  {"name":"c","host":"host.example","prefix":"/P/","timeoutUs":1,"service":"s"}]}`,
+			[]string{"routes[1].prefix"}},
+		{"weights that add up to nothing",
+			`{"services":[{"name":"s"}],"routes":[{"name":"a","host":"h","prefix":"/","timeoutUs":1,"splits":[{"service":"s"},{"service":"s","weight":0}]}]}`,
+			[]string{"routes[0].splits"}},
+		{"values out of range, all at once",
+			`{"services":[{"name":"s s","healthPath":"healthz","memoryTokens":1099511627777},{"name":"s"},{"name":"s"}],
+			  "routes":[{"name":"a","host":"","prefix":"p/","timeoutUs":0,"service":"s"},
+			            {"name":"a","host":"h h","prefix":"/p","timeoutUs":31622400000001,"goalUs":31622400000001,"gapGoalUs":31622400000001,"service":"s"},
+			            {"name":"","host":"h","prefix":"/p?q/","timeoutUs":1,"service":"s"},
+			            {"name":"d","host":"h","prefix":"","timeoutUs":1,"service":"s"}],
+			  "caps":{"headerBytes":1099511627777,"bodyBytes":1099511627777,"headerUs":31622400000001,"idleUs":31622400000001}}`,
+			[]string{"services[0].name", "services[0].healthPath", "services[0].memoryTokens", "services[2].name",
+				"routes[0].host", "routes[0].prefix", "routes[0].timeoutUs",
+				"routes[1].name", "routes[1].host", "routes[1].prefix", "routes[1].timeoutUs", "routes[1].goalUs", "routes[1].gapGoalUs",
+				"routes[2].name", "routes[2].prefix", "routes[3].prefix",
+				"caps.headerBytes", "caps.bodyBytes", "caps.headerUs", "caps.idleUs"}},
+		{"neither bindings nor routes", `{"version":3,"routes":[]}`, []string{"bindings"}},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := Read([]byte(example.document))
+			c.Assert(faultPaths(c, err), qt.DeepEquals, example.paths, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func TestFaultsAreBoundedInNumberAndSize(t *testing.T) {
+	c := qt.New(t)
+	text := strings.Builder{}
+	text.WriteString(`{"services":[{"name":"s"}],"routes":[`)
+	for i := range 300 {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, `{"name":"r%d","host":"h","prefix":"/p%d/","timeoutUs":1,"service":"%s"}`, i, i, strings.Repeat("é", 2000))
+	}
+	text.WriteString(`]}`)
+	_, err := Read([]byte(text.String()))
+	var faults *Faults
+	c.Assert(errors.As(err, &faults), qt.IsTrue)
+	c.Assert(faults.List, qt.HasLen, maxFaults)
+	c.Assert(faults.More, qt.Equals, 300-maxFaults)
+	c.Assert(len(err.Error()) < maxFaults*(maxFaultText+100), qt.IsTrue)
+	c.Assert(strings.ToValidUTF8(err.Error(), "?"), qt.Equals, err.Error())
+	_, err = Read(fmt.Appendf(nil, `{"%s":1}`, strings.Repeat("x", 1<<20)))
+	c.Assert(errors.As(err, &faults), qt.IsTrue)
+	c.Assert(len(err.Error()) < 3*maxFaultText, qt.IsTrue)
+}
+
+func TestRoutesServicesAndCapsAreCompiledAsWritten(t *testing.T) {
+	c := qt.New(t)
+	spec, err := Read([]byte(`{"version":"18446744073709551615",
+		"services":[{"name":"s1","healthPath":"/healthz","maxConnections":330,"slots":48,"memoryTokens":529555,"stride":4},{"name":"s2"}],
+		"routes":[
+		  {"name":"r1","host":"A.example:8080","prefix":"/a/","kind":"stream","timeoutUs":20000000,"goalUs":1000000,"gapGoalUs":300000,
+		   "priority":2,"tries":3,"pinned":true,"resumable":true,"splits":[{"service":"s1","weight":90},{"service":"s2"}]},
+		  {"name":"r2","host":"[FD00::1]:80","prefix":"/","timeout_us":"7","service":"s2"}],
+		"caps":{"headerBytes":16384,"bodyBytes":4194304,"headerUs":3000000,"idleUs":15000000}}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(spec.Version, qt.Equals, uint64(1<<64-1))
+	c.Assert(spec.Routes, qt.DeepEquals, []Route{
+		{Name: "r1", Host: "a.example", Prefix: "/a/", Kind: Stream, Timeout: 20 * house.Second, Goal: house.Second, GapGoal: 300 * house.Millisecond,
+			Priority: 2, Tries: 3, IsPinned: true, IsResumable: true, Splits: []Split{{"s1", 90}, {"s2", 0}}},
+		// Tries that were not said are one.
+		{Name: "r2", Host: "[fd00::1]", Prefix: "/", Kind: Unsafe, Timeout: 7, Tries: 1, Splits: []Split{{"s2", 1}}},
+	})
+	c.Assert(spec.Services, qt.DeepEquals, map[string]Service{
+		"s1": {Name: "s1", HealthPath: "/healthz", MaxChannels: 330, Slots: 48, MemoryTokens: 529555, Stride: 4}, "s2": {Name: "s2"}})
+	c.Assert(spec.Caps, qt.Equals, Caps{16384, 4194304, 3 * house.Second, 15 * house.Second})
+	for _, document := range []string{
+		// The last route may be taken out, and bindings go on as before.
+		`{"routes":[],"services":[{"name":"s"}]}`, `{"caps":{}}`, `{"bindings":[{"name":"a","shares":[{"weight":1}]}]}`,
+	} {
+		spec, err = Read([]byte(document))
+		c.Assert(err, qt.IsNil)
+		c.Assert(spec.Version, qt.Equals, uint64(0))
+		c.Assert(spec.RouteOf("h", "/"), qt.IsNil)
+	}
+}
+
+func TestAnotherFormGetsFaultsInItsOwnWords(t *testing.T) {
+	c := qt.New(t)
+	message := &playbillpb.Spec{Routes: []*playbillpb.Route{{Name: "r", Host: "h", Prefix: "/", Splits: []*playbillpb.Split{{Service: "s"}}}}}
+	words := map[string]string{"routes": "wege", "timeoutUs": "frist_ms", "splits": "teile", "service": "dienst"}
+	rename := func(field string) string {
+		if word, isThere := words[field]; isThere {
+			return word
+		}
+		return field
+	}
+	_, err := Compile(message, rename)
+	c.Assert(faultPaths(c, err), qt.DeepEquals, []string{"wege[0].frist_ms", "wege[0].teile[0].dienst", "wege[0].teile"})
+	_, err = Compile(message, nil)
+	c.Assert(faultPaths(c, err), qt.DeepEquals, []string{"routes[0].timeoutUs", "routes[0].splits[0].service", "routes[0].splits"})
+	message.Services = []*playbillpb.Service{{Name: "s"}}
+	message.Routes[0].TimeoutUs, message.Routes[0].Splits[0].Weight = 1, 1
+	spec, err := Compile(message, rename)
+	c.Assert(err, qt.IsNil)
+	c.Assert(spec.RouteOf("h", "/").Name, qt.Equals, "r")
+}
+
+func TestTheLongestPrefixOfTheHostTakesARequest(t *testing.T) {
+	c := qt.New(t)
+	text := `{"services":[{"name":"s"}],"routes":[`
+	for i, place := range [][2]string{{"h", "/a/"}, {"h", "/a/b/"}, {"h", "/a//"}, {"all", "/"}, {"[::1]", "/"}, {"::2", "/"}, {"k", "/"}} {
+		if i > 0 {
+			text += ","
+		}
+		text += fmt.Sprintf(`{"name":"r%d","host":"%s","prefix":"%s","timeoutUs":1,"service":"s"}`, i, place[0], place[1])
+	}
+	spec, err := Read([]byte(text + `]}`))
+	c.Assert(err, qt.IsNil)
+	for _, example := range []struct{ host, path, want string }{
+		{"h", "/a/", "/a/"}, {"h", "/a/x", "/a/"}, {"h", "/a/b", "/a/"}, {"h", "/a/b/", "/a/b/"}, {"h", "/a/b/c/d/", "/a/b/"}, {"h", "/a//x", "/a//"},
+		{"H:8080", "/a/x", "/a/"}, {"h", "/a", ""}, {"h", "/", ""}, {"h", "", ""}, {"h", "*", ""}, {"h", "a/", ""}, {"h", "/A/", ""}, {"h", "/x/a/", ""},
+		{"all", "/", "/"}, {"all", "/x", "/"}, {"all", "//", "/"}, {"", "/", ""}, {":80", "/", ""}, {"other", "/a/", ""}, {"h:80:80", "/a/", ""},
+		{"[::1]", "/x", "/"}, {"[::1]:80", "/x", "/"}, {"::2", "/x", "/"}, {"K", "/", "/"}, {"\u212a", "/", ""},
+	} {
+		got := ""
+		if route := spec.RouteOf(example.host, example.path); route != nil {
+			got = route.Prefix
+		}
+		c.Check(got, qt.Equals, example.want, qt.Commentf("%q %q", example.host, example.path))
+	}
+	c.Assert(testing.AllocsPerRun(100, func() { spec.RouteOf("h:80", "/a/b/c/d/e/f") }), qt.Equals, 0.0)
+}
+
+func TestSplitsAreKeptByWeight(t *testing.T) {
+	c := qt.New(t)
+	const rounds = 100000
+	for _, example := range [][]Split{
+		{{"a", 1}}, {{"a", 90}, {"b", 10}}, {{"a", 0}, {"b", 1}, {"c", 0}, {"d", 3}}, {{"a", 1<<32 - 1}, {"b", 1<<32 - 1}}, {{"a", 9}, {"a", 1}, {"b", 10}},
+	} {
+		route, counts, total, weights := &Route{Splits: example}, map[string]int{}, 0.0, map[string]float64{}
+		for _, split := range example {
+			total += float64(split.Weight)
+			weights[split.Service] += float64(split.Weight)
+		}
+		// Plain counting is the poorest hash that a caller may bring.
+		for hash := range uint64(rounds) {
+			service := route.Pick(hash)
+			c.Assert(service, qt.Equals, route.Pick(hash))
+			counts[service]++
+		}
+		for service, weight := range weights {
+			share := float64(counts[service]) / rounds
+			c.Check(share > weight/total-0.01 && share < weight/total+0.01, qt.IsTrue, qt.Commentf("%v: %s got %v", example, service, share))
+			c.Check(weight > 0 || counts[service] == 0, qt.IsTrue)
+		}
+	}
+	// A shift of weight moves only the share that was shifted.
+	before, after, moved := &Route{Splits: []Split{{"a", 90}, {"b", 10}}}, &Route{Splits: []Split{{"a", 80}, {"b", 20}}}, 0
+	for hash := range uint64(rounds) {
+		if before.Pick(hash) != after.Pick(hash) {
+			moved++
+			c.Assert(before.Pick(hash), qt.Equals, "a")
+		}
+	}
+	c.Check(moved > rounds*9/100 && moved < rounds*11/100, qt.IsTrue, qt.Commentf("%d moved", moved))
+}
+
+// largeRoutes is a document of so many routes over some hosts and services.
+func largeRoutes(count int) []byte {
+	text := strings.Builder{}
+	text.WriteString(`{"version":1,"services":[`)
+	for i := range 50 {
+		fmt.Fprintf(&text, `{"name":"service-%d"},`, i)
+	}
+	text.WriteString(`{"name":"last"}],"routes":[`)
+	for i := range count {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, `{"name":"route-%d","host":"host-%d.example","prefix":"/path-%d/","kind":"stream","timeoutUs":20000000,"goalUs":500000,"service":"service-%d"}`, i, i%40, i, i%50)
+	}
+	text.WriteString(`]}`)
+	return []byte(text.String())
+}
+
+func TestManyRoutesWorkUpToTheBound(t *testing.T) {
+	c := qt.New(t)
+	spec, err := Read(largeRoutes(MaxRoutes))
+	c.Assert(err, qt.IsNil)
+	c.Assert(spec.RouteOf("host-39.example", "/path-19999/x").Name, qt.Equals, "route-19999")
+	var above TooLarge
+	_, err = Read(largeRoutes(MaxRoutes + 1))
+	c.Assert(errors.As(err, &above), qt.IsTrue)
+	c.Assert(above.What, qt.Equals, "routes")
+	_, err = Compile(&playbillpb.Spec{Services: make([]*playbillpb.Service, MaxServices+1)}, nil)
+	c.Assert(errors.As(err, &above), qt.IsTrue)
+	c.Assert(above.What, qt.Equals, "services")
+	_, err = Compile(&playbillpb.Spec{Routes: []*playbillpb.Route{{Splits: make([]*playbillpb.Split, MaxSplits+1)}}}, nil)
+	c.Assert(errors.As(err, &above), qt.IsTrue)
+	c.Assert(above.What, qt.Equals, "splits")
+}
+
+func BenchmarkCompile(b *testing.B) {
+	spec := &playbillpb.Spec{Services: []*playbillpb.Service{{Name: "s"}}}
+	for i := range MaxRoutes {
+		spec.Routes = append(spec.Routes, &playbillpb.Route{Name: fmt.Sprintf("r%d", i), Host: fmt.Sprintf("h%d", i%40), Prefix: fmt.Sprintf("/p%d/", i), TimeoutUs: 1, Service: "s"})
+	}
+	for b.Loop() {
+		if _, err := Compile(spec, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkReadRoutes(b *testing.B) {
+	document := largeRoutes(MaxRoutes)
+	b.SetBytes(int64(len(document)))
+	for b.Loop() {
+		if _, err := Read(document); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkRouteOf(b *testing.B) {
+	spec, err := Read(largeRoutes(MaxRoutes))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		spec.RouteOf("host-39.example:8080", "/path-19999/completions")
+	}
+}
--- a/playbill/walk.go
+++ b/playbill/walk.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"sort"
+	"strconv"
+	"strings"
 
 	"google.golang.org/protobuf/reflect/protoreflect"
 
@@ -82,6 +85,25 @@
 		if !isFit || err != nil || whole < 0 || whole > 1<<32-1 {
 			faults.Add(path, "has to be a whole number from 0 to %d", uint32(1<<32-1))
 		}
+	case protoreflect.Uint64Kind:
+		// A string as well: that is how protojson writes such numbers.
+		text, isFit := value.(string)
+		if number, isNumber := value.(json.Number); isNumber {
+			text, isFit = number.String(), true
+		}
+		if _, err := strconv.ParseUint(text, 10, 64); !isFit || err != nil {
+			faults.Add(path, "has to be a whole number from 0 to %d", uint64(math.MaxUint64))
+		}
+	case protoreflect.EnumKind:
+		values := field.Enum().Values()
+		name, isFit := value.(string)
+		if !isFit || values.ByName(protoreflect.Name(name)) == nil {
+			names := make([]string, values.Len())
+			for i := range names {
+				names[i] = string(values.Get(i).Name())
+			}
+			faults.Add(path, "has to be one of %s", strings.Join(names, ", "))
+		}
 	case protoreflect.BoolKind:
 		if _, isFit := value.(bool); !isFit {
 			faults.Add(path, "has to be true or false")
