Changes of named items to JSON documents, in any form's words

Cause: operators change single routes of a document of thousands, and what is kept has to read back as it was sent, numbers and unknown members included.

Ruled out: decoding into maps (loses the order of members) and into the schema (loses what it does not know). An item both to add and to remove is a fault: either order of the two would be a guess.

Conclusion: 2000 seeded changes equal what is rebuilt by hand, and change nothing when applied again.

--- /dev/null
+++ b/playbill/change_test.go
@@ -0,0 +1,182 @@
+package playbill
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// otherWords are another form's: a change by name must not depend on ours.
+func otherWords() Words {
+	return Words{Version: "nr", Upsert: "hin", Remove: "weg", Lists: map[string]string{"wege": "ort", "dienste": "wer"}, Whole: []string{"rand"}}
+}
+
+func TestAChangeTouchesOnlyWhatItNames(t *testing.T) {
+	for _, example := range []struct{ name, document, change, want string }{
+		{"nothing", `{"version":1,"routes":[ ]}`, `{}`, `{"version":1,"routes":[ ]}`},
+		{"a version", `{"a":1,"version":1,"b":2}`, `{"version":9}`, `{"a":1,"version":9,"b":2}`},
+		{"a version of 64 bits, and as a string", `{"version":"1"}`, `{"version":"18446744073709551615"}`, `{"version":"18446744073709551615"}`},
+		{"a version that was not there", `{}`, `{"version":2}`, `{"version":2}`},
+		{"an item in its place", `{"routes":[{"name":"a"},{"name":"b","x":1},{"name":"c"}]}`, `{"upsert":{"routes":[{"name":"b","y":2}]}}`,
+			`{"routes":[{"name":"a"},{"name":"b","y":2},{"name":"c"}]}`},
+		{"new items at the end, in their order", `{"routes":[{"name":"a"}],"z":0}`, `{"upsert":{"routes":[{"name":"c"},{"name":"a","n":1},{"name":"b"}]}}`,
+			`{"routes":[{"name":"a","n":1},{"name":"c"},{"name":"b"}],"z":0}`},
+		{"a list that was not there, or null", `{"services":null}`, `{"upsert":{"services":[{"name":"s"}],"routes":[{"name":"a"}]}}`,
+			`{"services":[{"name":"s"}],"routes":[{"name":"a"}]}`},
+		{"removal", `{"routes":[{"name":"a"},{"name":"b"},{"name":"c"}]}`, `{"remove":{"routes":["b","b"]}}`, `{"routes":[{"name":"a"},{"name":"c"}]}`},
+		{"removal of all", `{"routes":[{"name":"a"}]}`, `{"remove":{"routes":["a"]}}`, `{"routes":[]}`},
+		{"removal of what is not there", `{"routes":[{"name":"a"}]}`, `{"remove":{"routes":["x"],"services":["y"]}}`, `{"routes":[{"name":"a"}]}`},
+		{"nulls", `{"routes":[{"name":"a"}]}`, `{"upsert":null,"remove":{"routes":null}}`, `{"routes":[{"name":"a"}]}`},
+		{"a member that is replaced whole", `{"caps":{"idleUs":1},"policy":{"nearTie":0.1}}`, `{"caps":{"idleUs":2}}`, `{"caps":{"idleUs":2},"policy":{"nearTie":0.1}}`},
+		{"a key of its own", `{"engines":[{"id":"e","name":"x"}]}`, `{"upsert":{"engines":[{"name":"x","id":"f"}]}}`, `{"engines":[{"id":"e","name":"x"},{"name":"x","id":"f"}]}`},
+		{"numbers, signs, space and unknown members, byte for byte",
+			"{ \"later\" : [ 1.50e+03 , \"\\u00e9\\/\" ] , \"n\":12345678901234567890.10,\n\"routes\":[ {\"deep\":{\"x\":[{}, [ ]]},\"name\" : \"a\\\"]\",\"n\":-0.0} , {\"name\":\"b\"}] }",
+			`{"upsert":{"routes":[{"name":"b","n":1E2}]}}`,
+			"{\"later\":[ 1.50e+03 , \"\\u00e9\\/\" ],\"n\":12345678901234567890.10,\"routes\":[{\"deep\":{\"x\":[{}, [ ]]},\"name\" : \"a\\\"]\",\"n\":-0.0},{\"name\":\"b\",\"n\":1E2}]}"},
+		{"names written otherwise", `{"ro\u0075tes":[{"n\u0061me":"a","k":1}]}`, `{"upsert":{"routes":[{"name":"\u0061"}]}}`, `{"ro\u0075tes":[{"name":"\u0061"}]}`},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			c := qt.New(t)
+			document, change := []byte(example.document), []byte(example.change)
+			got, err := ChangeByName(document, change, OwnWords())
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(got), qt.Equals, example.want)
+			// What was given is left as it was: the core still holds it.
+			c.Assert(string(document), qt.Equals, example.document)
+			c.Assert(string(change), qt.Equals, example.change)
+		})
+	}
+}
+
+func TestAChangeInAnotherFormsWords(t *testing.T) {
+	c := qt.New(t)
+	got, err := ChangeByName([]byte(`{"nr":5,"wege":[{"ort":"a"}],"dienste":[{"wer":"d"},{"wer":"e"}],"rand":1,"version":3}`),
+		[]byte(`{"nr":7,"hin":{"wege":[{"ort":"b"}]},"weg":{"dienste":["d"]},"rand":2}`), otherWords())
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, `{"nr":7,"wege":[{"ort":"a"},{"ort":"b"}],"dienste":[{"wer":"e"}],"rand":2,"version":3}`)
+	_, err = ChangeByName([]byte(`{}`), []byte(`{"version":7,"upsert":{},"hin":{"routes":[],"wege":[{"name":"a"}]}}`), otherWords())
+	c.Assert(faultPaths(c, err), qt.DeepEquals, []string{"version", "upsert", "hin.routes", "hin.wege[0].ort"})
+}
+
+func TestEveryFaultOfAChangeIsNamedWithItsPath(t *testing.T) {
+	for _, example := range []struct {
+		name, document, change string
+		paths                  []string
+	}{
+		{"not JSON", `{"routes":[`, `{"version":`, []string{"document", "$"}},
+		{"nothing at all", ``, ` `, []string{"document", "$"}},
+		{"two values", `{} {}`, `{}{}`, []string{"document", "$"}},
+		{"not in UTF-8", "{\"a\":\"\xff\"}", "{\"\xff\":1}", []string{"document", "$"}},
+		{"not objects", `[]`, `"x"`, []string{"document", "$"}},
+		{"the same member twice", `{"a":1,"\u0061":2}`, `{"version":1,"version":2,"upsert":{"routes":[],"routes":[]}}`, []string{"document.a", "version"}},
+		{"the same list twice", `{}`, `{"upsert":{"routes":[],"routes":[]}}`, []string{"upsert.routes"}},
+		{"unknown members and lists", `{"routes":[]}`, `{"routes":[],"upsert":{"rout":[]},"remove":{"policy":[]},"Version":1}`, []string{"routes", "upsert.rout", "remove.policy", "Version"}},
+		{"what are no lists", `{}`, `{"upsert":{"routes":{},"services":"s"},"remove":{"routes":"a"}}`, []string{"upsert.routes", "upsert.services", "remove.routes"}},
+		{"what are no objects of lists", `{}`, `{"upsert":[],"remove":7}`, []string{"upsert", "remove"}},
+		{"versions that are none", `{}`, `{"version":1.5}`, []string{"version"}},
+		{"a version of nothing", `{}`, `{"version":null}`, []string{"version"}},
+		{"a version below zero", `{}`, `{"version":-1}`, []string{"version"}},
+		{"a version above 64 bits", `{}`, `{"version":18446744073709551616}`, []string{"version"}},
+		{"items without a name", `{}`, `{"upsert":{"routes":[{},{"name":7},{"name":""},"a",null,{"name":"a","name":"b"},{"name":null}]}}`,
+			[]string{"upsert.routes[0].name", "upsert.routes[1].name", "upsert.routes[2].name", "upsert.routes[3]", "upsert.routes[4]", "upsert.routes[5].name", "upsert.routes[6].name"}},
+		{"items of one name", `{}`, `{"upsert":{"routes":[{"name":"a"},{"name":"\u0061"}]}}`, []string{"upsert.routes[1].name"}},
+		{"names that are none", `{}`, `{"remove":{"routes":[7,"",null,{"name":"a"},"b"]}}`, []string{"remove.routes[0]", "remove.routes[1]", "remove.routes[2]", "remove.routes[3]"}},
+		{"to add and to remove", `{}`, `{"remove":{"routes":["a"]},"upsert":{"routes":[{"name":"b"},{"name":"a"}],"services":[{"name":"a"}]}}`, []string{"upsert.routes[1].name"}},
+		{"a document whose list is none", `{"routes":{}}`, `{"remove":{"routes":["a"]}}`, []string{"document.routes"}},
+		{"a document whose items have no names", `{"routes":[{"name":"a"},{"name":"a"},7]}`, `{"remove":{"routes":["a"]}}`, []string{"document.routes[1].name", "document.routes[2]"}},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			c := qt.New(t)
+			got, err := ChangeByName([]byte(example.document), []byte(example.change), OwnWords())
+			c.Assert(got, qt.IsNil)
+			c.Assert(faultPaths(c, err), qt.DeepEquals, example.paths, qt.Commentf("%v", err))
+		})
+	}
+	c := qt.New(t)
+	var above TooLarge
+	_, err := ChangeByName([]byte(`{}`), make([]byte, MaxBytes+1), OwnWords())
+	c.Assert(errors.As(err, &above), qt.IsTrue)
+	_, err = ChangeByName(make([]byte, MaxBytes+1), []byte(`{}`), OwnWords())
+	c.Assert(errors.As(err, &above), qt.IsTrue)
+}
+
+// Any change gives what one would write by hand: each list rebuilt from plain slices.
+func TestAChangeIsWhatOneWouldWriteByHand(t *testing.T) {
+	lists := []string{"engines", "bindings", "zones", "routes", "services"}
+	for seed := range uint64(2000) {
+		dice := rand.New(rand.NewPCG(seed, 1))
+		words := OwnWords()
+		write := func(list, name string) string {
+			return fmt.Sprintf(`{"a":%d.0,"%s":"%s","z":[{"name":"%s"}]}`, dice.IntN(1000), words.Lists[list], name, name)
+		}
+		names := func() []string {
+			list := []string{}
+			for _, i := range dice.Perm(8)[:dice.IntN(9)] {
+				list = append(list, fmt.Sprintf("n%d", i))
+			}
+			return list
+		}
+		document, upsert, remove, want := []string{`"before":1e0`}, []string{}, []string{}, []string{`"before":1e0`}
+		late := []string{}
+		for _, list := range lists {
+			old, added, gone := names(), names(), names()
+			gone = slices.DeleteFunc(gone, func(name string) bool { return slices.Contains(added, name) })
+			isThere, isChanged := dice.IntN(4) > 0, dice.IntN(3) > 0
+			oldItems, newItems, result := []string{}, map[string]string{}, []string{}
+			added2 := []string{}
+			for _, name := range added {
+				newItems[name] = write(list, name)
+				added2 = append(added2, newItems[name])
+			}
+			if !isThere {
+				old = nil
+			}
+			for _, name := range old {
+				text := write(list, name)
+				oldItems = append(oldItems, text)
+				if isChanged && slices.Contains(gone, name) {
+					continue
+				}
+				if changed, is := newItems[name]; is && isChanged {
+					text = changed
+				}
+				result = append(result, text)
+			}
+			for _, name := range added {
+				if isChanged && !slices.Contains(old, name) {
+					result = append(result, newItems[name])
+				}
+			}
+			line := fmt.Sprintf(`"%s":[%s]`, list, strings.Join(result, ","))
+			if isThere {
+				document = append(document, fmt.Sprintf(`"%s":[%s]`, list, strings.Join(oldItems, ",")))
+				want = append(want, line)
+			} else if isChanged && len(added) > 0 {
+				late = append(late, line)
+			}
+			if isChanged {
+				upsert = append(upsert, fmt.Sprintf(`"%s":[%s]`, list, strings.Join(added2, ",")))
+				quoted, _ := json.Marshal(gone)
+				remove = append(remove, fmt.Sprintf(`"%s":%s`, list, quoted))
+			}
+		}
+		document, want = append(document, `"after":[ ]`, `"version":1`), append(append(want, `"after":[ ]`, `"version":2`), late...)
+		change := fmt.Sprintf(`{"upsert":{%s},"version":2,"remove":{%s}}`, strings.Join(upsert, ","), strings.Join(remove, ","))
+		whole := "{" + strings.Join(document, ",") + "}"
+		got, err := ChangeByName([]byte(whole), []byte(change), words)
+		if err != nil || string(got) != "{"+strings.Join(want, ",")+"}" {
+			t.Fatalf("seed %d: %s\nby %s\ngave %s (%v)\nnot  {%s}", seed, whole, change, got, err, strings.Join(want, ","))
+		}
+		// And once more it changes nothing.
+		if again, err := ChangeByName(got, []byte(change), words); err != nil || !bytes.Equal(again, got) {
+			t.Fatalf("seed %d: a second time gave %s (%v)", seed, again, err)
+		}
+	}
+}
