The shelf goes by a form, and knows versions of specs no longer compiled

Cause: nodes of one fleet have to read, check and change documents by the same form, and the leader asks for the versions of many documents waiting in its inbox.

Conclusion: a shelf without a form reads the product's own, as before; its existing contracts pass unchanged.

--- a/playbill/routes_test.go
+++ b/playbill/routes_test.go
@@ -273,3 +273,61 @@
 		spec.RouteOf("host-39.example:8080", "/path-19999/completions")
 	}
 }
+
+// wordForm is a form that is none: it shows that the shelf goes by what it is given.
+type wordForm struct{ reads *int }
+
+func (f wordForm) Read(document []byte) (*Spec, error) {
+	*f.reads++
+	if len(document) > 9 {
+		return nil, TooLarge{"words", len(document), 9}
+	}
+	return &Spec{Version: uint64(len(document))}, nil
+}
+
+func (f wordForm) Change(document, change []byte) ([]byte, error) {
+	return append(append([]byte{}, document...), change...), nil
+}
+
+func TestTheShelfGoesByItsForm(t *testing.T) {
+	c := qt.New(t)
+	reads := 0
+	shelf := &Shelf{Form: wordForm{&reads}}
+	changed, err := shelf.Change([]byte("abc"), []byte("de"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(changed), qt.Equals, "abcde")
+	c.Assert(shelf.Has(changed), qt.IsFalse)
+	version, err := shelf.Version(changed)
+	c.Assert(err, qt.IsNil)
+	c.Assert(version, qt.Equals, uint64(5))
+	c.Assert(shelf.Has(changed), qt.IsTrue)
+	spec, err := shelf.Read(changed)
+	c.Assert(err, qt.IsNil)
+	c.Assert(spec.Version, qt.Equals, uint64(5))
+	c.Assert(reads, qt.Equals, 1)
+	var above TooLarge
+	for range 2 {
+		_, err = shelf.Version([]byte("far too long"))
+		c.Assert(errors.As(err, &above), qt.IsTrue)
+		c.Assert(errors.As(shelf.Check([]byte("far too long")), &above), qt.IsTrue)
+	}
+	c.Assert(reads, qt.Equals, 2)
+	// What is no longer compiled is still known by version and verdict.
+	for _, word := range []string{"a", "b", "c", "d"} {
+		c.Assert(shelf.Check([]byte(word)), qt.IsNil)
+	}
+	c.Assert(shelf.Has(changed), qt.IsFalse)
+	version, err = shelf.Version(changed)
+	c.Assert(err, qt.IsNil)
+	c.Assert(version, qt.Equals, uint64(5))
+	c.Assert(reads, qt.Equals, 6)
+	// Without a form: the product's own.
+	own := &Shelf{}
+	document, err := own.Change([]byte(`{"version":1,"services":[]}`), []byte(`{"version":4,"upsert":{"services":[{"name":"s"}]}}`))
+	c.Assert(err, qt.IsNil)
+	version, err = own.Version(document)
+	c.Assert(err, qt.IsNil)
+	c.Assert(version, qt.Equals, uint64(4))
+	_, err = own.Change(document, []byte(`{"version":5,"upsert":{"services":[{}]}}`))
+	c.Assert(faultPaths(c, err), qt.DeepEquals, []string{"upsert.services[0].name"})
+}
--- a/playbill/shelf.go
+++ b/playbill/shelf.go
@@ -15,9 +15,33 @@
 // Shelf compiles each spec once for all parts of a process: a large one takes a good
 // part of a second.
 type Shelf struct {
+	// Form reads the documents; nil: the product's own. Not to be changed once in use.
+	Form     Form
 	lock     sync.Mutex
 	kept     bounded[*Spec]
-	verdicts bounded[error]
+	verdicts bounded[verdict]
+}
+
+// verdict is what is remembered of a document that is no longer kept compiled.
+type verdict struct {
+	version uint64
+	err     error
+}
+
+// ownForm is the product's own form, protojson.
+type ownForm struct{}
+
+func (ownForm) Read(document []byte) (*Spec, error) { return Read(document) }
+
+func (ownForm) Change(document, change []byte) ([]byte, error) {
+	return ChangeByName(document, change, OwnWords())
+}
+
+func (s *Shelf) form() Form {
+	if s.Form == nil {
+		return ownForm{}
+	}
+	return s.Form
 }
 
 type digest = [sha256.Size]byte
@@ -42,7 +66,7 @@
 	}
 }
 
-// Read is Read with what was compiled before kept at hand.
+// Read is the form's Read with what was compiled before kept at hand.
 func (s *Shelf) Read(document []byte) (*Spec, error) {
 	key := sha256.Sum256(document)
 	s.lock.Lock()
@@ -52,28 +76,45 @@
 		return spec, nil
 	}
 	// Not under the lock: nobody must wait for an operator's other spec.
-	spec, err := Read(document)
+	spec, err := s.form().Read(document)
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.verdicts.put(key, err, verdictBound)
 	if err != nil {
+		s.verdicts.put(key, verdict{0, err}, verdictBound)
 		return nil, err
 	}
+	s.verdicts.put(key, verdict{spec.Version, nil}, verdictBound)
 	s.kept.put(key, spec, shelfBound)
 	return spec, nil
 }
 
 // Check tells what is wrong with a spec, from memory where it was read before.
 func (s *Shelf) Check(document []byte) error {
+	_, err := s.Version(document)
+	return err
+}
+
+// Version gives the operator's own number of a spec, or what is wrong with the spec, from
+// memory where it was read before; zero: it has none.
+func (s *Shelf) Version(document []byte) (uint64, error) {
 	key := sha256.Sum256(document)
 	s.lock.Lock()
-	verdict, isKnown := s.verdicts.values[key]
+	known, isKnown := s.verdicts.values[key]
 	s.lock.Unlock()
 	if isKnown {
-		return verdict
+		return known.version, known.err
 	}
-	_, err := s.Read(document)
-	return err
+	spec, err := s.Read(document)
+	if err != nil {
+		return 0, err
+	}
+	return spec.Version, nil
+}
+
+// Change applies a change of named items and gives the document that follows, not yet
+// judged: read it before it is used.
+func (s *Shelf) Change(document, change []byte) ([]byte, error) {
+	return s.form().Change(document, change)
 }
 
 // Has tells whether a spec is compiled and at hand.
