Deployments: callers, control, readiness and nodes at addresses of their own

Cause: one public address served callers, engines, operators and looks at readiness; a deployment gives each its own, reads its settings again while it runs, and brings handlers in its own words. Conclusion: Deployment and Staging beside Settings and Parts, and the stop: not ready at once, serving through the lame-duck span, then what was accepted is finished.

--- /dev/null
+++ b/wings/deployment.go
@@ -0,0 +1,423 @@
+package wings
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// RetryBudget bounds what goes to a service beyond the first try of each request, summed
+// over all nodes.
+type RetryBudget struct {
+	Ratio  float64
+	Window house.Micros
+	Slack  float64
+}
+
+// DeploymentBounds are what a deployment's operators and callers are promised.
+type DeploymentBounds struct {
+	Budget  RetryBudget
+	Grace   house.Micros // from the stop signal to the kill
+	Slack   house.Micros // within which a stopping node may still have read a request
+	Drain   house.Micros // from the word that an engine leaves to its last new request
+	Relay   house.Micros // within which an event is passed on
+	Apply   house.Micros // from an acknowledgement to its effect on every node in touch
+	Revert  house.Micros // after which no node that showed a spec may show an older one
+	Contact house.Micros // of calm, after which a node counts as in touch
+	Reuse   house.Micros // after which an engine's address may be another's
+	Stretch house.Micros // by which an unsettled core may stretch Apply
+}
+
+// Deployment is a fleet whose callers, engines and operators each have an address of
+// their own, whose engines register themselves, and whose spec has a form of its own.
+type Deployment struct {
+	Settings Settings
+	// Where it listens; empty: this node does not serve it.
+	Callers, Control, Readiness string
+	Region                      string
+	// CanVote: the disk outlives the process and counts among those that may be lost.
+	CanVote bool
+	// Bootstrap: this is the first start of the whole fleet, on empty disks.
+	Bootstrap bool
+	Voters    int          // how many voters the core seeks to have
+	BeatGone  house.Micros // silence after which an engine is taken to have crashed
+	SubmitTry house.Micros // how long an order is tried before the answer is that it is unproved
+	Bounds    DeploymentBounds
+	Limits    ProcessLimits
+	Form      playbill.Form
+}
+
+// ProcessLimits are what the process may take of its machine.
+type ProcessLimits struct {
+	Memory      int64 // bytes at which the collector works harder; zero: no limit
+	GCPercent   int
+	Processors  int     // threads that run Go code at a time
+	CoreShare   float64 // of one core
+	Files       int
+	LinkMbps    float64
+	BodiesBytes int64
+}
+
+// Staging is what a deployment brings in its own words.
+type Staging struct {
+	Program string
+	// Callers and Control make the handlers of the two addresses.
+	Callers, Control func(*Services) (http.Handler, error)
+	ReadinessPath    string
+	// Reload reads the settings again. It gives the same pointer while nothing changed.
+	Reload func() (*Deployment, error)
+}
+
+// Services are what a staging's handlers are made of.
+type Services struct {
+	Cue    house.Cue
+	Runner *Runner
+	Shelf  *playbill.Shelf
+	Door   *Door // nil where callers are not served
+	// Deployment gives the settings of this moment.
+	Deployment func() *Deployment
+	IsStopping func() bool
+}
+
+// Spans of a deployment's process.
+const (
+	reloadEvery  = 3 * time.Second
+	lameDuckSpan = 2500 * house.Millisecond // the platform's looks are a second apart, and it needs two
+	graceMargin  = 400 * house.Millisecond
+	readHeader   = 5 * time.Second
+	idleChannel  = 60 * time.Second
+	headerBytes  = 64 << 10
+)
+
+// Check names every fault of a deployment's settings at once.
+func (d *Deployment) Check() error {
+	faults := &playbill.Faults{}
+	listened := map[string]string{}
+	check := func(name, address string) {
+		parsed, err := netip.ParseAddrPort(address)
+		switch {
+		case err != nil:
+			faults.Add(name, "%q is not an IP and port", address)
+		case parsed.Port() == 0 || parsed.Addr().IsUnspecified():
+			faults.Add(name, "%q can't be reached from another machine", address)
+		case listened[address] != "":
+			faults.Add(name, "%s is the address of %s as well", address, listened[address])
+		}
+		listened[address] = name
+	}
+	check("peer", d.Settings.Peer)
+	for _, served := range [][2]string{{"callers", d.Callers}, {"control", d.Control}, {"readiness", d.Readiness}} {
+		if served[1] != "" {
+			check(served[0], served[1])
+		}
+	}
+	if d.Callers == "" && d.Control == "" {
+		faults.Add("callers", "neither callers nor control are served")
+	}
+	if d.Settings.Zone == "" {
+		faults.Add("zone", "has to be named")
+	}
+	if d.CanVote && d.Settings.Data == "" {
+		faults.Add("data", "a node that may vote needs a data folder")
+	}
+	if d.Form == nil {
+		faults.Add("form", "a deployment's spec needs a form")
+	}
+	d.Settings.checkSpans(faults)
+	return faults.Err()
+}
+
+// MainDeployment runs a deployment and gives the process's exit status.
+func MainDeployment(staging Staging) int {
+	deployment, err := staging.Reload()
+	if err == nil {
+		err = deployment.Check()
+	}
+	if err != nil {
+		var faults *playbill.Faults
+		if errors.As(err, &faults) {
+			for _, fault := range faults.List {
+				fmt.Fprintf(os.Stderr, "%s: settings: %v\n", staging.Program, fault)
+			}
+		} else {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", staging.Program, err)
+		}
+		return 2
+	}
+	deployment.Limits.apply()
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	// A write to a channel that its peer closed has to fail, not to end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	log := house.LogJSON()
+	if err := RunDeployment(stop, hangup, log, deployment, staging); err != nil {
+		log.Error(err, "the process ends")
+		return 1
+	}
+	return 0
+}
+
+// apply sets the runtime's own limits.
+func (l ProcessLimits) apply() {
+	if l.Memory > 0 {
+		debug.SetMemoryLimit(l.Memory)
+	}
+	if l.GCPercent > 0 {
+		debug.SetGCPercent(l.GCPercent)
+	}
+	if l.Processors > 0 {
+		runtime.GOMAXPROCS(l.Processors)
+	}
+}
+
+// deployed is a deployment's process.
+type deployed struct {
+	*assembly
+	staging  Staging
+	current  atomic.Pointer[Deployment]
+	live     atomic.Int64 // callers' requests that are being served
+	services *Services
+	callers  *http.Server
+	control  *http.Server
+	servers  []*http.Server
+	failed   chan error
+}
+
+// RunDeployment puts a node together and serves until stop ends, then drains it.
+func RunDeployment(stop context.Context, hangup <-chan os.Signal, log klog.Logger, deployment *Deployment, staging Staging) (err error) {
+	settings := deployment.Settings
+	self := house.Identity{Fleet: settings.Fleet, Address: settings.Peer, Public: deployment.Control, Zone: settings.Zone}
+	life, end := context.WithCancel(context.Background())
+	d := &deployed{staging: staging, failed: make(chan error, 4), assembly: &assembly{
+		cue:   house.Cue{Context: life, Clock: house.NewSteadyClock(), Log: log, Self: self, Journal: house.NewJournal(settings.Journal)},
+		stage: house.Open(), settings: settings, end: end, deployment: deployment, shelf: deployment.shelf(),
+		// Without a disk of its own a node votes for nothing, and needs no core.
+		parts: Parts{Program: staging.Program, IsRouter: deployment.Callers != "", IsPrompter: deployment.CanVote},
+	}}
+	d.current.Store(deployment)
+	defer func() { err = errors.Join(err, d.stage.Strike.Run()) }()
+	d.stage.Strike.Defer(func() error { end(); return nil })
+	node := deployment.node(self, d.parts)
+	node.Journal, node.CheckSpec, node.IsCompiled = d.cue.Journal, d.shelf.Check, d.shelf.Has
+	d.cue.Journal.Open(node.Start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
+	for _, step := range []func() error{
+		func() error { return d.openFolder(&node) }, d.openJournal, func() error { return d.openNode(node) }, d.openPast,
+		func() error { return d.serveAll(node.Member) },
+	} {
+		if err := step(); err != nil {
+			return fmt.Errorf("start: %w", err)
+		}
+	}
+	go d.watchSettings(hangup)
+	select {
+	case err := <-d.failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-stop.Done():
+	}
+	d.leave()
+	return nil
+}
+
+// listen opens one of the deployment's addresses and serves it.
+func (d *deployed) listen(what, address string, handler http.Handler, wrap func(net.Listener) net.Listener) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s: %w", what, err)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeader, IdleTimeout: idleChannel, MaxHeaderBytes: headerBytes,
+	}
+	d.servers = append(d.servers, server)
+	d.stage.Strike.Defer(func() error { return ignoreClosed(server.Close()) })
+	go func() {
+		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			d.failed <- fmt.Errorf("%s: %w", what, err)
+		}
+	}()
+	return server, nil
+}
+
+// serveAll sets everything going.
+func (d *deployed) serveAll(member flyloft.MemberID) error {
+	deployment := d.deployment
+	if err := checkFiles(d.settings.Channels, d.settings.Live); err != nil {
+		// Fewer files make a smaller crowd; they are no reason to serve nobody.
+		d.cue.Log.Error(err, "the bounds on channels can't be met")
+	}
+	d.services = &Services{
+		Cue: d.cue, Runner: d.runner, Shelf: d.shelf, Deployment: d.current.Load, IsStopping: d.isStopping.Load,
+	}
+	plain := func(listener net.Listener) net.Listener { return listener }
+	// Nodes first: the callers' handler may need what they tell.
+	peers := NewPeerHandler(d.runner.Deliver, d.runner.Recall, func() flyloft.Witness { return d.runner.Witness(member) })
+	if _, err := d.listen("nodes", d.settings.Peer, peers, plain); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() { d.runner.Run(); close(ended) }()
+	d.stage.Strike.Defer(func() error { d.end(); <-ended; return nil })
+	if d.librarian != nil {
+		// Nobody waits for it: a stalled disk must not hold up a stop.
+		go d.librarian.Run()
+	}
+	if deployment.Control != "" {
+		handler, err := d.staging.Control(d.services)
+		if err != nil {
+			return fmt.Errorf("open control: %w", err)
+		}
+		if d.control, err = d.listen("control", deployment.Control, d.winding(handler), plain); err != nil {
+			return err
+		}
+	}
+	if deployment.Callers != "" {
+		door := NewDoor(nil, d.settings.Channels)
+		d.services.Door = door
+		handler, err := d.staging.Callers(d.services)
+		if err != nil {
+			return fmt.Errorf("open the callers' side: %w", err)
+		}
+		d.callers, err = d.listen("callers", deployment.Callers, d.winding(d.counting(handler)), func(listener net.Listener) net.Listener {
+			door.Listener = listener
+			return door
+		})
+		if err != nil {
+			return err
+		}
+	}
+	if deployment.Readiness != "" {
+		if _, err := d.listen("readiness", deployment.Readiness, d.readiness(), plain); err != nil {
+			return err
+		}
+	}
+	d.cue.Log.Info("serving", "callers", deployment.Callers, "control", deployment.Control, "peer", d.settings.Peer, "member", string(member))
+	return nil
+}
+
+// winding has a stopping node's channels close after their next answer.
+func (d *deployed) winding(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.isStopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// counting knows how many requests are being served.
+func (d *deployed) counting(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.live.Add(1)
+		defer d.live.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// WhyNotReady tells why callers should not be led here; empty when they should.
+func (s *Services) WhyNotReady() string {
+	state := s.Runner.State()
+	switch {
+	case s.IsStopping():
+		return "this node is stopping"
+	case state.Document == nil || state.Document.SpecGeneration == 0:
+		return "no spec has reached this node"
+	}
+	for _, engine := range state.Engines {
+		if !engine.IsUnlisted && !engine.IsLeaving && !engine.IsDark {
+			return ""
+		}
+	}
+	return "no engine that is up is known here"
+}
+
+func (d *deployed) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+d.staging.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if why := d.services.WhyNotReady(); why != "" {
+			http.Error(w, why, http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// watchSettings reads the settings again at a signal, and now and then without one.
+func (d *deployed) watchSettings(hangup <-chan os.Signal) {
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.cue.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+		}
+		next, err := d.staging.Reload()
+		if err == nil {
+			err = next.Check()
+		}
+		before := d.current.Load()
+		switch {
+		case err != nil:
+			// What is in force stays so: a half-written file must not stop a node.
+			d.cue.Log.Error(err, "the settings can't be read again")
+		case next != before:
+			d.current.Store(next)
+			d.cue.Log.Info("the settings have changed", "seeds", next.Settings.Seeds)
+		}
+	}
+}
+
+// leave is a planned stop: say so and hand duties on, take callers a little longer while
+// the platform learns of it, then finish what was accepted.
+func (d *deployed) leave() {
+	begun := d.cue.Clock.Now()
+	d.cue.Log.Info("stopping")
+	d.isStopping.Store(true)
+	d.runner.Leave()
+	last := max(d.current.Load().Bounds.Grace-graceMargin, house.Second)
+	waitUntil(int64(min(lameDuckSpan, last/2)), func() bool { return false })
+	for _, server := range []*http.Server{d.callers, d.control} {
+		if server == nil {
+			continue
+		}
+		left, done := context.WithTimeout(context.Background(), (begun + last - d.cue.Clock.Now()).Duration())
+		if err := server.Shutdown(left); err != nil {
+			d.cue.Log.Error(err, "some channels had to be cut", "live", d.live.Load())
+		}
+		done()
+	}
+	waitUntil(int64(min(2*house.Second, begun+last-d.cue.Clock.Now())), func() bool { return !d.runner.HasDuties() })
+	d.cue.Log.Info("drained", "live", d.live.Load())
+}
+
+// node is what the control plane is told.
+func (d *Deployment) node(self house.Identity, parts Parts) flyloft.NodeSettings {
+	return flyloft.NodeSettings{
+		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: d.Settings.Data != "",
+		// Of the address, so that the elections of two nodes do not collide.
+		Seeds: d.Settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: xxhash.Sum64String(self.Address),
+		Timing: d.Settings.Timing(), Member: flyloft.MemberID("no-folder-" + self.Address),
+	}
+}
+
+// shelf reads specs of the deployment's form.
+func (d *Deployment) shelf() *playbill.Shelf { return &playbill.Shelf{} }
--- /dev/null
+++ b/wings/deployment_test.go
@@ -0,0 +1,179 @@
+package wings
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"k8s.io/klog/v2"
+
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// ownForm is the product's own form, as a deployment's.
+type ownForm struct{}
+
+func (ownForm) Read(document []byte) (*playbill.Spec, error) { return playbill.Read(document) }
+
+func (ownForm) Change(document, _ []byte) ([]byte, error) { return document, nil }
+
+func goodDeployment(c *qt.C, seeds []string, peer string) *Deployment {
+	settings := DefaultSettings()
+	settings.Peer, settings.Zone, settings.Seeds, settings.Data = peer, "z0", seeds, c.TempDir()
+	settings.ArchiveMB = 0
+	return &Deployment{
+		Settings: settings, Callers: free(c), Control: free(c), Readiness: free(c), CanVote: true, Bootstrap: true, Voters: 3,
+		Form: ownForm{}, Bounds: DeploymentBounds{Grace: 6 * house.Second},
+	}
+}
+
+func TestDeploymentsNameEveryFault(t *testing.T) {
+	c := qt.New(t)
+	d := goodDeployment(c, nil, "10.0.0.1:7000")
+	c.Assert(d.Check(), qt.IsNil)
+	d.Settings.Data, d.Settings.Zone, d.Form, d.Control, d.Callers, d.Readiness = "", "", nil, "10.0.0.1:7000", "host:1", "0.0.0.0:5"
+	d.Settings.LicenceUS = 5_000_000
+	var faults *playbill.Faults
+	c.Assert(errors.As(d.Check(), &faults), qt.IsTrue)
+	paths := []string{}
+	for _, fault := range faults.List {
+		paths = append(paths, fault.Path)
+	}
+	c.Assert(paths, qt.DeepEquals, []string{"callers", "control", "readiness", "zone", "data", "form", "licence_us"})
+	// A router keeps nothing on disk, and serves no control.
+	router := goodDeployment(c, nil, "10.0.0.1:7000")
+	router.CanVote, router.Control, router.Settings.Data = false, "", ""
+	c.Assert(router.Check(), qt.IsNil)
+	router.Callers = ""
+	c.Assert(router.Check(), qt.IsNotNil)
+}
+
+// deployedNode is one whole node of a deployment in this process.
+type deployedNode struct {
+	*Deployment
+	stop   context.CancelFunc
+	ended  chan error
+	hangup chan os.Signal
+	next   atomic.Pointer[Deployment]
+	// seen gets the services once control is open.
+	seen chan *Services
+}
+
+func startDeployed(c *qt.C, d *Deployment, callers http.Handler) *deployedNode {
+	n := &deployedNode{Deployment: d, ended: make(chan error, 1), hangup: make(chan os.Signal), seen: make(chan *Services, 1)}
+	n.next.Store(d)
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	staging := Staging{
+		Program: "test", ReadinessPath: "/ready", Reload: func() (*Deployment, error) { return n.next.Load(), nil },
+		Callers: func(*Services) (http.Handler, error) { return callers, nil },
+		Control: func(services *Services) (http.Handler, error) {
+			n.seen <- services
+			return http.NotFoundHandler(), nil
+		},
+	}
+	c.Assert(d.Check(), qt.IsNil)
+	go func() { n.ended <- RunDeployment(ctx, n.hangup, klog.Background(), d, staging) }()
+	return n
+}
+
+// get asks on a channel of its own.
+func get(address, path string) (int, error) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + address + path)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return response.StatusCode, err
+}
+
+// awaitStatus asks until the status is the wanted one; the test's own time limit ends it.
+func awaitStatus(address, path string, status int) {
+	for {
+		if got, err := get(address, path); err == nil && got == status {
+			return
+		}
+	}
+}
+
+func TestADeploymentFromItsStartToAPlannedStop(t *testing.T) {
+	c := qt.New(t)
+	begun, release := make(chan bool, 1), make(chan bool)
+	callers := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			begun <- true
+			<-release
+		}
+		fmt.Fprint(w, "whole")
+	})
+	seeds := []string{free(c), free(c), free(c)}
+	nodes := []*deployedNode{}
+	for _, seed := range seeds {
+		nodes = append(nodes, startDeployed(c, goodDeployment(c, seeds, seed), callers))
+	}
+	services := []*Services{}
+	for _, node := range nodes {
+		services = append(services, <-node.seen)
+	}
+	awaitStatus(nodes[0].Readiness, "/ready", http.StatusServiceUnavailable)
+	for try := 0; ; try++ {
+		receipt, err := services[0].Runner.Submit(context.Background(), &flyloft.Submit{ID: fmt.Sprint("first", try), Order: flyloft.PutSpec, Spec: []byte(specOne)})
+		c.Assert(err, qt.IsNil)
+		if receipt.Outcome == flyloft.Yes {
+			break
+		}
+	}
+	c.Assert(services[0].WhyNotReady(), qt.Equals, "no engine that is up is known here")
+	services[1].Runner.Hear([]flyloft.EngineRecord{{ID: "e", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Start: 1, Seq: 1}})
+	for _, node := range nodes {
+		awaitStatus(node.Readiness, "/ready", http.StatusOK)
+	}
+	// The settings change with a signal; what is served goes on.
+	changed := *nodes[0].Deployment
+	changed.Bounds.Grace = 7 * house.Second
+	nodes[0].next.Store(&changed)
+	nodes[0].hangup <- os.Interrupt
+	nodes[0].hangup <- os.Interrupt // taken only once the first one is dealt with
+	c.Assert(services[0].Deployment().Bounds.Grace, qt.Equals, 7*house.Second)
+
+	// A planned stop: not ready at once, still serving, and what was accepted ends whole.
+	slow := make(chan string, 1)
+	go func() {
+		response, err := http.Get("http://" + nodes[0].Callers + "/slow")
+		if err != nil {
+			slow <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		slow <- fmt.Sprint(string(body), err)
+	}()
+	<-begun
+	nodes[0].stop()
+	awaitStatus(nodes[0].Readiness, "/ready", http.StatusServiceUnavailable)
+	// Over a channel that its caller would keep.
+	quick, err := (&http.Client{Transport: &http.Transport{}}).Get("http://" + nodes[0].Callers + "/quick")
+	c.Assert(err, qt.IsNil)
+	c.Assert(quick.Body.Close(), qt.IsNil)
+	c.Assert(quick.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(quick.Close, qt.IsTrue)
+	close(release)
+	c.Assert(<-slow, qt.Equals, "whole<nil>")
+	c.Assert(<-nodes[0].ended, qt.IsNil)
+	_, err = get(nodes[0].Callers, "/quick")
+	c.Assert(err, qt.IsNotNil)
+	for _, node := range nodes[1:] {
+		node.stop()
+		c.Assert(<-node.ended, qt.IsNil)
+	}
+}
--- a/wings/process.go
+++ b/wings/process.go
@@ -92,6 +92,8 @@
 	librarian  *Librarian
 	public     *Door
 	isStopping atomic.Bool
+	// Nil unless it is run as a deployment; then callers are served by what that brings.
+	deployment *Deployment
 }
 
 // Run puts a node together and serves until stop ends, then drains it.
@@ -191,7 +193,7 @@
 func (a *assembly) openNode(node flyloft.NodeSettings) error {
 	channels := NewChannels(a.cue, peerDialer())
 	services := map[string]any{ServiceChannels: channels, ServiceShelf: a.shelf}
-	if a.parts.IsRouter {
+	if a.parts.IsRouter && a.deployment == nil {
 		a.desk = auditorium.NewDesk(a.cue.Self.Address, a.cue.Self.Zone, func(now house.Micros, subject, decision, why string) {
 			if strings.HasPrefix(subject, "engine ") {
 				a.cue.Journal.Note(now, "auditorium", subject, decision, why)
@@ -203,6 +205,7 @@
 		services[ServiceUsher] = a.usher
 	}
 	a.runner = NewRunner(a.cue, flyloft.NewNode(node, a.cue.Clock.Now()), a.store, channels, a.desk, a.shelf, a.settings.Platform)
+	a.runner.NoProbes = a.deployment != nil
 	services[ServiceRunner] = a.runner
 	if a.usher != nil {
 		a.usher.Suspect, a.usher.Restarted = a.runner.Suspect, a.runner.Restarted
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -42,6 +42,9 @@
 	longest atomic.Int64
 	hand    Stagehand
 	prober  *http.Client
+	// NoProbes is set where engines register themselves: their words tell how they are,
+	// and a look at one would cost it a place.
+	NoProbes bool
 }
 
 // NewRunner makes a shell; Run starts it.
@@ -98,7 +101,9 @@
 	if r.platform != "" {
 		workers.Go(r.pollPlatform)
 	}
-	workers.Go(r.probeEngines)
+	if !r.NoProbes {
+		workers.Go(r.probeEngines)
+	}
 	ticker := time.NewTicker(tickSpan.Duration())
 	defer ticker.Stop()
 	for {
@@ -147,6 +152,9 @@
 			r.post(func() []any { return r.node.Prepared(r.cue.Clock.Now(), command.Document, err) })
 		}()
 	case flyloft.Probe:
+		if r.NoProbes {
+			return
+		}
 		go func() {
 			// One look is enough here: a router has failed to get through already.
 			if !probe(r.cue, r.prober, command.Engine.Address) {
