--- a/wings/deployment_test.go
+++ b/wings/deployment_test.go
@@ -31,7 +31,7 @@
 	settings.ArchiveMB = 0
 	return &Deployment{
 		Settings: settings, Callers: free(c), Control: free(c), Readiness: free(c), CanVote: true, Bootstrap: true, Voters: 3,
-		Form: ownForm{}, Bounds: DeploymentBounds{Grace: 6 * house.Second},
+		Form: ownForm{}, Bounds: DeploymentBounds{Grace: 2 * house.Second},
 	}
 }
 
@@ -174,6 +174,8 @@
 	c.Assert(err, qt.IsNotNil)
 	for _, node := range nodes[1:] {
 		node.stop()
+	}
+	for _, node := range nodes[1:] {
 		c.Assert(<-node.ended, qt.IsNil)
 	}
 }
