--- /dev/null
+++ b/foyer/chooser.go
@@ -0,0 +1,496 @@
+package foyer
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/auditorium"
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// Refusal is the final answer to a request that no engine's answer ends.
+type Refusal struct {
+	Reason     string // a word for programs
+	Detail     string // a sentence for people
+	Status     int
+	RetryAfter house.Micros // when to come back; zero: no use
+}
+
+func (r *Refusal) Error() string { return r.Reason + ": " + r.Detail }
+
+// Attempt is one request at one engine.
+type Attempt struct {
+	Engine  Engine
+	Number  int
+	Why     string
+	started house.Micros
+	left    int64 // outstanding tokens still counted
+	hasHead bool
+	isOver  bool
+}
+
+// Call is the state of one request.
+type Call struct {
+	Request Request
+	Attempt *Attempt
+	sent    int // attempts of which bytes may have reached an engine
+	// IsBound tells that a part of an answer went out which only the same engine can end.
+	IsBound bool
+	tried   map[string]bool
+}
+
+// Ending is how an attempt ended.
+type Ending int
+
+// The endings of an attempt.
+const (
+	Served     Ending = iota // the whole answer was read
+	NotSent                  // not one byte was written
+	SaidNotRun               // the engine said that it did not run it
+	Moved                    // another engine has the address
+	Silent                   // the engine showed no sign of life in time
+	Lost                     // after bytes were written, without the engine's word
+	CallerGone               // the caller hung up
+	Failed                   // the engine's own failure, whole
+)
+
+func (e Ending) String() string {
+	return [...]string{"served", "not sent", "said not run", "moved", "silent", "lost", "caller gone", "failed"}[e]
+}
+
+// isProven tells that the engine has not run and will not run the request.
+func (e Ending) isProven() bool { return e == NotSent || e == SaidNotRun || e == Moved }
+
+// Spans and shares of the choice.
+const (
+	avoidFirst   = 300 * house.Millisecond // an engine that failed is left alone for so long, and twice as long each time
+	avoidLast    = 3 * house.Second
+	fullAvoid    = 50 * house.Millisecond // one that turned a request away
+	soon         = 200 * house.Millisecond
+	othersFade   = 1500 * house.Millisecond // in which a late figure loses most of its weight
+	figureWeight = 0.1                      // of a new value in a running mean
+)
+
+type engineState struct {
+	engine     Engine
+	attempts   map[*Attempt]bool
+	tokens     int64 // outstanding, of own attempts
+	failures   int
+	avoidTill  house.Micros
+	isProbing  bool
+	heard      house.Micros // when anything was last heard from it
+	others     float64      // requests of other routers there, by its late word
+	othersAt   house.Micros
+	hasFigures bool
+}
+
+// Counts are the chooser's running figures.
+type Counts struct {
+	Requests, Attempts, Extras, Diverts uint64
+	Refused                             map[string]uint64
+	Endings                             map[string]uint64
+}
+
+// Chooser owns the state of a router's requests: what happens to them goes in, what is to
+// be done comes out. Its one lock is held for one decision.
+type Chooser struct {
+	lock     sync.Mutex
+	salt     uint64
+	zone     string
+	retry    Retry
+	scene    *Scene
+	engines  map[string]*engineState
+	services map[string][]*engineState // in order of ids
+	budgets  map[string]*budget
+	meanSize float64 // tokens outstanding of an attempt, on the mean
+	isShut   bool
+	counts   Counts
+}
+
+// NewChooser makes a chooser that refuses until it is shown a scene.
+func NewChooser(self, zone string, retry Retry) *Chooser {
+	return &Chooser{
+		salt: xxhash.Sum64String(self), zone: zone, retry: retry, scene: &Scene{}, engines: map[string]*engineState{},
+		services: map[string][]*engineState{}, budgets: map[string]*budget{}, meanSize: 1000,
+		counts: Counts{Refused: map[string]uint64{}, Endings: map[string]uint64{}},
+	}
+}
+
+// Show puts a new scene in force.
+func (c *Chooser) Show(scene *Scene) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.scene = scene
+	c.services = map[string][]*engineState{}
+	known := make(map[string]bool, len(scene.Engines))
+	for _, engine := range scene.Engines {
+		known[engine.ID] = true
+		state := c.engines[engine.ID]
+		if state == nil {
+			state = &engineState{attempts: map[*Attempt]bool{}}
+			c.engines[engine.ID] = state
+		}
+		if state.engine.IsDark && !engine.IsDark {
+			state.failures, state.avoidTill = 0, 0
+		}
+		state.engine = engine
+		c.services[engine.Service] = append(c.services[engine.Service], state)
+	}
+	for id, state := range c.engines {
+		if !known[id] && len(state.attempts) == 0 {
+			delete(c.engines, id)
+		}
+	}
+	for _, list := range c.services {
+		// One order on every router, so that they all have the same engine for a prefix.
+		slices.SortFunc(list, func(a, b *engineState) int { return compare(a.engine.ID, b.engine.ID) })
+	}
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Shut makes the chooser refuse new requests.
+func (c *Chooser) Shut() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.isShut = true
+}
+
+// Counts gives a copy of the figures.
+func (c *Chooser) Counts() Counts {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	counts := c.counts
+	counts.Refused, counts.Endings = maps.Clone(c.counts.Refused), maps.Clone(c.counts.Endings)
+	return counts
+}
+
+// Spec is the spec in force, or nil.
+func (c *Chooser) Spec() *playbill.Spec {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.scene.Spec
+}
+
+// IsWanted tells whether an engine of the scene has an address.
+func (c *Chooser) IsWanted(address string) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for _, engine := range c.scene.Engines {
+		if engine.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// HasEngines tells whether any service has an engine that may take requests.
+func (c *Chooser) HasEngines() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	for _, engine := range c.scene.Engines {
+		if !engine.IsLeaving && !engine.IsDark {
+			return true
+		}
+	}
+	return false
+}
+
+// Arrive takes a new request and gives its first attempt, or refuses it.
+func (c *Chooser) Arrive(now house.Micros, request Request) (*Call, *Refusal) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.counts.Requests++
+	call := &Call{Request: request, tried: map[string]bool{}}
+	if c.isShut {
+		return nil, c.refuse(&Refusal{"stopping", "this router is stopping; another one serves", http.StatusServiceUnavailable, soon})
+	}
+	if refusal := c.open(now, call); refusal != nil {
+		return nil, c.refuse(refusal)
+	}
+	return call, nil
+}
+
+func (c *Chooser) refuse(refusal *Refusal) *Refusal {
+	c.counts.Refused[refusal.Reason]++
+	return refusal
+}
+
+// open chooses the engine of the call's next attempt.
+func (c *Chooser) open(now house.Micros, call *Call) *Refusal {
+	candidates, states, avoided := c.candidates(now, call)
+	if len(candidates) == 0 {
+		// All that are left failed lately; one of them may be well again, and a refusal
+		// would surely be worth less.
+		if len(avoided) == 0 {
+			return &Refusal{"no_engine", "service " + call.Request.Service + " has no engine that may take it", http.StatusServiceUnavailable, soon}
+		}
+		others := c.meanOthers(call.Request.Service)
+		for _, state := range avoided {
+			candidates, states = append(candidates, c.candidate(now, state, others)), append(states, state)
+		}
+	}
+	policy := c.scene.Spec.Policy
+	prefix := PrefixHash(call.Request.Parts, policy.PrefixLength)
+	if len(call.Request.Parts) == 0 || !call.Request.Route.IsPinned {
+		// Nothing to find again anywhere: any engine is as good as another.
+		prefix = xxhash.Sum64String(call.Request.ID)
+	}
+	preferred := auditorium.Preferred(auditorium.SlotOf(prefix), candidates)
+	// Among engines that count as tied, the salt decides: of what the prompt shares beyond
+	// the prefix, so that a diverted prompt finds its parts again, on whichever router.
+	choice := auditorium.Choose(candidates, preferred, policy.MaxImbalance, policy.NearTie, sharedHash(call.Request.Parts))
+	if choice.IsDivert {
+		c.counts.Diverts++
+	}
+	state := states[choice.Index]
+	attempt := &Attempt{Engine: state.engine, Number: len(call.tried) + 1, Why: choice.Why, started: now,
+		left: int64(call.Request.PromptTokens + call.Request.MaxTokens)}
+	call.Attempt = attempt
+	call.tried[state.engine.ID] = true
+	state.attempts[attempt] = true
+	state.tokens += attempt.left
+	if state.failures > 0 {
+		state.isProbing = true
+	}
+	c.meanSize += figureWeight * (float64(attempt.left) - c.meanSize)
+	c.counts.Attempts++
+	return nil
+}
+
+func (c *Chooser) candidates(now house.Micros, call *Call) (candidates []auditorium.Candidate, states, avoided []*engineState) {
+	others := c.meanOthers(call.Request.Service)
+	for _, state := range c.services[call.Request.Service] {
+		if state.engine.IsLeaving || call.tried[state.engine.ID] {
+			continue
+		}
+		if state.engine.IsDark || now < state.avoidTill || state.failures > 0 && state.isProbing {
+			avoided = append(avoided, state)
+			continue
+		}
+		candidates = append(candidates, c.candidate(now, state, others))
+		states = append(states, state)
+	}
+	return candidates, states, avoided
+}
+
+func (c *Chooser) candidate(now house.Micros, state *engineState, others float64) auditorium.Candidate {
+	load := float64(state.tokens) + float64(state.current()) + c.foreign(now, state, others)
+	return auditorium.Candidate{ID: state.engine.ID, Weight: 1, Burden: load}
+}
+
+// current is the prompt of the request that an engine is working on, which the source adds
+// to the load once more; the oldest of ours that waits for its first event is taken for it.
+func (s *engineState) current() int64 {
+	var oldest *Attempt
+	for attempt := range s.attempts {
+		if !attempt.hasHead && (oldest == nil || attempt.started < oldest.started) {
+			oldest = attempt
+		}
+	}
+	if oldest == nil {
+		return 0
+	}
+	return oldest.left
+}
+
+// foreign reckons the tokens that other routers have on an engine, from its late word on
+// how many requests it had: less ours then, fading towards the mean of all engines.
+func (c *Chooser) foreign(now house.Micros, state *engineState, mean float64) float64 {
+	if !state.hasFigures {
+		return mean * c.meanSize
+	}
+	weight := math.Exp(-float64(now-state.othersAt) / float64(othersFade))
+	return (mean + (state.others-mean)*weight) * c.meanSize
+}
+
+// meanOthers is how many requests of other routers a service's engines have, on the mean.
+func (c *Chooser) meanOthers(service string) float64 {
+	sum, known := 0.0, 0.0
+	for _, state := range c.services[service] {
+		if state.hasFigures {
+			sum += state.others
+			known++
+		}
+	}
+	return sum / max(known, 1)
+}
+
+// Sent tells that the attempt's bytes are about to go out. False: it must not be sent any
+// more, since what it was chosen by no longer holds.
+func (c *Chooser) Sent(now house.Micros, call *Call) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	state := c.engines[call.Attempt.Engine.ID]
+	if state == nil || state.engine.IsLeaving || state.engine.Address != call.Attempt.Engine.Address {
+		return false
+	}
+	if call.sent == 0 {
+		c.budget(call.Request.Service).first(now, c.retry)
+	}
+	call.sent++
+	return true
+}
+
+func (c *Chooser) budget(service string) *budget {
+	kept := c.budgets[service]
+	if kept == nil {
+		kept = &budget{}
+		c.budgets[service] = kept
+	}
+	return kept
+}
+
+// Answered tells that the engine's answer has begun, with its word on its load, if any.
+func (c *Chooser) Answered(now house.Micros, call *Call, load Load, hasLoad bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	attempt := call.Attempt
+	state := c.engines[attempt.Engine.ID]
+	if state == nil {
+		return
+	}
+	state.heard = now
+	attempt.hasHead = true
+	state.failures, state.isProbing, state.avoidTill = 0, false, 0
+	if hasLoad {
+		state.others = max(float64(load.Running+load.Waiting-len(state.attempts)), 0)
+		state.othersAt, state.hasFigures = now, true
+	}
+}
+
+// Produced tells that events of the answer passed, of so many tokens.
+func (c *Chooser) Produced(now house.Micros, call *Call, tokens int) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	attempt := call.Attempt
+	state := c.engines[attempt.Engine.ID]
+	if state == nil || attempt.isOver {
+		return
+	}
+	state.heard = now
+	attempt.hasHead = true
+	// What was put out can't make the load of a request less than its prompt.
+	worked := min(int64(tokens), max(attempt.left-int64(call.Request.PromptTokens), 0))
+	attempt.left -= worked
+	state.tokens -= worked
+}
+
+// HeardSince tells whether anything came from an engine since a moment.
+func (c *Chooser) HeardSince(id string, moment house.Micros) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	state := c.engines[id]
+	return state != nil && state.heard >= moment
+}
+
+// Close ends the call's attempt. It gives true, and the next attempt in the call, when one
+// may follow; otherwise the refusal that the caller is owed, if an attempt ended unserved.
+func (c *Chooser) Close(now house.Micros, call *Call, ending Ending, why string) (isAgain bool, refusal *Refusal) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	attempt := call.Attempt
+	if attempt.isOver {
+		return false, nil
+	}
+	attempt.isOver = true
+	c.counts.Endings[ending.String()]++
+	if state := c.engines[attempt.Engine.ID]; state != nil {
+		delete(state.attempts, attempt)
+		state.tokens -= attempt.left
+		c.judge(now, state, ending)
+	}
+	switch ending {
+	case Served, Failed, CallerGone:
+		return false, nil
+	}
+	route := call.Request.Route
+	fail := &Refusal{"engine_lost", fmt.Sprintf("attempt %d at %s: %s", attempt.Number, attempt.Engine.ID, why), http.StatusBadGateway, 0}
+	if ending.isProven() {
+		fail.Reason, fail.Status, fail.RetryAfter = "engines_failed", http.StatusServiceUnavailable, soon
+	} else if !route.IsRepeatable() {
+		return false, c.refuse(fail)
+	}
+	if now >= call.Request.Deadline || call.IsBound {
+		return false, c.refuse(fail)
+	}
+	// What was never sent has reached no engine, so it counts neither as one of the route's
+	// tries nor as a retry; that many engines can't be reached is still an end.
+	if ending == NotSent && len(call.tried) < 6 {
+		return c.again(now, call, fail)
+	}
+	if call.sent >= max(route.Tries, 1) {
+		return false, c.refuse(fail)
+	}
+	if !c.budget(call.Request.Service).spend(now, c.retry, c.scene.Routers) {
+		fail.Detail += "; the retry budget is spent"
+		return false, c.refuse(fail)
+	}
+	c.counts.Extras++
+	return c.again(now, call, fail)
+}
+
+func (c *Chooser) again(now house.Micros, call *Call, fail *Refusal) (bool, *Refusal) {
+	if refusal := c.open(now, call); refusal != nil {
+		fail.Detail += "; " + refusal.Detail
+		return false, c.refuse(fail)
+	}
+	return true, nil
+}
+
+// judge keeps the engine's record of failures.
+func (c *Chooser) judge(now house.Micros, state *engineState, ending Ending) {
+	switch ending {
+	case NotSent, Lost, Silent, Moved:
+		state.isProbing = false
+		state.failures++
+		state.avoidTill = now + min(avoidFirst<<min(state.failures-1, 6), avoidLast)
+	case SaidNotRun:
+		state.isProbing = false
+		state.avoidTill = max(state.avoidTill, now+fullAvoid)
+	case Served, Failed:
+		state.failures, state.isProbing, state.avoidTill = 0, false, 0
+	case CallerGone:
+		state.isProbing = false
+	}
+}
+
+// Unsent takes back that an attempt's bytes went out: not one did.
+func (c *Chooser) Unsent(call *Call) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	call.sent--
+}
+
+// Figures takes an engine's word on its load that came without an answer.
+func (c *Chooser) Figures(now house.Micros, id string, load Load) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if state := c.engines[id]; state != nil {
+		state.heard = now
+		state.others = max(float64(load.Running+load.Waiting-len(state.attempts)), 0)
+		state.othersAt, state.hasFigures = now, true
+	}
+}
+
+// view gives the spec in force and how many routers serve.
+func (c *Chooser) view() (*playbill.Spec, int) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.scene.Spec, c.scene.Routers
+}
--- /dev/null
+++ b/foyer/connection.go
@@ -0,0 +1,354 @@
+package foyer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dunlinloom/house"
+)
+
+// Dialer opens a connection.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// connection is one connection to an engine. net/http reads and writes the messages on
+// it; that it is ours, and not a Transport's, is what makes sure of what was written: a
+// Transport sends a request again by itself, and shows an answer that came late as the
+// answer of the next request.
+type connection struct {
+	net     net.Conn
+	reader  *bufio.Reader
+	address string
+	idleAt  house.Micros
+	until   house.Micros // the engine closes it about then; zero: it did not say
+	uses    int
+}
+
+// NotWritten says that not one byte of a request went out.
+type NotWritten struct{ Cause error }
+
+func (b NotWritten) Error() string { return fmt.Sprintf("not one byte was written: %v", b.Cause) }
+
+// Unwrap gives the cause.
+func (b NotWritten) Unwrap() error { return b.Cause }
+
+// Broken says that an exchange failed after bytes were written.
+type Broken struct {
+	Step  string
+	Cause error
+}
+
+func (b Broken) Error() string { return fmt.Sprintf("%s: %v", b.Step, b.Cause) }
+
+// Unwrap gives the cause.
+func (b Broken) Unwrap() error { return b.Cause }
+
+// strayAnswer says that answers kept coming that belong to other requests.
+type strayAnswer struct{ id string }
+
+func (b strayAnswer) Error() string { return "the answer belongs to request " + strconv.Quote(b.id) }
+
+// isAlive looks whether an idle connection may still be used: neither closed by the
+// engine nor holding bytes, which would belong to no request of ours.
+func (c *connection) isAlive() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	if tcp, isTCP := c.net.(*net.TCPConn); isTCP {
+		control, err := tcp.SyscallConn()
+		if err != nil {
+			return false
+		}
+		isQuiet := false
+		var look [1]byte
+		err = control.Read(func(descriptor uintptr) bool {
+			_, _, err := unix.Recvfrom(int(descriptor), look[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			isQuiet = errors.Is(err, unix.EAGAIN)
+			return true
+		})
+		return err == nil && isQuiet
+	}
+	return true
+}
+
+// exchange writes a request and reads the head of its answer. Answers to other requests
+// that come first are read and dropped: an engine may answer twice, late.
+func (c *connection) exchange(message []byte, method, id, idHeader string) (*http.Response, error) {
+	written, err := c.net.Write(message)
+	if err != nil {
+		if written == 0 {
+			return nil, NotWritten{err}
+		}
+		return nil, Broken{"write", err}
+	}
+	request := &http.Request{Method: method}
+	for stray := 0; ; stray++ {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, Broken{"read the head", err}
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			continue
+		}
+		answered := response.Header.Get(idHeader)
+		if answered == id || answered == "" {
+			return response, nil
+		}
+		if stray >= 4 || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			return nil, Broken{"read the head", strayAnswer{answered}}
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, Broken{"read a stray answer", err}
+		}
+	}
+}
+
+// Pool keeps idle connections to engines. Its one lock guards the table and is held for
+// no call that waits.
+type Pool struct {
+	clock house.Clock
+	dial  Dialer
+	span  house.Micros // in which a connection has to come up
+	rest  house.Micros // how long one may idle where the engine says nothing
+	lock  sync.Mutex
+	idle  map[string][]*connection
+	open  map[string]int // idle and busy
+	// Opened counts the connections made.
+	opened uint64
+}
+
+// NewPool makes an empty pool.
+func NewPool(clock house.Clock, dial Dialer, span, rest house.Micros) *Pool {
+	return &Pool{clock: clock, dial: dial, span: span, rest: rest, idle: map[string][]*connection{}, open: map[string]int{}}
+}
+
+// TooMany says that as many connections are open to an engine as this router may hold.
+type TooMany struct{ Bound int }
+
+func (b TooMany) Error() string {
+	return fmt.Sprintf("%d connections are open, which is this router's part", b.Bound)
+}
+
+// take gives an idle connection that is alive, or opens one.
+func (p *Pool) take(ctx context.Context, address string, bound int) (*connection, error) {
+	for {
+		kept := p.pop(address)
+		if kept == nil {
+			break
+		}
+		if (kept.until == 0 || p.clock.Now() < kept.until) && kept.isAlive() {
+			return kept, nil
+		}
+		p.drop(kept)
+	}
+	p.lock.Lock()
+	if bound > 0 && p.open[address] >= bound {
+		p.lock.Unlock()
+		return nil, NotWritten{TooMany{bound}}
+	}
+	p.open[address]++
+	p.opened++
+	p.lock.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, p.span.Duration())
+	defer cancel()
+	made, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		p.lock.Lock()
+		p.forget(address)
+		p.lock.Unlock()
+		return nil, NotWritten{err}
+	}
+	return &connection{net: made, reader: bufio.NewReaderSize(made, 2048), address: address}, nil
+}
+
+func (p *Pool) pop(address string) *connection {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	// The newest: the engine has just shown that it keeps it, and the others may rest out.
+	kept := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return kept
+}
+
+func (p *Pool) forget(address string) {
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+// drop closes a connection for good.
+func (p *Pool) drop(c *connection) {
+	p.lock.Lock()
+	p.forget(c.address)
+	p.lock.Unlock()
+	c.net.Close()
+}
+
+// keep takes a connection back after a whole answer, if the engine goes on with it.
+func (p *Pool) keep(c *connection, response *http.Response) {
+	now := p.clock.Now()
+	rest := p.rest
+	if seconds, isSaid := keepAlive(response.Header); isSaid {
+		// A margin for the way: what arrives as the engine closes is lost.
+		rest = min(rest, max(house.Micros(seconds)*house.Second-house.Second/2, 0))
+	}
+	if response.Close || rest == 0 || c.reader.Buffered() > 0 {
+		p.drop(c)
+		return
+	}
+	c.idleAt, c.until = now, now+rest
+	c.uses++
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// keepAlive reads the time for which an engine keeps an idle connection.
+func keepAlive(header http.Header) (seconds int, isSaid bool) {
+	for _, line := range header.Values("Keep-Alive") {
+		for field := range strings.SplitSeq(line, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+			if strings.EqualFold(name, "timeout") {
+				if whole, err := strconv.Atoi(value); err == nil && whole >= 0 {
+					return whole, true
+				}
+			}
+		}
+	}
+	return 0, false
+}
+
+// Sweep closes idle connections that have rested out or were closed by the engine, and
+// all to addresses that are no engine's any more.
+func (p *Pool) Sweep(isWanted func(address string) bool) {
+	now := p.clock.Now()
+	var over []*connection
+	p.lock.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now >= c.until || !isWanted(address) || !c.isAlive() {
+				over = append(over, c)
+				p.forget(address)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(list[len(kept):])
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.lock.Unlock()
+	for _, c := range over {
+		c.net.Close()
+	}
+}
+
+// Opened is how many connections have been made.
+func (p *Pool) Opened() uint64 {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.opened
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+// droppedHeaders adds what the Connection lines of a message name.
+func droppedHeaders(header http.Header) map[string]bool {
+	lines := header.Values("Connection")
+	if len(lines) == 0 {
+		return hopHeaders
+	}
+	dropped := map[string]bool{}
+	for name := range hopHeaders {
+		dropped[name] = true
+	}
+	for _, line := range lines {
+		for name := range strings.SplitSeq(line, ",") {
+			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return dropped
+}
+
+// writeMessage puts a request for an engine together: the caller's method, target, headers
+// and body as they came, with a length, and with the headers that are set anew.
+func writeMessage(to *bytes.Buffer, r *http.Request, body []byte, anew http.Header) error {
+	to.Reset()
+	fmt.Fprintf(to, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
+	dropped := droppedHeaders(r.Header)
+	skip := map[string]bool{"Content-Length": true, "Expect": true, "Host": true}
+	for name := range dropped {
+		skip[name] = true
+	}
+	for name := range anew {
+		skip[name] = true
+	}
+	if err := r.Header.WriteSubset(to, skip); err != nil {
+		return err
+	}
+	if err := anew.Write(to); err != nil {
+		return err
+	}
+	if len(body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		fmt.Fprintf(to, "Content-Length: %d\r\n", len(body))
+	}
+	to.WriteString("\r\n")
+	to.Write(body)
+	return nil
+}
+
+// PlainDialer opens connections that notice a peer which has gone silent.
+func PlainDialer(silence house.Micros) Dialer {
+	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		made, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, isTCP := made.(*net.TCPConn); isTCP && silence > 0 {
+			control, err := tcp.SyscallConn()
+			if err == nil {
+				err = control.Control(func(descriptor uintptr) {
+					unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/house.Millisecond))
+				})
+			}
+			if err != nil {
+				made.Close()
+				return nil, err
+			}
+		}
+		return made, nil
+	}
+}
+
+// keepUnused takes back a connection on which nothing was sent.
+func (p *Pool) keepUnused(c *connection) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if c.until == 0 {
+		c.until = p.clock.Now() + p.rest
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
--- /dev/null
+++ b/foyer/events.go
@@ -0,0 +1,48 @@
+package foyer
+
+import "bytes"
+
+// eventSplitter finds the ends of whole events in a stream's bytes, so that a stream
+// that breaks off can go on elsewhere at an event's border.
+type eventSplitter struct {
+	pending []byte // bytes of an event that has not ended yet
+	lastID  string
+}
+
+var idField = []byte("id:")
+
+// take adds bytes and gives those that make whole events, with how many events they are.
+// What it gives is valid until the next call.
+func (s *eventSplitter) take(chunk []byte) (whole []byte, events int) {
+	s.pending = append(s.pending, chunk...)
+	end, start := 0, 0
+	for start < len(s.pending) {
+		next := bytes.IndexByte(s.pending[start:], '\n')
+		if next < 0 {
+			break
+		}
+		line := bytes.TrimSuffix(s.pending[start:start+next], []byte{'\r'})
+		start += next + 1
+		if len(line) == 0 {
+			if start-end > 2 {
+				events++
+			}
+			s.readID(s.pending[end:start])
+			end = start
+		}
+	}
+	return s.pending[:end], events
+}
+
+// done drops what take gave.
+func (s *eventSplitter) done(count int) {
+	s.pending = append(s.pending[:0], s.pending[count:]...)
+}
+
+func (s *eventSplitter) readID(event []byte) {
+	for line := range bytes.SplitSeq(event, []byte{'\n'}) {
+		if bytes.HasPrefix(line, idField) {
+			s.lastID = string(bytes.TrimSpace(line[len(idField):]))
+		}
+	}
+}
--- /dev/null
+++ b/foyer/foyer_test.go
@@ -0,0 +1,480 @@
+package foyer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"k8s.io/klog/v2"
+
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// bubbleClock reads the virtual time of a test.
+type bubbleClock struct{ start time.Time }
+
+func (c bubbleClock) Now() house.Micros { return house.MicrosOf(time.Since(c.start)) + house.Second }
+
+// hall is a router with engines that a test scripts.
+type hall struct {
+	t       *testing.T
+	lock    sync.Mutex
+	engines map[string]func(connection int, r *http.Request, to net.Conn) bool // by address; false: close
+	runs    map[string]int                                                     // arrivals by engine
+	dials   map[string]int
+	router  *Router
+	chooser *Chooser
+	scene   *Scene
+	suspect []string
+}
+
+func newHall(t *testing.T, route playbill.Route, engines ...string) *hall {
+	h := &hall{t: t, engines: map[string]func(int, *http.Request, net.Conn) bool{}, runs: map[string]int{}, dials: map[string]int{}}
+	route.Name, route.Host, route.Prefix = "r", "h.example", "/p/"
+	if len(route.Splits) == 0 {
+		route.Splits = []playbill.Split{{Service: "svc", Weight: 1}}
+	}
+	spec := playbill.NewRouteSpec([]playbill.Route{route}, []playbill.Service{{Name: "svc", Slots: 8, Stride: 2, MaxChannels: 100}})
+	h.scene = &Scene{Spec: spec, Routers: 1}
+	for _, id := range engines {
+		h.scene.Engines = append(h.scene.Engines, Engine{ID: id, Address: id + ":1", Zone: "z", Service: "svc", Slots: 8})
+	}
+	clock := bubbleClock{time.Now()}
+	h.chooser = NewChooser("router", "z", Retry{Ratio: 0.2, Window: 10 * house.Second, Slack: 50})
+	h.chooser.Show(h.scene)
+	pool := NewPool(clock, h.dial, 300*house.Millisecond, 5*house.Second)
+	t.Cleanup(func() { pool.Sweep(func(string) bool { return false }) })
+	cue := house.Cue{Context: t.Context(), Clock: clock, Log: klog.Background(), Journal: house.NewJournal(64)}
+	h.router = NewRouter(Settings{Cue: cue, Wire: DefaultWire(), Chooser: h.chooser, Pool: pool,
+		Suspect: func(engine Engine) { h.suspect = append(h.suspect, engine.ID) }})
+	return h
+}
+
+func (h *hall) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	h.lock.Lock()
+	h.dials[address]++
+	number := h.dials[address]
+	serve := h.engines[address]
+	h.lock.Unlock()
+	if serve == nil {
+		return nil, io.ErrClosedPipe
+	}
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		reader := bufio.NewReader(far)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+			h.lock.Lock()
+			h.runs[strings.TrimSuffix(address, ":1")]++
+			h.lock.Unlock()
+			if !serve(number, request, far) {
+				return
+			}
+		}
+	}()
+	return near, nil
+}
+
+// call sends one request; isTorn tells that the answer was cut off.
+func (h *hall) call(method, id string, more http.Header) (recorder *httptest.ResponseRecorder, isTorn bool) {
+	r := httptest.NewRequestWithContext(h.t.Context(), method, "http://h.example/p/x?q=1", strings.NewReader("body"))
+	r.RequestURI, r.Host = "/p/x?q=1", "h.example"
+	wire := DefaultWire()
+	r.Header.Set(wire.RequestID, id)
+	r.Header.Set(wire.Deadline, "3000")
+	r.Header.Set(wire.Tokens, "100,20")
+	r.Header.Set(wire.Prefix, "a:80,b:20")
+	for name, lines := range more {
+		r.Header[name] = lines
+	}
+	recorder = httptest.NewRecorder()
+	defer func() {
+		if cause := recover(); cause != nil {
+			if cause != http.ErrAbortHandler {
+				panic(cause)
+			}
+			isTorn = true
+		}
+	}()
+	h.router.ServeHTTP(recorder, r)
+	return recorder, false
+}
+
+func head(id, more string) string {
+	wire := DefaultWire()
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s-%s\r\n%s", wire.RequestID, id, wire.Stamp, id, more)
+}
+
+func plainAnswer(body string) func(int, *http.Request, net.Conn) bool {
+	return func(_ int, r *http.Request, to net.Conn) bool {
+		fmt.Fprintf(to, "%sContent-Length: %d\r\n\r\n%s", head(r.Header.Get(DefaultWire().RequestID), ""), len(body), body)
+		return true
+	}
+}
+
+const streamHead = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: w%d\n\n", id, id) }
+
+// streamFrom answers with events after the one named, and breaks off after so many; below
+// zero it ends the stream as it should.
+func streamFrom(last, breakAfter int) func(int, *http.Request, net.Conn) bool {
+	return func(_ int, r *http.Request, to net.Conn) bool {
+		io.WriteString(to, head(r.Header.Get(DefaultWire().RequestID), streamHead))
+		next := 1
+		fmt.Sscan(r.Header.Get("Last-Event-Id"), &next)
+		if r.Header.Get("Last-Event-Id") != "" {
+			next++
+		}
+		for sent := 0; next <= last; next++ {
+			if sent == breakAfter {
+				io.WriteString(to, chunk("id: 9"))
+				return false
+			}
+			io.WriteString(to, chunk(event(next)))
+			sent++
+		}
+		io.WriteString(to, "0\r\n\r\n")
+		return true
+	}
+}
+
+// preferredOf gives the engine that the hall's prompt prefers, and the others.
+func (h *hall) preferredOf() (first string, rest []string) {
+	call, refusal := h.chooser.Arrive(house.Second, Request{ID: "probe", PromptTokens: 1, Parts: []Part{{"a", 80}, {"b", 20}},
+		Deadline: 1 << 60, Route: &h.scene.Spec.Routes[0], Service: "svc"})
+	qt.Assert(h.t, refusal == nil, qt.IsTrue)
+	h.chooser.Close(house.Second, call, CallerGone, "")
+	for _, engine := range h.scene.Engines {
+		if engine.ID != call.Attempt.Engine.ID {
+			rest = append(rest, engine.ID)
+		}
+	}
+	return call.Attempt.Engine.ID, rest
+}
+
+func (h *hall) script(id string, serve func(int, *http.Request, net.Conn) bool) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	h.engines[id+":1"] = serve
+}
+
+func TestAnswerIsTheEnginesOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second, Priority: 3}, "e1")
+		var seen *http.Request
+		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
+			seen = r
+			return plainAnswer("hello")(number, r, to)
+		})
+		recorder, isTorn := h.call("POST", "r1", http.Header{"X-Other": {"kept"}, "Connection": {"X-Drop"}, "X-Drop": {"gone"}})
+		c.Assert(isTorn, qt.IsFalse)
+		c.Assert(recorder.Code, qt.Equals, 200)
+		c.Assert(recorder.Body.String(), qt.Equals, "hello")
+		c.Assert(recorder.Header().Get(DefaultWire().Stamp), qt.Equals, "s-r1")
+		// What the engine got is what the caller sent, and what the system has to add.
+		c.Assert(seen.RequestURI, qt.Equals, "/p/x?q=1")
+		c.Assert(seen.Host, qt.Equals, "h.example")
+		c.Assert(seen.Header.Get("X-Other"), qt.Equals, "kept")
+		c.Assert(seen.Header.Get("X-Drop"), qt.Equals, "")
+		c.Assert(seen.Header.Get(DefaultWire().WantInstance), qt.Equals, "e1")
+		c.Assert(seen.Header.Get(DefaultWire().Priority), qt.Equals, "3")
+		c.Assert(seen.Header.Get(DefaultWire().Deadline), qt.Equals, "3000")
+		// The second request goes over the same connection.
+		recorder, _ = h.call("POST", "r2", nil)
+		c.Assert(recorder.Code, qt.Equals, 200)
+		c.Assert(h.dials["e1:1"], qt.Equals, 1)
+	})
+}
+
+func TestUnsafeRunsAtMostOnce(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		serve  func(int, *http.Request, net.Conn) bool
+		status int
+	}{
+		{"cut after it was written", func(int, *http.Request, net.Conn) bool { return false }, http.StatusBadGateway},
+		{"a success without a stamp", func(_ int, r *http.Request, to net.Conn) bool {
+			io.WriteString(to, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+			return true
+		}, http.StatusBadGateway},
+		{"bytes that are no answer", func(_ int, r *http.Request, to net.Conn) bool {
+			io.WriteString(to, "garbage\r\n\r\n")
+			return false
+		}, http.StatusBadGateway},
+		{"said not run", func(_ int, r *http.Request, to net.Conn) bool {
+			io.WriteString(to, "HTTP/1.1 503 Full\r\n"+DefaultWire().NotRun+": 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}, http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second}, "e1", "e2")
+				h.script("e1", test.serve)
+				h.script("e2", test.serve)
+				recorder, isTorn := h.call("POST", "r1", nil)
+				c.Assert(isTorn, qt.IsFalse)
+				c.Assert(recorder.Code, qt.Equals, test.status)
+				c.Assert(h.runs["e1"]+h.runs["e2"], qt.Equals, 1)
+				// Only what surely did not run is told to come back.
+				c.Assert(recorder.Header().Get("Retry-After") != "", qt.Equals, test.status == 503)
+			})
+		})
+	}
+}
+
+func TestEngineThatCannotBeReachedCostsNoTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second, IsPinned: true}, "e1", "e2", "e3")
+		first, rest := h.preferredOf()
+		for _, id := range rest {
+			h.script(id, plainAnswer("ok"))
+		}
+		recorder, _ := h.call("POST", "r1", nil)
+		c.Assert(recorder.Code, qt.Equals, 200)
+		c.Assert(h.runs[first], qt.Equals, 0)
+		c.Assert(h.suspect, qt.DeepEquals, []string{first})
+	})
+}
+
+func TestNotRunIsTriedElsewhereWithinTries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 2, Goal: house.Second, IsPinned: true}, "e1", "e2")
+		first, rest := h.preferredOf()
+		h.script(first, func(_ int, _ *http.Request, to net.Conn) bool {
+			io.WriteString(to, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		h.script(rest[0], plainAnswer("ok"))
+		for i := range 3 {
+			recorder, _ := h.call("POST", fmt.Sprint("r", i), nil)
+			c.Assert(recorder.Code, qt.Equals, 200)
+		}
+		// After its first word the engine is left alone.
+		c.Assert(h.runs[first], qt.Equals, 1)
+	})
+}
+
+func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 2, Goal: house.Second, GapGoal: house.Second, IsPinned: true}
+		h := newHall(t, route, "e1", "e2")
+		first, rest := h.preferredOf()
+		h.script(first, streamFrom(5, 2))
+		h.script(rest[0], streamFrom(5, -1))
+		recorder, isTorn := h.call("POST", "r1", nil)
+		c.Assert(isTorn, qt.IsFalse)
+		c.Assert(recorder.Code, qt.Equals, 200)
+		c.Assert(recorder.Body.String(), qt.Equals, event(1)+event(2)+event(3)+event(4)+event(5))
+		c.Assert(h.runs, qt.DeepEquals, map[string]int{first: 1, rest[0]: 1})
+	})
+}
+
+func TestStreamThatMayNotBeResumedIsTorn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, playbill.Route{Kind: playbill.Stream, Tries: 2, Goal: house.Second, IsPinned: true}, "e1", "e2")
+		h.script("e1", streamFrom(5, 2))
+		h.script("e2", streamFrom(5, 2))
+		recorder, isTorn := h.call("POST", "r1", nil)
+		c.Assert(isTorn, qt.IsTrue)
+		c.Assert(recorder.Body.String(), qt.Equals, event(1)+event(2))
+		c.Assert(h.runs["e1"]+h.runs["e2"], qt.Equals, 1)
+	})
+}
+
+func TestSafeAnswerThatBeganIsNotStitched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, playbill.Route{Kind: playbill.Safe, Tries: 3, Goal: house.Second}, "e1", "e2")
+		cut := func(_ int, r *http.Request, to net.Conn) bool {
+			io.WriteString(to, head(r.Header.Get(DefaultWire().RequestID), "Content-Length: 100\r\n\r\nhalf"))
+			return false
+		}
+		h.script("e1", cut)
+		h.script("e2", cut)
+		_, isTorn := h.call("GET", "r1", nil)
+		c.Assert(isTorn, qt.IsTrue)
+		c.Assert(h.runs["e1"]+h.runs["e2"], qt.Equals, 1)
+	})
+}
+
+func TestSilentEngineIsLeftInTimeWhereItMayBe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 2, Goal: 400 * house.Millisecond, IsPinned: true}
+		h := newHall(t, route, "e1", "e2")
+		first, rest := h.preferredOf()
+		h.script(first, func(_ int, _ *http.Request, to net.Conn) bool {
+			io.Copy(io.Discard, to) // dark until the router lets go
+			return false
+		})
+		h.script(rest[0], streamFrom(2, -1))
+		begun := time.Now()
+		recorder, isTorn := h.call("POST", "r1", nil)
+		c.Assert(isTorn, qt.IsFalse)
+		c.Assert(recorder.Body.String(), qt.Equals, event(1)+event(2))
+		c.Assert(time.Since(begun) < 400*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+	})
+}
+
+func TestSilenceIsNoReasonToEndWhatMayNotBeRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, playbill.Route{Kind: playbill.Stream, Tries: 2, Goal: 100 * house.Millisecond}, "e1")
+		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
+			time.Sleep(2500 * time.Millisecond)
+			return streamFrom(1, -1)(number, r, to)
+		})
+		recorder, isTorn := h.call("POST", "r1", nil)
+		c.Assert(isTorn, qt.IsFalse)
+		c.Assert(recorder.Body.String(), qt.Equals, event(1))
+	})
+}
+
+func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second}, "e1")
+		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
+			if id := r.Header.Get(DefaultWire().RequestID); id == "r2" {
+				// A second answer to the first request comes where the next one is due.
+				fmt.Fprintf(to, "%sContent-Length: 5\r\n\r\nfirst", head("r1", ""))
+			}
+			return plainAnswer("own")(number, r, to)
+		})
+		for _, id := range []string{"r1", "r2"} {
+			recorder, _ := h.call("POST", id, nil)
+			c.Assert(recorder.Code, qt.Equals, 200)
+			c.Assert(recorder.Body.String(), qt.Equals, "own")
+			c.Assert(recorder.Header().Get(DefaultWire().Stamp), qt.Equals, "s-"+id)
+		}
+	})
+}
+
+func TestRefusalsComeAtOnceAndSayWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second}, "e1")
+		h.scene = &Scene{Spec: h.scene.Spec, Routers: 1}
+		h.chooser.Show(h.scene)
+		begun := time.Now()
+		recorder, _ := h.call("POST", "r1", nil)
+		c.Assert(recorder.Code, qt.Equals, 503)
+		c.Assert(recorder.Header().Get("Retry-After"), qt.Equals, "0.200")
+		c.Assert(time.Since(begun), qt.Equals, time.Duration(0))
+		for _, bad := range []http.Header{{DefaultWire().Tokens: {"x"}}, {DefaultWire().Prefix: {"a"}}, {DefaultWire().Deadline: {"soon"}}} {
+			recorder, _ := h.call("POST", "r1", bad)
+			c.Assert(recorder.Code, qt.Equals, 400)
+		}
+	})
+}
+
+func TestBudgetStaysWithinItsPart(t *testing.T) {
+	c := qt.New(t)
+	retry := Retry{Ratio: 0.2, Window: 10 * house.Second, Slack: 58}
+	// Of a fleet of so many, each with its own requests, whatever the window.
+	for _, routers := range []int{1, 9, 72} {
+		budgets := make([]budget, routers)
+		var extras, firsts [60]int
+		for second := range 60 {
+			for turn := range 200 {
+				now := house.Micros(second)*house.Second + house.Micros(turn)*5*house.Millisecond
+				b := &budgets[(turn*7+second)%routers]
+				// A quiet half a minute, then a crowd of failures.
+				if second < 30 || turn%2 == 0 {
+					b.first(now, retry)
+					firsts[second]++
+				}
+				if second >= 25 && b.spend(now, retry, routers) {
+					extras[second]++
+				}
+			}
+		}
+		for from := range 50 {
+			all, own := 0, 0
+			for second := from; second < from+10; second++ {
+				all, own = all+extras[second], own+firsts[second]
+			}
+			c.Assert(float64(all) <= retry.Ratio*float64(own)+retry.Slack, qt.IsTrue, qt.Commentf("%d routers, from %d: %d of %d", routers, from, all, own))
+		}
+	}
+}
+
+func TestEveryRouterPrefersTheSameEngine(t *testing.T) {
+	c := qt.New(t)
+	route := &playbill.Route{Kind: playbill.Stream, IsPinned: true, Tries: 1}
+	scene := &Scene{Spec: playbill.NewRouteSpec([]playbill.Route{*route}, []playbill.Service{{Name: "svc"}}), Routers: 5}
+	for i := range 18 {
+		scene.Engines = append(scene.Engines, Engine{ID: fmt.Sprint("e", i), Address: fmt.Sprint("a", i), Service: "svc"})
+	}
+	chosen := map[string]int{}
+	for prefix := range 200 {
+		first := ""
+		for router := range 5 {
+			chooser := NewChooser(fmt.Sprint(router), "z", Retry{})
+			chooser.Show(scene)
+			call, refusal := chooser.Arrive(house.Second, Request{ID: fmt.Sprint(router), PromptTokens: 100, Parts: []Part{{fmt.Sprint("p", prefix), 90}, {fmt.Sprint("own", router), 10}},
+				Deadline: 1 << 60, Route: route, Service: "svc"})
+			c.Assert(refusal == nil, qt.IsTrue)
+			if first == "" {
+				first = call.Attempt.Engine.ID
+			}
+			c.Assert(call.Attempt.Engine.ID, qt.Equals, first)
+		}
+		chosen[first]++
+	}
+	c.Assert(len(chosen) > 14, qt.IsTrue)
+}
+
+func TestLoadAboveTheMultipleDiverts(t *testing.T) {
+	c := qt.New(t)
+	route := &playbill.Route{Kind: playbill.Stream, IsPinned: true, Tries: 1}
+	scene := &Scene{Spec: playbill.NewRouteSpec([]playbill.Route{*route}, []playbill.Service{{Name: "svc"}}), Routers: 1}
+	for i := range 4 {
+		scene.Engines = append(scene.Engines, Engine{ID: fmt.Sprint("e", i), Address: fmt.Sprint("a", i), Service: "svc"})
+	}
+	chooser := NewChooser("r", "z", Retry{})
+	chooser.Show(scene)
+	arrive := func(i int) *Call {
+		call, refusal := chooser.Arrive(house.Second, Request{ID: fmt.Sprint(i), PromptTokens: 100, Parts: []Part{{"hot", 90}, {fmt.Sprint(i), 10}},
+			Deadline: 1 << 60, Route: route, Service: "svc"})
+		c.Assert(refusal == nil, qt.IsTrue)
+		return call
+	}
+	counts := map[string]int{}
+	for i := range 40 {
+		counts[arrive(i).Attempt.Engine.ID]++
+	}
+	// One prefix has all the traffic; no engine has more than twice the mean and one request.
+	for _, count := range counts {
+		c.Assert(count <= 22, qt.IsTrue, qt.Commentf("%v", counts))
+	}
+	c.Assert(len(counts), qt.Equals, 4)
+	c.Assert(chooser.Counts().Diverts > 0, qt.IsTrue)
+}
--- /dev/null
+++ b/foyer/scene.go
@@ -0,0 +1,174 @@
+// Package foyer is the data plane for requests that a deployment's routes lead to
+// engines which register themselves: which engine an attempt goes to, what may be tried
+// again, the connections to engines, and the relay of an answer.
+//
+// What it speaks is told by a Wire: the names belong to the deployment, the meaning is here.
+package foyer
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// Wire names the headers that a deployment's callers and engines use.
+type Wire struct {
+	RequestID    string // of one try of a caller
+	Deadline     string // milliseconds that are left
+	Tokens       string // prompt and the most put out, separated by a comma
+	Prefix       string // the prompt's parts in order, ID:TOKENS separated by commas
+	LastEvent    string // where a stream goes on
+	Stamp        string // an engine's proof that it made an answer
+	WantInstance string // the one engine that may run the request
+	Load         string // running, waiting, slots of the answering engine
+	NotRun       string // an engine's word that it did not run the request
+	Priority     string // 0 is first
+}
+
+// DefaultWire is the product's own.
+func DefaultWire() Wire {
+	return Wire{
+		RequestID: "Dunlinloom-Request", Deadline: "Dunlinloom-Deadline", Tokens: "Dunlinloom-Tokens", Prefix: "Dunlinloom-Prefix",
+		LastEvent: "Last-Event-Id", Stamp: "Dunlinloom-Stamp", WantInstance: "Dunlinloom-Want-Engine", Load: "Dunlinloom-Load",
+		NotRun: "Dunlinloom-Not-Run", Priority: "Dunlinloom-Priority",
+	}
+}
+
+// Engine is what the control plane tells of one engine.
+type Engine struct {
+	ID, Address, Zone, Service string
+	Slots                      int
+	IsLeaving, IsDark          bool
+}
+
+// Scene is all that the control plane has told this router, as one picture.
+type Scene struct {
+	Spec    *playbill.Spec
+	Engines []Engine
+	Routers int // routers that serve now, this one included
+}
+
+// Part is a stretch of a prompt that other prompts may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what the choice of an engine goes by.
+type Request struct {
+	ID                      string
+	PromptTokens, MaxTokens int
+	Parts                   []Part
+	Arrived                 house.Micros
+	Deadline                house.Micros // the moment after which nobody waits any more
+	Route                   *playbill.Route
+	Service                 string
+	LastEvent               string
+}
+
+// BadHeader says which header can't be read.
+type BadHeader struct{ Name, Why string }
+
+func (b BadHeader) Error() string { return b.Name + ": " + b.Why }
+
+const (
+	maxTokens = 1 << 30
+	maxParts  = 1 << 12
+)
+
+// ParseTokens reads "PROMPT,MOST"; nothing stands for zero tokens.
+func ParseTokens(name, text string) (prompt, most int, err error) {
+	if text == "" {
+		return 0, 0, nil
+	}
+	first, second, _ := strings.Cut(text, ",")
+	if prompt, err = parseCount(first); err != nil {
+		return 0, 0, BadHeader{name, "the prompt's tokens " + err.Error()}
+	}
+	if second == "" {
+		return prompt, 0, nil
+	}
+	if most, err = parseCount(second); err != nil {
+		return 0, 0, BadHeader{name, "the tokens put out " + err.Error()}
+	}
+	return prompt, most, nil
+}
+
+// notCount says why a word is no number of tokens.
+type notCount struct{ word string }
+
+func (b notCount) Error() string { return "are not a whole number: " + strconv.Quote(b.word) }
+
+func parseCount(word string) (int, error) {
+	count, err := strconv.ParseUint(strings.TrimSpace(word), 10, 32)
+	if err != nil || count > maxTokens {
+		return 0, notCount{word}
+	}
+	return int(count), nil
+}
+
+// ParseParts reads "ID:TOKENS,ID:TOKENS"; nothing stands for a prompt without parts.
+func ParseParts(name, text string) ([]Part, error) {
+	if text == "" {
+		return nil, nil
+	}
+	words := strings.Split(text, ",")
+	if len(words) > maxParts {
+		return nil, BadHeader{name, "it has more than " + strconv.Itoa(maxParts) + " parts"}
+	}
+	parts := make([]Part, 0, len(words))
+	for _, word := range words {
+		id, count, hasCount := strings.Cut(strings.TrimSpace(word), ":")
+		tokens, err := parseCount(count)
+		if !hasCount || id == "" || err != nil {
+			return nil, BadHeader{name, "a part is not ID:TOKENS: " + strconv.Quote(word)}
+		}
+		parts = append(parts, Part{id, tokens})
+	}
+	return parts, nil
+}
+
+// PrefixHash hashes the ids of the parts that cover the first tokens of a prompt.
+func PrefixHash(parts []Part, length int) uint64 {
+	digest := xxhash.New()
+	for covered, i := 0, 0; i < len(parts) && covered < length; i++ {
+		digest.WriteString(parts[i].ID)
+		digest.Write([]byte{','})
+		covered += parts[i].Tokens
+	}
+	return digest.Sum64()
+}
+
+// sharedHash hashes all parts but the last, which belongs to one request or session.
+func sharedHash(parts []Part) uint64 {
+	digest := xxhash.New()
+	for i := 0; i < len(parts)-1; i++ {
+		digest.WriteString(parts[i].ID)
+		digest.Write([]byte{','})
+	}
+	return digest.Sum64()
+}
+
+// Load is an engine's late word on itself.
+type Load struct{ Running, Waiting, Slots int }
+
+// ParseLoad reads "RUNNING,WAITING,SLOTS"; false when it is not that.
+func ParseLoad(text string) (Load, bool) {
+	words := strings.Split(text, ",")
+	if len(words) != 3 {
+		return Load{}, false
+	}
+	var counts [3]int
+	for i, word := range words {
+		count, err := parseCount(word)
+		if err != nil {
+			return Load{}, false
+		}
+		counts[i] = count
+	}
+	return Load{counts[0], counts[1], counts[2]}, true
+}
--- a/playbill/routes.go
+++ b/playbill/routes.go
@@ -68,6 +68,35 @@
 	Change(document, change []byte) ([]byte, error)
 }
 
+// NewRouteSpec makes a spec of routes and services that were checked in another form.
+func NewRouteSpec(routes []Route, services []Service) *Spec {
+	spec := &Spec{
+		Routes: routes, Services: make(map[string]Service, len(services)), Policy: DefaultPolicy(),
+		Engines: map[string]Engine{}, Zones: map[string]bool{},
+	}
+	for _, service := range services {
+		spec.Services[service.Name] = service
+	}
+	spec.index()
+	return spec
+}
+
+// index makes the table that RouteOf goes by.
+func (s *Spec) index() {
+	s.byHost = map[string]*hostRoutes{}
+	for i := range s.Routes {
+		route := &s.Routes[i]
+		route.Host = bareHost(route.Host)
+		routes := s.byHost[route.Host]
+		if routes == nil {
+			routes = &hostRoutes{byPrefix: map[string]*Route{}}
+			s.byHost[route.Host] = routes
+		}
+		routes.byPrefix[route.Prefix] = route
+		routes.longest = max(routes.longest, len(route.Prefix))
+	}
+}
+
 // hostRoutes is a host's routes by prefix.
 type hostRoutes struct {
 	byPrefix map[string]*Route
@@ -301,7 +330,6 @@
 		}
 	}
 	spec.Routes = make([]Route, len(message.Routes))
-	spec.byHost = map[string]*hostRoutes{}
 	for i, from := range message.Routes {
 		route := &spec.Routes[i]
 		*route = Route{
@@ -315,14 +343,8 @@
 		for _, split := range from.Splits {
 			route.Splits = append(route.Splits, Split{split.Service, split.Weight})
 		}
-		routes := spec.byHost[route.Host]
-		if routes == nil {
-			routes = &hostRoutes{byPrefix: map[string]*Route{}}
-			spec.byHost[route.Host] = routes
-		}
-		routes.byPrefix[route.Prefix] = route
-		routes.longest = max(routes.longest, len(route.Prefix))
 	}
+	spec.index()
 	spec.Caps = Caps{
 		HeaderBytes: int64(message.Caps.GetHeaderBytes()), BodyBytes: int64(message.Caps.GetBodyBytes()),
 		HeaderTime: house.Micros(message.Caps.GetHeaderUs()), IdleTime: house.Micros(message.Caps.GetIdleUs()),
--- a/wings/deployment.go
+++ b/wings/deployment.go
@@ -420,4 +420,4 @@
 }
 
 // shelf reads specs of the deployment's form.
-func (d *Deployment) shelf() *playbill.Shelf { return &playbill.Shelf{} }
+func (d *Deployment) shelf() *playbill.Shelf { return &playbill.Shelf{Form: d.Form} }
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -45,8 +45,14 @@
 	// NoProbes is set where engines register themselves: their words tell how they are,
 	// and a look at one would cost it a place.
 	NoProbes bool
+	// watch is shown each picture as it is published; nil: nobody watches.
+	watch atomic.Pointer[func(*flyloft.State)]
 }
 
+// Watch has a function shown the present picture and each that follows. It is called by
+// the owners' loop and must not wait for anything.
+func (r *Runner) Watch(show func(*flyloft.State)) { r.watch.Store(&show) }
+
 // NewRunner makes a shell; Run starts it.
 func NewRunner(cue house.Cue, node *flyloft.Node, store *flyloft.Store, channels *Channels, desk *auditorium.Desk, shelf *playbill.Shelf, platform string) *Runner {
 	r := &Runner{
@@ -208,6 +214,9 @@
 func (r *Runner) publish() {
 	state := r.node.State(r.state.Load())
 	r.state.Store(state)
+	if show := r.watch.Load(); show != nil {
+		(*show)(state)
+	}
 	scene, err := r.hand.Scene(state)
 	if err != nil {
 		// The leader checked it; only a node of another build can get here. Serving
@@ -352,6 +361,15 @@
 	r.post(func() []any { return r.node.Suspect(r.cue.Clock.Now(), engine.ID, engine.Start) })
 }
 
+// SuspectEngine tells the control plane of an engine, by its id alone, that could not be reached.
+func (r *Runner) SuspectEngine(id string) {
+	for _, engine := range r.State().Engines {
+		if engine.ID == id {
+			r.post(func() []any { return r.node.Suspect(r.cue.Clock.Now(), engine.ID, engine.Start) })
+		}
+	}
+}
+
 // Restarted tells the control plane of an engine that answered under a later start.
 func (r *Runner) Restarted(engine auditorium.Engine, start uint64) {
 	r.post(func() []any { return r.node.Restarted(r.cue.Clock.Now(), engine.ID, start) })
