Handlers between nodes compress only large answers

Cause: connect's handlers compress every answer that a caller takes compressed, with a gzip writer of hundreds of kilobytes, also the empty answer to a parcel; the bound was set on the client alone. Ruled out: dropping compression (specs of megabytes cross zones).

Now the bound of 16 KiB holds on both sides, for parcels and recalls. Memory of whole processes: not measured in this commit.

--- a/wings/channel.go
+++ b/wings/channel.go
@@ -64,9 +64,9 @@
 	channelSpanMB  = house.Second
 	channelSpanTop = 8 * house.Second
 	parcelBytes    = 64 << 20
-	// Names and addresses repeat themselves within a parcel; below this there is little
-	// to be won.
-	compressFrom = 300
+	// A compressor holds hundreds of kilobytes while it is at work. Asks, grants and their
+	// empty answers go by the hundred a second, so only what is large is worth one.
+	compressFrom = 16 << 10
 )
 
 // Channels carry envelopes to other nodes: an inbox and a worker for each, so
@@ -250,7 +250,8 @@
 func (c *Channels) Recall(ctx context.Context, address string, ask RecallAsk) (*RecallReceipt, error) {
 	ctx, cancel := context.WithTimeout(ctx, channelSpanTop.Duration())
 	defer cancel()
-	client := connect.NewClient[RecallAsk, RecallReceipt](c.client, "http://"+address+procedureRecall, connect.WithCodec(jsonCodec{}))
+	client := connect.NewClient[RecallAsk, RecallReceipt](c.client, "http://"+address+procedureRecall,
+		connect.WithCodec(jsonCodec{}), connect.WithCompressMinBytes(compressFrom))
 	receipt, err := client.CallUnary(ctx, connect.NewRequest(&ask))
 	if err != nil {
 		return nil, fmt.Errorf("recall generation %d from %s: %w", ask.Mark.Generation, address, err)
@@ -272,7 +273,8 @@
 
 // NewPeerHandler serves the procedures to the other nodes.
 func NewPeerHandler(deliver func(flyloft.Envelope), recall func(RecallAsk) (*RecallReceipt, error), who func() flyloft.Witness) http.Handler {
-	options := []connect.HandlerOption{connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(parcelBytes)}
+	// The bound holds for answers as well: connect compresses every one of them otherwise.
+	options := []connect.HandlerOption{connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(parcelBytes), connect.WithCompressMinBytes(compressFrom)}
 	mux := http.NewServeMux()
 	mux.Handle(procedureDeliver, connect.NewUnaryHandler(procedureDeliver,
 		func(_ context.Context, request *connect.Request[parcel]) (*connect.Response[nothing], error) {
--- a/wings/contract_test.go
+++ b/wings/contract_test.go
@@ -1,7 +1,9 @@
 package wings
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -98,3 +100,37 @@
 		}
 	})
 }
+
+// A peer's answer carries nothing; a compressor for each one cost the leader of 32 nodes
+// hundreds of megabytes.
+func TestASmallAnswerCostsNoCompressor(t *testing.T) {
+	c := qt.New(t)
+	handler := NewPeerHandler(func(flyloft.Envelope) {}, nil, nil)
+	content, err := json.Marshal(parcel{Envelopes: []flyloft.Envelope{{Fleet: "f", From: "10.0.0.1:1", To: "10.0.0.2:1"}}})
+	c.Assert(err, qt.IsNil)
+	call := func() *httptest.ResponseRecorder {
+		request := httptest.NewRequest(http.MethodPost, procedureDeliver, bytes.NewReader(content))
+		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set("Accept-Encoding", "gzip")
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, request)
+		return answer
+	}
+	answer := call()
+	c.Assert(answer.Code, qt.Equals, http.StatusOK)
+	c.Assert(answer.Header().Get("Content-Encoding"), qt.Equals, "")
+	// The collector empties the pools that would hide the cost of a call that comes alone.
+	const calls = 64
+	var before, after runtime.MemStats
+	var total uint64
+	for range calls {
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		call()
+		runtime.ReadMemStats(&after)
+		total += after.TotalAlloc - before.TotalAlloc
+	}
+	t.Logf("%d bytes a call", total/calls)
+	c.Assert(total/calls < 64<<10, qt.IsTrue, qt.Commentf("%d bytes a call", total/calls))
+}
