--- a/flyloft/cell.go
+++ b/flyloft/cell.go
@@ -29,6 +29,9 @@
 	Streams      int64  `json:"streams,omitempty"`
 	Slots        int    `json:"slots,omitempty"`   // requests worked on at once; zero: not said
 	Release      string `json:"release,omitempty"` // of the engine's software
+	// Word numbers what an engine that registers itself has said; zero: it does not. Such
+	// an engine has another id in each life, so what its end says holds for ever.
+	Word uint64 `json:"word,omitempty"`
 	// On the wire times are ages, since clocks differ between machines.
 	Age  house.Micros `json:"age_us,omitempty"`  // of the report's figures
 	Up   house.Micros `json:"up_us,omitempty"`   // since the start
@@ -44,9 +47,12 @@
 // IsUnsure tells that an engine came back and has not reported since. It may be
 // another process at the same address, so it is to be treated as a fresh one.
 func (e EngineRecord) IsUnsure() bool {
-	return e.DarkSeq > 0 && !e.IsDark && !(e.Seq > 0 && e.AsOf > e.BackAt)
+	return e.Word == 0 && e.DarkSeq > 0 && !e.IsDark && !(e.Seq > 0 && e.AsOf > e.BackAt)
 }
 
+// isBeating tells of an engine that registers itself and is not known to be gone.
+func (e EngineRecord) isBeating() bool { return e.Word > 0 && !e.IsUnlisted && !e.IsDark }
+
 // NodeRecord is what the fleet knows of one of its own nodes.
 type NodeRecord struct {
 	Address    string       `json:"address"`
@@ -144,7 +150,22 @@
 		return merged
 	}
 	merged.IsLeaving = old.IsLeaving || brought.IsLeaving
-	if brought.ListRevision > old.ListRevision {
+	if old.Word > 0 || brought.Word > 0 {
+		newest := old
+		if brought.Word > old.Word {
+			newest = brought
+		}
+		// The word that it is gone brings nothing else.
+		if newest.Address == "" {
+			newest.Address, newest.Zone, newest.Pool, newest.Slots, newest.Release = old.Address, old.Zone, old.Pool, old.Slots, old.Release
+			if newest.Address == "" {
+				newest.Address, newest.Zone, newest.Pool, newest.Slots, newest.Release = brought.Address, brought.Zone, brought.Pool, brought.Slots, brought.Release
+			}
+		}
+		merged.Word, merged.Address, merged.Zone, merged.Pool = newest.Word, newest.Address, newest.Zone, newest.Pool
+		merged.Slots, merged.Release = newest.Slots, newest.Release
+		merged.IsUnlisted = old.IsUnlisted || brought.IsUnlisted
+	} else if brought.ListRevision > old.ListRevision {
 		merged.ListRevision, merged.IsUnlisted = brought.ListRevision, brought.IsUnlisted
 		merged.Address, merged.Zone, merged.Pool = brought.Address, brought.Zone, brought.Pool
 	} else if old.ListRevision == 0 && brought.Address != "" && (old.Address == "" || old.Address < brought.Address) {
@@ -164,18 +185,30 @@
 
 // standing is the part of a record on which routing depends, apart from burden.
 func (e EngineRecord) standing() string {
-	return fmt.Sprint(e.Address, "|", e.Zone, "|", e.Pool, "|", e.Start, e.IsLeaving, e.IsUnlisted, e.IsDark)
+	standing := fmt.Sprint(e.Address, "|", e.Zone, "|", e.Pool, "|", e.Start, e.IsLeaving, e.IsUnlisted, e.IsDark)
+	if e.Word > 0 {
+		standing += fmt.Sprint("|", e.Slots, "|", e.Release)
+	}
+	return standing
 }
 
 // TakeEngine merges a record in; it tells whether the leaving mark is news.
 func (c *Cell) TakeEngine(now house.Micros, brought EngineRecord, isOwn bool) bool {
-	if brought.ID == "" || now-brought.Seen > engineGone {
-		return false
+	isLeavingNews, _ := c.takeEngine(now, brought, isOwn)
+	return isLeavingNews
+}
+
+// takeEngine tells besides whether anything is news on which routing depends.
+func (c *Cell) takeEngine(now house.Micros, brought EngineRecord, isOwn bool) (isLeavingNews, isNews bool) {
+	// Who beats is heard at its home alone; elsewhere its record may well be old.
+	if brought.ID == "" || now-brought.Seen > engineGone && !brought.isBeating() {
+		return false, false
 	}
 	old, isThere := c.engines.Get(brought.ID)
 	// A record without an address brings only the burden of a start that is known.
-	if brought.Address == "" && (!isThere || old.Start != brought.Start) {
-		return false
+	// But that an engine is gone has to be known before a late word that it is up.
+	if isEnd := brought.Word > 0 && brought.IsUnlisted; !isEnd && brought.Address == "" && (!isThere || old.Start != brought.Start) {
+		return false, false
 	}
 	merged := brought
 	if isThere {
@@ -184,7 +217,7 @@
 		if isSame {
 			// Only its freshness grew; that is no news worth carrying on.
 			c.engines = c.engines.Set(merged.ID, merged)
-			return false
+			return false, false
 		}
 	}
 	c.rev++
@@ -192,11 +225,12 @@
 	c.engines = c.engines.Set(merged.ID, merged)
 	mark := c.engineMarks[merged.ID]
 	next := cellMark{c.rev, mark.standing, isOwn || mark.isOwn && isThere && old.Start == merged.Start}
-	if !isThere || merged.standing() != old.standing() || merged.ListRevision != old.ListRevision {
+	isNews = !isThere || merged.standing() != old.standing()
+	if isNews || merged.ListRevision != old.ListRevision {
 		next.standing = c.rev
 	}
 	c.engineMarks[merged.ID] = next
-	isLeavingNews := merged.IsLeaving && !(isThere && old.IsLeaving && old.Start == merged.Start)
+	isLeavingNews = merged.IsLeaving && !(isThere && old.IsLeaving && old.Start == merged.Start)
 	switch {
 	case isLeavingNews:
 		c.note("engine "+merged.ID, "leaving", fmt.Sprintf("marked at start %d", merged.Start))
@@ -207,9 +241,9 @@
 	case merged.IsUnlisted != old.IsUnlisted:
 		c.note("engine "+merged.ID, "listing", fmt.Sprintf("unlisted: %v, at revision %d", merged.IsUnlisted, merged.ListRevision))
 	case merged.IsDark != old.IsDark:
-		c.note("engine "+merged.ID, "reach", fmt.Sprintf("dark: %v, by its home's probe", merged.IsDark))
+		c.note("engine "+merged.ID, "reach", fmt.Sprintf("dark: %v, by its home", merged.IsDark))
 	}
-	return isLeavingNews
+	return isLeavingNews, isNews
 }
 
 // TakeListing merges the platform's list; engines that it no longer has are unlisted.
@@ -266,7 +300,7 @@
 	}
 	for _, engine := range c.Engines() {
 		// A listed engine stays, however silent: engines that send no reports still work.
-		isListed := engine.ListRevision > 0 && !engine.IsUnlisted
+		isListed := engine.ListRevision > 0 && !engine.IsUnlisted || engine.isBeating()
 		if !isListed && now-engine.Seen > engineGone {
 			c.engines = c.engines.Delete(engine.ID)
 			delete(c.engineMarks, engine.ID)
--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -1,6 +1,7 @@
 package flyloft
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -37,7 +38,17 @@
 	Timing    Timing
 	Random    *rand.Rand
 	CheckSpec func([]byte) error
+	// ChangeSpec puts a change of named items into a spec; nil: there are no such orders.
+	ChangeSpec func(current, change []byte) ([]byte, error)
+	// VersionOf reads the operator's own number of a spec; nil: specs carry none.
+	VersionOf func(spec []byte) (uint64, error)
 	Note      func(subject, decision, why string)
+	// See NodeSettings.
+	Voters      int
+	ReceiptRule ReceiptRule
+	SpreadWait  house.Micros
+	ServeOn     house.Micros
+	Founding    FoundingRule
 	// Restored from the data folder.
 	Ballot   Ballot
 	Document *Document
@@ -62,6 +73,7 @@
 type sighting struct {
 	at       house.Micros
 	applied  uint64
+	held     uint64 // at least what is applied
 	zone     string
 	isRouter bool
 }
@@ -80,6 +92,13 @@
 	isFenced   bool // the id is fenced at that generation
 }
 
+// waitingRead is a newest read that waits for a round that was sent after it came.
+type waitingRead struct {
+	from  string
+	ask   *ReadAsk
+	round uint64
+}
+
 type heldSubmit struct {
 	from   string
 	submit *Submit
@@ -134,8 +153,13 @@
 	marks         []LearnedMark // leaving engines that the document does not name yet
 	inbox         []heldSubmit
 	receipts      []waitingSubmit
-	isLeaving     bool
-	lastMajority  house.Micros
+	reads         []waitingRead
+	// When the newest generations were committed under this lead.
+	committedAt  map[uint64]house.Micros
+	pushAlarm    house.Micros
+	pushUntil    house.Micros
+	isLeaving    bool
+	lastMajority house.Micros
 
 	kept        map[uint64]bool // specs in the own folder
 	recallAlarm house.Micros
@@ -160,6 +184,9 @@
 		doc: settings.Document, synced: settings.Document.stamp(),
 		mustered: map[string]musterNote{}, kept: map[uint64]bool{},
 	}
+	if c.settings.SpreadWait == 0 {
+		c.settings.SpreadWait = defaultSpreadWait
+	}
 	for _, generation := range settings.Kept {
 		c.kept[generation] = true
 	}
@@ -312,7 +339,7 @@
 		for _, waiting := range c.receipts {
 			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{ID: waiting.id, Outcome: Unproved, Reason: "leader_changed"}})
 		}
-		c.receipts, c.batches, c.inbox = nil, nil, nil
+		c.receipts, c.batches, c.inbox, c.reads = nil, nil, nil, nil
 	}
 	c.role = follower
 	c.alarm = c.now + c.electionSpan()
@@ -447,6 +474,7 @@
 	c.peers, c.round, c.isOwnTerm = map[MemberID]*peer{}, 0, false
 	c.seen, c.homeSeen = map[string]*sighting{}, map[string]house.Micros{}
 	c.successors, c.marks = map[string]string{}, nil
+	c.committedAt, c.pushUntil = map[uint64]house.Micros{}, 0
 	for _, member := range c.doc.Voters {
 		if member.ID != c.settings.Self.ID {
 			c.peers[member.ID] = &peer{member: member, lastHeard: c.now, hasFolder: true}
@@ -613,7 +641,13 @@
 	}
 	c.isOwnTerm = true
 	c.commit(c.doc)
+	c.noteCommit()
 	c.build()
+	if c.settings.ReceiptRule == Spread {
+		c.isRoundWanted = true
+		c.settleReceipts()
+		return
+	}
 	// Homes ask again at once, so that a new generation need not wait for their next turn.
 	homes := map[string]bool{}
 	for _, address := range c.committed.Homes {
@@ -633,6 +667,94 @@
 	c.committed = document
 }
 
+// keptCommits bounds the generations whose moment of commit is remembered.
+const keptCommits = 64
+
+// noteCommit remembers when a generation was committed under this lead and has it pushed.
+func (c *Core) noteCommit() {
+	generation := c.committed.Generation
+	if _, isThere := c.committedAt[generation]; !isThere {
+		c.committedAt[generation] = c.now
+	}
+	if generation > keptCommits {
+		delete(c.committedAt, generation-keptCommits)
+	}
+	if c.settings.ReceiptRule != Spread {
+		return
+	}
+	// A yes follows soon, and all in touch have to know by then: the document goes out
+	// without being asked for, to the homes first, which carry it into their zones.
+	homes := map[string]bool{}
+	for _, address := range c.committed.Homes {
+		homes[address] = true
+	}
+	for _, address := range slices.Sorted(maps.Keys(homes)) {
+		c.pushTo(address)
+	}
+	c.pushAlarm, c.pushUntil = c.now+pushAgain, c.now+pushSpan
+}
+
+const (
+	pushAgain = 300 * house.Millisecond
+	pushSpan  = 2 * house.Second
+)
+
+func (c *Core) pushTo(address string) {
+	document := c.committed
+	if seen := c.seen[address]; seen != nil {
+		document = c.committed.lightFor(seen.held)
+	} else if c.committed.SpecGeneration < c.committed.Generation {
+		// Unheard under this lead: most likely it holds the spec, and asks if it has it not.
+		document = c.committed.light()
+	}
+	c.send(address, Message{Grant: &Grant{Generation: c.committed.Generation, Leader: c.settings.Self.Address, Document: document}})
+}
+
+// pushAgainToSilent sends the newest document to everyone who has not confirmed it. Homes
+// may be gone or cut, so this goes to the nodes themselves.
+func (c *Core) pushAgainToSilent() {
+	if c.committed == nil || c.now < c.pushAlarm || c.now > c.pushUntil {
+		return
+	}
+	c.pushAlarm = c.now + pushAgain
+	targets := map[string]bool{}
+	for address, seen := range c.seen {
+		if c.now-seen.at < c.settings.Timing.NodeGone {
+			targets[address] = seen.applied < c.committed.Generation
+		}
+	}
+	for _, address := range c.committed.Register {
+		if c.seen[address] == nil {
+			targets[address] = true
+		}
+	}
+	for _, address := range slices.Sorted(maps.Keys(targets)) {
+		if targets[address] {
+			c.pushTo(address)
+		}
+	}
+}
+
+// isSpread tells whether a committed generation has gone round as far as a yes waits for:
+// all who were heard just now have applied it, or they had their time. Whoever can't be
+// reached is not waited for; he is not bound by the yes, and gets the document when he is back.
+func (c *Core) isSpread(generation uint64) bool {
+	at, isThere := c.committedAt[generation]
+	if !isThere || c.now-at >= c.settings.SpreadWait {
+		return true
+	}
+	// A fresh leader has not heard all yet.
+	if c.now-c.leadSince < house.Second {
+		return false
+	}
+	for _, seen := range c.seen {
+		if c.now-seen.at < house.Second && seen.applied < generation {
+			return false
+		}
+	}
+	return true
+}
+
 // confirmRounds grants the batches whose round a majority has confirmed: at that
 // moment no later leader could have committed anything newer.
 func (c *Core) confirmRounds() {
@@ -645,13 +767,44 @@
 			kept = append(kept, waiting)
 			continue
 		}
-		grant := &GrantBatch{Generation: c.committed.Generation, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks}
-		if waiting.batch.Generation < c.committed.Generation {
-			grant.Document = c.committed.lightFor(waiting.batch.Generation)
-		}
-		c.send(waiting.from, Message{GrantBatch: grant})
+		c.grant(waiting)
 	}
 	c.batches = kept
+	reads := c.reads[:0]
+	for _, waiting := range c.reads {
+		if !c.hasVoters(true, func(p *peer) bool { return p.round >= waiting.round }) {
+			reads = append(reads, waiting)
+			continue
+		}
+		c.send(waiting.from, Message{ReadReceipt: &ReadReceipt{waiting.ask.Token, c.committed.lightFor(waiting.ask.Held)}})
+	}
+	c.reads = reads
+}
+
+func (c *Core) grant(waiting waitingBatch) {
+	grant := &GrantBatch{Generation: c.committed.Generation, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks}
+	if waiting.batch.Generation < c.committed.Generation {
+		grant.Document = c.committed.lightFor(waiting.batch.Generation)
+	}
+	c.send(waiting.from, Message{GrantBatch: grant})
+}
+
+// onReadAsk takes an ask for the newest committed document. Like a grant it is answered
+// after a round that was sent later: until then another may have led and acknowledged more.
+func (c *Core) onReadAsk(from string, m *ReadAsk) {
+	if c.role != leader {
+		c.elsewhere(from)
+		return
+	}
+	for _, waiting := range c.reads {
+		if waiting.from == from && waiting.ask.Token == m.Token {
+			return
+		}
+	}
+	if len(c.reads) < maxInbox {
+		c.reads = append(c.reads, waitingRead{from, m, c.round + 1})
+		c.isRoundWanted = true
+	}
 }
 
 // ---- receiving ----
@@ -683,6 +836,8 @@
 		c.onSubmit(from, m.Submit)
 	case m.AskBatch != nil:
 		c.onAskBatch(from, m.AskBatch)
+	case m.ReadAsk != nil:
+		c.onReadAsk(from, m.ReadAsk)
 	case m.Succeed != nil:
 		if c.role == leader {
 			c.successors[m.Succeed.Zone] = m.Succeed.To
@@ -695,6 +850,10 @@
 		c.onRecalled(m.Recalled.Document)
 	case m.Elsewhere != nil:
 		c.hints = append([]string{m.Elsewhere.Leader}, m.Elsewhere.Voters...)
+		if c.settings.Voters > 0 && m.Elsewhere.Leader != "" {
+			// A fresh member is wanted soon; the pause keeps two that err from a storm.
+			c.joinAlarm = min(c.joinAlarm, now+50*house.Millisecond)
+		}
 	}
 }
 
@@ -713,6 +872,7 @@
 		p = &peer{since: c.now, isPartial: true}
 		c.peers[m.Member.ID] = p
 		c.note("core", "take standby", "%s in zone %s asked to join", m.Member.Address, m.Member.Zone)
+		c.isRoundWanted = true
 	}
 	p.member, p.hasFolder, p.lastHeard = m.Member, m.HasFolder, c.now
 	// A member that joins anew says what it really holds, even if that is less.
@@ -727,7 +887,7 @@
 	for _, ask := range m.Asks {
 		old := c.seen[ask.Address]
 		if old == nil || ask.Applied >= old.applied || ask.Applied == 0 {
-			c.seen[ask.Address] = &sighting{c.now, ask.Applied, ask.Zone, ask.IsRouter}
+			c.seen[ask.Address] = &sighting{c.now, ask.Applied, max(ask.Applied, ask.Held), ask.Zone, ask.IsRouter}
 		} else {
 			old.at = c.now
 		}
@@ -735,8 +895,15 @@
 	if m.IsHome {
 		c.homeSeen[m.Zone] = c.now
 	}
-	c.batches = append(c.batches, waitingBatch{from, m, c.round + 1})
-	c.isRoundWanted = true
+	switch {
+	case c.settings.ServeOn < ServeOnAlways:
+		c.batches = append(c.batches, waitingBatch{from, m, c.round + 1})
+		c.isRoundWanted = true
+	case c.isOwnTerm:
+		// Nobody serves by this grant: it says who leads and what is committed, and that
+		// needs no round of its own.
+		c.grant(waitingBatch{from: from, batch: m})
+	}
 	c.settleReceipts()
 }
 
@@ -839,19 +1006,15 @@
 		next.remember(Submission{ID: m.ID, Generation: next.Generation, IsFenced: true})
 		wait(next.Generation, true)
 		return true
-	case PutSpec:
-		if c.settings.CheckSpec != nil {
-			if err := c.settings.CheckSpec(m.Spec); err != nil {
-				c.decline(held.from, m, "invalid_spec", "%v", err)
-				return false
-			}
-		}
-		// The generation only grows, so a clash stays a clash: this no needs no fence.
-		if m.Base != nil && *m.Base != next.SpecGeneration {
-			c.decline(held.from, m, "clash", "the spec is at generation %d, not %d", next.SpecGeneration, *m.Base)
+	case PutSpec, ChangeSpec:
+		spec, version, err := c.settings.judgeSpec(m, next)
+		var refused SpecRefused
+		if errors.As(err, &refused) {
+			c.decline(held.from, m, refused.Reason, "%v", refused.Cause)
 			return false
 		}
-		next.putSpec(m.Spec)
+		next.putSpec(spec)
+		next.SpecVersion = version
 	case EmptyZone:
 		next.Evacuated[m.Zone] = next.Generation
 	case RefillZone:
@@ -908,7 +1071,10 @@
 		case isDone && waiting.isFenced:
 			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{
 				ID: waiting.id, Outcome: No, Reason: "fenced", Detail: "given up on; it will never take effect"}})
-		case isDone && c.isApplied(waiting.generation):
+		case isDone && c.settings.ReceiptRule == Spread && c.isSpread(waiting.generation):
+			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and has gone round", waiting.generation)
+			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{ID: waiting.id, Outcome: Yes, Generation: waiting.generation}})
+		case isDone && c.settings.ReceiptRule != Spread && c.isApplied(waiting.generation):
 			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and applied by a majority of routers", waiting.generation)
 			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{ID: waiting.id, Outcome: Yes, Generation: waiting.generation}})
 		default:
@@ -945,6 +1111,10 @@
 			return
 		}
 	}
+	if c.settings.Voters > 0 {
+		c.tendWanted(next, reasons)
+		return
+	}
 	zones := map[string]int{}
 	weak := -1
 	for i, member := range next.Voters {
@@ -1010,7 +1180,9 @@
 
 func (c *Core) tendRegister(next *Document, reasons *[]string) {
 	// A register may change only once a majority of the last one knows of the last change.
-	if !c.isSettled() {
+	// Where receipts do not count it, nothing hangs on that.
+	isCounted := c.settings.ReceiptRule != Spread
+	if isCounted && !c.isSettled() {
 		return
 	}
 	changed := slices.Clone(next.Register)
@@ -1022,13 +1194,17 @@
 		}
 	}
 	if len(changed) == len(next.Register) && c.now-c.leadSince > c.settings.Timing.Strike {
-		for i, address := range changed {
+		for i := 0; i < len(changed); i++ {
+			address := changed[i]
 			seen := c.seen[address]
 			if seen == nil || c.now-seen.at > c.settings.Timing.Strike {
-				// One at a time, so that each step is applied by a majority before the next.
 				changed = slices.Delete(changed, i, i+1)
 				*reasons = append(*reasons, "router struck off: "+address)
-				break
+				// One at a time, so that each step is applied by a majority before the next.
+				if isCounted {
+					break
+				}
+				i--
 			}
 		}
 	}
@@ -1178,6 +1354,7 @@
 		c.build()
 		c.settleReceipts()
 		c.nudgeSilent()
+		c.pushAgainToSilent()
 		if c.isLeaving && len(c.doc.Voters) > 1 && c.committed.stamp() == c.doc.stamp() {
 			c.yieldLead("this member is leaving")
 		}
@@ -1207,7 +1384,7 @@
 // found makes the first document, if every founder is there and empty. The
 // lowest address does it, so that there is only one who may.
 func (c *Core) found() {
-	if c.doc != nil || !c.settings.HasFolder || c.now < c.musterAlarm {
+	if c.settings.Founding != FoundersAreSeeds || c.doc != nil || !c.settings.HasFolder || c.now < c.musterAlarm {
 		return
 	}
 	founders := slices.Clone(c.settings.Founders)
@@ -1253,7 +1430,11 @@
 		others = append(others, c.hints[1:]...)
 	}
 	others = append(others, c.doc.voterAddresses()...)
-	if len(others) > 0 {
+	switch {
+	case c.settings.Voters > 0:
+		// Seeds may be gone by now; a place in the core is not to wait out their turns.
+		targets = slices.Compact(sorted(append(targets, others...)))
+	case len(others) > 0:
 		c.hintTurn++
 		targets = append(targets, others[c.hintTurn%len(others)])
 	}
--- a/flyloft/licence.go
+++ b/flyloft/licence.go
@@ -22,7 +22,9 @@
 	wanted *Document
 	// isPrepared tells whether a document's spec is compiled, and sees to it if not; nil: all are.
 	isPrepared func(*Document) bool
-	until      house.Micros
+	// serveOn is how long a word of the core lasts beyond the strict span; see NodeSettings.
+	serveOn house.Micros
+	until   house.Micros
 	// isProven: the leader itself has granted since this process started. A
 	// restarted router has forgotten what it once applied; until the leader has
 	// spoken to it, its word must not count towards others' licences, nor theirs
@@ -81,6 +83,9 @@
 		return false
 	}
 	l.applied, l.wanted = document, nil
+	if l.serveOn >= ServeOnAlways {
+		l.until = ServeOnAlways
+	}
 	return true
 }
 
@@ -116,7 +121,7 @@
 }
 
 func (l *Licence) extend(askedAt house.Micros) {
-	l.until = max(l.until, askedAt+l.timing.Licence)
+	l.until = max(l.until, askedAt+max(l.timing.Licence, l.serveOn))
 }
 
 // Attest answers another router's question.
@@ -131,7 +136,7 @@
 // TickDark asks the registered routers when the core has been silent too long; keen is
 // the one to ask for its newer document, if any.
 func (l *Licence) TickDark(now house.Micros) (to []string, ask *Attest, keen string) {
-	if !l.isRouter || !l.isProven || now < l.attestAlarm || now-l.grantedAsk < 7*house.Second/10 {
+	if l.serveOn >= ServeOnAlways || !l.isRouter || !l.isProven || now < l.attestAlarm || now-l.grantedAsk < 7*house.Second/10 {
 		return nil, nil, ""
 	}
 	l.attestAlarm = now + 300*house.Millisecond
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -45,6 +45,14 @@
 	Recall        *Recall        `json:"recall,omitempty"`
 	Recalled      *Recalled      `json:"recalled,omitempty"`
 	Suspect       *Suspect       `json:"suspect,omitempty"`
+	ReadAsk       *ReadAsk       `json:"read_ask,omitempty"`
+	ReadReceipt   *ReadReceipt   `json:"read_receipt,omitempty"`
+	Announce      *Announce      `json:"announce,omitempty"`
+	FoundAsk      *FoundAsk      `json:"found_ask,omitempty"`
+	FoundReceipt  *FoundReceipt  `json:"found_receipt,omitempty"`
+	Found         *Found         `json:"found,omitempty"`
+	Push          *Push          `json:"push,omitempty"`
+	PushReceipt   *PushReceipt   `json:"push_receipt,omitempty"`
 }
 
 // Kind names the one field that is set.
@@ -58,6 +66,53 @@
 	return "none"
 }
 
+// ReadAsk asks the leader for the newest committed document.
+type ReadAsk struct {
+	Token uint64 `json:"token"`
+	Held  uint64 `json:"held"` // the newest committed generation the asker holds
+}
+
+// ReadReceipt brings it, without its spec where the asker holds that.
+type ReadReceipt struct {
+	Token    uint64    `json:"token"`
+	Document *Document `json:"document"`
+}
+
+// Announce tells the seed that decides the founders of an empty member with a folder.
+type Announce struct {
+	Member Member `json:"member"`
+}
+
+// FoundAsk asks a seed to stand by one founding and no other.
+type FoundAsk struct {
+	Founding string `json:"founding"`
+}
+
+// FoundReceipt names the founding that a seed stands by, or belongs to.
+type FoundReceipt struct {
+	Founding string `json:"founding"`
+}
+
+// Found brings the first document to the members that it names.
+type Found struct {
+	Document *Document `json:"document"`
+}
+
+// Push brings engine records that can't wait. A token asks for a PushReceipt.
+type Push struct {
+	Token    uint64         `json:"token,omitempty"`
+	IsOnward bool           `json:"onward,omitempty"` // the receiver carries it into its zone
+	Engines  []EngineRecord `json:"engines"`
+}
+
+// PushReceipt confirms a Push.
+type PushReceipt struct {
+	Token   uint64 `json:"token"`
+	Zone    string `json:"zone"`
+	IsWhole bool   `json:"whole"` // every living node of the zone has confirmed as well
+	Others  int    `json:"others,omitempty"`
+}
+
 // Suspect tells the home that a router could not reach an engine.
 type Suspect struct {
 	Engine string `json:"engine"`
@@ -167,7 +222,12 @@
 }
 
 func (s *Submit) digest() string {
-	return digestOf([]byte(s.Order), s.Spec, []byte(s.Zone), []byte(s.Engine), fmt.Append(nil, s.Start))
+	parts := [][]byte{[]byte(s.Order), s.Spec, []byte(s.Zone), []byte(s.Engine), fmt.Append(nil, s.Start)}
+	// Only where it is set: orders without it keep the digests that documents remember.
+	if s.BaseVersion != nil {
+		parts = append(parts, fmt.Append(nil, "on version ", *s.BaseVersion))
+	}
+	return digestOf(parts...)
 }
 
 // SubmitReceipt is the leader's word on a submission.
@@ -185,6 +245,7 @@
 	Zone     string `json:"zone"`
 	Seq      uint64 `json:"seq"`
 	Applied  uint64 `json:"applied"`
+	Held     uint64 `json:"held,omitempty"` // the document it holds, if that is not yet applied
 	IsRouter bool   `json:"router,omitempty"`
 }
 
@@ -220,7 +281,6 @@
 type Ask struct {
 	RouterAsk
 	Node     NodeRecord `json:"node"`
-	Held     uint64     `json:"held,omitempty"` // the document it holds, if that is not yet applied
 	SeenHome string     `json:"seen_home,omitempty"`
 	SeenNews uint64     `json:"seen_news,omitempty"`
 	Digests  []uint64   `json:"digests,omitempty"` // now and then, to mend what was lost
@@ -340,6 +400,7 @@
 	NodeGone     house.Micros // silence after which a node leaves the cell
 	Shuffle      house.Micros
 	Mend         house.Micros
+	BeatGone     house.Micros // silence after which an engine that registers itself is dark; zero: never
 }
 
 // DefaultTiming keeps inside the rules' bounds with margin.
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -24,10 +24,27 @@
 	// IsCompiled tells whether a spec is at hand in the form that the data plane needs;
 	// nil: every one is.
 	IsCompiled func([]byte) bool
-	Journal    *house.Journal
-	Ballot     Ballot
-	Document   *Document
-	Kept       []uint64
+	// ChangeSpec puts a change of named items into a spec, VersionOf reads the operator's own
+	// number of a spec, which has to rise. Nil: there are no such orders, and no numbers.
+	ChangeSpec func(current, change []byte) ([]byte, error)
+	VersionOf  func(spec []byte) (uint64, error)
+	// Voters is the least number of voters wanted; more members vote as there are, up to
+	// five. Nodes without a folder then take no part in the core. Zero: three, always.
+	Voters int
+	// ServeOn is how long a word of the core lets a router serve under its applied document,
+	// if that is longer than a licence. Zero: licences alone. See ServeOnAlways.
+	ServeOn     house.Micros
+	ReceiptRule ReceiptRule
+	SpreadWait  house.Micros // how long a Spread yes waits for nodes; zero: 600 ms
+	SubmitTry   house.Micros // how long an order made here is tried; zero: 6 s
+	// NoFence leaves an order without a receipt unproved, since it is sent again as it was.
+	NoFence   bool
+	Founding  FoundingRule
+	Bootstrap bool // under FoundersAnnounce: this is the first start of the whole fleet
+	Journal   *house.Journal
+	Ballot    Ballot
+	Document  *Document
+	Kept      []uint64
 }
 
 // Outgoing is a message for the shell to carry.
@@ -46,6 +63,7 @@
 type errand struct {
 	submit   *Submit
 	deadline house.Micros
+	sentAt   house.Micros
 	resendAt house.Micros
 	isFence  bool // this errand only asks how the id ended
 }
@@ -90,6 +108,9 @@
 	probedAt  map[string]house.Micros
 	errands   map[string]*errand
 	declined  map[string]house.Micros // foreign senders noted lately
+	founder   *founder                // nil unless members announce themselves
+	reads     map[uint64]*reading
+	words     words
 }
 
 // urgentNews is sent again a few times: a single loss must not cost the seconds
@@ -112,24 +133,63 @@
 		settings: settings, now: now, random: random,
 		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{},
 		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, declined: map[string]house.Micros{},
-		probedAt: map[string]house.Micros{},
+		probedAt: map[string]house.Micros{}, reads: map[uint64]*reading{}, words: newWords(settings.Start),
+	}
+	if settings.SpreadWait == 0 {
+		settings.SpreadWait = defaultSpreadWait
+	}
+	if settings.SubmitTry == 0 {
+		settings.SubmitTry = submitTry
+	}
+	if settings.Bootstrap {
+		settings.Founding = FoundersAnnounce
 	}
+	n.settings = settings
 	self := settings.Identity
 	n.licence = NewLicence(self.Address, settings.IsRouter, settings.Timing, n.note)
-	n.licence.isPrepared = n.prepare
+	n.licence.isPrepared, n.licence.serveOn = n.prepare, settings.ServeOn
 	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
-	if settings.IsPrompter {
-		n.core = NewCore(CoreSettings{
-			Self:      Member{settings.Member, self.Address, self.Zone},
-			HasFolder: settings.HasFolder, Founders: settings.Seeds, Timing: settings.Timing,
-			Random: random, CheckSpec: settings.CheckSpec, Note: n.note,
-			Ballot: settings.Ballot, Document: settings.Document, Kept: settings.Kept,
-		}, now)
+	if settings.Founding == FoundersAnnounce {
+		n.founder = newFounder(settings.Seeds, self.Address)
+	}
+	// A standby that can never vote is of use only where three are wanted in any case.
+	if settings.IsPrompter && (settings.HasFolder || settings.Voters == 0) {
+		coreSettings := settings.core(n.note)
+		coreSettings.Random = random
+		n.core = NewCore(coreSettings, now)
 	}
 	return n
 }
 
+// core gives what the core of a node is told.
+func (s NodeSettings) core(note func(subject, decision, why string)) CoreSettings {
+	return CoreSettings{
+		Self:      Member{s.Member, s.Identity.Address, s.Identity.Zone},
+		HasFolder: s.HasFolder, Founders: s.Seeds, Timing: s.Timing, Note: note,
+		CheckSpec: s.CheckSpec, ChangeSpec: s.ChangeSpec, VersionOf: s.VersionOf,
+		Voters: s.Voters, ReceiptRule: s.ReceiptRule, SpreadWait: s.SpreadWait, ServeOn: s.ServeOn, Founding: s.Founding,
+		Ballot: s.Ballot, Document: s.Document, Kept: s.Kept,
+	}
+}
+
+// Rehearse judges an order against a document and changes nothing. It may be called beside
+// the owners: what is slow about a large spec is remembered by the functions of the
+// settings, so that the leader has its verdict at hand.
+func (n *Node) Rehearse(submit *Submit, current *Document) error {
+	if submit.Order != PutSpec && submit.Order != ChangeSpec {
+		return nil
+	}
+	if current == nil {
+		current = &Document{}
+	}
+	// A clash now need not be one when the order's turn comes.
+	alone := *submit
+	alone.Base, alone.BaseVersion = nil, nil
+	_, _, err := n.settings.core(nil).judgeSpec(&alone, current)
+	return err
+}
+
 func (n *Node) note(subject, decision, why string) {
 	n.settings.Journal.Note(n.now, "flyloft", subject, decision, why)
 }
@@ -211,7 +271,7 @@
 
 // isHomeless tells that the zone's home has been silent, so that other ways are taken.
 func (n *Node) isHomeless() bool {
-	return !n.isHome() && n.now-n.homeWord > 600*house.Millisecond
+	return !n.isHome() && n.now-n.homeWord > max(600*house.Millisecond, n.settings.Timing.Ask*12/5)
 }
 
 func (n *Node) zoneNodes() []string {
@@ -241,7 +301,7 @@
 	if n.core != nil && n.core.Leader() != "" {
 		return n.core.Leader()
 	}
-	if n.leaderHint != "" && n.now-n.leaderWord < 700*house.Millisecond {
+	if n.leaderHint != "" && n.now-n.leaderWord < max(700*house.Millisecond, 2*n.settings.Timing.Ask) {
 		return n.leaderHint
 	}
 	// Whoever may know, one after another: voters first, then seeds and neighbours.
@@ -269,6 +329,10 @@
 	case envelope.To != n.self():
 		why = fmt.Sprintf("it was meant for %s", envelope.To)
 	}
+	// Whoever belongs to a founding shows that there is one.
+	if n.founder != nil && why == "" && envelope.Founding != "" {
+		n.founder.stand(envelope.Founding)
+	}
 	if why != "" {
 		if _, isNoted := n.declined[envelope.From]; !isNoted {
 			n.declined[envelope.From] = now
@@ -345,7 +409,7 @@
 func (n *Node) Submit(now house.Micros, submit *Submit) []any {
 	n.now = now
 	if n.errands[submit.ID] == nil {
-		n.errands[submit.ID] = &errand{submit: submit, deadline: now + submitTry, isFence: submit.Order == Fence}
+		n.errands[submit.ID] = &errand{submit: submit, deadline: now + n.settings.SubmitTry, isFence: submit.Order == Fence}
 	}
 	n.tickErrands()
 	return n.finish()
@@ -403,7 +467,8 @@
 
 func (n *Node) suspect(m *Suspect) {
 	engine, isThere := n.cell.engines.Get(m.Engine)
-	if !isThere || engine.Start != m.Start || engine.IsDark || n.licence.applied == nil {
+	// Of one that registers itself its beats tell.
+	if !isThere || engine.Word > 0 || engine.Start != m.Start || engine.IsDark || n.licence.applied == nil {
 		return
 	}
 	home := n.licence.applied.Homes[engine.Zone]
@@ -459,7 +524,8 @@
 	marks := []LearnedMark{}
 	for _, engine := range n.cell.Engines() {
 		// No more than half of what is kept, or two marks could push each other out for ever.
-		if engine.IsLeaving && !engine.IsUnlisted && len(marks) < keptLeaving/2 {
+		// Who registers itself says it again with its next beat.
+		if engine.IsLeaving && engine.Word == 0 && !engine.IsUnlisted && len(marks) < keptLeaving/2 {
 			marks = append(marks, LearnedMark{engine.ID, engine.Start})
 		}
 	}
@@ -566,10 +632,16 @@
 		n.applied(n.licence.TakeAttest(n.now, from, m.AttestReceipt))
 	case m.Heard != nil:
 		records := make([]EngineRecord, 0, len(m.Heard.Engines))
+		said := []EngineRecord{}
 		for _, record := range m.Heard.Engines {
+			if record.Word > 0 {
+				said = append(said, record.placed(n.now))
+				continue
+			}
 			records = append(records, record.placed(n.now))
 		}
 		n.takeHeard(records)
+		n.pushOut(n.takeWords(said))
 	case m.Suspect != nil:
 		// Passed on no further: where the picture of the homes differs, the next one mends it.
 		if n.isHome() {
@@ -585,8 +657,19 @@
 		}
 	case m.SubmitReceipt != nil:
 		n.onSubmitReceipt(m.SubmitReceipt)
+	case m.ReadReceipt != nil:
+		n.onReadReceipt(m.ReadReceipt)
+	case m.Announce != nil, m.FoundAsk != nil, m.FoundReceipt != nil, m.Found != nil:
+		n.onFounding(from, m)
+	case m.Push != nil:
+		n.onPush(from, m.Push)
+	case m.PushReceipt != nil:
+		n.onPushReceipt(from, m.PushReceipt)
 	case m.Elsewhere != nil:
 		if m.Elsewhere.Leader != "" && m.Elsewhere.Leader != n.self() {
+			if m.Elsewhere.Leader != n.leaderHint {
+				n.hurry()
+			}
 			n.leaderHint, n.leaderWord = m.Elsewhere.Leader, n.now
 		}
 		if len(m.Elsewhere.Voters) > 0 {
@@ -597,7 +680,7 @@
 		}
 	case n.core != nil:
 		n.core.Receive(n.now, from, m)
-	case m.AskBatch != nil, m.Submit != nil, m.Join != nil:
+	case m.AskBatch != nil, m.Submit != nil, m.Join != nil, m.ReadAsk != nil:
 		// No prompter here, but this node may know who is.
 		n.send(from, Message{Elsewhere: &Elsewhere{n.leaderHint, n.licence.applied.voterAddresses()}})
 	}
@@ -724,6 +807,9 @@
 	n.tickMend()
 	n.tickUrgent()
 	n.tickErrands()
+	n.tickReads()
+	n.tickFounding()
+	n.tickWords()
 	return n.finish()
 }
 
@@ -748,15 +834,15 @@
 		Address: n.self(), Zone: n.settings.Identity.Zone, Seq: n.licence.NewAsk(n.now),
 		Applied: n.licence.Generation(), IsRouter: n.settings.IsRouter && !n.isLeaving,
 	}
+	if held := n.licence.Held(); held > own.Applied {
+		own.Held = held
+	}
 	if n.isHome() {
 		n.batch[n.self()] = own
 		return
 	}
 	if home := n.home(); home != "" {
 		ask := &Ask{RouterAsk: own, Node: record.aged(n.now), SeenHome: n.seenHome, SeenNews: n.seenNews}
-		if held := n.licence.Held(); held > own.Applied {
-			ask.Held = held
-		}
 		if n.askTurn++; n.askTurn%4 == 0 {
 			ask.Digests = n.cell.Digests()
 		}
@@ -822,13 +908,18 @@
 					Detail: "neither a yes nor a final no could be shown; ask again by this id"})
 				continue
 			}
+			if n.settings.NoFence {
+				n.finishErrand(SubmitReceipt{ID: id, Outcome: Unproved, Reason: "no_majority",
+					Detail: "neither a yes nor a final no could be shown; send it again as it was"})
+				continue
+			}
 			// Trying is over. A fence makes a no final, or finds that it was a yes after all.
 			n.note("submission "+id, "fence", "no receipt in time")
 			errand.submit = &Submit{ID: id, Order: Fence}
 			errand.deadline, errand.resendAt = n.now+submitFence, n.now
 		}
 		if n.now >= errand.resendAt {
-			errand.resendAt = n.now + submitResend
+			errand.sentAt, errand.resendAt = n.now, n.now+submitResend
 			n.send(n.leaderTarget(), Message{Submit: errand.submit})
 		}
 	}
@@ -838,12 +929,23 @@
 	errand := n.errands[m.ID]
 	// An unproved word from a leader that stepped down is no end: the next one is asked.
 	if errand == nil || m.Outcome == Unproved {
+		n.hurry()
 		return
 	}
 	// While the order itself is still being tried, a fence's no belongs to an older try.
 	n.finishErrand(*m)
 }
 
+// hurry sends what waits for a leader again soon: another one is known to lead.
+func (n *Node) hurry() {
+	for _, errand := range n.errands {
+		errand.resendAt = min(errand.resendAt, max(n.now, errand.sentAt+100*house.Millisecond))
+	}
+	for _, read := range n.reads {
+		read.resendAt = min(read.resendAt, max(n.now, read.sentAt+100*house.Millisecond))
+	}
+}
+
 func (n *Node) finishErrand(receipt SubmitReceipt) {
 	delete(n.errands, receipt.ID)
 	n.note("submission "+receipt.ID, "receipt "+string(receipt.Outcome), receipt.Reason)
@@ -870,6 +972,7 @@
 	Nodes      []NodeRecord
 	Neighbours []string
 	Founding   string
+	Serving    int // router nodes known to live, this one among them
 }
 
 // State pictures the node. The engines of an earlier picture are kept when nothing changed.
@@ -891,5 +994,6 @@
 		state.Engines = n.cell.Engines()
 	}
 	state.Nodes = n.cell.Nodes()
+	state.Serving = n.serving(state.Nodes)
 	return state
 }
--- /dev/null
+++ b/flyloft/rules.go
@@ -0,0 +1,237 @@
+package flyloft
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"dunlinloom/house"
+)
+
+// ReceiptRule says when a committed order gets its yes.
+type ReceiptRule int
+
+// The rules of receipts.
+const (
+	// Strict: a majority of the registered routers has applied the document.
+	Strict ReceiptRule = iota
+	// Spread: everyone who was heard within the last second has applied it, or the span
+	// SpreadWait is over. The majority of voters alone decides.
+	Spread
+)
+
+// FoundingRule says who may found a fleet.
+type FoundingRule int
+
+// The rules of founding.
+const (
+	// FoundersAreSeeds: the three seeds do, once all of them are there and empty.
+	FoundersAreSeeds FoundingRule = iota
+	// FoundersAnnounce: under Bootstrap, empty members with a folder announce themselves
+	// to the seeds, of which the one with the lowest address names the founders.
+	FoundersAnnounce
+)
+
+// ServeOnAlways lets a router serve for as long as it has an applied document.
+const ServeOnAlways = house.Micros(1 << 62)
+
+// defaultSpreadWait is how long a yes waits for nodes that have not confirmed.
+const defaultSpreadWait = 600 * house.Millisecond
+
+// SpecRefused is a final no to a spec or a change.
+type SpecRefused struct {
+	Reason string // as in a receipt
+	Cause  error
+}
+
+func (b SpecRefused) Error() string { return b.Reason + ": " + b.Cause.Error() }
+
+// Unwrap gives the cause.
+func (b SpecRefused) Unwrap() error { return b.Cause }
+
+// specFault is the cause of a refusal that is not the checker's own.
+type specFault struct{ why string }
+
+func (b specFault) Error() string { return b.why }
+
+func faultOf(form string, args ...any) error { return specFault{fmt.Sprintf(form, args...)} }
+
+// judgeSpec gives the spec that an order leads to, on top of the one in force, and its
+// version; or a SpecRefused.
+func (s CoreSettings) judgeSpec(m *Submit, current *Document) (spec []byte, version uint64, err error) {
+	// Versions only rise, so a clash stays a clash: this no needs no fence.
+	if m.BaseVersion != nil && *m.BaseVersion != current.SpecVersion {
+		return nil, 0, SpecRefused{"clash", faultOf("the spec is at version %d, not %d", current.SpecVersion, *m.BaseVersion)}
+	}
+	spec = m.Spec
+	if m.Order == ChangeSpec {
+		if s.ChangeSpec == nil {
+			return nil, 0, SpecRefused{"unknown_order", faultOf("%q", m.Order)}
+		}
+		if spec, err = s.ChangeSpec(current.Spec, m.Spec); err != nil {
+			return nil, 0, SpecRefused{"invalid_spec", err}
+		}
+	}
+	if s.CheckSpec != nil {
+		if err := s.CheckSpec(spec); err != nil {
+			return nil, 0, SpecRefused{"invalid_spec", err}
+		}
+	}
+	// The generation only grows, so a clash stays a clash: this no needs no fence.
+	if m.Base != nil && *m.Base != current.SpecGeneration {
+		return nil, 0, SpecRefused{"clash", faultOf("the spec is at generation %d, not %d", current.SpecGeneration, *m.Base)}
+	}
+	version = current.SpecVersion
+	switch {
+	case s.VersionOf != nil:
+		if version, err = s.VersionOf(spec); err != nil {
+			return nil, 0, SpecRefused{"invalid_spec", err}
+		}
+		if version <= current.SpecVersion {
+			return nil, 0, SpecRefused{"old_version", faultOf("version %d is not above %d", version, current.SpecVersion)}
+		}
+	case m.BaseVersion != nil:
+		version++
+	}
+	return spec, version, nil
+}
+
+// mostWanted bounds the voters beyond what a loss asks for: each has to sync every document.
+const mostWanted = 5
+
+// wantedVoters says how many voters there should be: no fewer than least, and else as many
+// as there are members, up to five. Of these numbers the largest is taken at which a
+// whole zone can be lost, if there is one: four over three zones are worse than three.
+func wantedVoters(least int, members []Member) int {
+	most := max(least, min(len(members), mostWanted))
+	zones := map[string]int{}
+	for _, member := range members {
+		zones[member.Zone]++
+	}
+	for count := min(most, len(members)); count >= least; count-- {
+		if dealtOver(zones, count) <= (count-1)/2 {
+			return count
+		}
+	}
+	return most
+}
+
+// dealtOver is how many of the members one zone has, if a number of them is dealt over
+// the zones as evenly as these allow.
+func dealtOver(zones map[string]int, count int) int {
+	level := 0
+	for count > 0 {
+		level++
+		dealt := 0
+		for _, there := range zones {
+			if there >= level {
+				dealt++
+			}
+		}
+		if dealt == 0 {
+			break
+		}
+		count -= dealt
+	}
+	return level
+}
+
+// chooseVoters takes a number of members, one a zone in turn, the lowest addresses first.
+func chooseVoters(members []Member, count int) []Member {
+	rest := slices.SortedFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
+	chosen, zones := []Member{}, map[string]int{}
+	for len(rest) > 0 && len(chosen) < count {
+		best := 0
+		for i, member := range rest {
+			if zones[member.Zone] < zones[rest[best].Zone] {
+				best = i
+			}
+		}
+		zones[rest[best].Zone]++
+		chosen = append(chosen, rest[best])
+		rest = slices.Delete(rest, best, best+1)
+	}
+	return chosen
+}
+
+// isCaughtUp tells whether a standby could vote at once.
+func (c *Core) isCaughtUp(p *peer) bool {
+	return p.hasFolder && !p.isLeaving && !p.isAiling && p.synced == c.committed.stamp() && c.now-p.lastHeard < c.settings.Timing.ElectionLow
+}
+
+// tendWanted tends the voters where their number is a setting.
+func (c *Core) tendWanted(next *Document, reasons *[]string) {
+	for i, voter := range next.Voters {
+		if voter.ID == c.settings.Self.ID {
+			continue
+		}
+		for _, id := range c.peerIDs() {
+			p := c.peers[id]
+			if _, isIn := next.voter(id); isIn || p.member.Address != voter.Address || !c.isCaughtUp(p) {
+				continue
+			}
+			// A member with another id where the voter was: the voter's folder is gone, and
+			// nobody will ever speak for it again. So a majority without it lies within the
+			// others, and one step is enough. A voter that was heard since is alive elsewhere.
+			if old := c.peers[voter.ID]; old == nil || old.lastHeard <= p.since {
+				*reasons = append(*reasons, "voter's folder is gone, its successor there takes its place: "+voter.Address)
+				next.Voters[i] = p.member
+				return
+			}
+		}
+	}
+	members, zones := []Member{}, map[string]int{}
+	weak, lost := -1, -1
+	for i, voter := range next.Voters {
+		zones[voter.Zone]++
+		switch {
+		case c.isLost(voter):
+			weak, lost = i, i
+		case c.isGoing(voter):
+			weak = i
+		default:
+			members = append(members, voter)
+		}
+	}
+	var best *peer
+	for _, id := range c.peerIDs() {
+		p := c.peers[id]
+		isTaken := slices.ContainsFunc(next.Voters, func(voter Member) bool { return voter.ID == id || voter.Address == p.member.Address })
+		if isTaken || !c.isCaughtUp(p) {
+			continue
+		}
+		members = append(members, p.member)
+		if best == nil || zones[p.member.Zone] < zones[best.member.Zone] {
+			best = p
+		}
+	}
+	wanted := wantedVoters(c.settings.Voters, members)
+	if len(next.Voters) > wanted {
+		drop := lost
+		if drop < 0 {
+			drop = weak
+		}
+		if drop < 0 {
+			// Nobody is missing: one of the fullest zone goes.
+			for i, voter := range next.Voters {
+				if voter.ID != c.settings.Self.ID && (drop < 0 || zones[voter.Zone] >= zones[next.Voters[drop].Zone]) {
+					drop = i
+				}
+			}
+		}
+		if next.Voters[drop].ID == c.settings.Self.ID {
+			return // a leader that goes names its successor first
+		}
+		*reasons = append(*reasons, "voter dropped: "+next.Voters[drop].Address)
+		next.Voters = slices.Delete(next.Voters, drop, drop+1)
+		return
+	}
+	if best == nil {
+		return
+	}
+	isSpreading := zones[best.member.Zone] == 0 && len(zones) < len(next.Voters)
+	if len(next.Voters) < wanted || weak >= 0 || isSpreading {
+		next.Voters = append(next.Voters, best.member)
+		*reasons = append(*reasons, "voter added: "+best.member.Address)
+	}
+}
--- /dev/null
+++ b/flyloft/words.go
@@ -0,0 +1,454 @@
+package flyloft
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/house"
+)
+
+// Registered answers what Node.Register took from an engine.
+type Registered struct {
+	Token  uint64
+	BeatTo string // the public address for its later words; empty: no better one is known
+	Err    error
+}
+
+// NotConfirmed says that an engine's word of its end could not be shown to have gone round.
+type NotConfirmed struct {
+	Engine string
+	Why    string
+}
+
+func (b NotConfirmed) Error() string {
+	return fmt.Sprintf("the end of engine %s was not confirmed: %s", b.Engine, b.Why)
+}
+
+// Spans of a push that has to be confirmed. An engine waits a second for its answer.
+const (
+	pushResend  = 150 * house.Millisecond
+	pushDeputy  = 250 * house.Millisecond // after which another node of a silent zone is asked
+	pushPartial = 400 * house.Millisecond // after which a zone says what it has so far
+	pushEnough  = 600 * house.Millisecond // after which most zones are enough
+	pushGiveUp  = 850 * house.Millisecond
+	pushEnd     = 1600 * house.Millisecond // until which a zone goes on after its word
+	nodeFresh   = 2500 * house.Millisecond // a node heard within it may live
+	nodeServing = 3500 * house.Millisecond
+	frozenSpan  = house.Second // between two ticks: this process was not there
+)
+
+// pushing is a push that this node carries into its zone.
+type pushing struct {
+	from       string
+	token      uint64 // the sender's
+	records    []EngineRecord
+	waiting    map[string]bool
+	confirmed  int
+	resendAt   house.Micros
+	answerAt   house.Micros
+	endAt      house.Micros
+	isAnswered bool
+}
+
+// promise is an engine's word of its end that waits for the fleet to know it.
+type promise struct {
+	tokens  []uint64 // of the calls that wait for it
+	key     string
+	records []EngineRecord
+	zone    string
+	zones   map[string]bool // that have spoken; true: wholly
+	nodes   map[string]bool // other than this one that have spoken for themselves or a zone
+	others  int             // nodes that have confirmed within the zones
+	since   house.Micros
+	resend  house.Micros
+}
+
+// words is a node's part in what engines say of themselves.
+type words struct {
+	nextToken uint64
+	pushes    map[uint64]*pushing
+	carried   map[string]uint64 // sender and its token to the own
+	promises  map[uint64]*promise
+	kept      map[string]house.Micros // ends confirmed by this node
+	passedAt  map[string]house.Micros // when a plain beat last went to the engine's home
+	// judgeSince is the moment from which silence of an engine counts here.
+	judgeSince house.Micros
+	wasHome    bool
+	tickedAt   house.Micros
+	sweepAt    house.Micros
+}
+
+func newWords(start uint64) words {
+	return words{
+		// Of the start, so that a receipt for an earlier life confirms nothing.
+		nextToken: start << 10, pushes: map[uint64]*pushing{}, carried: map[string]uint64{}, promises: map[uint64]*promise{},
+		kept: map[string]house.Micros{}, passedAt: map[string]house.Micros{},
+	}
+}
+
+// judge is the node that judges whether the engines of a zone live: the zone's home, or
+// for a zone without nodes some other, the same one on every node.
+func (n *Node) judge(zone string) string {
+	if n.licence.applied == nil || len(n.licence.applied.Homes) == 0 {
+		return ""
+	}
+	homes := n.licence.applied.Homes
+	if home := homes[zone]; home != "" {
+		return home
+	}
+	zones := slices.Sorted(maps.Keys(homes))
+	return homes[zones[xxhash.Sum64String(zone)%uint64(len(zones))]]
+}
+
+// beatTo is where an engine of a zone should beat, if that node is known to live.
+func (n *Node) beatTo(zone string) string {
+	home := n.judge(zone)
+	if home == n.self() && !n.isLeaving {
+		return n.settings.Identity.Public
+	}
+	node, isThere := n.cell.nodes.Get(home)
+	isSilent := home == n.home() && n.isHomeless()
+	if !isThere || isSilent || node.IsLeaving || n.now-node.AsOf > nodeFresh {
+		return ""
+	}
+	return node.Public
+}
+
+// Register takes an engine's word on itself. Seq numbers its words. The command Registered
+// answers it: at once, or, where it says that the engine is leaving or gone, once the
+// fleet's routers know.
+func (n *Node) Register(now house.Micros, token uint64, record EngineRecord) []any {
+	n.now = now
+	record = record.placed(now)
+	record.Word, record.Seq = max(record.Seq, 1), 0
+	record.Start = max(record.Start, 1)
+	zone := record.Zone
+	known, isKnown := n.cell.engines.Get(record.ID)
+	if isKnown && zone == "" {
+		zone = known.Zone
+	}
+	heard := []EngineRecord{record}
+	if !isKnown && !record.IsUnlisted && record.Address != "" {
+		// An address is given to another engine only after its last one ended.
+		for _, other := range n.cell.Engines() {
+			if other.Word > 0 && other.Address == record.Address && other.ID != record.ID && !other.IsUnlisted {
+				other.IsUnlisted = true
+				heard = append(heard, other)
+			}
+		}
+	}
+	fresh := n.takeWords(heard)
+	if !record.IsLeaving && !record.IsUnlisted {
+		n.pushOut(fresh)
+		n.passOn(record.ID, len(fresh) > 0)
+		n.out = append(n.out, Registered{Token: token, BeatTo: n.beatTo(zone)})
+		return n.finish()
+	}
+	if len(fresh) == 0 {
+		fresh = []EngineRecord{record.aged(now)}
+	}
+	n.promise(token, record, zone, fresh)
+	return n.finish()
+}
+
+// takeWords takes what engines said first-hand, here or at a node that passed it on, and
+// gives what is news.
+func (n *Node) takeWords(records []EngineRecord) []EngineRecord {
+	fresh := []EngineRecord{}
+	for _, record := range records {
+		if known, isKnown := n.cell.engines.Get(record.ID); isKnown && known.Start == record.Start {
+			record.IsDark, record.DarkSeq, record.BackAt = known.IsDark, known.DarkSeq, known.BackAt
+			// It spoke after it was called dark.
+			if known.IsDark && !record.IsUnlisted && record.Seen > known.BackAt && record.Word > known.Word {
+				record.IsDark, record.BackAt = false, n.now
+				record.DarkSeq++
+			}
+		}
+		if _, isNews := n.cell.takeEngine(n.now, record, n.judge(record.Zone) == n.self()); isNews {
+			taken, _ := n.cell.engines.Get(record.ID)
+			fresh = append(fresh, taken.aged(n.now))
+		}
+	}
+	return fresh
+}
+
+// passOn tells an engine's home of a beat that came here. What is news goes round anyway.
+func (n *Node) passOn(id string, isNews bool) {
+	engine, _ := n.cell.engines.Get(id)
+	judge := n.judge(engine.Zone)
+	if judge == "" || judge == n.self() || isNews {
+		return
+	}
+	if at, isPassed := n.words.passedAt[id]; isPassed && n.now-at < max(house.Second/2, n.settings.Timing.BeatGone/4) {
+		return
+	}
+	n.words.passedAt[id] = n.now
+	n.send(judge, Message{Heard: &Heard{[]EngineRecord{engine.aged(n.now)}}})
+}
+
+// pushOut sends records to every home, which carry them into their zones.
+func (n *Node) pushOut(records []EngineRecord) {
+	if len(records) == 0 || n.licence.applied == nil {
+		return
+	}
+	homes := append(n.otherHomes(), n.self())
+	if !n.isHome() && !n.isHomeless() {
+		homes = homes[:len(homes)-1]
+	}
+	for _, home := range homes {
+		n.send(home, Message{Push: &Push{IsOnward: true, Engines: records}})
+	}
+}
+
+// living gives the other nodes of a zone that may live.
+func (n *Node) living(zone string) []string {
+	found := []string{}
+	for _, node := range n.cell.Nodes() {
+		if node.Zone == zone && node.Address != n.self() && n.now-node.AsOf < nodeFresh {
+			found = append(found, node.Address)
+		}
+	}
+	return found
+}
+
+func (n *Node) onPush(from string, m *Push) {
+	isNews := false
+	for _, record := range m.Engines {
+		record = record.placed(n.now)
+		_, isFresh := n.cell.takeEngine(n.now, record, n.judge(record.Zone) == n.self())
+		isNews = isNews || isFresh
+	}
+	w, zone := &n.words, n.settings.Identity.Zone
+	if !m.IsOnward {
+		if m.Token != 0 {
+			n.send(from, Message{PushReceipt: &PushReceipt{Token: m.Token, Zone: zone}})
+		}
+		return
+	}
+	targets := slices.DeleteFunc(n.living(zone), func(node string) bool { return node == from })
+	if m.Token == 0 {
+		if isNews || from == n.self() {
+			for _, target := range targets {
+				n.send(target, Message{Push: &Push{Engines: m.Engines}})
+			}
+		}
+		return
+	}
+	key := fmt.Sprint(from, "/", m.Token)
+	if own, isCarried := w.carried[key]; isCarried {
+		// A receipt may be lost like anything else.
+		if p := w.pushes[own]; p != nil && p.isAnswered {
+			n.answerPush(p)
+		}
+		return
+	}
+	w.nextToken++
+	p := &pushing{
+		from: from, token: m.Token, records: m.Engines, waiting: map[string]bool{},
+		answerAt: n.now + pushPartial, endAt: n.now + pushEnd,
+	}
+	for _, target := range targets {
+		p.waiting[target] = true
+	}
+	w.pushes[w.nextToken], w.carried[key] = p, w.nextToken
+	n.tickPush(w.nextToken, p)
+}
+
+func (n *Node) answerPush(p *pushing) {
+	p.isAnswered = true
+	n.send(p.from, Message{PushReceipt: &PushReceipt{
+		Token: p.token, Zone: n.settings.Identity.Zone, IsWhole: len(p.waiting) == 0, Others: p.confirmed}})
+}
+
+func (n *Node) tickPush(token uint64, p *pushing) {
+	if len(p.waiting) > 0 && n.now >= p.resendAt {
+		p.resendAt = n.now + pushResend
+		for _, target := range slices.Sorted(maps.Keys(p.waiting)) {
+			n.send(target, Message{Push: &Push{Token: token, Engines: p.records}})
+		}
+	}
+	if !p.isAnswered && (len(p.waiting) == 0 || n.now >= p.answerAt) {
+		n.answerPush(p)
+	}
+	if n.now >= p.endAt {
+		delete(n.words.pushes, token)
+		delete(n.words.carried, fmt.Sprint(p.from, "/", p.token))
+	}
+}
+
+func (n *Node) onPushReceipt(from string, m *PushReceipt) {
+	if p := n.words.pushes[m.Token]; p != nil && p.waiting[from] {
+		delete(p.waiting, from)
+		p.confirmed++
+		if len(p.waiting) == 0 {
+			n.answerPush(p)
+		}
+		return
+	}
+	if p := n.words.promises[m.Token]; p != nil {
+		p.zones[m.Zone] = p.zones[m.Zone] || m.IsWhole
+		if from != n.self() {
+			p.nodes[from] = true
+		}
+		p.others = max(p.others, m.Others)
+		n.judgePromise(m.Token, p)
+	}
+}
+
+// promise has an engine's end go round, and answers once it did.
+func (n *Node) promise(token uint64, record EngineRecord, zone string, records []EngineRecord) {
+	key := fmt.Sprint(record.ID, record.IsUnlisted)
+	if _, isKept := n.words.kept[key]; isKept {
+		n.out = append(n.out, Registered{Token: token, BeatTo: n.beatTo(zone)})
+		return
+	}
+	if n.licence.applied == nil {
+		n.out = append(n.out, Registered{Token: token, Err: NotConfirmed{record.ID, "this node knows no fleet yet"}})
+		return
+	}
+	for _, promise := range n.words.promises {
+		if promise.key == key {
+			promise.tokens = append(promise.tokens, token)
+			return
+		}
+	}
+	n.words.nextToken++
+	p := &promise{tokens: []uint64{token}, key: key, records: records, zone: zone, zones: map[string]bool{}, nodes: map[string]bool{}, since: n.now}
+	n.words.promises[n.words.nextToken] = p
+	n.tickPromise(n.words.nextToken, p)
+}
+
+func (n *Node) tickPromise(token uint64, p *promise) {
+	if n.now >= p.resend {
+		p.resend = n.now + pushResend
+		push := Message{Push: &Push{Token: token, IsOnward: true, Engines: p.records}}
+		homes := n.licence.applied.Homes
+		for _, zone := range slices.Sorted(maps.Keys(homes)) {
+			isWhole, hasSpoken := p.zones[zone]
+			if isWhole {
+				continue
+			}
+			n.send(homes[zone], push)
+			if hasSpoken || n.now-p.since < pushDeputy {
+				continue
+			}
+			// The home may have died a moment ago and nobody know it yet.
+			if zone == n.settings.Identity.Zone {
+				n.send(n.self(), push)
+			}
+			for _, node := range n.living(zone) {
+				if node != homes[zone] {
+					n.send(node, push)
+					break
+				}
+			}
+		}
+		// What the leader knows outlives this node as well.
+		if leader := n.leaderTarget(); leader != "" && !p.nodes[leader] && !slices.Contains(slices.Collect(maps.Values(homes)), leader) {
+			n.send(leader, Message{Push: &Push{Token: token, Engines: p.records}})
+		}
+	}
+	n.judgePromise(token, p)
+}
+
+// judgePromise answers once every living node has confirmed, or after a while once so
+// many have that the mark outlives this node and whoever is in touch hears of it.
+func (n *Node) judgePromise(token uint64, p *promise) {
+	if n.words.promises[token] != p {
+		return
+	}
+	homes := n.licence.applied.Homes
+	spoken, isAll := 0, true
+	for zone := range homes {
+		isWhole, hasSpoken := p.zones[zone]
+		if hasSpoken {
+			spoken++
+		}
+		// A zone without a living node has nobody to wait for.
+		isAll = isAll && (isWhole || !hasSpoken && zone != n.settings.Identity.Zone && len(n.living(zone)) == 0)
+	}
+	isMost := spoken*2 > len(homes) || p.nodes[n.leaderTarget()]
+	// A mark that only this node holds dies with it.
+	isShared := len(p.nodes) > 0 || p.others > 0 || len(n.licence.applied.Register) < 2 && len(n.cell.Nodes()) < 2
+	age := n.now - p.since
+	switch {
+	case isMost && isShared && (isAll || age >= pushEnough):
+		n.words.kept[p.key] = n.now
+		for _, call := range p.tokens {
+			n.out = append(n.out, Registered{Token: call, BeatTo: n.beatTo(p.zone)})
+		}
+	case age >= pushGiveUp:
+		for _, call := range p.tokens {
+			n.out = append(n.out, Registered{Token: call, Err: NotConfirmed{p.records[0].ID, fmt.Sprintf("%d of %d zones answered", spoken, len(homes))}})
+		}
+	default:
+		return
+	}
+	delete(n.words.promises, token)
+}
+
+func (n *Node) tickWords() {
+	w := &n.words
+	isAwake := n.now-w.tickedAt < frozenSpan
+	w.tickedAt = n.now
+	for _, token := range slices.Sorted(maps.Keys(w.pushes)) {
+		n.tickPush(token, w.pushes[token])
+	}
+	for _, token := range slices.Sorted(maps.Keys(w.promises)) {
+		n.tickPromise(token, w.promises[token])
+	}
+	n.judgeBeats(isAwake)
+	if n.now >= w.sweepAt {
+		w.sweepAt = n.now + 5*house.Second
+		for _, noted := range []map[string]house.Micros{w.passedAt, w.kept} {
+			for id, at := range noted {
+				if n.now-at > engineGone {
+					delete(noted, id)
+				}
+			}
+		}
+	}
+}
+
+// judgeBeats calls engines dark that have not been heard for long, at the home of their zone.
+func (n *Node) judgeBeats(isAwake bool) {
+	w, span := &n.words, n.settings.Timing.BeatGone
+	isHome := n.isHome()
+	// Silence says something only to who could have heard: not to one that has just become
+	// home, was frozen, or is cut off from the core and so perhaps from the engines too.
+	isInTouch := n.now-n.leaderWord < house.Second+2*n.settings.Timing.Ask
+	if !isHome || !w.wasHome || !isAwake || !isInTouch {
+		w.judgeSince = n.now
+	}
+	w.wasHome = isHome
+	if !isHome || span == 0 || n.now-w.judgeSince <= span {
+		return
+	}
+	dark := []EngineRecord{}
+	for _, engine := range n.cell.Engines() {
+		if engine.isBeating() && n.now-max(engine.Seen, w.judgeSince) > span && n.judge(engine.Zone) == n.self() {
+			engine.IsDark, engine.BackAt = true, n.now
+			engine.DarkSeq++
+			n.cell.takeEngine(n.now, engine, true)
+			dark = append(dark, engine.aged(n.now))
+		}
+	}
+	n.pushOut(dark)
+}
+
+// serving counts the routers that are known to live.
+func (n *Node) serving(nodes []NodeRecord) int {
+	count := 0
+	for _, node := range nodes {
+		if node.Address != n.self() && node.IsRouter && !node.IsLeaving && n.now-node.AsOf < nodeServing {
+			count++
+		}
+	}
+	if n.settings.IsRouter && !n.isLeaving {
+		count++
+	}
+	return count
+}
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -35,8 +35,12 @@
 	saves chan any
 	state atomic.Pointer[flyloft.State]
 
-	lock    sync.Mutex // guards waiters alone
+	lock    sync.Mutex // guards what waits for a command alone
 	waiters map[string][]chan flyloft.SubmitReceipt
+	// By the token of the call.
+	registers map[uint64]chan flyloft.Registered
+	reads     map[uint64]chan *flyloft.Document
+	nextToken uint64
 
 	// longest is the longest that one event has held the owners up, in microseconds.
 	longest atomic.Int64
@@ -49,7 +53,10 @@
 	r := &Runner{
 		cue: cue, node: node, store: store, channels: channels, desk: desk, platform: platform,
 		inbox: make(chan func() []any, 1024), saves: make(chan any, 256),
-		waiters: map[string][]chan flyloft.SubmitReceipt{}, hand: Stagehand{Shelf: shelf},
+		waiters:   map[string][]chan flyloft.SubmitReceipt{},
+		registers: map[uint64]chan flyloft.Registered{}, reads: map[uint64]chan *flyloft.Document{},
+		// Of the clock, so that an answer to an earlier life is nobody's here.
+		nextToken: uint64(time.Now().UnixMicro()) << 8, hand: Stagehand{Shelf: shelf},
 		prober: &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: plainDialer(), MaxIdleConnsPerHost: 1}},
 	}
 	r.state.Store(node.State(nil))
@@ -74,7 +81,7 @@
 	if submit := envelope.Message.Submit; submit != nil && len(submit.Spec) > 0 {
 		// Read here, beside the owners, so that the leader has its verdict at hand. What
 		// it is makes no difference yet: the order is answered by the owners alone.
-		if err := r.hand.Shelf.Check(submit.Spec); err != nil {
+		if err := r.node.Rehearse(submit, r.State().Document); err != nil {
 			r.cue.Log.V(2).Info("a spec with faults came from another node", "error", err.Error())
 		}
 	}
@@ -153,6 +160,22 @@
 				r.post(func() []any { return r.node.Probed(r.cue.Clock.Now(), command.Engine.ID, command.Engine.Start, true) })
 			}
 		}()
+	case flyloft.Registered:
+		r.lock.Lock()
+		waiter := r.registers[command.Token]
+		delete(r.registers, command.Token)
+		r.lock.Unlock()
+		if waiter != nil {
+			waiter <- command
+		}
+	case flyloft.Newest:
+		r.lock.Lock()
+		waiter := r.reads[command.Token]
+		delete(r.reads, command.Token)
+		r.lock.Unlock()
+		if waiter != nil {
+			waiter <- command.Document
+		}
 	case flyloft.Receipt:
 		r.lock.Lock()
 		waiters := r.waiters[command.SubmitReceipt.ID]
@@ -310,6 +333,12 @@
 	r.lock.Lock()
 	r.waiters[submit.ID] = append(r.waiters[submit.ID], waiter)
 	r.lock.Unlock()
+	if state := r.State(); state.IsLeader && len(submit.Spec) > 0 {
+		// As in Deliver: the leader is to have its verdict at hand.
+		if err := r.node.Rehearse(submit, state.Document); err != nil {
+			r.cue.Log.V(2).Info("a spec with faults was handed in", "error", err.Error())
+		}
+	}
 	r.post(func() []any { return r.node.Submit(r.cue.Clock.Now(), submit) })
 	select {
 	case receipt := <-waiter:
@@ -321,17 +350,71 @@
 	}
 }
 
-// Register takes an engine's word on itself. The word that it is leaving or gone is
-// given back only when the routers know; an error says that this could not be shown.
-// beatTo is the public address for the engine's later words, if another node's is better.
+// Register takes an engine's word on itself; Seq numbers its words. The word that it is
+// leaving (IsLeaving) or gone (IsUnlisted) is given back only when the routers know; an
+// error says that this could not be shown. beatTo is the public address for the engine's
+// later words; empty: no better one is known.
 func (r *Runner) Register(ctx context.Context, record flyloft.EngineRecord) (beatTo string, err error) {
-	r.Hear([]flyloft.EngineRecord{record})
-	return "", nil
+	waiter := make(chan flyloft.Registered, 1)
+	r.lock.Lock()
+	r.nextToken++
+	token := r.nextToken
+	r.registers[token] = waiter
+	r.lock.Unlock()
+	defer func() {
+		r.lock.Lock()
+		delete(r.registers, token)
+		r.lock.Unlock()
+	}()
+	r.post(func() []any { return r.node.Register(r.cue.Clock.Now(), token, record) })
+	select {
+	case answer := <-waiter:
+		return answer.BeatTo, answer.Err
+	case <-ctx.Done():
+		return "", fmt.Errorf("register engine %s: %w", record.ID, ctx.Err())
+	case <-r.cue.Done():
+		return "", fmt.Errorf("register engine %s: %w", record.ID, Stopping{})
+	}
+}
+
+// NotShown says that a document could not be shown to be the newest one in time.
+type NotShown struct{ Cause error }
+
+func (b NotShown) Error() string {
+	return "no document could be shown to be the newest: " + b.Cause.Error()
 }
 
-// Newest gives the newest committed document as of a moment after the call.
+// Unwrap gives the cause.
+func (b NotShown) Unwrap() error { return b.Cause }
+
+// Stopping says that this process ends before it could answer.
+type Stopping struct{}
+
+func (Stopping) Error() string { return "this process is stopping" }
+
+// Newest gives a committed document that is at least as new as every one that was
+// acknowledged before the call. The error is a NotShown.
 func (r *Runner) Newest(ctx context.Context) (*flyloft.Document, error) {
-	return r.State().Document, nil
+	waiter := make(chan *flyloft.Document, 1)
+	r.lock.Lock()
+	r.nextToken++
+	token := r.nextToken
+	r.reads[token] = waiter
+	r.lock.Unlock()
+	r.post(func() []any { return r.node.Newest(r.cue.Clock.Now(), token) })
+	var cause error = Stopping{}
+	select {
+	case document := <-waiter:
+		return document, nil
+	case <-ctx.Done():
+		cause = ctx.Err()
+	case <-r.cue.Done():
+	}
+	r.lock.Lock()
+	delete(r.reads, token)
+	r.lock.Unlock()
+	r.post(func() []any { return r.node.EndNewest(r.cue.Clock.Now(), token) })
+	return nil, NotShown{cause}
 }
 
 // Hear brings engine records learned first-hand.
@@ -461,7 +544,8 @@
 		var probes sync.WaitGroup
 		var lock sync.Mutex
 		for _, engine := range state.Engines {
-			if engine.Zone != r.cue.Self.Zone || engine.IsUnlisted || engine.Address == "" {
+			// Who registers itself is known by its beats and is not to be bothered.
+			if engine.Zone != r.cue.Self.Zone || engine.IsUnlisted || engine.Address == "" || engine.Word > 0 {
 				continue
 			}
 			probes.Go(func() {
