--- a/flyloft/licence.go
+++ b/flyloft/licence.go
@@ -121,7 +121,9 @@
 }
 
 func (l *Licence) extend(askedAt house.Micros) {
-	l.until = max(l.until, askedAt+max(l.timing.Licence, l.serveOn))
+	if l.serveOn < ServeOnAlways {
+		l.until = max(l.until, askedAt+max(l.timing.Licence, l.serveOn))
+	}
 }
 
 // Attest answers another router's question.
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -670,6 +670,9 @@
 			if m.Elsewhere.Leader != n.leaderHint {
 				n.hurry()
 			}
+			if n.licence.applied == nil {
+				n.askAlarm = min(n.askAlarm, n.now+50*house.Millisecond)
+			}
 			n.leaderHint, n.leaderWord = m.Elsewhere.Leader, n.now
 		}
 		if len(m.Elsewhere.Voters) > 0 {
@@ -828,6 +831,10 @@
 
 func (n *Node) ask() {
 	n.askAlarm = n.now + n.settings.Timing.Ask
+	if n.licence.applied == nil {
+		// Until it serves at all it asks round more often; the home is not loaded by that.
+		n.askAlarm = n.now + min(n.settings.Timing.Ask, 250*house.Millisecond)
+	}
 	record := n.record()
 	n.cell.TakeNode(n.now, record, true)
 	own := RouterAsk{
