--- a/wings/deployment.go
+++ b/wings/deployment.go
@@ -218,6 +218,7 @@
 	d.stage.Strike.Defer(func() error { end(); return nil })
 	node := deployment.node(self, d.parts)
 	node.Journal, node.CheckSpec, node.IsCompiled = d.cue.Journal, d.shelf.Check, d.shelf.Has
+	node.ChangeSpec, node.VersionOf = d.shelf.Change, d.shelf.Version
 	d.cue.Journal.Open(node.Start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
 	for _, step := range []func() error{
 		func() error { return d.openFolder(&node) }, d.openJournal, func() error { return d.openNode(node) }, d.openPast,
@@ -411,11 +412,17 @@
 
 // node is what the control plane is told.
 func (d *Deployment) node(self house.Identity, parts Parts) flyloft.NodeSettings {
+	timing := d.Settings.Timing()
+	timing.BeatGone = d.BeatGone
 	return flyloft.NodeSettings{
 		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: d.Settings.Data != "",
 		// Of the address, so that the elections of two nodes do not collide.
 		Seeds: d.Settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: xxhash.Sum64String(self.Address),
-		Timing: d.Settings.Timing(), Member: flyloft.MemberID("no-folder-" + self.Address),
+		Timing: timing, Member: flyloft.MemberID("no-folder-" + self.Address),
+		// A router that the core can't reach is not bound by what the core acknowledges
+		// meanwhile, and one in touch hears of it within Apply: see docs/design.md.
+		Voters: d.Voters, ServeOn: flyloft.ServeOnAlways, ReceiptRule: flyloft.Spread, NoFence: true, SubmitTry: d.SubmitTry,
+		Founding: flyloft.FoundersAnnounce, Bootstrap: d.Bootstrap,
 	}
 }
 
