--- a/wings/deployment_test.go
+++ b/wings/deployment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -122,13 +123,16 @@
 		nodes = append(nodes, startDeployed(c, goodDeployment(c, seeds, seed), callers))
 	}
 	services := []*Services{}
+	// A deployment's specs carry versions that rise.
+	versioned := strings.Replace(specOne, "{", `{"version":"1",`, 1)
 	for _, node := range nodes {
 		services = append(services, <-node.seen)
 	}
 	awaitStatus(nodes[0].Readiness, "/ready", http.StatusServiceUnavailable)
 	for try := 0; ; try++ {
-		receipt, err := services[0].Runner.Submit(context.Background(), &flyloft.Submit{ID: fmt.Sprint("first", try), Order: flyloft.PutSpec, Spec: []byte(specOne)})
+		receipt, err := services[0].Runner.Submit(context.Background(), &flyloft.Submit{ID: fmt.Sprint("first", try), Order: flyloft.PutSpec, Spec: []byte(versioned)})
 		c.Assert(err, qt.IsNil)
+		c.Assert(receipt.Outcome, qt.Not(qt.Equals), flyloft.No, qt.Commentf("%v", receipt))
 		if receipt.Outcome == flyloft.Yes {
 			break
 		}
