--- a/wings/process.go
+++ b/wings/process.go
@@ -111,6 +111,7 @@
 		Timing: settings.Timing(), Journal: a.cue.Journal, CheckSpec: a.shelf.Check, IsCompiled: a.shelf.Has,
 		Member: flyloft.MemberID("no-folder-" + self.Address),
 	}
+	settings.Rules.Put(&node)
 	a.cue.Journal.Open(node.Start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
 	// The folder first: it may be another process's, and then nothing in it is touched.
 	for _, step := range []func() error{
--- /dev/null
+++ b/wings/rules.go
@@ -0,0 +1,68 @@
+package wings
+
+import (
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// Rules are the settings that change what the fleet promises; none set is the strict way.
+type Rules struct {
+	Voters       int    `arg:"--voters" json:"voters" help:"least number of voters wanted, more as there are members; 0: three, always"`
+	ServeOnUS    int64  `arg:"--serve-on-us" json:"serve_on_us" help:"how long a word of the core lasts, if longer than a licence; -1: always"`
+	Receipts     string `arg:"--receipts" json:"receipts" help:"strict: a yes needs a majority of the routers; spread: all that are heard, or some time"`
+	SpreadWaitUS int64  `arg:"--spread-wait-us" json:"spread_wait_us" help:"how long a yes waits for routers under spread receipts"`
+	SubmitTryUS  int64  `arg:"--submit-try-us" json:"submit_try_us" help:"how long an order is tried"`
+	NoFence      bool   `arg:"--no-fence" json:"no_fence" help:"leave an order without a receipt unproved, as it is sent again"`
+	Founders     string `arg:"--founders" json:"founders" help:"seeds: the three seeds found the fleet; announce: members with a folder announce themselves to the seeds"`
+	Bootstrap    bool   `arg:"--bootstrap" json:"bootstrap" help:"with announced founders: this is the first start of the whole fleet"`
+	BeatGoneUS   int64  `arg:"--beat-gone-us" json:"beat_gone_us" help:"silence after which an engine that registers itself is dark; 0: never"`
+}
+
+const alwaysUS = -1
+
+func defaultRules() Rules {
+	return Rules{Receipts: "strict", SpreadWaitUS: int64(600 * house.Millisecond), SubmitTryUS: int64(6 * house.Second), Founders: "seeds"}
+}
+
+// Put writes the rules into what a node is told.
+func (r Rules) Put(node *flyloft.NodeSettings) {
+	node.Voters, node.ServeOn, node.NoFence, node.Bootstrap = r.Voters, house.Micros(r.ServeOnUS), r.NoFence, r.Bootstrap
+	if r.ServeOnUS == alwaysUS {
+		node.ServeOn = flyloft.ServeOnAlways
+	}
+	node.SpreadWait, node.SubmitTry = house.Micros(r.SpreadWaitUS), house.Micros(r.SubmitTryUS)
+	if r.Receipts == "spread" {
+		node.ReceiptRule = flyloft.Spread
+	}
+	if r.Founders == "announce" {
+		node.Founding = flyloft.FoundersAnnounce
+	}
+	node.Timing.BeatGone = house.Micros(r.BeatGoneUS)
+}
+
+func (r Rules) check(faults *playbill.Faults) {
+	if r.Voters < 0 || r.Voters > 9 {
+		faults.Add("voters", "%d is not from 0 to 9", r.Voters)
+	}
+	if r.Receipts != "strict" && r.Receipts != "spread" {
+		faults.Add("receipts", "%q is neither strict nor spread", r.Receipts)
+	}
+	if r.Founders != "seeds" && r.Founders != "announce" {
+		faults.Add("founders", "%q is neither seeds nor announce", r.Founders)
+	}
+	if r.Bootstrap && r.Founders != "announce" {
+		faults.Add("bootstrap", "is only for founders that announce themselves")
+	}
+	for _, span := range []struct {
+		name             string
+		value, low, high int64
+	}{
+		{"serve_on_us", r.ServeOnUS, alwaysUS, 3_600_000_000}, {"spread_wait_us", r.SpreadWaitUS, 50_000, 10_000_000},
+		{"submit_try_us", r.SubmitTryUS, 200_000, 60_000_000}, {"beat_gone_us", r.BeatGoneUS, 0, 600_000_000},
+	} {
+		if span.value < span.low || span.value > span.high {
+			faults.Add(span.name, "%d is not from %d to %d", span.value, span.low, span.high)
+		}
+	}
+}
--- a/wings/settings.go
+++ b/wings/settings.go
@@ -38,6 +38,8 @@
 	JournalMB int      `arg:"--journal-mb" json:"journal_mb" help:"megabytes of journal kept in the data folder, of decisions and of requests each; 0 keeps none"`
 	Journal   int      `arg:"--journal" json:"journal" help:"entries kept in the journal"`
 
+	Rules
+
 	PulseUS         int64 `arg:"--pulse-us" json:"pulse_us" help:"between a leader's pulses"`
 	ElectionLowUS   int64 `arg:"--election-low-us" json:"election_low_us" help:"shortest silence before an election"`
 	ElectionHighUS  int64 `arg:"--election-high-us" json:"election_high_us" help:"longest silence before an election"`
@@ -60,6 +62,7 @@
 	bounds := auditorium.DefaultBounds()
 	timing, spans := flyloft.DefaultTiming(), auditorium.DefaultSpans()
 	return Settings{
+		Rules: defaultRules(),
 		Fleet: "dunlinloom", Journal: 4096, ArchiveMB: 64, JournalMB: 8,
 		Channels: 2048, Live: int(bounds.Live), BodiesMB: int(bounds.Bodies >> 20),
 		PulseUS: int64(timing.Pulse), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
@@ -170,7 +173,10 @@
 	if s.Public == s.Peer {
 		faults.Add("peer", "is the public address as well")
 	}
-	if len(s.Seeds) != 3 {
+	isAnnounced := s.Founders == "announce"
+	if isAnnounced && (len(s.Seeds) < 1 || len(s.Seeds) > 3) {
+		faults.Add("seeds", "there have to be one to three, not %d", len(s.Seeds))
+	} else if !isAnnounced && len(s.Seeds) != 3 {
 		faults.Add("seeds", "there have to be three, not %d", len(s.Seeds))
 	}
 	known := map[string]bool{}
@@ -184,7 +190,7 @@
 	if !isPrompter && s.Data != "" {
 		faults.Add("data", "a router keeps nothing on disk; only prompter and playhouse take a data folder")
 	}
-	if isPrompter && known[s.Peer] && s.Data == "" {
+	if isPrompter && known[s.Peer] && s.Data == "" && !isAnnounced {
 		faults.Add("data", "a prompter that is a seed is a founder and needs a data folder")
 	}
 	if s.Platform != "" {
@@ -203,6 +209,7 @@
 	if s.Journal < 16 || s.Journal > 1<<20 {
 		faults.Add("journal", "%d is not from 16 to %d", s.Journal, 1<<20)
 	}
+	s.Rules.check(faults)
 	s.checkSpans(faults)
 	return faults.Err()
 }
@@ -219,13 +226,19 @@
 	checkRange("pulse_us", s.PulseUS, 20_000, 1_000_000)
 	checkRange("election_high_us", s.ElectionHighUS, 100_000, 3_000_000)
 	checkRange("disk_stall_us", s.DiskStallUS, 100_000, 3_000_000)
-	checkRange("replace_us", s.ReplaceUS, 3_000_000, 3_600_000_000)
+	// Where members come back empty and soon, a lost one is better replaced early: what is
+	// dropped in error comes back as a standby, at the cost of two generations.
+	lowReplace, elections := int64(3_000_000), int64(3)
+	if s.Voters > 0 {
+		lowReplace, elections = 2_000_000, 2
+	}
+	checkRange("replace_us", s.ReplaceUS, lowReplace, 3_600_000_000)
 	checkRange("home_silent_us", s.HomeSilentUS, 500_000, 2_000_000)
 	checkRange("strike_us", s.StrikeUS, 5_000_000, 3_600_000_000)
 	checkRange("engine_silence_us", s.EngineSilenceUS, 100_000, 600_000_000)
 	checkRange("drain_us", s.DrainUS, 0, 3_600_000_000)
 	checkRange("lame_duck_us", s.LameDuckUS, 0, 60_000_000)
-	if s.AskUS < 50_000 || s.AskUS*4 > s.LicenceUS {
+	if s.AskUS < 50_000 || s.AskUS*4 > s.LicenceUS && s.ServeOnUS != alwaysUS || s.AskUS > 1_000_000 {
 		faults.Add("ask_us", "%d has to be at least 50000 and four asks have to fit into the licence of %d", s.AskUS, s.LicenceUS)
 	}
 	if s.ElectionLowUS < 4*s.PulseUS {
@@ -234,7 +247,7 @@
 	if s.ElectionHighUS <= s.ElectionLowUS {
 		faults.Add("election_high_us", "%d has to be above election_low_us of %d", s.ElectionHighUS, s.ElectionLowUS)
 	}
-	if s.ReplaceUS < 3*s.ElectionHighUS {
-		faults.Add("replace_us", "%d has to hold at least three elections of %d", s.ReplaceUS, s.ElectionHighUS)
+	if s.ReplaceUS < elections*s.ElectionHighUS {
+		faults.Add("replace_us", "%d has to hold at least %d elections of %d", s.ReplaceUS, elections, s.ElectionHighUS)
 	}
 }
