Fewer words and wake-ups at rest

Cause: at rest a node is woken by ticks and by messages that say nothing new. The leader copied the document at every tick; each event built a new picture of the node; node records went round whole every second; an ask was answered by two messages.

Now: pictures are kept where nothing changed; the leader tends homes, voters and register every 100 ms or when an order waits; nodes' records go brief to who has them, and in asks only when they are new; where routers outlive the core, the home answers an ask itself, in one message. The spans of shuffles, mends, nodes' records and ticks are settings, and SparseTiming is a set of them. Inboxes hold pointers.

--- a/flyloft/cell.go
+++ b/flyloft/cell.go
@@ -56,14 +56,14 @@
 // NodeRecord is what the fleet knows of one of its own nodes.
 type NodeRecord struct {
 	Address    string       `json:"address"`
-	Public     string       `json:"public"`
-	Zone       string       `json:"zone"`
+	Public     string       `json:"public,omitempty"`
+	Zone       string       `json:"zone,omitempty"`
 	IsRouter   bool         `json:"router,omitempty"`
 	IsPrompter bool         `json:"prompter,omitempty"`
 	IsLeaving  bool         `json:"leaving,omitempty"`
 	Start      uint64       `json:"start"`
 	Seq        uint64       `json:"seq"`
-	Applied    uint64       `json:"applied"`
+	Applied    uint64       `json:"applied,omitempty"`
 	Age        house.Micros `json:"age_us"`
 	AsOf       house.Micros `json:"-"`
 }
@@ -281,20 +281,42 @@
 	if isThere && (brought.Start < old.Start || brought.Start == old.Start && brought.Seq <= old.Seq) {
 		return
 	}
+	if brought.isBrief() {
+		// It says no more than that the node still lives.
+		if !isThere || brought.Start != old.Start {
+			return
+		}
+		old.Seq, old.Applied, old.AsOf = brought.Seq, brought.Applied, brought.AsOf
+		brought = old
+	}
 	c.rev++
 	c.nodes = c.nodes.Set(brought.Address, brought)
-	c.nodeMarks[brought.Address] = cellMark{c.rev, c.rev, isOwn}
+	standing := c.rev
+	if isThere && old.standing() == brought.standing() {
+		standing = c.nodeMarks[brought.Address].standing
+	}
+	c.nodeMarks[brought.Address] = cellMark{c.rev, standing, isOwn}
 	if !isThere {
 		c.note("node "+brought.Address, "known", "in zone "+brought.Zone)
 	}
 }
 
+// isBrief tells of a record that brings only the freshness of a start that is known.
+func (n NodeRecord) isBrief() bool { return n.Zone == "" }
+
+// standing is a record without what changes all the time.
+func (n NodeRecord) standing() NodeRecord {
+	n.Seq, n.Applied, n.Age, n.AsOf = 0, 0, 0, 0
+	return n
+}
+
 // Sweep drops what nobody has refreshed.
 func (c *Cell) Sweep(now house.Micros) {
 	for _, node := range c.Nodes() {
 		if now-node.AsOf > c.timing.NodeGone {
 			c.nodes = c.nodes.Delete(node.Address)
 			delete(c.nodeMarks, node.Address)
+			c.rev++
 			c.note("node "+node.Address, "dropped", "not heard of any more")
 		}
 	}
@@ -343,7 +365,11 @@
 	}
 	for _, node := range c.Nodes() {
 		if mark := c.nodeMarks[node.Address]; mark.rev > seen && (mark.isOwn || !isOwnOnly) {
-			news.Nodes = append(news.Nodes, node.aged(now))
+			record := node.aged(now)
+			if mark.standing <= seen {
+				record = NodeRecord{Address: record.Address, Start: record.Start, Seq: record.Seq, Applied: record.Applied, Age: record.Age}
+			}
+			news.Nodes = append(news.Nodes, record)
 		}
 	}
 	return news
--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -156,6 +156,7 @@
 	reads         []waitingRead
 	// When the newest generations were committed under this lead.
 	committedAt  map[uint64]house.Micros
+	buildAlarm   house.Micros
 	pushAlarm    house.Micros
 	pushUntil    house.Micros
 	isLeaving    bool
@@ -667,6 +668,8 @@
 	c.committed = document
 }
 
+const buildEvery = 100 * house.Millisecond
+
 // keptCommits bounds the generations whose moment of commit is remembered.
 const keptCommits = 64
 
@@ -1351,7 +1354,11 @@
 		if now >= c.roundAlarm || c.isRoundWanted {
 			c.pulse()
 		}
-		c.build()
+		// What the leader tends by itself can wait a little; looking copies the document.
+		if len(c.inbox) > 0 || now >= c.buildAlarm {
+			c.buildAlarm = now + buildEvery
+			c.build()
+		}
 		c.settleReceipts()
 		c.nudgeSilent()
 		c.pushAgainToSilent()
--- a/flyloft/fleet_test.go
+++ b/flyloft/fleet_test.go
@@ -63,7 +63,8 @@
 func platformLike(settings *NodeSettings) {
 	settings.Voters, settings.ServeOn, settings.ReceiptRule = 3, ServeOnAlways, Spread
 	settings.SubmitTry, settings.NoFence, settings.Founding = 900*ms, true, FoundersAnnounce
-	settings.Timing.Replace, settings.Timing.BeatGone, settings.Timing.Ask = 2500*ms, 4200*ms, 500*ms
+	settings.Timing = SparseTiming()
+	settings.Timing.BeatGone = 4200 * ms
 	settings.VersionOf = func(spec []byte) (uint64, error) {
 		var read struct {
 			Ver uint64 `json:"ver"`
@@ -170,7 +171,7 @@
 		return
 	}
 	n.do(func() []any { return n.node.Tick(n.f.now) })
-	n.f.in(20*ms, func() { n.tick(epoch) })
+	n.f.in(n.node.TickSpan(), func() { n.tick(epoch) })
 }
 
 func (n *fleetNode) do(event func() []any) {
@@ -791,6 +792,8 @@
 	f := newFleet(c, 9, 3, 9, firstHaveFolders(3))
 	f.bootAll(500 * ms)
 	f.settled(6 * house.Second)
+	// Until a home is known to live nobody is sent there.
+	f.pass(2 * house.Second)
 	f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
 	home := f.byAddress(f.leader().state().Document.Homes["z1"])
 	c.Assert(f.answers[1].BeatTo, qt.Equals, home.identity.Public)
--- a/flyloft/licence.go
+++ b/flyloft/licence.go
@@ -253,6 +253,19 @@
 	return addresses
 }
 
+// isSeen tells whether these are the addresses in view.
+func (v *Views) isSeen(addresses []string) bool {
+	if len(addresses) != len(v.view) {
+		return false
+	}
+	for i, neighbour := range v.view {
+		if neighbour.Address != addresses[i] {
+			return false
+		}
+	}
+	return true
+}
+
 // Tick gives the neighbour to shuffle with, when it is time.
 func (v *Views) Tick(now house.Micros) (to string, shuffle *Shuffle) {
 	if now < v.alarm {
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -280,7 +280,7 @@
 // Ask is a node's ask to its home: for a licence, for news, and to be known.
 type Ask struct {
 	RouterAsk
-	Node     NodeRecord `json:"node"`
+	Node     NodeRecord `json:"node,omitzero"` // only when it has changed
 	SeenHome string     `json:"seen_home,omitempty"`
 	SeenNews uint64     `json:"seen_news,omitempty"`
 	Digests  []uint64   `json:"digests,omitempty"` // now and then, to mend what was lost
@@ -292,6 +292,7 @@
 	Generation uint64    `json:"generation"`
 	Leader     string    `json:"leader,omitempty"`
 	Document   *Document `json:"document,omitempty"`
+	News       *News     `json:"news,omitempty"` // of the home, where its answer is one message
 }
 
 // Nudge says that there is a newer generation to ask for.
@@ -400,6 +401,7 @@
 	NodeGone     house.Micros // silence after which a node leaves the cell
 	Shuffle      house.Micros
 	Mend         house.Micros
+	Tick         house.Micros // the grain of all alarms; zero: 20 ms
 	BeatGone     house.Micros // silence after which an engine that registers itself is dark; zero: never
 }
 
@@ -413,3 +415,13 @@
 		Shuffle: house.Second, Mend: house.Second,
 	}
 }
+
+// SparseTiming is for fleets whose routers outlive the core: nobody stops serving for want
+// of a word, so fewer of them will do. Elections and homes take the spans they always take.
+func SparseTiming() Timing {
+	timing := DefaultTiming()
+	timing.Pulse, timing.Ask, timing.Replace = 150*house.Millisecond, 500*house.Millisecond, 2500*house.Millisecond
+	timing.Shuffle, timing.Mend, timing.NodeGone = 5*house.Second, 2*house.Second, 10*house.Second
+	timing.Tick = 50 * house.Millisecond
+	return timing
+}
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -90,6 +90,9 @@
 	askAlarm     house.Micros
 	nodeSeq      uint64
 	nodeSeqAlarm house.Micros
+	recordHome   string // whom the own record was told, and how often
+	recordSeq    uint64
+	recordTold   int
 	isLeaving    bool
 
 	batch       map[string]RouterAsk
@@ -97,6 +100,7 @@
 	isBatchHot  bool
 	zoneApplied map[string]uint64
 	zoneHeld    map[string]uint64 // at least what is applied
+	zoneHeard   map[string]house.Micros
 	preparing   *Document
 
 	peerNews  map[string]newsMark
@@ -131,7 +135,7 @@
 	random := rand.New(rand.NewPCG(settings.RandomSeed, settings.Start))
 	n := &Node{
 		settings: settings, now: now, random: random,
-		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{},
+		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]house.Micros{},
 		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, declined: map[string]house.Micros{},
 		probedAt: map[string]house.Micros{}, reads: map[uint64]*reading{}, words: newWords(settings.Start),
 	}
@@ -194,6 +198,14 @@
 	n.settings.Journal.Note(n.now, "flyloft", subject, decision, why)
 }
 
+// TickSpan is how often Tick is to be called.
+func (n *Node) TickSpan() house.Micros {
+	if n.settings.Timing.Tick == 0 {
+		return 20 * house.Millisecond
+	}
+	return n.settings.Timing.Tick
+}
+
 func (n *Node) self() string { return n.settings.Identity.Address }
 
 func (n *Node) founding() string {
@@ -238,6 +250,13 @@
 		n.loop = n.loop[1:]
 		n.receive(envelope)
 	}
+	// A yes waits for these words.
+	if n.isBatchHot && n.settings.ReceiptRule == Spread {
+		n.sendBatch()
+		if len(n.loop) > 0 {
+			return n.finish()
+		}
+	}
 	out := n.out
 	n.out = nil
 	return out
@@ -252,6 +271,9 @@
 	n.note("spec", "apply", fmt.Sprintf("generation %d", n.licence.Generation()))
 	// The leader counts who has applied what, so it should hear at once.
 	n.askAlarm = n.now
+	if n.settings.ReceiptRule == Spread {
+		n.ask()
+	}
 	if n.isHome() {
 		n.isBatchHot = true
 		for _, node := range n.zoneNodes() {
@@ -619,6 +641,9 @@
 			n.leaderHint, n.leaderWord = m.Grant.Leader, n.now
 		}
 		n.applied(n.licence.TakeGrant(n.now, m.Grant))
+		if m.Grant.News != nil {
+			n.onNews(from, m.Grant.News)
+		}
 	case m.GrantBatch != nil:
 		n.onGrantBatch(m.GrantBatch)
 	case m.Nudge != nil:
@@ -691,6 +716,11 @@
 
 func (n *Node) onAsk(from string, m *Ask) {
 	n.cell.TakeNode(n.now, m.Node.placed(n.now), true)
+	n.zoneHeard[m.Address] = n.now
+	if n.settings.ServeOn >= ServeOnAlways {
+		n.answerAsk(from, m)
+		return
+	}
 	// Sent even when empty: the node hears by it that its home is there.
 	n.send(from, Message{News: n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false)})
 	// Where the two differ, each gets what the other has: what only this node
@@ -711,6 +741,29 @@
 	n.batch[m.Address] = m.RouterAsk
 }
 
+// answerAsk answers in one message. Nobody serves by the leader's word here, so the home
+// need not wait for it: it tells what it holds itself, and who leads if it knows.
+func (n *Node) answerAsk(from string, m *Ask) {
+	n.zoneHeld[m.Address] = max(m.Applied, m.Held)
+	grant := &Grant{Generation: n.licence.Generation(), News: n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false)}
+	if n.now-n.leaderWord < house.Second {
+		grant.Leader = n.leaderHint
+	}
+	if n.zoneHeld[m.Address] < n.licence.Generation() {
+		grant.Document = n.licence.applied.lightFor(n.zoneHeld[m.Address])
+	}
+	n.send(from, Message{Grant: grant})
+	if differing := n.cell.Differing(n.now, m.Digests); len(differing) > 0 {
+		n.send(from, Message{News: &News{Home: n.cell.incarnation, Engines: differing}})
+		n.send(from, Message{Mend: &Mend{Digests: n.cell.Digests()}})
+	}
+	if m.Applied > n.zoneApplied[m.Address] {
+		n.isBatchHot = true
+	}
+	n.zoneApplied[m.Address] = m.Applied
+	n.batch[m.Address] = m.RouterAsk
+}
+
 func (n *Node) onGrantBatch(m *GrantBatch) {
 	n.leaderHint, n.leaderWord = m.Leader, n.now
 	n.applied(n.licence.Apply(m.Document))
@@ -720,6 +773,10 @@
 			n.applied(n.licence.TakeGrant(n.now, grant))
 			continue
 		}
+		// They have had their answer; a newer document goes to them as it is applied here.
+		if n.settings.ServeOn >= ServeOnAlways {
+			continue
+		}
 		if held := max(n.zoneHeld[ask.Address], ask.Applied); held < m.Generation && n.licence.Generation() >= m.Generation {
 			grant.Document = n.licence.applied.lightFor(held)
 		}
@@ -794,6 +851,7 @@
 			if _, isThere := n.cell.nodes.Get(address); !isThere {
 				delete(n.zoneHeld, address)
 				delete(n.zoneApplied, address)
+				delete(n.zoneHeard, address)
 			}
 		}
 		if n.core != nil {
@@ -818,7 +876,7 @@
 
 func (n *Node) record() NodeRecord {
 	if n.now >= n.nodeSeqAlarm {
-		n.nodeSeqAlarm = n.now + house.Second
+		n.nodeSeqAlarm = n.now + n.nodeRefresh()
 		n.nodeSeq++
 	}
 	identity := n.settings.Identity
@@ -829,6 +887,9 @@
 	}
 }
 
+// nodeRefresh is how often a node says anew that it lives.
+func (n *Node) nodeRefresh() house.Micros { return n.settings.Timing.NodeGone / 5 }
+
 func (n *Node) ask() {
 	n.askAlarm = n.now + n.settings.Timing.Ask
 	if n.licence.applied == nil {
@@ -849,7 +910,15 @@
 		return
 	}
 	if home := n.home(); home != "" {
-		ask := &Ask{RouterAsk: own, Node: record.aged(n.now), SeenHome: n.seenHome, SeenNews: n.seenNews}
+		ask := &Ask{RouterAsk: own, SeenHome: n.seenHome, SeenNews: n.seenNews}
+		// Told twice, since one may be lost, and at once to a new home.
+		if n.recordHome != home || n.recordSeq != record.Seq {
+			n.recordHome, n.recordSeq, n.recordTold = home, record.Seq, 0
+		}
+		if n.recordTold < 2 {
+			n.recordTold++
+			ask.Node = record.aged(n.now)
+		}
 		if n.askTurn++; n.askTurn%4 == 0 {
 			ask.Digests = n.cell.Digests()
 		}
@@ -867,6 +936,10 @@
 	}
 	// Waiting a little lets one crossing between zones carry the whole zone's asks.
 	n.batchAlarm, n.isBatchHot = n.now+100*house.Millisecond, false
+	if n.settings.ServeOn >= ServeOnAlways {
+		// No licence hangs on it.
+		n.batchAlarm = n.now + max(100*house.Millisecond, n.settings.Timing.Ask/2)
+	}
 	batch := &AskBatch{Zone: n.settings.Identity.Zone, IsHome: n.isHome(), Generation: n.licence.Held()}
 	for _, address := range slices.Sorted(maps.Keys(n.batch)) {
 		batch.Asks = append(batch.Asks, n.batch[address])
@@ -980,14 +1053,17 @@
 	Neighbours []string
 	Founding   string
 	Serving    int // router nodes known to live, this one among them
+
+	cellRev uint64
 }
 
-// State pictures the node. The engines of an earlier picture are kept when nothing changed.
+// State pictures the node; it gives the earlier picture where nothing has changed, and
+// keeps its parts that have not.
 func (n *Node) State(earlier *State) *State {
-	state := &State{
+	state := State{
 		Document: n.licence.applied, Until: n.licence.until, Why: n.licence.Why(n.now),
 		Home: n.home(), IsHome: n.isHome(), IsHomeless: n.isHomeless(),
-		EngineRev: n.cell.engineRev, Neighbours: n.views.Neighbours(), Founding: n.founding(), Leader: n.leaderHint,
+		EngineRev: n.cell.engineRev, Founding: n.founding(), Leader: n.leaderHint, cellRev: n.cell.rev,
 	}
 	if n.core != nil {
 		state.IsLeader, state.Role, state.Term, state.Ailment = n.core.role == leader, n.core.role.String(), n.core.term, n.core.Ailment()
@@ -1000,7 +1076,27 @@
 	} else {
 		state.Engines = n.cell.Engines()
 	}
-	state.Nodes = n.cell.Nodes()
+	if earlier != nil && earlier.cellRev == state.cellRev {
+		state.Nodes = earlier.Nodes
+	} else {
+		state.Nodes = n.cell.Nodes()
+	}
+	if earlier != nil && n.views.isSeen(earlier.Neighbours) {
+		state.Neighbours = earlier.Neighbours
+	} else {
+		state.Neighbours = n.views.Neighbours()
+	}
 	state.Serving = n.serving(state.Nodes)
-	return state
+	if earlier != nil && earlier.isLike(&state) {
+		return earlier
+	}
+	return &state
+}
+
+// isLike tells whether two pictures are the same, where their parts are the same ones.
+func (s *State) isLike(other *State) bool {
+	return s.Document == other.Document && s.Until == other.Until && s.Why == other.Why && s.Leader == other.Leader &&
+		s.Home == other.Home && s.IsHome == other.IsHome && s.IsHomeless == other.IsHomeless && s.IsLeader == other.IsLeader &&
+		s.Role == other.Role && s.Term == other.Term && s.Ailment == other.Ailment && s.EngineRev == other.EngineRev &&
+		s.cellRev == other.cellRev && s.Founding == other.Founding && s.Serving == other.Serving && slices.Equal(s.Neighbours, other.Neighbours)
 }
--- a/flyloft/words.go
+++ b/flyloft/words.go
@@ -35,8 +35,9 @@
 	pushEnough  = 600 * house.Millisecond // after which most zones are enough
 	pushGiveUp  = 850 * house.Millisecond
 	pushEnd     = 1600 * house.Millisecond // until which a zone goes on after its word
-	nodeFresh   = 2500 * house.Millisecond // a node heard within it may live
-	nodeServing = 3500 * house.Millisecond
+	nodeNear    = 1500 * house.Millisecond // a node of the own zone that was heard within it lives
+	nodeFar     = 2500 * house.Millisecond // how late a node's word may be when it gets here
+	judgeEvery  = 200 * house.Millisecond
 	frozenSpan  = house.Second // between two ticks: this process was not there
 )
 
@@ -76,6 +77,7 @@
 	passedAt  map[string]house.Micros // when a plain beat last went to the engine's home
 	// judgeSince is the moment from which silence of an engine counts here.
 	judgeSince house.Micros
+	judgeAt    house.Micros
 	wasHome    bool
 	tickedAt   house.Micros
 	sweepAt    house.Micros
@@ -111,7 +113,7 @@
 	}
 	node, isThere := n.cell.nodes.Get(home)
 	isSilent := home == n.home() && n.isHomeless()
-	if !isThere || isSilent || node.IsLeaving || n.now-node.AsOf > nodeFresh {
+	if !isThere || isSilent || node.IsLeaving || !n.mayLive(node) {
 		return ""
 	}
 	return node.Public
@@ -203,11 +205,20 @@
 	}
 }
 
+// mayLive tells whether a node was heard of lately, as far as its word can be expected here.
+func (n *Node) mayLive(node NodeRecord) bool {
+	heard, isNear := n.zoneHeard[node.Address]
+	if isNear && n.isHome() {
+		return n.now-heard < nodeNear
+	}
+	return n.now-node.AsOf < n.nodeRefresh()+nodeFar
+}
+
 // living gives the other nodes of a zone that may live.
 func (n *Node) living(zone string) []string {
 	found := []string{}
 	for _, node := range n.cell.Nodes() {
-		if node.Zone == zone && node.Address != n.self() && n.now-node.AsOf < nodeFresh {
+		if node.Zone == zone && node.Address != n.self() && n.mayLive(node) {
 			found = append(found, node.Address)
 		}
 	}
@@ -424,9 +435,10 @@
 		w.judgeSince = n.now
 	}
 	w.wasHome = isHome
-	if !isHome || span == 0 || n.now-w.judgeSince <= span {
+	if !isHome || span == 0 || n.now-w.judgeSince <= span || n.now < w.judgeAt {
 		return
 	}
+	w.judgeAt = n.now + judgeEvery
 	dark := []EngineRecord{}
 	for _, engine := range n.cell.Engines() {
 		if engine.isBeating() && n.now-max(engine.Seen, w.judgeSince) > span && n.judge(engine.Zone) == n.self() {
@@ -443,7 +455,7 @@
 func (n *Node) serving(nodes []NodeRecord) int {
 	count := 0
 	for _, node := range nodes {
-		if node.Address != n.self() && node.IsRouter && !node.IsLeaving && n.now-node.AsOf < nodeServing {
+		if node.Address != n.self() && node.IsRouter && !node.IsLeaving && n.mayLive(node) {
 			count++
 		}
 	}
--- a/wings/channel.go
+++ b/wings/channel.go
@@ -81,7 +81,7 @@
 
 type peerInbox struct {
 	address string
-	inbox   chan flyloft.Envelope
+	inbox   chan *flyloft.Envelope
 	deliver *connect.Client[parcelOut, nothing]
 	bytes   atomic.Uint64 // on the wire
 	lock    sync.Mutex    // guards kinds alone
@@ -158,7 +158,7 @@
 	peer := c.peers[address]
 	if peer == nil {
 		peer = &peerInbox{
-			address: address, inbox: make(chan flyloft.Envelope, inboxBound),
+			address: address, inbox: make(chan *flyloft.Envelope, inboxBound),
 			kinds: map[string]uint64{},
 			deliver: connect.NewClient[parcelOut, nothing](c.client, "http://"+address+procedureDeliver,
 				connect.WithCodec(jsonCodec{}), connect.WithSendMaxBytes(parcelBytes),
@@ -175,11 +175,11 @@
 func (c *Channels) Send(envelope flyloft.Envelope) {
 	peer := c.peer(envelope.To)
 	for copies, _ := mishap(envelope.To); copies > 0; copies-- {
-		c.put(peer, envelope)
+		c.put(peer, &envelope)
 	}
 }
 
-func (c *Channels) put(peer *peerInbox, envelope flyloft.Envelope) {
+func (c *Channels) put(peer *peerInbox, envelope *flyloft.Envelope) {
 	for {
 		select {
 		case peer.inbox <- envelope:
@@ -197,7 +197,7 @@
 func (c *Channels) work(peer *peerInbox) {
 	for {
 		var batch parcelOut
-		add := func(envelope flyloft.Envelope) {
+		add := func(envelope *flyloft.Envelope) {
 			content, err := json.Marshal(envelope)
 			if err != nil {
 				c.Dropped.Add(1)
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -17,9 +17,6 @@
 	"dunlinloom/playbill"
 )
 
-// tickSpan is the grain of every alarm of the control plane.
-const tickSpan = 20 * house.Millisecond
-
 // Runner is the shell round a node's owners: it alone touches them, carries out
 // their commands and publishes a picture of their state.
 type Runner struct {
@@ -34,6 +31,8 @@
 	// What goes to the disk, in order: Save, Fetch or Keep.
 	saves chan any
 	state atomic.Pointer[flyloft.State]
+	// isShown: the loop has published once; the picture before that was nobody's scene.
+	isShown bool
 
 	lock    sync.Mutex // guards what waits for a command alone
 	waiters map[string][]chan flyloft.SubmitReceipt
@@ -106,7 +105,7 @@
 		workers.Go(r.pollPlatform)
 	}
 	workers.Go(r.probeEngines)
-	ticker := time.NewTicker(tickSpan.Duration())
+	ticker := time.NewTicker(r.node.TickSpan().Duration())
 	defer ticker.Stop()
 	for {
 		var out []any
@@ -221,7 +220,12 @@
 }
 
 func (r *Runner) publish() {
-	state := r.node.State(r.state.Load())
+	earlier := r.state.Load()
+	state := r.node.State(earlier)
+	if state == earlier && r.isShown {
+		return
+	}
+	r.isShown = true
 	r.state.Store(state)
 	scene, err := r.hand.Scene(state)
 	if err != nil {
--- a/wings/settings.go
+++ b/wings/settings.go
@@ -49,6 +49,10 @@
 	LicenceUS       int64 `arg:"--licence-us" json:"licence_us" help:"how long a licence lasts from its ask on"`
 	HomeSilentUS    int64 `arg:"--home-silent-us" json:"home_silent_us" help:"silence after which a zone gets another home"`
 	StrikeUS        int64 `arg:"--strike-us" json:"strike_us" help:"silence after which a router leaves the register"`
+	ShuffleUS       int64 `arg:"--shuffle-us" json:"shuffle_us" help:"between two trades of partial views"`
+	MendUS          int64 `arg:"--mend-us" json:"mend_us" help:"between two comparisons of what the zones know"`
+	NodeGoneUS      int64 `arg:"--node-gone-us" json:"node_gone_us" help:"silence after which a node is forgotten; it says five times in it that it lives"`
+	TickUS          int64 `arg:"--tick-us" json:"tick_us" help:"grain of the control plane's alarms"`
 	EngineSilenceUS int64 `arg:"--engine-silence-us" json:"engine_silence_us" help:"an engine that sends nothing for so long is lost"`
 	DrainUS         int64 `arg:"--drain-us" json:"drain_us" help:"longest wait for accepted requests at a planned stop"`
 	LameDuckUS      int64 `arg:"--lame-duck-us" json:"lame_duck_us" help:"how long a stopping node still takes channels and says that it is stopping"`
@@ -68,6 +72,7 @@
 		PulseUS: int64(timing.Pulse), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
 		DiskStallUS: int64(timing.DiskStall), ReplaceUS: int64(timing.Replace), AskUS: int64(timing.Ask),
 		LicenceUS: int64(timing.Licence), HomeSilentUS: int64(timing.HomeSilent), StrikeUS: int64(timing.Strike),
+		ShuffleUS: int64(timing.Shuffle), MendUS: int64(timing.Mend), NodeGoneUS: int64(timing.NodeGone), TickUS: int64(20 * house.Millisecond),
 		EngineSilenceUS: int64(spans.EngineSilence), DrainUS: int64(120 * house.Second), LameDuckUS: int64(house.Second),
 	}
 }
@@ -77,6 +82,7 @@
 	timing := flyloft.DefaultTiming()
 	timing.Pulse, timing.ElectionLow, timing.ElectionHigh = house.Micros(s.PulseUS), house.Micros(s.ElectionLowUS), house.Micros(s.ElectionHighUS)
 	timing.DiskStall, timing.Replace, timing.Ask = house.Micros(s.DiskStallUS), house.Micros(s.ReplaceUS), house.Micros(s.AskUS)
+	timing.Shuffle, timing.Mend, timing.NodeGone, timing.Tick = house.Micros(s.ShuffleUS), house.Micros(s.MendUS), house.Micros(s.NodeGoneUS), house.Micros(s.TickUS)
 	timing.Licence, timing.HomeSilent, timing.Strike = house.Micros(s.LicenceUS), house.Micros(s.HomeSilentUS), house.Micros(s.StrikeUS)
 	return timing
 }
@@ -235,6 +241,10 @@
 	checkRange("replace_us", s.ReplaceUS, lowReplace, 3_600_000_000)
 	checkRange("home_silent_us", s.HomeSilentUS, 500_000, 2_000_000)
 	checkRange("strike_us", s.StrikeUS, 5_000_000, 3_600_000_000)
+	checkRange("shuffle_us", s.ShuffleUS, 100_000, 60_000_000)
+	checkRange("mend_us", s.MendUS, 200_000, 60_000_000)
+	checkRange("node_gone_us", s.NodeGoneUS, 3_000_000, 60_000_000)
+	checkRange("tick_us", s.TickUS, 5_000, 100_000)
 	checkRange("engine_silence_us", s.EngineSilenceUS, 100_000, 600_000_000)
 	checkRange("drain_us", s.DrainUS, 0, 3_600_000_000)
 	checkRange("lame_duck_us", s.LameDuckUS, 0, 60_000_000)
