Parcels go to a node over one stream

Cause: of what a parcel cost, most was the call round it: headers of some four hundred bytes and wake-ups on both sides for an answer without content. Ruled out: fewer parcels (words that wait come late).

Now a client stream of connect for each node that is spoken to, ended after 5 s without a word. A send that takes too long ends its stream, and one that is found broken is opened anew once. Channels between nodes end after 2 s of unconfirmed bytes, since the system sends again later and later into a cut. What is lost with a broken stream is repeated by its owner, as after a lost call.

--- a/wings/channel.go
+++ b/wings/channel.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -20,6 +22,7 @@
 // Procedures between the fleet's own processes.
 const (
 	procedureDeliver = "/dunlinloom.Peer/Deliver"
+	procedureStream  = "/dunlinloom.Peer/Stream"
 	procedureRecall  = "/dunlinloom.Peer/Recall"
 	procedureWho     = "/dunlinloom.Peer/Who"
 )
@@ -67,6 +70,12 @@
 	// A compressor holds hundreds of kilobytes while it is at work. Asks, grants and their
 	// empty answers go by the hundred a second, so only what is large is worth one.
 	compressFrom = 16 << 10
+	// A stream without a word for so long is ended: most nodes have little to say to most.
+	streamIdle = 5 * time.Second
+	// What a node sent and its receiver's system has not confirmed for so long ends the
+	// channel: a cut says nothing, and what is sent again into it by the system comes
+	// later and later.
+	unconfirmedSpan = 2 * time.Second
 )
 
 // Channels carry envelopes to other nodes: an inbox and a worker for each, so
@@ -82,9 +91,11 @@
 type peerInbox struct {
 	address string
 	inbox   chan *flyloft.Envelope
-	deliver *connect.Client[parcelOut, nothing]
-	bytes   atomic.Uint64 // on the wire
-	lock    sync.Mutex    // guards kinds alone
+	client  *connect.Client[parcelOut, nothing]
+	stream  *connect.ClientStreamForClient[parcelOut, nothing] // nil: none is open
+	end     context.CancelFunc                                 // ends the stream
+	bytes   atomic.Uint64                                      // on the wire
+	lock    sync.Mutex                                         // guards kinds alone
 	kinds   map[string]uint64
 }
 
@@ -160,7 +171,7 @@
 		peer = &peerInbox{
 			address: address, inbox: make(chan *flyloft.Envelope, inboxBound),
 			kinds: map[string]uint64{},
-			deliver: connect.NewClient[parcelOut, nothing](c.client, "http://"+address+procedureDeliver,
+			client: connect.NewClient[parcelOut, nothing](c.client, "http://"+address+procedureStream,
 				connect.WithCodec(jsonCodec{}), connect.WithSendMaxBytes(parcelBytes),
 				connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom)),
 		}
@@ -195,6 +206,9 @@
 }
 
 func (c *Channels) work(peer *peerInbox) {
+	idle := time.NewTimer(streamIdle)
+	defer idle.Stop()
+	defer peer.close()
 	for {
 		var batch parcelOut
 		add := func(envelope *flyloft.Envelope) {
@@ -207,9 +221,13 @@
 			peer.count(envelope.Message.Kind(), len(content))
 			batch.Envelopes = append(batch.Envelopes, content)
 		}
+		idle.Reset(streamIdle)
 		select {
 		case <-c.cue.Done():
 			return
+		case <-idle.C:
+			peer.close()
+			continue
 		case envelope := <-peer.inbox:
 			add(envelope)
 		}
@@ -234,18 +252,57 @@
 	}
 }
 
+// close ends the stream in order.
+func (p *peerInbox) close() {
+	if p.stream == nil {
+		return
+	}
+	timer := time.AfterFunc(time.Second, p.end)
+	// Its answer says nothing, and what went wrong shows by what did not arrive.
+	_, _ = p.stream.CloseAndReceive()
+	timer.Stop()
+	p.end()
+	p.stream = nil
+}
+
+// deliver puts a parcel on the peer's stream. A call for each parcel would say whether it
+// arrived, for twice the wake-ups and four times the bytes of a small one; owners repeat
+// what matters anyway.
 func (c *Channels) deliver(peer *peerInbox, batch *parcelOut) error {
 	bytes := 0
 	for _, envelope := range batch.Envelopes {
 		bytes += len(envelope)
 	}
 	span := min(channelSpan+channelSpanMB*house.Micros(bytes>>20), channelSpanTop)
-	ctx, cancel := context.WithTimeout(c.cue, span.Duration())
-	defer cancel()
-	_, err := peer.deliver.CallUnary(ctx, connect.NewRequest(batch))
-	return err
+	// A stream that broke since its last parcel says so only now; the parcel deserves a new one.
+	for isLast := false; ; isLast = true {
+		isFresh := peer.stream == nil
+		if isFresh {
+			var ctx context.Context
+			ctx, peer.end = context.WithCancel(c.cue)
+			peer.stream = peer.client.CallClientStream(ctx)
+		}
+		timer := time.AfterFunc(span.Duration(), peer.end)
+		err := peer.stream.Send(batch)
+		if timer.Stop() && err == nil {
+			return nil
+		}
+		if errors.Is(err, io.EOF) {
+			_, err = peer.stream.CloseAndReceive()
+		}
+		peer.end()
+		peer.stream = nil
+		if isLast || isFresh {
+			return fmt.Errorf("send to %s: %w", peer.address, errors.Join(err, BrokenStream{}))
+		}
+	}
 }
 
+// BrokenStream says that a stream to another node ended or took too long.
+type BrokenStream struct{}
+
+func (BrokenStream) Error() string { return "the stream broke" }
+
 // Recall asks another node for an older spec.
 func (c *Channels) Recall(ctx context.Context, address string, ask RecallAsk) (*RecallReceipt, error) {
 	ctx, cancel := context.WithTimeout(ctx, channelSpanTop.Duration())
@@ -283,6 +340,18 @@
 			}
 			return connect.NewResponse(&nothing{}), nil
 		}, options...))
+	mux.Handle(procedureStream, connect.NewClientStreamHandler(procedureStream,
+		func(_ context.Context, stream *connect.ClientStream[parcel]) (*connect.Response[nothing], error) {
+			for stream.Receive() {
+				for _, envelope := range stream.Msg().Envelopes {
+					deliver(envelope)
+				}
+			}
+			if err := stream.Err(); err != nil {
+				return nil, fmt.Errorf("receive from a node: %w", err)
+			}
+			return connect.NewResponse(&nothing{}), nil
+		}, options...))
 	mux.Handle(procedureRecall, connect.NewUnaryHandler(procedureRecall,
 		func(_ context.Context, request *connect.Request[RecallAsk]) (*connect.Response[RecallReceipt], error) {
 			receipt, err := recall(*request.Msg)
--- a/wings/mishap.go
+++ b/wings/mishap.go
@@ -12,7 +12,7 @@
 const BuildNote = ""
 
 // Ordinary builds know no way to make a channel or a disk fail on purpose.
-func peerDialer() Dialer { return plainDialer() }
+func peerDialer() Dialer { return channelDialer() }
 
 func mishap(string) (copies int, delay time.Duration) { return 1, 0 }
 
--- a/wings/mishap_faults.go
+++ b/wings/mishap_faults.go
@@ -103,7 +103,7 @@
 }
 
 func peerDialer() Dialer {
-	plain := plainDialer()
+	plain := channelDialer()
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if err := cutTo(address); err != nil {
 			return nil, fmt.Errorf("dial %s: %w", address, err)
--- a/wings/process.go
+++ b/wings/process.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"dunlinloom/auditorium"
@@ -371,3 +372,15 @@
 	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
 	return dialer.DialContext
 }
+
+// channelDialer is for the channels between nodes, on which little is ever answered.
+func channelDialer() Dialer {
+	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unconfirmedSpan/time.Millisecond))
+		})
+		return errors.Join(err, failed)
+	}}
+	return dialer.DialContext
+}
