--- a/wings/process.go
+++ b/wings/process.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"dunlinloom/auditorium"
@@ -113,6 +114,7 @@
 		Timing: settings.Timing(), Journal: a.cue.Journal, CheckSpec: a.shelf.Check, IsCompiled: a.shelf.Has,
 		Member: flyloft.MemberID("no-folder-" + self.Address),
 	}
+	settings.Rules.Put(&node)
 	a.cue.Journal.Open(node.Start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
 	// The folder first: it may be another process's, and then nothing in it is touched.
 	for _, step := range []func() error{
@@ -373,3 +375,15 @@
 	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
 	return dialer.DialContext
 }
+
+// channelDialer is for the channels between nodes, on which little is ever answered.
+func channelDialer() Dialer {
+	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unconfirmedSpan/time.Millisecond))
+		})
+		return errors.Join(err, failed)
+	}}
+	return dialer.DialContext
+}
--- a/wings/settings.go
+++ b/wings/settings.go
@@ -38,6 +38,8 @@
 	JournalMB int      `arg:"--journal-mb" json:"journal_mb" help:"megabytes of journal kept in the data folder, of decisions and of requests each; 0 keeps none"`
 	Journal   int      `arg:"--journal" json:"journal" help:"entries kept in the journal"`
 
+	Rules
+
 	PulseUS         int64 `arg:"--pulse-us" json:"pulse_us" help:"between a leader's pulses"`
 	ElectionLowUS   int64 `arg:"--election-low-us" json:"election_low_us" help:"shortest silence before an election"`
 	ElectionHighUS  int64 `arg:"--election-high-us" json:"election_high_us" help:"longest silence before an election"`
@@ -47,6 +49,10 @@
 	LicenceUS       int64 `arg:"--licence-us" json:"licence_us" help:"how long a licence lasts from its ask on"`
 	HomeSilentUS    int64 `arg:"--home-silent-us" json:"home_silent_us" help:"silence after which a zone gets another home"`
 	StrikeUS        int64 `arg:"--strike-us" json:"strike_us" help:"silence after which a router leaves the register"`
+	ShuffleUS       int64 `arg:"--shuffle-us" json:"shuffle_us" help:"between two trades of partial views"`
+	MendUS          int64 `arg:"--mend-us" json:"mend_us" help:"between two comparisons of what the zones know"`
+	NodeGoneUS      int64 `arg:"--node-gone-us" json:"node_gone_us" help:"silence after which a node is forgotten; it says five times in it that it lives"`
+	TickUS          int64 `arg:"--tick-us" json:"tick_us" help:"grain of the control plane's alarms"`
 	EngineSilenceUS int64 `arg:"--engine-silence-us" json:"engine_silence_us" help:"an engine that sends nothing for so long is lost"`
 	DrainUS         int64 `arg:"--drain-us" json:"drain_us" help:"longest wait for accepted requests at a planned stop"`
 	LameDuckUS      int64 `arg:"--lame-duck-us" json:"lame_duck_us" help:"how long a stopping node still takes channels and says that it is stopping"`
@@ -60,11 +66,13 @@
 	bounds := auditorium.DefaultBounds()
 	timing, spans := flyloft.DefaultTiming(), auditorium.DefaultSpans()
 	return Settings{
+		Rules: defaultRules(),
 		Fleet: "dunlinloom", Journal: 4096, ArchiveMB: 64, JournalMB: 8,
 		Channels: 2048, Live: int(bounds.Live), BodiesMB: int(bounds.Bodies >> 20),
 		PulseUS: int64(timing.Pulse), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
 		DiskStallUS: int64(timing.DiskStall), ReplaceUS: int64(timing.Replace), AskUS: int64(timing.Ask),
 		LicenceUS: int64(timing.Licence), HomeSilentUS: int64(timing.HomeSilent), StrikeUS: int64(timing.Strike),
+		ShuffleUS: int64(timing.Shuffle), MendUS: int64(timing.Mend), NodeGoneUS: int64(timing.NodeGone), TickUS: int64(20 * house.Millisecond),
 		EngineSilenceUS: int64(spans.EngineSilence), DrainUS: int64(120 * house.Second), LameDuckUS: int64(house.Second),
 	}
 }
@@ -74,6 +82,7 @@
 	timing := flyloft.DefaultTiming()
 	timing.Pulse, timing.ElectionLow, timing.ElectionHigh = house.Micros(s.PulseUS), house.Micros(s.ElectionLowUS), house.Micros(s.ElectionHighUS)
 	timing.DiskStall, timing.Replace, timing.Ask = house.Micros(s.DiskStallUS), house.Micros(s.ReplaceUS), house.Micros(s.AskUS)
+	timing.Shuffle, timing.Mend, timing.NodeGone, timing.Tick = house.Micros(s.ShuffleUS), house.Micros(s.MendUS), house.Micros(s.NodeGoneUS), house.Micros(s.TickUS)
 	timing.Licence, timing.HomeSilent, timing.Strike = house.Micros(s.LicenceUS), house.Micros(s.HomeSilentUS), house.Micros(s.StrikeUS)
 	return timing
 }
@@ -170,7 +179,10 @@
 	if s.Public == s.Peer {
 		faults.Add("peer", "is the public address as well")
 	}
-	if len(s.Seeds) != 3 {
+	isAnnounced := s.Founders == "announce"
+	if isAnnounced && (len(s.Seeds) < 1 || len(s.Seeds) > 3) {
+		faults.Add("seeds", "there have to be one to three, not %d", len(s.Seeds))
+	} else if !isAnnounced && len(s.Seeds) != 3 {
 		faults.Add("seeds", "there have to be three, not %d", len(s.Seeds))
 	}
 	known := map[string]bool{}
@@ -184,7 +196,7 @@
 	if !isPrompter && s.Data != "" {
 		faults.Add("data", "a router keeps nothing on disk; only prompter and playhouse take a data folder")
 	}
-	if isPrompter && known[s.Peer] && s.Data == "" {
+	if isPrompter && known[s.Peer] && s.Data == "" && !isAnnounced {
 		faults.Add("data", "a prompter that is a seed is a founder and needs a data folder")
 	}
 	if s.Platform != "" {
@@ -203,6 +215,7 @@
 	if s.Journal < 16 || s.Journal > 1<<20 {
 		faults.Add("journal", "%d is not from 16 to %d", s.Journal, 1<<20)
 	}
+	s.Rules.check(faults)
 	s.checkSpans(faults)
 	return faults.Err()
 }
@@ -219,13 +232,23 @@
 	checkRange("pulse_us", s.PulseUS, 20_000, 1_000_000)
 	checkRange("election_high_us", s.ElectionHighUS, 100_000, 3_000_000)
 	checkRange("disk_stall_us", s.DiskStallUS, 100_000, 3_000_000)
-	checkRange("replace_us", s.ReplaceUS, 3_000_000, 3_600_000_000)
+	// Where members come back empty and soon, a lost one is better replaced early: what is
+	// dropped in error comes back as a standby, at the cost of two generations.
+	lowReplace, elections := int64(3_000_000), int64(3)
+	if s.Voters > 0 {
+		lowReplace, elections = 2_000_000, 2
+	}
+	checkRange("replace_us", s.ReplaceUS, lowReplace, 3_600_000_000)
 	checkRange("home_silent_us", s.HomeSilentUS, 500_000, 2_000_000)
 	checkRange("strike_us", s.StrikeUS, 5_000_000, 3_600_000_000)
+	checkRange("shuffle_us", s.ShuffleUS, 100_000, 60_000_000)
+	checkRange("mend_us", s.MendUS, 200_000, 60_000_000)
+	checkRange("node_gone_us", s.NodeGoneUS, 3_000_000, 60_000_000)
+	checkRange("tick_us", s.TickUS, 5_000, 100_000)
 	checkRange("engine_silence_us", s.EngineSilenceUS, 100_000, 600_000_000)
 	checkRange("drain_us", s.DrainUS, 0, 3_600_000_000)
 	checkRange("lame_duck_us", s.LameDuckUS, 0, 60_000_000)
-	if s.AskUS < 50_000 || s.AskUS*4 > s.LicenceUS {
+	if s.AskUS < 50_000 || s.AskUS*4 > s.LicenceUS && s.ServeOnUS != alwaysUS || s.AskUS > 1_000_000 {
 		faults.Add("ask_us", "%d has to be at least 50000 and four asks have to fit into the licence of %d", s.AskUS, s.LicenceUS)
 	}
 	if s.ElectionLowUS < 4*s.PulseUS {
@@ -234,7 +257,7 @@
 	if s.ElectionHighUS <= s.ElectionLowUS {
 		faults.Add("election_high_us", "%d has to be above election_low_us of %d", s.ElectionHighUS, s.ElectionLowUS)
 	}
-	if s.ReplaceUS < 3*s.ElectionHighUS {
-		faults.Add("replace_us", "%d has to hold at least three elections of %d", s.ReplaceUS, s.ElectionHighUS)
+	if s.ReplaceUS < elections*s.ElectionHighUS {
+		faults.Add("replace_us", "%d has to hold at least %d elections of %d", s.ReplaceUS, elections, s.ElectionHighUS)
 	}
 }
