Fuzz tests of the spec's form, changes by name and the choice of a route

Cause: these three take whatever operators and callers send. Changes are held against a slow reference by encoding/json, routes against a scan with a regular expression for hosts; seeds and their damaged forms run in every ordinary test run.

Found on writing the reference: an opening bracket that is never closed lost what stood after its last colon as if it were a port. Such a host now stays whole.

--- /dev/null
+++ b/playbill/fuzz_test.go
@@ -0,0 +1,224 @@
+package playbill
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"dunlinloom/playbill/playbillpb"
+	"dunlinloom/props"
+)
+
+const (
+	seedRoutes = `{"version":7,"routes":[{"name":"r","host":"H.example:80","prefix":"/p/","kind":"stream","timeoutUs":3000000,"goalUs":"500000","tries":2,"pinned":true,"splits":[{"service":"s","weight":90},{"service":"t","weight":10}]},{"name":"q","host":"h.example","prefix":"/p/q/","timeout_us":1,"service":"s"}],"services":[{"name":"s","healthPath":"/healthz","slots":48},{"name":"t"}],"caps":{"idleUs":15000000}}`
+	seedBinds  = `{"zones":[{"name":"z"}],"engines":[{"id":"e","address":"10.0.0.1:80","zone":"z"}],"bindings":[{"name":"a","match":{"kind":"k"},"shares":[{"engine":"e","weight":7}],"ttftLimitUs":5}],"policy":{"nearTie":0.05,"ownZoneFirst":true}}`
+)
+
+// Whatever comes: a spec whose parts find each other, or faults of a stated type, and the
+// same each time.
+func FuzzRead(f *testing.F) {
+	props.Seed(f, seedRoutes, seedBinds, `{"routes":[{"kind":null,"splits":[null]}],"caps":null}`, `{"version":1e3,"services":[{"name":"\ud800"}]}`)
+	f.Fuzz(func(t *testing.T, document []byte) {
+		spec, err := Read(document)
+		props.FailsAs(t, err, props.Is[*Faults], props.Is[TooLarge])
+		if (spec == nil) != (err != nil) {
+			t.Fatalf("%v beside %v", spec, err)
+		}
+		again, errAgain := Read(document)
+		// protojson itself varies the spaces in its texts from build to build, never within one.
+		if fmt.Sprint(err) != fmt.Sprint(errAgain) {
+			t.Fatalf("once %v, then %v", err, errAgain)
+		}
+		if err != nil {
+			return
+		}
+		for i := range spec.Routes {
+			route := &spec.Routes[i]
+			if spec.RouteOf(route.Host, route.Prefix) != route || spec.RouteOf(route.Host, route.Prefix+"x") != route {
+				t.Fatalf("%+v is not found by its own host and prefix", route)
+			}
+			if route.Timeout <= 0 || route.Tries < 1 {
+				t.Fatalf("%+v serves nothing", route)
+			}
+			for hash := range uint64(20) {
+				if _, isThere := spec.Services[route.Pick(hash)]; !isThere {
+					t.Fatalf("%+v picks %q", route, route.Pick(hash))
+				}
+			}
+		}
+		// A document that was taken can be changed, and an empty change changes nothing.
+		changed, err := ChangeByName(document, []byte(`{}`), OwnWords())
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err = Read(changed)
+		if err != nil || again.Version != spec.Version || len(again.Routes) != len(spec.Routes) || len(again.Bindings) != len(spec.Bindings) {
+			t.Fatalf("%s reads otherwise: %v", changed, err)
+		}
+	})
+}
+
+func FuzzChangeByName(f *testing.F) {
+	props.SeedPairs(f,
+		[2]string{`{"version":7,"x":[1.0,{"y":"]"}],"routes":[{"name":"a","n":1e1},{"name":"b"}]}`,
+			`{"version":9,"upsert":{"routes":[{"name":"b","k":"\u0061"},{"name":"c"}]},"remove":{"routes":["a","z"],"services":["s"]},"caps":{"idleUs":1}}`},
+		[2]string{`{"ro\u0075tes":[{"n\u0061me":"\u0061"}],"services":null}`, `{"upsert":{"services":[{"name":"\ud800"}],"routes":[{"name":"a"}]}}`},
+		[2]string{` { } `, ` {"upsert" : { "engines" : [ { "id" : "e" } ] } , "remove" : null } `})
+	f.Fuzz(func(t *testing.T, document, change []byte) {
+		before, asked := bytes.Clone(document), bytes.Clone(change)
+		got, err := ChangeByName(document, change, OwnWords())
+		if !bytes.Equal(before, document) || !bytes.Equal(asked, change) {
+			t.Fatal("what was given was written to")
+		}
+		props.FailsAs(t, err, props.Is[*Faults], props.Is[TooLarge])
+		if err != nil {
+			return
+		}
+		want := changeSlowly(t, document, change)
+		members := map[string]json.RawMessage{}
+		decode(t, got, &members)
+		if len(members) != len(want) {
+			t.Fatalf("%s\nfor %s", got, want)
+		}
+		for name, value := range want {
+			if !bytes.Equal(members[name], value) {
+				t.Fatalf("%s is %s, not %s", name, members[name], value)
+			}
+		}
+		again, err := ChangeByName(got, change, OwnWords())
+		if err != nil || !bytes.Equal(got, again) {
+			t.Fatalf("a second time: %s (%v)", again, err)
+		}
+	})
+}
+
+func decode(t *testing.T, raw []byte, to any) {
+	t.Helper()
+	if err := json.Unmarshal(raw, to); err != nil {
+		t.Fatalf("%s: %v", raw, err)
+	}
+}
+
+// changeSlowly is the reference: by encoding/json, member by member, without any order of them.
+func changeSlowly(t *testing.T, document, change []byte) map[string]json.RawMessage {
+	words, whole, asked := OwnWords(), map[string]json.RawMessage{}, map[string]json.RawMessage{}
+	decode(t, document, &whole)
+	decode(t, change, &asked)
+	upsert, remove := map[string][]json.RawMessage{}, map[string][]string{}
+	for name, value := range asked {
+		switch name {
+		case words.Upsert:
+			decode(t, value, &upsert)
+		case words.Remove:
+			decode(t, value, &remove)
+		default:
+			whole[name] = value
+		}
+	}
+	nameOf := func(list string, item json.RawMessage) string {
+		members, name := map[string]json.RawMessage{}, ""
+		decode(t, item, &members)
+		decode(t, members[words.Lists[list]], &name)
+		return name
+	}
+	for list := range words.Lists {
+		if upsert[list] == nil && remove[list] == nil {
+			continue
+		}
+		old, result := []json.RawMessage{}, []json.RawMessage{}
+		if raw, isThere := whole[list]; isThere {
+			decode(t, raw, &old)
+		} else if len(upsert[list]) == 0 {
+			continue
+		}
+		isOld := func(name string) func(json.RawMessage) bool {
+			return func(item json.RawMessage) bool { return nameOf(list, item) == name }
+		}
+		for _, item := range old {
+			name := nameOf(list, item)
+			if slices.Contains(remove[list], name) {
+				continue
+			}
+			if i := slices.IndexFunc(upsert[list], isOld(name)); i >= 0 {
+				item = upsert[list][i]
+			}
+			result = append(result, item)
+		}
+		for _, item := range upsert[list] {
+			if !slices.ContainsFunc(old, isOld(nameOf(list, item))) {
+				result = append(result, item)
+			}
+		}
+		whole[list] = slices.Concat([]byte("["), bytes.Join(slices.Collect(func(yield func([]byte) bool) {
+			for _, item := range result {
+				if !yield(item) {
+					return
+				}
+			}
+		}), []byte(",")), []byte("]"))
+	}
+	return whole
+}
+
+var hostAndPort = regexp.MustCompile(`(?s)^(\[.*\]|[^:]*)(:[^:\]]*)?$`)
+
+// bareSlowly is the reference for a host without its port, in lower case.
+func bareSlowly(host string) string {
+	if parts := hostAndPort.FindStringSubmatch(host); parts != nil {
+		host = parts[1]
+	}
+	return strings.Map(func(sign rune) rune {
+		if sign >= 'A' && sign <= 'Z' {
+			return sign - 'A' + 'a'
+		}
+		return sign
+	}, host)
+}
+
+// RouteOf gives what a scan over all routes gives. Places are lines of host, space, prefix.
+func FuzzRouteOf(f *testing.F) {
+	for _, places := range []string{"h /\nh /a/\nh /a/b/\nH:80 /a/b/c/", "h /a//\nh /a/\n[::1]:80 /\n::1 /", "h /x/\u00e9/\na:b /\n[a]b /"} {
+		for _, host := range []string{"h", "H", "H:8080", "[::1]", "[::1]:80", "::1", "a:b", "a:b:c", "", ":", "]:", "[a]b:1", "[a:b", "h:80]"} {
+			for _, path := range []string{"", "/", "//", "/a", "/a/", "/a/b/c/d", "/a//b", "/a/b?/x/", "*", "/x/\u00e9/", "/x/\xc3/"} {
+				f.Add(places, host, path)
+			}
+		}
+	}
+	f.Fuzz(func(t *testing.T, places, host, path string) {
+		message := &playbillpb.Spec{Services: []*playbillpb.Service{{Name: "s"}}}
+		for i, line := range strings.Split(places, "\n") {
+			host, prefix, _ := strings.Cut(line, " ")
+			route := &playbillpb.Route{Name: fmt.Sprintf("r%d", i), Host: host, Prefix: prefix, TimeoutUs: 1, Service: "s"}
+			message.Routes = append(message.Routes, route)
+			// A line that is no route must not hide the others.
+			if _, err := Compile(message, nil); err != nil {
+				props.FailsAs(t, err, props.Is[*Faults], props.Is[TooLarge])
+				message.Routes = message.Routes[:len(message.Routes)-1]
+			}
+			if len(message.Routes) > 50 {
+				break
+			}
+		}
+		spec, err := Compile(message, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := ""
+		for _, route := range message.Routes {
+			if bareSlowly(route.Host) == bareSlowly(host) && strings.HasPrefix(path, route.Prefix) && len(route.Prefix) > len(want) {
+				want = route.Prefix
+			}
+		}
+		got := ""
+		if route := spec.RouteOf(host, path); route != nil {
+			got = route.Prefix
+		}
+		if got != want {
+			t.Fatalf("%q %q goes to %q, not %q", host, path, got, want)
+		}
+	})
+}
--- a/playbill/routes.go
+++ b/playbill/routes.go
@@ -99,7 +99,8 @@
 func bareHost(host string) string {
 	if end := strings.LastIndexByte(host, ':'); end >= 0 && strings.IndexByte(host[end:], ']') < 0 {
 		// An address of IP version 6 without brackets has no port that could be told apart.
-		if host[0] == '[' || strings.IndexByte(host, ':') == end {
+		isBracketed := host[0] == '[' && host[end-1] == ']'
+		if isBracketed || strings.IndexByte(host, ':') == end {
 			host = host[:end]
 		}
 	}
