--- /dev/null
+++ b/tools/showreport/main.go
@@ -0,0 +1,253 @@
+// Showreport runs the project's tests and passes over just those that a list names as
+// known to fail for a real fault. A listed test that passes, or is not there, fails the
+// run, so the list can't outlive the faults on it.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+)
+
+type words struct {
+	Known    string   `arg:"--known" default:"KNOWN-RED.txt" help:"the list of tests known to fail; none if there is no such file"`
+	Race     bool     `arg:"--race" help:"run with the race detector"`
+	Packages []string `arg:"positional" help:"patterns of packages (default ./...)"`
+}
+
+// red is a test that is known to fail.
+type red struct {
+	pack, test   string
+	cause, issue string
+}
+
+func (r red) String() string {
+	return fmt.Sprintf("%s/%s: %s (%s)", r.pack, r.test, r.cause, r.issue)
+}
+
+// badLine is a line of the list that can't be used.
+type badLine struct {
+	number int
+	why    string
+}
+
+func (b badLine) Error() string { return fmt.Sprintf("line %d of the list: %s", b.number, b.why) }
+
+// staleRed is a test that must no longer be listed.
+type staleRed struct {
+	red red
+	why string
+}
+
+func (s staleRed) Error() string {
+	return fmt.Sprintf("%s/%s is listed but %s", s.red.pack, s.red.test, s.why)
+}
+
+// failedRun is a run of unlisted tests that failed; go test has said which.
+type failedRun struct {
+	what  string
+	cause error
+}
+
+func (f failedRun) Error() string { return f.what + ": " + f.cause.Error() }
+func (f failedRun) Unwrap() error { return f.cause }
+
+// readList reads lines of PACKAGE/TEST | CAUSE | ISSUE, all faults of the list at once.
+// A package may be named from the module's root on.
+func readList(list io.Reader, module string) ([]red, error) {
+	reds, faults := []red{}, []error{}
+	lines := bufio.NewScanner(list)
+	for number := 1; lines.Scan(); number++ {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		fields := strings.Split(line, "|")
+		for i := range fields {
+			fields[i] = strings.TrimSpace(fields[i])
+		}
+		if len(fields) != 3 || slices.Contains(fields, "") {
+			faults = append(faults, badLine{number, "it needs a test, a cause and an issue, with | between"})
+			continue
+		}
+		pack, test, err := cutName(fields[0])
+		if err != "" {
+			faults = append(faults, badLine{number, err})
+			continue
+		}
+		if pack != module && !strings.HasPrefix(pack, module+"/") {
+			pack = module + "/" + pack
+		}
+		next := red{pack, test, fields[1], fields[2]}
+		if slices.ContainsFunc(reds, func(r red) bool { return r.pack == pack && r.test == test }) {
+			faults = append(faults, badLine{number, fields[0] + " is listed twice"})
+			continue
+		}
+		reds = append(reds, next)
+	}
+	if err := lines.Err(); err != nil {
+		faults = append(faults, fmt.Errorf("read the list: %w", err))
+	}
+	return reds, errors.Join(faults...)
+}
+
+// cutName parts a package from its test.
+func cutName(name string) (pack, test, why string) {
+	cut := strings.LastIndexByte(name, '/')
+	if cut <= 0 {
+		return "", "", "it needs PACKAGE/TEST"
+	}
+	pack, test = name[:cut], name[cut+1:]
+	isTest := strings.HasPrefix(test, "Test") || strings.HasPrefix(test, "Fuzz") || strings.HasPrefix(test, "Example")
+	// Only letters, digits and _: the name goes into a pattern as it is.
+	isPlain := !strings.ContainsFunc(test, func(sign rune) bool {
+		return !(sign >= 'a' && sign <= 'z' || sign >= 'A' && sign <= 'Z' || sign >= '0' && sign <= '9' || sign == '_')
+	})
+	if !isTest || !isPlain {
+		return "", "", fmt.Sprintf("%q is not a whole test's name", test)
+	}
+	return pack, test, ""
+}
+
+// stage runs go for the report.
+type stage interface {
+	// capture gives what go prints.
+	capture(args ...string) ([]byte, error)
+	// show lets go print for itself.
+	show(args ...string) error
+}
+
+// house is the real one.
+type house struct {
+	folder   string
+	out, err io.Writer
+}
+
+func (h house) capture(args ...string) ([]byte, error) {
+	command := exec.Command("go", args...)
+	command.Dir, command.Stderr = h.folder, h.err
+	return command.Output()
+}
+
+func (h house) show(args ...string) error {
+	command := exec.Command("go", args...)
+	command.Dir, command.Stdout, command.Stderr = h.folder, h.out, h.err
+	return command.Run()
+}
+
+// redSpan is the longest that a listed test may take: a hang must not use up the whole run.
+const redSpan = "5m"
+
+// tryRed runs one listed test alone. It gives nil if the test was there and failed.
+func tryRed(s stage, test []string, r red) error {
+	content, failed := s.capture(append(slices.Clone(test), "-json", "-count=1", "-timeout="+redSpan, "-run=^"+r.test+"$", r.pack)...)
+	hasRun, verdict := false, ""
+	for line := range bytes.Lines(content) {
+		var event struct{ Action, Test string }
+		// Lines that are no events come from builds that fail.
+		if json.Unmarshal(line, &event) != nil || event.Test != r.test {
+			continue
+		}
+		switch event.Action {
+		case "run":
+			hasRun = true
+		case "pass", "fail", "skip":
+			verdict = event.Action
+		}
+	}
+	var exit *exec.ExitError
+	switch {
+	case failed != nil && !errors.As(failed, &exit):
+		return fmt.Errorf("run %s: %w", r.test, failed)
+	case !hasRun:
+		return staleRed{r, "is not there, or its package does not build"}
+	case verdict == "skip":
+		return staleRed{r, "is skipped: that is no verdict"}
+	// One that took the process down has no verdict of its own, or a race spoiled it.
+	case failed != nil:
+		return nil
+	}
+	return staleRed{r, "passes: take it off the list"}
+}
+
+// report runs everything and gives every reason not to pass.
+func report(s stage, out io.Writer, reds []red, race bool, patterns []string) error {
+	listing, err := s.capture(append([]string{"list"}, patterns...)...)
+	if err != nil {
+		return fmt.Errorf("list the packages: %w", err)
+	}
+	packages, faults := strings.Fields(string(listing)), []error{}
+	test := []string{"test"}
+	if race {
+		test = append(test, "-race")
+	}
+	skips := map[string][]string{}
+	for _, r := range reds {
+		if !slices.Contains(packages, r.pack) {
+			faults = append(faults, staleRed{r, "its package is not there"})
+			continue
+		}
+		if err := tryRed(s, test, r); err != nil {
+			faults = append(faults, err)
+		}
+		skips[r.pack] = append(skips[r.pack], r.test)
+	}
+	// Packages with listed tests go apart, and the listed tests go alone: a panic, race or
+	// hang in one of them would otherwise hide what else is wrong with its package.
+	whole := slices.DeleteFunc(slices.Clone(packages), func(pack string) bool { return skips[pack] != nil })
+	if len(whole) > 0 {
+		if err := s.show(append(slices.Clone(test), whole...)...); err != nil {
+			faults = append(faults, failedRun{"tests", err})
+		}
+	}
+	for _, pack := range packages {
+		if names := skips[pack]; names != nil {
+			if err := s.show(append(slices.Clone(test), "-skip=^("+strings.Join(names, "|")+")$", pack)...); err != nil {
+				faults = append(faults, failedRun{"tests of " + pack, err})
+			}
+		}
+	}
+	for _, r := range reds {
+		fmt.Fprintf(out, "known red  %v\n", r)
+	}
+	return errors.Join(faults...)
+}
+
+func run(words words, folder string, out, errOut io.Writer) error {
+	s := house{folder, out, errOut}
+	module, err := s.capture("list", "-m")
+	if err != nil {
+		return fmt.Errorf("find the module: %w", err)
+	}
+	list, err := os.ReadFile(words.Known)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("read the list: %w", err)
+	}
+	reds, err := readList(bytes.NewReader(list), strings.TrimSpace(string(module)))
+	if err != nil {
+		return err
+	}
+	if len(words.Packages) == 0 {
+		words.Packages = []string{"./..."}
+	}
+	return report(s, out, reds, words.Race, words.Packages)
+}
+
+func main() {
+	var words words
+	arg.MustParse(&words)
+	if err := run(words, ".", os.Stdout, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, "showreport:", err)
+		os.Exit(1)
+	}
+}
