A spec made by hand finds its routes too

Cause: a form may fill a Spec without Compile, and RouteOf then found nothing and said nothing. Ruled out: a function to call afterwards, which one forgets as easily.

Conclusion: the index is made at the first look where Compile did not make it.

--- a/playbill/playbill.go
+++ b/playbill/playbill.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"unicode/utf8"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -171,7 +172,7 @@
 	Zones    map[string]bool
 	Policy   Policy
 	byPair   map[[2]string]int
-	byHost   map[string]*hostRoutes
+	byHost   atomic.Pointer[map[string]*hostRoutes]
 }
 
 // Bind finds the first binding that fits a request.
--- a/playbill/routes.go
+++ b/playbill/routes.go
@@ -79,7 +79,12 @@
 // is: one that ends before the prefix's last slash is not under it. Nothing is allocated,
 // unless the host has capital letters.
 func (s *Spec) RouteOf(host, path string) *Route {
-	routes := s.byHost[bareHost(host)]
+	byHost := s.byHost.Load()
+	if byHost == nil {
+		// A form, or a test, made this spec by hand: its routes must not be lost for that.
+		byHost = s.indexRoutes()
+	}
+	routes := (*byHost)[bareHost(host)]
 	if routes == nil {
 		return nil
 	}
@@ -95,6 +100,24 @@
 	}
 }
 
+// indexRoutes sorts the routes by host. Two who do so at once make the same.
+func (s *Spec) indexRoutes() *map[string]*hostRoutes {
+	byHost := map[string]*hostRoutes{}
+	for i := range s.Routes {
+		route := &s.Routes[i]
+		host := bareHost(route.Host)
+		routes := byHost[host]
+		if routes == nil {
+			routes = &hostRoutes{byPrefix: map[string]*Route{}}
+			byHost[host] = routes
+		}
+		routes.byPrefix[route.Prefix] = route
+		routes.longest = max(routes.longest, len(route.Prefix))
+	}
+	s.byHost.Store(&byHost)
+	return &byHost
+}
+
 // bareHost takes the port and capitals off a Host header's value.
 func bareHost(host string) string {
 	if end := strings.LastIndexByte(host, ':'); end >= 0 && strings.IndexByte(host[end:], ']') < 0 {
@@ -302,7 +325,6 @@
 		}
 	}
 	spec.Routes = make([]Route, len(message.Routes))
-	spec.byHost = map[string]*hostRoutes{}
 	for i, from := range message.Routes {
 		route := &spec.Routes[i]
 		*route = Route{
@@ -316,14 +338,8 @@
 		for _, split := range from.Splits {
 			route.Splits = append(route.Splits, Split{split.Service, split.Weight})
 		}
-		routes := spec.byHost[route.Host]
-		if routes == nil {
-			routes = &hostRoutes{byPrefix: map[string]*Route{}}
-			spec.byHost[route.Host] = routes
-		}
-		routes.byPrefix[route.Prefix] = route
-		routes.longest = max(routes.longest, len(route.Prefix))
 	}
+	spec.indexRoutes()
 	spec.Caps = Caps{
 		HeaderBytes: int64(message.Caps.GetHeaderBytes()), BodyBytes: int64(message.Caps.GetBodyBytes()),
 		HeaderTime: house.Micros(message.Caps.GetHeaderUs()), IdleTime: house.Micros(message.Caps.GetIdleUs()),
--- a/playbill/routes_test.go
+++ b/playbill/routes_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -172,6 +173,22 @@
 	c.Assert(testing.AllocsPerRun(100, func() { spec.RouteOf("h:80", "/a/b/c/d/e/f") }), qt.Equals, 0.0)
 }
 
+func TestASpecMadeByHandFindsItsRoutes(t *testing.T) {
+	c := qt.New(t)
+	spec := &Spec{Routes: []Route{{Name: "a", Host: "H:80", Prefix: "/a/"}, {Name: "b", Host: "h", Prefix: "/a/b/"}}}
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for range 100 {
+				c.Check(spec.RouteOf("h", "/a/x"), qt.Equals, &spec.Routes[0])
+				c.Check(spec.RouteOf("h", "/a/b/x"), qt.Equals, &spec.Routes[1])
+			}
+		})
+	}
+	callers.Wait()
+	c.Assert((&Spec{}).RouteOf("h", "/"), qt.IsNil)
+}
+
 func TestSplitsAreKeptByWeight(t *testing.T) {
 	c := qt.New(t)
 	const rounds = 100000
