callboard spec change FILE puts a change by name on the spec in force

Cause: an operator who changes one route of thousands had to send them all. The change is applied to the document as read and put with its generation as base, so that a race ends in a clash and not in a loss. Versions are shown by change and check.

Ruled out: an id for a second try of a change; the second would be made from another base.

--- a/cmd/callboard/main.go
+++ b/cmd/callboard/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -13,6 +14,7 @@
 	"net/url"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,8 +22,10 @@
 	"github.com/go-git/go-git/v5/utils/diff"
 	"github.com/sergi/go-diff/diffmatchpatch"
 
+	"dunlinloom/auditorium"
 	"dunlinloom/flyloft"
 	"dunlinloom/house"
+	"dunlinloom/playbill"
 	"dunlinloom/wardrobe"
 	"dunlinloom/wings"
 )
@@ -36,7 +40,7 @@
 )
 
 type words struct {
-	Spec       *specWords       `arg:"subcommand:spec" help:"put, get, history, check"`
+	Spec       *specWords       `arg:"subcommand:spec" help:"put, get, change, history, diff, check"`
 	Zone       *zoneWords       `arg:"subcommand:zone" help:"empty, refill"`
 	Router     *routerWords     `arg:"subcommand:router" help:"forget"`
 	Core       *coreWords       `arg:"subcommand:core" help:"look, rebuild: when the majority of the core's disks is gone"`
@@ -65,6 +69,9 @@
 	Check *struct {
 		File string `arg:"positional,required"`
 	} `arg:"subcommand:check"`
+	Change *struct {
+		File string `arg:"positional,required" help:"JSON of version, upsert and remove"`
+	} `arg:"subcommand:change" help:"change only the items that a file names, on top of the spec in force"`
 }
 
 type zoneWords struct {
@@ -165,9 +172,11 @@
 			return exitTrouble, fmt.Errorf("read the spec: %w", err)
 		}
 		return b.show(http.MethodPost, "/v1/spec/check", content, func([]byte) error {
-			fmt.Fprintln(b.out, "the spec is good")
+			fmt.Fprintln(b.out, "the spec is good"+versionNote(content))
 			return nil
 		})
+	case w.Spec != nil && w.Spec.Change != nil:
+		return b.change(w.Spec.Change.File)
 	case w.Zone != nil && w.Zone.Empty != nil:
 		return b.order(http.MethodPut, "/v1/zones/"+url.PathEscape(w.Zone.Empty.Zone)+"/evacuation", nil, w.Zone.Empty.Submission)
 	case w.Zone != nil && w.Zone.Refill != nil:
@@ -197,35 +206,88 @@
 
 // do asks the nodes in turn until one answers.
 func (b *board) do(method, path string, body []byte, submission string) (int, []byte, error) {
+	status, _, got, err := b.ask(method, path, body, submission)
+	return status, got, err
+}
+
+// ask is do with the answer's headers.
+func (b *board) ask(method, path string, body []byte, submission string) (int, http.Header, []byte, error) {
 	var last error
 	for _, node := range b.words.Nodes {
-		status, got, err := b.doAt(node, method, path, body, submission)
+		status, headers, got, err := b.askAt(node, method, path, body, submission)
 		if err == nil {
-			return status, got, nil
+			return status, headers, got, nil
 		}
 		last = err
 	}
-	return 0, nil, unreachable{b.words.Nodes, last}
+	return 0, nil, nil, unreachable{b.words.Nodes, last}
 }
 
 func (b *board) doAt(node, method, path string, body []byte, submission string) (int, []byte, error) {
+	status, _, got, err := b.askAt(node, method, path, body, submission)
+	return status, got, err
+}
+
+func (b *board) askAt(node, method, path string, body []byte, submission string) (int, http.Header, []byte, error) {
 	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+node+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, fmt.Errorf("make a request: %w", err)
+		return 0, nil, nil, fmt.Errorf("make a request: %w", err)
 	}
 	if submission != "" {
 		request.Header.Set(wings.HeaderSubmission, submission)
 	}
 	response, err := b.client.Do(request)
 	if err != nil {
-		return 0, nil, fmt.Errorf("ask %s: %w", node, err)
+		return 0, nil, nil, fmt.Errorf("ask %s: %w", node, err)
 	}
 	defer response.Body.Close()
 	got, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, nil, fmt.Errorf("hear %s: %w", node, err)
+		return 0, nil, nil, fmt.Errorf("hear %s: %w", node, err)
+	}
+	return response.StatusCode, response.Header, got, nil
+}
+
+// change puts what a file names into the spec in force. It is put with the generation that
+// was read as its base: of two who do so at once one gets a yes, and nothing is lost.
+func (b *board) change(file string) (int, error) {
+	change, err := os.ReadFile(file)
+	if err != nil {
+		return exitTrouble, fmt.Errorf("read the change: %w", err)
+	}
+	status, headers, document, err := b.ask(http.MethodGet, "/v1/spec", nil, "")
+	if err != nil {
+		return exitTrouble, err
+	}
+	if status != http.StatusOK {
+		return b.fail(status, document)
+	}
+	base, err := strconv.ParseUint(headers.Get(auditorium.HeaderGeneration), 10, 64)
+	if err != nil || base == 0 {
+		return exitTrouble, misread{"the generation of the spec in force", noGeneration{}}
+	}
+	changed, err := playbill.ChangeByName(document, change, playbill.OwnWords())
+	var faults *playbill.Faults
+	var above playbill.TooLarge
+	if errors.As(err, &faults) || errors.As(err, &above) {
+		return exitNo, err
+	}
+	if err != nil {
+		return exitTrouble, err
+	}
+	if !b.words.JSON {
+		fmt.Fprintf(b.out, "from generation %d%s, to be put%s\n", base, versionNote(document), versionNote(changed))
+	}
+	return b.order(http.MethodPut, fmt.Sprintf("/v1/spec?base=%d", base), changed, "")
+}
+
+// versionNote tells the operator's own number of a spec in the product's form, if it has one.
+func versionNote(document []byte) string {
+	var spec struct{ Version json.Number }
+	if json.Unmarshal(document, &spec) != nil || spec.Version == "" || spec.Version == "0" {
+		return ""
 	}
-	return response.StatusCode, got, nil
+	return ", version " + spec.Version.String()
 }
 
 func (b *board) put(file string, base *uint64, submission string) (int, error) {
--- a/cmd/callboard/main_test.go
+++ b/cmd/callboard/main_test.go
@@ -15,6 +15,7 @@
 	"github.com/alexflint/go-arg"
 	qt "github.com/frankban/quicktest"
 
+	"dunlinloom/auditorium"
 	"dunlinloom/flyloft"
 	"dunlinloom/house"
 	"dunlinloom/wings"
@@ -110,6 +111,57 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+func TestAChangeByNameIsPutOnTheSpecThatWasRead(t *testing.T) {
+	for _, example := range []struct {
+		name, generation, change string
+		status                   int
+		receipt                  string
+		put                      string // what a node gets; empty: nothing may be put
+		exit                     int
+		says                     string
+	}{
+		{"a change", "7", `{"version":9,"upsert":{"routes":[{"name":"b"}]},"remove":{"routes":["a"]}}`, 200, `{"id":"x","outcome":"yes","generation":8}`,
+			`?base=7 {"version":9,"later":1.0,"routes":[{"name":"b"}]}`, exitYes, "from generation 7, version 5, to be put, version 9\nyes, generation 8"},
+		{"another was faster", "7", `{"version":9}`, 409, `{"id":"x","outcome":"no","reason":"clash","detail":"at 8"}`,
+			`?base=7 {"version":9,"later":1.0,"routes":[{"name":"a"}]}`, exitNo, "no, clash: at 8"},
+		{"faults", "7", `{"upsert":{"routes":[{}]}}`, 0, "", "", exitNo, "upsert.routes[0].name"},
+		{"a spec of no known generation", "", `{"version":9}`, 0, "", "", exitTrouble, "generation"},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			c := qt.New(t)
+			put := ""
+			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet {
+					w.Header().Set(auditorium.HeaderGeneration, example.generation)
+					io.WriteString(w, `{"version":5,"later":1.0,"routes":[{"name":"a"}]}`)
+					return
+				}
+				content, err := io.ReadAll(r.Body)
+				c.Check(err, qt.IsNil)
+				c.Check(r.Header.Get(wings.HeaderSubmission), qt.Not(qt.Equals), "")
+				put = "?" + r.URL.RawQuery + " " + string(content)
+				w.WriteHeader(example.status)
+				io.WriteString(w, example.receipt)
+			}))
+			defer node.Close()
+			file := filepath.Join(t.TempDir(), "change.json")
+			c.Assert(os.WriteFile(file, []byte(example.change), 0o600), qt.IsNil)
+			var words words
+			parser, err := arg.NewParser(arg.Config{}, &words)
+			c.Assert(err, qt.IsNil)
+			c.Assert(parser.Parse([]string{"--node", strings.TrimPrefix(node.URL, "http://"), "spec", "change", file}), qt.IsNil)
+			var out bytes.Buffer
+			exit, err := (&board{words, http.DefaultClient, &out}).run(parser)
+			if err != nil {
+				out.WriteString(err.Error())
+			}
+			c.Assert(exit, qt.Equals, example.exit, qt.Commentf("%s", out.String()))
+			c.Assert(put, qt.Equals, example.put)
+			c.Assert(strings.Contains(out.String(), example.says), qt.IsTrue, qt.Commentf("%s", out.String()))
+		})
+	}
+}
+
 // Clocks differ by an hour, yet what was done under a generation comes after its
 // proposal; and a node that does not answer is named.
 func TestANightIsToldInCausalOrder(t *testing.T) {
