--- a/playbill/routes.go
+++ b/playbill/routes.go
@@ -68,6 +68,22 @@
 	Change(document, change []byte) ([]byte, error)
 }
 
+// NewRouteSpec makes a spec of routes and services that were checked in another form.
+func NewRouteSpec(routes []Route, services []Service) *Spec {
+	spec := &Spec{
+		Routes: routes, Services: make(map[string]Service, len(services)), Policy: DefaultPolicy(),
+		Engines: map[string]Engine{}, Zones: map[string]bool{},
+	}
+	for _, service := range services {
+		spec.Services[service.Name] = service
+	}
+	for i := range routes {
+		routes[i].Host = bareHost(routes[i].Host)
+	}
+	spec.indexRoutes()
+	return spec
+}
+
 // hostRoutes is a host's routes by prefix.
 type hostRoutes struct {
 	byPrefix map[string]*Route
