--- a/playbill/routes_test.go
+++ b/playbill/routes_test.go
@@ -31,8 +31,8 @@
 		paths    []string
 	}{
 		{"wrong types, all at once",
-			`{"version":-1,"routes":[{"kind":"sometimes","timeoutUs":"soon","pinned":1,"splits":[{"weight":1.5}],"goalUs":18446744073709551616,"wt":1}],"services":{},"caps":[]}`,
-			[]string{"caps", "routes[0].goalUs", "routes[0].kind", "routes[0].pinned", "routes[0].splits[0].weight", "routes[0].timeoutUs", "routes[0].wt", "services", "version"}},
+			`{"version":-1,"routes":[{"kind":"sometimes","timeoutUs":"soon","pinned":1,"splits":[{"weight":1.5}],"goalUs":18446744073709551616,"zeal":1}],"services":{},"caps":[]}`,
+			[]string{"caps", "routes[0].goalUs", "routes[0].kind", "routes[0].pinned", "routes[0].splits[0].weight", "routes[0].timeoutUs", "routes[0].zeal", "services", "version"}},
 		{"a kind by number", `{"routes":[{"kind":1}]}`, []string{"routes[0].kind"}},
 		{"unknown services, alone and in splits",
 			`{"services":[{"name":"s"}],"routes":[{"name":"a","host":"h","prefix":"/","timeoutUs":1,"service":"t"},
