--- a/playbill/routes.go
+++ b/playbill/routes.go
@@ -77,24 +77,11 @@
 	for _, service := range services {
 		spec.Services[service.Name] = service
 	}
-	spec.index()
-	return spec
-}
-
-// index makes the table that RouteOf goes by.
-func (s *Spec) index() {
-	s.byHost = map[string]*hostRoutes{}
-	for i := range s.Routes {
-		route := &s.Routes[i]
-		route.Host = bareHost(route.Host)
-		routes := s.byHost[route.Host]
-		if routes == nil {
-			routes = &hostRoutes{byPrefix: map[string]*Route{}}
-			s.byHost[route.Host] = routes
-		}
-		routes.byPrefix[route.Prefix] = route
-		routes.longest = max(routes.longest, len(route.Prefix))
+	for i := range routes {
+		routes[i].Host = bareHost(routes[i].Host)
 	}
+	spec.indexRoutes()
+	return spec
 }
 
 // hostRoutes is a host's routes by prefix.
@@ -108,7 +95,12 @@
 // is: one that ends before the prefix's last slash is not under it. Nothing is allocated,
 // unless the host has capital letters.
 func (s *Spec) RouteOf(host, path string) *Route {
-	routes := s.byHost[bareHost(host)]
+	byHost := s.byHost.Load()
+	if byHost == nil {
+		// A form, or a test, made this spec by hand: its routes must not be lost for that.
+		byHost = s.indexRoutes()
+	}
+	routes := (*byHost)[bareHost(host)]
 	if routes == nil {
 		return nil
 	}
@@ -124,11 +116,30 @@
 	}
 }
 
+// indexRoutes sorts the routes by host. Two who do so at once make the same.
+func (s *Spec) indexRoutes() *map[string]*hostRoutes {
+	byHost := map[string]*hostRoutes{}
+	for i := range s.Routes {
+		route := &s.Routes[i]
+		host := bareHost(route.Host)
+		routes := byHost[host]
+		if routes == nil {
+			routes = &hostRoutes{byPrefix: map[string]*Route{}}
+			byHost[host] = routes
+		}
+		routes.byPrefix[route.Prefix] = route
+		routes.longest = max(routes.longest, len(route.Prefix))
+	}
+	s.byHost.Store(&byHost)
+	return &byHost
+}
+
 // bareHost takes the port and capitals off a Host header's value.
 func bareHost(host string) string {
 	if end := strings.LastIndexByte(host, ':'); end >= 0 && strings.IndexByte(host[end:], ']') < 0 {
 		// An address of IP version 6 without brackets has no port that could be told apart.
-		if host[0] == '[' || strings.IndexByte(host, ':') == end {
+		isBracketed := host[0] == '[' && host[end-1] == ']'
+		if isBracketed || strings.IndexByte(host, ':') == end {
 			host = host[:end]
 		}
 	}
@@ -344,7 +355,7 @@
 			route.Splits = append(route.Splits, Split{split.Service, split.Weight})
 		}
 	}
-	spec.index()
+	spec.indexRoutes()
 	spec.Caps = Caps{
 		HeaderBytes: int64(message.Caps.GetHeaderBytes()), BodyBytes: int64(message.Caps.GetBodyBytes()),
 		HeaderTime: house.Micros(message.Caps.GetHeaderUs()), IdleTime: house.Micros(message.Caps.GetIdleUs()),
--- a/playbill/routes_test.go
+++ b/playbill/routes_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -30,8 +31,8 @@
 		paths    []string
 	}{
 		{"wrong types, all at once",
-			`{"version":-1,"routes":[{"kind":"sometimes","timeoutUs":"soon","pinned":1,"splits":[{"weight":1.5}],"goalUs":18446744073709551616,"wt":1}],"services":{},"caps":[]}`,
-			[]string{"caps", "routes[0].goalUs", "routes[0].kind", "routes[0].pinned", "routes[0].splits[0].weight", "routes[0].timeoutUs", "routes[0].wt", "services", "version"}},
+			`{"version":-1,"routes":[{"kind":"sometimes","timeoutUs":"soon","pinned":1,"splits":[{"weight":1.5}],"goalUs":18446744073709551616,"zeal":1}],"services":{},"caps":[]}`,
+			[]string{"caps", "routes[0].goalUs", "routes[0].kind", "routes[0].pinned", "routes[0].splits[0].weight", "routes[0].timeoutUs", "routes[0].zeal", "services", "version"}},
 		{"a kind by number", `{"routes":[{"kind":1}]}`, []string{"routes[0].kind"}},
 		{"unknown services, alone and in splits",
 			`{"services":[{"name":"s"}],"routes":[{"name":"a","host":"h","prefix":"/","timeoutUs":1,"service":"t"},
@@ -172,6 +173,22 @@
 	c.Assert(testing.AllocsPerRun(100, func() { spec.RouteOf("h:80", "/a/b/c/d/e/f") }), qt.Equals, 0.0)
 }
 
+func TestASpecMadeByHandFindsItsRoutes(t *testing.T) {
+	c := qt.New(t)
+	spec := &Spec{Routes: []Route{{Name: "a", Host: "H:80", Prefix: "/a/"}, {Name: "b", Host: "h", Prefix: "/a/b/"}}}
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for range 100 {
+				c.Check(spec.RouteOf("h", "/a/x"), qt.Equals, &spec.Routes[0])
+				c.Check(spec.RouteOf("h", "/a/b/x"), qt.Equals, &spec.Routes[1])
+			}
+		})
+	}
+	callers.Wait()
+	c.Assert((&Spec{}).RouteOf("h", "/"), qt.IsNil)
+}
+
 func TestSplitsAreKeptByWeight(t *testing.T) {
 	c := qt.New(t)
 	const rounds = 100000
