A hot prefix is hashed one part further, so that what lies beyond it is found again

Ruled out: a longer prefix length for all, which would split quotes that share their first part only. Conclusion: the smallest exception that keeps the fixed length for every prefix that one engine can bear.

--- a/foyer/chooser.go
+++ b/foyer/chooser.go
@@ -44,6 +44,7 @@
 	// IsBound tells that a part of an answer went out which only the same engine can end.
 	IsBound bool
 	tried   map[string]bool
+	prefix  uint64
 }
 
 // Ending is how an attempt ended.
@@ -109,6 +110,7 @@
 	engines  map[string]*engineState
 	services map[string][]*engineState // in order of ids
 	budgets  map[string]*budget
+	depths   depths
 	meanSize float64 // tokens outstanding of an attempt, on the mean
 	isShut   bool
 	counts   Counts
@@ -246,11 +248,19 @@
 		}
 	}
 	policy := c.scene.Spec.Policy
-	prefix := PrefixHash(call.Request.Parts, policy.PrefixLength)
-	if len(call.Request.Parts) == 0 || !call.Request.Route.IsPinned {
+	var prefix uint64
+	switch {
+	case len(call.Request.Parts) == 0 || !call.Request.Route.IsPinned:
 		// Nothing to find again anywhere: any engine is as good as another.
 		prefix = xxhash.Sum64String(call.Request.ID)
-	}
+	case len(call.tried) > 0:
+		prefix = call.prefix
+	default:
+		size := float64(call.Request.PromptTokens + call.Request.MaxTokens)
+		bound := (policy.MaxImbalance - 1) / float64(len(c.services[call.Request.Service]))
+		prefix = c.depths.hash(now, call.Request.Parts, policy.PrefixLength, size, bound)
+	}
+	call.prefix = prefix
 	preferred := auditorium.Preferred(auditorium.SlotOf(prefix), candidates)
 	// Among engines that count as tied, the salt decides: of what the prompt shares beyond
 	// the prefix, so that a diverted prompt finds its parts again, on whichever router.
--- /dev/null
+++ b/foyer/depth.go
@@ -0,0 +1,95 @@
+package foyer
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/house"
+)
+
+// depths tells how many parts of a prompt its hash has to cover.
+//
+// The source hashes a fixed length and diverts what its engine can't bear. Where one
+// prefix has much of the traffic, that diverts nearly all of it to whichever engine has
+// the fewest tokens just then, and what those prompts share beyond the prefix is read
+// again everywhere. So a prefix whose share of the tokens placed here would, on top of an
+// engine's fair share, push that engine above the multiple is hashed one part further. All
+// routers see about the same shares, so they agree without a word.
+type depths struct {
+	shares map[uint64]*prefixShare
+	total  float64
+	at     house.Micros
+}
+
+type prefixShare struct {
+	tokens float64
+	at     house.Micros
+	isHot  bool
+}
+
+const (
+	shareFade = 10 * house.Second // in which a share loses most of its weight
+	shareKeep = 0.6               // a hot prefix stays so until it falls to this part of the bound
+	mostRates = 8192              // prefixes remembered
+)
+
+func faded(tokens float64, since house.Micros) float64 {
+	return tokens * math.Exp(-float64(since)/float64(shareFade))
+}
+
+// hash counts a prompt's tokens and gives the hash of as many of its parts as it takes.
+func (d *depths) hash(now house.Micros, parts []Part, length int, size float64, bound float64) uint64 {
+	if d.shares == nil {
+		d.shares = map[uint64]*prefixShare{}
+	}
+	d.total = faded(d.total, now-d.at) + size
+	d.at = now
+	digest := xxhash.New()
+	covered := 0
+	for i := range parts {
+		digest.WriteString(parts[i].ID)
+		digest.Write([]byte{','})
+		covered += parts[i].Tokens
+		if covered < length {
+			continue
+		}
+		sum := digest.Sum64()
+		// The last part is one request's own, which nothing else can share; and with the
+		// last but one all is covered that can be found again.
+		if i >= len(parts)-2 || !d.isHot(now, sum, size, bound) {
+			return sum
+		}
+	}
+	return digest.Sum64()
+}
+
+func (d *depths) isHot(now house.Micros, sum uint64, size, bound float64) bool {
+	share := d.shares[sum]
+	if share == nil {
+		if len(d.shares) >= mostRates {
+			d.sweep(now)
+		}
+		share = &prefixShare{at: now}
+		d.shares[sum] = share
+	}
+	share.tokens = faded(share.tokens, now-share.at) + size
+	share.at = now
+	if share.isHot {
+		bound *= shareKeep
+	}
+	share.isHot = share.tokens > bound*d.total
+	return share.isHot
+}
+
+// sweep forgets what has faded, or everything when that is not enough.
+func (d *depths) sweep(now house.Micros) {
+	for sum, share := range d.shares {
+		if now-share.at > 3*shareFade {
+			delete(d.shares, sum)
+		}
+	}
+	if len(d.shares) >= mostRates {
+		clear(d.shares)
+	}
+}
