--- /dev/null
+++ b/flyloft/days_test.go
@@ -0,0 +1,193 @@
+package flyloft
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/house"
+)
+
+// day plays troubles as far as they are tolerated, one member at a time and any of the
+// others, beside an operator, and holds what everyone sees against the rules.
+type day struct {
+	*fleet
+	deal     *rand.Rand
+	truths   map[uint64]string // digests of documents by generation
+	tops     map[string]uint64 // newest generation of a node's life
+	sent     map[uint64]string // specs by version
+	acked    uint64            // the newest acknowledged version
+	bases    map[uint64]string // acknowledged orders by the version that they build on
+	calmFrom house.Micros      // until then no other member may be troubled
+	orders   int
+	yes      int
+}
+
+func newDay(c *qt.C, seed uint64) *day {
+	d := &day{
+		fleet: newFleet(c, seed, 4, 10, firstHaveFolders(4)), deal: rand.New(rand.NewPCG(seed, 99)),
+		truths: map[uint64]string{}, tops: map[string]uint64{}, sent: map[uint64]string{}, bases: map[uint64]string{},
+	}
+	d.bootAll(500 * ms)
+	d.settled(8 * house.Second)
+	d.votersAre(3*house.Second, d.nodes[:4]...)
+	d.watch()
+	d.operate(0)
+	return d
+}
+
+// watch looks into every node again and again.
+func (d *day) watch() {
+	for _, n := range d.nodes {
+		document := n.inForce()
+		if document == nil {
+			continue
+		}
+		digest := digestOf(document.Spec, fmt.Append(nil, document.Voters, document.Register, document.Homes, document.SpecVersion))
+		if known, isThere := d.truths[document.Generation]; isThere {
+			d.c.Assert(digest, qt.Equals, known, qt.Commentf("generation %d differs at %s", document.Generation, n.identity.Address))
+		}
+		d.truths[document.Generation] = digest
+		life := fmt.Sprint(n.identity.Address, n.epoch)
+		d.c.Assert(document.Generation >= d.tops[life], qt.IsTrue, qt.Commentf("%s went back", life))
+		d.tops[life] = document.Generation
+	}
+	d.in(20*ms, d.watch)
+}
+
+// up gives a node that an operator could reach, or nil.
+func (d *day) up() *fleetNode {
+	first := d.deal.IntN(len(d.nodes))
+	for i := range d.nodes {
+		if n := d.nodes[(first+i)%len(d.nodes)]; n.isUp && !n.isFrozen && len(n.cut) == 0 {
+			return n
+		}
+	}
+	return nil
+}
+
+// operate hands in one order after another, each again and again until it is answered;
+// now and then two at once on one version.
+func (d *day) operate(base uint64) {
+	racers := 1 + d.deal.IntN(4)/3
+	for range racers {
+		d.orders++
+		version := base + 1 + uint64(d.deal.IntN(5))
+		for d.sent[version] != "" {
+			version++
+		}
+		id, spec := fmt.Sprintf("o%d", d.orders), string(specOf(version, fmt.Sprint("order ", d.orders)))
+		d.sent[version] = spec
+		d.try(id, base, version, 0)
+	}
+	d.in(900*ms+house.Micros(d.deal.Int64N(int64(house.Second))), func() {
+		if len(d.due) > 0 {
+			d.operate(d.acked)
+		}
+	})
+}
+
+func (d *day) try(id string, base, version uint64, tries int) {
+	if tries > 12 {
+		return
+	}
+	if n := d.up(); n != nil {
+		n.submit(id, base, []byte(d.sent[version]))
+	}
+	d.in(950*ms, func() {
+		receipt, isThere := d.receipt[id]
+		switch {
+		case isThere && receipt.Outcome == Yes:
+			if other, isTaken := d.bases[base]; isTaken && other != id {
+				d.c.Fatalf("%s and %s were both acknowledged on version %d", id, other, base)
+			}
+			d.bases[base] = id
+			d.acked = max(d.acked, version)
+			d.yes++
+		case isThere && receipt.Outcome == No:
+		default:
+			d.try(id, base, version, tries+1)
+		}
+	})
+}
+
+// trouble strikes something that is tolerated now.
+func (d *day) trouble() {
+	n := d.nodes[d.deal.IntN(len(d.nodes))]
+	if d.deal.IntN(3) == 0 && d.leader() != nil {
+		n = d.leader()
+	}
+	if !n.isUp || n.isFrozen || len(n.cut) > 0 {
+		return
+	}
+	span := 300*ms + house.Micros(d.deal.Int64N(int64(3*house.Second)))
+	if n.hasFolder {
+		if d.now < d.calmFrom {
+			return
+		}
+		// A machine counts as lost until some seconds after its return.
+		d.calmFrom = d.now + span + 4*house.Second
+	}
+	switch d.deal.IntN(4) {
+	case 0:
+		n.kill()
+		d.in(span, n.boot)
+	case 1:
+		if n.hasFolder {
+			n.wipe()
+		} else {
+			n.kill()
+		}
+		d.in(span, n.boot)
+	case 2:
+		n.freeze(span)
+	case 3:
+		for _, other := range d.nodes {
+			if other != n {
+				n.cut[other.identity.Address] = true
+			}
+		}
+		d.in(span, func() { n.cut = map[string]bool{} })
+	}
+}
+
+// loseAll takes everyone's power, and one member's folder if one may be lost.
+func (d *day) loseAll() {
+	mayLose := d.now >= d.calmFrom
+	for _, n := range d.nodes {
+		n.kill()
+		n.bootstrap, n.cut = false, map[string]bool{}
+	}
+	if mayLose {
+		d.nodes[d.deal.IntN(4)].wipe()
+	}
+	d.calmFrom = d.now + 6*house.Second
+	for _, n := range d.nodes {
+		d.in(200*ms+house.Micros(d.deal.Int64N(int64(500*ms))), n.boot)
+	}
+}
+
+func TestDaysOfToleratedTrouble(t *testing.T) {
+	for seed := range uint64(6) {
+		c := qt.New(t)
+		d := newDay(c, seed)
+		for range 25 {
+			d.pass(300*ms + house.Micros(d.deal.Int64N(int64(1500*ms))))
+			d.trouble()
+		}
+		d.loseAll()
+		d.pass(8 * house.Second)
+		acked := d.acked
+		reader := d.nodes[d.deal.IntN(len(d.nodes))]
+		reader.do(func() []any { return reader.node.Newest(d.now, 77) })
+		d.await("the newest", 3*house.Second, func() bool { return d.reads[77] != nil })
+		document := d.reads[77]
+		c.Assert(document.SpecVersion >= acked, qt.IsTrue, qt.Commentf("seed %d: version %d, %d was acknowledged", seed, document.SpecVersion, acked))
+		c.Assert(string(document.Spec), qt.Equals, d.sent[document.SpecVersion])
+		c.Assert(d.yes >= 10, qt.IsTrue, qt.Commentf("seed %d: only %d orders of %d", seed, d.yes, d.orders))
+		c.Assert(d.founded, qt.HasLen, 1)
+		c.Logf("seed %d: %d of %d orders acknowledged, version %d, generation %d", seed, d.yes, d.orders, document.SpecVersion, document.Generation)
+	}
+}
