A rig of hollow nodes that measures the control plane by role, one table a command

greenroom runs the real owners, many to a process, on virtual time: messages travel as bytes and are encoded and decoded for each node, each piece of work is timed by the thread's own clock and put on that node's bill, the picture after each event is made as the shell makes it, and nodes of a role are taken away to see how much heap goes with them. Real shells over real loopback channels, a router's desk, specs, documents and the object store are measured as parts. Sizes, roles, tables and batches beyond the machine are declined before anything starts, with the bound; every run is bounded in wall time.

Ruled out: one process for all seeds (heap and collector would be shared), wall time for bills (other work on the machine would be on them).

--- /dev/null
+++ b/greenroom/fleet.go
@@ -0,0 +1,640 @@
+package greenroom
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"golang.org/x/sys/unix"
+
+	"dunlinloom/auditorium"
+	"dunlinloom/flyloft"
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+	"dunlinloom/wings"
+)
+
+// The parts of a node's processor time.
+const (
+	Events  = "events"  // the owners' own work on messages and ticks
+	Encode  = "encode"  // messages to bytes
+	Decode  = "decode"  // and back
+	Publish = "publish" // the picture for the data plane after each event
+	Disk    = "disk"    // encoding and sums of what is saved; no device
+	Compile = "compile" // specs, beside the owners
+)
+
+// tick is the grain of the daemons' shell.
+const tick = 20 * ms
+
+// Guessed: how long a message and a synced write take.
+const (
+	withinZone   = 400 * house.Micros(1)
+	withinRegion = 1500 * house.Micros(1)
+	betweenFirst = 20 * ms // to the next region, one way
+	betweenMore  = 12 * ms // for each region further round
+	writeTakes   = 3 * ms
+)
+
+type alarm struct {
+	at    house.Micros
+	order uint64
+	ring  func()
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int { return len(a) }
+func (a alarms) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
+}
+func (a alarms) Swap(i, j int)  { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(next any) { *a = append(*a, next.(alarm)) }
+func (a *alarms) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// traffic counts messages of one kind.
+type traffic struct{ messages, bytes int64 }
+
+// bill is what a node has cost while bills were written.
+type bill struct {
+	sent, got map[string]traffic
+	nanos     map[string]int64
+}
+
+func newBill() bill {
+	return bill{map[string]traffic{}, map[string]traffic{}, map[string]int64{}}
+}
+
+// hollow is a node without a process.
+type hollow struct {
+	fleet    *Fleet
+	identity house.Identity
+	region   int
+	control  bool
+	folder   *memory // nil for routers
+	node     *flyloft.Node
+	store    *flyloft.Store
+	epoch    int
+	isUp     bool
+	compiled map[string]bool
+	bill     bill
+	applied  []application
+	receipts map[string]func(flyloft.SubmitReceipt)
+	// Of those whose publishing is measured.
+	isShown bool
+	state   *flyloft.State
+	hand    wings.Stagehand
+	desk    *auditorium.Desk
+}
+
+type application struct {
+	at         house.Micros
+	generation uint64
+}
+
+// Fleet is a hollow fleet on virtual time.
+type Fleet struct {
+	sizes     Sizes
+	now       house.Micros
+	alarms    alarms
+	order     uint64
+	random    *rand.Rand
+	nodes     []*hollow
+	byAddress map[string]*hollow
+	zones     []string
+	seeds     []string
+	starts    uint64
+	shelf     playbill.Shelf
+	compileNS map[string]int64
+	isBilled  bool
+	cutRegion int // -1: none
+	reports   uint64
+	orders    uint64
+	deadline  int64 // of the wall, in nanoseconds
+	step      string
+	failed    error
+}
+
+// threadNanos is this thread's processor time: what others do on the machine is not in it.
+func threadNanos() int64 {
+	var stamp unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &stamp); err != nil {
+		panic(house.ClockBreakdown{Cause: err})
+	}
+	return stamp.Nano()
+}
+
+func wallNanos() int64 { return int64(house.BootClock{}.Now()) * 1000 }
+
+// NewFleet lays out a hollow fleet; nothing runs yet.
+func NewFleet(sizes Sizes, seed uint64) (*Fleet, error) {
+	sizes = sizes.Fill()
+	if err := sizes.Check(); err != nil {
+		return nil, fmt.Errorf("lay out a hollow fleet: %w", err)
+	}
+	f := &Fleet{
+		sizes: sizes, now: 1000 * sec, random: rand.New(rand.NewPCG(seed, 0x93ee)), byAddress: map[string]*hollow{},
+		compileNS: map[string]int64{}, cutRegion: -1, deadline: wallNanos() + int64(sizes.Wall)*1000,
+	}
+	for i := range sizes.Zones {
+		f.zones = append(f.zones, fmt.Sprintf("region-%d-zone-%02d", i%sizes.Regions, i))
+	}
+	for i := range sizes.Nodes {
+		zone := i % sizes.Zones
+		h := &hollow{
+			fleet: f, region: zone % sizes.Regions, control: i < sizes.Control, receipts: map[string]func(flyloft.SubmitReceipt){},
+			identity: house.Identity{
+				Fleet: "greenroom", Address: fmt.Sprintf("10.%d.%d.%d:7000", zone, i/250, i%250+1),
+				Public: fmt.Sprintf("10.%d.%d.%d:8000", zone, i/250, i%250+1), Zone: f.zones[zone],
+			},
+		}
+		if h.control {
+			h.folder = &memory{files: map[string][]byte{}}
+		}
+		f.nodes = append(f.nodes, h)
+		f.byAddress[h.identity.Address] = h
+	}
+	for _, h := range f.nodes[:3] {
+		f.seeds = append(f.seeds, h.identity.Address)
+	}
+	return f, nil
+}
+
+// in rings after a span of virtual time.
+func (f *Fleet) in(span house.Micros, ring func()) {
+	f.order++
+	heap.Push(&f.alarms, alarm{f.now + span, f.order, ring})
+}
+
+// run lets virtual time pass, as long as the wall allows.
+func (f *Fleet) run(span house.Micros) error {
+	end := f.now + span
+	for count := 0; len(f.alarms) > 0 && f.alarms[0].at <= end; count++ {
+		if count%64 == 0 && wallNanos() > f.deadline {
+			return OutOfTime{f.step, f.sizes.Wall}
+		}
+		next := heap.Pop(&f.alarms).(alarm)
+		f.now = next.at
+		next.ring()
+		if f.failed != nil {
+			return f.failed
+		}
+	}
+	f.now = end
+	return nil
+}
+
+// until runs on until a test holds, looking so often.
+func (f *Fleet) until(step string, look, span house.Micros, isMet func() string) error {
+	f.step = step
+	for end := f.now + span; ; {
+		why := isMet()
+		if why == "" {
+			return nil
+		}
+		if f.now >= end {
+			return Unsettled{step, span, why}
+		}
+		if err := f.run(look); err != nil {
+			return err
+		}
+	}
+}
+
+func (f *Fleet) jitter(span house.Micros) house.Micros {
+	return house.Micros(f.random.Int64N(int64(span)))
+}
+
+// way is how long a message takes from one node to another.
+func (f *Fleet) way(from, to *hollow) house.Micros {
+	if from.identity.Zone == to.identity.Zone {
+		return withinZone + f.jitter(withinZone)
+	}
+	if from.region == to.region {
+		return withinRegion + f.jitter(withinRegion)
+	}
+	apart := (from.region - to.region + f.sizes.Regions) % f.sizes.Regions
+	apart = min(apart, f.sizes.Regions-apart)
+	return betweenFirst + house.Micros(apart-1)*betweenMore + f.jitter(2*ms)
+}
+
+// ---- one node ----
+
+// time puts the processor time of some work on a node's bill.
+func (h *hollow) time(part string, work func()) {
+	if !h.fleet.isBilled {
+		work()
+		return
+	}
+	begun := threadNanos()
+	work()
+	h.bill.nanos[part] += threadNanos() - begun
+}
+
+func (h *hollow) boot() {
+	f := h.fleet
+	h.epoch++
+	f.starts++
+	h.isUp, h.compiled, h.state, h.hand = true, map[string]bool{}, nil, wings.Stagehand{Shelf: &f.shelf}
+	journal := house.NewJournal(1)
+	journal.Watch = func(entry house.Entry) {
+		if entry.Subject == "spec" && entry.Decision == "apply" {
+			h.applied = append(h.applied, application{f.now, entry.Era})
+		}
+	}
+	settings := flyloft.NodeSettings{
+		Identity: h.identity, IsRouter: !h.control, IsPrompter: h.control, HasFolder: h.control, Seeds: f.seeds,
+		Start: f.starts, RandomSeed: f.random.Uint64(), Timing: flyloft.DefaultTiming(), Journal: journal,
+		CheckSpec: f.shelf.Check, IsCompiled: func(spec []byte) bool { return h.compiled[string(spec)] },
+		Member: flyloft.MemberID("none-" + h.identity.Address),
+	}
+	if h.control {
+		var err error
+		h.store, settings.Ballot, settings.Document, err = flyloft.OpenStore(h.folder, "greenroom", func() string { return fmt.Sprintf("member-%016x", f.random.Uint64()) })
+		if err != nil {
+			f.failed = fmt.Errorf("boot %s: %w", h.identity.Address, err)
+			return
+		}
+		settings.Member, settings.Kept = h.store.Member(), h.store.SpecGenerations()
+	}
+	h.node = flyloft.NewNode(settings, f.now)
+	epoch := h.epoch
+	var again func()
+	again = func() {
+		if h.epoch == epoch && h.isUp {
+			h.event(func() []any { return h.node.Tick(f.now) })
+			f.in(tick+f.jitter(ms), again)
+		}
+	}
+	f.in(f.jitter(tick), again)
+}
+
+func (h *hollow) halt() {
+	h.isUp, h.node, h.state, h.isShown, h.desk = false, nil, nil, false, nil
+	h.epoch++
+}
+
+// later does an event on this very process after a span.
+func (h *hollow) later(span house.Micros, event func()) {
+	epoch := h.epoch
+	h.fleet.in(span, func() {
+		if h.epoch == epoch && h.isUp {
+			event()
+		}
+	})
+}
+
+// event lets the owners work, carries out what they say and publishes, as the shell does.
+func (h *hollow) event(work func() []any) {
+	var commands []any
+	h.time(Events, func() { commands = work() })
+	for _, command := range commands {
+		h.carryOut(command)
+	}
+	if h.isShown {
+		h.time(Publish, h.publish)
+	}
+}
+
+func (h *hollow) publish() {
+	h.state = h.node.State(h.state)
+	scene, err := h.hand.Scene(h.state)
+	if err != nil {
+		h.fleet.failed = fmt.Errorf("publish at %s: %w", h.identity.Address, err)
+	}
+	if scene != nil && h.desk != nil {
+		h.desk.Show(scene)
+	}
+}
+
+func (h *hollow) carryOut(command any) {
+	f := h.fleet
+	switch command := command.(type) {
+	case flyloft.Outgoing:
+		h.post(command.Envelope)
+	case flyloft.Save:
+		var err error
+		h.time(Disk, func() { err = h.store.Save(command) })
+		h.later(writeTakes, func() {
+			h.event(func() []any { return h.node.Saved(f.now, command.Token, err) })
+		})
+	case flyloft.Prepare:
+		spec := string(command.Document.Spec)
+		if _, isKnown := f.compileNS[spec]; !isKnown {
+			begun := threadNanos()
+			if _, err := playbill.Read(command.Document.Spec); err != nil {
+				f.failed = fmt.Errorf("compile at %s: %w", h.identity.Address, err)
+			}
+			f.compileNS[spec] = threadNanos() - begun
+		}
+		// Every real process compiles for itself; here one does, and all are charged alike.
+		if f.isBilled {
+			h.bill.nanos[Compile] += f.compileNS[spec]
+		}
+		h.later(house.Micros(f.compileNS[spec]/1000), func() {
+			h.compiled[spec] = true
+			h.event(func() []any { return h.node.Prepared(f.now, command.Document, nil) })
+		})
+	case flyloft.Fetch:
+		if document, err := h.store.SpecAt(command.Mark); err == nil {
+			h.later(writeTakes, func() { h.event(func() []any { return h.node.Fetched(f.now, command.To, document) }) })
+		}
+	case flyloft.Keep:
+		if err := h.store.Keep(command.Document); err == nil {
+			h.later(writeTakes, func() {
+				h.event(func() []any { return h.node.Kept(f.now, command.Document.SpecGeneration) })
+			})
+		}
+	case flyloft.Receipt:
+		if take := h.receipts[command.SubmitReceipt.ID]; take != nil {
+			delete(h.receipts, command.SubmitReceipt.ID)
+			take(command.SubmitReceipt)
+		}
+	}
+}
+
+// post carries a message as bytes, so that nothing is shared and both ends pay for it.
+func (h *hollow) post(envelope flyloft.Envelope) {
+	f := h.fleet
+	to := f.byAddress[envelope.To]
+	var content []byte
+	var err error
+	h.time(Encode, func() { content, err = json.Marshal(envelope) })
+	if err != nil {
+		f.failed = fmt.Errorf("encode at %s: %w", h.identity.Address, err)
+		return
+	}
+	kind := envelope.Message.Kind()
+	if f.isBilled {
+		count(h.bill.sent, kind, len(content))
+	}
+	if to == nil || f.cutRegion >= 0 && (h.region == f.cutRegion) != (to.region == f.cutRegion) {
+		return
+	}
+	f.in(f.way(h, to), func() {
+		if !to.isUp {
+			return
+		}
+		if f.isBilled {
+			count(to.bill.got, kind, len(content))
+		}
+		var arrived flyloft.Envelope
+		to.time(Decode, func() { err = json.Unmarshal(content, &arrived) })
+		if err != nil {
+			f.failed = fmt.Errorf("decode at %s: %w", to.identity.Address, err)
+			return
+		}
+		to.event(func() []any { return to.node.Deliver(f.now, arrived) })
+	})
+}
+
+func count(counts map[string]traffic, kind string, bytes int) {
+	seen := counts[kind]
+	counts[kind] = traffic{seen.messages + 1, seen.bytes + int64(bytes)}
+}
+
+// ---- the fleet's life ----
+
+// spec makes an operator's document with so many routes for so many tenants.
+func (f *Fleet) spec(number uint64) []byte { return specOf(f.sizes, number) }
+
+func specOf(sizes Sizes, number uint64) []byte {
+	var text strings.Builder
+	text.WriteString(`{"bindings":[`)
+	for i := range sizes.Routes {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, `{"name":"route-%05d","match":{"kind":"tenant-%05d","model":"model-%04d"},"shares":[{"pool":"pool-%02d","weight":%d}]}`,
+			i, i%sizes.Tenants, i/sizes.Tenants, i%15, 1+(uint64(i)+number)%1000)
+	}
+	text.WriteString(`],"policy":{"prefixLength":64,"maxImbalance":2.0}}`)
+	return []byte(text.String())
+}
+
+func (f *Fleet) router(index int) *hollow {
+	routers := f.sizes.Nodes - f.sizes.Control
+	return f.nodes[f.sizes.Control+index%max(routers, 1)%max(f.sizes.Nodes-f.sizes.Control, 1)]
+}
+
+// submit gives an order to a node and tells its receipt.
+func (f *Fleet) submit(at *hollow, order flyloft.Order, spec []byte, take func(flyloft.SubmitReceipt)) {
+	f.orders++
+	submit := &flyloft.Submit{ID: fmt.Sprintf("order-%06d", f.orders), Order: order, Spec: spec}
+	at.receipts[submit.ID] = take
+	at.event(func() []any { return at.node.Submit(f.now, submit) })
+}
+
+// open founds the fleet, puts a spec in force, gives the homes to routers and lets the
+// engines register.
+func (f *Fleet) open() error {
+	for _, h := range f.nodes {
+		f.in(f.jitter(500*ms), h.boot)
+	}
+	if err := f.run(sec); err != nil {
+		return err
+	}
+	if err := f.until("found the fleet", 200*ms, 60*sec, func() string { return f.lacks(0) }); err != nil {
+		return err
+	}
+	accepted := false
+	for range 5 {
+		isOver := false
+		f.submit(f.router(0), flyloft.PutSpec, f.spec(0), func(receipt flyloft.SubmitReceipt) {
+			isOver, accepted = true, receipt.Outcome == flyloft.Yes
+		})
+		if err := f.until("put a spec in force", 50*ms, 20*sec, func() string {
+			if !isOver {
+				return "no receipt came"
+			}
+			return ""
+		}); err != nil {
+			return err
+		}
+		if accepted {
+			break
+		}
+	}
+	if !accepted {
+		return Unsettled{"put a spec in force", 100 * sec, "no yes came"}
+	}
+	if err := f.moveHomes(); err != nil {
+		return err
+	}
+	for i := range f.sizes.Engines {
+		f.report(i, f.jitter(f.sizes.Report))
+	}
+	return f.until("know all engines", 500*ms, 60*sec, func() string { return f.lacks(f.sizes.Engines) })
+}
+
+// moveHomes lets routers keep the zones, where the first who asked was a control machine.
+func (f *Fleet) moveHomes() error {
+	return f.until("move the homes", sec, 60*sec, func() string {
+		why := ""
+		leader := f.leader()
+		if leader == nil {
+			return "nobody leads"
+		}
+		for zone, address := range leader.node.State(nil).Document.Homes {
+			if home := f.byAddress[address]; home == nil || !home.control {
+				continue
+			}
+			for _, h := range f.nodes {
+				if h.identity.Zone == zone && !h.control && h.isUp {
+					why = "control machines keep zones"
+					envelope := flyloft.Envelope{Fleet: "greenroom", From: address, To: leader.identity.Address,
+						Message: flyloft.Message{Succeed: &flyloft.Succeed{Zone: zone, To: h.identity.Address}}}
+					leader.event(func() []any { return leader.node.Deliver(f.now, envelope) })
+					break
+				}
+			}
+		}
+		return why
+	})
+}
+
+func (f *Fleet) leader() *hollow {
+	for _, h := range f.nodes {
+		if h.isUp && h.control && h.node.State(h.state).IsLeader {
+			return h
+		}
+	}
+	return nil
+}
+
+// lacks tells what some node still lacks: a licence, the newest document, nodes, engines.
+func (f *Fleet) lacks(engines int) string {
+	newest, states := uint64(0), map[*hollow]*flyloft.State{}
+	for _, h := range f.nodes {
+		if !h.isUp || h.node == nil {
+			return h.identity.Address + " is down"
+		}
+		state := h.node.State(nil)
+		states[h] = state
+		if state.Document == nil {
+			return h.identity.Address + " has no document"
+		}
+		newest = max(newest, state.Document.Generation)
+	}
+	for _, h := range f.nodes {
+		state := states[h]
+		switch {
+		case state.Document.Generation < newest:
+			return h.identity.Address + " is behind"
+		case !h.control && state.Until <= f.now:
+			return h.identity.Address + " has no licence"
+		case len(state.Document.Homes) < f.sizes.Zones:
+			return "a zone has no home"
+		case len(state.Document.Register) < f.sizes.Nodes-f.sizes.Control:
+			return "a router is not registered"
+		case len(state.Nodes) < f.sizes.Nodes:
+			return fmt.Sprintf("%s knows %d nodes", h.identity.Address, len(state.Nodes))
+		case len(state.Engines) < engines:
+			return fmt.Sprintf("%s knows %d engines", h.identity.Address, len(state.Engines))
+		}
+	}
+	return ""
+}
+
+// report lets a hollow engine report for ever, each time at a node of its zone.
+func (f *Fleet) report(index int, after house.Micros) {
+	zone := index % f.sizes.Zones
+	local := f.nodesOf(f.zones[zone])
+	record := flyloft.EngineRecord{
+		ID: fmt.Sprintf("engine-%04d", index), Address: fmt.Sprintf("10.%d.200.%d:9000", zone, index/f.sizes.Zones%250),
+		Zone: f.zones[zone], Pool: fmt.Sprintf("pool-%02d", index%15), Start: 1,
+	}
+	var again func()
+	again = func() {
+		record.Seq++
+		record.Up += f.sizes.Report
+		record.Burden, record.Streams = f.random.Int64N(60000), f.random.Int64N(64)
+		if h := local[f.random.IntN(len(local))]; h.isUp {
+			h.event(func() []any { return h.node.Hear(f.now, []flyloft.EngineRecord{record}) })
+		}
+		f.in(f.sizes.Report, again)
+	}
+	f.in(after, again)
+}
+
+func (f *Fleet) nodesOf(zone string) []*hollow {
+	found := []*hollow{}
+	for _, h := range f.nodes {
+		if h.identity.Zone == zone {
+			found = append(found, h)
+		}
+	}
+	return found
+}
+
+// roles sorts the nodes by what they do now.
+func (f *Fleet) roles() map[Role][]*hollow {
+	found := map[Role][]*hollow{}
+	for _, h := range f.nodes {
+		if !h.isUp {
+			continue
+		}
+		state := h.node.State(nil)
+		role := Router
+		switch {
+		case state.IsLeader:
+			role = Leader
+		case state.Document != nil && slices.ContainsFunc(state.Document.Voters, func(member flyloft.Member) bool { return member.Address == h.identity.Address }):
+			role = Voter
+		case h.control:
+			role = Standby
+		case state.IsHome:
+			role = Home
+		}
+		found[role] = append(found[role], h)
+	}
+	return found
+}
+
+// memory is a Folder without a disk.
+type memory struct{ files map[string][]byte }
+
+func (m *memory) Put(name string, content []byte) error {
+	m.files[name] = slices.Clone(content)
+	return nil
+}
+
+func (m *memory) Get(name string) ([]byte, error) {
+	content, isThere := m.files[name]
+	if !isThere {
+		return nil, house.MissingFile{Name: name}
+	}
+	return slices.Clone(content), nil
+}
+
+func (m *memory) List(prefix string) ([]string, error) {
+	names := []string{}
+	for name := range m.files {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (m *memory) Remove(name string) error {
+	delete(m.files, name)
+	return nil
+}
+
+func (m *memory) Rename(from, to string) error {
+	if content, isThere := m.files[from]; isThere {
+		m.files[to] = content
+		delete(m.files, from)
+	}
+	return nil
+}
--- /dev/null
+++ b/greenroom/greenroom_test.go
@@ -0,0 +1,198 @@
+package greenroom
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/house"
+)
+
+func small() Sizes {
+	sizes := DefaultSizes()
+	sizes.Nodes, sizes.Engines, sizes.Routes, sizes.Span, sizes.Wall = 12, 24, 20, 3*sec, 60*sec
+	return sizes
+}
+
+func TestAHollowFleetIsMeasuredByRole(t *testing.T) {
+	c := qt.New(t)
+	sizes := small()
+	sizes.Changes, sizes.Restart = 1000, 20
+	outcome, err := Play(sizes, 1)
+	c.Assert(err, qt.IsNil)
+	nodes := 0
+	for _, role := range Roles() {
+		figures, isThere := outcome.Roles[role]
+		c.Assert(isThere, qt.IsTrue, qt.Commentf("no %s", role))
+		nodes += figures.Nodes
+		c.Check(All(figures.Sent).Messages > 3, qt.IsTrue, qt.Commentf("%s sent %v", role, figures.Sent))
+		c.Check(All(figures.Got).Bytes > 100, qt.IsTrue, qt.Commentf("%s got %v", role, figures.Got))
+		for _, part := range []string{Events, Encode, Decode, Publish} {
+			c.Check(figures.Processor[part] > 0, qt.IsTrue, qt.Commentf("%s spent nothing on %s", role, part))
+		}
+	}
+	c.Assert(nodes, qt.Equals, sizes.Nodes)
+	c.Assert(outcome.Roles[Leader].Nodes, qt.Equals, 1)
+	c.Assert(outcome.Roles[Voter].Nodes, qt.Equals, 2)
+	// The leader pulses its members and only it does.
+	c.Assert(outcome.Roles[Leader].Sent["Pulse"].Messages > 20, qt.IsTrue)
+	c.Assert(outcome.Roles[Router].Sent["Pulse"], qt.Equals, Rate{})
+	// Every order was answered, and none took effect everywhere before it was given.
+	c.Assert(outcome.Unproved, qt.Equals, 0)
+	c.Assert(len(outcome.ToYes) >= 2, qt.IsTrue)
+	for i := range outcome.ToYes {
+		c.Check(outcome.ToYes[i] > 0, qt.IsTrue)
+		c.Check(outcome.ToYes[i]+outcome.ToForce[i] > 0, qt.IsTrue)
+	}
+	c.Assert(outcome.Restarted, qt.Equals, 1)
+	// A router without its process has neither licence nor document.
+	c.Assert(outcome.Settle > 0, qt.IsTrue)
+}
+
+func TestOneSeedSendsTheSameMessages(t *testing.T) {
+	c := qt.New(t)
+	first, err := Play(small(), 7)
+	c.Assert(err, qt.IsNil)
+	second, err := Play(small(), 7)
+	c.Assert(err, qt.IsNil)
+	for _, role := range Roles() {
+		c.Check(first.Roles[role].Sent, qt.DeepEquals, second.Roles[role].Sent)
+	}
+}
+
+func TestACutRegionIsSeenAndHeals(t *testing.T) {
+	c := qt.New(t)
+	sizes := small()
+	sizes.Cut, sizes.Span = 6*sec, sec
+	outcome, err := Play(sizes, 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(outcome.ServingOutside, qt.Equals, 1.0)
+	c.Assert(outcome.Settle > 0, qt.IsTrue)
+}
+
+func TestWhatTheMachineCannotTakeIsDeclinedBeforeAnythingStarts(t *testing.T) {
+	for _, bad := range []struct {
+		name string
+		edit func(*Sizes)
+		what string
+	}{
+		{"no nodes", func(s *Sizes) { s.Nodes = 0 }, "nodes"},
+		{"too many nodes", func(s *Sizes) { s.Nodes = 821 }, "nodes"},
+		{"negative engines", func(s *Sizes) { s.Engines = -1 }, "engines"},
+		{"too many engines", func(s *Sizes) { s.Engines = 6801 }, "engines"},
+		{"no routes", func(s *Sizes) { s.Routes = 0 }, "routes"},
+		{"too many routes", func(s *Sizes) { s.Routes = 20001 }, "routes"},
+		{"too many prefixes", func(s *Sizes) { s.Prefixes = 1<<20 + 1 }, "prefixes"},
+		{"too many sessions", func(s *Sizes) { s.Sessions = 1<<17 + 1 }, "sessions"},
+		{"no tenants", func(s *Sizes) { s.Tenants = 0 }, "tenants"},
+		{"no span", func(s *Sizes) { s.Span = 0 }, "span_us"},
+		{"reports without a pause", func(s *Sizes) { s.Report = 0 }, "report_us"},
+		{"more changes than are bounded", func(s *Sizes) { s.Changes = 20001 }, "changes in a thousand seconds"},
+		{"all restarted", func(s *Sizes) { s.Restart = 100 }, "restarted percent"},
+		{"a cut for ever", func(s *Sizes) { s.Cut = 3601 * sec }, "cut_us"},
+		{"no bound of time", func(s *Sizes) { s.Wall = 0 }, "wall_us"},
+		{"more zones than nodes", func(s *Sizes) { s.Zones = 13 }, "zones"},
+		{"more memory than half of the machine", func(s *Sizes) { s.MemoryMB = 1 << 30 }, "megabytes of memory"},
+		{"more than the memory allowed", func(s *Sizes) { s.Nodes, s.Engines = 410, 6800 }, "megabytes that these sizes need"},
+	} {
+		t.Run(bad.name, func(t *testing.T) {
+			c := qt.New(t)
+			sizes := small()
+			bad.edit(&sizes)
+			outcome, err := Play(sizes, 1)
+			c.Assert(outcome, qt.IsNil)
+			var declined OutOfBounds
+			c.Assert(errors.As(err, &declined), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(declined.What, qt.Equals, bad.what)
+			c.Assert(declined.Asked < declined.Low || declined.Asked > declined.High, qt.IsTrue)
+		})
+	}
+}
+
+func TestUnknownRolesTablesAndBatchesAreDeclined(t *testing.T) {
+	c := qt.New(t)
+	sizes := small()
+	sizes.Roles = []Role{"understudy"}
+	outcome, err := Play(sizes, 1)
+	c.Assert(outcome, qt.IsNil)
+	var role UnknownRole
+	c.Assert(errors.As(err, &role), qt.IsTrue)
+	c.Assert(role, qt.DeepEquals, UnknownRole{"understudy", Roles()})
+
+	var out bytes.Buffer
+	var table UnknownTable
+	c.Assert(errors.As(Print(&out, "none", Batch{1, 1, 1, nil}), &table), qt.IsTrue)
+	c.Assert(table.Name, qt.Equals, "none")
+	for _, batch := range []Batch{{1, 0, 1, nil}, {1, 21, 1, nil}, {1, 1, 0, nil}, {1, 1, 5, nil}} {
+		var declined OutOfBounds
+		c.Assert(errors.As(Print(&out, "nodes", batch), &declined), qt.IsTrue)
+	}
+	c.Assert(out.Len(), qt.Equals, 0)
+}
+
+func TestARunStopsAtItsBoundOfTime(t *testing.T) {
+	c := qt.New(t)
+	sizes := small()
+	sizes.Wall, sizes.Span = sec, 600*sec
+	outcome, err := Play(sizes, 1)
+	var late OutOfTime
+	c.Assert(errors.As(err, &late), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(late.Bound, qt.Equals, sec)
+	c.Assert(outcome.Wall < 10*sec, qt.IsTrue)
+}
+
+// Every row of every table has to be one that the rig takes.
+func TestAllRowsCanBeRun(t *testing.T) {
+	c := qt.New(t)
+	for name, table := range tables() {
+		c.Check(len(table.rows) > 0 || table.parts != nil, qt.IsTrue, qt.Commentf(name))
+		for _, row := range table.rows {
+			sizes := row.sizes.Fill()
+			// What the machine has is another question.
+			sizes.MemoryMB = 64
+			var declined OutOfBounds
+			if err := sizes.Check(); err != nil {
+				c.Check(errors.As(err, &declined), qt.IsTrue)
+				c.Check(declined.What, qt.Equals, "megabytes that these sizes need", qt.Commentf("%s, %s", name, row.name))
+			}
+		}
+	}
+}
+
+func TestATablePrintsItsCommandAndSaysWhatFailed(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	err := Print(&out, "force", Batch{1, 2, 2, func(sizes Sizes, seed uint64) (*Outcome, error) {
+		if sizes.Nodes == 8 && seed == 2 {
+			return nil, OutOfTime{"measure", sizes.Wall}
+		}
+		return &Outcome{Seed: seed, ToYes: []house.Micros{90 * ms}, ToForce: []house.Micros{-10 * ms}}, nil
+	}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(out.String(), qt.Contains, "`go run ./cmd/greenroom --table force --seed 1 --seeds 2`")
+	c.Assert(out.String(), qt.Contains, `FAILED: 8, seed 2: stopped in "measure"`)
+	c.Assert(out.String(), qt.Contains, "| 8 | 1 | 0 | 90 | 90 | -10 | -10 |")
+	c.Assert(out.String(), qt.Contains, "| 410 | 2 | 0 | 90 | 90 | -10 | -10 |")
+}
+
+func TestPartsAreMeasured(t *testing.T) {
+	c := qt.New(t)
+	sizes := small()
+	load, err := MeasureLoad(sizes, 1)
+	c.Assert(err, qt.IsNil)
+	c.Check(load.Arrive > 0 && load.Rest > 0 && load.PerHeld > 0, qt.IsTrue, qt.Commentf("%+v", load))
+	paper, err := MeasurePaper(sizes, 1)
+	c.Assert(err, qt.IsNil)
+	c.Check(paper.Full > paper.Spec && paper.Light < paper.Full && paper.Stored > 0, qt.IsTrue, qt.Commentf("%+v", paper))
+	sizes.Nodes, sizes.Engines, sizes.Span = 6, 0, sec
+	wire, err := MeasureWire(sizes, 1)
+	c.Assert(err, qt.IsNil)
+	c.Check(wire.Messages > 1 && wire.OnWire > 0 && wire.Encoded > 0 && wire.Cores > 0, qt.IsTrue, qt.Commentf("%+v", wire))
+	sizes.Nodes = 49
+	_, err = MeasureWire(sizes, 1)
+	var declined OutOfBounds
+	c.Assert(errors.As(err, &declined), qt.IsTrue)
+	c.Assert(declined, qt.Equals, OutOfBounds{"nodes over loopback", 49, 4, 48})
+}
--- /dev/null
+++ b/greenroom/tables.go
@@ -0,0 +1,491 @@
+package greenroom
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"sync"
+
+	"dunlinloom/house"
+)
+
+// UnknownTable says that there is no table of that name.
+type UnknownTable struct {
+	Name  string
+	Known []string
+}
+
+func (b UnknownTable) Error() string {
+	return fmt.Sprintf("there is no table %q; known are %v", b.Name, b.Known)
+}
+
+// Batch says how the rows of a table are run.
+type Batch struct {
+	First   uint64 // seed
+	Seeds   int
+	Workers int // runs at a time, each of one core
+	// Play runs one fleet; nil: a process of its own, so that heap and collector are its own.
+	Play func(Sizes, uint64) (*Outcome, error)
+}
+
+// Check declines what the machine can't take.
+func (b Batch) Check() error {
+	for _, bound := range []struct {
+		what            string
+		value, low, top int64
+	}{{"seeds", int64(b.Seeds), 1, 20}, {"workers", int64(b.Workers), 1, 4}} {
+		if bound.value < bound.low || bound.value > bound.top {
+			return fmt.Errorf("check the batch: %w", OutOfBounds{bound.what, bound.value, bound.low, bound.top})
+		}
+	}
+	return nil
+}
+
+type row struct {
+	name  string
+	at    float64 // the size that the table goes by
+	sizes Sizes
+}
+
+type table struct {
+	title, of string
+	rows      []row
+	print     func(w io.Writer, t table, found [][]*Outcome)
+	// parts, if set, prints the table by itself: of single parts, not of fleets.
+	parts func(w io.Writer, t table, b Batch) error
+}
+
+// sweep makes the rows of a table that goes by one size.
+func sweep(base Sizes, set func(*Sizes, int), values ...int) []row {
+	rows := []row{}
+	for _, value := range values {
+		sizes := base
+		set(&sizes, value)
+		rows = append(rows, row{fmt.Sprint(value), float64(value), sizes})
+	}
+	return rows
+}
+
+func base(change func(*Sizes)) Sizes {
+	sizes := DefaultSizes()
+	change(&sizes)
+	return sizes
+}
+
+func tables() map[string]table {
+	full := base(func(s *Sizes) {
+		s.Nodes, s.Engines, s.Routes, s.Tenants, s.Span, s.Wall, s.MemoryMB = 410, 3400, 500, 500, 3*sec, 1500*sec, 3000
+	})
+	return map[string]table{
+		"nodes": {"At rest, by nodes", "nodes", sweep(base(func(s *Sizes) {}), func(s *Sizes, v int) { s.Nodes = v }, 8, 32, 96, 205, 410), printRoles, nil},
+		"engines": {"At rest, by engines, with 48 nodes in 24 zones", "engines", sweep(base(func(s *Sizes) { s.Nodes, s.Zones, s.Span = 48, 24, 3*sec }),
+			func(s *Sizes, v int) { s.Engines = v }, 64, 256, 850, 1700, 3400), printRoles, nil},
+		"reports": {"At rest, by the span between reports in ms, with 48 nodes in 24 zones and 850 engines", "ms", sweep(base(func(s *Sizes) { s.Nodes, s.Zones, s.Engines, s.Span = 48, 24, 850, 4*sec }),
+			func(s *Sizes, v int) { s.Report = house.Micros(v) * ms }, 500, 1000, 4000, 16000), printRoles, nil},
+		"routes": {"Under 0.2 changes a second, by routes, with 16 nodes", "routes", sweep(base(func(s *Sizes) { s.Nodes, s.Changes, s.Span = 16, 200, 15*sec }),
+			func(s *Sizes, v int) { s.Routes, s.Tenants = v, tenantsOf(v) }, 100, 500, 2000, 8000, 20000), printRoles, nil},
+		"changes": {"By changes in a thousand seconds, with 48 nodes, 500 routes", "changes", sweep(base(func(s *Sizes) { s.Nodes, s.Routes, s.Span = 48, 500, 15*sec }),
+			func(s *Sizes, v int) { s.Changes = v }, 0, 82, 500, 1000, 2000), printRoles, nil},
+		"force":    {"From a change's yes to its force on the last node, by nodes, 0.5 changes a second, 100 routes", "nodes", sweep(base(func(s *Sizes) { s.Changes, s.Span, s.Engines = 500, 12*sec, 24 }), func(s *Sizes, v int) { s.Nodes = v }, 8, 32, 96, 205, 410), printForce, nil},
+		"restarts": {"Restarts of a share of the routers at once", "nodes", restarts(), printSettle, nil},
+		"cut": {"The last region cut off for 20 s, and for 40 s, when routers are struck off", "nodes", append(sweep(base(func(s *Sizes) { s.Cut, s.Span = 20*sec, sec }),
+			func(s *Sizes, v int) { s.Nodes = v }, 32, 96, 205), row{"96, 40 s", 96, base(func(s *Sizes) { s.Nodes, s.Cut, s.Span = 96, 40*sec, sec })}), printSettle, nil},
+		"full":     {"The full size, but 500 routes", "nodes", []row{{"410", 410, full}}, printRoles, nil},
+		"desk":     {"One router's desk: requests", "", nil, nil, printDesk},
+		"paper":    {"Specs, documents and the object store", "", nil, nil, printPaper},
+		"channels": {"Real channels over loopback, at rest, no engines", "", nil, nil, printWire},
+	}
+}
+
+func restarts() []row {
+	rows := []row{}
+	for _, nodes := range []int{32, 96, 205, 410} {
+		for _, percent := range []int{1, 5, 20} {
+			rows = append(rows, row{fmt.Sprintf("%d, %d %%", nodes, percent), float64(nodes), base(func(s *Sizes) {
+				s.Nodes, s.Restart, s.Span, s.Engines = nodes, percent, sec, 96
+			})})
+		}
+	}
+	return rows
+}
+
+// Tables names what can be printed.
+func Tables() []string { return slices.Sorted(maps.Keys(tables())) }
+
+// Print runs a table's rows and prints it.
+func Print(w io.Writer, name string, b Batch) error {
+	t, isThere := tables()[name]
+	if !isThere {
+		return fmt.Errorf("print a table: %w", UnknownTable{name, Tables()})
+	}
+	if err := b.Check(); err != nil {
+		return fmt.Errorf("print table %s: %w", name, err)
+	}
+	for _, row := range t.rows {
+		if err := row.sizes.Fill().Check(); err != nil {
+			return fmt.Errorf("print table %s: row %s: %w", name, row.name, err)
+		}
+	}
+	fmt.Fprintf(w, "### %s\n\n`go run ./cmd/greenroom --table %s --seed %d --seeds %d`\n\n", t.title, name, b.First, b.Seeds)
+	if t.parts != nil {
+		return t.parts(w, t, b)
+	}
+	found := b.playAll(t.rows)
+	for i, outcomes := range found {
+		for _, outcome := range outcomes {
+			if outcome.Failed != "" {
+				fmt.Fprintf(w, "FAILED: %s, seed %d: %s\n\n", t.rows[i].name, outcome.Seed, outcome.Failed)
+			}
+		}
+	}
+	t.print(w, t, found)
+	return nil
+}
+
+// playAll runs every row with every seed, the largest first, so many at a time.
+func (b Batch) playAll(rows []row) [][]*Outcome {
+	found := make([][]*Outcome, len(rows))
+	type job struct {
+		row  int
+		seed uint64
+	}
+	jobs := make(chan job)
+	var workers sync.WaitGroup
+	for i := range found {
+		found[i] = make([]*Outcome, b.Seeds)
+	}
+	for range b.Workers {
+		workers.Go(func() {
+			for next := range jobs {
+				play := b.Play
+				if play == nil {
+					play = playApart
+				}
+				outcome, err := play(rows[next.row].sizes, next.seed)
+				if outcome == nil {
+					outcome = &Outcome{Seed: next.seed}
+				}
+				if err != nil && outcome.Failed == "" {
+					outcome.Failed = err.Error()
+				}
+				found[next.row][next.seed-b.First] = outcome
+			}
+		})
+	}
+	for i := len(rows) - 1; i >= 0; i-- {
+		for seed := range b.Seeds {
+			jobs <- job{i, b.First + uint64(seed)}
+		}
+	}
+	close(jobs)
+	workers.Wait()
+	return found
+}
+
+// playApart runs one fleet in a process of its own, of one core.
+func playApart(sizes Sizes, seed uint64) (*Outcome, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, fmt.Errorf("find the rig's program: %w", err)
+	}
+	words := []string{"--run", "--seed", fmt.Sprint(seed)}
+	for _, word := range []struct {
+		name  string
+		value int64
+	}{
+		{"nodes", int64(sizes.Nodes)}, {"control", int64(sizes.Control)}, {"zones", int64(sizes.Zones)}, {"regions", int64(sizes.Regions)},
+		{"engines", int64(sizes.Engines)}, {"routes", int64(sizes.Routes)}, {"prefixes", int64(sizes.Prefixes)}, {"sessions", int64(sizes.Sessions)},
+		{"tenants", int64(sizes.Tenants)}, {"report-us", int64(sizes.Report)}, {"changes", int64(sizes.Changes)}, {"span-us", int64(sizes.Span)},
+		{"restart", int64(sizes.Restart)}, {"cut-us", int64(sizes.Cut)}, {"wall-us", int64(sizes.Wall)}, {"memory-mb", int64(sizes.MemoryMB)},
+	} {
+		words = append(words, "--"+word.name, fmt.Sprint(word.value))
+	}
+	command := exec.Command(program, words...)
+	command.Env = append(os.Environ(), "GOMAXPROCS=1", fmt.Sprintf("GOMEMLIMIT=%dMiB", sizes.MemoryMB))
+	var out, failed bytes.Buffer
+	command.Stdout, command.Stderr = &out, &failed
+	ended := command.Run()
+	outcome := &Outcome{}
+	if err := json.Unmarshal(out.Bytes(), outcome); err != nil {
+		return nil, fmt.Errorf("run a fleet apart: %w: %s", ended, strings.TrimSpace(failed.String()))
+	}
+	return outcome, nil
+}
+
+// ---- printing ----
+
+// spread gives the median with the least and the most.
+func spread(values []float64) string {
+	values = slices.DeleteFunc(slices.Clone(values), math.IsNaN)
+	if len(values) == 0 {
+		return "–"
+	}
+	slices.Sort(values)
+	low, mid, high := values[0], values[len(values)/2], values[len(values)-1]
+	if len(values) == 1 {
+		return short(mid)
+	}
+	return fmt.Sprintf("%s (%s to %s)", short(mid), short(low), short(high))
+}
+
+func short(value float64) string {
+	if math.Abs(value) >= 1000 {
+		return fmt.Sprintf("%.0f", value)
+	}
+	return fmt.Sprintf("%.3g", value)
+}
+
+func median(values []float64) float64 {
+	values = slices.DeleteFunc(slices.Clone(values), math.IsNaN)
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// The measures of a role in a table.
+var measures = []struct {
+	name string
+	of   func(Figures) float64
+}{
+	{"messages sent/s", func(f Figures) float64 { return All(f.Sent).Messages }},
+	{"KB sent/s", func(f Figures) float64 { return All(f.Sent).Bytes / 1e3 }},
+	{"KB got/s", func(f Figures) float64 { return All(f.Got).Bytes / 1e3 }},
+	{"owners, % of a core", func(f Figures) float64 {
+		return 100 * (f.Processor[Events] + f.Processor[Encode] + f.Processor[Decode] + f.Processor[Disk])
+	}},
+	{"picture, % of a core", func(f Figures) float64 { return 100 * f.Processor[Publish] }},
+	{"compiling, % of a core", func(f Figures) float64 { return 100 * f.Processor[Compile] }},
+	{"heap MB", func(f Figures) float64 { return f.Memory / 1e6 }},
+}
+
+func gather(outcomes []*Outcome, role Role, of func(Figures) float64) []float64 {
+	values := []float64{}
+	for _, outcome := range outcomes {
+		if figures, isThere := outcome.Roles[role]; isThere && outcome.Failed == "" {
+			values = append(values, of(figures))
+		}
+	}
+	return values
+}
+
+func head(w io.Writer, cells ...string) {
+	fmt.Fprintf(w, "| %s |\n|%s\n", strings.Join(cells, " | "), strings.Repeat("---|", len(cells)))
+}
+
+func printRoles(w io.Writer, t table, found [][]*Outcome) {
+	cells := []string{"role", t.of}
+	for _, measure := range measures {
+		cells = append(cells, measure.name)
+	}
+	head(w, cells...)
+	for _, role := range Roles() {
+		for i, row := range t.rows {
+			cells := []string{string(role), row.name}
+			for _, measure := range measures {
+				cells = append(cells, spread(gather(found[i], role, measure.of)))
+			}
+			fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | "))
+		}
+	}
+	printSlopes(w, t, found)
+	printKinds(w, t, found[len(found)-1])
+	waits := []float64{}
+	for _, outcomes := range found {
+		for _, outcome := range outcomes {
+			waits = append(waits, outcome.Overhead)
+		}
+	}
+	fmt.Fprintf(w, "\nThe process's time by what is on the bills: %s.\n", spread(waits))
+	if slices.ContainsFunc(t.rows, func(row row) bool { return row.sizes.Changes > 0 }) {
+		fmt.Fprintln(w)
+		printForce(w, t, found)
+	}
+}
+
+// printSlopes prints what one more of the size costs between neighbouring rows; a slope
+// that differs from the one before by more than half is a bend.
+func printSlopes(w io.Writer, t table, found [][]*Outcome) {
+	if len(t.rows) < 2 {
+		return
+	}
+	fmt.Fprintf(w, "\nFor a thousand more %s, between neighbouring rows; bends are bold:\n\n", t.of)
+	cells := []string{"role", "measure"}
+	for i := range t.rows[1:] {
+		cells = append(cells, t.rows[i].name+" to "+t.rows[i+1].name)
+	}
+	head(w, cells...)
+	for _, role := range Roles() {
+		for _, measure := range measures {
+			cells, before := []string{string(role), measure.name}, math.NaN()
+			for i := range t.rows[1:] {
+				low, high := median(gather(found[i], role, measure.of)), median(gather(found[i+1], role, measure.of))
+				slope := (high - low) / (t.rows[i+1].at - t.rows[i].at) * 1000
+				text := short(slope)
+				if math.IsNaN(slope) {
+					text = "–"
+				} else if !math.IsNaN(before) && math.Abs(slope-before) > math.Abs(before)/2 {
+					text = "**" + text + "**"
+				}
+				cells, before = append(cells, text), slope
+			}
+			fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | "))
+		}
+	}
+}
+
+// printKinds names what the bytes of the largest row are.
+func printKinds(w io.Writer, t table, outcomes []*Outcome) {
+	fmt.Fprintf(w, "\nBy kind at %s %s, KB/s sent (messages/s):\n\n", t.rows[len(t.rows)-1].name, t.of)
+	head(w, "role", "sent", "got")
+	for _, role := range Roles() {
+		line := func(pick func(Figures) map[string]Rate) string {
+			kinds := map[string][2][]float64{}
+			for _, outcome := range outcomes {
+				for kind, rate := range pick(outcome.Roles[role]) {
+					seen := kinds[kind]
+					kinds[kind] = [2][]float64{append(seen[0], rate.Bytes/1e3), append(seen[1], rate.Messages)}
+				}
+			}
+			names := slices.SortedFunc(maps.Keys(kinds), func(a, b string) int {
+				if median(kinds[a][0]) != median(kinds[b][0]) {
+					return int(math.Copysign(1, median(kinds[b][0])-median(kinds[a][0])))
+				}
+				return strings.Compare(a, b)
+			})
+			cells := []string{}
+			for _, name := range names[:min(5, len(names))] {
+				cells = append(cells, fmt.Sprintf("%s %s (%s)", name, short(median(kinds[name][0])), short(median(kinds[name][1]))))
+			}
+			return strings.Join(cells, ", ")
+		}
+		fmt.Fprintf(w, "| %s | %s | %s |\n", role, line(func(f Figures) map[string]Rate { return f.Sent }), line(func(f Figures) map[string]Rate { return f.Got }))
+	}
+}
+
+func printForce(w io.Writer, t table, found [][]*Outcome) {
+	head(w, t.of, "orders", "no yes", "to the yes ms, median", "worst", "yes to the last node ms, median", "worst")
+	for i, row := range t.rows {
+		yes, force, unproved := []float64{}, []float64{}, 0
+		for _, outcome := range found[i] {
+			unproved += outcome.Unproved
+			for j := range outcome.ToYes {
+				yes, force = append(yes, float64(outcome.ToYes[j])/1e3), append(force, float64(outcome.ToForce[j])/1e3)
+			}
+		}
+		if len(yes) == 0 {
+			fmt.Fprintf(w, "| %s | 0 | %d | – | – | – | – |\n", row.name, unproved)
+			continue
+		}
+		fmt.Fprintf(w, "| %s | %d | %d | %s | %s | %s | %s |\n", row.name, len(yes)+unproved, unproved, short(median(yes)), short(slices.Max(yes)), short(median(force)), short(slices.Max(force)))
+	}
+}
+
+func printSettle(w io.Writer, t table, found [][]*Outcome) {
+	head(w, t.of, "restarted", "may serve inside %", "may serve outside %", "settled after ms")
+	for i, row := range t.rows {
+		gone, inside, outside, settle := []float64{}, []float64{}, []float64{}, []float64{}
+		for _, outcome := range found[i] {
+			if outcome.Failed != "" {
+				continue
+			}
+			gone = append(gone, float64(outcome.Restarted))
+			settle = append(settle, float64(outcome.Settle)/1e3)
+			if row.sizes.Cut > 0 {
+				inside, outside = append(inside, 100*outcome.ServingInside), append(outside, 100*outcome.ServingOutside)
+			}
+		}
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s |\n", row.name, short(median(gone)), spread(inside), spread(outside), spread(settle))
+	}
+}
+
+// printDesk sweeps one size at a time from a middle one.
+func printDesk(w io.Writer, _ table, b Batch) error {
+	head(w, "size", "arrival to engine us", "to its end us, 20 events", "heap of an open request, bytes", "picture and spec, MB")
+	middle := base(func(s *Sizes) {
+		s.Nodes, s.Zones, s.Regions, s.Engines, s.Routes, s.Tenants, s.Prefixes, s.Sessions = 410, 24, 7, 850, 2000, 2000, 10000, 1000
+		s.MemoryMB = 4000
+	})
+	for _, sizes := range []struct {
+		name   string
+		set    func(*Sizes, int)
+		values []int
+	}{
+		{"engines", func(s *Sizes, v int) { s.Engines = v }, []int{64, 256, 850, 1700, 3400}},
+		{"routes", func(s *Sizes, v int) { s.Routes, s.Tenants = v, tenantsOf(v) }, []int{100, 500, 2000, 8000, 20000}},
+		{"prefixes", func(s *Sizes, v int) { s.Prefixes = v }, []int{100, 1000, 10000, 110000}},
+		{"open requests", func(s *Sizes, v int) { s.Sessions = v }, []int{100, 1000, 6000, 12000}},
+	} {
+		for _, row := range sweep(middle, sizes.set, sizes.values...) {
+			var arrive, rest, held, scene []float64
+			for seed := range b.Seeds {
+				load, err := MeasureLoad(row.sizes, b.First+uint64(seed))
+				if err != nil {
+					return err
+				}
+				arrive, rest, held, scene = append(arrive, load.Arrive), append(rest, load.Rest), append(held, load.PerHeld), append(scene, load.Scene/1e6)
+			}
+			fmt.Fprintf(w, "| %s %s | %s | %s | %s | %s |\n", row.name, sizes.name, spread(arrive), spread(rest), spread(held), spread(scene))
+		}
+	}
+	return nil
+}
+
+func printPaper(w io.Writer, _ table, b Batch) error {
+	head(w, "size", "spec KB", "as an order KB", "document KB", "light document KB", "compile ms", "compiled MB", "save ms", "file ms", "stored KB")
+	middle := base(func(s *Sizes) { s.Nodes, s.Zones, s.Regions, s.Engines, s.MemoryMB = 410, 24, 7, 850, 4000 })
+	sweeps := append(sweep(middle, func(s *Sizes, v int) { s.Routes, s.Tenants = v, tenantsOf(v) }, 100, 500, 2000, 8000, 20000),
+		sweep(middle, func(s *Sizes, v int) { s.Nodes = v }, 32, 96, 205, 410)...)
+	for i, row := range sweeps {
+		columns := make([][]float64, 9)
+		for seed := range b.Seeds {
+			paper, err := MeasurePaper(row.sizes, b.First+uint64(seed))
+			if err != nil {
+				return err
+			}
+			for j, value := range []float64{paper.Spec / 1e3, paper.Submit / 1e3, paper.Full / 1e3, paper.Light / 1e3, paper.Read / 1e3, paper.Compiled / 1e6, paper.Save / 1e3, paper.File / 1e3, paper.Stored / 1e3} {
+				columns[j] = append(columns[j], value)
+			}
+		}
+		name := row.name + " routes"
+		if i >= 5 {
+			name = row.name + " nodes"
+		}
+		cells := []string{name}
+		for _, column := range columns {
+			cells = append(cells, spread(column))
+		}
+		fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | "))
+	}
+	return nil
+}
+
+func printWire(w io.Writer, _ table, b Batch) error {
+	head(w, "nodes", "messages sent/s", "KB encoded/s", "KB on the wire/s", "% of a core by node", "KB of heap for a node written to", "lost/s")
+	for _, row := range sweep(base(func(s *Sizes) { s.Wall, s.Engines = 60*sec, 0 }), func(s *Sizes, v int) { s.Nodes = v }, 8, 16, 24, 32) {
+		columns := make([][]float64, 6)
+		for seed := range b.Seeds {
+			wire, err := MeasureWire(row.sizes, b.First+uint64(seed))
+			if err != nil {
+				return err
+			}
+			for j, value := range []float64{wire.Messages, wire.Encoded / 1e3, wire.OnWire / 1e3, 100 * wire.Cores, wire.PerPeer / 1e3, wire.Lost} {
+				columns[j] = append(columns[j], value)
+			}
+		}
+		cells := []string{row.name}
+		for _, column := range columns {
+			cells = append(cells, spread(column))
+		}
+		fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | "))
+	}
+	return nil
+}
