--- a/wings/deployment.go
+++ b/wings/deployment.go
@@ -412,7 +412,7 @@
 
 // node is what the control plane is told.
 func (d *Deployment) node(self house.Identity, parts Parts) flyloft.NodeSettings {
-	timing := d.Settings.Timing()
+	timing := flyloft.SparseTiming()
 	timing.BeatGone = d.BeatGone
 	return flyloft.NodeSettings{
 		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: d.Settings.Data != "",
