--- a/foyer/depth.go
+++ b/foyer/depth.go
@@ -20,6 +20,7 @@
 	shares map[uint64]*prefixShare
 	total  float64
 	at     house.Micros
+	count  int
 }
 
 type prefixShare struct {
@@ -28,6 +29,9 @@
 	isHot  bool
 }
 
+// evidence is how many requests have to be placed before shares tell anything.
+const evidence = 24
+
 const (
 	shareFade = 10 * house.Second // in which a share loses most of its weight
 	shareKeep = 0.6               // a hot prefix stays so until it falls to this part of the bound
@@ -45,6 +49,7 @@
 	}
 	d.total = faded(d.total, now-d.at) + size
 	d.at = now
+	d.count++
 	digest := xxhash.New()
 	covered := 0
 	for i := range parts {
@@ -57,24 +62,30 @@
 		sum := digest.Sum64()
 		// The last part is one request's own, which nothing else can share; and with the
 		// last but one all is covered that can be found again.
-		if i >= len(parts)-2 || !d.isHot(now, sum, size, bound) {
+		if i >= len(parts)-2 || !d.isHot(now, sum, size, bound, parts[i+1].Tokens > covered) {
 			return sum
 		}
 	}
 	return digest.Sum64()
 }
 
-func (d *depths) isHot(now house.Micros, sum uint64, size, bound float64) bool {
+// isHot counts a prompt to a prefix. Until there is evidence a prefix is taken for hot if
+// most of what its prompt shares lies beyond it: to split it costs the less then, and all
+// routers take it alike from their first request on.
+func (d *depths) isHot(now house.Micros, sum uint64, size, bound float64, isCheap bool) bool {
 	share := d.shares[sum]
 	if share == nil {
 		if len(d.shares) >= mostRates {
 			d.sweep(now)
 		}
-		share = &prefixShare{at: now}
+		share = &prefixShare{at: now, isHot: isCheap}
 		d.shares[sum] = share
 	}
 	share.tokens = faded(share.tokens, now-share.at) + size
 	share.at = now
+	if d.count < evidence {
+		return share.isHot
+	}
 	if share.isHot {
 		bound *= shareKeep
 	}
--- a/wings/callers.go
+++ b/wings/callers.go
@@ -37,12 +37,16 @@
 	go func() {
 		ticker := time.NewTicker(time.Second)
 		defer ticker.Stop()
+		turn := 0
 		for {
 			select {
 			case <-s.Cue.Done():
 				return
 			case <-ticker.C:
 				router.Sweep()
+				if turn++; turn%10 == 0 {
+					s.Cue.Log.Info("counts", "counts", chooser.Counts(), "live", router.Live())
+				}
 			}
 		}
 	}()
