--- a/foyer/chooser.go
+++ b/foyer/chooser.go
@@ -45,6 +45,7 @@
 	IsBound bool
 	tried   map[string]bool
 	prefix  uint64
+	isPaid  bool // the budget has been charged for the next attempt
 }
 
 // Ending is how an attempt ended.
@@ -401,6 +402,22 @@
 	state.tokens -= worked
 }
 
+// MayLeave asks whether an attempt at a silent engine may be given up for one at another:
+// whether there is such an engine, and a retry to be had, which it takes.
+func (c *Chooser) MayLeave(now house.Micros, call *Call) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if call.isPaid {
+		return true
+	}
+	candidates, _, _ := c.candidates(now, call)
+	if len(candidates) == 0 || now >= call.Request.Deadline || call.IsBound || call.sent >= max(call.Request.Route.Tries, 1) {
+		return false
+	}
+	call.isPaid = c.budget(call.Request.Service).spend(now, c.retry, c.scene.Routers)
+	return call.isPaid
+}
+
 // HeardSince tells whether anything came from an engine since a moment.
 func (c *Chooser) HeardSince(id string, moment house.Micros) bool {
 	c.lock.Lock()
@@ -447,7 +464,9 @@
 	if call.sent >= max(route.Tries, 1) {
 		return false, c.refuse(fail)
 	}
-	if !c.budget(call.Request.Service).spend(now, c.retry, c.scene.Routers) {
+	isPaid := call.isPaid
+	call.isPaid = false
+	if !isPaid && !c.budget(call.Request.Service).spend(now, c.retry, c.scene.Routers) {
 		fail.Detail += "; the retry budget is spent"
 		return false, c.refuse(fail)
 	}
--- a/foyer/foyer_test.go
+++ b/foyer/foyer_test.go
@@ -343,6 +343,26 @@
 	})
 }
 
+func TestSilentEngineIsKeptWhenNoRetryIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 2, Goal: 200 * house.Millisecond, IsPinned: true}
+		h := newHall(t, route, "e1", "e2")
+		h.chooser.retry = Retry{Window: 10 * house.Second}
+		for _, id := range []string{"e1", "e2"} {
+			h.script(id, func(number int, r *http.Request, to net.Conn) bool {
+				time.Sleep(time.Second)
+				return streamFrom(2, -1)(number, r, to)
+			})
+		}
+		recorder, isTorn := h.call("POST", "r1", nil)
+		c.Assert(isTorn, qt.IsFalse)
+		c.Assert(recorder.Code, qt.Equals, 200)
+		c.Assert(recorder.Body.String(), qt.Equals, event(1)+event(2))
+		c.Assert(h.runs["e1"]+h.runs["e2"], qt.Equals, 1)
+	})
+}
+
 func TestSilenceIsNoReasonToEndWhatMayNotBeRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/foyer/router.go
+++ b/foyer/router.go
@@ -344,6 +344,11 @@
 				silence.Reset(span.Duration())
 				return
 			}
+			// Left only for an attempt that may follow: the engine may answer yet.
+			if !u.Chooser.MayLeave(now, call) {
+				silence.Reset(span.Duration())
+				return
+			}
 			cancel(engineSilent{span})
 		})
 		silence.Reset(span.Duration())
