A suspected engine is looked at by its home; what may run once tries no failed engine

Cause: of a dark engine each router learned by itself, and as often by a request that may run once as by another. The home of its zone now tries a connection (a request would wait for a place and make a busy engine look dead) and tells all.

--- a/foyer/chooser.go
+++ b/foyer/chooser.go
@@ -74,6 +74,7 @@
 const (
 	avoidFirst   = 300 * house.Millisecond // an engine that failed is left alone for so long, and twice as long each time
 	avoidLast    = 3 * house.Second
+	dearWait     = 2 * house.Second       // and so much longer by requests that may run once only
 	fullAvoid    = 50 * house.Millisecond // one that turned a request away
 	soon         = 200 * house.Millisecond
 	othersFade   = 1500 * house.Millisecond // in which a late figure loses most of its weight
@@ -290,7 +291,7 @@
 		if state.engine.IsLeaving || call.tried[state.engine.ID] {
 			continue
 		}
-		if state.engine.IsDark || now < state.avoidTill || state.failures > 0 && state.isProbing {
+		if state.engine.IsDark || now < state.avoidTill || state.failures > 0 && (state.isProbing || c.isTooDear(now, state, call)) {
 			avoided = append(avoided, state)
 			continue
 		}
@@ -300,6 +301,12 @@
 	return candidates, states, avoided
 }
 
+// isTooDear tells that a request should not be the one to find out whether an engine that
+// failed is well again: what may run once only is lost if it is not.
+func (c *Chooser) isTooDear(now house.Micros, state *engineState, call *Call) bool {
+	return !call.Request.Route.IsRepeatable() && now < state.avoidTill+dearWait
+}
+
 func (c *Chooser) candidate(now house.Micros, state *engineState, others float64) auditorium.Candidate {
 	load := float64(state.tokens) + float64(state.current()) + c.foreign(now, state, others)
 	return auditorium.Candidate{ID: state.engine.ID, Weight: 1, Burden: load}
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -48,6 +48,7 @@
 	// NoProbes is set where engines register themselves: their words tell how they are,
 	// and a look at one would cost it a place.
 	NoProbes bool
+	dial     Dialer // for looks
 	// watch is shown each picture as it is published; nil: nobody watches.
 	watch atomic.Pointer[func(*flyloft.State)]
 }
@@ -67,7 +68,7 @@
 		waiters:   map[string][]chan flyloft.SubmitReceipt{},
 		registers: map[uint64]chan flyloft.Registered{}, reads: map[uint64]chan *flyloft.Document{},
 		// Of the clock, so that an answer to an earlier life is nobody's here.
-		nextToken: uint64(time.Now().UnixMicro()) << 8, hand: Stagehand{Shelf: shelf},
+		nextToken: uint64(time.Now().UnixMicro()) << 8, hand: Stagehand{Shelf: shelf}, dial: plainDialer(),
 		prober: &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: plainDialer(), MaxIdleConnsPerHost: 1}},
 	}
 	r.state.Store(node.State(nil))
@@ -167,12 +168,9 @@
 			r.post(func() []any { return r.node.Prepared(r.cue.Clock.Now(), command.Document, err) })
 		}()
 	case flyloft.Probe:
-		if r.NoProbes {
-			return
-		}
 		go func() {
 			// One look is enough here: a router has failed to get through already.
-			if !probe(r.cue, r.prober, command.Engine.Address) {
+			if !r.canReach(command.Engine.Address) {
 				r.post(func() []any { return r.node.Probed(r.cue.Clock.Now(), command.Engine.ID, command.Engine.Start, true) })
 			}
 		}()
@@ -599,6 +597,26 @@
 	}
 }
 
+// canReach looks whether an engine is there at all.
+func (r *Runner) canReach(address string) bool {
+	if !r.NoProbes {
+		return probe(r.cue, r.prober, address)
+	}
+	// A request would wait for a place like any other, so that a busy engine looked like a
+	// dead one; a connection comes up by itself, or doesn't.
+	ctx, cancel := context.WithTimeout(r.cue, reachSpan.Duration())
+	defer cancel()
+	made, err := r.dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	made.Close()
+	return true
+}
+
+// reachSpan is a hundred times what a connection within a region takes.
+const reachSpan = 300 * house.Millisecond
+
 func probe(ctx context.Context, client *http.Client, address string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/health", nil)
 	if err != nil {
