Others' requests are taken to be as large as ours under way

Cause: the tokens of other routers' requests were reckoned by the mean over arrivals; long requests are under way for longer, so others' load looked two or three times too light, own requests stuck out, and more were diverted than the rule means.

--- a/foyer/chooser.go
+++ b/foyer/chooser.go
@@ -78,7 +78,7 @@
 	fullAvoid    = 50 * house.Millisecond // one that turned a request away
 	soon         = 200 * house.Millisecond
 	othersFade   = 1500 * house.Millisecond // in which a late figure loses most of its weight
-	figureWeight = 0.1                      // of a new value in a running mean
+	figureWeight = 0.03                     // of a new value in a running mean
 )
 
 type engineState struct {
@@ -122,7 +122,7 @@
 func NewChooser(self, zone string, retry Retry) *Chooser {
 	return &Chooser{
 		salt: xxhash.Sum64String(self), zone: zone, retry: retry, scene: &Scene{}, engines: map[string]*engineState{},
-		services: map[string][]*engineState{}, budgets: map[string]*budget{}, meanSize: 1000,
+		services: map[string][]*engineState{}, budgets: map[string]*budget{},
 		counts: Counts{Refused: map[string]uint64{}, Endings: map[string]uint64{}},
 	}
 }
@@ -280,7 +280,7 @@
 	if state.failures > 0 {
 		state.isProbing = true
 	}
-	c.meanSize += figureWeight * (float64(attempt.left) - c.meanSize)
+	c.learnSize()
 	c.counts.Attempts++
 	return nil
 }
@@ -337,6 +337,25 @@
 	return (mean + (state.others-mean)*weight) * c.meanSize
 }
 
+// learnSize looks how many tokens a request has outstanding, on the mean of those that are
+// under way now. Long ones are under way for longer, so a mean over arrivals would make what
+// other routers have look far lighter than what this one has.
+func (c *Chooser) learnSize() {
+	tokens, attempts := int64(0), 0
+	for _, state := range c.engines {
+		tokens += state.tokens
+		attempts += len(state.attempts)
+	}
+	if attempts == 0 {
+		return
+	}
+	size := float64(tokens) / float64(attempts)
+	if c.meanSize == 0 {
+		c.meanSize = size
+	}
+	c.meanSize += figureWeight * (size - c.meanSize)
+}
+
 // meanOthers is how many requests of other routers a service's engines have, on the mean.
 func (c *Chooser) meanOthers(service string) float64 {
 	sum, known := 0.0, 0.0
