A divert is spared while the preferred engine's first event is foreseen well in time

The admission check that the design has after the policy's choice judges the preferred engine first.

--- a/foyer/chooser.go
+++ b/foyer/chooser.go
@@ -32,6 +32,8 @@
 	Why     string
 	started house.Micros
 	left    int64 // outstanding tokens still counted
+	prompt  int64
+	ahead   float64 // tokens to be read on the engine when it was sent, the own ones included
 	hasHead bool
 	isOver  bool
 }
@@ -74,6 +76,9 @@
 const (
 	avoidFirst   = 300 * house.Millisecond // an engine that failed is left alone for so long, and twice as long each time
 	avoidLast    = 3 * house.Second
+	waitingFade  = 300 * house.Millisecond // the same, of how many wait
+	paceLasts    = 3 * house.Second        // for which a pace counts
+	paceWeight   = 0.3
 	dearWait     = 2 * house.Second       // and so much longer by requests that may run once only
 	fullAvoid    = 50 * house.Millisecond // one that turned a request away
 	soon         = 200 * house.Millisecond
@@ -90,32 +95,37 @@
 	isProbing  bool
 	heard      house.Micros // when anything was last heard from it
 	others     float64      // requests of other routers there, by its late word
+	waiting    float64      // of those, the ones that waited for their first event
 	othersAt   house.Micros
 	hasFigures bool
+	// pace is the learned time to the first event for each token that had to be read first.
+	pace   float64
+	paceAt house.Micros
 }
 
 // Counts are the chooser's running figures.
 type Counts struct {
-	Requests, Attempts, Extras, Diverts uint64
-	Refused                             map[string]uint64
-	Endings                             map[string]uint64
+	Requests, Attempts, Extras, Diverts, Spared uint64
+	Refused                                     map[string]uint64
+	Endings                                     map[string]uint64
 }
 
 // Chooser owns the state of a router's requests: what happens to them goes in, what is to
 // be done comes out. Its one lock is held for one decision.
 type Chooser struct {
-	lock     sync.Mutex
-	salt     uint64
-	zone     string
-	retry    Retry
-	scene    *Scene
-	engines  map[string]*engineState
-	services map[string][]*engineState // in order of ids
-	budgets  map[string]*budget
-	depths   depths
-	meanSize float64 // tokens outstanding of an attempt, on the mean
-	isShut   bool
-	counts   Counts
+	lock       sync.Mutex
+	salt       uint64
+	zone       string
+	retry      Retry
+	scene      *Scene
+	engines    map[string]*engineState
+	services   map[string][]*engineState // in order of ids
+	budgets    map[string]*budget
+	depths     depths
+	meanPrompt float64
+	meanSize   float64 // tokens outstanding of an attempt, on the mean
+	isShut     bool
+	counts     Counts
 }
 
 // NewChooser makes a chooser that refuses until it is shown a scene.
@@ -267,12 +277,17 @@
 	// Among engines that count as tied, the salt decides: of what the prompt shares beyond
 	// the prefix, so that a diverted prompt finds its parts again, on whichever router.
 	choice := auditorium.Choose(candidates, preferred, policy.MaxImbalance, policy.NearTie, sharedHash(call.Request.Parts))
+	if choice.IsDivert && c.isInTime(now, states[preferred], call) {
+		choice.Index, choice.IsDivert = preferred, false
+		c.counts.Spared++
+	}
 	if choice.IsDivert {
 		c.counts.Diverts++
 	}
 	state := states[choice.Index]
 	attempt := &Attempt{Engine: state.engine, Number: len(call.tried) + 1, Why: choice.Why, started: now,
-		left: int64(call.Request.PromptTokens + call.Request.MaxTokens)}
+		left: int64(call.Request.PromptTokens + call.Request.MaxTokens), prompt: int64(call.Request.PromptTokens),
+		ahead: c.unread(now, state) + float64(call.Request.PromptTokens)}
 	call.Attempt = attempt
 	call.tried[state.engine.ID] = true
 	state.attempts[attempt] = true
@@ -327,6 +342,52 @@
 	return oldest.left
 }
 
+// inTime is the part of the aim within which a first event has to be foreseen for a divert
+// to be spared. The rest is for what a router can't foresee.
+const inTime = 0.4
+
+// isInTime is the admission check: it tells that an engine's first event is foreseen well
+// within the aim. Twice of a low mean is no load; what is diverted then is read again
+// elsewhere for nothing.
+func (c *Chooser) isInTime(now house.Micros, state *engineState, call *Call) bool {
+	goal := call.Request.Route.Goal
+	if goal == 0 || state.pace == 0 || now-state.paceAt > paceLasts {
+		return false
+	}
+	foreseen := state.pace * (c.unread(now, state) + float64(call.Request.PromptTokens))
+	return foreseen < inTime*float64(goal)
+}
+
+// unread reckons the prompt tokens that an engine has to read before it comes to a new one.
+func (c *Chooser) unread(now house.Micros, state *engineState) float64 {
+	tokens, own := 0.0, 0
+	for attempt := range state.attempts {
+		if !attempt.hasHead {
+			tokens += float64(attempt.prompt)
+			own++
+		}
+	}
+	if state.hasFigures {
+		// Prompts are read within a second or so: an older word says nothing.
+		weight := math.Exp(-float64(now-state.othersAt) / float64(waitingFade))
+		tokens += state.waiting * weight * c.meanPrompt
+	}
+	return tokens
+}
+
+// learnPace takes how long a first event took.
+func (s *engineState) learnPace(now house.Micros, attempt *Attempt) {
+	if attempt.hasHead || attempt.ahead <= 0 {
+		return
+	}
+	seen := float64(now-attempt.started) / attempt.ahead
+	if s.pace == 0 || now-s.paceAt > paceLasts {
+		s.pace = seen
+	}
+	s.pace += paceWeight * (seen - s.pace)
+	s.paceAt = now
+}
+
 // foreign reckons the tokens that other routers have on an engine, from its late word on
 // how many requests it had: less ours then, fading towards the mean of all engines.
 func (c *Chooser) foreign(now house.Micros, state *engineState, mean float64) float64 {
@@ -403,11 +464,12 @@
 		return
 	}
 	state.heard = now
+	state.learnPace(now, attempt)
 	attempt.hasHead = true
+	c.meanPrompt += figureWeight * (float64(attempt.prompt) - c.meanPrompt)
 	state.failures, state.isProbing, state.avoidTill = 0, false, 0
 	if hasLoad {
-		state.others = max(float64(load.Running+load.Waiting-len(state.attempts)), 0)
-		state.othersAt, state.hasFigures = now, true
+		state.learnLoad(now, load)
 	}
 }
 
@@ -538,9 +600,21 @@
 	defer c.lock.Unlock()
 	if state := c.engines[id]; state != nil {
 		state.heard = now
-		state.others = max(float64(load.Running+load.Waiting-len(state.attempts)), 0)
-		state.othersAt, state.hasFigures = now, true
+		state.learnLoad(now, load)
+	}
+}
+
+// learnLoad takes an engine's word on its load, less what is ours of it.
+func (s *engineState) learnLoad(now house.Micros, load Load) {
+	waiting := 0
+	for attempt := range s.attempts {
+		if !attempt.hasHead {
+			waiting++
+		}
 	}
+	s.others = max(float64(load.Running+load.Waiting-len(s.attempts)), 0)
+	s.waiting = max(float64(load.Waiting-waiting), 0)
+	s.othersAt, s.hasFigures = now, true
 }
 
 // view gives the spec in force and how many routers serve.
