A model of an engine that speaks the routed wire, and a network in one process

Cause: the routed data plane had only engines scripted by hand in its unit tests, so no test saw a batch, a memory or a fleet. understudy.Model batches by slots, reads prompts piece by piece between the tokens of others, keeps parts of prompts that count only after all before them, admits by urgency and puts requests back for want of memory; it takes the names from foyer.Wire. It uses the time package alone: virtual in a bubble of testing/synctest. Ruled out: net.Pipe, whose write waits for the reader, so that a dark engine would look as if nothing had been sent.

--- /dev/null
+++ b/understudy/model_wire.go
@@ -0,0 +1,458 @@
+package understudy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/critic"
+	"dunlinloom/foyer"
+	"dunlinloom/house"
+)
+
+// Digest is of what an engine must get unchanged.
+func Digest(method, target string, body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(fmt.Appendf(nil, "%s %s\n%s", method, target, body)), 16)
+}
+
+// ModelEvent is one event of a stream, which anybody can check; the last one says so.
+func ModelEvent(run string, id int, isLast bool) []byte {
+	last := 0
+	if isLast {
+		last = 1
+	}
+	return fmt.Appendf(nil, "id: %d\ndata: %s %d %x\n\n", id, run, last, xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", run, id, last)))
+}
+
+// ReadModelEvent reads the piece that a run's event is; false: no run made these bytes.
+func ReadModelEvent(event []byte) (critic.Piece, bool) {
+	var piece critic.Piece
+	first, second, _ := strings.Cut(string(event), "\n")
+	words := strings.Fields(strings.TrimPrefix(second, "data: "))
+	id, err := strconv.Atoi(strings.TrimPrefix(first, "id: "))
+	if err != nil || len(words) != 3 {
+		return piece, false
+	}
+	piece = critic.Piece{Run: words[0], ID: id, Last: words[1] == "1"}
+	return piece, bytes.Equal(event, ModelEvent(piece.Run, piece.ID, piece.Last))
+}
+
+// ModelBody is the whole answer of a run that is not streamed.
+func ModelBody(run string, tokens int) []byte {
+	body := []byte(run + "\n")
+	for i := range tokens {
+		body = append(body, Piece(run, i)...)
+	}
+	return body
+}
+
+// ModelFailure is the body of the engine's own error.
+func ModelFailure(run string) []byte { return fmt.Appendf(nil, "run %s failed\n", run) }
+
+// events is how many events a request's answer has.
+func (m *Model) eventsOf(most int) int {
+	stride := max(m.settings.Stride, 1)
+	return max((most+stride-1)/stride, 1)
+}
+
+// modelConn is one connection of a caller.
+type modelConn struct {
+	model  *Model
+	net    net.Conn
+	reader *bufio.Reader
+	gone   context.Context // ends when the other side closes
+	end    context.CancelFunc
+}
+
+// abort resets the connection.
+func (c *modelConn) abort() {
+	switch conn := c.net.(type) {
+	case interface{ Abort() }:
+		conn.Abort()
+	case *net.TCPConn:
+		conn.SetLinger(0) // what can't be reset is closed
+		conn.Close()
+	default:
+		conn.Close()
+	}
+}
+
+// vanish forgets it without a word, where the network can do that.
+func (c *modelConn) vanish() {
+	if conn, can := c.net.(interface{ Vanish() }); can {
+		conn.Vanish()
+		return
+	}
+	c.abort()
+}
+
+// Serve takes connections until the listener closes.
+func (m *Model) Serve(listener net.Listener) {
+	for {
+		accepted, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		conn := &modelConn{model: m, net: accepted, reader: bufio.NewReader(accepted)}
+		conn.gone, conn.end = context.WithCancel(context.Background())
+		m.lock.Lock()
+		isTooMany := m.isOver || m.settings.MaxConns > 0 && len(m.conns) >= m.settings.MaxConns
+		if !isTooMany {
+			m.conns[conn] = true
+			m.group.Go(conn.serve)
+		}
+		m.lock.Unlock()
+		if isTooMany {
+			conn.abort()
+		}
+	}
+}
+
+// taken is a request as it was read.
+type taken struct {
+	*http.Request
+	body []byte
+}
+
+// read reads one request after another; its end is that of the connection.
+func (c *modelConn) read(to chan<- taken) {
+	defer c.end()
+	for {
+		request, err := http.ReadRequest(c.reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		select {
+		case to <- taken{request, body}:
+		case <-c.gone.Done():
+			return
+		}
+	}
+}
+
+func (c *modelConn) serve() {
+	m := c.model
+	requests := make(chan taken)
+	m.group.Go(func() { c.read(requests) })
+	defer func() {
+		c.end()
+		c.net.Close()
+		m.lock.Lock()
+		delete(m.conns, c)
+		m.lock.Unlock()
+	}()
+	for {
+		m.lock.Lock()
+		idle, dropped := m.settings.Idle, m.troubles.DropIdle
+		m.lock.Unlock()
+		if idle <= 0 {
+			idle = house.Micros(1) << 40
+		}
+		if dropped > 0 {
+			idle = min(idle, dropped)
+		}
+		rest := time.NewTimer(idle.Duration())
+		select {
+		case <-c.gone.Done():
+			rest.Stop()
+			return
+		case <-rest.C:
+			if dropped > 0 {
+				c.vanish()
+			}
+			return
+		case request := <-requests:
+			rest.Stop()
+			if !c.handle(request) {
+				return
+			}
+		}
+	}
+}
+
+func (m *Model) troublesNow() (Troubles, chan struct{}, bool) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.troubles, m.awake, m.leaving
+}
+
+// waitAwake holds what a dark engine would have done.
+func (c *modelConn) waitAwake() bool {
+	_, awake, _ := c.model.troublesNow()
+	select {
+	case <-awake:
+		// What was given up while the engine was dark is not begun.
+		return c.gone.Err() == nil
+	case <-c.gone.Done():
+		return false
+	}
+}
+
+// handle answers one request and tells whether the connection goes on.
+func (c *modelConn) handle(r taken) bool {
+	m := c.model
+	wire := m.settings.Wire
+	if !c.waitAwake() {
+		return false
+	}
+	troubles, _, isLeaving := m.troublesNow()
+	if m.settings.HealthPath != "" && r.Method == http.MethodGet && r.URL.Path == m.settings.HealthPath {
+		isWell := !isLeaving != troubles.IsLying
+		status := http.StatusOK
+		if !isWell {
+			status = http.StatusServiceUnavailable
+		}
+		return c.plain("", status, http.Header{m.settings.InstanceHeader: {m.settings.ID}}, nil)
+	}
+	id := r.Header.Get(wire.RequestID)
+	digest := Digest(r.Method, r.RequestURI, r.body)
+	m.note(critic.RoutedEvent{What: critic.Arrived, ID: id, Digest: digest})
+	turnAway := func(status int, why string, header http.Header) bool {
+		m.note(critic.RoutedEvent{What: critic.TurnedAway, ID: id, Status: status, Why: why})
+		return c.plain(id, status, header, []byte(why+"\n"))
+	}
+	notRun := http.Header{wire.NotRun: {"1"}}
+	if id == "" {
+		return turnAway(http.StatusBadRequest, "there is no id", notRun)
+	}
+	if want := r.Header.Get(wire.WantInstance); want != "" && want != m.settings.ID {
+		return turnAway(http.StatusMisdirectedRequest, "another engine is wanted", http.Header{})
+	}
+	j, err := m.newJob(r, id, digest)
+	if err != nil {
+		return turnAway(http.StatusBadRequest, err.Error(), notRun)
+	}
+	if why := m.enter(j); why != "" {
+		return turnAway(http.StatusServiceUnavailable, why, notRun)
+	}
+	defer m.drop(j)
+	return c.answer(r, j, troubles, turnAway)
+}
+
+func (m *Model) newJob(r taken, id, digest string) (*job, error) {
+	wire := m.settings.Wire
+	j := &job{id: id, digest: digest, priority: 5, grown: make(chan struct{}, 1), until: time.Now().Add(time.Hour)}
+	var err error
+	if j.prompt, j.most, err = foyer.ParseTokens(wire.Tokens, r.Header.Get(wire.Tokens)); err != nil {
+		return nil, err
+	}
+	j.most = max(j.most, 1)
+	if j.parts, err = foyer.ParseParts(wire.Prefix, r.Header.Get(wire.Prefix)); err != nil {
+		return nil, err
+	}
+	if text := r.Header.Get(wire.Priority); text != "" {
+		if j.priority, err = strconv.Atoi(text); err != nil {
+			return nil, foyer.BadHeader{Name: wire.Priority, Why: err.Error()}
+		}
+	}
+	if text := r.Header.Get(wire.Deadline); text != "" {
+		left, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return nil, foyer.BadHeader{Name: wire.Deadline, Why: err.Error()}
+		}
+		j.until = time.Now().Add(time.Duration(left * float64(time.Millisecond)))
+	}
+	if text := r.Header.Get(wire.LastEvent); text != "" {
+		if j.from, err = strconv.Atoi(text); err != nil {
+			return nil, foyer.BadHeader{Name: wire.LastEvent, Why: err.Error()}
+		}
+		// What the caller has had is not put out again; when that is all, nothing follows.
+		left := j.most - j.from*max(m.settings.Stride, 1)
+		j.isEmpty = left <= 0
+		j.most = max(left, 1)
+	}
+	return j, nil
+}
+
+// answer waits for a run and sends what it makes.
+func (c *modelConn) answer(r taken, j *job, troubles Troubles, turnAway func(int, string, http.Header) bool) bool {
+	m := c.model
+	isStream := strings.Contains(r.Header.Get("Accept"), "text/event-stream")
+	deadline := time.NewTimer(time.Until(j.until))
+	defer deadline.Stop()
+	total := j.from + m.eventsOf(j.most)
+	if j.isEmpty {
+		total = j.from
+	}
+	cutAfter := -1
+	if m.draws(troubles.CutShare, "cut", j.id) {
+		cutAfter = (total - j.from) / 2
+	}
+	hasHead, sent := false, 0
+	for {
+		late := false
+		select {
+		case <-c.gone.Done():
+			return false
+		case <-deadline.C:
+			late = true
+		case <-j.grown:
+		}
+		if !c.waitAwake() {
+			return false
+		}
+		now := m.progressOf(j)
+		brokeOff := func() { m.note(critic.RoutedEvent{What: critic.BrokeOff, ID: j.id, Run: now.run}) }
+		switch {
+		case now.refusal != "":
+			return turnAway(http.StatusServiceUnavailable, now.refusal, http.Header{m.settings.Wire.NotRun: {"1"}})
+		case now.run == "":
+			if late && m.withdraw(j) {
+				return turnAway(http.StatusServiceUnavailable, "the deadline passed in the queue", http.Header{m.settings.Wire.NotRun: {"1"}})
+			}
+			if late {
+				deadline.Reset(0) // it began this very moment
+			}
+			continue
+		case late && hasHead:
+			brokeOff()
+			return false
+		case late:
+			return c.finish(j, now.run, http.StatusGatewayTimeout, ModelFailure(now.run))
+		case now.events == 0 && !now.isDone:
+			continue
+		case !hasHead && m.draws(troubles.GreyShare, "grey", j.id):
+			return c.finish(j, now.run, http.StatusInternalServerError, ModelFailure(now.run))
+		case !hasHead && m.draws(troubles.JunkShare, "junk", j.id):
+			brokeOff()
+			c.write([]byte("\x00\x17 this is no answer\r\n\r\n"))
+			return false
+		case now.isDone && !isStream && m.draws(troubles.LoseShare, "lose", j.id), !hasHead && isStream && m.draws(troubles.LoseShare, "lose", j.id):
+			brokeOff()
+			return false
+		}
+		if !isStream {
+			if !now.isDone {
+				continue
+			}
+			body := ModelBody(now.run, j.most)
+			if cutAfter >= 0 {
+				brokeOff()
+				c.write(append(c.head(j.id, now.run, http.StatusOK, http.Header{"Content-Length": {strconv.Itoa(len(body))}}), body[:len(body)/2]...))
+				return false
+			}
+			return c.finish(j, now.run, http.StatusOK, body)
+		}
+		var message []byte
+		if !hasHead {
+			message = c.head(j.id, now.run, http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}, "Transfer-Encoding": {"chunked"}})
+			hasHead = true
+		}
+		for ; sent < min(now.events, total-j.from); sent++ {
+			event := ModelEvent(now.run, j.from+sent+1, j.from+sent+1 == total)
+			if sent == cutAfter {
+				// In the middle of an event, as a crash would.
+				c.write(append(message, fmt.Sprintf("%x\r\n%s", len(event), event[:len(event)/2])...))
+				brokeOff()
+				return false
+			}
+			message = fmt.Appendf(message, "%x\r\n%s\r\n", len(event), event)
+		}
+		if now.isDone {
+			message = append(message, "0\r\n\r\n"...)
+			m.note(critic.RoutedEvent{What: critic.Finished, ID: j.id, Run: now.run, Status: http.StatusOK})
+		}
+		if !c.write(message) {
+			return false
+		}
+		if now.isDone {
+			return c.after(j, now.run)
+		}
+	}
+}
+
+// finish sends a whole answer with a length.
+func (c *modelConn) finish(j *job, run string, status int, body []byte) bool {
+	c.model.note(critic.RoutedEvent{What: critic.Finished, ID: j.id, Run: run, Status: status})
+	if !c.write(append(c.head(j.id, run, status, http.Header{"Content-Length": {strconv.Itoa(len(body))}}), body...)) {
+		return false
+	}
+	return c.after(j, run)
+}
+
+// after does what may follow a whole answer: a second one, at once or late, or an end.
+func (c *modelConn) after(j *job, run string) bool {
+	m := c.model
+	troubles, _, _ := m.troublesNow()
+	second := func() bool {
+		body := []byte("a second answer to " + j.id)
+		return c.write(append(c.head(j.id, run, http.StatusOK, http.Header{"Content-Length": {strconv.Itoa(len(body))}}), body...))
+	}
+	if m.draws(troubles.TwiceShare, "twice", j.id) && !second() {
+		return false
+	}
+	if m.draws(troubles.LateShare, "late", j.id) {
+		// It comes into the next exchange, or between two.
+		timer := time.NewTimer(30 * time.Millisecond)
+		defer timer.Stop()
+		select {
+		case <-c.gone.Done():
+			return false
+		case <-timer.C:
+		}
+		if !second() {
+			return false
+		}
+	}
+	return !c.isClosing(j.id)
+}
+
+// isClosing tells whether the answer to a request said that the connection closes.
+func (c *modelConn) isClosing(id string) bool {
+	m := c.model
+	_, _, isLeaving := m.troublesNow()
+	return isLeaving || m.settings.CloseOneIn > 0 && m.draws(1/float64(m.settings.CloseOneIn), "close", id)
+}
+
+func (c *modelConn) head(id, run string, status int, header http.Header) []byte {
+	m := c.model
+	wire := m.settings.Wire
+	var to bytes.Buffer
+	fmt.Fprintf(&to, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	set := func(name, value string) { header[http.CanonicalHeaderKey(name)] = []string{value} }
+	if id != "" {
+		set(wire.RequestID, id)
+	}
+	if run != "" {
+		set(wire.Stamp, run)
+	}
+	if m.settings.TellsLoad {
+		load := m.load()
+		set(wire.Load, fmt.Sprintf("%d,%d,%d", load.Running, load.Waiting, load.Slots))
+	}
+	if c.isClosing(id) {
+		set("Connection", "close")
+	} else if m.settings.Idle > 0 {
+		set("Keep-Alive", fmt.Sprintf("timeout=%d", m.settings.Idle/house.Second))
+	}
+	header.Write(&to) // into memory
+	to.WriteString("\r\n")
+	return to.Bytes()
+}
+
+// plain sends an answer that is no run's.
+func (c *modelConn) plain(id string, status int, header http.Header, body []byte) bool {
+	set := http.Header{"Content-Length": {strconv.Itoa(len(body))}}
+	for name, lines := range header {
+		set[http.CanonicalHeaderKey(name)] = lines
+	}
+	return c.write(append(c.head(id, "", status, set), body...)) && !c.isClosing(id)
+}
+
+func (c *modelConn) write(message []byte) bool {
+	_, err := c.net.Write(message)
+	return err == nil
+}
--- /dev/null
+++ b/understudy/network.go
@@ -0,0 +1,268 @@
+package understudy
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Network is a network inside one process whose only clock is the time package, so that in
+// a bubble of testing/synctest it runs on virtual time. What TCP does and a net.Pipe does
+// not is kept: bytes are on their way for a while, a write to a peer that is gone succeeds
+// and is reset later, and a connection can be forgotten without a word.
+type Network struct {
+	delay     time.Duration
+	lock      sync.Mutex
+	listeners map[string]*virtualListener
+	isCut     map[string]bool
+}
+
+// NewNetwork makes a network on which a byte takes so long.
+func NewNetwork(delay time.Duration) *Network {
+	return &Network{delay: delay, listeners: map[string]*virtualListener{}, isCut: map[string]bool{}}
+}
+
+type virtualAddress string
+
+func (virtualAddress) Network() string  { return "virtual" }
+func (a virtualAddress) String() string { return string(a) }
+
+type virtualListener struct {
+	network  *Network
+	address  virtualAddress
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Listen opens an address.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if n.listeners[address] != nil {
+		return nil, &net.OpError{Op: "listen", Net: "virtual", Addr: virtualAddress(address), Err: syscall.EADDRINUSE}
+	}
+	made := &virtualListener{network: n, address: virtualAddress(address), accepted: make(chan net.Conn, 1024), closed: make(chan struct{})}
+	n.listeners[address] = made
+	return made, nil
+}
+
+// Cut has new connections to an address hang, or ends that.
+func (n *Network) Cut(address string, isCut bool) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.isCut[address] = isCut
+}
+
+// Dial opens a connection.
+func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	fail := func(err error) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Net: "virtual", Addr: virtualAddress(address), Err: err}
+	}
+	trip := time.NewTimer(2 * n.delay)
+	defer trip.Stop()
+	select {
+	case <-trip.C:
+	case <-ctx.Done():
+		return fail(ctx.Err())
+	}
+	n.lock.Lock()
+	listener, isCut := n.listeners[address], n.isCut[address]
+	n.lock.Unlock()
+	if isCut {
+		<-ctx.Done()
+		return fail(ctx.Err())
+	}
+	if listener == nil {
+		return fail(syscall.ECONNREFUSED)
+	}
+	near := &virtualConn{delay: n.delay, local: "caller", remote: listener.address, changed: make(chan struct{})}
+	far := &virtualConn{delay: n.delay, local: listener.address, remote: "caller", changed: make(chan struct{})}
+	near.peer, far.peer = far, near
+	select {
+	case <-listener.closed:
+		return fail(syscall.ECONNREFUSED)
+	case listener.accepted <- far:
+		return near, nil
+	default:
+		return fail(syscall.ECONNREFUSED)
+	}
+}
+
+func (l *virtualListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case conn := <-l.accepted:
+		return conn, nil
+	}
+}
+
+func (l *virtualListener) Close() error {
+	l.once.Do(func() {
+		l.network.lock.Lock()
+		if l.network.listeners[string(l.address)] == l {
+			delete(l.network.listeners, string(l.address))
+		}
+		l.network.lock.Unlock()
+		close(l.closed)
+		for {
+			select {
+			case conn := <-l.accepted:
+				conn.(*virtualConn).Abort()
+			default:
+				return
+			}
+		}
+	})
+	return nil
+}
+
+func (l *virtualListener) Addr() net.Addr { return l.address }
+
+// segment is what is on its way to one end: bytes, an end, or a reset.
+type segment struct {
+	at    time.Time
+	bytes []byte
+	err   error
+}
+
+// virtualConn is one end of a connection.
+type virtualConn struct {
+	peer          *virtualConn
+	delay         time.Duration
+	local, remote virtualAddress
+	lock          sync.Mutex
+	inbox         []segment
+	changed       chan struct{} // closed and renewed when there is something to look at
+	deadline      time.Time     // of reads; writes never wait
+	isClosed      bool
+}
+
+func (c *virtualConn) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// push puts something on its way to this end.
+func (c *virtualConn) push(after time.Duration, bytes []byte, err error) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.inbox = append(c.inbox, segment{time.Now().Add(after), bytes, err})
+	c.wake()
+}
+
+func (c *virtualConn) Read(to []byte) (int, error) {
+	for {
+		c.lock.Lock()
+		now := time.Now()
+		switch {
+		case c.isClosed:
+			c.lock.Unlock()
+			return 0, net.ErrClosed
+		case !c.deadline.IsZero() && !now.Before(c.deadline):
+			c.lock.Unlock()
+			return 0, os.ErrDeadlineExceeded
+		}
+		next := c.deadline
+		if len(c.inbox) > 0 {
+			first := &c.inbox[0]
+			if !now.Before(first.at) {
+				if first.err != nil {
+					err := first.err // it stays: every later read fails alike
+					c.lock.Unlock()
+					return 0, err
+				}
+				count := copy(to, first.bytes)
+				if first.bytes = first.bytes[count:]; len(first.bytes) == 0 {
+					c.inbox = c.inbox[1:]
+				}
+				c.lock.Unlock()
+				return count, nil
+			}
+			if next.IsZero() || first.at.Before(next) {
+				next = first.at
+			}
+		}
+		changed := c.changed
+		c.lock.Unlock()
+		if next.IsZero() {
+			<-changed
+			continue
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (c *virtualConn) Write(bytes []byte) (int, error) {
+	c.lock.Lock()
+	isOver := c.isClosed
+	for _, known := range c.inbox {
+		// What has arrived here tells that nobody is there any more.
+		isOver = isOver || known.err != nil && !time.Now().Before(known.at)
+	}
+	isLate := !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+	c.lock.Unlock()
+	switch {
+	case isOver:
+		return 0, syscall.EPIPE
+	case isLate:
+		return 0, os.ErrDeadlineExceeded
+	}
+	c.peer.lock.Lock()
+	isGone := c.peer.isClosed
+	c.peer.lock.Unlock()
+	if isGone {
+		c.push(2*c.delay, nil, syscall.ECONNRESET)
+		return len(bytes), nil
+	}
+	c.peer.push(c.delay, append([]byte(nil), bytes...), nil)
+	return len(bytes), nil
+}
+
+func (c *virtualConn) end(tell error) {
+	c.lock.Lock()
+	wasClosed := c.isClosed
+	if !wasClosed {
+		c.isClosed = true
+		c.wake()
+	}
+	c.lock.Unlock()
+	if !wasClosed && tell != nil {
+		c.peer.push(c.delay, nil, tell)
+	}
+}
+
+// Close ends the connection in order.
+func (c *virtualConn) Close() error { c.end(io.EOF); return nil }
+
+// Abort resets it.
+func (c *virtualConn) Abort() { c.end(syscall.ECONNRESET) }
+
+// Vanish forgets it without a word: what is sent to it is reset.
+func (c *virtualConn) Vanish() { c.end(nil) }
+
+func (c *virtualConn) LocalAddr() net.Addr  { return c.local }
+func (c *virtualConn) RemoteAddr() net.Addr { return c.remote }
+
+func (c *virtualConn) SetDeadline(at time.Time) error { return c.SetReadDeadline(at) }
+
+func (c *virtualConn) SetReadDeadline(at time.Time) error {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.deadline = at
+	c.wake()
+	return nil
+}
+
+// SetWriteDeadline has nothing to bound: a write never waits.
+func (c *virtualConn) SetWriteDeadline(time.Time) error { return nil }
