--- a/traproom/routed_test.go
+++ b/traproom/routed_test.go
@@ -63,3 +63,50 @@
 		}
 	}
 }
+
+// Each of the following causes one rule's troubles thickly; the broken builds name them.
+func playRule(t *testing.T, shape func(*RoutedDeployment), troubles ...string) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			deployment := DealRouted(seed + 50)
+			deployment.Engines = map[string]int{"text": 6, "plain": 4}
+			deployment.Routers = 3
+			if shape != nil {
+				shape(&deployment)
+			}
+			outcome := playBubble(t, RoutedPlan{Seed: seed, Deployment: deployment, Span: routedSpan, Troubles: troubles})
+			for _, breach := range outcome.Review.Breaches {
+				t.Errorf("%s: at %d us: %s", breach.Rule, breach.At, breach.Detail)
+				if len(outcome.Review.Breaches) > 3 {
+					break
+				}
+			}
+		})
+	}
+}
+
+func TestRoutedAnswersStayApart(t *testing.T) {
+	playRule(t, nil, "late", "late", "late", "twice", "junk")
+}
+
+func TestRoutedRequestsRunOnce(t *testing.T) {
+	playRule(t, nil, "crash", "crash", "lost", "lost", "cut", "cut", "dark")
+}
+
+func TestRoutedStreamsGoOnAtAnEvent(t *testing.T) { playRule(t, nil, "cut", "cut", "cut", "crash") }
+
+func TestRoutedLeavingEnginesAreLeft(t *testing.T) { playRule(t, nil, "leave", "leave") }
+
+func TestRoutedAddressOfAnotherService(t *testing.T) { playRule(t, nil, "reuse", "reuse") }
+
+func TestRoutedStopsDropNothing(t *testing.T) { playRule(t, nil, "stop", "stop") }
+
+func TestRoutedBudgetHolds(t *testing.T) {
+	playRule(t, func(d *RoutedDeployment) {
+		d.Bounds.RetryRatio, d.Bounds.RetrySlack = 0.05, 2
+		for i := range d.Kinds {
+			d.Kinds[i].Route.Tries = 4
+		}
+	}, "full", "full", "full", "full", "full", "full")
+}
