A stream goes on after what the caller got, and three smaller faults of the routed path

Cause 1: an engine that begins a stream anew instead of going on moved the router's last event id back, so that the third engine sent again what the caller had. Cause 2: a 200 that is no event stream was passed into the middle of one (TestPlainAnswerDoesNotGoOnWithAStream). Cause 3: a request whose bytes did not go out after all was counted again in the retry budget at each new attempt, which made the allowance too large (TestUnsentRequestCountsOnceInTheBudget: 6 instead of 1). Cause 4, by reading, no test: the timer of silence could set itself going again after its exchange had ended, for as long as the engine was busy. Policy and figures of the choice are untouched.

--- a/foyer/chooser.go
+++ b/foyer/chooser.go
@@ -45,6 +45,9 @@
 	IsBound bool
 	tried   map[string]bool
 	prefix  uint64
+	// isCounted tells that the retry budget knows of the request. Bytes that did not go out
+	// after all take back an attempt, not the request.
+	isCounted bool
 }
 
 // Ending is how an attempt ended.
@@ -350,7 +353,8 @@
 	if state == nil || state.engine.IsLeaving || state.engine.Address != call.Attempt.Engine.Address {
 		return false
 	}
-	if call.sent == 0 {
+	if !call.isCounted {
+		call.isCounted = true
 		c.budget(call.Request.Service).first(now, c.retry)
 	}
 	call.sent++
--- a/foyer/foyer_test.go
+++ b/foyer/foyer_test.go
@@ -295,6 +295,69 @@
 	})
 }
 
+// An engine that begins anew instead of going on must not move the place from which the
+// next one goes on: the caller would get the pieces between the two again.
+func TestStrayStreamDoesNotMoveThePlaceToGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 3, Goal: house.Second, GapGoal: house.Second, IsPinned: true}
+		h := newHall(t, route, "e1", "e2", "e3")
+		turn := 0
+		for _, id := range []string{"e1", "e2", "e3"} {
+			h.script(id, func(number int, r *http.Request, to net.Conn) bool {
+				turn++
+				switch turn {
+				case 1:
+					return streamFrom(5, 3)(number, r, to)
+				case 2:
+					r.Header.Del("Last-Event-Id")
+					return streamFrom(5, -1)(number, r, to)
+				}
+				return streamFrom(5, -1)(number, r, to)
+			})
+		}
+		recorder, isTorn := h.call("POST", "r1", nil)
+		c.Assert(recorder.Body.String(), qt.Equals, event(1)+event(2)+event(3)+event(4)+event(5))
+		c.Assert(isTorn, qt.IsFalse)
+		c.Assert(turn, qt.Equals, 3)
+	})
+}
+
+// What is no stream can't go on with one.
+func TestPlainAnswerDoesNotGoOnWithAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 2, Goal: house.Second, GapGoal: house.Second, IsPinned: true}
+		h := newHall(t, route, "e1", "e2")
+		first, rest := h.preferredOf()
+		h.script(first, streamFrom(5, 2))
+		h.script(rest[0], plainAnswer("plain"))
+		recorder, isTorn := h.call("POST", "r1", nil)
+		c.Assert(isTorn, qt.IsTrue)
+		c.Assert(recorder.Body.String(), qt.Equals, event(1)+event(2))
+	})
+}
+
+// A request whose bytes did not go out after all is still one request to the budget.
+func TestUnsentRequestCountsOnceInTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, playbill.Route{Kind: playbill.Safe, Tries: 2, Goal: house.Second}, "e1", "e2")
+		call, refusal := h.chooser.Arrive(house.Second, Request{ID: "a", Deadline: 1 << 60, Route: &h.scene.Spec.Routes[0], Service: "svc"})
+		c.Assert(refusal == nil, qt.IsTrue)
+		for range 5 {
+			c.Assert(h.chooser.Sent(house.Second, call), qt.IsTrue)
+			h.chooser.Unsent(call)
+		}
+		c.Assert(h.chooser.Sent(house.Second, call), qt.IsTrue)
+		firsts := 0
+		for _, slot := range h.chooser.budget("svc").seconds {
+			firsts += slot.firsts
+		}
+		c.Assert(firsts, qt.Equals, 1)
+	})
+}
+
 func TestStreamThatMayNotBeResumedIsTorn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/foyer/router.go
+++ b/foyer/router.go
@@ -338,6 +338,10 @@
 		var silence *time.Timer
 		// Set going only once it has its name, by which it sets itself going again.
 		silence = time.AfterFunc(longest.Duration(), func() {
+			// It may have fired as the exchange ended; set going again, nobody would stop it.
+			if ctx.Err() != nil {
+				return
+			}
 			// While other streams of that engine go on it is busy, not gone.
 			now := u.Cue.Clock.Now()
 			if u.Chooser.HeardSince(engine.ID, max(sentAt, now-span)) {
@@ -379,6 +383,9 @@
 	if answer.hasBegun && response.StatusCode != http.StatusOK {
 		return 0, "", Broken{"go on with the stream", notResumed{response.StatusCode}}
 	}
+	if answer.hasBegun && !isEventStream(response) {
+		return 0, "", Broken{"go on with the stream", noStream{}}
+	}
 	ending, why, err := answer.relay(response)
 	if err != nil {
 		if silent := (engineSilent{}); errors.As(context.Cause(ctx), &silent) && answer.r.Context().Err() == nil {
@@ -400,6 +407,15 @@
 
 func (unstamped) Error() string { return "a success without the engine's stamp" }
 
+// noStream says that what should go on with a stream is none.
+type noStream struct{}
+
+func (noStream) Error() string { return "the engine's answer is no stream" }
+
+func isEventStream(response *http.Response) bool {
+	return response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // notResumed says that an engine did not go on with a stream.
 type notResumed struct{ status int }
 
@@ -440,7 +456,7 @@
 // relay passes an engine's answer on as it comes. An error is the engine's failure.
 func (a *answer) relay(response *http.Response) (Ending, string, error) {
 	call := a.call
-	isStream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") && response.StatusCode == http.StatusOK
+	isStream := isEventStream(response)
 	ending := Served
 	if response.StatusCode >= 500 {
 		ending = Failed
@@ -491,6 +507,8 @@
 				}
 				if isResumed && events > 0 {
 					if next := firstID(whole); !isAfter(last, next) {
+						// The splitter has read its ids already; the caller got none of them.
+						a.events.lastID = last
 						return 0, "", Broken{"go on with the stream", strayEvent{last, next}}
 					}
 					isResumed = false
