Model engines may be deaf to the event that a stream goes on after

Such an engine says that it began anew; what it answers to a caller's own Last-Event-Id is its whole answer and no fault of the router, so the critic counts from there. What a router joins is judged as before.

--- a/critic/routed.go
+++ b/critic/routed.go
@@ -68,6 +68,7 @@
 	Service string `json:"service,omitempty"`
 	Run     string `json:"run,omitempty"` // an engine's stamp
 	From    int    `json:"from,omitempty"`
+	IsAnew  bool   `json:"anew,omitempty"` // an engine that was asked to go on after From began anew
 	Status  int    `json:"status,omitempty"`
 	Why     string `json:"why,omitempty"`
 	// What a caller sent: may it run again, may it be resumed, where may it go, how long
@@ -254,6 +255,11 @@
 func (j *routedJudge) judgePieces(try *routedTry, over *RoutedEvent) {
 	sent := try.sent
 	next, current := sent.From+1, over.Run
+	for _, run := range try.runs {
+		if run.Run == over.Run && run.IsAnew {
+			next = 1 // the engine's own doing; its whole answer is passed on as it is
+		}
+	}
 	isLast := false
 	for _, piece := range over.Pieces {
 		if piece.ID != next || isLast {
--- a/traproom/routed_test.go
+++ b/traproom/routed_test.go
@@ -110,3 +110,8 @@
 		}
 	}, "full", "full", "full", "full", "full", "full")
 }
+
+// A third engine has to go on after what the caller got, not after what the second began.
+func TestRoutedStreamsGoOnPastDeafEngines(t *testing.T) {
+	playRule(t, func(d *RoutedDeployment) { d.Kinds[1].Route.Tries = 4 }, "cut", "cut", "cut", "deaf", "deaf")
+}
--- a/traproom/routed_troubles.go
+++ b/traproom/routed_troubles.go
@@ -150,6 +150,7 @@
 	"twice":     ail("twice", func(t *understudy.Troubles) { t.TwiceShare = 0.5 }),
 	"late":      ail("late", func(t *understudy.Troubles) { t.LateShare = 0.5 }),
 	"full":      ail("full", func(t *understudy.Troubles) { t.FullShare = 0.6 }),
+	"deaf":      ail("deaf", func(t *understudy.Troubles) { t.IsDeaf = true }),
 	"idle-drop": ail("idle-drop", func(t *understudy.Troubles) { t.DropIdle = 300 * ms }),
 	"crash": func(f *routedFleet, span house.Micros) {
 		if engine := f.anEngine(); engine != nil {
--- a/understudy/model.go
+++ b/understudy/model.go
@@ -46,6 +46,7 @@
 	LateShare  float64 // the same, a while later
 	FullShare  float64 // turned away though there is room
 	IsLying    bool    // a health answer that is the wrong way round
+	IsDeaf     bool    // begins a stream anew that should go on
 	// DropIdle forgets idle connections without a word after so long.
 	DropIdle house.Micros
 }
@@ -98,6 +99,7 @@
 	parts    []foyer.Part
 	chain    []uint64 // of each part and all before it
 	from     int      // the event that a resumed stream goes on after
+	isAnew   bool     // it was asked to go on, and begins anew
 	until    time.Time
 	run      string // empty until it has begun
 	toRead   int
@@ -432,7 +434,7 @@
 		span, reads := m.plan()
 		m.lock.Unlock()
 		for _, j := range begun {
-			m.note(critic.RoutedEvent{What: critic.Began, ID: j.id, Run: j.run, Digest: j.digest, From: j.from})
+			m.note(critic.RoutedEvent{What: critic.Began, ID: j.id, Run: j.run, Digest: j.digest, From: j.from, IsAnew: j.isAnew})
 		}
 		if span == 0 {
 			select {
