--- a/cmd/traproom/main.go
+++ b/cmd/traproom/main.go
@@ -15,6 +15,7 @@
 
 	"dunlinloom/house"
 	"dunlinloom/traproom"
+	"dunlinloom/traproom/experiment"
 )
 
 type words struct {
@@ -26,6 +27,10 @@
 	Workers    int     `arg:"--workers" default:"6"`
 	Routed     bool    `arg:"--routed" help:"routers before model engines instead, each seed another deployment with up to three troubles; --span-us is its whole length"`
 	Troubles   string  `arg:"--troubles" help:"with --routed: these troubles, separated by commas, instead of drawn ones"`
+	Mix        string  `arg:"--mix" help:"replay this mix of requests under two settings instead, and write a report with plots"`
+	A          string  `arg:"--a" help:"with --mix: one setting, as NAME=VALUE,NAME=VALUE"`
+	B          string  `arg:"--b" help:"with --mix: the other"`
+	Out        string  `arg:"--out" default:"experiment" help:"with --mix: the folder of the report"`
 	Storm      bool    `arg:"--storm" help:"quick faults on a core of four instead of a day of a whole fleet"`
 	Measure    string  `arg:"--measure" help:"compare ways of routing instead; \"all\", \"rebuild\" or one of admission, crash, current, divert, licence, policy, ramp, reports, reports-long, salt, traffic, zones"`
 	Stop       bool    `arg:"--stop" help:"stop at the first seed that breaks a rule"`
@@ -65,6 +70,10 @@
 		}
 		return
 	}
+	if words.Mix != "" {
+		compare(parser, words)
+		return
+	}
 	if words.Routed {
 		search := traproom.RoutedSearch{First: words.First, Count: words.Count, Span: house.Micros(words.SpanUS), Workers: words.Workers, Stop: words.Stop, Counts: words.Counts}
 		if words.Troubles != "" {
@@ -147,6 +156,29 @@
 	}
 }
 
+// compare replays a mix under two settings.
+func compare(parser *arg.Parser, words words) {
+	mix, err := traproom.ReadMix(words.Mix)
+	var variants [2]traproom.Variant
+	for i, text := range []string{words.A, words.B} {
+		if err == nil {
+			variants[i], err = traproom.ParseVariant(text)
+		}
+	}
+	if err != nil {
+		parser.Fail(err.Error())
+	}
+	command := fmt.Sprintf("bin/traproom --mix %s --a %q --b %q --first %d --count %d --span-us %d", words.Mix, words.A, words.B, words.First, words.Count, words.SpanUS)
+	traproom.InVirtualTime(func(virtual traproom.VirtualTime) int {
+		if err := experiment.Run(virtual, mix, variants, words.First, words.Count, house.Micros(words.SpanUS), words.Out, command); err != nil {
+			fmt.Fprintln(os.Stderr, "traproom:", err)
+			return 1
+		}
+		fmt.Println(words.Out + "/report.md")
+		return 0
+	})
+}
+
 func add(sum, more map[string]int) {
 	for name, count := range more {
 		sum[name] += count
--- /dev/null
+++ b/traproom/experiment/experiment.go
@@ -0,0 +1,295 @@
+// Package experiment compares two settings of a routed fleet in virtual time: it replays one
+// mix of requests under each, and writes a report with plots.
+package experiment
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"dunlinloom/critic"
+	"dunlinloom/house"
+	"dunlinloom/traproom"
+)
+
+// windows are the parts of a day in which latency is told.
+const windows = 24
+
+// longestFirst bounds the histograms: no caller waits longer.
+const longestFirst = 10 * 60 * int64(house.Second)
+
+// Side is what one setting came to, over all seeds that were played.
+type Side struct {
+	Name     string
+	kinds    []string
+	goals    map[string]house.Micros
+	span     house.Micros
+	whole    map[string]*hdrhistogram.Histogram          // to the first piece, by kind
+	over     map[string][windows]*hdrhistogram.Histogram // the same, over the day
+	sent     map[string]int
+	inTime   map[string]int
+	shares   map[string][]float64 // in time, in percent, of each seed
+	refusals map[string]int
+	engines  []float64 // thousand tokens read and put out, the most loaded first
+	read     int
+	found    int
+	seeds    int
+	diverts  uint64
+	extras   int
+	opened   uint64
+	breaches int
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestFirst, 3) }
+
+// lateFirst says that a figure does not fit into the histogram, which it always should.
+type lateFirst struct{ cause error }
+
+func (b lateFirst) Error() string { return "count a latency: " + b.cause.Error() }
+
+// Unwrap gives the cause.
+func (b lateFirst) Unwrap() error { return b.cause }
+
+// NewSide makes an empty side for a plan's kinds.
+func NewSide(name string, plan traproom.RoutedPlan) *Side {
+	s := &Side{Name: name, span: plan.Span, goals: map[string]house.Micros{}, whole: map[string]*hdrhistogram.Histogram{},
+		over: map[string][windows]*hdrhistogram.Histogram{}, sent: map[string]int{}, inTime: map[string]int{}, shares: map[string][]float64{}, refusals: map[string]int{}}
+	for _, kind := range plan.Deployment.Kinds {
+		name := kind.Route.Name
+		s.kinds = append(s.kinds, name)
+		s.goals[name], s.whole[name] = kind.Route.Goal, newHistogram()
+		var over [windows]*hdrhistogram.Histogram
+		for i := range over {
+			over[i] = newHistogram()
+		}
+		s.over[name] = over
+	}
+	return s
+}
+
+// Add counts one seed's run.
+func (s *Side) Add(outcome traproom.RoutedOutcome) error {
+	begun, sent, inTime := map[string]house.Micros{}, map[string]int{}, map[string]int{}
+	for _, event := range outcome.Events {
+		switch event.What {
+		case critic.TrySent:
+			begun[event.ID] = event.At
+			sent[event.Kind]++
+		case critic.TryOver:
+			if event.Ended != critic.Whole || event.FirstAt == 0 {
+				continue
+			}
+			first := event.FirstAt - begun[event.ID]
+			if first <= s.goals[event.Kind] {
+				inTime[event.Kind]++
+			}
+			part := min(int(int64(begun[event.ID]-house.Second)*windows/int64(s.span)), windows-1)
+			for _, histogram := range []*hdrhistogram.Histogram{s.whole[event.Kind], s.over[event.Kind][part]} {
+				if err := histogram.RecordValue(int64(first)); err != nil {
+					return lateFirst{err}
+				}
+			}
+		}
+	}
+	for _, kind := range s.kinds {
+		s.sent[kind] += sent[kind]
+		s.inTime[kind] += inTime[kind]
+		s.shares[kind] = append(s.shares[kind], 100*float64(inTime[kind])/float64(max(sent[kind], 1)))
+	}
+	loads := []float64{}
+	for _, figures := range outcome.Figures {
+		loads = append(loads, float64(figures.Read+figures.Put)/1000)
+		s.read, s.found = s.read+figures.Read, s.found+figures.Found
+	}
+	slices.Sort(loads)
+	slices.Reverse(loads)
+	for i, load := range loads {
+		if i == len(s.engines) {
+			s.engines = append(s.engines, 0)
+		}
+		s.engines[i] += load
+	}
+	for cause, count := range outcome.Refused {
+		s.refusals[cause] += int(count)
+	}
+	s.seeds++
+	s.diverts, s.opened = s.diverts+outcome.Diverts, s.opened+outcome.Opened
+	s.extras, s.breaches = s.extras+outcome.Review.Extras, s.breaches+len(outcome.Review.Breaches)
+	return nil
+}
+
+// Write writes the report and its plots into a folder.
+func Write(folder, title, command string, sides [2]*Side) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return fmt.Errorf("write a report: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "report.md"), report(title, command, sides), 0o644); err != nil {
+		return fmt.Errorf("write a report: %w", err)
+	}
+	for _, kind := range sides[0].kinds {
+		if err := drawLatency(filepath.Join(folder, "latency-"+kind+".svg"), kind, sides); err != nil {
+			return err
+		}
+	}
+	if err := drawBars(filepath.Join(folder, "engines.svg"), "load by engine, the most loaded first", "thousand tokens read and put out", nil,
+		sides, func(s *Side) plotter.Values { return s.engines }); err != nil {
+		return err
+	}
+	causes := causesOf(sides)
+	return drawBars(filepath.Join(folder, "refusals.svg"), "refusals by cause", "refusals", causes, sides, func(s *Side) plotter.Values {
+		values := plotter.Values{}
+		for _, cause := range causes {
+			values = append(values, float64(s.refusals[cause]))
+		}
+		return values
+	})
+}
+
+func causesOf(sides [2]*Side) []string {
+	all := map[string]bool{}
+	for _, side := range sides {
+		for cause := range side.refusals {
+			all[cause] = true
+		}
+	}
+	if len(all) == 0 {
+		return []string{"none"}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+func report(title, command string, sides [2]*Side) []byte {
+	var to bytes.Buffer
+	fmt.Fprintf(&to, "# %s\n\nMade by `%s`, in virtual time before the model engine of `understudy`; a machine's speed\ndoes not enter. Seeds on each side: %d. To be read as a trial: no real engine was measured.\n\n", title, command, sides[0].seeds)
+	fmt.Fprintf(&to, "| figure | %s | %s |\n|---|---|---|\n", sides[0].Name, sides[1].Name)
+	row := func(name string, value func(*Side) string) {
+		fmt.Fprintf(&to, "| %s | %s | %s |\n", name, value(sides[0]), value(sides[1]))
+	}
+	for _, kind := range sides[0].kinds {
+		row(kind+": tries", func(s *Side) string { return fmt.Sprint(s.sent[kind]) })
+		row(kind+": first piece within its aim (least to most of a seed)", func(s *Side) string {
+			return fmt.Sprintf("%.2f %% (%.2f to %.2f)", 100*float64(s.inTime[kind])/float64(max(s.sent[kind], 1)), slices.Min(s.shares[kind]), slices.Max(s.shares[kind]))
+		})
+		for _, quantile := range []float64{50, 90, 95, 99, 99.9} {
+			row(fmt.Sprintf("%s: first piece, p%v", kind, quantile), func(s *Side) string {
+				return fmt.Sprintf("%.1f ms", float64(s.whole[kind].ValueAtQuantile(quantile))/1000)
+			})
+		}
+	}
+	row("prompt tokens found kept", func(s *Side) string {
+		return fmt.Sprintf("%.1f %%", 100*float64(s.found)/float64(max(s.read+s.found, 1)))
+	})
+	row("load, most over mean", func(s *Side) string {
+		sum := 0.0
+		for _, load := range s.engines {
+			sum += load
+		}
+		return fmt.Sprintf("%.2f", s.engines[0]*float64(len(s.engines))/max(sum, 1))
+	})
+	row("diverts", func(s *Side) string { return fmt.Sprint(s.diverts) })
+	row("arrivals beyond the first", func(s *Side) string { return fmt.Sprint(s.extras) })
+	row("new connections to engines", func(s *Side) string { return fmt.Sprint(s.opened) })
+	for _, cause := range causesOf(sides) {
+		if cause != "none" {
+			row("refused: "+cause, func(s *Side) string { return fmt.Sprint(s.refusals[cause]) })
+		}
+	}
+	row("rules broken", func(s *Side) string { return fmt.Sprint(s.breaches) })
+	to.WriteString("\n")
+	for _, kind := range sides[0].kinds {
+		fmt.Fprintf(&to, "![latency of %s over the day](latency-%s.svg)\n", kind, kind)
+	}
+	to.WriteString("![load by engine](engines.svg)\n![refusals by cause](refusals.svg)\n")
+	return to.Bytes()
+}
+
+func drawLatency(path, kind string, sides [2]*Side) error {
+	drawn := plot.New()
+	drawn.Title.Text = kind + ": to the first piece, over the day"
+	drawn.X.Label.Text, drawn.Y.Label.Text = "part of the day", "ms"
+	drawn.Legend.Top = true
+	lines := []any{}
+	for _, side := range sides {
+		for _, quantile := range []float64{50, 95} {
+			points := plotter.XYs{}
+			for i, histogram := range side.over[kind] {
+				if histogram.TotalCount() > 0 {
+					points = append(points, plotter.XY{X: (float64(i) + 0.5) / windows, Y: float64(histogram.ValueAtQuantile(quantile)) / 1000})
+				}
+			}
+			lines = append(lines, fmt.Sprintf("%s, p%v", side.Name, quantile), points)
+		}
+	}
+	if err := plotutil.AddLines(drawn, lines...); err != nil {
+		return fmt.Errorf("draw %s: %w", path, err)
+	}
+	drawn.Y.Min = 0
+	drawn.Y.Max *= 1.4 // room for the legend
+	return save(drawn, path)
+}
+
+func drawBars(path, title, label string, names []string, sides [2]*Side, of func(*Side) plotter.Values) error {
+	drawn := plot.New()
+	drawn.Title.Text, drawn.Y.Label.Text = title, label
+	drawn.Legend.Top = true
+	const width = 12
+	for i, side := range sides {
+		bars, err := plotter.NewBarChart(of(side), vg.Points(width))
+		if err != nil {
+			return fmt.Errorf("draw %s: %w", path, err)
+		}
+		bars.Color, bars.LineStyle.Width = plotutil.Color(i), 0
+		bars.Offset = vg.Points(width * (float64(i) - 0.5))
+		drawn.Add(bars)
+		drawn.Legend.Add(side.Name, bars)
+	}
+	if names != nil {
+		drawn.NominalX(names...)
+	}
+	most, count := 1.0, 1
+	for _, side := range sides {
+		values := of(side)
+		count = max(count, len(values))
+		for _, value := range values {
+			most = max(most, value)
+		}
+	}
+	// Room for the legend and for the bars at the ends.
+	drawn.Y.Min, drawn.Y.Max = 0, 1.35*most
+	drawn.X.Min, drawn.X.Max = -0.7, float64(count)-0.3
+	return save(drawn, path)
+}
+
+func save(drawn *plot.Plot, path string) error {
+	if err := drawn.Save(18*vg.Centimeter, 9*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("draw %s: %w", path, err)
+	}
+	return nil
+}
+
+// Run plays a mix under two settings, each with so many seeds, and writes the report.
+func Run(virtual traproom.VirtualTime, mix traproom.Mix, variants [2]traproom.Variant, seed uint64, count int, span house.Micros, folder, command string) error {
+	var sides [2]*Side
+	for i, variant := range variants {
+		sides[i] = NewSide(variant.Name, mix.Plan(variant, seed, span))
+		for more := range uint64(max(count, 1)) {
+			var outcome traproom.RoutedOutcome
+			if err := virtual.Run(variant.Name, func() { outcome = traproom.PlayRouted(mix.Plan(variant, seed+more, span)) }); err != nil {
+				return err
+			}
+			if err := sides[i].Add(outcome); err != nil {
+				return err
+			}
+		}
+	}
+	return Write(folder, mix.Name+": "+variants[0].Name+" against "+variants[1].Name, command, sides)
+}
--- /dev/null
+++ b/traproom/mix.go
@@ -0,0 +1,179 @@
+package traproom
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dunlinloom/critic"
+	"dunlinloom/house"
+	"dunlinloom/playbill"
+)
+
+// Mix is a deployment and its requests as a file tells them, for experiments.
+type Mix struct {
+	Name         string    `json:"name"`
+	Routers      int       `json:"routers"`
+	Engines      int       `json:"engines"`
+	Slots        int       `json:"slots"`
+	Queue        int       `json:"queue"`
+	MemoryTokens int       `json:"memory_tokens"`
+	Chunk        int       `json:"chunk_tokens"`
+	Stride       int       `json:"stride_tokens"`
+	StepUS       int64     `json:"step_us"`
+	StepEachUS   int64     `json:"step_each_us"`
+	ReadsPerMs   float64   `json:"reads_per_ms"`
+	DelayUS      int64     `json:"delay_us"`
+	Load         []float64 `json:"load"` // of the rates, evenly over the day
+	RetryRatio   float64   `json:"retry_ratio"`
+	RetrySlack   float64   `json:"retry_slack"`
+	Kinds        []MixKind `json:"kinds"`
+}
+
+// MixKind is one kind of request.
+type MixKind struct {
+	Name       string  `json:"name"`
+	Rate       float64 `json:"per_second"`
+	Common     int     `json:"common_tokens"` // that all of the kind share
+	Prefixes   int     `json:"prefixes"`
+	Shared     int     `json:"shared_tokens"`
+	Own        int     `json:"own_tokens"`
+	Out        int     `json:"out_tokens"`
+	GoalUS     int64   `json:"goal_us"`
+	GapUS      int64   `json:"gap_us"`
+	DeadlineUS int64   `json:"deadline_us"`
+	Resumable  bool    `json:"resumable"`
+	Tries      int     `json:"tries"`
+	Further    int     `json:"further_tries"`
+	Priority   int     `json:"priority"`
+}
+
+// badMix says what of a mix or of a setting is wrong.
+type badMix struct{ what, why string }
+
+func (b badMix) Error() string { return b.what + ": " + b.why }
+
+// ReadMix reads a mix and names every fault in it.
+func ReadMix(path string) (Mix, error) {
+	var mix Mix
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return mix, fmt.Errorf("read a mix: %w", err)
+	}
+	if err := json.Unmarshal(content, &mix); err != nil {
+		return mix, fmt.Errorf("read a mix: %w", err)
+	}
+	faults := []error{}
+	positive := func(what string, value float64) {
+		if !(value > 0) {
+			faults = append(faults, badMix{what, "has to be above zero"})
+		}
+	}
+	for what, value := range map[string]float64{
+		"routers": float64(mix.Routers), "engines": float64(mix.Engines), "slots": float64(mix.Slots), "memory_tokens": float64(mix.MemoryTokens),
+		"chunk_tokens": float64(mix.Chunk), "stride_tokens": float64(mix.Stride), "step_us": float64(mix.StepUS), "reads_per_ms": mix.ReadsPerMs,
+		"kinds": float64(len(mix.Kinds)),
+	} {
+		positive(what, value)
+	}
+	for _, kind := range mix.Kinds {
+		positive(kind.Name+" per_second", kind.Rate)
+		positive(kind.Name+" own_tokens", float64(kind.Own))
+		positive(kind.Name+" out_tokens", float64(kind.Out))
+		positive(kind.Name+" deadline_us", float64(kind.DeadlineUS))
+		positive(kind.Name+" goal_us", float64(kind.GoalUS))
+	}
+	return mix, errors.Join(faults...)
+}
+
+// Variant is one side of an experiment: a name and the settings that it changes.
+type Variant struct {
+	Name    string
+	Changes map[string]float64
+}
+
+// mixSettings are what a variant may change.
+var mixSettings = map[string]func(*Mix, *playbill.Policy, float64){
+	"routers":       func(m *Mix, _ *playbill.Policy, v float64) { m.Routers = int(v) },
+	"engines":       func(m *Mix, _ *playbill.Policy, v float64) { m.Engines = int(v) },
+	"slots":         func(m *Mix, _ *playbill.Policy, v float64) { m.Slots = int(v) },
+	"memory_tokens": func(m *Mix, _ *playbill.Policy, v float64) { m.MemoryTokens = int(v) },
+	"chunk_tokens":  func(m *Mix, _ *playbill.Policy, v float64) { m.Chunk = int(v) },
+	"retry_ratio":   func(m *Mix, _ *playbill.Policy, v float64) { m.RetryRatio = v },
+	"load": func(m *Mix, _ *playbill.Policy, v float64) {
+		for i := range m.Kinds {
+			m.Kinds[i].Rate *= v
+		}
+	},
+	"tries": func(m *Mix, _ *playbill.Policy, v float64) {
+		for i := range m.Kinds {
+			m.Kinds[i].Tries = int(v)
+		}
+	},
+	"max_imbalance": func(_ *Mix, p *playbill.Policy, v float64) { p.MaxImbalance = v },
+	"near_tie":      func(_ *Mix, p *playbill.Policy, v float64) { p.NearTie = v },
+	"prefix_length": func(_ *Mix, p *playbill.Policy, v float64) { p.PrefixLength = int(v) },
+}
+
+// ParseVariant reads "NAME=VALUE,NAME=VALUE"; nothing stands for the mix as it is.
+func ParseVariant(text string) (Variant, error) {
+	variant := Variant{Name: text, Changes: map[string]float64{}}
+	if text == "" {
+		variant.Name = "as it is"
+		return variant, nil
+	}
+	for word := range strings.SplitSeq(text, ",") {
+		name, number, _ := strings.Cut(word, "=")
+		value, err := strconv.ParseFloat(number, 64)
+		if mixSettings[name] == nil {
+			return variant, badMix{name, "is no setting; known are " + strings.Join(slices.Sorted(maps.Keys(mixSettings)), ", ")}
+		}
+		if err != nil || !(value > 0) || math.IsInf(value, 0) {
+			return variant, badMix{word, "needs a value above zero"}
+		}
+		variant.Changes[name] = value
+	}
+	return variant, nil
+}
+
+// Plan makes a run of a mix under a variant.
+func (m Mix) Plan(variant Variant, seed uint64, span house.Micros) RoutedPlan {
+	m.Kinds = slices.Clone(m.Kinds)
+	policies := []func(*playbill.Policy){}
+	for name, value := range variant.Changes {
+		policies = append(policies, func(p *playbill.Policy) { mixSettings[name](&Mix{}, p, value) })
+		mixSettings[name](&m, &playbill.Policy{}, value)
+	}
+	d := RoutedDeployment{
+		Zones: []string{"zone"}, Routers: m.Routers, Engines: map[string]int{"model": m.Engines}, Chunk: m.Chunk,
+		Step: house.Micros(m.StepUS), StepEach: house.Micros(m.StepEachUS), Reads: m.ReadsPerMs, Queue: m.Queue,
+		Idle: 15 * sec, Reveal: 100 * ms, BeatGone: 2 * sec, Delay: house.Micros(m.DelayUS), TellLoad: true,
+		Services: []playbill.Service{{Name: "model", Slots: m.Slots, Stride: m.Stride, MaxChannels: 100 * m.Routers, MemoryTokens: int64(m.MemoryTokens)}},
+		Bounds: critic.RoutedBounds{Drain: 2500 * ms, Grace: 8 * sec, Slack: 200 * ms, Contact: 4 * sec, RetryRatio: m.RetryRatio,
+			RetrySlack: m.RetrySlack, RetryWindow: 10 * sec, DeniedFew: 5, DeniedOneIn: 500},
+	}
+	for _, kind := range m.Kinds {
+		d.Kinds = append(d.Kinds, RoutedKind{
+			Rate: kind.Rate, Common: kind.Common, Prefixes: max(kind.Prefixes, 1), Shared: kind.Shared, Own: kind.Own, Out: kind.Out,
+			Deadline: house.Micros(kind.DeadlineUS), Further: kind.Further, Body: 200,
+			Route: playbill.Route{Name: kind.Name, Host: kind.Name + ".example", Prefix: "/m/", Kind: playbill.Stream, Timeout: house.Micros(kind.DeadlineUS),
+				Goal: house.Micros(kind.GoalUS), GapGoal: house.Micros(kind.GapUS), Priority: kind.Priority, Tries: max(kind.Tries, 1), IsPinned: true,
+				IsResumable: kind.Resumable, Splits: []playbill.Split{{Service: "model", Weight: 1}}},
+		})
+	}
+	plan := RoutedPlan{Seed: seed, Deployment: d, Span: span, Shape: func(spec *playbill.Spec) {
+		for _, change := range policies {
+			change(&spec.Policy)
+		}
+	}}
+	if len(m.Load) > 0 {
+		plan.Load = func(part float64) float64 { return m.Load[min(int(part*float64(len(m.Load))), len(m.Load)-1)] }
+	}
+	return plan
+}
--- a/traproom/routed_callers.go
+++ b/traproom/routed_callers.go
@@ -84,13 +84,16 @@
 	prefix := int(float64(kind.Prefixes) * random.Float64() * random.Float64()) // some are asked for more
 	shared := kind.Shared/2 + kind.Shared*(prefix%7)/7
 	own := spread(random, kind.Own)
-	asked := ask{kind: kind, id: id, prompt: shared + own, out: spread(random, kind.Out), isChunked: random.IntN(4) == 0,
+	asked := ask{kind: kind, id: id, prompt: kind.Common + shared + own, out: spread(random, kind.Out), isChunked: random.IntN(4) == 0,
 		opensAnew: random.IntN(3) == 0, routerTurn: random.IntN(1 << 20), body: make([]byte, spread(random, kind.Body))}
 	if shared > 0 {
 		asked.parts = fmt.Sprintf("%s%d:%d,%s:%d", kind.Route.Name, prefix, shared, id, own)
 	} else {
 		asked.parts = fmt.Sprintf("%s:%d", id, own)
 	}
+	if kind.Common > 0 {
+		asked.parts = fmt.Sprintf("%s:%d,", kind.Route.Name, kind.Common) + asked.parts
+	}
 	for i := range asked.body {
 		asked.body[i] = 'a' + byte(random.IntN(26))
 	}
--- a/traproom/routed_deal.go
+++ b/traproom/routed_deal.go
@@ -13,7 +13,8 @@
 type RoutedKind struct {
 	Route       playbill.Route
 	Rate        float64 // requests a second
-	Prefixes    int     // different shared beginnings
+	Common      int     // tokens with which every prompt of the kind begins
+	Prefixes    int     // different shared beginnings after these
 	Shared, Own int     // tokens of a prompt, on the mean
 	Out         int     // tokens put out, on the mean
 	Deadline    house.Micros
