The critic knows a head of one engine and the pieces of another for what they are

The critic counted the pieces from 1 by the head alone. Now it goes by the first piece; three planted cases, one of them a breach.

--- a/critic/routed.go
+++ b/critic/routed.go
@@ -256,8 +256,10 @@
 	sent := try.sent
 	next, current := sent.From+1, over.Run
 	for _, run := range try.runs {
-		if run.Run == over.Run && run.IsAnew {
-			next = 1 // the engine's own doing; its whole answer is passed on as it is
+		// That is the engine's own doing, and its answer is passed on as it is. An answer of
+		// which it made the head alone goes on elsewhere from where it was asked to.
+		if run.IsAnew && len(over.Pieces) > 0 && over.Pieces[0].Run == run.Run && run.Run == over.Run {
+			next = 1
 		}
 	}
 	isLast := false
--- a/critic/routed_test.go
+++ b/critic/routed_test.go
@@ -90,6 +90,13 @@
 			e[5].From = 1
 			return e
 		}, StreamDisordered},
+		{"an engine that begins anew", func(e []RoutedEvent) []RoutedEvent { e[0].From, e[2].IsAnew = 2, true; return e }, ""},
+		{"a stream that begins anew by itself", func(e []RoutedEvent) []RoutedEvent { e[0].From, e[2].From = 2, 2; return e }, StreamDisordered},
+		{"a head of one that begins anew, the pieces of another", func(e []RoutedEvent) []RoutedEvent {
+			e[0].From, e[0].IsRepeatable, e[0].IsResumable, e[2].IsAnew = 2, true, true, true
+			e[4].Pieces = []Piece{{"e2.a", 3, true}}
+			return append(e, second(1005*msec))
+		}, ""},
 		{"known to leave", func(e []RoutedEvent) []RoutedEvent {
 			return append(e, RoutedEvent{At: 1001*msec - 2*house.Second - 1, What: LeaveKnown, Engine: "e1"})
 		}, LeavingUsed},
