--- a/foyer/chooser.go
+++ b/foyer/chooser.go
@@ -77,10 +77,11 @@
 const (
 	avoidFirst   = 300 * house.Millisecond // an engine that failed is left alone for so long, and twice as long each time
 	avoidLast    = 3 * house.Second
+	dearWait     = 2 * house.Second       // and so much longer by requests that may run once only
 	fullAvoid    = 50 * house.Millisecond // one that turned a request away
 	soon         = 200 * house.Millisecond
 	othersFade   = 1500 * house.Millisecond // in which a late figure loses most of its weight
-	figureWeight = 0.1                      // of a new value in a running mean
+	figureWeight = 0.03                     // of a new value in a running mean
 )
 
 type engineState struct {
@@ -124,7 +125,7 @@
 func NewChooser(self, zone string, retry Retry) *Chooser {
 	return &Chooser{
 		salt: xxhash.Sum64String(self), zone: zone, retry: retry, scene: &Scene{}, engines: map[string]*engineState{},
-		services: map[string][]*engineState{}, budgets: map[string]*budget{}, meanSize: 1000,
+		services: map[string][]*engineState{}, budgets: map[string]*budget{},
 		counts: Counts{Refused: map[string]uint64{}, Endings: map[string]uint64{}},
 	}
 }
@@ -282,7 +283,7 @@
 	if state.failures > 0 {
 		state.isProbing = true
 	}
-	c.meanSize += figureWeight * (float64(attempt.left) - c.meanSize)
+	c.learnSize()
 	c.counts.Attempts++
 	return nil
 }
@@ -293,7 +294,7 @@
 		if state.engine.IsLeaving || call.tried[state.engine.ID] {
 			continue
 		}
-		if state.engine.IsDark || now < state.avoidTill || state.failures > 0 && state.isProbing {
+		if state.engine.IsDark || now < state.avoidTill || state.failures > 0 && (state.isProbing || c.isTooDear(now, state, call)) {
 			avoided = append(avoided, state)
 			continue
 		}
@@ -303,6 +304,12 @@
 	return candidates, states, avoided
 }
 
+// isTooDear tells that a request should not be the one to find out whether an engine that
+// failed is well again: what may run once only is lost if it is not.
+func (c *Chooser) isTooDear(now house.Micros, state *engineState, call *Call) bool {
+	return !call.Request.Route.IsRepeatable() && now < state.avoidTill+dearWait
+}
+
 func (c *Chooser) candidate(now house.Micros, state *engineState, others float64) auditorium.Candidate {
 	load := float64(state.tokens) + float64(state.current()) + c.foreign(now, state, others)
 	return auditorium.Candidate{ID: state.engine.ID, Weight: 1, Burden: load}
@@ -333,6 +340,25 @@
 	return (mean + (state.others-mean)*weight) * c.meanSize
 }
 
+// learnSize looks how many tokens a request has outstanding, on the mean of those that are
+// under way now. Long ones are under way for longer, so a mean over arrivals would make what
+// other routers have look far lighter than what this one has.
+func (c *Chooser) learnSize() {
+	tokens, attempts := int64(0), 0
+	for _, state := range c.engines {
+		tokens += state.tokens
+		attempts += len(state.attempts)
+	}
+	if attempts == 0 {
+		return
+	}
+	size := float64(tokens) / float64(attempts)
+	if c.meanSize == 0 {
+		c.meanSize = size
+	}
+	c.meanSize += figureWeight * (size - c.meanSize)
+}
+
 // meanOthers is how many requests of other routers a service's engines have, on the mean.
 func (c *Chooser) meanOthers(service string) float64 {
 	sum, known := 0.0, 0.0
