--- a/house/diary_test.go
+++ b/house/diary_test.go
@@ -107,3 +107,25 @@
 	}
 	c.Assert(stalled.Dropped.Load(), qt.Equals, uint64(7))
 }
+
+// An operator may read while entries are written; -race finds what the two share.
+func TestADiaryIsReadWhileItIsWritten(t *testing.T) {
+	c := qt.New(t)
+	diary, err := OpenDiary(c.TempDir(), 1<<20)
+	c.Assert(err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() { diary.Run(ctx); close(stopped) }()
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		for range 100 {
+			diary.Read(0, everything)
+		}
+	}()
+	diary.Take(Entry{Subject: "s", Seq: 1})
+	stop()
+	<-stopped
+	<-read
+	c.Assert(diary.Read(0, everything), qt.HasLen, 1)
+}
