A node dropped in a cut is told of again in full, not briefly for ever

Cause: since news carries a node's record briefly to who once had the rest. The sender goes by what was taken; what the receiver dropped since, after NodeGone of silence, it can't know, and a brief record of an unknown node was passed over each time. So after a cut longer than NodeGone both sides lacked each other's nodes for good. Now who gets such a record forgets how far it has taken that sender's news, and is sent all.

--- a/flyloft/cell.go
+++ b/flyloft/cell.go
@@ -272,19 +272,20 @@
 	return isLeavingNews
 }
 
-// TakeNode merges a node's record in.
-func (c *Cell) TakeNode(now house.Micros, brought NodeRecord, isOwn bool) {
+// TakeNode merges a node's record in; it tells of a brief one of which the rest is not
+// known here, say since the node was dropped while the two were cut off.
+func (c *Cell) TakeNode(now house.Micros, brought NodeRecord, isOwn bool) (isLacking bool) {
 	if brought.Address == "" || now-brought.AsOf > c.timing.NodeGone {
-		return
+		return false
 	}
 	old, isThere := c.nodes.Get(brought.Address)
 	if isThere && (brought.Start < old.Start || brought.Start == old.Start && brought.Seq <= old.Seq) {
-		return
+		return false
 	}
 	if brought.isBrief() {
 		// It says no more than that the node still lives.
 		if !isThere || brought.Start != old.Start {
-			return
+			return true
 		}
 		old.Seq, old.Applied, old.AsOf = brought.Seq, brought.Applied, brought.AsOf
 		brought = old
@@ -299,6 +300,7 @@
 	if !isThere {
 		c.note("node "+brought.Address, "known", "in zone "+brought.Zone)
 	}
+	return false
 }
 
 // isBrief tells of a record that brings only the freshness of a start that is known.
@@ -401,16 +403,16 @@
 	return n
 }
 
-// TakeNews merges news in; it tells whether there was a leaving mark among it.
-func (c *Cell) TakeNews(now house.Micros, news *News, isOwn bool) bool {
-	isLeavingNews := false
+// TakeNews merges news in; it tells whether there was a leaving mark among it, and
+// whether it was brief on what is not known here.
+func (c *Cell) TakeNews(now house.Micros, news *News, isOwn bool) (isLeavingNews, isLacking bool) {
 	for _, engine := range news.Engines {
 		isLeavingNews = c.TakeEngine(now, engine.placed(now), isOwn) || isLeavingNews
 	}
 	for _, node := range news.Nodes {
-		c.TakeNode(now, node.placed(now), isOwn)
+		isLacking = c.TakeNode(now, node.placed(now), isOwn) || isLacking
 	}
-	return isLeavingNews
+	return isLeavingNews, isLacking
 }
 
 func rangeOf(id string) int { return int(xxhash.Sum64String(id) % rangeCount) }
--- a/flyloft/fleet_test.go
+++ b/flyloft/fleet_test.go
@@ -948,3 +948,31 @@
 	c.Assert(l.Until(), qt.Equals, 6*house.Second)
 	c.Assert(l.Apply(document(2, 1)), qt.IsFalse)
 }
+
+// Nodes that forgot each other in a cut know each other again after it, though each home
+// believes that the others still have the rest of what it tells briefly.
+func TestNodesKnowEachOtherAgainAfterACutInWhichTheyWereDropped(t *testing.T) {
+	for seed := range uint64(4) {
+		c := qt.New(t)
+		f := newFleet(c, seed, 3, 9, firstHaveFolders(3))
+		f.bootAll(500 * ms)
+		f.settled(6 * house.Second)
+		areAllKnown := func() bool {
+			return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool { return len(n.node.State(nil).Nodes) < len(f.nodes) })
+		}
+		f.await("all nodes known", 20*house.Second, areAllKnown)
+		for _, inside := range f.nodes {
+			for _, outside := range f.nodes {
+				if inside.identity.Zone == "z3" && outside.identity.Zone != "z3" {
+					inside.cut[outside.identity.Address] = true
+				}
+			}
+		}
+		f.pass(2 * SparseTiming().NodeGone)
+		c.Assert(areAllKnown(), qt.IsFalse)
+		for _, n := range f.nodes {
+			n.cut = map[string]bool{}
+		}
+		f.await("all nodes known again", 2*SparseTiming().NodeGone, areAllKnown)
+	}
+}
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -802,9 +802,19 @@
 		mark.upto = max(mark.upto, m.Upto)
 		n.peerNews[from] = mark
 	}
-	if n.cell.TakeNews(n.now, m, false) && n.isHome() {
+	isLeavingNews, isLacking := n.cell.TakeNews(n.now, m, false)
+	if isLeavingNews && n.isHome() {
 		n.spread(m.Engines, false)
 	}
+	// The sender goes by what was taken once, and can't know what was dropped here since:
+	// it is asked for all again.
+	if isLacking {
+		n.note("cell", "ask for all", from+" was brief on a node that is not known here")
+		delete(n.peerNews, from)
+		if from == n.home() {
+			n.seenHome, n.seenNews = "", 0
+		}
+	}
 }
 
 func (n *Node) onMend(from string, m *Mend) {
