A status that promises 'not run' is passed on only with the engine's word for it

Cause: an engine's 503, 429 or 408 without its not-run word went to the caller as it came, where it says that nothing ran. For what may run once it is a 502 now; the rest is tried again.

--- a/foyer/foyer_test.go
+++ b/foyer/foyer_test.go
@@ -219,6 +219,10 @@
 			io.WriteString(to, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
 			return true
 		}, http.StatusBadGateway},
+		{"a promise without the engine's word", func(_ int, r *http.Request, to net.Conn) bool {
+			io.WriteString(to, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}, http.StatusBadGateway},
 		{"bytes that are no answer", func(_ int, r *http.Request, to net.Conn) bool {
 			io.WriteString(to, "garbage\r\n\r\n")
 			return false
--- a/foyer/router.go
+++ b/foyer/router.go
@@ -380,6 +380,10 @@
 		}
 		return ending, "status " + strconv.Itoa(response.StatusCode), nil
 	}
+	if isUnprovenPromise(response.StatusCode) {
+		// To a caller this status says that nothing ran, and the engine does not say so.
+		return 0, "", Broken{"read the head", unproven{response.StatusCode}}
+	}
 	load, hasLoad := ParseLoad(response.Header.Get(u.Wire.Load))
 	u.Chooser.Answered(u.Cue.Clock.Now(), call, load, hasLoad)
 	if response.StatusCode >= 200 && response.StatusCode < 300 && response.Header.Get(u.Wire.Stamp) == "" {
@@ -407,6 +411,18 @@
 	return ending, why, nil
 }
 
+// isUnprovenPromise tells that a status promises callers what only the engine can know.
+func isUnprovenPromise(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout
+}
+
+// unproven says that an engine's status promises that nothing ran without its word for it.
+type unproven struct{ status int }
+
+func (b unproven) Error() string {
+	return "the engine answered " + strconv.Itoa(b.status) + " without its word that it did not run the request"
+}
+
 // unstamped says that a success lacks the engine's proof.
 type unstamped struct{}
 
