--- a/flyloft/fleet_test.go
+++ b/flyloft/fleet_test.go
@@ -54,6 +54,7 @@
 	member    MemberID
 	ballot    Ballot
 	document  *Document
+	snapshot  []byte
 	bootstrap bool
 }
 
@@ -160,6 +161,10 @@
 			n.member = MemberID(fmt.Sprintf("m-%d", f.start))
 		}
 		settings.Member, settings.Ballot, settings.Document = n.member, n.ballot, n.document
+		if n.snapshot != nil {
+			settings.Snapshot = &Snapshot{}
+			f.c.Assert(json.Unmarshal(n.snapshot, settings.Snapshot), qt.IsNil)
+		}
 	}
 	f.adapt(&settings)
 	n.node = NewNode(settings, f.now)
@@ -206,7 +211,7 @@
 // wipe kills a node and loses its disk.
 func (n *fleetNode) wipe() {
 	n.kill()
-	n.member, n.ballot, n.document, n.bootstrap = "", Ballot{}, nil, false
+	n.member, n.ballot, n.document, n.snapshot, n.bootstrap = "", Ballot{}, nil, nil, false
 }
 
 func (f *fleet) byAddress(address string) *fleetNode {
@@ -253,6 +258,15 @@
 				}
 				n.do(func() []any { return n.node.Saved(f.now, command.Token, nil) })
 			})
+		case SaveSnapshot:
+			content, err := json.Marshal(command.Snapshot)
+			f.c.Assert(err, qt.IsNil)
+			f.in(2*ms+house.Micros(f.random.Int64N(int64(4*ms))), func() {
+				if n.epoch == epoch {
+					n.snapshot = content
+					n.do(func() []any { return n.node.SnapshotSaved(f.now, nil) })
+				}
+			})
 		case Receipt:
 			f.receipt[command.SubmitReceipt.ID] = command.SubmitReceipt
 			f.heardAt[command.SubmitReceipt.ID] = f.now
--- /dev/null
+++ b/flyloft/hello.go
@@ -0,0 +1,112 @@
+package flyloft
+
+import (
+	"fmt"
+	"slices"
+
+	"dunlinloom/house"
+)
+
+// Hello is what a node that has just started says to whoever may know the fleet. Any node
+// with a document in force answers with a Grant that brings it and the engines; no leader
+// is needed for that, since it takes no licence from it.
+type Hello struct {
+	Held   uint64     `json:"held,omitempty"` // the generation it holds
+	IsKeen bool       `json:"keen,omitempty"` // it wants the document, however large
+	Node   NodeRecord `json:"node"`
+}
+
+const (
+	helloEvery  = 100 * house.Millisecond
+	helloSpan   = 2 * house.Second // for which one that has a document goes on, if nobody answers
+	helloOthers = 6                // asked besides the seeds, in turn
+	helloAgain  = 250 * house.Millisecond
+	// A spec up to this size is sent by everyone who is asked, a larger one only to who
+	// asks this node alone for it.
+	helloSpec = 64 << 10
+)
+
+// greeting is a node's part in being told by whoever knows.
+type greeting struct {
+	until    house.Micros
+	alarm    house.Micros
+	isOver   bool
+	turn     int
+	keenOn   string       // it has a document that was too large to send to all
+	keenFrom house.Micros // the next time at which one may be asked for such
+	answered map[string]house.Micros
+}
+
+func (n *Node) tickHello() {
+	g := &n.greeting
+	if g.isOver || n.now < g.alarm {
+		return
+	}
+	hasDocument := n.licence.Held() > 0
+	if hasDocument && n.now >= g.until {
+		g.isOver = true
+		return
+	}
+	g.alarm = n.now + helloEvery
+	targets := slices.Clone(n.settings.Seeds)
+	others := append(n.licence.applied.voterAddresses(), n.otherHints...)
+	others = append(others, n.views.Neighbours()...)
+	for range min(helloOthers, len(others)) {
+		g.turn++
+		targets = append(targets, others[g.turn%len(others)])
+	}
+	keenOn := ""
+	if g.keenOn != "" && n.now >= g.keenFrom {
+		keenOn, g.keenOn, g.keenFrom = g.keenOn, "", n.now+keenPause
+		targets = append(targets, keenOn)
+	}
+	slices.Sort(targets)
+	record := n.record().aged(n.now)
+	for _, target := range slices.Compact(targets) {
+		if target != n.self() {
+			n.send(target, Message{Hello: &Hello{Held: n.licence.Held(), IsKeen: target == keenOn, Node: record}})
+		}
+	}
+}
+
+func (n *Node) onHello(from string, m *Hello) {
+	n.cell.TakeNode(n.now, m.Node.placed(n.now), m.Node.Zone == n.settings.Identity.Zone)
+	if n.licence.applied == nil || n.settings.ServeOn < ServeOnAlways {
+		return
+	}
+	// It asks again before the answer can be there; a large one need not go twice for that.
+	key := fmt.Sprint(from, "/", m.Node.Start, m.IsKeen, "/", n.licence.Generation())
+	if at, isAnswered := n.greeting.answered[key]; isAnswered && n.now-at < helloAgain {
+		return
+	}
+	n.greeting.answered[key] = n.now
+	grant := &Grant{Generation: n.licence.Generation(), News: n.cell.NewsSince(n.now, "", 0, false)}
+	if n.now-n.leaderWord < house.Second {
+		grant.Leader = n.leaderHint
+	}
+	if m.Held < n.licence.Generation() {
+		light := n.licence.applied.lightFor(m.Held)
+		if m.IsKeen || len(light.Spec) <= helloSpec {
+			grant.Document = light
+		}
+	}
+	n.send(from, Message{Grant: grant})
+}
+
+// greeted follows a grant that came while this node was still asking round.
+func (n *Node) greeted(from string, m *Grant) {
+	g := &n.greeting
+	if g.isOver {
+		return
+	}
+	if m.Generation > n.licence.Held() {
+		// It was too large to send unasked, or its spec is not held here after all.
+		if m.Document == nil && g.keenOn == "" && n.now >= g.keenFrom {
+			g.keenOn, g.alarm = from, n.now
+		}
+		return
+	}
+	// Two that have just started may tell each other what both had before; one that is in
+	// touch with a leader knows what there is.
+	g.isOver = n.licence.Held() > 0 && m.Leader != ""
+}
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -53,6 +53,7 @@
 	Found         *Found         `json:"found,omitempty"`
 	Push          *Push          `json:"push,omitempty"`
 	PushReceipt   *PushReceipt   `json:"push_receipt,omitempty"`
+	Hello         *Hello         `json:"hello,omitempty"`
 }
 
 // Kind names the one field that is set.
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -45,6 +45,8 @@
 	Ballot    Ballot
 	Document  *Document
 	Kept      []uint64
+	// Snapshot is what an earlier life kept for a quick start; nil: there is none.
+	Snapshot *Snapshot
 }
 
 // Outgoing is a message for the shell to carry.
@@ -115,6 +117,8 @@
 	founder   *founder                // nil unless members announce themselves
 	reads     map[uint64]*reading
 	words     words
+	snapshots snapshots
+	greeting  greeting
 }
 
 // urgentNews is sent again a few times: a single loss must not cost the seconds
@@ -163,6 +167,8 @@
 		coreSettings.Random = random
 		n.core = NewCore(coreSettings, now)
 	}
+	n.greeting = greeting{until: now + helloSpan, isOver: settings.ServeOn < ServeOnAlways, answered: map[string]house.Micros{}}
+	n.restore(settings.Snapshot)
 	return n
 }
 
@@ -212,7 +218,8 @@
 	if n.core != nil && n.core.doc != nil {
 		return n.core.doc.Founding
 	}
-	if n.licence.applied != nil {
+	// A folder may be from before the core was rebuilt, so what it held binds nobody.
+	if n.licence.applied != nil && !n.isRestored() {
 		return n.licence.applied.Founding
 	}
 	return ""
@@ -644,6 +651,9 @@
 		if m.Grant.News != nil {
 			n.onNews(from, m.Grant.News)
 		}
+		n.greeted(from, m.Grant)
+	case m.Hello != nil:
+		n.onHello(from, m.Hello)
 	case m.GrantBatch != nil:
 		n.onGrantBatch(m.GrantBatch)
 	case m.Nudge != nil:
@@ -857,7 +867,7 @@
 		if n.core != nil {
 			n.core.Learn(n.learnedMarks())
 		}
-		for _, noted := range []map[string]house.Micros{n.probedAt, n.declined} {
+		for _, noted := range []map[string]house.Micros{n.probedAt, n.declined, n.greeting.answered} {
 			for name, at := range noted {
 				if now-at > 10*house.Second {
 					delete(noted, name)
@@ -870,7 +880,9 @@
 	n.tickErrands()
 	n.tickReads()
 	n.tickFounding()
+	n.tickHello()
 	n.tickWords()
+	n.tickSnapshot()
 	return n.finish()
 }
 
--- a/flyloft/store.go
+++ b/flyloft/store.go
@@ -39,6 +39,7 @@
 	stamp          Stamp
 	specGeneration uint64
 	size           int
+	spec           SpecMark // as its chain names it
 }
 
 // Store keeps a member's ballot and documents in a data folder, one file a generation.
@@ -48,6 +49,34 @@
 	member MemberID
 	files  []kept // in order of stamps
 	aside  []string
+	bounds StoreBounds
+	// pins are the files that hold the spec of the snapshot on disk, and of the one being
+	// written; zero: none is needed.
+	pins [2]Stamp
+}
+
+// StoreBounds are the bytes that a data folder may take; zero: the usual ones.
+type StoreBounds struct{ Generations, Snapshot int }
+
+func (b StoreBounds) generations() int {
+	if b.Generations > 0 {
+		return min(b.Generations, keptBytes)
+	}
+	return keptBytes
+}
+
+func (b StoreBounds) snapshot() int {
+	if b.Snapshot > 0 {
+		return min(b.Snapshot, snapshotBytes)
+	}
+	return snapshotBytes
+}
+
+// Bound sets what the folder may take from now on.
+func (s *Store) Bound(bounds StoreBounds) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.bounds = bounds
 }
 
 type memberFile struct {
@@ -198,7 +227,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("open the store: %w", err)
 		}
-		s.files = append(s.files, kept{document.stamp(), document.SpecGeneration, size})
+		s.files = append(s.files, keptOf(&document, size))
 		if newest.stamp().before(document.stamp()) {
 			newest = &document
 		}
@@ -207,6 +236,14 @@
 	return newest, nil
 }
 
+func keptOf(document *Document, size int) kept {
+	file := kept{stamp: document.stamp(), specGeneration: document.SpecGeneration, size: size}
+	if last := len(document.Chain) - 1; last >= 0 {
+		file.spec = document.Chain[last]
+	}
+	return file
+}
+
 func (s *Store) sort() {
 	slices.SortFunc(s.files, func(a, b kept) int {
 		switch {
@@ -240,7 +277,7 @@
 	if err != nil {
 		return fmt.Errorf("save generation %d: %w", save.Document.Generation, err)
 	}
-	s.files = append(s.files, kept{save.Document.stamp(), save.Document.SpecGeneration, size})
+	s.files = append(s.files, keptOf(save.Document, size))
 	return nil
 }
 
@@ -261,7 +298,8 @@
 		isNewest := len(s.files)-1-i < keptGenerations
 		isNewSpec := !specs[file.specGeneration] && len(specs) < keptSpecs
 		// The newest two stay whatever their size: they are what this member has promised.
-		if i < len(s.files)-2 && (!isNewest && !isNewSpec || bytes+file.size > keptBytes) {
+		// So does what the snapshot has its spec from.
+		if i < len(s.files)-2 && !slices.Contains(s.pins[:], file.stamp) && (!isNewest && !isNewSpec || bytes+file.size > s.bounds.generations()) {
 			gone = append(gone, file.stamp)
 			continue
 		}
@@ -314,7 +352,7 @@
 	if err != nil {
 		return fmt.Errorf("keep generation %d: %w", document.Generation, err)
 	}
-	s.files = append(s.files, kept{this, document.SpecGeneration, size})
+	s.files = append(s.files, keptOf(document, size))
 	s.sort()
 	return nil
 }
--- a/wings/process.go
+++ b/wings/process.go
@@ -155,6 +155,11 @@
 		return err
 	}
 	node.Member, node.Kept = a.store.Member(), a.store.SpecGenerations()
+	if node.Snapshot, err = a.store.Snapshot(a.settings.Fleet); err != nil {
+		// It only makes a start quicker; without it the fleet is asked.
+		a.cue.Log.Error(err, "the snapshot is not used")
+		a.cue.Note("house", "snapshot", "leave aside", err.Error())
+	}
 	for _, name := range a.store.Aside() {
 		a.cue.Log.Info("a damaged file was set aside", "file", name)
 	}
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -30,7 +30,9 @@
 	inbox chan func() []any
 	// What goes to the disk, in order: Save, Fetch or Keep.
 	saves chan any
-	state atomic.Pointer[flyloft.State]
+	// Snapshots go to the disk beside those: nothing waits for one.
+	snapshots chan flyloft.SaveSnapshot
+	state     atomic.Pointer[flyloft.State]
 	// isShown: the loop has published once; the picture before that was nobody's scene.
 	isShown bool
 
@@ -63,7 +65,7 @@
 func NewRunner(cue house.Cue, node *flyloft.Node, store *flyloft.Store, channels *Channels, desk *auditorium.Desk, shelf *playbill.Shelf, platform string) *Runner {
 	r := &Runner{
 		cue: cue, node: node, store: store, channels: channels, desk: desk, platform: platform,
-		inbox: make(chan func() []any, 1024), saves: make(chan any, 256),
+		inbox: make(chan func() []any, 1024), saves: make(chan any, 256), snapshots: make(chan flyloft.SaveSnapshot, 1),
 		waiters:   map[string][]chan flyloft.SubmitReceipt{},
 		registers: map[uint64]chan flyloft.Registered{}, reads: map[uint64]chan *flyloft.Document{},
 		// Of the clock, so that an answer to an earlier life is nobody's here.
@@ -112,6 +114,7 @@
 	defer workers.Wait()
 	if r.store != nil {
 		workers.Go(r.runSaves)
+		workers.Go(r.runSnapshots)
 	}
 	if r.platform != "" {
 		workers.Go(r.pollPlatform)
@@ -121,6 +124,8 @@
 	}
 	ticker := time.NewTicker(r.node.TickSpan().Duration())
 	defer ticker.Stop()
+	// The first turn comes at once: the fleet is to hear that this node is there.
+	go r.post(func() []any { return r.node.Tick(r.cue.Clock.Now()) })
 	for {
 		var out []any
 		var begun house.Micros
@@ -158,6 +163,9 @@
 		case r.saves <- command:
 		default:
 		}
+	case flyloft.SaveSnapshot:
+		// The node has one out at a time, so this never waits.
+		r.snapshots <- command
 	case flyloft.Prepare:
 		go func() {
 			_, err := r.hand.Shelf.Read(command.Document.Spec)
@@ -215,6 +223,22 @@
 	}
 }
 
+// runSnapshots writes snapshots beside all else.
+func (r *Runner) runSnapshots() {
+	for {
+		select {
+		case <-r.cue.Done():
+			return
+		case work := <-r.snapshots:
+			err := r.store.SaveSnapshot(work.Snapshot)
+			if err != nil {
+				r.cue.Log.Error(err, "a snapshot was left out")
+			}
+			r.post(func() []any { return r.node.SnapshotSaved(r.cue.Clock.Now(), err) })
+		}
+	}
+}
+
 func (r *Runner) workDisk(work any) {
 	switch work := work.(type) {
 	case flyloft.Save:
