--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -129,6 +129,7 @@
 
 	leaderMember Member
 	lastPulse    house.Micros // when a leader was last heard
+	bornAt       house.Micros
 	alarm        house.Micros // the next election
 	joinAlarm    house.Micros
 	hintTurn     int
@@ -180,7 +181,7 @@
 // NewCore makes a core from what the data folder held.
 func NewCore(settings CoreSettings, now house.Micros) *Core {
 	c := &Core{
-		settings: settings, now: now,
+		settings: settings, now: now, bornAt: now,
 		term: settings.Ballot.Term, votedFor: settings.Ballot.VotedFor,
 		doc: settings.Document, synced: settings.Document.stamp(),
 		mustered: map[string]musterNote{}, kept: map[uint64]bool{},
@@ -197,9 +198,32 @@
 	// A first election soon after the start: a fleet started cold must serve quickly. Where
 	// a leader lives, its pulses come first, and a pre-vote against it gets nothing.
 	c.alarm = now + c.electionSpan()/firstElection
+	if c.isLeaderless() {
+		c.alarm = now + c.leaderlessSpan()
+	}
 	return c
 }
 
+// leaderlessTime is how long a life without any word of a leader makes haste.
+const leaderlessTime = 2 * house.Second
+
+// isLeaderless tells of a life that has just begun and seen no leader: most likely the
+// whole fleet starts, and everyone waits for an election. Where a leader lives its voters
+// refuse a pre-vote, so haste costs a few messages and unseats nobody.
+func (c *Core) isLeaderless() bool {
+	return c.settings.Voters > 0 && c.lastPulse == 0 && c.role != leader && c.leadSince == 0 && c.now-c.bornAt < leaderlessTime
+}
+
+// leaderlessSpan is the span to the next pre-vote of such a life: by the member's place,
+// so that two seldom stand at once, and a random part for those that started apart.
+func (c *Core) leaderlessSpan() house.Micros {
+	low, place := c.settings.Timing.ElectionLow/6, 0
+	if c.doc != nil {
+		place = max(slices.IndexFunc(c.doc.Voters, func(m Member) bool { return m.ID == c.settings.Self.ID }), 0)
+	}
+	return low + house.Micros(place)*low/3 + house.Micros(c.settings.Random.Int64N(int64(low/2)))
+}
+
 func (c *Core) note(subject, decision, why string, args ...any) {
 	if c.settings.Note != nil {
 		c.settings.Note(subject, decision, fmt.Sprintf(why, args...))
@@ -373,6 +397,10 @@
 		return
 	}
 	c.alarm = c.now + c.electionSpan()
+	if isPre && c.isLeaderless() {
+		// Those that it asks may not have started yet.
+		c.alarm = c.now + c.leaderlessSpan()
+	}
 	c.votes = map[MemberID]bool{c.settings.Self.ID: true}
 	ask := func() {
 		for _, member := range c.doc.Voters {
--- a/flyloft/recovery_test.go
+++ b/flyloft/recovery_test.go
@@ -1,6 +1,8 @@
 package flyloft
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -88,6 +90,12 @@
 			took := f.recover(100 * ms)
 			led, documents = append(led, took.led), append(documents, took.documents)
 			engines, newest = append(engines, took.engines), append(newest, took.newest)
+			for _, span := range []house.Micros{took.documents, took.engines} {
+				c.Assert(span > 0 && span <= 250*ms, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, took))
+			}
+			for _, span := range []house.Micros{took.led, took.newest} {
+				c.Assert(span > 0 && span <= 500*ms, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, took))
+			}
 		}
 		logSpans(c, fmt.Sprintf("%d nodes, to a leader", nodes), led)
 		logSpans(c, fmt.Sprintf("%d nodes, to a spec on the last router", nodes), documents)
@@ -95,3 +103,277 @@
 		logSpans(c, fmt.Sprintf("%d nodes, to what the core elected on the last router", nodes), newest)
 	}
 }
+
+// snapshotDocument is the document that a node's disk has for a quick start.
+func (n *fleetNode) snapshotDocument() *Document {
+	var found Snapshot
+	n.f.c.Assert(json.Unmarshal(n.snapshot, &found), qt.IsNil)
+	return found.Document
+}
+
+func TestARestartedVoterUnseatsNoLeader(t *testing.T) {
+	for seed := range uint64(10) {
+		c := qt.New(t)
+		f := settledFleet(c, seed, 9)
+		lead := f.leader()
+		term := lead.node.core.term
+		for _, n := range f.nodes[:4] {
+			if n == lead {
+				continue
+			}
+			n.kill()
+			f.pass(100*ms + house.Micros(f.random.Int64N(int64(house.Second))))
+			n.boot()
+			f.pass(1500 * ms)
+			c.Assert(f.leader(), qt.Equals, lead)
+			c.Assert(lead.node.core.term, qt.Equals, term)
+		}
+	}
+}
+
+// A value that only its leader holds must not come back by the leader's snapshot.
+func TestASnapshotHoldsOnlyWhatWasCommitted(t *testing.T) {
+	for seed := range uint64(10) {
+		c := qt.New(t)
+		f := settledFleet(c, seed, 9)
+		lead := f.leader()
+		for _, n := range f.nodes {
+			if n != lead {
+				lead.cut[n.identity.Address] = true
+			}
+		}
+		lead.submit("lost", 1, specOf(2, "lost"))
+		f.await("the leader alone to hold it", house.Second, func() bool { return lead.document.SpecVersion == 2 })
+		// Long enough for a snapshot, and too short for it to step down.
+		f.pass(550 * ms)
+		c.Assert(lead.snapshotDocument().SpecVersion, qt.Equals, uint64(1))
+		lead.kill()
+		f.acknowledge("won", 1, specOf(2, "won"), 4*house.Second, f.nodes[5], f.nodes[6])
+		// It starts without a way to anybody: it serves what was in force before.
+		lead.boot()
+		f.pass(house.Second)
+		c.Assert(string(lead.inForce().Spec), qt.Equals, string(specOf(1, "a")))
+		c.Assert(lead.node.State(nil).Until, qt.Equals, ServeOnAlways)
+		lead.cut = map[string]bool{}
+		f.await("what won", 2*house.Second, func() bool { return string(lead.inForce().Spec) == string(specOf(2, "won")) })
+		f.loseAllPower()
+		f.recover(100 * ms)
+		for _, n := range f.nodes {
+			c.Assert(string(n.inForce().Spec), qt.Equals, string(specOf(2, "won")))
+		}
+	}
+}
+
+func TestAWipedDiskIsToldByWhoeverKnows(t *testing.T) {
+	for seed := range uint64(10) {
+		c := qt.New(t)
+		f := settledFleet(c, seed, 9)
+		f.loseAllPower()
+		f.nodes[seed%4].wipe()
+		f.pass(800 * ms)
+		took := f.recover(100 * ms)
+		c.Assert(took.documents > 0 && took.documents <= 250*ms, qt.IsTrue, qt.Commentf("%+v", took))
+		c.Assert(took.engines > 0 && took.engines <= 250*ms, qt.IsTrue, qt.Commentf("%+v", took))
+		f.votersAre(4*house.Second, f.nodes[:4]...)
+	}
+}
+
+func TestARestartedRouterNeedsNoLeader(t *testing.T) {
+	for _, size := range []int{1, 3 * helloSpec} {
+		c := qt.New(t)
+		f := settledFleet(c, 3, 9)
+		f.acknowledge("two", 1, specOf(2, string(slices.Repeat([]byte("x"), size))), 4*house.Second, f.nodes[5])
+		router, seq := f.nodes[7], uint64(10)
+		restart := func(what string) {
+			router.kill()
+			f.pass(300 * ms)
+			router.boot()
+			took := f.await("the spec and the engines again", 250*ms, func() bool {
+				return router.inForce() != nil && router.inForce().SpecVersion == 2 && router.engine("e1").isBeating() && router.engine("e2").isBeating()
+			})
+			c.Logf("%s, a spec of %d bytes: after %d ms", what, size, took/ms)
+		}
+		restart("under a leader")
+		for _, n := range f.nodes[1:4] {
+			n.kill()
+		}
+		for range 6 {
+			for i, id := range []string{"e1", "e2"} {
+				seq++
+				f.register(f.nodes[0], 10*seq+uint64(i), engineAt(id, fmt.Sprintf("z%d", i+1), seq))
+			}
+			f.pass(house.Second / 2)
+		}
+		c.Assert(f.leader(), qt.IsNil)
+		restart("under none")
+	}
+}
+
+func TestEnginesOfASnapshotAreNotTakenToLive(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(c, 5, 9)
+	f.loseAllPower()
+	f.recover(100 * ms)
+	// One beats again; the other ended with the power.
+	for seq := uint64(2); seq < 12; seq++ {
+		f.register(f.nodes[0], 100+seq, engineAt("e1", "z1", seq))
+		f.pass(house.Second)
+	}
+	c.Assert(f.allKnow("e1", EngineRecord.isBeating), qt.IsTrue)
+	c.Assert(f.allKnow("e2", func(e EngineRecord) bool { return e.IsDark }), qt.IsTrue)
+}
+
+func TestUnderStrictLicencesThereIsNoSnapshot(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1, 3, 6, firstHaveFolders(3))
+	f.adapt = func(settings *NodeSettings) { settings.Bootstrap = false }
+	f.bootAll(200 * ms)
+	f.settled(6 * house.Second)
+	f.pass(2 * house.Second)
+	document := f.nodes[0].inForce()
+	for _, n := range f.nodes {
+		c.Assert(n.snapshot, qt.IsNil)
+	}
+	content, err := json.Marshal(&Snapshot{Format: snapshotFormat, Document: document})
+	c.Assert(err, qt.IsNil)
+	f.loseAllPower()
+	f.nodes[0].snapshot = content
+	f.nodes[0].boot()
+	f.pass(house.Second)
+	c.Assert(f.nodes[0].inForce(), qt.IsNil)
+	c.Assert(f.crossed["Hello"], qt.Equals, 0)
+}
+
+// snapshotStore is a member's folder with two generations of one spec.
+func snapshotStore(c *qt.C, path string) (*Store, *Document) {
+	folder, err := house.OpenFolder(path)
+	c.Assert(err, qt.IsNil)
+	store, _, _, err := OpenStore(folder, "f", func() string { return "m" })
+	c.Assert(err, qt.IsNil)
+	first := &Document{Founding: "x", Generation: 1, Term: 1}
+	first.putSpec([]byte("spec"))
+	second := first.next(1)
+	for _, document := range []*Document{first, second} {
+		c.Assert(store.Save(Save{Ballot: &Ballot{Term: 1}, Document: document}), qt.IsNil)
+	}
+	return store, second
+}
+
+func reopened(c *qt.C, path string) *Store {
+	folder, err := house.OpenFolder(path)
+	c.Assert(err, qt.IsNil)
+	store, _, _, err := OpenStore(folder, "f", func() string { return "m2" })
+	c.Assert(err, qt.IsNil)
+	return store
+}
+
+func TestASnapshotOutlivesItsProcess(t *testing.T) {
+	c := qt.New(t)
+	path := c.TempDir()
+	store, document := snapshotStore(c, path)
+	found, err := store.Snapshot("f")
+	c.Assert(found, qt.IsNil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: document, Nodes: []string{"n"}}), qt.IsNil)
+	file, err := store.folder.Get(snapshotName)
+	c.Assert(err, qt.IsNil)
+	// The spec stands in the folder once.
+	var raw Snapshot
+	content, err := unseal(snapshotName, file)
+	c.Assert(err, qt.IsNil)
+	c.Assert(json.Unmarshal(content, &raw), qt.IsNil)
+	c.Assert(raw.Document.Spec, qt.HasLen, 0)
+	c.Assert(document.Spec, qt.Not(qt.HasLen), 0)
+	found, err = reopened(c, path).Snapshot("f")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(found.Document.Spec), qt.Equals, "spec")
+	c.Assert(found.Document.stamp(), qt.Equals, document.stamp())
+	// One whose spec no file has holds it itself.
+	other := document.next(1)
+	other.putSpec([]byte("other"))
+	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: other}), qt.IsNil)
+	found, err = reopened(c, path).Snapshot("f")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(found.Document.Spec), qt.Equals, "other")
+	// One beyond the bound leaves the last as it is.
+	store.Bound(StoreBounds{Snapshot: 64})
+	err = store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: document})
+	c.Assert(errors.As(err, new(SnapshotTooLarge)), qt.IsTrue)
+	found, err = reopened(c, path).Snapshot("f")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(found.Document.Spec), qt.Equals, "other")
+}
+
+func TestASpecThatTheSnapshotNeedsIsKept(t *testing.T) {
+	c := qt.New(t)
+	path := c.TempDir()
+	store, document := snapshotStore(c, path)
+	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: document}), qt.IsNil)
+	store.Bound(StoreBounds{Generations: 1})
+	last := document
+	for i := range 6 {
+		last = last.next(1)
+		last.putSpec(fmt.Append(nil, "proposed ", i))
+		c.Assert(store.Save(Save{Document: last}), qt.IsNil)
+	}
+	found, err := reopened(c, path).Snapshot("f")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(found.Document.Spec), qt.Equals, "spec")
+}
+
+func TestASnapshotOfNoUseIsSetAside(t *testing.T) {
+	c := qt.New(t)
+	for name, spoil := range map[string]func(store *Store, snapshot *Snapshot) error{
+		"damaged": func(store *Store, snapshot *Snapshot) error {
+			if err := store.SaveSnapshot(snapshot); err != nil {
+				return err
+			}
+			file, err := store.folder.Get(snapshotName)
+			if err != nil {
+				return err
+			}
+			file[len(file)/2] ^= 4
+			return store.folder.Put(snapshotName, file)
+		},
+		"of a newer build": func(store *Store, snapshot *Snapshot) error {
+			snapshot.Format++
+			return store.SaveSnapshot(snapshot)
+		},
+		"of another fleet": func(store *Store, snapshot *Snapshot) error {
+			snapshot.Fleet = "g"
+			return store.SaveSnapshot(snapshot)
+		},
+		"without its spec": func(store *Store, snapshot *Snapshot) error {
+			if err := store.SaveSnapshot(snapshot); err != nil {
+				return err
+			}
+			for _, file := range slices.Clone(store.files) {
+				if err := store.drop(file.stamp); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		"of another spec": func(store *Store, snapshot *Snapshot) error {
+			changed := *snapshot.Document
+			changed.Spec = []byte("changed")
+			changed.Chain = []SpecMark{{changed.SpecGeneration, "of none"}}
+			snapshot.Document = &changed
+			return store.SaveSnapshot(snapshot)
+		},
+	} {
+		c.Run(name, func(c *qt.C) {
+			path := c.TempDir()
+			store, document := snapshotStore(c, path)
+			c.Assert(spoil(store, &Snapshot{Format: snapshotFormat, Fleet: "f", Document: document}), qt.IsNil)
+			again := reopened(c, path)
+			found, err := again.Snapshot("f")
+			c.Assert(found, qt.IsNil)
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(again.Aside(), qt.DeepEquals, []string{snapshotName})
+			found, err = again.Snapshot("f")
+			c.Assert(found, qt.IsNil)
+			c.Assert(err, qt.IsNil)
+		})
+	}
+}
--- a/flyloft/snapshot.go
+++ b/flyloft/snapshot.go
@@ -84,11 +84,9 @@
 	n.note("snapshot", "begin with", fmt.Sprintf("generation %d, %d engines, %d nodes to ask", from.Document.Generation, len(from.Engines), len(from.Nodes)))
 	for _, record := range from.Engines {
 		// Nobody has heard them in this life: they count as long silent, so that their home
-		// calls them gone unless they beat, and any real word on them is fresher.
-		record.Age, record.Idle = engineGone, engineGone
-		if !record.isBeating() {
-			record.Idle = engineGone / 2 // or it would not be taken at all
-		}
+		// calls them gone unless they beat, and any real word on them is fresher. Not so
+		// long, though, that the word of their end would be too old to be taken.
+		record.Age, record.Idle = engineGone, engineGone/2
 		n.cell.takeEngine(n.now, record.placed(n.now), false)
 	}
 	for _, address := range from.Nodes {
