--- a/flyloft/cell.go
+++ b/flyloft/cell.go
@@ -278,7 +278,7 @@
 		return
 	}
 	old, isThere := c.nodes.Get(brought.Address)
-	if isThere && (brought.Start < old.Start || brought.Start == old.Start && brought.Seq <= old.Seq) {
+	if isThere && !brought.follows(old, c.timing.nodeSilent()) {
 		return
 	}
 	if brought.isBrief() {
@@ -301,6 +301,21 @@
 	}
 }
 
+// follows tells whether a record takes the place of another one of its node. The larger
+// start is the later life, unless the other spoke long after it had fallen silent: starts
+// are taken from the time of day, and that may have jumped back in between.
+func (n NodeRecord) follows(old NodeRecord, silent house.Micros) bool {
+	switch {
+	case n.Start == old.Start:
+		return n.Seq > old.Seq
+	case n.AsOf-old.AsOf > silent:
+		return true
+	case old.AsOf-n.AsOf > silent:
+		return false
+	}
+	return n.Start > old.Start
+}
+
 // isBrief tells of a record that brings only the freshness of a start that is known.
 func (n NodeRecord) isBrief() bool { return n.Zone == "" }
 
--- a/flyloft/fleet_test.go
+++ b/flyloft/fleet_test.go
@@ -55,11 +55,16 @@
 	ballot    Ballot
 	document  *Document
 	snapshot  []byte
+	isFull    bool // it refuses writes
 	bootstrap bool
 }
 
 const ms = house.Millisecond
 
+type diskFull struct{}
+
+func (diskFull) Error() string { return "the disk is full" }
+
 // platformLike are the settings of a deployment whose routers outlive the core.
 func platformLike(settings *NodeSettings) {
 	settings.Voters, settings.ServeOn, settings.ReceiptRule = 3, ServeOnAlways, Spread
@@ -249,6 +254,12 @@
 				if n.epoch != epoch {
 					return
 				}
+				if n.isFull {
+					n.do(func() []any {
+						return n.node.Saved(f.now, command.Token, house.DiskBreakdown{Step: "write", Name: "it", Cause: diskFull{}})
+					})
+					return
+				}
 				if command.Ballot != nil {
 					n.ballot = *command.Ballot
 				}
@@ -262,7 +273,13 @@
 			content, err := json.Marshal(command.Snapshot)
 			f.c.Assert(err, qt.IsNil)
 			f.in(2*ms+house.Micros(f.random.Int64N(int64(4*ms))), func() {
-				if n.epoch == epoch {
+				switch {
+				case n.epoch != epoch:
+				case n.isFull:
+					n.do(func() []any {
+						return n.node.SnapshotSaved(f.now, house.DiskBreakdown{Step: "write", Name: "it", Cause: diskFull{}})
+					})
+				default:
 					n.snapshot = content
 					n.do(func() []any { return n.node.SnapshotSaved(f.now, nil) })
 				}
--- a/flyloft/messages.go
+++ b/flyloft/messages.go
@@ -406,6 +406,9 @@
 	BeatGone     house.Micros // silence after which an engine that registers itself is dark; zero: never
 }
 
+// nodeSilent is how long a node that lives never says nothing, with a margin of one word.
+func (t Timing) nodeSilent() house.Micros { return 2 * t.NodeGone / 5 }
+
 // DefaultTiming keeps inside the rules' bounds with margin.
 func DefaultTiming() Timing {
 	return Timing{
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -362,6 +362,10 @@
 	if n.founder != nil && why == "" && envelope.Founding != "" {
 		n.founder.stand(envelope.Founding)
 	}
+	if r := n.snapshots.restored; r != nil && why == "" && envelope.Founding == r.Founding {
+		// Someone who belongs to it says so: what the disk held binds again.
+		n.snapshots.restored = nil
+	}
 	if why != "" {
 		if _, isNoted := n.declined[envelope.From]; !isNoted {
 			n.declined[envelope.From] = now
@@ -812,11 +816,24 @@
 		mark.upto = max(mark.upto, m.Upto)
 		n.peerNews[from] = mark
 	}
+	n.outlive(m.Nodes)
 	if n.cell.TakeNews(n.now, m, false) && n.isHome() {
 		n.spread(m.Engines, false)
 	}
 }
 
+// outlive sees to it that this life counts as the later one where the fleet remembers
+// another: the time of day may have jumped back between the two.
+func (n *Node) outlive(records []NodeRecord) {
+	for _, record := range records {
+		isOther := record.Start > n.settings.Start || record.Start == n.settings.Start && record.Seq > n.nodeSeq
+		if record.Address == n.self() && isOther {
+			n.note("node "+n.self(), "count as later", fmt.Sprintf("the fleet remembers start %d, this one began as %d", record.Start, n.settings.Start))
+			n.settings.Start, n.nodeSeqAlarm, n.askAlarm = record.Start+1, n.now, n.now
+		}
+	}
+}
+
 func (n *Node) onMend(from string, m *Mend) {
 	if m.IsHome {
 		if news := n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, true); len(news.Engines)+len(news.Nodes) > 0 || news.IsAll {
--- a/flyloft/recovery_test.go
+++ b/flyloft/recovery_test.go
@@ -377,3 +377,109 @@
 		})
 	}
 }
+
+func TestARestartUnderALowerNumberIsTheLaterLife(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(c, 4, 9)
+	for _, n := range []*fleetNode{f.nodes[7], f.nodes[1]} {
+		n.do(func() []any { return n.node.Leave(f.now) })
+		record := func(at *fleetNode) NodeRecord {
+			found, _ := at.node.cell.nodes.Get(n.identity.Address)
+			return found
+		}
+		all := func(isMet func(NodeRecord) bool) func() bool {
+			return func() bool {
+				return !slices.ContainsFunc(f.nodes, func(at *fleetNode) bool { return at != n && !isMet(record(at)) })
+			}
+		}
+		f.await("all know that it leaves", 4*house.Second, all(func(r NodeRecord) bool { return r.IsLeaving }))
+		n.kill()
+		f.pass(300 * ms)
+		f.start -= 900
+		n.boot()
+		took := f.await("all know that it is back", 4*house.Second, all(func(r NodeRecord) bool { return !r.IsLeaving }))
+		c.Logf("known after %d ms", took/ms)
+		c.Assert(record(n).IsLeaving, qt.IsFalse)
+	}
+}
+
+// Whatever order they come in, every node keeps the same record.
+func TestRecordsOfTwoLivesOfANodeMergeToTheLater(t *testing.T) {
+	c := qt.New(t)
+	timing := DefaultTiming()
+	now := 100 * house.Second
+	word := func(start, seq uint64, age house.Micros) NodeRecord {
+		return NodeRecord{Address: "n", Zone: "z", Start: start, Seq: seq, AsOf: now - age}
+	}
+	for _, each := range []struct {
+		what   string
+		a, b   NodeRecord
+		winner uint64
+	}{
+		{"the larger start is the later", word(9, 1, 0), word(5, 40, 0), 9},
+		{"it is, if the other was late", word(9, 1, timing.nodeSilent()/2), word(5, 40, 0), 9},
+		{"it fell silent before the other spoke", word(9, 40, timing.nodeSilent()+1), word(5, 1, 0), 5},
+	} {
+		for _, order := range [][]NodeRecord{{each.a, each.b}, {each.b, each.a}, {each.b, each.a, each.b, each.a}} {
+			cell := NewCell("i", timing, func(string, string, string) {})
+			for _, record := range order {
+				cell.TakeNode(now, record, false)
+			}
+			kept, _ := cell.nodes.Get("n")
+			c.Assert(kept.Start, qt.Equals, each.winner, qt.Commentf("%s", each.what))
+		}
+	}
+}
+
+func TestStartsRiseInAFolder(t *testing.T) {
+	c := qt.New(t)
+	path := c.TempDir()
+	store, _ := snapshotStore(c, path)
+	last := uint64(0)
+	for _, clock := range []uint64{500, 100, 101, 900, 2} {
+		start, keep := reopened(c, path).NextStart(clock)
+		c.Assert(start > last && start >= clock, qt.IsTrue)
+		c.Assert(keep(), qt.IsNil)
+		last = start
+	}
+	c.Assert(last, qt.Equals, uint64(901))
+	// A damaged file must not keep a node from starting.
+	c.Assert(store.folder.Put(startName, []byte("half")), qt.IsNil)
+	start, keep := reopened(c, path).NextStart(7)
+	c.Assert(start, qt.Equals, uint64(7))
+	c.Assert(keep(), qt.IsNil)
+}
+
+func TestAFullDiskPromisesNothingAndServes(t *testing.T) {
+	for seed := range uint64(6) {
+		c := qt.New(t)
+		f := settledFleet(c, seed, 9)
+		lead := f.leader()
+		full := []*fleetNode{}
+		for _, n := range f.nodes[:4] {
+			if n != lead && len(full) < 2 {
+				n.isFull = true
+				full = append(full, n)
+			}
+		}
+		// Two of four are no majority.
+		f.nodes[6].submit("two", 1, specOf(2, "b"))
+		f.pass(3 * house.Second)
+		_, hasReceipt := f.receipt["two"]
+		c.Assert(hasReceipt && f.receipt["two"].Outcome == Yes, qt.IsFalse)
+		for _, n := range full {
+			c.Assert(n.document.SpecVersion, qt.Equals, uint64(1))
+			c.Assert(n.inForce().SpecVersion, qt.Equals, uint64(1))
+			c.Assert(n.state().Until, qt.Equals, ServeOnAlways)
+		}
+		full[0].isFull = false
+		f.await("a majority holds it", 6*house.Second, func() bool {
+			return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool { return n.inForce().SpecVersion != 2 })
+		})
+		// The one that is still full serves under it and has not kept it.
+		c.Assert(full[1].document.SpecVersion, qt.Equals, uint64(1))
+		c.Assert(full[1].snapshotDocument().SpecVersion, qt.Equals, uint64(1))
+		full[1].isFull = false
+		f.await("it is kept", 8*house.Second, func() bool { return full[1].snapshotDocument().SpecVersion == 2 && full[1].document.SpecVersion == 2 })
+	}
+}
--- a/flyloft/store.go
+++ b/flyloft/store.go
@@ -206,6 +206,27 @@
 // Aside names the files that were set aside when the store was opened.
 func (s *Store) Aside() []string { return s.aside }
 
+// startFile remembers the number of the newest start.
+type startFile struct {
+	Start uint64 `json:"start"`
+}
+
+const startName = "start.json"
+
+// NextStart gives a number for this start that is larger than that of every start before
+// it in this folder. Keep writes it down; without that the next one may not be larger.
+func (s *Store) NextStart(proposed uint64) (start uint64, keep func() error) {
+	var last startFile
+	// A damaged or missing file says nothing, and the next write mends it.
+	if _, err := s.get(startName, &last); err == nil {
+		proposed = max(proposed, last.Start+1)
+	}
+	return proposed, func() error {
+		_, err := s.put(startName, startFile{proposed})
+		return err
+	}
+}
+
 // Member is the id made with this folder.
 func (s *Store) Member() MemberID { return s.member }
 
--- a/wings/deployment.go
+++ b/wings/deployment.go
@@ -73,6 +73,8 @@
 	Files       int
 	LinkMbps    float64
 	BodiesBytes int64
+	// Store bounds what the core's documents and the snapshot may take of the disk.
+	Store flyloft.StoreBounds
 }
 
 // Staging is what a deployment brings in its own words.
@@ -219,9 +221,9 @@
 	node := deployment.node(self, d.parts)
 	node.Journal, node.CheckSpec, node.IsCompiled = d.cue.Journal, d.shelf.Check, d.shelf.Has
 	node.ChangeSpec, node.VersionOf = d.shelf.Change, d.shelf.Version
-	d.cue.Journal.Open(node.Start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
+	d.openClock(node.Start)
 	for _, step := range []func() error{
-		func() error { return d.openFolder(&node) }, d.openJournal, func() error { return d.openNode(node) }, d.openPast,
+		func() error { return d.openFolderOrNone(&node) }, d.openJournal, func() error { return d.openNode(node) }, d.openPast,
 		func() error { return d.serveAll(node.Member) },
 	} {
 		if err := step(); err != nil {
@@ -238,6 +240,32 @@
 	return nil
 }
 
+// Tries of a folder whose disk fails at the start, and the pause between two.
+const (
+	folderTries = 3
+	folderPause = 200 * house.Millisecond
+)
+
+// openFolderOrNone goes on without a folder whose disk fails: then this process votes for
+// nothing until its next start, which is safe, and callers are served all the same.
+func (d *deployed) openFolderOrNone(node *flyloft.NodeSettings) error {
+	for try := 1; ; try++ {
+		err := d.openFolder(node)
+		if err == nil || !errors.As(err, new(house.DiskBreakdown)) {
+			return err
+		}
+		d.cue.Log.Error(err, "the data folder can't be opened", "try", try)
+		if try == folderTries {
+			d.cue.Note("house", "disk", "go on without", err.Error())
+			break
+		}
+		waitUntil(int64(folderPause), func() bool { return false })
+	}
+	d.store, d.settings.Data, d.parts.IsPrompter = nil, "", false
+	node.HasFolder, node.IsPrompter = false, false
+	return nil
+}
+
 // listen opens one of the deployment's addresses and serves it.
 func (d *deployed) listen(what, address string, handler http.Handler, wrap func(net.Listener) net.Listener) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
--- a/wings/deployment_test.go
+++ b/wings/deployment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -183,3 +184,62 @@
 		c.Assert(<-node.ended, qt.IsNil)
 	}
 }
+
+func TestADeploymentWithoutItsDiskServes(t *testing.T) {
+	c := qt.New(t)
+	seed := free(c)
+	d := goodDeployment(c, []string{seed}, seed)
+	file := filepath.Join(c.TempDir(), "file")
+	c.Assert(os.WriteFile(file, nil, 0o600), qt.IsNil)
+	d.Settings.Data = filepath.Join(file, "data")
+	node := startDeployed(c, d, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") }))
+	services := <-node.seen
+	awaitStatus(d.Callers, "/", http.StatusOK)
+	c.Assert(services.Runner.State().Role, qt.Equals, "")
+	node.stop()
+	c.Assert(<-node.ended, qt.IsNil)
+}
+
+// The second life knows the spec and the engines before it has heard of anybody.
+func TestADeploymentBeginsWithItsSnapshot(t *testing.T) {
+	c := qt.New(t)
+	seed := free(c)
+	d := goodDeployment(c, []string{seed}, seed)
+	callers := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	first := startDeployed(c, d, callers)
+	services := <-first.seen
+	versioned := strings.Replace(specOne, "{", `{"version":"1",`, 1)
+	for try, isKept := 0, false; !isKept; try++ {
+		receipt, err := services.Runner.Submit(context.Background(), &flyloft.Submit{ID: fmt.Sprint("first", try), Order: flyloft.PutSpec, Spec: []byte(versioned)})
+		c.Assert(err, qt.IsNil)
+		isKept = receipt.Outcome == flyloft.Yes
+	}
+	_, err := services.Runner.Register(context.Background(), flyloft.EngineRecord{ID: "engine-1", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Seq: 1})
+	c.Assert(err, qt.IsNil)
+	for {
+		content, err := os.ReadFile(filepath.Join(d.Settings.Data, "snapshot.json"))
+		if err == nil && strings.Contains(string(content), "engine-1") {
+			break
+		}
+	}
+	kept := services.Runner.State().Document
+	first.stop()
+	c.Assert(<-first.ended, qt.IsNil)
+
+	again := *d
+	again.Bootstrap, again.Settings.Seeds = false, []string{free(c)}
+	second := startDeployed(c, &again, callers)
+	services = <-second.seen
+	state := services.Runner.State()
+	// The spec is compiled beside.
+	for state.Document == nil {
+		state = services.Runner.State()
+	}
+	// Of the first life: what this one elects by itself has another term.
+	c.Assert(state.Document.Term, qt.Equals, kept.Term)
+	c.Assert(state.Document.SpecGeneration, qt.Equals, kept.SpecGeneration)
+	c.Assert(string(state.Document.Spec), qt.Equals, versioned)
+	c.Assert(state.Engines, qt.HasLen, 1)
+	second.stop()
+	c.Assert(<-second.ended, qt.IsNil)
+}
--- a/wings/process.go
+++ b/wings/process.go
@@ -115,7 +115,7 @@
 		Member: flyloft.MemberID("no-folder-" + self.Address),
 	}
 	settings.Rules.Put(&node)
-	a.cue.Journal.Open(node.Start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
+	a.openClock(node.Start)
 	// The folder first: it may be another process's, and then nothing in it is touched.
 	for _, step := range []func() error{
 		func() error { return a.openFolder(&node) }, a.openJournal, func() error { return a.openNode(node) }, a.openPast, a.openDoor,
@@ -154,18 +154,45 @@
 	if a.store, node.Ballot, node.Document, err = flyloft.OpenStore(folder, a.settings.Fleet, rand.Text); err != nil {
 		return err
 	}
+	if a.deployment != nil {
+		a.store.Bound(a.deployment.Limits.Store)
+	}
 	node.Member, node.Kept = a.store.Member(), a.store.SpecGenerations()
 	if node.Snapshot, err = a.store.Snapshot(a.settings.Fleet); err != nil {
 		// It only makes a start quicker; without it the fleet is asked.
 		a.cue.Log.Error(err, "the snapshot is not used")
 		a.cue.Note("house", "snapshot", "leave aside", err.Error())
 	}
+	var keep func() error
+	node.Start, keep = a.store.NextStart(node.Start)
+	a.openClock(node.Start)
+	// Beside the start: a disk that hangs must not hold it up, and the fleet reminds a
+	// node of its last number as well.
+	kept := make(chan struct{})
+	go func() {
+		defer close(kept)
+		if err := keep(); err != nil {
+			a.cue.Log.Error(err, "the number of this start is not kept")
+		}
+	}()
+	a.stage.Strike.Defer(func() error {
+		select {
+		case <-kept:
+		case <-time.After(2 * time.Second):
+		}
+		return nil
+	})
 	for _, name := range a.store.Aside() {
 		a.cue.Log.Info("a damaged file was set aside", "file", name)
 	}
 	return nil
 }
 
+// openClock has the journal carry the number of this start and the time of day.
+func (a *assembly) openClock(start uint64) {
+	a.cue.Journal.Open(start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
+}
+
 // openJournal has the journal written to the data folder.
 func (a *assembly) openJournal() error {
 	defer a.cue.Note("house", "process", "start", a.parts.Program+" "+a.settings.Version())
--- a/wings/runner.go
+++ b/wings/runner.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -68,8 +69,9 @@
 		inbox: make(chan func() []any, 1024), saves: make(chan any, 256), snapshots: make(chan flyloft.SaveSnapshot, 1),
 		waiters:   map[string][]chan flyloft.SubmitReceipt{},
 		registers: map[uint64]chan flyloft.Registered{}, reads: map[uint64]chan *flyloft.Document{},
-		// Of the clock, so that an answer to an earlier life is nobody's here.
-		nextToken: uint64(time.Now().UnixMicro()) << 8, hand: Stagehand{Shelf: shelf},
+		// At random, so that an answer to an earlier life is nobody's here; the time of day
+		// may have jumped back since that.
+		nextToken: rand.Uint64() >> 1, hand: Stagehand{Shelf: shelf},
 		prober: &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: plainDialer(), MaxIdleConnsPerHost: 1}},
 	}
 	r.state.Store(node.State(nil))
