--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -817,9 +817,19 @@
 		n.peerNews[from] = mark
 	}
 	n.outlive(m.Nodes)
-	if n.cell.TakeNews(n.now, m, false) && n.isHome() {
+	isLeavingNews, isLacking := n.cell.TakeNews(n.now, m, false)
+	if isLeavingNews && n.isHome() {
 		n.spread(m.Engines, false)
 	}
+	// The sender goes by what was taken once, and can't know what was dropped here since:
+	// it is asked for all again.
+	if isLacking {
+		n.note("cell", "ask for all", from+" was brief on a node that is not known here")
+		delete(n.peerNews, from)
+		if from == n.home() {
+			n.seenHome, n.seenNews = "", 0
+		}
+	}
 }
 
 // outlive sees to it that this life counts as the later one where the fleet remembers
--- a/foyer/router.go
+++ b/foyer/router.go
@@ -338,12 +338,21 @@
 		var silence *time.Timer
 		// Set going only once it has its name, by which it sets itself going again.
 		silence = time.AfterFunc(longest.Duration(), func() {
+			// It may have fired as the exchange ended; set going again, nobody would stop it.
+			if ctx.Err() != nil {
+				return
+			}
 			// While other streams of that engine go on it is busy, not gone.
 			now := u.Cue.Clock.Now()
 			if u.Chooser.HeardSince(engine.ID, max(sentAt, now-span)) {
 				silence.Reset(span.Duration())
 				return
 			}
+			// Left only for an attempt that may follow: the engine may answer yet.
+			if !u.Chooser.MayLeave(now, call) {
+				silence.Reset(span.Duration())
+				return
+			}
 			cancel(engineSilent{span})
 		})
 		silence.Reset(span.Duration())
@@ -371,6 +380,10 @@
 		}
 		return ending, "status " + strconv.Itoa(response.StatusCode), nil
 	}
+	if isUnprovenPromise(response.StatusCode) {
+		// To a caller this status says that nothing ran, and the engine does not say so.
+		return 0, "", Broken{"read the head", unproven{response.StatusCode}}
+	}
 	load, hasLoad := ParseLoad(response.Header.Get(u.Wire.Load))
 	u.Chooser.Answered(u.Cue.Clock.Now(), call, load, hasLoad)
 	if response.StatusCode >= 200 && response.StatusCode < 300 && response.Header.Get(u.Wire.Stamp) == "" {
@@ -379,6 +392,9 @@
 	if answer.hasBegun && response.StatusCode != http.StatusOK {
 		return 0, "", Broken{"go on with the stream", notResumed{response.StatusCode}}
 	}
+	if answer.hasBegun && !isEventStream(response) {
+		return 0, "", Broken{"go on with the stream", noStream{}}
+	}
 	ending, why, err := answer.relay(response)
 	if err != nil {
 		if silent := (engineSilent{}); errors.As(context.Cause(ctx), &silent) && answer.r.Context().Err() == nil {
@@ -395,11 +411,32 @@
 	return ending, why, nil
 }
 
+// isUnprovenPromise tells that a status promises callers what only the engine can know.
+func isUnprovenPromise(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout
+}
+
+// unproven says that an engine's status promises that nothing ran without its word for it.
+type unproven struct{ status int }
+
+func (b unproven) Error() string {
+	return "the engine answered " + strconv.Itoa(b.status) + " without its word that it did not run the request"
+}
+
 // unstamped says that a success lacks the engine's proof.
 type unstamped struct{}
 
 func (unstamped) Error() string { return "a success without the engine's stamp" }
 
+// noStream says that what should go on with a stream is none.
+type noStream struct{}
+
+func (noStream) Error() string { return "the engine's answer is no stream" }
+
+func isEventStream(response *http.Response) bool {
+	return response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // notResumed says that an engine did not go on with a stream.
 type notResumed struct{ status int }
 
@@ -440,7 +477,7 @@
 // relay passes an engine's answer on as it comes. An error is the engine's failure.
 func (a *answer) relay(response *http.Response) (Ending, string, error) {
 	call := a.call
-	isStream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") && response.StatusCode == http.StatusOK
+	isStream := isEventStream(response)
 	ending := Served
 	if response.StatusCode >= 500 {
 		ending = Failed
@@ -491,6 +528,8 @@
 				}
 				if isResumed && events > 0 {
 					if next := firstID(whole); !isAfter(last, next) {
+						// The splitter has read its ids already; the caller got none of them.
+						a.events.lastID = last
 						return 0, "", Broken{"go on with the stream", strayEvent{last, next}}
 					}
 					isResumed = false
--- a/house/diary.go
+++ b/house/diary.go
@@ -194,8 +194,8 @@
 // written. Lines that a power cut left half written are passed over.
 func (d *Diary) Read(since Micros, isWanted func(Entry) bool) []Entry {
 	found := []Entry{}
+	// Only the names: the rest of a part is its writer's alone.
 	for i := range d.parts {
-		// Only the name, which never changes: the rest is the writer's.
 		for _, name := range d.files(d.parts[i].name) {
 			file, err := os.Open(name)
 			if err != nil {
