--- a/flyloft/fleet_test.go
+++ b/flyloft/fleet_test.go
@@ -54,11 +54,17 @@
 	member    MemberID
 	ballot    Ballot
 	document  *Document
+	snapshot  []byte
+	isFull    bool // it refuses writes
 	bootstrap bool
 }
 
 const ms = house.Millisecond
 
+type diskFull struct{}
+
+func (diskFull) Error() string { return "the disk is full" }
+
 // platformLike are the settings of a deployment whose routers outlive the core.
 func platformLike(settings *NodeSettings) {
 	settings.Voters, settings.ServeOn, settings.ReceiptRule = 3, ServeOnAlways, Spread
@@ -160,6 +166,10 @@
 			n.member = MemberID(fmt.Sprintf("m-%d", f.start))
 		}
 		settings.Member, settings.Ballot, settings.Document = n.member, n.ballot, n.document
+		if n.snapshot != nil {
+			settings.Snapshot = &Snapshot{}
+			f.c.Assert(json.Unmarshal(n.snapshot, settings.Snapshot), qt.IsNil)
+		}
 	}
 	f.adapt(&settings)
 	n.node = NewNode(settings, f.now)
@@ -206,7 +216,7 @@
 // wipe kills a node and loses its disk.
 func (n *fleetNode) wipe() {
 	n.kill()
-	n.member, n.ballot, n.document, n.bootstrap = "", Ballot{}, nil, false
+	n.member, n.ballot, n.document, n.snapshot, n.bootstrap = "", Ballot{}, nil, nil, false
 }
 
 func (f *fleet) byAddress(address string) *fleetNode {
@@ -244,6 +254,12 @@
 				if n.epoch != epoch {
 					return
 				}
+				if n.isFull {
+					n.do(func() []any {
+						return n.node.Saved(f.now, command.Token, house.DiskBreakdown{Step: "write", Name: "it", Cause: diskFull{}})
+					})
+					return
+				}
 				if command.Ballot != nil {
 					n.ballot = *command.Ballot
 				}
@@ -253,6 +269,21 @@
 				}
 				n.do(func() []any { return n.node.Saved(f.now, command.Token, nil) })
 			})
+		case SaveSnapshot:
+			content, err := json.Marshal(command.Snapshot)
+			f.c.Assert(err, qt.IsNil)
+			f.in(2*ms+house.Micros(f.random.Int64N(int64(4*ms))), func() {
+				switch {
+				case n.epoch != epoch:
+				case n.isFull:
+					n.do(func() []any {
+						return n.node.SnapshotSaved(f.now, house.DiskBreakdown{Step: "write", Name: "it", Cause: diskFull{}})
+					})
+				default:
+					n.snapshot = content
+					n.do(func() []any { return n.node.SnapshotSaved(f.now, nil) })
+				}
+			})
 		case Receipt:
 			f.receipt[command.SubmitReceipt.ID] = command.SubmitReceipt
 			f.heardAt[command.SubmitReceipt.ID] = f.now
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -45,6 +45,8 @@
 	Ballot    Ballot
 	Document  *Document
 	Kept      []uint64
+	// Snapshot is what an earlier life kept for a quick start; nil: there is none.
+	Snapshot *Snapshot
 }
 
 // Outgoing is a message for the shell to carry.
@@ -115,6 +117,8 @@
 	founder   *founder                // nil unless members announce themselves
 	reads     map[uint64]*reading
 	words     words
+	snapshots snapshots
+	greeting  greeting
 }
 
 // urgentNews is sent again a few times: a single loss must not cost the seconds
@@ -163,6 +167,8 @@
 		coreSettings.Random = random
 		n.core = NewCore(coreSettings, now)
 	}
+	n.greeting = greeting{until: now + helloSpan, isOver: settings.ServeOn < ServeOnAlways, answered: map[string]house.Micros{}}
+	n.restore(settings.Snapshot)
 	return n
 }
 
@@ -212,7 +218,8 @@
 	if n.core != nil && n.core.doc != nil {
 		return n.core.doc.Founding
 	}
-	if n.licence.applied != nil {
+	// A folder may be from before the core was rebuilt, so what it held binds nobody.
+	if n.licence.applied != nil && !n.isRestored() {
 		return n.licence.applied.Founding
 	}
 	return ""
@@ -355,6 +362,10 @@
 	if n.founder != nil && why == "" && envelope.Founding != "" {
 		n.founder.stand(envelope.Founding)
 	}
+	if r := n.snapshots.restored; r != nil && why == "" && envelope.Founding == r.Founding {
+		// Someone who belongs to it says so: what the disk held binds again.
+		n.snapshots.restored = nil
+	}
 	if why != "" {
 		if _, isNoted := n.declined[envelope.From]; !isNoted {
 			n.declined[envelope.From] = now
@@ -644,6 +655,9 @@
 		if m.Grant.News != nil {
 			n.onNews(from, m.Grant.News)
 		}
+		n.greeted(from, m.Grant)
+	case m.Hello != nil:
+		n.onHello(from, m.Hello)
 	case m.GrantBatch != nil:
 		n.onGrantBatch(m.GrantBatch)
 	case m.Nudge != nil:
@@ -802,6 +816,7 @@
 		mark.upto = max(mark.upto, m.Upto)
 		n.peerNews[from] = mark
 	}
+	n.outlive(m.Nodes)
 	isLeavingNews, isLacking := n.cell.TakeNews(n.now, m, false)
 	if isLeavingNews && n.isHome() {
 		n.spread(m.Engines, false)
@@ -817,6 +832,18 @@
 	}
 }
 
+// outlive sees to it that this life counts as the later one where the fleet remembers
+// another: the time of day may have jumped back between the two.
+func (n *Node) outlive(records []NodeRecord) {
+	for _, record := range records {
+		isOther := record.Start > n.settings.Start || record.Start == n.settings.Start && record.Seq > n.nodeSeq
+		if record.Address == n.self() && isOther {
+			n.note("node "+n.self(), "count as later", fmt.Sprintf("the fleet remembers start %d, this one began as %d", record.Start, n.settings.Start))
+			n.settings.Start, n.nodeSeqAlarm, n.askAlarm = record.Start+1, n.now, n.now
+		}
+	}
+}
+
 func (n *Node) onMend(from string, m *Mend) {
 	if m.IsHome {
 		if news := n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, true); len(news.Engines)+len(news.Nodes) > 0 || news.IsAll {
@@ -867,7 +894,7 @@
 		if n.core != nil {
 			n.core.Learn(n.learnedMarks())
 		}
-		for _, noted := range []map[string]house.Micros{n.probedAt, n.declined} {
+		for _, noted := range []map[string]house.Micros{n.probedAt, n.declined, n.greeting.answered} {
 			for name, at := range noted {
 				if now-at > 10*house.Second {
 					delete(noted, name)
@@ -880,7 +907,9 @@
 	n.tickErrands()
 	n.tickReads()
 	n.tickFounding()
+	n.tickHello()
 	n.tickWords()
+	n.tickSnapshot()
 	return n.finish()
 }
 
--- /dev/null
+++ b/flyloft/recovery_test.go
@@ -0,0 +1,485 @@
+package flyloft
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/house"
+)
+
+// settledFleet is a fleet of voters and routers with a spec in force and two engines that beat.
+func settledFleet(c *qt.C, seed uint64, nodes int) *fleet {
+	f := newFleet(c, seed, 4, nodes, firstHaveFolders(4))
+	f.bootAll(500 * ms)
+	f.settled(6 * house.Second)
+	f.votersAre(3*house.Second, f.nodes[:4]...)
+	f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[5])
+	for i, id := range []string{"e1", "e2"} {
+		f.register(f.nodes[i], uint64(i+1), engineAt(id, fmt.Sprintf("z%d", i+1), 1))
+	}
+	f.await("the engines everywhere", 4*house.Second, func() bool {
+		return f.allKnow("e1", EngineRecord.isBeating) && f.allKnow("e2", EngineRecord.isBeating)
+	})
+	f.pass(house.Second)
+	return f
+}
+
+func (f *fleet) loseAllPower() {
+	for _, n := range f.nodes {
+		n.kill()
+		n.bootstrap = false
+	}
+}
+
+// recovery is how long after the first start of a fleet's processes something was so.
+type recovery struct{ led, documents, engines, newest house.Micros }
+
+// recover starts all within a span and looks at every millisecond.
+func (f *fleet) recover(span house.Micros) recovery {
+	f.c.Helper()
+	begun, took := f.now, recovery{}
+	f.bootAll(span)
+	first := func(at *house.Micros, isMet func() bool) {
+		if *at == 0 && isMet() {
+			*at = max(f.now-begun, 1)
+		}
+	}
+	all := func(isMet func(n *fleetNode) bool) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool { return !n.isUp || !isMet(n) })
+		}
+	}
+	for took.led == 0 || took.documents == 0 || took.newest == 0 || took.engines == 0 {
+		f.pass(ms)
+		first(&took.led, func() bool { return f.leader() != nil })
+		first(&took.documents, all(func(n *fleetNode) bool { return n.inForce() != nil && n.inForce().SpecVersion == 1 }))
+		first(&took.engines, all(func(n *fleetNode) bool { return n.engine("e1").isBeating() && n.engine("e2").isBeating() }))
+		first(&took.newest, func() bool {
+			lead := f.leader()
+			return lead != nil && lead.node.core.committed != nil &&
+				all(func(n *fleetNode) bool {
+					return n.inForce() != nil && n.inForce().Generation >= lead.node.core.committed.Generation
+				})()
+		})
+		if f.now-begun > 6*house.Second {
+			break
+		}
+	}
+	return took
+}
+
+// logSpans logs the middle and the largest of some spans.
+func logSpans(c *qt.C, what string, spans []house.Micros) {
+	slices.Sort(spans)
+	c.Logf("%s: median %d ms, most %d ms of %d", what, spans[len(spans)/2]/ms, spans[len(spans)-1]/ms, len(spans))
+}
+
+func TestAWholeFleetThatLostPowerIsBackAtOnce(t *testing.T) {
+	for _, nodes := range []int{9, 12} {
+		c := qt.New(t)
+		var led, documents, engines, newest []house.Micros
+		for seed := range uint64(20) {
+			f := settledFleet(c, seed, nodes)
+			f.loseAllPower()
+			f.pass(800 * ms)
+			took := f.recover(100 * ms)
+			led, documents = append(led, took.led), append(documents, took.documents)
+			engines, newest = append(engines, took.engines), append(newest, took.newest)
+			for _, span := range []house.Micros{took.documents, took.engines} {
+				c.Assert(span > 0 && span <= 250*ms, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, took))
+			}
+			for _, span := range []house.Micros{took.led, took.newest} {
+				c.Assert(span > 0 && span <= 500*ms, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, took))
+			}
+		}
+		logSpans(c, fmt.Sprintf("%d nodes, to a leader", nodes), led)
+		logSpans(c, fmt.Sprintf("%d nodes, to a spec on the last router", nodes), documents)
+		logSpans(c, fmt.Sprintf("%d nodes, to the engines on the last router", nodes), engines)
+		logSpans(c, fmt.Sprintf("%d nodes, to what the core elected on the last router", nodes), newest)
+	}
+}
+
+// snapshotDocument is the document that a node's disk has for a quick start.
+func (n *fleetNode) snapshotDocument() *Document {
+	var found Snapshot
+	n.f.c.Assert(json.Unmarshal(n.snapshot, &found), qt.IsNil)
+	return found.Document
+}
+
+func TestARestartedVoterUnseatsNoLeader(t *testing.T) {
+	for seed := range uint64(10) {
+		c := qt.New(t)
+		f := settledFleet(c, seed, 9)
+		lead := f.leader()
+		term := lead.node.core.term
+		for _, n := range f.nodes[:4] {
+			if n == lead {
+				continue
+			}
+			n.kill()
+			f.pass(100*ms + house.Micros(f.random.Int64N(int64(house.Second))))
+			n.boot()
+			f.pass(1500 * ms)
+			c.Assert(f.leader(), qt.Equals, lead)
+			c.Assert(lead.node.core.term, qt.Equals, term)
+		}
+	}
+}
+
+// A value that only its leader holds must not come back by the leader's snapshot.
+func TestASnapshotHoldsOnlyWhatWasCommitted(t *testing.T) {
+	for seed := range uint64(10) {
+		c := qt.New(t)
+		f := settledFleet(c, seed, 9)
+		lead := f.leader()
+		for _, n := range f.nodes {
+			if n != lead {
+				lead.cut[n.identity.Address] = true
+			}
+		}
+		lead.submit("lost", 1, specOf(2, "lost"))
+		f.await("the leader alone to hold it", house.Second, func() bool { return lead.document.SpecVersion == 2 })
+		// Long enough for a snapshot, and too short for it to step down.
+		f.pass(550 * ms)
+		c.Assert(lead.snapshotDocument().SpecVersion, qt.Equals, uint64(1))
+		lead.kill()
+		f.acknowledge("won", 1, specOf(2, "won"), 4*house.Second, f.nodes[5], f.nodes[6])
+		// It starts without a way to anybody: it serves what was in force before.
+		lead.boot()
+		f.pass(house.Second)
+		c.Assert(string(lead.inForce().Spec), qt.Equals, string(specOf(1, "a")))
+		c.Assert(lead.node.State(nil).Until, qt.Equals, ServeOnAlways)
+		lead.cut = map[string]bool{}
+		f.await("what won", 2*house.Second, func() bool { return string(lead.inForce().Spec) == string(specOf(2, "won")) })
+		f.loseAllPower()
+		f.recover(100 * ms)
+		for _, n := range f.nodes {
+			c.Assert(string(n.inForce().Spec), qt.Equals, string(specOf(2, "won")))
+		}
+	}
+}
+
+func TestAWipedDiskIsToldByWhoeverKnows(t *testing.T) {
+	for seed := range uint64(10) {
+		c := qt.New(t)
+		f := settledFleet(c, seed, 9)
+		f.loseAllPower()
+		f.nodes[seed%4].wipe()
+		f.pass(800 * ms)
+		took := f.recover(100 * ms)
+		c.Assert(took.documents > 0 && took.documents <= 250*ms, qt.IsTrue, qt.Commentf("%+v", took))
+		c.Assert(took.engines > 0 && took.engines <= 250*ms, qt.IsTrue, qt.Commentf("%+v", took))
+		f.votersAre(4*house.Second, f.nodes[:4]...)
+	}
+}
+
+func TestARestartedRouterNeedsNoLeader(t *testing.T) {
+	for _, size := range []int{1, 3 * helloSpec} {
+		c := qt.New(t)
+		f := settledFleet(c, 3, 9)
+		f.acknowledge("two", 1, specOf(2, string(slices.Repeat([]byte("x"), size))), 4*house.Second, f.nodes[5])
+		router, seq := f.nodes[7], uint64(10)
+		restart := func(what string) {
+			router.kill()
+			f.pass(300 * ms)
+			router.boot()
+			took := f.await("the spec and the engines again", 250*ms, func() bool {
+				return router.inForce() != nil && router.inForce().SpecVersion == 2 && router.engine("e1").isBeating() && router.engine("e2").isBeating()
+			})
+			c.Logf("%s, a spec of %d bytes: after %d ms", what, size, took/ms)
+		}
+		restart("under a leader")
+		for _, n := range f.nodes[1:4] {
+			n.kill()
+		}
+		for range 6 {
+			for i, id := range []string{"e1", "e2"} {
+				seq++
+				f.register(f.nodes[0], 10*seq+uint64(i), engineAt(id, fmt.Sprintf("z%d", i+1), seq))
+			}
+			f.pass(house.Second / 2)
+		}
+		c.Assert(f.leader(), qt.IsNil)
+		restart("under none")
+	}
+}
+
+func TestEnginesOfASnapshotAreNotTakenToLive(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(c, 5, 9)
+	f.loseAllPower()
+	f.recover(100 * ms)
+	// One beats again; the other ended with the power.
+	for seq := uint64(2); seq < 12; seq++ {
+		f.register(f.nodes[0], 100+seq, engineAt("e1", "z1", seq))
+		f.pass(house.Second)
+	}
+	c.Assert(f.allKnow("e1", EngineRecord.isBeating), qt.IsTrue)
+	c.Assert(f.allKnow("e2", func(e EngineRecord) bool { return e.IsDark }), qt.IsTrue)
+}
+
+func TestUnderStrictLicencesThereIsNoSnapshot(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1, 3, 6, firstHaveFolders(3))
+	f.adapt = func(settings *NodeSettings) { settings.Bootstrap = false }
+	f.bootAll(200 * ms)
+	f.settled(6 * house.Second)
+	f.pass(2 * house.Second)
+	document := f.nodes[0].inForce()
+	for _, n := range f.nodes {
+		c.Assert(n.snapshot, qt.IsNil)
+	}
+	content, err := json.Marshal(&Snapshot{Format: snapshotFormat, Document: document})
+	c.Assert(err, qt.IsNil)
+	f.loseAllPower()
+	f.nodes[0].snapshot = content
+	f.nodes[0].boot()
+	f.pass(house.Second)
+	c.Assert(f.nodes[0].inForce(), qt.IsNil)
+	c.Assert(f.crossed["Hello"], qt.Equals, 0)
+}
+
+// snapshotStore is a member's folder with two generations of one spec.
+func snapshotStore(c *qt.C, path string) (*Store, *Document) {
+	folder, err := house.OpenFolder(path)
+	c.Assert(err, qt.IsNil)
+	store, _, _, err := OpenStore(folder, "f", func() string { return "m" })
+	c.Assert(err, qt.IsNil)
+	first := &Document{Founding: "x", Generation: 1, Term: 1}
+	first.putSpec([]byte("spec"))
+	second := first.next(1)
+	for _, document := range []*Document{first, second} {
+		c.Assert(store.Save(Save{Ballot: &Ballot{Term: 1}, Document: document}), qt.IsNil)
+	}
+	return store, second
+}
+
+func reopened(c *qt.C, path string) *Store {
+	folder, err := house.OpenFolder(path)
+	c.Assert(err, qt.IsNil)
+	store, _, _, err := OpenStore(folder, "f", func() string { return "m2" })
+	c.Assert(err, qt.IsNil)
+	return store
+}
+
+func TestASnapshotOutlivesItsProcess(t *testing.T) {
+	c := qt.New(t)
+	path := c.TempDir()
+	store, document := snapshotStore(c, path)
+	found, err := store.Snapshot("f")
+	c.Assert(found, qt.IsNil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: document, Nodes: []string{"n"}}), qt.IsNil)
+	file, err := store.folder.Get(snapshotName)
+	c.Assert(err, qt.IsNil)
+	// The spec stands in the folder once.
+	var raw Snapshot
+	content, err := unseal(snapshotName, file)
+	c.Assert(err, qt.IsNil)
+	c.Assert(json.Unmarshal(content, &raw), qt.IsNil)
+	c.Assert(raw.Document.Spec, qt.HasLen, 0)
+	c.Assert(document.Spec, qt.Not(qt.HasLen), 0)
+	found, err = reopened(c, path).Snapshot("f")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(found.Document.Spec), qt.Equals, "spec")
+	c.Assert(found.Document.stamp(), qt.Equals, document.stamp())
+	// One whose spec no file has holds it itself.
+	other := document.next(1)
+	other.putSpec([]byte("other"))
+	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: other}), qt.IsNil)
+	found, err = reopened(c, path).Snapshot("f")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(found.Document.Spec), qt.Equals, "other")
+	// One beyond the bound leaves the last as it is.
+	store.Bound(StoreBounds{Snapshot: 64})
+	err = store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: document})
+	c.Assert(errors.As(err, new(SnapshotTooLarge)), qt.IsTrue)
+	found, err = reopened(c, path).Snapshot("f")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(found.Document.Spec), qt.Equals, "other")
+}
+
+func TestASpecThatTheSnapshotNeedsIsKept(t *testing.T) {
+	c := qt.New(t)
+	path := c.TempDir()
+	store, document := snapshotStore(c, path)
+	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: document}), qt.IsNil)
+	store.Bound(StoreBounds{Generations: 1})
+	last := document
+	for i := range 6 {
+		last = last.next(1)
+		last.putSpec(fmt.Append(nil, "proposed ", i))
+		c.Assert(store.Save(Save{Document: last}), qt.IsNil)
+	}
+	found, err := reopened(c, path).Snapshot("f")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(found.Document.Spec), qt.Equals, "spec")
+}
+
+func TestASnapshotOfNoUseIsSetAside(t *testing.T) {
+	c := qt.New(t)
+	for name, spoil := range map[string]func(store *Store, snapshot *Snapshot) error{
+		"damaged": func(store *Store, snapshot *Snapshot) error {
+			if err := store.SaveSnapshot(snapshot); err != nil {
+				return err
+			}
+			file, err := store.folder.Get(snapshotName)
+			if err != nil {
+				return err
+			}
+			file[len(file)/2] ^= 4
+			return store.folder.Put(snapshotName, file)
+		},
+		"of a newer build": func(store *Store, snapshot *Snapshot) error {
+			snapshot.Format++
+			return store.SaveSnapshot(snapshot)
+		},
+		"of another fleet": func(store *Store, snapshot *Snapshot) error {
+			snapshot.Fleet = "g"
+			return store.SaveSnapshot(snapshot)
+		},
+		"without its spec": func(store *Store, snapshot *Snapshot) error {
+			if err := store.SaveSnapshot(snapshot); err != nil {
+				return err
+			}
+			for _, file := range slices.Clone(store.files) {
+				if err := store.drop(file.stamp); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		"of another spec": func(store *Store, snapshot *Snapshot) error {
+			changed := *snapshot.Document
+			changed.Spec = []byte("changed")
+			changed.Chain = []SpecMark{{changed.SpecGeneration, "of none"}}
+			snapshot.Document = &changed
+			return store.SaveSnapshot(snapshot)
+		},
+	} {
+		c.Run(name, func(c *qt.C) {
+			path := c.TempDir()
+			store, document := snapshotStore(c, path)
+			c.Assert(spoil(store, &Snapshot{Format: snapshotFormat, Fleet: "f", Document: document}), qt.IsNil)
+			again := reopened(c, path)
+			found, err := again.Snapshot("f")
+			c.Assert(found, qt.IsNil)
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(again.Aside(), qt.DeepEquals, []string{snapshotName})
+			found, err = again.Snapshot("f")
+			c.Assert(found, qt.IsNil)
+			c.Assert(err, qt.IsNil)
+		})
+	}
+}
+
+func TestARestartUnderALowerNumberIsTheLaterLife(t *testing.T) {
+	c := qt.New(t)
+	f := settledFleet(c, 4, 9)
+	for _, n := range []*fleetNode{f.nodes[7], f.nodes[1]} {
+		n.do(func() []any { return n.node.Leave(f.now) })
+		record := func(at *fleetNode) NodeRecord {
+			found, _ := at.node.cell.nodes.Get(n.identity.Address)
+			return found
+		}
+		all := func(isMet func(NodeRecord) bool) func() bool {
+			return func() bool {
+				return !slices.ContainsFunc(f.nodes, func(at *fleetNode) bool { return at != n && !isMet(record(at)) })
+			}
+		}
+		f.await("all know that it leaves", 4*house.Second, all(func(r NodeRecord) bool { return r.IsLeaving }))
+		n.kill()
+		f.pass(300 * ms)
+		f.start -= 900
+		n.boot()
+		took := f.await("all know that it is back", 4*house.Second, all(func(r NodeRecord) bool { return !r.IsLeaving }))
+		c.Logf("known after %d ms", took/ms)
+		c.Assert(record(n).IsLeaving, qt.IsFalse)
+	}
+}
+
+// Whatever order they come in, every node keeps the same record.
+func TestRecordsOfTwoLivesOfANodeMergeToTheLater(t *testing.T) {
+	c := qt.New(t)
+	timing := DefaultTiming()
+	now := 100 * house.Second
+	word := func(start, seq uint64, age house.Micros) NodeRecord {
+		return NodeRecord{Address: "n", Zone: "z", Start: start, Seq: seq, AsOf: now - age}
+	}
+	for _, each := range []struct {
+		what   string
+		a, b   NodeRecord
+		winner uint64
+	}{
+		{"the larger start is the later", word(9, 1, 0), word(5, 40, 0), 9},
+		{"it is, if the other was late", word(9, 1, timing.nodeSilent()/2), word(5, 40, 0), 9},
+		{"it fell silent before the other spoke", word(9, 40, timing.nodeSilent()+1), word(5, 1, 0), 5},
+	} {
+		for _, order := range [][]NodeRecord{{each.a, each.b}, {each.b, each.a}, {each.b, each.a, each.b, each.a}} {
+			cell := NewCell("i", timing, func(string, string, string) {})
+			for _, record := range order {
+				cell.TakeNode(now, record, false)
+			}
+			kept, _ := cell.nodes.Get("n")
+			c.Assert(kept.Start, qt.Equals, each.winner, qt.Commentf("%s", each.what))
+		}
+	}
+}
+
+func TestStartsRiseInAFolder(t *testing.T) {
+	c := qt.New(t)
+	path := c.TempDir()
+	store, _ := snapshotStore(c, path)
+	last := uint64(0)
+	for _, clock := range []uint64{500, 100, 101, 900, 2} {
+		start, keep := reopened(c, path).NextStart(clock)
+		c.Assert(start > last && start >= clock, qt.IsTrue)
+		c.Assert(keep(), qt.IsNil)
+		last = start
+	}
+	c.Assert(last, qt.Equals, uint64(901))
+	// A damaged file must not keep a node from starting.
+	c.Assert(store.folder.Put(startName, []byte("half")), qt.IsNil)
+	start, keep := reopened(c, path).NextStart(7)
+	c.Assert(start, qt.Equals, uint64(7))
+	c.Assert(keep(), qt.IsNil)
+}
+
+func TestAFullDiskPromisesNothingAndServes(t *testing.T) {
+	for seed := range uint64(6) {
+		c := qt.New(t)
+		f := settledFleet(c, seed, 9)
+		lead := f.leader()
+		full := []*fleetNode{}
+		for _, n := range f.nodes[:4] {
+			if n != lead && len(full) < 2 {
+				n.isFull = true
+				full = append(full, n)
+			}
+		}
+		// Two of four are no majority.
+		f.nodes[6].submit("two", 1, specOf(2, "b"))
+		f.pass(3 * house.Second)
+		_, hasReceipt := f.receipt["two"]
+		c.Assert(hasReceipt && f.receipt["two"].Outcome == Yes, qt.IsFalse)
+		for _, n := range full {
+			c.Assert(n.document.SpecVersion, qt.Equals, uint64(1))
+			c.Assert(n.inForce().SpecVersion, qt.Equals, uint64(1))
+			c.Assert(n.state().Until, qt.Equals, ServeOnAlways)
+		}
+		full[0].isFull = false
+		f.await("a majority holds it", 6*house.Second, func() bool {
+			return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool { return n.inForce().SpecVersion != 2 })
+		})
+		// The one that is still full serves under it and has not kept it.
+		c.Assert(full[1].document.SpecVersion, qt.Equals, uint64(1))
+		c.Assert(full[1].snapshotDocument().SpecVersion, qt.Equals, uint64(1))
+		full[1].isFull = false
+		f.await("it is kept", 8*house.Second, func() bool { return full[1].snapshotDocument().SpecVersion == 2 && full[1].document.SpecVersion == 2 })
+	}
+}
