--- a/foyer/router.go
+++ b/foyer/router.go
@@ -298,27 +298,13 @@
 	left := max((call.Request.Deadline-now)/house.Millisecond, 1)
 	set(u.Wire.Deadline, strconv.FormatInt(int64(left), 10))
 	set(u.Wire.WantInstance, call.Attempt.Engine.ID)
-	set(u.Wire.Priority, strconv.Itoa(urgency(call.Request)))
+	set(u.Wire.Priority, strconv.Itoa(min(max(call.Request.Route.Priority, 0), 9)))
 	if answer.events.lastID != "" && answer.events.lastID != call.Request.LastEvent {
 		set(u.Wire.LastEvent, answer.events.lastID)
 	}
 	return anew
 }
 
-// urgency ranks a request at an engine: by its route, and within one by how much of its
-// prompt has to be read, since a long prompt holds up a short one for longer than the
-// other way round.
-func urgency(request Request) int {
-	rank := 3 * max(request.Route.Priority, 0)
-	switch {
-	case request.PromptTokens > 16384:
-		rank += 2
-	case request.PromptTokens > 4096:
-		rank++
-	}
-	return min(rank, 9)
-}
-
 // patience is how long an engine may show no sign of life before another one is tried,
 // which only a repeatable request can be. Half of the aim leaves the other half for the
 // second engine.
