--- a/foyer/chooser.go
+++ b/foyer/chooser.go
@@ -85,6 +85,7 @@
 	dearWait     = 2 * house.Second       // and so much longer by requests that may run once only
 	fullAvoid    = 50 * house.Millisecond // one that turned a request away
 	soon         = 200 * house.Millisecond
+	settled      = 500 * house.Millisecond  // in which a router that has just started knows spec and engines
 	othersFade   = 1500 * house.Millisecond // in which a late figure loses most of its weight
 	figureWeight = 0.03                     // of a new value in a running mean
 )
@@ -255,7 +256,7 @@
 		// All that are left failed lately; one of them may be well again, and a refusal
 		// would surely be worth less.
 		if len(avoided) == 0 {
-			return &Refusal{"no_engine", "service " + call.Request.Service + " has no engine that may take it", http.StatusServiceUnavailable, soon}
+			return &Refusal{"no_engine", "service " + call.Request.Service + " has no engine that may take it", http.StatusServiceUnavailable, settled}
 		}
 		others := c.meanOthers(call.Request.Service)
 		for _, state := range avoided {
--- a/foyer/router.go
+++ b/foyer/router.go
@@ -73,7 +73,7 @@
 	}
 	spec := u.Chooser.Spec()
 	if spec == nil {
-		u.refuse(w, &Refusal{"no_spec", "no spec has reached this router yet", http.StatusServiceUnavailable, soon})
+		u.refuse(w, &Refusal{"no_spec", "no spec has reached this router yet", http.StatusServiceUnavailable, settled})
 		return
 	}
 	if u.MaxLive > 0 && live > u.MaxLive || u.MaxBodies > 0 && u.held.Load()+max(r.ContentLength, 0) > u.MaxBodies {
