A voter whose address another member took is replaced without waiting out its silence

The old member stayed a voter until its silence counted as loss (8 s); 7 s after the fall the leader was cut from the rest for 7.7 s and the fleet killed. Of three voters one was gone and the other two cut off from each other, so no core until the cut healed, and no licence: 688 declines, 240 of them a crowd's. Now a member that joins at a voter's address after that voter was last heard shows that its folder is lost, as deployments with a set number of voters already hold. Here the change goes on by one added and one dropped, so it stays safe should the folder turn up again elsewhere. Both new tests fail before: the voter was kept, and without the leader no yes came in 6 s.

--- a/flyloft/core.go
+++ b/flyloft/core.go
@@ -1125,6 +1125,23 @@
 	return p == nil || c.now-p.lastHeard > c.settings.Timing.Replace
 }
 
+// isSucceeded tells of a voter at whose address another member has come up since it was
+// last heard: most likely its folder is lost. To wait out its silence besides would leave
+// the core with no voter to spare meanwhile. Should the folder come back after all, no
+// harm is done, since voters still change one at a time, by majorities that intersect.
+func (c *Core) isSucceeded(voter Member) bool {
+	if voter.ID == c.settings.Self.ID {
+		return false
+	}
+	old := c.peers[voter.ID]
+	for id, p := range c.peers {
+		if id != voter.ID && p.member.Address == voter.Address && p.hasFolder && (old == nil || old.lastHeard <= p.since) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) isGoing(member Member) bool {
 	if member.ID == c.settings.Self.ID {
 		return c.isLeaving
@@ -1150,7 +1167,7 @@
 	weak := -1
 	for i, member := range next.Voters {
 		zones[member.Zone]++
-		if c.isLost(member) || c.isGoing(member) {
+		if c.isLost(member) || c.isSucceeded(member) || c.isGoing(member) {
 			weak = i
 		}
 	}
@@ -1158,7 +1175,7 @@
 		// Fewer voters again: the lost one first, then one that goes, then one that shares a zone.
 		drop := weak
 		for i, member := range next.Voters {
-			if c.isLost(member) {
+			if c.isLost(member) || c.isSucceeded(member) {
 				drop = i
 			}
 		}
--- a/flyloft/core_test.go
+++ b/flyloft/core_test.go
@@ -278,6 +278,43 @@
 	c.Assert(isFreshIn, qt.IsTrue)
 }
 
+// Another member at a voter's address shows that the voter's folder is lost: it is replaced
+// without its silence being waited out, still one change at a time. A voter that is heard
+// on keeps its place.
+func TestAVoterWhoseAddressAnotherMemberTookIsReplacedAtOnce(t *testing.T) {
+	successor := Member{"c2", memberC.Address, memberC.Zone}
+	for _, isHeardOn := range []bool{false, true} {
+		c := qt.New(t)
+		b := newBench(c, Ballot{Term: 4}, document(4, 9))
+		b.elect()
+		b.confirm(memberA, b.core.doc.stamp())
+		b.confirm(memberC, b.core.doc.stamp())
+		b.pass(100 * house.Millisecond)
+		b.receive(successor, Message{Join: &Join{Member: successor, HasFolder: true}})
+		answering := []Member{memberA, successor}
+		if isHeardOn {
+			answering = []Member{memberA, memberC, successor}
+		}
+		seen := []int{3}
+		for range 50 {
+			b.pass(20 * house.Millisecond)
+			for _, member := range answering {
+				b.confirm(member, b.core.doc.stamp())
+				if count := len(b.core.doc.Voters); seen[len(seen)-1] != count {
+					seen = append(seen, count)
+				}
+			}
+		}
+		_, isOldIn := b.core.doc.voter(memberC.ID)
+		_, isNewIn := b.core.doc.voter(successor.ID)
+		c.Assert(isOldIn, qt.Equals, isHeardOn)
+		c.Assert(isNewIn, qt.Equals, !isHeardOn)
+		if !isHeardOn {
+			c.Assert(seen, qt.DeepEquals, []int{3, 4, 3})
+		}
+	}
+}
+
 func TestAYesNeedsBothRegistersWhileAChangeIsNotSettled(t *testing.T) {
 	c := qt.New(t)
 	newest := document(4, 9)
--- a/traproom/core_test.go
+++ b/traproom/core_test.go
@@ -67,6 +67,26 @@
 	finish(c, w)
 }
 
+// Seed 3 of qurum: a voter was back with an empty disk, and before its silence was over the
+// leader was cut off; so the core was gone, and with the fleet killed nobody served.
+func TestACoreWithARenewedMemberBearsTheLossOfItsLeader(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 3)
+	leader := w.leader()
+	for _, victim := range w.core() {
+		if living, _ := w.voters(); victim != leader && living == voterCountWanted {
+			w.loseDisk(victim)
+			victim.restart(500 * ms)
+		}
+	}
+	w.Run(3 * sec)
+	leader.halt()
+	w.acknowledge(c, "a yes without the leader", 6*sec)
+	leader.boot()
+	w.Run(2 * sec)
+	finish(c, w)
+}
+
 func TestAnEmptyMachineElsewhereTakesALostVotersPlaceUnattended(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 12)
