Tests of hot prefixes, of the spared divert, and of answers that reach who asked

Each fails on a copy with the line taken out: hash always at its length, always one part further, divert never or always spared; without the hand-over the wings test runs into its time limit (25 s), as its callers wait for ever. With the lines all pass, one run each.

--- a/foyer/foyer_test.go
+++ b/foyer/foyer_test.go
@@ -565,3 +565,69 @@
 	c.Assert(len(counts), qt.Equals, 4)
 	c.Assert(chooser.Counts().Diverts > 0, qt.IsTrue)
 }
+
+// One prefix that begins a large part of all prompts is hashed one part further, so that
+// what they share beyond it is found again; the same on every router.
+func TestAHotPrefixIsHashedOnePartFurther(t *testing.T) {
+	c := qt.New(t)
+	const bound = 1.0 / 18
+	routers := make([]depths, 3)
+	prompt := func(second, own int) []Part {
+		return []Part{{"first", 512}, {fmt.Sprint("second", second), 4870}, {fmt.Sprint("own", own), 100}}
+	}
+	sums := map[uint64]bool{}
+	for i := range 3 * evidence {
+		for router := range routers {
+			now := house.Micros(i) * 100 * house.Millisecond
+			sum := routers[router].hash(now, prompt(i%8, i), 64, 6000, bound)
+			c.Assert(sum, qt.Equals, PrefixHash(prompt(i%8, 0), 512+4870), qt.Commentf("router %d, request %d", router, i))
+			sums[sum] = true
+		}
+	}
+	c.Assert(sums, qt.HasLen, 8)
+}
+
+// A prefix that one engine can bear keeps its fixed length, whatever comes after it.
+func TestAPrefixThatOneEngineCanBearIsHashedAtItsLength(t *testing.T) {
+	c := qt.New(t)
+	const bound = 1.0 / 18
+	d := depths{}
+	for i := range 10 * evidence {
+		first := fmt.Sprint("first", i%40)
+		parts := []Part{{first, 341}, {fmt.Sprint("second", i%7), 227}, {fmt.Sprint("own", i), 1800}}
+		sum := d.hash(house.Micros(i)*10*house.Millisecond, parts, 64, 2400, bound)
+		c.Assert(sum, qt.Equals, PrefixHash(parts, 64), qt.Commentf("request %d", i))
+	}
+}
+
+// Twice of a low mean is no load: the preferred engine is kept while its first event is
+// foreseen well within the aim, and not any longer.
+func TestADivertIsSparedWhileThePreferredEngineIsInTime(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		goal     house.Micros
+		isSpared bool
+	}{{800 * house.Millisecond, true}, {20 * house.Millisecond, false}, {0, false}} {
+		route := &playbill.Route{Kind: playbill.Stream, IsPinned: true, Tries: 1, Goal: test.goal}
+		scene := &Scene{Spec: playbill.NewRouteSpec([]playbill.Route{*route}, []playbill.Service{{Name: "svc"}}), Routers: 1}
+		for i := range 4 {
+			scene.Engines = append(scene.Engines, Engine{ID: fmt.Sprint("e", i), Address: fmt.Sprint("a", i), Service: "svc"})
+		}
+		chooser := NewChooser("r", "z", Retry{})
+		chooser.Show(scene)
+		arrive := func(now house.Micros, id string) *Call {
+			call, refusal := chooser.Arrive(now, Request{ID: id, PromptTokens: 100, Parts: []Part{{"shared", 90}, {id, 10}},
+				Deadline: 1 << 60, Route: route, Service: "svc"})
+			c.Assert(refusal == nil, qt.IsTrue)
+			return call
+		}
+		// Ten milliseconds for a hundred tokens: that is the pace, and the first engine now
+		// has four times the mean.
+		first := arrive(house.Second, "first")
+		chooser.Answered(house.Second+10*house.Millisecond, first, Load{}, false)
+		second := arrive(house.Second+20*house.Millisecond, "second")
+		counts := chooser.Counts()
+		c.Assert(second.Attempt.Engine.ID == first.Attempt.Engine.ID, qt.Equals, test.isSpared, qt.Commentf("aim %d us", test.goal))
+		c.Assert([]uint64{counts.Spared, counts.Diverts}, qt.DeepEquals, map[bool][]uint64{true: {1, 0}, false: {0, 1}}[test.isSpared])
+	}
+}
--- a/wings/deployment_test.go
+++ b/wings/deployment_test.go
@@ -139,7 +139,14 @@
 		}
 	}
 	c.Assert(services[0].WhyNotReady(), qt.Equals, "no engine that is up is known here")
+	// What the owners answer to a read and to an engine's word reaches whoever asked; a
+	// caller whose answer is dropped on the way would wait for ever.
+	newest, err := services[2].Runner.Newest(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(newest.SpecGeneration > 0, qt.IsTrue)
 	services[1].Runner.Hear([]flyloft.EngineRecord{{ID: "e", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Start: 1, Seq: 1}})
+	_, err = services[1].Runner.Register(context.Background(), flyloft.EngineRecord{ID: "e", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Start: 1, Seq: 2})
+	c.Assert(err, qt.IsNil)
 	for _, node := range nodes {
 		awaitStatus(node.Readiness, "/ready", http.StatusOK)
 	}
