A zone behind a home that is cut off from the core asks the leader itself

Ruled out: the promise's rule (it rightly asks no node that was not heard of) and the home's silence (it spoke). The new test fails before.

--- a/flyloft/fleet_test.go
+++ b/flyloft/fleet_test.go
@@ -797,6 +797,62 @@
 	}
 }
 
+// A home that is cut off from the rest of the core still speaks to its zone, so the zone's
+// other nodes must not wait for its silence: they are in touch, and a drain binds them.
+func TestAZoneBehindAHomeThatIsCutOffFromTheCoreIsNotLeftBehind(t *testing.T) {
+	for seed := range uint64(8) {
+		c := qt.New(t)
+		f := newFleet(c, seed, 4, 9, firstHaveFolders(4))
+		f.bootAll(500 * ms)
+		f.settled(6 * house.Second)
+		f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
+		f.pass(house.Second)
+		leader := f.leader()
+		var home *fleetNode
+		for _, zone := range []string{"z1", "z2", "z3", "z4"} {
+			if n := f.byAddress(leader.state().Document.Homes[zone]); n.hasFolder && n != leader && len(zoneOf(f, zone)) > 1 {
+				home = n
+			}
+		}
+		c.Assert(home, qt.IsNotNil)
+		for _, n := range f.nodes {
+			if n.hasFolder && n != home {
+				home.cut[n.identity.Address], n.cut[home.identity.Address] = true, true
+			}
+		}
+		f.pass(2500 * ms)
+		leaving := engineAt("e", "z1", 2)
+		leaving.IsLeaving = true
+		f.register(f.leader(), 2, leaving)
+		f.await("the answer", 900*ms, func() bool { return f.answers[2].Token == 2 })
+		c.Assert(f.answers[2].Err, qt.IsNil)
+		f.pass(house.Second)
+		for _, n := range f.nodes {
+			if n != home {
+				c.Assert(n.engine("e").IsLeaving, qt.IsTrue, qt.Commentf("seed %d, %s", seed, n.identity.Address))
+			}
+		}
+		// What the operator is told binds them as well.
+		f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.leader())
+		f.pass(house.Second)
+		for _, n := range f.nodes {
+			if n != home {
+				c.Assert(n.inForce().SpecVersion, qt.Equals, uint64(1), qt.Commentf("seed %d, %s", seed, n.identity.Address))
+			}
+		}
+	}
+}
+
+func zoneOf(f *fleet, zone string) []*fleetNode {
+	found := []*fleetNode{}
+	for _, n := range f.nodes {
+		if n.identity.Zone == zone {
+			found = append(found, n)
+		}
+	}
+	return found
+}
+
 func TestADrainAtANodeThatIsCutOffIsNotConfirmed(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(c, 8, 3, 9, firstHaveFolders(3))
--- a/flyloft/node.go
+++ b/flyloft/node.go
@@ -300,7 +300,15 @@
 
 // isHomeless tells that the zone's home has been silent, so that other ways are taken.
 func (n *Node) isHomeless() bool {
-	return !n.isHome() && n.now-n.homeWord > max(600*house.Millisecond, n.settings.Timing.Ask*12/5)
+	most := max(600*house.Millisecond, n.settings.Timing.Ask*12/5)
+	if n.isHome() {
+		return false
+	}
+	// A home that is cut off from the core speaks to its zone as ever. Where licences bound
+	// that, they lapse; without them a node has to see by itself that no word of the leader
+	// comes through, or its whole zone stays behind.
+	isMute := n.settings.ServeOn >= ServeOnAlways && n.now-n.licence.grantedAsk > most
+	return isMute || n.now-n.homeWord > most
 }
 
 func (n *Node) zoneNodes() []string {
