A stop waits for what the librarian is writing, for two seconds at most

TestAPlannedStopFinishesWhatItAccepted failed once as specs.git was cleared. Nobody waited for the librarian, so that a stalled disk couldn't hold up a stop; a node's end could therefore leave it writing in a folder whose lock was let go. The failure itself was not seen again here; that a writer is left behind is shown by the new test, which stalls the read of an object that precedes its write: before, the stop ended with the writer inside. A write that stalls for good is left after 2 s, which the same test looks at too. Ruled out: no wait in the test's own clean-up, which would have hidden the same fault from operators whose next process opens the folder.

--- a/wings/librarian.go
+++ b/wings/librarian.go
@@ -75,6 +75,10 @@
 		if l.known[mark] {
 			continue
 		}
+		// A stop waits for what is being written, not for a whole chain.
+		if l.cue.Err() != nil {
+			return nil
+		}
 		if l.wardrobe.Holds(mark.Generation, mark.Digest) {
 			l.known[mark] = true
 			continue
@@ -136,6 +140,9 @@
 			continue // another node may tell, and this one when it is back
 		}
 		for _, facts := range history.Kept {
+			if l.cue.Err() != nil {
+				return nil
+			}
 			// Only what the chain no longer vouches for; the rest comes from the core.
 			if held[facts.Generation] || len(document.Chain) == 0 || facts.Generation >= document.Chain[0].Generation || facts.Founding != document.Founding {
 				continue
--- a/wings/process.go
+++ b/wings/process.go
@@ -176,10 +176,7 @@
 		}
 	}()
 	a.stage.Strike.Defer(func() error {
-		select {
-		case <-kept:
-		case <-time.After(2 * time.Second):
-		}
+		waitClosed(kept, lastWrites)
 		return nil
 	})
 	for _, name := range a.store.Aside() {
@@ -214,10 +211,7 @@
 		a.cue.Note("house", "process", "stop", "its work is done")
 		endPages()
 		// A stalled disk may keep the last entries; it must not keep the process.
-		select {
-		case <-written:
-		case <-time.After(2 * time.Second):
-		}
+		waitClosed(written, lastWrites)
 		return nil
 	})
 	return a.stage.Place(ServiceDiary, diary)
@@ -325,8 +319,16 @@
 		go tellMinutes(a.cue, a.desk)
 	}
 	if a.librarian != nil {
-		// Nobody waits for it: a stalled disk must not hold up a stop.
-		go a.librarian.Run()
+		filed := make(chan struct{})
+		go func() { a.librarian.Run(); close(filed) }()
+		// What it is writing is written out, since the folder is another process's after
+		// this one; but a stalled disk must not hold up a stop.
+		a.stage.Strike.Defer(func() error {
+			if !waitClosed(filed, lastWrites) {
+				a.cue.Log.Info("the object store is still being written")
+			}
+			return nil
+		})
 	}
 	a.stage.Strike.Defer(func() error { a.end(); <-ended; return ignoreClosed(back.Close()) })
 	// Callers' channels are wound down before the owners end.
@@ -396,6 +398,19 @@
 	}
 }
 
+// lastWrites is how long a stop waits for what is being written to a folder.
+const lastWrites = 2 * time.Second
+
+// waitClosed tells whether a channel was closed within a span.
+func waitClosed(ended <-chan struct{}, span time.Duration) bool {
+	select {
+	case <-ended:
+		return true
+	case <-time.After(span):
+		return false
+	}
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, net.ErrClosed) {
 		return nil
--- a/wings/wings_test.go
+++ b/wings/wings_test.go
@@ -14,9 +14,13 @@
 	"path/filepath"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-git/go-git/v5/plumbing"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"dunlinloom/auditorium"
@@ -322,6 +326,62 @@
 	c.Assert(string(first)+string(rest), qt.Equals, string(understudy.Script(held.Header.Get(understudy.HeaderRun), 200, true)))
 }
 
+// The process's end waits for the object store's writer, but not for ever: a write that
+// stalls and goes on is waited for, one that never does is left after a while.
+func TestAStopWaitsForTheObjectStoreButNotForAStalledDisk(t *testing.T) {
+	c := qt.New(t)
+	f := openFleet(c, 5*house.Millisecond)
+	for node := range f.stop {
+		f.await(node, "/healthz", http.StatusOK)
+	}
+	// Opening a named pipe to read it stalls as a disk may; the spec's object is looked
+	// for before it is written.
+	hash := plumbing.ComputeHash(plumbing.BlobObject, []byte(specOne)).String()
+	stall := func(node int) (release func()) {
+		name := filepath.Join(f.data[node], "specs.git", "objects", hash[:2], hash[2:])
+		c.Assert(os.MkdirAll(filepath.Dir(name), 0o755), qt.IsNil)
+		c.Assert(unix.Mkfifo(name, 0o644), qt.IsNil)
+		return func() {
+			pipe, err := os.OpenFile(name, os.O_RDWR|unix.O_NONBLOCK, 0)
+			c.Check(err, qt.IsNil)
+			c.Check(os.Remove(name), qt.IsNil)
+			c.Check(pipe.Close(), qt.IsNil)
+		}
+	}
+	releaseOne, releaseTwo := stall(1), stall(2)
+	for {
+		if status, _, _ := f.do(0, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first"); status == http.StatusOK {
+			break
+		}
+	}
+	writers := func() int {
+		stacks := make([]byte, 4<<20)
+		return strings.Count(string(stacks[:runtime.Stack(stacks, true)]), "wardrobe.(*Wardrobe).File(")
+	}
+	for begun := time.Now(); writers() < 2; time.Sleep(20 * time.Millisecond) {
+		c.Assert(time.Since(begun) < 20*time.Second, qt.IsTrue)
+	}
+	var isReleased atomic.Bool
+	time.AfterFunc(time.Second, func() { isReleased.Store(true); releaseTwo() })
+	f.stop[2]()
+	// Put back, since the fleet's own end takes it again.
+	err, hasWaited := <-f.ended[2], isReleased.Load()
+	f.ended[2] <- err
+	c.Check(err, qt.IsNil)
+	c.Check(hasWaited, qt.IsTrue)
+	begun := time.Now()
+	f.stop[1]()
+	err = <-f.ended[1]
+	f.ended[1] <- err
+	c.Check(err, qt.IsNil)
+	c.Check(time.Since(begun) < 20*time.Second, qt.IsTrue)
+	releaseOne()
+	// The writer that was left lets go of the folder before that is removed.
+	for begun := time.Now(); writers() > 0; time.Sleep(20 * time.Millisecond) {
+		c.Assert(time.Since(begun) < 20*time.Second, qt.IsTrue)
+	}
+}
+
 // A node whose disk was lost brings back from another what the core no longer names;
 // what comes with another digest, or of another founding, it does not take.
 func TestTheObjectStoreIsMendedFromAnotherNode(t *testing.T) {
