The rig of hollow nodes runs a fleet under the deployment's rules too

--rules deployment: five voters, routers that serve on, yes by spread, no fence, announced founders, sparse timing, and engines that register themselves, a word each 1.2 s at any node. Strict rules stay the default.

--- a/cmd/greenroom/main.go
+++ b/cmd/greenroom/main.go
@@ -19,6 +19,8 @@
 	Seed     uint64   `arg:"--seed" default:"1" help:"first seed"`
 	Seeds    int      `arg:"--seeds" default:"3" help:"how many seeds a row of a table takes"`
 	Workers  int      `arg:"--workers" default:"3" help:"runs at a time, each of one core"`
+	Rules    string   `arg:"--rules" default:"strict" help:"strict; deployment: as a deployment in wings sets them, with engines that register themselves"`
+	Most     int      `arg:"--most" help:"rows of a table above this size are left out; 0: none"`
 	Nodes    int      `arg:"--nodes" default:"32"`
 	Control  int      `arg:"--control" help:"0: by the number of nodes, as are zones and regions"`
 	Zones    int      `arg:"--zones"`
@@ -28,7 +30,7 @@
 	Prefixes int      `arg:"--prefixes" default:"1000"`
 	Sessions int      `arg:"--sessions" default:"100"`
 	Tenants  int      `arg:"--tenants" default:"16"`
-	ReportUS int64    `arg:"--report-us" default:"1000000" help:"between an engine's reports"`
+	ReportUS int64    `arg:"--report-us" default:"1000000" help:"between an engine's reports, or its words under the deployment's rules"`
 	Changes  int      `arg:"--changes" help:"orders in a thousand seconds"`
 	SpanUS   int64    `arg:"--span-us" default:"5000000" help:"virtual time that is measured"`
 	Restart  int      `arg:"--restart" help:"percent of the routers that are restarted at once"`
@@ -43,7 +45,7 @@
 		Nodes: w.Nodes, Control: w.Control, Zones: w.Zones, Regions: w.Regions, Engines: w.Engines, Routes: w.Routes,
 		Prefixes: w.Prefixes, Sessions: w.Sessions, Tenants: w.Tenants, Report: house.Micros(w.ReportUS), Changes: w.Changes,
 		Span: house.Micros(w.SpanUS), Restart: w.Restart, Cut: house.Micros(w.CutUS), Wall: house.Micros(w.WallUS), MemoryMB: w.MemoryMB,
-		Roles: greenroom.Roles(),
+		Roles: greenroom.Roles(), Rules: greenroom.Rules(w.Rules),
 	}
 	if len(w.Roles) > 0 {
 		sizes.Roles = nil
@@ -66,7 +68,8 @@
 	case words.Run:
 		err = run(words)
 	case words.Table != "":
-		err = greenroom.Print(os.Stdout, words.Table, greenroom.Batch{First: words.Seed, Seeds: words.Seeds, Workers: words.Workers})
+		err = greenroom.Print(os.Stdout, words.Table, greenroom.Batch{First: words.Seed, Seeds: words.Seeds, Workers: words.Workers,
+			Rules: greenroom.Rules(words.Rules), Most: words.Most})
 	default:
 		parser.Fail("one of --table, --run and --list is needed")
 	}
--- a/greenroom/fleet.go
+++ b/greenroom/fleet.go
@@ -28,8 +28,14 @@
 	Compile = "compile" // specs, beside the owners
 )
 
-// tick is the grain of the daemons' shell.
-const tick = 20 * ms
+// What a deployment with room for two lost machines sets, and the engines' pace there.
+const (
+	deploymentVoters = 5
+	deploymentBeat   = 1200 * ms
+	// Two words may be lost on the way; the third says that there is nobody.
+	deploymentBeatGone = deploymentBeat * 7 / 2
+	deploymentTry      = 900 * ms
+)
 
 // Guessed: how long a message and a synced write take.
 const (
@@ -258,6 +264,13 @@
 		CheckSpec: f.shelf.Check, IsCompiled: func(spec []byte) bool { return h.compiled[string(spec)] },
 		Member: flyloft.MemberID("none-" + h.identity.Address),
 	}
+	if f.sizes.Rules == Deployment {
+		settings.Timing = flyloft.SparseTiming()
+		settings.Timing.BeatGone = deploymentBeatGone
+		settings.Voters, settings.ServeOn, settings.ReceiptRule = deploymentVoters, flyloft.ServeOnAlways, flyloft.Spread
+		settings.NoFence, settings.SubmitTry = true, deploymentTry
+		settings.Founding, settings.Bootstrap = flyloft.FoundersAnnounce, h.epoch == 1
+	}
 	if h.control {
 		var err error
 		h.store, settings.Ballot, settings.Document, err = flyloft.OpenStore(h.folder, "greenroom", func() string { return fmt.Sprintf("member-%016x", f.random.Uint64()) })
@@ -268,7 +281,7 @@
 		settings.Member, settings.Kept = h.store.Member(), h.store.SpecGenerations()
 	}
 	h.node = flyloft.NewNode(settings, f.now)
-	epoch := h.epoch
+	epoch, tick := h.epoch, h.node.TickSpan()
 	var again func()
 	again = func() {
 		if h.epoch == epoch && h.isUp {
@@ -356,6 +369,10 @@
 				h.event(func() []any { return h.node.Kept(f.now, command.Document.SpecGeneration) })
 			})
 		}
+	case flyloft.SaveSnapshot:
+		var err error
+		h.time(Disk, func() { err = h.store.SaveSnapshot(command.Snapshot) })
+		h.later(writeTakes, func() { h.event(func() []any { return h.node.SnapshotSaved(f.now, err) }) })
 	case flyloft.Receipt:
 		if take := h.receipts[command.SubmitReceipt.ID]; take != nil {
 			delete(h.receipts, command.SubmitReceipt.ID)
@@ -548,10 +565,14 @@
 	return ""
 }
 
-// report lets a hollow engine report for ever, each time at a node of its zone.
+// report lets a hollow engine report for ever: under strict rules its figures, each time at
+// a node of its zone; under the deployment's that it is there, each time at any node.
 func (f *Fleet) report(index int, after house.Micros) {
 	zone := index % f.sizes.Zones
-	local := f.nodesOf(f.zones[zone])
+	at := f.nodesOf(f.zones[zone])
+	if f.sizes.Rules == Deployment {
+		at = f.nodes
+	}
 	record := flyloft.EngineRecord{
 		ID: fmt.Sprintf("engine-%04d", index), Address: fmt.Sprintf("10.%d.200.%d:9000", zone, index/f.sizes.Zones%250),
 		Zone: f.zones[zone], Pool: fmt.Sprintf("pool-%02d", index%15), Start: 1,
@@ -559,9 +580,14 @@
 	var again func()
 	again = func() {
 		record.Seq++
-		record.Up += f.sizes.Report
-		record.Burden, record.Streams = f.random.Int64N(60000), f.random.Int64N(64)
-		if h := local[f.random.IntN(len(local))]; h.isUp {
+		h := at[f.random.IntN(len(at))]
+		switch {
+		case !h.isUp:
+		case f.sizes.Rules == Deployment:
+			h.event(func() []any { return h.node.Register(f.now, 0, record) })
+		default:
+			record.Up += f.sizes.Report
+			record.Burden, record.Streams = f.random.Int64N(60000), f.random.Int64N(64)
 			h.event(func() []any { return h.node.Hear(f.now, []flyloft.EngineRecord{record}) })
 		}
 		f.in(f.sizes.Report, again)
--- a/greenroom/greenroom_test.go
+++ b/greenroom/greenroom_test.go
@@ -127,13 +127,58 @@
 
 	var out bytes.Buffer
 	var table UnknownTable
-	c.Assert(errors.As(Print(&out, "none", Batch{1, 1, 1, nil}), &table), qt.IsTrue)
+	c.Assert(errors.As(Print(&out, "none", Batch{First: 1, Seeds: 1, Workers: 1}), &table), qt.IsTrue)
 	c.Assert(table.Name, qt.Equals, "none")
-	for _, batch := range []Batch{{1, 0, 1, nil}, {1, 21, 1, nil}, {1, 1, 0, nil}, {1, 1, 5, nil}} {
+	for _, batch := range []Batch{{First: 1, Workers: 1}, {First: 1, Seeds: 21, Workers: 1}, {First: 1, Seeds: 1}, {First: 1, Seeds: 1, Workers: 5}, {First: 1, Seeds: 1, Workers: 1, Most: -1}} {
 		var declined OutOfBounds
 		c.Assert(errors.As(Print(&out, "nodes", batch), &declined), qt.IsTrue)
 	}
+	var rules UnknownRules
+	c.Assert(errors.As(Print(&out, "nodes", Batch{First: 1, Seeds: 1, Workers: 1, Rules: "lax"}), &rules), qt.IsTrue)
+	c.Assert(rules.Rules, qt.Equals, Rules("lax"))
 	c.Assert(out.Len(), qt.Equals, 0)
+	sizes = small()
+	sizes.Rules = "lax"
+	outcome, err = Play(sizes, 1)
+	c.Assert(outcome, qt.IsNil)
+	c.Assert(errors.As(err, &rules), qt.IsTrue)
+}
+
+func TestAFleetUnderTheDeploymentsRulesIsMeasured(t *testing.T) {
+	c := qt.New(t)
+	sizes := small()
+	sizes.Rules, sizes.Report, sizes.Changes, sizes.Restart = Deployment, deploymentBeat, 1000, 20
+	outcome, err := Play(sizes, 1)
+	c.Assert(err, qt.IsNil)
+	nodes := 0
+	for _, role := range Roles() {
+		nodes += outcome.Roles[role].Nodes
+	}
+	c.Assert(nodes, qt.Equals, sizes.Nodes)
+	c.Assert(outcome.Roles[Leader].Nodes, qt.Equals, 1)
+	c.Assert(outcome.Roles[Voter].Nodes, qt.Equals, deploymentVoters-1)
+	// Words come to any node, and where they are no news only the home of the engine's zone
+	// hears of them.
+	c.Assert(outcome.Roles[Router].Sent["Heard"].Messages > 0, qt.IsTrue)
+	c.Assert(outcome.Roles[Router].Sent["Push"], qt.Equals, Rate{})
+	c.Assert(outcome.Unproved, qt.Equals, 0)
+	c.Assert(len(outcome.ToYes) >= 2, qt.IsTrue)
+	c.Assert(outcome.Restarted, qt.Equals, 1)
+	c.Assert(outcome.Settle > 0, qt.IsTrue)
+}
+
+func TestATableUnderOtherRulesSaysSoInItsCommand(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	err := Print(&out, "force", Batch{First: 1, Seeds: 1, Workers: 1, Rules: Deployment, Most: 32, Play: func(sizes Sizes, seed uint64) (*Outcome, error) {
+		c.Check(sizes.Rules, qt.Equals, Deployment)
+		c.Check(sizes.Report, qt.Equals, deploymentBeat)
+		return &Outcome{Seed: seed, ToYes: []house.Micros{90 * ms}, ToForce: []house.Micros{-10 * ms}}, nil
+	}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(out.String(), qt.Contains, "`go run ./cmd/greenroom --table force --seed 1 --seeds 1 --rules deployment --most 32`")
+	c.Assert(out.String(), qt.Contains, "| 32 | 1 | 0 |")
+	c.Assert(out.String(), qt.Not(qt.Contains), "| 96 |")
 }
 
 func TestARunStopsAtItsBoundOfTime(t *testing.T) {
@@ -168,7 +213,7 @@
 func TestATablePrintsItsCommandAndSaysWhatFailed(t *testing.T) {
 	c := qt.New(t)
 	var out bytes.Buffer
-	err := Print(&out, "force", Batch{1, 2, 2, func(sizes Sizes, seed uint64) (*Outcome, error) {
+	err := Print(&out, "force", Batch{First: 1, Seeds: 2, Workers: 2, Play: func(sizes Sizes, seed uint64) (*Outcome, error) {
 		if sizes.Nodes == 8 && seed == 2 {
 			return nil, OutOfTime{"measure", sizes.Wall}
 		}
--- a/greenroom/sizes.go
+++ b/greenroom/sizes.go
@@ -43,6 +43,25 @@
 	return fmt.Sprintf("there is no role %q; known are %v", b.Role, b.Known)
 }
 
+// Rules are what a fleet promises and how its engines are known.
+type Rules string
+
+const (
+	// Strict rules are the defaults of a node: three voters, licences that lapse, a yes by a
+	// majority of the routers, and engines whose reports are heard at a node of their zone.
+	Strict Rules = "strict"
+	// Deployment rules are those that a Deployment in wings sets: see its node. Its engines
+	// register themselves, each word at any node.
+	Deployment Rules = "deployment"
+)
+
+// UnknownRules says that there are no rules of that name.
+type UnknownRules struct{ Rules Rules }
+
+func (b UnknownRules) Error() string {
+	return fmt.Sprintf("there are no rules %q; known are %q and %q", b.Rules, Strict, Deployment)
+}
+
 // OutOfBounds says that a size is not one that the rig or the machine can take.
 type OutOfBounds struct {
 	What      string
@@ -87,6 +106,7 @@
 	Sessions int `json:"sessions"` // requests that one router holds open
 	Tenants  int `json:"tenants"`  // kinds that routes are told apart by
 
+	Rules   Rules        `json:"rules"`
 	Report  house.Micros `json:"report_us"`   // between an engine's reports
 	Changes int          `json:"changes_1e3"` // orders in a thousand seconds
 	Span    house.Micros `json:"span_us"`     // virtual time that is measured
@@ -105,15 +125,20 @@
 func DefaultSizes() Sizes {
 	return Sizes{
 		Nodes: 32, Engines: 64, Routes: 100, Prefixes: 1000, Sessions: 100, Tenants: 16,
-		Report: sec, Span: 5 * sec, Roles: Roles(), Wall: 240 * sec, MemoryMB: 1536,
+		Rules: Strict, Report: sec, Span: 5 * sec, Roles: Roles(), Wall: 240 * sec, MemoryMB: 1536,
 	}
 }
 
 // Fill derives what was left open from the number of nodes: as the plan has them, 14
-// control machines, 24 zones and 7 regions to 410 nodes.
+// control machines, 24 zones and 7 regions to 410 nodes. There are as many control machines
+// that one of them is a standby.
 func (s Sizes) Fill() Sizes {
+	least := 4
+	if s.Rules == Deployment {
+		least = deploymentVoters + 1
+	}
 	if s.Control == 0 {
-		s.Control = max(4, s.Nodes*14/410)
+		s.Control = max(least, s.Nodes*14/410)
 	}
 	if s.Zones == 0 {
 		s.Zones = min(24, max(3, s.Nodes/8))
@@ -160,6 +185,9 @@
 			return fmt.Errorf("check the sizes: %w", OutOfBounds{bound.what, bound.value, bound.low, bound.high})
 		}
 	}
+	if s.Rules != Strict && s.Rules != Deployment {
+		return fmt.Errorf("check the rules: %w", UnknownRules{s.Rules})
+	}
 	for _, role := range s.Roles {
 		if !slices.Contains(Roles(), role) {
 			return fmt.Errorf("check the roles: %w", UnknownRole{role, Roles()})
--- a/greenroom/tables.go
+++ b/greenroom/tables.go
@@ -31,6 +31,8 @@
 	First   uint64 // seed
 	Seeds   int
 	Workers int // runs at a time, each of one core
+	Rules   Rules
+	Most    int // rows above this size are left out; 0: none
 	// Play runs one fleet; nil: a process of its own, so that heap and collector are its own.
 	Play func(Sizes, uint64) (*Outcome, error)
 }
@@ -40,11 +42,14 @@
 	for _, bound := range []struct {
 		what            string
 		value, low, top int64
-	}{{"seeds", int64(b.Seeds), 1, 20}, {"workers", int64(b.Workers), 1, 4}} {
+	}{{"seeds", int64(b.Seeds), 1, 20}, {"workers", int64(b.Workers), 1, 4}, {"most", int64(b.Most), 0, 100000}} {
 		if bound.value < bound.low || bound.value > bound.top {
 			return fmt.Errorf("check the batch: %w", OutOfBounds{bound.what, bound.value, bound.low, bound.top})
 		}
 	}
+	if b.Rules != "" && b.Rules != Strict && b.Rules != Deployment {
+		return fmt.Errorf("check the batch: %w", UnknownRules{b.Rules})
+	}
 	return nil
 }
 
@@ -128,12 +133,23 @@
 	if err := b.Check(); err != nil {
 		return fmt.Errorf("print table %s: %w", name, err)
 	}
+	command := fmt.Sprintf("--table %s --seed %d --seeds %d", name, b.First, b.Seeds)
+	if t.rows != nil && b.Rules == Deployment {
+		command += " --rules deployment"
+		for i := range t.rows {
+			t.rows[i].sizes.Rules, t.rows[i].sizes.Report = Deployment, deploymentBeat
+		}
+	}
+	if b.Most > 0 {
+		command += fmt.Sprintf(" --most %d", b.Most)
+		t.rows = slices.DeleteFunc(t.rows, func(row row) bool { return row.at > float64(b.Most) })
+	}
 	for _, row := range t.rows {
 		if err := row.sizes.Fill().Check(); err != nil {
 			return fmt.Errorf("print table %s: row %s: %w", name, row.name, err)
 		}
 	}
-	fmt.Fprintf(w, "### %s\n\n`go run ./cmd/greenroom --table %s --seed %d --seeds %d`\n\n", t.title, name, b.First, b.Seeds)
+	fmt.Fprintf(w, "### %s\n\n`go run ./cmd/greenroom %s`\n\n", t.title, command)
 	if t.parts != nil {
 		return t.parts(w, t, b)
 	}
@@ -195,7 +211,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("find the rig's program: %w", err)
 	}
-	words := []string{"--run", "--seed", fmt.Sprint(seed)}
+	words := []string{"--run", "--seed", fmt.Sprint(seed), "--rules", string(sizes.Rules)}
 	for _, word := range []struct {
 		name  string
 		value int64
