--- /dev/null
+++ b/foyer/fuzz_test.go
@@ -0,0 +1,66 @@
+package foyer
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// What callers and engines write in headers is read whole or declined with the header named.
+func FuzzHeaders(f *testing.F) {
+	for _, seed := range []string{"", "1460,80", "1", "-1,2", "1,", ",1", "99999999999,1", "5c1e07a2:800,91bd3f06:410,e4402b7d:250", "a:", ":1", "a:1,,b:2", "3,0,8", " 3 , 0 , 8 ", "a:1:2"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		c := qt.New(t)
+		prompt, most, err := ParseTokens("tokens", text)
+		if err != nil {
+			c.Assert(err, qt.ErrorAs, new(BadHeader))
+			c.Assert(err.(BadHeader).Name, qt.Equals, "tokens")
+		}
+		c.Assert(prompt >= 0 && prompt <= maxTokens && most >= 0 && most <= maxTokens, qt.IsTrue)
+		parts, err := ParseParts("parts", text)
+		if err != nil {
+			c.Assert(err, qt.ErrorAs, new(BadHeader))
+			c.Assert(parts, qt.HasLen, 0)
+		}
+		for _, part := range parts {
+			c.Assert(part.ID != "" && part.Tokens >= 0 && !strings.Contains(part.ID, ","), qt.IsTrue)
+		}
+		// A longer prefix covers no fewer parts, and the same parts hash alike.
+		c.Assert(PrefixHash(parts, 64), qt.Equals, PrefixHash(append([]Part(nil), parts...), 64))
+		if load, isLoad := ParseLoad(text); isLoad {
+			c.Assert(load.Running >= 0 && load.Waiting >= 0 && load.Slots >= 0, qt.IsTrue)
+		}
+	})
+}
+
+// However a stream's bytes are cut into reads, the same whole events come out in order, and
+// nothing is lost: what was given and what is pending make up what was read.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), uint8(3))
+	f.Add([]byte("id: 1\r\ndata: a\r\n\r\n: note\r\n\r\ndata: x"), uint8(1))
+	f.Add([]byte("\n\n\nid:\n\nid: 7"), uint8(2))
+	f.Fuzz(func(t *testing.T, stream []byte, step uint8) {
+		c := qt.New(t)
+		split := func(size int) (given []byte, events int, s *eventSplitter) {
+			s = &eventSplitter{}
+			for rest := stream; len(rest) > 0; {
+				count := min(size, len(rest))
+				whole, found := s.take(rest[:count])
+				given, events = append(given, whole...), events+found
+				s.done(len(whole))
+				rest = rest[count:]
+			}
+			return given, events, s
+		}
+		given, events, s := split(int(step)%7 + 1)
+		once, eventsOnce, sOnce := split(max(len(stream), 1))
+		c.Assert(bytes.Equal(given, once), qt.IsTrue)
+		c.Assert(events, qt.Equals, eventsOnce)
+		c.Assert(s.lastID, qt.Equals, sOnce.lastID)
+		c.Assert(bytes.Equal(append(append([]byte(nil), given...), s.pending...), stream), qt.IsTrue)
+	})
+}
