--- a/greenroom/greenroom_test.go
+++ b/capacity/capacity_test.go
@@ -1,4 +1,4 @@
-package greenroom
+package capacity
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 func small() Sizes {
@@ -36,7 +36,7 @@
 	c.Assert(nodes, qt.Equals, sizes.Nodes)
 	c.Assert(outcome.Roles[Leader].Nodes, qt.Equals, 1)
 	c.Assert(outcome.Roles[Voter].Nodes, qt.Equals, 2)
-	// The leader pulses its members and only it does.
+	// The leader heartbeats its members and only it does.
 	c.Assert(outcome.Roles[Leader].Sent["Pulse"].Messages > 20, qt.IsTrue)
 	c.Assert(outcome.Roles[Router].Sent["Pulse"], qt.Equals, Rate{})
 	// Every order was answered, and none took effect everywhere before it was given.
@@ -47,7 +47,7 @@
 		c.Check(outcome.ToYes[i]+outcome.ToForce[i] > 0, qt.IsTrue)
 	}
 	c.Assert(outcome.Restarted, qt.Equals, 1)
-	// A router without its process has neither licence nor document.
+	// A router without its process has neither lease nor document.
 	c.Assert(outcome.Settle > 0, qt.IsTrue)
 }
 
@@ -74,7 +74,7 @@
 	c.Assert(outcome.Settle > 0, qt.IsTrue)
 }
 
-func TestWhatTheMachineCannotTakeIsDeclinedBeforeAnythingStarts(t *testing.T) {
+func TestWhatTheMachineCannotTakeIsRejectedBeforeAnythingStarts(t *testing.T) {
 	for _, bad := range []struct {
 		name string
 		edit func(*Sizes)
@@ -107,31 +107,31 @@
 			bad.edit(&sizes)
 			outcome, err := Play(sizes, 1)
 			c.Assert(outcome, qt.IsNil)
-			var declined OutOfBounds
-			c.Assert(errors.As(err, &declined), qt.IsTrue, qt.Commentf("%v", err))
-			c.Assert(declined.What, qt.Equals, bad.what)
-			c.Assert(declined.Asked < declined.Low || declined.Asked > declined.High, qt.IsTrue)
+			var rejected OutOfBounds
+			c.Assert(errors.As(err, &rejected), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(rejected.What, qt.Equals, bad.what)
+			c.Assert(rejected.Asked < rejected.Low || rejected.Asked > rejected.High, qt.IsTrue)
 		})
 	}
 }
 
-func TestUnknownRolesTablesAndBatchesAreDeclined(t *testing.T) {
+func TestUnknownRolesTablesAndBatchesAreRejected(t *testing.T) {
 	c := qt.New(t)
 	sizes := small()
-	sizes.Roles = []Role{"understudy"}
+	sizes.Roles = []Role{"emulator"}
 	outcome, err := Play(sizes, 1)
 	c.Assert(outcome, qt.IsNil)
 	var role UnknownRole
 	c.Assert(errors.As(err, &role), qt.IsTrue)
-	c.Assert(role, qt.DeepEquals, UnknownRole{"understudy", Roles()})
+	c.Assert(role, qt.DeepEquals, UnknownRole{"emulator", Roles()})
 
 	var out bytes.Buffer
 	var table UnknownTable
 	c.Assert(errors.As(Print(&out, "none", Batch{First: 1, Seeds: 1, Workers: 1}), &table), qt.IsTrue)
 	c.Assert(table.Name, qt.Equals, "none")
 	for _, batch := range []Batch{{First: 1, Workers: 1}, {First: 1, Seeds: 21, Workers: 1}, {First: 1, Seeds: 1}, {First: 1, Seeds: 1, Workers: 5}, {First: 1, Seeds: 1, Workers: 1, Most: -1}} {
-		var declined OutOfBounds
-		c.Assert(errors.As(Print(&out, "nodes", batch), &declined), qt.IsTrue)
+		var rejected OutOfBounds
+		c.Assert(errors.As(Print(&out, "nodes", batch), &rejected), qt.IsTrue)
 	}
 	var rules UnknownRules
 	c.Assert(errors.As(Print(&out, "nodes", Batch{First: 1, Seeds: 1, Workers: 1, Rules: "lax"}), &rules), qt.IsTrue)
@@ -173,10 +173,10 @@
 	err := Print(&out, "force", Batch{First: 1, Seeds: 1, Workers: 1, Rules: Deployment, Most: 32, Play: func(sizes Sizes, seed uint64) (*Outcome, error) {
 		c.Check(sizes.Rules, qt.Equals, Deployment)
 		c.Check(sizes.Report, qt.Equals, deploymentBeat)
-		return &Outcome{Seed: seed, ToYes: []house.Micros{90 * ms}, ToForce: []house.Micros{-10 * ms}}, nil
+		return &Outcome{Seed: seed, ToYes: []kernel.Micros{90 * ms}, ToForce: []kernel.Micros{-10 * ms}}, nil
 	}})
 	c.Assert(err, qt.IsNil)
-	c.Assert(out.String(), qt.Contains, "`go run ./cmd/greenroom --table force --seed 1 --seeds 1 --rules deployment --most 32`")
+	c.Assert(out.String(), qt.Contains, "`go run ./cmd/capacity --table force --seed 1 --seeds 1 --rules deployment --most 32`")
 	c.Assert(out.String(), qt.Contains, "| 32 | 1 | 0 |")
 	c.Assert(out.String(), qt.Not(qt.Contains), "| 96 |")
 }
@@ -201,10 +201,10 @@
 			sizes := row.sizes.Fill()
 			// What the machine has is another question.
 			sizes.MemoryMB = 64
-			var declined OutOfBounds
+			var rejected OutOfBounds
 			if err := sizes.Check(); err != nil {
-				c.Check(errors.As(err, &declined), qt.IsTrue)
-				c.Check(declined.What, qt.Equals, "megabytes that these sizes need", qt.Commentf("%s, %s", name, row.name))
+				c.Check(errors.As(err, &rejected), qt.IsTrue)
+				c.Check(rejected.What, qt.Equals, "megabytes that these sizes need", qt.Commentf("%s, %s", name, row.name))
 			}
 		}
 	}
@@ -217,10 +217,10 @@
 		if sizes.Nodes == 8 && seed == 2 {
 			return nil, OutOfTime{"measure", sizes.Wall}
 		}
-		return &Outcome{Seed: seed, ToYes: []house.Micros{90 * ms}, ToForce: []house.Micros{-10 * ms}}, nil
+		return &Outcome{Seed: seed, ToYes: []kernel.Micros{90 * ms}, ToForce: []kernel.Micros{-10 * ms}}, nil
 	}})
 	c.Assert(err, qt.IsNil)
-	c.Assert(out.String(), qt.Contains, "`go run ./cmd/greenroom --table force --seed 1 --seeds 2`")
+	c.Assert(out.String(), qt.Contains, "`go run ./cmd/capacity --table force --seed 1 --seeds 2`")
 	c.Assert(out.String(), qt.Contains, `FAILED: 8, seed 2: stopped in "measure"`)
 	c.Assert(out.String(), qt.Contains, "| 8 | 1 | 0 | 90 | 90 | -10 | -10 |")
 	c.Assert(out.String(), qt.Contains, "| 410 | 2 | 0 | 90 | 90 | -10 | -10 |")
@@ -234,14 +234,14 @@
 	c.Check(load.Arrive > 0 && load.Rest > 0 && load.PerHeld > 0, qt.IsTrue, qt.Commentf("%+v", load))
 	paper, err := MeasurePaper(sizes, 1)
 	c.Assert(err, qt.IsNil)
-	c.Check(paper.Full > paper.Spec && paper.Light < paper.Full && paper.Stored > 0, qt.IsTrue, qt.Commentf("%+v", paper))
+	c.Check(paper.Full > paper.Config && paper.Light < paper.Full && paper.Stored > 0, qt.IsTrue, qt.Commentf("%+v", paper))
 	sizes.Nodes, sizes.Engines, sizes.Span = 6, 0, sec
 	wire, err := MeasureWire(sizes, 1)
 	c.Assert(err, qt.IsNil)
 	c.Check(wire.Messages > 1 && wire.OnWire > 0 && wire.Encoded > 0 && wire.Cores > 0, qt.IsTrue, qt.Commentf("%+v", wire))
 	sizes.Nodes = 49
 	_, err = MeasureWire(sizes, 1)
-	var declined OutOfBounds
-	c.Assert(errors.As(err, &declined), qt.IsTrue)
-	c.Assert(declined, qt.Equals, OutOfBounds{"nodes over loopback", 49, 5, 48})
+	var rejected OutOfBounds
+	c.Assert(errors.As(err, &rejected), qt.IsTrue)
+	c.Assert(rejected, qt.Equals, OutOfBounds{"nodes over loopback", 49, 5, 48})
 }
--- a/greenroom/fleet.go
+++ b/capacity/fleet.go
@@ -1,4 +1,4 @@
-package greenroom
+package capacity
 
 import (
 	"container/heap"
@@ -11,11 +11,11 @@
 
 	"golang.org/x/sys/unix"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/wings"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+	"dunlinloom/server"
 )
 
 // The parts of a node's processor time.
@@ -25,7 +25,7 @@
 	Decode  = "decode"  // and back
 	Publish = "publish" // the picture for the data plane after each event
 	Disk    = "disk"    // encoding and sums of what is saved; no device
-	Compile = "compile" // specs, beside the owners
+	Compile = "compile" // configurations, beside the owners
 )
 
 // What a deployment with room for two lost machines sets, and the engines' pace there.
@@ -39,29 +39,29 @@
 
 // Guessed: how long a message and a synced write take.
 const (
-	withinZone   = 400 * house.Micros(1)
-	withinRegion = 1500 * house.Micros(1)
+	withinZone   = 400 * kernel.Micros(1)
+	withinRegion = 1500 * kernel.Micros(1)
 	betweenFirst = 20 * ms // to the next region, one way
 	betweenMore  = 12 * ms // for each region further round
 	writeTakes   = 3 * ms
-	compileBytes = 5 // of a spec in a microsecond, as measured by the table of papers
+	compileBytes = 5 // of a configuration in a microsecond, as measured by the table of papers
 )
 
-type alarm struct {
-	at    house.Micros
+type timer struct {
+	at    kernel.Micros
 	order uint64
 	ring  func()
 }
 
-type alarms []alarm
+type timers []timer
 
-func (a alarms) Len() int { return len(a) }
-func (a alarms) Less(i, j int) bool {
+func (a timers) Len() int { return len(a) }
+func (a timers) Less(i, j int) bool {
 	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
 }
-func (a alarms) Swap(i, j int)  { a[i], a[j] = a[j], a[i] }
-func (a *alarms) Push(next any) { *a = append(*a, next.(alarm)) }
-func (a *alarms) Pop() any {
+func (a timers) Swap(i, j int)  { a[i], a[j] = a[j], a[i] }
+func (a *timers) Push(next any) { *a = append(*a, next.(timer)) }
+func (a *timers) Pop() any {
 	old := *a
 	last := old[len(old)-1]
 	*a = old[:len(old)-1]
@@ -84,35 +84,35 @@
 // hollow is a node without a process.
 type hollow struct {
 	fleet    *Fleet
-	identity house.Identity
+	identity kernel.Identity
 	region   int
 	control  bool
 	folder   *memory // nil for routers
-	node     *flyloft.Node
-	store    *flyloft.Store
+	node     *control.Node
+	store    *control.Store
 	epoch    int
 	isUp     bool
 	compiled map[string]bool
 	bill     bill
 	applied  []application
-	receipts map[string]func(flyloft.SubmitReceipt)
+	replies  map[string]func(control.SubmitReply)
 	// Of those whose publishing is measured.
-	isShown bool
-	state   *flyloft.State
-	hand    wings.Stagehand
-	desk    *auditorium.Desk
+	isShown    bool
+	state      *control.State
+	hand       server.TableBuilder
+	dispatcher *relay.Dispatcher
 }
 
 type application struct {
-	at         house.Micros
-	generation uint64
+	at       kernel.Micros
+	revision uint64
 }
 
 // Fleet is a hollow fleet on virtual time.
 type Fleet struct {
 	sizes     Sizes
-	now       house.Micros
-	alarms    alarms
+	now       kernel.Micros
+	timers    timers
 	order     uint64
 	random    *rand.Rand
 	nodes     []*hollow
@@ -120,7 +120,7 @@
 	zones     []string
 	seeds     []string
 	starts    uint64
-	shelf     playbill.Shelf
+	compiler  fleetconfig.Compiler
 	compileNS map[string]int64
 	isBilled  bool
 	cutRegion int // -1: none
@@ -135,12 +135,12 @@
 func threadNanos() int64 {
 	var stamp unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &stamp); err != nil {
-		panic(house.ClockBreakdown{Cause: err})
+		panic(kernel.ClockError{Cause: err})
 	}
 	return stamp.Nano()
 }
 
-func wallNanos() int64 { return int64(house.BootClock{}.Now()) * 1000 }
+func wallNanos() int64 { return int64(kernel.BootClock{}.Now()) * 1000 }
 
 // NewFleet lays out a hollow fleet; nothing runs yet.
 func NewFleet(sizes Sizes, seed uint64) (*Fleet, error) {
@@ -158,9 +158,9 @@
 	for i := range sizes.Nodes {
 		zone := i % sizes.Zones
 		h := &hollow{
-			fleet: f, region: zone % sizes.Regions, control: i < sizes.Control, receipts: map[string]func(flyloft.SubmitReceipt){},
-			identity: house.Identity{
-				Fleet: "greenroom", Address: fmt.Sprintf("10.%d.%d.%d:7000", zone, i/250, i%250+1),
+			fleet: f, region: zone % sizes.Regions, control: i < sizes.Control, replies: map[string]func(control.SubmitReply){},
+			identity: kernel.Identity{
+				Fleet: "capacity", Address: fmt.Sprintf("10.%d.%d.%d:7000", zone, i/250, i%250+1),
 				Public: fmt.Sprintf("10.%d.%d.%d:8000", zone, i/250, i%250+1), Zone: f.zones[zone],
 			},
 		}
@@ -177,19 +177,19 @@
 }
 
 // in rings after a span of virtual time.
-func (f *Fleet) in(span house.Micros, ring func()) {
+func (f *Fleet) in(span kernel.Micros, ring func()) {
 	f.order++
-	heap.Push(&f.alarms, alarm{f.now + span, f.order, ring})
+	heap.Push(&f.timers, timer{f.now + span, f.order, ring})
 }
 
 // run lets virtual time pass, as long as the wall allows.
-func (f *Fleet) run(span house.Micros) error {
+func (f *Fleet) run(span kernel.Micros) error {
 	end := f.now + span
-	for count := 0; len(f.alarms) > 0 && f.alarms[0].at <= end; count++ {
+	for count := 0; len(f.timers) > 0 && f.timers[0].at <= end; count++ {
 		if count%64 == 0 && wallNanos() > f.deadline {
 			return OutOfTime{f.step, f.sizes.Wall}
 		}
-		next := heap.Pop(&f.alarms).(alarm)
+		next := heap.Pop(&f.timers).(timer)
 		f.now = next.at
 		next.ring()
 		if f.failed != nil {
@@ -201,7 +201,7 @@
 }
 
 // until runs on until a test holds, looking so often.
-func (f *Fleet) until(step string, look, span house.Micros, isMet func() string) error {
+func (f *Fleet) until(step string, look, span kernel.Micros, isMet func() string) error {
 	f.step = step
 	for end := f.now + span; ; {
 		why := isMet()
@@ -217,12 +217,12 @@
 	}
 }
 
-func (f *Fleet) jitter(span house.Micros) house.Micros {
-	return house.Micros(f.random.Int64N(int64(span)))
+func (f *Fleet) jitter(span kernel.Micros) kernel.Micros {
+	return kernel.Micros(f.random.Int64N(int64(span)))
 }
 
 // way is how long a message takes from one node to another.
-func (f *Fleet) way(from, to *hollow) house.Micros {
+func (f *Fleet) way(from, to *hollow) kernel.Micros {
 	if from.identity.Zone == to.identity.Zone {
 		return withinZone + f.jitter(withinZone)
 	}
@@ -231,7 +231,7 @@
 	}
 	apart := (from.region - to.region + f.sizes.Regions) % f.sizes.Regions
 	apart = min(apart, f.sizes.Regions-apart)
-	return betweenFirst + house.Micros(apart-1)*betweenMore + f.jitter(2*ms)
+	return betweenFirst + kernel.Micros(apart-1)*betweenMore + f.jitter(2*ms)
 }
 
 // ---- one node ----
@@ -251,36 +251,36 @@
 	f := h.fleet
 	h.epoch++
 	f.starts++
-	h.isUp, h.compiled, h.state, h.hand = true, map[string]bool{}, nil, wings.Stagehand{Shelf: &f.shelf}
-	journal := house.NewJournal(1)
-	journal.Watch = func(entry house.Entry) {
+	h.isUp, h.compiled, h.state, h.hand = true, map[string]bool{}, nil, server.TableBuilder{Compiler: &f.compiler}
+	journal := kernel.NewJournal(1)
+	journal.Watch = func(entry kernel.Entry) {
 		if entry.Subject == "spec" && entry.Decision == "apply" {
 			h.applied = append(h.applied, application{f.now, entry.Era})
 		}
 	}
-	settings := flyloft.NodeSettings{
-		Identity: h.identity, IsRouter: !h.control, IsPrompter: h.control, HasFolder: h.control, Seeds: f.seeds,
-		Start: f.starts, RandomSeed: f.random.Uint64(), Timing: flyloft.DefaultTiming(), Journal: journal,
-		CheckSpec: f.shelf.Check, IsCompiled: func(spec []byte) bool { return h.compiled[string(spec)] },
-		Member: flyloft.MemberID("none-" + h.identity.Address),
+	settings := control.NodeSettings{
+		Identity: h.identity, IsRouter: !h.control, IsController: h.control, HasFolder: h.control, Seeds: f.seeds,
+		Start: f.starts, RandomSeed: f.random.Uint64(), Timing: control.DefaultTiming(), Journal: journal,
+		CheckConfig: f.compiler.Check, IsCompiled: func(config []byte) bool { return h.compiled[string(config)] },
+		Member: control.MemberID("none-" + h.identity.Address),
 	}
 	if f.sizes.Rules == Deployment {
-		settings.Timing = flyloft.SparseTiming()
+		settings.Timing = control.SparseTiming()
 		settings.Timing.BeatGone = deploymentBeatGone
-		settings.Voters, settings.ServeOn, settings.ReceiptRule = deploymentVoters, flyloft.ServeOnAlways, flyloft.Spread
+		settings.Voters, settings.ServeOn, settings.AckRule = deploymentVoters, control.ServeOnAlways, control.Spread
 		settings.NoFence, settings.SubmitTry = true, deploymentTry
-		settings.Founding, settings.Bootstrap = flyloft.FoundersAnnounce, h.epoch == 1
+		settings.Founding, settings.Bootstrap = control.FoundersAnnounce, h.epoch == 1
 	}
 	if h.control {
 		var err error
-		h.store, settings.Ballot, settings.Document, err = flyloft.OpenStore(h.folder, "greenroom", func() string { return fmt.Sprintf("member-%016x", f.random.Uint64()) })
+		h.store, settings.Ballot, settings.Document, err = control.OpenStore(h.folder, "capacity", func() string { return fmt.Sprintf("member-%016x", f.random.Uint64()) })
 		if err != nil {
 			f.failed = fmt.Errorf("boot %s: %w", h.identity.Address, err)
 			return
 		}
-		settings.Member, settings.Kept = h.store.Member(), h.store.SpecGenerations()
+		settings.Member, settings.Kept = h.store.Member(), h.store.ConfigRevisions()
 	}
-	h.node = flyloft.NewNode(settings, f.now)
+	h.node = control.NewNode(settings, f.now)
 	epoch, tick := h.epoch, h.node.TickSpan()
 	var again func()
 	again = func() {
@@ -293,12 +293,12 @@
 }
 
 func (h *hollow) halt() {
-	h.isUp, h.node, h.state, h.isShown, h.desk = false, nil, nil, false, nil
+	h.isUp, h.node, h.state, h.isShown, h.dispatcher = false, nil, nil, false, nil
 	h.epoch++
 }
 
 // later does an event on this very process after a span.
-func (h *hollow) later(span house.Micros, event func()) {
+func (h *hollow) later(span kernel.Micros, event func()) {
 	epoch := h.epoch
 	h.fleet.in(span, func() {
 		if h.epoch == epoch && h.isUp {
@@ -321,68 +321,68 @@
 
 func (h *hollow) publish() {
 	h.state = h.node.State(h.state)
-	scene, err := h.hand.Scene(h.state)
+	routingTable, err := h.hand.RoutingTable(h.state)
 	if err != nil {
 		h.fleet.failed = fmt.Errorf("publish at %s: %w", h.identity.Address, err)
 	}
-	if scene != nil && h.desk != nil {
-		h.desk.Show(scene)
+	if routingTable != nil && h.dispatcher != nil {
+		h.dispatcher.Show(routingTable)
 	}
 }
 
 func (h *hollow) carryOut(command any) {
 	f := h.fleet
 	switch command := command.(type) {
-	case flyloft.Outgoing:
+	case control.Outgoing:
 		h.post(command.Envelope)
-	case flyloft.Save:
+	case control.Save:
 		var err error
 		h.time(Disk, func() { err = h.store.Save(command) })
 		h.later(writeTakes, func() {
 			h.event(func() []any { return h.node.Saved(f.now, command.Token, err) })
 		})
-	case flyloft.Prepare:
-		spec := string(command.Document.Spec)
-		if _, isKnown := f.compileNS[spec]; !isKnown {
+	case control.Prepare:
+		config := string(command.Document.Config)
+		if _, isKnown := f.compileNS[config]; !isKnown {
 			begun := threadNanos()
-			if _, err := playbill.Read(command.Document.Spec); err != nil {
+			if _, err := fleetconfig.Read(command.Document.Config); err != nil {
 				f.failed = fmt.Errorf("compile at %s: %w", h.identity.Address, err)
 			}
-			f.compileNS[spec] = threadNanos() - begun
+			f.compileNS[config] = threadNanos() - begun
 		}
 		// Every real process compiles for itself; here one does, and all are charged alike.
 		if f.isBilled {
-			h.bill.nanos[Compile] += f.compileNS[spec]
+			h.bill.nanos[Compile] += f.compileNS[config]
 		}
 		// Virtual time may not hang on this machine's speed, or no seed would play twice alike.
-		h.later(house.Micros(len(spec)/compileBytes), func() {
-			h.compiled[spec] = true
+		h.later(kernel.Micros(len(config)/compileBytes), func() {
+			h.compiled[config] = true
 			h.event(func() []any { return h.node.Prepared(f.now, command.Document, nil) })
 		})
-	case flyloft.Fetch:
-		if document, err := h.store.SpecAt(command.Mark); err == nil {
+	case control.Fetch:
+		if document, err := h.store.ConfigAt(command.Mark); err == nil {
 			h.later(writeTakes, func() { h.event(func() []any { return h.node.Fetched(f.now, command.To, document) }) })
 		}
-	case flyloft.Keep:
+	case control.Keep:
 		if err := h.store.Keep(command.Document); err == nil {
 			h.later(writeTakes, func() {
-				h.event(func() []any { return h.node.Kept(f.now, command.Document.SpecGeneration) })
+				h.event(func() []any { return h.node.Kept(f.now, command.Document.ConfigRevision) })
 			})
 		}
-	case flyloft.SaveSnapshot:
+	case control.SaveSnapshot:
 		var err error
 		h.time(Disk, func() { err = h.store.SaveSnapshot(command.Snapshot) })
 		h.later(writeTakes, func() { h.event(func() []any { return h.node.SnapshotSaved(f.now, err) }) })
-	case flyloft.Receipt:
-		if take := h.receipts[command.SubmitReceipt.ID]; take != nil {
-			delete(h.receipts, command.SubmitReceipt.ID)
-			take(command.SubmitReceipt)
+	case control.Reply:
+		if take := h.replies[command.SubmitReply.ID]; take != nil {
+			delete(h.replies, command.SubmitReply.ID)
+			take(command.SubmitReply)
 		}
 	}
 }
 
 // post carries a message as bytes, so that nothing is shared and both ends pay for it.
-func (h *hollow) post(envelope flyloft.Envelope) {
+func (h *hollow) post(envelope control.Envelope) {
 	f := h.fleet
 	to := f.byAddress[envelope.To]
 	var content []byte
@@ -406,7 +406,7 @@
 		if f.isBilled {
 			count(to.bill.got, kind, len(content))
 		}
-		var arrived flyloft.Envelope
+		var arrived control.Envelope
 		to.time(Decode, func() { err = json.Unmarshal(content, &arrived) })
 		if err != nil {
 			f.failed = fmt.Errorf("decode at %s: %w", to.identity.Address, err)
@@ -423,10 +423,10 @@
 
 // ---- the fleet's life ----
 
-// spec makes an operator's document with so many routes for so many tenants.
-func (f *Fleet) spec(number uint64) []byte { return specOf(f.sizes, number) }
+// configuration makes an operator's document with so many routes for so many tenants.
+func (f *Fleet) config(number uint64) []byte { return configOf(f.sizes, number) }
 
-func specOf(sizes Sizes, number uint64) []byte {
+func configOf(sizes Sizes, number uint64) []byte {
 	var text strings.Builder
 	text.WriteString(`{"bindings":[`)
 	for i := range sizes.Routes {
@@ -444,15 +444,15 @@
 	return f.nodes[f.sizes.Control+index%(f.sizes.Nodes-f.sizes.Control)]
 }
 
-// submit gives an order to a node and tells its receipt.
-func (f *Fleet) submit(at *hollow, order flyloft.Order, spec []byte, take func(flyloft.SubmitReceipt)) {
+// submit gives an order to a node and tells its reply.
+func (f *Fleet) submit(at *hollow, order control.Order, config []byte, take func(control.SubmitReply)) {
 	f.orders++
-	submit := &flyloft.Submit{ID: fmt.Sprintf("order-%06d", f.orders), Order: order, Spec: spec}
-	at.receipts[submit.ID] = take
+	submit := &control.Submit{ID: fmt.Sprintf("order-%06d", f.orders), Order: order, Config: config}
+	at.replies[submit.ID] = take
 	at.event(func() []any { return at.node.Submit(f.now, submit) })
 }
 
-// open founds the fleet, puts a spec in force, gives the homes to routers and lets the
+// open founds the fleet, puts a configuration in force, gives the homes to routers and lets the
 // engines register.
 func (f *Fleet) open() error {
 	for _, h := range f.nodes {
@@ -467,8 +467,8 @@
 	accepted := false
 	for range 5 {
 		isOver := false
-		f.submit(f.router(0), flyloft.PutSpec, f.spec(0), func(receipt flyloft.SubmitReceipt) {
-			isOver, accepted = true, receipt.Outcome == flyloft.Yes
+		f.submit(f.router(0), control.PutConfig, f.config(0), func(reply control.SubmitReply) {
+			isOver, accepted = true, reply.Outcome == control.Yes
 		})
 		if err := f.until("put a spec in force", 50*ms, 20*sec, func() string {
 			if !isOver {
@@ -511,8 +511,8 @@
 			for _, h := range f.nodes {
 				if h.identity.Zone == zone && !h.control && h.isUp {
 					why = "control machines keep zones"
-					envelope := flyloft.Envelope{Fleet: "greenroom", From: address, To: leader.identity.Address,
-						Message: flyloft.Message{Succeed: &flyloft.Succeed{Zone: zone, To: h.identity.Address}}}
+					envelope := control.Envelope{Fleet: "capacity", From: address, To: leader.identity.Address,
+						Message: control.Message{Succeed: &control.Succeed{Zone: zone, To: h.identity.Address}}}
 					leader.event(func() []any { return leader.node.Deliver(f.now, envelope) })
 					break
 				}
@@ -531,9 +531,9 @@
 	return nil
 }
 
-// lacks tells what some node still lacks: a licence, the newest document, nodes, engines.
+// lacks tells what some node still lacks: a lease, the newest document, nodes, engines.
 func (f *Fleet) lacks(engines int) string {
-	newest, states := uint64(0), map[*hollow]*flyloft.State{}
+	newest, states := uint64(0), map[*hollow]*control.State{}
 	for _, h := range f.nodes {
 		if !h.isUp || h.node == nil {
 			return h.identity.Address + " is down"
@@ -543,12 +543,12 @@
 		if state.Document == nil {
 			return h.identity.Address + " has no document"
 		}
-		newest = max(newest, state.Document.Generation)
+		newest = max(newest, state.Document.Revision)
 	}
 	for _, h := range f.nodes {
 		state := states[h]
 		switch {
-		case state.Document.Generation < newest:
+		case state.Document.Revision < newest:
 			return h.identity.Address + " is behind"
 		case !h.control && state.Until <= f.now:
 			return h.identity.Address + " has no licence"
@@ -567,13 +567,13 @@
 
 // report lets a hollow engine report for ever: under strict rules its figures, each time at
 // a node of its zone; under the deployment's that it is there, each time at any node.
-func (f *Fleet) report(index int, after house.Micros) {
+func (f *Fleet) report(index int, after kernel.Micros) {
 	zone := index % f.sizes.Zones
 	at := f.nodesOf(f.zones[zone])
 	if f.sizes.Rules == Deployment {
 		at = f.nodes
 	}
-	record := flyloft.EngineRecord{
+	record := control.EngineRecord{
 		ID: fmt.Sprintf("engine-%04d", index), Address: fmt.Sprintf("10.%d.200.%d:9000", zone, index/f.sizes.Zones%250),
 		Zone: f.zones[zone], Pool: fmt.Sprintf("pool-%02d", index%15), Start: 1,
 	}
@@ -587,8 +587,8 @@
 			h.event(func() []any { return h.node.Register(f.now, 0, record) })
 		default:
 			record.Up += f.sizes.Report
-			record.Burden, record.Streams = f.random.Int64N(60000), f.random.Int64N(64)
-			h.event(func() []any { return h.node.Hear(f.now, []flyloft.EngineRecord{record}) })
+			record.Load, record.Streams = f.random.Int64N(60000), f.random.Int64N(64)
+			h.event(func() []any { return h.node.Hear(f.now, []control.EngineRecord{record}) })
 		}
 		f.in(f.sizes.Report, again)
 	}
@@ -617,7 +617,7 @@
 		switch {
 		case state.IsLeader:
 			role = Leader
-		case state.Document != nil && slices.ContainsFunc(state.Document.Voters, func(member flyloft.Member) bool { return member.Address == h.identity.Address }):
+		case state.Document != nil && slices.ContainsFunc(state.Document.Voters, func(member control.Member) bool { return member.Address == h.identity.Address }):
 			role = Voter
 		case h.control:
 			role = Standby
@@ -640,7 +640,7 @@
 func (m *memory) Get(name string) ([]byte, error) {
 	content, isThere := m.files[name]
 	if !isThere {
-		return nil, house.MissingFile{Name: name}
+		return nil, kernel.MissingFile{Name: name}
 	}
 	return slices.Clone(content), nil
 }
--- a/greenroom/measure.go
+++ b/capacity/measure.go
@@ -1,4 +1,4 @@
-package greenroom
+package capacity
 
 import (
 	"fmt"
@@ -8,10 +8,10 @@
 
 	"golang.org/x/sys/unix"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/wings"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+	"dunlinloom/server"
 )
 
 // Rate is of messages of one kind, a second and node.
@@ -55,27 +55,27 @@
 	Roles map[Role]Figures `json:"roles"`
 	// Of each order: from its submission to its yes, and from the yes to its force on the
 	// last node; below zero when the last node had it before the yes.
-	ToYes     []house.Micros `json:"to_yes_us,omitempty"`
-	ToForce   []house.Micros `json:"to_force_us,omitempty"`
-	Unproved  int            `json:"unproved,omitempty"`
-	Open      house.Micros   `json:"open_us"` // virtual time until the fleet stood
-	Settle    house.Micros   `json:"settle_us,omitempty"`
-	Restarted int            `json:"restarted,omitempty"`
+	ToYes     []kernel.Micros `json:"to_yes_us,omitempty"`
+	ToForce   []kernel.Micros `json:"to_force_us,omitempty"`
+	Unproved  int             `json:"unproved,omitempty"`
+	Open      kernel.Micros   `json:"open_us"` // virtual time until the fleet stood
+	Settle    kernel.Micros   `json:"settle_us,omitempty"`
+	Restarted int             `json:"restarted,omitempty"`
 	// At the end of a cut, of the region's routers and of the others, the share that may serve.
 	ServingInside  float64 `json:"serving_inside,omitempty"`
 	ServingOutside float64 `json:"serving_outside,omitempty"`
 	// The whole process's processor time while bills were written, by what is on them: the
 	// rest is the collector's, the calendar's and the network's.
-	Overhead float64      `json:"overhead"`
-	Wall     house.Micros `json:"wall_us"`
-	Heap     float64      `json:"heap"`
-	Failed   string       `json:"failed,omitempty"`
+	Overhead float64       `json:"overhead"`
+	Wall     kernel.Micros `json:"wall_us"`
+	Heap     float64       `json:"heap"`
+	Failed   string        `json:"failed,omitempty"`
 }
 
 func processNanos() int64 {
 	var usage unix.Rusage
 	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
-		panic(house.ClockBreakdown{Cause: err})
+		panic(kernel.ClockError{Cause: err})
 	}
 	return usage.Utime.Nano() + usage.Stime.Nano()
 }
@@ -99,7 +99,7 @@
 	defer runtime.UnlockOSThread()
 	begun := wallNanos()
 	outcome := &Outcome{Sizes: f.sizes, Seed: seed, Roles: map[Role]Figures{}}
-	defer func() { outcome.Wall = house.Micros((wallNanos() - begun) / 1000) }()
+	defer func() { outcome.Wall = kernel.Micros((wallNanos() - begun) / 1000) }()
 	opened := f.now
 	if err := f.open(); err != nil {
 		return outcome, fmt.Errorf("open the fleet: %w", err)
@@ -134,7 +134,7 @@
 		for _, h := range roles[role][:min(shown, len(roles[role]))] {
 			h.isShown = true
 			if !h.control {
-				h.desk = auditorium.NewDesk(h.identity.Address, h.identity.Zone, func(house.Micros, string, string, string) {})
+				h.dispatcher = relay.NewDispatcher(h.identity.Address, h.identity.Zone, func(kernel.Micros, string, string, string) {})
 			}
 			h.publish()
 		}
@@ -200,13 +200,13 @@
 }
 
 type order struct {
-	submitted, answered house.Micros
-	receipt             flyloft.SubmitReceipt
+	submitted, answered kernel.Micros
+	reply               control.SubmitReply
 }
 
 // change gives orders at an even pace, each at another router.
 func (f *Fleet) change(told *[]order) {
-	pause := 1000 * sec / house.Micros(f.sizes.Changes)
+	pause := 1000 * sec / kernel.Micros(f.sizes.Changes)
 	end := f.now + f.sizes.Span
 	var again func()
 	number := 0
@@ -217,8 +217,8 @@
 		number++
 		index := len(*told)
 		*told = append(*told, order{submitted: f.now})
-		f.submit(f.router(number*37), flyloft.PutSpec, f.spec(uint64(number)), func(receipt flyloft.SubmitReceipt) {
-			(*told)[index].answered, (*told)[index].receipt = f.now, receipt
+		f.submit(f.router(number*37), control.PutConfig, f.config(uint64(number)), func(reply control.SubmitReply) {
+			(*told)[index].answered, (*told)[index].reply = f.now, reply
 		})
 		f.in(pause, again)
 	}
@@ -237,14 +237,14 @@
 		return err
 	}
 	for _, one := range *told {
-		if one.receipt.Outcome != flyloft.Yes {
+		if one.reply.Outcome != control.Yes {
 			outcome.Unproved++
 			continue
 		}
-		last := house.Micros(0)
+		last := kernel.Micros(0)
 		for _, h := range f.nodes {
 			for _, applied := range h.applied {
-				if applied.generation >= one.receipt.Generation {
+				if applied.revision >= one.reply.Revision {
 					last = max(last, applied.at)
 					break
 				}
@@ -310,7 +310,7 @@
 // weigh takes nodes of each role away and looks how much heap goes with them. It ends the fleet.
 func (f *Fleet) weigh(outcome *Outcome) {
 	roles := f.roles()
-	f.alarms = nil
+	f.timers = nil
 	// Only roles that publish, so that what the data plane holds is in it.
 	for _, role := range slices.Sorted(maps.Keys(roles)) {
 		if !slices.Contains(f.sizes.Roles, role) {
@@ -329,8 +329,8 @@
 		for _, h := range taken {
 			h.halt()
 			h.store, h.compiled = nil, nil
-			h.receipts, h.bill, h.applied = nil, bill{}, nil
-			h.hand = wings.Stagehand{}
+			h.replies, h.bill, h.applied = nil, bill{}, nil
+			h.hand = server.TableBuilder{}
 		}
 		figures := outcome.Roles[role]
 		figures.Memory = (before - heapBytes()) / float64(len(taken))
--- a/greenroom/parts.go
+++ b/capacity/parts.go
@@ -1,4 +1,4 @@
-package greenroom
+package capacity
 
 import (
 	"context"
@@ -11,48 +11,48 @@
 	"runtime"
 	"time"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/wardrobe"
-	"dunlinloom/wings"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/history"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+	"dunlinloom/server"
 )
 
 // Single parts of a process, measured apart from the fleet.
 
-// Load is what requests cost a router's desk.
+// Load is what requests cost a router's dispatcher.
 type Load struct {
-	Arrive  float64 // microseconds of processor time from a request's arrival to its engine
-	Rest    float64 // and from there to its end, 20 events
-	PerHeld float64 // bytes of heap for a request that is open
-	Scene   float64 // bytes of heap of the picture and the compiled spec
+	Arrive       float64 // microseconds of processor time from a request's arrival to its engine
+	Rest         float64 // and from there to its end, 20 events
+	PerHeld      float64 // bytes of heap for a request that is open
+	RoutingTable float64 // bytes of heap of the picture and the compiled configuration
 }
 
-// loadRounds is how many requests a desk is timed over.
+// loadRounds is how many requests a dispatcher is timed over.
 const loadRounds = 2000
 
-// sceneOf makes a picture of so many engines under a spec of so many routes.
-func sceneOf(sizes Sizes) (*auditorium.Scene, error) {
-	spec, err := playbill.Read(specOf(sizes, 0))
+// routingTableOf makes a picture of so many engines under a configuration of so many routes.
+func routingTableOf(sizes Sizes) (*relay.RoutingTable, error) {
+	config, err := fleetconfig.Read(configOf(sizes, 0))
 	if err != nil {
 		return nil, fmt.Errorf("make a scene: %w", err)
 	}
-	scene := &auditorium.Scene{Generation: 1, Spec: spec, Evacuated: map[string]bool{}, Until: 1 << 60}
+	routingTable := &relay.RoutingTable{Revision: 1, Config: config, Drained: map[string]bool{}, Until: 1 << 60}
 	for i := range sizes.Nodes {
-		scene.Routers = append(scene.Routers, fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250))
+		routingTable.Routers = append(routingTable.Routers, fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250))
 	}
 	for i := range sizes.Engines {
-		scene.Engines = append(scene.Engines, auditorium.Engine{
+		routingTable.Engines = append(routingTable.Engines, relay.Engine{
 			ID: fmt.Sprintf("engine-%04d", i), Address: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), Zone: fmt.Sprintf("zone-%02d", i%sizes.Zones),
 			// A fifteenth of the engines serves each model.
-			Pool: fmt.Sprintf("pool-%02d", i%15), Start: 1, HasReport: true, Burden: int64(i%97) * 100, AsOf: sec, StartedAt: 1, IsStartKnown: true,
+			Pool: fmt.Sprintf("pool-%02d", i%15), Start: 1, HasReport: true, Load: int64(i%97) * 100, AsOf: sec, StartedAt: 1, IsStartKnown: true,
 		})
 	}
-	return scene, nil
+	return routingTable, nil
 }
 
-// MeasureLoad times requests of so many prefixes and tenants at one router's desk, while
+// MeasureLoad times requests of so many prefixes and tenants at one router's dispatcher, while
 // so many are held open.
 func MeasureLoad(sizes Sizes, seed uint64) (*Load, error) {
 	sizes = sizes.Fill()
@@ -64,37 +64,37 @@
 	defer runtime.UnlockOSThread()
 	load := &Load{}
 	before := heapBytes()
-	scene, err := sceneOf(sizes)
+	routingTable, err := routingTableOf(sizes)
 	if err != nil {
 		return nil, err
 	}
-	journal := house.NewJournal(4096)
+	journal := kernel.NewJournal(4096)
 	withJournal := heapBytes()
-	desk := auditorium.NewDesk("10.0.0.1:7000", "zone-00", func(now house.Micros, subject, decision, why string) {
-		journal.NoteRequest(now, "auditorium", subject, decision, why)
+	dispatcher := relay.NewDispatcher("10.0.0.1:7000", "zone-00", func(now kernel.Micros, subject, decision, why string) {
+		journal.NoteRequest(now, "relay", subject, decision, why)
 	})
-	desk.Show(scene)
-	load.Scene = withJournal - before - journalBytes()
+	dispatcher.Show(routingTable)
+	load.RoutingTable = withJournal - before - journalBytes()
 	now := 100 * sec
 	number := int(seed) * 1000003
-	request := func() auditorium.Request {
+	request := func() relay.Request {
 		number++
 		route := number * 7919 % sizes.Routes
 		prefix := make([]uint32, 64)
 		for i := range prefix {
 			prefix[i] = uint32(number*2654435761%sizes.Prefixes + i)
 		}
-		return auditorium.Request{
+		return relay.Request{
 			ID: fmt.Sprintf("call-%09d", number), Kind: fmt.Sprintf("tenant-%05d", route%sizes.Tenants),
 			Model: fmt.Sprintf("model-%04d", route/sizes.Tenants), Prefix: prefix, PromptTokens: 900, MaxTokens: 340,
 		}
 	}
-	held := []*auditorium.Call{}
-	open := func() (*auditorium.Call, error) {
+	held := []*relay.Call{}
+	open := func() (*relay.Call, error) {
 		now += 200
-		call, decline := desk.Arrive(now, request())
-		if decline != nil {
-			return nil, fmt.Errorf("measure a desk: %w", decline)
+		call, rejection := dispatcher.Arrive(now, request())
+		if rejection != nil {
+			return nil, fmt.Errorf("measure a desk: %w", rejection)
 		}
 		return call, nil
 	}
@@ -118,43 +118,43 @@
 			return nil, err
 		}
 		begun = threadNanos()
-		if why := desk.MayWrite(now, call); why != "" {
+		if why := dispatcher.MayWrite(now, call); why != "" {
 			return nil, fmt.Errorf("measure a desk: %w", Unsettled{"write a request", 0, why})
 		}
 		for range 20 {
 			now += 50 * ms
-			desk.Produced(now, call, 17)
+			dispatcher.Produced(now, call, 17)
 		}
-		desk.Close(now, call, auditorium.Served, "")
+		dispatcher.Close(now, call, relay.Served, "")
 		rest += threadNanos() - begun
 	}
 	load.Arrive, load.Rest = float64(arrive)/1e3/loadRounds, float64(rest)/1e3/loadRounds
 	runtime.KeepAlive(held)
-	runtime.KeepAlive(scene)
+	runtime.KeepAlive(routingTable)
 	return load, nil
 }
 
 func journalBytes() float64 {
 	before := heapBytes()
-	journal := house.NewJournal(4096)
+	journal := kernel.NewJournal(4096)
 	after := heapBytes()
 	runtime.KeepAlive(journal)
 	return after - before
 }
 
-// Paper is what one spec and one document weigh.
+// Paper is what one configuration and one document weigh.
 type Paper struct {
-	Spec        float64 // bytes as the operator sends it
+	Config      float64 // bytes as the operator sends it
 	Submit      float64 // and as the order travels between nodes
-	Full, Light float64 // a document with and without its spec, as encoded
-	Read        float64 // microseconds to read, check and compile the spec
-	Compiled    float64 // bytes of heap of the compiled spec
+	Full, Light float64 // a document with and without its configuration, as encoded
+	Read        float64 // microseconds to read, check and compile the configuration
+	Compiled    float64 // bytes of heap of the compiled configuration
 	Save        float64 // microseconds to encode and sum a save, without a device
 	File        float64 // microseconds for the object store to file one more, on this machine's disk
 	Stored      float64 // bytes that the object store grows by
 }
 
-// MeasurePaper weighs a spec, the document that carries it and its place in the store.
+// MeasurePaper weighs a configuration, the document that carries it and its place in the store.
 func MeasurePaper(sizes Sizes, seed uint64) (paper *Paper, err error) {
 	sizes = sizes.Fill()
 	sizes.isPart = true
@@ -163,44 +163,44 @@
 	}
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	spec := specOf(sizes, seed)
-	paper = &Paper{Spec: float64(len(spec))}
-	submit, err := json.Marshal(flyloft.Envelope{Message: flyloft.Message{Submit: &flyloft.Submit{ID: "order-000001", Order: flyloft.PutSpec, Spec: spec}}})
+	config := configOf(sizes, seed)
+	paper = &Paper{Config: float64(len(config))}
+	submit, err := json.Marshal(control.Envelope{Message: control.Message{Submit: &control.Submit{ID: "order-000001", Order: control.PutConfig, Config: config}}})
 	if err != nil {
 		return nil, fmt.Errorf("weigh a submission: %w", err)
 	}
 	paper.Submit = float64(len(submit))
 	before, begun := heapBytes(), threadNanos()
-	compiled, err := playbill.Read(spec)
+	compiled, err := fleetconfig.Read(config)
 	paper.Read = float64(threadNanos()-begun) / 1e3
 	if err != nil {
 		return nil, fmt.Errorf("weigh a spec: %w", err)
 	}
 	paper.Compiled = heapBytes() - before
 	runtime.KeepAlive(compiled)
-	document := documentOf(sizes, spec)
+	document := documentOf(sizes, config)
 	if paper.Full, err = weighGrant(document); err != nil {
 		return nil, err
 	}
 	light := *document
-	light.Spec = nil
+	light.Config = nil
 	if paper.Light, err = weighGrant(&light); err != nil {
 		return nil, err
 	}
-	store, _, _, err := flyloft.OpenStore(&memory{map[string][]byte{}}, "greenroom", func() string { return "member" })
+	store, _, _, err := control.OpenStore(&memory{map[string][]byte{}}, "capacity", func() string { return "member" })
 	if err != nil {
 		return nil, fmt.Errorf("weigh a save: %w", err)
 	}
 	begun = threadNanos()
-	if err := store.Save(flyloft.Save{Token: 1, Ballot: &flyloft.Ballot{Term: 1}, Document: document}); err != nil {
+	if err := store.Save(control.Save{Token: 1, Ballot: &control.Ballot{Term: 1}, Document: document}); err != nil {
 		return nil, fmt.Errorf("weigh a save: %w", err)
 	}
 	paper.Save = float64(threadNanos()-begun) / 1e3
 	return paper, paper.file(sizes)
 }
 
-func weighGrant(document *flyloft.Document) (float64, error) {
-	content, err := json.Marshal(flyloft.Envelope{Message: flyloft.Message{Grant: &flyloft.Grant{Document: document}}})
+func weighGrant(document *control.Document) (float64, error) {
+	content, err := json.Marshal(control.Envelope{Message: control.Message{Grant: &control.Grant{Document: document}}})
 	if err != nil {
 		return 0, fmt.Errorf("weigh a document: %w", err)
 	}
@@ -208,10 +208,10 @@
 }
 
 // documentOf fills a document with all that it keeps at most.
-func documentOf(sizes Sizes, spec []byte) *flyloft.Document {
-	document := &flyloft.Document{
-		Founding: "0123456789abcdef0123456789abcdef", Generation: 100000, Term: 7, Spec: spec, SpecGeneration: 100000,
-		Homes: map[string]string{}, Evacuated: map[string]uint64{}, Leaving: map[string]flyloft.LeavingMark{},
+func documentOf(sizes Sizes, config []byte) *control.Document {
+	document := &control.Document{
+		Founding: "0123456789abcdef0123456789abcdef", Revision: 100000, Term: 7, Config: config, ConfigRevision: 100000,
+		Homes: map[string]string{}, Drained: map[string]uint64{}, Leaving: map[string]control.LeavingMark{},
 	}
 	for i := range sizes.Nodes {
 		document.Register = append(document.Register, fmt.Sprintf("10.%d.%d.%d:7000", i%sizes.Zones, i/250, i%250))
@@ -220,38 +220,38 @@
 		document.Homes[fmt.Sprintf("region-%d-zone-%02d", i%sizes.Regions, i)] = document.Register[i%len(document.Register)]
 	}
 	for i := range 3 {
-		document.Voters = append(document.Voters, flyloft.Member{ID: flyloft.MemberID(fmt.Sprintf("member-%026d", i)), Address: document.Register[i%len(document.Register)], Zone: "region-0-zone-00"})
+		document.Voters = append(document.Voters, control.Member{ID: control.MemberID(fmt.Sprintf("member-%026d", i)), Address: document.Register[i%len(document.Register)], Zone: "region-0-zone-00"})
 	}
 	for i := range 512 {
-		document.Submissions = append(document.Submissions, flyloft.Submission{ID: fmt.Sprintf("order-%026d", i), Digest: wardrobe.Digest([]byte{byte(i)}), Generation: uint64(99000 + i)})
+		document.Submissions = append(document.Submissions, control.Submission{ID: fmt.Sprintf("order-%026d", i), Digest: history.Digest([]byte{byte(i)}), Revision: uint64(99000 + i)})
 	}
 	for i := range 64 {
-		document.Chain = append(document.Chain, flyloft.SpecMark{Generation: uint64(99000 + i), Digest: wardrobe.Digest([]byte{byte(i)})})
+		document.Chain = append(document.Chain, control.ConfigMark{Revision: uint64(99000 + i), Digest: history.Digest([]byte{byte(i)})})
 	}
 	for i := range min(256, sizes.Engines/10) {
-		document.Leaving[fmt.Sprintf("engine-%04d", i)] = flyloft.LeavingMark{Start: 1700000000000000, Generation: uint64(99000 + i)}
+		document.Leaving[fmt.Sprintf("engine-%04d", i)] = control.LeavingMark{Start: 1700000000000000, Revision: uint64(99000 + i)}
 	}
 	return document
 }
 
-// filed is how many specs the store is timed over.
+// filed is how many configurations the store is timed over.
 const filed = 5
 
 func (p *Paper) file(sizes Sizes) (err error) {
-	path, err := os.MkdirTemp("", "greenroom-store-")
+	path, err := os.MkdirTemp("", "capacity-store-")
 	if err != nil {
 		return fmt.Errorf("file a spec: %w", err)
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(path)) }()
-	store, err := wardrobe.Open(path, "greenroom", 1<<30)
+	store, err := history.Open(path, "capacity", 1<<30)
 	if err != nil {
 		return fmt.Errorf("file a spec: %w", err)
 	}
 	nanos, size := int64(0), int64(0)
 	for i := range filed + 1 {
-		spec := specOf(sizes, uint64(i)+1)
+		config := configOf(sizes, uint64(i)+1)
 		begun := threadNanos()
-		if err := store.File(wardrobe.Facts{Generation: uint64(i) + 1, Digest: wardrobe.Digest(spec), Founding: "f"}, spec); err != nil {
+		if err := store.File(history.Facts{Revision: uint64(i) + 1, Digest: history.Digest(config), Founding: "f"}, config); err != nil {
 			return fmt.Errorf("file a spec: %w", err)
 		}
 		nanos += threadNanos() - begun
@@ -330,32 +330,32 @@
 	for _, listener := range listeners[:3] {
 		seeds = append(seeds, listener.Addr().String())
 	}
-	shells, channels := []*wings.Runner{}, []*wings.Channels{}
+	shells, connections := []*server.Runner{}, []*server.Connections{}
 	for i, listener := range listeners {
 		zone := fmt.Sprintf("zone-%02d", i%sizes.Zones)
-		cue := house.Cue{
-			Context: life, Clock: house.BootClock{}, Journal: house.NewJournal(16),
-			Self: house.Identity{Fleet: "greenroom", Address: listener.Addr().String(), Public: "127.0.0.1:1", Zone: zone},
+		env := kernel.Env{
+			Context: life, Clock: kernel.BootClock{}, Journal: kernel.NewJournal(16),
+			Self: kernel.Identity{Fleet: "capacity", Address: listener.Addr().String(), Public: "127.0.0.1:1", Zone: zone},
 		}
-		settings := flyloft.NodeSettings{
-			Identity: cue.Self, IsRouter: i >= sizes.Control, IsPrompter: i < sizes.Control, HasFolder: i < sizes.Control, Seeds: seeds,
-			Start: seed + uint64(i) + 1, RandomSeed: seed*1000 + uint64(i), Timing: flyloft.DefaultTiming(), Journal: cue.Journal,
-			Member: flyloft.MemberID("none-" + cue.Self.Address),
+		settings := control.NodeSettings{
+			Identity: env.Self, IsRouter: i >= sizes.Control, IsController: i < sizes.Control, HasFolder: i < sizes.Control, Seeds: seeds,
+			Start: seed + uint64(i) + 1, RandomSeed: seed*1000 + uint64(i), Timing: control.DefaultTiming(), Journal: env.Journal,
+			Member: control.MemberID("none-" + env.Self.Address),
 		}
-		var store *flyloft.Store
+		var store *control.Store
 		if i < sizes.Control {
-			if store, settings.Ballot, settings.Document, err = flyloft.OpenStore(&memory{map[string][]byte{}}, "greenroom", func() string { return fmt.Sprintf("member-%d-%d", seed, i) }); err != nil {
+			if store, settings.Ballot, settings.Document, err = control.OpenStore(&memory{map[string][]byte{}}, "capacity", func() string { return fmt.Sprintf("member-%d-%d", seed, i) }); err != nil {
 				return nil, fmt.Errorf("open a store: %w", err)
 			}
 			settings.Member = store.Member()
 		}
-		out := wings.NewChannels(cue, (&net.Dialer{Timeout: time.Second}).DialContext)
-		shell := wings.NewRunner(cue, flyloft.NewNode(settings, cue.Clock.Now()), store, out, nil, &playbill.Shelf{}, "")
-		server := &http.Server{Handler: wings.NewPeerHandler(shell.Deliver, shell.Recall, func() flyloft.Witness { return shell.Witness(settings.Member) })}
+		out := server.NewConnections(env, (&net.Dialer{Timeout: time.Second}).DialContext)
+		shell := server.NewRunner(env, control.NewNode(settings, env.Clock.Now()), store, out, nil, &fleetconfig.Compiler{}, "")
+		server := &http.Server{Handler: server.NewPeerHandler(shell.Deliver, shell.Recall, func() control.Witness { return shell.Witness(settings.Member) })}
 		defer server.Close()
 		go server.Serve(listener)
 		go shell.Run()
-		shells, channels = append(shells, shell), append(channels, out)
+		shells, connections = append(shells, shell), append(connections, out)
 	}
 	deadline := wallNanos() + int64(sizes.Wall)*1000
 	for !areServing(shells, sizes) {
@@ -365,9 +365,9 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(2 * time.Second)
-	before, process, begun := countWire(channels), processNanos(), wallNanos()
+	before, process, begun := countWire(connections), processNanos(), wallNanos()
 	time.Sleep(sizes.Span.Duration())
-	after, spent := countWire(channels), float64(processNanos()-process)
+	after, spent := countWire(connections), float64(processNanos()-process)
 	seconds := float64(wallNanos()-begun) / 1e9
 	by := seconds * float64(sizes.Nodes)
 	wire.Messages, wire.Encoded, wire.OnWire = (after.Messages-before.Messages)/by, (after.Encoded-before.Encoded)/by, (after.OnWire-before.OnWire)/by
@@ -378,7 +378,7 @@
 // wireNodes bounds real channels in one process.
 const wireNodes = 48
 
-func areServing(shells []*wings.Runner, sizes Sizes) bool {
+func areServing(shells []*server.Runner, sizes Sizes) bool {
 	for i, shell := range shells {
 		state := shell.State()
 		if state.Document == nil || len(state.Nodes) < len(shells) || i >= sizes.Control && state.Why != "" {
@@ -388,9 +388,9 @@
 	return true
 }
 
-func countWire(channels []*wings.Channels) Wire {
+func countWire(connections []*server.Connections) Wire {
 	sum := Wire{}
-	for _, one := range channels {
+	for _, one := range connections {
 		sum.Messages += float64(one.Sent.Load())
 		sum.Lost += float64(one.Dropped.Load())
 		for _, kinds := range one.KindsTo() {
@@ -409,20 +409,20 @@
 const weighedPeers = 64
 
 // perPeer is the heap that goes with a node that is written to, without its channel: the
-// dialer declines.
+// dialer rejects.
 func perPeer(life context.Context) float64 {
 	life, end := context.WithCancel(life)
 	defer end()
 	before := heapBytes()
-	channels := wings.NewChannels(house.Cue{Context: life, Clock: house.BootClock{}}, func(context.Context, string, string) (net.Conn, error) {
+	connections := server.NewConnections(kernel.Env{Context: life, Clock: kernel.BootClock{}}, func(context.Context, string, string) (net.Conn, error) {
 		return nil, net.ErrClosed
 	})
 	for i := range weighedPeers {
-		channels.Send(flyloft.Envelope{To: fmt.Sprintf("127.0.0.1:%d", 1+i), Message: flyloft.Message{Muster: &flyloft.Muster{}}})
+		connections.Send(control.Envelope{To: fmt.Sprintf("127.0.0.1:%d", 1+i), Message: control.Message{Muster: &control.Muster{}}})
 	}
 	time.Sleep(200 * time.Millisecond)
 	grown := heapBytes() - before
-	runtime.KeepAlive(channels)
+	runtime.KeepAlive(connections)
 	return grown / weighedPeers
 }
 
--- a/greenroom/sizes.go
+++ b/capacity/sizes.go
@@ -1,7 +1,7 @@
-// Package greenroom measures what the control plane costs: hollow nodes, which are the
+// Package capacity measures what the control plane costs: hollow nodes, which are the
 // real owners without process, socket or disk, many to one process, before hollow
-// engines, on virtual time. Nothing here judges what is right; the traproom does.
-package greenroom
+// engines, on virtual time. Nothing here judges what is right; the simulator does.
+package capacity
 
 import (
 	"fmt"
@@ -9,12 +9,12 @@
 
 	"golang.org/x/sys/unix"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 const (
-	ms  = house.Millisecond
-	sec = house.Second
+	ms  = kernel.Millisecond
+	sec = kernel.Second
 	mib = 1 << 20
 )
 
@@ -47,7 +47,7 @@
 type Rules string
 
 const (
-	// Strict rules are the defaults of a node: three voters, licences that lapse, a yes by a
+	// Strict rules are the defaults of a node: three voters, leases that lapse, a yes by a
 	// majority of the routers, and engines whose reports are heard at a node of their zone.
 	Strict Rules = "strict"
 	// Deployment rules are those that a Deployment in wings sets: see its node. Its engines
@@ -76,7 +76,7 @@
 // OutOfTime says that a run was stopped by its bound of wall time.
 type OutOfTime struct {
 	Step  string
-	Bound house.Micros
+	Bound kernel.Micros
 }
 
 func (b OutOfTime) Error() string {
@@ -86,7 +86,7 @@
 // Unsettled says that the fleet did not come to rest in the virtual time it was given.
 type Unsettled struct {
 	Step string
-	Span house.Micros
+	Span kernel.Micros
 	Why  string
 }
 
@@ -97,7 +97,7 @@
 // Sizes are those of a hollow fleet and of what it is put through.
 type Sizes struct {
 	Nodes    int `json:"nodes"`   // routers and control machines together
-	Control  int `json:"control"` // of them, machines with a prompter and a disk that don't route
+	Control  int `json:"control"` // of them, machines with a controller and a disk that don't route
 	Zones    int `json:"zones"`
 	Regions  int `json:"regions"`
 	Engines  int `json:"engines"`
@@ -106,17 +106,17 @@
 	Sessions int `json:"sessions"` // requests that one router holds open
 	Tenants  int `json:"tenants"`  // kinds that routes are told apart by
 
-	Rules   Rules        `json:"rules"`
-	Report  house.Micros `json:"report_us"`   // between an engine's reports
-	Changes int          `json:"changes_1e3"` // orders in a thousand seconds
-	Span    house.Micros `json:"span_us"`     // virtual time that is measured
+	Rules   Rules         `json:"rules"`
+	Report  kernel.Micros `json:"report_us"`   // between an engine's reports
+	Changes int           `json:"changes_1e3"` // orders in a thousand seconds
+	Span    kernel.Micros `json:"span_us"`     // virtual time that is measured
 	// Restart is the share of routers that are restarted at once, in percent.
-	Restart int          `json:"restart_percent"`
-	Cut     house.Micros `json:"cut_us"` // for how long the last region is cut off
-	Roles   []Role       `json:"roles"`  // whose memory is taken apart
+	Restart int           `json:"restart_percent"`
+	Cut     kernel.Micros `json:"cut_us"` // for how long the last region is cut off
+	Roles   []Role        `json:"roles"`  // whose memory is taken apart
 
-	Wall     house.Micros `json:"wall_us"`   // bound of the whole run
-	MemoryMB int          `json:"memory_mb"` // bound of the process
+	Wall     kernel.Micros `json:"wall_us"`   // bound of the whole run
+	MemoryMB int           `json:"memory_mb"` // bound of the process
 
 	isPart bool // a part of one process is measured: the nodes are only named
 }
@@ -167,7 +167,7 @@
 	return nodes*(nodeBytes+engines*engineBytes+nodes*peerBytes+int64(s.Routes)*routeBytes) + int64(s.Sessions)*4096
 }
 
-// Check declines what the rig or the machine can't take, with the bound.
+// Check rejects what the rig or the machine can't take, with the bound.
 func (s Sizes) Check() error {
 	for _, bound := range []struct {
 		what             string
--- a/greenroom/tables.go
+++ b/capacity/tables.go
@@ -1,4 +1,4 @@
-package greenroom
+package capacity
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 	"strings"
 	"sync"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // UnknownTable says that there is no table of that name.
@@ -37,7 +37,7 @@
 	Play func(Sizes, uint64) (*Outcome, error)
 }
 
-// Check declines what the machine can't take.
+// Check rejects what the machine can't take.
 func (b Batch) Check() error {
 	for _, bound := range []struct {
 		what            string
@@ -93,7 +93,7 @@
 		"engines": {"At rest, by engines, with 48 nodes in 24 zones", "engines", sweep(base(func(s *Sizes) { s.Nodes, s.Zones, s.Span = 48, 24, 3*sec }),
 			func(s *Sizes, v int) { s.Engines = v }, 64, 256, 850, 1700, 3400), printRoles, nil},
 		"reports": {"At rest, by the span between reports in ms, with 48 nodes in 24 zones and 850 engines", "ms", sweep(base(func(s *Sizes) { s.Nodes, s.Zones, s.Engines, s.Span = 48, 24, 850, 4*sec }),
-			func(s *Sizes, v int) { s.Report = house.Micros(v) * ms }, 500, 1000, 4000, 16000), printRoles, nil},
+			func(s *Sizes, v int) { s.Report = kernel.Micros(v) * ms }, 500, 1000, 4000, 16000), printRoles, nil},
 		"routes": {"Under 0.2 changes a second, by routes, with 16 nodes", "routes", sweep(base(func(s *Sizes) { s.Nodes, s.Changes, s.Span = 16, 200, 15*sec }),
 			func(s *Sizes, v int) { s.Routes, s.Tenants = v, tenantsOf(v) }, 100, 500, 2000, 8000, 20000), printRoles, nil},
 		"changes": {"By changes in a thousand seconds, with 48 nodes, 500 routes", "changes", sweep(base(func(s *Sizes) { s.Nodes, s.Routes, s.Span = 48, 500, 15*sec }),
@@ -103,7 +103,7 @@
 		"cut": {"The last region cut off for 20 s, and for 40 s, when routers are struck off", "nodes", append(sweep(base(func(s *Sizes) { s.Cut, s.Span = 20*sec, sec }),
 			func(s *Sizes, v int) { s.Nodes = v }, 32, 96, 205), row{"96, 40 s", 96, base(func(s *Sizes) { s.Nodes, s.Cut, s.Span = 96, 40*sec, sec })}), printSettle, nil},
 		"full":     {"All 410 nodes, 500 routes, by engines", "engines", sweep(full, func(s *Sizes, v int) { s.Engines = v }, 850, 3400), printRoles, nil},
-		"desk":     {"One router's desk: requests", "", nil, nil, printDesk},
+		"desk":     {"One router's desk: requests", "", nil, nil, printDispatcher},
 		"paper":    {"Specs, documents and the object store", "", nil, nil, printPaper},
 		"channels": {"Real channels over loopback, at rest, no engines", "", nil, nil, printWire},
 	}
@@ -149,7 +149,7 @@
 			return fmt.Errorf("print table %s: row %s: %w", name, row.name, err)
 		}
 	}
-	fmt.Fprintf(w, "### %s\n\n`go run ./cmd/greenroom %s`\n\n", t.title, command)
+	fmt.Fprintf(w, "### %s\n\n`go run ./cmd/capacity %s`\n\n", t.title, command)
 	if t.parts != nil {
 		return t.parts(w, t, b)
 	}
@@ -425,8 +425,8 @@
 	}
 }
 
-// printDesk sweeps one size at a time from a middle one.
-func printDesk(w io.Writer, _ table, b Batch) error {
+// printDispatcher sweeps one size at a time from a middle one.
+func printDispatcher(w io.Writer, _ table, b Batch) error {
 	head(w, "size", "arrival to engine us", "to its end us, 20 events", "heap of an open request, bytes", "picture and spec, MB")
 	middle := base(func(s *Sizes) {
 		s.Nodes, s.Zones, s.Regions, s.Engines, s.Routes, s.Tenants, s.Prefixes, s.Sessions = 410, 24, 7, 850, 2000, 2000, 10000, 1000
@@ -443,15 +443,15 @@
 		{"open requests", func(s *Sizes, v int) { s.Sessions = v }, []int{100, 1000, 6000, 12000}},
 	} {
 		for _, row := range sweep(middle, sizes.set, sizes.values...) {
-			var arrive, rest, held, scene []float64
+			var arrive, rest, held, routingTable []float64
 			for seed := range b.Seeds {
 				load, err := MeasureLoad(row.sizes, b.First+uint64(seed))
 				if err != nil {
 					return err
 				}
-				arrive, rest, held, scene = append(arrive, load.Arrive), append(rest, load.Rest), append(held, load.PerHeld), append(scene, load.Scene/1e6)
+				arrive, rest, held, routingTable = append(arrive, load.Arrive), append(rest, load.Rest), append(held, load.PerHeld), append(routingTable, load.RoutingTable/1e6)
 			}
-			fmt.Fprintf(w, "| %s %s | %s | %s | %s | %s |\n", row.name, sizes.name, spread(arrive), spread(rest), spread(held), spread(scene))
+			fmt.Fprintf(w, "| %s %s | %s | %s | %s | %s |\n", row.name, sizes.name, spread(arrive), spread(rest), spread(held), spread(routingTable))
 		}
 	}
 	return nil
@@ -469,7 +469,7 @@
 			if err != nil {
 				return err
 			}
-			for j, value := range []float64{paper.Spec / 1e3, paper.Submit / 1e3, paper.Full / 1e3, paper.Light / 1e3, paper.Read / 1e3, paper.Compiled / 1e6, paper.Save / 1e3, paper.File / 1e3, paper.Stored / 1e3} {
+			for j, value := range []float64{paper.Config / 1e3, paper.Submit / 1e3, paper.Full / 1e3, paper.Light / 1e3, paper.Read / 1e3, paper.Compiled / 1e6, paper.Save / 1e3, paper.File / 1e3, paper.Stored / 1e3} {
 				columns[j] = append(columns[j], value)
 			}
 		}
--- a/critic/critic_test.go
+++ b/checker/checker_test.go
@@ -1,4 +1,4 @@
-package critic
+package checker
 
 import (
 	"fmt"
@@ -6,52 +6,52 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
-const s = house.Second
+const s = kernel.Second
 
-// good is a history without a breach; each planted breach is one change to it.
+// good is a history without a violation; each planted violation is one change to it.
 func good() []Event {
 	return []Event{
-		{At: 1 * s, What: SpecSent, ID: "a", Digest: "A"},
-		{At: 2 * s, What: SpecYes, ID: "a", Generation: 5, Digest: "A"},
+		{At: 1 * s, What: ConfigSent, ID: "a", Digest: "A"},
+		{At: 2 * s, What: ConfigYes, ID: "a", Revision: 5, Digest: "A"},
 		{At: 3 * s, What: RunBegan, Tag: "r1", Engine: "e1", Start: 1, Zone: "z1"},
-		{At: 4 * s, What: CallEnded, Tag: "r1", Node: "n1", Began: 3 * s, Outcome: Served, Generation: 5},
-		{At: 4 * s, What: RunDeclined, Tag: "r2", Engine: "e1", Start: 1, Zone: "z1"},
+		{At: 4 * s, What: CallEnded, Tag: "r1", Node: "n1", Began: 3 * s, Outcome: Served, Revision: 5},
+		{At: 4 * s, What: RunRejected, Tag: "r2", Engine: "e1", Start: 1, Zone: "z1"},
 		{At: 5 * s, What: CallEnded, Tag: "r2", Node: "n1", Began: 4 * s, Outcome: NotRun, Reason: "late"},
 		{At: 6 * s, What: EngineLeaving, Engine: "e1", Start: 1},
 		{At: 8 * s, What: RunBegan, Tag: "r3", Engine: "e1", Start: 1, Zone: "z1"},
-		{At: 9 * s, What: CallEnded, Tag: "r3", Node: "n1", Began: 8 * s, Outcome: Torn, Generation: 5},
+		{At: 9 * s, What: CallEnded, Tag: "r3", Node: "n1", Began: 8 * s, Outcome: Torn, Revision: 5},
 		{At: 10 * s, What: ZoneEmptied, Zone: "z2"},
 		{At: 14 * s, What: RunBegan, Tag: "r4", Engine: "e2", Start: 1, Zone: "z2"},
-		{At: 16 * s, What: CallEnded, Tag: "r4", Node: "n2", Began: 14 * s, Outcome: Served, Generation: 5},
+		{At: 16 * s, What: CallEnded, Tag: "r4", Node: "n2", Began: 14 * s, Outcome: Served, Revision: 5},
 		{At: 17 * s, What: ZoneRefilling, Zone: "z2"},
 		{At: 20 * s, What: RunBegan, Tag: "r5", Engine: "e2", Start: 1, Zone: "z2"},
-		{At: 21 * s, What: CallEnded, Tag: "r5", Node: "n2", Began: 20 * s, Outcome: Served, Generation: 6},
+		{At: 21 * s, What: CallEnded, Tag: "r5", Node: "n2", Began: 20 * s, Outcome: Served, Revision: 6},
 		{At: 22 * s, What: ZoneEmptied, Zone: "z2"}, // the refill of 17 s is still under way
 		{At: 23 * s, What: ZoneRefilled, Zone: "z2"},
 		{At: 29 * s, What: RunBegan, Tag: "r9", Engine: "e2", Start: 1, Zone: "z2"},
 		{At: 30 * s, What: NodeStopping, Node: "n2"},
 		{At: 30 * s, What: RunBegan, Tag: "r7", Engine: "e5", Start: 1, Zone: "z1"},
 		{At: 31 * s, What: EngineFailed, Engine: "e5"},
-		{At: 31 * s, What: CallEnded, Tag: "r7", Node: "n2", Began: 30 * s, Outcome: Torn, Engine: "e5", Generation: 6},
+		{At: 31 * s, What: CallEnded, Tag: "r7", Node: "n2", Began: 30 * s, Outcome: Torn, Engine: "e5", Revision: 6},
 		{At: 32 * s, What: NodeStopped, Node: "n2"},
 		{At: 33 * s, What: NodeStopping, Node: "n3"},
 		{At: 34 * s, What: NodeKilled, Node: "n3"},
-		{At: 34 * s, What: CallEnded, Tag: "r8", Node: "n3", Began: 33 * s, Outcome: NoReceipt},
+		{At: 34 * s, What: CallEnded, Tag: "r8", Node: "n3", Began: 33 * s, Outcome: NoAck},
 		{At: 40 * s, What: Repaired},
 		{At: 42 * s, What: RunBegan, Tag: "r6", Engine: "e3", Start: 1, Zone: "z1"},
-		{At: 43 * s, What: CallEnded, Tag: "r6", Node: "n1", Began: 42 * s, Outcome: Served, Generation: 6},
-		{At: 50 * s, What: SpecRead, Generation: 5, Digest: "A"},
+		{At: 43 * s, What: CallEnded, Tag: "r6", Node: "n1", Began: 42 * s, Outcome: Served, Revision: 6},
+		{At: 50 * s, What: ConfigRead, Revision: 5, Digest: "A"},
 		{At: 51 * s, What: Totals, First: 1000, Retries: 90},
 	}
 }
 
-func TestAGoodHistoryHasNoBreach(t *testing.T) {
+func TestAGoodHistoryHasNoViolation(t *testing.T) {
 	c := qt.New(t)
 	review := Judge(good(), BriefBounds())
-	c.Assert(review.Breaches, qt.HasLen, 0)
+	c.Assert(review.Violations, qt.HasLen, 0)
 	c.Assert(review.RepairTook, qt.Equals, 2*s)
 	c.Assert(review.Calls, qt.Equals, 8)
 }
@@ -63,38 +63,38 @@
 // calm is a request served and an order acknowledged with all repaired.
 func calm(node, kind string) []Event {
 	return []Event{
-		{At: 53 * s, What: CallEnded, Tag: "calm", Node: node, Kind: kind, Began: 52*s + 1, Outcome: Served, Generation: 6},
-		{At: 53 * s, What: SpecSent, ID: "calm", Digest: "C"},
-		{At: 54 * s, What: SpecYes, ID: "calm", Generation: 7, Digest: "C"},
-		{At: 55 * s, What: SpecRead, Generation: 7, Digest: "C"},
+		{At: 53 * s, What: CallEnded, Tag: "calm", Node: node, Kind: kind, Began: 52*s + 1, Outcome: Served, Revision: 6},
+		{At: 53 * s, What: ConfigSent, ID: "calm", Digest: "C"},
+		{At: 54 * s, What: ConfigYes, ID: "calm", Revision: 7, Digest: "C"},
+		{At: 55 * s, What: ConfigRead, Revision: 7, Digest: "C"},
 	}
 }
 
 // burst is first rounds at a pace, and retries of the last of them at once.
-func burst(firsts, retries int, pace house.Micros) []Event {
+func burst(firsts, retries int, pace kernel.Micros) []Event {
 	events := []Event{}
 	for i := range firsts {
-		events = append(events, Event{At: 60*s + house.Micros(i)*pace, What: RoundSent, Tag: fmt.Sprint("b", i)})
+		events = append(events, Event{At: 60*s + kernel.Micros(i)*pace, What: RoundSent, Tag: fmt.Sprint("b", i)})
 	}
 	last := events[len(events)-1].At
 	for i := range retries {
-		events = append(events, Event{At: last + house.Micros(i), What: RoundSent, Tag: fmt.Sprint("b", firsts-1-i)})
+		events = append(events, Event{At: last + kernel.Micros(i), What: RoundSent, Tag: fmt.Sprint("b", firsts-1-i)})
 	}
 	return events
 }
 
-// twoPools is a spec for pool p and, from 63 s on, one for pool q.
+// twoPools is a configuration for pool p and, from 63 s on, one for pool q.
 func twoPools() []Event {
 	return []Event{
-		{At: 55 * s, What: SpecSent, ID: "p", Digest: "P", Pools: []string{"p"}},
-		{At: 56 * s, What: SpecYes, ID: "p", Generation: 8, Digest: "P"},
-		{At: 62 * s, What: SpecSent, ID: "q", Digest: "Q", Pools: []string{"q"}},
-		{At: 63 * s, What: SpecYes, ID: "q", Generation: 9, Digest: "Q"},
-		{At: 64 * s, What: SpecRead, Generation: 8, Digest: "P"}, {At: 64 * s, What: SpecRead, Generation: 9, Digest: "Q"},
+		{At: 55 * s, What: ConfigSent, ID: "p", Digest: "P", Pools: []string{"p"}},
+		{At: 56 * s, What: ConfigYes, ID: "p", Revision: 8, Digest: "P"},
+		{At: 62 * s, What: ConfigSent, ID: "q", Digest: "Q", Pools: []string{"q"}},
+		{At: 63 * s, What: ConfigYes, ID: "q", Revision: 9, Digest: "Q"},
+		{At: 64 * s, What: ConfigRead, Revision: 8, Digest: "P"}, {At: 64 * s, What: ConfigRead, Revision: 9, Digest: "Q"},
 	}
 }
 
-// What only looks like a breach must not be taken for one.
+// What only looks like a violation must not be taken for one.
 func TestNearMissesAreNone(t *testing.T) {
 	for name, events := range map[string][]Event{
 		"declined for load after a repair":               {{At: 53 * s, What: CallEnded, Tag: "x", Node: "n1", Began: 52*s + 1, Outcome: NotRun, Reason: "late"}},
@@ -103,25 +103,25 @@
 		"retries within both windows":                    burst(120, 4, s/2),
 		"a run in the grace of a new spec":               append(twoPools(), Event{At: 65 * s, What: RunBegan, Tag: "x", Engine: "e8", Pool: "p"}),
 		"a spec that may be in force before its receipt": append(twoPools(), Event{At: 62*s + 1, What: RunBegan, Tag: "x", Engine: "e8", Pool: "q"}),
-		"a spec whose answer nobody had": append(twoPools(), Event{At: 66 * s, What: SpecSent, ID: "r", Pools: []string{"r"}},
+		"a spec whose answer nobody had": append(twoPools(), Event{At: 66 * s, What: ConfigSent, ID: "r", Pools: []string{"r"}},
 			Event{At: 76 * s, What: RunBegan, Tag: "x", Engine: "e8", Pool: "r"}, Event{At: 76 * s, What: RunBegan, Tag: "y", Engine: "e8", Pool: "q"}),
-		"a newer spec than any acknowledged": {{At: 51 * s, What: SpecCurrent, Generation: 9}},
+		"a newer spec than any acknowledged": {{At: 51 * s, What: ConfigCurrent, Revision: 9}},
 		"a zone whose refill is newer than the receipt that came late": {
-			{At: 53 * s, What: ZoneRefilling, Zone: "z3"}, {At: 54 * s, What: ZoneRefilled, Zone: "z3", Generation: 12},
-			{At: 55 * s, What: ZoneEmptied, Zone: "z3", Generation: 11}, {At: 61 * s, What: RunBegan, Tag: "x", Engine: "e2", Zone: "z3"}},
+			{At: 53 * s, What: ZoneRefilling, Zone: "z3"}, {At: 54 * s, What: ZoneRefilled, Zone: "z3", Revision: 12},
+			{At: 55 * s, What: ZoneEmptied, Zone: "z3", Revision: 11}, {At: 61 * s, What: RunBegan, Tag: "x", Engine: "e2", Zone: "z3"}},
 		"a zone being refilled reads as either": {{At: 51 * s, What: ZoneEmptied, Zone: "z3"}, {At: 52 * s, What: ZoneRefilling, Zone: "z3"}, {At: 53 * s, What: ZonesRead}},
 		"a stream given up while its engine was dark": {
 			{At: 29 * s, What: EngineFailed, Engine: "e6"}, {At: 30 * s, What: RunBegan, Tag: "x", Engine: "e6"}, {At: 30*s + 1, What: EngineMended, Engine: "e6"},
 			{At: 31 * s, What: CallEnded, Tag: "x", Node: "n2", Began: 30 * s, Outcome: Torn}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			qt.New(t).Assert(Judge(append(good(), events...), BriefBounds()).Breaches, qt.HasLen, 0)
+			qt.New(t).Assert(Judge(append(good(), events...), BriefBounds()).Violations, qt.HasLen, 0)
 		})
 	}
 }
 
-// Each rule's check has to find a breach of it, and no other check may.
-func TestEveryPlantedBreachIsFound(t *testing.T) {
+// Each rule's check has to find a violation of it, and no other check may.
+func TestEveryPlantedViolationIsFound(t *testing.T) {
 	for _, plant := range []struct {
 		rule   Rule
 		events []Event
@@ -134,27 +134,27 @@
 		{EmptiedUsed, []Event{{At: 24 * s, What: ZoneEmptied, Zone: "z2"}, {At: 29*s + 1, What: RunBegan, Tag: "x", Engine: "e2", Start: 1, Zone: "z2"}}, "r9"},
 		{LeavingUsed, []Event{{At: 9*s + 1, What: RunBegan, Tag: "x", Engine: "e1", Start: 1, Zone: "z1"}}, ""},
 		{EmptiedUsed, []Event{{At: 15*s + 1, What: RunBegan, Tag: "x", Engine: "e2", Start: 1, Zone: "z2"}}, ""},
-		{SpecOld, []Event{{At: 5 * s, What: CallEnded, Tag: "x", Node: "n3", Began: 4*s + 1, Outcome: Served, Generation: 4}}, ""},
-		{SpecSlipped, []Event{{At: 22 * s, What: CallEnded, Tag: "x", Node: "n2", Began: 21*s + s/4 + 1, Outcome: Served, Generation: 5}}, ""},
+		{ConfigOld, []Event{{At: 5 * s, What: CallEnded, Tag: "x", Node: "n3", Began: 4*s + 1, Outcome: Served, Revision: 4}}, ""},
+		{ConfigSlipped, []Event{{At: 22 * s, What: CallEnded, Tag: "x", Node: "n2", Began: 21*s + s/4 + 1, Outcome: Served, Revision: 5}}, ""},
 		{RetriesMany, []Event{{At: 52 * s, What: Totals, First: 1000, Retries: 101}}, ""},
 		{ColdFlooded, []Event{{At: 9 * s, What: RunOvercrowd, Engine: "e9"}}, ""},
-		{StopDropped, []Event{{At: 31 * s, What: CallEnded, Tag: "x", Node: "n2", Began: 30 * s, Outcome: NoReceipt}}, ""},
-		{ReceiptLost, []Event{{At: 51 * s, What: SpecRead, Generation: 5, Digest: "(unreadable)"}}, ""},
-		{NoTookEffect, []Event{{At: 2 * s, What: SpecSent, ID: "b", Digest: "B"}, {At: 3 * s, What: SpecNo, ID: "b"}, {At: 51 * s, What: SpecRead, Generation: 9, Digest: "B"}}, ""},
-		{BrokenLong, []Event{{At: 53 * s, What: CallEnded, Tag: "x", Node: "n1", Began: 52*s + 1, Outcome: Served, Generation: 6}}, "r6"},
+		{StopDropped, []Event{{At: 31 * s, What: CallEnded, Tag: "x", Node: "n2", Began: 30 * s, Outcome: NoAck}}, ""},
+		{AckLost, []Event{{At: 51 * s, What: ConfigRead, Revision: 5, Digest: "(unreadable)"}}, ""},
+		{NoTookEffect, []Event{{At: 2 * s, What: ConfigSent, ID: "b", Digest: "B"}, {At: 3 * s, What: ConfigNo, ID: "b"}, {At: 51 * s, What: ConfigRead, Revision: 9, Digest: "B"}}, ""},
+		{BrokenLong, []Event{{At: 53 * s, What: CallEnded, Tag: "x", Node: "n1", Began: 52*s + 1, Outcome: Served, Revision: 6}}, "r6"},
 		// One node that serves must not speak for another, nor a kind, nor an order for service.
-		{BrokenLong, []Event{{At: 53 * s, What: CallEnded, Tag: "x", Node: "n1", Began: 52*s + 1, Outcome: NotRun, Reason: "no_licence", Generation: 6}}, ""},
+		{BrokenLong, []Event{{At: 53 * s, What: CallEnded, Tag: "x", Node: "n1", Began: 52*s + 1, Outcome: NotRun, Reason: "no_licence", Revision: 6}}, ""},
 		{BrokenLong, append(repairedWith([]string{"n1", "n2"}, nil), calm("n1", "log")...), ""},
 		{BrokenLong, append(repairedWith([]string{"n1"}, []string{"log", "quote"}), calm("n1", "log")...), ""},
 		{BrokenLong, append(repairedWith([]string{"n1"}, []string{"log"}), calm("n1", "log")[:1]...), ""},
-		{BrokenLong, append(repairedWith([]string{"n1"}, []string{"log"}), append(calm("n1", "log"), Event{At: 54 * s, What: SpecSent, ID: "y", Digest: "Y"}, Event{At: 65 * s, What: SpecNo, ID: "y"})...), ""},
+		{BrokenLong, append(repairedWith([]string{"n1"}, []string{"log"}), append(calm("n1", "log"), Event{At: 54 * s, What: ConfigSent, ID: "y", Digest: "Y"}, Event{At: 65 * s, What: ConfigNo, ID: "y"})...), ""},
 		{RetriesMany, burst(10, 4, s/2), ""},
 		{RetriesMany, burst(100, 11, 15*s/100), ""},
-		{SpecOld, append(twoPools(), Event{At: 65*s + 1, What: RunBegan, Tag: "x", Engine: "e8", Pool: "p"}), ""},
-		{SpecOld, append(twoPools(), Event{At: 60 * s, What: RunBegan, Tag: "x", Engine: "e8", Pool: "other"}), ""},
-		{ReceiptLost, []Event{{At: 49 * s, What: SpecYes, ID: "q", Generation: 7, Digest: "Q"}}, ""},
-		{ReceiptLost, []Event{{At: 51 * s, What: SpecCurrent, Generation: 4}}, ""},
-		{ReceiptLost, []Event{{At: 51 * s, What: ZoneEmptied, Zone: "z3"}, {At: 52 * s, What: ZonesRead, Zones: []string{"z1"}}}, ""},
+		{ConfigOld, append(twoPools(), Event{At: 65*s + 1, What: RunBegan, Tag: "x", Engine: "e8", Pool: "p"}), ""},
+		{ConfigOld, append(twoPools(), Event{At: 60 * s, What: RunBegan, Tag: "x", Engine: "e8", Pool: "other"}), ""},
+		{AckLost, []Event{{At: 49 * s, What: ConfigYes, ID: "q", Revision: 7, Digest: "Q"}}, ""},
+		{AckLost, []Event{{At: 51 * s, What: ConfigCurrent, Revision: 4}}, ""},
+		{AckLost, []Event{{At: 51 * s, What: ZoneEmptied, Zone: "z3"}, {At: 52 * s, What: ZonesRead, Zones: []string{"z1"}}}, ""},
 		{StopDropped, []Event{ // the engine had failed and mended long before the run began
 			{At: 29 * s, What: EngineFailed, Engine: "e6"}, {At: 29*s + 1, What: EngineMended, Engine: "e6"},
 			{At: 30 * s, What: RunBegan, Tag: "x", Engine: "e6"},
@@ -170,8 +170,8 @@
 				}
 			}
 			review := Judge(history, BriefBounds())
-			c.Assert(review.Breaches, qt.HasLen, 1)
-			c.Assert(review.Breaches[0].Rule, qt.Equals, plant.rule)
+			c.Assert(review.Violations, qt.HasLen, 1)
+			c.Assert(review.Violations[0].Rule, qt.Equals, plant.rule)
 		})
 	}
 }
--- a/critic/routed.go
+++ b/checker/routed.go
@@ -1,10 +1,10 @@
-package critic
+package checker
 
 import (
 	"fmt"
 	"sort"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // The rules of requests that routes lead to engines which register themselves. Where the
@@ -57,7 +57,7 @@
 
 // RoutedEvent is one thing that someone outside a routed fleet saw.
 type RoutedEvent struct {
-	At   house.Micros    `json:"at_us"`
+	At   kernel.Micros   `json:"at_us"`
 	What RoutedHappening `json:"what"`
 	ID   string          `json:"id,omitempty"` // of one try
 	// Digest is of method, target and body.
@@ -73,36 +73,36 @@
 	Why     string `json:"why,omitempty"`
 	// What a caller sent: may it run again, may it be resumed, where may it go, how long
 	// does it wait.
-	IsRepeatable bool         `json:"repeatable,omitempty"`
-	IsResumable  bool         `json:"resumable,omitempty"`
-	IsStream     bool         `json:"stream,omitempty"`
-	Services     []string     `json:"services,omitempty"` // that any spec ever led it to
-	Until        house.Micros `json:"until_us,omitempty"`
+	IsRepeatable bool          `json:"repeatable,omitempty"`
+	IsResumable  bool          `json:"resumable,omitempty"`
+	IsStream     bool          `json:"stream,omitempty"`
+	Services     []string      `json:"services,omitempty"` // that any configuration ever led it to
+	Until        kernel.Micros `json:"until_us,omitempty"`
 	// What it got.
-	Ended   Ended        `json:"ended,omitempty"`
-	Pieces  []Piece      `json:"pieces,omitempty"`
-	IsOwn   bool         `json:"own,omitempty"`      // the body is the run's, byte for byte
-	GotID   string       `json:"got_id,omitempty"`   // the id that the answer repeats
-	FirstAt house.Micros `json:"first_us,omitempty"` // when the first piece came
+	Ended   Ended         `json:"ended,omitempty"`
+	Pieces  []Piece       `json:"pieces,omitempty"`
+	IsOwn   bool          `json:"own,omitempty"`      // the body is the run's, byte for byte
+	GotID   string        `json:"got_id,omitempty"`   // the id that the answer repeats
+	FirstAt kernel.Micros `json:"first_us,omitempty"` // when the first piece came
 }
 
 // RoutedBounds are the figures of the rules.
 type RoutedBounds struct {
-	Drain, Grace, Slack, Contact house.Micros
+	Drain, Grace, Slack, Contact kernel.Micros
 	RetryRatio, RetrySlack       float64
-	RetryWindow                  house.Micros
+	RetryWindow                  kernel.Micros
 	// DeniedFew and DeniedOneIn bound the proper requests that may be denied.
 	DeniedFew, DeniedOneIn int
 }
 
-// RoutedReview is the critic's word on a routed fleet.
+// RoutedReview is the checker's word on a routed fleet.
 type RoutedReview struct {
-	Breaches []Breach       `json:"breaches"`
-	Endings  map[string]int `json:"endings"`
-	Tries    int            `json:"tries"`
-	Served   int            `json:"served"`
-	Runs     int            `json:"runs"`
-	Extras   int            `json:"extras"` // arrivals beyond the first of their request
+	Violations []Violation    `json:"breaches"`
+	Endings    map[string]int `json:"endings"`
+	Tries      int            `json:"tries"`
+	Served     int            `json:"served"`
+	Runs       int            `json:"runs"`
+	Extras     int            `json:"extras"` // arrivals beyond the first of their request
 }
 
 type routedTry struct {
@@ -134,12 +134,12 @@
 	j.budget(ordered)
 	j.leaving(ordered)
 	j.stops(ordered)
-	sort.SliceStable(j.review.Breaches, func(a, b int) bool { return j.review.Breaches[a].At < j.review.Breaches[b].At })
+	sort.SliceStable(j.review.Violations, func(a, b int) bool { return j.review.Violations[a].At < j.review.Violations[b].At })
 	return j.review
 }
 
-func (j *routedJudge) breach(rule Rule, at house.Micros, detail string, args ...any) {
-	j.review.Breaches = append(j.review.Breaches, Breach{rule, at, fmt.Sprintf(detail, args...)})
+func (j *routedJudge) violation(rule Rule, at kernel.Micros, detail string, args ...any) {
+	j.review.Violations = append(j.review.Violations, Violation{rule, at, fmt.Sprintf(detail, args...)})
 }
 
 func (j *routedJudge) gather(events []RoutedEvent) {
@@ -156,7 +156,7 @@
 		if event.What == Began {
 			j.review.Runs++
 			if try == nil {
-				j.breach(RunUnasked, event.At, "%s ran %s, which nobody sent", event.Engine, event.ID)
+				j.violation(RunUnasked, event.At, "%s ran %s, which nobody sent", event.Engine, event.ID)
 			}
 		}
 		if try == nil {
@@ -181,25 +181,25 @@
 	sent := try.sent
 	for i, run := range try.runs {
 		if run.Digest != sent.Digest {
-			j.breach(RunUnasked, run.At, "%s ran %s changed", run.Engine, sent.ID)
+			j.violation(RunUnasked, run.At, "%s ran %s changed", run.Engine, sent.ID)
 		}
 		if !contains(sent.Services, run.Service) {
-			j.breach(RouteStrayed, run.At, "%s of %s ran %s, which is for %v", run.Engine, run.Service, sent.ID, sent.Services)
+			j.violation(RouteStrayed, run.At, "%s of %s ran %s, which is for %v", run.Engine, run.Service, sent.ID, sent.Services)
 		}
 		if i > 0 && !sent.IsRepeatable {
-			j.breach(RunTwice, run.At, "%s ran on %s and on %s", sent.ID, try.runs[0].Engine, run.Engine)
+			j.violation(RunTwice, run.At, "%s ran on %s and on %s", sent.ID, try.runs[0].Engine, run.Engine)
 		}
 	}
 	over := try.over
 	if over == nil {
-		j.breach(StopDropped, sent.At, "%s has no end", sent.ID)
+		j.violation(StopDropped, sent.At, "%s has no end", sent.ID)
 		return
 	}
 	j.review.Endings[fmt.Sprintf("%s %d", over.Ended, over.Status)]++
 	switch over.Status {
 	case 429, 503, 408, 421:
 		if !sent.IsRepeatable && len(try.runs) > 0 && over.Run == "" {
-			j.breach(RunAfterNo, over.At, "%s was refused with %d and ran on %s", sent.ID, over.Status, try.runs[0].Engine)
+			j.violation(RunAfterNo, over.At, "%s was refused with %d and ran on %s", sent.ID, over.Status, try.runs[0].Engine)
 		}
 	}
 	j.judgeAnswer(try, over)
@@ -209,16 +209,16 @@
 func (j *routedJudge) judgeAnswer(try *routedTry, over *RoutedEvent) {
 	sent := try.sent
 	if over.Ended == Garbage && !try.brokeOff {
-		j.breach(AnswerMixed, over.At, "%s got %s", sent.ID, over.Why)
+		j.violation(AnswerMixed, over.At, "%s got %s", sent.ID, over.Why)
 	}
 	if over.GotID != "" && over.GotID != sent.ID {
-		j.breach(AnswerMixed, over.At, "%s got the answer to %s", sent.ID, over.GotID)
+		j.violation(AnswerMixed, over.At, "%s got the answer to %s", sent.ID, over.GotID)
 		return
 	}
 	isSuccess := over.Status >= 200 && over.Status < 300
 	if over.Run == "" {
 		if isSuccess {
-			j.breach(AnswerMixed, over.At, "%s got a success without a stamp", sent.ID)
+			j.violation(AnswerMixed, over.At, "%s got a success without a stamp", sent.ID)
 		}
 		return
 	}
@@ -229,14 +229,14 @@
 		}
 	}
 	if made == nil {
-		j.breach(AnswerMixed, over.At, "%s got the stamp %s, which is of no run of it", sent.ID, over.Run)
+		j.violation(AnswerMixed, over.At, "%s got the stamp %s, which is of no run of it", sent.ID, over.Run)
 		return
 	}
 	if done, isDone := try.finished[over.Run]; isDone && isSuccess && done.Status >= 400 {
-		j.breach(AnswerMixed, over.At, "%s got a success, its engine said %d", sent.ID, done.Status)
+		j.violation(AnswerMixed, over.At, "%s got a success, its engine said %d", sent.ID, done.Status)
 	}
 	if !over.IsOwn {
-		j.breach(AnswerMixed, over.At, "%s got bytes that run %s did not make: %s", sent.ID, over.Run, over.Why)
+		j.violation(AnswerMixed, over.At, "%s got bytes that run %s did not make: %s", sent.ID, over.Run, over.Why)
 		return
 	}
 	if !isSuccess {
@@ -245,7 +245,7 @@
 	if sent.IsStream {
 		j.judgePieces(try, over)
 	} else if _, isDone := try.finished[over.Run]; over.Ended == Whole && !isDone {
-		j.breach(AnswerMixed, over.At, "%s ended as whole, run %s did not", sent.ID, over.Run)
+		j.violation(AnswerMixed, over.At, "%s ended as whole, run %s did not", sent.ID, over.Run)
 	}
 	if over.Ended == Whole {
 		j.review.Served++
@@ -265,7 +265,7 @@
 	isLast := false
 	for _, piece := range over.Pieces {
 		if piece.ID != next || isLast {
-			j.breach(StreamDisordered, over.At, "%s got piece %d of %s where %d was due", sent.ID, piece.ID, piece.Run, next)
+			j.violation(StreamDisordered, over.At, "%s got piece %d of %s where %d was due", sent.ID, piece.ID, piece.Run, next)
 			return
 		}
 		if piece.Run != current {
@@ -274,7 +274,7 @@
 				isFollower = isFollower || run.Run == piece.Run && run.From == piece.ID-1
 			}
 			if !sent.IsResumable || !isFollower {
-				j.breach(StreamDisordered, over.At, "%s joins %s and %s at %d", sent.ID, current, piece.Run, piece.ID)
+				j.violation(StreamDisordered, over.At, "%s joins %s and %s at %d", sent.ID, current, piece.Run, piece.ID)
 				return
 			}
 			current = piece.Run
@@ -283,7 +283,7 @@
 		isLast = piece.Last
 	}
 	if over.Ended == Whole && !isLast {
-		j.breach(StreamDisordered, over.At, "%s ended as whole after piece %d", sent.ID, next-1)
+		j.violation(StreamDisordered, over.At, "%s ended as whole after piece %d", sent.ID, next-1)
 	}
 }
 
@@ -299,7 +299,7 @@
 		last = *over
 	}
 	if count > j.bounds.DeniedFew+len(j.order)/max(j.bounds.DeniedOneIn, 1) {
-		j.breach(DeniedProper, last.At, "%d of %d, the last with %d", count, len(j.order), last.Status)
+		j.violation(DeniedProper, last.At, "%d of %d, the last with %d", count, len(j.order), last.Status)
 	}
 }
 
@@ -307,7 +307,7 @@
 // be looked at only where one begins, with all that follow within its span.
 func (j *routedJudge) budget(events []RoutedEvent) {
 	seen := map[string]bool{}
-	extras, requests := map[string][]house.Micros{}, map[string][]house.Micros{}
+	extras, requests := map[string][]kernel.Micros{}, map[string][]kernel.Micros{}
 	for _, event := range events {
 		switch event.What {
 		case TrySent:
@@ -325,17 +325,17 @@
 			seen[event.ID] = true
 		}
 	}
-	within := func(times []house.Micros, from, till house.Micros) int {
+	within := func(times []kernel.Micros, from, till kernel.Micros) int {
 		first := sort.Search(len(times), func(i int) bool { return times[i] >= from })
 		return sort.Search(len(times), func(i int) bool { return times[i] > till }) - first
 	}
 	window := j.bounds.RetryWindow
 	for service, times := range extras {
-		worst, at, allowedThen := 0.0, house.Micros(0), 0.0
+		worst, at, allowedThen := 0.0, kernel.Micros(0), 0.0
 		for _, from := range times {
 			till := from + window
 			own := 0
-			for _, back := range []house.Micros{0, window / 2, window} {
+			for _, back := range []kernel.Micros{0, window / 2, window} {
 				own = max(own, within(requests[service], from-back, till-back))
 			}
 			allowed := j.bounds.RetryRatio*float64(own) + j.bounds.RetrySlack
@@ -344,13 +344,13 @@
 			}
 		}
 		if worst > 0 {
-			j.breach(RetriesMany, at, "%s got %.1f arrivals more than the %.1f allowed", service, worst, allowedThen)
+			j.violation(RetriesMany, at, "%s got %.1f arrivals more than the %.1f allowed", service, worst, allowedThen)
 		}
 	}
 }
 
 func (j *routedJudge) leaving(events []RoutedEvent) {
-	known := map[string]house.Micros{}
+	known := map[string]kernel.Micros{}
 	turned := map[string]bool{}
 	for _, event := range events {
 		if event.What == TurnedAway && event.Status == 421 {
@@ -366,7 +366,7 @@
 		case Arrived:
 			since, isKnown := known[event.Engine]
 			if isKnown && event.At-since > j.bounds.Drain && !turned[event.Engine+" "+event.ID] {
-				j.breach(LeavingUsed, event.At, "%s at %s, %d us after it was known to leave", event.ID, event.Engine, event.At-since)
+				j.violation(LeavingUsed, event.At, "%s at %s, %d us after it was known to leave", event.ID, event.Engine, event.At-since)
 			}
 		}
 	}
@@ -375,10 +375,10 @@
 // stops looks for requests that a planned stop dropped. What an engine broke off, what ran
 // out of time, and what was near something unplanned is not the stop's doing.
 func (j *routedJudge) stops(events []RoutedEvent) {
-	type span struct{ from, to house.Micros }
-	troubles, open := []span{}, map[string]house.Micros{}
-	leaving := map[string]house.Micros{}
-	end := house.Micros(0)
+	type span struct{ from, to kernel.Micros }
+	troubles, open := []span{}, map[string]kernel.Micros{}
+	leaving := map[string]kernel.Micros{}
+	end := kernel.Micros(0)
 	for _, event := range events {
 		end = event.At
 		switch event.What {
@@ -402,7 +402,7 @@
 		if over == nil || !isLeaving || over.Ended != Broken && over.Ended != Nothing || try.brokeOff {
 			continue
 		}
-		if over.At < stop || try.sent.At > stop+j.bounds.Grace+house.Second || over.At >= try.sent.Until {
+		if over.At < stop || try.sent.At > stop+j.bounds.Grace+kernel.Second || over.At >= try.sent.Until {
 			continue
 		}
 		if len(try.arrivals) == 0 && over.At <= try.sent.At+j.bounds.Slack {
@@ -416,7 +416,7 @@
 			isNear = isNear || trouble.from <= over.At && trouble.to >= try.sent.At-j.bounds.Contact
 		}
 		if !isNear {
-			j.breach(StopDropped, over.At, "%s through %s: %s %s", id, try.sent.Router, over.Ended, over.Why)
+			j.violation(StopDropped, over.At, "%s through %s: %s %s", id, try.sent.Router, over.Ended, over.Why)
 		}
 	}
 }
--- a/critic/routed_test.go
+++ b/checker/routed_test.go
@@ -1,27 +1,27 @@
-package critic
+package checker
 
 import (
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
-const msec = house.Millisecond
+const msec = kernel.Millisecond
 
 func routedBounds() RoutedBounds {
 	return RoutedBounds{
-		Drain: 2 * house.Second, Grace: 8 * house.Second, Slack: 200 * msec, Contact: 4 * house.Second,
-		RetryRatio: 0.2, RetrySlack: 1, RetryWindow: 10 * house.Second, DeniedFew: 5, DeniedOneIn: 500,
+		Drain: 2 * kernel.Second, Grace: 8 * kernel.Second, Slack: 200 * msec, Contact: 4 * kernel.Second,
+		RetryRatio: 0.2, RetrySlack: 1, RetryWindow: 10 * kernel.Second, DeniedFew: 5, DeniedOneIn: 500,
 	}
 }
 
 // cleanTry is a stream of three pieces that went as it should.
-func cleanTry(id string, at house.Micros) []RoutedEvent {
+func cleanTry(id string, at kernel.Micros) []RoutedEvent {
 	run := "e1." + id
 	return []RoutedEvent{
-		{At: at, What: TrySent, ID: id, Digest: "d", Router: "r1", IsStream: true, Services: []string{"text"}, Until: at + 9*house.Second},
+		{At: at, What: TrySent, ID: id, Digest: "d", Router: "r1", IsStream: true, Services: []string{"text"}, Until: at + 9*kernel.Second},
 		{At: at + msec, What: Arrived, ID: id, Engine: "e1", Service: "text"},
 		{At: at + 2*msec, What: Began, ID: id, Engine: "e1", Service: "text", Run: run, Digest: "d"},
 		{At: at + 9*msec, What: Finished, ID: id, Engine: "e1", Run: run, Status: 200},
@@ -30,8 +30,8 @@
 	}
 }
 
-func TestEveryPlantedRoutedBreachIsFound(t *testing.T) {
-	second := func(at house.Micros) RoutedEvent {
+func TestEveryPlantedRoutedViolationIsFound(t *testing.T) {
+	second := func(at kernel.Micros) RoutedEvent {
 		return RoutedEvent{At: at, What: Began, ID: "a", Engine: "e2", Service: "text", Run: "e2.a", Digest: "d", From: 2}
 	}
 	refused := func(events []RoutedEvent) []RoutedEvent {
@@ -98,10 +98,10 @@
 			return append(e, second(1005*msec))
 		}, ""},
 		{"known to leave", func(e []RoutedEvent) []RoutedEvent {
-			return append(e, RoutedEvent{At: 1001*msec - 2*house.Second - 1, What: LeaveKnown, Engine: "e1"})
+			return append(e, RoutedEvent{At: 1001*msec - 2*kernel.Second - 1, What: LeaveKnown, Engine: "e1"})
 		}, LeavingUsed},
 		{"known to leave just now", func(e []RoutedEvent) []RoutedEvent {
-			return append(e, RoutedEvent{At: 1001*msec - 2*house.Second, What: LeaveKnown, Engine: "e1"})
+			return append(e, RoutedEvent{At: 1001*msec - 2*kernel.Second, What: LeaveKnown, Engine: "e1"})
 		}, ""},
 		{"dropped by a stop", nothing, StopDropped},
 		{"dropped, but an engine crashed", func(e []RoutedEvent) []RoutedEvent {
@@ -113,12 +113,12 @@
 			c := qt.New(t)
 			review := JudgeRouted(test.change(cleanTry("a", 1000*msec)), routedBounds())
 			if test.rule == "" {
-				c.Assert(review.Breaches, qt.HasLen, 0)
+				c.Assert(review.Violations, qt.HasLen, 0)
 				return
 			}
-			c.Assert(len(review.Breaches) > 0, qt.IsTrue)
-			for _, breach := range review.Breaches {
-				c.Check(breach.Rule, qt.Equals, test.rule)
+			c.Assert(len(review.Violations) > 0, qt.IsTrue)
+			for _, violation := range review.Violations {
+				c.Check(violation.Rule, qt.Equals, test.rule)
 			}
 		})
 	}
@@ -126,10 +126,10 @@
 
 // The window slides: 10 requests allow 3 arrivals more within any 10 s.
 func TestTheRoutedBudgetSlides(t *testing.T) {
-	play := func(extras []house.Micros) RoutedReview {
+	play := func(extras []kernel.Micros) RoutedReview {
 		events := []RoutedEvent{}
 		for i := range 10 {
-			events = append(events, cleanTry(string(rune('a'+i)), 5*house.Second+house.Micros(i)*msec)...)
+			events = append(events, cleanTry(string(rune('a'+i)), 5*kernel.Second+kernel.Micros(i)*msec)...)
 		}
 		for i, at := range extras {
 			events = append(events, RoutedEvent{At: at, What: Arrived, ID: string(rune('a' + i)), Engine: "e2", Service: "text"})
@@ -137,13 +137,13 @@
 		return JudgeRouted(events, routedBounds())
 	}
 	c := qt.New(t)
-	from := 6 * house.Second
-	c.Assert(play([]house.Micros{from, from + 1, from + 2}).Breaches, qt.HasLen, 0)
-	many := play([]house.Micros{from, from + 1, from + 2, from + 3}).Breaches
+	from := 6 * kernel.Second
+	c.Assert(play([]kernel.Micros{from, from + 1, from + 2}).Violations, qt.HasLen, 0)
+	many := play([]kernel.Micros{from, from + 1, from + 2, from + 3}).Violations
 	c.Assert(many, qt.HasLen, 1)
 	c.Assert(many[0].Rule, qt.Equals, RetriesMany)
 	// The fourth falls out of the window that the first begins.
-	c.Assert(play([]house.Micros{from, from + 4*house.Second, from + 5*house.Second, from + 10*house.Second + 1}).Breaches, qt.HasLen, 0)
+	c.Assert(play([]kernel.Micros{from, from + 4*kernel.Second, from + 5*kernel.Second, from + 10*kernel.Second + 1}).Violations, qt.HasLen, 0)
 }
 
 func TestRoutedDenialsAreFew(t *testing.T) {
@@ -154,13 +154,13 @@
 	}{{5, false}, {6, true}} {
 		events := []RoutedEvent{}
 		for i := range 100 {
-			try := cleanTry(string(rune('A'+i)), house.Micros(i)*msec)
+			try := cleanTry(string(rune('A'+i)), kernel.Micros(i)*msec)
 			if i < test.denied {
 				try = []RoutedEvent{try[0], {At: try[4].At, What: TryOver, ID: try[0].ID, Status: 404, Ended: Whole, IsOwn: true}}
 			}
 			events = append(events, try...)
 		}
 		review := JudgeRouted(events, routedBounds())
-		c.Assert(len(review.Breaches) > 0, qt.Equals, test.isFound)
+		c.Assert(len(review.Violations) > 0, qt.Equals, test.isFound)
 	}
 }
--- a/cmd/greenroom/main.go
+++ b/cmd/capacity/main.go
@@ -1,4 +1,4 @@
-// Greenroom measures what the control plane costs at a size, one table a command.
+// Capacity measures what the control plane costs at a size, one table a command.
 package main
 
 import (
@@ -8,8 +8,8 @@
 
 	"github.com/alexflint/go-arg"
 
-	"dunlinloom/greenroom"
-	"dunlinloom/house"
+	"dunlinloom/capacity"
+	"dunlinloom/kernel"
 )
 
 type words struct {
@@ -40,17 +40,17 @@
 	MemoryMB int      `arg:"--memory-mb" default:"1536" help:"bound of each run"`
 }
 
-func (w words) sizes() greenroom.Sizes {
-	sizes := greenroom.Sizes{
+func (w words) sizes() capacity.Sizes {
+	sizes := capacity.Sizes{
 		Nodes: w.Nodes, Control: w.Control, Zones: w.Zones, Regions: w.Regions, Engines: w.Engines, Routes: w.Routes,
-		Prefixes: w.Prefixes, Sessions: w.Sessions, Tenants: w.Tenants, Report: house.Micros(w.ReportUS), Changes: w.Changes,
-		Span: house.Micros(w.SpanUS), Restart: w.Restart, Cut: house.Micros(w.CutUS), Wall: house.Micros(w.WallUS), MemoryMB: w.MemoryMB,
-		Roles: greenroom.Roles(), Rules: greenroom.Rules(w.Rules),
+		Prefixes: w.Prefixes, Sessions: w.Sessions, Tenants: w.Tenants, Report: kernel.Micros(w.ReportUS), Changes: w.Changes,
+		Span: kernel.Micros(w.SpanUS), Restart: w.Restart, Cut: kernel.Micros(w.CutUS), Wall: kernel.Micros(w.WallUS), MemoryMB: w.MemoryMB,
+		Roles: capacity.Roles(), Rules: capacity.Rules(w.Rules),
 	}
 	if len(w.Roles) > 0 {
 		sizes.Roles = nil
 		for _, role := range w.Roles {
-			sizes.Roles = append(sizes.Roles, greenroom.Role(role))
+			sizes.Roles = append(sizes.Roles, capacity.Role(role))
 		}
 	}
 	return sizes
@@ -62,25 +62,25 @@
 	var err error
 	switch {
 	case words.List:
-		for _, name := range greenroom.Tables() {
+		for _, name := range capacity.Tables() {
 			fmt.Println(name)
 		}
 	case words.Run:
 		err = run(words)
 	case words.Table != "":
-		err = greenroom.Print(os.Stdout, words.Table, greenroom.Batch{First: words.Seed, Seeds: words.Seeds, Workers: words.Workers,
-			Rules: greenroom.Rules(words.Rules), Most: words.Most})
+		err = capacity.Print(os.Stdout, words.Table, capacity.Batch{First: words.Seed, Seeds: words.Seeds, Workers: words.Workers,
+			Rules: capacity.Rules(words.Rules), Most: words.Most})
 	default:
 		parser.Fail("one of --table, --run and --list is needed")
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "greenroom:", err)
+		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
 	}
 }
 
 func run(words words) error {
-	outcome, err := greenroom.Play(words.sizes(), words.Seed)
+	outcome, err := capacity.Play(words.sizes(), words.Seed)
 	if outcome == nil {
 		return err
 	}
--- a/cmd/callboard/main.go
+++ b/cmd/dunlinctl/main.go
@@ -1,4 +1,4 @@
-// Callboard is the operator's command line over the whole fleet.
+// Dunlinctl is the operator's command line over the whole fleet.
 package main
 
 import (
@@ -22,25 +22,25 @@
 	"github.com/go-git/go-git/v5/utils/diff"
 	"github.com/sergi/go-diff/diffmatchpatch"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/wardrobe"
-	"dunlinloom/wings"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/history"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+	"dunlinloom/server"
 )
 
 // Exit statuses, as docs/operators.md gives them.
 const (
 	exitYes      = 0
 	exitTrouble  = 1 // no node answered, or the words were wrong
-	exitNo       = 2 // a final no, or a spec with faults
+	exitNo       = 2 // a final no, or a configuration with faults
 	exitUnproved = 3 // neither yes nor no could be shown
 	exitMissing  = 4 // what was asked for is not there
 )
 
 type words struct {
-	Spec       *specWords       `arg:"subcommand:spec" help:"put, get, change, history, diff, check"`
+	Config     *configWords     `arg:"subcommand:spec" help:"put, get, change, history, diff, check"`
 	Zone       *zoneWords       `arg:"subcommand:zone" help:"empty, refill"`
 	Router     *routerWords     `arg:"subcommand:router" help:"forget"`
 	Core       *coreWords       `arg:"subcommand:core" help:"look, rebuild: when the majority of the core's disks is gone"`
@@ -52,14 +52,14 @@
 	JSON       bool             `arg:"--json" help:"print the nodes' own JSON"`
 }
 
-type specWords struct {
+type configWords struct {
 	Put *struct {
 		File       string  `arg:"positional,required"`
 		Base       *uint64 `arg:"--base" help:"the generation the edit began from"`
 		Submission string  `arg:"--submission" help:"id; the same one again gets the same receipt"`
 	} `arg:"subcommand:put"`
 	Get *struct {
-		Generation uint64 `arg:"--generation"`
+		Revision uint64 `arg:"--generation"`
 	} `arg:"subcommand:get"`
 	History *struct{} `arg:"subcommand:history" help:"the specs that can be read"`
 	Diff    *struct {
@@ -99,14 +99,14 @@
 }
 
 type journalWords struct {
-	Part    string `arg:"--part" help:"flyloft, auditorium or platform"`
+	Part    string `arg:"--part" help:"control, relay or platform"`
 	Subject string `arg:"--subject" help:"core, licence, home, \"engine ID\", \"node ADDRESS\", \"submission ID\" or a request's id"`
 	Last    int    `arg:"--last" default:"50"`
 	Since   string `arg:"--since" help:"tell what happened since then over the whole fleet: a span like 12h, or a moment like 2031-05-06T18:00:00Z"`
 }
 
 func (words) Description() string {
-	return "callboard drives a dunlinloom fleet through any of its nodes."
+	return "dunlinctl drives a dunlinloom fleet through any of its nodes."
 }
 
 // unreachable says that no node gave an answer.
@@ -146,7 +146,7 @@
 	b := &board{words, &http.Client{Timeout: 30 * time.Second}, os.Stdout}
 	status, err := b.run(parser)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "callboard:", err)
+		fmt.Fprintln(os.Stderr, "dunlinctl:", err)
 	}
 	os.Exit(status)
 }
@@ -154,20 +154,20 @@
 func (b *board) run(parser *arg.Parser) (int, error) {
 	w := b.words
 	switch {
-	case w.Spec != nil && w.Spec.Put != nil:
-		return b.put(w.Spec.Put.File, w.Spec.Put.Base, w.Spec.Put.Submission)
-	case w.Spec != nil && w.Spec.Get != nil:
+	case w.Config != nil && w.Config.Put != nil:
+		return b.put(w.Config.Put.File, w.Config.Put.Base, w.Config.Put.Submission)
+	case w.Config != nil && w.Config.Get != nil:
 		query := ""
-		if w.Spec.Get.Generation > 0 {
-			query = fmt.Sprintf("?generation=%d", w.Spec.Get.Generation)
+		if w.Config.Get.Revision > 0 {
+			query = fmt.Sprintf("?generation=%d", w.Config.Get.Revision)
 		}
 		return b.show(http.MethodGet, "/v1/spec"+query, nil, nil)
-	case w.Spec != nil && w.Spec.History != nil:
+	case w.Config != nil && w.Config.History != nil:
 		return b.show(http.MethodGet, "/v1/spec/history", nil, b.printHistory)
-	case w.Spec != nil && w.Spec.Diff != nil:
-		return b.diff(w.Spec.Diff.A, w.Spec.Diff.B)
-	case w.Spec != nil && w.Spec.Check != nil:
-		content, err := os.ReadFile(w.Spec.Check.File)
+	case w.Config != nil && w.Config.Diff != nil:
+		return b.diff(w.Config.Diff.A, w.Config.Diff.B)
+	case w.Config != nil && w.Config.Check != nil:
+		content, err := os.ReadFile(w.Config.Check.File)
 		if err != nil {
 			return exitTrouble, fmt.Errorf("read the spec: %w", err)
 		}
@@ -175,8 +175,8 @@
 			fmt.Fprintln(b.out, "the spec is good"+versionNote(content))
 			return nil
 		})
-	case w.Spec != nil && w.Spec.Change != nil:
-		return b.change(w.Spec.Change.File)
+	case w.Config != nil && w.Config.Change != nil:
+		return b.change(w.Config.Change.File)
 	case w.Zone != nil && w.Zone.Empty != nil:
 		return b.order(http.MethodPut, "/v1/zones/"+url.PathEscape(w.Zone.Empty.Zone)+"/evacuation", nil, w.Zone.Empty.Submission)
 	case w.Zone != nil && w.Zone.Refill != nil:
@@ -234,7 +234,7 @@
 		return 0, nil, nil, fmt.Errorf("make a request: %w", err)
 	}
 	if submission != "" {
-		request.Header.Set(wings.HeaderSubmission, submission)
+		request.Header.Set(server.HeaderSubmission, submission)
 	}
 	response, err := b.client.Do(request)
 	if err != nil {
@@ -248,7 +248,7 @@
 	return response.StatusCode, response.Header, got, nil
 }
 
-// change puts what a file names into the spec in force. It is put with the generation that
+// change puts what a file names into the configuration in force. It is put with the revision that
 // was read as its base: of two who do so at once one gets a yes, and nothing is lost.
 func (b *board) change(file string) (int, error) {
 	change, err := os.ReadFile(file)
@@ -262,13 +262,13 @@
 	if status != http.StatusOK {
 		return b.fail(status, document)
 	}
-	base, err := strconv.ParseUint(headers.Get(auditorium.HeaderGeneration), 10, 64)
+	base, err := strconv.ParseUint(headers.Get(relay.HeaderRevision), 10, 64)
 	if err != nil || base == 0 {
-		return exitTrouble, misread{"the generation of the spec in force", noGeneration{}}
+		return exitTrouble, misread{"the generation of the spec in force", noRevision{}}
 	}
-	changed, err := playbill.ChangeByName(document, change, playbill.OwnWords())
-	var faults *playbill.Faults
-	var above playbill.TooLarge
+	changed, err := fleetconfig.ChangeByName(document, change, fleetconfig.OwnWords())
+	var faults *fleetconfig.Faults
+	var above fleetconfig.TooLarge
 	if errors.As(err, &faults) || errors.As(err, &above) {
 		return exitNo, err
 	}
@@ -281,13 +281,13 @@
 	return b.order(http.MethodPut, fmt.Sprintf("/v1/spec?base=%d", base), changed, "")
 }
 
-// versionNote tells the operator's own number of a spec in the product's form, if it has one.
+// versionNote tells the operator's own number of a configuration in the product's form, if it has one.
 func versionNote(document []byte) string {
-	var spec struct{ Version json.Number }
-	if json.Unmarshal(document, &spec) != nil || spec.Version == "" || spec.Version == "0" {
+	var config struct{ Version json.Number }
+	if json.Unmarshal(document, &config) != nil || config.Version == "" || config.Version == "0" {
 		return ""
 	}
-	return ", version " + spec.Version.String()
+	return ", version " + config.Version.String()
 }
 
 func (b *board) put(file string, base *uint64, submission string) (int, error) {
@@ -310,28 +310,28 @@
 	}
 	status, got, err := b.do(method, path, body, submission)
 	if err != nil {
-		return exitUnproved, fmt.Errorf("%w; ask how it ended with: callboard submission %s", err, submission)
+		return exitUnproved, fmt.Errorf("%w; ask how it ended with: dunlinctl submission %s", err, submission)
 	}
-	var receipt flyloft.SubmitReceipt
-	if err := json.Unmarshal(got, &receipt); err != nil || receipt.Outcome == "" {
+	var reply control.SubmitReply
+	if err := json.Unmarshal(got, &reply); err != nil || reply.Outcome == "" {
 		return b.fail(status, got)
 	}
 	if b.words.JSON {
 		b.out.Write(got)
 	} else {
-		switch receipt.Outcome {
-		case flyloft.Yes:
-			fmt.Fprintf(b.out, "yes, generation %d (submission %s)\n", receipt.Generation, receipt.ID)
-		case flyloft.No:
-			fmt.Fprintf(b.out, "no, %s: %s (submission %s)\n", receipt.Reason, receipt.Detail, receipt.ID)
+		switch reply.Outcome {
+		case control.Yes:
+			fmt.Fprintf(b.out, "yes, generation %d (submission %s)\n", reply.Revision, reply.ID)
+		case control.No:
+			fmt.Fprintf(b.out, "no, %s: %s (submission %s)\n", reply.Reason, reply.Detail, reply.ID)
 		default:
-			fmt.Fprintf(b.out, "unproved, %s; ask again with: callboard submission %s\n", receipt.Detail, receipt.ID)
+			fmt.Fprintf(b.out, "unproved, %s; ask again with: dunlinctl submission %s\n", reply.Detail, reply.ID)
 		}
 	}
-	switch receipt.Outcome {
-	case flyloft.Yes:
+	switch reply.Outcome {
+	case control.Yes:
 		return exitYes, nil
-	case flyloft.No:
+	case control.No:
 		return exitNo, nil
 	}
 	return exitUnproved, nil
@@ -392,22 +392,22 @@
 }
 
 func (b *board) printHistory(got []byte) error {
-	var history wings.History
-	if err := json.Unmarshal(got, &history); err != nil {
+	var past server.History
+	if err := json.Unmarshal(got, &past); err != nil {
 		return misread{"the history", err}
 	}
-	kept, all := map[uint64]wardrobe.Facts{}, slices.Clone(history.Generations)
-	for _, facts := range history.Kept {
-		kept[facts.Generation] = facts
-		all = append(all, facts.Generation)
+	kept, all := map[uint64]history.Facts{}, slices.Clone(past.Revisions)
+	for _, facts := range past.Kept {
+		kept[facts.Revision] = facts
+		all = append(all, facts.Revision)
 	}
 	slices.Sort(all)
-	for _, generation := range slices.Compact(all) {
-		line := fmt.Sprint(generation)
-		if facts, isKept := kept[generation]; isKept {
+	for _, revision := range slices.Compact(all) {
+		line := fmt.Sprint(revision)
+		if facts, isKept := kept[revision]; isKept {
 			line += fmt.Sprintf("  submission %s, filed %s", facts.Submission, facts.Filed)
 		}
-		if generation == history.Current {
+		if revision == past.Current {
 			line += "  in force"
 		}
 		fmt.Fprintln(b.out, line)
@@ -415,14 +415,14 @@
 	return nil
 }
 
-// diff prints what changed between two specs, line by line of their indented JSON.
+// diff prints what changed between two configurations, line by line of their indented JSON.
 func (b *board) diff(from, to uint64) (int, error) {
 	texts := [2]string{}
-	for i, generation := range []uint64{from, to} {
-		if generation == 0 {
-			return exitTrouble, misread{"the generations", noGeneration{}}
+	for i, revision := range []uint64{from, to} {
+		if revision == 0 {
+			return exitTrouble, misread{"the generations", noRevision{}}
 		}
-		status, got, err := b.do(http.MethodGet, fmt.Sprintf("/v1/spec?generation=%d", generation), nil, "")
+		status, got, err := b.do(http.MethodGet, fmt.Sprintf("/v1/spec?generation=%d", revision), nil, "")
 		if err != nil {
 			return exitTrouble, err
 		}
@@ -431,7 +431,7 @@
 		}
 		var indented bytes.Buffer
 		if err := json.Indent(&indented, got, "", "  "); err != nil {
-			return exitTrouble, misread{fmt.Sprintf("the spec of generation %d", generation), err}
+			return exitTrouble, misread{fmt.Sprintf("the spec of generation %d", revision), err}
 		}
 		texts[i] = indented.String() + "\n"
 	}
@@ -447,25 +447,25 @@
 	return exitYes, nil
 }
 
-// noGeneration says that zero names none.
-type noGeneration struct{}
+// noRevision says that zero names none.
+type noRevision struct{}
 
-func (noGeneration) Error() string { return "they count from 1" }
+func (noRevision) Error() string { return "they count from 1" }
 
 func (b *board) printFleet(got []byte) error {
-	var view wings.FleetView
+	var view server.FleetView
 	if err := json.Unmarshal(got, &view); err != nil {
 		return misread{"the fleet", err}
 	}
-	fmt.Fprintf(b.out, "generation %d, spec of %d, seen from %s in %s\n", view.Generation, view.SpecGeneration, view.Self.Address, view.Self.Zone)
+	fmt.Fprintf(b.out, "generation %d, spec of %d, seen from %s in %s\n", view.Revision, view.ConfigRevision, view.Self.Address, view.Self.Zone)
 	if view.Why != "" {
 		fmt.Fprintf(b.out, "NO LICENCE: %s\n", view.Why)
 	}
 	if view.Ailment != "" {
 		fmt.Fprintf(b.out, "DISK: %s\n", view.Ailment)
 	}
-	for _, zone := range slices.Sorted(maps.Keys(view.Evacuated)) {
-		fmt.Fprintf(b.out, "zone %s is emptied since generation %d\n", zone, view.Evacuated[zone])
+	for _, zone := range slices.Sorted(maps.Keys(view.Drained)) {
+		fmt.Fprintf(b.out, "zone %s is emptied since generation %d\n", zone, view.Drained[zone])
 	}
 	isVoter, isHome, isRegistered := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, member := range view.Voters {
@@ -514,8 +514,8 @@
 }
 
 type journalPage struct {
-	Node    house.Identity `json:"node"`
-	Entries []house.Entry  `json:"entries"`
+	Node    kernel.Identity `json:"node"`
+	Entries []kernel.Entry  `json:"entries"`
 }
 
 // gather asks every node of the fleet and prints their journals, a node after another.
@@ -537,7 +537,7 @@
 		}
 	}
 	if len(pages) == 0 {
-		fmt.Fprintln(os.Stderr, "callboard: no journal speaks of it; journals are bounded, and without a data folder they end with their process")
+		fmt.Fprintln(os.Stderr, "dunlinctl: no journal speaks of it; journals are bounded, and without a data folder they end with their process")
 		return exitMissing, nil
 	}
 	return exitYes, nil
--- a/cmd/callboard/main_test.go
+++ b/cmd/dunlinctl/main_test.go
@@ -15,15 +15,15 @@
 	"github.com/alexflint/go-arg"
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/wings"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+	"dunlinloom/server"
 )
 
 func TestExitStatusesAndWords(t *testing.T) {
-	spec := filepath.Join(t.TempDir(), "spec.json")
-	qt.Assert(t, os.WriteFile(spec, []byte(`{"bindings":[]}`), 0o600), qt.IsNil)
+	config := filepath.Join(t.TempDir(), "spec.json")
+	qt.Assert(t, os.WriteFile(config, []byte(`{"bindings":[]}`), 0o600), qt.IsNil)
 	for _, example := range []struct {
 		words  string
 		status int
@@ -35,7 +35,7 @@
 		{"spec put FILE", 200, `{"id":"x","outcome":"yes","generation":7}`, "PUT /v1/spec", exitYes, "yes, generation 7"},
 		{"spec put FILE --base 4", 409, `{"id":"x","outcome":"no","reason":"clash","detail":"at 5"}`, "PUT /v1/spec?base=4", exitNo, "no, clash: at 5"},
 		{"spec put FILE", 422, `{"error":{"type":"invalid_spec","message":"the spec has faults","faults":[{"path":"bindings","why":"is empty"}],"more_faults":3}}`, "PUT /v1/spec", exitNo, "bindings: is empty\n  and 3 more"},
-		{"spec put FILE", 504, `{"id":"x","outcome":"unproved","detail":"nobody"}`, "PUT /v1/spec", exitUnproved, "callboard submission x"},
+		{"spec put FILE", 504, `{"id":"x","outcome":"unproved","detail":"nobody"}`, "PUT /v1/spec", exitUnproved, "dunlinctl submission x"},
 		{"spec check FILE", 200, `{"ok":true}`, "POST /v1/spec/check", exitYes, "good"},
 		{"spec get --generation 3", 404, `{"error":{"type":"no_spec","message":"gone"}}`, "GET /v1/spec?generation=3", exitMissing, "no_spec: gone"},
 		{"spec history", 200, `{"generations":[3,9],"current":9}`, "GET /v1/spec/history", exitYes, "9  in force"},
@@ -52,7 +52,7 @@
 			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				got = r.Method + " " + r.URL.RequestURI()
 				if r.Method == http.MethodPut || r.Method == http.MethodDelete {
-					c.Check(r.Header.Get(wings.HeaderSubmission), qt.Not(qt.Equals), "")
+					c.Check(r.Header.Get(server.HeaderSubmission), qt.Not(qt.Equals), "")
 				}
 				w.WriteHeader(example.status)
 				io.WriteString(w, example.body)
@@ -60,7 +60,7 @@
 			defer node.Close()
 			// The first node named is dead; the next one is asked.
 			line := []string{"--node", "127.0.0.1:1", "--node", strings.TrimPrefix(node.URL, "http://")}
-			line = append(line, strings.Fields(strings.ReplaceAll(example.words, "FILE", spec))...)
+			line = append(line, strings.Fields(strings.ReplaceAll(example.words, "FILE", config))...)
 			var words words
 			parser, err := arg.NewParser(arg.Config{}, &words)
 			c.Assert(err, qt.IsNil)
@@ -82,10 +82,10 @@
 	c.Assert(parser.Parse([]string{"--node", "127.0.0.1:1", "zone", "empty", "z1", "--submission", "mine"}), qt.IsNil)
 	exit, err := (&board{words, http.DefaultClient, io.Discard}).run(parser)
 	c.Assert(exit, qt.Equals, exitUnproved)
-	c.Assert(strings.Contains(err.Error(), "callboard submission mine"), qt.IsTrue)
+	c.Assert(strings.Contains(err.Error(), "dunlinctl submission mine"), qt.IsTrue)
 }
 
-func TestTheDiffOfTwoSpecs(t *testing.T) {
+func TestTheDiffOfTwoConfigs(t *testing.T) {
 	c := qt.New(t)
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Query().Get("generation") {
@@ -111,14 +111,14 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
-func TestAChangeByNameIsPutOnTheSpecThatWasRead(t *testing.T) {
+func TestAChangeByNameIsPutOnTheConfigThatWasRead(t *testing.T) {
 	for _, example := range []struct {
-		name, generation, change string
-		status                   int
-		receipt                  string
-		put                      string // what a node gets; empty: nothing may be put
-		exit                     int
-		says                     string
+		name, revision, change string
+		status                 int
+		reply                  string
+		put                    string // what a node gets; empty: nothing may be put
+		exit                   int
+		says                   string
 	}{
 		{"a change", "7", `{"version":9,"upsert":{"routes":[{"name":"b"}]},"remove":{"routes":["a"]}}`, 200, `{"id":"x","outcome":"yes","generation":8}`,
 			`?base=7 {"version":9,"later":1.0,"routes":[{"name":"b"}]}`, exitYes, "from generation 7, version 5, to be put, version 9\nyes, generation 8"},
@@ -132,16 +132,16 @@
 			put := ""
 			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.Method == http.MethodGet {
-					w.Header().Set(auditorium.HeaderGeneration, example.generation)
+					w.Header().Set(relay.HeaderRevision, example.revision)
 					io.WriteString(w, `{"version":5,"later":1.0,"routes":[{"name":"a"}]}`)
 					return
 				}
 				content, err := io.ReadAll(r.Body)
 				c.Check(err, qt.IsNil)
-				c.Check(r.Header.Get(wings.HeaderSubmission), qt.Not(qt.Equals), "")
+				c.Check(r.Header.Get(server.HeaderSubmission), qt.Not(qt.Equals), "")
 				put = "?" + r.URL.RawQuery + " " + string(content)
 				w.WriteHeader(example.status)
-				io.WriteString(w, example.receipt)
+				io.WriteString(w, example.reply)
 			}))
 			defer node.Close()
 			file := filepath.Join(t.TempDir(), "change.json")
@@ -162,20 +162,20 @@
 	}
 }
 
-// Clocks differ by an hour, yet what was done under a generation comes after its
+// Clocks differ by an hour, yet what was done under a revision comes after its
 // proposal; and a node that does not answer is named.
 func TestANightIsToldInCausalOrder(t *testing.T) {
 	c := qt.New(t)
-	entry := func(seq, era uint64, wall house.Micros, subject, decision, why string) house.Entry {
-		return house.Entry{Seq: seq, Start: 1, Era: era, Wall: wall * house.Second, Part: "flyloft", Subject: subject, Decision: decision, Why: why}
+	entry := func(seq, era uint64, wall kernel.Micros, subject, decision, why string) kernel.Entry {
+		return kernel.Entry{Seq: seq, Start: 1, Era: era, Wall: wall * kernel.Second, Part: "control", Subject: subject, Decision: decision, Why: why}
 	}
 	pages := map[string]journalPage{
-		"a": {house.Identity{Address: "10.0.0.1:7000", Zone: "z1"}, []house.Entry{
+		"a": {kernel.Identity{Address: "10.0.0.1:7000", Zone: "z1"}, []kernel.Entry{
 			entry(1, 4, 7200, "core", "lead", "term 3, elected"), entry(2, 4, 7201, "core", "propose", "generation 5: [submission s1]"),
 			entry(3, 5, 7203, "submission s1", "yes", "kept and applied"), entry(4, 5, 7204, "core", "propose", "generation 6: [voter dropped: 10.0.0.9:7000]"),
 			entry(5, 6, 7206, "engine e1", "leaving", "marked"),
 		}},
-		"b": {house.Identity{Address: "10.0.0.2:7000", Zone: "z2"}, []house.Entry{
+		"b": {kernel.Identity{Address: "10.0.0.2:7000", Zone: "z2"}, []kernel.Entry{
 			entry(1, 4, 3590, "licence", "core dark", "no grant"), entry(2, 5, 3602, "licence", "core back", "under 5"),
 			entry(3, 6, 3605, "engine e1", "leaving", "marked"), entry(4, 6, 3660, "declines", "count", "no_licence 3; 5 of 8 served"),
 		}},
@@ -187,7 +187,7 @@
 				c.Check(json.NewEncoder(w).Encode(pages[name]), qt.IsNil)
 				return
 			}
-			c.Check(json.NewEncoder(w).Encode(map[string]any{"register": []string{"10.0.0.7:7000"}, "voters": []flyloft.Member{}}), qt.IsNil)
+			c.Check(json.NewEncoder(w).Encode(map[string]any{"register": []string{"10.0.0.7:7000"}, "voters": []control.Member{}}), qt.IsNil)
 		}
 	}
 	one, other := httptest.NewServer(handler("a")), httptest.NewServer(handler("b"))
@@ -216,14 +216,14 @@
 func TestACoreIsRebuiltOnlyInTheWordsAskedFor(t *testing.T) {
 	c := qt.New(t)
 	path := c.TempDir()
-	folder, err := house.OpenFolder(path)
+	folder, err := kernel.OpenFolder(path)
 	c.Assert(err, qt.IsNil)
-	store, _, _, err := flyloft.OpenStore(folder, "here", func() string { return "old" })
+	store, _, _, err := control.OpenStore(folder, "here", func() string { return "old" })
 	c.Assert(err, qt.IsNil)
 	// One voter is this folder's, one is dead, and one answers nobody.
-	document := &flyloft.Document{Founding: "f", Generation: 12, Term: 3, Spec: []byte("{}"), SpecGeneration: 7, Register: []string{"10.0.0.9:1"},
-		Voters: []flyloft.Member{{ID: "old", Address: "127.0.0.1:7001", Zone: "z1"}, {ID: "x", Address: "127.0.0.1:1", Zone: "z2"}, {ID: "y", Address: "127.0.0.1:2", Zone: "z3"}}}
-	c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: document}), qt.IsNil)
+	document := &control.Document{Founding: "f", Revision: 12, Term: 3, Config: []byte("{}"), ConfigRevision: 7, Register: []string{"10.0.0.9:1"},
+		Voters: []control.Member{{ID: "old", Address: "127.0.0.1:7001", Zone: "z1"}, {ID: "x", Address: "127.0.0.1:1", Zone: "z2"}, {ID: "y", Address: "127.0.0.1:2", Zone: "z3"}}}
+	c.Assert(store.Save(control.Save{Ballot: &control.Ballot{Term: 3}, Document: document}), qt.IsNil)
 	run := func(line ...string) (int, string, error) {
 		var words words
 		parser, err := arg.NewParser(arg.Config{}, &words)
@@ -247,24 +247,24 @@
 	status, _, err = run("rebuild", "--data", path, "--peer", "nowhere", "--confirm", "rebuild here from generation 12")
 	c.Assert(status, qt.Equals, exitTrouble)
 	c.Assert(err, qt.IsNotNil)
-	// A running prompter holds its folder.
-	release, err := house.LockFolder(path)
+	// A running controller holds its folder.
+	release, err := kernel.LockFolder(path)
 	c.Assert(err, qt.IsNil)
 	status, _, err = run("rebuild", "--data", path, "--confirm", "rebuild here from generation 12")
 	c.Assert(status, qt.Equals, exitTrouble)
-	c.Assert(errors.As(err, new(house.FolderInUse)), qt.IsTrue)
+	c.Assert(errors.As(err, new(kernel.FolderInUse)), qt.IsTrue)
 	c.Assert(release(), qt.IsNil)
 	status, _, err = run("rebuild", "--data", path, "--confirm", "rebuild here from generation 12")
 	c.Assert(err, qt.IsNil)
 	c.Assert(status, qt.Equals, exitYes)
-	again, _, rebuilt, err := flyloft.OpenStore(folder, "here", func() string { return "fresh" })
+	again, _, rebuilt, err := control.OpenStore(folder, "here", func() string { return "fresh" })
 	c.Assert(err, qt.IsNil)
 	c.Assert(rebuilt.Founding, qt.Not(qt.Equals), "f")
-	c.Assert(rebuilt.Voters, qt.DeepEquals, []flyloft.Member{{ID: again.Member(), Address: "127.0.0.1:7001", Zone: "z1"}})
-	c.Assert(string(rebuilt.Spec), qt.Equals, "{}")
+	c.Assert(rebuilt.Voters, qt.DeepEquals, []control.Member{{ID: again.Member(), Address: "127.0.0.1:7001", Zone: "z1"}})
+	c.Assert(string(rebuilt.Config), qt.Equals, "{}")
 	for _, bad := range []string{filepath.Join(path, "none"), c.TempDir()} {
 		status, _, err = run("look", "--data", bad)
 		c.Assert(status, qt.Equals, exitTrouble)
-		c.Assert(errors.As(err, new(flyloft.NoSurvivor)), qt.IsTrue)
+		c.Assert(errors.As(err, new(control.NoSurvivor)), qt.IsTrue)
 	}
 }
--- a/cmd/callboard/night.go
+++ b/cmd/dunlinctl/night.go
@@ -12,9 +12,9 @@
 	"strings"
 	"time"
 
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/wings"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/server"
 )
 
 // badSince says that a moment to look back to can't be understood.
@@ -25,42 +25,42 @@
 }
 
 // sinceOf reads how far to look back.
-func sinceOf(text string, now time.Time) (house.Micros, error) {
+func sinceOf(text string, now time.Time) (kernel.Micros, error) {
 	if span, err := time.ParseDuration(text); err == nil && span > 0 {
-		return house.Micros(now.Add(-span).UnixMicro()), nil
+		return kernel.Micros(now.Add(-span).UnixMicro()), nil
 	}
 	moment, err := time.Parse(time.RFC3339, text)
 	if err != nil || moment.After(now) {
 		return 0, badSince{text}
 	}
-	return house.Micros(moment.UnixMicro()), nil
+	return kernel.Micros(moment.UnixMicro()), nil
 }
 
 // told is an entry with the node that made it.
 type told struct {
-	node  house.Identity
-	entry house.Entry
+	node  kernel.Identity
+	entry kernel.Entry
 }
 
 // merge puts the journals of several nodes into one order. A node's own entries keep
-// theirs. Between nodes the agreed generations tell: what was done under one came after
+// theirs. Between nodes the agreed revisions tell: what was done under one came after
 // that was proposed. Where they say nothing, each node's own wall clock does.
 func merge(pages []journalPage) []told {
 	heads := make([]int, len(pages))
-	proposed := map[uint64]int{} // generation to how many proposals of it are still to come
+	proposed := map[uint64]int{} // revision to how many proposals of it are still to come
 	for _, page := range pages {
 		for _, entry := range page.Entries {
-			if generation := flyloft.Proposes(entry); generation > 0 {
-				proposed[generation]++
+			if revision := control.Proposes(entry); revision > 0 {
+				proposed[revision]++
 			}
 		}
 	}
-	generations := slices.Sorted(maps.Keys(proposed))
+	revisions := slices.Sorted(maps.Keys(proposed))
 	merged := []told{}
 	for {
-		// Done with a generation's proposals, nothing waits for it any more.
-		for len(generations) > 0 && proposed[generations[0]] == 0 {
-			generations = generations[1:]
+		// Done with a revision's proposals, nothing waits for it any more.
+		for len(revisions) > 0 && proposed[revisions[0]] == 0 {
+			revisions = revisions[1:]
 		}
 		best, bestFree := -1, false
 		for i, page := range pages {
@@ -68,7 +68,7 @@
 				continue
 			}
 			entry := page.Entries[heads[i]]
-			isFree := len(generations) == 0 || entry.Era < generations[0]
+			isFree := len(revisions) == 0 || entry.Era < revisions[0]
 			switch {
 			case best < 0, isFree && !bestFree:
 			case isFree == bestFree && entry.Wall < pages[best].Entries[heads[best]].Wall:
@@ -82,8 +82,8 @@
 		}
 		entry := pages[best].Entries[heads[best]]
 		heads[best]++
-		if generation := flyloft.Proposes(entry); generation > 0 {
-			proposed[generation]--
+		if revision := control.Proposes(entry); revision > 0 {
+			proposed[revision]--
 		}
 		merged = append(merged, told{pages[best].Node, entry})
 	}
@@ -103,7 +103,7 @@
 	{"process", "start", "started"}, {"process", "stop", "stopped"}, {"declines", "count", "declined within a minute"},
 }
 
-func lineOf(entry house.Entry) string {
+func lineOf(entry kernel.Entry) string {
 	for _, telling := range tellings {
 		if strings.HasPrefix(entry.Subject, telling.subject) && entry.Decision == telling.decision {
 			_, name, _ := strings.Cut(entry.Subject, " ")
@@ -158,7 +158,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	var view wings.FleetView
+	var view server.FleetView
 	if status != http.StatusOK {
 		return nil, nil, misread{"the fleet", unanswered{status}}
 	}
@@ -201,7 +201,7 @@
 		}
 	}
 	if len(failed) > 0 {
-		fmt.Fprintln(os.Stderr, "callboard: some nodes did not tell:", errors.Join(failed...))
+		fmt.Fprintln(os.Stderr, "dunlinctl: some nodes did not tell:", errors.Join(failed...))
 	}
 	return pages, silent, nil
 }
--- a/cmd/callboard/rebuild.go
+++ b/cmd/dunlinctl/rebuild.go
@@ -10,18 +10,18 @@
 	"os"
 	"time"
 
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/wings"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/server"
 )
 
 type coreWords struct {
 	Look *struct {
-		Data string `arg:"--data,required" help:"data folder of a prompter that does not run"`
+		Data string `arg:"--data,required" help:"data folder of a controller that does not run"`
 	} `arg:"subcommand:look" help:"what a folder could be rebuilt to; changes nothing"`
 	Rebuild *struct {
-		Data    string `arg:"--data,required" help:"data folder of a prompter that does not run"`
-		Peer    string `arg:"--peer" help:"peer address that the prompter will have; the old one if not given"`
+		Data    string `arg:"--data,required" help:"data folder of a controller that does not run"`
+		Peer    string `arg:"--peer" help:"peer address that the controller will have; the old one if not given"`
 		Zone    string `arg:"--zone" help:"its zone; the old one if not given"`
 		Confirm string `arg:"--confirm" help:"the words that look gives: with them you vouch for what it names"`
 	} `arg:"subcommand:rebuild" help:"found the core anew from the one folder that is left"`
@@ -41,25 +41,25 @@
 	return fmt.Sprintf("peer %q is not an IP and port, or zone %q is empty: name both", b.peer, b.zone)
 }
 
-func wordsFor(s flyloft.Survivor) string {
-	return fmt.Sprintf("rebuild %s from generation %d", s.Fleet, s.Document.Generation)
+func wordsFor(s control.Survivor) string {
+	return fmt.Sprintf("rebuild %s from generation %d", s.Fleet, s.Document.Revision)
 }
 
 // survivor opens a folder that no process holds; release gives it back.
-func survivor(path string) (house.Folder, flyloft.Survivor, func() error, error) {
+func survivor(path string) (kernel.Folder, control.Survivor, func() error, error) {
 	// Never made where it is not: an empty new folder is no survivor.
 	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
-		return nil, flyloft.Survivor{}, nil, flyloft.NoSurvivor{Why: path + " is not there"}
+		return nil, control.Survivor{}, nil, control.NoSurvivor{Why: path + " is not there"}
 	}
-	release, err := house.LockFolder(path)
+	release, err := kernel.LockFolder(path)
 	if err != nil {
-		return nil, flyloft.Survivor{}, nil, err
+		return nil, control.Survivor{}, nil, err
 	}
-	folder, err := house.OpenFolder(path)
+	folder, err := kernel.OpenFolder(path)
 	if err != nil {
-		return nil, flyloft.Survivor{}, nil, errors.Join(err, release())
+		return nil, control.Survivor{}, nil, errors.Join(err, release())
 	}
-	found, err := flyloft.LookAt(folder)
+	found, err := control.LookAt(folder)
 	if err != nil {
 		return nil, found, nil, errors.Join(err, release())
 	}
@@ -67,21 +67,21 @@
 }
 
 // witnesses asks every voter of the folder's document, and every node named, who it is.
-func (b *board) witnesses(found flyloft.Survivor) []flyloft.Witness {
-	asked, heard := map[string]bool{}, []flyloft.Witness{}
+func (b *board) witnesses(found control.Survivor) []control.Witness {
+	asked, heard := map[string]bool{}, []control.Witness{}
 	for _, voter := range found.Document.Voters {
 		if asked[voter.Address] || voter.ID == found.Member {
 			continue
 		}
 		asked[voter.Address] = true
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		witness, err := wings.AskWho(ctx, voter.Address)
+		witness, err := server.AskWho(ctx, voter.Address)
 		cancel()
 		if err != nil {
 			fmt.Fprintf(b.out, "voter %s in %s does not answer\n", voter.Address, voter.Zone)
 			continue
 		}
-		fmt.Fprintf(b.out, "%s answers: member %s, founding %s, generation %d\n", witness.Address, witness.Member, witness.Founding, witness.Generation)
+		fmt.Fprintf(b.out, "%s answers: member %s, founding %s, generation %d\n", witness.Address, witness.Member, witness.Founding, witness.Revision)
 		heard = append(heard, *witness)
 	}
 	return heard
@@ -101,18 +101,18 @@
 	return exitYes, nil
 }
 
-func (b *board) tell(found flyloft.Survivor) {
+func (b *board) tell(found control.Survivor) {
 	document := found.Document
 	fmt.Fprintf(b.out, "fleet %s, member %s, founding %s\n", found.Fleet, found.Member, document.Founding)
-	fmt.Fprintf(b.out, "generation %d of term %d; the spec in it is of generation %d, %d bytes\n", document.Generation, document.Term, document.SpecGeneration, len(document.Spec))
-	for zone, generation := range document.Evacuated {
-		fmt.Fprintf(b.out, "zone %s emptied since generation %d\n", zone, generation)
+	fmt.Fprintf(b.out, "generation %d of term %d; the spec in it is of generation %d, %d bytes\n", document.Revision, document.Term, document.ConfigRevision, len(document.Config))
+	for zone, revision := range document.Drained {
+		fmt.Fprintf(b.out, "zone %s emptied since generation %d\n", zone, revision)
 	}
 	fmt.Fprintf(b.out, "registered routers: %v\n", document.Register)
-	fmt.Fprintf(b.out, "MISSING, if there was any: every order acknowledged after generation %d\n", document.Generation)
+	fmt.Fprintf(b.out, "MISSING, if there was any: every order acknowledged after generation %d\n", document.Revision)
 	fmt.Fprintln(b.out, "By confirming you vouch that the folders of the other voters are lost for good or emptied,")
 	fmt.Fprintln(b.out, "that no other folder of this fleet has been rebuilt, and that every other process of the")
-	fmt.Fprintln(b.out, "fleet is stopped before this prompter starts; start them again after it.")
+	fmt.Fprintln(b.out, "fleet is stopped before this controller starts; start them again after it.")
 }
 
 func (b *board) rebuild(path, peer, zone, confirm string) (int, error) {
@@ -141,10 +141,10 @@
 	if confirm != wordsFor(found) {
 		return exitNo, unconfirmed{wordsFor(found)}
 	}
-	document := found.Rebuild(flyloft.Member{ID: flyloft.MemberID(rand.Text()), Address: peer, Zone: zone}, rand.Text())
-	if err := flyloft.WriteRebuilt(folder, found.Fleet, document); err != nil {
+	document := found.Rebuild(control.Member{ID: control.MemberID(rand.Text()), Address: peer, Zone: zone}, rand.Text())
+	if err := control.WriteRebuilt(folder, found.Fleet, document); err != nil {
 		return exitTrouble, fmt.Errorf("%w; it can be done again", err)
 	}
-	fmt.Fprintf(b.out, "rebuilt: founding %s, generation %d, one voter at %s in %s\n", document.Founding, document.Generation, peer, zone)
+	fmt.Fprintf(b.out, "rebuilt: founding %s, generation %d, one voter at %s in %s\n", document.Founding, document.Revision, peer, zone)
 	return exitYes, nil
 }
--- a/cmd/understudy/main.go
+++ b/cmd/emulator/main.go
@@ -1,4 +1,4 @@
-// Understudy stands in for an engine, or with --list for the platform's list.
+// Emulator stands in for an engine, or with --list for the platform's list.
 package main
 
 import (
@@ -13,8 +13,8 @@
 
 	"github.com/alexflint/go-arg"
 
-	"dunlinloom/house"
-	"dunlinloom/understudy"
+	"dunlinloom/emulator"
+	"dunlinloom/kernel"
 )
 
 type words struct {
@@ -25,7 +25,7 @@
 	Pool        string   `arg:"--pool" default:"main"`
 	Nodes       []string `arg:"--node,separate" help:"public address of a node that gets reports"`
 	Slots       int      `arg:"--slots" default:"8" help:"requests that run at once"`
-	Inbox       int      `arg:"--inbox" default:"64" help:"requests that may wait"`
+	Queue       int      `arg:"--inbox" default:"64" help:"requests that may wait"`
 	PrefillUS   int64    `arg:"--prefill-us" default:"100" help:"a prompt token that is not cached"`
 	CachedUS    int64    `arg:"--cached-us" default:"5"`
 	DecodeUS    int64    `arg:"--decode-us" default:"5000"`
@@ -42,7 +42,7 @@
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "understudy:", err)
+		fmt.Fprintln(os.Stderr, "emulator:", err)
 		os.Exit(1)
 	}
 }
@@ -54,29 +54,29 @@
 	defer cancel()
 	var handler http.Handler
 	if words.List {
-		handler = understudy.NewPlatform(house.Micros(words.LagUS)).Handler()
+		handler = emulator.NewPlatform(kernel.Micros(words.LagUS)).Handler()
 	} else {
-		settings := understudy.EngineSettings{
+		settings := emulator.EngineSettings{
 			ID: words.ID, Zone: words.Zone, Pool: words.Pool, Address: words.Listen, Start: words.Start,
-			Slots: words.Slots, Inbox: words.Inbox, Prefill: house.Micros(words.PrefillUS), Cached: house.Micros(words.CachedUS),
-			Decode: house.Micros(words.DecodeUS), Blocks: words.Blocks, Cold: house.Micros(words.ColdUS),
+			Slots: words.Slots, Queue: words.Queue, Prefill: kernel.Micros(words.PrefillUS), Cached: kernel.Micros(words.CachedUS),
+			Decode: kernel.Micros(words.DecodeUS), Blocks: words.Blocks, Cold: kernel.Micros(words.ColdUS),
 			ColdFactor: words.ColdFactor, ColdBears: words.ColdBears, IsResumable: words.IsResumable,
 		}
 		if settings.Start == 0 {
 			settings.Start = uint64(time.Now().UnixMicro())
 		}
 		if words.Log != "" {
-			file, err := understudy.OpenLog(words.Log)
+			file, err := emulator.OpenLog(words.Log)
 			if err != nil {
 				return err
 			}
 			defer file.Close()
 			settings.Log = file
 		}
-		engine := understudy.NewEngine(settings)
+		engine := emulator.NewEngine(settings)
 		handler = engine.Handler()
 		if words.ReportUS > 0 && len(words.Nodes) > 0 {
-			go engine.PostReports(ctx, words.Nodes, house.Micros(words.ReportUS), house.Micros(words.LagUS))
+			go engine.PostReports(ctx, words.Nodes, kernel.Micros(words.ReportUS), kernel.Micros(words.LagUS))
 		}
 	}
 	server := &http.Server{Addr: words.Listen, Handler: handler, ReadHeaderTimeout: 5 * time.Second}
--- a/cmd/claque/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,4 @@
-// Claque plays the callers against a fleet and writes what each of them saw.
+// Loadgen plays the callers against a fleet and writes what each of them saw.
 package main
 
 import (
@@ -12,9 +12,9 @@
 
 	"github.com/alexflint/go-arg"
 
-	"dunlinloom/claque"
-	"dunlinloom/critic"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+	"dunlinloom/loadgen"
 )
 
 type words struct {
@@ -31,16 +31,16 @@
 	Log       string   `arg:"--log" help:"file for the events; a summary goes to standard output"`
 }
 
-// kindsBreakdown says that no deployment has that name.
-type kindsBreakdown struct{ name string }
+// kindsError says that no deployment has that name.
+type kindsError struct{ name string }
 
-func (b kindsBreakdown) Error() string {
+func (b kindsError) Error() string {
 	return fmt.Sprintf("there are no kinds %q; qurum and cronometro are known", b.name)
 }
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "claque:", err)
+		fmt.Fprintln(os.Stderr, "loadgen:", err)
 		os.Exit(1)
 	}
 }
@@ -48,18 +48,18 @@
 func run() error {
 	var words words
 	arg.MustParse(&words)
-	known, isKnown := claque.KindsOf(words.Kinds)
+	known, isKnown := loadgen.KindsOf(words.Kinds)
 	if !isKnown {
-		return kindsBreakdown{words.Kinds}
+		return kindsError{words.Kinds}
 	}
-	kinds := append([]claque.Kind(nil), known...)
+	kinds := append([]loadgen.Kind(nil), known...)
 	for i := range kinds {
 		kinds[i].Hot = words.Hot
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	var lock sync.Mutex
-	events := []critic.Event{}
+	events := []checker.Event{}
 	var lines *json.Encoder
 	if words.Log != "" {
 		file, err := os.OpenFile(words.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -69,20 +69,20 @@
 		defer file.Close()
 		lines = json.NewEncoder(file)
 	}
-	nodes := []claque.Node{}
+	nodes := []loadgen.Node{}
 	for _, address := range words.Nodes {
-		nodes = append(nodes, claque.Node{Address: address})
+		nodes = append(nodes, loadgen.Node{Address: address})
 	}
-	platform, err := claque.NewPlatform(nodes, words.NodesFile)
+	platform, err := loadgen.NewPlatform(nodes, words.NodesFile)
 	if err != nil {
 		return err
 	}
 	go platform.Watch(ctx)
 	var failed error
-	claque.Performance{
-		Platform: platform, Kinds: kinds, Rate: words.Rate, Span: house.Micros(words.SpanUS), Seed: words.Seed,
-		Prefix: words.Prefix, Patient: house.Micros(words.PatientUS), Retries: words.Retries,
-	}.Run(ctx, func(event critic.Event) {
+	loadgen.Result{
+		Platform: platform, Kinds: kinds, Rate: words.Rate, Span: kernel.Micros(words.SpanUS), Seed: words.Seed,
+		Prefix: words.Prefix, Patient: kernel.Micros(words.PatientUS), Retries: words.Retries,
+	}.Run(ctx, func(event checker.Event) {
 		lock.Lock()
 		defer lock.Unlock()
 		events = append(events, event)
@@ -93,13 +93,13 @@
 	if failed != nil {
 		return fmt.Errorf("write the log: %w", failed)
 	}
-	review := critic.Judge(events, critic.BriefBounds())
+	review := checker.Judge(events, checker.BriefBounds())
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(review); err != nil {
 		return fmt.Errorf("write the summary: %w", err)
 	}
-	if len(review.Breaches) > 0 {
+	if len(review.Violations) > 0 {
 		os.Exit(3)
 	}
 	return nil
--- a/cmd/rehearsal/main.go
+++ b/cmd/localfleet/main.go
@@ -1,4 +1,4 @@
-// Rehearsal plays a scenario of faults on a whole fleet of real processes on
+// Local fleet run plays a scenario of faults on a whole fleet of real processes on
 // this machine, and judges what callers, engines and operators saw.
 package main
 
@@ -14,35 +14,35 @@
 
 	"github.com/alexflint/go-arg"
 
-	"dunlinloom/playbill"
-	"dunlinloom/rehearsal"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/localfleet"
 )
 
 type words struct {
 	Scenario string `arg:"positional,required" help:"scenario file, see scenarios/"`
-	Bin      string `arg:"--bin" help:"folder of the programs; that of rehearsal itself if not given"`
+	Bin      string `arg:"--bin" help:"folder of the programs; that of localfleet itself if not given"`
 	Folder   string `arg:"--folder" help:"where logs and data go; a temporary folder if not given"`
 	Port     int    `arg:"--port" help:"first of 400 ports on 127.0.0.1; free ones if not given"`
 	Seed     uint64 `arg:"--seed" help:"instead of the scenario's"`
 	Report   string `arg:"--report" help:"file for the report; standard output if not given"`
 }
 
-// folderInUse says that a rehearsal's folder is not empty.
+// folderInUse says that a local fleet run's folder is not empty.
 type folderInUse struct{ entries int }
 
 func (b folderInUse) Error() string { return fmt.Sprintf("it is not empty (%d entries)", b.entries) }
 
 func main() {
 	status, err := run()
-	var faults *playbill.Faults
+	var faults *fleetconfig.Faults
 	if errors.As(err, &faults) {
 		for _, fault := range faults.List {
-			fmt.Fprintln(os.Stderr, "rehearsal: scenario:", fault.Error())
+			fmt.Fprintln(os.Stderr, "localfleet: scenario:", fault.Error())
 		}
 		os.Exit(2)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "rehearsal:", err)
+		fmt.Fprintln(os.Stderr, "localfleet:", err)
 	}
 	os.Exit(status)
 }
@@ -50,7 +50,7 @@
 func run() (int, error) {
 	var words words
 	arg.MustParse(&words)
-	scenario, err := rehearsal.ReadScenario(words.Scenario)
+	scenario, err := localfleet.ReadScenario(words.Scenario)
 	if err != nil {
 		return 2, err
 	}
@@ -65,7 +65,7 @@
 		words.Bin = filepath.Dir(self)
 	}
 	if words.Folder == "" {
-		if words.Folder, err = os.MkdirTemp("", "rehearsal-"); err != nil {
+		if words.Folder, err = os.MkdirTemp("", "localfleet-"); err != nil {
 			return 1, fmt.Errorf("make a folder: %w", err)
 		}
 	} else if err := os.MkdirAll(words.Folder, 0o755); err != nil {
@@ -75,11 +75,11 @@
 	if left, err := os.ReadDir(words.Folder); err != nil || len(left) > 0 {
 		return 2, fmt.Errorf("take folder %s: %w", words.Folder, folderInUse{len(left)})
 	}
-	deployment, _ := rehearsal.DeploymentOf(scenario.Deployment)
+	deployment, _ := localfleet.DeploymentOf(scenario.Deployment)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	stage := rehearsal.NewStage(words.Bin, words.Folder, deployment, words.Port)
-	report, err := rehearsal.Play(ctx, stage, scenario, func(format string, args ...any) {
+	cluster := localfleet.NewCluster(words.Bin, words.Folder, deployment, words.Port)
+	report, err := localfleet.Play(ctx, cluster, scenario, func(format string, args ...any) {
 		fmt.Fprintf(os.Stderr, format+"\n", args...)
 	})
 	if err != nil {
@@ -97,7 +97,7 @@
 	if err := encoder.Encode(report); err != nil {
 		return 1, fmt.Errorf("write the report: %w", err)
 	}
-	if len(report.Review.Breaches) > 0 || len(report.Problems) > 0 {
+	if len(report.Review.Violations) > 0 || len(report.Problems) > 0 {
 		return 3, nil
 	}
 	return 0, nil
--- a/cmd/traproom/main.go
+++ b/cmd/simulator/main.go
@@ -1,4 +1,4 @@
-// Traproom searches seeds: each is a simulated day of faults, and a seed that
+// Simulator searches seeds: each is a simulated day of faults, and a seed that
 // breaks a rule replays exactly.
 package main
 
@@ -13,9 +13,9 @@
 
 	"github.com/alexflint/go-arg"
 
-	"dunlinloom/house"
-	"dunlinloom/traproom"
-	"dunlinloom/traproom/experiment"
+	"dunlinloom/kernel"
+	"dunlinloom/simulator"
+	"dunlinloom/simulator/experiment"
 )
 
 type words struct {
@@ -46,26 +46,26 @@
 	RepairUS int64  `json:"repair_took_us"`
 	Orders   [3]int `json:"orders_yes_no_unsure"`
 	// Crossed is the control plane's bytes between zones by kind of message, for single seeds.
-	Crossed  map[string]int `json:"crossed,omitempty"`
-	Within   int            `json:"within,omitempty"`
-	Breaches []string       `json:"breaches,omitempty"`
+	Crossed    map[string]int `json:"crossed,omitempty"`
+	Within     int            `json:"within,omitempty"`
+	Violations []string       `json:"breaches,omitempty"`
 }
 
 func main() {
 	var words words
 	parser := arg.MustParse(&words)
 	if words.Measure == "rebuild" {
-		traproom.MeasureRebuild(os.Stdout, words.First, words.Count)
+		simulator.MeasureRebuild(os.Stdout, words.First, words.Count)
 		return
 	}
 	if words.Measure != "" {
 		names := []string{words.Measure}
 		if words.Measure == "all" {
-			names = traproom.Measurements()
+			names = simulator.Measurements()
 		}
 		for _, name := range names {
-			if !traproom.Measure(os.Stdout, name, words.First, words.Count) {
-				parser.Fail(fmt.Sprintf("there is no measurement %q; known are %v", name, traproom.Measurements()))
+			if !simulator.Measure(os.Stdout, name, words.First, words.Count) {
+				parser.Fail(fmt.Sprintf("there is no measurement %q; known are %v", name, simulator.Measurements()))
 			}
 		}
 		return
@@ -75,15 +75,15 @@
 		return
 	}
 	if words.Routed {
-		search := traproom.RoutedSearch{First: words.First, Count: words.Count, Span: house.Micros(words.SpanUS), Workers: words.Workers, Stop: words.Stop, Counts: words.Counts}
+		search := simulator.RoutedSearch{First: words.First, Count: words.Count, Span: kernel.Micros(words.SpanUS), Workers: words.Workers, Stop: words.Stop, Counts: words.Counts}
 		if words.Troubles != "" {
 			search.Troubles = strings.Split(words.Troubles, ",")
 		}
-		traproom.InVirtualTime(func(virtual traproom.VirtualTime) int {
+		simulator.InVirtualTime(func(virtual simulator.VirtualTime) int {
 			unclean, err := search.Run(virtual, os.Stdout)
 			switch {
 			case err != nil:
-				fmt.Fprintln(os.Stderr, "traproom:", err)
+				fmt.Fprintln(os.Stderr, "simulator:", err)
 				return 1
 			case unclean > 0:
 				return 3
@@ -99,13 +99,13 @@
 	for range max(words.Workers, 1) {
 		workers.Go(func() {
 			for seed := range seeds {
-				plan := traproom.Plan{Seed: seed, Deployment: words.Deployment, Span: house.Micros(words.SpanUS), Rate: words.Rate}
+				plan := simulator.Plan{Seed: seed, Deployment: words.Deployment, Span: kernel.Micros(words.SpanUS), Rate: words.Rate}
 				if words.Trace {
-					plan.Trace = func(at house.Micros, text string) { fmt.Printf("%10.3f s  %s\n", float64(at)/1e6, text) }
+					plan.Trace = func(at kernel.Micros, text string) { fmt.Printf("%10.3f s  %s\n", float64(at)/1e6, text) }
 				}
-				play := traproom.Play
+				play := simulator.Play
 				if words.Storm {
-					play = traproom.Storm
+					play = simulator.Storm
 				}
 				outcome := play(plan)
 				lock.Lock()
@@ -158,20 +158,20 @@
 
 // compare replays a mix under two settings.
 func compare(parser *arg.Parser, words words) {
-	mix, err := traproom.ReadMix(words.Mix)
-	var variants [2]traproom.Variant
+	mix, err := simulator.ReadMix(words.Mix)
+	var variants [2]simulator.Variant
 	for i, text := range []string{words.A, words.B} {
 		if err == nil {
-			variants[i], err = traproom.ParseVariant(text)
+			variants[i], err = simulator.ParseVariant(text)
 		}
 	}
 	if err != nil {
 		parser.Fail(err.Error())
 	}
-	command := fmt.Sprintf("bin/traproom --mix %s --a %q --b %q --first %d --count %d --span-us %d", words.Mix, words.A, words.B, words.First, words.Count, words.SpanUS)
-	traproom.InVirtualTime(func(virtual traproom.VirtualTime) int {
-		if err := experiment.Run(virtual, mix, variants, words.First, words.Count, house.Micros(words.SpanUS), words.Out, command); err != nil {
-			fmt.Fprintln(os.Stderr, "traproom:", err)
+	command := fmt.Sprintf("bin/simulator --mix %s --a %q --b %q --first %d --count %d --span-us %d", words.Mix, words.A, words.B, words.First, words.Count, words.SpanUS)
+	simulator.InVirtualTime(func(virtual simulator.VirtualTime) int {
+		if err := experiment.Run(virtual, mix, variants, words.First, words.Count, kernel.Micros(words.SpanUS), words.Out, command); err != nil {
+			fmt.Fprintln(os.Stderr, "simulator:", err)
 			return 1
 		}
 		fmt.Println(words.Out + "/report.md")
@@ -202,7 +202,7 @@
 func print(line line) {
 	content, err := json.Marshal(line)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "traproom:", err)
+		fmt.Fprintln(os.Stderr, "simulator:", err)
 		os.Exit(1)
 	}
 	fmt.Println(string(content))
--- a/contracts/contracts.go
+++ b/contracts/contracts.go
@@ -10,16 +10,16 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
 )
 
 // Folder is the contract of a data folder.
-func Folder(t *testing.T, open func(t *testing.T) house.Folder) {
+func Folder(t *testing.T, open func(t *testing.T) kernel.Folder) {
 	c := qt.New(t)
 	folder := open(t)
 	_, err := folder.Get("none")
-	var missing house.MissingFile
+	var missing kernel.MissingFile
 	c.Assert(errors.As(err, &missing), qt.IsTrue)
 	c.Assert(missing.Name, qt.Equals, "none")
 	for i, content := range []string{"", "one", "two\x00\n"} {
@@ -50,58 +50,58 @@
 }
 
 // Document makes a document for tests.
-func Document(generation, term, specGeneration uint64) *flyloft.Document {
-	return &flyloft.Document{
-		Founding: "f", Generation: generation, Term: term, SpecGeneration: specGeneration,
-		Spec:   fmt.Appendf(nil, `{"bindings":[{"name":"b%d","shares":[{"weight":1}]}]}`, specGeneration),
-		Voters: []flyloft.Member{{ID: "m", Address: "10.0.0.1:1", Zone: "z"}}, Homes: map[string]string{"z": "10.0.0.1:1"},
-		Evacuated: map[string]uint64{"z2": 2},
+func Document(revision, term, configRevision uint64) *control.Document {
+	return &control.Document{
+		Founding: "f", Revision: revision, Term: term, ConfigRevision: configRevision,
+		Config: fmt.Appendf(nil, `{"bindings":[{"name":"b%d","shares":[{"weight":1}]}]}`, configRevision),
+		Voters: []control.Member{{ID: "m", Address: "10.0.0.1:1", Zone: "z"}}, Homes: map[string]string{"z": "10.0.0.1:1"},
+		Drained: map[string]uint64{"z2": 2},
 	}
 }
 
 // Store is the contract of the store over a folder. The folder outlives a crash;
 // cutAfter lets the power go after so many steps of the next save.
-func Store(t *testing.T, open func(t *testing.T) house.Folder, cutAfter func(folder house.Folder, steps int)) {
+func Store(t *testing.T, open func(t *testing.T) kernel.Folder, cutAfter func(folder kernel.Folder, steps int)) {
 	fresh := func() string { return "fresh" }
 	t.Run("a new folder makes a member, and keeps it", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
-		store, ballot, document, err := flyloft.OpenStore(folder, "fleet", fresh)
+		store, ballot, document, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
-		c.Assert(store.Member(), qt.Equals, flyloft.MemberID("fresh"))
-		c.Assert(ballot, qt.Equals, flyloft.Ballot{})
+		c.Assert(store.Member(), qt.Equals, control.MemberID("fresh"))
+		c.Assert(ballot, qt.Equals, control.Ballot{})
 		c.Assert(document, qt.IsNil)
-		again, _, _, err := flyloft.OpenStore(folder, "fleet", func() string { return "another" })
+		again, _, _, err := control.OpenStore(folder, "fleet", func() string { return "another" })
 		c.Assert(err, qt.IsNil)
-		c.Assert(again.Member(), qt.Equals, flyloft.MemberID("fresh"))
-		_, _, _, err = flyloft.OpenStore(folder, "other fleet", fresh)
-		c.Assert(errors.As(err, new(flyloft.DamagedFile)), qt.IsTrue)
+		c.Assert(again.Member(), qt.Equals, control.MemberID("fresh"))
+		_, _, _, err = control.OpenStore(folder, "other fleet", fresh)
+		c.Assert(errors.As(err, new(control.DamagedFile)), qt.IsTrue)
 	})
 	t.Run("what was saved is there after a crash", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
-		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
 		wanted := Document(7, 3, 5)
-		c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3, VotedFor: "x"}, Document: wanted}), qt.IsNil)
-		_, ballot, document, err := flyloft.OpenStore(folder, "fleet", fresh)
+		c.Assert(store.Save(control.Save{Ballot: &control.Ballot{Term: 3, VotedFor: "x"}, Document: wanted}), qt.IsNil)
+		_, ballot, document, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
-		c.Assert(ballot, qt.Equals, flyloft.Ballot{Term: 3, VotedFor: "x"})
+		c.Assert(ballot, qt.Equals, control.Ballot{Term: 3, VotedFor: "x"})
 		c.Assert(document, qt.DeepEquals, wanted)
 	})
 	t.Run("the power may go between any two steps", func(t *testing.T) {
 		c := qt.New(t)
 		for steps := range 8 {
 			folder := open(t)
-			store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+			store, _, _, err := control.OpenStore(folder, "fleet", fresh)
 			c.Assert(err, qt.IsNil)
 			old := Document(7, 3, 5)
-			c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: old}), qt.IsNil)
+			c.Assert(store.Save(control.Save{Ballot: &control.Ballot{Term: 3}, Document: old}), qt.IsNil)
 			cutAfter(folder, steps)
 			next := Document(7, 4, 6)
-			failed := store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 4}, Document: next})
+			failed := store.Save(control.Save{Ballot: &control.Ballot{Term: 4}, Document: next})
 			cutAfter(folder, -1)
-			_, ballot, document, err := flyloft.OpenStore(folder, "fleet", fresh)
+			_, ballot, document, err := control.OpenStore(folder, "fleet", fresh)
 			c.Assert(err, qt.IsNil)
 			comment := qt.Commentf("%d steps, save: %v", steps, failed)
 			isNew := document.Term == 4
@@ -120,73 +120,73 @@
 	t.Run("a damaged generation is set aside and the one before is taken", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
-		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
-		c.Assert(store.Save(flyloft.Save{Document: Document(7, 3, 5)}), qt.IsNil)
-		c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: Document(8, 3, 8)}), qt.IsNil)
+		c.Assert(store.Save(control.Save{Document: Document(7, 3, 5)}), qt.IsNil)
+		c.Assert(store.Save(control.Save{Ballot: &control.Ballot{Term: 3}, Document: Document(8, 3, 8)}), qt.IsNil)
 		names, err := folder.List("generation-")
 		c.Assert(err, qt.IsNil)
 		torn, err := folder.Get(names[1])
 		c.Assert(err, qt.IsNil)
 		c.Assert(folder.Put(names[1], torn[:len(torn)/2]), qt.IsNil)
-		store, ballot, document, err := flyloft.OpenStore(folder, "fleet", fresh)
+		store, ballot, document, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
 		c.Assert(store.Aside(), qt.DeepEquals, []string{names[1]})
-		c.Assert(document.Generation, qt.Equals, uint64(7))
+		c.Assert(document.Revision, qt.Equals, uint64(7))
 		c.Assert(ballot.Term, qt.Equals, uint64(3))
 	})
 	t.Run("without a sound ballot it is a new member with nothing", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
-		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
-		c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: Document(7, 3, 5)}), qt.IsNil)
+		c.Assert(store.Save(control.Save{Ballot: &control.Ballot{Term: 3}, Document: Document(7, 3, 5)}), qt.IsNil)
 		c.Assert(folder.Put("ballot.json", []byte("torn")), qt.IsNil)
-		store, ballot, document, err := flyloft.OpenStore(folder, "fleet", func() string { return "newer" })
+		store, ballot, document, err := control.OpenStore(folder, "fleet", func() string { return "newer" })
 		c.Assert(err, qt.IsNil)
-		c.Assert(store.Member(), qt.Equals, flyloft.MemberID("newer"))
-		c.Assert(ballot, qt.Equals, flyloft.Ballot{})
+		c.Assert(store.Member(), qt.Equals, control.MemberID("newer"))
+		c.Assert(ballot, qt.Equals, control.Ballot{})
 		c.Assert(document, qt.IsNil)
 		c.Assert(store.Aside(), qt.HasLen, 3)
 	})
 	t.Run("specs of the past are read by what they held", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
-		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
-		// Every third generation brings a spec; the others change something else.
-		for generation := uint64(1); generation <= 150; generation++ {
-			c.Assert(store.Save(flyloft.Save{Document: Document(generation, 1, generation-generation%3)}), qt.IsNil)
+		// Every third revision brings a configuration; the others change something else.
+		for revision := uint64(1); revision <= 150; revision++ {
+			c.Assert(store.Save(control.Save{Document: Document(revision, 1, revision-revision%3)}), qt.IsNil)
 		}
 		names, err := folder.List("generation-")
 		c.Assert(err, qt.IsNil)
 		c.Assert(len(names) < 100, qt.IsTrue, qt.Commentf("%d files are kept", len(names)))
-		for _, generation := range []uint64{150, 147, 120, 90, 60} {
-			mark := flyloft.MarkOf(Document(generation, 1, generation))
-			document, err := store.SpecAt(mark)
-			c.Assert(err, qt.IsNil, qt.Commentf("generation %d", generation))
-			c.Assert(document.SpecGeneration, qt.Equals, generation)
-			// A copy of the right generation with other content is no copy.
+		for _, revision := range []uint64{150, 147, 120, 90, 60} {
+			mark := control.MarkOf(Document(revision, 1, revision))
+			document, err := store.ConfigAt(mark)
+			c.Assert(err, qt.IsNil, qt.Commentf("generation %d", revision))
+			c.Assert(document.ConfigRevision, qt.Equals, revision)
+			// A copy of the right revision with other content is no copy.
 			mark.Digest = "other"
-			_, err = store.SpecAt(mark)
-			c.Assert(errors.As(err, new(flyloft.MissingGeneration)), qt.IsTrue)
+			_, err = store.ConfigAt(mark)
+			c.Assert(errors.As(err, new(control.MissingRevision)), qt.IsTrue)
 		}
 	})
 	t.Run("a spec of the past can be added, the future can't", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
-		store, _, _, err := flyloft.OpenStore(folder, "fleet", fresh)
+		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
-		c.Assert(store.Save(flyloft.Save{Ballot: &flyloft.Ballot{Term: 3}, Document: Document(20, 3, 18)}), qt.IsNil)
+		c.Assert(store.Save(control.Save{Ballot: &control.Ballot{Term: 3}, Document: Document(20, 3, 18)}), qt.IsNil)
 		c.Assert(store.Keep(Document(21, 3, 21)), qt.IsNotNil)
 		past := Document(9, 2, 9)
 		c.Assert(store.Keep(past), qt.IsNil)
 		c.Assert(store.Keep(past), qt.IsNil)
-		again, ballot, newest, err := flyloft.OpenStore(folder, "fleet", fresh)
+		again, ballot, newest, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
-		c.Assert(newest.Generation, qt.Equals, uint64(20))
+		c.Assert(newest.Revision, qt.Equals, uint64(20))
 		c.Assert(ballot.Term, qt.Equals, uint64(3))
-		c.Assert(again.SpecGenerations(), qt.DeepEquals, []uint64{9, 18})
+		c.Assert(again.ConfigRevisions(), qt.DeepEquals, []uint64{9, 18})
 	})
 }
 
@@ -194,9 +194,9 @@
 // arrived hands over what comes to the second, in any order.
 type Link struct {
 	From, To string
-	Send     func(flyloft.Envelope)
+	Send     func(control.Envelope)
 	// Arrived waits for so many envelopes, as long as the transport may take.
-	Arrived func(count int) []flyloft.Envelope
+	Arrived func(count int) []control.Envelope
 	// Nowhere is an address where nobody listens.
 	Nowhere string
 }
@@ -207,16 +207,16 @@
 		c := qt.New(t)
 		link := open(t)
 		base := uint64(4)
-		sent := map[string]flyloft.Message{}
-		for _, message := range []flyloft.Message{
-			{VoteAsk: &flyloft.VoteAsk{Term: 3, IsPre: true, Candidate: flyloft.Member{ID: "a", Address: "b", Zone: "c"}, Voter: "v", Newest: flyloft.Stamp{Term: 1, Generation: 2}}},
-			{Pulse: &flyloft.Pulse{Term: 3, Target: "t", Round: 9, Committed: flyloft.Stamp{Term: 3, Generation: 8}, Document: Document(9, 3, 5)}},
-			{Submit: &flyloft.Submit{ID: "s", Order: flyloft.PutSpec, Spec: []byte("{\x00\xff}"), Base: &base}},
-			{Ask: &flyloft.Ask{RouterAsk: flyloft.RouterAsk{Address: "r", Seq: 7, Applied: 6, IsRouter: true}, Node: flyloft.NodeRecord{Address: "r", Age: 12}, Digests: []uint64{1<<64 - 1}}},
-			{News: &flyloft.News{Home: "h", Upto: 3, Engines: []flyloft.EngineRecord{{ID: "e", Start: 1<<63 + 1, IsLeaving: true, Age: 5, Up: 6}}}},
-			{Shuffle: &flyloft.Shuffle{View: []flyloft.Neighbour{{Address: "n", Zone: "z", Age: 2}}, IsReply: true}},
+		sent := map[string]control.Message{}
+		for _, message := range []control.Message{
+			{VoteAsk: &control.VoteAsk{Term: 3, IsPre: true, Candidate: control.Member{ID: "a", Address: "b", Zone: "c"}, Voter: "v", Newest: control.Stamp{Term: 1, Revision: 2}}},
+			{Heartbeat: &control.Heartbeat{Term: 3, Target: "t", Round: 9, Committed: control.Stamp{Term: 3, Revision: 8}, Document: Document(9, 3, 5)}},
+			{Submit: &control.Submit{ID: "s", Order: control.PutConfig, Config: []byte("{\x00\xff}"), Base: &base}},
+			{Ask: &control.Ask{RouterAsk: control.RouterAsk{Address: "r", Seq: 7, Applied: 6, IsRouter: true}, Node: control.NodeRecord{Address: "r", Age: 12}, Digests: []uint64{1<<64 - 1}}},
+			{News: &control.News{Home: "h", Upto: 3, Engines: []control.EngineRecord{{ID: "e", Start: 1<<63 + 1, IsLeaving: true, Age: 5, Up: 6}}}},
+			{Shuffle: &control.Shuffle{View: []control.Neighbour{{Address: "n", Zone: "z", Age: 2}}, IsReply: true}},
 		} {
-			envelope := flyloft.Envelope{Fleet: "fleet", Founding: "f", From: link.From, To: link.To, Message: message}
+			envelope := control.Envelope{Fleet: "fleet", Founding: "f", From: link.From, To: link.To, Message: message}
 			sent[text(c, message)] = message
 			link.Send(envelope)
 		}
@@ -234,29 +234,29 @@
 		c := qt.New(t)
 		link := open(t)
 		document := Document(9, 3, 5)
-		document.Spec = make([]byte, 4<<20)
-		for i := range document.Spec {
-			document.Spec[i] = byte(i * i)
+		document.Config = make([]byte, 4<<20)
+		for i := range document.Config {
+			document.Config[i] = byte(i * i)
 		}
-		link.Send(flyloft.Envelope{Fleet: "fleet", From: link.From, To: link.To, Message: flyloft.Message{Grant: &flyloft.Grant{Document: document}}})
+		link.Send(control.Envelope{Fleet: "fleet", From: link.From, To: link.To, Message: control.Message{Grant: &control.Grant{Document: document}}})
 		got := link.Arrived(1)
 		c.Assert(got, qt.HasLen, 1)
-		c.Assert(string(got[0].Message.Grant.Document.Spec) == string(document.Spec), qt.IsTrue)
+		c.Assert(string(got[0].Message.Grant.Document.Config) == string(document.Config), qt.IsTrue)
 	})
 	t.Run("nobody waits for a receiver that is not there", func(t *testing.T) {
 		c := qt.New(t)
 		link := open(t)
 		for i := range 2000 {
-			link.Send(flyloft.Envelope{Fleet: "fleet", From: link.From, To: link.Nowhere, Message: flyloft.Message{Nudge: &flyloft.Nudge{Generation: uint64(i)}}})
+			link.Send(control.Envelope{Fleet: "fleet", From: link.From, To: link.Nowhere, Message: control.Message{Nudge: &control.Nudge{Revision: uint64(i)}}})
 		}
-		link.Send(flyloft.Envelope{Fleet: "fleet", From: link.From, To: link.To, Message: flyloft.Message{Nudge: &flyloft.Nudge{Generation: 77}}})
+		link.Send(control.Envelope{Fleet: "fleet", From: link.From, To: link.To, Message: control.Message{Nudge: &control.Nudge{Revision: 77}}})
 		got := link.Arrived(1)
 		c.Assert(got, qt.HasLen, 1)
-		c.Assert(got[0].Message.Nudge.Generation, qt.Equals, uint64(77))
+		c.Assert(got[0].Message.Nudge.Revision, qt.Equals, uint64(77))
 	})
 }
 
-func text(c *qt.C, message flyloft.Message) string {
+func text(c *qt.C, message control.Message) string {
 	content, err := json.Marshal(message)
 	c.Assert(err, qt.IsNil)
 	return string(content)
--- a/flyloft/cell.go
+++ b/control/cell.go
@@ -1,4 +1,4 @@
-package flyloft
+package control
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"github.com/benbjohnson/immutable"
 	"github.com/cespare/xxhash/v2"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // EngineRecord is what the fleet knows of one engine. Records merge to the same
@@ -25,7 +25,7 @@
 	IsDark       bool   `json:"dark,omitempty"` // the zone's home can't reach it
 	DarkSeq      uint64 `json:"dark_seq,omitempty"`
 	Seq          uint64 `json:"seq,omitempty"` // of its reports; zero means it never reported
-	Burden       int64  `json:"burden,omitempty"`
+	Load         int64  `json:"burden,omitempty"`
 	Streams      int64  `json:"streams,omitempty"`
 	Slots        int    `json:"slots,omitempty"`   // requests worked on at once; zero: not said
 	Release      string `json:"release,omitempty"` // of the engine's software
@@ -33,15 +33,15 @@
 	// an engine has another id in each life, so what its end says holds for ever.
 	Word uint64 `json:"word,omitempty"`
 	// On the wire times are ages, since clocks differ between machines.
-	Age  house.Micros `json:"age_us,omitempty"`  // of the report's figures
-	Up   house.Micros `json:"up_us,omitempty"`   // since the start
-	Idle house.Micros `json:"idle_us,omitempty"` // since anything was heard of it
-	Back house.Micros `json:"back_us,omitempty"` // since it last came back from the dark
+	Age  kernel.Micros `json:"age_us,omitempty"`  // of the report's figures
+	Up   kernel.Micros `json:"up_us,omitempty"`   // since the start
+	Idle kernel.Micros `json:"idle_us,omitempty"` // since anything was heard of it
+	Back kernel.Micros `json:"back_us,omitempty"` // since it last came back from the dark
 	// In memory they are points on the own clock.
-	AsOf      house.Micros `json:"-"`
-	StartedAt house.Micros `json:"-"`
-	Seen      house.Micros `json:"-"`
-	BackAt    house.Micros `json:"-"`
+	AsOf      kernel.Micros `json:"-"`
+	StartedAt kernel.Micros `json:"-"`
+	Seen      kernel.Micros `json:"-"`
+	BackAt    kernel.Micros `json:"-"`
 }
 
 // IsUnsure tells that an engine came back and has not reported since. It may be
@@ -55,32 +55,32 @@
 
 // NodeRecord is what the fleet knows of one of its own nodes.
 type NodeRecord struct {
-	Address    string       `json:"address"`
-	Public     string       `json:"public,omitempty"`
-	Zone       string       `json:"zone,omitempty"`
-	IsRouter   bool         `json:"router,omitempty"`
-	IsPrompter bool         `json:"prompter,omitempty"`
-	IsLeaving  bool         `json:"leaving,omitempty"`
-	Start      uint64       `json:"start"`
-	Seq        uint64       `json:"seq"`
-	Applied    uint64       `json:"applied,omitempty"`
-	Age        house.Micros `json:"age_us"`
-	AsOf       house.Micros `json:"-"`
+	Address      string        `json:"address"`
+	Public       string        `json:"public,omitempty"`
+	Zone         string        `json:"zone,omitempty"`
+	IsRouter     bool          `json:"router,omitempty"`
+	IsController bool          `json:"controller,omitempty"`
+	IsLeaving    bool          `json:"leaving,omitempty"`
+	Start        uint64        `json:"start"`
+	Seq          uint64        `json:"seq"`
+	Applied      uint64        `json:"applied,omitempty"`
+	Age          kernel.Micros `json:"age_us"`
+	AsOf         kernel.Micros `json:"-"`
 }
 
 // Report is an engine's late word on its load, in the form of docs/interfaces.md.
 type Report struct {
-	ID          string       `json:"id"`
-	Address     string       `json:"address"`
-	Zone        string       `json:"zone"`
-	Pool        string       `json:"pool,omitempty"`
-	Start       uint64       `json:"start"`
-	Seq         uint64       `json:"seq"`
-	Outstanding int64        `json:"outstanding_tokens"`
-	Streams     int64        `json:"streams"`
-	Age         house.Micros `json:"age_us"`
-	Up          house.Micros `json:"up_us"`
-	IsLeaving   bool         `json:"leaving,omitempty"`
+	ID          string        `json:"id"`
+	Address     string        `json:"address"`
+	Zone        string        `json:"zone"`
+	Pool        string        `json:"pool,omitempty"`
+	Start       uint64        `json:"start"`
+	Seq         uint64        `json:"seq"`
+	Outstanding int64         `json:"outstanding_tokens"`
+	Streams     int64         `json:"streams"`
+	Age         kernel.Micros `json:"age_us"`
+	Up          kernel.Micros `json:"up_us"`
+	IsLeaving   bool          `json:"leaving,omitempty"`
 }
 
 // Listing is the platform's list of engines at one revision.
@@ -91,24 +91,24 @@
 
 // ListingEngine is one engine of the platform's list.
 type ListingEngine struct {
-	ID      string       `json:"id"`
-	Address string       `json:"address"`
-	Zone    string       `json:"zone"`
-	Pool    string       `json:"pool,omitempty"`
-	Start   uint64       `json:"start"`
-	Up      house.Micros `json:"up_us"`
-	State   string       `json:"state"` // "serving" or "leaving"
+	ID      string        `json:"id"`
+	Address string        `json:"address"`
+	Zone    string        `json:"zone"`
+	Pool    string        `json:"pool,omitempty"`
+	Start   uint64        `json:"start"`
+	Up      kernel.Micros `json:"up_us"`
+	State   string        `json:"state"` // "serving" or "leaving"
 }
 
 const (
 	rangeCount = 16
 	// A record nobody has refreshed for so long is dropped, and not taken back.
-	engineGone = 120 * house.Second
+	engineGone = 120 * kernel.Second
 )
 
 type cellMark struct {
 	rev      uint64
-	standing uint64 // the revision at which more than its burden changed
+	standing uint64 // the revision at which more than its load changed
 	isOwn    bool   // learned in this zone, not from another home
 }
 
@@ -176,14 +176,14 @@
 		merged.IsDark, merged.DarkSeq, merged.BackAt = brought.IsDark, brought.DarkSeq, brought.BackAt
 	}
 	if brought.Seq > old.Seq {
-		merged.Seq, merged.Burden, merged.Streams, merged.AsOf = brought.Seq, brought.Burden, brought.Streams, brought.AsOf
+		merged.Seq, merged.Load, merged.Streams, merged.AsOf = brought.Seq, brought.Load, brought.Streams, brought.AsOf
 	}
 	merged.Seen = max(old.Seen, brought.Seen)
 	merged.StartedAt = min(old.StartedAt, brought.StartedAt)
 	return merged
 }
 
-// standing is the part of a record on which routing depends, apart from burden.
+// standing is the part of a record on which routing depends, apart from load.
 func (e EngineRecord) standing() string {
 	standing := fmt.Sprint(e.Address, "|", e.Zone, "|", e.Pool, "|", e.Start, e.IsLeaving, e.IsUnlisted, e.IsDark)
 	if e.Word > 0 {
@@ -193,19 +193,19 @@
 }
 
 // TakeEngine merges a record in; it tells whether the leaving mark is news.
-func (c *Cell) TakeEngine(now house.Micros, brought EngineRecord, isOwn bool) bool {
+func (c *Cell) TakeEngine(now kernel.Micros, brought EngineRecord, isOwn bool) bool {
 	isLeavingNews, _ := c.takeEngine(now, brought, isOwn)
 	return isLeavingNews
 }
 
 // takeEngine tells besides whether anything is news on which routing depends.
-func (c *Cell) takeEngine(now house.Micros, brought EngineRecord, isOwn bool) (isLeavingNews, isNews bool) {
+func (c *Cell) takeEngine(now kernel.Micros, brought EngineRecord, isOwn bool) (isLeavingNews, isNews bool) {
 	// Who beats is heard at its home alone; elsewhere its record may well be old.
 	if brought.ID == "" || now-brought.Seen > engineGone && !brought.isBeating() {
 		return false, false
 	}
 	old, isThere := c.engines.Get(brought.ID)
-	// A record without an address brings only the burden of a start that is known.
+	// A record without an address brings only the load of a start that is known.
 	// But that an engine is gone has to be known before a late word that it is up.
 	if isEnd := brought.Word > 0 && brought.IsUnlisted; !isEnd && brought.Address == "" && (!isThere || old.Start != brought.Start) {
 		return false, false
@@ -247,7 +247,7 @@
 }
 
 // TakeListing merges the platform's list; engines that it no longer has are unlisted.
-func (c *Cell) TakeListing(now house.Micros, listing Listing) bool {
+func (c *Cell) TakeListing(now kernel.Micros, listing Listing) bool {
 	isLeavingNews := false
 	listed := map[string]bool{}
 	for _, engine := range listing.Engines {
@@ -274,7 +274,7 @@
 
 // TakeNode merges a node's record in; it tells of a brief one of which the rest is not
 // known here, say since the node was dropped while the two were cut off.
-func (c *Cell) TakeNode(now house.Micros, brought NodeRecord, isOwn bool) (isLacking bool) {
+func (c *Cell) TakeNode(now kernel.Micros, brought NodeRecord, isOwn bool) (isLacking bool) {
 	if brought.Address == "" || now-brought.AsOf > c.timing.NodeGone {
 		return false
 	}
@@ -306,7 +306,7 @@
 // follows tells whether a record takes the place of another one of its node. The larger
 // start is the later life, unless the other spoke long after it had fallen silent: starts
 // are taken from the time of day, and that may have jumped back in between.
-func (n NodeRecord) follows(old NodeRecord, silent house.Micros) bool {
+func (n NodeRecord) follows(old NodeRecord, silent kernel.Micros) bool {
 	switch {
 	case n.Start == old.Start:
 		return n.Seq > old.Seq
@@ -328,7 +328,7 @@
 }
 
 // Sweep drops what nobody has refreshed.
-func (c *Cell) Sweep(now house.Micros) {
+func (c *Cell) Sweep(now kernel.Micros) {
 	for _, node := range c.Nodes() {
 		if now-node.AsOf > c.timing.NodeGone {
 			c.nodes = c.nodes.Delete(node.Address)
@@ -365,7 +365,7 @@
 }
 
 // NewsSince gives what changed since a revision; isOwnOnly keeps to what this zone learned itself.
-func (c *Cell) NewsSince(now house.Micros, seenHome string, seen uint64, isOwnOnly bool) *News {
+func (c *Cell) NewsSince(now kernel.Micros, seenHome string, seen uint64, isOwnOnly bool) *News {
 	news := &News{Home: c.incarnation, Upto: c.rev}
 	if seenHome != c.incarnation {
 		seen, news.IsAll = 0, true
@@ -375,7 +375,7 @@
 			record := engine.aged(now)
 			// Who has the rest of it needs only the new figures, which are most of the news.
 			if mark.standing <= seen {
-				record = EngineRecord{ID: record.ID, Start: record.Start, Seq: record.Seq, Burden: record.Burden, Streams: record.Streams, Age: record.Age}
+				record = EngineRecord{ID: record.ID, Start: record.Start, Seq: record.Seq, Load: record.Load, Streams: record.Streams, Age: record.Age}
 			}
 			news.Engines = append(news.Engines, record)
 		}
@@ -392,7 +392,7 @@
 	return news
 }
 
-func (e EngineRecord) aged(now house.Micros) EngineRecord {
+func (e EngineRecord) aged(now kernel.Micros) EngineRecord {
 	e.Age, e.Up, e.Idle = max(now-e.AsOf, 0), max(now-e.StartedAt, 0), max(now-e.Seen, 0)
 	if e.DarkSeq > 0 {
 		e.Back = max(now-e.BackAt, 0)
@@ -400,7 +400,7 @@
 	return e
 }
 
-func (e EngineRecord) placed(now house.Micros) EngineRecord {
+func (e EngineRecord) placed(now kernel.Micros) EngineRecord {
 	e.AsOf, e.StartedAt, e.Seen = now-max(e.Age, 0), now-max(e.Up, 0), now-max(e.Idle, 0)
 	if e.DarkSeq > 0 {
 		e.BackAt = now - max(e.Back, 0)
@@ -408,19 +408,19 @@
 	return e
 }
 
-func (n NodeRecord) aged(now house.Micros) NodeRecord {
+func (n NodeRecord) aged(now kernel.Micros) NodeRecord {
 	n.Age = max(now-n.AsOf, 0)
 	return n
 }
 
-func (n NodeRecord) placed(now house.Micros) NodeRecord {
+func (n NodeRecord) placed(now kernel.Micros) NodeRecord {
 	n.AsOf = now - max(n.Age, 0)
 	return n
 }
 
 // TakeNews merges news in; it tells whether there was a leaving mark among it, and
 // whether it was brief on what is not known here.
-func (c *Cell) TakeNews(now house.Micros, news *News, isOwn bool) (isLeavingNews, isLacking bool) {
+func (c *Cell) TakeNews(now kernel.Micros, news *News, isOwn bool) (isLeavingNews, isLacking bool) {
 	for _, engine := range news.Engines {
 		isLeavingNews = c.TakeEngine(now, engine.placed(now), isOwn) || isLeavingNews
 	}
@@ -443,7 +443,7 @@
 }
 
 // Differing gives every record of the ranges whose digests differ.
-func (c *Cell) Differing(now house.Micros, theirs []uint64) []EngineRecord {
+func (c *Cell) Differing(now kernel.Micros, theirs []uint64) []EngineRecord {
 	mine := c.Digests()
 	if len(theirs) != rangeCount || slices.Equal(mine, theirs) {
 		return nil
