--- a/flyloft/core.go
+++ b/control/core.go
@@ -1,4 +1,4 @@
-package flyloft
+package control
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 	"slices"
 	"sort"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // firstElection is by how much the first span after a start is shorter than the others.
@@ -32,46 +32,46 @@
 
 // CoreSettings is what a core is told at its start.
 type CoreSettings struct {
-	Self      Member
-	HasFolder bool
-	Founders  []string // the three seeds
-	Timing    Timing
-	Random    *rand.Rand
-	CheckSpec func([]byte) error
-	// ChangeSpec puts a change of named items into a spec; nil: there are no such orders.
-	ChangeSpec func(current, change []byte) ([]byte, error)
-	// VersionOf reads the operator's own number of a spec; nil: specs carry none.
-	VersionOf func(spec []byte) (uint64, error)
+	Self        Member
+	HasFolder   bool
+	Founders    []string // the three seeds
+	Timing      Timing
+	Random      *rand.Rand
+	CheckConfig func([]byte) error
+	// ChangeConfig puts a change of named items into a configuration; nil: there are no such orders.
+	ChangeConfig func(current, change []byte) ([]byte, error)
+	// VersionOf reads the operator's own number of a configuration; nil: configurations carry none.
+	VersionOf func(config []byte) (uint64, error)
 	Note      func(subject, decision, why string)
 	// See NodeSettings.
-	Voters      int
-	ReceiptRule ReceiptRule
-	SpreadWait  house.Micros
-	ServeOn     house.Micros
-	Founding    FoundingRule
+	Voters     int
+	AckRule    AckRule
+	SpreadWait kernel.Micros
+	ServeOn    kernel.Micros
+	Founding   FoundingRule
 	// Restored from the data folder.
 	Ballot   Ballot
 	Document *Document
-	Kept     []uint64 // generations of the specs in the folder
+	Kept     []uint64 // revisions of the configurations in the folder
 }
 
 type peer struct {
 	member    Member
-	lastHeard house.Micros
-	lastSent  house.Micros // when a document last went to it
+	lastHeard kernel.Micros
+	lastSent  kernel.Micros // when a document last went to it
 	sentDoc   Stamp
 	round     uint64
 	synced    Stamp
 	isLeaving bool
 	isAiling  bool
 	isPartial bool
-	isBare    bool // it does not hold the spec in force
+	isBare    bool // it does not hold the configuration in force
 	hasFolder bool
-	since     house.Micros // when it was first heard in this term
+	since     kernel.Micros // when it was first heard in this term
 }
 
 type sighting struct {
-	at       house.Micros
+	at       kernel.Micros
 	applied  uint64
 	held     uint64 // at least what is applied
 	zone     string
@@ -85,11 +85,11 @@
 }
 
 type waitingSubmit struct {
-	from       string
-	id         string
-	generation uint64
-	isFence    bool // the asker wants the id fenced
-	isFenced   bool // the id is fenced at that generation
+	from     string
+	id       string
+	revision uint64
+	isFence  bool // the asker wants the id fenced
+	isFenced bool // the id is fenced at that revision
 }
 
 // waitingRead is a newest read that waits for a round that was sent after it came.
@@ -106,8 +106,8 @@
 
 type pendingSave struct {
 	save    Save
-	since   house.Micros
-	retryAt house.Micros
+	since   kernel.Micros
+	retryAt kernel.Micros
 	isLost  bool // the last try failed
 	after   []func()
 }
@@ -115,7 +115,7 @@
 // Core agrees on the document. A nil document is a member that knows no fleet yet.
 type Core struct {
 	settings CoreSettings
-	now      house.Micros
+	now      kernel.Micros
 	out      []any
 
 	role     role
@@ -127,59 +127,59 @@
 	// committed is the newest document known to be kept by a majority.
 	committed *Document
 
-	leaderMember Member
-	lastPulse    house.Micros // when a leader was last heard
-	bornAt       house.Micros
-	alarm        house.Micros // the next election
-	joinAlarm    house.Micros
-	hintTurn     int
-	hints        []string
+	leaderMember  Member
+	lastHeartbeat kernel.Micros // when a leader was last heard
+	bornAt        kernel.Micros
+	timer         kernel.Micros // the next election
+	joinTimer     kernel.Micros
+	hintTurn      int
+	hints         []string
 
 	saves     []*pendingSave
 	nextToken uint64
 	diskWhy   string
 
 	// Leading only.
-	leadSince     house.Micros
+	leadSince     kernel.Micros
 	peers         map[MemberID]*peer
 	round         uint64
-	roundAlarm    house.Micros
+	roundTimer    kernel.Micros
 	isRoundWanted bool
-	nudgeAlarm    house.Micros
+	nudgeTimer    kernel.Micros
 	isOwnTerm     bool // a document of this term is committed
 	batches       []waitingBatch
 	seen          map[string]*sighting
-	homeSeen      map[string]house.Micros
+	homeSeen      map[string]kernel.Micros
 	successors    map[string]string
 	marks         []LearnedMark // leaving engines that the document does not name yet
-	inbox         []heldSubmit
-	receipts      []waitingSubmit
+	queue         []heldSubmit
+	replies       []waitingSubmit
 	reads         []waitingRead
-	// When the newest generations were committed under this lead.
-	committedAt  map[uint64]house.Micros
-	buildAlarm   house.Micros
-	pushAlarm    house.Micros
-	pushUntil    house.Micros
+	// When the newest revisions were committed under this lead.
+	committedAt  map[uint64]kernel.Micros
+	buildTimer   kernel.Micros
+	pushTimer    kernel.Micros
+	pushUntil    kernel.Micros
 	isLeaving    bool
-	lastMajority house.Micros
+	lastMajority kernel.Micros
 
-	kept        map[uint64]bool // specs in the own folder
-	recallAlarm house.Micros
+	kept        map[uint64]bool // configurations in the own folder
+	recallTimer kernel.Micros
 
 	mustered    map[string]musterNote
-	musterAlarm house.Micros
+	musterTimer kernel.Micros
 }
 
 type musterNote struct {
-	at      house.Micros
-	receipt MusterReceipt
+	at    kernel.Micros
+	reply MusterReply
 }
 
-// maxInbox bounds the orders a leader holds; more are told to come back.
-const maxInbox = 1024
+// maxQueue bounds the orders a leader holds; more are told to come back.
+const maxQueue = 1024
 
 // NewCore makes a core from what the data folder held.
-func NewCore(settings CoreSettings, now house.Micros) *Core {
+func NewCore(settings CoreSettings, now kernel.Micros) *Core {
 	c := &Core{
 		settings: settings, now: now, bornAt: now,
 		term: settings.Ballot.Term, votedFor: settings.Ballot.VotedFor,
@@ -189,39 +189,39 @@
 	if c.settings.SpreadWait == 0 {
 		c.settings.SpreadWait = defaultSpreadWait
 	}
-	for _, generation := range settings.Kept {
-		c.kept[generation] = true
+	for _, revision := range settings.Kept {
+		c.kept[revision] = true
 	}
 	if c.doc != nil && c.doc.Term > c.term {
 		c.term = c.doc.Term
 	}
 	// A first election soon after the start: a fleet started cold must serve quickly. Where
-	// a leader lives, its pulses come first, and a pre-vote against it gets nothing.
-	c.alarm = now + c.electionSpan()/firstElection
+	// a leader lives, its heartbeats come first, and a pre-vote against it gets nothing.
+	c.timer = now + c.electionSpan()/firstElection
 	if c.isLeaderless() {
-		c.alarm = now + c.leaderlessSpan()
+		c.timer = now + c.leaderlessSpan()
 	}
 	return c
 }
 
 // leaderlessTime is how long a life without any word of a leader makes haste.
-const leaderlessTime = 2 * house.Second
+const leaderlessTime = 2 * kernel.Second
 
 // isLeaderless tells of a life that has just begun and seen no leader: most likely the
 // whole fleet starts, and everyone waits for an election. Where a leader lives its voters
 // refuse a pre-vote, so haste costs a few messages and unseats nobody.
 func (c *Core) isLeaderless() bool {
-	return c.settings.Voters > 0 && c.lastPulse == 0 && c.role != leader && c.leadSince == 0 && c.now-c.bornAt < leaderlessTime
+	return c.settings.Voters > 0 && c.lastHeartbeat == 0 && c.role != leader && c.leadSince == 0 && c.now-c.bornAt < leaderlessTime
 }
 
 // leaderlessSpan is the span to the next pre-vote of such a life: by the member's place,
 // so that two seldom stand at once, and a random part for those that started apart.
-func (c *Core) leaderlessSpan() house.Micros {
+func (c *Core) leaderlessSpan() kernel.Micros {
 	low, place := c.settings.Timing.ElectionLow/6, 0
 	if c.doc != nil {
 		place = max(slices.IndexFunc(c.doc.Voters, func(m Member) bool { return m.ID == c.settings.Self.ID }), 0)
 	}
-	return low + house.Micros(place)*low/3 + house.Micros(c.settings.Random.Int64N(int64(low/2)))
+	return low + kernel.Micros(place)*low/3 + kernel.Micros(c.settings.Random.Int64N(int64(low/2)))
 }
 
 func (c *Core) note(subject, decision, why string, args ...any) {
@@ -230,9 +230,9 @@
 	}
 }
 
-func (c *Core) electionSpan() house.Micros {
+func (c *Core) electionSpan() kernel.Micros {
 	t := c.settings.Timing
-	return t.ElectionLow + house.Micros(c.settings.Random.Int64N(int64(t.ElectionHigh-t.ElectionLow)))
+	return t.ElectionLow + kernel.Micros(c.settings.Random.Int64N(int64(t.ElectionHigh-t.ElectionLow)))
 }
 
 func (c *Core) send(to string, message Message) {
@@ -261,7 +261,7 @@
 	if c.role == leader {
 		return c.settings.Self.Address
 	}
-	if c.now-c.lastPulse < 2*c.settings.Timing.ElectionHigh {
+	if c.now-c.lastHeartbeat < 2*c.settings.Timing.ElectionHigh {
 		return c.leaderMember.Address
 	}
 	return ""
@@ -285,7 +285,7 @@
 }
 
 // Saved reports on the oldest write.
-func (c *Core) Saved(now house.Micros, token uint64, err error) {
+func (c *Core) Saved(now kernel.Micros, token uint64, err error) {
 	c.now = now
 	if len(c.saves) == 0 || c.saves[0].save.Token != token {
 		return
@@ -309,7 +309,7 @@
 	c.saves = c.saves[1:]
 	if document := head.save.Document; document != nil && c.synced.before(document.stamp()) {
 		c.synced = document.stamp()
-		c.kept[document.SpecGeneration] = true
+		c.kept[document.ConfigRevision] = true
 	}
 	if len(c.saves) > 0 {
 		c.saves[0].since = now
@@ -361,13 +361,13 @@
 	if c.role == leader {
 		c.note("core", "step down", "term %d: %s", c.term, why)
 		// Whoever waits here can be told nothing final by a leader that is none.
-		for _, waiting := range c.receipts {
-			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{ID: waiting.id, Outcome: Unproved, Reason: "leader_changed"}})
+		for _, waiting := range c.replies {
+			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Unproved, Reason: "leader_changed"}})
 		}
-		c.receipts, c.batches, c.inbox, c.reads = nil, nil, nil, nil
+		c.replies, c.batches, c.queue, c.reads = nil, nil, nil, nil
 	}
 	c.role = follower
-	c.alarm = c.now + c.electionSpan()
+	c.timer = c.now + c.electionSpan()
 }
 
 // yieldLead names the best successor and steps down.
@@ -388,18 +388,18 @@
 	}
 	c.stepDown(why)
 	// The successor needs time to be elected before this member stands again.
-	c.alarm = c.now + 2*c.settings.Timing.ElectionHigh
+	c.timer = c.now + 2*c.settings.Timing.ElectionHigh
 }
 
 func (c *Core) startElection(isPre, isNamed bool) {
 	if !c.isVoter() || c.Ailment() != "" {
-		c.alarm = c.now + c.electionSpan()
+		c.timer = c.now + c.electionSpan()
 		return
 	}
-	c.alarm = c.now + c.electionSpan()
+	c.timer = c.now + c.electionSpan()
 	if isPre && c.isLeaderless() {
 		// Those that it asks may not have started yet.
-		c.alarm = c.now + c.leaderlessSpan()
+		c.timer = c.now + c.leaderlessSpan()
 	}
 	c.votes = map[MemberID]bool{c.settings.Self.ID: true}
 	ask := func() {
@@ -426,7 +426,7 @@
 	c.votedFor = c.settings.Self.ID
 	c.role = candidate
 	term := c.term
-	c.note("core", "stand", "term %d, holding generation %d", term, c.doc.Generation)
+	c.note("core", "stand", "term %d, holding generation %d", term, c.doc.Revision)
 	// The own vote counts only once it is on disk.
 	c.save(nil, func() {
 		if c.role == candidate && c.term == term {
@@ -442,7 +442,7 @@
 	vote := Vote{Term: m.Term, IsPre: m.IsPre, Voter: c.settings.Self.ID}
 	// A member that heard a leader just now keeps to it, so that one that merely
 	// lost touch can't unseat a working leader.
-	isLed := c.role == leader || c.now-c.lastPulse < c.settings.Timing.ElectionLow && c.leaderMember.ID != m.Candidate.ID
+	isLed := c.role == leader || c.now-c.lastHeartbeat < c.settings.Timing.ElectionLow && c.leaderMember.ID != m.Candidate.ID
 	isBehind := m.Newest.before(c.synced)
 	if c.Ailment() != "" || isBehind || (isLed && !m.IsNamed) {
 		vote.Known = c.term
@@ -461,7 +461,7 @@
 		return
 	}
 	c.votedFor = m.Candidate.ID
-	c.alarm = c.now + c.electionSpan()
+	c.timer = c.now + c.electionSpan()
 	vote.IsGranted = true
 	c.save(nil, func() { c.send(from, Message{Vote: &vote}) })
 }
@@ -501,9 +501,9 @@
 func (c *Core) lead() {
 	c.role, c.leadSince, c.lastMajority = leader, c.now, c.now
 	c.peers, c.round, c.isOwnTerm = map[MemberID]*peer{}, 0, false
-	c.seen, c.homeSeen = map[string]*sighting{}, map[string]house.Micros{}
+	c.seen, c.homeSeen = map[string]*sighting{}, map[string]kernel.Micros{}
 	c.successors, c.marks = map[string]string{}, nil
-	c.committedAt, c.pushUntil = map[uint64]house.Micros{}, 0
+	c.committedAt, c.pushUntil = map[uint64]kernel.Micros{}, 0
 	for _, member := range c.doc.Voters {
 		if member.ID != c.settings.Self.ID {
 			c.peers[member.ID] = &peer{member: member, lastHeard: c.now, hasFolder: true}
@@ -527,7 +527,7 @@
 			c.peers[member.ID] = &peer{member: member, lastHeard: c.now, hasFolder: true}
 		}
 	}
-	c.pulse()
+	c.heartbeat()
 }
 
 // peerIDs in a fixed order: ranging over a map would make runs differ under one seed.
@@ -540,24 +540,24 @@
 	return ids
 }
 
-func (c *Core) pulse() {
+func (c *Core) heartbeat() {
 	c.round++
 	c.isRoundWanted = false
-	c.roundAlarm = c.now + c.settings.Timing.Pulse
+	c.roundTimer = c.now + c.settings.Timing.Heartbeat
 	newest := c.doc.stamp()
 	for _, id := range c.peerIDs() {
 		p := c.peers[id]
-		message := &Pulse{Term: c.term, Leader: c.settings.Self, Target: id, Round: c.round, Committed: c.committedStamp()}
+		message := &Heartbeat{Term: c.term, Leader: c.settings.Self, Target: id, Round: c.round, Committed: c.committedStamp()}
 		// A document is large: it goes again only after a pause without a word of it.
-		if p.synced != newest && (p.sentDoc != newest || c.now-p.lastSent > 5*c.settings.Timing.Pulse) {
+		if p.synced != newest && (p.sentDoc != newest || c.now-p.lastSent > 5*c.settings.Timing.Heartbeat) {
 			message.Document, p.sentDoc, p.lastSent = c.doc, newest, c.now
-			// Nearly every document keeps the spec of the one before. A member that has
+			// Nearly every document keeps the configuration of the one before. A member that has
 			// it not says so, and is sent the whole.
-			if c.doc.SpecGeneration < c.doc.Generation && !p.isBare {
+			if c.doc.ConfigRevision < c.doc.Revision && !p.isBare {
 				message.Document = c.doc.light()
 			}
 		}
-		c.send(p.member.Address, Message{Pulse: message})
+		c.send(p.member.Address, Message{Heartbeat: message})
 	}
 	c.confirmRounds()
 }
@@ -571,14 +571,14 @@
 	return c.committed.stamp()
 }
 
-func (c *Core) onPulse(from string, m *Pulse) {
+func (c *Core) onHeartbeat(from string, m *Heartbeat) {
 	if m.Target != c.settings.Self.ID {
 		return
 	}
-	receipt := &PulseReceipt{Term: c.term, Round: m.Round, Member: c.settings.Self, IsLeaving: c.isLeaving, IsAiling: c.Ailment() != "", IsPartial: c.isPartial()}
+	reply := &HeartbeatReply{Term: c.term, Round: m.Round, Member: c.settings.Self, IsLeaving: c.isLeaving, IsAiling: c.Ailment() != "", IsPartial: c.isPartial()}
 	if m.Term < c.term {
-		receipt.Round, receipt.Synced = 0, c.synced
-		c.send(from, Message{PulseReceipt: receipt})
+		reply.Round, reply.Synced = 0, c.synced
+		c.send(from, Message{HeartbeatReply: reply})
 		return
 	}
 	isNewTerm := m.Term > c.term
@@ -589,15 +589,15 @@
 	if c.leaderMember.ID != m.Leader.ID || isNewTerm {
 		c.note("core", "follow", "%s leads term %d", m.Leader.Address, m.Term)
 	}
-	c.leaderMember, c.lastPulse = m.Leader, c.now
-	c.alarm = c.now + c.electionSpan()
-	receipt.Term = c.term
+	c.leaderMember, c.lastHeartbeat = m.Leader, c.now
+	c.timer = c.now + c.electionSpan()
+	reply.Term = c.term
 	respond := func() {
-		receipt.Synced = c.synced
-		c.send(from, Message{PulseReceipt: receipt})
+		reply.Synced = c.synced
+		c.send(from, Message{HeartbeatReply: reply})
 	}
 	document := m.Document.whole(c.doc, c.committed)
-	receipt.IsBare = document == nil && m.Document != nil
+	reply.IsBare = document == nil && m.Document != nil
 	isNews := document != nil && document.Term == m.Term && c.doc.stamp().before(document.stamp())
 	switch {
 	case isNews:
@@ -613,7 +613,7 @@
 	}
 }
 
-func (c *Core) onPulseReceipt(m *PulseReceipt) {
+func (c *Core) onHeartbeatReply(m *HeartbeatReply) {
 	if m.Term > c.term {
 		c.adoptTerm(m.Term)
 		c.save(nil, nil)
@@ -672,21 +672,21 @@
 	c.commit(c.doc)
 	c.noteCommit()
 	c.build()
-	if c.settings.ReceiptRule == Spread {
+	if c.settings.AckRule == Spread {
 		c.isRoundWanted = true
-		c.settleReceipts()
+		c.settleReplies()
 		return
 	}
-	// Homes ask again at once, so that a new generation need not wait for their next turn.
+	// Homes ask again at once, so that a new revision need not wait for their next turn.
 	homes := map[string]bool{}
 	for _, address := range c.committed.Homes {
 		homes[address] = true
 	}
 	for _, address := range slices.Sorted(maps.Keys(homes)) {
-		c.send(address, Message{Nudge: &Nudge{c.committed.Generation}})
+		c.send(address, Message{Nudge: &Nudge{c.committed.Revision}})
 	}
 	c.isRoundWanted = true
-	c.settleReceipts()
+	c.settleReplies()
 }
 
 func (c *Core) commit(document *Document) {
@@ -696,21 +696,21 @@
 	c.committed = document
 }
 
-const buildEvery = 100 * house.Millisecond
+const buildEvery = 100 * kernel.Millisecond
 
-// keptCommits bounds the generations whose moment of commit is remembered.
+// keptCommits bounds the revisions whose moment of commit is remembered.
 const keptCommits = 64
 
-// noteCommit remembers when a generation was committed under this lead and has it pushed.
+// noteCommit remembers when a revision was committed under this lead and has it pushed.
 func (c *Core) noteCommit() {
-	generation := c.committed.Generation
-	if _, isThere := c.committedAt[generation]; !isThere {
-		c.committedAt[generation] = c.now
+	revision := c.committed.Revision
+	if _, isThere := c.committedAt[revision]; !isThere {
+		c.committedAt[revision] = c.now
 	}
-	if generation > keptCommits {
-		delete(c.committedAt, generation-keptCommits)
+	if revision > keptCommits {
+		delete(c.committedAt, revision-keptCommits)
 	}
-	if c.settings.ReceiptRule != Spread {
+	if c.settings.AckRule != Spread {
 		return
 	}
 	// A yes follows soon, and all in touch have to know by then: the document goes out
@@ -722,36 +722,36 @@
 	for _, address := range slices.Sorted(maps.Keys(homes)) {
 		c.pushTo(address)
 	}
-	c.pushAlarm, c.pushUntil = c.now+pushAgain, c.now+pushSpan
+	c.pushTimer, c.pushUntil = c.now+pushAgain, c.now+pushSpan
 }
 
 const (
-	pushAgain = 300 * house.Millisecond
-	pushSpan  = 2 * house.Second
+	pushAgain = 300 * kernel.Millisecond
+	pushSpan  = 2 * kernel.Second
 )
 
 func (c *Core) pushTo(address string) {
 	document := c.committed
 	if seen := c.seen[address]; seen != nil {
 		document = c.committed.lightFor(seen.held)
-	} else if c.committed.SpecGeneration < c.committed.Generation {
-		// Unheard under this lead: most likely it holds the spec, and asks if it has it not.
+	} else if c.committed.ConfigRevision < c.committed.Revision {
+		// Unheard under this lead: most likely it holds the configuration, and asks if it has it not.
 		document = c.committed.light()
 	}
-	c.send(address, Message{Grant: &Grant{Generation: c.committed.Generation, Leader: c.settings.Self.Address, Document: document}})
+	c.send(address, Message{Grant: &Grant{Revision: c.committed.Revision, Leader: c.settings.Self.Address, Document: document}})
 }
 
 // pushAgainToSilent sends the newest document to everyone who has not confirmed it. Homes
 // may be gone or cut, so this goes to the nodes themselves.
 func (c *Core) pushAgainToSilent() {
-	if c.committed == nil || c.now < c.pushAlarm || c.now > c.pushUntil {
+	if c.committed == nil || c.now < c.pushTimer || c.now > c.pushUntil {
 		return
 	}
-	c.pushAlarm = c.now + pushAgain
+	c.pushTimer = c.now + pushAgain
 	targets := map[string]bool{}
 	for address, seen := range c.seen {
 		if c.now-seen.at < c.settings.Timing.NodeGone {
-			targets[address] = seen.applied < c.committed.Generation
+			targets[address] = seen.applied < c.committed.Revision
 		}
 	}
 	for _, address := range c.committed.Register {
@@ -766,20 +766,20 @@
 	}
 }
 
-// isSpread tells whether a committed generation has gone round as far as a yes waits for:
+// isSpread tells whether a committed revision has gone round as far as a yes waits for:
 // all who were heard just now have applied it, or they had their time. Whoever can't be
 // reached is not waited for; he is not bound by the yes, and gets the document when he is back.
-func (c *Core) isSpread(generation uint64) bool {
-	at, isThere := c.committedAt[generation]
+func (c *Core) isSpread(revision uint64) bool {
+	at, isThere := c.committedAt[revision]
 	if !isThere || c.now-at >= c.settings.SpreadWait {
 		return true
 	}
 	// A fresh leader has not heard all yet.
-	if c.now-c.leadSince < house.Second {
+	if c.now-c.leadSince < kernel.Second {
 		return false
 	}
 	for _, seen := range c.seen {
-		if c.now-seen.at < house.Second && seen.applied < generation {
+		if c.now-seen.at < kernel.Second && seen.applied < revision {
 			return false
 		}
 	}
@@ -807,15 +807,15 @@
 			reads = append(reads, waiting)
 			continue
 		}
-		c.send(waiting.from, Message{ReadReceipt: &ReadReceipt{waiting.ask.Token, c.committed.lightFor(waiting.ask.Held)}})
+		c.send(waiting.from, Message{ReadReply: &ReadReply{waiting.ask.Token, c.committed.lightFor(waiting.ask.Held)}})
 	}
 	c.reads = reads
 }
 
 func (c *Core) grant(waiting waitingBatch) {
-	grant := &GrantBatch{Generation: c.committed.Generation, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks}
-	if waiting.batch.Generation < c.committed.Generation {
-		grant.Document = c.committed.lightFor(waiting.batch.Generation)
+	grant := &GrantBatch{Revision: c.committed.Revision, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks}
+	if waiting.batch.Revision < c.committed.Revision {
+		grant.Document = c.committed.lightFor(waiting.batch.Revision)
 	}
 	c.send(waiting.from, Message{GrantBatch: grant})
 }
@@ -832,7 +832,7 @@
 			return
 		}
 	}
-	if len(c.reads) < maxInbox {
+	if len(c.reads) < maxQueue {
 		c.reads = append(c.reads, waitingRead{from, m, c.round + 1})
 		c.isRoundWanted = true
 	}
@@ -841,17 +841,17 @@
 // ---- receiving ----
 
 // Receive takes a message meant for the core.
-func (c *Core) Receive(now house.Micros, from string, m Message) {
+func (c *Core) Receive(now kernel.Micros, from string, m Message) {
 	c.now = now
 	switch {
 	case m.VoteAsk != nil:
 		c.onVoteAsk(from, m.VoteAsk)
 	case m.Vote != nil:
 		c.onVote(m.Vote)
-	case m.Pulse != nil:
-		c.onPulse(from, m.Pulse)
-	case m.PulseReceipt != nil:
-		c.onPulseReceipt(m.PulseReceipt)
+	case m.Heartbeat != nil:
+		c.onHeartbeat(from, m.Heartbeat)
+	case m.HeartbeatReply != nil:
+		c.onHeartbeatReply(m.HeartbeatReply)
 	case m.Inherit != nil:
 		if m.Inherit.Target == c.settings.Self.ID && m.Inherit.Term == c.term && c.role == follower {
 			c.note("core", "take over", "the leader named this member")
@@ -860,9 +860,9 @@
 	case m.Join != nil:
 		c.onJoin(from, m.Join)
 	case m.Muster != nil:
-		c.send(from, Message{MusterReceipt: &MusterReceipt{c.settings.Self, c.doc == nil, c.settings.HasFolder}})
-	case m.MusterReceipt != nil:
-		c.mustered[from] = musterNote{now, *m.MusterReceipt}
+		c.send(from, Message{MusterReply: &MusterReply{c.settings.Self, c.doc == nil, c.settings.HasFolder}})
+	case m.MusterReply != nil:
+		c.mustered[from] = musterNote{now, *m.MusterReply}
 	case m.Submit != nil:
 		c.onSubmit(from, m.Submit)
 	case m.AskBatch != nil:
@@ -874,7 +874,7 @@
 			c.successors[m.Succeed.Zone] = m.Succeed.To
 		}
 	case m.Recall != nil:
-		if c.kept[m.Recall.Mark.Generation] {
+		if c.kept[m.Recall.Mark.Revision] {
 			c.out = append(c.out, Fetch{from, m.Recall.Mark})
 		}
 	case m.Recalled != nil:
@@ -883,7 +883,7 @@
 		c.hints = append([]string{m.Elsewhere.Leader}, m.Elsewhere.Voters...)
 		if c.settings.Voters > 0 && m.Elsewhere.Leader != "" {
 			// A fresh member is wanted soon; the pause keeps two that err from a storm.
-			c.joinAlarm = min(c.joinAlarm, now+50*house.Millisecond)
+			c.joinTimer = min(c.joinTimer, now+50*kernel.Millisecond)
 		}
 	}
 }
@@ -907,7 +907,7 @@
 	}
 	p.member, p.hasFolder, p.lastHeard = m.Member, m.HasFolder, c.now
 	// A member that joins anew says what it really holds, even if that is less.
-	p.synced, p.sentDoc, p.isBare = m.Synced, Stamp{}, m.Synced.Generation == 0
+	p.synced, p.sentDoc, p.isBare = m.Synced, Stamp{}, m.Synced.Revision == 0
 }
 
 func (c *Core) onAskBatch(from string, m *AskBatch) {
@@ -935,7 +935,7 @@
 		// needs no round of its own.
 		c.grant(waitingBatch{from: from, batch: m})
 	}
-	c.settleReceipts()
+	c.settleReplies()
 }
 
 // ---- orders ----
@@ -945,29 +945,29 @@
 		c.elsewhere(from)
 		return
 	}
-	if len(c.inbox) >= maxInbox {
-		c.send(from, Message{SubmitReceipt: &SubmitReceipt{ID: m.ID, Outcome: Unproved, Reason: "busy"}})
+	if len(c.queue) >= maxQueue {
+		c.send(from, Message{SubmitReply: &SubmitReply{ID: m.ID, Outcome: Unproved, Reason: "busy"}})
 		return
 	}
-	// The sender repeats itself until it hears; one copy in the inbox is enough.
-	for _, held := range c.inbox {
+	// The sender repeats itself until it hears; one copy in the queue is enough.
+	for _, held := range c.queue {
 		if held.submit.ID == m.ID && held.submit.Order == m.Order && held.from == from {
 			return
 		}
 	}
-	for _, waiting := range c.receipts {
+	for _, waiting := range c.replies {
 		if waiting.id == m.ID && waiting.from == from && waiting.isFence == (m.Order == Fence) {
 			return
 		}
 	}
-	c.inbox = append(c.inbox, heldSubmit{from, m})
+	c.queue = append(c.queue, heldSubmit{from, m})
 	c.build()
 }
 
-func (c *Core) decline(to string, m *Submit, reason, why string, args ...any) {
+func (c *Core) rejection(to string, m *Submit, reason, why string, args ...any) {
 	detail := fmt.Sprintf(why, args...)
 	c.note("submission "+m.ID, "decline", "%s: %s", reason, detail)
-	c.send(to, Message{SubmitReceipt: &SubmitReceipt{ID: m.ID, Outcome: No, Reason: reason, Detail: detail}})
+	c.send(to, Message{SubmitReply: &SubmitReply{ID: m.ID, Outcome: No, Reason: reason, Detail: detail}})
 }
 
 // build makes the next document out of what is due, if none is in flight.
@@ -981,10 +981,10 @@
 	c.tendRegister(next, &reasons)
 	c.tendHomes(next, &reasons)
 	c.tendMarks(next, &reasons)
-	for len(c.inbox) > 0 {
-		held := c.inbox[0]
-		c.inbox = c.inbox[1:]
-		// One order a document: each yes stays readable under its own generation.
+	for len(c.queue) > 0 {
+		held := c.queue[0]
+		c.queue = c.queue[1:]
+		// One order a document: each yes stays readable under its own revision.
 		if c.order(next, held) {
 			reasons = append(reasons, "submission "+held.submit.ID)
 			break
@@ -993,7 +993,7 @@
 	if len(reasons) == 0 {
 		return
 	}
-	c.note("core", proposes, proposeForm+"%v", next.Generation, reasons)
+	c.note("core", proposes, proposeForm+"%v", next.Revision, reasons)
 	c.propose(next)
 }
 
@@ -1003,53 +1003,53 @@
 	proposeForm = "generation %d: "
 )
 
-// Proposes tells which generation an entry of a journal proposes; zero for none.
-func Proposes(entry house.Entry) (generation uint64) {
+// Proposes tells which revision an entry of a journal proposes; zero for none.
+func Proposes(entry kernel.Entry) (revision uint64) {
 	if entry.Subject != "core" || entry.Decision != proposes {
 		return 0
 	}
-	if _, err := fmt.Sscanf(entry.Why, proposeForm, &generation); err != nil {
+	if _, err := fmt.Sscanf(entry.Why, proposeForm, &revision); err != nil {
 		return 0
 	}
-	return generation
+	return revision
 }
 
 // order applies one submission to the next document; false when nothing has to change.
 func (c *Core) order(next *Document, held heldSubmit) bool {
 	m := held.submit
-	wait := func(generation uint64, isFenced bool) {
-		c.receipts = append(c.receipts, waitingSubmit{held.from, m.ID, generation, m.Order == Fence, isFenced})
+	wait := func(revision uint64, isFenced bool) {
+		c.replies = append(c.replies, waitingSubmit{held.from, m.ID, revision, m.Order == Fence, isFenced})
 	}
 	if entry, isThere := c.doc.submission(m.ID); isThere {
 		switch {
 		case entry.IsFenced:
-			c.decline(held.from, m, "fenced", "this submission was given up on and will never take effect")
+			c.rejection(held.from, m, "fenced", "this submission was given up on and will never take effect")
 		case m.Order != Fence && entry.Digest != m.digest():
-			c.decline(held.from, m, "id_reused", "another submission had this id at generation %d", entry.Generation)
+			c.rejection(held.from, m, "id_reused", "another submission had this id at generation %d", entry.Revision)
 		default:
-			wait(entry.Generation, false)
+			wait(entry.Revision, false)
 		}
-		c.settleReceipts()
+		c.settleReplies()
 		return false
 	}
 	switch m.Order {
 	case Fence:
-		next.remember(Submission{ID: m.ID, Generation: next.Generation, IsFenced: true})
-		wait(next.Generation, true)
+		next.remember(Submission{ID: m.ID, Revision: next.Revision, IsFenced: true})
+		wait(next.Revision, true)
 		return true
-	case PutSpec, ChangeSpec:
-		spec, version, err := c.settings.judgeSpec(m, next)
-		var refused SpecRefused
+	case PutConfig, ChangeConfig:
+		config, version, err := c.settings.judgeConfig(m, next)
+		var refused ConfigRefused
 		if errors.As(err, &refused) {
-			c.decline(held.from, m, refused.Reason, "%v", refused.Cause)
+			c.rejection(held.from, m, refused.Reason, "%v", refused.Cause)
 			return false
 		}
-		next.putSpec(spec)
-		next.SpecVersion = version
+		next.putConfig(config)
+		next.ConfigVersion = version
 	case EmptyZone:
-		next.Evacuated[m.Zone] = next.Generation
+		next.Drained[m.Zone] = next.Revision
 	case RefillZone:
-		delete(next.Evacuated, m.Zone)
+		delete(next.Drained, m.Zone)
 	case Forget:
 		// Should it ask again after all, it is registered anew like any other.
 		delete(c.seen, m.Zone)
@@ -1063,17 +1063,17 @@
 	case MarkEngine:
 		next.markLeaving(m.Engine, m.Start)
 	default:
-		c.decline(held.from, m, "unknown_order", "%q", m.Order)
+		c.rejection(held.from, m, "unknown_order", "%q", m.Order)
 		return false
 	}
-	next.remember(Submission{ID: m.ID, Digest: m.digest(), Generation: next.Generation})
-	wait(next.Generation, false)
+	next.remember(Submission{ID: m.ID, Digest: m.digest(), Revision: next.Revision})
+	wait(next.Revision, false)
 	return true
 }
 
-// isApplied tells whether a majority of every register that counts has applied a generation.
-func (c *Core) isApplied(generation uint64) bool {
-	return c.hasMajority(c.committed.Register, generation) && (c.isSettled() || c.hasMajority(c.committed.PriorRegister, generation))
+// isApplied tells whether a majority of every register that counts has applied a revision.
+func (c *Core) isApplied(revision uint64) bool {
+	return c.hasMajority(c.committed.Register, revision) && (c.isSettled() || c.hasMajority(c.committed.PriorRegister, revision))
 }
 
 // isSettled tells whether the newest change of the register has been applied by a
@@ -1083,36 +1083,36 @@
 	return c.hasMajority(c.committed.PriorRegister, since) && c.hasMajority(c.committed.Register, since)
 }
 
-// hasMajority tells whether a majority of a register has applied a generation.
-func (c *Core) hasMajority(register []string, generation uint64) bool {
+// hasMajority tells whether a majority of a register has applied a revision.
+func (c *Core) hasMajority(register []string, revision uint64) bool {
 	return majority(register, func(address string) bool {
 		seen := c.seen[address]
-		return seen != nil && seen.applied >= generation
+		return seen != nil && seen.applied >= revision
 	})
 }
 
-func (c *Core) settleReceipts() {
+func (c *Core) settleReplies() {
 	if c.role != leader || !c.isOwnTerm {
 		return
 	}
-	kept := c.receipts[:0]
-	for _, waiting := range c.receipts {
-		isDone := waiting.generation <= c.committed.Generation
+	kept := c.replies[:0]
+	for _, waiting := range c.replies {
+		isDone := waiting.revision <= c.committed.Revision
 		switch {
 		case isDone && waiting.isFenced:
-			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{
+			c.send(waiting.from, Message{SubmitReply: &SubmitReply{
 				ID: waiting.id, Outcome: No, Reason: "fenced", Detail: "given up on; it will never take effect"}})
-		case isDone && c.settings.ReceiptRule == Spread && c.isSpread(waiting.generation):
-			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and has gone round", waiting.generation)
-			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{ID: waiting.id, Outcome: Yes, Generation: waiting.generation}})
-		case isDone && c.settings.ReceiptRule != Spread && c.isApplied(waiting.generation):
-			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and applied by a majority of routers", waiting.generation)
-			c.send(waiting.from, Message{SubmitReceipt: &SubmitReceipt{ID: waiting.id, Outcome: Yes, Generation: waiting.generation}})
+		case isDone && c.settings.AckRule == Spread && c.isSpread(waiting.revision):
+			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and has gone round", waiting.revision)
+			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Yes, Revision: waiting.revision}})
+		case isDone && c.settings.AckRule != Spread && c.isApplied(waiting.revision):
+			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and applied by a majority of routers", waiting.revision)
+			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Yes, Revision: waiting.revision}})
 		default:
 			kept = append(kept, waiting)
 		}
 	}
-	c.receipts = kept
+	c.replies = kept
 }
 
 // ---- what the leader tends by itself ----
@@ -1210,7 +1210,7 @@
 		isCaughtUp := p.synced == c.committed.stamp() && c.now-p.lastHeard < c.settings.Timing.ElectionLow
 		// A voter should hold the past too, or losing disks one after the other loses
 		// it. What nobody has any more must not keep a place empty for ever.
-		isCaughtUp = isCaughtUp && (!p.isPartial || c.now-p.since > 30*house.Second)
+		isCaughtUp = isCaughtUp && (!p.isPartial || c.now-p.since > 30*kernel.Second)
 		if isCaughtUp && (best == nil || zones[p.member.Zone] < zones[best.member.Zone]) {
 			best = p
 		}
@@ -1228,15 +1228,15 @@
 
 func (c *Core) tendRegister(next *Document, reasons *[]string) {
 	// A register may change only once a majority of the last one knows of the last change.
-	// Where receipts do not count it, nothing hangs on that.
-	isCounted := c.settings.ReceiptRule != Spread
+	// Where replies do not count it, nothing hangs on that.
+	isCounted := c.settings.AckRule != Spread
 	if isCounted && !c.isSettled() {
 		return
 	}
 	changed := slices.Clone(next.Register)
 	for _, address := range slices.Sorted(maps.Keys(c.seen)) {
 		seen := c.seen[address]
-		if seen.isRouter && c.now-seen.at < 2*house.Second && !slices.Contains(changed, address) {
+		if seen.isRouter && c.now-seen.at < 2*kernel.Second && !slices.Contains(changed, address) {
 			changed = append(changed, address)
 			*reasons = append(*reasons, "router registered: "+address)
 		}
@@ -1257,7 +1257,7 @@
 		}
 	}
 	if len(changed) != len(next.Register) {
-		next.PriorRegister, next.RegisterSince = next.Register, next.Generation
+		next.PriorRegister, next.RegisterSince = next.Register, next.Revision
 		next.Register = sorted(changed)
 	}
 }
@@ -1328,12 +1328,12 @@
 // recall mends the own history: a member that was empty a while ago holds only
 // what came since, and the others may be the next to lose their disks.
 func (c *Core) recall() {
-	if c.now < c.recallAlarm || !c.settings.HasFolder || c.committed == nil || c.Ailment() != "" {
+	if c.now < c.recallTimer || !c.settings.HasFolder || c.committed == nil || c.Ailment() != "" {
 		return
 	}
-	c.recallAlarm = c.now + 3*c.settings.Timing.Pulse
+	c.recallTimer = c.now + 3*c.settings.Timing.Heartbeat
 	for _, mark := range c.committed.Chain {
-		if c.kept[mark.Generation] {
+		if c.kept[mark.Revision] {
 			continue
 		}
 		others := []string{}
@@ -1352,13 +1352,13 @@
 	}
 }
 
-// isPartial tells that specs of the chain are missing in the own folder.
+// isPartial tells that configurations of the chain are missing in the own folder.
 func (c *Core) isPartial() bool {
 	if c.committed == nil {
 		return true
 	}
 	for _, mark := range c.committed.Chain {
-		if !c.kept[mark.Generation] {
+		if !c.kept[mark.Revision] {
 			return true
 		}
 	}
@@ -1366,25 +1366,25 @@
 }
 
 func (c *Core) onRecalled(document *Document) {
-	if document == nil || c.committed == nil || c.kept[document.SpecGeneration] {
+	if document == nil || c.committed == nil || c.kept[document.ConfigRevision] {
 		return
 	}
-	mark, isThere := c.committed.SpecAt(document.SpecGeneration)
-	if isThere && mark.Generation == document.SpecGeneration && mark.Digest == digestOf(document.Spec) {
+	mark, isThere := c.committed.ConfigAt(document.ConfigRevision)
+	if isThere && mark.Revision == document.ConfigRevision && mark.Digest == digestOf(document.Config) {
 		c.out = append(c.out, Keep{document})
 	}
 }
 
-// Kept tells that a spec of the past is in the folder now.
-func (c *Core) Kept(generation uint64) {
-	c.kept[generation] = true
-	c.recallAlarm = 0
+// Kept tells that a configuration of the past is in the folder now.
+func (c *Core) Kept(revision uint64) {
+	c.kept[revision] = true
+	c.recallTimer = 0
 }
 
 // ---- time ----
 
-// Tick lets due alarms go off.
-func (c *Core) Tick(now house.Micros) {
+// Tick lets due timers go off.
+func (c *Core) Tick(now kernel.Micros) {
 	c.now = now
 	c.tickDisk()
 	c.recall()
@@ -1396,22 +1396,22 @@
 			c.stepDown("no majority of voters was heard")
 			return
 		}
-		if now >= c.roundAlarm || c.isRoundWanted {
-			c.pulse()
+		if now >= c.roundTimer || c.isRoundWanted {
+			c.heartbeat()
 		}
 		// What the leader tends by itself can wait a little; looking copies the document.
-		if len(c.inbox) > 0 || now >= c.buildAlarm {
-			c.buildAlarm = now + buildEvery
+		if len(c.queue) > 0 || now >= c.buildTimer {
+			c.buildTimer = now + buildEvery
 			c.build()
 		}
-		c.settleReceipts()
+		c.settleReplies()
 		c.nudgeSilent()
 		c.pushAgainToSilent()
 		if c.isLeaving && len(c.doc.Voters) > 1 && c.committed.stamp() == c.doc.stamp() {
 			c.yieldLead("this member is leaving")
 		}
 	default:
-		if now >= c.alarm && c.isVoter() && !c.isLeaving {
+		if now >= c.timer && c.isVoter() && !c.isLeaving {
 			c.startElection(true, false)
 		}
 		c.found()
@@ -1422,13 +1422,13 @@
 // nudgeSilent writes to registered routers that are not heard of. One that was
 // restarted and whose seeds are all gone by now learns in this way who is there.
 func (c *Core) nudgeSilent() {
-	if c.now < c.nudgeAlarm || !c.isOwnTerm {
+	if c.now < c.nudgeTimer || !c.isOwnTerm {
 		return
 	}
-	c.nudgeAlarm = c.now + 2*house.Second
+	c.nudgeTimer = c.now + 2*kernel.Second
 	for _, address := range c.committed.Register {
-		if seen := c.seen[address]; seen == nil || c.now-seen.at > house.Second {
-			c.send(address, Message{Nudge: &Nudge{c.committed.Generation}})
+		if seen := c.seen[address]; seen == nil || c.now-seen.at > kernel.Second {
+			c.send(address, Message{Nudge: &Nudge{c.committed.Revision}})
 		}
 	}
 }
@@ -1436,7 +1436,7 @@
 // found makes the first document, if every founder is there and empty. The
 // lowest address does it, so that there is only one who may.
 func (c *Core) found() {
-	if c.settings.Founding != FoundersAreSeeds || c.doc != nil || !c.settings.HasFolder || c.now < c.musterAlarm {
+	if c.settings.Founding != FoundersAreSeeds || c.doc != nil || !c.settings.HasFolder || c.now < c.musterTimer {
 		return
 	}
 	founders := slices.Clone(c.settings.Founders)
@@ -1444,21 +1444,21 @@
 	if len(founders) == 0 || founders[0] != c.settings.Self.Address {
 		return
 	}
-	c.musterAlarm = c.now + 3*c.settings.Timing.Pulse
+	c.musterTimer = c.now + 3*c.settings.Timing.Heartbeat
 	voters := []Member{c.settings.Self}
 	for _, address := range founders[1:] {
 		c.send(address, Message{Muster: &Muster{}})
 		note, isThere := c.mustered[address]
-		if isThere && c.now-note.at < house.Second && note.receipt.IsEmpty && note.receipt.HasFolder {
-			voters = append(voters, note.receipt.Member)
+		if isThere && c.now-note.at < kernel.Second && note.reply.IsEmpty && note.reply.HasFolder {
+			voters = append(voters, note.reply.Member)
 		}
 	}
 	if len(voters) < len(founders) {
 		return
 	}
 	first := &Document{
-		Founding:   digestOf([]byte(fmt.Sprint(c.settings.Random.Uint64(), c.settings.Random.Uint64()))),
-		Generation: 1, Term: 1, Voters: voters, Homes: map[string]string{}, Evacuated: map[string]uint64{},
+		Founding: digestOf([]byte(fmt.Sprint(c.settings.Random.Uint64(), c.settings.Random.Uint64()))),
+		Revision: 1, Term: 1, Voters: voters, Homes: map[string]string{}, Drained: map[string]uint64{},
 	}
 	c.note("core", "found", "all %d founders are there and empty", len(founders))
 	c.term = max(c.term, 1)
@@ -1466,12 +1466,12 @@
 	c.doc = first
 }
 
-// join makes this prompter known while no leader speaks to it.
+// join makes this controller known while no leader speaks to it.
 func (c *Core) join() {
-	if c.now < c.joinAlarm || c.now-c.lastPulse < 2*c.settings.Timing.ElectionLow {
+	if c.now < c.joinTimer || c.now-c.lastHeartbeat < 2*c.settings.Timing.ElectionLow {
 		return
 	}
-	c.joinAlarm = c.now + 3*c.settings.Timing.Pulse
+	c.joinTimer = c.now + 3*c.settings.Timing.Heartbeat
 	// The leader if someone named it, then one other in turn.
 	targets := []string{}
 	if len(c.hints) > 0 && c.hints[0] != "" {
@@ -1498,7 +1498,7 @@
 }
 
 // Leave begins a planned stop: the lead and the vote go to others.
-func (c *Core) Leave(now house.Micros) {
+func (c *Core) Leave(now kernel.Micros) {
 	c.now, c.isLeaving = now, true
 	c.note("core", "leave", "a planned stop was asked for")
 }
--- a/flyloft/core_test.go
+++ b/control/core_test.go
@@ -1,4 +1,4 @@
-package flyloft
+package control
 
 import (
 	"fmt"
@@ -7,14 +7,14 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // bench holds one core and plays its shell by hand.
 type bench struct {
 	c     *qt.C
 	core  *Core
-	now   house.Micros
+	now   kernel.Micros
 	saves []Save
 	sent  []Send
 }
@@ -25,13 +25,13 @@
 	memberC = Member{"c", "10.0.0.3:1", "z3"}
 )
 
-func document(term, generation uint64) *Document {
-	return &Document{Founding: "f", Term: term, Generation: generation, Voters: []Member{memberA, memberB, memberC},
-		Homes: map[string]string{}, Evacuated: map[string]uint64{}}
+func document(term, revision uint64) *Document {
+	return &Document{Founding: "f", Term: term, Revision: revision, Voters: []Member{memberA, memberB, memberC},
+		Homes: map[string]string{}, Drained: map[string]uint64{}}
 }
 
 func newBench(c *qt.C, ballot Ballot, newest *Document) *bench {
-	b := &bench{c: c, now: 100 * house.Second}
+	b := &bench{c: c, now: 100 * kernel.Second}
 	b.core = NewCore(CoreSettings{
 		Self: memberB, HasFolder: true, Timing: DefaultTiming(), Random: rand.New(rand.NewPCG(1, 1)), Ballot: ballot, Document: newest,
 		Founders: []string{memberA.Address, memberB.Address, memberC.Address},
@@ -65,9 +65,9 @@
 	}
 }
 
-func (b *bench) pass(span house.Micros) {
+func (b *bench) pass(span kernel.Micros) {
 	for end := b.now + span; b.now < end; {
-		b.now += 20 * house.Millisecond
+		b.now += 20 * kernel.Millisecond
 		b.core.Tick(b.now)
 		b.drain()
 		b.sync()
@@ -131,7 +131,7 @@
 	b.receive(memberA, Message{VoteAsk: &VoteAsk{Term: 5, Candidate: memberA, Voter: "gone", Newest: Stamp{4, 9}}})
 	b.sync()
 	c.Assert(b.votes(), qt.HasLen, 0)
-	b.receive(memberC, Message{Pulse: &Pulse{Term: 4, Leader: memberC, Target: memberB.ID, Round: 1}})
+	b.receive(memberC, Message{Heartbeat: &Heartbeat{Term: 4, Leader: memberC, Target: memberB.ID, Round: 1}})
 	b.receive(memberA, ask(memberA, 5, Stamp{4, 9}))
 	b.sync()
 	c.Assert(b.votes()[0].IsGranted, qt.IsFalse)
@@ -146,31 +146,31 @@
 func TestADocumentIsAnsweredForOnlyOnceItIsOnDisk(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, Ballot{Term: 4}, document(4, 9))
-	b.receive(memberA, Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 7, Document: document(4, 10)}})
-	receipts := func() []PulseReceipt {
-		found := []PulseReceipt{}
+	b.receive(memberA, Message{Heartbeat: &Heartbeat{Term: 4, Leader: memberA, Target: memberB.ID, Round: 7, Document: document(4, 10)}})
+	replies := func() []HeartbeatReply {
+		found := []HeartbeatReply{}
 		for _, send := range b.sent {
-			if send.Message.PulseReceipt != nil {
-				found = append(found, *send.Message.PulseReceipt)
+			if send.Message.HeartbeatReply != nil {
+				found = append(found, *send.Message.HeartbeatReply)
 			}
 		}
 		return found
 	}
-	c.Assert(receipts(), qt.HasLen, 0)
-	// Pulses that come meanwhile hear of the old one.
-	b.receive(memberA, Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 8}})
-	c.Assert(receipts()[0].Synced, qt.Equals, Stamp{4, 9})
+	c.Assert(replies(), qt.HasLen, 0)
+	// Heartbeats that come meanwhile hear of the old one.
+	b.receive(memberA, Message{Heartbeat: &Heartbeat{Term: 4, Leader: memberA, Target: memberB.ID, Round: 8}})
+	c.Assert(replies()[0].Synced, qt.Equals, Stamp{4, 9})
 	b.sync()
-	c.Assert(receipts()[1].Synced, qt.Equals, Stamp{4, 10})
+	c.Assert(replies()[1].Synced, qt.Equals, Stamp{4, 10})
 	// It counts as committed only when the leader says so.
 	c.Assert(b.core.Committed(), qt.IsNil)
-	b.receive(memberA, Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 9, Committed: Stamp{4, 10}}})
-	c.Assert(b.core.Committed().Generation, qt.Equals, uint64(10))
-	// A late pulse of an older term changes nothing.
-	b.receive(memberC, Message{Pulse: &Pulse{Term: 3, Leader: memberC, Target: memberB.ID, Round: 2, Document: document(3, 30)}})
+	b.receive(memberA, Message{Heartbeat: &Heartbeat{Term: 4, Leader: memberA, Target: memberB.ID, Round: 9, Committed: Stamp{4, 10}}})
+	c.Assert(b.core.Committed().Revision, qt.Equals, uint64(10))
+	// A late heartbeat of an older term changes nothing.
+	b.receive(memberC, Message{Heartbeat: &Heartbeat{Term: 3, Leader: memberC, Target: memberB.ID, Round: 2, Document: document(3, 30)}})
 	b.sync()
-	c.Assert(b.core.Committed().Generation, qt.Equals, uint64(10))
-	last := receipts()[len(receipts())-1]
+	c.Assert(b.core.Committed().Revision, qt.Equals, uint64(10))
+	last := replies()[len(replies())-1]
 	c.Assert(last.Term, qt.Equals, uint64(4))
 	c.Assert(last.Round, qt.Equals, uint64(0))
 }
@@ -178,7 +178,7 @@
 // elect makes the bench's core the leader of a new term.
 func (b *bench) elect() {
 	for range 200 {
-		b.pass(20 * house.Millisecond)
+		b.pass(20 * kernel.Millisecond)
 		for _, send := range b.sent {
 			if ask := send.Message.VoteAsk; ask != nil && ask.Voter == memberA.ID {
 				b.core.Receive(b.now, memberA.Address, Message{Vote: &Vote{Term: ask.Term, IsPre: ask.IsPre, IsGranted: true, Voter: memberA.ID}})
@@ -195,7 +195,7 @@
 }
 
 func (b *bench) confirm(from Member, synced Stamp) {
-	b.receive(from, Message{PulseReceipt: &PulseReceipt{Term: b.core.term, Round: b.core.round, Member: from, Synced: synced}})
+	b.receive(from, Message{HeartbeatReply: &HeartbeatReply{Term: b.core.term, Round: b.core.round, Member: from, Synced: synced}})
 }
 
 func TestANewLeaderSettlesWhatItFoundBeforeAnythingElse(t *testing.T) {
@@ -204,21 +204,21 @@
 	b.elect()
 	term := b.core.term
 	c.Assert(b.core.doc.stamp(), qt.Equals, Stamp{term, 9})
-	b.receive(memberC, Message{Submit: &Submit{ID: "s", Order: PutSpec, Spec: []byte("{}")}})
+	b.receive(memberC, Message{Submit: &Submit{ID: "s", Order: PutConfig, Config: []byte("{}")}})
 	b.receive(memberC, Message{AskBatch: &AskBatch{Zone: "z3", Asks: []RouterAsk{{Address: memberC.Address, Zone: "z3", Seq: 1, Applied: 9}}}})
-	b.pass(100 * house.Millisecond)
-	// A word on the same generation of the older term settles nothing.
+	b.pass(100 * kernel.Millisecond)
+	// A word on the same revision of the older term settles nothing.
 	b.confirm(memberA, Stamp{4, 9})
-	b.pass(100 * house.Millisecond)
-	c.Assert(b.core.doc.Generation, qt.Equals, uint64(9))
+	b.pass(100 * kernel.Millisecond)
+	c.Assert(b.core.doc.Revision, qt.Equals, uint64(9))
 	c.Assert(b.core.Committed(), qt.IsNil)
 	for _, send := range b.sent {
 		c.Assert(send.Message.GrantBatch, qt.IsNil)
 	}
 	b.confirm(memberA, Stamp{term, 9})
-	c.Assert(b.core.Committed().Generation, qt.Equals, uint64(9))
-	c.Assert(b.core.doc.Generation, qt.Equals, uint64(10))
-	c.Assert(string(b.core.doc.Spec), qt.Equals, "{}")
+	c.Assert(b.core.Committed().Revision, qt.Equals, uint64(9))
+	c.Assert(b.core.doc.Revision, qt.Equals, uint64(10))
+	c.Assert(string(b.core.doc.Config), qt.Equals, "{}")
 }
 
 func TestAGrantNeedsARoundConfirmedAfterTheAsk(t *testing.T) {
@@ -226,7 +226,7 @@
 	b := newBench(c, Ballot{Term: 4}, document(4, 9))
 	b.elect()
 	b.confirm(memberA, Stamp{b.core.term, 9})
-	b.pass(50 * house.Millisecond)
+	b.pass(50 * kernel.Millisecond)
 	b.confirm(memberA, Stamp{b.core.term, 9})
 	b.sent = nil
 	before := b.core.round
@@ -240,10 +240,10 @@
 		}
 		return count
 	}
-	// A receipt for a round that went out before the ask proves nothing about now.
-	b.receive(memberA, Message{PulseReceipt: &PulseReceipt{Term: b.core.term, Round: before, Member: memberA, Synced: Stamp{b.core.term, 9}}})
+	// A reply for a round that went out before the ask proves nothing about now.
+	b.receive(memberA, Message{HeartbeatReply: &HeartbeatReply{Term: b.core.term, Round: before, Member: memberA, Synced: Stamp{b.core.term, 9}}})
 	c.Assert(grants(), qt.Equals, 0)
-	b.pass(40 * house.Millisecond)
+	b.pass(40 * kernel.Millisecond)
 	c.Assert(grants(), qt.Equals, 0)
 	b.confirm(memberA, Stamp{b.core.term, 9})
 	c.Assert(grants(), qt.Equals, 1)
@@ -261,7 +261,7 @@
 		}
 	}
 	for range 1200 {
-		b.pass(20 * house.Millisecond)
+		b.pass(20 * kernel.Millisecond)
 		// A answers, C is silent for good, D is a whole standby.
 		b.confirm(memberA, b.core.doc.stamp())
 		look()
@@ -289,7 +289,7 @@
 		b.elect()
 		b.confirm(memberA, b.core.doc.stamp())
 		b.confirm(memberC, b.core.doc.stamp())
-		b.pass(100 * house.Millisecond)
+		b.pass(100 * kernel.Millisecond)
 		b.receive(successor, Message{Join: &Join{Member: successor, HasFolder: true}})
 		answering := []Member{memberA, successor}
 		if isHeardOn {
@@ -297,7 +297,7 @@
 		}
 		seen := []int{3}
 		for range 50 {
-			b.pass(20 * house.Millisecond)
+			b.pass(20 * kernel.Millisecond)
 			for _, member := range answering {
 				b.confirm(member, b.core.doc.stamp())
 				if count := len(b.core.doc.Voters); seen[len(seen)-1] != count {
@@ -322,8 +322,8 @@
 	b := newBench(c, Ballot{Term: 4}, newest)
 	b.elect()
 	b.confirm(memberA, Stamp{b.core.term, 9})
-	b.receive(memberC, Message{Submit: &Submit{ID: "s", Order: PutSpec, Spec: []byte("{}")}})
-	b.pass(40 * house.Millisecond)
+	b.receive(memberC, Message{Submit: &Submit{ID: "s", Order: PutConfig, Config: []byte("{}")}})
+	b.pass(40 * kernel.Millisecond)
 	b.confirm(memberA, b.core.doc.stamp())
 	applied := func(routers ...string) bool {
 		asks := []RouterAsk{}
@@ -332,7 +332,7 @@
 		}
 		b.receive(memberC, Message{AskBatch: &AskBatch{Zone: "z1", Asks: asks}})
 		for _, send := range b.sent {
-			if receipt := send.Message.SubmitReceipt; receipt != nil && receipt.Outcome == Yes {
+			if reply := send.Message.SubmitReply; reply != nil && reply.Outcome == Yes {
 				return true
 			}
 		}
@@ -347,10 +347,10 @@
 	c := qt.New(t)
 	records := []EngineRecord{
 		{ID: "e", Address: "1", Zone: "z", Start: 1, ListRevision: 3, AsOf: 10, Seen: 10, StartedAt: 5},
-		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 4, Burden: 70, AsOf: 20, Seen: 20, StartedAt: 6},
-		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 3, Burden: 90, IsLeaving: true, AsOf: 15, Seen: 15, StartedAt: 6},
+		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 4, Load: 70, AsOf: 20, Seen: 20, StartedAt: 6},
+		{ID: "e", Address: "1", Zone: "z", Start: 1, Seq: 3, Load: 90, IsLeaving: true, AsOf: 15, Seen: 15, StartedAt: 6},
 		{ID: "e", Address: "1", Zone: "z", Start: 1, IsDark: true, DarkSeq: 2, AsOf: 12, Seen: 12, BackAt: 12, StartedAt: 6},
-		{ID: "e", Address: "2", Zone: "z", Start: 2, Seq: 1, Burden: 5, AsOf: 30, Seen: 30, StartedAt: 25},
+		{ID: "e", Address: "2", Zone: "z", Start: 2, Seq: 1, Load: 5, AsOf: 30, Seen: 30, StartedAt: 25},
 		{ID: "e", Address: "2", Zone: "z", Start: 2, ListRevision: 5, AsOf: 31, Seen: 31, StartedAt: 25},
 	}
 	random := rand.New(rand.NewPCG(3, 3))
@@ -367,7 +367,7 @@
 			wanted = text
 			c.Assert(got.Start, qt.Equals, uint64(2))
 			c.Assert(got.IsLeaving, qt.IsFalse)
-			c.Assert(got.Burden, qt.Equals, int64(5))
+			c.Assert(got.Load, qt.Equals, int64(5))
 		}
 		c.Assert(text, qt.Equals, wanted)
 	}
@@ -376,14 +376,14 @@
 	listed := NewCell("x", DefaultTiming(), func(string, string, string) {})
 	listed.TakeEngine(40, records[1], true)
 	listed.TakeListing(60, Listing{Revision: 9, Engines: []ListingEngine{{ID: "e", Address: "1", Zone: "z", Start: 1, State: "serving"}}})
-	c.Assert(listed.Engines()[0].AsOf, qt.Equals, house.Micros(20))
+	c.Assert(listed.Engines()[0].AsOf, qt.Equals, kernel.Micros(20))
 	back := records[3]
 	back.IsDark, back.DarkSeq, back.BackAt = false, 3, 50
 	listed.TakeEngine(60, back, true)
 	c.Assert(listed.Engines()[0].IsUnsure(), qt.IsTrue)
 	listed.TakeListing(70, Listing{Revision: 10, Engines: []ListingEngine{{ID: "e", Address: "1", Zone: "z", Start: 1, State: "serving"}}})
 	c.Assert(listed.Engines()[0].IsUnsure(), qt.IsTrue)
-	listed.TakeEngine(80, EngineRecord{ID: "e", Start: 1, Seq: 5, Burden: 1, AsOf: 75, Seen: 80}, true)
+	listed.TakeEngine(80, EngineRecord{ID: "e", Start: 1, Seq: 5, Load: 1, AsOf: 75, Seen: 80}, true)
 	c.Assert(listed.Engines()[0].IsUnsure(), qt.IsFalse)
 	// Within one start a leaving mark stays, whatever comes later.
 	cell := NewCell("x", DefaultTiming(), func(string, string, string) {})
@@ -391,107 +391,107 @@
 		cell.TakeEngine(40, record, true)
 	}
 	c.Assert(cell.Engines()[0].IsLeaving, qt.IsTrue)
-	c.Assert(cell.Engines()[0].Burden, qt.Equals, int64(70))
+	c.Assert(cell.Engines()[0].Load, qt.Equals, int64(70))
 }
 
-func TestALicenceCountsFromTheAskAndStandsForItsGeneration(t *testing.T) {
+func TestALicenceCountsFromTheAskAndStandsForItsRevision(t *testing.T) {
 	c := qt.New(t)
-	l := NewLicence("r", true, DefaultTiming(), func(string, string, string) {})
-	span := DefaultTiming().Licence
+	l := NewLease("r", true, DefaultTiming(), func(string, string, string) {})
+	span := DefaultTiming().Lease
 	first := l.NewAsk(1000)
-	c.Assert(l.TakeGrant(500_000, &Grant{Seq: first, Generation: 9, Document: document(4, 9)}), qt.IsTrue)
+	c.Assert(l.TakeGrant(500_000, &Grant{Seq: first, Revision: 9, Document: document(4, 9)}), qt.IsTrue)
 	c.Assert(l.Until(), qt.Equals, 1000+span)
-	// A grant for a generation that is not here yet gives nothing.
+	// A grant for a revision that is not here yet gives nothing.
 	second := l.NewAsk(600_000)
-	l.TakeGrant(700_000, &Grant{Seq: second, Generation: 10})
+	l.TakeGrant(700_000, &Grant{Seq: second, Revision: 10})
 	c.Assert(l.Until(), qt.Equals, 1000+span)
 	// Nor does one that was never asked for, or a second time.
-	l.TakeGrant(700_000, &Grant{Seq: 99, Generation: 9})
-	l.TakeGrant(900_000, &Grant{Seq: first, Generation: 9})
+	l.TakeGrant(700_000, &Grant{Seq: 99, Revision: 9})
+	l.TakeGrant(900_000, &Grant{Seq: first, Revision: 9})
 	c.Assert(l.Until(), qt.Equals, 1000+span)
 	// An older document never comes back.
-	l.TakeGrant(800_000, &Grant{Generation: 10, Document: document(4, 10)})
-	l.TakeGrant(800_000, &Grant{Generation: 9, Document: document(4, 9)})
-	c.Assert(l.Generation(), qt.Equals, uint64(10))
+	l.TakeGrant(800_000, &Grant{Revision: 10, Document: document(4, 10)})
+	l.TakeGrant(800_000, &Grant{Revision: 9, Document: document(4, 9)})
+	c.Assert(l.Revision(), qt.Equals, uint64(10))
 }
 
-func TestTheDarkLicenceNeedsAMajorityThatTheLeaderHasProven(t *testing.T) {
+func TestTheDarkLeaseNeedsAMajorityThatTheLeaderHasProven(t *testing.T) {
 	c := qt.New(t)
 	held := document(4, 9)
 	held.Register = []string{"r", "s", "t", "u", "v"}
-	l := NewLicence("r", true, DefaultTiming(), func(string, string, string) {})
-	l.TakeGrant(0, &Grant{Seq: l.NewAsk(0), Generation: 9, Document: held})
-	begun := 10 * house.Second
+	l := NewLease("r", true, DefaultTiming(), func(string, string, string) {})
+	l.TakeGrant(0, &Grant{Seq: l.NewAsk(0), Revision: 9, Document: held})
+	begun := 10 * kernel.Second
 	_, ask, _ := l.TickDark(begun)
 	c.Assert(ask, qt.IsNotNil)
-	l.TakeAttest(begun, "s", &AttestReceipt{Seq: ask.Seq, Generation: 9, IsProven: true})
-	l.TakeAttest(begun, "t", &AttestReceipt{Seq: ask.Seq, Generation: 9, IsProven: false})
-	l.TakeAttest(begun, "w", &AttestReceipt{Seq: ask.Seq, Generation: 9, IsProven: true}) // not registered
+	l.TakeAttest(begun, "s", &AttestReply{Seq: ask.Seq, Revision: 9, IsProven: true})
+	l.TakeAttest(begun, "t", &AttestReply{Seq: ask.Seq, Revision: 9, IsProven: false})
+	l.TakeAttest(begun, "w", &AttestReply{Seq: ask.Seq, Revision: 9, IsProven: true}) // not registered
 	c.Assert(l.Until() < begun, qt.IsTrue)
-	l.TakeAttest(begun, "u", &AttestReceipt{Seq: ask.Seq, Generation: 8, IsProven: true})
-	c.Assert(l.Until(), qt.Equals, begun+DefaultTiming().Licence)
+	l.TakeAttest(begun, "u", &AttestReply{Seq: ask.Seq, Revision: 8, IsProven: true})
+	c.Assert(l.Until(), qt.Equals, begun+DefaultTiming().Lease)
 	// A router to which the leader has not spoken since its start gets nothing so: it
-	// may have served under a newer generation that none of the others had.
-	restarted := NewLicence("v", true, DefaultTiming(), func(string, string, string) {})
+	// may have served under a newer revision that none of the others had.
+	restarted := NewLease("v", true, DefaultTiming(), func(string, string, string) {})
 	restarted.Apply(held)
 	_, none, _ := restarted.TickDark(begun)
 	c.Assert(none, qt.IsNil)
 	for _, router := range held.Register {
-		restarted.TakeAttest(begun, router, &AttestReceipt{Seq: 1, Generation: 9, IsProven: true})
+		restarted.TakeAttest(begun, router, &AttestReply{Seq: 1, Revision: 9, IsProven: true})
 	}
-	c.Assert(restarted.Until(), qt.Equals, house.Micros(0))
-	// One that holds a newer generation ends it, and brings the document.
-	_, ask, _ = l.TickDark(begun + house.Second)
+	c.Assert(restarted.Until(), qt.Equals, kernel.Micros(0))
+	// One that holds a newer revision ends it, and brings the document.
+	_, ask, _ = l.TickDark(begun + kernel.Second)
 	newer := document(4, 10)
 	newer.Register = held.Register
 	// Every other router may hold it; one of them is asked for it, and soon.
-	other := NewLicence("s", true, DefaultTiming(), func(string, string, string) {})
+	other := NewLease("s", true, DefaultTiming(), func(string, string, string) {})
 	other.Apply(newer)
 	for _, router := range []string{"s", "t", "u"} {
 		c.Assert(other.Attest(ask).Document, qt.IsNil)
-		c.Assert(l.TakeAttest(begun, router, &AttestReceipt{Seq: ask.Seq, Generation: 10, IsProven: true}), qt.IsFalse)
+		c.Assert(l.TakeAttest(begun, router, &AttestReply{Seq: ask.Seq, Revision: 10, IsProven: true}), qt.IsFalse)
 	}
-	_, ask, keen := l.TickDark(begun + house.Second + 20*house.Millisecond)
+	_, ask, keen := l.TickDark(begun + kernel.Second + 20*kernel.Millisecond)
 	c.Assert(keen, qt.Equals, "s")
 	ask.IsKeen = true
-	receipt := other.Attest(ask)
-	c.Assert(receipt.Document, qt.DeepEquals, newer)
-	// A receipt that comes meanwhile leads to no second one.
-	l.TakeAttest(begun+house.Second+40*house.Millisecond, "t", &AttestReceipt{Seq: ask.Seq, Generation: 10, IsProven: true})
-	_, again, _ := l.TickDark(begun + house.Second + 60*house.Millisecond)
+	reply := other.Attest(ask)
+	c.Assert(reply.Document, qt.DeepEquals, newer)
+	// A reply that comes meanwhile leads to no second one.
+	l.TakeAttest(begun+kernel.Second+40*kernel.Millisecond, "t", &AttestReply{Seq: ask.Seq, Revision: 10, IsProven: true})
+	_, again, _ := l.TickDark(begun + kernel.Second + 60*kernel.Millisecond)
 	c.Assert(again, qt.IsNil)
-	c.Assert(l.TakeAttest(begun, "s", receipt), qt.IsTrue)
-	c.Assert(l.Generation(), qt.Equals, uint64(10))
+	c.Assert(l.TakeAttest(begun, "s", reply), qt.IsTrue)
+	c.Assert(l.Revision(), qt.Equals, uint64(10))
 }
 
-// A spec that a member has already is not sent to it again. One that does not hold it
+// A configuration that a member has already is not sent to it again. One that does not hold it
 // answers for nothing, says so, and gets the whole.
 func TestASpecIsLeftOutOnlyForWhoHoldsIt(t *testing.T) {
 	c := qt.New(t)
 	first := document(4, 9)
-	first.putSpec([]byte(`{"large":"one"}`))
+	first.putConfig([]byte(`{"large":"one"}`))
 	next := first.next(4)
-	next.Evacuated["z1"] = next.Generation
-	pulse := Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 7, Document: next.light()}}
-	last := func(b *bench) PulseReceipt { return *b.sent[len(b.sent)-1].Message.PulseReceipt }
+	next.Drained["z1"] = next.Revision
+	heartbeat := Message{Heartbeat: &Heartbeat{Term: 4, Leader: memberA, Target: memberB.ID, Round: 7, Document: next.light()}}
+	last := func(b *bench) HeartbeatReply { return *b.sent[len(b.sent)-1].Message.HeartbeatReply }
 
 	holder := newBench(c, Ballot{Term: 4}, first)
-	holder.receive(memberA, pulse)
-	c.Assert(string(holder.saves[0].Document.Spec), qt.Equals, string(first.Spec)) // whole on its disk
+	holder.receive(memberA, heartbeat)
+	c.Assert(string(holder.saves[0].Document.Config), qt.Equals, string(first.Config)) // whole on its disk
 	holder.sync()
 	c.Assert(last(holder).Synced, qt.Equals, Stamp{4, 10})
 	c.Assert(last(holder).IsBare, qt.IsFalse)
 
-	// Another spec under the same generation, as a leader that lost its lead may have left it.
+	// Another configuration under the same revision, as a leader that lost its lead may have left it.
 	other := document(4, 9)
-	other.putSpec([]byte(`{"large":"two"}`))
+	other.putConfig([]byte(`{"large":"two"}`))
 	for name, held := range map[string]*Document{"nothing": nil, "another spec": other, "no spec": document(4, 9)} {
 		bare := newBench(c, Ballot{Term: 4}, held)
-		bare.receive(memberA, pulse)
+		bare.receive(memberA, heartbeat)
 		bare.sync()
 		c.Assert(last(bare).IsBare, qt.IsTrue, qt.Commentf("%s", name))
 		c.Assert(last(bare).Synced, qt.Equals, held.stamp())
-		bare.receive(memberA, Message{Pulse: &Pulse{Term: 4, Leader: memberA, Target: memberB.ID, Round: 8, Document: next}})
+		bare.receive(memberA, Message{Heartbeat: &Heartbeat{Term: 4, Leader: memberA, Target: memberB.ID, Round: 8, Document: next}})
 		bare.sync()
 		c.Assert(last(bare).Synced, qt.Equals, Stamp{4, 10})
 	}
@@ -502,40 +502,40 @@
 	lead.confirm(memberA, Stamp{lead.core.term, 10})
 	lead.core.Receive(lead.now, memberA.Address, Message{Submit: &Submit{ID: "s", Order: EmptyZone, Zone: "z2"}})
 	lead.drain()
-	specs := func() (sizes []int) {
+	configs := func() (sizes []int) {
 		for _, send := range lead.sent {
-			if pulse := send.Message.Pulse; pulse != nil && pulse.Target == memberC.ID && pulse.Document != nil && pulse.Document.Generation == 11 {
-				sizes = append(sizes, len(pulse.Document.Spec))
+			if heartbeat := send.Message.Heartbeat; heartbeat != nil && heartbeat.Target == memberC.ID && heartbeat.Document != nil && heartbeat.Document.Revision == 11 {
+				sizes = append(sizes, len(heartbeat.Document.Config))
 			}
 		}
 		return sizes
 	}
-	c.Assert(specs(), qt.DeepEquals, []int{0})
-	lead.receive(memberC, Message{PulseReceipt: &PulseReceipt{Term: lead.core.term, Round: lead.core.round, Member: memberC, IsBare: true}})
-	lead.pass(40 * house.Millisecond)
-	c.Assert(specs(), qt.DeepEquals, []int{0, len(first.Spec)})
+	c.Assert(configs(), qt.DeepEquals, []int{0})
+	lead.receive(memberC, Message{HeartbeatReply: &HeartbeatReply{Term: lead.core.term, Round: lead.core.round, Member: memberC, IsBare: true}})
+	lead.pass(40 * kernel.Millisecond)
+	c.Assert(configs(), qt.DeepEquals, []int{0, len(first.Config)})
 }
 
-func TestALightDocumentIsAppliedOnlyWithItsSpec(t *testing.T) {
+func TestALightDocumentIsAppliedOnlyWithItsConfig(t *testing.T) {
 	c := qt.New(t)
 	first := document(4, 9)
-	first.putSpec([]byte(`{"large":"one"}`))
+	first.putConfig([]byte(`{"large":"one"}`))
 	next := first.next(4)
-	licence := NewLicence("10.0.0.9:1", true, DefaultTiming(), func(string, string, string) {})
-	c.Assert(licence.Apply(next.light()), qt.IsFalse)
-	c.Assert(licence.Generation(), qt.Equals, uint64(0))
-	c.Assert(licence.Apply(first), qt.IsTrue)
-	c.Assert(licence.Apply(next.light()), qt.IsTrue)
-	c.Assert(string(licence.Applied().Spec), qt.Equals, string(first.Spec))
-	// Who has applied nothing, or a generation before the spec's, gets the whole.
-	c.Assert(len(next.lightFor(8).Spec), qt.Equals, len(first.Spec))
-	c.Assert(len(next.lightFor(9).Spec), qt.Equals, 0)
+	lease := NewLease("10.0.0.9:1", true, DefaultTiming(), func(string, string, string) {})
+	c.Assert(lease.Apply(next.light()), qt.IsFalse)
+	c.Assert(lease.Revision(), qt.Equals, uint64(0))
+	c.Assert(lease.Apply(first), qt.IsTrue)
+	c.Assert(lease.Apply(next.light()), qt.IsTrue)
+	c.Assert(string(lease.Applied().Config), qt.Equals, string(first.Config))
+	// Who has applied nothing, or a revision before the configuration's, gets the whole.
+	c.Assert(len(next.lightFor(8).Config), qt.Equals, len(first.Config))
+	c.Assert(len(next.lightFor(9).Config), qt.Equals, 0)
 }
 
 // More engines leave than marks are kept: the core comes to rest all the same.
 func TestLearnedMarksNeverPushEachOtherOutForEver(t *testing.T) {
 	c := qt.New(t)
-	node := NewNode(NodeSettings{Timing: DefaultTiming(), Journal: house.NewJournal(16)}, 0)
+	node := NewNode(NodeSettings{Timing: DefaultTiming(), Journal: kernel.NewJournal(16)}, 0)
 	for i := range 2 * keptLeaving {
 		node.cell.TakeEngine(0, EngineRecord{ID: fmt.Sprintf("e%03d", i), Address: "10.0.0.1:1", Start: 1, IsLeaving: true}, true)
 	}
@@ -558,7 +558,7 @@
 	c.Assert(reasons, qt.HasLen, 0)
 }
 
-// A folder of a newer build, or of another fleet, is declined and left as it is.
+// A folder of a newer build, or of another fleet, is rejected and left as it is.
 func TestForeignFoldersAreLeftAlone(t *testing.T) {
 	for name, kept := range map[string]memberFile{
 		"a newer format": {Member: "m", Fleet: "here", Format: folderFormat + 1},
@@ -566,7 +566,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			folder, err := house.OpenFolder(t.TempDir())
+			folder, err := kernel.OpenFolder(t.TempDir())
 			c.Assert(err, qt.IsNil)
 			_, err = (&Store{folder: folder}).put("member.json", kept)
 			c.Assert(err, qt.IsNil)
--- a/flyloft/days_test.go
+++ b/control/days_test.go
@@ -1,4 +1,4 @@
-package flyloft
+package control
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // day plays troubles as far as they are tolerated, one member at a time and any of the
@@ -15,12 +15,12 @@
 type day struct {
 	*fleet
 	deal     *rand.Rand
-	truths   map[uint64]string // digests of documents by generation
-	tops     map[string]uint64 // newest generation of a node's life
-	sent     map[uint64]string // specs by version
+	truths   map[uint64]string // digests of documents by revision
+	tops     map[string]uint64 // newest revision of a node's life
+	sent     map[uint64]string // configurations by version
 	acked    uint64            // the newest acknowledged version
 	bases    map[uint64]string // acknowledged orders by the version that they build on
-	calmFrom house.Micros      // until then no other member may be troubled
+	calmFrom kernel.Micros     // until then no other member may be troubled
 	orders   int
 	yes      int
 }
@@ -31,8 +31,8 @@
 		truths: map[uint64]string{}, tops: map[string]uint64{}, sent: map[uint64]string{}, bases: map[uint64]string{},
 	}
 	d.bootAll(500 * ms)
-	d.settled(8 * house.Second)
-	d.votersAre(3*house.Second, d.nodes[:4]...)
+	d.settled(8 * kernel.Second)
+	d.votersAre(3*kernel.Second, d.nodes[:4]...)
 	d.watch()
 	d.operate(0)
 	return d
@@ -45,14 +45,14 @@
 		if document == nil {
 			continue
 		}
-		digest := digestOf(document.Spec, fmt.Append(nil, document.Voters, document.Register, document.Homes, document.SpecVersion))
-		if known, isThere := d.truths[document.Generation]; isThere {
-			d.c.Assert(digest, qt.Equals, known, qt.Commentf("generation %d differs at %s", document.Generation, n.identity.Address))
+		digest := digestOf(document.Config, fmt.Append(nil, document.Voters, document.Register, document.Homes, document.ConfigVersion))
+		if known, isThere := d.truths[document.Revision]; isThere {
+			d.c.Assert(digest, qt.Equals, known, qt.Commentf("generation %d differs at %s", document.Revision, n.identity.Address))
 		}
-		d.truths[document.Generation] = digest
+		d.truths[document.Revision] = digest
 		life := fmt.Sprint(n.identity.Address, n.epoch)
-		d.c.Assert(document.Generation >= d.tops[life], qt.IsTrue, qt.Commentf("%s went back", life))
-		d.tops[life] = document.Generation
+		d.c.Assert(document.Revision >= d.tops[life], qt.IsTrue, qt.Commentf("%s went back", life))
+		d.tops[life] = document.Revision
 	}
 	d.in(20*ms, d.watch)
 }
@@ -78,11 +78,11 @@
 		for d.sent[version] != "" {
 			version++
 		}
-		id, spec := fmt.Sprintf("o%d", d.orders), string(specOf(version, fmt.Sprint("order ", d.orders)))
-		d.sent[version] = spec
+		id, config := fmt.Sprintf("o%d", d.orders), string(configOf(version, fmt.Sprint("order ", d.orders)))
+		d.sent[version] = config
 		d.try(id, base, version, 0)
 	}
-	d.in(900*ms+house.Micros(d.deal.Int64N(int64(house.Second))), func() {
+	d.in(900*ms+kernel.Micros(d.deal.Int64N(int64(kernel.Second))), func() {
 		if len(d.due) > 0 {
 			d.operate(d.acked)
 		}
@@ -97,16 +97,16 @@
 		n.submit(id, base, []byte(d.sent[version]))
 	}
 	d.in(950*ms, func() {
-		receipt, isThere := d.receipt[id]
+		reply, isThere := d.reply[id]
 		switch {
-		case isThere && receipt.Outcome == Yes:
+		case isThere && reply.Outcome == Yes:
 			if other, isTaken := d.bases[base]; isTaken && other != id {
 				d.c.Fatalf("%s and %s were both acknowledged on version %d", id, other, base)
 			}
 			d.bases[base] = id
 			d.acked = max(d.acked, version)
 			d.yes++
-		case isThere && receipt.Outcome == No:
+		case isThere && reply.Outcome == No:
 		default:
 			d.try(id, base, version, tries+1)
 		}
@@ -122,13 +122,13 @@
 	if !n.isUp || n.isFrozen || len(n.cut) > 0 {
 		return
 	}
-	span := 300*ms + house.Micros(d.deal.Int64N(int64(3*house.Second)))
+	span := 300*ms + kernel.Micros(d.deal.Int64N(int64(3*kernel.Second)))
 	if n.hasFolder {
 		if d.now < d.calmFrom {
 			return
 		}
 		// A machine counts as lost until some seconds after its return.
-		d.calmFrom = d.now + span + 4*house.Second
+		d.calmFrom = d.now + span + 4*kernel.Second
 	}
 	switch d.deal.IntN(4) {
 	case 0:
@@ -163,9 +163,9 @@
 	if mayLose {
 		d.nodes[d.deal.IntN(4)].wipe()
 	}
-	d.calmFrom = d.now + 6*house.Second
+	d.calmFrom = d.now + 6*kernel.Second
 	for _, n := range d.nodes {
-		d.in(200*ms+house.Micros(d.deal.Int64N(int64(500*ms))), n.boot)
+		d.in(200*ms+kernel.Micros(d.deal.Int64N(int64(500*ms))), n.boot)
 	}
 }
 
@@ -174,20 +174,20 @@
 		c := qt.New(t)
 		d := newDay(c, seed)
 		for range 25 {
-			d.pass(300*ms + house.Micros(d.deal.Int64N(int64(1500*ms))))
+			d.pass(300*ms + kernel.Micros(d.deal.Int64N(int64(1500*ms))))
 			d.trouble()
 		}
 		d.loseAll()
-		d.pass(8 * house.Second)
+		d.pass(8 * kernel.Second)
 		acked := d.acked
 		reader := d.nodes[d.deal.IntN(len(d.nodes))]
 		reader.do(func() []any { return reader.node.Newest(d.now, 77) })
-		d.await("the newest", 3*house.Second, func() bool { return d.reads[77] != nil })
+		d.await("the newest", 3*kernel.Second, func() bool { return d.reads[77] != nil })
 		document := d.reads[77]
-		c.Assert(document.SpecVersion >= acked, qt.IsTrue, qt.Commentf("seed %d: version %d, %d was acknowledged", seed, document.SpecVersion, acked))
-		c.Assert(string(document.Spec), qt.Equals, d.sent[document.SpecVersion])
+		c.Assert(document.ConfigVersion >= acked, qt.IsTrue, qt.Commentf("seed %d: version %d, %d was acknowledged", seed, document.ConfigVersion, acked))
+		c.Assert(string(document.Config), qt.Equals, d.sent[document.ConfigVersion])
 		c.Assert(d.yes >= 10, qt.IsTrue, qt.Commentf("seed %d: only %d orders of %d", seed, d.yes, d.orders))
 		c.Assert(d.founded, qt.HasLen, 1)
-		c.Logf("seed %d: %d of %d orders acknowledged, version %d, generation %d", seed, d.yes, d.orders, document.SpecVersion, document.Generation)
+		c.Logf("seed %d: %d of %d orders acknowledged, version %d, generation %d", seed, d.yes, d.orders, document.ConfigVersion, document.Revision)
 	}
 }
--- a/flyloft/document.go
+++ b/control/document.go
@@ -1,10 +1,10 @@
-// Package flyloft is the control plane: the core that agrees on one document a
-// generation, the licences under which routers serve, the cells that keep a
+// Package control is the control plane: the core that agrees on one document a
+// revision, the leases under which routers serve, the cells that keep a
 // zone's engines and nodes, and the views by which nodes know each other.
 //
 // Every protocol here is an owner without clock or socket: events go in,
 // commands come out. Daemons and the simulator run the same owners.
-package flyloft
+package control
 
 import (
 	"crypto/sha256"
@@ -18,7 +18,7 @@
 // never speak for the member that it once held.
 type MemberID string
 
-// Member is a prompter that may vote.
+// Member is a controller that may vote.
 type Member struct {
 	ID      MemberID `json:"id"`
 	Address string   `json:"address"`
@@ -28,7 +28,7 @@
 // Outcome is how a submission ended.
 type Outcome string
 
-// The outcomes that a receipt can state.
+// The outcomes that a reply can state.
 const (
 	Yes      Outcome = "yes"      // kept by a majority of voters, applied by a majority of routers
 	No       Outcome = "no"       // final: it will never take effect
@@ -37,102 +37,102 @@
 
 // Submission is what the document remembers of an operator's order.
 type Submission struct {
-	ID         string `json:"id"`
-	Digest     string `json:"digest,omitempty"`
-	Generation uint64 `json:"generation"`
-	IsFenced   bool   `json:"fenced,omitempty"`
+	ID       string `json:"id"`
+	Digest   string `json:"digest,omitempty"`
+	Revision uint64 `json:"generation"`
+	IsFenced bool   `json:"fenced,omitempty"`
 }
 
-// Document is the whole agreed state at one generation.
+// Document is the whole agreed state at one revision.
 type Document struct {
 	Founding       string            `json:"founding"` // random, made once, when the fleet was founded
-	Generation     uint64            `json:"generation"`
+	Revision       uint64            `json:"generation"`
 	Term           uint64            `json:"term"`
 	Voters         []Member          `json:"voters"`
 	Register       []string          `json:"register"`
 	PriorRegister  []string          `json:"prior_register"`
-	RegisterSince  uint64            `json:"register_since"` // the generation that last changed the register
+	RegisterSince  uint64            `json:"register_since"` // the revision that last changed the register
 	Homes          map[string]string `json:"homes"`
-	Spec           []byte            `json:"spec"`
-	SpecGeneration uint64            `json:"spec_generation"`
-	SpecVersion    uint64            `json:"spec_version,omitempty"` // the operator's own number of it
-	Evacuated      map[string]uint64 `json:"evacuated"`              // zone to the generation that emptied it
+	Config         []byte            `json:"spec"`
+	ConfigRevision uint64            `json:"spec_generation"`
+	ConfigVersion  uint64            `json:"spec_version,omitempty"` // the operator's own number of it
+	Drained        map[string]uint64 `json:"evacuated"`              // zone to the revision that emptied it
 	Submissions    []Submission      `json:"submissions"`
-	// Chain names the newest specs, oldest first. By it a copy of an older spec
+	// Chain names the newest configurations, oldest first. By it a copy of an older configuration
 	// proves itself, wherever it was kept, and a member knows what it lacks.
-	Chain []SpecMark `json:"chain,omitempty"`
+	Chain []ConfigMark `json:"chain,omitempty"`
 	// Leaving holds the marks of leaving engines. One given by hand is said once, and
 	// one that an engine reported may still be ahead of the platform's list, so both
 	// must outlive the processes that heard them.
 	Leaving map[string]LeavingMark `json:"leaving,omitempty"`
 }
 
-// SpecMark names one spec of the past by its generation and what it held.
-type SpecMark struct {
-	Generation uint64 `json:"generation"`
-	Digest     string `json:"digest"`
+// ConfigMark names one configuration of the past by its revision and what it held.
+type ConfigMark struct {
+	Revision uint64 `json:"generation"`
+	Digest   string `json:"digest"`
 }
 
-// SpecAt names the spec that was in force at a generation, as far back as the
+// ConfigAt names the configuration that was in force at a revision, as far back as the
 // chain goes.
-func (d *Document) SpecAt(generation uint64) (SpecMark, bool) {
-	for i := len(d.Chain) - 1; i >= 0 && generation <= d.Generation; i-- {
-		if d.Chain[i].Generation <= generation {
+func (d *Document) ConfigAt(revision uint64) (ConfigMark, bool) {
+	for i := len(d.Chain) - 1; i >= 0 && revision <= d.Revision; i-- {
+		if d.Chain[i].Revision <= revision {
 			return d.Chain[i], true
 		}
 	}
-	return SpecMark{}, false
+	return ConfigMark{}, false
 }
 
-// MarkOf names a document's spec.
-func MarkOf(d *Document) SpecMark { return SpecMark{d.SpecGeneration, digestOf(d.Spec)} }
+// MarkOf names a document's configuration.
+func MarkOf(d *Document) ConfigMark { return ConfigMark{d.ConfigRevision, digestOf(d.Config)} }
 
-// light leaves the spec out, for a receiver that is taken to hold it. Whether it does
+// light leaves the configuration out, for a receiver that is taken to hold it. Whether it does
 // shows by the digest in the chain: see whole.
 func (d *Document) light() *Document {
 	copied := *d
-	copied.Spec = nil
+	copied.Config = nil
 	return &copied
 }
 
-// lightFor is the document as it goes to one that has applied a committed generation:
-// from the spec's own generation on it holds that spec.
+// lightFor is the document as it goes to one that has applied a committed revision:
+// from the configuration's own revision on it holds that configuration.
 func (d *Document) lightFor(applied uint64) *Document {
-	if d == nil || applied < d.SpecGeneration {
+	if d == nil || applied < d.ConfigRevision {
 		return d
 	}
 	return d.light()
 }
 
-// whole puts back the spec that a sender left out, from a document held here. A receiver
-// goes by the digest alone, never by what the sender took it to hold; without the spec
+// whole puts back the configuration that a sender left out, from a document held here. A receiver
+// goes by the digest alone, never by what the sender took it to hold; without the configuration
 // there is no document, and it can be neither kept nor applied.
 func (d *Document) whole(held ...*Document) *Document {
-	if d == nil || len(d.Chain) == 0 || len(d.Spec) > 0 {
+	if d == nil || len(d.Chain) == 0 || len(d.Config) > 0 {
 		return d
 	}
 	for _, known := range held {
 		if known != nil && len(known.Chain) > 0 && known.Chain[len(known.Chain)-1] == d.Chain[len(d.Chain)-1] {
 			copied := *d
-			copied.Spec = known.Spec
+			copied.Config = known.Config
 			return &copied
 		}
 	}
 	return nil
 }
 
-func (d *Document) putSpec(spec []byte) {
-	d.Spec, d.SpecGeneration = spec, d.Generation
+func (d *Document) putConfig(config []byte) {
+	d.Config, d.ConfigRevision = config, d.Revision
 	d.Chain = append(slices.Clone(d.Chain), MarkOf(d))
-	if surplus := len(d.Chain) - keptSpecs; surplus > 0 {
+	if surplus := len(d.Chain) - keptConfigs; surplus > 0 {
 		d.Chain = d.Chain[surplus:]
 	}
 }
 
 // LeavingMark says up to which start an engine is leaving.
 type LeavingMark struct {
-	Start      uint64 `json:"start"`
-	Generation uint64 `json:"generation"`
+	Start    uint64 `json:"start"`
+	Revision uint64 `json:"generation"`
 }
 
 // keptLeaving bounds the marks; the oldest give way.
@@ -142,11 +142,11 @@
 	if known, isThere := d.Leaving[engine]; isThere && known.Start >= start {
 		return
 	}
-	d.Leaving[engine] = LeavingMark{start, d.Generation}
+	d.Leaving[engine] = LeavingMark{start, d.Revision}
 	for len(d.Leaving) > keptLeaving {
 		oldest := ""
 		for _, name := range slices.Sorted(maps.Keys(d.Leaving)) {
-			if oldest == "" || d.Leaving[name].Generation < d.Leaving[oldest].Generation {
+			if oldest == "" || d.Leaving[name].Revision < d.Leaving[oldest].Revision {
 				oldest = name
 			}
 		}
@@ -160,12 +160,12 @@
 // next copies a document for a change; the copy shares nothing that is changed in place.
 func (d *Document) next(term uint64) *Document {
 	copied := *d
-	copied.Term, copied.Generation = term, d.Generation+1
+	copied.Term, copied.Revision = term, d.Revision+1
 	copied.Voters = slices.Clone(d.Voters)
 	copied.Register = slices.Clone(d.Register)
 	copied.PriorRegister = slices.Clone(d.PriorRegister)
 	copied.Submissions = slices.Clone(d.Submissions)
-	copied.Homes, copied.Evacuated, copied.Leaving = cloneMap(d.Homes), cloneMap(d.Evacuated), cloneMap(d.Leaving)
+	copied.Homes, copied.Drained, copied.Leaving = cloneMap(d.Homes), cloneMap(d.Drained), cloneMap(d.Leaving)
 	return &copied
 }
 
@@ -177,18 +177,18 @@
 	return to
 }
 
-// Stamp orders documents: the term first, then the generation.
-type Stamp struct{ Term, Generation uint64 }
+// Stamp orders documents: the term first, then the revision.
+type Stamp struct{ Term, Revision uint64 }
 
 func (d *Document) stamp() Stamp {
 	if d == nil {
 		return Stamp{}
 	}
-	return Stamp{d.Term, d.Generation}
+	return Stamp{d.Term, d.Revision}
 }
 
 func (s Stamp) before(other Stamp) bool {
-	return s.Term < other.Term || s.Term == other.Term && s.Generation < other.Generation
+	return s.Term < other.Term || s.Term == other.Term && s.Revision < other.Revision
 }
 
 func (d *Document) voter(id MemberID) (Member, bool) {
@@ -232,7 +232,7 @@
 }
 
 // majority of a list of routers satisfied by a test. An empty register has no
-// router that could serve an old generation, so it is satisfied.
+// router that could serve an old revision, so it is satisfied.
 func majority(addresses []string, isMet func(string) bool) bool {
 	count := 0
 	for _, address := range addresses {
--- a/flyloft/fleet_test.go
+++ b/control/fleet_test.go
@@ -1,4 +1,4 @@
-package flyloft
+package control
 
 import (
 	"cmp"
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // fleet plays a number of nodes in virtual time: messages take a while and may be cut,
@@ -19,13 +19,13 @@
 type fleet struct {
 	c       *qt.C
 	random  *rand.Rand
-	now     house.Micros
+	now     kernel.Micros
 	order   int
 	due     []dueEvent
 	nodes   []*fleetNode
 	adapt   func(*NodeSettings)
-	receipt map[string]SubmitReceipt
-	heardAt map[string]house.Micros // of receipts
+	reply   map[string]SubmitReply
+	heardAt map[string]kernel.Micros // of replies
 	answers map[uint64]Registered
 	reads   map[uint64]*Document
 	crossed map[string]int // messages by kind
@@ -35,14 +35,14 @@
 }
 
 type dueEvent struct {
-	at    house.Micros
+	at    kernel.Micros
 	order int
 	run   func()
 }
 
 type fleetNode struct {
 	f         *fleet
-	identity  house.Identity
+	identity  kernel.Identity
 	hasFolder bool
 	isUp      bool
 	isFrozen  bool
@@ -59,7 +59,7 @@
 	bootstrap bool
 }
 
-const ms = house.Millisecond
+const ms = kernel.Millisecond
 
 type diskFull struct{}
 
@@ -67,22 +67,22 @@
 
 // platformLike are the settings of a deployment whose routers outlive the core.
 func platformLike(settings *NodeSettings) {
-	settings.Voters, settings.ServeOn, settings.ReceiptRule = 3, ServeOnAlways, Spread
+	settings.Voters, settings.ServeOn, settings.AckRule = 3, ServeOnAlways, Spread
 	settings.SubmitTry, settings.NoFence, settings.Founding = 900*ms, true, FoundersAnnounce
 	settings.Timing = SparseTiming()
 	settings.Timing.BeatGone = 4200 * ms
-	settings.VersionOf = func(spec []byte) (uint64, error) {
+	settings.VersionOf = func(config []byte) (uint64, error) {
 		var read struct {
 			Ver uint64 `json:"ver"`
 		}
-		err := json.Unmarshal(spec, &read)
+		err := json.Unmarshal(config, &read)
 		return read.Ver, err
 	}
-	settings.ChangeSpec = func(current, change []byte) ([]byte, error) {
+	settings.ChangeConfig = func(current, change []byte) ([]byte, error) {
 		return []byte(strings.Replace(string(change), "+", string(current)+" ", 1)), nil
 	}
-	settings.CheckSpec = func(spec []byte) error {
-		if strings.Contains(string(spec), "bad") {
+	settings.CheckConfig = func(config []byte) error {
+		if strings.Contains(string(config), "bad") {
 			return faultOf("it is bad")
 		}
 		return nil
@@ -92,14 +92,14 @@
 // newFleet lays out nodes: zones in turn, the first ones with a folder unless seeds say else.
 func newFleet(c *qt.C, seed uint64, zones, nodes int, hasFolder func(int) bool) *fleet {
 	f := &fleet{
-		c: c, random: rand.New(rand.NewPCG(seed, 7)), now: 100 * house.Second, adapt: platformLike, receipt: map[string]SubmitReceipt{},
-		heardAt: map[string]house.Micros{}, answers: map[uint64]Registered{}, reads: map[uint64]*Document{}, crossed: map[string]int{}, start: 1000,
+		c: c, random: rand.New(rand.NewPCG(seed, 7)), now: 100 * kernel.Second, adapt: platformLike, reply: map[string]SubmitReply{},
+		heardAt: map[string]kernel.Micros{}, answers: map[uint64]Registered{}, reads: map[uint64]*Document{}, crossed: map[string]int{}, start: 1000,
 		founded: map[string]bool{},
 	}
 	for i := range nodes {
 		f.nodes = append(f.nodes, &fleetNode{
 			f: f, hasFolder: hasFolder(i), bootstrap: true, cut: map[string]bool{},
-			identity: house.Identity{Fleet: "f", Address: fmt.Sprintf("10.0.0.%02d:1", i+1), Public: fmt.Sprintf("10.0.0.%02d:2", i+1), Zone: fmt.Sprintf("z%d", i%zones+1)},
+			identity: kernel.Identity{Fleet: "f", Address: fmt.Sprintf("10.0.0.%02d:1", i+1), Public: fmt.Sprintf("10.0.0.%02d:2", i+1), Zone: fmt.Sprintf("z%d", i%zones+1)},
 		})
 	}
 	return f
@@ -113,12 +113,12 @@
 	return found
 }
 
-func (f *fleet) in(span house.Micros, run func()) {
+func (f *fleet) in(span kernel.Micros, run func()) {
 	f.order++
 	f.due = append(f.due, dueEvent{f.now + span, f.order, run})
 }
 
-func (f *fleet) pass(span house.Micros) {
+func (f *fleet) pass(span kernel.Micros) {
 	for end := f.now + span; ; {
 		slices.SortFunc(f.due, func(a, b dueEvent) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order)) })
 		if len(f.due) == 0 || f.due[0].at > end {
@@ -133,7 +133,7 @@
 }
 
 // await passes time until something holds, and says how long that took.
-func (f *fleet) await(what string, most house.Micros, isMet func() bool) house.Micros {
+func (f *fleet) await(what string, most kernel.Micros, isMet func() bool) kernel.Micros {
 	f.c.Helper()
 	for begun := f.now; ; f.pass(10 * ms) {
 		if isMet() {
@@ -146,9 +146,9 @@
 }
 
 // bootAll starts every node within a span.
-func (f *fleet) bootAll(span house.Micros) {
+func (f *fleet) bootAll(span kernel.Micros) {
 	for _, n := range f.nodes {
-		f.in(house.Micros(f.random.Int64N(int64(span)+1)), n.boot)
+		f.in(kernel.Micros(f.random.Int64N(int64(span)+1)), n.boot)
 	}
 }
 
@@ -158,8 +158,8 @@
 	n.epoch++
 	n.isUp, n.isFrozen, n.held = true, false, nil
 	settings := NodeSettings{
-		Identity: n.identity, IsRouter: true, IsPrompter: n.hasFolder, HasFolder: n.hasFolder,
-		Seeds: f.seeds(), Start: f.start, RandomSeed: f.random.Uint64(), Timing: DefaultTiming(), Journal: house.NewJournal(256), Bootstrap: n.bootstrap,
+		Identity: n.identity, IsRouter: true, IsController: n.hasFolder, HasFolder: n.hasFolder,
+		Seeds: f.seeds(), Start: f.start, RandomSeed: f.random.Uint64(), Timing: DefaultTiming(), Journal: kernel.NewJournal(256), Bootstrap: n.bootstrap,
 	}
 	if n.hasFolder {
 		if n.member == "" {
@@ -192,7 +192,7 @@
 	n.carry(event())
 }
 
-func (n *fleetNode) freeze(span house.Micros) {
+func (n *fleetNode) freeze(span kernel.Micros) {
 	n.isFrozen = true
 	epoch := n.epoch
 	n.f.in(span, func() {
@@ -241,7 +241,7 @@
 			if to == nil || n.cut[to.identity.Address] || to.cut[n.identity.Address] {
 				continue
 			}
-			f.in(ms+house.Micros(f.random.Int64N(int64(4*ms))), func() {
+			f.in(ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
 				if !to.isUp {
 					return
 				}
@@ -250,13 +250,13 @@
 				to.do(func() []any { return to.node.Deliver(f.now, envelope) })
 			})
 		case Save:
-			f.in(2*ms+house.Micros(f.random.Int64N(int64(4*ms))), func() {
+			f.in(2*ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
 				if n.epoch != epoch {
 					return
 				}
 				if n.isFull {
 					n.do(func() []any {
-						return n.node.Saved(f.now, command.Token, house.DiskBreakdown{Step: "write", Name: "it", Cause: diskFull{}})
+						return n.node.Saved(f.now, command.Token, kernel.DiskError{Step: "write", Name: "it", Cause: diskFull{}})
 					})
 					return
 				}
@@ -272,21 +272,21 @@
 		case SaveSnapshot:
 			content, err := json.Marshal(command.Snapshot)
 			f.c.Assert(err, qt.IsNil)
-			f.in(2*ms+house.Micros(f.random.Int64N(int64(4*ms))), func() {
+			f.in(2*ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
 				switch {
 				case n.epoch != epoch:
 				case n.isFull:
 					n.do(func() []any {
-						return n.node.SnapshotSaved(f.now, house.DiskBreakdown{Step: "write", Name: "it", Cause: diskFull{}})
+						return n.node.SnapshotSaved(f.now, kernel.DiskError{Step: "write", Name: "it", Cause: diskFull{}})
 					})
 				default:
 					n.snapshot = content
 					n.do(func() []any { return n.node.SnapshotSaved(f.now, nil) })
 				}
 			})
-		case Receipt:
-			f.receipt[command.SubmitReceipt.ID] = command.SubmitReceipt
-			f.heardAt[command.SubmitReceipt.ID] = f.now
+		case Reply:
+			f.reply[command.SubmitReply.ID] = command.SubmitReply
+			f.heardAt[command.SubmitReply.ID] = f.now
 		case Registered:
 			f.answers[command.Token] = command
 		case Newest:
@@ -307,7 +307,7 @@
 }
 
 // settled waits until a leader leads, every living node is registered and every zone has a home.
-func (f *fleet) settled(most house.Micros) house.Micros {
+func (f *fleet) settled(most kernel.Micros) kernel.Micros {
 	f.c.Helper()
 	return f.await("settled", most, func() bool {
 		lead := f.leader()
@@ -317,7 +317,7 @@
 		document := lead.node.core.committed
 		for _, n := range f.nodes {
 			if n.isUp && (!slices.Contains(document.Register, n.identity.Address) || document.Homes[n.identity.Zone] == "" ||
-				n.node.licence.Generation() != document.Generation) {
+				n.node.lease.Revision() != document.Revision) {
 				return false
 			}
 		}
@@ -326,7 +326,7 @@
 }
 
 // votersAre waits until just these nodes vote.
-func (f *fleet) votersAre(most house.Micros, nodes ...*fleetNode) house.Micros {
+func (f *fleet) votersAre(most kernel.Micros, nodes ...*fleetNode) kernel.Micros {
 	f.c.Helper()
 	wanted := []string{}
 	for _, n := range nodes {
@@ -349,29 +349,29 @@
 
 func version(of uint64) *uint64 { return &of }
 
-func specOf(ver uint64, more string) []byte {
+func configOf(ver uint64, more string) []byte {
 	return fmt.Appendf(nil, `{"ver":%d,"more":%q}`, ver, more)
 }
 
-func (n *fleetNode) submit(id string, base uint64, spec []byte) {
-	delete(n.f.receipt, id)
+func (n *fleetNode) submit(id string, base uint64, config []byte) {
+	delete(n.f.reply, id)
 	n.do(func() []any {
-		return n.node.Submit(n.f.now, &Submit{ID: id, Order: PutSpec, Spec: spec, BaseVersion: version(base)})
+		return n.node.Submit(n.f.now, &Submit{ID: id, Order: PutConfig, Config: config, BaseVersion: version(base)})
 	})
 }
 
-// acknowledge hands a spec in at nodes in turn, as an operator does, until there is a yes.
-func (f *fleet) acknowledge(id string, base uint64, spec []byte, most house.Micros, at ...*fleetNode) house.Micros {
+// acknowledge hands a configuration in at nodes in turn, as an operator does, until there is a yes.
+func (f *fleet) acknowledge(id string, base uint64, config []byte, most kernel.Micros, at ...*fleetNode) kernel.Micros {
 	f.c.Helper()
 	begun := f.now
 	for turn := 0; f.now-begun < most; turn++ {
-		at[turn%len(at)].submit(id, base, spec)
-		f.await("a receipt", house.Second, func() bool { _, isThere := f.receipt[id]; return isThere })
-		switch receipt := f.receipt[id]; receipt.Outcome {
+		at[turn%len(at)].submit(id, base, config)
+		f.await("a receipt", kernel.Second, func() bool { _, isThere := f.reply[id]; return isThere })
+		switch reply := f.reply[id]; reply.Outcome {
 		case Yes:
 			return f.now - begun
 		case No:
-			f.c.Fatalf("%s: %+v", id, receipt)
+			f.c.Fatalf("%s: %+v", id, reply)
 		}
 		f.pass(100 * ms)
 	}
@@ -409,11 +409,11 @@
 		c := qt.New(t)
 		// The three seeds have no folder; four others have.
 		f := newFleet(c, seed, 4, 12, func(i int) bool { return i >= 4 && i < 8 })
-		f.bootAll(house.Second)
-		took := f.settled(6 * house.Second)
+		f.bootAll(kernel.Second)
+		took := f.settled(6 * kernel.Second)
 		c.Logf("seed %d: settled after %d ms", seed, took/ms)
 		c.Assert(f.founded, qt.HasLen, 1)
-		f.votersAre(3*house.Second, f.nodes[4:8]...)
+		f.votersAre(3*kernel.Second, f.nodes[4:8]...)
 		c.Assert(f.nodes[0].node.core, qt.IsNil)
 	}
 }
@@ -424,16 +424,16 @@
 		f := newFleet(c, seed, 3, 9, func(i int) bool { return i >= 3 && i < 7 })
 		f.bootAll(200 * ms)
 		// At any moment of the founding, the decider forgets, and half of the founders can't be reached for a while.
-		f.pass(400*ms + house.Micros(f.random.Int64N(int64(800*ms))))
+		f.pass(400*ms + kernel.Micros(f.random.Int64N(int64(800*ms))))
 		f.nodes[0].kill()
 		for _, n := range f.nodes[3:5] {
 			f.nodes[0].cut[n.identity.Address] = true
 		}
 		f.pass(50 * ms)
 		f.nodes[0].boot()
-		f.pass(3 * house.Second)
+		f.pass(3 * kernel.Second)
 		f.nodes[0].cut = map[string]bool{}
-		f.pass(3 * house.Second)
+		f.pass(3 * kernel.Second)
 		c.Assert(len(f.founded) <= 1, qt.IsTrue, qt.Commentf("seed %d: %v", seed, f.founded))
 	}
 }
@@ -444,8 +444,8 @@
 	for _, n := range f.nodes {
 		n.bootstrap = false
 	}
-	f.bootAll(house.Second)
-	f.pass(10 * house.Second)
+	f.bootAll(kernel.Second)
+	f.pass(10 * kernel.Second)
 	c.Assert(f.founded, qt.HasLen, 0)
 }
 
@@ -454,9 +454,9 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 4, 8, firstHaveFolders(4))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
-		f.votersAre(3*house.Second, f.nodes[:4]...)
-		f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[5])
+		f.settled(6 * kernel.Second)
+		f.votersAre(3*kernel.Second, f.nodes[:4]...)
+		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[5])
 		for turn := range 4 {
 			lost := f.nodes[turn]
 			lost.wipe()
@@ -465,9 +465,9 @@
 			took := f.votersAre(3500*ms, f.nodes[:4]...)
 			c.Logf("seed %d: swapped after %d ms", seed, took/ms)
 			// No two at once, but one every four seconds.
-			f.pass(4*house.Second - took)
+			f.pass(4*kernel.Second - took)
 		}
-		f.acknowledge("two", 1, specOf(2, "b"), 4*house.Second, f.nodes[6])
+		f.acknowledge("two", 1, configOf(2, "b"), 4*kernel.Second, f.nodes[6])
 	}
 }
 
@@ -476,16 +476,16 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 4, 8, firstHaveFolders(4))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
-		f.votersAre(3*house.Second, f.nodes[:4]...)
-		f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[4])
+		f.settled(6 * kernel.Second)
+		f.votersAre(3*kernel.Second, f.nodes[:4]...)
+		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[4])
 		f.nodes[1].wipe()
 		f.pass(300 * ms)
 		f.nodes[1].boot()
-		f.pass(4 * house.Second)
+		f.pass(4 * kernel.Second)
 		f.nodes[2].kill()
 		f.pass(ms)
-		f.acknowledge("two", 1, specOf(2, "b"), 4*house.Second, f.nodes[4], f.nodes[5])
+		f.acknowledge("two", 1, configOf(2, "b"), 4*kernel.Second, f.nodes[4], f.nodes[5])
 		// All that is left loses power; what was acknowledged is still there.
 		f.pass(200 * ms)
 		for _, n := range f.nodes {
@@ -498,9 +498,9 @@
 			n.bootstrap = false
 		}
 		f.bootAll(500 * ms)
-		f.await("the acknowledged version at all", 6*house.Second, func() bool {
+		f.await("the acknowledged version at all", 6*kernel.Second, func() bool {
 			for _, n := range f.nodes {
-				if document := n.inForce(); document == nil || document.SpecVersion != 2 {
+				if document := n.inForce(); document == nil || document.ConfigVersion != 2 {
 					return false
 				}
 			}
@@ -514,7 +514,7 @@
 	if !n.isUp || n.node == nil {
 		return nil
 	}
-	return n.node.licence.applied
+	return n.node.lease.applied
 }
 
 func TestALostVoterIsReplacedByAStandbyElsewhere(t *testing.T) {
@@ -523,16 +523,16 @@
 	f.nodes[8].identity.Zone = "z1"
 	f.nodes[8].hasFolder = false
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
-	f.votersAre(3*house.Second, f.nodes[:3]...)
+	f.settled(6 * kernel.Second)
+	f.votersAre(3*kernel.Second, f.nodes[:3]...)
 	f.nodes[0].kill()
-	f.pass(house.Second)
+	f.pass(kernel.Second)
 	// An empty machine at a new address.
 	fresh := f.nodes[8]
 	fresh.kill()
 	fresh.hasFolder, fresh.bootstrap = true, false
 	fresh.boot()
-	took := f.votersAre(4*house.Second, f.nodes[1], f.nodes[2], fresh)
+	took := f.votersAre(4*kernel.Second, f.nodes[1], f.nodes[2], fresh)
 	c.Logf("replaced %d ms after its start", took/ms)
 }
 
@@ -562,14 +562,14 @@
 }
 
 func TestALeaderThatDiesRightAfterItsYesLeavesNobodyBehind(t *testing.T) {
-	worst := house.Micros(0)
+	worst := kernel.Micros(0)
 	for seed := range uint64(8) {
 		c := qt.New(t)
 		f := newFleet(c, seed, 3, 12, firstHaveFolders(4))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
-		f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[9])
-		f.pass(house.Second)
+		f.settled(6 * kernel.Second)
+		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[9])
+		f.pass(kernel.Second)
 		lead := f.leader()
 		// One zone's home is gone as well, and nobody knows it yet.
 		for _, n := range f.nodes {
@@ -582,12 +582,12 @@
 		if !at.isUp {
 			at = f.nodes[10]
 		}
-		f.acknowledge("two", 1, specOf(2, "b"), 4*house.Second, at)
+		f.acknowledge("two", 1, configOf(2, "b"), 4*kernel.Second, at)
 		yes := f.heardAt["two"]
 		lead.kill()
 		f.await("all have it", 1500*ms, func() bool {
 			for _, n := range f.nodes {
-				if n.isUp && n.node.licence.applied.SpecVersion != 2 {
+				if n.isUp && n.node.lease.applied.ConfigVersion != 2 {
 					return false
 				}
 			}
@@ -602,13 +602,13 @@
 	c := qt.New(t)
 	f := newFleet(c, 5, 3, 12, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
-	f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[9])
+	f.settled(6 * kernel.Second)
+	f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[9])
 	// More than half of the register, at once.
 	for _, n := range f.nodes[4:] {
 		n.kill()
 	}
-	took := f.acknowledge("two", 1, specOf(2, "b"), 2*house.Second, f.nodes[3])
+	took := f.acknowledge("two", 1, configOf(2, "b"), 2*kernel.Second, f.nodes[3])
 	c.Assert(took < 900*ms, qt.IsTrue, qt.Commentf("%d us", took))
 	c.Assert(f.nodes[3].state().Until, qt.Equals, ServeOnAlways)
 }
@@ -618,17 +618,17 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 3, 6, firstHaveFolders(3))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
-		f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[3])
-		f.nodes[4].submit("left", 1, specOf(5, "left"))
-		f.nodes[5].submit("right", 1, specOf(7, "right"))
-		f.await("both receipts", 2*house.Second, func() bool { return len(f.receipt) == 3 })
-		outcomes := []string{string(f.receipt["left"].Outcome), string(f.receipt["right"].Outcome)}
+		f.settled(6 * kernel.Second)
+		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[3])
+		f.nodes[4].submit("left", 1, configOf(5, "left"))
+		f.nodes[5].submit("right", 1, configOf(7, "right"))
+		f.await("both receipts", 2*kernel.Second, func() bool { return len(f.reply) == 3 })
+		outcomes := []string{string(f.reply["left"].Outcome), string(f.reply["right"].Outcome)}
 		slices.Sort(outcomes)
 		c.Assert(outcomes, qt.DeepEquals, []string{"no", "yes"})
-		for id, receipt := range f.receipt {
-			if receipt.Outcome == No {
-				c.Assert(receipt.Reason, qt.Equals, "clash", qt.Commentf(id))
+		for id, reply := range f.reply {
+			if reply.Outcome == No {
+				c.Assert(reply.Reason, qt.Equals, "clash", qt.Commentf(id))
 			}
 		}
 	}
@@ -638,26 +638,26 @@
 	c := qt.New(t)
 	f := newFleet(c, 2, 3, 6, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
-	f.acknowledge("one", 0, specOf(4, "a"), 4*house.Second, f.nodes[3])
+	f.settled(6 * kernel.Second)
+	f.acknowledge("one", 0, configOf(4, "a"), 4*kernel.Second, f.nodes[3])
 	reason := func(id string, submit Submit) string {
 		submit.ID = id
-		delete(f.receipt, id)
+		delete(f.reply, id)
 		f.nodes[4].do(func() []any { return f.nodes[4].node.Submit(f.now, &submit) })
-		f.await(id, 2*house.Second, func() bool { _, isThere := f.receipt[id]; return isThere })
-		return string(f.receipt[id].Outcome) + " " + f.receipt[id].Reason
+		f.await(id, 2*kernel.Second, func() bool { _, isThere := f.reply[id]; return isThere })
+		return string(f.reply[id].Outcome) + " " + f.reply[id].Reason
 	}
-	c.Assert(reason("clash", Submit{Order: PutSpec, Spec: specOf(9, "x"), BaseVersion: version(3)}), qt.Equals, "no clash")
-	c.Assert(reason("old", Submit{Order: PutSpec, Spec: specOf(4, "x"), BaseVersion: version(4)}), qt.Equals, "no old_version")
-	c.Assert(reason("bad", Submit{Order: PutSpec, Spec: specOf(9, "bad"), BaseVersion: version(4)}), qt.Equals, "no invalid_spec")
-	c.Assert(reason("torn", Submit{Order: PutSpec, Spec: []byte("{"), BaseVersion: version(4)}), qt.Equals, "no invalid_spec")
+	c.Assert(reason("clash", Submit{Order: PutConfig, Config: configOf(9, "x"), BaseVersion: version(3)}), qt.Equals, "no clash")
+	c.Assert(reason("old", Submit{Order: PutConfig, Config: configOf(4, "x"), BaseVersion: version(4)}), qt.Equals, "no old_version")
+	c.Assert(reason("bad", Submit{Order: PutConfig, Config: configOf(9, "bad"), BaseVersion: version(4)}), qt.Equals, "no invalid_spec")
+	c.Assert(reason("torn", Submit{Order: PutConfig, Config: []byte("{"), BaseVersion: version(4)}), qt.Equals, "no invalid_spec")
 	change := []byte(`{"ver":6,"more":"changed"}`)
-	c.Assert(reason("change", Submit{Order: ChangeSpec, Spec: change, BaseVersion: version(4)}), qt.Equals, "yes ")
-	c.Assert(f.leader().state().Document.SpecVersion, qt.Equals, uint64(6))
+	c.Assert(reason("change", Submit{Order: ChangeConfig, Config: change, BaseVersion: version(4)}), qt.Equals, "yes ")
+	c.Assert(f.leader().state().Document.ConfigVersion, qt.Equals, uint64(6))
 	// Sent again it is a yes, also after a newer one; with another base it is another order.
-	f.acknowledge("three", 6, specOf(8, "c"), 2*house.Second, f.nodes[5])
-	c.Assert(reason("change", Submit{Order: ChangeSpec, Spec: change, BaseVersion: version(4)}), qt.Equals, "yes ")
-	c.Assert(reason("change", Submit{Order: ChangeSpec, Spec: change, BaseVersion: version(8)}), qt.Equals, "no id_reused")
+	f.acknowledge("three", 6, configOf(8, "c"), 2*kernel.Second, f.nodes[5])
+	c.Assert(reason("change", Submit{Order: ChangeConfig, Config: change, BaseVersion: version(4)}), qt.Equals, "yes ")
+	c.Assert(reason("change", Submit{Order: ChangeConfig, Config: change, BaseVersion: version(8)}), qt.Equals, "no id_reused")
 }
 
 func TestAnOrderSentAgainAtAnotherNodeIsAYes(t *testing.T) {
@@ -665,20 +665,20 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 3, 8, firstHaveFolders(4))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
-		f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[6])
-		f.nodes[6].submit("two", 1, specOf(2, "b"))
-		f.pass(house.Micros(f.random.Int64N(int64(60 * ms))))
+		f.settled(6 * kernel.Second)
+		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[6])
+		f.nodes[6].submit("two", 1, configOf(2, "b"))
+		f.pass(kernel.Micros(f.random.Int64N(int64(60 * ms))))
 		// The one that took it dies; the leader may as well, with the order in flight.
 		f.nodes[6].kill()
 		if seed%2 == 0 {
 			f.leader().kill()
 		}
-		f.acknowledge("two", 1, specOf(2, "b"), 4*house.Second, f.nodes[7], f.nodes[5])
-		c.Assert(f.nodes[7].state().Document.SpecVersion, qt.Equals, uint64(2))
-		f.acknowledge("three", 2, specOf(3, "c"), 4*house.Second, f.nodes[5])
-		f.acknowledge("two", 1, specOf(2, "b"), 4*house.Second, f.nodes[7])
-		c.Assert(f.nodes[5].state().Document.SpecVersion, qt.Equals, uint64(3))
+		f.acknowledge("two", 1, configOf(2, "b"), 4*kernel.Second, f.nodes[7], f.nodes[5])
+		c.Assert(f.nodes[7].state().Document.ConfigVersion, qt.Equals, uint64(2))
+		f.acknowledge("three", 2, configOf(3, "c"), 4*kernel.Second, f.nodes[5])
+		f.acknowledge("two", 1, configOf(2, "b"), 4*kernel.Second, f.nodes[7])
+		c.Assert(f.nodes[5].state().Document.ConfigVersion, qt.Equals, uint64(3))
 	}
 }
 
@@ -686,16 +686,16 @@
 	c := qt.New(t)
 	f := newFleet(c, 4, 3, 6, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
-	f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[3])
-	f.nodes[1].freeze(3 * house.Second)
-	f.nodes[2].freeze(3 * house.Second)
-	f.nodes[3].submit("two", 1, specOf(2, "b"))
-	took := f.await("a receipt", house.Second, func() bool { _, isThere := f.receipt["two"]; return isThere })
-	c.Assert(f.receipt["two"].Outcome, qt.Equals, Unproved)
+	f.settled(6 * kernel.Second)
+	f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[3])
+	f.nodes[1].freeze(3 * kernel.Second)
+	f.nodes[2].freeze(3 * kernel.Second)
+	f.nodes[3].submit("two", 1, configOf(2, "b"))
+	took := f.await("a receipt", kernel.Second, func() bool { _, isThere := f.reply["two"]; return isThere })
+	c.Assert(f.reply["two"].Outcome, qt.Equals, Unproved)
 	c.Assert(took < 950*ms, qt.IsTrue, qt.Commentf("%d us", took))
-	f.pass(3 * house.Second)
-	f.acknowledge("two", 1, specOf(2, "b"), 4*house.Second, f.nodes[4], f.nodes[5])
+	f.pass(3 * kernel.Second)
+	f.acknowledge("two", 1, configOf(2, "b"), 4*kernel.Second, f.nodes[4], f.nodes[5])
 }
 
 func TestNewestIsNoOlderThanWhatWasAcknowledged(t *testing.T) {
@@ -703,8 +703,8 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 3, 8, firstHaveFolders(4))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
-		f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[6])
+		f.settled(6 * kernel.Second)
+		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[6])
 		old := f.leader()
 		// The leader is cut off from the core and does not know it; node 7 hears nobody else.
 		for _, n := range f.nodes {
@@ -714,16 +714,16 @@
 			}
 		}
 		f.nodes[7].do(func() []any { return f.nodes[7].node.Newest(f.now, 1) })
-		f.pass(4 * house.Second)
+		f.pass(4 * kernel.Second)
 		c.Assert(f.reads[1], qt.IsNil)
-		f.acknowledge("two", 1, specOf(2, "b"), 4*house.Second, f.nodes[6], f.nodes[5])
+		f.acknowledge("two", 1, configOf(2, "b"), 4*kernel.Second, f.nodes[6], f.nodes[5])
 		// Healed, the old read hears of the new version too, and so does a new one.
 		old.cut, f.nodes[7].cut = map[string]bool{}, map[string]bool{}
 		f.nodes[7].do(func() []any { return f.nodes[7].node.Newest(f.now, 2) })
-		f.await("the newest", 3*house.Second, func() bool { return f.reads[1] != nil && f.reads[2] != nil })
-		c.Assert(f.reads[1].SpecVersion, qt.Equals, uint64(2))
-		c.Assert(f.reads[2].SpecVersion, qt.Equals, uint64(2))
-		c.Assert(string(f.reads[2].Spec), qt.Equals, string(specOf(2, "b")))
+		f.await("the newest", 3*kernel.Second, func() bool { return f.reads[1] != nil && f.reads[2] != nil })
+		c.Assert(f.reads[1].ConfigVersion, qt.Equals, uint64(2))
+		c.Assert(f.reads[2].ConfigVersion, qt.Equals, uint64(2))
+		c.Assert(string(f.reads[2].Config), qt.Equals, string(configOf(2, "b")))
 	}
 }
 
@@ -731,7 +731,7 @@
 	c := qt.New(t)
 	f := newFleet(c, 6, 3, 9, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
+	f.settled(6 * kernel.Second)
 	f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
 	f.pass(300 * ms)
 	c.Assert(f.allKnow("e", func(e EngineRecord) bool { return e.Address == "10.9.0.1:80" && e.Slots == 4 }), qt.IsTrue)
@@ -745,14 +745,14 @@
 	late.Address = "10.9.0.7:80"
 	f.register(f.nodes[7], 3, late)
 	f.register(f.nodes[0], 4, late)
-	f.pass(house.Second)
+	f.pass(kernel.Second)
 	c.Assert(f.allKnow("e", func(e EngineRecord) bool { return e.IsLeaving && e.Address == "10.9.0.1:80" }), qt.IsTrue)
 	// Gone, without a number or an address; then late once more.
 	f.register(f.nodes[8], 5, EngineRecord{ID: "e", IsUnlisted: true})
 	f.await("the answer", 900*ms, func() bool { return f.answers[5].Token == 5 })
 	c.Assert(f.answers[5].Err, qt.IsNil)
 	f.register(f.nodes[6], 6, engineAt("e", "z1", 6))
-	f.pass(house.Second)
+	f.pass(kernel.Second)
 	c.Assert(f.allKnow("e", func(e EngineRecord) bool { return e.IsUnlisted }), qt.IsTrue)
 }
 
@@ -761,9 +761,9 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 3, 12, firstHaveFolders(4))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
+		f.settled(6 * kernel.Second)
 		f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
-		f.pass(house.Second)
+		f.pass(kernel.Second)
 		leaving := engineAt("e", "z1", 2)
 		leaving.IsLeaving = true
 		begun := f.now
@@ -780,9 +780,9 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 3, 12, firstHaveFolders(4))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
+		f.settled(6 * kernel.Second)
 		f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
-		f.pass(house.Second)
+		f.pass(kernel.Second)
 		homes := f.leader().state().Document.Homes
 		f.byAddress(homes["z2"]).kill()
 		taker := f.nodes[11]
@@ -792,7 +792,7 @@
 		f.await("the answer", 900*ms, func() bool { return f.answers[2].Token == 2 })
 		c.Assert(f.answers[2].Err, qt.IsNil)
 		taker.kill()
-		f.pass(house.Second)
+		f.pass(kernel.Second)
 		c.Assert(f.allKnow("e", func(e EngineRecord) bool { return e.IsLeaving }), qt.IsTrue, qt.Commentf("seed %d", seed))
 	}
 }
@@ -804,9 +804,9 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 4, 9, firstHaveFolders(4))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
+		f.settled(6 * kernel.Second)
 		f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
-		f.pass(house.Second)
+		f.pass(kernel.Second)
 		leader := f.leader()
 		var home *fleetNode
 		for _, zone := range []string{"z1", "z2", "z3", "z4"} {
@@ -826,18 +826,18 @@
 		f.register(f.leader(), 2, leaving)
 		f.await("the answer", 900*ms, func() bool { return f.answers[2].Token == 2 })
 		c.Assert(f.answers[2].Err, qt.IsNil)
-		f.pass(house.Second)
+		f.pass(kernel.Second)
 		for _, n := range f.nodes {
 			if n != home {
 				c.Assert(n.engine("e").IsLeaving, qt.IsTrue, qt.Commentf("seed %d, %s", seed, n.identity.Address))
 			}
 		}
 		// What the operator is told binds them as well.
-		f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.leader())
-		f.pass(house.Second)
+		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.leader())
+		f.pass(kernel.Second)
 		for _, n := range f.nodes {
 			if n != home {
-				c.Assert(n.inForce().SpecVersion, qt.Equals, uint64(1), qt.Commentf("seed %d, %s", seed, n.identity.Address))
+				c.Assert(n.inForce().ConfigVersion, qt.Equals, uint64(1), qt.Commentf("seed %d, %s", seed, n.identity.Address))
 			}
 		}
 	}
@@ -857,10 +857,10 @@
 	c := qt.New(t)
 	f := newFleet(c, 8, 3, 9, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
+	f.settled(6 * kernel.Second)
 	f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
-	f.pass(house.Second)
-	for token, passed := range []house.Micros{0, 10 * house.Second} {
+	f.pass(kernel.Second)
+	for token, passed := range []kernel.Micros{0, 10 * kernel.Second} {
 		alone := f.nodes[8]
 		for _, n := range f.nodes[:8] {
 			alone.cut[n.identity.Address] = true
@@ -878,13 +878,13 @@
 	c := qt.New(t)
 	f := newFleet(c, 9, 3, 9, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
+	f.settled(6 * kernel.Second)
 	// Until a home is known to live nobody is sent there.
-	f.pass(2 * house.Second)
+	f.pass(2 * kernel.Second)
 	f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
 	home := f.byAddress(f.leader().state().Document.Homes["z1"])
 	c.Assert(f.answers[1].BeatTo, qt.Equals, home.identity.Public)
-	f.pass(2 * house.Second)
+	f.pass(2 * kernel.Second)
 	quiet := func(at *fleetNode) map[string]int {
 		f.crossed = map[string]int{}
 		for seq := range uint64(8) {
@@ -908,7 +908,7 @@
 	c := qt.New(t)
 	f := newFleet(c, 10, 3, 9, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
+	f.settled(6 * kernel.Second)
 	seq := uint64(0)
 	beat := func(at *fleetNode) {
 		seq++
@@ -921,10 +921,10 @@
 	}
 	isDark := func(e EngineRecord) bool { return e.IsDark }
 	c.Assert(f.allKnow("e", isDark), qt.IsFalse)
-	took := f.await("dark", 4*house.Second, func() bool { return f.allKnow("e", isDark) })
+	took := f.await("dark", 4*kernel.Second, func() bool { return f.allKnow("e", isDark) })
 	c.Logf("dark at all %d ms after its last beat", (took+1200*ms)/ms)
 	beat(f.nodes[7])
-	f.await("back", house.Second, func() bool { return f.allKnow("e", func(e EngineRecord) bool { return e.isBeating() }) })
+	f.await("back", kernel.Second, func() bool { return f.allKnow("e", func(e EngineRecord) bool { return e.isBeating() }) })
 	// A home that was frozen heard nothing by its own fault; so did one that has just begun.
 	for range 4 {
 		beat(home)
@@ -932,7 +932,7 @@
 	}
 	home.freeze(1400 * ms)
 	f.pass(1400 * ms)
-	f.pass(3 * house.Second)
+	f.pass(3 * kernel.Second)
 	c.Assert(f.allKnow("e", func(e EngineRecord) bool { return !e.IsDark }), qt.IsTrue)
 	beat(home)
 	f.pass(1200 * ms)
@@ -953,9 +953,9 @@
 	c := qt.New(t)
 	f := newFleet(c, 11, 3, 9, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
+	f.settled(6 * kernel.Second)
 	f.register(f.nodes[4], 1, engineAt("old", "z1", 7))
-	f.pass(house.Second)
+	f.pass(kernel.Second)
 	moved := engineAt("new", "z2", 1)
 	moved.Pool = "q"
 	f.register(f.nodes[5], 2, moved)
@@ -976,8 +976,8 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 3, 9, firstHaveFolders(3))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
-		f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[6])
+		f.settled(6 * kernel.Second)
+		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[6])
 		for _, n := range f.nodes {
 			n.kill()
 			n.bootstrap = false
@@ -988,7 +988,7 @@
 		f.register(f.nodes[4], 1, engineAt("e", "z1", 20))
 		f.pass(1200 * ms)
 		f.register(f.nodes[8], 2, engineAt("e", "z1", 21))
-		f.await("known", 2*house.Second, func() bool { return f.allKnow("e", func(e EngineRecord) bool { return e.isBeating() }) })
+		f.await("known", 2*kernel.Second, func() bool { return f.allKnow("e", func(e EngineRecord) bool { return e.isBeating() }) })
 	}
 }
 
@@ -996,14 +996,14 @@
 	c := qt.New(t)
 	f := newFleet(c, 12, 3, 9, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
-	f.pass(3 * house.Second)
+	f.settled(6 * kernel.Second)
+	f.pass(3 * kernel.Second)
 	for _, n := range f.nodes {
 		c.Assert(n.state().Serving, qt.Equals, 9)
 	}
 	f.nodes[7].kill()
 	f.nodes[8].kill()
-	f.pass(6 * house.Second)
+	f.pass(6 * kernel.Second)
 	for _, n := range f.nodes[:7] {
 		c.Assert(n.state().Serving, qt.Equals, 7)
 	}
@@ -1013,12 +1013,12 @@
 	c := qt.New(t)
 	f := newFleet(c, 13, 3, 9, firstHaveFolders(3))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
+	f.settled(6 * kernel.Second)
 	for _, n := range f.nodes[:3] {
 		n.kill()
 	}
 	f.crossed = map[string]int{}
-	f.pass(20 * house.Second)
+	f.pass(20 * kernel.Second)
 	c.Assert(f.crossed["Attest"], qt.Equals, 0)
 	for _, n := range f.nodes[3:] {
 		c.Assert(n.state().Until, qt.Equals, ServeOnAlways)
@@ -1026,13 +1026,13 @@
 	}
 }
 
-func TestAFiniteServeOnReachesBeyondTheLicence(t *testing.T) {
+func TestAFiniteServeOnReachesBeyondTheLease(t *testing.T) {
 	c := qt.New(t)
-	l := NewLicence("r", true, DefaultTiming(), func(string, string, string) {})
-	l.serveOn = 5 * house.Second
-	seq := l.NewAsk(house.Second)
-	l.TakeGrant(house.Second+100, &Grant{Seq: seq, Generation: 1, Document: document(1, 1)})
-	c.Assert(l.Until(), qt.Equals, 6*house.Second)
+	l := NewLease("r", true, DefaultTiming(), func(string, string, string) {})
+	l.serveOn = 5 * kernel.Second
+	seq := l.NewAsk(kernel.Second)
+	l.TakeGrant(kernel.Second+100, &Grant{Seq: seq, Revision: 1, Document: document(1, 1)})
+	c.Assert(l.Until(), qt.Equals, 6*kernel.Second)
 	c.Assert(l.Apply(document(2, 1)), qt.IsFalse)
 }
 
@@ -1043,11 +1043,11 @@
 		c := qt.New(t)
 		f := newFleet(c, seed, 3, 9, firstHaveFolders(3))
 		f.bootAll(500 * ms)
-		f.settled(6 * house.Second)
+		f.settled(6 * kernel.Second)
 		areAllKnown := func() bool {
 			return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool { return len(n.node.State(nil).Nodes) < len(f.nodes) })
 		}
-		f.await("all nodes known", 20*house.Second, areAllKnown)
+		f.await("all nodes known", 20*kernel.Second, areAllKnown)
 		for _, inside := range f.nodes {
 			for _, outside := range f.nodes {
 				if inside.identity.Zone == "z3" && outside.identity.Zone != "z3" {
--- a/flyloft/founding.go
+++ b/control/founding.go
@@ -1,23 +1,23 @@
-package flyloft
+package control
 
 import (
 	"fmt"
 	"maps"
 	"slices"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // Spans of a founding.
 const (
-	announceEvery = 100 * house.Millisecond
-	announceFresh = house.Second
-	announceQuiet = 400 * house.Millisecond // since the last newcomer
+	announceEvery = 100 * kernel.Millisecond
+	announceFresh = kernel.Second
+	announceQuiet = 400 * kernel.Millisecond // since the last newcomer
 )
 
 type announced struct {
 	member Member
-	at     house.Micros
+	at     kernel.Micros
 }
 
 // founder is a node's part in founding a fleet whose seeds may have no folder. Members
@@ -29,10 +29,10 @@
 	// standsBy is the founding promised to, or seen in any message: there is no other.
 	standsBy string
 
-	alarm house.Micros
+	timer kernel.Micros
 	// At the decider.
 	members map[MemberID]announced
-	grownAt house.Micros
+	grownAt kernel.Micros
 	own     string // the founding it asks for
 	agreed  map[string]bool
 	first   *Document
@@ -82,12 +82,12 @@
 		f.members[member.ID] = announced{member, n.now}
 	case m.FoundAsk != nil:
 		f.stand(m.FoundAsk.Founding)
-		n.send(from, Message{FoundReceipt: &FoundReceipt{f.standsBy}})
-	case m.FoundReceipt != nil:
+		n.send(from, Message{FoundReply: &FoundReply{f.standsBy}})
+	case m.FoundReply != nil:
 		if f.own == "" {
 			return
 		}
-		if m.FoundReceipt.Founding == f.own {
+		if m.FoundReply.Founding == f.own {
 			f.agreed[from] = true
 		} else if !f.isNoted {
 			f.isNoted = true
@@ -126,10 +126,10 @@
 	f := n.founder
 	// Once a document is in force nothing is left to do; until then the founders may not
 	// have heard.
-	if f == nil || !n.settings.Bootstrap || n.licence.applied != nil || n.now < f.alarm {
+	if f == nil || !n.settings.Bootstrap || n.lease.applied != nil || n.now < f.timer {
 		return
 	}
-	f.alarm = n.now + announceEvery
+	f.timer = n.now + announceEvery
 	if n.isEmptyMember() {
 		n.send(f.decider, Message{Announce: &Announce{n.core.settings.Self}})
 	}
@@ -169,8 +169,8 @@
 		least = voterCount
 	}
 	f.first = &Document{
-		Founding: f.own, Generation: 1, Term: 1, Voters: chooseVoters(fresh, wantedVoters(least, fresh)),
-		Homes: map[string]string{}, Evacuated: map[string]uint64{},
+		Founding: f.own, Revision: 1, Term: 1, Voters: chooseVoters(fresh, wantedVoters(least, fresh)),
+		Homes: map[string]string{}, Drained: map[string]uint64{},
 	}
 	n.note("core", "name founders", fmt.Sprintf("%v of %d announced", f.first.voterAddresses(), len(fresh)))
 	n.sendFounding()
@@ -179,7 +179,7 @@
 // sendFounding brings the one first document to its members until it is in force.
 func (n *Node) sendFounding() {
 	first := n.founder.first
-	if _, isIn := first.voter(n.settings.Member); isIn && n.core != nil && n.core.synced.Generation == 0 {
+	if _, isIn := first.voter(n.settings.Member); isIn && n.core != nil && n.core.synced.Revision == 0 {
 		// The own folder first: it remembers over a restart what was named.
 		n.send(n.self(), Message{Found: &Found{first}})
 		return
--- a/flyloft/hello.go
+++ b/control/hello.go
@@ -1,55 +1,55 @@
-package flyloft
+package control
 
 import (
 	"fmt"
 	"slices"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // Hello is what a node that has just started says to whoever may know the fleet. Any node
 // with a document in force answers with a Grant that brings it and the engines; no leader
-// is needed for that, since it takes no licence from it.
+// is needed for that, since it takes no lease from it.
 type Hello struct {
-	Held   uint64     `json:"held,omitempty"` // the generation it holds
+	Held   uint64     `json:"held,omitempty"` // the revision it holds
 	IsKeen bool       `json:"keen,omitempty"` // it wants the document, however large
 	Node   NodeRecord `json:"node"`
 }
 
 const (
-	helloEvery  = 100 * house.Millisecond
-	helloSpan   = 2 * house.Second // for which one that has a document goes on, if nobody answers
-	helloOthers = 6                // asked besides the seeds, in turn
-	helloAgain  = 250 * house.Millisecond
-	// A spec up to this size is sent by everyone who is asked, a larger one only to who
+	helloEvery  = 100 * kernel.Millisecond
+	helloSpan   = 2 * kernel.Second // for which one that has a document goes on, if nobody answers
+	helloOthers = 6                 // asked besides the seeds, in turn
+	helloAgain  = 250 * kernel.Millisecond
+	// A configuration up to this size is sent by everyone who is asked, a larger one only to who
 	// asks this node alone for it.
-	helloSpec = 64 << 10
+	helloConfig = 64 << 10
 )
 
 // greeting is a node's part in being told by whoever knows.
 type greeting struct {
-	until    house.Micros
-	alarm    house.Micros
+	until    kernel.Micros
+	timer    kernel.Micros
 	isOver   bool
 	turn     int
-	keenOn   string       // it has a document that was too large to send to all
-	keenFrom house.Micros // the next time at which one may be asked for such
-	answered map[string]house.Micros
+	keenOn   string        // it has a document that was too large to send to all
+	keenFrom kernel.Micros // the next time at which one may be asked for such
+	answered map[string]kernel.Micros
 }
 
 func (n *Node) tickHello() {
 	g := &n.greeting
-	if g.isOver || n.now < g.alarm {
+	if g.isOver || n.now < g.timer {
 		return
 	}
-	hasDocument := n.licence.Held() > 0
+	hasDocument := n.lease.Held() > 0
 	if hasDocument && n.now >= g.until {
 		g.isOver = true
 		return
 	}
-	g.alarm = n.now + helloEvery
+	g.timer = n.now + helloEvery
 	targets := slices.Clone(n.settings.Seeds)
-	others := append(n.licence.applied.voterAddresses(), n.otherHints...)
+	others := append(n.lease.applied.voterAddresses(), n.otherHints...)
 	others = append(others, n.views.Neighbours()...)
 	for range min(helloOthers, len(others)) {
 		g.turn++
@@ -64,29 +64,29 @@
 	record := n.record().aged(n.now)
 	for _, target := range slices.Compact(targets) {
 		if target != n.self() {
-			n.send(target, Message{Hello: &Hello{Held: n.licence.Held(), IsKeen: target == keenOn, Node: record}})
+			n.send(target, Message{Hello: &Hello{Held: n.lease.Held(), IsKeen: target == keenOn, Node: record}})
 		}
 	}
 }
 
 func (n *Node) onHello(from string, m *Hello) {
 	n.cell.TakeNode(n.now, m.Node.placed(n.now), m.Node.Zone == n.settings.Identity.Zone)
-	if n.licence.applied == nil || n.settings.ServeOn < ServeOnAlways {
+	if n.lease.applied == nil || n.settings.ServeOn < ServeOnAlways {
 		return
 	}
 	// It asks again before the answer can be there; a large one need not go twice for that.
-	key := fmt.Sprint(from, "/", m.Node.Start, m.IsKeen, "/", n.licence.Generation())
+	key := fmt.Sprint(from, "/", m.Node.Start, m.IsKeen, "/", n.lease.Revision())
 	if at, isAnswered := n.greeting.answered[key]; isAnswered && n.now-at < helloAgain {
 		return
 	}
 	n.greeting.answered[key] = n.now
-	grant := &Grant{Generation: n.licence.Generation(), News: n.cell.NewsSince(n.now, "", 0, false)}
-	if n.now-n.leaderWord < house.Second {
+	grant := &Grant{Revision: n.lease.Revision(), News: n.cell.NewsSince(n.now, "", 0, false)}
+	if n.now-n.leaderWord < kernel.Second {
 		grant.Leader = n.leaderHint
 	}
-	if m.Held < n.licence.Generation() {
-		light := n.licence.applied.lightFor(m.Held)
-		if m.IsKeen || len(light.Spec) <= helloSpec {
+	if m.Held < n.lease.Revision() {
+		light := n.lease.applied.lightFor(m.Held)
+		if m.IsKeen || len(light.Config) <= helloConfig {
 			grant.Document = light
 		}
 	}
@@ -99,14 +99,14 @@
 	if g.isOver {
 		return
 	}
-	if m.Generation > n.licence.Held() {
-		// It was too large to send unasked, or its spec is not held here after all.
+	if m.Revision > n.lease.Held() {
+		// It was too large to send unasked, or its configuration is not held here after all.
 		if m.Document == nil && g.keenOn == "" && n.now >= g.keenFrom {
-			g.keenOn, g.alarm = from, n.now
+			g.keenOn, g.timer = from, n.now
 		}
 		return
 	}
 	// Two that have just started may tell each other what both had before; one that is in
 	// touch with a leader knows what there is.
-	g.isOver = n.licence.Held() > 0 && m.Leader != ""
+	g.isOver = n.lease.Held() > 0 && m.Leader != ""
 }
--- a/flyloft/licence.go
+++ b/control/lease.go
@@ -1,81 +1,81 @@
-package flyloft
+package control
 
 import (
 	"fmt"
 	"slices"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
-// Licence lets this node's router serve. It is counted from the moment the ask
+// Lease lets this node's router serve. It is counted from the moment the ask
 // was sent, so no clock but the own one matters and a slow network only makes
 // it shorter.
-type Licence struct {
+type Lease struct {
 	self     string
 	isRouter bool
 	timing   Timing
 	note     func(subject, decision, why string)
 
 	applied *Document
-	// wanted is the newest committed document whose spec is still being compiled. It is
+	// wanted is the newest committed document whose configuration is still being compiled. It is
 	// held, but neither applied nor attested nor served under.
 	wanted *Document
-	// isPrepared tells whether a document's spec is compiled, and sees to it if not; nil: all are.
+	// isPrepared tells whether a document's configuration is compiled, and sees to it if not; nil: all are.
 	isPrepared func(*Document) bool
 	// serveOn is how long a word of the core lasts beyond the strict span; see NodeSettings.
-	serveOn house.Micros
-	until   house.Micros
+	serveOn kernel.Micros
+	until   kernel.Micros
 	// isProven: the leader itself has granted since this process started. A
 	// restarted router has forgotten what it once applied; until the leader has
-	// spoken to it, its word must not count towards others' licences, nor theirs
+	// spoken to it, its word must not count towards others' leases, nor theirs
 	// towards its own: it may have served under what none of them ever had.
 	isProven bool
 
 	seq         uint64
-	askedAt     map[uint64]house.Micros
-	grantedAsk  house.Micros // when the newest granted ask was sent
+	askedAt     map[uint64]kernel.Micros
+	grantedAsk  kernel.Micros // when the newest granted ask was sent
 	attestSeq   uint64
-	attestAlarm house.Micros
+	attestTimer kernel.Micros
 	attested    map[string]uint64
 	isDark      bool
 	// Documents can be large, and every other router may hold a newer one: it is asked of
 	// one of them, and of another only after a while.
 	newerAt  string
-	keenFrom house.Micros // the next time at which one may be asked
+	keenFrom kernel.Micros // the next time at which one may be asked
 }
 
-// NewLicence makes a licence that has lapsed.
-func NewLicence(self string, isRouter bool, timing Timing, note func(subject, decision, why string)) *Licence {
-	return &Licence{self: self, isRouter: isRouter, timing: timing, note: note, askedAt: map[uint64]house.Micros{}}
+// NewLease makes a lease that has lapsed.
+func NewLease(self string, isRouter bool, timing Timing, note func(subject, decision, why string)) *Lease {
+	return &Lease{self: self, isRouter: isRouter, timing: timing, note: note, askedAt: map[uint64]kernel.Micros{}}
 }
 
 // Applied is the document in force here, or nil.
-func (l *Licence) Applied() *Document { return l.applied }
+func (l *Lease) Applied() *Document { return l.applied }
 
-// Generation of the document in force here.
-func (l *Licence) Generation() uint64 {
+// Revision of the document in force here.
+func (l *Lease) Revision() uint64 {
 	if l.applied == nil {
 		return 0
 	}
-	return l.applied.Generation
+	return l.applied.Revision
 }
 
-// Held is the generation of the newest document held here, applied or not yet.
-func (l *Licence) Held() uint64 {
+// Held is the revision of the newest document held here, applied or not yet.
+func (l *Lease) Held() uint64 {
 	if l.wanted != nil {
-		return l.wanted.Generation
+		return l.wanted.Revision
 	}
-	return l.Generation()
+	return l.Revision()
 }
 
 // Until is the moment up to which the router may serve.
-func (l *Licence) Until() house.Micros { return l.until }
+func (l *Lease) Until() kernel.Micros { return l.until }
 
 // Apply takes a committed document; older ones are passed over, and so are those whose
-// spec was left out and is not held here: the next ask says so and brings it.
-func (l *Licence) Apply(document *Document) bool {
+// configuration was left out and is not held here: the next ask says so and brings it.
+func (l *Lease) Apply(document *Document) bool {
 	document = document.whole(l.applied, l.wanted)
-	if document == nil || document.Generation <= l.Generation() || l.wanted != nil && document.Generation < l.wanted.Generation {
+	if document == nil || document.Revision <= l.Revision() || l.wanted != nil && document.Revision < l.wanted.Revision {
 		return false
 	}
 	if l.isPrepared != nil && !l.isPrepared(document) {
@@ -90,11 +90,11 @@
 }
 
 // NewAsk opens an ask; its number ties the grant to the moment of sending.
-func (l *Licence) NewAsk(now house.Micros) uint64 {
+func (l *Lease) NewAsk(now kernel.Micros) uint64 {
 	l.seq++
 	l.askedAt[l.seq] = now
 	for seq, at := range l.askedAt {
-		if now-at > l.timing.Licence {
+		if now-at > l.timing.Lease {
 			delete(l.askedAt, seq)
 		}
 	}
@@ -102,11 +102,11 @@
 }
 
 // TakeGrant takes the leader's grant; true when the document here changed.
-func (l *Licence) TakeGrant(now house.Micros, grant *Grant) bool {
+func (l *Lease) TakeGrant(now kernel.Micros, grant *Grant) bool {
 	isNews := l.Apply(grant.Document)
 	askedAt, isMine := l.askedAt[grant.Seq]
-	// The grant stands for its generation: with an older document it gives nothing.
-	if !isMine || l.Generation() < grant.Generation {
+	// The grant stands for its revision: with an older document it gives nothing.
+	if !isMine || l.Revision() < grant.Revision {
 		return isNews
 	}
 	delete(l.askedAt, grant.Seq)
@@ -120,28 +120,28 @@
 	return isNews
 }
 
-func (l *Licence) extend(askedAt house.Micros) {
+func (l *Lease) extend(askedAt kernel.Micros) {
 	if l.serveOn < ServeOnAlways {
-		l.until = max(l.until, askedAt+max(l.timing.Licence, l.serveOn))
+		l.until = max(l.until, askedAt+max(l.timing.Lease, l.serveOn))
 	}
 }
 
 // Attest answers another router's question.
-func (l *Licence) Attest(m *Attest) *AttestReceipt {
-	receipt := &AttestReceipt{Seq: m.Seq, Generation: l.Generation(), IsProven: l.isProven && l.isRouter}
-	if m.IsKeen && l.Generation() > m.Applied {
-		receipt.Document = l.applied.lightFor(m.Applied)
+func (l *Lease) Attest(m *Attest) *AttestReply {
+	reply := &AttestReply{Seq: m.Seq, Revision: l.Revision(), IsProven: l.isProven && l.isRouter}
+	if m.IsKeen && l.Revision() > m.Applied {
+		reply.Document = l.applied.lightFor(m.Applied)
 	}
-	return receipt
+	return reply
 }
 
 // TickDark asks the registered routers when the core has been silent too long; keen is
 // the one to ask for its newer document, if any.
-func (l *Licence) TickDark(now house.Micros) (to []string, ask *Attest, keen string) {
-	if l.serveOn >= ServeOnAlways || !l.isRouter || !l.isProven || now < l.attestAlarm || now-l.grantedAsk < 7*house.Second/10 {
+func (l *Lease) TickDark(now kernel.Micros) (to []string, ask *Attest, keen string) {
+	if l.serveOn >= ServeOnAlways || !l.isRouter || !l.isProven || now < l.attestTimer || now-l.grantedAsk < 7*kernel.Second/10 {
 		return nil, nil, ""
 	}
-	l.attestAlarm = now + 300*house.Millisecond
+	l.attestTimer = now + 300*kernel.Millisecond
 	if !l.isDark {
 		l.note("licence", "core dark", "no grant for 700 ms; asking the registered routers")
 		l.isDark = true
@@ -157,48 +157,48 @@
 	if keen, l.newerAt = l.newerAt, ""; keen != "" {
 		l.keenFrom = now + keenPause
 	}
-	return to, &Attest{Seq: l.attestSeq, Applied: l.Generation()}, keen
+	return to, &Attest{Seq: l.attestSeq, Applied: l.Revision()}, keen
 }
 
 // keenPause leaves a document of megabytes the time to arrive.
-const keenPause = house.Second / 2
+const keenPause = kernel.Second / 2
 
 // TakeAttest counts a router's word; true when the document here changed.
-func (l *Licence) TakeAttest(now house.Micros, from string, m *AttestReceipt) bool {
+func (l *Lease) TakeAttest(now kernel.Micros, from string, m *AttestReply) bool {
 	isNews := l.Apply(m.Document)
-	if m.Generation > l.Held() && now >= l.keenFrom && l.newerAt == "" {
-		// Asked for at once: without it there is no licence to be had.
-		l.newerAt, l.attestAlarm = from, 0
+	if m.Revision > l.Held() && now >= l.keenFrom && l.newerAt == "" {
+		// Asked for at once: without it there is no lease to be had.
+		l.newerAt, l.attestTimer = from, 0
 	}
 	if m.Seq != l.attestSeq || l.attested == nil {
 		return isNews
 	}
 	if isNews {
-		// Words given on the older generation say nothing on this one; ask anew.
-		l.attestAlarm = 0
+		// Words given on the older revision say nothing on this one; ask anew.
+		l.attestTimer = 0
 	}
 	if m.IsProven {
-		l.attested[from] = m.Generation
+		l.attested[from] = m.Revision
 	}
 	l.judge()
 	return isNews
 }
 
-func (l *Licence) judge() {
+func (l *Lease) judge() {
 	askedAt, isMine := l.askedAt[l.attestSeq]
 	if !l.isProven || !isMine || len(l.applied.Register) == 0 {
 		return
 	}
 	count := 0
 	for _, address := range l.applied.Register {
-		generation, hasSpoken := l.attested[address]
+		revision, hasSpoken := l.attested[address]
 		if address == l.self {
-			generation, hasSpoken = l.Generation(), l.isProven
+			revision, hasSpoken = l.Revision(), l.isProven
 		}
 		if !hasSpoken {
 			continue
 		}
-		if generation > l.Generation() {
+		if revision > l.Revision() {
 			return
 		}
 		count++
@@ -208,8 +208,8 @@
 	}
 }
 
-// Why explains a lapsed licence.
-func (l *Licence) Why(now house.Micros) string {
+// Why explains a lapsed lease.
+func (l *Lease) Why(now kernel.Micros) string {
 	switch {
 	case l.applied == nil:
 		return "no document has reached this router yet"
@@ -217,7 +217,7 @@
 		return "the leader has not granted since this router started; it may have forgotten a newer generation"
 	case now >= l.until:
 		return fmt.Sprintf("the licence lapsed %d us ago: neither the core nor a majority of the %d registered routers vouched for generation %d",
-			now-l.until, len(l.applied.Register), l.Generation())
+			now-l.until, len(l.applied.Register), l.Revision())
 	}
 	return ""
 }
@@ -227,8 +227,8 @@
 	self   Neighbour
 	view   []Neighbour
 	seeds  []string
-	alarm  house.Micros
-	every  house.Micros
+	timer  kernel.Micros
+	every  kernel.Micros
 	sentTo string
 	sent   []Neighbour
 	pick   func(int) int
@@ -240,7 +240,7 @@
 )
 
 // NewViews starts from the seeds.
-func NewViews(self Neighbour, seeds []string, every house.Micros, pick func(int) int) *Views {
+func NewViews(self Neighbour, seeds []string, every kernel.Micros, pick func(int) int) *Views {
 	return &Views{self: self, seeds: seeds, every: every, pick: pick}
 }
 
@@ -267,11 +267,11 @@
 }
 
 // Tick gives the neighbour to shuffle with, when it is time.
-func (v *Views) Tick(now house.Micros) (to string, shuffle *Shuffle) {
-	if now < v.alarm {
+func (v *Views) Tick(now kernel.Micros) (to string, shuffle *Shuffle) {
+	if now < v.timer {
 		return "", nil
 	}
-	v.alarm = now + v.every
+	v.timer = now + v.every
 	if len(v.view) == 0 {
 		seeds := slices.DeleteFunc(slices.Clone(v.seeds), func(seed string) bool { return seed == v.self.Address })
 		if len(seeds) == 0 {
@@ -287,7 +287,7 @@
 			oldest = i
 		}
 	}
-	// The oldest leaves the view: if it lives it comes back with its receipt.
+	// The oldest leaves the view: if it lives it comes back with its reply.
 	v.sentTo = v.view[oldest].Address
 	v.view = slices.Delete(v.view, oldest, oldest+1)
 	v.sent = v.sample(shuffleSize - 1)
@@ -307,16 +307,16 @@
 
 // Take merges a neighbour's part; it gives the own part when one is owed.
 func (v *Views) Take(from string, m *Shuffle) *Shuffle {
-	var receipt *Shuffle
+	var reply *Shuffle
 	given := v.sent
 	if !m.IsReply {
 		given = v.sample(shuffleSize)
-		receipt = &Shuffle{View: given, IsReply: true}
+		reply = &Shuffle{View: given, IsReply: true}
 	} else if from == v.sentTo {
 		v.merge([]Neighbour{{Address: from}}, nil)
 	}
 	v.merge(m.View, given)
-	return receipt
+	return reply
 }
 
 func (v *Views) merge(brought, given []Neighbour) {
--- a/flyloft/messages.go
+++ b/control/messages.go
@@ -1,10 +1,10 @@
-package flyloft
+package control
 
 import (
 	"fmt"
 	"reflect"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // Envelope is one message between two nodes. Messages may be lost, doubled,
@@ -19,41 +19,41 @@
 
 // Message holds exactly one of its fields.
 type Message struct {
-	VoteAsk       *VoteAsk       `json:"vote_ask,omitempty"`
-	Vote          *Vote          `json:"vote,omitempty"`
-	Pulse         *Pulse         `json:"pulse,omitempty"`
-	PulseReceipt  *PulseReceipt  `json:"pulse_receipt,omitempty"`
-	Inherit       *Inherit       `json:"inherit,omitempty"`
-	Join          *Join          `json:"join,omitempty"`
-	Muster        *Muster        `json:"muster,omitempty"`
-	MusterReceipt *MusterReceipt `json:"muster_receipt,omitempty"`
-	Submit        *Submit        `json:"submit,omitempty"`
-	SubmitReceipt *SubmitReceipt `json:"submit_receipt,omitempty"`
-	AskBatch      *AskBatch      `json:"ask_batch,omitempty"`
-	GrantBatch    *GrantBatch    `json:"grant_batch,omitempty"`
-	Succeed       *Succeed       `json:"succeed,omitempty"`
-	Elsewhere     *Elsewhere     `json:"elsewhere,omitempty"`
-	Ask           *Ask           `json:"ask,omitempty"`
-	Grant         *Grant         `json:"grant,omitempty"`
-	Nudge         *Nudge         `json:"nudge,omitempty"`
-	Attest        *Attest        `json:"attest,omitempty"`
-	AttestReceipt *AttestReceipt `json:"attest_receipt,omitempty"`
-	News          *News          `json:"news,omitempty"`
-	Heard         *Heard         `json:"heard,omitempty"`
-	Mend          *Mend          `json:"mend,omitempty"`
-	Shuffle       *Shuffle       `json:"shuffle,omitempty"`
-	Recall        *Recall        `json:"recall,omitempty"`
-	Recalled      *Recalled      `json:"recalled,omitempty"`
-	Suspect       *Suspect       `json:"suspect,omitempty"`
-	ReadAsk       *ReadAsk       `json:"read_ask,omitempty"`
-	ReadReceipt   *ReadReceipt   `json:"read_receipt,omitempty"`
-	Announce      *Announce      `json:"announce,omitempty"`
-	FoundAsk      *FoundAsk      `json:"found_ask,omitempty"`
-	FoundReceipt  *FoundReceipt  `json:"found_receipt,omitempty"`
-	Found         *Found         `json:"found,omitempty"`
-	Push          *Push          `json:"push,omitempty"`
-	PushReceipt   *PushReceipt   `json:"push_receipt,omitempty"`
-	Hello         *Hello         `json:"hello,omitempty"`
+	VoteAsk        *VoteAsk        `json:"vote_ask,omitempty"`
+	Vote           *Vote           `json:"vote,omitempty"`
+	Heartbeat      *Heartbeat      `json:"pulse,omitempty"`
+	HeartbeatReply *HeartbeatReply `json:"pulse_receipt,omitempty"`
+	Inherit        *Inherit        `json:"inherit,omitempty"`
+	Join           *Join           `json:"join,omitempty"`
+	Muster         *Muster         `json:"muster,omitempty"`
+	MusterReply    *MusterReply    `json:"muster_receipt,omitempty"`
+	Submit         *Submit         `json:"submit,omitempty"`
+	SubmitReply    *SubmitReply    `json:"submit_receipt,omitempty"`
+	AskBatch       *AskBatch       `json:"ask_batch,omitempty"`
+	GrantBatch     *GrantBatch     `json:"grant_batch,omitempty"`
+	Succeed        *Succeed        `json:"succeed,omitempty"`
+	Elsewhere      *Elsewhere      `json:"elsewhere,omitempty"`
+	Ask            *Ask            `json:"ask,omitempty"`
+	Grant          *Grant          `json:"grant,omitempty"`
+	Nudge          *Nudge          `json:"nudge,omitempty"`
+	Attest         *Attest         `json:"attest,omitempty"`
+	AttestReply    *AttestReply    `json:"attest_receipt,omitempty"`
+	News           *News           `json:"news,omitempty"`
+	Heard          *Heard          `json:"heard,omitempty"`
+	Mend           *Mend           `json:"mend,omitempty"`
+	Shuffle        *Shuffle        `json:"shuffle,omitempty"`
+	Recall         *Recall         `json:"recall,omitempty"`
+	Recalled       *Recalled       `json:"recalled,omitempty"`
+	Suspect        *Suspect        `json:"suspect,omitempty"`
+	ReadAsk        *ReadAsk        `json:"read_ask,omitempty"`
+	ReadReply      *ReadReply      `json:"read_receipt,omitempty"`
+	Announce       *Announce       `json:"announce,omitempty"`
+	FoundAsk       *FoundAsk       `json:"found_ask,omitempty"`
+	FoundReply     *FoundReply     `json:"found_receipt,omitempty"`
+	Found          *Found          `json:"found,omitempty"`
+	Push           *Push           `json:"push,omitempty"`
+	PushReply      *PushReply      `json:"push_receipt,omitempty"`
+	Hello          *Hello          `json:"hello,omitempty"`
 }
 
 // Kind names the one field that is set.
@@ -70,11 +70,11 @@
 // ReadAsk asks the leader for the newest committed document.
 type ReadAsk struct {
 	Token uint64 `json:"token"`
-	Held  uint64 `json:"held"` // the newest committed generation the asker holds
+	Held  uint64 `json:"held"` // the newest committed revision the asker holds
 }
 
-// ReadReceipt brings it, without its spec where the asker holds that.
-type ReadReceipt struct {
+// ReadReply brings it, without its configuration where the asker holds that.
+type ReadReply struct {
 	Token    uint64    `json:"token"`
 	Document *Document `json:"document"`
 }
@@ -89,8 +89,8 @@
 	Founding string `json:"founding"`
 }
 
-// FoundReceipt names the founding that a seed stands by, or belongs to.
-type FoundReceipt struct {
+// FoundReply names the founding that a seed stands by, or belongs to.
+type FoundReply struct {
 	Founding string `json:"founding"`
 }
 
@@ -99,15 +99,15 @@
 	Document *Document `json:"document"`
 }
 
-// Push brings engine records that can't wait. A token asks for a PushReceipt.
+// Push brings engine records that can't wait. A token asks for a PushReply.
 type Push struct {
 	Token    uint64         `json:"token,omitempty"`
 	IsOnward bool           `json:"onward,omitempty"` // the receiver carries it into its zone
 	Engines  []EngineRecord `json:"engines"`
 }
 
-// PushReceipt confirms a Push.
-type PushReceipt struct {
+// PushReply confirms a Push.
+type PushReply struct {
 	Token   uint64 `json:"token"`
 	Zone    string `json:"zone"`
 	IsWhole bool   `json:"whole"` // every living node of the zone has confirmed as well
@@ -120,9 +120,9 @@
 	Start  uint64 `json:"start"`
 }
 
-// Recall asks another member for a spec of the past that this one lacks.
+// Recall asks another member for a configuration of the past that this one lacks.
 type Recall struct {
-	Mark SpecMark `json:"mark"`
+	Mark ConfigMark `json:"mark"`
 }
 
 // Recalled brings it.
@@ -149,8 +149,8 @@
 	Voter     MemberID `json:"voter"`
 }
 
-// Pulse is the leader's regular word to voters and standbys.
-type Pulse struct {
+// Heartbeat is the leader's regular word to voters and standbys.
+type Heartbeat struct {
 	Term      uint64    `json:"term"`
 	Leader    Member    `json:"leader"`
 	Target    MemberID  `json:"target"`
@@ -159,16 +159,16 @@
 	Document  *Document `json:"document,omitempty"`
 }
 
-// PulseReceipt tells the leader what its receiver has synced.
-type PulseReceipt struct {
+// HeartbeatReply tells the leader what its receiver has synced.
+type HeartbeatReply struct {
 	Term      uint64 `json:"term"`
 	Round     uint64 `json:"round"`
 	Member    Member `json:"member"`
 	Synced    Stamp  `json:"synced"`
 	IsLeaving bool   `json:"leaving,omitempty"`
 	IsAiling  bool   `json:"ailing,omitempty"`  // the disk stalls or is full
-	IsPartial bool   `json:"partial,omitempty"` // specs of the past are still missing
-	IsBare    bool   `json:"bare,omitempty"`    // the document came without its spec, and that is not held here
+	IsPartial bool   `json:"partial,omitempty"` // configurations of the past are still missing
+	IsBare    bool   `json:"bare,omitempty"`    // the document came without its configuration, and that is not held here
 }
 
 // Inherit names the receiver as the successor in the lead.
@@ -177,7 +177,7 @@
 	Target MemberID `json:"target"`
 }
 
-// Join makes a prompter known to the leader as a standby.
+// Join makes a controller known to the leader as a standby.
 type Join struct {
 	Member    Member `json:"member"`
 	Synced    Stamp  `json:"synced"`
@@ -187,8 +187,8 @@
 // Muster asks a founder whether it is empty.
 type Muster struct{}
 
-// MusterReceipt is a founder's word to the one that would found the fleet.
-type MusterReceipt struct {
+// MusterReply is a founder's word to the one that would found the fleet.
+type MusterReply struct {
 	Member    Member `json:"member"`
 	IsEmpty   bool   `json:"empty"`
 	HasFolder bool   `json:"folder"`
@@ -199,23 +199,23 @@
 
 // The orders an operator can give.
 const (
-	PutSpec    Order = "spec"
-	EmptyZone  Order = "empty"
-	RefillZone Order = "refill"
-	Forget     Order = "forget" // strike a router off the register: the operator vouches that it is dead
-	Fence      Order = "fence"  // make a submission id final
-	MarkEngine Order = "mark"   // keep the mark of a leaving engine
-	ChangeSpec Order = "change" // Spec holds a change of named items of the spec in force
+	PutConfig    Order = "spec"
+	EmptyZone    Order = "empty"
+	RefillZone   Order = "refill"
+	Forget       Order = "forget" // strike a router off the register: the operator vouches that it is dead
+	Fence        Order = "fence"  // make a submission id final
+	MarkEngine   Order = "mark"   // keep the mark of a leaving engine
+	ChangeConfig Order = "change" // Configuration holds a change of named items of the configuration in force
 )
 
 // Submit carries an operator's order to the leader.
 type Submit struct {
-	ID    string  `json:"id"`
-	Order Order   `json:"order"`
-	Spec  []byte  `json:"spec,omitempty"`
-	Zone  string  `json:"zone,omitempty"`
-	Base  *uint64 `json:"base,omitempty"`
-	// BaseVersion is the operator's version that a spec or a change builds on.
+	ID     string  `json:"id"`
+	Order  Order   `json:"order"`
+	Config []byte  `json:"spec,omitempty"`
+	Zone   string  `json:"zone,omitempty"`
+	Base   *uint64 `json:"base,omitempty"`
+	// BaseVersion is the operator's version that a configuration or a change builds on.
 	BaseVersion *uint64 `json:"base_version,omitempty"`
 	// Of a mark.
 	Engine string `json:"engine,omitempty"`
@@ -223,7 +223,7 @@
 }
 
 func (s *Submit) digest() string {
-	parts := [][]byte{[]byte(s.Order), s.Spec, []byte(s.Zone), []byte(s.Engine), fmt.Append(nil, s.Start)}
+	parts := [][]byte{[]byte(s.Order), s.Config, []byte(s.Zone), []byte(s.Engine), fmt.Append(nil, s.Start)}
 	// Only where it is set: orders without it keep the digests that documents remember.
 	if s.BaseVersion != nil {
 		parts = append(parts, fmt.Append(nil, "on version ", *s.BaseVersion))
@@ -231,16 +231,16 @@
 	return digestOf(parts...)
 }
 
-// SubmitReceipt is the leader's word on a submission.
-type SubmitReceipt struct {
-	ID         string  `json:"id"`
-	Outcome    Outcome `json:"outcome"`
-	Generation uint64  `json:"generation,omitempty"`
-	Reason     string  `json:"reason,omitempty"`
-	Detail     string  `json:"detail,omitempty"`
+// SubmitReply is the leader's word on a submission.
+type SubmitReply struct {
+	ID       string  `json:"id"`
+	Outcome  Outcome `json:"outcome"`
+	Revision uint64  `json:"generation,omitempty"`
+	Reason   string  `json:"reason,omitempty"`
+	Detail   string  `json:"detail,omitempty"`
 }
 
-// RouterAsk is one node's ask for a licence, as it goes to the leader.
+// RouterAsk is one node's ask for a lease, as it goes to the leader.
 type RouterAsk struct {
 	Address  string `json:"address"`
 	Zone     string `json:"zone"`
@@ -252,18 +252,18 @@
 
 // AskBatch carries a zone's asks from its home, or one node's own.
 type AskBatch struct {
-	Zone       string      `json:"zone"`
-	IsHome     bool        `json:"home,omitempty"`
-	Generation uint64      `json:"generation"` // the document the sender holds
-	Asks       []RouterAsk `json:"asks"`
+	Zone     string      `json:"zone"`
+	IsHome   bool        `json:"home,omitempty"`
+	Revision uint64      `json:"generation"` // the document the sender holds
+	Asks     []RouterAsk `json:"asks"`
 }
 
-// GrantBatch grants what a batch asked for, under one generation.
+// GrantBatch grants what a batch asked for, under one revision.
 type GrantBatch struct {
-	Generation uint64      `json:"generation"`
-	Leader     string      `json:"leader"`
-	Asks       []RouterAsk `json:"asks"`
-	Document   *Document   `json:"document,omitempty"`
+	Revision uint64      `json:"generation"`
+	Leader   string      `json:"leader"`
+	Asks     []RouterAsk `json:"asks"`
+	Document *Document   `json:"document,omitempty"`
 }
 
 // Succeed is a home's own naming of its successor.
@@ -278,7 +278,7 @@
 	Voters []string `json:"voters,omitempty"`
 }
 
-// Ask is a node's ask to its home: for a licence, for news, and to be known.
+// Ask is a node's ask to its home: for a lease, for news, and to be known.
 type Ask struct {
 	RouterAsk
 	Node     NodeRecord `json:"node,omitzero"` // only when it has changed
@@ -287,33 +287,33 @@
 	Digests  []uint64   `json:"digests,omitempty"` // now and then, to mend what was lost
 }
 
-// Grant lets a router serve under a generation for a while from its ask on.
+// Grant lets a router serve under a revision for a while from its ask on.
 type Grant struct {
-	Seq        uint64    `json:"seq"`
-	Generation uint64    `json:"generation"`
-	Leader     string    `json:"leader,omitempty"`
-	Document   *Document `json:"document,omitempty"`
-	News       *News     `json:"news,omitempty"` // of the home, where its answer is one message
+	Seq      uint64    `json:"seq"`
+	Revision uint64    `json:"generation"`
+	Leader   string    `json:"leader,omitempty"`
+	Document *Document `json:"document,omitempty"`
+	News     *News     `json:"news,omitempty"` // of the home, where its answer is one message
 }
 
-// Nudge says that there is a newer generation to ask for.
+// Nudge says that there is a newer revision to ask for.
 type Nudge struct {
-	Generation uint64 `json:"generation"`
+	Revision uint64 `json:"generation"`
 }
 
-// Attest asks another router what generation it holds, while the core is dark.
+// Attest asks another router what revision it holds, while the core is dark.
 type Attest struct {
 	Seq     uint64 `json:"seq"`
 	Applied uint64 `json:"applied"`
 	IsKeen  bool   `json:"keen,omitempty"` // the asker wants the newer document from this one
 }
 
-// AttestReceipt is a router's word on its own generation.
-type AttestReceipt struct {
-	Seq        uint64    `json:"seq"`
-	Generation uint64    `json:"generation"`
-	IsProven   bool      `json:"proven"`
-	Document   *Document `json:"document,omitempty"`
+// AttestReply is a router's word on its own revision.
+type AttestReply struct {
+	Seq      uint64    `json:"seq"`
+	Revision uint64    `json:"generation"`
+	IsProven bool      `json:"proven"`
+	Document *Document `json:"document,omitempty"`
 }
 
 // News brings records of a cell that changed.
@@ -365,20 +365,20 @@
 	Document *Document
 }
 
-// Prepare asks the shell to compile a document's spec beside the owners, and to bring a
+// Prepare asks the shell to compile a document's configuration beside the owners, and to bring a
 // Prepared event back.
 type Prepare struct{ Document *Document }
 
-// Fetch asks the shell to read a spec of the past for another member.
+// Fetch asks the shell to read a configuration of the past for another member.
 type Fetch struct {
 	To   string
-	Mark SpecMark
+	Mark ConfigMark
 }
 
 // Probe asks the shell to try an engine at once, and to tell with Probed.
 type Probe struct{ Engine EngineRecord }
 
-// Keep asks the shell to keep a spec of the past that another member had.
+// Keep asks the shell to keep a configuration of the past that another member had.
 type Keep struct{ Document *Document }
 
 // Ballot is what a voter must not forget.
@@ -389,34 +389,34 @@
 
 // Timing holds every span of the control plane.
 type Timing struct {
-	Pulse        house.Micros // between a leader's pulses
-	ElectionLow  house.Micros // an election starts this long after the last pulse,
-	ElectionHigh house.Micros // at the latest
-	DiskStall    house.Micros // a write that takes longer is a stalled disk
-	DiskRetry    house.Micros
-	Replace      house.Micros // silence after which a voter counts as lost
-	Ask          house.Micros // between a node's asks
-	Licence      house.Micros // from sending the ask
-	HomeSilent   house.Micros // after which a zone gets another home
-	Strike       house.Micros // silence after which a router leaves the register
-	NodeGone     house.Micros // silence after which a node leaves the cell
-	Shuffle      house.Micros
-	Mend         house.Micros
-	Tick         house.Micros // the grain of all alarms; zero: 20 ms
-	BeatGone     house.Micros // silence after which an engine that registers itself is dark; zero: never
+	Heartbeat    kernel.Micros // between a leader's heartbeats
+	ElectionLow  kernel.Micros // an election starts this long after the last heartbeat,
+	ElectionHigh kernel.Micros // at the latest
+	DiskStall    kernel.Micros // a write that takes longer is a stalled disk
+	DiskRetry    kernel.Micros
+	Replace      kernel.Micros // silence after which a voter counts as lost
+	Ask          kernel.Micros // between a node's asks
+	Lease        kernel.Micros // from sending the ask
+	HomeSilent   kernel.Micros // after which a zone gets another home
+	Strike       kernel.Micros // silence after which a router leaves the register
+	NodeGone     kernel.Micros // silence after which a node leaves the cell
+	Shuffle      kernel.Micros
+	Mend         kernel.Micros
+	Tick         kernel.Micros // the grain of all timers; zero: 20 ms
+	BeatGone     kernel.Micros // silence after which an engine that registers itself is dark; zero: never
 }
 
 // nodeSilent is how long a node that lives never says nothing, with a margin of one word.
-func (t Timing) nodeSilent() house.Micros { return 2 * t.NodeGone / 5 }
+func (t Timing) nodeSilent() kernel.Micros { return 2 * t.NodeGone / 5 }
 
 // DefaultTiming keeps inside the rules' bounds with margin.
 func DefaultTiming() Timing {
 	return Timing{
-		Pulse: 100 * house.Millisecond, ElectionLow: 600 * house.Millisecond, ElectionHigh: 1200 * house.Millisecond,
-		DiskStall: house.Second, DiskRetry: 500 * house.Millisecond, Replace: 8 * house.Second,
-		Ask: 250 * house.Millisecond, Licence: 1700 * house.Millisecond, HomeSilent: 1500 * house.Millisecond,
-		Strike: 30 * house.Second, NodeGone: 5 * house.Second,
-		Shuffle: house.Second, Mend: house.Second,
+		Heartbeat: 100 * kernel.Millisecond, ElectionLow: 600 * kernel.Millisecond, ElectionHigh: 1200 * kernel.Millisecond,
+		DiskStall: kernel.Second, DiskRetry: 500 * kernel.Millisecond, Replace: 8 * kernel.Second,
+		Ask: 250 * kernel.Millisecond, Lease: 1700 * kernel.Millisecond, HomeSilent: 1500 * kernel.Millisecond,
+		Strike: 30 * kernel.Second, NodeGone: 5 * kernel.Second,
+		Shuffle: kernel.Second, Mend: kernel.Second,
 	}
 }
 
@@ -424,8 +424,8 @@
 // of a word, so fewer of them will do. Elections and homes take the spans they always take.
 func SparseTiming() Timing {
 	timing := DefaultTiming()
-	timing.Pulse, timing.Ask, timing.Replace = 150*house.Millisecond, 500*house.Millisecond, 2500*house.Millisecond
-	timing.Shuffle, timing.Mend, timing.NodeGone = 5*house.Second, 2*house.Second, 10*house.Second
-	timing.Tick = 50 * house.Millisecond
+	timing.Heartbeat, timing.Ask, timing.Replace = 150*kernel.Millisecond, 500*kernel.Millisecond, 2500*kernel.Millisecond
+	timing.Shuffle, timing.Mend, timing.NodeGone = 5*kernel.Second, 2*kernel.Second, 10*kernel.Second
+	timing.Tick = 50 * kernel.Millisecond
 	return timing
 }
--- a/flyloft/newest.go
+++ b/control/newest.go
@@ -1,10 +1,10 @@
-package flyloft
+package control
 
 import (
 	"maps"
 	"slices"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // Newest gives what Node.Newest asked for: a committed document that is at least as new as
@@ -15,15 +15,15 @@
 }
 
 type reading struct {
-	sentAt   house.Micros
-	resendAt house.Micros
-	isBare   bool // the document came without its spec, and that is not held here
+	sentAt   kernel.Micros
+	resendAt kernel.Micros
+	isBare   bool // the document came without its configuration, and that is not held here
 }
 
-const readResend = 250 * house.Millisecond
+const readResend = 250 * kernel.Millisecond
 
 // Newest opens a read; a Newest command answers it, and EndNewest gives it up.
-func (n *Node) Newest(now house.Micros, token uint64) []any {
+func (n *Node) Newest(now kernel.Micros, token uint64) []any {
 	n.now = now
 	n.reads[token] = &reading{}
 	n.tickReads()
@@ -31,7 +31,7 @@
 }
 
 // EndNewest gives up a read.
-func (n *Node) EndNewest(now house.Micros, token uint64) []any {
+func (n *Node) EndNewest(now kernel.Micros, token uint64) []any {
 	n.now = now
 	delete(n.reads, token)
 	return n.finish()
@@ -44,7 +44,7 @@
 			continue
 		}
 		read.sentAt, read.resendAt = n.now, n.now+readResend
-		ask := &ReadAsk{Token: token, Held: n.licence.Held()}
+		ask := &ReadAsk{Token: token, Held: n.lease.Held()}
 		if read.isBare {
 			ask.Held = 0
 		}
@@ -52,12 +52,12 @@
 	}
 }
 
-func (n *Node) onReadReceipt(m *ReadReceipt) {
+func (n *Node) onReadReply(m *ReadReply) {
 	read := n.reads[m.Token]
 	if read == nil || m.Document == nil {
 		return
 	}
-	held := []*Document{n.licence.applied, n.licence.wanted}
+	held := []*Document{n.lease.applied, n.lease.wanted}
 	if n.core != nil {
 		held = append(held, n.core.Committed())
 	}
@@ -68,5 +68,5 @@
 	}
 	delete(n.reads, m.Token)
 	n.out = append(n.out, Newest{m.Token, document})
-	n.applied(n.licence.Apply(document))
+	n.applied(n.lease.Apply(document))
 }
--- a/flyloft/node.go
+++ b/control/node.go
@@ -1,4 +1,4 @@
-package flyloft
+package control
 
 import (
 	"fmt"
@@ -6,42 +6,42 @@
 	"math/rand/v2"
 	"slices"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // NodeSettings is what a node's control plane is told at its start.
 type NodeSettings struct {
-	Identity   house.Identity
-	IsRouter   bool
-	IsPrompter bool
-	HasFolder  bool
-	Member     MemberID
-	Seeds      []string
-	Start      uint64 // the process's start identity, larger at each start
-	RandomSeed uint64
-	Timing     Timing
-	CheckSpec  func([]byte) error
-	// IsCompiled tells whether a spec is at hand in the form that the data plane needs;
+	Identity     kernel.Identity
+	IsRouter     bool
+	IsController bool
+	HasFolder    bool
+	Member       MemberID
+	Seeds        []string
+	Start        uint64 // the process's start identity, larger at each start
+	RandomSeed   uint64
+	Timing       Timing
+	CheckConfig  func([]byte) error
+	// IsCompiled tells whether a configuration is at hand in the form that the data plane needs;
 	// nil: every one is.
 	IsCompiled func([]byte) bool
-	// ChangeSpec puts a change of named items into a spec, VersionOf reads the operator's own
-	// number of a spec, which has to rise. Nil: there are no such orders, and no numbers.
-	ChangeSpec func(current, change []byte) ([]byte, error)
-	VersionOf  func(spec []byte) (uint64, error)
+	// ChangeConfig puts a change of named items into a configuration, VersionOf reads the operator's own
+	// number of a configuration, which has to rise. Nil: there are no such orders, and no numbers.
+	ChangeConfig func(current, change []byte) ([]byte, error)
+	VersionOf    func(config []byte) (uint64, error)
 	// Voters is the least number of voters wanted; more members vote as there are, up to
 	// five. Nodes without a folder then take no part in the core. Zero: three, always.
 	Voters int
 	// ServeOn is how long a word of the core lets a router serve under its applied document,
-	// if that is longer than a licence. Zero: licences alone. See ServeOnAlways.
-	ServeOn     house.Micros
-	ReceiptRule ReceiptRule
-	SpreadWait  house.Micros // how long a Spread yes waits for nodes; zero: 600 ms
-	SubmitTry   house.Micros // how long an order made here is tried; zero: 6 s
-	// NoFence leaves an order without a receipt unproved, since it is sent again as it was.
+	// if that is longer than a lease. Zero: leases alone. See ServeOnAlways.
+	ServeOn    kernel.Micros
+	AckRule    AckRule
+	SpreadWait kernel.Micros // how long a Spread yes waits for nodes; zero: 600 ms
+	SubmitTry  kernel.Micros // how long an order made here is tried; zero: 6 s
+	// NoFence leaves an order without a reply unproved, since it is sent again as it was.
 	NoFence   bool
 	Founding  FoundingRule
 	Bootstrap bool // under FoundersAnnounce: this is the first start of the whole fleet
-	Journal   *house.Journal
+	Journal   *kernel.Journal
 	Ballot    Ballot
 	Document  *Document
 	Kept      []uint64
@@ -52,69 +52,69 @@
 // Outgoing is a message for the shell to carry.
 type Outgoing struct{ Envelope Envelope }
 
-// Receipt is the final word on a submission made at this node.
-type Receipt struct{ SubmitReceipt SubmitReceipt }
+// Reply is the final word on a submission made at this node.
+type Reply struct{ SubmitReply SubmitReply }
 
 // Spans of a submission made here: how long to try, and how long to seek a final no after.
 const (
-	submitTry    = 6 * house.Second
-	submitFence  = 3 * house.Second
-	submitResend = 500 * house.Millisecond
+	submitTry    = 6 * kernel.Second
+	submitFence  = 3 * kernel.Second
+	submitResend = 500 * kernel.Millisecond
 )
 
 type errand struct {
 	submit   *Submit
-	deadline house.Micros
-	sentAt   house.Micros
-	resendAt house.Micros
+	deadline kernel.Micros
+	sentAt   kernel.Micros
+	resendAt kernel.Micros
 	isFence  bool // this errand only asks how the id ended
 }
 
 // Node joins the owners of one process and carries messages between them.
 type Node struct {
 	settings NodeSettings
-	now      house.Micros
+	now      kernel.Micros
 	random   *rand.Rand
 	core     *Core
-	licence  *Licence
+	lease    *Lease
 	cell     *Cell
 	views    *Views
 	out      []any
 	loop     []Envelope
 
 	leaderHint   string
-	leaderWord   house.Micros // when the hint last proved good
+	leaderWord   kernel.Micros // when the hint last proved good
 	otherHints   []string
 	hintTurn     int
-	homeWord     house.Micros // when the zone's home was last heard
+	homeWord     kernel.Micros // when the zone's home was last heard
 	seenHome     string
 	seenNews     uint64
-	askAlarm     house.Micros
+	askTimer     kernel.Micros
 	nodeSeq      uint64
-	nodeSeqAlarm house.Micros
+	nodeSeqTimer kernel.Micros
 	recordHome   string // whom the own record was told, and how often
 	recordSeq    uint64
 	recordTold   int
 	isLeaving    bool
 
 	batch       map[string]RouterAsk
-	batchAlarm  house.Micros
+	batchTimer  kernel.Micros
 	isBatchHot  bool
 	zoneApplied map[string]uint64
 	zoneHeld    map[string]uint64 // at least what is applied
-	zoneHeard   map[string]house.Micros
+	zoneHeard   map[string]kernel.Micros
 	preparing   *Document
 
 	peerNews  map[string]newsMark
-	mendAlarm house.Micros
+	mendTimer kernel.Micros
 	mendTurn  int
-	sweep     house.Micros
+	sweep     kernel.Micros
 	askTurn   int
 	urgent    []urgentNews
-	probedAt  map[string]house.Micros
+	probedAt  map[string]kernel.Micros
 	errands   map[string]*errand
-	declined  map[string]house.Micros // foreign senders noted lately
-	founder   *founder                // nil unless members announce themselves
+	rejected  map[string]kernel.Micros // foreign senders noted lately
+	founder   *founder                 // nil unless members announce themselves
 	reads     map[uint64]*reading
 	words     words
 	snapshots snapshots
@@ -125,7 +125,7 @@
 // in which a leaving mark has to be everywhere.
 type urgentNews struct {
 	records []EngineRecord
-	at      house.Micros
+	at      kernel.Micros
 	left    int
 }
 
@@ -135,13 +135,13 @@
 }
 
 // NewNode makes a node.
-func NewNode(settings NodeSettings, now house.Micros) *Node {
+func NewNode(settings NodeSettings, now kernel.Micros) *Node {
 	random := rand.New(rand.NewPCG(settings.RandomSeed, settings.Start))
 	n := &Node{
 		settings: settings, now: now, random: random,
-		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]house.Micros{},
-		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, declined: map[string]house.Micros{},
-		probedAt: map[string]house.Micros{}, reads: map[uint64]*reading{}, words: newWords(settings.Start),
+		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]kernel.Micros{},
+		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, rejected: map[string]kernel.Micros{},
+		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*reading{}, words: newWords(settings.Start),
 	}
 	if settings.SpreadWait == 0 {
 		settings.SpreadWait = defaultSpreadWait
@@ -154,20 +154,20 @@
 	}
 	n.settings = settings
 	self := settings.Identity
-	n.licence = NewLicence(self.Address, settings.IsRouter, settings.Timing, n.note)
-	n.licence.isPrepared, n.licence.serveOn = n.prepare, settings.ServeOn
+	n.lease = NewLease(self.Address, settings.IsRouter, settings.Timing, n.note)
+	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
 	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
 	if settings.Founding == FoundersAnnounce {
 		n.founder = newFounder(settings.Seeds, self.Address)
 	}
 	// A standby that can never vote is of use only where three are wanted in any case.
-	if settings.IsPrompter && (settings.HasFolder || settings.Voters == 0) {
+	if settings.IsController && (settings.HasFolder || settings.Voters == 0) {
 		coreSettings := settings.core(n.note)
 		coreSettings.Random = random
 		n.core = NewCore(coreSettings, now)
 	}
-	n.greeting = greeting{until: now + helloSpan, isOver: settings.ServeOn < ServeOnAlways, answered: map[string]house.Micros{}}
+	n.greeting = greeting{until: now + helloSpan, isOver: settings.ServeOn < ServeOnAlways, answered: map[string]kernel.Micros{}}
 	n.restore(settings.Snapshot)
 	return n
 }
@@ -177,17 +177,17 @@
 	return CoreSettings{
 		Self:      Member{s.Member, s.Identity.Address, s.Identity.Zone},
 		HasFolder: s.HasFolder, Founders: s.Seeds, Timing: s.Timing, Note: note,
-		CheckSpec: s.CheckSpec, ChangeSpec: s.ChangeSpec, VersionOf: s.VersionOf,
-		Voters: s.Voters, ReceiptRule: s.ReceiptRule, SpreadWait: s.SpreadWait, ServeOn: s.ServeOn, Founding: s.Founding,
+		CheckConfig: s.CheckConfig, ChangeConfig: s.ChangeConfig, VersionOf: s.VersionOf,
+		Voters: s.Voters, AckRule: s.AckRule, SpreadWait: s.SpreadWait, ServeOn: s.ServeOn, Founding: s.Founding,
 		Ballot: s.Ballot, Document: s.Document, Kept: s.Kept,
 	}
 }
 
 // Rehearse judges an order against a document and changes nothing. It may be called beside
-// the owners: what is slow about a large spec is remembered by the functions of the
+// the owners: what is slow about a large configuration is remembered by the functions of the
 // settings, so that the leader has its verdict at hand.
 func (n *Node) Rehearse(submit *Submit, current *Document) error {
-	if submit.Order != PutSpec && submit.Order != ChangeSpec {
+	if submit.Order != PutConfig && submit.Order != ChangeConfig {
 		return nil
 	}
 	if current == nil {
@@ -196,18 +196,18 @@
 	// A clash now need not be one when the order's turn comes.
 	alone := *submit
 	alone.Base, alone.BaseVersion = nil, nil
-	_, _, err := n.settings.core(nil).judgeSpec(&alone, current)
+	_, _, err := n.settings.core(nil).judgeConfig(&alone, current)
 	return err
 }
 
 func (n *Node) note(subject, decision, why string) {
-	n.settings.Journal.Note(n.now, "flyloft", subject, decision, why)
+	n.settings.Journal.Note(n.now, "control", subject, decision, why)
 }
 
 // TickSpan is how often Tick is to be called.
-func (n *Node) TickSpan() house.Micros {
+func (n *Node) TickSpan() kernel.Micros {
 	if n.settings.Timing.Tick == 0 {
-		return 20 * house.Millisecond
+		return 20 * kernel.Millisecond
 	}
 	return n.settings.Timing.Tick
 }
@@ -219,8 +219,8 @@
 		return n.core.doc.Founding
 	}
 	// A folder may be from before the core was rebuilt, so what it held binds nobody.
-	if n.licence.applied != nil && !n.isRestored() {
-		return n.licence.applied.Founding
+	if n.lease.applied != nil && !n.isRestored() {
+		return n.lease.applied.Founding
 	}
 	return ""
 }
@@ -248,7 +248,7 @@
 				}
 				n.out = append(n.out, command)
 			}
-			n.applied(n.licence.Apply(n.core.Committed()))
+			n.applied(n.lease.Apply(n.core.Committed()))
 		}
 		if len(n.loop) == 0 {
 			break
@@ -258,7 +258,7 @@
 		n.receive(envelope)
 	}
 	// A yes waits for these words.
-	if n.isBatchHot && n.settings.ReceiptRule == Spread {
+	if n.isBatchHot && n.settings.AckRule == Spread {
 		n.sendBatch()
 		if len(n.loop) > 0 {
 			return n.finish()
@@ -274,40 +274,40 @@
 	if !isNews {
 		return
 	}
-	n.settings.Journal.SetEra(n.licence.Generation())
-	n.note("spec", "apply", fmt.Sprintf("generation %d", n.licence.Generation()))
+	n.settings.Journal.SetEra(n.lease.Revision())
+	n.note("spec", "apply", fmt.Sprintf("generation %d", n.lease.Revision()))
 	// The leader counts who has applied what, so it should hear at once.
-	n.askAlarm = n.now
-	if n.settings.ReceiptRule == Spread {
+	n.askTimer = n.now
+	if n.settings.AckRule == Spread {
 		n.ask()
 	}
 	if n.isHome() {
 		n.isBatchHot = true
 		for _, node := range n.zoneNodes() {
-			n.send(node, Message{Grant: &Grant{Generation: n.licence.Generation(), Document: n.licence.applied.lightFor(n.zoneHeld[node])}})
+			n.send(node, Message{Grant: &Grant{Revision: n.lease.Revision(), Document: n.lease.applied.lightFor(n.zoneHeld[node])}})
 		}
 	}
 }
 
 func (n *Node) home() string {
-	if n.licence.applied == nil {
+	if n.lease.applied == nil {
 		return ""
 	}
-	return n.licence.applied.Homes[n.settings.Identity.Zone]
+	return n.lease.applied.Homes[n.settings.Identity.Zone]
 }
 
 func (n *Node) isHome() bool { return n.home() == n.self() }
 
 // isHomeless tells that the zone's home has been silent, so that other ways are taken.
 func (n *Node) isHomeless() bool {
-	most := max(600*house.Millisecond, n.settings.Timing.Ask*12/5)
+	most := max(600*kernel.Millisecond, n.settings.Timing.Ask*12/5)
 	if n.isHome() {
 		return false
 	}
-	// A home that is cut off from the core speaks to its zone as ever. Where licences bound
+	// A home that is cut off from the core speaks to its zone as ever. Where leases bound
 	// that, they lapse; without them a node has to see by itself that no word of the leader
 	// comes through, or its whole zone stays behind.
-	isMute := n.settings.ServeOn >= ServeOnAlways && n.now-n.licence.grantedAsk > most
+	isMute := n.settings.ServeOn >= ServeOnAlways && n.now-n.lease.grantedAsk > most
 	return isMute || n.now-n.homeWord > most
 }
 
@@ -323,9 +323,9 @@
 
 func (n *Node) otherHomes() []string {
 	found := []string{}
-	if n.licence.applied != nil {
-		for _, zone := range slices.Sorted(maps.Keys(n.licence.applied.Homes)) {
-			if home := n.licence.applied.Homes[zone]; home != n.self() && !slices.Contains(found, home) {
+	if n.lease.applied != nil {
+		for _, zone := range slices.Sorted(maps.Keys(n.lease.applied.Homes)) {
+			if home := n.lease.applied.Homes[zone]; home != n.self() && !slices.Contains(found, home) {
 				found = append(found, home)
 			}
 		}
@@ -338,11 +338,11 @@
 	if n.core != nil && n.core.Leader() != "" {
 		return n.core.Leader()
 	}
-	if n.leaderHint != "" && n.now-n.leaderWord < max(700*house.Millisecond, 2*n.settings.Timing.Ask) {
+	if n.leaderHint != "" && n.now-n.leaderWord < max(700*kernel.Millisecond, 2*n.settings.Timing.Ask) {
 		return n.leaderHint
 	}
 	// Whoever may know, one after another: voters first, then seeds and neighbours.
-	candidates := append(n.licence.applied.voterAddresses(), n.otherHints...)
+	candidates := append(n.lease.applied.voterAddresses(), n.otherHints...)
 	candidates = append(candidates, n.settings.Seeds...)
 	candidates = append(candidates, n.views.Neighbours()...)
 	if len(candidates) == 0 {
@@ -355,7 +355,7 @@
 // ---- events ----
 
 // Deliver takes a message from another node.
-func (n *Node) Deliver(now house.Micros, envelope Envelope) []any {
+func (n *Node) Deliver(now kernel.Micros, envelope Envelope) []any {
 	n.now = now
 	why := ""
 	switch mine := n.founding(); {
@@ -375,8 +375,8 @@
 		n.snapshots.restored = nil
 	}
 	if why != "" {
-		if _, isNoted := n.declined[envelope.From]; !isNoted {
-			n.declined[envelope.From] = now
+		if _, isNoted := n.rejected[envelope.From]; !isNoted {
+			n.rejected[envelope.From] = now
 			n.note("node "+envelope.From, "decline message", why)
 		}
 		return n.finish()
@@ -386,7 +386,7 @@
 }
 
 // Saved reports on a write.
-func (n *Node) Saved(now house.Micros, token uint64, err error) []any {
+func (n *Node) Saved(now kernel.Micros, token uint64, err error) []any {
 	n.now = now
 	if n.core != nil {
 		n.core.Saved(now, token, err)
@@ -394,34 +394,34 @@
 	return n.finish()
 }
 
-// Fetched brings a spec of the past that another member asked for.
-func (n *Node) Fetched(now house.Micros, to string, document *Document) []any {
+// Fetched brings a configuration of the past that another member asked for.
+func (n *Node) Fetched(now kernel.Micros, to string, document *Document) []any {
 	n.now = now
 	n.send(to, Message{Recalled: &Recalled{document}})
 	return n.finish()
 }
 
-// Kept tells that a spec of the past is in the folder now.
-func (n *Node) Kept(now house.Micros, generation uint64) []any {
+// Kept tells that a configuration of the past is in the folder now.
+func (n *Node) Kept(now kernel.Micros, revision uint64) []any {
 	n.now = now
 	if n.core != nil {
-		n.note("history", "mend", fmt.Sprintf("the spec of generation %d was fetched from another member", generation))
-		n.core.Kept(generation)
+		n.note("history", "mend", fmt.Sprintf("the spec of generation %d was fetched from another member", revision))
+		n.core.Kept(revision)
 	}
 	return n.finish()
 }
 
-// prepare tells whether a document may be applied, and has its spec compiled if not.
+// prepare tells whether a document may be applied, and has its configuration compiled if not.
 func (n *Node) prepare(document *Document) bool {
-	if n.settings.IsCompiled == nil || document.SpecGeneration == 0 ||
-		n.licence.applied != nil && document.SpecGeneration == n.licence.applied.SpecGeneration {
+	if n.settings.IsCompiled == nil || document.ConfigRevision == 0 ||
+		n.lease.applied != nil && document.ConfigRevision == n.lease.applied.ConfigRevision {
 		return true
 	}
-	// Asked again at every event; the spec is looked at once.
-	if n.preparing != nil && document.SpecGeneration == n.preparing.SpecGeneration {
+	// Asked again at every event; the configuration is looked at once.
+	if n.preparing != nil && document.ConfigRevision == n.preparing.ConfigRevision {
 		return false
 	}
-	if n.settings.IsCompiled(document.Spec) {
+	if n.settings.IsCompiled(document.Config) {
 		return true
 	}
 	n.preparing = document
@@ -429,9 +429,9 @@
 	return false
 }
 
-// Prepared tells that the shell is done with a document's spec. One that it can't read
+// Prepared tells that the shell is done with a document's configuration. One that it can't read
 // is never applied: serving under an older one would be worse than not serving.
-func (n *Node) Prepared(now house.Micros, document *Document, err error) []any {
+func (n *Node) Prepared(now kernel.Micros, document *Document, err error) []any {
 	n.now = now
 	if err != nil {
 		n.note("spec", "unreadable", err.Error())
@@ -440,14 +440,14 @@
 	if n.preparing == document {
 		n.preparing = nil
 	}
-	if wanted := n.licence.wanted; wanted != nil {
-		n.applied(n.licence.Apply(wanted))
+	if wanted := n.lease.wanted; wanted != nil {
+		n.applied(n.lease.Apply(wanted))
 	}
 	return n.finish()
 }
 
 // Submit takes an operator's order made at this node.
-func (n *Node) Submit(now house.Micros, submit *Submit) []any {
+func (n *Node) Submit(now kernel.Micros, submit *Submit) []any {
 	n.now = now
 	if n.errands[submit.ID] == nil {
 		n.errands[submit.ID] = &errand{submit: submit, deadline: now + n.settings.SubmitTry, isFence: submit.Order == Fence}
@@ -457,7 +457,7 @@
 }
 
 // Hear takes engine records that this node learned first-hand.
-func (n *Node) Hear(now house.Micros, records []EngineRecord) []any {
+func (n *Node) Hear(now kernel.Micros, records []EngineRecord) []any {
 	n.now = now
 	for i := range records {
 		records[i] = records[i].placed(now)
@@ -467,7 +467,7 @@
 }
 
 // TakeListing takes the platform's list as this node polled it.
-func (n *Node) TakeListing(now house.Micros, listing Listing) []any {
+func (n *Node) TakeListing(now kernel.Micros, listing Listing) []any {
 	n.now = now
 	if n.cell.TakeListing(now, listing) {
 		n.announce(n.leavingRecords())
@@ -476,7 +476,7 @@
 }
 
 // Probed takes what this node found when it tried to reach an engine.
-func (n *Node) Probed(now house.Micros, id string, start uint64, isDark bool) []any {
+func (n *Node) Probed(now kernel.Micros, id string, start uint64, isDark bool) []any {
 	n.now = now
 	if engine, isThere := n.cell.engines.Get(id); isThere && engine.Start == start && engine.IsDark != isDark {
 		engine.IsDark, engine.BackAt = isDark, now
@@ -490,7 +490,7 @@
 
 // Restarted takes that an engine answered a router here under a later start than
 // was known: its own word comes before any report or list.
-func (n *Node) Restarted(now house.Micros, id string, start uint64) []any {
+func (n *Node) Restarted(now kernel.Micros, id string, start uint64) []any {
 	n.now = now
 	if engine, isThere := n.cell.engines.Get(id); isThere && engine.Start < start {
 		n.hear([]EngineRecord{{ID: id, Address: engine.Address, Zone: engine.Zone, Pool: engine.Pool, Start: start, StartedAt: now, Seen: now, AsOf: now}})
@@ -500,7 +500,7 @@
 
 // Suspect takes that a router here could not reach an engine. One failure may be
 // the router's own, so the home of the engine's zone looks before it tells all.
-func (n *Node) Suspect(now house.Micros, id string, start uint64) []any {
+func (n *Node) Suspect(now kernel.Micros, id string, start uint64) []any {
 	n.now = now
 	n.suspect(&Suspect{id, start})
 	return n.finish()
@@ -509,15 +509,15 @@
 func (n *Node) suspect(m *Suspect) {
 	engine, isThere := n.cell.engines.Get(m.Engine)
 	// Of one that registers itself its beats tell.
-	if !isThere || engine.Word > 0 || engine.Start != m.Start || engine.IsDark || n.licence.applied == nil {
+	if !isThere || engine.Word > 0 || engine.Start != m.Start || engine.IsDark || n.lease.applied == nil {
 		return
 	}
-	home := n.licence.applied.Homes[engine.Zone]
+	home := n.lease.applied.Homes[engine.Zone]
 	if home != n.self() {
 		n.send(home, Message{Suspect: m})
 		return
 	}
-	if at, isProbed := n.probedAt[m.Engine]; isProbed && n.now-at < 200*house.Millisecond {
+	if at, isProbed := n.probedAt[m.Engine]; isProbed && n.now-at < 200*kernel.Millisecond {
 		return
 	}
 	n.probedAt[m.Engine] = n.now
@@ -525,7 +525,7 @@
 }
 
 // Leave begins a planned stop.
-func (n *Node) Leave(now house.Micros) []any {
+func (n *Node) Leave(now kernel.Micros) []any {
 	n.now, n.isLeaving = now, true
 	if n.core != nil {
 		n.core.Leave(now)
@@ -540,7 +540,7 @@
 			}
 		}
 	}
-	n.nodeSeqAlarm, n.askAlarm = now, now
+	n.nodeSeqTimer, n.askTimer = now, now
 	return n.finish()
 }
 
@@ -604,7 +604,7 @@
 		return
 	}
 	n.spread(records, true)
-	n.urgent = append(n.urgent, urgentNews{records, n.now + 300*house.Millisecond, 2})
+	n.urgent = append(n.urgent, urgentNews{records, n.now + 300*kernel.Millisecond, 2})
 }
 
 func (n *Node) tickUrgent() {
@@ -612,7 +612,7 @@
 	for _, news := range n.urgent {
 		if n.now >= news.at {
 			n.spread(news.records, true)
-			news.at, news.left = n.now+600*house.Millisecond, news.left-1
+			news.at, news.left = n.now+600*kernel.Millisecond, news.left-1
 		}
 		if news.left > 0 {
 			kept = append(kept, news)
@@ -646,7 +646,7 @@
 func (n *Node) receive(envelope Envelope) {
 	from, m := envelope.From, envelope.Message
 	// Before anything else is known, whoever writes is somebody to ask.
-	if n.licence.applied == nil && from != n.self() && !slices.Contains(n.otherHints, from) {
+	if n.lease.applied == nil && from != n.self() && !slices.Contains(n.otherHints, from) {
 		n.otherHints = append(n.otherHints, from)
 	}
 	switch {
@@ -659,7 +659,7 @@
 		if m.Grant.Leader != "" {
 			n.leaderHint, n.leaderWord = m.Grant.Leader, n.now
 		}
-		n.applied(n.licence.TakeGrant(n.now, m.Grant))
+		n.applied(n.lease.TakeGrant(n.now, m.Grant))
 		if m.Grant.News != nil {
 			n.onNews(from, m.Grant.News)
 		}
@@ -669,14 +669,14 @@
 	case m.GrantBatch != nil:
 		n.onGrantBatch(m.GrantBatch)
 	case m.Nudge != nil:
-		if m.Nudge.Generation > n.licence.Generation() {
-			n.askAlarm, n.isBatchHot = n.now, true
+		if m.Nudge.Revision > n.lease.Revision() {
+			n.askTimer, n.isBatchHot = n.now, true
 			n.ask()
 		}
 	case m.Attest != nil:
-		n.send(from, Message{AttestReceipt: n.licence.Attest(m.Attest)})
-	case m.AttestReceipt != nil:
-		n.applied(n.licence.TakeAttest(n.now, from, m.AttestReceipt))
+		n.send(from, Message{AttestReply: n.lease.Attest(m.Attest)})
+	case m.AttestReply != nil:
+		n.applied(n.lease.TakeAttest(n.now, from, m.AttestReply))
 	case m.Heard != nil:
 		records := make([]EngineRecord, 0, len(m.Heard.Engines))
 		said := []EngineRecord{}
@@ -699,26 +699,26 @@
 	case m.Mend != nil:
 		n.onMend(from, m.Mend)
 	case m.Shuffle != nil:
-		if receipt := n.views.Take(from, m.Shuffle); receipt != nil {
-			n.send(from, Message{Shuffle: receipt})
+		if reply := n.views.Take(from, m.Shuffle); reply != nil {
+			n.send(from, Message{Shuffle: reply})
 		}
-	case m.SubmitReceipt != nil:
-		n.onSubmitReceipt(m.SubmitReceipt)
-	case m.ReadReceipt != nil:
-		n.onReadReceipt(m.ReadReceipt)
-	case m.Announce != nil, m.FoundAsk != nil, m.FoundReceipt != nil, m.Found != nil:
+	case m.SubmitReply != nil:
+		n.onSubmitReply(m.SubmitReply)
+	case m.ReadReply != nil:
+		n.onReadReply(m.ReadReply)
+	case m.Announce != nil, m.FoundAsk != nil, m.FoundReply != nil, m.Found != nil:
 		n.onFounding(from, m)
 	case m.Push != nil:
 		n.onPush(from, m.Push)
-	case m.PushReceipt != nil:
-		n.onPushReceipt(from, m.PushReceipt)
+	case m.PushReply != nil:
+		n.onPushReply(from, m.PushReply)
 	case m.Elsewhere != nil:
 		if m.Elsewhere.Leader != "" && m.Elsewhere.Leader != n.self() {
 			if m.Elsewhere.Leader != n.leaderHint {
 				n.hurry()
 			}
-			if n.licence.applied == nil {
-				n.askAlarm = min(n.askAlarm, n.now+50*house.Millisecond)
+			if n.lease.applied == nil {
+				n.askTimer = min(n.askTimer, n.now+50*kernel.Millisecond)
 			}
 			n.leaderHint, n.leaderWord = m.Elsewhere.Leader, n.now
 		}
@@ -731,8 +731,8 @@
 	case n.core != nil:
 		n.core.Receive(n.now, from, m)
 	case m.AskBatch != nil, m.Submit != nil, m.Join != nil, m.ReadAsk != nil:
-		// No prompter here, but this node may know who is.
-		n.send(from, Message{Elsewhere: &Elsewhere{n.leaderHint, n.licence.applied.voterAddresses()}})
+		// No controller here, but this node may know who is.
+		n.send(from, Message{Elsewhere: &Elsewhere{n.leaderHint, n.lease.applied.voterAddresses()}})
 	}
 }
 
@@ -753,8 +753,8 @@
 	}
 	// A node that is behind need not wait for the leader's word to get the document.
 	n.zoneHeld[m.Address] = max(m.Applied, m.Held)
-	if n.zoneHeld[m.Address] < n.licence.Generation() {
-		n.send(from, Message{Grant: &Grant{Generation: n.licence.Generation(), Document: n.licence.applied.lightFor(n.zoneHeld[m.Address])}})
+	if n.zoneHeld[m.Address] < n.lease.Revision() {
+		n.send(from, Message{Grant: &Grant{Revision: n.lease.Revision(), Document: n.lease.applied.lightFor(n.zoneHeld[m.Address])}})
 	}
 	if m.Applied > n.zoneApplied[m.Address] {
 		n.isBatchHot = true
@@ -767,12 +767,12 @@
 // need not wait for it: it tells what it holds itself, and who leads if it knows.
 func (n *Node) answerAsk(from string, m *Ask) {
 	n.zoneHeld[m.Address] = max(m.Applied, m.Held)
-	grant := &Grant{Generation: n.licence.Generation(), News: n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false)}
-	if n.now-n.leaderWord < house.Second {
+	grant := &Grant{Revision: n.lease.Revision(), News: n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false)}
+	if n.now-n.leaderWord < kernel.Second {
 		grant.Leader = n.leaderHint
 	}
-	if n.zoneHeld[m.Address] < n.licence.Generation() {
-		grant.Document = n.licence.applied.lightFor(n.zoneHeld[m.Address])
+	if n.zoneHeld[m.Address] < n.lease.Revision() {
+		grant.Document = n.lease.applied.lightFor(n.zoneHeld[m.Address])
 	}
 	n.send(from, Message{Grant: grant})
 	if differing := n.cell.Differing(n.now, m.Digests); len(differing) > 0 {
@@ -788,19 +788,19 @@
 
 func (n *Node) onGrantBatch(m *GrantBatch) {
 	n.leaderHint, n.leaderWord = m.Leader, n.now
-	n.applied(n.licence.Apply(m.Document))
+	n.applied(n.lease.Apply(m.Document))
 	for _, ask := range m.Asks {
-		grant := &Grant{Seq: ask.Seq, Generation: m.Generation, Leader: m.Leader}
+		grant := &Grant{Seq: ask.Seq, Revision: m.Revision, Leader: m.Leader}
 		if ask.Address == n.self() {
-			n.applied(n.licence.TakeGrant(n.now, grant))
+			n.applied(n.lease.TakeGrant(n.now, grant))
 			continue
 		}
 		// They have had their answer; a newer document goes to them as it is applied here.
 		if n.settings.ServeOn >= ServeOnAlways {
 			continue
 		}
-		if held := max(n.zoneHeld[ask.Address], ask.Applied); held < m.Generation && n.licence.Generation() >= m.Generation {
-			grant.Document = n.licence.applied.lightFor(held)
+		if held := max(n.zoneHeld[ask.Address], ask.Applied); held < m.Revision && n.lease.Revision() >= m.Revision {
+			grant.Document = n.lease.applied.lightFor(held)
 		}
 		n.send(ask.Address, Message{Grant: grant})
 	}
@@ -847,7 +847,7 @@
 		isOther := record.Start > n.settings.Start || record.Start == n.settings.Start && record.Seq > n.nodeSeq
 		if record.Address == n.self() && isOther {
 			n.note("node "+n.self(), "count as later", fmt.Sprintf("the fleet remembers start %d, this one began as %d", record.Start, n.settings.Start))
-			n.settings.Start, n.nodeSeqAlarm, n.askAlarm = record.Start+1, n.now, n.now
+			n.settings.Start, n.nodeSeqTimer, n.askTimer = record.Start+1, n.now, n.now
 		}
 	}
 }
@@ -868,17 +868,17 @@
 
 // ---- time ----
 
-// Tick lets due alarms go off.
-func (n *Node) Tick(now house.Micros) []any {
+// Tick lets due timers go off.
+func (n *Node) Tick(now kernel.Micros) []any {
 	n.now = now
 	if n.core != nil {
 		n.core.Tick(now)
 	}
-	if now >= n.askAlarm {
+	if now >= n.askTimer {
 		n.ask()
 	}
 	n.sendBatch()
-	if to, ask, keen := n.licence.TickDark(now); ask != nil {
+	if to, ask, keen := n.lease.TickDark(now); ask != nil {
 		for _, address := range to {
 			each := *ask
 			each.IsKeen = address == keen
@@ -889,7 +889,7 @@
 		n.send(to, Message{Shuffle: shuffle})
 	}
 	if now >= n.sweep {
-		n.sweep = now + 500*house.Millisecond
+		n.sweep = now + 500*kernel.Millisecond
 		n.cell.Sweep(now)
 		// Of a node that is gone it is as well not to know what it held.
 		for address := range n.zoneHeld {
@@ -902,9 +902,9 @@
 		if n.core != nil {
 			n.core.Learn(n.learnedMarks())
 		}
-		for _, noted := range []map[string]house.Micros{n.probedAt, n.declined, n.greeting.answered} {
+		for _, noted := range []map[string]kernel.Micros{n.probedAt, n.rejected, n.greeting.answered} {
 			for name, at := range noted {
-				if now-at > 10*house.Second {
+				if now-at > 10*kernel.Second {
 					delete(noted, name)
 				}
 			}
@@ -922,34 +922,34 @@
 }
 
 func (n *Node) record() NodeRecord {
-	if n.now >= n.nodeSeqAlarm {
-		n.nodeSeqAlarm = n.now + n.nodeRefresh()
+	if n.now >= n.nodeSeqTimer {
+		n.nodeSeqTimer = n.now + n.nodeRefresh()
 		n.nodeSeq++
 	}
 	identity := n.settings.Identity
 	return NodeRecord{
 		Address: identity.Address, Public: identity.Public, Zone: identity.Zone,
-		IsRouter: n.settings.IsRouter, IsPrompter: n.settings.IsPrompter, IsLeaving: n.isLeaving,
-		Start: n.settings.Start, Seq: n.nodeSeq, Applied: n.licence.Generation(), AsOf: n.now,
+		IsRouter: n.settings.IsRouter, IsController: n.settings.IsController, IsLeaving: n.isLeaving,
+		Start: n.settings.Start, Seq: n.nodeSeq, Applied: n.lease.Revision(), AsOf: n.now,
 	}
 }
 
 // nodeRefresh is how often a node says anew that it lives.
-func (n *Node) nodeRefresh() house.Micros { return n.settings.Timing.NodeGone / 5 }
+func (n *Node) nodeRefresh() kernel.Micros { return n.settings.Timing.NodeGone / 5 }
 
 func (n *Node) ask() {
-	n.askAlarm = n.now + n.settings.Timing.Ask
-	if n.licence.applied == nil {
+	n.askTimer = n.now + n.settings.Timing.Ask
+	if n.lease.applied == nil {
 		// Until it serves at all it asks round more often; the home is not loaded by that.
-		n.askAlarm = n.now + min(n.settings.Timing.Ask, 250*house.Millisecond)
+		n.askTimer = n.now + min(n.settings.Timing.Ask, 250*kernel.Millisecond)
 	}
 	record := n.record()
 	n.cell.TakeNode(n.now, record, true)
 	own := RouterAsk{
-		Address: n.self(), Zone: n.settings.Identity.Zone, Seq: n.licence.NewAsk(n.now),
-		Applied: n.licence.Generation(), IsRouter: n.settings.IsRouter && !n.isLeaving,
+		Address: n.self(), Zone: n.settings.Identity.Zone, Seq: n.lease.NewAsk(n.now),
+		Applied: n.lease.Revision(), IsRouter: n.settings.IsRouter && !n.isLeaving,
 	}
-	if held := n.licence.Held(); held > own.Applied {
+	if held := n.lease.Held(); held > own.Applied {
 		own.Held = held
 	}
 	if n.isHome() {
@@ -971,23 +971,23 @@
 		}
 		n.send(home, Message{Ask: ask})
 	}
-	// A silent home must not cost the licence: the leader is asked directly as well.
+	// A silent home must not cost the lease: the leader is asked directly as well.
 	if n.isHomeless() {
-		n.send(n.leaderTarget(), Message{AskBatch: &AskBatch{Zone: own.Zone, Generation: n.licence.Held(), Asks: []RouterAsk{own}}})
+		n.send(n.leaderTarget(), Message{AskBatch: &AskBatch{Zone: own.Zone, Revision: n.lease.Held(), Asks: []RouterAsk{own}}})
 	}
 }
 
 func (n *Node) sendBatch() {
-	if len(n.batch) == 0 || n.now < n.batchAlarm && !n.isBatchHot {
+	if len(n.batch) == 0 || n.now < n.batchTimer && !n.isBatchHot {
 		return
 	}
 	// Waiting a little lets one crossing between zones carry the whole zone's asks.
-	n.batchAlarm, n.isBatchHot = n.now+100*house.Millisecond, false
+	n.batchTimer, n.isBatchHot = n.now+100*kernel.Millisecond, false
 	if n.settings.ServeOn >= ServeOnAlways {
-		// No licence hangs on it.
-		n.batchAlarm = n.now + max(100*house.Millisecond, n.settings.Timing.Ask/2)
+		// No lease hangs on it.
+		n.batchTimer = n.now + max(100*kernel.Millisecond, n.settings.Timing.Ask/2)
 	}
-	batch := &AskBatch{Zone: n.settings.Identity.Zone, IsHome: n.isHome(), Generation: n.licence.Held()}
+	batch := &AskBatch{Zone: n.settings.Identity.Zone, IsHome: n.isHome(), Revision: n.lease.Held()}
 	for _, address := range slices.Sorted(maps.Keys(n.batch)) {
 		batch.Asks = append(batch.Asks, n.batch[address])
 	}
@@ -996,10 +996,10 @@
 }
 
 func (n *Node) tickMend() {
-	if n.now < n.mendAlarm {
+	if n.now < n.mendTimer {
 		return
 	}
-	n.mendAlarm = n.now + n.settings.Timing.Mend/4
+	n.mendTimer = n.now + n.settings.Timing.Mend/4
 	n.mendTurn++
 	if n.isHome() {
 		for _, home := range n.otherHomes() {
@@ -1026,17 +1026,17 @@
 		if n.now >= errand.deadline {
 			if errand.submit.Order == MarkEngine {
 				// The mark has gone round already, so a no would not be true.
-				n.finishErrand(SubmitReceipt{ID: id, Outcome: Unproved, Reason: "not_kept",
+				n.finishErrand(SubmitReply{ID: id, Outcome: Unproved, Reason: "not_kept",
 					Detail: "the routers were told, but the core could not keep the mark"})
 				continue
 			}
 			if errand.submit.Order == Fence {
-				n.finishErrand(SubmitReceipt{ID: id, Outcome: Unproved, Reason: "no_majority",
+				n.finishErrand(SubmitReply{ID: id, Outcome: Unproved, Reason: "no_majority",
 					Detail: "neither a yes nor a final no could be shown; ask again by this id"})
 				continue
 			}
 			if n.settings.NoFence {
-				n.finishErrand(SubmitReceipt{ID: id, Outcome: Unproved, Reason: "no_majority",
+				n.finishErrand(SubmitReply{ID: id, Outcome: Unproved, Reason: "no_majority",
 					Detail: "neither a yes nor a final no could be shown; send it again as it was"})
 				continue
 			}
@@ -1052,7 +1052,7 @@
 	}
 }
 
-func (n *Node) onSubmitReceipt(m *SubmitReceipt) {
+func (n *Node) onSubmitReply(m *SubmitReply) {
 	errand := n.errands[m.ID]
 	// An unproved word from a leader that stepped down is no end: the next one is asked.
 	if errand == nil || m.Outcome == Unproved {
@@ -1066,17 +1066,17 @@
 // hurry sends what waits for a leader again soon: another one is known to lead.
 func (n *Node) hurry() {
 	for _, errand := range n.errands {
-		errand.resendAt = min(errand.resendAt, max(n.now, errand.sentAt+100*house.Millisecond))
+		errand.resendAt = min(errand.resendAt, max(n.now, errand.sentAt+100*kernel.Millisecond))
 	}
 	for _, read := range n.reads {
-		read.resendAt = min(read.resendAt, max(n.now, read.sentAt+100*house.Millisecond))
+		read.resendAt = min(read.resendAt, max(n.now, read.sentAt+100*kernel.Millisecond))
 	}
 }
 
-func (n *Node) finishErrand(receipt SubmitReceipt) {
-	delete(n.errands, receipt.ID)
-	n.note("submission "+receipt.ID, "receipt "+string(receipt.Outcome), receipt.Reason)
-	n.out = append(n.out, Receipt{receipt})
+func (n *Node) finishErrand(reply SubmitReply) {
+	delete(n.errands, reply.ID)
+	n.note("submission "+reply.ID, "receipt "+string(reply.Outcome), reply.Reason)
+	n.out = append(n.out, Reply{reply})
 }
 
 // ---- what the shell and the data plane may see ----
@@ -1084,7 +1084,7 @@
 // State is a picture of a node at one moment; nothing in it is changed later.
 type State struct {
 	Document   *Document
-	Until      house.Micros
+	Until      kernel.Micros
 	Why        string
 	Leader     string
 	Home       string
@@ -1108,7 +1108,7 @@
 // keeps its parts that have not.
 func (n *Node) State(earlier *State) *State {
 	state := State{
-		Document: n.licence.applied, Until: n.licence.until, Why: n.licence.Why(n.now),
+		Document: n.lease.applied, Until: n.lease.until, Why: n.lease.Why(n.now),
 		Home: n.home(), IsHome: n.isHome(), IsHomeless: n.isHomeless(),
 		EngineRev: n.cell.engineRev, Founding: n.founding(), Leader: n.leaderHint, cellRev: n.cell.rev,
 	}
