--- a/flyloft/rebuild.go
+++ b/control/rebuild.go
@@ -1,15 +1,15 @@
-package flyloft
+package control
 
 import (
 	"fmt"
 	"slices"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
-// generationLeap is how far a rebuilt core begins above what its folder holds, so that
-// no generation that the lost members may have acknowledged is ever given out again.
-const generationLeap = 1 << 20
+// revisionLeap is how far a rebuilt core begins above what its folder holds, so that
+// no revision that the lost members may have acknowledged is ever given out again.
+const revisionLeap = 1 << 20
 
 // Survivor is what a data folder says of the core that it was part of.
 type Survivor struct {
@@ -24,7 +24,7 @@
 func (b NoSurvivor) Error() string { return "no core can be rebuilt from this folder: " + b.Why }
 
 // LookAt reads a folder and changes nothing in it.
-func LookAt(folder house.Folder) (Survivor, error) {
+func LookAt(folder kernel.Folder) (Survivor, error) {
 	s := &Store{folder: folder}
 	var member memberFile
 	if _, err := s.get("member.json", &member); err != nil {
@@ -53,10 +53,10 @@
 
 // Witness is what a member of the old core said when it was asked before a rebuild.
 type Witness struct {
-	Address    string
-	Member     MemberID `json:"member"`
-	Founding   string   `json:"founding"`
-	Generation uint64   `json:"generation"`
+	Address  string
+	Member   MemberID `json:"member"`
+	Founding string   `json:"founding"`
+	Revision uint64   `json:"generation"`
 }
 
 // StillAlive says that a core must not be rebuilt, since one can still speak.
@@ -83,8 +83,8 @@
 		switch {
 		case witness.Founding != "" && witness.Founding != s.Document.Founding:
 			return StillAlive{fmt.Sprintf("%s belongs to another founding: a core was rebuilt already", witness.Address)}
-		case witness.Founding == s.Document.Founding && witness.Generation > s.Document.Generation:
-			return StillAlive{fmt.Sprintf("%s holds generation %d, this folder only %d: rebuild from that one", witness.Address, witness.Generation, s.Document.Generation)}
+		case witness.Founding == s.Document.Founding && witness.Revision > s.Document.Revision:
+			return StillAlive{fmt.Sprintf("%s holds generation %d, this folder only %d: rebuild from that one", witness.Address, witness.Revision, s.Document.Revision)}
 		}
 	}
 	return nil
@@ -96,7 +96,7 @@
 // the new one; those that are not are then too few to license each other any longer.
 func (s Survivor) Rebuild(self Member, founding string) *Document {
 	next := s.Document.next(s.Document.Term + 1)
-	next.Generation += generationLeap
+	next.Revision += revisionLeap
 	next.Founding, next.Voters = founding, []Member{self}
 	// A change of the register that was not settled yet is settled by the larger of both.
 	for _, address := range s.Document.PriorRegister {
@@ -105,14 +105,14 @@
 		}
 	}
 	next.Register = sorted(next.Register)
-	next.PriorRegister, next.RegisterSince = nil, next.Generation
+	next.PriorRegister, next.RegisterSince = nil, next.Revision
 	next.Homes = map[string]string{}
 	return next
 }
 
 // WriteRebuilt puts a rebuilt core into its folder: the member's new id first, so that
 // after a power cut in between the folder is that of a newcomer, which promises nothing.
-func WriteRebuilt(folder house.Folder, fleet string, document *Document) error {
+func WriteRebuilt(folder kernel.Folder, fleet string, document *Document) error {
 	s := &Store{folder: folder}
 	if _, err := s.put("member.json", memberFile{document.Voters[0].ID, fleet, folderFormat}); err != nil {
 		return fmt.Errorf("write the rebuilt core: %w", err)
--- a/flyloft/recovery_test.go
+++ b/control/recovery_test.go
@@ -1,4 +1,4 @@
-package flyloft
+package control
 
 import (
 	"encoding/json"
@@ -9,23 +9,23 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
-// settledFleet is a fleet of voters and routers with a spec in force and two engines that beat.
+// settledFleet is a fleet of voters and routers with a configuration in force and two engines that beat.
 func settledFleet(c *qt.C, seed uint64, nodes int) *fleet {
 	f := newFleet(c, seed, 4, nodes, firstHaveFolders(4))
 	f.bootAll(500 * ms)
-	f.settled(6 * house.Second)
-	f.votersAre(3*house.Second, f.nodes[:4]...)
-	f.acknowledge("one", 0, specOf(1, "a"), 4*house.Second, f.nodes[5])
+	f.settled(6 * kernel.Second)
+	f.votersAre(3*kernel.Second, f.nodes[:4]...)
+	f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[5])
 	for i, id := range []string{"e1", "e2"} {
 		f.register(f.nodes[i], uint64(i+1), engineAt(id, fmt.Sprintf("z%d", i+1), 1))
 	}
-	f.await("the engines everywhere", 4*house.Second, func() bool {
+	f.await("the engines everywhere", 4*kernel.Second, func() bool {
 		return f.allKnow("e1", EngineRecord.isBeating) && f.allKnow("e2", EngineRecord.isBeating)
 	})
-	f.pass(house.Second)
+	f.pass(kernel.Second)
 	return f
 }
 
@@ -37,14 +37,14 @@
 }
 
 // recovery is how long after the first start of a fleet's processes something was so.
-type recovery struct{ led, documents, engines, newest house.Micros }
+type recovery struct{ led, documents, engines, newest kernel.Micros }
 
 // recover starts all within a span and looks at every millisecond.
-func (f *fleet) recover(span house.Micros) recovery {
+func (f *fleet) recover(span kernel.Micros) recovery {
 	f.c.Helper()
 	begun, took := f.now, recovery{}
 	f.bootAll(span)
-	first := func(at *house.Micros, isMet func() bool) {
+	first := func(at *kernel.Micros, isMet func() bool) {
 		if *at == 0 && isMet() {
 			*at = max(f.now-begun, 1)
 		}
@@ -57,16 +57,16 @@
 	for took.led == 0 || took.documents == 0 || took.newest == 0 || took.engines == 0 {
 		f.pass(ms)
 		first(&took.led, func() bool { return f.leader() != nil })
-		first(&took.documents, all(func(n *fleetNode) bool { return n.inForce() != nil && n.inForce().SpecVersion == 1 }))
+		first(&took.documents, all(func(n *fleetNode) bool { return n.inForce() != nil && n.inForce().ConfigVersion == 1 }))
 		first(&took.engines, all(func(n *fleetNode) bool { return n.engine("e1").isBeating() && n.engine("e2").isBeating() }))
 		first(&took.newest, func() bool {
 			lead := f.leader()
 			return lead != nil && lead.node.core.committed != nil &&
 				all(func(n *fleetNode) bool {
-					return n.inForce() != nil && n.inForce().Generation >= lead.node.core.committed.Generation
+					return n.inForce() != nil && n.inForce().Revision >= lead.node.core.committed.Revision
 				})()
 		})
-		if f.now-begun > 6*house.Second {
+		if f.now-begun > 6*kernel.Second {
 			break
 		}
 	}
@@ -74,7 +74,7 @@
 }
 
 // logSpans logs the middle and the largest of some spans.
-func logSpans(c *qt.C, what string, spans []house.Micros) {
+func logSpans(c *qt.C, what string, spans []kernel.Micros) {
 	slices.Sort(spans)
 	c.Logf("%s: median %d ms, most %d ms of %d", what, spans[len(spans)/2]/ms, spans[len(spans)-1]/ms, len(spans))
 }
@@ -82,7 +82,7 @@
 func TestAWholeFleetThatLostPowerIsBackAtOnce(t *testing.T) {
 	for _, nodes := range []int{9, 12} {
 		c := qt.New(t)
-		var led, documents, engines, newest []house.Micros
+		var led, documents, engines, newest []kernel.Micros
 		for seed := range uint64(20) {
 			f := settledFleet(c, seed, nodes)
 			f.loseAllPower()
@@ -90,10 +90,10 @@
 			took := f.recover(100 * ms)
 			led, documents = append(led, took.led), append(documents, took.documents)
 			engines, newest = append(engines, took.engines), append(newest, took.newest)
-			for _, span := range []house.Micros{took.documents, took.engines} {
+			for _, span := range []kernel.Micros{took.documents, took.engines} {
 				c.Assert(span > 0 && span <= 250*ms, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, took))
 			}
-			for _, span := range []house.Micros{took.led, took.newest} {
+			for _, span := range []kernel.Micros{took.led, took.newest} {
 				c.Assert(span > 0 && span <= 500*ms, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, took))
 			}
 		}
@@ -122,7 +122,7 @@
 				continue
 			}
 			n.kill()
-			f.pass(100*ms + house.Micros(f.random.Int64N(int64(house.Second))))
+			f.pass(100*ms + kernel.Micros(f.random.Int64N(int64(kernel.Second))))
 			n.boot()
 			f.pass(1500 * ms)
 			c.Assert(f.leader(), qt.Equals, lead)
@@ -142,24 +142,24 @@
 				lead.cut[n.identity.Address] = true
 			}
 		}
-		lead.submit("lost", 1, specOf(2, "lost"))
-		f.await("the leader alone to hold it", house.Second, func() bool { return lead.document.SpecVersion == 2 })
+		lead.submit("lost", 1, configOf(2, "lost"))
+		f.await("the leader alone to hold it", kernel.Second, func() bool { return lead.document.ConfigVersion == 2 })
 		// Long enough for a snapshot, and too short for it to step down.
 		f.pass(550 * ms)
-		c.Assert(lead.snapshotDocument().SpecVersion, qt.Equals, uint64(1))
+		c.Assert(lead.snapshotDocument().ConfigVersion, qt.Equals, uint64(1))
 		lead.kill()
-		f.acknowledge("won", 1, specOf(2, "won"), 4*house.Second, f.nodes[5], f.nodes[6])
+		f.acknowledge("won", 1, configOf(2, "won"), 4*kernel.Second, f.nodes[5], f.nodes[6])
 		// It starts without a way to anybody: it serves what was in force before.
 		lead.boot()
-		f.pass(house.Second)
-		c.Assert(string(lead.inForce().Spec), qt.Equals, string(specOf(1, "a")))
+		f.pass(kernel.Second)
+		c.Assert(string(lead.inForce().Config), qt.Equals, string(configOf(1, "a")))
 		c.Assert(lead.node.State(nil).Until, qt.Equals, ServeOnAlways)
 		lead.cut = map[string]bool{}
-		f.await("what won", 2*house.Second, func() bool { return string(lead.inForce().Spec) == string(specOf(2, "won")) })
+		f.await("what won", 2*kernel.Second, func() bool { return string(lead.inForce().Config) == string(configOf(2, "won")) })
 		f.loseAllPower()
 		f.recover(100 * ms)
 		for _, n := range f.nodes {
-			c.Assert(string(n.inForce().Spec), qt.Equals, string(specOf(2, "won")))
+			c.Assert(string(n.inForce().Config), qt.Equals, string(configOf(2, "won")))
 		}
 	}
 }
@@ -174,22 +174,22 @@
 		took := f.recover(100 * ms)
 		c.Assert(took.documents > 0 && took.documents <= 250*ms, qt.IsTrue, qt.Commentf("%+v", took))
 		c.Assert(took.engines > 0 && took.engines <= 250*ms, qt.IsTrue, qt.Commentf("%+v", took))
-		f.votersAre(4*house.Second, f.nodes[:4]...)
+		f.votersAre(4*kernel.Second, f.nodes[:4]...)
 	}
 }
 
 func TestARestartedRouterNeedsNoLeader(t *testing.T) {
-	for _, size := range []int{1, 3 * helloSpec} {
+	for _, size := range []int{1, 3 * helloConfig} {
 		c := qt.New(t)
 		f := settledFleet(c, 3, 9)
-		f.acknowledge("two", 1, specOf(2, string(slices.Repeat([]byte("x"), size))), 4*house.Second, f.nodes[5])
+		f.acknowledge("two", 1, configOf(2, string(slices.Repeat([]byte("x"), size))), 4*kernel.Second, f.nodes[5])
 		router, seq := f.nodes[7], uint64(10)
 		restart := func(what string) {
 			router.kill()
 			f.pass(300 * ms)
 			router.boot()
 			took := f.await("the spec and the engines again", 250*ms, func() bool {
-				return router.inForce() != nil && router.inForce().SpecVersion == 2 && router.engine("e1").isBeating() && router.engine("e2").isBeating()
+				return router.inForce() != nil && router.inForce().ConfigVersion == 2 && router.engine("e1").isBeating() && router.engine("e2").isBeating()
 			})
 			c.Logf("%s, a spec of %d bytes: after %d ms", what, size, took/ms)
 		}
@@ -202,7 +202,7 @@
 				seq++
 				f.register(f.nodes[0], 10*seq+uint64(i), engineAt(id, fmt.Sprintf("z%d", i+1), seq))
 			}
-			f.pass(house.Second / 2)
+			f.pass(kernel.Second / 2)
 		}
 		c.Assert(f.leader(), qt.IsNil)
 		restart("under none")
@@ -217,19 +217,19 @@
 	// One beats again; the other ended with the power.
 	for seq := uint64(2); seq < 12; seq++ {
 		f.register(f.nodes[0], 100+seq, engineAt("e1", "z1", seq))
-		f.pass(house.Second)
+		f.pass(kernel.Second)
 	}
 	c.Assert(f.allKnow("e1", EngineRecord.isBeating), qt.IsTrue)
 	c.Assert(f.allKnow("e2", func(e EngineRecord) bool { return e.IsDark }), qt.IsTrue)
 }
 
-func TestUnderStrictLicencesThereIsNoSnapshot(t *testing.T) {
+func TestUnderStrictLeasesThereIsNoSnapshot(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(c, 1, 3, 6, firstHaveFolders(3))
 	f.adapt = func(settings *NodeSettings) { settings.Bootstrap = false }
 	f.bootAll(200 * ms)
-	f.settled(6 * house.Second)
-	f.pass(2 * house.Second)
+	f.settled(6 * kernel.Second)
+	f.pass(2 * kernel.Second)
 	document := f.nodes[0].inForce()
 	for _, n := range f.nodes {
 		c.Assert(n.snapshot, qt.IsNil)
@@ -239,19 +239,19 @@
 	f.loseAllPower()
 	f.nodes[0].snapshot = content
 	f.nodes[0].boot()
-	f.pass(house.Second)
+	f.pass(kernel.Second)
 	c.Assert(f.nodes[0].inForce(), qt.IsNil)
 	c.Assert(f.crossed["Hello"], qt.Equals, 0)
 }
 
-// snapshotStore is a member's folder with two generations of one spec.
+// snapshotStore is a member's folder with two revisions of one configuration.
 func snapshotStore(c *qt.C, path string) (*Store, *Document) {
-	folder, err := house.OpenFolder(path)
+	folder, err := kernel.OpenFolder(path)
 	c.Assert(err, qt.IsNil)
 	store, _, _, err := OpenStore(folder, "f", func() string { return "m" })
 	c.Assert(err, qt.IsNil)
-	first := &Document{Founding: "x", Generation: 1, Term: 1}
-	first.putSpec([]byte("spec"))
+	first := &Document{Founding: "x", Revision: 1, Term: 1}
+	first.putConfig([]byte("spec"))
 	second := first.next(1)
 	for _, document := range []*Document{first, second} {
 		c.Assert(store.Save(Save{Ballot: &Ballot{Term: 1}, Document: document}), qt.IsNil)
@@ -260,7 +260,7 @@
 }
 
 func reopened(c *qt.C, path string) *Store {
-	folder, err := house.OpenFolder(path)
+	folder, err := kernel.OpenFolder(path)
 	c.Assert(err, qt.IsNil)
 	store, _, _, err := OpenStore(folder, "f", func() string { return "m2" })
 	c.Assert(err, qt.IsNil)
@@ -277,31 +277,31 @@
 	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: document, Nodes: []string{"n"}}), qt.IsNil)
 	file, err := store.folder.Get(snapshotName)
 	c.Assert(err, qt.IsNil)
-	// The spec stands in the folder once.
+	// The configuration stands in the folder once.
 	var raw Snapshot
 	content, err := unseal(snapshotName, file)
 	c.Assert(err, qt.IsNil)
 	c.Assert(json.Unmarshal(content, &raw), qt.IsNil)
-	c.Assert(raw.Document.Spec, qt.HasLen, 0)
-	c.Assert(document.Spec, qt.Not(qt.HasLen), 0)
+	c.Assert(raw.Document.Config, qt.HasLen, 0)
+	c.Assert(document.Config, qt.Not(qt.HasLen), 0)
 	found, err = reopened(c, path).Snapshot("f")
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(found.Document.Spec), qt.Equals, "spec")
+	c.Assert(string(found.Document.Config), qt.Equals, "spec")
 	c.Assert(found.Document.stamp(), qt.Equals, document.stamp())
-	// One whose spec no file has holds it itself.
+	// One whose configuration no file has holds it itself.
 	other := document.next(1)
-	other.putSpec([]byte("other"))
+	other.putConfig([]byte("other"))
 	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: other}), qt.IsNil)
 	found, err = reopened(c, path).Snapshot("f")
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(found.Document.Spec), qt.Equals, "other")
+	c.Assert(string(found.Document.Config), qt.Equals, "other")
 	// One beyond the bound leaves the last as it is.
 	store.Bound(StoreBounds{Snapshot: 64})
 	err = store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: document})
 	c.Assert(errors.As(err, new(SnapshotTooLarge)), qt.IsTrue)
 	found, err = reopened(c, path).Snapshot("f")
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(found.Document.Spec), qt.Equals, "other")
+	c.Assert(string(found.Document.Config), qt.Equals, "other")
 }
 
 func TestASpecThatTheSnapshotNeedsIsKept(t *testing.T) {
@@ -309,16 +309,16 @@
 	path := c.TempDir()
 	store, document := snapshotStore(c, path)
 	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: document}), qt.IsNil)
-	store.Bound(StoreBounds{Generations: 1})
+	store.Bound(StoreBounds{Revisions: 1})
 	last := document
 	for i := range 6 {
 		last = last.next(1)
-		last.putSpec(fmt.Append(nil, "proposed ", i))
+		last.putConfig(fmt.Append(nil, "proposed ", i))
 		c.Assert(store.Save(Save{Document: last}), qt.IsNil)
 	}
 	found, err := reopened(c, path).Snapshot("f")
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(found.Document.Spec), qt.Equals, "spec")
+	c.Assert(string(found.Document.Config), qt.Equals, "spec")
 }
 
 func TestASnapshotOfNoUseIsSetAside(t *testing.T) {
@@ -356,8 +356,8 @@
 		},
 		"of another spec": func(store *Store, snapshot *Snapshot) error {
 			changed := *snapshot.Document
-			changed.Spec = []byte("changed")
-			changed.Chain = []SpecMark{{changed.SpecGeneration, "of none"}}
+			changed.Config = []byte("changed")
+			changed.Chain = []ConfigMark{{changed.ConfigRevision, "of none"}}
 			snapshot.Document = &changed
 			return store.SaveSnapshot(snapshot)
 		},
@@ -392,12 +392,12 @@
 				return !slices.ContainsFunc(f.nodes, func(at *fleetNode) bool { return at != n && !isMet(record(at)) })
 			}
 		}
-		f.await("all know that it leaves", 4*house.Second, all(func(r NodeRecord) bool { return r.IsLeaving }))
+		f.await("all know that it leaves", 4*kernel.Second, all(func(r NodeRecord) bool { return r.IsLeaving }))
 		n.kill()
 		f.pass(300 * ms)
 		f.start -= 900
 		n.boot()
-		took := f.await("all know that it is back", 4*house.Second, all(func(r NodeRecord) bool { return !r.IsLeaving }))
+		took := f.await("all know that it is back", 4*kernel.Second, all(func(r NodeRecord) bool { return !r.IsLeaving }))
 		c.Logf("known after %d ms", took/ms)
 		c.Assert(record(n).IsLeaving, qt.IsFalse)
 	}
@@ -407,8 +407,8 @@
 func TestRecordsOfTwoLivesOfANodeMergeToTheLater(t *testing.T) {
 	c := qt.New(t)
 	timing := DefaultTiming()
-	now := 100 * house.Second
-	word := func(start, seq uint64, age house.Micros) NodeRecord {
+	now := 100 * kernel.Second
+	word := func(start, seq uint64, age kernel.Micros) NodeRecord {
 		return NodeRecord{Address: "n", Zone: "z", Start: start, Seq: seq, AsOf: now - age}
 	}
 	for _, each := range []struct {
@@ -463,23 +463,25 @@
 			}
 		}
 		// Two of four are no majority.
-		f.nodes[6].submit("two", 1, specOf(2, "b"))
-		f.pass(3 * house.Second)
-		_, hasReceipt := f.receipt["two"]
-		c.Assert(hasReceipt && f.receipt["two"].Outcome == Yes, qt.IsFalse)
+		f.nodes[6].submit("two", 1, configOf(2, "b"))
+		f.pass(3 * kernel.Second)
+		_, hasReply := f.reply["two"]
+		c.Assert(hasReply && f.reply["two"].Outcome == Yes, qt.IsFalse)
 		for _, n := range full {
-			c.Assert(n.document.SpecVersion, qt.Equals, uint64(1))
-			c.Assert(n.inForce().SpecVersion, qt.Equals, uint64(1))
+			c.Assert(n.document.ConfigVersion, qt.Equals, uint64(1))
+			c.Assert(n.inForce().ConfigVersion, qt.Equals, uint64(1))
 			c.Assert(n.state().Until, qt.Equals, ServeOnAlways)
 		}
 		full[0].isFull = false
-		f.await("a majority holds it", 6*house.Second, func() bool {
-			return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool { return n.inForce().SpecVersion != 2 })
+		f.await("a majority holds it", 6*kernel.Second, func() bool {
+			return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool { return n.inForce().ConfigVersion != 2 })
 		})
 		// The one that is still full serves under it and has not kept it.
-		c.Assert(full[1].document.SpecVersion, qt.Equals, uint64(1))
-		c.Assert(full[1].snapshotDocument().SpecVersion, qt.Equals, uint64(1))
+		c.Assert(full[1].document.ConfigVersion, qt.Equals, uint64(1))
+		c.Assert(full[1].snapshotDocument().ConfigVersion, qt.Equals, uint64(1))
 		full[1].isFull = false
-		f.await("it is kept", 8*house.Second, func() bool { return full[1].snapshotDocument().SpecVersion == 2 && full[1].document.SpecVersion == 2 })
+		f.await("it is kept", 8*kernel.Second, func() bool {
+			return full[1].snapshotDocument().ConfigVersion == 2 && full[1].document.ConfigVersion == 2
+		})
 	}
 }
--- a/flyloft/rules.go
+++ b/control/rules.go
@@ -1,20 +1,20 @@
-package flyloft
+package control
 
 import (
 	"cmp"
 	"fmt"
 	"slices"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
-// ReceiptRule says when a committed order gets its yes.
-type ReceiptRule int
+// AckRule says when a committed order gets its yes.
+type AckRule int
 
-// The rules of receipts.
+// The rules of replies.
 const (
 	// Strict: a majority of the registered routers has applied the document.
-	Strict ReceiptRule = iota
+	Strict AckRule = iota
 	// Spread: everyone who was heard within the last second has applied it, or the span
 	// SpreadWait is over. The majority of voters alone decides.
 	Spread
@@ -33,67 +33,67 @@
 )
 
 // ServeOnAlways lets a router serve for as long as it has an applied document.
-const ServeOnAlways = house.Micros(1 << 62)
+const ServeOnAlways = kernel.Micros(1 << 62)
 
 // defaultSpreadWait is how long a yes waits for nodes that have not confirmed.
-const defaultSpreadWait = 600 * house.Millisecond
+const defaultSpreadWait = 600 * kernel.Millisecond
 
-// SpecRefused is a final no to a spec or a change.
-type SpecRefused struct {
-	Reason string // as in a receipt
+// ConfigRefused is a final no to a configuration or a change.
+type ConfigRefused struct {
+	Reason string // as in a reply
 	Cause  error
 }
 
-func (b SpecRefused) Error() string { return b.Reason + ": " + b.Cause.Error() }
+func (b ConfigRefused) Error() string { return b.Reason + ": " + b.Cause.Error() }
 
 // Unwrap gives the cause.
-func (b SpecRefused) Unwrap() error { return b.Cause }
+func (b ConfigRefused) Unwrap() error { return b.Cause }
 
-// specFault is the cause of a refusal that is not the checker's own.
-type specFault struct{ why string }
+// configFault is the cause of a refusal that is not the checker's own.
+type configFault struct{ why string }
 
-func (b specFault) Error() string { return b.why }
+func (b configFault) Error() string { return b.why }
 
-func faultOf(form string, args ...any) error { return specFault{fmt.Sprintf(form, args...)} }
+func faultOf(form string, args ...any) error { return configFault{fmt.Sprintf(form, args...)} }
 
-// judgeSpec gives the spec that an order leads to, on top of the one in force, and its
-// version; or a SpecRefused.
-func (s CoreSettings) judgeSpec(m *Submit, current *Document) (spec []byte, version uint64, err error) {
+// judgeConfig gives the configuration that an order leads to, on top of the one in force, and its
+// version; or a ConfigRefused.
+func (s CoreSettings) judgeConfig(m *Submit, current *Document) (config []byte, version uint64, err error) {
 	// Versions only rise, so a clash stays a clash: this no needs no fence.
-	if m.BaseVersion != nil && *m.BaseVersion != current.SpecVersion {
-		return nil, 0, SpecRefused{"clash", faultOf("the spec is at version %d, not %d", current.SpecVersion, *m.BaseVersion)}
+	if m.BaseVersion != nil && *m.BaseVersion != current.ConfigVersion {
+		return nil, 0, ConfigRefused{"clash", faultOf("the spec is at version %d, not %d", current.ConfigVersion, *m.BaseVersion)}
 	}
-	spec = m.Spec
-	if m.Order == ChangeSpec {
-		if s.ChangeSpec == nil {
-			return nil, 0, SpecRefused{"unknown_order", faultOf("%q", m.Order)}
+	config = m.Config
+	if m.Order == ChangeConfig {
+		if s.ChangeConfig == nil {
+			return nil, 0, ConfigRefused{"unknown_order", faultOf("%q", m.Order)}
 		}
-		if spec, err = s.ChangeSpec(current.Spec, m.Spec); err != nil {
-			return nil, 0, SpecRefused{"invalid_spec", err}
+		if config, err = s.ChangeConfig(current.Config, m.Config); err != nil {
+			return nil, 0, ConfigRefused{"invalid_spec", err}
 		}
 	}
-	if s.CheckSpec != nil {
-		if err := s.CheckSpec(spec); err != nil {
-			return nil, 0, SpecRefused{"invalid_spec", err}
+	if s.CheckConfig != nil {
+		if err := s.CheckConfig(config); err != nil {
+			return nil, 0, ConfigRefused{"invalid_spec", err}
 		}
 	}
-	// The generation only grows, so a clash stays a clash: this no needs no fence.
-	if m.Base != nil && *m.Base != current.SpecGeneration {
-		return nil, 0, SpecRefused{"clash", faultOf("the spec is at generation %d, not %d", current.SpecGeneration, *m.Base)}
+	// The revision only grows, so a clash stays a clash: this no needs no fence.
+	if m.Base != nil && *m.Base != current.ConfigRevision {
+		return nil, 0, ConfigRefused{"clash", faultOf("the spec is at generation %d, not %d", current.ConfigRevision, *m.Base)}
 	}
-	version = current.SpecVersion
+	version = current.ConfigVersion
 	switch {
 	case s.VersionOf != nil:
-		if version, err = s.VersionOf(spec); err != nil {
-			return nil, 0, SpecRefused{"invalid_spec", err}
+		if version, err = s.VersionOf(config); err != nil {
+			return nil, 0, ConfigRefused{"invalid_spec", err}
 		}
-		if version <= current.SpecVersion {
-			return nil, 0, SpecRefused{"old_version", faultOf("version %d is not above %d", version, current.SpecVersion)}
+		if version <= current.ConfigVersion {
+			return nil, 0, ConfigRefused{"old_version", faultOf("version %d is not above %d", version, current.ConfigVersion)}
 		}
 	case m.BaseVersion != nil:
 		version++
 	}
-	return spec, version, nil
+	return config, version, nil
 }
 
 // mostWanted bounds the voters beyond what a loss asks for: each has to sync every document.
--- a/flyloft/snapshot.go
+++ b/control/snapshot.go
@@ -1,11 +1,11 @@
-package flyloft
+package control
 
 import (
 	"encoding/json"
 	"errors"
 	"fmt"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // Snapshot is what a node keeps on its disk for a quick start: the newest document that
@@ -14,7 +14,7 @@
 type Snapshot struct {
 	Format   int            `json:"format"`
 	Fleet    string         `json:"fleet"`
-	Document *Document      `json:"document"` // without its spec where the folder holds that
+	Document *Document      `json:"document"` // without its configuration where the folder holds that
 	Engines  []EngineRecord `json:"engines,omitempty"`
 	Nodes    []string       `json:"nodes,omitempty"`
 }
@@ -26,10 +26,10 @@
 const (
 	snapshotFormat = 1
 	snapshotName   = "snapshot.json"
-	snapshotEvery  = 500 * house.Millisecond
+	snapshotEvery  = 500 * kernel.Millisecond
 	// After a failure the disk is left alone for so long; one that is full needs its room
 	// for what the core promises.
-	snapshotPause = 5 * house.Second
+	snapshotPause = 5 * kernel.Second
 	snapshotNodes = 64
 	// snapshotBytes bounds the file where the store's bounds say nothing.
 	snapshotBytes = 8 << 20
@@ -48,7 +48,7 @@
 type snapshots struct {
 	isOn      bool
 	isWriting bool
-	nextAt    house.Micros
+	nextAt    kernel.Micros
 	written   snapshotMark
 	writing   snapshotMark
 	// restored is the document that came from the disk, until the fleet has shown another.
@@ -63,12 +63,12 @@
 }
 
 func (n *Node) snapshotMark() snapshotMark {
-	return snapshotMark{n.licence.applied, n.cell.engineRev, min(n.cell.nodes.Len(), snapshotNodes)}
+	return snapshotMark{n.lease.applied, n.cell.engineRev, min(n.cell.nodes.Len(), snapshotNodes)}
 }
 
 // restore begins with what the disk held. Only where a router may serve without the core's
-// word: under licences alone it would be of no use, and every word on it would have to be
-// weighed against the proof of a receipt.
+// word: under leases alone it would be of no use, and every word on it would have to be
+// weighed against the proof of a reply.
 func (n *Node) restore(from *Snapshot) {
 	s := &n.snapshots
 	s.isOn = n.settings.HasFolder && n.settings.ServeOn >= ServeOnAlways
@@ -81,7 +81,7 @@
 		return
 	}
 	s.restored = from.Document
-	n.note("snapshot", "begin with", fmt.Sprintf("generation %d, %d engines, %d nodes to ask", from.Document.Generation, len(from.Engines), len(from.Nodes)))
+	n.note("snapshot", "begin with", fmt.Sprintf("generation %d, %d engines, %d nodes to ask", from.Document.Revision, len(from.Engines), len(from.Nodes)))
 	for _, record := range from.Engines {
 		// Nobody has heard them in this life: they count as long silent, so that their home
 		// calls them gone unless they beat, and any real word on them is fresher. Not so
@@ -94,17 +94,17 @@
 			n.otherHints = append(n.otherHints, address)
 		}
 	}
-	n.applied(n.licence.Apply(from.Document))
+	n.applied(n.lease.Apply(from.Document))
 }
 
 // isRestored tells that the document in force is still the one of the disk.
 func (n *Node) isRestored() bool {
-	return n.snapshots.restored != nil && n.licence.applied == n.snapshots.restored
+	return n.snapshots.restored != nil && n.lease.applied == n.snapshots.restored
 }
 
 func (n *Node) tickSnapshot() {
 	s := &n.snapshots
-	if !s.isOn || s.isWriting || n.now < s.nextAt || n.licence.applied == nil {
+	if !s.isOn || s.isWriting || n.now < s.nextAt || n.lease.applied == nil {
 		return
 	}
 	mark := n.snapshotMark()
@@ -116,7 +116,7 @@
 		return
 	}
 	s.isWriting, s.writing, s.nextAt = true, mark, n.now+snapshotEvery
-	snapshot := &Snapshot{Format: snapshotFormat, Fleet: n.settings.Identity.Fleet, Document: n.licence.applied}
+	snapshot := &Snapshot{Format: snapshotFormat, Fleet: n.settings.Identity.Fleet, Document: n.lease.applied}
 	for _, engine := range n.cell.Engines() {
 		snapshot.Engines = append(snapshot.Engines, engine.aged(n.now))
 	}
@@ -129,7 +129,7 @@
 }
 
 // SnapshotSaved reports on the last snapshot.
-func (n *Node) SnapshotSaved(now house.Micros, err error) []any {
+func (n *Node) SnapshotSaved(now kernel.Micros, err error) []any {
 	n.now = now
 	s := &n.snapshots
 	s.isWriting = false
@@ -147,7 +147,7 @@
 // SaveSnapshot writes a snapshot in place of the last one.
 func (s *Store) SaveSnapshot(snapshot *Snapshot) error {
 	light := *snapshot
-	// Most often the folder holds the spec already, and a second copy would double what
+	// Most often the folder holds the configuration already, and a second copy would double what
 	// a change costs the disk.
 	s.lock.Lock()
 	pinned := s.holder(snapshot.Document)
@@ -173,13 +173,13 @@
 	return nil
 }
 
-// holder is the newest file that holds a document's spec, if any.
+// holder is the newest file that holds a document's configuration, if any.
 func (s *Store) holder(document *Document) Stamp {
 	if len(document.Chain) == 0 {
 		return Stamp{}
 	}
 	for i := len(s.files) - 1; i >= 0; i-- {
-		if s.files[i].spec == document.Chain[len(document.Chain)-1] {
+		if s.files[i].config == document.Chain[len(document.Chain)-1] {
 			return s.files[i].stamp
 		}
 	}
@@ -191,7 +191,7 @@
 func (s *Store) Snapshot(fleet string) (*Snapshot, error) {
 	var found Snapshot
 	_, err := s.get(snapshotName, &found)
-	if errors.As(err, new(house.MissingFile)) {
+	if errors.As(err, new(kernel.MissingFile)) {
 		return nil, nil
 	}
 	if err == nil {
@@ -200,7 +200,7 @@
 	if err == nil {
 		return &found, nil
 	}
-	if errors.As(err, new(house.DiskBreakdown)) {
+	if errors.As(err, new(kernel.DiskError)) {
 		return nil, fmt.Errorf("read the snapshot: %w", err)
 	}
 	if failed := s.setAside(snapshotName); failed != nil {
@@ -209,7 +209,7 @@
 	return nil, fmt.Errorf("read the snapshot: %w", err)
 }
 
-// complete checks a snapshot and puts its document's spec back.
+// complete checks a snapshot and puts its document's configuration back.
 func (s *Store) complete(found *Snapshot, fleet string) error {
 	switch {
 	case found.Format > snapshotFormat:
@@ -220,14 +220,14 @@
 		return DamagedFile{snapshotName, "it holds no document"}
 	}
 	chain := found.Document.Chain
-	if len(found.Document.Spec) == 0 && len(chain) > 0 {
-		kept, err := s.SpecAt(chain[len(chain)-1])
+	if len(found.Document.Config) == 0 && len(chain) > 0 {
+		kept, err := s.ConfigAt(chain[len(chain)-1])
 		if err != nil {
 			return err
 		}
-		found.Document.Spec = kept.Spec
+		found.Document.Config = kept.Config
 	}
-	// What its generation is said to hold is what everyone else will show under it.
+	// What its revision is said to hold is what everyone else will show under it.
 	if len(chain) > 0 && MarkOf(found.Document) != chain[len(chain)-1] {
 		return DamagedFile{snapshotName, "its spec is not the one that its document names"}
 	}
--- a/flyloft/store.go
+++ b/control/store.go
@@ -1,4 +1,4 @@
-package flyloft
+package control
 
 import (
 	"crypto/sha256"
@@ -10,14 +10,14 @@
 	"strings"
 	"sync"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // What a data folder keeps at most, so that a small disk does not fill by itself.
 const (
-	keptGenerations = 32
-	keptSpecs       = 64
-	keptBytes       = 96 << 20
+	keptRevisions = 32
+	keptConfigs   = 64
+	keptBytes     = 96 << 20
 )
 
 // DamagedFile says that a file does not hold what was written.
@@ -28,39 +28,39 @@
 
 func (b DamagedFile) Error() string { return fmt.Sprintf("file %s is damaged: %s", b.Name, b.Why) }
 
-// MissingGeneration says that no copy of a generation is kept here.
-type MissingGeneration struct{ Generation uint64 }
+// MissingRevision says that no copy of a revision is kept here.
+type MissingRevision struct{ Revision uint64 }
 
-func (b MissingGeneration) Error() string {
-	return fmt.Sprintf("generation %d is not kept here", b.Generation)
+func (b MissingRevision) Error() string {
+	return fmt.Sprintf("generation %d is not kept here", b.Revision)
 }
 
 type kept struct {
 	stamp          Stamp
-	specGeneration uint64
+	configRevision uint64
 	size           int
-	spec           SpecMark // as its chain names it
+	config         ConfigMark // as its chain names it
 }
 
-// Store keeps a member's ballot and documents in a data folder, one file a generation.
+// Store keeps a member's ballot and documents in a data folder, one file a revision.
 type Store struct {
 	lock   sync.Mutex
-	folder house.Folder
+	folder kernel.Folder
 	member MemberID
 	files  []kept // in order of stamps
 	aside  []string
 	bounds StoreBounds
-	// pins are the files that hold the spec of the snapshot on disk, and of the one being
+	// pins are the files that hold the configuration of the snapshot on disk, and of the one being
 	// written; zero: none is needed.
 	pins [2]Stamp
 }
 
 // StoreBounds are the bytes that a data folder may take; zero: the usual ones.
-type StoreBounds struct{ Generations, Snapshot int }
+type StoreBounds struct{ Revisions, Snapshot int }
 
-func (b StoreBounds) generations() int {
-	if b.Generations > 0 {
-		return min(b.Generations, keptBytes)
+func (b StoreBounds) revisions() int {
+	if b.Revisions > 0 {
+		return min(b.Revisions, keptBytes)
 	}
 	return keptBytes
 }
@@ -144,18 +144,18 @@
 }
 
 func fileName(s Stamp) string {
-	return fmt.Sprintf("generation-%016d-%016d.json", s.Generation, s.Term)
+	return fmt.Sprintf("generation-%016d-%016d.json", s.Revision, s.Term)
 }
 
 // OpenStore reads a data folder, or makes a new member with a fresh id in an
 // empty one.
-func OpenStore(folder house.Folder, fleet string, freshID func() string) (*Store, Ballot, *Document, error) {
+func OpenStore(folder kernel.Folder, fleet string, freshID func() string) (*Store, Ballot, *Document, error) {
 	s := &Store{folder: folder}
 	var member memberFile
 	var ballot Ballot
 	_, memberErr := s.get("member.json", &member)
 	_, ballotErr := s.get("ballot.json", &ballot)
-	if errors.As(memberErr, new(house.DiskBreakdown)) || errors.As(ballotErr, new(house.DiskBreakdown)) {
+	if errors.As(memberErr, new(kernel.DiskError)) || errors.As(ballotErr, new(kernel.DiskError)) {
 		return nil, ballot, nil, fmt.Errorf("open the store: %w", errors.Join(memberErr, ballotErr))
 	}
 	if err := member.check(); err != nil {
@@ -164,7 +164,7 @@
 	if memberErr == nil && member.Fleet != fleet {
 		return nil, ballot, nil, fmt.Errorf("open the store: %w", DamagedFile{"member.json", fmt.Sprintf("it belongs to fleet %q, not %q", member.Fleet, fleet)})
 	}
-	if memberErr == nil && (ballotErr == nil || errors.As(ballotErr, new(house.MissingFile))) {
+	if memberErr == nil && (ballotErr == nil || errors.As(ballotErr, new(kernel.MissingFile))) {
 		s.member = member.Member
 		document, err := s.restore()
 		return s, ballot, document, err
@@ -258,9 +258,9 @@
 }
 
 func keptOf(document *Document, size int) kept {
-	file := kept{stamp: document.stamp(), specGeneration: document.SpecGeneration, size: size}
+	file := kept{stamp: document.stamp(), configRevision: document.ConfigRevision, size: size}
 	if last := len(document.Chain) - 1; last >= 0 {
-		file.spec = document.Chain[last]
+		file.config = document.Chain[last]
 	}
 	return file
 }
@@ -292,11 +292,11 @@
 	}
 	// Room is made before the write, so that a full disk can recover by itself.
 	if err := s.prune(); err != nil {
-		return fmt.Errorf("save generation %d: %w", save.Document.Generation, err)
+		return fmt.Errorf("save generation %d: %w", save.Document.Revision, err)
 	}
 	size, err := s.put(fileName(save.Document.stamp()), save.Document)
 	if err != nil {
-		return fmt.Errorf("save generation %d: %w", save.Document.Generation, err)
+		return fmt.Errorf("save generation %d: %w", save.Document.Revision, err)
 	}
 	s.files = append(s.files, keptOf(save.Document, size))
 	return nil
@@ -310,21 +310,21 @@
 	return nil
 }
 
-// prune keeps the newest generations and one of each of the newest specs.
+// prune keeps the newest revisions and one of each of the newest configurations.
 func (s *Store) prune() error {
-	specs, bytes := map[uint64]bool{}, 0
+	configs, bytes := map[uint64]bool{}, 0
 	gone := []Stamp{}
 	for i := len(s.files) - 1; i >= 0; i-- {
 		file := s.files[i]
-		isNewest := len(s.files)-1-i < keptGenerations
-		isNewSpec := !specs[file.specGeneration] && len(specs) < keptSpecs
+		isNewest := len(s.files)-1-i < keptRevisions
+		isNewConfig := !configs[file.configRevision] && len(configs) < keptConfigs
 		// The newest two stay whatever their size: they are what this member has promised.
-		// So does what the snapshot has its spec from.
-		if i < len(s.files)-2 && !slices.Contains(s.pins[:], file.stamp) && (!isNewest && !isNewSpec || bytes+file.size > s.bounds.generations()) {
+		// So does what the snapshot has its configuration from.
+		if i < len(s.files)-2 && !slices.Contains(s.pins[:], file.stamp) && (!isNewest && !isNewConfig || bytes+file.size > s.bounds.revisions()) {
 			gone = append(gone, file.stamp)
 			continue
 		}
-		specs[file.specGeneration] = true
+		configs[file.configRevision] = true
 		bytes += file.size
 	}
 	for _, stamp := range gone {
@@ -335,24 +335,24 @@
 	return nil
 }
 
-// SpecAt gives a kept document that holds the spec of a mark. The digest is what
-// counts: a file may be left of a generation that was never committed.
-func (s *Store) SpecAt(mark SpecMark) (*Document, error) {
+// ConfigAt gives a kept document that holds the configuration of a mark. The digest is what
+// counts: a file may be left of a revision that was never committed.
+func (s *Store) ConfigAt(mark ConfigMark) (*Document, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	for _, file := range s.files {
-		if file.specGeneration != mark.Generation {
+		if file.configRevision != mark.Revision {
 			continue
 		}
 		var document Document
 		if _, err := s.get(fileName(file.stamp), &document); err != nil {
-			return nil, fmt.Errorf("read the spec of generation %d: %w", mark.Generation, err)
+			return nil, fmt.Errorf("read the spec of generation %d: %w", mark.Revision, err)
 		}
-		if digestOf(document.Spec) == mark.Digest {
+		if digestOf(document.Config) == mark.Digest {
 			return &document, nil
 		}
 	}
-	return nil, MissingGeneration{mark.Generation}
+	return nil, MissingRevision{mark.Revision}
 }
 
 // Keep adds a document of the past beside what this member itself accepted.
@@ -367,25 +367,25 @@
 	}
 	// Only the past may be added: the newest file is this member's own promise.
 	if len(s.files) == 0 || !this.before(s.files[len(s.files)-1].stamp) {
-		return MissingGeneration{document.Generation}
+		return MissingRevision{document.Revision}
 	}
 	size, err := s.put(fileName(this), document)
 	if err != nil {
-		return fmt.Errorf("keep generation %d: %w", document.Generation, err)
+		return fmt.Errorf("keep generation %d: %w", document.Revision, err)
 	}
 	s.files = append(s.files, keptOf(document, size))
 	s.sort()
 	return nil
 }
 
-// SpecGenerations lists the specs kept here, oldest first.
-func (s *Store) SpecGenerations() []uint64 {
+// ConfigRevisions lists the configurations kept here, oldest first.
+func (s *Store) ConfigRevisions() []uint64 {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	found := []uint64{}
 	for _, file := range s.files {
-		if file.specGeneration > 0 {
-			found = append(found, file.specGeneration)
+		if file.configRevision > 0 {
+			found = append(found, file.configRevision)
 		}
 	}
 	slices.Sort(found)
--- a/flyloft/words.go
+++ b/control/words.go
@@ -1,4 +1,4 @@
-package flyloft
+package control
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // Registered answers what Node.Register took from an engine.
@@ -29,16 +29,16 @@
 
 // Spans of a push that has to be confirmed. An engine waits a second for its answer.
 const (
-	pushResend  = 150 * house.Millisecond
-	pushDeputy  = 250 * house.Millisecond // after which another node of a silent zone is asked
-	pushPartial = 400 * house.Millisecond // after which a zone says what it has so far
-	pushEnough  = 600 * house.Millisecond // after which most zones are enough
-	pushGiveUp  = 850 * house.Millisecond
-	pushEnd     = 1600 * house.Millisecond // until which a zone goes on after its word
-	nodeNear    = 1500 * house.Millisecond // a node of the own zone that was heard within it lives
-	nodeFar     = 2500 * house.Millisecond // how late a node's word may be when it gets here
-	judgeEvery  = 200 * house.Millisecond
-	frozenSpan  = house.Second // between two ticks: this process was not there
+	pushResend  = 150 * kernel.Millisecond
+	pushDeputy  = 250 * kernel.Millisecond // after which another node of a silent zone is asked
+	pushPartial = 400 * kernel.Millisecond // after which a zone says what it has so far
+	pushEnough  = 600 * kernel.Millisecond // after which most zones are enough
+	pushGiveUp  = 850 * kernel.Millisecond
+	pushEnd     = 1600 * kernel.Millisecond // until which a zone goes on after its word
+	nodeNear    = 1500 * kernel.Millisecond // a node of the own zone that was heard within it lives
+	nodeFar     = 2500 * kernel.Millisecond // how late a node's word may be when it gets here
+	judgeEvery  = 200 * kernel.Millisecond
+	frozenSpan  = kernel.Second // between two ticks: this process was not there
 )
 
 // pushing is a push that this node carries into its zone.
@@ -48,9 +48,9 @@
 	records    []EngineRecord
 	waiting    map[string]bool
 	confirmed  int
-	resendAt   house.Micros
-	answerAt   house.Micros
-	endAt      house.Micros
+	resendAt   kernel.Micros
+	answerAt   kernel.Micros
+	endAt      kernel.Micros
 	isAnswered bool
 }
 
@@ -63,8 +63,8 @@
 	zones   map[string]bool // that have spoken; true: wholly
 	nodes   map[string]bool // other than this one that have spoken for themselves or a zone
 	others  int             // nodes that have confirmed within the zones
-	since   house.Micros
-	resend  house.Micros
+	since   kernel.Micros
+	resend  kernel.Micros
 }
 
 // words is a node's part in what engines say of themselves.
@@ -73,31 +73,31 @@
 	pushes    map[uint64]*pushing
 	carried   map[string]uint64 // sender and its token to the own
 	promises  map[uint64]*promise
-	kept      map[string]house.Micros // ends confirmed by this node
-	passedAt  map[string]house.Micros // when a plain beat last went to the engine's home
+	kept      map[string]kernel.Micros // ends confirmed by this node
+	passedAt  map[string]kernel.Micros // when a plain beat last went to the engine's home
 	// judgeSince is the moment from which silence of an engine counts here.
-	judgeSince house.Micros
-	judgeAt    house.Micros
+	judgeSince kernel.Micros
+	judgeAt    kernel.Micros
 	wasHome    bool
-	tickedAt   house.Micros
-	sweepAt    house.Micros
+	tickedAt   kernel.Micros
+	sweepAt    kernel.Micros
 }
 
 func newWords(start uint64) words {
 	return words{
-		// Of the start, so that a receipt for an earlier life confirms nothing.
+		// Of the start, so that a reply for an earlier life confirms nothing.
 		nextToken: start << 10, pushes: map[uint64]*pushing{}, carried: map[string]uint64{}, promises: map[uint64]*promise{},
-		kept: map[string]house.Micros{}, passedAt: map[string]house.Micros{},
+		kept: map[string]kernel.Micros{}, passedAt: map[string]kernel.Micros{},
 	}
 }
 
 // judge is the node that judges whether the engines of a zone live: the zone's home, or
 // for a zone without nodes some other, the same one on every node.
 func (n *Node) judge(zone string) string {
-	if n.licence.applied == nil || len(n.licence.applied.Homes) == 0 {
+	if n.lease.applied == nil || len(n.lease.applied.Homes) == 0 {
 		return ""
 	}
-	homes := n.licence.applied.Homes
+	homes := n.lease.applied.Homes
 	if home := homes[zone]; home != "" {
 		return home
 	}
@@ -122,7 +122,7 @@
 // Register takes an engine's word on itself. Seq numbers its words. The command Registered
 // answers it: at once, or, where it says that the engine is leaving or gone, once the
 // fleet's routers know.
-func (n *Node) Register(now house.Micros, token uint64, record EngineRecord) []any {
+func (n *Node) Register(now kernel.Micros, token uint64, record EngineRecord) []any {
 	n.now = now
 	record = record.placed(now)
 	record.Word, record.Seq = max(record.Seq, 1), 0
@@ -184,7 +184,7 @@
 	if judge == "" || judge == n.self() || isNews {
 		return
 	}
-	if at, isPassed := n.words.passedAt[id]; isPassed && n.now-at < max(house.Second/2, n.settings.Timing.BeatGone/4) {
+	if at, isPassed := n.words.passedAt[id]; isPassed && n.now-at < max(kernel.Second/2, n.settings.Timing.BeatGone/4) {
 		return
 	}
 	n.words.passedAt[id] = n.now
@@ -193,7 +193,7 @@
 
 // pushOut sends records to every home, which carry them into their zones.
 func (n *Node) pushOut(records []EngineRecord) {
-	if len(records) == 0 || n.licence.applied == nil {
+	if len(records) == 0 || n.lease.applied == nil {
 		return
 	}
 	homes := append(n.otherHomes(), n.self())
@@ -235,7 +235,7 @@
 	w, zone := &n.words, n.settings.Identity.Zone
 	if !m.IsOnward {
 		if m.Token != 0 {
-			n.send(from, Message{PushReceipt: &PushReceipt{Token: m.Token, Zone: zone}})
+			n.send(from, Message{PushReply: &PushReply{Token: m.Token, Zone: zone}})
 		}
 		return
 	}
@@ -250,7 +250,7 @@
 	}
 	key := fmt.Sprint(from, "/", m.Token)
 	if own, isCarried := w.carried[key]; isCarried {
-		// A receipt may be lost like anything else.
+		// A reply may be lost like anything else.
 		if p := w.pushes[own]; p != nil && p.isAnswered {
 			n.answerPush(p)
 		}
@@ -270,7 +270,7 @@
 
 func (n *Node) answerPush(p *pushing) {
 	p.isAnswered = true
-	n.send(p.from, Message{PushReceipt: &PushReceipt{
+	n.send(p.from, Message{PushReply: &PushReply{
 		Token: p.token, Zone: n.settings.Identity.Zone, IsWhole: len(p.waiting) == 0, Others: p.confirmed}})
 }
 
@@ -290,7 +290,7 @@
 	}
 }
 
-func (n *Node) onPushReceipt(from string, m *PushReceipt) {
+func (n *Node) onPushReply(from string, m *PushReply) {
 	if p := n.words.pushes[m.Token]; p != nil && p.waiting[from] {
 		delete(p.waiting, from)
 		p.confirmed++
@@ -316,7 +316,7 @@
 		n.out = append(n.out, Registered{Token: token, BeatTo: n.beatTo(zone)})
 		return
 	}
-	if n.licence.applied == nil {
+	if n.lease.applied == nil {
 		n.out = append(n.out, Registered{Token: token, Err: NotConfirmed{record.ID, "this node knows no fleet yet"}})
 		return
 	}
@@ -336,7 +336,7 @@
 	if n.now >= p.resend {
 		p.resend = n.now + pushResend
 		push := Message{Push: &Push{Token: token, IsOnward: true, Engines: p.records}}
-		homes := n.licence.applied.Homes
+		homes := n.lease.applied.Homes
 		for _, zone := range slices.Sorted(maps.Keys(homes)) {
 			isWhole, hasSpoken := p.zones[zone]
 			if isWhole {
@@ -371,7 +371,7 @@
 	if n.words.promises[token] != p {
 		return
 	}
-	homes := n.licence.applied.Homes
+	homes := n.lease.applied.Homes
 	spoken, isAll := 0, true
 	for zone := range homes {
 		isWhole, hasSpoken := p.zones[zone]
@@ -383,7 +383,7 @@
 	}
 	isMost := spoken*2 > len(homes) || p.nodes[n.leaderTarget()]
 	// A mark that only this node holds dies with it.
-	isShared := len(p.nodes) > 0 || p.others > 0 || len(n.licence.applied.Register) < 2 && len(n.cell.Nodes()) < 2
+	isShared := len(p.nodes) > 0 || p.others > 0 || len(n.lease.applied.Register) < 2 && len(n.cell.Nodes()) < 2
 	age := n.now - p.since
 	switch {
 	case isMost && isShared && (isAll || age >= pushEnough):
@@ -413,8 +413,8 @@
 	}
 	n.judgeBeats(isAwake)
 	if n.now >= w.sweepAt {
-		w.sweepAt = n.now + 5*house.Second
-		for _, noted := range []map[string]house.Micros{w.passedAt, w.kept} {
+		w.sweepAt = n.now + 5*kernel.Second
+		for _, noted := range []map[string]kernel.Micros{w.passedAt, w.kept} {
 			for id, at := range noted {
 				if n.now-at > engineGone {
 					delete(noted, id)
@@ -430,7 +430,7 @@
 	isHome := n.isHome()
 	// Silence says something only to who could have heard: not to one that has just become
 	// home, was frozen, or is cut off from the core and so perhaps from the engines too.
-	isInTouch := n.now-n.leaderWord < house.Second+2*n.settings.Timing.Ask
+	isInTouch := n.now-n.leaderWord < kernel.Second+2*n.settings.Timing.Ask
 	if !isHome || !w.wasHome || !isAwake || !isInTouch {
 		w.judgeSince = n.now
 	}
--- a/understudy/engine.go
+++ b/emulator/engine.go
@@ -1,7 +1,7 @@
-// Package understudy stands in for what the project does not own: engines that
+// Package emulator stands in for what the project does not own: engines that
 // serve a language model, and the platform's list of them. Its answers are
 // computed from the run's name, so that a caller can check every byte.
-package understudy
+package emulator
 
 import (
 	"bytes"
@@ -17,10 +17,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/critic"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // Headers by which a caller can check an answer.
@@ -34,13 +34,13 @@
 type EngineSettings struct {
 	ID, Zone, Pool, Address string
 	Start                   uint64
-	Slots                   int          // requests that run at once
-	Inbox                   int          // requests that may wait
-	Prefill                 house.Micros // a prompt token that is not cached
-	Cached                  house.Micros // one that is
-	Decode                  house.Micros // a token of output
-	Blocks                  int          // cached blocks of 16 tokens
-	Cold                    house.Micros // how long it is slow after its start
+	Slots                   int           // requests that run at once
+	Queue                   int           // requests that may wait
+	Prefill                 kernel.Micros // a prompt token that is not cached
+	Cached                  kernel.Micros // one that is
+	Decode                  kernel.Micros // a token of output
+	Blocks                  int           // cached blocks of 16 tokens
+	Cold                    kernel.Micros // how long it is slow after its start
 	ColdFactor              int
 	ColdBears               int // requests it can bear at once while cold; 0: any
 	IsResumable             bool
@@ -71,7 +71,7 @@
 type Faults struct {
 	Dark       bool  `json:"dark"`                  // takes channels and says nothing
 	BreakAfter int64 `json:"break_after,omitempty"` // tears the next stream after so many bytes
-	NotRun     int   `json:"not_run,omitempty"`     // declines the next few
+	NotRun     int   `json:"not_run,omitempty"`     // rejects the next few
 	Fail       int   `json:"fail,omitempty"`        // answers the next few with an error of its own
 	ShortEnd   int   `json:"short_end,omitempty"`   // ends the next few cleanly without the closing mark
 }
@@ -121,7 +121,7 @@
 
 // FailScript is the body of the engine's own error.
 func FailScript(runID string) []byte {
-	return fmt.Appendf(nil, "{\"error\":{\"message\":\"understudy was told to fail\",\"run\":%q}}\n", runID)
+	return fmt.Appendf(nil, "{\"error\":{\"message\":\"emulator was told to fail\",\"run\":%q}}\n", runID)
 }
 
 // Handler serves the engine's address.
@@ -168,28 +168,28 @@
 	e.leaving = true
 }
 
-func (e *Engine) log(what critic.Happening, tag, reason string) {
+func (e *Engine) log(what checker.Happening, tag, reason string) {
 	if e.settings.Log == nil {
 		return
 	}
-	line, err := json.Marshal(critic.Event{
-		At: house.Micros(time.Now().UnixMicro()), What: what, Tag: tag, Reason: reason,
+	line, err := json.Marshal(checker.Event{
+		At: kernel.Micros(time.Now().UnixMicro()), What: what, Tag: tag, Reason: reason,
 		Engine: e.settings.ID, Start: e.settings.Start, Zone: e.settings.Zone, Pool: e.settings.Pool,
 	})
 	if err != nil {
-		panic(LogBreakdown{err})
+		panic(LogError{err})
 	}
 	// One write a line, so that a kill can't leave half of one between two others.
 	if _, err := e.settings.Log.Write(append(line, '\n')); err != nil {
-		panic(LogBreakdown{err})
+		panic(LogError{err})
 	}
 }
 
-// LogBreakdown says that an engine could not write down what it did; what a
+// LogError says that an engine could not write down what it did; what a
 // checker then concludes would be worth nothing.
-type LogBreakdown struct{ Cause error }
+type LogError struct{ Cause error }
 
-func (b LogBreakdown) Error() string { return fmt.Sprintf("write the engine's log: %v", b.Cause) }
+func (b LogError) Error() string { return fmt.Sprintf("write the engine's log: %v", b.Cause) }
 
 // OpenLog opens a log that outlives the process.
 func OpenLog(path string) (*os.File, error) {
@@ -201,13 +201,13 @@
 }
 
 func (e *Engine) isCold() bool {
-	return house.MicrosOf(time.Since(e.born)) < e.settings.Cold
+	return kernel.MicrosOf(time.Since(e.born)) < e.settings.Cold
 }
 
 // span scales a step by the engine's coldness.
-func (e *Engine) span(m house.Micros) time.Duration {
+func (e *Engine) span(m kernel.Micros) time.Duration {
 	if e.isCold() {
-		m *= house.Micros(max(e.settings.ColdFactor, 1))
+		m *= kernel.Micros(max(e.settings.ColdFactor, 1))
 	}
 	return m.Duration()
 }
@@ -221,7 +221,7 @@
 	if err != nil {
 		return
 	}
-	request, err := auditorium.ReadPrompt(body)
+	request, err := relay.ReadPrompt(body)
 	var want wanted
 	if err == nil {
 		err = json.Unmarshal(body, &want)
@@ -236,18 +236,18 @@
 		return
 	}
 	e.lock.Lock()
-	isDeclined := e.faults.NotRun > 0 || e.waiting >= e.settings.Inbox
+	isRejected := e.faults.NotRun > 0 || e.waiting >= e.settings.Queue
 	if e.faults.NotRun > 0 {
 		e.faults.NotRun--
 	}
-	isFailing := !isDeclined && e.faults.Fail > 0
+	isFailing := !isRejected && e.faults.Fail > 0
 	if isFailing {
 		e.faults.Fail--
 	}
-	if isDeclined {
+	if isRejected {
 		e.lock.Unlock()
-		e.log(critic.RunDeclined, tag, "full")
-		w.Header().Set(auditorium.HeaderNotRun, "1")
+		e.log(checker.RunRejected, tag, "full")
+		w.Header().Set(relay.HeaderNotRun, "1")
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
@@ -261,12 +261,12 @@
 	isFlooded := e.isCold() && e.settings.ColdBears > 0 && e.held > e.settings.ColdBears
 	held := e.held
 	e.lock.Unlock()
-	e.log(critic.RunBegan, tag, "")
+	e.log(checker.RunBegan, tag, "")
 	if isFlooded {
-		e.log(critic.RunOvercrowd, tag, fmt.Sprintf("%d requests at once, %d are bearable", held, e.settings.ColdBears))
+		e.log(checker.RunOvercrowd, tag, fmt.Sprintf("%d requests at once, %d are bearable", held, e.settings.ColdBears))
 	}
 	w.Header().Set(HeaderRun, runID)
-	w.Header().Set(auditorium.HeaderStart, strconv.FormatUint(e.settings.Start, 10))
+	w.Header().Set(relay.HeaderStart, strconv.FormatUint(e.settings.Start, 10))
 	if isFailing {
 		e.finish(size, true)
 		w.Header().Set("Content-Type", "application/json")
@@ -277,7 +277,7 @@
 	this := &run{grown: make(chan struct{})}
 	ctx := r.Context()
 	if e.settings.IsResumable {
-		w.Header().Set(auditorium.HeaderRunID, runID)
+		w.Header().Set(relay.HeaderRunID, runID)
 		// A run that can be taken up again goes on when its channel breaks.
 		ctx = context.WithoutCancel(ctx)
 		e.lock.Lock()
@@ -304,7 +304,7 @@
 }
 
 // perform computes a run into its body, token by token.
-func (e *Engine) perform(ctx context.Context, this *run, runID string, request auditorium.Request, isStream bool, size int64) {
+func (e *Engine) perform(ctx context.Context, this *run, runID string, request relay.Request, isStream bool, size int64) {
 	left, isWaiting := size, true
 	defer func() { e.finish(left, isWaiting); this.end(ctx.Err() != nil) }()
 	select {
@@ -318,12 +318,12 @@
 	isWaiting = false
 	fresh := e.look(request)
 	e.lock.Unlock()
-	prefill := e.settings.Prefill*house.Micros(fresh) + e.settings.Cached*house.Micros(request.PromptTokens-fresh)
+	prefill := e.settings.Prefill*kernel.Micros(fresh) + e.settings.Cached*kernel.Micros(request.PromptTokens-fresh)
 	if !rest(ctx, e.span(prefill)) {
 		return
 	}
 	if !isStream {
-		if rest(ctx, e.span(e.settings.Decode*house.Micros(request.MaxTokens))) {
+		if rest(ctx, e.span(e.settings.Decode*kernel.Micros(request.MaxTokens))) {
 			this.grow(Script(runID, request.MaxTokens, false))
 		}
 		return
@@ -342,18 +342,18 @@
 }
 
 func rest(ctx context.Context, span time.Duration) bool {
-	alarm := time.NewTimer(span)
-	defer alarm.Stop()
+	timer := time.NewTimer(span)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-alarm.C:
+	case <-timer.C:
 		return true
 	}
 }
 
 // look counts the prompt tokens that are not in the cache, and puts them there.
-func (e *Engine) look(request auditorium.Request) (fresh int) {
+func (e *Engine) look(request relay.Request) (fresh int) {
 	const block = 16
 	chain, isHit := uint64(0), true
 	for at := 0; at+block <= len(request.Prefix); at += block {
@@ -464,33 +464,33 @@
 		http.NotFound(w, r)
 		return
 	}
-	w.Header().Set(auditorium.HeaderRunID, runID)
-	w.Header().Set(auditorium.HeaderStart, strconv.FormatUint(e.settings.Start, 10))
-	w.Header().Set(auditorium.HeaderOffset, strconv.FormatInt(offset, 10))
+	w.Header().Set(relay.HeaderRunID, runID)
+	w.Header().Set(relay.HeaderStart, strconv.FormatUint(e.settings.Start, 10))
+	w.Header().Set(relay.HeaderOffset, strconv.FormatInt(offset, 10))
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.play(w, r, this, offset)
 }
 
 // Report pictures the engine's load for its next late report.
-func (e *Engine) Report() flyloft.Report {
+func (e *Engine) Report() control.Report {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	e.seq++
-	return flyloft.Report{
+	return control.Report{
 		ID: e.settings.ID, Address: e.settings.Address, Zone: e.settings.Zone, Pool: e.settings.Pool,
 		Start: e.settings.Start, Seq: e.seq, Outstanding: e.tokens, Streams: int64(e.held),
-		Up: house.MicrosOf(time.Since(e.born)), IsLeaving: e.leaving,
+		Up: kernel.MicrosOf(time.Since(e.born)), IsLeaving: e.leaving,
 	}
 }
 
 // lateReport is a report that waits until it is late.
 type lateReport struct {
-	flyloft.Report
+	control.Report
 	taken time.Time
 }
 
 // PostReports sends a report every so often to one node after another, each so late.
-func (e *Engine) PostReports(ctx context.Context, nodes []string, every, lag house.Micros) {
+func (e *Engine) PostReports(ctx context.Context, nodes []string, every, lag kernel.Micros) {
 	client := &http.Client{Timeout: time.Second}
 	ticker := time.NewTicker(every.Duration())
 	defer ticker.Stop()
@@ -502,13 +502,13 @@
 		case <-ticker.C:
 		}
 		late = append(late, lateReport{e.Report(), time.Now()})
-		for len(late) > 0 && house.MicrosOf(time.Since(late[0].taken)) >= lag {
+		for len(late) > 0 && kernel.MicrosOf(time.Since(late[0].taken)) >= lag {
 			report := late[0]
 			late = late[1:]
-			report.Age = house.MicrosOf(time.Since(report.taken))
+			report.Age = kernel.MicrosOf(time.Since(report.taken))
 			content, err := json.Marshal(report.Report)
 			if err != nil {
-				panic(LogBreakdown{err})
+				panic(LogError{err})
 			}
 			response, err := client.Post("http://"+nodes[turn%len(nodes)]+"/v1/engines/report", "application/json", bytes.NewReader(content))
 			// A lost report is part of the engine's contract; the next one follows.
--- a/understudy/model.go
+++ b/emulator/model.go
@@ -1,4 +1,4 @@
-package understudy
+package emulator
 
 import (
 	"slices"
@@ -8,29 +8,29 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dunlinloom/critic"
-	"dunlinloom/foyer"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+	"dunlinloom/router"
 )
 
 // ModelSettings say how a model engine behaves while nothing is wrong with it.
 type ModelSettings struct {
 	ID, Service    string
-	Wire           foyer.Wire
+	Wire           router.Wire
 	HealthPath     string // served beside requests; empty: none
 	InstanceHeader string // in which a health answer names the engine
 	Slots, Queue   int    // requests in the batch, and those that may wait for it
 	Chunk          int    // prompt tokens read in one step, between the tokens of others
-	Step, StepEach house.Micros
+	Step, StepEach kernel.Micros
 	ReadPerMs      float64 // prompt tokens read in a millisecond
 	Memory         int     // tokens that running requests and kept parts share
 	Stride         int     // tokens in an event of a stream
-	Idle           house.Micros
+	Idle           kernel.Micros
 	MaxConns       int
 	CloseOneIn     int  // one answer in so many says that its connection closes; 0: none
 	TellsLoad      bool // in answers
 	// Note hears of what the engine saw and did; nil: nobody does.
-	Note func(critic.RoutedEvent)
+	Note func(checker.RoutedEvent)
 }
 
 // Troubles are what is wrong with a model engine. Shares are drawn of a request's id, so
@@ -48,7 +48,7 @@
 	IsLying    bool    // a health answer that is the wrong way round
 	IsDeaf     bool    // begins a stream anew that should go on
 	// DropIdle forgets idle connections without a word after so long.
-	DropIdle house.Micros
+	DropIdle kernel.Micros
 }
 
 // Model is an engine that serves a language model: a batch with slots, prompts read piece
@@ -79,7 +79,7 @@
 	Read, Found int // prompt tokens that were read, and that were kept
 	Put         int // tokens put out
 	Displaced   int // requests put back for want of memory or for a more urgent one
-	Busy        house.Micros
+	Busy        kernel.Micros
 }
 
 type keptPart struct {
@@ -96,7 +96,7 @@
 	number   uint64
 	prompt   int
 	most     int
-	parts    []foyer.Part
+	parts    []router.Part
 	chain    []uint64 // of each part and all before it
 	from     int      // the event that a resumed stream goes on after
 	isAnew   bool     // it was asked to go on, and begins anew
@@ -181,7 +181,7 @@
 	batch := slices.Clone(m.batch)
 	m.lock.Unlock()
 	for _, j := range batch {
-		m.note(critic.RoutedEvent{What: critic.BrokeOff, ID: j.id, Run: j.run})
+		m.note(checker.RoutedEvent{What: checker.BrokeOff, ID: j.id, Run: j.run})
 	}
 	m.group.Wait()
 }
@@ -194,7 +194,7 @@
 }
 
 // note is called without the lock.
-func (m *Model) note(event critic.RoutedEvent) {
+func (m *Model) note(event checker.RoutedEvent) {
 	if m.settings.Note == nil {
 		return
 	}
@@ -212,7 +212,7 @@
 }
 
 // chainOf hashes each part together with all before it: a part counts only after those.
-func chainOf(parts []foyer.Part) []uint64 {
+func chainOf(parts []router.Part) []uint64 {
 	chain := make([]uint64, len(parts))
 	digest := xxhash.New()
 	for i, part := range parts {
@@ -434,7 +434,7 @@
 		span, reads := m.plan()
 		m.lock.Unlock()
 		for _, j := range begun {
-			m.note(critic.RoutedEvent{What: critic.Began, ID: j.id, Run: j.run, Digest: j.digest, From: j.from, IsAnew: j.isAnew})
+			m.note(checker.RoutedEvent{What: checker.Began, ID: j.id, Run: j.run, Digest: j.digest, From: j.from, IsAnew: j.isAnew})
 		}
 		if span == 0 {
 			select {
@@ -458,7 +458,7 @@
 }
 
 // plan shares one step's reading among the prompts, in order, and tells how long it takes.
-func (m *Model) plan() (house.Micros, map[*job]int) {
+func (m *Model) plan() (kernel.Micros, map[*job]int) {
 	if len(m.batch) == 0 {
 		return 0, nil
 	}
@@ -478,11 +478,11 @@
 			sum += count
 		}
 	}
-	span := float64(m.settings.Step) + float64(m.settings.StepEach)*float64(len(m.batch)) + float64(sum)/m.settings.ReadPerMs*float64(house.Millisecond)
+	span := float64(m.settings.Step) + float64(m.settings.StepEach)*float64(len(m.batch)) + float64(sum)/m.settings.ReadPerMs*float64(kernel.Millisecond)
 	if m.troubles.Slow > 0 {
 		span *= m.troubles.Slow
 	}
-	return max(house.Micros(span), 1), reads
+	return max(kernel.Micros(span), 1), reads
 }
 
 // advance carries out what a step did. Who was dropped meanwhile is no longer in the batch.
@@ -538,8 +538,8 @@
 	return progress{j.run, j.events, j.isDone, j.refusal}
 }
 
-func (m *Model) load() foyer.Load {
+func (m *Model) load() router.Load {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	return foyer.Load{Running: len(m.batch), Waiting: len(m.queue), Slots: m.settings.Slots}
+	return router.Load{Running: len(m.batch), Waiting: len(m.queue), Slots: m.settings.Slots}
 }
--- a/understudy/model_test.go
+++ b/emulator/model_test.go
@@ -1,4 +1,4 @@
-package understudy
+package emulator
 
 import (
 	"bufio"
@@ -16,9 +16,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/critic"
-	"dunlinloom/foyer"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+	"dunlinloom/router"
 )
 
 // booth is one model engine with callers that speak to it directly.
@@ -27,19 +27,19 @@
 	model   *Model
 	dial    func() net.Conn
 	lock    sync.Mutex
-	events  []critic.RoutedEvent
+	events  []checker.RoutedEvent
 	started time.Time
 }
 
 func settingsOf(b *booth) ModelSettings {
 	return ModelSettings{
-		ID: "e1", Service: "text", Wire: foyer.DefaultWire(), HealthPath: "/health", InstanceHeader: "Engine-Id",
-		Slots: 2, Queue: 2, Chunk: 100, Step: 10 * house.Millisecond, ReadPerMs: 10, Memory: 1000, Stride: 2, Idle: 5 * house.Second,
+		ID: "e1", Service: "text", Wire: router.DefaultWire(), HealthPath: "/health", InstanceHeader: "Engine-Id",
+		Slots: 2, Queue: 2, Chunk: 100, Step: 10 * kernel.Millisecond, ReadPerMs: 10, Memory: 1000, Stride: 2, Idle: 5 * kernel.Second,
 		MaxConns: 8, TellsLoad: true,
-		Note: func(event critic.RoutedEvent) {
+		Note: func(event checker.RoutedEvent) {
 			b.lock.Lock()
 			defer b.lock.Unlock()
-			event.At = house.MicrosOf(time.Since(b.started))
+			event.At = kernel.MicrosOf(time.Since(b.started))
 			b.events = append(b.events, event)
 		},
 	}
@@ -69,7 +69,7 @@
 }
 
 func message(id, tokens, parts string, more ...string) string {
-	wire := foyer.DefaultWire()
+	wire := router.DefaultWire()
 	lines := fmt.Sprintf("POST /x?q=%s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\nAccept: text/event-stream\r\n", id, wire.RequestID, id, wire.Tokens, tokens, wire.Prefix, parts)
 	for _, line := range more {
 		lines += line + "\r\n"
@@ -133,7 +133,7 @@
 		got := b.ask(conn, message("a", "250,5", "p:200,a:50"))
 		c.Assert(got.StatusCode, qt.Equals, 200)
 		c.Assert(got.body, qt.Equals, eventsOf("e1.1", 1, 2, 3))
-		c.Assert(got.Header.Get(foyer.DefaultWire().Stamp), qt.Equals, "e1.1")
+		c.Assert(got.Header.Get(router.DefaultWire().Stamp), qt.Equals, "e1.1")
 		c.Assert(got.Header.Get("Keep-Alive"), qt.Equals, "timeout=5")
 		// Three pieces of 100, 100 and 50 tokens at 10 a millisecond, each in a step of 10 ms;
 		// the first token with the last piece, the first event with the second token.
@@ -166,14 +166,14 @@
 
 func TestModelSlotsQueueAndUrgency(t *testing.T) {
 	inBooth(t, nil, func(c *qt.C, b *booth) {
-		prio := foyer.DefaultWire().Priority
+		prio := router.DefaultWire().Priority
 		// Two run, two wait, the fifth is turned away.
 		all := b.askAll(message("a", "10,20", "a:10"), message("b", "10,20", "b:10"), message("c", "10,4", "c:10"),
 			message("d", "10,4", "d:10"), message("e", "10,4", "e:10"))
 		c.Assert(all[4].StatusCode, qt.Equals, 503)
-		c.Assert(all[4].Header.Get(foyer.DefaultWire().NotRun), qt.Equals, "1")
+		c.Assert(all[4].Header.Get(router.DefaultWire().NotRun), qt.Equals, "1")
 		// Whoever waits is admitted between two steps, and the first is under way.
-		c.Assert(all[4].Header.Get(foyer.DefaultWire().Load), qt.Equals, "1,3,2")
+		c.Assert(all[4].Header.Get(router.DefaultWire().Load), qt.Equals, "1,3,2")
 		c.Assert(all[2].head > all[0].done, qt.IsTrue)
 		// The urgent one displaces the newest of the least urgent, which still ends whole.
 		var urgent said
@@ -205,7 +205,7 @@
 
 func TestModelWordsOnWhatItDidNotRun(t *testing.T) {
 	inBooth(t, nil, func(c *qt.C, b *booth) {
-		wire := foyer.DefaultWire()
+		wire := router.DefaultWire()
 		for _, test := range []struct {
 			text   string
 			status int
@@ -283,7 +283,7 @@
 		c.Assert(err, qt.Equals, io.EOF)
 		c.Assert(time.Since(begun), qt.Equals, 5*time.Second)
 		// Or is forgotten silently, earlier: what is sent next is reset.
-		b.model.Set(Troubles{DropIdle: house.Second})
+		b.model.Set(Troubles{DropIdle: kernel.Second})
 		conn = b.dial()
 		time.Sleep(2 * time.Second)
 		got := b.ask(conn, message("a", "10,2", "a:10"))
@@ -317,7 +317,7 @@
 				test.check(c, b.askAll(message("a", "10,9", "a:10"))[0])
 				broke := 0
 				for _, event := range b.events {
-					if event.What == critic.BrokeOff {
+					if event.What == checker.BrokeOff {
 						broke++
 					}
 				}
@@ -337,7 +337,7 @@
 			io.WriteString(conn, message("a", "10,2", "a:10"))
 			c.Assert(b.hear(reader).body, qt.Equals, eventsOf("e1.1", 1))
 			got := b.hear(reader)
-			c.Assert(got.Header.Get(foyer.DefaultWire().RequestID), qt.Equals, "a")
+			c.Assert(got.Header.Get(router.DefaultWire().RequestID), qt.Equals, "a")
 			c.Assert(got.body, qt.Equals, "a second answer to a")
 		})
 	}
@@ -366,12 +366,12 @@
 	})
 }
 
-// The same engine over real sockets, as rehearsals use it.
+// The same engine over real sockets, as local fleet runs use it.
 func TestModelOverRealSockets(t *testing.T) {
 	c := qt.New(t)
 	b := &booth{t: t, started: time.Now()}
 	settings := settingsOf(b)
-	settings.Step = house.Millisecond
+	settings.Step = kernel.Millisecond
 	b.model = NewModel(settings)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
@@ -396,7 +396,7 @@
 	event := ModelEvent("e1.4", 7, true)
 	piece, isOwn := ReadModelEvent(event)
 	c.Assert(isOwn, qt.IsTrue)
-	c.Assert(piece, qt.Equals, critic.Piece{Run: "e1.4", ID: 7, Last: true})
+	c.Assert(piece, qt.Equals, checker.Piece{Run: "e1.4", ID: 7, Last: true})
 	for _, wrong := range [][]byte{bytes.Replace(event, []byte("e1.4"), []byte("e1.5"), 1), bytes.Replace(event, []byte("id: 7"), []byte("id: 8"), 1), event[:len(event)-3], nil} {
 		_, isOwn := ReadModelEvent(wrong)
 		c.Assert(isOwn, qt.IsFalse)
--- a/understudy/model_wire.go
+++ b/emulator/model_wire.go
@@ -1,4 +1,4 @@
-package understudy
+package emulator
 
 import (
 	"bufio"
@@ -14,9 +14,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dunlinloom/critic"
-	"dunlinloom/foyer"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+	"dunlinloom/router"
 )
 
 // Digest is of what an engine must get unchanged.
@@ -34,15 +34,15 @@
 }
 
 // ReadModelEvent reads the piece that a run's event is; false: no run made these bytes.
-func ReadModelEvent(event []byte) (critic.Piece, bool) {
-	var piece critic.Piece
+func ReadModelEvent(event []byte) (checker.Piece, bool) {
+	var piece checker.Piece
 	first, second, _ := strings.Cut(string(event), "\n")
 	words := strings.Fields(strings.TrimPrefix(second, "data: "))
 	id, err := strconv.Atoi(strings.TrimPrefix(first, "id: "))
 	if err != nil || len(words) != 3 {
 		return piece, false
 	}
-	piece = critic.Piece{Run: words[0], ID: id, Last: words[1] == "1"}
+	piece = checker.Piece{Run: words[0], ID: id, Last: words[1] == "1"}
 	return piece, bytes.Equal(event, ModelEvent(piece.Run, piece.ID, piece.Last))
 }
 
@@ -159,7 +159,7 @@
 		idle, dropped := m.settings.Idle, m.troubles.DropIdle
 		m.lock.Unlock()
 		if idle <= 0 {
-			idle = house.Micros(1) << 40
+			idle = kernel.Micros(1) << 40
 		}
 		if dropped > 0 {
 			idle = min(idle, dropped)
@@ -219,9 +219,9 @@
 	}
 	id := r.Header.Get(wire.RequestID)
 	digest := Digest(r.Method, r.RequestURI, r.body)
-	m.note(critic.RoutedEvent{What: critic.Arrived, ID: id, Digest: digest})
+	m.note(checker.RoutedEvent{What: checker.Arrived, ID: id, Digest: digest})
 	turnAway := func(status int, why string, header http.Header) bool {
-		m.note(critic.RoutedEvent{What: critic.TurnedAway, ID: id, Status: status, Why: why})
+		m.note(checker.RoutedEvent{What: checker.TurnedAway, ID: id, Status: status, Why: why})
 		return c.plain(id, status, header, []byte(why+"\n"))
 	}
 	notRun := http.Header{wire.NotRun: {"1"}}
@@ -246,22 +246,22 @@
 	wire := m.settings.Wire
 	j := &job{id: id, digest: digest, priority: 5, grown: make(chan struct{}, 1), until: time.Now().Add(time.Hour)}
 	var err error
-	if j.prompt, j.most, err = foyer.ParseTokens(wire.Tokens, r.Header.Get(wire.Tokens)); err != nil {
+	if j.prompt, j.most, err = router.ParseTokens(wire.Tokens, r.Header.Get(wire.Tokens)); err != nil {
 		return nil, err
 	}
 	j.most = max(j.most, 1)
-	if j.parts, err = foyer.ParseParts(wire.Prefix, r.Header.Get(wire.Prefix)); err != nil {
+	if j.parts, err = router.ParseParts(wire.Prefix, r.Header.Get(wire.Prefix)); err != nil {
 		return nil, err
 	}
 	if text := r.Header.Get(wire.Priority); text != "" {
 		if j.priority, err = strconv.Atoi(text); err != nil {
-			return nil, foyer.BadHeader{Name: wire.Priority, Why: err.Error()}
+			return nil, router.BadHeader{Name: wire.Priority, Why: err.Error()}
 		}
 	}
 	if text := r.Header.Get(wire.Deadline); text != "" {
 		left, err := strconv.ParseFloat(text, 64)
 		if err != nil {
-			return nil, foyer.BadHeader{Name: wire.Deadline, Why: err.Error()}
+			return nil, router.BadHeader{Name: wire.Deadline, Why: err.Error()}
 		}
 		j.until = time.Now().Add(time.Duration(left * float64(time.Millisecond)))
 	}
@@ -269,7 +269,7 @@
 		j.isAnew = true
 	} else if text != "" {
 		if j.from, err = strconv.Atoi(text); err != nil {
-			return nil, foyer.BadHeader{Name: wire.LastEvent, Why: err.Error()}
+			return nil, router.BadHeader{Name: wire.LastEvent, Why: err.Error()}
 		}
 		// What the caller has had is not put out again; when that is all, nothing follows.
 		left := j.most - j.from*max(m.settings.Stride, 1)
@@ -307,7 +307,7 @@
 			return false
 		}
 		now := m.progressOf(j)
-		brokeOff := func() { m.note(critic.RoutedEvent{What: critic.BrokeOff, ID: j.id, Run: now.run}) }
+		brokeOff := func() { m.note(checker.RoutedEvent{What: checker.BrokeOff, ID: j.id, Run: now.run}) }
 		switch {
 		case now.refusal != "":
 			return turnAway(http.StatusServiceUnavailable, now.refusal, http.Header{m.settings.Wire.NotRun: {"1"}})
@@ -365,7 +365,7 @@
 		}
 		if now.isDone {
 			message = append(message, "0\r\n\r\n"...)
-			m.note(critic.RoutedEvent{What: critic.Finished, ID: j.id, Run: now.run, Status: http.StatusOK})
+			m.note(checker.RoutedEvent{What: checker.Finished, ID: j.id, Run: now.run, Status: http.StatusOK})
 		}
 		if !c.write(message) {
 			return false
@@ -378,7 +378,7 @@
 
 // finish sends a whole answer with a length.
 func (c *modelConn) finish(j *job, run string, status int, body []byte) bool {
-	c.model.note(critic.RoutedEvent{What: critic.Finished, ID: j.id, Run: run, Status: status})
+	c.model.note(checker.RoutedEvent{What: checker.Finished, ID: j.id, Run: run, Status: status})
 	if !c.write(append(c.head(j.id, run, status, http.Header{"Content-Length": {strconv.Itoa(len(body))}}), body...)) {
 		return false
 	}
@@ -438,7 +438,7 @@
 	if c.isClosing(id) {
 		set("Connection", "close")
 	} else if m.settings.Idle > 0 {
-		set("Keep-Alive", fmt.Sprintf("timeout=%d", m.settings.Idle/house.Second))
+		set("Keep-Alive", fmt.Sprintf("timeout=%d", m.settings.Idle/kernel.Second))
 	}
 	header.Write(&to) // into memory
 	to.WriteString("\r\n")
--- a/understudy/network.go
+++ b/emulator/network.go
@@ -1,4 +1,4 @@
-package understudy
+package emulator
 
 import (
 	"context"
@@ -137,7 +137,7 @@
 	delay         time.Duration
 	local, remote virtualAddress
 	lock          sync.Mutex
-	inbox         []segment
+	queue         []segment
 	changed       chan struct{} // closed and renewed when there is something to look at
 	deadline      time.Time     // of reads; writes never wait
 	isClosed      bool
@@ -152,7 +152,7 @@
 func (c *virtualConn) push(after time.Duration, bytes []byte, err error) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.inbox = append(c.inbox, segment{time.Now().Add(after), bytes, err})
+	c.queue = append(c.queue, segment{time.Now().Add(after), bytes, err})
 	c.wake()
 }
 
@@ -169,8 +169,8 @@
 			return 0, os.ErrDeadlineExceeded
 		}
 		next := c.deadline
-		if len(c.inbox) > 0 {
-			first := &c.inbox[0]
+		if len(c.queue) > 0 {
+			first := &c.queue[0]
 			if !now.Before(first.at) {
 				if first.err != nil {
 					err := first.err // it stays: every later read fails alike
@@ -179,7 +179,7 @@
 				}
 				count := copy(to, first.bytes)
 				if first.bytes = first.bytes[count:]; len(first.bytes) == 0 {
-					c.inbox = c.inbox[1:]
+					c.queue = c.queue[1:]
 				}
 				c.lock.Unlock()
 				return count, nil
@@ -206,7 +206,7 @@
 func (c *virtualConn) Write(bytes []byte) (int, error) {
 	c.lock.Lock()
 	isOver := c.isClosed
-	for _, known := range c.inbox {
+	for _, known := range c.queue {
 		// What has arrived here tells that nobody is there any more.
 		isOver = isOver || known.err != nil && !time.Now().Before(known.at)
 	}
--- a/understudy/platform.go
+++ b/emulator/platform.go
@@ -1,4 +1,4 @@
-package understudy
+package emulator
 
 import (
 	"encoding/json"
@@ -6,21 +6,21 @@
 	"sync"
 	"time"
 
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
 )
 
 // Platform stands in for the platform's lagging list of engines.
 type Platform struct {
 	lock     sync.Mutex
-	lag      house.Micros
+	lag      kernel.Micros
 	revision uint64
 	engines  map[string]listed
 	past     []snapshot
 }
 
 type listed struct {
-	engine flyloft.ListingEngine
+	engine control.ListingEngine
 	born   time.Time
 }
 
@@ -31,12 +31,12 @@
 }
 
 // NewPlatform makes a list that shows each change only after a lag.
-func NewPlatform(lag house.Micros) *Platform {
+func NewPlatform(lag kernel.Micros) *Platform {
 	return &Platform{lag: lag, engines: map[string]listed{}, past: []snapshot{{revision: 1}}, revision: 1}
 }
 
 // Set enters or changes an engine.
-func (p *Platform) Set(engine flyloft.ListingEngine) {
+func (p *Platform) Set(engine control.ListingEngine) {
 	p.change(func() { p.engines[engine.ID] = listed{engine, time.Now().Add(-engine.Up.Duration())} })
 }
 
@@ -56,7 +56,7 @@
 }
 
 // List is what the platform shows now.
-func (p *Platform) List() flyloft.Listing {
+func (p *Platform) List() control.Listing {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	shown := p.past[0]
@@ -65,16 +65,16 @@
 			shown = snapshot
 		}
 	}
-	listing := flyloft.Listing{Revision: shown.revision, Engines: []flyloft.ListingEngine{}}
+	listing := control.Listing{Revision: shown.revision, Engines: []control.ListingEngine{}}
 	for _, entry := range shown.engines {
 		engine := entry.engine
-		engine.Up = house.MicrosOf(time.Since(entry.born))
+		engine.Up = kernel.MicrosOf(time.Since(entry.born))
 		listing.Engines = append(listing.Engines, engine)
 	}
 	return listing
 }
 
-// Handler serves the list, and the controls by which a rehearsal changes it.
+// Handler serves the list, and the controls by which a local fleet run changes it.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/engines", func(w http.ResponseWriter, _ *http.Request) {
@@ -84,7 +84,7 @@
 		}
 	})
 	mux.HandleFunc("PUT /control/engines", func(w http.ResponseWriter, r *http.Request) {
-		var engine flyloft.ListingEngine
+		var engine control.ListingEngine
 		if err := json.NewDecoder(r.Body).Decode(&engine); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -92,7 +92,7 @@
 		p.Set(engine)
 	})
 	mux.HandleFunc("PUT /control/lag", func(w http.ResponseWriter, r *http.Request) {
-		var lag house.Micros
+		var lag kernel.Micros
 		if err := json.NewDecoder(r.Body).Decode(&lag); err != nil || lag < 0 {
 			http.Error(w, "a whole number of microseconds is wanted", http.StatusBadRequest)
 			return
--- a/playbill/shelf.go
+++ b/fleetconfig/compiler.go
@@ -1,24 +1,24 @@
-package playbill
+package fleetconfig
 
 import (
 	"crypto/sha256"
 	"sync"
 )
 
-// What a process keeps: the compiled specs in force, next, and checked meanwhile; and
-// its word on many more, since a storm's specs wait in the leader's inbox.
+// What a process keeps: the compiled configurations in force, next, and checked meanwhile; and
+// its word on many more, since a storm's configurations wait in the leader's queue.
 const (
-	shelfBound   = 4
-	verdictBound = 1024
+	compilerBound = 4
+	verdictBound  = 1024
 )
 
-// Shelf compiles each spec once for all parts of a process: a large one takes a good
+// Compiler compiles each configuration once for all parts of a process: a large one takes a good
 // part of a second.
-type Shelf struct {
+type Compiler struct {
 	// Form reads the documents; nil: the product's own. Not to be changed once in use.
 	Form     Form
 	lock     sync.Mutex
-	kept     bounded[*Spec]
+	kept     bounded[*Config]
 	verdicts bounded[verdict]
 }
 
@@ -31,13 +31,13 @@
 // ownForm is the product's own form, protojson.
 type ownForm struct{}
 
-func (ownForm) Read(document []byte) (*Spec, error) { return Read(document) }
+func (ownForm) Read(document []byte) (*Config, error) { return Read(document) }
 
 func (ownForm) Change(document, change []byte) ([]byte, error) {
 	return ChangeByName(document, change, OwnWords())
 }
 
-func (s *Shelf) form() Form {
+func (s *Compiler) form() Form {
 	if s.Form == nil {
 		return ownForm{}
 	}
@@ -67,36 +67,36 @@
 }
 
 // Read is the form's Read with what was compiled before kept at hand.
-func (s *Shelf) Read(document []byte) (*Spec, error) {
+func (s *Compiler) Read(document []byte) (*Config, error) {
 	key := sha256.Sum256(document)
 	s.lock.Lock()
-	spec, isKept := s.kept.values[key]
+	config, isKept := s.kept.values[key]
 	s.lock.Unlock()
 	if isKept {
-		return spec, nil
+		return config, nil
 	}
-	// Not under the lock: nobody must wait for an operator's other spec.
-	spec, err := s.form().Read(document)
+	// Not under the lock: nobody must wait for an operator's other configuration.
+	config, err := s.form().Read(document)
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if err != nil {
 		s.verdicts.put(key, verdict{0, err}, verdictBound)
 		return nil, err
 	}
-	s.verdicts.put(key, verdict{spec.Version, nil}, verdictBound)
-	s.kept.put(key, spec, shelfBound)
-	return spec, nil
+	s.verdicts.put(key, verdict{config.Version, nil}, verdictBound)
+	s.kept.put(key, config, compilerBound)
+	return config, nil
 }
 
-// Check tells what is wrong with a spec, from memory where it was read before.
-func (s *Shelf) Check(document []byte) error {
+// Check tells what is wrong with a configuration, from memory where it was read before.
+func (s *Compiler) Check(document []byte) error {
 	_, err := s.Version(document)
 	return err
 }
 
-// Version gives the operator's own number of a spec, or what is wrong with the spec, from
+// Version gives the operator's own number of a configuration, or what is wrong with the configuration, from
 // memory where it was read before; zero: it has none.
-func (s *Shelf) Version(document []byte) (uint64, error) {
+func (s *Compiler) Version(document []byte) (uint64, error) {
 	key := sha256.Sum256(document)
 	s.lock.Lock()
 	known, isKnown := s.verdicts.values[key]
@@ -104,21 +104,21 @@
 	if isKnown {
 		return known.version, known.err
 	}
-	spec, err := s.Read(document)
+	config, err := s.Read(document)
 	if err != nil {
 		return 0, err
 	}
-	return spec.Version, nil
+	return config.Version, nil
 }
 
 // Change applies a change of named items and gives the document that follows, not yet
 // judged: read it before it is used.
-func (s *Shelf) Change(document, change []byte) ([]byte, error) {
+func (s *Compiler) Change(document, change []byte) ([]byte, error) {
 	return s.form().Change(document, change)
 }
 
-// Has tells whether a spec is compiled and at hand.
-func (s *Shelf) Has(document []byte) bool {
+// Has tells whether a configuration is compiled and at hand.
+func (s *Compiler) Has(document []byte) bool {
 	key := sha256.Sum256(document)
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/playbill/playbill.go
+++ b/fleetconfig/config.go
@@ -1,6 +1,6 @@
-// Package playbill reads, checks and compiles the operator's spec: the whole
+// Package fleetconfig reads, checks and compiles the operator's configuration: the whole
 // picture of engines, bindings, routes, services, zones and policy.
-package playbill
+package fleetconfig
 
 import (
 	"errors"
@@ -12,13 +12,13 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"dunlinloom/house"
-	"dunlinloom/playbill/playbillpb"
+	"dunlinloom/fleetconfig/fleetconfigpb"
+	"dunlinloom/kernel"
 )
 
-//go:generate go run dunlinloom/tools/scribe spec.proto playbillpb
+//go:generate go run dunlinloom/tools/protogen config.proto fleetconfigpb
 
-// Bounds of a spec, stated to operators in docs/operators.md.
+// Bounds of a configuration, stated to operators in docs/operators.md.
 const (
 	MaxBytes    = 4 << 20
 	MaxBindings = 20000
@@ -29,7 +29,7 @@
 	MaxServices = 10000
 	MaxPrefix   = 2048
 	// Above any span and size that makes sense, and far below where sums overflow.
-	MaxSpan   = 366 * 86_400 * house.Second
+	MaxSpan   = 366 * 86_400 * kernel.Second
 	MaxSize   = 1 << 40
 	maxFaults = 200
 	// Bytes of a fault's path, and of what it says.
@@ -67,7 +67,7 @@
 		f.More++
 		return
 	}
-	// Documents may hold names of megabytes; a receipt must not.
+	// Documents may hold names of megabytes; a reply must not.
 	f.List = append(f.List, Fault{clip(path, maxFaultText), clip(fmt.Sprintf(why, args...), maxFaultText)})
 }
 
@@ -123,9 +123,9 @@
 	NearTie      float64
 	RetryRatio   float64
 	RampStreams  int
-	RampDouble   house.Micros
-	RampTotal    house.Micros
-	ReportFade   house.Micros
+	RampDouble   kernel.Micros
+	RampTotal    kernel.Micros
+	ReportFade   kernel.Micros
 	OwnZoneFirst bool
 }
 
@@ -133,8 +133,8 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		PrefixLength: 64, MaxImbalance: 2.0, NearTie: 0.05, RetryRatio: 0.08,
-		RampStreams: 2, RampDouble: 2 * house.Second, RampTotal: 20 * house.Second,
-		ReportFade: 10 * house.Second,
+		RampStreams: 2, RampDouble: 2 * kernel.Second, RampTotal: 20 * kernel.Second,
+		ReportFade: 10 * kernel.Second,
 	}
 }
 
@@ -154,15 +154,15 @@
 	Name        string
 	Kind, Model string
 	Shares      []Share
-	TTFTLimit   house.Micros
+	TTFTLimit   kernel.Micros
 }
 
-// Engine is an engine named in the spec.
+// Engine is an engine named in the configuration.
 type Engine struct{ ID, Address, Zone, Pool string }
 
-// Spec is a compiled spec, never changed once made.
-type Spec struct {
-	// Version is the operator's own number of this spec; zero: it has none.
+// Configuration is a compiled configuration, never changed once made.
+type Config struct {
+	// Version is the operator's own number of this configuration; zero: it has none.
 	Version  uint64
 	Engines  map[string]Engine
 	Bindings []Binding
@@ -176,7 +176,7 @@
 }
 
 // Bind finds the first binding that fits a request.
-func (s *Spec) Bind(kind, model string) (*Binding, bool) {
+func (s *Config) Bind(kind, model string) (*Binding, bool) {
 	best := -1
 	// With thousands of bindings a scan per request is too slow: exact pairs are
 	// looked up, and order is kept by taking the lowest index.
@@ -202,15 +202,15 @@
 	return 0
 }
 
-// Read takes an operator's document to a compiled spec, or to every fault in it.
-func Read(document []byte) (*Spec, error) {
+// Read takes an operator's document to a compiled configuration, or to every fault in it.
+func Read(document []byte) (*Config, error) {
 	if len(document) > MaxBytes {
 		return nil, fmt.Errorf("read the spec: %w", TooLarge{"bytes of the spec", len(document), MaxBytes})
 	}
 	if err := walk(document); err != nil {
 		return nil, fmt.Errorf("read the spec: %w", err)
 	}
-	message := &playbillpb.Spec{}
+	message := &fleetconfigpb.Spec{}
 	if err := protojson.Unmarshal(document, message); err != nil {
 		faults := &Faults{}
 		faults.Add("$", "%v", err)
@@ -219,10 +219,10 @@
 	return Compile(message, nil)
 }
 
-// Compile checks and compiles a spec that was made of another form's document. Rename
+// Compile checks and compiles a configuration that was made of another form's document. Rename
 // gives a field's name in that form, so that faults are told in the words in which the
 // operator wrote; nil: in the product's own.
-func Compile(message *playbillpb.Spec, rename func(field string) string) (*Spec, error) {
+func Compile(message *fleetconfigpb.Spec, rename func(field string) string) (*Config, error) {
 	if err := check(message); err != nil {
 		var faults *Faults
 		if rename != nil && errors.As(err, &faults) {
@@ -233,7 +233,7 @@
 	return compile(message), nil
 }
 
-func check(message *playbillpb.Spec) error {
+func check(message *fleetconfigpb.Spec) error {
 	faults := &Faults{}
 	if count := len(message.Bindings); count > MaxBindings {
 		return TooLarge{"bindings", count, MaxBindings}
@@ -270,7 +270,7 @@
 		}
 		checkZone(path+".zone", engine.Zone)
 	}
-	// A fleet whose last route was taken out still has its services or caps; a spec with
+	// A fleet whose last route was taken out still has its services or caps; a configuration with
 	// none of these was hardly meant.
 	if len(message.Bindings)+len(message.Routes)+len(message.Services) == 0 && message.Caps == nil {
 		faults.Add("bindings", "a spec needs at least one binding or route")
@@ -330,7 +330,7 @@
 	return ""
 }
 
-func checkPolicy(faults *Faults, policy *playbillpb.Policy) {
+func checkPolicy(faults *Faults, policy *fleetconfigpb.Policy) {
 	if policy == nil {
 		return
 	}
@@ -355,28 +355,28 @@
 	checkCount("reportFadeUs", policy.ReportFadeUs, 100_000, 600_000_000)
 }
 
-func compile(message *playbillpb.Spec) *Spec {
-	spec := &Spec{
+func compile(message *fleetconfigpb.Spec) *Config {
+	config := &Config{
 		Engines: map[string]Engine{}, Zones: map[string]bool{},
 		Policy: DefaultPolicy(), byPair: map[[2]string]int{},
 	}
-	compileRoutes(spec, message)
+	compileRoutes(config, message)
 	for _, zone := range message.Zones {
-		spec.Zones[zone.Name] = true
+		config.Zones[zone.Name] = true
 	}
 	for _, engine := range message.Engines {
-		spec.Engines[engine.Id] = Engine{engine.Id, engine.Address, engine.Zone, engine.Pool}
+		config.Engines[engine.Id] = Engine{engine.Id, engine.Address, engine.Zone, engine.Pool}
 	}
 	for i, from := range message.Bindings {
 		binding := Binding{
 			Name: from.Name, Kind: from.Match.GetKind(), Model: from.Match.GetModel(),
-			TTFTLimit: house.Micros(from.TtftLimitUs),
+			TTFTLimit: kernel.Micros(from.TtftLimitUs),
 		}
 		for _, share := range from.Shares {
 			binding.Shares = append(binding.Shares, Share{share.Engine, share.Pool, share.Zone, share.Weight})
 		}
-		spec.Bindings = append(spec.Bindings, binding)
-		spec.byPair[[2]string{binding.Kind, binding.Model}] = i
+		config.Bindings = append(config.Bindings, binding)
+		config.byPair[[2]string{binding.Kind, binding.Model}] = i
 	}
 	if policy := message.Policy; policy != nil {
 		setCount := func(to *int, from *uint32) {
@@ -384,9 +384,9 @@
 				*to = int(*from)
 			}
 		}
-		setSpan := func(to *house.Micros, from *uint32) {
+		setSpan := func(to *kernel.Micros, from *uint32) {
 			if from != nil {
-				*to = house.Micros(*from)
+				*to = kernel.Micros(*from)
 			}
 		}
 		setRatio := func(to, from *float64) {
@@ -394,15 +394,15 @@
 				*to = *from
 			}
 		}
-		setCount(&spec.Policy.PrefixLength, policy.PrefixLength)
-		setRatio(&spec.Policy.MaxImbalance, policy.MaxImbalance)
-		setRatio(&spec.Policy.NearTie, policy.NearTie)
-		setRatio(&spec.Policy.RetryRatio, policy.RetryRatio)
-		setCount(&spec.Policy.RampStreams, policy.RampStreams)
-		setSpan(&spec.Policy.RampDouble, policy.RampDoubleUs)
-		setSpan(&spec.Policy.RampTotal, policy.RampTotalUs)
-		setSpan(&spec.Policy.ReportFade, policy.ReportFadeUs)
-		spec.Policy.OwnZoneFirst = policy.GetOwnZoneFirst()
-	}
-	return spec
+		setCount(&config.Policy.PrefixLength, policy.PrefixLength)
+		setRatio(&config.Policy.MaxImbalance, policy.MaxImbalance)
+		setRatio(&config.Policy.NearTie, policy.NearTie)
+		setRatio(&config.Policy.RetryRatio, policy.RetryRatio)
+		setCount(&config.Policy.RampStreams, policy.RampStreams)
+		setSpan(&config.Policy.RampDouble, policy.RampDoubleUs)
+		setSpan(&config.Policy.RampTotal, policy.RampTotalUs)
+		setSpan(&config.Policy.ReportFade, policy.ReportFadeUs)
+		config.Policy.OwnZoneFirst = policy.GetOwnZoneFirst()
+	}
+	return config
 }
--- a/playbill/playbill_test.go
+++ b/fleetconfig/config_test.go
@@ -1,4 +1,4 @@
-package playbill
+package fleetconfig
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 func TestEveryFaultIsNamedWithItsPath(t *testing.T) {
@@ -49,7 +49,7 @@
 
 func TestTheFirstBindingThatFitsIsTaken(t *testing.T) {
 	c := qt.New(t)
-	spec, err := Read([]byte(`{"bindings":[
+	config, err := Read([]byte(`{"bindings":[
 		{"name":"quotes","match":{"kind":"quote"},"shares":[{"engine":"e1","weight":7},{"pool":"fast","weight":3},{"zone":"z1","weight":1}],"ttftLimitUs":1500000},
 		{"name":"big-quotes","match":{"kind":"quote","model":"big"},"shares":[{"weight":1}]},
 		{"name":"big","match":{"model":"big"},"shares":[{"weight":1}]}]}`))
@@ -57,14 +57,14 @@
 	for _, example := range []struct{ kind, model, want string }{
 		{"quote", "", "quotes"}, {"quote", "big", "quotes"}, {"", "big", "big"}, {"other", "big", "big"}, {"other", "small", ""},
 	} {
-		binding, isBound := spec.Bind(example.kind, example.model)
+		binding, isBound := config.Bind(example.kind, example.model)
 		c.Assert(isBound, qt.Equals, example.want != "")
 		if isBound {
 			c.Assert(binding.Name, qt.Equals, example.want)
 		}
 	}
-	quotes, _ := spec.Bind("quote", "")
-	c.Assert(quotes.TTFTLimit, qt.Equals, 1500*house.Millisecond)
+	quotes, _ := config.Bind("quote", "")
+	c.Assert(quotes.TTFTLimit, qt.Equals, 1500*kernel.Millisecond)
 	c.Assert(quotes.Weight("e1", "fast", "z1"), qt.Equals, uint32(7))
 	c.Assert(quotes.Weight("e2", "fast", "z1"), qt.Equals, uint32(3))
 	c.Assert(quotes.Weight("e2", "slow", "z1"), qt.Equals, uint32(1))
@@ -73,15 +73,15 @@
 
 func TestDefaultsArePapersAndOurs(t *testing.T) {
 	c := qt.New(t)
-	spec, err := Read([]byte(`{"bindings":[{"name":"a","shares":[{"weight":1}]}],"policy":{"rampTotalUs":0}}`))
+	config, err := Read([]byte(`{"bindings":[{"name":"a","shares":[{"weight":1}]}],"policy":{"rampTotalUs":0}}`))
 	c.Assert(err, qt.IsNil)
-	c.Assert(spec.Policy.PrefixLength, qt.Equals, 64)
-	c.Assert(spec.Policy.MaxImbalance, qt.Equals, 2.0)
+	c.Assert(config.Policy.PrefixLength, qt.Equals, 64)
+	c.Assert(config.Policy.MaxImbalance, qt.Equals, 2.0)
 	// Zero that was said is not the same as nothing said.
-	c.Assert(spec.Policy.RampTotal, qt.Equals, house.Micros(0))
+	c.Assert(config.Policy.RampTotal, qt.Equals, kernel.Micros(0))
 }
 
-func TestLargeSpecsWorkUpToTheBound(t *testing.T) {
+func TestLargeConfigsWorkUpToTheBound(t *testing.T) {
 	c := qt.New(t)
 	large := func(count int) []byte {
 		text := strings.Builder{}
@@ -97,25 +97,25 @@
 	}
 	document := large(20000)
 	c.Assert(len(document) > 2<<20, qt.IsTrue)
-	spec, err := Read(document)
+	config, err := Read(document)
 	c.Assert(err, qt.IsNil)
-	binding, isBound := spec.Bind("kind-19999", "some model of a longer name")
+	binding, isBound := config.Bind("kind-19999", "some model of a longer name")
 	c.Assert(isBound, qt.IsTrue)
 	c.Assert(binding.Name, qt.Equals, "binding-19999")
 	// Compiled once for a whole process, however often it is read.
-	shelf := &Shelf{}
-	first, err := shelf.Read(document)
+	compiler := &Compiler{}
+	first, err := compiler.Read(document)
 	c.Assert(err, qt.IsNil)
-	again, err := shelf.Read(append([]byte(nil), document...))
+	again, err := compiler.Read(append([]byte(nil), document...))
 	c.Assert(err, qt.IsNil)
 	c.Assert(again == first, qt.IsTrue)
-	_, err = shelf.Read([]byte(`{}`))
+	_, err = compiler.Read([]byte(`{}`))
 	c.Assert(err, qt.IsNotNil)
 	for i := range 10 {
-		_, err = shelf.Read(fmt.Appendf(nil, `{"bindings":[{"name":"b%d","shares":[{"weight":1}]}]}`, i))
+		_, err = compiler.Read(fmt.Appendf(nil, `{"bindings":[{"name":"b%d","shares":[{"weight":1}]}]}`, i))
 		c.Assert(err, qt.IsNil)
 	}
-	c.Assert(len(shelf.kept.values), qt.Equals, shelfBound)
+	c.Assert(len(compiler.kept.values), qt.Equals, compilerBound)
 	var above TooLarge
 	_, err = Read(large(20001))
 	c.Assert(errors.As(err, &above), qt.IsTrue)
--- a/playbill/fuzz_test.go
+++ b/fleetconfig/fuzz_test.go
@@ -1,4 +1,4 @@
-package playbill
+package fleetconfig
 
 import (
 	"bytes"
@@ -9,8 +9,8 @@
 	"strings"
 	"testing"
 
-	"dunlinloom/playbill/playbillpb"
-	"dunlinloom/props"
+	"dunlinloom/fleetconfig/fleetconfigpb"
+	"dunlinloom/fuzzing"
 )
 
 const (
@@ -18,15 +18,15 @@
 	seedBinds  = `{"zones":[{"name":"z"}],"engines":[{"id":"e","address":"10.0.0.1:80","zone":"z"}],"bindings":[{"name":"a","match":{"kind":"k"},"shares":[{"engine":"e","weight":7}],"ttftLimitUs":5}],"policy":{"nearTie":0.05,"ownZoneFirst":true}}`
 )
 
-// Whatever comes: a spec whose parts find each other, or faults of a stated type, and the
+// Whatever comes: a configuration whose parts find each other, or faults of a stated type, and the
 // same each time.
 func FuzzRead(f *testing.F) {
-	props.Seed(f, seedRoutes, seedBinds, `{"routes":[{"kind":null,"splits":[null]}],"caps":null}`, `{"version":1e3,"services":[{"name":"\ud800"}]}`)
+	fuzzing.Seed(f, seedRoutes, seedBinds, `{"routes":[{"kind":null,"splits":[null]}],"caps":null}`, `{"version":1e3,"services":[{"name":"\ud800"}]}`)
 	f.Fuzz(func(t *testing.T, document []byte) {
-		spec, err := Read(document)
-		props.FailsAs(t, err, props.Is[*Faults], props.Is[TooLarge])
-		if (spec == nil) != (err != nil) {
-			t.Fatalf("%v beside %v", spec, err)
+		config, err := Read(document)
+		fuzzing.FailsAs(t, err, fuzzing.Is[*Faults], fuzzing.Is[TooLarge])
+		if (config == nil) != (err != nil) {
+			t.Fatalf("%v beside %v", config, err)
 		}
 		again, errAgain := Read(document)
 		// protojson itself varies the spaces in its texts from build to build, never within one.
@@ -36,16 +36,16 @@
 		if err != nil {
 			return
 		}
-		for i := range spec.Routes {
-			route := &spec.Routes[i]
-			if spec.RouteOf(route.Host, route.Prefix) != route || spec.RouteOf(route.Host, route.Prefix+"x") != route {
+		for i := range config.Routes {
+			route := &config.Routes[i]
+			if config.RouteOf(route.Host, route.Prefix) != route || config.RouteOf(route.Host, route.Prefix+"x") != route {
 				t.Fatalf("%+v is not found by its own host and prefix", route)
 			}
 			if route.Timeout <= 0 || route.Tries < 1 {
 				t.Fatalf("%+v serves nothing", route)
 			}
 			for hash := range uint64(20) {
-				if _, isThere := spec.Services[route.Pick(hash)]; !isThere {
+				if _, isThere := config.Services[route.Pick(hash)]; !isThere {
 					t.Fatalf("%+v picks %q", route, route.Pick(hash))
 				}
 			}
@@ -56,14 +56,14 @@
 			t.Fatal(err)
 		}
 		again, err = Read(changed)
-		if err != nil || again.Version != spec.Version || len(again.Routes) != len(spec.Routes) || len(again.Bindings) != len(spec.Bindings) {
+		if err != nil || again.Version != config.Version || len(again.Routes) != len(config.Routes) || len(again.Bindings) != len(config.Bindings) {
 			t.Fatalf("%s reads otherwise: %v", changed, err)
 		}
 	})
 }
 
 func FuzzChangeByName(f *testing.F) {
-	props.SeedPairs(f,
+	fuzzing.SeedPairs(f,
 		[2]string{`{"version":7,"x":[1.0,{"y":"]"}],"routes":[{"name":"a","n":1e1},{"name":"b"}]}`,
 			`{"version":9,"upsert":{"routes":[{"name":"b","k":"\u0061"},{"name":"c"}]},"remove":{"routes":["a","z"],"services":["s"]},"caps":{"idleUs":1}}`},
 		[2]string{`{"ro\u0075tes":[{"n\u0061me":"\u0061"}],"services":null}`, `{"upsert":{"services":[{"name":"\ud800"}],"routes":[{"name":"a"}]}}`},
@@ -74,7 +74,7 @@
 		if !bytes.Equal(before, document) || !bytes.Equal(asked, change) {
 			t.Fatal("what was given was written to")
 		}
-		props.FailsAs(t, err, props.Is[*Faults], props.Is[TooLarge])
+		fuzzing.FailsAs(t, err, fuzzing.Is[*Faults], fuzzing.Is[TooLarge])
 		if err != nil {
 			return
 		}
@@ -189,21 +189,21 @@
 		}
 	}
 	f.Fuzz(func(t *testing.T, places, host, path string) {
-		message := &playbillpb.Spec{Services: []*playbillpb.Service{{Name: "s"}}}
+		message := &fleetconfigpb.Spec{Services: []*fleetconfigpb.Service{{Name: "s"}}}
 		for i, line := range strings.Split(places, "\n") {
 			host, prefix, _ := strings.Cut(line, " ")
-			route := &playbillpb.Route{Name: fmt.Sprintf("r%d", i), Host: host, Prefix: prefix, TimeoutUs: 1, Service: "s"}
+			route := &fleetconfigpb.Route{Name: fmt.Sprintf("r%d", i), Host: host, Prefix: prefix, TimeoutUs: 1, Service: "s"}
 			message.Routes = append(message.Routes, route)
 			// A line that is no route must not hide the others.
 			if _, err := Compile(message, nil); err != nil {
-				props.FailsAs(t, err, props.Is[*Faults], props.Is[TooLarge])
+				fuzzing.FailsAs(t, err, fuzzing.Is[*Faults], fuzzing.Is[TooLarge])
 				message.Routes = message.Routes[:len(message.Routes)-1]
 			}
 			if len(message.Routes) > 50 {
 				break
 			}
 		}
-		spec, err := Compile(message, nil)
+		config, err := Compile(message, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -214,7 +214,7 @@
 			}
 		}
 		got := ""
-		if route := spec.RouteOf(host, path); route != nil {
+		if route := config.RouteOf(host, path); route != nil {
 			got = route.Prefix
 		}
 		if got != want {
--- a/playbill/routes.go
+++ b/fleetconfig/routes.go
@@ -1,12 +1,12 @@
-package playbill
+package fleetconfig
 
 import (
 	"fmt"
 	"math/bits"
 	"strings"
 
-	"dunlinloom/house"
-	"dunlinloom/playbill/playbillpb"
+	"dunlinloom/fleetconfig/fleetconfigpb"
+	"dunlinloom/kernel"
 )
 
 // RouteKind says what may be done with a route's requests after a failure.
@@ -29,14 +29,14 @@
 type Route struct {
 	Name, Host, Prefix string // the prefix begins and ends with a slash
 	Kind               RouteKind
-	Timeout            house.Micros // the longest that a request may be held
-	Goal               house.Micros // within which an answer, or a stream's first event, earns its full worth
-	GapGoal            house.Micros // the longest pause between events that is still in time; zero: none is set
-	Priority           int          // 0 is the highest
-	Tries              int          // engines that one request may be sent to
-	IsPinned           bool         // placed by its prompt's prefix
-	IsResumable        bool         // a stream may go on at another engine after its last event
-	Splits             []Split      // at least one
+	Timeout            kernel.Micros // the longest that a request may be held
+	Goal               kernel.Micros // within which an answer, or a stream's first event, earns its full worth
+	GapGoal            kernel.Micros // the longest pause between events that is still in time; zero: none is set
+	Priority           int           // 0 is the highest
+	Tries              int           // engines that one request may be sent to
+	IsPinned           bool          // placed by its prompt's prefix
+	IsResumable        bool          // a stream may go on at another engine after its last event
+	Splits             []Split       // at least one
 }
 
 // IsRepeatable tells whether a request may run more than once.
@@ -44,44 +44,44 @@
 
 // Service is a pool of engines that register themselves under its name.
 type Service struct {
-	Name         string
-	HealthPath   string
-	MaxChannels  int // connections that one engine takes from all callers together
-	Slots        int // requests that one engine works on at once; zero: not said
-	MemoryTokens int64
-	Stride       int // tokens in an event of a stream
+	Name           string
+	HealthPath     string
+	MaxConnections int // connections that one engine takes from all callers together
+	Slots          int // requests that one engine works on at once; zero: not said
+	MemoryTokens   int64
+	Stride         int // tokens in an event of a stream
 }
 
 // Caps bound what a caller may send, and how long it may take or rest.
 type Caps struct {
 	HeaderBytes, BodyBytes int64
-	HeaderTime, IdleTime   house.Micros
+	HeaderTime, IdleTime   kernel.Micros
 }
 
 // Form reads operators' documents of one form. The product's own is protojson; a
 // deployment may bring another, which is kept and read back as it was sent.
 type Form interface {
-	// Read takes a document to a compiled spec, or to every fault in it.
-	Read(document []byte) (*Spec, error)
+	// Read takes a document to a compiled configuration, or to every fault in it.
+	Read(document []byte) (*Config, error)
 	// Change applies a change of named items to a document and gives the whole
 	// document that follows. It does not judge the result; Read does.
 	Change(document, change []byte) ([]byte, error)
 }
 
-// NewRouteSpec makes a spec of routes and services that were checked in another form.
-func NewRouteSpec(routes []Route, services []Service) *Spec {
-	spec := &Spec{
+// NewRouteConfig makes a configuration of routes and services that were checked in another form.
+func NewRouteConfig(routes []Route, services []Service) *Config {
+	config := &Config{
 		Routes: routes, Services: make(map[string]Service, len(services)), Policy: DefaultPolicy(),
 		Engines: map[string]Engine{}, Zones: map[string]bool{},
 	}
 	for _, service := range services {
-		spec.Services[service.Name] = service
+		config.Services[service.Name] = service
 	}
 	for i := range routes {
 		routes[i].Host = bareHost(routes[i].Host)
 	}
-	spec.indexRoutes()
-	return spec
+	config.indexRoutes()
+	return config
 }
 
 // hostRoutes is a host's routes by prefix.
@@ -94,10 +94,10 @@
 // nil: there is none. Case and port of the host count for nothing. The path is taken as it
 // is: one that ends before the prefix's last slash is not under it. Nothing is allocated,
 // unless the host has capital letters.
-func (s *Spec) RouteOf(host, path string) *Route {
+func (s *Config) RouteOf(host, path string) *Route {
 	byHost := s.byHost.Load()
 	if byHost == nil {
-		// A form, or a test, made this spec by hand: its routes must not be lost for that.
+		// A form, or a test, made this configuration by hand: its routes must not be lost for that.
 		byHost = s.indexRoutes()
 	}
 	routes := (*byHost)[bareHost(host)]
@@ -117,7 +117,7 @@
 }
 
 // indexRoutes sorts the routes by host. Two who do so at once make the same.
-func (s *Spec) indexRoutes() *map[string]*hostRoutes {
+func (s *Config) indexRoutes() *map[string]*hostRoutes {
 	byHost := map[string]*hostRoutes{}
 	for i := range s.Routes {
 		route := &s.Routes[i]
@@ -186,7 +186,7 @@
 }
 
 // checkRouteCounts comes before all else, so that no work is done on what is too large.
-func checkRouteCounts(message *playbillpb.Spec) error {
+func checkRouteCounts(message *fleetconfigpb.Spec) error {
 	if count := len(message.Routes); count > MaxRoutes {
 		return TooLarge{"routes", count, MaxRoutes}
 	}
@@ -203,7 +203,7 @@
 	return nil
 }
 
-func checkRoutes(faults *Faults, message *playbillpb.Spec) {
+func checkRoutes(faults *Faults, message *fleetconfigpb.Spec) {
 	services := make(map[string]bool, len(message.Services))
 	for i, service := range message.Services {
 		at := func(field string) string { return fmt.Sprintf("services[%d].%s", i, field) }
@@ -264,7 +264,7 @@
 	}
 }
 
-func checkSplits(faults *Faults, at func(string) string, route *playbillpb.Route, services map[string]bool) {
+func checkSplits(faults *Faults, at func(string) string, route *fleetconfigpb.Route, services map[string]bool) {
 	if len(route.Splits) == 0 {
 		if route.Service == "" {
 			faults.Add(at("service"), "a route needs a service, or a split between several")
@@ -331,21 +331,21 @@
 	return ""
 }
 
-func compileRoutes(spec *Spec, message *playbillpb.Spec) {
-	spec.Version = message.Version
-	spec.Services = make(map[string]Service, len(message.Services))
+func compileRoutes(config *Config, message *fleetconfigpb.Spec) {
+	config.Version = message.Version
+	config.Services = make(map[string]Service, len(message.Services))
 	for _, from := range message.Services {
-		spec.Services[from.Name] = Service{
-			Name: from.Name, HealthPath: from.HealthPath, MaxChannels: int(from.MaxConnections),
+		config.Services[from.Name] = Service{
+			Name: from.Name, HealthPath: from.HealthPath, MaxConnections: int(from.MaxConnections),
 			Slots: int(from.Slots), MemoryTokens: int64(from.MemoryTokens), Stride: int(from.Stride),
 		}
 	}
-	spec.Routes = make([]Route, len(message.Routes))
+	config.Routes = make([]Route, len(message.Routes))
 	for i, from := range message.Routes {
-		route := &spec.Routes[i]
+		route := &config.Routes[i]
 		*route = Route{
 			Name: from.Name, Host: bareHost(from.Host), Prefix: from.Prefix, Kind: kinds[from.Kind],
-			Timeout: house.Micros(from.TimeoutUs), Goal: house.Micros(from.GoalUs), GapGoal: house.Micros(from.GapGoalUs),
+			Timeout: kernel.Micros(from.TimeoutUs), Goal: kernel.Micros(from.GoalUs), GapGoal: kernel.Micros(from.GapGoalUs),
 			Priority: int(from.Priority), Tries: max(1, int(from.Tries)), IsPinned: from.Pinned, IsResumable: from.Resumable,
 		}
 		if len(from.Splits) == 0 {
@@ -355,14 +355,14 @@
 			route.Splits = append(route.Splits, Split{split.Service, split.Weight})
 		}
 	}
-	spec.indexRoutes()
-	spec.Caps = Caps{
+	config.indexRoutes()
+	config.Caps = Caps{
 		HeaderBytes: int64(message.Caps.GetHeaderBytes()), BodyBytes: int64(message.Caps.GetBodyBytes()),
-		HeaderTime: house.Micros(message.Caps.GetHeaderUs()), IdleTime: house.Micros(message.Caps.GetIdleUs()),
+		HeaderTime: kernel.Micros(message.Caps.GetHeaderUs()), IdleTime: kernel.Micros(message.Caps.GetIdleUs()),
 	}
 }
 
 // An unknown number of a later schema counts as the kind with which least may be done.
-var kinds = map[playbillpb.Route_Kind]RouteKind{
-	playbillpb.Route_unsafe: Unsafe, playbillpb.Route_safe: Safe, playbillpb.Route_stream: Stream,
+var kinds = map[fleetconfigpb.Route_Kind]RouteKind{
+	fleetconfigpb.Route_unsafe: Unsafe, fleetconfigpb.Route_safe: Safe, fleetconfigpb.Route_stream: Stream,
 }
--- a/playbill/routes_test.go
+++ b/fleetconfig/routes_test.go
@@ -1,4 +1,4 @@
-package playbill
+package fleetconfig
 
 import (
 	"errors"
@@ -9,8 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
-	"dunlinloom/playbill/playbillpb"
+	"dunlinloom/fleetconfig/fleetconfigpb"
+	"dunlinloom/kernel"
 )
 
 // faultPaths gives the paths of every fault in a document.
@@ -97,7 +97,7 @@
 
 func TestRoutesServicesAndCapsAreCompiledAsWritten(t *testing.T) {
 	c := qt.New(t)
-	spec, err := Read([]byte(`{"version":"18446744073709551615",
+	config, err := Read([]byte(`{"version":"18446744073709551615",
 		"services":[{"name":"s1","healthPath":"/healthz","maxConnections":330,"slots":48,"memoryTokens":529555,"stride":4},{"name":"s2"}],
 		"routes":[
 		  {"name":"r1","host":"A.example:8080","prefix":"/a/","kind":"stream","timeoutUs":20000000,"goalUs":1000000,"gapGoalUs":300000,
@@ -105,30 +105,30 @@
 		  {"name":"r2","host":"[FD00::1]:80","prefix":"/","timeout_us":"7","service":"s2"}],
 		"caps":{"headerBytes":16384,"bodyBytes":4194304,"headerUs":3000000,"idleUs":15000000}}`))
 	c.Assert(err, qt.IsNil)
-	c.Assert(spec.Version, qt.Equals, uint64(1<<64-1))
-	c.Assert(spec.Routes, qt.DeepEquals, []Route{
-		{Name: "r1", Host: "a.example", Prefix: "/a/", Kind: Stream, Timeout: 20 * house.Second, Goal: house.Second, GapGoal: 300 * house.Millisecond,
+	c.Assert(config.Version, qt.Equals, uint64(1<<64-1))
+	c.Assert(config.Routes, qt.DeepEquals, []Route{
+		{Name: "r1", Host: "a.example", Prefix: "/a/", Kind: Stream, Timeout: 20 * kernel.Second, Goal: kernel.Second, GapGoal: 300 * kernel.Millisecond,
 			Priority: 2, Tries: 3, IsPinned: true, IsResumable: true, Splits: []Split{{"s1", 90}, {"s2", 0}}},
 		// Tries that were not said are one.
 		{Name: "r2", Host: "[fd00::1]", Prefix: "/", Kind: Unsafe, Timeout: 7, Tries: 1, Splits: []Split{{"s2", 1}}},
 	})
-	c.Assert(spec.Services, qt.DeepEquals, map[string]Service{
-		"s1": {Name: "s1", HealthPath: "/healthz", MaxChannels: 330, Slots: 48, MemoryTokens: 529555, Stride: 4}, "s2": {Name: "s2"}})
-	c.Assert(spec.Caps, qt.Equals, Caps{16384, 4194304, 3 * house.Second, 15 * house.Second})
+	c.Assert(config.Services, qt.DeepEquals, map[string]Service{
+		"s1": {Name: "s1", HealthPath: "/healthz", MaxConnections: 330, Slots: 48, MemoryTokens: 529555, Stride: 4}, "s2": {Name: "s2"}})
+	c.Assert(config.Caps, qt.Equals, Caps{16384, 4194304, 3 * kernel.Second, 15 * kernel.Second})
 	for _, document := range []string{
 		// The last route may be taken out, and bindings go on as before.
 		`{"routes":[],"services":[{"name":"s"}]}`, `{"caps":{}}`, `{"bindings":[{"name":"a","shares":[{"weight":1}]}]}`,
 	} {
-		spec, err = Read([]byte(document))
+		config, err = Read([]byte(document))
 		c.Assert(err, qt.IsNil)
-		c.Assert(spec.Version, qt.Equals, uint64(0))
-		c.Assert(spec.RouteOf("h", "/"), qt.IsNil)
+		c.Assert(config.Version, qt.Equals, uint64(0))
+		c.Assert(config.RouteOf("h", "/"), qt.IsNil)
 	}
 }
 
 func TestAnotherFormGetsFaultsInItsOwnWords(t *testing.T) {
 	c := qt.New(t)
-	message := &playbillpb.Spec{Routes: []*playbillpb.Route{{Name: "r", Host: "h", Prefix: "/", Splits: []*playbillpb.Split{{Service: "s"}}}}}
+	message := &fleetconfigpb.Spec{Routes: []*fleetconfigpb.Route{{Name: "r", Host: "h", Prefix: "/", Splits: []*fleetconfigpb.Split{{Service: "s"}}}}}
 	words := map[string]string{"routes": "wege", "timeoutUs": "frist_ms", "splits": "teile", "service": "dienst"}
 	rename := func(field string) string {
 		if word, isThere := words[field]; isThere {
@@ -140,11 +140,11 @@
 	c.Assert(faultPaths(c, err), qt.DeepEquals, []string{"wege[0].frist_ms", "wege[0].teile[0].dienst", "wege[0].teile"})
 	_, err = Compile(message, nil)
 	c.Assert(faultPaths(c, err), qt.DeepEquals, []string{"routes[0].timeoutUs", "routes[0].splits[0].service", "routes[0].splits"})
-	message.Services = []*playbillpb.Service{{Name: "s"}}
+	message.Services = []*fleetconfigpb.Service{{Name: "s"}}
 	message.Routes[0].TimeoutUs, message.Routes[0].Splits[0].Weight = 1, 1
-	spec, err := Compile(message, rename)
+	config, err := Compile(message, rename)
 	c.Assert(err, qt.IsNil)
-	c.Assert(spec.RouteOf("h", "/").Name, qt.Equals, "r")
+	c.Assert(config.RouteOf("h", "/").Name, qt.Equals, "r")
 }
 
 func TestTheLongestPrefixOfTheHostTakesARequest(t *testing.T) {
@@ -156,7 +156,7 @@
 		}
 		text += fmt.Sprintf(`{"name":"r%d","host":"%s","prefix":"%s","timeoutUs":1,"service":"s"}`, i, place[0], place[1])
 	}
-	spec, err := Read([]byte(text + `]}`))
+	config, err := Read([]byte(text + `]}`))
 	c.Assert(err, qt.IsNil)
 	for _, example := range []struct{ host, path, want string }{
 		{"h", "/a/", "/a/"}, {"h", "/a/x", "/a/"}, {"h", "/a/b", "/a/"}, {"h", "/a/b/", "/a/b/"}, {"h", "/a/b/c/d/", "/a/b/"}, {"h", "/a//x", "/a//"},
@@ -165,28 +165,28 @@
 		{"[::1]", "/x", "/"}, {"[::1]:80", "/x", "/"}, {"::2", "/x", "/"}, {"K", "/", "/"}, {"\u212a", "/", ""},
 	} {
 		got := ""
-		if route := spec.RouteOf(example.host, example.path); route != nil {
+		if route := config.RouteOf(example.host, example.path); route != nil {
 			got = route.Prefix
 		}
 		c.Check(got, qt.Equals, example.want, qt.Commentf("%q %q", example.host, example.path))
 	}
-	c.Assert(testing.AllocsPerRun(100, func() { spec.RouteOf("h:80", "/a/b/c/d/e/f") }), qt.Equals, 0.0)
+	c.Assert(testing.AllocsPerRun(100, func() { config.RouteOf("h:80", "/a/b/c/d/e/f") }), qt.Equals, 0.0)
 }
 
 func TestASpecMadeByHandFindsItsRoutes(t *testing.T) {
 	c := qt.New(t)
-	spec := &Spec{Routes: []Route{{Name: "a", Host: "H:80", Prefix: "/a/"}, {Name: "b", Host: "h", Prefix: "/a/b/"}}}
+	config := &Config{Routes: []Route{{Name: "a", Host: "H:80", Prefix: "/a/"}, {Name: "b", Host: "h", Prefix: "/a/b/"}}}
 	var callers sync.WaitGroup
 	for range 8 {
 		callers.Go(func() {
 			for range 100 {
-				c.Check(spec.RouteOf("h", "/a/x"), qt.Equals, &spec.Routes[0])
-				c.Check(spec.RouteOf("h", "/a/b/x"), qt.Equals, &spec.Routes[1])
+				c.Check(config.RouteOf("h", "/a/x"), qt.Equals, &config.Routes[0])
+				c.Check(config.RouteOf("h", "/a/b/x"), qt.Equals, &config.Routes[1])
 			}
 		})
 	}
 	callers.Wait()
-	c.Assert((&Spec{}).RouteOf("h", "/"), qt.IsNil)
+	c.Assert((&Config{}).RouteOf("h", "/"), qt.IsNil)
 }
 
 func TestSplitsAreKeptByWeight(t *testing.T) {
@@ -243,28 +243,28 @@
 
 func TestManyRoutesWorkUpToTheBound(t *testing.T) {
 	c := qt.New(t)
-	spec, err := Read(largeRoutes(MaxRoutes))
+	config, err := Read(largeRoutes(MaxRoutes))
 	c.Assert(err, qt.IsNil)
-	c.Assert(spec.RouteOf("host-39.example", "/path-19999/x").Name, qt.Equals, "route-19999")
+	c.Assert(config.RouteOf("host-39.example", "/path-19999/x").Name, qt.Equals, "route-19999")
 	var above TooLarge
 	_, err = Read(largeRoutes(MaxRoutes + 1))
 	c.Assert(errors.As(err, &above), qt.IsTrue)
 	c.Assert(above.What, qt.Equals, "routes")
-	_, err = Compile(&playbillpb.Spec{Services: make([]*playbillpb.Service, MaxServices+1)}, nil)
+	_, err = Compile(&fleetconfigpb.Spec{Services: make([]*fleetconfigpb.Service, MaxServices+1)}, nil)
 	c.Assert(errors.As(err, &above), qt.IsTrue)
 	c.Assert(above.What, qt.Equals, "services")
-	_, err = Compile(&playbillpb.Spec{Routes: []*playbillpb.Route{{Splits: make([]*playbillpb.Split, MaxSplits+1)}}}, nil)
+	_, err = Compile(&fleetconfigpb.Spec{Routes: []*fleetconfigpb.Route{{Splits: make([]*fleetconfigpb.Split, MaxSplits+1)}}}, nil)
 	c.Assert(errors.As(err, &above), qt.IsTrue)
 	c.Assert(above.What, qt.Equals, "splits")
 }
 
 func BenchmarkCompile(b *testing.B) {
-	spec := &playbillpb.Spec{Services: []*playbillpb.Service{{Name: "s"}}}
+	config := &fleetconfigpb.Spec{Services: []*fleetconfigpb.Service{{Name: "s"}}}
 	for i := range MaxRoutes {
-		spec.Routes = append(spec.Routes, &playbillpb.Route{Name: fmt.Sprintf("r%d", i), Host: fmt.Sprintf("h%d", i%40), Prefix: fmt.Sprintf("/p%d/", i), TimeoutUs: 1, Service: "s"})
+		config.Routes = append(config.Routes, &fleetconfigpb.Route{Name: fmt.Sprintf("r%d", i), Host: fmt.Sprintf("h%d", i%40), Prefix: fmt.Sprintf("/p%d/", i), TimeoutUs: 1, Service: "s"})
 	}
 	for b.Loop() {
-		if _, err := Compile(spec, nil); err != nil {
+		if _, err := Compile(config, nil); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -281,65 +281,65 @@
 }
 
 func BenchmarkRouteOf(b *testing.B) {
-	spec, err := Read(largeRoutes(MaxRoutes))
+	config, err := Read(largeRoutes(MaxRoutes))
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		spec.RouteOf("host-39.example:8080", "/path-19999/completions")
+		config.RouteOf("host-39.example:8080", "/path-19999/completions")
 	}
 }
 
-// wordForm is a form that is none: it shows that the shelf goes by what it is given.
+// wordForm is a form that is none: it shows that the compiler goes by what it is given.
 type wordForm struct{ reads *int }
 
-func (f wordForm) Read(document []byte) (*Spec, error) {
+func (f wordForm) Read(document []byte) (*Config, error) {
 	*f.reads++
 	if len(document) > 9 {
 		return nil, TooLarge{"words", len(document), 9}
 	}
-	return &Spec{Version: uint64(len(document))}, nil
+	return &Config{Version: uint64(len(document))}, nil
 }
 
 func (f wordForm) Change(document, change []byte) ([]byte, error) {
 	return append(append([]byte{}, document...), change...), nil
 }
 
-func TestTheShelfGoesByItsForm(t *testing.T) {
+func TestTheCompilerGoesByItsForm(t *testing.T) {
 	c := qt.New(t)
 	reads := 0
-	shelf := &Shelf{Form: wordForm{&reads}}
-	changed, err := shelf.Change([]byte("abc"), []byte("de"))
+	compiler := &Compiler{Form: wordForm{&reads}}
+	changed, err := compiler.Change([]byte("abc"), []byte("de"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(changed), qt.Equals, "abcde")
-	c.Assert(shelf.Has(changed), qt.IsFalse)
-	version, err := shelf.Version(changed)
+	c.Assert(compiler.Has(changed), qt.IsFalse)
+	version, err := compiler.Version(changed)
 	c.Assert(err, qt.IsNil)
 	c.Assert(version, qt.Equals, uint64(5))
-	c.Assert(shelf.Has(changed), qt.IsTrue)
-	spec, err := shelf.Read(changed)
+	c.Assert(compiler.Has(changed), qt.IsTrue)
+	config, err := compiler.Read(changed)
 	c.Assert(err, qt.IsNil)
-	c.Assert(spec.Version, qt.Equals, uint64(5))
+	c.Assert(config.Version, qt.Equals, uint64(5))
 	c.Assert(reads, qt.Equals, 1)
 	var above TooLarge
 	for range 2 {
-		_, err = shelf.Version([]byte("far too long"))
+		_, err = compiler.Version([]byte("far too long"))
 		c.Assert(errors.As(err, &above), qt.IsTrue)
-		c.Assert(errors.As(shelf.Check([]byte("far too long")), &above), qt.IsTrue)
+		c.Assert(errors.As(compiler.Check([]byte("far too long")), &above), qt.IsTrue)
 	}
 	c.Assert(reads, qt.Equals, 2)
 	// What is no longer compiled is still known by version and verdict.
 	for _, word := range []string{"a", "b", "c", "d"} {
-		c.Assert(shelf.Check([]byte(word)), qt.IsNil)
+		c.Assert(compiler.Check([]byte(word)), qt.IsNil)
 	}
-	c.Assert(shelf.Has(changed), qt.IsFalse)
-	version, err = shelf.Version(changed)
+	c.Assert(compiler.Has(changed), qt.IsFalse)
+	version, err = compiler.Version(changed)
 	c.Assert(err, qt.IsNil)
 	c.Assert(version, qt.Equals, uint64(5))
 	c.Assert(reads, qt.Equals, 6)
 	// Without a form: the product's own.
-	own := &Shelf{}
+	own := &Compiler{}
 	document, err := own.Change([]byte(`{"version":1,"services":[]}`), []byte(`{"version":4,"upsert":{"services":[{"name":"s"}]}}`))
 	c.Assert(err, qt.IsNil)
 	version, err = own.Version(document)
--- a/playbill/scan.go
+++ b/fleetconfig/scan.go
@@ -1,4 +1,4 @@
-package playbill
+package fleetconfig
 
 import (
 	"encoding/json"
--- a/playbill/walk.go
+++ b/fleetconfig/walk.go
@@ -1,4 +1,4 @@
-package playbill
+package fleetconfig
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 
 	"google.golang.org/protobuf/reflect/protoreflect"
 
-	"dunlinloom/playbill/playbillpb"
+	"dunlinloom/fleetconfig/fleetconfigpb"
 )
 
 // walk holds a document against the schema and names every unknown field and
@@ -24,7 +24,7 @@
 		return &Faults{List: []Fault{{"$", "not JSON: " + err.Error()}}}
 	}
 	faults := &Faults{}
-	walkMessage(faults, "", root, (&playbillpb.Spec{}).ProtoReflect().Descriptor())
+	walkMessage(faults, "", root, (&fleetconfigpb.Spec{}).ProtoReflect().Descriptor())
 	return faults.Err()
 }
 
@@ -38,7 +38,7 @@
 	for name := range object {
 		names = append(names, name)
 	}
-	// A fixed order, so that the same document always gets the same receipt.
+	// A fixed order, so that the same document always gets the same reply.
 	sort.Strings(names)
 	for _, name := range names {
 		inner := name
--- a/props/props.go
+++ b/fuzzing/fuzzing.go
@@ -1,7 +1,7 @@
-// Package props holds what the fuzz tests of parsers have in common: seeds with their
+// Package fuzzing holds what the fuzz tests of parsers have in common: seeds with their
 // damaged forms, which run in every ordinary test run, and the rule on how a parser
 // may fail.
-package props
+package fuzzing
 
 import (
 	"bytes"
--- a/props/props_test.go
+++ b/fuzzing/fuzzing_test.go
@@ -1,4 +1,4 @@
-package props
+package fuzzing
 
 import (
 	"bytes"
--- a/wardrobe/wardrobe.go
+++ b/history/archive.go
@@ -1,7 +1,7 @@
-// Package wardrobe keeps every acknowledged spec of the past in a Git object store, for
-// operators to read and compare. It is never on the path of a receipt: the core stays
+// Package history keeps every acknowledged configuration of the past in a Git object store, for
+// operators to read and compare. It is never on the path of a reply: the core stays
 // the authority, and what is lost here is filed again from it or from other nodes.
-package wardrobe
+package history
 
 import (
 	"crypto/sha256"
@@ -29,30 +29,30 @@
 	"github.com/go-git/go-git/v5/storage/filesystem"
 )
 
-// Names in the store: a tag for each generation, and the newest as the main branch.
+// Names in the store: a tag for each revision, and the newest as the main branch.
 const (
 	tagPrefix  = "refs/tags/generation-"
 	fleetRef   = plumbing.ReferenceName("refs/dunlinloom/fleet")
 	newestRef  = plumbing.ReferenceName("refs/heads/master")
-	specName   = "spec.json"
+	configName = "spec.json"
 	factsName  = "receipt.json"
 	format     = 1
 	mostBytes  = 4 << 20
-	mostHeld   = 4096 // generations
+	mostHeld   = 4096 // revisions
 	damagedTag = ".damaged-"
 )
 
-// Facts are what is known of an acknowledged spec besides its bytes.
+// Facts are what is known of an acknowledged configuration besides its bytes.
 type Facts struct {
-	Generation uint64 `json:"generation"`
+	Revision   uint64 `json:"generation"`
 	Digest     string `json:"digest"`
 	Submission string `json:"submission,omitempty"`
 	Founding   string `json:"founding,omitempty"`
 	Filed      string `json:"filed"` // when this node filed it, by its own clock
 }
 
-// Wardrobe is one node's store.
-type Wardrobe struct {
+// Archive is one node's store.
+type Archive struct {
 	lock  sync.Mutex // guards the store and all below; a stalled disk may hold it for long
 	path  string
 	fleet string
@@ -73,27 +73,27 @@
 
 func (b Foreign) Error() string { return fmt.Sprintf("object store %s: %s", b.Path, b.Why) }
 
-// Missing says that a generation is not kept here.
-type Missing struct{ Generation uint64 }
+// Missing says that a revision is not kept here.
+type Missing struct{ Revision uint64 }
 
 func (b Missing) Error() string {
-	return fmt.Sprintf("generation %d is not in the object store", b.Generation)
+	return fmt.Sprintf("generation %d is not in the object store", b.Revision)
 }
 
-// Damaged says that what is kept of a generation is not what was filed.
+// Damaged says that what is kept of a revision is not what was filed.
 type Damaged struct {
-	Generation uint64
-	Why        string
+	Revision uint64
+	Why      string
 }
 
 func (b Damaged) Error() string {
-	return fmt.Sprintf("generation %d in the object store is damaged: %s", b.Generation, b.Why)
+	return fmt.Sprintf("generation %d in the object store is damaged: %s", b.Revision, b.Why)
 }
 
-// Digest names a spec's bytes as the core's chain does.
-func Digest(spec []byte) string {
+// Digest names a configuration's bytes as the core's chain does.
+func Digest(config []byte) string {
 	hash := sha256.New()
-	hash.Write(spec)
+	hash.Write(config)
 	hash.Write([]byte{0})
 	return hex.EncodeToString(hash.Sum(nil)[:16])
 }
@@ -105,8 +105,8 @@
 
 // Open opens or makes the store of a fleet. One that is no store any more is set aside
 // and begun anew, since all of it can be filed again.
-func Open(path, fleet string, bound int64) (*Wardrobe, error) {
-	w := &Wardrobe{path: path, fleet: fleet, bound: bound}
+func Open(path, fleet string, bound int64) (*Archive, error) {
+	w := &Archive{path: path, fleet: fleet, bound: bound}
 	err := w.open(osfs.New(path))
 	if foreign := (Foreign{}); err == nil || errors.As(err, &foreign) {
 		return w, err
@@ -121,9 +121,9 @@
 	return w, nil
 }
 
-func (w *Wardrobe) open(disk billy.Filesystem) error {
+func (w *Archive) open(disk billy.Filesystem) error {
 	if err := os.MkdirAll(w.path, 0o755); err != nil {
-		return DiskBreakdown{"make", w.path, err}
+		return DiskError{"make", w.path, err}
 	}
 	w.files = filesystem.NewStorageWithOptions(syncedFiles{disk}, cache.NewObjectLRU(8*cache.MiByte), filesystem.Options{})
 	repo, err := git.Open(w.files, nil)
@@ -144,7 +144,7 @@
 }
 
 // mark writes down whose store this is.
-func (w *Wardrobe) mark() error {
+func (w *Archive) mark() error {
 	content, err := json.Marshal(marker{format, w.fleet})
 	if err != nil {
 		return fmt.Errorf("mark the object store: %w", err)
@@ -156,7 +156,7 @@
 	return w.name(fleetRef, hash)
 }
 
-func (w *Wardrobe) checkMark() error {
+func (w *Archive) checkMark() error {
 	ref, err := w.files.Reference(fleetRef)
 	if errors.Is(err, plumbing.ErrReferenceNotFound) {
 		// Made and not yet marked when the power went: nothing is in it.
@@ -182,7 +182,7 @@
 }
 
 // clearAside takes away what a crash left half written; no name led to it yet.
-func (w *Wardrobe) clearAside() {
+func (w *Archive) clearAside() {
 	left, err := filepath.Glob(filepath.Join(w.path, "objects", "pack", "tmp_*"))
 	if err != nil {
 		return
@@ -192,18 +192,18 @@
 	}
 }
 
-// read lists what is held, beside whoever opened the store: thousands of generations
+// read lists what is held, beside whoever opened the store: thousands of revisions
 // take a while, and nobody's start may wait for that. What can't be read is passed over.
-func (w *Wardrobe) read() error {
+func (w *Archive) read() error {
 	refs, err := w.files.IterReferences()
 	if err != nil {
 		return fmt.Errorf("list the object store: %w", err)
 	}
-	generations := []uint64{}
+	revisions := []uint64{}
 	if err := refs.ForEach(func(ref *plumbing.Reference) error {
 		text, isTag := strings.CutPrefix(ref.Name().String(), tagPrefix)
-		if generation, err := strconv.ParseUint(text, 10, 64); isTag && err == nil {
-			generations = append(generations, generation)
+		if revision, err := strconv.ParseUint(text, 10, 64); isTag && err == nil {
+			revisions = append(revisions, revision)
 		}
 		return nil
 	}); err != nil {
@@ -211,22 +211,22 @@
 	}
 	w.held = map[uint64]Facts{}
 	w.listing.Go(func() {
-		for _, generation := range generations {
+		for _, revision := range revisions {
 			w.lock.Lock()
-			_, facts, err := w.at(generation, factsName)
+			_, facts, err := w.at(revision, factsName)
 			w.lock.Unlock()
 			if err != nil {
 				continue
 			}
 			w.index.Lock()
-			w.held[generation] = facts
+			w.held[revision] = facts
 			w.index.Unlock()
 		}
 	})
 	return w.measure()
 }
 
-func (w *Wardrobe) measure() error {
+func (w *Archive) measure() error {
 	w.bytes = 0
 	err := filepath.WalkDir(filepath.Join(w.path, "objects"), func(_ string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() {
@@ -239,13 +239,13 @@
 		return err
 	})
 	if err != nil {
-		return DiskBreakdown{"measure", w.path, err}
+		return DiskError{"measure", w.path, err}
 	}
 	return nil
 }
 
 // put writes an object whole; a damaged one of the same name gives way.
-func (w *Wardrobe) put(kind plumbing.ObjectType, content []byte) (plumbing.Hash, error) {
+func (w *Archive) put(kind plumbing.ObjectType, content []byte) (plumbing.Hash, error) {
 	fresh := &plumbing.MemoryObject{}
 	fresh.SetType(kind)
 	if _, err := fresh.Write(content); err != nil {
@@ -256,15 +256,15 @@
 		return hash, nil
 	}
 	if err := w.files.DeleteLooseObject(hash); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return hash, DiskBreakdown{"remove", hash.String(), err}
+		return hash, DiskError{"remove", hash.String(), err}
 	}
 	if _, err := w.files.SetEncodedObject(fresh); err != nil {
-		return hash, DiskBreakdown{"write", hash.String(), err}
+		return hash, DiskError{"write", hash.String(), err}
 	}
 	return hash, nil
 }
 
-func (w *Wardrobe) raw(hash plumbing.Hash) ([]byte, error) {
+func (w *Archive) raw(hash plumbing.Hash) ([]byte, error) {
 	// Not from the library's cache: what counts is what the disk gives back.
 	found, err := filesystem.NewStorageWithOptions(w.files.Filesystem(), cache.NewObjectLRU(0), filesystem.Options{}).EncodedObject(plumbing.AnyObject, hash)
 	if err != nil {
@@ -278,7 +278,7 @@
 	return io.ReadAll(io.LimitReader(reader, mostBytes+1))
 }
 
-func (w *Wardrobe) blob(hash plumbing.Hash) ([]byte, error) {
+func (w *Archive) blob(hash plumbing.Hash) ([]byte, error) {
 	content, err := w.raw(hash)
 	if err != nil {
 		return nil, fmt.Errorf("read object %s: %w", hash, err)
@@ -286,13 +286,13 @@
 	return content, nil
 }
 
-// at reads the named files of a generation; its spec it holds against its facts.
-func (w *Wardrobe) at(generation uint64, names ...string) ([]byte, Facts, error) {
-	ref, err := w.files.Reference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(generation, 10)))
+// at reads the named files of a revision; its configuration it holds against its facts.
+func (w *Archive) at(revision uint64, names ...string) ([]byte, Facts, error) {
+	ref, err := w.files.Reference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(revision, 10)))
 	if err != nil {
-		return nil, Facts{}, Missing{generation}
+		return nil, Facts{}, Missing{revision}
 	}
-	damaged := func(err error) ([]byte, Facts, error) { return nil, Facts{}, Damaged{generation, err.Error()} }
+	damaged := func(err error) ([]byte, Facts, error) { return nil, Facts{}, Damaged{revision, err.Error()} }
 	commit, err := w.repo.CommitObject(ref.Hash())
 	if err != nil {
 		return damaged(err)
@@ -314,29 +314,29 @@
 	if err := json.Unmarshal(contents[factsName], &facts); err != nil {
 		return damaged(err)
 	}
-	if facts.Generation != generation || slices.Contains(names, specName) && Digest(contents[specName]) != facts.Digest {
-		return nil, Facts{}, Damaged{generation, "its digest does not fit"}
+	if facts.Revision != revision || slices.Contains(names, configName) && Digest(contents[configName]) != facts.Digest {
+		return nil, Facts{}, Damaged{revision, "its digest does not fit"}
 	}
-	return contents[specName], facts, nil
+	return contents[configName], facts, nil
 }
 
-// Holds tells whether a generation is kept under a digest and can be read back whole.
-func (w *Wardrobe) Holds(generation uint64, digest string) bool {
+// Holds tells whether a revision is kept under a digest and can be read back whole.
+func (w *Archive) Holds(revision uint64, digest string) bool {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	_, facts, err := w.at(generation, factsName, specName)
+	_, facts, err := w.at(revision, factsName, configName)
 	return err == nil && facts.Digest == digest
 }
 
-// Spec gives the spec of a generation.
-func (w *Wardrobe) Spec(generation uint64) ([]byte, Facts, error) {
+// Configuration gives the configuration of a revision.
+func (w *Archive) Config(revision uint64) ([]byte, Facts, error) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	return w.at(generation, factsName, specName)
+	return w.at(revision, factsName, configName)
 }
 
 // History tells what is kept, oldest first.
-func (w *Wardrobe) History() []Facts {
+func (w *Archive) History() []Facts {
 	w.index.Lock()
 	defer w.index.Unlock()
 	history := make([]Facts, 0, len(w.held))
@@ -344,7 +344,7 @@
 		history = append(history, facts)
 	}
 	slices.SortFunc(history, func(a, b Facts) int {
-		if a.Generation < b.Generation {
+		if a.Revision < b.Revision {
 			return -1
 		}
 		return 1
@@ -352,35 +352,35 @@
 	return history
 }
 
-// File adds a spec with its facts; when it returns nil all of it is synced.
-func (w *Wardrobe) File(facts Facts, spec []byte) error {
+// File adds a configuration with its facts; when it returns nil all of it is synced.
+func (w *Archive) File(facts Facts, config []byte) error {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	if Digest(spec) != facts.Digest {
-		return Damaged{facts.Generation, "what was brought to be filed has another digest"}
+	if Digest(config) != facts.Digest {
+		return Damaged{facts.Revision, "what was brought to be filed has another digest"}
 	}
 	if facts.Filed == "" {
 		facts.Filed = time.Now().UTC().Format(time.RFC3339)
 	}
-	if err := w.makeRoom(int64(len(spec))); err != nil {
-		return fmt.Errorf("file generation %d: %w", facts.Generation, err)
+	if err := w.makeRoom(int64(len(config))); err != nil {
+		return fmt.Errorf("file generation %d: %w", facts.Revision, err)
 	}
-	if err := w.commit(facts, spec); err != nil {
-		return fmt.Errorf("file generation %d: %w", facts.Generation, err)
+	if err := w.commit(facts, config); err != nil {
+		return fmt.Errorf("file generation %d: %w", facts.Revision, err)
 	}
 	w.index.Lock()
-	w.held[facts.Generation] = facts
+	w.held[facts.Revision] = facts
 	w.index.Unlock()
 	return w.measure()
 }
 
-func (w *Wardrobe) commit(facts Facts, spec []byte) error {
+func (w *Archive) commit(facts Facts, config []byte) error {
 	told, err := json.MarshalIndent(facts, "", "  ")
 	if err != nil {
 		return fmt.Errorf("encode the facts: %w", err)
 	}
 	tree := &object.Tree{}
-	for name, content := range map[string][]byte{factsName: told, specName: spec} {
+	for name, content := range map[string][]byte{factsName: told, configName: config} {
 		hash, err := w.put(plumbing.BlobObject, content)
 		if err != nil {
 			return err
@@ -397,18 +397,18 @@
 		return fmt.Errorf("when it was filed: %w", err)
 	}
 	by := object.Signature{Name: "dunlinloom", Email: w.fleet + "@dunlinloom.invalid", When: when}
-	// Without parents: a generation that is filed late, or dropped, changes no other.
+	// Without parents: a revision that is filed late, or dropped, changes no other.
 	hash, err := w.encode(&object.Commit{Author: by, Committer: by, TreeHash: treeHash,
-		Message: fmt.Sprintf("generation %d\n\nsubmission %s\nfounding %s\n", facts.Generation, facts.Submission, facts.Founding)})
+		Message: fmt.Sprintf("generation %d\n\nsubmission %s\nfounding %s\n", facts.Revision, facts.Submission, facts.Founding)})
 	if err != nil {
 		return err
 	}
-	// The name comes last, so that it never leads to half of a generation.
-	if err := w.name(plumbing.ReferenceName(tagPrefix+strconv.FormatUint(facts.Generation, 10)), hash); err != nil {
+	// The name comes last, so that it never leads to half of a revision.
+	if err := w.name(plumbing.ReferenceName(tagPrefix+strconv.FormatUint(facts.Revision, 10)), hash); err != nil {
 		return err
 	}
-	for generation := range w.held {
-		if generation > facts.Generation {
+	for revision := range w.held {
+		if revision > facts.Revision {
 			return nil
 		}
 	}
@@ -417,18 +417,18 @@
 
 // name writes a reference aside and renames it: the library writes in place, and a name
 // cut short by a full disk would make the whole store unreadable.
-func (w *Wardrobe) name(ref plumbing.ReferenceName, hash plumbing.Hash) error {
+func (w *Archive) name(ref plumbing.ReferenceName, hash plumbing.Hash) error {
 	disk := w.files.Filesystem()
 	aside, err := disk.TempFile(disk.Join("objects", "pack"), "tmp_ref_")
 	if err != nil {
-		return DiskBreakdown{"name", ref.String(), err}
+		return DiskError{"name", ref.String(), err}
 	}
 	_, err = aside.Write([]byte(hash.String() + "\n"))
 	if err = errors.Join(err, aside.Close()); err == nil {
 		err = disk.Rename(aside.Name(), ref.String())
 	}
 	if err != nil {
-		return DiskBreakdown{"name", ref.String(), errors.Join(err, disk.Remove(aside.Name()))}
+		return DiskError{"name", ref.String(), errors.Join(err, disk.Remove(aside.Name()))}
 	}
 	return nil
 }
@@ -437,7 +437,7 @@
 	Encode(plumbing.EncodedObject) error
 }
 
-func (w *Wardrobe) encode(from encoder) (plumbing.Hash, error) {
+func (w *Archive) encode(from encoder) (plumbing.Hash, error) {
 	made := &plumbing.MemoryObject{}
 	if err := from.Encode(made); err != nil {
 		return plumbing.ZeroHash, fmt.Errorf("encode an object: %w", err)
@@ -453,28 +453,28 @@
 	return w.put(made.Type(), content)
 }
 
-// makeRoom drops the oldest generations until another spec fits under the bounds.
-func (w *Wardrobe) makeRoom(more int64) error {
+// makeRoom drops the oldest revisions until another configuration fits under the bounds.
+func (w *Archive) makeRoom(more int64) error {
 	if w.bytes+more <= w.bound && len(w.held) < mostHeld {
 		return nil
 	}
-	// A quarter at once, so that sweeping is not the price of every spec.
-	generations := []uint64{}
-	for generation := range w.held {
-		generations = append(generations, generation)
-	}
-	slices.Sort(generations)
-	for len(generations) > 1 && (w.bytes+more > w.bound*3/4 || len(generations) > mostHeld*3/4) {
-		drop := max(len(generations)/8, 1)
-		for _, generation := range generations[:drop] {
-			if err := w.files.RemoveReference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(generation, 10))); err != nil {
-				return DiskBreakdown{"drop", strconv.FormatUint(generation, 10), err}
+	// A quarter at once, so that sweeping is not the price of every configuration.
+	revisions := []uint64{}
+	for revision := range w.held {
+		revisions = append(revisions, revision)
+	}
+	slices.Sort(revisions)
+	for len(revisions) > 1 && (w.bytes+more > w.bound*3/4 || len(revisions) > mostHeld*3/4) {
+		drop := max(len(revisions)/8, 1)
+		for _, revision := range revisions[:drop] {
+			if err := w.files.RemoveReference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(revision, 10))); err != nil {
+				return DiskError{"drop", strconv.FormatUint(revision, 10), err}
 			}
 			w.index.Lock()
-			delete(w.held, generation)
+			delete(w.held, revision)
 			w.index.Unlock()
 		}
-		generations = generations[drop:]
+		revisions = revisions[drop:]
 		if err := w.sweep(); err != nil {
 			return err
 		}
@@ -483,7 +483,7 @@
 }
 
 // sweep removes every object that no name leads to any more.
-func (w *Wardrobe) sweep() error {
+func (w *Archive) sweep() error {
 	needed := map[plumbing.Hash]bool{}
 	refs, err := w.files.IterReferences()
 	if err != nil {
@@ -516,7 +516,7 @@
 	}
 	for _, hash := range surplus {
 		if err := w.files.DeleteLooseObject(hash); err != nil {
-			return DiskBreakdown{"remove", hash.String(), err}
+			return DiskError{"remove", hash.String(), err}
 		}
 	}
 	return w.measure()
--- a/wardrobe/wardrobe_test.go
+++ b/history/archive_test.go
@@ -1,4 +1,4 @@
-package wardrobe
+package history
 
 import (
 	"errors"
@@ -16,25 +16,25 @@
 
 const room = 64 << 20
 
-func facts(generation uint64, spec string) Facts {
-	return Facts{Generation: generation, Digest: Digest([]byte(spec)), Submission: fmt.Sprint("s", generation), Founding: "f", Filed: "2031-05-06T07:08:09Z"}
+func facts(revision uint64, config string) Facts {
+	return Facts{Revision: revision, Digest: Digest([]byte(config)), Submission: fmt.Sprint("s", revision), Founding: "f", Filed: "2031-05-06T07:08:09Z"}
 }
 
-func open(c *qt.C, path string) *Wardrobe {
+func open(c *qt.C, path string) *Archive {
 	w, err := Open(path, "here", room)
 	c.Assert(err, qt.IsNil)
 	w.listing.Wait()
 	return w
 }
 
-func (w *Wardrobe) file(c *qt.C, generation uint64, spec string) {
-	c.Assert(w.File(facts(generation, spec), []byte(spec)), qt.IsNil)
+func (w *Archive) file(c *qt.C, revision uint64, config string) {
+	c.Assert(w.File(facts(revision, config), []byte(config)), qt.IsNil)
 }
 
-func generations(w *Wardrobe) []uint64 {
+func revisions(w *Archive) []uint64 {
 	found := []uint64{}
 	for _, each := range w.History() {
-		found = append(found, each.Generation)
+		found = append(found, each.Revision)
 	}
 	return found
 }
@@ -43,26 +43,26 @@
 	c := qt.New(t)
 	path := filepath.Join(c.TempDir(), "specs.git")
 	w := open(c, path)
-	// A gap that is filled later, the same bytes twice, and the same generation again.
-	for _, generation := range []uint64{3, 9, 5, 9} {
-		w.file(c, generation, fmt.Sprintf(`{"of":%d}`, generation%5))
+	// A gap that is filled later, the same bytes twice, and the same revision again.
+	for _, revision := range []uint64{3, 9, 5, 9} {
+		w.file(c, revision, fmt.Sprintf(`{"of":%d}`, revision%5))
 	}
 	again := open(c, path)
-	c.Assert(generations(again), qt.DeepEquals, []uint64{3, 5, 9})
-	for _, generation := range []uint64{3, 5, 9} {
-		spec, told, err := again.Spec(generation)
+	c.Assert(revisions(again), qt.DeepEquals, []uint64{3, 5, 9})
+	for _, revision := range []uint64{3, 5, 9} {
+		config, told, err := again.Config(revision)
 		c.Assert(err, qt.IsNil)
-		c.Assert(string(spec), qt.Equals, fmt.Sprintf(`{"of":%d}`, generation%5))
-		c.Assert(told, qt.Equals, facts(generation, string(spec)))
+		c.Assert(string(config), qt.Equals, fmt.Sprintf(`{"of":%d}`, revision%5))
+		c.Assert(told, qt.Equals, facts(revision, string(config)))
 	}
 	newest, err := again.repo.Head()
 	c.Assert(err, qt.IsNil)
 	commit, err := again.repo.CommitObject(newest.Hash())
 	c.Assert(err, qt.IsNil)
 	c.Assert(strings.HasPrefix(commit.Message, "generation 9\n"), qt.IsTrue)
-	_, _, err = again.Spec(4)
+	_, _, err = again.Config(4)
 	c.Assert(errors.As(err, new(Missing)), qt.IsTrue)
-	// Bytes that are not those of the receipt are never filed.
+	// Bytes that are not those of the reply are never filed.
 	c.Assert(errors.As(again.File(facts(11, "one"), []byte("other")), new(Damaged)), qt.IsTrue)
 }
 
@@ -90,13 +90,13 @@
 			open(c, path).file(c, 7, `{"a":1}`)
 			damage(c, path, edit)
 			again := open(c, path)
-			_, _, err := again.Spec(7)
+			_, _, err := again.Config(7)
 			c.Assert(err, qt.IsNotNil)
 			c.Assert(again.Holds(7, Digest([]byte(`{"a":1}`))), qt.IsFalse)
 			again.file(c, 7, `{"a":1}`)
-			spec, _, err := open(c, path).Spec(7)
+			config, _, err := open(c, path).Config(7)
 			c.Assert(err, qt.IsNil)
-			c.Assert(string(spec), qt.Equals, `{"a":1}`)
+			c.Assert(string(config), qt.Equals, `{"a":1}`)
 		})
 	}
 }
@@ -107,7 +107,7 @@
 	open(c, path).file(c, 7, `{"a":1}`)
 	_, err := Open(path, "another", room)
 	c.Assert(errors.As(err, new(Foreign)), qt.IsTrue)
-	c.Assert(generations(open(c, path)), qt.DeepEquals, []uint64{7})
+	c.Assert(revisions(open(c, path)), qt.DeepEquals, []uint64{7})
 	// A newer format is left too.
 	newer := open(c, path)
 	hash, err := newer.put(1+2, []byte(`{"format":9,"fleet":"here"}`))
@@ -120,7 +120,7 @@
 	c.Assert(os.WriteFile(filepath.Join(path, string(fleetRef)), []byte(ref.Hash().String()+"\n"), 0o644), qt.IsNil)
 	// What can't be read at all gives way to a fresh one, and is kept beside it.
 	c.Assert(os.WriteFile(filepath.Join(path, "config"), []byte("[[[ no config"), 0o644), qt.IsNil)
-	c.Assert(generations(open(c, path)), qt.HasLen, 0)
+	c.Assert(revisions(open(c, path)), qt.HasLen, 0)
 	aside, err := filepath.Glob(path + damagedTag + "*")
 	c.Assert(err, qt.IsNil)
 	c.Assert(aside, qt.HasLen, 1)
@@ -161,7 +161,7 @@
 	for bytes := 0; bytes < 900; bytes += 60 {
 		path := filepath.Join(c.TempDir(), fmt.Sprint("specs", bytes))
 		left := 1 << 20
-		w := &Wardrobe{path: path, fleet: "here", bound: room}
+		w := &Archive{path: path, fleet: "here", bound: room}
 		c.Assert(w.open(fullFiles{osfs.New(path), &left}), qt.IsNil)
 		w.file(c, 3, `{"first":true}`)
 		left = bytes
@@ -170,15 +170,15 @@
 			failed++
 			c.Assert(errors.Is(err, syscall.ENOSPC), qt.IsTrue, qt.Commentf("%v", err))
 			// Not there, or there whole: it may be named already when the room ends.
-			if spec, _, err := w.Spec(4); err == nil {
-				c.Assert(string(spec), qt.Equals, `{"second":true}`)
+			if config, _, err := w.Config(4); err == nil {
+				c.Assert(string(config), qt.Equals, `{"second":true}`)
 			}
 		}
 		left = 1 << 20
 		again := open(c, path)
 		c.Assert(again.Holds(3, Digest([]byte(`{"first":true}`))), qt.IsTrue)
 		again.file(c, 4, `{"second":true}`)
-		c.Assert(generations(again), qt.DeepEquals, []uint64{3, 4})
+		c.Assert(revisions(again), qt.DeepEquals, []uint64{3, 4})
 	}
 	c.Assert(failed > 5, qt.IsTrue)
 }
@@ -188,16 +188,16 @@
 	path := filepath.Join(c.TempDir(), "specs.git")
 	w, err := Open(path, "here", 60_000)
 	c.Assert(err, qt.IsNil)
-	for generation := range uint64(60) {
+	for revision := range uint64(60) {
 		// Hardly to be compressed.
-		spec := strings.Builder{}
+		config := strings.Builder{}
 		for i := range 60 {
-			spec.WriteString(Digest([]byte(fmt.Sprint(generation, "-", i))))
+			config.WriteString(Digest([]byte(fmt.Sprint(revision, "-", i))))
 		}
-		w.file(c, generation+1, spec.String())
-		c.Assert(w.bytes <= 60_000+8_000, qt.IsTrue, qt.Commentf("%d bytes at generation %d", w.bytes, generation+1))
+		w.file(c, revision+1, config.String())
+		c.Assert(w.bytes <= 60_000+8_000, qt.IsTrue, qt.Commentf("%d bytes at generation %d", w.bytes, revision+1))
 	}
-	kept := generations(open(c, path))
+	kept := revisions(open(c, path))
 	c.Assert(kept[len(kept)-1], qt.Equals, uint64(60))
 	c.Assert(len(kept) > 5 && len(kept) < 60, qt.IsTrue, qt.Commentf("%v", kept))
 	for i := 1; i < len(kept); i++ {
@@ -205,7 +205,7 @@
 	}
 }
 
-// BenchmarkFile tells what a generation costs on disk; the time says more of the machine.
+// BenchmarkFile tells what a revision costs on disk; the time says more of the machine.
 func BenchmarkFile(b *testing.B) {
 	for _, bindings := range []int{20, 20000} {
 		b.Run(fmt.Sprint(bindings, " bindings"), func(b *testing.B) {
@@ -214,15 +214,15 @@
 				b.Fatal(err)
 			}
 			size := 0
-			for generation := uint64(1); b.Loop(); generation++ {
-				spec := strings.Builder{}
-				spec.WriteString(`{"bindings":[`)
+			for revision := uint64(1); b.Loop(); revision++ {
+				config := strings.Builder{}
+				config.WriteString(`{"bindings":[`)
 				for i := range bindings {
-					fmt.Fprintf(&spec, `{"name":"b%d","match":{"kind":"kind-%d"},"shares":[{"pool":"main","weight":%d}]},`, i, i, generation)
+					fmt.Fprintf(&config, `{"name":"b%d","match":{"kind":"kind-%d"},"shares":[{"pool":"main","weight":%d}]},`, i, i, revision)
 				}
-				spec.WriteString(`{"name":"rest","shares":[{"weight":1}]}]}`)
-				size = spec.Len()
-				if err := w.File(facts(generation, spec.String()), []byte(spec.String())); err != nil {
+				config.WriteString(`{"name":"rest","shares":[{"weight":1}]}]}`)
+				size = config.Len()
+				if err := w.File(facts(revision, config.String()), []byte(config.String())); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/wardrobe/synced.go
+++ b/history/synced.go
@@ -1,4 +1,4 @@
-package wardrobe
+package history
 
 import (
 	"fmt"
@@ -17,22 +17,22 @@
 
 type syncedFile struct{ billy.File }
 
-// DiskBreakdown says which step on which file failed.
-type DiskBreakdown struct {
+// DiskError says which step on which file failed.
+type DiskError struct {
 	Step, Name string
 	Cause      error
 }
 
-func (b DiskBreakdown) Error() string { return fmt.Sprintf("%s %s: %v", b.Step, b.Name, b.Cause) }
+func (b DiskError) Error() string { return fmt.Sprintf("%s %s: %v", b.Step, b.Name, b.Cause) }
 
 // Unwrap gives the system's own error.
-func (b DiskBreakdown) Unwrap() error { return b.Cause }
+func (b DiskError) Unwrap() error { return b.Cause }
 
 func (f syncedFile) Close() error {
 	if disk, canSync := f.File.(interface{ Sync() error }); canSync {
 		if err := disk.Sync(); err != nil {
 			f.File.Close()
-			return DiskBreakdown{"sync", f.Name(), err}
+			return DiskError{"sync", f.Name(), err}
 		}
 	}
 	return f.File.Close()
@@ -76,11 +76,11 @@
 	path := filepath.Join(s.Root(), dir)
 	handle, err := os.Open(path)
 	if err != nil {
-		return DiskBreakdown{"open", path, err}
+		return DiskError{"open", path, err}
 	}
 	defer handle.Close()
 	if err := handle.Sync(); err != nil {
-		return DiskBreakdown{"sync", path, err}
+		return DiskError{"sync", path, err}
 	}
 	return nil
 }
--- a/house/clock.go
+++ b/kernel/clock.go
@@ -1,7 +1,7 @@
-// Package house is the micro-kernel that every program of the fleet stands in:
+// Package kernel is the micro-kernel that every program of the fleet stands in:
 // the clock, the one context type, the journal, clean-up stacks and the table
 // by which services find each other.
-package house
+package kernel
 
 import (
 	"fmt"
@@ -13,7 +13,7 @@
 // Micros is a time or a span in whole microseconds.
 type Micros int64
 
-// Spans that settings and alarms are written in.
+// Spans that settings and timers are written in.
 const (
 	Millisecond Micros = 1000
 	Second      Micros = 1000 * Millisecond
@@ -31,7 +31,7 @@
 }
 
 // BootClock counts from the machine's start and goes on while it sleeps. A
-// licence must not outlive a suspended machine, which the runtime's monotonic
+// lease must not outlive a suspended machine, which the runtime's monotonic
 // clock would allow, since that one stands still in a suspend.
 type BootClock struct{}
 
@@ -39,19 +39,19 @@
 func (BootClock) Now() Micros {
 	var stamp unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &stamp); err != nil {
-		// Without this clock no licence can be judged, so going on would be unsafe.
-		panic(ClockBreakdown{err})
+		// Without this clock no lease can be judged, so going on would be unsafe.
+		panic(ClockError{err})
 	}
 	return Micros(stamp.Nano() / 1000)
 }
 
-// ClockBreakdown says that the machine's clock could not be read.
-type ClockBreakdown struct{ Cause error }
+// ClockError says that the machine's clock could not be read.
+type ClockError struct{ Cause error }
 
-func (b ClockBreakdown) Error() string { return fmt.Sprintf("read the boot clock: %v", b.Cause) }
+func (b ClockError) Error() string { return fmt.Sprintf("read the boot clock: %v", b.Cause) }
 
 // Unwrap gives the system's own error.
-func (b ClockBreakdown) Unwrap() error { return b.Cause }
+func (b ClockError) Unwrap() error { return b.Cause }
 
 // SteadyClock counts on the runtime's own steady clock, which costs no system call. It
 // stands still while a machine sleeps, so it is for machines that do not.
--- a/house/folder.go
+++ b/kernel/folder.go
@@ -1,4 +1,4 @@
-package house
+package kernel
 
 import (
 	"errors"
@@ -27,17 +27,17 @@
 
 func (b MissingFile) Error() string { return fmt.Sprintf("file %q is not there", b.Name) }
 
-// DiskBreakdown says which step on which file failed.
-type DiskBreakdown struct {
+// DiskError says which step on which file failed.
+type DiskError struct {
 	Step  string
 	Name  string
 	Cause error
 }
 
-func (b DiskBreakdown) Error() string { return fmt.Sprintf("%s %s: %v", b.Step, b.Name, b.Cause) }
+func (b DiskError) Error() string { return fmt.Sprintf("%s %s: %v", b.Step, b.Name, b.Cause) }
 
 // Unwrap gives the system's own error.
-func (b DiskBreakdown) Unwrap() error { return b.Cause }
+func (b DiskError) Unwrap() error { return b.Cause }
 
 // DiskFolder is a Folder on a real disk.
 type DiskFolder struct{ path string }
@@ -45,17 +45,17 @@
 // OpenFolder makes the folder if need be and clears what a crash left aside.
 func OpenFolder(path string) (*DiskFolder, error) {
 	if err := os.MkdirAll(path, 0o755); err != nil {
-		return nil, fmt.Errorf("open the data folder: %w", DiskBreakdown{"make", path, err})
+		return nil, fmt.Errorf("open the data folder: %w", DiskError{"make", path, err})
 	}
 	folder := &DiskFolder{path}
 	left, err := filepath.Glob(filepath.Join(path, "*.aside"))
 	if err != nil {
-		return nil, fmt.Errorf("open the data folder: %w", DiskBreakdown{"list", path, err})
+		return nil, fmt.Errorf("open the data folder: %w", DiskError{"list", path, err})
 	}
 	// A file still under its aside name was never promised to anyone.
 	for _, name := range left {
 		if err := os.Remove(name); err != nil {
-			return nil, fmt.Errorf("open the data folder: %w", DiskBreakdown{"remove", name, err})
+			return nil, fmt.Errorf("open the data folder: %w", DiskError{"remove", name, err})
 		}
 	}
 	return folder, folder.syncDir()
@@ -64,11 +64,11 @@
 func (f *DiskFolder) syncDir() error {
 	dir, err := os.Open(f.path)
 	if err != nil {
-		return DiskBreakdown{"open", f.path, err}
+		return DiskError{"open", f.path, err}
 	}
 	defer dir.Close()
 	if err := dir.Sync(); err != nil {
-		return DiskBreakdown{"sync", f.path, err}
+		return DiskError{"sync", f.path, err}
 	}
 	return nil
 }
@@ -78,7 +78,7 @@
 	aside := filepath.Join(f.path, name+".aside")
 	file, err := os.OpenFile(aside, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
 	if err != nil {
-		return DiskBreakdown{"create", aside, err}
+		return DiskError{"create", aside, err}
 	}
 	// A failed write must give its room back, or a full disk stays full.
 	defer func() {
@@ -88,14 +88,14 @@
 	}()
 	if _, err := file.Write(content); err != nil {
 		file.Close()
-		return DiskBreakdown{"write", aside, err}
+		return DiskError{"write", aside, err}
 	}
 	if err := file.Sync(); err != nil {
 		file.Close()
-		return DiskBreakdown{"sync", aside, err}
+		return DiskError{"sync", aside, err}
 	}
 	if err := file.Close(); err != nil {
-		return DiskBreakdown{"close", aside, err}
+		return DiskError{"close", aside, err}
 	}
 	return f.Rename(name+".aside", name)
 }
@@ -107,7 +107,7 @@
 		return nil, MissingFile{name}
 	}
 	if err != nil {
-		return nil, DiskBreakdown{"read", name, err}
+		return nil, DiskError{"read", name, err}
 	}
 	return content, nil
 }
@@ -116,7 +116,7 @@
 func (f *DiskFolder) List(prefix string) ([]string, error) {
 	found, err := filepath.Glob(filepath.Join(f.path, prefix+"*"))
 	if err != nil {
-		return nil, DiskBreakdown{"list", prefix, err}
+		return nil, DiskError{"list", prefix, err}
 	}
 	names := []string{}
 	for _, path := range found {
@@ -131,7 +131,7 @@
 // Remove deletes a file; one that is gone already is no failure.
 func (f *DiskFolder) Remove(name string) error {
 	if err := os.Remove(filepath.Join(f.path, name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return DiskBreakdown{"remove", name, err}
+		return DiskError{"remove", name, err}
 	}
 	return nil
 }
@@ -139,7 +139,7 @@
 // Rename moves a file within the folder and syncs the directory.
 func (f *DiskFolder) Rename(from, to string) error {
 	if err := os.Rename(filepath.Join(f.path, from), filepath.Join(f.path, to)); err != nil {
-		return DiskBreakdown{"rename", from, err}
+		return DiskError{"rename", from, err}
 	}
 	return f.syncDir()
 }
--- a/house/journal.go
+++ b/kernel/journal.go
@@ -1,4 +1,4 @@
-package house
+package kernel
 
 import (
 	"slices"
@@ -11,7 +11,7 @@
 	Start    uint64 `json:"start,omitempty"` // of the process
 	At       Micros `json:"at_us"`           // by the node's own clock, which no other shares
 	Wall     Micros `json:"wall_us,omitempty"`
-	Era      uint64 `json:"era,omitempty"` // the generation in force at the node
+	Era      uint64 `json:"era,omitempty"` // the revision in force at the node
 	Part     string `json:"part"`
 	Subject  string `json:"subject"`
 	Decision string `json:"decision"`
@@ -63,15 +63,15 @@
 	j.start, j.wall = start, wall
 }
 
-// SetEra tells the generation in force here. By it the entries of several nodes can be
-// put in order: what was done under a generation came after that was proposed.
-func (j *Journal) SetEra(generation uint64) {
+// SetEra tells the revision in force here. By it the entries of several nodes can be
+// put in order: what was done under a revision came after that was proposed.
+func (j *Journal) SetEra(revision uint64) {
 	if j == nil {
 		return
 	}
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	j.era = generation
+	j.era = revision
 }
 
 // Note adds an entry; the oldest of its sort gives way. A nil journal takes nothing.
--- a/house/diary.go
+++ b/kernel/journal_file.go
@@ -1,4 +1,4 @@
-package house
+package kernel
 
 import (
 	"bufio"
@@ -16,13 +16,13 @@
 	"time"
 )
 
-// Diary writes a journal's entries to disk, so that they outlive the process. It never
+// Journal file writes a journal's entries to disk, so that they outlive the process. It never
 // delays a decision: what the disk does not take in time is dropped and counted.
-type Diary struct {
+type JournalFile struct {
 	path  string
 	bound int64 // bytes of each sort
-	inbox chan Entry
-	parts [2]diaryPart
+	queue chan Entry
+	parts [2]journalFilePart
 
 	Written, Dropped atomic.Uint64
 
@@ -30,47 +30,47 @@
 	ailment string
 }
 
-type diaryPart struct {
+type journalFilePart struct {
 	name string
 	file *os.File
 	size int64
 }
 
 const (
-	diaryInbox    = 4096
-	diarySegments = 8 // a sort's bound is cut into so many files
-	diaryFormat   = "v1"
-	diaryLine     = 64 << 10
+	journalFileQueue    = 4096
+	journalFileSegments = 8 // a sort's bound is cut into so many files
+	journalFileFormat   = "v1"
+	journalFileLine     = 64 << 10
 )
 
-// OpenDiary makes the folder if need be. What earlier processes wrote stays as it is.
-func OpenDiary(path string, bound int64) (*Diary, error) {
+// OpenJournalFile makes the folder if need be. What earlier processes wrote stays as it is.
+func OpenJournalFile(path string, bound int64) (*JournalFile, error) {
 	if err := os.MkdirAll(path, 0o755); err != nil {
-		return nil, fmt.Errorf("open the diary: %w", DiskBreakdown{"make", path, err})
+		return nil, fmt.Errorf("open the diary: %w", DiskError{"make", path, err})
 	}
-	d := &Diary{path: path, bound: bound, inbox: make(chan Entry, diaryInbox)}
+	d := &JournalFile{path: path, bound: bound, queue: make(chan Entry, journalFileQueue)}
 	d.parts[0].name, d.parts[1].name = "requests", "decisions"
 	return d, nil
 }
 
 // Take hands an entry over; when the disk lags behind it is dropped.
-func (d *Diary) Take(entry Entry) {
+func (d *JournalFile) Take(entry Entry) {
 	select {
-	case d.inbox <- entry:
+	case d.queue <- entry:
 	default:
 		d.Dropped.Add(1)
 	}
 }
 
 // Ailment says why entries are not written now; empty when they are.
-func (d *Diary) Ailment() string {
+func (d *JournalFile) Ailment() string {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	return d.ailment
 }
 
 // Run writes what is taken, and syncs once a second, until the context ends.
-func (d *Diary) Run(ctx context.Context) {
+func (d *JournalFile) Run(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	batches := [2]bytes.Buffer{}
@@ -98,14 +98,14 @@
 	}
 	add := func(entry Entry) {
 		line, err := json.Marshal(entry)
-		if err != nil || len(line) > diaryLine {
+		if err != nil || len(line) > journalFileLine {
 			d.Dropped.Add(1)
 			return
 		}
 		sort := sortOf(entry)
 		batches[sort].Write(append(line, '\n'))
 		counts[sort]++
-		if batches[sort].Len() > diaryLine {
+		if batches[sort].Len() > journalFileLine {
 			flush()
 		}
 	}
@@ -113,12 +113,12 @@
 		select {
 		case <-ctx.Done():
 			// What was handed over before the end is written still.
-			for len(d.inbox) > 0 {
-				add(<-d.inbox)
+			for len(d.queue) > 0 {
+				add(<-d.queue)
 			}
 			flush()
 			return
-		case entry := <-d.inbox:
+		case entry := <-d.queue:
 			add(entry)
 		case <-ticker.C:
 			flush()
@@ -128,15 +128,15 @@
 
 // write adds lines to the part's newest file and syncs it. After a failure the next
 // write begins a new file, so that half a line never stands before a whole one.
-func (d *Diary) write(part *diaryPart, lines []byte) error {
+func (d *JournalFile) write(part *journalFilePart, lines []byte) error {
 	fail := func(step string, err error) error {
 		if part.file != nil {
 			part.file.Close()
 			part.file = nil
 		}
-		return DiskBreakdown{step, part.name, err}
+		return DiskError{step, part.name, err}
 	}
-	if part.file != nil && part.size+int64(len(lines)) > d.bound/diarySegments {
+	if part.file != nil && part.size+int64(len(lines)) > d.bound/journalFileSegments {
 		if err := part.file.Close(); err != nil {
 			return fail("close", err)
 		}
@@ -146,7 +146,7 @@
 		if err := d.prune(part); err != nil {
 			return err
 		}
-		name := filepath.Join(d.path, fmt.Sprintf("%s-%s-%020d.jsonl", part.name, diaryFormat, time.Now().UnixNano()))
+		name := filepath.Join(d.path, fmt.Sprintf("%s-%s-%020d.jsonl", part.name, journalFileFormat, time.Now().UnixNano()))
 		file, err := os.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o644)
 		if err != nil {
 			return fail("create", err)
@@ -163,8 +163,8 @@
 	return nil
 }
 
-func (d *Diary) files(part string) []string {
-	found, err := filepath.Glob(filepath.Join(d.path, part+"-"+diaryFormat+"-*.jsonl"))
+func (d *JournalFile) files(part string) []string {
+	found, err := filepath.Glob(filepath.Join(d.path, part+"-"+journalFileFormat+"-*.jsonl"))
 	if err != nil {
 		return nil // only a bad pattern fails, and this one is ours
 	}
@@ -173,18 +173,18 @@
 }
 
 // prune makes room for one more file under the part's bound; the oldest go.
-func (d *Diary) prune(part *diaryPart) error {
+func (d *JournalFile) prune(part *journalFilePart) error {
 	files, total := d.files(part.name), int64(0)
 	for i := len(files) - 1; i >= 0; i-- {
 		info, err := os.Stat(files[i])
 		if err != nil {
 			continue // gone already
 		}
-		if total += info.Size(); total <= d.bound-d.bound/diarySegments {
+		if total += info.Size(); total <= d.bound-d.bound/journalFileSegments {
 			continue
 		}
 		if err := os.Remove(files[i]); err != nil {
-			return DiskBreakdown{"remove", files[i], err}
+			return DiskError{"remove", files[i], err}
 		}
 	}
 	return nil
@@ -192,7 +192,7 @@
 
 // Read gives what is on disk from a moment of the wall clock on, in the order it was
 // written. Lines that a power cut left half written are passed over.
-func (d *Diary) Read(since Micros, isWanted func(Entry) bool) []Entry {
+func (d *JournalFile) Read(since Micros, isWanted func(Entry) bool) []Entry {
 	found := []Entry{}
 	// Only the names: the rest of a part is its writer's alone.
 	for i := range d.parts {
@@ -202,7 +202,7 @@
 				continue // pruned meanwhile
 			}
 			lines := bufio.NewScanner(file)
-			lines.Buffer(nil, 2*diaryLine)
+			lines.Buffer(nil, 2*journalFileLine)
 			for lines.Scan() {
 				var entry Entry
 				if json.Unmarshal(lines.Bytes(), &entry) == nil && entry.Wall >= since && isWanted(entry) {
--- a/house/diary_test.go
+++ b/kernel/journal_file_test.go
@@ -1,4 +1,4 @@
-package house
+package kernel
 
 import (
 	"context"
@@ -11,24 +11,24 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// write has a diary take entries of a process and write them to its end.
-func writeDiary(c *qt.C, path string, bound int64, start uint64, note func(*Journal)) *Diary {
-	diary, err := OpenDiary(path, bound)
+// write has a journal file take entries of a process and write them to its end.
+func writeJournalFile(c *qt.C, path string, bound int64, start uint64, note func(*Journal)) *JournalFile {
+	journalFile, err := OpenJournalFile(path, bound)
 	c.Assert(err, qt.IsNil)
 	journal := NewJournal(64)
 	journal.Open(start, func() Micros { return Micros(start * 1000) })
-	journal.Watch = diary.Take
+	journal.Watch = journalFile.Take
 	ctx, end := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	note(journal)
-	total := uint64(len(diary.inbox))
-	go func() { diary.Run(ctx); close(ended) }()
-	for diary.Written.Load()+diary.Dropped.Load() < total && len(diary.inbox) > 0 {
-		continue // it takes what is in its inbox before it ends
+	total := uint64(len(journalFile.queue))
+	go func() { journalFile.Run(ctx); close(ended) }()
+	for journalFile.Written.Load()+journalFile.Dropped.Load() < total && len(journalFile.queue) > 0 {
+		continue // it takes what is in its queue before it ends
 	}
 	end()
 	<-ended
-	return diary
+	return journalFile
 }
 
 func everything(Entry) bool { return true }
@@ -36,9 +36,9 @@
 func TestADiaryOutlivesItsProcess(t *testing.T) {
 	c := qt.New(t)
 	path := c.TempDir()
-	writeDiary(c, path, 1<<20, 1, func(j *Journal) {
-		j.Note(5, "flyloft", "core", "lead", "term 3")
-		j.NoteRequest(6, "auditorium", "r1", "round 1 to e1", "preferred")
+	writeJournalFile(c, path, 1<<20, 1, func(j *Journal) {
+		j.Note(5, "control", "core", "lead", "term 3")
+		j.NoteRequest(6, "relay", "r1", "round 1 to e1", "preferred")
 	})
 	// The power goes in the middle of a line.
 	files, err := filepath.Glob(filepath.Join(path, "decisions-*"))
@@ -48,9 +48,9 @@
 	_, err = file.WriteString(`{"seq":2,"start":1,"at_us":7,"wall_u`)
 	c.Assert(err, qt.IsNil)
 	c.Assert(file.Close(), qt.IsNil)
-	second := writeDiary(c, path, 1<<20, 2, func(j *Journal) {
+	second := writeJournalFile(c, path, 1<<20, 2, func(j *Journal) {
 		j.SetEra(9)
-		j.Note(1, "flyloft", "core", "follow", "term 3")
+		j.Note(1, "control", "core", "follow", "term 3")
 	})
 	found := second.Read(0, everything)
 	c.Assert(found, qt.HasLen, 3)
@@ -68,14 +68,14 @@
 	path := c.TempDir()
 	long := strings.Repeat("x", 300)
 	for start := range uint64(30) {
-		writeDiary(c, path, 64<<10, start+1, func(j *Journal) {
-			j.Note(1, "flyloft", "core", "lead", "term")
+		writeJournalFile(c, path, 64<<10, start+1, func(j *Journal) {
+			j.Note(1, "control", "core", "lead", "term")
 			for range 60 {
-				j.NoteRequest(2, "auditorium", "r", "round", long)
+				j.NoteRequest(2, "relay", "r", "round", long)
 			}
 		})
 	}
-	last, err := OpenDiary(path, 64<<10)
+	last, err := OpenJournalFile(path, 64<<10)
 	c.Assert(err, qt.IsNil)
 	total := int64(0)
 	for _, name := range last.files("requests") {
@@ -92,18 +92,18 @@
 func TestADiaryOnADeadDiskDropsAndCounts(t *testing.T) {
 	c := qt.New(t)
 	path := filepath.Join(c.TempDir(), "journal")
-	diary := writeDiary(c, path, 1<<20, 1, func(j *Journal) {
-		j.Note(1, "flyloft", "core", "lead", "term 3")
+	journalFile := writeJournalFile(c, path, 1<<20, 1, func(j *Journal) {
+		j.Note(1, "control", "core", "lead", "term 3")
 		// The folder is gone before the first write.
 		c.Assert(os.RemoveAll(path), qt.IsNil)
 	})
-	c.Assert(diary.Written.Load(), qt.Equals, uint64(0))
-	c.Assert(diary.Dropped.Load(), qt.Equals, uint64(1))
-	c.Assert(diary.Ailment(), qt.Not(qt.Equals), "")
-	// A stalled one: nobody takes from the inbox, and nobody waits.
-	stalled, err := OpenDiary(c.TempDir(), 1<<20)
+	c.Assert(journalFile.Written.Load(), qt.Equals, uint64(0))
+	c.Assert(journalFile.Dropped.Load(), qt.Equals, uint64(1))
+	c.Assert(journalFile.Ailment(), qt.Not(qt.Equals), "")
+	// A stalled one: nobody takes from the queue, and nobody waits.
+	stalled, err := OpenJournalFile(c.TempDir(), 1<<20)
 	c.Assert(err, qt.IsNil)
-	for range diaryInbox + 7 {
+	for range journalFileQueue + 7 {
 		stalled.Take(Entry{})
 	}
 	c.Assert(stalled.Dropped.Load(), qt.Equals, uint64(7))
@@ -112,35 +112,35 @@
 // An operator may read while entries are written; -race finds what the two share.
 func TestADiaryIsReadWhileItIsWritten(t *testing.T) {
 	c := qt.New(t)
-	diary, err := OpenDiary(c.TempDir(), 1<<20)
+	journalFile, err := OpenJournalFile(c.TempDir(), 1<<20)
 	c.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
-	go func() { diary.Run(ctx); close(stopped) }()
+	go func() { journalFile.Run(ctx); close(stopped) }()
 	read := make(chan struct{})
 	go func() {
 		defer close(read)
 		for range 100 {
-			diary.Read(0, everything)
+			journalFile.Read(0, everything)
 		}
 	}()
-	diary.Take(Entry{Subject: "s", Seq: 1})
+	journalFile.Take(Entry{Subject: "s", Seq: 1})
 	stop()
 	<-stopped
 	<-read
-	c.Assert(diary.Read(0, everything), qt.HasLen, 1)
+	c.Assert(journalFile.Read(0, everything), qt.HasLen, 1)
 }
 
 // Run with -race: the reader may look at nothing that the writer changes.
 func TestADiaryIsReadInOrderWhileItIsWritten(t *testing.T) {
 	c := qt.New(t)
-	diary, err := OpenDiary(c.TempDir(), 1<<20)
+	journalFile, err := OpenJournalFile(c.TempDir(), 1<<20)
 	c.Assert(err, qt.IsNil)
 	const lines = 50
 	ended := make(chan error, 1)
 	go func() {
 		for i := range lines {
-			if err := diary.write(&diary.parts[1], fmt.Appendf(nil, "{\"seq\":%d,\"start\":1}\n", i)); err != nil {
+			if err := journalFile.write(&journalFile.parts[1], fmt.Appendf(nil, "{\"seq\":%d,\"start\":1}\n", i)); err != nil {
 				ended <- err
 				return
 			}
@@ -154,9 +154,9 @@
 			isOver = true
 		default:
 		}
-		for i, entry := range diary.Read(0, everything) {
+		for i, entry := range journalFile.Read(0, everything) {
 			c.Assert(entry.Seq, qt.Equals, uint64(i))
 		}
 	}
-	c.Assert(diary.Read(0, everything), qt.HasLen, lines)
+	c.Assert(journalFile.Read(0, everything), qt.HasLen, lines)
 }
--- a/house/house.go
+++ b/kernel/kernel.go
@@ -1,4 +1,4 @@
-package house
+package kernel
 
 import (
 	"context"
@@ -19,9 +19,9 @@
 	Zone    string `json:"zone"`
 }
 
-// Cue is the one context type: whatever a piece of work needs to know of its
+// Environment is the one context type: whatever a piece of work needs to know of its
 // surroundings, in place of many arguments.
-type Cue struct {
+type Env struct {
 	context.Context
 	Clock   Clock
 	Log     klog.Logger
@@ -30,13 +30,13 @@
 }
 
 // With gives the same surroundings under another context.
-func (c Cue) With(ctx context.Context) Cue {
+func (c Env) With(ctx context.Context) Env {
 	c.Context = ctx
 	return c
 }
 
 // Note puts a decision and its reason into the journal.
-func (c Cue) Note(part, subject, decision, why string) {
+func (c Env) Note(part, subject, decision, why string) {
 	c.Journal.Note(c.Clock.Now(), part, subject, decision, why)
 }
 
@@ -48,20 +48,20 @@
 }
 
 // Strike is a stack of clean-up steps, run in reverse when the scene ends.
-type Strike struct {
+type Cleanup struct {
 	lock  sync.Mutex
 	steps []func() error
 }
 
 // Defer adds a step.
-func (s *Strike) Defer(step func() error) {
+func (s *Cleanup) Defer(step func() error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.steps = append(s.steps, step)
 }
 
 // Run takes every step, the newest first, and joins what failed.
-func (s *Strike) Run() error {
+func (s *Cleanup) Run() error {
 	s.lock.Lock()
 	steps := s.steps
 	s.steps = nil
@@ -74,46 +74,46 @@
 }
 
 // House is the table of services.
-type House struct {
+type Kernel struct {
 	lock     sync.RWMutex
 	services map[string]any
-	Strike   Strike
+	Cleanup  Cleanup
 }
 
-// ServiceBreakdown says why a service could not be found or placed.
-type ServiceBreakdown struct {
+// ServiceError says why a service could not be found or placed.
+type ServiceError struct {
 	Name string
 	Why  string
 }
 
-func (b ServiceBreakdown) Error() string { return fmt.Sprintf("service %q: %s", b.Name, b.Why) }
+func (b ServiceError) Error() string { return fmt.Sprintf("service %q: %s", b.Name, b.Why) }
 
 // Open makes an empty house.
-func Open() *House { return &House{services: map[string]any{}} }
+func Open() *Kernel { return &Kernel{services: map[string]any{}} }
 
 // Place enters a service under a name that is still free.
-func (h *House) Place(name string, service any) error {
+func (h *Kernel) Place(name string, service any) error {
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	if _, isTaken := h.services[name]; isTaken {
-		return ServiceBreakdown{name, "the name is taken"}
+		return ServiceError{name, "the name is taken"}
 	}
 	h.services[name] = service
 	return nil
 }
 
 // Find looks a service up by name and checks that it is of the wanted type.
-func Find[T any](h *House, name string) (T, error) {
+func Find[T any](h *Kernel, name string) (T, error) {
 	h.lock.RLock()
 	defer h.lock.RUnlock()
 	var none T
 	found, isThere := h.services[name]
 	if !isThere {
-		return none, ServiceBreakdown{name, "there is none"}
+		return none, ServiceError{name, "there is none"}
 	}
 	service, isFit := found.(T)
 	if !isFit {
-		return none, ServiceBreakdown{name, fmt.Sprintf("it is a %T", found)}
+		return none, ServiceError{name, fmt.Sprintf("it is a %T", found)}
 	}
 	return service, nil
 }
--- a/house/house_test.go
+++ b/kernel/kernel_test.go
@@ -1,4 +1,4 @@
-package house
+package kernel
 
 import (
 	"errors"
@@ -15,7 +15,7 @@
 
 func TestCleanUpRunsInReverseAndJoinsFailures(t *testing.T) {
 	c := qt.New(t)
-	var strike Strike
+	var strike Cleanup
 	order := []int{}
 	for i := range 3 {
 		strike.Defer(func() error {
@@ -36,18 +36,18 @@
 
 func TestServicesAreFoundByNameAndType(t *testing.T) {
 	c := qt.New(t)
-	house := Open()
+	kernel := Open()
 	journal := NewJournal(4)
-	c.Assert(house.Place("journal", journal), qt.IsNil)
-	found, err := Find[*Journal](house, "journal")
+	c.Assert(kernel.Place("journal", journal), qt.IsNil)
+	found, err := Find[*Journal](kernel, "journal")
 	c.Assert(err, qt.IsNil)
 	c.Assert(found, qt.Equals, journal)
 	for _, failed := range []error{
-		house.Place("journal", journal),
-		func() error { _, err := Find[*Strike](house, "journal"); return err }(),
-		func() error { _, err := Find[*Journal](house, "none"); return err }(),
+		kernel.Place("journal", journal),
+		func() error { _, err := Find[*Cleanup](kernel, "journal"); return err }(),
+		func() error { _, err := Find[*Journal](kernel, "none"); return err }(),
 	} {
-		c.Assert(errors.As(failed, new(ServiceBreakdown)), qt.IsTrue)
+		c.Assert(errors.As(failed, new(ServiceError)), qt.IsTrue)
 	}
 }
 
@@ -89,9 +89,9 @@
 	c.Assert(os.Mkdir(filepath.Join(path, "taken"), 0o755), qt.IsNil)
 	c.Assert(os.WriteFile(filepath.Join(path, "taken", "x"), nil, 0o600), qt.IsNil)
 	err = folder.Put("taken", []byte("y"))
-	var breakdown DiskBreakdown
-	c.Assert(errors.As(err, &breakdown), qt.IsTrue)
-	c.Assert(breakdown.Step, qt.Equals, "rename")
+	var error DiskError
+	c.Assert(errors.As(err, &error), qt.IsTrue)
+	c.Assert(error.Step, qt.Equals, "rename")
 	_, err = os.Stat(filepath.Join(path, "taken.aside"))
 	c.Assert(errors.Is(err, os.ErrNotExist), qt.IsTrue)
 }
--- a/house/lock.go
+++ b/kernel/lock.go
@@ -1,4 +1,4 @@
-package house
+package kernel
 
 import (
 	"errors"
@@ -19,18 +19,18 @@
 // ends. Two processes on one folder would be one member with two minds.
 func LockFolder(path string) (release func() error, err error) {
 	if err := os.MkdirAll(path, 0o755); err != nil {
-		return nil, fmt.Errorf("lock the data folder: %w", DiskBreakdown{"make", path, err})
+		return nil, fmt.Errorf("lock the data folder: %w", DiskError{"make", path, err})
 	}
 	file, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o644)
 	if err != nil {
-		return nil, fmt.Errorf("lock the data folder: %w", DiskBreakdown{"open", "lock", err})
+		return nil, fmt.Errorf("lock the data folder: %w", DiskError{"open", "lock", err})
 	}
 	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		file.Close()
 		if errors.Is(err, syscall.EWOULDBLOCK) {
 			return nil, FolderInUse{path}
 		}
-		return nil, fmt.Errorf("lock the data folder: %w", DiskBreakdown{"lock", "lock", err})
+		return nil, fmt.Errorf("lock the data folder: %w", DiskError{"lock", "lock", err})
 	}
 	return file.Close, nil
 }
--- a/claque/claque.go
+++ b/loadgen/loadgen.go
@@ -1,6 +1,6 @@
-// Package claque plays the callers: kinds of request with shared prefixes, each
+// Package loadgen plays the callers: kinds of request with shared prefixes, each
 // answer checked byte for byte against what the engine must have sent.
-package claque
+package loadgen
 
 import (
 	"bytes"
@@ -17,10 +17,10 @@
 	"sync"
 	"time"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/critic"
-	"dunlinloom/house"
-	"dunlinloom/understudy"
+	"dunlinloom/checker"
+	"dunlinloom/emulator"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // Kind is one kind of request.
@@ -93,15 +93,15 @@
 	return ask
 }
 
-func now() house.Micros { return house.Micros(time.Now().UnixMicro()) }
+func now() kernel.Micros { return kernel.Micros(time.Now().UnixMicro()) }
 
 // Call makes one request and tells how it ended.
-func (c *Caller) Call(ctx context.Context, node string, ask Ask) critic.Event {
-	event := critic.Event{What: critic.CallEnded, Tag: ask.Tag, Node: node, Kind: ask.Kind, Began: now()}
+func (c *Caller) Call(ctx context.Context, node string, ask Ask) checker.Event {
+	event := checker.Event{What: checker.CallEnded, Tag: ask.Tag, Node: node, Kind: ask.Kind, Began: now()}
 	event.Outcome, event.Reason = c.call(ctx, node, ask, &event)
 	event.At = now()
-	if ctx.Err() != nil && event.Outcome != critic.Wrong && event.Outcome != critic.FalseEnd {
-		event.Outcome, event.Reason = critic.HungUp, "the caller left"
+	if ctx.Err() != nil && event.Outcome != checker.Wrong && event.Outcome != checker.FalseEnd {
+		event.Outcome, event.Reason = checker.HungUp, "the caller left"
 	}
 	return event
 }
@@ -113,33 +113,33 @@
 	Stream    bool     `json:"stream"`
 }
 
-func (c *Caller) call(ctx context.Context, node string, ask Ask, event *critic.Event) (critic.Outcome, string) {
-	content, err := json.Marshal(body{"understudy", ask.Prompt, ask.Out, !ask.Plain})
+func (c *Caller) call(ctx context.Context, node string, ask Ask, event *checker.Event) (checker.Outcome, string) {
+	content, err := json.Marshal(body{"emulator", ask.Prompt, ask.Out, !ask.Plain})
 	if err != nil {
-		return critic.Unreached, err.Error()
+		return checker.Unreached, err.Error()
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/completions", io.NopCloser(bytes.NewReader(content)))
 	if err != nil {
-		return critic.Unreached, err.Error()
+		return checker.Unreached, err.Error()
 	}
 	request.ContentLength = int64(len(content))
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(auditorium.HeaderKind, ask.Kind)
-	request.Header.Set(understudy.HeaderTag, ask.Tag)
+	request.Header.Set(relay.HeaderKind, ask.Kind)
+	request.Header.Set(emulator.HeaderTag, ask.Tag)
 	response, err := c.client.Do(request)
 	if err != nil {
 		var dialing *net.OpError
 		if errors.As(err, &dialing) && dialing.Op == "dial" {
-			return critic.Unreached, err.Error()
+			return checker.Unreached, err.Error()
 		}
-		return critic.NoReceipt, err.Error()
+		return checker.NoAck, err.Error()
 	}
 	defer response.Body.Close()
-	event.ID = response.Header.Get(auditorium.HeaderRequest)
-	event.Engine = response.Header.Get(auditorium.HeaderEngine)
-	if text := response.Header.Get(auditorium.HeaderGeneration); text != "" {
-		if event.Generation, err = strconv.ParseUint(text, 10, 64); err != nil {
-			return critic.Wrong, "generation " + text
+	event.ID = response.Header.Get(relay.HeaderRequest)
+	event.Engine = response.Header.Get(relay.HeaderEngine)
+	if text := response.Header.Get(relay.HeaderRevision); text != "" {
+		if event.Revision, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return checker.Wrong, "generation " + text
 		}
 	}
 	got, readErr := io.ReadAll(response.Body)
@@ -147,45 +147,45 @@
 }
 
 // Compare sorts out what a caller got.
-func Compare(response *http.Response, got []byte, readErr error, ask Ask) (critic.Outcome, string) {
-	run := response.Header.Get(understudy.HeaderRun)
+func Compare(response *http.Response, got []byte, readErr error, ask Ask) (checker.Outcome, string) {
+	run := response.Header.Get(emulator.HeaderRun)
 	if run == "" {
-		return declined(response, got, readErr)
+		return rejected(response, got, readErr)
 	}
-	want, done := understudy.Script(run, ask.Out, !ask.Plain), critic.Served
+	want, done := emulator.Script(run, ask.Out, !ask.Plain), checker.Served
 	if response.StatusCode != http.StatusOK {
-		want, done = understudy.FailScript(run), critic.EngineSays
+		want, done = emulator.FailScript(run), checker.EngineSays
 	}
 	switch {
 	case !bytes.HasPrefix(want, got):
-		return critic.Wrong, fmt.Sprintf("%d bytes of run %s differ from its %d", len(got), run, len(want))
+		return checker.Wrong, fmt.Sprintf("%d bytes of run %s differ from its %d", len(got), run, len(want))
 	case readErr != nil:
-		return critic.Torn, readErr.Error()
+		return checker.Torn, readErr.Error()
 	case len(got) < len(want):
-		return critic.FalseEnd, fmt.Sprintf("%d of %d bytes of run %s", len(got), len(want), run)
+		return checker.FalseEnd, fmt.Sprintf("%d of %d bytes of run %s", len(got), len(want), run)
 	}
 	return done, ""
 }
 
-func declined(response *http.Response, got []byte, readErr error) (critic.Outcome, string) {
+func rejected(response *http.Response, got []byte, readErr error) (checker.Outcome, string) {
 	var said struct {
 		Error struct {
 			Type string `json:"type"`
 		} `json:"error"`
 	}
 	if readErr != nil {
-		return critic.Torn, readErr.Error()
+		return checker.Torn, readErr.Error()
 	}
 	if err := json.Unmarshal(got, &said); err != nil {
-		return critic.Wrong, fmt.Sprintf("status %d with a body of no engine: %.60q", response.StatusCode, got)
+		return checker.Wrong, fmt.Sprintf("status %d with a body of no engine: %.60q", response.StatusCode, got)
 	}
-	switch response.Header.Get(auditorium.HeaderRun) {
-	case string(auditorium.NotRun):
-		return critic.NotRun, said.Error.Type
-	case string(auditorium.MayHaveRun):
-		return critic.MayHaveRun, said.Error.Type
+	switch response.Header.Get(relay.HeaderRun) {
+	case string(relay.NotRun):
+		return checker.NotRun, said.Error.Type
+	case string(relay.MayHaveRun):
+		return checker.MayHaveRun, said.Error.Type
 	}
-	return critic.Wrong, fmt.Sprintf("status %d does not say whether it ran", response.StatusCode)
+	return checker.Wrong, fmt.Sprintf("status %d does not say whether it ran", response.StatusCode)
 }
 
 // Node is one that the platform may hand callers to.
@@ -195,20 +195,20 @@
 }
 
 // Performance is a span of calls at a rate.
-type Performance struct {
+type Result struct {
 	Platform *Platform
 	Kinds    []Kind
 	Rate     float64 // requests a second
-	Span     house.Micros
+	Span     kernel.Micros
 	Seed     uint64
 	Prefix   string // of the tags
-	Patient  house.Micros
+	Patient  kernel.Micros
 	// Retries tells whether callers come again after a decline that says when.
 	Retries int
 }
 
 // Run makes the calls and hands over each event as it comes.
-func (p Performance) Run(ctx context.Context, take func(critic.Event)) {
+func (p Result) Run(ctx context.Context, take func(checker.Event)) {
 	random := rand.New(rand.NewPCG(p.Seed, 1))
 	caller := NewCaller()
 	var calls sync.WaitGroup
@@ -229,14 +229,14 @@
 		// Some callers leave in the middle.
 		patience := p.Patient
 		if random.IntN(50) == 0 {
-			patience = house.Micros(random.Int64N(int64(2 * house.Second)))
+			patience = kernel.Micros(random.Int64N(int64(2 * kernel.Second)))
 		}
 		turn := random.IntN(1 << 30)
 		calls.Go(func() { p.serve(ctx, caller, ask, turn, patience, take) })
 	}
 }
 
-func (p Performance) serve(ctx context.Context, caller *Caller, ask Ask, turn int, patience house.Micros, take func(critic.Event)) {
+func (p Result) serve(ctx context.Context, caller *Caller, ask Ask, turn int, patience kernel.Micros, take func(checker.Event)) {
 	limit, cancel := context.WithTimeout(ctx, patience.Duration())
 	defer cancel()
 	tag := ask.Tag
@@ -244,12 +244,12 @@
 		// Each try is a request of its own: what was promised of one says nothing of the next.
 		ask.Tag = fmt.Sprintf("%s/%d", tag, try)
 		event := caller.Call(limit, p.Platform.Deal(turn, try), ask)
-		isAgain := (event.Outcome == critic.NotRun || event.Outcome == critic.Unreached) && try < p.Retries && limit.Err() == nil
+		isAgain := (event.Outcome == checker.NotRun || event.Outcome == checker.Unreached) && try < p.Retries && limit.Err() == nil
 		take(event)
 		if !isAgain {
 			return
 		}
-		if event.Outcome == critic.Unreached {
+		if event.Outcome == checker.Unreached {
 			continue
 		}
 		select {
--- a/claque/claque_test.go
+++ b/loadgen/loadgen_test.go
@@ -1,4 +1,4 @@
-package claque
+package loadgen
 
 import (
 	"errors"
@@ -7,16 +7,16 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/critic"
-	"dunlinloom/understudy"
+	"dunlinloom/checker"
+	"dunlinloom/emulator"
+	"dunlinloom/relay"
 )
 
 // What the callers' side calls served must be the bytes of one run of one engine, whole.
 func TestOnlyTheWholeBodyOfOneRunIsServed(t *testing.T) {
 	const run, other = "e1-1-7", "e2-1-7"
-	whole, second := understudy.Script(run, 9, true), understudy.Script(other, 9, true)
-	plain, fail := understudy.Script(run, 9, false), understudy.FailScript(run)
+	whole, second := emulator.Script(run, 9, true), emulator.Script(other, 9, true)
+	plain, fail := emulator.Script(run, 9, false), emulator.FailScript(run)
 	shared := 0
 	for shared < len(whole) && whole[shared] == second[shared] {
 		shared++
@@ -35,27 +35,27 @@
 		got    []byte
 		err    error
 		isOne  bool // not streamed
-		want   critic.Outcome
+		want   checker.Outcome
 	}{
-		"whole":                               {200, run, whole, nil, false, critic.Served},
-		"whole and not streamed":              {200, run, plain, nil, true, critic.Served},
-		"the engine's own error":              {500, run, fail, nil, false, critic.EngineSays},
-		"torn, and seen to be":                {200, run, whole[:len(whole)/2], torn, false, critic.Torn},
-		"torn within the shared beginning":    {200, run, whole[:shared], torn, false, critic.Torn},
-		"ended without its end":               {200, run, whole[:len(whole)-1], nil, false, critic.FalseEnd},
-		"nothing, as if that were all":        {200, run, nil, nil, false, critic.FalseEnd},
-		"half an error, as if that were all":  {500, run, fail[:len(fail)-2], nil, false, critic.FalseEnd},
-		"two runs after their shared part":    {200, run, join(whole[:shared], second[shared:]), nil, false, critic.Wrong},
-		"two runs in the middle":              {200, run, join(whole[:len(whole)/2], second[len(whole)/2:]), nil, false, critic.Wrong},
-		"two runs, and torn":                  {200, run, join(whole[:len(whole)/2], second[len(whole)/2:len(whole)-3]), torn, false, critic.Wrong},
-		"a piece twice":                       {200, run, join(whole[:40], whole[20:]), nil, false, critic.Wrong},
-		"a piece missing":                     {200, run, join(whole[:40], whole[60:]), nil, false, critic.Wrong},
-		"more than all":                       {200, run, join(whole, []byte("\n")), nil, false, critic.Wrong},
-		"another run's under this one's name": {200, run, second, nil, false, critic.Wrong},
-		"an error where the body should be":   {200, run, fail, nil, false, critic.Wrong},
+		"whole":                               {200, run, whole, nil, false, checker.Served},
+		"whole and not streamed":              {200, run, plain, nil, true, checker.Served},
+		"the engine's own error":              {500, run, fail, nil, false, checker.EngineSays},
+		"torn, and seen to be":                {200, run, whole[:len(whole)/2], torn, false, checker.Torn},
+		"torn within the shared beginning":    {200, run, whole[:shared], torn, false, checker.Torn},
+		"ended without its end":               {200, run, whole[:len(whole)-1], nil, false, checker.FalseEnd},
+		"nothing, as if that were all":        {200, run, nil, nil, false, checker.FalseEnd},
+		"half an error, as if that were all":  {500, run, fail[:len(fail)-2], nil, false, checker.FalseEnd},
+		"two runs after their shared part":    {200, run, join(whole[:shared], second[shared:]), nil, false, checker.Wrong},
+		"two runs in the middle":              {200, run, join(whole[:len(whole)/2], second[len(whole)/2:]), nil, false, checker.Wrong},
+		"two runs, and torn":                  {200, run, join(whole[:len(whole)/2], second[len(whole)/2:len(whole)-3]), torn, false, checker.Wrong},
+		"a piece twice":                       {200, run, join(whole[:40], whole[20:]), nil, false, checker.Wrong},
+		"a piece missing":                     {200, run, join(whole[:40], whole[60:]), nil, false, checker.Wrong},
+		"more than all":                       {200, run, join(whole, []byte("\n")), nil, false, checker.Wrong},
+		"another run's under this one's name": {200, run, second, nil, false, checker.Wrong},
+		"an error where the body should be":   {200, run, fail, nil, false, checker.Wrong},
 	} {
 		t.Run(name, func(t *testing.T) {
-			response := &http.Response{StatusCode: example.status, Header: http.Header{understudy.HeaderRun: {example.run}}}
+			response := &http.Response{StatusCode: example.status, Header: http.Header{emulator.HeaderRun: {example.run}}}
 			outcome, why := Compare(response, example.got, example.err, Ask{Out: 9, Plain: example.isOne})
 			qt.Assert(t, outcome, qt.Equals, example.want, qt.Commentf("%s", why))
 		})
@@ -64,8 +64,8 @@
 
 // A decline has to say what it promises; one that does not is no answer of ours.
 func TestADeclineSaysWhetherItRan(t *testing.T) {
-	for said, want := range map[string]critic.Outcome{string(auditorium.NotRun): critic.NotRun, string(auditorium.MayHaveRun): critic.MayHaveRun, "": critic.Wrong, "perhaps": critic.Wrong} {
-		response := &http.Response{StatusCode: 503, Header: http.Header{auditorium.HeaderRun: {said}}}
+	for said, want := range map[string]checker.Outcome{string(relay.NotRun): checker.NotRun, string(relay.MayHaveRun): checker.MayHaveRun, "": checker.Wrong, "perhaps": checker.Wrong} {
+		response := &http.Response{StatusCode: 503, Header: http.Header{relay.HeaderRun: {said}}}
 		outcome, _ := Compare(response, []byte(`{"error":{"type":"late"}}`), nil, Ask{Out: 9})
 		qt.Assert(t, outcome, qt.Equals, want)
 	}
--- a/claque/platform.go
+++ b/loadgen/platform.go
@@ -1,4 +1,4 @@
-package claque
+package loadgen
 
 import (
 	"context"
@@ -22,16 +22,16 @@
 	file  string
 }
 
-// FileBreakdown says why a list of nodes can't be used.
-type FileBreakdown struct {
+// FileError says why a list of nodes can't be used.
+type FileError struct {
 	Name  string
 	Cause error
 }
 
-func (b FileBreakdown) Error() string { return fmt.Sprintf("nodes of %s: %v", b.Name, b.Cause) }
+func (b FileError) Error() string { return fmt.Sprintf("nodes of %s: %v", b.Name, b.Cause) }
 
 // Unwrap gives the cause.
-func (b FileBreakdown) Unwrap() error { return b.Cause }
+func (b FileError) Unwrap() error { return b.Cause }
 
 // NoNodes says that there is nobody to hand callers to.
 type NoNodes struct{}
@@ -55,11 +55,11 @@
 func (p *Platform) read() error {
 	content, err := os.ReadFile(p.file)
 	if err != nil {
-		return FileBreakdown{p.file, err}
+		return FileError{p.file, err}
 	}
 	nodes := []Node{}
 	if err := json.Unmarshal(content, &nodes); err != nil {
-		return FileBreakdown{p.file, err}
+		return FileError{p.file, err}
 	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
