--- a/rehearsal/stage.go
+++ b/localfleet/cluster.go
@@ -1,4 +1,4 @@
-package rehearsal
+package localfleet
 
 import (
 	"bufio"
@@ -20,10 +20,10 @@
 	"syscall"
 	"time"
 
-	"dunlinloom/critic"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/wings"
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/server"
 )
 
 // actor is one process of the fleet or of its surroundings.
@@ -42,12 +42,12 @@
 	pool    string
 }
 
-// poolCount is how many pools engines are dealt to; each spec leaves one out, so that
-// an engine that runs tells by which spec.
+// poolCount is how many pools engines are dealt to; each configuration leaves one out, so that
+// an engine that runs tells by which configuration.
 const poolCount = 6
 
-// Stage runs the processes of one rehearsal.
-type Stage struct {
+// Cluster runs the processes of one local fleet run.
+type Cluster struct {
 	bin, folder string
 	deployment  Deployment
 	platform    *actor
@@ -56,35 +56,35 @@
 	engines     []*actor
 
 	lock     sync.Mutex // guards everything below
-	events   []critic.Event
+	events   []checker.Event
 	counters map[string]map[string]float64 // by node and start of process
 	starts   map[string]int
 	problems []string
 	cuts     map[string]int // "FROM>TO" to how many cuts hold it
-	lossy    wings.WayMishap
-	disks    map[string]wings.DiskMishap
+	lossy    server.LinkFault
+	disks    map[string]server.DiskFault
 	seats    int // addresses given away to machines that came later
 	address  func(offset int) string
 }
 
-// StageBreakdown says what of a rehearsal itself went wrong, as opposed to the fleet.
-type StageBreakdown struct {
+// ClusterError says what of a local fleet run itself went wrong, as opposed to the fleet.
+type ClusterError struct {
 	What  string
 	Cause error
 }
 
-func (b StageBreakdown) Error() string { return fmt.Sprintf("%s: %v", b.What, b.Cause) }
+func (b ClusterError) Error() string { return fmt.Sprintf("%s: %v", b.What, b.Cause) }
 
 // Unwrap gives the cause.
-func (b StageBreakdown) Unwrap() error { return b.Cause }
+func (b ClusterError) Unwrap() error { return b.Cause }
 
-func now() house.Micros { return house.Micros(time.Now().UnixMicro()) }
+func now() kernel.Micros { return kernel.Micros(time.Now().UnixMicro()) }
 
-// NewStage plans a rehearsal; Open starts it.
-func NewStage(bin, folder string, deployment Deployment, basePort int) *Stage {
-	s := &Stage{
+// NewCluster plans a local fleet run; Open starts it.
+func NewCluster(bin, folder string, deployment Deployment, basePort int) *Cluster {
+	s := &Cluster{
 		bin: bin, folder: folder, deployment: deployment,
-		counters: map[string]map[string]float64{}, starts: map[string]int{}, cuts: map[string]int{}, disks: map[string]wings.DiskMishap{},
+		counters: map[string]map[string]float64{}, starts: map[string]int{}, cuts: map[string]int{}, disks: map[string]server.DiskFault{},
 	}
 	taken := map[string]bool{}
 	address := func(offset int) string {
@@ -95,7 +95,7 @@
 		for {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
-				panic(StageBreakdown{"find a port", err})
+				panic(ClusterError{"find a port", err})
 			}
 			free := listener.Addr().String()
 			listener.Close()
@@ -107,7 +107,7 @@
 	}
 	s.address = address
 	listing := address(0)
-	s.platform = &actor{name: "platform", program: "understudy", public: listing, words: []string{"--list", "--listen", listing}}
+	s.platform = &actor{name: "platform", program: "emulator", public: listing, words: []string{"--list", "--listen", listing}}
 	seeds, peers := []string{}, []string{}
 	for i := range deployment.Nodes {
 		peers = append(peers, address(200+i))
@@ -130,7 +130,7 @@
 	}
 	for i := range deployment.Engines {
 		zone := deployment.Zones[i%len(deployment.Zones)]
-		engine := &actor{name: fmt.Sprintf("e%02d", i), program: "understudy", zone: zone, public: address(300 + i), pool: fmt.Sprintf("p%d", i%poolCount)}
+		engine := &actor{name: fmt.Sprintf("e%02d", i), program: "emulator", zone: zone, public: address(300 + i), pool: fmt.Sprintf("p%d", i%poolCount)}
 		engine.words = []string{"--listen", engine.public, "--id", engine.name, "--zone", zone, "--pool", engine.pool, "--log", filepath.Join(folder, "engine-"+engine.name+".jsonl"),
 			"--cold-us", "3000000", "--cold-factor", "2", "--cold-bears", "24", "--decode-us", "4000", "--prefill-us", "60"}
 		for _, node := range s.nodes {
@@ -141,20 +141,20 @@
 	return s
 }
 
-func (s *Stage) take(event critic.Event) {
+func (s *Cluster) take(event checker.Event) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.events = append(s.events, event)
 }
 
-func (s *Stage) problem(what string, args ...any) {
+func (s *Cluster) problem(what string, args ...any) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.problems = append(s.problems, fmt.Sprintf(what, args...))
 }
 
 // start launches an actor's process.
-func (s *Stage) start(a *actor) error {
+func (s *Cluster) start(a *actor) error {
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	if a.process != nil {
@@ -167,16 +167,16 @@
 	}
 	log, err := os.OpenFile(filepath.Join(s.folder, a.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return StageBreakdown{"open a log", err}
+		return ClusterError{"open a log", err}
 	}
-	process := exec.Command(filepath.Join(s.bin, a.program), words...)
+	process := exec.Command(s.executable(a.program), append(subcommand(a.program), words...)...)
 	process.Stdout, process.Stderr = log, log
 	process.Env = append(os.Environ(), "DUNLINLOOM_FAULTS="+s.faultsFile(), "DUNLINLOOM_SELF="+a.peer)
-	// A rehearsal that dies must not leave a fleet behind.
+	// A local fleet run that dies must not leave a fleet behind.
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
 		log.Close()
-		return StageBreakdown{"start " + a.name, err}
+		return ClusterError{"start " + a.name, err}
 	}
 	ended := make(chan struct{})
 	a.process, a.ended = process, ended
@@ -205,12 +205,12 @@
 	if a.process != nil {
 		// It may have ended by itself just now, which is as good.
 		if err := a.process.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
-			panic(StageBreakdown{"signal " + a.name, err})
+			panic(ClusterError{"signal " + a.name, err})
 		}
 	}
 }
 
-func (s *Stage) faultsFile() string { return filepath.Join(s.folder, "faults.json") }
+func (s *Cluster) faultsFile() string { return filepath.Join(s.folder, "faults.json") }
 
 // The ways that a cut closes.
 const (
@@ -219,8 +219,8 @@
 )
 
 // cut edits the list of cut ways between some nodes and others.
-func (s *Stage) cut(chosen, others []*actor, ways, by int) error {
-	return s.mishap(func() {
+func (s *Cluster) cut(chosen, others []*actor, ways, by int) error {
+	return s.fault(func() {
 		for _, one := range chosen {
 			for _, other := range others {
 				if slices.Contains(chosen, other) {
@@ -238,56 +238,56 @@
 }
 
 // mishap changes what fails on purpose and tells all processes.
-func (s *Stage) mishap(edit func()) error {
+func (s *Cluster) fault(edit func()) error {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	edit()
-	list := wings.Mishaps{Ways: map[string]wings.WayMishap{"*": s.lossy}, Disks: s.disks}
+	list := server.FaultInjection{Ways: map[string]server.LinkFault{"*": s.lossy}, Disks: s.disks}
 	for way, count := range s.cuts {
 		if count > 0 {
-			list.Ways[way] = wings.WayMishap{IsCut: true}
+			list.Ways[way] = server.LinkFault{IsCut: true}
 		}
 	}
 	content, err := json.Marshal(list)
 	if err != nil {
-		return StageBreakdown{"encode the faults", err}
+		return ClusterError{"encode the faults", err}
 	}
 	// Renamed into place, so that no process reads half a list.
 	if err := os.WriteFile(s.faultsFile()+".new", content, 0o644); err != nil {
-		return StageBreakdown{"write the faults", err}
+		return ClusterError{"write the faults", err}
 	}
 	if err := os.Rename(s.faultsFile()+".new", s.faultsFile()); err != nil {
-		return StageBreakdown{"write the faults", err}
+		return ClusterError{"write the faults", err}
 	}
 	return nil
 }
 
 // cutPower kills a node and takes back every write that had not returned as synced.
-func (s *Stage) cutPower(node *actor) error {
+func (s *Cluster) cutPower(node *actor) error {
 	node.halt()
 	if node.data == "" {
 		return nil
 	}
-	undo, err := os.ReadDir(node.data + wings.UndoSuffix)
+	undo, err := os.ReadDir(node.data + server.UndoSuffix)
 	if err != nil {
-		return StageBreakdown{"cut the power", err}
+		return ClusterError{"cut the power", err}
 	}
 	for _, entry := range undo {
-		kept := filepath.Join(node.data+wings.UndoSuffix, entry.Name())
-		if name, wasAbsent := strings.CutSuffix(entry.Name(), wings.UndoAbsent); wasAbsent {
+		kept := filepath.Join(node.data+server.UndoSuffix, entry.Name())
+		if name, wasAbsent := strings.CutSuffix(entry.Name(), server.UndoAbsent); wasAbsent {
 			err = errors.Join(os.RemoveAll(filepath.Join(node.data, name)), os.Remove(kept))
 		} else {
 			err = os.Rename(kept, filepath.Join(node.data, entry.Name()))
 		}
 		if err != nil {
-			return StageBreakdown{"cut the power", err}
+			return ClusterError{"cut the power", err}
 		}
 	}
 	return nil
 }
 
 // replace puts an empty machine at new addresses in the place of a node.
-func (s *Stage) replace(node *actor) *actor {
+func (s *Cluster) replace(node *actor) *actor {
 	node.halt()
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -319,34 +319,57 @@
 }
 
 // members gives the nodes of now; machines may take others' places meanwhile.
-func (s *Stage) members() []*actor {
+func (s *Cluster) members() []*actor {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	return slices.Clone(s.nodes)
 }
 
 // isDropped tells that the core has three voters again and the peer is none of them.
-func (s *Stage) isDropped(ctx context.Context, peer string) bool {
+func (s *Cluster) isDropped(ctx context.Context, peer string) bool {
 	view, err := s.Fleet(ctx)
-	return err == nil && len(view.Voters) == 3 && !slices.ContainsFunc(view.Voters, func(voter flyloft.Member) bool { return voter.Address == peer })
+	return err == nil && len(view.Voters) == 3 && !slices.ContainsFunc(view.Voters, func(voter control.Member) bool { return voter.Address == peer })
+}
+
+// Kinds of process that the daemon's subcommands start.
+const (
+	programNode   = "node"
+	programRouter = "router"
+	daemon        = "dunlinloom"
+)
+
+// executable gives the path of the file that a program is in.
+func (s *Cluster) executable(program string) string {
+	if len(subcommand(program)) > 0 {
+		program = daemon
+	}
+	return filepath.Join(s.bin, program)
+}
+
+// subcommand gives the daemon's argument for a program; none for a program of its own.
+func subcommand(program string) []string {
+	if program == programNode || program == programRouter {
+		return []string{program}
+	}
+	return nil
 }
 
 // canCut asks a program whether it is built with faults.
-func (s *Stage) canCut() error {
-	out, err := exec.Command(filepath.Join(s.bin, "playhouse"), "--version").Output()
+func (s *Cluster) canCut() error {
+	out, err := exec.Command(s.executable(programNode), programNode, "--version").Output()
 	if err != nil {
-		return StageBreakdown{"ask playhouse for its version", err}
+		return ClusterError{"ask node for its version", err}
 	}
 	if !strings.Contains(string(out), "with faults") {
-		return StageBreakdown{"cut channels", StageUnfit{}}
+		return ClusterError{"cut channels", ClusterUnfit{}}
 	}
 	return nil
 }
 
-// StageUnfit says that the programs can't do what a scenario asks for.
-type StageUnfit struct{}
+// ClusterUnfit says that the programs can't do what a scenario asks for.
+type ClusterUnfit struct{}
 
-func (StageUnfit) Error() string {
+func (ClusterUnfit) Error() string {
 	return "the scenario has channels or disks fail; build the programs with -tags faults"
 }
 
@@ -361,12 +384,12 @@
 	}
 }
 
-func (s *Stage) actors() []*actor {
+func (s *Cluster) actors() []*actor {
 	return slices.Concat([]*actor{s.platform}, s.engines, s.members(), s.gone)
 }
 
 // Open starts everything and waits until the list and the engines answer.
-func (s *Stage) Open(ctx context.Context) error {
+func (s *Cluster) Open(ctx context.Context) error {
 	for _, a := range s.actors() {
 		if err := s.start(a); err != nil {
 			return err
@@ -384,22 +407,22 @@
 }
 
 // Close kills everything that is left.
-func (s *Stage) Close() {
+func (s *Cluster) Close() {
 	for _, a := range s.actors() {
 		a.signal(syscall.SIGCONT)
 		a.halt()
 	}
 }
 
-func (s *Stage) await(ctx context.Context, address string) error {
+func (s *Cluster) await(ctx context.Context, address string) error {
 	for {
-		channel, err := net.DialTimeout("tcp", address, time.Second)
+		connection, err := net.DialTimeout("tcp", address, time.Second)
 		if err == nil {
-			return channel.Close()
+			return connection.Close()
 		}
 		select {
 		case <-ctx.Done():
-			return StageBreakdown{"wait for " + address, ctx.Err()}
+			return ClusterError{"wait for " + address, ctx.Err()}
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
@@ -410,35 +433,35 @@
 func do(ctx context.Context, method, url string, body []byte, headers map[string]string) (int, http.Header, []byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, nil, StageBreakdown{"make a request", err}
+		return 0, nil, nil, ClusterError{"make a request", err}
 	}
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
 	response, err := plain.Do(request)
 	if err != nil {
-		return 0, nil, nil, StageBreakdown{method + " " + url, err}
+		return 0, nil, nil, ClusterError{method + " " + url, err}
 	}
 	defer response.Body.Close()
 	got, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, nil, nil, StageBreakdown{"read " + url, err}
+		return 0, nil, nil, ClusterError{"read " + url, err}
 	}
 	return response.StatusCode, response.Header, got, nil
 }
 
 // list tells the platform of an engine's state.
-func (s *Stage) list(engine *actor, state string) error {
-	content, err := json.Marshal(flyloft.ListingEngine{ID: engine.name, Address: engine.public, Zone: engine.zone, Pool: engine.pool, Start: engine.start, State: state})
+func (s *Cluster) list(engine *actor, state string) error {
+	content, err := json.Marshal(control.ListingEngine{ID: engine.name, Address: engine.public, Zone: engine.zone, Pool: engine.pool, Start: engine.start, State: state})
 	if err != nil {
-		return StageBreakdown{"encode a listing", err}
+		return ClusterError{"encode a listing", err}
 	}
 	_, _, _, err = do(context.Background(), http.MethodPut, "http://"+s.platform.public+"/control/engines", content, nil)
 	return err
 }
 
 // Fleet asks one node after another for its picture of the fleet.
-func (s *Stage) Fleet(ctx context.Context) (*wings.FleetView, error) {
+func (s *Cluster) Fleet(ctx context.Context) (*server.FleetView, error) {
 	var last error
 	for _, node := range s.members() {
 		limit, cancel := context.WithTimeout(ctx, time.Second)
@@ -448,20 +471,20 @@
 			last = err
 			continue
 		}
-		var view wings.FleetView
+		var view server.FleetView
 		if err := json.Unmarshal(body, &view); err != nil {
-			return nil, StageBreakdown{"read a fleet", err}
+			return nil, ClusterError{"read a fleet", err}
 		}
-		// A node without a licence may be far behind.
-		if view.LicenceLeft > 0 {
+		// A node without a lease may be far behind.
+		if view.LeaseLeft > 0 {
 			return &view, nil
 		}
 	}
-	return nil, StageBreakdown{"no node with a licence answers", last}
+	return nil, ClusterError{"no node with a licence answers", last}
 }
 
 // Ready waits until every router would take callers.
-func (s *Stage) Ready(ctx context.Context) error {
+func (s *Cluster) Ready(ctx context.Context) error {
 	for {
 		count := 0
 		for _, node := range s.nodes {
@@ -477,14 +500,14 @@
 		}
 		select {
 		case <-ctx.Done():
-			return StageBreakdown{fmt.Sprintf("%d of %d routers are ready", count, len(s.nodes)), ctx.Err()}
+			return ClusterError{fmt.Sprintf("%d of %d routers are ready", count, len(s.nodes)), ctx.Err()}
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
 }
 
 // target finds the node that a step means.
-func (s *Stage) target(ctx context.Context, target string) (*actor, error) {
+func (s *Cluster) target(ctx context.Context, target string) (*actor, error) {
 	var index int
 	if n, err := fmt.Sscanf(target, "node:%d", &index); n == 1 && err == nil {
 		return s.members()[index], nil
@@ -506,17 +529,17 @@
 			return node, nil
 		}
 	}
-	return nil, StageBreakdown{"find " + target, StageMissing{wanted}}
+	return nil, ClusterError{"find " + target, ClusterMissing{wanted}}
 }
 
-// StageMissing says that no process of the stage has an address.
-type StageMissing struct{ Address string }
+// ClusterMissing says that no process of the cluster has an address.
+type ClusterMissing struct{ Address string }
 
-func (b StageMissing) Error() string { return fmt.Sprintf("no process at %q", b.Address) }
+func (b ClusterMissing) Error() string { return fmt.Sprintf("no process at %q", b.Address) }
 
 // scrape keeps the newest counters of every process of a node, so that a kill
 // loses no more than the time since the last look.
-func (s *Stage) scrape(ctx context.Context) {
+func (s *Cluster) scrape(ctx context.Context) {
 	for _, node := range s.members() {
 		limit, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 		status, _, body, err := do(limit, http.MethodGet, "http://"+node.public+"/metrics", nil, nil)
@@ -541,7 +564,7 @@
 }
 
 // most is the largest value that any process showed.
-func (s *Stage) most(name string) float64 {
+func (s *Cluster) most(name string) float64 {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	largest := 0.0
@@ -553,7 +576,7 @@
 
 // crossed sums the bytes that nodes sent to nodes of other zones: on the wire, and as
 // encoded by kind of message.
-func (s *Stage) crossed() (wire float64, kinds map[string]float64) {
+func (s *Cluster) crossed() (wire float64, kinds map[string]float64) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	kinds = map[string]float64{}
@@ -580,7 +603,7 @@
 // metricOf reads the two metrics of bytes between nodes.
 var metricOf = regexp.MustCompile(`^dunlinloom_peer_(?:bytes_sent|message_bytes)_total\{(kind="(\w+)",)?to="(\w+)"\}$`)
 
-func (s *Stage) total(name string) float64 {
+func (s *Cluster) total(name string) float64 {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	sum := 0.0
--- a/rehearsal/layout.go
+++ b/localfleet/layout.go
@@ -1,6 +1,6 @@
-// Package rehearsal starts a whole fleet of real processes on loopback, plays a
-// scenario of faults on it and hands everything seen to the critic.
-package rehearsal
+// Package localfleet starts a whole fleet of real processes on loopback, plays a
+// scenario of faults on it and hands everything seen to the checker.
+package localfleet
 
 import (
 	"fmt"
@@ -37,10 +37,10 @@
 		d.Zones = append(d.Zones, fmt.Sprintf("z%d", i+1))
 	}
 	for i := range nodes {
-		plan := NodePlan{Program: "proscenium", Zone: d.Zones[i%zones]}
+		plan := NodePlan{Program: programRouter, Zone: d.Zones[i%zones]}
 		// The machines with a disk come first, one a zone, and hold both planes.
 		if i < disks {
-			plan.Program, plan.HasDisk = "playhouse", true
+			plan.Program, plan.HasDisk = programNode, true
 		}
 		d.Nodes = append(d.Nodes, plan)
 	}
--- a/rehearsal/rehearsal_test.go
+++ b/localfleet/localfleet_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package localfleet
 
 import (
 	"context"
@@ -11,21 +11,21 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/critic"
-	"dunlinloom/playbill"
+	"dunlinloom/checker"
+	"dunlinloom/fleetconfig"
 )
 
 // Whether a span was kept depends on how busy this machine is, and is judged by
-// the simulator and by rehearsals run by hand. These rules hold at any speed.
-var atAnySpeed = map[critic.Rule]bool{
-	critic.RunTwice: true, critic.RunAfterNo: true, critic.BodyWrong: true, critic.EndFalse: true,
-	critic.ReceiptLost: true, critic.NoTookEffect: true, critic.RetriesMany: true,
+// the simulator and by local fleet runs run by hand. These rules hold at any speed.
+var atAnySpeed = map[checker.Rule]bool{
+	checker.RunTwice: true, checker.RunAfterNo: true, checker.BodyWrong: true, checker.EndFalse: true,
+	checker.AckLost: true, checker.NoTookEffect: true, checker.RetriesMany: true,
 }
 
-func TestAShortRehearsalOfRealProcesses(t *testing.T) {
+func TestAShortLocalfleetOfRealProcesses(t *testing.T) {
 	c := qt.New(t)
 	bin := t.TempDir()
-	for _, program := range []string{"playhouse", "proscenium", "understudy", "claque"} {
+	for _, program := range []string{"dunlinloom", "emulator", "loadgen"} {
 		build := exec.Command("go", "build", "-tags", "faults", "-o", filepath.Join(bin, program), "dunlinloom/cmd/"+program)
 		out, err := build.CombinedOutput()
 		c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
@@ -37,20 +37,20 @@
 	}}
 	c.Assert(scenario.Check(), qt.IsNil)
 	deployment, _ := DeploymentOf(scenario.Deployment)
-	report, err := Play(context.Background(), NewStage(bin, t.TempDir(), deployment, 0), scenario, t.Logf)
+	report, err := Play(context.Background(), NewCluster(bin, t.TempDir(), deployment, 0), scenario, t.Logf)
 	c.Assert(err, qt.IsNil)
 	c.Assert(report.Problems, qt.HasLen, 0)
-	for _, breach := range report.Review.Breaches {
-		c.Check(atAnySpeed[breach.Rule], qt.IsFalse, qt.Commentf("%s: %s", breach.Rule, breach.Detail))
+	for _, violation := range report.Review.Violations {
+		c.Check(atAnySpeed[violation.Rule], qt.IsFalse, qt.Commentf("%s: %s", violation.Rule, violation.Detail))
 	}
-	c.Assert(report.Review.Outcomes[string(critic.Served)] > 0, qt.IsTrue)
+	c.Assert(report.Review.Outcomes[string(checker.Served)] > 0, qt.IsTrue)
 	c.Assert(report.Orders["spec yes "] > 0, qt.IsTrue, qt.Commentf("%v", report.Orders))
 }
 
 func TestScenariosNameEveryFault(t *testing.T) {
 	c := qt.New(t)
 	bad := Scenario{Deployment: "nowhere", SpanMS: 10, Rate: -1, Hot: 2}
-	var faults *playbill.Faults
+	var faults *fleetconfig.Faults
 	c.Assert(errors.As(bad.Check(), &faults), qt.IsTrue)
 	c.Assert(faults.List, qt.HasLen, 5)
 	bad = Scenario{Name: "x", Deployment: "qurum", SpanMS: 5000, Rate: 1, Steps: []Step{
--- a/rehearsal/play.go
+++ b/localfleet/play.go
@@ -1,4 +1,4 @@
-package rehearsal
+package localfleet
 
 import (
 	"bufio"
@@ -20,21 +20,21 @@
 	"syscall"
 	"time"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/claque"
-	"dunlinloom/critic"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/wings"
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/loadgen"
+	"dunlinloom/relay"
+	"dunlinloom/server"
 )
 
-// Report is what a rehearsal ends with.
+// Report is what a local fleet run ends with.
 type Report struct {
-	Scenario    string        `json:"scenario"`
-	Deployment  string        `json:"deployment"`
-	Seed        uint64        `json:"seed"`
-	Review      critic.Review `json:"review"`
-	ServedShare float64       `json:"served_share"` // of all tries
+	Scenario    string         `json:"scenario"`
+	Deployment  string         `json:"deployment"`
+	Seed        uint64         `json:"seed"`
+	Review      checker.Review `json:"review"`
+	ServedShare float64        `json:"served_share"` // of all tries
 	// CallersServed counts callers that came again after a decline once.
 	CallersServed float64            `json:"callers_served_share"`
 	Counters      map[string]float64 `json:"counters"`
@@ -46,18 +46,18 @@
 
 // Operator sends orders and remembers what was acknowledged.
 type Operator struct {
-	stage  *Stage
-	lock   sync.Mutex
-	random *rand.Rand
-	count  int
-	acked  map[uint64]string // generation to the digest of its spec
-	orders map[string]int
+	cluster *Cluster
+	lock    sync.Mutex
+	random  *rand.Rand
+	count   int
+	acked   map[uint64]string // revision to the digest of its configuration
+	orders  map[string]int
 }
 
-// spec makes the number-th spec of a rehearsal; its bytes differ with the number, and
+// configuration makes the number-th configuration of a local fleet run; its bytes differ with the number, and
 // it leaves one pool out. More bindings than the kinds need make it large.
-func (s *Stage) spec(number, more int) (content []byte, pools []string) {
-	kinds, _ := claque.KindsOf(s.deployment.Name)
+func (s *Cluster) config(number, more int) (content []byte, pools []string) {
+	kinds, _ := loadgen.KindsOf(s.deployment.Name)
 	bindings, shares := []any{}, []any{}
 	for i := range poolCount {
 		if i != number%poolCount {
@@ -80,13 +80,13 @@
 	}
 	content, err := json.Marshal(map[string]any{"bindings": bindings, "zones": zones})
 	if err != nil {
-		panic(StageBreakdown{"encode a spec", err})
+		panic(ClusterError{"encode a spec", err})
 	}
 	return content, pools
 }
 
 func (o *Operator) node() *actor {
-	nodes := o.stage.members()
+	nodes := o.cluster.members()
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	return nodes[o.random.IntN(len(nodes))]
@@ -94,7 +94,7 @@
 
 // order sends one order until it is answered for good, as an operator would: the
 // same id again at another node.
-func (o *Operator) order(ctx context.Context, name, method, path string, body []byte, onSent func(id string), onEnd func(flyloft.SubmitReceipt)) {
+func (o *Operator) order(ctx context.Context, name, method, path string, body []byte, onSent func(id string), onEnd func(control.SubmitReply)) {
 	o.lock.Lock()
 	o.count++
 	id := fmt.Sprintf("%s-%d", name, o.count)
@@ -102,12 +102,12 @@
 	onSent(id)
 	for try := 0; try < 12 && ctx.Err() == nil; try++ {
 		node := o.node()
-		status, _, got, err := do(ctx, method, "http://"+node.public+path, body, map[string]string{wings.HeaderSubmission: id})
-		var receipt flyloft.SubmitReceipt
+		status, _, got, err := do(ctx, method, "http://"+node.public+path, body, map[string]string{server.HeaderSubmission: id})
+		var reply control.SubmitReply
 		if err == nil {
-			err = json.Unmarshal(got, &receipt)
+			err = json.Unmarshal(got, &reply)
 		}
-		isFinal := err == nil && (receipt.Outcome == flyloft.Yes || receipt.Outcome == flyloft.No)
+		isFinal := err == nil && (reply.Outcome == control.Yes || reply.Outcome == control.No)
 		if !isFinal {
 			select {
 			case <-ctx.Done():
@@ -116,10 +116,10 @@
 			continue
 		}
 		o.lock.Lock()
-		o.orders[name+" "+string(receipt.Outcome)+" "+receipt.Reason]++
+		o.orders[name+" "+string(reply.Outcome)+" "+reply.Reason]++
 		o.lock.Unlock()
 		_ = status
-		onEnd(receipt)
+		onEnd(reply)
 		return
 	}
 	o.lock.Lock()
@@ -127,38 +127,38 @@
 	o.lock.Unlock()
 }
 
-func (o *Operator) putSpec(ctx context.Context, number int, base string) {
+func (o *Operator) putConfig(ctx context.Context, number int, base string) {
 	o.putLarge(ctx, number, 0, base)
 }
 
-// putLarge puts a spec with so many bindings more than the kinds need.
+// putLarge puts a configuration with so many bindings more than the kinds need.
 func (o *Operator) putLarge(ctx context.Context, number, more int, base string) (isYes bool) {
-	spec, pools := o.stage.spec(number, more)
+	config, pools := o.cluster.config(number, more)
 	path := "/v1/spec"
 	if base != "" {
 		path += "?base=" + url.QueryEscape(base)
 	}
-	o.order(ctx, "spec", http.MethodPut, path, spec,
+	o.order(ctx, "spec", http.MethodPut, path, config,
 		func(id string) {
-			o.stage.take(critic.Event{At: now(), What: critic.SpecSent, ID: id, Digest: digest(spec), Pools: pools})
+			o.cluster.take(checker.Event{At: now(), What: checker.ConfigSent, ID: id, Digest: digest(config), Pools: pools})
 		},
-		func(receipt flyloft.SubmitReceipt) {
-			isYes = receipt.Outcome == flyloft.Yes
-			event := critic.Event{At: now(), What: critic.SpecYes, ID: receipt.ID, Generation: receipt.Generation, Digest: digest(spec)}
-			if receipt.Outcome == flyloft.No {
-				event.What, event.Reason = critic.SpecNo, receipt.Reason
+		func(reply control.SubmitReply) {
+			isYes = reply.Outcome == control.Yes
+			event := checker.Event{At: now(), What: checker.ConfigYes, ID: reply.ID, Revision: reply.Revision, Digest: digest(config)}
+			if reply.Outcome == control.No {
+				event.What, event.Reason = checker.ConfigNo, reply.Reason
 			} else {
 				o.lock.Lock()
-				o.acked[receipt.Generation] = digest(spec)
+				o.acked[reply.Revision] = digest(config)
 				o.lock.Unlock()
 			}
-			o.stage.take(event)
+			o.cluster.take(event)
 		})
 	return isYes
 }
 
-// digest stands for a spec in the events, where megabytes would only be in the way.
-func digest(spec []byte) string { return fmt.Sprintf("%x", sha256.Sum256(spec)) }
+// digest stands for a configuration in the events, where megabytes would only be in the way.
+func digest(config []byte) string { return fmt.Sprintf("%x", sha256.Sum256(config)) }
 
 func (o *Operator) zone(ctx context.Context, zone string, isEmpty bool) {
 	method, name := http.MethodPut, "empty"
@@ -169,48 +169,48 @@
 		func(string) {
 			// From the moment a refill is asked for, requests may go there again.
 			if !isEmpty {
-				o.stage.take(critic.Event{At: now(), What: critic.ZoneRefilling, Zone: zone})
+				o.cluster.take(checker.Event{At: now(), What: checker.ZoneRefilling, Zone: zone})
 			}
 		},
-		func(receipt flyloft.SubmitReceipt) {
+		func(reply control.SubmitReply) {
 			if !isEmpty {
-				o.stage.take(critic.Event{At: now(), What: critic.ZoneRefilled, Zone: zone, Generation: receipt.Generation})
+				o.cluster.take(checker.Event{At: now(), What: checker.ZoneRefilled, Zone: zone, Revision: reply.Revision})
 			}
-			if isEmpty && receipt.Outcome == flyloft.Yes {
-				o.stage.take(critic.Event{At: now(), What: critic.ZoneEmptied, Zone: zone, Generation: receipt.Generation})
+			if isEmpty && reply.Outcome == control.Yes {
+				o.cluster.take(checker.Event{At: now(), What: checker.ZoneEmptied, Zone: zone, Revision: reply.Revision})
 			}
 		})
 }
 
-// readBack reads every acknowledged spec under its generation.
+// readBack reads every acknowledged configuration under its revision.
 func (o *Operator) readBack(ctx context.Context) {
 	o.lock.Lock()
 	acked := map[uint64]string{}
-	for generation, digest := range o.acked {
-		acked[generation] = digest
+	for revision, digest := range o.acked {
+		acked[revision] = digest
 	}
 	o.lock.Unlock()
-	// The whole history too, or a declined spec that took effect would not be seen.
+	// The whole history too, or a rejected configuration that took effect would not be seen.
 	if status, _, got, err := do(ctx, http.MethodGet, "http://"+o.node().public+"/v1/spec/history", nil, nil); err == nil && status == http.StatusOK {
 		var history struct {
-			Generations []uint64 `json:"generations"`
+			Revisions []uint64 `json:"generations"`
 		}
 		if err := json.Unmarshal(got, &history); err != nil {
-			o.stage.problem("the history can't be read: %v", err)
+			o.cluster.problem("the history can't be read: %v", err)
 		}
-		for _, generation := range history.Generations {
-			acked[generation] = ""
+		for _, revision := range history.Revisions {
+			acked[revision] = ""
 		}
 	} else {
-		o.stage.problem("the history can't be read: status %d, %v", status, err)
+		o.cluster.problem("the history can't be read: status %d, %v", status, err)
 	}
-	for generation := range acked {
+	for revision := range acked {
 		isRead := false
 		for try := 0; try < 40 && !isRead && ctx.Err() == nil; try++ {
-			status, headers, got, err := do(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/spec?generation=%d", o.node().public, generation), nil, nil)
-			if err == nil && status == http.StatusOK && headers.Get(auditorium.HeaderGeneration) == strconv.FormatUint(generation, 10) {
+			status, headers, got, err := do(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/spec?generation=%d", o.node().public, revision), nil, nil)
+			if err == nil && status == http.StatusOK && headers.Get(relay.HeaderRevision) == strconv.FormatUint(revision, 10) {
 				isRead = true
-				o.stage.take(critic.Event{At: now(), What: critic.SpecRead, Generation: generation, Digest: digest(got)})
+				o.cluster.take(checker.Event{At: now(), What: checker.ConfigRead, Revision: revision, Digest: digest(got)})
 				continue
 			}
 			select {
@@ -218,124 +218,124 @@
 			case <-time.After(250 * time.Millisecond):
 			}
 		}
-		// A spec that can't be read at all is as lost as a wrong one.
+		// A configuration that can't be read at all is as lost as a wrong one.
 		if !isRead {
-			o.stage.take(critic.Event{At: now(), What: critic.SpecRead, Generation: generation, Digest: "(unreadable)"})
+			o.cluster.take(checker.Event{At: now(), What: checker.ConfigRead, Revision: revision, Digest: "(unreadable)"})
 		}
 	}
 }
 
-// readNow reads the spec in force and the emptied zones at every node that serves.
+// readNow reads the configuration in force and the emptied zones at every node that serves.
 func (o *Operator) readNow(ctx context.Context) {
-	for _, node := range o.stage.members() {
+	for _, node := range o.cluster.members() {
 		if status, _, _, err := do(ctx, http.MethodGet, "http://"+node.public+"/readyz", nil, nil); err != nil || status != http.StatusOK {
 			continue
 		}
 		status, _, got, err := do(ctx, http.MethodGet, "http://"+node.public+"/v1/fleet", nil, nil)
-		var view wings.FleetView
+		var view server.FleetView
 		if err == nil && status == http.StatusOK {
 			err = json.Unmarshal(got, &view)
 		}
 		if err != nil || status != http.StatusOK {
-			o.stage.problem("the fleet can't be read at %s: status %d, %v", node.name, status, err)
+			o.cluster.problem("the fleet can't be read at %s: status %d, %v", node.name, status, err)
 			continue
 		}
-		o.stage.take(critic.Event{At: now(), What: critic.SpecCurrent, Node: node.public, Generation: view.SpecGeneration})
-		o.stage.take(critic.Event{At: now(), What: critic.ZonesRead, Node: node.public, Zones: slices.Sorted(maps.Keys(view.Evacuated))})
+		o.cluster.take(checker.Event{At: now(), What: checker.ConfigCurrent, Node: node.public, Revision: view.ConfigRevision})
+		o.cluster.take(checker.Event{At: now(), What: checker.ZonesRead, Node: node.public, Zones: slices.Sorted(maps.Keys(view.Drained))})
 	}
 }
 
 // Play runs a scenario and judges it.
-func Play(ctx context.Context, stage *Stage, scenario *Scenario, say func(string, ...any)) (*Report, error) {
-	defer stage.Close()
+func Play(ctx context.Context, cluster *Cluster, scenario *Scenario, say func(string, ...any)) (*Report, error) {
+	defer cluster.Close()
 	if scenario.needsCuts() {
-		if err := stage.canCut(); err != nil {
+		if err := cluster.canCut(); err != nil {
 			return nil, err
 		}
 	}
-	say("opening %s: %d nodes, %d engines", stage.deployment.Name, len(stage.nodes), len(stage.engines))
-	if err := stage.Open(ctx); err != nil {
+	say("opening %s: %d nodes, %d engines", cluster.deployment.Name, len(cluster.nodes), len(cluster.engines))
+	if err := cluster.Open(ctx); err != nil {
 		return nil, err
 	}
-	operator := &Operator{stage: stage, random: rand.New(rand.NewPCG(scenario.Seed, 7)), acked: map[uint64]string{}, orders: map[string]int{}}
-	operator.putSpec(ctx, 0, "")
+	operator := &Operator{cluster: cluster, random: rand.New(rand.NewPCG(scenario.Seed, 7)), acked: map[uint64]string{}, orders: map[string]int{}}
+	operator.putConfig(ctx, 0, "")
 	opening, cancel := context.WithTimeout(ctx, 60*time.Second)
-	err := stage.Ready(opening)
+	err := cluster.Ready(opening)
 	cancel()
 	if err != nil {
 		return nil, err
 	}
 	say("every router is ready")
 
-	span := house.Micros(scenario.SpanMS) * house.Millisecond
-	scene, end := context.WithCancel(ctx)
+	span := kernel.Micros(scenario.SpanMS) * kernel.Millisecond
+	routingTable, end := context.WithCancel(ctx)
 	defer end()
 	var workers sync.WaitGroup
 	workers.Go(func() {
-		for scene.Err() == nil {
-			stage.scrape(scene)
+		for routingTable.Err() == nil {
+			cluster.scrape(routingTable)
 			select {
-			case <-scene.Done():
+			case <-routingTable.Done():
 			case <-time.After(500 * time.Millisecond):
 			}
 		}
 	})
-	callsLog := filepath.Join(stage.folder, "calls.jsonl")
-	callers, err := stage.startClaque(scenario, callsLog, "c", scenario.Rate, scenario.Hot, scenario.SpanMS)
+	callsLog := filepath.Join(cluster.folder, "calls.jsonl")
+	callers, err := cluster.startLoadgen(scenario, callsLog, "c", scenario.Rate, scenario.Hot, scenario.SpanMS)
 	if err != nil {
 		return nil, err
 	}
-	stage.act(scene, scenario, operator, say)
+	cluster.act(routingTable, scenario, operator, say)
 	// Callers end by themselves: the span, and then their patience with open streams.
 	select {
 	case <-callers.ended:
 	case <-time.After(span.Duration() + 60*time.Second):
-		stage.problem("the callers did not come to an end")
+		cluster.problem("the callers did not come to an end")
 		callers.halt()
 	}
 	say("the callers are done")
 	operator.readBack(ctx)
 	operator.readNow(ctx)
-	stage.scrape(ctx)
+	cluster.scrape(ctx)
 	end()
 	workers.Wait()
-	report, err := stage.report(scenario, operator, callsLog)
+	report, err := cluster.report(scenario, operator, callsLog)
 	return report, err
 }
 
-func (s *Stage) startClaque(scenario *Scenario, log, name string, rate, hot float64, spanMS int64) (*actor, error) {
+func (s *Cluster) startLoadgen(scenario *Scenario, log, name string, rate, hot float64, spanMS int64) (*actor, error) {
 	words := []string{"--kinds", scenario.Deployment, "--rate", fmt.Sprint(rate), "--span-us", fmt.Sprint(spanMS * 1000), "--prefix", name,
 		"--seed", fmt.Sprint(scenario.Seed), "--hot", fmt.Sprint(hot), "--log", log, "--nodes-file", s.nodesFile()}
 	if err := s.tellNodes(); err != nil {
 		return nil, err
 	}
-	callers := &actor{name: "claque-" + name, program: "claque", words: words}
+	callers := &actor{name: "loadgen-" + name, program: "loadgen", words: words}
 	return callers, s.start(callers)
 }
 
-func (s *Stage) nodesFile() string { return filepath.Join(s.folder, "nodes.json") }
+func (s *Cluster) nodesFile() string { return filepath.Join(s.folder, "nodes.json") }
 
 // tellNodes writes down which nodes there are, for the callers' side of the platform.
-func (s *Stage) tellNodes() error {
-	nodes := []claque.Node{}
+func (s *Cluster) tellNodes() error {
+	nodes := []loadgen.Node{}
 	for _, node := range s.members() {
-		nodes = append(nodes, claque.Node{Address: node.public, Zone: node.zone})
+		nodes = append(nodes, loadgen.Node{Address: node.public, Zone: node.zone})
 	}
 	content, err := json.Marshal(nodes)
 	if err != nil {
-		return StageBreakdown{"encode the nodes", err}
+		return ClusterError{"encode the nodes", err}
 	}
 	if err := os.WriteFile(s.nodesFile()+".new", content, 0o644); err != nil {
-		return StageBreakdown{"write the nodes", err}
+		return ClusterError{"write the nodes", err}
 	}
 	if err := os.Rename(s.nodesFile()+".new", s.nodesFile()); err != nil {
-		return StageBreakdown{"write the nodes", err}
+		return ClusterError{"write the nodes", err}
 	}
 	return nil
 }
 
 // act does the scenario's steps, each at its moment.
-func (s *Stage) act(ctx context.Context, scenario *Scenario, operator *Operator, say func(string, ...any)) {
+func (s *Cluster) act(ctx context.Context, scenario *Scenario, operator *Operator, say func(string, ...any)) {
 	begun := time.Now()
 	var steps sync.WaitGroup
 	defer steps.Wait()
@@ -357,7 +357,7 @@
 	}
 }
 
-func (s *Stage) cutFor(ctx context.Context, ms int64, ways int, chosen, others []*actor) error {
+func (s *Cluster) cutFor(ctx context.Context, ms int64, ways int, chosen, others []*actor) error {
 	if err := s.cut(chosen, others, ways, 1); err != nil {
 		return err
 	}
@@ -366,25 +366,25 @@
 }
 
 // during has something fail on purpose for a while.
-func (s *Stage) during(ctx context.Context, ms int64, begin, end func()) error {
-	if err := s.mishap(begin); err != nil {
+func (s *Cluster) during(ctx context.Context, ms int64, begin, end func()) error {
+	if err := s.fault(begin); err != nil {
 		return err
 	}
 	pause(ctx, ms)
-	return s.mishap(end)
+	return s.fault(end)
 }
 
-func (s *Stage) diskFails(ctx context.Context, node *actor, ms int64, how wings.DiskMishap) error {
+func (s *Cluster) diskFails(ctx context.Context, node *actor, ms int64, how server.DiskFault) error {
 	return s.during(ctx, ms, func() { s.disks[node.peer] = how }, func() { delete(s.disks, node.peer) })
 }
 
 // core gives the nodes that have a data folder.
-func (s *Stage) core() []*actor {
+func (s *Cluster) core() []*actor {
 	return slices.DeleteFunc(s.members(), func(node *actor) bool { return node.data == "" })
 }
 
-// takePlace replaces a node and, of a prompter, waits until the core is whole again.
-func (s *Stage) takePlace(ctx context.Context, node *actor, ms int64) error {
+// takePlace replaces a node and, of a controller, waits until the core is whole again.
+func (s *Cluster) takePlace(ctx context.Context, node *actor, ms int64) error {
 	s.took(node)
 	fresh := s.replace(node)
 	if err := s.tellNodes(); err != nil {
@@ -397,41 +397,41 @@
 	// The next one may go once the core is whole without this one.
 	for begun := time.Now(); node.data != "" && !s.isDropped(ctx, node.peer); pause(ctx, 200) {
 		if time.Since(begun) > 40*time.Second || ctx.Err() != nil {
-			return StageBreakdown{"replace " + node.name, StageMissing{fresh.peer}}
+			return ClusterError{"replace " + node.name, ClusterMissing{fresh.peer}}
 		}
 	}
 	return nil
 }
 
 // repair starts every process and lifts every fault.
-func (s *Stage) repair(ctx context.Context) error {
+func (s *Cluster) repair(ctx context.Context) error {
 	for _, a := range append(s.members(), s.engines...) {
 		a.signal(syscall.SIGCONT)
 		if err := s.raise(a); err != nil {
 			return err
 		}
 	}
-	repaired := critic.Event{At: now(), What: critic.Repaired}
+	repaired := checker.Event{At: now(), What: checker.Repaired}
 	for _, node := range s.members() {
 		repaired.Roster = append(repaired.Roster, node.public)
 	}
-	kinds, _ := claque.KindsOf(s.deployment.Name)
+	kinds, _ := loadgen.KindsOf(s.deployment.Name)
 	for _, kind := range kinds {
 		repaired.Kinds = append(repaired.Kinds, kind.Name)
 	}
 	s.take(repaired)
-	return s.mishap(func() {
-		s.cuts, s.lossy, s.disks = map[string]int{}, wings.WayMishap{}, map[string]wings.DiskMishap{}
+	return s.fault(func() {
+		s.cuts, s.lossy, s.disks = map[string]int{}, server.LinkFault{}, map[string]server.DiskFault{}
 	})
 }
 
 // took notes that a fault takes an actor.
-func (s *Stage) took(a *actor) {
+func (s *Cluster) took(a *actor) {
 	if a.peer == "" {
-		s.take(critic.Event{At: now(), What: critic.EngineFailed, Engine: a.name})
+		s.take(checker.Event{At: now(), What: checker.EngineFailed, Engine: a.name})
 		return
 	}
-	s.take(critic.Event{At: now(), What: critic.NodeKilled, Node: a.public})
+	s.take(checker.Event{At: now(), What: checker.NodeKilled, Node: a.public})
 }
 
 func pause(ctx context.Context, ms int64) {
@@ -442,7 +442,7 @@
 }
 
 // again starts actors anew after a while; zero means never.
-func (s *Stage) again(ctx context.Context, ms int64, actors ...*actor) error {
+func (s *Cluster) again(ctx context.Context, ms int64, actors ...*actor) error {
 	if ms == 0 {
 		return nil
 	}
@@ -456,29 +456,29 @@
 }
 
 // raise starts an actor that does not run, and has the platform list an engine.
-func (s *Stage) raise(a *actor) error {
+func (s *Cluster) raise(a *actor) error {
 	if err := s.start(a); err != nil {
 		return err
 	}
 	if a.start == 0 {
 		return nil
 	}
-	s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: a.name})
+	s.take(checker.Event{At: now(), What: checker.EngineMended, Engine: a.name})
 	return s.list(a, "serving")
 }
 
-func (s *Stage) step(ctx context.Context, step Step, number int, operator *Operator) error {
+func (s *Cluster) step(ctx context.Context, step Step, number int, operator *Operator) error {
 	var index int
 	if n, err := fmt.Sscanf(step.Target, "engine:%d", &index); n == 1 && err == nil {
 		return s.stepEngine(ctx, step, s.engines[index])
 	}
 	switch step.Do {
 	case "spec":
-		operator.putSpec(ctx, number, "")
+		operator.putConfig(ctx, number, "")
 		return nil
 	case "storm":
 		for i := range max(step.Count, 1) {
-			operator.putSpec(ctx, number+i, "")
+			operator.putConfig(ctx, number+i, "")
 		}
 		return nil
 	case "clash":
@@ -496,7 +496,7 @@
 		}
 		// An order is part of what has to work again.
 		pause(ctx, 12_500)
-		operator.putSpec(ctx, number, "")
+		operator.putConfig(ctx, number, "")
 		return nil
 	case "cut-zone":
 		chosen := slices.DeleteFunc(s.members(), func(node *actor) bool { return node.zone != step.Target })
@@ -505,8 +505,8 @@
 		core := s.core()
 		return s.cutFor(ctx, step.ForMS, wayOut|wayIn, core[:len(core)/2], core[len(core)/2:])
 	case "lossy":
-		return s.during(ctx, step.ForMS, func() { s.lossy = wings.WayMishap{Loss: 0.2, Double: 0.1, DelayUS: 50_000} },
-			func() { s.lossy = wings.WayMishap{} })
+		return s.during(ctx, step.ForMS, func() { s.lossy = server.LinkFault{Loss: 0.2, Double: 0.1, DelayUS: 50_000} },
+			func() { s.lossy = server.LinkFault{} })
 	case "swap-core":
 		for _, node := range s.core() {
 			if err := s.takePlace(ctx, node, 500); err != nil {
@@ -538,14 +538,14 @@
 			hot = 0.9
 		}
 		name := fmt.Sprintf("crowd%d", step.AtMS)
-		crowd, err := s.startClaque(&Scenario{Deployment: s.deployment.Name, Seed: uint64(step.AtMS)}, filepath.Join(s.folder, "calls-"+name+".jsonl"), name, float64(step.Count), hot, step.ForMS)
+		overload, err := s.startLoadgen(&Scenario{Deployment: s.deployment.Name, Seed: uint64(step.AtMS)}, filepath.Join(s.folder, "calls-"+name+".jsonl"), name, float64(step.Count), hot, step.ForMS)
 		if err != nil {
 			return err
 		}
 		select {
-		case <-crowd.ended:
+		case <-overload.ended:
 		case <-ctx.Done():
-			crowd.halt()
+			overload.halt()
 		}
 		return nil
 	case "large-spec":
@@ -580,13 +580,13 @@
 	case "cut-in":
 		return s.cutFor(ctx, step.ForMS, wayIn, []*actor{node}, s.members())
 	case "disk-slow":
-		return s.diskFails(ctx, node, step.ForMS, wings.DiskMishap{SlowUS: int64(step.Count) * 1000})
+		return s.diskFails(ctx, node, step.ForMS, server.DiskFault{SlowUS: int64(step.Count) * 1000})
 	case "disk-stall":
-		return s.diskFails(ctx, node, step.ForMS, wings.DiskMishap{IsStalled: true})
+		return s.diskFails(ctx, node, step.ForMS, server.DiskFault{IsStalled: true})
 	case "disk-full":
-		return s.diskFails(ctx, node, step.ForMS, wings.DiskMishap{IsFull: true})
+		return s.diskFails(ctx, node, step.ForMS, server.DiskFault{IsFull: true})
 	case "power-at-yes":
-		operator.putSpec(ctx, number, "")
+		operator.putConfig(ctx, number, "")
 		fallthrough
 	case "power":
 		s.took(node)
@@ -605,7 +605,7 @@
 		node.halt()
 		if node.data != "" {
 			if err := os.RemoveAll(node.data); err != nil {
-				return StageBreakdown{"wipe", err}
+				return ClusterError{"wipe", err}
 			}
 		}
 		return s.again(ctx, step.ForMS, node)
@@ -615,7 +615,7 @@
 		node.signal(syscall.SIGCONT)
 		return nil
 	case "stop-short":
-		s.take(critic.Event{At: now(), What: critic.NodeStopping, Node: node.public})
+		s.take(checker.Event{At: now(), What: checker.NodeStopping, Node: node.public})
 		node.signal(syscall.SIGTERM)
 		pause(ctx, int64(step.Count))
 		// What is torn from here on is the kill's, and nobody's who promised to drain.
@@ -626,7 +626,7 @@
 		node.lock.Lock()
 		ended := node.ended
 		node.lock.Unlock()
-		s.take(critic.Event{At: now(), What: critic.NodeStopping, Node: node.public})
+		s.take(checker.Event{At: now(), What: checker.NodeStopping, Node: node.public})
 		node.signal(syscall.SIGTERM)
 		select {
 		case <-ended:
@@ -634,18 +634,18 @@
 			s.problem("%s did not stop", node.name)
 			node.halt()
 		}
-		s.take(critic.Event{At: now(), What: critic.NodeStopped, Node: node.public})
+		s.take(checker.Event{At: now(), What: checker.NodeStopped, Node: node.public})
 		return s.again(ctx, step.ForMS, node)
 	}
-	return StageBreakdown{"step", StageMissing{step.Do}}
+	return ClusterError{"step", ClusterMissing{step.Do}}
 }
 
-func (s *Stage) stepEngine(ctx context.Context, step Step, engine *actor) error {
+func (s *Cluster) stepEngine(ctx context.Context, step Step, engine *actor) error {
 	faults := func(content string) error {
 		_, _, _, err := do(ctx, http.MethodPut, "http://"+engine.public+"/control/faults", []byte(content), nil)
 		return err
 	}
-	failed := func() { s.take(critic.Event{At: now(), What: critic.EngineFailed, Engine: engine.name}) }
+	failed := func() { s.take(checker.Event{At: now(), What: checker.EngineFailed, Engine: engine.name}) }
 	switch step.Do {
 	case "engine-kill":
 		failed()
@@ -663,7 +663,7 @@
 		engine.signal(syscall.SIGSTOP)
 		pause(ctx, step.ForMS)
 		engine.signal(syscall.SIGCONT)
-		s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: engine.name})
+		s.take(checker.Event{At: now(), What: checker.EngineMended, Engine: engine.name})
 		return nil
 	case "engine-dark":
 		failed()
@@ -671,7 +671,7 @@
 			return err
 		}
 		pause(ctx, step.ForMS)
-		s.take(critic.Event{At: now(), What: critic.EngineMended, Engine: engine.name})
+		s.take(checker.Event{At: now(), What: checker.EngineMended, Engine: engine.name})
 		return faults(`{}`)
 	case "engine-break":
 		failed()
@@ -683,7 +683,7 @@
 			return err
 		}
 		// Some node learns of it with the next report, which is half a second late.
-		s.take(critic.Event{At: now() + 1500*house.Millisecond, What: critic.EngineLeaving, Engine: engine.name, Start: engine.start})
+		s.take(checker.Event{At: now() + 1500*kernel.Millisecond, What: checker.EngineLeaving, Engine: engine.name, Start: engine.start})
 		pause(ctx, 6000)
 		failed()
 		engine.halt()
@@ -697,67 +697,67 @@
 			return err
 		}
 		if status != http.StatusOK {
-			return StageBreakdown{"mark " + engine.name, StageMissing{string(body)}}
+			return ClusterError{"mark " + engine.name, ClusterMissing{string(body)}}
 		}
-		s.take(critic.Event{At: marked, What: critic.EngineLeaving, Engine: engine.name, Start: engine.start})
+		s.take(checker.Event{At: marked, What: checker.EngineLeaving, Engine: engine.name, Start: engine.start})
 		pause(ctx, 5000)
 		failed()
 		engine.halt()
 		return s.again(ctx, max(step.ForMS, 500), engine)
 	}
-	return StageBreakdown{"step", StageMissing{step.Do}}
+	return ClusterError{"step", ClusterMissing{step.Do}}
 }
 
-func (s *Stage) listLag(ctx context.Context, us int64) error {
+func (s *Cluster) listLag(ctx context.Context, us int64) error {
 	_, _, _, err := do(ctx, http.MethodPut, "http://"+s.platform.public+"/control/lag", []byte(fmt.Sprint(us)), nil)
 	return err
 }
 
-// clash puts two specs on one base; at most one may get a yes.
+// clash puts two configurations on one base; at most one may get a yes.
 func (o *Operator) clash(ctx context.Context, number int) error {
-	view, err := o.stage.Fleet(ctx)
+	view, err := o.cluster.Fleet(ctx)
 	if err != nil {
 		return err
 	}
-	base := strconv.FormatUint(view.SpecGeneration, 10)
+	base := strconv.FormatUint(view.ConfigRevision, 10)
 	var both sync.WaitGroup
-	both.Go(func() { o.putSpec(ctx, number, base) })
-	both.Go(func() { o.putSpec(ctx, number+1, base) })
+	both.Go(func() { o.putConfig(ctx, number, base) })
+	both.Go(func() { o.putConfig(ctx, number+1, base) })
 	both.Wait()
 	return nil
 }
 
-func readEvents(path string) ([]critic.Event, error) {
+func readEvents(path string) ([]checker.Event, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, StageBreakdown{"read events", err}
+		return nil, ClusterError{"read events", err}
 	}
 	defer file.Close()
-	events := []critic.Event{}
+	events := []checker.Event{}
 	lines := bufio.NewScanner(file)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
-		var event critic.Event
+		var event checker.Event
 		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
-			return nil, StageBreakdown{"read " + path, err}
+			return nil, ClusterError{"read " + path, err}
 		}
 		events = append(events, event)
 	}
 	if err := lines.Err(); err != nil {
-		return nil, StageBreakdown{"read " + path, err}
+		return nil, ClusterError{"read " + path, err}
 	}
 	return events, nil
 }
 
-func (s *Stage) report(scenario *Scenario, operator *Operator, callsLog string) (*Report, error) {
+func (s *Cluster) report(scenario *Scenario, operator *Operator, callsLog string) (*Report, error) {
 	paths, err := filepath.Glob(filepath.Join(s.folder, "engine-*.jsonl"))
-	crowds, crowdErr := filepath.Glob(filepath.Join(s.folder, "calls-*.jsonl"))
-	if err := errors.Join(err, crowdErr); err != nil {
-		return nil, StageBreakdown{"list events", err}
+	crowds, overloadErr := filepath.Glob(filepath.Join(s.folder, "calls-*.jsonl"))
+	if err := errors.Join(err, overloadErr); err != nil {
+		return nil, ClusterError{"list events", err}
 	}
 	paths = append(paths, crowds...)
 	s.lock.Lock()
-	events := append([]critic.Event(nil), s.events...)
+	events := append([]checker.Event(nil), s.events...)
 	s.lock.Unlock()
 	for _, path := range append(paths, callsLog) {
 		more, err := readEvents(path)
@@ -773,18 +773,18 @@
 	}
 	report.Counters["owners_longest_us"] = s.most("dunlinloom_owners_longest_us")
 	report.Counters["peer_bytes_between_zones"], report.Crossing = s.crossed()
-	events = append(events, critic.Event{At: now(), What: critic.Totals,
+	events = append(events, checker.Event{At: now(), What: checker.Totals,
 		First: uint64(report.Counters["rounds_first_total"]), Retries: uint64(report.Counters["retries_total"])})
-	report.Review = critic.Judge(events, critic.BriefBounds())
+	report.Review = checker.Judge(events, checker.BriefBounds())
 	if report.Review.Calls > 0 {
-		report.ServedShare = float64(report.Review.Outcomes[string(critic.Served)]) / float64(report.Review.Calls)
+		report.ServedShare = float64(report.Review.Outcomes[string(checker.Served)]) / float64(report.Review.Calls)
 	}
 	callers, served := map[string]bool{}, map[string]bool{}
 	for _, event := range events {
-		if event.What == critic.CallEnded {
+		if event.What == checker.CallEnded {
 			caller, _, _ := strings.Cut(event.Tag, "/")
 			callers[caller] = true
-			if event.Outcome == critic.Served {
+			if event.Outcome == checker.Served {
 				served[caller] = true
 			}
 		}
--- a/rehearsal/scenario.go
+++ b/localfleet/scenario.go
@@ -1,4 +1,4 @@
-package rehearsal
+package localfleet
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"slices"
 	"strings"
 
-	"dunlinloom/playbill"
+	"dunlinloom/fleetconfig"
 )
 
 // Step is one thing done to the fleet at a moment.
@@ -42,22 +42,22 @@
 	"cut":           "node",   // cut it off from all other nodes for for_ms; needs programs built with -tags faults
 	"cut-out":       "node",   // nothing gets out of it to other nodes for for_ms; the same
 	"cut-in":        "node",   // nothing gets to it from other nodes for for_ms; the same
-	"split-core":    "",       // the first half of the prompters is cut off from the second for for_ms; the same
+	"split-core":    "",       // the first half of the controllers is cut off from the second for for_ms; the same
 	"lossy":         "",       // all messages between nodes are lost, doubled and late at times, for for_ms; the same
 	"disk-slow":     "node",   // each write of its data folder takes count ms longer for for_ms; the same
 	"disk-stall":    "node",   // no write of its data folder ends for for_ms; the same
 	"disk-full":     "node",   // every write of its data folder fails for for_ms; the same
 	"power":         "node",   // kill it, lose what was not synced, start it again after for_ms; the same
-	"power-at-yes":  "node",   // put a spec and cut the node's power at the moment of its yes; the same
+	"power-at-yes":  "node",   // put a configuration and cut the node's power at the moment of its yes; the same
 	"replace":       "node",   // kill it for good; an empty machine at a new address starts after for_ms
-	"swap-core":     "",       // replace every prompter, each once the last replacement votes
+	"swap-core":     "",       // replace every controller, each once the last replacement votes
 	"cut-zone":      "zone",   // cut a zone's nodes off from all others for for_ms; the same
-	"kill-core":     "",       // SIGKILL to every prompter at once, started again after for_ms
+	"kill-core":     "",       // SIGKILL to every controller at once, started again after for_ms
 	"kill-all":      "",       // SIGKILL to every node at once, started again after for_ms
 	"kill-zone":     "zone",   // SIGKILL to all of a zone, engines too, started again after for_ms
-	"spec":          "",       // put the next spec at some node
-	"clash":         "",       // put two specs on the same base at once
-	"storm":         "",       // put count specs in a row
+	"spec":          "",       // put the next configuration at some node
+	"clash":         "",       // put two configurations on the same base at once
+	"storm":         "",       // put count configurations in a row
 	"empty":         "zone",   // empty a zone, and refill it after for_ms (0: never)
 	"engine-kill":   "engine", // SIGKILL, started again after for_ms as a new start
 	"engine-leave":  "engine", // mark it leaving at one node, kill it 5 s later, start a new one
@@ -65,18 +65,18 @@
 	"engine-dark":   "engine", // it takes channels and says nothing for for_ms
 	"engine-break":  "engine", // tears its next stream
 	"engine-freeze": "engine", // SIGSTOP for for_ms
-	"not-run":       "engine", // declines its next count requests
+	"not-run":       "engine", // rejects its next count requests
 	"engine-gone":   "engine", // SIGKILL and off the platform's list, back after for_ms (0: never)
 	"roll":          "",       // engine-retire for every engine, one each for_ms
 	"list-lag":      "",       // the platform's list is count ms late for for_ms
 	"crowd":         "",       // count more requests a second for for_ms
 	"hot-crowd":     "",       // the same, nearly all on one prefix of each kind
-	"large-spec":    "",       // put a spec of count bindings
+	"large-spec":    "",       // put a configuration of count bindings
 	"repaired":      "",       // every process is started, every fault lifted; from here on the fleet has to recover
 }
 
 // mostCounts are the verbs that can't do without a count.
-var mostCounts = map[string]int{"stop-short": 60_000, "disk-slow": 5000, "list-lag": 120_000, "crowd": 500, "hot-crowd": 500, "large-spec": playbill.MaxBindings}
+var mostCounts = map[string]int{"stop-short": 60_000, "disk-slow": 5000, "list-lag": 120_000, "crowd": 500, "hot-crowd": 500, "large-spec": fleetconfig.MaxBindings}
 
 // lastingVerbs are those that would do nothing, or never end, without a span.
 var lastingVerbs = map[string]bool{
@@ -97,7 +97,7 @@
 		return nil, fmt.Errorf("read the scenario %s: %w", path, err)
 	}
 	if _, err := decoder.Token(); err != io.EOF {
-		return nil, fmt.Errorf("read the scenario %s: %w", path, &playbill.Faults{List: []playbill.Fault{{Path: "$", Why: "there is more after the JSON value"}}})
+		return nil, fmt.Errorf("read the scenario %s: %w", path, &fleetconfig.Faults{List: []fleetconfig.Fault{{Path: "$", Why: "there is more after the JSON value"}}})
 	}
 	return scenario, scenario.Check()
 }
@@ -112,7 +112,7 @@
 
 // Check names every fault of a scenario at once.
 func (s *Scenario) Check() error {
-	faults := &playbill.Faults{}
+	faults := &fleetconfig.Faults{}
 	deployment, isKnown := DeploymentOf(s.Deployment)
 	if !isKnown {
 		faults.Add("deployment", "%q is not qurum or cronometro", s.Deployment)
--- a/auditorium/desk.go
+++ b/relay/dispatcher.go
@@ -1,4 +1,4 @@
-package auditorium
+package relay
 
 import (
 	"fmt"
@@ -11,8 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // RunState says whether an engine may have started on a request.
@@ -25,15 +25,15 @@
 )
 
 // Decline is the final answer to a request that is not served.
-type Decline struct {
+type Rejection struct {
 	Reason     string // a word for programs
 	Detail     string // a sentence for people
 	Status     int
 	Run        RunState
-	RetryAfter house.Micros // when to come back; zero: no use
+	RetryAfter kernel.Micros // when to come back; zero: no use
 }
 
-func (d *Decline) Error() string { return fmt.Sprintf("%s: %s (%s)", d.Reason, d.Detail, d.Run) }
+func (d *Rejection) Error() string { return fmt.Sprintf("%s: %s (%s)", d.Reason, d.Detail, d.Run) }
 
 // Engine is what the data plane needs to know of one engine.
 type Engine struct {
@@ -43,21 +43,21 @@
 	IsUnlisted              bool
 	IsDark                  bool
 	HasReport               bool
-	Burden                  int64
-	AsOf                    house.Micros
-	StartedAt               house.Micros
+	Load                    int64
+	AsOf                    kernel.Micros
+	StartedAt               kernel.Micros
 	IsStartKnown            bool
 }
 
 // Scene is all that the control plane has told this router, as one picture.
-type Scene struct {
-	Generation uint64
-	Spec       *playbill.Spec
-	Evacuated  map[string]bool
-	Engines    []Engine
-	Routers    []string // the registered routers, in order
-	Until      house.Micros
-	Lapse      string // why there is no licence
+type RoutingTable struct {
+	Revision uint64
+	Config   *fleetconfig.Config
+	Drained  map[string]bool
+	Engines  []Engine
+	Routers  []string // the registered routers, in order
+	Until    kernel.Micros
+	Lapse    string // why there is no lease
 }
 
 // Request is what the policy needs to know of a request.
@@ -74,14 +74,14 @@
 	Number  int
 	Engine  Engine
 	Binding string
-	// Generation is the spec's under which the round was picked.
-	Generation uint64
-	opened     house.Micros
-	burden     float64 // of the engine when the round was opened, the request included
-	placed     int64   // tokens still on the ledger
-	prompt     int64
-	isFirst    bool // the first token has come
-	isOver     bool
+	// Revision is the configuration's under which the round was picked.
+	Revision uint64
+	opened   kernel.Micros
+	load     float64 // of the engine when the round was opened, the request included
+	placed   int64   // tokens still on the ledger
+	prompt   int64
+	isFirst  bool // the first token has come
+	isOver   bool
 }
 
 // Call is the request owner's state of one request.
@@ -114,38 +114,38 @@
 
 const (
 	maxRounds       = 4
-	breakdownFirst  = 500 * house.Millisecond
-	breakdownLast   = 5 * house.Second
-	paceFade        = 5 * house.Second // an estimate that old counts half
-	defaultRetryDue = house.Second
+	errorFirst      = 500 * kernel.Millisecond
+	errorLast       = 5 * kernel.Second
+	paceFade        = 5 * kernel.Second // an estimate that old counts half
+	defaultRetryDue = kernel.Second
 )
 
 type engineState struct {
 	ledger     ledger
 	start      uint64
-	breakdowns int
-	brokenTill house.Micros
+	errors     int
+	brokenTill kernel.Micros
 	isProbing  bool // one request is trying an engine that was broken
 	// opening are our rounds that wait for their first token, oldest first. The oldest
 	// is taken for the request that the engine is working on.
 	opening []*Round
-	// pace is the learned time to the first token per token of burden.
+	// pace is the learned time to the first token per token of load.
 	pace   float64
-	paceAt house.Micros
+	paceAt kernel.Micros
 }
 
-// Counts are the desk's running figures.
+// Counts are the dispatcher's running figures.
 type Counts struct {
 	Requests, FirstRounds, Retries, Diverts, AdmissionDiverts uint64
 	Served, CallersGone, Resumes                              uint64
-	Declined                                                  map[string]uint64
+	Rejected                                                  map[string]uint64
 	Broken                                                    map[string]uint64
 }
 
 // Since tells what was not served since an earlier count; nothing when all was.
 func (c Counts) Since(before Counts) string {
 	parts := []string{}
-	for _, sort := range []struct{ now, before map[string]uint64 }{{c.Declined, before.Declined}, {c.Broken, before.Broken}} {
+	for _, sort := range []struct{ now, before map[string]uint64 }{{c.Rejected, before.Rejected}, {c.Broken, before.Broken}} {
 		for _, reason := range slices.Sorted(maps.Keys(sort.now)) {
 			if more := sort.now[reason] - sort.before[reason]; more > 0 {
 				parts = append(parts, fmt.Sprintf("%s %d", reason, more))
@@ -163,48 +163,48 @@
 	HasNoCurrent bool // the prompt that an engine is working on counts once only
 	Choose       func(candidates []Candidate, preferred int, turn uint64) int
 	Narrow       func(engine Engine) bool
-	Burden       func(own int64, engine Engine, foreign float64) float64
+	Load         func(own int64, engine Engine, foreign float64) float64
 	Unseen       *float64
 }
 
-// Desk is the owner of all requests of a router: what happens to them goes in,
+// Dispatcher is the owner of all requests of a router: what happens to them goes in,
 // what is to be done comes out. Its one lock is held only for the decision.
-type Desk struct {
-	self   string
-	zone   string
-	salt   uint64
-	note   func(now house.Micros, subject, decision, why string)
-	lock   sync.Mutex
-	scene  *Scene
-	states map[string]*engineState
-	budget budget
-	counts Counts
-	turn   uint64
-	isShut bool
-	Trial  Trial
+type Dispatcher struct {
+	self         string
+	zone         string
+	salt         uint64
+	note         func(now kernel.Micros, subject, decision, why string)
+	lock         sync.Mutex
+	routingTable *RoutingTable
+	states       map[string]*engineState
+	budget       budget
+	counts       Counts
+	turn         uint64
+	isShut       bool
+	Trial        Trial
 	// drain is how long a round lasts here of late: other nodes' work is worked off
 	// at about the same pace as ours.
 	drain float64
 }
 
-// NewDesk makes a desk that declines until it is shown a scene.
-func NewDesk(self, zone string, note func(now house.Micros, subject, decision, why string)) *Desk {
-	return &Desk{
-		self: self, zone: zone, salt: xxhash.Sum64String(self), note: note, scene: &Scene{Lapse: "no document has reached this router yet"},
+// NewDispatcher makes a dispatcher that rejects until it is shown a scene.
+func NewDispatcher(self, zone string, note func(now kernel.Micros, subject, decision, why string)) *Dispatcher {
+	return &Dispatcher{
+		self: self, zone: zone, salt: xxhash.Sum64String(self), note: note, routingTable: &RoutingTable{Lapse: "no document has reached this router yet"},
 		states: map[string]*engineState{},
-		counts: Counts{Declined: map[string]uint64{}, Broken: map[string]uint64{}},
+		counts: Counts{Rejected: map[string]uint64{}, Broken: map[string]uint64{}},
 	}
 }
 
 // Show puts a new scene in force.
-func (d *Desk) Show(scene *Scene) {
+func (d *Dispatcher) Show(routingTable *RoutingTable) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	d.scene = scene
+	d.routingTable = routingTable
 	// Engines come and go under new names for as long as a router runs; what is kept
 	// of one that is gone ends with its last stream.
-	known := make(map[string]bool, len(scene.Engines))
-	for _, engine := range scene.Engines {
+	known := make(map[string]bool, len(routingTable.Engines))
+	for _, engine := range routingTable.Engines {
 		known[engine.ID] = true
 	}
 	for id, state := range d.states {
@@ -212,26 +212,26 @@
 			delete(d.states, id)
 		}
 	}
-	if scene.Spec != nil {
-		d.budget.ratio = scene.Spec.Policy.RetryRatio
+	if routingTable.Config != nil {
+		d.budget.ratio = routingTable.Config.Policy.RetryRatio
 	}
 }
 
-// Shut makes the desk decline new requests while it finishes the accepted ones.
-func (d *Desk) Shut() {
+// Shut makes the dispatcher decline new requests while it finishes the accepted ones.
+func (d *Dispatcher) Shut() {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.isShut = true
 }
 
 // Counts gives a copy of the figures.
-func (d *Desk) Counts() Counts {
+func (d *Dispatcher) Counts() Counts {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	counts := d.counts
-	counts.Declined, counts.Broken = map[string]uint64{}, map[string]uint64{}
-	for reason, count := range d.counts.Declined {
-		counts.Declined[reason] = count
+	counts.Rejected, counts.Broken = map[string]uint64{}, map[string]uint64{}
+	for reason, count := range d.counts.Rejected {
+		counts.Rejected[reason] = count
 	}
 	for reason, count := range d.counts.Broken {
 		counts.Broken[reason] = count
@@ -239,7 +239,7 @@
 	return counts
 }
 
-func (d *Desk) state(id string) *engineState {
+func (d *Dispatcher) state(id string) *engineState {
 	state := d.states[id]
 	if state == nil {
 		state = &engineState{}
@@ -249,51 +249,51 @@
 }
 
 // Arrive takes a new request: a call with its first round, or a decline.
-func (d *Desk) Arrive(now house.Micros, request Request) (*Call, *Decline) {
+func (d *Dispatcher) Arrive(now kernel.Micros, request Request) (*Call, *Rejection) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.counts.Requests++
 	call := &Call{Request: request, tried: map[string]bool{}}
 	if d.isShut {
-		return nil, d.decline(now, call, &Decline{"stopping", "this router is stopping; another one serves", 503, NotRun, defaultRetryDue})
+		return nil, d.rejection(now, call, &Rejection{"stopping", "this router is stopping; another one serves", 503, NotRun, defaultRetryDue})
 	}
-	if decline := d.open(now, call); decline != nil {
-		return nil, d.decline(now, call, decline)
+	if rejection := d.open(now, call); rejection != nil {
+		return nil, d.rejection(now, call, rejection)
 	}
 	d.counts.FirstRounds++
 	d.budget.earn(now)
 	return call, nil
 }
 
-func (d *Desk) decline(now house.Micros, call *Call, decline *Decline) *Decline {
-	d.counts.Declined[decline.Reason]++
-	d.note(now, call.Request.ID, "decline "+decline.Reason, decline.Detail)
-	return decline
+func (d *Dispatcher) rejection(now kernel.Micros, call *Call, rejection *Rejection) *Rejection {
+	d.counts.Rejected[rejection.Reason]++
+	d.note(now, call.Request.ID, "decline "+rejection.Reason, rejection.Detail)
+	return rejection
 }
 
 // open picks an engine for the call's next round, judged against what holds now.
-func (d *Desk) open(now house.Micros, call *Call) *Decline {
-	scene := d.scene
-	if now >= scene.Until || scene.Spec == nil {
-		why := scene.Lapse
+func (d *Dispatcher) open(now kernel.Micros, call *Call) *Rejection {
+	routingTable := d.routingTable
+	if now >= routingTable.Until || routingTable.Config == nil {
+		why := routingTable.Lapse
 		if why == "" {
 			why = "the licence has lapsed"
 		}
-		return &Decline{"no_licence", why, 503, NotRun, defaultRetryDue}
+		return &Rejection{"no_licence", why, 503, NotRun, defaultRetryDue}
 	}
-	binding, isBound := scene.Spec.Bind(call.Request.Kind, call.Request.Model)
+	binding, isBound := routingTable.Config.Bind(call.Request.Kind, call.Request.Model)
 	if !isBound {
-		return &Decline{"unknown_binding", fmt.Sprintf("no binding takes kind %q and model %q", call.Request.Kind, call.Request.Model), 404, NotRun, 0}
+		return &Rejection{"unknown_binding", fmt.Sprintf("no binding takes kind %q and model %q", call.Request.Kind, call.Request.Model), 404, NotRun, 0}
 	}
 	candidates, engines, why := d.candidates(now, call, binding)
 	if len(candidates) == 0 {
-		return &Decline{"no_engine", "no engine of binding " + binding.Name + " can take it: " + why, 503, NotRun, defaultRetryDue}
+		return &Rejection{"no_engine", "no engine of binding " + binding.Name + " can take it: " + why, 503, NotRun, defaultRetryDue}
 	}
-	if scene.Spec.Policy.OwnZoneFirst {
+	if routingTable.Config.Policy.OwnZoneFirst {
 		// Where crossing zones is dear, the own zone's engines are the whole pool as
 		// long as one of them can take the request in time.
 		if near, nearEngines := ownZone(d.zone, candidates, engines); len(near) > 0 {
-			if decline := d.pick(now, call, binding, near, nearEngines); decline == nil {
+			if rejection := d.pick(now, call, binding, near, nearEngines); rejection == nil {
 				return nil
 			}
 		}
@@ -312,8 +312,8 @@
 }
 
 // pick chooses between candidates, judges the choice and opens the round.
-func (d *Desk) pick(now house.Micros, call *Call, binding *playbill.Binding, candidates []Candidate, engines []Engine) *Decline {
-	policy := d.scene.Spec.Policy
+func (d *Dispatcher) pick(now kernel.Micros, call *Call, binding *fleetconfig.Binding, candidates []Candidate, engines []Engine) *Rejection {
+	policy := d.routingTable.Config.Policy
 	prefix := PrefixHash(call.Request.Prefix, policy.PrefixLength)
 	preferred := Preferred(SlotOf(prefix), candidates)
 	d.turn++
@@ -325,22 +325,22 @@
 		choice.IsDivert = choice.Index != preferred
 	}
 	if choice.Index < 0 {
-		return &Decline{"ramping", "every engine of binding " + binding.Name + " is starting up and full", 503, NotRun, defaultRetryDue}
+		return &Rejection{"ramping", "every engine of binding " + binding.Name + " is starting up and full", 503, NotRun, defaultRetryDue}
 	}
 	why := choice.Why
 	size := int64(call.Request.PromptTokens + call.Request.MaxTokens)
 	// Admission judges the policy's choice. Only if that would be late is the least
 	// burdened engine tried too: a decline there costs a caller, the miss of a
 	// cached prefix only time.
-	foreseen := d.foresee(now, engines[choice.Index], candidates[choice.Index].Burden, call)
+	foreseen := d.foresee(now, engines[choice.Index], candidates[choice.Index].Load, call)
 	if binding.TTFTLimit > 0 && foreseen > binding.TTFTLimit {
 		other := fewest(candidates, policy.NearTie*choice.Mean, d.salt)
 		again := foreseen
 		if other >= 0 {
-			again = d.foresee(now, engines[other], candidates[other].Burden, call)
+			again = d.foresee(now, engines[other], candidates[other].Load, call)
 		}
 		if again > binding.TTFTLimit {
-			return &Decline{"late", fmt.Sprintf("the first token is foreseen in %d us on %s, above the limit of %d us", again, engines[choice.Index].ID, binding.TTFTLimit),
+			return &Rejection{"late", fmt.Sprintf("the first token is foreseen in %d us on %s, above the limit of %d us", again, engines[choice.Index].ID, binding.TTFTLimit),
 				503, NotRun, max(again-binding.TTFTLimit, defaultRetryDue)}
 		}
 		why = fmt.Sprintf("admission: %d us foreseen on %s", foreseen, engines[choice.Index].ID)
@@ -353,45 +353,45 @@
 	engine := engines[choice.Index]
 	call.rounds++
 	call.Round = &Round{
-		Number: call.rounds, Engine: engine, Binding: binding.Name, Generation: d.scene.Generation,
-		opened: now, placed: size, prompt: int64(call.Request.PromptTokens), burden: candidates[choice.Index].Burden + float64(call.Request.PromptTokens),
+		Number: call.rounds, Engine: engine, Binding: binding.Name, Revision: d.routingTable.Revision,
+		opened: now, placed: size, prompt: int64(call.Request.PromptTokens), load: candidates[choice.Index].Load + float64(call.Request.PromptTokens),
 	}
 	state := d.state(engine.ID)
 	state.ledger.add(now, size)
 	state.ledger.streams++
 	state.opening = append(state.opening, call.Round)
-	if state.breakdowns > 0 {
+	if state.errors > 0 {
 		state.isProbing = true
 	}
 	d.note(now, call.Request.ID, fmt.Sprintf("round %d to %s", call.rounds, engine.ID),
 		fmt.Sprintf("%s; binding %s, generation %d, burden %.0f of mean %.0f over %d engines, preferred %s",
-			why, binding.Name, d.scene.Generation, candidates[choice.Index].Burden, choice.Mean, len(candidates), engines[preferred].ID))
+			why, binding.Name, d.routingTable.Revision, candidates[choice.Index].Load, choice.Mean, len(candidates), engines[preferred].ID))
 	return nil
 }
 
 // why an engine may not take a request now; empty when it may.
-func (d *Desk) bar(now house.Micros, engine Engine) string {
+func (d *Dispatcher) bar(now kernel.Micros, engine Engine) string {
 	switch state := d.states[engine.ID]; {
 	case engine.Address == "":
 		return "has no address"
 	case engine.IsLeaving:
 		return "leaving"
-	case d.scene.Evacuated[engine.Zone]:
+	case d.routingTable.Drained[engine.Zone]:
 		return "in an emptied zone"
 	case engine.IsUnlisted:
 		return "gone from the platform's list"
 	case engine.IsDark:
 		return "dark"
-	case state != nil && state.start == engine.Start && state.breakdowns > 0 && (now < state.brokenTill || state.isProbing):
+	case state != nil && state.start == engine.Start && state.errors > 0 && (now < state.brokenTill || state.isProbing):
 		return "broken"
 	}
 	return ""
 }
 
-func (d *Desk) candidates(now house.Micros, call *Call, binding *playbill.Binding) ([]Candidate, []Engine, string) {
+func (d *Dispatcher) candidates(now kernel.Micros, call *Call, binding *fleetconfig.Binding) ([]Candidate, []Engine, string) {
 	candidates, engines := []Candidate{}, []Engine{}
 	barred := map[string]int{}
-	for _, engine := range d.scene.Engines {
+	for _, engine := range d.routingTable.Engines {
 		weight := binding.Weight(engine.ID, engine.Pool, engine.Zone)
 		if weight == 0 {
 			continue
@@ -409,19 +409,19 @@
 		}
 		state := d.state(engine.ID)
 		if state.start != engine.Start {
-			// Another process: neither its breakdowns nor its pace are the old one's.
-			state.start, state.breakdowns, state.isProbing, state.pace = engine.Start, 0, false, 0
+			// Another process: neither its errors nor its pace are the old one's.
+			state.start, state.errors, state.isProbing, state.pace = engine.Start, 0, false, 0
 		}
-		burden, foreign := float64(max(state.ledger.own, 0)+d.current(state)), 0.0
+		load, foreign := float64(max(state.ledger.own, 0)+d.current(state)), 0.0
 		if engine.HasReport {
 			foreign = d.foreign(now, state, engine)
 		}
-		burden += foreign
-		if d.Trial.Burden != nil {
-			burden = d.Trial.Burden(state.ledger.own, engine, foreign)
+		load += foreign
+		if d.Trial.Load != nil {
+			load = d.Trial.Load(state.ledger.own, engine, foreign)
 		}
 		isFull := state.ledger.streams >= d.rampShare(now, engine)
-		candidates = append(candidates, Candidate{engine.ID, weight, burden, isFull})
+		candidates = append(candidates, Candidate{engine.ID, weight, load, isFull})
 		engines = append(engines, engine)
 	}
 	reasons := []string{}
@@ -436,8 +436,8 @@
 }
 
 // current is the prompt of the request that an engine is working on, which the source
-// adds to the burden once more: a prompt in work holds up all that came after it.
-func (d *Desk) current(state *engineState) int64 {
+// adds to the load once more: a prompt in work holds up all that came after it.
+func (d *Dispatcher) current(state *engineState) int64 {
 	if len(state.opening) == 0 || d.Trial.HasNoCurrent {
 		return 0
 	}
@@ -451,30 +451,30 @@
 
 // foreign reckons what other nodes have on an engine: what is left of the late
 // report, and what they will have placed since, for which our own placing stands.
-func (d *Desk) foreign(now house.Micros, state *engineState, engine Engine) float64 {
-	fade := d.scene.Spec.Policy.ReportFade
-	seen := state.ledger.foreign(now, engine.AsOf, engine.Burden, fade, d.drain)
+func (d *Dispatcher) foreign(now kernel.Micros, state *engineState, engine Engine) float64 {
+	fade := d.routingTable.Config.Policy.ReportFade
+	seen := state.ledger.foreign(now, engine.AsOf, engine.Load, fade, d.drain)
 	share := unseenShare
 	if d.Trial.Unseen != nil {
 		share = *d.Trial.Unseen
 	}
-	others := float64(max(len(d.scene.Routers)-1, 0))
+	others := float64(max(len(d.routingTable.Routers)-1, 0))
 	return seen + share*others*state.ledger.since(now, engine.AsOf, fade, d.drain)
 }
 
 // rampShare is how many streams this router may hold on an engine that started
 // lately. The cap is one for the fleet; each registered router computes the same
 // split of it, so the parts add up to the cap without a word between them.
-func (d *Desk) rampShare(now house.Micros, engine Engine) int {
-	policy := d.scene.Spec.Policy
+func (d *Dispatcher) rampShare(now kernel.Micros, engine Engine) int {
+	policy := d.routingTable.Config.Policy
 	age := now - engine.StartedAt
 	if !engine.IsStartKnown || age >= policy.RampTotal {
 		return math.MaxInt
 	}
 	whole := int(float64(policy.RampStreams) * math.Pow(2, float64(max(age, 0))/float64(policy.RampDouble)))
-	routers := max(len(d.scene.Routers), 1)
+	routers := max(len(d.routingTable.Routers), 1)
 	share := whole / routers
-	rank := rankOf(d.self, d.scene.Routers, engine)
+	rank := rankOf(d.self, d.routingTable.Routers, engine)
 	if rank < whole%routers {
 		share++
 	}
@@ -497,33 +497,33 @@
 }
 
 // foresee estimates the time to the first token on an engine.
-func (d *Desk) foresee(now house.Micros, engine Engine, burden float64, call *Call) house.Micros {
+func (d *Dispatcher) foresee(now kernel.Micros, engine Engine, load float64, call *Call) kernel.Micros {
 	state := d.state(engine.ID)
 	if state.pace == 0 {
 		return 0
 	}
 	// An old estimate loses weight, or an engine once slow would never be tried again.
 	faded := state.pace * math.Pow(0.5, float64(now-state.paceAt)/float64(paceFade))
-	return house.Micros(faded * (burden + float64(call.Request.PromptTokens)))
+	return kernel.Micros(faded * (load + float64(call.Request.PromptTokens)))
 }
 
 // MayWrite is asked at the last moment before the first byte goes to an engine:
 // a router that was frozen since it picked must not act on what it knew then.
-func (d *Desk) MayWrite(now house.Micros, call *Call) string {
+func (d *Dispatcher) MayWrite(now kernel.Micros, call *Call) string {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	if now >= d.scene.Until {
+	if now >= d.routingTable.Until {
 		return "the licence lapsed meanwhile"
 	}
-	binding, isBound := d.scene.Spec.Bind(call.Request.Kind, call.Request.Model)
+	binding, isBound := d.routingTable.Config.Bind(call.Request.Kind, call.Request.Model)
 	if !isBound {
 		return "no binding takes it any more"
 	}
-	for _, engine := range d.scene.Engines {
+	for _, engine := range d.routingTable.Engines {
 		if engine.ID != call.Round.Engine.ID || engine.Start != call.Round.Engine.Start {
 			continue
 		}
-		if engine.IsLeaving || engine.IsUnlisted || d.scene.Evacuated[engine.Zone] || binding.Weight(engine.ID, engine.Pool, engine.Zone) == 0 {
+		if engine.IsLeaving || engine.IsUnlisted || d.routingTable.Drained[engine.Zone] || binding.Weight(engine.ID, engine.Pool, engine.Zone) == 0 {
 			return "the engine may not take it any more"
 		}
 		return ""
@@ -532,7 +532,7 @@
 }
 
 // Produced counts tokens that the engine has sent.
-func (d *Desk) Produced(now house.Micros, call *Call, tokens int) {
+func (d *Dispatcher) Produced(now kernel.Micros, call *Call, tokens int) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	round := call.Round
@@ -540,7 +540,7 @@
 	if !round.isFirst {
 		round.isFirst = true
 		state.begun(round)
-		seen := float64(now-round.opened) / max(round.burden, 1)
+		seen := float64(now-round.opened) / max(round.load, 1)
 		if state.pace == 0 {
 			state.pace = seen
 		} else {
@@ -548,9 +548,9 @@
 		}
 		state.paceAt = now
 		// The prompt is worked off once the first token is there, but it still takes
-		// room on the engine, so as the source has it, it stays in the burden.
+		// room on the engine, so as the source has it, it stays in the load.
 	}
-	// More tokens than the budget can't make the burden negative.
+	// More tokens than the budget can't make the load negative.
 	worked := min(int64(tokens), max(round.placed-int64(call.Request.PromptTokens), 0))
 	round.placed -= worked
 	state.ledger.add(now, -worked)
@@ -558,7 +558,7 @@
 
 // Close ends the call's round. It gives the next round, in the call, when one may
 // follow, and otherwise the decline that the caller is owed, if anything is.
-func (d *Desk) Close(now house.Micros, call *Call, ending Ending, why string) (isAgain bool, decline *Decline) {
+func (d *Dispatcher) Close(now kernel.Micros, call *Call, ending Ending, why string) (isAgain bool, rejection *Rejection) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	round := call.Round
@@ -582,23 +582,23 @@
 		return false, nil
 	case Lost:
 		d.counts.Broken["lost"]++
-		return false, &Decline{"engine_lost", "the engine was lost after the request had been sent: " + why, 502, MayHaveRun, 0}
+		return false, &Rejection{"engine_lost", "the engine was lost after the request had been sent: " + why, 502, MayHaveRun, 0}
 	}
 	call.tried[round.Engine.ID] = true
 	if ending == Withdrawn {
 		delete(call.tried, round.Engine.ID)
 	}
-	fail := &Decline{"engines_failed", fmt.Sprintf("round %d: %s", round.Number, why), 503, NotRun, defaultRetryDue}
+	fail := &Rejection{"engines_failed", fmt.Sprintf("round %d: %s", round.Number, why), 503, NotRun, defaultRetryDue}
 	if round.Number >= maxRounds {
-		return false, d.decline(now, call, fail)
+		return false, d.rejection(now, call, fail)
 	}
 	// A withdrawn round touched no engine, so it is picked anew without a retry.
 	if ending != Withdrawn && !d.budget.spend(now) {
 		fail.Reason, fail.Detail = "retry_budget", fail.Detail+"; the retry budget is spent"
-		return false, d.decline(now, call, fail)
+		return false, d.rejection(now, call, fail)
 	}
-	if decline := d.open(now, call); decline != nil {
-		return false, d.decline(now, call, decline)
+	if rejection := d.open(now, call); rejection != nil {
+		return false, d.rejection(now, call, rejection)
 	}
 	if ending != Withdrawn {
 		d.counts.Retries++
@@ -606,46 +606,46 @@
 	return true, nil
 }
 
-// judge keeps the engine's record of breakdowns.
-func (d *Desk) judge(now house.Micros, state *engineState, round *Round, ending Ending, why string) {
+// judge keeps the engine's record of errors.
+func (d *Dispatcher) judge(now kernel.Micros, state *engineState, round *Round, ending Ending, why string) {
 	if state.start != round.Engine.Start {
 		return
 	}
 	state.isProbing = false
 	switch ending {
 	case NotSent, Lost:
-		state.breakdowns++
-		pause := min(breakdownFirst<<min(state.breakdowns-1, 8), breakdownLast)
+		state.errors++
+		pause := min(errorFirst<<min(state.errors-1, 8), errorLast)
 		state.brokenTill = now + pause
 		d.note(now, "engine "+round.Engine.ID, "broken", fmt.Sprintf("%s; left alone for %d us", why, pause))
 	case Served, SaidNotRun:
-		if state.breakdowns > 0 {
+		if state.errors > 0 {
 			d.note(now, "engine "+round.Engine.ID, "mended", "it answered again")
 		}
-		state.breakdowns = 0
+		state.errors = 0
 	}
 }
 
-func (d *Desk) learnDrain(lasted float64) {
+func (d *Dispatcher) learnDrain(lasted float64) {
 	if d.drain == 0 {
 		d.drain = lasted
 	}
 	d.drain += 0.05 * (lasted - d.drain)
 }
 
-// Responded tells that an engine has begun to answer, which ends its breakdown.
-func (d *Desk) Responded(call *Call) {
+// Responded tells that an engine has begun to answer, which ends its error.
+func (d *Dispatcher) Responded(call *Call) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	state := d.state(call.Round.Engine.ID)
 	if state.start == call.Round.Engine.Start {
-		state.breakdowns, state.isProbing = 0, false
+		state.errors, state.isProbing = 0, false
 	}
 }
 
 // Resume asks whether a broken stream may be taken up again: the same run, on
 // the same engine and start, within the retry budget.
-func (d *Desk) Resume(now house.Micros, call *Call) bool {
+func (d *Dispatcher) Resume(now kernel.Micros, call *Call) bool {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	if !d.budget.spend(now) {
@@ -657,10 +657,10 @@
 }
 
 // KnowsEngines tells whether there is any engine in the scene, barred or not.
-func (d *Desk) KnowsEngines() bool {
+func (d *Dispatcher) KnowsEngines() bool {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	return len(d.scene.Engines) > 0
+	return len(d.routingTable.Engines) > 0
 }
 
 // EngineView is one engine as this router sees it, for operators.
@@ -676,15 +676,15 @@
 }
 
 // View pictures the engines for operators.
-func (d *Desk) View(now house.Micros) []EngineView {
+func (d *Dispatcher) View(now kernel.Micros) []EngineView {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	views := []EngineView{}
-	for _, engine := range d.scene.Engines {
+	for _, engine := range d.routingTable.Engines {
 		view := EngineView{ID: engine.ID, Zone: engine.Zone, Address: engine.Address, Start: engine.Start, Bar: d.bar(now, engine)}
 		if state := d.states[engine.ID]; state != nil {
 			view.Own, view.Streams = state.ledger.own, state.ledger.streams
-			if engine.HasReport && d.scene.Spec != nil {
+			if engine.HasReport && d.routingTable.Config != nil {
 				view.Foreign = d.foreign(now, state, engine)
 			}
 		}
--- a/auditorium/usher.go
+++ b/relay/forwarder.go
@@ -1,4 +1,4 @@
-package auditorium
+package relay
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 	"sync/atomic"
 	"time"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // Headers of the project's interfaces.
@@ -25,33 +25,33 @@
 	HeaderRequest = "Dunlinloom-Request" // the request's id, to callers and engines
 	HeaderKind    = "Dunlinloom-Kind"    // the kind of request, from callers
 	HeaderEngine  = "Dunlinloom-Engine"  // the engine that served, to callers
-	HeaderRun     = "Dunlinloom-Run"     // not_run or may_have_run, on declines
+	HeaderRun     = "Dunlinloom-Run"     // not_run or may_have_run, on rejects
 	HeaderNotRun  = "Dunlinloom-Not-Run" // an engine's word that it ran nothing
 	HeaderRunID   = "Dunlinloom-Run-Id"  // names a run that can be resumed
 	HeaderStart   = "Dunlinloom-Start"   // an engine's start identity
 	HeaderOffset  = "Dunlinloom-Offset"  // where a resumed body begins
-	// HeaderGeneration names the generation that a request was handled under.
-	HeaderGeneration = "Dunlinloom-Generation"
+	// HeaderRevision names the revision that a request was handled under.
+	HeaderRevision = "Dunlinloom-Generation"
 )
 
-// Spans hold the times the usher keeps to.
+// Spans hold the times the forwarder keeps to.
 type Spans struct {
-	Dial          house.Micros
-	EngineSilence house.Micros // an engine that sends nothing for so long is lost
-	CallerBody    house.Micros // in which a caller has to deliver its body
-	CallerStall   house.Micros // a caller that takes nothing for so long is gone
+	Dial          kernel.Micros
+	EngineSilence kernel.Micros // an engine that sends nothing for so long is lost
+	CallerBody    kernel.Micros // in which a caller has to deliver its body
+	CallerStall   kernel.Micros // a caller that takes nothing for so long is gone
 }
 
 // DefaultSpans suit engines that answer within seconds.
 func DefaultSpans() Spans {
-	return Spans{Dial: house.Second, EngineSilence: 20 * house.Second, CallerBody: 20 * house.Second, CallerStall: 60 * house.Second}
+	return Spans{Dial: kernel.Second, EngineSilence: 20 * kernel.Second, CallerBody: 20 * kernel.Second, CallerStall: 60 * kernel.Second}
 }
 
-// Usher serves callers: it carries out what the desk decides.
-type Usher struct {
-	Cue   house.Cue
-	Desk  *Desk
-	Spans Spans
+// Forwarder serves callers: it carries out what the dispatcher decides.
+type Forwarder struct {
+	Env        kernel.Env
+	Dispatcher *Dispatcher
+	Spans      Spans
 	// Dial opens a channel to an engine.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Suspect hears of engines that could not be reached; nil: nobody does.
@@ -60,8 +60,8 @@
 	Restarted func(Engine, uint64)
 	// Bounds are what may be held at once.
 	Bounds Bounds
-	// IsCrowded tells that the process has no channel to spare; nil: it always has.
-	IsCrowded func() bool
+	// IsOverloaded tells that the process has no channel to spare; nil: it always has.
+	IsOverloaded func() bool
 	// Served waits for every accepted request to get its answer.
 	Served sync.WaitGroup
 	live   atomic.Int64
@@ -69,22 +69,22 @@
 }
 
 // Live is how many requests are being served now.
-func (u *Usher) Live() int64 { return u.live.Load() }
+func (u *Forwarder) Live() int64 { return u.live.Load() }
 
-// withdrawn is the breakdown of a channel that may not be written to any more.
+// withdrawn is the error of a channel that may not be written to any more.
 type withdrawn struct{ why string }
 
 func (b withdrawn) Error() string { return "round withdrawn: " + b.why }
 
-// watchedChannel counts what is written to an engine and asks once more, before
+// watchedConnection counts what is written to an engine and asks once more, before
 // the first byte, whether the round may still begin.
-type watchedChannel struct {
+type watchedConnection struct {
 	net.Conn
 	mayWrite func() string
 	written  *atomic.Int64
 }
 
-func (c *watchedChannel) Write(chunk []byte) (int, error) {
+func (c *watchedConnection) Write(chunk []byte) (int, error) {
 	if c.written.Load() == 0 {
 		if why := c.mayWrite(); why != "" {
 			return 0, withdrawn{why}
@@ -96,37 +96,37 @@
 }
 
 // ServeHTTP takes POST /v1/completions.
-func (u *Usher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (u *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.Served.Add(1)
 	live := u.live.Add(1)
 	defer u.Served.Done()
 	defer u.live.Add(-1)
 	id := rand.Text()
 	w.Header().Set(HeaderRequest, id)
-	if why := u.crowded(live, r); why != "" {
+	if why := u.overloaded(live, r); why != "" {
 		u.turnAway(w, id, why)
 		return
 	}
 	held := &heldBody{Reader: http.MaxBytesReader(w, r.Body, MaxBody), all: &u.held, bound: u.Bounds.Bodies}
 	defer held.release()
-	body, decline := u.readBody(w, held)
-	if decline != nil && decline.Reason == "crowded" {
-		u.turnAway(w, id, decline.Detail)
+	body, rejection := u.readBody(w, held)
+	if rejection != nil && rejection.Reason == "crowded" {
+		u.turnAway(w, id, rejection.Detail)
 		return
 	}
-	if decline != nil {
-		u.SendDecline(w, decline)
+	if rejection != nil {
+		u.SendRejection(w, rejection)
 		return
 	}
 	request, err := ReadPrompt(body)
 	if err != nil {
-		u.SendDecline(w, &Decline{"bad_request", err.Error(), http.StatusBadRequest, NotRun, 0})
+		u.SendRejection(w, &Rejection{"bad_request", err.Error(), http.StatusBadRequest, NotRun, 0})
 		return
 	}
 	request.ID, request.Kind = id, r.Header.Get(HeaderKind)
-	call, decline := u.Desk.Arrive(u.Cue.Clock.Now(), request)
-	if decline != nil {
-		u.SendDecline(w, decline)
+	call, rejection := u.Dispatcher.Arrive(u.Env.Clock.Now(), request)
+	if rejection != nil {
+		u.SendRejection(w, rejection)
 		return
 	}
 	for {
@@ -135,7 +135,7 @@
 		if ending == NotSent && u.Suspect != nil {
 			u.Suspect(engine)
 		}
-		isAgain, decline := u.Desk.Close(u.Cue.Clock.Now(), call, ending, why)
+		isAgain, rejection := u.Dispatcher.Close(u.Env.Clock.Now(), call, ending, why)
 		switch {
 		case isAgain:
 			continue
@@ -145,30 +145,30 @@
 			// The caller has part of a body. Only a torn channel tells it so; a clean end would lie.
 			panic(http.ErrAbortHandler)
 		default:
-			u.SendDecline(w, decline)
+			u.SendRejection(w, rejection)
 			return
 		}
 	}
 }
 
-func (u *Usher) readBody(w http.ResponseWriter, from io.Reader) ([]byte, *Decline) {
+func (u *Forwarder) readBody(w http.ResponseWriter, from io.Reader) ([]byte, *Rejection) {
 	control := http.NewResponseController(w)
 	// A caller that trickles its body must not hold a place for ever.
 	if err := control.SetReadDeadline(time.Now().Add(u.Spans.CallerBody.Duration())); err != nil {
-		return nil, &Decline{"bad_request", "the channel takes no deadline: " + err.Error(), http.StatusInternalServerError, NotRun, 0}
+		return nil, &Rejection{"bad_request", "the channel takes no deadline: " + err.Error(), http.StatusInternalServerError, NotRun, 0}
 	}
 	body, err := io.ReadAll(from)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case isNoRoom(err):
-		return nil, &Decline{"crowded", err.Error(), http.StatusServiceUnavailable, NotRun, defaultRetryDue}
+		return nil, &Rejection{"crowded", err.Error(), http.StatusServiceUnavailable, NotRun, defaultRetryDue}
 	case errors.As(err, &tooLarge):
-		return nil, &Decline{"too_large", fmt.Sprintf("the body is above the bound of %d bytes", MaxBody), http.StatusRequestEntityTooLarge, NotRun, 0}
+		return nil, &Rejection{"too_large", fmt.Sprintf("the body is above the bound of %d bytes", MaxBody), http.StatusRequestEntityTooLarge, NotRun, 0}
 	case err != nil:
-		return nil, &Decline{"bad_request", "the body did not arrive whole: " + err.Error(), http.StatusRequestTimeout, NotRun, 0}
+		return nil, &Rejection{"bad_request", "the body did not arrive whole: " + err.Error(), http.StatusRequestTimeout, NotRun, 0}
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return nil, &Decline{"bad_request", "the channel takes no deadline: " + err.Error(), http.StatusInternalServerError, NotRun, 0}
+		return nil, &Rejection{"bad_request", "the channel takes no deadline: " + err.Error(), http.StatusInternalServerError, NotRun, 0}
 	}
 	return body, nil
 }
@@ -185,20 +185,20 @@
 	RetryAfter float64  `json:"retry_after_s,omitempty"`
 }
 
-// SendDecline writes a decline at once, with when to come back.
-func (u *Usher) SendDecline(w http.ResponseWriter, decline *Decline) {
-	fields := errorFields{Type: decline.Reason, Message: decline.Detail, Run: decline.Run, Request: w.Header().Get(HeaderRequest)}
-	if decline.RetryAfter > 0 {
-		seconds := (decline.RetryAfter + house.Second - 1) / house.Second
+// SendRejection writes a decline at once, with when to come back.
+func (u *Forwarder) SendRejection(w http.ResponseWriter, rejection *Rejection) {
+	fields := errorFields{Type: rejection.Reason, Message: rejection.Detail, Run: rejection.Run, Request: w.Header().Get(HeaderRequest)}
+	if rejection.RetryAfter > 0 {
+		seconds := (rejection.RetryAfter + kernel.Second - 1) / kernel.Second
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
-		fields.RetryAfter = float64(decline.RetryAfter) / float64(house.Second)
+		fields.RetryAfter = float64(rejection.RetryAfter) / float64(kernel.Second)
 	}
-	w.Header().Set(HeaderRun, string(decline.Run))
+	w.Header().Set(HeaderRun, string(rejection.Run))
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(decline.Status)
+	w.WriteHeader(rejection.Status)
 	// A caller that is gone can't be told; there is nobody else to tell.
 	if err := json.NewEncoder(w).Encode(errorBody{fields}); err != nil {
-		u.Cue.Log.V(2).Info("a decline could not be delivered", "error", err)
+		u.Env.Log.V(2).Info("a decline could not be delivered", "error", err)
 	}
 }
 
@@ -225,7 +225,7 @@
 // newTransport makes a transport for a single round. One channel a round: bytes
 // written can then be told for certain, and the library has no reused channel on
 // which it would send a request again by itself.
-func (u *Usher) newTransport(watch func(net.Conn) net.Conn) *http.Transport {
+func (u *Forwarder) newTransport(watch func(net.Conn) net.Conn) *http.Transport {
 	return &http.Transport{
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
@@ -233,22 +233,22 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, u.Spans.Dial.Duration())
 			defer cancel()
-			channel, err := u.Dial(ctx, network, address)
+			connection, err := u.Dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return watch(channel), nil
+			return watch(connection), nil
 		},
 	}
 }
 
 // round tries one engine; begun tells that the caller has got a first part.
-func (u *Usher) round(w http.ResponseWriter, r *http.Request, call *Call, body []byte) (ending Ending, why string, begun bool) {
+func (u *Forwarder) round(w http.ResponseWriter, r *http.Request, call *Call, body []byte) (ending Ending, why string, begun bool) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	var written atomic.Int64
-	transport := u.newTransport(func(channel net.Conn) net.Conn {
-		return &watchedChannel{channel, func() string { return u.Desk.MayWrite(u.Cue.Clock.Now(), call) }, &written}
+	transport := u.newTransport(func(connection net.Conn) net.Conn {
+		return &watchedConnection{connection, func() string { return u.Dispatcher.MayWrite(u.Env.Clock.Now(), call) }, &written}
 	})
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Round.Engine.Address+"/v1/completions", io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
@@ -276,7 +276,7 @@
 	if hasNotRun(response) {
 		return SaidNotRun, fmt.Sprintf("status %d", response.StatusCode), false
 	}
-	u.Desk.Responded(call)
+	u.Dispatcher.Responded(call)
 	// A process that took an earlier one's address may be cold; all should know soon.
 	if start, err := strconv.ParseUint(response.Header.Get(HeaderStart), 10, 64); err == nil && start > call.Round.Engine.Start && u.Restarted != nil {
 		u.Restarted(call.Round.Engine, start)
@@ -284,8 +284,8 @@
 	copyHeaders(w.Header(), response.Header)
 	w.Header().Set(HeaderRequest, call.Request.ID)
 	w.Header().Set(HeaderEngine, call.Round.Engine.ID)
-	w.Header().Set(HeaderGeneration, strconv.FormatUint(call.Round.Generation, 10))
-	relay := &relay{usher: u, call: call, w: w, control: http.NewResponseController(w), silence: silence, whole: response.ContentLength}
+	w.Header().Set(HeaderRevision, strconv.FormatUint(call.Round.Revision, 10))
+	relay := &relay{forwarder: u, call: call, w: w, control: http.NewResponseController(w), silence: silence, whole: response.ContentLength}
 	kind, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	relay.isStream = kind == "text/event-stream"
 	// With a length announced, a stream that lacks its closing mark would look whole
@@ -313,7 +313,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			broken = cause
 		}
-		if runID == "" || tries >= 3 || context.Cause(ctx) != nil || !u.Desk.Resume(u.Cue.Clock.Now(), call) {
+		if runID == "" || tries >= 3 || context.Cause(ctx) != nil || !u.Dispatcher.Resume(u.Env.Clock.Now(), call) {
 			return Lost, broken.Error(), true
 		}
 		again, err := u.resume(ctx, call, runID, start, relay.sent)
@@ -324,12 +324,12 @@
 	}
 }
 
-type engineSilent struct{ span house.Micros }
+type engineSilent struct{ span kernel.Micros }
 
 func (b engineSilent) Error() string { return fmt.Sprintf("the engine sent nothing for %d us", b.span) }
 
 // blame sorts out what a failed round trip proves.
-func (u *Usher) blame(r *http.Request, ctx context.Context, err error, written int64) (Ending, string, bool) {
+func (u *Forwarder) blame(r *http.Request, ctx context.Context, err error, written int64) (Ending, string, bool) {
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		err = cause
 	}
@@ -348,8 +348,8 @@
 // hasNotRun tells that the engine gives its word. Only these two statuses carry
 // it: on any other one a body is an answer.
 func hasNotRun(response *http.Response) bool {
-	isDeclined := response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
-	return isDeclined && response.Header.Get(HeaderNotRun) == "1"
+	isRejected := response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
+	return isRejected && response.Header.Get(HeaderNotRun) == "1"
 }
 
 // openEnd says that a stream stopped without its closing mark.
@@ -360,15 +360,15 @@
 }
 
 type relay struct {
-	usher    *Usher
-	call     *Call
-	w        io.Writer
-	control  *http.ResponseController
-	silence  *time.Timer
-	tally    Tally
-	isStream bool
-	whole    int64 // the length the engine announced, or -1
-	sent     int64
+	forwarder *Forwarder
+	call      *Call
+	w         io.Writer
+	control   *http.ResponseController
+	silence   *time.Timer
+	tally     Tally
+	isStream  bool
+	whole     int64 // the length the engine announced, or -1
+	sent      int64
 }
 
 // copy passes bytes on as they come until the source ends. broken says that the
@@ -377,12 +377,12 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := source.Read(buffer)
-		l.silence.Reset(l.usher.Spans.EngineSilence.Duration())
+		l.silence.Reset(l.forwarder.Spans.EngineSilence.Duration())
 		if count > 0 {
 			if tokens := l.tally.Take(buffer[:count]); tokens > 0 && l.isStream {
-				l.usher.Desk.Produced(l.usher.Cue.Clock.Now(), l.call, tokens)
+				l.forwarder.Dispatcher.Produced(l.forwarder.Env.Clock.Now(), l.call, tokens)
 			}
-			deadline := time.Now().Add(l.usher.Spans.CallerStall.Duration())
+			deadline := time.Now().Add(l.forwarder.Spans.CallerStall.Duration())
 			if err := l.control.SetWriteDeadline(deadline); err != nil {
 				return nil, err
 			}
@@ -411,8 +411,8 @@
 func (b notResumed) Error() string { return b.why }
 
 // resume opens the same run on the same engine at the byte the caller has reached.
-func (u *Usher) resume(ctx context.Context, call *Call, runID, start string, offset int64) (io.ReadCloser, error) {
-	transport := u.newTransport(func(channel net.Conn) net.Conn { return channel })
+func (u *Forwarder) resume(ctx context.Context, call *Call, runID, start string, offset int64) (io.ReadCloser, error) {
+	transport := u.newTransport(func(connection net.Conn) net.Conn { return connection })
 	url := fmt.Sprintf("http://%s/v1/runs/%s?offset=%d", call.Round.Engine.Address, runID, offset)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/auditorium/usher_test.go
+++ b/relay/forwarder_test.go
@@ -1,4 +1,4 @@
-package auditorium
+package relay
 
 import (
 	"bufio"
@@ -18,48 +18,48 @@
 	qt "github.com/frankban/quicktest"
 	"k8s.io/klog/v2"
 
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // handClock is a clock that only tests move.
 type handClock struct{ now atomic.Int64 }
 
-func (c *handClock) Now() house.Micros { return house.Micros(c.now.Load()) }
+func (c *handClock) Now() kernel.Micros { return kernel.Micros(c.now.Load()) }
 
 // scene is a router in front of engines that a test plays by hand.
-type scene struct {
-	c     *qt.C
-	clock *handClock
-	desk  *Desk
-	usher *Usher
-	front *httptest.Server
-	shown *Scene
+type routingTable struct {
+	c          *qt.C
+	clock      *handClock
+	dispatcher *Dispatcher
+	forwarder  *Forwarder
+	front      *httptest.Server
+	shown      *RoutingTable
 }
 
-func newScene(c *qt.C, engines ...*httptest.Server) *scene {
-	spec, err := playbill.Read([]byte(`{"bindings":[{"name":"all","shares":[{"weight":1}]}],"policy":{"retryRatio":0.1}}`))
+func newRoutingTable(c *qt.C, engines ...*httptest.Server) *routingTable {
+	config, err := fleetconfig.Read([]byte(`{"bindings":[{"name":"all","shares":[{"weight":1}]}],"policy":{"retryRatio":0.1}}`))
 	c.Assert(err, qt.IsNil)
-	s := &scene{c: c, clock: &handClock{}}
-	s.clock.now.Store(int64(100 * house.Second))
-	s.shown = &Scene{Generation: 3, Spec: spec, Evacuated: map[string]bool{}, Until: 200 * house.Second, Routers: []string{"r"}}
+	s := &routingTable{c: c, clock: &handClock{}}
+	s.clock.now.Store(int64(100 * kernel.Second))
+	s.shown = &RoutingTable{Revision: 3, Config: config, Drained: map[string]bool{}, Until: 200 * kernel.Second, Routers: []string{"r"}}
 	for i, engine := range engines {
 		s.shown.Engines = append(s.shown.Engines, Engine{
 			ID: fmt.Sprintf("e%d", i), Address: strings.TrimPrefix(engine.URL, "http://"), Zone: fmt.Sprintf("z%d", i), Start: 1,
 		})
 	}
-	s.desk = NewDesk("r", "z0", func(house.Micros, string, string, string) {})
-	s.desk.Show(s.shown)
+	s.dispatcher = NewDispatcher("r", "z0", func(kernel.Micros, string, string, string) {})
+	s.dispatcher.Show(s.shown)
 	// As if there had been traffic, so that the budget allows retries.
 	for range 100 {
-		s.desk.budget.earn(s.clock.Now())
+		s.dispatcher.budget.earn(s.clock.Now())
 	}
 	dialer := &net.Dialer{}
-	s.usher = &Usher{
-		Cue:  house.Cue{Context: context.Background(), Clock: s.clock, Log: klog.Background()},
-		Desk: s.desk, Spans: DefaultSpans(), Dial: dialer.DialContext,
+	s.forwarder = &Forwarder{
+		Env:        kernel.Env{Context: context.Background(), Clock: s.clock, Log: klog.Background()},
+		Dispatcher: s.dispatcher, Spans: DefaultSpans(), Dial: dialer.DialContext,
 	}
-	s.front = httptest.NewServer(s.usher)
+	s.front = httptest.NewServer(s.forwarder)
 	c.Cleanup(s.front.Close)
 	return s
 }
@@ -77,7 +77,7 @@
 	return engine
 }
 
-func (s *scene) post(body string, headers ...string) *http.Response {
+func (s *routingTable) post(body string, headers ...string) *http.Response {
 	request, err := http.NewRequest(http.MethodPost, s.front.URL, strings.NewReader(body))
 	s.c.Assert(err, qt.IsNil)
 	for i := 0; i+1 < len(headers); i += 2 {
@@ -140,7 +140,7 @@
 					at = cut
 				}
 			})
-			s := newScene(c, engine)
+			s := newRoutingTable(c, engine)
 			response := s.post(ask)
 			defer response.Body.Close()
 			got, err := io.ReadAll(response.Body)
@@ -149,9 +149,9 @@
 			c.Assert(response.StatusCode, qt.Equals, example.status)
 			c.Assert(response.Header.Get("X-Engines-Own"), qt.Equals, "kept")
 			c.Assert(response.Header.Get(HeaderEngine), qt.Equals, "e0")
-			c.Assert(response.Header.Get(HeaderGeneration), qt.Equals, "3")
-			s.usher.Served.Wait()
-			c.Assert(s.desk.View(s.clock.Now())[0].Own, qt.Equals, int64(0))
+			c.Assert(response.Header.Get(HeaderRevision), qt.Equals, "3")
+			s.forwarder.Served.Wait()
+			c.Assert(s.dispatcher.View(s.clock.Now())[0].Own, qt.Equals, int64(0))
 		})
 	}
 }
@@ -195,14 +195,14 @@
 			runs := atomic.Int64{}
 			engine := newEngine(c, func(w http.ResponseWriter, r *http.Request) { runs.Add(1); example.play(w, r) })
 			other := newEngine(c, func(w http.ResponseWriter, r *http.Request) { runs.Add(1); example.play(w, r) })
-			s := newScene(c, engine, other)
+			s := newRoutingTable(c, engine, other)
 			response := s.post(ask)
 			defer response.Body.Close()
 			_, err := io.ReadAll(response.Body)
 			c.Assert(errors.Is(err, io.ErrUnexpectedEOF), qt.IsTrue, qt.Commentf("got %v", err))
-			s.usher.Served.Wait()
+			s.forwarder.Served.Wait()
 			c.Assert(runs.Load(), qt.Equals, int64(1))
-			c.Assert(s.desk.Counts().Broken["lost"], qt.Equals, uint64(1))
+			c.Assert(s.dispatcher.Counts().Broken["lost"], qt.Equals, uint64(1))
 		})
 	}
 }
@@ -218,13 +218,13 @@
 	var seen atomic.Int64
 	go func() {
 		for {
-			channel, err := listener.Accept()
+			connection, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			go func() {
-				defer channel.Close()
-				reader := bufio.NewReader(channel)
+				defer connection.Close()
+				reader := bufio.NewReader(connection)
 				for answered := 0; ; answered++ {
 					request, err := http.ReadRequest(reader)
 					if err != nil {
@@ -237,7 +237,7 @@
 						seen.Add(1)
 						return // it has the whole request, and closes without a word
 					}
-					io.WriteString(channel, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 				}
 			}()
 		}
@@ -264,7 +264,7 @@
 	// Then the router, with the same header from the caller and a warm-up before.
 	seen.Store(0)
 	engine := &httptest.Server{URL: "http://" + address}
-	s := newScene(c, engine)
+	s := newRoutingTable(c, engine)
 	s.post(ask, "X-Warm", "1").Body.Close()
 	response = s.post(ask, "Idempotency-Key", "caller's own")
 	defer response.Body.Close()
@@ -302,15 +302,15 @@
 			var seconds atomic.Int64
 			first := example.first(c)
 			second := newEngine(c, func(w http.ResponseWriter, r *http.Request) { seconds.Add(1); good(w, r) })
-			s := newScene(c, first, second)
+			s := newRoutingTable(c, first, second)
 			// Whichever engine the prefix prefers, the first has to be tried first.
 			s.shown.Engines[1].IsLeaving = true
-			s.desk.Show(s.shown)
-			s.usher.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			s.dispatcher.Show(s.shown)
+			s.forwarder.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 				again := *s.shown
 				again.Engines = append([]Engine(nil), s.shown.Engines...)
 				again.Engines[1].IsLeaving = false
-				s.desk.Show(&again)
+				s.dispatcher.Show(&again)
 				return (&net.Dialer{}).DialContext(ctx, network, address)
 			}
 			response := s.post(ask)
@@ -319,7 +319,7 @@
 			c.Assert(err, qt.IsNil)
 			c.Assert(response.StatusCode, qt.Equals, example.status)
 			c.Assert(response.Header.Get(HeaderRun), qt.Equals, string(example.run))
-			c.Assert(s.desk.Counts().Retries, qt.Equals, example.retries)
+			c.Assert(s.dispatcher.Counts().Retries, qt.Equals, example.retries)
 			c.Assert(seconds.Load(), qt.Equals, int64(example.retries))
 		})
 	}
@@ -331,13 +331,13 @@
 		w.Header().Set(HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	s := newScene(c, newEngine(c, notRun), newEngine(c, notRun))
+	s := newRoutingTable(c, newEngine(c, notRun), newEngine(c, notRun))
 	response := s.post(ask)
 	defer response.Body.Close()
 	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(response.Header.Get(HeaderRun), qt.Equals, string(NotRun))
 	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
-	c.Assert(s.desk.Counts().Retries, qt.Equals, uint64(1))
+	c.Assert(s.dispatcher.Counts().Retries, qt.Equals, uint64(1))
 }
 
 // A router that was held up between its choice and the first byte acts on what
@@ -345,26 +345,26 @@
 func TestTheLastLookBeforeTheFirstByte(t *testing.T) {
 	for _, example := range []struct {
 		name   string
-		change func(s *scene, next *Scene)
+		change func(s *routingTable, next *RoutingTable)
 		status int
 		reason string
 	}{
-		{"the licence lapsed", func(s *scene, _ *Scene) { s.clock.now.Store(int64(300 * house.Second)) }, 503, "no_licence"},
-		{"the engine is leaving", func(_ *scene, next *Scene) { next.Engines[0].IsLeaving = true }, 503, "no_engine"},
-		{"the zone was emptied", func(_ *scene, next *Scene) { next.Evacuated["z0"] = true }, 503, "no_engine"},
+		{"the licence lapsed", func(s *routingTable, _ *RoutingTable) { s.clock.now.Store(int64(300 * kernel.Second)) }, 503, "no_licence"},
+		{"the engine is leaving", func(_ *routingTable, next *RoutingTable) { next.Engines[0].IsLeaving = true }, 503, "no_engine"},
+		{"the zone was emptied", func(_ *routingTable, next *RoutingTable) { next.Drained["z0"] = true }, 503, "no_engine"},
 	} {
 		t.Run(example.name, func(t *testing.T) {
 			c := qt.New(t)
 			var seen atomic.Int64
-			s := newScene(c, newEngine(c, func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
-			s.usher.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-				channel, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			s := newRoutingTable(c, newEngine(c, func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
+			s.forwarder.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
 				next := *s.shown
 				next.Engines = append([]Engine(nil), s.shown.Engines...)
-				next.Evacuated = map[string]bool{}
+				next.Drained = map[string]bool{}
 				example.change(s, &next)
-				s.desk.Show(&next)
-				return channel, err
+				s.dispatcher.Show(&next)
+				return connection, err
 			}
 			response := s.post(ask)
 			defer response.Body.Close()
@@ -374,7 +374,7 @@
 			c.Assert(strings.Contains(string(body), example.reason), qt.IsTrue, qt.Commentf("%s", body))
 			c.Assert(response.Header.Get(HeaderRun), qt.Equals, string(NotRun))
 			c.Assert(seen.Load(), qt.Equals, int64(0))
-			c.Assert(s.desk.Counts().Retries, qt.Equals, uint64(0))
+			c.Assert(s.dispatcher.Counts().Retries, qt.Equals, uint64(0))
 		})
 	}
 }
@@ -416,7 +416,7 @@
 				w.Header().Set(HeaderOffset, place)
 				io.WriteString(w, whole[offset:])
 			})
-			s := newScene(c, engine)
+			s := newRoutingTable(c, engine)
 			response := s.post(ask)
 			defer response.Body.Close()
 			got, err := io.ReadAll(response.Body)
@@ -427,7 +427,7 @@
 				c.Assert(errors.Is(err, io.ErrUnexpectedEOF), qt.IsTrue)
 				c.Assert(string(got), qt.Equals, whole[:50])
 			}
-			s.usher.Served.Wait()
+			s.forwarder.Served.Wait()
 			c.Assert(posts.Load(), qt.Equals, int64(1))
 		})
 	}
@@ -446,40 +446,40 @@
 		<-r.Context().Done()
 		close(ended)
 	})
-	s := newScene(c, engine)
+	s := newRoutingTable(c, engine)
 	ctx, hangUp := context.WithCancel(context.Background())
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.front.URL, strings.NewReader(ask))
 	c.Assert(err, qt.IsNil)
 	response, err := http.DefaultTransport.RoundTrip(request)
 	c.Assert(err, qt.IsNil)
 	<-begun
-	c.Assert(s.desk.View(s.clock.Now())[0].Own > 0, qt.IsTrue)
+	c.Assert(s.dispatcher.View(s.clock.Now())[0].Own > 0, qt.IsTrue)
 	hangUp()
 	response.Body.Close()
 	<-ended
-	s.usher.Served.Wait()
-	c.Assert(s.desk.View(s.clock.Now())[0].Own, qt.Equals, int64(0))
-	c.Assert(s.desk.Counts().CallersGone, qt.Equals, uint64(1))
+	s.forwarder.Served.Wait()
+	c.Assert(s.dispatcher.View(s.clock.Now())[0].Own, qt.Equals, int64(0))
+	c.Assert(s.dispatcher.Counts().CallersGone, qt.Equals, uint64(1))
 }
 
 func TestAnEngineThatIsGoneIsForgottenWithItsLastStream(t *testing.T) {
 	c := qt.New(t)
-	s := newScene(c, newEngine(c, func(http.ResponseWriter, *http.Request) {}))
-	call, decline := s.desk.Arrive(s.clock.Now(), Request{ID: "r", PromptTokens: 3, MaxTokens: 4, Prefix: []uint32{1, 2, 3}})
-	c.Assert(decline == nil, qt.IsTrue)
+	s := newRoutingTable(c, newEngine(c, func(http.ResponseWriter, *http.Request) {}))
+	call, rejection := s.dispatcher.Arrive(s.clock.Now(), Request{ID: "r", PromptTokens: 3, MaxTokens: 4, Prefix: []uint32{1, 2, 3}})
+	c.Assert(rejection == nil, qt.IsTrue)
 	gone := *s.shown
 	gone.Engines = nil
-	s.desk.Show(&gone)
-	c.Assert(s.desk.states, qt.HasLen, 1)
-	s.desk.Close(s.clock.Now(), call, Served, "")
-	s.desk.Show(&gone)
-	c.Assert(s.desk.states, qt.HasLen, 0)
+	s.dispatcher.Show(&gone)
+	c.Assert(s.dispatcher.states, qt.HasLen, 1)
+	s.dispatcher.Close(s.clock.Now(), call, Served, "")
+	s.dispatcher.Show(&gone)
+	c.Assert(s.dispatcher.states, qt.HasLen, 0)
 }
 
-func TestBadInputIsDeclinedAsNotRun(t *testing.T) {
+func TestBadInputIsRejectedAsNotRun(t *testing.T) {
 	c := qt.New(t)
 	var seen atomic.Int64
-	s := newScene(c, newEngine(c, func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
+	s := newRoutingTable(c, newEngine(c, func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
 	for _, example := range []struct {
 		body   string
 		status int
@@ -520,14 +520,14 @@
 // A caller that sends its body drop by drop is let go.
 func TestATricklingCallerIsLetGo(t *testing.T) {
 	c := qt.New(t)
-	s := newScene(c, newEngine(c, func(http.ResponseWriter, *http.Request) {}))
-	s.usher.Spans.CallerBody = house.Millisecond
-	channel, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+	s := newRoutingTable(c, newEngine(c, func(http.ResponseWriter, *http.Request) {}))
+	s.forwarder.Spans.CallerBody = kernel.Millisecond
+	connection, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
 	c.Assert(err, qt.IsNil)
-	defer channel.Close()
-	_, err = io.WriteString(channel, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+	defer connection.Close()
+	_, err = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
 	c.Assert(err, qt.IsNil)
-	response, err := http.ReadResponse(bufio.NewReader(channel), nil)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusRequestTimeout)
 	c.Assert(response.Header.Get(HeaderRun), qt.Equals, string(NotRun))
@@ -539,8 +539,8 @@
 		io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	})
-	s := newScene(c, engine)
-	s.usher.Spans.EngineSilence = 30 * house.Millisecond
+	s := newRoutingTable(c, engine)
+	s.forwarder.Spans.EngineSilence = 30 * kernel.Millisecond
 	response := s.post(ask)
 	defer response.Body.Close()
 	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
@@ -564,24 +564,24 @@
 // Retries stay a small share however many callers come and however bad it gets.
 func TestTheRetryBudgetHoldsUnderAnOutage(t *testing.T) {
 	c := qt.New(t)
-	s := newScene(c, deadEngine(), deadEngine(), deadEngine())
-	s.desk.budget = budget{ratio: s.desk.budget.ratio}
+	s := newRoutingTable(c, deadEngine(), deadEngine(), deadEngine())
+	s.dispatcher.budget = budget{ratio: s.dispatcher.budget.ratio}
 	for range 200 {
 		response := s.post(ask)
 		c.Assert(response.Header.Get(HeaderRun), qt.Equals, string(NotRun))
 		response.Body.Close()
 		// Long enough for every engine to be tried anew.
-		s.clock.now.Add(int64(10 * house.Second))
-		s.shown.Until = s.clock.Now() + 100*house.Second
+		s.clock.now.Add(int64(10 * kernel.Second))
+		s.shown.Until = s.clock.Now() + 100*kernel.Second
 		next := *s.shown
-		s.desk.Show(&next)
+		s.dispatcher.Show(&next)
 	}
-	counts := s.desk.Counts()
+	counts := s.dispatcher.Counts()
 	c.Assert(counts.FirstRounds, qt.Equals, uint64(200))
 	c.Assert(counts.Retries >= 15 && counts.Retries <= 20, qt.IsTrue, qt.Commentf("%+v", counts))
 }
 
-// Beyond what the process may hold a request is declined at once, and what it holds
+// Beyond what the process may hold a request is rejected at once, and what it holds
 // already goes on; a place that is given back is a place again.
 func TestACrowdIsTurnedAwayAtOnce(t *testing.T) {
 	c := qt.New(t)
@@ -593,7 +593,7 @@
 		<-release
 		io.WriteString(w, stream(2))
 	})
-	s := newScene(c, engine)
+	s := newRoutingTable(c, engine)
 	turnedAway := func(why, body string) {
 		c.Helper()
 		response := s.post(body)
@@ -606,15 +606,15 @@
 		c.Assert(strings.Contains(string(got), `"crowded"`) && strings.Contains(string(got), why), qt.IsTrue, qt.Commentf("%s", got))
 	}
 	first, second := s.post(ask), s.post(ask)
-	s.usher.Bounds = Bounds{Live: 2, Bodies: 1 << 20}
+	s.forwarder.Bounds = Bounds{Live: 2, Bodies: 1 << 20}
 	turnedAway("2 requests", ask)
-	s.usher.Bounds = Bounds{Live: 9, Bodies: 200}
+	s.forwarder.Bounds = Bounds{Live: 9, Bodies: 200}
 	turnedAway("200 bytes", `{"prompt":"`+strings.Repeat("x", 400)+`","max_tokens":1}`)
-	crowded := true
-	s.usher.Bounds, s.usher.IsCrowded = DefaultBounds(), func() bool { return crowded }
+	overloaded := true
+	s.forwarder.Bounds, s.forwarder.IsOverloaded = DefaultBounds(), func() bool { return overloaded }
 	turnedAway("channels", ask)
-	crowded = false
-	c.Assert(s.usher.Held(), qt.Equals, int64(2*len(ask)))
+	overloaded = false
+	c.Assert(s.forwarder.Held(), qt.Equals, int64(2*len(ask)))
 	close(release)
 	for _, response := range []*http.Response{first, second, s.post(ask)} {
 		got, err := io.ReadAll(response.Body)
@@ -622,16 +622,16 @@
 		c.Assert(string(got), qt.Equals, stream(2))
 		response.Body.Close()
 	}
-	s.usher.Served.Wait()
-	c.Assert(s.usher.Held(), qt.Equals, int64(0))
-	c.Assert(s.desk.Counts().Declined["crowded"], qt.Equals, uint64(3))
+	s.forwarder.Served.Wait()
+	c.Assert(s.forwarder.Held(), qt.Equals, int64(0))
+	c.Assert(s.dispatcher.Counts().Rejected["crowded"], qt.Equals, uint64(3))
 }
 
 // A body without a length is counted as it comes.
 func TestABodyOfUnknownLengthIsBoundedToo(t *testing.T) {
 	c := qt.New(t)
-	s := newScene(c, newEngine(c, func(http.ResponseWriter, *http.Request) { c.Error("it may not get there") }))
-	s.usher.Bounds = Bounds{Live: 9, Bodies: 1000}
+	s := newRoutingTable(c, newEngine(c, func(http.ResponseWriter, *http.Request) { c.Error("it may not get there") }))
+	s.forwarder.Bounds = Bounds{Live: 9, Bodies: 1000}
 	request, err := http.NewRequest(http.MethodPost, s.front.URL, io.MultiReader(strings.NewReader(`{"prompt":"`), strings.NewReader(strings.Repeat("x", 5000))))
 	c.Assert(err, qt.IsNil)
 	response, err := http.DefaultTransport.RoundTrip(request)
@@ -639,8 +639,8 @@
 	defer response.Body.Close()
 	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(response.Header.Get(HeaderRun), qt.Equals, string(NotRun))
-	s.usher.Served.Wait()
-	c.Assert(s.usher.Held(), qt.Equals, int64(0))
+	s.forwarder.Served.Wait()
+	c.Assert(s.forwarder.Held(), qt.Equals, int64(0))
 }
 
 // A caller that reads nothing holds its stream no longer than its stall is allowed to
@@ -658,15 +658,15 @@
 			}
 		}
 	})
-	s := newScene(c, engine)
-	s.usher.Spans.CallerStall = 50 * house.Millisecond
-	channel, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+	s := newRoutingTable(c, engine)
+	s.forwarder.Spans.CallerStall = 50 * kernel.Millisecond
+	connection, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
 	c.Assert(err, qt.IsNil)
-	defer channel.Close()
-	_, err = fmt.Fprintf(channel, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(ask), ask)
+	defer connection.Close()
+	_, err = fmt.Fprintf(connection, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(ask), ask)
 	c.Assert(err, qt.IsNil)
 	<-ended
-	s.usher.Served.Wait()
-	c.Assert(s.usher.Held(), qt.Equals, int64(0))
-	c.Assert(s.desk.Counts().CallersGone, qt.Equals, uint64(1))
+	s.forwarder.Served.Wait()
+	c.Assert(s.forwarder.Held(), qt.Equals, int64(0))
+	c.Assert(s.dispatcher.Counts().CallersGone, qt.Equals, uint64(1))
 }
--- a/auditorium/burden.go
+++ b/relay/load.go
@@ -1,9 +1,9 @@
-package auditorium
+package relay
 
 import (
 	"math"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // ledger is what this node itself has placed on one engine, with enough of its
@@ -15,16 +15,16 @@
 }
 
 type ledgerMark struct {
-	at  house.Micros
+	at  kernel.Micros
 	own int64
 }
 
 const (
-	ledgerStep = 50 * house.Millisecond
-	ledgerSpan = 30 * house.Second
+	ledgerStep = 50 * kernel.Millisecond
+	ledgerSpan = 30 * kernel.Second
 )
 
-func (l *ledger) add(now house.Micros, tokens int64) {
+func (l *ledger) add(now kernel.Micros, tokens int64) {
 	l.own += tokens
 	// Marks closer than a step are folded: a report's age is no finer than that.
 	if last := len(l.past) - 1; last >= 0 && now-l.past[last].at < ledgerStep {
@@ -41,8 +41,8 @@
 	}
 }
 
-// at gives the own burden at an earlier moment.
-func (l *ledger) at(moment house.Micros) int64 {
+// at gives the own load at an earlier moment.
+func (l *ledger) at(moment kernel.Micros) int64 {
 	for i := len(l.past) - 1; i >= 0; i-- {
 		if l.past[i].at <= moment {
 			return l.past[i].own
@@ -54,7 +54,7 @@
 // survival is the part of some work that is still there after a while: it is
 // worked off like ours, so it fades at the pace at which rounds end here, and to
 // nothing by the end of the fade.
-func survival(age, fade house.Micros, drain float64) float64 {
+func survival(age, fade kernel.Micros, drain float64) float64 {
 	if age >= fade {
 		return 0
 	}
@@ -65,9 +65,9 @@
 	return left
 }
 
-// foreign is what is left of the burden that other nodes had placed by a late
+// foreign is what is left of the load that other nodes had placed by a late
 // report: all of it less what was ours then.
-func (l *ledger) foreign(now, asOf house.Micros, reported int64, fade house.Micros, drain float64) float64 {
+func (l *ledger) foreign(now, asOf kernel.Micros, reported int64, fade kernel.Micros, drain float64) float64 {
 	rest := reported - l.at(asOf)
 	if rest <= 0 {
 		return 0
@@ -75,8 +75,8 @@
 	return float64(rest) * survival(now-asOf, fade, drain)
 }
 
-// since is what of our own burden has come after a moment.
-func (l *ledger) since(now, asOf house.Micros, fade house.Micros, drain float64) float64 {
+// since is what of our own load has come after a moment.
+func (l *ledger) since(now, asOf kernel.Micros, fade kernel.Micros, drain float64) float64 {
 	return max(float64(l.own)-float64(l.at(asOf))*survival(now-asOf, fade, drain), 0)
 }
 
@@ -99,8 +99,8 @@
 	budgetBurst = 2 // the ratio may be exceeded so far within ten seconds
 )
 
-func (b *budget) second(now house.Micros) *budgetSecond {
-	number := int64(now / house.Second)
+func (b *budget) second(now kernel.Micros) *budgetSecond {
+	number := int64(now / kernel.Second)
 	slot := &b.seconds[number%int64(len(b.seconds))]
 	if slot.number != number {
 		*slot = budgetSecond{number: number}
@@ -108,18 +108,18 @@
 	return slot
 }
 
-func (b *budget) earn(now house.Micros) {
+func (b *budget) earn(now kernel.Micros) {
 	b.saved = min(b.saved+b.ratio, budgetCap)
 	b.second(now).firsts++
 }
 
 // spend takes one retry, if there is one to be had.
-func (b *budget) spend(now house.Micros) bool {
+func (b *budget) spend(now kernel.Micros) bool {
 	// One a window is always left: a node with few requests could otherwise never retry.
 	isWithin := func(span int64, ratio float64) bool {
 		firsts, retries := 0, 0
 		for _, slot := range b.seconds {
-			if slot.number > int64(now/house.Second)-span {
+			if slot.number > int64(now/kernel.Second)-span {
 				firsts, retries = firsts+slot.firsts, retries+slot.retries
 			}
 		}
--- a/auditorium/crowd.go
+++ b/relay/overload.go
@@ -1,4 +1,4 @@
-package auditorium
+package relay
 
 import (
 	"errors"
@@ -7,10 +7,10 @@
 	"net/http"
 	"sync/atomic"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
-// Bounds are what a router holds at once; beyond any of them a request is declined at
+// Bounds are what a router holds at once; beyond any of them a request is rejected at
 // once as not run. Zero bounds nothing.
 type Bounds struct {
 	Live   int64 // requests being served
@@ -47,33 +47,33 @@
 func (h *heldBody) release() { h.all.Add(-h.own) }
 
 // Held is how many bytes of bodies are held now.
-func (u *Usher) Held() int64 { return u.held.Load() }
+func (u *Forwarder) Held() int64 { return u.held.Load() }
 
 // crowded tells why one more request is one too many; empty when it is not.
-func (u *Usher) crowded(live int64, r *http.Request) string {
+func (u *Forwarder) overloaded(live int64, r *http.Request) string {
 	switch {
 	case u.Bounds.Live > 0 && live > u.Bounds.Live:
 		return fmt.Sprintf("%d requests are being served here, which is as many as may be", u.Bounds.Live)
 	case u.Bounds.Bodies > 0 && u.held.Load()+max(r.ContentLength, 0) > u.Bounds.Bodies:
 		return noRoom{u.Bounds.Bodies}.Error()
-	case u.IsCrowded != nil && u.IsCrowded():
+	case u.IsOverloaded != nil && u.IsOverloaded():
 		return "as many channels are open here as may be"
 	}
 	return ""
 }
 
-// turnAway declines for want of room in this process. The channel is closed with it:
+// turnAway rejects for want of room in this process. The channel is closed with it:
 // the caller's next try had better reach another router.
-func (u *Usher) turnAway(w http.ResponseWriter, id, why string) {
+func (u *Forwarder) turnAway(w http.ResponseWriter, id, why string) {
 	w.Header().Set("Connection", "close")
-	u.SendDecline(w, u.Desk.TurnAway(u.Cue.Clock.Now(), id, why))
+	u.SendRejection(w, u.Dispatcher.TurnAway(u.Env.Clock.Now(), id, why))
 }
 
-// TurnAway declines a request that this process has no room for.
-func (d *Desk) TurnAway(now house.Micros, id, why string) *Decline {
+// TurnAway rejects a request that this process has no room for.
+func (d *Dispatcher) TurnAway(now kernel.Micros, id, why string) *Rejection {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	return d.decline(now, &Call{Request: Request{ID: id}}, &Decline{"crowded", why, http.StatusServiceUnavailable, NotRun, defaultRetryDue})
+	return d.rejection(now, &Call{Request: Request{ID: id}}, &Rejection{"crowded", why, http.StatusServiceUnavailable, NotRun, defaultRetryDue})
 }
 
 func isNoRoom(err error) bool { return errors.As(err, new(noRoom)) }
--- a/auditorium/policy.go
+++ b/relay/policy.go
@@ -1,6 +1,6 @@
-// Package auditorium is the data plane: the policy that picks an engine, the
-// burden it goes by, admission, the retry budget, and the relay of a stream.
-package auditorium
+// Package relay is the data plane: the policy that picks an engine, the
+// load it goes by, admission, the retry budget, and the relay of a stream.
+package relay
 
 import (
 	"encoding/binary"
@@ -18,7 +18,7 @@
 type Candidate struct {
 	ID     string
 	Weight uint32
-	Burden float64 // outstanding tokens, own and foreign
+	Load   float64 // outstanding tokens, own and foreign
 	IsFull bool    // its ramp or cap lets this node send it nothing now
 }
 
@@ -53,7 +53,7 @@
 	Why       string
 }
 
-// Choose is the paper's rule: the preferred engine, unless its burden exceeds
+// Choose is the paper's rule: the preferred engine, unless its load exceeds
 // maxImbalance times the mean; then the engine with the fewest outstanding
 // tokens. Engines within nearTie of the mean above the fewest count as tied and
 // salt decides between them, so that nodes with the same late picture do not all
@@ -61,10 +61,10 @@
 func Choose(candidates []Candidate, preferred int, maxImbalance, nearTie float64, salt uint64) Choice {
 	total := 0.0
 	for _, candidate := range candidates {
-		total += candidate.Burden
+		total += candidate.Load
 	}
 	choice := Choice{Index: preferred, Preferred: preferred, Mean: total / float64(len(candidates)), Why: "preferred"}
-	isAbove := choice.Mean > 0 && candidates[preferred].Burden > maxImbalance*choice.Mean
+	isAbove := choice.Mean > 0 && candidates[preferred].Load > maxImbalance*choice.Mean
 	if !isAbove && !candidates[preferred].IsFull {
 		return choice
 	}
@@ -83,12 +83,12 @@
 	least := math.Inf(1)
 	for _, candidate := range candidates {
 		if !candidate.IsFull {
-			least = min(least, candidate.Burden)
+			least = min(least, candidate.Load)
 		}
 	}
 	best, bestDraw := -1, uint64(0)
 	for i, candidate := range candidates {
-		if candidate.IsFull || candidate.Burden > least+slack {
+		if candidate.IsFull || candidate.Load > least+slack {
 			continue
 		}
 		draw := xxhash.Sum64String(candidate.ID) ^ salt
--- a/auditorium/policy_test.go
+++ b/relay/policy_test.go
@@ -1,4 +1,4 @@
-package auditorium
+package relay
 
 import (
 	"fmt"
@@ -7,15 +7,15 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // The paper's rule on figures worked out by hand.
 func TestChooseWorkedExamples(t *testing.T) {
 	for _, example := range []struct {
 		name      string
-		burdens   []float64
+		loads     []float64
 		preferred int
 		factor    float64
 		want      int
@@ -33,8 +33,8 @@
 		t.Run(example.name, func(t *testing.T) {
 			c := qt.New(t)
 			candidates := []Candidate{}
-			for i, burden := range example.burdens {
-				candidates = append(candidates, Candidate{ID: fmt.Sprintf("e%d", i), Weight: 1, Burden: burden})
+			for i, load := range example.loads {
+				candidates = append(candidates, Candidate{ID: fmt.Sprintf("e%d", i), Weight: 1, Load: load})
 			}
 			choice := Choose(candidates, example.preferred, example.factor, 0, 0)
 			if example.name[:4] == "only" {
@@ -50,11 +50,11 @@
 
 func TestNearTiesDifferBySalt(t *testing.T) {
 	c := qt.New(t)
-	candidates := []Candidate{{ID: "hot", Weight: 1, Burden: 1000}}
+	candidates := []Candidate{{ID: "hot", Weight: 1, Load: 1000}}
 	for i := range 8 {
-		candidates = append(candidates, Candidate{ID: fmt.Sprintf("e%d", i), Weight: 1, Burden: 100 + float64(i%2)})
+		candidates = append(candidates, Candidate{ID: fmt.Sprintf("e%d", i), Weight: 1, Load: 100 + float64(i%2)})
 	}
-	candidates = append(candidates, Candidate{ID: "above", Weight: 1, Burden: 120})
+	candidates = append(candidates, Candidate{ID: "above", Weight: 1, Load: 120})
 	taken := map[string]int{}
 	for salt := range uint64(400) {
 		choice := Choose(candidates, 0, 2, 0.05, salt*0x9e3779b97f4a7c15)
@@ -111,7 +111,7 @@
 	c.Assert(PrefixHash(long[:10], 64), qt.Not(qt.Equals), PrefixHash(long, 64))
 }
 
-func TestForeignBurdenLeavesOursOut(t *testing.T) {
+func TestForeignLoadLeavesOursOut(t *testing.T) {
 	c := qt.New(t)
 	var l ledger
 	l.add(1_000_000, 500) // placed at 1 s
@@ -126,37 +126,37 @@
 	c.Assert(math.Abs(l.foreign(3_000_000, 2_000_000, 900, 10_000_000, 1_000_000)-400/math.E) < 0.001, qt.IsTrue)
 }
 
-// The source's burden worked out by hand: for each request its prompt and what is left
+// The source's load worked out by hand: for each request its prompt and what is left
 // of its budget, and once more the prompt of the one that the engine is working on.
-func TestBurdenWorkedExamples(t *testing.T) {
+func TestLoadWorkedExamples(t *testing.T) {
 	c := qt.New(t)
-	spec, err := playbill.Read([]byte(`{"bindings":[{"name":"all","shares":[{"weight":1}]}]}`))
+	config, err := fleetconfig.Read([]byte(`{"bindings":[{"name":"all","shares":[{"weight":1}]}]}`))
 	c.Assert(err, qt.IsNil)
-	desk := NewDesk("r", "z", func(house.Micros, string, string, string) {})
-	scene := &Scene{Spec: spec, Evacuated: map[string]bool{}, Until: house.Second, Engines: []Engine{{ID: "e", Address: "10.0.0.1:1", Start: 1}}}
-	desk.Show(scene)
+	dispatcher := NewDispatcher("r", "z", func(kernel.Micros, string, string, string) {})
+	routingTable := &RoutingTable{Config: config, Drained: map[string]bool{}, Until: kernel.Second, Engines: []Engine{{ID: "e", Address: "10.0.0.1:1", Start: 1}}}
+	dispatcher.Show(routingTable)
 	arrive := func(id string, prompt, budget int) *Call {
-		call, decline := desk.Arrive(0, Request{ID: id, Prefix: []uint32{1}, PromptTokens: prompt, MaxTokens: budget})
-		c.Assert(decline == nil, qt.IsTrue)
+		call, rejection := dispatcher.Arrive(0, Request{ID: id, Prefix: []uint32{1}, PromptTokens: prompt, MaxTokens: budget})
+		c.Assert(rejection == nil, qt.IsTrue)
 		return call
 	}
 	wants := func(what string, want float64) {
 		c.Helper()
-		binding, _ := spec.Bind("", "")
-		candidates, _, _ := desk.candidates(0, &Call{}, binding)
-		c.Assert(candidates[0].Burden, qt.Equals, want, qt.Commentf("%s", what))
+		binding, _ := config.Bind("", "")
+		candidates, _, _ := dispatcher.candidates(0, &Call{}, binding)
+		c.Assert(candidates[0].Load, qt.Equals, want, qt.Commentf("%s", what))
 	}
 	wants("idle", 0)
 	first := arrive("first", 100, 50)
 	wants("100 + 50, and 100 in work", 250)
 	second := arrive("second", 30, 20)
 	wants("200 of two requests, and the first one's 100", 300)
-	desk.Produced(0, first, 10)
+	dispatcher.Produced(0, first, 10)
 	wants("10 of 50 are done, and the second's 30 are in work", 220)
-	desk.Produced(0, second, 25)
+	dispatcher.Produced(0, second, 25)
 	wants("more tokens than its budget leave 30, never less; none waits for its first", 170)
-	desk.Close(0, first, Served, "")
+	dispatcher.Close(0, first, Served, "")
 	wants("the second's prompt is left", 30)
-	desk.Close(0, second, Served, "")
+	dispatcher.Close(0, second, Served, "")
 	wants("idle again", 0)
 }
--- a/auditorium/prompt.go
+++ b/relay/prompt.go
@@ -1,4 +1,4 @@
-package auditorium
+package relay
 
 import (
 	"bytes"
--- a/foyer/budget.go
+++ b/router/budget.go
@@ -1,12 +1,12 @@
-package foyer
+package router
 
-import "dunlinloom/house"
+import "dunlinloom/kernel"
 
 // Retry bounds the attempts beyond the first of a service's requests, over the whole
 // fleet: at most Ratio times the requests, and Slack more, within any Window.
 type Retry struct {
 	Ratio  float64
-	Window house.Micros
+	Window kernel.Micros
 	Slack  float64
 }
 
@@ -26,13 +26,13 @@
 	firsts, extras int
 }
 
-func (b *budget) second(now house.Micros, retry Retry) *budgetSecond {
+func (b *budget) second(now kernel.Micros, retry Retry) *budgetSecond {
 	// Two more than the window: the ends of a sliding window fall into a second each.
-	size := int64(retry.Window/house.Second) + 2
+	size := int64(retry.Window/kernel.Second) + 2
 	if int64(len(b.seconds)) != size {
 		b.seconds = make([]budgetSecond, size)
 	}
-	number := int64(now / house.Second)
+	number := int64(now / kernel.Second)
 	slot := &b.seconds[number%size]
 	if slot.number != number {
 		*slot = budgetSecond{number: number}
@@ -40,10 +40,10 @@
 	return slot
 }
 
-func (b *budget) first(now house.Micros, retry Retry) { b.second(now, retry).firsts++ }
+func (b *budget) first(now kernel.Micros, retry Retry) { b.second(now, retry).firsts++ }
 
 // spend takes one attempt more, if it is within this router's part.
-func (b *budget) spend(now house.Micros, retry Retry, routers int) bool {
+func (b *budget) spend(now kernel.Micros, retry Retry, routers int) bool {
 	current := b.second(now, retry)
 	oldest := current.number - int64(len(b.seconds)) + 1
 	firsts, extras := 0, 0
--- a/foyer/chooser.go
+++ b/router/chooser.go
@@ -1,4 +1,4 @@
-package foyer
+package router
 
 import (
 	"fmt"
@@ -10,9 +10,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // Refusal is the final answer to a request that no engine's answer ends.
@@ -20,7 +20,7 @@
 	Reason     string // a word for programs
 	Detail     string // a sentence for people
 	Status     int
-	RetryAfter house.Micros // when to come back; zero: no use
+	RetryAfter kernel.Micros // when to come back; zero: no use
 }
 
 func (r *Refusal) Error() string { return r.Reason + ": " + r.Detail }
@@ -30,7 +30,7 @@
 	Engine  Engine
 	Number  int
 	Why     string
-	started house.Micros
+	started kernel.Micros
 	left    int64 // outstanding tokens still counted
 	prompt  int64
 	ahead   float64 // tokens to be read on the engine when it was sent, the own ones included
@@ -77,17 +77,17 @@
 
 // Spans and shares of the choice.
 const (
-	avoidFirst   = 300 * house.Millisecond // an engine that failed is left alone for so long, and twice as long each time
-	avoidLast    = 3 * house.Second
-	waitingFade  = 300 * house.Millisecond // the same, of how many wait
-	paceLasts    = 3 * house.Second        // for which a pace counts
+	avoidFirst   = 300 * kernel.Millisecond // an engine that failed is left alone for so long, and twice as long each time
+	avoidLast    = 3 * kernel.Second
+	waitingFade  = 300 * kernel.Millisecond // the same, of how many wait
+	paceLasts    = 3 * kernel.Second        // for which a pace counts
 	paceWeight   = 0.3
-	dearWait     = 2 * house.Second       // and so much longer by requests that may run once only
-	fullAvoid    = 50 * house.Millisecond // one that turned a request away
-	soon         = 200 * house.Millisecond
-	settled      = 500 * house.Millisecond  // in which a router that has just started knows spec and engines
-	othersFade   = 1500 * house.Millisecond // in which a late figure loses most of its weight
-	figureWeight = 0.03                     // of a new value in a running mean
+	dearWait     = 2 * kernel.Second       // and so much longer by requests that may run once only
+	fullAvoid    = 50 * kernel.Millisecond // one that turned a request away
+	soon         = 200 * kernel.Millisecond
+	settled      = 500 * kernel.Millisecond  // in which a router that has just started knows configuration and engines
+	othersFade   = 1500 * kernel.Millisecond // in which a late figure loses most of its weight
+	figureWeight = 0.03                      // of a new value in a running mean
 )
 
 type engineState struct {
@@ -95,16 +95,16 @@
 	attempts   map[*Attempt]bool
 	tokens     int64 // outstanding, of own attempts
 	failures   int
-	avoidTill  house.Micros
+	avoidTill  kernel.Micros
 	isProbing  bool
-	heard      house.Micros // when anything was last heard from it
-	others     float64      // requests of other routers there, by its late word
-	waiting    float64      // of those, the ones that waited for their first event
-	othersAt   house.Micros
+	heard      kernel.Micros // when anything was last heard from it
+	others     float64       // requests of other routers there, by its late word
+	waiting    float64       // of those, the ones that waited for their first event
+	othersAt   kernel.Micros
 	hasFigures bool
 	// pace is the learned time to the first event for each token that had to be read first.
 	pace   float64
-	paceAt house.Micros
+	paceAt kernel.Micros
 }
 
 // Counts are the chooser's running figures.
@@ -117,38 +117,38 @@
 // Chooser owns the state of a router's requests: what happens to them goes in, what is to
 // be done comes out. Its one lock is held for one decision.
 type Chooser struct {
-	lock       sync.Mutex
-	salt       uint64
-	zone       string
-	retry      Retry
-	scene      *Scene
-	engines    map[string]*engineState
-	services   map[string][]*engineState // in order of ids
-	budgets    map[string]*budget
-	depths     depths
-	meanPrompt float64
-	meanSize   float64 // tokens outstanding of an attempt, on the mean
-	isShut     bool
-	counts     Counts
+	lock         sync.Mutex
+	salt         uint64
+	zone         string
+	retry        Retry
+	routingTable *RoutingTable
+	engines      map[string]*engineState
+	services     map[string][]*engineState // in order of ids
+	budgets      map[string]*budget
+	depths       depths
+	meanPrompt   float64
+	meanSize     float64 // tokens outstanding of an attempt, on the mean
+	isShut       bool
+	counts       Counts
 }
 
 // NewChooser makes a chooser that refuses until it is shown a scene.
 func NewChooser(self, zone string, retry Retry) *Chooser {
 	return &Chooser{
-		salt: xxhash.Sum64String(self), zone: zone, retry: retry, scene: &Scene{}, engines: map[string]*engineState{},
+		salt: xxhash.Sum64String(self), zone: zone, retry: retry, routingTable: &RoutingTable{}, engines: map[string]*engineState{},
 		services: map[string][]*engineState{}, budgets: map[string]*budget{},
 		counts: Counts{Refused: map[string]uint64{}, Endings: map[string]uint64{}},
 	}
 }
 
 // Show puts a new scene in force.
-func (c *Chooser) Show(scene *Scene) {
+func (c *Chooser) Show(routingTable *RoutingTable) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.scene = scene
+	c.routingTable = routingTable
 	c.services = map[string][]*engineState{}
-	known := make(map[string]bool, len(scene.Engines))
-	for _, engine := range scene.Engines {
+	known := make(map[string]bool, len(routingTable.Engines))
+	for _, engine := range routingTable.Engines {
 		known[engine.ID] = true
 		state := c.engines[engine.ID]
 		if state == nil {
@@ -198,18 +198,18 @@
 	return counts
 }
 
-// Spec is the spec in force, or nil.
-func (c *Chooser) Spec() *playbill.Spec {
+// Configuration is the configuration in force, or nil.
+func (c *Chooser) Config() *fleetconfig.Config {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	return c.scene.Spec
+	return c.routingTable.Config
 }
 
 // IsWanted tells whether an engine of the scene has an address.
 func (c *Chooser) IsWanted(address string) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	for _, engine := range c.scene.Engines {
+	for _, engine := range c.routingTable.Engines {
 		if engine.Address == address {
 			return true
 		}
@@ -221,7 +221,7 @@
 func (c *Chooser) HasEngines() bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	for _, engine := range c.scene.Engines {
+	for _, engine := range c.routingTable.Engines {
 		if !engine.IsLeaving && !engine.IsDark {
 			return true
 		}
@@ -230,7 +230,7 @@
 }
 
 // Arrive takes a new request and gives its first attempt, or refuses it.
-func (c *Chooser) Arrive(now house.Micros, request Request) (*Call, *Refusal) {
+func (c *Chooser) Arrive(now kernel.Micros, request Request) (*Call, *Refusal) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.counts.Requests++
@@ -250,7 +250,7 @@
 }
 
 // open chooses the engine of the call's next attempt.
-func (c *Chooser) open(now house.Micros, call *Call) *Refusal {
+func (c *Chooser) open(now kernel.Micros, call *Call) *Refusal {
 	candidates, states, avoided := c.candidates(now, call)
 	if len(candidates) == 0 {
 		// All that are left failed lately; one of them may be well again, and a refusal
@@ -263,7 +263,7 @@
 			candidates, states = append(candidates, c.candidate(now, state, others)), append(states, state)
 		}
 	}
-	policy := c.scene.Spec.Policy
+	policy := c.routingTable.Config.Policy
 	var prefix uint64
 	switch {
 	case len(call.Request.Parts) == 0 || !call.Request.Route.IsPinned:
@@ -277,10 +277,10 @@
 		prefix = c.depths.hash(now, call.Request.Parts, policy.PrefixLength, size, bound)
 	}
 	call.prefix = prefix
-	preferred := auditorium.Preferred(auditorium.SlotOf(prefix), candidates)
+	preferred := relay.Preferred(relay.SlotOf(prefix), candidates)
 	// Among engines that count as tied, the salt decides: of what the prompt shares beyond
 	// the prefix, so that a diverted prompt finds its parts again, on whichever router.
-	choice := auditorium.Choose(candidates, preferred, policy.MaxImbalance, policy.NearTie, sharedHash(call.Request.Parts))
+	choice := relay.Choose(candidates, preferred, policy.MaxImbalance, policy.NearTie, sharedHash(call.Request.Parts))
 	if choice.IsDivert && c.isInTime(now, states[preferred], call) {
 		choice.Index, choice.IsDivert = preferred, false
 		c.counts.Spared++
@@ -304,7 +304,7 @@
 	return nil
 }
 
-func (c *Chooser) candidates(now house.Micros, call *Call) (candidates []auditorium.Candidate, states, avoided []*engineState) {
+func (c *Chooser) candidates(now kernel.Micros, call *Call) (candidates []relay.Candidate, states, avoided []*engineState) {
 	others := c.meanOthers(call.Request.Service)
 	for _, state := range c.services[call.Request.Service] {
 		if state.engine.IsLeaving || call.tried[state.engine.ID] {
@@ -322,13 +322,13 @@
 
 // isTooDear tells that a request should not be the one to find out whether an engine that
 // failed is well again: what may run once only is lost if it is not.
-func (c *Chooser) isTooDear(now house.Micros, state *engineState, call *Call) bool {
+func (c *Chooser) isTooDear(now kernel.Micros, state *engineState, call *Call) bool {
 	return !call.Request.Route.IsRepeatable() && now < state.avoidTill+dearWait
 }
 
-func (c *Chooser) candidate(now house.Micros, state *engineState, others float64) auditorium.Candidate {
+func (c *Chooser) candidate(now kernel.Micros, state *engineState, others float64) relay.Candidate {
 	load := float64(state.tokens) + float64(state.current()) + c.foreign(now, state, others)
-	return auditorium.Candidate{ID: state.engine.ID, Weight: 1, Burden: load}
+	return relay.Candidate{ID: state.engine.ID, Weight: 1, Load: load}
 }
 
 // current is the prompt of the request that an engine is working on, which the source adds
@@ -353,7 +353,7 @@
 // isInTime is the admission check: it tells that an engine's first event is foreseen well
 // within the aim. Twice of a low mean is no load; what is diverted then is read again
 // elsewhere for nothing.
-func (c *Chooser) isInTime(now house.Micros, state *engineState, call *Call) bool {
+func (c *Chooser) isInTime(now kernel.Micros, state *engineState, call *Call) bool {
 	goal := call.Request.Route.Goal
 	if goal == 0 || state.pace == 0 || now-state.paceAt > paceLasts {
 		return false
@@ -363,7 +363,7 @@
 }
 
 // unread reckons the prompt tokens that an engine has to read before it comes to a new one.
-func (c *Chooser) unread(now house.Micros, state *engineState) float64 {
+func (c *Chooser) unread(now kernel.Micros, state *engineState) float64 {
 	tokens, own := 0.0, 0
 	for attempt := range state.attempts {
 		if !attempt.hasHead {
@@ -380,7 +380,7 @@
 }
 
 // learnPace takes how long a first event took.
-func (s *engineState) learnPace(now house.Micros, attempt *Attempt) {
+func (s *engineState) learnPace(now kernel.Micros, attempt *Attempt) {
 	if attempt.hasHead || attempt.ahead <= 0 {
 		return
 	}
@@ -394,7 +394,7 @@
 
 // foreign reckons the tokens that other routers have on an engine, from its late word on
 // how many requests it had: less ours then, fading towards the mean of all engines.
-func (c *Chooser) foreign(now house.Micros, state *engineState, mean float64) float64 {
+func (c *Chooser) foreign(now kernel.Micros, state *engineState, mean float64) float64 {
 	if !state.hasFigures {
 		return mean * c.meanSize
 	}
@@ -435,7 +435,7 @@
 
 // Sent tells that the attempt's bytes are about to go out. False: it must not be sent any
 // more, since what it was chosen by no longer holds.
-func (c *Chooser) Sent(now house.Micros, call *Call) bool {
+func (c *Chooser) Sent(now kernel.Micros, call *Call) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	state := c.engines[call.Attempt.Engine.ID]
@@ -460,7 +460,7 @@
 }
 
 // Answered tells that the engine's answer has begun, with its word on its load, if any.
-func (c *Chooser) Answered(now house.Micros, call *Call, load Load, hasLoad bool) {
+func (c *Chooser) Answered(now kernel.Micros, call *Call, load Load, hasLoad bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	attempt := call.Attempt
@@ -479,7 +479,7 @@
 }
 
 // Produced tells that events of the answer passed, of so many tokens.
-func (c *Chooser) Produced(now house.Micros, call *Call, tokens int) {
+func (c *Chooser) Produced(now kernel.Micros, call *Call, tokens int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	attempt := call.Attempt
@@ -497,7 +497,7 @@
 
 // MayLeave asks whether an attempt at a silent engine may be given up for one at another:
 // whether there is such an engine, and a retry to be had, which it takes.
-func (c *Chooser) MayLeave(now house.Micros, call *Call) bool {
+func (c *Chooser) MayLeave(now kernel.Micros, call *Call) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if call.isPaid {
@@ -507,12 +507,12 @@
 	if len(candidates) == 0 || now >= call.Request.Deadline || call.IsBound || call.sent >= max(call.Request.Route.Tries, 1) {
 		return false
 	}
-	call.isPaid = c.budget(call.Request.Service).spend(now, c.retry, c.scene.Routers)
+	call.isPaid = c.budget(call.Request.Service).spend(now, c.retry, c.routingTable.Routers)
 	return call.isPaid
 }
 
 // HeardSince tells whether anything came from an engine since a moment.
-func (c *Chooser) HeardSince(id string, moment house.Micros) bool {
+func (c *Chooser) HeardSince(id string, moment kernel.Micros) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	state := c.engines[id]
@@ -521,7 +521,7 @@
 
 // Close ends the call's attempt. It gives true, and the next attempt in the call, when one
 // may follow; otherwise the refusal that the caller is owed, if an attempt ended unserved.
-func (c *Chooser) Close(now house.Micros, call *Call, ending Ending, why string) (isAgain bool, refusal *Refusal) {
+func (c *Chooser) Close(now kernel.Micros, call *Call, ending Ending, why string) (isAgain bool, refusal *Refusal) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	attempt := call.Attempt
@@ -559,7 +559,7 @@
 	}
 	isPaid := call.isPaid
 	call.isPaid = false
-	if !isPaid && !c.budget(call.Request.Service).spend(now, c.retry, c.scene.Routers) {
+	if !isPaid && !c.budget(call.Request.Service).spend(now, c.retry, c.routingTable.Routers) {
 		fail.Detail += "; the retry budget is spent"
 		return false, c.refuse(fail)
 	}
@@ -567,7 +567,7 @@
 	return c.again(now, call, fail)
 }
 
-func (c *Chooser) again(now house.Micros, call *Call, fail *Refusal) (bool, *Refusal) {
+func (c *Chooser) again(now kernel.Micros, call *Call, fail *Refusal) (bool, *Refusal) {
 	if refusal := c.open(now, call); refusal != nil {
 		fail.Detail += "; " + refusal.Detail
 		return false, c.refuse(fail)
@@ -576,7 +576,7 @@
 }
 
 // judge keeps the engine's record of failures.
-func (c *Chooser) judge(now house.Micros, state *engineState, ending Ending) {
+func (c *Chooser) judge(now kernel.Micros, state *engineState, ending Ending) {
 	switch ending {
 	case NotSent, Lost, Silent, Moved:
 		state.isProbing = false
@@ -600,7 +600,7 @@
 }
 
 // Figures takes an engine's word on its load that came without an answer.
-func (c *Chooser) Figures(now house.Micros, id string, load Load) {
+func (c *Chooser) Figures(now kernel.Micros, id string, load Load) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if state := c.engines[id]; state != nil {
@@ -610,7 +610,7 @@
 }
 
 // learnLoad takes an engine's word on its load, less what is ours of it.
-func (s *engineState) learnLoad(now house.Micros, load Load) {
+func (s *engineState) learnLoad(now kernel.Micros, load Load) {
 	waiting := 0
 	for attempt := range s.attempts {
 		if !attempt.hasHead {
@@ -622,9 +622,9 @@
 	s.othersAt, s.hasFigures = now, true
 }
 
-// view gives the spec in force and how many routers serve.
-func (c *Chooser) view() (*playbill.Spec, int) {
+// view gives the configuration in force and how many routers serve.
+func (c *Chooser) view() (*fleetconfig.Config, int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	return c.scene.Spec, c.scene.Routers
+	return c.routingTable.Config, c.routingTable.Routers
 }
--- a/foyer/connection.go
+++ b/router/connection.go
@@ -1,4 +1,4 @@
-package foyer
+package router
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // Dialer opens a connection.
@@ -30,8 +30,8 @@
 	net     net.Conn
 	reader  *bufio.Reader
 	address string
-	idleAt  house.Micros
-	until   house.Micros // the engine closes it about then; zero: it did not say
+	idleAt  kernel.Micros
+	until   kernel.Micros // the engine closes it about then; zero: it did not say
 	uses    int
 }
 
@@ -117,10 +117,10 @@
 // Pool keeps idle connections to engines. Its one lock guards the table and is held for
 // no call that waits.
 type Pool struct {
-	clock house.Clock
+	clock kernel.Clock
 	dial  Dialer
-	span  house.Micros // in which a connection has to come up
-	rest  house.Micros // how long one may idle where the engine says nothing
+	span  kernel.Micros // in which a connection has to come up
+	rest  kernel.Micros // how long one may idle where the engine says nothing
 	lock  sync.Mutex
 	idle  map[string][]*connection
 	open  map[string]int // idle and busy
@@ -129,7 +129,7 @@
 }
 
 // NewPool makes an empty pool.
-func NewPool(clock house.Clock, dial Dialer, span, rest house.Micros) *Pool {
+func NewPool(clock kernel.Clock, dial Dialer, span, rest kernel.Micros) *Pool {
 	return &Pool{clock: clock, dial: dial, span: span, rest: rest, idle: map[string][]*connection{}, open: map[string]int{}}
 }
 
@@ -205,7 +205,7 @@
 	rest := p.rest
 	if seconds, isSaid := keepAlive(response.Header); isSaid {
 		// A margin for the way: what arrives as the engine closes is lost.
-		rest = min(rest, max(house.Micros(seconds)*house.Second-house.Second/2, 0))
+		rest = min(rest, max(kernel.Micros(seconds)*kernel.Second-kernel.Second/2, 0))
 	}
 	if response.Close || rest == 0 || c.reader.Buffered() > 0 {
 		p.drop(c)
@@ -320,7 +320,7 @@
 }
 
 // PlainDialer opens connections that notice a peer which has gone silent.
-func PlainDialer(silence house.Micros) Dialer {
+func PlainDialer(silence kernel.Micros) Dialer {
 	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		made, err := dialer.DialContext(ctx, network, address)
@@ -331,7 +331,7 @@
 			control, err := tcp.SyscallConn()
 			if err == nil {
 				err = control.Control(func(descriptor uintptr) {
-					unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/house.Millisecond))
+					unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/kernel.Millisecond))
 				})
 			}
 			if err != nil {
--- a/foyer/depth.go
+++ b/router/depth.go
@@ -1,11 +1,11 @@
-package foyer
+package router
 
 import (
 	"math"
 
 	"github.com/cespare/xxhash/v2"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // depths tells how many parts of a prompt its hash has to cover.
@@ -19,13 +19,13 @@
 type depths struct {
 	shares map[uint64]*prefixShare
 	total  float64
-	at     house.Micros
+	at     kernel.Micros
 	count  int
 }
 
 type prefixShare struct {
 	tokens float64
-	at     house.Micros
+	at     kernel.Micros
 	isHot  bool
 }
 
@@ -33,17 +33,17 @@
 const evidence = 24
 
 const (
-	shareFade = 10 * house.Second // in which a share loses most of its weight
-	shareKeep = 0.6               // a hot prefix stays so until it falls to this part of the bound
-	mostRates = 8192              // prefixes remembered
+	shareFade = 10 * kernel.Second // in which a share loses most of its weight
+	shareKeep = 0.6                // a hot prefix stays so until it falls to this part of the bound
+	mostRates = 8192               // prefixes remembered
 )
 
-func faded(tokens float64, since house.Micros) float64 {
+func faded(tokens float64, since kernel.Micros) float64 {
 	return tokens * math.Exp(-float64(since)/float64(shareFade))
 }
 
 // hash counts a prompt's tokens and gives the hash of as many of its parts as it takes.
-func (d *depths) hash(now house.Micros, parts []Part, length int, size float64, bound float64) uint64 {
+func (d *depths) hash(now kernel.Micros, parts []Part, length int, size float64, bound float64) uint64 {
 	if d.shares == nil {
 		d.shares = map[uint64]*prefixShare{}
 	}
@@ -72,7 +72,7 @@
 // isHot counts a prompt to a prefix. Until there is evidence a prefix is taken for hot if
 // most of what its prompt shares lies beyond it: to split it costs the less then, and all
 // routers take it alike from their first request on.
-func (d *depths) isHot(now house.Micros, sum uint64, size, bound float64, isCheap bool) bool {
+func (d *depths) isHot(now kernel.Micros, sum uint64, size, bound float64, isCheap bool) bool {
 	share := d.shares[sum]
 	if share == nil {
 		if len(d.shares) >= mostRates {
@@ -94,7 +94,7 @@
 }
 
 // sweep forgets what has faded, or everything when that is not enough.
-func (d *depths) sweep(now house.Micros) {
+func (d *depths) sweep(now kernel.Micros) {
 	for sum, share := range d.shares {
 		if now-share.at > 3*shareFade {
 			delete(d.shares, sum)
--- a/foyer/events.go
+++ b/router/events.go
@@ -1,4 +1,4 @@
-package foyer
+package router
 
 import "bytes"
 
--- a/foyer/fuzz_test.go
+++ b/router/fuzz_test.go
@@ -1,4 +1,4 @@
-package foyer
+package router
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// What callers and engines write in headers is read whole or declined with the header named.
+// What callers and engines write in headers is read whole or rejected with the header named.
 func FuzzHeaders(f *testing.F) {
 	for _, seed := range []string{"", "1460,80", "1", "-1,2", "1,", ",1", "99999999999,1", "5c1e07a2:800,91bd3f06:410,e4402b7d:250", "a:", ":1", "a:1,,b:2", "3,0,8", " 3 , 0 , 8 ", "a:1:2"} {
 		f.Add(seed)
--- a/foyer/scene.go
+++ b/router/request.go
@@ -1,9 +1,9 @@
-// Package foyer is the data plane for requests that a deployment's routes lead to
+// Package router is the data plane for requests that a deployment's routes lead to
 // engines which register themselves: which engine an attempt goes to, what may be tried
 // again, the connections to engines, and the relay of an answer.
 //
 // What it speaks is told by a Wire: the names belong to the deployment, the meaning is here.
-package foyer
+package router
 
 import (
 	"strconv"
@@ -11,8 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // Wire names the headers that a deployment's callers and engines use.
@@ -46,8 +46,8 @@
 }
 
 // Scene is all that the control plane has told this router, as one picture.
-type Scene struct {
-	Spec    *playbill.Spec
+type RoutingTable struct {
+	Config  *fleetconfig.Config
 	Engines []Engine
 	Routers int // routers that serve now, this one included
 }
@@ -63,9 +63,9 @@
 	ID                      string
 	PromptTokens, MaxTokens int
 	Parts                   []Part
-	Arrived                 house.Micros
-	Deadline                house.Micros // the moment after which nobody waits any more
-	Route                   *playbill.Route
+	Arrived                 kernel.Micros
+	Deadline                kernel.Micros // the moment after which nobody waits any more
+	Route                   *fleetconfig.Route
 	Service                 string
 	LastEvent               string
 }
--- a/foyer/router.go
+++ b/router/router.go
@@ -1,4 +1,4 @@
-package foyer
+package router
 
 import (
 	"bytes"
@@ -14,25 +14,25 @@
 	"sync/atomic"
 	"time"
 
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // Settings are what a router is told at its start.
 type Settings struct {
-	Cue     house.Cue
+	Env     kernel.Env
 	Wire    Wire
 	Chooser *Chooser
 	Pool    *Pool
 	// MaxLive bounds the requests served at once, MaxBodies the bytes of their bodies.
 	MaxLive, MaxBodies int64
-	// MaxBody bounds one body where the spec says nothing.
+	// MaxBody bounds one body where the configuration says nothing.
 	MaxBody int64
 	// Suspect hears of engines that could not be reached or fell silent; nil: nobody does.
 	Suspect func(Engine)
 }
 
-// Router serves the callers of a spec's routes.
+// Router serves the callers of a configuration's routes.
 type Router struct {
 	Settings
 	live     atomic.Int64
@@ -58,21 +58,21 @@
 const (
 	defaultBody = 4 << 20
 	// longest is how long a request is served at most where nothing bounds it.
-	longest = 10 * 60 * house.Second
+	longest = 10 * 60 * kernel.Second
 	// overtime is for an engine's own answer at the deadline to arrive.
-	overtime = 300 * house.Millisecond
+	overtime = 300 * kernel.Millisecond
 )
 
 // ServeHTTP takes a caller's request to an engine and the answer back.
 func (u *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := u.Cue.Clock.Now()
+	arrived := u.Env.Clock.Now()
 	live := u.live.Add(1)
 	defer u.live.Add(-1)
 	if u.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	spec := u.Chooser.Spec()
-	if spec == nil {
+	config := u.Chooser.Config()
+	if config == nil {
 		u.refuse(w, &Refusal{"no_spec", "no spec has reached this router yet", http.StatusServiceUnavailable, settled})
 		return
 	}
@@ -81,12 +81,12 @@
 		u.refuse(w, &Refusal{"crowded", "this process serves as many requests as it may", http.StatusServiceUnavailable, soon})
 		return
 	}
-	route := spec.RouteOf(r.Host, r.URL.Path)
+	route := config.RouteOf(r.Host, r.URL.Path)
 	if route == nil {
 		u.refuse(w, &Refusal{"no_route", "no route takes this host and path", http.StatusNotFound, 0})
 		return
 	}
-	body, refusal := u.readBody(w, r, spec)
+	body, refusal := u.readBody(w, r, config)
 	defer func() { u.held.Add(-int64(len(body))) }()
 	if refusal != nil {
 		u.refuse(w, refusal)
@@ -100,11 +100,11 @@
 	u.serve(w, r, request, body)
 }
 
-func (u *Router) readBody(w http.ResponseWriter, r *http.Request, spec *playbill.Spec) ([]byte, *Refusal) {
+func (u *Router) readBody(w http.ResponseWriter, r *http.Request, config *fleetconfig.Config) ([]byte, *Refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	bound := spec.Caps.BodyBytes
+	bound := config.Caps.BodyBytes
 	if bound <= 0 {
 		bound = max(u.MaxBody, defaultBody)
 	}
@@ -114,7 +114,7 @@
 	}
 	// A caller that trickles its body must not hold a place for ever.
 	control := http.NewResponseController(w)
-	if idle := spec.Caps.IdleTime; idle > 0 {
+	if idle := config.Caps.IdleTime; idle > 0 {
 		if err := control.SetReadDeadline(time.Now().Add(idle.Duration())); err != nil {
 			return nil, &Refusal{"connection", err.Error(), http.StatusInternalServerError, 0}
 		}
@@ -141,7 +141,7 @@
 	return body, nil
 }
 
-func (u *Router) readRequest(r *http.Request, route *playbill.Route, arrived house.Micros) (Request, *Refusal) {
+func (u *Router) readRequest(r *http.Request, route *fleetconfig.Route, arrived kernel.Micros) (Request, *Refusal) {
 	bad := func(err error) *Refusal { return &Refusal{"bad_request", err.Error(), http.StatusBadRequest, 0} }
 	request := Request{ID: r.Header.Get(u.Wire.RequestID), Arrived: arrived, Route: route, LastEvent: r.Header.Get(u.Wire.LastEvent)}
 	var err error
@@ -157,7 +157,7 @@
 		if err != nil || !(left >= 0 && left < 1e9) {
 			return request, bad(BadHeader{u.Wire.Deadline, "it is not a number of milliseconds"})
 		}
-		request.Deadline = min(request.Deadline, arrived+house.Micros(left*float64(house.Millisecond)))
+		request.Deadline = min(request.Deadline, arrived+kernel.Micros(left*float64(kernel.Millisecond)))
 	}
 	if route.Timeout > 0 {
 		request.Deadline = min(request.Deadline, arrived+route.Timeout)
@@ -175,19 +175,19 @@
 // refuse answers at once, with when to come back.
 func (u *Router) refuse(w http.ResponseWriter, refusal *Refusal) {
 	if refusal.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(float64(refusal.RetryAfter)/float64(house.Second), 'f', 3, 64))
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(refusal.RetryAfter)/float64(kernel.Second), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(refusal.Status)
 	// A caller that is gone can't be told; there is nobody else to tell.
 	if err := json.NewEncoder(w).Encode(refusalBody{refusal.Reason, refusal.Detail}); err != nil {
-		u.Cue.Log.V(2).Info("a refusal could not be delivered", "error", err.Error())
+		u.Env.Log.V(2).Info("a refusal could not be delivered", "error", err.Error())
 	}
 }
 
 // serve makes attempts until one ends the request.
 func (u *Router) serve(w http.ResponseWriter, r *http.Request, request Request, body []byte) {
-	call, refusal := u.Chooser.Arrive(u.Cue.Clock.Now(), request)
+	call, refusal := u.Chooser.Arrive(u.Env.Clock.Now(), request)
 	if refusal != nil {
 		u.refuse(w, refusal)
 		return
@@ -200,7 +200,7 @@
 		if (ending == NotSent || ending == Silent || ending == Lost) && u.Suspect != nil {
 			u.Suspect(engine)
 		}
-		isAgain, refusal := u.Chooser.Close(u.Cue.Clock.Now(), call, ending, why)
+		isAgain, refusal := u.Chooser.Close(u.Env.Clock.Now(), call, ending, why)
 		switch {
 		case isAgain:
 			continue
@@ -217,7 +217,7 @@
 }
 
 // engineSilent is why an exchange is cut: the engine showed no sign of life.
-type engineSilent struct{ span house.Micros }
+type engineSilent struct{ span kernel.Micros }
 
 func (b engineSilent) Error() string { return fmt.Sprintf("nothing came for %d us", b.span) }
 
@@ -234,7 +234,7 @@
 func (u *Router) attempt(answer *answer, body []byte) (Ending, string) {
 	call := answer.call
 	engine := call.Attempt.Engine
-	ctx, cancel := context.WithDeadlineCause(answer.r.Context(), time.Now().Add((call.Request.Deadline + overtime - u.Cue.Clock.Now()).Duration()), deadlineOver{})
+	ctx, cancel := context.WithDeadlineCause(answer.r.Context(), time.Now().Add((call.Request.Deadline + overtime - u.Env.Clock.Now()).Duration()), deadlineOver{})
 	defer cancel()
 	blame := func(err error) (Ending, string) {
 		switch {
@@ -250,7 +250,7 @@
 		if err != nil {
 			return blame(err)
 		}
-		now := u.Cue.Clock.Now()
+		now := u.Env.Clock.Now()
 		if !u.Chooser.Sent(now, call) {
 			u.Pool.keepUnused(held)
 			return blame(NotWritten{callOff{}})
@@ -281,21 +281,21 @@
 
 // connectionBound is this router's part of an engine's connections.
 func (u *Router) connectionBound(call *Call) int {
-	spec, routers := u.Chooser.view()
-	if spec == nil {
+	config, routers := u.Chooser.view()
+	if config == nil {
 		return 0
 	}
-	whole := spec.Services[call.Request.Service].MaxChannels
+	whole := config.Services[call.Request.Service].MaxConnections
 	if whole <= 0 {
 		return 0
 	}
 	return max(whole*9/10/max(routers, 1), 2)
 }
 
-func (u *Router) newHeaders(call *Call, now house.Micros, answer *answer) http.Header {
+func (u *Router) newHeaders(call *Call, now kernel.Micros, answer *answer) http.Header {
 	anew := http.Header{}
 	set := func(name, value string) { anew[http.CanonicalHeaderKey(name)] = []string{value} }
-	left := max((call.Request.Deadline-now)/house.Millisecond, 1)
+	left := max((call.Request.Deadline-now)/kernel.Millisecond, 1)
 	set(u.Wire.Deadline, strconv.FormatInt(int64(left), 10))
 	set(u.Wire.WantInstance, call.Attempt.Engine.ID)
 	set(u.Wire.Priority, strconv.Itoa(min(max(call.Request.Route.Priority, 0), 9)))
@@ -308,15 +308,15 @@
 // patience is how long an engine may show no sign of life before another one is tried,
 // which only a repeatable request can be. Half of the aim leaves the other half for the
 // second engine.
-func patience(call *Call, hasBegun bool) house.Micros {
+func patience(call *Call, hasBegun bool) kernel.Micros {
 	route := call.Request.Route
 	if !route.IsRepeatable() || call.sent >= max(route.Tries, 1) {
 		return 0
 	}
 	if hasBegun {
-		return max(2*route.GapGoal, house.Second)
+		return max(2*route.GapGoal, kernel.Second)
 	}
-	return max(route.Goal/2, 100*house.Millisecond)
+	return max(route.Goal/2, 100*kernel.Millisecond)
 }
 
 // exchange carries out one attempt on a connection.
@@ -333,7 +333,7 @@
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, func() { held.net.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	sentAt := u.Cue.Clock.Now()
+	sentAt := u.Env.Clock.Now()
 	if span := patience(call, answer.hasBegun); span > 0 {
 		var silence *time.Timer
 		// Set going only once it has its name, by which it sets itself going again.
@@ -343,7 +343,7 @@
 				return
 			}
 			// While other streams of that engine go on it is busy, not gone.
-			now := u.Cue.Clock.Now()
+			now := u.Env.Clock.Now()
 			if u.Chooser.HeardSince(engine.ID, max(sentAt, now-span)) {
 				silence.Reset(span.Duration())
 				return
@@ -376,7 +376,7 @@
 			}
 		}
 		if load, hasLoad := ParseLoad(response.Header.Get(u.Wire.Load)); hasLoad {
-			u.Chooser.Figures(u.Cue.Clock.Now(), engine.ID, load)
+			u.Chooser.Figures(u.Env.Clock.Now(), engine.ID, load)
 		}
 		return ending, "status " + strconv.Itoa(response.StatusCode), nil
 	}
@@ -385,7 +385,7 @@
 		return 0, "", Broken{"read the head", unproven{response.StatusCode}}
 	}
 	load, hasLoad := ParseLoad(response.Header.Get(u.Wire.Load))
-	u.Chooser.Answered(u.Cue.Clock.Now(), call, load, hasLoad)
+	u.Chooser.Answered(u.Env.Clock.Now(), call, load, hasLoad)
 	if response.StatusCode >= 200 && response.StatusCode < 300 && response.Header.Get(u.Wire.Stamp) == "" {
 		return 0, "", Broken{"read the head", unstamped{}}
 	}
@@ -463,7 +463,7 @@
 	events   eventSplitter
 	hasBegun bool // the head went out
 	silence  *time.Timer
-	span     house.Micros
+	span     kernel.Micros
 	buffer   []byte
 }
 
@@ -503,10 +503,10 @@
 			}
 		}
 	}
-	spec := a.router.Chooser.Spec()
+	config := a.router.Chooser.Config()
 	stride := 1
-	if spec != nil {
-		stride = max(spec.Services[call.Request.Service].Stride, 1)
+	if config != nil {
+		stride = max(config.Services[call.Request.Service].Stride, 1)
 	}
 	a.events.pending = a.events.pending[:0]
 	last, isResumed := a.events.lastID, call.sent > 1 && a.events.lastID != ""
@@ -516,7 +516,7 @@
 	for {
 		count, err := response.Body.Read(a.buffer)
 		if count > 0 {
-			now := a.router.Cue.Clock.Now()
+			now := a.router.Env.Clock.Now()
 			if a.silence != nil {
 				a.silence.Reset(max(a.span, patience(call, true)).Duration())
 			}
--- a/foyer/foyer_test.go
+++ b/router/router_test.go
@@ -1,4 +1,4 @@
-package foyer
+package router
 
 import (
 	"bufio"
@@ -17,46 +17,46 @@
 	qt "github.com/frankban/quicktest"
 	"k8s.io/klog/v2"
 
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // bubbleClock reads the virtual time of a test.
 type bubbleClock struct{ start time.Time }
 
-func (c bubbleClock) Now() house.Micros { return house.MicrosOf(time.Since(c.start)) + house.Second }
+func (c bubbleClock) Now() kernel.Micros { return kernel.MicrosOf(time.Since(c.start)) + kernel.Second }
 
 // hall is a router with engines that a test scripts.
 type hall struct {
-	t       *testing.T
-	lock    sync.Mutex
-	engines map[string]func(connection int, r *http.Request, to net.Conn) bool // by address; false: close
-	runs    map[string]int                                                     // arrivals by engine
-	dials   map[string]int
-	router  *Router
-	chooser *Chooser
-	scene   *Scene
-	suspect []string
+	t            *testing.T
+	lock         sync.Mutex
+	engines      map[string]func(connection int, r *http.Request, to net.Conn) bool // by address; false: close
+	runs         map[string]int                                                     // arrivals by engine
+	dials        map[string]int
+	router       *Router
+	chooser      *Chooser
+	routingTable *RoutingTable
+	suspect      []string
 }
 
-func newHall(t *testing.T, route playbill.Route, engines ...string) *hall {
+func newHall(t *testing.T, route fleetconfig.Route, engines ...string) *hall {
 	h := &hall{t: t, engines: map[string]func(int, *http.Request, net.Conn) bool{}, runs: map[string]int{}, dials: map[string]int{}}
 	route.Name, route.Host, route.Prefix = "r", "h.example", "/p/"
 	if len(route.Splits) == 0 {
-		route.Splits = []playbill.Split{{Service: "svc", Weight: 1}}
+		route.Splits = []fleetconfig.Split{{Service: "svc", Weight: 1}}
 	}
-	spec := playbill.NewRouteSpec([]playbill.Route{route}, []playbill.Service{{Name: "svc", Slots: 8, Stride: 2, MaxChannels: 100}})
-	h.scene = &Scene{Spec: spec, Routers: 1}
+	config := fleetconfig.NewRouteConfig([]fleetconfig.Route{route}, []fleetconfig.Service{{Name: "svc", Slots: 8, Stride: 2, MaxConnections: 100}})
+	h.routingTable = &RoutingTable{Config: config, Routers: 1}
 	for _, id := range engines {
-		h.scene.Engines = append(h.scene.Engines, Engine{ID: id, Address: id + ":1", Zone: "z", Service: "svc", Slots: 8})
+		h.routingTable.Engines = append(h.routingTable.Engines, Engine{ID: id, Address: id + ":1", Zone: "z", Service: "svc", Slots: 8})
 	}
 	clock := bubbleClock{time.Now()}
-	h.chooser = NewChooser("router", "z", Retry{Ratio: 0.2, Window: 10 * house.Second, Slack: 50})
-	h.chooser.Show(h.scene)
-	pool := NewPool(clock, h.dial, 300*house.Millisecond, 5*house.Second)
+	h.chooser = NewChooser("router", "z", Retry{Ratio: 0.2, Window: 10 * kernel.Second, Slack: 50})
+	h.chooser.Show(h.routingTable)
+	pool := NewPool(clock, h.dial, 300*kernel.Millisecond, 5*kernel.Second)
 	t.Cleanup(func() { pool.Sweep(func(string) bool { return false }) })
-	cue := house.Cue{Context: t.Context(), Clock: clock, Log: klog.Background(), Journal: house.NewJournal(64)}
-	h.router = NewRouter(Settings{Cue: cue, Wire: DefaultWire(), Chooser: h.chooser, Pool: pool,
+	env := kernel.Env{Context: t.Context(), Clock: clock, Log: klog.Background(), Journal: kernel.NewJournal(64)}
+	h.router = NewRouter(Settings{Env: env, Wire: DefaultWire(), Chooser: h.chooser, Pool: pool,
 		Suspect: func(engine Engine) { h.suspect = append(h.suspect, engine.ID) }})
 	return h
 }
@@ -161,11 +161,11 @@
 
 // preferredOf gives the engine that the hall's prompt prefers, and the others.
 func (h *hall) preferredOf() (first string, rest []string) {
-	call, refusal := h.chooser.Arrive(house.Second, Request{ID: "probe", PromptTokens: 1, Parts: []Part{{"a", 80}, {"b", 20}},
-		Deadline: 1 << 60, Route: &h.scene.Spec.Routes[0], Service: "svc"})
+	call, refusal := h.chooser.Arrive(kernel.Second, Request{ID: "probe", PromptTokens: 1, Parts: []Part{{"a", 80}, {"b", 20}},
+		Deadline: 1 << 60, Route: &h.routingTable.Config.Routes[0], Service: "svc"})
 	qt.Assert(h.t, refusal == nil, qt.IsTrue)
-	h.chooser.Close(house.Second, call, CallerGone, "")
-	for _, engine := range h.scene.Engines {
+	h.chooser.Close(kernel.Second, call, CallerGone, "")
+	for _, engine := range h.routingTable.Engines {
 		if engine.ID != call.Attempt.Engine.ID {
 			rest = append(rest, engine.ID)
 		}
@@ -182,7 +182,7 @@
 func TestAnswerIsTheEnginesOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second, Priority: 3}, "e1")
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Priority: 3}, "e1")
 		var seen *http.Request
 		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
 			seen = r
@@ -235,7 +235,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second}, "e1", "e2")
+				h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1", "e2")
 				h.script("e1", test.serve)
 				h.script("e2", test.serve)
 				recorder, isTorn := h.call("POST", "r1", nil)
@@ -252,7 +252,7 @@
 func TestEngineThatCannotBeReachedCostsNoTry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second, IsPinned: true}, "e1", "e2", "e3")
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, IsPinned: true}, "e1", "e2", "e3")
 		first, rest := h.preferredOf()
 		for _, id := range rest {
 			h.script(id, plainAnswer("ok"))
@@ -267,7 +267,7 @@
 func TestNotRunIsTriedElsewhereWithinTries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 2, Goal: house.Second, IsPinned: true}, "e1", "e2")
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 2, Goal: kernel.Second, IsPinned: true}, "e1", "e2")
 		first, rest := h.preferredOf()
 		h.script(first, func(_ int, _ *http.Request, to net.Conn) bool {
 			io.WriteString(to, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
@@ -286,7 +286,7 @@
 func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 2, Goal: house.Second, GapGoal: house.Second, IsPinned: true}
+		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 2, Goal: kernel.Second, GapGoal: kernel.Second, IsPinned: true}
 		h := newHall(t, route, "e1", "e2")
 		first, rest := h.preferredOf()
 		h.script(first, streamFrom(5, 2))
@@ -304,7 +304,7 @@
 func TestStrayStreamDoesNotMoveThePlaceToGoOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 3, Goal: house.Second, GapGoal: house.Second, IsPinned: true}
+		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 3, Goal: kernel.Second, GapGoal: kernel.Second, IsPinned: true}
 		h := newHall(t, route, "e1", "e2", "e3")
 		turn := 0
 		for _, id := range []string{"e1", "e2", "e3"} {
@@ -331,7 +331,7 @@
 func TestPlainAnswerDoesNotGoOnWithAStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 2, Goal: house.Second, GapGoal: house.Second, IsPinned: true}
+		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 2, Goal: kernel.Second, GapGoal: kernel.Second, IsPinned: true}
 		h := newHall(t, route, "e1", "e2")
 		first, rest := h.preferredOf()
 		h.script(first, streamFrom(5, 2))
@@ -346,14 +346,14 @@
 func TestUnsentRequestCountsOnceInTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, playbill.Route{Kind: playbill.Safe, Tries: 2, Goal: house.Second}, "e1", "e2")
-		call, refusal := h.chooser.Arrive(house.Second, Request{ID: "a", Deadline: 1 << 60, Route: &h.scene.Spec.Routes[0], Service: "svc"})
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 2, Goal: kernel.Second}, "e1", "e2")
+		call, refusal := h.chooser.Arrive(kernel.Second, Request{ID: "a", Deadline: 1 << 60, Route: &h.routingTable.Config.Routes[0], Service: "svc"})
 		c.Assert(refusal == nil, qt.IsTrue)
 		for range 5 {
-			c.Assert(h.chooser.Sent(house.Second, call), qt.IsTrue)
+			c.Assert(h.chooser.Sent(kernel.Second, call), qt.IsTrue)
 			h.chooser.Unsent(call)
 		}
-		c.Assert(h.chooser.Sent(house.Second, call), qt.IsTrue)
+		c.Assert(h.chooser.Sent(kernel.Second, call), qt.IsTrue)
 		firsts := 0
 		for _, slot := range h.chooser.budget("svc").seconds {
 			firsts += slot.firsts
@@ -365,7 +365,7 @@
 func TestStreamThatMayNotBeResumedIsTorn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, playbill.Route{Kind: playbill.Stream, Tries: 2, Goal: house.Second, IsPinned: true}, "e1", "e2")
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Stream, Tries: 2, Goal: kernel.Second, IsPinned: true}, "e1", "e2")
 		h.script("e1", streamFrom(5, 2))
 		h.script("e2", streamFrom(5, 2))
 		recorder, isTorn := h.call("POST", "r1", nil)
@@ -378,7 +378,7 @@
 func TestSafeAnswerThatBeganIsNotStitched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, playbill.Route{Kind: playbill.Safe, Tries: 3, Goal: house.Second}, "e1", "e2")
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 3, Goal: kernel.Second}, "e1", "e2")
 		cut := func(_ int, r *http.Request, to net.Conn) bool {
 			io.WriteString(to, head(r.Header.Get(DefaultWire().RequestID), "Content-Length: 100\r\n\r\nhalf"))
 			return false
@@ -394,7 +394,7 @@
 func TestSilentEngineIsLeftInTimeWhereItMayBe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 2, Goal: 400 * house.Millisecond, IsPinned: true}
+		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 2, Goal: 400 * kernel.Millisecond, IsPinned: true}
 		h := newHall(t, route, "e1", "e2")
 		first, rest := h.preferredOf()
 		h.script(first, func(_ int, _ *http.Request, to net.Conn) bool {
@@ -413,9 +413,9 @@
 func TestSilentEngineIsKeptWhenNoRetryIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		route := playbill.Route{Kind: playbill.Stream, IsResumable: true, Tries: 2, Goal: 200 * house.Millisecond, IsPinned: true}
+		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 2, Goal: 200 * kernel.Millisecond, IsPinned: true}
 		h := newHall(t, route, "e1", "e2")
-		h.chooser.retry = Retry{Window: 10 * house.Second}
+		h.chooser.retry = Retry{Window: 10 * kernel.Second}
 		for _, id := range []string{"e1", "e2"} {
 			h.script(id, func(number int, r *http.Request, to net.Conn) bool {
 				time.Sleep(time.Second)
@@ -433,7 +433,7 @@
 func TestSilenceIsNoReasonToEndWhatMayNotBeRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, playbill.Route{Kind: playbill.Stream, Tries: 2, Goal: 100 * house.Millisecond}, "e1")
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Stream, Tries: 2, Goal: 100 * kernel.Millisecond}, "e1")
 		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
 			time.Sleep(2500 * time.Millisecond)
 			return streamFrom(1, -1)(number, r, to)
@@ -447,7 +447,7 @@
 func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second}, "e1")
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
 		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
 			if id := r.Header.Get(DefaultWire().RequestID); id == "r2" {
 				// A second answer to the first request comes where the next one is due.
@@ -467,9 +467,9 @@
 func TestRefusalsComeAtOnceAndSayWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, playbill.Route{Kind: playbill.Unsafe, Tries: 1, Goal: house.Second}, "e1")
-		h.scene = &Scene{Spec: h.scene.Spec, Routers: 1}
-		h.chooser.Show(h.scene)
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+		h.routingTable = &RoutingTable{Config: h.routingTable.Config, Routers: 1}
+		h.chooser.Show(h.routingTable)
 		begun := time.Now()
 		recorder, _ := h.call("POST", "r1", nil)
 		c.Assert(recorder.Code, qt.Equals, 503)
@@ -484,14 +484,14 @@
 
 func TestBudgetStaysWithinItsPart(t *testing.T) {
 	c := qt.New(t)
-	retry := Retry{Ratio: 0.2, Window: 10 * house.Second, Slack: 58}
+	retry := Retry{Ratio: 0.2, Window: 10 * kernel.Second, Slack: 58}
 	// Of a fleet of so many, each with its own requests, whatever the window.
 	for _, routers := range []int{1, 9, 72} {
 		budgets := make([]budget, routers)
 		var extras, firsts [60]int
 		for second := range 60 {
 			for turn := range 200 {
-				now := house.Micros(second)*house.Second + house.Micros(turn)*5*house.Millisecond
+				now := kernel.Micros(second)*kernel.Second + kernel.Micros(turn)*5*kernel.Millisecond
 				b := &budgets[(turn*7+second)%routers]
 				// A quiet half a minute, then a crowd of failures.
 				if second < 30 || turn%2 == 0 {
@@ -515,18 +515,18 @@
 
 func TestEveryRouterPrefersTheSameEngine(t *testing.T) {
 	c := qt.New(t)
-	route := &playbill.Route{Kind: playbill.Stream, IsPinned: true, Tries: 1}
-	scene := &Scene{Spec: playbill.NewRouteSpec([]playbill.Route{*route}, []playbill.Service{{Name: "svc"}}), Routers: 5}
+	route := &fleetconfig.Route{Kind: fleetconfig.Stream, IsPinned: true, Tries: 1}
+	routingTable := &RoutingTable{Config: fleetconfig.NewRouteConfig([]fleetconfig.Route{*route}, []fleetconfig.Service{{Name: "svc"}}), Routers: 5}
 	for i := range 18 {
-		scene.Engines = append(scene.Engines, Engine{ID: fmt.Sprint("e", i), Address: fmt.Sprint("a", i), Service: "svc"})
+		routingTable.Engines = append(routingTable.Engines, Engine{ID: fmt.Sprint("e", i), Address: fmt.Sprint("a", i), Service: "svc"})
 	}
 	chosen := map[string]int{}
 	for prefix := range 200 {
 		first := ""
 		for router := range 5 {
 			chooser := NewChooser(fmt.Sprint(router), "z", Retry{})
-			chooser.Show(scene)
-			call, refusal := chooser.Arrive(house.Second, Request{ID: fmt.Sprint(router), PromptTokens: 100, Parts: []Part{{fmt.Sprint("p", prefix), 90}, {fmt.Sprint("own", router), 10}},
+			chooser.Show(routingTable)
+			call, refusal := chooser.Arrive(kernel.Second, Request{ID: fmt.Sprint(router), PromptTokens: 100, Parts: []Part{{fmt.Sprint("p", prefix), 90}, {fmt.Sprint("own", router), 10}},
 				Deadline: 1 << 60, Route: route, Service: "svc"})
 			c.Assert(refusal == nil, qt.IsTrue)
 			if first == "" {
@@ -541,15 +541,15 @@
 
 func TestLoadAboveTheMultipleDiverts(t *testing.T) {
 	c := qt.New(t)
-	route := &playbill.Route{Kind: playbill.Stream, IsPinned: true, Tries: 1}
-	scene := &Scene{Spec: playbill.NewRouteSpec([]playbill.Route{*route}, []playbill.Service{{Name: "svc"}}), Routers: 1}
+	route := &fleetconfig.Route{Kind: fleetconfig.Stream, IsPinned: true, Tries: 1}
+	routingTable := &RoutingTable{Config: fleetconfig.NewRouteConfig([]fleetconfig.Route{*route}, []fleetconfig.Service{{Name: "svc"}}), Routers: 1}
 	for i := range 4 {
-		scene.Engines = append(scene.Engines, Engine{ID: fmt.Sprint("e", i), Address: fmt.Sprint("a", i), Service: "svc"})
+		routingTable.Engines = append(routingTable.Engines, Engine{ID: fmt.Sprint("e", i), Address: fmt.Sprint("a", i), Service: "svc"})
 	}
 	chooser := NewChooser("r", "z", Retry{})
-	chooser.Show(scene)
+	chooser.Show(routingTable)
 	arrive := func(i int) *Call {
-		call, refusal := chooser.Arrive(house.Second, Request{ID: fmt.Sprint(i), PromptTokens: 100, Parts: []Part{{"hot", 90}, {fmt.Sprint(i), 10}},
+		call, refusal := chooser.Arrive(kernel.Second, Request{ID: fmt.Sprint(i), PromptTokens: 100, Parts: []Part{{"hot", 90}, {fmt.Sprint(i), 10}},
 			Deadline: 1 << 60, Route: route, Service: "svc"})
 		c.Assert(refusal == nil, qt.IsTrue)
 		return call
@@ -578,7 +578,7 @@
 	sums := map[uint64]bool{}
 	for i := range 3 * evidence {
 		for router := range routers {
-			now := house.Micros(i) * 100 * house.Millisecond
+			now := kernel.Micros(i) * 100 * kernel.Millisecond
 			sum := routers[router].hash(now, prompt(i%8, i), 64, 6000, bound)
 			c.Assert(sum, qt.Equals, PrefixHash(prompt(i%8, 0), 512+4870), qt.Commentf("router %d, request %d", router, i))
 			sums[sum] = true
@@ -595,7 +595,7 @@
 	for i := range 10 * evidence {
 		first := fmt.Sprint("first", i%40)
 		parts := []Part{{first, 341}, {fmt.Sprint("second", i%7), 227}, {fmt.Sprint("own", i), 1800}}
-		sum := d.hash(house.Micros(i)*10*house.Millisecond, parts, 64, 2400, bound)
+		sum := d.hash(kernel.Micros(i)*10*kernel.Millisecond, parts, 64, 2400, bound)
 		c.Assert(sum, qt.Equals, PrefixHash(parts, 64), qt.Commentf("request %d", i))
 	}
 }
@@ -605,17 +605,17 @@
 func TestADivertIsSparedWhileThePreferredEngineIsInTime(t *testing.T) {
 	c := qt.New(t)
 	for _, test := range []struct {
-		goal     house.Micros
+		goal     kernel.Micros
 		isSpared bool
-	}{{800 * house.Millisecond, true}, {20 * house.Millisecond, false}, {0, false}} {
-		route := &playbill.Route{Kind: playbill.Stream, IsPinned: true, Tries: 1, Goal: test.goal}
-		scene := &Scene{Spec: playbill.NewRouteSpec([]playbill.Route{*route}, []playbill.Service{{Name: "svc"}}), Routers: 1}
+	}{{800 * kernel.Millisecond, true}, {20 * kernel.Millisecond, false}, {0, false}} {
+		route := &fleetconfig.Route{Kind: fleetconfig.Stream, IsPinned: true, Tries: 1, Goal: test.goal}
+		routingTable := &RoutingTable{Config: fleetconfig.NewRouteConfig([]fleetconfig.Route{*route}, []fleetconfig.Service{{Name: "svc"}}), Routers: 1}
 		for i := range 4 {
-			scene.Engines = append(scene.Engines, Engine{ID: fmt.Sprint("e", i), Address: fmt.Sprint("a", i), Service: "svc"})
+			routingTable.Engines = append(routingTable.Engines, Engine{ID: fmt.Sprint("e", i), Address: fmt.Sprint("a", i), Service: "svc"})
 		}
 		chooser := NewChooser("r", "z", Retry{})
-		chooser.Show(scene)
-		arrive := func(now house.Micros, id string) *Call {
+		chooser.Show(routingTable)
+		arrive := func(now kernel.Micros, id string) *Call {
 			call, refusal := chooser.Arrive(now, Request{ID: id, PromptTokens: 100, Parts: []Part{{"shared", 90}, {id, 10}},
 				Deadline: 1 << 60, Route: route, Service: "svc"})
 			c.Assert(refusal == nil, qt.IsTrue)
@@ -623,9 +623,9 @@
 		}
 		// Ten milliseconds for a hundred tokens: that is the pace, and the first engine now
 		// has four times the mean.
-		first := arrive(house.Second, "first")
-		chooser.Answered(house.Second+10*house.Millisecond, first, Load{}, false)
-		second := arrive(house.Second+20*house.Millisecond, "second")
+		first := arrive(kernel.Second, "first")
+		chooser.Answered(kernel.Second+10*kernel.Millisecond, first, Load{}, false)
+		second := arrive(kernel.Second+20*kernel.Millisecond, "second")
 		counts := chooser.Counts()
 		c.Assert(second.Attempt.Engine.ID == first.Attempt.Engine.ID, qt.Equals, test.isSpared, qt.Commentf("aim %d us", test.goal))
 		c.Assert([]uint64{counts.Spared, counts.Diverts}, qt.DeepEquals, map[bool][]uint64{true: {1, 0}, false: {0, 1}}[test.isSpared])
