--- a/wings/face.go
+++ b/server/api.go
@@ -1,4 +1,4 @@
-package wings
+package server
 
 import (
 	"cmp"
@@ -14,70 +14,70 @@
 	"strconv"
 	"time"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/wardrobe"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/history"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
-// HeaderSubmission names an operator's order, so that a repeated send gets the same receipt.
+// HeaderSubmission names an operator's order, so that a repeated send gets the same reply.
 const HeaderSubmission = "Dunlinloom-Submission"
 
 // Face is the public HTTP side of a node.
-type Face struct {
-	cue      house.Cue
-	runner   *Runner
-	usher    *auditorium.Usher // nil without a router
-	channels *Channels
-	shelf    *playbill.Shelf
-	door     *Door
+type API struct {
+	env             kernel.Env
+	runner          *Runner
+	forwarder       *relay.Forwarder // nil without a router
+	connections     *Connections
+	compiler        *fleetconfig.Compiler
+	limitedListener *LimitedListener
 	// Nil where nothing of the past is kept.
-	wardrobe  *wardrobe.Wardrobe
-	librarian *Librarian
-	diary     *house.Diary
-	stopping  func() bool
+	archive     *history.Archive
+	archiver    *Archiver
+	journalFile *kernel.JournalFile
+	stopping    func() bool
 }
 
 // NewFace builds the handler of a node's public address out of the services that
 // the house holds.
-func NewFace(cue house.Cue, stage *house.House, stopping func() bool) (http.Handler, error) {
-	runner, runnerErr := house.Find[*Runner](stage, ServiceRunner)
-	channels, channelsErr := house.Find[*Channels](stage, ServiceChannels)
-	shelf, shelfErr := house.Find[*playbill.Shelf](stage, ServiceShelf)
-	door, doorErr := house.Find[*Door](stage, ServiceDoor)
-	if err := errors.Join(runnerErr, channelsErr, shelfErr, doorErr); err != nil {
+func NewAPI(env kernel.Env, stage *kernel.Kernel, stopping func() bool) (http.Handler, error) {
+	runner, runnerErr := kernel.Find[*Runner](stage, ServiceRunner)
+	connections, connectionsErr := kernel.Find[*Connections](stage, ServiceConnections)
+	compiler, compilerErr := kernel.Find[*fleetconfig.Compiler](stage, ServiceCompiler)
+	limitedListener, limitedListenerErr := kernel.Find[*LimitedListener](stage, ServiceLimitedListener)
+	if err := errors.Join(runnerErr, connectionsErr, compilerErr, limitedListenerErr); err != nil {
 		return nil, fmt.Errorf("open the face: %w", err)
 	}
 	// Only a node with a data folder keeps the past.
-	kept, err := house.Find[*wardrobe.Wardrobe](stage, ServiceWardrobe)
+	kept, err := kernel.Find[*history.Archive](stage, ServiceArchive)
 	if err != nil {
 		kept = nil
 	}
-	librarian, err := house.Find[*Librarian](stage, ServiceLibrarian)
+	archiver, err := kernel.Find[*Archiver](stage, ServiceArchiver)
 	if err != nil {
-		librarian = nil
+		archiver = nil
 	}
-	diary, err := house.Find[*house.Diary](stage, ServiceDiary)
+	journalFile, err := kernel.Find[*kernel.JournalFile](stage, ServiceJournalFile)
 	if err != nil {
-		diary = nil
+		journalFile = nil
 	}
-	// A prompter routes nothing, so it has no usher and no completions.
-	usher, err := house.Find[*auditorium.Usher](stage, ServiceUsher)
+	// A controller routes nothing, so it has no forwarder and no completions.
+	forwarder, err := kernel.Find[*relay.Forwarder](stage, ServiceForwarder)
 	if err != nil {
-		usher = nil
+		forwarder = nil
 	}
-	f := &Face{cue, runner, usher, channels, shelf, door, kept, librarian, diary, stopping}
+	f := &API{env, runner, forwarder, connections, compiler, limitedListener, kept, archiver, journalFile, stopping}
 	mux := http.NewServeMux()
-	if usher != nil {
-		mux.Handle("POST /v1/completions", usher)
+	if forwarder != nil {
+		mux.Handle("POST /v1/completions", forwarder)
 	}
-	mux.HandleFunc("PUT /v1/spec", f.putSpec)
-	mux.HandleFunc("GET /v1/spec", f.getSpec)
+	mux.HandleFunc("PUT /v1/spec", f.putConfig)
+	mux.HandleFunc("GET /v1/spec", f.getConfig)
 	mux.HandleFunc("GET /v1/spec/history", f.history)
-	mux.HandleFunc("POST /v1/spec/check", f.checkSpec)
-	mux.HandleFunc("PUT /v1/zones/{zone}/evacuation", f.orderZone(flyloft.EmptyZone))
-	mux.HandleFunc("DELETE /v1/zones/{zone}/evacuation", f.orderZone(flyloft.RefillZone))
+	mux.HandleFunc("POST /v1/spec/check", f.checkConfig)
+	mux.HandleFunc("PUT /v1/zones/{zone}/evacuation", f.orderZone(control.EmptyZone))
+	mux.HandleFunc("DELETE /v1/zones/{zone}/evacuation", f.orderZone(control.RefillZone))
 	mux.HandleFunc("DELETE /v1/routers/{address}", f.forget)
 	mux.HandleFunc("GET /v1/submissions/{id}", f.submission)
 	mux.HandleFunc("POST /v1/engines/report", f.report)
@@ -102,49 +102,49 @@
 }
 
 type faceErrorFields struct {
-	Type    string           `json:"type"`
-	Message string           `json:"message"`
-	Faults  []playbill.Fault `json:"faults,omitempty"`
-	More    int              `json:"more_faults,omitempty"`
+	Type    string              `json:"type"`
+	Message string              `json:"message"`
+	Faults  []fleetconfig.Fault `json:"faults,omitempty"`
+	More    int                 `json:"more_faults,omitempty"`
 }
 
-func (f *Face) reply(w http.ResponseWriter, status int, body any) {
+func (f *API) reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(body); err != nil {
-		f.cue.Log.V(2).Info("a reply could not be delivered", "error", err.Error())
+		f.env.Log.V(2).Info("a reply could not be delivered", "error", err.Error())
 	}
 }
 
-func (f *Face) fail(w http.ResponseWriter, status int, kind, message string) {
+func (f *API) fail(w http.ResponseWriter, status int, kind, message string) {
 	f.reply(w, status, faceError{faceErrorFields{Type: kind, Message: message}})
 }
 
-// readSpec reads and checks a spec from a request's body; false when it answered.
-func (f *Face) readSpec(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+// readConfig reads and checks a configuration from a request's body; false when it answered.
+func (f *API) readConfig(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(30 * time.Second)); err != nil {
 		f.fail(w, http.StatusInternalServerError, "channel", err.Error())
 		return nil, false
 	}
 	// One that says it is too large is not even begun to be read.
-	if r.ContentLength > playbill.MaxBytes {
+	if r.ContentLength > fleetconfig.MaxBytes {
 		w.Header().Set("Connection", "close")
-		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a spec has at most %d bytes", playbill.MaxBytes))
+		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a spec has at most %d bytes", fleetconfig.MaxBytes))
 		return nil, false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, playbill.MaxBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, fleetconfig.MaxBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a spec has at most %d bytes", playbill.MaxBytes))
+		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a spec has at most %d bytes", fleetconfig.MaxBytes))
 		return nil, false
 	}
 	if err != nil {
 		f.fail(w, http.StatusBadRequest, "bad_request", err.Error())
 		return nil, false
 	}
-	_, err = f.shelf.Read(body)
-	var faults *playbill.Faults
-	var above playbill.TooLarge
+	_, err = f.compiler.Read(body)
+	var faults *fleetconfig.Faults
+	var above fleetconfig.TooLarge
 	switch {
 	case errors.As(err, &faults):
 		f.reply(w, http.StatusUnprocessableEntity, faceError{faceErrorFields{"invalid_spec", "the spec has faults", faults.List, faults.More}})
@@ -159,8 +159,8 @@
 	return body, true
 }
 
-func (f *Face) checkSpec(w http.ResponseWriter, r *http.Request) {
-	if _, isGood := f.readSpec(w, r); isGood {
+func (f *API) checkConfig(w http.ResponseWriter, r *http.Request) {
+	if _, isGood := f.readConfig(w, r); isGood {
 		f.reply(w, http.StatusOK, map[string]bool{"ok": true})
 	}
 }
@@ -171,18 +171,18 @@
 		return rand.Text(), nil
 	}
 	if len(id) > 128 {
-		return "", auditorium.BadRequest{Field: HeaderSubmission, Why: "has more than 128 bytes"}
+		return "", relay.BadRequest{Field: HeaderSubmission, Why: "has more than 128 bytes"}
 	}
 	return id, nil
 }
 
-func (f *Face) putSpec(w http.ResponseWriter, r *http.Request) {
+func (f *API) putConfig(w http.ResponseWriter, r *http.Request) {
 	id, err := submissionID(r)
 	if err != nil {
 		f.fail(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
-	submit := &flyloft.Submit{ID: id, Order: flyloft.PutSpec}
+	submit := &control.Submit{ID: id, Order: control.PutConfig}
 	if text := r.URL.Query().Get("base"); text != "" {
 		base, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
@@ -191,46 +191,46 @@
 		}
 		submit.Base = &base
 	}
-	body, isGood := f.readSpec(w, r)
+	body, isGood := f.readConfig(w, r)
 	if !isGood {
 		return
 	}
-	submit.Spec = body
+	submit.Config = body
 	f.submit(w, r, submit)
 }
 
-// statuses of receipts by outcome and reason.
-func receiptStatus(receipt flyloft.SubmitReceipt) int {
+// statuses of replies by outcome and reason.
+func replyStatus(reply control.SubmitReply) int {
 	switch {
-	case receipt.Outcome == flyloft.Yes:
+	case reply.Outcome == control.Yes:
 		return http.StatusOK
-	case receipt.Outcome == flyloft.Unproved:
+	case reply.Outcome == control.Unproved:
 		return http.StatusGatewayTimeout
-	case receipt.Reason == "invalid_spec":
+	case reply.Reason == "invalid_spec":
 		return http.StatusUnprocessableEntity
 	}
 	return http.StatusConflict
 }
 
-func (f *Face) submit(w http.ResponseWriter, r *http.Request, submit *flyloft.Submit) {
+func (f *API) submit(w http.ResponseWriter, r *http.Request, submit *control.Submit) {
 	w.Header().Set(HeaderSubmission, submit.ID)
-	receipt, err := f.runner.Submit(r.Context(), submit)
+	reply, err := f.runner.Submit(r.Context(), submit)
 	if err != nil {
 		// The operator hung up; the order goes on and can be asked for by its id.
 		panic(http.ErrAbortHandler)
 	}
-	if receipt.Outcome == flyloft.Unproved {
+	if reply.Outcome == control.Unproved {
 		w.Header().Set("Retry-After", "1")
 	}
-	f.reply(w, receiptStatus(receipt), receipt)
+	f.reply(w, replyStatus(reply), reply)
 }
 
 // isCurrent tells whether this node may speak for the present state of the fleet.
-func (f *Face) isCurrent(state *flyloft.State) bool {
-	return state.Document != nil && f.cue.Clock.Now() < state.Until
+func (f *API) isCurrent(state *control.State) bool {
+	return state.Document != nil && f.env.Clock.Now() < state.Until
 }
 
-func (f *Face) orderZone(order flyloft.Order) http.HandlerFunc {
+func (f *API) orderZone(order control.Order) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		id, err := submissionID(r)
 		if err != nil {
@@ -242,26 +242,26 @@
 			f.fail(w, http.StatusBadRequest, "bad_request", "a zone's name has at most 128 bytes")
 			return
 		}
-		f.submit(w, r, &flyloft.Submit{ID: id, Order: order, Zone: zone})
+		f.submit(w, r, &control.Submit{ID: id, Order: order, Zone: zone})
 	}
 }
 
-func (f *Face) forget(w http.ResponseWriter, r *http.Request) {
+func (f *API) forget(w http.ResponseWriter, r *http.Request) {
 	id, err := submissionID(r)
 	address := r.PathValue("address")
 	if _, bad := netip.ParseAddrPort(address); err != nil || bad != nil {
 		f.fail(w, http.StatusBadRequest, "bad_request", "a router is named by its peer address")
 		return
 	}
-	f.submit(w, r, &flyloft.Submit{ID: id, Order: flyloft.Forget, Zone: address})
+	f.submit(w, r, &control.Submit{ID: id, Order: control.Forget, Zone: address})
 }
 
 // submission tells how a submission ended; asking makes an open one final.
-func (f *Face) submission(w http.ResponseWriter, r *http.Request) {
-	f.submit(w, r, &flyloft.Submit{ID: r.PathValue("id"), Order: flyloft.Fence})
+func (f *API) submission(w http.ResponseWriter, r *http.Request) {
+	f.submit(w, r, &control.Submit{ID: r.PathValue("id"), Order: control.Fence})
 }
 
-func (f *Face) getSpec(w http.ResponseWriter, r *http.Request) {
+func (f *API) getConfig(w http.ResponseWriter, r *http.Request) {
 	state := f.runner.State()
 	if !f.isCurrent(state) && !r.URL.Query().Has("stale") {
 		w.Header().Set("Retry-After", "1")
@@ -273,7 +273,7 @@
 		f.fail(w, http.StatusNotFound, "no_spec", "no document has reached this node")
 		return
 	}
-	wanted := document.Generation
+	wanted := document.Revision
 	if text := r.URL.Query().Get("generation"); text != "" {
 		var err error
 		if wanted, err = strconv.ParseUint(text, 10, 64); err != nil || wanted == 0 {
@@ -281,95 +281,95 @@
 			return
 		}
 	}
-	if wanted > document.Generation {
-		f.fail(w, http.StatusNotFound, "no_generation", fmt.Sprintf("the fleet is at generation %d", document.Generation))
+	if wanted > document.Revision {
+		f.fail(w, http.StatusNotFound, "no_generation", fmt.Sprintf("the fleet is at generation %d", document.Revision))
 		return
 	}
-	receipt := &RecallReceipt{Spec: document.Spec, SpecGeneration: document.SpecGeneration}
-	if wanted < document.SpecGeneration {
-		mark, isKnown := document.SpecAt(wanted)
-		receipt = nil
+	reply := &RecallReply{Config: document.Config, ConfigRevision: document.ConfigRevision}
+	if wanted < document.ConfigRevision {
+		mark, isKnown := document.ConfigAt(wanted)
+		reply = nil
 		if isKnown {
-			receipt = f.recall(r, document, RecallAsk{Mark: mark})
+			reply = f.recall(r, document, RecallAsk{Mark: mark})
 		}
-		if receipt == nil {
-			receipt = f.fromWardrobe(wanted, mark)
+		if reply == nil {
+			reply = f.fromArchive(wanted, mark)
 		}
 	}
-	if receipt == nil || receipt.SpecGeneration == 0 {
+	if reply == nil || reply.ConfigRevision == 0 {
 		f.fail(w, http.StatusNotFound, "no_spec", fmt.Sprintf("no spec of generation %d is kept", wanted))
 		return
 	}
-	w.Header().Set(auditorium.HeaderGeneration, strconv.FormatUint(receipt.SpecGeneration, 10))
+	w.Header().Set(relay.HeaderRevision, strconv.FormatUint(reply.ConfigRevision, 10))
 	w.Header().Set("Content-Type", "application/json")
-	if _, err := w.Write(receipt.Spec); err != nil {
-		f.cue.Log.V(2).Info("a spec could not be delivered", "error", err.Error())
+	if _, err := w.Write(reply.Config); err != nil {
+		f.env.Log.V(2).Info("a spec could not be delivered", "error", err.Error())
 	}
 }
 
-// fromWardrobe reads a spec that the core has let go of. What the chain still names has
+// fromArchive reads a configuration that the core has let go of. What the chain still names has
 // to be the same.
-func (f *Face) fromWardrobe(wanted uint64, mark flyloft.SpecMark) *RecallReceipt {
-	if f.wardrobe == nil {
+func (f *API) fromArchive(wanted uint64, mark control.ConfigMark) *RecallReply {
+	if f.archive == nil {
 		return nil
 	}
 	newest := uint64(0)
-	for _, facts := range f.wardrobe.History() {
-		if facts.Generation <= wanted {
-			newest = facts.Generation
+	for _, facts := range f.archive.History() {
+		if facts.Revision <= wanted {
+			newest = facts.Revision
 		}
 	}
-	spec, facts, err := f.wardrobe.Spec(newest)
-	if err != nil || mark.Generation > 0 && (facts.Generation != mark.Generation || facts.Digest != mark.Digest) {
+	config, facts, err := f.archive.Config(newest)
+	if err != nil || mark.Revision > 0 && (facts.Revision != mark.Revision || facts.Digest != mark.Digest) {
 		return nil
 	}
-	return &RecallReceipt{Spec: spec, SpecGeneration: facts.Generation}
+	return &RecallReply{Config: config, ConfigRevision: facts.Revision}
 }
 
-// recall looks for an older spec here and then at the voters.
-func (f *Face) recall(r *http.Request, document *flyloft.Document, ask RecallAsk) *RecallReceipt {
-	if receipt, err := f.runner.Recall(ask); err == nil {
-		return receipt
+// recall looks for an older configuration here and then at the voters.
+func (f *API) recall(r *http.Request, document *control.Document, ask RecallAsk) *RecallReply {
+	if reply, err := f.runner.Recall(ask); err == nil {
+		return reply
 	}
 	for _, member := range document.Voters {
-		if member.Address == f.cue.Self.Address {
+		if member.Address == f.env.Self.Address {
 			continue
 		}
-		receipt, err := f.channels.Recall(r.Context(), member.Address, ask)
+		reply, err := f.connections.Recall(r.Context(), member.Address, ask)
 		if err == nil {
-			return receipt
+			return reply
 		}
-		f.cue.Log.V(2).Info("no copy there", "error", err.Error())
+		f.env.Log.V(2).Info("no copy there", "error", err.Error())
 	}
 	return nil
 }
 
-func (f *Face) history(w http.ResponseWriter, _ *http.Request) {
+func (f *API) history(w http.ResponseWriter, _ *http.Request) {
 	document := f.runner.State().Document
 	if document == nil {
 		f.fail(w, http.StatusNotFound, "no_spec", "no document has reached this node")
 		return
 	}
-	history := History{Generations: []uint64{}, Current: document.SpecGeneration}
+	history := History{Revisions: []uint64{}, Current: document.ConfigRevision}
 	for _, mark := range document.Chain {
-		history.Generations = append(history.Generations, mark.Generation)
+		history.Revisions = append(history.Revisions, mark.Revision)
 	}
-	if f.wardrobe != nil {
-		history.Kept = f.wardrobe.History()
+	if f.archive != nil {
+		history.Kept = f.archive.History()
 	}
 	f.reply(w, http.StatusOK, history)
 }
 
-// History tells which specs can be read: those that the core names, and those that this
+// History tells which configurations can be read: those that the core names, and those that this
 // node's object store holds.
 type History struct {
-	Generations []uint64         `json:"generations"`
-	Current     uint64           `json:"current"`
-	Kept        []wardrobe.Facts `json:"kept,omitempty"`
+	Revisions []uint64        `json:"generations"`
+	Current   uint64          `json:"current"`
+	Kept      []history.Facts `json:"kept,omitempty"`
 }
 
-func (f *Face) report(w http.ResponseWriter, r *http.Request) {
-	var report flyloft.Report
+func (f *API) report(w http.ResponseWriter, r *http.Request) {
+	var report control.Report
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 64<<10)).Decode(&report); err != nil {
 		f.fail(w, http.StatusBadRequest, "bad_request", "not a report: "+err.Error())
 		return
@@ -379,14 +379,14 @@
 		f.fail(w, http.StatusBadRequest, "bad_request", "a report needs id, address, start and seq, and no figure below zero")
 		return
 	}
-	f.runner.Hear([]flyloft.EngineRecord{{
+	f.runner.Hear([]control.EngineRecord{{
 		ID: report.ID, Address: report.Address, Zone: report.Zone, Pool: report.Pool, Start: report.Start, Seq: report.Seq,
-		Burden: report.Outstanding, Streams: report.Streams, Age: report.Age, Up: report.Up, IsLeaving: report.IsLeaving,
+		Load: report.Outstanding, Streams: report.Streams, Age: report.Age, Up: report.Up, IsLeaving: report.IsLeaving,
 	}})
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (f *Face) leaving(w http.ResponseWriter, r *http.Request) {
+func (f *API) leaving(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	for _, engine := range f.runner.State().Engines {
 		if engine.ID != id {
@@ -396,15 +396,15 @@
 			f.fail(w, http.StatusConflict, "other_start", fmt.Sprintf("engine %s is at start %d", id, engine.Start))
 			return
 		}
-		now := f.cue.Clock.Now()
+		now := f.env.Clock.Now()
 		marked := engine
 		marked.IsLeaving, marked.Age, marked.Up = true, max(now-engine.AsOf, 0), max(now-engine.StartedAt, 0)
 		marked.Back = max(now-engine.BackAt, 0)
 		// The routers are told first; then the core keeps the mark, so that it outlives
 		// even a fleet that is stopped as a whole.
-		f.runner.Hear([]flyloft.EngineRecord{marked})
-		f.submit(w, r, &flyloft.Submit{
-			ID: fmt.Sprintf("leaving-%s-%d", id, engine.Start), Order: flyloft.MarkEngine, Engine: id, Start: engine.Start,
+		f.runner.Hear([]control.EngineRecord{marked})
+		f.submit(w, r, &control.Submit{
+			ID: fmt.Sprintf("leaving-%s-%d", id, engine.Start), Order: control.MarkEngine, Engine: id, Start: engine.Start,
 		})
 		return
 	}
@@ -413,103 +413,103 @@
 
 // NodeView is one node in the picture of the fleet.
 type NodeView struct {
-	flyloft.NodeRecord
-	AgeUS house.Micros `json:"age_us"`
+	control.NodeRecord
+	AgeUS kernel.Micros `json:"age_us"`
 }
 
 // FleetView is the fleet as one node sees it.
 type FleetView struct {
-	Self           house.Identity          `json:"self"`
-	Generation     uint64                  `json:"generation"`
-	SpecGeneration uint64                  `json:"spec_generation"`
-	Founding       string                  `json:"founding"`
-	Leader         string                  `json:"leader"`
-	Role           string                  `json:"role,omitempty"`
-	Term           uint64                  `json:"term,omitempty"`
-	Ailment        string                  `json:"ailment,omitempty"`
-	LicenceLeft    house.Micros            `json:"licence_left_us"`
-	Why            string                  `json:"why,omitempty"`
-	Voters         []flyloft.Member        `json:"voters"`
-	Register       []string                `json:"register"`
-	Homes          map[string]string       `json:"homes"`
-	Evacuated      map[string]uint64       `json:"evacuated"`
-	Nodes          []NodeView              `json:"nodes"`
-	Engines        []auditorium.EngineView `json:"engines"`
-	Neighbours     []string                `json:"neighbours"`
-	Traffic        []Traffic               `json:"traffic"`
-}
-
-func (f *Face) fleet(w http.ResponseWriter, _ *http.Request) {
-	state, now := f.runner.State(), f.cue.Clock.Now()
+	Self           kernel.Identity    `json:"self"`
+	Revision       uint64             `json:"generation"`
+	ConfigRevision uint64             `json:"spec_generation"`
+	Founding       string             `json:"founding"`
+	Leader         string             `json:"leader"`
+	Role           string             `json:"role,omitempty"`
+	Term           uint64             `json:"term,omitempty"`
+	Ailment        string             `json:"ailment,omitempty"`
+	LeaseLeft      kernel.Micros      `json:"licence_left_us"`
+	Why            string             `json:"why,omitempty"`
+	Voters         []control.Member   `json:"voters"`
+	Register       []string           `json:"register"`
+	Homes          map[string]string  `json:"homes"`
+	Drained        map[string]uint64  `json:"evacuated"`
+	Nodes          []NodeView         `json:"nodes"`
+	Engines        []relay.EngineView `json:"engines"`
+	Neighbours     []string           `json:"neighbours"`
+	Traffic        []Traffic          `json:"traffic"`
+}
+
+func (f *API) fleet(w http.ResponseWriter, _ *http.Request) {
+	state, now := f.runner.State(), f.env.Clock.Now()
 	view := FleetView{
-		Self: f.cue.Self, Founding: state.Founding, Leader: state.Leader, Role: state.Role, Term: state.Term,
-		Ailment: state.Ailment, LicenceLeft: max(state.Until-now, 0), Why: state.Why, Neighbours: state.Neighbours, Traffic: f.traffic(state),
+		Self: f.env.Self, Founding: state.Founding, Leader: state.Leader, Role: state.Role, Term: state.Term,
+		Ailment: state.Ailment, LeaseLeft: max(state.Until-now, 0), Why: state.Why, Neighbours: state.Neighbours, Traffic: f.traffic(state),
 	}
 	if document := state.Document; document != nil {
-		view.Generation, view.SpecGeneration = document.Generation, document.SpecGeneration
-		view.Voters, view.Register, view.Homes, view.Evacuated = document.Voters, document.Register, document.Homes, document.Evacuated
+		view.Revision, view.ConfigRevision = document.Revision, document.ConfigRevision
+		view.Voters, view.Register, view.Homes, view.Drained = document.Voters, document.Register, document.Homes, document.Drained
 	}
 	for _, node := range state.Nodes {
 		view.Nodes = append(view.Nodes, NodeView{node, max(now-node.AsOf, 0)})
 	}
-	if f.usher != nil {
-		view.Engines = f.usher.Desk.View(now)
+	if f.forwarder != nil {
+		view.Engines = f.forwarder.Dispatcher.View(now)
 	} else {
 		for _, engine := range state.Engines {
-			view.Engines = append(view.Engines, auditorium.EngineView{ID: engine.ID, Zone: engine.Zone, Address: engine.Address, Start: engine.Start, Foreign: float64(engine.Burden)})
+			view.Engines = append(view.Engines, relay.EngineView{ID: engine.ID, Zone: engine.Zone, Address: engine.Address, Start: engine.Start, Foreign: float64(engine.Load)})
 		}
 	}
 	f.reply(w, http.StatusOK, view)
 }
 
-func (f *Face) explain(w http.ResponseWriter, r *http.Request) {
-	entries := f.cue.Journal.Read("", r.PathValue("request"), 0)
-	if f.diary != nil {
-		entries = house.Join(f.diary.Read(0, func(entry house.Entry) bool { return entry.Subject == r.PathValue("request") }), entries)
+func (f *API) explain(w http.ResponseWriter, r *http.Request) {
+	entries := f.env.Journal.Read("", r.PathValue("request"), 0)
+	if f.journalFile != nil {
+		entries = kernel.Join(f.journalFile.Read(0, func(entry kernel.Entry) bool { return entry.Subject == r.PathValue("request") }), entries)
 	}
-	f.reply(w, http.StatusOK, map[string]any{"node": f.cue.Self, "entries": entries})
+	f.reply(w, http.StatusOK, map[string]any{"node": f.env.Self, "entries": entries})
 }
 
-func (f *Face) journal(w http.ResponseWriter, r *http.Request) {
+func (f *API) journal(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	most, err := strconv.Atoi(query.Get("last"))
 	if err != nil {
 		most = 100
 	}
-	entries := f.cue.Journal.Read(query.Get("part"), query.Get("subject"), most)
+	entries := f.env.Journal.Read(query.Get("part"), query.Get("subject"), most)
 	if text := query.Get("since_us"); text != "" {
 		since, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || since < 0 {
 			f.fail(w, http.StatusBadRequest, "bad_request", "since_us is not a moment in microseconds")
 			return
 		}
-		isWanted := func(entry house.Entry) bool {
-			return entry.Wall >= house.Micros(since) && (query.Get("part") == "" || entry.Part == query.Get("part")) &&
+		isWanted := func(entry kernel.Entry) bool {
+			return entry.Wall >= kernel.Micros(since) && (query.Get("part") == "" || entry.Part == query.Get("part")) &&
 				(query.Get("subject") == "" || entry.Subject == query.Get("subject")) && (query.Get("requests") != "0" || !entry.IsRequest)
 		}
-		entries = slices.DeleteFunc(f.cue.Journal.Read("", "", 0), func(entry house.Entry) bool { return !isWanted(entry) })
-		if f.diary != nil {
-			entries = house.Join(f.diary.Read(house.Micros(since), isWanted), entries)
+		entries = slices.DeleteFunc(f.env.Journal.Read("", "", 0), func(entry kernel.Entry) bool { return !isWanted(entry) })
+		if f.journalFile != nil {
+			entries = kernel.Join(f.journalFile.Read(kernel.Micros(since), isWanted), entries)
 		}
 	}
-	f.reply(w, http.StatusOK, map[string]any{"node": f.cue.Self, "now_us": f.cue.Clock.Now(), "entries": entries})
+	f.reply(w, http.StatusOK, map[string]any{"node": f.env.Self, "now_us": f.env.Clock.Now(), "entries": entries})
 }
 
-func (f *Face) health(w http.ResponseWriter, _ *http.Request) {
+func (f *API) health(w http.ResponseWriter, _ *http.Request) {
 	f.reply(w, http.StatusOK, map[string]bool{"ok": true})
 }
 
 // ready tells the platform whether to hand this node callers.
-func (f *Face) ready(w http.ResponseWriter, _ *http.Request) {
+func (f *API) ready(w http.ResponseWriter, _ *http.Request) {
 	state := f.runner.State()
 	switch {
 	case f.stopping():
 		f.fail(w, http.StatusServiceUnavailable, "stopping", "this node is stopping")
 	case !f.isCurrent(state):
 		f.fail(w, http.StatusServiceUnavailable, "no_licence", state.Why)
-	case state.Document.SpecGeneration == 0:
+	case state.Document.ConfigRevision == 0:
 		f.fail(w, http.StatusServiceUnavailable, "no_spec", "no spec has been put yet")
-	case f.usher != nil && !f.usher.Desk.KnowsEngines():
+	case f.forwarder != nil && !f.forwarder.Dispatcher.KnowsEngines():
 		// Only while none is known at all: with engines known but down the node stays
 		// ready, and tells callers when to come back.
 		f.fail(w, http.StatusServiceUnavailable, "no_engines", "no engine is known here yet")
@@ -525,7 +525,7 @@
 	Bytes uint64 `json:"bytes"` // as encoded, before the wire's compression
 }
 
-func (f *Face) zoneOf(state *flyloft.State, address string) string {
+func (f *API) zoneOf(state *control.State, address string) string {
 	for _, node := range state.Nodes {
 		if node.Address == address {
 			return node.Zone
@@ -535,9 +535,9 @@
 }
 
 // traffic sums what this node has sent, the most first.
-func (f *Face) traffic(state *flyloft.State) []Traffic {
+func (f *API) traffic(state *control.State) []Traffic {
 	sums := map[Traffic]uint64{}
-	for address, kinds := range f.channels.KindsTo() {
+	for address, kinds := range f.connections.KindsTo() {
 		for kind, bytes := range kinds {
 			sums[Traffic{Kind: kind, To: f.zoneOf(state, address)}] += bytes
 		}
@@ -553,9 +553,9 @@
 	return sent
 }
 
-func (f *Face) metrics(w http.ResponseWriter, _ *http.Request) {
+func (f *API) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	state, now := f.runner.State(), f.cue.Clock.Now()
+	state, now := f.runner.State(), f.env.Clock.Now()
 	line := func(name string, value any, labels ...string) {
 		text := ""
 		for i := 0; i+1 < len(labels); i += 2 {
@@ -574,14 +574,14 @@
 	line("leads", isLeader)
 	line("term", state.Term)
 	if state.Document != nil {
-		line("generation", state.Document.Generation)
-		line("spec_generation", state.Document.SpecGeneration)
+		line("generation", state.Document.Revision)
+		line("spec_generation", state.Document.ConfigRevision)
 	}
 	line("owners_longest_us", f.runner.Longest())
 	line("engines_known", len(state.Engines))
 	line("nodes_known", len(state.Nodes))
 	bytes := map[string]uint64{}
-	for address, sent := range f.channels.BytesTo() {
+	for address, sent := range f.connections.BytesTo() {
 		bytes[f.zoneOf(state, address)] += sent
 	}
 	for _, traffic := range f.traffic(state) {
@@ -590,22 +590,22 @@
 	for _, zone := range slices.Sorted(maps.Keys(bytes)) {
 		line("peer_bytes_sent_total", bytes[zone], "to", zone)
 	}
-	line("peer_messages_sent_total", f.channels.Sent.Load())
-	line("peer_messages_dropped_total", f.channels.Dropped.Load())
-	line("channels_open", f.door.Open())
-	line("channels_turned_away_total", f.door.Turned.Load())
-	if f.diary != nil {
-		line("journal_written_total", f.diary.Written.Load())
-		line("journal_dropped_total", f.diary.Dropped.Load())
+	line("peer_messages_sent_total", f.connections.Sent.Load())
+	line("peer_messages_dropped_total", f.connections.Dropped.Load())
+	line("channels_open", f.limitedListener.Open())
+	line("channels_turned_away_total", f.limitedListener.Turned.Load())
+	if f.journalFile != nil {
+		line("journal_written_total", f.journalFile.Written.Load())
+		line("journal_dropped_total", f.journalFile.Dropped.Load())
 	}
-	if f.librarian != nil {
-		line("history_filed_total", f.librarian.Filed.Load())
-		line("history_failed_total", f.librarian.Failed.Load())
+	if f.archiver != nil {
+		line("history_filed_total", f.archiver.Filed.Load())
+		line("history_failed_total", f.archiver.Failed.Load())
 	}
-	if f.usher == nil {
+	if f.forwarder == nil {
 		return
 	}
-	counts := f.usher.Desk.Counts()
+	counts := f.forwarder.Dispatcher.Counts()
 	line("requests_total", counts.Requests)
 	line("rounds_first_total", counts.FirstRounds)
 	line("retries_total", counts.Retries)
@@ -614,10 +614,10 @@
 	line("admission_diverts_total", counts.AdmissionDiverts)
 	line("served_total", counts.Served)
 	line("callers_gone_total", counts.CallersGone)
-	line("requests_live", f.usher.Live())
-	line("bodies_held_bytes", f.usher.Held())
-	for _, reason := range slices.Sorted(maps.Keys(counts.Declined)) {
-		line("declined_total", counts.Declined[reason], "reason", reason)
+	line("requests_live", f.forwarder.Live())
+	line("bodies_held_bytes", f.forwarder.Held())
+	for _, reason := range slices.Sorted(maps.Keys(counts.Rejected)) {
+		line("declined_total", counts.Rejected[reason], "reason", reason)
 	}
 	for _, reason := range slices.Sorted(maps.Keys(counts.Broken)) {
 		line("broken_total", counts.Broken[reason], "reason", reason)
--- /dev/null
+++ b/server/callers.go
@@ -0,0 +1,101 @@
+package server
+
+import (
+	"net/http"
+	"time"
+
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/router"
+)
+
+// Spans of the connections to engines.
+const (
+	engineDial    = 300 * kernel.Millisecond // a connection within a region comes up in milliseconds
+	engineRest    = 10 * kernel.Second       // for which one idles where the engine says nothing
+	engineSilence = 4 * kernel.Second        // after which unanswered bytes end a connection
+)
+
+// NewCallers makes the handler of a deployment's callers, who speak by the wire.
+func NewCallers(s *Services, wire router.Wire) (http.Handler, error) {
+	deployment := s.Deployment()
+	budget := deployment.Bounds.Budget
+	chooser := router.NewChooser(s.Env.Self.Address, s.Env.Self.Zone, router.Retry{Ratio: budget.Ratio, Window: budget.Window, Slack: budget.Slack})
+	router := router.NewRouter(router.Settings{
+		Env: s.Env, Wire: wire, Chooser: chooser,
+		Pool:    router.NewPool(s.Env.Clock, router.PlainDialer(engineSilence), engineDial, engineRest),
+		MaxLive: int64(deployment.Settings.Live), MaxBodies: deployment.Limits.BodiesBytes,
+		Suspect: func(engine router.Engine) { s.Runner.SuspectEngine(engine.ID) },
+	})
+	shown := &routeRoutingTables{compiler: s.Compiler}
+	s.Runner.Watch(func(state *control.State) {
+		if routingTable := shown.routingTable(state); routingTable != nil {
+			chooser.Show(routingTable)
+		}
+	})
+	go func() {
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		turn := 0
+		for {
+			select {
+			case <-s.Env.Done():
+				return
+			case <-ticker.C:
+				router.Sweep()
+				if turn++; turn%10 == 0 {
+					s.Env.Log.Info("counts", "counts", chooser.Counts(), "live", router.Live())
+				}
+			}
+		}
+	}()
+	return router, nil
+}
+
+// routeRoutingTables turns pictures of the control plane into scenes of routed requests.
+type routeRoutingTables struct {
+	compiler       *fleetconfig.Compiler
+	config         *fleetconfig.Config
+	configRevision uint64
+	engineRev      uint64
+	routers        int
+	isShown        bool
+}
+
+// scene gives the next scene, or nil when nothing changed that routing depends on.
+func (r *routeRoutingTables) routingTable(state *control.State) *router.RoutingTable {
+	routers := 0
+	for _, node := range state.Nodes {
+		if node.IsRouter {
+			routers++
+		}
+	}
+	revision := uint64(0)
+	if state.Document != nil {
+		revision = state.Document.ConfigRevision
+	}
+	if r.isShown && revision == r.configRevision && state.EngineRev == r.engineRev && routers == r.routers {
+		return nil
+	}
+	if revision != r.configRevision {
+		config, err := r.compiler.Read(state.Document.Config)
+		if err == nil {
+			// One that can't be read here was read by the leader; the older one must not
+			// outlive it, but there is nothing else to go by.
+			r.config = config
+		}
+	}
+	r.configRevision, r.engineRev, r.routers, r.isShown = revision, state.EngineRev, routers, true
+	routingTable := &router.RoutingTable{Config: r.config, Routers: max(routers, 1)}
+	for _, engine := range state.Engines {
+		if engine.IsUnlisted || engine.Address == "" {
+			continue
+		}
+		routingTable.Engines = append(routingTable.Engines, router.Engine{
+			ID: engine.ID, Address: engine.Address, Zone: engine.Zone, Service: engine.Pool, Slots: engine.Slots,
+			IsLeaving: engine.IsLeaving, IsDark: engine.IsDark,
+		})
+	}
+	return routingTable
+}
--- a/wings/channel.go
+++ b/server/channel.go
@@ -1,4 +1,4 @@
-package wings
+package server
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 
 	"connectrpc.com/connect"
 
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
 )
 
 // Procedures between the fleet's own processes.
@@ -37,7 +37,7 @@
 }
 
 type parcel struct {
-	Envelopes []flyloft.Envelope `json:"envelopes"`
+	Envelopes []control.Envelope `json:"envelopes"`
 }
 
 // parcelOut is a parcel whose envelopes are encoded already, to be counted by kind.
@@ -47,26 +47,26 @@
 
 type nothing struct{}
 
-// RecallAsk asks a prompter for the spec of an older generation.
+// RecallAsk asks a controller for the configuration of an older revision.
 type RecallAsk struct {
-	Mark flyloft.SpecMark `json:"mark"`
+	Mark control.ConfigMark `json:"mark"`
 }
 
-// RecallReceipt brings it.
-type RecallReceipt struct {
-	Spec           []byte `json:"spec"`
-	SpecGeneration uint64 `json:"spec_generation"`
+// RecallReply brings it.
+type RecallReply struct {
+	Config         []byte `json:"spec"`
+	ConfigRevision uint64 `json:"spec_generation"`
 }
 
 const (
-	inboxBound  = 512
+	queueBound  = 512
 	parcelBound = 32
 	// How long a parcel may take, and how much longer one of megabytes: a slow machine
 	// has to unpack it, but one that is gone must not hold up what comes after for long.
-	channelSpan    = 3 * house.Second
-	channelSpanMB  = house.Second
-	channelSpanTop = 8 * house.Second
-	parcelBytes    = 64 << 20
+	connectionSpan    = 3 * kernel.Second
+	connectionSpanMB  = kernel.Second
+	connectionSpanTop = 8 * kernel.Second
+	parcelBytes       = 64 << 20
 	// A compressor holds hundreds of kilobytes while it is at work. Asks, grants and their
 	// empty answers go by the hundred a second, so only what is large is worth one.
 	compressFrom = 16 << 10
@@ -78,19 +78,19 @@
 	unconfirmedSpan = 2 * time.Second
 )
 
-// Channels carry envelopes to other nodes: an inbox and a worker for each, so
+// Channels carry envelopes to other nodes: an queue and a worker for each, so
 // that one that does not answer holds up nobody else.
-type Channels struct {
-	cue           house.Cue
+type Connections struct {
+	env           kernel.Env
 	client        *http.Client
 	lock          sync.Mutex
-	peers         map[string]*peerInbox
+	peers         map[string]*peerQueue
 	Sent, Dropped atomic.Uint64
 }
 
-type peerInbox struct {
+type peerQueue struct {
 	address string
-	inbox   chan *flyloft.Envelope
+	queue   chan *control.Envelope
 	client  *connect.Client[parcelOut, nothing]
 	stream  *connect.ClientStreamForClient[parcelOut, nothing] // nil: none is open
 	end     context.CancelFunc                                 // ends the stream
@@ -99,26 +99,26 @@
 	kinds   map[string]uint64
 }
 
-func (p *peerInbox) count(kind string, bytes int) {
+func (p *peerQueue) count(kind string, bytes int) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.kinds[kind] += uint64(bytes)
 }
 
-// Dialer opens a channel; tests and rehearsals bring one that can fail.
+// Dialer opens a channel; tests and local fleet runs bring one that can fail.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
-// NewChannels makes channels that live as long as the cue.
-func NewChannels(cue house.Cue, dial Dialer) *Channels {
-	c := &Channels{cue: cue, peers: map[string]*peerInbox{}}
+// NewConnections makes channels that live as long as the environment.
+func NewConnections(env kernel.Env, dial Dialer) *Connections {
+	c := &Connections{env: env, peers: map[string]*peerQueue{}}
 	c.client = &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				channel, err := dial(ctx, network, address)
+				connection, err := dial(ctx, network, address)
 				if err != nil {
 					return nil, err
 				}
-				return &countedChannel{channel, c.peer(address)}, nil
+				return &countedConnection{connection, c.peer(address)}, nil
 			},
 			MaxIdleConnsPerHost: 2,
 			IdleConnTimeout:     30 * time.Second,
@@ -127,20 +127,20 @@
 	return c
 }
 
-// countedChannel counts what is written to a node, since bytes between zones cost.
-type countedChannel struct {
+// countedConnection counts what is written to a node, since bytes between zones cost.
+type countedConnection struct {
 	net.Conn
-	peer *peerInbox
+	peer *peerQueue
 }
 
-func (c *countedChannel) Write(chunk []byte) (int, error) {
+func (c *countedConnection) Write(chunk []byte) (int, error) {
 	count, err := c.Conn.Write(chunk)
 	c.peer.bytes.Add(uint64(count))
 	return count, err
 }
 
 // KindsTo is how many bytes of each kind of message have been encoded for each node.
-func (c *Channels) KindsTo() map[string]map[string]uint64 {
+func (c *Connections) KindsTo() map[string]map[string]uint64 {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	sent := map[string]map[string]uint64{}
@@ -153,7 +153,7 @@
 }
 
 // BytesTo is how many bytes have gone to each node.
-func (c *Channels) BytesTo() map[string]uint64 {
+func (c *Connections) BytesTo() map[string]uint64 {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	sent := map[string]uint64{}
@@ -163,13 +163,13 @@
 	return sent
 }
 
-func (c *Channels) peer(address string) *peerInbox {
+func (c *Connections) peer(address string) *peerQueue {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	peer := c.peers[address]
 	if peer == nil {
-		peer = &peerInbox{
-			address: address, inbox: make(chan *flyloft.Envelope, inboxBound),
+		peer = &peerQueue{
+			address: address, queue: make(chan *control.Envelope, queueBound),
 			kinds: map[string]uint64{},
 			client: connect.NewClient[parcelOut, nothing](c.client, "http://"+address+procedureStream,
 				connect.WithCodec(jsonCodec{}), connect.WithSendMaxBytes(parcelBytes),
@@ -181,41 +181,41 @@
 	return peer
 }
 
-// Send puts an envelope into its receiver's inbox; a full inbox loses its oldest,
+// Send puts an envelope into its receiver's queue; a full queue loses its oldest,
 // since every owner repeats what matters and newer words are worth more.
-func (c *Channels) Send(envelope flyloft.Envelope) {
+func (c *Connections) Send(envelope control.Envelope) {
 	peer := c.peer(envelope.To)
-	for copies, _ := mishap(envelope.To); copies > 0; copies-- {
+	for copies, _ := fault(envelope.To); copies > 0; copies-- {
 		c.put(peer, &envelope)
 	}
 }
 
-func (c *Channels) put(peer *peerInbox, envelope *flyloft.Envelope) {
+func (c *Connections) put(peer *peerQueue, envelope *control.Envelope) {
 	for {
 		select {
-		case peer.inbox <- envelope:
+		case peer.queue <- envelope:
 			return
 		default:
 		}
 		select {
-		case <-peer.inbox:
+		case <-peer.queue:
 			c.Dropped.Add(1)
 		default:
 		}
 	}
 }
 
-func (c *Channels) work(peer *peerInbox) {
+func (c *Connections) work(peer *peerQueue) {
 	idle := time.NewTimer(streamIdle)
 	defer idle.Stop()
 	defer peer.close()
 	for {
 		var batch parcelOut
-		add := func(envelope *flyloft.Envelope) {
+		add := func(envelope *control.Envelope) {
 			content, err := json.Marshal(envelope)
 			if err != nil {
 				c.Dropped.Add(1)
-				c.cue.Log.Error(err, "a message can't be encoded", "kind", envelope.Message.Kind())
+				c.env.Log.Error(err, "a message can't be encoded", "kind", envelope.Message.Kind())
 				return
 			}
 			peer.count(envelope.Message.Kind(), len(content))
@@ -223,29 +223,29 @@
 		}
 		idle.Reset(streamIdle)
 		select {
-		case <-c.cue.Done():
+		case <-c.env.Done():
 			return
 		case <-idle.C:
 			peer.close()
 			continue
-		case envelope := <-peer.inbox:
+		case envelope := <-peer.queue:
 			add(envelope)
 		}
 		for len(batch.Envelopes) < parcelBound {
 			select {
-			case envelope := <-peer.inbox:
+			case envelope := <-peer.queue:
 				add(envelope)
 				continue
 			default:
 			}
 			break
 		}
-		if _, delay := mishap(peer.address); delay > 0 {
+		if _, delay := fault(peer.address); delay > 0 {
 			time.Sleep(delay)
 		}
 		if err := c.deliver(peer, &batch); err != nil {
 			c.Dropped.Add(uint64(len(batch.Envelopes)))
-			c.cue.Log.V(3).Info("a parcel was lost", "to", peer.address, "error", err.Error())
+			c.env.Log.V(3).Info("a parcel was lost", "to", peer.address, "error", err.Error())
 			continue
 		}
 		c.Sent.Add(uint64(len(batch.Envelopes)))
@@ -253,7 +253,7 @@
 }
 
 // close ends the stream in order.
-func (p *peerInbox) close() {
+func (p *peerQueue) close() {
 	if p.stream == nil {
 		return
 	}
@@ -268,18 +268,18 @@
 // deliver puts a parcel on the peer's stream. A call for each parcel would say whether it
 // arrived, for twice the wake-ups and four times the bytes of a small one; owners repeat
 // what matters anyway.
-func (c *Channels) deliver(peer *peerInbox, batch *parcelOut) error {
+func (c *Connections) deliver(peer *peerQueue, batch *parcelOut) error {
 	bytes := 0
 	for _, envelope := range batch.Envelopes {
 		bytes += len(envelope)
 	}
-	span := min(channelSpan+channelSpanMB*house.Micros(bytes>>20), channelSpanTop)
+	span := min(connectionSpan+connectionSpanMB*kernel.Micros(bytes>>20), connectionSpanTop)
 	// A stream that broke since its last parcel says so only now; the parcel deserves a new one.
 	for isLast := false; ; isLast = true {
 		isFresh := peer.stream == nil
 		if isFresh {
 			var ctx context.Context
-			ctx, peer.end = context.WithCancel(c.cue)
+			ctx, peer.end = context.WithCancel(c.env)
 			peer.stream = peer.client.CallClientStream(ctx)
 		}
 		timer := time.AfterFunc(span.Duration(), peer.end)
@@ -303,33 +303,33 @@
 
 func (BrokenStream) Error() string { return "the stream broke" }
 
-// Recall asks another node for an older spec.
-func (c *Channels) Recall(ctx context.Context, address string, ask RecallAsk) (*RecallReceipt, error) {
-	ctx, cancel := context.WithTimeout(ctx, channelSpanTop.Duration())
+// Recall asks another node for an older configuration.
+func (c *Connections) Recall(ctx context.Context, address string, ask RecallAsk) (*RecallReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectionSpanTop.Duration())
 	defer cancel()
-	client := connect.NewClient[RecallAsk, RecallReceipt](c.client, "http://"+address+procedureRecall,
+	client := connect.NewClient[RecallAsk, RecallReply](c.client, "http://"+address+procedureRecall,
 		connect.WithCodec(jsonCodec{}), connect.WithCompressMinBytes(compressFrom))
-	receipt, err := client.CallUnary(ctx, connect.NewRequest(&ask))
+	reply, err := client.CallUnary(ctx, connect.NewRequest(&ask))
 	if err != nil {
-		return nil, fmt.Errorf("recall generation %d from %s: %w", ask.Mark.Generation, address, err)
+		return nil, fmt.Errorf("recall generation %d from %s: %w", ask.Mark.Revision, address, err)
 	}
-	return receipt.Msg, nil
+	return reply.Msg, nil
 }
 
 // AskWho asks the process at a peer address which member it is, of what founding.
-func AskWho(ctx context.Context, address string) (*flyloft.Witness, error) {
-	client := connect.NewClient[nothing, flyloft.Witness](&http.Client{Transport: &http.Transport{DialContext: plainDialer(), DisableKeepAlives: true}},
+func AskWho(ctx context.Context, address string) (*control.Witness, error) {
+	client := connect.NewClient[nothing, control.Witness](&http.Client{Transport: &http.Transport{DialContext: plainDialer(), DisableKeepAlives: true}},
 		"http://"+address+procedureWho, connect.WithCodec(jsonCodec{}))
-	receipt, err := client.CallUnary(ctx, connect.NewRequest(&nothing{}))
+	reply, err := client.CallUnary(ctx, connect.NewRequest(&nothing{}))
 	if err != nil {
 		return nil, fmt.Errorf("ask %s who it is: %w", address, err)
 	}
-	receipt.Msg.Address = address
-	return receipt.Msg, nil
+	reply.Msg.Address = address
+	return reply.Msg, nil
 }
 
 // NewPeerHandler serves the procedures to the other nodes.
-func NewPeerHandler(deliver func(flyloft.Envelope), recall func(RecallAsk) (*RecallReceipt, error), who func() flyloft.Witness) http.Handler {
+func NewPeerHandler(deliver func(control.Envelope), recall func(RecallAsk) (*RecallReply, error), who func() control.Witness) http.Handler {
 	// The bound holds for answers as well: connect compresses every one of them otherwise.
 	options := []connect.HandlerOption{connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(parcelBytes), connect.WithCompressMinBytes(compressFrom)}
 	mux := http.NewServeMux()
@@ -353,15 +353,15 @@
 			return connect.NewResponse(&nothing{}), nil
 		}, options...))
 	mux.Handle(procedureRecall, connect.NewUnaryHandler(procedureRecall,
-		func(_ context.Context, request *connect.Request[RecallAsk]) (*connect.Response[RecallReceipt], error) {
-			receipt, err := recall(*request.Msg)
+		func(_ context.Context, request *connect.Request[RecallAsk]) (*connect.Response[RecallReply], error) {
+			reply, err := recall(*request.Msg)
 			if err != nil {
 				return nil, connect.NewError(connect.CodeNotFound, err)
 			}
-			return connect.NewResponse(receipt), nil
+			return connect.NewResponse(reply), nil
 		}, options...))
 	mux.Handle(procedureWho, connect.NewUnaryHandler(procedureWho,
-		func(context.Context, *connect.Request[nothing]) (*connect.Response[flyloft.Witness], error) {
+		func(context.Context, *connect.Request[nothing]) (*connect.Response[control.Witness], error) {
 			witness := who()
 			return connect.NewResponse(&witness), nil
 		}, options...))
--- a/wings/contract_test.go
+++ b/server/contract_test.go
@@ -1,4 +1,4 @@
-package wings
+package server
 
 import (
 	"bytes"
@@ -15,13 +15,13 @@
 	"k8s.io/klog/v2"
 
 	"dunlinloom/contracts"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
 )
 
 // cutFolder lets the power go after some steps, on a real disk.
 type cutFolder struct {
-	house.Folder
+	kernel.Folder
 	steps int
 }
 
@@ -31,7 +31,7 @@
 
 func (f *cutFolder) step() error {
 	if f.steps == 0 {
-		return house.DiskBreakdown{Step: "reach", Cause: powerGone{}}
+		return kernel.DiskError{Step: "reach", Cause: powerGone{}}
 	}
 	f.steps--
 	return nil
@@ -52,46 +52,46 @@
 }
 
 func TestTheRealDiskKeepsTheContracts(t *testing.T) {
-	open := func(t *testing.T) house.Folder {
-		folder, err := house.OpenFolder(t.TempDir())
+	open := func(t *testing.T) kernel.Folder {
+		folder, err := kernel.OpenFolder(t.TempDir())
 		qt.Assert(t, err, qt.IsNil)
 		return &cutFolder{folder, -1}
 	}
 	contracts.Folder(t, open)
-	contracts.Store(t, open, func(folder house.Folder, steps int) { folder.(*cutFolder).steps = steps })
+	contracts.Store(t, open, func(folder kernel.Folder, steps int) { folder.(*cutFolder).steps = steps })
 }
 
 func TestConnectKeepsTheContract(t *testing.T) {
 	contracts.Transport(t, func(t *testing.T) contracts.Link {
 		c := qt.New(t)
-		arrived := make(chan flyloft.Envelope, 64)
-		server := httptest.NewServer(NewPeerHandler(func(envelope flyloft.Envelope) { arrived <- envelope }, nil, nil))
+		arrived := make(chan control.Envelope, 64)
+		server := httptest.NewServer(NewPeerHandler(func(envelope control.Envelope) { arrived <- envelope }, nil, nil))
 		c.Cleanup(server.Close)
 		ctx, end := context.WithCancel(context.Background())
 		c.Cleanup(end)
 		gone := httptest.NewServer(http.NotFoundHandler())
 		gone.Close()
-		cue := house.Cue{Context: ctx, Clock: house.BootClock{}, Log: klog.Background()}
-		channels := NewChannels(cue, (&net.Dialer{}).DialContext)
+		env := kernel.Env{Context: ctx, Clock: kernel.BootClock{}, Log: klog.Background()}
+		connections := NewConnections(env, (&net.Dialer{}).DialContext)
 		return contracts.Link{
 			From: "10.0.0.1:1", To: strings.TrimPrefix(server.URL, "http://"), Nowhere: strings.TrimPrefix(gone.URL, "http://"),
 			// A parcel may be lost on a machine that is busy enough; owners repeat what
 			// matters, and so does this until it went through.
-			Send: func(envelope flyloft.Envelope) {
+			Send: func(envelope control.Envelope) {
 				if envelope.To == strings.TrimPrefix(gone.URL, "http://") {
-					channels.Send(envelope)
+					connections.Send(envelope)
 					return
 				}
-				for sent := channels.Sent.Load(); channels.Sent.Load() == sent; {
-					dropped := channels.Dropped.Load()
-					channels.Send(envelope)
-					for channels.Sent.Load() == sent && channels.Dropped.Load() == dropped {
+				for sent := connections.Sent.Load(); connections.Sent.Load() == sent; {
+					dropped := connections.Dropped.Load()
+					connections.Send(envelope)
+					for connections.Sent.Load() == sent && connections.Dropped.Load() == dropped {
 						runtime.Gosched()
 					}
 				}
 			},
-			Arrived: func(count int) []flyloft.Envelope {
-				got := []flyloft.Envelope{}
+			Arrived: func(count int) []control.Envelope {
+				got := []control.Envelope{}
 				for len(got) < count {
 					got = append(got, <-arrived)
 				}
@@ -105,8 +105,8 @@
 // hundreds of megabytes.
 func TestASmallAnswerCostsNoCompressor(t *testing.T) {
 	c := qt.New(t)
-	handler := NewPeerHandler(func(flyloft.Envelope) {}, nil, nil)
-	content, err := json.Marshal(parcel{Envelopes: []flyloft.Envelope{{Fleet: "f", From: "10.0.0.1:1", To: "10.0.0.2:1"}}})
+	handler := NewPeerHandler(func(control.Envelope) {}, nil, nil)
+	content, err := json.Marshal(parcel{Envelopes: []control.Envelope{{Fleet: "f", From: "10.0.0.1:1", To: "10.0.0.2:1"}}})
 	c.Assert(err, qt.IsNil)
 	call := func() *httptest.ResponseRecorder {
 		request := httptest.NewRequest(http.MethodPost, procedureDeliver, bytes.NewReader(content))
--- a/wings/deployment.go
+++ b/server/deployment.go
@@ -1,4 +1,4 @@
-package wings
+package server
 
 import (
 	"context"
@@ -18,35 +18,35 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // RetryBudget bounds what goes to a service beyond the first try of each request, summed
 // over all nodes.
 type RetryBudget struct {
 	Ratio  float64
-	Window house.Micros
+	Window kernel.Micros
 	Slack  float64
 }
 
 // DeploymentBounds are what a deployment's operators and callers are promised.
 type DeploymentBounds struct {
 	Budget  RetryBudget
-	Grace   house.Micros // from the stop signal to the kill
-	Slack   house.Micros // within which a stopping node may still have read a request
-	Drain   house.Micros // from the word that an engine leaves to its last new request
-	Relay   house.Micros // within which an event is passed on
-	Apply   house.Micros // from an acknowledgement to its effect on every node in touch
-	Revert  house.Micros // after which no node that showed a spec may show an older one
-	Contact house.Micros // of calm, after which a node counts as in touch
-	Reuse   house.Micros // after which an engine's address may be another's
-	Stretch house.Micros // by which an unsettled core may stretch Apply
+	Grace   kernel.Micros // from the stop signal to the kill
+	Slack   kernel.Micros // within which a stopping node may still have read a request
+	Drain   kernel.Micros // from the word that an engine leaves to its last new request
+	Relay   kernel.Micros // within which an event is passed on
+	Apply   kernel.Micros // from an acknowledgement to its effect on every node in touch
+	Revert  kernel.Micros // after which no node that showed a configuration may show an older one
+	Contact kernel.Micros // of calm, after which a node counts as in touch
+	Reuse   kernel.Micros // after which an engine's address may be another's
+	Stretch kernel.Micros // by which an unsettled core may stretch Apply
 }
 
 // Deployment is a fleet whose callers, engines and operators each have an address of
-// their own, whose engines register themselves, and whose spec has a form of its own.
+// their own, whose engines register themselves, and whose configuration has a form of its own.
 type Deployment struct {
 	Settings Settings
 	// Where it listens; empty: this node does not serve it.
@@ -56,12 +56,12 @@
 	CanVote bool
 	// Bootstrap: this is the first start of the whole fleet, on empty disks.
 	Bootstrap bool
-	Voters    int          // how many voters the core seeks to have
-	BeatGone  house.Micros // silence after which an engine is taken to have crashed
-	SubmitTry house.Micros // how long an order is tried before the answer is that it is unproved
+	Voters    int           // how many voters the core seeks to have
+	BeatGone  kernel.Micros // silence after which an engine is taken to have crashed
+	SubmitTry kernel.Micros // how long an order is tried before the answer is that it is unproved
 	Bounds    DeploymentBounds
 	Limits    ProcessLimits
-	Form      playbill.Form
+	Form      fleetconfig.Form
 }
 
 // ProcessLimits are what the process may take of its machine.
@@ -74,11 +74,11 @@
 	LinkMbps    float64
 	BodiesBytes int64
 	// Store bounds what the core's documents and the snapshot may take of the disk.
-	Store flyloft.StoreBounds
+	Store control.StoreBounds
 }
 
 // Staging is what a deployment brings in its own words.
-type Staging struct {
+type Adapter struct {
 	Program string
 	// Callers and Control make the handlers of the two addresses.
 	Callers, Control func(*Services) (http.Handler, error)
@@ -89,10 +89,10 @@
 
 // Services are what a staging's handlers are made of.
 type Services struct {
-	Cue    house.Cue
-	Runner *Runner
-	Shelf  *playbill.Shelf
-	Door   *Door // nil where callers are not served
+	Env             kernel.Env
+	Runner          *Runner
+	Compiler        *fleetconfig.Compiler
+	LimitedListener *LimitedListener // nil where callers are not served
 	// Deployment gives the settings of this moment.
 	Deployment func() *Deployment
 	IsStopping func() bool
@@ -100,17 +100,17 @@
 
 // Spans of a deployment's process.
 const (
-	reloadEvery  = 3 * time.Second
-	lameDuckSpan = 2500 * house.Millisecond // the platform's looks are a second apart, and it needs two
-	graceMargin  = 400 * house.Millisecond
-	readHeader   = 5 * time.Second
-	idleChannel  = 60 * time.Second
-	headerBytes  = 64 << 10
+	reloadEvery    = 3 * time.Second
+	lameDuckSpan   = 2500 * kernel.Millisecond // the platform's looks are a second apart, and it needs two
+	graceMargin    = 400 * kernel.Millisecond
+	readHeader     = 5 * time.Second
+	idleConnection = 60 * time.Second
+	headerBytes    = 64 << 10
 )
 
 // Check names every fault of a deployment's settings at once.
 func (d *Deployment) Check() error {
-	faults := &playbill.Faults{}
+	faults := &fleetconfig.Faults{}
 	listened := map[string]string{}
 	check := func(name, address string) {
 		parsed, err := netip.ParseAddrPort(address)
@@ -147,19 +147,19 @@
 }
 
 // MainDeployment runs a deployment and gives the process's exit status.
-func MainDeployment(staging Staging) int {
-	deployment, err := staging.Reload()
+func MainDeployment(adapter Adapter) int {
+	deployment, err := adapter.Reload()
 	if err == nil {
 		err = deployment.Check()
 	}
 	if err != nil {
-		var faults *playbill.Faults
+		var faults *fleetconfig.Faults
 		if errors.As(err, &faults) {
 			for _, fault := range faults.List {
-				fmt.Fprintf(os.Stderr, "%s: settings: %v\n", staging.Program, fault)
+				fmt.Fprintf(os.Stderr, "%s: settings: %v\n", adapter.Program, fault)
 			}
 		} else {
-			fmt.Fprintf(os.Stderr, "%s: %v\n", staging.Program, err)
+			fmt.Fprintf(os.Stderr, "%s: %v\n", adapter.Program, err)
 		}
 		return 2
 	}
@@ -170,8 +170,8 @@
 	signal.Ignore(syscall.SIGPIPE)
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	log := house.LogJSON()
-	if err := RunDeployment(stop, hangup, log, deployment, staging); err != nil {
+	log := kernel.LogJSON()
+	if err := RunDeployment(stop, hangup, log, deployment, adapter); err != nil {
 		log.Error(err, "the process ends")
 		return 1
 	}
@@ -194,7 +194,7 @@
 // deployed is a deployment's process.
 type deployed struct {
 	*assembly
-	staging  Staging
+	adapter  Adapter
 	current  atomic.Pointer[Deployment]
 	live     atomic.Int64 // callers' requests that are being served
 	services *Services
@@ -205,22 +205,22 @@
 }
 
 // RunDeployment puts a node together and serves until stop ends, then drains it.
-func RunDeployment(stop context.Context, hangup <-chan os.Signal, log klog.Logger, deployment *Deployment, staging Staging) (err error) {
+func RunDeployment(stop context.Context, hangup <-chan os.Signal, log klog.Logger, deployment *Deployment, adapter Adapter) (err error) {
 	settings := deployment.Settings
-	self := house.Identity{Fleet: settings.Fleet, Address: settings.Peer, Public: deployment.Control, Zone: settings.Zone}
+	self := kernel.Identity{Fleet: settings.Fleet, Address: settings.Peer, Public: deployment.Control, Zone: settings.Zone}
 	life, end := context.WithCancel(context.Background())
-	d := &deployed{staging: staging, failed: make(chan error, 4), assembly: &assembly{
-		cue:   house.Cue{Context: life, Clock: house.NewSteadyClock(), Log: log, Self: self, Journal: house.NewJournal(settings.Journal)},
-		stage: house.Open(), settings: settings, end: end, deployment: deployment, shelf: deployment.shelf(),
+	d := &deployed{adapter: adapter, failed: make(chan error, 4), assembly: &assembly{
+		env:   kernel.Env{Context: life, Clock: kernel.NewSteadyClock(), Log: log, Self: self, Journal: kernel.NewJournal(settings.Journal)},
+		stage: kernel.Open(), settings: settings, end: end, deployment: deployment, compiler: deployment.compiler(),
 		// Without a disk of its own a node votes for nothing, and needs no core.
-		parts: Parts{Program: staging.Program, IsRouter: deployment.Callers != "", IsPrompter: deployment.CanVote},
+		parts: Parts{Program: adapter.Program, IsRouter: deployment.Callers != "", IsController: deployment.CanVote},
 	}}
 	d.current.Store(deployment)
-	defer func() { err = errors.Join(err, d.stage.Strike.Run()) }()
-	d.stage.Strike.Defer(func() error { end(); return nil })
+	defer func() { err = errors.Join(err, d.stage.Cleanup.Run()) }()
+	d.stage.Cleanup.Defer(func() error { end(); return nil })
 	node := deployment.node(self, d.parts)
-	node.Journal, node.CheckSpec, node.IsCompiled = d.cue.Journal, d.shelf.Check, d.shelf.Has
-	node.ChangeSpec, node.VersionOf = d.shelf.Change, d.shelf.Version
+	node.Journal, node.CheckConfig, node.IsCompiled = d.env.Journal, d.compiler.Check, d.compiler.Has
+	node.ChangeConfig, node.VersionOf = d.compiler.Change, d.compiler.Version
 	d.openClock(node.Start)
 	for _, step := range []func() error{
 		func() error { return d.openFolderOrNone(&node) }, d.openJournal, func() error { return d.openNode(node) }, d.openPast,
@@ -243,26 +243,26 @@
 // Tries of a folder whose disk fails at the start, and the pause between two.
 const (
 	folderTries = 3
-	folderPause = 200 * house.Millisecond
+	folderPause = 200 * kernel.Millisecond
 )
 
 // openFolderOrNone goes on without a folder whose disk fails: then this process votes for
 // nothing until its next start, which is safe, and callers are served all the same.
-func (d *deployed) openFolderOrNone(node *flyloft.NodeSettings) error {
+func (d *deployed) openFolderOrNone(node *control.NodeSettings) error {
 	for try := 1; ; try++ {
 		err := d.openFolder(node)
-		if err == nil || !errors.As(err, new(house.DiskBreakdown)) {
+		if err == nil || !errors.As(err, new(kernel.DiskError)) {
 			return err
 		}
-		d.cue.Log.Error(err, "the data folder can't be opened", "try", try)
+		d.env.Log.Error(err, "the data folder can't be opened", "try", try)
 		if try == folderTries {
-			d.cue.Note("house", "disk", "go on without", err.Error())
+			d.env.Note("house", "disk", "go on without", err.Error())
 			break
 		}
 		waitUntil(int64(folderPause), func() bool { return false })
 	}
-	d.store, d.settings.Data, d.parts.IsPrompter = nil, "", false
-	node.HasFolder, node.IsPrompter = false, false
+	d.store, d.settings.Data, d.parts.IsController = nil, "", false
+	node.HasFolder, node.IsController = false, false
 	return nil
 }
 
@@ -274,10 +274,10 @@
 	}
 	server := &http.Server{
 		Handler:           handler,
-		ReadHeaderTimeout: readHeader, IdleTimeout: idleChannel, MaxHeaderBytes: headerBytes,
+		ReadHeaderTimeout: readHeader, IdleTimeout: idleConnection, MaxHeaderBytes: headerBytes,
 	}
 	d.servers = append(d.servers, server)
-	d.stage.Strike.Defer(func() error { return ignoreClosed(server.Close()) })
+	d.stage.Cleanup.Defer(func() error { return ignoreClosed(server.Close()) })
 	go func() {
 		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			d.failed <- fmt.Errorf("%s: %w", what, err)
@@ -287,30 +287,30 @@
 }
 
 // serveAll sets everything going.
-func (d *deployed) serveAll(member flyloft.MemberID) error {
+func (d *deployed) serveAll(member control.MemberID) error {
 	deployment := d.deployment
-	if err := checkFiles(d.settings.Channels, d.settings.Live); err != nil {
+	if err := checkFiles(d.settings.Connections, d.settings.Live); err != nil {
 		// Fewer files make a smaller crowd; they are no reason to serve nobody.
-		d.cue.Log.Error(err, "the bounds on channels can't be met")
+		d.env.Log.Error(err, "the bounds on channels can't be met")
 	}
 	d.services = &Services{
-		Cue: d.cue, Runner: d.runner, Shelf: d.shelf, Deployment: d.current.Load, IsStopping: d.isStopping.Load,
+		Env: d.env, Runner: d.runner, Compiler: d.compiler, Deployment: d.current.Load, IsStopping: d.isStopping.Load,
 	}
 	plain := func(listener net.Listener) net.Listener { return listener }
 	// Nodes first: the callers' handler may need what they tell.
-	peers := NewPeerHandler(d.runner.Deliver, d.runner.Recall, func() flyloft.Witness { return d.runner.Witness(member) })
+	peers := NewPeerHandler(d.runner.Deliver, d.runner.Recall, func() control.Witness { return d.runner.Witness(member) })
 	if _, err := d.listen("nodes", d.settings.Peer, peers, plain); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
 	go func() { d.runner.Run(); close(ended) }()
-	d.stage.Strike.Defer(func() error { d.end(); <-ended; return nil })
-	if d.librarian != nil {
+	d.stage.Cleanup.Defer(func() error { d.end(); <-ended; return nil })
+	if d.archiver != nil {
 		// Nobody waits for it: a stalled disk must not hold up a stop.
-		go d.librarian.Run()
+		go d.archiver.Run()
 	}
 	if deployment.Control != "" {
-		handler, err := d.staging.Control(d.services)
+		handler, err := d.adapter.Control(d.services)
 		if err != nil {
 			return fmt.Errorf("open control: %w", err)
 		}
@@ -319,15 +319,15 @@
 		}
 	}
 	if deployment.Callers != "" {
-		door := NewDoor(nil, d.settings.Channels)
-		d.services.Door = door
-		handler, err := d.staging.Callers(d.services)
+		limitedListener := NewLimitedListener(nil, d.settings.Connections)
+		d.services.LimitedListener = limitedListener
+		handler, err := d.adapter.Callers(d.services)
 		if err != nil {
 			return fmt.Errorf("open the callers' side: %w", err)
 		}
 		d.callers, err = d.listen("callers", deployment.Callers, d.winding(d.counting(handler)), func(listener net.Listener) net.Listener {
-			door.Listener = listener
-			return door
+			limitedListener.Listener = listener
+			return limitedListener
 		})
 		if err != nil {
 			return err
@@ -338,7 +338,7 @@
 			return err
 		}
 	}
-	d.cue.Log.Info("serving", "callers", deployment.Callers, "control", deployment.Control, "peer", d.settings.Peer, "member", string(member))
+	d.env.Log.Info("serving", "callers", deployment.Callers, "control", deployment.Control, "peer", d.settings.Peer, "member", string(member))
 	return nil
 }
 
@@ -367,7 +367,7 @@
 	switch {
 	case s.IsStopping():
 		return "this node is stopping"
-	case state.Document == nil || state.Document.SpecGeneration == 0:
+	case state.Document == nil || state.Document.ConfigRevision == 0:
 		return "no spec has reached this node"
 	}
 	for _, engine := range state.Engines {
@@ -380,7 +380,7 @@
 
 func (d *deployed) readiness() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+d.staging.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+d.adapter.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
 		if why := d.services.WhyNotReady(); why != "" {
 			http.Error(w, why, http.StatusServiceUnavailable)
 		}
@@ -394,12 +394,12 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-d.cue.Done():
+		case <-d.env.Done():
 			return
 		case <-hangup:
 		case <-ticker.C:
 		}
-		next, err := d.staging.Reload()
+		next, err := d.adapter.Reload()
 		if err == nil {
 			err = next.Check()
 		}
@@ -407,10 +407,10 @@
 		switch {
 		case err != nil:
 			// What is in force stays so: a half-written file must not stop a node.
-			d.cue.Log.Error(err, "the settings can't be read again")
+			d.env.Log.Error(err, "the settings can't be read again")
 		case next != before:
 			d.current.Store(next)
-			d.cue.Log.Info("the settings have changed", "seeds", next.Settings.Seeds)
+			d.env.Log.Info("the settings have changed", "seeds", next.Settings.Seeds)
 		}
 	}
 }
@@ -418,41 +418,41 @@
 // leave is a planned stop: say so and hand duties on, take callers a little longer while
 // the platform learns of it, then finish what was accepted.
 func (d *deployed) leave() {
-	begun := d.cue.Clock.Now()
-	d.cue.Log.Info("stopping")
+	begun := d.env.Clock.Now()
+	d.env.Log.Info("stopping")
 	d.isStopping.Store(true)
 	d.runner.Leave()
-	last := max(d.current.Load().Bounds.Grace-graceMargin, house.Second)
+	last := max(d.current.Load().Bounds.Grace-graceMargin, kernel.Second)
 	waitUntil(int64(min(lameDuckSpan, last/2)), func() bool { return false })
 	for _, server := range []*http.Server{d.callers, d.control} {
 		if server == nil {
 			continue
 		}
-		left, done := context.WithTimeout(context.Background(), (begun + last - d.cue.Clock.Now()).Duration())
+		left, done := context.WithTimeout(context.Background(), (begun + last - d.env.Clock.Now()).Duration())
 		if err := server.Shutdown(left); err != nil {
-			d.cue.Log.Error(err, "some channels had to be cut", "live", d.live.Load())
+			d.env.Log.Error(err, "some channels had to be cut", "live", d.live.Load())
 		}
 		done()
 	}
-	waitUntil(int64(min(2*house.Second, begun+last-d.cue.Clock.Now())), func() bool { return !d.runner.HasDuties() })
-	d.cue.Log.Info("drained", "live", d.live.Load())
+	waitUntil(int64(min(2*kernel.Second, begun+last-d.env.Clock.Now())), func() bool { return !d.runner.HasDuties() })
+	d.env.Log.Info("drained", "live", d.live.Load())
 }
 
 // node is what the control plane is told.
-func (d *Deployment) node(self house.Identity, parts Parts) flyloft.NodeSettings {
-	timing := flyloft.SparseTiming()
+func (d *Deployment) node(self kernel.Identity, parts Parts) control.NodeSettings {
+	timing := control.SparseTiming()
 	timing.BeatGone = d.BeatGone
-	return flyloft.NodeSettings{
-		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: d.Settings.Data != "",
+	return control.NodeSettings{
+		Identity: self, IsRouter: parts.IsRouter, IsController: parts.IsController, HasFolder: d.Settings.Data != "",
 		// Of the address, so that the elections of two nodes do not collide.
 		Seeds: d.Settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: xxhash.Sum64String(self.Address),
-		Timing: timing, Member: flyloft.MemberID("no-folder-" + self.Address),
+		Timing: timing, Member: control.MemberID("no-folder-" + self.Address),
 		// A router that the core can't reach is not bound by what the core acknowledges
 		// meanwhile, and one in touch hears of it within Apply: see docs/design.md.
-		Voters: d.Voters, ServeOn: flyloft.ServeOnAlways, ReceiptRule: flyloft.Spread, NoFence: true, SubmitTry: d.SubmitTry,
-		Founding: flyloft.FoundersAnnounce, Bootstrap: d.Bootstrap,
+		Voters: d.Voters, ServeOn: control.ServeOnAlways, AckRule: control.Spread, NoFence: true, SubmitTry: d.SubmitTry,
+		Founding: control.FoundersAnnounce, Bootstrap: d.Bootstrap,
 	}
 }
 
-// shelf reads specs of the deployment's form.
-func (d *Deployment) shelf() *playbill.Shelf { return &playbill.Shelf{Form: d.Form} }
+// compiler reads configurations of the deployment's form.
+func (d *Deployment) compiler() *fleetconfig.Compiler { return &fleetconfig.Compiler{Form: d.Form} }
--- a/wings/deployment_test.go
+++ b/server/deployment_test.go
@@ -1,4 +1,4 @@
-package wings
+package server
 
 import (
 	"context"
@@ -15,15 +15,15 @@
 	qt "github.com/frankban/quicktest"
 	"k8s.io/klog/v2"
 
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // ownForm is the product's own form, as a deployment's.
 type ownForm struct{}
 
-func (ownForm) Read(document []byte) (*playbill.Spec, error) { return playbill.Read(document) }
+func (ownForm) Read(document []byte) (*fleetconfig.Config, error) { return fleetconfig.Read(document) }
 
 func (ownForm) Change(document, _ []byte) ([]byte, error) { return document, nil }
 
@@ -33,7 +33,7 @@
 	settings.ArchiveMB = 0
 	return &Deployment{
 		Settings: settings, Callers: free(c), Control: free(c), Readiness: free(c), CanVote: true, Bootstrap: true, Voters: 3,
-		Form: ownForm{}, Bounds: DeploymentBounds{Grace: 2 * house.Second},
+		Form: ownForm{}, Bounds: DeploymentBounds{Grace: 2 * kernel.Second},
 	}
 }
 
@@ -42,8 +42,8 @@
 	d := goodDeployment(c, nil, "10.0.0.1:7000")
 	c.Assert(d.Check(), qt.IsNil)
 	d.Settings.Data, d.Settings.Zone, d.Form, d.Control, d.Callers, d.Readiness = "", "", nil, "10.0.0.1:7000", "host:1", "0.0.0.0:5"
-	d.Settings.LicenceUS = 5_000_000
-	var faults *playbill.Faults
+	d.Settings.LeaseUS = 5_000_000
+	var faults *fleetconfig.Faults
 	c.Assert(errors.As(d.Check(), &faults), qt.IsTrue)
 	paths := []string{}
 	for _, fault := range faults.List {
@@ -74,7 +74,7 @@
 	n.next.Store(d)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
-	staging := Staging{
+	adapter := Adapter{
 		Program: "test", ReadinessPath: "/ready", Reload: func() (*Deployment, error) { return n.next.Load(), nil },
 		Callers: func(*Services) (http.Handler, error) { return callers, nil },
 		Control: func(services *Services) (http.Handler, error) {
@@ -83,7 +83,7 @@
 		},
 	}
 	c.Assert(d.Check(), qt.IsNil)
-	go func() { n.ended <- RunDeployment(ctx, n.hangup, klog.Background(), d, staging) }()
+	go func() { n.ended <- RunDeployment(ctx, n.hangup, klog.Background(), d, adapter) }()
 	return n
 }
 
@@ -124,17 +124,17 @@
 		nodes = append(nodes, startDeployed(c, goodDeployment(c, seeds, seed), callers))
 	}
 	services := []*Services{}
-	// A deployment's specs carry versions that rise.
-	versioned := strings.Replace(specOne, "{", `{"version":"1",`, 1)
+	// A deployment's configurations carry versions that rise.
+	versioned := strings.Replace(configOne, "{", `{"version":"1",`, 1)
 	for _, node := range nodes {
 		services = append(services, <-node.seen)
 	}
 	awaitStatus(nodes[0].Readiness, "/ready", http.StatusServiceUnavailable)
 	for try := 0; ; try++ {
-		receipt, err := services[0].Runner.Submit(context.Background(), &flyloft.Submit{ID: fmt.Sprint("first", try), Order: flyloft.PutSpec, Spec: []byte(versioned)})
+		reply, err := services[0].Runner.Submit(context.Background(), &control.Submit{ID: fmt.Sprint("first", try), Order: control.PutConfig, Config: []byte(versioned)})
 		c.Assert(err, qt.IsNil)
-		c.Assert(receipt.Outcome, qt.Not(qt.Equals), flyloft.No, qt.Commentf("%v", receipt))
-		if receipt.Outcome == flyloft.Yes {
+		c.Assert(reply.Outcome, qt.Not(qt.Equals), control.No, qt.Commentf("%v", reply))
+		if reply.Outcome == control.Yes {
 			break
 		}
 	}
@@ -143,20 +143,20 @@
 	// caller whose answer is dropped on the way would wait for ever.
 	newest, err := services[2].Runner.Newest(context.Background())
 	c.Assert(err, qt.IsNil)
-	c.Assert(newest.SpecGeneration > 0, qt.IsTrue)
-	services[1].Runner.Hear([]flyloft.EngineRecord{{ID: "e", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Start: 1, Seq: 1}})
-	_, err = services[1].Runner.Register(context.Background(), flyloft.EngineRecord{ID: "e", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Start: 1, Seq: 2})
+	c.Assert(newest.ConfigRevision > 0, qt.IsTrue)
+	services[1].Runner.Hear([]control.EngineRecord{{ID: "e", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Start: 1, Seq: 1}})
+	_, err = services[1].Runner.Register(context.Background(), control.EngineRecord{ID: "e", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Start: 1, Seq: 2})
 	c.Assert(err, qt.IsNil)
 	for _, node := range nodes {
 		awaitStatus(node.Readiness, "/ready", http.StatusOK)
 	}
 	// The settings change with a signal; what is served goes on.
 	changed := *nodes[0].Deployment
-	changed.Bounds.Grace = 7 * house.Second
+	changed.Bounds.Grace = 7 * kernel.Second
 	nodes[0].next.Store(&changed)
 	nodes[0].hangup <- os.Interrupt
 	nodes[0].hangup <- os.Interrupt // taken only once the first one is dealt with
-	c.Assert(services[0].Deployment().Bounds.Grace, qt.Equals, 7*house.Second)
+	c.Assert(services[0].Deployment().Bounds.Grace, qt.Equals, 7*kernel.Second)
 
 	// A planned stop: not ready at once, still serving, and what was accepted ends whole.
 	slow := make(chan string, 1)
@@ -207,7 +207,7 @@
 	c.Assert(<-node.ended, qt.IsNil)
 }
 
-// The second life knows the spec and the engines before it has heard of anybody.
+// The second life knows the configuration and the engines before it has heard of anybody.
 func TestADeploymentBeginsWithItsSnapshot(t *testing.T) {
 	c := qt.New(t)
 	seed := free(c)
@@ -215,13 +215,13 @@
 	callers := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 	first := startDeployed(c, d, callers)
 	services := <-first.seen
-	versioned := strings.Replace(specOne, "{", `{"version":"1",`, 1)
+	versioned := strings.Replace(configOne, "{", `{"version":"1",`, 1)
 	for try, isKept := 0, false; !isKept; try++ {
-		receipt, err := services.Runner.Submit(context.Background(), &flyloft.Submit{ID: fmt.Sprint("first", try), Order: flyloft.PutSpec, Spec: []byte(versioned)})
+		reply, err := services.Runner.Submit(context.Background(), &control.Submit{ID: fmt.Sprint("first", try), Order: control.PutConfig, Config: []byte(versioned)})
 		c.Assert(err, qt.IsNil)
-		isKept = receipt.Outcome == flyloft.Yes
+		isKept = reply.Outcome == control.Yes
 	}
-	_, err := services.Runner.Register(context.Background(), flyloft.EngineRecord{ID: "engine-1", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Seq: 1})
+	_, err := services.Runner.Register(context.Background(), control.EngineRecord{ID: "engine-1", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Seq: 1})
 	c.Assert(err, qt.IsNil)
 	for {
 		content, err := os.ReadFile(filepath.Join(d.Settings.Data, "snapshot.json"))
@@ -238,14 +238,14 @@
 	second := startDeployed(c, &again, callers)
 	services = <-second.seen
 	state := services.Runner.State()
-	// The spec is compiled beside.
+	// The configuration is compiled beside.
 	for state.Document == nil {
 		state = services.Runner.State()
 	}
 	// Of the first life: what this one elects by itself has another term.
 	c.Assert(state.Document.Term, qt.Equals, kept.Term)
-	c.Assert(state.Document.SpecGeneration, qt.Equals, kept.SpecGeneration)
-	c.Assert(string(state.Document.Spec), qt.Equals, versioned)
+	c.Assert(state.Document.ConfigRevision, qt.Equals, kept.ConfigRevision)
+	c.Assert(string(state.Document.Config), qt.Equals, versioned)
 	c.Assert(state.Engines, qt.HasLen, 1)
 	second.stop()
 	c.Assert(<-second.ended, qt.IsNil)
--- a/wings/mishap_faults.go
+++ b/server/fault_injection_faults.go
@@ -1,6 +1,6 @@
 //go:build faults
 
-package wings
+package server
 
 import (
 	"context"
@@ -14,10 +14,10 @@
 	"syscall"
 	"time"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
-// Builds for rehearsals can fail on purpose: EnvFaults names a file with Mishaps,
+// Builds for local fleet runs can fail on purpose: EnvFaults names a file with Mishaps,
 // EnvSelf is the peer address of this process in it.
 const (
 	EnvFaults = "DUNLINLOOM_FAULTS"
@@ -27,26 +27,26 @@
 // BuildNote marks such a build where it prints its version.
 const BuildNote = " (with faults)"
 
-// channelCut says that a channel is cut on purpose.
-type channelCut struct{ way string }
+// connectionCut says that a channel is cut on purpose.
+type connectionCut struct{ way string }
 
-func (b channelCut) Error() string { return "cut on purpose: " + b.way }
+func (b connectionCut) Error() string { return "cut on purpose: " + b.way }
 
 // mishaps is the list as it was read last.
-type mishaps struct {
+type faults struct {
 	lock sync.Mutex
 	read time.Time
-	now  Mishaps
+	now  FaultInjection
 }
 
-var listed mishaps
+var listed faults
 
-func (l *mishaps) look() Mishaps {
+func (l *faults) look() FaultInjection {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	// Looked at again often enough that a fault falls within a pulse.
+	// Looked at again often enough that a fault falls within a heartbeat.
 	if time.Since(l.read) > 20*time.Millisecond {
-		l.read, l.now = time.Now(), Mishaps{}
+		l.read, l.now = time.Now(), FaultInjection{}
 		if content, err := os.ReadFile(os.Getenv(EnvFaults)); err == nil {
 			// Half a file is read again in a moment.
 			if err := json.Unmarshal(content, &l.now); err != nil {
@@ -57,7 +57,7 @@
 	return l.now
 }
 
-func way(to string) (string, WayMishap) {
+func way(to string) (string, LinkFault) {
 	name := os.Getenv(EnvSelf) + ">" + to
 	list := listed.look()
 	found, isThere := list.Ways[name]
@@ -69,13 +69,13 @@
 
 func cutTo(to string) error {
 	if name, found := way(to); found.IsCut {
-		return channelCut{name}
+		return connectionCut{name}
 	}
 	return nil
 }
 
 // mishap tells how often a message gets through, and how late the next parcel is.
-func mishap(to string) (copies int, delay time.Duration) {
+func fault(to string) (copies int, delay time.Duration) {
 	_, found := way(to)
 	copies = 1
 	if rand.Float64() < found.Loss {
@@ -89,13 +89,13 @@
 	return copies, delay
 }
 
-// cutChannel fails once its way is cut.
-type cutChannel struct {
+// cutConnection fails once its way is cut.
+type cutConnection struct {
 	net.Conn
 	to string
 }
 
-func (c *cutChannel) Write(chunk []byte) (int, error) {
+func (c *cutConnection) Write(chunk []byte) (int, error) {
 	if err := cutTo(c.to); err != nil {
 		return 0, err
 	}
@@ -103,40 +103,40 @@
 }
 
 func peerDialer() Dialer {
-	plain := channelDialer()
+	plain := connectionDialer()
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if err := cutTo(address); err != nil {
 			return nil, fmt.Errorf("dial %s: %w", address, err)
 		}
-		channel, err := plain(ctx, network, address)
+		connection, err := plain(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &cutChannel{channel, address}, nil
+		return &cutConnection{connection, address}, nil
 	}
 }
 
-// mishapFolder slows, stalls or fills a data folder. What a write that has not
-// returned would take the place of is kept beside the folder, so that a rehearsal can
+// faultFolder slows, stalls or fills a data folder. What a write that has not
+// returned would take the place of is kept beside the folder, so that a local fleet run can
 // cut the power: it kills the process and puts everything unsynced back.
-type mishapFolder struct {
-	house.Folder
+type faultFolder struct {
+	kernel.Folder
 	undo string
 }
 
-func openData(path string) (house.Folder, error) {
-	folder, err := house.OpenFolder(path)
+func openData(path string) (kernel.Folder, error) {
+	folder, err := kernel.OpenFolder(path)
 	if err != nil {
 		return nil, err
 	}
 	undo := path + UndoSuffix
 	if err := os.MkdirAll(undo, 0o755); err != nil {
-		return nil, house.DiskBreakdown{Step: "make", Name: undo, Cause: err}
+		return nil, kernel.DiskError{Step: "make", Name: undo, Cause: err}
 	}
-	return &mishapFolder{folder, undo}, nil
+	return &faultFolder{folder, undo}, nil
 }
 
-func (f *mishapFolder) Put(name string, content []byte) error {
+func (f *faultFolder) Put(name string, content []byte) error {
 	self := os.Getenv(EnvSelf)
 	for listed.look().Disks[self].IsStalled {
 		time.Sleep(10 * time.Millisecond)
@@ -144,15 +144,15 @@
 	disk := listed.look().Disks[self]
 	time.Sleep(time.Duration(disk.SlowUS) * time.Microsecond)
 	if disk.IsFull {
-		return house.DiskBreakdown{Step: "write", Name: name, Cause: syscall.ENOSPC}
+		return kernel.DiskError{Step: "write", Name: name, Cause: syscall.ENOSPC}
 	}
 	kept := filepath.Join(f.undo, name)
 	if old, err := f.Folder.Get(name); err == nil {
 		if err := os.WriteFile(kept, old, 0o644); err != nil {
-			return house.DiskBreakdown{Step: "keep", Name: name, Cause: err}
+			return kernel.DiskError{Step: "keep", Name: name, Cause: err}
 		}
 	} else if err := os.WriteFile(kept+UndoAbsent, nil, 0o644); err != nil {
-		return house.DiskBreakdown{Step: "keep", Name: name, Cause: err}
+		return kernel.DiskError{Step: "keep", Name: name, Cause: err}
 	}
 	failed := f.Folder.Put(name, content)
 	os.Remove(kept)
--- a/wings/crowd.go
+++ b/server/overload.go
@@ -1,4 +1,4 @@
-package wings
+package server
 
 import (
 	"fmt"
@@ -8,66 +8,66 @@
 	"syscall"
 	"time"
 
-	"dunlinloom/auditorium"
+	"dunlinloom/relay"
 )
 
-// channelReserve is how many channels more than the bound are still taken, so that
+// connectionReserve is how many channels more than the bound are still taken, so that
 // operators, engines and the platform's looks get through a crowd of callers.
-const channelReserve = 128
+const connectionReserve = 128
 
 // Door counts the channels of the public address. Up to the bound callers are served;
 // in the reserve above it only others are; beyond that a channel is answered at once,
 // without a look at what it asks for, and closed.
-type Door struct {
+type LimitedListener struct {
 	net.Listener
 	bound  int64
 	open   atomic.Int64
 	Turned atomic.Uint64
 }
 
-// NewDoor bounds a listener's channels.
-func NewDoor(listener net.Listener, bound int) *Door {
-	return &Door{Listener: listener, bound: int64(bound)}
+// NewLimitedListener bounds a listener's channels.
+func NewLimitedListener(listener net.Listener, bound int) *LimitedListener {
+	return &LimitedListener{Listener: listener, bound: int64(bound)}
 }
 
-// IsCrowded tells that callers get no more room.
-func (d *Door) IsCrowded() bool { return d.open.Load() > d.bound }
+// IsOverloaded tells that callers get no more room.
+func (d *LimitedListener) IsOverloaded() bool { return d.open.Load() > d.bound }
 
 // Open is how many channels there are.
-func (d *Door) Open() int64 { return d.open.Load() }
+func (d *LimitedListener) Open() int64 { return d.open.Load() }
 
 // turnedAway is a whole answer: nothing of the request has been read, so nothing ran.
 var turnedAway = []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\nRetry-After: 1\r\n" +
-	auditorium.HeaderRun + ": " + string(auditorium.NotRun) + "\r\nContent-Length: " + fmt.Sprint(len(turnedAwayBody)) + "\r\n\r\n" + turnedAwayBody)
+	relay.HeaderRun + ": " + string(relay.NotRun) + "\r\nContent-Length: " + fmt.Sprint(len(turnedAwayBody)) + "\r\n\r\n" + turnedAwayBody)
 
 const turnedAwayBody = `{"error":{"type":"crowded","message":"as many channels are open here as may be","run":"not_run","retry_after_s":1}}` + "\n"
 
 // Accept gives the next channel that there is room for.
-func (d *Door) Accept() (net.Conn, error) {
+func (d *LimitedListener) Accept() (net.Conn, error) {
 	for {
-		channel, err := d.Listener.Accept()
+		connection, err := d.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if d.open.Add(1) <= d.bound+channelReserve {
-			return &countedDoor{Conn: channel, door: d}, nil
+		if d.open.Add(1) <= d.bound+connectionReserve {
+			return &countedLimitedListener{Conn: connection, limitedListener: d}, nil
 		}
 		d.Turned.Add(1)
 		// Neither a slow nor a silent one may hold up the door.
 		go func() {
 			defer d.open.Add(-1)
-			defer channel.Close()
-			if err := channel.SetDeadline(time.Now().Add(time.Second)); err != nil {
+			defer connection.Close()
+			if err := connection.SetDeadline(time.Now().Add(time.Second)); err != nil {
 				return
 			}
-			if _, err := channel.Write(turnedAway); err != nil {
+			if _, err := connection.Write(turnedAway); err != nil {
 				return
 			}
 			// Closed with unread bytes a channel is reset, and the answer lost with it.
-			if half, canHalf := channel.(*net.TCPConn); canHalf && half.CloseWrite() == nil {
+			if half, canHalf := connection.(*net.TCPConn); canHalf && half.CloseWrite() == nil {
 				drain := make([]byte, 4096)
 				for taken := 0; taken < 64<<10; {
-					count, err := channel.Read(drain)
+					count, err := connection.Read(drain)
 					if err != nil {
 						return
 					}
@@ -78,28 +78,28 @@
 	}
 }
 
-type countedDoor struct {
+type countedLimitedListener struct {
 	net.Conn
-	door *Door
-	once sync.Once
+	limitedListener *LimitedListener
+	once            sync.Once
 }
 
-func (c *countedDoor) Close() error {
-	c.once.Do(func() { c.door.open.Add(-1) })
+func (c *countedLimitedListener) Close() error {
+	c.once.Do(func() { c.limitedListener.open.Add(-1) })
 	return c.Conn.Close()
 }
 
-// FilesBreakdown says that the system allows too few open files for the bounds set.
-type FilesBreakdown struct{ Allowed, Needed uint64 }
+// FilesError says that the system allows too few open files for the bounds set.
+type FilesError struct{ Allowed, Needed uint64 }
 
-func (b FilesBreakdown) Error() string {
+func (b FilesError) Error() string {
 	return fmt.Sprintf("the process may open %d files and its bounds need %d; raise the limit or lower channels and live", b.Allowed, b.Needed)
 }
 
 // checkFiles holds the bounds against the system's: a channel each for callers and
 // engines, and some for nodes, the disk and the rest.
-func checkFiles(channels, live int) error {
-	needed := uint64(channels + channelReserve + live + 256)
+func checkFiles(connections, live int) error {
+	needed := uint64(connections + connectionReserve + live + 256)
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return fmt.Errorf("ask how many files may be open: %w", err)
@@ -111,7 +111,7 @@
 		}
 	}
 	if limit.Cur < needed {
-		return FilesBreakdown{limit.Cur, needed}
+		return FilesError{limit.Cur, needed}
 	}
 	return nil
 }
--- a/wings/process.go
+++ b/server/process.go
@@ -1,4 +1,4 @@
-package wings
+package server
 
 import (
 	"context"
@@ -20,27 +20,27 @@
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/wardrobe"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/history"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // Parts says which planes a program puts together.
 type Parts struct {
-	Program    string
-	IsRouter   bool
-	IsPrompter bool
+	Program      string
+	IsRouter     bool
+	IsController bool
 }
 
 // Main runs a daemon with the process's flags and gives its exit status.
-func Main(parts Parts) int {
-	settings, err := ReadSettings(parts.Program, os.Args[1:])
+func Main(parts Parts, arguments []string) int {
+	settings, err := ReadSettings(parts.Program, arguments)
 	if err == nil {
-		err = settings.Check(parts.IsPrompter)
+		err = settings.Check(parts.IsController)
 	}
-	var faults *playbill.Faults
+	var faults *fleetconfig.Faults
 	if errors.As(err, &faults) {
 		fmt.Fprintf(os.Stderr, "%s: the settings have faults:\n", parts.Program)
 		for _, fault := range faults.List {
@@ -55,7 +55,7 @@
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	// The logger is the process's, set once here.
-	log := house.LogJSON(slog.String("program", parts.Program), slog.String("node", settings.Peer), slog.String("zone", settings.Zone))
+	log := kernel.LogJSON(slog.String("program", parts.Program), slog.String("node", settings.Peer), slog.String("zone", settings.Zone))
 	if err := Run(stop, log, settings, parts); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", parts.Program, err)
 		return 1
@@ -65,33 +65,33 @@
 
 // Names of the services in a house.
 const (
-	ServiceRunner   = "runner"
-	ServiceChannels = "channels"
-	ServiceUsher    = "usher"
-	ServiceShelf    = "shelf"
-	ServiceDoor     = "door"
-	ServiceDiary    = "diary" // only with a data folder
+	ServiceRunner          = "runner"
+	ServiceConnections     = "connections"
+	ServiceForwarder       = "forwarder"
+	ServiceCompiler        = "compiler"
+	ServiceLimitedListener = "listener"
+	ServiceJournalFile     = "journal-file" // only with a data folder
 	// Only with a data folder.
-	ServiceWardrobe  = "wardrobe"
-	ServiceLibrarian = "librarian"
+	ServiceArchive  = "history"
+	ServiceArchiver = "archiver"
 )
 
 // assembly is a process while it is put together and while it runs.
 type assembly struct {
-	cue      house.Cue
-	stage    *house.House
+	env      kernel.Env
+	stage    *kernel.Kernel
 	settings Settings
 	parts    Parts
-	end      context.CancelFunc // ends the cue
-	shelf    *playbill.Shelf
-	store    *flyloft.Store // nil without a data folder
+	end      context.CancelFunc // ends the environment
+	compiler *fleetconfig.Compiler
+	store    *control.Store // nil without a data folder
 	runner   *Runner
 	// Nil without a router.
-	desk  *auditorium.Desk
-	usher *auditorium.Usher
+	dispatcher *relay.Dispatcher
+	forwarder  *relay.Forwarder
 	// Nil where nothing of the past is kept.
-	librarian  *Librarian
-	public     *Door
+	archiver   *Archiver
+	public     *LimitedListener
 	isStopping atomic.Bool
 	// Nil unless it is run as a deployment; then callers are served by what that brings.
 	deployment *Deployment
@@ -99,26 +99,26 @@
 
 // Run puts a node together and serves until stop ends, then drains it.
 func Run(stop context.Context, log klog.Logger, settings Settings, parts Parts) (err error) {
-	self := house.Identity{Fleet: settings.Fleet, Address: settings.Peer, Public: settings.Public, Zone: settings.Zone}
+	self := kernel.Identity{Fleet: settings.Fleet, Address: settings.Peer, Public: settings.Public, Zone: settings.Zone}
 	life, end := context.WithCancel(context.Background())
 	a := &assembly{
-		cue:   house.Cue{Context: life, Clock: house.BootClock{}, Log: log, Self: self, Journal: house.NewJournal(settings.Journal)},
-		stage: house.Open(), settings: settings, parts: parts, end: end, shelf: &playbill.Shelf{},
+		env:   kernel.Env{Context: life, Clock: kernel.BootClock{}, Log: log, Self: self, Journal: kernel.NewJournal(settings.Journal)},
+		stage: kernel.Open(), settings: settings, parts: parts, end: end, compiler: &fleetconfig.Compiler{},
 	}
-	defer func() { err = errors.Join(err, a.stage.Strike.Run()) }()
-	a.stage.Strike.Defer(func() error { end(); return nil })
-	node := flyloft.NodeSettings{
-		Identity: self, IsRouter: parts.IsRouter, IsPrompter: parts.IsPrompter, HasFolder: settings.Data != "",
+	defer func() { err = errors.Join(err, a.stage.Cleanup.Run()) }()
+	a.stage.Cleanup.Defer(func() error { end(); return nil })
+	node := control.NodeSettings{
+		Identity: self, IsRouter: parts.IsRouter, IsController: parts.IsController, HasFolder: settings.Data != "",
 		// Of the address, so that the elections of two nodes do not collide.
 		Seeds: settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: xxhash.Sum64String(self.Address),
-		Timing: settings.Timing(), Journal: a.cue.Journal, CheckSpec: a.shelf.Check, IsCompiled: a.shelf.Has,
-		Member: flyloft.MemberID("no-folder-" + self.Address),
+		Timing: settings.Timing(), Journal: a.env.Journal, CheckConfig: a.compiler.Check, IsCompiled: a.compiler.Has,
+		Member: control.MemberID("no-folder-" + self.Address),
 	}
 	settings.Rules.Put(&node)
 	a.openClock(node.Start)
 	// The folder first: it may be another process's, and then nothing in it is touched.
 	for _, step := range []func() error{
-		func() error { return a.openFolder(&node) }, a.openJournal, func() error { return a.openNode(node) }, a.openPast, a.openDoor,
+		func() error { return a.openFolder(&node) }, a.openJournal, func() error { return a.openNode(node) }, a.openPast, a.openLimitedListener,
 	} {
 		if err := step(); err != nil {
 			return fmt.Errorf("start: %w", err)
@@ -138,30 +138,30 @@
 }
 
 // openFolder reads the data folder, if there is one, into what the node starts with.
-func (a *assembly) openFolder(node *flyloft.NodeSettings) error {
+func (a *assembly) openFolder(node *control.NodeSettings) error {
 	if a.settings.Data == "" {
 		return nil
 	}
-	release, err := house.LockFolder(a.settings.Data)
+	release, err := kernel.LockFolder(a.settings.Data)
 	if err != nil {
 		return err
 	}
-	a.stage.Strike.Defer(release)
+	a.stage.Cleanup.Defer(release)
 	folder, err := openData(a.settings.Data)
 	if err != nil {
 		return err
 	}
-	if a.store, node.Ballot, node.Document, err = flyloft.OpenStore(folder, a.settings.Fleet, rand.Text); err != nil {
+	if a.store, node.Ballot, node.Document, err = control.OpenStore(folder, a.settings.Fleet, rand.Text); err != nil {
 		return err
 	}
 	if a.deployment != nil {
 		a.store.Bound(a.deployment.Limits.Store)
 	}
-	node.Member, node.Kept = a.store.Member(), a.store.SpecGenerations()
+	node.Member, node.Kept = a.store.Member(), a.store.ConfigRevisions()
 	if node.Snapshot, err = a.store.Snapshot(a.settings.Fleet); err != nil {
 		// It only makes a start quicker; without it the fleet is asked.
-		a.cue.Log.Error(err, "the snapshot is not used")
-		a.cue.Note("house", "snapshot", "leave aside", err.Error())
+		a.env.Log.Error(err, "the snapshot is not used")
+		a.env.Note("house", "snapshot", "leave aside", err.Error())
 	}
 	var keep func() error
 	node.Start, keep = a.store.NextStart(node.Start)
@@ -172,71 +172,71 @@
 	go func() {
 		defer close(kept)
 		if err := keep(); err != nil {
-			a.cue.Log.Error(err, "the number of this start is not kept")
+			a.env.Log.Error(err, "the number of this start is not kept")
 		}
 	}()
-	a.stage.Strike.Defer(func() error {
+	a.stage.Cleanup.Defer(func() error {
 		waitClosed(kept, lastWrites)
 		return nil
 	})
 	for _, name := range a.store.Aside() {
-		a.cue.Log.Info("a damaged file was set aside", "file", name)
+		a.env.Log.Info("a damaged file was set aside", "file", name)
 	}
 	return nil
 }
 
 // openClock has the journal carry the number of this start and the time of day.
 func (a *assembly) openClock(start uint64) {
-	a.cue.Journal.Open(start, func() house.Micros { return house.Micros(time.Now().UnixMicro()) })
+	a.env.Journal.Open(start, func() kernel.Micros { return kernel.Micros(time.Now().UnixMicro()) })
 }
 
 // openJournal has the journal written to the data folder.
 func (a *assembly) openJournal() error {
-	defer a.cue.Note("house", "process", "start", a.parts.Program+" "+a.settings.Version())
+	defer a.env.Note("house", "process", "start", a.parts.Program+" "+a.settings.Version())
 	if a.settings.Data == "" || a.settings.JournalMB == 0 {
 		return nil
 	}
-	diary, err := house.OpenDiary(filepath.Join(a.settings.Data, "journal"), int64(a.settings.JournalMB)<<20)
+	journalFile, err := kernel.OpenJournalFile(filepath.Join(a.settings.Data, "journal"), int64(a.settings.JournalMB)<<20)
 	if err != nil {
 		// What happened can be told from memory too; serving must not hang on it.
-		a.cue.Log.Error(err, "the journal is kept in memory alone")
+		a.env.Log.Error(err, "the journal is kept in memory alone")
 		return nil
 	}
-	a.cue.Journal.Watch = diary.Take
+	a.env.Journal.Watch = journalFile.Take
 	// A life of its own, so that what the others note as they end is written too.
 	pages, endPages := context.WithCancel(context.Background())
 	written := make(chan struct{})
-	go func() { diary.Run(pages); close(written) }()
-	a.stage.Strike.Defer(func() error {
-		a.cue.Note("house", "process", "stop", "its work is done")
+	go func() { journalFile.Run(pages); close(written) }()
+	a.stage.Cleanup.Defer(func() error {
+		a.env.Note("house", "process", "stop", "its work is done")
 		endPages()
 		// A stalled disk may keep the last entries; it must not keep the process.
 		waitClosed(written, lastWrites)
 		return nil
 	})
-	return a.stage.Place(ServiceDiary, diary)
+	return a.stage.Place(ServiceJournalFile, journalFile)
 }
 
 // openNode makes the owners, their shell and, on a router, the way of a request.
-func (a *assembly) openNode(node flyloft.NodeSettings) error {
-	channels := NewChannels(a.cue, peerDialer())
-	services := map[string]any{ServiceChannels: channels, ServiceShelf: a.shelf}
+func (a *assembly) openNode(node control.NodeSettings) error {
+	connections := NewConnections(a.env, peerDialer())
+	services := map[string]any{ServiceConnections: connections, ServiceCompiler: a.compiler}
 	if a.parts.IsRouter && a.deployment == nil {
-		a.desk = auditorium.NewDesk(a.cue.Self.Address, a.cue.Self.Zone, func(now house.Micros, subject, decision, why string) {
+		a.dispatcher = relay.NewDispatcher(a.env.Self.Address, a.env.Self.Zone, func(now kernel.Micros, subject, decision, why string) {
 			if strings.HasPrefix(subject, "engine ") {
-				a.cue.Journal.Note(now, "auditorium", subject, decision, why)
+				a.env.Journal.Note(now, "relay", subject, decision, why)
 				return
 			}
-			a.cue.Journal.NoteRequest(now, "auditorium", subject, decision, why)
+			a.env.Journal.NoteRequest(now, "relay", subject, decision, why)
 		})
-		a.usher = &auditorium.Usher{Cue: a.cue, Desk: a.desk, Spans: a.settings.Spans(), Dial: plainDialer()}
-		services[ServiceUsher] = a.usher
+		a.forwarder = &relay.Forwarder{Env: a.env, Dispatcher: a.dispatcher, Spans: a.settings.Spans(), Dial: plainDialer()}
+		services[ServiceForwarder] = a.forwarder
 	}
-	a.runner = NewRunner(a.cue, flyloft.NewNode(node, a.cue.Clock.Now()), a.store, channels, a.desk, a.shelf, a.settings.Platform)
+	a.runner = NewRunner(a.env, control.NewNode(node, a.env.Clock.Now()), a.store, connections, a.dispatcher, a.compiler, a.settings.Platform)
 	a.runner.NoProbes = a.deployment != nil
 	services[ServiceRunner] = a.runner
-	if a.usher != nil {
-		a.usher.Suspect, a.usher.Restarted = a.runner.Suspect, a.runner.Restarted
+	if a.forwarder != nil {
+		a.forwarder.Suspect, a.forwarder.Restarted = a.runner.Suspect, a.runner.Restarted
 	}
 	for name, service := range services {
 		if err := a.stage.Place(name, service); err != nil {
@@ -246,49 +246,49 @@
 	return nil
 }
 
-// openPast opens the object store of past specs.
+// openPast opens the object store of past configurations.
 func (a *assembly) openPast() error {
 	if a.settings.Data == "" || a.settings.ArchiveMB == 0 {
 		return nil
 	}
-	kept, err := wardrobe.Open(filepath.Join(a.settings.Data, "specs.git"), a.settings.Fleet, int64(a.settings.ArchiveMB)<<20)
+	kept, err := history.Open(filepath.Join(a.settings.Data, "specs.git"), a.settings.Fleet, int64(a.settings.ArchiveMB)<<20)
 	switch {
-	case errors.As(err, new(wardrobe.Foreign)):
+	case errors.As(err, new(history.Foreign)):
 		return err
 	case err != nil:
 		// The past can be filed later; a node that serves now is worth more.
-		a.cue.Log.Error(err, "there is no object store for the past")
+		a.env.Log.Error(err, "there is no object store for the past")
 		return nil
 	}
-	channels, err := house.Find[*Channels](a.stage, ServiceChannels)
+	connections, err := kernel.Find[*Connections](a.stage, ServiceConnections)
 	if err != nil {
 		return err
 	}
-	a.librarian = NewLibrarian(a.cue, a.runner, channels, kept)
-	return errors.Join(a.stage.Place(ServiceWardrobe, kept), a.stage.Place(ServiceLibrarian, a.librarian))
+	a.archiver = NewArchiver(a.env, a.runner, connections, kept)
+	return errors.Join(a.stage.Place(ServiceArchive, kept), a.stage.Place(ServiceArchiver, a.archiver))
 }
 
-// openDoor listens for callers, within what the system allows.
-func (a *assembly) openDoor() error {
-	if err := checkFiles(a.settings.Channels, a.settings.Live); err != nil {
+// openLimitedListener listens for callers, within what the system allows.
+func (a *assembly) openLimitedListener() error {
+	if err := checkFiles(a.settings.Connections, a.settings.Live); err != nil {
 		return err
 	}
 	listener, err := net.Listen("tcp", a.settings.Public)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	a.public = NewDoor(listener, a.settings.Channels)
-	a.stage.Strike.Defer(func() error { return ignoreClosed(a.public.Close()) })
-	if a.usher != nil {
-		a.usher.Bounds = auditorium.Bounds{Live: int64(a.settings.Live), Bodies: int64(a.settings.BodiesMB) << 20}
-		a.usher.IsCrowded = a.public.IsCrowded
+	a.public = NewLimitedListener(listener, a.settings.Connections)
+	a.stage.Cleanup.Defer(func() error { return ignoreClosed(a.public.Close()) })
+	if a.forwarder != nil {
+		a.forwarder.Bounds = relay.Bounds{Live: int64(a.settings.Live), Bodies: int64(a.settings.BodiesMB) << 20}
+		a.forwarder.IsOverloaded = a.public.IsOverloaded
 	}
-	return a.stage.Place(ServiceDoor, a.public)
+	return a.stage.Place(ServiceLimitedListener, a.public)
 }
 
 // serve sets everything going; what it gives back tells when a server ends by itself.
-func (a *assembly) serve(member flyloft.MemberID) (<-chan error, error) {
-	handler, err := NewFace(a.cue, a.stage, a.isStopping.Load)
+func (a *assembly) serve(member control.MemberID) (<-chan error, error) {
+	handler, err := NewAPI(a.env, a.stage, a.isStopping.Load)
 	if err != nil {
 		return nil, err
 	}
@@ -296,13 +296,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for nodes: %w", err)
 	}
-	a.stage.Strike.Defer(func() error { return ignoreClosed(peer.Close()) })
+	a.stage.Cleanup.Defer(func() error { return ignoreClosed(peer.Close()) })
 	face := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 120 * time.Second, MaxHeaderBytes: 64 << 10,
 	}
 	back := &http.Server{
-		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Recall, func() flyloft.Witness { return a.runner.Witness(member) }),
+		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Recall, func() control.Witness { return a.runner.Witness(member) }),
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second,
 	}
 	failed := make(chan error, 2)
@@ -315,39 +315,39 @@
 	go serve(back, peer)
 	ended := make(chan struct{})
 	go func() { a.runner.Run(); close(ended) }()
-	if a.desk != nil {
-		go tellMinutes(a.cue, a.desk)
+	if a.dispatcher != nil {
+		go tellMinutes(a.env, a.dispatcher)
 	}
-	if a.librarian != nil {
+	if a.archiver != nil {
 		filed := make(chan struct{})
-		go func() { a.librarian.Run(); close(filed) }()
+		go func() { a.archiver.Run(); close(filed) }()
 		// What it is writing is written out, since the folder is another process's after
 		// this one; but a stalled disk must not hold up a stop.
-		a.stage.Strike.Defer(func() error {
+		a.stage.Cleanup.Defer(func() error {
 			if !waitClosed(filed, lastWrites) {
-				a.cue.Log.Info("the object store is still being written")
+				a.env.Log.Info("the object store is still being written")
 			}
 			return nil
 		})
 	}
-	a.stage.Strike.Defer(func() error { a.end(); <-ended; return ignoreClosed(back.Close()) })
+	a.stage.Cleanup.Defer(func() error { a.end(); <-ended; return ignoreClosed(back.Close()) })
 	// Callers' channels are wound down before the owners end.
-	a.stage.Strike.Defer(func() error {
+	a.stage.Cleanup.Defer(func() error {
 		last, done := context.WithTimeout(context.Background(), 5*time.Second)
 		defer done()
 		if err := face.Shutdown(last); err != nil {
-			a.cue.Log.Error(err, "some channels had to be cut")
+			a.env.Log.Error(err, "some channels had to be cut")
 		}
 		return nil
 	})
-	a.cue.Log.Info("serving", "public", a.cue.Self.Public, "member", string(member))
+	a.env.Log.Info("serving", "public", a.env.Self.Public, "member", string(member))
 	return failed, nil
 }
 
 // drain is a planned stop: say so and hand duties on, take callers a little longer while
 // the platform learns of it, then close the door and finish what was accepted.
 func (a *assembly) drain() {
-	log := a.cue.Log
+	log := a.env.Log
 	log.Info("stopping")
 	a.isStopping.Store(true)
 	a.runner.Leave()
@@ -355,29 +355,29 @@
 	if err := ignoreClosed(a.public.Close()); err != nil {
 		log.Error(err, "close the door")
 	}
-	if a.desk != nil {
-		a.desk.Shut()
-		waitUntil(a.settings.DrainUS, func() bool { return a.usher.Live() == 0 })
-		log.Info("drained", "live", a.usher.Live())
+	if a.dispatcher != nil {
+		a.dispatcher.Shut()
+		waitUntil(a.settings.DrainUS, func() bool { return a.forwarder.Live() == 0 })
+		log.Info("drained", "live", a.forwarder.Live())
 	}
-	waitUntil(int64(2*house.Second), func() bool { return !a.runner.HasDuties() })
+	waitUntil(int64(2*kernel.Second), func() bool { return !a.runner.HasDuties() })
 }
 
-// tellMinutes notes once a minute what was declined in it. Requests come by the hundred
-// and their entries soon give way; the count of a night's declines has to stay.
-func tellMinutes(cue house.Cue, desk *auditorium.Desk) {
+// tellMinutes notes once a minute what was rejected in it. Requests come by the hundred
+// and their entries soon give way; the count of a night's rejects has to stay.
+func tellMinutes(env kernel.Env, dispatcher *relay.Dispatcher) {
 	ticker := time.NewTicker(time.Minute)
 	defer ticker.Stop()
-	before := desk.Counts()
+	before := dispatcher.Counts()
 	for {
 		select {
-		case <-cue.Done():
+		case <-env.Done():
 			return
 		case <-ticker.C:
 		}
-		now := desk.Counts()
+		now := dispatcher.Counts()
 		if line := now.Since(before); line != "" {
-			cue.Note("auditorium", "declines", "count", line)
+			env.Note("relay", "declines", "count", line)
 		}
 		before = now
 	}
@@ -385,7 +385,7 @@
 
 // waitUntil looks again and again until a condition holds or the span is over.
 func waitUntil(span int64, isMet func() bool) {
-	end := time.NewTimer(house.Micros(span).Duration())
+	end := time.NewTimer(kernel.Micros(span).Duration())
 	defer end.Stop()
 	again := time.NewTicker(20 * time.Millisecond)
 	defer again.Stop()
@@ -423,8 +423,8 @@
 	return dialer.DialContext
 }
 
-// channelDialer is for the channels between nodes, on which little is ever answered.
-func channelDialer() Dialer {
+// connectionDialer is for the channels between nodes, on which little is ever answered.
+func connectionDialer() Dialer {
 	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
 		err := raw.Control(func(fd uintptr) {
--- a/wings/rules.go
+++ b/server/rules.go
@@ -1,16 +1,16 @@
-package wings
+package server
 
 import (
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // Rules are the settings that change what the fleet promises; none set is the strict way.
 type Rules struct {
 	Voters       int    `arg:"--voters" json:"voters" help:"least number of voters wanted, more as there are members; 0: three, always"`
 	ServeOnUS    int64  `arg:"--serve-on-us" json:"serve_on_us" help:"how long a word of the core lasts, if longer than a licence; -1: always"`
-	Receipts     string `arg:"--receipts" json:"receipts" help:"strict: a yes needs a majority of the routers; spread: all that are heard, or some time"`
+	Replies      string `arg:"--receipts" json:"receipts" help:"strict: a yes needs a majority of the routers; spread: all that are heard, or some time"`
 	SpreadWaitUS int64  `arg:"--spread-wait-us" json:"spread_wait_us" help:"how long a yes waits for routers under spread receipts"`
 	SubmitTryUS  int64  `arg:"--submit-try-us" json:"submit_try_us" help:"how long an order is tried"`
 	NoFence      bool   `arg:"--no-fence" json:"no_fence" help:"leave an order without a receipt unproved, as it is sent again"`
@@ -22,31 +22,31 @@
 const alwaysUS = -1
 
 func defaultRules() Rules {
-	return Rules{Receipts: "strict", SpreadWaitUS: int64(600 * house.Millisecond), SubmitTryUS: int64(6 * house.Second), Founders: "seeds"}
+	return Rules{Replies: "strict", SpreadWaitUS: int64(600 * kernel.Millisecond), SubmitTryUS: int64(6 * kernel.Second), Founders: "seeds"}
 }
 
 // Put writes the rules into what a node is told.
-func (r Rules) Put(node *flyloft.NodeSettings) {
-	node.Voters, node.ServeOn, node.NoFence, node.Bootstrap = r.Voters, house.Micros(r.ServeOnUS), r.NoFence, r.Bootstrap
+func (r Rules) Put(node *control.NodeSettings) {
+	node.Voters, node.ServeOn, node.NoFence, node.Bootstrap = r.Voters, kernel.Micros(r.ServeOnUS), r.NoFence, r.Bootstrap
 	if r.ServeOnUS == alwaysUS {
-		node.ServeOn = flyloft.ServeOnAlways
+		node.ServeOn = control.ServeOnAlways
 	}
-	node.SpreadWait, node.SubmitTry = house.Micros(r.SpreadWaitUS), house.Micros(r.SubmitTryUS)
-	if r.Receipts == "spread" {
-		node.ReceiptRule = flyloft.Spread
+	node.SpreadWait, node.SubmitTry = kernel.Micros(r.SpreadWaitUS), kernel.Micros(r.SubmitTryUS)
+	if r.Replies == "spread" {
+		node.AckRule = control.Spread
 	}
 	if r.Founders == "announce" {
-		node.Founding = flyloft.FoundersAnnounce
+		node.Founding = control.FoundersAnnounce
 	}
-	node.Timing.BeatGone = house.Micros(r.BeatGoneUS)
+	node.Timing.BeatGone = kernel.Micros(r.BeatGoneUS)
 }
 
-func (r Rules) check(faults *playbill.Faults) {
+func (r Rules) check(faults *fleetconfig.Faults) {
 	if r.Voters < 0 || r.Voters > 9 {
 		faults.Add("voters", "%d is not from 0 to 9", r.Voters)
 	}
-	if r.Receipts != "strict" && r.Receipts != "spread" {
-		faults.Add("receipts", "%q is neither strict nor spread", r.Receipts)
+	if r.Replies != "strict" && r.Replies != "spread" {
+		faults.Add("receipts", "%q is neither strict nor spread", r.Replies)
 	}
 	if r.Founders != "seeds" && r.Founders != "announce" {
 		faults.Add("founders", "%q is neither seeds nor announce", r.Founders)
--- a/wings/runner.go
+++ b/server/runner.go
@@ -1,4 +1,4 @@
-package wings
+package server
 
 import (
 	"context"
@@ -12,67 +12,67 @@
 	"sync/atomic"
 	"time"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // Runner is the shell round a node's owners: it alone touches them, carries out
 // their commands and publishes a picture of their state.
 type Runner struct {
-	cue      house.Cue
-	node     *flyloft.Node
-	store    *flyloft.Store // nil without a data folder
-	channels *Channels
-	desk     *auditorium.Desk // nil without a router
-	platform string
-
-	inbox chan func() []any
+	env         kernel.Env
+	node        *control.Node
+	store       *control.Store // nil without a data folder
+	connections *Connections
+	dispatcher  *relay.Dispatcher // nil without a router
+	platform    string
+
+	queue chan func() []any
 	// What goes to the disk, in order: Save, Fetch or Keep.
 	saves chan any
 	// Snapshots go to the disk beside those: nothing waits for one.
-	snapshots chan flyloft.SaveSnapshot
-	state     atomic.Pointer[flyloft.State]
+	snapshots chan control.SaveSnapshot
+	state     atomic.Pointer[control.State]
 	// isShown: the loop has published once; the picture before that was nobody's scene.
 	isShown bool
 
 	lock    sync.Mutex // guards what waits for a command alone
-	waiters map[string][]chan flyloft.SubmitReceipt
+	waiters map[string][]chan control.SubmitReply
 	// By the token of the call.
-	registers map[uint64]chan flyloft.Registered
-	reads     map[uint64]chan *flyloft.Document
+	registers map[uint64]chan control.Registered
+	reads     map[uint64]chan *control.Document
 	nextToken uint64
 
 	// longest is the longest that one event has held the owners up, in microseconds.
 	longest atomic.Int64
-	hand    Stagehand
+	hand    TableBuilder
 	prober  *http.Client
 	// NoProbes is set where engines register themselves: their words tell how they are,
 	// and a look at one would cost it a place.
 	NoProbes bool
 	dial     Dialer // for looks
 	// watch is shown each picture as it is published; nil: nobody watches.
-	watch atomic.Pointer[func(*flyloft.State)]
+	watch atomic.Pointer[func(*control.State)]
 }
 
 // Watch has a function shown the present picture and each that follows. It is called by
 // the owners' loop and must not wait for anything.
-func (r *Runner) Watch(show func(*flyloft.State)) {
+func (r *Runner) Watch(show func(*control.State)) {
 	r.watch.Store(&show)
 	r.post(func() []any { show(r.State()); return nil })
 }
 
 // NewRunner makes a shell; Run starts it.
-func NewRunner(cue house.Cue, node *flyloft.Node, store *flyloft.Store, channels *Channels, desk *auditorium.Desk, shelf *playbill.Shelf, platform string) *Runner {
+func NewRunner(env kernel.Env, node *control.Node, store *control.Store, connections *Connections, dispatcher *relay.Dispatcher, compiler *fleetconfig.Compiler, platform string) *Runner {
 	r := &Runner{
-		cue: cue, node: node, store: store, channels: channels, desk: desk, platform: platform,
-		inbox: make(chan func() []any, 1024), saves: make(chan any, 256), snapshots: make(chan flyloft.SaveSnapshot, 1),
-		waiters:   map[string][]chan flyloft.SubmitReceipt{},
-		registers: map[uint64]chan flyloft.Registered{}, reads: map[uint64]chan *flyloft.Document{},
+		env: env, node: node, store: store, connections: connections, dispatcher: dispatcher, platform: platform,
+		queue: make(chan func() []any, 1024), saves: make(chan any, 256), snapshots: make(chan control.SaveSnapshot, 1),
+		waiters:   map[string][]chan control.SubmitReply{},
+		registers: map[uint64]chan control.Registered{}, reads: map[uint64]chan *control.Document{},
 		// At random, so that an answer to an earlier life is nobody's here; the time of day
 		// may have jumped back since that.
-		nextToken: rand.Uint64() >> 1, hand: Stagehand{Shelf: shelf}, dial: plainDialer(),
+		nextToken: rand.Uint64() >> 1, hand: TableBuilder{Compiler: compiler}, dial: plainDialer(),
 		prober: &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: plainDialer(), MaxIdleConnsPerHost: 1}},
 	}
 	r.state.Store(node.State(nil))
@@ -80,38 +80,38 @@
 }
 
 // State is the newest picture.
-func (r *Runner) State() *flyloft.State { return r.state.Load() }
+func (r *Runner) State() *control.State { return r.state.Load() }
 
 // Witness tells who this node is, for an operator who would rebuild a core.
-func (r *Runner) Witness(member flyloft.MemberID) flyloft.Witness {
+func (r *Runner) Witness(member control.MemberID) control.Witness {
 	state := r.State()
-	witness := flyloft.Witness{Address: r.cue.Self.Address, Member: member, Founding: state.Founding}
+	witness := control.Witness{Address: r.env.Self.Address, Member: member, Founding: state.Founding}
 	if state.Document != nil {
-		witness.Generation = state.Document.Generation
+		witness.Revision = state.Document.Revision
 	}
 	return witness
 }
 
 // Deliver brings a message from another node.
-func (r *Runner) Deliver(envelope flyloft.Envelope) {
-	if submit := envelope.Message.Submit; submit != nil && len(submit.Spec) > 0 {
+func (r *Runner) Deliver(envelope control.Envelope) {
+	if submit := envelope.Message.Submit; submit != nil && len(submit.Config) > 0 {
 		// Read here, beside the owners, so that the leader has its verdict at hand. What
 		// it is makes no difference yet: the order is answered by the owners alone.
 		if err := r.node.Rehearse(submit, r.State().Document); err != nil {
-			r.cue.Log.V(2).Info("a spec with faults came from another node", "error", err.Error())
+			r.env.Log.V(2).Info("a spec with faults came from another node", "error", err.Error())
 		}
 	}
-	r.post(func() []any { return r.node.Deliver(r.cue.Clock.Now(), envelope) })
+	r.post(func() []any { return r.node.Deliver(r.env.Clock.Now(), envelope) })
 }
 
 func (r *Runner) post(event func() []any) {
 	select {
-	case r.inbox <- event:
-	case <-r.cue.Done():
+	case r.queue <- event:
+	case <-r.env.Done():
 	}
 }
 
-// Run turns events into commands until the cue ends.
+// Run turns events into commands until the environment ends.
 func (r *Runner) Run() {
 	var workers sync.WaitGroup
 	defer workers.Wait()
@@ -128,63 +128,63 @@
 	ticker := time.NewTicker(r.node.TickSpan().Duration())
 	defer ticker.Stop()
 	// The first turn comes at once: the fleet is to hear that this node is there.
-	go r.post(func() []any { return r.node.Tick(r.cue.Clock.Now()) })
+	go r.post(func() []any { return r.node.Tick(r.env.Clock.Now()) })
 	for {
 		var out []any
-		var begun house.Micros
+		var begun kernel.Micros
 		select {
-		case <-r.cue.Done():
+		case <-r.env.Done():
 			return
-		case event := <-r.inbox:
-			begun = r.cue.Clock.Now()
+		case event := <-r.queue:
+			begun = r.env.Clock.Now()
 			out = event()
 		case <-ticker.C:
-			begun = r.cue.Clock.Now()
+			begun = r.env.Clock.Now()
 			out = r.node.Tick(begun)
 		}
 		for _, command := range out {
 			r.carryOut(command)
 		}
 		r.publish()
-		r.longest.Store(max(r.longest.Load(), int64(r.cue.Clock.Now()-begun)))
+		r.longest.Store(max(r.longest.Load(), int64(r.env.Clock.Now()-begun)))
 	}
 }
 
 // Longest is the longest that one event has held the owners up so far.
-func (r *Runner) Longest() house.Micros { return house.Micros(r.longest.Load()) }
+func (r *Runner) Longest() kernel.Micros { return kernel.Micros(r.longest.Load()) }
 
 func (r *Runner) carryOut(command any) {
 	switch command := command.(type) {
-	case flyloft.Outgoing:
-		r.channels.Send(command.Envelope)
-	case flyloft.Save:
+	case control.Outgoing:
+		r.connections.Send(command.Envelope)
+	case control.Save:
 		// The core has one write out at a time, so this never waits.
 		r.saves <- command
-	case flyloft.Fetch, flyloft.Keep:
+	case control.Fetch, control.Keep:
 		// History can be asked for again; it must not hold up the owners on a slow disk.
 		select {
 		case r.saves <- command:
 		default:
 		}
-	case flyloft.SaveSnapshot:
+	case control.SaveSnapshot:
 		// The node has one out at a time, so this never waits.
 		r.snapshots <- command
-	case flyloft.Prepare:
+	case control.Prepare:
 		go func() {
-			_, err := r.hand.Shelf.Read(command.Document.Spec)
+			_, err := r.hand.Compiler.Read(command.Document.Config)
 			if err != nil {
-				r.cue.Log.Error(err, "a committed spec can't be read here")
+				r.env.Log.Error(err, "a committed spec can't be read here")
 			}
-			r.post(func() []any { return r.node.Prepared(r.cue.Clock.Now(), command.Document, err) })
+			r.post(func() []any { return r.node.Prepared(r.env.Clock.Now(), command.Document, err) })
 		}()
-	case flyloft.Probe:
+	case control.Probe:
 		go func() {
 			// One look is enough here: a router has failed to get through already.
 			if !r.canReach(command.Engine.Address) {
-				r.post(func() []any { return r.node.Probed(r.cue.Clock.Now(), command.Engine.ID, command.Engine.Start, true) })
+				r.post(func() []any { return r.node.Probed(r.env.Clock.Now(), command.Engine.ID, command.Engine.Start, true) })
 			}
 		}()
-	case flyloft.Registered:
+	case control.Registered:
 		r.lock.Lock()
 		waiter := r.registers[command.Token]
 		delete(r.registers, command.Token)
@@ -192,7 +192,7 @@
 		if waiter != nil {
 			waiter <- command
 		}
-	case flyloft.Newest:
+	case control.Newest:
 		r.lock.Lock()
 		waiter := r.reads[command.Token]
 		delete(r.reads, command.Token)
@@ -200,13 +200,13 @@
 		if waiter != nil {
 			waiter <- command.Document
 		}
-	case flyloft.Receipt:
+	case control.Reply:
 		r.lock.Lock()
-		waiters := r.waiters[command.SubmitReceipt.ID]
-		delete(r.waiters, command.SubmitReceipt.ID)
+		waiters := r.waiters[command.SubmitReply.ID]
+		delete(r.waiters, command.SubmitReply.ID)
 		r.lock.Unlock()
 		for _, waiter := range waiters {
-			waiter <- command.SubmitReceipt
+			waiter <- command.SubmitReply
 		}
 	}
 }
@@ -215,7 +215,7 @@
 func (r *Runner) runSaves() {
 	for {
 		select {
-		case <-r.cue.Done():
+		case <-r.env.Done():
 			return
 		case work := <-r.saves:
 			r.workDisk(work)
@@ -227,36 +227,36 @@
 func (r *Runner) runSnapshots() {
 	for {
 		select {
-		case <-r.cue.Done():
+		case <-r.env.Done():
 			return
 		case work := <-r.snapshots:
 			err := r.store.SaveSnapshot(work.Snapshot)
 			if err != nil {
-				r.cue.Log.Error(err, "a snapshot was left out")
+				r.env.Log.Error(err, "a snapshot was left out")
 			}
-			r.post(func() []any { return r.node.SnapshotSaved(r.cue.Clock.Now(), err) })
+			r.post(func() []any { return r.node.SnapshotSaved(r.env.Clock.Now(), err) })
 		}
 	}
 }
 
 func (r *Runner) workDisk(work any) {
 	switch work := work.(type) {
-	case flyloft.Save:
+	case control.Save:
 		err := r.store.Save(work)
 		if err != nil {
-			r.cue.Log.Error(err, "a write failed")
+			r.env.Log.Error(err, "a write failed")
 		}
-		r.post(func() []any { return r.node.Saved(r.cue.Clock.Now(), work.Token, err) })
-	case flyloft.Fetch:
-		if document, err := r.store.SpecAt(work.Mark); err == nil {
-			r.post(func() []any { return r.node.Fetched(r.cue.Clock.Now(), work.To, document) })
+		r.post(func() []any { return r.node.Saved(r.env.Clock.Now(), work.Token, err) })
+	case control.Fetch:
+		if document, err := r.store.ConfigAt(work.Mark); err == nil {
+			r.post(func() []any { return r.node.Fetched(r.env.Clock.Now(), work.To, document) })
 		}
-	case flyloft.Keep:
+	case control.Keep:
 		if err := r.store.Keep(work.Document); err != nil {
-			r.cue.Log.Error(err, "a spec of the past could not be kept")
+			r.env.Log.Error(err, "a spec of the past could not be kept")
 			return
 		}
-		r.post(func() []any { return r.node.Kept(r.cue.Clock.Now(), work.Document.SpecGeneration) })
+		r.post(func() []any { return r.node.Kept(r.env.Clock.Now(), work.Document.ConfigRevision) })
 	}
 }
 
@@ -271,79 +271,79 @@
 	if show := r.watch.Load(); show != nil {
 		(*show)(state)
 	}
-	scene, err := r.hand.Scene(state)
+	routingTable, err := r.hand.RoutingTable(state)
 	if err != nil {
 		// The leader checked it; only a node of another build can get here. Serving
-		// by a spec that is no longer in force would be worse than not serving.
-		r.cue.Log.Error(err, "a committed spec can't be read here")
+		// by a configuration that is no longer in force would be worse than not serving.
+		r.env.Log.Error(err, "a committed spec can't be read here")
 	}
-	if scene != nil && r.desk != nil {
-		r.desk.Show(scene)
+	if routingTable != nil && r.dispatcher != nil {
+		r.dispatcher.Show(routingTable)
 	}
 }
 
 // Stagehand turns pictures of the control plane into scenes for the data plane.
-type Stagehand struct {
-	Shelf          *playbill.Shelf
-	spec           *playbill.Spec
-	specGeneration uint64
-	shown          sceneMark
+type TableBuilder struct {
+	Compiler       *fleetconfig.Compiler
+	config         *fleetconfig.Config
+	configRevision uint64
+	shown          routingTableMark
 }
 
-type sceneMark struct {
-	generation, engineRev uint64
-	until                 house.Micros
-	why                   string
+type routingTableMark struct {
+	revision, engineRev uint64
+	until               kernel.Micros
+	why                 string
 }
 
 // Scene gives the next scene, or nil when nothing changed that routing depends on.
-func (h *Stagehand) Scene(state *flyloft.State) (*auditorium.Scene, error) {
-	mark := sceneMark{0, state.EngineRev, state.Until, state.Why}
+func (h *TableBuilder) RoutingTable(state *control.State) (*relay.RoutingTable, error) {
+	mark := routingTableMark{0, state.EngineRev, state.Until, state.Why}
 	var failed error
 	if state.Document != nil {
-		mark.generation = state.Document.Generation
-		// A large spec is compiled once, not at every change of something else.
-		if state.Document.SpecGeneration != h.specGeneration {
-			h.specGeneration = state.Document.SpecGeneration
-			h.spec, failed = h.Shelf.Read(state.Document.Spec)
+		mark.revision = state.Document.Revision
+		// A large configuration is compiled once, not at every change of something else.
+		if state.Document.ConfigRevision != h.configRevision {
+			h.configRevision = state.Document.ConfigRevision
+			h.config, failed = h.Compiler.Read(state.Document.Config)
 		}
 	}
 	if mark == h.shown {
 		return nil, failed
 	}
 	h.shown = mark
-	scene := &auditorium.Scene{Spec: h.spec, Evacuated: map[string]bool{}, Until: state.Until, Lapse: state.Why}
+	routingTable := &relay.RoutingTable{Config: h.config, Drained: map[string]bool{}, Until: state.Until, Lapse: state.Why}
 	if state.Document != nil {
-		scene.Generation, scene.Routers = state.Document.Generation, state.Document.Register
-		for zone := range state.Document.Evacuated {
-			scene.Evacuated[zone] = true
+		routingTable.Revision, routingTable.Routers = state.Document.Revision, state.Document.Register
+		for zone := range state.Document.Drained {
+			routingTable.Drained[zone] = true
 		}
 	}
-	scene.Engines = MergeEngines(h.spec, state.Engines)
+	routingTable.Engines = MergeEngines(h.config, state.Engines)
 	if state.Document != nil {
-		for i, engine := range scene.Engines {
+		for i, engine := range routingTable.Engines {
 			mark, isMarked := state.Document.Leaving[engine.ID]
-			scene.Engines[i].IsLeaving = engine.IsLeaving || isMarked && engine.Start <= mark.Start
+			routingTable.Engines[i].IsLeaving = engine.IsLeaving || isMarked && engine.Start <= mark.Start
 		}
 	}
-	return scene, failed
+	return routingTable, failed
 }
 
-// MergeEngines joins the engines that the spec names with those that the cell knows.
-func MergeEngines(spec *playbill.Spec, records []flyloft.EngineRecord) []auditorium.Engine {
-	engines, known := []auditorium.Engine{}, map[string]bool{}
+// MergeEngines joins the engines that the configuration names with those that the cell knows.
+func MergeEngines(config *fleetconfig.Config, records []control.EngineRecord) []relay.Engine {
+	engines, known := []relay.Engine{}, map[string]bool{}
 	for _, record := range records {
 		known[record.ID] = true
-		engine := auditorium.Engine{
+		engine := relay.Engine{
 			ID: record.ID, Address: record.Address, Zone: record.Zone, Pool: record.Pool, Start: record.Start,
 			IsLeaving: record.IsLeaving, IsUnlisted: record.IsUnlisted, IsDark: record.IsDark,
-			HasReport: record.Seq > 0, Burden: record.Burden, AsOf: record.AsOf, StartedAt: record.StartedAt, IsStartKnown: true,
+			HasReport: record.Seq > 0, Load: record.Load, AsOf: record.AsOf, StartedAt: record.StartedAt, IsStartKnown: true,
 		}
 		if record.IsUnsure() {
 			engine.StartedAt = record.BackAt
 		}
-		if spec != nil {
-			named := spec.Engines[record.ID]
+		if config != nil {
+			named := config.Engines[record.ID]
 			if named.Pool != "" {
 				engine.Pool = named.Pool
 			}
@@ -358,15 +358,15 @@
 		}
 		engines = append(engines, engine)
 	}
-	if spec != nil {
-		for id, named := range spec.Engines {
+	if config != nil {
+		for id, named := range config.Engines {
 			if !known[id] && named.Address != "" {
-				engines = append(engines, auditorium.Engine{ID: id, Address: named.Address, Zone: named.Zone, Pool: named.Pool})
+				engines = append(engines, relay.Engine{ID: id, Address: named.Address, Zone: named.Zone, Pool: named.Pool})
 			}
 		}
 	}
 	// One order on every node: ties in the policy are broken by it.
-	slices.SortFunc(engines, func(a, b auditorium.Engine) int {
+	slices.SortFunc(engines, func(a, b relay.Engine) int {
 		if a.ID < b.ID {
 			return -1
 		}
@@ -375,26 +375,26 @@
 	return engines
 }
 
-// Submit hands an order in and waits for its receipt.
-func (r *Runner) Submit(ctx context.Context, submit *flyloft.Submit) (flyloft.SubmitReceipt, error) {
-	waiter := make(chan flyloft.SubmitReceipt, 1)
+// Submit hands an order in and waits for its reply.
+func (r *Runner) Submit(ctx context.Context, submit *control.Submit) (control.SubmitReply, error) {
+	waiter := make(chan control.SubmitReply, 1)
 	r.lock.Lock()
 	r.waiters[submit.ID] = append(r.waiters[submit.ID], waiter)
 	r.lock.Unlock()
-	if state := r.State(); state.IsLeader && len(submit.Spec) > 0 {
+	if state := r.State(); state.IsLeader && len(submit.Config) > 0 {
 		// As in Deliver: the leader is to have its verdict at hand.
 		if err := r.node.Rehearse(submit, state.Document); err != nil {
-			r.cue.Log.V(2).Info("a spec with faults was handed in", "error", err.Error())
+			r.env.Log.V(2).Info("a spec with faults was handed in", "error", err.Error())
 		}
 	}
-	r.post(func() []any { return r.node.Submit(r.cue.Clock.Now(), submit) })
+	r.post(func() []any { return r.node.Submit(r.env.Clock.Now(), submit) })
 	select {
-	case receipt := <-waiter:
-		return receipt, nil
+	case reply := <-waiter:
+		return reply, nil
 	case <-ctx.Done():
-		return flyloft.SubmitReceipt{}, fmt.Errorf("wait for submission %s: %w", submit.ID, ctx.Err())
-	case <-r.cue.Done():
-		return flyloft.SubmitReceipt{ID: submit.ID, Outcome: flyloft.Unproved, Reason: "stopping"}, nil
+		return control.SubmitReply{}, fmt.Errorf("wait for submission %s: %w", submit.ID, ctx.Err())
+	case <-r.env.Done():
+		return control.SubmitReply{ID: submit.ID, Outcome: control.Unproved, Reason: "stopping"}, nil
 	}
 }
 
@@ -402,8 +402,8 @@
 // leaving (IsLeaving) or gone (IsUnlisted) is given back only when the routers know; an
 // error says that this could not be shown. beatTo is the public address for the engine's
 // later words; empty: no better one is known.
-func (r *Runner) Register(ctx context.Context, record flyloft.EngineRecord) (beatTo string, err error) {
-	waiter := make(chan flyloft.Registered, 1)
+func (r *Runner) Register(ctx context.Context, record control.EngineRecord) (beatTo string, err error) {
+	waiter := make(chan control.Registered, 1)
 	r.lock.Lock()
 	r.nextToken++
 	token := r.nextToken
@@ -414,13 +414,13 @@
 		delete(r.registers, token)
 		r.lock.Unlock()
 	}()
-	r.post(func() []any { return r.node.Register(r.cue.Clock.Now(), token, record) })
+	r.post(func() []any { return r.node.Register(r.env.Clock.Now(), token, record) })
 	select {
 	case answer := <-waiter:
 		return answer.BeatTo, answer.Err
 	case <-ctx.Done():
 		return "", fmt.Errorf("register engine %s: %w", record.ID, ctx.Err())
-	case <-r.cue.Done():
+	case <-r.env.Done():
 		return "", fmt.Errorf("register engine %s: %w", record.ID, Stopping{})
 	}
 }
@@ -442,86 +442,86 @@
 
 // Newest gives a committed document that is at least as new as every one that was
 // acknowledged before the call. The error is a NotShown.
-func (r *Runner) Newest(ctx context.Context) (*flyloft.Document, error) {
-	waiter := make(chan *flyloft.Document, 1)
+func (r *Runner) Newest(ctx context.Context) (*control.Document, error) {
+	waiter := make(chan *control.Document, 1)
 	r.lock.Lock()
 	r.nextToken++
 	token := r.nextToken
 	r.reads[token] = waiter
 	r.lock.Unlock()
-	r.post(func() []any { return r.node.Newest(r.cue.Clock.Now(), token) })
+	r.post(func() []any { return r.node.Newest(r.env.Clock.Now(), token) })
 	var cause error = Stopping{}
 	select {
 	case document := <-waiter:
 		return document, nil
 	case <-ctx.Done():
 		cause = ctx.Err()
-	case <-r.cue.Done():
+	case <-r.env.Done():
 	}
 	r.lock.Lock()
 	delete(r.reads, token)
 	r.lock.Unlock()
-	r.post(func() []any { return r.node.EndNewest(r.cue.Clock.Now(), token) })
+	r.post(func() []any { return r.node.EndNewest(r.env.Clock.Now(), token) })
 	return nil, NotShown{cause}
 }
 
 // Hear brings engine records learned first-hand.
-func (r *Runner) Hear(records []flyloft.EngineRecord) {
-	r.post(func() []any { return r.node.Hear(r.cue.Clock.Now(), records) })
+func (r *Runner) Hear(records []control.EngineRecord) {
+	r.post(func() []any { return r.node.Hear(r.env.Clock.Now(), records) })
 }
 
 // Suspect tells the control plane of an engine that could not be reached.
-func (r *Runner) Suspect(engine auditorium.Engine) {
-	r.post(func() []any { return r.node.Suspect(r.cue.Clock.Now(), engine.ID, engine.Start) })
+func (r *Runner) Suspect(engine relay.Engine) {
+	r.post(func() []any { return r.node.Suspect(r.env.Clock.Now(), engine.ID, engine.Start) })
 }
 
 // SuspectEngine tells the control plane of an engine, by its id alone, that could not be reached.
 func (r *Runner) SuspectEngine(id string) {
 	for _, engine := range r.State().Engines {
 		if engine.ID == id {
-			r.post(func() []any { return r.node.Suspect(r.cue.Clock.Now(), engine.ID, engine.Start) })
+			r.post(func() []any { return r.node.Suspect(r.env.Clock.Now(), engine.ID, engine.Start) })
 		}
 	}
 }
 
 // Restarted tells the control plane of an engine that answered under a later start.
-func (r *Runner) Restarted(engine auditorium.Engine, start uint64) {
-	r.post(func() []any { return r.node.Restarted(r.cue.Clock.Now(), engine.ID, start) })
+func (r *Runner) Restarted(engine relay.Engine, start uint64) {
+	r.post(func() []any { return r.node.Restarted(r.env.Clock.Now(), engine.ID, start) })
 }
 
 // Leave begins a planned stop.
 func (r *Runner) Leave() {
-	r.post(func() []any { return r.node.Leave(r.cue.Clock.Now()) })
+	r.post(func() []any { return r.node.Leave(r.env.Clock.Now()) })
 }
 
 // HasDuties asks the owners whether duties are still held.
 func (r *Runner) HasDuties() bool {
-	receipt := make(chan bool, 1)
-	r.post(func() []any { receipt <- r.node.HasDuties(); return nil })
+	reply := make(chan bool, 1)
+	r.post(func() []any { reply <- r.node.HasDuties(); return nil })
 	select {
-	case hasDuties := <-receipt:
+	case hasDuties := <-reply:
 		return hasDuties
-	case <-r.cue.Done():
+	case <-r.env.Done():
 		return false
 	}
 }
 
-// Recall reads an older spec from this node's data folder.
-func (r *Runner) Recall(ask RecallAsk) (*RecallReceipt, error) {
+// Recall reads an older configuration from this node's data folder.
+func (r *Runner) Recall(ask RecallAsk) (*RecallReply, error) {
 	if r.store == nil {
-		return nil, flyloft.MissingGeneration{Generation: ask.Mark.Generation}
+		return nil, control.MissingRevision{Revision: ask.Mark.Revision}
 	}
-	document, err := r.store.SpecAt(ask.Mark)
+	document, err := r.store.ConfigAt(ask.Mark)
 	if err != nil {
 		return nil, err
 	}
-	return &RecallReceipt{Spec: document.Spec, SpecGeneration: document.SpecGeneration}, nil
+	return &RecallReply{Config: document.Config, ConfigRevision: document.ConfigRevision}, nil
 }
 
-// platformBreakdown says what was wrong with the platform's list.
-type platformBreakdown struct{ why string }
+// platformError says what was wrong with the platform's list.
+type platformError struct{ why string }
 
-func (b platformBreakdown) Error() string { return "platform list: " + b.why }
+func (b platformError) Error() string { return "platform list: " + b.why }
 
 // pollPlatform fetches the list where it is this node's duty.
 func (r *Runner) pollPlatform() {
@@ -532,26 +532,26 @@
 	for {
 		// One fetch a zone is enough; a node without a home looks for itself.
 		if state := r.State(); state.IsHome || state.IsHomeless {
-			listing, err := fetchListing(r.cue, client, r.platform)
+			listing, err := fetchListing(r.env, client, r.platform)
 			switch {
 			case err != nil && !isFailing:
-				r.cue.Log.Error(err, "the platform's list can't be read")
-				r.cue.Note("platform", "list", "unreadable", err.Error())
+				r.env.Log.Error(err, "the platform's list can't be read")
+				r.env.Note("platform", "list", "unreadable", err.Error())
 			case err == nil:
-				r.post(func() []any { return r.node.TakeListing(r.cue.Clock.Now(), listing) })
+				r.post(func() []any { return r.node.TakeListing(r.env.Clock.Now(), listing) })
 			}
 			isFailing = err != nil
 		}
 		select {
-		case <-r.cue.Done():
+		case <-r.env.Done():
 			return
 		case <-ticker.C:
 		}
 	}
 }
 
-func fetchListing(ctx context.Context, client *http.Client, url string) (flyloft.Listing, error) {
-	var listing flyloft.Listing
+func fetchListing(ctx context.Context, client *http.Client, url string) (control.Listing, error) {
+	var listing control.Listing
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return listing, fmt.Errorf("ask the platform: %w", err)
@@ -562,14 +562,14 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return listing, platformBreakdown{response.Status}
+		return listing, platformError{response.Status}
 	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, 16<<20)).Decode(&listing); err != nil {
 		return listing, fmt.Errorf("read the platform's list: %w", err)
 	}
 	// A list without a revision can't be told from an older one, so it is no use.
 	if listing.Revision == 0 {
-		return listing, platformBreakdown{"it has no revision"}
+		return listing, platformError{"it has no revision"}
 	}
 	return listing, nil
 }
@@ -590,7 +590,7 @@
 	missed := map[string]int{}
 	for {
 		select {
-		case <-r.cue.Done():
+		case <-r.env.Done():
 			return
 		case <-ticker.C:
 		}
@@ -602,11 +602,11 @@
 		var lock sync.Mutex
 		for _, engine := range state.Engines {
 			// Who registers itself is known by its beats and is not to be bothered.
-			if engine.Zone != r.cue.Self.Zone || engine.IsUnlisted || engine.Address == "" || engine.Word > 0 {
+			if engine.Zone != r.env.Self.Zone || engine.IsUnlisted || engine.Address == "" || engine.Word > 0 {
 				continue
 			}
 			probes.Go(func() {
-				isThere := probe(r.cue, r.prober, engine.Address)
+				isThere := probe(r.env, r.prober, engine.Address)
 				lock.Lock()
 				defer lock.Unlock()
 				if isThere {
@@ -615,7 +615,7 @@
 					missed[engine.ID]++
 				}
 				if isDark := missed[engine.ID] >= probeMiss; isDark != engine.IsDark && (isDark || isThere) {
-					r.post(func() []any { return r.node.Probed(r.cue.Clock.Now(), engine.ID, engine.Start, isDark) })
+					r.post(func() []any { return r.node.Probed(r.env.Clock.Now(), engine.ID, engine.Start, isDark) })
 				}
 			})
 		}
@@ -626,11 +626,11 @@
 // canReach looks whether an engine is there at all.
 func (r *Runner) canReach(address string) bool {
 	if !r.NoProbes {
-		return probe(r.cue, r.prober, address)
+		return probe(r.env, r.prober, address)
 	}
 	// A request would wait for a place like any other, so that a busy engine looked like a
 	// dead one; a connection comes up by itself, or doesn't.
-	ctx, cancel := context.WithTimeout(r.cue, reachSpan.Duration())
+	ctx, cancel := context.WithTimeout(r.env, reachSpan.Duration())
 	defer cancel()
 	made, err := r.dial(ctx, "tcp", address)
 	if err != nil {
@@ -641,7 +641,7 @@
 }
 
 // reachSpan is a hundred times what a connection within a region takes.
-const reachSpan = 300 * house.Millisecond
+const reachSpan = 300 * kernel.Millisecond
 
 func probe(ctx context.Context, client *http.Client, address string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/health", nil)
--- a/wings/wings_test.go
+++ b/server/server_test.go
@@ -1,4 +1,4 @@
-package wings
+package server
 
 import (
 	"bufio"
@@ -23,12 +23,12 @@
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/understudy"
-	"dunlinloom/wardrobe"
+	"dunlinloom/control"
+	"dunlinloom/emulator"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/history"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 func goodSettings() Settings {
@@ -46,9 +46,9 @@
 	bad.Fleet, bad.Zone, bad.Public, bad.Peer = "", "", "host:80", "0.0.0.0:7000"
 	bad.Seeds = []string{"10.0.0.2:7000", "10.0.0.2:7000"}
 	bad.Platform, bad.Journal = "ftp://x", 1
-	bad.Channels, bad.Live, bad.BodiesMB, bad.JournalMB, bad.ArchiveMB = 1, 0, -1, -1, 1<<20
-	bad.LicenceUS, bad.AskUS, bad.PulseUS, bad.ElectionLowUS = 2_000_000, 600_000, 300_000, 600_000
-	var faults *playbill.Faults
+	bad.Connections, bad.Live, bad.BodiesMB, bad.JournalMB, bad.ArchiveMB = 1, 0, -1, -1, 1<<20
+	bad.LeaseUS, bad.AskUS, bad.HeartbeatUS, bad.ElectionLowUS = 2_000_000, 600_000, 300_000, 600_000
+	var faults *fleetconfig.Faults
 	c.Assert(errors.As(bad.Check(true), &faults), qt.IsTrue)
 	paths := []string{}
 	for _, fault := range faults.List {
@@ -71,11 +71,11 @@
 	c.Assert(settings.Zone, qt.Equals, "z9")
 	c.Assert(settings.Fleet, qt.Equals, "f")
 	c.Assert(settings.AskUS, qt.Equals, int64(200000))
-	c.Assert(settings.LicenceUS, qt.Equals, DefaultSettings().LicenceUS)
+	c.Assert(settings.LeaseUS, qt.Equals, DefaultSettings().LeaseUS)
 	for _, content := range []string{`{"zoen":"z7"}`, `{"zone":7}`, `{} {}`, `{`} {
 		c.Assert(os.WriteFile(file, []byte(content), 0o600), qt.IsNil)
 		_, err = ReadSettings("test", []string{"--settings", file})
-		c.Assert(errors.As(err, new(SettingsBreakdown)), qt.IsTrue, qt.Commentf("%s", content))
+		c.Assert(errors.As(err, new(SettingsError)), qt.IsTrue, qt.Commentf("%s", content))
 	}
 }
 
@@ -96,10 +96,10 @@
 	ended  []chan error
 }
 
-func openFleet(c *qt.C, decode house.Micros) *fleet {
+func openFleet(c *qt.C, decode kernel.Micros) *fleet {
 	f := &fleet{c: c}
 	seeds := []string{free(c), free(c), free(c)}
-	platform := understudy.NewPlatform(0)
+	platform := emulator.NewPlatform(0)
 	listen := func(handler http.Handler) string {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		c.Assert(err, qt.IsNil)
@@ -119,7 +119,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		go func() {
-			ended <- Run(ctx, klog.Background(), settings, Parts{Program: "test", IsRouter: true, IsPrompter: true})
+			ended <- Run(ctx, klog.Background(), settings, Parts{Program: "test", IsRouter: true, IsController: true})
 		}()
 		f.public, f.stop, f.ended = append(f.public, settings.Public), append(f.stop, stop), append(f.ended, ended)
 	}
@@ -130,16 +130,16 @@
 		}
 	})
 	for i := range 2 {
-		settings := understudy.EngineSettings{ID: fmt.Sprintf("e%d", i), Zone: "z0", Pool: "main", Start: 5, Slots: 4, Inbox: 16, Blocks: 64, Decode: decode}
-		engine := understudy.NewEngine(settings)
-		platform.Set(flyloft.ListingEngine{ID: settings.ID, Address: listen(engine.Handler()), Zone: settings.Zone, Pool: "main", Start: 5, Up: 3600_000_000, State: "serving"})
+		settings := emulator.EngineSettings{ID: fmt.Sprintf("e%d", i), Zone: "z0", Pool: "main", Start: 5, Slots: 4, Queue: 16, Blocks: 64, Decode: decode}
+		engine := emulator.NewEngine(settings)
+		platform.Set(control.ListingEngine{ID: settings.ID, Address: listen(engine.Handler()), Zone: settings.Zone, Pool: "main", Start: 5, Up: 3600_000_000, State: "serving"})
 	}
 	return f
 }
 
-// wardrobe opens a node's object store beside the node, as an operator's git would.
-func (f *fleet) wardrobe(node int) *wardrobe.Wardrobe {
-	kept, err := wardrobe.Open(filepath.Join(f.data[node], "specs.git"), DefaultSettings().Fleet, 1<<30)
+// archive opens a node's object store beside the node, as an operator's git would.
+func (f *fleet) archive(node int) *history.Archive {
+	kept, err := history.Open(filepath.Join(f.data[node], "specs.git"), DefaultSettings().Fleet, 1<<30)
 	f.c.Assert(err, qt.IsNil)
 	return kept
 }
@@ -174,63 +174,63 @@
 }
 
 const (
-	specOne = `{"bindings":[{"name":"one","shares":[{"weight":1}]}]}`
-	specTwo = `{ "bindings": [ {"name":"two","shares":[{"weight":1}]} ] }`
+	configOne = `{"bindings":[{"name":"one","shares":[{"weight":1}]}]}`
+	configTwo = `{ "bindings": [ {"name":"two","shares":[{"weight":1}]} ] }`
 )
 
-func TestAWholeFleetOverRealChannels(t *testing.T) {
+func TestAWholeFleetOverRealConnections(t *testing.T) {
 	c := qt.New(t)
 	f := openFleet(c, 0)
-	var receipt flyloft.SubmitReceipt
-	order := func(node int, method, path, body string, headers ...string) (int, flyloft.SubmitReceipt) {
+	var reply control.SubmitReply
+	order := func(node int, method, path, body string, headers ...string) (int, control.SubmitReply) {
 		status, _, got := f.do(node, method, path, body, headers...)
-		receipt = flyloft.SubmitReceipt{}
-		c.Assert(json.Unmarshal([]byte(got), &receipt), qt.IsNil, qt.Commentf("%s", got))
-		return status, receipt
+		reply = control.SubmitReply{}
+		c.Assert(json.Unmarshal([]byte(got), &reply), qt.IsNil, qt.Commentf("%s", got))
+		return status, reply
 	}
 	// Put at one node, read at another, byte for byte.
 	for {
-		if status, _ := order(0, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first"); status == http.StatusOK {
+		if status, _ := order(0, http.MethodPut, "/v1/spec", configOne, HeaderSubmission, "first"); status == http.StatusOK {
 			break
 		}
 	}
-	first := receipt.Generation
+	first := reply.Revision
 	for node := range f.public {
 		f.await(node, "/readyz", http.StatusOK)
 	}
 	status, headers, got := f.do(1, http.MethodGet, "/v1/spec", "")
 	c.Assert(status, qt.Equals, http.StatusOK)
-	c.Assert(got, qt.Equals, specOne)
-	c.Assert(headers.Get(auditorium.HeaderGeneration), qt.Equals, fmt.Sprint(first))
+	c.Assert(got, qt.Equals, configOne)
+	c.Assert(headers.Get(relay.HeaderRevision), qt.Equals, fmt.Sprint(first))
 
 	// A stream comes through whole.
 	status, headers, got = f.do(2, http.MethodPost, "/v1/completions", `{"prompt":"one two three","max_tokens":6,"stream":true}`)
 	c.Assert(status, qt.Equals, http.StatusOK)
-	c.Assert(got, qt.Equals, string(understudy.Script(headers.Get(understudy.HeaderRun), 6, true)))
-	request := headers.Get(auditorium.HeaderRequest)
+	c.Assert(got, qt.Equals, string(emulator.Script(headers.Get(emulator.HeaderRun), 6, true)))
+	request := headers.Get(relay.HeaderRequest)
 	_, _, explained := f.do(2, http.MethodGet, "/v1/explain/"+request, "")
-	c.Assert(strings.Contains(explained, "round 1 to "+headers.Get(auditorium.HeaderEngine)), qt.IsTrue, qt.Commentf("%s", explained))
+	c.Assert(strings.Contains(explained, "round 1 to "+headers.Get(relay.HeaderEngine)), qt.IsTrue, qt.Commentf("%s", explained))
 
-	// The same submission again, a clash, and a spec with faults.
-	_, again := order(1, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first")
-	c.Assert(again.Generation, qt.Equals, first)
-	status, second := order(2, http.MethodPut, fmt.Sprintf("/v1/spec?base=%d", first), specTwo)
+	// The same submission again, a clash, and a configuration with faults.
+	_, again := order(1, http.MethodPut, "/v1/spec", configOne, HeaderSubmission, "first")
+	c.Assert(again.Revision, qt.Equals, first)
+	status, second := order(2, http.MethodPut, fmt.Sprintf("/v1/spec?base=%d", first), configTwo)
 	c.Assert(status, qt.Equals, http.StatusOK)
-	status, clash := order(0, http.MethodPut, fmt.Sprintf("/v1/spec?base=%d", first), specOne)
+	status, clash := order(0, http.MethodPut, fmt.Sprintf("/v1/spec?base=%d", first), configOne)
 	c.Assert(status, qt.Equals, http.StatusConflict)
 	c.Assert(clash.Reason, qt.Equals, "clash")
 	status, _, got = f.do(0, http.MethodPut, "/v1/spec", `{"bindings":[{"nam":"x"}]}`)
 	c.Assert(status, qt.Equals, http.StatusUnprocessableEntity)
 	c.Assert(strings.Contains(got, `"path":"bindings[0].nam"`), qt.IsTrue, qt.Commentf("%s", got))
-	status, _, _ = f.do(0, http.MethodPut, "/v1/spec", strings.Repeat(" ", playbill.MaxBytes+1))
+	status, _, _ = f.do(0, http.MethodPut, "/v1/spec", strings.Repeat(" ", fleetconfig.MaxBytes+1))
 	c.Assert(status, qt.Equals, http.StatusRequestEntityTooLarge)
 
 	// History, by any node.
 	for node := range f.public {
-		f.await(node, fmt.Sprintf("/v1/spec?generation=%d", second.Generation), http.StatusOK)
+		f.await(node, fmt.Sprintf("/v1/spec?generation=%d", second.Revision), http.StatusOK)
 		status, _, got = f.do(node, http.MethodGet, fmt.Sprintf("/v1/spec?generation=%d", first), "")
 		c.Assert(status, qt.Equals, http.StatusOK)
-		c.Assert(got, qt.Equals, specOne)
+		c.Assert(got, qt.Equals, configOne)
 	}
 	status, _, _ = f.do(1, http.MethodGet, "/v1/spec?generation=999999", "")
 	c.Assert(status, qt.Equals, http.StatusNotFound)
@@ -242,14 +242,14 @@
 			_, _, body := f.do(node, http.MethodGet, "/v1/spec/history", "")
 			c.Assert(json.Unmarshal([]byte(body), &history), qt.IsNil)
 			if len(history.Kept) == 2 {
-				c.Assert(history.Kept[0].Generation, qt.Equals, first)
+				c.Assert(history.Kept[0].Revision, qt.Equals, first)
 				c.Assert(history.Kept[0].Submission, qt.Equals, "first")
 				break
 			}
 		}
-		spec, _, err := f.wardrobe(node).Spec(first)
+		config, _, err := f.archive(node).Config(first)
 		c.Assert(err, qt.IsNil)
-		c.Assert(string(spec), qt.Equals, specOne)
+		c.Assert(string(config), qt.Equals, configOne)
 	}
 
 	// Empty the engines' zone: nothing may be served; refill it: it is again.
@@ -259,7 +259,7 @@
 		for {
 			status, headers, _ = f.do(node, http.MethodPost, "/v1/completions", `{"prompt":"x","max_tokens":1}`)
 			if status == http.StatusServiceUnavailable {
-				c.Assert(headers.Get(auditorium.HeaderRun), qt.Equals, string(auditorium.NotRun))
+				c.Assert(headers.Get(relay.HeaderRun), qt.Equals, string(relay.NotRun))
 				break
 			}
 		}
@@ -272,7 +272,7 @@
 		}
 	}
 
-	// A mark given by hand gets a receipt, and an unknown engine none.
+	// A mark given by hand gets a reply, and an unknown engine none.
 	status, _ = order(0, http.MethodPut, "/v1/engines/e0/leaving?start=5", "")
 	c.Assert(status, qt.Equals, http.StatusOK)
 	status, _, _ = f.do(0, http.MethodPut, "/v1/engines/e0/leaving?start=4", "")
@@ -299,9 +299,9 @@
 // over a channel that other requests were served on before.
 func TestAPlannedStopFinishesWhatItAccepted(t *testing.T) {
 	c := qt.New(t)
-	f := openFleet(c, 5*house.Millisecond)
+	f := openFleet(c, 5*kernel.Millisecond)
 	for {
-		if status, _, _ := f.do(0, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first"); status == http.StatusOK {
+		if status, _, _ := f.do(0, http.MethodPut, "/v1/spec", configOne, HeaderSubmission, "first"); status == http.StatusOK {
 			break
 		}
 	}
@@ -323,20 +323,20 @@
 	f.stop[2]()
 	rest, err := io.ReadAll(held.Body)
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(first)+string(rest), qt.Equals, string(understudy.Script(held.Header.Get(understudy.HeaderRun), 200, true)))
+	c.Assert(string(first)+string(rest), qt.Equals, string(emulator.Script(held.Header.Get(emulator.HeaderRun), 200, true)))
 }
 
 // The process's end waits for the object store's writer, but not for ever: a write that
 // stalls and goes on is waited for, one that never does is left after a while.
 func TestAStopWaitsForTheObjectStoreButNotForAStalledDisk(t *testing.T) {
 	c := qt.New(t)
-	f := openFleet(c, 5*house.Millisecond)
+	f := openFleet(c, 5*kernel.Millisecond)
 	for node := range f.stop {
 		f.await(node, "/healthz", http.StatusOK)
 	}
-	// Opening a named pipe to read it stalls as a disk may; the spec's object is looked
+	// Opening a named pipe to read it stalls as a disk may; the configuration's object is looked
 	// for before it is written.
-	hash := plumbing.ComputeHash(plumbing.BlobObject, []byte(specOne)).String()
+	hash := plumbing.ComputeHash(plumbing.BlobObject, []byte(configOne)).String()
 	stall := func(node int) (release func()) {
 		name := filepath.Join(f.data[node], "specs.git", "objects", hash[:2], hash[2:])
 		c.Assert(os.MkdirAll(filepath.Dir(name), 0o755), qt.IsNil)
@@ -350,13 +350,13 @@
 	}
 	releaseOne, releaseTwo := stall(1), stall(2)
 	for {
-		if status, _, _ := f.do(0, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first"); status == http.StatusOK {
+		if status, _, _ := f.do(0, http.MethodPut, "/v1/spec", configOne, HeaderSubmission, "first"); status == http.StatusOK {
 			break
 		}
 	}
 	writers := func() int {
 		stacks := make([]byte, 4<<20)
-		return strings.Count(string(stacks[:runtime.Stack(stacks, true)]), "wardrobe.(*Wardrobe).File(")
+		return strings.Count(string(stacks[:runtime.Stack(stacks, true)]), "history.(*Archive).File(")
 	}
 	for begun := time.Now(); writers() < 2; time.Sleep(20 * time.Millisecond) {
 		c.Assert(time.Since(begun) < 20*time.Second, qt.IsTrue)
@@ -386,17 +386,17 @@
 // what comes with another digest, or of another founding, it does not take.
 func TestTheObjectStoreIsMendedFromAnotherNode(t *testing.T) {
 	c := qt.New(t)
-	kept := []wardrobe.Facts{}
-	specs := map[string]string{}
-	for generation := range uint64(6) {
-		spec := fmt.Sprintf(`{"of":%d}`, generation+1)
-		facts := wardrobe.Facts{Generation: generation + 1, Digest: wardrobe.Digest([]byte(spec)), Submission: "s", Founding: "f", Filed: "2031-05-06T07:08:09Z"}
-		specs[fmt.Sprint(generation+1)] = spec
-		switch generation + 1 {
+	kept := []history.Facts{}
+	configs := map[string]string{}
+	for revision := range uint64(6) {
+		config := fmt.Sprintf(`{"of":%d}`, revision+1)
+		facts := history.Facts{Revision: revision + 1, Digest: history.Digest([]byte(config)), Submission: "s", Founding: "f", Filed: "2031-05-06T07:08:09Z"}
+		configs[fmt.Sprint(revision+1)] = config
+		switch revision + 1 {
 		case 2:
 			facts.Founding = "another"
 		case 3:
-			specs["3"] = `{"of":"something else"}`
+			configs["3"] = `{"of":"something else"}`
 		}
 		kept = append(kept, facts)
 	}
@@ -405,57 +405,57 @@
 			c.Check(json.NewEncoder(w).Encode(History{Kept: kept}), qt.IsNil)
 			return
 		}
-		generation := r.URL.Query().Get("generation")
-		w.Header().Set(auditorium.HeaderGeneration, generation)
-		fmt.Fprint(w, specs[generation])
+		revision := r.URL.Query().Get("generation")
+		w.Header().Set(relay.HeaderRevision, revision)
+		fmt.Fprint(w, configs[revision])
 	}))
 	defer other.Close()
-	store, err := wardrobe.Open(filepath.Join(c.TempDir(), "specs.git"), "here", 1<<20)
+	store, err := history.Open(filepath.Join(c.TempDir(), "specs.git"), "here", 1<<20)
 	c.Assert(err, qt.IsNil)
-	cue := house.Cue{Context: context.Background(), Clock: house.BootClock{}, Log: klog.Background(), Journal: house.NewJournal(16)}
-	librarian := NewLibrarian(cue, nil, nil, store)
-	// The core still names generation 5 and on: those are its own to give.
-	document := &flyloft.Document{Founding: "f", Chain: []flyloft.SpecMark{{Generation: 5, Digest: kept[4].Digest}}}
-	nodes := []flyloft.NodeRecord{{Address: "a", Public: "127.0.0.1:1", IsPrompter: true}, {Address: "b", Public: strings.TrimPrefix(other.URL, "http://"), IsPrompter: true}}
-	c.Assert(errors.As(librarian.mend(document, nodes), new(wardrobe.Damaged)), qt.IsTrue)
-	specs["3"] = `{"of":3}`
-	c.Assert(librarian.mend(document, nodes), qt.IsNil)
+	env := kernel.Env{Context: context.Background(), Clock: kernel.BootClock{}, Log: klog.Background(), Journal: kernel.NewJournal(16)}
+	archiver := NewArchiver(env, nil, nil, store)
+	// The core still names revision 5 and on: those are its own to give.
+	document := &control.Document{Founding: "f", Chain: []control.ConfigMark{{Revision: 5, Digest: kept[4].Digest}}}
+	nodes := []control.NodeRecord{{Address: "a", Public: "127.0.0.1:1", IsController: true}, {Address: "b", Public: strings.TrimPrefix(other.URL, "http://"), IsController: true}}
+	c.Assert(errors.As(archiver.mend(document, nodes), new(history.Damaged)), qt.IsTrue)
+	configs["3"] = `{"of":3}`
+	c.Assert(archiver.mend(document, nodes), qt.IsNil)
 	held := []uint64{}
 	for _, facts := range store.History() {
-		held = append(held, facts.Generation)
+		held = append(held, facts.Revision)
 	}
 	c.Assert(held, qt.DeepEquals, []uint64{1, 3, 4})
 }
 
 // Beyond its bound and the reserve the door answers at once and closes; within the
 // reserve it lets in, and tells that callers get no more room.
-func TestTheDoorTurnsAwayWithAnAnswer(t *testing.T) {
+func TestTheLimitedListenerTurnsAwayWithAnAnswer(t *testing.T) {
 	c := qt.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer listener.Close()
-	door := NewDoor(listener, 2)
-	accepted := make(chan net.Conn, 4+channelReserve)
+	limitedListener := NewLimitedListener(listener, 2)
+	accepted := make(chan net.Conn, 4+connectionReserve)
 	go func() {
 		for {
-			channel, err := door.Accept()
+			connection, err := limitedListener.Accept()
 			if err != nil {
 				return
 			}
-			accepted <- channel
+			accepted <- connection
 		}
 	}()
 	dial := func() net.Conn {
-		channel, err := net.Dial("tcp", listener.Addr().String())
+		connection, err := net.Dial("tcp", listener.Addr().String())
 		c.Assert(err, qt.IsNil)
-		c.Cleanup(func() { channel.Close() })
-		return channel
+		c.Cleanup(func() { connection.Close() })
+		return connection
 	}
 	held := []net.Conn{}
-	for range 2 + channelReserve {
+	for range 2 + connectionReserve {
 		dial()
 		held = append(held, <-accepted)
-		c.Assert(door.IsCrowded(), qt.Equals, len(held) > 2)
+		c.Assert(limitedListener.IsOverloaded(), qt.Equals, len(held) > 2)
 	}
 	late := dial()
 	_, err = io.WriteString(late, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}")
@@ -465,39 +465,39 @@
 	got, err := io.ReadAll(response.Body)
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-	c.Assert(response.Header.Get(auditorium.HeaderRun), qt.Equals, string(auditorium.NotRun))
+	c.Assert(response.Header.Get(relay.HeaderRun), qt.Equals, string(relay.NotRun))
 	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
 	c.Assert(json.Valid(got), qt.IsTrue)
-	c.Assert(door.Turned.Load(), qt.Equals, uint64(1))
+	c.Assert(limitedListener.Turned.Load(), qt.Equals, uint64(1))
 	late.Close()
-	for _, channel := range held {
-		c.Assert(channel.Close(), qt.IsNil)
-		c.Assert(ignoreClosed(channel.Close()), qt.IsNil) // a second close gives no second place
+	for _, connection := range held {
+		c.Assert(connection.Close(), qt.IsNil)
+		c.Assert(ignoreClosed(connection.Close()), qt.IsNil) // a second close gives no second place
 	}
-	for door.Open() > 0 {
+	for limitedListener.Open() > 0 {
 		runtime.Gosched()
 	}
 	dial()
 	c.Assert((<-accepted).Close(), qt.IsNil)
-	c.Assert(errors.As(checkFiles(1<<30, 1), new(FilesBreakdown)), qt.IsTrue)
+	c.Assert(errors.As(checkFiles(1<<30, 1), new(FilesError)), qt.IsTrue)
 }
 
-// heldChannel is a channel that was let in, and stays open between its requests.
-type heldChannel struct {
+// heldConnection is a channel that was let in, and stays open between its requests.
+type heldConnection struct {
 	net.Conn
 	answers *bufio.Reader
 }
 
-func holdChannel(c *qt.C, address string) *heldChannel {
-	channel, err := net.Dial("tcp", address)
+func holdConnection(c *qt.C, address string) *heldConnection {
+	connection, err := net.Dial("tcp", address)
 	c.Assert(err, qt.IsNil)
-	held := &heldChannel{channel, bufio.NewReader(channel)}
+	held := &heldConnection{connection, bufio.NewReader(connection)}
 	c.Assert(held.ask(), qt.IsNil)
 	return held
 }
 
 // ask gives nil if the channel is still open and answers.
-func (h *heldChannel) ask() error {
+func (h *heldConnection) ask() error {
 	if _, err := io.WriteString(h, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		return fmt.Errorf("ask over a held channel: %w", err)
 	}
@@ -518,14 +518,14 @@
 	c := qt.New(t)
 	f := openFleet(c, 0)
 	for {
-		if status, _, _ := f.do(0, http.MethodPut, "/v1/spec", specOne, HeaderSubmission, "first"); status == http.StatusOK {
+		if status, _, _ := f.do(0, http.MethodPut, "/v1/spec", configOne, HeaderSubmission, "first"); status == http.StatusOK {
 			break
 		}
 	}
 	f.await(1, "/readyz", http.StatusOK)
-	crowd := make([]*heldChannel, DefaultSettings().Channels)
+	overload := make([]*heldConnection, DefaultSettings().Connections)
 	c.Cleanup(func() {
-		for _, held := range crowd {
+		for _, held := range overload {
 			if held != nil {
 				held.Close()
 			}
@@ -535,22 +535,22 @@
 	// The door closes channels that stay silent, so on a slow machine some of the crowd
 	// may be gone when the caller comes. An answer counts only if all were there throughout.
 	for isWhole := false; !isWhole; {
-		for i, held := range crowd {
+		for i, held := range overload {
 			if held == nil {
-				crowd[i] = holdChannel(c, f.public[1])
+				overload[i] = holdConnection(c, f.public[1])
 			}
 		}
 		status, headers, got = f.do(1, http.MethodPost, "/v1/completions", `{"prompt":"x","max_tokens":1}`)
 		isWhole = true
-		for i, held := range crowd {
+		for i, held := range overload {
 			if err := held.ask(); err != nil {
 				held.Close()
-				crowd[i], isWhole = nil, false
+				overload[i], isWhole = nil, false
 			}
 		}
 	}
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
-	c.Assert(headers.Get(auditorium.HeaderRun), qt.Equals, string(auditorium.NotRun))
+	c.Assert(headers.Get(relay.HeaderRun), qt.Equals, string(relay.NotRun))
 	c.Assert(strings.Contains(got, `"crowded"`), qt.IsTrue, qt.Commentf("%s", got))
 	for _, path := range []string{"/readyz", "/v1/fleet", "/metrics"} {
 		status, _, _ = f.do(1, http.MethodGet, path, "")
--- a/wings/settings.go
+++ b/server/settings.go
@@ -1,6 +1,6 @@
-// Package wings holds what the programs share off stage: settings, the channels
+// Package server holds what the programs share: settings, the channels
 // between nodes, the shell that runs a node's owners, and the HTTP face.
-package wings
+package server
 
 import (
 	"bytes"
@@ -14,39 +14,39 @@
 
 	"github.com/alexflint/go-arg"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // Settings are what a process is told of its place, by a file or by flags; a
 // flag goes before the file.
 type Settings struct {
-	File      string   `arg:"--settings" json:"-" help:"JSON file with any of the settings below"`
-	Fleet     string   `arg:"--fleet" json:"fleet" help:"name of the fleet; messages of others are declined"`
-	Public    string   `arg:"--public" json:"public" help:"IP:port for callers, engines and operators"`
-	Peer      string   `arg:"--peer" json:"peer" help:"IP:port for the other nodes"`
-	Zone      string   `arg:"--zone" json:"zone" help:"zone of this machine"`
-	Seeds     []string `arg:"--seed,separate" json:"seeds" help:"peer address of a seed; three of them, which are also the founders"`
-	Data      string   `arg:"--data" json:"data" help:"data folder of a prompter with a disk"`
-	Platform  string   `arg:"--platform" json:"platform" help:"URL of the platform's list of engines"`
-	ArchiveMB int      `arg:"--archive-mb" json:"archive_mb" help:"megabytes that the object store of past specs may take; 0 keeps none"`
-	Channels  int      `arg:"--channels" json:"channels" help:"channels that callers may hold open at once"`
-	Live      int      `arg:"--live" json:"live" help:"requests served at once"`
-	BodiesMB  int      `arg:"--bodies-mb" json:"bodies_mb" help:"megabytes of request bodies held at once"`
-	JournalMB int      `arg:"--journal-mb" json:"journal_mb" help:"megabytes of journal kept in the data folder, of decisions and of requests each; 0 keeps none"`
-	Journal   int      `arg:"--journal" json:"journal" help:"entries kept in the journal"`
+	File        string   `arg:"--settings" json:"-" help:"JSON file with any of the settings below"`
+	Fleet       string   `arg:"--fleet" json:"fleet" help:"name of the fleet; messages of others are declined"`
+	Public      string   `arg:"--public" json:"public" help:"IP:port for callers, engines and operators"`
+	Peer        string   `arg:"--peer" json:"peer" help:"IP:port for the other nodes"`
+	Zone        string   `arg:"--zone" json:"zone" help:"zone of this machine"`
+	Seeds       []string `arg:"--seed,separate" json:"seeds" help:"peer address of a seed; three of them, which are also the founders"`
+	Data        string   `arg:"--data" json:"data" help:"data folder of a controller with a disk"`
+	Platform    string   `arg:"--platform" json:"platform" help:"URL of the platform's list of engines"`
+	ArchiveMB   int      `arg:"--archive-mb" json:"archive_mb" help:"megabytes that the object store of past specs may take; 0 keeps none"`
+	Connections int      `arg:"--channels" json:"channels" help:"channels that callers may hold open at once"`
+	Live        int      `arg:"--live" json:"live" help:"requests served at once"`
+	BodiesMB    int      `arg:"--bodies-mb" json:"bodies_mb" help:"megabytes of request bodies held at once"`
+	JournalMB   int      `arg:"--journal-mb" json:"journal_mb" help:"megabytes of journal kept in the data folder, of decisions and of requests each; 0 keeps none"`
+	Journal     int      `arg:"--journal" json:"journal" help:"entries kept in the journal"`
 
 	Rules
 
-	PulseUS         int64 `arg:"--pulse-us" json:"pulse_us" help:"between a leader's pulses"`
+	HeartbeatUS     int64 `arg:"--pulse-us" json:"pulse_us" help:"between a leader's pulses"`
 	ElectionLowUS   int64 `arg:"--election-low-us" json:"election_low_us" help:"shortest silence before an election"`
 	ElectionHighUS  int64 `arg:"--election-high-us" json:"election_high_us" help:"longest silence before an election"`
 	DiskStallUS     int64 `arg:"--disk-stall-us" json:"disk_stall_us" help:"a write that takes longer counts as stalled"`
 	ReplaceUS       int64 `arg:"--replace-us" json:"replace_us" help:"silence after which a voter is replaced"`
 	AskUS           int64 `arg:"--ask-us" json:"ask_us" help:"between asks for a licence"`
-	LicenceUS       int64 `arg:"--licence-us" json:"licence_us" help:"how long a licence lasts from its ask on"`
+	LeaseUS         int64 `arg:"--licence-us" json:"licence_us" help:"how long a licence lasts from its ask on"`
 	HomeSilentUS    int64 `arg:"--home-silent-us" json:"home_silent_us" help:"silence after which a zone gets another home"`
 	StrikeUS        int64 `arg:"--strike-us" json:"strike_us" help:"silence after which a router leaves the register"`
 	ShuffleUS       int64 `arg:"--shuffle-us" json:"shuffle_us" help:"between two trades of partial views"`
@@ -63,54 +63,54 @@
 
 // DefaultSettings are in force where neither file nor flags speak.
 func DefaultSettings() Settings {
-	bounds := auditorium.DefaultBounds()
-	timing, spans := flyloft.DefaultTiming(), auditorium.DefaultSpans()
+	bounds := relay.DefaultBounds()
+	timing, spans := control.DefaultTiming(), relay.DefaultSpans()
 	return Settings{
 		Rules: defaultRules(),
 		Fleet: "dunlinloom", Journal: 4096, ArchiveMB: 64, JournalMB: 8,
-		Channels: 2048, Live: int(bounds.Live), BodiesMB: int(bounds.Bodies >> 20),
-		PulseUS: int64(timing.Pulse), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
+		Connections: 2048, Live: int(bounds.Live), BodiesMB: int(bounds.Bodies >> 20),
+		HeartbeatUS: int64(timing.Heartbeat), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
 		DiskStallUS: int64(timing.DiskStall), ReplaceUS: int64(timing.Replace), AskUS: int64(timing.Ask),
-		LicenceUS: int64(timing.Licence), HomeSilentUS: int64(timing.HomeSilent), StrikeUS: int64(timing.Strike),
-		ShuffleUS: int64(timing.Shuffle), MendUS: int64(timing.Mend), NodeGoneUS: int64(timing.NodeGone), TickUS: int64(20 * house.Millisecond),
-		EngineSilenceUS: int64(spans.EngineSilence), DrainUS: int64(120 * house.Second), LameDuckUS: int64(house.Second),
+		LeaseUS: int64(timing.Lease), HomeSilentUS: int64(timing.HomeSilent), StrikeUS: int64(timing.Strike),
+		ShuffleUS: int64(timing.Shuffle), MendUS: int64(timing.Mend), NodeGoneUS: int64(timing.NodeGone), TickUS: int64(20 * kernel.Millisecond),
+		EngineSilenceUS: int64(spans.EngineSilence), DrainUS: int64(120 * kernel.Second), LameDuckUS: int64(kernel.Second),
 	}
 }
 
 // Timing gives the control plane's spans.
-func (s Settings) Timing() flyloft.Timing {
-	timing := flyloft.DefaultTiming()
-	timing.Pulse, timing.ElectionLow, timing.ElectionHigh = house.Micros(s.PulseUS), house.Micros(s.ElectionLowUS), house.Micros(s.ElectionHighUS)
-	timing.DiskStall, timing.Replace, timing.Ask = house.Micros(s.DiskStallUS), house.Micros(s.ReplaceUS), house.Micros(s.AskUS)
-	timing.Shuffle, timing.Mend, timing.NodeGone, timing.Tick = house.Micros(s.ShuffleUS), house.Micros(s.MendUS), house.Micros(s.NodeGoneUS), house.Micros(s.TickUS)
-	timing.Licence, timing.HomeSilent, timing.Strike = house.Micros(s.LicenceUS), house.Micros(s.HomeSilentUS), house.Micros(s.StrikeUS)
+func (s Settings) Timing() control.Timing {
+	timing := control.DefaultTiming()
+	timing.Heartbeat, timing.ElectionLow, timing.ElectionHigh = kernel.Micros(s.HeartbeatUS), kernel.Micros(s.ElectionLowUS), kernel.Micros(s.ElectionHighUS)
+	timing.DiskStall, timing.Replace, timing.Ask = kernel.Micros(s.DiskStallUS), kernel.Micros(s.ReplaceUS), kernel.Micros(s.AskUS)
+	timing.Shuffle, timing.Mend, timing.NodeGone, timing.Tick = kernel.Micros(s.ShuffleUS), kernel.Micros(s.MendUS), kernel.Micros(s.NodeGoneUS), kernel.Micros(s.TickUS)
+	timing.Lease, timing.HomeSilent, timing.Strike = kernel.Micros(s.LeaseUS), kernel.Micros(s.HomeSilentUS), kernel.Micros(s.StrikeUS)
 	return timing
 }
 
 // Spans gives the data plane's spans.
-func (s Settings) Spans() auditorium.Spans {
-	spans := auditorium.DefaultSpans()
-	spans.EngineSilence = house.Micros(s.EngineSilenceUS)
+func (s Settings) Spans() relay.Spans {
+	spans := relay.DefaultSpans()
+	spans.EngineSilence = kernel.Micros(s.EngineSilenceUS)
 	return spans
 }
 
-// SettingsBreakdown says that the settings could not be read.
-type SettingsBreakdown struct {
+// SettingsError says that the settings could not be read.
+type SettingsError struct {
 	What  string
 	Cause error
 }
 
-func (b SettingsBreakdown) Error() string { return fmt.Sprintf("%s: %v", b.What, b.Cause) }
+func (b SettingsError) Error() string { return fmt.Sprintf("%s: %v", b.What, b.Cause) }
 
 // Unwrap gives the cause.
-func (b SettingsBreakdown) Unwrap() error { return b.Cause }
+func (b SettingsError) Unwrap() error { return b.Cause }
 
 // ReadSettings reads flags and the file that they may name, and checks all of it.
 func ReadSettings(program string, words []string) (Settings, error) {
 	parse := func(into *Settings) error {
 		parser, err := arg.NewParser(arg.Config{Program: program}, into)
 		if err != nil {
-			return SettingsBreakdown{"flags", err}
+			return SettingsError{"flags", err}
 		}
 		err = parser.Parse(words)
 		if errors.Is(err, arg.ErrHelp) {
@@ -122,7 +122,7 @@
 			os.Exit(0)
 		}
 		if err != nil {
-			return SettingsBreakdown{"flags", err}
+			return SettingsError{"flags", err}
 		}
 		return nil
 	}
@@ -135,15 +135,15 @@
 		fromFile := DefaultSettings()
 		content, err := os.ReadFile(settings.File)
 		if err != nil {
-			return settings, SettingsBreakdown{"settings file", err}
+			return settings, SettingsError{"settings file", err}
 		}
 		decoder := json.NewDecoder(bytes.NewReader(content))
 		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&fromFile); err != nil {
-			return settings, SettingsBreakdown{"settings file " + settings.File, err}
+			return settings, SettingsError{"settings file " + settings.File, err}
 		}
 		if _, err := decoder.Token(); err != io.EOF {
-			return settings, SettingsBreakdown{"settings file " + settings.File, BreakdownTrailing{}}
+			return settings, SettingsError{"settings file " + settings.File, TrailingError{}}
 		}
 		if err := parse(&fromFile); err != nil {
 			return settings, err
@@ -153,14 +153,14 @@
 	return settings, nil
 }
 
-// BreakdownTrailing says that a file goes on after its one JSON value.
-type BreakdownTrailing struct{}
+// TrailingError says that a file goes on after its one JSON value.
+type TrailingError struct{}
 
-func (BreakdownTrailing) Error() string { return "there is more after the JSON value" }
+func (TrailingError) Error() string { return "there is more after the JSON value" }
 
 // Check names every fault of the settings at once.
-func (s Settings) Check(isPrompter bool) error {
-	faults := &playbill.Faults{}
+func (s Settings) Check(isController bool) error {
+	faults := &fleetconfig.Faults{}
 	checkAddress := func(name, address string) {
 		if parsed, err := netip.ParseAddrPort(address); err != nil {
 			faults.Add(name, "%q is not an IP and port", address)
@@ -193,11 +193,11 @@
 		}
 		known[seed] = true
 	}
-	if !isPrompter && s.Data != "" {
-		faults.Add("data", "a router keeps nothing on disk; only prompter and playhouse take a data folder")
+	if !isController && s.Data != "" {
+		faults.Add("data", "a router keeps nothing on disk; only controller and node take a data folder")
 	}
-	if isPrompter && known[s.Peer] && s.Data == "" && !isAnnounced {
-		faults.Add("data", "a prompter that is a seed is a founder and needs a data folder")
+	if isController && known[s.Peer] && s.Data == "" && !isAnnounced {
+		faults.Add("data", "a controller that is a seed is a founder and needs a data folder")
 	}
 	if s.Platform != "" {
 		if parsed, err := url.Parse(s.Platform); err != nil || parsed.Scheme != "http" || parsed.Host == "" {
@@ -207,7 +207,7 @@
 	for _, bound := range []struct {
 		name             string
 		value, low, high int
-	}{{"channels", s.Channels, 16, 1 << 20}, {"live", s.Live, 1, 1 << 20}, {"bodies_mb", s.BodiesMB, 8, 1 << 20}, {"journal_mb", s.JournalMB, 0, 1 << 14}, {"archive_mb", s.ArchiveMB, 0, 1 << 16}} {
+	}{{"channels", s.Connections, 16, 1 << 20}, {"live", s.Live, 1, 1 << 20}, {"bodies_mb", s.BodiesMB, 8, 1 << 20}, {"journal_mb", s.JournalMB, 0, 1 << 14}, {"archive_mb", s.ArchiveMB, 0, 1 << 16}} {
 		if bound.value < bound.low || bound.value > bound.high {
 			faults.Add(bound.name, "%d is not from %d to %d", bound.value, bound.low, bound.high)
 		}
@@ -221,19 +221,19 @@
 }
 
 // checkSpans holds the spans against the rules that they keep together.
-func (s Settings) checkSpans(faults *playbill.Faults) {
+func (s Settings) checkSpans(faults *fleetconfig.Faults) {
 	checkRange := func(name string, value, low, high int64) {
 		if value < low || value > high {
 			faults.Add(name, "%d is not from %d to %d", value, low, high)
 		}
 	}
-	// A licence of two seconds would leave no margin under the rule's two seconds.
-	checkRange("licence_us", s.LicenceUS, 300_000, 1_900_000)
-	checkRange("pulse_us", s.PulseUS, 20_000, 1_000_000)
+	// A lease of two seconds would leave no margin under the rule's two seconds.
+	checkRange("licence_us", s.LeaseUS, 300_000, 1_900_000)
+	checkRange("pulse_us", s.HeartbeatUS, 20_000, 1_000_000)
 	checkRange("election_high_us", s.ElectionHighUS, 100_000, 3_000_000)
 	checkRange("disk_stall_us", s.DiskStallUS, 100_000, 3_000_000)
 	// Where members come back empty and soon, a lost one is better replaced early: what is
-	// dropped in error comes back as a standby, at the cost of two generations.
+	// dropped in error comes back as a standby, at the cost of two revisions.
 	lowReplace, elections := int64(3_000_000), int64(3)
 	if s.Voters > 0 {
 		lowReplace, elections = 2_000_000, 2
@@ -248,11 +248,11 @@
 	checkRange("engine_silence_us", s.EngineSilenceUS, 100_000, 600_000_000)
 	checkRange("drain_us", s.DrainUS, 0, 3_600_000_000)
 	checkRange("lame_duck_us", s.LameDuckUS, 0, 60_000_000)
-	if s.AskUS < 50_000 || s.AskUS*4 > s.LicenceUS && s.ServeOnUS != alwaysUS || s.AskUS > 1_000_000 {
-		faults.Add("ask_us", "%d has to be at least 50000 and four asks have to fit into the licence of %d", s.AskUS, s.LicenceUS)
+	if s.AskUS < 50_000 || s.AskUS*4 > s.LeaseUS && s.ServeOnUS != alwaysUS || s.AskUS > 1_000_000 {
+		faults.Add("ask_us", "%d has to be at least 50000 and four asks have to fit into the licence of %d", s.AskUS, s.LeaseUS)
 	}
-	if s.ElectionLowUS < 4*s.PulseUS {
-		faults.Add("election_low_us", "%d has to hold at least four pulses of %d", s.ElectionLowUS, s.PulseUS)
+	if s.ElectionLowUS < 4*s.HeartbeatUS {
+		faults.Add("election_low_us", "%d has to hold at least four pulses of %d", s.ElectionLowUS, s.HeartbeatUS)
 	}
 	if s.ElectionHighUS <= s.ElectionLowUS {
 		faults.Add("election_high_us", "%d has to be above election_low_us of %d", s.ElectionHighUS, s.ElectionLowUS)
--- a/traproom/callers.go
+++ b/simulator/callers.go
@@ -1,12 +1,12 @@
-package traproom
+package simulator
 
 import (
 	"encoding/json"
 	"slices"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/critic"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // callKind is a shape of requests that callers send.
@@ -19,7 +19,7 @@
 }
 
 // dayKinds are those of a day: long prompts, short questions, and streams that are
-// held open for so long that stops, specs and freezes fall into them.
+// held open for so long that stops, configurations and freezes fall into them.
 var dayKinds = []callKind{
 	{name: "log", weight: 45, tailLow: 100, tailHigh: 600, outLow: 20, outHigh: 160, hangsUpPercent: 2},
 	{name: "quote", weight: 50, tailLow: 5, tailHigh: 80, outLow: 5, outHigh: 60, hangsUpPercent: 1},
@@ -31,7 +31,7 @@
 type callers struct {
 	begun, served int
 	ready         map[string][]*machine
-	looked        house.Micros
+	looked        kernel.Micros
 	kept          map[string][]*machine // by zone
 }
 
@@ -44,18 +44,18 @@
 	zone         string
 	hot          float64
 	tries        int
-	hangsUpAfter house.Micros
+	hangsUpAfter kernel.Micros
 }
 
 func (w *World) newCaller(hot float64) *caller {
 	w.callers.begun++
 	by := &caller{world: w, zone: w.anyZone(), hot: hot}
 	total := 0
-	for _, kind := range w.knobs.Kinds {
+	for _, kind := range w.options.Kinds {
 		total += kind.weight
 	}
 	at := w.random.IntN(total)
-	for _, kind := range w.knobs.Kinds {
+	for _, kind := range w.options.Kinds {
 		if by.kind = kind; at < kind.weight {
 			break
 		}
@@ -74,12 +74,12 @@
 }
 
 // heard ends a try; who was told to come back does, twice.
-func (by *caller) heard(outcome critic.Outcome) {
+func (by *caller) heard(outcome checker.Outcome) {
 	w := by.world
 	switch outcome {
-	case critic.Served:
+	case checker.Served:
 		w.callers.served++
-	case critic.NotRun, critic.Unreached:
+	case checker.NotRun, checker.Unreached:
 		if by.tries < 3 {
 			w.in(sec+w.between(0, 200*ms), by.call)
 		}
@@ -127,7 +127,7 @@
 // serves tells whether a router would take requests now.
 func (m *machine) serves() bool {
 	state := m.node.State(nil)
-	return m.clock() < state.Until && state.Document.SpecGeneration > 0 && len(state.Engines) > 0
+	return m.clock() < state.Until && state.Document.ConfigRevision > 0 && len(state.Engines) > 0
 }
 
 // probeAll sends one short request of each kind to each node, so that what is judged
@@ -137,7 +137,7 @@
 		if m.isGone {
 			continue
 		}
-		for _, kind := range w.knobs.Kinds {
+		for _, kind := range w.options.Kinds {
 			kind.outLow, kind.outHigh = 20, 40
 			w.send(m, 0, &caller{world: w, kind: kind, zone: m.identity.Zone, tries: 3})
 		}
@@ -156,13 +156,13 @@
 		if c.engine != nil && c.engine.start == c.start {
 			c.engine.release(c)
 		}
-		c.router.desk.Close(c.router.clock(), c.call, auditorium.CallerGone, "")
-		c.end(critic.HungUp, "")
+		c.router.dispatcher.Close(c.router.clock(), c.call, relay.CallerGone, "")
+		c.end(checker.HungUp, "")
 	})
 }
 
-// poolsOf names the pools that a spec lets requests go to.
-func poolsOf(spec []byte) []string {
+// poolsOf names the pools that a configuration lets requests go to.
+func poolsOf(config []byte) []string {
 	var read struct {
 		Bindings []struct {
 			Shares []struct {
@@ -171,8 +171,8 @@
 		} `json:"bindings"`
 	}
 	pools := []string{}
-	if err := json.Unmarshal(spec, &read); err != nil {
-		return pools // a spec with faults permits nothing
+	if err := json.Unmarshal(config, &read); err != nil {
+		return pools // a configuration with faults permits nothing
 	}
 	for _, binding := range read.Bindings {
 		for _, share := range binding.Shares {
--- a/traproom/contract_test.go
+++ b/simulator/contract_test.go
@@ -1,25 +1,25 @@
-package traproom
+package simulator
 
 import (
 	"testing"
 
 	"dunlinloom/contracts"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
 )
 
 func TestTheSimulatedDiskKeepsTheContracts(t *testing.T) {
-	open := func(*testing.T) house.Folder { return newDisk() }
+	open := func(*testing.T) kernel.Folder { return newDisk() }
 	contracts.Folder(t, open)
-	contracts.Store(t, open, func(folder house.Folder, steps int) { folder.(*disk).cutAfter(steps) })
+	contracts.Store(t, open, func(folder kernel.Folder, steps int) { folder.(*disk).cutAfter(steps) })
 }
 
 func TestTheSimulatedNetworkKeepsTheContract(t *testing.T) {
 	contracts.Transport(t, func(*testing.T) contracts.Link {
 		w := WorldOf(1, "cronometro")
 		from, to := w.machines[3], w.machines[4]
-		got := []flyloft.Envelope{}
-		to.deliver = func(envelope flyloft.Envelope) {
+		got := []control.Envelope{}
+		to.deliver = func(envelope control.Envelope) {
 			// The fleet's own messages go on beside those of the test.
 			if envelope.From == from.identity.Address && envelope.Fleet == "fleet" {
 				got = append(got, envelope)
@@ -27,8 +27,8 @@
 		}
 		return contracts.Link{
 			From: from.identity.Address, To: to.identity.Address, Nowhere: "10.0.99.99:1",
-			Send:    func(envelope flyloft.Envelope) { w.post(from, envelope) },
-			Arrived: func(int) []flyloft.Envelope { w.Run(sec); return got },
+			Send:    func(envelope control.Envelope) { w.post(from, envelope) },
+			Arrived: func(int) []control.Envelope { w.Run(sec); return got },
 		}
 	})
 }
