--- a/traproom/core_test.go
+++ b/simulator/core_test.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"errors"
@@ -6,9 +6,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/critic"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
 )
 
 func (w *World) votes(m *machine) bool {
@@ -21,7 +21,7 @@
 }
 
 // await runs until a condition holds, and fails when it does not in time.
-func (w *World) await(c *qt.C, what string, most house.Micros, isMet func() bool) house.Micros {
+func (w *World) await(c *qt.C, what string, most kernel.Micros, isMet func() bool) kernel.Micros {
 	c.Helper()
 	for begun := w.now; w.now-begun <= most; w.Run(50 * ms) {
 		if isMet() {
@@ -32,19 +32,19 @@
 	return 0
 }
 
-// acknowledge puts a spec and waits for its yes.
-func (w *World) acknowledge(c *qt.C, what string, most house.Micros) {
+// acknowledge puts a configuration and waits for its yes.
+func (w *World) acknowledge(c *qt.C, what string, most kernel.Micros) {
 	c.Helper()
 	yes := w.operator.Yes
-	w.operator.putSpec(nil)
+	w.operator.putConfig(nil)
 	w.await(c, what, most, func() bool { return w.operator.Yes > yes })
 }
 
 // servedBetween counts requests that were sent and served within a span.
-func (w *World) servedBetween(from, to house.Micros) int {
+func (w *World) servedBetween(from, to kernel.Micros) int {
 	count := 0
 	for _, event := range w.events {
-		if event.What == critic.CallEnded && event.Outcome == critic.Served && event.Began >= from && event.Began < to {
+		if event.What == checker.CallEnded && event.Outcome == checker.Served && event.Began >= from && event.Began < to {
 			count++
 		}
 	}
@@ -121,7 +121,7 @@
 	leader := w.leader()
 	leader.disk.isStall = true
 	yes := w.operator.Yes
-	w.operator.putSpec(nil)
+	w.operator.putConfig(nil)
 	w.await(c, "another leader and a yes", 8*sec, func() bool { return w.operator.Yes > yes && w.leader() != leader })
 	leader.disk.isStall = false
 	finish(c, w)
@@ -134,7 +134,7 @@
 		m.disk.isFull = true
 	}
 	begun, yes := w.now, w.operator.Yes
-	w.operator.putSpec(nil)
+	w.operator.putConfig(nil)
 	w.Run(15 * sec)
 	c.Assert(w.operator.Yes, qt.Equals, yes)
 	ailing := 0
@@ -169,7 +169,7 @@
 }
 
 // With the core and half of the routers gone there is no majority of any kind, and
-// the rest has to stop: it can't know of a spec acknowledged on the other side.
+// the rest has to stop: it can't know of a configuration acknowledged on the other side.
 func TestAMinorityOfRoutersStopsServingInTime(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 17)
@@ -190,7 +190,7 @@
 	w := openWorld(c, "qurum", 18)
 	yes := w.operator.Yes
 	w.operator.empty("z3", 60*sec)
-	w.operator.putSpec(nil)
+	w.operator.putConfig(nil)
 	w.await(c, "both orders", 8*sec, func() bool { return w.operator.Yes == yes+2 })
 	before := w.newest()
 	for _, m := range w.machines {
@@ -202,8 +202,8 @@
 	}
 	w.await(c, "every router serves", 12*sec, func() bool { return w.ready() == len(w.machines) })
 	after := w.newest()
-	c.Assert(after.Evacuated, qt.DeepEquals, before.Evacuated)
-	c.Assert(string(after.Spec), qt.Equals, string(before.Spec))
+	c.Assert(after.Drained, qt.DeepEquals, before.Drained)
+	c.Assert(string(after.Config), qt.Equals, string(before.Config))
 	finish(c, w)
 }
 
@@ -229,7 +229,7 @@
 	missing.boot()
 	w.await(c, "the founding", 8*sec, func() bool { return w.newest() != nil })
 	c.Assert(w.newest().Voters, qt.HasLen, 3)
-	w.operator.putSpec(nil)
+	w.operator.putConfig(nil)
 	w.await(c, "every router serves", 12*sec, func() bool { return w.ready() == len(w.machines) })
 }
 
@@ -256,20 +256,20 @@
 	c.Assert(w.wrongs, qt.HasLen, 0)
 }
 
-func TestAMemberOfAnotherFleetIsDeclined(t *testing.T) {
+func TestAMemberOfAnotherFleetIsRejected(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 22)
 	target := w.leader()
 	before := len(w.newest().Voters)
-	for _, stray := range []flyloft.Envelope{
-		{Fleet: "another", From: "10.9.9.9:1", To: target.identity.Address, Message: flyloft.Message{VoteAsk: &flyloft.VoteAsk{
-			Term: 1000, Candidate: flyloft.Member{ID: "x", Address: "10.9.9.9:1"}, Voter: target.store.Member(), IsNamed: true, Newest: flyloft.Stamp{Term: 999, Generation: 999}}}},
-		{Fleet: "sim", Founding: "someone else's", From: "10.9.9.9:1", To: target.identity.Address, Message: flyloft.Message{Join: &flyloft.Join{
-			Member: flyloft.Member{ID: "y", Address: "10.9.9.9:1", Zone: "z9"}, HasFolder: true}}},
+	for _, stray := range []control.Envelope{
+		{Fleet: "another", From: "10.9.9.9:1", To: target.identity.Address, Message: control.Message{VoteAsk: &control.VoteAsk{
+			Term: 1000, Candidate: control.Member{ID: "x", Address: "10.9.9.9:1"}, Voter: target.store.Member(), IsNamed: true, Newest: control.Stamp{Term: 999, Revision: 999}}}},
+		{Fleet: "sim", Founding: "someone else's", From: "10.9.9.9:1", To: target.identity.Address, Message: control.Message{Join: &control.Join{
+			Member: control.Member{ID: "y", Address: "10.9.9.9:1", Zone: "z9"}, HasFolder: true}}},
 	} {
 		target.carry(target.node.Deliver(target.clock(), stray))
 	}
-	entries := target.journal.Read("flyloft", "node 10.9.9.9:1", 0)
+	entries := target.journal.Read("control", "node 10.9.9.9:1", 0)
 	c.Assert(entries, qt.HasLen, 1) // the second comes within the span in which one note is enough
 	c.Assert(entries[0].Decision, qt.Equals, "decline message")
 	c.Assert(target.node.State(nil).IsLeader, qt.IsTrue)
@@ -306,50 +306,50 @@
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 24)
 	m := w.machines[5]
-	spec := w.nextSpec()
-	ends := []flyloft.SubmitReceipt{}
-	submit := func(order flyloft.Order) {
-		m.receipts["late"] = func(receipt flyloft.SubmitReceipt) { ends = append(ends, receipt) }
-		m.carry(m.node.Submit(m.clock(), &flyloft.Submit{ID: "late", Order: order, Spec: spec}))
+	config := w.nextConfig()
+	ends := []control.SubmitReply{}
+	submit := func(order control.Order) {
+		m.replies["late"] = func(reply control.SubmitReply) { ends = append(ends, reply) }
+		m.carry(m.node.Submit(m.clock(), &control.Submit{ID: "late", Order: order, Config: config}))
 		w.Run(3 * sec)
 	}
-	submit(flyloft.Fence)
-	submit(flyloft.PutSpec)
+	submit(control.Fence)
+	submit(control.PutConfig)
 	c.Assert(ends, qt.HasLen, 2)
 	for _, end := range ends {
-		c.Assert(end.Outcome, qt.Equals, flyloft.No)
+		c.Assert(end.Outcome, qt.Equals, control.No)
 		c.Assert(end.Reason, qt.Equals, "fenced")
 	}
-	c.Assert(string(w.newest().Spec), qt.Not(qt.Equals), string(spec))
+	c.Assert(string(w.newest().Config), qt.Not(qt.Equals), string(config))
 	finish(c, w)
 }
 
 func TestRepeatsClashesAndReusedIDs(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 25)
-	send := func(at int, submit flyloft.Submit) flyloft.SubmitReceipt {
+	send := func(at int, submit control.Submit) control.SubmitReply {
 		m := w.machines[at]
-		var end *flyloft.SubmitReceipt
-		m.receipts[submit.ID] = func(receipt flyloft.SubmitReceipt) { end = &receipt }
+		var end *control.SubmitReply
+		m.replies[submit.ID] = func(reply control.SubmitReply) { end = &reply }
 		m.carry(m.node.Submit(m.clock(), &submit))
 		w.await(c, "a receipt", 8*sec, func() bool { return end != nil })
 		return *end
 	}
-	base := w.newest().SpecGeneration
-	one, two := w.nextSpec(), w.nextSpec()
-	w.take(critic.Event{What: critic.SpecSent, ID: "one", Digest: string(one), Pools: poolsOf(one)})
-	first := send(4, flyloft.Submit{ID: "one", Order: flyloft.PutSpec, Spec: one, Base: &base})
-	c.Assert(first.Outcome, qt.Equals, flyloft.Yes)
-	again := send(9, flyloft.Submit{ID: "one", Order: flyloft.PutSpec, Spec: one, Base: &base})
+	base := w.newest().ConfigRevision
+	one, two := w.nextConfig(), w.nextConfig()
+	w.take(checker.Event{What: checker.ConfigSent, ID: "one", Digest: string(one), Pools: poolsOf(one)})
+	first := send(4, control.Submit{ID: "one", Order: control.PutConfig, Config: one, Base: &base})
+	c.Assert(first.Outcome, qt.Equals, control.Yes)
+	again := send(9, control.Submit{ID: "one", Order: control.PutConfig, Config: one, Base: &base})
 	c.Assert(again, qt.DeepEquals, first)
-	reused := send(2, flyloft.Submit{ID: "one", Order: flyloft.PutSpec, Spec: two})
+	reused := send(2, control.Submit{ID: "one", Order: control.PutConfig, Config: two})
 	c.Assert(reused.Reason, qt.Equals, "id_reused")
-	clash := send(7, flyloft.Submit{ID: "two", Order: flyloft.PutSpec, Spec: two, Base: &base})
-	c.Assert(clash.Outcome, qt.Equals, flyloft.No)
+	clash := send(7, control.Submit{ID: "two", Order: control.PutConfig, Config: two, Base: &base})
+	c.Assert(clash.Outcome, qt.Equals, control.No)
 	c.Assert(clash.Reason, qt.Equals, "clash")
-	bad := send(7, flyloft.Submit{ID: "bad", Order: flyloft.PutSpec, Spec: []byte(`{"bindings":3}`)})
+	bad := send(7, control.Submit{ID: "bad", Order: control.PutConfig, Config: []byte(`{"bindings":3}`)})
 	c.Assert(bad.Reason, qt.Equals, "invalid_spec")
-	c.Assert(string(w.newest().Spec), qt.Equals, string(one))
+	c.Assert(string(w.newest().Config), qt.Equals, string(one))
 	finish(c, w)
 }
 
@@ -444,14 +444,14 @@
 	leader := w.leader()
 	one := []*machine{leader}
 	w.cut(one, w.others(one), false, 8*sec)
-	w.Run(flyloft.DefaultTiming().Licence + 100*ms)
+	w.Run(control.DefaultTiming().Lease + 100*ms)
 	c.Assert(leader.clock() >= leader.node.State(nil).Until, qt.IsTrue)
 	w.Run(8 * sec)
 	finish(c, w)
 }
 
 // A restarted router has forgotten what it applied. While the core is dark its word
-// must not help an old generation past a newer one that it had helped to a yes, nor
+// must not help an old revision past a newer one that it had helped to a yes, nor
 // may it serve by the others' word: it may itself have served under a newer one.
 func TestARestartedRouterWaitsForTheLeader(t *testing.T) {
 	c := qt.New(t)
@@ -475,7 +475,7 @@
 	finish(c, w)
 }
 
-// Seed 5041 of the search: a generation that only the core's own routers had applied
+// Seed 5041 of the search: a revision that only the core's own routers had applied
 // when all of them were killed. Back before the core agreed again, they were vouched
 // for by routers that never had it, and went on under the one before.
 func TestNobodySlipsBackOverARestart(t *testing.T) {
@@ -487,9 +487,9 @@
 	w.cut(core, rest, false, 1500*ms)
 	w.Run(300 * ms)
 	w.operator.at = w.leader()
-	before := w.newest().Generation
-	w.operator.putSpec(nil)
-	w.await(c, "a generation that only the core has", 1500*ms, func() bool { return w.newest().Generation > before })
+	before := w.newest().Revision
+	w.operator.putConfig(nil)
+	w.await(c, "a generation that only the core has", 1500*ms, func() bool { return w.newest().Revision > before })
 	w.Run(300 * ms)
 	for _, m := range core {
 		m.halt()
@@ -508,14 +508,14 @@
 	finish(c, w)
 }
 
-// A spec of thousands of bindings reaches everyone under the same rules.
-func TestALargeSpecKeepsTheRules(t *testing.T) {
+// A configuration of thousands of bindings reaches everyone under the same rules.
+func TestALargeConfigKeepsTheRules(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 45)
-	spec := largeSpec(4000, "p0", "p1")
+	config := largeConfig(4000, "p0", "p1")
 	yes := w.operator.Yes
-	w.operator.order(flyloft.Submit{Order: flyloft.PutSpec, Spec: spec}, func(receipt flyloft.SubmitReceipt) {
-		w.take(critic.Event{What: critic.SpecYes, ID: receipt.ID, Generation: receipt.Generation, Digest: string(spec)})
+	w.operator.order(control.Submit{Order: control.PutConfig, Config: config}, func(reply control.SubmitReply) {
+		w.take(checker.Event{What: checker.ConfigYes, ID: reply.ID, Revision: reply.Revision, Digest: string(config)})
 	})
 	w.await(c, "a yes", 8*sec, func() bool { return w.operator.Yes > yes })
 	w.leader().halt()
@@ -523,31 +523,31 @@
 	finish(c, w)
 }
 
-// A router that takes seconds to compile a spec neither serves under the old one past its
-// licence nor says that it has applied the new one; and a leader keeps its lead over it.
+// A router that takes seconds to compile a configuration neither serves under the old one past its
+// lease nor says that it has applied the new one; and a leader keeps its lead over it.
 func TestASpecIsAppliedOnlyOnceItIsCompiled(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 48)
 	w.Traffic(60, 20*sec, 0)
 	leader, slow := w.leader(), w.machines[8]
 	leader.compileSlow, slow.compileSlow = 3*sec, 5*sec
-	before := slow.node.State(nil).Document.Generation
+	before := slow.node.State(nil).Document.Revision
 	// The leader is the slowest of the core to compile, and yet answers and leads on.
 	w.acknowledge(c, "a yes by the majority that has compiled it", 8*sec)
 	c.Assert(w.leader(), qt.Equals, leader)
-	c.Assert(slow.node.State(nil).Document.Generation, qt.Equals, before)
+	c.Assert(slow.node.State(nil).Document.Revision, qt.Equals, before)
 	w.Run(2 * sec)
 	c.Assert(slow.clock() >= slow.node.State(nil).Until, qt.IsTrue)
 	w.await(c, "the slow router serves under the new spec", 6*sec, func() bool { return slow.serves() })
-	c.Assert(slow.node.State(nil).Document.Generation > before, qt.IsTrue)
+	c.Assert(slow.node.State(nil).Document.Revision > before, qt.IsTrue)
 	c.Assert(w.leader(), qt.Equals, leader)
 	w.Run(3 * sec)
 	finish(c, w)
 }
 
-// A storm of large specs, half a second to compile on every node, on slow disks: the
+// A storm of large configurations, half a second to compile on every node, on slow disks: the
 // leader leads on, each order gets its yes, and nothing is served under an old one.
-func TestAStormOfLargeSpecsCostsNoLeader(t *testing.T) {
+func TestAStormOfLargeConfigsCostsNoLeader(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 51)
 	w.Traffic(40, 40*sec, 0)
@@ -559,9 +559,9 @@
 	}
 	leader, yes, stepped := w.leader(), w.operator.Yes, w.Tally["core step down"]
 	for i := range 6 {
-		spec := largeSpec(1500+i, "p0", "p1", "p2")
-		w.operator.order(flyloft.Submit{Order: flyloft.PutSpec, Spec: spec}, func(receipt flyloft.SubmitReceipt) {
-			w.take(critic.Event{What: critic.SpecYes, ID: receipt.ID, Generation: receipt.Generation, Digest: string(spec)})
+		config := largeConfig(1500+i, "p0", "p1", "p2")
+		w.operator.order(control.Submit{Order: control.PutConfig, Config: config}, func(reply control.SubmitReply) {
+			w.take(checker.Event{What: checker.ConfigYes, ID: reply.ID, Revision: reply.Revision, Digest: string(config)})
 		})
 	}
 	w.await(c, "a yes to each", 40*sec, func() bool { return w.operator.Yes == yes+6 })
@@ -575,7 +575,7 @@
 }
 
 // Storm seeds 107, 118 and 232: each member that joined empty held only what came
-// since, so the last copy of an older spec went with the last old disk.
+// since, so the last copy of an older configuration went with the last old disk.
 func TestThePastOutlivesDisksLostOneAfterAnother(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 46)
@@ -588,12 +588,12 @@
 		victim.boot()
 		w.await(c, "the emptied member votes again", 25*sec, func() bool { return w.votes(victim) && len(w.newest().Voters) == 3 })
 	}
-	// Every disk is a new one by now; all five specs have to be read back.
+	// Every disk is a new one by now; all five configurations have to be read back.
 	review := finish(c, w)
-	c.Assert(len(review.Breaches), qt.Equals, 0)
+	c.Assert(len(review.Violations), qt.Equals, 0)
 	read := 0
 	for _, event := range w.events {
-		if event.What == critic.SpecRead {
+		if event.What == checker.ConfigRead {
 			read++
 		}
 	}
@@ -601,15 +601,15 @@
 }
 
 // rebuild has an operator found the core anew from a machine's folder, the process being down.
-func (w *World) rebuild(c *qt.C, m *machine, witnesses ...flyloft.Witness) error {
-	survivor, err := flyloft.LookAt(m.disk)
+func (w *World) rebuild(c *qt.C, m *machine, witnesses ...control.Witness) error {
+	survivor, err := control.LookAt(m.disk)
 	c.Assert(err, qt.IsNil)
 	if err := survivor.Judge(witnesses); err != nil {
 		return err
 	}
-	self := flyloft.Member{ID: flyloft.MemberID("rebuilt-" + m.name), Address: m.identity.Address, Zone: m.identity.Zone}
+	self := control.Member{ID: control.MemberID("rebuilt-" + m.name), Address: m.identity.Address, Zone: m.identity.Zone}
 	document := survivor.Rebuild(self, "founding of "+m.name)
-	c.Assert(flyloft.WriteRebuilt(m.disk, survivor.Fleet, document), qt.IsNil)
+	c.Assert(control.WriteRebuilt(m.disk, survivor.Fleet, document), qt.IsNil)
 	return nil
 }
 
@@ -636,20 +636,20 @@
 	for _, m := range lost {
 		m.disk.files = map[string][]byte{}
 	}
-	// While a majority of the folders is there it is declined, and so it is when another
+	// While a majority of the folders is there it is rejected, and so it is when another
 	// was rebuilt already, or a better one is there.
 	founding := before.Founding
-	alive := flyloft.Witness{Address: "x", Member: before.Voters[0].ID, Founding: founding, Generation: before.Generation}
-	for _, witness := range []flyloft.Witness{alive, {Address: "y", Founding: "another"}, {Address: "z", Member: "standby", Founding: founding, Generation: before.Generation + 3}} {
-		c.Assert(errors.As(w.rebuild(c, survivor, witness), new(flyloft.StillAlive)), qt.IsTrue)
+	alive := control.Witness{Address: "x", Member: before.Voters[0].ID, Founding: founding, Revision: before.Revision}
+	for _, witness := range []control.Witness{alive, {Address: "y", Founding: "another"}, {Address: "z", Member: "standby", Founding: founding, Revision: before.Revision + 3}} {
+		c.Assert(errors.As(w.rebuild(c, survivor, witness), new(control.StillAlive)), qt.IsTrue)
 	}
-	c.Assert(w.rebuild(c, survivor, flyloft.Witness{Address: "z", Member: "standby", Founding: founding, Generation: 1}), qt.IsNil)
+	c.Assert(w.rebuild(c, survivor, control.Witness{Address: "z", Member: "standby", Founding: founding, Revision: 1}), qt.IsNil)
 	w.truths = map[uint64]string{} // another founding counts anew, far above
 	survivor.boot()
 	// The routers of the old fleet still go on among themselves, so nothing may get a yes.
 	yes := w.operator.Yes
 	w.operator.at = survivor
-	w.operator.putSpec(nil)
+	w.operator.putConfig(nil)
 	w.Run(5 * sec)
 	c.Assert(w.operator.Yes, qt.Equals, yes)
 	c.Assert(w.ready() >= 9, qt.IsTrue)
@@ -660,8 +660,8 @@
 	w.await(c, "service and a yes under the new founding", 12*sec, func() bool { return w.operator.Yes > yes && w.ready() >= 10 })
 	after := w.newest()
 	c.Assert(after.Founding, qt.Not(qt.Equals), founding)
-	c.Assert(after.Generation > before.Generation+1000, qt.IsTrue)
-	c.Assert(after.Evacuated, qt.DeepEquals, before.Evacuated)
+	c.Assert(after.Revision > before.Revision+1000, qt.IsTrue)
+	c.Assert(after.Drained, qt.DeepEquals, before.Drained)
 	// Empty machines join and vote. An old voter that comes back with its folder speaks
 	// to nobody and serves nobody; it has to be emptied like the rest.
 	back := w.machines[1]
@@ -697,15 +697,15 @@
 		for name, content := range kept {
 			m.disk.files[name] = content
 		}
-		survivor, err := flyloft.LookAt(m.disk)
+		survivor, err := control.LookAt(m.disk)
 		c.Assert(err, qt.IsNil)
-		document := survivor.Rebuild(flyloft.Member{ID: "fresh", Address: m.identity.Address, Zone: m.identity.Zone}, "new")
+		document := survivor.Rebuild(control.Member{ID: "fresh", Address: m.identity.Address, Zone: m.identity.Zone}, "new")
 		m.disk.cutAfter(steps)
-		c.Assert(flyloft.WriteRebuilt(m.disk, survivor.Fleet, document), qt.IsNotNil)
+		c.Assert(control.WriteRebuilt(m.disk, survivor.Fleet, document), qt.IsNotNil)
 		m.disk.cutAfter(-1)
-		again, err := flyloft.LookAt(m.disk)
+		again, err := control.LookAt(m.disk)
 		c.Assert(err, qt.IsNil)
-		c.Assert(again.Document.Generation, qt.Equals, before.Generation)
+		c.Assert(again.Document.Revision, qt.Equals, before.Revision)
 		c.Assert(w.rebuild(c, m), qt.IsNil)
 	}
 }
--- a/traproom/data_test.go
+++ b/simulator/data_test.go
@@ -1,18 +1,18 @@
-package traproom
+package simulator
 
 import (
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/critic"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
 )
 
-func (w *World) outcomes(from house.Micros) map[critic.Outcome]int {
-	counts := map[critic.Outcome]int{}
+func (w *World) outcomes(from kernel.Micros) map[checker.Outcome]int {
+	counts := map[checker.Outcome]int{}
 	for _, event := range w.events {
-		if event.What == critic.CallEnded && event.Began >= from {
+		if event.What == checker.CallEnded && event.Began >= from {
 			counts[event.Outcome]++
 		}
 	}
@@ -30,7 +30,7 @@
 	ran := map[string]int{}
 	most, total := 0, 0
 	for _, event := range w.events {
-		if event.What == critic.RunBegan && event.At >= begun {
+		if event.What == checker.RunBegan && event.At >= begun {
 			ran[event.Engine]++
 			total++
 			most = max(most, ran[event.Engine])
@@ -44,7 +44,7 @@
 func TestAColdEngineIsNotFlooded(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 32)
-	w.knobs.Decode = 25 * ms // streams of seconds, so that they pile up
+	w.options.Decode = 25 * ms // streams of seconds, so that they pile up
 	for _, e := range w.engines[:9] {
 		e.halt()
 	}
@@ -68,10 +68,10 @@
 	begun := w.now
 	w.Run(10 * sec)
 	counts := w.outcomes(begun + 2*sec)
-	// Declined at once, with the promise that nothing ran, and none left hanging.
-	c.Assert(counts[critic.Served], qt.Equals, 0)
-	c.Assert(counts[critic.NotRun] > 50, qt.IsTrue, qt.Commentf("%v", counts))
-	c.Assert(counts[critic.MayHaveRun], qt.Equals, 0)
+	// Rejected at once, with the promise that nothing ran, and none left hanging.
+	c.Assert(counts[checker.Served], qt.Equals, 0)
+	c.Assert(counts[checker.NotRun] > 50, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(counts[checker.MayHaveRun], qt.Equals, 0)
 	for _, e := range w.engines {
 		e.boot()
 	}
@@ -94,7 +94,7 @@
 	w.Traffic(900, sec, 0)
 	w.Run(3 * sec)
 	w.take(w.repaired())
-	w.Run(critic.BriefBounds().Broken + 500*ms)
+	w.Run(checker.BriefBounds().Broken + 500*ms)
 	w.probeAll()
 	w.Run(sec)
 	finish(c, w)
@@ -107,7 +107,7 @@
 	w.Run(2 * sec)
 	dark := w.engines[4]
 	dark.isDark = true
-	w.take(critic.Event{What: critic.EngineFailed, Engine: dark.id})
+	w.take(checker.Event{What: checker.EngineFailed, Engine: dark.id})
 	w.Run(3 * sec)
 	for _, m := range w.machines {
 		for _, known := range m.node.State(nil).Engines {
@@ -120,7 +120,7 @@
 	begun := w.now
 	w.await(c, "it serves again", 10*sec, func() bool {
 		for _, event := range w.events {
-			if event.What == critic.RunBegan && event.Engine == dark.id && event.At > begun {
+			if event.What == checker.RunBegan && event.Engine == dark.id && event.At > begun {
 				return true
 			}
 		}
@@ -154,9 +154,9 @@
 		w.leave(m)
 	}
 	w.Run(15 * sec)
-	// The critic finds a request that a stop dropped; here there is not one torn at all.
+	// The checker finds a request that a stop dropped; here there is not one torn at all.
 	counts := w.outcomes(0)
-	c.Assert(counts[critic.Torn]+counts[critic.NoReceipt], qt.Equals, 0, qt.Commentf("%v", counts))
+	c.Assert(counts[checker.Torn]+counts[checker.NoAck], qt.Equals, 0, qt.Commentf("%v", counts))
 	finish(c, w)
 }
 
@@ -166,7 +166,7 @@
 	w.Traffic(120, 30*sec, 0)
 	w.Run(5 * sec) // the budget fills from first rounds alone
 	for i, e := range w.engines {
-		w.in(house.Micros(i)*sec, func() {
+		w.in(kernel.Micros(i)*sec, func() {
 			e.halt()
 			w.in(8*sec, e.boot)
 		})
@@ -209,6 +209,6 @@
 	w.Traffic(30, 10*sec, 0.3)
 	w.Run(15 * sec)
 	counts := w.outcomes(0)
-	c.Assert(counts[critic.Served] > 200, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(counts[checker.Served] > 200, qt.IsTrue, qt.Commentf("%v", counts))
 	finish(c, w)
 }
--- a/traproom/disk.go
+++ b/simulator/disk.go
@@ -1,12 +1,12 @@
-// Package traproom is the seeded simulator: the same owners as in the daemons,
+// Package simulator is the seeded simulator: the same owners as in the daemons,
 // in virtual time, on a network and on disks that fail on purpose.
-package traproom
+package simulator
 
 import (
 	"sort"
 	"strings"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // diskLost says that the power went before a step on the disk.
@@ -26,7 +26,7 @@
 	isFull   bool
 	stepsTo  int // steps until the power goes; negative: it does not
 	isStall  bool
-	slowness house.Micros
+	slowness kernel.Micros
 }
 
 func newDisk() *disk { return &disk{files: map[string][]byte{}, stepsTo: -1} }
@@ -36,7 +36,7 @@
 
 func (d *disk) step(name string) error {
 	if d.stepsTo == 0 {
-		return house.DiskBreakdown{Step: "reach", Name: name, Cause: diskLost{name}}
+		return kernel.DiskError{Step: "reach", Name: name, Cause: diskLost{name}}
 	}
 	if d.stepsTo > 0 {
 		d.stepsTo--
@@ -49,7 +49,7 @@
 		return err
 	}
 	if d.isFull {
-		return house.DiskBreakdown{Step: "write", Name: name, Cause: diskFull{name}}
+		return kernel.DiskError{Step: "write", Name: name, Cause: diskFull{name}}
 	}
 	d.files[name] = append([]byte(nil), content...)
 	return nil
@@ -58,7 +58,7 @@
 func (d *disk) Get(name string) ([]byte, error) {
 	content, isThere := d.files[name]
 	if !isThere {
-		return nil, house.MissingFile{Name: name}
+		return nil, kernel.MissingFile{Name: name}
 	}
 	return append([]byte(nil), content...), nil
 }
--- a/traproom/experiment/experiment.go
+++ b/simulator/experiment/experiment.go
@@ -16,37 +16,37 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"dunlinloom/critic"
-	"dunlinloom/house"
-	"dunlinloom/traproom"
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+	"dunlinloom/simulator"
 )
 
 // windows are the parts of a day in which latency is told.
 const windows = 24
 
 // longestFirst bounds the histograms: no caller waits longer.
-const longestFirst = 10 * 60 * int64(house.Second)
+const longestFirst = 10 * 60 * int64(kernel.Second)
 
 // Side is what one setting came to, over all seeds that were played.
 type Side struct {
-	Name     string
-	kinds    []string
-	goals    map[string]house.Micros
-	span     house.Micros
-	whole    map[string]*hdrhistogram.Histogram          // to the first piece, by kind
-	over     map[string][windows]*hdrhistogram.Histogram // the same, over the day
-	sent     map[string]int
-	inTime   map[string]int
-	shares   map[string][]float64 // in time, in percent, of each seed
-	refusals map[string]int
-	engines  []float64 // thousand tokens read and put out, the most loaded first
-	read     int
-	found    int
-	seeds    int
-	diverts  uint64
-	extras   int
-	opened   uint64
-	breaches int
+	Name       string
+	kinds      []string
+	goals      map[string]kernel.Micros
+	span       kernel.Micros
+	whole      map[string]*hdrhistogram.Histogram          // to the first piece, by kind
+	over       map[string][windows]*hdrhistogram.Histogram // the same, over the day
+	sent       map[string]int
+	inTime     map[string]int
+	shares     map[string][]float64 // in time, in percent, of each seed
+	refusals   map[string]int
+	engines    []float64 // thousand tokens read and put out, the most loaded first
+	read       int
+	found      int
+	seeds      int
+	diverts    uint64
+	extras     int
+	opened     uint64
+	violations int
 }
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestFirst, 3) }
@@ -60,8 +60,8 @@
 func (b lateFirst) Unwrap() error { return b.cause }
 
 // NewSide makes an empty side for a plan's kinds.
-func NewSide(name string, plan traproom.RoutedPlan) *Side {
-	s := &Side{Name: name, span: plan.Span, goals: map[string]house.Micros{}, whole: map[string]*hdrhistogram.Histogram{},
+func NewSide(name string, plan simulator.RoutedPlan) *Side {
+	s := &Side{Name: name, span: plan.Span, goals: map[string]kernel.Micros{}, whole: map[string]*hdrhistogram.Histogram{},
 		over: map[string][windows]*hdrhistogram.Histogram{}, sent: map[string]int{}, inTime: map[string]int{}, shares: map[string][]float64{}, refusals: map[string]int{}}
 	for _, kind := range plan.Deployment.Kinds {
 		name := kind.Route.Name
@@ -77,22 +77,22 @@
 }
 
 // Add counts one seed's run.
-func (s *Side) Add(outcome traproom.RoutedOutcome) error {
-	begun, sent, inTime := map[string]house.Micros{}, map[string]int{}, map[string]int{}
+func (s *Side) Add(outcome simulator.RoutedOutcome) error {
+	begun, sent, inTime := map[string]kernel.Micros{}, map[string]int{}, map[string]int{}
 	for _, event := range outcome.Events {
 		switch event.What {
-		case critic.TrySent:
+		case checker.TrySent:
 			begun[event.ID] = event.At
 			sent[event.Kind]++
-		case critic.TryOver:
-			if event.Ended != critic.Whole || event.FirstAt == 0 {
+		case checker.TryOver:
+			if event.Ended != checker.Whole || event.FirstAt == 0 {
 				continue
 			}
 			first := event.FirstAt - begun[event.ID]
 			if first <= s.goals[event.Kind] {
 				inTime[event.Kind]++
 			}
-			part := min(int(int64(begun[event.ID]-house.Second)*windows/int64(s.span)), windows-1)
+			part := min(int(int64(begun[event.ID]-kernel.Second)*windows/int64(s.span)), windows-1)
 			for _, histogram := range []*hdrhistogram.Histogram{s.whole[event.Kind], s.over[event.Kind][part]} {
 				if err := histogram.RecordValue(int64(first)); err != nil {
 					return lateFirst{err}
@@ -123,7 +123,7 @@
 	}
 	s.seeds++
 	s.diverts, s.opened = s.diverts+outcome.Diverts, s.opened+outcome.Opened
-	s.extras, s.breaches = s.extras+outcome.Review.Extras, s.breaches+len(outcome.Review.Breaches)
+	s.extras, s.violations = s.extras+outcome.Review.Extras, s.violations+len(outcome.Review.Violations)
 	return nil
 }
 
@@ -169,7 +169,7 @@
 
 func report(title, command string, sides [2]*Side) []byte {
 	var to bytes.Buffer
-	fmt.Fprintf(&to, "# %s\n\nMade by `%s`, in virtual time before the model engine of `understudy`; a machine's speed\ndoes not enter. Seeds on each side: %d. To be read as a trial: no real engine was measured.\n\n", title, command, sides[0].seeds)
+	fmt.Fprintf(&to, "# %s\n\nMade by `%s`, in virtual time before the model engine of `emulator`; a machine's speed\ndoes not enter. Seeds on each side: %d. To be read as a trial: no real engine was measured.\n\n", title, command, sides[0].seeds)
 	fmt.Fprintf(&to, "| figure | %s | %s |\n|---|---|---|\n", sides[0].Name, sides[1].Name)
 	row := func(name string, value func(*Side) string) {
 		fmt.Fprintf(&to, "| %s | %s | %s |\n", name, value(sides[0]), value(sides[1]))
@@ -203,7 +203,7 @@
 			row("refused: "+cause, func(s *Side) string { return fmt.Sprint(s.refusals[cause]) })
 		}
 	}
-	row("rules broken", func(s *Side) string { return fmt.Sprint(s.breaches) })
+	row("rules broken", func(s *Side) string { return fmt.Sprint(s.violations) })
 	to.WriteString("\n")
 	for _, kind := range sides[0].kinds {
 		fmt.Fprintf(&to, "![latency of %s over the day](latency-%s.svg)\n", kind, kind)
@@ -277,13 +277,13 @@
 }
 
 // Run plays a mix under two settings, each with so many seeds, and writes the report.
-func Run(virtual traproom.VirtualTime, mix traproom.Mix, variants [2]traproom.Variant, seed uint64, count int, span house.Micros, folder, command string) error {
+func Run(virtual simulator.VirtualTime, mix simulator.Mix, variants [2]simulator.Variant, seed uint64, count int, span kernel.Micros, folder, command string) error {
 	var sides [2]*Side
 	for i, variant := range variants {
 		sides[i] = NewSide(variant.Name, mix.Plan(variant, seed, span))
 		for more := range uint64(max(count, 1)) {
-			var outcome traproom.RoutedOutcome
-			if err := virtual.Run(variant.Name, func() { outcome = traproom.PlayRouted(mix.Plan(variant, seed+more, span)) }); err != nil {
+			var outcome simulator.RoutedOutcome
+			if err := virtual.Run(variant.Name, func() { outcome = simulator.PlayRouted(mix.Plan(variant, seed+more, span)) }); err != nil {
 				return err
 			}
 			if err := sides[i].Add(outcome); err != nil {
--- a/traproom/experiment/experiment_test.go
+++ b/simulator/experiment/experiment_test.go
@@ -9,24 +9,24 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
-	"dunlinloom/traproom"
+	"dunlinloom/kernel"
+	"dunlinloom/simulator"
 )
 
 const mixFile = "../../docs/measurements/mixes/reports-and-quotes.json"
 
 func TestAnExperimentIsWrittenWhole(t *testing.T) {
 	c := qt.New(t)
-	mix, err := traproom.ReadMix(mixFile)
+	mix, err := simulator.ReadMix(mixFile)
 	c.Assert(err, qt.IsNil)
 	var sides [2]*Side
 	for i, text := range []string{"load=0.5", "load=3,slots=2"} {
-		variant, err := traproom.ParseVariant(text)
+		variant, err := simulator.ParseVariant(text)
 		c.Assert(err, qt.IsNil)
-		plan := mix.Plan(variant, 1, 6*house.Second)
-		var outcome traproom.RoutedOutcome
-		synctest.Test(t, func(*testing.T) { outcome = traproom.PlayRouted(plan) })
-		c.Assert(outcome.Review.Breaches, qt.HasLen, 0)
+		plan := mix.Plan(variant, 1, 6*kernel.Second)
+		var outcome simulator.RoutedOutcome
+		synctest.Test(t, func(*testing.T) { outcome = simulator.PlayRouted(plan) })
+		c.Assert(outcome.Review.Violations, qt.HasLen, 0)
 		sides[i] = NewSide(text, plan)
 		c.Assert(sides[i].Add(outcome), qt.IsNil)
 	}
@@ -53,12 +53,12 @@
 	for text, why := range map[string]string{
 		"speed=2": "speed: is no setting; known are .*", "slots": "slots: needs a value above zero", "slots=-1": "slots=-1: needs a value above zero", "slots=NaN": ".*above zero",
 	} {
-		_, err := traproom.ParseVariant(text)
+		_, err := simulator.ParseVariant(text)
 		c.Check(err, qt.ErrorMatches, why)
 	}
 	path := filepath.Join(t.TempDir(), "mix.json")
 	c.Assert(os.WriteFile(path, []byte(`{"routers":1,"kinds":[{"name":"k"}]}`), 0o644), qt.IsNil)
-	_, err := traproom.ReadMix(path)
+	_, err := simulator.ReadMix(path)
 	c.Assert(err, qt.ErrorMatches, "(?s).*engines: has to be above zero.*")
 	c.Assert(err, qt.ErrorMatches, "(?s).*k per_second: has to be above zero.*")
 }
--- a/traproom/drama.go
+++ b/simulator/fault_plan.go
@@ -1,27 +1,27 @@
-package traproom
+package simulator
 
 import (
 	"fmt"
 
-	"dunlinloom/critic"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
 )
 
 // Plan says what one simulated run is to be like.
 type Plan struct {
 	Seed       uint64
 	Deployment string // qurum or cronometro
-	Span       house.Micros
+	Span       kernel.Micros
 	Rate       float64
-	Trace      func(at house.Micros, line string)
+	Trace      func(at kernel.Micros, line string)
 }
 
 // Outcome is what a run ended with.
 type Outcome struct {
 	Plan    Plan
-	Review  critic.Review
-	Inside  []string // breaches that only a look inside shows
+	Review  checker.Review
+	Inside  []string // violations that only a look inside shows
 	Orders  [3]int   // yes, no, unsure
 	Crossed map[string]int
 	Within  int
@@ -31,19 +31,19 @@
 	Callers, Content int // callers, and those that were served in the end
 	Repaired         bool
 	// Events is everything that was seen; equal seeds give equal events.
-	Events []critic.Event
+	Events []checker.Event
 }
 
 // IsClean tells that nothing was broken.
 func (o Outcome) IsClean() bool {
-	return len(o.Review.Breaches) == 0 && len(o.Inside) == 0 && o.Repaired
+	return len(o.Review.Violations) == 0 && len(o.Inside) == 0 && o.Repaired
 }
 
-// Lines tells of every breach.
+// Lines tells of every violation.
 func (o Outcome) Lines() []string {
 	lines := []string{}
-	for _, breach := range o.Review.Breaches {
-		lines = append(lines, fmt.Sprintf("%.3f s: %s: %s", float64(breach.At-beginning)/1e6, breach.Rule, breach.Detail))
+	for _, violation := range o.Review.Violations {
+		lines = append(lines, fmt.Sprintf("%.3f s: %s: %s", float64(violation.At-beginning)/1e6, violation.Rule, violation.Detail))
 	}
 	lines = append(lines, o.Inside...)
 	if !o.Repaired {
@@ -121,7 +121,7 @@
 
 func (w *World) anyZone() string { return w.zones[w.random.IntN(len(w.zones))] }
 
-func bounce(m *machine, after house.Micros) {
+func bounce(m *machine, after kernel.Micros) {
 	m.halt()
 	m.restart(after)
 }
@@ -227,21 +227,21 @@
 	{"an engine is marked leaving at one node", 3, func(w *World) { w.mark(w.any(), w.anyEngine()) }},
 	{"engines are rolled", 1, func(w *World) {
 		for i, e := range w.engines[:6] {
-			w.in(house.Micros(i)*1500*ms, func() { w.retireEngine(e) })
+			w.in(kernel.Micros(i)*1500*ms, func() { w.retireEngine(e) })
 		}
 	}},
-	{"a spec", 6, func(w *World) { w.operator.putSpec(nil) }},
+	{"a spec", 6, func(w *World) { w.operator.putConfig(nil) }},
 	{"two specs at once", 3, func(w *World) {
 		base := uint64(1)
-		for generation := range w.operator.acked {
-			base = max(base, generation)
+		for revision := range w.operator.acked {
+			base = max(base, revision)
 		}
-		w.operator.putSpec(&base)
-		w.operator.putSpec(&base)
+		w.operator.putConfig(&base)
+		w.operator.putConfig(&base)
 	}},
 	{"a storm of specs", 1, func(w *World) {
 		for range 12 {
-			w.operator.putSpec(nil)
+			w.operator.putConfig(nil)
 		}
 	}},
 	{"a zone is emptied", 3, func(w *World) { w.operator.empty(w.anyZone(), w.between(6*sec, 12*sec)) }},
@@ -253,7 +253,7 @@
 	{"the power goes between the leader's sync and answer", 2, func(w *World) { w.leader().powerTrap = 1 + w.random.IntN(2) }},
 	{"the accepting node dies just after a yes", 2, func(w *World) {
 		w.afterYes = func(m *machine) { bounce(m, w.between(200*ms, 4*sec)) }
-		w.operator.putSpec(nil)
+		w.operator.putConfig(nil)
 	}},
 	{"the leader loses its disk just after a yes", 1, func(w *World) {
 		w.afterYes = func(*machine) {
@@ -261,11 +261,11 @@
 			w.loseDisk(m)
 			m.restart(w.between(500*ms, 5*sec))
 		}
-		w.operator.putSpec(nil)
+		w.operator.putConfig(nil)
 	}},
 	{"a voter loses its power just after a yes", 2, func(w *World) {
 		w.afterYes = func(*machine) { bounce(w.anyCore(), w.between(100*ms, 4*sec)) }
-		w.operator.putSpec(nil)
+		w.operator.putConfig(nil)
 	}},
 	{"the platform loses patience with a stop", 1, func(w *World) {
 		m := w.any()
@@ -286,7 +286,7 @@
 	}},
 	{"all engines are rolled", 1, func(w *World) {
 		for i, e := range w.engines {
-			w.in(house.Micros(i)*800*ms, func() {
+			w.in(kernel.Micros(i)*800*ms, func() {
 				if !w.isCalm {
 					w.retireEngine(e)
 				}
@@ -328,13 +328,13 @@
 }
 
 // newest is the newest document that any live node has applied.
-func (w *World) newest() *flyloft.Document {
-	var newest *flyloft.Document
+func (w *World) newest() *control.Document {
+	var newest *control.Document
 	for _, m := range w.machines {
 		if !m.isUp || m.isFrozen {
 			continue
 		}
-		if document := m.node.State(nil).Document; document != nil && (newest == nil || newest.Generation < document.Generation) {
+		if document := m.node.State(nil).Document; document != nil && (newest == nil || newest.Revision < document.Revision) {
 			newest = document
 		}
 	}
@@ -350,10 +350,10 @@
 
 // voters counts the voters that are up and have their folder, by the newest document.
 func (w *World) voters() (living, all int) {
-	var newest *flyloft.Document
+	var newest *control.Document
 	for _, m := range w.machines {
 		if m.isUp && m.node != nil {
-			if document := m.node.State(nil).Document; document != nil && (newest == nil || document.Generation > newest.Generation) {
+			if document := m.node.State(nil).Document; document != nil && (newest == nil || document.Revision > newest.Revision) {
 				newest = document
 			}
 		}
@@ -409,8 +409,8 @@
 	epoch := m.epoch
 	m.isLeaving = true
 	m.carry(m.node.Leave(m.clock()))
-	w.take(critic.Event{What: critic.NodeStopping, Node: m.name})
-	m.later(sec, m.desk.Shut)
+	w.take(checker.Event{What: checker.NodeStopping, Node: m.name})
+	m.later(sec, m.dispatcher.Shut)
 	var look func(tries int)
 	look = func(tries int) {
 		if m.epoch != epoch {
@@ -420,24 +420,24 @@
 			w.in(50*ms, func() { look(tries + 1) })
 			return
 		}
-		w.take(critic.Event{What: critic.NodeStopped, Node: m.name})
+		w.take(checker.Event{What: checker.NodeStopped, Node: m.name})
 		bounce(m, w.between(500*ms, 3*sec))
 	}
 	w.in(1500*ms, func() { look(0) })
 }
 
 // goDark has an engine take requests and say nothing for a while.
-func (e *engine) goDark(span house.Micros) {
+func (e *engine) goDark(span kernel.Micros) {
 	w := e.world
 	e.isDark = true
-	w.take(critic.Event{What: critic.EngineFailed, Engine: e.id})
+	w.take(checker.Event{What: checker.EngineFailed, Engine: e.id})
 	w.in(span, e.lighten)
 }
 
 func (e *engine) lighten() {
 	if e.isDark {
 		e.isDark = false
-		e.world.take(critic.Event{What: critic.EngineMended, Engine: e.id})
+		e.world.take(checker.Event{What: checker.EngineMended, Engine: e.id})
 	}
 }
 
@@ -453,7 +453,7 @@
 }
 
 // retire ends a leaving engine once its streams are done, or its platform's patience is.
-func (e *engine) retire(start uint64, after house.Micros) {
+func (e *engine) retire(start uint64, after kernel.Micros) {
 	w := e.world
 	begun := w.now
 	var look func()
@@ -485,14 +485,14 @@
 		w.trace("engine %s is marked leaving at %s", e.id, m.name)
 		now := m.clock()
 		known.IsLeaving, known.Age, known.Up, known.Back = true, now-known.AsOf, now-known.StartedAt, now-known.BackAt
-		m.carry(m.node.Hear(now, []flyloft.EngineRecord{known}))
-		// It counts as learned once the operator has the receipt; until then the one
+		m.carry(m.node.Hear(now, []control.EngineRecord{known}))
+		// It counts as learned once the operator has the reply; until then the one
 		// node that was told may have died with it.
-		mark := flyloft.Submit{ID: fmt.Sprintf("leaving-%s-%d", e.id, start), Order: flyloft.MarkEngine, Engine: e.id, Start: start}
-		m.receipts[mark.ID] = func(receipt flyloft.SubmitReceipt) {
-			if receipt.Outcome == flyloft.Yes {
+		mark := control.Submit{ID: fmt.Sprintf("leaving-%s-%d", e.id, start), Order: control.MarkEngine, Engine: e.id, Start: start}
+		m.replies[mark.ID] = func(reply control.SubmitReply) {
+			if reply.Outcome == control.Yes {
 				w.trace("the mark of engine %s is kept", e.id)
-				w.events = append(w.events, critic.Event{At: at, What: critic.EngineLeaving, Engine: e.id, Start: start, IsKept: true})
+				w.events = append(w.events, checker.Event{At: at, What: checker.EngineLeaving, Engine: e.id, Start: start, IsKept: true})
 			}
 		}
 		m.carry(m.node.Submit(now, &mark))
@@ -524,9 +524,9 @@
 	return from[0]
 }
 
-// Open lets a fleet found itself and takes its first spec.
+// Open lets a fleet found itself and takes its first configuration.
 func (w *World) Open() bool {
-	w.operator.putSpec(nil)
+	w.operator.putConfig(nil)
 	for range 200 {
 		w.Run(100 * ms)
 		if w.operator.Yes > 0 && w.ready() == len(w.machines) {
@@ -556,7 +556,7 @@
 		w.wrong("the fleet did not found itself in 20 s")
 	}
 	w.isBiased = true
-	w.Traffic(plan.Rate, house.Micros(1<<60), 0.1)
+	w.Traffic(plan.Rate, kernel.Micros(1<<60), 0.1)
 	for end := w.now + plan.Span; w.now < end; {
 		w.Run(w.between(300*ms, 4*sec))
 		w.strike(draw(w, faults))
@@ -572,17 +572,17 @@
 // settle repairs everything, sees whether orders go through again and judges the run.
 func (w *World) settle(outcome *Outcome) {
 	w.repair()
-	w.Run(critic.BriefBounds().Broken + 500*ms)
+	w.Run(checker.BriefBounds().Broken + 500*ms)
 	w.probeAll()
 	yes := w.operator.Yes
-	w.operator.putSpec(nil)
+	w.operator.putConfig(nil)
 	w.Run(13 * sec)
 	outcome.Repaired = w.operator.Yes > yes
 	w.operator.readBack()
 	w.totals()
 	outcome.Tally, outcome.Struck = w.Tally, w.Struck
 	outcome.Callers, outcome.Content = w.callers.begun, w.callers.served
-	outcome.Review = critic.Judge(w.events, critic.BriefBounds())
+	outcome.Review = checker.Judge(w.events, checker.BriefBounds())
 	outcome.Inside, outcome.Events = w.wrongs, w.events
 	outcome.Orders = [3]int{w.operator.Yes, w.operator.No, w.operator.Unsure}
 	outcome.Crossed, outcome.Within = w.Crossed, w.Within
@@ -623,14 +623,14 @@
 }
 
 // repaired says that every machine is back, and what has to work from then on.
-func (w *World) repaired() critic.Event {
-	repaired := critic.Event{What: critic.Repaired}
+func (w *World) repaired() checker.Event {
+	repaired := checker.Event{What: checker.Repaired}
 	for _, m := range w.machines {
 		if !m.isGone {
 			repaired.Roster = append(repaired.Roster, m.name)
 		}
 	}
-	for _, kind := range w.knobs.Kinds {
+	for _, kind := range w.options.Kinds {
 		repaired.Kinds = append(repaired.Kinds, kind.name)
 	}
 	return repaired
@@ -640,10 +640,10 @@
 	counts := w.retired
 	for _, m := range w.machines {
 		if m.isUp {
-			now := m.desk.Counts()
+			now := m.dispatcher.Counts()
 			counts.FirstRounds += now.FirstRounds
 			counts.Retries += now.Retries
 		}
 	}
-	w.take(critic.Event{What: critic.Totals, First: counts.FirstRounds, Retries: counts.Retries})
+	w.take(checker.Event{What: checker.Totals, First: counts.FirstRounds, Retries: counts.Retries})
 }
--- a/traproom/measure.go
+++ b/simulator/measure.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"fmt"
@@ -9,16 +9,16 @@
 	"strings"
 	"sync"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/critic"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // variant is one setting that a measurement compares.
 type variant struct {
 	name  string
-	shape func(*Knobs)
+	shape func(*Options)
 }
 
 type measurement struct {
@@ -26,70 +26,70 @@
 	deployment string
 	rate       float64
 	hot        float64
-	span       house.Micros
-	shape      func(*Knobs)
+	span       kernel.Micros
+	shape      func(*Options)
 	variants   []variant
 	columns    []string
 	faults     func(*World) // strikes when the load is on
 }
 
 // figure reads one column's value off a finished run.
-var columnOf = map[string]func(w *World, begun house.Micros) float64{
-	"prefix reuse %": func(w *World, _ house.Micros) float64 {
+var columnOf = map[string]func(w *World, begun kernel.Micros) float64{
+	"prefix reuse %": func(w *World, _ kernel.Micros) float64 {
 		return 100 * share(float64(w.figures.hits), float64(w.figures.hits+w.figures.misses))
 	},
-	"imbalance max/mean": func(w *World, _ house.Micros) float64 {
+	"imbalance max/mean": func(w *World, _ kernel.Micros) float64 {
 		most, total := int64(0), int64(0)
 		for _, work := range w.figures.work {
 			most, total = max(most, work), total+work
 		}
 		return share(float64(most)*float64(len(w.engines)), float64(total))
 	},
-	"diverts %": func(w *World, _ house.Micros) float64 {
+	"diverts %": func(w *World, _ kernel.Micros) float64 {
 		diverts, rounds := uint64(0), uint64(0)
 		for _, m := range w.machines {
-			counts := m.desk.Counts()
+			counts := m.dispatcher.Counts()
 			diverts, rounds = diverts+counts.Diverts, rounds+counts.FirstRounds
 		}
 		return 100 * share(float64(diverts), float64(rounds))
 	},
-	"TTFT p50 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.ttft, 0.5) / 1000 },
-	"TTFT p95 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.ttft, 0.95) / 1000 },
-	"TTFT p99 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.ttft, 0.99) / 1000 },
-	"served %": func(w *World, begun house.Micros) float64 {
-		return 100 * share(float64(w.ended(begun, critic.Served)), float64(w.calls(begun)))
+	"TTFT p50 ms": func(w *World, _ kernel.Micros) float64 { return percentile(w.figures.ttft, 0.5) / 1000 },
+	"TTFT p95 ms": func(w *World, _ kernel.Micros) float64 { return percentile(w.figures.ttft, 0.95) / 1000 },
+	"TTFT p99 ms": func(w *World, _ kernel.Micros) float64 { return percentile(w.figures.ttft, 0.99) / 1000 },
+	"served %": func(w *World, begun kernel.Micros) float64 {
+		return 100 * share(float64(w.ended(begun, checker.Served)), float64(w.calls(begun)))
 	},
-	"callers served %": func(w *World, _ house.Micros) float64 {
+	"callers served %": func(w *World, _ kernel.Micros) float64 {
 		return 100 * share(float64(w.callers.served), float64(w.callers.begun))
 	},
-	"no_licence": func(w *World, _ house.Micros) float64 {
+	"no_licence": func(w *World, _ kernel.Micros) float64 {
 		count := 0
 		for _, event := range w.events {
-			if event.What == critic.CallEnded && event.Reason == "no_licence" {
+			if event.What == checker.CallEnded && event.Reason == "no_licence" {
 				count++
 			}
 		}
 		return float64(count)
 	},
-	"unreached": func(w *World, begun house.Micros) float64 { return float64(w.ended(begun, critic.Unreached)) },
-	"late declines %": func(w *World, begun house.Micros) float64 {
-		return 100 * share(float64(len(w.figures.lateDeclines)), float64(w.calls(begun)))
+	"unreached": func(w *World, begun kernel.Micros) float64 { return float64(w.ended(begun, checker.Unreached)) },
+	"late declines %": func(w *World, begun kernel.Micros) float64 {
+		return 100 * share(float64(len(w.figures.lateRejects)), float64(w.calls(begun)))
 	},
-	"decline after p95 ms": func(w *World, _ house.Micros) float64 { return percentile(w.figures.lateDeclines, 0.95) / 1000 },
-	"retries %": func(w *World, _ house.Micros) float64 {
+	"decline after p95 ms": func(w *World, _ kernel.Micros) float64 { return percentile(w.figures.lateRejects, 0.95) / 1000 },
+	"retries %": func(w *World, _ kernel.Micros) float64 {
 		w.totals()
 		totals := w.events[len(w.events)-1]
 		return 100 * share(float64(totals.Retries), float64(totals.First))
 	},
-	"declines": func(w *World, begun house.Micros) float64 { return float64(w.ended(begun, critic.NotRun)) },
-	"torn or may have run": func(w *World, begun house.Micros) float64 {
-		return float64(w.ended(begun, critic.Torn, critic.MayHaveRun))
+	"declines": func(w *World, begun kernel.Micros) float64 { return float64(w.ended(begun, checker.NotRun)) },
+	"torn or may have run": func(w *World, begun kernel.Micros) float64 {
+		return float64(w.ended(begun, checker.Torn, checker.MayHaveRun))
 	},
-	"cold engine's peak": func(w *World, _ house.Micros) float64 { return float64(w.figures.coldPeak) },
-	"crossing KB/request": func(w *World, _ house.Micros) float64 {
+	"cold engine's peak": func(w *World, _ kernel.Micros) float64 { return float64(w.figures.coldPeak) },
+	"crossing KB/request": func(w *World, _ kernel.Micros) float64 {
 		return float64(w.figures.crossed) / 1024 / float64(max(w.callCount, 1))
 	},
-	"estimate off by %": func(w *World, _ house.Micros) float64 {
+	"estimate off by %": func(w *World, _ kernel.Micros) float64 {
 		total := 0.0
 		for _, off := range w.figures.errors {
 			total += off
@@ -102,8 +102,8 @@
 var trafficKinds = []string{"AskBatch", "GrantBatch", "Pulse", "PulseReceipt", "News", "Mend", "Heard", "Attest", "AttestReceipt", "Shuffle", "Grant", "Submit"}
 
 func init() {
-	perSecond := func(count func(w *World) int) func(w *World, begun house.Micros) float64 {
-		return func(w *World, begun house.Micros) float64 {
+	perSecond := func(count func(w *World) int) func(w *World, begun kernel.Micros) float64 {
+		return func(w *World, begun kernel.Micros) float64 {
 			return float64(count(w)) / 1024 / (float64(w.now-begun) / float64(sec))
 		}
 	}
@@ -121,14 +121,14 @@
 
 // orders are what operators and faults do again and again in a measurement.
 type orders struct {
-	specs, zones, kills house.Micros
-	large               int // bindings of the spec put first
-	every               house.Micros
-	strike              func(w *World)
+	configs, zones, kills kernel.Micros
+	large                 int // bindings of the configuration put first
+	every                 kernel.Micros
+	strike                func(w *World)
 }
 
 func (w *World) giveOrders() {
-	every := func(span house.Micros, do func()) {
+	every := func(span kernel.Micros, do func()) {
 		if span == 0 {
 			return
 		}
@@ -139,27 +139,27 @@
 		}
 		w.in(span, again)
 	}
-	if w.knobs.Orders.large > 0 {
-		w.operator.order(flyloft.Submit{Order: flyloft.PutSpec, Spec: largeSpec(w.knobs.Orders.large, "main")}, func(flyloft.SubmitReceipt) {})
+	if w.options.Orders.large > 0 {
+		w.operator.order(control.Submit{Order: control.PutConfig, Config: largeConfig(w.options.Orders.large, "main")}, func(control.SubmitReply) {})
 		w.Run(5 * sec)
 	}
 	w.Crossed = map[string]int{}
-	every(w.knobs.Orders.specs, func() { w.operator.putSpec(nil) })
+	every(w.options.Orders.configs, func() { w.operator.putConfig(nil) })
 	isEmpty := false
-	every(w.knobs.Orders.zones, func() {
+	every(w.options.Orders.zones, func() {
 		isEmpty = !isEmpty
-		order := flyloft.RefillZone
+		order := control.RefillZone
 		if isEmpty {
-			order = flyloft.EmptyZone
+			order = control.EmptyZone
 		}
-		w.operator.order(flyloft.Submit{Order: order, Zone: "z2"}, func(flyloft.SubmitReceipt) {})
+		w.operator.order(control.Submit{Order: order, Zone: "z2"}, func(control.SubmitReply) {})
 	})
-	every(w.knobs.Orders.every, func() { w.knobs.Orders.strike(w) })
-	every(w.knobs.Orders.kills, func() { bounce(w.leader(), 3*sec) })
+	every(w.options.Orders.every, func() { w.options.Orders.strike(w) })
+	every(w.options.Orders.kills, func() { bounce(w.leader(), 3*sec) })
 }
 
-// largeSpec has so many bindings that nothing asks for, and one for all.
-func largeSpec(bindings int, pools ...string) []byte {
+// largeConfig has so many bindings that nothing asks for, and one for all.
+func largeConfig(bindings int, pools ...string) []byte {
 	text := strings.Builder{}
 	text.WriteString(`{"bindings":[`)
 	for i := range bindings {
@@ -176,10 +176,10 @@
 	return []byte(text.String())
 }
 
-func (w *World) calls(begun house.Micros) int {
+func (w *World) calls(begun kernel.Micros) int {
 	count := 0
 	for _, event := range w.events {
-		if event.What == critic.CallEnded && event.Began >= begun {
+		if event.What == checker.CallEnded && event.Began >= begun {
 			count++
 		}
 	}
@@ -187,10 +187,10 @@
 }
 
 // ended counts the requests sent since a moment that ended in one of these ways.
-func (w *World) ended(begun house.Micros, outcomes ...critic.Outcome) int {
+func (w *World) ended(begun kernel.Micros, outcomes ...checker.Outcome) int {
 	count := 0
 	for _, event := range w.events {
-		if event.What == critic.CallEnded && event.Began >= begun && slices.Contains(outcomes, event.Outcome) {
+		if event.What == checker.CallEnded && event.Began >= begun && slices.Contains(outcomes, event.Outcome) {
 			count++
 		}
 	}
@@ -204,7 +204,7 @@
 	return part / whole
 }
 
-func percentile(values []house.Micros, at float64) float64 {
+func percentile(values []kernel.Micros, at float64) float64 {
 	if len(values) == 0 {
 		return 0
 	}
@@ -212,131 +212,133 @@
 	return float64(ordered[min(int(at*float64(len(ordered))), len(ordered)-1)])
 }
 
-func choosing(choose func(candidates []auditorium.Candidate, preferred int, turn uint64) int) func(*Knobs) {
-	return func(k *Knobs) {
-		k.Trial = func(*machine) auditorium.Trial { return auditorium.Trial{Choose: choose} }
+func choosing(choose func(candidates []relay.Candidate, preferred int, turn uint64) int) func(*Options) {
+	return func(k *Options) {
+		k.Trial = func(*machine) relay.Trial { return relay.Trial{Choose: choose} }
 	}
 }
 
-func roundRobin(candidates []auditorium.Candidate, _ int, turn uint64) int {
+func roundRobin(candidates []relay.Candidate, _ int, turn uint64) int {
 	return int(turn % uint64(len(candidates)))
 }
 
-func leastBurden(candidates []auditorium.Candidate, _ int, _ uint64) int {
+func leastLoad(candidates []relay.Candidate, _ int, _ uint64) int {
 	best := 0
 	for i, candidate := range candidates {
-		if candidate.Burden < candidates[best].Burden {
+		if candidate.Load < candidates[best].Load {
 			best = i
 		}
 	}
 	return best
 }
 
-func policyOf(name string, value any) func(*Knobs) {
-	return func(k *Knobs) { k.Policy = map[string]any{name: value} }
+func policyOf(name string, value any) func(*Options) {
+	return func(k *Options) { k.Policy = map[string]any{name: value} }
 }
 
 // heavyPrompts make a shared prefix worth having: most of a prompt is its prefix,
 // and the caches hold a third of all prefixes.
-func heavyPrompts(k *Knobs) {
+func heavyPrompts(k *Options) {
 	k.Prefixes, k.PrefixLen, k.TailLow, k.TailHigh = 24, 512, 16, 64
 	k.OutLow, k.OutHigh, k.Prefill, k.Decode, k.Cache, k.Slots = 8, 48, 500, 6*ms, 8, 4
 }
 
-// burdenBy sets how the burden of other nodes enters; the error against the truth
+// loadBy sets how the load of other nodes enters; the error against the truth
 // is recorded either way.
-func burdenBy(name string) func(*Knobs) {
-	return func(k *Knobs) {
-		k.Trial = func(m *machine) auditorium.Trial {
+func loadBy(name string) func(*Options) {
+	return func(k *Options) {
+		k.Trial = func(m *machine) relay.Trial {
 			var unseen *float64
 			if share, isShare := map[string]float64{"inferred 0": 0, "inferred 0.25": 0.25, "inferred 0.5": 0.5}[name]; isShare {
 				unseen = &share
 			}
-			return auditorium.Trial{Unseen: unseen, Burden: func(own int64, engine auditorium.Engine, foreign float64) float64 {
-				burden := float64(max(own, 0))
+			return relay.Trial{Unseen: unseen, Load: func(own int64, engine relay.Engine, foreign float64) float64 {
+				load := float64(max(own, 0))
 				switch name {
 				case "own":
 				case "report":
-					burden = float64(engine.Burden)
+					load = float64(engine.Load)
 				default:
-					burden += foreign
+					load += foreign
 				}
 				for _, e := range m.world.engines {
 					if e.id == engine.ID && m.world.now%7 == 0 {
 						truth := float64(e.tokens)
-						m.world.figures.errors = append(m.world.figures.errors, math.Abs(burden-truth)/math.Max(truth, 200))
+						m.world.figures.errors = append(m.world.figures.errors, math.Abs(load-truth)/math.Max(truth, 200))
 					}
 				}
-				return burden
+				return load
 			}}
 		}
 	}
 }
 
 // longStreams keep engines busy for seconds with each request.
-func longStreams(k *Knobs) {
+func longStreams(k *Options) {
 	heavyPrompts(k)
 	k.OutLow, k.OutHigh, k.Decode, k.Slots = 100, 400, 20*ms, 24
 }
 
-func withLag(lag house.Micros, burden string) variant {
-	return variant{fmt.Sprintf("%s, reports %.1f s late", burden, float64(lag)/1e6), func(k *Knobs) {
+func withLag(lag kernel.Micros, load string) variant {
+	return variant{fmt.Sprintf("%s, reports %.1f s late", load, float64(lag)/1e6), func(k *Options) {
 		k.ReportLag = lag
-		burdenBy(burden)(k)
+		loadBy(load)(k)
 	}}
 }
 
-func waiting(wait house.Micros) variant {
-	return variant{fmt.Sprintf("wait %d ms", wait/ms), func(k *Knobs) { k.AdmissionWait = wait }}
+func waiting(wait kernel.Micros) variant {
+	return variant{fmt.Sprintf("wait %d ms", wait/ms), func(k *Options) { k.AdmissionWait = wait }}
 }
 
 var measurements = map[string]measurement{
 	"policy": {
 		title: "The paper's policy against its baselines", deployment: "qurum", rate: 60, hot: 0, span: 40 * sec, shape: heavyPrompts,
 		variants: []variant{
-			{"round robin", choosing(roundRobin)}, {"least burden", choosing(leastBurden)}, {"prefix with divert above 2.0 x mean", func(*Knobs) {}},
+			{"round robin", choosing(roundRobin)}, {"least burden", choosing(leastLoad)}, {"prefix with divert above 2.0 x mean", func(*Options) {}},
 		},
 		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "served %"},
 	},
 	"current": {
 		title: "The prompt that an engine is working on, counted once more or not, under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.3, span: 40 * sec, shape: heavyPrompts,
 		variants: []variant{
-			{"once", func(k *Knobs) {
-				k.Trial = func(*machine) auditorium.Trial { return auditorium.Trial{HasNoCurrent: true} }
+			{"once", func(k *Options) {
+				k.Trial = func(*machine) relay.Trial { return relay.Trial{HasNoCurrent: true} }
 			}},
-			{"once more, as the source has it", func(*Knobs) {}},
+			{"once more, as the source has it", func(*Options) {}},
 		},
 		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "served %"},
 	},
 	"licence": {
 		title: "Licences while the core is in trouble: one fault every 10 s, callers dealt by readiness", deployment: "cronometro", rate: 30, hot: 0, span: 60 * sec,
-		shape: func(k *Knobs) { k.Kinds, k.Pools = dayKinds, 6 },
+		shape: func(k *Options) { k.Kinds, k.Pools = dayKinds, 6 },
 		variants: []variant{
-			{"the leader is killed for 3 s", func(k *Knobs) {
+			{"the leader is killed for 3 s", func(k *Options) {
 				k.Orders = orders{every: 10 * sec, strike: func(w *World) { bounce(w.leader(), 3*sec) }}
 			}},
-			{"the leader freezes for 3 s", func(k *Knobs) {
+			{"the leader freezes for 3 s", func(k *Options) {
 				k.Orders = orders{every: 10 * sec, strike: func(w *World) { w.leader().freeze(3 * sec) }}
 			}},
-			{"the leader's disk stalls for 3 s", func(k *Knobs) {
+			{"the leader's disk stalls for 3 s", func(k *Options) {
 				k.Orders = orders{every: 10 * sec, strike: func(w *World) {
 					d := w.leader().disk
 					d.isStall = true
 					w.in(3*sec, func() { d.isStall = false })
 				}}
 			}},
-			{"a home is killed for 3 s", func(k *Knobs) {
+			{"a home is killed for 3 s", func(k *Options) {
 				k.Orders = orders{every: 10 * sec, strike: func(w *World) { bounce(w.byPeer[w.newest().Homes[w.anyZone()]], 3*sec) }}
 			}},
-			{"any node is killed for 3 s", func(k *Knobs) { k.Orders = orders{every: 10 * sec, strike: func(w *World) { bounce(w.any(), 3*sec) }} }},
-			{"all of the core is killed for 3 s", func(k *Knobs) {
+			{"any node is killed for 3 s", func(k *Options) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) { bounce(w.any(), 3*sec) }}
+			}},
+			{"all of the core is killed for 3 s", func(k *Options) {
 				k.Orders = orders{every: 10 * sec, strike: func(w *World) {
 					for _, m := range w.core() {
 						bounce(m, 3*sec)
 					}
 				}}
 			}},
-			{"the whole fleet is killed for 3 s", func(k *Knobs) {
+			{"the whole fleet is killed for 3 s", func(k *Options) {
 				k.Orders = orders{every: 10 * sec, strike: func(w *World) {
 					for _, m := range w.machines {
 						bounce(m, 3*sec)
@@ -350,19 +352,19 @@
 	"traffic": {
 		title: "The control plane's bytes between zones", deployment: "qurum", rate: 20, hot: 0, span: 60 * sec,
 		variants: []variant{
-			{"at rest", func(*Knobs) {}},
-			{"a spec of 0.3 KB every 5 s", func(k *Knobs) { k.Orders = orders{specs: 5 * sec} }},
-			{"a spec of 200 KB, a zone emptied or refilled every 5 s", func(k *Knobs) { k.Orders = orders{zones: 5 * sec, large: 2000} }},
-			{"a spec of 200 KB every 10 s, which half of the nodes take 2 s to compile", func(k *Knobs) {
+			{"at rest", func(*Options) {}},
+			{"a spec of 0.3 KB every 5 s", func(k *Options) { k.Orders = orders{configs: 5 * sec} }},
+			{"a spec of 200 KB, a zone emptied or refilled every 5 s", func(k *Options) { k.Orders = orders{zones: 5 * sec, large: 2000} }},
+			{"a spec of 200 KB every 10 s, which half of the nodes take 2 s to compile", func(k *Options) {
 				k.Orders = orders{every: 10 * sec, strike: func(w *World) {
 					for _, m := range w.machines[:len(w.machines)/2] {
 						m.compileSlow = 2 * sec
 					}
-					w.specCount++
-					w.operator.order(flyloft.Submit{Order: flyloft.PutSpec, Spec: largeSpec(2000+w.specCount, "main")}, func(flyloft.SubmitReceipt) {})
+					w.configCount++
+					w.operator.order(control.Submit{Order: control.PutConfig, Config: largeConfig(2000+w.configCount, "main")}, func(control.SubmitReply) {})
 				}}
 			}},
-			{"a spec of 200 KB, and the leader killed every 10 s", func(k *Knobs) { k.Orders = orders{kills: 10 * sec, large: 2000} }},
+			{"a spec of 200 KB, and the leader killed every 10 s", func(k *Options) { k.Orders = orders{kills: 10 * sec, large: 2000} }},
 		},
 		columns: append([]string{"KB/s"}, trafficKinds...),
 		faults:  func(w *World) { w.giveOrders() },
@@ -378,15 +380,15 @@
 	"salt": {
 		title: "Near ties salted or not, under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.6, span: 40 * sec, shape: heavyPrompts,
 		variants: []variant{
-			{"always the first of the least", choosing(func(candidates []auditorium.Candidate, preferred int, _ uint64) int {
+			{"always the first of the least", choosing(func(candidates []relay.Candidate, preferred int, _ uint64) int {
 				total := 0.0
 				for _, candidate := range candidates {
-					total += candidate.Burden
+					total += candidate.Load
 				}
-				if mean := total / float64(len(candidates)); mean == 0 || candidates[preferred].Burden <= 2*mean {
+				if mean := total / float64(len(candidates)); mean == 0 || candidates[preferred].Load <= 2*mean {
 					return preferred
 				}
-				return leastBurden(candidates, preferred, 0)
+				return leastLoad(candidates, preferred, 0)
 			})},
 			{"salted, ties within 0", policyOf("nearTie", 0.0)}, {"salted, ties within 0.05", policyOf("nearTie", 0.05)},
 			{"salted, ties within 0.2", policyOf("nearTie", 0.2)}, {"salted, ties within 0.5", policyOf("nearTie", 0.5)},
@@ -413,7 +415,7 @@
 	},
 	"ramp": {
 		title: "The ramp of fresh engines under a crowd", deployment: "qurum", rate: 90, hot: 0, span: 20 * sec,
-		shape: func(k *Knobs) { heavyPrompts(k); k.ColdSlow = 4 },
+		shape: func(k *Options) { heavyPrompts(k); k.ColdSlow = 4 },
 		variants: []variant{
 			{"no ramp", policyOf("rampTotalUs", 0)}, {"8 streams, doubled every 2 s", policyOf("rampStreams", 8)},
 			{"2 streams, doubled every 2 s", policyOf("rampStreams", 2)}, {"1 stream, doubled every 2 s", policyOf("rampStreams", 1)},
@@ -428,9 +430,9 @@
 	},
 	"zones": {
 		title: "Engines of the own zone only, against all", deployment: "qurum", rate: 60, hot: 0, span: 40 * sec,
-		shape: func(k *Knobs) { heavyPrompts(k); k.DataBytes = true },
+		shape: func(k *Options) { heavyPrompts(k); k.DataBytes = true },
 		variants: []variant{
-			{"all engines", func(*Knobs) {}}, {"the own zone first", policyOf("ownZoneFirst", true)},
+			{"all engines", func(*Options) {}}, {"the own zone first", policyOf("ownZoneFirst", true)},
 		},
 		columns: []string{"crossing KB/request", "prefix reuse %", "imbalance max/mean", "TTFT p50 ms", "TTFT p95 ms", "served %"},
 	},
@@ -443,7 +445,7 @@
 		columns: []string{"served %", "retries %", "declines", "torn or may have run"},
 		faults: func(w *World) {
 			for i, e := range w.engines {
-				w.in(house.Micros(i)*1500*ms, func() {
+				w.in(kernel.Micros(i)*1500*ms, func() {
 					e.halt()
 					w.in(5*sec, e.boot)
 				})
@@ -452,7 +454,7 @@
 	},
 	"admission": {
 		title: "Waiting before a late decline, under more load than there is room for", deployment: "cronometro", rate: 360, hot: 0, span: 15 * sec,
-		shape:    func(k *Knobs) { heavyPrompts(k); k.TTFTLimit = sec },
+		shape:    func(k *Options) { heavyPrompts(k); k.TTFTLimit = sec },
 		variants: []variant{waiting(0), waiting(300 * ms), waiting(sec), waiting(3 * sec)},
 		columns:  []string{"served %", "late declines %", "decline after p95 ms", "TTFT p50 ms", "TTFT p95 ms"},
 	},
@@ -503,18 +505,18 @@
 }
 
 func (m measurement) run(seed uint64, variant variant) map[string]float64 {
-	knobs := defaultKnobs()
+	options := defaultOptions()
 	if m.shape != nil {
-		m.shape(&knobs)
+		m.shape(&options)
 	}
-	variant.shape(&knobs)
+	variant.shape(&options)
 	zones, nodes, disks := 4, 11, 4
 	if m.deployment == "cronometro" {
 		zones, nodes, disks = 3, 12, 3
 	}
-	w := newWorld(seed, zones, nodes, disks, 18, knobs)
+	w := newWorld(seed, zones, nodes, disks, 18, options)
 	if !w.Open() {
-		panic(house.ServiceBreakdown{Name: "measurement", Why: "the fleet did not open"})
+		panic(kernel.ServiceError{Name: "measurement", Why: "the fleet did not open"})
 	}
 	begun := w.now
 	w.Traffic(m.rate, m.span, m.hot)
--- a/traproom/mix.go
+++ b/simulator/mix.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"encoding/json"
@@ -11,9 +11,9 @@
 	"strconv"
 	"strings"
 
-	"dunlinloom/critic"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/checker"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // Mix is a deployment and its requests as a file tells them, for experiments.
@@ -99,26 +99,26 @@
 }
 
 // mixSettings are what a variant may change.
-var mixSettings = map[string]func(*Mix, *playbill.Policy, float64){
-	"routers":       func(m *Mix, _ *playbill.Policy, v float64) { m.Routers = int(v) },
-	"engines":       func(m *Mix, _ *playbill.Policy, v float64) { m.Engines = int(v) },
-	"slots":         func(m *Mix, _ *playbill.Policy, v float64) { m.Slots = int(v) },
-	"memory_tokens": func(m *Mix, _ *playbill.Policy, v float64) { m.MemoryTokens = int(v) },
-	"chunk_tokens":  func(m *Mix, _ *playbill.Policy, v float64) { m.Chunk = int(v) },
-	"retry_ratio":   func(m *Mix, _ *playbill.Policy, v float64) { m.RetryRatio = v },
-	"load": func(m *Mix, _ *playbill.Policy, v float64) {
+var mixSettings = map[string]func(*Mix, *fleetconfig.Policy, float64){
+	"routers":       func(m *Mix, _ *fleetconfig.Policy, v float64) { m.Routers = int(v) },
+	"engines":       func(m *Mix, _ *fleetconfig.Policy, v float64) { m.Engines = int(v) },
+	"slots":         func(m *Mix, _ *fleetconfig.Policy, v float64) { m.Slots = int(v) },
+	"memory_tokens": func(m *Mix, _ *fleetconfig.Policy, v float64) { m.MemoryTokens = int(v) },
+	"chunk_tokens":  func(m *Mix, _ *fleetconfig.Policy, v float64) { m.Chunk = int(v) },
+	"retry_ratio":   func(m *Mix, _ *fleetconfig.Policy, v float64) { m.RetryRatio = v },
+	"load": func(m *Mix, _ *fleetconfig.Policy, v float64) {
 		for i := range m.Kinds {
 			m.Kinds[i].Rate *= v
 		}
 	},
-	"tries": func(m *Mix, _ *playbill.Policy, v float64) {
+	"tries": func(m *Mix, _ *fleetconfig.Policy, v float64) {
 		for i := range m.Kinds {
 			m.Kinds[i].Tries = int(v)
 		}
 	},
-	"max_imbalance": func(_ *Mix, p *playbill.Policy, v float64) { p.MaxImbalance = v },
-	"near_tie":      func(_ *Mix, p *playbill.Policy, v float64) { p.NearTie = v },
-	"prefix_length": func(_ *Mix, p *playbill.Policy, v float64) { p.PrefixLength = int(v) },
+	"max_imbalance": func(_ *Mix, p *fleetconfig.Policy, v float64) { p.MaxImbalance = v },
+	"near_tie":      func(_ *Mix, p *fleetconfig.Policy, v float64) { p.NearTie = v },
+	"prefix_length": func(_ *Mix, p *fleetconfig.Policy, v float64) { p.PrefixLength = int(v) },
 }
 
 // ParseVariant reads "NAME=VALUE,NAME=VALUE"; nothing stands for the mix as it is.
@@ -143,33 +143,33 @@
 }
 
 // Plan makes a run of a mix under a variant.
-func (m Mix) Plan(variant Variant, seed uint64, span house.Micros) RoutedPlan {
+func (m Mix) Plan(variant Variant, seed uint64, span kernel.Micros) RoutedPlan {
 	m.Kinds = slices.Clone(m.Kinds)
-	policies := []func(*playbill.Policy){}
+	policies := []func(*fleetconfig.Policy){}
 	for name, value := range variant.Changes {
-		policies = append(policies, func(p *playbill.Policy) { mixSettings[name](&Mix{}, p, value) })
-		mixSettings[name](&m, &playbill.Policy{}, value)
+		policies = append(policies, func(p *fleetconfig.Policy) { mixSettings[name](&Mix{}, p, value) })
+		mixSettings[name](&m, &fleetconfig.Policy{}, value)
 	}
 	d := RoutedDeployment{
 		Zones: []string{"zone"}, Routers: m.Routers, Engines: map[string]int{"model": m.Engines}, Chunk: m.Chunk,
-		Step: house.Micros(m.StepUS), StepEach: house.Micros(m.StepEachUS), Reads: m.ReadsPerMs, Queue: m.Queue,
-		Idle: 15 * sec, Reveal: 100 * ms, BeatGone: 2 * sec, Delay: house.Micros(m.DelayUS), TellLoad: true,
-		Services: []playbill.Service{{Name: "model", Slots: m.Slots, Stride: m.Stride, MaxChannels: 100 * m.Routers, MemoryTokens: int64(m.MemoryTokens)}},
-		Bounds: critic.RoutedBounds{Drain: 2500 * ms, Grace: 8 * sec, Slack: 200 * ms, Contact: 4 * sec, RetryRatio: m.RetryRatio,
+		Step: kernel.Micros(m.StepUS), StepEach: kernel.Micros(m.StepEachUS), Reads: m.ReadsPerMs, Queue: m.Queue,
+		Idle: 15 * sec, Reveal: 100 * ms, BeatGone: 2 * sec, Delay: kernel.Micros(m.DelayUS), TellLoad: true,
+		Services: []fleetconfig.Service{{Name: "model", Slots: m.Slots, Stride: m.Stride, MaxConnections: 100 * m.Routers, MemoryTokens: int64(m.MemoryTokens)}},
+		Bounds: checker.RoutedBounds{Drain: 2500 * ms, Grace: 8 * sec, Slack: 200 * ms, Contact: 4 * sec, RetryRatio: m.RetryRatio,
 			RetrySlack: m.RetrySlack, RetryWindow: 10 * sec, DeniedFew: 5, DeniedOneIn: 500},
 	}
 	for _, kind := range m.Kinds {
 		d.Kinds = append(d.Kinds, RoutedKind{
 			Rate: kind.Rate, Common: kind.Common, Prefixes: max(kind.Prefixes, 1), Shared: kind.Shared, Own: kind.Own, Out: kind.Out,
-			Deadline: house.Micros(kind.DeadlineUS), Further: kind.Further, Body: 200,
-			Route: playbill.Route{Name: kind.Name, Host: kind.Name + ".example", Prefix: "/m/", Kind: playbill.Stream, Timeout: house.Micros(kind.DeadlineUS),
-				Goal: house.Micros(kind.GoalUS), GapGoal: house.Micros(kind.GapUS), Priority: kind.Priority, Tries: max(kind.Tries, 1), IsPinned: true,
-				IsResumable: kind.Resumable, Splits: []playbill.Split{{Service: "model", Weight: 1}}},
+			Deadline: kernel.Micros(kind.DeadlineUS), Further: kind.Further, Body: 200,
+			Route: fleetconfig.Route{Name: kind.Name, Host: kind.Name + ".example", Prefix: "/m/", Kind: fleetconfig.Stream, Timeout: kernel.Micros(kind.DeadlineUS),
+				Goal: kernel.Micros(kind.GoalUS), GapGoal: kernel.Micros(kind.GapUS), Priority: kind.Priority, Tries: max(kind.Tries, 1), IsPinned: true,
+				IsResumable: kind.Resumable, Splits: []fleetconfig.Split{{Service: "model", Weight: 1}}},
 		})
 	}
-	plan := RoutedPlan{Seed: seed, Deployment: d, Span: span, Shape: func(spec *playbill.Spec) {
+	plan := RoutedPlan{Seed: seed, Deployment: d, Span: span, Shape: func(config *fleetconfig.Config) {
 		for _, change := range policies {
-			change(&spec.Policy)
+			change(&config.Policy)
 		}
 	}}
 	if len(m.Load) > 0 {
--- a/traproom/moments.go
+++ b/simulator/moments.go
@@ -1,10 +1,10 @@
-package traproom
+package simulator
 
 import (
 	"strings"
 
-	"dunlinloom/critic"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
 )
 
 // A moment is a decision that a protection is there for. Faults drawn at random
@@ -62,12 +62,12 @@
 	{subject: "c", decision: "round ", why: "above the multiple"},
 }
 
-func (t moment) fits(entry house.Entry) bool {
+func (t moment) fits(entry kernel.Entry) bool {
 	return strings.HasPrefix(entry.Subject, t.subject) && strings.HasPrefix(entry.Decision, t.decision) && strings.Contains(entry.Why, t.why)
 }
 
 // watch hears of each decision of a node.
-func (w *World) watch(m *machine, entry house.Entry) {
+func (w *World) watch(m *machine, entry kernel.Entry) {
 	for _, protection := range protections {
 		if protection.fits(entry) {
 			name := protection.subject + " " + protection.decision
@@ -107,6 +107,6 @@
 		w.Struck["(within a second of another)"]++
 	}
 	w.lastStruck, w.lastStruckAt = struck.name, w.now
-	w.take(critic.Event{What: critic.FaultStruck, Reason: struck.name})
+	w.take(checker.Event{What: checker.FaultStruck, Reason: struck.name})
 	struck.strike(w)
 }
--- a/traproom/rebuild.go
+++ b/simulator/rebuild.go
@@ -1,22 +1,22 @@
-package traproom
+package simulator
 
 import (
 	"fmt"
 	"io"
 	"slices"
 
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
 )
 
 // MeasureRebuild tells how long an operator waits after a rebuild: from the start of the
-// rebuilt prompter and, a second later, of all other machines, their folders empty.
+// rebuilt controller and, a second later, of all other machines, their folders empty.
 func MeasureRebuild(to io.Writer, first uint64, count int) {
-	served, acknowledged, voted := []house.Micros{}, []house.Micros{}, []house.Micros{}
+	served, acknowledged, voted := []kernel.Micros{}, []kernel.Micros{}, []kernel.Micros{}
 	for seed := first; seed < first+uint64(count); seed++ {
 		w := WorldOf(seed, "cronometro")
 		if !w.Open() {
-			panic(house.ServiceBreakdown{Name: "measurement", Why: "the fleet did not open"})
+			panic(kernel.ServiceError{Name: "measurement", Why: "the fleet did not open"})
 		}
 		survivor := w.core()[0]
 		for _, m := range w.machines {
@@ -25,13 +25,13 @@
 				m.disk.files = map[string][]byte{}
 			}
 		}
-		left, err := flyloft.LookAt(survivor.disk)
+		left, err := control.LookAt(survivor.disk)
 		if err == nil {
-			self := flyloft.Member{ID: "rebuilt", Address: survivor.identity.Address, Zone: survivor.identity.Zone}
-			err = flyloft.WriteRebuilt(survivor.disk, left.Fleet, left.Rebuild(self, "anew"))
+			self := control.Member{ID: "rebuilt", Address: survivor.identity.Address, Zone: survivor.identity.Zone}
+			err = control.WriteRebuilt(survivor.disk, left.Fleet, left.Rebuild(self, "anew"))
 		}
 		if err != nil {
-			panic(house.ServiceBreakdown{Name: "measurement", Why: err.Error()})
+			panic(kernel.ServiceError{Name: "measurement", Why: err.Error()})
 		}
 		w.truths = map[uint64]string{}
 		begun, yes := w.now, w.operator.Yes
@@ -42,8 +42,8 @@
 				m.boot()
 			}
 		}
-		w.operator.putSpec(nil)
-		until := func(isMet func() bool) house.Micros {
+		w.operator.putConfig(nil)
+		until := func(isMet func() bool) kernel.Micros {
 			for !isMet() && w.now-begun < 60*sec {
 				w.Run(10 * ms)
 			}
@@ -53,8 +53,8 @@
 		acknowledged = append(acknowledged, until(func() bool { return w.operator.Yes > yes }))
 		voted = append(voted, until(func() bool { return len(w.newest().Voters) == voterCountWanted }))
 	}
-	fmt.Fprintf(to, "### After a core was rebuilt\n\ncronometro, seeds %d to %d, seconds from the start of the rebuilt prompter\n\n| every router serves | first yes | three voters |\n|---|---|---|\n|", first, first+uint64(count)-1)
-	for _, spans := range [][]house.Micros{served, acknowledged, voted} {
+	fmt.Fprintf(to, "### After a core was rebuilt\n\ncronometro, seeds %d to %d, seconds from the start of the rebuilt controller\n\n| every router serves | first yes | three voters |\n|---|---|---|\n|", first, first+uint64(count)-1)
+	for _, spans := range [][]kernel.Micros{served, acknowledged, voted} {
 		slices.Sort(spans)
 		fmt.Fprintf(to, " %.2f (%.2f to %.2f) |", float64(spans[len(spans)/2])/1e6, float64(spans[0])/1e6, float64(spans[len(spans)-1])/1e6)
 	}
--- a/traproom/routed.go
+++ b/simulator/routed.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"context"
@@ -13,11 +13,11 @@
 
 	"k8s.io/klog/v2"
 
-	"dunlinloom/critic"
-	"dunlinloom/foyer"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/understudy"
+	"dunlinloom/checker"
+	"dunlinloom/emulator"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/router"
 )
 
 // RoutedPlan is one run of a routed fleet. It uses the time package alone, so it takes
@@ -25,22 +25,22 @@
 type RoutedPlan struct {
 	Seed       uint64
 	Deployment RoutedDeployment
-	Span       house.Micros
+	Span       kernel.Micros
 	Troubles   []string // of RoutedTroubles, each at a drawn moment
 	// Shape changes what the routers are told before the start; nil: nothing.
-	Shape func(*playbill.Spec)
+	Shape func(*fleetconfig.Config)
 	// Load scales the callers' rates over the span: 0 to 1 to a factor; nil: evenly.
 	Load func(part float64) float64
 }
 
 // RoutedOutcome is what came of it.
 type RoutedOutcome struct {
-	Review  critic.RoutedReview
-	Events  []critic.RoutedEvent
+	Review  checker.RoutedReview
+	Events  []checker.RoutedEvent
 	Late    int // served of those sent in the last two seconds, when all is well again
 	LateAll int
 	// Figures are the engines' own, by the address; Opened are connections made to them.
-	Figures map[string]understudy.ModelFigures
+	Figures map[string]emulator.ModelFigures
 	Opened  uint64
 	Refused map[string]uint64
 	Diverts uint64
@@ -49,23 +49,23 @@
 // fleetClock counts from the start of the run.
 type fleetClock struct{ start time.Time }
 
-func (c fleetClock) Now() house.Micros { return house.MicrosOf(time.Since(c.start)) + sec }
+func (c fleetClock) Now() kernel.Micros { return kernel.MicrosOf(time.Since(c.start)) + sec }
 
 type routedEngine struct {
-	model     *understudy.Model
-	record    foyer.Engine
+	model     *emulator.Model
+	record    router.Engine
 	listener  io.Closer
 	isGone    bool
-	troubles  understudy.Troubles
+	troubles  emulator.Troubles
 	isTrouble bool
 }
 
 type routedRouter struct {
 	name      string
 	zone      string
-	chooser   *foyer.Chooser
-	pool      *foyer.Pool
-	router    *foyer.Router
+	chooser   *router.Chooser
+	pool      *router.Pool
+	router    *router.Router
 	server    *http.Server
 	isLeaving bool
 	isDown    bool
@@ -78,24 +78,24 @@
 	plan     RoutedPlan
 	deal     RoutedDeployment
 	clock    fleetClock
-	network  *understudy.Network
+	network  *emulator.Network
 	context  context.Context
 	lock     sync.Mutex // guards all that follows
 	random   *rand.Rand
-	events   []critic.RoutedEvent
-	spec     *playbill.Spec
+	events   []checker.RoutedEvent
+	config   *fleetconfig.Config
 	revision int
 	engines  []*routedEngine
 	routers  []*routedRouter
 	lives    int
 	factor   float64             // of the callers' rates
-	services map[string][]string // by route: those that any spec ever led it to
+	services map[string][]string // by route: those that any configuration ever led it to
 	waiting  []leaveWait
 	calls    sync.WaitGroup
 	chores   sync.WaitGroup           // end with the context
 	serving  sync.WaitGroup           // end with their listeners
 	kept     map[string][]*callerConn // idle, by router
-	figures  map[string]understudy.ModelFigures
+	figures  map[string]emulator.ModelFigures
 	opened   uint64
 }
 
@@ -106,17 +106,17 @@
 	then     func()
 }
 
-func (f *routedFleet) note(event critic.RoutedEvent) {
+func (f *routedFleet) note(event checker.RoutedEvent) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	event.At = f.clock.Now()
 	f.events = append(f.events, event)
 }
 
-func (f *routedFleet) between(low, high house.Micros) house.Micros {
+func (f *routedFleet) between(low, high kernel.Micros) kernel.Micros {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	return low + house.Micros(f.random.Int64N(int64(high-low+1)))
+	return low + kernel.Micros(f.random.Int64N(int64(high-low+1)))
 }
 
 func (f *routedFleet) draw(count int) int {
@@ -126,7 +126,7 @@
 }
 
 // after does something later, unless the run is over.
-func (f *routedFleet) after(span house.Micros, do func()) {
+func (f *routedFleet) after(span kernel.Micros, do func()) {
 	f.chores.Go(func() {
 		timer := time.NewTimer(span.Duration())
 		defer timer.Stop()
@@ -143,17 +143,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	f := &routedFleet{
-		plan: plan, deal: plan.Deployment, clock: fleetClock{time.Now()}, network: understudy.NewNetwork(plan.Deployment.Delay.Duration()),
+		plan: plan, deal: plan.Deployment, clock: fleetClock{time.Now()}, network: emulator.NewNetwork(plan.Deployment.Delay.Duration()),
 		context: ctx, random: rand.New(rand.NewPCG(plan.Seed, 5)), factor: 1, services: map[string][]string{},
-		kept: map[string][]*callerConn{}, figures: map[string]understudy.ModelFigures{},
+		kept: map[string][]*callerConn{}, figures: map[string]emulator.ModelFigures{},
 	}
-	routes := []playbill.Route{}
+	routes := []fleetconfig.Route{}
 	for _, kind := range f.deal.Kinds {
 		routes = append(routes, kind.Route)
 	}
-	f.setSpec(routes)
+	f.setConfig(routes)
 	if plan.Shape != nil {
-		plan.Shape(f.spec)
+		plan.Shape(f.config)
 	}
 	for _, service := range f.deal.Services {
 		for range f.deal.Engines[service.Name] {
@@ -196,7 +196,7 @@
 	}
 }
 
-func (f *routedFleet) outcome(end house.Micros) RoutedOutcome {
+func (f *routedFleet) outcome(end kernel.Micros) RoutedOutcome {
 	outcome := RoutedOutcome{Events: f.events, Figures: f.figures, Opened: f.opened, Refused: map[string]uint64{}}
 	for _, router := range f.routers {
 		counts := router.chooser.Counts()
@@ -205,16 +205,16 @@
 			outcome.Refused[reason] += count
 		}
 	}
-	outcome.Review = critic.JudgeRouted(f.events, f.deal.Bounds)
-	sent := map[string]house.Micros{}
+	outcome.Review = checker.JudgeRouted(f.events, f.deal.Bounds)
+	sent := map[string]kernel.Micros{}
 	for _, event := range f.events {
 		switch event.What {
-		case critic.TrySent:
+		case checker.TrySent:
 			sent[event.ID] = event.At
-		case critic.TryOver:
+		case checker.TryOver:
 			if sent[event.ID] > end-2*sec {
 				outcome.LateAll++
-				if event.Ended == critic.Whole && event.Status == http.StatusOK {
+				if event.Ended == checker.Whole && event.Status == http.StatusOK {
 					outcome.Late++
 				}
 			}
@@ -223,11 +223,11 @@
 	return outcome
 }
 
-// setSpec makes a spec of routes; the callers' rules count every service it ever named.
-func (f *routedFleet) setSpec(routes []playbill.Route) {
+// setConfig makes a configuration of routes; the callers' rules count every service it ever named.
+func (f *routedFleet) setConfig(routes []fleetconfig.Route) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.spec = playbill.NewRouteSpec(routes, f.deal.Services)
+	f.config = fleetconfig.NewRouteConfig(routes, f.deal.Services)
 	f.revision++
 	for _, route := range routes {
 		for _, split := range route.Splits {
@@ -246,14 +246,14 @@
 	if address == "" {
 		address = fmt.Sprintf("10.0.1.%d:80", f.lives)
 	}
-	at := slices.IndexFunc(f.deal.Services, func(s playbill.Service) bool { return s.Name == service })
+	at := slices.IndexFunc(f.deal.Services, func(s fleetconfig.Service) bool { return s.Name == service })
 	said := f.deal.Services[at]
 	zone := f.deal.Zones[f.lives%len(f.deal.Zones)]
 	f.lock.Unlock()
-	model := understudy.NewModel(understudy.ModelSettings{
-		ID: id, Service: service, Wire: foyer.DefaultWire(), HealthPath: "/health", InstanceHeader: "Engine-Id",
+	model := emulator.NewModel(emulator.ModelSettings{
+		ID: id, Service: service, Wire: router.DefaultWire(), HealthPath: "/health", InstanceHeader: "Engine-Id",
 		Slots: said.Slots, Queue: f.deal.Queue, Chunk: f.deal.Chunk, Step: f.deal.Step, StepEach: f.deal.StepEach, ReadPerMs: f.deal.Reads,
-		Memory: int(said.MemoryTokens), Stride: said.Stride, Idle: f.deal.Idle, MaxConns: said.MaxChannels, CloseOneIn: 50,
+		Memory: int(said.MemoryTokens), Stride: said.Stride, Idle: f.deal.Idle, MaxConns: said.MaxConnections, CloseOneIn: 50,
 		TellsLoad: f.deal.TellLoad, Note: f.note,
 	})
 	listener, err := f.network.Listen(address)
@@ -262,7 +262,7 @@
 	}
 	f.serving.Go(func() { model.Serve(listener) })
 	engine := &routedEngine{model: model, listener: listener,
-		record: foyer.Engine{ID: id, Address: address, Zone: zone, Service: service, Slots: said.Slots}}
+		record: router.Engine{ID: id, Address: address, Zone: zone, Service: service, Slots: said.Slots}}
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	f.engines = append(f.engines, engine)
@@ -290,21 +290,21 @@
 	name := fmt.Sprintf("router-%d", number)
 	zone := f.deal.Zones[number%len(f.deal.Zones)]
 	bounds := f.deal.Bounds
-	chooser := foyer.NewChooser(name, zone, foyer.Retry{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack})
-	pool := foyer.NewPool(f.clock, f.network.Dial, 300*ms, 10*sec)
-	router := &routedRouter{name: name, zone: zone, chooser: chooser, pool: pool}
-	router.router = foyer.NewRouter(foyer.Settings{
-		Cue:  house.Cue{Context: f.context, Clock: f.clock, Log: klog.Background(), Journal: house.NewJournal(64)},
-		Wire: foyer.DefaultWire(), Chooser: chooser, Pool: pool, MaxLive: 2000, MaxBodies: 64 << 20,
+	chooser := router.NewChooser(name, zone, router.Retry{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack})
+	pool := router.NewPool(f.clock, f.network.Dial, 300*ms, 10*sec)
+	served := &routedRouter{name: name, zone: zone, chooser: chooser, pool: pool}
+	served.router = router.NewRouter(router.Settings{
+		Env:  kernel.Env{Context: f.context, Clock: f.clock, Log: klog.Background(), Journal: kernel.NewJournal(64)},
+		Wire: router.DefaultWire(), Chooser: chooser, Pool: pool, MaxLive: 2000, MaxBodies: 64 << 20,
 	})
 	listener, err := f.network.Listen(name)
 	if err != nil {
 		panic(fmt.Errorf("start a router: %w", err))
 	}
-	router.server = &http.Server{Handler: router.router, ErrorLog: log.New(io.Discard, "", 0), IdleTimeout: 60 * time.Second}
+	served.server = &http.Server{Handler: served.router, ErrorLog: log.New(io.Discard, "", 0), IdleTimeout: 60 * time.Second}
 	f.serving.Go(func() {
 		// It ends with its listener, which is how every router here ends.
-		router.server.Serve(listener)
+		served.server.Serve(listener)
 	})
 	f.chores.Go(func() {
 		ticker := time.NewTicker(time.Second)
@@ -312,13 +312,13 @@
 		for {
 			select {
 			case <-ticker.C:
-				router.router.Sweep()
+				served.router.Sweep()
 			case <-f.context.Done():
 				return
 			}
 		}
 	})
-	f.routers = append(f.routers, router)
+	f.routers = append(f.routers, served)
 }
 
 // endRouter ends a router's process at once.
@@ -334,32 +334,32 @@
 }
 
 // scene is what the control plane knows now.
-func (f *routedFleet) scene() (*foyer.Scene, int) {
+func (f *routedFleet) routingTable() (*router.RoutingTable, int) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	scene := &foyer.Scene{Spec: f.spec}
+	routingTable := &router.RoutingTable{Config: f.config}
 	for _, router := range f.routers {
 		if !router.isDown {
-			scene.Routers++
+			routingTable.Routers++
 		}
 	}
 	for _, engine := range f.engines {
 		if !engine.isGone || engine.record.IsDark {
-			scene.Engines = append(scene.Engines, engine.record)
+			routingTable.Engines = append(routingTable.Engines, engine.record)
 		} else if engine.isTrouble {
 			// Nobody has noticed yet.
-			scene.Engines = append(scene.Engines, engine.record)
+			routingTable.Engines = append(routingTable.Engines, engine.record)
 		}
 	}
-	return scene, f.revision
+	return routingTable, f.revision
 }
 
 // reveal shows the present to every router, each within so long.
-func (f *routedFleet) reveal(within house.Micros) {
+func (f *routedFleet) reveal(within kernel.Micros) {
 	for _, router := range f.routers {
 		show := func() {
-			scene, revision := f.scene()
-			router.chooser.Show(scene)
+			routingTable, revision := f.routingTable()
+			router.chooser.Show(routingTable)
 			f.lock.Lock()
 			router.shownRev = max(router.shownRev, revision)
 			f.lock.Unlock()
@@ -392,7 +392,7 @@
 	})
 	f.lock.Unlock()
 	for _, wait := range known {
-		f.note(critic.RoutedEvent{What: critic.LeaveKnown, Engine: wait.engine})
+		f.note(checker.RoutedEvent{What: checker.LeaveKnown, Engine: wait.engine})
 		wait.then()
 	}
 }
--- a/traproom/routed_callers.go
+++ b/simulator/routed_callers.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"bufio"
@@ -15,11 +15,11 @@
 	"strings"
 	"time"
 
-	"dunlinloom/critic"
-	"dunlinloom/foyer"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/understudy"
+	"dunlinloom/checker"
+	"dunlinloom/emulator"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/router"
 )
 
 // callerConn is a caller's connection to a router.
@@ -41,11 +41,11 @@
 	from       int
 	opensAnew  bool
 	routerTurn int
-	until      house.Micros
+	until      kernel.Micros
 }
 
 // keepCalling sends requests of one kind at its rate.
-func (f *routedFleet) keepCalling(number int, end house.Micros) {
+func (f *routedFleet) keepCalling(number int, end kernel.Micros) {
 	kind := &f.deal.Kinds[number]
 	random := rand.New(rand.NewPCG(f.plan.Seed, uint64(number)+100))
 	begun := f.clock.Now()
@@ -56,7 +56,7 @@
 		if f.plan.Load != nil {
 			rate *= f.plan.Load(float64(f.clock.Now()-begun) / float64(end-begun))
 		}
-		pause := house.Micros(random.ExpFloat64() / max(rate, 0.01) * float64(sec))
+		pause := kernel.Micros(random.ExpFloat64() / max(rate, 0.01) * float64(sec))
 		if f.clock.Now()+pause >= end {
 			return
 		}
@@ -111,9 +111,9 @@
 		asked.id = fmt.Sprintf("%s.%d", id, try)
 		over, pause := f.try(asked)
 		f.note(over)
-		isPromise := over.Ended == critic.Whole && (over.Status == 429 || over.Status == 503)
-		isFailure := asked.kind.Route.IsRepeatable() && (over.Ended != critic.Whole || over.Status >= 500)
-		if try >= asked.kind.Further || over.Ended == critic.LeftIt || !isPromise && !isFailure {
+		isPromise := over.Ended == checker.Whole && (over.Status == 429 || over.Status == 503)
+		isFailure := asked.kind.Route.IsRepeatable() && (over.Ended != checker.Whole || over.Status >= 500)
+		if try >= asked.kind.Further || over.Ended == checker.LeftIt || !isPromise && !isFailure {
 			return
 		}
 		if f.clock.Now()+pause >= asked.until {
@@ -165,24 +165,24 @@
 }
 
 // try sends one request and tells what came, and when to come again.
-func (f *routedFleet) try(asked ask) (critic.RoutedEvent, house.Micros) {
+func (f *routedFleet) try(asked ask) (checker.RoutedEvent, kernel.Micros) {
 	route := asked.kind.Route
-	wire := foyer.DefaultWire()
+	wire := router.DefaultWire()
 	router := f.route(asked.routerTurn)
 	target := route.Prefix + "x?q=" + asked.id
 	f.lock.Lock()
 	services := append([]string(nil), f.services[route.Name]...)
 	f.lock.Unlock()
-	sent := critic.RoutedEvent{
-		What: critic.TrySent, ID: asked.id, Kind: route.Name, Router: router.name, Digest: understudy.Digest("POST", target, asked.body),
-		IsRepeatable: route.IsRepeatable(), IsResumable: route.IsResumable, IsStream: route.Kind == playbill.Stream, Services: services,
+	sent := checker.RoutedEvent{
+		What: checker.TrySent, ID: asked.id, Kind: route.Name, Router: router.name, Digest: emulator.Digest("POST", target, asked.body),
+		IsRepeatable: route.IsRepeatable(), IsResumable: route.IsResumable, IsStream: route.Kind == fleetconfig.Stream, Services: services,
 		From: asked.from, Until: asked.until,
 	}
-	over := critic.RoutedEvent{What: critic.TryOver, ID: asked.id, Kind: route.Name, Router: router.name}
+	over := checker.RoutedEvent{What: checker.TryOver, ID: asked.id, Kind: route.Name, Router: router.name}
 	conn, err := f.connect(router, asked.opensAnew)
 	if err != nil {
 		f.note(sent)
-		over.Ended, over.Why = critic.Nothing, err.Error()
+		over.Ended, over.Why = checker.Nothing, err.Error()
 		return over, 100 * ms
 	}
 	left := max((asked.until-f.clock.Now())/ms, 1)
@@ -203,7 +203,7 @@
 	f.note(sent)
 	if _, err := conn.Write(message.Bytes()); err != nil {
 		conn.Close()
-		over.Ended, over.Why = critic.Nothing, err.Error()
+		over.Ended, over.Why = checker.Nothing, err.Error()
 		return over, 50 * ms
 	}
 	conn.SetReadDeadline(time.Now().Add((asked.until - f.clock.Now() + 600*ms).Duration()))
@@ -216,24 +216,24 @@
 		return over, pause
 	}
 	if canKeep && conn.reader.Buffered() > 0 {
-		over.Ended, over.Why = critic.Garbage, "bytes after the answer"
+		over.Ended, over.Why = checker.Garbage, "bytes after the answer"
 	}
 	conn.Close()
 	return over, pause
 }
 
 // receive reads one answer.
-func (f *routedFleet) receive(conn *callerConn, asked ask, over *critic.RoutedEvent) (pause house.Micros, canKeep bool) {
-	wire := foyer.DefaultWire()
+func (f *routedFleet) receive(conn *callerConn, asked ask, over *checker.RoutedEvent) (pause kernel.Micros, canKeep bool) {
+	wire := router.DefaultWire()
 	response, err := http.ReadResponse(conn.reader, &http.Request{Method: "POST"})
 	if err != nil {
-		over.Ended, over.Why = endOf(err, critic.Nothing), err.Error()
+		over.Ended, over.Why = endOf(err, checker.Nothing), err.Error()
 		return 50 * ms, false
 	}
 	over.Status, over.Run, over.GotID = response.StatusCode, response.Header.Get(wire.Stamp), response.Header.Get(wire.RequestID)
 	if text := response.Header.Get("Retry-After"); text != "" {
 		if seconds, err := strconv.ParseFloat(text, 64); err == nil {
-			pause = house.Micros(seconds * float64(sec))
+			pause = kernel.Micros(seconds * float64(sec))
 		}
 	}
 	isStream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
@@ -243,27 +243,27 @@
 	} else {
 		var body []byte
 		body, err = io.ReadAll(response.Body)
-		want := understudy.ModelBody(over.Run, asked.out)
+		want := emulator.ModelBody(over.Run, asked.out)
 		if over.Status != http.StatusOK {
-			want = understudy.ModelFailure(over.Run)
+			want = emulator.ModelFailure(over.Run)
 		}
 		if over.Run != "" && (!bytes.HasPrefix(want, body) || err == nil && len(body) != len(want)) {
 			over.IsOwn, over.Why = false, fmt.Sprintf("%.60q", body)
 		}
 	}
 	if err != nil {
-		over.Ended = endOf(err, critic.Broken)
+		over.Ended = endOf(err, checker.Broken)
 		if over.Why == "" {
 			over.Why = err.Error()
 		}
 		return 50 * ms, false
 	}
-	over.Ended = critic.Whole
+	over.Ended = checker.Whole
 	return pause, !response.Close
 }
 
 // receiveEvents reads a stream's events as they come.
-func (f *routedFleet) receiveEvents(body io.Reader, over *critic.RoutedEvent) error {
+func (f *routedFleet) receiveEvents(body io.Reader, over *checker.RoutedEvent) error {
 	var pending []byte
 	buffer := make([]byte, 4096)
 	for {
@@ -274,7 +274,7 @@
 			if end < 0 {
 				break
 			}
-			piece, isOwn := understudy.ReadModelEvent(pending[:end+2])
+			piece, isOwn := emulator.ReadModelEvent(pending[:end+2])
 			if !isOwn {
 				over.IsOwn, over.Why = false, fmt.Sprintf("%.80q", pending[:end+2])
 			}
@@ -297,12 +297,12 @@
 }
 
 // endOf tells an answer that broke off from bytes that are none.
-func endOf(err error, otherwise critic.Ended) critic.Ended {
+func endOf(err error, otherwise checker.Ended) checker.Ended {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return critic.LeftIt
+		return checker.LeftIt
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, new(*net.OpError)), isErrno(err):
 		return otherwise
 	}
-	return critic.Garbage
+	return checker.Garbage
 }
--- a/traproom/routed_deal.go
+++ b/simulator/routed_deal.go
@@ -1,23 +1,23 @@
-package traproom
+package simulator
 
 import (
 	"fmt"
 	"math/rand/v2"
 
-	"dunlinloom/critic"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
+	"dunlinloom/checker"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 // RoutedKind is a shape of requests on one route.
 type RoutedKind struct {
-	Route       playbill.Route
+	Route       fleetconfig.Route
 	Rate        float64 // requests a second
 	Common      int     // tokens with which every prompt of the kind begins
 	Prefixes    int     // different shared beginnings after these
 	Shared, Own int     // tokens of a prompt, on the mean
 	Out         int     // tokens put out, on the mean
-	Deadline    house.Micros
+	Deadline    kernel.Micros
 	Further     int // further tries of a caller
 	Body        int // bytes
 }
@@ -27,18 +27,18 @@
 	Zones    []string
 	Routers  int
 	Engines  map[string]int // by service
-	Services []playbill.Service
+	Services []fleetconfig.Service
 	Kinds    []RoutedKind
-	Bounds   critic.RoutedBounds
+	Bounds   checker.RoutedBounds
 	Chunk    int
-	Step     house.Micros
-	StepEach house.Micros
+	Step     kernel.Micros
+	StepEach kernel.Micros
 	Reads    float64 // prompt tokens in a millisecond
 	Queue    int
-	Idle     house.Micros
-	Reveal   house.Micros // the longest that a change takes to a router
-	BeatGone house.Micros // silence after which the control plane calls an engine dark
-	Delay    house.Micros // one way
+	Idle     kernel.Micros
+	Reveal   kernel.Micros // the longest that a change takes to a router
+	BeatGone kernel.Micros // silence after which the control plane calls an engine dark
+	Delay    kernel.Micros // one way
 	TellLoad bool
 }
 
@@ -47,16 +47,18 @@
 func DealRouted(seed uint64) RoutedDeployment {
 	random := rand.New(rand.NewPCG(seed, 77))
 	between := func(low, high int) int { return low + random.IntN(high-low+1) }
-	span := func(low, high house.Micros) house.Micros { return low + house.Micros(random.Int64N(int64(high-low+1))) }
+	span := func(low, high kernel.Micros) kernel.Micros {
+		return low + kernel.Micros(random.Int64N(int64(high-low+1)))
+	}
 	zones := between(1, 4)
 	d := RoutedDeployment{
 		Routers: between(2, 5), Engines: map[string]int{"text": between(3, 8), "plain": between(2, 3)},
 		Chunk: between(128, 1024), Step: span(2*ms, 5*ms), StepEach: span(20, 150), Reads: float64(between(30, 80)), Queue: between(2, 8),
-		Idle: house.Micros(between(2, 10)) * sec, Reveal: span(20*ms, 400*ms), BeatGone: span(sec, 3*sec), Delay: span(100, 2*ms),
+		Idle: kernel.Micros(between(2, 10)) * sec, Reveal: span(20*ms, 400*ms), BeatGone: span(sec, 3*sec), Delay: span(100, 2*ms),
 		TellLoad: random.IntN(4) > 0,
-		Bounds: critic.RoutedBounds{
+		Bounds: checker.RoutedBounds{
 			Drain: span(1500*ms, 3*sec), Grace: span(6*sec, 10*sec), Slack: 200 * ms, Contact: 4 * sec,
-			RetryRatio: 0.1 + random.Float64()*0.2, RetrySlack: float64(between(10, 60)), RetryWindow: house.Micros(between(5, 10)) * sec,
+			RetryRatio: 0.1 + random.Float64()*0.2, RetrySlack: float64(between(10, 60)), RetryWindow: kernel.Micros(between(5, 10)) * sec,
 			DeniedFew: 5, DeniedOneIn: 500,
 		},
 	}
@@ -64,9 +66,9 @@
 		d.Zones = append(d.Zones, fmt.Sprint("zone-", i+1))
 	}
 	slots, stride := between(4, 12), between(1, 8)
-	d.Services = []playbill.Service{
-		{Name: "text", Slots: slots, Stride: stride, MaxChannels: between(60, 200), MemoryTokens: int64(between(30000, 90000))},
-		{Name: "plain", Slots: slots, Stride: 1, MaxChannels: between(60, 200), MemoryTokens: 40000},
+	d.Services = []fleetconfig.Service{
+		{Name: "text", Slots: slots, Stride: stride, MaxConnections: between(60, 200), MemoryTokens: int64(between(30000, 90000))},
+		{Name: "plain", Slots: slots, Stride: 1, MaxConnections: between(60, 200), MemoryTokens: 40000},
 	}
 	// What the engines can do, from which the rates follow: about half of it.
 	perEngine := 0.4 * d.Reads * 1000
@@ -78,14 +80,14 @@
 	long.Rate = min(tokens*0.3/float64(long.Own+long.Shared/2), 12)
 	short.Rate = min(tokens*0.2/float64(short.Own+short.Shared/2), 40)
 	plain.Rate, safe.Rate = 4, 4
-	lead := func(service string) []playbill.Split { return []playbill.Split{{Service: service, Weight: 1}} }
-	long.Route = playbill.Route{Name: "long", Host: "long.example", Prefix: "/l/", Kind: playbill.Stream, Timeout: long.Deadline, Goal: span(500*ms, 1500*ms),
+	lead := func(service string) []fleetconfig.Split { return []fleetconfig.Split{{Service: service, Weight: 1}} }
+	long.Route = fleetconfig.Route{Name: "long", Host: "long.example", Prefix: "/l/", Kind: fleetconfig.Stream, Timeout: long.Deadline, Goal: span(500*ms, 1500*ms),
 		GapGoal: 400 * ms, Priority: 1, Tries: between(1, 3), IsPinned: true, Splits: lead("text")}
-	short.Route = playbill.Route{Name: "short", Host: "short.example", Prefix: "/s/", Kind: playbill.Stream, Timeout: short.Deadline, Goal: span(300*ms, 600*ms),
+	short.Route = fleetconfig.Route{Name: "short", Host: "short.example", Prefix: "/s/", Kind: fleetconfig.Stream, Timeout: short.Deadline, Goal: span(300*ms, 600*ms),
 		GapGoal: 400 * ms, Tries: between(2, 3), IsPinned: true, IsResumable: true, Splits: lead("text")}
-	plain.Route = playbill.Route{Name: "plain", Host: "plain.example", Prefix: "/p/", Kind: playbill.Unsafe, Timeout: plain.Deadline, Goal: 500 * ms,
+	plain.Route = fleetconfig.Route{Name: "plain", Host: "plain.example", Prefix: "/p/", Kind: fleetconfig.Unsafe, Timeout: plain.Deadline, Goal: 500 * ms,
 		Priority: 2, Tries: between(1, 2), Splits: lead("plain")}
-	safe.Route = playbill.Route{Name: "safe", Host: "plain.example", Prefix: "/p/safe/", Kind: playbill.Safe, Timeout: plain.Deadline, Goal: 500 * ms,
+	safe.Route = fleetconfig.Route{Name: "safe", Host: "plain.example", Prefix: "/p/safe/", Kind: fleetconfig.Safe, Timeout: plain.Deadline, Goal: 500 * ms,
 		Priority: 2, Tries: between(2, 3), Splits: lead("plain")}
 	d.Kinds = []RoutedKind{long, short, plain, safe}
 	return d
--- a/traproom/routed_test.go
+++ b/simulator/routed_test.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // playBubble plays a plan in virtual time.
@@ -23,16 +23,16 @@
 	if slices.Contains(troubles, "all-crash") {
 		part = 4 // for a quarter of the time there is nobody who could serve
 	}
-	for i, breach := range outcome.Review.Breaches {
+	for i, violation := range outcome.Review.Violations {
 		if i < 5 {
-			c.Errorf("%s: at %d us: %s", breach.Rule, breach.At, breach.Detail)
+			c.Errorf("%s: at %d us: %s", violation.Rule, violation.At, violation.Detail)
 		}
 	}
 	c.Check(outcome.Review.Served*part > outcome.Review.Tries, qt.IsTrue, qt.Commentf("%d of %d served: %v", outcome.Review.Served, outcome.Review.Tries, outcome.Review.Endings))
 	c.Check(outcome.Late*4 > outcome.LateAll*3, qt.IsTrue, qt.Commentf("at the end %d of %d served", outcome.Late, outcome.LateAll))
 }
 
-const routedSpan = 10 * house.Second
+const routedSpan = 10 * kernel.Second
 
 func TestRoutedCalm(t *testing.T) {
 	for seed := range uint64(4) {
@@ -76,9 +76,9 @@
 				shape(&deployment)
 			}
 			outcome := playBubble(t, RoutedPlan{Seed: seed, Deployment: deployment, Span: routedSpan, Troubles: troubles})
-			for _, breach := range outcome.Review.Breaches {
-				t.Errorf("%s: at %d us: %s", breach.Rule, breach.At, breach.Detail)
-				if len(outcome.Review.Breaches) > 3 {
+			for _, violation := range outcome.Review.Violations {
+				t.Errorf("%s: at %d us: %s", violation.Rule, violation.At, violation.Detail)
+				if len(outcome.Review.Violations) > 3 {
 					break
 				}
 			}
--- a/traproom/routed_troubles.go
+++ b/simulator/routed_troubles.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"context"
@@ -7,10 +7,10 @@
 	"slices"
 	"syscall"
 
-	"dunlinloom/critic"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/understudy"
+	"dunlinloom/checker"
+	"dunlinloom/emulator"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 )
 
 func isErrno(err error) bool { return errors.As(err, new(syscall.Errno)) }
@@ -41,32 +41,32 @@
 }
 
 // ail makes something wrong with an engine for a while.
-func ail(why string, wrong func(*understudy.Troubles)) func(*routedFleet, house.Micros) {
-	return func(f *routedFleet, span house.Micros) {
+func ail(why string, wrong func(*emulator.Troubles)) func(*routedFleet, kernel.Micros) {
+	return func(f *routedFleet, span kernel.Micros) {
 		engine := f.anEngine()
 		if engine == nil {
 			return
 		}
-		troubles := understudy.Troubles{}
+		troubles := emulator.Troubles{}
 		wrong(&troubles)
 		f.lock.Lock()
 		engine.isTrouble = true
 		f.lock.Unlock()
-		f.note(critic.RoutedEvent{What: critic.TroubleStruck, Why: why, Engine: engine.record.ID})
+		f.note(checker.RoutedEvent{What: checker.TroubleStruck, Why: why, Engine: engine.record.ID})
 		engine.model.Set(troubles)
 		if troubles.Dark {
 			f.notice(engine, span)
 		}
 		f.after(span, func() {
-			engine.model.Set(understudy.Troubles{})
-			f.note(critic.RoutedEvent{What: critic.TroubleOver, Why: why, Engine: engine.record.ID})
+			engine.model.Set(emulator.Troubles{})
+			f.note(checker.RoutedEvent{What: checker.TroubleOver, Why: why, Engine: engine.record.ID})
 			f.change(func() { engine.isTrouble, engine.record.IsDark = false, false })
 		})
 	}
 }
 
 // notice has the control plane miss an engine's beats.
-func (f *routedFleet) notice(engine *routedEngine, span house.Micros) {
+func (f *routedFleet) notice(engine *routedEngine, span kernel.Micros) {
 	if span > f.deal.BeatGone {
 		f.after(f.deal.BeatGone, func() {
 			f.lock.Lock()
@@ -80,22 +80,22 @@
 }
 
 // crash ends an engine; after a while another life starts, at the same address.
-func (f *routedFleet) crash(engine *routedEngine, span house.Micros, service string) {
+func (f *routedFleet) crash(engine *routedEngine, span kernel.Micros, service string) {
 	f.lock.Lock()
 	engine.isTrouble = true
 	f.lock.Unlock()
-	f.note(critic.RoutedEvent{What: critic.TroubleStruck, Why: "crash", Engine: engine.record.ID})
+	f.note(checker.RoutedEvent{What: checker.TroubleStruck, Why: "crash", Engine: engine.record.ID})
 	f.endEngine(engine)
 	f.notice(engine, span)
 	f.after(span, func() {
 		f.startEngine(service, engine.record.Address)
-		f.note(critic.RoutedEvent{What: critic.TroubleOver, Why: "crash", Engine: engine.record.ID})
+		f.note(checker.RoutedEvent{What: checker.TroubleOver, Why: "crash", Engine: engine.record.ID})
 		f.change(func() { engine.isTrouble, engine.record.IsDark = false, false })
 	})
 }
 
 // leave has an engine leave in order, and another one come.
-func leave(f *routedFleet, span house.Micros) {
+func leave(f *routedFleet, span kernel.Micros) {
 	engine := f.anEngine()
 	if engine == nil {
 		return
@@ -103,7 +103,7 @@
 	engine.model.Leave()
 	f.lock.Lock()
 	f.waiting = append(f.waiting, leaveWait{f.revision + 1, engine.record.ID, func() {
-		f.after(f.deal.Bounds.Drain+house.Second/2, func() {
+		f.after(f.deal.Bounds.Drain+kernel.Second/2, func() {
 			f.change(func() { engine.record.IsDark = false })
 			f.endEngine(engine)
 			f.startEngine(engine.record.Service, "")
@@ -115,7 +115,7 @@
 }
 
 // stopRouter is a planned stop, in the order in which wings does it.
-func stopRouter(f *routedFleet, _ house.Micros) {
+func stopRouter(f *routedFleet, _ kernel.Micros) {
 	f.lock.Lock()
 	up := slices.DeleteFunc(slices.Clone(f.routers), func(r *routedRouter) bool { return r.isDown || r.isLeaving })
 	if len(up) < 2 {
@@ -124,7 +124,7 @@
 	}
 	router := up[f.random.IntN(len(up))]
 	f.lock.Unlock()
-	f.note(critic.RoutedEvent{What: critic.RouterLeaving, Router: router.name})
+	f.note(checker.RoutedEvent{What: checker.RouterLeaving, Router: router.name})
 	router.router.Stop()
 	// The platform notices after two looks.
 	f.after(2*sec, func() { f.lock.Lock(); router.isLeaving = true; f.lock.Unlock() })
@@ -139,26 +139,26 @@
 	})
 }
 
-var routedTroubles = map[string]func(*routedFleet, house.Micros){
-	"dark":      ail("dark", func(t *understudy.Troubles) { t.Dark = true }),
-	"slow":      ail("slow", func(t *understudy.Troubles) { t.Slow = 6 }),
-	"grey":      ail("grey", func(t *understudy.Troubles) { t.GreyShare = 0.5 }),
-	"lying":     ail("lying", func(t *understudy.Troubles) { t.IsLying = true }),
-	"lost":      ail("lost", func(t *understudy.Troubles) { t.LoseShare = 0.3 }),
-	"cut":       ail("cut", func(t *understudy.Troubles) { t.CutShare = 0.4 }),
-	"junk":      ail("junk", func(t *understudy.Troubles) { t.JunkShare = 0.3 }),
-	"twice":     ail("twice", func(t *understudy.Troubles) { t.TwiceShare = 0.5 }),
-	"late":      ail("late", func(t *understudy.Troubles) { t.LateShare = 0.5 }),
-	"full":      ail("full", func(t *understudy.Troubles) { t.FullShare = 0.6 }),
-	"deaf":      ail("deaf", func(t *understudy.Troubles) { t.IsDeaf = true }),
-	"idle-drop": ail("idle-drop", func(t *understudy.Troubles) { t.DropIdle = 300 * ms }),
-	"crash": func(f *routedFleet, span house.Micros) {
+var routedTroubles = map[string]func(*routedFleet, kernel.Micros){
+	"dark":      ail("dark", func(t *emulator.Troubles) { t.Dark = true }),
+	"slow":      ail("slow", func(t *emulator.Troubles) { t.Slow = 6 }),
+	"grey":      ail("grey", func(t *emulator.Troubles) { t.GreyShare = 0.5 }),
+	"lying":     ail("lying", func(t *emulator.Troubles) { t.IsLying = true }),
+	"lost":      ail("lost", func(t *emulator.Troubles) { t.LoseShare = 0.3 }),
+	"cut":       ail("cut", func(t *emulator.Troubles) { t.CutShare = 0.4 }),
+	"junk":      ail("junk", func(t *emulator.Troubles) { t.JunkShare = 0.3 }),
+	"twice":     ail("twice", func(t *emulator.Troubles) { t.TwiceShare = 0.5 }),
+	"late":      ail("late", func(t *emulator.Troubles) { t.LateShare = 0.5 }),
+	"full":      ail("full", func(t *emulator.Troubles) { t.FullShare = 0.6 }),
+	"deaf":      ail("deaf", func(t *emulator.Troubles) { t.IsDeaf = true }),
+	"idle-drop": ail("idle-drop", func(t *emulator.Troubles) { t.DropIdle = 300 * ms }),
+	"crash": func(f *routedFleet, span kernel.Micros) {
 		if engine := f.anEngine(); engine != nil {
 			f.crash(engine, span, engine.record.Service)
 		}
 	},
 	// Another service's engine takes the address before the routers know.
-	"reuse": func(f *routedFleet, span house.Micros) {
+	"reuse": func(f *routedFleet, span kernel.Micros) {
 		if engine := f.anEngine(); engine != nil {
 			other := f.deal.Services[0].Name
 			if other == engine.record.Service {
@@ -167,18 +167,18 @@
 			f.lock.Lock()
 			engine.isTrouble = true
 			f.lock.Unlock()
-			f.note(critic.RoutedEvent{What: critic.TroubleStruck, Why: "reuse", Engine: engine.record.ID})
+			f.note(checker.RoutedEvent{What: checker.TroubleStruck, Why: "reuse", Engine: engine.record.ID})
 			f.endEngine(engine)
 			f.startEngine(other, engine.record.Address)
 			f.after(span, func() {
 				f.startEngine(engine.record.Service, "")
-				f.note(critic.RoutedEvent{What: critic.TroubleOver, Why: "reuse", Engine: engine.record.ID})
+				f.note(checker.RoutedEvent{What: checker.TroubleOver, Why: "reuse", Engine: engine.record.ID})
 				f.change(func() { engine.isTrouble = false })
 			})
 		}
 	},
-	"flap": func(f *routedFleet, span house.Micros) {
-		for i := range house.Micros(3) {
+	"flap": func(f *routedFleet, span kernel.Micros) {
+		for i := range kernel.Micros(3) {
 			f.after(i*span/2, func() {
 				if engine := f.anEngine(); engine != nil {
 					f.crash(engine, max(span/4, 200*ms), engine.record.Service)
@@ -186,7 +186,7 @@
 			})
 		}
 	},
-	"all-crash": func(f *routedFleet, span house.Micros) {
+	"all-crash": func(f *routedFleet, span kernel.Micros) {
 		f.lock.Lock()
 		up := slices.DeleteFunc(slices.Clone(f.engines), func(e *routedEngine) bool { return e.isGone || e.isTrouble })
 		f.lock.Unlock()
@@ -194,7 +194,7 @@
 			f.crash(engine, span, engine.record.Service)
 		}
 	},
-	"unreachable": func(f *routedFleet, span house.Micros) {
+	"unreachable": func(f *routedFleet, span kernel.Micros) {
 		engine := f.anEngine()
 		if engine == nil {
 			return
@@ -202,17 +202,17 @@
 		f.lock.Lock()
 		engine.isTrouble = true
 		f.lock.Unlock()
-		f.note(critic.RoutedEvent{What: critic.TroubleStruck, Why: "unreachable", Engine: engine.record.ID})
+		f.note(checker.RoutedEvent{What: checker.TroubleStruck, Why: "unreachable", Engine: engine.record.ID})
 		f.network.Cut(engine.record.Address, true)
 		f.after(span, func() {
 			f.network.Cut(engine.record.Address, false)
-			f.note(critic.RoutedEvent{What: critic.TroubleOver, Why: "unreachable", Engine: engine.record.ID})
+			f.note(checker.RoutedEvent{What: checker.TroubleOver, Why: "unreachable", Engine: engine.record.ID})
 			f.change(func() { engine.isTrouble = false })
 		})
 	},
 	"leave": leave,
 	"stop":  stopRouter,
-	"router-crash": func(f *routedFleet, span house.Micros) {
+	"router-crash": func(f *routedFleet, span kernel.Micros) {
 		f.lock.Lock()
 		up := slices.DeleteFunc(slices.Clone(f.routers), func(r *routedRouter) bool { return r.isDown || r.isLeaving })
 		if len(up) < 2 {
@@ -221,31 +221,31 @@
 		}
 		router := up[f.random.IntN(len(up))]
 		f.lock.Unlock()
-		f.note(critic.RoutedEvent{What: critic.TroubleStruck, Why: "router-crash", Router: router.name})
+		f.note(checker.RoutedEvent{What: checker.TroubleStruck, Why: "router-crash", Router: router.name})
 		f.endRouter(router)
 		f.change(func() {})
 	},
-	"burst": func(f *routedFleet, span house.Micros) {
+	"burst": func(f *routedFleet, span kernel.Micros) {
 		f.lock.Lock()
 		f.factor *= 4
 		f.lock.Unlock()
-		f.note(critic.RoutedEvent{What: critic.TroubleStruck, Why: "burst"})
+		f.note(checker.RoutedEvent{What: checker.TroubleStruck, Why: "burst"})
 		f.after(span, func() {
 			f.lock.Lock()
 			f.factor /= 4
 			f.lock.Unlock()
-			f.note(critic.RoutedEvent{What: critic.TroubleOver, Why: "burst"})
+			f.note(checker.RoutedEvent{What: checker.TroubleOver, Why: "burst"})
 		})
 	},
-	// A spec moves a route to another service and back.
-	"spec": func(f *routedFleet, span house.Micros) {
+	// A configuration moves a route to another service and back.
+	"spec": func(f *routedFleet, span kernel.Micros) {
 		move := func(service string) {
 			f.lock.Lock()
-			routes := slices.Clone(f.spec.Routes)
+			routes := slices.Clone(f.config.Routes)
 			f.lock.Unlock()
-			at := slices.IndexFunc(routes, func(r playbill.Route) bool { return r.Name == "safe" })
-			routes[at].Splits = []playbill.Split{{Service: service, Weight: 1}}
-			f.setSpec(routes)
+			at := slices.IndexFunc(routes, func(r fleetconfig.Route) bool { return r.Name == "safe" })
+			routes[at].Splits = []fleetconfig.Split{{Service: service, Weight: 1}}
+			f.setConfig(routes)
 			f.change(func() {})
 		}
 		move("text")
--- a/traproom/traproom_test.go
+++ b/simulator/simulator_test.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"dunlinloom/critic"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
 )
 
 // ciSeeds are replayed in CI. What a seed of a search finds gets a test of its own
@@ -31,8 +31,8 @@
 			c.Assert(outcome.IsClean(), qt.IsTrue)
 			// A day on which nothing was served would break no rule either. What found no
 			// machine up, say a crowd while all were down, says nothing of that.
-			served := outcome.Review.Outcomes[string(critic.Served)]
-			reached := outcome.Review.Calls - outcome.Review.Outcomes[string(critic.Unreached)]
+			served := outcome.Review.Outcomes[string(checker.Served)]
+			reached := outcome.Review.Calls - outcome.Review.Outcomes[string(checker.Unreached)]
 			c.Assert(served*2 > reached, qt.IsTrue, qt.Commentf("%d of %d served", served, reached))
 		})
 	}
@@ -50,21 +50,21 @@
 func openWorld(c *qt.C, deployment string, seed uint64) *World {
 	w := WorldOf(seed, deployment)
 	c.Assert(w.Open(), qt.IsTrue)
-	w.Traffic(10, house.Micros(1<<60), 0.1)
+	w.Traffic(10, kernel.Micros(1<<60), 0.1)
 	w.Run(2 * sec)
 	return w
 }
 
 // finish judges a world and checks that orders go through again.
-func finish(c *qt.C, w *World) critic.Review {
+func finish(c *qt.C, w *World) checker.Review {
 	yes := w.operator.Yes
-	w.operator.putSpec(nil)
+	w.operator.putConfig(nil)
 	w.Run(12 * sec)
 	c.Assert(w.operator.Yes > yes, qt.IsTrue, qt.Commentf("no order is acknowledged any more"))
 	w.operator.readBack()
 	w.totals()
-	review := critic.Judge(w.events, critic.BriefBounds())
-	c.Assert(review.Breaches, qt.HasLen, 0)
+	review := checker.Judge(w.events, checker.BriefBounds())
+	c.Assert(review.Violations, qt.HasLen, 0)
 	c.Assert(w.wrongs, qt.HasLen, 0)
 	return review
 }
--- a/traproom/storm.go
+++ b/simulator/storm.go
@@ -1,9 +1,9 @@
-package traproom
+package simulator
 
 import (
 	"slices"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // storms strike a small core in quick succession, to get elections, lost writes
@@ -67,14 +67,14 @@
 	{"the accepting node dies just after a yes", 3, func(w *World) {
 		w.afterYes = func(m *machine) { bounce(m, w.between(50*ms, sec)) }
 	}},
-	{"spec", 10, func(w *World) { w.operator.putSpec(nil) }},
+	{"spec", 10, func(w *World) { w.operator.putConfig(nil) }},
 	{"two specs on one base", 4, func(w *World) {
 		base := uint64(1)
-		for generation := range w.operator.acked {
-			base = max(base, generation)
+		for revision := range w.operator.acked {
+			base = max(base, revision)
 		}
-		w.operator.putSpec(&base)
-		w.operator.putSpec(&base)
+		w.operator.putConfig(&base)
+		w.operator.putConfig(&base)
 	}},
 }
 
@@ -107,7 +107,7 @@
 		w.wrong("the fleet did not found itself in 20 s")
 	}
 	w.isBiased = true
-	w.Traffic(plan.Rate, house.Micros(1<<60), 0)
+	w.Traffic(plan.Rate, kernel.Micros(1<<60), 0)
 	for end := w.now + plan.Span; w.now < end; {
 		w.Run(w.between(20*ms, 700*ms))
 		w.strike(draw(w, storms))
--- a/traproom/traffic.go
+++ b/simulator/traffic.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"encoding/json"
@@ -6,10 +6,10 @@
 	"maps"
 	"slices"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/critic"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // engine is a simulated engine process.
@@ -17,7 +17,7 @@
 	world           *World
 	id, zone, pool  string
 	start           uint64
-	bornAt          house.Micros
+	bornAt          kernel.Micros
 	isUp, isDark    bool
 	isLeaving       bool // it says so in its reports
 	isLeavingListed bool
@@ -25,7 +25,7 @@
 	isMute          bool             // sends no reports
 	isDeclining     bool             // says of every request that it has not run it
 	runs            map[string]*call // waiting and running
-	inbox           []*call
+	queue           []*call
 	running         int
 	cache           map[uint32]uint64 // prefix to its last use
 	cacheUse        uint64
@@ -46,18 +46,18 @@
 		return
 	}
 	e.seq++
-	reportLag := w.knobs.ReportLag
-	record := flyloft.EngineRecord{
+	reportLag := w.options.ReportLag
+	record := control.EngineRecord{
 		ID: e.id, Address: "10.1.0.1:" + e.id[1:], Zone: e.zone, Pool: e.pool, Start: e.start, Seq: e.seq,
-		Burden: e.tokens, Streams: int64(len(e.runs)), Age: reportLag, Up: w.now - e.bornAt + reportLag, IsLeaving: e.isLeaving,
+		Load: e.tokens, Streams: int64(len(e.runs)), Age: reportLag, Up: w.now - e.bornAt + reportLag, IsLeaving: e.isLeaving,
 	}
 	target := w.machines[w.random.IntN(len(w.machines))]
 	w.in(reportLag, func() {
 		target.do(func() {
 			if record.IsLeaving {
-				w.take(critic.Event{What: critic.EngineLeaving, Engine: e.id, Start: record.Start})
+				w.take(checker.Event{What: checker.EngineLeaving, Engine: e.id, Start: record.Start})
 			}
-			target.carry(target.node.Hear(target.clock(), []flyloft.EngineRecord{record}))
+			target.carry(target.node.Hear(target.clock(), []control.EngineRecord{record}))
 		})
 	})
 }
@@ -67,13 +67,13 @@
 		return
 	}
 	e.world.trace("engine %s down", e.id)
-	e.world.take(critic.Event{What: critic.EngineFailed, Engine: e.id})
+	e.world.take(checker.Event{What: checker.EngineFailed, Engine: e.id})
 	e.isUp = false
 	e.tokens = 0
 	for _, tag := range slices.Sorted(maps.Keys(e.runs)) {
 		e.runs[tag].engineDied("the channel was reset")
 	}
-	e.runs, e.inbox, e.running, e.cache = map[string]*call{}, nil, 0, map[uint32]uint64{}
+	e.runs, e.queue, e.running, e.cache = map[string]*call{}, nil, 0, map[uint32]uint64{}
 }
 
 func (e *engine) boot() {
@@ -83,7 +83,7 @@
 	e.start++
 	e.isUp, e.isDark, e.isLeaving, e.isLeavingListed, e.isUnlisted = true, false, false, false, false
 	e.bornAt, e.seq = e.world.now, 0
-	e.world.take(critic.Event{What: critic.EngineMended, Engine: e.id})
+	e.world.take(checker.Event{What: checker.EngineMended, Engine: e.id})
 	e.world.trace("engine %s up, start %d", e.id, e.start)
 	e.world.relist()
 }
@@ -92,9 +92,9 @@
 type call struct {
 	world   *World
 	tag     string
-	began   house.Micros
+	began   kernel.Micros
 	router  *machine
-	call    *auditorium.Call
+	call    *relay.Call
 	engine  *engine
 	start   uint64
 	isFirst bool // the caller has a first part of the answer
@@ -108,15 +108,15 @@
 	caller  *caller
 }
 
-func (c *call) end(outcome critic.Outcome, reason string) {
+func (c *call) end(outcome checker.Outcome, reason string) {
 	if c.isOver {
 		return
 	}
 	c.isOver = true
 	delete(c.router.calls, c.tag)
-	event := critic.Event{What: critic.CallEnded, Tag: c.tag, Node: c.router.name, Kind: c.kind, Began: c.began, Outcome: outcome, Reason: reason}
-	if c.call != nil && c.call.Round != nil && outcome != critic.NotRun {
-		event.Generation, event.Engine = c.call.Round.Generation, c.call.Round.Engine.ID
+	event := checker.Event{What: checker.CallEnded, Tag: c.tag, Node: c.router.name, Kind: c.kind, Began: c.began, Outcome: outcome, Reason: reason}
+	if c.call != nil && c.call.Round != nil && outcome != checker.NotRun {
+		event.Revision, event.Engine = c.call.Round.Revision, c.call.Round.Engine.ID
 	}
 	c.world.take(event)
 	if c.caller != nil {
@@ -124,14 +124,14 @@
 	}
 }
 
-// ran tells the critic that an engine began, or may have begun, to run the request.
+// ran tells the checker that an engine began, or may have begun, to run the request.
 func (c *call) ran(e *engine) {
-	c.world.take(critic.Event{What: critic.RunBegan, Tag: c.tag, Engine: e.id, Start: e.start, Zone: e.zone, Pool: e.pool})
+	c.world.take(checker.Event{What: checker.RunBegan, Tag: c.tag, Engine: e.id, Start: e.start, Zone: e.zone, Pool: e.pool})
 }
 
 // request sends one request to a router.
 func (w *World) request(hot float64) {
-	if len(w.knobs.Kinds) > 0 {
+	if len(w.options.Kinds) > 0 {
 		w.newCaller(hot).call()
 		return
 	}
@@ -146,10 +146,10 @@
 		c.kind = by.kind.name
 	}
 	if !router.isUp {
-		c.end(critic.Unreached, "the machine is down")
+		c.end(checker.Unreached, "the machine is down")
 		return
 	}
-	k := w.knobs
+	k := w.options
 	c.prefix = uint32(w.random.IntN(k.Prefixes))
 	if w.random.Float64() < hot {
 		c.prefix = 0
@@ -158,7 +158,7 @@
 	if by != nil {
 		k.TailLow, k.TailHigh, k.OutLow, k.OutHigh = by.kind.tailLow, by.kind.tailHigh, by.kind.outLow, by.kind.outHigh
 	}
-	request := auditorium.Request{
+	request := relay.Request{
 		ID: c.tag, Kind: c.kind, PromptTokens: k.PrefixLen + k.TailLow + w.random.IntN(k.TailHigh-k.TailLow),
 		MaxTokens: k.OutLow + w.random.IntN(k.OutHigh-k.OutLow),
 	}
@@ -173,42 +173,42 @@
 		if c.isOver {
 			return
 		}
-		c.arriveAtDesk(request)
+		c.arriveAtDispatcher(request)
 	})
 }
 
-func (c *call) arriveAtDesk(request auditorium.Request) {
+func (c *call) arriveAtDispatcher(request relay.Request) {
 	w, router := c.world, c.router
-	made, decline := router.desk.Arrive(router.clock(), request)
-	if decline != nil && decline.Reason == "late" {
-		// A measurement may let a request wait and look again before it is declined.
-		if w.now-c.began < w.knobs.AdmissionWait {
+	made, rejection := router.dispatcher.Arrive(router.clock(), request)
+	if rejection != nil && rejection.Reason == "late" {
+		// A measurement may let a request wait and look again before it is rejected.
+		if w.now-c.began < w.options.AdmissionWait {
 			router.later(100*ms, func() {
 				if !c.isOver {
-					c.arriveAtDesk(request)
+					c.arriveAtDispatcher(request)
 				}
 			})
 			return
 		}
-		w.figures.lateDeclines = append(w.figures.lateDeclines, w.now-c.began)
+		w.figures.lateRejects = append(w.figures.lateRejects, w.now-c.began)
 	}
-	if decline != nil {
-		c.declined(decline)
+	if rejection != nil {
+		c.rejected(rejection)
 		return
 	}
 	c.call = made
 	c.open()
 }
 
-func (c *call) declined(decline *auditorium.Decline) {
-	outcome := critic.NotRun
-	if decline.Run == auditorium.MayHaveRun {
-		outcome = critic.MayHaveRun
+func (c *call) rejected(rejection *relay.Rejection) {
+	outcome := checker.NotRun
+	if rejection.Run == relay.MayHaveRun {
+		outcome = checker.MayHaveRun
 	}
 	if c.isFirst {
-		outcome = critic.Torn
+		outcome = checker.Torn
 	}
-	c.end(outcome, decline.Reason)
+	c.end(outcome, rejection.Reason)
 }
 
 // open dials the round's engine and writes the request.
@@ -229,29 +229,29 @@
 			return
 		}
 		if chosen == nil || !chosen.isUp {
-			w.take(critic.Event{What: critic.RoundSent, Tag: c.tag, Node: m.name, Engine: c.call.Round.Engine.ID})
-			c.close(auditorium.NotSent, "connection refused")
+			w.take(checker.Event{What: checker.RoundSent, Tag: c.tag, Node: m.name, Engine: c.call.Round.Engine.ID})
+			c.close(relay.NotSent, "connection refused")
 			return
 		}
-		if why := m.desk.MayWrite(m.clock(), c.call); why != "" {
-			c.close(auditorium.Withdrawn, why)
+		if why := m.dispatcher.MayWrite(m.clock(), c.call); why != "" {
+			c.close(relay.Withdrawn, why)
 			return
 		}
-		w.take(critic.Event{What: critic.RoundSent, Tag: c.tag, Node: m.name, Engine: chosen.id})
+		w.take(checker.Event{What: checker.RoundSent, Tag: c.tag, Node: m.name, Engine: chosen.id})
 		w.in(w.between(100, 500), func() { c.arrive(chosen, turn) })
 	})
 }
 
-func (c *call) close(ending auditorium.Ending, why string) {
-	if m, engine := c.router, c.call.Round.Engine; ending == auditorium.NotSent {
+func (c *call) close(ending relay.Ending, why string) {
+	if m, engine := c.router, c.call.Round.Engine; ending == relay.NotSent {
 		defer func() { m.carry(m.node.Suspect(m.clock(), engine.ID, engine.Start)) }()
 	}
-	isAgain, decline := c.router.desk.Close(c.router.clock(), c.call, ending, why)
+	isAgain, rejection := c.router.dispatcher.Close(c.router.clock(), c.call, ending, why)
 	switch {
 	case isAgain:
 		c.open()
-	case decline != nil:
-		c.declined(decline)
+	case rejection != nil:
+		c.rejected(rejection)
 	}
 }
 
@@ -283,10 +283,10 @@
 		return
 	}
 	if len(e.runs) >= 64 || e.isDeclining {
-		w.take(critic.Event{What: critic.RunDeclined, Tag: c.tag, Engine: e.id, Start: e.start, Zone: e.zone})
+		w.take(checker.Event{What: checker.RunRejected, Tag: c.tag, Engine: e.id, Start: e.start, Zone: e.zone})
 		c.router.later(w.between(200, ms), func() {
 			if !c.isOver && turn == c.turn {
-				c.close(auditorium.SaidNotRun, "status 429")
+				c.close(relay.SaidNotRun, "status 429")
 			}
 		})
 		return
@@ -297,13 +297,13 @@
 	e.tokens += c.placed
 	e.runs[c.tag] = c
 	if isCold := w.now-e.bornAt < coldSpan; isCold && len(e.runs) > coldBears {
-		w.take(critic.Event{What: critic.RunOvercrowd, Engine: e.id, Reason: fmt.Sprintf("%d at once", len(e.runs))})
+		w.take(checker.Event{What: checker.RunOvercrowd, Engine: e.id, Reason: fmt.Sprintf("%d at once", len(e.runs))})
 	}
 	w.figures.work[e.id] += c.placed
 	if w.now-e.bornAt < coldSpan && e.start > 1 {
 		w.figures.coldPeak = max(w.figures.coldPeak, len(e.runs))
 	}
-	if w.knobs.DataBytes {
+	if w.options.DataBytes {
 		// What the prompt and the streamed tokens weigh on the wire.
 		bytes := int64(c.call.Request.PromptTokens)*6 + int64(c.call.Request.MaxTokens)*90
 		if e.zone == c.router.identity.Zone {
@@ -312,16 +312,16 @@
 			w.figures.crossed += bytes
 		}
 	}
-	e.inbox = append(e.inbox, c)
+	e.queue = append(e.queue, c)
 	e.pull()
 }
 
 // pull starts waiting requests while there are slots.
 func (e *engine) pull() {
 	w := e.world
-	for e.running < w.knobs.Slots && len(e.inbox) > 0 {
-		c := e.inbox[0]
-		e.inbox = e.inbox[1:]
+	for e.running < w.options.Slots && len(e.queue) > 0 {
+		c := e.queue[0]
+		e.queue = e.queue[1:]
 		if e.runs[c.tag] != c {
 			continue
 		}
@@ -329,18 +329,18 @@
 		c.isRun = true
 		fresh := c.call.Request.PromptTokens
 		if e.look(c.prefix) {
-			fresh -= w.knobs.PrefixLen
-			w.figures.hits += w.knobs.PrefixLen
+			fresh -= w.options.PrefixLen
+			w.figures.hits += w.options.PrefixLen
 		} else {
-			w.figures.misses += w.knobs.PrefixLen
+			w.figures.misses += w.options.PrefixLen
 		}
-		w.in(house.Micros(fresh)*w.knobs.Prefill*e.slowness(), func() { c.produce(e, e.start) })
+		w.in(kernel.Micros(fresh)*w.options.Prefill*e.slowness(), func() { c.produce(e, e.start) })
 	}
 }
 
-func (e *engine) slowness() house.Micros {
+func (e *engine) slowness() kernel.Micros {
 	if e.start > 1 && e.world.now-e.bornAt < coldSpan {
-		return house.Micros(e.world.knobs.ColdSlow)
+		return kernel.Micros(e.world.options.ColdSlow)
 	}
 	return 1
 }
@@ -350,7 +350,7 @@
 	e.cacheUse++
 	_, isThere := e.cache[prefix]
 	e.cache[prefix] = e.cacheUse
-	if len(e.cache) > e.world.knobs.Cache {
+	if len(e.cache) > e.world.options.Cache {
 		oldest, oldestUse := prefix, e.cacheUse
 		for known, use := range e.cache {
 			if use < oldestUse {
@@ -385,21 +385,21 @@
 			return
 		}
 		if !c.isFirst {
-			c.router.desk.Responded(c.call)
+			c.router.dispatcher.Responded(c.call)
 			if engine := c.call.Round.Engine; start > engine.Start {
 				c.router.carry(c.router.node.Restarted(c.router.clock(), engine.ID, start))
 			}
 			c.isFirst = true
 			w.figures.ttft = append(w.figures.ttft, w.now-c.began)
 		}
-		c.router.desk.Produced(c.router.clock(), c.call, step)
+		c.router.dispatcher.Produced(c.router.clock(), c.call, step)
 		if isLast {
-			c.router.desk.Close(c.router.clock(), c.call, auditorium.Served, "")
-			c.end(critic.Served, "")
+			c.router.dispatcher.Close(c.router.clock(), c.call, relay.Served, "")
+			c.end(checker.Served, "")
 		}
 	})
 	if !isLast {
-		w.in(house.Micros(step)*w.knobs.Decode*e.slowness(), func() { c.produce(e, start) })
+		w.in(kernel.Micros(step)*w.options.Decode*e.slowness(), func() { c.produce(e, start) })
 	}
 }
 
@@ -421,7 +421,7 @@
 	if c.engine != nil && c.engine.start == c.start {
 		c.engine.release(c)
 	}
-	c.close(auditorium.Lost, why)
+	c.close(relay.Lost, why)
 }
 
 func (c *call) engineDied(why string) {
@@ -433,15 +433,15 @@
 	if c.engine != nil && c.engine.start == c.start {
 		c.engine.release(c)
 	}
-	outcome := critic.NoReceipt
+	outcome := checker.NoAck
 	if c.isFirst {
-		outcome = critic.Torn
+		outcome = checker.Torn
 	}
 	c.end(outcome, "the router died")
 }
 
 // Traffic sends requests at a rate for a span.
-func (w *World) Traffic(rate float64, span house.Micros, hot float64) {
+func (w *World) Traffic(rate float64, span kernel.Micros, hot float64) {
 	end := w.now + span
 	var next func()
 	next = func() {
@@ -449,7 +449,7 @@
 			return
 		}
 		w.request(hot)
-		w.in(house.Micros(w.random.ExpFloat64()/rate*float64(sec)), next)
+		w.in(kernel.Micros(w.random.ExpFloat64()/rate*float64(sec)), next)
 	}
 	w.in(0, next)
 }
@@ -467,43 +467,43 @@
 	Unsure int
 }
 
-func (w *World) nextSpec() []byte {
-	w.specCount++
+func (w *World) nextConfig() []byte {
+	w.configCount++
 	shares := []any{}
-	for i := range max(w.knobs.Pools, 1) {
-		// Each spec leaves one pool out, so that an engine that runs tells by which spec.
-		if w.knobs.Pools == 0 || i != w.specCount%w.knobs.Pools {
-			shares = append(shares, map[string]any{"pool": w.pool(i), "weight": 1 + w.specCount%9})
+	for i := range max(w.options.Pools, 1) {
+		// Each configuration leaves one pool out, so that an engine that runs tells by which configuration.
+		if w.options.Pools == 0 || i != w.configCount%w.options.Pools {
+			shares = append(shares, map[string]any{"pool": w.pool(i), "weight": 1 + w.configCount%9})
 		}
 	}
 	binding := map[string]any{
-		"name": fmt.Sprintf("b%d", w.specCount), "shares": shares,
-		"ttftLimitUs": w.knobs.TTFTLimit,
+		"name": fmt.Sprintf("b%d", w.configCount), "shares": shares,
+		"ttftLimitUs": w.options.TTFTLimit,
 	}
-	spec := map[string]any{"bindings": []any{binding}}
-	if w.knobs.Policy != nil {
-		spec["policy"] = w.knobs.Policy
+	config := map[string]any{"bindings": []any{binding}}
+	if w.options.Policy != nil {
+		config["policy"] = w.options.Policy
 	}
-	content, err := json.Marshal(spec)
+	content, err := json.Marshal(config)
 	if err != nil {
-		panic(house.ServiceBreakdown{Name: "spec", Why: err.Error()})
+		panic(kernel.ServiceError{Name: "spec", Why: err.Error()})
 	}
 	return content
 }
 
 // order gives an order to some node, and again to another under the same id until
 // it is answered for good.
-func (o *operator) order(submit flyloft.Submit, onEnd func(flyloft.SubmitReceipt)) {
+func (o *operator) order(submit control.Submit, onEnd func(control.SubmitReply)) {
 	o.count++
 	submit.ID = fmt.Sprintf("s%d", o.count)
 	o.open[submit.ID] = true
-	if submit.Order == flyloft.PutSpec {
-		o.world.take(critic.Event{What: critic.SpecSent, ID: submit.ID, Digest: string(submit.Spec), Pools: poolsOf(submit.Spec)})
+	if submit.Order == control.PutConfig {
+		o.world.take(checker.Event{What: checker.ConfigSent, ID: submit.ID, Digest: string(submit.Config), Pools: poolsOf(submit.Config)})
 	}
 	o.try(submit, 0, onEnd)
 }
 
-func (o *operator) try(submit flyloft.Submit, tries int, onEnd func(flyloft.SubmitReceipt)) {
+func (o *operator) try(submit control.Submit, tries int, onEnd func(control.SubmitReply)) {
 	w := o.world
 	if tries > 25 {
 		o.Unsure++
@@ -527,17 +527,17 @@
 	}
 	w.in(patience, again)
 	m.do(func() {
-		m.receipts[submit.ID] = func(receipt flyloft.SubmitReceipt) {
+		m.replies[submit.ID] = func(reply control.SubmitReply) {
 			if isDone {
 				return
 			}
-			if receipt.Outcome == flyloft.Unproved {
+			if reply.Outcome == control.Unproved {
 				again()
 				return
 			}
 			isDone = true
 			delete(o.open, submit.ID)
-			if receipt.Outcome == flyloft.Yes {
+			if reply.Outcome == control.Yes {
 				o.Yes++
 				if strike := w.afterYes; strike != nil && !w.isCalm {
 					w.afterYes = nil
@@ -546,52 +546,52 @@
 			} else {
 				o.No++
 			}
-			onEnd(receipt)
+			onEnd(reply)
 		}
 		copied := submit
 		m.carry(m.node.Submit(m.clock(), &copied))
 	})
 }
 
-// putSpec puts a new spec; base is checked when it is not nil.
-func (o *operator) putSpec(base *uint64) {
+// putConfig puts a new configuration; base is checked when it is not nil.
+func (o *operator) putConfig(base *uint64) {
 	w := o.world
-	spec := w.nextSpec()
-	o.order(flyloft.Submit{Order: flyloft.PutSpec, Spec: spec, Base: base}, func(receipt flyloft.SubmitReceipt) {
-		event := critic.Event{What: critic.SpecYes, ID: receipt.ID, Generation: receipt.Generation, Digest: string(spec)}
-		if receipt.Outcome == flyloft.No {
-			event.What, event.Reason = critic.SpecNo, receipt.Reason
+	config := w.nextConfig()
+	o.order(control.Submit{Order: control.PutConfig, Config: config, Base: base}, func(reply control.SubmitReply) {
+		event := checker.Event{What: checker.ConfigYes, ID: reply.ID, Revision: reply.Revision, Digest: string(config)}
+		if reply.Outcome == control.No {
+			event.What, event.Reason = checker.ConfigNo, reply.Reason
 		} else {
-			o.acked[receipt.Generation] = string(spec)
+			o.acked[reply.Revision] = string(config)
 		}
-		w.trace("spec %s: %s %s generation %d", receipt.ID, receipt.Outcome, receipt.Reason, receipt.Generation)
+		w.trace("spec %s: %s %s generation %d", reply.ID, reply.Outcome, reply.Reason, reply.Revision)
 		w.take(event)
 	})
 }
 
-func (o *operator) empty(zone string, span house.Micros) {
+func (o *operator) empty(zone string, span kernel.Micros) {
 	w := o.world
-	o.order(flyloft.Submit{Order: flyloft.EmptyZone, Zone: zone}, func(receipt flyloft.SubmitReceipt) {
-		if receipt.Outcome != flyloft.Yes {
+	o.order(control.Submit{Order: control.EmptyZone, Zone: zone}, func(reply control.SubmitReply) {
+		if reply.Outcome != control.Yes {
 			return
 		}
 		w.trace("zone %s is emptied", zone)
-		w.take(critic.Event{What: critic.ZoneEmptied, Zone: zone, Generation: receipt.Generation})
+		w.take(checker.Event{What: checker.ZoneEmptied, Zone: zone, Revision: reply.Revision})
 		w.in(span, func() {
-			w.take(critic.Event{What: critic.ZoneRefilling, Zone: zone})
-			o.order(flyloft.Submit{Order: flyloft.RefillZone, Zone: zone}, func(receipt flyloft.SubmitReceipt) {
-				w.take(critic.Event{What: critic.ZoneRefilled, Zone: zone, Generation: receipt.Generation})
+			w.take(checker.Event{What: checker.ZoneRefilling, Zone: zone})
+			o.order(control.Submit{Order: control.RefillZone, Zone: zone}, func(reply control.SubmitReply) {
+				w.take(checker.Event{What: checker.ZoneRefilled, Zone: zone, Revision: reply.Revision})
 				w.trace("zone %s is refilled", zone)
 			})
 		})
 	})
 }
 
-// readBack reads every spec of the past that the fleet names, as an operator could
-// at the end: what was acknowledged has to be there, what was declined must not.
+// readBack reads every configuration of the past that the fleet names, as an operator could
+// at the end: what was acknowledged has to be there, what was rejected must not.
 func (o *operator) readBack() {
 	w := o.world
-	var chain []flyloft.SpecMark
+	var chain []control.ConfigMark
 	// Any node that may serve may be read, so all are.
 	for _, m := range w.machines {
 		if !m.isUp || m.isFrozen || m.clock() >= m.node.State(nil).Until {
@@ -601,29 +601,29 @@
 		if chain == nil {
 			chain = document.Chain
 		}
-		w.take(critic.Event{What: critic.SpecCurrent, Node: m.name, Generation: document.SpecGeneration})
-		w.take(critic.Event{What: critic.ZonesRead, Node: m.name, Zones: slices.Sorted(maps.Keys(document.Evacuated))})
+		w.take(checker.Event{What: checker.ConfigCurrent, Node: m.name, Revision: document.ConfigRevision})
+		w.take(checker.Event{What: checker.ZonesRead, Node: m.name, Zones: slices.Sorted(maps.Keys(document.Drained))})
 	}
 	named := map[uint64]bool{}
 	for _, mark := range chain {
-		named[mark.Generation] = true
+		named[mark.Revision] = true
 		digest := "(unreadable)"
 		for _, m := range w.machines {
 			if !m.isUp || m.store == nil {
 				continue
 			}
-			if document, err := m.store.SpecAt(mark); err == nil {
-				digest = string(document.Spec)
+			if document, err := m.store.ConfigAt(mark); err == nil {
+				digest = string(document.Config)
 				break
 			}
 		}
-		w.take(critic.Event{What: critic.SpecRead, Generation: mark.Generation, Digest: digest})
+		w.take(checker.Event{What: checker.ConfigRead, Revision: mark.Revision, Digest: digest})
 	}
-	for _, generation := range slices.Sorted(maps.Keys(o.acked)) {
+	for _, revision := range slices.Sorted(maps.Keys(o.acked)) {
 		// What a fleet keeps of the past is bounded; docs/limits.md says how far.
-		isKept := len(chain) > 0 && generation >= chain[0].Generation
-		if (isKept || len(chain) == 0) && !named[generation] {
-			w.take(critic.Event{What: critic.SpecRead, Generation: generation, Digest: "(not named)"})
+		isKept := len(chain) > 0 && revision >= chain[0].Revision
+		if (isKept || len(chain) == 0) && !named[revision] {
+			w.take(checker.Event{What: checker.ConfigRead, Revision: revision, Digest: "(not named)"})
 		}
 	}
 }
--- a/traproom/virtual.go
+++ b/simulator/virtual.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"encoding/json"
@@ -14,7 +14,7 @@
 	"testing"
 	"testing/synctest"
 
-	"dunlinloom/house"
+	"dunlinloom/kernel"
 )
 
 // VirtualTime runs things in virtual time from a program that is no test.
@@ -27,15 +27,15 @@
 		synctest.Test(t, func(*testing.T) { do(); isDone = true })
 	})
 	if !isDone {
-		return virtualBreakdown{name}
+		return virtualError{name}
 	}
 	return nil
 }
 
-// virtualBreakdown says that a run in virtual time did not come to its end.
-type virtualBreakdown struct{ name string }
+// virtualError says that a run in virtual time did not come to its end.
+type virtualError struct{ name string }
 
-func (b virtualBreakdown) Error() string { return b.name + " did not come to its end in virtual time" }
+func (b virtualError) Error() string { return b.name + " did not come to its end in virtual time" }
 
 // InVirtualTime runs a program's main part with virtual time at hand and exits with its
 // status. A bubble wants a testing.T, which only a test's main makes; hence the detour.
@@ -54,10 +54,10 @@
 type RoutedSearch struct {
 	First    uint64
 	Count    int
-	Span     house.Micros
+	Span     kernel.Micros
 	Troubles []string // empty: up to three are drawn
 	Workers  int
-	Stop     bool // at the first breach
+	Stop     bool // at the first violation
 	Counts   bool
 }
 
@@ -80,14 +80,14 @@
 }
 
 type routedLine struct {
-	Seed     uint64   `json:"seed"`
-	Troubles []string `json:"troubles"`
-	Tries    int      `json:"tries"`
-	Served   int      `json:"served"`
-	Extras   int      `json:"extras"`
-	Late     int      `json:"late_served"`
-	LateAll  int      `json:"late"`
-	Breaches []string `json:"breaches,omitempty"`
+	Seed       uint64   `json:"seed"`
+	Troubles   []string `json:"troubles"`
+	Tries      int      `json:"tries"`
+	Served     int      `json:"served"`
+	Extras     int      `json:"extras"`
+	Late       int      `json:"late_served"`
+	LateAll    int      `json:"late"`
+	Violations []string `json:"breaches,omitempty"`
 }
 
 // Run plays the seeds and tells how many broke a rule.
@@ -116,18 +116,18 @@
 					failed, isOver = err, true
 				}
 				line := routedLine{seed, plan.Troubles, outcome.Review.Tries, outcome.Review.Served, outcome.Review.Extras, outcome.Late, outcome.LateAll, nil}
-				for _, breach := range outcome.Review.Breaches {
-					line.Breaches = append(line.Breaches, fmt.Sprintf("%d us: %s: %s", breach.At, breach.Rule, breach.Detail))
+				for _, violation := range outcome.Review.Violations {
+					line.Violations = append(line.Violations, fmt.Sprintf("%d us: %s: %s", violation.At, violation.Rule, violation.Detail))
 				}
 				tries, served = tries+line.Tries, served+line.Served
 				for ending, count := range outcome.Review.Endings {
 					faulty[ending] += count
 				}
-				if len(line.Breaches) > 0 {
+				if len(line.Violations) > 0 {
 					unclean++
 					isOver = isOver || s.Stop
 				}
-				if len(line.Breaches) > 0 || s.Count <= 5 {
+				if len(line.Violations) > 0 || s.Count <= 5 {
 					content, err := json.Marshal(line)
 					if err != nil {
 						failed = err
--- a/traproom/world.go
+++ b/simulator/world.go
@@ -1,4 +1,4 @@
-package traproom
+package simulator
 
 import (
 	"container/heap"
@@ -8,36 +8,36 @@
 	"math/rand/v2"
 	"slices"
 
-	"dunlinloom/auditorium"
-	"dunlinloom/critic"
-	"dunlinloom/flyloft"
-	"dunlinloom/house"
-	"dunlinloom/playbill"
-	"dunlinloom/wings"
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+	"dunlinloom/server"
 )
 
 const (
-	ms  = house.Millisecond
-	sec = house.Second
+	ms  = kernel.Millisecond
+	sec = kernel.Second
 	// beginning of virtual time; not zero, so that no code leans on it.
 	beginning = 1000 * sec
 )
 
-type alarm struct {
-	at    house.Micros
+type timer struct {
+	at    kernel.Micros
 	order uint64
 	ring  func()
 }
 
-type alarms []alarm
+type timers []timer
 
-func (a alarms) Len() int { return len(a) }
-func (a alarms) Less(i, j int) bool {
+func (a timers) Len() int { return len(a) }
+func (a timers) Less(i, j int) bool {
 	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
 }
-func (a alarms) Swap(i, j int)  { a[i], a[j] = a[j], a[i] }
-func (a *alarms) Push(next any) { *a = append(*a, next.(alarm)) }
-func (a *alarms) Pop() any {
+func (a timers) Swap(i, j int)  { a[i], a[j] = a[j], a[i] }
+func (a *timers) Push(next any) { *a = append(*a, next.(timer)) }
+func (a *timers) Pop() any {
 	old := *a
 	last := old[len(old)-1]
 	*a = old[:len(old)-1]
@@ -48,14 +48,14 @@
 type machine struct {
 	world    *World
 	name     string
-	identity house.Identity
+	identity kernel.Identity
 	isRouter bool
-	isCore   bool // runs a prompter
+	isCore   bool // runs a controller
 	seeds    []string
 	disk     *disk
 
 	// The own clock: an offset and a rate of its own.
-	offset house.Micros
+	offset kernel.Micros
 	rate   float64
 
 	isUp     bool
@@ -66,29 +66,29 @@
 	// powerTrap counts down with each synced write; at its last the power goes.
 	powerTrap int
 	leads     bool
-	// compiled are the specs that this process has compiled; compileSlow is added to each.
+	// compiled are the configurations that this process has compiled; compileSlow is added to each.
 	compiled    map[string]bool
-	compileSlow house.Micros
+	compileSlow kernel.Micros
 	isLeaving   bool
-	node        *flyloft.Node
-	store       *flyloft.Store
-	desk        *auditorium.Desk
-	hand        wings.Stagehand
-	journal     *house.Journal
+	node        *control.Node
+	store       *control.Store
+	dispatcher  *relay.Dispatcher
+	hand        server.TableBuilder
+	journal     *kernel.Journal
 	calls       map[string]*call
-	saving      *flyloft.Save
-	looked      *flyloft.Document // checked already
-	top         uint64            // the highest generation that this process has applied
-	receipts    map[string]func(flyloft.SubmitReceipt)
+	saving      *control.Save
+	looked      *control.Document // checked already
+	top         uint64            // the highest revision that this process has applied
+	replies     map[string]func(control.SubmitReply)
 	// deliver takes what the network brings; tests of the network put their own here.
-	deliver func(flyloft.Envelope)
+	deliver func(control.Envelope)
 }
 
 // World is one simulated fleet with its surroundings.
 type World struct {
 	Seed     uint64
-	now      house.Micros
-	alarms   alarms
+	now      kernel.Micros
+	timers   timers
 	order    uint64
 	random   *rand.Rand
 	machines []*machine
@@ -96,25 +96,25 @@
 	engines  []*engine
 	seeds    []string
 	zones    []string
-	events   []critic.Event
+	events   []checker.Event
 	// The network: blocked ways, and what else it does wrong.
-	blocked   map[[2]string]int
-	lossShare float64
-	dupShare  float64
-	slow      house.Micros
-	listing   []pastListing
-	revision  uint64
-	listLag   house.Micros
-	truths    map[uint64]string // generation to the digest of what was committed under it
-	wrongs    []string          // breaches that only a look inside shows
-	callCount int
-	specCount int
-	operator  *operator
-	startTick uint64
-	Trace     func(at house.Micros, line string)
-	Crossed   map[string]int // bytes between zones by kind of message
-	Within    int
-	retired   auditorium.Counts
+	blocked     map[[2]string]int
+	lossShare   float64
+	dupShare    float64
+	slow        kernel.Micros
+	listing     []pastListing
+	revision    uint64
+	listLag     kernel.Micros
+	truths      map[uint64]string // revision to the digest of what was committed under it
+	wrongs      []string          // violations that only a look inside shows
+	callCount   int
+	configCount int
+	operator    *operator
+	startTick   uint64
+	Trace       func(at kernel.Micros, line string)
+	Crossed     map[string]int // bytes between zones by kind of message
+	Within      int
+	retired     relay.Counts
 	// isBiased strikes at the moments that protections are for; isCalm ends all faults.
 	isBiased, isCalm bool
 	// Tally counts how often each protection did its work, Struck the faults.
@@ -122,36 +122,36 @@
 	afterYes      func(accepting *machine)
 	callers       callers
 	lastStruck    string
-	lastStruckAt  house.Micros
-	lastLed       house.Micros
+	lastStruckAt  kernel.Micros
+	lastLed       kernel.Micros
 	isTight       bool // elections that collide
-	knobs         Knobs
+	options       Options
 	figures       figures
-	shelf         playbill.Shelf
+	compiler      fleetconfig.Compiler
 }
 
 // Knobs shape the load and what the engines can do.
-type Knobs struct {
+type Options struct {
 	Prefixes, PrefixLen int
 	TailLow, TailHigh   int // prompt tokens after the prefix
 	OutLow, OutHigh     int
-	Prefill, Decode     house.Micros // a prompt token that is not cached, a token of output
-	Cache               int          // prefixes that an engine's cache holds
-	Kinds               []callKind   // what callers ask for; none: one kind, dealt at random
-	Pools               int          // engines are dealt to so many; each spec leaves one out
+	Prefill, Decode     kernel.Micros // a prompt token that is not cached, a token of output
+	Cache               int           // prefixes that an engine's cache holds
+	Kinds               []callKind    // what callers ask for; none: one kind, dealt at random
+	Pools               int           // engines are dealt to so many; each configuration leaves one out
 	Slots               int
-	ReportLag           house.Micros
-	TTFTLimit           house.Micros
-	Policy              map[string]any // of the spec
-	Trial               func(m *machine) auditorium.Trial
-	AdmissionWait       house.Micros
+	ReportLag           kernel.Micros
+	TTFTLimit           kernel.Micros
+	Policy              map[string]any // of the configuration
+	Trial               func(m *machine) relay.Trial
+	AdmissionWait       kernel.Micros
 	ColdSlow            int // how much slower an engine is while it is cold
 	DataBytes           bool
 	Orders              orders
 }
 
-func defaultKnobs() Knobs {
-	return Knobs{
+func defaultOptions() Options {
+	return Options{
 		Prefixes: 24, PrefixLen: 80, TailHigh: 300, OutLow: 5, OutHigh: 125, Prefill: 60, Decode: 4 * ms,
 		Cache: 64, Slots: 8, ReportLag: 500 * ms, ColdSlow: 1,
 	}
@@ -159,34 +159,34 @@
 
 // figures gather what the measurements are about.
 type figures struct {
-	ttft         []house.Micros
+	ttft         []kernel.Micros
 	hits, misses int // prefix tokens that were cached, and that were not
 	work         map[string]int64
 	coldPeak     int
-	lateDeclines []house.Micros
+	lateRejects  []kernel.Micros
 	crossed      int64 // bytes of requests and answers between zones
 	within       int64
-	errors       []float64 // of the burden a router reckoned with, by the true one
+	errors       []float64 // of the load a router reckoned with, by the true one
 }
 
 type pastListing struct {
-	at      house.Micros
-	listing flyloft.Listing
+	at      kernel.Micros
+	listing control.Listing
 }
 
 // NewWorld lays out a deployment: disk machines first, one a zone.
 func NewWorld(seed uint64, zones, nodes, disks, engines int) *World {
-	knobs := defaultKnobs()
-	knobs.Kinds, knobs.Pools = dayKinds, 6
-	return newWorld(seed, zones, nodes, disks, engines, knobs)
+	options := defaultOptions()
+	options.Kinds, options.Pools = dayKinds, 6
+	return newWorld(seed, zones, nodes, disks, engines, options)
 }
 
-func newWorld(seed uint64, zones, nodes, disks, engines int, knobs Knobs) *World {
+func newWorld(seed uint64, zones, nodes, disks, engines int, options Options) *World {
 	w := &World{
 		Seed: seed, now: beginning, random: rand.New(rand.NewPCG(seed, 0x7a9)),
 		byPeer: map[string]*machine{}, blocked: map[[2]string]int{}, truths: map[uint64]string{},
 		listLag: 2 * sec, startTick: 1, Crossed: map[string]int{},
-		knobs: knobs, figures: figures{work: map[string]int64{}},
+		options: options, figures: figures{work: map[string]int64{}},
 		Tally: map[string]int{}, Struck: map[string]int{},
 	}
 	for i := range zones {
@@ -222,8 +222,8 @@
 	index := len(w.machines)
 	m := &machine{
 		world: w, name: fmt.Sprintf("m%02d", index), isRouter: true, isCore: hasDisk,
-		identity: house.Identity{Fleet: "sim", Address: fmt.Sprintf("10.0.0.%d:7000", index+1), Public: fmt.Sprintf("10.0.0.%d:8000", index+1), Zone: zone},
-		offset:   house.Micros(w.random.Int64N(int64(1000 * sec))), rate: 1 + (w.random.Float64()-0.5)*0.004,
+		identity: kernel.Identity{Fleet: "sim", Address: fmt.Sprintf("10.0.0.%d:7000", index+1), Public: fmt.Sprintf("10.0.0.%d:8000", index+1), Zone: zone},
+		offset:   kernel.Micros(w.random.Int64N(int64(1000 * sec))), rate: 1 + (w.random.Float64()-0.5)*0.004,
 	}
 	if hasDisk {
 		m.disk = newDisk()
@@ -236,10 +236,10 @@
 
 // pool names an engine's pool.
 func (w *World) pool(index int) string {
-	if w.knobs.Pools == 0 {
+	if w.options.Pools == 0 {
 		return "main"
 	}
-	return fmt.Sprintf("p%d", index%w.knobs.Pools)
+	return fmt.Sprintf("p%d", index%w.options.Pools)
 }
 
 func (w *World) trace(line string, args ...any) {
@@ -252,36 +252,36 @@
 	w.wrongs = append(w.wrongs, fmt.Sprintf("%.3f s: ", float64(w.now-beginning)/1e6)+fmt.Sprintf(line, args...))
 }
 
-func (w *World) take(event critic.Event) {
+func (w *World) take(event checker.Event) {
 	event.At = w.now
 	w.events = append(w.events, event)
 }
 
 // in rings after a span of true time.
-func (w *World) in(span house.Micros, ring func()) {
+func (w *World) in(span kernel.Micros, ring func()) {
 	w.order++
-	heap.Push(&w.alarms, alarm{w.now + max(span, 0), w.order, ring})
+	heap.Push(&w.timers, timer{w.now + max(span, 0), w.order, ring})
 }
 
 // Run lets virtual time pass.
-func (w *World) Run(span house.Micros) {
+func (w *World) Run(span kernel.Micros) {
 	end := w.now + span
-	for len(w.alarms) > 0 && w.alarms[0].at <= end {
-		next := heap.Pop(&w.alarms).(alarm)
+	for len(w.timers) > 0 && w.timers[0].at <= end {
+		next := heap.Pop(&w.timers).(timer)
 		w.now = next.at
 		next.ring()
 	}
 	w.now = end
 }
 
-func (w *World) between(low, high house.Micros) house.Micros {
-	return low + house.Micros(w.random.Int64N(int64(high-low)+1))
+func (w *World) between(low, high kernel.Micros) kernel.Micros {
+	return low + kernel.Micros(w.random.Int64N(int64(high-low)+1))
 }
 
 // ---- machines ----
 
-func (m *machine) clock() house.Micros {
-	return m.offset + house.Micros(float64(m.world.now)*m.rate)
+func (m *machine) clock() kernel.Micros {
+	return m.offset + kernel.Micros(float64(m.world.now)*m.rate)
 }
 
 func (m *machine) boot() {
@@ -290,17 +290,17 @@
 	m.isUp, m.isFrozen, m.held, m.saving, m.top = true, false, nil, nil, 0
 	m.powerTrap, m.isLeaving = 0, false
 	m.compiled = map[string]bool{}
-	m.calls, m.receipts = map[string]*call{}, map[string]func(flyloft.SubmitReceipt){}
-	m.hand = wings.Stagehand{Shelf: &w.shelf}
-	m.journal = house.NewJournal(4096)
-	m.journal.Watch = func(entry house.Entry) { w.watch(m, entry) }
+	m.calls, m.replies = map[string]*call{}, map[string]func(control.SubmitReply){}
+	m.hand = server.TableBuilder{Compiler: &w.compiler}
+	m.journal = kernel.NewJournal(4096)
+	m.journal.Watch = func(entry kernel.Entry) { w.watch(m, entry) }
 	w.startTick++
-	settings := flyloft.NodeSettings{
-		Identity: m.identity, IsRouter: m.isRouter, IsPrompter: m.isCore, HasFolder: m.disk != nil,
-		Seeds: m.seeds, Start: w.startTick, RandomSeed: w.random.Uint64(), Timing: flyloft.DefaultTiming(), Journal: m.journal,
-		CheckSpec:  w.shelf.Check,
-		IsCompiled: func(spec []byte) bool { return m.compiled[string(spec)] },
-		Member:     flyloft.MemberID("none-" + m.name),
+	settings := control.NodeSettings{
+		Identity: m.identity, IsRouter: m.isRouter, IsController: m.isCore, HasFolder: m.disk != nil,
+		Seeds: m.seeds, Start: w.startTick, RandomSeed: w.random.Uint64(), Timing: control.DefaultTiming(), Journal: m.journal,
+		CheckConfig: w.compiler.Check,
+		IsCompiled:  func(config []byte) bool { return m.compiled[string(config)] },
+		Member:      control.MemberID("none-" + m.name),
 	}
 	if w.isTight {
 		settings.Timing.ElectionHigh = settings.Timing.ElectionLow + 30*ms
@@ -309,7 +309,7 @@
 	if m.disk != nil {
 		m.disk.stepsTo = -1
 		var err error
-		if m.store, settings.Ballot, settings.Document, err = flyloft.OpenStore(m.disk, "sim", func() string { return fmt.Sprintf("member-%016x", w.random.Uint64()) }); err != nil {
+		if m.store, settings.Ballot, settings.Document, err = control.OpenStore(m.disk, "sim", func() string { return fmt.Sprintf("member-%016x", w.random.Uint64()) }); err != nil {
 			// A start on a full disk fails, as the daemon's would; the supervisor tries again.
 			m.isUp = false
 			w.trace("%s can't start: %v", m.name, err)
@@ -321,16 +321,16 @@
 			})
 			return
 		}
-		settings.Member, settings.Kept = m.store.Member(), m.store.SpecGenerations()
+		settings.Member, settings.Kept = m.store.Member(), m.store.ConfigRevisions()
 	}
-	m.desk = auditorium.NewDesk(m.identity.Address, m.identity.Zone, func(now house.Micros, subject, decision, why string) {
-		m.journal.Note(now, "auditorium", subject, decision, why)
+	m.dispatcher = relay.NewDispatcher(m.identity.Address, m.identity.Zone, func(now kernel.Micros, subject, decision, why string) {
+		m.journal.Note(now, "relay", subject, decision, why)
 	})
-	if w.knobs.Trial != nil {
-		m.desk.Trial = w.knobs.Trial(m)
+	if w.options.Trial != nil {
+		m.dispatcher.Trial = w.options.Trial(m)
 	}
-	m.node = flyloft.NewNode(settings, m.clock())
-	m.deliver = func(envelope flyloft.Envelope) { m.carry(m.node.Deliver(m.clock(), envelope)) }
+	m.node = control.NewNode(settings, m.clock())
+	m.deliver = func(envelope control.Envelope) { m.carry(m.node.Deliver(m.clock(), envelope)) }
 	m.tick(m.epoch)
 	m.poll(m.epoch)
 	m.probe(m.epoch, map[string]int{})
@@ -345,7 +345,7 @@
 	if !m.isFrozen {
 		m.carry(m.node.Tick(m.clock()))
 	}
-	m.world.in(20*ms+house.Micros(m.world.random.Int64N(int64(2*ms))), func() { m.tick(epoch) })
+	m.world.in(20*ms+kernel.Micros(m.world.random.Int64N(int64(2*ms))), func() { m.tick(epoch) })
 }
 
 // do runs an event on the machine, or holds it while the machine is frozen.
@@ -362,7 +362,7 @@
 }
 
 // later does an event on this very process after a span.
-func (m *machine) later(span house.Micros, event func()) {
+func (m *machine) later(span kernel.Micros, event func()) {
 	epoch := m.epoch
 	m.world.in(span, func() {
 		if m.epoch == epoch {
@@ -371,7 +371,7 @@
 	})
 }
 
-func (m *machine) freeze(span house.Micros) {
+func (m *machine) freeze(span kernel.Micros) {
 	if !m.isUp || m.isFrozen {
 		return
 	}
@@ -407,8 +407,8 @@
 			w.trace("%s: %v", m.name, err)
 		}
 	}
-	w.take(critic.Event{What: critic.NodeKilled, Node: m.name})
-	counts := m.desk.Counts()
+	w.take(checker.Event{What: checker.NodeKilled, Node: m.name})
+	counts := m.dispatcher.Counts()
 	w.retired.FirstRounds += counts.FirstRounds
 	w.retired.Retries += counts.Retries
 	m.isUp, m.isFrozen, m.held = false, false, nil
@@ -435,12 +435,12 @@
 			return
 		}
 	}
-	w.events = slices.DeleteFunc(w.events, func(event critic.Event) bool {
-		return event.What == critic.EngineLeaving && !event.IsKept && w.lastLed-event.At < 1500*ms
+	w.events = slices.DeleteFunc(w.events, func(event checker.Event) bool {
+		return event.What == checker.EngineLeaving && !event.IsKept && w.lastLed-event.At < 1500*ms
 	})
 }
 
-func (m *machine) restart(after house.Micros) {
+func (m *machine) restart(after kernel.Micros) {
 	epoch := m.epoch
 	m.world.in(after, func() {
 		if m.epoch == epoch && !m.isUp && !m.isGone {
@@ -453,11 +453,11 @@
 	w := m.world
 	for _, command := range commands {
 		switch command := command.(type) {
-		case flyloft.Outgoing:
+		case control.Outgoing:
 			w.post(m, command.Envelope)
-		case flyloft.Save:
+		case control.Save:
 			m.save(command)
-		case flyloft.Probe:
+		case control.Probe:
 			m.later(w.between(ms, 3*ms), func() {
 				for _, e := range w.engines {
 					if e.id == command.Engine.ID && (!e.isUp || e.start != command.Engine.Start) {
@@ -465,39 +465,39 @@
 					}
 				}
 			})
-		case flyloft.Prepare:
+		case control.Prepare:
 			// Megabytes take half a second, on a busy machine more.
-			spec := command.Document.Spec
-			m.later(house.Micros(len(spec)/8)+w.between(0, 30*ms)+m.compileSlow, func() {
-				m.compiled[string(spec)] = true
+			config := command.Document.Config
+			m.later(kernel.Micros(len(config)/8)+w.between(0, 30*ms)+m.compileSlow, func() {
+				m.compiled[string(config)] = true
 				m.carry(m.node.Prepared(m.clock(), command.Document, nil))
 			})
-		case flyloft.Fetch:
+		case control.Fetch:
 			m.later(ms, func() {
-				if document, err := m.store.SpecAt(command.Mark); err == nil {
+				if document, err := m.store.ConfigAt(command.Mark); err == nil {
 					m.carry(m.node.Fetched(m.clock(), command.To, document))
 				}
 			})
-		case flyloft.Keep:
+		case control.Keep:
 			m.later(ms, func() {
 				if err := m.store.Keep(command.Document); err == nil {
-					m.carry(m.node.Kept(m.clock(), command.Document.SpecGeneration))
+					m.carry(m.node.Kept(m.clock(), command.Document.ConfigRevision))
 				}
 			})
-		case flyloft.Receipt:
-			if take := m.receipts[command.SubmitReceipt.ID]; take != nil {
-				delete(m.receipts, command.SubmitReceipt.ID)
-				take(command.SubmitReceipt)
+		case control.Reply:
+			if take := m.replies[command.SubmitReply.ID]; take != nil {
+				delete(m.replies, command.SubmitReply.ID)
+				take(command.SubmitReply)
 			}
 		}
 	}
 	state := m.node.State(nil)
-	scene, err := m.hand.Scene(state)
+	routingTable, err := m.hand.RoutingTable(state)
 	if err != nil {
 		w.wrong("%s can't read a committed spec: %v", m.name, err)
 	}
-	if scene != nil {
-		m.desk.Show(scene)
+	if routingTable != nil {
+		m.dispatcher.Show(routingTable)
 	}
 	if state.Document == nil {
 		return
@@ -506,29 +506,29 @@
 		return
 	}
 	m.looked = state.Document
-	// Looked at from inside: one generation is one document, on every node and for ever.
-	generation, digest := state.Document.Generation, digestOf(state.Document)
-	if known, isKnown := w.truths[generation]; isKnown && known != digest {
-		w.wrong("%s holds another generation %d than was committed", m.name, generation)
+	// Looked at from inside: one revision is one document, on every node and for ever.
+	revision, digest := state.Document.Revision, digestOf(state.Document)
+	if known, isKnown := w.truths[revision]; isKnown && known != digest {
+		w.wrong("%s holds another generation %d than was committed", m.name, revision)
 	}
-	w.truths[generation] = digest
-	if generation < m.top {
-		w.wrong("%s slipped from generation %d to %d", m.name, m.top, generation)
+	w.truths[revision] = digest
+	if revision < m.top {
+		w.wrong("%s slipped from generation %d to %d", m.name, m.top, revision)
 	}
-	m.top = max(m.top, generation)
+	m.top = max(m.top, revision)
 }
 
-func digestOf(document *flyloft.Document) string {
+func digestOf(document *control.Document) string {
 	settled := *document
 	settled.Term = 0 // the same content is proposed again under later terms
 	content, err := json.Marshal(settled)
 	if err != nil {
-		panic(house.ServiceBreakdown{Name: "digest", Why: err.Error()})
+		panic(kernel.ServiceError{Name: "digest", Why: err.Error()})
 	}
 	return string(content)
 }
 
-func (m *machine) save(save flyloft.Save) {
+func (m *machine) save(save control.Save) {
 	m.saving = &save
 	latency := m.world.between(300, 4*ms) + m.disk.slowness
 	var finish func()
@@ -600,7 +600,7 @@
 }
 
 // cut blocks all ways between two groups, or only those from the first to the second.
-func (w *World) cut(one, other []*machine, isOneWay bool, span house.Micros) {
+func (w *World) cut(one, other []*machine, isOneWay bool, span kernel.Micros) {
 	edit := func(change func(from, to string)) {
 		for _, a := range one {
 			for _, b := range other {
@@ -621,13 +621,13 @@
 	})
 }
 
-func (w *World) post(from *machine, envelope flyloft.Envelope) {
+func (w *World) post(from *machine, envelope control.Envelope) {
 	to := w.byPeer[envelope.To]
 	// Over the wire and back, as between processes: nothing may be shared by pointer,
 	// and what has no name on the wire must not arrive.
 	content, err := json.Marshal(envelope)
 	if err != nil {
-		panic(house.ServiceBreakdown{Name: "wire", Why: err.Error()})
+		panic(kernel.ServiceError{Name: "wire", Why: err.Error()})
 	}
 	if to == nil {
 		return
@@ -654,9 +654,9 @@
 		}
 		w.in(latency, func() {
 			to.do(func() {
-				var arrived flyloft.Envelope
+				var arrived control.Envelope
 				if err := json.Unmarshal(content, &arrived); err != nil {
-					panic(house.ServiceBreakdown{Name: "wire", Why: err.Error()})
+					panic(kernel.ServiceError{Name: "wire", Why: err.Error()})
 				}
 				to.deliver(arrived)
 			})
@@ -668,20 +668,20 @@
 
 func (w *World) relist() {
 	w.revision++
-	listing := flyloft.Listing{Revision: w.revision}
+	listing := control.Listing{Revision: w.revision}
 	for _, e := range w.engines {
 		if !e.isUnlisted {
 			state := "serving"
 			if e.isLeavingListed {
 				state = "leaving"
 			}
-			listing.Engines = append(listing.Engines, flyloft.ListingEngine{ID: e.id, Address: "10.1.0.1:" + e.id[1:], Zone: e.zone, Pool: e.pool, Start: e.start, State: state})
+			listing.Engines = append(listing.Engines, control.ListingEngine{ID: e.id, Address: "10.1.0.1:" + e.id[1:], Zone: e.zone, Pool: e.pool, Start: e.start, State: state})
 		}
 	}
 	w.listing = append(w.listing, pastListing{w.now, listing})
 }
 
-func (w *World) listed() flyloft.Listing {
+func (w *World) listed() control.Listing {
 	shown := w.listing[0].listing
 	for _, past := range w.listing {
 		if w.now-past.at >= w.listLag {
@@ -689,7 +689,7 @@
 		}
 	}
 	copied := shown
-	copied.Engines = append([]flyloft.ListingEngine(nil), shown.Engines...)
+	copied.Engines = append([]control.ListingEngine(nil), shown.Engines...)
 	for i := range copied.Engines {
 		for _, e := range w.engines {
 			if e.id == copied.Engines[i].ID && e.start == copied.Engines[i].Start {
--- a/tools/heckler/main.go
+++ b/tools/mutationtest/main.go
@@ -1,4 +1,4 @@
-// Heckler breaks builds on purpose: each patch under breaks/ takes one protection
+// Mutationtest breaks builds on purpose: each patch under mutations/ takes one protection
 // away, in a copy of this tree, and what the patch names has to find it. A check that
 // has never failed proves nothing.
 package main
@@ -19,7 +19,7 @@
 )
 
 type words struct {
-	Folder  string `arg:"--breaks" default:"breaks" help:"the folder of patches"`
+	Folder  string `arg:"--mutations" default:"mutations" help:"the folder of patches"`
 	Only    string `arg:"--only" help:"only patches whose name contains this"`
 	Workers int    `arg:"--workers" default:"3"`
 	Sound   bool   `arg:"--sound" help:"run everything the patches name on the unbroken tree instead: all of it has to pass"`
@@ -89,7 +89,7 @@
 
 // copyTree puts what git knows of this tree, as it is now, into a fresh folder.
 func copyTree() (string, error) {
-	folder, err := os.MkdirTemp("", "heckler-*")
+	folder, err := os.MkdirTemp("", "mutationtest-*")
 	if err != nil {
 		return "", fmt.Errorf("make a folder: %w", err)
 	}
@@ -141,7 +141,7 @@
 		}
 		return "", badPatch{line, "it did not come to a verdict: " + content}
 	}
-	search := []string{"run", "./cmd/traproom", "--stop", "--workers", "4"}
+	search := []string{"run", "./cmd/simulator", "--stop", "--workers", "4"}
 	if kind == "storms" {
 		search = append(search, "--storm", "--rate", "5", "--span-us", "40000000")
 	}
@@ -186,14 +186,14 @@
 	arg.MustParse(&words)
 	files, err := filepath.Glob(filepath.Join(words.Folder, "*.patch"))
 	if err != nil || len(files) == 0 {
-		fmt.Fprintln(os.Stderr, "heckler: there is no patch in", words.Folder)
+		fmt.Fprintln(os.Stderr, "mutationtest: there is no patch in", words.Folder)
 		os.Exit(1)
 	}
 	patches := []patch{}
 	for _, file := range files {
 		read, err := readPatch(file)
 		if err != nil {
-			fmt.Fprintln(os.Stderr, "heckler:", err)
+			fmt.Fprintln(os.Stderr, "mutationtest:", err)
 			os.Exit(1)
 		}
 		if strings.Contains(read.name, words.Only) {
@@ -205,10 +205,10 @@
 	}
 	var lock sync.Mutex
 	var hands sync.WaitGroup
-	inbox, bad := make(chan patch), 0
+	queue, bad := make(chan patch), 0
 	for range max(words.Workers, 1) {
 		hands.Go(func() {
-			for p := range inbox {
+			for p := range queue {
 				found, err := heckle(p)
 				lock.Lock()
 				switch {
@@ -226,9 +226,9 @@
 		})
 	}
 	for _, p := range patches {
-		inbox <- p
+		queue <- p
 	}
-	close(inbox)
+	close(queue)
 	hands.Wait()
 	fmt.Printf("%d builds broken, %d not found or at fault\n", len(patches), bad)
 	if bad > 0 {
--- a/tools/heckler/heckler_test.go
+++ b/tools/mutationtest/mutationtest_test.go
@@ -37,7 +37,7 @@
 func TestEveryBreakAppliesAndEveryPointHasTwo(t *testing.T) {
 	c := qt.New(t)
 	root := filepath.Join("..", "..")
-	files, err := filepath.Glob(filepath.Join(root, "breaks", "*.patch"))
+	files, err := filepath.Glob(filepath.Join(root, "mutations", "*.patch"))
 	c.Assert(err, qt.IsNil)
 	known, counts := testsOf(c, root), map[string]int{}
 	for _, file := range files {
@@ -63,7 +63,7 @@
 	c.Assert(err, qt.IsNil)
 }
 
-// The map of proofs names tests, files and rehearsals' verbs; each has to be there.
+// The map of proofs names tests, files and local fleet runs' verbs; each has to be there.
 func TestTheMapOfProofsIsTrue(t *testing.T) {
 	c := qt.New(t)
 	root := filepath.Join("..", "..")
@@ -85,9 +85,9 @@
 		}
 	}
 	c.Assert(named > 60, qt.IsTrue)
-	patches, err := filepath.Glob(filepath.Join(root, "breaks", "*.patch"))
+	patches, err := filepath.Glob(filepath.Join(root, "mutations", "*.patch"))
 	c.Assert(err, qt.IsNil)
 	for _, patch := range patches {
-		c.Check(strings.Contains(string(content), "breaks/"+filepath.Base(patch)), qt.IsTrue, qt.Commentf("%s is not on the map", patch))
+		c.Check(strings.Contains(string(content), "mutations/"+filepath.Base(patch)), qt.IsTrue, qt.Commentf("%s is not on the map", patch))
 	}
 }
--- a/tools/scribe/main.go
+++ b/tools/protogen/main.go
@@ -18,17 +18,17 @@
 	"google.golang.org/protobuf/types/pluginpb"
 )
 
-// usageBreakdown says that scribe was called with the wrong words.
-type usageBreakdown struct{ got int }
+// usageError says that scribe was called with the wrong words.
+type usageError struct{ got int }
 
-func (b usageBreakdown) Error() string {
-	return fmt.Sprintf("scribe wants PROTO-FILE and OUT-DIR, got %d words", b.got)
+func (b usageError) Error() string {
+	return fmt.Sprintf("protogen wants PROTO-FILE and OUT-DIR, got %d words", b.got)
 }
 
-// pluginBreakdown carries what protoc-gen-go complained of.
-type pluginBreakdown struct{ text string }
+// pluginError carries what protoc-gen-go complained of.
+type pluginError struct{ text string }
 
-func (b pluginBreakdown) Error() string { return "protoc-gen-go: " + b.text }
+func (b pluginError) Error() string { return "protoc-gen-go: " + b.text }
 
 func main() {
 	if err := run(os.Args[1:]); err != nil {
@@ -39,7 +39,7 @@
 
 func run(words []string) error {
 	if len(words) != 2 {
-		return usageBreakdown{len(words)}
+		return usageError{len(words)}
 	}
 	name, dir := filepath.Base(words[0]), words[1]
 	compiler := protocompile.Compiler{
@@ -71,7 +71,7 @@
 		return fmt.Errorf("decode the plugin's receipt: %w", err)
 	}
 	if made.Error != nil {
-		return pluginBreakdown{*made.Error}
+		return pluginError{*made.Error}
 	}
 	for _, file := range made.File {
 		if err := os.WriteFile(filepath.Join(dir, file.GetName()), []byte(file.GetContent()), 0o644); err != nil {
--- a/tools/showreport/main.go
+++ b/tools/testreport/main.go
@@ -128,18 +128,18 @@
 }
 
 // house is the real one.
-type house struct {
+type kernel struct {
 	folder   string
 	out, err io.Writer
 }
 
-func (h house) capture(args ...string) ([]byte, error) {
+func (h kernel) capture(args ...string) ([]byte, error) {
 	command := exec.Command("go", args...)
 	command.Dir, command.Stderr = h.folder, h.err
 	return command.Output()
 }
 
-func (h house) show(args ...string) error {
+func (h kernel) show(args ...string) error {
 	command := exec.Command("go", args...)
 	command.Dir, command.Stdout, command.Stderr = h.folder, h.out, h.err
 	return command.Run()
@@ -229,7 +229,7 @@
 }
 
 func run(words words, folder string, out, errOut io.Writer) error {
-	s := house{folder, out, errOut}
+	s := kernel{folder, out, errOut}
 	module, err := s.capture("list", "-m")
 	if err != nil {
 		return fmt.Errorf("find the module: %w", err)
@@ -252,7 +252,7 @@
 	var words words
 	arg.MustParse(&words)
 	if err := run(words, ".", os.Stdout, os.Stderr); err != nil {
-		fmt.Fprintln(os.Stderr, "showreport:", err)
+		fmt.Fprintln(os.Stderr, "testreport:", err)
 		os.Exit(1)
 	}
 }
--- a/tools/showreport/showreport_test.go
+++ b/tools/testreport/testreport_test.go
@@ -14,25 +14,25 @@
 
 func TestTheListIsReadWholeOrEveryFaultIsTold(t *testing.T) {
 	c := qt.New(t)
-	reds, err := readList(strings.NewReader("\n# why\nwings/TestA | torn pipe | #12\n  m/house/FuzzB|slow|none yet \nm/TestC | c | d\n"), "m")
+	reds, err := readList(strings.NewReader("\n# why\nserver/TestA | torn pipe | #12\n  m/kernel/FuzzB|slow|none yet \nm/TestC | c | d\n"), "m")
 	c.Assert(err, qt.IsNil)
 	c.Assert(slices.Equal(reds, []red{
-		{"m/wings", "TestA", "torn pipe", "#12"}, {"m/house", "FuzzB", "slow", "none yet"}, {"m", "TestC", "c", "d"},
+		{"m/server", "TestA", "torn pipe", "#12"}, {"m/kernel", "FuzzB", "slow", "none yet"}, {"m", "TestC", "c", "d"},
 	}), qt.IsTrue, qt.Commentf("%v", reds))
 }
 
 func TestFaultsOfTheList(t *testing.T) {
 	for _, example := range []struct{ line, why string }{
-		{"wings/TestA | cause", "needs a test, a cause and an issue"},
-		{"wings/TestA | | issue", "needs a test, a cause and an issue"},
-		{"wings/TestA | a | b | c", "needs a test, a cause and an issue"},
+		{"server/TestA | cause", "needs a test, a cause and an issue"},
+		{"server/TestA | | issue", "needs a test, a cause and an issue"},
+		{"server/TestA | a | b | c", "needs a test, a cause and an issue"},
 		{"TestA | a | b", "needs PACKAGE/TEST"},
 		{"wings | a | b", "needs PACKAGE/TEST"},
-		{"wings/ | a | b", "not a whole test's name"},
-		{"wings/TestA/part | a | b", "not a whole test's name"},
-		{"wings/Test.* | a | b", "not a whole test's name"},
-		{"wings/BenchmarkA | a | b", "not a whole test's name"},
-		{"wings/TestOne | a | b\nm/wings/TestOne | c | d", "listed twice"},
+		{"server/ | a | b", "not a whole test's name"},
+		{"server/TestA/part | a | b", "not a whole test's name"},
+		{"server/Test.* | a | b", "not a whole test's name"},
+		{"server/BenchmarkA | a | b", "not a whole test's name"},
+		{"server/TestOne | a | b\nm/server/TestOne | c | d", "listed twice"},
 	} {
 		t.Run(example.line, func(t *testing.T) {
 			c := qt.New(t)
