--- /dev/null
+++ b/control/membership.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"dunlinloom/kernel"
+	"slices"
+)
+
+// Which members vote: standbys that join, voters that are replaced one at a time.
+
+// voterCount is how many voters the core keeps.
+const voterCount = 3
+
+func (c *Core) onJoin(from string, m *Join) {
+	if c.role != leader {
+		c.elsewhere(from)
+		return
+	}
+	p := c.peers[m.Member.ID]
+	if p == nil {
+		p = &peer{since: c.now, isPartial: true}
+		c.peers[m.Member.ID] = p
+		c.note("core", "take standby", "%s in zone %s asked to join", m.Member.Address, m.Member.Zone)
+		c.isRoundWanted = true
+	}
+	p.member, p.hasFolder, p.lastHeard = m.Member, m.HasFolder, c.now
+	// A member that joins anew says what it really holds, even if that is less.
+	p.synced, p.sentDoc, p.isBare = m.Synced, Stamp{}, m.Synced.Revision == 0
+}
+
+func (c *Core) isLost(member Member) bool {
+	if member.ID == c.settings.Self.ID {
+		return false
+	}
+	p := c.peers[member.ID]
+	return p == nil || c.now-p.lastHeard > c.settings.Timing.Replace
+}
+
+// isSucceeded tells of a voter at whose address another member has come up since it was
+// last heard: most likely its folder is lost. To wait out its silence besides would leave
+// the core with no voter to spare meanwhile. Should the folder come back after all, no
+// harm is done, since voters still change one at a time, by majorities that intersect.
+func (c *Core) isSucceeded(voter Member) bool {
+	if voter.ID == c.settings.Self.ID {
+		return false
+	}
+	old := c.peers[voter.ID]
+	for id, p := range c.peers {
+		if id != voter.ID && p.member.Address == voter.Address && p.hasFolder && (old == nil || old.lastHeard <= p.since) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) isGoing(member Member) bool {
+	if member.ID == c.settings.Self.ID {
+		return c.isLeaving
+	}
+	p := c.peers[member.ID]
+	return p != nil && p.isLeaving
+}
+
+func (c *Core) tendVoters(next *Document, reasons *[]string) {
+	// An address may change under the same member: the folder moved to another machine's name.
+	for i, member := range next.Voters {
+		if p := c.peers[member.ID]; p != nil && p.member.Address != "" && p.member.Address != member.Address {
+			next.Voters[i].Address = p.member.Address
+			*reasons = append(*reasons, "voter moved to "+p.member.Address)
+			return
+		}
+	}
+	if c.settings.Voters > 0 {
+		c.tendWanted(next, reasons)
+		return
+	}
+	zones := map[string]int{}
+	weak := -1
+	for i, member := range next.Voters {
+		zones[member.Zone]++
+		if c.isLost(member) || c.isSucceeded(member) || c.isGoing(member) {
+			weak = i
+		}
+	}
+	if len(next.Voters) > voterCount {
+		// Fewer voters again: the lost one first, then one that goes, then one that shares a zone.
+		drop := weak
+		for i, member := range next.Voters {
+			if c.isLost(member) || c.isSucceeded(member) {
+				drop = i
+			}
+		}
+		for i := 0; drop < 0 && i < len(next.Voters); i++ {
+			if zones[next.Voters[i].Zone] > 1 && next.Voters[i].ID != c.settings.Self.ID {
+				drop = i
+			}
+		}
+		if drop < 0 {
+			drop = len(next.Voters) - 1
+		}
+		if next.Voters[drop].ID == c.settings.Self.ID {
+			return // a leader that goes names its successor first
+		}
+		*reasons = append(*reasons, "voter dropped: "+next.Voters[drop].Address)
+		next.Voters = slices.Delete(next.Voters, drop, drop+1)
+		return
+	}
+	hasDouble := len(zones) < len(next.Voters)
+	if len(next.Voters) == voterCount && weak < 0 && !hasDouble {
+		return
+	}
+	if weak >= 0 {
+		zones[next.Voters[weak].Zone]--
+	}
+	var best *peer
+	for _, id := range c.peerIDs() {
+		p := c.peers[id]
+		if _, isIn := next.voter(id); isIn || !p.hasFolder || p.isLeaving || p.isAiling {
+			continue
+		}
+		isCaughtUp := p.synced == c.committed.stamp() && c.now-p.lastHeard < c.settings.Timing.ElectionLow
+		// A voter should hold the past too, or losing disks one after the other loses
+		// it. What nobody has any more must not keep a place empty for ever.
+		isCaughtUp = isCaughtUp && (!p.isPartial || c.now-p.since > 30*kernel.Second)
+		if isCaughtUp && (best == nil || zones[p.member.Zone] < zones[best.member.Zone]) {
+			best = p
+		}
+	}
+	if best == nil {
+		return
+	}
+	// With all voters well, a swap is worth it only for a zone that has none.
+	if len(next.Voters) == voterCount && weak < 0 && zones[best.member.Zone] > 0 {
+		return
+	}
+	next.Voters = append(next.Voters, best.member)
+	*reasons = append(*reasons, "voter added: "+best.member.Address)
+}
+
+// join makes this controller known while no leader speaks to it.
+func (c *Core) join() {
+	if c.now < c.joinTimer || c.now-c.lastHeartbeat < 2*c.settings.Timing.ElectionLow {
+		return
+	}
+	c.joinTimer = c.now + 3*c.settings.Timing.Heartbeat
+	// The leader if someone named it, then one other in turn.
+	targets := []string{}
+	if len(c.hints) > 0 && c.hints[0] != "" {
+		targets = append(targets, c.hints[0])
+	}
+	others := slices.Clone(c.settings.Founders)
+	if len(c.hints) > 1 {
+		others = append(others, c.hints[1:]...)
+	}
+	others = append(others, c.doc.voterAddresses()...)
+	switch {
+	case c.settings.Voters > 0:
+		// Seeds may be gone by now; a place in the core is not to wait out their turns.
+		targets = slices.Compact(sorted(append(targets, others...)))
+	case len(others) > 0:
+		c.hintTurn++
+		targets = append(targets, others[c.hintTurn%len(others)])
+	}
+	for _, target := range targets {
+		if target != c.settings.Self.Address {
+			c.send(target, Message{Join: &Join{c.settings.Self, c.synced, c.settings.HasFolder}})
+		}
+	}
+}
+
+// Leave begins a planned stop: the lead and the vote go to others.
+func (c *Core) Leave(now kernel.Micros) {
+	c.now, c.isLeaving = now, true
+	c.note("core", "leave", "a planned stop was asked for")
+}
--- /dev/null
+++ b/control/node_state.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"dunlinloom/kernel"
+	"slices"
+)
+
+// What a node shows to the process around it.
+
+// State is a picture of a node at one moment; nothing in it is changed later.
+type State struct {
+	Document   *Document
+	Until      kernel.Micros
+	Why        string
+	Leader     string
+	Home       string
+	IsHome     bool
+	IsHomeless bool
+	IsLeader   bool
+	Role       string
+	Term       uint64
+	Ailment    string
+	Engines    []EngineRecord
+	EngineRev  uint64
+	Nodes      []NodeRecord
+	Neighbours []string
+	Founding   string
+	Serving    int // router nodes known to live, this one among them
+
+	cellRev uint64
+}
+
+// State pictures the node; it gives the earlier picture where nothing has changed, and
+// keeps its parts that have not.
+func (n *Node) State(earlier *State) *State {
+	state := State{
+		Document: n.lease.applied, Until: n.lease.until, Why: n.lease.Why(n.now),
+		Home: n.home(), IsHome: n.isHome(), IsHomeless: n.isHomeless(),
+		EngineRev: n.cell.engineRev, Founding: n.founding(), Leader: n.leaderHint, cellRev: n.cell.rev,
+	}
+	if n.core != nil {
+		state.IsLeader, state.Role, state.Term, state.Ailment = n.core.role == leader, n.core.role.String(), n.core.term, n.core.Ailment()
+		if known := n.core.Leader(); known != "" {
+			state.Leader = known
+		}
+	}
+	if earlier != nil && earlier.EngineRev == state.EngineRev {
+		state.Engines = earlier.Engines
+	} else {
+		state.Engines = n.cell.Engines()
+	}
+	if earlier != nil && earlier.cellRev == state.cellRev {
+		state.Nodes = earlier.Nodes
+	} else {
+		state.Nodes = n.cell.Nodes()
+	}
+	if earlier != nil && n.views.isSeen(earlier.Neighbours) {
+		state.Neighbours = earlier.Neighbours
+	} else {
+		state.Neighbours = n.views.Neighbours()
+	}
+	state.Serving = n.serving(state.Nodes)
+	if earlier != nil && earlier.isLike(&state) {
+		return earlier
+	}
+	return &state
+}
+
+// isLike tells whether two pictures are the same, where their parts are the same ones.
+func (s *State) isLike(other *State) bool {
+	return s.Document == other.Document && s.Until == other.Until && s.Why == other.Why && s.Leader == other.Leader &&
+		s.Home == other.Home && s.IsHome == other.IsHome && s.IsHomeless == other.IsHomeless && s.IsLeader == other.IsLeader &&
+		s.Role == other.Role && s.Term == other.Term && s.Ailment == other.Ailment && s.EngineRev == other.EngineRev &&
+		s.cellRev == other.cellRev && s.Founding == other.Founding && s.Serving == other.Serving && slices.Equal(s.Neighbours, other.Neighbours)
+}
--- /dev/null
+++ b/control/reads.go
@@ -0,0 +1,96 @@
+package control
+
+// Grants and reads, answered after a heartbeat round that a majority confirmed.
+
+type waitingBatch struct {
+	from  string
+	batch *AskBatch
+	round uint64
+}
+
+// waitingRead is a newest read that waits for a round that was sent after it came.
+type waitingRead struct {
+	from  string
+	ask   *ReadAsk
+	round uint64
+}
+
+// confirmRounds grants the batches whose round a majority has confirmed: at that
+// moment no later leader could have committed anything newer.
+func (c *Core) confirmRounds() {
+	if c.role != leader || !c.isOwnTerm {
+		return
+	}
+	kept := c.batches[:0]
+	for _, waiting := range c.batches {
+		if !c.hasVoters(true, func(p *peer) bool { return p.round >= waiting.round }) {
+			kept = append(kept, waiting)
+			continue
+		}
+		c.grant(waiting)
+	}
+	c.batches = kept
+	reads := c.reads[:0]
+	for _, waiting := range c.reads {
+		if !c.hasVoters(true, func(p *peer) bool { return p.round >= waiting.round }) {
+			reads = append(reads, waiting)
+			continue
+		}
+		c.send(waiting.from, Message{ReadReply: &ReadReply{waiting.ask.Token, c.committed.lightFor(waiting.ask.Held)}})
+	}
+	c.reads = reads
+}
+
+func (c *Core) grant(waiting waitingBatch) {
+	grant := &GrantBatch{Revision: c.committed.Revision, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks}
+	if waiting.batch.Revision < c.committed.Revision {
+		grant.Document = c.committed.lightFor(waiting.batch.Revision)
+	}
+	c.send(waiting.from, Message{GrantBatch: grant})
+}
+
+// onReadAsk takes an ask for the newest committed document. Like a grant it is answered
+// after a round that was sent later: until then another may have led and acknowledged more.
+func (c *Core) onReadAsk(from string, m *ReadAsk) {
+	if c.role != leader {
+		c.elsewhere(from)
+		return
+	}
+	for _, waiting := range c.reads {
+		if waiting.from == from && waiting.ask.Token == m.Token {
+			return
+		}
+	}
+	if len(c.reads) < maxQueue {
+		c.reads = append(c.reads, waitingRead{from, m, c.round + 1})
+		c.isRoundWanted = true
+	}
+}
+
+func (c *Core) onAskBatch(from string, m *AskBatch) {
+	if c.role != leader {
+		c.elsewhere(from)
+		return
+	}
+	for _, ask := range m.Asks {
+		old := c.seen[ask.Address]
+		if old == nil || ask.Applied >= old.applied || ask.Applied == 0 {
+			c.seen[ask.Address] = &sighting{c.now, ask.Applied, max(ask.Applied, ask.Held), ask.Zone, ask.IsRouter}
+		} else {
+			old.at = c.now
+		}
+	}
+	if m.IsHome {
+		c.homeSeen[m.Zone] = c.now
+	}
+	switch {
+	case c.settings.ServeOn < ServeOnAlways:
+		c.batches = append(c.batches, waitingBatch{from, m, c.round + 1})
+		c.isRoundWanted = true
+	case c.isOwnTerm:
+		// Nobody serves by this grant: it says who leads and what is committed, and that
+		// needs no round of its own.
+		c.grant(waitingBatch{from: from, batch: m})
+	}
+	c.settleReplies()
+}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -42,8 +42,6 @@
 	return fmt.Sprintf("a snapshot of %d bytes is larger than %d", b.Bytes, b.Most)
 }
 
-// ---- at the node ----
-
 // snapshots is a node's part in keeping its snapshot.
 type snapshots struct {
 	isOn      bool
@@ -142,8 +140,6 @@
 	return n.finish()
 }
 
-// ---- on the disk ----
-
 // SaveSnapshot writes a snapshot in place of the last one.
 func (s *Store) SaveSnapshot(snapshot *Snapshot) error {
 	light := *snapshot
