--- a/control/cell.go
+++ b/control/cell.go
@@ -4,10 +4,9 @@
 	"fmt"
 	"slices"
 
+	"dunlinloom/kernel"
 	"github.com/benbjohnson/immutable"
 	"github.com/cespare/xxhash/v2"
-
-	"dunlinloom/kernel"
 )
 
 // EngineRecord is what the fleet knows of one engine. Records merge to the same
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -5,9 +5,8 @@
 	"math/rand/v2"
 	"testing"
 
-	qt "github.com/frankban/quicktest"
-
 	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
 )
 
 // bench holds one core and plays its shell by hand.
--- a/control/days_test.go
+++ b/control/days_test.go
@@ -5,9 +5,8 @@
 	"math/rand/v2"
 	"testing"
 
-	qt "github.com/frankban/quicktest"
-
 	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
 )
 
 // day plays troubles as far as they are tolerated, one member at a time and any of the
--- a/control/dissemination.go
+++ b/control/dissemination.go
@@ -1,9 +1,10 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"maps"
 	"slices"
+
+	"dunlinloom/kernel"
 )
 
 // How a committed document reaches the nodes, and when it has gone round.
--- a/control/election.go
+++ b/control/election.go
@@ -1,9 +1,10 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"fmt"
 	"slices"
+
+	"dunlinloom/kernel"
 )
 
 // Terms, pre-votes, votes and the hand-over of the lead.
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -9,9 +9,8 @@
 	"strings"
 	"testing"
 
-	qt "github.com/frankban/quicktest"
-
 	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
 )
 
 // fleet plays a number of nodes in virtual time: messages take a while and may be cut,
--- a/control/membership.go
+++ b/control/membership.go
@@ -1,8 +1,9 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"slices"
+
+	"dunlinloom/kernel"
 )
 
 // Which members vote: standbys that join, voters that are replaced one at a time.
--- a/control/node_engines.go
+++ b/control/node_engines.go
@@ -1,8 +1,9 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"slices"
+
+	"dunlinloom/kernel"
 )
 
 // What a node learns of engines, and how it brings that to others.
--- a/control/node_news.go
+++ b/control/node_news.go
@@ -1,10 +1,11 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"fmt"
 	"maps"
 	"slices"
+
+	"dunlinloom/kernel"
 )
 
 // Asks between a node, its home and the leader, and the news that come back.
--- a/control/node_state.go
+++ b/control/node_state.go
@@ -1,8 +1,9 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"slices"
+
+	"dunlinloom/kernel"
 )
 
 // What a node shows to the process around it.
--- a/control/node_submit.go
+++ b/control/node_submit.go
@@ -1,9 +1,10 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"maps"
 	"slices"
+
+	"dunlinloom/kernel"
 )
 
 // Operators' orders at the node that took them, until the leader's word.
--- a/control/proposals.go
+++ b/control/proposals.go
@@ -1,8 +1,9 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"fmt"
+
+	"dunlinloom/kernel"
 )
 
 // The next document, made out of what is due while none is in flight.
--- a/control/recovery_test.go
+++ b/control/recovery_test.go
@@ -7,9 +7,8 @@
 	"slices"
 	"testing"
 
-	qt "github.com/frankban/quicktest"
-
 	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
 )
 
 // settledFleet is a fleet of voters and routers with a configuration in force and two engines that beat.
--- a/control/register.go
+++ b/control/register.go
@@ -1,9 +1,10 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"maps"
 	"slices"
+
+	"dunlinloom/kernel"
 )
 
 // What the leader tends by itself: the register of routers, homes, marks of leaving engines.
--- a/control/replication.go
+++ b/control/replication.go
@@ -1,9 +1,10 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"maps"
 	"slices"
+
+	"dunlinloom/kernel"
 )
 
 // Heartbeats, and the commit of a document by a majority of its own voters.
--- a/control/strict_founding.go
+++ b/control/strict_founding.go
@@ -1,10 +1,11 @@
 package control
 
 import (
-	"dunlinloom/kernel"
 	"fmt"
 	"slices"
 	"sort"
+
+	"dunlinloom/kernel"
 )
 
 // Founding by the three seeds, the strict way.
--- a/control/words.go
+++ b/control/words.go
@@ -5,9 +5,8 @@
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"dunlinloom/kernel"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Registered answers what Node.Register took from an engine.
