The leader tells how whole the core is, and releases a member that leaves

The wanted number of voters, caught up and with the history, was nowhere to be seen. Health is the leader's picture of it, with what is missing and since when. A leaving voter now stays (within its grace) until the leader says that others hold what it holds. Members that neither vote nor are heard are dropped from the leader's peers, so that no documents go to folders that are gone.

--- a/control/core.go
+++ b/control/core.go
@@ -82,6 +82,10 @@
 	pushUntil    kernel.Micros
 	isLeaving    bool
 	lastMajority kernel.Micros
+	health       *Health // the last picture of the voters
+
+	// isReleased: the leader says that this member holds nothing alone, so that it may end.
+	isReleased bool
 
 	kept        map[uint64]bool // configurations in the own folder
 	recallTimer kernel.Micros
@@ -226,7 +230,9 @@
 		// What the leader tends by itself can wait a little; looking copies the document.
 		if len(c.queue) > 0 || now >= c.buildTimer {
 			c.buildTimer = now + buildEvery
+			c.dropGonePeers()
 			c.build()
+			c.lookAtHealth()
 		}
 		c.settleReplies()
 		c.nudgeSilent()
--- a/control/document.go
+++ b/control/document.go
@@ -203,6 +203,11 @@
 	return Member{}, false
 }
 
+// hasVoterAt tells whether a member votes under its identity, or another one at its address.
+func (d *Document) hasVoterAt(id MemberID, address string) bool {
+	return slices.ContainsFunc(d.Voters, func(voter Member) bool { return voter.ID == id || voter.Address == address })
+}
+
 // voterAddresses says where the voters are; of no document, nowhere.
 func (d *Document) voterAddresses() []string {
 	if d == nil {
--- a/control/election.go
+++ b/control/election.go
@@ -203,7 +203,7 @@
 
 func (c *Core) lead() {
 	c.role, c.leadSince, c.lastMajority = leader, c.now, c.now
-	c.peers, c.round, c.isOwnTerm = map[MemberID]*peer{}, 0, false
+	c.peers, c.round, c.isOwnTerm, c.health = map[MemberID]*peer{}, 0, false, nil
 	c.seen, c.homeSeen = map[string]*sighting{}, map[string]kernel.Micros{}
 	c.successors, c.marks = map[string]string{}, nil
 	c.committedAt, c.pushUntil = map[uint64]kernel.Micros{}, 0
--- /dev/null
+++ b/control/leave.go
@@ -0,0 +1,77 @@
+package control
+
+import "dunlinloom/kernel"
+
+// A planned stop: what a member hands on before it ends.
+
+// Leave begins a planned stop: the lead and the vote go to others.
+func (c *Core) Leave(now kernel.Micros) {
+	c.now, c.isLeaving, c.isReleased = now, true, false
+	c.note("core", "leave", "a planned stop was asked for")
+}
+
+// isNeeded tells whether this member may still hold what too few others hold. Only the leader
+// knows what the others have synced, so it is the leader that releases a leaving member.
+func (c *Core) isNeeded() bool { return c.isVoter() && !c.isReleased }
+
+// mayEnd tells whether a leaving member may end: it votes no more, or it will go on voting for
+// want of another member and enough of the others hold what is committed.
+func (c *Core) mayEnd(id MemberID) bool {
+	if !c.isOwnTerm {
+		return false
+	}
+	_, votes := c.committed.voter(id)
+	_, willVote := c.doc.voter(id)
+	if !votes && !willVote {
+		return true
+	}
+	return !c.isReplaceable() && c.isHeldWithout(id)
+}
+
+// isReplaceable tells whether a voter that leaves will be dropped: there are more than are
+// asked for, or a standby is on its way.
+func (c *Core) isReplaceable() bool {
+	least := voterCount
+	if c.settings.Voters > 0 {
+		least = c.settings.Voters
+	}
+	if len(c.committed.Voters) > least {
+		return true
+	}
+	for _, id := range c.peerIDs() {
+		p := c.peers[id]
+		isUsable := p.hasFolder && !p.isLeaving && !p.isAiling && c.now-p.lastHeard < c.settings.Timing.ElectionLow
+		if isUsable && !c.committed.hasVoterAt(id, p.member.Address) {
+			return true
+		}
+	}
+	return false
+}
+
+// isHeldWithout tells whether a majority of the voters, or all others where these are fewer,
+// has synced the committed document without counting one of them.
+func (c *Core) isHeldWithout(id MemberID) bool {
+	committed, held := c.committed.stamp(), 0
+	for _, member := range c.committed.Voters {
+		isSelf := member.ID == c.settings.Self.ID
+		switch p := c.peers[member.ID]; {
+		case member.ID == id:
+		case isSelf && !c.synced.before(committed), !isSelf && p != nil && !p.synced.before(committed):
+			held++
+		}
+	}
+	voters := len(c.committed.Voters)
+	return held >= min(voters/2+1, voters-1)
+}
+
+// dropGonePeers forgets members that neither vote nor were heard for long: a folder that is
+// gone is sent no more documents. One that comes back joins anew.
+func (c *Core) dropGonePeers() {
+	for _, id := range c.peerIDs() {
+		_, votes := c.committed.voter(id)
+		_, willVote := c.doc.voter(id)
+		if !votes && !willVote && c.now-c.peers[id].lastHeard > c.settings.Timing.NodeGone {
+			delete(c.peers, id)
+		}
+	}
+}
--- a/control/membership.go
+++ b/control/membership.go
@@ -167,9 +167,3 @@
 		}
 	}
 }
-
-// Leave begins a planned stop: the lead and the vote go to others.
-func (c *Core) Leave(now kernel.Micros) {
-	c.now, c.isLeaving = now, true
-	c.note("core", "leave", "a planned stop was asked for")
-}
--- a/control/messages.go
+++ b/control/messages.go
@@ -157,6 +157,8 @@
 	Round     uint64    `json:"round"`
 	Committed Stamp     `json:"committed"`
 	Document  *Document `json:"document,omitempty"`
+	// IsReleased tells a member that is leaving that others hold all that it holds.
+	IsReleased bool `json:"released,omitempty"`
 }
 
 // HeartbeatReply tells the leader what its receiver has synced.
--- a/control/node.go
+++ b/control/node.go
@@ -443,10 +443,12 @@
 	return n.finish()
 }
 
-// HasDuties tells whether a leaving node still leads or keeps its zone's home.
+// HasDuties tells whether a leaving node still leads, keeps its zone's home, or may hold a
+// document that too few other voters hold.
 func (n *Node) HasDuties() bool {
 	isLeading := n.core != nil && n.core.role == leader
-	return isLeading || n.isHome() && len(n.zoneNodes()) > 0
+	isNeeded := n.core != nil && n.core.isNeeded()
+	return isLeading || isNeeded || n.isHome() && len(n.zoneNodes()) > 0
 }
 
 func (n *Node) receive(envelope Envelope) {
--- a/control/node_state.go
+++ b/control/node_state.go
@@ -21,6 +21,7 @@
 	Role       string
 	Term       uint64
 	Ailment    string
+	Health     *Health // of the core; nil unless this node leads it
 	Engines    []EngineRecord
 	EngineRev  uint64
 	Nodes      []NodeRecord
@@ -40,6 +41,7 @@
 		EngineRev: n.cell.engineRev, Founding: n.founding(), Leader: n.leaderHint, cellRev: n.cell.rev,
 	}
 	if n.core != nil {
+		state.Health = n.core.Health()
 		state.IsLeader, state.Role, state.Term, state.Ailment = n.core.role == leader, n.core.role.String(), n.core.term, n.core.Ailment()
 		if known := n.core.Leader(); known != "" {
 			state.Leader = known
@@ -71,6 +73,6 @@
 func (s *State) isLike(other *State) bool {
 	return s.Document == other.Document && s.Until == other.Until && s.Why == other.Why && s.Leader == other.Leader &&
 		s.Home == other.Home && s.IsHome == other.IsHome && s.IsHomeless == other.IsHomeless && s.IsLeader == other.IsLeader &&
-		s.Role == other.Role && s.Term == other.Term && s.Ailment == other.Ailment && s.EngineRev == other.EngineRev &&
+		s.Role == other.Role && s.Term == other.Term && s.Ailment == other.Ailment && s.Health == other.Health && s.EngineRev == other.EngineRev &&
 		s.cellRev == other.cellRev && s.Founding == other.Founding && s.Serving == other.Serving && slices.Equal(s.Neighbours, other.Neighbours)
 }
--- a/control/replication.go
+++ b/control/replication.go
@@ -22,6 +22,8 @@
 	isBare    bool // it does not hold the configuration in force
 	hasFolder bool
 	since     kernel.Micros // when it was first heard in this term
+	// caughtUpAt is when it last held all that was committed; zero: never in this term.
+	caughtUpAt kernel.Micros
 }
 
 func (c *Core) propose(document *Document) {
@@ -52,7 +54,7 @@
 	newest := c.doc.stamp()
 	for _, id := range c.peerIDs() {
 		p := c.peers[id]
-		message := &Heartbeat{Term: c.term, Leader: c.settings.Self, Target: id, Round: c.round, Committed: c.committedStamp()}
+		message := &Heartbeat{Term: c.term, Leader: c.settings.Self, Target: id, Round: c.round, Committed: c.committedStamp(), IsReleased: p.isLeaving && c.mayEnd(id)}
 		// A document is large: it goes again only after a pause without a word of it.
 		if p.synced != newest && (p.sentDoc != newest || c.now-p.lastSent > 5*c.settings.Timing.Heartbeat) {
 			message.Document, p.sentDoc, p.lastSent = c.doc, newest, c.now
@@ -94,7 +96,7 @@
 	if c.leaderMember.ID != m.Leader.ID || isNewTerm {
 		c.note("core", "follow", "%s leads term %d", m.Leader.Address, m.Term)
 	}
-	c.leaderMember, c.lastHeartbeat = m.Leader, c.now
+	c.leaderMember, c.lastHeartbeat, c.isReleased = m.Leader, c.now, m.IsReleased
 	c.timer = c.now + c.electionSpan()
 	reply.Term = c.term
 	respond := func() {
