dunlinctl status and GET /v1/core: whether the core is whole, and what is missing

An operator could not see when the next machine may be touched. A line in the log at each change, for deployments that dunlinctl does not reach.

--- a/cmd/dunlinctl/main.go
+++ b/cmd/dunlinctl/main.go
@@ -46,6 +46,7 @@
 	Core       *coreWords       `arg:"subcommand:core" help:"look, rebuild: when the majority of the core's disks is gone"`
 	Submission *submissionWords `arg:"subcommand:submission" help:"how an order ended"`
 	Fleet      *struct{}        `arg:"subcommand:fleet" help:"nodes, engines, zones, who leads"`
+	Status     *statusWords     `arg:"subcommand:status" help:"whether the core is whole, and how many losses it can bear now"`
 	Explain    *explainWords    `arg:"subcommand:explain" help:"why a request went where it did"`
 	Journal    *journalWords    `arg:"subcommand:journal" help:"decisions of all nodes"`
 	Nodes      []string         `arg:"--node,separate,env:CALLBOARD_NODES" help:"public address of a node; several are tried in turn"`
@@ -192,6 +193,8 @@
 		return b.order(http.MethodGet, "/v1/submissions/"+url.PathEscape(w.Submission.ID), nil, w.Submission.ID)
 	case w.Fleet != nil:
 		return b.show(http.MethodGet, "/v1/fleet", nil, b.printFleet)
+	case w.Status != nil:
+		return b.status(w.Status.Wait, time.Sleep)
 	case w.Explain != nil:
 		return b.gather("/v1/explain/" + url.PathEscape(w.Explain.Request))
 	case w.Journal != nil && w.Journal.Since != "":
@@ -464,6 +467,11 @@
 	if view.Ailment != "" {
 		fmt.Fprintf(b.out, "DISK: %s\n", view.Ailment)
 	}
+	if view.Core != nil {
+		printCore(b.out, view.Core)
+	} else {
+		fmt.Fprintln(b.out, "core: its leader knows; see `dunlinctl status`")
+	}
 	for _, zone := range slices.Sorted(maps.Keys(view.Drained)) {
 		fmt.Fprintf(b.out, "zone %s is emptied since generation %d\n", zone, view.Drained[zone])
 	}
--- a/cmd/dunlinctl/main_test.go
+++ b/cmd/dunlinctl/main_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	qt "github.com/frankban/quicktest"
@@ -43,6 +44,10 @@
 		{"zone refill z1", 200, `{"id":"x","outcome":"yes","generation":8}`, "DELETE /v1/zones/z1/evacuation", exitYes, "yes"},
 		{"router forget 10.0.0.1:7", 200, `{"id":"x","outcome":"yes","generation":8}`, "DELETE /v1/routers/10.0.0.1:7", exitYes, "yes"},
 		{"submission s1", 409, `{"id":"s1","outcome":"no","reason":"fenced"}`, "GET /v1/submissions/s1", exitNo, "no, fenced"},
+		{"status", 200, `{"leader":"10.0.0.1:7","term":3,"wanted":3,"voters":[{"address":"10.0.0.1:7","zone":"z1","heard":true,"caught_up":true,"history":true}],"spare_losses":1,"whole":true,"since_us":2000000}`, "GET /v1/core", exitYes, "core whole: 1 voters, 1 may be lost, for 2s; led by 10.0.0.1:7 in term 3"},
+		{"status", 200, `{"leader":"10.0.0.1:7","wanted":3,"voters":[{"address":"10.0.0.2:7","zone":"z2","heard":false}],"whole":false,"shortfalls":[{"kind":"silent","address":"10.0.0.2:7"}]}`, "GET /v1/core", exitNo, "10.0.0.2:7 silent"},
+		{"status", 503, `{"error":{"type":"no_leader","message":"none"}}`, "GET /v1/core", exitUnproved, ""},
+		{"--json status", 200, `{"leader":"a","whole":true,"wanted":3}`, "GET /v1/core", exitYes, `{"leader":"a","whole":true,"wanted":3}`},
 		{"spec get", 503, `not json`, "GET /v1/spec", exitTrouble, ""},
 		{"--json spec history", 200, `{"generations":[3],"current":3}`, "GET /v1/spec/history", exitYes, `{"generations":[3],"current":3}`},
 	} {
@@ -268,3 +273,28 @@
 		c.Assert(errors.As(err, new(control.NoSurvivor)), qt.IsTrue)
 	}
 }
+
+// A status that waits ends as soon as the core is whole, and else when its time is over.
+func TestAStatusWaitsForTheCoreToBeWhole(t *testing.T) {
+	c := qt.New(t)
+	asked, paused := 0, time.Duration(0)
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked++
+		json.NewEncoder(w).Encode(server.CoreView{Leader: "a", Health: &control.Health{Wanted: 3, IsWhole: asked >= 2}})
+	}))
+	defer node.Close()
+	look := func(wait time.Duration) int {
+		exit, err := (&board{words{Nodes: []string{strings.TrimPrefix(node.URL, "http://")}}, http.DefaultClient, io.Discard}).status(wait, func(span time.Duration) { paused += span })
+		c.Assert(err, qt.IsNil)
+		return exit
+	}
+	c.Assert(look(0), qt.Equals, exitNo)
+	c.Assert(look(time.Minute), qt.Equals, exitYes)
+	c.Assert(paused, qt.Equals, time.Duration(0))
+	asked = -100
+	c.Assert(look(1200*time.Millisecond), qt.Equals, exitNo)
+	c.Assert(paused, qt.Equals, 1200*time.Millisecond)
+	asked = -1
+	c.Assert(look(time.Minute), qt.Equals, exitYes)
+	c.Assert(paused, qt.Equals, 2200*time.Millisecond)
+}
--- /dev/null
+++ b/cmd/dunlinctl/status.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"dunlinloom/server"
+)
+
+type statusWords struct {
+	Wait time.Duration `arg:"--wait" help:"wait so long at most for the core to be whole, as 30s"`
+}
+
+// statusEvery is the pause between two looks of a status that waits.
+const statusEvery = 500 * time.Millisecond
+
+// status tells whether the core is whole: exit 0 if it is, 2 if it is not, 3 if no leader could say.
+func (b *board) status(wait time.Duration, pause func(time.Duration)) (int, error) {
+	for left := wait; ; left -= statusEvery {
+		exit, view, got, err := b.lookAtCore()
+		isLast := exit == exitYes || left <= 0
+		if isLast && view != nil && b.words.JSON {
+			b.out.Write(got)
+			return exit, nil
+		}
+		if isLast {
+			if view != nil {
+				printCore(b.out, view)
+			}
+			return exit, err
+		}
+		pause(min(left, statusEvery))
+	}
+}
+
+// notTold says that a node answered, but knows no leader of the core.
+type notTold struct{ status int }
+
+func (b notTold) Error() string {
+	return fmt.Sprintf("no leader could say how the core is (status %d)", b.status)
+}
+
+// lookAtCore asks the nodes in turn until one leads to the leader's answer.
+func (b *board) lookAtCore() (int, *server.CoreView, []byte, error) {
+	var last error
+	exit := exitTrouble
+	for _, node := range b.words.Nodes {
+		status, got, err := b.doAt(node, http.MethodGet, "/v1/core", nil, "")
+		if err != nil {
+			last = err
+			continue
+		}
+		if status != http.StatusOK {
+			exit, last = exitUnproved, notTold{status}
+			continue
+		}
+		var view server.CoreView
+		if err := json.Unmarshal(got, &view); err != nil || view.Health == nil {
+			return exitTrouble, nil, got, misread{"the core's health", err}
+		}
+		if view.IsWhole {
+			return exitYes, &view, got, nil
+		}
+		return exitNo, &view, got, nil
+	}
+	if exit == exitTrouble {
+		last = unreachable{b.words.Nodes, last}
+	}
+	return exit, nil, nil, last
+}
+
+func printCore(out io.Writer, view *server.CoreView) {
+	fmt.Fprintf(out, "core %s, for %v; led by %s in term %d\n", view.Health, view.SinceUS.Duration().Round(100*time.Millisecond), view.Leader, view.Term)
+	fmt.Fprintf(out, "%-22s %-8s %s\n", "VOTER", "ZONE", "STATE")
+	for _, voter := range view.Voters {
+		state := []string{}
+		for _, each := range []struct {
+			name string
+			isIt bool
+		}{{"silent", !voter.IsHeard}, {"behind", !voter.IsCaughtUp}, {"history incomplete", !voter.HasHistory}, {"leaving", voter.IsLeaving}, {"disk", voter.IsAiling}} {
+			if each.isIt {
+				state = append(state, each.name)
+			}
+		}
+		if len(state) == 0 {
+			state = []string{"caught up"}
+		}
+		fmt.Fprintf(out, "%-22s %-8s %s\n", voter.Address, voter.Zone, strings.Join(state, ", "))
+	}
+}
--- a/server/api.go
+++ b/server/api.go
@@ -83,6 +83,7 @@
 	mux.HandleFunc("POST /v1/engines/report", f.report)
 	mux.HandleFunc("PUT /v1/engines/{id}/leaving", f.leaving)
 	mux.HandleFunc("GET /v1/fleet", f.fleet)
+	mux.HandleFunc("GET /v1/core", f.core)
 	mux.HandleFunc("GET /v1/explain/{request}", f.explain)
 	mux.HandleFunc("GET /v1/journal", f.journal)
 	mux.HandleFunc("GET /healthz", f.health)
@@ -427,6 +428,7 @@
 	Role           string             `json:"role,omitempty"`
 	Term           uint64             `json:"term,omitempty"`
 	Ailment        string             `json:"ailment,omitempty"`
+	Core           *CoreView          `json:"core,omitempty"` // only at the leader
 	LeaseLeft      kernel.Micros      `json:"licence_left_us"`
 	Why            string             `json:"why,omitempty"`
 	Voters         []control.Member   `json:"voters"`
@@ -445,6 +447,9 @@
 		Self: f.env.Self, Founding: state.Founding, Leader: state.Leader, Role: state.Role, Term: state.Term,
 		Ailment: state.Ailment, LeaseLeft: max(state.Until-now, 0), Why: state.Why, Neighbours: state.Neighbours, Traffic: f.traffic(state),
 	}
+	if state.Health != nil {
+		view.Core = &CoreView{state.Leader, state.Health, max(now-state.Health.Since, 0)}
+	}
 	if document := state.Document; document != nil {
 		view.Revision, view.ConfigRevision = document.Revision, document.ConfigRevision
 		view.Voters, view.Register, view.Homes, view.Drained = document.Voters, document.Register, document.Homes, document.Drained
--- /dev/null
+++ b/server/core_view_test.go
@@ -0,0 +1,37 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Any node leads to the leader's answer, and a stopped voter shows in it.
+func TestEveryNodeTellsWhetherTheCoreIsWhole(t *testing.T) {
+	c := qt.New(t)
+	f := openFleet(c, 0)
+	read := func(node int, isMet func(CoreView) bool) CoreView {
+		for {
+			status, _, body := f.do(node, http.MethodGet, "/v1/core", "")
+			if status != http.StatusOK {
+				c.Assert(status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", body))
+				continue
+			}
+			var view CoreView
+			c.Assert(json.Unmarshal([]byte(body), &view), qt.IsNil)
+			if isMet(view) {
+				return view
+			}
+		}
+	}
+	for node := range f.public {
+		view := read(node, func(view CoreView) bool { return view.IsWhole })
+		c.Assert(view.Voters, qt.HasLen, 3)
+		c.Assert(view.SpareLosses, qt.Equals, 1)
+	}
+	f.stop[0]()
+	view := read(1, func(view CoreView) bool { return !view.IsWhole && view.SpareLosses == 0 })
+	c.Assert(view.Shortfalls, qt.Not(qt.HasLen), 0)
+}
--- a/server/runner.go
+++ b/server/runner.go
@@ -169,6 +169,8 @@
 	case control.SaveSnapshot:
 		// The node has one out at a time, so this never waits.
 		r.snapshots <- command
+	case control.HealthChanged:
+		r.env.Log.Info("the core's health", "whole", command.Health.IsWhole, "spare_losses", command.Health.SpareLosses, "says", command.Health.String())
 	case control.Prepare:
 		go func() {
 			_, err := r.hand.Compiler.Read(command.Document.Config)
