A newcomer becomes a voter under a flood of orders, and a slow disk keeps up

With orders always waiting, a member with a disk eight times slower never held the document that was committed a moment ago, so it was never taken for caught up, and the next loss left no majority: no vote within 4 s. Its writes still queued one by one, 16 s of them after 4.5 s of flood; writes that wait behind another are widened into one.

--- a/control/core.go
+++ b/control/core.go
@@ -82,7 +82,8 @@
 	pushUntil    kernel.Micros
 	isLeaving    bool
 	lastMajority kernel.Micros
-	health       *Health // the last picture of the voters
+	health       *Health       // the last picture of the voters
+	holdSince    kernel.Micros // when orders last began to wait for a newcomer
 
 	// isReleased: the leader says that this member holds nothing alone, so that it may end.
 	isReleased bool
--- a/control/core_disk.go
+++ b/control/core_disk.go
@@ -13,15 +13,25 @@
 }
 
 // save queues a write; after runs once it is synced. Writes stay in order, so
-// whatever after promises is on disk by then.
+// whatever after promises is on disk by then. One that waits behind another is widened to the
+// newest ballot and document: a slow disk falls no further behind than one write, and a
+// configuration of the past that was passed over is recalled like any other that is missing.
 func (c *Core) save(document *Document, after func()) {
 	c.nextToken++
 	save := Save{Token: c.nextToken, Ballot: &Ballot{c.term, c.votedFor}, Document: document}
 	pending := &pendingSave{save: save, since: c.now}
+	if last := len(c.saves) - 1; last > 0 {
+		pending = c.saves[last]
+		if document == nil {
+			save.Document = pending.save.Document
+		}
+		pending.save = save
+	} else {
+		c.saves = append(c.saves, pending)
+	}
 	if after != nil {
 		pending.after = append(pending.after, after)
 	}
-	c.saves = append(c.saves, pending)
 	if len(c.saves) == 1 {
 		c.out = append(c.out, save)
 	}
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -582,3 +582,40 @@
 		})
 	}
 }
+
+// Writes that wait behind one that is out become one: the newest ballot and document, and all
+// that may be said once they are synced.
+func TestWritesThatWaitAreWidened(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, Ballot{Term: 4}, document(4, 9))
+	leads := Member{"a", memberA.Address, memberA.Zone}
+	for revision := uint64(10); revision <= 13; revision++ {
+		b.receive(leads, Message{Heartbeat: &Heartbeat{Term: 4, Leader: leads, Target: memberB.ID, Round: revision, Document: document(4, revision)}})
+	}
+	c.Assert(b.saves, qt.HasLen, 1)
+	c.Assert(b.core.saves, qt.HasLen, 2)
+	replies := func() []Stamp {
+		found := []Stamp{}
+		for _, send := range b.sent {
+			if reply := send.Message.HeartbeatReply; reply != nil {
+				found = append(found, reply.Synced)
+			}
+		}
+		return found
+	}
+	// A term that comes meanwhile is widened into it, and takes no document away.
+	b.receive(leads, Message{Vote: &Vote{Known: 6}})
+	c.Assert(replies(), qt.HasLen, 0)
+	first := b.saves[0]
+	b.saves = nil
+	b.core.Saved(b.now, first.Token, nil)
+	b.drain()
+	c.Assert(replies(), qt.DeepEquals, []Stamp{{4, 10}})
+	c.Assert(b.saves, qt.HasLen, 1)
+	c.Assert(b.saves[0].Document.Revision, qt.Equals, uint64(13))
+	c.Assert(*b.saves[0].Ballot, qt.Equals, Ballot{Term: 6})
+	b.sync()
+	c.Assert(replies(), qt.DeepEquals, []Stamp{{4, 10}, {4, 13}, {4, 13}, {4, 13}})
+	// What was passed over is not claimed to be in the folder.
+	c.Assert(b.core.synced, qt.Equals, Stamp{4, 13})
+}
--- /dev/null
+++ b/control/newcomer.go
@@ -0,0 +1,59 @@
+package control
+
+import "dunlinloom/kernel"
+
+// Where orders always wait, each document follows the last at once, and a member that should
+// become a voter never holds the newest committed one long enough to be seen with it. Then
+// orders wait for it, but not for long.
+
+const (
+	// holdSpan is how long orders wait for a newcomer. An order that waits so long is still
+	// answered within the second that an operator waits.
+	holdSpan = 400 * kernel.Millisecond
+	// holdPause is how long they go on before they wait again.
+	holdPause = kernel.Second
+)
+
+// holdsOrders tells whether orders wait until a newcomer has caught up.
+func (c *Core) holdsOrders() bool {
+	if !c.awaitsNewcomer() {
+		return false
+	}
+	if c.now-c.holdSince > holdSpan+holdPause {
+		c.holdSince = c.now
+		c.note("core", "hold orders", "a member that should vote is catching up")
+	}
+	return c.now-c.holdSince < holdSpan
+}
+
+// awaitsNewcomer tells whether a member should become a voter and lacks nothing but the last few
+// documents: it has synced one of this term.
+func (c *Core) awaitsNewcomer() bool {
+	for _, id := range c.peerIDs() {
+		p := c.peers[id]
+		if _, votes := c.committed.voter(id); votes {
+			continue
+		}
+		isUsable := p.hasFolder && !p.isLeaving && !p.isAiling && c.now-p.lastHeard < c.settings.Timing.ElectionLow
+		if isUsable && p.synced.Term == c.term && p.synced.before(c.committed.stamp()) && c.hasPlaceFor(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasPlaceFor tells whether a member would become a voter if it were caught up.
+func (c *Core) hasPlaceFor(p *peer) bool {
+	members := []Member{p.member}
+	for _, voter := range c.committed.Voters {
+		if voter.Address == p.member.Address || c.isLost(voter) || c.isGoing(voter) {
+			return true
+		}
+		members = append(members, voter)
+	}
+	wanted := voterCount
+	if c.settings.Voters > 0 {
+		wanted = wantedVoters(c.settings.Voters, members)
+	}
+	return len(c.committed.Voters) < wanted
+}
--- a/control/proposals.go
+++ b/control/proposals.go
@@ -21,7 +21,7 @@
 	c.tendRegister(next, &reasons)
 	c.tendHomes(next, &reasons)
 	c.tendMarks(next, &reasons)
-	for len(c.queue) > 0 {
+	for len(c.queue) > 0 && !c.holdsOrders() {
 		held := c.queue[0]
 		c.queue = c.queue[1:]
 		// One order a document: each yes stays readable under its own revision.
