--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -267,7 +267,7 @@
 						d.pass(shape.sync - (d.now - begun))
 						d.readBack()
 					}
-					c.Logf("whole again: %v", &took)
+					c.Logf("%s: whole again: %v", t.Name(), &took)
 				})
 			}
 		}
@@ -318,7 +318,7 @@
 				c.Assert(d.founded, qt.HasLen, 1)
 				c.Assert(d.yes >= 10, qt.IsTrue, qt.Commentf("%d orders of %d", d.yes, d.orders))
 			}
-			c.Logf("whole again: %v", &took)
+			c.Logf("%s: whole again: %v", t.Name(), &took)
 		})
 	}
 }
@@ -352,7 +352,7 @@
 					d.awaitWhole(shape.sync)
 					took.take(d.now - begun)
 				}
-				c.Logf("whole again: %v", &took)
+				c.Logf("%s: whole again: %v", t.Name(), &took)
 			})
 		}
 	}
