--- a/control/health.go
+++ b/control/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"dunlinloom/kernel"
@@ -20,7 +21,7 @@
 	SpareLosses int         `json:"spare_losses"`
 	IsWhole     bool        `json:"whole"`
 	Shortfalls  []Shortfall `json:"shortfalls,omitempty"` // why it is not whole
-	// Since is when IsWhole or the shortfalls last changed, by the leader's clock.
+	// Since is when the core last became whole, or lacked something else than before, by the leader's clock.
 	Since kernel.Micros `json:"-"`
 }
 
@@ -82,7 +83,13 @@
 
 // isLike tells whether another picture shows nothing else.
 func (h *Health) isLike(other *Health) bool {
-	return h != nil && h.Term == other.Term && h.Revision == other.Revision && h.String() == other.String() && h.Wanted == other.Wanted
+	return h.saysLike(other) && h.Revision == other.Revision && slices.Equal(h.Voters, other.Voters)
+}
+
+// saysLike tells whether another picture of the same term lacks just the same.
+func (h *Health) saysLike(other *Health) bool {
+	return h != nil && h.Term == other.Term && h.IsWhole == other.IsWhole && h.Wanted == other.Wanted &&
+		h.SpareLosses == other.SpareLosses && len(h.Voters) == len(other.Voters) && slices.Equal(h.Shortfalls, other.Shortfalls)
 }
 
 // behindAllowed is how long a voter that was caught up may lack the newest commits before it
@@ -105,7 +112,7 @@
 		return
 	}
 	next.Since = c.now
-	if last != nil && last.Term == next.Term && last.String() == next.String() {
+	if last.saysLike(next) {
 		next.Since = last.Since
 	} else {
 		c.note("core", "health", "%s", next.String())
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -619,7 +619,7 @@
 		lost.wipe()
 		d.pass(500 * ms)
 		lost.boot()
-		took := d.await("the newcomer's vote", d.shape.sync, func() bool {
+		took := d.await("the newcomer's vote", d.shape.sync/2, func() bool {
 			lead := d.leader()
 			if lead == nil {
 				return false
