--- a/control/election.go
+++ b/control/election.go
@@ -211,7 +211,12 @@
 	c.committedAt, c.pushUntil = map[uint64]kernel.Micros{}, 0
 	for _, member := range c.doc.Voters {
 		if member.ID != c.settings.Self.ID {
-			c.peers[member.ID] = &peer{member: member, lastHeard: c.now, hasFolder: true}
+			heard := c.now
+			if member.ID == c.leaderMember.ID {
+				// Its silence began before it lost the lead, and need not be waited out from now on.
+				heard = c.lastHeartbeat
+			}
+			c.peers[member.ID] = &peer{member: member, lastHeard: heard, hasFolder: true}
 		}
 	}
 	c.note("core", "lead", "term %d, elected by a majority of %d voters", c.term, len(c.doc.Voters))
