A leader acts only under a quorum lease, and refuses only after a confirmed round

Cause: the step-down without a majority counted 600 ms after the last moment at which a majority had been heard within 1.2 s, and a Join counted as being heard. A refusal (412, 400) left at once, judged on the document committed here, so that a deposed leader that did not know it could refuse from an old state: also the repeat of an order that builds on a version which it had not seen, and which was acknowledged elsewhere.

Now: check-quorum lease of 1.5 times the shortest election timeout (900 ms), from the sending of the newest heartbeat round that a majority confirmed; looked at at each tick and before any message is handled as a leader (a woken one). Refusals wait for a round that is sent after their judgement, as reads do.

Ruled out: answers by a deposed leader to reads, yes, strict grants: these had their rounds.

Fields of messages are not changed.

--- a/control/core.go
+++ b/control/core.go
@@ -76,12 +76,13 @@
 	replies       []waitingSubmit
 	reads         []waitingRead
 	// When the newest revisions were committed under this lead.
-	committedAt  map[uint64]kernel.Micros
-	buildTimer   kernel.Micros
-	pushTimer    kernel.Micros
-	pushUntil    kernel.Micros
-	isLeaving    bool
-	lastMajority kernel.Micros
+	committedAt map[uint64]kernel.Micros
+	buildTimer  kernel.Micros
+	pushTimer   kernel.Micros
+	pushUntil   kernel.Micros
+	isLeaving   bool
+	sentRounds  []sentRound
+	refusals    []waitingRefusal
 
 	kept        map[uint64]bool // configurations in the own folder
 	recallTimer kernel.Micros
@@ -157,6 +158,11 @@
 // Receive takes a message meant for the core.
 func (c *Core) Receive(now kernel.Micros, from string, m Message) {
 	c.now = now
+	// After a freeze messages come before the next tick. A late confirmation may still renew the
+	// lease; nothing else is handled as a leader without one.
+	if c.role == leader && m.HeartbeatReply == nil && !c.hasLeaderLease() {
+		c.stepDown(leaseLapsed)
+	}
 	switch {
 	case m.VoteAsk != nil:
 		c.onVoteAsk(from, m.VoteAsk)
@@ -214,10 +220,8 @@
 	c.recall()
 	switch c.role {
 	case leader:
-		if c.hasVoters(true, func(p *peer) bool { return now-p.lastHeard < c.settings.Timing.ElectionHigh }) {
-			c.lastMajority = now
-		} else if now-c.lastMajority > c.settings.Timing.ElectionLow {
-			c.stepDown("no majority of voters was heard")
+		if !c.hasLeaderLease() {
+			c.stepDown(leaseLapsed)
 			return
 		}
 		if now >= c.roundTimer || c.isRoundWanted {
--- /dev/null
+++ b/control/cutoff_test.go
@@ -0,0 +1,289 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
+)
+
+// direction says which messages a cut takes.
+type direction int
+
+const (
+	bothWays direction = iota
+	outward            // nothing that the node sends arrives
+	inward             // nothing arrives at the node
+)
+
+func (d direction) String() string { return [...]string{"both ways", "outward", "inward"}[d] }
+
+// cutFrom cuts a node off from others; heal undoes it.
+func (n *fleetNode) cutFrom(way direction, others ...*fleetNode) {
+	n.cutOut = map[string]bool{}
+	for _, other := range others {
+		if other == n {
+			continue
+		}
+		if way != inward {
+			n.cutOut[other.identity.Address] = true
+		}
+		if way != outward {
+			if other.cutOut == nil {
+				other.cutOut = map[string]bool{}
+			}
+			other.cutOut[n.identity.Address] = true
+		}
+	}
+}
+
+func (f *fleet) heal() {
+	for _, n := range f.nodes {
+		n.cut, n.cutOut = map[string]bool{}, nil
+	}
+}
+
+// settledCore gives a fleet of four members and five routers that has taken a configuration.
+func settledCore(c *qt.C, seed uint64) *fleet {
+	f := newFleet(c, seed, 3, 9, firstHaveFolders(4))
+	f.bootAll(300 * ms)
+	f.settled(8 * kernel.Second)
+	f.acknowledge("first", 0, configOf(1, "first"), 4*kernel.Second, f.nodes[5])
+	f.pass(kernel.Second)
+	return f
+}
+
+// A leader that has lost touch with the majority stops leading within a second, whichever way
+// the messages are lost. Members that no longer hear it ask it to join meanwhile: that is no
+// confirmation.
+func TestALeaderWithoutAMajorityStopsWithinASecond(t *testing.T) {
+	for _, way := range []direction{bothWays, outward, inward} {
+		longest := kernel.Micros(0)
+		for seed := range uint64(12) {
+			c := qt.New(t)
+			f := settledCore(c, seed)
+			old := f.leader()
+			f.pass(kernel.Micros(f.random.Int64N(int64(300 * ms))))
+			old.cutFrom(way, f.nodes[:4]...)
+			took := f.await("the old leader stops", 20*kernel.Second, func() bool { return old.node.core.role != leader })
+			longest = max(longest, took)
+			c.Check(took <= kernel.Second, qt.IsTrue, qt.Commentf("%v, seed %d: %d ms", way, seed, took/ms))
+			f.await("another leads", 4*kernel.Second, func() bool { lead := f.leader(); return lead != nil && lead != old })
+		}
+		t.Logf("%v: at most %d ms", way, longest/ms)
+	}
+}
+
+// The same holds for a leader whose majority was frozen or killed instead of being cut off.
+func TestALeaderWhoseMajorityIsGoneStopsWithinASecond(t *testing.T) {
+	for seed := range uint64(8) {
+		c := qt.New(t)
+		f := settledCore(c, seed)
+		old := f.leader()
+		for _, n := range f.nodes[:4] {
+			switch {
+			case n == old:
+			case seed%2 == 0:
+				n.freeze(20 * kernel.Second)
+			default:
+				n.kill()
+			}
+		}
+		took := f.await("the leader stops", 20*kernel.Second, func() bool { return old.node.core.role != leader })
+		c.Check(took <= kernel.Second, qt.IsTrue, qt.Commentf("seed %d: %d ms", seed, took/ms))
+	}
+}
+
+// A working leader keeps its lease: two of its followers answer, on a network that is slow and a
+// third that never does.
+func TestALeaderKeepsItsLeaseBesideASilentVoter(t *testing.T) {
+	c := qt.New(t)
+	f := settledCore(c, 3)
+	old := f.leader()
+	term := old.node.core.term
+	for _, n := range f.nodes[:4] {
+		if n != old {
+			n.freeze(60 * kernel.Second)
+			break
+		}
+	}
+	f.pass(30 * kernel.Second)
+	c.Assert(old.node.core.role, qt.Equals, leader)
+	c.Assert(old.node.core.term, qt.Equals, term)
+}
+
+// A leader that wakes from a freeze handles nothing as a leader: the messages that waited come
+// before its first tick.
+func TestALeaderThatWakesHandlesNothingAsALeader(t *testing.T) {
+	c := qt.New(t)
+	messages := map[string]Message{
+		"a read":    {ReadAsk: &ReadAsk{Token: 9}},
+		"an order":  {Submit: &Submit{ID: "late", Order: PutConfig, Config: []byte("{}"), BaseVersion: version(7)}},
+		"a batch":   {AskBatch: &AskBatch{Zone: "z3", Asks: []RouterAsk{{Address: memberC.Address, Zone: "z3", Seq: 1, Applied: 9}}}},
+		"a standby": {Join: &Join{Member: Member{"d", "10.0.0.4:1", "z1"}, HasFolder: true}},
+	}
+	for name, message := range messages {
+		b := newBench(c, Ballot{Term: 4}, document(4, 9))
+		b.core.settings.ServeOn = ServeOnAlways
+		b.elect()
+		b.confirm(memberA, Stamp{b.core.term, 9})
+		b.pass(100 * ms)
+		b.confirm(memberA, Stamp{b.core.term, 9})
+		b.sent = nil
+		b.now += 3 * kernel.Second
+		b.receive(memberC, message)
+		c.Check(b.core.role, qt.Equals, follower, qt.Commentf(name))
+		for _, send := range b.sent {
+			c.Check(send.Message.Elsewhere, qt.IsNotNil, qt.Commentf("%s was answered by %s", name, send.Message.Kind()))
+		}
+	}
+}
+
+// A round that was confirmed extends the lease from its sending, however late the word comes.
+func TestALateConfirmationDoesNotExtendTheLease(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, Ballot{Term: 4}, document(4, 9))
+	b.elect()
+	b.confirm(memberA, Stamp{b.core.term, 9})
+	b.pass(200 * ms)
+	round, sentAt := b.core.round, b.core.sentRounds[len(b.core.sentRounds)-1].at
+	for b.core.role == leader {
+		c.Assert(b.now-sentAt <= kernel.Second, qt.IsTrue)
+		b.now += 20 * ms
+		if b.now-sentAt > 600*ms {
+			b.receive(memberA, Message{HeartbeatReply: &HeartbeatReply{Term: b.core.term, Round: round, Member: memberA, Synced: Stamp{b.core.term, 9}}})
+		}
+		b.core.Tick(b.now)
+		b.drain()
+	}
+	c.Assert(b.now-sentAt >= b.core.settings.Timing.leaderLease(), qt.IsTrue)
+}
+
+// A no is judged on the committed document, which may be an old one: it goes out only after a
+// round that was sent later is confirmed, and not at all from a leader that steps down.
+func TestARefusalWaitsForAConfirmedRound(t *testing.T) {
+	c := qt.New(t)
+	orders := map[string]Submit{
+		ReasonClash:        {Order: PutConfig, Config: []byte(`{"ver":9}`), BaseVersion: version(8)},
+		ReasonInvalid:      {Order: PutConfig, Config: []byte(`bad`), BaseVersion: version(0)},
+		ReasonUnknownOrder: {Order: "paint"},
+	}
+	for reason, order := range orders {
+		order.ID = reason
+		b := newBench(c, Ballot{Term: 4}, document(4, 9))
+		b.core.settings.CheckConfig = func(config []byte) error {
+			if string(config) == "bad" {
+				return faultOf("it is bad")
+			}
+			return nil
+		}
+		replies := func() []SubmitReply {
+			found := []SubmitReply{}
+			for _, send := range b.sent {
+				if send.Message.SubmitReply != nil {
+					found = append(found, *send.Message.SubmitReply)
+				}
+			}
+			return found
+		}
+		b.elect()
+		b.confirm(memberA, Stamp{b.core.term, 9})
+		b.pass(100 * ms)
+		b.confirm(memberA, Stamp{b.core.term, 9})
+		earlier := b.core.round
+		b.receive(memberC, Message{Submit: &order})
+		b.receive(memberC, Message{Submit: &order})
+		b.receive(memberA, Message{HeartbeatReply: &HeartbeatReply{Term: b.core.term, Round: earlier, Member: memberA, Synced: Stamp{b.core.term, 9}}})
+		c.Assert(replies(), qt.HasLen, 0)
+		b.pass(40 * ms)
+		c.Assert(replies(), qt.HasLen, 0)
+		b.confirm(memberA, Stamp{b.core.term, 9})
+		c.Assert(replies(), qt.HasLen, 1)
+		c.Assert(replies()[0].Outcome, qt.Equals, No)
+		c.Assert(replies()[0].Reason, qt.Equals, reason)
+		// Again, and this time nobody confirms.
+		b.sent = nil
+		b.receive(memberC, Message{Submit: &order})
+		b.pass(2 * kernel.Second)
+		c.Assert(b.core.role, qt.Not(qt.Equals), leader)
+		c.Assert(replies(), qt.HasLen, 1)
+		c.Assert(replies()[0].Outcome, qt.Equals, Unproved)
+	}
+}
+
+// minority plays an operator at the side of a cut that has no majority and holds that nothing
+// final, and no read, is answered there.
+type minority struct {
+	*fleet
+	at     []*fleetNode
+	begun  map[string]kernel.Micros
+	tokens map[uint64]bool
+	count  int
+}
+
+func (m *minority) ask(deadline kernel.Micros) {
+	for _, n := range m.at {
+		m.count++
+		// The one that could be taken comes last: the others are not to wait behind it.
+		for _, base := range []uint64{0, 2, 3, 1} {
+			id := fmt.Sprintf("minority-%d-%d", m.count, base)
+			m.begun[id] = m.now
+			n.submit(id, base, configOf(base+1, id))
+		}
+		token := uint64(1_000_000 + m.count)
+		m.tokens[token] = true
+		n.do(func() []any { return n.node.Newest(m.now, token) })
+	}
+	if m.now < deadline {
+		m.in(70*ms, func() { m.ask(deadline) })
+	}
+}
+
+// The old leader and two routers stay on the minority side while the others go on: no read, yes
+// or no leaves it, every order there ends unclear within a second, and all are right soon after
+// the heal. The first order there waits in the old leader while it still takes itself for one.
+func TestNothingClearLeavesAMinority(t *testing.T) {
+	for seed := range uint64(10) {
+		c := qt.New(t)
+		f := settledCore(c, seed)
+		old := f.leader()
+		var others []*fleetNode
+		m := &minority{fleet: f, at: []*fleetNode{old, f.nodes[4], f.nodes[5]}, begun: map[string]kernel.Micros{}, tokens: map[uint64]bool{}}
+		for _, n := range f.nodes {
+			if n != old && n != f.nodes[4] && n != f.nodes[5] {
+				others = append(others, n)
+			}
+		}
+		for _, n := range m.at {
+			n.cutFrom(bothWays, others...)
+		}
+		m.ask(f.now + 5*kernel.Second)
+		f.acknowledge("second", 1, configOf(2, "second"), 4*kernel.Second, others...)
+		f.acknowledge("third", 2, configOf(3, "third"), 4*kernel.Second, others...)
+		f.pass(3 * kernel.Second)
+		for id, begun := range m.begun {
+			reply, isThere := f.reply[id]
+			if !isThere {
+				c.Check(f.now-begun < kernel.Second, qt.IsTrue, qt.Commentf("seed %d: %s got nothing", seed, id))
+				continue
+			}
+			c.Check(reply.Outcome, qt.Equals, Unproved, qt.Commentf("seed %d: %s got %+v", seed, id, reply))
+			c.Check(f.heardAt[id]-begun < kernel.Second, qt.IsTrue, qt.Commentf("seed %d: %s after %d ms", seed, id, (f.heardAt[id]-begun)/ms))
+		}
+		for token := range m.tokens {
+			c.Check(f.reads[token], qt.IsNil, qt.Commentf("seed %d: a read was answered", seed))
+		}
+		f.pass(kernel.Second)
+		f.heal()
+		took := f.await("all are right", 2*kernel.Second, func() bool {
+			for _, n := range m.at {
+				if n.node.lease.applied.ConfigVersion < 3 {
+					return false
+				}
+			}
+			return true
+		})
+		c.Logf("seed %d: right %d ms after the heal", seed, took/ms)
+	}
+}
--- a/control/election.go
+++ b/control/election.go
@@ -65,9 +65,12 @@
 		c.note("core", "step down", "term %d: %s", c.term, why)
 		// Whoever waits here can be told nothing final by a leader that is none.
 		for _, waiting := range c.replies {
-			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Unproved, Reason: "leader_changed"}})
+			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Unproved, Reason: ReasonLeaderChanged}})
 		}
-		c.replies, c.batches, c.queue, c.reads = nil, nil, nil, nil
+		for _, waiting := range c.refusals {
+			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.reply.ID, Outcome: Unproved, Reason: ReasonLeaderChanged}})
+		}
+		c.replies, c.batches, c.queue, c.reads, c.refusals = nil, nil, nil, nil, nil
 	}
 	c.role = follower
 	c.timer = c.now + c.electionSpan()
@@ -202,14 +205,14 @@
 }
 
 func (c *Core) lead() {
-	c.role, c.leadSince, c.lastMajority = leader, c.now, c.now
-	c.peers, c.round, c.isOwnTerm = map[MemberID]*peer{}, 0, false
+	c.role, c.leadSince = leader, c.now
+	c.peers, c.round, c.sentRounds, c.isOwnTerm = map[MemberID]*peer{}, 0, nil, false
 	c.seen, c.homeSeen = map[string]*sighting{}, map[string]kernel.Micros{}
 	c.successors, c.marks = map[string]string{}, nil
 	c.committedAt, c.pushUntil = map[uint64]kernel.Micros{}, 0
 	for _, member := range c.doc.Voters {
 		if member.ID != c.settings.Self.ID {
-			c.peers[member.ID] = &peer{member: member, lastHeard: c.now, hasFolder: true}
+			c.peers[member.ID] = &peer{member: member, lastHeard: c.now, confirmedAt: c.now, hasFolder: true}
 		}
 	}
 	c.note("core", "lead", "term %d, elected by a majority of %d voters", c.term, len(c.doc.Voters))
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -48,7 +48,8 @@
 	held      []func()
 	epoch     int
 	node      *Node
-	cut       map[string]bool // addresses that can't be reached
+	cut       map[string]bool // addresses that can't be reached, nor reach it
+	cutOut    map[string]bool // addresses that can't be reached, but reach it
 	// The disk.
 	member    MemberID
 	ballot    Ballot
@@ -237,7 +238,7 @@
 			content, err := json.Marshal(command.Envelope)
 			f.c.Assert(err, qt.IsNil)
 			to := f.byAddress(command.Envelope.To)
-			if to == nil || n.cut[to.identity.Address] || to.cut[n.identity.Address] {
+			if to == nil || n.cut[to.identity.Address] || to.cut[n.identity.Address] || n.cutOut[to.identity.Address] {
 				continue
 			}
 			f.in(ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
--- a/control/messages.go
+++ b/control/messages.go
@@ -231,6 +231,20 @@
 	return digestOf(parts...)
 }
 
+// Reasons in a SubmitReply.
+const (
+	ReasonClash         = "clash"          // another configuration is in force than the order builds on
+	ReasonInvalid       = "invalid_spec"   // the configuration, or what a change makes of it, has faults
+	ReasonOldVersion    = "old_version"    // its version is not above the one in force
+	ReasonUnknownOrder  = "unknown_order"  // this build has no such order
+	ReasonIDReused      = "id_reused"      // another order had this id
+	ReasonFenced        = "fenced"         // the order was given up on
+	ReasonBusy          = "busy"           // the leader holds too many orders
+	ReasonLeaderChanged = "leader_changed" // the leader stepped down
+	ReasonNoMajority    = "no_majority"    // no answer was had in time
+	ReasonNotKept       = "not_kept"       // a leaving mark went round but could not be kept
+)
+
 // SubmitReply is the leader's word on a submission.
 type SubmitReply struct {
 	ID       string  `json:"id"`
@@ -406,6 +420,9 @@
 	BeatGone     kernel.Micros // silence after which an engine that registers itself is dark; zero: never
 }
 
+// leaderLease is how long a confirmed heartbeat round lets a leader act, counted from its sending.
+func (t Timing) leaderLease() kernel.Micros { return 3 * t.ElectionLow / 2 }
+
 // nodeSilent is how long a node that lives never says nothing, with a margin of one word.
 func (t Timing) nodeSilent() kernel.Micros { return 2 * t.NodeGone / 5 }
 
--- a/control/reads.go
+++ b/control/reads.go
@@ -15,15 +15,15 @@
 	round uint64
 }
 
-// confirmRounds grants the batches whose round a majority has confirmed: at that
-// moment no later leader could have committed anything newer.
+// confirmRounds answers the batches, reads and refusals whose round a majority has confirmed: when
+// that round was sent, no later leader could have committed anything newer.
 func (c *Core) confirmRounds() {
 	if c.role != leader || !c.isOwnTerm {
 		return
 	}
 	kept := c.batches[:0]
 	for _, waiting := range c.batches {
-		if !c.hasVoters(true, func(p *peer) bool { return p.round >= waiting.round }) {
+		if !c.isRoundConfirmed(waiting.round) {
 			kept = append(kept, waiting)
 			continue
 		}
@@ -32,13 +32,14 @@
 	c.batches = kept
 	reads := c.reads[:0]
 	for _, waiting := range c.reads {
-		if !c.hasVoters(true, func(p *peer) bool { return p.round >= waiting.round }) {
+		if !c.isRoundConfirmed(waiting.round) {
 			reads = append(reads, waiting)
 			continue
 		}
 		c.send(waiting.from, Message{ReadReply: &ReadReply{waiting.ask.Token, c.committed.lightFor(waiting.ask.Held)}})
 	}
 	c.reads = reads
+	c.settleRefusals()
 }
 
 func (c *Core) grant(waiting waitingBatch) {
--- a/control/replication.go
+++ b/control/replication.go
@@ -14,14 +14,16 @@
 	lastHeard kernel.Micros
 	lastSent  kernel.Micros // when a document last went to it
 	sentDoc   Stamp
-	round     uint64
-	synced    Stamp
-	isLeaving bool
-	isAiling  bool
-	isPartial bool
-	isBare    bool // it does not hold the configuration in force
-	hasFolder bool
-	since     kernel.Micros // when it was first heard in this term
+	round     uint64 // the newest round that it has confirmed
+	// confirmedAt is when that round was sent; see hasLeaderLease.
+	confirmedAt kernel.Micros
+	synced      Stamp
+	isLeaving   bool
+	isAiling    bool
+	isPartial   bool
+	isBare      bool // it does not hold the configuration in force
+	hasFolder   bool
+	since       kernel.Micros // when it was first heard in this term
 }
 
 func (c *Core) propose(document *Document) {
@@ -47,6 +49,7 @@
 
 func (c *Core) heartbeat() {
 	c.round++
+	c.noteRound()
 	c.isRoundWanted = false
 	c.roundTimer = c.now + c.settings.Timing.Heartbeat
 	newest := c.doc.stamp()
@@ -136,9 +139,7 @@
 	if m.IsBare && !p.isBare {
 		p.isBare, p.sentDoc, c.isRoundWanted = true, Stamp{}, true
 	}
-	if m.Round > p.round {
-		p.round = m.Round
-	}
+	c.takeConfirmation(p, m.Round)
 	if p.synced.before(m.Synced) {
 		p.synced = m.Synced
 		p.isBare = p.isBare && p.synced != c.doc.stamp()
--- a/control/rules.go
+++ b/control/rules.go
@@ -59,36 +59,36 @@
 // judgeConfig gives the configuration that an order leads to, on top of the one in force, and its
 // version; or a ConfigRefused.
 func (s CoreSettings) judgeConfig(m *Submit, current *Document) (config []byte, version uint64, err error) {
-	// Versions only rise, so a clash stays a clash: this no needs no fence.
+	// Versions only rise, so a clash on a base that was once in force stays a clash.
 	if m.BaseVersion != nil && *m.BaseVersion != current.ConfigVersion {
-		return nil, 0, ConfigRefused{"clash", faultOf("the spec is at version %d, not %d", current.ConfigVersion, *m.BaseVersion)}
+		return nil, 0, ConfigRefused{ReasonClash, faultOf("the spec is at version %d, not %d", current.ConfigVersion, *m.BaseVersion)}
 	}
 	config = m.Config
 	if m.Order == ChangeConfig {
 		if s.ChangeConfig == nil {
-			return nil, 0, ConfigRefused{"unknown_order", faultOf("%q", m.Order)}
+			return nil, 0, ConfigRefused{ReasonUnknownOrder, faultOf("%q", m.Order)}
 		}
 		if config, err = s.ChangeConfig(current.Config, m.Config); err != nil {
-			return nil, 0, ConfigRefused{"invalid_spec", err}
+			return nil, 0, ConfigRefused{ReasonInvalid, err}
 		}
 	}
 	if s.CheckConfig != nil {
 		if err := s.CheckConfig(config); err != nil {
-			return nil, 0, ConfigRefused{"invalid_spec", err}
+			return nil, 0, ConfigRefused{ReasonInvalid, err}
 		}
 	}
-	// The revision only grows, so a clash stays a clash: this no needs no fence.
+	// The revision only grows, so a clash on a base that was once in force stays a clash.
 	if m.Base != nil && *m.Base != current.ConfigRevision {
-		return nil, 0, ConfigRefused{"clash", faultOf("the spec is at generation %d, not %d", current.ConfigRevision, *m.Base)}
+		return nil, 0, ConfigRefused{ReasonClash, faultOf("the spec is at generation %d, not %d", current.ConfigRevision, *m.Base)}
 	}
 	version = current.ConfigVersion
 	switch {
 	case s.VersionOf != nil:
 		if version, err = s.VersionOf(config); err != nil {
-			return nil, 0, ConfigRefused{"invalid_spec", err}
+			return nil, 0, ConfigRefused{ReasonInvalid, err}
 		}
 		if version <= current.ConfigVersion {
-			return nil, 0, ConfigRefused{"old_version", faultOf("version %d is not above %d", version, current.ConfigVersion)}
+			return nil, 0, ConfigRefused{ReasonOldVersion, faultOf("version %d is not above %d", version, current.ConfigVersion)}
 		}
 	case m.BaseVersion != nil:
 		version++
--- a/control/submissions.go
+++ b/control/submissions.go
@@ -16,6 +16,13 @@
 	isFenced bool // the id is fenced at that revision
 }
 
+// waitingRefusal is a refusal that waits for a round that was sent after it was judged.
+type waitingRefusal struct {
+	from  string
+	reply SubmitReply
+	round uint64
+}
+
 type heldSubmit struct {
 	from   string
 	submit *Submit
@@ -30,7 +37,7 @@
 		return
 	}
 	if len(c.queue) >= maxQueue {
-		c.send(from, Message{SubmitReply: &SubmitReply{ID: m.ID, Outcome: Unproved, Reason: "busy"}})
+		c.send(from, Message{SubmitReply: &SubmitReply{ID: m.ID, Outcome: Unproved, Reason: ReasonBusy}})
 		return
 	}
 	// The sender repeats itself until it hears; one copy in the queue is enough.
@@ -44,14 +51,38 @@
 			return
 		}
 	}
+	for _, waiting := range c.refusals {
+		if waiting.reply.ID == m.ID && waiting.from == from {
+			return
+		}
+	}
 	c.queue = append(c.queue, heldSubmit{from, m})
 	c.build()
 }
 
-func (c *Core) rejection(to string, m *Submit, reason, why string, args ...any) {
+// refuse prepares a final no. It was judged on the document committed here, and another member may
+// lead and have committed a newer one, so it goes out only once a majority has confirmed a
+// heartbeat round that is sent later; see settleRefusals.
+func (c *Core) refuse(to string, m *Submit, reason, why string, args ...any) {
 	detail := fmt.Sprintf(why, args...)
-	c.note("submission "+m.ID, "decline", "%s: %s", reason, detail)
-	c.send(to, Message{SubmitReply: &SubmitReply{ID: m.ID, Outcome: No, Reason: reason, Detail: detail}})
+	reply := SubmitReply{ID: m.ID, Outcome: No, Reason: reason, Detail: detail}
+	c.refusals = append(c.refusals, waitingRefusal{to, reply, c.round + 1})
+	c.isRoundWanted = true
+}
+
+// settleRefusals sends the refusals whose round a majority has confirmed.
+func (c *Core) settleRefusals() {
+	waiting := c.refusals[:0]
+	for _, refusal := range c.refusals {
+		if !c.isRoundConfirmed(refusal.round) {
+			waiting = append(waiting, refusal)
+			continue
+		}
+		reply := refusal.reply
+		c.note("submission "+reply.ID, "decline", "%s: %s", reply.Reason, reply.Detail)
+		c.send(refusal.from, Message{SubmitReply: &reply})
+	}
+	c.refusals = waiting
 }
 
 // order applies one submission to the next document; false when nothing has to change.
@@ -63,9 +94,9 @@
 	if entry, isThere := c.doc.submission(m.ID); isThere {
 		switch {
 		case entry.IsFenced:
-			c.rejection(held.from, m, "fenced", "this submission was given up on and will never take effect")
+			c.refuse(held.from, m, ReasonFenced, "this submission was given up on and will never take effect")
 		case m.Order != Fence && entry.Digest != m.digest():
-			c.rejection(held.from, m, "id_reused", "another submission had this id at generation %d", entry.Revision)
+			c.refuse(held.from, m, ReasonIDReused, "another submission had this id at generation %d", entry.Revision)
 		default:
 			wait(entry.Revision, false)
 		}
@@ -81,7 +112,7 @@
 		config, version, err := c.settings.judgeConfig(m, next)
 		var refused ConfigRefused
 		if errors.As(err, &refused) {
-			c.rejection(held.from, m, refused.Reason, "%v", refused.Cause)
+			c.refuse(held.from, m, refused.Reason, "%v", refused.Cause)
 			return false
 		}
 		next.putConfig(config)
@@ -103,7 +134,7 @@
 	case MarkEngine:
 		next.markLeaving(m.Engine, m.Start)
 	default:
-		c.rejection(held.from, m, "unknown_order", "%q", m.Order)
+		c.refuse(held.from, m, ReasonUnknownOrder, "%q", m.Order)
 		return false
 	}
 	next.remember(Submission{ID: m.ID, Digest: m.digest(), Revision: next.Revision})
@@ -141,7 +172,7 @@
 		switch {
 		case isDone && waiting.isFenced:
 			c.send(waiting.from, Message{SubmitReply: &SubmitReply{
-				ID: waiting.id, Outcome: No, Reason: "fenced", Detail: "given up on; it will never take effect"}})
+				ID: waiting.id, Outcome: No, Reason: ReasonFenced, Detail: "given up on; it will never take effect"}})
 		case isDone && c.settings.AckRule == Spread && c.isSpread(waiting.revision):
 			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and has gone round", waiting.revision)
 			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Yes, Revision: waiting.revision}})
