An order that may have been forgotten is left unclear instead of refused

Cause: the document remembers its newest 512 submissions. An order that was taken and then forgotten was judged like one that was never taken, and refused (clash): after 512 further changes in TestAnOrderSentAgainIsNeverRefused (PUT and PATCH) on the sources before.

Now each remembered submission has the version that was in force after it, and the document keeps the newest version and revision of those that it dropped (two numbers). An order names its base and is taken only while that is in force, so one on an older base than that may have been taken: 503, never 412. One on a later base surely was not: 412 as ever. A fence of such an order is left unclear too.

Weighed: remembering more (the submissions are by far the largest part of a document beside the configuration already); a Bloom filter of taken ids (exact enough, but it changes in every document and cannot be left out of it); digests by base version, 12 bytes each (grows).

Measured: repeats after 0, 1, 511, 512, 600 and 2,000 further changes, PUT and PATCH, in the same life and after a restart of all: yes up to 511, unclear from 512 on, never a no.

--- a/control/document.go
+++ b/control/document.go
@@ -41,6 +41,8 @@
 	Digest   string `json:"digest,omitempty"`
 	Revision uint64 `json:"generation"`
 	IsFenced bool   `json:"fenced,omitempty"`
+	// Version is the operator's version in force once it had taken effect.
+	Version uint64 `json:"spec_version,omitempty"`
 }
 
 // Document is the whole agreed state at one revision.
@@ -58,6 +60,10 @@
 	ConfigVersion  uint64            `json:"spec_version,omitempty"` // the operator's own number of it
 	Drained        map[string]uint64 `json:"evacuated"`              // zone to the revision that emptied it
 	Submissions    []Submission      `json:"submissions"`
+	// Every submission that was dropped from Submissions had taken effect by this revision and
+	// this version; see mayHaveForgotten.
+	ForgottenRevision uint64 `json:"forgotten_generation,omitempty"`
+	ForgottenVersion  uint64 `json:"forgotten_spec_version,omitempty"`
 	// Chain names the newest configurations, oldest first. By it a copy of an older configuration
 	// proves itself, wherever it was kept, and a member knows what it lacks.
 	Chain []ConfigMark `json:"chain,omitempty"`
@@ -225,10 +231,30 @@
 }
 
 func (d *Document) remember(entry Submission) {
+	entry.Version = d.ConfigVersion
 	d.Submissions = append(d.Submissions, entry)
-	if surplus := len(d.Submissions) - keptSubmissions; surplus > 0 {
-		d.Submissions = slices.Clone(d.Submissions[surplus:])
+	surplus := len(d.Submissions) - keptSubmissions
+	if surplus <= 0 {
+		return
+	}
+	newest := d.Submissions[surplus-1]
+	d.ForgottenRevision = max(d.ForgottenRevision, newest.Revision)
+	d.ForgottenVersion = max(d.ForgottenVersion, newest.Version)
+	if newest.Version == 0 {
+		// An earlier build kept it without its version.
+		d.ForgottenVersion = max(d.ForgottenVersion, d.ConfigVersion)
+	}
+	d.Submissions = slices.Clone(d.Submissions[surplus:])
+}
+
+// mayHaveForgotten tells of an order that is not among the remembered submissions whether it may
+// have been taken all the same. An order that names its base is taken only while that base is in
+// force, so a base that is still in force, or was when a remembered order was taken, rules it out.
+func (d *Document) mayHaveForgotten(m *Submit) bool {
+	if m.BaseVersion != nil {
+		return *m.BaseVersion < min(d.ForgottenVersion, d.ConfigVersion)
 	}
+	return m.Base != nil && *m.Base < min(d.ForgottenRevision, d.ConfigRevision)
 }
 
 // majority of a list of routers satisfied by a test. An empty register has no
--- a/control/messages.go
+++ b/control/messages.go
@@ -243,6 +243,7 @@
 	ReasonLeaderChanged = "leader_changed" // the leader stepped down
 	ReasonNoMajority    = "no_majority"    // no answer was had in time
 	ReasonNotKept       = "not_kept"       // a leaving mark went round but could not be kept
+	ReasonForgotten     = "forgotten"      // it may be older than the submissions that are remembered
 )
 
 // SubmitReply is the leader's word on a submission.
--- a/control/node_submit.go
+++ b/control/node_submit.go
@@ -33,23 +33,23 @@
 		if n.now >= errand.deadline {
 			if errand.submit.Order == MarkEngine {
 				// The mark has gone round already, so a no would not be true.
-				n.finishErrand(SubmitReply{ID: id, Outcome: Unproved, Reason: "not_kept",
+				n.finishErrand(SubmitReply{ID: id, Outcome: Unproved, Reason: ReasonNotKept,
 					Detail: "the routers were told, but the core could not keep the mark"})
 				continue
 			}
 			if errand.submit.Order == Fence {
-				n.finishErrand(SubmitReply{ID: id, Outcome: Unproved, Reason: "no_majority",
+				n.finishErrand(SubmitReply{ID: id, Outcome: Unproved, Reason: ReasonNoMajority,
 					Detail: "neither a yes nor a final no could be shown; ask again by this id"})
 				continue
 			}
 			if n.settings.NoFence {
-				n.finishErrand(SubmitReply{ID: id, Outcome: Unproved, Reason: "no_majority",
+				n.finishErrand(SubmitReply{ID: id, Outcome: Unproved, Reason: ReasonNoMajority,
 					Detail: "neither a yes nor a final no could be shown; send it again as it was"})
 				continue
 			}
 			// Trying is over. A fence makes a no final, or finds that it was a yes after all.
 			n.note("submission "+id, "fence", "no receipt in time")
-			errand.submit = &Submit{ID: id, Order: Fence}
+			errand.submit = &Submit{ID: id, Order: Fence, Base: errand.submit.Base, BaseVersion: errand.submit.BaseVersion}
 			errand.deadline, errand.resendAt = n.now+submitFence, n.now
 		}
 		if n.now >= errand.resendAt {
@@ -61,8 +61,9 @@
 
 func (n *Node) onSubmitReply(m *SubmitReply) {
 	errand := n.errands[m.ID]
-	// An unproved word from a leader that stepped down is no end: the next one is asked.
-	if errand == nil || m.Outcome == Unproved {
+	// An unproved word from a leader that stepped down is no end: the next one is asked. What the
+	// document has forgotten no other leader knows.
+	if errand == nil || m.Outcome == Unproved && m.Reason != ReasonForgotten {
 		n.hurry()
 		return
 	}
--- /dev/null
+++ b/control/orders_test.go
@@ -0,0 +1,301 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
+)
+
+// orderBench is a leading core of which one follower confirms all that is sent.
+type orderBench struct {
+	*bench
+	count int
+}
+
+func newOrderBench(c *qt.C) *orderBench {
+	b := &orderBench{bench: newBench(c, Ballot{Term: 4}, document(4, 9))}
+	settings := NodeSettings{}
+	platformLike(&settings)
+	b.core.settings.VersionOf, b.core.settings.ChangeConfig, b.core.settings.CheckConfig = settings.VersionOf, settings.ChangeConfig, settings.CheckConfig
+	b.core.settings.AckRule = Spread
+	b.elect()
+	b.confirm(memberA, b.core.doc.stamp())
+	return b
+}
+
+// restart gives a new life to all members at once, of the document that they had synced.
+func (b *orderBench) restart() *orderBench {
+	content, err := json.Marshal(b.core.committed)
+	b.c.Assert(err, qt.IsNil)
+	document := &Document{}
+	b.c.Assert(json.Unmarshal(content, document), qt.IsNil)
+	next := &orderBench{bench: newBench(b.c, Ballot{Term: b.core.term}, document), count: b.count}
+	next.now = b.now
+	next.core.settings = b.core.settings
+	next.elect()
+	next.confirm(memberA, next.core.doc.stamp())
+	return next
+}
+
+// give hands in an order and plays rounds until its answer.
+func (b *orderBench) give(order Submit) SubmitReply {
+	b.sent = nil
+	b.receive(memberC, Message{Submit: &order})
+	for range 100 {
+		for _, send := range b.sent {
+			if reply := send.Message.SubmitReply; reply != nil && reply.ID == order.ID {
+				return *reply
+			}
+		}
+		b.sync()
+		b.confirm(memberA, b.core.doc.stamp())
+		b.pass(20 * ms)
+	}
+	b.c.Fatalf("%s: no answer", order.ID)
+	return SubmitReply{}
+}
+
+// advance takes a number of further configurations.
+func (b *orderBench) advance(count int) {
+	for range count {
+		b.count++
+		current := b.core.committed.ConfigVersion
+		reply := b.give(Submit{ID: fmt.Sprint("advance-", b.count), Order: PutConfig, Config: configOf(current+1, "more"), BaseVersion: version(current)})
+		b.c.Assert(reply.Outcome, qt.Equals, Yes)
+	}
+}
+
+// An order that was taken is acknowledged again, or left unclear, and never refused, however many
+// changes were made since and though everything was restarted.
+func TestAnOrderSentAgainIsNeverRefused(t *testing.T) {
+	orders := map[Order][]byte{PutConfig: configOf(5, "the order"), ChangeConfig: []byte(`{"ver":5}`)}
+	for order, config := range orders {
+		for _, further := range []int{0, 1, keptSubmissions - 1, keptSubmissions, 600, 2000} {
+			c := qt.New(t)
+			b := newOrderBench(c)
+			b.advance(1)
+			submit := Submit{ID: "the order", Order: order, Config: config, BaseVersion: version(1)}
+			c.Assert(b.give(submit).Outcome, qt.Equals, Yes)
+			b.advance(further)
+			before := b.core.committed.ConfigVersion
+			for _, life := range []string{"the same life", "a new life"} {
+				reply := b.give(submit)
+				wanted := SubmitReply{ID: submit.ID, Outcome: Yes, Revision: reply.Revision}
+				if further >= keptSubmissions {
+					wanted = SubmitReply{ID: submit.ID, Outcome: Unproved, Reason: ReasonForgotten, Detail: reply.Detail}
+				}
+				c.Check(reply, qt.Equals, wanted, qt.Commentf("%s, %d further changes, %s", order, further, life))
+				b = b.restart()
+			}
+			c.Assert(b.core.committed.ConfigVersion, qt.Equals, before)
+			c.Assert(len(b.core.committed.Submissions) <= keptSubmissions, qt.IsTrue)
+		}
+	}
+}
+
+// An order that surely was never taken is refused as ever, also beside forgotten submissions.
+func TestAnOrderThatWasNeverTakenIsRefused(t *testing.T) {
+	c := qt.New(t)
+	b := newOrderBench(c)
+	b.advance(keptSubmissions + 100)
+	document := b.core.committed
+	c.Assert(document.ForgottenVersion, qt.Equals, uint64(100))
+	never := func(base uint64) SubmitReply {
+		id := fmt.Sprint("never on ", base)
+		return b.give(Submit{ID: id, Order: PutConfig, Config: configOf(9000, id), BaseVersion: version(base)})
+	}
+	c.Assert(never(99).Outcome, qt.Equals, Unproved)
+	for _, base := range []uint64{100, 101, document.ConfigVersion - 1, document.ConfigVersion + 1} {
+		reply := never(base)
+		c.Check(reply.Outcome, qt.Equals, No, qt.Commentf("base %d", base))
+		c.Check(reply.Reason, qt.Equals, ReasonClash, qt.Commentf("base %d", base))
+	}
+	// A document of a build that kept no versions tells less, and refuses nothing that it may have taken.
+	for i := range document.Submissions {
+		document.Submissions[i].Version = 0
+	}
+	b.advance(1)
+	c.Assert(never(document.ConfigVersion-3).Outcome, qt.Equals, Unproved)
+	c.Assert(never(b.core.committed.ConfigVersion).Outcome, qt.Equals, Yes)
+}
+
+// An order on a revision that is in force is judged, however many other submissions came since
+// that revision.
+func TestManyOtherSubmissionsHoldUpNoOrderOnARevision(t *testing.T) {
+	c := qt.New(t)
+	b := newOrderBench(c)
+	b.core.settings.VersionOf = nil
+	put := func(id string, base uint64) SubmitReply {
+		return b.give(Submit{ID: id, Order: PutConfig, Config: []byte(id), Base: &base})
+	}
+	first := put("first", 0)
+	c.Assert(first.Outcome, qt.Equals, Yes)
+	for i := range keptSubmissions + 10 {
+		b.give(Submit{ID: fmt.Sprint("drain-", i), Order: EmptyZone, Zone: "z1"})
+	}
+	c.Assert(b.core.committed.ForgottenRevision >= first.Revision, qt.IsTrue)
+	second := put("second", first.Revision)
+	c.Assert(second.Outcome, qt.Equals, Yes)
+	c.Assert(put("first", 0).Outcome, qt.Equals, Unproved)
+	// A fence would call that final.
+	base := uint64(0)
+	c.Assert(b.give(Submit{ID: "first", Order: Fence, Base: &base}).Outcome, qt.Equals, Unproved)
+}
+
+// attempt is one operator's order, sent to one node after another until its answer is clear.
+type attempt struct {
+	id     string
+	order  Order
+	base   uint64
+	number uint64 // the version that it brings
+	config []byte
+	at     []*fleetNode
+	turn   int
+	lost   float64 // the share of answers to the first tries that are lost on their way
+	yes    int     // answers that arrived or were lost
+	no     int
+	isDone bool
+}
+
+// lossyTries is how many tries may lose their answers.
+const lossyTries = 6
+
+// run sends the order until an answer arrives; repeats goes on after that, as one whose answers
+// are lost does.
+func (a *attempt) run(f *fleet, repeats int) {
+	n := a.at[a.turn%len(a.at)]
+	a.turn++
+	delete(f.reply, a.id)
+	if n.isUp {
+		n.do(func() []any {
+			return n.node.Submit(f.now, &Submit{ID: a.id, Order: a.order, Config: a.config, BaseVersion: version(a.base)})
+		})
+	}
+	f.in(950*ms, func() {
+		switch f.reply[a.id].Outcome {
+		case Yes:
+			a.yes++
+		case No:
+			a.no++
+		}
+		isClear := a.yes+a.no > 0 && (a.turn > lossyTries || f.random.Float64() >= a.lost)
+		if isClear {
+			a.isDone = true
+			repeats--
+		}
+		if repeats >= 0 || !a.isDone {
+			a.run(f, repeats)
+		}
+	})
+}
+
+// Two orders of one number and one base go to two nodes, and with them the leader is killed, cut
+// off or frozen; answers are lost and both are sent again and again. At most one is confirmed,
+// nobody hears both a yes and a no, and what is read back is the one that was confirmed.
+func TestOneNumberIsConfirmedOnceOverAChangeOfLeader(t *testing.T) {
+	confirmed := 0
+	for seed := range uint64(40) {
+		c := qt.New(t)
+		f := settledCore(c, seed)
+		old := f.leader()
+		everyone := f.nodes
+		orders := [2]Order{PutConfig, PutConfig}
+		if seed%2 == 1 {
+			orders[1] = ChangeConfig
+		}
+		attempts := []*attempt{}
+		for i, order := range orders {
+			first := f.random.IntN(len(everyone))
+			attempts = append(attempts, &attempt{
+				id: fmt.Sprint("racer ", i), order: order, base: 1, config: configOf(2, fmt.Sprint("racer ", i)),
+				at: append(append([]*fleetNode{}, everyone[first:]...), everyone[:first]...), lost: 0.7,
+			})
+			f.in(kernel.Micros(f.random.Int64N(int64(60*ms))), func() { attempts[i].run(f, 3) })
+		}
+		span := 300*ms + kernel.Micros(f.random.Int64N(int64(2500*ms)))
+		f.in(kernel.Micros(f.random.Int64N(int64(80*ms))), func() {
+			switch seed % 4 {
+			case 0:
+				old.kill()
+				f.in(span, old.boot)
+			case 1:
+				old.freeze(span)
+			case 2:
+				old.cutFrom(direction(f.random.IntN(3)), everyone...)
+				f.in(span, f.heal)
+			case 3:
+				old.wipe()
+				f.in(span, old.boot)
+			}
+		})
+		f.pass(12 * kernel.Second)
+		for _, a := range attempts {
+			c.Check(a.yes == 0 || a.no == 0, qt.IsTrue, qt.Commentf("seed %d: %s heard %d yes and %d no", seed, a.id, a.yes, a.no))
+			c.Check(a.isDone, qt.IsTrue, qt.Commentf("seed %d: %s is not clear", seed, a.id))
+		}
+		c.Check(attempts[0].yes == 0 || attempts[1].yes == 0, qt.IsTrue, qt.Commentf("seed %d: both were confirmed", seed))
+		// Everything loses power, and is back without one disk.
+		for _, n := range f.nodes {
+			n.kill()
+		}
+		f.nodes[seed%4].wipe()
+		for _, n := range f.nodes {
+			n.bootstrap = false
+			n.boot()
+		}
+		f.pass(5 * kernel.Second)
+		reader := f.nodes[5]
+		reader.do(func() []any { return reader.node.Newest(f.now, 5) })
+		f.await("the newest", 3*kernel.Second, func() bool { return f.reads[5] != nil })
+		for _, a := range attempts {
+			if a.yes == 0 {
+				continue
+			}
+			confirmed++
+			c.Check(f.reads[5].ConfigVersion, qt.Equals, uint64(2))
+			c.Check(string(f.reads[5].Config), qt.Equals, string(a.config), qt.Commentf("seed %d", seed))
+			// And once more, where all who took it have begun a new life.
+			a.yes, a.isDone, a.lost = 0, false, 0
+			a.run(f, 0)
+			f.await("its repeat is confirmed", 4*kernel.Second, func() bool { return a.isDone })
+			c.Check(a.yes, qt.Equals, 1, qt.Commentf("seed %d: the repeat", seed))
+		}
+	}
+	t.Logf("%d of 40 races had a confirmed one", confirmed)
+}
+
+// Eight operators have one order each under way, under two numbers; each wave builds on what the
+// last one made. Every base has one winner, also of different numbers, and its repeat is a yes for as long as it is remembered.
+func TestEightOrdersUnderWayHaveOneWinnerEach(t *testing.T) {
+	c := qt.New(t)
+	f := settledCore(c, 5)
+	base := uint64(1)
+	winners := []*attempt{}
+	for wave := range 40 {
+		attempts := []*attempt{}
+		for i := range 8 {
+			id := fmt.Sprintf("wave %d, order %d", wave, i)
+			number := base + 1 + uint64(i%2)
+			a := &attempt{id: id, order: PutConfig, base: base, number: number, config: configOf(number, id), at: f.nodes, turn: i}
+			attempts = append(attempts, a)
+			f.in(kernel.Micros(f.random.Int64N(int64(30*ms))), func() { a.run(f, 0) })
+		}
+		f.pass(1100 * ms)
+		won, next := 0, base
+		for _, a := range attempts {
+			c.Check(a.yes+a.no, qt.Equals, 1, qt.Commentf(a.id))
+			if a.yes > 0 {
+				won++
+				next = a.number
+				winners = append(winners, a)
+			}
+		}
+		c.Assert(won, qt.Equals, 1, qt.Commentf("wave %d", wave))
+		base = next
+		again := winners[f.random.IntN(len(winners))]
+		f.acknowledge(again.id, again.base, again.config, 2*kernel.Second, f.nodes[wave%9])
+	}
+}
--- a/control/submissions.go
+++ b/control/submissions.go
@@ -85,6 +85,14 @@
 	c.refusals = waiting
 }
 
+// leaveUnclear answers an order that may be one of those that the document has forgotten: it may
+// have been taken long ago, so it is neither acknowledged nor refused.
+func (c *Core) leaveUnclear(to string, m *Submit) {
+	c.note("submission "+m.ID, "leave unclear", "it builds on a state older than the oldest submission remembered")
+	c.send(to, Message{SubmitReply: &SubmitReply{ID: m.ID, Outcome: Unproved, Reason: ReasonForgotten,
+		Detail: "it builds on a state so old that the core can't tell any more whether it was taken"}})
+}
+
 // order applies one submission to the next document; false when nothing has to change.
 func (c *Core) order(next *Document, held heldSubmit) bool {
 	m := held.submit
@@ -103,6 +111,10 @@
 		c.settleReplies()
 		return false
 	}
+	if next.mayHaveForgotten(m) {
+		c.leaveUnclear(held.from, m)
+		return false
+	}
 	switch m.Order {
 	case Fence:
 		next.remember(Submission{ID: m.ID, Revision: next.Revision, IsFenced: true})
