--- a/control/cutoff_test.go
+++ b/control/cutoff_test.go
@@ -212,13 +212,14 @@
 	}
 }
 
-// minority plays an operator at the side of a cut that has no majority and holds that nothing
+// minority plays an operator and an engine at the side of a cut that has no majority and holds that nothing
 // final, and no read, is answered there.
 type minority struct {
 	*fleet
 	at     []*fleetNode
 	begun  map[string]kernel.Micros
-	tokens map[uint64]bool
+	tokens map[uint64]bool // of reads
+	drains map[uint64]bool // tokens of words that an engine leaves
 	count  int
 }
 
@@ -234,22 +235,29 @@
 		token := uint64(1_000_000 + m.count)
 		m.tokens[token] = true
 		n.do(func() []any { return n.node.Newest(m.now, token) })
+		drain := token + 1_000_000
+		m.drains[drain] = true
+		leaving := engineAt("e", "z1", uint64(1+m.count))
+		leaving.IsLeaving = true
+		m.register(n, drain, leaving)
 	}
 	if m.now < deadline {
 		m.in(70*ms, func() { m.ask(deadline) })
 	}
 }
 
-// The old leader and two routers stay on the minority side while the others go on: no read, yes
-// or no leaves it, every order there ends unclear within a second, and all are right soon after
-// the heal. The first order there waits in the old leader while it still takes itself for one.
+// The old leader and two routers stay on the minority side while the others go on: no read, yes,
+// no or confirmed drain leaves it, every order there ends unclear within a second, and all are right soon after
+// the heal.
 func TestNothingClearLeavesAMinority(t *testing.T) {
 	for seed := range uint64(10) {
 		c := qt.New(t)
 		f := settledCore(c, seed)
+		f.register(f.nodes[6], 1, engineAt("e", "z1", 1))
+		f.pass(kernel.Second)
 		old := f.leader()
 		var others []*fleetNode
-		m := &minority{fleet: f, at: []*fleetNode{old, f.nodes[4], f.nodes[5]}, begun: map[string]kernel.Micros{}, tokens: map[uint64]bool{}}
+		m := &minority{fleet: f, at: []*fleetNode{old, f.nodes[4], f.nodes[5]}, begun: map[string]kernel.Micros{}, tokens: map[uint64]bool{}, drains: map[uint64]bool{}}
 		for _, n := range f.nodes {
 			if n != old && n != f.nodes[4] && n != f.nodes[5] {
 				others = append(others, n)
@@ -271,6 +279,11 @@
 			c.Check(reply.Outcome, qt.Equals, Unproved, qt.Commentf("seed %d: %s got %+v", seed, id, reply))
 			c.Check(f.heardAt[id]-begun < kernel.Second, qt.IsTrue, qt.Commentf("seed %d: %s after %d ms", seed, id, (f.heardAt[id]-begun)/ms))
 		}
+		for token := range m.drains {
+			if answer, isThere := f.answers[token]; isThere {
+				c.Check(answer.Err, qt.ErrorAs, new(NotConfirmed), qt.Commentf("seed %d: a drain was confirmed", seed))
+			}
+		}
 		for token := range m.tokens {
 			c.Check(f.reads[token], qt.IsNil, qt.Commentf("seed %d: a read was answered", seed))
 		}
@@ -287,3 +300,20 @@
 		c.Logf("seed %d: right %d ms after the heal", seed, took/ms)
 	}
 }
+
+// A leader whose disk refuses writes hands the lead over: the next order is confirmed soon, and one
+// that it had taken is never answered by it with a no.
+func TestALeaderWithAFullDiskHandsOver(t *testing.T) {
+	for seed := range uint64(8) {
+		c := qt.New(t)
+		f := settledCore(c, seed)
+		old := f.leader()
+		old.isFull = true
+		took := f.acknowledge("second", 1, configOf(2, "second"), 4*kernel.Second, old, f.nodes[6])
+		c.Check(took <= 2*kernel.Second, qt.IsTrue, qt.Commentf("seed %d: after %d ms", seed, took/ms))
+		f.await("another leads", 2*kernel.Second, func() bool { lead := f.leader(); return lead != nil && lead != old })
+		old.isFull = false
+		f.pass(kernel.Second)
+		f.acknowledge("third", 2, configOf(3, "third"), 4*kernel.Second, old)
+	}
+}
--- a/control/messages.go
+++ b/control/messages.go
@@ -111,7 +111,9 @@
 	Token   uint64 `json:"token"`
 	Zone    string `json:"zone"`
 	IsWhole bool   `json:"whole"` // every living node of the zone has confirmed as well
-	Others  int    `json:"others,omitempty"`
+	// IsSingle: the sender speaks for itself alone, not for its zone.
+	IsSingle bool `json:"single,omitempty"`
+	Others   int  `json:"others,omitempty"`
 }
 
 // Suspect tells the home that a router could not reach an engine.
--- a/control/orders_test.go
+++ b/control/orders_test.go
@@ -299,3 +299,40 @@
 		f.acknowledge(again.id, again.base, again.config, 2*kernel.Second, f.nodes[wave%9])
 	}
 }
+
+// A forgotten order's repeat ends at once, with no clear answer, at any node, after the disk that
+// took it is lost and everything was restarted; the newest 512 are still known then.
+func TestAForgottenOrderIsLeftUnclearAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 1, 3, 3, firstHaveFolders(3))
+	f.bootAll(200 * ms)
+	f.settled(8 * kernel.Second)
+	f.votersAre(3*kernel.Second, f.nodes...)
+	const changes = keptSubmissions + 90
+	taker := f.leader()
+	for base := range uint64(changes) {
+		f.acknowledge(fmt.Sprint("order ", base), base, configOf(base+1, "x"), 4*kernel.Second, taker)
+	}
+	for _, n := range f.nodes {
+		n.kill()
+		n.bootstrap = false
+	}
+	taker.wipe()
+	for _, n := range f.nodes {
+		n.boot()
+	}
+	f.pass(6 * kernel.Second)
+	for _, n := range f.nodes {
+		for _, base := range []uint64{0, 50, 88, changes - keptSubmissions, changes - 1} {
+			id, begun := fmt.Sprint("order ", base), f.now
+			n.submit(id, base, configOf(base+1, "x"))
+			f.await("an answer", kernel.Second, func() bool { _, isThere := f.reply[id]; return isThere })
+			wanted := Yes
+			if base < changes-keptSubmissions {
+				wanted = Unproved
+				c.Check(f.heardAt[id]-begun < 200*ms, qt.IsTrue, qt.Commentf("%s at %s", id, n.identity.Address))
+			}
+			c.Check(f.reply[id].Outcome, qt.Equals, wanted, qt.Commentf("%s at %s: %+v", id, n.identity.Address, f.reply[id]))
+		}
+	}
+}
--- a/control/words.go
+++ b/control/words.go
@@ -234,7 +234,7 @@
 	w, zone := &n.words, n.settings.Identity.Zone
 	if !m.IsOnward {
 		if m.Token != 0 {
-			n.send(from, Message{PushReply: &PushReply{Token: m.Token, Zone: zone}})
+			n.send(from, Message{PushReply: &PushReply{Token: m.Token, Zone: zone, IsSingle: true}})
 		}
 		return
 	}
@@ -299,7 +299,9 @@
 		return
 	}
 	if p := n.words.promises[m.Token]; p != nil {
-		p.zones[m.Zone] = p.zones[m.Zone] || m.IsWhole
+		if !m.IsSingle {
+			p.zones[m.Zone] = p.zones[m.Zone] || m.IsWhole
+		}
 		if from != n.self() {
 			p.nodes[from] = true
 		}
@@ -356,14 +358,28 @@
 				}
 			}
 		}
-		// What the leader knows outlives this node as well.
-		if leader := n.leaderTarget(); leader != "" && !p.nodes[leader] && !slices.Contains(slices.Collect(maps.Values(homes)), leader) {
-			n.send(leader, Message{Push: &Push{Token: token, Engines: p.records}})
-		}
+		n.tellVoters(token, p)
 	}
 	n.judgePromise(token, p)
 }
 
+// tellVoters sends a promise to the voters and the leader that have not confirmed it, except for
+// homes that are asked for their zones. What a majority of the voters knows outlives this node,
+// and is known on the side of a cut that goes on.
+func (n *Node) tellVoters(token uint64, p *promise) {
+	asked := map[string]bool{n.self(): true}
+	for zone, home := range n.lease.applied.Homes {
+		asked[home] = asked[home] || !p.zones[zone]
+	}
+	targets := append(n.lease.applied.voterAddresses(), n.leaderTarget())
+	slices.Sort(targets)
+	for _, target := range slices.Compact(targets) {
+		if !asked[target] && !p.nodes[target] {
+			n.send(target, Message{Push: &Push{Token: token, Engines: p.records}})
+		}
+	}
+}
+
 // judgePromise answers once every living node has confirmed, or after a while once so
 // many have that the mark outlives this node and whoever is in touch hears of it.
 func (n *Node) judgePromise(token uint64, p *promise) {
@@ -381,11 +397,13 @@
 		isAll = isAll && (isWhole || !hasSpoken && zone != n.settings.Identity.Zone && len(n.living(zone)) == 0)
 	}
 	isMost := spoken*2 > len(homes) || p.nodes[n.leaderTarget()]
+	// Without a majority of the voters this may be a minority's side of a cut.
+	isHeld := majority(n.lease.applied.voterAddresses(), func(voter string) bool { return voter == n.self() || p.nodes[voter] })
 	// A mark that only this node holds dies with it.
 	isShared := len(p.nodes) > 0 || p.others > 0 || len(n.lease.applied.Register) < 2 && len(n.cell.Nodes()) < 2
 	age := n.now - p.since
 	switch {
-	case isMost && isShared && (isAll || age >= pushEnough):
+	case isHeld && isMost && isShared && (isAll || age >= pushEnough):
 		n.words.kept[p.key] = n.now
 		for _, call := range p.tokens {
 			n.out = append(n.out, Registered{Token: call, BeatTo: n.beatTo(p.zone)})
