--- a/control/reads.go
+++ b/control/reads.go
@@ -2,12 +2,17 @@
 
 // Grants and reads, answered after a heartbeat round that a majority confirmed.
 
+// roundWaiter is what waits for the confirmation of a heartbeat round.
+type roundWaiter interface{ awaitedRound() uint64 }
+
 type waitingBatch struct {
 	from  string
 	batch *AskBatch
 	round uint64
 }
 
+func (w waitingBatch) awaitedRound() uint64 { return w.round }
+
 // waitingRead is a newest read that waits for a round that was sent after it came.
 type waitingRead struct {
 	from  string
@@ -15,31 +20,34 @@
 	round uint64
 }
 
+func (w waitingRead) awaitedRound() uint64 { return w.round }
+
 // confirmRounds answers the batches, reads and refusals whose round a majority has confirmed: when
 // that round was sent, no later leader could have committed anything newer.
 func (c *Core) confirmRounds() {
 	if c.role != leader || !c.isOwnTerm {
 		return
 	}
-	kept := c.batches[:0]
-	for _, waiting := range c.batches {
-		if !c.isRoundConfirmed(waiting.round) {
-			kept = append(kept, waiting)
-			continue
-		}
-		c.grant(waiting)
-	}
-	c.batches = kept
-	reads := c.reads[:0]
-	for _, waiting := range c.reads {
-		if !c.isRoundConfirmed(waiting.round) {
-			reads = append(reads, waiting)
-			continue
+	c.batches = answerConfirmed(c, c.batches, c.grant)
+	c.reads = answerConfirmed(c, c.reads, c.answerRead)
+	c.refusals = answerConfirmed(c, c.refusals, c.sendRefusal)
+}
+
+// answerConfirmed answers those whose round a majority has confirmed and gives the others.
+func answerConfirmed[W roundWaiter](c *Core, waiters []W, answer func(W)) []W {
+	waiting := waiters[:0]
+	for _, waiter := range waiters {
+		if c.isRoundConfirmed(waiter.awaitedRound()) {
+			answer(waiter)
+		} else {
+			waiting = append(waiting, waiter)
 		}
-		c.send(waiting.from, Message{ReadReply: &ReadReply{waiting.ask.Token, c.committed.lightFor(waiting.ask.Held)}})
 	}
-	c.reads = reads
-	c.settleRefusals()
+	return waiting
+}
+
+func (c *Core) answerRead(waiting waitingRead) {
+	c.send(waiting.from, Message{ReadReply: &ReadReply{waiting.ask.Token, c.committed.lightFor(waiting.ask.Held)}})
 }
 
 func (c *Core) grant(waiting waitingBatch) {
--- a/control/submissions.go
+++ b/control/submissions.go
@@ -23,6 +23,8 @@
 	round uint64
 }
 
+func (w waitingRefusal) awaitedRound() uint64 { return w.round }
+
 type heldSubmit struct {
 	from   string
 	submit *Submit
@@ -62,7 +64,7 @@
 
 // refuse prepares a final no. It was judged on the document committed here, and another member may
 // lead and have committed a newer one, so it goes out only once a majority has confirmed a
-// heartbeat round that is sent later; see settleRefusals.
+// heartbeat round that is sent later; see confirmRounds.
 func (c *Core) refuse(to string, m *Submit, reason, why string, args ...any) {
 	detail := fmt.Sprintf(why, args...)
 	reply := SubmitReply{ID: m.ID, Outcome: No, Reason: reason, Detail: detail}
@@ -70,19 +72,10 @@
 	c.isRoundWanted = true
 }
 
-// settleRefusals sends the refusals whose round a majority has confirmed.
-func (c *Core) settleRefusals() {
-	waiting := c.refusals[:0]
-	for _, refusal := range c.refusals {
-		if !c.isRoundConfirmed(refusal.round) {
-			waiting = append(waiting, refusal)
-			continue
-		}
-		reply := refusal.reply
-		c.note("submission "+reply.ID, "decline", "%s: %s", reply.Reason, reply.Detail)
-		c.send(refusal.from, Message{SubmitReply: &reply})
-	}
-	c.refusals = waiting
+func (c *Core) sendRefusal(refusal waitingRefusal) {
+	reply := refusal.reply
+	c.note("submission "+reply.ID, "decline", "%s: %s", reply.Reason, reply.Detail)
+	c.send(refusal.from, Message{SubmitReply: &reply})
 }
 
 // leaveUnclear answers an order that may be one of those that the document has forgotten: it may
