--- a/control/core.go
+++ b/control/core.go
@@ -76,14 +76,15 @@
 	replies       []waitingSubmit
 	reads         []waitingRead
 	// When the newest revisions were committed under this lead.
-	committedAt  map[uint64]kernel.Micros
-	buildTimer   kernel.Micros
-	pushTimer    kernel.Micros
-	pushUntil    kernel.Micros
-	isLeaving    bool
-	lastMajority kernel.Micros
-	health       *Health       // the last picture of the voters
-	holdSince    kernel.Micros // when orders last began to wait for a newcomer
+	committedAt map[uint64]kernel.Micros
+	buildTimer  kernel.Micros
+	pushTimer   kernel.Micros
+	pushUntil   kernel.Micros
+	isLeaving   bool
+	sentRounds  []sentRound
+	refusals    []waitingRefusal
+	health      *Health       // the last picture of the voters
+	holdSince   kernel.Micros // when orders last began to wait for a newcomer
 
 	// isReleased: the leader says that this member holds nothing alone, so that it may end.
 	isReleased bool
@@ -162,6 +163,11 @@
 // Receive takes a message meant for the core.
 func (c *Core) Receive(now kernel.Micros, from string, m Message) {
 	c.now = now
+	// After a freeze messages come before the next tick. A late confirmation may still renew the
+	// lease; nothing else is handled as a leader without one.
+	if c.role == leader && m.HeartbeatReply == nil && !c.hasLeaderLease() {
+		c.stepDown(leaseLapsed)
+	}
 	switch {
 	case m.VoteAsk != nil:
 		c.onVoteAsk(from, m.VoteAsk)
@@ -221,10 +227,8 @@
 	c.recall()
 	switch c.role {
 	case leader:
-		if c.hasVoters(true, func(p *peer) bool { return now-p.lastHeard < c.settings.Timing.ElectionHigh }) {
-			c.lastMajority = now
-		} else if now-c.lastMajority > c.settings.Timing.ElectionLow {
-			c.stepDown("no majority of voters was heard")
+		if !c.hasLeaderLease() {
+			c.stepDown(leaseLapsed)
 			return
 		}
 		if now >= c.roundTimer || c.isRoundWanted {
--- a/control/election.go
+++ b/control/election.go
@@ -65,9 +65,12 @@
 		c.note("core", "step down", "term %d: %s", c.term, why)
 		// Whoever waits here can be told nothing final by a leader that is none.
 		for _, waiting := range c.replies {
-			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Unproved, Reason: "leader_changed"}})
+			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Unproved, Reason: ReasonLeaderChanged}})
 		}
-		c.replies, c.batches, c.queue, c.reads = nil, nil, nil, nil
+		for _, waiting := range c.refusals {
+			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.reply.ID, Outcome: Unproved, Reason: ReasonLeaderChanged}})
+		}
+		c.replies, c.batches, c.queue, c.reads, c.refusals = nil, nil, nil, nil, nil
 	}
 	c.role = follower
 	// What this member knew of the others ages from now on.
@@ -204,8 +207,8 @@
 }
 
 func (c *Core) lead() {
-	c.role, c.leadSince, c.lastMajority = leader, c.now, c.now
-	c.peers, c.round, c.isOwnTerm, c.health = map[MemberID]*peer{}, 0, false, nil
+	c.role, c.leadSince, c.health = leader, c.now, nil
+	c.peers, c.round, c.sentRounds, c.isOwnTerm = map[MemberID]*peer{}, 0, nil, false
 	c.seen, c.homeSeen = map[string]*sighting{}, map[string]kernel.Micros{}
 	c.successors, c.marks = map[string]string{}, nil
 	c.committedAt, c.pushUntil = map[uint64]kernel.Micros{}, 0
@@ -216,7 +219,7 @@
 				// Its silence began before it lost the lead, and need not be waited out from now on.
 				heard = c.lastHeartbeat
 			}
-			c.peers[member.ID] = &peer{member: member, lastHeard: heard, hasFolder: true}
+			c.peers[member.ID] = &peer{member: member, lastHeard: heard, confirmedAt: c.now, hasFolder: true}
 		}
 	}
 	c.note("core", "lead", "term %d, elected by a majority of %d voters", c.term, len(c.doc.Voters))
