--- /dev/null
+++ b/tools/daygen/day.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bytes"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Day is one simulated day of a site. Times are in seconds from the start of traffic;
+// the system's first start comes before it, at negative times.
+type Day struct {
+	Name          string    `toml:"name"`
+	Slot          string    `toml:"slot"`
+	Seed          int64     `toml:"seed"`
+	LengthSeconds float64   `toml:"length_s"`
+	Closing       *Closing  `toml:"closing,omitempty"`
+	Plan          []Trouble `toml:"plan"`
+	Faults        []Trouble `toml:"faults"`
+}
+
+// Trouble is one entry of a day: a fault, or planned work such as a rolling restart.
+// A field that doesn't apply to the kind is left at its zero value and not written.
+type Trouble struct {
+	At       float64 `toml:"at"`
+	Kind     string  `toml:"kind"`
+	On       string  `toml:"on,omitempty"`
+	Zone     string  `toml:"zone,omitempty"`
+	ToZone   string  `toml:"to_zone,omitempty"`
+	Service  string  `toml:"service,omitempty"`
+	Class    string  `toml:"class,omitempty"`
+	Count    int     `toml:"count,omitzero"`
+	Share    float64 `toml:"share,omitzero"`
+	Strength float64 `toml:"x,omitzero"`
+	Duration float64 `toml:"for_s,omitzero"`
+	Gap      float64 `toml:"gap_s,omitzero"`
+	How      string  `toml:"how,omitempty"`
+}
+
+// Closing is the fault that ends a day, right after an acknowledged change.
+type Closing struct {
+	Kind        string  `toml:"kind"`
+	DownSeconds float64 `toml:"down_s"`
+	How         string  `toml:"how,omitempty"`
+}
+
+// End is the time at which the trouble is over: after its duration, or after its last
+// step when it repeats.
+func (t Trouble) End() float64 {
+	steps := max(t.Count-1, 0)
+	return t.At + max(t.Duration, float64(steps)*t.Gap)
+}
+
+// Encode returns the day as TOML.
+func (d Day) Encode() ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := toml.NewEncoder(&buffer)
+	encoder.Indent = ""
+	if err := encoder.Encode(d); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
--- /dev/null
+++ b/tools/daygen/daygen_test.go
@@ -0,0 +1,267 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	exampleSite = "testdata/site.toml"
+	seriesSize  = 300 // days per theme in the tests that look at a whole series
+)
+
+// newGenerator returns a generator for the example site.
+func newGenerator(t *testing.T, theme string, skip ...string) *Generator {
+	t.Helper()
+	site, err := LoadSite(exampleSite)
+	qt.Assert(t, err, qt.IsNil)
+	generator, err := NewGenerator(site, theme, skip)
+	qt.Assert(t, err, qt.IsNil)
+	return generator
+}
+
+// eachDay calls check with every day of a series of every theme.
+func eachDay(t *testing.T, check func(t *testing.T, theme string, day Day)) {
+	t.Helper()
+	for theme := range themes {
+		generator := newGenerator(t, theme)
+		for index := range seriesSize {
+			check(t, theme, generator.Day(1, index))
+		}
+	}
+}
+
+// entries returns all entries of a day.
+func entries(day Day) []Trouble {
+	return slices.Concat(day.Plan, day.Faults)
+}
+
+// drawnWords returns the words of `how` by kind over a series of mixed days.
+func drawnWords(t *testing.T, generator *Generator, days int) map[string]map[string]bool {
+	t.Helper()
+	words := map[string]map[string]bool{}
+	for index := range days {
+		for _, trouble := range entries(generator.Day(7, index)) {
+			if words[trouble.Kind] == nil {
+				words[trouble.Kind] = map[string]bool{}
+			}
+			for _, word := range strings.Fields(trouble.How) {
+				words[trouble.Kind][word] = true
+			}
+			if trouble.How == "" {
+				words[trouble.Kind][""] = true
+			}
+		}
+	}
+	return words
+}
+
+func TestSeedRepeatsDay(t *testing.T) {
+	for theme := range themes {
+		first := newGenerator(t, theme)
+		second := newGenerator(t, theme)
+		for index := range 20 {
+			second.Day(99, index) // days drawn before must not matter
+			qt.Assert(t, second.Day(3, index), qt.DeepEquals, first.Day(3, index))
+		}
+	}
+}
+
+func TestSeedsDiffer(t *testing.T) {
+	generator := newGenerator(t, "mixed")
+	qt.Assert(t, generator.Day(1, 0), qt.Not(qt.DeepEquals), generator.Day(2, 0))
+	qt.Assert(t, generator.Day(1, 0), qt.Not(qt.DeepEquals), generator.Day(1, 1))
+}
+
+func TestMixedDaysHoldEveryKindAndVariant(t *testing.T) {
+	words := drawnWords(t, newGenerator(t, "mixed"), 4000)
+	for _, kind := range Kinds {
+		qt.Check(t, words[kind.Name], qt.IsNotNil, qt.Commentf("kind %s", kind.Name))
+		for _, variant := range kind.Variants {
+			for _, word := range strings.Fields(variant) {
+				qt.Check(t, words[kind.Name][word], qt.IsTrue, qt.Commentf("%s %q", kind.Name, word))
+			}
+			if variant == "" && !kind.Aimed {
+				qt.Check(t, words[kind.Name][""], qt.IsTrue, qt.Commentf("%s without how", kind.Name))
+			}
+		}
+		for _, word := range optionalWords(kind) {
+			qt.Check(t, words[kind.Name][word], qt.IsTrue, qt.Commentf("%s %q", kind.Name, word))
+		}
+	}
+}
+
+// optionalWords returns the words that may stand beside a kind's variant.
+func optionalWords(kind Kind) []string {
+	var words []string
+	if kind.Aimed {
+		words = append(words, selectorWords...)
+		words = append(words, followUpWords...)
+	}
+	if kind.Severing {
+		words = append(words, severingWords...)
+	}
+	if strings.HasPrefix(kind.Name, "srv_") {
+		words = append(words, serverWords...)
+	}
+	if kind.Name == "srv_grey" {
+		words = append(words, "one_zone")
+	}
+	return words
+}
+
+func TestClosingsHoldEveryKindAndVariant(t *testing.T) {
+	drawn := map[Closing]bool{}
+	open := false
+	eachDay(t, func(t *testing.T, _ string, day Day) {
+		if day.Closing == nil {
+			open = true
+			return
+		}
+		drawn[Closing{Kind: day.Closing.Kind, How: day.Closing.How}] = true
+	})
+	qt.Check(t, open, qt.IsTrue)
+	for _, kind := range closingKinds {
+		for _, how := range closingHows {
+			qt.Check(t, drawn[Closing{Kind: kind, How: how}], qt.IsTrue, qt.Commentf("%s %q", kind, how))
+		}
+	}
+}
+
+func TestEntriesLieInsideTheDay(t *testing.T) {
+	const tolerance = 1e-6
+	site, err := LoadSite(exampleSite)
+	qt.Assert(t, err, qt.IsNil)
+	eachDay(t, func(t *testing.T, _ string, day Day) {
+		for _, trouble := range entries(day) {
+			inside := trouble.At >= -site.LeadSeconds && trouble.End() <= day.LengthSeconds+tolerance
+			qt.Assert(t, inside, qt.IsTrue, qt.Commentf("%s: %+v", day.Name, trouble))
+		}
+	})
+}
+
+func TestEntriesNameKnownPlacesAndKinds(t *testing.T) {
+	site, err := LoadSite(exampleSite)
+	qt.Assert(t, err, qt.IsNil)
+	zones := append(site.CoreZones(), "")
+	eachDay(t, func(t *testing.T, _ string, day Day) {
+		for _, trouble := range entries(day) {
+			_, known := kindNamed(trouble.Kind)
+			qt.Assert(t, known, qt.IsTrue, qt.Commentf("%+v", trouble))
+			qt.Assert(t, zones, qt.Contains, trouble.Zone)
+			onCoreShare := trouble.On == "core" && trouble.Share != 0
+			qt.Assert(t, onCoreShare, qt.IsFalse, qt.Commentf("%+v", trouble))
+		}
+	})
+}
+
+func TestStartDaysStrikeDuringTheFirstStart(t *testing.T) {
+	generator := newGenerator(t, "start")
+	struck := map[string]bool{}
+	for index := range seriesSize {
+		for _, fault := range generator.Day(1, index).Faults {
+			qt.Assert(t, fault.At <= startWindow, qt.IsTrue, qt.Commentf("%+v", fault))
+			struck[fault.Kind+" "+fault.Zone] = true
+		}
+	}
+	for _, zone := range []string{"north", "south", "west"} {
+		qt.Check(t, struck["node_kill "+zone], qt.IsTrue, qt.Commentf("zone %s", zone))
+	}
+}
+
+func TestCutDaysHoldCutsOfTwentySeconds(t *testing.T) {
+	generator := newGenerator(t, "cut")
+	for index := range seriesSize {
+		day := generator.Day(1, index)
+		long := slices.ContainsFunc(day.Faults, func(fault Trouble) bool {
+			return fault.Kind == "core_cut" && fault.Duration >= 18
+		})
+		qt.Assert(t, long, qt.IsTrue, qt.Commentf("%s", day.Name))
+	}
+}
+
+func TestStormDaysHoldHundredsOfChanges(t *testing.T) {
+	generator := newGenerator(t, "storm")
+	for index := range seriesSize {
+		day := generator.Day(1, index)
+		hundreds := slices.ContainsFunc(day.Plan, func(work Trouble) bool {
+			return work.Kind == "config_storm" && work.Count >= 150
+		})
+		qt.Assert(t, hundreds, qt.IsTrue, qt.Commentf("%s", day.Name))
+	}
+}
+
+func TestRepairDaysHoldSeveralLosses(t *testing.T) {
+	generator := newGenerator(t, "repair")
+	for index := range seriesSize {
+		losses := 0
+		for _, fault := range generator.Day(1, index).Faults {
+			if slices.Contains(lossKinds, fault.Kind) {
+				losses++
+			}
+		}
+		qt.Assert(t, losses >= 3, qt.IsTrue)
+	}
+}
+
+func TestSkippedAndUnsupportedKindsAreNotDrawn(t *testing.T) {
+	site, err := LoadSite(exampleSite)
+	qt.Assert(t, err, qt.IsNil)
+	site.Contracts = []string{"base"}
+	for theme := range themes {
+		generator, err := NewGenerator(site, theme, []string{"config_storm"})
+		qt.Assert(t, err, qt.IsNil)
+		for index := range seriesSize {
+			for _, trouble := range entries(generator.Day(1, index)) {
+				kind, _ := kindNamed(trouble.Kind)
+				qt.Assert(t, kind.Contract, qt.Equals, "")
+				qt.Assert(t, kind.Name, qt.Not(qt.Equals), "config_storm")
+			}
+		}
+	}
+}
+
+func TestEncodedDayDecodesToTheSameDay(t *testing.T) {
+	eachDay(t, func(t *testing.T, _ string, day Day) {
+		encoded, err := day.Encode()
+		qt.Assert(t, err, qt.IsNil)
+		var decoded Day
+		_, err = toml.Decode(string(encoded), &decoded)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, decoded, qt.DeepEquals, day)
+	})
+}
+
+func TestRunWritesOneFilePerDay(t *testing.T) {
+	out := filepath.Join(t.TempDir(), "days")
+	err := run(arguments{Site: exampleSite, Theme: "cut", Seed: 5, Count: 3, Out: out})
+	qt.Assert(t, err, qt.IsNil)
+	files, err := os.ReadDir(out)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.HasLen, 3)
+	qt.Assert(t, files[0].Name(), qt.Equals, "cut-5-000.toml")
+}
+
+func TestUnknownThemeIsRefused(t *testing.T) {
+	_, err := NewGenerator(Site{}, "unheard", nil)
+	var unknown *UnknownThemeError
+	qt.Assert(t, errors.As(err, &unknown), qt.IsTrue)
+	qt.Assert(t, unknown.Theme, qt.Equals, "unheard")
+}
+
+func TestIncompleteSiteIsRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "site.toml")
+	err := os.WriteFile(path, []byte("name = \"bare\"\n"), fileMode)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = LoadSite(path)
+	var incomplete *IncompleteSiteError
+	qt.Assert(t, errors.As(err, &incomplete), qt.IsTrue)
+	qt.Assert(t, incomplete.Missing, qt.Equals, "lead_s")
+}
--- /dev/null
+++ b/tools/daygen/generator.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+// maxDaySeed bounds the seed that a day hands to the simulation.
+const maxDaySeed = 1 << 40
+
+// UnknownThemeError reports a theme that doesn't exist.
+type UnknownThemeError struct {
+	Theme string
+}
+
+func (e *UnknownThemeError) Error() string {
+	known := strings.Join(slices.Sorted(maps.Keys(themes)), ", ")
+	return fmt.Sprintf("unknown theme %q; known: %s", e.Theme, known)
+}
+
+// Generator draws days of one theme for one site.
+type Generator struct {
+	site  Site
+	theme string
+	kinds []Kind // the kinds that may be drawn on this site
+}
+
+// NewGenerator returns a generator of the theme's days. The kinds named in skip, and
+// those whose contract isn't in force on the site, are never drawn.
+func NewGenerator(site Site, theme string, skip []string) (*Generator, error) {
+	if _, known := themes[theme]; !known {
+		return nil, &UnknownThemeError{Theme: theme}
+	}
+	generator := &Generator{site: site, theme: theme}
+	for _, kind := range Kinds {
+		inForce := kind.Contract == "" || slices.Contains(site.Contracts, kind.Contract)
+		if inForce && !slices.Contains(skip, kind.Name) {
+			generator.kinds = append(generator.kinds, kind)
+		}
+	}
+	return generator, nil
+}
+
+// Day draws the day with the given index of the series that seed names. A day depends
+// on its seed and index alone, not on the days drawn before it.
+func (g *Generator) Day(seed uint64, index int) Day {
+	random := rand.New(rand.NewPCG(seed, uint64(index)))
+	b := &builder{
+		drawer: drawer{random: random, site: g.site, length: g.site.LengthSeconds},
+		kinds:  g.kinds,
+		index:  index,
+	}
+	b.day.Name = fmt.Sprintf("%s-%d-%03d", g.theme, seed, index)
+	b.day.Slot = "trouble"
+	b.day.Seed = random.Int64N(maxDaySeed)
+	themes[g.theme](b)
+	b.day.LengthSeconds = b.length
+	b.sort()
+	return b.day
+}
+
+// builder collects the entries of one day.
+type builder struct {
+	drawer
+	kinds []Kind
+	index int
+	day   Day
+}
+
+// allowed returns those of the named kinds that may be drawn on the site.
+func (b *builder) allowed(names ...string) []Kind {
+	var kinds []Kind
+	for _, kind := range b.kinds {
+		if slices.Contains(names, kind.Name) {
+			kinds = append(kinds, kind)
+		}
+	}
+	return kinds
+}
+
+// add draws an entry of one of the named kinds; adjust, if given, changes it before it
+// is fitted into the day. It returns the entry's end, or the earliest time when none of
+// the kinds is allowed.
+func (b *builder) add(times Range, adjust func(*Trouble), names ...string) float64 {
+	kinds := b.allowed(names...)
+	if len(kinds) == 0 {
+		return times.Low
+	}
+	return b.addKind(pick(b.random, kinds), times, adjust)
+}
+
+// addKind draws an entry of the kind and returns its end.
+func (b *builder) addKind(kind Kind, times Range, adjust func(*Trouble)) float64 {
+	trouble := b.trouble(kind, times)
+	if adjust != nil {
+		adjust(&trouble)
+		b.fit(&trouble)
+	}
+	if kind.Section == SectionPlan {
+		b.day.Plan = append(b.day.Plan, trouble)
+	} else {
+		b.day.Faults = append(b.day.Faults, trouble)
+	}
+	return trouble.End()
+}
+
+// sort orders the entries by time.
+func (b *builder) sort() {
+	byTime := func(x, y Trouble) int { return cmp.Compare(x.At, y.At) }
+	slices.SortStableFunc(b.day.Plan, byTime)
+	slices.SortStableFunc(b.day.Faults, byTime)
+}
--- /dev/null
+++ b/tools/daygen/kinds.go
@@ -0,0 +1,154 @@
+package main
+
+import "slices"
+
+// Section says under which list of a day an entry stands.
+type Section int
+
+const (
+	// SectionFaults holds unplanned trouble.
+	SectionFaults Section = iota
+	// SectionPlan holds planned work: configuration changes, restarts, releases.
+	SectionPlan
+)
+
+// Target says what a kind of trouble strikes.
+type Target int
+
+const (
+	// TargetNone strikes the whole system; the entry names nothing.
+	TargetNone Target = iota
+	// TargetCore strikes core machines without naming a class of machines.
+	TargetCore
+	// TargetMachine strikes a share of all machines, or a number of core machines.
+	TargetMachine
+	// TargetServer strikes servers of one service.
+	TargetServer
+	// TargetTraffic changes the traffic of one class of requests, or of all.
+	TargetTraffic
+)
+
+// Range is an interval that a value is drawn from; the zero Range means that the field
+// is not written.
+type Range struct {
+	Low, High float64
+}
+
+// Kind describes one kind of trouble: the variants it has and the values it takes.
+type Kind struct {
+	Name     string
+	Section  Section
+	Target   Target
+	Variants []string // values of `how` that exclude each other; "" is the default
+	Aimed    bool     // `how` may select the machine and what follows its return
+	Severing bool     // `how` may say whether connections are reset or refused
+	Contract string   // the contract that must be in force; "" for none
+	Count    Range
+	Share    Range
+	Strength Range
+	Duration Range
+	Gap      Range
+}
+
+// Words that `how` may hold beside a kind's variant.
+var (
+	selectorWords  = []string{"leader", "reader", "seed"}
+	followUpWords  = []string{"meet", "race", "hard", "drain"}
+	severingWords  = []string{"reset", "refuse"}
+	serverWords    = []string{"across", "all"}
+	noVariant      = []string{""}
+	closingKinds   = []string{"power_off_all", "wipe_after_ack", "kill_all"}
+	closingHows    = []string{"", "timed", "taken", "aimed"}
+	configVariants = []string{"route", "weights", "timeout", "tenant", "quota", "idle"}
+	invalidConfigs = []string{
+		"cut_short", "unknown_service", "same_place", "no_weight", "no_timeout",
+		"old_version", "same_version", "stale_match", "shared_key",
+	}
+	greyVariants = []string{"errors", "shed", "busy", "hang", "reset", "mute", "slow"}
+)
+
+// Contracts that some kinds of trouble require.
+const (
+	contractHealth = "health"
+	contractPool   = "pool"
+)
+
+// Value ranges that several kinds share.
+var (
+	shortOutage  = Range{0.3, 6}
+	longOutage   = Range{2, 8}
+	smallShare   = Range{0.1, 0.3}
+	halfShare    = Range{0.3, 0.6}
+	oneMachine   = Range{1, 1}
+	stepGap      = Range{0.5, 2}
+	singleStep   = Range{1, 1}
+	lostAnswers  = Range{0.01, 0.06}
+	changeCounts = Range{1, 5}
+)
+
+// Kinds is the table of all kinds of trouble.
+var Kinds = slices.Concat(trafficKinds, serverKinds, machineKinds, coreKinds, diskKinds, configKinds)
+
+var trafficKinds = []Kind{
+	{Name: "burst", Target: TargetTraffic, Variants: noVariant, Strength: Range{1.3, 2.5}, Duration: longOutage},
+	{Name: "hot_key", Target: TargetTraffic, Variants: noVariant, Share: Range{0.15, 0.3}, Duration: longOutage},
+	{Name: "retry_abuse", Variants: noVariant, Share: smallShare, Strength: Range{1, 3}, Duration: longOutage},
+}
+
+var serverKinds = []Kind{
+	{Name: "srv_crash", Target: TargetServer, Variants: []string{"", "dark", "gone"}, Share: smallShare, Duration: longOutage},
+	{Name: "srv_slow", Target: TargetServer, Variants: noVariant, Share: smallShare, Strength: Range{2, 6}, Duration: longOutage},
+	{Name: "srv_grey", Target: TargetServer, Variants: greyVariants, Share: smallShare, Strength: Range{0.3, 0.5}, Duration: longOutage},
+	{Name: "srv_lying_health", Target: TargetServer, Variants: []string{"errors", "hang", "reset", "bad"}, Contract: contractHealth, Share: smallShare, Duration: longOutage},
+	{Name: "srv_flap", Target: TargetServer, Variants: noVariant, Contract: contractHealth, Share: smallShare, Duration: longOutage, Gap: stepGap},
+	{Name: "release", Section: SectionPlan, Target: TargetServer, Variants: noVariant, Share: halfShare, Strength: Range{1, 3}, Gap: stepGap},
+	{Name: "replace_with_reuse", Target: TargetServer, Variants: []string{"", "drain", "dark"}, Share: smallShare},
+	{Name: "scale_out", Section: SectionPlan, Target: TargetServer, Variants: noVariant, Share: smallShare, Gap: stepGap},
+	{Name: "scale_in", Section: SectionPlan, Target: TargetServer, Variants: []string{"", "spot"}, Share: smallShare, Strength: Range{1, 3}},
+	{Name: "answer_lost", Target: TargetServer, Variants: []string{"", "reset"}, Share: halfShare, Strength: lostAnswers, Duration: longOutage},
+	{Name: "garble", Target: TargetServer, Variants: []string{"", "extra", "extra late"}, Share: halfShare, Strength: lostAnswers, Duration: longOutage},
+	{Name: "idle_race", Target: TargetServer, Variants: noVariant, Contract: contractPool, Share: halfShare, Strength: Range{100, 500}, Duration: longOutage},
+}
+
+var machineKinds = []Kind{
+	{Name: "node_kill", Target: TargetMachine, Variants: []string{"", "power"}, Aimed: true, Share: smallShare, Duration: shortOutage},
+	{Name: "node_freeze", Target: TargetMachine, Variants: noVariant, Aimed: true, Share: smallShare, Duration: shortOutage},
+	{Name: "node_slow", Target: TargetMachine, Variants: noVariant, Aimed: true, Share: smallShare, Strength: Range{3, 8}, Duration: longOutage},
+	{Name: "node_cut", Target: TargetMachine, Variants: []string{"", "servers"}, Severing: true, Share: smallShare, Duration: longOutage},
+	{Name: "herd_kill", Target: TargetMachine, Variants: []string{"", "power", "taken"}, Share: halfShare, Duration: Range{0.5, 3}},
+	{Name: "reset_conns", Target: TargetMachine, Variants: noVariant, Share: smallShare, Strength: Range{0.2, 1}, Duration: longOutage},
+	{Name: "roll_term", Section: SectionPlan, Target: TargetMachine, Variants: []string{"", "remove", "busy"}, Share: Range{0.3, 1}, Strength: singleStep, Gap: stepGap},
+	{Name: "hup", Section: SectionPlan, Target: TargetMachine, Variants: noVariant, Share: Range{0.3, 0.8}, Gap: stepGap},
+	{Name: "clock_step", Variants: []string{"back", "ahead"}, Share: halfShare, Strength: Range{500, 4000}, Duration: longOutage},
+}
+
+var coreKinds = []Kind{
+	{Name: "core_cut", Target: TargetCore, Variants: []string{"", "one_way", "seeds", "both"}, Aimed: true, Severing: true, Count: oneMachine, Duration: Range{1, 8}},
+	{Name: "replace_core", Target: TargetCore, Variants: []string{"", "planned"}, Aimed: true, Strength: Range{0.5, 3}},
+	{Name: "after_ack_kill", Target: TargetCore, Variants: []string{"", "kill", "timed", "taken"}, Count: oneMachine, Duration: Range{0.5, 4}},
+	{Name: "after_ack_wipe", Target: TargetCore, Variants: []string{"", "timed", "taken"}, Duration: Range{0.5, 4}},
+	{Name: "seed_turnover", Section: SectionPlan, Variants: noVariant},
+}
+
+var diskKinds = []Kind{
+	{Name: "disk_slow", Target: TargetCore, Variants: noVariant, Aimed: true, Count: oneMachine, Strength: Range{10, 50}, Duration: longOutage},
+	{Name: "disk_full", Target: TargetCore, Variants: noVariant, Aimed: true, Count: oneMachine, Duration: longOutage},
+	{Name: "disk_stall", Target: TargetCore, Variants: noVariant, Aimed: true, Count: oneMachine, Duration: longOutage},
+}
+
+var configKinds = []Kind{
+	{Name: "config_change", Section: SectionPlan, Variants: configVariants},
+	{Name: "config_storm", Section: SectionPlan, Variants: noVariant, Count: Range{10, 40}, Gap: Range{0.08, 0.4}},
+	{Name: "config_race", Section: SectionPlan, Variants: noVariant, Count: changeCounts, Gap: stepGap},
+	{Name: "bad_config", Section: SectionPlan, Variants: invalidConfigs, Count: changeCounts, Gap: stepGap},
+	{Name: "ack_lost", Variants: noVariant, Strength: Range{0.3, 0.9}, Duration: Range{3, 15}},
+}
+
+// kindNamed returns the kind of that name and whether there is one.
+func kindNamed(name string) (Kind, bool) {
+	index := slices.IndexFunc(Kinds, func(kind Kind) bool { return kind.Name == name })
+	if index < 0 {
+		return Kind{}, false
+	}
+	return Kinds[index], true
+}
--- /dev/null
+++ b/tools/daygen/main.go
@@ -0,0 +1,68 @@
+// Daygen writes random test days for a simulated deployment: TOML files that list
+// faults, planned work and a closing fault with their times. A theme selects what a
+// day stresses, and a seed reproduces the same days exactly.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/alexflint/go-arg"
+)
+
+const (
+	directoryMode = 0o755
+	fileMode      = 0o644
+)
+
+// arguments are the command line's flags.
+type arguments struct {
+	Site  string   `arg:"--site,required" help:"TOML file of the site: zones, machines, services, classes and tolerated losses"`
+	Theme string   `arg:"--theme" default:"mixed" help:"what the days stress: start, cut, race, repair, storm or mixed"`
+	Seed  uint64   `arg:"--seed" default:"1" help:"the same seed writes the same days"`
+	Count int      `arg:"--count" default:"10" help:"number of days"`
+	Out   string   `arg:"--out,required" help:"output folder, created when missing"`
+	Skip  []string `arg:"--skip" help:"kinds of trouble that the site doesn't support"`
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	if err := run(args); err != nil {
+		parser.Fail(err.Error())
+	}
+}
+
+// run writes the days that the arguments ask for and prints their paths.
+func run(args arguments) error {
+	site, err := LoadSite(args.Site)
+	if err != nil {
+		return err
+	}
+	generator, err := NewGenerator(site, args.Theme, args.Skip)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(args.Out, directoryMode); err != nil {
+		return err
+	}
+	for index := range args.Count {
+		day := generator.Day(args.Seed, index)
+		path := filepath.Join(args.Out, day.Name+".toml")
+		if err := writeDay(path, day); err != nil {
+			return err
+		}
+		fmt.Println(path)
+	}
+	return nil
+}
+
+// writeDay encodes a day into the file at path.
+func writeDay(path string, day Day) error {
+	encoded, err := day.Encode()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, encoded, fileMode)
+}
--- /dev/null
+++ b/tools/daygen/site.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Site is the part of a site file that the generator needs; other fields are ignored.
+type Site struct {
+	Name          string    `toml:"name"`
+	Contracts     []string  `toml:"contracts"`
+	LeadSeconds   float64   `toml:"lead_s"`
+	LengthSeconds float64   `toml:"length_s"`
+	Machines      []Machine `toml:"machines"`
+	Services      []Named   `toml:"services"`
+	Classes       []Named   `toml:"classes"`
+	Timing        Timing    `toml:"timing"`
+}
+
+// Machine is a group of equal machines in one zone.
+type Machine struct {
+	Zone    string `toml:"zone"`
+	Count   int    `toml:"count"`
+	Counted bool   `toml:"counted"`
+}
+
+// Named is a service or a class of requests, of which only the name matters here.
+type Named struct {
+	Name string `toml:"name"`
+}
+
+// Timing holds the site's time limits.
+type Timing struct {
+	CatchUpSeconds float64 `toml:"catch_up_s"`
+}
+
+// IncompleteSiteError reports a site file that lacks something the generator needs.
+type IncompleteSiteError struct {
+	Path    string
+	Missing string
+}
+
+func (e *IncompleteSiteError) Error() string {
+	return fmt.Sprintf("site file %s: %s missing", e.Path, e.Missing)
+}
+
+// LoadSite reads the site file at path.
+func LoadSite(path string) (Site, error) {
+	var site Site
+	if _, err := toml.DecodeFile(path, &site); err != nil {
+		return Site{}, fmt.Errorf("site file %s: %w", path, err)
+	}
+	if missing := site.missing(); missing != "" {
+		return Site{}, &IncompleteSiteError{Path: path, Missing: missing}
+	}
+	return site, nil
+}
+
+// missing names the first required part that the site lacks, or returns "".
+func (s Site) missing() string {
+	switch {
+	case s.LeadSeconds <= 0:
+		return "lead_s"
+	case s.LengthSeconds <= 0:
+		return "length_s"
+	case len(s.CoreZones()) == 0:
+		return "a counted machine"
+	case len(s.Services) == 0:
+		return "a service"
+	case len(s.Classes) == 0:
+		return "a class"
+	case s.Timing.CatchUpSeconds <= 0:
+		return "timing.catch_up_s"
+	}
+	return ""
+}
+
+// CoreZones returns the zones of the core machines, once per group of machines.
+func (s Site) CoreZones() []string {
+	var zones []string
+	for _, machine := range s.Machines {
+		if machine.Counted && machine.Count > 0 {
+			zones = append(zones, machine.Zone)
+		}
+	}
+	return zones
+}
