--- /dev/null
+++ b/control/core.go
@@ -0,0 +1,244 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"dunlinloom/kernel"
+)
+
+// CoreSettings is what a core is told at its start.
+type CoreSettings struct {
+	Self        Member
+	HasFolder   bool
+	Founders    []string // the three seeds
+	Timing      Timing
+	Random      *rand.Rand
+	CheckConfig func([]byte) error
+	// ChangeConfig puts a change of named items into a configuration; nil: there are no such orders.
+	ChangeConfig func(current, change []byte) ([]byte, error)
+	// VersionOf reads the operator's own number of a configuration; nil: configurations carry none.
+	VersionOf func(config []byte) (uint64, error)
+	Note      func(subject, decision, why string)
+	// See NodeSettings.
+	Voters     int
+	AckRule    AckRule
+	SpreadWait kernel.Micros
+	ServeOn    kernel.Micros
+	Founding   FoundingRule
+	// Restored from the data folder.
+	Ballot   Ballot
+	Document *Document
+	Kept     []uint64 // revisions of the configurations in the folder
+}
+
+// Core agrees on the document. A nil document is a member that knows no fleet yet.
+type Core struct {
+	settings CoreSettings
+	now      kernel.Micros
+	out      []any
+
+	role     role
+	term     uint64
+	votedFor MemberID
+	votes    map[MemberID]bool
+	doc      *Document // the newest accepted, maybe still on its way to disk
+	synced   Stamp     // the newest that is surely on disk
+	// committed is the newest document known to be kept by a majority.
+	committed *Document
+
+	leaderMember  Member
+	lastHeartbeat kernel.Micros // when a leader was last heard
+	bornAt        kernel.Micros
+	timer         kernel.Micros // the next election
+	joinTimer     kernel.Micros
+	hintTurn      int
+	hints         []string
+
+	saves     []*pendingSave
+	nextToken uint64
+	diskWhy   string
+
+	// Leading only.
+	leadSince     kernel.Micros
+	peers         map[MemberID]*peer
+	round         uint64
+	roundTimer    kernel.Micros
+	isRoundWanted bool
+	nudgeTimer    kernel.Micros
+	isOwnTerm     bool // a document of this term is committed
+	batches       []waitingBatch
+	seen          map[string]*sighting
+	homeSeen      map[string]kernel.Micros
+	successors    map[string]string
+	marks         []LearnedMark // leaving engines that the document does not name yet
+	queue         []heldSubmit
+	replies       []waitingSubmit
+	reads         []waitingRead
+	// When the newest revisions were committed under this lead.
+	committedAt  map[uint64]kernel.Micros
+	buildTimer   kernel.Micros
+	pushTimer    kernel.Micros
+	pushUntil    kernel.Micros
+	isLeaving    bool
+	lastMajority kernel.Micros
+
+	kept        map[uint64]bool // configurations in the own folder
+	recallTimer kernel.Micros
+
+	mustered    map[string]musterNote
+	musterTimer kernel.Micros
+}
+
+// NewCore makes a core from what the data folder held.
+func NewCore(settings CoreSettings, now kernel.Micros) *Core {
+	c := &Core{
+		settings: settings, now: now, bornAt: now,
+		term: settings.Ballot.Term, votedFor: settings.Ballot.VotedFor,
+		doc: settings.Document, synced: settings.Document.stamp(),
+		mustered: map[string]musterNote{}, kept: map[uint64]bool{},
+	}
+	if c.settings.SpreadWait == 0 {
+		c.settings.SpreadWait = defaultSpreadWait
+	}
+	for _, revision := range settings.Kept {
+		c.kept[revision] = true
+	}
+	if c.doc != nil && c.doc.Term > c.term {
+		c.term = c.doc.Term
+	}
+	// A first election soon after the start: a fleet started cold must serve quickly. Where
+	// a leader lives, its heartbeats come first, and a pre-vote against it gets nothing.
+	c.timer = now + c.electionSpan()/firstElection
+	if c.isLeaderless() {
+		c.timer = now + c.leaderlessSpan()
+	}
+	return c
+}
+
+func (c *Core) note(subject, decision, why string, args ...any) {
+	if c.settings.Note != nil {
+		c.settings.Note(subject, decision, fmt.Sprintf(why, args...))
+	}
+}
+
+func (c *Core) send(to string, message Message) {
+	if to != "" {
+		c.out = append(c.out, Send{to, message})
+	}
+}
+
+// take hands over the commands that have gathered.
+func (c *Core) take() []any {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) isVoter() bool {
+	_, isIn := c.doc.voter(c.settings.Self.ID)
+	return isIn && c.settings.HasFolder
+}
+
+// Committed gives the newest committed document, or nil.
+func (c *Core) Committed() *Document { return c.committed }
+
+// Leader gives the address of the leader as far as known.
+func (c *Core) Leader() string {
+	if c.role == leader {
+		return c.settings.Self.Address
+	}
+	if c.now-c.lastHeartbeat < 2*c.settings.Timing.ElectionHigh {
+		return c.leaderMember.Address
+	}
+	return ""
+}
+
+// Receive takes a message meant for the core.
+func (c *Core) Receive(now kernel.Micros, from string, m Message) {
+	c.now = now
+	switch {
+	case m.VoteAsk != nil:
+		c.onVoteAsk(from, m.VoteAsk)
+	case m.Vote != nil:
+		c.onVote(m.Vote)
+	case m.Heartbeat != nil:
+		c.onHeartbeat(from, m.Heartbeat)
+	case m.HeartbeatReply != nil:
+		c.onHeartbeatReply(m.HeartbeatReply)
+	case m.Inherit != nil:
+		if m.Inherit.Target == c.settings.Self.ID && m.Inherit.Term == c.term && c.role == follower {
+			c.note("core", "take over", "the leader named this member")
+			c.startElection(false, true)
+		}
+	case m.Join != nil:
+		c.onJoin(from, m.Join)
+	case m.Muster != nil:
+		c.send(from, Message{MusterReply: &MusterReply{c.settings.Self, c.doc == nil, c.settings.HasFolder}})
+	case m.MusterReply != nil:
+		c.mustered[from] = musterNote{now, *m.MusterReply}
+	case m.Submit != nil:
+		c.onSubmit(from, m.Submit)
+	case m.AskBatch != nil:
+		c.onAskBatch(from, m.AskBatch)
+	case m.ReadAsk != nil:
+		c.onReadAsk(from, m.ReadAsk)
+	case m.Succeed != nil:
+		if c.role == leader {
+			c.successors[m.Succeed.Zone] = m.Succeed.To
+		}
+	case m.Recall != nil:
+		if c.kept[m.Recall.Mark.Revision] {
+			c.out = append(c.out, Fetch{from, m.Recall.Mark})
+		}
+	case m.Recalled != nil:
+		c.onRecalled(m.Recalled.Document)
+	case m.Elsewhere != nil:
+		c.hints = append([]string{m.Elsewhere.Leader}, m.Elsewhere.Voters...)
+		if c.settings.Voters > 0 && m.Elsewhere.Leader != "" {
+			// A fresh member is wanted soon; the pause keeps two that err from a storm.
+			c.joinTimer = min(c.joinTimer, now+50*kernel.Millisecond)
+		}
+	}
+}
+
+// elsewhere tells an asker whom to ask instead.
+func (c *Core) elsewhere(from string) {
+	c.send(from, Message{Elsewhere: &Elsewhere{c.Leader(), c.doc.voterAddresses()}})
+}
+
+// Tick lets due timers go off.
+func (c *Core) Tick(now kernel.Micros) {
+	c.now = now
+	c.tickDisk()
+	c.recall()
+	switch c.role {
+	case leader:
+		if c.hasVoters(true, func(p *peer) bool { return now-p.lastHeard < c.settings.Timing.ElectionHigh }) {
+			c.lastMajority = now
+		} else if now-c.lastMajority > c.settings.Timing.ElectionLow {
+			c.stepDown("no majority of voters was heard")
+			return
+		}
+		if now >= c.roundTimer || c.isRoundWanted {
+			c.heartbeat()
+		}
+		// What the leader tends by itself can wait a little; looking copies the document.
+		if len(c.queue) > 0 || now >= c.buildTimer {
+			c.buildTimer = now + buildEvery
+			c.build()
+		}
+		c.settleReplies()
+		c.nudgeSilent()
+		c.pushAgainToSilent()
+		if c.isLeaving && len(c.doc.Voters) > 1 && c.committed.stamp() == c.doc.stamp() {
+			c.yieldLead("this member is leaving")
+		}
+	default:
+		if now >= c.timer && c.isVoter() && !c.isLeaving {
+			c.startElection(true, false)
+		}
+		c.found()
+		c.join()
+	}
+}
