--- a/control/core.go
+++ b/control/core.go
@@ -83,6 +83,11 @@
 	isLeaving   bool
 	sentRounds  []sentRound
 	refusals    []waitingRefusal
+	health      *Health       // the last picture of the voters
+	holdSince   kernel.Micros // when orders last began to wait for a newcomer
+
+	// isReleased: the leader says that this member holds nothing alone, so that it may end.
+	isReleased bool
 
 	kept        map[uint64]bool // configurations in the own folder
 	recallTimer kernel.Micros
@@ -194,9 +199,11 @@
 			c.successors[m.Succeed.Zone] = m.Succeed.To
 		}
 	case m.Recall != nil:
-		if c.kept[m.Recall.Mark.Revision] {
-			c.out = append(c.out, Fetch{from, m.Recall.Mark})
+		if !c.kept[m.Recall.Mark.Revision] {
+			c.send(from, Message{Recalled: &Recalled{}})
+			break
 		}
+		c.out = append(c.out, Fetch{from, m.Recall.Mark})
 	case m.Recalled != nil:
 		c.onRecalled(m.Recalled.Document)
 	case m.Elsewhere != nil:
@@ -230,7 +237,9 @@
 		// What the leader tends by itself can wait a little; looking copies the document.
 		if len(c.queue) > 0 || now >= c.buildTimer {
 			c.buildTimer = now + buildEvery
+			c.dropGonePeers()
 			c.build()
+			c.lookAtHealth()
 		}
 		c.settleReplies()
 		c.nudgeSilent()
