An answer without an id is ours on an unused connection alone

Causes found in review: an answer that named no request was taken for the one that was due also on a kept connection, where it may be a second answer to an earlier request; a connection whose turned-away answer was longer than 64 KiB was kept with the rest of it outstanding, which is then read as the head of the next answer; a 101 was passed over like an interim answer; a request could be held 0.3 s past its route's time.

Ruled out: a connection put back while its answer is cut (the cancellation's function is stopped before it is kept, else it is dropped), bytes after an answer (dropped, or seen by the peek).

--- /dev/null
+++ b/router/answers_test.go
@@ -0,0 +1,182 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+)
+
+// An answer without an id is ours only on a connection that has carried nothing else: on a
+// kept one it may be the second answer to whatever was asked there before.
+func TestAnswerWithoutAnIDIsOursOnAnUnusedConnectionAlone(t *testing.T) {
+	wire := DefaultWire()
+	nameless := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s-r1\r\nContent-Length: 5\r\n\r\nfirst", wire.Stamp)
+	notRun := fmt.Sprintf("HTTP/1.1 503 Full\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", wire.NotRun)
+	for _, test := range []struct{ name, answer string }{{"a success", nameless}, {"a word that it did not run", notRun}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+				h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
+					if r.Header.Get(wire.RequestID) == "r2" {
+						io.WriteString(to, test.answer)
+						return true
+					}
+					return plainAnswer("own")(number, r, to)
+				})
+				recorder, _ := h.call("POST", "r1", nil)
+				c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+				// The request may have run, so nothing is promised and nothing passed on.
+				recorder, _ = h.call("POST", "r2", nil)
+				c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+				c.Assert(recorder.Header().Get(wire.Stamp), qt.Equals, "")
+				// That connection is not used again.
+				recorder, _ = h.call("POST", "r3", nil)
+				c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+				c.Assert(recorder.Body.String(), qt.Equals, "own")
+				c.Assert(h.dials["e1:1"], qt.Equals, 2)
+			})
+		})
+	}
+}
+
+// What is left of an answer that nobody gets would be read as the next one.
+func TestConnectionWithAnAnswerOutstandingIsNotKept(t *testing.T) {
+	wire := DefaultWire()
+	answerTo := func(id string) string { return head(id, "Content-Length: 6\r\n\r\nforged") }
+	const hangsUp = 0
+	for _, test := range []struct {
+		name   string
+		serve  func(to net.Conn, id string)
+		status int
+	}{
+		{"turned away with a long body", func(to net.Conn, id string) {
+			rest := answerTo("r2")
+			fmt.Fprintf(to, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\nContent-Length: %d\r\n\r\n%s",
+				wire.RequestID, id, wire.NotRun, 64<<10+len(rest), strings.Repeat("x", 64<<10))
+			// The rest is on its way while the router goes on.
+			time.Sleep(10 * time.Millisecond)
+			io.WriteString(to, rest)
+		}, http.StatusServiceUnavailable},
+		{"the caller hung up", func(to net.Conn, id string) {
+			time.Sleep(time.Second)
+			io.WriteString(to, answerTo(id)+answerTo("r2"))
+		}, hangsUp},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+				h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
+					if id := r.Header.Get(wire.RequestID); id == "r1" {
+						test.serve(to, id)
+						return true
+					}
+					return plainAnswer("own")(number, r, to)
+				})
+				first, hangUp := context.WithCancel(t.Context())
+				defer hangUp()
+				h.callers = first
+				if test.status == hangsUp {
+					time.AfterFunc(100*time.Millisecond, hangUp)
+				}
+				recorder, isTorn := h.call("POST", "r1", nil)
+				c.Assert(isTorn, qt.Equals, test.status == hangsUp)
+				if !isTorn {
+					c.Assert(recorder.Code, qt.Equals, test.status)
+				}
+				h.callers = t.Context()
+				recorder, _ = h.call("POST", "r2", nil)
+				c.Assert(recorder.Body.String(), qt.Equals, "own")
+				c.Assert(h.dials["e1:1"], qt.Equals, 2)
+				time.Sleep(2 * time.Second) // until the engine has done with the first
+			})
+		})
+	}
+}
+
+// On how many engines a try may run is bounded by its route, however its attempts end.
+func TestTriesOfTheRouteBoundTheEnginesThatRun(t *testing.T) {
+	lost := func(int, *http.Request, net.Conn) bool { return false }
+	silent := func(_ int, _ *http.Request, to net.Conn) bool {
+		io.Copy(io.Discard, to)
+		return false
+	}
+	for _, test := range []struct {
+		name  string
+		serve func(int, *http.Request, net.Conn) bool
+	}{{"lost", lost}, {"silent", silent}, {"broken off", streamFrom(9, 1)}} {
+		for tries := range 4 {
+			t.Run(fmt.Sprint(test.name, " ", tries), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: tries, Goal: 200 * kernel.Millisecond, IsPinned: true}
+					h := newHall(t, route, "e1", "e2", "e3", "e4", "e5", "e6")
+					// The others can't be reached, which costs no try.
+					for _, id := range []string{"e1", "e3", "e5"} {
+						h.script(id, test.serve)
+					}
+					h.call("POST", "r1", nil)
+					synctest.Wait()
+					h.lock.Lock()
+					defer h.lock.Unlock()
+					runs := 0
+					for _, count := range h.runs {
+						runs += count
+					}
+					c.Assert(runs, qt.Equals, min(max(tries, 1), 3))
+				})
+			})
+		}
+	}
+}
+
+// Past its route's time a request is not held for a quarter of a second more, whatever its
+// engine does.
+func TestRequestIsNotHeldPastItsRoutesTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Timeout: kernel.Second}, "e1")
+		h.script("e1", func(_ int, _ *http.Request, to net.Conn) bool {
+			io.Copy(io.Discard, to)
+			return false
+		})
+		begun := time.Now()
+		recorder, _ := h.call("POST", "r1", nil)
+		c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+		c.Assert(time.Since(begun) >= time.Second, qt.IsTrue)
+		c.Assert(time.Since(begun) < 1200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+	})
+}
+
+// An interim answer is passed over; a change of protocol ends the exchange.
+func TestInterimAnswersAreNoAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
+			if r.Header.Get(DefaultWire().RequestID) == "r2" {
+				io.WriteString(to, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+			} else {
+				io.WriteString(to, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n")
+			}
+			return plainAnswer("own")(number, r, to)
+		})
+		recorder, _ := h.call("POST", "r1", nil)
+		c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+		c.Assert(recorder.Body.String(), qt.Equals, "own")
+		recorder, _ = h.call("POST", "r2", nil)
+		c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
+	})
+}
--- a/router/connection.go
+++ b/router/connection.go
@@ -35,6 +35,9 @@
 	uses    int
 }
 
+// maxStray is how many answers to other requests may come before the own one.
+const maxStray = 4
+
 // NotWritten says that not one byte of a request went out.
 type NotWritten struct{ Cause error }
 
@@ -54,10 +57,15 @@
 // Unwrap gives the cause.
 func (b Broken) Unwrap() error { return b.Cause }
 
-// strayAnswer says that answers kept coming that belong to other requests.
+// strayAnswer says that an answer came that belongs to another request, or to nobody.
 type strayAnswer struct{ id string }
 
-func (b strayAnswer) Error() string { return "the answer belongs to request " + strconv.Quote(b.id) }
+func (b strayAnswer) Error() string {
+	if b.id == "" {
+		return "the answer names no request, and the connection has carried others"
+	}
+	return "the answer belongs to request " + strconv.Quote(b.id)
+}
 
 // isAlive looks whether an idle connection may still be used: neither closed by the
 // engine nor holding bytes, which would belong to no request of ours.
@@ -82,6 +90,27 @@
 	return true
 }
 
+// switched says that an engine changed to another protocol, which nobody asked for.
+type switched struct{}
+
+func (switched) Error() string { return "the engine switched protocols" }
+
+// owner tells which request an answer names. isOurs: it is the answer to the request with
+// this id. An answer that names none can only be ours on a connection that has carried no
+// other request; on a kept one it may as well be a second answer to an earlier request.
+func (c *connection) owner(response *http.Response, id, idHeader string) (answered string, isOurs bool) {
+	named := response.Header.Values(idHeader)
+	if len(named) == 0 || id == "" {
+		return "", c.uses == 0
+	}
+	for _, answered := range named {
+		if answered != id {
+			return answered, false
+		}
+	}
+	return id, true
+}
+
 // exchange writes a request and reads the head of its answer. Answers to other requests
 // that come first are read and dropped: an engine may answer twice, late.
 func (c *connection) exchange(message []byte, method, id, idHeader string) (*http.Response, error) {
@@ -98,14 +127,18 @@
 		if err != nil {
 			return nil, Broken{"read the head", err}
 		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, Broken{"read the head", switched{}}
+		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		answered := response.Header.Get(idHeader)
-		if answered == id || answered == "" {
+		answered, isOurs := c.owner(response, id, idHeader)
+		if isOurs {
 			return response, nil
 		}
-		if stray >= 4 || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		// Nothing follows one that names nobody: it may have been ours.
+		if answered == "" || stray >= maxStray || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, Broken{"read the head", strayAnswer{answered}}
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -59,8 +59,9 @@
 	defaultBody = 4 << 20
 	// longest is how long a request is served at most where nothing bounds it.
 	longest = 10 * 60 * kernel.Second
-	// overtime is for an engine's own answer at the deadline to arrive.
-	overtime = 300 * kernel.Millisecond
+	// overtime is for an engine's own answer at the deadline to arrive. A request that is
+	// held a quarter of a second past its route's time costs more than it can still earn.
+	overtime = 150 * kernel.Millisecond
 )
 
 // ServeHTTP takes a caller's request to an engine and the answer back.
@@ -368,12 +369,9 @@
 		return 0, "", err
 	}
 	if ending, isNot := u.turnedAway(response); isNot {
-		// Its body is read, so that the connection can be kept.
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, 64<<10)); err == nil {
-			if stop() {
-				isKept = true
-				u.Pool.keep(held, response)
-			}
+		if isReadWhole(response.Body) && stop() {
+			isKept = true
+			u.Pool.keep(held, response)
 		}
 		if load, hasLoad := ParseLoad(response.Header.Get(u.Wire.Load)); hasLoad {
 			u.Chooser.Figures(u.Env.Clock.Now(), engine.ID, load)
@@ -411,6 +409,16 @@
 	return ending, why, nil
 }
 
+// turnedAwayBytes is the most that is read of a body that nobody gets.
+const turnedAwayBytes = 64 << 10
+
+// isReadWhole reads a body that nobody gets and tells whether it came to its end. Only then
+// may the connection be kept: what is left of the body would be read as the next answer.
+func isReadWhole(body io.Reader) bool {
+	count, err := io.Copy(io.Discard, io.LimitReader(body, turnedAwayBytes+1))
+	return err == nil && count <= turnedAwayBytes
+}
+
 // isUnprovenPromise tells that a status promises callers what only the engine can know.
 func isUnprovenPromise(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -37,10 +37,11 @@
 	chooser      *Chooser
 	routingTable *RoutingTable
 	suspect      []string
+	callers      context.Context
 }
 
 func newHall(t *testing.T, route fleetconfig.Route, engines ...string) *hall {
-	h := &hall{t: t, engines: map[string]func(int, *http.Request, net.Conn) bool{}, runs: map[string]int{}, dials: map[string]int{}}
+	h := &hall{t: t, callers: t.Context(), engines: map[string]func(int, *http.Request, net.Conn) bool{}, runs: map[string]int{}, dials: map[string]int{}}
 	route.Name, route.Host, route.Prefix = "r", "h.example", "/p/"
 	if len(route.Splits) == 0 {
 		route.Splits = []fleetconfig.Split{{Service: "svc", Weight: 1}}
@@ -95,7 +96,7 @@
 
 // call sends one request; isTorn tells that the answer was cut off.
 func (h *hall) call(method, id string, more http.Header) (recorder *httptest.ResponseRecorder, isTorn bool) {
-	r := httptest.NewRequestWithContext(h.t.Context(), method, "http://h.example/p/x?q=1", strings.NewReader("body"))
+	r := httptest.NewRequestWithContext(h.callers, method, "http://h.example/p/x?q=1", strings.NewReader("body"))
 	r.RequestURI, r.Host = "/p/x?q=1", "h.example"
 	wire := DefaultWire()
 	r.Header.Set(wire.RequestID, id)
