--- a/simulator/routed_test.go
+++ b/simulator/routed_test.go
@@ -100,7 +100,7 @@
 	playRule(t, func(d *RoutedDeployment) {
 		d.Bounds.RetryRatio, d.Bounds.RetrySlack = 1, 1000
 		for i := range d.Kinds {
-			d.Kinds[i].Route.Tries = 1 + i%2
+			d.Kinds[i].Route.Tries = 1
 		}
 	}, "lost", "lost", "cut", "cut", "slow", "dark")
 }
