Counters that tie answers to questions begin at random in each life of a process

A peer may hold an answer to an earlier life at the same address and deliver it to the next one. Asks for a lease were numbered from 1 in every life, so that a grant to an earlier life lent a lease to the next, and showed that the leader had spoken to it. Words of leaving engines were numbered from the start's number times 1024; where the time of day jumped back the folder makes that number only one larger, and 1024 words later two lives had the same numbers.

Ruled out: reads (their token is the shell's, at random already), votes and heartbeats (by term, which is on disk), writes (local), rounds of heartbeats (by term).

--- a/control/node.go
+++ b/control/node.go
@@ -18,7 +18,7 @@
 	Member       MemberID
 	Seeds        []string
 	Start        uint64 // the process's start identity, larger at each start
-	RandomSeed   uint64
+	RandomSeed   uint64 // another one at each start, so that no two lives number their calls alike
 	Timing       Timing
 	CheckConfig  func([]byte) error
 	// IsCompiled tells whether a configuration is at hand in the form that the data plane needs;
@@ -116,11 +116,12 @@
 // NewNode makes a node.
 func NewNode(settings NodeSettings, now kernel.Micros) *Node {
 	random := rand.New(rand.NewPCG(settings.RandomSeed, settings.Start))
+	tokens := newLifeTokens(settings)
 	n := &Node{
 		settings: settings, now: now, random: random,
 		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]kernel.Micros{},
 		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, rejected: map[string]kernel.Micros{},
-		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*reading{}, words: newWords(settings.Start),
+		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*reading{}, words: newWords(tokens.first()),
 	}
 	if settings.SpreadWait == 0 {
 		settings.SpreadWait = defaultSpreadWait
@@ -134,6 +135,7 @@
 	n.settings = settings
 	self := settings.Identity
 	n.lease = NewLease(self.Address, settings.IsRouter, settings.Timing, n.note)
+	n.lease.seq = tokens.first()
 	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
 	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
--- a/control/words.go
+++ b/control/words.go
@@ -82,10 +82,9 @@
 	sweepAt    kernel.Micros
 }
 
-func newWords(start uint64) words {
+func newWords(firstToken uint64) words {
 	return words{
-		// Of the start, so that a reply for an earlier life confirms nothing.
-		nextToken: start << 10, pushes: map[uint64]*pushing{}, carried: map[string]uint64{}, promises: map[uint64]*promise{},
+		nextToken: firstToken, pushes: map[uint64]*pushing{}, carried: map[string]uint64{}, promises: map[uint64]*promise{},
 		kept: map[string]kernel.Micros{}, passedAt: map[string]kernel.Micros{},
 	}
 }
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,7 +16,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"dunlinloom/control"
@@ -445,7 +445,7 @@
 	return control.NodeSettings{
 		Identity: self, IsRouter: parts.IsRouter, IsController: parts.IsController, HasFolder: d.Settings.Data != "",
 		// Of the address, so that the elections of two nodes do not collide.
-		Seeds: d.Settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: xxhash.Sum64String(self.Address),
+		Seeds: d.Settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: rand.Uint64(),
 		Timing: timing, Member: control.MemberID("no-folder-" + self.Address),
 		// A router that the core can't reach is not bound by what the core acknowledges
 		// meanwhile, and one in touch hears of it within Apply: see docs/design.md.
--- a/server/process.go
+++ b/server/process.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,7 +17,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
@@ -110,7 +110,7 @@
 	node := control.NodeSettings{
 		Identity: self, IsRouter: parts.IsRouter, IsController: parts.IsController, HasFolder: settings.Data != "",
 		// Of the address, so that the elections of two nodes do not collide.
-		Seeds: settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: xxhash.Sum64String(self.Address),
+		Seeds: settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: mathrand.Uint64(),
 		Timing: settings.Timing(), Journal: a.env.Journal, CheckConfig: a.compiler.Check, IsCompiled: a.compiler.Has,
 		Member: control.MemberID("no-folder-" + self.Address),
 	}
