Answers between nodes and to operators are matched by what they answer

Cause (review): submissions that wait for the leader's word were found by their id alone, so that two different ones of one id at one node got the same reply, a yes to the first for the second. A recalled configuration was taken as it came. Both are matched by their content now.

net/http does not send a POST between nodes again once bytes of it went out, also when a kept connection closes before the answer: TestACallBetweenNodesIsNotSentAgain shows it.

--- /dev/null
+++ b/server/answers_test.go
@@ -0,0 +1,145 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+	"k8s.io/klog/v2"
+
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+)
+
+// scriptedPeer is another node's address at which a test answers, by the number of the call.
+type scriptedPeer struct {
+	address     string
+	calls       atomic.Int64
+	connections atomic.Int64
+}
+
+// openPeer serves calls on kept connections; an empty answer closes the connection.
+func openPeer(c *qt.C, answer func(call int64) string) *scriptedPeer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	p := &scriptedPeer{address: listener.Addr().String()}
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+			body := answer(p.calls.Add(1))
+			if body == "" {
+				return
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			p.connections.Add(1)
+			go serve(conn)
+		}
+	}()
+	return p
+}
+
+func testConnections(t *testing.T) *Connections {
+	env := kernel.Env{Context: t.Context(), Clock: kernel.NewSteadyClock(), Log: klog.Background(), Journal: kernel.NewJournal(16)}
+	return NewConnections(env, plainDialer())
+}
+
+// A call that the other node has read is not sent again by the library, also when a kept
+// connection closes before the answer.
+func TestACallBetweenNodesIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	config := []byte("{}")
+	mark := control.MarkOf(&control.Document{Config: config, ConfigRevision: 7})
+	peer := openPeer(c, func(call int64) string {
+		if call > 1 {
+			return ""
+		}
+		return `{"spec":"e30=","spec_generation":7}`
+	})
+	connections := testConnections(t)
+	reply, err := connections.Recall(t.Context(), peer.address, RecallAsk{Mark: mark})
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(reply.Config), qt.Equals, "{}")
+	_, err = connections.Recall(t.Context(), peer.address, RecallAsk{Mark: mark})
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(peer.calls.Load(), qt.Equals, int64(2))
+	c.Assert(peer.connections.Load(), qt.Equals, int64(1))
+}
+
+// What comes back counts by what it is: the answer to another ask is none to this one.
+func TestARecallTakesOnlyWhatItAskedFor(t *testing.T) {
+	c := qt.New(t)
+	mark := control.MarkOf(&control.Document{Config: []byte("{}"), ConfigRevision: 7})
+	for _, answer := range []string{`{"spec":"e30=","spec_generation":6}`, `{"spec":"W10=","spec_generation":7}`, `{}`} {
+		peer := openPeer(c, func(int64) string { return answer })
+		_, err := testConnections(t).Recall(t.Context(), peer.address, RecallAsk{Mark: mark})
+		c.Assert(errors.As(err, new(WrongRecall)), qt.IsTrue, qt.Commentf("%s: %v", answer, err))
+	}
+}
+
+// Two submissions that bear one id by mistake must not get one another's reply.
+func TestTwoSubmissionsOfOneIDDoNotShareAReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		env := kernel.Env{Context: ctx, Clock: kernel.NewSteadyClock(), Log: klog.Background(), Journal: kernel.NewJournal(16)}
+		node := control.NewNode(control.NodeSettings{Identity: kernel.Identity{Address: "10.0.0.1:1"}, Timing: control.DefaultTiming(), Journal: env.Journal}, 0)
+		r := NewRunner(env, node, nil, nil, nil, &fleetconfig.Compiler{}, "")
+		order := func(zone string, kind control.Order) *control.Submit {
+			return &control.Submit{ID: "one", Order: kind, Zone: zone}
+		}
+		replies := make(chan control.SubmitReply, 4)
+		submit := func(order *control.Submit) {
+			go func() {
+				reply, err := r.Submit(ctx, order)
+				c.Check(err, qt.IsNil)
+				replies <- reply
+			}()
+			synctest.Wait()
+		}
+		submit(order("a", control.EmptyZone))
+		submit(order("a", control.EmptyZone)) // sent again as it was
+		submit(order("", control.Fence))      // asks how it ended
+		c.Assert(replies, qt.HasLen, 0)
+		submit(order("b", control.EmptyZone))
+		other := <-replies
+		c.Assert(other.Outcome, qt.Equals, control.Unproved)
+		c.Assert(strings.Contains(other.Reason, "id_busy"), qt.IsTrue)
+		r.carryOut(control.Reply{SubmitReply: control.SubmitReply{ID: "one", Outcome: control.Yes}})
+		for range 3 {
+			c.Assert((<-replies).Outcome, qt.Equals, control.Yes)
+		}
+		// Now the leader judges it: it remembers what had the id.
+		submit(order("b", control.EmptyZone))
+		c.Assert(replies, qt.HasLen, 0)
+		r.carryOut(control.Reply{SubmitReply: control.SubmitReply{ID: "one", Outcome: control.No, Reason: "id_reused"}})
+		c.Assert((<-replies).Reason, qt.Equals, "id_reused")
+	})
+}
--- a/server/channel.go
+++ b/server/channel.go
@@ -303,7 +303,15 @@
 
 func (BrokenStream) Error() string { return "the stream broke" }
 
-// Recall asks another node for an older configuration.
+// WrongRecall says that a node's answer is not the configuration that was asked for.
+type WrongRecall struct{ Asked, Got control.ConfigMark }
+
+func (b WrongRecall) Error() string {
+	return fmt.Sprintf("the answer is the spec of generation %d, digest %.8s; asked for was %d, %.8s", b.Got.Revision, b.Got.Digest, b.Asked.Revision, b.Asked.Digest)
+}
+
+// Recall asks another node for an older configuration. It only reads, so it may be asked again;
+// the answer counts by what it is, whoever sent it.
 func (c *Connections) Recall(ctx context.Context, address string, ask RecallAsk) (*RecallReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectionSpanTop.Duration())
 	defer cancel()
@@ -313,6 +321,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("recall generation %d from %s: %w", ask.Mark.Revision, address, err)
 	}
+	got := control.MarkOf(&control.Document{Config: reply.Msg.Config, ConfigRevision: reply.Msg.ConfigRevision})
+	if got != ask.Mark {
+		return nil, fmt.Errorf("recall from %s: %w", address, WrongRecall{ask.Mark, got})
+	}
 	return reply.Msg, nil
 }
 
--- a/server/runner.go
+++ b/server/runner.go
@@ -37,8 +37,8 @@
 	// isShown: the loop has published once; the picture before that was nobody's scene.
 	isShown bool
 
-	lock    sync.Mutex // guards what waits for a command alone
-	waiters map[string][]chan control.SubmitReply
+	lock sync.Mutex // guards what waits for a command alone
+	open map[string]*openSubmission
 	// By the token of the call.
 	registers map[uint64]chan control.Registered
 	reads     map[uint64]chan *control.Document
@@ -68,7 +68,7 @@
 	r := &Runner{
 		env: env, node: node, store: store, connections: connections, dispatcher: dispatcher, platform: platform,
 		queue: make(chan func() []any, 1024), saves: make(chan any, 256), snapshots: make(chan control.SaveSnapshot, 1),
-		waiters:   map[string][]chan control.SubmitReply{},
+		open:      map[string]*openSubmission{},
 		registers: map[uint64]chan control.Registered{}, reads: map[uint64]chan *control.Document{},
 		// At random, so that an answer to an earlier life is nobody's here; the time of day
 		// may have jumped back since that.
@@ -202,10 +202,13 @@
 		}
 	case control.Reply:
 		r.lock.Lock()
-		waiters := r.waiters[command.SubmitReply.ID]
-		delete(r.waiters, command.SubmitReply.ID)
+		open := r.open[command.SubmitReply.ID]
+		delete(r.open, command.SubmitReply.ID)
 		r.lock.Unlock()
-		for _, waiter := range waiters {
+		if open == nil {
+			return
+		}
+		for _, waiter := range open.waiters {
 			waiter <- command.SubmitReply
 		}
 	}
@@ -377,10 +380,11 @@
 
 // Submit hands an order in and waits for its reply.
 func (r *Runner) Submit(ctx context.Context, submit *control.Submit) (control.SubmitReply, error) {
-	waiter := make(chan control.SubmitReply, 1)
-	r.lock.Lock()
-	r.waiters[submit.ID] = append(r.waiters[submit.ID], waiter)
-	r.lock.Unlock()
+	waiter, isTaken := r.await(submit)
+	if !isTaken {
+		return control.SubmitReply{ID: submit.ID, Outcome: control.Unproved, Reason: "id_busy",
+			Detail: "another submission with this id is under way at this node; ask again once it has ended"}, nil
+	}
 	if state := r.State(); state.IsLeader && len(submit.Config) > 0 {
 		// As in Deliver: the leader is to have its verdict at hand.
 		if err := r.node.Rehearse(submit, state.Document); err != nil {
