--- a/router/answers_test.go
+++ b/router/answers_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -180,3 +181,61 @@
 		c.Assert(recorder.Code, qt.Equals, http.StatusBadGateway)
 	})
 }
+
+// pipeListener hands a server one connection.
+type pipeListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	conn, isOpen := <-l.conns
+	if !isOpen {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (pipeListener) Close() error   { return nil }
+func (pipeListener) Addr() net.Addr { return nil }
+
+// A caller may rest between two parts of its body for as long as the caps say, however long the
+// whole takes within its route's time; who rests for longer is told that nothing ran.
+func TestABodyMayRestAsLongAsTheCapsSay(t *testing.T) {
+	for _, test := range []struct {
+		rest   time.Duration
+		parts  int
+		status int
+	}{{800 * time.Millisecond, 6, http.StatusOK}, {1100 * time.Millisecond, 2, http.StatusRequestTimeout}, {800 * time.Millisecond, 60, http.StatusRequestTimeout}} {
+		t.Run(fmt.Sprint(test.rest, " ", test.parts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Timeout: 10 * kernel.Second}, "e1")
+				h.routingTable.Config.Caps.IdleTime = kernel.Second
+				h.script("e1", plainAnswer("own"))
+				near, far := net.Pipe()
+				listener := pipeListener{conns: make(chan net.Conn, 1)}
+				listener.conns <- far
+				server := &http.Server{Handler: h.router}
+				go server.Serve(listener)
+				defer server.Close()
+				defer close(listener.conns)
+				go func() {
+					fmt.Fprintf(near, "POST /p/x HTTP/1.1\r\nHost: h.example\r\n%s: r1\r\nContent-Length: %d\r\n\r\n", DefaultWire().RequestID, test.parts)
+					for range test.parts {
+						time.Sleep(test.rest)
+						// Once it was answered nobody reads on.
+						if _, err := io.WriteString(near, "x"); err != nil {
+							return
+						}
+					}
+				}()
+				response, err := http.ReadResponse(bufio.NewReader(near), nil)
+				c.Assert(err, qt.IsNil)
+				c.Assert(response.StatusCode, qt.Equals, test.status)
+				near.Close()
+				time.Sleep(2 * time.Second) // until the caller has done
+			})
+		})
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -87,7 +87,7 @@
 		u.refuse(w, &Refusal{"no_route", "no route takes this host and path", http.StatusNotFound, 0})
 		return
 	}
-	body, refusal := u.readBody(w, r, config)
+	body, refusal := u.readBody(w, r, config, route)
 	defer func() { u.held.Add(-int64(len(body))) }()
 	if refusal != nil {
 		u.refuse(w, refusal)
@@ -101,7 +101,7 @@
 	u.serve(w, r, request, body)
 }
 
-func (u *Router) readBody(w http.ResponseWriter, r *http.Request, config *fleetconfig.Config) ([]byte, *Refusal) {
+func (u *Router) readBody(w http.ResponseWriter, r *http.Request, config *fleetconfig.Config, route *fleetconfig.Route) ([]byte, *Refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -113,17 +113,14 @@
 		w.Header().Set("Connection", "close")
 		return nil, &Refusal{"too_large", fmt.Sprintf("a body has at most %d bytes", bound), http.StatusRequestEntityTooLarge, 0}
 	}
-	// A caller that trickles its body must not hold a place for ever.
-	control := http.NewResponseController(w)
+	var body []byte
+	var err error
+	limited := io.Reader(http.MaxBytesReader(w, r.Body, bound))
 	if idle := config.Caps.IdleTime; idle > 0 {
-		if err := control.SetReadDeadline(time.Now().Add(idle.Duration())); err != nil {
-			return nil, &Refusal{"connection", err.Error(), http.StatusInternalServerError, 0}
-		}
+		control := http.NewResponseController(w)
+		limited = newPacedBody(limited, control, idle, route)
 		defer control.SetReadDeadline(time.Time{})
 	}
-	var body []byte
-	var err error
-	limited := http.MaxBytesReader(w, r.Body, bound)
 	if r.ContentLength > 0 {
 		body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(limited, body)
@@ -142,6 +139,34 @@
 	return body, nil
 }
 
+// pacedBody is a caller's body that may rest for so long between two reads, and may take no
+// longer as a whole than its route allows: who trickles must not hold a place for ever.
+type pacedBody struct {
+	io.Reader
+	control *http.ResponseController
+	rest    time.Duration
+	until   time.Time
+}
+
+func newPacedBody(body io.Reader, control *http.ResponseController, rest kernel.Micros, route *fleetconfig.Route) *pacedBody {
+	whole := longest
+	if route.Timeout > 0 {
+		whole = max(route.Timeout, rest)
+	}
+	return &pacedBody{body, control, rest.Duration(), time.Now().Add(whole.Duration())}
+}
+
+func (b *pacedBody) Read(to []byte) (int, error) {
+	deadline := time.Now().Add(b.rest)
+	if deadline.After(b.until) {
+		deadline = b.until
+	}
+	if err := b.control.SetReadDeadline(deadline); err != nil {
+		return 0, fmt.Errorf("bound the time of a read: %w", err)
+	}
+	return b.Reader.Read(to)
+}
+
 func (u *Router) readRequest(r *http.Request, route *fleetconfig.Route, arrived kernel.Micros) (Request, *Refusal) {
 	bad := func(err error) *Refusal { return &Refusal{"bad_request", err.Error(), http.StatusBadRequest, 0} }
 	request := Request{ID: r.Header.Get(u.Wire.RequestID), Arrived: arrived, Route: route, LastEvent: r.Header.Get(u.Wire.LastEvent)}
