--- a/relay/forwarder.go
+++ b/relay/forwarder.go
@@ -11,8 +11,8 @@
 	"mime"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -202,22 +202,12 @@
 	}
 }
 
-// Headers that belong to one channel and are not passed on.
-var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
+// copyHeaders takes over the headers that are passed on.
 func copyHeaders(to, from http.Header) {
-	dropped := map[string]bool{}
-	for _, name := range hopHeaders {
-		dropped[name] = true
-	}
-	for _, line := range from.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
+	dropped := ConnectionHeaders(from)
 	for name, lines := range from {
 		if !dropped[name] {
-			to[name] = append([]string(nil), lines...)
+			to[name] = slices.Clone(lines)
 		}
 	}
 }
--- a/router/connection.go
+++ b/router/connection.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // Dialer opens a connection.
@@ -301,36 +302,12 @@
 	return p.opened
 }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-}
-
-// droppedHeaders adds what the Connection lines of a message name.
-func droppedHeaders(header http.Header) map[string]bool {
-	lines := header.Values("Connection")
-	if len(lines) == 0 {
-		return hopHeaders
-	}
-	dropped := map[string]bool{}
-	for name := range hopHeaders {
-		dropped[name] = true
-	}
-	for _, line := range lines {
-		for name := range strings.SplitSeq(line, ",") {
-			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return dropped
-}
-
 // writeMessage puts a request for an engine together: the caller's method, target, headers
 // and body as they came, with a length, and with the headers that are set anew.
 func writeMessage(to *bytes.Buffer, r *http.Request, body []byte, anew http.Header) error {
 	to.Reset()
 	fmt.Fprintf(to, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
-	dropped := droppedHeaders(r.Header)
+	dropped := relay.ConnectionHeaders(r.Header)
 	skip := map[string]bool{"Content-Length": true, "Expect": true, "Host": true}
 	for name := range dropped {
 		skip[name] = true
--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,7 @@
 
 	"dunlinloom/fleetconfig"
 	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // Settings are what a router is told at its start.
@@ -517,7 +518,7 @@
 	}
 	isClosing := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 	if !a.hasBegun {
-		dropped := droppedHeaders(response.Header)
+		dropped := relay.ConnectionHeaders(response.Header)
 		header := a.w.Header()
 		for name, lines := range response.Header {
 			if !dropped[name] {
