--- a/router/answers_test.go
+++ b/router/answers_test.go
@@ -28,7 +28,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
 				h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
 					if r.Header.Get(wire.RequestID) == "r2" {
 						io.WriteString(to, test.answer)
@@ -78,7 +78,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
 				h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
 					if id := r.Header.Get(wire.RequestID); id == "r1" {
 						test.serve(to, id)
@@ -123,7 +123,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					c := qt.New(t)
 					route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: tries, Goal: 200 * kernel.Millisecond, IsPinned: true}
-					h := newHall(t, route, "e1", "e2", "e3", "e4", "e5", "e6")
+					h := newHarness(t, route, "e1", "e2", "e3", "e4", "e5", "e6")
 					// The others can't be reached, which costs no try.
 					for _, id := range []string{"e1", "e3", "e5"} {
 						h.script(id, test.serve)
@@ -148,7 +148,7 @@
 func TestRequestIsNotHeldPastItsRoutesTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Timeout: kernel.Second}, "e1")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Timeout: kernel.Second}, "e1")
 		h.script("e1", func(_ int, _ *http.Request, to net.Conn) bool {
 			io.Copy(io.Discard, to)
 			return false
@@ -165,7 +165,7 @@
 func TestInterimAnswersAreNoAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
 		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
 			if r.Header.Get(DefaultWire().RequestID) == "r2" {
 				io.WriteString(to, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
@@ -210,7 +210,7 @@
 		t.Run(fmt.Sprint(test.rest, " ", test.parts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Timeout: 10 * kernel.Second}, "e1")
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Timeout: 10 * kernel.Second}, "e1")
 				h.routingTable.Config.Caps.IdleTime = kernel.Second
 				h.script("e1", plainAnswer("own"))
 				near, far := net.Pipe()
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -132,7 +132,7 @@
 	counts       Counts
 }
 
-// NewChooser makes a chooser that refuses until it is shown a scene.
+// NewChooser makes a chooser that refuses until it is shown a routing table.
 func NewChooser(self, zone string, retry Retry) *Chooser {
 	return &Chooser{
 		salt: xxhash.Sum64String(self), zone: zone, retry: retry, routingTable: &RoutingTable{}, engines: map[string]*engineState{},
@@ -141,7 +141,7 @@
 	}
 }
 
-// Show puts a new scene in force.
+// Show puts a new routing table in force.
 func (c *Chooser) Show(routingTable *RoutingTable) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -205,7 +205,7 @@
 	return c.routingTable.Config
 }
 
-// IsWanted tells whether an engine of the scene has an address.
+// IsWanted tells whether an engine of the routing table has an address.
 func (c *Chooser) IsWanted(address string) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -26,8 +26,8 @@
 
 func (c bubbleClock) Now() kernel.Micros { return kernel.MicrosOf(time.Since(c.start)) + kernel.Second }
 
-// hall is a router with engines that a test scripts.
-type hall struct {
+// harness is a router with engines that a test scripts.
+type harness struct {
 	t            *testing.T
 	lock         sync.Mutex
 	engines      map[string]func(connection int, r *http.Request, to net.Conn) bool // by address; false: close
@@ -40,8 +40,8 @@
 	callers      context.Context
 }
 
-func newHall(t *testing.T, route fleetconfig.Route, engines ...string) *hall {
-	h := &hall{t: t, callers: t.Context(), engines: map[string]func(int, *http.Request, net.Conn) bool{}, runs: map[string]int{}, dials: map[string]int{}}
+func newHarness(t *testing.T, route fleetconfig.Route, engines ...string) *harness {
+	h := &harness{t: t, callers: t.Context(), engines: map[string]func(int, *http.Request, net.Conn) bool{}, runs: map[string]int{}, dials: map[string]int{}}
 	route.Name, route.Host, route.Prefix = "r", "h.example", "/p/"
 	if len(route.Splits) == 0 {
 		route.Splits = []fleetconfig.Split{{Service: "svc", Weight: 1}}
@@ -62,7 +62,7 @@
 	return h
 }
 
-func (h *hall) dial(ctx context.Context, _, address string) (net.Conn, error) {
+func (h *harness) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	h.lock.Lock()
 	h.dials[address]++
 	number := h.dials[address]
@@ -95,7 +95,7 @@
 }
 
 // call sends one request; isTorn tells that the answer was cut off.
-func (h *hall) call(method, id string, more http.Header) (recorder *httptest.ResponseRecorder, isTorn bool) {
+func (h *harness) call(method, id string, more http.Header) (recorder *httptest.ResponseRecorder, isTorn bool) {
 	r := httptest.NewRequestWithContext(h.callers, method, "http://h.example/p/x?q=1", strings.NewReader("body"))
 	r.RequestURI, r.Host = "/p/x?q=1", "h.example"
 	wire := DefaultWire()
@@ -160,8 +160,8 @@
 	}
 }
 
-// preferredOf gives the engine that the hall's prompt prefers, and the others.
-func (h *hall) preferredOf() (first string, rest []string) {
+// preferredOf gives the engine that the harness's prompt prefers, and the others.
+func (h *harness) preferredOf() (first string, rest []string) {
 	call, refusal := h.chooser.Arrive(kernel.Second, Request{ID: "probe", PromptTokens: 1, Parts: []Part{{"a", 80}, {"b", 20}},
 		Deadline: 1 << 60, Route: &h.routingTable.Config.Routes[0], Service: "svc"})
 	qt.Assert(h.t, refusal == nil, qt.IsTrue)
@@ -174,7 +174,7 @@
 	return call.Attempt.Engine.ID, rest
 }
 
-func (h *hall) script(id string, serve func(int, *http.Request, net.Conn) bool) {
+func (h *harness) script(id string, serve func(int, *http.Request, net.Conn) bool) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	h.engines[id+":1"] = serve
@@ -183,7 +183,7 @@
 func TestAnswerIsTheEnginesOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Priority: 3}, "e1")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Priority: 3}, "e1")
 		var seen *http.Request
 		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
 			seen = r
@@ -236,7 +236,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1", "e2")
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1", "e2")
 				h.script("e1", test.serve)
 				h.script("e2", test.serve)
 				recorder, isTorn := h.call("POST", "r1", nil)
@@ -253,7 +253,7 @@
 func TestEngineThatCannotBeReachedCostsNoTry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, IsPinned: true}, "e1", "e2", "e3")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, IsPinned: true}, "e1", "e2", "e3")
 		first, rest := h.preferredOf()
 		for _, id := range rest {
 			h.script(id, plainAnswer("ok"))
@@ -268,7 +268,7 @@
 func TestNotRunIsTriedElsewhereWithinTries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 2, Goal: kernel.Second, IsPinned: true}, "e1", "e2")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 2, Goal: kernel.Second, IsPinned: true}, "e1", "e2")
 		first, rest := h.preferredOf()
 		h.script(first, func(_ int, _ *http.Request, to net.Conn) bool {
 			io.WriteString(to, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
@@ -288,7 +288,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 2, Goal: kernel.Second, GapGoal: kernel.Second, IsPinned: true}
-		h := newHall(t, route, "e1", "e2")
+		h := newHarness(t, route, "e1", "e2")
 		first, rest := h.preferredOf()
 		h.script(first, streamFrom(5, 2))
 		h.script(rest[0], streamFrom(5, -1))
@@ -306,7 +306,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 3, Goal: kernel.Second, GapGoal: kernel.Second, IsPinned: true}
-		h := newHall(t, route, "e1", "e2", "e3")
+		h := newHarness(t, route, "e1", "e2", "e3")
 		turn := 0
 		for _, id := range []string{"e1", "e2", "e3"} {
 			h.script(id, func(number int, r *http.Request, to net.Conn) bool {
@@ -333,7 +333,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 2, Goal: kernel.Second, GapGoal: kernel.Second, IsPinned: true}
-		h := newHall(t, route, "e1", "e2")
+		h := newHarness(t, route, "e1", "e2")
 		first, rest := h.preferredOf()
 		h.script(first, streamFrom(5, 2))
 		h.script(rest[0], plainAnswer("plain"))
@@ -347,7 +347,7 @@
 func TestUnsentRequestCountsOnceInTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 2, Goal: kernel.Second}, "e1", "e2")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 2, Goal: kernel.Second}, "e1", "e2")
 		call, refusal := h.chooser.Arrive(kernel.Second, Request{ID: "a", Deadline: 1 << 60, Route: &h.routingTable.Config.Routes[0], Service: "svc"})
 		c.Assert(refusal == nil, qt.IsTrue)
 		for range 5 {
@@ -366,7 +366,7 @@
 func TestStreamThatMayNotBeResumedIsTorn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Stream, Tries: 2, Goal: kernel.Second, IsPinned: true}, "e1", "e2")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Stream, Tries: 2, Goal: kernel.Second, IsPinned: true}, "e1", "e2")
 		h.script("e1", streamFrom(5, 2))
 		h.script("e2", streamFrom(5, 2))
 		recorder, isTorn := h.call("POST", "r1", nil)
@@ -379,7 +379,7 @@
 func TestSafeAnswerThatBeganIsNotStitched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 3, Goal: kernel.Second}, "e1", "e2")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 3, Goal: kernel.Second}, "e1", "e2")
 		cut := func(_ int, r *http.Request, to net.Conn) bool {
 			io.WriteString(to, head(r.Header.Get(DefaultWire().RequestID), "Content-Length: 100\r\n\r\nhalf"))
 			return false
@@ -396,7 +396,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 2, Goal: 400 * kernel.Millisecond, IsPinned: true}
-		h := newHall(t, route, "e1", "e2")
+		h := newHarness(t, route, "e1", "e2")
 		first, rest := h.preferredOf()
 		h.script(first, func(_ int, _ *http.Request, to net.Conn) bool {
 			io.Copy(io.Discard, to) // dark until the router lets go
@@ -415,7 +415,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		route := fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 2, Goal: 200 * kernel.Millisecond, IsPinned: true}
-		h := newHall(t, route, "e1", "e2")
+		h := newHarness(t, route, "e1", "e2")
 		h.chooser.retry = Retry{Window: 10 * kernel.Second}
 		for _, id := range []string{"e1", "e2"} {
 			h.script(id, func(number int, r *http.Request, to net.Conn) bool {
@@ -434,7 +434,7 @@
 func TestSilenceIsNoReasonToEndWhatMayNotBeRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Stream, Tries: 2, Goal: 100 * kernel.Millisecond}, "e1")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Stream, Tries: 2, Goal: 100 * kernel.Millisecond}, "e1")
 		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
 			time.Sleep(2500 * time.Millisecond)
 			return streamFrom(1, -1)(number, r, to)
@@ -448,7 +448,7 @@
 func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
 		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
 			if id := r.Header.Get(DefaultWire().RequestID); id == "r2" {
 				// A second answer to the first request comes where the next one is due.
@@ -468,7 +468,7 @@
 func TestRefusalsComeAtOnceAndSayWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := newHall(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
 		h.routingTable = &RoutingTable{Config: h.routingTable.Config, Routers: 1}
 		h.chooser.Show(h.routingTable)
 		begun := time.Now()
--- a/server/callers.go
+++ b/server/callers.go
@@ -53,7 +53,7 @@
 	return router, nil
 }
 
-// routeRoutingTables turns pictures of the control plane into scenes of routed requests.
+// routeRoutingTables turns states of the control plane into routing tables of routed requests.
 type routeRoutingTables struct {
 	compiler       *fleetconfig.Compiler
 	config         *fleetconfig.Config
@@ -63,7 +63,7 @@
 	isShown        bool
 }
 
-// scene gives the next scene, or nil when nothing changed that routing depends on.
+// routingTable gives the next routing table, or nil when nothing changed that routing depends on.
 func (r *routeRoutingTables) routingTable(state *control.State) *router.RoutingTable {
 	routers := 0
 	for _, node := range state.Nodes {
--- a/server/runner.go
+++ b/server/runner.go
@@ -34,7 +34,7 @@
 	// Snapshots go to the disk beside those: nothing waits for one.
 	snapshots chan control.SaveSnapshot
 	state     atomic.Pointer[control.State]
-	// isShown: the loop has published once; the picture before that was nobody's scene.
+	// isShown: the loop has published once; the state before that led to no routing table.
 	isShown bool
 
 	lock sync.Mutex // guards what waits for a command alone
@@ -285,7 +285,7 @@
 	}
 }
 
-// Stagehand turns pictures of the control plane into scenes for the data plane.
+// TableBuilder turns states of the control plane into routing tables for the data plane.
 type TableBuilder struct {
 	Compiler       *fleetconfig.Compiler
 	config         *fleetconfig.Config
@@ -299,7 +299,7 @@
 	why                 string
 }
 
-// Scene gives the next scene, or nil when nothing changed that routing depends on.
+// RoutingTable gives the next routing table, or nil when nothing changed that routing depends on.
 func (h *TableBuilder) RoutingTable(state *control.State) (*relay.RoutingTable, error) {
 	mark := routingTableMark{0, state.EngineRev, state.Until, state.Why}
 	var failed error
@@ -332,7 +332,7 @@
 	return routingTable, failed
 }
 
-// MergeEngines joins the engines that the configuration names with those that the cell knows.
+// MergeEngines joins the engines that the configuration names with those that the control plane knows.
 func MergeEngines(config *fleetconfig.Config, records []control.EngineRecord) []relay.Engine {
 	engines, known := []relay.Engine{}, map[string]bool{}
 	for _, record := range records {
