--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -124,7 +124,6 @@
 	compileNS map[string]int64
 	isBilled  bool
 	cutRegion int // -1: none
-	reports   uint64
 	orders    uint64
 	deadline  int64 // of the wall, in nanoseconds
 	step      string
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -79,7 +79,7 @@
 	}
 	go platform.Watch(ctx)
 	var failed error
-	loadgen.Result{
+	loadgen.Generator{
 		Platform: platform, Kinds: kinds, Rate: words.Rate, Span: kernel.Micros(words.SpanUS), Seed: words.Seed,
 		Prefix: words.Prefix, Patient: kernel.Micros(words.PatientUS), Retries: words.Retries,
 	}.Run(ctx, func(event checker.Event) {
--- a/fleetconfig/config.go
+++ b/fleetconfig/config.go
@@ -160,7 +160,7 @@
 // Engine is an engine named in the configuration.
 type Engine struct{ ID, Address, Zone, Pool string }
 
-// Configuration is a compiled configuration, never changed once made.
+// Config is a compiled configuration, never changed once made.
 type Config struct {
 	// Version is the operator's own number of this configuration; zero: it has none.
 	Version  uint64
--- a/fleetconfig/fuzz_test.go
+++ b/fleetconfig/fuzz_test.go
@@ -30,6 +30,9 @@
 		}
 		again, errAgain := Read(document)
 		// protojson itself varies the spaces in its texts from build to build, never within one.
+		if (again == nil) != (errAgain != nil) {
+			t.Fatalf("%v beside %v at the second reading", again, errAgain)
+		}
 		if fmt.Sprint(err) != fmt.Sprint(errAgain) {
 			t.Fatalf("once %v, then %v", err, errAgain)
 		}
--- a/history/archive.go
+++ b/history/archive.go
@@ -328,7 +328,7 @@
 	return err == nil && facts.Digest == digest
 }
 
-// Configuration gives the configuration of a revision.
+// Config gives the configuration of a revision.
 func (w *Archive) Config(revision uint64) ([]byte, Facts, error) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
--- a/kernel/journal_file.go
+++ b/kernel/journal_file.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-// Journal file writes a journal's entries to disk, so that they outlive the process. It never
+// JournalFile writes a journal's entries to disk, so that they outlive the process. It never
 // delays a decision: what the disk does not take in time is dropped and counted.
 type JournalFile struct {
 	path  string
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -19,7 +19,7 @@
 	Zone    string `json:"zone"`
 }
 
-// Environment is the one context type: whatever a piece of work needs to know of its
+// Env is the one context type: whatever a piece of work needs to know of its
 // surroundings, in place of many arguments.
 type Env struct {
 	context.Context
@@ -47,7 +47,7 @@
 	return klog.Background()
 }
 
-// Strike is a stack of clean-up steps, run in reverse when the scene ends.
+// Cleanup is a stack of clean-up steps, run in reverse when the process ends.
 type Cleanup struct {
 	lock  sync.Mutex
 	steps []func() error
@@ -73,7 +73,7 @@
 	return errors.Join(failed...)
 }
 
-// House is the table of services.
+// Kernel is the table of services.
 type Kernel struct {
 	lock     sync.RWMutex
 	services map[string]any
@@ -88,7 +88,7 @@
 
 func (b ServiceError) Error() string { return fmt.Sprintf("service %q: %s", b.Name, b.Why) }
 
-// Open makes an empty house.
+// Open makes an empty table.
 func Open() *Kernel { return &Kernel{services: map[string]any{}} }
 
 // Place enters a service under a name that is still free.
--- a/loadgen/loadgen.go
+++ b/loadgen/loadgen.go
@@ -194,8 +194,8 @@
 	Zone    string `json:"zone"`
 }
 
-// Performance is a span of calls at a rate.
-type Result struct {
+// Generator makes a span of calls at a rate.
+type Generator struct {
 	Platform *Platform
 	Kinds    []Kind
 	Rate     float64 // requests a second
@@ -203,20 +203,20 @@
 	Seed     uint64
 	Prefix   string // of the tags
 	Patient  kernel.Micros
-	// Retries tells whether callers come again after a decline that says when.
+	// Retries tells whether callers come again after a rejection that says when.
 	Retries int
 }
 
 // Run makes the calls and hands over each event as it comes.
-func (p Result) Run(ctx context.Context, take func(checker.Event)) {
-	random := rand.New(rand.NewPCG(p.Seed, 1))
+func (generator Generator) Run(ctx context.Context, take func(checker.Event)) {
+	random := rand.New(rand.NewPCG(generator.Seed, 1))
 	caller := NewCaller()
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	end := time.NewTimer(p.Span.Duration())
+	end := time.NewTimer(generator.Span.Duration())
 	defer end.Stop()
 	for count := 0; ; count++ {
-		pause := time.Duration(random.ExpFloat64() / p.Rate * float64(time.Second))
+		pause := time.Duration(random.ExpFloat64() / generator.Rate * float64(time.Second))
 		select {
 		case <-ctx.Done():
 			return
@@ -224,27 +224,27 @@
 			return
 		case <-time.After(pause):
 		}
-		kind := pick(random, p.Kinds)
-		ask := NewAsk(random, kind, fmt.Sprintf("%s-%d", p.Prefix, count))
+		kind := pick(random, generator.Kinds)
+		ask := NewAsk(random, kind, fmt.Sprintf("%s-%d", generator.Prefix, count))
 		// Some callers leave in the middle.
-		patience := p.Patient
+		patience := generator.Patient
 		if random.IntN(50) == 0 {
 			patience = kernel.Micros(random.Int64N(int64(2 * kernel.Second)))
 		}
 		turn := random.IntN(1 << 30)
-		calls.Go(func() { p.serve(ctx, caller, ask, turn, patience, take) })
+		calls.Go(func() { generator.serve(ctx, caller, ask, turn, patience, take) })
 	}
 }
 
-func (p Result) serve(ctx context.Context, caller *Caller, ask Ask, turn int, patience kernel.Micros, take func(checker.Event)) {
+func (generator Generator) serve(ctx context.Context, caller *Caller, ask Ask, turn int, patience kernel.Micros, take func(checker.Event)) {
 	limit, cancel := context.WithTimeout(ctx, patience.Duration())
 	defer cancel()
 	tag := ask.Tag
 	for try := 0; ; try++ {
 		// Each try is a request of its own: what was promised of one says nothing of the next.
 		ask.Tag = fmt.Sprintf("%s/%d", tag, try)
-		event := caller.Call(limit, p.Platform.Deal(turn, try), ask)
-		isAgain := (event.Outcome == checker.NotRun || event.Outcome == checker.Unreached) && try < p.Retries && limit.Err() == nil
+		event := caller.Call(limit, generator.Platform.Deal(turn, try), ask)
+		isAgain := (event.Outcome == checker.NotRun || event.Outcome == checker.Unreached) && try < generator.Retries && limit.Err() == nil
 		take(event)
 		if !isAgain {
 			return
--- a/simulator/world.go
+++ b/simulator/world.go
@@ -130,7 +130,7 @@
 	compiler      fleetconfig.Compiler
 }
 
-// Knobs shape the load and what the engines can do.
+// Options shape the load and what the engines can do.
 type Options struct {
 	Prefixes, PrefixLen int
 	TailLow, TailHigh   int // prompt tokens after the prefix
