Staticcheck findings in relay, router, server and the routed simulation

Cause: doc comments that opened with a name from before the renames, one field and one method that nothing used. One line each, so that they merge easily; nothing decides differently.

--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -24,7 +24,7 @@
 	MayHaveRun RunState = "may_have_run"
 )
 
-// Decline is the final answer to a request that is not served.
+// Rejection is the final answer to a request that is not served.
 type Rejection struct {
 	Reason     string // a word for programs
 	Detail     string // a sentence for people
@@ -49,7 +49,7 @@
 	IsStartKnown            bool
 }
 
-// Scene is all that the control plane has told this router, as one picture.
+// RoutingTable is all that the control plane has told this router, as one snapshot.
 type RoutingTable struct {
 	Revision uint64
 	Config   *fleetconfig.Config
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -198,7 +198,7 @@
 	return counts
 }
 
-// Configuration is the configuration in force, or nil.
+// Config is the configuration in force, or nil.
 func (c *Chooser) Config() *fleetconfig.Config {
 	c.lock.Lock()
 	defer c.lock.Unlock()
--- a/router/request.go
+++ b/router/request.go
@@ -45,7 +45,7 @@
 	IsLeaving, IsDark          bool
 }
 
-// Scene is all that the control plane has told this router, as one picture.
+// RoutingTable is all that the control plane has told this router, as one snapshot.
 type RoutingTable struct {
 	Config  *fleetconfig.Config
 	Engines []Engine
--- a/server/api.go
+++ b/server/api.go
@@ -24,7 +24,7 @@
 // HeaderSubmission names an operator's order, so that a repeated send gets the same reply.
 const HeaderSubmission = "Dunlinloom-Submission"
 
-// Face is the public HTTP side of a node.
+// API is the public HTTP side of a node.
 type API struct {
 	env             kernel.Env
 	runner          *Runner
@@ -39,8 +39,8 @@
 	stopping    func() bool
 }
 
-// NewFace builds the handler of a node's public address out of the services that
-// the house holds.
+// NewAPI builds the handler of a node's public address out of the services that
+// the kernel holds.
 func NewAPI(env kernel.Env, stage *kernel.Kernel, stopping func() bool) (http.Handler, error) {
 	runner, runnerErr := kernel.Find[*Runner](stage, ServiceRunner)
 	connections, connectionsErr := kernel.Find[*Connections](stage, ServiceConnections)
--- a/server/channel.go
+++ b/server/channel.go
@@ -78,7 +78,7 @@
 	unconfirmedSpan = 2 * time.Second
 )
 
-// Channels carry envelopes to other nodes: an queue and a worker for each, so
+// Connections carry envelopes to other nodes: a queue and a worker for each, so
 // that one that does not answer holds up nobody else.
 type Connections struct {
 	env           kernel.Env
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -77,7 +77,7 @@
 	Store control.StoreBounds
 }
 
-// Staging is what a deployment brings in its own words.
+// Adapter is what a platform brings in its own names and formats.
 type Adapter struct {
 	Program string
 	// Callers and Control make the handlers of the two addresses.
--- a/server/fault_injection_list.go
+++ b/server/fault_injection_list.go
@@ -1,6 +1,6 @@
 package server
 
-// Mishaps is the file by which a local fleet run tells builds with faults what fails now.
+// FaultInjection is the file by which a local fleet run tells builds with faults what fails now.
 // Ordinary builds never read it.
 type FaultInjection struct {
 	// Ways are named "FROM>TO" by peer addresses; "*" is every way that has no entry.
--- a/server/overload.go
+++ b/server/overload.go
@@ -15,7 +15,7 @@
 // operators, engines and the platform's looks get through a crowd of callers.
 const connectionReserve = 128
 
-// Door counts the channels of the public address. Up to the bound callers are served;
+// LimitedListener counts the channels of the public address. Up to the bound callers are served;
 // in the reserve above it only others are; beyond that a channel is answered at once,
 // without a look at what it asks for, and closed.
 type LimitedListener struct {
--- a/server/runner.go
+++ b/server/runner.go
@@ -282,7 +282,7 @@
 	}
 }
 
-// Stagehand turns pictures of the control plane into scenes for the data plane.
+// TableBuilder turns states of the control plane into routing tables for the data plane.
 type TableBuilder struct {
 	Compiler       *fleetconfig.Compiler
 	config         *fleetconfig.Config
@@ -296,7 +296,7 @@
 	why                 string
 }
 
-// Scene gives the next scene, or nil when nothing changed that routing depends on.
+// RoutingTable gives the next routing table, or nil when nothing changed that routing depends on.
 func (h *TableBuilder) RoutingTable(state *control.State) (*relay.RoutingTable, error) {
 	mark := routingTableMark{0, state.EngineRev, state.Until, state.Why}
 	var failed error
--- a/simulator/routed.go
+++ b/simulator/routed.go
@@ -56,7 +56,6 @@
 	record    router.Engine
 	listener  io.Closer
 	isGone    bool
-	troubles  emulator.Troubles
 	isTrouble bool
 }
 
@@ -119,12 +118,6 @@
 	return low + kernel.Micros(f.random.Int64N(int64(high-low+1)))
 }
 
-func (f *routedFleet) draw(count int) int {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	return f.random.IntN(count)
-}
-
 // after does something later, unless the run is over.
 func (f *routedFleet) after(span kernel.Micros, do func()) {
 	f.chores.Go(func() {
