--- /dev/null
+++ b/capacity/fleet_open.go
@@ -0,0 +1,124 @@
+package capacity
+
+// Founding of a measured fleet, up to the state in which it is measured.
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"dunlinloom/control"
+)
+
+// open founds the fleet, puts a configuration in force, gives the homes to routers and lets the
+// engines register.
+func (f *Fleet) open() error {
+	for _, h := range f.nodes {
+		f.in(f.jitter(500*ms), h.boot)
+	}
+	if err := f.run(sec); err != nil {
+		return err
+	}
+	if err := f.until("found the fleet", 200*ms, 60*sec, func() string { return f.lacks(0) }); err != nil {
+		return err
+	}
+	accepted := false
+	for range 5 {
+		isOver := false
+		f.submit(f.router(0), control.PutConfig, f.config(0), func(reply control.SubmitReply) {
+			isOver, accepted = true, reply.Outcome == control.Yes
+		})
+		if err := f.until("put a spec in force", 50*ms, 20*sec, func() string {
+			if !isOver {
+				return "no receipt came"
+			}
+			return ""
+		}); err != nil {
+			return err
+		}
+		if accepted {
+			break
+		}
+	}
+	if !accepted {
+		return Unsettled{"put a spec in force", 100 * sec, "no yes came"}
+	}
+	if err := f.moveHomes(); err != nil {
+		return err
+	}
+	for i := range f.sizes.Engines {
+		f.report(i, f.jitter(f.sizes.Report))
+	}
+	return f.until("know all engines", 500*ms, 60*sec, func() string { return f.lacks(f.sizes.Engines) })
+}
+
+// moveHomes lets routers keep the zones, where the first who asked was a control machine.
+func (f *Fleet) moveHomes() error {
+	return f.until("move the homes", sec, 60*sec, func() string {
+		why := ""
+		leader := f.leader()
+		if leader == nil {
+			return "nobody leads"
+		}
+		homes := leader.node.State(nil).Document.Homes
+		for _, zone := range slices.Sorted(maps.Keys(homes)) {
+			address := homes[zone]
+			if home := f.byAddress[address]; home == nil || !home.control {
+				continue
+			}
+			for _, h := range f.nodes {
+				if h.identity.Zone == zone && !h.control && h.isUp {
+					why = "control machines keep zones"
+					envelope := control.Envelope{Fleet: "capacity", From: address, To: leader.identity.Address,
+						Message: control.Message{Succeed: &control.Succeed{Zone: zone, To: h.identity.Address}}}
+					leader.event(func() []any { return leader.node.Deliver(f.now, envelope) })
+					break
+				}
+			}
+		}
+		return why
+	})
+}
+
+func (f *Fleet) leader() *hollow {
+	for _, h := range f.nodes {
+		if h.isUp && h.control && h.node.State(h.state).IsLeader {
+			return h
+		}
+	}
+	return nil
+}
+
+// lacks tells what some node still lacks: a lease, the newest document, nodes, engines.
+func (f *Fleet) lacks(engines int) string {
+	newest, states := uint64(0), map[*hollow]*control.State{}
+	for _, h := range f.nodes {
+		if !h.isUp || h.node == nil {
+			return h.identity.Address + " is down"
+		}
+		state := h.node.State(nil)
+		states[h] = state
+		if state.Document == nil {
+			return h.identity.Address + " has no document"
+		}
+		newest = max(newest, state.Document.Revision)
+	}
+	for _, h := range f.nodes {
+		state := states[h]
+		switch {
+		case state.Document.Revision < newest:
+			return h.identity.Address + " is behind"
+		case !h.control && state.Until <= f.now:
+			return h.identity.Address + " has no licence"
+		case len(state.Document.Homes) < f.sizes.Zones:
+			return "a zone has no home"
+		case len(state.Document.Register) < f.sizes.Nodes-f.sizes.Control:
+			return "a router is not registered"
+		case len(state.Nodes) < f.sizes.Nodes:
+			return fmt.Sprintf("%s knows %d nodes", h.identity.Address, len(state.Nodes))
+		case len(state.Engines) < engines:
+			return fmt.Sprintf("%s knows %d engines", h.identity.Address, len(state.Engines))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/capacity/memory.go
@@ -0,0 +1,50 @@
+package capacity
+
+// A data folder in memory.
+
+import (
+	"slices"
+	"strings"
+
+	"dunlinloom/kernel"
+)
+
+// memory is a Folder without a disk.
+type memory struct{ files map[string][]byte }
+
+func (m *memory) Put(name string, content []byte) error {
+	m.files[name] = slices.Clone(content)
+	return nil
+}
+
+func (m *memory) Get(name string) ([]byte, error) {
+	content, isThere := m.files[name]
+	if !isThere {
+		return nil, kernel.MissingFile{Name: name}
+	}
+	return slices.Clone(content), nil
+}
+
+func (m *memory) List(prefix string) ([]string, error) {
+	names := []string{}
+	for name := range m.files {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (m *memory) Remove(name string) error {
+	delete(m.files, name)
+	return nil
+}
+
+func (m *memory) Rename(from, to string) error {
+	if content, isThere := m.files[from]; isThere {
+		m.files[to] = content
+		delete(m.files, from)
+	}
+	return nil
+}
--- /dev/null
+++ b/capacity/node.go
@@ -0,0 +1,239 @@
+package capacity
+
+// A node without a process: the owners of a node, with what they cost by part.
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+	"dunlinloom/server"
+)
+
+// traffic counts messages of one kind.
+type traffic struct{ messages, bytes int64 }
+
+// bill is what a node has cost while bills were written.
+type bill struct {
+	sent, got map[string]traffic
+	nanos     map[string]int64
+}
+
+func newBill() bill {
+	return bill{map[string]traffic{}, map[string]traffic{}, map[string]int64{}}
+}
+
+// hollow is a node without a process.
+type hollow struct {
+	fleet    *Fleet
+	identity kernel.Identity
+	region   int
+	control  bool
+	folder   *memory // nil for routers
+	node     *control.Node
+	store    *control.Store
+	epoch    int
+	isUp     bool
+	compiled map[string]bool
+	bill     bill
+	applied  []application
+	replies  map[string]func(control.SubmitReply)
+	// Of those whose publishing is measured.
+	isShown    bool
+	state      *control.State
+	hand       server.TableBuilder
+	dispatcher *relay.Dispatcher
+}
+
+type application struct {
+	at       kernel.Micros
+	revision uint64
+}
+
+// time puts the processor time of some work on a node's bill.
+func (h *hollow) time(part string, work func()) {
+	if !h.fleet.isBilled {
+		work()
+		return
+	}
+	begun := threadNanos()
+	work()
+	h.bill.nanos[part] += threadNanos() - begun
+}
+
+func (h *hollow) boot() {
+	f := h.fleet
+	h.epoch++
+	f.starts++
+	h.isUp, h.compiled, h.state, h.hand = true, map[string]bool{}, nil, server.TableBuilder{Compiler: &f.compiler}
+	journal := kernel.NewJournal(1)
+	journal.Watch = func(entry kernel.Entry) {
+		if entry.Subject == "spec" && entry.Decision == "apply" {
+			h.applied = append(h.applied, application{f.now, entry.Era})
+		}
+	}
+	settings := control.NodeSettings{
+		Identity: h.identity, IsRouter: !h.control, IsController: h.control, HasFolder: h.control, Seeds: f.seeds,
+		Start: f.starts, RandomSeed: f.random.Uint64(), Timing: control.DefaultTiming(), Journal: journal,
+		CheckConfig: f.compiler.Check, IsCompiled: func(config []byte) bool { return h.compiled[string(config)] },
+		Member: control.MemberID("none-" + h.identity.Address),
+	}
+	if f.sizes.Rules == Deployment {
+		settings.Timing = control.SparseTiming()
+		settings.Timing.BeatGone = deploymentBeatGone
+		settings.Voters, settings.ServeOn, settings.AckRule = deploymentVoters, control.ServeOnAlways, control.Spread
+		settings.NoFence, settings.SubmitTry = true, deploymentTry
+		settings.Founding, settings.Bootstrap = control.FoundersAnnounce, h.epoch == 1
+	}
+	if h.control {
+		var err error
+		h.store, settings.Ballot, settings.Document, err = control.OpenStore(h.folder, "capacity", func() string { return fmt.Sprintf("member-%016x", f.random.Uint64()) })
+		if err != nil {
+			f.failed = fmt.Errorf("boot %s: %w", h.identity.Address, err)
+			return
+		}
+		settings.Member, settings.Kept = h.store.Member(), h.store.ConfigRevisions()
+	}
+	h.node = control.NewNode(settings, f.now)
+	epoch, tick := h.epoch, h.node.TickSpan()
+	var again func()
+	again = func() {
+		if h.epoch == epoch && h.isUp {
+			h.event(func() []any { return h.node.Tick(f.now) })
+			f.in(tick+f.jitter(ms), again)
+		}
+	}
+	f.in(f.jitter(tick), again)
+}
+
+func (h *hollow) halt() {
+	h.isUp, h.node, h.state, h.isShown, h.dispatcher = false, nil, nil, false, nil
+	h.epoch++
+}
+
+// later does an event on this very process after a span.
+func (h *hollow) later(span kernel.Micros, event func()) {
+	epoch := h.epoch
+	h.fleet.in(span, func() {
+		if h.epoch == epoch && h.isUp {
+			event()
+		}
+	})
+}
+
+// event lets the owners work, carries out what they say and publishes, as the shell does.
+func (h *hollow) event(work func() []any) {
+	var commands []any
+	h.time(Events, func() { commands = work() })
+	for _, command := range commands {
+		h.carryOut(command)
+	}
+	if h.isShown {
+		h.time(Publish, h.publish)
+	}
+}
+
+func (h *hollow) publish() {
+	h.state = h.node.State(h.state)
+	routingTable, err := h.hand.RoutingTable(h.state)
+	if err != nil {
+		h.fleet.failed = fmt.Errorf("publish at %s: %w", h.identity.Address, err)
+	}
+	if routingTable != nil && h.dispatcher != nil {
+		h.dispatcher.Show(routingTable)
+	}
+}
+
+func (h *hollow) carryOut(command any) {
+	f := h.fleet
+	switch command := command.(type) {
+	case control.Outgoing:
+		h.post(command.Envelope)
+	case control.Save:
+		var err error
+		h.time(Disk, func() { err = h.store.Save(command) })
+		h.later(writeTakes, func() {
+			h.event(func() []any { return h.node.Saved(f.now, command.Token, err) })
+		})
+	case control.Prepare:
+		config := string(command.Document.Config)
+		if _, isKnown := f.compileNS[config]; !isKnown {
+			begun := threadNanos()
+			if _, err := fleetconfig.Read(command.Document.Config); err != nil {
+				f.failed = fmt.Errorf("compile at %s: %w", h.identity.Address, err)
+			}
+			f.compileNS[config] = threadNanos() - begun
+		}
+		// Every real process compiles for itself; here one does, and all are charged alike.
+		if f.isBilled {
+			h.bill.nanos[Compile] += f.compileNS[config]
+		}
+		// Virtual time may not hang on this machine's speed, or no seed would play twice alike.
+		h.later(kernel.Micros(len(config)/compileBytes), func() {
+			h.compiled[config] = true
+			h.event(func() []any { return h.node.Prepared(f.now, command.Document, nil) })
+		})
+	case control.Fetch:
+		if document, err := h.store.ConfigAt(command.Mark); err == nil {
+			h.later(writeTakes, func() { h.event(func() []any { return h.node.Fetched(f.now, command.To, document) }) })
+		}
+	case control.Keep:
+		if err := h.store.Keep(command.Document); err == nil {
+			h.later(writeTakes, func() {
+				h.event(func() []any { return h.node.Kept(f.now, command.Document.ConfigRevision) })
+			})
+		}
+	case control.SaveSnapshot:
+		var err error
+		h.time(Disk, func() { err = h.store.SaveSnapshot(command.Snapshot) })
+		h.later(writeTakes, func() { h.event(func() []any { return h.node.SnapshotSaved(f.now, err) }) })
+	case control.Reply:
+		if take := h.replies[command.SubmitReply.ID]; take != nil {
+			delete(h.replies, command.SubmitReply.ID)
+			take(command.SubmitReply)
+		}
+	}
+}
+
+// post carries a message as bytes, so that nothing is shared and both ends pay for it.
+func (h *hollow) post(envelope control.Envelope) {
+	f := h.fleet
+	to := f.byAddress[envelope.To]
+	var content []byte
+	var err error
+	h.time(Encode, func() { content, err = json.Marshal(envelope) })
+	if err != nil {
+		f.failed = fmt.Errorf("encode at %s: %w", h.identity.Address, err)
+		return
+	}
+	kind := envelope.Message.Kind()
+	if f.isBilled {
+		count(h.bill.sent, kind, len(content))
+	}
+	if to == nil || f.cutRegion >= 0 && (h.region == f.cutRegion) != (to.region == f.cutRegion) {
+		return
+	}
+	f.in(f.way(h, to), func() {
+		if !to.isUp {
+			return
+		}
+		if f.isBilled {
+			count(to.bill.got, kind, len(content))
+		}
+		var arrived control.Envelope
+		to.time(Decode, func() { err = json.Unmarshal(content, &arrived) })
+		if err != nil {
+			f.failed = fmt.Errorf("decode at %s: %w", to.identity.Address, err)
+			return
+		}
+		to.event(func() []any { return to.node.Deliver(f.now, arrived) })
+	})
+}
+
+func count(counts map[string]traffic, kind string, bytes int) {
+	seen := counts[kind]
+	counts[kind] = traffic{seen.messages + 1, seen.bytes + int64(bytes)}
+}
--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -235,8 +235,6 @@
 	return outcome, nil
 }
 
-// ---- printing ----
-
 // spread gives the median with the least and the most.
 func spread(values []float64) string {
 	values = slices.DeleteFunc(slices.Clone(values), math.IsNaN)
--- /dev/null
+++ b/checker/judge_availability.go
@@ -0,0 +1,174 @@
+package checker
+
+// Rules about engines that leave, drained zones, stops, and the time after a repair.
+
+import "dunlinloom/kernel"
+
+// drains follows which zones are surely emptied.
+type drains struct {
+	since    map[string]kernel.Micros
+	refills  map[string]int    // under way
+	refilled map[string]uint64 // the newest revision that refilled one
+}
+
+func newDrains() *drains {
+	return &drains{map[string]kernel.Micros{}, map[string]int{}, map[string]uint64{}}
+}
+
+func (e *drains) take(event Event) {
+	switch event.What {
+	case ZoneEmptied:
+		// While a refill is under way it may take effect after this reply. Nor does a
+		// reply that comes late make an order newer than the refill after it.
+		isOld := event.Revision > 0 && event.Revision < e.refilled[event.Zone]
+		if _, isKnown := e.since[event.Zone]; !isKnown && e.refills[event.Zone] == 0 && !isOld {
+			e.since[event.Zone] = event.At
+		}
+	case ZoneRefilling:
+		e.refills[event.Zone]++
+		delete(e.since, event.Zone)
+	case ZoneRefilled:
+		e.refills[event.Zone]--
+		e.refilled[event.Zone] = max(e.refilled[event.Zone], event.Revision)
+	}
+}
+
+// marks checks engines that leave and zones that are emptied.
+func (j *judge) marks(events []Event) {
+	type start struct {
+		engine string
+		start  uint64
+	}
+	leaving, zones := map[start]kernel.Micros{}, newDrains()
+	for _, event := range events {
+		zones.take(event)
+		switch event.What {
+		case EngineLeaving:
+			key := start{event.Engine, event.Start}
+			if _, isKnown := leaving[key]; !isKnown {
+				leaving[key] = event.At
+			}
+		case RunBegan:
+			if since, isLeaving := leaving[start{event.Engine, event.Start}]; isLeaving && event.At-since > j.bounds.Leaving {
+				j.violation(LeavingUsed, event.At, "%s on %s, %d us after the mark", event.Tag, event.Engine, event.At-since)
+			}
+			if since, isEmptied := zones.since[event.Zone]; isEmptied && event.At-since > j.bounds.Emptied {
+				j.violation(EmptiedUsed, event.At, "%s on %s in %s, %d us after the receipt", event.Tag, event.Engine, event.Zone, event.At-since)
+			}
+		}
+	}
+}
+
+// stops checks that a planned stop leaves no accepted request without an answer.
+// What a fault took, of the node or of the engine that served, is not the stop's.
+func (j *judge) stops(events []Event) {
+	type span struct{ from, to kernel.Micros }
+	spans, errors := map[string][]span{}, map[string][]span{}
+	for _, event := range events {
+		switch event.What {
+		case NodeStopping:
+			spans[event.Node] = append(spans[event.Node], span{event.At, -1})
+		case NodeStopped:
+			if last := len(spans[event.Node]) - 1; last >= 0 && spans[event.Node][last].to < 0 {
+				spans[event.Node][last].to = event.At + kernel.Second
+			}
+		case NodeKilled:
+			for i, open := range spans[event.Node] {
+				if open.to < 0 || open.to >= event.At {
+					spans[event.Node][i].to = event.At - 1
+				}
+			}
+		case EngineFailed:
+			errors[event.Engine] = append(errors[event.Engine], span{event.At, event.At})
+		case EngineMended:
+			if last := len(errors[event.Engine]) - 1; last >= 0 {
+				errors[event.Engine][last].to = event.At
+			}
+		}
+	}
+	// A failure excuses only the runs that it can have touched: begun before it was
+	// over, and given up no later than a stream may stand still after it.
+	isExcused := func(call Event) bool {
+		ran, hasRun := j.ranAt[call.Tag]
+		if !hasRun {
+			return false
+		}
+		for _, struck := range errors[ran.Engine] {
+			if ran.At <= struck.to && struck.from <= call.At && call.At <= struck.to+j.bounds.Stalled {
+				return true
+			}
+		}
+		return false
+	}
+	for _, event := range events {
+		if event.What != CallEnded || event.Outcome != NoAck && event.Outcome != Torn || isExcused(event) {
+			continue
+		}
+		for _, span := range spans[event.Node] {
+			if event.At >= span.from && (span.to < 0 || event.At <= span.to) {
+				j.violation(StopDropped, event.At, "%s at %s: %s (%s)", event.Tag, event.Node, event.Outcome, event.Reason)
+			}
+		}
+	}
+}
+
+// repair checks that service is back soon after every machine is: with the first
+// request, and from the bound on for every node, every kind of request and orders.
+func (j *judge) repair(events []Event) {
+	var repaired *Event
+	for i := range events {
+		if events[i].What == Repaired {
+			repaired = &events[i]
+		}
+	}
+	if repaired == nil {
+		return
+	}
+	last := events[len(events)-1].At
+	settled := repaired.At + j.bounds.Broken
+	isServed := false
+	nodes, kinds := map[string]bool{}, map[string]bool{}
+	calls, overloaded := 0, 0
+	for _, event := range events {
+		if event.What != CallEnded || event.Began < repaired.At {
+			continue
+		}
+		if event.Outcome == Served && !isServed {
+			isServed = true
+			if j.review.RepairTook = event.Began - repaired.At; j.review.RepairTook > j.bounds.Broken {
+				j.violation(BrokenLong, event.At, "the first request served after the repair was sent %d us after it", j.review.RepairTook)
+			}
+		}
+		if event.Began < settled {
+			continue
+		}
+		calls++
+		switch {
+		case event.Outcome == Served:
+			nodes[event.Node], kinds[event.Kind] = true, true
+		case event.Outcome == HungUp || event.Outcome == EngineSays:
+		case event.Outcome == NotRun && (event.Reason == "late" || event.Reason == "ramping" || event.Reason == "crowded"):
+			overloaded++
+		default:
+			j.violation(BrokenLong, event.At, "%s by %s, %d us after the repair: %s (%s)", event.Tag, event.Node, event.Began-repaired.At, event.Outcome, event.Reason)
+		}
+	}
+	if !isServed && last > settled {
+		j.violation(BrokenLong, last, "nothing was served in %d us after the repair", last-repaired.At)
+	}
+	// A handful says nothing about a share.
+	if overloaded > 5 && float64(overloaded) > j.bounds.LoadShare*float64(calls) {
+		j.violation(BrokenLong, last, "%d of %d requests were declined for load, %d us and on after the repair", overloaded, calls, j.bounds.Broken)
+	}
+	for _, node := range repaired.Roster {
+		if !nodes[node] {
+			j.violation(BrokenLong, last, "%s served nothing sent %d us and on after the repair", node, j.bounds.Broken)
+		}
+	}
+	for _, kind := range repaired.Kinds {
+		if !kinds[kind] {
+			j.violation(BrokenLong, last, "no request of kind %s was served from %d us after the repair on", kind, j.bounds.Broken)
+		}
+	}
+	j.orders(events, settled, len(repaired.Roster) > 0)
+}
--- /dev/null
+++ b/checker/judge_calls.go
@@ -0,0 +1,153 @@
+package checker
+
+// Rules about requests: where they ran, how they ended, how often they were tried.
+
+import (
+	"slices"
+
+	"dunlinloom/kernel"
+)
+
+func (j *judge) runs(events []Event) {
+	j.ranAt = map[string]Event{}
+	for _, event := range events {
+		switch event.What {
+		case RunBegan:
+			j.review.Runs++
+			if earlier, isThere := j.ranAt[event.Tag]; isThere {
+				j.violation(RunTwice, event.At, "%s ran on %s and on %s", event.Tag, earlier.Engine, event.Engine)
+				continue
+			}
+			j.ranAt[event.Tag] = event
+		case RunOvercrowd:
+			j.violation(ColdFlooded, event.At, "engine %s: %s", event.Engine, event.Reason)
+		case Totals:
+			allowed := j.bounds.RetryShare * float64(event.First)
+			if float64(event.Retries) > allowed {
+				j.violation(RetriesMany, event.At, "%d retries on %d first rounds", event.Retries, event.First)
+			}
+		}
+	}
+}
+
+func (j *judge) calls(events []Event) {
+	for _, event := range events {
+		if event.What != CallEnded {
+			continue
+		}
+		j.review.Calls++
+		j.review.Outcomes[string(event.Outcome)]++
+		switch event.Outcome {
+		case NotRun:
+			j.review.Rejects[event.Reason]++
+			if ran, hasRun := j.ranAt[event.Tag]; hasRun {
+				j.violation(RunAfterNo, event.At, "%s was declined as not run, yet ran on %s", event.Tag, ran.Engine)
+			}
+		case MayHaveRun:
+			j.review.Rejects[event.Reason]++
+		case Wrong:
+			j.violation(BodyWrong, event.At, "%s through %s: %s", event.Tag, event.Node, event.Reason)
+		case FalseEnd:
+			j.violation(EndFalse, event.At, "%s through %s: %s", event.Tag, event.Node, event.Reason)
+		}
+	}
+}
+
+// retries holds the rounds that engines and the wire saw against the windows: of
+// the first rounds of the last span, no more than a share may have been retries.
+func (j *judge) retries(events []Event) {
+	hasWire := false
+	for _, event := range events {
+		hasWire = hasWire || event.What == RoundSent
+	}
+	seen := map[string]bool{}
+	firsts, again := []kernel.Micros{}, []kernel.Micros{}
+	for _, event := range events {
+		isRound := event.What == RoundSent || !hasWire && (event.What == RunBegan || event.What == RunRejected)
+		switch {
+		case !isRound:
+		case seen[event.Tag]:
+			again = append(again, event.At)
+		default:
+			seen[event.Tag] = true
+			firsts = append(firsts, event.At)
+		}
+	}
+	// One retry of three requests says nothing of a share; a handful is where it begins to.
+	const few = 3
+	for _, window := range j.bounds.RetryWindows {
+		// Told once: a storm of retries is one violation.
+		for at, fromFirst, toFirst, from := 0, 0, 0, 0; at < len(again); at++ {
+			for toFirst < len(firsts) && firsts[toFirst] <= again[at] {
+				toFirst++
+			}
+			for fromFirst < toFirst && firsts[fromFirst] <= again[at]-window.Span {
+				fromFirst++
+			}
+			for again[from] <= again[at]-window.Span {
+				from++
+			}
+			if retries, rounds := at-from+1, toFirst-fromFirst; retries > few && float64(retries) > window.Share*float64(rounds) {
+				j.violation(RetriesMany, again[at], "%d retries on %d first rounds within %d us", retries, rounds, window.Span)
+				return
+			}
+		}
+	}
+}
+
+// permitted checks each run from outside, whatever a node says of itself: a configuration
+// that may still have been in force has to let it go to that engine's pool.
+func (j *judge) permitted(events []Event) {
+	type order struct {
+		sent, yes kernel.Micros
+		revision  uint64
+		pools     []string
+	}
+	orders, ids := map[string]*order{}, []string{}
+	for _, event := range events {
+		switch event.What {
+		case ConfigSent:
+			if event.Pools != nil {
+				orders[event.ID] = &order{sent: event.At, pools: event.Pools}
+				ids = append(ids, event.ID)
+			}
+		case ConfigYes:
+			if known := orders[event.ID]; known != nil && known.revision == 0 {
+				known.yes, known.revision = event.At, event.Revision
+			}
+		case ConfigNo:
+			delete(orders, event.ID) // it never takes effect, before or after
+		}
+	}
+	// isOver: a newer configuration was acknowledged longer ago than the old one may still be used.
+	isOver := func(old *order, at kernel.Micros) bool {
+		if old.revision == 0 {
+			return false
+		}
+		for _, newer := range orders {
+			if newer.revision > old.revision && at-newer.yes > j.bounds.OldConfig {
+				return true
+			}
+		}
+		return false
+	}
+	for _, event := range events {
+		if event.What != RunBegan || event.Pool == "" || len(orders) == 0 {
+			continue
+		}
+		isPermitted := false
+		for _, id := range ids {
+			known := orders[id]
+			if known == nil || known.sent > event.At {
+				continue
+			}
+			if slices.Contains(known.pools, event.Pool) && !isOver(known, event.At) {
+				isPermitted = true
+				break
+			}
+		}
+		if !isPermitted {
+			j.violation(ConfigOld, event.At, "%s began on %s of pool %s, which no spec then in force permits", event.Tag, event.Engine, event.Pool)
+		}
+	}
+}
--- a/simulator/core_test.go
+++ b/simulator/core_test.go
@@ -1,7 +1,8 @@
 package simulator
 
+// Elections, leases, submissions and configurations of the consensus core under faults.
+
 import (
-	"errors"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -51,70 +52,6 @@
 	return count
 }
 
-func TestAVoterWithALostDiskComesBackAsANewMember(t *testing.T) {
-	c := qt.New(t)
-	w := openWorld(c, "cronometro", 11)
-	victim := w.machines[1]
-	old := victim.store.Member()
-	w.loseDisk(victim)
-	w.Run(500 * ms)
-	victim.boot()
-	c.Assert(victim.store.Member(), qt.Not(qt.Equals), old)
-	w.await(c, "the emptied member votes again under its new id", 20*sec, func() bool { return w.votes(victim) && len(w.newest().Voters) == 3 })
-	for _, voter := range w.newest().Voters {
-		c.Assert(voter.ID, qt.Not(qt.Equals), old)
-	}
-	finish(c, w)
-}
-
-// Seed 3 of qurum: a voter was back with an empty disk, and before its silence was over the
-// leader was cut off; so the core was gone, and with the fleet killed nobody served.
-func TestACoreWithARenewedMemberBearsTheLossOfItsLeader(t *testing.T) {
-	c := qt.New(t)
-	w := openWorld(c, "qurum", 3)
-	leader := w.leader()
-	for _, victim := range w.core() {
-		if living, _ := w.voters(); victim != leader && living == voterCountWanted {
-			w.loseDisk(victim)
-			victim.restart(500 * ms)
-		}
-	}
-	w.Run(3 * sec)
-	leader.halt()
-	w.acknowledge(c, "a yes without the leader", 6*sec)
-	leader.boot()
-	w.Run(2 * sec)
-	finish(c, w)
-}
-
-func TestAnEmptyMachineElsewhereTakesALostVotersPlaceUnattended(t *testing.T) {
-	c := qt.New(t)
-	w := openWorld(c, "cronometro", 12)
-	lost := w.machines[2]
-	w.replace(lost)
-	fresh := w.machines[len(w.machines)-1]
-	w.await(c, "the empty machine votes", 25*sec, func() bool { return fresh.isUp && w.votes(fresh) && len(w.newest().Voters) == 3 })
-	finish(c, w)
-}
-
-func TestAllVotersAreSwappedOneAfterAnother(t *testing.T) {
-	c := qt.New(t)
-	w := openWorld(c, "cronometro", 13)
-	founding := w.newest().Founding
-	first := append([]*machine(nil), w.machines[:3]...)
-	for _, old := range first {
-		w.replace(old)
-		fresh := w.machines[len(w.machines)-1]
-		w.await(c, "the next swap", 25*sec, func() bool { return fresh.isUp && w.votes(fresh) && len(w.newest().Voters) == 3 })
-	}
-	// No seed is left: a router that starts now has only its neighbours' word.
-	late := w.machines[7]
-	bounce(late, 200*ms)
-	w.await(c, "service with none of the seeds alive", 12*sec, func() bool { return w.ready() == len(w.machines)-3 })
-	c.Assert(w.newest().Founding, qt.Equals, founding)
-	finish(c, w)
-}
-
 func TestALeaderWithAStalledDiskYields(t *testing.T) {
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 14)
@@ -219,65 +156,6 @@
 	finish(c, w)
 }
 
-func TestFoundingWaitsForEveryFounder(t *testing.T) {
-	c := qt.New(t)
-	w := WorldOf(20, "qurum")
-	missing := w.machines[1]
-	missing.halt()
-	w.Run(15 * sec)
-	c.Assert(w.newest(), qt.IsNil)
-	missing.boot()
-	w.await(c, "the founding", 8*sec, func() bool { return w.newest() != nil })
-	c.Assert(w.newest().Voters, qt.HasLen, 3)
-	w.operator.putConfig(nil)
-	w.await(c, "every router serves", 12*sec, func() bool { return w.ready() == len(w.machines) })
-}
-
-// A founder whose disk is lost later must not found a second fleet beside the first.
-func TestNobodyFoundsTwice(t *testing.T) {
-	c := qt.New(t)
-	w := openWorld(c, "qurum", 21)
-	founding := w.newest().Founding
-	for _, m := range w.core() {
-		m.halt()
-	}
-	// Two of three founders are lost for good: the fleet may stand still, but not begin anew.
-	w.machines[0].disk.files = map[string][]byte{}
-	w.machines[1].disk.files = map[string][]byte{}
-	for _, m := range w.core() {
-		m.boot()
-	}
-	w.Run(20 * sec)
-	for _, m := range w.machines {
-		if state := m.node.State(nil); state.Founding != "" {
-			c.Assert(state.Founding, qt.Equals, founding)
-		}
-	}
-	c.Assert(w.wrongs, qt.HasLen, 0)
-}
-
-func TestAMemberOfAnotherFleetIsRejected(t *testing.T) {
-	c := qt.New(t)
-	w := openWorld(c, "cronometro", 22)
-	target := w.leader()
-	before := len(w.newest().Voters)
-	for _, stray := range []control.Envelope{
-		{Fleet: "another", From: "10.9.9.9:1", To: target.identity.Address, Message: control.Message{VoteAsk: &control.VoteAsk{
-			Term: 1000, Candidate: control.Member{ID: "x", Address: "10.9.9.9:1"}, Voter: target.store.Member(), IsNamed: true, Newest: control.Stamp{Term: 999, Revision: 999}}}},
-		{Fleet: "sim", Founding: "someone else's", From: "10.9.9.9:1", To: target.identity.Address, Message: control.Message{Join: &control.Join{
-			Member: control.Member{ID: "y", Address: "10.9.9.9:1", Zone: "z9"}, HasFolder: true}}},
-	} {
-		target.carry(target.node.Deliver(target.clock(), stray))
-	}
-	entries := target.journal.Read("control", "node 10.9.9.9:1", 0)
-	c.Assert(entries, qt.HasLen, 1) // the second comes within the span in which one note is enough
-	c.Assert(entries[0].Decision, qt.Equals, "decline message")
-	c.Assert(target.node.State(nil).IsLeader, qt.IsTrue)
-	w.Run(2 * sec)
-	c.Assert(w.newest().Voters, qt.HasLen, before)
-	finish(c, w)
-}
-
 func TestSplitsOfTheCore(t *testing.T) {
 	for name, cut := range map[string]func(w *World){
 		"two and two": func(w *World) { w.cut(w.core()[:2], w.core()[2:], false, 8*sec) },
@@ -599,113 +477,3 @@
 	}
 	c.Assert(read, qt.Equals, 6) // the first, four here, and the one that finish puts
 }
-
-// rebuild has an operator found the core anew from a machine's folder, the process being down.
-func (w *World) rebuild(c *qt.C, m *machine, witnesses ...control.Witness) error {
-	survivor, err := control.LookAt(m.disk)
-	c.Assert(err, qt.IsNil)
-	if err := survivor.Judge(witnesses); err != nil {
-		return err
-	}
-	self := control.Member{ID: control.MemberID("rebuilt-" + m.name), Address: m.identity.Address, Zone: m.identity.Zone}
-	document := survivor.Rebuild(self, "founding of "+m.name)
-	c.Assert(control.WriteRebuilt(m.disk, survivor.Fleet, document), qt.IsNil)
-	return nil
-}
-
-// Two of three folders are lost for good. The operator rebuilds from the third and
-// restarts the rest; what it holds is served again, and orders go through.
-func TestACoreIsRebuiltFromOneSurvivor(t *testing.T) {
-	c := qt.New(t)
-	w := openWorld(c, "cronometro", 49)
-	w.acknowledge(c, "a yes", 8*sec)
-	w.operator.empty("z3", 300*sec)
-	w.Run(2 * sec)
-	before, old := w.newest(), map[string]bool{}
-	for _, voter := range before.Voters {
-		old[string(voter.ID)] = true
-	}
-	survivor, lost := w.machines[2], w.machines[:2]
-	kept := map[string][]byte{}
-	for name, content := range w.machines[1].disk.files {
-		kept[name] = content
-	}
-	for _, m := range w.core() {
-		m.halt()
-	}
-	for _, m := range lost {
-		m.disk.files = map[string][]byte{}
-	}
-	// While a majority of the folders is there it is rejected, and so it is when another
-	// was rebuilt already, or a better one is there.
-	founding := before.Founding
-	alive := control.Witness{Address: "x", Member: before.Voters[0].ID, Founding: founding, Revision: before.Revision}
-	for _, witness := range []control.Witness{alive, {Address: "y", Founding: "another"}, {Address: "z", Member: "standby", Founding: founding, Revision: before.Revision + 3}} {
-		c.Assert(errors.As(w.rebuild(c, survivor, witness), new(control.StillAlive)), qt.IsTrue)
-	}
-	c.Assert(w.rebuild(c, survivor, control.Witness{Address: "z", Member: "standby", Founding: founding, Revision: 1}), qt.IsNil)
-	w.truths = map[uint64]string{} // another founding counts anew, far above
-	survivor.boot()
-	// The routers of the old fleet still go on among themselves, so nothing may get a yes.
-	yes := w.operator.Yes
-	w.operator.at = survivor
-	w.operator.putConfig(nil)
-	w.Run(5 * sec)
-	c.Assert(w.operator.Yes, qt.Equals, yes)
-	c.Assert(w.ready() >= 9, qt.IsTrue)
-	for _, m := range w.others(w.core()) {
-		bounce(m, 500*ms)
-	}
-	w.operator.at = nil
-	w.await(c, "service and a yes under the new founding", 12*sec, func() bool { return w.operator.Yes > yes && w.ready() >= 10 })
-	after := w.newest()
-	c.Assert(after.Founding, qt.Not(qt.Equals), founding)
-	c.Assert(after.Revision > before.Revision+1000, qt.IsTrue)
-	c.Assert(after.Drained, qt.DeepEquals, before.Drained)
-	// Empty machines join and vote. An old voter that comes back with its folder speaks
-	// to nobody and serves nobody; it has to be emptied like the rest.
-	back := w.machines[1]
-	back.disk.files = kept
-	back.boot()
-	w.machines[0].boot()
-	w.await(c, "an empty machine votes", 20*sec, func() bool { return w.votes(w.machines[0]) })
-	c.Assert(back.node.State(nil).Founding, qt.Equals, founding)
-	c.Assert(back.node.State(nil).IsLeader || back.serves(), qt.IsFalse)
-	for _, voter := range w.newest().Voters {
-		c.Assert(old[string(voter.ID)], qt.IsFalse)
-	}
-	w.loseDisk(back)
-	back.halt()
-	back.disk.files = map[string][]byte{}
-	back.boot()
-	w.await(c, "three voters", 20*sec, func() bool { return len(w.newest().Voters) == 3 && w.votes(back) })
-	finish(c, w)
-}
-
-// A power cut at any step of the rebuild leaves a folder from which it can be done again.
-func TestARebuildCutShortCanBeDoneAgain(t *testing.T) {
-	c := qt.New(t)
-	w := openWorld(c, "cronometro", 50)
-	m := w.machines[2]
-	before := w.newest()
-	for _, each := range w.core() {
-		each.halt()
-	}
-	kept := m.disk.files
-	for steps := range 3 {
-		m.disk.files = map[string][]byte{}
-		for name, content := range kept {
-			m.disk.files[name] = content
-		}
-		survivor, err := control.LookAt(m.disk)
-		c.Assert(err, qt.IsNil)
-		document := survivor.Rebuild(control.Member{ID: "fresh", Address: m.identity.Address, Zone: m.identity.Zone}, "new")
-		m.disk.cutAfter(steps)
-		c.Assert(control.WriteRebuilt(m.disk, survivor.Fleet, document), qt.IsNotNil)
-		m.disk.cutAfter(-1)
-		again, err := control.LookAt(m.disk)
-		c.Assert(err, qt.IsNil)
-		c.Assert(again.Document.Revision, qt.Equals, before.Revision)
-		c.Assert(w.rebuild(c, m), qt.IsNil)
-	}
-}
--- /dev/null
+++ b/simulator/day.go
@@ -0,0 +1,186 @@
+package simulator
+
+// A whole simulated day: faults under a seed, the repair at its end, and the judgement.
+
+import (
+	"fmt"
+
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+)
+
+// Plan says what one simulated run is to be like.
+type Plan struct {
+	Seed       uint64
+	Deployment string // qurum or cronometro
+	Span       kernel.Micros
+	Rate       float64
+	Trace      func(at kernel.Micros, line string)
+}
+
+// Outcome is what a run ended with.
+type Outcome struct {
+	Plan    Plan
+	Review  checker.Review
+	Inside  []string // violations that only a look inside shows
+	Orders  [3]int   // yes, no, unsure
+	Crossed map[string]int
+	Within  int
+	Final   string // the fault that ended the day
+	// Tally counts what protections did, Struck which faults struck.
+	Tally, Struck    map[string]int
+	Callers, Content int // callers, and those that were served in the end
+	Repaired         bool
+	// Events is everything that was seen; equal seeds give equal events.
+	Events []checker.Event
+}
+
+// IsClean tells that nothing was broken.
+func (o Outcome) IsClean() bool {
+	return len(o.Review.Violations) == 0 && len(o.Inside) == 0 && o.Repaired
+}
+
+// Lines tells of every violation.
+func (o Outcome) Lines() []string {
+	lines := []string{}
+	for _, violation := range o.Review.Violations {
+		lines = append(lines, fmt.Sprintf("%.3f s: %s: %s", float64(violation.At-beginning)/1e6, violation.Rule, violation.Detail))
+	}
+	lines = append(lines, o.Inside...)
+	if !o.Repaired {
+		lines = append(lines, "after the repair no order was acknowledged")
+	}
+	return lines
+}
+
+// WorldOf lays out a deployment by its name.
+func WorldOf(seed uint64, deployment string) *World {
+	if deployment == "cronometro" {
+		return NewWorld(seed, 3, 12, 3, 18)
+	}
+	return NewWorld(seed, 4, 11, 4, 18)
+}
+
+// Open lets a fleet found itself and takes its first configuration.
+func (w *World) Open() bool {
+	w.operator.putConfig(nil)
+	for range 200 {
+		w.Run(100 * ms)
+		if w.operator.Yes > 0 && w.ready() == len(w.machines) {
+			return true
+		}
+	}
+	return false
+}
+
+// ready counts the routers that would serve now.
+func (w *World) ready() int {
+	count := 0
+	for _, m := range w.machines {
+		if m.isUp && m.serves() {
+			count++
+		}
+	}
+	return count
+}
+
+// Play runs a whole day of faults under a seed.
+func Play(plan Plan) Outcome {
+	w := WorldOf(plan.Seed, plan.Deployment)
+	w.Trace = plan.Trace
+	outcome := Outcome{Plan: plan}
+	if !w.Open() {
+		w.wrong("the fleet did not found itself in 20 s")
+	}
+	w.isBiased = true
+	w.Traffic(plan.Rate, kernel.Micros(1<<60), 0.1)
+	for end := w.now + plan.Span; w.now < end; {
+		w.Run(w.between(300*ms, 4*sec))
+		w.strike(draw(w, faults))
+	}
+	last := draw(w, finals)
+	outcome.Final = last.name
+	w.strike(last)
+	w.Run(6 * sec)
+	w.settle(&outcome)
+	return outcome
+}
+
+// settle repairs everything, sees whether orders go through again and judges the run.
+func (w *World) settle(outcome *Outcome) {
+	w.repair()
+	w.Run(checker.BriefBounds().Broken + 500*ms)
+	w.probeAll()
+	yes := w.operator.Yes
+	w.operator.putConfig(nil)
+	w.Run(13 * sec)
+	outcome.Repaired = w.operator.Yes > yes
+	w.operator.readBack()
+	w.totals()
+	outcome.Tally, outcome.Struck = w.Tally, w.Struck
+	outcome.Callers, outcome.Content = w.callers.begun, w.callers.served
+	outcome.Review = checker.Judge(w.events, checker.BriefBounds())
+	outcome.Inside, outcome.Events = w.wrongs, w.events
+	outcome.Orders = [3]int{w.operator.Yes, w.operator.No, w.operator.Unsure}
+	outcome.Crossed, outcome.Within = w.Crossed, w.Within
+}
+
+// repair brings everything back that can come back.
+func (w *World) repair() {
+	w.trace("REPAIR")
+	w.isCalm, w.afterYes = true, nil
+	w.lossShare, w.dupShare, w.slow, w.listLag = 0, 0, 0, 2*sec
+	w.blocked = map[[2]string]int{}
+	for _, m := range w.machines {
+		m.powerTrap = 0
+		if m.disk != nil {
+			m.disk.isFull, m.disk.isStall, m.disk.slowness = false, false, 0
+		}
+		if m.isLeaving && m.isUp {
+			m.halt() // a stop under way would only be one more machine that is away
+		}
+		if !m.isUp && !m.isGone {
+			m.boot()
+		}
+		if m.isFrozen {
+			m.isFrozen = false
+			held := m.held
+			m.held = nil
+			for _, event := range held {
+				event()
+			}
+		}
+	}
+	for _, e := range w.engines {
+		e.lighten()
+		e.isDeclining = false
+		e.boot()
+	}
+	w.take(w.repaired())
+}
+
+// repaired says that every machine is back, and what has to work from then on.
+func (w *World) repaired() checker.Event {
+	repaired := checker.Event{What: checker.Repaired}
+	for _, m := range w.machines {
+		if !m.isGone {
+			repaired.Roster = append(repaired.Roster, m.name)
+		}
+	}
+	for _, kind := range w.options.Kinds {
+		repaired.Kinds = append(repaired.Kinds, kind.name)
+	}
+	return repaired
+}
+
+func (w *World) totals() {
+	counts := w.retired
+	for _, m := range w.machines {
+		if m.isUp {
+			now := m.dispatcher.Counts()
+			counts.FirstRounds += now.FirstRounds
+			counts.Retries += now.Retries
+		}
+	}
+	w.take(checker.Event{What: checker.Totals, First: counts.FirstRounds, Retries: counts.Retries})
+}
--- /dev/null
+++ b/simulator/engine.go
@@ -0,0 +1,140 @@
+package simulator
+
+// A simulated engine: slots, a prefix cache, its speed and its reports.
+
+import (
+	"maps"
+	"slices"
+
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+// engine is a simulated engine process.
+type engine struct {
+	world           *World
+	id, zone, pool  string
+	start           uint64
+	bornAt          kernel.Micros
+	isUp, isDark    bool
+	isLeaving       bool // it says so in its reports
+	isLeavingListed bool
+	isUnlisted      bool
+	isMute          bool             // sends no reports
+	isDeclining     bool             // says of every request that it has not run it
+	runs            map[string]*call // waiting and running
+	queue           []*call
+	running         int
+	cache           map[uint32]uint64 // prefix to its last use
+	cacheUse        uint64
+	tokens          int64
+	seq             uint64
+}
+
+// report sends the load as it was a while ago to some node, again and again.
+func (e *engine) report() {
+	w := e.world
+	w.in(500*ms+w.between(0, 20*ms), e.report)
+	if !e.isUp || e.isDark || e.isMute {
+		return
+	}
+	e.seq++
+	reportLag := w.options.ReportLag
+	record := control.EngineRecord{
+		ID: e.id, Address: "10.1.0.1:" + e.id[1:], Zone: e.zone, Pool: e.pool, Start: e.start, Seq: e.seq,
+		Load: e.tokens, Streams: int64(len(e.runs)), Age: reportLag, Up: w.now - e.bornAt + reportLag, IsLeaving: e.isLeaving,
+	}
+	target := w.machines[w.random.IntN(len(w.machines))]
+	w.in(reportLag, func() {
+		target.do(func() {
+			if record.IsLeaving {
+				w.take(checker.Event{What: checker.EngineLeaving, Engine: e.id, Start: record.Start})
+			}
+			target.carry(target.node.Hear(target.clock(), []control.EngineRecord{record}))
+		})
+	})
+}
+
+func (e *engine) halt() {
+	if !e.isUp {
+		return
+	}
+	e.world.trace("engine %s down", e.id)
+	e.world.take(checker.Event{What: checker.EngineFailed, Engine: e.id})
+	e.isUp = false
+	e.tokens = 0
+	for _, tag := range slices.Sorted(maps.Keys(e.runs)) {
+		e.runs[tag].engineDied("the channel was reset")
+	}
+	e.runs, e.queue, e.running, e.cache = map[string]*call{}, nil, 0, map[uint32]uint64{}
+}
+
+func (e *engine) boot() {
+	if e.isUp {
+		return
+	}
+	e.start++
+	e.isUp, e.isDark, e.isLeaving, e.isLeavingListed, e.isUnlisted = true, false, false, false, false
+	e.bornAt, e.seq = e.world.now, 0
+	e.world.take(checker.Event{What: checker.EngineMended, Engine: e.id})
+	e.world.trace("engine %s up, start %d", e.id, e.start)
+	e.world.relist()
+}
+
+// pull starts waiting requests while there are slots.
+func (e *engine) pull() {
+	w := e.world
+	for e.running < w.options.Slots && len(e.queue) > 0 {
+		c := e.queue[0]
+		e.queue = e.queue[1:]
+		if e.runs[c.tag] != c {
+			continue
+		}
+		e.running++
+		c.isRun = true
+		fresh := c.call.Request.PromptTokens
+		if e.look(c.prefix) {
+			fresh -= w.options.PrefixLen
+			w.figures.hits += w.options.PrefixLen
+		} else {
+			w.figures.misses += w.options.PrefixLen
+		}
+		w.in(kernel.Micros(fresh)*w.options.Prefill*e.slowness(), func() { c.produce(e, e.start) })
+	}
+}
+
+func (e *engine) slowness() kernel.Micros {
+	if e.start > 1 && e.world.now-e.bornAt < coldSpan {
+		return kernel.Micros(e.world.options.ColdSlow)
+	}
+	return 1
+}
+
+// look tells whether a prefix is cached, and caches it; the one used longest ago goes.
+func (e *engine) look(prefix uint32) bool {
+	e.cacheUse++
+	_, isThere := e.cache[prefix]
+	e.cache[prefix] = e.cacheUse
+	if len(e.cache) > e.world.options.Cache {
+		oldest, oldestUse := prefix, e.cacheUse
+		for known, use := range e.cache {
+			if use < oldestUse {
+				oldest, oldestUse = known, use
+			}
+		}
+		delete(e.cache, oldest)
+	}
+	return isThere
+}
+
+func (e *engine) release(c *call) {
+	if e.runs[c.tag] == c {
+		delete(e.runs, c.tag)
+		e.tokens -= c.placed - int64(c.tokens)
+		if c.isRun {
+			e.running--
+		}
+		e.pull()
+	}
+}
--- /dev/null
+++ b/simulator/fault_actions.go
@@ -0,0 +1,147 @@
+package simulator
+
+// What faults and planned changes do to one machine or one engine.
+
+import (
+	"fmt"
+
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+func bounce(m *machine, after kernel.Micros) {
+	m.halt()
+	m.restart(after)
+}
+
+// loseDisk takes a disk together with its machine, when the rest of the core can
+// bear it: the brief promises no more than one lost disk at a time.
+func (w *World) loseDisk(m *machine) {
+	if !w.canLoseDisk() || !m.isUp {
+		return
+	}
+	w.trace("%s loses its disk", m.name)
+	m.halt()
+	m.disk.files = map[string][]byte{}
+}
+
+// replace puts an empty machine at a new address in the place of one.
+func (w *World) replace(m *machine) {
+	m.halt()
+	m.isGone = true
+	fresh := w.addMachine(m.identity.Zone, true)
+	// Who sets a machine up later names processes that are there by then.
+	fresh.seeds = nil
+	for _, other := range w.machines {
+		if other.isUp && len(fresh.seeds) < 3 {
+			fresh.seeds = append(fresh.seeds, other.identity.Address)
+		}
+	}
+	w.trace("%s is replaced by %s", m.name, fresh.name)
+	w.in(w.between(500*ms, 3*sec), func() {
+		if !fresh.isUp {
+			fresh.boot()
+		}
+	})
+}
+
+// leave stops a node politely: it hands its duties on, and answers what it has.
+func (w *World) leave(m *machine) {
+	if !m.isUp || m.isFrozen {
+		return
+	}
+	w.trace("%s is asked to stop", m.name)
+	epoch := m.epoch
+	m.isLeaving = true
+	m.carry(m.node.Leave(m.clock()))
+	w.take(checker.Event{What: checker.NodeStopping, Node: m.name})
+	m.later(sec, m.dispatcher.Shut)
+	var look func(tries int)
+	look = func(tries int) {
+		if m.epoch != epoch {
+			return
+		}
+		if len(m.calls) > 0 && tries < 600 {
+			w.in(50*ms, func() { look(tries + 1) })
+			return
+		}
+		w.take(checker.Event{What: checker.NodeStopped, Node: m.name})
+		bounce(m, w.between(500*ms, 3*sec))
+	}
+	w.in(1500*ms, func() { look(0) })
+}
+
+// goDark has an engine take requests and say nothing for a while.
+func (e *engine) goDark(span kernel.Micros) {
+	w := e.world
+	e.isDark = true
+	w.take(checker.Event{What: checker.EngineFailed, Engine: e.id})
+	w.in(span, e.lighten)
+}
+
+func (e *engine) lighten() {
+	if e.isDark {
+		e.isDark = false
+		e.world.take(checker.Event{What: checker.EngineMended, Engine: e.id})
+	}
+}
+
+func (w *World) retireEngine(e *engine) {
+	if !e.isUp || e.isLeaving {
+		return
+	}
+	start := e.start
+	w.trace("engine %s is leaving", e.id)
+	e.isLeaving, e.isLeavingListed = true, true
+	w.relist()
+	e.retire(start, 6*sec)
+}
+
+// retire ends a leaving engine once its streams are done, or its platform's patience is.
+func (e *engine) retire(start uint64, after kernel.Micros) {
+	w := e.world
+	begun := w.now
+	var look func()
+	look = func() {
+		if e.start != start || !e.isUp {
+			return
+		}
+		if len(e.runs) > 0 && (w.isCalm || w.now-begun < 12*sec) {
+			w.in(200*ms, look)
+			return
+		}
+		e.halt()
+		w.in(w.between(500*ms, 3*sec), e.boot)
+	}
+	w.in(after, look)
+}
+
+// mark tells one node, once and by no other way, that an engine is leaving. Where
+// that node is cut off or dies at once, nobody else can have learned of it.
+func (w *World) mark(m *machine, e *engine) {
+	if !m.isUp || m.isFrozen || !e.isUp || e.isLeaving || w.isCutOff(m) {
+		return
+	}
+	start, at := e.start, w.now
+	for _, known := range m.node.State(nil).Engines {
+		if known.ID != e.id || known.Start != start {
+			continue
+		}
+		w.trace("engine %s is marked leaving at %s", e.id, m.name)
+		now := m.clock()
+		known.IsLeaving, known.Age, known.Up, known.Back = true, now-known.AsOf, now-known.StartedAt, now-known.BackAt
+		m.carry(m.node.Hear(now, []control.EngineRecord{known}))
+		// It counts as learned once the operator has the reply; until then the one
+		// node that was told may have died with it.
+		mark := control.Submit{ID: fmt.Sprintf("leaving-%s-%d", e.id, start), Order: control.MarkEngine, Engine: e.id, Start: start}
+		m.replies[mark.ID] = func(reply control.SubmitReply) {
+			if reply.Outcome == control.Yes {
+				w.trace("the mark of engine %s is kept", e.id)
+				w.events = append(w.events, checker.Event{At: at, What: checker.EngineLeaving, Engine: e.id, Start: start, IsKept: true})
+			}
+		}
+		m.carry(m.node.Submit(now, &mark))
+		e.retire(start, 8*sec)
+	}
+}
--- /dev/null
+++ b/simulator/fault_targets.go
@@ -0,0 +1,110 @@
+package simulator
+
+// Which machines and engines a fault may be applied to.
+
+import "dunlinloom/control"
+
+func (w *World) any() *machine { return w.machines[w.random.IntN(len(w.machines))] }
+
+func (w *World) core() []*machine {
+	found := []*machine{}
+	for _, m := range w.machines {
+		if m.isCore && !m.isGone {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+func (w *World) anyCore() *machine {
+	core := w.core()
+	return core[w.random.IntN(len(core))]
+}
+
+func (w *World) leader() *machine {
+	for _, m := range w.core() {
+		if m.isUp && m.node.State(nil).IsLeader {
+			return m
+		}
+	}
+	return w.anyCore()
+}
+
+func (w *World) anyEngine() *engine { return w.engines[w.random.IntN(len(w.engines))] }
+
+func (w *World) others(than []*machine) []*machine {
+	found := []*machine{}
+	for _, m := range w.machines {
+		isIn := false
+		for _, one := range than {
+			isIn = isIn || one == m
+		}
+		if !isIn {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+func (w *World) inZone(zone string) []*machine {
+	found := []*machine{}
+	for _, m := range w.machines {
+		if m.identity.Zone == zone {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+func (w *World) anyZone() string { return w.zones[w.random.IntN(len(w.zones))] }
+
+// newest is the newest document that any live node has applied.
+func (w *World) newest() *control.Document {
+	var newest *control.Document
+	for _, m := range w.machines {
+		if !m.isUp || m.isFrozen {
+			continue
+		}
+		if document := m.node.State(nil).Document; document != nil && (newest == nil || newest.Revision < document.Revision) {
+			newest = document
+		}
+	}
+	return newest
+}
+
+// canLoseDisk tells that the core can bear the loss of one more disk: the brief promises
+// no more than one at a time, and in the middle of a change there are four voters.
+func (w *World) canLoseDisk() bool {
+	living, all := w.voters()
+	return living >= voterCountWanted && living-1 > all/2
+}
+
+// voters counts the voters that are up and have their folder, by the newest document.
+func (w *World) voters() (living, all int) {
+	var newest *control.Document
+	for _, m := range w.machines {
+		if m.isUp && m.node != nil {
+			if document := m.node.State(nil).Document; document != nil && (newest == nil || document.Revision > newest.Revision) {
+				newest = document
+			}
+		}
+	}
+	if newest != nil {
+		all = len(newest.Voters)
+		for _, voter := range newest.Voters {
+			if m := w.byPeer[voter.Address]; m != nil && m.isUp && m.store != nil && m.store.Member() == voter.ID {
+				living++
+			}
+		}
+	}
+	return living, all
+}
+
+func (w *World) isCutOff(m *machine) bool {
+	for way, count := range w.blocked {
+		if count > 0 && way[0] == m.identity.Address {
+			return true
+		}
+	}
+	return w.lossShare > 0
+}
--- /dev/null
+++ b/simulator/listing.go
@@ -0,0 +1,47 @@
+package simulator
+
+// The platform's list of engines, as it is shown with a delay.
+
+import (
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+type pastListing struct {
+	at      kernel.Micros
+	listing control.Listing
+}
+
+func (w *World) relist() {
+	w.revision++
+	listing := control.Listing{Revision: w.revision}
+	for _, e := range w.engines {
+		if !e.isUnlisted {
+			state := "serving"
+			if e.isLeavingListed {
+				state = "leaving"
+			}
+			listing.Engines = append(listing.Engines, control.ListingEngine{ID: e.id, Address: "10.1.0.1:" + e.id[1:], Zone: e.zone, Pool: e.pool, Start: e.start, State: state})
+		}
+	}
+	w.listing = append(w.listing, pastListing{w.now, listing})
+}
+
+func (w *World) listed() control.Listing {
+	shown := w.listing[0].listing
+	for _, past := range w.listing {
+		if w.now-past.at >= w.listLag {
+			shown = past.listing
+		}
+	}
+	copied := shown
+	copied.Engines = append([]control.ListingEngine(nil), shown.Engines...)
+	for i := range copied.Engines {
+		for _, e := range w.engines {
+			if e.id == copied.Engines[i].ID && e.start == copied.Engines[i].Start {
+				copied.Engines[i].Up = w.now - e.bornAt
+			}
+		}
+	}
+	return copied
+}
--- /dev/null
+++ b/simulator/membership_test.go
@@ -0,0 +1,134 @@
+package simulator
+
+// Founding, and changes of the voters after lost disks and machines.
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/control"
+)
+
+func TestAVoterWithALostDiskComesBackAsANewMember(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 11)
+	victim := w.machines[1]
+	old := victim.store.Member()
+	w.loseDisk(victim)
+	w.Run(500 * ms)
+	victim.boot()
+	c.Assert(victim.store.Member(), qt.Not(qt.Equals), old)
+	w.await(c, "the emptied member votes again under its new id", 20*sec, func() bool { return w.votes(victim) && len(w.newest().Voters) == 3 })
+	for _, voter := range w.newest().Voters {
+		c.Assert(voter.ID, qt.Not(qt.Equals), old)
+	}
+	finish(c, w)
+}
+
+// Seed 3 of qurum: a voter was back with an empty disk, and before its silence was over the
+// leader was cut off; so the core was gone, and with the fleet killed nobody served.
+func TestACoreWithARenewedMemberBearsTheLossOfItsLeader(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 3)
+	leader := w.leader()
+	for _, victim := range w.core() {
+		if living, _ := w.voters(); victim != leader && living == voterCountWanted {
+			w.loseDisk(victim)
+			victim.restart(500 * ms)
+		}
+	}
+	w.Run(3 * sec)
+	leader.halt()
+	w.acknowledge(c, "a yes without the leader", 6*sec)
+	leader.boot()
+	w.Run(2 * sec)
+	finish(c, w)
+}
+
+func TestAnEmptyMachineElsewhereTakesALostVotersPlaceUnattended(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 12)
+	lost := w.machines[2]
+	w.replace(lost)
+	fresh := w.machines[len(w.machines)-1]
+	w.await(c, "the empty machine votes", 25*sec, func() bool { return fresh.isUp && w.votes(fresh) && len(w.newest().Voters) == 3 })
+	finish(c, w)
+}
+
+func TestAllVotersAreSwappedOneAfterAnother(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 13)
+	founding := w.newest().Founding
+	first := append([]*machine(nil), w.machines[:3]...)
+	for _, old := range first {
+		w.replace(old)
+		fresh := w.machines[len(w.machines)-1]
+		w.await(c, "the next swap", 25*sec, func() bool { return fresh.isUp && w.votes(fresh) && len(w.newest().Voters) == 3 })
+	}
+	// No seed is left: a router that starts now has only its neighbours' word.
+	late := w.machines[7]
+	bounce(late, 200*ms)
+	w.await(c, "service with none of the seeds alive", 12*sec, func() bool { return w.ready() == len(w.machines)-3 })
+	c.Assert(w.newest().Founding, qt.Equals, founding)
+	finish(c, w)
+}
+
+func TestFoundingWaitsForEveryFounder(t *testing.T) {
+	c := qt.New(t)
+	w := WorldOf(20, "qurum")
+	missing := w.machines[1]
+	missing.halt()
+	w.Run(15 * sec)
+	c.Assert(w.newest(), qt.IsNil)
+	missing.boot()
+	w.await(c, "the founding", 8*sec, func() bool { return w.newest() != nil })
+	c.Assert(w.newest().Voters, qt.HasLen, 3)
+	w.operator.putConfig(nil)
+	w.await(c, "every router serves", 12*sec, func() bool { return w.ready() == len(w.machines) })
+}
+
+// A founder whose disk is lost later must not found a second fleet beside the first.
+func TestNobodyFoundsTwice(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "qurum", 21)
+	founding := w.newest().Founding
+	for _, m := range w.core() {
+		m.halt()
+	}
+	// Two of three founders are lost for good: the fleet may stand still, but not begin anew.
+	w.machines[0].disk.files = map[string][]byte{}
+	w.machines[1].disk.files = map[string][]byte{}
+	for _, m := range w.core() {
+		m.boot()
+	}
+	w.Run(20 * sec)
+	for _, m := range w.machines {
+		if state := m.node.State(nil); state.Founding != "" {
+			c.Assert(state.Founding, qt.Equals, founding)
+		}
+	}
+	c.Assert(w.wrongs, qt.HasLen, 0)
+}
+
+func TestAMemberOfAnotherFleetIsRejected(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 22)
+	target := w.leader()
+	before := len(w.newest().Voters)
+	for _, stray := range []control.Envelope{
+		{Fleet: "another", From: "10.9.9.9:1", To: target.identity.Address, Message: control.Message{VoteAsk: &control.VoteAsk{
+			Term: 1000, Candidate: control.Member{ID: "x", Address: "10.9.9.9:1"}, Voter: target.store.Member(), IsNamed: true, Newest: control.Stamp{Term: 999, Revision: 999}}}},
+		{Fleet: "sim", Founding: "someone else's", From: "10.9.9.9:1", To: target.identity.Address, Message: control.Message{Join: &control.Join{
+			Member: control.Member{ID: "y", Address: "10.9.9.9:1", Zone: "z9"}, HasFolder: true}}},
+	} {
+		target.carry(target.node.Deliver(target.clock(), stray))
+	}
+	entries := target.journal.Read("control", "node 10.9.9.9:1", 0)
+	c.Assert(entries, qt.HasLen, 1) // the second comes within the span in which one note is enough
+	c.Assert(entries[0].Decision, qt.Equals, "decline message")
+	c.Assert(target.node.State(nil).IsLeader, qt.IsTrue)
+	w.Run(2 * sec)
+	c.Assert(w.newest().Voters, qt.HasLen, before)
+	finish(c, w)
+}
--- /dev/null
+++ b/simulator/network.go
@@ -0,0 +1,82 @@
+package simulator
+
+// The simulated network between machines: latency, loss, doubled messages and cuts.
+
+import (
+	"encoding/json"
+
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+func (w *World) block(from, to string) { w.blocked[[2]string{from, to}]++ }
+
+func (w *World) unblock(from, to string) {
+	way := [2]string{from, to}
+	w.blocked[way] = max(w.blocked[way]-1, 0)
+}
+
+// cut blocks all ways between two groups, or only those from the first to the second.
+func (w *World) cut(one, other []*machine, isOneWay bool, span kernel.Micros) {
+	edit := func(change func(from, to string)) {
+		for _, a := range one {
+			for _, b := range other {
+				if a == b {
+					continue
+				}
+				change(a.identity.Address, b.identity.Address)
+				if !isOneWay {
+					change(b.identity.Address, a.identity.Address)
+				}
+			}
+		}
+	}
+	edit(w.block)
+	w.in(span, func() {
+		edit(w.unblock)
+		w.trace("a cut heals")
+	})
+}
+
+func (w *World) post(from *machine, envelope control.Envelope) {
+	to := w.byPeer[envelope.To]
+	// Over the wire and back, as between processes: nothing may be shared by pointer,
+	// and what has no name on the wire must not arrive.
+	content, err := json.Marshal(envelope)
+	if err != nil {
+		panic(kernel.ServiceError{Name: "wire", Why: err.Error()})
+	}
+	if to == nil {
+		return
+	}
+	if to.identity.Zone != from.identity.Zone {
+		w.Crossed[envelope.Message.Kind()] += len(content)
+	} else {
+		w.Within += len(content)
+	}
+	copies := 1
+	if w.random.Float64() < w.dupShare {
+		copies = 2
+	}
+	for range copies {
+		if w.blocked[[2]string{envelope.From, envelope.To}] > 0 || w.random.Float64() < w.lossShare {
+			continue
+		}
+		latency := w.between(200, 2*ms)
+		if to.identity.Zone != from.identity.Zone {
+			latency += w.between(500, 4*ms)
+		}
+		if w.slow > 0 {
+			latency += w.between(0, w.slow)
+		}
+		w.in(latency, func() {
+			to.do(func() {
+				var arrived control.Envelope
+				if err := json.Unmarshal(content, &arrived); err != nil {
+					panic(kernel.ServiceError{Name: "wire", Why: err.Error()})
+				}
+				to.deliver(arrived)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/simulator/rebuild_test.go
@@ -0,0 +1,122 @@
+package simulator
+
+// A core rebuilt by hand from what is left of it.
+
+import (
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/control"
+)
+
+// rebuild has an operator found the core anew from a machine's folder, the process being down.
+func (w *World) rebuild(c *qt.C, m *machine, witnesses ...control.Witness) error {
+	survivor, err := control.LookAt(m.disk)
+	c.Assert(err, qt.IsNil)
+	if err := survivor.Judge(witnesses); err != nil {
+		return err
+	}
+	self := control.Member{ID: control.MemberID("rebuilt-" + m.name), Address: m.identity.Address, Zone: m.identity.Zone}
+	document := survivor.Rebuild(self, "founding of "+m.name)
+	c.Assert(control.WriteRebuilt(m.disk, survivor.Fleet, document), qt.IsNil)
+	return nil
+}
+
+// Two of three folders are lost for good. The operator rebuilds from the third and
+// restarts the rest; what it holds is served again, and orders go through.
+func TestACoreIsRebuiltFromOneSurvivor(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 49)
+	w.acknowledge(c, "a yes", 8*sec)
+	w.operator.empty("z3", 300*sec)
+	w.Run(2 * sec)
+	before, old := w.newest(), map[string]bool{}
+	for _, voter := range before.Voters {
+		old[string(voter.ID)] = true
+	}
+	survivor, lost := w.machines[2], w.machines[:2]
+	kept := map[string][]byte{}
+	for name, content := range w.machines[1].disk.files {
+		kept[name] = content
+	}
+	for _, m := range w.core() {
+		m.halt()
+	}
+	for _, m := range lost {
+		m.disk.files = map[string][]byte{}
+	}
+	// While a majority of the folders is there it is rejected, and so it is when another
+	// was rebuilt already, or a better one is there.
+	founding := before.Founding
+	alive := control.Witness{Address: "x", Member: before.Voters[0].ID, Founding: founding, Revision: before.Revision}
+	for _, witness := range []control.Witness{alive, {Address: "y", Founding: "another"}, {Address: "z", Member: "standby", Founding: founding, Revision: before.Revision + 3}} {
+		c.Assert(errors.As(w.rebuild(c, survivor, witness), new(control.StillAlive)), qt.IsTrue)
+	}
+	c.Assert(w.rebuild(c, survivor, control.Witness{Address: "z", Member: "standby", Founding: founding, Revision: 1}), qt.IsNil)
+	w.truths = map[uint64]string{} // another founding counts anew, far above
+	survivor.boot()
+	// The routers of the old fleet still go on among themselves, so nothing may get a yes.
+	yes := w.operator.Yes
+	w.operator.at = survivor
+	w.operator.putConfig(nil)
+	w.Run(5 * sec)
+	c.Assert(w.operator.Yes, qt.Equals, yes)
+	c.Assert(w.ready() >= 9, qt.IsTrue)
+	for _, m := range w.others(w.core()) {
+		bounce(m, 500*ms)
+	}
+	w.operator.at = nil
+	w.await(c, "service and a yes under the new founding", 12*sec, func() bool { return w.operator.Yes > yes && w.ready() >= 10 })
+	after := w.newest()
+	c.Assert(after.Founding, qt.Not(qt.Equals), founding)
+	c.Assert(after.Revision > before.Revision+1000, qt.IsTrue)
+	c.Assert(after.Drained, qt.DeepEquals, before.Drained)
+	// Empty machines join and vote. An old voter that comes back with its folder speaks
+	// to nobody and serves nobody; it has to be emptied like the rest.
+	back := w.machines[1]
+	back.disk.files = kept
+	back.boot()
+	w.machines[0].boot()
+	w.await(c, "an empty machine votes", 20*sec, func() bool { return w.votes(w.machines[0]) })
+	c.Assert(back.node.State(nil).Founding, qt.Equals, founding)
+	c.Assert(back.node.State(nil).IsLeader || back.serves(), qt.IsFalse)
+	for _, voter := range w.newest().Voters {
+		c.Assert(old[string(voter.ID)], qt.IsFalse)
+	}
+	w.loseDisk(back)
+	back.halt()
+	back.disk.files = map[string][]byte{}
+	back.boot()
+	w.await(c, "three voters", 20*sec, func() bool { return len(w.newest().Voters) == 3 && w.votes(back) })
+	finish(c, w)
+}
+
+// A power cut at any step of the rebuild leaves a folder from which it can be done again.
+func TestARebuildCutShortCanBeDoneAgain(t *testing.T) {
+	c := qt.New(t)
+	w := openWorld(c, "cronometro", 50)
+	m := w.machines[2]
+	before := w.newest()
+	for _, each := range w.core() {
+		each.halt()
+	}
+	kept := m.disk.files
+	for steps := range 3 {
+		m.disk.files = map[string][]byte{}
+		for name, content := range kept {
+			m.disk.files[name] = content
+		}
+		survivor, err := control.LookAt(m.disk)
+		c.Assert(err, qt.IsNil)
+		document := survivor.Rebuild(control.Member{ID: "fresh", Address: m.identity.Address, Zone: m.identity.Zone}, "new")
+		m.disk.cutAfter(steps)
+		c.Assert(control.WriteRebuilt(m.disk, survivor.Fleet, document), qt.IsNotNil)
+		m.disk.cutAfter(-1)
+		again, err := control.LookAt(m.disk)
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Document.Revision, qt.Equals, before.Revision)
+		c.Assert(w.rebuild(c, m), qt.IsNil)
+	}
+}
