Kinds of message named by strings follow the rename

Cause: Message.Kind names the field that is set, and the renames of main turned Pulse into Heartbeat and the receipts into replies; a capacity test still looked for "Pulse" and failed on main, and the traffic table of the simulator would have shown three empty columns. The test asks the same of the new name. After: go test ./capacity passes.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -37,8 +37,8 @@
 	c.Assert(outcome.Roles[Leader].Nodes, qt.Equals, 1)
 	c.Assert(outcome.Roles[Voter].Nodes, qt.Equals, 2)
 	// The leader heartbeats its members and only it does.
-	c.Assert(outcome.Roles[Leader].Sent["Pulse"].Messages > 20, qt.IsTrue)
-	c.Assert(outcome.Roles[Router].Sent["Pulse"], qt.Equals, Rate{})
+	c.Assert(outcome.Roles[Leader].Sent["Heartbeat"].Messages > 20, qt.IsTrue)
+	c.Assert(outcome.Roles[Router].Sent["Heartbeat"], qt.Equals, Rate{})
 	// Every order was answered, and none took effect everywhere before it was given.
 	c.Assert(outcome.Unproved, qt.Equals, 0)
 	c.Assert(len(outcome.ToYes) >= 2, qt.IsTrue)
--- a/simulator/measure.go
+++ b/simulator/measure.go
@@ -99,7 +99,7 @@
 }
 
 // trafficKinds are the kinds of message that a table of traffic names, in KB a second.
-var trafficKinds = []string{"AskBatch", "GrantBatch", "Pulse", "PulseReceipt", "News", "Mend", "Heard", "Attest", "AttestReceipt", "Shuffle", "Grant", "Submit"}
+var trafficKinds = []string{"AskBatch", "GrantBatch", "Heartbeat", "HeartbeatReply", "News", "Mend", "Heard", "Attest", "AttestReply", "Shuffle", "Grant", "Submit"}
 
 func init() {
 	perSecond := func(count func(w *World) int) func(w *World, begun kernel.Micros) float64 {
