One event queue for the simulator and the measured fleets

Cause: simulator and capacity each had the same heap of timed functions (timer, timers and its five methods, twice to the letter). Ruled out: one clock type with now() for both; the two loops differ in what ends them (a wall deadline in capacity), and the shared part is the queue.

--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -3,7 +3,6 @@
 // A measured fleet on virtual time: its layout, its event loop and its deployment constants.
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -14,6 +13,7 @@
 	"dunlinloom/control"
 	"dunlinloom/fleetconfig"
 	"dunlinloom/kernel"
+	"dunlinloom/virtualtime"
 )
 
 // The parts of a node's processor time.
@@ -45,33 +45,11 @@
 	compileBytes = 5 // of a configuration in a microsecond, as measured by the table of papers
 )
 
-type timer struct {
-	at    kernel.Micros
-	order uint64
-	ring  func()
-}
-
-type timers []timer
-
-func (a timers) Len() int { return len(a) }
-func (a timers) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
-}
-func (a timers) Swap(i, j int)  { a[i], a[j] = a[j], a[i] }
-func (a *timers) Push(next any) { *a = append(*a, next.(timer)) }
-func (a *timers) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
 // Fleet is a hollow fleet on virtual time.
 type Fleet struct {
 	sizes     Sizes
 	now       kernel.Micros
-	timers    timers
-	order     uint64
+	queue     virtualtime.Queue
 	random    *rand.Rand
 	nodes     []*hollow
 	byAddress map[string]*hollow
@@ -135,20 +113,22 @@
 
 // in rings after a span of virtual time.
 func (f *Fleet) in(span kernel.Micros, ring func()) {
-	f.order++
-	heap.Push(&f.timers, timer{f.now + span, f.order, ring})
+	f.queue.Add(f.now+span, ring)
 }
 
 // run lets virtual time pass, as long as the wall allows.
 func (f *Fleet) run(span kernel.Micros) error {
 	end := f.now + span
-	for count := 0; len(f.timers) > 0 && f.timers[0].at <= end; count++ {
+	for count := 0; ; count++ {
+		event, isThere := f.queue.Next(end)
+		if !isThere {
+			break
+		}
 		if count%64 == 0 && wallNanos() > f.deadline {
 			return OutOfTime{f.step, f.sizes.Wall}
 		}
-		next := heap.Pop(&f.timers).(timer)
-		f.now = next.at
-		next.ring()
+		f.now = event.At
+		event.Run()
 		if f.failed != nil {
 			return f.failed
 		}
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -12,6 +12,7 @@
 	"dunlinloom/kernel"
 	"dunlinloom/relay"
 	"dunlinloom/server"
+	"dunlinloom/virtualtime"
 )
 
 // Rate is of messages of one kind, a second and node.
@@ -310,7 +311,7 @@
 // weigh takes nodes of each role away and looks how much heap goes with them. It ends the fleet.
 func (f *Fleet) weigh(outcome *Outcome) {
 	roles := f.roles()
-	f.timers = nil
+	f.queue = virtualtime.Queue{}
 	// Only roles that publish, so that what the data plane holds is in it.
 	for _, role := range slices.Sorted(maps.Keys(roles)) {
 		if !slices.Contains(f.sizes.Roles, role) {
--- a/simulator/world.go
+++ b/simulator/world.go
@@ -3,7 +3,6 @@
 // The simulated fleet: its state, its event queue and its laying out.
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"dunlinloom/fleetconfig"
 	"dunlinloom/kernel"
 	"dunlinloom/relay"
+	"dunlinloom/virtualtime"
 )
 
 const (
@@ -23,33 +23,11 @@
 	beginning = 1000 * sec
 )
 
-type timer struct {
-	at    kernel.Micros
-	order uint64
-	ring  func()
-}
-
-type timers []timer
-
-func (a timers) Len() int { return len(a) }
-func (a timers) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
-}
-func (a timers) Swap(i, j int)  { a[i], a[j] = a[j], a[i] }
-func (a *timers) Push(next any) { *a = append(*a, next.(timer)) }
-func (a *timers) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
 // World is one simulated fleet with its surroundings.
 type World struct {
 	Seed     uint64
 	now      kernel.Micros
-	timers   timers
-	order    uint64
+	queue    virtualtime.Queue
 	random   *rand.Rand
 	machines []*machine
 	byPeer   map[string]*machine
@@ -214,17 +192,19 @@
 
 // in rings after a span of true time.
 func (w *World) in(span kernel.Micros, ring func()) {
-	w.order++
-	heap.Push(&w.timers, timer{w.now + max(span, 0), w.order, ring})
+	w.queue.Add(w.now+max(span, 0), ring)
 }
 
 // Run lets virtual time pass.
 func (w *World) Run(span kernel.Micros) {
 	end := w.now + span
-	for len(w.timers) > 0 && w.timers[0].at <= end {
-		next := heap.Pop(&w.timers).(timer)
-		w.now = next.at
-		next.ring()
+	for {
+		event, isThere := w.queue.Next(end)
+		if !isThere {
+			break
+		}
+		w.now = event.At
+		event.Run()
 	}
 	w.now = end
 }
