--- a/localfleet/cluster.go
+++ b/localfleet/cluster.go
@@ -1,19 +1,16 @@
 package localfleet
 
+// The layout of a run and its opening; questions to the running fleet.
+
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
 	"path/filepath"
-	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -26,22 +23,6 @@
 	"dunlinloom/server"
 )
 
-// actor is one process of the fleet or of its surroundings.
-type actor struct {
-	name    string
-	program string
-	zone    string
-	words   []string
-	public  string
-	peer    string
-	data    string
-	lock    sync.Mutex
-	process *exec.Cmd
-	ended   chan struct{}
-	start   uint64 // engines
-	pool    string
-}
-
 // poolCount is how many pools engines are dealt to; each configuration leaves one out, so that
 // an engine that runs tells by which configuration.
 const poolCount = 6
@@ -153,139 +134,6 @@
 	s.problems = append(s.problems, fmt.Sprintf(what, args...))
 }
 
-// start launches an actor's process.
-func (s *Cluster) start(a *actor) error {
-	a.lock.Lock()
-	defer a.lock.Unlock()
-	if a.process != nil {
-		return nil
-	}
-	words := a.words
-	if strings.HasPrefix(a.name, "e") {
-		a.start = uint64(time.Now().UnixMicro())
-		words = append(slices.Clone(words), "--start", fmt.Sprint(a.start))
-	}
-	log, err := os.OpenFile(filepath.Join(s.folder, a.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return ClusterError{"open a log", err}
-	}
-	process := exec.Command(s.executable(a.program), append(subcommand(a.program), words...)...)
-	process.Stdout, process.Stderr = log, log
-	process.Env = append(os.Environ(), "DUNLINLOOM_FAULTS="+s.faultsFile(), "DUNLINLOOM_SELF="+a.peer)
-	// A local fleet run that dies must not leave a fleet behind.
-	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := process.Start(); err != nil {
-		log.Close()
-		return ClusterError{"start " + a.name, err}
-	}
-	ended := make(chan struct{})
-	a.process, a.ended = process, ended
-	go func() {
-		// How it ended is seen in its log; what matters here is that it did.
-		if err := process.Wait(); err != nil {
-			fmt.Fprintln(log, "ended:", err)
-		}
-		log.Close()
-		a.lock.Lock()
-		if a.process == process {
-			a.process = nil
-		}
-		a.lock.Unlock()
-		close(ended)
-	}()
-	s.lock.Lock()
-	s.starts[a.name]++
-	s.lock.Unlock()
-	return nil
-}
-
-func (a *actor) signal(signal syscall.Signal) {
-	a.lock.Lock()
-	defer a.lock.Unlock()
-	if a.process != nil {
-		// It may have ended by itself just now, which is as good.
-		if err := a.process.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
-			panic(ClusterError{"signal " + a.name, err})
-		}
-	}
-}
-
-func (s *Cluster) faultsFile() string { return filepath.Join(s.folder, "faults.json") }
-
-// The ways that a cut closes.
-const (
-	wayOut = 1 << iota
-	wayIn
-)
-
-// cut edits the list of cut ways between some nodes and others.
-func (s *Cluster) cut(chosen, others []*actor, ways, by int) error {
-	return s.fault(func() {
-		for _, one := range chosen {
-			for _, other := range others {
-				if slices.Contains(chosen, other) {
-					continue
-				}
-				if ways&wayOut != 0 {
-					s.cuts[one.peer+">"+other.peer] += by
-				}
-				if ways&wayIn != 0 {
-					s.cuts[other.peer+">"+one.peer] += by
-				}
-			}
-		}
-	})
-}
-
-// mishap changes what fails on purpose and tells all processes.
-func (s *Cluster) fault(edit func()) error {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	edit()
-	list := server.FaultInjection{Ways: map[string]server.LinkFault{"*": s.lossy}, Disks: s.disks}
-	for way, count := range s.cuts {
-		if count > 0 {
-			list.Ways[way] = server.LinkFault{IsCut: true}
-		}
-	}
-	content, err := json.Marshal(list)
-	if err != nil {
-		return ClusterError{"encode the faults", err}
-	}
-	// Renamed into place, so that no process reads half a list.
-	if err := os.WriteFile(s.faultsFile()+".new", content, 0o644); err != nil {
-		return ClusterError{"write the faults", err}
-	}
-	if err := os.Rename(s.faultsFile()+".new", s.faultsFile()); err != nil {
-		return ClusterError{"write the faults", err}
-	}
-	return nil
-}
-
-// cutPower kills a node and takes back every write that had not returned as synced.
-func (s *Cluster) cutPower(node *actor) error {
-	node.halt()
-	if node.data == "" {
-		return nil
-	}
-	undo, err := os.ReadDir(node.data + server.UndoSuffix)
-	if err != nil {
-		return ClusterError{"cut the power", err}
-	}
-	for _, entry := range undo {
-		kept := filepath.Join(node.data+server.UndoSuffix, entry.Name())
-		if name, wasAbsent := strings.CutSuffix(entry.Name(), server.UndoAbsent); wasAbsent {
-			err = errors.Join(os.RemoveAll(filepath.Join(node.data, name)), os.Remove(kept))
-		} else {
-			err = os.Rename(kept, filepath.Join(node.data, entry.Name()))
-		}
-		if err != nil {
-			return ClusterError{"cut the power", err}
-		}
-	}
-	return nil
-}
-
 // replace puts an empty machine at new addresses in the place of a node.
 func (s *Cluster) replace(node *actor) *actor {
 	node.halt()
@@ -331,59 +179,6 @@
 	return err == nil && len(view.Voters) == 3 && !slices.ContainsFunc(view.Voters, func(voter control.Member) bool { return voter.Address == peer })
 }
 
-// Kinds of process that the daemon's subcommands start.
-const (
-	programNode   = "node"
-	programRouter = "router"
-	daemon        = "dunlinloom"
-)
-
-// executable gives the path of the file that a program is in.
-func (s *Cluster) executable(program string) string {
-	if len(subcommand(program)) > 0 {
-		program = daemon
-	}
-	return filepath.Join(s.bin, program)
-}
-
-// subcommand gives the daemon's argument for a program; none for a program of its own.
-func subcommand(program string) []string {
-	if program == programNode || program == programRouter {
-		return []string{program}
-	}
-	return nil
-}
-
-// canCut asks a program whether it is built with faults.
-func (s *Cluster) canCut() error {
-	out, err := exec.Command(s.executable(programNode), programNode, "--version").Output()
-	if err != nil {
-		return ClusterError{"ask node for its version", err}
-	}
-	if !strings.Contains(string(out), "with faults") {
-		return ClusterError{"cut channels", ClusterUnfit{}}
-	}
-	return nil
-}
-
-// ClusterUnfit says that the programs can't do what a scenario asks for.
-type ClusterUnfit struct{}
-
-func (ClusterUnfit) Error() string {
-	return "the scenario has channels or disks fail; build the programs with -tags faults"
-}
-
-// halt kills an actor and waits for its end.
-func (a *actor) halt() {
-	a.lock.Lock()
-	ended := a.ended
-	a.lock.Unlock()
-	a.signal(syscall.SIGKILL)
-	if ended != nil {
-		<-ended
-	}
-}
-
 func (s *Cluster) actors() []*actor {
 	return slices.Concat([]*actor{s.platform}, s.engines, s.members(), s.gone)
 }
@@ -536,83 +331,3 @@
 type ClusterMissing struct{ Address string }
 
 func (b ClusterMissing) Error() string { return fmt.Sprintf("no process at %q", b.Address) }
-
-// scrape keeps the newest counters of every process of a node, so that a kill
-// loses no more than the time since the last look.
-func (s *Cluster) scrape(ctx context.Context) {
-	for _, node := range s.members() {
-		limit, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
-		status, _, body, err := do(limit, http.MethodGet, "http://"+node.public+"/metrics", nil, nil)
-		cancel()
-		if err != nil || status != http.StatusOK {
-			continue
-		}
-		s.lock.Lock()
-		key := fmt.Sprintf("%s#%d", node.name, s.starts[node.name])
-		counters := map[string]float64{}
-		lines := bufio.NewScanner(bytes.NewReader(body))
-		for lines.Scan() {
-			var name string
-			var value float64
-			if n, err := fmt.Sscanf(lines.Text(), "%s %g", &name, &value); n == 2 && err == nil {
-				counters[name] = value
-			}
-		}
-		s.counters[key] = counters
-		s.lock.Unlock()
-	}
-}
-
-// most is the largest value that any process showed.
-func (s *Cluster) most(name string) float64 {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	largest := 0.0
-	for _, counters := range s.counters {
-		largest = max(largest, counters[name])
-	}
-	return largest
-}
-
-// crossed sums the bytes that nodes sent to nodes of other zones: on the wire, and as
-// encoded by kind of message.
-func (s *Cluster) crossed() (wire float64, kinds map[string]float64) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	kinds = map[string]float64{}
-	for _, node := range append(slices.Clone(s.nodes), s.gone...) {
-		for key, counters := range s.counters {
-			if name, _, _ := strings.Cut(key, "#"); name != node.name {
-				continue
-			}
-			for metric, value := range counters {
-				labels := metricOf.FindStringSubmatch(metric)
-				switch {
-				case labels == nil || labels[3] == node.zone:
-				case labels[2] == "":
-					wire += value
-				default:
-					kinds[labels[2]] += value
-				}
-			}
-		}
-	}
-	return wire, kinds
-}
-
-// metricOf reads the two metrics of bytes between nodes.
-var metricOf = regexp.MustCompile(`^dunlinloom_peer_(?:bytes_sent|message_bytes)_total\{(kind="(\w+)",)?to="(\w+)"\}$`)
-
-func (s *Cluster) total(name string) float64 {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	sum := 0.0
-	for _, counters := range s.counters {
-		for key, value := range counters {
-			if key == name || strings.HasPrefix(key, name+"{") {
-				sum += value
-			}
-		}
-	}
-	return sum
-}
--- /dev/null
+++ b/localfleet/report.go
@@ -0,0 +1,101 @@
+package localfleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"dunlinloom/checker"
+)
+
+// What a run ends with: counters, the checker's review and the share served.
+
+// Report is what a local fleet run ends with.
+type Report struct {
+	Scenario    string         `json:"scenario"`
+	Deployment  string         `json:"deployment"`
+	Seed        uint64         `json:"seed"`
+	Review      checker.Review `json:"review"`
+	ServedShare float64        `json:"served_share"` // of all tries
+	// CallersServed counts callers that came again after a decline once.
+	CallersServed float64            `json:"callers_served_share"`
+	Counters      map[string]float64 `json:"counters"`
+	// Crossing is the bytes that nodes encoded for nodes of other zones, by kind of message.
+	Crossing map[string]float64 `json:"crossing_bytes_by_kind"`
+	Orders   map[string]int     `json:"orders"`
+	Problems []string           `json:"problems,omitempty"`
+}
+
+func readEvents(path string) ([]checker.Event, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, ClusterError{"read events", err}
+	}
+	defer file.Close()
+	events := []checker.Event{}
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var event checker.Event
+		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
+			return nil, ClusterError{"read " + path, err}
+		}
+		events = append(events, event)
+	}
+	if err := lines.Err(); err != nil {
+		return nil, ClusterError{"read " + path, err}
+	}
+	return events, nil
+}
+
+func (s *Cluster) report(scenario *Scenario, operator *Operator, callsLog string) (*Report, error) {
+	paths, err := filepath.Glob(filepath.Join(s.folder, "engine-*.jsonl"))
+	crowds, overloadErr := filepath.Glob(filepath.Join(s.folder, "calls-*.jsonl"))
+	if err := errors.Join(err, overloadErr); err != nil {
+		return nil, ClusterError{"list events", err}
+	}
+	paths = append(paths, crowds...)
+	s.lock.Lock()
+	events := append([]checker.Event(nil), s.events...)
+	s.lock.Unlock()
+	for _, path := range append(paths, callsLog) {
+		more, err := readEvents(path)
+		if err != nil {
+			return nil, err
+		}
+		events = append(events, more...)
+	}
+	report := &Report{Scenario: scenario.Name, Deployment: scenario.Deployment, Seed: scenario.Seed, Counters: map[string]float64{}, Orders: operator.orders}
+	for _, name := range []string{"requests_total", "rounds_first_total", "retries_total", "resumes_total", "diverts_total", "admission_diverts_total",
+		"served_total", "callers_gone_total", "declined_total", "broken_total", "peer_bytes_sent_total", "peer_messages_sent_total", "peer_messages_dropped_total"} {
+		report.Counters[name] = s.total("dunlinloom_" + name)
+	}
+	report.Counters["owners_longest_us"] = s.most("dunlinloom_owners_longest_us")
+	report.Counters["peer_bytes_between_zones"], report.Crossing = s.crossed()
+	events = append(events, checker.Event{At: now(), What: checker.Totals,
+		First: uint64(report.Counters["rounds_first_total"]), Retries: uint64(report.Counters["retries_total"])})
+	report.Review = checker.Judge(events, checker.BriefBounds())
+	if report.Review.Calls > 0 {
+		report.ServedShare = float64(report.Review.Outcomes[string(checker.Served)]) / float64(report.Review.Calls)
+	}
+	callers, served := map[string]bool{}, map[string]bool{}
+	for _, event := range events {
+		if event.What == checker.CallEnded {
+			caller, _, _ := strings.Cut(event.Tag, "/")
+			callers[caller] = true
+			if event.Outcome == checker.Served {
+				served[caller] = true
+			}
+		}
+	}
+	if len(callers) > 0 {
+		report.CallersServed = float64(len(served)) / float64(len(callers))
+	}
+	s.lock.Lock()
+	report.Problems = s.problems
+	s.lock.Unlock()
+	return report, nil
+}
--- /dev/null
+++ b/localfleet/run.go
@@ -0,0 +1,122 @@
+package localfleet
+
+// A whole run: the fleet is opened, the scenario is carried out, and the events are judged.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"dunlinloom/kernel"
+	"dunlinloom/loadgen"
+)
+
+// Play runs a scenario and judges it.
+func Play(ctx context.Context, cluster *Cluster, scenario *Scenario, say func(string, ...any)) (*Report, error) {
+	defer cluster.Close()
+	if scenario.needsCuts() {
+		if err := cluster.canCut(); err != nil {
+			return nil, err
+		}
+	}
+	say("opening %s: %d nodes, %d engines", cluster.deployment.Name, len(cluster.nodes), len(cluster.engines))
+	if err := cluster.Open(ctx); err != nil {
+		return nil, err
+	}
+	operator := &Operator{cluster: cluster, random: rand.New(rand.NewPCG(scenario.Seed, 7)), acked: map[uint64]string{}, orders: map[string]int{}}
+	operator.putConfig(ctx, 0, "")
+	opening, cancel := context.WithTimeout(ctx, 60*time.Second)
+	err := cluster.Ready(opening)
+	cancel()
+	if err != nil {
+		return nil, err
+	}
+	say("every router is ready")
+
+	span := kernel.Micros(scenario.SpanMS) * kernel.Millisecond
+	routingTable, end := context.WithCancel(ctx)
+	defer end()
+	var workers sync.WaitGroup
+	workers.Go(func() {
+		for routingTable.Err() == nil {
+			cluster.scrape(routingTable)
+			select {
+			case <-routingTable.Done():
+			case <-time.After(500 * time.Millisecond):
+			}
+		}
+	})
+	callsLog := filepath.Join(cluster.folder, "calls.jsonl")
+	callers, err := cluster.startLoadgen(scenario, callsLog, "c", scenario.Rate, scenario.Hot, scenario.SpanMS)
+	if err != nil {
+		return nil, err
+	}
+	cluster.act(routingTable, scenario, operator, say)
+	// Callers end by themselves: the span, and then their patience with open streams.
+	select {
+	case <-callers.ended:
+	case <-time.After(span.Duration() + 60*time.Second):
+		cluster.problem("the callers did not come to an end")
+		callers.halt()
+	}
+	say("the callers are done")
+	operator.readBack(ctx)
+	operator.readNow(ctx)
+	cluster.scrape(ctx)
+	end()
+	workers.Wait()
+	report, err := cluster.report(scenario, operator, callsLog)
+	return report, err
+}
+
+func (s *Cluster) startLoadgen(scenario *Scenario, log, name string, rate, hot float64, spanMS int64) (*actor, error) {
+	words := []string{"--kinds", scenario.Deployment, "--rate", fmt.Sprint(rate), "--span-us", fmt.Sprint(spanMS * 1000), "--prefix", name,
+		"--seed", fmt.Sprint(scenario.Seed), "--hot", fmt.Sprint(hot), "--log", log, "--nodes-file", s.nodesFile()}
+	if err := s.tellNodes(); err != nil {
+		return nil, err
+	}
+	callers := &actor{name: "loadgen-" + name, program: "loadgen", words: words}
+	return callers, s.start(callers)
+}
+
+func (s *Cluster) nodesFile() string { return filepath.Join(s.folder, "nodes.json") }
+
+// tellNodes writes down which nodes there are, for the callers' side of the platform.
+func (s *Cluster) tellNodes() error {
+	nodes := []loadgen.Node{}
+	for _, node := range s.members() {
+		nodes = append(nodes, loadgen.Node{Address: node.public, Zone: node.zone})
+	}
+	content, err := json.Marshal(nodes)
+	if err != nil {
+		return ClusterError{"encode the nodes", err}
+	}
+	return replaceFile(s.nodesFile(), content)
+}
+
+// act does the scenario's steps, each at its moment.
+func (s *Cluster) act(ctx context.Context, scenario *Scenario, operator *Operator, say func(string, ...any)) {
+	begun := time.Now()
+	var steps sync.WaitGroup
+	defer steps.Wait()
+	number := 0
+	for _, step := range scenario.Steps {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(begun.Add(time.Duration(step.AtMS) * time.Millisecond))):
+		}
+		first := number + 1
+		number += max(step.Count, 2)
+		steps.Go(func() {
+			say("%6d ms  %s %s", step.AtMS, step.Do, step.Target)
+			if err := s.step(ctx, step, first, operator); err != nil {
+				s.problem("step at %d ms, %s %s: %v", step.AtMS, step.Do, step.Target, err)
+			}
+		})
+	}
+}
--- a/localfleet/scenario.go
+++ b/localfleet/scenario.go
@@ -1,5 +1,7 @@
 package localfleet
 
+// The format of scenarios and their check.
+
 import (
 	"bytes"
 	"encoding/json"
