--- a/cmd/localfleet/main.go
+++ b/cmd/localfleet/main.go
@@ -18,7 +18,7 @@
 	"dunlinloom/localfleet"
 )
 
-type words struct {
+type arguments struct {
 	Scenario string `arg:"positional,required" help:"scenario file, see scenarios/"`
 	Bin      string `arg:"--bin" help:"folder of the programs; that of localfleet itself if not given"`
 	Folder   string `arg:"--folder" help:"where logs and data go; a temporary folder if not given"`
@@ -48,46 +48,46 @@
 }
 
 func run() (int, error) {
-	var words words
-	arg.MustParse(&words)
-	scenario, err := localfleet.ReadScenario(words.Scenario)
+	var arguments arguments
+	arg.MustParse(&arguments)
+	scenario, err := localfleet.ReadScenario(arguments.Scenario)
 	if err != nil {
 		return 2, err
 	}
-	if words.Seed != 0 {
-		scenario.Seed = words.Seed
+	if arguments.Seed != 0 {
+		scenario.Seed = arguments.Seed
 	}
-	if words.Bin == "" {
+	if arguments.Bin == "" {
 		self, err := os.Executable()
 		if err != nil {
 			return 1, fmt.Errorf("find the programs: %w", err)
 		}
-		words.Bin = filepath.Dir(self)
+		arguments.Bin = filepath.Dir(self)
 	}
-	if words.Folder == "" {
-		if words.Folder, err = os.MkdirTemp("", "localfleet-"); err != nil {
+	if arguments.Folder == "" {
+		if arguments.Folder, err = os.MkdirTemp("", "localfleet-"); err != nil {
 			return 1, fmt.Errorf("make a folder: %w", err)
 		}
-	} else if err := os.MkdirAll(words.Folder, 0o755); err != nil {
+	} else if err := os.MkdirAll(arguments.Folder, 0o755); err != nil {
 		return 1, fmt.Errorf("make a folder: %w", err)
 	}
 	// Logs of an earlier run would be judged together with this one's.
-	if left, err := os.ReadDir(words.Folder); err != nil || len(left) > 0 {
-		return 2, fmt.Errorf("take folder %s: %w", words.Folder, folderInUse{len(left)})
+	if left, err := os.ReadDir(arguments.Folder); err != nil || len(left) > 0 {
+		return 2, fmt.Errorf("take folder %s: %w", arguments.Folder, folderInUse{len(left)})
 	}
 	deployment, _ := localfleet.DeploymentOf(scenario.Deployment)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	cluster := localfleet.NewCluster(words.Bin, words.Folder, deployment, words.Port)
-	report, err := localfleet.Play(ctx, cluster, scenario, func(format string, args ...any) {
+	cluster := localfleet.NewCluster(arguments.Bin, arguments.Folder, deployment, arguments.Port)
+	report, err := localfleet.Run(ctx, cluster, scenario, func(format string, args ...any) {
 		fmt.Fprintf(os.Stderr, format+"\n", args...)
 	})
 	if err != nil {
 		return 1, err
 	}
 	to := os.Stdout
-	if words.Report != "" {
-		if to, err = os.Create(words.Report); err != nil {
+	if arguments.Report != "" {
+		if to, err = os.Create(arguments.Report); err != nil {
 			return 1, fmt.Errorf("write the report: %w", err)
 		}
 		defer to.Close()
--- a/localfleet/cluster.go
+++ b/localfleet/cluster.go
@@ -31,21 +31,21 @@
 type Cluster struct {
 	bin, folder string
 	deployment  Deployment
-	platform    *actor
-	nodes       []*actor
-	gone        []*actor // machines whose places others took
-	engines     []*actor
+	platform    *process
+	nodes       []*process
+	replaced    []*process // machines whose places others took
+	engines     []*process
 
-	lock     sync.Mutex // guards everything below
-	events   []checker.Event
-	counters map[string]map[string]float64 // by node and start of process
-	starts   map[string]int
-	problems []string
-	cuts     map[string]int // "FROM>TO" to how many cuts hold it
-	lossy    server.LinkFault
-	disks    map[string]server.DiskFault
-	seats    int // addresses given away to machines that came later
-	address  func(offset int) string
+	lock         sync.Mutex // guards everything below
+	events       []checker.Event
+	counters     map[string]map[string]float64 // by node and start of process
+	starts       map[string]int
+	problems     []string
+	cuts         map[string]int // "FROM>TO" to how many cuts hold it
+	lossy        server.LinkFault
+	disks        map[string]server.DiskFault
+	replacements int // addresses given away to machines that came later
+	address      func(offset int) string
 }
 
 // ClusterError says what of a local fleet run itself went wrong, as opposed to the fleet.
@@ -54,10 +54,10 @@
 	Cause error
 }
 
-func (b ClusterError) Error() string { return fmt.Sprintf("%s: %v", b.What, b.Cause) }
+func (err ClusterError) Error() string { return fmt.Sprintf("%s: %v", err.What, err.Cause) }
 
 // Unwrap gives the cause.
-func (b ClusterError) Unwrap() error { return b.Cause }
+func (err ClusterError) Unwrap() error { return err.Cause }
 
 func now() kernel.Micros { return kernel.Micros(time.Now().UnixMicro()) }
 
@@ -88,7 +88,7 @@
 	}
 	s.address = address
 	listing := address(0)
-	s.platform = &actor{name: "platform", program: "emulator", public: listing, words: []string{"--list", "--listen", listing}}
+	s.platform = &process{name: "platform", program: "emulator", public: listing, arguments: []string{"--list", "--listen", listing}}
 	seeds, peers := []string{}, []string{}
 	for i := range deployment.Nodes {
 		peers = append(peers, address(200+i))
@@ -97,69 +97,69 @@
 		}
 	}
 	for i, plan := range deployment.Nodes {
-		node := &actor{name: fmt.Sprintf("node%d", i), program: plan.Program, zone: plan.Zone, public: address(100 + i), peer: peers[i]}
-		node.words = []string{"--fleet", deployment.Name, "--public", node.public, "--peer", node.peer, "--zone", plan.Zone,
+		node := &process{name: fmt.Sprintf("node%d", i), program: plan.Program, zone: plan.Zone, public: address(100 + i), peer: peers[i]}
+		node.arguments = []string{"--fleet", deployment.Name, "--public", node.public, "--peer", node.peer, "--zone", plan.Zone,
 			"--platform", "http://" + s.platform.public + "/v1/engines"}
 		for _, seed := range seeds {
-			node.words = append(node.words, "--seed", seed)
+			node.arguments = append(node.arguments, "--seed", seed)
 		}
 		if plan.HasDisk {
 			node.data = filepath.Join(folder, node.name+"-data")
-			node.words = append(node.words, "--data", node.data)
+			node.arguments = append(node.arguments, "--data", node.data)
 		}
 		s.nodes = append(s.nodes, node)
 	}
 	for i := range deployment.Engines {
 		zone := deployment.Zones[i%len(deployment.Zones)]
-		engine := &actor{name: fmt.Sprintf("e%02d", i), program: "emulator", zone: zone, public: address(300 + i), pool: fmt.Sprintf("p%d", i%poolCount)}
-		engine.words = []string{"--listen", engine.public, "--id", engine.name, "--zone", zone, "--pool", engine.pool, "--log", filepath.Join(folder, "engine-"+engine.name+".jsonl"),
+		engine := &process{name: fmt.Sprintf("e%02d", i), program: "emulator", zone: zone, public: address(300 + i), pool: fmt.Sprintf("p%d", i%poolCount)}
+		engine.arguments = []string{"--listen", engine.public, "--id", engine.name, "--zone", zone, "--pool", engine.pool, "--log", filepath.Join(folder, "engine-"+engine.name+".jsonl"),
 			"--cold-us", "3000000", "--cold-factor", "2", "--cold-bears", "24", "--decode-us", "4000", "--prefill-us", "60"}
 		for _, node := range s.nodes {
-			engine.words = append(engine.words, "--node", node.public)
+			engine.arguments = append(engine.arguments, "--node", node.public)
 		}
 		s.engines = append(s.engines, engine)
 	}
 	return s
 }
 
-func (s *Cluster) take(event checker.Event) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.events = append(s.events, event)
+func (cluster *Cluster) record(event checker.Event) {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
+	cluster.events = append(cluster.events, event)
 }
 
-func (s *Cluster) problem(what string, args ...any) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.problems = append(s.problems, fmt.Sprintf(what, args...))
+func (cluster *Cluster) addProblem(what string, args ...any) {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
+	cluster.problems = append(cluster.problems, fmt.Sprintf(what, args...))
 }
 
 // replace puts an empty machine at new addresses in the place of a node.
-func (s *Cluster) replace(node *actor) *actor {
+func (cluster *Cluster) replace(node *process) *process {
 	node.halt()
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.seats++
-	fresh := &actor{
-		name: fmt.Sprintf("%s-again%d", node.name, s.seats), program: node.program, zone: node.zone,
-		public: s.address(400 + 2*s.seats), peer: s.address(401 + 2*s.seats),
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
+	cluster.replacements++
+	fresh := &process{
+		name: fmt.Sprintf("%s-again%d", node.name, cluster.replacements), program: node.program, zone: node.zone,
+		public: cluster.address(400 + 2*cluster.replacements), peer: cluster.address(401 + 2*cluster.replacements),
 	}
-	fresh.words = []string{"--fleet", s.deployment.Name, "--public", fresh.public, "--peer", fresh.peer, "--zone", node.zone,
-		"--platform", "http://" + s.platform.public + "/v1/engines"}
+	fresh.arguments = []string{"--fleet", cluster.deployment.Name, "--public", fresh.public, "--peer", fresh.peer, "--zone", node.zone,
+		"--platform", "http://" + cluster.platform.public + "/v1/engines"}
 	if node.data != "" {
-		fresh.data = filepath.Join(s.folder, fresh.name+"-data")
-		fresh.words = append(fresh.words, "--data", fresh.data)
+		fresh.data = filepath.Join(cluster.folder, fresh.name+"-data")
+		fresh.arguments = append(fresh.arguments, "--data", fresh.data)
 	}
 	named := 0
-	for i, other := range s.nodes {
+	for i, other := range cluster.nodes {
 		if other == node {
-			s.nodes[i] = fresh
-			s.gone = append(s.gone, node)
+			cluster.nodes[i] = fresh
+			cluster.replaced = append(cluster.replaced, node)
 			continue
 		}
 		// Who sets a machine up names three that are there by then.
-		if other.process != nil && named < 3 {
-			fresh.words = append(fresh.words, "--seed", other.peer)
+		if other.command != nil && named < 3 {
+			fresh.arguments = append(fresh.arguments, "--seed", other.peer)
 			named++
 		}
 	}
@@ -167,34 +167,34 @@
 }
 
 // members gives the nodes of now; machines may take others' places meanwhile.
-func (s *Cluster) members() []*actor {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	return slices.Clone(s.nodes)
+func (cluster *Cluster) members() []*process {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
+	return slices.Clone(cluster.nodes)
 }
 
 // isDropped tells that the core has three voters again and the peer is none of them.
-func (s *Cluster) isDropped(ctx context.Context, peer string) bool {
-	view, err := s.Fleet(ctx)
+func (cluster *Cluster) isDropped(ctx context.Context, peer string) bool {
+	view, err := cluster.Fleet(ctx)
 	return err == nil && len(view.Voters) == 3 && !slices.ContainsFunc(view.Voters, func(voter control.Member) bool { return voter.Address == peer })
 }
 
-func (s *Cluster) actors() []*actor {
-	return slices.Concat([]*actor{s.platform}, s.engines, s.members(), s.gone)
+func (cluster *Cluster) processes() []*process {
+	return slices.Concat([]*process{cluster.platform}, cluster.engines, cluster.members(), cluster.replaced)
 }
 
 // Open starts everything and waits until the list and the engines answer.
-func (s *Cluster) Open(ctx context.Context) error {
-	for _, a := range s.actors() {
-		if err := s.start(a); err != nil {
+func (cluster *Cluster) Open(ctx context.Context) error {
+	for _, a := range cluster.processes() {
+		if err := cluster.start(a); err != nil {
 			return err
 		}
 	}
-	if err := s.await(ctx, s.platform.public); err != nil {
+	if err := cluster.await(ctx, cluster.platform.public); err != nil {
 		return err
 	}
-	for _, engine := range s.engines {
-		if err := s.list(engine, "serving"); err != nil {
+	for _, engine := range cluster.engines {
+		if err := cluster.setListing(engine, "serving"); err != nil {
 			return err
 		}
 	}
@@ -202,14 +202,14 @@
 }
 
 // Close kills everything that is left.
-func (s *Cluster) Close() {
-	for _, a := range s.actors() {
+func (cluster *Cluster) Close() {
+	for _, a := range cluster.processes() {
 		a.signal(syscall.SIGCONT)
 		a.halt()
 	}
 }
 
-func (s *Cluster) await(ctx context.Context, address string) error {
+func (cluster *Cluster) await(ctx context.Context, address string) error {
 	for {
 		connection, err := net.DialTimeout("tcp", address, time.Second)
 		if err == nil {
@@ -223,9 +223,9 @@
 	}
 }
 
-var plain = &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+var client = &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-func do(ctx context.Context, method, url string, body []byte, headers map[string]string) (int, http.Header, []byte, error) {
+func request(ctx context.Context, method, url string, body []byte, headers map[string]string) (int, http.Header, []byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil, ClusterError{"make a request", err}
@@ -233,7 +233,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
-	response, err := plain.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, nil, ClusterError{method + " " + url, err}
 	}
@@ -245,22 +245,22 @@
 	return response.StatusCode, response.Header, got, nil
 }
 
-// list tells the platform of an engine's state.
-func (s *Cluster) list(engine *actor, state string) error {
+// setListing tells the platform of an engine's state.
+func (cluster *Cluster) setListing(engine *process, state string) error {
 	content, err := json.Marshal(control.ListingEngine{ID: engine.name, Address: engine.public, Zone: engine.zone, Pool: engine.pool, Start: engine.start, State: state})
 	if err != nil {
 		return ClusterError{"encode a listing", err}
 	}
-	_, _, _, err = do(context.Background(), http.MethodPut, "http://"+s.platform.public+"/control/engines", content, nil)
+	_, _, _, err = request(context.Background(), http.MethodPut, "http://"+cluster.platform.public+"/control/engines", content, nil)
 	return err
 }
 
-// Fleet asks one node after another for its picture of the fleet.
-func (s *Cluster) Fleet(ctx context.Context) (*server.FleetView, error) {
+// Fleet asks one node after another for its view of the fleet.
+func (cluster *Cluster) Fleet(ctx context.Context) (*server.FleetView, error) {
 	var last error
-	for _, node := range s.members() {
+	for _, node := range cluster.members() {
 		limit, cancel := context.WithTimeout(ctx, time.Second)
-		status, _, body, err := do(limit, http.MethodGet, "http://"+node.public+"/v1/fleet", nil, nil)
+		status, _, body, err := request(limit, http.MethodGet, "http://"+node.public+"/v1/fleet", nil, nil)
 		cancel()
 		if err != nil || status != http.StatusOK {
 			last = err
@@ -275,39 +275,39 @@
 			return &view, nil
 		}
 	}
-	return nil, ClusterError{"no node with a licence answers", last}
+	return nil, ClusterError{"no node with a lease answers", last}
 }
 
 // Ready waits until every router would take callers.
-func (s *Cluster) Ready(ctx context.Context) error {
+func (cluster *Cluster) Ready(ctx context.Context) error {
 	for {
 		count := 0
-		for _, node := range s.nodes {
+		for _, node := range cluster.nodes {
 			limit, cancel := context.WithTimeout(ctx, time.Second)
-			status, _, _, err := do(limit, http.MethodGet, "http://"+node.public+"/readyz", nil, nil)
+			status, _, _, err := request(limit, http.MethodGet, "http://"+node.public+"/readyz", nil, nil)
 			cancel()
 			if err == nil && status == http.StatusOK {
 				count++
 			}
 		}
-		if count == len(s.nodes) {
+		if count == len(cluster.nodes) {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return ClusterError{fmt.Sprintf("%d of %d routers are ready", count, len(s.nodes)), ctx.Err()}
+			return ClusterError{fmt.Sprintf("%d of %d routers are ready", count, len(cluster.nodes)), ctx.Err()}
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
 }
 
 // target finds the node that a step means.
-func (s *Cluster) target(ctx context.Context, target string) (*actor, error) {
+func (cluster *Cluster) target(ctx context.Context, target string) (*process, error) {
 	var index int
 	if n, err := fmt.Sscanf(target, "node:%d", &index); n == 1 && err == nil {
-		return s.members()[index], nil
+		return cluster.members()[index], nil
 	}
-	view, err := s.Fleet(ctx)
+	view, err := cluster.Fleet(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -315,8 +315,8 @@
 	if zone, isHome := strings.CutPrefix(target, "home:"); isHome {
 		wanted = view.Homes[zone]
 	}
-	for _, node := range s.members() {
-		isPlain := node.data == "" && node.process != nil
+	for _, node := range cluster.members() {
+		isPlain := node.data == "" && node.command != nil
 		for _, home := range view.Homes {
 			isPlain = isPlain && home != node.peer
 		}
@@ -330,4 +330,4 @@
 // ClusterMissing says that no process of the cluster has an address.
 type ClusterMissing struct{ Address string }
 
-func (b ClusterMissing) Error() string { return fmt.Sprintf("no process at %q", b.Address) }
+func (err ClusterMissing) Error() string { return fmt.Sprintf("no process at %q", err.Address) }
--- a/localfleet/engine_steps.go
+++ b/localfleet/engine_steps.go
@@ -1,5 +1,7 @@
 package localfleet
 
+// Steps that do something to one engine.
+
 import (
 	"context"
 	"fmt"
@@ -10,72 +12,114 @@
 	"dunlinloom/kernel"
 )
 
-// The steps of a scenario that do something to one engine.
+const (
+	retireSpanMS = 6000 // from an engine's own report that it leaves to its end
+	leaveSpanMS  = 5000 // from the mark at one node to its end
+	leastAwayMS  = 500  // before a new start of a leaving engine
+	reportDelay  = 1500 * kernel.Millisecond
+	breakAfter   = 700 // bytes of the stream that breaks
+)
+
+// engine finds an engine by a step's target.
+func (cluster *Cluster) engine(target string) (*process, error) {
+	var index int
+	if count, err := fmt.Sscanf(target, "engine:%d", &index); count != 1 || err != nil || index >= len(cluster.engines) {
+		return nil, ClusterError{"find " + target, ClusterMissing{target}}
+	}
+	return cluster.engines[index], nil
+}
+
+// setFaults has an emulator fail on purpose, as its control address takes it.
+func setFaults(ctx context.Context, engine *process, faults string) error {
+	_, _, _, err := request(ctx, http.MethodPut, "http://"+engine.public+"/control/faults", []byte(faults), nil)
+	return err
+}
+
+func (cluster *Cluster) noteMended(engine *process) {
+	cluster.record(checker.Event{At: now(), What: checker.EngineMended, Engine: engine.name})
+}
 
-func (s *Cluster) stepEngine(ctx context.Context, step Step, engine *actor) error {
-	faults := func(content string) error {
-		_, _, _, err := do(ctx, http.MethodPut, "http://"+engine.public+"/control/faults", []byte(content), nil)
+func (run stepRun) killEngine(ctx context.Context, engine *process) error {
+	run.cluster.noteFailure(engine)
+	engine.halt()
+	return run.cluster.restartAfter(ctx, run.step.ForMS, engine)
+}
+
+// removeEngine kills an engine and takes it off the platform's list.
+func (run stepRun) removeEngine(ctx context.Context, engine *process) error {
+	run.cluster.noteFailure(engine)
+	engine.halt()
+	url := "http://" + run.cluster.platform.public + "/control/engines/" + engine.name
+	if _, _, _, err := request(ctx, http.MethodDelete, url, nil, nil); err != nil {
 		return err
 	}
-	failed := func() { s.take(checker.Event{At: now(), What: checker.EngineFailed, Engine: engine.name}) }
-	switch step.Do {
-	case "engine-kill":
-		failed()
-		engine.halt()
-		return s.again(ctx, step.ForMS, engine)
-	case "engine-gone":
-		failed()
-		engine.halt()
-		if _, _, _, err := do(ctx, http.MethodDelete, "http://"+s.platform.public+"/control/engines/"+engine.name, nil, nil); err != nil {
-			return err
-		}
-		return s.again(ctx, step.ForMS, engine)
-	case "engine-freeze":
-		failed()
-		engine.signal(syscall.SIGSTOP)
-		pause(ctx, step.ForMS)
-		engine.signal(syscall.SIGCONT)
-		s.take(checker.Event{At: now(), What: checker.EngineMended, Engine: engine.name})
-		return nil
-	case "engine-dark":
-		failed()
-		if err := faults(`{"dark":true}`); err != nil {
-			return err
-		}
-		pause(ctx, step.ForMS)
-		s.take(checker.Event{At: now(), What: checker.EngineMended, Engine: engine.name})
-		return faults(`{}`)
-	case "engine-break":
-		failed()
-		return faults(`{"break_after":700}`)
-	case "not-run":
-		return faults(fmt.Sprintf(`{"not_run":%d}`, max(step.Count, 1)))
-	case "engine-retire":
-		if _, _, _, err := do(ctx, http.MethodPut, "http://"+engine.public+"/control/leave", nil, nil); err != nil {
-			return err
-		}
-		// Some node learns of it with the next report, which is half a second late.
-		s.take(checker.Event{At: now() + 1500*kernel.Millisecond, What: checker.EngineLeaving, Engine: engine.name, Start: engine.start})
-		pause(ctx, 6000)
-		failed()
-		engine.halt()
-		return s.again(ctx, max(step.ForMS, 500), engine)
-	case "engine-leave":
-		nodes := s.members()
-		node := nodes[int(engine.start)%len(nodes)]
-		marked := now()
-		status, _, body, err := do(ctx, http.MethodPut, fmt.Sprintf("http://%s/v1/engines/%s/leaving?start=%d", node.public, engine.name, engine.start), nil, nil)
-		if err != nil {
-			return err
-		}
-		if status != http.StatusOK {
-			return ClusterError{"mark " + engine.name, ClusterMissing{string(body)}}
-		}
-		s.take(checker.Event{At: marked, What: checker.EngineLeaving, Engine: engine.name, Start: engine.start})
-		pause(ctx, 5000)
-		failed()
-		engine.halt()
-		return s.again(ctx, max(step.ForMS, 500), engine)
+	return run.cluster.restartAfter(ctx, run.step.ForMS, engine)
+}
+
+func (run stepRun) freezeEngine(ctx context.Context, engine *process) error {
+	run.cluster.noteFailure(engine)
+	engine.signal(syscall.SIGSTOP)
+	pause(ctx, run.step.ForMS)
+	engine.signal(syscall.SIGCONT)
+	run.cluster.noteMended(engine)
+	return nil
+}
+
+// silenceEngine has an engine take connections and say nothing.
+func (run stepRun) silenceEngine(ctx context.Context, engine *process) error {
+	run.cluster.noteFailure(engine)
+	if err := setFaults(ctx, engine, `{"dark":true}`); err != nil {
+		return err
 	}
-	return ClusterError{"step", ClusterMissing{step.Do}}
+	pause(ctx, run.step.ForMS)
+	run.cluster.noteMended(engine)
+	return setFaults(ctx, engine, `{}`)
+}
+
+func (run stepRun) breakStream(ctx context.Context, engine *process) error {
+	run.cluster.noteFailure(engine)
+	return setFaults(ctx, engine, fmt.Sprintf(`{"break_after":%d}`, breakAfter))
+}
+
+func (run stepRun) rejectRequests(ctx context.Context, engine *process) error {
+	return setFaults(ctx, engine, fmt.Sprintf(`{"not_run":%d}`, max(run.step.Count, 1)))
+}
+
+// retireEngine has an engine say in its reports that it leaves, and ends it later.
+func (run stepRun) retireEngine(ctx context.Context, engine *process) error {
+	if _, _, _, err := request(ctx, http.MethodPut, "http://"+engine.public+"/control/leave", nil, nil); err != nil {
+		return err
+	}
+	// Some node learns of it with the next report, which is half a second late.
+	run.noteLeaving(engine, now()+reportDelay)
+	return run.endLeaving(ctx, engine, retireSpanMS)
+}
+
+// markEngineLeaving marks an engine at one node, and ends it later.
+func (run stepRun) markEngineLeaving(ctx context.Context, engine *process) error {
+	nodes := run.cluster.members()
+	node := nodes[int(engine.start)%len(nodes)]
+	marked := now()
+	url := fmt.Sprintf("http://%s/v1/engines/%s/leaving?start=%d", node.public, engine.name, engine.start)
+	status, _, body, err := request(ctx, http.MethodPut, url, nil, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return ClusterError{"mark " + engine.name, ClusterMissing{string(body)}}
+	}
+	run.noteLeaving(engine, marked)
+	return run.endLeaving(ctx, engine, leaveSpanMS)
+}
+
+func (run stepRun) noteLeaving(engine *process, at kernel.Micros) {
+	run.cluster.record(checker.Event{At: at, What: checker.EngineLeaving, Engine: engine.name, Start: engine.start})
+}
+
+// endLeaving kills a leaving engine after a while, and starts it anew.
+func (run stepRun) endLeaving(ctx context.Context, engine *process, afterMS int64) error {
+	pause(ctx, afterMS)
+	run.cluster.noteFailure(engine)
+	engine.halt()
+	return run.cluster.restartAfter(ctx, max(run.step.ForMS, leastAwayMS), engine)
 }
--- a/localfleet/faults.go
+++ b/localfleet/faults.go
@@ -14,28 +14,28 @@
 
 // Faults that programs built with -tags faults inject: cut ways, failing disks, lost power.
 
-func (s *Cluster) cutFor(ctx context.Context, ms int64, ways int, chosen, others []*actor) error {
-	if err := s.cut(chosen, others, ways, 1); err != nil {
+func (cluster *Cluster) cutFor(ctx context.Context, ms int64, ways int, chosen, others []*process) error {
+	if err := cluster.cut(chosen, others, ways, 1); err != nil {
 		return err
 	}
 	pause(ctx, ms)
-	return s.cut(chosen, others, ways, -1)
+	return cluster.cut(chosen, others, ways, -1)
 }
 
-// during has something fail on purpose for a while.
-func (s *Cluster) during(ctx context.Context, ms int64, begin, end func()) error {
-	if err := s.fault(begin); err != nil {
+// injectFor has something fail on purpose for a while.
+func (cluster *Cluster) injectFor(ctx context.Context, ms int64, begin, end func()) error {
+	if err := cluster.inject(begin); err != nil {
 		return err
 	}
 	pause(ctx, ms)
-	return s.fault(end)
+	return cluster.inject(end)
 }
 
-func (s *Cluster) diskFails(ctx context.Context, node *actor, ms int64, how server.DiskFault) error {
-	return s.during(ctx, ms, func() { s.disks[node.peer] = how }, func() { delete(s.disks, node.peer) })
+func (cluster *Cluster) diskFails(ctx context.Context, node *process, ms int64, how server.DiskFault) error {
+	return cluster.injectFor(ctx, ms, func() { cluster.disks[node.peer] = how }, func() { delete(cluster.disks, node.peer) })
 }
 
-func (s *Cluster) faultsFile() string { return filepath.Join(s.folder, "faults.json") }
+func (cluster *Cluster) faultsFile() string { return filepath.Join(cluster.folder, "faults.json") }
 
 // The ways that a cut closes.
 const (
@@ -44,31 +44,31 @@
 )
 
 // cut edits the list of cut ways between some nodes and others.
-func (s *Cluster) cut(chosen, others []*actor, ways, by int) error {
-	return s.fault(func() {
+func (cluster *Cluster) cut(chosen, others []*process, ways, by int) error {
+	return cluster.inject(func() {
 		for _, one := range chosen {
 			for _, other := range others {
 				if slices.Contains(chosen, other) {
 					continue
 				}
 				if ways&wayOut != 0 {
-					s.cuts[one.peer+">"+other.peer] += by
+					cluster.cuts[one.peer+">"+other.peer] += by
 				}
 				if ways&wayIn != 0 {
-					s.cuts[other.peer+">"+one.peer] += by
+					cluster.cuts[other.peer+">"+one.peer] += by
 				}
 			}
 		}
 	})
 }
 
-// fault changes what fails on purpose and tells all processes.
-func (s *Cluster) fault(edit func()) error {
-	s.lock.Lock()
-	defer s.lock.Unlock()
+// inject changes what fails on purpose and tells all processes.
+func (cluster *Cluster) inject(edit func()) error {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
 	edit()
-	list := server.FaultInjection{Ways: map[string]server.LinkFault{"*": s.lossy}, Disks: s.disks}
-	for way, count := range s.cuts {
+	list := server.FaultInjection{Ways: map[string]server.LinkFault{"*": cluster.lossy}, Disks: cluster.disks}
+	for way, count := range cluster.cuts {
 		if count > 0 {
 			list.Ways[way] = server.LinkFault{IsCut: true}
 		}
@@ -77,7 +77,7 @@
 	if err != nil {
 		return ClusterError{"encode the faults", err}
 	}
-	return replaceFile(s.faultsFile(), content)
+	return replaceFile(cluster.faultsFile(), content)
 }
 
 // replaceFile writes a file aside and renames it into place, so that no process reads half of it.
@@ -92,7 +92,7 @@
 }
 
 // cutPower kills a node and takes back every write that had not returned as synced.
-func (s *Cluster) cutPower(node *actor) error {
+func (cluster *Cluster) cutPower(node *process) error {
 	node.halt()
 	if node.data == "" {
 		return nil
--- a/localfleet/layout.go
+++ b/localfleet/layout.go
@@ -1,4 +1,4 @@
-// Package localfleet starts a whole fleet of real processes on loopback, plays a
+// Package localfleet starts a whole fleet of real processes on loopback, carries out a
 // scenario of faults on it and hands everything seen to the checker.
 package localfleet
 
--- a/localfleet/localfleet_test.go
+++ b/localfleet/localfleet_test.go
@@ -37,7 +37,7 @@
 	}}
 	c.Assert(scenario.Check(), qt.IsNil)
 	deployment, _ := DeploymentOf(scenario.Deployment)
-	report, err := Play(context.Background(), NewCluster(bin, t.TempDir(), deployment, 0), scenario, t.Logf)
+	report, err := Run(context.Background(), NewCluster(bin, t.TempDir(), deployment, 0), scenario, t.Logf)
 	c.Assert(err, qt.IsNil)
 	c.Assert(report.Problems, qt.HasLen, 0)
 	for _, violation := range report.Review.Violations {
@@ -47,6 +47,19 @@
 	c.Assert(report.Orders["spec yes "] > 0, qt.IsTrue, qt.Commentf("%v", report.Orders))
 }
 
+func TestEachVerbOfScenariosIsCarriedOut(t *testing.T) {
+	c := qt.New(t)
+	for verb, target := range verbs {
+		_, isFleet := fleetSteps[verb]
+		_, isNode := nodeSteps[verb]
+		_, isEngine := engineSteps[verb]
+		c.Check(isNode, qt.Equals, target == "node", qt.Commentf("%s", verb))
+		c.Check(isEngine, qt.Equals, target == "engine", qt.Commentf("%s", verb))
+		c.Check(isFleet, qt.Equals, target == "" || target == "zone", qt.Commentf("%s", verb))
+	}
+	c.Check(len(fleetSteps)+len(nodeSteps)+len(engineSteps), qt.Equals, len(verbs))
+}
+
 func TestScenariosNameEveryFault(t *testing.T) {
 	c := qt.New(t)
 	bad := Scenario{Deployment: "nowhere", SpanMS: 10, Rate: -1, Hot: 2}
--- a/localfleet/metrics.go
+++ b/localfleet/metrics.go
@@ -16,16 +16,16 @@
 
 // scrape keeps the newest counters of every process of a node, so that a kill
 // loses no more than the time since the last look.
-func (s *Cluster) scrape(ctx context.Context) {
-	for _, node := range s.members() {
+func (cluster *Cluster) scrape(ctx context.Context) {
+	for _, node := range cluster.members() {
 		limit, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
-		status, _, body, err := do(limit, http.MethodGet, "http://"+node.public+"/metrics", nil, nil)
+		status, _, body, err := request(limit, http.MethodGet, "http://"+node.public+"/metrics", nil, nil)
 		cancel()
 		if err != nil || status != http.StatusOK {
 			continue
 		}
-		s.lock.Lock()
-		key := fmt.Sprintf("%s#%d", node.name, s.starts[node.name])
+		cluster.lock.Lock()
+		key := fmt.Sprintf("%s#%d", node.name, cluster.starts[node.name])
 		counters := map[string]float64{}
 		lines := bufio.NewScanner(bytes.NewReader(body))
 		for lines.Scan() {
@@ -35,30 +35,30 @@
 				counters[name] = value
 			}
 		}
-		s.counters[key] = counters
-		s.lock.Unlock()
+		cluster.counters[key] = counters
+		cluster.lock.Unlock()
 	}
 }
 
-// most is the largest value that any process showed.
-func (s *Cluster) most(name string) float64 {
-	s.lock.Lock()
-	defer s.lock.Unlock()
+// largest is the largest value that any process showed.
+func (cluster *Cluster) largest(name string) float64 {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
 	largest := 0.0
-	for _, counters := range s.counters {
+	for _, counters := range cluster.counters {
 		largest = max(largest, counters[name])
 	}
 	return largest
 }
 
-// crossed sums the bytes that nodes sent to nodes of other zones: on the wire, and as
+// bytesBetweenZones sums the bytes that nodes sent to nodes of other zones: on the wire, and as
 // encoded by kind of message.
-func (s *Cluster) crossed() (wire float64, kinds map[string]float64) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
+func (cluster *Cluster) bytesBetweenZones() (wire float64, kinds map[string]float64) {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
 	kinds = map[string]float64{}
-	for _, node := range append(slices.Clone(s.nodes), s.gone...) {
-		for key, counters := range s.counters {
+	for _, node := range append(slices.Clone(cluster.nodes), cluster.replaced...) {
+		for key, counters := range cluster.counters {
 			if name, _, _ := strings.Cut(key, "#"); name != node.name {
 				continue
 			}
@@ -80,11 +80,11 @@
 // metricOf reads the two metrics of bytes between nodes.
 var metricOf = regexp.MustCompile(`^dunlinloom_peer_(?:bytes_sent|message_bytes)_total\{(kind="(\w+)",)?to="(\w+)"\}$`)
 
-func (s *Cluster) total(name string) float64 {
-	s.lock.Lock()
-	defer s.lock.Unlock()
+func (cluster *Cluster) total(name string) float64 {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
 	sum := 0.0
-	for _, counters := range s.counters {
+	for _, counters := range cluster.counters {
 		for key, value := range counters {
 			if key == name || strings.HasPrefix(key, name+"{") {
 				sum += value
--- /dev/null
+++ b/localfleet/node_steps.go
@@ -0,0 +1,98 @@
+package localfleet
+
+// Steps that do something to one node.
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"time"
+
+	"dunlinloom/checker"
+	"dunlinloom/server"
+)
+
+// mostStopSpan is how long a stop may take at most.
+const mostStopSpan = 150 * time.Second
+
+func (run stepRun) cutNode(ctx context.Context, node *process) error {
+	ways := map[string]int{"cut": wayOut | wayIn, "cut-out": wayOut, "cut-in": wayIn}[run.step.Do]
+	return run.cluster.cutFor(ctx, run.step.ForMS, ways, []*process{node}, run.cluster.members())
+}
+
+func (run stepRun) failDisk(ctx context.Context, node *process) error {
+	fault := map[string]server.DiskFault{
+		"disk-slow":  {SlowUS: int64(run.step.Count) * 1000},
+		"disk-stall": {IsStalled: true},
+		"disk-full":  {IsFull: true},
+	}[run.step.Do]
+	return run.cluster.diskFails(ctx, node, run.step.ForMS, fault)
+}
+
+func (run stepRun) cutPower(ctx context.Context, node *process) error {
+	run.cluster.noteFailure(node)
+	if err := run.cluster.cutPower(node); err != nil {
+		return err
+	}
+	return run.cluster.restartAfter(ctx, run.step.ForMS, node)
+}
+
+func (run stepRun) cutPowerAfterConfig(ctx context.Context, node *process) error {
+	run.operator.putConfig(ctx, run.number, "")
+	return run.cutPower(ctx, node)
+}
+
+func (run stepRun) replaceNode(ctx context.Context, node *process) error {
+	return run.cluster.replaceAndWait(ctx, node, run.step.ForMS)
+}
+
+func (run stepRun) killNode(ctx context.Context, node *process) error {
+	run.cluster.noteFailure(node)
+	node.halt()
+	return run.cluster.restartAfter(ctx, run.step.ForMS, node)
+}
+
+func (run stepRun) wipeNode(ctx context.Context, node *process) error {
+	run.cluster.noteFailure(node)
+	node.halt()
+	if node.data != "" {
+		if err := os.RemoveAll(node.data); err != nil {
+			return ClusterError{"wipe", err}
+		}
+	}
+	return run.cluster.restartAfter(ctx, run.step.ForMS, node)
+}
+
+func (run stepRun) freezeNode(ctx context.Context, node *process) error {
+	node.signal(syscall.SIGSTOP)
+	pause(ctx, run.step.ForMS)
+	node.signal(syscall.SIGCONT)
+	return nil
+}
+
+func (run stepRun) stopNode(ctx context.Context, node *process) error {
+	node.lock.Lock()
+	ended := node.ended
+	node.lock.Unlock()
+	run.cluster.record(checker.Event{At: now(), What: checker.NodeStopping, Node: node.public})
+	node.signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(mostStopSpan):
+		run.cluster.addProblem("%s did not stop", node.name)
+		node.halt()
+	}
+	run.cluster.record(checker.Event{At: now(), What: checker.NodeStopped, Node: node.public})
+	return run.cluster.restartAfter(ctx, run.step.ForMS, node)
+}
+
+// stopNodeShort asks a node to stop and kills it before it may have ended.
+func (run stepRun) stopNodeShort(ctx context.Context, node *process) error {
+	run.cluster.record(checker.Event{At: now(), What: checker.NodeStopping, Node: node.public})
+	node.signal(syscall.SIGTERM)
+	pause(ctx, int64(run.step.Count))
+	// What breaks off from here on is due to the kill, not to a stop that promised to drain.
+	run.cluster.noteFailure(node)
+	node.halt()
+	return run.cluster.restartAfter(ctx, run.step.ForMS, node)
+}
--- a/localfleet/operator.go
+++ b/localfleet/operator.go
@@ -35,8 +35,8 @@
 
 // config makes the number-th configuration of a local fleet run; its bytes differ with the number, and
 // it leaves one pool out. More bindings than the kinds need make it large.
-func (s *Cluster) config(number, more int) (content []byte, pools []string) {
-	kinds, _ := loadgen.KindsOf(s.deployment.Name)
+func (cluster *Cluster) config(number, more int) (content []byte, pools []string) {
+	kinds, _ := loadgen.KindsOf(cluster.deployment.Name)
 	bindings, shares := []any{}, []any{}
 	for i := range poolCount {
 		if i != number%poolCount {
@@ -54,34 +54,34 @@
 		})
 	}
 	zones := []any{}
-	for _, zone := range s.deployment.Zones {
+	for _, zone := range cluster.deployment.Zones {
 		zones = append(zones, map[string]any{"name": zone})
 	}
 	content, err := json.Marshal(map[string]any{"bindings": bindings, "zones": zones})
 	if err != nil {
-		panic(ClusterError{"encode a spec", err})
+		panic(ClusterError{"encode a configuration", err})
 	}
 	return content, pools
 }
 
-func (o *Operator) node() *actor {
-	nodes := o.cluster.members()
-	o.lock.Lock()
-	defer o.lock.Unlock()
-	return nodes[o.random.IntN(len(nodes))]
+func (operator *Operator) node() *process {
+	nodes := operator.cluster.members()
+	operator.lock.Lock()
+	defer operator.lock.Unlock()
+	return nodes[operator.random.IntN(len(nodes))]
 }
 
-// order sends one order until it is answered for good, as an operator would: the
+// submit sends one order until it is answered for good, as an operator would: the
 // same id again at another node.
-func (o *Operator) order(ctx context.Context, name, method, path string, body []byte, onSent func(id string), onEnd func(control.SubmitReply)) {
-	o.lock.Lock()
-	o.count++
-	id := fmt.Sprintf("%s-%d", name, o.count)
-	o.lock.Unlock()
+func (operator *Operator) submit(ctx context.Context, name, method, path string, body []byte, onSent func(id string), onEnd func(control.SubmitReply)) {
+	operator.lock.Lock()
+	operator.count++
+	id := fmt.Sprintf("%s-%d", name, operator.count)
+	operator.lock.Unlock()
 	onSent(id)
 	for try := 0; try < 12 && ctx.Err() == nil; try++ {
-		node := o.node()
-		status, _, got, err := do(ctx, method, "http://"+node.public+path, body, map[string]string{server.HeaderSubmission: id})
+		node := operator.node()
+		status, _, got, err := request(ctx, method, "http://"+node.public+path, body, map[string]string{server.HeaderSubmission: id})
 		var reply control.SubmitReply
 		if err == nil {
 			err = json.Unmarshal(got, &reply)
@@ -94,32 +94,32 @@
 			}
 			continue
 		}
-		o.lock.Lock()
-		o.orders[name+" "+string(reply.Outcome)+" "+reply.Reason]++
-		o.lock.Unlock()
+		operator.lock.Lock()
+		operator.orders[name+" "+string(reply.Outcome)+" "+reply.Reason]++
+		operator.lock.Unlock()
 		_ = status
 		onEnd(reply)
 		return
 	}
-	o.lock.Lock()
-	o.orders[name+" unanswered"]++
-	o.lock.Unlock()
+	operator.lock.Lock()
+	operator.orders[name+" unanswered"]++
+	operator.lock.Unlock()
 }
 
-func (o *Operator) putConfig(ctx context.Context, number int, base string) {
-	o.putLarge(ctx, number, 0, base)
+func (operator *Operator) putConfig(ctx context.Context, number int, base string) {
+	operator.putConfigOfSize(ctx, number, 0, base)
 }
 
-// putLarge puts a configuration with so many bindings more than the kinds need.
-func (o *Operator) putLarge(ctx context.Context, number, more int, base string) (isYes bool) {
-	config, pools := o.cluster.config(number, more)
+// putConfigOfSize puts a configuration with so many bindings more than the kinds need.
+func (operator *Operator) putConfigOfSize(ctx context.Context, number, more int, base string) (isYes bool) {
+	config, pools := operator.cluster.config(number, more)
 	path := "/v1/spec"
 	if base != "" {
 		path += "?base=" + url.QueryEscape(base)
 	}
-	o.order(ctx, "spec", http.MethodPut, path, config,
+	operator.submit(ctx, "spec", http.MethodPut, path, config,
 		func(id string) {
-			o.cluster.take(checker.Event{At: now(), What: checker.ConfigSent, ID: id, Digest: digest(config), Pools: pools})
+			operator.cluster.record(checker.Event{At: now(), What: checker.ConfigSent, ID: id, Digest: digest(config), Pools: pools})
 		},
 		func(reply control.SubmitReply) {
 			isYes = reply.Outcome == control.Yes
@@ -127,11 +127,11 @@
 			if reply.Outcome == control.No {
 				event.What, event.Reason = checker.ConfigNo, reply.Reason
 			} else {
-				o.lock.Lock()
-				o.acked[reply.Revision] = digest(config)
-				o.lock.Unlock()
+				operator.lock.Lock()
+				operator.acked[reply.Revision] = digest(config)
+				operator.lock.Unlock()
 			}
-			o.cluster.take(event)
+			operator.cluster.record(event)
 		})
 	return isYes
 }
@@ -139,57 +139,57 @@
 // digest stands for a configuration in the events, where megabytes would only be in the way.
 func digest(config []byte) string { return fmt.Sprintf("%x", sha256.Sum256(config)) }
 
-func (o *Operator) zone(ctx context.Context, zone string, isEmpty bool) {
+func (operator *Operator) zone(ctx context.Context, zone string, isEmpty bool) {
 	method, name := http.MethodPut, "empty"
 	if !isEmpty {
 		method, name = http.MethodDelete, "refill"
 	}
-	o.order(ctx, name, method, "/v1/zones/"+zone+"/evacuation", nil,
+	operator.submit(ctx, name, method, "/v1/zones/"+zone+"/evacuation", nil,
 		func(string) {
 			// From the moment a refill is asked for, requests may go there again.
 			if !isEmpty {
-				o.cluster.take(checker.Event{At: now(), What: checker.ZoneRefilling, Zone: zone})
+				operator.cluster.record(checker.Event{At: now(), What: checker.ZoneRefilling, Zone: zone})
 			}
 		},
 		func(reply control.SubmitReply) {
 			if !isEmpty {
-				o.cluster.take(checker.Event{At: now(), What: checker.ZoneRefilled, Zone: zone, Revision: reply.Revision})
+				operator.cluster.record(checker.Event{At: now(), What: checker.ZoneRefilled, Zone: zone, Revision: reply.Revision})
 			}
 			if isEmpty && reply.Outcome == control.Yes {
-				o.cluster.take(checker.Event{At: now(), What: checker.ZoneEmptied, Zone: zone, Revision: reply.Revision})
+				operator.cluster.record(checker.Event{At: now(), What: checker.ZoneEmptied, Zone: zone, Revision: reply.Revision})
 			}
 		})
 }
 
 // readBack reads every acknowledged configuration under its revision.
-func (o *Operator) readBack(ctx context.Context) {
-	o.lock.Lock()
+func (operator *Operator) readBack(ctx context.Context) {
+	operator.lock.Lock()
 	acked := map[uint64]string{}
-	for revision, digest := range o.acked {
+	for revision, digest := range operator.acked {
 		acked[revision] = digest
 	}
-	o.lock.Unlock()
+	operator.lock.Unlock()
 	// The whole history too, or a rejected configuration that took effect would not be seen.
-	if status, _, got, err := do(ctx, http.MethodGet, "http://"+o.node().public+"/v1/spec/history", nil, nil); err == nil && status == http.StatusOK {
+	if status, _, got, err := request(ctx, http.MethodGet, "http://"+operator.node().public+"/v1/spec/history", nil, nil); err == nil && status == http.StatusOK {
 		var history struct {
 			Revisions []uint64 `json:"generations"`
 		}
 		if err := json.Unmarshal(got, &history); err != nil {
-			o.cluster.problem("the history can't be read: %v", err)
+			operator.cluster.addProblem("the history can't be read: %v", err)
 		}
 		for _, revision := range history.Revisions {
 			acked[revision] = ""
 		}
 	} else {
-		o.cluster.problem("the history can't be read: status %d, %v", status, err)
+		operator.cluster.addProblem("the history can't be read: status %d, %v", status, err)
 	}
 	for revision := range acked {
 		isRead := false
 		for try := 0; try < 40 && !isRead && ctx.Err() == nil; try++ {
-			status, headers, got, err := do(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/spec?generation=%d", o.node().public, revision), nil, nil)
+			status, headers, got, err := request(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/spec?generation=%d", operator.node().public, revision), nil, nil)
 			if err == nil && status == http.StatusOK && headers.Get(relay.HeaderRevision) == strconv.FormatUint(revision, 10) {
 				isRead = true
-				o.cluster.take(checker.Event{At: now(), What: checker.ConfigRead, Revision: revision, Digest: digest(got)})
+				operator.cluster.record(checker.Event{At: now(), What: checker.ConfigRead, Revision: revision, Digest: digest(got)})
 				continue
 			}
 			select {
@@ -199,41 +199,41 @@
 		}
 		// A configuration that can't be read at all is as lost as a wrong one.
 		if !isRead {
-			o.cluster.take(checker.Event{At: now(), What: checker.ConfigRead, Revision: revision, Digest: "(unreadable)"})
+			operator.cluster.record(checker.Event{At: now(), What: checker.ConfigRead, Revision: revision, Digest: "(unreadable)"})
 		}
 	}
 }
 
-// readNow reads the configuration in force and the emptied zones at every node that serves.
-func (o *Operator) readNow(ctx context.Context) {
-	for _, node := range o.cluster.members() {
-		if status, _, _, err := do(ctx, http.MethodGet, "http://"+node.public+"/readyz", nil, nil); err != nil || status != http.StatusOK {
+// readCurrent reads the configuration in force and the emptied zones at every node that serves.
+func (operator *Operator) readCurrent(ctx context.Context) {
+	for _, node := range operator.cluster.members() {
+		if status, _, _, err := request(ctx, http.MethodGet, "http://"+node.public+"/readyz", nil, nil); err != nil || status != http.StatusOK {
 			continue
 		}
-		status, _, got, err := do(ctx, http.MethodGet, "http://"+node.public+"/v1/fleet", nil, nil)
+		status, _, got, err := request(ctx, http.MethodGet, "http://"+node.public+"/v1/fleet", nil, nil)
 		var view server.FleetView
 		if err == nil && status == http.StatusOK {
 			err = json.Unmarshal(got, &view)
 		}
 		if err != nil || status != http.StatusOK {
-			o.cluster.problem("the fleet can't be read at %s: status %d, %v", node.name, status, err)
+			operator.cluster.addProblem("the fleet can't be read at %s: status %d, %v", node.name, status, err)
 			continue
 		}
-		o.cluster.take(checker.Event{At: now(), What: checker.ConfigCurrent, Node: node.public, Revision: view.ConfigRevision})
-		o.cluster.take(checker.Event{At: now(), What: checker.ZonesRead, Node: node.public, Zones: slices.Sorted(maps.Keys(view.Drained))})
+		operator.cluster.record(checker.Event{At: now(), What: checker.ConfigCurrent, Node: node.public, Revision: view.ConfigRevision})
+		operator.cluster.record(checker.Event{At: now(), What: checker.ZonesRead, Node: node.public, Zones: slices.Sorted(maps.Keys(view.Drained))})
 	}
 }
 
-// clash puts two configurations on one base; at most one may get a yes.
-func (o *Operator) clash(ctx context.Context, number int) error {
-	view, err := o.cluster.Fleet(ctx)
+// putTwoOnOneBase puts two configurations on one base; at most one may get a yes.
+func (operator *Operator) putTwoOnOneBase(ctx context.Context, number int) error {
+	view, err := operator.cluster.Fleet(ctx)
 	if err != nil {
 		return err
 	}
 	base := strconv.FormatUint(view.ConfigRevision, 10)
 	var both sync.WaitGroup
-	both.Go(func() { o.putConfig(ctx, number, base) })
-	both.Go(func() { o.putConfig(ctx, number+1, base) })
+	both.Go(func() { operator.putConfig(ctx, number, base) })
+	both.Go(func() { operator.putConfig(ctx, number+1, base) })
 	both.Wait()
 	return nil
 }
--- a/localfleet/report.go
+++ b/localfleet/report.go
@@ -20,7 +20,7 @@
 	Seed        uint64         `json:"seed"`
 	Review      checker.Review `json:"review"`
 	ServedShare float64        `json:"served_share"` // of all tries
-	// CallersServed counts callers that came again after a decline once.
+	// CallersServed counts callers that came again once after a rejection.
 	CallersServed float64            `json:"callers_served_share"`
 	Counters      map[string]float64 `json:"counters"`
 	// Crossing is the bytes that nodes encoded for nodes of other zones, by kind of message.
@@ -51,16 +51,16 @@
 	return events, nil
 }
 
-func (s *Cluster) report(scenario *Scenario, operator *Operator, callsLog string) (*Report, error) {
-	paths, err := filepath.Glob(filepath.Join(s.folder, "engine-*.jsonl"))
-	crowds, overloadErr := filepath.Glob(filepath.Join(s.folder, "calls-*.jsonl"))
+func (cluster *Cluster) report(scenario *Scenario, operator *Operator, callsLog string) (*Report, error) {
+	paths, err := filepath.Glob(filepath.Join(cluster.folder, "engine-*.jsonl"))
+	crowds, overloadErr := filepath.Glob(filepath.Join(cluster.folder, "calls-*.jsonl"))
 	if err := errors.Join(err, overloadErr); err != nil {
 		return nil, ClusterError{"list events", err}
 	}
 	paths = append(paths, crowds...)
-	s.lock.Lock()
-	events := append([]checker.Event(nil), s.events...)
-	s.lock.Unlock()
+	cluster.lock.Lock()
+	events := append([]checker.Event(nil), cluster.events...)
+	cluster.lock.Unlock()
 	for _, path := range append(paths, callsLog) {
 		more, err := readEvents(path)
 		if err != nil {
@@ -71,10 +71,10 @@
 	report := &Report{Scenario: scenario.Name, Deployment: scenario.Deployment, Seed: scenario.Seed, Counters: map[string]float64{}, Orders: operator.orders}
 	for _, name := range []string{"requests_total", "rounds_first_total", "retries_total", "resumes_total", "diverts_total", "admission_diverts_total",
 		"served_total", "callers_gone_total", "declined_total", "broken_total", "peer_bytes_sent_total", "peer_messages_sent_total", "peer_messages_dropped_total"} {
-		report.Counters[name] = s.total("dunlinloom_" + name)
+		report.Counters[name] = cluster.total("dunlinloom_" + name)
 	}
-	report.Counters["owners_longest_us"] = s.most("dunlinloom_owners_longest_us")
-	report.Counters["peer_bytes_between_zones"], report.Crossing = s.crossed()
+	report.Counters["owners_longest_us"] = cluster.largest("dunlinloom_owners_longest_us")
+	report.Counters["peer_bytes_between_zones"], report.Crossing = cluster.bytesBetweenZones()
 	events = append(events, checker.Event{At: now(), What: checker.Totals,
 		First: uint64(report.Counters["rounds_first_total"]), Retries: uint64(report.Counters["retries_total"])})
 	report.Review = checker.Judge(events, checker.BriefBounds())
@@ -94,8 +94,8 @@
 	if len(callers) > 0 {
 		report.CallersServed = float64(len(served)) / float64(len(callers))
 	}
-	s.lock.Lock()
-	report.Problems = s.problems
-	s.lock.Unlock()
+	cluster.lock.Lock()
+	report.Problems = cluster.problems
+	cluster.lock.Unlock()
 	return report, nil
 }
--- a/localfleet/run.go
+++ b/localfleet/run.go
@@ -15,8 +15,8 @@
 	"dunlinloom/loadgen"
 )
 
-// Play runs a scenario and judges it.
-func Play(ctx context.Context, cluster *Cluster, scenario *Scenario, say func(string, ...any)) (*Report, error) {
+// Run runs a scenario and judges it.
+func Run(ctx context.Context, cluster *Cluster, scenario *Scenario, say func(string, ...any)) (*Report, error) {
 	defer cluster.Close()
 	if scenario.needsCuts() {
 		if err := cluster.canCut(); err != nil {
@@ -55,17 +55,17 @@
 	if err != nil {
 		return nil, err
 	}
-	cluster.act(routingTable, scenario, operator, say)
+	cluster.carryOut(routingTable, scenario, operator, say)
 	// Callers end by themselves: the span, and then their patience with open streams.
 	select {
 	case <-callers.ended:
 	case <-time.After(span.Duration() + 60*time.Second):
-		cluster.problem("the callers did not come to an end")
+		cluster.addProblem("the callers did not come to an end")
 		callers.halt()
 	}
 	say("the callers are done")
 	operator.readBack(ctx)
-	operator.readNow(ctx)
+	operator.readCurrent(ctx)
 	cluster.scrape(ctx)
 	end()
 	workers.Wait()
@@ -73,33 +73,33 @@
 	return report, err
 }
 
-func (s *Cluster) startLoadgen(scenario *Scenario, log, name string, rate, hot float64, spanMS int64) (*actor, error) {
-	words := []string{"--kinds", scenario.Deployment, "--rate", fmt.Sprint(rate), "--span-us", fmt.Sprint(spanMS * 1000), "--prefix", name,
-		"--seed", fmt.Sprint(scenario.Seed), "--hot", fmt.Sprint(hot), "--log", log, "--nodes-file", s.nodesFile()}
-	if err := s.tellNodes(); err != nil {
+func (cluster *Cluster) startLoadgen(scenario *Scenario, log, name string, rate, hot float64, spanMS int64) (*process, error) {
+	arguments := []string{"--kinds", scenario.Deployment, "--rate", fmt.Sprint(rate), "--span-us", fmt.Sprint(spanMS * 1000), "--prefix", name,
+		"--seed", fmt.Sprint(scenario.Seed), "--hot", fmt.Sprint(hot), "--log", log, "--nodes-file", cluster.nodesFile()}
+	if err := cluster.writeNodes(); err != nil {
 		return nil, err
 	}
-	callers := &actor{name: "loadgen-" + name, program: "loadgen", words: words}
-	return callers, s.start(callers)
+	loadgen := &process{name: "loadgen-" + name, program: "loadgen", arguments: arguments}
+	return loadgen, cluster.start(loadgen)
 }
 
-func (s *Cluster) nodesFile() string { return filepath.Join(s.folder, "nodes.json") }
+func (cluster *Cluster) nodesFile() string { return filepath.Join(cluster.folder, "nodes.json") }
 
-// tellNodes writes down which nodes there are, for the callers' side of the platform.
-func (s *Cluster) tellNodes() error {
+// writeNodes writes down which nodes there are, for the callers' side of the platform.
+func (cluster *Cluster) writeNodes() error {
 	nodes := []loadgen.Node{}
-	for _, node := range s.members() {
+	for _, node := range cluster.members() {
 		nodes = append(nodes, loadgen.Node{Address: node.public, Zone: node.zone})
 	}
 	content, err := json.Marshal(nodes)
 	if err != nil {
 		return ClusterError{"encode the nodes", err}
 	}
-	return replaceFile(s.nodesFile(), content)
+	return replaceFile(cluster.nodesFile(), content)
 }
 
-// act does the scenario's steps, each at its moment.
-func (s *Cluster) act(ctx context.Context, scenario *Scenario, operator *Operator, say func(string, ...any)) {
+// carryOut does the scenario's steps, each at its moment.
+func (cluster *Cluster) carryOut(ctx context.Context, scenario *Scenario, operator *Operator, say func(string, ...any)) {
 	begun := time.Now()
 	var steps sync.WaitGroup
 	defer steps.Wait()
@@ -114,8 +114,9 @@
 		number += max(step.Count, 2)
 		steps.Go(func() {
 			say("%6d ms  %s %s", step.AtMS, step.Do, step.Target)
-			if err := s.step(ctx, step, first, operator); err != nil {
-				s.problem("step at %d ms, %s %s: %v", step.AtMS, step.Do, step.Target, err)
+			run := stepRun{cluster: cluster, operator: operator, step: step, number: first}
+			if err := run.carryOut(ctx); err != nil {
+				cluster.addProblem("step at %d ms, %s %s: %v", step.AtMS, step.Do, step.Target, err)
 			}
 		})
 	}
--- a/localfleet/scenario.go
+++ b/localfleet/scenario.go
@@ -105,35 +105,35 @@
 }
 
 // needsCuts tells whether the programs have to be built with -tags faults.
-func (s *Scenario) needsCuts() bool {
-	return slices.ContainsFunc(s.Steps, func(step Step) bool {
+func (scenario *Scenario) needsCuts() bool {
+	return slices.ContainsFunc(scenario.Steps, func(step Step) bool {
 		return strings.HasPrefix(step.Do, "cut") || strings.HasPrefix(step.Do, "disk-") || strings.HasPrefix(step.Do, "power") ||
 			step.Do == "split-core" || step.Do == "lossy"
 	})
 }
 
 // Check names every fault of a scenario at once.
-func (s *Scenario) Check() error {
+func (scenario *Scenario) Check() error {
 	faults := &fleetconfig.Faults{}
-	deployment, isKnown := DeploymentOf(s.Deployment)
+	deployment, isKnown := DeploymentOf(scenario.Deployment)
 	if !isKnown {
-		faults.Add("deployment", "%q is not qurum or cronometro", s.Deployment)
+		faults.Add("deployment", "%q is not qurum or cronometro", scenario.Deployment)
 	}
-	if s.Name == "" {
+	if scenario.Name == "" {
 		faults.Add("name", "is missing")
 	}
-	if s.SpanMS < 1000 || s.SpanMS > 24*3600*1000 {
-		faults.Add("span_ms", "%d is not from 1000 to a day", s.SpanMS)
+	if scenario.SpanMS < 1000 || scenario.SpanMS > 24*3600*1000 {
+		faults.Add("span_ms", "%d is not from 1000 to a day", scenario.SpanMS)
 	}
-	if !(s.Rate > 0 && s.Rate <= 1000) {
-		faults.Add("rate", "%v is not above 0 and up to 1000", s.Rate)
+	if !(scenario.Rate > 0 && scenario.Rate <= 1000) {
+		faults.Add("rate", "%v is not above 0 and up to 1000", scenario.Rate)
 	}
-	if !(s.Hot >= 0 && s.Hot <= 1) {
-		faults.Add("hot", "%v is not from 0 to 1", s.Hot)
+	if !(scenario.Hot >= 0 && scenario.Hot <= 1) {
+		faults.Add("hot", "%v is not from 0 to 1", scenario.Hot)
 	}
-	for i, step := range s.Steps {
+	for i, step := range scenario.Steps {
 		path := fmt.Sprintf("steps[%d]", i)
-		if step.AtMS < 0 || step.AtMS > s.SpanMS {
+		if step.AtMS < 0 || step.AtMS > scenario.SpanMS {
 			faults.Add(path+".at_ms", "%d is not within the span", step.AtMS)
 		}
 		if step.ForMS < 0 || step.Count < 0 {
