--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -20,7 +20,7 @@
 	c := qt.New(t)
 	sizes := small()
 	sizes.Changes, sizes.Restart = 1000, 20
-	outcome, err := Play(sizes, 1)
+	outcome, err := Run(sizes, 1)
 	c.Assert(err, qt.IsNil)
 	nodes := 0
 	for _, role := range Roles() {
@@ -55,9 +55,9 @@
 	c := qt.New(t)
 	sizes := small()
 	sizes.Nodes, sizes.Engines, sizes.Span = 8, 6, sec
-	first, err := Play(sizes, 7)
+	first, err := Run(sizes, 7)
 	c.Assert(err, qt.IsNil)
-	second, err := Play(sizes, 7)
+	second, err := Run(sizes, 7)
 	c.Assert(err, qt.IsNil)
 	for _, role := range Roles() {
 		c.Check(first.Roles[role].Sent, qt.DeepEquals, second.Roles[role].Sent)
@@ -68,7 +68,7 @@
 	c := qt.New(t)
 	sizes := small()
 	sizes.Cut, sizes.Span, sizes.Engines = 6*sec, sec, 6
-	outcome, err := Play(sizes, 1)
+	outcome, err := Run(sizes, 1)
 	c.Assert(err, qt.IsNil)
 	c.Assert(outcome.ServingOutside, qt.Equals, 1.0)
 	c.Assert(outcome.Settle > 0, qt.IsTrue)
@@ -105,7 +105,7 @@
 			c := qt.New(t)
 			sizes := small()
 			bad.edit(&sizes)
-			outcome, err := Play(sizes, 1)
+			outcome, err := Run(sizes, 1)
 			c.Assert(outcome, qt.IsNil)
 			var rejected OutOfBounds
 			c.Assert(errors.As(err, &rejected), qt.IsTrue, qt.Commentf("%v", err))
@@ -119,7 +119,7 @@
 	c := qt.New(t)
 	sizes := small()
 	sizes.Roles = []Role{"emulator"}
-	outcome, err := Play(sizes, 1)
+	outcome, err := Run(sizes, 1)
 	c.Assert(outcome, qt.IsNil)
 	var role UnknownRole
 	c.Assert(errors.As(err, &role), qt.IsTrue)
@@ -139,7 +139,7 @@
 	c.Assert(out.Len(), qt.Equals, 0)
 	sizes = small()
 	sizes.Rules = "lax"
-	outcome, err = Play(sizes, 1)
+	outcome, err = Run(sizes, 1)
 	c.Assert(outcome, qt.IsNil)
 	c.Assert(errors.As(err, &rules), qt.IsTrue)
 }
@@ -148,7 +148,7 @@
 	c := qt.New(t)
 	sizes := small()
 	sizes.Rules, sizes.Report, sizes.Changes, sizes.Restart = Deployment, deploymentBeat, 1000, 20
-	outcome, err := Play(sizes, 1)
+	outcome, err := Run(sizes, 1)
 	c.Assert(err, qt.IsNil)
 	nodes := 0
 	for _, role := range Roles() {
@@ -170,7 +170,7 @@
 func TestATableUnderOtherRulesSaysSoInItsCommand(t *testing.T) {
 	c := qt.New(t)
 	var out bytes.Buffer
-	err := Print(&out, "force", Batch{First: 1, Seeds: 1, Workers: 1, Rules: Deployment, Most: 32, Play: func(sizes Sizes, seed uint64) (*Outcome, error) {
+	err := Print(&out, "force", Batch{First: 1, Seeds: 1, Workers: 1, Rules: Deployment, Most: 32, Run: func(sizes Sizes, seed uint64) (*Outcome, error) {
 		c.Check(sizes.Rules, qt.Equals, Deployment)
 		c.Check(sizes.Report, qt.Equals, deploymentBeat)
 		return &Outcome{Seed: seed, ToYes: []kernel.Micros{90 * ms}, ToForce: []kernel.Micros{-10 * ms}}, nil
@@ -185,7 +185,7 @@
 	c := qt.New(t)
 	sizes := small()
 	sizes.Wall, sizes.Span = sec, 600*sec
-	outcome, err := Play(sizes, 1)
+	outcome, err := Run(sizes, 1)
 	var late OutOfTime
 	c.Assert(errors.As(err, &late), qt.IsTrue, qt.Commentf("%v", err))
 	c.Assert(late.Bound, qt.Equals, sec)
@@ -213,7 +213,7 @@
 func TestATablePrintsItsCommandAndSaysWhatFailed(t *testing.T) {
 	c := qt.New(t)
 	var out bytes.Buffer
-	err := Print(&out, "force", Batch{First: 1, Seeds: 2, Workers: 2, Play: func(sizes Sizes, seed uint64) (*Outcome, error) {
+	err := Print(&out, "force", Batch{First: 1, Seeds: 2, Workers: 2, Run: func(sizes Sizes, seed uint64) (*Outcome, error) {
 		if sizes.Nodes == 8 && seed == 2 {
 			return nil, OutOfTime{"measure", sizes.Wall}
 		}
@@ -232,7 +232,7 @@
 	load, err := MeasureLoad(sizes, 1)
 	c.Assert(err, qt.IsNil)
 	c.Check(load.Arrive > 0 && load.Rest > 0 && load.PerHeld > 0, qt.IsTrue, qt.Commentf("%+v", load))
-	paper, err := MeasurePaper(sizes, 1)
+	paper, err := MeasureConfig(sizes, 1)
 	c.Assert(err, qt.IsNil)
 	c.Check(paper.Full > paper.Config && paper.Light < paper.Full && paper.Stored > 0, qt.IsTrue, qt.Commentf("%+v", paper))
 	sizes.Nodes, sizes.Engines, sizes.Span = 6, 0, sec
--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -47,23 +47,23 @@
 
 // Fleet is a hollow fleet on virtual time.
 type Fleet struct {
-	sizes     Sizes
-	now       kernel.Micros
-	queue     virtualtime.Queue
-	random    *rand.Rand
-	nodes     []*hollow
-	byAddress map[string]*hollow
-	zones     []string
-	seeds     []string
-	starts    uint64
-	compiler  fleetconfig.Compiler
-	compileNS map[string]int64
-	isBilled  bool
-	cutRegion int // -1: none
-	orders    uint64
-	deadline  int64 // of the wall, in nanoseconds
-	step      string
-	failed    error
+	sizes      Sizes
+	now        kernel.Micros
+	queue      virtualtime.Queue
+	random     *rand.Rand
+	nodes      []*node
+	byAddress  map[string]*node
+	zones      []string
+	seeds      []string
+	starts     uint64
+	compiler   fleetconfig.Compiler
+	compileNS  map[string]int64
+	isMeasured bool
+	cutRegion  int // -1: none
+	orders     uint64
+	deadline   int64 // of the wall, in nanoseconds
+	step       string
+	failed     error
 }
 
 // threadNanos is this thread's processor time: what others do on the machine is not in it.
@@ -84,7 +84,7 @@
 		return nil, fmt.Errorf("lay out a hollow fleet: %w", err)
 	}
 	f := &Fleet{
-		sizes: sizes, now: 1000 * sec, random: rand.New(rand.NewPCG(seed, 0x93ee)), byAddress: map[string]*hollow{},
+		sizes: sizes, now: 1000 * sec, random: rand.New(rand.NewPCG(seed, 0x93ee)), byAddress: map[string]*node{},
 		compileNS: map[string]int64{}, cutRegion: -1, deadline: wallNanos() + int64(sizes.Wall)*1000,
 	}
 	for i := range sizes.Zones {
@@ -92,7 +92,7 @@
 	}
 	for i := range sizes.Nodes {
 		zone := i % sizes.Zones
-		h := &hollow{
+		h := &node{
 			fleet: f, region: zone % sizes.Regions, control: i < sizes.Control, replies: map[string]func(control.SubmitReply){},
 			identity: kernel.Identity{
 				Fleet: "capacity", Address: fmt.Sprintf("10.%d.%d.%d:7000", zone, i/250, i%250+1),
@@ -159,7 +159,7 @@
 }
 
 // way is how long a message takes from one node to another.
-func (f *Fleet) way(from, to *hollow) kernel.Micros {
+func (f *Fleet) way(from, to *node) kernel.Micros {
 	if from.identity.Zone == to.identity.Zone {
 		return withinZone + f.jitter(withinZone)
 	}
@@ -188,12 +188,12 @@
 	return []byte(text.String())
 }
 
-func (f *Fleet) router(index int) *hollow {
+func (f *Fleet) router(index int) *node {
 	return f.nodes[f.sizes.Control+index%(f.sizes.Nodes-f.sizes.Control)]
 }
 
 // submit gives an order to a node and tells its reply.
-func (f *Fleet) submit(at *hollow, order control.Order, config []byte, take func(control.SubmitReply)) {
+func (f *Fleet) submit(at *node, order control.Order, config []byte, take func(control.SubmitReply)) {
 	f.orders++
 	submit := &control.Submit{ID: fmt.Sprintf("order-%06d", f.orders), Order: order, Config: config}
 	at.replies[submit.ID] = take
@@ -230,8 +230,8 @@
 	f.in(after, again)
 }
 
-func (f *Fleet) nodesOf(zone string) []*hollow {
-	found := []*hollow{}
+func (f *Fleet) nodesOf(zone string) []*node {
+	found := []*node{}
 	for _, h := range f.nodes {
 		if h.identity.Zone == zone {
 			found = append(found, h)
@@ -241,8 +241,8 @@
 }
 
 // roles sorts the nodes by what they do now.
-func (f *Fleet) roles() map[Role][]*hollow {
-	found := map[Role][]*hollow{}
+func (f *Fleet) roles() map[Role][]*node {
+	found := map[Role][]*node{}
 	for _, h := range f.nodes {
 		if !h.isUp {
 			continue
--- a/capacity/fleet_open.go
+++ b/capacity/fleet_open.go
@@ -80,7 +80,7 @@
 	})
 }
 
-func (f *Fleet) leader() *hollow {
+func (f *Fleet) leader() *node {
 	for _, h := range f.nodes {
 		if h.isUp && h.control && h.node.State(h.state).IsLeader {
 			return h
@@ -91,7 +91,7 @@
 
 // lacks tells what some node still lacks: a lease, the newest document, nodes, engines.
 func (f *Fleet) lacks(engines int) string {
-	newest, states := uint64(0), map[*hollow]*control.State{}
+	newest, states := uint64(0), map[*node]*control.State{}
 	for _, h := range f.nodes {
 		if !h.isUp || h.node == nil {
 			return h.identity.Address + " is down"
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -89,8 +89,8 @@
 	return float64(stats.HeapAlloc)
 }
 
-// Play runs one hollow fleet and measures it.
-func Play(sizes Sizes, seed uint64) (*Outcome, error) {
+// Run runs one hollow fleet and measures it.
+func Run(sizes Sizes, seed uint64) (*Outcome, error) {
 	f, err := NewFleet(sizes, seed)
 	if err != nil {
 		return nil, err
@@ -144,24 +144,24 @@
 		return err
 	}
 	for _, h := range f.nodes {
-		h.bill = newBill()
+		h.cost = newCost()
 	}
 	var told []order
 	if f.sizes.Changes > 0 {
 		f.change(&told)
 	}
-	f.isBilled = true
+	f.isMeasured = true
 	process, begun := processNanos(), f.now
 	err := f.run(f.sizes.Span)
 	process = processNanos() - process
-	f.isBilled = false
+	f.isMeasured = false
 	if err != nil {
 		return err
 	}
 	seconds := float64(f.now-begun) / float64(sec)
 	billed := int64(0)
 	for _, h := range f.nodes {
-		for _, nanos := range h.bill.nanos {
+		for _, nanos := range h.cost.nanos {
 			billed += nanos
 		}
 	}
@@ -170,14 +170,14 @@
 		figures := Figures{Nodes: len(nodes), Sent: map[string]Rate{}, Got: map[string]Rate{}, Processor: map[string]float64{}}
 		pictures := 0
 		for _, h := range nodes {
-			addRates(figures.Sent, h.bill.sent, seconds*float64(len(nodes)))
-			addRates(figures.Got, h.bill.got, seconds*float64(len(nodes)))
+			addRates(figures.Sent, h.cost.sent, seconds*float64(len(nodes)))
+			addRates(figures.Got, h.cost.got, seconds*float64(len(nodes)))
 			if h.isShown {
 				pictures++
 			}
 		}
 		for _, h := range nodes {
-			for part, nanos := range h.bill.nanos {
+			for part, nanos := range h.cost.nanos {
 				of := len(nodes)
 				if part == Publish {
 					of = pictures
@@ -317,7 +317,7 @@
 		if !slices.Contains(f.sizes.Roles, role) {
 			continue
 		}
-		taken := []*hollow{}
+		taken := []*node{}
 		for _, h := range roles[role] {
 			if h.isShown && h.state != nil {
 				taken = append(taken, h)
@@ -330,8 +330,8 @@
 		for _, h := range taken {
 			h.halt()
 			h.store, h.compiled = nil, nil
-			h.replies, h.bill, h.applied = nil, bill{}, nil
-			h.hand = server.TableBuilder{}
+			h.replies, h.cost, h.applied = nil, cost{}, nil
+			h.tableBuilder = server.TableBuilder{}
 		}
 		figures := outcome.Roles[role]
 		figures.Memory = (before - heapBytes()) / float64(len(taken))
--- a/capacity/node.go
+++ b/capacity/node.go
@@ -16,18 +16,18 @@
 // traffic counts messages of one kind.
 type traffic struct{ messages, bytes int64 }
 
-// bill is what a node has cost while bills were written.
-type bill struct {
+// cost is what a node has cost while bills were written.
+type cost struct {
 	sent, got map[string]traffic
 	nanos     map[string]int64
 }
 
-func newBill() bill {
-	return bill{map[string]traffic{}, map[string]traffic{}, map[string]int64{}}
+func newCost() cost {
+	return cost{map[string]traffic{}, map[string]traffic{}, map[string]int64{}}
 }
 
-// hollow is a node without a process.
-type hollow struct {
+// node is a node without a process.
+type node struct {
 	fleet    *Fleet
 	identity kernel.Identity
 	region   int
@@ -38,14 +38,14 @@
 	epoch    int
 	isUp     bool
 	compiled map[string]bool
-	bill     bill
+	cost     cost
 	applied  []application
 	replies  map[string]func(control.SubmitReply)
 	// Of those whose publishing is measured.
-	isShown    bool
-	state      *control.State
-	hand       server.TableBuilder
-	dispatcher *relay.Dispatcher
+	isShown      bool
+	state        *control.State
+	tableBuilder server.TableBuilder
+	dispatcher   *relay.Dispatcher
 }
 
 type application struct {
@@ -54,21 +54,21 @@
 }
 
 // time puts the processor time of some work on a node's bill.
-func (h *hollow) time(part string, work func()) {
-	if !h.fleet.isBilled {
+func (h *node) time(part string, work func()) {
+	if !h.fleet.isMeasured {
 		work()
 		return
 	}
 	begun := threadNanos()
 	work()
-	h.bill.nanos[part] += threadNanos() - begun
+	h.cost.nanos[part] += threadNanos() - begun
 }
 
-func (h *hollow) boot() {
+func (h *node) boot() {
 	f := h.fleet
 	h.epoch++
 	f.starts++
-	h.isUp, h.compiled, h.state, h.hand = true, map[string]bool{}, nil, server.TableBuilder{Compiler: &f.compiler}
+	h.isUp, h.compiled, h.state, h.tableBuilder = true, map[string]bool{}, nil, server.TableBuilder{Compiler: &f.compiler}
 	journal := kernel.NewJournal(1)
 	journal.Watch = func(entry kernel.Entry) {
 		if entry.Subject == "spec" && entry.Decision == "apply" {
@@ -109,13 +109,13 @@
 	f.in(f.jitter(tick), again)
 }
 
-func (h *hollow) halt() {
+func (h *node) halt() {
 	h.isUp, h.node, h.state, h.isShown, h.dispatcher = false, nil, nil, false, nil
 	h.epoch++
 }
 
 // later does an event on this very process after a span.
-func (h *hollow) later(span kernel.Micros, event func()) {
+func (h *node) later(span kernel.Micros, event func()) {
 	epoch := h.epoch
 	h.fleet.in(span, func() {
 		if h.epoch == epoch && h.isUp {
@@ -125,7 +125,7 @@
 }
 
 // event lets the owners work, carries out what they say and publishes, as the shell does.
-func (h *hollow) event(work func() []any) {
+func (h *node) event(work func() []any) {
 	var commands []any
 	h.time(Events, func() { commands = work() })
 	for _, command := range commands {
@@ -136,9 +136,9 @@
 	}
 }
 
-func (h *hollow) publish() {
+func (h *node) publish() {
 	h.state = h.node.State(h.state)
-	routingTable, err := h.hand.RoutingTable(h.state)
+	routingTable, err := h.tableBuilder.RoutingTable(h.state)
 	if err != nil {
 		h.fleet.failed = fmt.Errorf("publish at %s: %w", h.identity.Address, err)
 	}
@@ -147,7 +147,7 @@
 	}
 }
 
-func (h *hollow) carryOut(command any) {
+func (h *node) carryOut(command any) {
 	f := h.fleet
 	switch command := command.(type) {
 	case control.Outgoing:
@@ -168,8 +168,8 @@
 			f.compileNS[config] = threadNanos() - begun
 		}
 		// Every real process compiles for itself; here one does, and all are charged alike.
-		if f.isBilled {
-			h.bill.nanos[Compile] += f.compileNS[config]
+		if f.isMeasured {
+			h.cost.nanos[Compile] += f.compileNS[config]
 		}
 		// Virtual time may not hang on this machine's speed, or no seed would play twice alike.
 		h.later(kernel.Micros(len(config)/compileBytes), func() {
@@ -199,7 +199,7 @@
 }
 
 // post carries a message as bytes, so that nothing is shared and both ends pay for it.
-func (h *hollow) post(envelope control.Envelope) {
+func (h *node) post(envelope control.Envelope) {
 	f := h.fleet
 	to := f.byAddress[envelope.To]
 	var content []byte
@@ -210,8 +210,8 @@
 		return
 	}
 	kind := envelope.Message.Kind()
-	if f.isBilled {
-		count(h.bill.sent, kind, len(content))
+	if f.isMeasured {
+		count(h.cost.sent, kind, len(content))
 	}
 	if to == nil || f.cutRegion >= 0 && (h.region == f.cutRegion) != (to.region == f.cutRegion) {
 		return
@@ -220,8 +220,8 @@
 		if !to.isUp {
 			return
 		}
-		if f.isBilled {
-			count(to.bill.got, kind, len(content))
+		if f.isMeasured {
+			count(to.cost.got, kind, len(content))
 		}
 		var arrived control.Envelope
 		to.time(Decode, func() { err = json.Unmarshal(content, &arrived) })
--- a/capacity/parts.go
+++ b/capacity/parts.go
@@ -142,8 +142,8 @@
 	return after - before
 }
 
-// Paper is what one configuration and one document weigh.
-type Paper struct {
+// ConfigCost is what one configuration and one document weigh.
+type ConfigCost struct {
 	Config      float64 // bytes as the operator sends it
 	Submit      float64 // and as the order travels between nodes
 	Full, Light float64 // a document with and without its configuration, as encoded
@@ -154,8 +154,8 @@
 	Stored      float64 // bytes that the object store grows by
 }
 
-// MeasurePaper weighs a configuration, the document that carries it and its place in the store.
-func MeasurePaper(sizes Sizes, seed uint64) (paper *Paper, err error) {
+// MeasureConfig weighs a configuration, the document that carries it and its place in the store.
+func MeasureConfig(sizes Sizes, seed uint64) (cost *ConfigCost, err error) {
 	sizes = sizes.Fill()
 	sizes.isPart = true
 	if err := sizes.Check(); err != nil {
@@ -164,27 +164,27 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	config := configOf(sizes, seed)
-	paper = &Paper{Config: float64(len(config))}
+	cost = &ConfigCost{Config: float64(len(config))}
 	submit, err := json.Marshal(control.Envelope{Message: control.Message{Submit: &control.Submit{ID: "order-000001", Order: control.PutConfig, Config: config}}})
 	if err != nil {
 		return nil, fmt.Errorf("weigh a submission: %w", err)
 	}
-	paper.Submit = float64(len(submit))
+	cost.Submit = float64(len(submit))
 	before, begun := heapBytes(), threadNanos()
 	compiled, err := fleetconfig.Read(config)
-	paper.Read = float64(threadNanos()-begun) / 1e3
+	cost.Read = float64(threadNanos()-begun) / 1e3
 	if err != nil {
 		return nil, fmt.Errorf("weigh a spec: %w", err)
 	}
-	paper.Compiled = heapBytes() - before
+	cost.Compiled = heapBytes() - before
 	runtime.KeepAlive(compiled)
 	document := documentOf(sizes, config)
-	if paper.Full, err = weighGrant(document); err != nil {
+	if cost.Full, err = weighGrant(document); err != nil {
 		return nil, err
 	}
 	light := *document
 	light.Config = nil
-	if paper.Light, err = weighGrant(&light); err != nil {
+	if cost.Light, err = weighGrant(&light); err != nil {
 		return nil, err
 	}
 	store, _, _, err := control.OpenStore(&memory{map[string][]byte{}}, "capacity", func() string { return "member" })
@@ -195,8 +195,8 @@
 	if err := store.Save(control.Save{Token: 1, Ballot: &control.Ballot{Term: 1}, Document: document}); err != nil {
 		return nil, fmt.Errorf("weigh a save: %w", err)
 	}
-	paper.Save = float64(threadNanos()-begun) / 1e3
-	return paper, paper.file(sizes)
+	cost.Save = float64(threadNanos()-begun) / 1e3
+	return cost, cost.file(sizes)
 }
 
 func weighGrant(document *control.Document) (float64, error) {
@@ -237,7 +237,7 @@
 // filed is how many configurations the store is timed over.
 const filed = 5
 
-func (p *Paper) file(sizes Sizes) (err error) {
+func (p *ConfigCost) file(sizes Sizes) (err error) {
 	path, err := os.MkdirTemp("", "capacity-store-")
 	if err != nil {
 		return fmt.Errorf("file a spec: %w", err)
--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -34,7 +34,7 @@
 	Rules   Rules
 	Most    int // rows above this size are left out; 0: none
 	// Play runs one fleet; nil: a process of its own, so that heap and collector are its own.
-	Play func(Sizes, uint64) (*Outcome, error)
+	Run func(Sizes, uint64) (*Outcome, error)
 }
 
 // Check rejects what the machine can't take.
@@ -104,7 +104,7 @@
 			func(s *Sizes, v int) { s.Nodes = v }, 32, 96, 205), row{"96, 40 s", 96, base(func(s *Sizes) { s.Nodes, s.Cut, s.Span = 96, 40*sec, sec })}), printSettle, nil},
 		"full":     {"All 410 nodes, 500 routes, by engines", "engines", sweep(full, func(s *Sizes, v int) { s.Engines = v }, 850, 3400), printRoles, nil},
 		"desk":     {"One router's desk: requests", "", nil, nil, printDispatcher},
-		"paper":    {"Specs, documents and the object store", "", nil, nil, printPaper},
+		"paper":    {"Specs, documents and the object store", "", nil, nil, printConfig},
 		"channels": {"Real channels over loopback, at rest, no engines", "", nil, nil, printWire},
 	}
 }
@@ -180,7 +180,7 @@
 	for range b.Workers {
 		workers.Go(func() {
 			for next := range jobs {
-				play := b.Play
+				play := b.Run
 				if play == nil {
 					play = playApart
 				}
@@ -455,7 +455,7 @@
 	return nil
 }
 
-func printPaper(w io.Writer, _ table, b Batch) error {
+func printConfig(w io.Writer, _ table, b Batch) error {
 	head(w, "size", "spec KB", "as an order KB", "document KB", "light document KB", "compile ms", "compiled MB", "save ms", "file ms", "stored KB")
 	middle := base(func(s *Sizes) { s.Nodes, s.Zones, s.Regions, s.Engines, s.MemoryMB = 410, 24, 7, 850, 4000 })
 	sweeps := append(sweep(middle, func(s *Sizes, v int) { s.Routes, s.Tenants = v, tenantsOf(v) }, 100, 500, 2000, 8000, 20000),
@@ -463,7 +463,7 @@
 	for i, row := range sweeps {
 		columns := make([][]float64, 9)
 		for seed := range b.Seeds {
-			paper, err := MeasurePaper(row.sizes, b.First+uint64(seed))
+			paper, err := MeasureConfig(row.sizes, b.First+uint64(seed))
 			if err != nil {
 				return err
 			}
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -12,7 +12,7 @@
 	"dunlinloom/kernel"
 )
 
-type words struct {
+type arguments struct {
 	Table    string   `arg:"--table" help:"print this table; see --list"`
 	List     bool     `arg:"--list" help:"name the tables"`
 	Run      bool     `arg:"--run" help:"one hollow fleet of the sizes below, as JSON"`
@@ -40,7 +40,7 @@
 	MemoryMB int      `arg:"--memory-mb" default:"1536" help:"bound of each run"`
 }
 
-func (w words) sizes() capacity.Sizes {
+func (w arguments) sizes() capacity.Sizes {
 	sizes := capacity.Sizes{
 		Nodes: w.Nodes, Control: w.Control, Zones: w.Zones, Regions: w.Regions, Engines: w.Engines, Routes: w.Routes,
 		Prefixes: w.Prefixes, Sessions: w.Sessions, Tenants: w.Tenants, Report: kernel.Micros(w.ReportUS), Changes: w.Changes,
@@ -57,19 +57,19 @@
 }
 
 func main() {
-	var words words
-	parser := arg.MustParse(&words)
+	var arguments arguments
+	parser := arg.MustParse(&arguments)
 	var err error
 	switch {
-	case words.List:
+	case arguments.List:
 		for _, name := range capacity.Tables() {
 			fmt.Println(name)
 		}
-	case words.Run:
-		err = run(words)
-	case words.Table != "":
-		err = capacity.Print(os.Stdout, words.Table, capacity.Batch{First: words.Seed, Seeds: words.Seeds, Workers: words.Workers,
-			Rules: capacity.Rules(words.Rules), Most: words.Most})
+	case arguments.Run:
+		err = run(arguments)
+	case arguments.Table != "":
+		err = capacity.Print(os.Stdout, arguments.Table, capacity.Batch{First: arguments.Seed, Seeds: arguments.Seeds, Workers: arguments.Workers,
+			Rules: capacity.Rules(arguments.Rules), Most: arguments.Most})
 	default:
 		parser.Fail("one of --table, --run and --list is needed")
 	}
@@ -79,8 +79,8 @@
 	}
 }
 
-func run(words words) error {
-	outcome, err := capacity.Play(words.sizes(), words.Seed)
+func run(arguments arguments) error {
+	outcome, err := capacity.Run(arguments.sizes(), arguments.Seed)
 	if outcome == nil {
 		return err
 	}
--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -17,7 +17,7 @@
 	"dunlinloom/kernel"
 )
 
-type words struct {
+type arguments struct {
 	List        bool     `arg:"--list" help:"stand in for the platform's list instead of an engine"`
 	Listen      string   `arg:"--listen,required" help:"IP:port"`
 	ID          string   `arg:"--id" help:"the engine's name"`
@@ -48,25 +48,25 @@
 }
 
 func run() error {
-	var words words
-	arg.MustParse(&words)
+	var arguments arguments
+	arg.MustParse(&arguments)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	var handler http.Handler
-	if words.List {
-		handler = emulator.NewPlatform(kernel.Micros(words.LagUS)).Handler()
+	if arguments.List {
+		handler = emulator.NewPlatform(kernel.Micros(arguments.LagUS)).Handler()
 	} else {
 		settings := emulator.EngineSettings{
-			ID: words.ID, Zone: words.Zone, Pool: words.Pool, Address: words.Listen, Start: words.Start,
-			Slots: words.Slots, Queue: words.Queue, Prefill: kernel.Micros(words.PrefillUS), Cached: kernel.Micros(words.CachedUS),
-			Decode: kernel.Micros(words.DecodeUS), Blocks: words.Blocks, Cold: kernel.Micros(words.ColdUS),
-			ColdFactor: words.ColdFactor, ColdBears: words.ColdBears, IsResumable: words.IsResumable,
+			ID: arguments.ID, Zone: arguments.Zone, Pool: arguments.Pool, Address: arguments.Listen, Start: arguments.Start,
+			Slots: arguments.Slots, Queue: arguments.Queue, Prefill: kernel.Micros(arguments.PrefillUS), Cached: kernel.Micros(arguments.CachedUS),
+			Decode: kernel.Micros(arguments.DecodeUS), Blocks: arguments.Blocks, Cold: kernel.Micros(arguments.ColdUS),
+			ColdFactor: arguments.ColdFactor, ColdBears: arguments.ColdBears, IsResumable: arguments.IsResumable,
 		}
 		if settings.Start == 0 {
 			settings.Start = uint64(time.Now().UnixMicro())
 		}
-		if words.Log != "" {
-			file, err := emulator.OpenLog(words.Log)
+		if arguments.Log != "" {
+			file, err := emulator.OpenLog(arguments.Log)
 			if err != nil {
 				return err
 			}
@@ -75,11 +75,11 @@
 		}
 		engine := emulator.NewEngine(settings)
 		handler = engine.Handler()
-		if words.ReportUS > 0 && len(words.Nodes) > 0 {
-			go engine.PostReports(ctx, words.Nodes, kernel.Micros(words.ReportUS), kernel.Micros(words.LagUS))
+		if arguments.ReportUS > 0 && len(arguments.Nodes) > 0 {
+			go engine.PostReports(ctx, arguments.Nodes, kernel.Micros(arguments.ReportUS), kernel.Micros(arguments.LagUS))
 		}
 	}
-	server := &http.Server{Addr: words.Listen, Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Addr: arguments.Listen, Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	stopped := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -17,7 +17,7 @@
 	"dunlinloom/loadgen"
 )
 
-type words struct {
+type arguments struct {
 	Nodes     []string `arg:"--node,separate" help:"public address of a node"`
 	NodesFile string   `arg:"--nodes-file" help:"JSON list of nodes with their zones, read again once a second"`
 	Kinds     string   `arg:"--kinds" default:"qurum" help:"qurum or cronometro"`
@@ -46,23 +46,23 @@
 }
 
 func run() error {
-	var words words
-	arg.MustParse(&words)
-	known, isKnown := loadgen.KindsOf(words.Kinds)
+	var arguments arguments
+	arg.MustParse(&arguments)
+	known, isKnown := loadgen.KindsOf(arguments.Kinds)
 	if !isKnown {
-		return kindsError{words.Kinds}
+		return kindsError{arguments.Kinds}
 	}
 	kinds := append([]loadgen.Kind(nil), known...)
 	for i := range kinds {
-		kinds[i].Hot = words.Hot
+		kinds[i].Hot = arguments.Hot
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	var lock sync.Mutex
 	events := []checker.Event{}
 	var lines *json.Encoder
-	if words.Log != "" {
-		file, err := os.OpenFile(words.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if arguments.Log != "" {
+		file, err := os.OpenFile(arguments.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
 			return fmt.Errorf("open the log: %w", err)
 		}
@@ -70,18 +70,18 @@
 		lines = json.NewEncoder(file)
 	}
 	nodes := []loadgen.Node{}
-	for _, address := range words.Nodes {
+	for _, address := range arguments.Nodes {
 		nodes = append(nodes, loadgen.Node{Address: address})
 	}
-	platform, err := loadgen.NewPlatform(nodes, words.NodesFile)
+	platform, err := loadgen.NewPlatform(nodes, arguments.NodesFile)
 	if err != nil {
 		return err
 	}
 	go platform.Watch(ctx)
 	var failed error
 	loadgen.Generator{
-		Platform: platform, Kinds: kinds, Rate: words.Rate, Span: kernel.Micros(words.SpanUS), Seed: words.Seed,
-		Prefix: words.Prefix, Patient: kernel.Micros(words.PatientUS), Retries: words.Retries,
+		Platform: platform, Kinds: kinds, Rate: arguments.Rate, Span: kernel.Micros(arguments.SpanUS), Seed: arguments.Seed,
+		Prefix: arguments.Prefix, Patient: kernel.Micros(arguments.PatientUS), Retries: arguments.Retries,
 	}.Run(ctx, func(event checker.Event) {
 		lock.Lock()
 		defer lock.Unlock()
--- a/cmd/simulator/main.go
+++ b/cmd/simulator/main.go
@@ -18,7 +18,7 @@
 	"dunlinloom/simulator/experiment"
 )
 
-type words struct {
+type arguments struct {
 	First      uint64  `arg:"--first" default:"1" help:"first seed"`
 	Count      int     `arg:"--count" default:"50" help:"how many seeds"`
 	Deployment string  `arg:"--deployment" default:"qurum" help:"qurum or cronometro"`
@@ -52,32 +52,32 @@
 }
 
 func main() {
-	var words words
-	parser := arg.MustParse(&words)
-	if words.Measure == "rebuild" {
-		simulator.MeasureRebuild(os.Stdout, words.First, words.Count)
+	var arguments arguments
+	parser := arg.MustParse(&arguments)
+	if arguments.Measure == "rebuild" {
+		simulator.MeasureRebuild(os.Stdout, arguments.First, arguments.Count)
 		return
 	}
-	if words.Measure != "" {
-		names := []string{words.Measure}
-		if words.Measure == "all" {
+	if arguments.Measure != "" {
+		names := []string{arguments.Measure}
+		if arguments.Measure == "all" {
 			names = simulator.Measurements()
 		}
 		for _, name := range names {
-			if !simulator.Measure(os.Stdout, name, words.First, words.Count) {
+			if !simulator.Measure(os.Stdout, name, arguments.First, arguments.Count) {
 				parser.Fail(fmt.Sprintf("there is no measurement %q; known are %v", name, simulator.Measurements()))
 			}
 		}
 		return
 	}
-	if words.Mix != "" {
-		compare(parser, words)
+	if arguments.Mix != "" {
+		compare(parser, arguments)
 		return
 	}
-	if words.Routed {
-		search := simulator.RoutedSearch{First: words.First, Count: words.Count, Span: kernel.Micros(words.SpanUS), Workers: words.Workers, Stop: words.Stop, Counts: words.Counts}
-		if words.Troubles != "" {
-			search.Troubles = strings.Split(words.Troubles, ",")
+	if arguments.Routed {
+		search := simulator.RoutedSearch{First: arguments.First, Count: arguments.Count, Span: kernel.Micros(arguments.SpanUS), Workers: arguments.Workers, Stop: arguments.Stop, Counts: arguments.Counts}
+		if arguments.Troubles != "" {
+			search.Troubles = strings.Split(arguments.Troubles, ",")
 		}
 		simulator.InVirtualTime(func(virtual simulator.VirtualTime) int {
 			unclean, err := search.Run(virtual, os.Stdout)
@@ -96,18 +96,18 @@
 	var lock sync.Mutex
 	unclean, calls, served, begun, content := 0, 0, 0, 0, 0
 	tally, struck, unserved := map[string]int{}, map[string]int{}, map[string]int{}
-	for range max(words.Workers, 1) {
+	for range max(arguments.Workers, 1) {
 		workers.Go(func() {
 			for seed := range seeds {
-				plan := simulator.Plan{Seed: seed, Deployment: words.Deployment, Span: kernel.Micros(words.SpanUS), Rate: words.Rate}
-				if words.Trace {
+				plan := simulator.Plan{Seed: seed, Deployment: arguments.Deployment, Span: kernel.Micros(arguments.SpanUS), Rate: arguments.Rate}
+				if arguments.Trace {
 					plan.Trace = func(at kernel.Micros, text string) { fmt.Printf("%10.3f s  %s\n", float64(at)/1e6, text) }
 				}
-				play := simulator.Play
-				if words.Storm {
-					play = simulator.Storm
+				run := simulator.Run
+				if arguments.Storm {
+					run = simulator.Storm
 				}
-				outcome := play(plan)
+				outcome := run(plan)
 				lock.Lock()
 				calls += outcome.Review.Calls
 				served += outcome.Review.Outcomes["served"]
@@ -119,10 +119,10 @@
 				if !outcome.IsClean() {
 					unclean++
 				}
-				if !outcome.IsClean() || words.Count <= 5 {
+				if !outcome.IsClean() || arguments.Count <= 5 {
 					told := line{seed, outcome.Final, outcome.Review.Calls, outcome.Review.Outcomes["served"],
 						int64(outcome.Review.RepairTook), outcome.Orders, nil, 0, outcome.Lines()}
-					if words.Count <= 5 {
+					if arguments.Count <= 5 {
 						told.Crossed, told.Within = outcome.Crossed, outcome.Within
 					}
 					print(told)
@@ -131,22 +131,22 @@
 			}
 		})
 	}
-	for i := range words.Count {
+	for i := range arguments.Count {
 		lock.Lock()
-		isDone := words.Stop && unclean > 0
+		isDone := arguments.Stop && unclean > 0
 		lock.Unlock()
 		if isDone {
 			break
 		}
-		seeds <- words.First + uint64(i)
+		seeds <- arguments.First + uint64(i)
 	}
 	close(seeds)
 	workers.Wait()
-	fmt.Printf("%d seeds from %d, %s: %d with a breach; %d of %d requests served\n", words.Count, words.First, words.Deployment, unclean, served, calls)
+	fmt.Printf("%d seeds from %d, %s: %d with a breach; %d of %d requests served\n", arguments.Count, arguments.First, arguments.Deployment, unclean, served, calls)
 	if begun > 0 {
 		fmt.Printf("%d of %d callers served in the end\n", content, begun)
 	}
-	if words.Counts {
+	if arguments.Counts {
 		tell("what protections did", tally)
 		tell("faults that struck", struck)
 		tell("not served, by ending and the fault before", unserved)
@@ -157,10 +157,10 @@
 }
 
 // compare replays a mix under two settings.
-func compare(parser *arg.Parser, words words) {
-	mix, err := simulator.ReadMix(words.Mix)
+func compare(parser *arg.Parser, arguments arguments) {
+	mix, err := simulator.ReadMix(arguments.Mix)
 	var variants [2]simulator.Variant
-	for i, text := range []string{words.A, words.B} {
+	for i, text := range []string{arguments.A, arguments.B} {
 		if err == nil {
 			variants[i], err = simulator.ParseVariant(text)
 		}
@@ -168,13 +168,13 @@
 	if err != nil {
 		parser.Fail(err.Error())
 	}
-	command := fmt.Sprintf("bin/simulator --mix %s --a %q --b %q --first %d --count %d --span-us %d", words.Mix, words.A, words.B, words.First, words.Count, words.SpanUS)
+	command := fmt.Sprintf("bin/simulator --mix %s --a %q --b %q --first %d --count %d --span-us %d", arguments.Mix, arguments.A, arguments.B, arguments.First, arguments.Count, arguments.SpanUS)
 	simulator.InVirtualTime(func(virtual simulator.VirtualTime) int {
-		if err := experiment.Run(virtual, mix, variants, words.First, words.Count, kernel.Micros(words.SpanUS), words.Out, command); err != nil {
+		if err := experiment.Run(virtual, mix, variants, arguments.First, arguments.Count, kernel.Micros(arguments.SpanUS), arguments.Out, command); err != nil {
 			fmt.Fprintln(os.Stderr, "simulator:", err)
 			return 1
 		}
-		fmt.Println(words.Out + "/report.md")
+		fmt.Println(arguments.Out + "/report.md")
 		return 0
 	})
 }
--- a/fleetconfig/config.go
+++ b/fleetconfig/config.go
@@ -176,19 +176,19 @@
 }
 
 // Bind finds the first binding that fits a request.
-func (s *Config) Bind(kind, model string) (*Binding, bool) {
+func (config *Config) Bind(kind, model string) (*Binding, bool) {
 	best := -1
 	// With thousands of bindings a scan per request is too slow: exact pairs are
 	// looked up, and order is kept by taking the lowest index.
 	for _, pair := range [][2]string{{kind, model}, {kind, ""}, {"", model}, {"", ""}} {
-		if index, isThere := s.byPair[pair]; isThere && (best < 0 || index < best) {
+		if index, isThere := config.byPair[pair]; isThere && (best < 0 || index < best) {
 			best = index
 		}
 	}
 	if best < 0 {
 		return nil, false
 	}
-	return &s.Bindings[best], true
+	return &config.Bindings[best], true
 }
 
 // Weight gives an engine's weight under a binding; zero means not eligible.
--- a/fleetconfig/routes.go
+++ b/fleetconfig/routes.go
@@ -94,11 +94,11 @@
 // nil: there is none. Case and port of the host count for nothing. The path is taken as it
 // is: one that ends before the prefix's last slash is not under it. Nothing is allocated,
 // unless the host has capital letters.
-func (s *Config) RouteOf(host, path string) *Route {
-	byHost := s.byHost.Load()
+func (config *Config) RouteOf(host, path string) *Route {
+	byHost := config.byHost.Load()
 	if byHost == nil {
 		// A form, or a test, made this configuration by hand: its routes must not be lost for that.
-		byHost = s.indexRoutes()
+		byHost = config.indexRoutes()
 	}
 	routes := (*byHost)[bareHost(host)]
 	if routes == nil {
@@ -117,10 +117,10 @@
 }
 
 // indexRoutes sorts the routes by host. Two who do so at once make the same.
-func (s *Config) indexRoutes() *map[string]*hostRoutes {
+func (config *Config) indexRoutes() *map[string]*hostRoutes {
 	byHost := map[string]*hostRoutes{}
-	for i := range s.Routes {
-		route := &s.Routes[i]
+	for i := range config.Routes {
+		route := &config.Routes[i]
 		host := bareHost(route.Host)
 		routes := byHost[host]
 		if routes == nil {
@@ -130,7 +130,7 @@
 		routes.byPrefix[route.Prefix] = route
 		routes.longest = max(routes.longest, len(route.Prefix))
 	}
-	s.byHost.Store(&byHost)
+	config.byHost.Store(&byHost)
 	return &byHost
 }
 
--- a/history/archive.go
+++ b/history/archive.go
@@ -121,51 +121,51 @@
 	return w, nil
 }
 
-func (w *Archive) open(disk billy.Filesystem) error {
-	if err := os.MkdirAll(w.path, 0o755); err != nil {
-		return DiskError{"make", w.path, err}
+func (archive *Archive) open(disk billy.Filesystem) error {
+	if err := os.MkdirAll(archive.path, 0o755); err != nil {
+		return DiskError{"make", archive.path, err}
 	}
-	w.files = filesystem.NewStorageWithOptions(syncedFiles{disk}, cache.NewObjectLRU(8*cache.MiByte), filesystem.Options{})
-	repo, err := git.Open(w.files, nil)
+	archive.files = filesystem.NewStorageWithOptions(syncedFiles{disk}, cache.NewObjectLRU(8*cache.MiByte), filesystem.Options{})
+	repo, err := git.Open(archive.files, nil)
 	if errors.Is(err, git.ErrRepositoryNotExists) {
-		if repo, err = git.Init(w.files, nil); err == nil {
-			err = w.mark()
+		if repo, err = git.Init(archive.files, nil); err == nil {
+			err = archive.mark()
 		}
 	}
 	if err != nil {
 		return fmt.Errorf("open the object store: %w", err)
 	}
-	w.repo = repo
-	if err := w.checkMark(); err != nil {
+	archive.repo = repo
+	if err := archive.checkMark(); err != nil {
 		return err
 	}
-	w.clearAside()
-	return w.read()
+	archive.clearAside()
+	return archive.read()
 }
 
 // mark writes down whose store this is.
-func (w *Archive) mark() error {
-	content, err := json.Marshal(marker{format, w.fleet})
+func (archive *Archive) mark() error {
+	content, err := json.Marshal(marker{format, archive.fleet})
 	if err != nil {
 		return fmt.Errorf("mark the object store: %w", err)
 	}
-	hash, err := w.put(plumbing.BlobObject, content)
+	hash, err := archive.put(plumbing.BlobObject, content)
 	if err != nil {
 		return err
 	}
-	return w.name(fleetRef, hash)
+	return archive.name(fleetRef, hash)
 }
 
-func (w *Archive) checkMark() error {
-	ref, err := w.files.Reference(fleetRef)
+func (archive *Archive) checkMark() error {
+	ref, err := archive.files.Reference(fleetRef)
 	if errors.Is(err, plumbing.ErrReferenceNotFound) {
 		// Made and not yet marked when the power went: nothing is in it.
-		return w.mark()
+		return archive.mark()
 	}
 	if err != nil {
 		return fmt.Errorf("whose object store it is: %w", err)
 	}
-	content, err := w.blob(ref.Hash())
+	content, err := archive.blob(ref.Hash())
 	var mark marker
 	if err == nil {
 		err = json.Unmarshal(content, &mark)
@@ -174,16 +174,16 @@
 	case err != nil:
 		return fmt.Errorf("whose object store it is: %w", err)
 	case mark.Format > format:
-		return Foreign{w.path, fmt.Sprintf("it is of format %d, this build knows up to %d", mark.Format, format)}
-	case mark.Fleet != w.fleet:
-		return Foreign{w.path, fmt.Sprintf("it belongs to fleet %q, not %q", mark.Fleet, w.fleet)}
+		return Foreign{archive.path, fmt.Sprintf("it is of format %d, this build knows up to %d", mark.Format, format)}
+	case mark.Fleet != archive.fleet:
+		return Foreign{archive.path, fmt.Sprintf("it belongs to fleet %q, not %q", mark.Fleet, archive.fleet)}
 	}
 	return nil
 }
 
 // clearAside takes away what a crash left half written; no name led to it yet.
-func (w *Archive) clearAside() {
-	left, err := filepath.Glob(filepath.Join(w.path, "objects", "pack", "tmp_*"))
+func (archive *Archive) clearAside() {
+	left, err := filepath.Glob(filepath.Join(archive.path, "objects", "pack", "tmp_*"))
 	if err != nil {
 		return
 	}
@@ -194,8 +194,8 @@
 
 // read lists what is held, beside whoever opened the store: thousands of revisions
 // take a while, and nobody's start may wait for that. What can't be read is passed over.
-func (w *Archive) read() error {
-	refs, err := w.files.IterReferences()
+func (archive *Archive) read() error {
+	refs, err := archive.files.IterReferences()
 	if err != nil {
 		return fmt.Errorf("list the object store: %w", err)
 	}
@@ -209,64 +209,64 @@
 	}); err != nil {
 		return fmt.Errorf("list the object store: %w", err)
 	}
-	w.held = map[uint64]Facts{}
-	w.listing.Go(func() {
+	archive.held = map[uint64]Facts{}
+	archive.listing.Go(func() {
 		for _, revision := range revisions {
-			w.lock.Lock()
-			_, facts, err := w.at(revision, factsName)
-			w.lock.Unlock()
+			archive.lock.Lock()
+			_, facts, err := archive.at(revision, factsName)
+			archive.lock.Unlock()
 			if err != nil {
 				continue
 			}
-			w.index.Lock()
-			w.held[revision] = facts
-			w.index.Unlock()
+			archive.index.Lock()
+			archive.held[revision] = facts
+			archive.index.Unlock()
 		}
 	})
-	return w.measure()
+	return archive.measure()
 }
 
-func (w *Archive) measure() error {
-	w.bytes = 0
-	err := filepath.WalkDir(filepath.Join(w.path, "objects"), func(_ string, entry fs.DirEntry, err error) error {
+func (archive *Archive) measure() error {
+	archive.bytes = 0
+	err := filepath.WalkDir(filepath.Join(archive.path, "objects"), func(_ string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() {
 			return err
 		}
 		info, err := entry.Info()
 		if err == nil {
-			w.bytes += info.Size()
+			archive.bytes += info.Size()
 		}
 		return err
 	})
 	if err != nil {
-		return DiskError{"measure", w.path, err}
+		return DiskError{"measure", archive.path, err}
 	}
 	return nil
 }
 
 // put writes an object whole; a damaged one of the same name gives way.
-func (w *Archive) put(kind plumbing.ObjectType, content []byte) (plumbing.Hash, error) {
+func (archive *Archive) put(kind plumbing.ObjectType, content []byte) (plumbing.Hash, error) {
 	fresh := &plumbing.MemoryObject{}
 	fresh.SetType(kind)
 	if _, err := fresh.Write(content); err != nil {
 		return plumbing.ZeroHash, fmt.Errorf("encode an object: %w", err)
 	}
 	hash := fresh.Hash()
-	if old, err := w.raw(hash); err == nil && string(old) == string(content) {
+	if old, err := archive.raw(hash); err == nil && string(old) == string(content) {
 		return hash, nil
 	}
-	if err := w.files.DeleteLooseObject(hash); err != nil && !errors.Is(err, fs.ErrNotExist) {
+	if err := archive.files.DeleteLooseObject(hash); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return hash, DiskError{"remove", hash.String(), err}
 	}
-	if _, err := w.files.SetEncodedObject(fresh); err != nil {
+	if _, err := archive.files.SetEncodedObject(fresh); err != nil {
 		return hash, DiskError{"write", hash.String(), err}
 	}
 	return hash, nil
 }
 
-func (w *Archive) raw(hash plumbing.Hash) ([]byte, error) {
+func (archive *Archive) raw(hash plumbing.Hash) ([]byte, error) {
 	// Not from the library's cache: what counts is what the disk gives back.
-	found, err := filesystem.NewStorageWithOptions(w.files.Filesystem(), cache.NewObjectLRU(0), filesystem.Options{}).EncodedObject(plumbing.AnyObject, hash)
+	found, err := filesystem.NewStorageWithOptions(archive.files.Filesystem(), cache.NewObjectLRU(0), filesystem.Options{}).EncodedObject(plumbing.AnyObject, hash)
 	if err != nil {
 		return nil, err
 	}
@@ -278,8 +278,8 @@
 	return io.ReadAll(io.LimitReader(reader, mostBytes+1))
 }
 
-func (w *Archive) blob(hash plumbing.Hash) ([]byte, error) {
-	content, err := w.raw(hash)
+func (archive *Archive) blob(hash plumbing.Hash) ([]byte, error) {
+	content, err := archive.raw(hash)
 	if err != nil {
 		return nil, fmt.Errorf("read object %s: %w", hash, err)
 	}
@@ -287,13 +287,13 @@
 }
 
 // at reads the named files of a revision; its configuration it holds against its facts.
-func (w *Archive) at(revision uint64, names ...string) ([]byte, Facts, error) {
-	ref, err := w.files.Reference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(revision, 10)))
+func (archive *Archive) at(revision uint64, names ...string) ([]byte, Facts, error) {
+	ref, err := archive.files.Reference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(revision, 10)))
 	if err != nil {
 		return nil, Facts{}, Missing{revision}
 	}
 	damaged := func(err error) ([]byte, Facts, error) { return nil, Facts{}, Damaged{revision, err.Error()} }
-	commit, err := w.repo.CommitObject(ref.Hash())
+	commit, err := archive.repo.CommitObject(ref.Hash())
 	if err != nil {
 		return damaged(err)
 	}
@@ -306,7 +306,7 @@
 		if !slices.Contains(names, entry.Name) {
 			continue
 		}
-		if contents[entry.Name], err = w.blob(entry.Hash); err != nil {
+		if contents[entry.Name], err = archive.blob(entry.Hash); err != nil {
 			return damaged(err)
 		}
 	}
@@ -321,26 +321,26 @@
 }
 
 // Holds tells whether a revision is kept under a digest and can be read back whole.
-func (w *Archive) Holds(revision uint64, digest string) bool {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	_, facts, err := w.at(revision, factsName, configName)
+func (archive *Archive) Holds(revision uint64, digest string) bool {
+	archive.lock.Lock()
+	defer archive.lock.Unlock()
+	_, facts, err := archive.at(revision, factsName, configName)
 	return err == nil && facts.Digest == digest
 }
 
 // Config gives the configuration of a revision.
-func (w *Archive) Config(revision uint64) ([]byte, Facts, error) {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	return w.at(revision, factsName, configName)
+func (archive *Archive) Config(revision uint64) ([]byte, Facts, error) {
+	archive.lock.Lock()
+	defer archive.lock.Unlock()
+	return archive.at(revision, factsName, configName)
 }
 
 // History tells what is kept, oldest first.
-func (w *Archive) History() []Facts {
-	w.index.Lock()
-	defer w.index.Unlock()
-	history := make([]Facts, 0, len(w.held))
-	for _, facts := range w.held {
+func (archive *Archive) History() []Facts {
+	archive.index.Lock()
+	defer archive.index.Unlock()
+	history := make([]Facts, 0, len(archive.held))
+	for _, facts := range archive.held {
 		history = append(history, facts)
 	}
 	slices.SortFunc(history, func(a, b Facts) int {
@@ -353,42 +353,42 @@
 }
 
 // File adds a configuration with its facts; when it returns nil all of it is synced.
-func (w *Archive) File(facts Facts, config []byte) error {
-	w.lock.Lock()
-	defer w.lock.Unlock()
+func (archive *Archive) File(facts Facts, config []byte) error {
+	archive.lock.Lock()
+	defer archive.lock.Unlock()
 	if Digest(config) != facts.Digest {
 		return Damaged{facts.Revision, "what was brought to be filed has another digest"}
 	}
 	if facts.Filed == "" {
 		facts.Filed = time.Now().UTC().Format(time.RFC3339)
 	}
-	if err := w.makeRoom(int64(len(config))); err != nil {
+	if err := archive.makeRoom(int64(len(config))); err != nil {
 		return fmt.Errorf("file generation %d: %w", facts.Revision, err)
 	}
-	if err := w.commit(facts, config); err != nil {
+	if err := archive.commit(facts, config); err != nil {
 		return fmt.Errorf("file generation %d: %w", facts.Revision, err)
 	}
-	w.index.Lock()
-	w.held[facts.Revision] = facts
-	w.index.Unlock()
-	return w.measure()
+	archive.index.Lock()
+	archive.held[facts.Revision] = facts
+	archive.index.Unlock()
+	return archive.measure()
 }
 
-func (w *Archive) commit(facts Facts, config []byte) error {
+func (archive *Archive) commit(facts Facts, config []byte) error {
 	told, err := json.MarshalIndent(facts, "", "  ")
 	if err != nil {
 		return fmt.Errorf("encode the facts: %w", err)
 	}
 	tree := &object.Tree{}
 	for name, content := range map[string][]byte{factsName: told, configName: config} {
-		hash, err := w.put(plumbing.BlobObject, content)
+		hash, err := archive.put(plumbing.BlobObject, content)
 		if err != nil {
 			return err
 		}
 		tree.Entries = append(tree.Entries, object.TreeEntry{Name: name, Mode: filemode.Regular, Hash: hash})
 	}
 	slices.SortFunc(tree.Entries, func(a, b object.TreeEntry) int { return strings.Compare(a.Name, b.Name) })
-	treeHash, err := w.encode(tree)
+	treeHash, err := archive.encode(tree)
 	if err != nil {
 		return err
 	}
@@ -396,29 +396,29 @@
 	if err != nil {
 		return fmt.Errorf("when it was filed: %w", err)
 	}
-	by := object.Signature{Name: "dunlinloom", Email: w.fleet + "@dunlinloom.invalid", When: when}
+	by := object.Signature{Name: "dunlinloom", Email: archive.fleet + "@dunlinloom.invalid", When: when}
 	// Without parents: a revision that is filed late, or dropped, changes no other.
-	hash, err := w.encode(&object.Commit{Author: by, Committer: by, TreeHash: treeHash,
+	hash, err := archive.encode(&object.Commit{Author: by, Committer: by, TreeHash: treeHash,
 		Message: fmt.Sprintf("generation %d\n\nsubmission %s\nfounding %s\n", facts.Revision, facts.Submission, facts.Founding)})
 	if err != nil {
 		return err
 	}
 	// The name comes last, so that it never leads to half of a revision.
-	if err := w.name(plumbing.ReferenceName(tagPrefix+strconv.FormatUint(facts.Revision, 10)), hash); err != nil {
+	if err := archive.name(plumbing.ReferenceName(tagPrefix+strconv.FormatUint(facts.Revision, 10)), hash); err != nil {
 		return err
 	}
-	for revision := range w.held {
+	for revision := range archive.held {
 		if revision > facts.Revision {
 			return nil
 		}
 	}
-	return w.name(newestRef, hash)
+	return archive.name(newestRef, hash)
 }
 
 // name writes a reference aside and renames it: the library writes in place, and a name
 // cut short by a full disk would make the whole store unreadable.
-func (w *Archive) name(ref plumbing.ReferenceName, hash plumbing.Hash) error {
-	disk := w.files.Filesystem()
+func (archive *Archive) name(ref plumbing.ReferenceName, hash plumbing.Hash) error {
+	disk := archive.files.Filesystem()
 	aside, err := disk.TempFile(disk.Join("objects", "pack"), "tmp_ref_")
 	if err != nil {
 		return DiskError{"name", ref.String(), err}
@@ -437,7 +437,7 @@
 	Encode(plumbing.EncodedObject) error
 }
 
-func (w *Archive) encode(from encoder) (plumbing.Hash, error) {
+func (archive *Archive) encode(from encoder) (plumbing.Hash, error) {
 	made := &plumbing.MemoryObject{}
 	if err := from.Encode(made); err != nil {
 		return plumbing.ZeroHash, fmt.Errorf("encode an object: %w", err)
@@ -450,32 +450,32 @@
 	if err != nil {
 		return plumbing.ZeroHash, fmt.Errorf("encode an object: %w", err)
 	}
-	return w.put(made.Type(), content)
+	return archive.put(made.Type(), content)
 }
 
 // makeRoom drops the oldest revisions until another configuration fits under the bounds.
-func (w *Archive) makeRoom(more int64) error {
-	if w.bytes+more <= w.bound && len(w.held) < mostHeld {
+func (archive *Archive) makeRoom(more int64) error {
+	if archive.bytes+more <= archive.bound && len(archive.held) < mostHeld {
 		return nil
 	}
 	// A quarter at once, so that sweeping is not the price of every configuration.
 	revisions := []uint64{}
-	for revision := range w.held {
+	for revision := range archive.held {
 		revisions = append(revisions, revision)
 	}
 	slices.Sort(revisions)
-	for len(revisions) > 1 && (w.bytes+more > w.bound*3/4 || len(revisions) > mostHeld*3/4) {
+	for len(revisions) > 1 && (archive.bytes+more > archive.bound*3/4 || len(revisions) > mostHeld*3/4) {
 		drop := max(len(revisions)/8, 1)
 		for _, revision := range revisions[:drop] {
-			if err := w.files.RemoveReference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(revision, 10))); err != nil {
+			if err := archive.files.RemoveReference(plumbing.ReferenceName(tagPrefix + strconv.FormatUint(revision, 10))); err != nil {
 				return DiskError{"drop", strconv.FormatUint(revision, 10), err}
 			}
-			w.index.Lock()
-			delete(w.held, revision)
-			w.index.Unlock()
+			archive.index.Lock()
+			delete(archive.held, revision)
+			archive.index.Unlock()
 		}
 		revisions = revisions[drop:]
-		if err := w.sweep(); err != nil {
+		if err := archive.sweep(); err != nil {
 			return err
 		}
 	}
@@ -483,15 +483,15 @@
 }
 
 // sweep removes every object that no name leads to any more.
-func (w *Archive) sweep() error {
+func (archive *Archive) sweep() error {
 	needed := map[plumbing.Hash]bool{}
-	refs, err := w.files.IterReferences()
+	refs, err := archive.files.IterReferences()
 	if err != nil {
 		return fmt.Errorf("list the object store: %w", err)
 	}
 	if err := refs.ForEach(func(ref *plumbing.Reference) error {
 		needed[ref.Hash()] = true
-		commit, err := w.repo.CommitObject(ref.Hash())
+		commit, err := archive.repo.CommitObject(ref.Hash())
 		if err != nil {
 			return nil // the marker, or damaged; what it led to is damaged too
 		}
@@ -506,7 +506,7 @@
 		return fmt.Errorf("list the object store: %w", err)
 	}
 	surplus := []plumbing.Hash{}
-	if err := w.files.ForEachObjectHash(func(hash plumbing.Hash) error {
+	if err := archive.files.ForEachObjectHash(func(hash plumbing.Hash) error {
 		if !needed[hash] {
 			surplus = append(surplus, hash)
 		}
@@ -515,9 +515,9 @@
 		return fmt.Errorf("list the object store: %w", err)
 	}
 	for _, hash := range surplus {
-		if err := w.files.DeleteLooseObject(hash); err != nil {
+		if err := archive.files.DeleteLooseObject(hash); err != nil {
 			return DiskError{"remove", hash.String(), err}
 		}
 	}
-	return w.measure()
+	return archive.measure()
 }
--- a/history/archive_test.go
+++ b/history/archive_test.go
@@ -27,8 +27,8 @@
 	return w
 }
 
-func (w *Archive) file(c *qt.C, revision uint64, config string) {
-	c.Assert(w.File(facts(revision, config), []byte(config)), qt.IsNil)
+func (archive *Archive) file(c *qt.C, revision uint64, config string) {
+	c.Assert(archive.File(facts(revision, config), []byte(config)), qt.IsNil)
 }
 
 func revisions(w *Archive) []uint64 {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -30,14 +30,14 @@
 }
 
 // With gives the same surroundings under another context.
-func (c Env) With(ctx context.Context) Env {
-	c.Context = ctx
-	return c
+func (env Env) With(ctx context.Context) Env {
+	env.Context = ctx
+	return env
 }
 
 // Note puts a decision and its reason into the journal.
-func (c Env) Note(part, subject, decision, why string) {
-	c.Journal.Note(c.Clock.Now(), part, subject, decision, why)
+func (env Env) Note(part, subject, decision, why string) {
+	env.Journal.Note(env.Clock.Now(), part, subject, decision, why)
 }
 
 // LogJSON makes klog write JSON lines to standard error.
@@ -54,18 +54,18 @@
 }
 
 // Defer adds a step.
-func (s *Cleanup) Defer(step func() error) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.steps = append(s.steps, step)
+func (cleanup *Cleanup) Defer(step func() error) {
+	cleanup.lock.Lock()
+	defer cleanup.lock.Unlock()
+	cleanup.steps = append(cleanup.steps, step)
 }
 
 // Run takes every step, the newest first, and joins what failed.
-func (s *Cleanup) Run() error {
-	s.lock.Lock()
-	steps := s.steps
-	s.steps = nil
-	s.lock.Unlock()
+func (cleanup *Cleanup) Run() error {
+	cleanup.lock.Lock()
+	steps := cleanup.steps
+	cleanup.steps = nil
+	cleanup.lock.Unlock()
 	var failed []error
 	for i := len(steps) - 1; i >= 0; i-- {
 		failed = append(failed, steps[i]())
@@ -92,13 +92,13 @@
 func Open() *Kernel { return &Kernel{services: map[string]any{}} }
 
 // Place enters a service under a name that is still free.
-func (h *Kernel) Place(name string, service any) error {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	if _, isTaken := h.services[name]; isTaken {
+func (kernel *Kernel) Place(name string, service any) error {
+	kernel.lock.Lock()
+	defer kernel.lock.Unlock()
+	if _, isTaken := kernel.services[name]; isTaken {
 		return ServiceError{name, "the name is taken"}
 	}
-	h.services[name] = service
+	kernel.services[name] = service
 	return nil
 }
 
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -15,10 +15,10 @@
 
 func TestCleanUpRunsInReverseAndJoinsFailures(t *testing.T) {
 	c := qt.New(t)
-	var strike Cleanup
+	var cleanup Cleanup
 	order := []int{}
 	for i := range 3 {
-		strike.Defer(func() error {
+		cleanup.Defer(func() error {
 			order = append(order, i)
 			if i == 1 {
 				return stepFailed{i}
@@ -26,11 +26,11 @@
 			return nil
 		})
 	}
-	err := strike.Run()
+	err := cleanup.Run()
 	c.Assert(order, qt.DeepEquals, []int{2, 1, 0})
 	c.Assert(errors.Is(err, stepFailed{1}), qt.IsTrue)
 	// Steps are taken once.
-	c.Assert(strike.Run(), qt.IsNil)
+	c.Assert(cleanup.Run(), qt.IsNil)
 	c.Assert(order, qt.HasLen, 3)
 }
 
--- a/loadgen/loadgen.go
+++ b/loadgen/loadgen.go
@@ -243,7 +243,7 @@
 	for try := 0; ; try++ {
 		// Each try is a request of its own: what was promised of one says nothing of the next.
 		ask.Tag = fmt.Sprintf("%s/%d", tag, try)
-		event := caller.Call(limit, generator.Platform.Deal(turn, try), ask)
+		event := caller.Call(limit, generator.Platform.NodeFor(turn, try), ask)
 		isAgain := (event.Outcome == checker.NotRun || event.Outcome == checker.Unreached) && try < generator.Retries && limit.Err() == nil
 		take(event)
 		if !isAgain {
--- a/loadgen/platform.go
+++ b/loadgen/platform.go
@@ -102,9 +102,9 @@
 	}
 }
 
-// Deal gives the node for a caller's try. The turn stands for the caller: it says its
+// NodeFor gives the node for a caller's try. The turn stands for the caller: it says its
 // zone, and which of the zone's ready nodes it is handed to.
-func (p *Platform) Deal(turn, try int) string {
+func (p *Platform) NodeFor(turn, try int) string {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	zones := []string{}
--- a/simulator/day.go
+++ b/simulator/day.go
@@ -84,8 +84,8 @@
 	return count
 }
 
-// Play runs a whole day of faults under a seed.
-func Play(plan Plan) Outcome {
+// Run runs a whole day of faults under a seed.
+func Run(plan Plan) Outcome {
 	w := WorldOf(plan.Seed, plan.Deployment)
 	w.Trace = plan.Trace
 	outcome := Outcome{Plan: plan}
@@ -96,11 +96,11 @@
 	w.Traffic(plan.Rate, kernel.Micros(1<<60), 0.1)
 	for end := w.now + plan.Span; w.now < end; {
 		w.Run(w.between(300*ms, 4*sec))
-		w.strike(draw(w, faults))
+		w.inject(draw(w, faults))
 	}
 	last := draw(w, finals)
 	outcome.Final = last.name
-	w.strike(last)
+	w.inject(last)
 	w.Run(6 * sec)
 	w.settle(&outcome)
 	return outcome
--- a/simulator/fault_plan.go
+++ b/simulator/fault_plan.go
@@ -6,7 +6,7 @@
 	"dunlinloom/kernel"
 )
 
-// a fault does something to the world and undoes it by itself.
+// fault fault does something to the world and undoes it by itself.
 type fault struct {
 	name   string
 	weight int
--- a/simulator/machine.go
+++ b/simulator/machine.go
@@ -37,19 +37,19 @@
 	powerTrap int
 	leads     bool
 	// compiled are the configurations that this process has compiled; compileSlow is added to each.
-	compiled    map[string]bool
-	compileSlow kernel.Micros
-	isLeaving   bool
-	node        *control.Node
-	store       *control.Store
-	dispatcher  *relay.Dispatcher
-	hand        server.TableBuilder
-	journal     *kernel.Journal
-	calls       map[string]*call
-	saving      *control.Save
-	looked      *control.Document // checked already
-	top         uint64            // the highest revision that this process has applied
-	replies     map[string]func(control.SubmitReply)
+	compiled     map[string]bool
+	compileSlow  kernel.Micros
+	isLeaving    bool
+	node         *control.Node
+	store        *control.Store
+	dispatcher   *relay.Dispatcher
+	tableBuilder server.TableBuilder
+	journal      *kernel.Journal
+	calls        map[string]*call
+	saving       *control.Save
+	looked       *control.Document // checked already
+	top          uint64            // the highest revision that this process has applied
+	replies      map[string]func(control.SubmitReply)
 	// deliver takes what the network brings; tests of the network put their own here.
 	deliver func(control.Envelope)
 }
@@ -65,7 +65,7 @@
 	m.powerTrap, m.isLeaving = 0, false
 	m.compiled = map[string]bool{}
 	m.calls, m.replies = map[string]*call{}, map[string]func(control.SubmitReply){}
-	m.hand = server.TableBuilder{Compiler: &w.compiler}
+	m.tableBuilder = server.TableBuilder{Compiler: &w.compiler}
 	m.journal = kernel.NewJournal(4096)
 	m.journal.Watch = func(entry kernel.Entry) { w.watch(m, entry) }
 	w.startTick++
@@ -246,7 +246,7 @@
 		}
 	}
 	state := m.node.State(nil)
-	routingTable, err := m.hand.RoutingTable(state)
+	routingTable, err := m.tableBuilder.RoutingTable(state)
 	if err != nil {
 		w.wrong("%s can't read a committed spec: %v", m.name, err)
 	}
--- a/simulator/moments.go
+++ b/simulator/moments.go
@@ -93,14 +93,14 @@
 		// Within the time that one message takes.
 		w.in(w.between(0, 3*ms), func() {
 			if m.epoch == epoch && m.isUp && !w.isCalm {
-				w.strike(fault{name: moment.name, strike: func(w *World) { moment.strike(w, m) }})
+				w.inject(fault{name: moment.name, strike: func(w *World) { moment.strike(w, m) }})
 			}
 		})
 	}
 }
 
-// strike causes a fault and keeps count of it, and of those that came on top of another.
-func (w *World) strike(struck fault) {
+// inject causes a fault and keeps count of it, and of those that came on top of another.
+func (w *World) inject(struck fault) {
 	w.trace("FAULT %s", struck.name)
 	w.Struck[struck.name]++
 	if w.lastStruck != "" && w.now-w.lastStruckAt < sec {
--- a/simulator/simulator_test.go
+++ b/simulator/simulator_test.go
@@ -26,7 +26,7 @@
 		t.Run(fmt.Sprintf("%s %d", day.deployment, day.seed), func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			outcome := Play(Plan{Seed: day.seed, Deployment: day.deployment, Span: 25 * sec, Rate: 10})
+			outcome := Run(Plan{Seed: day.seed, Deployment: day.deployment, Span: 25 * sec, Rate: 10})
 			c.Assert(outcome.Lines(), qt.HasLen, 0, qt.Commentf("%s", strings.Join(outcome.Lines(), "\n")))
 			c.Assert(outcome.IsClean(), qt.IsTrue)
 			// A day on which nothing was served would break no rule either. What found no
@@ -41,7 +41,7 @@
 func TestASeedReplaysExactly(t *testing.T) {
 	c := qt.New(t)
 	plan := Plan{Seed: 42, Deployment: "qurum", Span: 15 * sec, Rate: 10}
-	first, second := Play(plan), Play(plan)
+	first, second := Run(plan), Run(plan)
 	c.Assert(len(first.Events) > 500, qt.IsTrue)
 	c.Assert(fmt.Sprint(first.Events) == fmt.Sprint(second.Events), qt.IsTrue)
 }
--- a/simulator/storm.go
+++ b/simulator/storm.go
@@ -110,7 +110,7 @@
 	w.Traffic(plan.Rate, kernel.Micros(1<<60), 0)
 	for end := w.now + plan.Span; w.now < end; {
 		w.Run(w.between(20*ms, 700*ms))
-		w.strike(draw(w, storms))
+		w.inject(draw(w, storms))
 	}
 	w.Run(5 * sec)
 	w.settle(&outcome)
--- a/tools/mutationtest/main.go
+++ b/tools/mutationtest/main.go
@@ -18,7 +18,7 @@
 	"github.com/alexflint/go-arg"
 )
 
-type words struct {
+type arguments struct {
 	Folder  string `arg:"--mutations" default:"mutations" help:"the folder of patches"`
 	Only    string `arg:"--only" help:"only patches whose name contains this"`
 	Workers int    `arg:"--workers" default:"3"`
@@ -182,11 +182,11 @@
 }
 
 func main() {
-	var words words
-	arg.MustParse(&words)
-	files, err := filepath.Glob(filepath.Join(words.Folder, "*.patch"))
+	var arguments arguments
+	arg.MustParse(&arguments)
+	files, err := filepath.Glob(filepath.Join(arguments.Folder, "*.patch"))
 	if err != nil || len(files) == 0 {
-		fmt.Fprintln(os.Stderr, "mutationtest: there is no patch in", words.Folder)
+		fmt.Fprintln(os.Stderr, "mutationtest: there is no patch in", arguments.Folder)
 		os.Exit(1)
 	}
 	patches := []patch{}
@@ -196,17 +196,17 @@
 			fmt.Fprintln(os.Stderr, "mutationtest:", err)
 			os.Exit(1)
 		}
-		if strings.Contains(read.name, words.Only) {
+		if strings.Contains(read.name, arguments.Only) {
 			patches = append(patches, read)
 		}
 	}
-	if words.Sound {
+	if arguments.Sound {
 		os.Exit(sound(patches))
 	}
 	var lock sync.Mutex
 	var hands sync.WaitGroup
 	queue, bad := make(chan patch), 0
-	for range max(words.Workers, 1) {
+	for range max(arguments.Workers, 1) {
 		hands.Go(func() {
 			for p := range queue {
 				found, err := heckle(p)
--- a/tools/testreport/main.go
+++ b/tools/testreport/main.go
@@ -19,7 +19,7 @@
 	"github.com/alexflint/go-arg"
 )
 
-type words struct {
+type arguments struct {
 	Known    string   `arg:"--known" default:"KNOWN-RED.txt" help:"the list of tests known to fail; none if there is no such file"`
 	Race     bool     `arg:"--race" help:"run with the race detector"`
 	Packages []string `arg:"positional" help:"patterns of packages (default ./...)"`
@@ -228,13 +228,13 @@
 	return errors.Join(faults...)
 }
 
-func run(words words, folder string, out, errOut io.Writer) error {
+func run(arguments arguments, folder string, out, errOut io.Writer) error {
 	s := kernel{folder, out, errOut}
 	module, err := s.capture("list", "-m")
 	if err != nil {
 		return fmt.Errorf("find the module: %w", err)
 	}
-	list, err := os.ReadFile(words.Known)
+	list, err := os.ReadFile(arguments.Known)
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return fmt.Errorf("read the list: %w", err)
 	}
@@ -242,16 +242,16 @@
 	if err != nil {
 		return err
 	}
-	if len(words.Packages) == 0 {
-		words.Packages = []string{"./..."}
+	if len(arguments.Packages) == 0 {
+		arguments.Packages = []string{"./..."}
 	}
-	return report(s, out, reds, words.Race, words.Packages)
+	return report(s, out, reds, arguments.Race, arguments.Packages)
 }
 
 func main() {
-	var words words
-	arg.MustParse(&words)
-	if err := run(words, ".", os.Stdout, os.Stderr); err != nil {
+	var arguments arguments
+	arg.MustParse(&arguments)
+	if err := run(arguments, ".", os.Stdout, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "testreport:", err)
 		os.Exit(1)
 	}
