--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -21,7 +21,7 @@
 	Events  = "events"  // the owners' own work on messages and ticks
 	Encode  = "encode"  // messages to bytes
 	Decode  = "decode"  // and back
-	Publish = "publish" // the picture for the data plane after each event
+	Publish = "publish" // the state for the data plane after each event
 	Disk    = "disk"    // encoding and sums of what is saved; no device
 	Compile = "compile" // configurations, beside the owners
 )
@@ -30,7 +30,7 @@
 const (
 	deploymentVoters = 5
 	deploymentBeat   = 1200 * ms
-	// Two words may be lost on the way; the third says that there is nobody.
+	// Two heartbeats may be lost on the way; the third says that there is nobody.
 	deploymentBeatGone = deploymentBeat * 7 / 2
 	deploymentTry      = 900 * ms
 )
@@ -40,12 +40,12 @@
 	withinZone   = 400 * kernel.Micros(1)
 	withinRegion = 1500 * kernel.Micros(1)
 	betweenFirst = 20 * ms // to the next region, one way
-	betweenMore  = 12 * ms // for each region further round
+	betweenMore  = 12 * ms // for each region farther away
 	writeTakes   = 3 * ms
-	compileBytes = 5 // of a configuration in a microsecond, as measured by the table of papers
+	compileBytes = 5 // of a configuration in a microsecond, as measured by the table of configurations
 )
 
-// Fleet is a hollow fleet on virtual time.
+// Fleet is a measured fleet on virtual time.
 type Fleet struct {
 	sizes      Sizes
 	now        kernel.Micros
@@ -77,11 +77,11 @@
 
 func wallNanos() int64 { return int64(kernel.BootClock{}.Now()) * 1000 }
 
-// NewFleet lays out a hollow fleet; nothing runs yet.
+// NewFleet lays out a measured fleet; nothing runs yet.
 func NewFleet(sizes Sizes, seed uint64) (*Fleet, error) {
 	sizes = sizes.Fill()
 	if err := sizes.Check(); err != nil {
-		return nil, fmt.Errorf("lay out a hollow fleet: %w", err)
+		return nil, fmt.Errorf("lay out a measured fleet: %w", err)
 	}
 	f := &Fleet{
 		sizes: sizes, now: 1000 * sec, random: rand.New(rand.NewPCG(seed, 0x93ee)), byAddress: map[string]*node{},
@@ -171,7 +171,7 @@
 	return betweenFirst + kernel.Micros(apart-1)*betweenMore + f.jitter(2*ms)
 }
 
-// configuration makes an operator's document with so many routes for so many tenants.
+// config makes an operator's document with so many routes for so many tenants.
 func (f *Fleet) config(number uint64) []byte { return configOf(f.sizes, number) }
 
 func configOf(sizes Sizes, number uint64) []byte {
@@ -200,7 +200,7 @@
 	at.event(func() []any { return at.node.Submit(f.now, submit) })
 }
 
-// report lets a hollow engine report for ever: under strict rules its figures, each time at
+// report lets a simulated engine report for ever: under strict rules its figures, each time at
 // a node of its zone; under the deployment's that it is there, each time at any node.
 func (f *Fleet) report(index int, after kernel.Micros) {
 	zone := index % f.sizes.Zones
--- a/capacity/fleet_open.go
+++ b/capacity/fleet_open.go
@@ -28,7 +28,7 @@
 		f.submit(f.router(0), control.PutConfig, f.config(0), func(reply control.SubmitReply) {
 			isOver, accepted = true, reply.Outcome == control.Yes
 		})
-		if err := f.until("put a spec in force", 50*ms, 20*sec, func() string {
+		if err := f.until("put a configuration in force", 50*ms, 20*sec, func() string {
 			if !isOver {
 				return "no receipt came"
 			}
@@ -41,7 +41,7 @@
 		}
 	}
 	if !accepted {
-		return Unsettled{"put a spec in force", 100 * sec, "no yes came"}
+		return Unsettled{"put a configuration in force", 100 * sec, "no yes came"}
 	}
 	if err := f.moveHomes(); err != nil {
 		return err
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -65,8 +65,8 @@
 	// At the end of a cut, of the region's routers and of the others, the share that may serve.
 	ServingInside  float64 `json:"serving_inside,omitempty"`
 	ServingOutside float64 `json:"serving_outside,omitempty"`
-	// The whole process's processor time while bills were written, by what is on them: the
-	// rest is the collector's, the calendar's and the network's.
+	// The whole process's processor time while costs were counted, by what was counted: the
+	// rest is the collector's, the event queue's and the network's.
 	Overhead float64       `json:"overhead"`
 	Wall     kernel.Micros `json:"wall_us"`
 	Heap     float64       `json:"heap"`
@@ -89,7 +89,7 @@
 	return float64(stats.HeapAlloc)
 }
 
-// Run runs one hollow fleet and measures it.
+// Run runs one fleet and measures it.
 func Run(sizes Sizes, seed uint64) (*Outcome, error) {
 	f, err := NewFleet(sizes, seed)
 	if err != nil {
@@ -125,7 +125,7 @@
 }
 
 // shown is how many nodes of a role publish while they are measured: every event of a
-// node ends with its picture, and at hundreds of nodes that is most of the rig's time.
+// node ends with its state, and at hundreds of nodes that is most of the run's time.
 const shown = 1
 
 func (f *Fleet) measure(outcome *Outcome) error {
@@ -168,19 +168,19 @@
 	outcome.Overhead = float64(process) / float64(max(billed, 1))
 	for role, nodes := range roles {
 		figures := Figures{Nodes: len(nodes), Sent: map[string]Rate{}, Got: map[string]Rate{}, Processor: map[string]float64{}}
-		pictures := 0
+		published := 0
 		for _, h := range nodes {
 			addRates(figures.Sent, h.cost.sent, seconds*float64(len(nodes)))
 			addRates(figures.Got, h.cost.got, seconds*float64(len(nodes)))
 			if h.isShown {
-				pictures++
+				published++
 			}
 		}
 		for _, h := range nodes {
 			for part, nanos := range h.cost.nanos {
 				of := len(nodes)
 				if part == Publish {
-					of = pictures
+					of = published
 				}
 				figures.Processor[part] += float64(nanos) / 1e9 / seconds / float64(of)
 			}
@@ -227,7 +227,7 @@
 }
 
 func (f *Fleet) settleOrders(outcome *Outcome, told *[]order) error {
-	if err := f.until("wait for receipts", 200*ms, 30*sec, func() string {
+	if err := f.until("wait for acknowledgements", 200*ms, 30*sec, func() string {
 		for _, one := range *told {
 			if one.answered == 0 {
 				return "an order has no receipt"
--- a/capacity/node.go
+++ b/capacity/node.go
@@ -16,7 +16,7 @@
 // traffic counts messages of one kind.
 type traffic struct{ messages, bytes int64 }
 
-// cost is what a node has cost while bills were written.
+// cost is what a node has cost while costs were counted.
 type cost struct {
 	sent, got map[string]traffic
 	nanos     map[string]int64
@@ -53,7 +53,7 @@
 	revision uint64
 }
 
-// time puts the processor time of some work on a node's bill.
+// time puts the processor time of some work to a node's cost.
 func (h *node) time(part string, work func()) {
 	if !h.fleet.isMeasured {
 		work()
--- a/capacity/parts.go
+++ b/capacity/parts.go
@@ -26,17 +26,17 @@
 	Arrive       float64 // microseconds of processor time from a request's arrival to its engine
 	Rest         float64 // and from there to its end, 20 events
 	PerHeld      float64 // bytes of heap for a request that is open
-	RoutingTable float64 // bytes of heap of the picture and the compiled configuration
+	RoutingTable float64 // bytes of heap of the routing table and the compiled configuration
 }
 
 // loadRounds is how many requests a dispatcher is timed over.
 const loadRounds = 2000
 
-// routingTableOf makes a picture of so many engines under a configuration of so many routes.
+// routingTableOf makes a routing table of so many engines under a configuration of so many routes.
 func routingTableOf(sizes Sizes) (*relay.RoutingTable, error) {
 	config, err := fleetconfig.Read(configOf(sizes, 0))
 	if err != nil {
-		return nil, fmt.Errorf("make a scene: %w", err)
+		return nil, fmt.Errorf("make a routing table: %w", err)
 	}
 	routingTable := &relay.RoutingTable{Revision: 1, Config: config, Drained: map[string]bool{}, Until: 1 << 60}
 	for i := range sizes.Nodes {
@@ -174,7 +174,7 @@
 	compiled, err := fleetconfig.Read(config)
 	cost.Read = float64(threadNanos()-begun) / 1e3
 	if err != nil {
-		return nil, fmt.Errorf("weigh a spec: %w", err)
+		return nil, fmt.Errorf("weigh a configuration: %w", err)
 	}
 	cost.Compiled = heapBytes() - before
 	runtime.KeepAlive(compiled)
@@ -237,22 +237,22 @@
 // filed is how many configurations the store is timed over.
 const filed = 5
 
-func (p *ConfigCost) file(sizes Sizes) (err error) {
+func (cost *ConfigCost) file(sizes Sizes) (err error) {
 	path, err := os.MkdirTemp("", "capacity-store-")
 	if err != nil {
-		return fmt.Errorf("file a spec: %w", err)
+		return fmt.Errorf("file a configuration: %w", err)
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(path)) }()
 	store, err := history.Open(path, "capacity", 1<<30)
 	if err != nil {
-		return fmt.Errorf("file a spec: %w", err)
+		return fmt.Errorf("file a configuration: %w", err)
 	}
 	nanos, size := int64(0), int64(0)
 	for i := range filed + 1 {
 		config := configOf(sizes, uint64(i)+1)
 		begun := threadNanos()
 		if err := store.File(history.Facts{Revision: uint64(i) + 1, Digest: history.Digest(config), Founding: "f"}, config); err != nil {
-			return fmt.Errorf("file a spec: %w", err)
+			return fmt.Errorf("file a configuration: %w", err)
 		}
 		nanos += threadNanos() - begun
 		if i == 0 {
@@ -267,7 +267,7 @@
 	if err != nil {
 		return err
 	}
-	p.File, p.Stored = float64(nanos)/1e3/filed, float64(grown-size)/filed
+	cost.File, cost.Stored = float64(nanos)/1e3/filed, float64(grown-size)/filed
 	return nil
 }
 
--- a/capacity/sizes.go
+++ b/capacity/sizes.go
@@ -1,6 +1,6 @@
-// Package capacity measures what the control plane costs: hollow nodes, which are the
-// real owners without process, socket or disk, many to one process, before hollow
-// engines, on virtual time. Nothing here judges what is right; the simulator does.
+// Package capacity measures what the control plane costs: nodes which are the real
+// owners without process, socket or disk, many to one process, before simulated engines,
+// on virtual time. Nothing here judges what is right; the simulator does.
 package capacity
 
 import (
@@ -39,8 +39,8 @@
 	Known []Role
 }
 
-func (b UnknownRole) Error() string {
-	return fmt.Sprintf("there is no role %q; known are %v", b.Role, b.Known)
+func (err UnknownRole) Error() string {
+	return fmt.Sprintf("there is no role %q; known are %v", err.Role, err.Known)
 }
 
 // Rules are what a fleet promises and how its engines are known.
@@ -50,16 +50,16 @@
 	// Strict rules are the defaults of a node: three voters, leases that lapse, a yes by a
 	// majority of the routers, and engines whose reports are heard at a node of their zone.
 	Strict Rules = "strict"
-	// Deployment rules are those that a Deployment in wings sets: see its node. Its engines
-	// register themselves, each word at any node.
+	// Deployment rules are those that server.Deployment sets: see its node. Its engines
+	// register themselves, each time at any node.
 	Deployment Rules = "deployment"
 )
 
 // UnknownRules says that there are no rules of that name.
 type UnknownRules struct{ Rules Rules }
 
-func (b UnknownRules) Error() string {
-	return fmt.Sprintf("there are no rules %q; known are %q and %q", b.Rules, Strict, Deployment)
+func (err UnknownRules) Error() string {
+	return fmt.Sprintf("there are no rules %q; known are %q and %q", err.Rules, Strict, Deployment)
 }
 
 // OutOfBounds says that a size is not one that the rig or the machine can take.
@@ -69,8 +69,8 @@
 	Low, High int64
 }
 
-func (b OutOfBounds) Error() string {
-	return fmt.Sprintf("%s: %d is not from %d to %d", b.What, b.Asked, b.Low, b.High)
+func (err OutOfBounds) Error() string {
+	return fmt.Sprintf("%s: %d is not from %d to %d", err.What, err.Asked, err.Low, err.High)
 }
 
 // OutOfTime says that a run was stopped by its bound of wall time.
@@ -79,8 +79,8 @@
 	Bound kernel.Micros
 }
 
-func (b OutOfTime) Error() string {
-	return fmt.Sprintf("stopped in %q after %d us of wall time", b.Step, b.Bound)
+func (err OutOfTime) Error() string {
+	return fmt.Sprintf("stopped in %q after %d us of wall time", err.Step, err.Bound)
 }
 
 // Unsettled says that the fleet did not come to rest in the virtual time it was given.
@@ -90,11 +90,11 @@
 	Why  string
 }
 
-func (b Unsettled) Error() string {
-	return fmt.Sprintf("%s: not settled after %d us: %s", b.Step, b.Span, b.Why)
+func (err Unsettled) Error() string {
+	return fmt.Sprintf("%s: not settled after %d us: %s", err.Step, err.Span, err.Why)
 }
 
-// Sizes are those of a hollow fleet and of what it is put through.
+// Sizes are those of a measured fleet and of what it is put through.
 type Sizes struct {
 	Nodes    int `json:"nodes"`   // routers and control machines together
 	Control  int `json:"control"` // of them, machines with a controller and a disk that don't route
@@ -149,7 +149,7 @@
 	return s
 }
 
-// What a hollow node and its parts take, by heap profiles of the rig; only to decline
+// What a measured node and its parts take, by heap profiles; only to refuse
 // before anything starts what would not fit, so rather too much than too little.
 const (
 	nodeBytes   = 600 << 10
--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -22,8 +22,8 @@
 	Known []string
 }
 
-func (b UnknownTable) Error() string {
-	return fmt.Sprintf("there is no table %q; known are %v", b.Name, b.Known)
+func (err UnknownTable) Error() string {
+	return fmt.Sprintf("there is no table %q; known are %v", err.Name, err.Known)
 }
 
 // Batch says how the rows of a table are run.
@@ -104,7 +104,7 @@
 			func(s *Sizes, v int) { s.Nodes = v }, 32, 96, 205), row{"96, 40 s", 96, base(func(s *Sizes) { s.Nodes, s.Cut, s.Span = 96, 40*sec, sec })}), printSettle, nil},
 		"full":     {"All 410 nodes, 500 routes, by engines", "engines", sweep(full, func(s *Sizes, v int) { s.Engines = v }, 850, 3400), printRoles, nil},
 		"desk":     {"One router's desk: requests", "", nil, nil, printDispatcher},
-		"paper":    {"Specs, documents and the object store", "", nil, nil, printConfig},
+		"paper":    {"Configurations, documents and the object store", "", nil, nil, printConfig},
 		"channels": {"Real channels over loopback, at rest, no engines", "", nil, nil, printWire},
 	}
 }
@@ -276,7 +276,7 @@
 	{"owners, % of a core", func(f Figures) float64 {
 		return 100 * (f.Processor[Events] + f.Processor[Encode] + f.Processor[Decode] + f.Processor[Disk])
 	}},
-	{"picture, % of a core", func(f Figures) float64 { return 100 * f.Processor[Publish] }},
+	{"publishing, % of a core", func(f Figures) float64 { return 100 * f.Processor[Publish] }},
 	{"compiling, % of a core", func(f Figures) float64 { return 100 * f.Processor[Compile] }},
 	{"heap MB", func(f Figures) float64 { return f.Memory / 1e6 }},
 }
@@ -320,7 +320,7 @@
 			}
 		}
 	}
-	fmt.Fprintf(w, "\nThe process's time by what is on the bills: %s.\n", spread(waits))
+	fmt.Fprintf(w, "\nThe process's time by what was counted: %s.\n", spread(waits))
 	if slices.ContainsFunc(t.rows, func(row row) bool { return row.sizes.Changes > 0 }) {
 		fmt.Fprintln(w)
 		printForce(w, t, found)
@@ -425,7 +425,7 @@
 
 // printDispatcher sweeps one size at a time from a middle one.
 func printDispatcher(w io.Writer, _ table, b Batch) error {
-	head(w, "size", "arrival to engine us", "to its end us, 20 events", "heap of an open request, bytes", "picture and spec, MB")
+	head(w, "size", "arrival to engine us", "to its end us, 20 events", "heap of an open request, bytes", "routing table and configuration, MB")
 	middle := base(func(s *Sizes) {
 		s.Nodes, s.Zones, s.Regions, s.Engines, s.Routes, s.Tenants, s.Prefixes, s.Sessions = 410, 24, 7, 850, 2000, 2000, 10000, 1000
 		s.MemoryMB = 4000
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -12,7 +12,7 @@
 // Rule names a thing that must never happen.
 type Rule string
 
-// The rules of the brief.
+// The rules of every run.
 const (
 	RunTwice      Rule = "a request ran twice"
 	RunAfterNo    Rule = "a request ran after a promise that it had not"
@@ -20,13 +20,13 @@
 	EndFalse      Rule = "a stream ended as if complete"
 	LeavingUsed   Rule = "a request went to a leaving engine"
 	EmptiedUsed   Rule = "a request went to an emptied zone"
-	ConfigOld     Rule = "a request was handled under an old spec"
-	ConfigSlipped Rule = "a node slipped back to an older spec"
+	ConfigOld     Rule = "a request was handled under an old configuration"
+	ConfigSlipped Rule = "a node slipped back to an older configuration"
 	RetriesMany   Rule = "retries exceeded their share"
 	ColdFlooded   Rule = "a starting engine was flooded"
 	StopDropped   Rule = "a planned stop dropped a request"
 	AckLost       Rule = "an acknowledged order was lost"
-	NoTookEffect  Rule = "a declined order took effect"
+	NoTookEffect  Rule = "a rejected order took effect"
 	BrokenLong    Rule = "service stayed broken after repair"
 )
 
@@ -52,12 +52,12 @@
 	Share float64
 }
 
-// BriefBounds are the brief's own figures.
-func BriefBounds() Bounds {
+// PromisedBounds are the figures that are promised.
+func PromisedBounds() Bounds {
 	return Bounds{
 		Leaving: 3 * kernel.Second, Emptied: 5 * kernel.Second, OldConfig: 2 * kernel.Second,
 		SlipBack: kernel.Second / 4, Broken: 12 * kernel.Second, RetryShare: 0.1,
-		// The brief says "a small share" and no span: these two are ours, in docs/design.md.
+		// What is promised is a small share, of no stated span: these two are ours, in docs/design.md.
 		RetryWindows: []RetryWindow{{10 * kernel.Second, 0.2}, {60 * kernel.Second, 0.1}},
 		History:      64, Stalled: 25 * kernel.Second, OrderDue: 10 * kernel.Second, LoadShare: 0.1,
 	}
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -50,7 +50,7 @@
 
 func TestAGoodHistoryHasNoViolation(t *testing.T) {
 	c := qt.New(t)
-	review := Judge(good(), BriefBounds())
+	review := Judge(good(), PromisedBounds())
 	c.Assert(review.Violations, qt.HasLen, 0)
 	c.Assert(review.RepairTook, qt.Equals, 2*s)
 	c.Assert(review.Calls, qt.Equals, 8)
@@ -97,16 +97,16 @@
 // What only looks like a violation must not be taken for one.
 func TestNearMissesAreNone(t *testing.T) {
 	for name, events := range map[string][]Event{
-		"declined for load after a repair":               {{At: 53 * s, What: CallEnded, Tag: "x", Node: "n1", Began: 52*s + 1, Outcome: NotRun, Reason: "late"}},
-		"declined within the bound":                      {{At: 53 * s, What: CallEnded, Tag: "x", Node: "n1", Began: 52*s - 1, Outcome: NotRun, Reason: "no_licence"}},
-		"every node, kind and order":                     append(repairedWith([]string{"n1"}, []string{"log"}), calm("n1", "log")...),
-		"retries within both windows":                    burst(120, 4, s/2),
-		"a run in the grace of a new spec":               append(twoPools(), Event{At: 65 * s, What: RunBegan, Tag: "x", Engine: "e8", Pool: "p"}),
-		"a spec that may be in force before its receipt": append(twoPools(), Event{At: 62*s + 1, What: RunBegan, Tag: "x", Engine: "e8", Pool: "q"}),
-		"a spec whose answer nobody had": append(twoPools(), Event{At: 66 * s, What: ConfigSent, ID: "r", Pools: []string{"r"}},
+		"rejected for load after a repair":                                {{At: 53 * s, What: CallEnded, Tag: "x", Node: "n1", Began: 52*s + 1, Outcome: NotRun, Reason: "late"}},
+		"rejected within the bound":                                       {{At: 53 * s, What: CallEnded, Tag: "x", Node: "n1", Began: 52*s - 1, Outcome: NotRun, Reason: "no_licence"}},
+		"every node, kind and order":                                      append(repairedWith([]string{"n1"}, []string{"log"}), calm("n1", "log")...),
+		"retries within both windows":                                     burst(120, 4, s/2),
+		"a run in the grace of a new configuration":                       append(twoPools(), Event{At: 65 * s, What: RunBegan, Tag: "x", Engine: "e8", Pool: "p"}),
+		"a configuration that may be in force before its acknowledgement": append(twoPools(), Event{At: 62*s + 1, What: RunBegan, Tag: "x", Engine: "e8", Pool: "q"}),
+		"a configuration whose answer nobody had": append(twoPools(), Event{At: 66 * s, What: ConfigSent, ID: "r", Pools: []string{"r"}},
 			Event{At: 76 * s, What: RunBegan, Tag: "x", Engine: "e8", Pool: "r"}, Event{At: 76 * s, What: RunBegan, Tag: "y", Engine: "e8", Pool: "q"}),
-		"a newer spec than any acknowledged": {{At: 51 * s, What: ConfigCurrent, Revision: 9}},
-		"a zone whose refill is newer than the receipt that came late": {
+		"a newer configuration than any acknowledged": {{At: 51 * s, What: ConfigCurrent, Revision: 9}},
+		"a zone whose refill is newer than the acknowledgement that came late": {
 			{At: 53 * s, What: ZoneRefilling, Zone: "z3"}, {At: 54 * s, What: ZoneRefilled, Zone: "z3", Revision: 12},
 			{At: 55 * s, What: ZoneEmptied, Zone: "z3", Revision: 11}, {At: 61 * s, What: RunBegan, Tag: "x", Engine: "e2", Zone: "z3"}},
 		"a zone being refilled reads as either": {{At: 51 * s, What: ZoneEmptied, Zone: "z3"}, {At: 52 * s, What: ZoneRefilling, Zone: "z3"}, {At: 53 * s, What: ZonesRead}},
@@ -115,7 +115,7 @@
 			{At: 31 * s, What: CallEnded, Tag: "x", Node: "n2", Began: 30 * s, Outcome: Torn}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			qt.New(t).Assert(Judge(append(good(), events...), BriefBounds()).Violations, qt.HasLen, 0)
+			qt.New(t).Assert(Judge(append(good(), events...), PromisedBounds()).Violations, qt.HasLen, 0)
 		})
 	}
 }
@@ -169,7 +169,7 @@
 					history = append(history, event)
 				}
 			}
-			review := Judge(history, BriefBounds())
+			review := Judge(history, PromisedBounds())
 			c.Assert(review.Violations, qt.HasLen, 1)
 			c.Assert(review.Violations[0].Rule, qt.Equals, plant.rule)
 		})
--- a/checker/judge_availability.go
+++ b/checker/judge_availability.go
@@ -53,7 +53,7 @@
 				j.violation(LeavingUsed, event.At, "%s on %s, %d us after the mark", event.Tag, event.Engine, event.At-since)
 			}
 			if since, isEmptied := zones.since[event.Zone]; isEmptied && event.At-since > j.bounds.Emptied {
-				j.violation(EmptiedUsed, event.At, "%s on %s in %s, %d us after the receipt", event.Tag, event.Engine, event.Zone, event.At-since)
+				j.violation(EmptiedUsed, event.At, "%s on %s in %s, %d us after the acknowledgement", event.Tag, event.Engine, event.Zone, event.At-since)
 			}
 		}
 	}
@@ -158,7 +158,7 @@
 	}
 	// A handful says nothing about a share.
 	if overloaded > 5 && float64(overloaded) > j.bounds.LoadShare*float64(calls) {
-		j.violation(BrokenLong, last, "%d of %d requests were declined for load, %d us and on after the repair", overloaded, calls, j.bounds.Broken)
+		j.violation(BrokenLong, last, "%d of %d requests were rejected for load, %d us and on after the repair", overloaded, calls, j.bounds.Broken)
 	}
 	for _, node := range repaired.Roster {
 		if !nodes[node] {
--- a/checker/judge_calls.go
+++ b/checker/judge_calls.go
@@ -41,7 +41,7 @@
 		case NotRun:
 			j.review.Rejects[event.Reason]++
 			if ran, hasRun := j.ranAt[event.Tag]; hasRun {
-				j.violation(RunAfterNo, event.At, "%s was declined as not run, yet ran on %s", event.Tag, ran.Engine)
+				j.violation(RunAfterNo, event.At, "%s was rejected as not run, yet ran on %s", event.Tag, ran.Engine)
 			}
 		case MayHaveRun:
 			j.review.Rejects[event.Reason]++
@@ -147,7 +147,7 @@
 			}
 		}
 		if !isPermitted {
-			j.violation(ConfigOld, event.At, "%s began on %s of pool %s, which no spec then in force permits", event.Tag, event.Engine, event.Pool)
+			j.violation(ConfigOld, event.At, "%s began on %s of pool %s, which no configuration then in force permits", event.Tag, event.Engine, event.Pool)
 		}
 	}
 }
--- a/checker/judge_configs.go
+++ b/checker/judge_configs.go
@@ -23,7 +23,7 @@
 		case ConfigYes:
 			acked = append(acked, event)
 			if reason, isRejected := rejected[event.ID]; isRejected {
-				j.violation(NoTookEffect, event.At, "submission %s was declined (%s) and then acknowledged", event.ID, reason)
+				j.violation(NoTookEffect, event.At, "submission %s was rejected (%s) and then acknowledged", event.ID, reason)
 			}
 		case ConfigNo:
 			rejected[event.ID] = event.Reason
@@ -59,13 +59,13 @@
 func (j *judge) readBack(read Event, acked []Event, sent, rejected map[string]string) {
 	for _, yes := range acked {
 		if yes.Revision == read.Revision && yes.Digest != read.Digest {
-			j.violation(AckLost, read.At, "generation %d reads %q, acknowledged was %q", read.Revision, read.Digest, yes.Digest)
+			j.violation(AckLost, read.At, "revision %d reads %q, acknowledged was %q", read.Revision, read.Digest, yes.Digest)
 		}
 	}
 	for id := range rejected {
 		digest, isSent := sent[id]
 		if isSent && digest == read.Digest && digest != "" {
-			j.violation(NoTookEffect, read.At, "submission %s was declined, yet generation %d is its spec", id, read.Revision)
+			j.violation(NoTookEffect, read.At, "submission %s was rejected, yet revision %d is its configuration", id, read.Revision)
 		}
 	}
 }
@@ -115,7 +115,7 @@
 		case ConfigCurrent:
 			for _, yes := range acked {
 				if yes.Revision > event.Revision {
-					j.violation(AckLost, event.At, "generation %d is read as the one in force, %d was acknowledged", event.Revision, yes.Revision)
+					j.violation(AckLost, event.At, "revision %d is read as the one in force, %d was acknowledged", event.Revision, yes.Revision)
 					break
 				}
 			}
@@ -133,7 +133,7 @@
 	sort.Slice(acked, func(a, b int) bool { return acked[a].Revision > acked[b].Revision })
 	for _, yes := range acked[:min(len(acked), j.bounds.History)] {
 		if !read[yes.Revision] {
-			j.violation(AckLost, events[len(events)-1].At, "generation %d was acknowledged and could not be read", yes.Revision)
+			j.violation(AckLost, events[len(events)-1].At, "revision %d was acknowledged and could not be read", yes.Revision)
 		}
 	}
 }
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -15,7 +15,7 @@
 type arguments struct {
 	Table    string   `arg:"--table" help:"print this table; see --list"`
 	List     bool     `arg:"--list" help:"name the tables"`
-	Run      bool     `arg:"--run" help:"one hollow fleet of the sizes below, as JSON"`
+	Run      bool     `arg:"--run" help:"one fleet of the sizes below, as JSON"`
 	Seed     uint64   `arg:"--seed" default:"1" help:"first seed"`
 	Seeds    int      `arg:"--seeds" default:"3" help:"how many seeds a row of a table takes"`
 	Workers  int      `arg:"--workers" default:"3" help:"runs at a time, each of one core"`
@@ -30,7 +30,7 @@
 	Prefixes int      `arg:"--prefixes" default:"1000"`
 	Sessions int      `arg:"--sessions" default:"100"`
 	Tenants  int      `arg:"--tenants" default:"16"`
-	ReportUS int64    `arg:"--report-us" default:"1000000" help:"between an engine's reports, or its words under the deployment's rules"`
+	ReportUS int64    `arg:"--report-us" default:"1000000" help:"between an engine's reports, or its heartbeats under the deployment's rules"`
 	Changes  int      `arg:"--changes" help:"orders in a thousand seconds"`
 	SpanUS   int64    `arg:"--span-us" default:"5000000" help:"virtual time that is measured"`
 	Restart  int      `arg:"--restart" help:"percent of the routers that are restarted at once"`
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,4 @@
-// Loadgen plays the callers against a fleet and writes what each of them saw.
+// Loadgen stands in for the callers of a fleet and writes what each of them saw.
 package main
 
 import (
@@ -25,7 +25,7 @@
 	SpanUS    int64    `arg:"--span-us" default:"10000000"`
 	PatientUS int64    `arg:"--patient-us" default:"30000000" help:"how long a caller waits at most"`
 	Seed      uint64   `arg:"--seed" default:"1"`
-	Retries   int      `arg:"--retries" default:"2" help:"times a declined caller comes again"`
+	Retries   int      `arg:"--retries" default:"2" help:"times a rejected caller comes again"`
 	Hot       float64  `arg:"--hot" help:"share of each kind that its first prefix draws"`
 	Prefix    string   `arg:"--prefix" default:"c"`
 	Log       string   `arg:"--log" help:"file for the events; a summary goes to standard output"`
@@ -34,8 +34,8 @@
 // kindsError says that no deployment has that name.
 type kindsError struct{ name string }
 
-func (b kindsError) Error() string {
-	return fmt.Sprintf("there are no kinds %q; qurum and cronometro are known", b.name)
+func (err kindsError) Error() string {
+	return fmt.Sprintf("there are no kinds %q; qurum and cronometro are known", err.name)
 }
 
 func main() {
@@ -93,7 +93,7 @@
 	if failed != nil {
 		return fmt.Errorf("write the log: %w", failed)
 	}
-	review := checker.Judge(events, checker.BriefBounds())
+	review := checker.Judge(events, checker.PromisedBounds())
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(review); err != nil {
--- a/cmd/localfleet/main.go
+++ b/cmd/localfleet/main.go
@@ -1,4 +1,4 @@
-// Local fleet run plays a scenario of faults on a whole fleet of real processes on
+// Localfleet carries out a scenario of faults on a whole fleet of real processes on
 // this machine, and judges what callers, engines and operators saw.
 package main
 
@@ -30,7 +30,9 @@
 // folderInUse says that a local fleet run's folder is not empty.
 type folderInUse struct{ entries int }
 
-func (b folderInUse) Error() string { return fmt.Sprintf("it is not empty (%d entries)", b.entries) }
+func (err folderInUse) Error() string {
+	return fmt.Sprintf("it is not empty (%d entries)", err.entries)
+}
 
 func main() {
 	status, err := run()
--- a/cmd/simulator/main.go
+++ b/cmd/simulator/main.go
@@ -142,7 +142,7 @@
 	}
 	close(seeds)
 	workers.Wait()
-	fmt.Printf("%d seeds from %d, %s: %d with a breach; %d of %d requests served\n", arguments.Count, arguments.First, arguments.Deployment, unclean, served, calls)
+	fmt.Printf("%d seeds from %d, %s: %d with a violation; %d of %d requests served\n", arguments.Count, arguments.First, arguments.Deployment, unclean, served, calls)
 	if begun > 0 {
 		fmt.Printf("%d of %d callers served in the end\n", content, begun)
 	}
--- a/contracts/contracts.go
+++ b/contracts/contracts.go
@@ -117,7 +117,7 @@
 			}
 		}
 	})
-	t.Run("a damaged generation is set aside and the one before is taken", func(t *testing.T) {
+	t.Run("a damaged revision is set aside and the one before is taken", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
 		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
@@ -164,7 +164,7 @@
 		for _, revision := range []uint64{150, 147, 120, 90, 60} {
 			mark := control.MarkOf(Document(revision, 1, revision))
 			document, err := store.ConfigAt(mark)
-			c.Assert(err, qt.IsNil, qt.Commentf("generation %d", revision))
+			c.Assert(err, qt.IsNil, qt.Commentf("revision %d", revision))
 			c.Assert(document.ConfigRevision, qt.Equals, revision)
 			// A copy of the right revision with other content is no copy.
 			mark.Digest = "other"
@@ -172,7 +172,7 @@
 			c.Assert(errors.As(err, new(control.MissingRevision)), qt.IsTrue)
 		}
 	})
-	t.Run("a spec of the past can be added, the future can't", func(t *testing.T) {
+	t.Run("a configuration of the past can be added, the future can't", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
 		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -57,7 +57,7 @@
 	waiting  int
 	held     int // waiting and running
 	slots    chan struct{}
-	tokens   int64 // outstanding, as the paper counts them
+	tokens   int64 // outstanding, as docs/design.md counts them
 	cache    map[uint64]uint64
 	cacheUse uint64
 	seq      uint64
@@ -189,7 +189,7 @@
 // checker then concludes would be worth nothing.
 type LogError struct{ Cause error }
 
-func (b LogError) Error() string { return fmt.Sprintf("write the engine's log: %v", b.Cause) }
+func (err LogError) Error() string { return fmt.Sprintf("write the engine's log: %v", err.Cause) }
 
 // OpenLog opens a log that outlives the process.
 func OpenLog(path string) (*os.File, error) {
@@ -471,7 +471,7 @@
 	e.play(w, r, this, offset)
 }
 
-// Report pictures the engine's load for its next late report.
+// Report states the engine's load for its next late report.
 func (e *Engine) Report() control.Report {
 	e.lock.Lock()
 	defer e.lock.Unlock()
--- a/fleetconfig/config.go
+++ b/fleetconfig/config.go
@@ -1,5 +1,5 @@
 // Package fleetconfig reads, checks and compiles the operator's configuration: the whole
-// picture of engines, bindings, routes, services, zones and policy.
+// description of engines, bindings, routes, services, zones and policy.
 package fleetconfig
 
 import (
@@ -112,8 +112,8 @@
 	Bound int
 }
 
-func (b TooLarge) Error() string {
-	return fmt.Sprintf("%s: %d is above the bound of %d", b.What, b.Size, b.Bound)
+func (err TooLarge) Error() string {
+	return fmt.Sprintf("%s: %d is above the bound of %d", err.What, err.Size, err.Bound)
 }
 
 // Policy is the compiled policy with every default filled in.
@@ -129,7 +129,7 @@
 	OwnZoneFirst bool
 }
 
-// DefaultPolicy holds the paper's figures where it gives any, and ours elsewhere.
+// DefaultPolicy holds the figures of the design's source where it gives any, and ours elsewhere.
 func DefaultPolicy() Policy {
 	return Policy{
 		PrefixLength: 64, MaxImbalance: 2.0, NearTie: 0.05, RetryRatio: 0.08,
@@ -252,7 +252,7 @@
 	}
 	checkZone := func(path, name string) {
 		if name != "" && len(zones) > 0 && !zones[name] {
-			faults.Add(path, "zone %q is not among the spec's zones", name)
+			faults.Add(path, "zone %q is not among the configuration's zones", name)
 		}
 	}
 	engines := map[string]bool{}
@@ -273,7 +273,7 @@
 	// A fleet whose last route was taken out still has its services or caps; a configuration with
 	// none of these was hardly meant.
 	if len(message.Bindings)+len(message.Routes)+len(message.Services) == 0 && message.Caps == nil {
-		faults.Add("bindings", "a spec needs at least one binding or route")
+		faults.Add("bindings", "a configuration needs at least one binding or route")
 	}
 	names, matches, shareCount := map[string]bool{}, map[[2]string]int{}, 0
 	for i, binding := range message.Bindings {
--- a/history/archive.go
+++ b/history/archive.go
@@ -71,13 +71,13 @@
 // Foreign says that a store belongs to another fleet or a newer format; it is left as it is.
 type Foreign struct{ Path, Why string }
 
-func (b Foreign) Error() string { return fmt.Sprintf("object store %s: %s", b.Path, b.Why) }
+func (err Foreign) Error() string { return fmt.Sprintf("object store %s: %s", err.Path, err.Why) }
 
 // Missing says that a revision is not kept here.
 type Missing struct{ Revision uint64 }
 
-func (b Missing) Error() string {
-	return fmt.Sprintf("generation %d is not in the object store", b.Revision)
+func (err Missing) Error() string {
+	return fmt.Sprintf("generation %d is not in the object store", err.Revision)
 }
 
 // Damaged says that what is kept of a revision is not what was filed.
@@ -86,8 +86,8 @@
 	Why      string
 }
 
-func (b Damaged) Error() string {
-	return fmt.Sprintf("generation %d in the object store is damaged: %s", b.Revision, b.Why)
+func (err Damaged) Error() string {
+	return fmt.Sprintf("generation %d in the object store is damaged: %s", err.Revision, err.Why)
 }
 
 // Digest names a configuration's bytes as the core's chain does.
--- a/history/synced.go
+++ b/history/synced.go
@@ -23,10 +23,10 @@
 	Cause      error
 }
 
-func (b DiskError) Error() string { return fmt.Sprintf("%s %s: %v", b.Step, b.Name, b.Cause) }
+func (err DiskError) Error() string { return fmt.Sprintf("%s %s: %v", err.Step, err.Name, err.Cause) }
 
 // Unwrap gives the system's own error.
-func (b DiskError) Unwrap() error { return b.Cause }
+func (err DiskError) Unwrap() error { return err.Cause }
 
 func (f syncedFile) Close() error {
 	if disk, canSync := f.File.(interface{ Sync() error }); canSync {
--- a/kernel/clock.go
+++ b/kernel/clock.go
@@ -48,10 +48,10 @@
 // ClockError says that the machine's clock could not be read.
 type ClockError struct{ Cause error }
 
-func (b ClockError) Error() string { return fmt.Sprintf("read the boot clock: %v", b.Cause) }
+func (err ClockError) Error() string { return fmt.Sprintf("read the boot clock: %v", err.Cause) }
 
 // Unwrap gives the system's own error.
-func (b ClockError) Unwrap() error { return b.Cause }
+func (err ClockError) Unwrap() error { return err.Cause }
 
 // SteadyClock counts on the runtime's own steady clock, which costs no system call. It
 // stands still while a machine sleeps, so it is for machines that do not.
--- a/kernel/folder.go
+++ b/kernel/folder.go
@@ -25,7 +25,7 @@
 // MissingFile says that a folder has no file of that name.
 type MissingFile struct{ Name string }
 
-func (b MissingFile) Error() string { return fmt.Sprintf("file %q is not there", b.Name) }
+func (err MissingFile) Error() string { return fmt.Sprintf("file %q is not there", err.Name) }
 
 // DiskError says which step on which file failed.
 type DiskError struct {
@@ -34,10 +34,10 @@
 	Cause error
 }
 
-func (b DiskError) Error() string { return fmt.Sprintf("%s %s: %v", b.Step, b.Name, b.Cause) }
+func (err DiskError) Error() string { return fmt.Sprintf("%s %s: %v", err.Step, err.Name, err.Cause) }
 
 // Unwrap gives the system's own error.
-func (b DiskError) Unwrap() error { return b.Cause }
+func (err DiskError) Unwrap() error { return err.Cause }
 
 // DiskFolder is a Folder on a real disk.
 type DiskFolder struct{ path string }
--- a/kernel/journal_file_test.go
+++ b/kernel/journal_file_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// write has a journal file take entries of a process and write them to its end.
+// writeJournalFile has a journal file take entries of a process and write them to its end.
 func writeJournalFile(c *qt.C, path string, bound int64, start uint64, note func(*Journal)) *JournalFile {
 	journalFile, err := OpenJournalFile(path, bound)
 	c.Assert(err, qt.IsNil)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -86,7 +86,7 @@
 	Why  string
 }
 
-func (b ServiceError) Error() string { return fmt.Sprintf("service %q: %s", b.Name, b.Why) }
+func (err ServiceError) Error() string { return fmt.Sprintf("service %q: %s", err.Name, err.Why) }
 
 // Open makes an empty table.
 func Open() *Kernel { return &Kernel{services: map[string]any{}} }
--- a/kernel/lock.go
+++ b/kernel/lock.go
@@ -11,8 +11,8 @@
 // FolderInUse says that another process holds a data folder.
 type FolderInUse struct{ Path string }
 
-func (b FolderInUse) Error() string {
-	return fmt.Sprintf("folder %s is in use by another process", b.Path)
+func (err FolderInUse) Error() string {
+	return fmt.Sprintf("folder %s is in use by another process", err.Path)
 }
 
 // LockFolder keeps others off a data folder until release is called or the process
--- a/loadgen/loadgen_test.go
+++ b/loadgen/loadgen_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// A decline has to say what it promises; one that does not is no answer of ours.
-func TestADeclineSaysWhetherItRan(t *testing.T) {
+// A rejection has to say what it promises; one that does not is no answer of ours.
+func TestARejectionSaysWhetherItRan(t *testing.T) {
 	for said, want := range map[string]checker.Outcome{string(relay.NotRun): checker.NotRun, string(relay.MayHaveRun): checker.MayHaveRun, "": checker.Wrong, "perhaps": checker.Wrong} {
 		response := &http.Response{StatusCode: 503, Header: http.Header{relay.HeaderRun: {said}}}
 		outcome, _ := Compare(response, []byte(`{"error":{"type":"late"}}`), nil, Ask{Out: 9})
--- a/loadgen/platform.go
+++ b/loadgen/platform.go
@@ -28,10 +28,10 @@
 	Cause error
 }
 
-func (b FileError) Error() string { return fmt.Sprintf("nodes of %s: %v", b.Name, b.Cause) }
+func (err FileError) Error() string { return fmt.Sprintf("nodes of %s: %v", err.Name, err.Cause) }
 
 // Unwrap gives the cause.
-func (b FileError) Unwrap() error { return b.Cause }
+func (err FileError) Unwrap() error { return err.Cause }
 
 // NoNodes says that there is nobody to hand callers to.
 type NoNodes struct{}
--- a/localfleet/cluster.go
+++ b/localfleet/cluster.go
@@ -23,7 +23,7 @@
 	"dunlinloom/server"
 )
 
-// poolCount is how many pools engines are dealt to; each configuration leaves one out, so that
+// poolCount is how many pools engines are spread over; each configuration leaves one out, so that
 // an engine that runs tells by which configuration.
 const poolCount = 6
 
--- a/localfleet/fleet_steps.go
+++ b/localfleet/fleet_steps.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// settleAfterRepair is how long the fleet has until orders have to work again.
+	// settleAfterRepairMS is how long the fleet has until orders have to work again.
 	settleAfterRepairMS = 12_500
 	usualListLagUS      = 500_000
 	hotShare            = 0.9 // of an overload's requests on one prefix of each kind
--- a/localfleet/report.go
+++ b/localfleet/report.go
@@ -77,7 +77,7 @@
 	report.Counters["peer_bytes_between_zones"], report.Crossing = cluster.bytesBetweenZones()
 	events = append(events, checker.Event{At: now(), What: checker.Totals,
 		First: uint64(report.Counters["rounds_first_total"]), Retries: uint64(report.Counters["retries_total"])})
-	report.Review = checker.Judge(events, checker.BriefBounds())
+	report.Review = checker.Judge(events, checker.PromisedBounds())
 	if report.Review.Calls > 0 {
 		report.ServedShare = float64(report.Review.Outcomes[string(checker.Served)]) / float64(report.Review.Calls)
 	}
--- a/simulator/callers.go
+++ b/simulator/callers.go
@@ -26,7 +26,7 @@
 	{name: "held", weight: 5, tailLow: 5, tailHigh: 80, outLow: 1000, outHigh: 3000, hangsUpPercent: 10},
 }
 
-// callers are what the platform deals to nodes: by zone, and by a view of which
+// callers are what the platform sends to nodes: by zone, and by a view of which
 // nodes are ready that is a moment old; a channel is kept to the node it was opened to.
 type callers struct {
 	begun, served int
@@ -70,7 +70,7 @@
 // call sends the wish to a node of the caller's zone.
 func (by *caller) call() {
 	by.tries++
-	by.world.send(by.world.deal(by.zone), by.hot, by)
+	by.world.send(by.world.pickNode(by.zone), by.hot, by)
 }
 
 // heard ends a try; who was told to come back does, twice.
@@ -86,8 +86,8 @@
 	}
 }
 
-// deal picks the node for a new request of a zone.
-func (w *World) deal(zone string) *machine {
+// pickNode picks the node for a new request of a zone.
+func (w *World) pickNode(zone string) *machine {
 	c := &w.callers
 	if c.ready == nil || w.now-c.looked >= readyLag {
 		c.ready, c.looked = map[string][]*machine{}, w.now
@@ -131,7 +131,7 @@
 }
 
 // probeAll sends one short request of each kind to each node, so that what is judged
-// after a repair does not hang on how callers happen to be dealt.
+// after a repair does not hang on how callers happen to be spread.
 func (w *World) probeAll() {
 	for _, m := range w.machines {
 		if m.isGone {
--- a/simulator/core_test.go
+++ b/simulator/core_test.go
@@ -265,7 +265,7 @@
 	finish(c, w)
 }
 
-// A mark known to one node only has to get round while the core is dark and the
+// A mark known to one node only has to spread while the core is dark and the
 // zone's home is dead.
 func TestALeavingMarkGetsRoundWithoutCoreAndHome(t *testing.T) {
 	c := qt.New(t)
--- a/simulator/data_test.go
+++ b/simulator/data_test.go
@@ -49,7 +49,7 @@
 		e.halt()
 	}
 	w.Run(sec)
-	// A crowd is there when they come back, and all of them are the least burdened.
+	// A crowd is there when they come back, and all of them have the least load.
 	w.Traffic(150, 8*sec, 0.5)
 	w.Run(3 * sec)
 	for _, e := range w.engines[:9] {
@@ -94,7 +94,7 @@
 	w.Traffic(900, sec, 0)
 	w.Run(3 * sec)
 	w.take(w.repaired())
-	w.Run(checker.BriefBounds().Broken + 500*ms)
+	w.Run(checker.PromisedBounds().Broken + 500*ms)
 	w.probeAll()
 	w.Run(sec)
 	finish(c, w)
--- a/simulator/day.go
+++ b/simulator/day.go
@@ -109,7 +109,7 @@
 // settle repairs everything, sees whether orders go through again and judges the run.
 func (w *World) settle(outcome *Outcome) {
 	w.repair()
-	w.Run(checker.BriefBounds().Broken + 500*ms)
+	w.Run(checker.PromisedBounds().Broken + 500*ms)
 	w.probeAll()
 	yes := w.operator.Yes
 	w.operator.putConfig(nil)
@@ -119,7 +119,7 @@
 	w.totals()
 	outcome.Tally, outcome.Struck = w.Tally, w.Struck
 	outcome.Callers, outcome.Content = w.callers.begun, w.callers.served
-	outcome.Review = checker.Judge(w.events, checker.BriefBounds())
+	outcome.Review = checker.Judge(w.events, checker.PromisedBounds())
 	outcome.Inside, outcome.Events = w.wrongs, w.events
 	outcome.Orders = [3]int{w.operator.Yes, w.operator.No, w.operator.Unsure}
 	outcome.Crossed, outcome.Within = w.Crossed, w.Within
--- a/simulator/disk.go
+++ b/simulator/disk.go
@@ -12,12 +12,12 @@
 // diskLost says that the power went before a step on the disk.
 type diskLost struct{ name string }
 
-func (b diskLost) Error() string { return "the power went before " + b.name }
+func (err diskLost) Error() string { return "the power went before " + err.name }
 
 // diskFull says that there is no room.
 type diskFull struct{ name string }
 
-func (b diskFull) Error() string { return "no room for " + b.name }
+func (err diskFull) Error() string { return "no room for " + err.name }
 
 // disk is a Folder in memory that survives its machine. Steps can be limited, so
 // that a power cut falls between any two of them.
--- a/simulator/fault_actions.go
+++ b/simulator/fault_actions.go
@@ -16,7 +16,7 @@
 }
 
 // loseDisk takes a disk together with its machine, when the rest of the core can
-// bear it: the brief promises no more than one lost disk at a time.
+// bear it: docs/limits.md promises no more than one lost disk at a time.
 func (w *World) loseDisk(m *machine) {
 	if !w.canLoseDisk() || !m.isUp {
 		return
--- a/simulator/fault_plan.go
+++ b/simulator/fault_plan.go
@@ -6,7 +6,7 @@
 	"dunlinloom/kernel"
 )
 
-// fault fault does something to the world and undoes it by itself.
+// fault does something to the world and undoes it by itself.
 type fault struct {
 	name   string
 	weight int
@@ -95,7 +95,7 @@
 		e.halt()
 		w.in(w.between(500*ms, 8*sec), e.boot)
 	}},
-	{"engines decline everything for a while", 1, func(w *World) {
+	{"engines reject everything for a while", 1, func(w *World) {
 		some := w.engines[w.random.IntN(len(w.engines)):]
 		for _, e := range some {
 			e.isDeclining = true
@@ -117,8 +117,8 @@
 			w.in(kernel.Micros(i)*1500*ms, func() { w.retireEngine(e) })
 		}
 	}},
-	{"a spec", 6, func(w *World) { w.operator.putConfig(nil) }},
-	{"two specs at once", 3, func(w *World) {
+	{"a configuration", 6, func(w *World) { w.operator.putConfig(nil) }},
+	{"two configurations at once", 3, func(w *World) {
 		base := uint64(1)
 		for revision := range w.operator.acked {
 			base = max(base, revision)
@@ -126,7 +126,7 @@
 		w.operator.putConfig(&base)
 		w.operator.putConfig(&base)
 	}},
-	{"a storm of specs", 1, func(w *World) {
+	{"many configurations in a row", 1, func(w *World) {
 		for range 12 {
 			w.operator.putConfig(nil)
 		}
--- a/simulator/fault_targets.go
+++ b/simulator/fault_targets.go
@@ -72,7 +72,7 @@
 	return newest
 }
 
-// canLoseDisk tells that the core can bear the loss of one more disk: the brief promises
+// canLoseDisk tells that the core can bear the loss of one more disk: docs/limits.md promises
 // no more than one at a time, and in the middle of a change there are four voters.
 func (w *World) canLoseDisk() bool {
 	living, all := w.voters()
--- a/simulator/machine.go
+++ b/simulator/machine.go
@@ -248,7 +248,7 @@
 	state := m.node.State(nil)
 	routingTable, err := m.tableBuilder.RoutingTable(state)
 	if err != nil {
-		w.wrong("%s can't read a committed spec: %v", m.name, err)
+		w.wrong("%s can't read a committed configuration: %v", m.name, err)
 	}
 	if routingTable != nil {
 		m.dispatcher.Show(routingTable)
@@ -263,11 +263,11 @@
 	// Looked at from inside: one revision is one document, on every node and for ever.
 	revision, digest := state.Document.Revision, digestOf(state.Document)
 	if known, isKnown := w.truths[revision]; isKnown && known != digest {
-		w.wrong("%s holds another generation %d than was committed", m.name, revision)
+		w.wrong("%s holds another revision %d than was committed", m.name, revision)
 	}
 	w.truths[revision] = digest
 	if revision < m.top {
-		w.wrong("%s slipped from generation %d to %d", m.name, m.top, revision)
+		w.wrong("%s went back from revision %d to %d", m.name, m.top, revision)
 	}
 	m.top = max(m.top, revision)
 }
--- a/simulator/measure.go
+++ b/simulator/measure.go
@@ -30,10 +30,10 @@
 	shape      func(*Options)
 	variants   []variant
 	columns    []string
-	faults     func(*World) // strikes when the load is on
+	faults     func(*World) // called when the load is on
 }
 
-// figure reads one column's value off a finished run.
+// columnOf reads one column's value off a finished run.
 var columnOf = map[string]func(w *World, begun kernel.Micros) float64{
 	"prefix reuse %": func(w *World, _ kernel.Micros) float64 {
 		return 100 * share(float64(w.figures.hits), float64(w.figures.hits+w.figures.misses))
--- a/simulator/mix.go
+++ b/simulator/mix.go
@@ -57,7 +57,7 @@
 // badMix says what of a mix or of a setting is wrong.
 type badMix struct{ what, why string }
 
-func (b badMix) Error() string { return b.what + ": " + b.why }
+func (err badMix) Error() string { return err.what + ": " + err.why }
 
 // ReadMix reads a mix and names every fault in it.
 func ReadMix(path string) (Mix, error) {
--- a/simulator/operator.go
+++ b/simulator/operator.go
@@ -43,7 +43,7 @@
 	}
 	content, err := json.Marshal(config)
 	if err != nil {
-		panic(kernel.ServiceError{Name: "spec", Why: err.Error()})
+		panic(kernel.ServiceError{Name: "configuration", Why: err.Error()})
 	}
 	return content
 }
@@ -121,7 +121,7 @@
 		} else {
 			o.acked[reply.Revision] = string(config)
 		}
-		w.trace("spec %s: %s %s generation %d", reply.ID, reply.Outcome, reply.Reason, reply.Revision)
+		w.trace("configuration %s: %s %s revision %d", reply.ID, reply.Outcome, reply.Reason, reply.Revision)
 		w.take(event)
 	})
 }
--- a/simulator/simulator_test.go
+++ b/simulator/simulator_test.go
@@ -12,7 +12,7 @@
 )
 
 // ciSeeds are replayed in CI. What a seed of a search finds gets a test of its own
-// that causes it directly, since any change to the code deals the faults anew.
+// that causes it directly, since any change to the code draws other faults.
 var ciSeeds = []struct {
 	deployment string
 	seed       uint64
@@ -63,7 +63,7 @@
 	c.Assert(w.operator.Yes > yes, qt.IsTrue, qt.Commentf("no order is acknowledged any more"))
 	w.operator.readBack()
 	w.totals()
-	review := checker.Judge(w.events, checker.BriefBounds())
+	review := checker.Judge(w.events, checker.PromisedBounds())
 	c.Assert(review.Violations, qt.HasLen, 0)
 	c.Assert(w.wrongs, qt.HasLen, 0)
 	return review
--- a/simulator/storm.go
+++ b/simulator/storm.go
@@ -67,8 +67,8 @@
 	{"the accepting node dies just after a yes", 3, func(w *World) {
 		w.afterYes = func(m *machine) { bounce(m, w.between(50*ms, sec)) }
 	}},
-	{"spec", 10, func(w *World) { w.operator.putConfig(nil) }},
-	{"two specs on one base", 4, func(w *World) {
+	{"a configuration", 10, func(w *World) { w.operator.putConfig(nil) }},
+	{"two configurations on one base", 4, func(w *World) {
 		base := uint64(1)
 		for revision := range w.operator.acked {
 			base = max(base, revision)
--- a/simulator/virtual.go
+++ b/simulator/virtual.go
@@ -35,7 +35,7 @@
 // virtualError says that a run in virtual time did not come to its end.
 type virtualError struct{ name string }
 
-func (b virtualError) Error() string { return b.name + " did not come to its end in virtual time" }
+func (err virtualError) Error() string { return err.name + " did not come to its end in virtual time" }
 
 // InVirtualTime runs a program's main part with virtual time at hand and exits with its
 // status. A bubble wants a testing.T, which only a test's main makes; hence the detour.
@@ -64,8 +64,8 @@
 // unknownTrouble names a word that is none.
 type unknownTrouble struct{ name string }
 
-func (b unknownTrouble) Error() string {
-	return fmt.Sprintf("there is no trouble %q; known are %s", b.name, strings.Join(RoutedTroubles(), ", "))
+func (err unknownTrouble) Error() string {
+	return fmt.Sprintf("there is no trouble %q; known are %s", err.name, strings.Join(RoutedTroubles(), ", "))
 }
 
 // drawTroubles draws up to three troubles of a seed.
--- a/simulator/world.go
+++ b/simulator/world.go
@@ -75,8 +75,8 @@
 	OutLow, OutHigh     int
 	Prefill, Decode     kernel.Micros // a prompt token that is not cached, a token of output
 	Cache               int           // prefixes that an engine's cache holds
-	Kinds               []callKind    // what callers ask for; none: one kind, dealt at random
-	Pools               int           // engines are dealt to so many; each configuration leaves one out
+	Kinds               []callKind    // what callers ask for; none: one kind, drawn at random
+	Pools               int           // engines are spread over so many; each configuration leaves one out
 	Slots               int
 	ReportLag           kernel.Micros
 	TTFTLimit           kernel.Micros
--- a/tools/mutationtest/main.go
+++ b/tools/mutationtest/main.go
@@ -38,7 +38,7 @@
 	why  string
 }
 
-func (b badPatch) Error() string { return b.name + ": " + b.why }
+func (err badPatch) Error() string { return err.name + ": " + err.why }
 
 var planes = []string{"control", "data"}
 
--- a/tools/protogen/main.go
+++ b/tools/protogen/main.go
@@ -1,4 +1,4 @@
-// Scribe compiles the project's proto files and writes the Go code that
+// Protogen compiles the project's proto files and writes the Go code that
 // protoc-gen-go makes of them. It stands in for protoc, so that `go generate`
 // needs nothing but the module's own tools.
 package main
@@ -21,14 +21,14 @@
 // usageError says that scribe was called with the wrong words.
 type usageError struct{ got int }
 
-func (b usageError) Error() string {
-	return fmt.Sprintf("protogen wants PROTO-FILE and OUT-DIR, got %d words", b.got)
+func (err usageError) Error() string {
+	return fmt.Sprintf("protogen wants PROTO-FILE and OUT-DIR, got %d words", err.got)
 }
 
 // pluginError carries what protoc-gen-go complained of.
 type pluginError struct{ text string }
 
-func (b pluginError) Error() string { return "protoc-gen-go: " + b.text }
+func (err pluginError) Error() string { return "protoc-gen-go: " + err.text }
 
 func main() {
 	if err := run(os.Args[1:]); err != nil {
--- a/tools/testreport/main.go
+++ b/tools/testreport/main.go
@@ -1,4 +1,4 @@
-// Showreport runs the project's tests and passes over just those that a list names as
+// Testreport runs the project's tests and passes over just those that a list names as
 // known to fail for a real fault. A listed test that passes, or is not there, fails the
 // run, so the list can't outlive the faults on it.
 package main
@@ -41,7 +41,7 @@
 	why    string
 }
 
-func (b badLine) Error() string { return fmt.Sprintf("line %d of the list: %s", b.number, b.why) }
+func (err badLine) Error() string { return fmt.Sprintf("line %d of the list: %s", err.number, err.why) }
 
 // staleRed is a test that must no longer be listed.
 type staleRed struct {
@@ -119,29 +119,29 @@
 	return pack, test, ""
 }
 
-// stage runs go for the report.
-type stage interface {
+// goRunner runs go for the report.
+type goRunner interface {
 	// capture gives what go prints.
 	capture(args ...string) ([]byte, error)
 	// show lets go print for itself.
 	show(args ...string) error
 }
 
-// house is the real one.
-type kernel struct {
+// goCommand runs the command on the machine.
+type goCommand struct {
 	folder   string
 	out, err io.Writer
 }
 
-func (h kernel) capture(args ...string) ([]byte, error) {
+func (c goCommand) capture(args ...string) ([]byte, error) {
 	command := exec.Command("go", args...)
-	command.Dir, command.Stderr = h.folder, h.err
+	command.Dir, command.Stderr = c.folder, c.err
 	return command.Output()
 }
 
-func (h kernel) show(args ...string) error {
+func (c goCommand) show(args ...string) error {
 	command := exec.Command("go", args...)
-	command.Dir, command.Stdout, command.Stderr = h.folder, h.out, h.err
+	command.Dir, command.Stdout, command.Stderr = c.folder, c.out, c.err
 	return command.Run()
 }
 
@@ -154,8 +154,8 @@
 const redSpan = "5m"
 
 // tryRed runs one listed test alone. It gives nil if the test was there and failed.
-func tryRed(s stage, test []string, r red) error {
-	content, failed := s.capture(append(slices.Clone(test), "-json", "-count=1", "-timeout="+redSpan, "-run=^"+r.test+"$", r.pack)...)
+func tryRed(runner goRunner, test []string, r red) error {
+	content, failed := runner.capture(append(slices.Clone(test), "-json", "-count=1", "-timeout="+redSpan, "-run=^"+r.test+"$", r.pack)...)
 	hasRun, verdict := false, ""
 	for line := range bytes.Lines(content) {
 		var event struct{ Action, Test string }
@@ -186,8 +186,8 @@
 }
 
 // report runs everything and gives every reason not to pass.
-func report(s stage, out io.Writer, reds []red, race bool, patterns []string) error {
-	listing, err := s.capture(append([]string{"list"}, patterns...)...)
+func report(runner goRunner, out io.Writer, reds []red, race bool, patterns []string) error {
+	listing, err := runner.capture(append([]string{"list"}, patterns...)...)
 	if err != nil {
 		return fmt.Errorf("list the packages: %w", err)
 	}
@@ -202,7 +202,7 @@
 			faults = append(faults, staleRed{r, "its package is not there"})
 			continue
 		}
-		if err := tryRed(s, test, r); err != nil {
+		if err := tryRed(runner, test, r); err != nil {
 			faults = append(faults, err)
 		}
 		skips[r.pack] = append(skips[r.pack], r.test)
@@ -211,13 +211,13 @@
 	// hang in one of them would otherwise hide what else is wrong with its package.
 	whole := slices.DeleteFunc(slices.Clone(packages), func(pack string) bool { return skips[pack] != nil })
 	if len(whole) > 0 {
-		if err := s.show(append(slices.Clone(test), whole...)...); err != nil {
+		if err := runner.show(append(slices.Clone(test), whole...)...); err != nil {
 			faults = append(faults, failedRun{"tests", err})
 		}
 	}
 	for _, pack := range packages {
 		if names := skips[pack]; names != nil {
-			if err := s.show(append(slices.Clone(test), "-skip=^("+strings.Join(names, "|")+")$", pack)...); err != nil {
+			if err := runner.show(append(slices.Clone(test), "-skip=^("+strings.Join(names, "|")+")$", pack)...); err != nil {
 				faults = append(faults, failedRun{"tests of " + pack, err})
 			}
 		}
@@ -229,8 +229,8 @@
 }
 
 func run(arguments arguments, folder string, out, errOut io.Writer) error {
-	s := kernel{folder, out, errOut}
-	module, err := s.capture("list", "-m")
+	runner := goCommand{folder, out, errOut}
+	module, err := runner.capture("list", "-m")
 	if err != nil {
 		return fmt.Errorf("find the module: %w", err)
 	}
@@ -245,7 +245,7 @@
 	if len(arguments.Packages) == 0 {
 		arguments.Packages = []string{"./..."}
 	}
-	return report(s, out, reds, arguments.Race, arguments.Packages)
+	return report(runner, out, reds, arguments.Race, arguments.Packages)
 }
 
 func main() {
