The simulator's program in short functions

Cause: main held the search over seeds, its workers, its sums and its printing in 103 lines. A search is a type with one step a method.

--- a/cmd/simulator/main.go
+++ b/cmd/simulator/main.go
@@ -54,105 +54,157 @@
 func main() {
 	var arguments arguments
 	parser := arg.MustParse(&arguments)
-	if arguments.Measure == "rebuild" {
+	switch {
+	case arguments.Measure == "rebuild":
 		simulator.MeasureRebuild(os.Stdout, arguments.First, arguments.Count)
-		return
-	}
-	if arguments.Measure != "" {
-		names := []string{arguments.Measure}
-		if arguments.Measure == "all" {
-			names = simulator.Measurements()
-		}
-		for _, name := range names {
-			if !simulator.Measure(os.Stdout, name, arguments.First, arguments.Count) {
-				parser.Fail(fmt.Sprintf("there is no measurement %q; known are %v", name, simulator.Measurements()))
-			}
+	case arguments.Measure != "":
+		measure(parser, arguments)
+	case arguments.Mix != "":
+		compare(parser, arguments)
+	case arguments.Routed:
+		searchRouted(arguments)
+	default:
+		search := newSearch(arguments)
+		search.run()
+		search.print()
+		if search.unclean > 0 {
+			os.Exit(violationFound)
 		}
-		return
 	}
-	if arguments.Mix != "" {
-		compare(parser, arguments)
-		return
+}
+
+// violationFound is the exit status of a search that found a violation.
+const violationFound = 3
+
+// measure prints one comparison of ways of routing, or all.
+func measure(parser *arg.Parser, arguments arguments) {
+	names := []string{arguments.Measure}
+	if arguments.Measure == "all" {
+		names = simulator.Measurements()
 	}
-	if arguments.Routed {
-		search := simulator.RoutedSearch{First: arguments.First, Count: arguments.Count, Span: kernel.Micros(arguments.SpanUS), Workers: arguments.Workers, Stop: arguments.Stop, Counts: arguments.Counts}
-		if arguments.Troubles != "" {
-			search.Troubles = strings.Split(arguments.Troubles, ",")
+	for _, name := range names {
+		if !simulator.Measure(os.Stdout, name, arguments.First, arguments.Count) {
+			parser.Fail(fmt.Sprintf("there is no measurement %q; known are %v", name, simulator.Measurements()))
 		}
-		simulator.InVirtualTime(func(virtual simulator.VirtualTime) int {
-			unclean, err := search.Run(virtual, os.Stdout)
-			switch {
-			case err != nil:
-				fmt.Fprintln(os.Stderr, "simulator:", err)
-				return 1
-			case unclean > 0:
-				return 3
-			}
-			return 0
-		})
 	}
+}
+
+// searchRouted searches seeds of routers before model engines. It ends the process.
+func searchRouted(arguments arguments) {
+	search := simulator.RoutedSearch{
+		First: arguments.First, Count: arguments.Count, Span: kernel.Micros(arguments.SpanUS),
+		Workers: arguments.Workers, Stop: arguments.Stop, Counts: arguments.Counts,
+	}
+	if arguments.Troubles != "" {
+		search.Troubles = strings.Split(arguments.Troubles, ",")
+	}
+	simulator.InVirtualTime(func(virtual simulator.VirtualTime) int {
+		unclean, err := search.Run(virtual, os.Stdout)
+		switch {
+		case err != nil:
+			fmt.Fprintln(os.Stderr, "simulator:", err)
+			return 1
+		case unclean > 0:
+			return violationFound
+		}
+		return 0
+	})
+}
+
+// fewSeeds is up to how many seeds each one's result is printed.
+const fewSeeds = 5
+
+// search runs the seeds of days or storms and sums up what they found.
+type search struct {
+	arguments arguments
+
+	lock                    sync.Mutex // guards all that follows
+	unclean, calls, served  int
+	callers, callersServed  int
+	tally, struck, unserved map[string]int
+}
+
+func newSearch(arguments arguments) *search {
+	return &search{arguments: arguments, tally: map[string]int{}, struck: map[string]int{}, unserved: map[string]int{}}
+}
+
+// run gives the seeds to the workers, in order.
+func (s *search) run() {
 	seeds := make(chan uint64)
 	var workers sync.WaitGroup
-	var lock sync.Mutex
-	unclean, calls, served, begun, content := 0, 0, 0, 0, 0
-	tally, struck, unserved := map[string]int{}, map[string]int{}, map[string]int{}
-	for range max(arguments.Workers, 1) {
+	for range max(s.arguments.Workers, 1) {
 		workers.Go(func() {
 			for seed := range seeds {
-				plan := simulator.Plan{Seed: seed, Deployment: arguments.Deployment, Span: kernel.Micros(arguments.SpanUS), Rate: arguments.Rate}
-				if arguments.Trace {
-					plan.Trace = func(at kernel.Micros, text string) { fmt.Printf("%10.3f s  %s\n", float64(at)/1e6, text) }
-				}
-				run := simulator.Run
-				if arguments.Storm {
-					run = simulator.Storm
-				}
-				outcome := run(plan)
-				lock.Lock()
-				calls += outcome.Review.Calls
-				served += outcome.Review.Outcomes["served"]
-				begun += outcome.Callers
-				content += outcome.Content
-				add(tally, outcome.Tally)
-				add(struck, outcome.Struck)
-				add(unserved, outcome.Review.Unserved)
-				if !outcome.IsClean() {
-					unclean++
-				}
-				if !outcome.IsClean() || arguments.Count <= 5 {
-					told := line{seed, outcome.Final, outcome.Review.Calls, outcome.Review.Outcomes["served"],
-						int64(outcome.Review.RepairTook), outcome.Orders, nil, 0, outcome.Lines()}
-					if arguments.Count <= 5 {
-						told.Crossed, told.Within = outcome.Crossed, outcome.Within
-					}
-					print(told)
-				}
-				lock.Unlock()
+				s.add(seed, s.runSeed(seed))
 			}
 		})
 	}
-	for i := range arguments.Count {
-		lock.Lock()
-		isDone := arguments.Stop && unclean > 0
-		lock.Unlock()
-		if isDone {
+	for i := range s.arguments.Count {
+		if s.isOver() {
 			break
 		}
-		seeds <- arguments.First + uint64(i)
+		seeds <- s.arguments.First + uint64(i)
 	}
 	close(seeds)
 	workers.Wait()
-	fmt.Printf("%d seeds from %d, %s: %d with a violation; %d of %d requests served\n", arguments.Count, arguments.First, arguments.Deployment, unclean, served, calls)
-	if begun > 0 {
-		fmt.Printf("%d of %d callers served in the end\n", content, begun)
+}
+
+func (s *search) isOver() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.arguments.Stop && s.unclean > 0
+}
+
+func (s *search) runSeed(seed uint64) simulator.Outcome {
+	plan := simulator.Plan{Seed: seed, Deployment: s.arguments.Deployment, Span: kernel.Micros(s.arguments.SpanUS), Rate: s.arguments.Rate}
+	if s.arguments.Trace {
+		plan.Trace = func(at kernel.Micros, text string) { fmt.Printf("%10.3f s  %s\n", float64(at)/1e6, text) }
+	}
+	if s.arguments.Storm {
+		return simulator.Storm(plan)
+	}
+	return simulator.Run(plan)
+}
+
+// add adds a seed's outcome to the sums, and prints it if it is unclean or one of few.
+func (s *search) add(seed uint64, outcome simulator.Outcome) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.calls += outcome.Review.Calls
+	s.served += outcome.Review.Outcomes["served"]
+	s.callers += outcome.Callers
+	s.callersServed += outcome.Content
+	add(s.tally, outcome.Tally)
+	add(s.struck, outcome.Struck)
+	add(s.unserved, outcome.Review.Unserved)
+	if !outcome.IsClean() {
+		s.unclean++
 	}
-	if arguments.Counts {
-		tell("what protections did", tally)
-		tell("faults that struck", struck)
-		tell("not served, by ending and the fault before", unserved)
+	isFew := s.arguments.Count <= fewSeeds
+	if outcome.IsClean() && !isFew {
+		return
+	}
+	result := line{
+		Seed: seed, Final: outcome.Final, Calls: outcome.Review.Calls, Served: outcome.Review.Outcomes["served"],
+		RepairUS: int64(outcome.Review.RepairTook), Orders: outcome.Orders, Violations: outcome.Lines(),
+	}
+	if isFew {
+		result.Crossed, result.Within = outcome.Crossed, outcome.Within
+	}
+	print(result)
+}
+
+// print prints the sums.
+func (s *search) print() {
+	fmt.Printf("%d seeds from %d, %s: %d with a violation; %d of %d requests served\n",
+		s.arguments.Count, s.arguments.First, s.arguments.Deployment, s.unclean, s.served, s.calls)
+	if s.callers > 0 {
+		fmt.Printf("%d of %d callers served in the end\n", s.callersServed, s.callers)
 	}
-	if unclean > 0 {
-		os.Exit(3)
+	if s.arguments.Counts {
+		tell("what protections did", s.tally)
+		tell("faults that struck", s.struck)
+		tell("not served, by ending and the fault before", s.unserved)
 	}
 }
 
