--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -153,7 +153,7 @@
 	if t.parts != nil {
 		return t.parts(w, t, b)
 	}
-	found := b.playAll(t.rows)
+	found := b.runAll(t.rows)
 	for i, outcomes := range found {
 		for _, outcome := range outcomes {
 			if outcome.Failed != "" {
@@ -165,8 +165,8 @@
 	return nil
 }
 
-// playAll runs every row with every seed, the largest first, so many at a time.
-func (b Batch) playAll(rows []row) [][]*Outcome {
+// runAll runs every row with every seed, the largest first, so many at a time.
+func (b Batch) runAll(rows []row) [][]*Outcome {
 	found := make([][]*Outcome, len(rows))
 	type job struct {
 		row  int
@@ -180,11 +180,11 @@
 	for range b.Workers {
 		workers.Go(func() {
 			for next := range jobs {
-				play := b.Run
-				if play == nil {
-					play = playApart
+				run := b.Run
+				if run == nil {
+					run = runApart
 				}
-				outcome, err := play(rows[next.row].sizes, next.seed)
+				outcome, err := run(rows[next.row].sizes, next.seed)
 				if outcome == nil {
 					outcome = &Outcome{Seed: next.seed}
 				}
@@ -205,8 +205,8 @@
 	return found
 }
 
-// playApart runs one fleet in a process of its own, of one core.
-func playApart(sizes Sizes, seed uint64) (*Outcome, error) {
+// runApart runs one fleet in a process of its own, of one core.
+func runApart(sizes Sizes, seed uint64) (*Outcome, error) {
 	program, err := os.Executable()
 	if err != nil {
 		return nil, fmt.Errorf("find the rig's program: %w", err)
--- a/simulator/call.go
+++ b/simulator/call.go
@@ -156,7 +156,7 @@
 		})
 		return
 	}
-	if len(e.runs) >= 64 || e.isDeclining {
+	if len(e.runs) >= 64 || e.isRejecting {
 		w.take(checker.Event{What: checker.RunRejected, Tag: c.tag, Engine: e.id, Start: e.start, Zone: e.zone})
 		c.router.later(w.between(200, ms), func() {
 			if !c.isOver && turn == c.turn {
--- a/simulator/data_test.go
+++ b/simulator/data_test.go
@@ -187,11 +187,11 @@
 	w.Traffic(20, 100*sec, 0)
 	w.Run(70 * sec)
 	for _, e := range w.engines {
-		e.isDeclining = true
+		e.isRejecting = true
 	}
 	w.Run(5 * sec)
 	for _, e := range w.engines {
-		e.isDeclining = false
+		e.isRejecting = false
 	}
 	w.Run(10 * sec)
 	c.Assert(w.Tally["c decline retry_budget"] > 50, qt.IsTrue)
--- a/simulator/day.go
+++ b/simulator/day.go
@@ -153,7 +153,7 @@
 	}
 	for _, e := range w.engines {
 		e.lighten()
-		e.isDeclining = false
+		e.isRejecting = false
 		e.boot()
 	}
 	w.take(w.repaired())
--- a/simulator/engine.go
+++ b/simulator/engine.go
@@ -22,7 +22,7 @@
 	isLeavingListed bool
 	isUnlisted      bool
 	isMute          bool             // sends no reports
-	isDeclining     bool             // says of every request that it has not run it
+	isRejecting     bool             // says of every request that it has not run it
 	runs            map[string]*call // waiting and running
 	queue           []*call
 	running         int
--- a/simulator/fault_actions.go
+++ b/simulator/fault_actions.go
@@ -15,6 +15,25 @@
 	m.restart(after)
 }
 
+// slowDisk has each synced write of a disk take longer for a span.
+func (w *World) slowDisk(d *disk, slowness, span kernel.Micros) {
+	d.slowness = slowness
+	w.in(span, func() { d.slowness = 0 })
+}
+
+// stallDisk has no write of a disk end for a span.
+func (w *World) stallDisk(d *disk, span kernel.Micros) {
+	d.isStall = true
+	w.in(span, func() { d.isStall = false })
+}
+
+// loseMessages has the network lose and double shares of all messages, and delay them.
+func (w *World) loseMessages(lossShare, dupShare float64, delay kernel.Micros) {
+	w.lossShare, w.dupShare, w.slow = lossShare, dupShare, delay
+}
+
+func (w *World) healNetwork() { w.loseMessages(0, 0, 0) }
+
 // loseDisk takes a disk together with its machine, when the rest of the core can
 // bear it: docs/limits.md promises no more than one lost disk at a time.
 func (w *World) loseDisk(m *machine) {
--- a/simulator/fault_plan.go
+++ b/simulator/fault_plan.go
@@ -52,18 +52,14 @@
 		}
 	}},
 	{"the network loses and doubles", 2, func(w *World) {
-		w.lossShare, w.dupShare, w.slow = 0.1+0.2*w.random.Float64(), 0.1, 50*ms
-		w.in(w.between(sec, 6*sec), func() { w.lossShare, w.dupShare, w.slow = 0, 0, 0 })
+		w.loseMessages(0.1+0.2*w.random.Float64(), 0.1, 50*ms)
+		w.in(w.between(sec, 6*sec), w.healNetwork)
 	}},
 	{"a disk is slow", 2, func(w *World) {
-		d := w.anyCore().disk
-		d.slowness = w.between(50*ms, 900*ms)
-		w.in(w.between(2*sec, 10*sec), func() { d.slowness = 0 })
+		w.slowDisk(w.anyCore().disk, w.between(50*ms, 900*ms), w.between(2*sec, 10*sec))
 	}},
 	{"the leader's disk stalls", 2, func(w *World) {
-		d := w.leader().disk
-		d.isStall = true
-		w.in(w.between(sec, 8*sec), func() { d.isStall = false })
+		w.stallDisk(w.leader().disk, w.between(sec, 8*sec))
 	}},
 	{"a disk is full", 2, func(w *World) {
 		d := w.anyCore().disk
@@ -98,11 +94,11 @@
 	{"engines reject everything for a while", 1, func(w *World) {
 		some := w.engines[w.random.IntN(len(w.engines)):]
 		for _, e := range some {
-			e.isDeclining = true
+			e.isRejecting = true
 		}
 		w.in(w.between(sec, 4*sec), func() {
 			for _, e := range some {
-				e.isDeclining = false
+				e.isRejecting = false
 			}
 		})
 	}},
@@ -119,12 +115,7 @@
 	}},
 	{"a configuration", 6, func(w *World) { w.operator.putConfig(nil) }},
 	{"two configurations at once", 3, func(w *World) {
-		base := uint64(1)
-		for revision := range w.operator.acked {
-			base = max(base, revision)
-		}
-		w.operator.putConfig(&base)
-		w.operator.putConfig(&base)
+		w.operator.putTwoOnOneBase()
 	}},
 	{"many configurations in a row", 1, func(w *World) {
 		for range 12 {
--- a/simulator/operator.go
+++ b/simulator/operator.go
@@ -126,6 +126,17 @@
 	})
 }
 
+// putTwoOnOneBase puts two configurations on the newest acknowledged one; at most one may
+// be acknowledged.
+func (o *operator) putTwoOnOneBase() {
+	base := uint64(1)
+	for revision := range o.acked {
+		base = max(base, revision)
+	}
+	o.putConfig(&base)
+	o.putConfig(&base)
+}
+
 func (o *operator) empty(zone string, span kernel.Micros) {
 	w := o.world
 	o.order(control.Submit{Order: control.EmptyZone, Zone: zone}, func(reply control.SubmitReply) {
--- a/simulator/storm.go
+++ b/simulator/storm.go
@@ -42,18 +42,14 @@
 		}
 	}},
 	{"lose and double", 2, func(w *World) {
-		w.lossShare, w.dupShare, w.slow = 0.3*w.random.Float64(), 0.2, w.between(0, 500*ms)
-		w.in(w.between(300*ms, 3*sec), func() { w.lossShare, w.dupShare, w.slow = 0, 0, 0 })
+		w.loseMessages(0.3*w.random.Float64(), 0.2, w.between(0, 500*ms))
+		w.in(w.between(300*ms, 3*sec), w.healNetwork)
 	}},
 	{"slow disk", 2, func(w *World) {
-		d := w.any().disk
-		d.slowness = w.between(20*ms, 900*ms)
-		w.in(w.between(500*ms, 4*sec), func() { d.slowness = 0 })
+		w.slowDisk(w.any().disk, w.between(20*ms, 900*ms), w.between(500*ms, 4*sec))
 	}},
 	{"stalled disk", 2, func(w *World) {
-		d := w.any().disk
-		d.isStall = true
-		w.in(w.between(300*ms, 3*sec), func() { d.isStall = false })
+		w.stallDisk(w.any().disk, w.between(300*ms, 3*sec))
 	}},
 	{"lost disk", 1, func(w *World) {
 		m := w.any()
@@ -69,12 +65,7 @@
 	}},
 	{"a configuration", 10, func(w *World) { w.operator.putConfig(nil) }},
 	{"two configurations on one base", 4, func(w *World) {
-		base := uint64(1)
-		for revision := range w.operator.acked {
-			base = max(base, revision)
-		}
-		w.operator.putConfig(&base)
-		w.operator.putConfig(&base)
+		w.operator.putTwoOnOneBase()
 	}},
 }
 
