--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -25,9 +25,9 @@
 
 // Headers by which a caller can check an answer.
 const (
-	HeaderRun  = "Understudy-Run"
-	HeaderTag  = "Understudy-Tag" // the caller's own name for its request
-	HeaderText = "Understudy-Text"
+	HeaderRun  = "Emulator-Run"
+	HeaderTag  = "Emulator-Tag" // the caller's own name for its request
+	HeaderText = "Emulator-Text"
 )
 
 // EngineSettings say how an engine behaves.
