--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -22,8 +22,8 @@
 	Known []string
 }
 
-func (b UnknownTable) Error() string {
-	return fmt.Sprintf("there is no table %q; known are %v", b.Name, b.Known)
+func (err UnknownTable) Error() string {
+	return fmt.Sprintf("there is no table %q; known are %v", err.Name, err.Known)
 }
 
 // Batch says how the rows of a table are run.
@@ -34,7 +34,7 @@
 	Rules   Rules
 	Most    int // rows above this size are left out; 0: none
 	// Play runs one fleet; nil: a process of its own, so that heap and collector are its own.
-	Play func(Sizes, uint64) (*Outcome, error)
+	Run func(Sizes, uint64) (*Outcome, error)
 }
 
 // Check rejects what the machine can't take.
@@ -104,7 +104,7 @@
 			func(s *Sizes, v int) { s.Nodes = v }, 32, 96, 205), row{"96, 40 s", 96, base(func(s *Sizes) { s.Nodes, s.Cut, s.Span = 96, 40*sec, sec })}), printSettle, nil},
 		"full":     {"All 410 nodes, 500 routes, by engines", "engines", sweep(full, func(s *Sizes, v int) { s.Engines = v }, 850, 3400), printRoles, nil},
 		"desk":     {"One router's desk: requests", "", nil, nil, printDispatcher},
-		"paper":    {"Specs, documents and the object store", "", nil, nil, printPaper},
+		"paper":    {"Configurations, documents and the object store", "", nil, nil, printConfig},
 		"channels": {"Real channels over loopback, at rest, no engines", "", nil, nil, printWire},
 	}
 }
@@ -153,7 +153,7 @@
 	if t.parts != nil {
 		return t.parts(w, t, b)
 	}
-	found := b.playAll(t.rows)
+	found := b.runAll(t.rows)
 	for i, outcomes := range found {
 		for _, outcome := range outcomes {
 			if outcome.Failed != "" {
@@ -165,8 +165,8 @@
 	return nil
 }
 
-// playAll runs every row with every seed, the largest first, so many at a time.
-func (b Batch) playAll(rows []row) [][]*Outcome {
+// runAll runs every row with every seed, the largest first, so many at a time.
+func (b Batch) runAll(rows []row) [][]*Outcome {
 	found := make([][]*Outcome, len(rows))
 	type job struct {
 		row  int
@@ -180,11 +180,11 @@
 	for range b.Workers {
 		workers.Go(func() {
 			for next := range jobs {
-				play := b.Play
-				if play == nil {
-					play = playApart
+				run := b.Run
+				if run == nil {
+					run = runApart
 				}
-				outcome, err := play(rows[next.row].sizes, next.seed)
+				outcome, err := run(rows[next.row].sizes, next.seed)
 				if outcome == nil {
 					outcome = &Outcome{Seed: next.seed}
 				}
@@ -205,8 +205,8 @@
 	return found
 }
 
-// playApart runs one fleet in a process of its own, of one core.
-func playApart(sizes Sizes, seed uint64) (*Outcome, error) {
+// runApart runs one fleet in a process of its own, of one core.
+func runApart(sizes Sizes, seed uint64) (*Outcome, error) {
 	program, err := os.Executable()
 	if err != nil {
 		return nil, fmt.Errorf("find the rig's program: %w", err)
@@ -235,8 +235,6 @@
 	return outcome, nil
 }
 
-// ---- printing ----
-
 // spread gives the median with the least and the most.
 func spread(values []float64) string {
 	values = slices.DeleteFunc(slices.Clone(values), math.IsNaN)
@@ -278,7 +276,7 @@
 	{"owners, % of a core", func(f Figures) float64 {
 		return 100 * (f.Processor[Events] + f.Processor[Encode] + f.Processor[Decode] + f.Processor[Disk])
 	}},
-	{"picture, % of a core", func(f Figures) float64 { return 100 * f.Processor[Publish] }},
+	{"publishing, % of a core", func(f Figures) float64 { return 100 * f.Processor[Publish] }},
 	{"compiling, % of a core", func(f Figures) float64 { return 100 * f.Processor[Compile] }},
 	{"heap MB", func(f Figures) float64 { return f.Memory / 1e6 }},
 }
@@ -322,7 +320,7 @@
 			}
 		}
 	}
-	fmt.Fprintf(w, "\nThe process's time by what is on the bills: %s.\n", spread(waits))
+	fmt.Fprintf(w, "\nThe process's time by what was counted: %s.\n", spread(waits))
 	if slices.ContainsFunc(t.rows, func(row row) bool { return row.sizes.Changes > 0 }) {
 		fmt.Fprintln(w)
 		printForce(w, t, found)
@@ -427,7 +425,7 @@
 
 // printDispatcher sweeps one size at a time from a middle one.
 func printDispatcher(w io.Writer, _ table, b Batch) error {
-	head(w, "size", "arrival to engine us", "to its end us, 20 events", "heap of an open request, bytes", "picture and spec, MB")
+	head(w, "size", "arrival to engine us", "to its end us, 20 events", "heap of an open request, bytes", "routing table and configuration, MB")
 	middle := base(func(s *Sizes) {
 		s.Nodes, s.Zones, s.Regions, s.Engines, s.Routes, s.Tenants, s.Prefixes, s.Sessions = 410, 24, 7, 850, 2000, 2000, 10000, 1000
 		s.MemoryMB = 4000
@@ -457,7 +455,7 @@
 	return nil
 }
 
-func printPaper(w io.Writer, _ table, b Batch) error {
+func printConfig(w io.Writer, _ table, b Batch) error {
 	head(w, "size", "spec KB", "as an order KB", "document KB", "light document KB", "compile ms", "compiled MB", "save ms", "file ms", "stored KB")
 	middle := base(func(s *Sizes) { s.Nodes, s.Zones, s.Regions, s.Engines, s.MemoryMB = 410, 24, 7, 850, 4000 })
 	sweeps := append(sweep(middle, func(s *Sizes, v int) { s.Routes, s.Tenants = v, tenantsOf(v) }, 100, 500, 2000, 8000, 20000),
@@ -465,7 +463,7 @@
 	for i, row := range sweeps {
 		columns := make([][]float64, 9)
 		for seed := range b.Seeds {
-			paper, err := MeasurePaper(row.sizes, b.First+uint64(seed))
+			paper, err := MeasureConfig(row.sizes, b.First+uint64(seed))
 			if err != nil {
 				return err
 			}
--- a/cmd/simulator/main.go
+++ b/cmd/simulator/main.go
@@ -18,7 +18,7 @@
 	"dunlinloom/simulator/experiment"
 )
 
-type words struct {
+type arguments struct {
 	First      uint64  `arg:"--first" default:"1" help:"first seed"`
 	Count      int     `arg:"--count" default:"50" help:"how many seeds"`
 	Deployment string  `arg:"--deployment" default:"qurum" help:"qurum or cronometro"`
@@ -52,115 +52,167 @@
 }
 
 func main() {
-	var words words
-	parser := arg.MustParse(&words)
-	if words.Measure == "rebuild" {
-		simulator.MeasureRebuild(os.Stdout, words.First, words.Count)
-		return
-	}
-	if words.Measure != "" {
-		names := []string{words.Measure}
-		if words.Measure == "all" {
-			names = simulator.Measurements()
-		}
-		for _, name := range names {
-			if !simulator.Measure(os.Stdout, name, words.First, words.Count) {
-				parser.Fail(fmt.Sprintf("there is no measurement %q; known are %v", name, simulator.Measurements()))
-			}
+	var arguments arguments
+	parser := arg.MustParse(&arguments)
+	switch {
+	case arguments.Measure == "rebuild":
+		simulator.MeasureRebuild(os.Stdout, arguments.First, arguments.Count)
+	case arguments.Measure != "":
+		measure(parser, arguments)
+	case arguments.Mix != "":
+		compare(parser, arguments)
+	case arguments.Routed:
+		searchRouted(arguments)
+	default:
+		search := newSearch(arguments)
+		search.run()
+		search.print()
+		if search.unclean > 0 {
+			os.Exit(violationFound)
 		}
-		return
 	}
-	if words.Mix != "" {
-		compare(parser, words)
-		return
+}
+
+// violationFound is the exit status of a search that found a violation.
+const violationFound = 3
+
+// measure prints one comparison of ways of routing, or all.
+func measure(parser *arg.Parser, arguments arguments) {
+	names := []string{arguments.Measure}
+	if arguments.Measure == "all" {
+		names = simulator.Measurements()
 	}
-	if words.Routed {
-		search := simulator.RoutedSearch{First: words.First, Count: words.Count, Span: kernel.Micros(words.SpanUS), Workers: words.Workers, Stop: words.Stop, Counts: words.Counts}
-		if words.Troubles != "" {
-			search.Troubles = strings.Split(words.Troubles, ",")
+	for _, name := range names {
+		if !simulator.Measure(os.Stdout, name, arguments.First, arguments.Count) {
+			parser.Fail(fmt.Sprintf("there is no measurement %q; known are %v", name, simulator.Measurements()))
 		}
-		simulator.InVirtualTime(func(virtual simulator.VirtualTime) int {
-			unclean, err := search.Run(virtual, os.Stdout)
-			switch {
-			case err != nil:
-				fmt.Fprintln(os.Stderr, "simulator:", err)
-				return 1
-			case unclean > 0:
-				return 3
-			}
-			return 0
-		})
 	}
+}
+
+// searchRouted searches seeds of routers before model engines. It ends the process.
+func searchRouted(arguments arguments) {
+	search := simulator.RoutedSearch{
+		First: arguments.First, Count: arguments.Count, Span: kernel.Micros(arguments.SpanUS),
+		Workers: arguments.Workers, Stop: arguments.Stop, Counts: arguments.Counts,
+	}
+	if arguments.Troubles != "" {
+		search.Troubles = strings.Split(arguments.Troubles, ",")
+	}
+	simulator.InVirtualTime(func(virtual simulator.VirtualTime) int {
+		unclean, err := search.Run(virtual, os.Stdout)
+		switch {
+		case err != nil:
+			fmt.Fprintln(os.Stderr, "simulator:", err)
+			return 1
+		case unclean > 0:
+			return violationFound
+		}
+		return 0
+	})
+}
+
+// fewSeeds is up to how many seeds each one's result is printed.
+const fewSeeds = 5
+
+// search runs the seeds of days or storms and sums up what they found.
+type search struct {
+	arguments arguments
+
+	lock                    sync.Mutex // guards all that follows
+	unclean, calls, served  int
+	callers, callersServed  int
+	tally, struck, unserved map[string]int
+}
+
+func newSearch(arguments arguments) *search {
+	return &search{arguments: arguments, tally: map[string]int{}, struck: map[string]int{}, unserved: map[string]int{}}
+}
+
+// run gives the seeds to the workers, in order.
+func (s *search) run() {
 	seeds := make(chan uint64)
 	var workers sync.WaitGroup
-	var lock sync.Mutex
-	unclean, calls, served, begun, content := 0, 0, 0, 0, 0
-	tally, struck, unserved := map[string]int{}, map[string]int{}, map[string]int{}
-	for range max(words.Workers, 1) {
+	for range max(s.arguments.Workers, 1) {
 		workers.Go(func() {
 			for seed := range seeds {
-				plan := simulator.Plan{Seed: seed, Deployment: words.Deployment, Span: kernel.Micros(words.SpanUS), Rate: words.Rate}
-				if words.Trace {
-					plan.Trace = func(at kernel.Micros, text string) { fmt.Printf("%10.3f s  %s\n", float64(at)/1e6, text) }
-				}
-				play := simulator.Play
-				if words.Storm {
-					play = simulator.Storm
-				}
-				outcome := play(plan)
-				lock.Lock()
-				calls += outcome.Review.Calls
-				served += outcome.Review.Outcomes["served"]
-				begun += outcome.Callers
-				content += outcome.Content
-				add(tally, outcome.Tally)
-				add(struck, outcome.Struck)
-				add(unserved, outcome.Review.Unserved)
-				if !outcome.IsClean() {
-					unclean++
-				}
-				if !outcome.IsClean() || words.Count <= 5 {
-					told := line{seed, outcome.Final, outcome.Review.Calls, outcome.Review.Outcomes["served"],
-						int64(outcome.Review.RepairTook), outcome.Orders, nil, 0, outcome.Lines()}
-					if words.Count <= 5 {
-						told.Crossed, told.Within = outcome.Crossed, outcome.Within
-					}
-					print(told)
-				}
-				lock.Unlock()
+				s.add(seed, s.runSeed(seed))
 			}
 		})
 	}
-	for i := range words.Count {
-		lock.Lock()
-		isDone := words.Stop && unclean > 0
-		lock.Unlock()
-		if isDone {
+	for i := range s.arguments.Count {
+		if s.isOver() {
 			break
 		}
-		seeds <- words.First + uint64(i)
+		seeds <- s.arguments.First + uint64(i)
 	}
 	close(seeds)
 	workers.Wait()
-	fmt.Printf("%d seeds from %d, %s: %d with a breach; %d of %d requests served\n", words.Count, words.First, words.Deployment, unclean, served, calls)
-	if begun > 0 {
-		fmt.Printf("%d of %d callers served in the end\n", content, begun)
+}
+
+func (s *search) isOver() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.arguments.Stop && s.unclean > 0
+}
+
+func (s *search) runSeed(seed uint64) simulator.Outcome {
+	plan := simulator.Plan{Seed: seed, Deployment: s.arguments.Deployment, Span: kernel.Micros(s.arguments.SpanUS), Rate: s.arguments.Rate}
+	if s.arguments.Trace {
+		plan.Trace = func(at kernel.Micros, text string) { fmt.Printf("%10.3f s  %s\n", float64(at)/1e6, text) }
+	}
+	if s.arguments.Storm {
+		return simulator.Storm(plan)
+	}
+	return simulator.Run(plan)
+}
+
+// add adds a seed's outcome to the sums, and prints it if it is unclean or one of few.
+func (s *search) add(seed uint64, outcome simulator.Outcome) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.calls += outcome.Review.Calls
+	s.served += outcome.Review.Outcomes["served"]
+	s.callers += outcome.Callers
+	s.callersServed += outcome.Content
+	add(s.tally, outcome.Tally)
+	add(s.struck, outcome.Struck)
+	add(s.unserved, outcome.Review.Unserved)
+	if !outcome.IsClean() {
+		s.unclean++
 	}
-	if words.Counts {
-		tell("what protections did", tally)
-		tell("faults that struck", struck)
-		tell("not served, by ending and the fault before", unserved)
+	isFew := s.arguments.Count <= fewSeeds
+	if outcome.IsClean() && !isFew {
+		return
+	}
+	result := line{
+		Seed: seed, Final: outcome.Final, Calls: outcome.Review.Calls, Served: outcome.Review.Outcomes["served"],
+		RepairUS: int64(outcome.Review.RepairTook), Orders: outcome.Orders, Violations: outcome.Lines(),
+	}
+	if isFew {
+		result.Crossed, result.Within = outcome.Crossed, outcome.Within
+	}
+	print(result)
+}
+
+// print prints the sums.
+func (s *search) print() {
+	fmt.Printf("%d seeds from %d, %s: %d with a violation; %d of %d requests served\n",
+		s.arguments.Count, s.arguments.First, s.arguments.Deployment, s.unclean, s.served, s.calls)
+	if s.callers > 0 {
+		fmt.Printf("%d of %d callers served in the end\n", s.callersServed, s.callers)
 	}
-	if unclean > 0 {
-		os.Exit(3)
+	if s.arguments.Counts {
+		tell("what protections did", s.tally)
+		tell("faults that struck", s.struck)
+		tell("not served, by ending and the fault before", s.unserved)
 	}
 }
 
 // compare replays a mix under two settings.
-func compare(parser *arg.Parser, words words) {
-	mix, err := simulator.ReadMix(words.Mix)
+func compare(parser *arg.Parser, arguments arguments) {
+	mix, err := simulator.ReadMix(arguments.Mix)
 	var variants [2]simulator.Variant
-	for i, text := range []string{words.A, words.B} {
+	for i, text := range []string{arguments.A, arguments.B} {
 		if err == nil {
 			variants[i], err = simulator.ParseVariant(text)
 		}
@@ -168,13 +220,13 @@
 	if err != nil {
 		parser.Fail(err.Error())
 	}
-	command := fmt.Sprintf("bin/simulator --mix %s --a %q --b %q --first %d --count %d --span-us %d", words.Mix, words.A, words.B, words.First, words.Count, words.SpanUS)
+	command := fmt.Sprintf("bin/simulator --mix %s --a %q --b %q --first %d --count %d --span-us %d", arguments.Mix, arguments.A, arguments.B, arguments.First, arguments.Count, arguments.SpanUS)
 	simulator.InVirtualTime(func(virtual simulator.VirtualTime) int {
-		if err := experiment.Run(virtual, mix, variants, words.First, words.Count, kernel.Micros(words.SpanUS), words.Out, command); err != nil {
+		if err := experiment.Run(virtual, mix, variants, arguments.First, arguments.Count, kernel.Micros(arguments.SpanUS), arguments.Out, command); err != nil {
 			fmt.Fprintln(os.Stderr, "simulator:", err)
 			return 1
 		}
-		fmt.Println(words.Out + "/report.md")
+		fmt.Println(arguments.Out + "/report.md")
 		return 0
 	})
 }
--- a/fleetconfig/config.go
+++ b/fleetconfig/config.go
@@ -1,5 +1,5 @@
 // Package fleetconfig reads, checks and compiles the operator's configuration: the whole
-// picture of engines, bindings, routes, services, zones and policy.
+// description of engines, bindings, routes, services, zones and policy.
 package fleetconfig
 
 import (
@@ -112,8 +112,8 @@
 	Bound int
 }
 
-func (b TooLarge) Error() string {
-	return fmt.Sprintf("%s: %d is above the bound of %d", b.What, b.Size, b.Bound)
+func (err TooLarge) Error() string {
+	return fmt.Sprintf("%s: %d is above the bound of %d", err.What, err.Size, err.Bound)
 }
 
 // Policy is the compiled policy with every default filled in.
@@ -129,7 +129,7 @@
 	OwnZoneFirst bool
 }
 
-// DefaultPolicy holds the paper's figures where it gives any, and ours elsewhere.
+// DefaultPolicy holds the figures of the design's source where it gives any, and ours elsewhere.
 func DefaultPolicy() Policy {
 	return Policy{
 		PrefixLength: 64, MaxImbalance: 2.0, NearTie: 0.05, RetryRatio: 0.08,
@@ -160,7 +160,7 @@
 // Engine is an engine named in the configuration.
 type Engine struct{ ID, Address, Zone, Pool string }
 
-// Configuration is a compiled configuration, never changed once made.
+// Config is a compiled configuration, never changed once made.
 type Config struct {
 	// Version is the operator's own number of this configuration; zero: it has none.
 	Version  uint64
@@ -176,19 +176,19 @@
 }
 
 // Bind finds the first binding that fits a request.
-func (s *Config) Bind(kind, model string) (*Binding, bool) {
+func (config *Config) Bind(kind, model string) (*Binding, bool) {
 	best := -1
 	// With thousands of bindings a scan per request is too slow: exact pairs are
 	// looked up, and order is kept by taking the lowest index.
 	for _, pair := range [][2]string{{kind, model}, {kind, ""}, {"", model}, {"", ""}} {
-		if index, isThere := s.byPair[pair]; isThere && (best < 0 || index < best) {
+		if index, isThere := config.byPair[pair]; isThere && (best < 0 || index < best) {
 			best = index
 		}
 	}
 	if best < 0 {
 		return nil, false
 	}
-	return &s.Bindings[best], true
+	return &config.Bindings[best], true
 }
 
 // Weight gives an engine's weight under a binding; zero means not eligible.
@@ -252,7 +252,7 @@
 	}
 	checkZone := func(path, name string) {
 		if name != "" && len(zones) > 0 && !zones[name] {
-			faults.Add(path, "zone %q is not among the spec's zones", name)
+			faults.Add(path, "zone %q is not among the configuration's zones", name)
 		}
 	}
 	engines := map[string]bool{}
@@ -273,7 +273,7 @@
 	// A fleet whose last route was taken out still has its services or caps; a configuration with
 	// none of these was hardly meant.
 	if len(message.Bindings)+len(message.Routes)+len(message.Services) == 0 && message.Caps == nil {
-		faults.Add("bindings", "a spec needs at least one binding or route")
+		faults.Add("bindings", "a configuration needs at least one binding or route")
 	}
 	names, matches, shareCount := map[string]bool{}, map[[2]string]int{}, 0
 	for i, binding := range message.Bindings {
--- a/loadgen/platform.go
+++ b/loadgen/platform.go
@@ -28,10 +28,10 @@
 	Cause error
 }
 
-func (b FileError) Error() string { return fmt.Sprintf("nodes of %s: %v", b.Name, b.Cause) }
+func (err FileError) Error() string { return fmt.Sprintf("nodes of %s: %v", err.Name, err.Cause) }
 
 // Unwrap gives the cause.
-func (b FileError) Unwrap() error { return b.Cause }
+func (err FileError) Unwrap() error { return err.Cause }
 
 // NoNodes says that there is nobody to hand callers to.
 type NoNodes struct{}
@@ -102,9 +102,9 @@
 	}
 }
 
-// Deal gives the node for a caller's try. The turn stands for the caller: it says its
+// NodeFor gives the node for a caller's try. The turn stands for the caller: it says its
 // zone, and which of the zone's ready nodes it is handed to.
-func (p *Platform) Deal(turn, try int) string {
+func (p *Platform) NodeFor(turn, try int) string {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	zones := []string{}
--- /dev/null
+++ b/localfleet/operator.go
@@ -0,0 +1,239 @@
+package localfleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/loadgen"
+	"dunlinloom/relay"
+	"dunlinloom/server"
+)
+
+// The operator of a run: sends orders, sends them again, and remembers what was acknowledged.
+
+// Operator sends orders and remembers what was acknowledged.
+type Operator struct {
+	cluster *Cluster
+	lock    sync.Mutex
+	random  *rand.Rand
+	count   int
+	acked   map[uint64]string // revision to the digest of its configuration
+	orders  map[string]int
+}
+
+// config makes the number-th configuration of a local fleet run; its bytes differ with the number, and
+// it leaves one pool out. More bindings than the kinds need make it large.
+func (cluster *Cluster) config(number, more int) (content []byte, pools []string) {
+	kinds, _ := loadgen.KindsOf(cluster.deployment.Name)
+	bindings, shares := []any{}, []any{}
+	for i := range poolCount {
+		if i != number%poolCount {
+			pools = append(pools, fmt.Sprintf("p%d", i))
+			shares = append(shares, map[string]any{"pool": pools[len(pools)-1], "weight": 100 + number%7})
+		}
+	}
+	for i := range more {
+		bindings = append(bindings, map[string]any{"name": fmt.Sprintf("more-%d", i), "match": map[string]any{"kind": fmt.Sprintf("no-such-%d", i)}, "shares": shares[:1]})
+	}
+	for _, kind := range kinds {
+		bindings = append(bindings, map[string]any{
+			"name": fmt.Sprintf("%s-%d", kind.Name, number), "match": map[string]any{"kind": kind.Name},
+			"shares": shares, "ttftLimitUs": 8_000_000,
+		})
+	}
+	zones := []any{}
+	for _, zone := range cluster.deployment.Zones {
+		zones = append(zones, map[string]any{"name": zone})
+	}
+	content, err := json.Marshal(map[string]any{"bindings": bindings, "zones": zones})
+	if err != nil {
+		panic(ClusterError{"encode a configuration", err})
+	}
+	return content, pools
+}
+
+func (operator *Operator) node() *process {
+	nodes := operator.cluster.members()
+	operator.lock.Lock()
+	defer operator.lock.Unlock()
+	return nodes[operator.random.IntN(len(nodes))]
+}
+
+// submit sends one order until it is answered for good, as an operator would: the
+// same id again at another node.
+func (operator *Operator) submit(ctx context.Context, name, method, path string, body []byte, onSent func(id string), onEnd func(control.SubmitReply)) {
+	operator.lock.Lock()
+	operator.count++
+	id := fmt.Sprintf("%s-%d", name, operator.count)
+	operator.lock.Unlock()
+	onSent(id)
+	for try := 0; try < 12 && ctx.Err() == nil; try++ {
+		node := operator.node()
+		status, _, got, err := request(ctx, method, "http://"+node.public+path, body, map[string]string{server.HeaderSubmission: id})
+		var reply control.SubmitReply
+		if err == nil {
+			err = json.Unmarshal(got, &reply)
+		}
+		isFinal := err == nil && (reply.Outcome == control.Yes || reply.Outcome == control.No)
+		if !isFinal {
+			select {
+			case <-ctx.Done():
+			case <-time.After(300 * time.Millisecond):
+			}
+			continue
+		}
+		operator.lock.Lock()
+		operator.orders[name+" "+string(reply.Outcome)+" "+reply.Reason]++
+		operator.lock.Unlock()
+		_ = status
+		onEnd(reply)
+		return
+	}
+	operator.lock.Lock()
+	operator.orders[name+" unanswered"]++
+	operator.lock.Unlock()
+}
+
+func (operator *Operator) putConfig(ctx context.Context, number int, base string) {
+	operator.putConfigOfSize(ctx, number, 0, base)
+}
+
+// putConfigOfSize puts a configuration with so many bindings more than the kinds need.
+func (operator *Operator) putConfigOfSize(ctx context.Context, number, more int, base string) (isYes bool) {
+	config, pools := operator.cluster.config(number, more)
+	path := "/v1/spec"
+	if base != "" {
+		path += "?base=" + url.QueryEscape(base)
+	}
+	operator.submit(ctx, "spec", http.MethodPut, path, config,
+		func(id string) {
+			operator.cluster.record(checker.Event{At: now(), What: checker.ConfigSent, ID: id, Digest: digest(config), Pools: pools})
+		},
+		func(reply control.SubmitReply) {
+			isYes = reply.Outcome == control.Yes
+			event := checker.Event{At: now(), What: checker.ConfigYes, ID: reply.ID, Revision: reply.Revision, Digest: digest(config)}
+			if reply.Outcome == control.No {
+				event.What, event.Reason = checker.ConfigNo, reply.Reason
+			} else {
+				operator.lock.Lock()
+				operator.acked[reply.Revision] = digest(config)
+				operator.lock.Unlock()
+			}
+			operator.cluster.record(event)
+		})
+	return isYes
+}
+
+// digest stands for a configuration in the events, where megabytes would only be in the way.
+func digest(config []byte) string { return fmt.Sprintf("%x", sha256.Sum256(config)) }
+
+func (operator *Operator) zone(ctx context.Context, zone string, isEmpty bool) {
+	method, name := http.MethodPut, "empty"
+	if !isEmpty {
+		method, name = http.MethodDelete, "refill"
+	}
+	operator.submit(ctx, name, method, "/v1/zones/"+zone+"/evacuation", nil,
+		func(string) {
+			// From the moment a refill is asked for, requests may go there again.
+			if !isEmpty {
+				operator.cluster.record(checker.Event{At: now(), What: checker.ZoneRefilling, Zone: zone})
+			}
+		},
+		func(reply control.SubmitReply) {
+			if !isEmpty {
+				operator.cluster.record(checker.Event{At: now(), What: checker.ZoneRefilled, Zone: zone, Revision: reply.Revision})
+			}
+			if isEmpty && reply.Outcome == control.Yes {
+				operator.cluster.record(checker.Event{At: now(), What: checker.ZoneEmptied, Zone: zone, Revision: reply.Revision})
+			}
+		})
+}
+
+// readBack reads every acknowledged configuration under its revision.
+func (operator *Operator) readBack(ctx context.Context) {
+	operator.lock.Lock()
+	acked := map[uint64]string{}
+	for revision, digest := range operator.acked {
+		acked[revision] = digest
+	}
+	operator.lock.Unlock()
+	// The whole history too, or a rejected configuration that took effect would not be seen.
+	if status, _, got, err := request(ctx, http.MethodGet, "http://"+operator.node().public+"/v1/spec/history", nil, nil); err == nil && status == http.StatusOK {
+		var history struct {
+			Revisions []uint64 `json:"generations"`
+		}
+		if err := json.Unmarshal(got, &history); err != nil {
+			operator.cluster.addProblem("the history can't be read: %v", err)
+		}
+		for _, revision := range history.Revisions {
+			acked[revision] = ""
+		}
+	} else {
+		operator.cluster.addProblem("the history can't be read: status %d, %v", status, err)
+	}
+	for revision := range acked {
+		isRead := false
+		for try := 0; try < 40 && !isRead && ctx.Err() == nil; try++ {
+			status, headers, got, err := request(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/spec?generation=%d", operator.node().public, revision), nil, nil)
+			if err == nil && status == http.StatusOK && headers.Get(relay.HeaderRevision) == strconv.FormatUint(revision, 10) {
+				isRead = true
+				operator.cluster.record(checker.Event{At: now(), What: checker.ConfigRead, Revision: revision, Digest: digest(got)})
+				continue
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(250 * time.Millisecond):
+			}
+		}
+		// A configuration that can't be read at all is as lost as a wrong one.
+		if !isRead {
+			operator.cluster.record(checker.Event{At: now(), What: checker.ConfigRead, Revision: revision, Digest: "(unreadable)"})
+		}
+	}
+}
+
+// readCurrent reads the configuration in force and the emptied zones at every node that serves.
+func (operator *Operator) readCurrent(ctx context.Context) {
+	for _, node := range operator.cluster.members() {
+		if status, _, _, err := request(ctx, http.MethodGet, "http://"+node.public+"/readyz", nil, nil); err != nil || status != http.StatusOK {
+			continue
+		}
+		status, _, got, err := request(ctx, http.MethodGet, "http://"+node.public+"/v1/fleet", nil, nil)
+		var view server.FleetView
+		if err == nil && status == http.StatusOK {
+			err = json.Unmarshal(got, &view)
+		}
+		if err != nil || status != http.StatusOK {
+			operator.cluster.addProblem("the fleet can't be read at %s: status %d, %v", node.name, status, err)
+			continue
+		}
+		operator.cluster.record(checker.Event{At: now(), What: checker.ConfigCurrent, Node: node.public, Revision: view.ConfigRevision})
+		operator.cluster.record(checker.Event{At: now(), What: checker.ZonesRead, Node: node.public, Zones: slices.Sorted(maps.Keys(view.Drained))})
+	}
+}
+
+// putTwoOnOneBase puts two configurations on one base; at most one may get a yes.
+func (operator *Operator) putTwoOnOneBase(ctx context.Context, number int) error {
+	view, err := operator.cluster.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	base := strconv.FormatUint(view.ConfigRevision, 10)
+	var both sync.WaitGroup
+	both.Go(func() { operator.putConfig(ctx, number, base) })
+	both.Go(func() { operator.putConfig(ctx, number+1, base) })
+	both.Wait()
+	return nil
+}
--- a/simulator/measure.go
+++ b/simulator/measure.go
@@ -30,10 +30,10 @@
 	shape      func(*Options)
 	variants   []variant
 	columns    []string
-	faults     func(*World) // strikes when the load is on
+	faults     func(*World) // called when the load is on
 }
 
-// figure reads one column's value off a finished run.
+// columnOf reads one column's value off a finished run.
 var columnOf = map[string]func(w *World, begun kernel.Micros) float64{
 	"prefix reuse %": func(w *World, _ kernel.Micros) float64 {
 		return 100 * share(float64(w.figures.hits), float64(w.figures.hits+w.figures.misses))
@@ -99,7 +99,7 @@
 }
 
 // trafficKinds are the kinds of message that a table of traffic names, in KB a second.
-var trafficKinds = []string{"AskBatch", "GrantBatch", "Pulse", "PulseReceipt", "News", "Mend", "Heard", "Attest", "AttestReceipt", "Shuffle", "Grant", "Submit"}
+var trafficKinds = []string{"AskBatch", "GrantBatch", "Heartbeat", "HeartbeatReply", "News", "Mend", "Heard", "Attest", "AttestReply", "Shuffle", "Grant", "Submit"}
 
 func init() {
 	perSecond := func(count func(w *World) int) func(w *World, begun kernel.Micros) float64 {
