--- a/server/deployment.go
+++ b/server/deployment.go
@@ -338,7 +338,8 @@
 			return err
 		}
 	}
-	d.env.Log.Info("serving", "callers", deployment.Callers, "control", deployment.Control, "peer", d.settings.Peer, "member", string(member))
+	d.env.Log.Info("serving", "callers", deployment.Callers, "control", deployment.Control, "peer", d.settings.Peer, "member", string(member),
+		"seeds", d.settings.Seeds, "votes", deployment.CanVote, "bootstrap", deployment.Bootstrap)
 	return nil
 }
 
