Found a fleet by ballots among the acceptors, not by its lowest seed

The lowest seed alone named the founders, after every seed had promised; a machine lost in the first half second left a fleet that was never founded. Now any seed may propose: prepare, promise, accept, accepted on the first document, with a majority of the seeds, or of the members where more than one may be lost. Votes are synced before they are told; a restart without a vote in its folder accepts nothing.

--- a/control/core_disk.go
+++ b/control/core_disk.go
@@ -15,8 +15,17 @@
 // save queues a write; after runs once it is synced. Writes stay in order, so
 // whatever after promises is on disk by then.
 func (c *Core) save(document *Document, after func()) {
+	c.queueSave(Save{Ballot: &Ballot{c.term, c.votedFor}, Document: document}, after)
+}
+
+// saveFoundingVote queues the write of a vote on the founding, in the same order.
+func (c *Core) saveFoundingVote(vote *FoundingVote, after func()) {
+	c.queueSave(Save{FoundingVote: vote}, after)
+}
+
+func (c *Core) queueSave(save Save, after func()) {
 	c.nextToken++
-	save := Save{Token: c.nextToken, Ballot: &Ballot{c.term, c.votedFor}, Document: document}
+	save.Token = c.nextToken
 	pending := &pendingSave{save: save, since: c.now}
 	if after != nil {
 		pending.after = append(pending.after, after)
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -53,6 +53,7 @@
 	member    MemberID
 	ballot    Ballot
 	document  *Document
+	vote      *FoundingVote
 	snapshot  []byte
 	isFull    bool // it refuses writes
 	bootstrap bool
@@ -164,7 +165,10 @@
 		if n.member == "" {
 			n.member = MemberID(fmt.Sprintf("m-%d", f.start))
 		}
-		settings.Member, settings.Ballot, settings.Document = n.member, n.ballot, n.document
+		if n.vote == nil && n.bootstrap && n.document == nil {
+			n.vote = &FoundingVote{Acceptor: n.member} // as the store does before a first life begins
+		}
+		settings.Member, settings.Ballot, settings.Document, settings.FoundingVote = n.member, n.ballot, n.document, n.vote
 		if n.snapshot != nil {
 			settings.Snapshot = &Snapshot{}
 			f.c.Assert(json.Unmarshal(n.snapshot, settings.Snapshot), qt.IsNil)
@@ -215,7 +219,7 @@
 // wipe kills a node and loses its disk.
 func (n *fleetNode) wipe() {
 	n.kill()
-	n.member, n.ballot, n.document, n.snapshot, n.bootstrap = "", Ballot{}, nil, nil, false
+	n.member, n.ballot, n.document, n.vote, n.snapshot, n.bootstrap = "", Ballot{}, nil, nil, nil, false
 }
 
 func (f *fleet) byAddress(address string) *fleetNode {
@@ -262,6 +266,9 @@
 				if command.Ballot != nil {
 					n.ballot = *command.Ballot
 				}
+				if command.FoundingVote != nil {
+					n.vote = command.FoundingVote
+				}
 				if command.Document != nil {
 					n.document = command.Document
 					f.founded[command.Document.Founding] = true
--- a/control/founding.go
+++ b/control/founding.go
@@ -3,16 +3,21 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 
 	"dunlinloom/kernel"
 )
 
+// The proposer's half of the founding, and the announcements that it goes by. The safety
+// argument stands in docs/control-safety/first-start.md.
+
 // Spans of a founding.
 const (
 	announceEvery = 100 * kernel.Millisecond
 	announceFresh = kernel.Second
-	announceQuiet = 400 * kernel.Millisecond // since the last newcomer
+	announceQuiet = 400 * kernel.Millisecond // since the last newcomer, or another's ballot
+	proposerPause = 300 * kernel.Millisecond // by which each seed gives way to the one before it
 )
 
 type announced struct {
@@ -20,43 +25,116 @@
 	at     kernel.Micros
 }
 
-// founder is a node's part in founding a fleet whose seeds may have no folder. Members
-// announce themselves to the seed with the lowest address; this one alone names the
-// founders, after every seed has promised to stand by its founding and no other.
+// founder is a node's part in founding a fleet whose seeds need no folder.
 type founder struct {
-	seeds   []string
-	decider string
-	// standsBy is the founding promised to, or seen in any message: there is no other.
-	standsBy string
-
-	timer kernel.Micros
-	// At the decider.
-	members map[MemberID]announced
-	grownAt kernel.Micros
-	own     string // the founding it asks for
-	agreed  map[string]bool
-	first   *Document
-	isNoted bool
-}
-
-func newFounder(seeds []string, self string) *founder {
-	f := &founder{seeds: slices.Clone(seeds), members: map[MemberID]announced{}, agreed: map[string]bool{}}
+	seeds []string // sorted: the proposers, in the order in which they come forward
+	rank  int      // the own place among them, or -1
+	// tolerance is how many members may be lost at once. Up to one, a majority of the seeds
+	// accepts; beyond that seeds alone are too few, and the members do.
+	tolerance int
+	vote      *FoundingVote // nil: no acceptor
+	// firstLives pins each seed to the acceptor that was first seen there: a life that came
+	// later has forgotten what the first one promised.
+	firstLives map[string]MemberID
+
+	timer     kernel.Micros
+	members   map[MemberID]announced
+	grownAt   kernel.Micros
+	highest   FoundingBallot // of any that was seen
+	highestAt kernel.Micros
+	proposal  *foundingProposal
+	chosen    *Document
+}
+
+// foundingProposal is one ballot of this node's own.
+type foundingProposal struct {
+	ballot   FoundingBallot
+	promised map[MemberID]string // acceptors to their addresses
+	accepted map[MemberID]bool
+	adopted  FoundingBallot // under which the document was accepted before, if it was
+	document *Document      // what acceptors had accepted; then what is proposed
+	isAsking bool           // enough have promised, so acceptance is asked for
+}
+
+func newFounder(settings NodeSettings, random *rand.Rand) *founder {
+	self := settings.Identity.Address
+	f := &founder{
+		seeds: sorted(slices.Clone(settings.Seeds)), tolerance: (settings.Voters - 1) / 2,
+		firstLives: map[string]MemberID{}, members: map[MemberID]announced{},
+	}
 	if len(f.seeds) == 0 {
 		f.seeds = []string{self}
 	}
-	f.decider = slices.Min(f.seeds)
+	f.rank = slices.Index(f.seeds, self)
+	f.vote = settings.firstVote(MemberID(fmt.Sprintf("life-%d-%x", settings.Start, random.Uint64())))
 	return f
 }
 
-// stand holds to the first founding that is seen.
-func (f *founder) stand(founding string) {
-	if f.standsBy == "" {
-		f.standsBy = founding
+// areMembersAcceptors tells that so many may be lost that most of the seeds may be among them.
+func (f *founder) areMembersAcceptors() bool { return f.tolerance > 1 }
+
+// isQuorum tells whether any two sets of so many acceptors share one.
+func (f *founder) isQuorum(count int) bool {
+	if f.areMembersAcceptors() {
+		// Assumption CoreBound: a first start has at most 4*tolerance+1 members.
+		return count >= 2*f.tolerance+1 && 2*count > len(f.members)
+	}
+	return 2*count > len(f.seeds)
+}
+
+// isFirstLife tells whether a seed is the acceptor that was first seen at its address. Nodes
+// that are no acceptors name none, and have nothing to forget.
+func (f *founder) isFirstLife(address string, acceptor MemberID) bool {
+	if acceptor == "" || !slices.Contains(f.seeds, address) {
+		return true
+	}
+	known, isKnown := f.firstLives[address]
+	if !isKnown {
+		f.firstLives[address] = acceptor
+		return true
+	}
+	return known == acceptor
+}
+
+func (f *founder) sawBallot(now kernel.Micros, ballot FoundingBallot) {
+	if f.highest.before(ballot) {
+		f.highest, f.highestAt = ballot, now
+	}
+}
+
+// hear takes the word of an empty member.
+func (f *founder) hear(now kernel.Micros, member Member) {
+	if _, isKnown := f.members[member.ID]; !isKnown {
+		f.grownAt = now
+	}
+	f.members[member.ID] = announced{member, now}
+}
+
+// fresh gives the members that were heard lately, in order of their ids.
+func (f *founder) fresh(now kernel.Micros) []Member {
+	found := []Member{}
+	for _, id := range slices.Sorted(maps.Keys(f.members)) {
+		if now-f.members[id].at <= announceFresh {
+			found = append(found, f.members[id].member)
+		}
+	}
+	return found
+}
+
+// targets are the addresses of acceptors, and of the other proposers, which give way then.
+func (f *founder) targets() []string {
+	found := slices.Clone(f.seeds)
+	if f.areMembersAcceptors() {
+		for _, known := range f.members {
+			found = append(found, known.member.Address)
+		}
 	}
+	return slices.Compact(sorted(found))
 }
 
-func (n *Node) isEmptyMember() bool {
-	return n.core != nil && n.settings.HasFolder && n.core.doc == nil && n.settings.Bootstrap
+// mayFound tells of an empty member that knows all it ever promised.
+func (n *Node) mayFound() bool {
+	return n.core != nil && n.settings.votesDurably() && n.core.doc == nil && n.founder.vote != nil && n.settings.Ballot.Term == 0
 }
 
 func (n *Node) onFounding(from string, m Message) {
@@ -64,44 +142,28 @@
 	if f == nil {
 		return
 	}
-	if mine := n.founding(); mine != "" {
-		f.standsBy = mine
-	}
 	switch {
 	case m.Announce != nil:
-		member := m.Announce.Member
-		if _, isKnown := f.members[member.ID]; !isKnown {
-			f.grownAt = n.now
-		}
-		// One that lost its folder meanwhile is another member at the same address.
-		for id, known := range f.members {
-			if known.member.Address == member.Address && id != member.ID {
-				delete(f.members, id)
-			}
-		}
-		f.members[member.ID] = announced{member, n.now}
-	case m.FoundAsk != nil:
-		f.stand(m.FoundAsk.Founding)
-		n.send(from, Message{FoundReply: &FoundReply{f.standsBy}})
-	case m.FoundReply != nil:
-		if f.own == "" {
-			return
-		}
-		if m.FoundReply.Founding == f.own {
-			f.agreed[from] = true
-		} else if !f.isNoted {
-			f.isNoted = true
-			n.note("core", "found nothing", fmt.Sprintf("%s stands by another founding", from))
-		}
+		f.hear(n.now, m.Announce.Member)
+	case m.FoundPrepare != nil:
+		n.onPrepare(from, m.FoundPrepare)
+	case m.FoundPromise != nil:
+		n.onPromise(from, m.FoundPromise)
+	case m.FoundAccept != nil:
+		n.onAccept(from, m.FoundAccept)
+	case m.FoundAccepted != nil:
+		n.onAccepted(m.FoundAccepted)
 	case m.Found != nil:
-		document := m.Found.Document
-		if document == nil || !n.isEmptyMember() || f.standsBy != "" && f.standsBy != document.Founding {
-			return
-		}
-		if _, isIn := document.voter(n.settings.Member); !isIn {
-			return
-		}
-		f.standsBy = document.Founding
+		n.onFound(m.Found.Document)
+	}
+}
+
+// onFound takes the document that was chosen.
+func (n *Node) onFound(document *Document) {
+	if document == nil || !n.mayFound() {
+		return
+	}
+	if _, isIn := document.voter(n.settings.Member); isIn {
 		n.core.begin(document)
 	}
 }
@@ -126,67 +188,150 @@
 	f := n.founder
 	// Once a document is in force nothing is left to do; until then the founders may not
 	// have heard.
-	if f == nil || !n.settings.Bootstrap || n.lease.applied != nil || n.now < f.timer {
+	if f == nil || n.lease.applied != nil || n.now < f.timer {
 		return
 	}
 	f.timer = n.now + announceEvery
-	if n.isEmptyMember() {
-		n.send(f.decider, Message{Announce: &Announce{n.core.settings.Self}})
+	if n.mayFound() {
+		for _, seed := range f.seeds {
+			n.send(seed, Message{Announce: &Announce{n.core.settings.Self}})
+		}
 	}
-	if f.decider != n.self() {
+	switch {
+	case f.rank < 0:
+	case f.chosen != nil:
+		n.sendFound()
+	case f.proposal != nil:
+		n.sendProposal()
+	default:
+		n.propose()
+	}
+}
+
+// propose opens a ballot when the announcements have come to rest and no other seed is at it.
+func (n *Node) propose() {
+	f := n.founder
+	quietSince := max(f.grownAt, f.highestAt)
+	if n.now-quietSince < announceQuiet+kernel.Micros(f.rank)*proposerPause {
 		return
 	}
-	if f.first != nil {
-		n.sendFounding()
+	fresh := f.fresh(n.now)
+	if len(fresh) == 0 || f.areMembersAcceptors() && !f.isQuorum(len(fresh)) {
 		return
 	}
-	fresh := []Member{}
-	for _, id := range slices.Sorted(maps.Keys(f.members)) {
-		if n.now-f.members[id].at > announceFresh {
-			delete(f.members, id)
-			continue
+	life := fmt.Sprintf("%s/%d/%x", n.self(), n.settings.Start, n.random.Uint64())
+	ballot := FoundingBallot{f.highest.Round + 1, life}
+	f.proposal = &foundingProposal{ballot: ballot, promised: map[MemberID]string{}, accepted: map[MemberID]bool{}}
+	f.sawBallot(n.now, ballot)
+	n.note("core", "propose founding", fmt.Sprintf("ballot %d, %d announced", ballot.Round, len(fresh)))
+	n.sendProposal()
+}
+
+// sendProposal asks whoever has not answered yet.
+func (n *Node) sendProposal() {
+	f := n.founder
+	p := f.proposal
+	acceptor := MemberID("")
+	if f.vote != nil {
+		acceptor = f.vote.Acceptor
+		f.isFirstLife(n.self(), acceptor)
+	}
+	answered := map[string]bool{}
+	for _, id := range slices.Sorted(maps.Keys(p.promised)) {
+		answered[p.promised[id]] = true
+		if p.isAsking && !p.accepted[id] {
+			n.send(p.promised[id], Message{FoundAccept: &FoundAccept{Ballot: p.ballot, Acceptor: id, Document: p.document}})
 		}
-		fresh = append(fresh, f.members[id].member)
 	}
-	if len(fresh) == 0 || n.now-f.grownAt < announceQuiet {
+	for _, address := range f.targets() {
+		if !answered[address] {
+			n.send(address, Message{FoundPrepare: &FoundPrepare{Ballot: p.ballot, Acceptor: acceptor}})
+		}
+	}
+}
+
+// giveWay drops the own ballot for a higher one.
+func (n *Node) giveWay(higher FoundingBallot) {
+	n.founder.sawBallot(n.now, higher)
+	n.founder.proposal = nil
+}
+
+func (n *Node) onPromise(from string, m *FoundPromise) {
+	f := n.founder
+	p := f.proposal
+	if p == nil || m.Ballot != p.ballot || f.chosen != nil {
+		return
+	}
+	if m.IsRefused {
+		n.giveWay(m.Promised)
 		return
 	}
-	if f.own == "" {
-		f.own = digestOf([]byte(fmt.Sprint(n.random.Uint64(), n.random.Uint64(), n.settings.Start)))
+	if !f.isElector(from, m.Acceptor) {
+		return
 	}
-	// All of them, not a majority: a decider that restarts has forgotten what it named, and
-	// so may one more; while any of them remembers, nothing else is founded.
-	for _, seed := range f.seeds {
-		if !f.agreed[seed] {
-			n.send(seed, Message{FoundAsk: &FoundAsk{f.own}})
+	p.promised[m.Acceptor] = from
+	if !p.isAsking && m.Document != nil && p.adopted.before(m.Accepted) {
+		// It may have been chosen already, so nothing else may be proposed.
+		p.adopted, p.document = m.Accepted, m.Document
+	}
+	if !p.isAsking && f.isQuorum(len(p.promised)) {
+		p.isAsking = true
+		if p.document == nil {
+			p.document = n.firstDocument()
 		}
 	}
-	if len(f.agreed) < len(f.seeds) {
-		return
+	if p.isAsking {
+		n.sendProposal()
 	}
+}
+
+// isElector tells whether an acceptor's word counts.
+func (f *founder) isElector(address string, acceptor MemberID) bool {
+	if f.areMembersAcceptors() {
+		_, isMember := f.members[acceptor]
+		return isMember
+	}
+	return slices.Contains(f.seeds, address) && f.isFirstLife(address, acceptor)
+}
+
+// firstDocument names the founders among those that are there now.
+func (n *Node) firstDocument() *Document {
+	fresh := n.founder.fresh(n.now)
 	least := n.settings.Voters
 	if least == 0 {
 		least = voterCount
 	}
-	f.first = &Document{
-		Founding: f.own, Revision: 1, Term: 1, Voters: chooseVoters(fresh, wantedVoters(least, fresh)),
+	return &Document{
+		Founding: digestOf([]byte(fmt.Sprint(n.random.Uint64(), n.random.Uint64(), n.settings.Start))),
+		Revision: 1, Term: 1, Voters: chooseVoters(fresh, wantedVoters(least, fresh)),
 		Homes: map[string]string{}, Drained: map[string]uint64{},
 	}
-	n.note("core", "name founders", fmt.Sprintf("%v of %d announced", f.first.voterAddresses(), len(fresh)))
-	n.sendFounding()
 }
 
-// sendFounding brings the one first document to its members until it is in force.
-func (n *Node) sendFounding() {
-	first := n.founder.first
-	if _, isIn := first.voter(n.settings.Member); isIn && n.core != nil && n.core.synced.Revision == 0 {
-		// The own folder first: it remembers over a restart what was named.
-		n.send(n.self(), Message{Found: &Found{first}})
+func (n *Node) onAccepted(m *FoundAccepted) {
+	f := n.founder
+	p := f.proposal
+	if p == nil || m.Ballot != p.ballot || f.chosen != nil {
 		return
 	}
-	for _, member := range first.Voters {
-		if member.ID != n.settings.Member {
-			n.send(member.Address, Message{Found: &Found{first}})
-		}
+	if m.IsRefused {
+		n.giveWay(m.Promised)
+		return
+	}
+	if _, isAsked := p.promised[m.Acceptor]; !isAsked {
+		return
+	}
+	p.accepted[m.Acceptor] = true
+	if f.isQuorum(len(p.accepted)) {
+		f.chosen = p.document
+		n.note("core", "name founders", fmt.Sprintf("%v, accepted by %d", f.chosen.voterAddresses(), len(p.accepted)))
+		n.sendFound()
+	}
+}
+
+// sendFound brings the one first document to its voters until it is in force.
+func (n *Node) sendFound() {
+	for _, member := range n.founder.chosen.Voters {
+		n.send(member.Address, Message{Found: &Found{n.founder.chosen}})
 	}
 }
--- a/control/messages.go
+++ b/control/messages.go
@@ -48,8 +48,10 @@
 	ReadAsk        *ReadAsk        `json:"read_ask,omitempty"`
 	ReadReply      *ReadReply      `json:"read_receipt,omitempty"`
 	Announce       *Announce       `json:"announce,omitempty"`
-	FoundAsk       *FoundAsk       `json:"found_ask,omitempty"`
-	FoundReply     *FoundReply     `json:"found_receipt,omitempty"`
+	FoundPrepare   *FoundPrepare   `json:"found_prepare,omitempty"`
+	FoundPromise   *FoundPromise   `json:"found_promise,omitempty"`
+	FoundAccept    *FoundAccept    `json:"found_accept,omitempty"`
+	FoundAccepted  *FoundAccepted  `json:"found_accepted,omitempty"`
 	Found          *Found          `json:"found,omitempty"`
 	Push           *Push           `json:"push,omitempty"`
 	PushReply      *PushReply      `json:"push_receipt,omitempty"`
@@ -79,21 +81,11 @@
 	Document *Document `json:"document"`
 }
 
-// Announce tells the seed that decides the founders of an empty member with a folder.
+// Announce tells the seeds of an empty member with a folder.
 type Announce struct {
 	Member Member `json:"member"`
 }
 
-// FoundAsk asks a seed to stand by one founding and no other.
-type FoundAsk struct {
-	Founding string `json:"founding"`
-}
-
-// FoundReply names the founding that a seed stands by, or belongs to.
-type FoundReply struct {
-	Founding string `json:"founding"`
-}
-
 // Found brings the first document to the members that it names.
 type Found struct {
 	Document *Document `json:"document"`
@@ -357,12 +349,13 @@
 	Message Message
 }
 
-// Save asks the shell to sync a ballot, a document or both, in this order of
-// tokens, and to bring a Saved event back.
+// Save asks the shell to sync a ballot, a document or both, or a vote on the founding, in
+// this order of tokens, and to bring a Saved event back.
 type Save struct {
-	Token    uint64
-	Ballot   *Ballot
-	Document *Document
+	Token        uint64
+	Ballot       *Ballot
+	Document     *Document
+	FoundingVote *FoundingVote
 }
 
 // Prepare asks the shell to compile a document's configuration beside the owners, and to bring a
--- a/control/node.go
+++ b/control/node.go
@@ -41,10 +41,12 @@
 	NoFence   bool
 	Founding  FoundingRule
 	Bootstrap bool // under FoundersAnnounce: this is the first start of the whole fleet
-	Journal   *kernel.Journal
-	Ballot    Ballot
-	Document  *Document
-	Kept      []uint64
+	// FoundingVote is what the folder kept of an earlier life; nil: it kept none.
+	FoundingVote *FoundingVote
+	Journal      *kernel.Journal
+	Ballot       Ballot
+	Document     *Document
+	Kept         []uint64
 	// Snapshot is what an earlier life kept for a quick start; nil: there is none.
 	Snapshot *Snapshot
 }
@@ -138,7 +140,7 @@
 	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
 	if settings.Founding == FoundersAnnounce {
-		n.founder = newFounder(settings.Seeds, self.Address)
+		n.founder = newFounder(settings, random)
 	}
 	// A standby that can never vote is of use only where three are wanted in any case.
 	if settings.IsController && (settings.HasFolder || settings.Voters == 0) {
@@ -343,10 +345,6 @@
 	case envelope.To != n.self():
 		why = fmt.Sprintf("it was meant for %s", envelope.To)
 	}
-	// Whoever belongs to a founding shows that there is one.
-	if n.founder != nil && why == "" && envelope.Founding != "" {
-		n.founder.stand(envelope.Founding)
-	}
 	if r := n.snapshots.restored; r != nil && why == "" && envelope.Founding == r.Founding {
 		// Someone who belongs to it says so: what the disk held binds again.
 		n.snapshots.restored = nil
@@ -512,7 +510,7 @@
 		n.onSubmitReply(m.SubmitReply)
 	case m.ReadReply != nil:
 		n.onReadReply(m.ReadReply)
-	case m.Announce != nil, m.FoundAsk != nil, m.FoundReply != nil, m.Found != nil:
+	case m.Announce != nil, m.FoundPrepare != nil, m.FoundPromise != nil, m.FoundAccept != nil, m.FoundAccepted != nil, m.Found != nil:
 		n.onFounding(from, m)
 	case m.Push != nil:
 		n.onPush(from, m.Push)
--- a/control/rules.go
+++ b/control/rules.go
@@ -28,7 +28,7 @@
 	// FoundersAreSeeds: the three seeds do, once all of them are there and empty.
 	FoundersAreSeeds FoundingRule = iota
 	// FoundersAnnounce: under Bootstrap, empty members with a folder announce themselves
-	// to the seeds, of which the one with the lowest address names the founders.
+	// to the seeds, which agree on the founders.
 	FoundersAnnounce
 )
 
--- a/control/store.go
+++ b/control/store.go
@@ -188,7 +188,7 @@
 	}
 	for _, name := range names {
 		// The folder holds more than the store's own: a lock, journals, an object store.
-		if name != "member.json" && name != "ballot.json" && !strings.HasPrefix(name, "generation-") {
+		if name != "member.json" && name != "ballot.json" && name != foundingVoteName && !strings.HasPrefix(name, "generation-") {
 			continue
 		}
 		if err := s.setAside(name); err != nil {
@@ -287,6 +287,11 @@
 			return fmt.Errorf("save the ballot: %w", err)
 		}
 	}
+	if save.FoundingVote != nil {
+		if err := s.putFoundingVote(save.FoundingVote); err != nil {
+			return fmt.Errorf("save the founding vote: %w", err)
+		}
+	}
 	if save.Document == nil {
 		return nil
 	}
--- a/server/process.go
+++ b/server/process.go
@@ -158,6 +158,12 @@
 		a.store.Bound(a.deployment.Limits.Store)
 	}
 	node.Member, node.Kept = a.store.Member(), a.store.ConfigRevisions()
+	if node.Founding == control.FoundersAnnounce && node.IsController {
+		// Before anything is said: a later life knows by it that this one voted here.
+		if node.FoundingVote, err = a.store.FoundingVote(node.Bootstrap); err != nil {
+			return err
+		}
+	}
 	if node.Snapshot, err = a.store.Snapshot(a.settings.Fleet); err != nil {
 		// It only makes a start quicker; without it the fleet is asked.
 		a.env.Log.Error(err, "the snapshot is not used")
