--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -31,6 +31,8 @@
 	start   uint64
 	// founded gathers the foundings of all documents that any disk ever held.
 	founded map[string]bool
+	// badLinks is of 100 messages how many are lost, how many come twice and how many up to 300 ms late.
+	badLinks int64
 }
 
 type dueEvent struct {
@@ -244,14 +246,7 @@
 			if to == nil || n.cut[to.identity.Address] || to.cut[n.identity.Address] {
 				continue
 			}
-			f.in(ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
-				if !to.isUp {
-					return
-				}
-				var envelope Envelope
-				f.c.Assert(json.Unmarshal(content, &envelope), qt.IsNil)
-				to.do(func() []any { return to.node.Deliver(f.now, envelope) })
-			})
+			f.deliver(to, content)
 		case Save:
 			f.in(2*ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
 				if n.epoch != epoch {
@@ -301,6 +296,31 @@
 	}
 }
 
+// deliver carries a message over a link.
+func (f *fleet) deliver(to *fleetNode, content []byte) {
+	span, copies := ms+kernel.Micros(f.random.Int64N(int64(4*ms))), 1
+	if f.badLinks > 0 {
+		switch fate := f.random.Int64N(100); {
+		case fate < f.badLinks:
+			return
+		case fate < 2*f.badLinks:
+			copies = 2
+		case fate < 3*f.badLinks:
+			span += kernel.Micros(f.random.Int64N(int64(300 * ms)))
+		}
+	}
+	for range copies {
+		f.in(span, func() {
+			if !to.isUp {
+				return
+			}
+			var envelope Envelope
+			f.c.Assert(json.Unmarshal(content, &envelope), qt.IsNil)
+			to.do(func() []any { return to.node.Deliver(f.now, envelope) })
+		})
+	}
+}
+
 func (n *fleetNode) state() *State { return n.node.State(nil) }
 
 func (f *fleet) leader() *fleetNode {
