--- a/contracts/contracts.go
+++ b/contracts/contracts.go
@@ -77,6 +77,34 @@
 		_, _, _, err = control.OpenStore(folder, "other fleet", fresh)
 		c.Assert(errors.As(err, new(control.DamagedFile)), qt.IsTrue)
 	})
+	t.Run("a vote on the founding is kept, and no other folder has it", func(t *testing.T) {
+		c := qt.New(t)
+		folder := open(t)
+		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
+		c.Assert(err, qt.IsNil)
+		// Of a member that was not there at the first start nothing is known.
+		vote, err := store.FoundingVote(false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(vote, qt.IsNil)
+		vote, err = store.FoundingVote(true)
+		c.Assert(err, qt.IsNil)
+		c.Assert(vote, qt.DeepEquals, &control.FoundingVote{Acceptor: "fresh"})
+		vote.Promised = control.FoundingBallot{Round: 3, Proposer: "p"}
+		vote.Accepted, vote.Document = vote.Promised, Document(1, 1, 0)
+		c.Assert(store.Save(control.Save{FoundingVote: vote}), qt.IsNil)
+		for _, isFirstStart := range []bool{false, true} {
+			again, _, _, err := control.OpenStore(folder, "fleet", fresh)
+			c.Assert(err, qt.IsNil)
+			kept, err := again.FoundingVote(isFirstStart)
+			c.Assert(err, qt.IsNil)
+			c.Assert(kept, qt.DeepEquals, vote)
+		}
+		// What can't be read may have promised anything.
+		c.Assert(folder.Put("founding.json", []byte("torn")), qt.IsNil)
+		damaged, err := store.FoundingVote(true)
+		c.Assert(err, qt.IsNil)
+		c.Assert(damaged, qt.IsNil)
+	})
 	t.Run("what was saved is there after a crash", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
--- a/simulator/world.go
+++ b/simulator/world.go
@@ -148,6 +148,7 @@
 	ColdSlow            int // how much slower an engine is while it is cold
 	DataBytes           bool
 	Orders              orders
+	AnnouncedFounders   bool // the fleet is founded by members that announce themselves
 }
 
 func defaultOptions() Options {
@@ -305,11 +306,12 @@
 	if w.isTight {
 		settings.Timing.ElectionHigh = settings.Timing.ElectionLow + 30*ms
 	}
+	if w.options.AnnouncedFounders {
+		settings.Founding, settings.Bootstrap = control.FoundersAnnounce, m.epoch == 1
+	}
 	m.store = nil
 	if m.disk != nil {
-		m.disk.stepsTo = -1
-		var err error
-		if m.store, settings.Ballot, settings.Document, err = control.OpenStore(m.disk, "sim", func() string { return fmt.Sprintf("member-%016x", w.random.Uint64()) }); err != nil {
+		if err := m.openStore(&settings); err != nil {
 			// A start on a full disk fails, as the daemon's would; the supervisor tries again.
 			m.isUp = false
 			w.trace("%s can't start: %v", m.name, err)
@@ -321,7 +323,6 @@
 			})
 			return
 		}
-		settings.Member, settings.Kept = m.store.Member(), m.store.ConfigRevisions()
 	}
 	m.dispatcher = relay.NewDispatcher(m.identity.Address, m.identity.Zone, func(now kernel.Micros, subject, decision, why string) {
 		m.journal.Note(now, "relay", subject, decision, why)
@@ -337,6 +338,21 @@
 	w.trace("%s up", m.name)
 }
 
+// openStore reads the machine's disk into what its node starts with.
+func (m *machine) openStore(settings *control.NodeSettings) error {
+	m.disk.stepsTo = -1
+	var err error
+	freshID := func() string { return fmt.Sprintf("member-%016x", m.world.random.Uint64()) }
+	if m.store, settings.Ballot, settings.Document, err = control.OpenStore(m.disk, "sim", freshID); err != nil {
+		return err
+	}
+	settings.Member, settings.Kept = m.store.Member(), m.store.ConfigRevisions()
+	if settings.Founding == control.FoundersAnnounce {
+		settings.FoundingVote, err = m.store.FoundingVote(settings.Bootstrap)
+	}
+	return err
+}
+
 func (m *machine) tick(epoch int) {
 	if m.epoch != epoch || !m.isUp {
 		return
