Founders: a member that fell silent is one too, if there are too few

A member that died between its announcement and the founding was left out: two founders of three then need each other until it has joined and caught up. It is now named as well, as long as those that are there are a majority without it. A proposer whose announced members have all fallen silent names nobody; before, it could have had a document without voters chosen.

--- a/control/founding.go
+++ b/control/founding.go
@@ -14,10 +14,11 @@
 
 // Spans of a founding.
 const (
-	announceEvery = 100 * kernel.Millisecond
-	announceFresh = kernel.Second
-	announceQuiet = 400 * kernel.Millisecond // since the last newcomer, or another's ballot
-	proposerPause = 300 * kernel.Millisecond // by which each seed gives way to the one before it
+	announceEvery  = 100 * kernel.Millisecond
+	announceFresh  = kernel.Second
+	announceQuiet  = 400 * kernel.Millisecond // since the last newcomer, or another's ballot
+	announceMissed = 800 * kernel.Millisecond // more, while fewer are known than are to vote
+	proposerPause  = 300 * kernel.Millisecond // by which each seed gives way to the one before it
 )
 
 type announced struct {
@@ -211,8 +212,11 @@
 // propose opens a ballot when the announcements have come to rest and no other seed is at it.
 func (n *Node) propose() {
 	f := n.founder
-	quietSince := max(f.grownAt, f.highestAt)
-	if n.now-quietSince < announceQuiet+kernel.Micros(f.rank)*proposerPause {
+	quiet := announceQuiet + kernel.Micros(f.rank)*proposerPause
+	if len(f.members) < n.leastVoters() {
+		quiet += announceMissed
+	}
+	if n.now-max(f.grownAt, f.highestAt) < quiet {
 		return
 	}
 	fresh := f.fresh(n.now)
@@ -231,6 +235,7 @@
 func (n *Node) sendProposal() {
 	f := n.founder
 	p := f.proposal
+	n.askAcceptance()
 	acceptor := MemberID("")
 	if f.vote != nil {
 		acceptor = f.vote.Acceptor
@@ -274,17 +279,25 @@
 		// It may have been chosen already, so nothing else may be proposed.
 		p.adopted, p.document = m.Accepted, m.Document
 	}
-	if !p.isAsking && f.isQuorum(len(p.promised)) {
-		p.isAsking = true
-		if p.document == nil {
-			p.document = n.firstDocument()
-		}
-	}
-	if p.isAsking {
+	if n.askAcceptance() {
 		n.sendProposal()
 	}
 }
 
+// askAcceptance settles what is proposed once enough have promised, and tells whether they have.
+func (n *Node) askAcceptance() bool {
+	f := n.founder
+	p := f.proposal
+	if p.isAsking || !f.isQuorum(len(p.promised)) {
+		return p.isAsking
+	}
+	if p.document == nil {
+		p.document = n.firstDocument()
+	}
+	p.isAsking = p.document != nil
+	return p.isAsking
+}
+
 // isElector tells whether an acceptor's word counts.
 func (f *founder) isElector(address string, acceptor MemberID) bool {
 	if f.areMembersAcceptors() {
@@ -294,20 +307,42 @@
 	return slices.Contains(f.seeds, address) && f.isFirstLife(address, acceptor)
 }
 
-// firstDocument names the founders among those that are there now.
+// leastVoters is how many voters there should be at the least.
+func (n *Node) leastVoters() int {
+	if n.settings.Voters > 0 {
+		return n.settings.Voters
+	}
+	return voterCount
+}
+
+// firstDocument names the founders among the members that are there now; nil if none is.
 func (n *Node) firstDocument() *Document {
 	fresh := n.founder.fresh(n.now)
-	least := n.settings.Voters
-	if least == 0 {
-		least = voterCount
+	if len(fresh) == 0 {
+		return nil
 	}
+	founders := n.founder.withSilent(fresh, n.leastVoters())
 	return &Document{
 		Founding: digestOf([]byte(fmt.Sprint(n.random.Uint64(), n.random.Uint64(), n.settings.Start))),
-		Revision: 1, Term: 1, Voters: chooseVoters(fresh, wantedVoters(least, fresh)),
+		Revision: 1, Term: 1, Voters: chooseVoters(founders, wantedVoters(n.leastVoters(), founders)),
 		Homes: map[string]string{}, Drained: map[string]uint64{},
 	}
 }
 
+// withSilent adds members that have fallen silent, as long as fewer are there than are to vote.
+// One that comes back votes at once then, and the others are a majority without it.
+func (f *founder) withSilent(fresh []Member, least int) []Member {
+	found := slices.Clone(fresh)
+	for _, id := range slices.Sorted(maps.Keys(f.members)) {
+		member := f.members[id].member
+		isThere := slices.ContainsFunc(found, func(other Member) bool { return other.Address == member.Address })
+		if len(found) < least && len(found) < 2*len(fresh)-1 && !isThere {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
 func (n *Node) onAccepted(m *FoundAccepted) {
 	f := n.founder
 	p := f.proposal
--- a/control/founding_test.go
+++ b/control/founding_test.go
@@ -326,3 +326,22 @@
 	v.sync()
 	c.Assert(v.node.core.doc.Founding, qt.Equals, begun.Founding)
 }
+
+func TestSilentMembersFillUpTheFoundersButNeverOutnumberThoseThatAreThere(t *testing.T) {
+	c := qt.New(t)
+	v := newVoter(c, func(*NodeSettings) {})
+	f := v.node.founder
+	c.Assert(v.node.firstDocument(), qt.IsNil)
+	f.hear(v.now, memberA)
+	v.pass(2 * kernel.Second)
+	// Nobody is there any more: a document without voters would never be in force.
+	f.members = map[MemberID]announced{memberA.ID: f.members[memberA.ID]}
+	c.Assert(v.node.firstDocument(), qt.IsNil)
+	f.hear(v.now, memberB)
+	c.Assert(v.node.firstDocument().Voters, qt.DeepEquals, []Member{memberB})
+	f.hear(v.now, memberC)
+	c.Assert(v.node.firstDocument().Voters, qt.DeepEquals, []Member{memberA, memberB, memberC})
+	successor := Member{"another", memberA.Address, memberA.Zone}
+	f.hear(v.now, successor)
+	c.Assert(v.node.firstDocument().Voters, qt.DeepEquals, []Member{successor, memberB, memberC})
+}
