--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -20,7 +21,7 @@
 	random  *rand.Rand
 	now     kernel.Micros
 	order   int
-	due     []dueEvent
+	due     dueEvents
 	nodes   []*fleetNode
 	adapt   func(*NodeSettings)
 	reply   map[string]SubmitReply
@@ -41,6 +42,22 @@
 	run   func()
 }
 
+// dueEvents is a heap: the earliest first, and of one time the one that was asked for first.
+type dueEvents []dueEvent
+
+func (e dueEvents) Len() int      { return len(e) }
+func (e dueEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e dueEvents) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
+}
+func (e *dueEvents) Push(event any) { *e = append(*e, event.(dueEvent)) }
+func (e *dueEvents) Pop() any {
+	last := len(*e) - 1
+	event := (*e)[last]
+	*e = (*e)[:last]
+	return event
+}
+
 type fleetNode struct {
 	f         *fleet
 	identity  kernel.Identity
@@ -117,18 +134,16 @@
 
 func (f *fleet) in(span kernel.Micros, run func()) {
 	f.order++
-	f.due = append(f.due, dueEvent{f.now + span, f.order, run})
+	heap.Push(&f.due, dueEvent{f.now + span, f.order, run})
 }
 
 func (f *fleet) pass(span kernel.Micros) {
 	for end := f.now + span; ; {
-		slices.SortFunc(f.due, func(a, b dueEvent) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order)) })
 		if len(f.due) == 0 || f.due[0].at > end {
 			f.now = end
 			return
 		}
-		next := f.due[0]
-		f.due = f.due[1:]
+		next := heap.Pop(&f.due).(dueEvent)
 		f.now = max(f.now, next.at)
 		next.run()
 	}
