--- a/simulator/world.go
+++ b/simulator/world.go
@@ -86,6 +86,7 @@
 	ColdSlow            int // how much slower an engine is while it is cold
 	DataBytes           bool
 	Orders              orders
+	AnnouncedFounders   bool // the fleet is founded by members that announce themselves
 }
 
 func defaultOptions() Options {
