--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -31,6 +31,8 @@
 	start   uint64
 	// founded gathers the foundings of all documents that any disk ever held.
 	founded map[string]bool
+	// carrier may take a command over, such as one that a slow link or a real store carries out; nil: none.
+	carrier func(n *fleetNode, command any) (isTaken bool)
 }
 
 type dueEvent struct {
@@ -230,6 +232,9 @@
 func (n *fleetNode) carry(commands []any) {
 	f, epoch := n.f, n.epoch
 	for _, command := range commands {
+		if f.carrier != nil && f.carrier(n, command) {
+			continue
+		}
 		switch command := command.(type) {
 		case Outgoing:
 			f.crossed[command.Envelope.Message.Kind()]++
