One large document under way to a receiver, on a connection of its own

Cause: each change put another whole document behind those under way, on the one connection that also carries heartbeats; a repeated Join and the pushes every 300 ms added more copies. On links of 10 Mbit/s leaders were unseated and a new term sent the whole configuration anew. Now: a transfer per receiver (window, patience by size and measured pace, cancelled where the receiver was restarted or silent), repeats of a term go without the configuration, core members get it by heartbeat alone, other nodes from their home, past configurations are asked for newest first in a window, a save that has not begun is superseded, Keep is bounded by the folder's bound. Large messages have their own queue and stream (server/channel.go).

--- a/control/catchup_test.go
+++ b/control/catchup_test.go
@@ -392,7 +392,7 @@
 
 func (s *storm) keep(n *fleetNode, document *Document) []any {
 	if err := s.has[n].store.Keep(document); err != nil {
-		return nil
+		return n.node.NotKept(s.now, document.ConfigRevision, err)
 	}
 	return n.node.Kept(s.now, document.ConfigRevision)
 }
--- a/control/core.go
+++ b/control/core.go
@@ -30,6 +30,9 @@
 	Ballot   Ballot
 	Document *Document
 	Kept     []uint64 // revisions of the configurations in the folder
+	Promised Stamp    // the newest document that the folder ever held, though it may be damaged now
+	Life     uint64   // the start identity of the process
+	Pushed   transfers
 }
 
 // Core agrees on the document. A nil document is a member that knows no fleet yet.
@@ -44,6 +47,9 @@
 	votes    map[MemberID]bool
 	doc      *Document // the newest accepted, maybe still on its way to disk
 	synced   Stamp     // the newest that is surely on disk
+	// promised is the newest document that this member has ever acknowledged, as far as known; later
+	// than synced only where its folder has lost that document.
+	promised Stamp
 	// committed is the newest document known to be kept by a majority.
 	committed *Document
 
@@ -83,8 +89,9 @@
 	isLeaving    bool
 	lastMajority kernel.Micros
 
-	kept        map[uint64]bool // configurations in the own folder
-	recallTimer kernel.Micros
+	past past
+	// pushed paces the large documents that go out without a heartbeat.
+	pushed transfers
 
 	mustered    map[string]musterNote
 	musterTimer kernel.Micros
@@ -95,15 +102,15 @@
 	c := &Core{
 		settings: settings, now: now, bornAt: now,
 		term: settings.Ballot.Term, votedFor: settings.Ballot.VotedFor,
-		doc: settings.Document, synced: settings.Document.stamp(),
-		mustered: map[string]musterNote{}, kept: map[uint64]bool{},
+		doc: settings.Document, synced: settings.Document.stamp(), promised: settings.Promised,
+		mustered: map[string]musterNote{}, past: newPast(settings.Kept), pushed: settings.Pushed,
+	}
+	if c.pushed == nil {
+		c.pushed = transfers{}
 	}
 	if c.settings.SpreadWait == 0 {
 		c.settings.SpreadWait = defaultSpreadWait
 	}
-	for _, revision := range settings.Kept {
-		c.kept[revision] = true
-	}
 	if c.doc != nil && c.doc.Term > c.term {
 		c.term = c.doc.Term
 	}
@@ -188,7 +195,7 @@
 			c.successors[m.Succeed.Zone] = m.Succeed.To
 		}
 	case m.Recall != nil:
-		if c.kept[m.Recall.Mark.Revision] {
+		if c.past.kept[m.Recall.Mark.Revision] {
 			c.out = append(c.out, Fetch{from, m.Recall.Mark})
 		}
 	case m.Recalled != nil:
--- a/control/core_disk.go
+++ b/control/core_disk.go
@@ -17,6 +17,10 @@
 func (c *Core) save(document *Document, after func()) {
 	c.nextToken++
 	save := Save{Token: c.nextToken, Ballot: &Ballot{c.term, c.votedFor}, Document: document}
+	if len(c.saves) > 1 {
+		c.saves[len(c.saves)-1].supersede(save, after)
+		return
+	}
 	pending := &pendingSave{save: save, since: c.now}
 	if after != nil {
 		pending.after = append(pending.after, after)
@@ -27,6 +31,19 @@
 	}
 }
 
+// supersede puts a newer write in the place of one that has not begun. What the older one's words
+// promise holds under the newer ballot and document as well, as a member never goes back in
+// either; and a slow disk has two writes to do at the most, however fast changes come.
+func (p *pendingSave) supersede(newer Save, after func()) {
+	p.save.Token, p.save.Ballot = newer.Token, newer.Ballot
+	if newer.Document != nil {
+		p.save.Document = newer.Document
+	}
+	if after != nil {
+		p.after = append(p.after, after)
+	}
+}
+
 // Saved reports on the oldest write.
 func (c *Core) Saved(now kernel.Micros, token uint64, err error) {
 	c.now = now
@@ -52,7 +69,7 @@
 	c.saves = c.saves[1:]
 	if document := head.save.Document; document != nil && c.synced.before(document.stamp()) {
 		c.synced = document.stamp()
-		c.kept[document.ConfigRevision] = true
+		c.past.took(document.ConfigRevision)
 	}
 	if len(c.saves) > 0 {
 		c.saves[0].since = now
--- a/control/dissemination.go
+++ b/control/dissemination.go
@@ -26,34 +26,38 @@
 	}
 	// A yes follows soon, and all in touch have to know by then: the document goes out
 	// without being asked for, to the homes first, which carry it into their zones.
-	homes := map[string]bool{}
-	for _, address := range c.committed.Homes {
-		homes[address] = true
-	}
-	for _, address := range slices.Sorted(maps.Keys(homes)) {
+	for _, address := range c.homes() {
 		c.pushTo(address)
 	}
 	c.pushTimer, c.pushUntil = c.now+pushAgain, c.now+pushSpan
 }
 
+// homes lists the homes of the committed document, in a fixed order.
+func (c *Core) homes() []string {
+	return slices.Compact(slices.Sorted(maps.Values(c.committed.Homes)))
+}
+
 const (
 	pushAgain = 300 * kernel.Millisecond
 	pushSpan  = 2 * kernel.Second
 )
 
 func (c *Core) pushTo(address string) {
-	document := c.committed
+	var document *Document
 	if seen := c.seen[address]; seen != nil {
-		document = c.committed.lightFor(seen.held)
+		document = c.pushed.offer(c.now, address, c.committed, seen.held, c.isMemberAt(address))
 	} else if c.committed.ConfigRevision < c.committed.Revision {
 		// Unheard under this lead: most likely it holds the configuration, and asks if it has it not.
 		document = c.committed.light()
+	} else {
+		document = c.pushed.offer(c.now, address, c.committed, 0, c.isMemberAt(address))
 	}
 	c.send(address, Message{Grant: &Grant{Revision: c.committed.Revision, Leader: c.settings.Self.Address, Document: document}})
 }
 
 // pushAgainToSilent sends the newest document to everyone who has not confirmed it. Homes
-// may be gone or cut, so this goes to the nodes themselves.
+// may be gone or cut, so this goes to the nodes themselves. A large one that a home has under way
+// to its zone would only be delayed by a second copy: such a node asks by itself if its home is silent.
 func (c *Core) pushAgainToSilent() {
 	if c.committed == nil || c.now < c.pushTimer || c.now > c.pushUntil {
 		return
@@ -70,13 +74,26 @@
 			targets[address] = true
 		}
 	}
+	homes := c.homes()
 	for _, address := range slices.Sorted(maps.Keys(targets)) {
-		if targets[address] {
+		isLarge := c.committed.wireSize() > smallDocument && (c.seen[address] == nil || c.seen[address].held < c.committed.ConfigRevision)
+		if targets[address] && (!isLarge || slices.Contains(homes, address)) {
 			c.pushTo(address)
 		}
 	}
 }
 
+// isLeftToHome tells whether a node that holds a revision is to get the newest document from its
+// home: a large one that was committed just now is most likely on its way from there.
+func (c *Core) isLeftToHome(held uint64) bool {
+	bytes := c.committed.lightFor(held).wireSize()
+	if bytes <= smallDocument || len(c.committed.Homes) == 0 {
+		return false
+	}
+	at, isThere := c.committedAt[c.committed.Revision]
+	return isThere && c.now-at < new(transfer).patience(bytes, transferWait)
+}
+
 // isSpread tells whether a committed revision has gone round as far as a yes waits for:
 // all who were heard just now have applied it, or they had their time. Whoever can't be
 // reached is not waited for; he is not bound by the yes, and gets the document when he is back.
--- a/control/election.go
+++ b/control/election.go
@@ -95,7 +95,7 @@
 }
 
 func (c *Core) startElection(isPre, isNamed bool) {
-	if !c.isVoter() || c.Ailment() != "" {
+	if !c.isVoter() || c.Ailment() != "" || c.synced.before(c.promised) {
 		c.timer = c.now + c.electionSpan()
 		return
 	}
@@ -146,7 +146,7 @@
 	// A member that heard a leader just now keeps to it, so that one that merely
 	// lost touch can't unseat a working leader.
 	isLed := c.role == leader || c.now-c.lastHeartbeat < c.settings.Timing.ElectionLow && c.leaderMember.ID != m.Candidate.ID
-	isBehind := m.Newest.before(c.synced)
+	isBehind := m.Newest.before(c.synced) || m.Newest.before(c.promised)
 	if c.Ailment() != "" || isBehind || (isLed && !m.IsNamed) {
 		vote.Known = c.term
 		c.send(from, Message{Vote: &vote})
--- a/control/membership.go
+++ b/control/membership.go
@@ -23,9 +23,14 @@
 		c.note("core", "take standby", "%s in zone %s asked to join", m.Member.Address, m.Member.Zone)
 		c.isRoundWanted = true
 	}
+	// It repeats itself until a heartbeat comes through, so its word alone is no reason to send a
+	// large document once more.
+	p.hear(c.now, m.Life, m.Synced, c.settings.Timing.ElectionLow)
 	p.member, p.hasFolder, p.lastHeard = m.Member, m.HasFolder, c.now
-	// A member that joins anew says what it really holds, even if that is less.
-	p.synced, p.sentDoc, p.isBare = m.Synced, Stamp{}, m.Synced.Revision == 0
+	if p.synced.before(m.Synced) {
+		p.took(m.Synced)
+	}
+	p.isBare = p.isBare || m.Synced.Revision == 0
 }
 
 func (c *Core) isLost(member Member) bool {
@@ -163,7 +168,7 @@
 	}
 	for _, target := range targets {
 		if target != c.settings.Self.Address {
-			c.send(target, Message{Join: &Join{c.settings.Self, c.synced, c.settings.HasFolder}})
+			c.send(target, Message{Join: &Join{c.settings.Self, c.synced, c.settings.HasFolder, c.settings.Life}})
 		}
 	}
 }
--- a/control/messages.go
+++ b/control/messages.go
@@ -156,6 +156,7 @@
 	Target    MemberID  `json:"target"`
 	Round     uint64    `json:"round"`
 	Committed Stamp     `json:"committed"`
+	Promised  Stamp     `json:"promised,omitzero"` // the newest that the receiver has said to have synced
 	Document  *Document `json:"document,omitempty"`
 }
 
@@ -165,6 +166,7 @@
 	Round     uint64 `json:"round"`
 	Member    Member `json:"member"`
 	Synced    Stamp  `json:"synced"`
+	Life      uint64 `json:"life,omitempty"` // the start identity of the process
 	IsLeaving bool   `json:"leaving,omitempty"`
 	IsAiling  bool   `json:"ailing,omitempty"`  // the disk stalls or is full
 	IsPartial bool   `json:"partial,omitempty"` // configurations of the past are still missing
@@ -182,6 +184,7 @@
 	Member    Member `json:"member"`
 	Synced    Stamp  `json:"synced"`
 	HasFolder bool   `json:"folder"`
+	Life      uint64 `json:"life,omitempty"` // the start identity of the process
 }
 
 // Muster asks a founder whether it is empty.
--- a/control/node.go
+++ b/control/node.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -45,6 +46,7 @@
 	Ballot    Ballot
 	Document  *Document
 	Kept      []uint64
+	Promised  Stamp
 	// Snapshot is what an earlier life kept for a quick start; nil: there is none.
 	Snapshot *Snapshot
 }
@@ -95,6 +97,7 @@
 	zoneApplied map[string]uint64
 	zoneHeld    map[string]uint64 // at least what is applied
 	zoneHeard   map[string]kernel.Micros
+	pushed      transfers // documents on their way to the zone's nodes
 	preparing   *Document
 
 	peerNews  map[string]newsMark
@@ -118,7 +121,7 @@
 	random := rand.New(rand.NewPCG(settings.RandomSeed, settings.Start))
 	n := &Node{
 		settings: settings, now: now, random: random,
-		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]kernel.Micros{},
+		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]kernel.Micros{}, pushed: transfers{},
 		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, rejected: map[string]kernel.Micros{},
 		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*reading{}, words: newWords(settings.Start),
 	}
@@ -143,7 +146,7 @@
 	// A standby that can never vote is of use only where three are wanted in any case.
 	if settings.IsController && (settings.HasFolder || settings.Voters == 0) {
 		coreSettings := settings.core(n.note)
-		coreSettings.Random = random
+		coreSettings.Random, coreSettings.Pushed = random, n.pushed
 		n.core = NewCore(coreSettings, now)
 	}
 	n.greeting = greeting{until: now + helloSpan, isOver: settings.ServeOn < ServeOnAlways, answered: map[string]kernel.Micros{}}
@@ -158,7 +161,7 @@
 		HasFolder: s.HasFolder, Founders: s.Seeds, Timing: s.Timing, Note: note,
 		CheckConfig: s.CheckConfig, ChangeConfig: s.ChangeConfig, VersionOf: s.VersionOf,
 		Voters: s.Voters, AckRule: s.AckRule, SpreadWait: s.SpreadWait, ServeOn: s.ServeOn, Founding: s.Founding,
-		Ballot: s.Ballot, Document: s.Document, Kept: s.Kept,
+		Ballot: s.Ballot, Document: s.Document, Kept: s.Kept, Promised: s.Promised, Life: s.Start,
 	}
 }
 
@@ -263,7 +266,8 @@
 	if n.isHome() {
 		n.isBatchHot = true
 		for _, node := range n.zoneNodes() {
-			n.send(node, Message{Grant: &Grant{Revision: n.lease.Revision(), Document: n.lease.applied.lightFor(n.zoneHeld[node])}})
+			document := n.pushed.offer(n.now, node, n.lease.applied, n.zoneHeld[node], n.isVoterAt(node))
+			n.send(node, Message{Grant: &Grant{Revision: n.lease.Revision(), Document: document}})
 		}
 	}
 }
@@ -383,7 +387,17 @@
 	n.now = now
 	if n.core != nil {
 		n.note("history", "mend", fmt.Sprintf("the spec of generation %d was fetched from another member", revision))
-		n.core.Kept(revision)
+		n.core.Kept(now, revision)
+	}
+	return n.finish()
+}
+
+// NotKept tells that the folder could not keep a configuration of the past.
+func (n *Node) NotKept(now kernel.Micros, revision uint64, err error) []any {
+	n.now = now
+	if n.core != nil {
+		n.note("history", "leave out", fmt.Sprintf("the spec of generation %d: %v", revision, err))
+		n.core.NotKept(now, revision, errors.As(err, new(NoRoom)))
 	}
 	return n.finish()
 }
@@ -465,7 +479,9 @@
 		if m.Grant.Leader != "" {
 			n.leaderHint, n.leaderWord = m.Grant.Leader, n.now
 		}
-		n.applied(n.lease.TakeGrant(n.now, m.Grant))
+		grant := *m.Grant
+		grant.Document = n.filled(grant.Document)
+		n.applied(n.lease.TakeGrant(n.now, &grant))
 		if m.Grant.News != nil {
 			n.onNews(from, m.Grant.News)
 		}
@@ -573,6 +589,7 @@
 				delete(n.zoneHeard, address)
 			}
 		}
+		n.pushed.sweep(now)
 		if n.core != nil {
 			n.core.Learn(n.learnedMarks())
 		}
--- a/control/node_news.go
+++ b/control/node_news.go
@@ -33,7 +33,8 @@
 	// A node that is behind need not wait for the leader's word to get the document.
 	n.zoneHeld[m.Address] = max(m.Applied, m.Held)
 	if n.zoneHeld[m.Address] < n.lease.Revision() {
-		n.send(from, Message{Grant: &Grant{Revision: n.lease.Revision(), Document: n.lease.applied.lightFor(n.zoneHeld[m.Address])}})
+		document := n.pushed.offer(n.now, from, n.lease.applied, n.zoneHeld[m.Address], n.isVoterAt(from))
+		n.send(from, Message{Grant: &Grant{Revision: n.lease.Revision(), Document: document}})
 	}
 	if m.Applied > n.zoneApplied[m.Address] {
 		n.isBatchHot = true
@@ -50,9 +51,7 @@
 	if n.now-n.leaderWord < kernel.Second {
 		grant.Leader = n.leaderHint
 	}
-	if n.zoneHeld[m.Address] < n.lease.Revision() {
-		grant.Document = n.lease.applied.lightFor(n.zoneHeld[m.Address])
-	}
+	grant.Document = n.pushed.offer(n.now, from, n.lease.applied, n.zoneHeld[m.Address], n.isVoterAt(from))
 	n.send(from, Message{Grant: grant})
 	if differing := n.cell.Differing(n.now, m.Digests); len(differing) > 0 {
 		n.send(from, Message{News: &News{Home: n.cell.incarnation, Engines: differing}})
@@ -67,7 +66,7 @@
 
 func (n *Node) onGrantBatch(m *GrantBatch) {
 	n.leaderHint, n.leaderWord = m.Leader, n.now
-	n.applied(n.lease.Apply(m.Document))
+	n.applied(n.lease.Apply(n.filled(m.Document)))
 	for _, ask := range m.Asks {
 		grant := &Grant{Seq: ask.Seq, Revision: m.Revision, Leader: m.Leader}
 		if ask.Address == n.self() {
@@ -79,7 +78,7 @@
 			continue
 		}
 		if held := max(n.zoneHeld[ask.Address], ask.Applied); held < m.Revision && n.lease.Revision() >= m.Revision {
-			grant.Document = n.lease.applied.lightFor(held)
+			grant.Document = n.pushed.offer(n.now, ask.Address, n.lease.applied, held, n.isVoterAt(ask.Address))
 		}
 		n.send(ask.Address, Message{Grant: grant})
 	}
--- a/control/reads.go
+++ b/control/reads.go
@@ -43,8 +43,8 @@
 
 func (c *Core) grant(waiting waitingBatch) {
 	grant := &GrantBatch{Revision: c.committed.Revision, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks}
-	if waiting.batch.Revision < c.committed.Revision {
-		grant.Document = c.committed.lightFor(waiting.batch.Revision)
+	if waiting.batch.IsHome || !c.isLeftToHome(waiting.batch.Revision) {
+		grant.Document = c.pushed.offer(c.now, waiting.from, c.committed, waiting.batch.Revision, c.isMemberAt(waiting.from))
 	}
 	c.send(waiting.from, Message{GrantBatch: grant})
 }
--- a/control/replication.go
+++ b/control/replication.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"maps"
 	"slices"
 
 	"dunlinloom/kernel"
@@ -12,10 +11,11 @@
 type peer struct {
 	member    Member
 	lastHeard kernel.Micros
-	lastSent  kernel.Micros // when a document last went to it
-	sentDoc   Stamp
 	round     uint64
-	synced    Stamp
+	synced    Stamp // what it holds, by its own word in this life
+	promised  Stamp // the newest that it ever said to hold
+	transfer  transfer
+	life      uint64 // the start identity of its process, as it last said
 	isLeaving bool
 	isAiling  bool
 	isPartial bool
@@ -24,6 +24,26 @@
 	since     kernel.Micros // when it was first heard in this term
 }
 
+// hear takes a member's word on its life. One that was restarted, or silent for long, has lost what
+// was under way to it; and only a new life may hold less than the one before.
+func (p *peer) hear(now kernel.Micros, life uint64, synced Stamp, silent kernel.Micros) {
+	isRestarted := p.life != life
+	if isRestarted || now-p.lastHeard > silent {
+		p.transfer.cancel()
+	}
+	if isRestarted {
+		p.life = life
+		p.took(synced)
+	}
+}
+
+func (p *peer) took(synced Stamp) {
+	p.synced = synced
+	if p.promised.before(synced) {
+		p.promised = synced
+	}
+}
+
 func (c *Core) propose(document *Document) {
 	c.save(document, func() { c.countCommit() })
 	c.doc = document
@@ -49,20 +69,19 @@
 	c.round++
 	c.isRoundWanted = false
 	c.roundTimer = c.now + c.settings.Timing.Heartbeat
-	newest := c.doc.stamp()
 	for _, id := range c.peerIDs() {
 		p := c.peers[id]
-		message := &Heartbeat{Term: c.term, Leader: c.settings.Self, Target: id, Round: c.round, Committed: c.committedStamp()}
-		// A document is large: it goes again only after a pause without a word of it.
-		if p.synced != newest && (p.sentDoc != newest || c.now-p.lastSent > 5*c.settings.Timing.Heartbeat) {
-			message.Document, p.sentDoc, p.lastSent = c.doc, newest, c.now
-			// Nearly every document keeps the configuration of the one before. A member that has
-			// it not says so, and is sent the whole.
-			if c.doc.ConfigRevision < c.doc.Revision && !p.isBare {
-				message.Document = c.doc.light()
+		message := Heartbeat{Term: c.term, Leader: c.settings.Self, Target: id, Round: c.round, Committed: c.committedStamp(), Promised: p.promised}
+		if document := c.documentFor(p); document != nil {
+			withDocument := message
+			withDocument.Document = document
+			c.send(p.member.Address, Message{Heartbeat: &withDocument})
+			if document.wireSize() <= smallDocument {
+				continue
 			}
+			// The large message may take long, and must not be the only word of this leader.
 		}
-		c.send(p.member.Address, Message{Heartbeat: message})
+		c.send(p.member.Address, Message{Heartbeat: &message})
 	}
 	c.confirmRounds()
 }
@@ -80,7 +99,10 @@
 	if m.Target != c.settings.Self.ID {
 		return
 	}
-	reply := &HeartbeatReply{Term: c.term, Round: m.Round, Member: c.settings.Self, IsLeaving: c.isLeaving, IsAiling: c.Ailment() != "", IsPartial: c.isPartial()}
+	reply := &HeartbeatReply{
+		Term: c.term, Round: m.Round, Member: c.settings.Self, Life: c.settings.Life,
+		IsLeaving: c.isLeaving, IsAiling: c.Ailment() != "", IsPartial: c.isPartial(),
+	}
 	if m.Term < c.term {
 		reply.Round, reply.Synced = 0, c.synced
 		c.send(from, Message{HeartbeatReply: reply})
@@ -97,6 +119,7 @@
 	c.leaderMember, c.lastHeartbeat = m.Leader, c.now
 	c.timer = c.now + c.electionSpan()
 	reply.Term = c.term
+	c.checkPromise(m.Promised)
 	respond := func() {
 		reply.Synced = c.synced
 		c.send(from, Message{HeartbeatReply: reply})
@@ -131,17 +154,24 @@
 	if p == nil {
 		return
 	}
+	p.hear(c.now, m.Life, m.Synced, c.settings.Timing.ElectionLow)
 	p.lastHeard, p.isLeaving, p.isAiling, p.isPartial = c.now, m.IsLeaving, m.IsAiling, m.IsPartial
 	p.member.Address = m.Member.Address
 	if m.IsBare && !p.isBare {
-		p.isBare, p.sentDoc, c.isRoundWanted = true, Stamp{}, true
+		p.transfer.cancel()
+		p.isBare, c.isRoundWanted = true, true
 	}
 	if m.Round > p.round {
 		p.round = m.Round
 	}
 	if p.synced.before(m.Synced) {
-		p.synced = m.Synced
+		p.took(m.Synced)
 		p.isBare = p.isBare && p.synced != c.doc.stamp()
+		if !p.synced.before(p.transfer.stamp) {
+			p.transfer.arrived(c.now)
+			// A newer one may have waited for that.
+			c.isRoundWanted = c.isRoundWanted || p.synced != c.doc.stamp()
+		}
 	}
 	c.countCommit()
 	c.confirmRounds()
@@ -183,11 +213,7 @@
 		return
 	}
 	// Homes ask again at once, so that a new revision need not wait for their next turn.
-	homes := map[string]bool{}
-	for _, address := range c.committed.Homes {
-		homes[address] = true
-	}
-	for _, address := range slices.Sorted(maps.Keys(homes)) {
+	for _, address := range c.homes() {
 		c.send(address, Message{Nudge: &Nudge{c.committed.Revision}})
 	}
 	c.isRoundWanted = true
--- a/control/store.go
+++ b/control/store.go
@@ -369,6 +369,9 @@
 	if len(s.files) == 0 || !this.before(s.files[len(s.files)-1].stamp) {
 		return MissingRevision{document.Revision}
 	}
+	if err := s.roomFor(document); err != nil {
+		return fmt.Errorf("keep generation %d: %w", document.Revision, err)
+	}
 	size, err := s.put(fileName(this), document)
 	if err != nil {
 		return fmt.Errorf("keep generation %d: %w", document.Revision, err)
@@ -378,6 +381,33 @@
 	return nil
 }
 
+// NoRoom says that the folder's bound leaves no room for a configuration of the past.
+type NoRoom struct{ Bytes, Most int }
+
+func (b NoRoom) Error() string {
+	return fmt.Sprintf("with it the documents would take %d bytes, and %d are allowed", b.Bytes, b.Most)
+}
+
+// roomFor tells whether a document of the past fits. What is newer goes before it, so it must not
+// push out anything, and the next document has to find room as well.
+func (s *Store) roomFor(document *Document) error {
+	size := encodedSize(document)
+	bytes := size
+	for _, file := range s.files {
+		bytes += file.size
+	}
+	next := s.files[len(s.files)-1].size
+	if most := s.bounds.revisions(); bytes+next > most {
+		return NoRoom{bytes + next, most}
+	}
+	return nil
+}
+
+// encodedSize is about how large a document's file is.
+func encodedSize(document *Document) int {
+	return document.wireSize() + len(document.Config)/3
+}
+
 // ConfigRevisions lists the configurations kept here, oldest first.
 func (s *Store) ConfigRevisions() []uint64 {
 	s.lock.Lock()
--- /dev/null
+++ b/control/transfer.go
@@ -0,0 +1,226 @@
+package control
+
+import (
+	"slices"
+
+	"dunlinloom/kernel"
+)
+
+// Flow control of documents. A document holds a whole configuration and can take seconds on a slow
+// link, so a receiver has one large one under way at a time: a newer document waits until that one
+// has arrived or is taken for lost. Without it each change would put another copy behind those
+// under way, and a receiver slower than the changes would never hold one that is current.
+
+const (
+	// smallDocument is the size up to which documents go as they come.
+	smallDocument = 32 << 10
+	// transferWindow is how much may be under way to a member in small documents.
+	transferWindow = 128 << 10
+	// transferFloor is the slowest pace that a receiver nothing is known of is taken to have,
+	// in bytes a second.
+	transferFloor = 200_000
+	// transferPaceTop bounds what is made of one arrival, in microseconds for a megabyte.
+	transferPaceTop = 16 * kernel.Second
+	// transferPatienceTop bounds the wait for a document that may be lost.
+	transferPatienceTop = 30 * kernel.Second
+	// What a document takes on the wire besides its configuration, about.
+	wireSubmission = 64
+	wireMark       = 64
+	wireAddress    = 24
+)
+
+// wireSize is about how many bytes a document takes on its way.
+func (d *Document) wireSize() int {
+	if d == nil {
+		return 0
+	}
+	addresses := len(d.Register) + len(d.PriorRegister) + len(d.Homes) + len(d.Drained) + len(d.Leaving)
+	return len(d.Config) + len(d.Submissions)*wireSubmission + len(d.Chain)*wireMark + addresses*wireAddress
+}
+
+// Size is about how many bytes the documents and configurations of a message take. Messages of
+// smallDocument or less must not wait behind larger ones.
+func (m Message) Size() int {
+	size := 0
+	for _, document := range m.documents() {
+		size += document.wireSize()
+	}
+	if m.Submit != nil {
+		size += len(m.Submit.Config)
+	}
+	return size
+}
+
+// IsLarge tells of a message that takes long on a slow link.
+func (m Message) IsLarge() bool { return m.Size() > smallDocument }
+
+// documents gives the documents that a message brings; some may be nil.
+func (m Message) documents() []*Document {
+	switch {
+	case m.Heartbeat != nil:
+		return []*Document{m.Heartbeat.Document}
+	case m.GrantBatch != nil:
+		return []*Document{m.GrantBatch.Document}
+	case m.Grant != nil:
+		return []*Document{m.Grant.Document}
+	case m.AttestReply != nil:
+		return []*Document{m.AttestReply.Document}
+	case m.Recalled != nil:
+		return []*Document{m.Recalled.Document}
+	case m.ReadReply != nil:
+		return []*Document{m.ReadReply.Document}
+	case m.Found != nil:
+		return []*Document{m.Found.Document}
+	}
+	return nil
+}
+
+// transfer is what is under way to one receiver.
+type transfer struct {
+	stamp  Stamp         // the newest that was sent; zero: none
+	bytes  int           // of all that is under way
+	sentAt kernel.Micros // when the first of that was sent
+	until  kernel.Micros // afterwards it counts as lost
+	tries  int           // in a row without an arrival
+	// pace is the slowest of the last arrivals, in microseconds for a megabyte.
+	pace kernel.Micros
+}
+
+func (t *transfer) isUnderWay(now kernel.Micros) bool { return t.stamp != (Stamp{}) && now < t.until }
+
+// patience is how long so many bytes may take before they count as lost.
+func (t *transfer) patience(bytes int, base kernel.Micros) kernel.Micros {
+	pace := max(kernel.Micros(1e6*(1<<20)/transferFloor), 2*t.pace)
+	patience := base + pace*kernel.Micros(bytes)/(1<<20)
+	return min(patience<<min(t.tries, 5), transferPatienceTop)
+}
+
+// begin notes that a document was sent.
+func (t *transfer) begin(now kernel.Micros, stamp Stamp, bytes int, base kernel.Micros) {
+	if t.isUnderWay(now) {
+		t.bytes += bytes
+	} else {
+		if t.stamp == (Stamp{}) {
+			t.sentAt = now
+		} else {
+			t.tries++
+		}
+		t.bytes = bytes
+	}
+	t.stamp = stamp
+	t.until = now + t.patience(t.bytes, base)
+}
+
+// arrived notes that the receiver holds what was sent.
+func (t *transfer) arrived(now kernel.Micros) {
+	if t.stamp == (Stamp{}) {
+		return
+	}
+	if t.bytes > smallDocument {
+		taken := (now - t.sentAt) * (1 << 20) / kernel.Micros(t.bytes)
+		t.pace = min(max(taken, t.pace*3/4), transferPaceTop)
+	}
+	*t = transfer{pace: t.pace}
+}
+
+// cancel forgets what is under way: it surely won't arrive, or was of no use.
+func (t *transfer) cancel() { *t = transfer{pace: t.pace} }
+
+// transferBase is how long a small document may take.
+func (c *Core) transferBase() kernel.Micros { return 5 * c.settings.Timing.Heartbeat }
+
+// documentFor gives the document that goes to a member with this heartbeat; nil: none.
+func (c *Core) documentFor(p *peer) *Document {
+	newest := c.doc.stamp()
+	if p.synced == newest {
+		return nil
+	}
+	document := c.doc
+	// Nearly every document keeps the configuration of the one before, and one that is proposed
+	// again under another term is known to most. A member that has it not says so, and is sent
+	// the whole.
+	isRepeat := c.doc.ConfigRevision < c.doc.Revision || !c.isOwnTerm
+	if isRepeat && !p.isBare {
+		document = c.doc.light()
+	}
+	bytes := document.wireSize()
+	if p.transfer.isUnderWay(c.now) {
+		fits := bytes <= smallDocument && p.transfer.bytes+bytes <= transferWindow
+		if p.transfer.stamp == newest || !fits {
+			return nil
+		}
+	}
+	p.transfer.begin(c.now, newest, bytes, c.transferBase())
+	return document
+}
+
+// transfers paces the large documents that go to nodes, by address.
+type transfers map[string]*transfer
+
+// transferWait is how long a small document may take to a node, and to say so.
+const transferWait = kernel.Second
+
+// offer gives the committed document as it is to go to a node that holds a revision; nil: it
+// holds it, or a large one is on its way to it. A member of the core gets the configuration by a
+// heartbeat, so the first offer to it leaves that out.
+func (t transfers) offer(now kernel.Micros, address string, document *Document, held uint64, isMember bool) *Document {
+	if document == nil || held >= document.Revision {
+		return nil
+	}
+	document = document.lightFor(held)
+	bytes := document.wireSize()
+	if bytes <= smallDocument {
+		return document
+	}
+	known := t[address]
+	if known == nil {
+		known = &transfer{}
+		t[address] = known
+	}
+	if held >= known.stamp.Revision {
+		known.arrived(now)
+	}
+	if known.isUnderWay(now) {
+		return nil
+	}
+	if isMember && known.stamp != document.stamp() {
+		document = document.light()
+	}
+	known.begin(now, document.stamp(), bytes, transferWait)
+	return document
+}
+
+// isMemberAt tells whether a member that heartbeats reach is at an address.
+func (c *Core) isMemberAt(address string) bool {
+	for _, p := range c.peers {
+		if p.member.Address == address && p.hasFolder && c.now-p.lastHeard < c.settings.Timing.ElectionLow {
+			return true
+		}
+	}
+	return false
+}
+
+// isVoterAt tells whether a voter of the document in force is at an address.
+func (n *Node) isVoterAt(address string) bool {
+	return slices.Contains(n.lease.applied.voterAddresses(), address)
+}
+
+// filled puts back the configuration that a sender left out, if the core holds it.
+func (n *Node) filled(document *Document) *Document {
+	if n.core == nil {
+		return document
+	}
+	if whole := document.whole(n.core.doc, n.core.committed); whole != nil {
+		return whole
+	}
+	return document
+}
+
+// sweep forgets those that were given up long ago.
+func (t transfers) sweep(now kernel.Micros) {
+	for address, known := range t {
+		if now-known.until > transferPatienceTop {
+			delete(t, address)
+		}
+	}
+}
--- a/server/channel.go
+++ b/server/channel.go
@@ -61,6 +61,14 @@
 const (
 	queueBound  = 512
 	parcelBound = 32
+	// Large messages have a queue and a stream of their own, so that a heartbeat does not wait
+	// behind a configuration. They go one by one, and owners have few of them under way.
+	largeQueueBound  = 16
+	largeParcelBound = 1
+	// largeSpanMB is how long a large one may take for each megabyte. A receiver that is gone ends
+	// the connection sooner, see unconfirmedSpan.
+	largeSpanMB  = 10 * kernel.Second
+	largeSpanTop = 60 * kernel.Second
 	// How long a parcel may take, and how much longer one of megabytes: a slow machine
 	// has to unpack it, but one that is gone must not hold up what comes after for long.
 	connectionSpan    = 3 * kernel.Second
@@ -78,7 +86,7 @@
 	unconfirmedSpan = 2 * time.Second
 )
 
-// Channels carry envelopes to other nodes: an queue and a worker for each, so
+// Connections carry envelopes to other nodes: two queues and a worker for each of them, so
 // that one that does not answer holds up nobody else.
 type Connections struct {
 	env           kernel.Env
@@ -88,17 +96,28 @@
 	Sent, Dropped atomic.Uint64
 }
 
+// peerQueue is what goes to one node.
 type peerQueue struct {
 	address string
-	queue   chan *control.Envelope
+	small   *lane
+	large   *lane
 	client  *connect.Client[parcelOut, nothing]
-	stream  *connect.ClientStreamForClient[parcelOut, nothing] // nil: none is open
-	end     context.CancelFunc                                 // ends the stream
-	bytes   atomic.Uint64                                      // on the wire
-	lock    sync.Mutex                                         // guards kinds alone
+	bytes   atomic.Uint64 // on the wire
+	lock    sync.Mutex    // guards kinds alone
 	kinds   map[string]uint64
 }
 
+// lane is one queue to a node, with the stream that carries it.
+type lane struct {
+	peer        *peerQueue
+	queue       chan *control.Envelope
+	parcelBound int
+	spanMB      kernel.Micros
+	spanTop     kernel.Micros
+	stream      *connect.ClientStreamForClient[parcelOut, nothing] // nil: none is open
+	end         context.CancelFunc                                 // ends the stream
+}
+
 func (p *peerQueue) count(kind string, bytes int) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
@@ -169,14 +188,22 @@
 	peer := c.peers[address]
 	if peer == nil {
 		peer = &peerQueue{
-			address: address, queue: make(chan *control.Envelope, queueBound),
-			kinds: map[string]uint64{},
+			address: address, kinds: map[string]uint64{},
 			client: connect.NewClient[parcelOut, nothing](c.client, "http://"+address+procedureStream,
 				connect.WithCodec(jsonCodec{}), connect.WithSendMaxBytes(parcelBytes),
 				connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom)),
 		}
+		peer.small = &lane{
+			peer: peer, queue: make(chan *control.Envelope, queueBound), parcelBound: parcelBound,
+			spanMB: connectionSpanMB, spanTop: connectionSpanTop,
+		}
+		peer.large = &lane{
+			peer: peer, queue: make(chan *control.Envelope, largeQueueBound), parcelBound: largeParcelBound,
+			spanMB: largeSpanMB, spanTop: largeSpanTop,
+		}
 		c.peers[address] = peer
-		go c.work(peer)
+		go c.work(peer.small)
+		go c.work(peer.large)
 	}
 	return peer
 }
@@ -185,30 +212,36 @@
 // since every owner repeats what matters and newer words are worth more.
 func (c *Connections) Send(envelope control.Envelope) {
 	peer := c.peer(envelope.To)
+	way := peer.small
+	if envelope.Message.IsLarge() {
+		way = peer.large
+	}
 	for copies, _ := fault(envelope.To); copies > 0; copies-- {
-		c.put(peer, &envelope)
+		c.put(way, &envelope)
 	}
 }
 
-func (c *Connections) put(peer *peerQueue, envelope *control.Envelope) {
+func (c *Connections) put(way *lane, envelope *control.Envelope) {
 	for {
 		select {
-		case peer.queue <- envelope:
+		case way.queue <- envelope:
 			return
 		default:
 		}
 		select {
-		case <-peer.queue:
+		case <-way.queue:
 			c.Dropped.Add(1)
 		default:
 		}
 	}
 }
 
-func (c *Connections) work(peer *peerQueue) {
+// work sends what is put into a lane until the environment ends.
+func (c *Connections) work(way *lane) {
+	peer := way.peer
 	idle := time.NewTimer(streamIdle)
 	defer idle.Stop()
-	defer peer.close()
+	defer way.close()
 	for {
 		var batch parcelOut
 		add := func(envelope *control.Envelope) {
@@ -226,14 +259,14 @@
 		case <-c.env.Done():
 			return
 		case <-idle.C:
-			peer.close()
+			way.close()
 			continue
-		case envelope := <-peer.queue:
+		case envelope := <-way.queue:
 			add(envelope)
 		}
-		for len(batch.Envelopes) < parcelBound {
+		for len(batch.Envelopes) < way.parcelBound {
 			select {
-			case envelope := <-peer.queue:
+			case envelope := <-way.queue:
 				add(envelope)
 				continue
 			default:
@@ -243,7 +276,7 @@
 		if _, delay := fault(peer.address); delay > 0 {
 			time.Sleep(delay)
 		}
-		if err := c.deliver(peer, &batch); err != nil {
+		if err := c.deliver(way, &batch); err != nil {
 			c.Dropped.Add(uint64(len(batch.Envelopes)))
 			c.env.Log.V(3).Info("a parcel was lost", "to", peer.address, "error", err.Error())
 			continue
@@ -253,47 +286,47 @@
 }
 
 // close ends the stream in order.
-func (p *peerQueue) close() {
-	if p.stream == nil {
+func (l *lane) close() {
+	if l.stream == nil {
 		return
 	}
-	timer := time.AfterFunc(time.Second, p.end)
+	timer := time.AfterFunc(time.Second, l.end)
 	// Its answer says nothing, and what went wrong shows by what did not arrive.
-	_, _ = p.stream.CloseAndReceive()
+	_, _ = l.stream.CloseAndReceive()
 	timer.Stop()
-	p.end()
-	p.stream = nil
+	l.end()
+	l.stream = nil
 }
 
 // deliver puts a parcel on the peer's stream. A call for each parcel would say whether it
 // arrived, for twice the wake-ups and four times the bytes of a small one; owners repeat
 // what matters anyway.
-func (c *Connections) deliver(peer *peerQueue, batch *parcelOut) error {
+func (c *Connections) deliver(way *lane, batch *parcelOut) error {
 	bytes := 0
 	for _, envelope := range batch.Envelopes {
 		bytes += len(envelope)
 	}
-	span := min(connectionSpan+connectionSpanMB*kernel.Micros(bytes>>20), connectionSpanTop)
+	span := min(connectionSpan+way.spanMB*kernel.Micros(bytes>>20), way.spanTop)
 	// A stream that broke since its last parcel says so only now; the parcel deserves a new one.
 	for isLast := false; ; isLast = true {
-		isFresh := peer.stream == nil
+		isFresh := way.stream == nil
 		if isFresh {
 			var ctx context.Context
-			ctx, peer.end = context.WithCancel(c.env)
-			peer.stream = peer.client.CallClientStream(ctx)
+			ctx, way.end = context.WithCancel(c.env)
+			way.stream = way.peer.client.CallClientStream(ctx)
 		}
-		timer := time.AfterFunc(span.Duration(), peer.end)
-		err := peer.stream.Send(batch)
+		timer := time.AfterFunc(span.Duration(), way.end)
+		err := way.stream.Send(batch)
 		if timer.Stop() && err == nil {
 			return nil
 		}
 		if errors.Is(err, io.EOF) {
-			_, err = peer.stream.CloseAndReceive()
+			_, err = way.stream.CloseAndReceive()
 		}
-		peer.end()
-		peer.stream = nil
+		way.end()
+		way.stream = nil
 		if isLast || isFresh {
-			return fmt.Errorf("send to %s: %w", peer.address, errors.Join(err, BrokenStream{}))
+			return fmt.Errorf("send to %s: %w", way.peer.address, errors.Join(err, BrokenStream{}))
 		}
 	}
 }
--- a/server/runner.go
+++ b/server/runner.go
@@ -254,6 +254,7 @@
 	case control.Keep:
 		if err := r.store.Keep(work.Document); err != nil {
 			r.env.Log.Error(err, "a spec of the past could not be kept")
+			r.post(func() []any { return r.node.NotKept(r.env.Clock.Now(), work.Document.ConfigRevision, err) })
 			return
 		}
 		r.post(func() []any { return r.node.Kept(r.env.Clock.Now(), work.Document.ConfigRevision) })
