What another node or the folder brings is checked, with a typed error for each fault

ReadEnvelope: MessageTooLarge, MalformedMessage, NewerMessage, InvalidDocument; Deliver: ForeignFleet, ForeignFounding, Misdirected. One bad envelope no longer costs the others of its parcel. Ruled out: the whole check on files of the folder, whose checksums already say what was written.

--- /dev/null
+++ b/control/fuzz_test.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"dunlinloom/fuzzing"
+	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
+)
+
+const fuzzNow = 100 * kernel.Second
+
+// fuzzDocument is a document as a leader makes it.
+func fuzzDocument() *Document {
+	made := document(4, 9)
+	made.Register = []string{memberA.Address, memberB.Address}
+	made.Homes["z1"] = memberA.Address
+	made.remember(Submission{ID: "s", Digest: "d", Revision: 9})
+	made.putConfig([]byte(`{"ver":1}`))
+	return made
+}
+
+// fuzzNode is a voter that holds a document.
+func fuzzNode(snapshot *Snapshot) *Node {
+	settings := NodeSettings{
+		Identity: kernel.Identity{Fleet: "f", Address: memberB.Address, Zone: memberB.Zone}, IsRouter: true, IsController: true, HasFolder: true,
+		Member: memberB.ID, Seeds: []string{memberA.Address}, Start: 7, RandomSeed: 1, Journal: kernel.NewJournal(16),
+		Ballot: Ballot{Term: 4}, Document: fuzzDocument(), Snapshot: snapshot,
+	}
+	platformLike(&settings)
+	return NewNode(settings, fuzzNow)
+}
+
+func fuzzEnvelopes(f *testing.F) []string {
+	texts := []string{}
+	record := EngineRecord{ID: "e", Address: "10.9.0.1:80", Zone: "z1", Start: 3, Word: 2}
+	for _, message := range []Message{
+		{Heartbeat: &Heartbeat{Term: 5, Leader: memberA, Target: memberB.ID, Round: 1, Promised: Stamp{4, 9}, Document: fuzzDocument()}},
+		{HeartbeatReply: &HeartbeatReply{Term: 4, Member: memberA, Synced: Stamp{4, 9}, Life: 3}},
+		{VoteAsk: &VoteAsk{Term: 6, Candidate: memberC, Voter: memberB.ID, Newest: Stamp{4, 9}}},
+		{Recalled: &Recalled{Document: fuzzDocument()}},
+		{Recall: &Recall{ConfigMark{9, "d"}}},
+		{Submit: &Submit{ID: "s2", Order: PutConfig, Config: []byte(`{"ver":2}`)}},
+		{Grant: &Grant{Revision: 9, Leader: memberA.Address, Document: fuzzDocument(), News: &News{Home: "h", Engines: []EngineRecord{record}}}},
+		{AskBatch: &AskBatch{Zone: "z1", IsHome: true, Asks: []RouterAsk{{Address: memberA.Address, Zone: "z1", Seq: 1, IsRouter: true}}}},
+		{Join: &Join{Member: memberC, HasFolder: true}},
+		{Found: &Found{fuzzDocument()}},
+		{Shuffle: &Shuffle{View: []Neighbour{{Address: memberC.Address}}}},
+	} {
+		content, err := json.Marshal(Envelope{Fleet: "f", Founding: "f", From: memberA.Address, To: memberB.Address, Message: message})
+		if err != nil {
+			f.Fatal(err)
+		}
+		texts = append(texts, string(content))
+	}
+	return texts
+}
+
+// Whatever another node sends: an error of a stated type, or a message that the owners bear.
+func FuzzEnvelope(f *testing.F) {
+	fuzzing.Seed(f, append(fuzzEnvelopes(f), `{"format":2,"from":"a","to":"b"}`, `{"fleet":"other","from":"a","to":"10.0.0.2:1","message":{"nudge":{}}}`)...)
+	f.Fuzz(func(t *testing.T, content []byte) {
+		envelope, err := ReadEnvelope(content)
+		fuzzing.FailsAs(t, err, fuzzing.Is[MessageTooLarge], fuzzing.Is[MalformedMessage], fuzzing.Is[NewerMessage], fuzzing.Is[InvalidDocument])
+		if err != nil {
+			return
+		}
+		n := fuzzNode(nil)
+		n.Deliver(fuzzNow, envelope)
+		for tick := range kernel.Micros(20) {
+			n.Tick(fuzzNow + tick*50*ms)
+		}
+		if held := n.core.doc; held != nil && held.check() != nil {
+			t.Fatalf("the core took a document that can't be: %v", held.check())
+		}
+	})
+}
+
+// Whatever a folder holds: a typed error, a new member, or a member that remembers what it promised.
+func FuzzFolder(f *testing.F) {
+	sealed := func(from any) string {
+		content, err := json.Marshal(from)
+		if err != nil {
+			f.Fatal(err)
+		}
+		return string(content)
+	}
+	ballot, member, kept := sealed(Ballot{4, "a"}), sealed(memberFile{"b", "f", 1}), sealed(fuzzDocument())
+	for _, texts := range [][3]string{{ballot, member, kept}, {"", member, kept}, {ballot, "", kept}, {ballot, sealed(memberFile{"b", "f", 2}), kept}, {ballot, sealed(memberFile{"b", "g", 1}), kept}} {
+		f.Add([]byte(texts[0]), []byte(texts[1]), []byte(texts[2]), true)
+		for i, text := range texts {
+			for _, form := range fuzzing.Damage([]byte(text)) {
+				damaged := [3][]byte{[]byte(texts[0]), []byte(texts[1]), []byte(texts[2])}
+				damaged[i] = form
+				f.Add(damaged[0], damaged[1], damaged[2], true)
+				f.Add(damaged[0], damaged[1], damaged[2], false)
+			}
+		}
+	}
+	f.Fuzz(func(t *testing.T, ballot, member, kept []byte, isSealed bool) {
+		disk := &memoryDisk{files: map[string][]byte{}, most: 1 << 20}
+		name := fileName(Stamp{4, 9})
+		for file, content := range map[string][]byte{"ballot.json": ballot, "member.json": member, name: kept} {
+			if isSealed {
+				content = seal(content)
+			}
+			disk.files[file] = content
+		}
+		store, _, newest, err := OpenStore(disk, "f", func() string { return "fresh" })
+		fuzzing.FailsAs(t, err, fuzzing.Is[DamagedFile], fuzzing.Is[NewerFormat], fuzzing.Is[kernel.DiskError])
+		if err != nil {
+			if len(disk.files) != 3 {
+				t.Fatalf("a folder that is left alone has changed: %d files", len(disk.files))
+			}
+			return
+		}
+		if store.Member() != "fresh" && newest == nil && store.Promised() != (Stamp{4, 9}) {
+			t.Fatalf("the member forgot what it acknowledged: %v", store.Promised())
+		}
+		if err := store.Save(Save{Ballot: &Ballot{Term: 5}, Document: fuzzDocument()}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Whatever a snapshot holds: a typed error, or one that a node can begin with.
+func FuzzSnapshot(f *testing.F) {
+	whole, err := json.Marshal(Snapshot{Format: 1, Fleet: "f", Document: fuzzDocument(), Engines: []EngineRecord{{ID: "e", Address: "10.9.0.1:80", Zone: "z1"}}, Nodes: []string{memberA.Address}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	later := strings.Replace(string(whole), `"format":1`, `"format":9`, 1)
+	foreign := strings.Replace(string(whole), `"fleet":"f"`, `"fleet":"g"`, 1)
+	fuzzing.Seed(f, string(whole), later, foreign)
+	f.Fuzz(func(t *testing.T, content []byte) {
+		disk := &memoryDisk{files: map[string][]byte{snapshotName: seal(content)}, most: 1 << 20}
+		store := &Store{folder: disk}
+		snapshot, err := store.Snapshot("f")
+		fuzzing.FailsAs(t, err, fuzzing.Is[DamagedFile], fuzzing.Is[NewerFormat], fuzzing.Is[MissingRevision])
+		if err != nil {
+			if _, isThere := disk.files["damaged-"+snapshotName]; !isThere {
+				t.Fatal("a snapshot that can't be used is gone")
+			}
+			return
+		}
+		n := fuzzNode(snapshot)
+		n.Tick(fuzzNow)
+		if n.lease.applied != nil && n.lease.applied.Founding != "f" {
+			t.Fatalf("it serves under the founding %q", n.lease.applied.Founding)
+		}
+	})
+}
+
+func TestEachFaultOfAMessageHasItsType(t *testing.T) {
+	c := qt.New(t)
+	foreign := fuzzDocument()
+	foreign.Config = []byte(`{"ver":2}`)
+	for _, example := range []struct {
+		content string
+		is      func(error) bool
+	}{
+		{`{"fleet":"f","from":"a`, fuzzing.Is[MalformedMessage]},
+		{`{"fleet":"f","message":{"nudge":{}}}`, fuzzing.Is[MalformedMessage]},
+		{`{"from":"a","to":"b","message":{"nudge":{},"join":{}}}`, fuzzing.Is[MalformedMessage]},
+		{`{"from":"a","to":"b","format":2,"message":{"nudge":{}}}`, fuzzing.Is[NewerMessage]},
+		{`{"from":"a","to":"b","message":{"nudge":"` + strings.Repeat("x", mostMessage) + `"}}`, fuzzing.Is[MessageTooLarge]},
+		{`{"from":"a","to":"b","message":{"found":{"document":{"founding":"f"}}}}`, fuzzing.Is[InvalidDocument]},
+	} {
+		_, err := ReadEnvelope([]byte(example.content))
+		c.Check(example.is(err), qt.IsTrue, qt.Commentf("%v", err))
+	}
+	c.Assert(fuzzing.Is[InvalidDocument](foreign.check()), qt.IsTrue)
+	c.Assert(fuzzDocument().check(), qt.IsNil)
+	c.Assert(fuzzDocument().light().check(), qt.IsNil)
+	n := fuzzNode(nil)
+	for _, example := range []struct {
+		envelope Envelope
+		is       func(error) bool
+	}{
+		{Envelope{Fleet: "g", To: memberB.Address}, fuzzing.Is[ForeignFleet]},
+		{Envelope{Fleet: "f", Founding: "other", To: memberB.Address}, fuzzing.Is[ForeignFounding]},
+		{Envelope{Fleet: "f", Founding: "f", To: memberC.Address}, fuzzing.Is[Misdirected]},
+	} {
+		c.Check(example.is(n.refusal(example.envelope)), qt.IsTrue, qt.Commentf("%v", fmt.Sprint(n.refusal(example.envelope))))
+	}
+	c.Assert(n.refusal(Envelope{Fleet: "f", Founding: "f", To: memberB.Address}), qt.IsNil)
+}
--- a/control/messages.go
+++ b/control/messages.go
@@ -14,6 +14,7 @@
 	Founding string  `json:"founding,omitempty"` // the founding the sender belongs to, once it knows
 	From     string  `json:"from"`
 	To       string  `json:"to"`
+	Format   int     `json:"format,omitempty"` // messages from before it was written count as 1
 	Message  Message `json:"message"`
 }
 
@@ -67,6 +68,17 @@
 	return "none"
 }
 
+// count is how many fields are set.
+func (m Message) count() int {
+	fields, count := reflect.ValueOf(m), 0
+	for i := range fields.NumField() {
+		if !fields.Field(i).IsNil() {
+			count++
+		}
+	}
+	return count
+}
+
 // ReadAsk asks the leader for the newest committed document.
 type ReadAsk struct {
 	Token uint64 `json:"token"`
--- a/control/node.go
+++ b/control/node.go
@@ -211,7 +211,7 @@
 	if to == "" {
 		return
 	}
-	envelope := Envelope{n.settings.Identity.Fleet, n.founding(), n.self(), to, message}
+	envelope := Envelope{Fleet: n.settings.Identity.Fleet, Founding: n.founding(), From: n.self(), To: to, Message: message}
 	if to == n.self() {
 		n.loop = append(n.loop, envelope)
 		return
@@ -338,28 +338,17 @@
 // Deliver takes a message from another node.
 func (n *Node) Deliver(now kernel.Micros, envelope Envelope) []any {
 	n.now = now
-	why := ""
-	switch mine := n.founding(); {
-	case envelope.Fleet != n.settings.Identity.Fleet:
-		why = fmt.Sprintf("it belongs to fleet %q", envelope.Fleet)
-	case mine != "" && envelope.Founding != "" && mine != envelope.Founding:
-		why = "it belongs to another founding of the fleet"
-	case envelope.To != n.self():
-		why = fmt.Sprintf("it was meant for %s", envelope.To)
-	}
+	refusal := n.refusal(envelope)
 	// Whoever belongs to a founding shows that there is one.
-	if n.founder != nil && why == "" && envelope.Founding != "" {
+	if n.founder != nil && refusal == nil && envelope.Founding != "" {
 		n.founder.stand(envelope.Founding)
 	}
-	if r := n.snapshots.restored; r != nil && why == "" && envelope.Founding == r.Founding {
+	if r := n.snapshots.restored; r != nil && refusal == nil && envelope.Founding == r.Founding {
 		// Someone who belongs to it says so: what the disk held binds again.
 		n.snapshots.restored = nil
 	}
-	if why != "" {
-		if _, isNoted := n.rejected[envelope.From]; !isNoted {
-			n.rejected[envelope.From] = now
-			n.note("node "+envelope.From, "decline message", why)
-		}
+	if refusal != nil {
+		n.noteRefusal(envelope.From, refusal)
 		return n.finish()
 	}
 	n.receive(envelope)
--- a/control/past.go
+++ b/control/past.go
@@ -18,7 +18,7 @@
 	// recallPauseTop bounds the pause before one that nobody has sent is asked for again.
 	recallPauseTop = 30 * kernel.Second
 	// keepPause is how long the folder is left alone after it failed to keep one.
-	keepPause = 5 * kernel.Second
+	keepPause = kernel.Second
 )
 
 // recalled is a configuration that was asked for and is not in the folder yet.
@@ -245,6 +245,7 @@
 	c.past.keeping = 0
 	if !hasNoRoom {
 		c.past.waiting, c.past.timer = nil, now+keepPause
+		clear(c.past.asked)
 		return
 	}
 	// What is older would have no room either, and is not even asked for.
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -215,6 +215,9 @@
 	case found.Document == nil:
 		return DamagedFile{snapshotName, "it holds no document"}
 	}
+	if err := found.Document.checkChain(); err != nil {
+		return DamagedFile{snapshotName, err.Error()}
+	}
 	chain := found.Document.Chain
 	if len(found.Document.Config) == 0 && len(chain) > 0 {
 		kept, err := s.ConfigAt(chain[len(chain)-1])
--- a/control/store.go
+++ b/control/store.go
@@ -246,6 +246,11 @@
 	for _, name := range names {
 		var document Document
 		size, err := s.get(name, &document)
+		if err == nil {
+			if fault := document.checkChain(); fault != nil {
+				err = DamagedFile{name, fault.Error()}
+			}
+		}
 		if errors.As(err, new(DamagedFile)) {
 			if err := s.loseDocument(name); err != nil {
 				return nil, fmt.Errorf("open the store: %w", err)
--- a/server/channel.go
+++ b/server/channel.go
@@ -36,12 +36,9 @@
 	return json.Unmarshal(content, to)
 }
 
+// parcel is what goes over a stream at once. Its envelopes are encoded one by one: they are counted
+// by kind as they go, and one that can't be read costs none of the others.
 type parcel struct {
-	Envelopes []control.Envelope `json:"envelopes"`
-}
-
-// parcelOut is a parcel whose envelopes are encoded already, to be counted by kind.
-type parcelOut struct {
 	Envelopes []json.RawMessage `json:"envelopes"`
 }
 
@@ -101,7 +98,7 @@
 	address string
 	small   *lane
 	large   *lane
-	client  *connect.Client[parcelOut, nothing]
+	client  *connect.Client[parcel, nothing]
 	bytes   atomic.Uint64 // on the wire
 	lock    sync.Mutex    // guards kinds alone
 	kinds   map[string]uint64
@@ -114,8 +111,8 @@
 	parcelBound int
 	spanMB      kernel.Micros
 	spanTop     kernel.Micros
-	stream      *connect.ClientStreamForClient[parcelOut, nothing] // nil: none is open
-	end         context.CancelFunc                                 // ends the stream
+	stream      *connect.ClientStreamForClient[parcel, nothing] // nil: none is open
+	end         context.CancelFunc                              // ends the stream
 }
 
 func (p *peerQueue) count(kind string, bytes int) {
@@ -189,7 +186,7 @@
 	if peer == nil {
 		peer = &peerQueue{
 			address: address, kinds: map[string]uint64{},
-			client: connect.NewClient[parcelOut, nothing](c.client, "http://"+address+procedureStream,
+			client: connect.NewClient[parcel, nothing](c.client, "http://"+address+procedureStream,
 				connect.WithCodec(jsonCodec{}), connect.WithSendMaxBytes(parcelBytes),
 				connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom)),
 		}
@@ -243,7 +240,7 @@
 	defer idle.Stop()
 	defer way.close()
 	for {
-		var batch parcelOut
+		var batch parcel
 		add := func(envelope *control.Envelope) {
 			content, err := json.Marshal(envelope)
 			if err != nil {
@@ -301,7 +298,7 @@
 // deliver puts a parcel on the peer's stream. A call for each parcel would say whether it
 // arrived, for twice the wake-ups and four times the bytes of a small one; owners repeat
 // what matters anyway.
-func (c *Connections) deliver(way *lane, batch *parcelOut) error {
+func (c *Connections) deliver(way *lane, batch *parcel) error {
 	bytes := 0
 	for _, envelope := range batch.Envelopes {
 		bytes += len(envelope)
@@ -361,24 +358,32 @@
 	return reply.Msg, nil
 }
 
+// read gives a parcel's envelopes to the owners, and what can't be read to reject.
+func (p *parcel) read(deliver func(control.Envelope), reject func(from string, err error)) {
+	for _, content := range p.Envelopes {
+		envelope, err := control.ReadEnvelope(content)
+		if err != nil {
+			reject(envelope.From, err)
+			continue
+		}
+		deliver(envelope)
+	}
+}
+
 // NewPeerHandler serves the procedures to the other nodes.
-func NewPeerHandler(deliver func(control.Envelope), recall func(RecallAsk) (*RecallReply, error), who func() control.Witness) http.Handler {
+func NewPeerHandler(deliver func(control.Envelope), reject func(from string, err error), recall func(RecallAsk) (*RecallReply, error), who func() control.Witness) http.Handler {
 	// The bound holds for answers as well: connect compresses every one of them otherwise.
 	options := []connect.HandlerOption{connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(parcelBytes), connect.WithCompressMinBytes(compressFrom)}
 	mux := http.NewServeMux()
 	mux.Handle(procedureDeliver, connect.NewUnaryHandler(procedureDeliver,
 		func(_ context.Context, request *connect.Request[parcel]) (*connect.Response[nothing], error) {
-			for _, envelope := range request.Msg.Envelopes {
-				deliver(envelope)
-			}
+			request.Msg.read(deliver, reject)
 			return connect.NewResponse(&nothing{}), nil
 		}, options...))
 	mux.Handle(procedureStream, connect.NewClientStreamHandler(procedureStream,
 		func(_ context.Context, stream *connect.ClientStream[parcel]) (*connect.Response[nothing], error) {
 			for stream.Receive() {
-				for _, envelope := range stream.Msg().Envelopes {
-					deliver(envelope)
-				}
+				stream.Msg().read(deliver, reject)
 			}
 			if err := stream.Err(); err != nil {
 				return nil, fmt.Errorf("receive from a node: %w", err)
--- a/server/contract_test.go
+++ b/server/contract_test.go
@@ -65,7 +65,7 @@
 	contracts.Transport(t, func(t *testing.T) contracts.Link {
 		c := qt.New(t)
 		arrived := make(chan control.Envelope, 64)
-		server := httptest.NewServer(NewPeerHandler(func(envelope control.Envelope) { arrived <- envelope }, nil, nil))
+		server := httptest.NewServer(NewPeerHandler(func(envelope control.Envelope) { arrived <- envelope }, nil, nil, nil))
 		c.Cleanup(server.Close)
 		ctx, end := context.WithCancel(context.Background())
 		c.Cleanup(end)
@@ -105,8 +105,8 @@
 // hundreds of megabytes.
 func TestASmallAnswerCostsNoCompressor(t *testing.T) {
 	c := qt.New(t)
-	handler := NewPeerHandler(func(control.Envelope) {}, nil, nil)
-	content, err := json.Marshal(parcel{Envelopes: []control.Envelope{{Fleet: "f", From: "10.0.0.1:1", To: "10.0.0.2:1"}}})
+	handler := NewPeerHandler(func(control.Envelope) {}, nil, nil, nil)
+	content, err := json.Marshal(parcel{Envelopes: []json.RawMessage{json.RawMessage(`{"fleet":"f","from":"10.0.0.1:1","to":"10.0.0.2:1","message":{}}`)}})
 	c.Assert(err, qt.IsNil)
 	call := func() *httptest.ResponseRecorder {
 		request := httptest.NewRequest(http.MethodPost, procedureDeliver, bytes.NewReader(content))
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -298,7 +298,7 @@
 	}
 	plain := func(listener net.Listener) net.Listener { return listener }
 	// Nodes first: the callers' handler may need what they tell.
-	peers := NewPeerHandler(d.runner.Deliver, d.runner.Recall, func() control.Witness { return d.runner.Witness(member) })
+	peers := NewPeerHandler(d.runner.Deliver, d.runner.Unreadable, d.runner.Recall, func() control.Witness { return d.runner.Witness(member) })
 	if _, err := d.listen("nodes", d.settings.Peer, peers, plain); err != nil {
 		return err
 	}
--- a/server/process.go
+++ b/server/process.go
@@ -302,7 +302,7 @@
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 120 * time.Second, MaxHeaderBytes: 64 << 10,
 	}
 	back := &http.Server{
-		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Recall, func() control.Witness { return a.runner.Witness(member) }),
+		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Unreadable, a.runner.Recall, func() control.Witness { return a.runner.Witness(member) }),
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second,
 	}
 	failed := make(chan error, 2)
--- a/server/runner.go
+++ b/server/runner.go
@@ -107,6 +107,12 @@
 	r.post(func() []any { return r.node.Deliver(r.env.Clock.Now(), envelope) })
 }
 
+// Unreadable takes the news of a message that could not be read.
+func (r *Runner) Unreadable(from string, err error) {
+	r.env.Log.V(1).Info("a message can't be read", "from", from, "error", err.Error())
+	r.post(func() []any { return r.node.Unreadable(r.env.Clock.Now(), from, err) })
+}
+
 func (r *Runner) post(event func() []any) {
 	select {
 	case r.queue <- event:
