--- /dev/null
+++ b/server/channel_test.go
@@ -0,0 +1,88 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"k8s.io/klog/v2"
+
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+// stuckConnection takes a number of bytes and then no more until it is let go.
+type stuckConnection struct {
+	net.Conn
+	lock  sync.Mutex
+	taken int
+	stuck func()
+	letGo <-chan struct{}
+}
+
+const stuckAfter = 64 << 10
+
+func (s *stuckConnection) Write(chunk []byte) (int, error) {
+	s.lock.Lock()
+	s.taken += len(chunk)
+	isStuck := s.taken > stuckAfter
+	s.lock.Unlock()
+	if isStuck {
+		s.stuck()
+		<-s.letGo
+	}
+	return s.Conn.Write(chunk)
+}
+
+func largeDocument() *control.Document {
+	config, random := make([]byte, 1<<20), rand.New(rand.NewPCG(1, 1))
+	for i := range config {
+		config[i] = byte(random.Uint32())
+	}
+	return &control.Document{Founding: "f", Revision: 2, Term: 1, Voters: []control.Member{{ID: "a"}}, Config: config, ConfigRevision: 2}
+}
+
+func TestAHeartbeatDoesNotWaitBehindALargeDocument(t *testing.T) {
+	c := qt.New(t)
+	arrived := make(chan control.Envelope, 8)
+	reject := func(_ string, err error) { t.Errorf("a message was rejected: %v", err) }
+	server := httptest.NewServer(NewPeerHandler(func(envelope control.Envelope) { arrived <- envelope }, reject, nil, nil))
+	defer server.Close()
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	letGo, stuck := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		made, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &stuckConnection{Conn: made, stuck: func() { once.Do(func() { close(stuck) }) }, letGo: letGo}, err
+	}
+	connections := NewConnections(kernel.Env{Context: ctx, Clock: kernel.BootClock{}, Log: klog.Background()}, dial)
+	envelope := control.Envelope{Fleet: "f", From: "10.0.0.1:1", To: strings.TrimPrefix(server.URL, "http://")}
+	envelope.Message = control.Message{Found: &control.Found{Document: largeDocument()}}
+	connections.Send(envelope)
+	<-stuck
+	envelope.Message = control.Message{Heartbeat: &control.Heartbeat{Term: 1}}
+	connections.Send(envelope)
+	c.Assert((<-arrived).Message.Kind(), qt.Equals, "Heartbeat")
+	close(letGo)
+	c.Assert((<-arrived).Message.Kind(), qt.Equals, "Found")
+}
+
+func TestABadMessageCostsNoOther(t *testing.T) {
+	c := qt.New(t)
+	arrived, faults := []string{}, []error{}
+	letters := parcel{}
+	for _, text := range []string{`{"from":"a","to":"b","message":{"nudge":{}}}`, `{"from":"a","to":"b","message":{"nudge":7}}`, `{"from":"a","to":"b","format":9}`, `{"from":"c","to":"b","message":{"muster":{}}}`} {
+		letters.Envelopes = append(letters.Envelopes, []byte(text))
+	}
+	letters.read(func(envelope control.Envelope) { arrived = append(arrived, envelope.Message.Kind()) }, func(_ string, err error) { faults = append(faults, err) })
+	c.Assert(arrived, qt.DeepEquals, []string{"Nudge", "Muster"})
+	c.Assert(faults, qt.HasLen, 2)
+	c.Assert(faults[0], qt.ErrorAs, new(control.MalformedMessage))
+	c.Assert(faults[1], qt.ErrorAs, new(control.NewerMessage))
+}
