--- a/control/replication.go
+++ b/control/replication.go
@@ -11,17 +11,19 @@
 type peer struct {
 	member    Member
 	lastHeard kernel.Micros
-	round     uint64
-	synced    Stamp // what it holds, by its own word in this life
-	promised  Stamp // the newest that it ever said to hold
-	transfer  transfer
-	life      uint64 // the start identity of its process, as it last said
-	isLeaving bool
-	isAiling  bool
-	isPartial bool
-	isBare    bool // it does not hold the configuration in force
-	hasFolder bool
-	since     kernel.Micros // when it was first heard in this term
+	round     uint64 // the newest round that it has confirmed
+	// confirmedAt is when that round was sent; see hasLeaderLease.
+	confirmedAt kernel.Micros
+	synced      Stamp // what it holds, by its own word in this life
+	promised    Stamp // the newest that it ever said to hold
+	transfer    transfer
+	life        uint64 // the start identity of its process, as it last said
+	isLeaving   bool
+	isAiling    bool
+	isPartial   bool
+	isBare      bool // it does not hold the configuration in force
+	hasFolder   bool
+	since       kernel.Micros // when it was first heard in this term
 }
 
 // hear takes a member's word on its life. One that was restarted, or silent for long, has lost what
@@ -67,6 +69,7 @@
 
 func (c *Core) heartbeat() {
 	c.round++
+	c.noteRound()
 	c.isRoundWanted = false
 	c.roundTimer = c.now + c.settings.Timing.Heartbeat
 	for _, id := range c.peerIDs() {
@@ -161,9 +164,7 @@
 		p.transfer.cancel()
 		p.isBare, c.isRoundWanted = true, true
 	}
-	if m.Round > p.round {
-		p.round = m.Round
-	}
+	c.takeConfirmation(p, m.Round)
 	if p.synced.before(m.Synced) {
 		p.took(m.Synced)
 		p.isBare = p.isBare && p.synced != c.doc.stamp()
