--- a/control/core_disk.go
+++ b/control/core_disk.go
@@ -86,7 +86,7 @@
 	c.saves = c.saves[1:]
 	if document := head.save.Document; document != nil && c.synced.before(document.stamp()) {
 		c.synced = document.stamp()
-		c.kept[document.ConfigRevision] = true
+		c.past.took(document.ConfigRevision)
 	}
 	if len(c.saves) > 0 {
 		c.saves[0].since = now
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -41,6 +41,8 @@
 	named func() []string
 	// badLinks is of 100 messages how many are lost, how many come twice and how many up to 300 ms late.
 	badLinks int64
+	// carrier may take a command over, such as one that a slow link or a real store carries out; nil: none.
+	carrier func(n *fleetNode, command any) (isTaken bool)
 }
 
 type dueEvent struct {
@@ -286,6 +288,9 @@
 func (n *fleetNode) carry(commands []any) {
 	f, epoch := n.f, n.epoch
 	for _, command := range commands {
+		if f.carrier != nil && f.carrier(n, command) {
+			continue
+		}
 		switch command := command.(type) {
 		case Outgoing:
 			f.crossed[command.Envelope.Message.Kind()]++
@@ -322,16 +327,20 @@
 				n.do(func() []any { return n.node.Saved(f.now, command.Token, nil) })
 			})
 		case Fetch:
-			if kept := n.history[command.Mark.Revision]; kept != nil {
-				f.in(2*ms, func() {
-					if n.epoch == epoch {
-						n.do(func() []any { return n.node.Fetched(f.now, command.To, kept) })
-					}
-				})
-			}
+			kept := n.history[command.Mark.Revision]
+			f.in(2*ms, func() {
+				if n.epoch == epoch {
+					n.do(func() []any { return n.node.Fetched(f.now, command.To, command.Mark, kept) })
+				}
+			})
 		case Keep:
 			f.in(max(n.diskTimes, 1)*4*ms, func() {
-				if n.epoch != epoch || n.isFull {
+				if n.epoch != epoch {
+					return
+				}
+				if n.isFull {
+					cause := kernel.DiskError{Step: "write", Name: "it", Cause: diskFull{}}
+					n.do(func() []any { return n.node.NotKept(f.now, command.Document.ConfigRevision, cause) })
 					return
 				}
 				n.keep(command.Document)
--- a/control/founding_test.go
+++ b/control/founding_test.go
@@ -218,7 +218,7 @@
 // tell delivers a message and gives what was answered before anything was synced.
 func (v *voter) tell(from Member, message Message) []Message {
 	v.sent = nil
-	v.take(v.node.Deliver(v.now, Envelope{"f", "", from.Address, memberB.Address, message}))
+	v.take(v.node.Deliver(v.now, Envelope{Fleet: "f", From: from.Address, To: memberB.Address, Message: message}))
 	return v.sent
 }
 
--- a/control/messages.go
+++ b/control/messages.go
@@ -14,6 +14,7 @@
 	Founding string  `json:"founding,omitempty"` // the founding the sender belongs to, once it knows
 	From     string  `json:"from"`
 	To       string  `json:"to"`
+	Format   int     `json:"format,omitempty"` // messages from before it was written count as 1
 	Message  Message `json:"message"`
 }
 
@@ -69,6 +70,17 @@
 	return "none"
 }
 
+// count is how many fields are set.
+func (m Message) count() int {
+	fields, count := reflect.ValueOf(m), 0
+	for i := range fields.NumField() {
+		if !fields.Field(i).IsNil() {
+			count++
+		}
+	}
+	return count
+}
+
 // ReadAsk asks the leader for the newest committed document.
 type ReadAsk struct {
 	Token uint64 `json:"token"`
@@ -119,9 +131,10 @@
 	Mark ConfigMark `json:"mark"`
 }
 
-// Recalled brings it.
+// Recalled brings it, or says that it is not held there any more.
 type Recalled struct {
-	Document *Document `json:"document"`
+	Mark     ConfigMark `json:"mark,omitzero"`
+	Document *Document  `json:"document"`
 }
 
 // VoteAsk asks one member, by its id, for its vote.
@@ -150,6 +163,7 @@
 	Target    MemberID  `json:"target"`
 	Round     uint64    `json:"round"`
 	Committed Stamp     `json:"committed"`
+	Promised  Stamp     `json:"promised,omitzero"` // the newest that the receiver has said to have synced
 	Document  *Document `json:"document,omitempty"`
 	// IsReleased tells a member that is leaving that others hold all that it holds.
 	IsReleased bool `json:"released,omitempty"`
@@ -161,6 +175,7 @@
 	Round     uint64 `json:"round"`
 	Member    Member `json:"member"`
 	Synced    Stamp  `json:"synced"`
+	Life      uint64 `json:"life,omitempty"` // the start identity of the process
 	IsLeaving bool   `json:"leaving,omitempty"`
 	IsAiling  bool   `json:"ailing,omitempty"`  // the disk stalls or is full
 	IsPartial bool   `json:"partial,omitempty"` // configurations of the past are still missing
@@ -178,6 +193,7 @@
 	Member    Member `json:"member"`
 	Synced    Stamp  `json:"synced"`
 	HasFolder bool   `json:"folder"`
+	Life      uint64 `json:"life,omitempty"` // the start identity of the process
 }
 
 // Muster asks a founder whether it is empty.
--- a/control/store.go
+++ b/control/store.go
@@ -49,7 +49,9 @@
 	member MemberID
 	files  []kept // in order of stamps
 	aside  []string
-	bounds StoreBounds
+	// promised is the newest document that the folder is known to have held.
+	promised Stamp
+	bounds   StoreBounds
 	// pins are the files that hold the configuration of the snapshot on disk, and of the one being
 	// written; zero: none is needed.
 	pins [2]Stamp
@@ -164,17 +166,22 @@
 	if memberErr == nil && member.Fleet != fleet {
 		return nil, ballot, nil, fmt.Errorf("open the store: %w", DamagedFile{"member.json", fmt.Sprintf("it belongs to fleet %q, not %q", member.Fleet, fleet)})
 	}
-	if memberErr == nil && (ballotErr == nil || errors.As(ballotErr, new(kernel.MissingFile))) {
+	promisedErr := s.readPromise()
+	if errors.As(promisedErr, new(kernel.DiskError)) {
+		return nil, ballot, nil, fmt.Errorf("open the store: %w", promisedErr)
+	}
+	if memberErr == nil && promisedErr == nil && (ballotErr == nil || errors.As(ballotErr, new(kernel.MissingFile))) {
 		s.member = member.Member
 		document, err := s.restore()
 		return s, ballot, document, err
 	}
-	// Without a sound ballot this member could vote twice in a term. What the
+	// Without a sound ballot this member could vote twice in a term, and without its promise for a
+	// candidate that lacks what it has acknowledged. What the
 	// folder holds is set aside and it goes on as a new member.
 	if err := s.setAsideAll(); err != nil {
 		return nil, Ballot{}, nil, fmt.Errorf("open the store: %w", err)
 	}
-	s.member = MemberID(freshID())
+	s.member, s.promised = MemberID(freshID()), Stamp{}
 	if _, err := s.put("member.json", memberFile{s.member, fleet, folderFormat}); err != nil {
 		return nil, Ballot{}, nil, fmt.Errorf("open the store: %w", err)
 	}
@@ -188,7 +195,7 @@
 	}
 	for _, name := range names {
 		// The folder holds more than the store's own: a lock, journals, an object store.
-		if name != "member.json" && name != "ballot.json" && name != foundingVoteName && !strings.HasPrefix(name, "generation-") {
+		if name != "member.json" && name != "ballot.json" && name != foundingVoteName && name != promisedName && !strings.HasPrefix(name, "generation-") {
 			continue
 		}
 		if err := s.setAside(name); err != nil {
@@ -239,8 +246,13 @@
 	for _, name := range names {
 		var document Document
 		size, err := s.get(name, &document)
+		if err == nil {
+			if fault := document.checkChain(); fault != nil {
+				err = DamagedFile{name, fault.Error()}
+			}
+		}
 		if errors.As(err, new(DamagedFile)) {
-			if err := s.setAside(name); err != nil {
+			if err := s.loseDocument(name); err != nil {
 				return nil, fmt.Errorf("open the store: %w", err)
 			}
 			continue
@@ -254,6 +266,9 @@
 		}
 	}
 	s.sort()
+	if s.promised.before(newest.stamp()) {
+		s.promised = newest.stamp()
+	}
 	return newest, nil
 }
 
@@ -374,6 +389,9 @@
 	if len(s.files) == 0 || !this.before(s.files[len(s.files)-1].stamp) {
 		return MissingRevision{document.Revision}
 	}
+	if err := s.roomFor(document); err != nil {
+		return fmt.Errorf("keep generation %d: %w", document.Revision, err)
+	}
 	size, err := s.put(fileName(this), document)
 	if err != nil {
 		return fmt.Errorf("keep generation %d: %w", document.Revision, err)
@@ -383,6 +401,33 @@
 	return nil
 }
 
+// NoRoom says that the folder's bound leaves no room for a configuration of the past.
+type NoRoom struct{ Bytes, Most int }
+
+func (b NoRoom) Error() string {
+	return fmt.Sprintf("with it the documents would take %d bytes, and %d are allowed", b.Bytes, b.Most)
+}
+
+// roomFor tells whether a document of the past fits. What is newer goes before it, so it must not
+// push out anything, and the next document has to find room as well.
+func (s *Store) roomFor(document *Document) error {
+	size := encodedSize(document)
+	bytes := size
+	for _, file := range s.files {
+		bytes += file.size
+	}
+	next := s.files[len(s.files)-1].size
+	if most := s.bounds.revisions(); bytes+next > most {
+		return NoRoom{bytes + next, most}
+	}
+	return nil
+}
+
+// encodedSize is about how large a document's file is.
+func encodedSize(document *Document) int {
+	return document.wireSize() + len(document.Config)/3
+}
+
 // ConfigRevisions lists the configurations kept here, oldest first.
 func (s *Store) ConfigRevisions() []uint64 {
 	s.lock.Lock()
--- a/simulator/machine.go
+++ b/simulator/machine.go
@@ -119,7 +119,7 @@
 	if m.store, settings.Ballot, settings.Document, err = control.OpenStore(m.disk, "sim", freshID); err != nil {
 		return err
 	}
-	settings.Member, settings.Kept = m.store.Member(), m.store.ConfigRevisions()
+	settings.Member, settings.Kept, settings.Promised = m.store.Member(), m.store.ConfigRevisions(), m.store.Promised()
 	if settings.Founding == control.FoundersAnnounce {
 		settings.FoundingVote, err = m.store.FoundingVote(settings.Bootstrap)
 	}
@@ -243,15 +243,17 @@
 			})
 		case control.Fetch:
 			m.later(ms, func() {
-				if document, err := m.store.ConfigAt(command.Mark); err == nil {
-					m.carry(m.node.Fetched(m.clock(), command.To, document))
-				}
+				// Without a document where there is none any more.
+				document, _ := m.store.ConfigAt(command.Mark)
+				m.carry(m.node.Fetched(m.clock(), command.To, command.Mark, document))
 			})
 		case control.Keep:
 			m.later(ms, func() {
-				if err := m.store.Keep(command.Document); err == nil {
-					m.carry(m.node.Kept(m.clock(), command.Document.ConfigRevision))
+				if err := m.store.Keep(command.Document); err != nil {
+					m.carry(m.node.NotKept(m.clock(), command.Document.ConfigRevision, err))
+					return
 				}
+				m.carry(m.node.Kept(m.clock(), command.Document.ConfigRevision))
 			})
 		case control.Reply:
 			if take := m.replies[command.SubmitReply.ID]; take != nil {
