--- /dev/null
+++ b/checker/linearizable.go
@@ -0,0 +1,100 @@
+package checker
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// RegisterOperation is one operation of an operator on the configuration: a compare-and-set on
+// its version, or a read of the newest one. Call and Return order the operations that did
+// not overlap.
+type RegisterOperation struct {
+	Client int
+	Call   int64
+	Return int64 // of no use where the outcome is unknown
+	IsRead bool
+	// A read: what it showed. A put: the version that it builds on, and what it sets.
+	Version uint64
+	Value   string
+	Outcome PutOutcome
+}
+
+// PutOutcome is how a compare-and-set ended, as its caller knows.
+type PutOutcome int
+
+// The outcomes of a compare-and-set.
+const (
+	PutUnknown  PutOutcome = iota // it may take effect at any time after its call, or never
+	PutDone                       // the version was the one that it builds on, and rose by one
+	PutRejected                   // it took no effect and never will
+)
+
+// NotLinearizable says that no order of a history explains what its callers saw.
+type NotLinearizable struct{ Operations int }
+
+func (b NotLinearizable) Error() string {
+	return fmt.Sprintf("no order of the %d operations explains them", b.Operations)
+}
+
+// NotJudged says that a history was too large for the time that it was given.
+type NotJudged struct{ Operations int }
+
+func (b NotJudged) Error() string {
+	return fmt.Sprintf("the %d operations were not judged in time", b.Operations)
+}
+
+// registerState is a configuration and its version.
+type registerState struct {
+	version uint64
+	value   string
+}
+
+// registerModel is a register with compare-and-set by version. A rejected put needs no
+// particular version: a leader may reject it for an order that is committed just after.
+var registerModel = porcupine.Model{
+	Init: func() any { return registerState{} },
+	Step: func(state, input, _ any) (bool, any) {
+		return stepRegister(state.(registerState), input.(RegisterOperation))
+	},
+	Equal: func(one, other any) bool { return one == other },
+}
+
+func stepRegister(state registerState, operation RegisterOperation) (bool, any) {
+	isBase := state.version == operation.Version
+	switch {
+	case operation.IsRead:
+		return state == registerState{operation.Version, operation.Value}, state
+	case operation.Outcome == PutRejected:
+		return true, state
+	case isBase:
+		return true, registerState{operation.Version + 1, operation.Value}
+	default:
+		// An order of unknown outcome that comes too late takes no effect.
+		return operation.Outcome == PutUnknown, state
+	}
+}
+
+// CheckLinearizable judges a history of a register that begins empty at version zero; nil:
+// it is linearizable.
+func CheckLinearizable(history []RegisterOperation, patience time.Duration) error {
+	operations := make([]porcupine.Operation, 0, len(history))
+	for _, operation := range history {
+		returned := operation.Return
+		if !operation.IsRead && operation.Outcome == PutUnknown {
+			returned = math.MaxInt64
+		}
+		operations = append(operations, porcupine.Operation{
+			ClientId: operation.Client, Input: operation, Call: operation.Call, Return: returned,
+		})
+	}
+	switch porcupine.CheckOperationsTimeout(registerModel, operations, patience) {
+	case porcupine.Illegal:
+		return NotLinearizable{len(history)}
+	case porcupine.Unknown:
+		return NotJudged{len(history)}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/modelcheck/main.go
@@ -0,0 +1,137 @@
+// Modelcheck searches the states of the real consensus core for one that breaks an invariant,
+// for as long as it is told, and prints the shortest trace that it found.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"dunlinloom/modelcheck"
+)
+
+type words struct {
+	For        time.Duration `arg:"--for" default:"1m" help:"how long to search"`
+	Seed       uint64        `arg:"--seed" default:"1" help:"first seed of the random walks"`
+	Members    int           `arg:"--members" help:"only scenarios with so many first voters"`
+	Scenario   string        `arg:"--scenario" help:"only scenarios whose name contains this"`
+	Depth      int           `arg:"--depth" default:"2" help:"explore all runs with up to so many deviations before the walks; 0: walk only"`
+	States     int           `arg:"--states" default:"3000000" help:"the most states that one exhaustive search keeps in memory"`
+	Workers    int           `arg:"--workers" default:"2"`
+	Trace      string        `arg:"--trace" help:"replay this trace of the one scenario named, and tell what happens"`
+	KeepFaults bool          `arg:"--all" help:"go on with the other scenarios after a violation"`
+}
+
+// seedsApart keeps the walks of one scenario clear of those of the next.
+const seedsApart = 1 << 32
+
+func chosen(words words) []modelcheck.Scenario {
+	return slices.DeleteFunc(modelcheck.Scenarios(), func(scenario modelcheck.Scenario) bool {
+		isOther := words.Members > 0 && scenario.Settings.Founders != words.Members
+		return isOther || !strings.Contains(scenario.Name, words.Scenario)
+	})
+}
+
+func replay(scenario modelcheck.Scenario, text string) int {
+	trace, err := modelcheck.ParseTrace(text)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "modelcheck:", err)
+		return 1
+	}
+	steps, err := modelcheck.Replay(scenario, trace, func(line string) { fmt.Println(line) })
+	if err == nil {
+		fmt.Println("nothing is violated")
+		return 0
+	}
+	fmt.Printf("after %d steps: %v\n", steps, err)
+	if errors.As(err, new(modelcheck.Violation)) {
+		return 3
+	}
+	return 1
+}
+
+// report tells what a search came to.
+func report(what string, scenario modelcheck.Scenario, begun time.Time, result modelcheck.Result) {
+	took := time.Since(begun)
+	fmt.Printf("%s %q: %d states, %.0f a second, %d runs, depth %d steps", what, scenario.Name, result.States,
+		float64(result.States)/took.Seconds(), result.Runs, result.Depth)
+	if what == "exhaustive" {
+		fmt.Printf(", complete up to %d deviations", result.Complete)
+	}
+	fmt.Println()
+	if result.Found != nil {
+		fmt.Printf("VIOLATED after %d states: %s\n", result.Found.States, result.Found)
+	}
+}
+
+// search explores a scenario and walks on in it until the time is over.
+func search(words words, scenario modelcheck.Scenario, place int, deadline time.Time) bool {
+	isOver := func() bool { return time.Now().After(deadline) }
+	if words.Depth > 0 {
+		begun := time.Now()
+		result := modelcheck.Explore(scenario, modelcheck.Bounds{Deviations: words.Depth, States: words.States, IsOver: isOver})
+		report("exhaustive", scenario, begun, result)
+		if result.Found != nil {
+			return true
+		}
+	}
+	begun := time.Now()
+	result := modelcheck.Walk(scenario, words.Seed+uint64(place)*seedsApart, modelcheck.Bounds{IsOver: isOver})
+	report("walks", scenario, begun, result)
+	return result.Found != nil
+}
+
+func main() {
+	var words words
+	parser := arg.MustParse(&words)
+	scenarios := chosen(words)
+	if len(scenarios) == 0 {
+		parser.Fail("there is no such scenario")
+	}
+	if words.Trace != "" {
+		if len(scenarios) != 1 {
+			parser.Fail("a trace needs the one scenario that it is of")
+		}
+		os.Exit(replay(scenarios[0], words.Trace))
+	}
+	if searchAll(words, scenarios) {
+		os.Exit(3)
+	}
+}
+
+// searchAll gives each scenario its part of the time.
+func searchAll(words words, scenarios []modelcheck.Scenario) (isFound bool) {
+	workers := max(min(words.Workers, len(scenarios)), 1)
+	part := words.For * time.Duration(workers) / time.Duration(len(scenarios))
+	var lock sync.Mutex
+	var hands sync.WaitGroup
+	next := 0
+	take := func() (place int, isThere bool) {
+		lock.Lock()
+		defer lock.Unlock()
+		if next >= len(scenarios) || isFound && !words.KeepFaults {
+			return 0, false
+		}
+		next++
+		return next - 1, true
+	}
+	for range workers {
+		hands.Go(func() {
+			for place, isThere := take(); isThere; place, isThere = take() {
+				if search(words, scenarios[place], place, time.Now().Add(part)) {
+					lock.Lock()
+					isFound = true
+					lock.Unlock()
+				}
+			}
+		})
+	}
+	hands.Wait()
+	return isFound
+}
--- /dev/null
+++ b/control/inspect.go
@@ -0,0 +1,34 @@
+package control
+
+// What a host of a core other than a Node, such as the model checker, needs to see.
+
+// CoreState is a core's state as far as its invariants speak of it.
+type CoreState struct {
+	Member    Member
+	Role      string
+	IsLeader  bool
+	Term      uint64
+	Document  *Document // the newest accepted
+	Synced    Stamp     // the newest on disk
+	Committed *Document
+}
+
+// Inspect tells a core's state.
+func (c *Core) Inspect() CoreState {
+	return CoreState{c.settings.Self, c.role.String(), c.role == leader, c.term, c.doc, c.synced, c.committed}
+}
+
+// Take hands over the commands that have gathered.
+func (c *Core) Take() []any { return c.take() }
+
+// Stamp is the document's place in the order of documents; of no document, the least.
+func (d *Document) Stamp() Stamp { return d.stamp() }
+
+// Before tells whether a stamp is older than another.
+func (s Stamp) Before(other Stamp) bool { return s.before(other) }
+
+// Voter finds a voter by its id.
+func (d *Document) Voter(id MemberID) (Member, bool) { return d.voter(id) }
+
+// Submission finds a remembered submission by its id.
+func (d *Document) Submission(id string) (Submission, bool) { return d.submission(id) }
--- /dev/null
+++ b/modelcheck/choices.go
@@ -0,0 +1,420 @@
+package modelcheck
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dunlinloom/control"
+)
+
+// Kind is what a choice does.
+type Kind int
+
+// The kinds of choices.
+const (
+	// Default goes on as a well-behaved fleet would: the first outstanding write is synced, else
+	// the oldest message is delivered, else time passes.
+	Default    Kind = iota
+	Deliver         // the message at place A overtakes the others, before writes that are outstanding
+	DeliverOld      // the oldest message goes to the older of two processes at its address
+	Hold            // the oldest message is late, or lost if it is never released
+	Double          // the oldest message is delivered, and a copy of it comes late
+	Release         // the late message at place A is delivered
+	Sync            // the outstanding write of process A is synced
+	PassTime        // time passes although messages and writes are outstanding
+	Jump            // a span passes for process A alone: all else was slow meanwhile
+	Crash           // process A crashes and starts again; B says what of its outstanding write is kept
+	Kill            // process A crashes and stays down
+	Start           // process A starts again
+	Freeze          // process A neither takes messages nor ticks
+	Wake            // process A goes on
+	Cut             // process A is cut off in mode B
+	Heal            // process A is in touch again
+	LoseDisk        // process A crashes, and its disk is empty when it starts again
+	Twin            // a second process with an empty disk starts at the address of process A
+	Leave           // process A is asked to stop as planned
+	kindCount
+)
+
+var kindNames = [kindCount]string{"default", "deliver", "deliver-old", "hold", "double", "release", "sync", "pass-time", "jump",
+	"crash", "kill", "start", "freeze", "wake", "cut", "heal", "lose-disk", "twin", "leave"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// What a crash leaves of an outstanding write.
+const (
+	keepNothing = iota
+	keepBallot
+	keepAll
+	keepCount
+)
+
+// Choice is one step that is not the default one.
+type Choice struct {
+	Kind Kind
+	A, B int
+}
+
+// Deviation is a choice at a step of a run; all steps between deviations are default ones.
+type Deviation struct {
+	Step   int
+	Choice Choice
+}
+
+func (d Deviation) String() string {
+	return fmt.Sprintf("%d:%s/%d/%d", d.Step, d.Choice.Kind, d.Choice.A, d.Choice.B)
+}
+
+// Trace is a whole run, given by its deviations in the order of their steps.
+type Trace []Deviation
+
+func (t Trace) String() string {
+	parts := []string{}
+	for _, deviation := range t {
+		parts = append(parts, deviation.String())
+	}
+	return strings.Join(parts, ",")
+}
+
+// BadTrace says what of a written trace can't be read.
+type BadTrace struct{ Part string }
+
+func (b BadTrace) Error() string {
+	return fmt.Sprintf("%q is no deviation of the form STEP:KIND/A/B", b.Part)
+}
+
+// ParseTrace reads what String wrote.
+func ParseTrace(text string) (Trace, error) {
+	trace := Trace{}
+	if text == "" {
+		return trace, nil
+	}
+	for _, part := range strings.Split(text, ",") {
+		deviation, err := parseDeviation(part)
+		if err != nil {
+			return nil, fmt.Errorf("read the trace: %w", err)
+		}
+		trace = append(trace, deviation)
+	}
+	return trace, nil
+}
+
+func parseDeviation(part string) (Deviation, error) {
+	step, rest, _ := strings.Cut(part, ":")
+	words := strings.Split(rest, "/")
+	if len(words) != 3 {
+		return Deviation{}, BadTrace{part}
+	}
+	kind := slices.Index(kindNames[:], words[0])
+	numbers := []int{}
+	for _, word := range []string{step, words[1], words[2]} {
+		number, err := strconv.Atoi(word)
+		if err != nil {
+			return Deviation{}, BadTrace{part}
+		}
+		numbers = append(numbers, number)
+	}
+	if kind < 0 {
+		return Deviation{}, BadTrace{part}
+	}
+	return Deviation{numbers[0], Choice{Kind(kind), numbers[1], numbers[2]}}, nil
+}
+
+// mostOvertaking bounds how many of the messages on their way may overtake all others.
+const mostOvertaking = 6
+
+// mostProcesses bounds the processes of a world, and with them the second ones.
+const mostProcesses = 6
+
+// Choices lists all steps that a world could take besides the default one.
+func (w *World) Choices() []Choice {
+	found := []Choice{}
+	add := func(kind Kind, a, b int) { found = append(found, Choice{kind, a, b}) }
+	isWriting := slices.ContainsFunc(w.processes, func(p *process) bool { return p.pending != nil && !p.isFrozen })
+	for place := range min(len(w.flying), mostOvertaking) {
+		if (place > 0 || isWriting) && w.receiverOf(w.flying[place]) != nil {
+			add(Deliver, place, 0)
+		}
+	}
+	if len(w.flying) > 0 {
+		add(Hold, 0, 0)
+		add(Double, 0, 0)
+		if len(w.receivers(w.flying[0].to)) > 1 {
+			add(DeliverOld, 0, 0)
+		}
+	}
+	for place := range w.held {
+		add(Release, place, 0)
+	}
+	if isWriting || len(w.flying) > 0 {
+		add(PassTime, 0, 0)
+	}
+	isFirst := true
+	for _, p := range w.processes {
+		if p.pending != nil && !p.isFrozen {
+			if !isFirst {
+				add(Sync, p.index, 0)
+			}
+			isFirst = false
+		}
+		w.addFaults(p, add)
+	}
+	return found
+}
+
+func (w *World) addFaults(p *process, add func(kind Kind, a, b int)) {
+	if !p.isUp {
+		add(Start, p.index, 0)
+		return
+	}
+	if p.isFrozen {
+		add(Wake, p.index, 0)
+		return
+	}
+	add(Jump, p.index, 0)
+	add(Crash, p.index, keepNothing)
+	if p.pending != nil {
+		add(Crash, p.index, keepAll)
+		if p.pending.Document != nil {
+			add(Crash, p.index, keepBallot)
+		}
+	}
+	add(Kill, p.index, 0)
+	add(Freeze, p.index, 0)
+	if p.cut == notCut {
+		add(Cut, p.index, int(cutBoth))
+		add(Cut, p.index, int(cutIncoming))
+		add(Cut, p.index, int(cutOutgoing))
+	} else {
+		add(Heal, p.index, 0)
+	}
+	if w.mayLose(p) {
+		add(LoseDisk, p.index, 0)
+	}
+	if len(w.processes) < mostProcesses && len(w.receivers(p.address)) == 1 {
+		add(Twin, p.index, 0)
+	}
+	add(Leave, p.index, 0)
+}
+
+// mayLose tells whether the loss of a disk stays within the assumption that the fleet makes:
+// of the voters of the newest committed document, and of any newer one on a disk, a minority.
+func (w *World) mayLose(p *process) bool {
+	newest := control.Stamp{}
+	for _, stamp := range w.observer.newest {
+		if newest.Before(stamp) {
+			newest = stamp
+		}
+	}
+	documents := []*control.Document{}
+	for _, revision := range sortedKeys(w.observer.commits) {
+		if document := w.observer.commits[revision].document; document.Stamp() == newest {
+			documents = append(documents, document)
+		}
+	}
+	for _, other := range w.processes {
+		if document := other.disk.document; document != nil && !document.Stamp().Before(newest) {
+			documents = append(documents, document)
+		}
+		if other.pending != nil && other.pending.Document != nil {
+			documents = append(documents, other.pending.Document)
+		}
+	}
+	for _, document := range documents {
+		lost := 0
+		for _, voter := range document.Voters {
+			if w.observer.gone[voter.ID] || voter.ID == p.disk.member {
+				lost++
+			}
+		}
+		if lost > (len(document.Voters)-1)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// receiverOf is the process that a message goes to by default, if any can take it now.
+func (w *World) receiverOf(e envelope) *process {
+	receivers := w.receivers(e.to)
+	if len(receivers) == 0 || receivers[0].isFrozen {
+		return nil
+	}
+	return receivers[0]
+}
+
+// StepDefault takes the default step.
+func (w *World) StepDefault() error {
+	for _, p := range w.processes {
+		if p.pending != nil && !p.isFrozen {
+			return w.sync(p)
+		}
+	}
+	for place, e := range w.flying {
+		if receivers := w.receivers(e.to); len(receivers) > 0 && receivers[0].isFrozen {
+			continue
+		}
+		return w.take(place)
+	}
+	return w.passTime()
+}
+
+// take delivers the message at a place, or loses it where nobody is there to take it.
+func (w *World) take(place int) error {
+	e := w.flying[place]
+	w.flying = slices.Delete(w.flying, place, place+1)
+	if to := w.receiverOf(e); to != nil {
+		return w.deliver(e, to)
+	}
+	return nil
+}
+
+// Step takes a choice; one that is not possible in this state does nothing, so that traces
+// with a deviation left out can be played.
+func (w *World) Step(choice Choice) error {
+	if choice.Kind == Default {
+		return w.StepDefault()
+	}
+	if !slices.Contains(w.Choices(), choice) {
+		return nil
+	}
+	w.trace("! %s %d %d", choice.Kind, choice.A+1, choice.B)
+	if err := w.apply(choice); err != nil {
+		return err
+	}
+	return majoritiesIntersect(w)
+}
+
+func (w *World) apply(choice Choice) error {
+	switch choice.Kind {
+	case Deliver:
+		return w.take(choice.A)
+	case DeliverOld:
+		e := w.flying[0]
+		w.flying = w.flying[1:]
+		if old := w.receivers(e.to)[1]; !old.isFrozen {
+			return w.deliver(e, old)
+		}
+	case Hold:
+		w.held = append(w.held, w.flying[0])
+		w.flying = w.flying[1:]
+	case Double:
+		w.held = append(w.held, w.flying[0])
+		return w.take(0)
+	case Release:
+		e := w.held[choice.A]
+		w.held = slices.Delete(w.held, choice.A, choice.A+1)
+		if to := w.receiverOf(e); to != nil {
+			return w.deliver(e, to)
+		}
+	case PassTime:
+		return w.passTime()
+	default:
+		return w.applyTo(w.processes[choice.A], choice)
+	}
+	return nil
+}
+
+func (w *World) applyTo(p *process, choice Choice) error {
+	switch choice.Kind {
+	case Sync:
+		return w.sync(p)
+	case Jump:
+		p.clock += w.settings.Timing.ElectionHigh
+		return w.tick(p)
+	case Crash:
+		w.keepPart(p, choice.B)
+		p.stop()
+		w.start(p)
+	case Kill:
+		p.stop()
+	case Start:
+		w.start(p)
+	case Freeze:
+		p.isFrozen = true
+	case Wake:
+		p.isFrozen = false
+		return w.tick(p)
+	case Cut:
+		p.cut = cutMode(choice.B)
+	case Heal:
+		p.cut = notCut
+	case LoseDisk:
+		p.stop()
+		w.loseDisk(p)
+		w.start(p)
+	case Twin:
+		w.startTwin(p)
+	case Leave:
+		return w.handle(p, causeTick, func(core *control.Core) { core.Leave(p.clock) })
+	}
+	return nil
+}
+
+// keepPart writes what a crash leaves of the outstanding write. Nobody was told of it.
+func (w *World) keepPart(p *process, part int) {
+	if p.pending == nil || part == keepNothing {
+		return
+	}
+	save := *p.pending
+	if part == keepBallot {
+		save.Document = nil
+	}
+	p.disk.write(save)
+	w.observer.synced(p)
+}
+
+// startTwin starts a second process with an empty disk at the address of another.
+func (w *World) startTwin(p *process) {
+	twin := &process{index: len(w.processes), address: p.address, zone: p.zone, clock: w.now}
+	twin.disk = disk{member: w.freshID(), documents: map[uint64]*control.Document{}}
+	w.processes = append(w.processes, twin)
+	w.start(twin)
+}
+
+// Run plays a trace for a number of turns, and returns the first violation with its step.
+func (w *World) Run(trace Trace, turns int, afterStep func(step int) bool) (steps int, err error) {
+	next := 0
+	for step := 0; w.turn < turns && step < mostSteps; step++ {
+		choice := Choice{}
+		if next < len(trace) && trace[next].Step == step {
+			choice = trace[next].Choice
+			next++
+		}
+		if err := w.Step(choice); err != nil {
+			return step + 1, err
+		}
+		if afterStep != nil && !afterStep(step) {
+			return step + 1, nil
+		}
+	}
+	return 0, nil
+}
+
+// mostSteps bounds a run, should its messages breed without end.
+const mostSteps = 5000
+
+// describe tells what of a message a reader of a trace looks for.
+func describe(m control.Message) string {
+	stampOf := func(document *control.Document) string {
+		if document == nil {
+			return "none"
+		}
+		return fmt.Sprintf("%d/%d", document.Term, document.Revision)
+	}
+	switch {
+	case m.VoteAsk != nil:
+		return fmt.Sprintf("VoteAsk term %d pre %v named %v newest %v", m.VoteAsk.Term, m.VoteAsk.IsPre, m.VoteAsk.IsNamed, m.VoteAsk.Newest)
+	case m.Vote != nil:
+		return fmt.Sprintf("Vote term %d pre %v granted %v", m.Vote.Term, m.Vote.IsPre, m.Vote.IsGranted)
+	case m.Heartbeat != nil:
+		return fmt.Sprintf("Heartbeat term %d round %d committed %v document %s", m.Heartbeat.Term, m.Heartbeat.Round, m.Heartbeat.Committed, stampOf(m.Heartbeat.Document))
+	case m.HeartbeatReply != nil:
+		return fmt.Sprintf("HeartbeatReply term %d round %d synced %v", m.HeartbeatReply.Term, m.HeartbeatReply.Round, m.HeartbeatReply.Synced)
+	case m.Submit != nil:
+		return fmt.Sprintf("Submit %s on version %d", m.Submit.ID, *m.Submit.BaseVersion)
+	}
+	return m.Kind()
+}
--- /dev/null
+++ b/modelcheck/fingerprint.go
@@ -0,0 +1,196 @@
+package modelcheck
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+// Fingerprints of states. A state is hashed by 64 bits; with ten million states the chance
+// that two different ones share a hash anywhere is below one in 300,000.
+
+// longAgo is the age from which on all moments count as equally old: it is above every span
+// that a core compares ages with.
+const longAgo = 60 * kernel.Second
+
+// causeTick marks saves that a timer caused.
+const causeTick = 1
+
+var (
+	microsType   = reflect.TypeFor[kernel.Micros]()
+	documentType = reflect.TypeFor[*control.Document]()
+)
+
+// skippedFields of a core say nothing about its future: its settings never change, its
+// commands are taken at once, and moments are hashed by their distance from its clock.
+// Tokens only number the saves, which are hashed in their order.
+var skippedFields = []string{"settings", "out", "now", "nextToken", "Token", "after", "diskWhy"}
+
+func newestToken(core *control.Core) uint64 {
+	return reflect.ValueOf(core).Elem().FieldByName("nextToken").Uint()
+}
+
+// digester hashes values by reflection, with moments relative to a clock.
+type digester struct {
+	documents map[*control.Document]uint64
+	now       kernel.Micros
+	buffer    []byte
+}
+
+func (d *digester) number(value uint64) {
+	d.buffer = binary.LittleEndian.AppendUint64(d.buffer, value)
+}
+
+func (d *digester) text(value string) {
+	d.number(uint64(len(value)))
+	d.buffer = append(d.buffer, value...)
+}
+
+// moment hashes a point in time. Zero means never, and must not look like any moment.
+func (d *digester) moment(at kernel.Micros) {
+	if at == 0 {
+		d.number(math.MaxUint64)
+		return
+	}
+	d.number(uint64(max(at-d.now, -longAgo)))
+}
+
+// document hashes a document once; documents do not change after they were proposed.
+func (d *digester) document(document *control.Document) uint64 {
+	if document == nil {
+		return 0
+	}
+	if known, isThere := d.documents[document]; isThere {
+		return known
+	}
+	inner := digester{documents: d.documents}
+	inner.value(reflect.ValueOf(document).Elem())
+	sum := inner.sum()
+	d.documents[document] = sum
+	return sum
+}
+
+func (d *digester) value(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Bool:
+		if v.Bool() {
+			d.buffer = append(d.buffer, 1)
+		} else {
+			d.buffer = append(d.buffer, 0)
+		}
+	case reflect.Int, reflect.Int64:
+		if v.Type() == microsType {
+			d.moment(kernel.Micros(v.Int()))
+			return
+		}
+		d.number(uint64(v.Int()))
+	case reflect.Uint64, reflect.Uint8, reflect.Uint32:
+		d.number(v.Uint())
+	case reflect.String:
+		d.text(v.String())
+	case reflect.Pointer:
+		d.pointer(v)
+	case reflect.Slice:
+		d.number(uint64(v.Len()))
+		for i := range v.Len() {
+			d.value(v.Index(i))
+		}
+	case reflect.Map:
+		d.mapping(v)
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if !slices.Contains(skippedFields, v.Type().Field(i).Name) {
+				d.value(v.Field(i))
+			}
+		}
+	default:
+		panic(fmt.Sprintf("modelcheck: a %s has no fingerprint", v.Type()))
+	}
+}
+
+func (d *digester) pointer(v reflect.Value) {
+	switch {
+	case v.IsNil():
+		d.number(0)
+	case v.Type() == documentType:
+		d.number(d.document((*control.Document)(v.UnsafePointer())))
+	default:
+		d.number(1)
+		d.value(v.Elem())
+	}
+}
+
+// mapping hashes a map independently of its order.
+func (d *digester) mapping(v reflect.Value) {
+	sum := uint64(0)
+	for entry := v.MapRange(); entry.Next(); {
+		inner := digester{documents: d.documents, now: d.now}
+		inner.value(entry.Key())
+		inner.value(entry.Value())
+		sum += inner.sum()
+	}
+	d.number(uint64(v.Len()))
+	d.number(sum)
+}
+
+// message hashes a message.
+func (d *digester) message(m control.Message) uint64 {
+	inner := digester{documents: d.documents}
+	inner.value(reflect.ValueOf(m))
+	return inner.sum()
+}
+
+// process hashes one process with its disk.
+func (d *digester) process(p *process) {
+	d.now = p.clock
+	d.text(string(p.disk.member))
+	d.value(reflect.ValueOf(p.disk.ballot))
+	d.number(d.document(p.disk.document))
+	d.value(reflect.ValueOf(p.disk.documents))
+	d.value(reflect.ValueOf([]bool{p.isUp, p.isFrozen, p.pending != nil}))
+	d.number(uint64(p.cut))
+	if !p.isUp {
+		return
+	}
+	d.value(reflect.ValueOf(p.core).Elem())
+	for _, token := range sortedKeys(p.causes) {
+		d.number(p.causes[token])
+	}
+	d.value(reflect.ValueOf(p.heard))
+	d.moment(p.ledSince)
+}
+
+// Fingerprint hashes all that decides what can happen from here on, with what the
+// invariants remember of the past.
+func (w *World) Fingerprint() uint64 {
+	d := &digester{documents: w.documents}
+	for _, p := range w.processes {
+		d.process(p)
+		d.number(uint64(p.clock - w.now))
+		if p.isUp {
+			// Which of two processes at an address started last decides who gets a message.
+			d.number(uint64(slices.Index(w.receivers(p.address), p)))
+		}
+	}
+	for _, e := range w.flying {
+		d.number(e.digest)
+	}
+	d.number(uint64(len(w.flying)))
+	for _, e := range w.held {
+		d.number(e.digest)
+	}
+	d.number(uint64(w.turn))
+	w.operators.digest(d)
+	d.number(uint64(w.lostDisks))
+	w.observer.digest(d)
+	return d.sum()
+}
+
+func (d *digester) sum() uint64 { return xxhash.Sum64(d.buffer) }
--- /dev/null
+++ b/modelcheck/history.go
@@ -0,0 +1,61 @@
+package modelcheck
+
+import (
+	"errors"
+	"time"
+
+	"dunlinloom/checker"
+	"dunlinloom/control"
+)
+
+// operation is a finished put, by its index, or a finished read.
+type operation struct {
+	Index   int // of a put; -1: a read
+	Call    int
+	Return  int
+	Config  string
+	Version uint64
+}
+
+// judgePatience is far more than a history of one run takes.
+const judgePatience = 30 * time.Second
+
+// History gives all operations of a run, those without an answer as unknown.
+func (w *World) History() []checker.RegisterOperation {
+	history := []checker.RegisterOperation{}
+	for index, order := range w.operators.Puts {
+		history = append(history, checker.RegisterOperation{
+			Client: index, Call: int64(order.Began), Version: order.Base, Value: string(configOf(index)),
+		})
+	}
+	for _, done := range w.observer.history {
+		if done.Index < 0 {
+			history = append(history, checker.RegisterOperation{
+				Client: len(history), Call: int64(done.Call), Return: int64(done.Return), IsRead: true, Version: done.Version, Value: done.Config,
+			})
+			continue
+		}
+		history[done.Index].Return = int64(done.Return)
+		history[done.Index].Outcome = outcomeOf(w.operators.Puts[done.Index].Outcome)
+	}
+	return history
+}
+
+func outcomeOf(outcome control.Outcome) checker.PutOutcome {
+	switch outcome {
+	case control.Yes:
+		return checker.PutDone
+	case control.No:
+		return checker.PutRejected
+	}
+	return checker.PutUnknown
+}
+
+// judgeHistory holds what the operators saw in a run against a register.
+func (w *World) judgeHistory() error {
+	err := checker.CheckLinearizable(w.History(), judgePatience)
+	if errors.As(err, new(checker.NotLinearizable)) {
+		return violated(HistoryIsLinearizable, "%v", err)
+	}
+	return err
+}
--- /dev/null
+++ b/modelcheck/operators.go
@@ -0,0 +1,135 @@
+package modelcheck
+
+import (
+	"fmt"
+
+	"dunlinloom/control"
+)
+
+// operators put configurations, two on each version that they know, and read the newest one.
+type operators struct {
+	Puts  []put
+	Reads []read
+	Asks  uint64
+}
+
+// put is one order: to set a configuration if the version is still the one that it builds on.
+type put struct {
+	Base    uint64
+	Began   int // the place in the history of its call
+	Ended   bool
+	Outcome control.Outcome
+}
+
+// read is one read of the newest configuration, or an ask for a grant.
+type read struct {
+	Floor   uint64 // the newest revision acknowledged before it began
+	Began   int
+	Ended   bool
+	Version uint64
+}
+
+const (
+	// mostPuts bounds the orders of one run.
+	mostPuts = 8
+	// resendEvery is after how many turns an order without an answer is sent again.
+	resendEvery = 3
+)
+
+func putID(index int) string { return fmt.Sprintf("put-%d", index) }
+
+func configOf(index int) []byte { return fmt.Appendf(nil, "config %d", index) }
+
+// operate is what the operators do at the end of a step of time: each leader that any member
+// believes in gets a read and an ask; orders go out in pairs on one version, the first to
+// the newest leader and the second to the oldest, and again while they are unanswered.
+func (w *World) operate() {
+	leaders := w.leaders()
+	if len(leaders) == 0 {
+		return
+	}
+	for _, p := range leaders {
+		w.beginRead(p)
+	}
+	switch w.turn % resendEvery {
+	case 0:
+		if w.isAnswered() && len(w.operators.Puts) < mostPuts {
+			base := w.observer.newestVersion
+			w.beginPut(leaders[0], base)
+			w.beginPut(leaders[len(leaders)-1], base)
+		}
+	case 1:
+		for index, order := range w.operators.Puts {
+			if !order.Ended {
+				w.sendPut(leaders[0], index)
+			}
+		}
+	}
+}
+
+// leaders are the processes that believe to lead, the newest term first.
+func (w *World) leaders() []*process {
+	found := []*process{}
+	for _, p := range w.processes {
+		if !p.isUp {
+			continue
+		}
+		state := p.core.Inspect()
+		if !state.IsLeader {
+			continue
+		}
+		if len(found) > 0 && state.Term > found[0].core.Inspect().Term {
+			found = append([]*process{p}, found...)
+			continue
+		}
+		found = append(found, p)
+	}
+	return found
+}
+
+func (w *World) isAnswered() bool {
+	for _, order := range w.operators.Puts {
+		if !order.Ended {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *World) beginPut(p *process, base uint64) {
+	w.operators.Puts = append(w.operators.Puts, put{Base: base, Began: w.observer.tick()})
+	w.sendPut(p, len(w.operators.Puts)-1)
+}
+
+func (w *World) sendPut(p *process, index int) {
+	base := w.operators.Puts[index].Base
+	w.fly(-1, p.address, control.Message{Submit: &control.Submit{
+		ID: putID(index), Order: control.PutConfig, Config: configOf(index), BaseVersion: &base,
+	}})
+}
+
+func (w *World) beginRead(p *process) {
+	o := &w.operators
+	o.Reads = append(o.Reads, read{Floor: w.observer.acknowledged, Began: w.observer.tick()})
+	token := uint64(len(o.Reads))
+	w.fly(-1, p.address, control.Message{ReadAsk: &control.ReadAsk{Token: token}})
+	w.fly(-1, p.address, control.Message{AskBatch: &control.AskBatch{
+		Asks: []control.RouterAsk{{Address: operatorAddress, Seq: token}},
+	}})
+}
+
+// digest hashes what the operators still wait for, and which orders there were. The places in
+// the history are left out: histories are judged on whole runs, not by states.
+func (o operators) digest(d *digester) {
+	for _, order := range o.Puts {
+		d.number(order.Base)
+		d.text(string(order.Outcome))
+	}
+	for index, read := range o.Reads {
+		if !read.Ended {
+			d.number(uint64(index))
+			d.number(read.Floor)
+		}
+	}
+	d.number(uint64(len(o.Reads)))
+}
--- /dev/null
+++ b/modelcheck/process.go
@@ -0,0 +1,184 @@
+package modelcheck
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+// sourceOf is the random source of a member. The members' draws lie apart, and none is at a
+// bound, where a constant source would be drawn from for ever.
+func sourceOf(index int) constantSource {
+	return constantSource(uint64(index%4)<<62 + 0x0123456789abcdef)
+}
+
+// constantSource is a random source without state: every draw of a member gives the same
+// value, so that its core's future depends on nothing that the fingerprint does not see.
+// Other orders of timers are reached by the checker's own choices.
+type constantSource uint64
+
+func (s constantSource) Uint64() uint64 { return uint64(s) }
+
+// disk is what a data folder holds after its last sync.
+type disk struct {
+	member    control.MemberID
+	ballot    control.Ballot
+	document  *control.Document
+	documents map[uint64]*control.Document // by the revision of their configuration
+}
+
+// write applies a save, as a store does: the ballot first, then the document.
+func (d *disk) write(save control.Save) {
+	if save.Ballot != nil {
+		d.ballot = *save.Ballot
+	}
+	if save.Document == nil {
+		return
+	}
+	d.documents[save.Document.ConfigRevision] = save.Document
+	if d.document.Stamp().Before(save.Document.Stamp()) {
+		d.document = save.Document
+	}
+}
+
+func (d *disk) keptRevisions() []uint64 {
+	kept := []uint64{}
+	for _, revision := range sortedKeys(d.documents) {
+		if revision > 0 {
+			kept = append(kept, revision)
+		}
+	}
+	return kept
+}
+
+// cutMode says which way a process is cut off from all others.
+type cutMode int
+
+const (
+	notCut cutMode = iota
+	cutBoth
+	cutIncoming
+	cutOutgoing
+)
+
+// process is one member's life on a disk, at an address that may also belong to another process.
+type process struct {
+	index     int
+	address   string
+	zone      string
+	core      *control.Core
+	disk      disk
+	clock     kernel.Micros
+	pending   *control.Save
+	causes    map[uint64]uint64 // token of a save still to be synced: fingerprint of what caused it
+	lastToken uint64
+	isUp      bool
+	isFrozen  bool
+	cut       cutMode
+	startedAt int // order of starts, so that the newest process at an address gets its messages
+	// heard holds, in this life as a leader, when a word of each member came.
+	heard    map[control.MemberID]kernel.Micros
+	heardFor uint64        // the term that heard belongs to
+	ledSince kernel.Micros // when that lead began
+}
+
+func (w *World) memberOf(p *process) control.Member {
+	return control.Member{ID: p.disk.member, Address: p.address, Zone: p.zone}
+}
+
+// start begins a life from what the disk holds.
+func (w *World) start(p *process) {
+	w.starts++
+	p.startedAt, p.isUp, p.isFrozen = w.starts, true, false
+	p.pending, p.causes, p.lastToken, p.heard, p.heardFor = nil, map[uint64]uint64{}, 0, nil, 0
+	p.core = control.NewCore(control.CoreSettings{
+		Self: w.memberOf(p), HasFolder: true, Founders: w.founders, Timing: w.settings.Timing,
+		Random: rand.New(sourceOf(p.index)),
+		Voters: w.settings.Voters, AckRule: control.Strict, Founding: control.FoundersAreSeeds,
+		Ballot: p.disk.ballot, Document: p.disk.document, Kept: p.disk.keptRevisions(),
+	}, p.clock)
+}
+
+// stop ends a life; what was not synced is gone.
+func (p *process) stop() {
+	p.isUp, p.isFrozen, p.core, p.pending, p.causes = false, false, nil, nil, nil
+}
+
+// loseDisk gives a process an empty disk, and with it a fresh member id.
+func (w *World) loseDisk(p *process) {
+	w.lostDisks++
+	w.observer.gone[p.disk.member] = true
+	p.disk = disk{member: w.freshID(), documents: map[uint64]*control.Document{}}
+}
+
+func (w *World) freshID() control.MemberID {
+	w.freshIDs++
+	return control.MemberID(fmt.Sprintf("n%02d", w.freshIDs))
+}
+
+// handle lets a core take an event and carries out what it asks for.
+func (w *World) handle(p *process, cause uint64, event func(core *control.Core)) error {
+	event(p.core)
+	commands := p.core.Take()
+	w.noteSaves(p, cause)
+	if err := w.observer.observe(w, p); err != nil {
+		return err
+	}
+	for _, command := range commands {
+		if err := w.carry(p, command); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// noteSaves remembers what caused the saves that an event queued: what follows a save is a
+// closure, which no fingerprint can read, but it is decided by the event that queued it.
+func (w *World) noteSaves(p *process, cause uint64) {
+	newest := newestToken(p.core)
+	for token := p.lastToken + 1; token <= newest; token++ {
+		p.causes[token] = cause
+	}
+	p.lastToken = newest
+}
+
+func (w *World) carry(p *process, command any) error {
+	switch command := command.(type) {
+	case control.Send:
+		if command.To == operatorAddress {
+			return w.observer.reply(w, p, command.Message)
+		}
+		w.post(p, command)
+	case control.Save:
+		p.pending = &command
+	case control.Fetch:
+		if document := p.disk.documents[command.Mark.Revision]; document != nil {
+			w.post(p, control.Send{To: command.To, Message: control.Message{Recalled: &control.Recalled{Document: document}}})
+		}
+	case control.Keep:
+		p.disk.documents[command.Document.ConfigRevision] = command.Document
+		p.core.Kept(command.Document.ConfigRevision)
+	}
+	return nil
+}
+
+// sync lets the outstanding write of a process reach its disk, and tells its core.
+func (w *World) sync(p *process) error {
+	save := *p.pending
+	p.pending = nil
+	p.disk.write(save)
+	w.observer.synced(p)
+	cause := p.causes[save.Token]
+	delete(p.causes, save.Token)
+	return w.handle(p, cause, func(core *control.Core) { core.Saved(p.clock, save.Token, nil) })
+}
+
+// tick lets the timers of a process go off.
+func (w *World) tick(p *process) error {
+	if err := w.handle(p, causeTick, func(core *control.Core) { core.Tick(p.clock) }); err != nil {
+		return err
+	}
+	return leaderKeepsContact(w, p)
+}
--- /dev/null
+++ b/modelcheck/search.go
@@ -0,0 +1,248 @@
+package modelcheck
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+)
+
+// Scenario is where a search begins: a fleet, and how many turns it is played for. The first
+// turns are played without deviations; by symmetry of the members it does not matter which
+// of them leads then.
+type Scenario struct {
+	Name     string
+	Settings Settings
+	Prologue int // turns before the first deviation
+	Turns    int // turns in all
+}
+
+// Scenarios are the fleets that the bounded run explores.
+func Scenarios() []Scenario {
+	timing := ModelTiming()
+	return []Scenario{
+		{"three members, first election", Settings{Founders: 3, Timing: timing}, 0, 14},
+		{"three members, led", Settings{Founders: 3, Timing: timing}, 6, 18},
+		{"three members and a standby", Settings{Founders: 3, Standbys: 1, Timing: timing}, 6, 32},
+		{"three wanted and a standby", Settings{Voters: 3, Founders: 3, Standbys: 1, Timing: timing}, 6, 32},
+		{"four members", Settings{Voters: 3, Founders: 4, Timing: timing}, 6, 26},
+		{"five members", Settings{Voters: 3, Founders: 5, Timing: timing}, 6, 20},
+	}
+}
+
+// Found is a violation with the trace that leads to it.
+type Found struct {
+	Scenario  Scenario
+	Violation Violation
+	Trace     Trace
+	Steps     int
+	States    int // that had been visited when it was found
+}
+
+// Result is what a search came to.
+type Result struct {
+	States   int // visited, each once
+	Runs     int
+	Depth    int // of the longest run, in steps
+	Complete int // all runs with so many deviations were explored
+	Found    *Found
+}
+
+// Bounds end a search.
+type Bounds struct {
+	Deviations int         // in the exhaustive part
+	States     int         // visited; zero: no bound
+	IsOver     func() bool // asked now and then; nil: never
+}
+
+func (b Bounds) isOver(states int) bool {
+	return b.States > 0 && states >= b.States || b.IsOver != nil && b.IsOver()
+}
+
+// path is a run's last deviation, and where it comes after.
+type path struct {
+	before    *path
+	deviation Deviation
+	length    int
+}
+
+func (p *path) trace() Trace {
+	trace := Trace{}
+	for ; p != nil && p.length > 0; p = p.before {
+		trace = append(trace, p.deviation)
+	}
+	slices.Reverse(trace)
+	return trace
+}
+
+// explorer is an exhaustive search over all runs with few deviations, the fewest first. A
+// state that was visited before is not gone on from: whatever follows it was, or will be,
+// explored with no more deviations.
+type explorer struct {
+	scenario Scenario
+	bounds   Bounds
+	visited  map[uint64]struct{}
+	queue    []*path
+	result   Result
+}
+
+// Explore searches a scenario exhaustively up to a number of deviations.
+func Explore(scenario Scenario, bounds Bounds) Result {
+	e := &explorer{scenario: scenario, bounds: bounds, visited: map[uint64]struct{}{}, queue: []*path{{}}}
+	for len(e.queue) > 0 && e.result.Found == nil {
+		next := e.queue[0]
+		e.queue[0] = nil
+		e.queue = e.queue[1:]
+		e.result.Complete = max(next.length-1, 0)
+		if bounds.isOver(len(e.visited)) {
+			return e.end()
+		}
+		e.follow(next)
+	}
+	if e.result.Found == nil {
+		e.result.Complete = bounds.Deviations
+	}
+	return e.end()
+}
+
+func (e *explorer) end() Result {
+	e.result.States = len(e.visited)
+	return e.result
+}
+
+// follow plays one run, and queues all runs that deviate once more from its new states.
+func (e *explorer) follow(from *path) {
+	e.result.Runs++
+	trace := from.trace()
+	last := -1
+	if len(trace) > 0 {
+		last = trace[len(trace)-1].Step
+	}
+	w := NewWorld(e.scenario.Settings)
+	visit := func(step int) bool {
+		e.result.Depth = max(e.result.Depth, step+1)
+		if step < last || w.turn < e.scenario.Prologue {
+			return true
+		}
+		state := w.Fingerprint()
+		if _, isKnown := e.visited[state]; isKnown {
+			return false
+		}
+		e.visited[state] = struct{}{}
+		if from.length < e.bounds.Deviations {
+			for _, choice := range w.Choices() {
+				e.queue = append(e.queue, &path{from, Deviation{step + 1, choice}, from.length + 1})
+			}
+		}
+		return true
+	}
+	steps, err := w.Run(trace, e.scenario.Turns, visit)
+	e.result.Found = e.found(err, trace, steps)
+}
+
+func (e *explorer) found(err error, trace Trace, steps int) *Found {
+	var violation Violation
+	if !errors.As(err, &violation) {
+		return nil
+	}
+	return shorten(Found{e.scenario, violation, trace, steps, len(e.visited)})
+}
+
+// Replay plays a trace and tells what it violates, with the steps it took.
+func Replay(scenario Scenario, trace Trace, tell func(text string)) (steps int, err error) {
+	w := NewWorld(scenario.Settings)
+	w.Trace = tell
+	steps, err = w.Run(trace, scenario.Turns, nil)
+	if err != nil {
+		return steps, err
+	}
+	return 0, w.judgeHistory()
+}
+
+// shorten leaves out of a trace whatever its violation does not need.
+func shorten(found Found) *Found {
+	for isShorter := true; isShorter; {
+		isShorter = false
+		for i := range found.Trace {
+			shorter := slices.Delete(slices.Clone(found.Trace), i, i+1)
+			steps, err := Replay(found.Scenario, shorter, nil)
+			var violation Violation
+			if errors.As(err, &violation) && violation.Invariant == found.Violation.Invariant {
+				found.Trace, found.Violation, found.Steps = shorter, violation, steps
+				isShorter = true
+				break
+			}
+		}
+	}
+	return &found
+}
+
+// walk is a random run: at each step a deviation is drawn with some chance.
+type walk struct {
+	random  *rand.Rand
+	trace   Trace
+	visited map[uint64]struct{}
+}
+
+// weights of the kinds of deviations in random walks; the others have one.
+var weights = map[Kind]int{Deliver: 2, Hold: 3, Double: 2, Release: 4, PassTime: 1, Jump: 2, Sync: 2, Start: 4, Wake: 4, Heal: 4}
+
+func (k *walk) draw(choices []Choice) Choice {
+	sum := 0
+	for _, choice := range choices {
+		sum += max(weights[choice.Kind], 1)
+	}
+	drawn := k.random.IntN(sum)
+	for _, choice := range choices {
+		if drawn -= max(weights[choice.Kind], 1); drawn < 0 {
+			return choice
+		}
+	}
+	return Choice{}
+}
+
+// rareness is one in how many steps of a walk deviates; each walk draws its own.
+func rareness(random *rand.Rand) int { return []int{4, 8, 16, 32}[random.IntN(4)] }
+
+// Walk plays random runs of a scenario, each replayed by its seed, until the bounds are met.
+func Walk(scenario Scenario, seed uint64, bounds Bounds) Result {
+	result, visited := Result{}, map[uint64]struct{}{}
+	for ; !bounds.isOver(len(visited)) && result.Found == nil; seed++ {
+		k := &walk{random: rand.New(rand.NewPCG(seed, 17)), visited: visited}
+		found, depth := k.play(scenario)
+		result.Runs++
+		result.Depth = max(result.Depth, depth)
+		result.Found = found
+	}
+	result.States = len(visited)
+	return result
+}
+
+func (k *walk) play(scenario Scenario) (*Found, int) {
+	w := NewWorld(scenario.Settings)
+	every := rareness(k.random)
+	steps := 0
+	var err error
+	for ; w.turn < scenario.Turns && steps < mostSteps && err == nil; steps++ {
+		choice := Choice{}
+		if w.turn >= scenario.Prologue && k.random.IntN(every) == 0 {
+			choice = k.draw(w.Choices())
+			k.trace = append(k.trace, Deviation{steps, choice})
+		}
+		if err = w.Step(choice); err == nil {
+			k.visited[w.Fingerprint()] = struct{}{}
+		}
+	}
+	if err == nil {
+		err = w.judgeHistory()
+	}
+	var violation Violation
+	if errors.As(err, &violation) {
+		return shorten(Found{scenario, violation, k.trace, steps, len(k.visited)}), steps
+	}
+	return nil, steps
+}
+
+func (f Found) String() string {
+	return fmt.Sprintf("%s\n  in %q, after %d steps with %d deviations\n  trace: %s", f.Violation, f.Scenario.Name, f.Steps, len(f.Trace), f.Trace)
+}
--- /dev/null
+++ b/modelcheck/world.go
@@ -0,0 +1,181 @@
+// Package modelcheck explores the real consensus core: some members on simulated disks, a
+// network that delivers in any order, twice, late or never, crashes, lost disks, cuts, frozen
+// processes and second processes at an address, and operators that put and read
+// configurations. Every step is a choice, so that a run is replayed by its list of choices.
+package modelcheck
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+// operatorAddress is where all operators take their answers.
+const operatorAddress = "operator"
+
+// founding is the one founding of the modelled fleet.
+const founding = "f"
+
+// Settings are what a modelled fleet is made of.
+type Settings struct {
+	Voters   int // as the core's setting: zero is the strict rule of three
+	Founders int // voters of the first document
+	Standbys int
+	Timing   control.Timing
+}
+
+// ModelTiming keeps the proportions of the control plane's spans and makes them short in
+// steps of one heartbeat, since each step of time costs a turn.
+func ModelTiming() control.Timing {
+	timing := control.DefaultTiming()
+	timing.ElectionLow, timing.ElectionHigh = 3*timing.Heartbeat, 6*timing.Heartbeat
+	timing.DiskStall, timing.DiskRetry = 5*timing.Heartbeat, 2*timing.Heartbeat
+	timing.Replace = 9 * timing.Heartbeat
+	// The askers of the model are no nodes of a zone, and none of them is to be its home.
+	timing.HomeSilent = 0
+	return timing
+}
+
+// envelope is a message on its way.
+type envelope struct {
+	from    int // a process; -1: an operator
+	to      string
+	message control.Message
+	digest  uint64
+}
+
+// World is one state of a modelled fleet.
+type World struct {
+	settings  Settings
+	founders  []string
+	now       kernel.Micros
+	processes []*process
+	flying    []envelope // oldest first
+	held      []envelope // late until they are released, or lost
+	turn      int        // steps of time until now
+	operators operators
+	observer  *observer
+	documents map[*control.Document]uint64
+	starts    int
+	freshIDs  int
+	lostDisks int
+	// Trace takes a line on each step; nil: none are wanted.
+	Trace func(text string)
+}
+
+func sortedKeys[K cmp.Ordered, V any](of map[K]V) []K { return slices.Sorted(maps.Keys(of)) }
+
+// NewWorld makes a fleet that was founded just now and has no leader yet.
+func NewWorld(settings Settings) *World {
+	w := &World{settings: settings, now: 100 * kernel.Second, documents: map[*control.Document]uint64{}}
+	w.observer = newObserver()
+	first := &control.Document{
+		Founding: founding, Revision: 1, Term: 1,
+		Homes: map[string]string{}, Drained: map[string]uint64{}, Leaving: map[string]control.LeavingMark{},
+	}
+	for i := range settings.Founders + settings.Standbys {
+		p := &process{index: i, address: fmt.Sprintf("m%d", i+1), zone: fmt.Sprintf("z%d", i%3+1), clock: w.now}
+		p.disk = disk{member: w.freshID(), documents: map[uint64]*control.Document{}}
+		w.processes = append(w.processes, p)
+		if i < settings.Founders {
+			first.Voters = append(first.Voters, w.memberOf(p))
+			w.founders = append(w.founders, p.address)
+		}
+	}
+	for i, p := range w.processes {
+		if i < settings.Founders {
+			p.disk.write(control.Save{Ballot: &control.Ballot{Term: 1}, Document: first})
+		}
+		w.observer.synced(p)
+		w.start(p)
+	}
+	return w
+}
+
+func (w *World) trace(form string, args ...any) {
+	if w.Trace != nil {
+		w.Trace(fmt.Sprintf(form, args...))
+	}
+}
+
+// post puts a message on its way, unless its sender is cut off.
+func (w *World) post(p *process, send control.Send) {
+	if p.cut == cutBoth || p.cut == cutOutgoing {
+		return
+	}
+	w.fly(p.index, send.To, send.Message)
+}
+
+func (w *World) fly(from int, to string, message control.Message) {
+	d := &digester{documents: w.documents}
+	d.number(uint64(from))
+	d.text(to)
+	d.number(d.message(message))
+	w.flying = append(w.flying, envelope{from, to, message, d.sum()})
+}
+
+// receivers are the processes that a message to an address can reach, the newest first.
+func (w *World) receivers(address string) []*process {
+	found := []*process{}
+	for _, p := range w.processes {
+		if p.address == address && p.isUp {
+			found = append(found, p)
+		}
+	}
+	slices.SortFunc(found, func(a, b *process) int { return cmp.Compare(b.startedAt, a.startedAt) })
+	return found
+}
+
+// deliver hands a message to one of the processes at its address.
+func (w *World) deliver(e envelope, to *process) error {
+	if to.cut == cutBoth || to.cut == cutIncoming {
+		w.trace("lost in a cut: %s to m%d: %s", w.senderOf(e), to.index+1, describe(e.message))
+		return nil
+	}
+	w.trace("m%d gets from %s: %s", to.index+1, w.senderOf(e), describe(e.message))
+	w.noteContact(e, to)
+	return w.handle(to, e.digest, func(core *control.Core) { core.Receive(to.clock, w.senderOf(e), e.message) })
+}
+
+func (w *World) senderOf(e envelope) string {
+	if e.from < 0 {
+		return operatorAddress
+	}
+	return w.processes[e.from].address
+}
+
+// noteContact remembers when a leader last had a word of each member.
+func (w *World) noteContact(e envelope, to *process) {
+	if to.heard == nil {
+		return
+	}
+	switch {
+	case e.message.HeartbeatReply != nil && e.message.HeartbeatReply.Term == to.heardFor:
+		to.heard[e.message.HeartbeatReply.Member.ID] = to.clock
+	case e.message.Join != nil:
+		to.heard[e.message.Join.Member.ID] = to.clock
+	}
+}
+
+// passTime lets one step of time go by for everyone, and due timers go off.
+func (w *World) passTime() error {
+	w.now += w.settings.Timing.Heartbeat
+	w.turn++
+	w.trace("time: turn %d", w.turn)
+	for _, p := range w.processes {
+		p.clock += w.settings.Timing.Heartbeat
+	}
+	for _, p := range w.processes {
+		if p.isUp && !p.isFrozen {
+			if err := w.tick(p); err != nil {
+				return err
+			}
+		}
+	}
+	w.operate()
+	return nil
+}
