--- a/modelcheck/choices.go
+++ b/modelcheck/choices.go
@@ -318,6 +318,7 @@
 }
 
 func (w *World) applyTo(p *process, choice Choice) error {
+	p.isDirty = true
 	switch choice.Kind {
 	case Sync:
 		return w.sync(p)
--- a/modelcheck/fingerprint.go
+++ b/modelcheck/fingerprint.go
@@ -6,6 +6,7 @@
 	"math"
 	"reflect"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -33,6 +34,24 @@
 // Tokens only number the saves, which are hashed in their order.
 var skippedFields = []string{"settings", "out", "now", "nextToken", "Token", "after", "diskWhy"}
 
+// hashed remembers hashedFields by type.
+var hashed sync.Map
+
+// hashedFields are the places of a struct's fields that are not skipped.
+func hashedFields(of reflect.Type) []int {
+	if known, isThere := hashed.Load(of); isThere {
+		return known.([]int)
+	}
+	places := []int{}
+	for i := range of.NumField() {
+		if !slices.Contains(skippedFields, of.Field(i).Name) {
+			places = append(places, i)
+		}
+	}
+	hashed.Store(of, places)
+	return places
+}
+
 func newestToken(core *control.Core) uint64 {
 	return reflect.ValueOf(core).Elem().FieldByName("nextToken").Uint()
 }
@@ -105,10 +124,8 @@
 	case reflect.Map:
 		d.mapping(v)
 	case reflect.Struct:
-		for i := range v.NumField() {
-			if !slices.Contains(skippedFields, v.Type().Field(i).Name) {
-				d.value(v.Field(i))
-			}
+		for _, i := range hashedFields(v.Type()) {
+			d.value(v.Field(i))
 		}
 	default:
 		panic(fmt.Sprintf("modelcheck: a %s has no fingerprint", v.Type()))
@@ -147,6 +164,16 @@
 	return inner.sum()
 }
 
+// processDigest hashes one process, anew only if something happened to it.
+func (w *World) processDigest(p *process) uint64 {
+	if p.isDirty {
+		d := &digester{documents: w.documents, buffer: make([]byte, 0, 2048)}
+		d.process(p)
+		p.digest, p.isDirty = d.sum(), false
+	}
+	return p.digest
+}
+
 // process hashes one process with its disk.
 func (d *digester) process(p *process) {
 	d.now = p.clock
@@ -170,9 +197,9 @@
 // Fingerprint hashes all that decides what can happen from here on, with what the
 // invariants remember of the past.
 func (w *World) Fingerprint() uint64 {
-	d := &digester{documents: w.documents}
+	d := &digester{documents: w.documents, buffer: make([]byte, 0, 1024)}
 	for _, p := range w.processes {
-		d.process(p)
+		d.number(w.processDigest(p))
 		d.number(uint64(p.clock - w.now))
 		if p.isUp {
 			// Which of two processes at an address started last decides who gets a message.
--- a/modelcheck/invariants.go
+++ b/modelcheck/invariants.go
@@ -165,10 +165,14 @@
 
 // contentOf hashes a document without its term.
 func contentOf(w *World, document *control.Document) uint64 {
+	if known, isThere := w.contents[document]; isThere {
+		return known
+	}
 	copied := *document
 	copied.Term = 0
 	d := &digester{documents: map[*control.Document]uint64{}}
-	return d.document(&copied)
+	w.contents[document] = d.document(&copied)
+	return w.contents[document]
 }
 
 // oneDocumentARevision: two documents committed under one revision differ at most in the term.
--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -82,6 +82,9 @@
 	heard    map[control.MemberID]kernel.Micros
 	heardFor uint64        // the term that heard belongs to
 	ledSince kernel.Micros // when that lead began
+	// digest is the fingerprint of this process alone, unless it is dirty.
+	digest  uint64
+	isDirty bool
 }
 
 func (w *World) memberOf(p *process) control.Member {
@@ -91,6 +94,7 @@
 // start begins a life from what the disk holds.
 func (w *World) start(p *process) {
 	w.starts++
+	p.isDirty = true
 	p.startedAt, p.isUp, p.isFrozen = w.starts, true, false
 	p.pending, p.causes, p.lastToken, p.heard, p.heardFor = nil, map[uint64]uint64{}, 0, nil, 0
 	p.core = control.NewCore(control.CoreSettings{
@@ -103,6 +107,7 @@
 
 // stop ends a life; what was not synced is gone.
 func (p *process) stop() {
+	p.isDirty = true
 	p.isUp, p.isFrozen, p.core, p.pending, p.causes = false, false, nil, nil, nil
 }
 
@@ -120,6 +125,7 @@
 
 // handle lets a core take an event and carries out what it asks for.
 func (w *World) handle(p *process, cause uint64, event func(core *control.Core)) error {
+	p.isDirty = true
 	event(p.core)
 	commands := p.core.Take()
 	w.noteSaves(p, cause)
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -59,7 +59,8 @@
 	turn      int        // steps of time until now
 	operators operators
 	observer  *observer
-	documents map[*control.Document]uint64
+	documents map[*control.Document]uint64 // their fingerprints
+	contents  map[*control.Document]uint64 // the same without the term
 	starts    int
 	freshIDs  int
 	lostDisks int
@@ -71,7 +72,7 @@
 
 // NewWorld makes a fleet that was founded just now and has no leader yet.
 func NewWorld(settings Settings) *World {
-	w := &World{settings: settings, now: 100 * kernel.Second, documents: map[*control.Document]uint64{}}
+	w := &World{settings: settings, now: 100 * kernel.Second, documents: map[*control.Document]uint64{}, contents: map[*control.Document]uint64{}}
 	w.observer = newObserver()
 	first := &control.Document{
 		Founding: founding, Revision: 1, Term: 1,
@@ -168,6 +169,7 @@
 	w.trace("time: turn %d", w.turn)
 	for _, p := range w.processes {
 		p.clock += w.settings.Timing.Heartbeat
+		p.isDirty = true
 	}
 	for _, p := range w.processes {
 		if p.isUp && !p.isFrozen {
