--- a/modelcheck/fingerprint.go
+++ b/modelcheck/fingerprint.go
@@ -216,6 +216,7 @@
 	d.number(uint64(w.turn))
 	w.operators.digest(d)
 	d.number(uint64(w.lostDisks))
+	d.value(reflect.ValueOf(w.emptied))
 	w.observer.digest(d)
 	return d.sum()
 }
--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -100,7 +100,7 @@
 	p.core = control.NewCore(control.CoreSettings{
 		Self: w.memberOf(p), HasFolder: true, Founders: w.founders, Timing: w.settings.Timing,
 		Random: rand.New(sourceOf(p.index)),
-		Voters: w.settings.Voters, AckRule: control.Strict, Founding: control.FoundersAreSeeds,
+		Voters: w.settings.Voters, AckRule: control.Strict, Founding: w.settings.foundingRule(),
 		Ballot: p.disk.ballot, Document: p.disk.document, Kept: p.disk.keptRevisions(),
 	}, p.clock)
 }
@@ -114,6 +114,7 @@
 // loseDisk gives a process an empty disk, and with it a fresh member id.
 func (w *World) loseDisk(p *process) {
 	w.lostDisks++
+	w.emptied[p.address] = true
 	w.observer.gone[p.disk.member] = true
 	p.disk = disk{member: w.freshID(), documents: map[uint64]*control.Document{}}
 }
