--- /dev/null
+++ b/checker/linearizable_test.go
@@ -0,0 +1,75 @@
+package checker
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// put and read make the operations of the examples; times are given as call and return.
+func put(client int, call, returned int64, base uint64, value string, outcome PutOutcome) RegisterOperation {
+	return RegisterOperation{Client: client, Call: call, Return: returned, Version: base, Value: value, Outcome: outcome}
+}
+
+func read(client int, call, returned int64, version uint64, value string) RegisterOperation {
+	return RegisterOperation{Client: client, Call: call, Return: returned, IsRead: true, Version: version, Value: value}
+}
+
+func TestHistoriesThatAreNotLinearizableAreFound(t *testing.T) {
+	for name, history := range map[string][]RegisterOperation{
+		"two puts are confirmed on one version": {
+			put(1, 1, 4, 0, "a", PutDone), put(2, 2, 3, 0, "b", PutDone),
+		},
+		"a read is older than an acknowledgement before it": {
+			put(1, 1, 2, 0, "a", PutDone), read(2, 3, 4, 0, ""),
+		},
+		"a read goes back behind another read": {
+			put(1, 1, 9, 0, "a", PutDone), read(2, 2, 3, 1, "a"), read(3, 4, 5, 0, ""),
+		},
+		"a rejected put is read": {
+			put(1, 1, 2, 0, "a", PutRejected), read(2, 3, 4, 1, "a"),
+		},
+		"a put of unknown outcome is read before it was sent": {
+			read(2, 1, 2, 1, "a"), put(1, 3, 0, 0, "a", PutUnknown),
+		},
+		"a put of unknown outcome is read and then another is confirmed on its version": {
+			put(1, 1, 0, 0, "a", PutUnknown), read(2, 2, 3, 1, "a"), put(3, 4, 5, 0, "b", PutDone),
+		},
+		"a version is read with the contents of another order": {
+			put(1, 1, 2, 0, "a", PutDone), put(2, 1, 0, 0, "b", PutUnknown), read(3, 3, 4, 1, "b"),
+		},
+		"an acknowledged put is lost": {
+			put(1, 1, 2, 0, "a", PutDone), put(1, 3, 4, 1, "b", PutDone), read(2, 5, 6, 1, "a"),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, CheckLinearizable(history, time.Minute), qt.ErrorAs, new(NotLinearizable))
+		})
+	}
+}
+
+func TestLinearizableHistoriesPass(t *testing.T) {
+	for name, history := range map[string][]RegisterOperation{
+		"nothing happened": {},
+		"one of two puts on one version is confirmed": {
+			put(1, 1, 4, 0, "a", PutDone), put(2, 2, 3, 0, "b", PutRejected), read(3, 5, 6, 1, "a"),
+		},
+		"reads that overlap a put show either side of it": {
+			put(1, 1, 9, 0, "a", PutDone), read(2, 2, 5, 0, ""), read(3, 3, 4, 1, "a"),
+		},
+		"a put of unknown outcome takes effect long after it was given up": {
+			put(1, 1, 0, 0, "a", PutUnknown), read(2, 2, 3, 0, ""), read(2, 8, 9, 1, "a"),
+		},
+		"a put of unknown outcome never takes effect": {
+			put(1, 1, 0, 0, "a", PutUnknown), put(2, 3, 4, 0, "b", PutDone), read(2, 5, 6, 1, "b"),
+		},
+		"a put is built on one of unknown outcome": {
+			put(1, 1, 0, 0, "a", PutUnknown), put(2, 3, 4, 1, "b", PutDone), read(2, 5, 6, 2, "b"),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, CheckLinearizable(history, time.Minute), qt.IsNil)
+		})
+	}
+}
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -44,6 +44,7 @@
 	States   int // visited, each once
 	Runs     int
 	Depth    int // of the longest run, in steps
+	Steps    int // of all random runs
 	Complete int // all runs with so many deviations were explored
 	Found    *Found
 }
@@ -52,6 +53,7 @@
 type Bounds struct {
 	Deviations int         // in the exhaustive part
 	States     int         // visited; zero: no bound
+	Runs       int         // random ones; zero: no bound. With it, walks count no states.
 	IsOver     func() bool // asked now and then; nil: never
 }
 
@@ -179,9 +181,10 @@
 
 // walk is a random run: at each step a deviation is drawn with some chance.
 type walk struct {
-	random  *rand.Rand
-	trace   Trace
-	visited map[uint64]struct{}
+	random     *rand.Rand
+	trace      Trace
+	visited    map[uint64]struct{}
+	isCounting bool
 }
 
 // weights of the kinds of deviations in random walks; the others have one.
@@ -208,10 +211,14 @@
 func Walk(scenario Scenario, seed uint64, bounds Bounds) Result {
 	result, visited := Result{}, map[uint64]struct{}{}
 	for ; !bounds.isOver(len(visited)) && result.Found == nil; seed++ {
-		k := &walk{random: rand.New(rand.NewPCG(seed, 17)), visited: visited}
+		if bounds.Runs > 0 && result.Runs >= bounds.Runs {
+			break
+		}
+		k := &walk{random: rand.New(rand.NewPCG(seed, 17)), visited: visited, isCounting: bounds.Runs == 0}
 		found, depth := k.play(scenario)
 		result.Runs++
 		result.Depth = max(result.Depth, depth)
+		result.Steps += depth
 		result.Found = found
 	}
 	result.States = len(visited)
@@ -229,7 +236,7 @@
 			choice = k.draw(w.Choices())
 			k.trace = append(k.trace, Deviation{steps, choice})
 		}
-		if err = w.Step(choice); err == nil {
+		if err = w.Step(choice); err == nil && k.isCounting {
 			k.visited[w.Fingerprint()] = struct{}{}
 		}
 	}
