A voter is swapped in one step only under the majorities before and after it

Cause, found by the model checker (two deviations: a second process at a voter's address, a span of silence): where the number of voters is a setting, a member that came up at a voter's address took its place in one step, and the new document was committed by a majority of the new voters alone. Where the folder was not gone, a majority of the voters before it, the old one among them, shared no member with that majority: {m1, n6, m4} of {m1, n6, m3, m4, m5} and {m2, m3, m5} of {m1..m5}. Two leaders, two documents under one revision, an acknowledged order lost.

Ruled out: dropping and adding in two steps, which leaves four voters of which one is gone, or two. The swap names the voters before it; elections, commits, rounds and contact under that document need a majority of both (joint consensus), and the next document, proposed once the swap is committed, ends that. The leader had contact with a majority of the old voters anyway, so nothing waits longer than one more document.

--- a/control/election.go
+++ b/control/election.go
@@ -106,7 +106,7 @@
 	}
 	c.votes = map[MemberID]bool{c.settings.Self.ID: true}
 	ask := func() {
-		for _, member := range c.doc.Voters {
+		for _, member := range c.doc.electors() {
 			if member.ID == c.settings.Self.ID {
 				continue
 			}
@@ -184,13 +184,7 @@
 }
 
 func (c *Core) countVotes() {
-	count := 0
-	for _, member := range c.doc.Voters {
-		if c.votes[member.ID] {
-			count++
-		}
-	}
-	if count <= len(c.doc.Voters)/2 {
+	if !c.doc.isQuorum(func(id MemberID) bool { return c.votes[id] }) {
 		return
 	}
 	switch c.role {
--- a/control/inspect.go
+++ b/control/inspect.go
@@ -30,5 +30,9 @@
 // Voter finds a voter by its id.
 func (d *Document) Voter(id MemberID) (Member, bool) { return d.voter(id) }
 
+// IsQuorum tells whether enough voters meet a test to elect a leader that holds the document, or
+// to commit it.
+func (d *Document) IsQuorum(isMet func(MemberID) bool) bool { return d.isQuorum(isMet) }
+
 // Submission finds a remembered submission by its id.
 func (d *Document) Submission(id string) (Submission, bool) { return d.submission(id) }
