--- a/modelcheck/fingerprint.go
+++ b/modelcheck/fingerprint.go
@@ -192,6 +192,7 @@
 	}
 	d.value(reflect.ValueOf(p.heard))
 	d.moment(p.ledSince)
+	d.moment(p.quorumAt)
 }
 
 // Fingerprint hashes all that decides what can happen from here on, with what the
--- a/modelcheck/invariants.go
+++ b/modelcheck/invariants.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/bits"
 	"strconv"
 
 	"dunlinloom/control"
@@ -121,7 +120,7 @@
 	if !state.IsLeader {
 		p.heard, p.heardFor = nil, 0
 	} else if p.heard == nil || p.heardFor != state.Term {
-		p.heard, p.heardFor, p.ledSince = map[control.MemberID]kernel.Micros{}, state.Term, p.clock
+		p.heard, p.heardFor, p.ledSince, p.quorumAt = map[control.MemberID]kernel.Micros{}, state.Term, p.clock, p.clock
 		w.trace("m%d leads term %d", p.index+1, state.Term)
 		if err := oneLeaderATerm(o, state); err != nil {
 			return err
@@ -184,17 +183,19 @@
 		document.Revision, known.document.Term, document.Term)
 }
 
-// majorityHoldsCommitted: when a document counts as committed, a majority of its voters has it,
+// majorityHoldsCommitted: when a document counts as committed, a quorum of its voters has it,
 // or a newer one, on disk; a disk lost since counts with what it held, as the assumption of
 // at most a minority of lost disks covers it.
 func majorityHoldsCommitted(o *observer, document *control.Document) error {
 	count := 0
-	for _, voter := range document.Voters {
-		if !o.held[voter.ID].Before(document.Stamp()) {
+	isHeld := document.IsQuorum(func(id control.MemberID) bool {
+		isHolder := !o.held[id].Before(document.Stamp())
+		if isHolder {
 			count++
 		}
-	}
-	if count > len(document.Voters)/2 {
+		return isHolder
+	})
+	if isHeld {
 		return nil
 	}
 	return violated(MajorityHoldsCommitted, "revision %d of term %d is committed and on the disks of %d of %d voters",
@@ -259,31 +260,34 @@
 	return nil
 }
 
-// contactBound is how long a leader may go on after the last moment at which it had heard a
-// majority: that long a word counts, and so long it waits with none that counts.
-func contactBound(timing control.Timing) kernel.Micros {
-	return timing.ElectionHigh + timing.ElectionLow
+// noteQuorum remembers, before the timers of a leader go off, whether a quorum of its voters
+// was heard within ElectionHigh.
+func (w *World) noteQuorum(p *process) {
+	state := p.core.Inspect()
+	if !state.IsLeader {
+		return
+	}
+	isHeard := state.Document.IsQuorum(func(id control.MemberID) bool {
+		// A voter that has said nothing yet counts as heard when the lead began.
+		at := max(p.heard[id], p.ledSince)
+		return id == state.Member.ID || p.clock-at < w.settings.Timing.ElectionHigh
+	})
+	if isHeard {
+		p.quorumAt = p.clock
+	}
 }
 
-// leaderKeepsContact: after its timers went off, a leader has heard a majority of its voters,
-// itself among them, within the bound.
+// leaderKeepsContact: after its timers went off, a member leads only if a quorum of the voters
+// was heard within ElectionHigh, or was at most ElectionLow ago. So it believes for at most the sum
+// of both, and the grain of its timers, after the last word that could make a quorum. The voters
+// are those of the newest document at each time.
 func leaderKeepsContact(w *World, p *process) error {
 	state := p.core.Inspect()
-	bound := contactBound(w.settings.Timing)
-	if !state.IsLeader || p.clock-p.ledSince <= bound {
-		return nil
-	}
-	count := 0
-	for _, voter := range state.Document.Voters {
-		if at, isHeard := p.heard[voter.ID]; voter.ID == state.Member.ID || isHeard && p.clock-at <= bound {
-			count++
-		}
-	}
-	if count > len(state.Document.Voters)/2 {
+	if !state.IsLeader || p.clock-p.quorumAt <= w.settings.Timing.ElectionLow {
 		return nil
 	}
-	return violated(LeaderHasContact, "%s leads term %d and has heard %d of %d voters within %d us",
-		state.Member.ID, state.Term, count, len(state.Document.Voters), bound)
+	return violated(LeaderHasContact, "%s leads term %d and last had a quorum of %d voters %d us ago",
+		state.Member.ID, state.Term, len(state.Document.Voters), p.clock-p.quorumAt)
 }
 
 // majoritiesIntersect: of the documents on the disks, any two under which a member could still
@@ -311,38 +315,44 @@
 	candidate int
 	stamp     control.Stamp
 	size      int
-	voters    uint // one bit a process; the candidate is one of them
+	quorums   []uint // each with one bit a process, the candidate among them
 }
 
-// electorateOf collects the voters of a member's document that live and are not ahead of it.
+// electorateOf collects the quorums of a member's document among those that are not ahead of it.
 func (w *World) electorateOf(p *process) (electorate, bool) {
-	found := electorate{candidate: p.index, stamp: p.disk.document.Stamp()}
-	if p.disk.document == nil {
+	document := p.disk.document
+	found := electorate{candidate: p.index, stamp: document.Stamp()}
+	if _, isVoter := document.Voter(p.disk.member); !isVoter {
 		return found, false
 	}
-	found.size = len(p.disk.document.Voters)
+	found.size = len(document.Voters)
+	willing := uint(0)
+	places := map[control.MemberID]uint{}
 	for _, other := range w.processes {
-		_, isVoter := p.disk.document.Voter(other.disk.member)
-		if isVoter && !found.stamp.Before(other.disk.document.Stamp()) {
-			found.voters |= 1 << other.index
+		places[other.disk.member] = 1 << other.index
+		if !found.stamp.Before(other.disk.document.Stamp()) {
+			willing |= 1 << other.index
+		}
+	}
+	for quorum := range uint(1) << len(w.processes) {
+		isAble := quorum&^willing == 0 && quorum&(1<<p.index) != 0
+		if isAble && document.IsQuorum(func(id control.MemberID) bool { return quorum&places[id] != 0 }) {
+			found.quorums = append(found.quorums, quorum)
 		}
 	}
-	isIn := found.voters&(1<<p.index) != 0
-	return found, isIn && bits.OnesCount(found.voters) > found.size/2
+	return found, len(found.quorums) > 0
 }
 
-// isDisjointFrom tells whether a majority of each could be formed that shares no voter.
+// isDisjointFrom tells whether some quorum of each shares no voter with the other's.
 func (e electorate) isDisjointFrom(other electorate) bool {
-	if e.candidate == other.candidate {
-		return false
-	}
-	// Each takes first those that the other can't use, and never the other's candidate.
-	mine, theirs := e.voters&^(1<<other.candidate), other.voters&^(1<<e.candidate)
-	both := mine & theirs
-	missing := func(electorate electorate, own uint) int {
-		return max(electorate.size/2+1-bits.OnesCount(own&^both), 0)
+	for _, one := range e.quorums {
+		for _, two := range other.quorums {
+			if one&two == 0 {
+				return true
+			}
+		}
 	}
-	return missing(e, mine)+missing(other, theirs) <= bits.OnesCount(both)
+	return false
 }
 
 // reply takes an answer to an operator and holds it against the invariants.
--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -82,6 +82,7 @@
 	heard    map[control.MemberID]kernel.Micros
 	heardFor uint64        // the term that heard belongs to
 	ledSince kernel.Micros // when that lead began
+	quorumAt kernel.Micros // when its timers last went off with a quorum heard
 	// digest is the fingerprint of this process alone, unless it is dirty.
 	digest  uint64
 	isDirty bool
@@ -184,6 +185,7 @@
 
 // tick lets the timers of a process go off.
 func (w *World) tick(p *process) error {
+	w.noteQuorum(p)
 	if err := w.handle(p, causeTick, func(core *control.Core) { core.Tick(p.clock) }); err != nil {
 		return err
 	}
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -208,7 +208,7 @@
 }
 
 // rareness is one in how many steps of a walk deviates; each walk draws its own.
-func rareness(random *rand.Rand) int { return []int{4, 8, 16, 32}[random.IntN(4)] }
+func rareness(random *rand.Rand) int { return []int{4, 8, 16, 32, 64}[random.IntN(5)] }
 
 // Walk plays random runs of a scenario, each replayed by its seed, until the bounds are met.
 func Walk(scenario Scenario, seed uint64, bounds Bounds) Result {
