--- a/modelcheck/invariants.go
+++ b/modelcheck/invariants.go
@@ -260,8 +260,12 @@
 	return nil
 }
 
-// noteQuorum remembers, before the timers of a leader go off, whether a quorum of its voters
-// was heard within ElectionHigh.
+// contactSpan is the span of the leader's lease (check-quorum): it leads only while a quorum has
+// confirmed a round that was sent within it.
+func contactSpan(timing control.Timing) kernel.Micros { return 3 * timing.ElectionLow / 2 }
+
+// noteQuorum remembers, before the timers of a leader go off, whether it heard a quorum of its
+// voters recently.
 func (w *World) noteQuorum(p *process) {
 	state := p.core.Inspect()
 	if !state.IsLeader {
@@ -270,20 +274,18 @@
 	isHeard := state.Document.IsQuorum(func(id control.MemberID) bool {
 		// A voter that has said nothing yet counts as heard when the lead began.
 		at := max(p.heard[id], p.ledSince)
-		return id == state.Member.ID || p.clock-at < w.settings.Timing.ElectionHigh
+		return id == state.Member.ID || p.clock-at < contactSpan(w.settings.Timing)
 	})
 	if isHeard {
 		p.quorumAt = p.clock
 	}
 }
 
-// leaderKeepsContact: after its timers went off, a member leads only if a quorum of the voters
-// was heard within ElectionHigh, or was at most ElectionLow ago. So it believes for at most the sum
-// of both, and the grain of its timers, after the last word that could make a quorum. The voters
-// are those of the newest document at each time.
-func leaderKeepsContact(w *World, p *process) error {
+// leaderKeepsContact: after its timers went off, a member leads only if it had heard a quorum of the
+// voters of its newest document within the span of its lease.
+func leaderKeepsContact(p *process) error {
 	state := p.core.Inspect()
-	if !state.IsLeader || p.clock-p.quorumAt <= w.settings.Timing.ElectionLow {
+	if !state.IsLeader || p.quorumAt == p.clock {
 		return nil
 	}
 	return violated(LeaderHasContact, "%s leads term %d and last had a quorum of %d voters %d us ago",
--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -189,5 +189,5 @@
 	if err := w.handle(p, causeTick, func(core *control.Core) { core.Tick(p.clock) }); err != nil {
 		return err
 	}
-	return leaderKeepsContact(w, p)
+	return leaderKeepsContact(p)
 }
