--- a/modelcheck/search_test.go
+++ b/modelcheck/search_test.go
@@ -45,6 +45,7 @@
 		{"a read shows what was proposed before the leader was cut off", "three members and a standby", "171:cut/0/3"},
 		{"a read shows what was proposed before the leader was cut off", "three members, led", "46:jump/1/0,92:cut/0/3"},
 		{"a leader cut off answers without a confirmed round", "three wanted and a standby", "123:cut/0/1"},
+		{"a leader cut off answers without a confirmed round", "three members and a standby", "85:cut/0/1,87:crash/1/0,91:jump/2/0"},
 		{"a vote is given before it is on disk", "three members, led", "53:crash/2/0"},
 		{"a voter is swapped in one step by a majority of the new voters alone", "five members", "183:twin/1/0,238:jump/3/0"},
 		{"a voter is swapped in one step by a majority of the new voters alone", "four members", "220:freeze/3/0,292:twin/1/0,322:crash/0/0"},
