--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -12,6 +12,7 @@
 	"dunlinloom/kernel"
 	"dunlinloom/relay"
 	"dunlinloom/server"
+	"dunlinloom/virtualtime"
 )
 
 // Rate is of messages of one kind, a second and node.
@@ -64,8 +65,8 @@
 	// At the end of a cut, of the region's routers and of the others, the share that may serve.
 	ServingInside  float64 `json:"serving_inside,omitempty"`
 	ServingOutside float64 `json:"serving_outside,omitempty"`
-	// The whole process's processor time while bills were written, by what is on them: the
-	// rest is the collector's, the calendar's and the network's.
+	// The whole process's processor time while costs were counted, by what was counted: the
+	// rest is the collector's, the event queue's and the network's.
 	Overhead float64       `json:"overhead"`
 	Wall     kernel.Micros `json:"wall_us"`
 	Heap     float64       `json:"heap"`
@@ -88,8 +89,8 @@
 	return float64(stats.HeapAlloc)
 }
 
-// Play runs one hollow fleet and measures it.
-func Play(sizes Sizes, seed uint64) (*Outcome, error) {
+// Run runs one fleet and measures it.
+func Run(sizes Sizes, seed uint64) (*Outcome, error) {
 	f, err := NewFleet(sizes, seed)
 	if err != nil {
 		return nil, err
@@ -124,7 +125,7 @@
 }
 
 // shown is how many nodes of a role publish while they are measured: every event of a
-// node ends with its picture, and at hundreds of nodes that is most of the rig's time.
+// node ends with its state, and at hundreds of nodes that is most of the run's time.
 const shown = 1
 
 func (f *Fleet) measure(outcome *Outcome) error {
@@ -143,43 +144,43 @@
 		return err
 	}
 	for _, h := range f.nodes {
-		h.bill = newBill()
+		h.cost = newCost()
 	}
 	var told []order
 	if f.sizes.Changes > 0 {
 		f.change(&told)
 	}
-	f.isBilled = true
+	f.isMeasured = true
 	process, begun := processNanos(), f.now
 	err := f.run(f.sizes.Span)
 	process = processNanos() - process
-	f.isBilled = false
+	f.isMeasured = false
 	if err != nil {
 		return err
 	}
 	seconds := float64(f.now-begun) / float64(sec)
 	billed := int64(0)
 	for _, h := range f.nodes {
-		for _, nanos := range h.bill.nanos {
+		for _, nanos := range h.cost.nanos {
 			billed += nanos
 		}
 	}
 	outcome.Overhead = float64(process) / float64(max(billed, 1))
 	for role, nodes := range roles {
 		figures := Figures{Nodes: len(nodes), Sent: map[string]Rate{}, Got: map[string]Rate{}, Processor: map[string]float64{}}
-		pictures := 0
+		published := 0
 		for _, h := range nodes {
-			addRates(figures.Sent, h.bill.sent, seconds*float64(len(nodes)))
-			addRates(figures.Got, h.bill.got, seconds*float64(len(nodes)))
+			addRates(figures.Sent, h.cost.sent, seconds*float64(len(nodes)))
+			addRates(figures.Got, h.cost.got, seconds*float64(len(nodes)))
 			if h.isShown {
-				pictures++
+				published++
 			}
 		}
 		for _, h := range nodes {
-			for part, nanos := range h.bill.nanos {
+			for part, nanos := range h.cost.nanos {
 				of := len(nodes)
 				if part == Publish {
-					of = pictures
+					of = published
 				}
 				figures.Processor[part] += float64(nanos) / 1e9 / seconds / float64(of)
 			}
@@ -226,7 +227,7 @@
 }
 
 func (f *Fleet) settleOrders(outcome *Outcome, told *[]order) error {
-	if err := f.until("wait for receipts", 200*ms, 30*sec, func() string {
+	if err := f.until("wait for acknowledgements", 200*ms, 30*sec, func() string {
 		for _, one := range *told {
 			if one.answered == 0 {
 				return "an order has no receipt"
@@ -310,13 +311,13 @@
 // weigh takes nodes of each role away and looks how much heap goes with them. It ends the fleet.
 func (f *Fleet) weigh(outcome *Outcome) {
 	roles := f.roles()
-	f.timers = nil
+	f.queue = virtualtime.Queue{}
 	// Only roles that publish, so that what the data plane holds is in it.
 	for _, role := range slices.Sorted(maps.Keys(roles)) {
 		if !slices.Contains(f.sizes.Roles, role) {
 			continue
 		}
-		taken := []*hollow{}
+		taken := []*node{}
 		for _, h := range roles[role] {
 			if h.isShown && h.state != nil {
 				taken = append(taken, h)
@@ -329,8 +330,8 @@
 		for _, h := range taken {
 			h.halt()
 			h.store, h.compiled = nil, nil
-			h.replies, h.bill, h.applied = nil, bill{}, nil
-			h.hand = server.TableBuilder{}
+			h.replies, h.cost, h.applied = nil, cost{}, nil
+			h.tableBuilder = server.TableBuilder{}
 		}
 		figures := outcome.Roles[role]
 		figures.Memory = (before - heapBytes()) / float64(len(taken))
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -12,10 +12,10 @@
 	"dunlinloom/kernel"
 )
 
-type words struct {
+type arguments struct {
 	Table    string   `arg:"--table" help:"print this table; see --list"`
 	List     bool     `arg:"--list" help:"name the tables"`
-	Run      bool     `arg:"--run" help:"one hollow fleet of the sizes below, as JSON"`
+	Run      bool     `arg:"--run" help:"one fleet of the sizes below, as JSON"`
 	Seed     uint64   `arg:"--seed" default:"1" help:"first seed"`
 	Seeds    int      `arg:"--seeds" default:"3" help:"how many seeds a row of a table takes"`
 	Workers  int      `arg:"--workers" default:"3" help:"runs at a time, each of one core"`
@@ -30,7 +30,7 @@
 	Prefixes int      `arg:"--prefixes" default:"1000"`
 	Sessions int      `arg:"--sessions" default:"100"`
 	Tenants  int      `arg:"--tenants" default:"16"`
-	ReportUS int64    `arg:"--report-us" default:"1000000" help:"between an engine's reports, or its words under the deployment's rules"`
+	ReportUS int64    `arg:"--report-us" default:"1000000" help:"between an engine's reports, or its heartbeats under the deployment's rules"`
 	Changes  int      `arg:"--changes" help:"orders in a thousand seconds"`
 	SpanUS   int64    `arg:"--span-us" default:"5000000" help:"virtual time that is measured"`
 	Restart  int      `arg:"--restart" help:"percent of the routers that are restarted at once"`
@@ -40,7 +40,7 @@
 	MemoryMB int      `arg:"--memory-mb" default:"1536" help:"bound of each run"`
 }
 
-func (w words) sizes() capacity.Sizes {
+func (w arguments) sizes() capacity.Sizes {
 	sizes := capacity.Sizes{
 		Nodes: w.Nodes, Control: w.Control, Zones: w.Zones, Regions: w.Regions, Engines: w.Engines, Routes: w.Routes,
 		Prefixes: w.Prefixes, Sessions: w.Sessions, Tenants: w.Tenants, Report: kernel.Micros(w.ReportUS), Changes: w.Changes,
@@ -57,19 +57,19 @@
 }
 
 func main() {
-	var words words
-	parser := arg.MustParse(&words)
+	var arguments arguments
+	parser := arg.MustParse(&arguments)
 	var err error
 	switch {
-	case words.List:
+	case arguments.List:
 		for _, name := range capacity.Tables() {
 			fmt.Println(name)
 		}
-	case words.Run:
-		err = run(words)
-	case words.Table != "":
-		err = capacity.Print(os.Stdout, words.Table, capacity.Batch{First: words.Seed, Seeds: words.Seeds, Workers: words.Workers,
-			Rules: capacity.Rules(words.Rules), Most: words.Most})
+	case arguments.Run:
+		err = run(arguments)
+	case arguments.Table != "":
+		err = capacity.Print(os.Stdout, arguments.Table, capacity.Batch{First: arguments.Seed, Seeds: arguments.Seeds, Workers: arguments.Workers,
+			Rules: capacity.Rules(arguments.Rules), Most: arguments.Most})
 	default:
 		parser.Fail("one of --table, --run and --list is needed")
 	}
@@ -79,8 +79,8 @@
 	}
 }
 
-func run(words words) error {
-	outcome, err := capacity.Play(words.sizes(), words.Seed)
+func run(arguments arguments) error {
+	outcome, err := capacity.Run(arguments.sizes(), arguments.Seed)
 	if outcome == nil {
 		return err
 	}
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,4 @@
-// Loadgen plays the callers against a fleet and writes what each of them saw.
+// Loadgen stands in for the callers of a fleet and writes what each of them saw.
 package main
 
 import (
@@ -17,7 +17,7 @@
 	"dunlinloom/loadgen"
 )
 
-type words struct {
+type arguments struct {
 	Nodes     []string `arg:"--node,separate" help:"public address of a node"`
 	NodesFile string   `arg:"--nodes-file" help:"JSON list of nodes with their zones, read again once a second"`
 	Kinds     string   `arg:"--kinds" default:"qurum" help:"qurum or cronometro"`
@@ -25,7 +25,7 @@
 	SpanUS    int64    `arg:"--span-us" default:"10000000"`
 	PatientUS int64    `arg:"--patient-us" default:"30000000" help:"how long a caller waits at most"`
 	Seed      uint64   `arg:"--seed" default:"1"`
-	Retries   int      `arg:"--retries" default:"2" help:"times a declined caller comes again"`
+	Retries   int      `arg:"--retries" default:"2" help:"times a rejected caller comes again"`
 	Hot       float64  `arg:"--hot" help:"share of each kind that its first prefix draws"`
 	Prefix    string   `arg:"--prefix" default:"c"`
 	Log       string   `arg:"--log" help:"file for the events; a summary goes to standard output"`
@@ -34,8 +34,8 @@
 // kindsError says that no deployment has that name.
 type kindsError struct{ name string }
 
-func (b kindsError) Error() string {
-	return fmt.Sprintf("there are no kinds %q; qurum and cronometro are known", b.name)
+func (err kindsError) Error() string {
+	return fmt.Sprintf("there are no kinds %q; qurum and cronometro are known", err.name)
 }
 
 func main() {
@@ -46,23 +46,23 @@
 }
 
 func run() error {
-	var words words
-	arg.MustParse(&words)
-	known, isKnown := loadgen.KindsOf(words.Kinds)
+	var arguments arguments
+	arg.MustParse(&arguments)
+	known, isKnown := loadgen.KindsOf(arguments.Kinds)
 	if !isKnown {
-		return kindsError{words.Kinds}
+		return kindsError{arguments.Kinds}
 	}
 	kinds := append([]loadgen.Kind(nil), known...)
 	for i := range kinds {
-		kinds[i].Hot = words.Hot
+		kinds[i].Hot = arguments.Hot
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	var lock sync.Mutex
 	events := []checker.Event{}
 	var lines *json.Encoder
-	if words.Log != "" {
-		file, err := os.OpenFile(words.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if arguments.Log != "" {
+		file, err := os.OpenFile(arguments.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
 			return fmt.Errorf("open the log: %w", err)
 		}
@@ -70,18 +70,18 @@
 		lines = json.NewEncoder(file)
 	}
 	nodes := []loadgen.Node{}
-	for _, address := range words.Nodes {
+	for _, address := range arguments.Nodes {
 		nodes = append(nodes, loadgen.Node{Address: address})
 	}
-	platform, err := loadgen.NewPlatform(nodes, words.NodesFile)
+	platform, err := loadgen.NewPlatform(nodes, arguments.NodesFile)
 	if err != nil {
 		return err
 	}
 	go platform.Watch(ctx)
 	var failed error
-	loadgen.Result{
-		Platform: platform, Kinds: kinds, Rate: words.Rate, Span: kernel.Micros(words.SpanUS), Seed: words.Seed,
-		Prefix: words.Prefix, Patient: kernel.Micros(words.PatientUS), Retries: words.Retries,
+	loadgen.Generator{
+		Platform: platform, Kinds: kinds, Rate: arguments.Rate, Span: kernel.Micros(arguments.SpanUS), Seed: arguments.Seed,
+		Prefix: arguments.Prefix, Patient: kernel.Micros(arguments.PatientUS), Retries: arguments.Retries,
 	}.Run(ctx, func(event checker.Event) {
 		lock.Lock()
 		defer lock.Unlock()
@@ -93,7 +93,7 @@
 	if failed != nil {
 		return fmt.Errorf("write the log: %w", failed)
 	}
-	review := checker.Judge(events, checker.BriefBounds())
+	review := checker.Judge(events, checker.PromisedBounds())
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(review); err != nil {
--- a/control/core_disk.go
+++ b/control/core_disk.go
@@ -15,8 +15,22 @@
 // save queues a write; after runs once it is synced. Writes stay in order, so
 // whatever after promises is on disk by then.
 func (c *Core) save(document *Document, after func()) {
+	c.queueSave(Save{Ballot: &Ballot{c.term, c.votedFor}, Document: document}, after)
+}
+
+// saveFoundingVote queues the write of a vote on the founding, in the same order.
+func (c *Core) saveFoundingVote(vote *FoundingVote, after func()) {
+	c.queueSave(Save{FoundingVote: vote}, after)
+}
+
+// queueSave begins a write, or lets it take the place of one that has not begun.
+func (c *Core) queueSave(save Save, after func()) {
 	c.nextToken++
-	save := Save{Token: c.nextToken, Ballot: &Ballot{c.term, c.votedFor}, Document: document}
+	save.Token = c.nextToken
+	if len(c.saves) > 1 {
+		c.saves[len(c.saves)-1].supersede(save, after)
+		return
+	}
 	pending := &pendingSave{save: save, since: c.now}
 	if after != nil {
 		pending.after = append(pending.after, after)
@@ -27,6 +41,26 @@
 	}
 }
 
+// supersede puts a newer write in the place of one that has not begun. What the older one's words
+// promise holds under the newer ballot, vote and document as well, as a member never goes back in
+// any of them; and a slow disk has two writes to do at the most, however fast changes come. A
+// configuration of the past that was passed over is recalled like any other that is missing.
+func (p *pendingSave) supersede(newer Save, after func()) {
+	p.save.Token = newer.Token
+	if newer.Ballot != nil {
+		p.save.Ballot = newer.Ballot
+	}
+	if newer.FoundingVote != nil {
+		p.save.FoundingVote = newer.FoundingVote
+	}
+	if newer.Document != nil {
+		p.save.Document = newer.Document
+	}
+	if after != nil {
+		p.after = append(p.after, after)
+	}
+}
+
 // Saved reports on the oldest write.
 func (c *Core) Saved(now kernel.Micros, token uint64, err error) {
 	c.now = now
--- a/control/election.go
+++ b/control/election.go
@@ -73,6 +73,8 @@
 		c.replies, c.batches, c.queue, c.reads, c.refusals = nil, nil, nil, nil, nil
 	}
 	c.role = follower
+	// What this member knew of the others ages from now on.
+	c.peers, c.health = nil, nil
 	c.timer = c.now + c.electionSpan()
 }
 
@@ -205,14 +207,19 @@
 }
 
 func (c *Core) lead() {
-	c.role, c.leadSince = leader, c.now
+	c.role, c.leadSince, c.health = leader, c.now, nil
 	c.peers, c.round, c.sentRounds, c.isOwnTerm = map[MemberID]*peer{}, 0, nil, false
 	c.seen, c.homeSeen = map[string]*sighting{}, map[string]kernel.Micros{}
 	c.successors, c.marks = map[string]string{}, nil
 	c.committedAt, c.pushUntil = map[uint64]kernel.Micros{}, 0
 	for _, member := range c.doc.Voters {
 		if member.ID != c.settings.Self.ID {
-			c.peers[member.ID] = &peer{member: member, lastHeard: c.now, confirmedAt: c.now, hasFolder: true}
+			heard := c.now
+			if member.ID == c.leaderMember.ID {
+				// Its silence began before it lost the lead, and need not be waited out from now on.
+				heard = c.lastHeartbeat
+			}
+			c.peers[member.ID] = &peer{member: member, lastHeard: heard, confirmedAt: c.now, hasFolder: true}
 		}
 	}
 	c.note("core", "lead", "term %d, elected by a majority of %d voters", c.term, len(c.doc.Voters))
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -20,7 +22,7 @@
 	random  *rand.Rand
 	now     kernel.Micros
 	order   int
-	due     []dueEvent
+	due     dueEvents
 	nodes   []*fleetNode
 	adapt   func(*NodeSettings)
 	reply   map[string]SubmitReply
@@ -31,6 +33,14 @@
 	start   uint64
 	// founded gathers the foundings of all documents that any disk ever held.
 	founded map[string]bool
+	// linkRate is how many bytes a node sends a second; zero: no end. linkFree is when it has
+	// sent what it has.
+	linkRate int64
+	linkFree map[string]kernel.Micros
+	// named gives the seeds that a process is told at its start; nil: the first three, always.
+	named func() []string
+	// badLinks is of 100 messages how many are lost, how many come twice and how many up to 300 ms late.
+	badLinks int64
 }
 
 type dueEvent struct {
@@ -39,6 +49,22 @@
 	run   func()
 }
 
+// dueEvents is a heap: the earliest first, and of one time the one that was asked for first.
+type dueEvents []dueEvent
+
+func (e dueEvents) Len() int      { return len(e) }
+func (e dueEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e dueEvents) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
+}
+func (e *dueEvents) Push(event any) { *e = append(*e, event.(dueEvent)) }
+func (e *dueEvents) Pop() any {
+	last := len(*e) - 1
+	event := (*e)[last]
+	*e = (*e)[:last]
+	return event
+}
+
 type fleetNode struct {
 	f         *fleet
 	identity  kernel.Identity
@@ -54,8 +80,11 @@
 	member    MemberID
 	ballot    Ballot
 	document  *Document
+	vote      *FoundingVote
 	snapshot  []byte
-	isFull    bool // it refuses writes
+	history   map[uint64]*Document // configurations of the past, by revision
+	isFull    bool                 // it refuses writes
+	diskTimes kernel.Micros        // as many times slower than usual; zero: once
 	bootstrap bool
 }
 
@@ -94,7 +123,7 @@
 	f := &fleet{
 		c: c, random: rand.New(rand.NewPCG(seed, 7)), now: 100 * kernel.Second, adapt: platformLike, reply: map[string]SubmitReply{},
 		heardAt: map[string]kernel.Micros{}, answers: map[uint64]Registered{}, reads: map[uint64]*Document{}, crossed: map[string]int{}, start: 1000,
-		founded: map[string]bool{},
+		founded: map[string]bool{}, linkFree: map[string]kernel.Micros{},
 	}
 	for i := range nodes {
 		f.nodes = append(f.nodes, &fleetNode{
@@ -106,6 +135,9 @@
 }
 
 func (f *fleet) seeds() []string {
+	if f.named != nil {
+		return f.named()
+	}
 	found := []string{}
 	for _, n := range f.nodes[:min(3, len(f.nodes))] {
 		found = append(found, n.identity.Address)
@@ -115,18 +147,16 @@
 
 func (f *fleet) in(span kernel.Micros, run func()) {
 	f.order++
-	f.due = append(f.due, dueEvent{f.now + span, f.order, run})
+	heap.Push(&f.due, dueEvent{f.now + span, f.order, run})
 }
 
 func (f *fleet) pass(span kernel.Micros) {
 	for end := f.now + span; ; {
-		slices.SortFunc(f.due, func(a, b dueEvent) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order)) })
 		if len(f.due) == 0 || f.due[0].at > end {
 			f.now = end
 			return
 		}
-		next := f.due[0]
-		f.due = f.due[1:]
+		next := heap.Pop(&f.due).(dueEvent)
 		f.now = max(f.now, next.at)
 		next.run()
 	}
@@ -165,7 +195,11 @@
 		if n.member == "" {
 			n.member = MemberID(fmt.Sprintf("m-%d", f.start))
 		}
-		settings.Member, settings.Ballot, settings.Document = n.member, n.ballot, n.document
+		if n.vote == nil && n.bootstrap && n.document == nil {
+			n.vote = &FoundingVote{Acceptor: n.member} // as the store does before a first life begins
+		}
+		settings.Member, settings.Ballot, settings.Document, settings.FoundingVote = n.member, n.ballot, n.document, n.vote
+		settings.Kept = slices.Sorted(maps.Keys(n.history))
 		if n.snapshot != nil {
 			settings.Snapshot = &Snapshot{}
 			f.c.Assert(json.Unmarshal(n.snapshot, settings.Snapshot), qt.IsNil)
@@ -216,7 +250,7 @@
 // wipe kills a node and loses its disk.
 func (n *fleetNode) wipe() {
 	n.kill()
-	n.member, n.ballot, n.document, n.snapshot, n.bootstrap = "", Ballot{}, nil, nil, false
+	n.member, n.ballot, n.document, n.vote, n.snapshot, n.history, n.bootstrap = "", Ballot{}, nil, nil, nil, nil, false
 }
 
 func (f *fleet) byAddress(address string) *fleetNode {
@@ -228,6 +262,27 @@
 	return nil
 }
 
+// sending is how long a message waits for the node's link and takes on it.
+func (n *fleetNode) sending(bytes int) kernel.Micros {
+	f := n.f
+	if f.linkRate == 0 {
+		return 0
+	}
+	address := n.identity.Address
+	f.linkFree[address] = max(f.linkFree[address], f.now) + kernel.Micros(int64(bytes)*int64(kernel.Second)/f.linkRate)
+	return f.linkFree[address] - f.now
+}
+
+// keep puts a configuration into the node's history.
+func (n *fleetNode) keep(document *Document) {
+	if n.history == nil {
+		n.history = map[uint64]*Document{}
+	}
+	if _, isThere := n.history[document.ConfigRevision]; !isThere {
+		n.history[document.ConfigRevision] = document
+	}
+}
+
 func (n *fleetNode) carry(commands []any) {
 	f, epoch := n.f, n.epoch
 	for _, command := range commands {
@@ -241,16 +296,9 @@
 			if to == nil || n.cut[to.identity.Address] || to.cut[n.identity.Address] || n.cutOut[to.identity.Address] {
 				continue
 			}
-			f.in(ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
-				if !to.isUp {
-					return
-				}
-				var envelope Envelope
-				f.c.Assert(json.Unmarshal(content, &envelope), qt.IsNil)
-				to.do(func() []any { return to.node.Deliver(f.now, envelope) })
-			})
+			f.deliver(to, content, n.sending(len(content)))
 		case Save:
-			f.in(2*ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
+			f.in(max(n.diskTimes, 1)*(2*ms+kernel.Micros(f.random.Int64N(int64(4*ms)))), func() {
 				if n.epoch != epoch {
 					return
 				}
@@ -263,12 +311,32 @@
 				if command.Ballot != nil {
 					n.ballot = *command.Ballot
 				}
+				if command.FoundingVote != nil {
+					n.vote = command.FoundingVote
+				}
 				if command.Document != nil {
 					n.document = command.Document
+					n.keep(command.Document)
 					f.founded[command.Document.Founding] = true
 				}
 				n.do(func() []any { return n.node.Saved(f.now, command.Token, nil) })
 			})
+		case Fetch:
+			if kept := n.history[command.Mark.Revision]; kept != nil {
+				f.in(2*ms, func() {
+					if n.epoch == epoch {
+						n.do(func() []any { return n.node.Fetched(f.now, command.To, kept) })
+					}
+				})
+			}
+		case Keep:
+			f.in(max(n.diskTimes, 1)*4*ms, func() {
+				if n.epoch != epoch || n.isFull {
+					return
+				}
+				n.keep(command.Document)
+				n.do(func() []any { return n.node.Kept(f.now, command.Document.ConfigRevision) })
+			})
 		case SaveSnapshot:
 			content, err := json.Marshal(command.Snapshot)
 			f.c.Assert(err, qt.IsNil)
@@ -295,6 +363,31 @@
 	}
 }
 
+// deliver carries a message over a link.
+func (f *fleet) deliver(to *fleetNode, content []byte, sending kernel.Micros) {
+	span, copies := sending+ms+kernel.Micros(f.random.Int64N(int64(4*ms))), 1
+	if f.badLinks > 0 {
+		switch fate := f.random.Int64N(100); {
+		case fate < f.badLinks:
+			return
+		case fate < 2*f.badLinks:
+			copies = 2
+		case fate < 3*f.badLinks:
+			span += kernel.Micros(f.random.Int64N(int64(300 * ms)))
+		}
+	}
+	for range copies {
+		f.in(span, func() {
+			if !to.isUp {
+				return
+			}
+			var envelope Envelope
+			f.c.Assert(json.Unmarshal(content, &envelope), qt.IsNil)
+			to.do(func() []any { return to.node.Deliver(f.now, envelope) })
+		})
+	}
+}
+
 func (n *fleetNode) state() *State { return n.node.State(nil) }
 
 func (f *fleet) leader() *fleetNode {
--- a/control/node.go
+++ b/control/node.go
@@ -18,7 +18,7 @@
 	Member       MemberID
 	Seeds        []string
 	Start        uint64 // the process's start identity, larger at each start
-	RandomSeed   uint64
+	RandomSeed   uint64 // another one at each start, so that no two lives number their calls alike
 	Timing       Timing
 	CheckConfig  func([]byte) error
 	// IsCompiled tells whether a configuration is at hand in the form that the data plane needs;
@@ -41,10 +41,12 @@
 	NoFence   bool
 	Founding  FoundingRule
 	Bootstrap bool // under FoundersAnnounce: this is the first start of the whole fleet
-	Journal   *kernel.Journal
-	Ballot    Ballot
-	Document  *Document
-	Kept      []uint64
+	// FoundingVote is what the folder kept of an earlier life; nil: it kept none.
+	FoundingVote *FoundingVote
+	Journal      *kernel.Journal
+	Ballot       Ballot
+	Document     *Document
+	Kept         []uint64
 	// Snapshot is what an earlier life kept for a quick start; nil: there is none.
 	Snapshot *Snapshot
 }
@@ -88,6 +90,7 @@
 	recordSeq    uint64
 	recordTold   int
 	isLeaving    bool
+	succeedTimer kernel.Micros // when a leaving home names its successor again
 
 	batch       map[string]RouterAsk
 	batchTimer  kernel.Micros
@@ -116,11 +119,12 @@
 // NewNode makes a node.
 func NewNode(settings NodeSettings, now kernel.Micros) *Node {
 	random := rand.New(rand.NewPCG(settings.RandomSeed, settings.Start))
+	tokens := newLifeTokens(settings)
 	n := &Node{
 		settings: settings, now: now, random: random,
 		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]kernel.Micros{},
 		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, rejected: map[string]kernel.Micros{},
-		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*reading{}, words: newWords(settings.Start),
+		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*reading{}, words: newWords(tokens.first()),
 	}
 	if settings.SpreadWait == 0 {
 		settings.SpreadWait = defaultSpreadWait
@@ -134,11 +138,12 @@
 	n.settings = settings
 	self := settings.Identity
 	n.lease = NewLease(self.Address, settings.IsRouter, settings.Timing, n.note)
+	n.lease.seq = tokens.first()
 	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
 	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
 	if settings.Founding == FoundersAnnounce {
-		n.founder = newFounder(settings.Seeds, self.Address)
+		n.founder = newFounder(settings, random)
 	}
 	// A standby that can never vote is of use only where three are wanted in any case.
 	if settings.IsController && (settings.HasFolder || settings.Voters == 0) {
@@ -343,10 +348,6 @@
 	case envelope.To != n.self():
 		why = fmt.Sprintf("it was meant for %s", envelope.To)
 	}
-	// Whoever belongs to a founding shows that there is one.
-	if n.founder != nil && why == "" && envelope.Founding != "" {
-		n.founder.stand(envelope.Founding)
-	}
 	if r := n.snapshots.restored; r != nil && why == "" && envelope.Founding == r.Founding {
 		// Someone who belongs to it says so: what the disk held binds again.
 		n.snapshots.restored = nil
@@ -423,32 +424,6 @@
 	return n.finish()
 }
 
-// Leave begins a planned stop.
-func (n *Node) Leave(now kernel.Micros) []any {
-	n.now, n.isLeaving = now, true
-	if n.core != nil {
-		n.core.Leave(now)
-	}
-	if n.isHome() {
-		// The holder names its successor itself: the zone should not wait out a silence.
-		for _, node := range n.cell.Nodes() {
-			if node.Zone == n.settings.Identity.Zone && node.Address != n.self() && !node.IsLeaving {
-				n.note("home", "name successor", node.Address)
-				n.send(n.leaderTarget(), Message{Succeed: &Succeed{n.settings.Identity.Zone, node.Address}})
-				break
-			}
-		}
-	}
-	n.nodeSeqTimer, n.askTimer = now, now
-	return n.finish()
-}
-
-// HasDuties tells whether a leaving node still leads or keeps its zone's home.
-func (n *Node) HasDuties() bool {
-	isLeading := n.core != nil && n.core.role == leader
-	return isLeading || n.isHome() && len(n.zoneNodes()) > 0
-}
-
 func (n *Node) receive(envelope Envelope) {
 	from, m := envelope.From, envelope.Message
 	// Before anything else is known, whoever writes is somebody to ask.
@@ -512,7 +487,7 @@
 		n.onSubmitReply(m.SubmitReply)
 	case m.ReadReply != nil:
 		n.onReadReply(m.ReadReply)
-	case m.Announce != nil, m.FoundAsk != nil, m.FoundReply != nil, m.Found != nil:
+	case m.Announce != nil, m.FoundPrepare != nil, m.FoundPromise != nil, m.FoundAccept != nil, m.FoundAccepted != nil, m.Found != nil:
 		n.onFounding(from, m)
 	case m.Push != nil:
 		n.onPush(from, m.Push)
@@ -588,6 +563,7 @@
 	n.tickUrgent()
 	n.tickErrands()
 	n.tickReads()
+	n.tickLeave()
 	n.tickFounding()
 	n.tickHello()
 	n.tickWords()
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -19,7 +19,7 @@
 	Zone    string `json:"zone"`
 }
 
-// Environment is the one context type: whatever a piece of work needs to know of its
+// Env is the one context type: whatever a piece of work needs to know of its
 // surroundings, in place of many arguments.
 type Env struct {
 	context.Context
@@ -30,14 +30,14 @@
 }
 
 // With gives the same surroundings under another context.
-func (c Env) With(ctx context.Context) Env {
-	c.Context = ctx
-	return c
+func (env Env) With(ctx context.Context) Env {
+	env.Context = ctx
+	return env
 }
 
 // Note puts a decision and its reason into the journal.
-func (c Env) Note(part, subject, decision, why string) {
-	c.Journal.Note(c.Clock.Now(), part, subject, decision, why)
+func (env Env) Note(part, subject, decision, why string) {
+	env.Journal.Note(env.Clock.Now(), part, subject, decision, why)
 }
 
 // LogJSON makes klog write JSON lines to standard error.
@@ -47,25 +47,25 @@
 	return klog.Background()
 }
 
-// Strike is a stack of clean-up steps, run in reverse when the scene ends.
+// Cleanup is a stack of clean-up steps, run in reverse when the process ends.
 type Cleanup struct {
 	lock  sync.Mutex
 	steps []func() error
 }
 
 // Defer adds a step.
-func (s *Cleanup) Defer(step func() error) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.steps = append(s.steps, step)
+func (cleanup *Cleanup) Defer(step func() error) {
+	cleanup.lock.Lock()
+	defer cleanup.lock.Unlock()
+	cleanup.steps = append(cleanup.steps, step)
 }
 
 // Run takes every step, the newest first, and joins what failed.
-func (s *Cleanup) Run() error {
-	s.lock.Lock()
-	steps := s.steps
-	s.steps = nil
-	s.lock.Unlock()
+func (cleanup *Cleanup) Run() error {
+	cleanup.lock.Lock()
+	steps := cleanup.steps
+	cleanup.steps = nil
+	cleanup.lock.Unlock()
 	var failed []error
 	for i := len(steps) - 1; i >= 0; i-- {
 		failed = append(failed, steps[i]())
@@ -73,7 +73,7 @@
 	return errors.Join(failed...)
 }
 
-// House is the table of services.
+// Kernel is the table of services.
 type Kernel struct {
 	lock     sync.RWMutex
 	services map[string]any
@@ -86,19 +86,19 @@
 	Why  string
 }
 
-func (b ServiceError) Error() string { return fmt.Sprintf("service %q: %s", b.Name, b.Why) }
+func (err ServiceError) Error() string { return fmt.Sprintf("service %q: %s", err.Name, err.Why) }
 
-// Open makes an empty house.
+// Open makes an empty table.
 func Open() *Kernel { return &Kernel{services: map[string]any{}} }
 
 // Place enters a service under a name that is still free.
-func (h *Kernel) Place(name string, service any) error {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	if _, isTaken := h.services[name]; isTaken {
+func (kernel *Kernel) Place(name string, service any) error {
+	kernel.lock.Lock()
+	defer kernel.lock.Unlock()
+	if _, isTaken := kernel.services[name]; isTaken {
 		return ServiceError{name, "the name is taken"}
 	}
-	h.services[name] = service
+	kernel.services[name] = service
 	return nil
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,7 @@
 
 	"dunlinloom/fleetconfig"
 	"dunlinloom/kernel"
+	"dunlinloom/relay"
 )
 
 // Settings are what a router is told at its start.
@@ -59,8 +60,9 @@
 	defaultBody = 4 << 20
 	// longest is how long a request is served at most where nothing bounds it.
 	longest = 10 * 60 * kernel.Second
-	// overtime is for an engine's own answer at the deadline to arrive.
-	overtime = 300 * kernel.Millisecond
+	// overtime is for an engine's own answer at the deadline to arrive. A request that is
+	// held a quarter of a second past its route's time costs more than it can still earn.
+	overtime = 150 * kernel.Millisecond
 )
 
 // ServeHTTP takes a caller's request to an engine and the answer back.
@@ -86,7 +88,7 @@
 		u.refuse(w, &Refusal{"no_route", "no route takes this host and path", http.StatusNotFound, 0})
 		return
 	}
-	body, refusal := u.readBody(w, r, config)
+	body, refusal := u.readBody(w, r, config, route)
 	defer func() { u.held.Add(-int64(len(body))) }()
 	if refusal != nil {
 		u.refuse(w, refusal)
@@ -100,7 +102,7 @@
 	u.serve(w, r, request, body)
 }
 
-func (u *Router) readBody(w http.ResponseWriter, r *http.Request, config *fleetconfig.Config) ([]byte, *Refusal) {
+func (u *Router) readBody(w http.ResponseWriter, r *http.Request, config *fleetconfig.Config, route *fleetconfig.Route) ([]byte, *Refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -112,17 +114,14 @@
 		w.Header().Set("Connection", "close")
 		return nil, &Refusal{"too_large", fmt.Sprintf("a body has at most %d bytes", bound), http.StatusRequestEntityTooLarge, 0}
 	}
-	// A caller that trickles its body must not hold a place for ever.
-	control := http.NewResponseController(w)
+	var body []byte
+	var err error
+	limited := io.Reader(http.MaxBytesReader(w, r.Body, bound))
 	if idle := config.Caps.IdleTime; idle > 0 {
-		if err := control.SetReadDeadline(time.Now().Add(idle.Duration())); err != nil {
-			return nil, &Refusal{"connection", err.Error(), http.StatusInternalServerError, 0}
-		}
+		control := http.NewResponseController(w)
+		limited = newPacedBody(limited, control, idle, route)
 		defer control.SetReadDeadline(time.Time{})
 	}
-	var body []byte
-	var err error
-	limited := http.MaxBytesReader(w, r.Body, bound)
 	if r.ContentLength > 0 {
 		body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(limited, body)
@@ -141,6 +140,34 @@
 	return body, nil
 }
 
+// pacedBody is a caller's body that may rest for so long between two reads, and may take no
+// longer as a whole than its route allows: who trickles must not hold a place for ever.
+type pacedBody struct {
+	io.Reader
+	control *http.ResponseController
+	rest    time.Duration
+	until   time.Time
+}
+
+func newPacedBody(body io.Reader, control *http.ResponseController, rest kernel.Micros, route *fleetconfig.Route) *pacedBody {
+	whole := longest
+	if route.Timeout > 0 {
+		whole = max(route.Timeout, rest)
+	}
+	return &pacedBody{body, control, rest.Duration(), time.Now().Add(whole.Duration())}
+}
+
+func (b *pacedBody) Read(to []byte) (int, error) {
+	deadline := time.Now().Add(b.rest)
+	if deadline.After(b.until) {
+		deadline = b.until
+	}
+	if err := b.control.SetReadDeadline(deadline); err != nil {
+		return 0, fmt.Errorf("bound the time of a read: %w", err)
+	}
+	return b.Reader.Read(to)
+}
+
 func (u *Router) readRequest(r *http.Request, route *fleetconfig.Route, arrived kernel.Micros) (Request, *Refusal) {
 	bad := func(err error) *Refusal { return &Refusal{"bad_request", err.Error(), http.StatusBadRequest, 0} }
 	request := Request{ID: r.Header.Get(u.Wire.RequestID), Arrived: arrived, Route: route, LastEvent: r.Header.Get(u.Wire.LastEvent)}
@@ -368,12 +395,9 @@
 		return 0, "", err
 	}
 	if ending, isNot := u.turnedAway(response); isNot {
-		// Its body is read, so that the connection can be kept.
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, 64<<10)); err == nil {
-			if stop() {
-				isKept = true
-				u.Pool.keep(held, response)
-			}
+		if isReadWhole(response.Body) && stop() {
+			isKept = true
+			u.Pool.keep(held, response)
 		}
 		if load, hasLoad := ParseLoad(response.Header.Get(u.Wire.Load)); hasLoad {
 			u.Chooser.Figures(u.Env.Clock.Now(), engine.ID, load)
@@ -411,6 +435,16 @@
 	return ending, why, nil
 }
 
+// turnedAwayBytes is the most that is read of a body that nobody gets.
+const turnedAwayBytes = 64 << 10
+
+// isReadWhole reads a body that nobody gets and tells whether it came to its end. Only then
+// may the connection be kept: what is left of the body would be read as the next answer.
+func isReadWhole(body io.Reader) bool {
+	count, err := io.Copy(io.Discard, io.LimitReader(body, turnedAwayBytes+1))
+	return err == nil && count <= turnedAwayBytes
+}
+
 // isUnprovenPromise tells that a status promises callers what only the engine can know.
 func isUnprovenPromise(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout
@@ -484,7 +518,7 @@
 	}
 	isClosing := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 	if !a.hasBegun {
-		dropped := droppedHeaders(response.Header)
+		dropped := relay.ConnectionHeaders(response.Header)
 		header := a.w.Header()
 		for name, lines := range response.Header {
 			if !dropped[name] {
--- a/simulator/routed.go
+++ b/simulator/routed.go
@@ -31,6 +31,8 @@
 	Shape func(*fleetconfig.Config)
 	// Load scales the callers' rates over the span: 0 to 1 to a factor; nil: evenly.
 	Load func(part float64) float64
+	// IsYielding has routers give up the processor at random wherever they hand over.
+	IsYielding bool
 }
 
 // RoutedOutcome is what came of it.
@@ -56,7 +58,6 @@
 	record    router.Engine
 	listener  io.Closer
 	isGone    bool
-	troubles  emulator.Troubles
 	isTrouble bool
 }
 
@@ -119,12 +120,6 @@
 	return low + kernel.Micros(f.random.Int64N(int64(high-low+1)))
 }
 
-func (f *routedFleet) draw(count int) int {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	return f.random.IntN(count)
-}
-
 // after does something later, unless the run is over.
 func (f *routedFleet) after(span kernel.Micros, do func()) {
 	f.chores.Go(func() {
@@ -291,10 +286,15 @@
 	zone := f.deal.Zones[number%len(f.deal.Zones)]
 	bounds := f.deal.Bounds
 	chooser := router.NewChooser(name, zone, router.Retry{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack})
-	pool := router.NewPool(f.clock, f.network.Dial, 300*ms, 10*sec)
+	var clock kernel.Clock = f.clock
+	dial := router.Dialer(f.network.Dial)
+	if f.plan.IsYielding {
+		clock, dial = yieldingClock{clock}, yieldingDialer(dial)
+	}
+	pool := router.NewPool(clock, dial, 300*ms, 10*sec)
 	served := &routedRouter{name: name, zone: zone, chooser: chooser, pool: pool}
 	served.router = router.NewRouter(router.Settings{
-		Env:  kernel.Env{Context: f.context, Clock: f.clock, Log: klog.Background(), Journal: kernel.NewJournal(64)},
+		Env:  kernel.Env{Context: f.context, Clock: clock, Log: klog.Background(), Journal: kernel.NewJournal(64)},
 		Wire: router.DefaultWire(), Chooser: chooser, Pool: pool, MaxLive: 2000, MaxBodies: 64 << 20,
 	})
 	listener, err := f.network.Listen(name)
