--- a/control/node.go
+++ b/control/node.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -47,6 +48,7 @@
 	Ballot       Ballot
 	Document     *Document
 	Kept         []uint64
+	Promised     Stamp
 	// Snapshot is what an earlier life kept for a quick start; nil: there is none.
 	Snapshot *Snapshot
 }
@@ -98,6 +100,7 @@
 	zoneApplied map[string]uint64
 	zoneHeld    map[string]uint64 // at least what is applied
 	zoneHeard   map[string]kernel.Micros
+	pushed      transfers // documents on their way to the zone's nodes
 	preparing   *Document
 
 	peerNews  map[string]newsMark
@@ -122,7 +125,7 @@
 	tokens := newLifeTokens(settings)
 	n := &Node{
 		settings: settings, now: now, random: random,
-		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]kernel.Micros{},
+		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]kernel.Micros{}, pushed: transfers{},
 		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, rejected: map[string]kernel.Micros{},
 		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*reading{}, words: newWords(tokens.first()),
 	}
@@ -148,7 +151,7 @@
 	// A standby that can never vote is of use only where three are wanted in any case.
 	if settings.IsController && (settings.HasFolder || settings.Voters == 0) {
 		coreSettings := settings.core(n.note)
-		coreSettings.Random = random
+		coreSettings.Random, coreSettings.Pushed = random, n.pushed
 		n.core = NewCore(coreSettings, now)
 	}
 	n.greeting = greeting{until: now + helloSpan, isOver: settings.ServeOn < ServeOnAlways, answered: map[string]kernel.Micros{}}
@@ -163,7 +166,7 @@
 		HasFolder: s.HasFolder, Founders: s.Seeds, Timing: s.Timing, Note: note,
 		CheckConfig: s.CheckConfig, ChangeConfig: s.ChangeConfig, VersionOf: s.VersionOf,
 		Voters: s.Voters, AckRule: s.AckRule, SpreadWait: s.SpreadWait, ServeOn: s.ServeOn, Founding: s.Founding,
-		Ballot: s.Ballot, Document: s.Document, Kept: s.Kept,
+		Ballot: s.Ballot, Document: s.Document, Kept: s.Kept, Promised: s.Promised, Life: s.Start,
 	}
 }
 
@@ -213,7 +216,7 @@
 	if to == "" {
 		return
 	}
-	envelope := Envelope{n.settings.Identity.Fleet, n.founding(), n.self(), to, message}
+	envelope := Envelope{Fleet: n.settings.Identity.Fleet, Founding: n.founding(), From: n.self(), To: to, Message: message}
 	if to == n.self() {
 		n.loop = append(n.loop, envelope)
 		return
@@ -268,7 +271,8 @@
 	if n.isHome() {
 		n.isBatchHot = true
 		for _, node := range n.zoneNodes() {
-			n.send(node, Message{Grant: &Grant{Revision: n.lease.Revision(), Document: n.lease.applied.lightFor(n.zoneHeld[node])}})
+			document := n.pushed.offer(n.now, node, n.lease.applied, n.zoneHeld[node], n.isVoterAt(node))
+			n.send(node, Message{Grant: &Grant{Revision: n.lease.Revision(), Document: document}})
 		}
 	}
 }
@@ -339,24 +343,13 @@
 // Deliver takes a message from another node.
 func (n *Node) Deliver(now kernel.Micros, envelope Envelope) []any {
 	n.now = now
-	why := ""
-	switch mine := n.founding(); {
-	case envelope.Fleet != n.settings.Identity.Fleet:
-		why = fmt.Sprintf("it belongs to fleet %q", envelope.Fleet)
-	case mine != "" && envelope.Founding != "" && mine != envelope.Founding:
-		why = "it belongs to another founding of the fleet"
-	case envelope.To != n.self():
-		why = fmt.Sprintf("it was meant for %s", envelope.To)
-	}
-	if r := n.snapshots.restored; r != nil && why == "" && envelope.Founding == r.Founding {
+	refusal := n.refusal(envelope)
+	if r := n.snapshots.restored; r != nil && refusal == nil && envelope.Founding == r.Founding {
 		// Someone who belongs to it says so: what the disk held binds again.
 		n.snapshots.restored = nil
 	}
-	if why != "" {
-		if _, isNoted := n.rejected[envelope.From]; !isNoted {
-			n.rejected[envelope.From] = now
-			n.note("node "+envelope.From, "decline message", why)
-		}
+	if refusal != nil {
+		n.noteRefusal(envelope.From, refusal)
 		return n.finish()
 	}
 	n.receive(envelope)
@@ -373,9 +366,10 @@
 }
 
 // Fetched brings a configuration of the past that another member asked for.
-func (n *Node) Fetched(now kernel.Micros, to string, document *Document) []any {
+// The document is nil where the folder does not hold it any more.
+func (n *Node) Fetched(now kernel.Micros, to string, mark ConfigMark, document *Document) []any {
 	n.now = now
-	n.send(to, Message{Recalled: &Recalled{document}})
+	n.send(to, Message{Recalled: &Recalled{mark, document}})
 	return n.finish()
 }
 
@@ -384,7 +378,17 @@
 	n.now = now
 	if n.core != nil {
 		n.note("history", "mend", fmt.Sprintf("the spec of generation %d was fetched from another member", revision))
-		n.core.Kept(revision)
+		n.core.Kept(now, revision)
+	}
+	return n.finish()
+}
+
+// NotKept tells that the folder could not keep a configuration of the past.
+func (n *Node) NotKept(now kernel.Micros, revision uint64, err error) []any {
+	n.now = now
+	if n.core != nil {
+		n.note("history", "leave out", fmt.Sprintf("the spec of generation %d: %v", revision, err))
+		n.core.NotKept(now, revision, errors.As(err, new(NoRoom)))
 	}
 	return n.finish()
 }
@@ -440,7 +444,9 @@
 		if m.Grant.Leader != "" {
 			n.leaderHint, n.leaderWord = m.Grant.Leader, n.now
 		}
-		n.applied(n.lease.TakeGrant(n.now, m.Grant))
+		grant := *m.Grant
+		grant.Document = n.filled(grant.Document)
+		n.applied(n.lease.TakeGrant(n.now, &grant))
 		if m.Grant.News != nil {
 			n.onNews(from, m.Grant.News)
 		}
@@ -548,6 +554,7 @@
 				delete(n.zoneHeard, address)
 			}
 		}
+		n.pushed.sweep(now)
 		if n.core != nil {
 			n.core.Learn(n.learnedMarks())
 		}
--- a/server/process.go
+++ b/server/process.go
@@ -157,7 +157,7 @@
 	if a.deployment != nil {
 		a.store.Bound(a.deployment.Limits.Store)
 	}
-	node.Member, node.Kept = a.store.Member(), a.store.ConfigRevisions()
+	node.Member, node.Kept, node.Promised = a.store.Member(), a.store.ConfigRevisions(), a.store.Promised()
 	if node.Founding == control.FoundersAnnounce && node.IsController {
 		// Before anything is said: a later life knows by it that this one voted here.
 		if node.FoundingVote, err = a.store.FoundingVote(node.Bootstrap); err != nil {
@@ -308,7 +308,7 @@
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 120 * time.Second, MaxHeaderBytes: 64 << 10,
 	}
 	back := &http.Server{
-		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Recall, func() control.Witness { return a.runner.Witness(member) }),
+		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Unreadable, a.runner.Recall, func() control.Witness { return a.runner.Witness(member) }),
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second,
 	}
 	failed := make(chan error, 2)
