--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -167,7 +167,7 @@
 		}
 	case control.Keep:
 		p.disk.documents[command.Document.ConfigRevision] = command.Document
-		p.core.Kept(command.Document.ConfigRevision)
+		p.core.Kept(p.clock, command.Document.ConfigRevision)
 	}
 	return nil
 }
