A core too small for 2t+1 acceptors is founded too when t members are lost

Cause: where two may be lost (t = 2) a quorum of the founding was 2t+1 members; a core of five or six with one or two lost at the first start has fewer, so it was never founded.

Ruled out: a majority of the seeds, which may be the lost ones; t+1 members at once, which two groups of a larger core could each have before they hear of each other.

Now a proposer that has run for 3 s and hears at most 2t members takes all that it hears, if they are more than t and a majority of all addresses it knows (assumption First-contact). An acceptance that was too few is counted again with time.

Before: TestAFirstStartOfASmallCoreBearsTheLossOfTwoSeeds fails in 5_members killed, wiped, cut off (no founding within 7 s).

--- a/control/founding.go
+++ b/control/founding.go
@@ -19,6 +19,9 @@
 	announceQuiet  = 400 * kernel.Millisecond // since the last newcomer, or another's ballot
 	announceMissed = 800 * kernel.Millisecond // more, while fewer are known than are to vote
 	proposerPause  = 300 * kernel.Millisecond // by which each seed gives way to the one before it
+	// firstContact is how long a proposer waits for members that it has never heard before it takes
+	// them for lost.
+	firstContact = 3 * kernel.Second
 )
 
 type announced struct {
@@ -33,6 +36,7 @@
 	// tolerance is how many members may be lost at once. Up to one, a majority of the seeds
 	// accepts; beyond that seeds alone are too few, and the members do.
 	tolerance int
+	startedAt kernel.Micros
 	vote      *FoundingVote // nil: no acceptor
 	// firstLives pins each seed to the acceptor that was first seen there: a life that came
 	// later has forgotten what the first one promised.
@@ -57,10 +61,10 @@
 	isAsking bool           // enough have promised, so acceptance is asked for
 }
 
-func newFounder(settings NodeSettings, random *rand.Rand) *founder {
+func newFounder(settings NodeSettings, random *rand.Rand, now kernel.Micros) *founder {
 	self := settings.Identity.Address
 	f := &founder{
-		seeds: sorted(slices.Clone(settings.Seeds)), tolerance: (settings.Voters - 1) / 2,
+		seeds: sorted(slices.Clone(settings.Seeds)), tolerance: (settings.Voters - 1) / 2, startedAt: now,
 		firstLives: map[string]MemberID{}, members: map[MemberID]announced{},
 	}
 	if len(f.seeds) == 0 {
@@ -75,12 +79,24 @@
 func (f *founder) areMembersAcceptors() bool { return f.tolerance > 1 }
 
 // isQuorum tells whether any two sets of so many acceptors share one.
-func (f *founder) isQuorum(count int) bool {
-	if f.areMembersAcceptors() {
-		// Assumption CoreBound: a first start has at most 4*tolerance+1 members.
-		return count >= 2*f.tolerance+1 && 2*count > len(f.members)
+func (f *founder) isQuorum(now kernel.Micros, count int) bool {
+	if !f.areMembersAcceptors() {
+		return 2*count > len(f.seeds)
+	}
+	// Assumption Core-bound: a first start has at most 4*tolerance+1 members.
+	isWide := count >= 2*f.tolerance+1 && 2*count > len(f.members)
+	return isWide || f.isSmallCoreQuorum(now, count)
+}
+
+// isSmallCoreQuorum serves a core of so few members that, with the tolerated number lost, no
+// wide quorum is left. All members that are heard have to accept, more than may be lost at once and a
+// majority of all that are known. Assumption First-contact: whoever was not heard for so long is lost.
+func (f *founder) isSmallCoreQuorum(now kernel.Micros, count int) bool {
+	heard := len(f.fresh(now))
+	if now-f.startedAt < firstContact || heard > 2*f.tolerance {
+		return false
 	}
-	return 2*count > len(f.seeds)
+	return count >= heard && count > f.tolerance && 2*count > len(f.targets())
 }
 
 // isFirstLife tells whether a seed is the acceptor that was first seen at its address. Nodes
@@ -220,7 +236,7 @@
 		return
 	}
 	fresh := f.fresh(n.now)
-	if len(fresh) == 0 || f.areMembersAcceptors() && !f.isQuorum(len(fresh)) {
+	if len(fresh) == 0 || f.areMembersAcceptors() && !f.isQuorum(n.now, len(fresh)) {
 		return
 	}
 	life := fmt.Sprintf("%s/%d/%x", n.self(), n.settings.Start, n.random.Uint64())
@@ -235,7 +251,9 @@
 func (n *Node) sendProposal() {
 	f := n.founder
 	p := f.proposal
-	n.askAcceptance()
+	if n.askAcceptance() && n.countAccepted() {
+		return
+	}
 	acceptor := MemberID("")
 	if f.vote != nil {
 		acceptor = f.vote.Acceptor
@@ -288,7 +306,7 @@
 func (n *Node) askAcceptance() bool {
 	f := n.founder
 	p := f.proposal
-	if p.isAsking || !f.isQuorum(len(p.promised)) {
+	if p.isAsking || !f.isQuorum(n.now, len(p.promised)) {
 		return p.isAsking
 	}
 	if p.document == nil {
@@ -357,11 +375,21 @@
 		return
 	}
 	p.accepted[m.Acceptor] = true
-	if f.isQuorum(len(p.accepted)) {
-		f.chosen = p.document
-		n.note("core", "name founders", fmt.Sprintf("%v, accepted by %d", f.chosen.voterAddresses(), len(p.accepted)))
-		n.sendFound()
+	n.countAccepted()
+}
+
+// countAccepted tells whether the proposal is chosen by now, and tells its voters if it is. That
+// may also come with time alone, see isSmallCoreQuorum.
+func (n *Node) countAccepted() bool {
+	f := n.founder
+	p := f.proposal
+	if !p.isAsking || !f.isQuorum(n.now, len(p.accepted)) {
+		return false
 	}
+	f.chosen = p.document
+	n.note("core", "name founders", fmt.Sprintf("%v, accepted by %d", f.chosen.voterAddresses(), len(p.accepted)))
+	n.sendFound()
+	return true
 }
 
 // sendFound brings the one first document to its voters until it is in force.
--- a/control/node.go
+++ b/control/node.go
@@ -146,7 +146,7 @@
 	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
 	if settings.Founding == FoundersAnnounce {
-		n.founder = newFounder(settings, random)
+		n.founder = newFounder(settings, random, now)
 	}
 	// A standby that can never vote is of use only where three are wanted in any case.
 	if settings.IsController && (settings.HasFolder || settings.Voters == 0) {
