--- a/control/catchup_test.go
+++ b/control/catchup_test.go
@@ -433,6 +433,7 @@
 }
 
 func TestLargeConfigsOnSlowLinksCostNoLeader(t *testing.T) {
+	t.Parallel()
 	for _, example := range []struct {
 		size, changes int
 		most          kernel.Micros
@@ -459,6 +460,7 @@
 }
 
 func TestAMemberBackAfterManyChangesIsWholeSoon(t *testing.T) {
+	t.Parallel()
 	for _, example := range []catchUpCase{
 		{name: "1,000 changes", size: 16 << 10, before: 100, away: []int{1000}},
 		{name: "large ones", size: 1 << 20, before: 10, away: []int{40, 1}},
@@ -475,6 +477,7 @@
 }
 
 func TestAMemberIsCurrentAgainDuringAStorm(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{16 << 10, 1 << 20} {
 		c := qt.New(t)
 		example := catchUpCase{size: size, every: 100 * ms, before: 10, away: []int{40}, isDuring: true}
--- a/control/cutoff_test.go
+++ b/control/cutoff_test.go
@@ -58,6 +58,7 @@
 // the messages are lost. Members that no longer hear it ask it to join meanwhile: that is no
 // confirmation.
 func TestALeaderWithoutAMajorityStopsWithinASecond(t *testing.T) {
+	t.Parallel()
 	for _, way := range []direction{bothWays, outward, inward} {
 		longest := kernel.Micros(0)
 		for seed := range uint64(12) {
@@ -250,6 +251,7 @@
 // no or confirmed drain leaves it, every order there ends unclear within a second, and all are right soon after
 // the heal.
 func TestNothingClearLeavesAMinority(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		c := qt.New(t)
 		f := settledCore(c, seed)
--- a/control/days_test.go
+++ b/control/days_test.go
@@ -169,6 +169,7 @@
 }
 
 func TestDaysOfToleratedTrouble(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		c := qt.New(t)
 		d := newDay(c, seed)
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -521,6 +521,7 @@
 }
 
 func TestADeciderThatRestartsFoundsNoSecondFleet(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(30) {
 		c := qt.New(t)
 		f := newFleet(c, seed, 3, 9, func(i int) bool { return i >= 3 && i < 7 })
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -474,6 +474,7 @@
 // alone among those that stay. The leaver ends only after another holds it, and the leader's
 // folder may be lost right after.
 func TestALeaverHandsOnWhatItAloneHolds(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		c := qt.New(t)
 		d := newCoreDay(c, seed, shapeOfThree)
@@ -506,6 +507,7 @@
 // A voter that leaves for good with its successor there ends only once it votes no more: a
 // loss right after its end finds a majority.
 func TestALeaverEndsOnlyOnceItsPlaceIsTaken(t *testing.T) {
+	t.Parallel()
 	for _, shape := range coreShapes {
 		for seed := range uint64(4) {
 			c := qt.New(t)
--- a/control/orders_test.go
+++ b/control/orders_test.go
@@ -71,6 +71,7 @@
 // An order that was taken is acknowledged again, or left unclear, and never refused, however many
 // changes were made since and though everything was restarted.
 func TestAnOrderSentAgainIsNeverRefused(t *testing.T) {
+	t.Parallel()
 	orders := map[Order][]byte{PutConfig: configOf(5, "the order"), ChangeConfig: []byte(`{"ver":5}`)}
 	for order, config := range orders {
 		for _, further := range []int{0, 1, keptSubmissions - 1, keptSubmissions, 600, 2000} {
@@ -196,6 +197,7 @@
 // off or frozen; answers are lost and both are sent again and again. At most one is confirmed,
 // nobody hears both a yes and a no, and what is read back is the one that was confirmed.
 func TestOneNumberIsConfirmedOnceOverAChangeOfLeader(t *testing.T) {
+	t.Parallel()
 	confirmed := 0
 	for seed := range uint64(40) {
 		c := qt.New(t)
@@ -270,6 +272,7 @@
 // Eight operators have one order each under way, under two numbers; each wave builds on what the
 // last one made. Every base has one winner, also of different numbers, and its repeat is a yes for as long as it is remembered.
 func TestEightOrdersUnderWayHaveOneWinnerEach(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := settledCore(c, 5)
 	base := uint64(1)
@@ -303,6 +306,7 @@
 // A forgotten order's repeat ends at once, with no clear answer, at any node, after the disk that
 // took it is lost and everything was restarted; the newest 512 are still known then.
 func TestAForgottenOrderIsLeftUnclearAtOnce(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(c, 1, 3, 3, firstHaveFolders(3))
 	f.bootAll(200 * ms)
--- a/control/recovery_test.go
+++ b/control/recovery_test.go
@@ -79,6 +79,7 @@
 }
 
 func TestAWholeFleetThatLostPowerIsBackAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{9, 12} {
 		c := qt.New(t)
 		var led, documents, engines, newest []kernel.Micros
@@ -111,6 +112,7 @@
 }
 
 func TestARestartedVoterUnseatsNoLeader(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		c := qt.New(t)
 		f := settledFleet(c, seed, 9)
@@ -132,6 +134,7 @@
 
 // A value that only its leader holds must not come back by the leader's snapshot.
 func TestASnapshotHoldsOnlyWhatWasCommitted(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		c := qt.New(t)
 		f := settledFleet(c, seed, 9)
