--- a/simulator/core_test.go
+++ b/simulator/core_test.go
@@ -65,7 +65,6 @@
 }
 
 func TestAFullDiskServesOnAndRecovers(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 15)
 	for _, m := range w.core() {
@@ -90,7 +89,6 @@
 }
 
 func TestRoutersOutliveTheCore(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 16)
 	for _, m := range w.core() {
@@ -159,7 +157,6 @@
 }
 
 func TestSplitsOfTheCore(t *testing.T) {
-	t.Parallel()
 	for name, cut := range map[string]func(w *World){
 		"two and two": func(w *World) { w.cut(w.core()[:2], w.core()[2:], false, 8*sec) },
 		"nothing gets out of the leader": func(w *World) {
@@ -235,7 +232,6 @@
 }
 
 func TestDeadRoutersLeaveTheRegisterOneAtATime(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 26)
 	for _, m := range w.machines[7:11] {
@@ -361,7 +357,6 @@
 // when all of them were killed. Back before the core agreed again, they were vouched
 // for by routers that never had it, and went on under the one before.
 func TestNobodySlipsBackOverARestart(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 44)
 	core := w.core()
@@ -431,7 +426,6 @@
 // A storm of large configurations, half a second to compile on every node, on slow disks: the
 // leader leads on, each order gets its yes, and nothing is served under an old one.
 func TestAStormOfLargeConfigsCostsNoLeader(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 51)
 	w.Traffic(40, 40*sec, 0)
--- a/simulator/data_test.go
+++ b/simulator/data_test.go
@@ -42,7 +42,6 @@
 }
 
 func TestAColdEngineIsNotFlooded(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 32)
 	w.options.Decode = 25 * ms // streams of seconds, so that they pile up
@@ -84,7 +83,6 @@
 // Engines that broke and come back as the same process must be tried again by every
 // router, not only by those that had nothing on them.
 func TestAllEnginesDarkThenBack(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 40)
 	w.Traffic(40, 60*sec, 0)
@@ -148,7 +146,6 @@
 }
 
 func TestAPlannedStopAnswersEverything(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 36)
 	w.Traffic(60, 12*sec, 0)
@@ -164,7 +161,6 @@
 }
 
 func TestTheRetryBudgetHoldsOverTheFleet(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 37)
 	w.Traffic(120, 30*sec, 0)
@@ -186,7 +182,6 @@
 // What a quiet minute saved up must not come back as a storm of retries: with every
 // engine declining, each request would be tried four times.
 func TestAQuietMinuteDoesNotPayForAStormOfRetries(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 39)
 	w.Traffic(20, 100*sec, 0)
--- a/simulator/simulator_test.go
+++ b/simulator/simulator_test.go
@@ -39,7 +39,6 @@
 }
 
 func TestASeedReplaysExactly(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	plan := Plan{Seed: 42, Deployment: "qurum", Span: 15 * sec, Rate: 10}
 	first, second := Run(plan), Run(plan)
