A large document is asked of another node after a growing pause

Cause: a node that has just started asked another one each half second for a document of megabytes. Where that takes longer, each copy delays those before it: 22 copies of 1 MB after the last of six starts. Ruled out: the leader's copies (one a life). What a node remembers of such questions is bounded as well. TestAMemberThatRestartsAgainAndAgainCatchesUp fails before and passes after it.

--- a/control/hello.go
+++ b/control/hello.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"dunlinloom/kernel"
@@ -24,6 +25,8 @@
 	// A configuration up to this size is sent by everyone who is asked, a larger one only to who
 	// asks this node alone for it.
 	helloConfig = 64 << 10
+	// keenDoublings is how often the pause before another node is asked for a large document doubles.
+	keenDoublings = 4
 )
 
 // greeting is a node's part in being told by whoever knows.
@@ -34,6 +37,7 @@
 	turn     int
 	keenOn   string        // it has a document that was too large to send to all
 	keenFrom kernel.Micros // the next time at which one may be asked for such
+	keenAsks int           // so far
 	answered map[string]kernel.Micros
 }
 
@@ -57,7 +61,10 @@
 	}
 	keenOn := ""
 	if g.keenOn != "" && n.now >= g.keenFrom {
-		keenOn, g.keenOn, g.keenFrom = g.keenOn, "", n.now+keenPause
+		keenOn, g.keenOn = g.keenOn, ""
+		// Each copy takes the link from those before it, so the next one is asked for after twice as long.
+		g.keenFrom = n.now + keenPause<<min(g.keenAsks, keenDoublings)
+		g.keenAsks++
 		targets = append(targets, keenOn)
 	}
 	slices.Sort(targets)
@@ -79,6 +86,7 @@
 	if at, isAnswered := n.greeting.answered[key]; isAnswered && n.now-at < helloAgain {
 		return
 	}
+	maps.DeleteFunc(n.greeting.answered, func(_ string, at kernel.Micros) bool { return n.now-at >= helloAgain })
 	n.greeting.answered[key] = n.now
 	grant := &Grant{Revision: n.lease.Revision(), News: n.cell.NewsSince(n.now, "", 0, false)}
 	if n.now-n.leaderWord < kernel.Second {
