The simulator's tests run in parallel

Its tests of single worlds ran one after another (350 s of them at rest) before the parallel ones began. Ruled out: a test that hangs; all pass, none is above 90 s of its own, the package takes 1,010 s of processor time.

--- a/simulator/contract_test.go
+++ b/simulator/contract_test.go
@@ -9,12 +9,14 @@
 )
 
 func TestTheSimulatedDiskKeepsTheContracts(t *testing.T) {
+	t.Parallel()
 	open := func(*testing.T) kernel.Folder { return newDisk() }
 	contracts.Folder(t, open)
 	contracts.Store(t, open, func(folder kernel.Folder, steps int) { folder.(*disk).cutAfter(steps) })
 }
 
 func TestTheSimulatedNetworkKeepsTheContract(t *testing.T) {
+	t.Parallel()
 	contracts.Transport(t, func(*testing.T) contracts.Link {
 		w := WorldOf(1, "cronometro")
 		from, to := w.machines[3], w.machines[4]
--- a/simulator/core_test.go
+++ b/simulator/core_test.go
@@ -53,6 +53,7 @@
 }
 
 func TestALeaderWithAStalledDiskYields(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 14)
 	leader := w.leader()
@@ -65,6 +66,7 @@
 }
 
 func TestAFullDiskServesOnAndRecovers(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 15)
 	for _, m := range w.core() {
@@ -89,6 +91,7 @@
 }
 
 func TestRoutersOutliveTheCore(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 16)
 	for _, m := range w.core() {
@@ -108,6 +111,7 @@
 // With the core and half of the routers gone there is no majority of any kind, and
 // the rest has to stop: it can't know of a configuration acknowledged on the other side.
 func TestAMinorityOfRoutersStopsServingInTime(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 17)
 	minority := w.machines[8:]
@@ -123,6 +127,7 @@
 }
 
 func TestAColdFleetServesSoonAndKeepsItsOrders(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 18)
 	yes := w.operator.Yes
@@ -145,6 +150,7 @@
 }
 
 func TestALeaderThatWakesPastItsTermGrantsNothingOld(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 19)
 	leader := w.leader()
@@ -157,6 +163,7 @@
 }
 
 func TestSplitsOfTheCore(t *testing.T) {
+	t.Parallel()
 	for name, cut := range map[string]func(w *World){
 		"two and two": func(w *World) { w.cut(w.core()[:2], w.core()[2:], false, 8*sec) },
 		"nothing gets out of the leader": func(w *World) {
@@ -181,6 +188,7 @@
 }
 
 func TestAFencedSubmissionNeverTakesEffect(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 24)
 	m := w.machines[5]
@@ -203,6 +211,7 @@
 }
 
 func TestRepeatsClashesAndReusedIDs(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 25)
 	send := func(at int, submit control.Submit) control.SubmitReply {
@@ -232,6 +241,7 @@
 }
 
 func TestDeadRoutersLeaveTheRegisterOneAtATime(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 26)
 	for _, m := range w.machines[7:11] {
@@ -250,6 +260,7 @@
 }
 
 func TestTheHomeIsHandedOnAndReplaced(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 27)
 	home := func() *machine { return w.byPeer[w.newest().Homes["z2"]] }
@@ -268,6 +279,7 @@
 // A mark known to one node only has to spread while the core is dark and the
 // zone's home is dead.
 func TestALeavingMarkGetsRoundWithoutCoreAndHome(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 28)
 	for _, m := range w.core() {
@@ -299,6 +311,7 @@
 // Cronometro, seed 172 of the strict search: an engine had said that it was leaving,
 // the whole fleet was killed, and came back to a list that still had it as serving.
 func TestALeavingMarkOutlivesTheFleet(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 47)
 	w.listLag = 60 * sec
@@ -317,6 +330,7 @@
 // A leader that has lost its voters may not grant for the second or two until it
 // notices: each grant needs a round that a majority confirmed after the ask.
 func TestALeaderCutOffGrantsNothingMore(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 29)
 	leader := w.leader()
@@ -332,6 +346,7 @@
 // must not help an old revision past a newer one that it had helped to a yes, nor
 // may it serve by the others' word: it may itself have served under a newer one.
 func TestARestartedRouterWaitsForTheLeader(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 30)
 	for _, m := range w.core() {
@@ -357,6 +372,7 @@
 // when all of them were killed. Back before the core agreed again, they were vouched
 // for by routers that never had it, and went on under the one before.
 func TestNobodySlipsBackOverARestart(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 44)
 	core := w.core()
@@ -388,6 +404,7 @@
 
 // A configuration of thousands of bindings reaches everyone under the same rules.
 func TestALargeConfigKeepsTheRules(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 45)
 	config := largeConfig(4000, "p0", "p1")
@@ -404,6 +421,7 @@
 // A router that takes seconds to compile a configuration neither serves under the old one past its
 // lease nor says that it has applied the new one; and a leader keeps its lead over it.
 func TestASpecIsAppliedOnlyOnceItIsCompiled(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 48)
 	w.Traffic(60, 20*sec, 0)
@@ -426,6 +444,7 @@
 // A storm of large configurations, half a second to compile on every node, on slow disks: the
 // leader leads on, each order gets its yes, and nothing is served under an old one.
 func TestAStormOfLargeConfigsCostsNoLeader(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 51)
 	w.Traffic(40, 40*sec, 0)
@@ -455,6 +474,7 @@
 // Storm seeds 107, 118 and 232: each member that joined empty held only what came
 // since, so the last copy of an older configuration went with the last old disk.
 func TestThePastOutlivesDisksLostOneAfterAnother(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 46)
 	for range 4 {
--- a/simulator/data_test.go
+++ b/simulator/data_test.go
@@ -22,6 +22,7 @@
 // One prefix draws nearly everything, on every node at once: without the divert
 // rule it would all go to one engine.
 func TestAHotPrefixIsSpread(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 31)
 	begun := w.now
@@ -42,6 +43,7 @@
 }
 
 func TestAColdEngineIsNotFlooded(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 32)
 	w.options.Decode = 25 * ms // streams of seconds, so that they pile up
@@ -60,6 +62,7 @@
 }
 
 func TestAllEnginesGoneThenBack(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 33)
 	for _, e := range w.engines {
@@ -83,6 +86,7 @@
 // Engines that broke and come back as the same process must be tried again by every
 // router, not only by those that had nothing on them.
 func TestAllEnginesDarkThenBack(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 40)
 	w.Traffic(40, 60*sec, 0)
@@ -101,6 +105,7 @@
 }
 
 func TestADarkEngineIsLeftAloneSoon(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 34)
 	w.Traffic(40, 30*sec, 0)
@@ -130,6 +135,7 @@
 }
 
 func TestARouterFrozenMidRoundWakesToNothingOld(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 35)
 	w.Traffic(100, 10*sec, 0)
@@ -146,6 +152,7 @@
 }
 
 func TestAPlannedStopAnswersEverything(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 36)
 	w.Traffic(60, 12*sec, 0)
@@ -161,6 +168,7 @@
 }
 
 func TestTheRetryBudgetHoldsOverTheFleet(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 37)
 	w.Traffic(120, 30*sec, 0)
@@ -182,6 +190,7 @@
 // What a quiet minute saved up must not come back as a storm of retries: with every
 // engine declining, each request would be tried four times.
 func TestAQuietMinuteDoesNotPayForAStormOfRetries(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 39)
 	w.Traffic(20, 100*sec, 0)
@@ -200,6 +209,7 @@
 }
 
 func TestEnginesThatSendNoReportsStillWork(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := WorldOf(38, "cronometro")
 	for _, e := range w.engines {
--- a/simulator/founding_test.go
+++ b/simulator/founding_test.go
@@ -36,6 +36,7 @@
 // Under the strict rules too, but with founders that announce themselves, one seed is never
 // missed. What is on a disk when the power goes is cut at any step of a write.
 func TestAnAnnouncedFirstStartBearsTheLossOfASeed(t *testing.T) {
+	t.Parallel()
 	for lost := range 3 {
 		for step := range 12 {
 			c := qt.New(t)
@@ -50,6 +51,7 @@
 // Three seeds that are told nothing of a first start need each other once, but none of them at
 // any one moment: whichever is lost while they found, they go on when it is back.
 func TestSeedsFoundWhenTheLostOneIsBack(t *testing.T) {
+	t.Parallel()
 	for lost := range 3 {
 		for step := range 16 {
 			t.Run(fmt.Sprintf("%d at %d ms", lost, step*25), func(t *testing.T) {
--- a/simulator/membership_test.go
+++ b/simulator/membership_test.go
@@ -11,6 +11,7 @@
 )
 
 func TestAVoterWithALostDiskComesBackAsANewMember(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 11)
 	victim := w.machines[1]
@@ -29,6 +30,7 @@
 // Seed 3 of qurum: a voter was back with an empty disk, and before its silence was over the
 // leader was cut off; so the core was gone, and with the fleet killed nobody served.
 func TestACoreWithARenewedMemberBearsTheLossOfItsLeader(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 3)
 	leader := w.leader()
@@ -47,6 +49,7 @@
 }
 
 func TestAnEmptyMachineElsewhereTakesALostVotersPlaceUnattended(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 12)
 	lost := w.machines[2]
@@ -57,6 +60,7 @@
 }
 
 func TestAllVotersAreSwappedOneAfterAnother(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 13)
 	founding := w.newest().Founding
@@ -75,6 +79,7 @@
 }
 
 func TestFoundingWaitsForEveryFounder(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := WorldOf(20, "qurum")
 	missing := w.machines[1]
@@ -90,6 +95,7 @@
 
 // A founder whose disk is lost later must not found a second fleet beside the first.
 func TestNobodyFoundsTwice(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "qurum", 21)
 	founding := w.newest().Founding
@@ -112,6 +118,7 @@
 }
 
 func TestAMemberOfAnotherFleetIsRejected(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 22)
 	target := w.leader()
--- a/simulator/rebuild_test.go
+++ b/simulator/rebuild_test.go
@@ -27,6 +27,7 @@
 // Two of three folders are lost for good. The operator rebuilds from the third and
 // restarts the rest; what it holds is served again, and orders go through.
 func TestACoreIsRebuiltFromOneSurvivor(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 49)
 	w.acknowledge(c, "a yes", 8*sec)
@@ -95,6 +96,7 @@
 
 // A power cut at any step of the rebuild leaves a folder from which it can be done again.
 func TestARebuildCutShortCanBeDoneAgain(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	w := openWorld(c, "cronometro", 50)
 	m := w.machines[2]
--- a/simulator/simulator_test.go
+++ b/simulator/simulator_test.go
@@ -22,6 +22,7 @@
 }
 
 func TestSeededDays(t *testing.T) {
+	t.Parallel()
 	for _, day := range ciSeeds {
 		t.Run(fmt.Sprintf("%s %d", day.deployment, day.seed), func(t *testing.T) {
 			t.Parallel()
@@ -39,6 +40,7 @@
 }
 
 func TestASeedReplaysExactly(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	plan := Plan{Seed: 42, Deployment: "qurum", Span: 15 * sec, Rate: 10}
 	first, second := Run(plan), Run(plan)
