--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -10,16 +10,6 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// coreShape is a core whose members are lost and come back.
-type coreShape struct {
-	name           string
-	zones, folders int
-	voters         int // the least number wanted
-	settled        int // the number there is once all members are there
-	losses         int // that are tolerated at once
-	sync           kernel.Micros
-}
-
 var (
 	shapeOfThree = coreShape{"three", 3, 3, 3, 3, 1, 4 * kernel.Second}
 	shapeOfFour  = coreShape{"four", 4, 4, 3, 4, 1, 4 * kernel.Second}
@@ -27,157 +17,6 @@
 	coreShapes   = []coreShape{shapeOfThree, shapeOfFour, shapeOfFive}
 )
 
-// coreDay is a day of a core of some shape, with machines to spare.
-type coreDay struct {
-	*day
-	shape  coreShape
-	spares []*fleetNode
-	// isJudged: a majority of the voters in force has to be alive.
-	isJudged bool
-}
-
-const coreSpares = 12
-
-func newCoreDay(c *qt.C, seed uint64, shape coreShape) *coreDay {
-	routers := shape.folders + 4
-	f := newFleet(c, seed, shape.zones, routers+coreSpares, func(i int) bool { return i < shape.folders || i >= routers })
-	f.adapt = func(settings *NodeSettings) {
-		platformLike(settings)
-		settings.Voters = shape.voters
-	}
-	d := &coreDay{day: &day{
-		fleet: f, deal: f.random, truths: map[uint64]string{}, tops: map[string]uint64{}, sent: map[uint64]string{}, bases: map[uint64]string{},
-	}, shape: shape, spares: f.nodes[routers:]}
-	for _, n := range f.nodes[:routers] {
-		f.in(kernel.Micros(f.random.Int64N(int64(500*ms))), n.boot)
-	}
-	for _, n := range d.spares {
-		n.bootstrap = false
-	}
-	f.settled(8 * kernel.Second)
-	d.awaitWhole(4 * kernel.Second)
-	d.isJudged, f.named = true, d.living
-	d.judge()
-	return d
-}
-
-// living names three nodes that run, as an operator's list does for a machine that starts.
-func (d *coreDay) living() []string {
-	found := []string{}
-	for _, n := range d.nodes {
-		if n.isUp && len(found) < 3 {
-			found = append(found, n.identity.Address)
-		}
-	}
-	return found
-}
-
-// judge looks again and again whether a majority of the voters in force is alive.
-func (d *coreDay) judge() {
-	if !d.isJudged {
-		return
-	}
-	var newest *Document
-	for _, n := range d.nodes {
-		// Of a process that died as well: what it committed is in force.
-		if n.node != nil && n.node.core != nil && newest.stamp().before(n.node.core.committed.stamp()) {
-			newest = n.node.core.committed
-		}
-	}
-	if newest != nil {
-		alive := 0
-		for _, voter := range newest.Voters {
-			if n := d.byAddress(voter.Address); n.isUp && n.member == voter.ID {
-				alive++
-			}
-		}
-		d.c.Assert(alive > len(newest.Voters)/2, qt.IsTrue, qt.Commentf("%d of the voters %v are alive", alive, newest.Voters))
-	}
-	d.in(20*ms, d.judge)
-}
-
-// health is the leader's picture.
-func (d *coreDay) health() *Health {
-	if lead := d.leader(); lead != nil {
-		return lead.node.core.Health()
-	}
-	return nil
-}
-
-// isWhole tells whether the core has all voters that it can have, whole ones that run.
-func (d *coreDay) isWhole() bool {
-	health := d.health()
-	if health == nil || !health.IsWhole || len(health.Voters) != d.shape.settled {
-		return false
-	}
-	for _, voter := range health.Voters {
-		if n := d.byAddress(voter.Address); !n.isUp || n.member != voter.ID || n.node.isLeaving {
-			return false
-		}
-	}
-	return true
-}
-
-func (d *coreDay) awaitWhole(most kernel.Micros) kernel.Micros {
-	d.c.Helper()
-	begun := d.now
-	for !d.isWhole() {
-		if d.now-begun > most {
-			d.c.Fatalf("the core is not whole within %d ms: %v", most/ms, d.health())
-		}
-		d.pass(10 * ms)
-	}
-	return d.now - begun
-}
-
-// voting gives a voter that runs, the leader if wanted.
-func (d *coreDay) voting(isLeader bool, but ...*fleetNode) *fleetNode {
-	lead := d.leader()
-	if isLeader && lead != nil && !slices.Contains(but, lead) {
-		return lead
-	}
-	found := []*fleetNode{}
-	for _, n := range d.nodes {
-		if n.isUp && n.hasFolder && n != lead && !slices.Contains(but, n) && n.node.core.isVoter() {
-			found = append(found, n)
-		}
-	}
-	return found[d.deal.IntN(len(found))]
-}
-
-func (d *coreDay) spare() *fleetNode {
-	next := d.spares[0]
-	d.spares = d.spares[1:]
-	return next
-}
-
-// stop is a planned stop: the process ends as soon as it may, or at the end of its grace.
-func (d *coreDay) stop(n *fleetNode, ended func()) {
-	n.do(func() []any { return n.node.Leave(d.now) })
-	epoch, last := n.epoch, d.now+8*kernel.Second
-	var look func()
-	look = func() {
-		switch {
-		case n.epoch != epoch:
-		case n.node.HasDuties() && d.now < last:
-			d.in(20*ms, look)
-		default:
-			n.kill()
-			ended()
-		}
-	}
-	d.in(20*ms, look)
-}
-
-// A lossKind is a way in which a member of the core is lost and comes back, or another for it.
-type lossKind struct {
-	name string
-	// lose loses a member and calls back when it, or its successor, has started.
-	lose func(d *coreDay, n *fleetNode, back func())
-}
-
-const downSpan = kernel.Second
-
 var (
 	lossOfPower = lossKind{"power", func(d *coreDay, n *fleetNode, back func()) {
 		n.kill()
@@ -207,47 +46,6 @@
 	lossKinds = []lossKind{lossOfPower, lossOfDisk, replacement, plannedReplacement, restart}
 )
 
-// strike loses members and gives the moment at which the last of them, or its successor, started.
-func (d *coreDay) strike(kind lossKind, count int, isLeader bool) kernel.Micros {
-	d.c.Helper()
-	struck, left := []*fleetNode{}, count
-	for i := range count {
-		n := d.voting(isLeader && i == 0, struck...)
-		struck = append(struck, n)
-		kind.lose(d, n, func() { left-- })
-	}
-	d.await(kind.name, 12*kernel.Second, func() bool { return left == 0 })
-	return d.now
-}
-
-// readBack reads the newest configuration and holds it against what was acknowledged.
-func (d *coreDay) readBack() {
-	d.c.Helper()
-	acked, token := d.acked, uint64(len(d.reads)+1000)
-	var reader *fleetNode
-	for reader == nil {
-		reader = d.up()
-	}
-	reader.do(func() []any { return reader.node.Newest(d.now, token) })
-	d.await("the newest", 3*kernel.Second, func() bool { return d.reads[token] != nil })
-	document := d.reads[token]
-	d.c.Assert(document.ConfigVersion >= acked, qt.IsTrue, qt.Commentf("version %d is read, %d was acknowledged", document.ConfigVersion, acked))
-	if document.ConfigVersion > 0 {
-		d.c.Assert(string(document.Config), qt.Equals, d.sent[document.ConfigVersion])
-	}
-}
-
-// spans gathers how long something took, and shows the worst.
-type spans struct{ worst, sum, count kernel.Micros }
-
-func (s *spans) take(span kernel.Micros) {
-	s.worst, s.sum, s.count = max(s.worst, span), s.sum+span, s.count+1
-}
-
-func (s *spans) String() string {
-	return fmt.Sprintf("mean %d ms, worst %d ms of %d", s.sum/max(s.count, 1)/ms, s.worst/ms, s.count)
-}
-
 // The next loss comes exactly sync after the last member, or its successor, came back: until
 // then the core has to be whole again, whatever was lost and how.
 func TestTheCoreIsWholeBeforeTheNextLoss(t *testing.T) {
@@ -587,25 +385,6 @@
 	c.Assert(d.health().Shortfalls, qt.DeepEquals, []Shortfall{{VoterAiling, full.identity.Address}})
 }
 
-// flood keeps orders waiting at the leader all the time.
-func (d *coreDay) flood(span kernel.Micros) {
-	end, ver := d.now+span, uint64(1000)
-	var next func()
-	next = func() {
-		if d.now > end {
-			return
-		}
-		if lead := d.leader(); lead != nil && len(lead.node.core.queue) < 8 {
-			ver++
-			config := configOf(ver, "flood")
-			id := fmt.Sprintf("flood-%d", ver)
-			lead.do(func() []any { return lead.node.Submit(d.now, &Submit{ID: id, Order: PutConfig, Config: config}) })
-		}
-		d.in(2*ms, next)
-	}
-	next()
-}
-
 // While orders are always waiting, one document follows the other at once, and a newcomer with a
 // slower disk never holds the one that was committed a moment ago. It becomes a voter all the
 // same, so that the next loss leaves a majority.
