--- a/control/core_test.go
+++ b/control/core_test.go
@@ -9,84 +9,12 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// bench holds one core and plays its shell by hand.
-type bench struct {
-	c     *qt.C
-	core  *Core
-	now   kernel.Micros
-	saves []Save
-	sent  []Send
-}
-
 var (
 	memberA = Member{"a", "10.0.0.1:1", "z1"}
 	memberB = Member{"b", "10.0.0.2:1", "z2"}
 	memberC = Member{"c", "10.0.0.3:1", "z3"}
 )
 
-func document(term, revision uint64) *Document {
-	return &Document{Founding: "f", Term: term, Revision: revision, Voters: []Member{memberA, memberB, memberC},
-		Homes: map[string]string{}, Drained: map[string]uint64{}}
-}
-
-func newBench(c *qt.C, ballot Ballot, newest *Document) *bench {
-	b := &bench{c: c, now: 100 * kernel.Second}
-	b.core = NewCore(CoreSettings{
-		Self: memberB, HasFolder: true, Timing: DefaultTiming(), Random: rand.New(rand.NewPCG(1, 1)), Ballot: ballot, Document: newest,
-		Founders: []string{memberA.Address, memberB.Address, memberC.Address},
-	}, b.now)
-	return b
-}
-
-func (b *bench) drain() {
-	for _, command := range b.core.take() {
-		switch command := command.(type) {
-		case Send:
-			b.sent = append(b.sent, command)
-		case Save:
-			b.saves = append(b.saves, command)
-		}
-	}
-}
-
-func (b *bench) receive(from Member, message Message) {
-	b.core.Receive(b.now, from.Address, message)
-	b.drain()
-}
-
-// sync lets all writes go through.
-func (b *bench) sync() {
-	for len(b.saves) > 0 {
-		save := b.saves[0]
-		b.saves = b.saves[1:]
-		b.core.Saved(b.now, save.Token, nil)
-		b.drain()
-	}
-}
-
-func (b *bench) pass(span kernel.Micros) {
-	for end := b.now + span; b.now < end; {
-		b.now += 20 * kernel.Millisecond
-		b.core.Tick(b.now)
-		b.drain()
-		b.sync()
-	}
-}
-
-func (b *bench) votes() []Vote {
-	found := []Vote{}
-	for _, send := range b.sent {
-		if send.Message.Vote != nil {
-			found = append(found, *send.Message.Vote)
-		}
-	}
-	return found
-}
-
-func ask(candidate Member, term uint64, newest Stamp) Message {
-	return Message{VoteAsk: &VoteAsk{Term: term, Candidate: candidate, Voter: memberB.ID, Newest: newest}}
-}
-
 func TestAVoteIsGivenOnceATermAndOnlyOnceItIsOnDisk(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, Ballot{Term: 4}, document(4, 9))
@@ -174,29 +102,6 @@
 	c.Assert(last.Round, qt.Equals, uint64(0))
 }
 
-// elect makes the bench's core the leader of a new term.
-func (b *bench) elect() {
-	for range 200 {
-		b.pass(20 * kernel.Millisecond)
-		for _, send := range b.sent {
-			if ask := send.Message.VoteAsk; ask != nil && ask.Voter == memberA.ID {
-				b.core.Receive(b.now, memberA.Address, Message{Vote: &Vote{Term: ask.Term, IsPre: ask.IsPre, IsGranted: true, Voter: memberA.ID}})
-				b.drain()
-				b.sync()
-			}
-		}
-		if b.core.role == leader {
-			b.sent = nil
-			return
-		}
-	}
-	b.c.Fatal("no lead")
-}
-
-func (b *bench) confirm(from Member, synced Stamp) {
-	b.receive(from, Message{HeartbeatReply: &HeartbeatReply{Term: b.core.term, Round: b.core.round, Member: from, Synced: synced}})
-}
-
 func TestANewLeaderSettlesWhatItFoundBeforeAnythingElse(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, Ballot{Term: 4}, document(4, 9))
