--- a/cmd/dunlinctl/main_test.go
+++ b/cmd/dunlinctl/main_test.go
@@ -22,36 +22,36 @@
 	"dunlinloom/server"
 )
 
-func TestExitStatusesAndWords(t *testing.T) {
+func TestExitStatusesAndCommands(t *testing.T) {
 	config := filepath.Join(t.TempDir(), "spec.json")
 	qt.Assert(t, os.WriteFile(config, []byte(`{"bindings":[]}`), 0o600), qt.IsNil)
 	for _, example := range []struct {
-		words  string
+		line   string
 		status int
 		body   string
 		want   string // METHOD and path that a node gets
 		exit   int
 		says   string
 	}{
-		{"spec put FILE", 200, `{"id":"x","outcome":"yes","generation":7}`, "PUT /v1/spec", exitYes, "yes, generation 7"},
-		{"spec put FILE --base 4", 409, `{"id":"x","outcome":"no","reason":"clash","detail":"at 5"}`, "PUT /v1/spec?base=4", exitNo, "no, clash: at 5"},
-		{"spec put FILE", 422, `{"error":{"type":"invalid_spec","message":"the spec has faults","faults":[{"path":"bindings","why":"is empty"}],"more_faults":3}}`, "PUT /v1/spec", exitNo, "bindings: is empty\n  and 3 more"},
-		{"spec put FILE", 504, `{"id":"x","outcome":"unproved","detail":"nobody"}`, "PUT /v1/spec", exitUnproved, "dunlinctl submission x"},
-		{"spec check FILE", 200, `{"ok":true}`, "POST /v1/spec/check", exitYes, "good"},
-		{"spec get --generation 3", 404, `{"error":{"type":"no_spec","message":"gone"}}`, "GET /v1/spec?generation=3", exitMissing, "no_spec: gone"},
-		{"spec history", 200, `{"generations":[3,9],"current":9}`, "GET /v1/spec/history", exitYes, "9  in force"},
-		{"zone empty z/1", 200, `{"id":"x","outcome":"yes","generation":8}`, "PUT /v1/zones/z%2F1/evacuation", exitYes, "yes"},
-		{"zone refill z1", 200, `{"id":"x","outcome":"yes","generation":8}`, "DELETE /v1/zones/z1/evacuation", exitYes, "yes"},
+		{"config put FILE", 200, `{"id":"x","outcome":"yes","generation":7}`, "PUT /v1/spec", exitYes, "yes, revision 7"},
+		{"config put FILE --base 4", 409, `{"id":"x","outcome":"no","reason":"clash","detail":"at 5"}`, "PUT /v1/spec?base=4", exitNo, "no, clash: at 5"},
+		{"config put FILE", 422, `{"error":{"type":"invalid_spec","message":"the spec has faults","faults":[{"path":"bindings","why":"is empty"}],"more_faults":3}}`, "PUT /v1/spec", exitNo, "bindings: is empty\n  and 3 more"},
+		{"config put FILE", 504, `{"id":"x","outcome":"unproved","detail":"nobody"}`, "PUT /v1/spec", exitUnproved, "dunlinctl submission x"},
+		{"config check FILE", 200, `{"ok":true}`, "POST /v1/spec/check", exitYes, "valid"},
+		{"config get --revision 3", 404, `{"error":{"type":"no_spec","message":"gone"}}`, "GET /v1/spec?generation=3", exitMissing, "no_spec: gone"},
+		{"config history", 200, `{"generations":[3,9],"current":9}`, "GET /v1/spec/history", exitYes, "9  in force"},
+		{"zone drain z/1", 200, `{"id":"x","outcome":"yes","generation":8}`, "PUT /v1/zones/z%2F1/evacuation", exitYes, "yes"},
+		{"zone restore z1", 200, `{"id":"x","outcome":"yes","generation":8}`, "DELETE /v1/zones/z1/evacuation", exitYes, "yes"},
 		{"router forget 10.0.0.1:7", 200, `{"id":"x","outcome":"yes","generation":8}`, "DELETE /v1/routers/10.0.0.1:7", exitYes, "yes"},
 		{"submission s1", 409, `{"id":"s1","outcome":"no","reason":"fenced"}`, "GET /v1/submissions/s1", exitNo, "no, fenced"},
 		{"status", 200, `{"leader":"10.0.0.1:7","term":3,"wanted":3,"voters":[{"address":"10.0.0.1:7","zone":"z1","heard":true,"caught_up":true,"history":true}],"spare_losses":1,"whole":true,"since_us":2000000}`, "GET /v1/core", exitYes, "core whole: 1 voters, 1 may be lost, for 2s; led by 10.0.0.1:7 in term 3"},
 		{"status", 200, `{"leader":"10.0.0.1:7","wanted":3,"voters":[{"address":"10.0.0.2:7","zone":"z2","heard":false}],"whole":false,"shortfalls":[{"kind":"silent","address":"10.0.0.2:7"}]}`, "GET /v1/core", exitNo, "10.0.0.2:7 silent"},
 		{"status", 503, `{"error":{"type":"no_leader","message":"none"}}`, "GET /v1/core", exitUnproved, ""},
 		{"--json status", 200, `{"leader":"a","whole":true,"wanted":3}`, "GET /v1/core", exitYes, `{"leader":"a","whole":true,"wanted":3}`},
-		{"spec get", 503, `not json`, "GET /v1/spec", exitTrouble, ""},
-		{"--json spec history", 200, `{"generations":[3],"current":3}`, "GET /v1/spec/history", exitYes, `{"generations":[3],"current":3}`},
+		{"config get", 503, `not json`, "GET /v1/spec", exitTrouble, ""},
+		{"--json config history", 200, `{"generations":[3],"current":3}`, "GET /v1/spec/history", exitYes, `{"generations":[3],"current":3}`},
 	} {
-		t.Run(example.words, func(t *testing.T) {
+		t.Run(example.line, func(t *testing.T) {
 			c := qt.New(t)
 			got := ""
 			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -64,14 +64,14 @@
 			}))
 			defer node.Close()
 			// The first node named is dead; the next one is asked.
-			line := []string{"--node", "127.0.0.1:1", "--node", strings.TrimPrefix(node.URL, "http://")}
-			line = append(line, strings.Fields(strings.ReplaceAll(example.words, "FILE", config))...)
-			var words words
-			parser, err := arg.NewParser(arg.Config{}, &words)
+			parts := []string{"--node", "127.0.0.1:1", "--node", strings.TrimPrefix(node.URL, "http://")}
+			parts = append(parts, strings.Fields(strings.ReplaceAll(example.line, "FILE", config))...)
+			var arguments arguments
+			parser, err := arg.NewParser(arg.Config{}, &arguments)
 			c.Assert(err, qt.IsNil)
-			c.Assert(parser.Parse(line), qt.IsNil)
+			c.Assert(parser.Parse(parts), qt.IsNil)
 			var out bytes.Buffer
-			exit, _ := (&board{words, http.DefaultClient, &out}).run(parser)
+			exit, _ := (&session{arguments, http.DefaultClient, &out}).run(parser)
 			c.Assert(got, qt.Equals, example.want)
 			c.Assert(exit, qt.Equals, example.exit, qt.Commentf("%s", out.String()))
 			c.Assert(strings.Contains(out.String(), example.says), qt.IsTrue, qt.Commentf("%s", out.String()))
@@ -81,11 +81,11 @@
 
 func TestAnOrderWithoutAnyAnswerIsUnprovedAndNamesItsID(t *testing.T) {
 	c := qt.New(t)
-	var words words
-	parser, err := arg.NewParser(arg.Config{}, &words)
+	var arguments arguments
+	parser, err := arg.NewParser(arg.Config{}, &arguments)
 	c.Assert(err, qt.IsNil)
-	c.Assert(parser.Parse([]string{"--node", "127.0.0.1:1", "zone", "empty", "z1", "--submission", "mine"}), qt.IsNil)
-	exit, err := (&board{words, http.DefaultClient, io.Discard}).run(parser)
+	c.Assert(parser.Parse([]string{"--node", "127.0.0.1:1", "zone", "drain", "z1", "--submission", "mine"}), qt.IsNil)
+	exit, err := (&session{arguments, http.DefaultClient, io.Discard}).run(parser)
 	c.Assert(exit, qt.Equals, exitUnproved)
 	c.Assert(strings.Contains(err.Error(), "dunlinctl submission mine"), qt.IsTrue)
 }
@@ -105,14 +105,14 @@
 	}))
 	defer node.Close()
 	var out bytes.Buffer
-	b := &board{words{Nodes: []string{strings.TrimPrefix(node.URL, "http://")}}, http.DefaultClient, &out}
-	status, err := b.diff(3, 9)
+	s := &session{arguments{Nodes: []string{strings.TrimPrefix(node.URL, "http://")}}, http.DefaultClient, &out}
+	status, err := s.diff(3, 9)
 	c.Assert(err, qt.IsNil)
 	c.Assert(status, qt.Equals, exitYes)
 	c.Assert(out.String(), qt.Equals, "-          \"weight\": 1\n+          \"weight\": 7\n")
-	status, _ = b.diff(3, 5)
+	status, _ = s.diff(3, 5)
 	c.Assert(status, qt.Equals, exitMissing)
-	_, err = b.diff(0, 5)
+	_, err = s.diff(0, 5)
 	c.Assert(err, qt.IsNotNil)
 }
 
@@ -126,11 +126,11 @@
 		says                   string
 	}{
 		{"a change", "7", `{"version":9,"upsert":{"routes":[{"name":"b"}]},"remove":{"routes":["a"]}}`, 200, `{"id":"x","outcome":"yes","generation":8}`,
-			`?base=7 {"version":9,"later":1.0,"routes":[{"name":"b"}]}`, exitYes, "from generation 7, version 5, to be put, version 9\nyes, generation 8"},
+			`?base=7 {"version":9,"later":1.0,"routes":[{"name":"b"}]}`, exitYes, "from revision 7, version 5, to be put, version 9\nyes, revision 8"},
 		{"another was faster", "7", `{"version":9}`, 409, `{"id":"x","outcome":"no","reason":"clash","detail":"at 8"}`,
 			`?base=7 {"version":9,"later":1.0,"routes":[{"name":"a"}]}`, exitNo, "no, clash: at 8"},
 		{"faults", "7", `{"upsert":{"routes":[{}]}}`, 0, "", "", exitNo, "upsert.routes[0].name"},
-		{"a spec of no known generation", "", `{"version":9}`, 0, "", "", exitTrouble, "generation"},
+		{"a configuration of no known revision", "", `{"version":9}`, 0, "", "", exitTrouble, "revision"},
 	} {
 		t.Run(example.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -151,12 +151,12 @@
 			defer node.Close()
 			file := filepath.Join(t.TempDir(), "change.json")
 			c.Assert(os.WriteFile(file, []byte(example.change), 0o600), qt.IsNil)
-			var words words
-			parser, err := arg.NewParser(arg.Config{}, &words)
+			var arguments arguments
+			parser, err := arg.NewParser(arg.Config{}, &arguments)
 			c.Assert(err, qt.IsNil)
-			c.Assert(parser.Parse([]string{"--node", strings.TrimPrefix(node.URL, "http://"), "spec", "change", file}), qt.IsNil)
+			c.Assert(parser.Parse([]string{"--node", strings.TrimPrefix(node.URL, "http://"), "config", "change", file}), qt.IsNil)
 			var out bytes.Buffer
-			exit, err := (&board{words, http.DefaultClient, &out}).run(parser)
+			exit, err := (&session{arguments, http.DefaultClient, &out}).run(parser)
 			if err != nil {
 				out.WriteString(err.Error())
 			}
@@ -169,7 +169,7 @@
 
 // Clocks differ by an hour, yet what was done under a revision comes after its
 // proposal; and a node that does not answer is named.
-func TestANightIsToldInCausalOrder(t *testing.T) {
+func TestTheTimelineIsInCausalOrder(t *testing.T) {
 	c := qt.New(t)
 	entry := func(seq, era uint64, wall kernel.Micros, subject, decision, why string) kernel.Entry {
 		return kernel.Entry{Seq: seq, Start: 1, Era: era, Wall: wall * kernel.Second, Part: "control", Subject: subject, Decision: decision, Why: why}
@@ -199,8 +199,8 @@
 	defer one.Close()
 	defer other.Close()
 	var out bytes.Buffer
-	b := &board{words{Nodes: []string{strings.TrimPrefix(one.URL, "http://"), strings.TrimPrefix(other.URL, "http://"), "127.0.0.1:1"}}, http.DefaultClient, &out}
-	status, err := b.night("12h")
+	s := &session{arguments{Nodes: []string{strings.TrimPrefix(one.URL, "http://"), strings.TrimPrefix(other.URL, "http://"), "127.0.0.1:1"}}, http.DefaultClient, &out}
+	status, err := s.timeline("12h")
 	c.Assert(err, qt.IsNil)
 	c.Assert(status, qt.Equals, exitYes)
 	at := -1
@@ -212,13 +212,13 @@
 	}
 	c.Assert(strings.Count(out.String(), "engine leaves e1"), qt.Equals, 1)
 	for _, bad := range []string{"yesterday", "-3h", "2999-01-01T00:00:00Z"} {
-		status, err = b.night(bad)
+		status, err = s.timeline(bad)
 		c.Assert(status, qt.Equals, exitTrouble)
 		c.Assert(err, qt.IsNotNil)
 	}
 }
 
-func TestACoreIsRebuiltOnlyInTheWordsAskedFor(t *testing.T) {
+func TestACoreIsRebuiltOnlyWithTheConfirmationAskedFor(t *testing.T) {
 	c := qt.New(t)
 	path := c.TempDir()
 	folder, err := kernel.OpenFolder(path)
@@ -230,36 +230,36 @@
 		Voters: []control.Member{{ID: "old", Address: "127.0.0.1:7001", Zone: "z1"}, {ID: "x", Address: "127.0.0.1:1", Zone: "z2"}, {ID: "y", Address: "127.0.0.1:2", Zone: "z3"}}}
 	c.Assert(store.Save(control.Save{Ballot: &control.Ballot{Term: 3}, Document: document}), qt.IsNil)
 	run := func(line ...string) (int, string, error) {
-		var words words
-		parser, err := arg.NewParser(arg.Config{}, &words)
+		var arguments arguments
+		parser, err := arg.NewParser(arg.Config{}, &arguments)
 		c.Assert(err, qt.IsNil)
 		c.Assert(parser.Parse(append([]string{"core"}, line...)), qt.IsNil)
 		var out bytes.Buffer
-		status, err := (&board{words, http.DefaultClient, &out}).run(parser)
+		status, err := (&session{arguments, http.DefaultClient, &out}).run(parser)
 		return status, out.String(), err
 	}
 	status, said, err := run("look", "--data", path)
 	c.Assert(err, qt.IsNil)
 	c.Assert(status, qt.Equals, exitYes)
-	for _, want := range []string{"generation 12 of term 3", "every order acknowledged after generation 12", "voter 127.0.0.1:1 in z2 does not answer", "you vouch", "10.0.0.9:1"} {
+	for _, want := range []string{"revision 12 of term 3", "every order acknowledged after revision 12", "voter 127.0.0.1:1 in z2 does not answer", "you vouch", "10.0.0.9:1"} {
 		c.Assert(strings.Contains(said, want), qt.IsTrue, qt.Commentf("%q is not in\n%s", want, said))
 	}
-	for _, confirm := range []string{"", "yes", "rebuild here from generation 11"} {
+	for _, confirm := range []string{"", "yes", "rebuild here from revision 11"} {
 		status, _, err = run("rebuild", "--data", path, "--confirm", confirm)
 		c.Assert(status, qt.Equals, exitNo)
-		c.Assert(err, qt.ErrorMatches, ".*rebuild here from generation 12.*")
+		c.Assert(err, qt.ErrorMatches, ".*rebuild here from revision 12.*")
 	}
-	status, _, err = run("rebuild", "--data", path, "--peer", "nowhere", "--confirm", "rebuild here from generation 12")
+	status, _, err = run("rebuild", "--data", path, "--peer", "nowhere", "--confirm", "rebuild here from revision 12")
 	c.Assert(status, qt.Equals, exitTrouble)
 	c.Assert(err, qt.IsNotNil)
 	// A running controller holds its folder.
 	release, err := kernel.LockFolder(path)
 	c.Assert(err, qt.IsNil)
-	status, _, err = run("rebuild", "--data", path, "--confirm", "rebuild here from generation 12")
+	status, _, err = run("rebuild", "--data", path, "--confirm", "rebuild here from revision 12")
 	c.Assert(status, qt.Equals, exitTrouble)
 	c.Assert(errors.As(err, new(kernel.FolderInUse)), qt.IsTrue)
 	c.Assert(release(), qt.IsNil)
-	status, _, err = run("rebuild", "--data", path, "--confirm", "rebuild here from generation 12")
+	status, _, err = run("rebuild", "--data", path, "--confirm", "rebuild here from revision 12")
 	c.Assert(err, qt.IsNil)
 	c.Assert(status, qt.Equals, exitYes)
 	again, _, rebuilt, err := control.OpenStore(folder, "here", func() string { return "fresh" })
@@ -284,7 +284,7 @@
 	}))
 	defer node.Close()
 	look := func(wait time.Duration) int {
-		exit, err := (&board{words{Nodes: []string{strings.TrimPrefix(node.URL, "http://")}}, http.DefaultClient, io.Discard}).status(wait, func(span time.Duration) { paused += span })
+		exit, err := (&session{arguments{Nodes: []string{strings.TrimPrefix(node.URL, "http://")}}, http.DefaultClient, io.Discard}).status(wait, func(span time.Duration) { paused += span })
 		c.Assert(err, qt.IsNil)
 		return exit
 	}
--- a/cmd/dunlinctl/rebuild.go
+++ b/cmd/dunlinctl/rebuild.go
@@ -15,7 +15,7 @@
 	"dunlinloom/server"
 )
 
-type coreWords struct {
+type coreArguments struct {
 	Look *struct {
 		Data string `arg:"--data,required" help:"data folder of a controller that does not run"`
 	} `arg:"subcommand:look" help:"what a folder could be rebuilt to; changes nothing"`
@@ -23,15 +23,15 @@
 		Data    string `arg:"--data,required" help:"data folder of a controller that does not run"`
 		Peer    string `arg:"--peer" help:"peer address that the controller will have; the old one if not given"`
 		Zone    string `arg:"--zone" help:"its zone; the old one if not given"`
-		Confirm string `arg:"--confirm" help:"the words that look gives: with them you vouch for what it names"`
+		Confirm string `arg:"--confirm" help:"the text that look gives: with it you vouch for what it names"`
 	} `arg:"subcommand:rebuild" help:"found the core anew from the one folder that is left"`
 }
 
-// unconfirmed says that a rebuild was not confirmed in the words asked for.
-type unconfirmed struct{ words string }
+// unconfirmed says that a rebuild was not confirmed with the text asked for.
+type unconfirmed struct{ text string }
 
 func (b unconfirmed) Error() string {
-	return fmt.Sprintf("to go on, run it again with --confirm %q", b.words)
+	return fmt.Sprintf("to go on, run it again with --confirm %q", b.text)
 }
 
 // badPlace says that the rebuilt member would have no place to be reached at.
@@ -41,8 +41,8 @@
 	return fmt.Sprintf("peer %q is not an IP and port, or zone %q is empty: name both", b.peer, b.zone)
 }
 
-func wordsFor(s control.Survivor) string {
-	return fmt.Sprintf("rebuild %s from generation %d", s.Fleet, s.Document.Revision)
+func confirmationFor(s control.Survivor) string {
+	return fmt.Sprintf("rebuild %s from revision %d", s.Fleet, s.Document.Revision)
 }
 
 // survivor opens a folder that no process holds; release gives it back.
@@ -67,7 +67,7 @@
 }
 
 // witnesses asks every voter of the folder's document, and every node named, who it is.
-func (b *board) witnesses(found control.Survivor) []control.Witness {
+func (s *session) witnesses(found control.Survivor) []control.Witness {
 	asked, heard := map[string]bool{}, []control.Witness{}
 	for _, voter := range found.Document.Voters {
 		if asked[voter.Address] || voter.ID == found.Member {
@@ -78,44 +78,44 @@
 		witness, err := server.AskWho(ctx, voter.Address)
 		cancel()
 		if err != nil {
-			fmt.Fprintf(b.out, "voter %s in %s does not answer\n", voter.Address, voter.Zone)
+			fmt.Fprintf(s.out, "voter %s in %s does not answer\n", voter.Address, voter.Zone)
 			continue
 		}
-		fmt.Fprintf(b.out, "%s answers: member %s, founding %s, generation %d\n", witness.Address, witness.Member, witness.Founding, witness.Revision)
+		fmt.Fprintf(s.out, "%s answers: member %s, founding %s, revision %d\n", witness.Address, witness.Member, witness.Founding, witness.Revision)
 		heard = append(heard, *witness)
 	}
 	return heard
 }
 
-func (b *board) look(path string) (int, error) {
+func (s *session) look(path string) (int, error) {
 	_, found, release, err := survivor(path)
 	if err != nil {
 		return exitTrouble, err
 	}
 	defer release()
-	b.tell(found)
-	if err := found.Judge(b.witnesses(found)); err != nil {
+	s.tell(found)
+	if err := found.Judge(s.witnesses(found)); err != nil {
 		return exitNo, err
 	}
-	fmt.Fprintf(b.out, "it can be rebuilt, with --confirm %q\n", wordsFor(found))
+	fmt.Fprintf(s.out, "it can be rebuilt, with --confirm %q\n", confirmationFor(found))
 	return exitYes, nil
 }
 
-func (b *board) tell(found control.Survivor) {
+func (s *session) tell(found control.Survivor) {
 	document := found.Document
-	fmt.Fprintf(b.out, "fleet %s, member %s, founding %s\n", found.Fleet, found.Member, document.Founding)
-	fmt.Fprintf(b.out, "generation %d of term %d; the spec in it is of generation %d, %d bytes\n", document.Revision, document.Term, document.ConfigRevision, len(document.Config))
+	fmt.Fprintf(s.out, "fleet %s, member %s, founding %s\n", found.Fleet, found.Member, document.Founding)
+	fmt.Fprintf(s.out, "revision %d of term %d; the configuration in it is of revision %d, %d bytes\n", document.Revision, document.Term, document.ConfigRevision, len(document.Config))
 	for zone, revision := range document.Drained {
-		fmt.Fprintf(b.out, "zone %s emptied since generation %d\n", zone, revision)
+		fmt.Fprintf(s.out, "zone %s drained since revision %d\n", zone, revision)
 	}
-	fmt.Fprintf(b.out, "registered routers: %v\n", document.Register)
-	fmt.Fprintf(b.out, "MISSING, if there was any: every order acknowledged after generation %d\n", document.Revision)
-	fmt.Fprintln(b.out, "By confirming you vouch that the folders of the other voters are lost for good or emptied,")
-	fmt.Fprintln(b.out, "that no other folder of this fleet has been rebuilt, and that every other process of the")
-	fmt.Fprintln(b.out, "fleet is stopped before this controller starts; start them again after it.")
+	fmt.Fprintf(s.out, "registered routers: %v\n", document.Register)
+	fmt.Fprintf(s.out, "MISSING, if there was any: every order acknowledged after revision %d\n", document.Revision)
+	fmt.Fprintln(s.out, "By confirming you vouch that the folders of the other voters are lost for good or emptied,")
+	fmt.Fprintln(s.out, "that no other folder of this fleet has been rebuilt, and that every other process of the")
+	fmt.Fprintln(s.out, "fleet is stopped before this controller starts; start them again after it.")
 }
 
-func (b *board) rebuild(path, peer, zone, confirm string) (int, error) {
+func (s *session) rebuild(path, peer, zone, confirm string) (int, error) {
 	folder, found, release, err := survivor(path)
 	if err != nil {
 		return exitTrouble, err
@@ -134,17 +134,17 @@
 	if _, err := netip.ParseAddrPort(peer); err != nil || zone == "" {
 		return exitTrouble, badPlace{peer, zone}
 	}
-	b.tell(found)
-	if err := found.Judge(b.witnesses(found)); err != nil {
+	s.tell(found)
+	if err := found.Judge(s.witnesses(found)); err != nil {
 		return exitNo, err
 	}
-	if confirm != wordsFor(found) {
-		return exitNo, unconfirmed{wordsFor(found)}
+	if confirm != confirmationFor(found) {
+		return exitNo, unconfirmed{confirmationFor(found)}
 	}
 	document := found.Rebuild(control.Member{ID: control.MemberID(rand.Text()), Address: peer, Zone: zone}, rand.Text())
 	if err := control.WriteRebuilt(folder, found.Fleet, document); err != nil {
 		return exitTrouble, fmt.Errorf("%w; it can be done again", err)
 	}
-	fmt.Fprintf(b.out, "rebuilt: founding %s, generation %d, one voter at %s in %s\n", document.Founding, document.Revision, peer, zone)
+	fmt.Fprintf(s.out, "rebuilt: founding %s, revision %d, one voter at %s in %s\n", document.Founding, document.Revision, peer, zone)
 	return exitYes, nil
 }
--- /dev/null
+++ b/cmd/dunlinctl/request.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"dunlinloom/control"
+	"dunlinloom/server"
+)
+
+// unreachable says that no node gave an answer.
+type unreachable struct {
+	nodes []string
+	cause error
+}
+
+func (b unreachable) Error() string {
+	return fmt.Sprintf("none of %v answered: %v", b.nodes, b.cause)
+}
+
+func (b unreachable) Unwrap() error { return b.cause }
+
+// misread says that a node's answer was not what its interface promises.
+type misread struct {
+	what  string
+	cause error
+}
+
+func (b misread) Error() string { return fmt.Sprintf("read %s: %v", b.what, b.cause) }
+
+func (b misread) Unwrap() error { return b.cause }
+
+// do asks the nodes in turn until one answers.
+func (s *session) do(method, path string, body []byte, submission string) (int, []byte, error) {
+	status, _, got, err := s.ask(method, path, body, submission)
+	return status, got, err
+}
+
+// ask is do with the answer's headers.
+func (s *session) ask(method, path string, body []byte, submission string) (int, http.Header, []byte, error) {
+	var last error
+	for _, node := range s.arguments.Nodes {
+		status, headers, got, err := s.askAt(node, method, path, body, submission)
+		if err == nil {
+			return status, headers, got, nil
+		}
+		last = err
+	}
+	return 0, nil, nil, unreachable{s.arguments.Nodes, last}
+}
+
+func (s *session) doAt(node, method, path string, body []byte, submission string) (int, []byte, error) {
+	status, _, got, err := s.askAt(node, method, path, body, submission)
+	return status, got, err
+}
+
+func (s *session) askAt(node, method, path string, body []byte, submission string) (int, http.Header, []byte, error) {
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+node+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil, fmt.Errorf("make a request: %w", err)
+	}
+	if submission != "" {
+		request.Header.Set(server.HeaderSubmission, submission)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, nil, nil, fmt.Errorf("ask %s: %w", node, err)
+	}
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil, nil, fmt.Errorf("hear %s: %w", node, err)
+	}
+	return response.StatusCode, response.Header, got, nil
+}
+
+// order sends an order with one id to all nodes in turn, so that a second try
+// can never be a second order.
+func (s *session) order(method, path string, body []byte, submission string) (int, error) {
+	if submission == "" {
+		submission = rand.Text()
+	}
+	status, got, err := s.do(method, path, body, submission)
+	if err != nil {
+		return exitUnproved, fmt.Errorf("%w; ask how it ended with: dunlinctl submission %s", err, submission)
+	}
+	var reply control.SubmitReply
+	if err := json.Unmarshal(got, &reply); err != nil || reply.Outcome == "" {
+		return s.fail(status, got)
+	}
+	if s.arguments.JSON {
+		s.out.Write(got)
+	} else {
+		switch reply.Outcome {
+		case control.Yes:
+			fmt.Fprintf(s.out, "yes, revision %d (submission %s)\n", reply.Revision, reply.ID)
+		case control.No:
+			fmt.Fprintf(s.out, "no, %s: %s (submission %s)\n", reply.Reason, reply.Detail, reply.ID)
+		default:
+			fmt.Fprintf(s.out, "unproved, %s; ask again with: dunlinctl submission %s\n", reply.Detail, reply.ID)
+		}
+	}
+	switch reply.Outcome {
+	case control.Yes:
+		return exitYes, nil
+	case control.No:
+		return exitNo, nil
+	}
+	return exitUnproved, nil
+}
+
+// fail prints a typed error of a node with all its faults.
+func (s *session) fail(status int, got []byte) (int, error) {
+	var said struct {
+		Error struct {
+			Type    string `json:"type"`
+			Message string `json:"message"`
+			Faults  []struct {
+				Path string `json:"path"`
+				Why  string `json:"why"`
+			} `json:"faults"`
+			More int `json:"more_faults"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(got, &said); err != nil {
+		return exitTrouble, misread{fmt.Sprintf("an answer of status %d", status), err}
+	}
+	if s.arguments.JSON {
+		s.out.Write(got)
+	} else {
+		fmt.Fprintf(s.out, "%s: %s\n", said.Error.Type, said.Error.Message)
+		for _, fault := range said.Error.Faults {
+			fmt.Fprintf(s.out, "  %s: %s\n", fault.Path, fault.Why)
+		}
+		if said.Error.More > 0 {
+			fmt.Fprintf(s.out, "  and %d more\n", said.Error.More)
+		}
+	}
+	switch status {
+	case http.StatusNotFound:
+		return exitMissing, nil
+	case http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge, http.StatusConflict, http.StatusBadRequest:
+		return exitNo, nil
+	}
+	return exitTrouble, nil
+}
+
+func (s *session) show(method, path string, body []byte, print func([]byte) error) (int, error) {
+	status, got, err := s.do(method, path, body, "")
+	if err != nil {
+		return exitTrouble, err
+	}
+	if status != http.StatusOK {
+		return s.fail(status, got)
+	}
+	if s.arguments.JSON || print == nil {
+		s.out.Write(got)
+		return exitYes, nil
+	}
+	if err := print(got); err != nil {
+		return exitTrouble, err
+	}
+	return exitYes, nil
+}
--- a/cmd/dunlinctl/status.go
+++ b/cmd/dunlinctl/status.go
@@ -11,7 +11,7 @@
 	"dunlinloom/server"
 )
 
-type statusWords struct {
+type statusArguments struct {
 	Wait time.Duration `arg:"--wait" help:"wait so long at most for the core to be whole, as 30s"`
 }
 
@@ -19,17 +19,17 @@
 const statusEvery = 500 * time.Millisecond
 
 // status tells whether the core is whole: exit 0 if it is, 2 if it is not, 3 if no leader could say.
-func (b *board) status(wait time.Duration, pause func(time.Duration)) (int, error) {
+func (s *session) status(wait time.Duration, pause func(time.Duration)) (int, error) {
 	for left := wait; ; left -= statusEvery {
-		exit, view, got, err := b.lookAtCore()
+		exit, view, got, err := s.lookAtCore()
 		isLast := exit == exitYes || left <= 0
-		if isLast && view != nil && b.words.JSON {
-			b.out.Write(got)
+		if isLast && view != nil && s.arguments.JSON {
+			s.out.Write(got)
 			return exit, nil
 		}
 		if isLast {
 			if view != nil {
-				printCore(b.out, view)
+				printCore(s.out, view)
 			}
 			return exit, err
 		}
@@ -45,11 +45,11 @@
 }
 
 // lookAtCore asks the nodes in turn until one leads to the leader's answer.
-func (b *board) lookAtCore() (int, *server.CoreView, []byte, error) {
+func (s *session) lookAtCore() (int, *server.CoreView, []byte, error) {
 	var last error
 	exit := exitTrouble
-	for _, node := range b.words.Nodes {
-		status, got, err := b.doAt(node, http.MethodGet, "/v1/core", nil, "")
+	for _, node := range s.arguments.Nodes {
+		status, got, err := s.doAt(node, http.MethodGet, "/v1/core", nil, "")
 		if err != nil {
 			last = err
 			continue
@@ -68,7 +68,7 @@
 		return exitNo, &view, got, nil
 	}
 	if exit == exitTrouble {
-		last = unreachable{b.words.Nodes, last}
+		last = unreachable{s.arguments.Nodes, last}
 	}
 	return exit, nil, nil, last
 }
--- a/cmd/dunlinctl/night.go
+++ b/cmd/dunlinctl/timeline.go
@@ -36,8 +36,8 @@
 	return kernel.Micros(moment.UnixMicro()), nil
 }
 
-// told is an entry with the node that made it.
-type told struct {
+// nodeEntry is an entry with the node that made it.
+type nodeEntry struct {
 	node  kernel.Identity
 	entry kernel.Entry
 }
@@ -45,7 +45,7 @@
 // merge puts the journals of several nodes into one order. A node's own entries keep
 // theirs. Between nodes the agreed revisions tell: what was done under one came after
 // that was proposed. Where they say nothing, each node's own wall clock does.
-func merge(pages []journalPage) []told {
+func merge(pages []journalPage) []nodeEntry {
 	heads := make([]int, len(pages))
 	proposed := map[uint64]int{} // revision to how many proposals of it are still to come
 	for _, page := range pages {
@@ -56,7 +56,7 @@
 		}
 	}
 	revisions := slices.Sorted(maps.Keys(proposed))
-	merged := []told{}
+	merged := []nodeEntry{}
 	for {
 		// Done with a revision's proposals, nothing waits for it any more.
 		for len(revisions) > 0 && proposed[revisions[0]] == 0 {
@@ -85,12 +85,12 @@
 		if revision := control.Proposes(entry); revision > 0 {
 			proposed[revision]--
 		}
-		merged = append(merged, told{pages[best].Node, entry})
+		merged = append(merged, nodeEntry{pages[best].Node, entry})
 	}
 }
 
-// tellings are the decisions that tell a night, and how an operator reads them.
-var tellings = []struct{ subject, decision, line string }{
+// timelineLines are the decisions that the timeline shows, and how an operator reads them.
+var timelineLines = []struct{ subject, decision, line string }{
 	{"core", "lead", "leads"}, {"core", "step down", "no longer leads"}, {"core", "name successor", "names a successor"},
 	{"core", "found", "founded the fleet"}, {"core", "leave", "is asked to stop"},
 	{"core", "propose", "the core changes"},
@@ -104,33 +104,33 @@
 }
 
 func lineOf(entry kernel.Entry) string {
-	for _, telling := range tellings {
-		if strings.HasPrefix(entry.Subject, telling.subject) && entry.Decision == telling.decision {
+	for _, shown := range timelineLines {
+		if strings.HasPrefix(entry.Subject, shown.subject) && entry.Decision == shown.decision {
 			_, name, _ := strings.Cut(entry.Subject, " ")
-			return strings.TrimSpace(telling.line + " " + name)
+			return strings.TrimSpace(shown.line + " " + name)
 		}
 	}
 	return ""
 }
 
-// night tells what happened since a moment, over the whole fleet.
-func (b *board) night(text string) (int, error) {
+// timeline prints what happened since a moment, over the whole fleet.
+func (s *session) timeline(text string) (int, error) {
 	since, err := sinceOf(text, time.Now())
 	if err != nil {
 		return exitTrouble, err
 	}
-	pages, silent, err := b.pages("/v1/journal?" + url.Values{"since_us": {fmt.Sprint(since)}, "requests": {"0"}}.Encode())
+	pages, silent, err := s.pages("/v1/journal?" + url.Values{"since_us": {fmt.Sprint(since)}, "requests": {"0"}}.Encode())
 	if err != nil {
 		return exitTrouble, err
 	}
-	if b.words.JSON {
-		if err := json.NewEncoder(b.out).Encode(map[string]any{"silent": silent, "entries": pages}); err != nil {
+	if s.arguments.JSON {
+		if err := json.NewEncoder(s.out).Encode(map[string]any{"silent": silent, "entries": pages}); err != nil {
 			return exitTrouble, fmt.Errorf("print: %w", err)
 		}
 		return exitYes, nil
 	}
 	for _, node := range silent {
-		fmt.Fprintf(b.out, "NO ANSWER from %s: what it alone knows is missing below\n", node)
+		fmt.Fprintf(s.out, "NO ANSWER from %s: what it alone knows is missing below\n", node)
 	}
 	seen := map[string]bool{}
 	lines := 0
@@ -144,17 +144,17 @@
 		seen[key] = true
 		lines++
 		moment := time.UnixMicro(int64(each.entry.Wall)).UTC().Format("2006-01-02 15:04:05.000")
-		fmt.Fprintf(b.out, "%s  %-6s %-21s %s: %s\n", moment, each.node.Zone, each.node.Address, line, each.entry.Why)
+		fmt.Fprintf(s.out, "%s  %-6s %-21s %s: %s\n", moment, each.node.Zone, each.node.Address, line, each.entry.Why)
 	}
 	if lines == 0 {
-		fmt.Fprintln(b.out, "nothing to tell")
+		fmt.Fprintln(s.out, "nothing to tell")
 	}
 	return exitYes, nil
 }
 
 // pages asks every node of the fleet, and says which did not answer.
-func (b *board) pages(path string) (pages []journalPage, silent []string, err error) {
-	status, got, err := b.do(http.MethodGet, "/v1/fleet", nil, "")
+func (s *session) pages(path string) (pages []journalPage, silent []string, err error) {
+	status, got, err := s.do(http.MethodGet, "/v1/fleet", nil, "")
 	if err != nil {
 		return nil, nil, err
 	}
@@ -165,7 +165,7 @@
 	if err := json.Unmarshal(got, &view); err != nil {
 		return nil, nil, misread{"the fleet", err}
 	}
-	publics, known := slices.Clone(b.words.Nodes), map[string]bool{}
+	publics, known := slices.Clone(s.arguments.Nodes), map[string]bool{}
 	for _, node := range view.Nodes {
 		publics = append(publics, node.Public)
 		known[node.Address] = true
@@ -183,7 +183,7 @@
 	slices.Sort(publics)
 	failed := []error{}
 	for _, public := range slices.Compact(publics) {
-		status, got, err := b.doAt(public, http.MethodGet, path, nil, "")
+		status, got, err := s.doAt(public, http.MethodGet, path, nil, "")
 		var page journalPage
 		if err == nil && status != http.StatusOK {
 			err = unanswered{status}
--- a/server/deployment_test.go
+++ b/server/deployment_test.go
@@ -49,7 +49,7 @@
 	for _, fault := range faults.List {
 		paths = append(paths, fault.Path)
 	}
-	c.Assert(paths, qt.DeepEquals, []string{"callers", "control", "readiness", "zone", "data", "form", "licence_us"})
+	c.Assert(paths, qt.DeepEquals, []string{"callers", "control", "readiness", "zone", "data", "form", "lease_us"})
 	// A router keeps nothing on disk, and serves no control.
 	router := goodDeployment(c, nil, "10.0.0.1:7000")
 	router.CanVote, router.Control, router.Settings.Data = false, "", ""
--- a/server/rules.go
+++ b/server/rules.go
@@ -8,21 +8,21 @@
 
 // Rules are the settings that change what the fleet promises; none set is the strict way.
 type Rules struct {
-	Voters       int    `arg:"--voters" json:"voters" help:"least number of voters wanted, more as there are members; 0: three, always"`
-	ServeOnUS    int64  `arg:"--serve-on-us" json:"serve_on_us" help:"how long a word of the core lasts, if longer than a licence; -1: always"`
-	Replies      string `arg:"--receipts" json:"receipts" help:"strict: a yes needs a majority of the routers; spread: all that are heard, or some time"`
-	SpreadWaitUS int64  `arg:"--spread-wait-us" json:"spread_wait_us" help:"how long a yes waits for routers under spread receipts"`
-	SubmitTryUS  int64  `arg:"--submit-try-us" json:"submit_try_us" help:"how long an order is tried"`
-	NoFence      bool   `arg:"--no-fence" json:"no_fence" help:"leave an order without a receipt unproved, as it is sent again"`
-	Founders     string `arg:"--founders" json:"founders" help:"seeds: the three seeds found the fleet; announce: members with a folder announce themselves to the seeds"`
-	Bootstrap    bool   `arg:"--bootstrap" json:"bootstrap" help:"with announced founders: this is the first start of the whole fleet"`
-	BeatGoneUS   int64  `arg:"--beat-gone-us" json:"beat_gone_us" help:"silence after which an engine that registers itself is dark; 0: never"`
+	Voters           int    `arg:"--voters" json:"voters" help:"least number of voters wanted, more as there are members; 0: three, always"`
+	ServeOnUS        int64  `arg:"--serve-on-us" json:"serve_on_us" help:"how long a word of the core lasts, if longer than a lease; -1: always"`
+	Acknowledgements string `arg:"--acknowledgements" json:"acknowledgements" help:"strict: a yes needs a majority of the routers; spread: all that are heard, or some time"`
+	SpreadWaitUS     int64  `arg:"--spread-wait-us" json:"spread_wait_us" help:"how long a yes waits for routers under spread acknowledgements"`
+	SubmitTryUS      int64  `arg:"--submit-try-us" json:"submit_try_us" help:"how long an order is tried"`
+	NoFence          bool   `arg:"--no-fence" json:"no_fence" help:"leave an order without an acknowledgement unproved, as it is sent again"`
+	Founders         string `arg:"--founders" json:"founders" help:"seeds: the three seeds found the fleet; announce: members with a folder announce themselves to the seeds"`
+	Bootstrap        bool   `arg:"--bootstrap" json:"bootstrap" help:"with announced founders: this is the first start of the whole fleet"`
+	EngineGoneUS     int64  `arg:"--engine-gone-us" json:"engine_gone_us" help:"silence after which an engine that registers itself is dark; 0: never"`
 }
 
 const alwaysUS = -1
 
 func defaultRules() Rules {
-	return Rules{Replies: "strict", SpreadWaitUS: int64(600 * kernel.Millisecond), SubmitTryUS: int64(6 * kernel.Second), Founders: "seeds"}
+	return Rules{Acknowledgements: "strict", SpreadWaitUS: int64(600 * kernel.Millisecond), SubmitTryUS: int64(6 * kernel.Second), Founders: "seeds"}
 }
 
 // Put writes the rules into what a node is told.
@@ -32,21 +32,21 @@
 		node.ServeOn = control.ServeOnAlways
 	}
 	node.SpreadWait, node.SubmitTry = kernel.Micros(r.SpreadWaitUS), kernel.Micros(r.SubmitTryUS)
-	if r.Replies == "spread" {
+	if r.Acknowledgements == "spread" {
 		node.AckRule = control.Spread
 	}
 	if r.Founders == "announce" {
 		node.Founding = control.FoundersAnnounce
 	}
-	node.Timing.BeatGone = kernel.Micros(r.BeatGoneUS)
+	node.Timing.BeatGone = kernel.Micros(r.EngineGoneUS)
 }
 
 func (r Rules) check(faults *fleetconfig.Faults) {
 	if r.Voters < 0 || r.Voters > 9 {
 		faults.Add("voters", "%d is not from 0 to 9", r.Voters)
 	}
-	if r.Replies != "strict" && r.Replies != "spread" {
-		faults.Add("receipts", "%q is neither strict nor spread", r.Replies)
+	if r.Acknowledgements != "strict" && r.Acknowledgements != "spread" {
+		faults.Add("acknowledgements", "%q is neither strict nor spread", r.Acknowledgements)
 	}
 	if r.Founders != "seeds" && r.Founders != "announce" {
 		faults.Add("founders", "%q is neither seeds nor announce", r.Founders)
@@ -59,7 +59,7 @@
 		value, low, high int64
 	}{
 		{"serve_on_us", r.ServeOnUS, alwaysUS, 3_600_000_000}, {"spread_wait_us", r.SpreadWaitUS, 50_000, 10_000_000},
-		{"submit_try_us", r.SubmitTryUS, 200_000, 60_000_000}, {"beat_gone_us", r.BeatGoneUS, 0, 600_000_000},
+		{"submit_try_us", r.SubmitTryUS, 200_000, 60_000_000}, {"engine_gone_us", r.EngineGoneUS, 0, 600_000_000},
 	} {
 		if span.value < span.low || span.value > span.high {
 			faults.Add(span.name, "%d is not from %d to %d", span.value, span.low, span.high)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -47,14 +47,14 @@
 	bad.Seeds = []string{"10.0.0.2:7000", "10.0.0.2:7000"}
 	bad.Platform, bad.Journal = "ftp://x", 1
 	bad.Connections, bad.Live, bad.BodiesMB, bad.JournalMB, bad.ArchiveMB = 1, 0, -1, -1, 1<<20
-	bad.LeaseUS, bad.AskUS, bad.HeartbeatUS, bad.ElectionLowUS = 2_000_000, 600_000, 300_000, 600_000
+	bad.LeaseUS, bad.RenewUS, bad.HeartbeatUS, bad.ElectionLowUS = 2_000_000, 600_000, 300_000, 600_000
 	var faults *fleetconfig.Faults
 	c.Assert(errors.As(bad.Check(true), &faults), qt.IsTrue)
 	paths := []string{}
 	for _, fault := range faults.List {
 		paths = append(paths, fault.Path)
 	}
-	c.Assert(paths, qt.DeepEquals, []string{"fleet", "zone", "public", "peer", "seeds", "seeds[1]", "platform", "channels", "live", "bodies_mb", "journal_mb", "archive_mb", "journal", "licence_us", "ask_us", "election_low_us"})
+	c.Assert(paths, qt.DeepEquals, []string{"fleet", "zone", "public", "peer", "seeds", "seeds[1]", "platform", "connections", "live", "bodies_mb", "journal_mb", "archive_mb", "journal", "lease_us", "renew_us", "election_low_us"})
 	// A router has no folder, a founder needs one.
 	c.Assert(goodSettings().Check(false), qt.IsNotNil)
 	founder := goodSettings()
@@ -65,12 +65,12 @@
 func TestFlagsGoBeforeTheFile(t *testing.T) {
 	c := qt.New(t)
 	file := filepath.Join(t.TempDir(), "settings.json")
-	c.Assert(os.WriteFile(file, []byte(`{"zone":"z7","fleet":"f","ask_us":200000}`), 0o600), qt.IsNil)
+	c.Assert(os.WriteFile(file, []byte(`{"zone":"z7","fleet":"f","renew_us":200000}`), 0o600), qt.IsNil)
 	settings, err := ReadSettings("test", []string{"--settings", file, "--zone", "z9"})
 	c.Assert(err, qt.IsNil)
 	c.Assert(settings.Zone, qt.Equals, "z9")
 	c.Assert(settings.Fleet, qt.Equals, "f")
-	c.Assert(settings.AskUS, qt.Equals, int64(200000))
+	c.Assert(settings.RenewUS, qt.Equals, int64(200000))
 	c.Assert(settings.LeaseUS, qt.Equals, DefaultSettings().LeaseUS)
 	for _, content := range []string{`{"zoen":"z7"}`, `{"zone":7}`, `{} {}`, `{`} {
 		c.Assert(os.WriteFile(file, []byte(content), 0o600), qt.IsNil)
--- a/server/settings.go
+++ b/server/settings.go
@@ -31,8 +31,8 @@
 	Seeds       []string `arg:"--seed,separate" json:"seeds" help:"peer address of a seed; three of them, which are also the founders"`
 	Data        string   `arg:"--data" json:"data" help:"data folder of a controller with a disk"`
 	Platform    string   `arg:"--platform" json:"platform" help:"URL of the platform's list of engines"`
-	ArchiveMB   int      `arg:"--archive-mb" json:"archive_mb" help:"megabytes that the object store of past specs may take; 0 keeps none"`
-	Connections int      `arg:"--channels" json:"channels" help:"channels that callers may hold open at once"`
+	ArchiveMB   int      `arg:"--archive-mb" json:"archive_mb" help:"megabytes that the object store of past configurations may take; 0 keeps none"`
+	Connections int      `arg:"--connections" json:"connections" help:"connections that callers may hold open at once"`
 	Live        int      `arg:"--live" json:"live" help:"requests served at once"`
 	BodiesMB    int      `arg:"--bodies-mb" json:"bodies_mb" help:"megabytes of request bodies held at once"`
 	JournalMB   int      `arg:"--journal-mb" json:"journal_mb" help:"megabytes of journal kept in the data folder, of decisions and of requests each; 0 keeps none"`
@@ -40,22 +40,22 @@
 
 	Rules
 
-	HeartbeatUS     int64 `arg:"--pulse-us" json:"pulse_us" help:"between a leader's pulses"`
+	HeartbeatUS     int64 `arg:"--heartbeat-us" json:"heartbeat_us" help:"between a leader's heartbeats"`
 	ElectionLowUS   int64 `arg:"--election-low-us" json:"election_low_us" help:"shortest silence before an election"`
 	ElectionHighUS  int64 `arg:"--election-high-us" json:"election_high_us" help:"longest silence before an election"`
 	DiskStallUS     int64 `arg:"--disk-stall-us" json:"disk_stall_us" help:"a write that takes longer counts as stalled"`
 	ReplaceUS       int64 `arg:"--replace-us" json:"replace_us" help:"silence after which a voter is replaced"`
-	AskUS           int64 `arg:"--ask-us" json:"ask_us" help:"between asks for a licence"`
-	LeaseUS         int64 `arg:"--licence-us" json:"licence_us" help:"how long a licence lasts from its ask on"`
+	RenewUS         int64 `arg:"--renew-us" json:"renew_us" help:"between two renewals of a router's lease"`
+	LeaseUS         int64 `arg:"--lease-us" json:"lease_us" help:"how long a lease lasts, counted from when it was asked for"`
 	HomeSilentUS    int64 `arg:"--home-silent-us" json:"home_silent_us" help:"silence after which a zone gets another home"`
-	StrikeUS        int64 `arg:"--strike-us" json:"strike_us" help:"silence after which a router leaves the register"`
-	ShuffleUS       int64 `arg:"--shuffle-us" json:"shuffle_us" help:"between two trades of partial views"`
-	MendUS          int64 `arg:"--mend-us" json:"mend_us" help:"between two comparisons of what the zones know"`
+	RouterGoneUS    int64 `arg:"--router-gone-us" json:"router_gone_us" help:"silence after which a router leaves the register"`
+	ShuffleUS       int64 `arg:"--shuffle-us" json:"shuffle_us" help:"between two exchanges of partial views"`
+	AntiEntropyUS   int64 `arg:"--anti-entropy-us" json:"anti_entropy_us" help:"between two comparisons of what the zones know"`
 	NodeGoneUS      int64 `arg:"--node-gone-us" json:"node_gone_us" help:"silence after which a node is forgotten; it says five times in it that it lives"`
-	TickUS          int64 `arg:"--tick-us" json:"tick_us" help:"grain of the control plane's alarms"`
+	TickUS          int64 `arg:"--tick-us" json:"tick_us" help:"granularity of the control plane's timers"`
 	EngineSilenceUS int64 `arg:"--engine-silence-us" json:"engine_silence_us" help:"an engine that sends nothing for so long is lost"`
 	DrainUS         int64 `arg:"--drain-us" json:"drain_us" help:"longest wait for accepted requests at a planned stop"`
-	LameDuckUS      int64 `arg:"--lame-duck-us" json:"lame_duck_us" help:"how long a stopping node still takes channels and says that it is stopping"`
+	LameDuckUS      int64 `arg:"--lame-duck-us" json:"lame_duck_us" help:"how long a stopping node still accepts connections and says that it is stopping"`
 }
 
 // Version is what --version prints.
@@ -70,9 +70,9 @@
 		Fleet: "dunlinloom", Journal: 4096, ArchiveMB: 64, JournalMB: 8,
 		Connections: 2048, Live: int(bounds.Live), BodiesMB: int(bounds.Bodies >> 20),
 		HeartbeatUS: int64(timing.Heartbeat), ElectionLowUS: int64(timing.ElectionLow), ElectionHighUS: int64(timing.ElectionHigh),
-		DiskStallUS: int64(timing.DiskStall), ReplaceUS: int64(timing.Replace), AskUS: int64(timing.Ask),
-		LeaseUS: int64(timing.Lease), HomeSilentUS: int64(timing.HomeSilent), StrikeUS: int64(timing.Strike),
-		ShuffleUS: int64(timing.Shuffle), MendUS: int64(timing.Mend), NodeGoneUS: int64(timing.NodeGone), TickUS: int64(20 * kernel.Millisecond),
+		DiskStallUS: int64(timing.DiskStall), ReplaceUS: int64(timing.Replace), RenewUS: int64(timing.Ask),
+		LeaseUS: int64(timing.Lease), HomeSilentUS: int64(timing.HomeSilent), RouterGoneUS: int64(timing.Strike),
+		ShuffleUS: int64(timing.Shuffle), AntiEntropyUS: int64(timing.Mend), NodeGoneUS: int64(timing.NodeGone), TickUS: int64(20 * kernel.Millisecond),
 		EngineSilenceUS: int64(spans.EngineSilence), DrainUS: int64(120 * kernel.Second), LameDuckUS: int64(kernel.Second),
 	}
 }
@@ -81,9 +81,9 @@
 func (s Settings) Timing() control.Timing {
 	timing := control.DefaultTiming()
 	timing.Heartbeat, timing.ElectionLow, timing.ElectionHigh = kernel.Micros(s.HeartbeatUS), kernel.Micros(s.ElectionLowUS), kernel.Micros(s.ElectionHighUS)
-	timing.DiskStall, timing.Replace, timing.Ask = kernel.Micros(s.DiskStallUS), kernel.Micros(s.ReplaceUS), kernel.Micros(s.AskUS)
-	timing.Shuffle, timing.Mend, timing.NodeGone, timing.Tick = kernel.Micros(s.ShuffleUS), kernel.Micros(s.MendUS), kernel.Micros(s.NodeGoneUS), kernel.Micros(s.TickUS)
-	timing.Lease, timing.HomeSilent, timing.Strike = kernel.Micros(s.LeaseUS), kernel.Micros(s.HomeSilentUS), kernel.Micros(s.StrikeUS)
+	timing.DiskStall, timing.Replace, timing.Ask = kernel.Micros(s.DiskStallUS), kernel.Micros(s.ReplaceUS), kernel.Micros(s.RenewUS)
+	timing.Shuffle, timing.Mend, timing.NodeGone, timing.Tick = kernel.Micros(s.ShuffleUS), kernel.Micros(s.AntiEntropyUS), kernel.Micros(s.NodeGoneUS), kernel.Micros(s.TickUS)
+	timing.Lease, timing.HomeSilent, timing.Strike = kernel.Micros(s.LeaseUS), kernel.Micros(s.HomeSilentUS), kernel.Micros(s.RouterGoneUS)
 	return timing
 }
 
@@ -207,7 +207,7 @@
 	for _, bound := range []struct {
 		name             string
 		value, low, high int
-	}{{"channels", s.Connections, 16, 1 << 20}, {"live", s.Live, 1, 1 << 20}, {"bodies_mb", s.BodiesMB, 8, 1 << 20}, {"journal_mb", s.JournalMB, 0, 1 << 14}, {"archive_mb", s.ArchiveMB, 0, 1 << 16}} {
+	}{{"connections", s.Connections, 16, 1 << 20}, {"live", s.Live, 1, 1 << 20}, {"bodies_mb", s.BodiesMB, 8, 1 << 20}, {"journal_mb", s.JournalMB, 0, 1 << 14}, {"archive_mb", s.ArchiveMB, 0, 1 << 16}} {
 		if bound.value < bound.low || bound.value > bound.high {
 			faults.Add(bound.name, "%d is not from %d to %d", bound.value, bound.low, bound.high)
 		}
@@ -228,8 +228,8 @@
 		}
 	}
 	// A lease of two seconds would leave no margin under the rule's two seconds.
-	checkRange("licence_us", s.LeaseUS, 300_000, 1_900_000)
-	checkRange("pulse_us", s.HeartbeatUS, 20_000, 1_000_000)
+	checkRange("lease_us", s.LeaseUS, 300_000, 1_900_000)
+	checkRange("heartbeat_us", s.HeartbeatUS, 20_000, 1_000_000)
 	checkRange("election_high_us", s.ElectionHighUS, 100_000, 3_000_000)
 	checkRange("disk_stall_us", s.DiskStallUS, 100_000, 3_000_000)
 	// Where members come back empty and soon, a lost one is better replaced early: what is
@@ -240,19 +240,19 @@
 	}
 	checkRange("replace_us", s.ReplaceUS, lowReplace, 3_600_000_000)
 	checkRange("home_silent_us", s.HomeSilentUS, 500_000, 2_000_000)
-	checkRange("strike_us", s.StrikeUS, 5_000_000, 3_600_000_000)
+	checkRange("router_gone_us", s.RouterGoneUS, 5_000_000, 3_600_000_000)
 	checkRange("shuffle_us", s.ShuffleUS, 100_000, 60_000_000)
-	checkRange("mend_us", s.MendUS, 200_000, 60_000_000)
+	checkRange("anti_entropy_us", s.AntiEntropyUS, 200_000, 60_000_000)
 	checkRange("node_gone_us", s.NodeGoneUS, 3_000_000, 60_000_000)
 	checkRange("tick_us", s.TickUS, 5_000, 100_000)
 	checkRange("engine_silence_us", s.EngineSilenceUS, 100_000, 600_000_000)
 	checkRange("drain_us", s.DrainUS, 0, 3_600_000_000)
 	checkRange("lame_duck_us", s.LameDuckUS, 0, 60_000_000)
-	if s.AskUS < 50_000 || s.AskUS*4 > s.LeaseUS && s.ServeOnUS != alwaysUS || s.AskUS > 1_000_000 {
-		faults.Add("ask_us", "%d has to be at least 50000 and four asks have to fit into the licence of %d", s.AskUS, s.LeaseUS)
+	if s.RenewUS < 50_000 || s.RenewUS*4 > s.LeaseUS && s.ServeOnUS != alwaysUS || s.RenewUS > 1_000_000 {
+		faults.Add("renew_us", "%d has to be at least 50000 and four renewals have to fit into the lease of %d", s.RenewUS, s.LeaseUS)
 	}
 	if s.ElectionLowUS < 4*s.HeartbeatUS {
-		faults.Add("election_low_us", "%d has to hold at least four pulses of %d", s.ElectionLowUS, s.HeartbeatUS)
+		faults.Add("election_low_us", "%d has to hold at least four heartbeats of %d", s.ElectionLowUS, s.HeartbeatUS)
 	}
 	if s.ElectionHighUS <= s.ElectionLowUS {
 		faults.Add("election_high_us", "%d has to be above election_low_us of %d", s.ElectionHighUS, s.ElectionLowUS)
