--- a/capacity/fleet_open.go
+++ b/capacity/fleet_open.go
@@ -30,7 +30,7 @@
 		})
 		if err := f.until("put a configuration in force", 50*ms, 20*sec, func() string {
 			if !isOver {
-				return "no receipt came"
+				return "no acknowledgement came"
 			}
 			return ""
 		}); err != nil {
@@ -109,7 +109,7 @@
 		case state.Document.Revision < newest:
 			return h.identity.Address + " is behind"
 		case !h.control && state.Until <= f.now:
-			return h.identity.Address + " has no licence"
+			return h.identity.Address + " has no lease"
 		case len(state.Document.Homes) < f.sizes.Zones:
 			return "a zone has no home"
 		case len(state.Document.Register) < f.sizes.Nodes-f.sizes.Control:
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -230,7 +230,7 @@
 	if err := f.until("wait for acknowledgements", 200*ms, 30*sec, func() string {
 		for _, one := range *told {
 			if one.answered == 0 {
-				return "an order has no receipt"
+				return "an order has no acknowledgement"
 			}
 		}
 		return f.lacks(f.sizes.Engines)
--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -456,7 +456,7 @@
 }
 
 func printConfig(w io.Writer, _ table, b Batch) error {
-	head(w, "size", "spec KB", "as an order KB", "document KB", "light document KB", "compile ms", "compiled MB", "save ms", "file ms", "stored KB")
+	head(w, "size", "configuration KB", "as an order KB", "document KB", "light document KB", "compile ms", "compiled MB", "save ms", "file ms", "stored KB")
 	middle := base(func(s *Sizes) { s.Nodes, s.Zones, s.Regions, s.Engines, s.MemoryMB = 410, 24, 7, 850, 4000 })
 	sweeps := append(sweep(middle, func(s *Sizes, v int) { s.Routes, s.Tenants = v, tenantsOf(v) }, 100, 500, 2000, 8000, 20000),
 		sweep(middle, func(s *Sizes, v int) { s.Nodes = v }, 32, 96, 205, 410)...)
--- a/cmd/dunlinctl/arguments.go
+++ b/cmd/dunlinctl/arguments.go
@@ -62,7 +62,7 @@
 
 type journalArguments struct {
 	Part    string `arg:"--part" help:"control, relay or platform"`
-	Subject string `arg:"--subject" help:"core, lease, home, \"engine ID\", \"node ADDRESS\", \"submission ID\" or a request's id"`
+	Subject string `arg:"--subject" help:"core, licence, home, \"engine ID\", \"node ADDRESS\", \"submission ID\" or a request's id"`
 	Last    int    `arg:"--last" default:"50"`
 	Since   string `arg:"--since" help:"tell what happened since then over the whole fleet: a span like 12h, or a moment like 2031-05-06T18:00:00Z"`
 }
--- a/cmd/dunlinctl/config.go
+++ b/cmd/dunlinctl/config.go
@@ -37,7 +37,7 @@
 	if err != nil || base == 0 {
 		return exitTrouble, misread{"the revision of the configuration in force", noRevision{}}
 	}
-	changed, err := fleetconfig.ChangeByName(document, change, fleetconfig.OwnWords())
+	changed, err := fleetconfig.ChangeByName(document, change, fleetconfig.OwnFieldNames())
 	var faults *fleetconfig.Faults
 	var above fleetconfig.TooLarge
 	if errors.As(err, &faults) || errors.As(err, &above) {
--- a/cmd/dunlinctl/main_test.go
+++ b/cmd/dunlinctl/main_test.go
@@ -177,7 +177,7 @@
 	pages := map[string]journalPage{
 		"a": {kernel.Identity{Address: "10.0.0.1:7000", Zone: "z1"}, []kernel.Entry{
 			entry(1, 4, 7200, "core", "lead", "term 3, elected"), entry(2, 4, 7201, "core", "propose", "generation 5: [submission s1]"),
-			entry(3, 5, 7203, "submission s1", "yes", "kept and applied"), entry(4, 5, 7204, "core", "propose", "generation 6: [voter dropped: 10.0.0.9:7000]"),
+			entry(3, 5, 7203, "submission s1", "yes", "kept and applied"), entry(4, 5, 7204, "core", "propose", "revision 6: [voter dropped: 10.0.0.9:7000]"),
 			entry(5, 6, 7206, "engine e1", "leaving", "marked"),
 		}},
 		"b": {kernel.Identity{Address: "10.0.0.2:7000", Zone: "z2"}, []kernel.Entry{
--- a/contracts/contracts.go
+++ b/contracts/contracts.go
@@ -177,7 +177,7 @@
 		c.Assert(document, qt.IsNil)
 		c.Assert(store.Aside(), qt.HasLen, 3)
 	})
-	t.Run("specs of the past are read by what they held", func(t *testing.T) {
+	t.Run("configurations of the past are read by what they held", func(t *testing.T) {
 		c := qt.New(t)
 		folder := open(t)
 		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
--- a/control/catchup_test.go
+++ b/control/catchup_test.go
@@ -155,12 +155,12 @@
 
 func TestAFolderPutBackFromAnOlderCopyIsFenced(t *testing.T) {
 	c := qt.New(t)
-	// The folder holds generation 9; the leader has heard from this member that it holds 10.
+	// The folder holds revision 9; the leader has heard from this member that it holds 10.
 	b := newBench(c, Ballot{Term: 4}, document(4, 9))
 	heartbeat := Heartbeat{Term: 4, Leader: memberA, Target: memberB.ID, Round: 1, Promised: Stamp{4, 10}}
 	b.receive(memberA, Message{Heartbeat: &heartbeat})
 	b.sync()
-	// The leader is gone, and one that lacks generation 10 asks for a vote.
+	// The leader is gone, and one that lacks revision 10 asks for a vote.
 	b.now += 5 * kernel.Second
 	b.receive(memberC, ask(memberC, 5, Stamp{4, 9}))
 	b.sync()
@@ -168,7 +168,7 @@
 	c.Assert(b.votes()[0].IsGranted, qt.IsFalse)
 	b.pass(5 * kernel.Second)
 	c.Assert(b.core.role, qt.Equals, follower)
-	// Once it holds that generation it votes and stands as any other.
+	// Once it holds that revision it votes and stands as any other.
 	b.receive(memberA, Message{Heartbeat: &Heartbeat{Term: 5, Leader: memberA, Target: memberB.ID, Round: 1, Document: document(5, 10)}})
 	b.sync()
 	b.pass(5 * kernel.Second)
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -298,7 +298,7 @@
 	c.Assert(cell.Engines()[0].Load, qt.Equals, int64(70))
 }
 
-func TestALicenceCountsFromTheAskAndStandsForItsRevision(t *testing.T) {
+func TestALeaseCountsFromTheAskAndStandsForItsRevision(t *testing.T) {
 	c := qt.New(t)
 	l := NewLease("r", true, DefaultTiming(), func(string, string, string) {})
 	span := DefaultTiming().Lease
@@ -370,7 +370,7 @@
 
 // A configuration that a member has already is not sent to it again. One that does not hold it
 // answers for nothing, says so, and gets the whole.
-func TestASpecIsLeftOutOnlyForWhoHoldsIt(t *testing.T) {
+func TestAConfigIsLeftOutOnlyForWhoHoldsIt(t *testing.T) {
 	c := qt.New(t)
 	first := document(4, 9)
 	first.putConfig([]byte(`{"large":"one"}`))
@@ -389,7 +389,7 @@
 	// Another configuration under the same revision, as a leader that lost its lead may have left it.
 	other := document(4, 9)
 	other.putConfig([]byte(`{"large":"two"}`))
-	for name, held := range map[string]*Document{"nothing": nil, "another spec": other, "no spec": document(4, 9)} {
+	for name, held := range map[string]*Document{"nothing": nil, "another configuration": other, "no configuration": document(4, 9)} {
 		bare := newBench(c, Ballot{Term: 4}, held)
 		bare.receive(memberA, heartbeat)
 		bare.sync()
--- a/control/days_test.go
+++ b/control/days_test.go
@@ -46,7 +46,7 @@
 		}
 		digest := digestOf(document.Config, fmt.Append(nil, document.Voters, document.Register, document.Homes, document.ConfigVersion))
 		if known, isThere := d.truths[document.Revision]; isThere {
-			d.c.Assert(digest, qt.Equals, known, qt.Commentf("generation %d differs at %s", document.Revision, n.identity.Address))
+			d.c.Assert(digest, qt.Equals, known, qt.Commentf("revision %d differs at %s", document.Revision, n.identity.Address))
 		}
 		d.truths[document.Revision] = digest
 		life := fmt.Sprint(n.identity.Address, n.epoch)
@@ -188,6 +188,6 @@
 		c.Assert(string(document.Config), qt.Equals, d.sent[document.ConfigVersion])
 		c.Assert(d.yes >= 10, qt.IsTrue, qt.Commentf("seed %d: only %d orders of %d", seed, d.yes, d.orders))
 		c.Assert(d.founded, qt.HasLen, 1)
-		c.Logf("seed %d: %d of %d orders acknowledged, version %d, generation %d", seed, d.yes, d.orders, document.ConfigVersion, document.Revision)
+		c.Logf("seed %d: %d of %d orders acknowledged, version %d, revision %d", seed, d.yes, d.orders, document.ConfigVersion, document.Revision)
 	}
 }
--- a/control/election.go
+++ b/control/election.go
@@ -134,7 +134,7 @@
 	c.votedFor = c.settings.Self.ID
 	c.role = candidate
 	term := c.term
-	c.note("core", "stand", "term %d, holding generation %d", term, c.doc.Revision)
+	c.note("core", "stand", "term %d, holding revision %d", term, c.doc.Revision)
 	// The own vote counts only once it is on disk.
 	c.save(nil, func() {
 		if c.role == candidate && c.term == term {
--- a/control/envelope.go
+++ b/control/envelope.go
@@ -95,7 +95,7 @@
 		return nil
 	}
 	if d.Founding == "" || d.Revision == 0 || d.Term == 0 {
-		return InvalidDocument{"it names no founding, term or generation"}
+		return InvalidDocument{"it names no founding, term or revision"}
 	}
 	if len(d.Voters) == 0 || len(d.Voters) > mostVoters {
 		return InvalidDocument{fmt.Sprintf("it has %d voters", len(d.Voters))}
@@ -112,7 +112,7 @@
 
 func (d *Document) checkChain() error {
 	if d.ConfigRevision > d.Revision {
-		return InvalidDocument{fmt.Sprintf("its spec is of generation %d and itself of %d", d.ConfigRevision, d.Revision)}
+		return InvalidDocument{fmt.Sprintf("its configuration is of revision %d and itself of %d", d.ConfigRevision, d.Revision)}
 	}
 	last := ConfigMark{}
 	for _, mark := range d.Chain {
@@ -125,10 +125,10 @@
 		return nil
 	}
 	if last.Revision != d.ConfigRevision {
-		return InvalidDocument{"its chain does not end with its spec"}
+		return InvalidDocument{"its chain does not end with its configuration"}
 	}
 	if len(d.Config) > 0 && MarkOf(d) != last {
-		return InvalidDocument{"its spec is not the one that its chain names"}
+		return InvalidDocument{"its configuration is not the one that its chain names"}
 	}
 	return nil
 }
--- a/control/fleet_harness_test.go
+++ b/control/fleet_harness_test.go
@@ -467,7 +467,7 @@
 	begun := f.now
 	for turn := 0; f.now-begun < most; turn++ {
 		at[turn%len(at)].submit(id, base, config)
-		f.await("a receipt", kernel.Second, func() bool { _, isThere := f.reply[id]; return isThere })
+		f.await("an acknowledgement", kernel.Second, func() bool { _, isThere := f.reply[id]; return isThere })
 		switch reply := f.reply[id]; reply.Outcome {
 		case Yes:
 			return f.now - begun
--- a/control/fleet_orders_test.go
+++ b/control/fleet_orders_test.go
@@ -69,7 +69,7 @@
 		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[3])
 		f.nodes[4].submit("left", 1, configOf(5, "left"))
 		f.nodes[5].submit("right", 1, configOf(7, "right"))
-		f.await("both receipts", 2*kernel.Second, func() bool { return len(f.reply) == 3 })
+		f.await("both acknowledgements", 2*kernel.Second, func() bool { return len(f.reply) == 3 })
 		outcomes := []string{string(f.reply["left"].Outcome), string(f.reply["right"].Outcome)}
 		slices.Sort(outcomes)
 		c.Assert(outcomes, qt.DeepEquals, []string{"no", "yes"})
@@ -129,7 +129,7 @@
 	}
 }
 
-func TestAnOrderWithoutAReceiptIsUnprovedAndNotFenced(t *testing.T) {
+func TestAnOrderWithoutAnAcknowledgementIsUnprovedAndNotFenced(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(c, 4, 3, 6, firstHaveFolders(3))
 	f.bootAll(500 * ms)
@@ -138,7 +138,7 @@
 	f.nodes[1].freeze(3 * kernel.Second)
 	f.nodes[2].freeze(3 * kernel.Second)
 	f.nodes[3].submit("two", 1, configOf(2, "b"))
-	took := f.await("a receipt", kernel.Second, func() bool { _, isThere := f.reply["two"]; return isThere })
+	took := f.await("an acknowledgement", kernel.Second, func() bool { _, isThere := f.reply["two"]; return isThere })
 	c.Assert(f.reply["two"].Outcome, qt.Equals, Unproved)
 	c.Assert(took < 950*ms, qt.IsTrue, qt.Commentf("%d us", took))
 	f.pass(3 * kernel.Second)
--- a/control/lease.go
+++ b/control/lease.go
@@ -214,9 +214,9 @@
 	case l.applied == nil:
 		return "no document has reached this router yet"
 	case now >= l.until && !l.isProven:
-		return "the leader has not granted since this router started; it may have forgotten a newer generation"
+		return "the leader has not granted since this router started; it may have forgotten a newer revision"
 	case now >= l.until:
-		return fmt.Sprintf("the licence lapsed %d us ago: neither the core nor a majority of the %d registered routers vouched for generation %d",
+		return fmt.Sprintf("the lease lapsed %d us ago: neither the core nor a majority of the %d registered routers vouched for revision %d",
 			now-l.until, len(l.applied.Register), l.Revision())
 	}
 	return ""
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -408,7 +408,7 @@
 			_, votes := lead.node.core.committed.voter(lost.member)
 			return votes
 		})
-		c.Logf("seed %d: a voter after %d ms, generation %d", seed, took/ms, d.leader().node.core.committed.Revision)
+		c.Logf("seed %d: a voter after %d ms, revision %d", seed, took/ms, d.leader().node.core.committed.Revision)
 		d.pass(d.shape.sync - took)
 		d.voting(false, lost).kill()
 		d.pass(2 * kernel.Second)
--- a/control/node.go
+++ b/control/node.go
@@ -170,10 +170,10 @@
 	}
 }
 
-// Rehearse judges an order against a document and changes nothing. It may be called beside
+// Validate checks an order against a document and changes nothing. It may be called beside
 // the owners: what is slow about a large configuration is remembered by the functions of the
 // settings, so that the leader has its verdict at hand.
-func (n *Node) Rehearse(submit *Submit, current *Document) error {
+func (n *Node) Validate(submit *Submit, current *Document) error {
 	if submit.Order != PutConfig && submit.Order != ChangeConfig {
 		return nil
 	}
@@ -262,7 +262,7 @@
 		return
 	}
 	n.settings.Journal.SetEra(n.lease.Revision())
-	n.note("spec", "apply", fmt.Sprintf("generation %d", n.lease.Revision()))
+	n.note("spec", "apply", fmt.Sprintf("revision %d", n.lease.Revision()))
 	// The leader counts who has applied what, so it should hear at once.
 	n.askTimer = n.now
 	if n.settings.AckRule == Spread {
@@ -377,7 +377,7 @@
 func (n *Node) Kept(now kernel.Micros, revision uint64) []any {
 	n.now = now
 	if n.core != nil {
-		n.note("history", "mend", fmt.Sprintf("the spec of generation %d was fetched from another member", revision))
+		n.note("history", "mend", fmt.Sprintf("the configuration of revision %d was fetched from another member", revision))
 		n.core.Kept(now, revision)
 	}
 	return n.finish()
@@ -387,7 +387,7 @@
 func (n *Node) NotKept(now kernel.Micros, revision uint64, err error) []any {
 	n.now = now
 	if n.core != nil {
-		n.note("history", "leave out", fmt.Sprintf("the spec of generation %d: %v", revision, err))
+		n.note("history", "leave out", fmt.Sprintf("the configuration of revision %d: %v", revision, err))
 		n.core.NotKept(now, revision, errors.As(err, new(NoRoom)))
 	}
 	return n.finish()
--- a/control/node_submit.go
+++ b/control/node_submit.go
@@ -48,7 +48,7 @@
 				continue
 			}
 			// Trying is over. A fence makes a no final, or finds that it was a yes after all.
-			n.note("submission "+id, "fence", "no receipt in time")
+			n.note("submission "+id, "fence", "no acknowledgement in time")
 			errand.submit = &Submit{ID: id, Order: Fence, Base: errand.submit.Base, BaseVersion: errand.submit.BaseVersion}
 			errand.deadline, errand.resendAt = n.now+submitFence, n.now
 		}
@@ -83,6 +83,6 @@
 
 func (n *Node) finishErrand(reply SubmitReply) {
 	delete(n.errands, reply.ID)
-	n.note("submission "+reply.ID, "receipt "+string(reply.Outcome), reply.Reason)
+	n.note("submission "+reply.ID, "acknowledgement "+string(reply.Outcome), reply.Reason)
 	n.out = append(n.out, Reply{reply})
 }
--- a/control/promise.go
+++ b/control/promise.go
@@ -16,7 +16,7 @@
 type FolderRolledBack struct{ Promised, Found Stamp }
 
 func (b FolderRolledBack) Error() string {
-	return fmt.Sprintf("this member has acknowledged generation %d of term %d, and its folder only holds generation %d of term %d",
+	return fmt.Sprintf("this member has acknowledged revision %d of term %d, and its folder only holds revision %d of term %d",
 		b.Promised.Revision, b.Promised.Term, b.Found.Revision, b.Found.Term)
 }
 
--- a/control/proposals.go
+++ b/control/proposals.go
@@ -40,7 +40,9 @@
 // How a proposal stands in the journal, to be written and read by the same form.
 const (
 	proposes    = "propose"
-	proposeForm = "generation %d: "
+	proposeForm = "revision %d: "
+	// formerProposeForm is what journals on disk from before the rename hold.
+	formerProposeForm = "generation %d: "
 )
 
 // Proposes tells which revision an entry of a journal proposes; zero for none.
@@ -48,8 +50,10 @@
 	if entry.Subject != "core" || entry.Decision != proposes {
 		return 0
 	}
-	if _, err := fmt.Sscanf(entry.Why, proposeForm, &revision); err != nil {
-		return 0
+	for _, form := range []string{proposeForm, formerProposeForm} {
+		if _, err := fmt.Sscanf(entry.Why, form, &revision); err == nil {
+			return revision
+		}
 	}
-	return revision
+	return 0
 }
--- a/control/rebuild.go
+++ b/control/rebuild.go
@@ -84,7 +84,7 @@
 		case witness.Founding != "" && witness.Founding != s.Document.Founding:
 			return StillAlive{fmt.Sprintf("%s belongs to another founding: a core was rebuilt already", witness.Address)}
 		case witness.Founding == s.Document.Founding && witness.Revision > s.Document.Revision:
-			return StillAlive{fmt.Sprintf("%s holds generation %d, this folder only %d: rebuild from that one", witness.Address, witness.Revision, s.Document.Revision)}
+			return StillAlive{fmt.Sprintf("%s holds revision %d, this folder only %d: rebuild from that one", witness.Address, witness.Revision, s.Document.Revision)}
 		}
 	}
 	return nil
--- a/control/recovery_test.go
+++ b/control/recovery_test.go
@@ -98,7 +98,7 @@
 			}
 		}
 		logSpans(c, fmt.Sprintf("%d nodes, to a leader", nodes), led)
-		logSpans(c, fmt.Sprintf("%d nodes, to a spec on the last router", nodes), documents)
+		logSpans(c, fmt.Sprintf("%d nodes, to a configuration on the last router", nodes), documents)
 		logSpans(c, fmt.Sprintf("%d nodes, to the engines on the last router", nodes), engines)
 		logSpans(c, fmt.Sprintf("%d nodes, to what the core elected on the last router", nodes), newest)
 	}
@@ -190,10 +190,10 @@
 			router.kill()
 			f.pass(300 * ms)
 			router.boot()
-			took := f.await("the spec and the engines again", 250*ms, func() bool {
+			took := f.await("the configuration and the engines again", 250*ms, func() bool {
 				return router.inForce() != nil && router.inForce().ConfigVersion == 2 && router.engine("e1").isBeating() && router.engine("e2").isBeating()
 			})
-			c.Logf("%s, a spec of %d bytes: after %d ms", what, size, took/ms)
+			c.Logf("%s, a configuration of %d bytes: after %d ms", what, size, took/ms)
 		}
 		restart("under a leader")
 		for _, n := range f.nodes[1:4] {
@@ -306,7 +306,7 @@
 	c.Assert(string(found.Document.Config), qt.Equals, "other")
 }
 
-func TestASpecThatTheSnapshotNeedsIsKept(t *testing.T) {
+func TestAConfigThatTheSnapshotNeedsIsKept(t *testing.T) {
 	c := qt.New(t)
 	path := c.TempDir()
 	store, document := snapshotStore(c, path)
@@ -345,7 +345,7 @@
 			snapshot.Fleet = "g"
 			return store.SaveSnapshot(snapshot)
 		},
-		"without its spec": func(store *Store, snapshot *Snapshot) error {
+		"without its configuration": func(store *Store, snapshot *Snapshot) error {
 			if err := store.SaveSnapshot(snapshot); err != nil {
 				return err
 			}
@@ -356,7 +356,7 @@
 			}
 			return nil
 		},
-		"of another spec": func(store *Store, snapshot *Snapshot) error {
+		"of another configuration": func(store *Store, snapshot *Snapshot) error {
 			changed := *snapshot.Document
 			changed.Config = []byte("changed")
 			changed.Chain = []ConfigMark{{changed.ConfigRevision, "of none"}}
--- a/control/rules.go
+++ b/control/rules.go
@@ -61,7 +61,7 @@
 func (s CoreSettings) judgeConfig(m *Submit, current *Document) (config []byte, version uint64, err error) {
 	// Versions only rise, so a clash on a base that was once in force stays a clash.
 	if m.BaseVersion != nil && *m.BaseVersion != current.ConfigVersion {
-		return nil, 0, ConfigRefused{ReasonClash, faultOf("the spec is at version %d, not %d", current.ConfigVersion, *m.BaseVersion)}
+		return nil, 0, ConfigRefused{ReasonClash, faultOf("the configuration is at version %d, not %d", current.ConfigVersion, *m.BaseVersion)}
 	}
 	config = m.Config
 	if m.Order == ChangeConfig {
@@ -79,7 +79,7 @@
 	}
 	// The revision only grows, so a clash on a base that was once in force stays a clash.
 	if m.Base != nil && *m.Base != current.ConfigRevision {
-		return nil, 0, ConfigRefused{ReasonClash, faultOf("the spec is at generation %d, not %d", current.ConfigRevision, *m.Base)}
+		return nil, 0, ConfigRefused{ReasonClash, faultOf("the configuration is at revision %d, not %d", current.ConfigRevision, *m.Base)}
 	}
 	version = current.ConfigVersion
 	switch {
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -79,7 +79,7 @@
 		return
 	}
 	s.restored = from.Document
-	n.note("snapshot", "begin with", fmt.Sprintf("generation %d, %d engines, %d nodes to ask", from.Document.Revision, len(from.Engines), len(from.Nodes)))
+	n.note("snapshot", "begin with", fmt.Sprintf("revision %d, %d engines, %d nodes to ask", from.Document.Revision, len(from.Engines), len(from.Nodes)))
 	for _, record := range from.Engines {
 		// Nobody has heard them in this life: they count as long silent, so that their home
 		// calls them gone unless they beat, and any real word on them is fresher. Not so
@@ -228,7 +228,7 @@
 	}
 	// What its revision is said to hold is what everyone else will show under it.
 	if len(chain) > 0 && MarkOf(found.Document) != chain[len(chain)-1] {
-		return DamagedFile{snapshotName, "its spec is not the one that its document names"}
+		return DamagedFile{snapshotName, "its configuration is not the one that its document names"}
 	}
 	return nil
 }
--- a/control/store.go
+++ b/control/store.go
@@ -32,7 +32,7 @@
 type MissingRevision struct{ Revision uint64 }
 
 func (b MissingRevision) Error() string {
-	return fmt.Sprintf("generation %d is not kept here", b.Revision)
+	return fmt.Sprintf("revision %d is not kept here", b.Revision)
 }
 
 type kept struct {
@@ -312,11 +312,11 @@
 	}
 	// Room is made before the write, so that a full disk can recover by itself.
 	if err := s.prune(); err != nil {
-		return fmt.Errorf("save generation %d: %w", save.Document.Revision, err)
+		return fmt.Errorf("save revision %d: %w", save.Document.Revision, err)
 	}
 	size, err := s.put(fileName(save.Document.stamp()), save.Document)
 	if err != nil {
-		return fmt.Errorf("save generation %d: %w", save.Document.Revision, err)
+		return fmt.Errorf("save revision %d: %w", save.Document.Revision, err)
 	}
 	s.files = append(s.files, keptOf(save.Document, size))
 	return nil
@@ -366,7 +366,7 @@
 		}
 		var document Document
 		if _, err := s.get(fileName(file.stamp), &document); err != nil {
-			return nil, fmt.Errorf("read the spec of generation %d: %w", mark.Revision, err)
+			return nil, fmt.Errorf("read the configuration of revision %d: %w", mark.Revision, err)
 		}
 		if digestOf(document.Config) == mark.Digest {
 			return &document, nil
@@ -390,11 +390,11 @@
 		return MissingRevision{document.Revision}
 	}
 	if err := s.roomFor(document); err != nil {
-		return fmt.Errorf("keep generation %d: %w", document.Revision, err)
+		return fmt.Errorf("keep revision %d: %w", document.Revision, err)
 	}
 	size, err := s.put(fileName(this), document)
 	if err != nil {
-		return fmt.Errorf("keep generation %d: %w", document.Revision, err)
+		return fmt.Errorf("keep revision %d: %w", document.Revision, err)
 	}
 	s.files = append(s.files, keptOf(document, size))
 	s.sort()
--- a/control/submissions.go
+++ b/control/submissions.go
@@ -97,7 +97,7 @@
 		case entry.IsFenced:
 			c.refuse(held.from, m, ReasonFenced, "this submission was given up on and will never take effect")
 		case m.Order != Fence && entry.Digest != m.digest():
-			c.refuse(held.from, m, ReasonIDReused, "another submission had this id at generation %d", entry.Revision)
+			c.refuse(held.from, m, ReasonIDReused, "another submission had this id at revision %d", entry.Revision)
 		default:
 			wait(entry.Revision, false)
 		}
@@ -179,10 +179,10 @@
 			c.send(waiting.from, Message{SubmitReply: &SubmitReply{
 				ID: waiting.id, Outcome: No, Reason: ReasonFenced, Detail: "given up on; it will never take effect"}})
 		case isDone && c.settings.AckRule == Spread && c.isSpread(waiting.revision):
-			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and has gone round", waiting.revision)
+			c.note("submission "+waiting.id, "yes", "revision %d is kept by the voters and has gone round", waiting.revision)
 			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Yes, Revision: waiting.revision}})
 		case isDone && c.settings.AckRule != Spread && c.isApplied(waiting.revision):
-			c.note("submission "+waiting.id, "yes", "generation %d is kept by the voters and applied by a majority of routers", waiting.revision)
+			c.note("submission "+waiting.id, "yes", "revision %d is kept by the voters and applied by a majority of routers", waiting.revision)
 			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Yes, Revision: waiting.revision}})
 		default:
 			kept = append(kept, waiting)
--- a/fleetconfig/change.go
+++ b/fleetconfig/change.go
@@ -9,8 +9,8 @@
 	"unicode/utf8"
 )
 
-// Words are a form's own names for what a change by name speaks of.
-type Words struct {
+// FieldNames are a form's own names for what a change by name speaks of.
+type FieldNames struct {
 	Version, Upsert, Remove string
 	// Lists that a change may name, each with the member that names its items.
 	Lists map[string]string
@@ -18,9 +18,9 @@
 	Whole []string
 }
 
-// OwnWords are those of the product's own form.
-func OwnWords() Words {
-	return Words{
+// OwnFieldNames are those of the product's own form.
+func OwnFieldNames() FieldNames {
+	return FieldNames{
 		Version: "version", Upsert: "upsert", Remove: "remove",
 		Lists: map[string]string{"engines": "id", "bindings": "name", "zones": "name", "routes": "name", "services": "name"},
 		Whole: []string{"policy", "caps"},
@@ -42,15 +42,15 @@
 // stays byte for byte, in its order; the same holds inside items, which are never decoded.
 // Every fault is listed with its path in the change, or in the document after "document.".
 // The result is not judged: a form's Read does that.
-func ChangeByName(document, change []byte, words Words) ([]byte, error) {
+func ChangeByName(document, change []byte, names FieldNames) ([]byte, error) {
 	if size := max(len(document), len(change)); size > MaxBytes {
-		return nil, fmt.Errorf("change the spec: %w", TooLarge{"bytes of the spec or its change", size, MaxBytes})
+		return nil, fmt.Errorf("change the configuration: %w", TooLarge{"bytes of the configuration or its change", size, MaxBytes})
 	}
 	faults := &Faults{}
 	whole := topMembers(faults, "document", document)
 	asked := topMembers(faults, "$", change)
 	if err := faults.Err(); err != nil {
-		return nil, fmt.Errorf("change the spec: %w", err)
+		return nil, fmt.Errorf("change the configuration: %w", err)
 	}
 	upserts, removals := map[string][]item{}, map[string]map[string]bool{}
 	// A list, once touched, is written anew; the order in which that is done must not
@@ -63,21 +63,21 @@
 	}
 	for _, part := range asked {
 		switch {
-		case part.key == words.Version:
+		case part.key == names.Version:
 			if !isWholeNumber(part.value) {
 				faults.Add(part.key, "has to be a whole number from 0 to %d", uint64(1<<64-1))
 				continue
 			}
 			whole = put(whole, part)
-		case slices.Contains(words.Whole, part.key):
+		case slices.Contains(names.Whole, part.key):
 			whole = put(whole, part)
-		case part.key == words.Upsert:
-			eachList(faults, part, words, func(path string, list member) {
+		case part.key == names.Upsert:
+			eachList(faults, part, names, func(path string, list member) {
 				touch(list.key)
-				upserts[list.key] = readItems(faults, path, list.value, words.Lists[list.key])
+				upserts[list.key] = readItems(faults, path, list.value, names.Lists[list.key])
 			})
-		case part.key == words.Remove:
-			eachList(faults, part, words, func(path string, list member) {
+		case part.key == names.Remove:
+			eachList(faults, part, names, func(path string, list member) {
 				touch(list.key)
 				removals[list.key] = readNames(faults, path, list.value)
 			})
@@ -89,18 +89,18 @@
 		for i, item := range upserts[list] {
 			// Either order of the two would be a guess.
 			if removals[list][item.name] {
-				faults.Add(fmt.Sprintf("%s.%s[%d].%s", words.Upsert, list, i, words.Lists[list]), "%q is also to be removed", item.name)
+				faults.Add(fmt.Sprintf("%s.%s[%d].%s", names.Upsert, list, i, names.Lists[list]), "%q is also to be removed", item.name)
 			}
 		}
 	}
 	if err := faults.Err(); err != nil {
-		return nil, fmt.Errorf("change the spec: %w", err)
+		return nil, fmt.Errorf("change the configuration: %w", err)
 	}
 	for _, list := range touched {
 		place := slices.IndexFunc(whole, func(m member) bool { return m.key == list })
 		old := []item{}
 		if place >= 0 && !isNull(whole[place].value) {
-			old = readItems(faults, "document."+list, whole[place].value, words.Lists[list])
+			old = readItems(faults, "document."+list, whole[place].value, names.Lists[list])
 		}
 		changed := member{key: list, rawKey: quote(list), value: writeList(merge(old, upserts[list], removals[list]))}
 		// A list that was not there, and gets nothing, stays away.
@@ -109,13 +109,13 @@
 		}
 	}
 	if err := faults.Err(); err != nil {
-		return nil, fmt.Errorf("change the spec: %w", err)
+		return nil, fmt.Errorf("change the configuration: %w", err)
 	}
 	return writeObject(whole), nil
 }
 
 // eachList goes over the lists of an upsert or removal that the form knows.
-func eachList(faults *Faults, part member, words Words, each func(path string, list member)) {
+func eachList(faults *Faults, part member, names FieldNames, each func(path string, list member)) {
 	if isNull(part.value) {
 		return
 	}
@@ -125,7 +125,7 @@
 	}
 	for _, list := range readMembers(faults, part.key, part.value) {
 		path := part.key + "." + list.key
-		if _, isKnown := words.Lists[list.key]; !isKnown {
+		if _, isKnown := names.Lists[list.key]; !isKnown {
 			faults.Add(path, "there is no such list")
 			continue
 		}
--- a/fleetconfig/change_test.go
+++ b/fleetconfig/change_test.go
@@ -13,9 +13,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// otherWords are another form's: a change by name must not depend on ours.
-func otherWords() Words {
-	return Words{Version: "nr", Upsert: "hin", Remove: "weg", Lists: map[string]string{"wege": "ort", "dienste": "wer"}, Whole: []string{"rand"}}
+// otherFieldNames are another form's: a change by name must not depend on ours.
+func otherFieldNames() FieldNames {
+	return FieldNames{Version: "nr", Upsert: "hin", Remove: "weg", Lists: map[string]string{"wege": "ort", "dienste": "wer"}, Whole: []string{"rand"}}
 }
 
 func TestAChangeTouchesOnlyWhatItNames(t *testing.T) {
@@ -45,7 +45,7 @@
 		t.Run(example.name, func(t *testing.T) {
 			c := qt.New(t)
 			document, change := []byte(example.document), []byte(example.change)
-			got, err := ChangeByName(document, change, OwnWords())
+			got, err := ChangeByName(document, change, OwnFieldNames())
 			c.Assert(err, qt.IsNil)
 			c.Assert(string(got), qt.Equals, example.want)
 			// What was given is left as it was: the core still holds it.
@@ -55,13 +55,13 @@
 	}
 }
 
-func TestAChangeInAnotherFormsWords(t *testing.T) {
+func TestAChangeInAnotherFormsFieldNames(t *testing.T) {
 	c := qt.New(t)
 	got, err := ChangeByName([]byte(`{"nr":5,"wege":[{"ort":"a"}],"dienste":[{"wer":"d"},{"wer":"e"}],"rand":1,"version":3}`),
-		[]byte(`{"nr":7,"hin":{"wege":[{"ort":"b"}]},"weg":{"dienste":["d"]},"rand":2}`), otherWords())
+		[]byte(`{"nr":7,"hin":{"wege":[{"ort":"b"}]},"weg":{"dienste":["d"]},"rand":2}`), otherFieldNames())
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(got), qt.Equals, `{"nr":7,"wege":[{"ort":"a"},{"ort":"b"}],"dienste":[{"wer":"e"}],"rand":2,"version":3}`)
-	_, err = ChangeByName([]byte(`{}`), []byte(`{"version":7,"upsert":{},"hin":{"routes":[],"wege":[{"name":"a"}]}}`), otherWords())
+	_, err = ChangeByName([]byte(`{}`), []byte(`{"version":7,"upsert":{},"hin":{"routes":[],"wege":[{"name":"a"}]}}`), otherFieldNames())
 	c.Assert(faultPaths(c, err), qt.DeepEquals, []string{"version", "upsert", "hin.routes", "hin.wege[0].ort"})
 }
 
@@ -94,16 +94,16 @@
 	} {
 		t.Run(example.name, func(t *testing.T) {
 			c := qt.New(t)
-			got, err := ChangeByName([]byte(example.document), []byte(example.change), OwnWords())
+			got, err := ChangeByName([]byte(example.document), []byte(example.change), OwnFieldNames())
 			c.Assert(got, qt.IsNil)
 			c.Assert(faultPaths(c, err), qt.DeepEquals, example.paths, qt.Commentf("%v", err))
 		})
 	}
 	c := qt.New(t)
 	var above TooLarge
-	_, err := ChangeByName([]byte(`{}`), make([]byte, MaxBytes+1), OwnWords())
+	_, err := ChangeByName([]byte(`{}`), make([]byte, MaxBytes+1), OwnFieldNames())
 	c.Assert(errors.As(err, &above), qt.IsTrue)
-	_, err = ChangeByName(make([]byte, MaxBytes+1), []byte(`{}`), OwnWords())
+	_, err = ChangeByName(make([]byte, MaxBytes+1), []byte(`{}`), OwnFieldNames())
 	c.Assert(errors.As(err, &above), qt.IsTrue)
 }
 
@@ -112,9 +112,9 @@
 	lists := []string{"engines", "bindings", "zones", "routes", "services"}
 	for seed := range uint64(2000) {
 		dice := rand.New(rand.NewPCG(seed, 1))
-		words := OwnWords()
+		fields := OwnFieldNames()
 		write := func(list, name string) string {
-			return fmt.Sprintf(`{"a":%d.0,"%s":"%s","z":[{"name":"%s"}]}`, dice.IntN(1000), words.Lists[list], name, name)
+			return fmt.Sprintf(`{"a":%d.0,"%s":"%s","z":[{"name":"%s"}]}`, dice.IntN(1000), fields.Lists[list], name, name)
 		}
 		names := func() []string {
 			list := []string{}
@@ -170,12 +170,12 @@
 		document, want = append(document, `"after":[ ]`, `"version":1`), append(append(want, `"after":[ ]`, `"version":2`), late...)
 		change := fmt.Sprintf(`{"upsert":{%s},"version":2,"remove":{%s}}`, strings.Join(upsert, ","), strings.Join(remove, ","))
 		whole := "{" + strings.Join(document, ",") + "}"
-		got, err := ChangeByName([]byte(whole), []byte(change), words)
+		got, err := ChangeByName([]byte(whole), []byte(change), fields)
 		if err != nil || string(got) != "{"+strings.Join(want, ",")+"}" {
 			t.Fatalf("seed %d: %s\nby %s\ngave %s (%v)\nnot  {%s}", seed, whole, change, got, err, strings.Join(want, ","))
 		}
 		// And once more it changes nothing.
-		if again, err := ChangeByName(got, []byte(change), words); err != nil || !bytes.Equal(again, got) {
+		if again, err := ChangeByName(got, []byte(change), fields); err != nil || !bytes.Equal(again, got) {
 			t.Fatalf("seed %d: a second time gave %s (%v)", seed, again, err)
 		}
 	}
--- a/fleetconfig/compiler.go
+++ b/fleetconfig/compiler.go
@@ -34,7 +34,7 @@
 func (ownForm) Read(document []byte) (*Config, error) { return Read(document) }
 
 func (ownForm) Change(document, change []byte) ([]byte, error) {
-	return ChangeByName(document, change, OwnWords())
+	return ChangeByName(document, change, OwnFieldNames())
 }
 
 func (s *Compiler) form() Form {
--- a/fleetconfig/config.go
+++ b/fleetconfig/config.go
@@ -205,16 +205,16 @@
 // Read takes an operator's document to a compiled configuration, or to every fault in it.
 func Read(document []byte) (*Config, error) {
 	if len(document) > MaxBytes {
-		return nil, fmt.Errorf("read the spec: %w", TooLarge{"bytes of the spec", len(document), MaxBytes})
+		return nil, fmt.Errorf("read the configuration: %w", TooLarge{"bytes of the configuration", len(document), MaxBytes})
 	}
 	if err := walk(document); err != nil {
-		return nil, fmt.Errorf("read the spec: %w", err)
+		return nil, fmt.Errorf("read the configuration: %w", err)
 	}
 	message := &fleetconfigpb.Spec{}
 	if err := protojson.Unmarshal(document, message); err != nil {
 		faults := &Faults{}
 		faults.Add("$", "%v", err)
-		return nil, fmt.Errorf("read the spec: %w", faults)
+		return nil, fmt.Errorf("read the configuration: %w", faults)
 	}
 	return Compile(message, nil)
 }
@@ -228,7 +228,7 @@
 		if rename != nil && errors.As(err, &faults) {
 			faults.rename(rename)
 		}
-		return nil, fmt.Errorf("check the spec: %w", err)
+		return nil, fmt.Errorf("check the configuration: %w", err)
 	}
 	return compile(message), nil
 }
--- a/fleetconfig/fuzz_test.go
+++ b/fleetconfig/fuzz_test.go
@@ -54,7 +54,7 @@
 			}
 		}
 		// A document that was taken can be changed, and an empty change changes nothing.
-		changed, err := ChangeByName(document, []byte(`{}`), OwnWords())
+		changed, err := ChangeByName(document, []byte(`{}`), OwnFieldNames())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -73,7 +73,7 @@
 		[2]string{` { } `, ` {"upsert" : { "engines" : [ { "id" : "e" } ] } , "remove" : null } `})
 	f.Fuzz(func(t *testing.T, document, change []byte) {
 		before, asked := bytes.Clone(document), bytes.Clone(change)
-		got, err := ChangeByName(document, change, OwnWords())
+		got, err := ChangeByName(document, change, OwnFieldNames())
 		if !bytes.Equal(before, document) || !bytes.Equal(asked, change) {
 			t.Fatal("what was given was written to")
 		}
@@ -92,7 +92,7 @@
 				t.Fatalf("%s is %s, not %s", name, members[name], value)
 			}
 		}
-		again, err := ChangeByName(got, change, OwnWords())
+		again, err := ChangeByName(got, change, OwnFieldNames())
 		if err != nil || !bytes.Equal(got, again) {
 			t.Fatalf("a second time: %s (%v)", again, err)
 		}
@@ -108,7 +108,7 @@
 
 // changeSlowly is the reference: by encoding/json, member by member, without any order of them.
 func changeSlowly(t *testing.T, document, change []byte) map[string]json.RawMessage {
-	words, whole, asked := OwnWords(), map[string]json.RawMessage{}, map[string]json.RawMessage{}
+	words, whole, asked := OwnFieldNames(), map[string]json.RawMessage{}, map[string]json.RawMessage{}
 	decode(t, document, &whole)
 	decode(t, change, &asked)
 	upsert, remove := map[string][]json.RawMessage{}, map[string][]string{}
--- a/fleetconfig/routes_test.go
+++ b/fleetconfig/routes_test.go
@@ -126,7 +126,7 @@
 	}
 }
 
-func TestAnotherFormGetsFaultsInItsOwnWords(t *testing.T) {
+func TestAnotherFormGetsFaultsInItsOwnFieldNames(t *testing.T) {
 	c := qt.New(t)
 	message := &fleetconfigpb.Spec{Routes: []*fleetconfigpb.Route{{Name: "r", Host: "h", Prefix: "/", Splits: []*fleetconfigpb.Split{{Service: "s"}}}}}
 	words := map[string]string{"routes": "wege", "timeoutUs": "frist_ms", "splits": "teile", "service": "dienst"}
@@ -173,7 +173,7 @@
 	c.Assert(testing.AllocsPerRun(100, func() { config.RouteOf("h:80", "/a/b/c/d/e/f") }), qt.Equals, 0.0)
 }
 
-func TestASpecMadeByHandFindsItsRoutes(t *testing.T) {
+func TestAConfigMadeByHandFindsItsRoutes(t *testing.T) {
 	c := qt.New(t)
 	config := &Config{Routes: []Route{{Name: "a", Host: "H:80", Prefix: "/a/"}, {Name: "b", Host: "h", Prefix: "/a/b/"}}}
 	var callers sync.WaitGroup
--- a/history/archive.go
+++ b/history/archive.go
@@ -77,7 +77,7 @@
 type Missing struct{ Revision uint64 }
 
 func (err Missing) Error() string {
-	return fmt.Sprintf("generation %d is not in the object store", err.Revision)
+	return fmt.Sprintf("revision %d is not in the object store", err.Revision)
 }
 
 // Damaged says that what is kept of a revision is not what was filed.
@@ -87,7 +87,7 @@
 }
 
 func (err Damaged) Error() string {
-	return fmt.Sprintf("generation %d in the object store is damaged: %s", err.Revision, err.Why)
+	return fmt.Sprintf("revision %d in the object store is damaged: %s", err.Revision, err.Why)
 }
 
 // Digest names a configuration's bytes as the core's chain does.
@@ -363,10 +363,10 @@
 		facts.Filed = time.Now().UTC().Format(time.RFC3339)
 	}
 	if err := archive.makeRoom(int64(len(config))); err != nil {
-		return fmt.Errorf("file generation %d: %w", facts.Revision, err)
+		return fmt.Errorf("file revision %d: %w", facts.Revision, err)
 	}
 	if err := archive.commit(facts, config); err != nil {
-		return fmt.Errorf("file generation %d: %w", facts.Revision, err)
+		return fmt.Errorf("file revision %d: %w", facts.Revision, err)
 	}
 	archive.index.Lock()
 	archive.held[facts.Revision] = facts
--- a/history/archive_test.go
+++ b/history/archive_test.go
@@ -195,7 +195,7 @@
 			config.WriteString(Digest([]byte(fmt.Sprint(revision, "-", i))))
 		}
 		w.file(c, revision+1, config.String())
-		c.Assert(w.bytes <= 60_000+8_000, qt.IsTrue, qt.Commentf("%d bytes at generation %d", w.bytes, revision+1))
+		c.Assert(w.bytes <= 60_000+8_000, qt.IsTrue, qt.Commentf("%d bytes at revision %d", w.bytes, revision+1))
 	}
 	kept := revisions(open(c, path))
 	c.Assert(kept[len(kept)-1], qt.Equals, uint64(60))
--- a/kernel/journal.go
+++ b/kernel/journal.go
@@ -17,7 +17,7 @@
 	Decision string `json:"decision"`
 	Why      string `json:"why"`
 	// IsRequest marks what is about one caller's request: such entries come by the
-	// hundred, and must not push out those that tell a night.
+	// hundred, and must not push out those that tell what happened overnight.
 	IsRequest bool `json:"request,omitempty"`
 }
 
--- a/kernel/journal_file.go
+++ b/kernel/journal_file.go
@@ -46,7 +46,7 @@
 // OpenJournalFile makes the folder if need be. What earlier processes wrote stays as it is.
 func OpenJournalFile(path string, bound int64) (*JournalFile, error) {
 	if err := os.MkdirAll(path, 0o755); err != nil {
-		return nil, fmt.Errorf("open the diary: %w", DiskError{"make", path, err})
+		return nil, fmt.Errorf("open the journal: %w", DiskError{"make", path, err})
 	}
 	d := &JournalFile{path: path, bound: bound, queue: make(chan Entry, journalFileQueue)}
 	d.parts[0].name, d.parts[1].name = "requests", "decisions"
--- a/kernel/journal_file_test.go
+++ b/kernel/journal_file_test.go
@@ -33,7 +33,7 @@
 
 func everything(Entry) bool { return true }
 
-func TestADiaryOutlivesItsProcess(t *testing.T) {
+func TestAJournalOutlivesItsProcess(t *testing.T) {
 	c := qt.New(t)
 	path := c.TempDir()
 	writeJournalFile(c, path, 1<<20, 1, func(j *Journal) {
@@ -63,7 +63,7 @@
 	c.Assert(Join(found, found[1:], nil), qt.HasLen, 3)
 }
 
-func TestADiaryIsBoundedAndRequestsPushOutNoDecisions(t *testing.T) {
+func TestAJournalIsBoundedAndRequestsPushOutNoDecisions(t *testing.T) {
 	c := qt.New(t)
 	path := c.TempDir()
 	long := strings.Repeat("x", 300)
@@ -89,7 +89,7 @@
 }
 
 // A disk that takes nothing costs entries, which are counted, and never a wait.
-func TestADiaryOnADeadDiskDropsAndCounts(t *testing.T) {
+func TestAJournalOnADeadDiskDropsAndCounts(t *testing.T) {
 	c := qt.New(t)
 	path := filepath.Join(c.TempDir(), "journal")
 	journalFile := writeJournalFile(c, path, 1<<20, 1, func(j *Journal) {
@@ -110,7 +110,7 @@
 }
 
 // An operator may read while entries are written; -race finds what the two share.
-func TestADiaryIsReadWhileItIsWritten(t *testing.T) {
+func TestAJournalIsReadWhileItIsWritten(t *testing.T) {
 	c := qt.New(t)
 	journalFile, err := OpenJournalFile(c.TempDir(), 1<<20)
 	c.Assert(err, qt.IsNil)
@@ -132,7 +132,7 @@
 }
 
 // Run with -race: the reader may look at nothing that the writer changes.
-func TestADiaryIsReadInOrderWhileItIsWritten(t *testing.T) {
+func TestAJournalIsReadInOrderWhileItIsWritten(t *testing.T) {
 	c := qt.New(t)
 	journalFile, err := OpenJournalFile(c.TempDir(), 1<<20)
 	c.Assert(err, qt.IsNil)
--- a/loadgen/loadgen.go
+++ b/loadgen/loadgen.go
@@ -139,7 +139,7 @@
 	event.Engine = response.Header.Get(relay.HeaderEngine)
 	if text := response.Header.Get(relay.HeaderRevision); text != "" {
 		if event.Revision, err = strconv.ParseUint(text, 10, 64); err != nil {
-			return checker.Wrong, "generation " + text
+			return checker.Wrong, "revision " + text
 		}
 	}
 	got, readErr := io.ReadAll(response.Body)
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -277,7 +277,7 @@
 	if now >= routingTable.Until || routingTable.Config == nil {
 		why := routingTable.Lapse
 		if why == "" {
-			why = "the licence has lapsed"
+			why = "the lease has lapsed"
 		}
 		return &Rejection{"no_licence", why, 503, NotRun, defaultRetryDue}
 	}
@@ -330,7 +330,7 @@
 	why := choice.Why
 	size := int64(call.Request.PromptTokens + call.Request.MaxTokens)
 	// Admission judges the policy's choice. Only if that would be late is the least
-	// burdened engine tried too: a decline there costs a caller, the miss of a
+	// loaded engine tried too: a decline there costs a caller, the miss of a
 	// cached prefix only time.
 	foreseen := d.foresee(now, engines[choice.Index], candidates[choice.Index].Load, call)
 	if binding.TTFTLimit > 0 && foreseen > binding.TTFTLimit {
@@ -364,7 +364,7 @@
 		state.isProbing = true
 	}
 	d.note(now, call.Request.ID, fmt.Sprintf("round %d to %s", call.rounds, engine.ID),
-		fmt.Sprintf("%s; binding %s, generation %d, burden %.0f of mean %.0f over %d engines, preferred %s",
+		fmt.Sprintf("%s; binding %s, revision %d, load %.0f of mean %.0f over %d engines, preferred %s",
 			why, binding.Name, d.routingTable.Revision, candidates[choice.Index].Load, choice.Mean, len(candidates), engines[preferred].ID))
 	return nil
 }
@@ -513,7 +513,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	if now >= d.routingTable.Until {
-		return "the licence lapsed meanwhile"
+		return "the lease lapsed meanwhile"
 	}
 	binding, isBound := d.routingTable.Config.Bind(call.Request.Kind, call.Request.Model)
 	if !isBound {
--- a/relay/forwarder_test.go
+++ b/relay/forwarder_test.go
@@ -349,7 +349,7 @@
 		status int
 		reason string
 	}{
-		{"the licence lapsed", func(s *routingTable, _ *RoutingTable) { s.clock.now.Store(int64(300 * kernel.Second)) }, 503, "no_licence"},
+		{"the lease lapsed", func(s *routingTable, _ *RoutingTable) { s.clock.now.Store(int64(300 * kernel.Second)) }, 503, "no_licence"},
 		{"the engine is leaving", func(_ *routingTable, next *RoutingTable) { next.Engines[0].IsLeaving = true }, 503, "no_engine"},
 		{"the zone was emptied", func(_ *routingTable, next *RoutingTable) { next.Drained["z0"] = true }, 503, "no_engine"},
 	} {
--- a/relay/policy.go
+++ b/relay/policy.go
@@ -70,14 +70,14 @@
 	}
 	choice.Index = fewest(candidates, nearTie*choice.Mean, salt)
 	choice.IsDivert = choice.Index != preferred
-	choice.Why = "the preferred engine's burden is above the multiple of the mean"
+	choice.Why = "the preferred engine's load is above the multiple of the mean"
 	if !isAbove {
 		choice.Why = "the preferred engine is ramping up and full"
 	}
 	return choice
 }
 
-// fewest gives the index of the least burdened engine that may take more, or -1.
+// fewest gives the index of the least loaded engine that may take more, or -1.
 // The slack is in tokens: a share of the least would be nothing when that is idle.
 func fewest(candidates []Candidate, slack float64, salt uint64) int {
 	least := math.Inf(1)
--- a/router/router.go
+++ b/router/router.go
@@ -75,7 +75,7 @@
 	}
 	config := u.Chooser.Config()
 	if config == nil {
-		u.refuse(w, &Refusal{"no_spec", "no spec has reached this router yet", http.StatusServiceUnavailable, settled})
+		u.refuse(w, &Refusal{"no_spec", "no configuration has reached this router yet", http.StatusServiceUnavailable, settled})
 		return
 	}
 	if u.MaxLive > 0 && live > u.MaxLive || u.MaxBodies > 0 && u.held.Load()+max(r.ContentLength, 0) > u.MaxBodies {
--- a/server/api.go
+++ b/server/api.go
@@ -130,13 +130,13 @@
 	// One that says it is too large is not even begun to be read.
 	if r.ContentLength > fleetconfig.MaxBytes {
 		w.Header().Set("Connection", "close")
-		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a spec has at most %d bytes", fleetconfig.MaxBytes))
+		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a configuration has at most %d bytes", fleetconfig.MaxBytes))
 		return nil, false
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, fleetconfig.MaxBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a spec has at most %d bytes", fleetconfig.MaxBytes))
+		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a configuration has at most %d bytes", fleetconfig.MaxBytes))
 		return nil, false
 	}
 	if err != nil {
@@ -148,7 +148,7 @@
 	var above fleetconfig.TooLarge
 	switch {
 	case errors.As(err, &faults):
-		f.reply(w, http.StatusUnprocessableEntity, faceError{faceErrorFields{"invalid_spec", "the spec has faults", faults.List, faults.More}})
+		f.reply(w, http.StatusUnprocessableEntity, faceError{faceErrorFields{"invalid_spec", "the configuration has faults", faults.List, faults.More}})
 		return nil, false
 	case errors.As(err, &above):
 		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", err.Error())
@@ -187,7 +187,7 @@
 	if text := r.URL.Query().Get("base"); text != "" {
 		base, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			f.fail(w, http.StatusBadRequest, "bad_request", "base is not a generation")
+			f.fail(w, http.StatusBadRequest, "bad_request", "base is not a revision")
 			return
 		}
 		submit.Base = &base
@@ -283,7 +283,7 @@
 		}
 	}
 	if wanted > document.Revision {
-		f.fail(w, http.StatusNotFound, "no_generation", fmt.Sprintf("the fleet is at generation %d", document.Revision))
+		f.fail(w, http.StatusNotFound, "no_generation", fmt.Sprintf("the fleet is at revision %d", document.Revision))
 		return
 	}
 	reply := &RecallReply{Config: document.Config, ConfigRevision: document.ConfigRevision}
@@ -298,13 +298,13 @@
 		}
 	}
 	if reply == nil || reply.ConfigRevision == 0 {
-		f.fail(w, http.StatusNotFound, "no_spec", fmt.Sprintf("no spec of generation %d is kept", wanted))
+		f.fail(w, http.StatusNotFound, "no_spec", fmt.Sprintf("no configuration of revision %d is kept", wanted))
 		return
 	}
 	w.Header().Set(relay.HeaderRevision, strconv.FormatUint(reply.ConfigRevision, 10))
 	w.Header().Set("Content-Type", "application/json")
 	if _, err := w.Write(reply.Config); err != nil {
-		f.env.Log.V(2).Info("a spec could not be delivered", "error", err.Error())
+		f.env.Log.V(2).Info("a configuration could not be delivered", "error", err.Error())
 	}
 }
 
@@ -513,7 +513,7 @@
 	case !f.isCurrent(state):
 		f.fail(w, http.StatusServiceUnavailable, "no_licence", state.Why)
 	case state.Document.ConfigRevision == 0:
-		f.fail(w, http.StatusServiceUnavailable, "no_spec", "no spec has been put yet")
+		f.fail(w, http.StatusServiceUnavailable, "no_spec", "no configuration has been put yet")
 	case f.forwarder != nil && !f.forwarder.Dispatcher.KnowsEngines():
 		// Only while none is known at all: with engines known but down the node stays
 		// ready, and tells callers when to come back.
--- a/server/archiver.go
+++ b/server/archiver.go
@@ -98,7 +98,7 @@
 		}
 		l.Filed.Add(1)
 		l.known[mark] = true
-		l.env.Note("history", "history", "file", fmt.Sprintf("generation %d of submission %q", mark.Revision, facts.Submission))
+		l.env.Note("history", "history", "file", fmt.Sprintf("revision %d of submission %q", mark.Revision, facts.Submission))
 	}
 	return nil
 }
@@ -162,7 +162,7 @@
 				return err
 			}
 			held[facts.Revision] = true
-			l.env.Note("history", "history", "mend", fmt.Sprintf("generation %d came from %s", facts.Revision, node.Address))
+			l.env.Note("history", "history", "mend", fmt.Sprintf("revision %d came from %s", facts.Revision, node.Address))
 		}
 	}
 	return nil
--- a/server/channel.go
+++ b/server/channel.go
@@ -337,7 +337,7 @@
 type WrongRecall struct{ Asked, Got control.ConfigMark }
 
 func (b WrongRecall) Error() string {
-	return fmt.Sprintf("the answer is the spec of generation %d, digest %.8s; asked for was %d, %.8s", b.Got.Revision, b.Got.Digest, b.Asked.Revision, b.Asked.Digest)
+	return fmt.Sprintf("the answer is the configuration of revision %d, digest %.8s; asked for was %d, %.8s", b.Got.Revision, b.Got.Digest, b.Asked.Revision, b.Asked.Digest)
 }
 
 // Recall asks another node for an older configuration. It only reads, so it may be asked again;
@@ -349,7 +349,7 @@
 		connect.WithCodec(jsonCodec{}), connect.WithCompressMinBytes(compressFrom))
 	reply, err := client.CallUnary(ctx, connect.NewRequest(&ask))
 	if err != nil {
-		return nil, fmt.Errorf("recall generation %d from %s: %w", ask.Mark.Revision, address, err)
+		return nil, fmt.Errorf("recall revision %d from %s: %w", ask.Mark.Revision, address, err)
 	}
 	got := control.MarkOf(&control.Document{Config: reply.Msg.Config, ConfigRevision: reply.Msg.ConfigRevision})
 	if got != ask.Mark {
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -140,7 +140,7 @@
 		faults.Add("data", "a node that may vote needs a data folder")
 	}
 	if d.Form == nil {
-		faults.Add("form", "a deployment's spec needs a form")
+		faults.Add("form", "a deployment's configuration needs a form")
 	}
 	d.Settings.checkSpans(faults)
 	return faults.Err()
@@ -369,7 +369,7 @@
 	case s.IsStopping():
 		return "this node is stopping"
 	case state.Document == nil || state.Document.ConfigRevision == 0:
-		return "no spec has reached this node"
+		return "no configuration has reached this node"
 	}
 	for _, engine := range state.Engines {
 		if !engine.IsUnlisted && !engine.IsLeaving && !engine.IsDark {
--- a/server/process.go
+++ b/server/process.go
@@ -370,7 +370,7 @@
 }
 
 // tellMinutes notes once a minute what was rejected in it. Requests come by the hundred
-// and their entries soon give way; the count of a night's rejects has to stay.
+// and their entries soon give way; the count of rejects has to stay.
 func tellMinutes(env kernel.Env, dispatcher *relay.Dispatcher) {
 	ticker := time.NewTicker(time.Minute)
 	defer ticker.Stop()
--- a/server/runner.go
+++ b/server/runner.go
@@ -100,8 +100,8 @@
 	if submit := envelope.Message.Submit; submit != nil && len(submit.Config) > 0 {
 		// Read here, beside the owners, so that the leader has its verdict at hand. What
 		// it is makes no difference yet: the order is answered by the owners alone.
-		if err := r.node.Rehearse(submit, r.State().Document); err != nil {
-			r.env.Log.V(2).Info("a spec with faults came from another node", "error", err.Error())
+		if err := r.node.Validate(submit, r.State().Document); err != nil {
+			r.env.Log.V(2).Info("a configuration with faults came from another node", "error", err.Error())
 		}
 	}
 	r.post(func() []any { return r.node.Deliver(r.env.Clock.Now(), envelope) })
@@ -183,7 +183,7 @@
 		go func() {
 			_, err := r.hand.Compiler.Read(command.Document.Config)
 			if err != nil {
-				r.env.Log.Error(err, "a committed spec can't be read here")
+				r.env.Log.Error(err, "a committed configuration can't be read here")
 			}
 			r.post(func() []any { return r.node.Prepared(r.env.Clock.Now(), command.Document, err) })
 		}()
@@ -263,12 +263,12 @@
 	case control.Fetch:
 		document, err := r.store.ConfigAt(work.Mark)
 		if err != nil {
-			r.env.Log.V(1).Info("a spec of the past is not held here", "error", err.Error())
+			r.env.Log.V(1).Info("a configuration of the past is not held here", "error", err.Error())
 		}
 		r.post(func() []any { return r.node.Fetched(r.env.Clock.Now(), work.To, work.Mark, document) })
 	case control.Keep:
 		if err := r.store.Keep(work.Document); err != nil {
-			r.env.Log.Error(err, "a spec of the past could not be kept")
+			r.env.Log.Error(err, "a configuration of the past could not be kept")
 			r.post(func() []any { return r.node.NotKept(r.env.Clock.Now(), work.Document.ConfigRevision, err) })
 			return
 		}
@@ -291,7 +291,7 @@
 	if err != nil {
 		// The leader checked it; only a node of another build can get here. Serving
 		// by a configuration that is no longer in force would be worse than not serving.
-		r.env.Log.Error(err, "a committed spec can't be read here")
+		r.env.Log.Error(err, "a committed configuration can't be read here")
 	}
 	if routingTable != nil && r.dispatcher != nil {
 		r.dispatcher.Show(routingTable)
@@ -400,8 +400,8 @@
 	}
 	if state := r.State(); state.IsLeader && len(submit.Config) > 0 {
 		// As in Deliver: the leader is to have its verdict at hand.
-		if err := r.node.Rehearse(submit, state.Document); err != nil {
-			r.env.Log.V(2).Info("a spec with faults was handed in", "error", err.Error())
+		if err := r.node.Validate(submit, state.Document); err != nil {
+			r.env.Log.V(2).Info("a configuration with faults was handed in", "error", err.Error())
 		}
 	}
 	r.post(func() []any { return r.node.Submit(r.env.Clock.Now(), submit) })
--- a/tools/protogen/main.go
+++ b/tools/protogen/main.go
@@ -68,7 +68,7 @@
 	}
 	var made pluginpb.CodeGeneratorResponse
 	if err := proto.Unmarshal(out, &made); err != nil {
-		return fmt.Errorf("decode the plugin's receipt: %w", err)
+		return fmt.Errorf("decode the plugin's response: %w", err)
 	}
 	if made.Error != nil {
 		return pluginError{*made.Error}
