control.Cell is control.Directory; words.go is engine_announcements.go

A cell was a zone's directory of engines and nodes: the type, its fields, its file and the prose say so now.

--- a/capacity/sizes.go
+++ b/capacity/sizes.go
@@ -26,7 +26,7 @@
 	Leader  Role = "leader"
 	Voter   Role = "voter"
 	Standby Role = "standby"
-	Home    Role = "home" // keeps its zone's cell
+	Home    Role = "home" // keeps the directory of its zone
 	Router  Role = "router"
 )
 
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -261,11 +261,11 @@
 	var wanted string
 	for round := range 200 {
 		order := random.Perm(len(records))
-		cell := NewCell("x", DefaultTiming(), func(string, string, string) {})
+		directory := NewDirectory("x", DefaultTiming(), func(string, string, string) {})
 		for _, index := range append(order, order[0]) {
-			cell.TakeEngine(40, records[index], true)
+			directory.TakeEngine(40, records[index], true)
 		}
-		got := cell.Engines()[0]
+		got := directory.Engines()[0]
 		text := got.standing()
 		if round == 0 {
 			wanted = text
@@ -277,7 +277,7 @@
 	}
 	// A list says nothing of how old the last report is, or whether who came back from
 	// the dark is who went there.
-	listed := NewCell("x", DefaultTiming(), func(string, string, string) {})
+	listed := NewDirectory("x", DefaultTiming(), func(string, string, string) {})
 	listed.TakeEngine(40, records[1], true)
 	listed.TakeListing(60, Listing{Revision: 9, Engines: []ListingEngine{{ID: "e", Address: "1", Zone: "z", Start: 1, State: "serving"}}})
 	c.Assert(listed.Engines()[0].AsOf, qt.Equals, kernel.Micros(20))
@@ -290,12 +290,12 @@
 	listed.TakeEngine(80, EngineRecord{ID: "e", Start: 1, Seq: 5, Load: 1, AsOf: 75, Seen: 80}, true)
 	c.Assert(listed.Engines()[0].IsUnsure(), qt.IsFalse)
 	// Within one start a leaving mark stays, whatever comes later.
-	cell := NewCell("x", DefaultTiming(), func(string, string, string) {})
+	directory := NewDirectory("x", DefaultTiming(), func(string, string, string) {})
 	for _, record := range []EngineRecord{records[2], records[1], records[0]} {
-		cell.TakeEngine(40, record, true)
+		directory.TakeEngine(40, record, true)
 	}
-	c.Assert(cell.Engines()[0].IsLeaving, qt.IsTrue)
-	c.Assert(cell.Engines()[0].Load, qt.Equals, int64(70))
+	c.Assert(directory.Engines()[0].IsLeaving, qt.IsTrue)
+	c.Assert(directory.Engines()[0].Load, qt.Equals, int64(70))
 }
 
 func TestALeaseCountsFromTheAskAndStandsForItsRevision(t *testing.T) {
@@ -441,7 +441,7 @@
 	c := qt.New(t)
 	node := NewNode(NodeSettings{Timing: DefaultTiming(), Journal: kernel.NewJournal(16)}, 0)
 	for i := range 2 * keptLeaving {
-		node.cell.TakeEngine(0, EngineRecord{ID: fmt.Sprintf("e%03d", i), Address: "10.0.0.1:1", Start: 1, IsLeaving: true}, true)
+		node.directory.TakeEngine(0, EngineRecord{ID: fmt.Sprintf("e%03d", i), Address: "10.0.0.1:1", Start: 1, IsLeaving: true}, true)
 	}
 	marks := node.learnedMarks()
 	c.Assert(marks, qt.HasLen, keptLeaving/2)
--- a/control/cell.go
+++ b/control/directory.go
@@ -105,32 +105,32 @@
 	engineGone = 120 * kernel.Second
 )
 
-type cellMark struct {
+type directoryMark struct {
 	rev      uint64
 	standing uint64 // the revision at which more than its load changed
 	isOwn    bool   // learned in this zone, not from another home
 }
 
-// Cell keeps the engines and nodes that this node knows of.
-type Cell struct {
+// Directory keeps the engines and nodes that this node knows of.
+type Directory struct {
 	incarnation string
 	timing      Timing
 	engines     *immutable.SortedMap[string, EngineRecord]
 	nodes       *immutable.SortedMap[string, NodeRecord]
-	engineMarks map[string]cellMark
-	nodeMarks   map[string]cellMark
+	engineMarks map[string]directoryMark
+	nodeMarks   map[string]directoryMark
 	rev         uint64
 	engineRev   uint64 // the last change that the data plane has to see
 	note        func(subject, decision, why string)
 }
 
-// NewCell makes an empty cell; the incarnation tells its numbering from an earlier one's.
-func NewCell(incarnation string, timing Timing, note func(subject, decision, why string)) *Cell {
-	return &Cell{
+// NewDirectory makes an empty directory; the incarnation tells its numbering from an earlier one's.
+func NewDirectory(incarnation string, timing Timing, note func(subject, decision, why string)) *Directory {
+	return &Directory{
 		incarnation: incarnation, timing: timing, note: note,
 		engines:     immutable.NewSortedMap[string, EngineRecord](nil),
 		nodes:       immutable.NewSortedMap[string, NodeRecord](nil),
-		engineMarks: map[string]cellMark{}, nodeMarks: map[string]cellMark{},
+		engineMarks: map[string]directoryMark{}, nodeMarks: map[string]directoryMark{},
 	}
 }
 
@@ -192,13 +192,13 @@
 }
 
 // TakeEngine merges a record in; it tells whether the leaving mark is news.
-func (c *Cell) TakeEngine(now kernel.Micros, brought EngineRecord, isOwn bool) bool {
+func (c *Directory) TakeEngine(now kernel.Micros, brought EngineRecord, isOwn bool) bool {
 	isLeavingNews, _ := c.takeEngine(now, brought, isOwn)
 	return isLeavingNews
 }
 
 // takeEngine tells besides whether anything is news on which routing depends.
-func (c *Cell) takeEngine(now kernel.Micros, brought EngineRecord, isOwn bool) (isLeavingNews, isNews bool) {
+func (c *Directory) takeEngine(now kernel.Micros, brought EngineRecord, isOwn bool) (isLeavingNews, isNews bool) {
 	// Who beats is heard at its home alone; elsewhere its record may well be old.
 	if brought.ID == "" || now-brought.Seen > engineGone && !brought.isBeating() {
 		return false, false
@@ -223,7 +223,7 @@
 	c.engineRev = c.rev
 	c.engines = c.engines.Set(merged.ID, merged)
 	mark := c.engineMarks[merged.ID]
-	next := cellMark{c.rev, mark.standing, isOwn || mark.isOwn && isThere && old.Start == merged.Start}
+	next := directoryMark{c.rev, mark.standing, isOwn || mark.isOwn && isThere && old.Start == merged.Start}
 	isNews = !isThere || merged.standing() != old.standing()
 	if isNews || merged.ListRevision != old.ListRevision {
 		next.standing = c.rev
@@ -246,7 +246,7 @@
 }
 
 // TakeListing merges the platform's list; engines that it no longer has are unlisted.
-func (c *Cell) TakeListing(now kernel.Micros, listing Listing) bool {
+func (c *Directory) TakeListing(now kernel.Micros, listing Listing) bool {
 	isLeavingNews := false
 	listed := map[string]bool{}
 	for _, engine := range listing.Engines {
@@ -273,7 +273,7 @@
 
 // TakeNode merges a node's record in; it tells of a brief one of which the rest is not
 // known here, say since the node was dropped while the two were cut off.
-func (c *Cell) TakeNode(now kernel.Micros, brought NodeRecord, isOwn bool) (isLacking bool) {
+func (c *Directory) TakeNode(now kernel.Micros, brought NodeRecord, isOwn bool) (isLacking bool) {
 	if brought.Address == "" || now-brought.AsOf > c.timing.NodeGone {
 		return false
 	}
@@ -295,7 +295,7 @@
 	if isThere && old.standing() == brought.standing() {
 		standing = c.nodeMarks[brought.Address].standing
 	}
-	c.nodeMarks[brought.Address] = cellMark{c.rev, standing, isOwn}
+	c.nodeMarks[brought.Address] = directoryMark{c.rev, standing, isOwn}
 	if !isThere {
 		c.note("node "+brought.Address, "known", "in zone "+brought.Zone)
 	}
@@ -327,7 +327,7 @@
 }
 
 // Sweep drops what nobody has refreshed.
-func (c *Cell) Sweep(now kernel.Micros) {
+func (c *Directory) Sweep(now kernel.Micros) {
 	for _, node := range c.Nodes() {
 		if now-node.AsOf > c.timing.NodeGone {
 			c.nodes = c.nodes.Delete(node.Address)
@@ -349,10 +349,10 @@
 }
 
 // Engines gives all engines in order of their ids.
-func (c *Cell) Engines() []EngineRecord { return values(c.engines) }
+func (c *Directory) Engines() []EngineRecord { return values(c.engines) }
 
 // Nodes gives all nodes in order of their addresses.
-func (c *Cell) Nodes() []NodeRecord { return values(c.nodes) }
+func (c *Directory) Nodes() []NodeRecord { return values(c.nodes) }
 
 func values[V any](from *immutable.SortedMap[string, V]) []V {
 	found := make([]V, 0, from.Len())
@@ -364,7 +364,7 @@
 }
 
 // NewsSince gives what changed since a revision; isOwnOnly keeps to what this zone learned itself.
-func (c *Cell) NewsSince(now kernel.Micros, seenHome string, seen uint64, isOwnOnly bool) *News {
+func (c *Directory) NewsSince(now kernel.Micros, seenHome string, seen uint64, isOwnOnly bool) *News {
 	news := &News{Home: c.incarnation, Upto: c.rev}
 	if seenHome != c.incarnation {
 		seen, news.IsAll = 0, true
@@ -419,7 +419,7 @@
 
 // TakeNews merges news in; it tells whether there was a leaving mark among it, and
 // whether it was brief on what is not known here.
-func (c *Cell) TakeNews(now kernel.Micros, news *News, isOwn bool) (isLeavingNews, isLacking bool) {
+func (c *Directory) TakeNews(now kernel.Micros, news *News, isOwn bool) (isLeavingNews, isLacking bool) {
 	for _, engine := range news.Engines {
 		isLeavingNews = c.TakeEngine(now, engine.placed(now), isOwn) || isLeavingNews
 	}
@@ -433,7 +433,7 @@
 
 // Digests sums up the standing of the engines in each range. Reports are left
 // out: they change all the time and repair themselves with the next one.
-func (c *Cell) Digests() []uint64 {
+func (c *Directory) Digests() []uint64 {
 	digests := make([]uint64, rangeCount)
 	for _, engine := range c.Engines() {
 		digests[rangeOf(engine.ID)] ^= xxhash.Sum64String(engine.ID + "|" + engine.standing())
@@ -442,7 +442,7 @@
 }
 
 // Differing gives every record of the ranges whose digests differ.
-func (c *Cell) Differing(now kernel.Micros, theirs []uint64) []EngineRecord {
+func (c *Directory) Differing(now kernel.Micros, theirs []uint64) []EngineRecord {
 	mine := c.Digests()
 	if len(theirs) != rangeCount || slices.Equal(mine, theirs) {
 		return nil
--- a/control/words.go
+++ b/control/engine_announcements.go
@@ -109,7 +109,7 @@
 	if home == n.self() && !n.isLeaving {
 		return n.settings.Identity.Public
 	}
-	node, isThere := n.cell.nodes.Get(home)
+	node, isThere := n.directory.nodes.Get(home)
 	isSilent := home == n.home() && n.isHomeless()
 	if !isThere || isSilent || node.IsLeaving || !n.mayLive(node) {
 		return ""
@@ -126,14 +126,14 @@
 	record.Word, record.Seq = max(record.Seq, 1), 0
 	record.Start = max(record.Start, 1)
 	zone := record.Zone
-	known, isKnown := n.cell.engines.Get(record.ID)
+	known, isKnown := n.directory.engines.Get(record.ID)
 	if isKnown && zone == "" {
 		zone = known.Zone
 	}
 	heard := []EngineRecord{record}
 	if !isKnown && !record.IsUnlisted && record.Address != "" {
 		// An address is given to another engine only after its last one ended.
-		for _, other := range n.cell.Engines() {
+		for _, other := range n.directory.Engines() {
 			if other.Word > 0 && other.Address == record.Address && other.ID != record.ID && !other.IsUnlisted {
 				other.IsUnlisted = true
 				heard = append(heard, other)
@@ -159,7 +159,7 @@
 func (n *Node) takeWords(records []EngineRecord) []EngineRecord {
 	fresh := []EngineRecord{}
 	for _, record := range records {
-		if known, isKnown := n.cell.engines.Get(record.ID); isKnown && known.Start == record.Start {
+		if known, isKnown := n.directory.engines.Get(record.ID); isKnown && known.Start == record.Start {
 			record.IsDark, record.DarkSeq, record.BackAt = known.IsDark, known.DarkSeq, known.BackAt
 			// It spoke after it was called dark.
 			if known.IsDark && !record.IsUnlisted && record.Seen > known.BackAt && record.Word > known.Word {
@@ -167,8 +167,8 @@
 				record.DarkSeq++
 			}
 		}
-		if _, isNews := n.cell.takeEngine(n.now, record, n.judge(record.Zone) == n.self()); isNews {
-			taken, _ := n.cell.engines.Get(record.ID)
+		if _, isNews := n.directory.takeEngine(n.now, record, n.judge(record.Zone) == n.self()); isNews {
+			taken, _ := n.directory.engines.Get(record.ID)
 			fresh = append(fresh, taken.aged(n.now))
 		}
 	}
@@ -177,7 +177,7 @@
 
 // passOn tells an engine's home of a beat that came here. What is news goes round anyway.
 func (n *Node) passOn(id string, isNews bool) {
-	engine, _ := n.cell.engines.Get(id)
+	engine, _ := n.directory.engines.Get(id)
 	judge := n.judge(engine.Zone)
 	if judge == "" || judge == n.self() || isNews {
 		return
@@ -215,7 +215,7 @@
 // living gives the other nodes of a zone that may live.
 func (n *Node) living(zone string) []string {
 	found := []string{}
-	for _, node := range n.cell.Nodes() {
+	for _, node := range n.directory.Nodes() {
 		if node.Zone == zone && node.Address != n.self() && n.mayLive(node) {
 			found = append(found, node.Address)
 		}
@@ -227,7 +227,7 @@
 	isNews := false
 	for _, record := range m.Engines {
 		record = record.placed(n.now)
-		_, isFresh := n.cell.takeEngine(n.now, record, n.judge(record.Zone) == n.self())
+		_, isFresh := n.directory.takeEngine(n.now, record, n.judge(record.Zone) == n.self())
 		isNews = isNews || isFresh
 	}
 	w, zone := &n.words, n.settings.Identity.Zone
@@ -399,7 +399,7 @@
 	// Without a majority of the voters this may be a minority's side of a cut.
 	isHeld := majority(n.lease.applied.voterAddresses(), func(voter string) bool { return voter == n.self() || p.nodes[voter] })
 	// A mark that only this node holds dies with it.
-	isShared := len(p.nodes) > 0 || p.others > 0 || len(n.lease.applied.Register) < 2 && len(n.cell.Nodes()) < 2
+	isShared := len(p.nodes) > 0 || p.others > 0 || len(n.lease.applied.Register) < 2 && len(n.directory.Nodes()) < 2
 	age := n.now - p.since
 	switch {
 	case isHeld && isMost && isShared && (isAll || age >= pushEnough):
@@ -456,11 +456,11 @@
 	}
 	w.judgeAt = n.now + judgeEvery
 	dark := []EngineRecord{}
-	for _, engine := range n.cell.Engines() {
+	for _, engine := range n.directory.Engines() {
 		if engine.isBeating() && n.now-max(engine.Seen, w.judgeSince) > span && n.judge(engine.Zone) == n.self() {
 			engine.IsDark, engine.BackAt = true, n.now
 			engine.DarkSeq++
-			n.cell.takeEngine(n.now, engine, true)
+			n.directory.takeEngine(n.now, engine, true)
 			dark = append(dark, engine.aged(n.now))
 		}
 	}
--- a/control/fleet_harness_test.go
+++ b/control/fleet_harness_test.go
@@ -489,7 +489,7 @@
 }
 
 func (n *fleetNode) engine(id string) EngineRecord {
-	found, _ := n.node.cell.engines.Get(id)
+	found, _ := n.node.directory.engines.Get(id)
 	return found
 }
 
--- a/control/hello.go
+++ b/control/hello.go
@@ -70,7 +70,7 @@
 }
 
 func (n *Node) onHello(from string, m *Hello) {
-	n.cell.TakeNode(n.now, m.Node.placed(n.now), m.Node.Zone == n.settings.Identity.Zone)
+	n.directory.TakeNode(n.now, m.Node.placed(n.now), m.Node.Zone == n.settings.Identity.Zone)
 	if n.lease.applied == nil || n.settings.ServeOn < ServeOnAlways {
 		return
 	}
@@ -80,7 +80,7 @@
 		return
 	}
 	n.greeting.answered[key] = n.now
-	grant := &Grant{Revision: n.lease.Revision(), News: n.cell.NewsSince(n.now, "", 0, false)}
+	grant := &Grant{Revision: n.lease.Revision(), News: n.directory.NewsSince(n.now, "", 0, false)}
 	if n.now-n.leaderWord < kernel.Second {
 		grant.Leader = n.leaderHint
 	}
--- a/control/messages.go
+++ b/control/messages.go
@@ -343,7 +343,7 @@
 	Document *Document `json:"document,omitempty"`
 }
 
-// News brings records of a cell that changed.
+// News brings records of a directory that changed.
 type News struct {
 	Home    string         `json:"home"` // the sender's incarnation
 	Upto    uint64         `json:"upto"`
@@ -427,7 +427,7 @@
 	Lease        kernel.Micros // from sending the ask
 	HomeSilent   kernel.Micros // after which a zone gets another home
 	Strike       kernel.Micros // silence after which a router leaves the register
-	NodeGone     kernel.Micros // silence after which a node leaves the cell
+	NodeGone     kernel.Micros // silence after which a node leaves the directory
 	Shuffle      kernel.Micros
 	Mend         kernel.Micros
 	Tick         kernel.Micros // the grain of all timers; zero: 20 ms
--- a/control/node.go
+++ b/control/node.go
@@ -68,15 +68,15 @@
 
 // Node joins the owners of one process and carries messages between them.
 type Node struct {
-	settings NodeSettings
-	now      kernel.Micros
-	random   *rand.Rand
-	core     *Core
-	lease    *Lease
-	cell     *Cell
-	views    *Views
-	out      []any
-	loop     []Envelope
+	settings  NodeSettings
+	now       kernel.Micros
+	random    *rand.Rand
+	core      *Core
+	lease     *Lease
+	directory *Directory
+	views     *Views
+	out       []any
+	loop      []Envelope
 
 	leaderHint   string
 	leaderWord   kernel.Micros // when the hint last proved good
@@ -143,7 +143,7 @@
 	n.lease = NewLease(self.Address, settings.IsRouter, settings.Timing, n.note)
 	n.lease.seq = tokens.first()
 	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
-	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
+	n.directory = NewDirectory(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
 	if settings.Founding == FoundersAnnounce {
 		n.founder = newFounder(settings, random, now)
@@ -301,7 +301,7 @@
 
 func (n *Node) zoneNodes() []string {
 	found := []string{}
-	for _, node := range n.cell.Nodes() {
+	for _, node := range n.directory.Nodes() {
 		if node.Zone == n.settings.Identity.Zone && node.Address != n.self() {
 			found = append(found, node.Address)
 		}
@@ -545,10 +545,10 @@
 	}
 	if now >= n.sweep {
 		n.sweep = now + 500*kernel.Millisecond
-		n.cell.Sweep(now)
+		n.directory.Sweep(now)
 		// Of a node that is gone it is as well not to know what it held.
 		for address := range n.zoneHeld {
-			if _, isThere := n.cell.nodes.Get(address); !isThere {
+			if _, isThere := n.directory.nodes.Get(address); !isThere {
 				delete(n.zoneHeld, address)
 				delete(n.zoneApplied, address)
 				delete(n.zoneHeard, address)
--- a/control/node_engines.go
+++ b/control/node_engines.go
@@ -29,7 +29,7 @@
 // TakeListing takes the platform's list as this node polled it.
 func (n *Node) TakeListing(now kernel.Micros, listing Listing) []any {
 	n.now = now
-	if n.cell.TakeListing(now, listing) {
+	if n.directory.TakeListing(now, listing) {
 		n.announce(n.leavingRecords())
 	}
 	return n.finish()
@@ -38,7 +38,7 @@
 // Probed takes what this node found when it tried to reach an engine.
 func (n *Node) Probed(now kernel.Micros, id string, start uint64, isDark bool) []any {
 	n.now = now
-	if engine, isThere := n.cell.engines.Get(id); isThere && engine.Start == start && engine.IsDark != isDark {
+	if engine, isThere := n.directory.engines.Get(id); isThere && engine.Start == start && engine.IsDark != isDark {
 		engine.IsDark, engine.BackAt = isDark, now
 		engine.DarkSeq++
 		n.hear([]EngineRecord{engine})
@@ -52,7 +52,7 @@
 // was known: its own word comes before any report or list.
 func (n *Node) Restarted(now kernel.Micros, id string, start uint64) []any {
 	n.now = now
-	if engine, isThere := n.cell.engines.Get(id); isThere && engine.Start < start {
+	if engine, isThere := n.directory.engines.Get(id); isThere && engine.Start < start {
 		n.hear([]EngineRecord{{ID: id, Address: engine.Address, Zone: engine.Zone, Pool: engine.Pool, Start: start, StartedAt: now, Seen: now, AsOf: now}})
 	}
 	return n.finish()
@@ -67,7 +67,7 @@
 }
 
 func (n *Node) suspect(m *Suspect) {
-	engine, isThere := n.cell.engines.Get(m.Engine)
+	engine, isThere := n.directory.engines.Get(m.Engine)
 	// Of one that registers itself its beats tell.
 	if !isThere || engine.Word > 0 || engine.Start != m.Start || engine.IsDark || n.lease.applied == nil {
 		return
@@ -86,7 +86,7 @@
 
 func (n *Node) leavingRecords() []EngineRecord {
 	found := []EngineRecord{}
-	for _, engine := range n.cell.Engines() {
+	for _, engine := range n.directory.Engines() {
 		if engine.IsLeaving {
 			found = append(found, engine.aged(n.now))
 		}
@@ -97,7 +97,7 @@
 // learnedMarks names the engines that are leaving and still there.
 func (n *Node) learnedMarks() []LearnedMark {
 	marks := []LearnedMark{}
-	for _, engine := range n.cell.Engines() {
+	for _, engine := range n.directory.Engines() {
 		// No more than half of what is kept, or two marks could push each other out for ever.
 		// Who registers itself says it again with its next beat.
 		if engine.IsLeaving && engine.Word == 0 && !engine.IsUnlisted && len(marks) < keptLeaving/2 {
@@ -124,7 +124,7 @@
 func (n *Node) takeHeard(records []EngineRecord) {
 	fresh := []EngineRecord{}
 	for _, record := range records {
-		if n.cell.TakeEngine(n.now, record, true) {
+		if n.directory.TakeEngine(n.now, record, true) {
 			fresh = append(fresh, record.aged(n.now))
 		}
 	}
@@ -164,7 +164,7 @@
 	if isBeyond {
 		targets = append(targets, n.otherHomes()...)
 		if n.isHomeless() {
-			for _, node := range n.cell.Nodes() {
+			for _, node := range n.directory.Nodes() {
 				targets = append(targets, node.Address)
 			}
 		}
@@ -172,7 +172,7 @@
 	slices.Sort(targets)
 	for _, target := range slices.Compact(targets) {
 		if target != n.self() {
-			n.send(target, Message{News: &News{Home: n.cell.incarnation, Engines: records}})
+			n.send(target, Message{News: &News{Home: n.directory.incarnation, Engines: records}})
 		}
 	}
 }
--- a/control/node_leave.go
+++ b/control/node_leave.go
@@ -34,7 +34,7 @@
 		return
 	}
 	n.succeedTimer = n.now + succeedEvery
-	for _, node := range n.cell.Nodes() {
+	for _, node := range n.directory.Nodes() {
 		if node.Zone == n.settings.Identity.Zone && node.Address != n.self() && !node.IsLeaving {
 			n.note("home", "name successor", node.Address)
 			n.send(n.leaderTarget(), Message{Succeed: &Succeed{n.settings.Identity.Zone, node.Address}})
--- a/control/node_news.go
+++ b/control/node_news.go
@@ -16,19 +16,19 @@
 }
 
 func (n *Node) onAsk(from string, m *Ask) {
-	n.cell.TakeNode(n.now, m.Node.placed(n.now), true)
+	n.directory.TakeNode(n.now, m.Node.placed(n.now), true)
 	n.zoneHeard[m.Address] = n.now
 	if n.settings.ServeOn >= ServeOnAlways {
 		n.answerAsk(from, m)
 		return
 	}
 	// Sent even when empty: the node hears by it that its home is there.
-	n.send(from, Message{News: n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false)})
+	n.send(from, Message{News: n.directory.NewsSince(n.now, m.SeenHome, m.SeenNews, false)})
 	// Where the two differ, each gets what the other has: what only this node
 	// knows, say a mark from before this home was one, would else stay with it.
-	if differing := n.cell.Differing(n.now, m.Digests); len(differing) > 0 {
-		n.send(from, Message{News: &News{Home: n.cell.incarnation, Engines: differing}})
-		n.send(from, Message{Mend: &Mend{Digests: n.cell.Digests()}})
+	if differing := n.directory.Differing(n.now, m.Digests); len(differing) > 0 {
+		n.send(from, Message{News: &News{Home: n.directory.incarnation, Engines: differing}})
+		n.send(from, Message{Mend: &Mend{Digests: n.directory.Digests()}})
 	}
 	// A node that is behind need not wait for the leader's word to get the document.
 	n.zoneHeld[m.Address] = max(m.Applied, m.Held)
@@ -47,15 +47,15 @@
 // need not wait for it: it tells what it holds itself, and who leads if it knows.
 func (n *Node) answerAsk(from string, m *Ask) {
 	n.zoneHeld[m.Address] = max(m.Applied, m.Held)
-	grant := &Grant{Revision: n.lease.Revision(), News: n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, false)}
+	grant := &Grant{Revision: n.lease.Revision(), News: n.directory.NewsSince(n.now, m.SeenHome, m.SeenNews, false)}
 	if n.now-n.leaderWord < kernel.Second {
 		grant.Leader = n.leaderHint
 	}
 	grant.Document = n.pushed.offer(n.now, from, n.lease.applied, n.zoneHeld[m.Address], n.isVoterAt(from))
 	n.send(from, Message{Grant: grant})
-	if differing := n.cell.Differing(n.now, m.Digests); len(differing) > 0 {
-		n.send(from, Message{News: &News{Home: n.cell.incarnation, Engines: differing}})
-		n.send(from, Message{Mend: &Mend{Digests: n.cell.Digests()}})
+	if differing := n.directory.Differing(n.now, m.Digests); len(differing) > 0 {
+		n.send(from, Message{News: &News{Home: n.directory.incarnation, Engines: differing}})
+		n.send(from, Message{Mend: &Mend{Digests: n.directory.Digests()}})
 	}
 	if m.Applied > n.zoneApplied[m.Address] {
 		n.isBatchHot = true
@@ -103,7 +103,7 @@
 		n.peerNews[from] = mark
 	}
 	n.outlive(m.Nodes)
-	isLeavingNews, isLacking := n.cell.TakeNews(n.now, m, false)
+	isLeavingNews, isLacking := n.directory.TakeNews(n.now, m, false)
 	if isLeavingNews && n.isHome() {
 		n.spread(m.Engines, false)
 	}
@@ -132,14 +132,14 @@
 
 func (n *Node) onMend(from string, m *Mend) {
 	if m.IsHome {
-		if news := n.cell.NewsSince(n.now, m.SeenHome, m.SeenNews, true); len(news.Engines)+len(news.Nodes) > 0 || news.IsAll {
+		if news := n.directory.NewsSince(n.now, m.SeenHome, m.SeenNews, true); len(news.Engines)+len(news.Nodes) > 0 || news.IsAll {
 			n.send(from, Message{News: news})
 		}
 	}
 	if m.Digests != nil {
-		if differing := n.cell.Differing(n.now, m.Digests); len(differing) > 0 {
+		if differing := n.directory.Differing(n.now, m.Digests); len(differing) > 0 {
 			n.note("cell", "mend", fmt.Sprintf("%d records of differing ranges go to %s", len(differing), from))
-			n.send(from, Message{News: &News{Home: n.cell.incarnation, Engines: differing}})
+			n.send(from, Message{News: &News{Home: n.directory.incarnation, Engines: differing}})
 		}
 	}
 }
@@ -167,7 +167,7 @@
 		n.askTimer = n.now + min(n.settings.Timing.Ask, 250*kernel.Millisecond)
 	}
 	record := n.record()
-	n.cell.TakeNode(n.now, record, true)
+	n.directory.TakeNode(n.now, record, true)
 	own := RouterAsk{
 		Address: n.self(), Zone: n.settings.Identity.Zone, Seq: n.lease.NewAsk(n.now),
 		Applied: n.lease.Revision(), IsRouter: n.settings.IsRouter && !n.isLeaving,
@@ -190,7 +190,7 @@
 			ask.Node = record.aged(n.now)
 		}
 		if n.askTurn++; n.askTurn%4 == 0 {
-			ask.Digests = n.cell.Digests()
+			ask.Digests = n.directory.Digests()
 		}
 		n.send(home, Message{Ask: ask})
 	}
@@ -230,7 +230,7 @@
 			mend := &Mend{IsHome: true, SeenHome: mark.home, SeenNews: mark.upto}
 			// Digests only now and then: they mend what was lost, news does the rest.
 			if n.mendTurn%4 == 0 {
-				mend.Digests = n.cell.Digests()
+				mend.Digests = n.directory.Digests()
 			}
 			n.send(home, Message{Mend: mend})
 		}
@@ -238,7 +238,7 @@
 	}
 	if n.isHomeless() && n.mendTurn%2 == 0 {
 		if neighbours := n.views.Neighbours(); len(neighbours) > 0 {
-			n.send(neighbours[n.random.IntN(len(neighbours))], Message{Mend: &Mend{Digests: n.cell.Digests()}})
+			n.send(neighbours[n.random.IntN(len(neighbours))], Message{Mend: &Mend{Digests: n.directory.Digests()}})
 		}
 	}
 }
--- a/control/node_state.go
+++ b/control/node_state.go
@@ -38,7 +38,7 @@
 	state := State{
 		Document: n.lease.applied, Until: n.lease.until, Why: n.lease.Why(n.now),
 		Home: n.home(), IsHome: n.isHome(), IsHomeless: n.isHomeless(),
-		EngineRev: n.cell.engineRev, Founding: n.founding(), Leader: n.leaderHint, cellRev: n.cell.rev,
+		EngineRev: n.directory.engineRev, Founding: n.founding(), Leader: n.leaderHint, cellRev: n.directory.rev,
 	}
 	if n.core != nil {
 		state.Health = n.core.Health()
@@ -50,12 +50,12 @@
 	if earlier != nil && earlier.EngineRev == state.EngineRev {
 		state.Engines = earlier.Engines
 	} else {
-		state.Engines = n.cell.Engines()
+		state.Engines = n.directory.Engines()
 	}
 	if earlier != nil && earlier.cellRev == state.cellRev {
 		state.Nodes = earlier.Nodes
 	} else {
-		state.Nodes = n.cell.Nodes()
+		state.Nodes = n.directory.Nodes()
 	}
 	if earlier != nil && n.views.isSeen(earlier.Neighbours) {
 		state.Neighbours = earlier.Neighbours
--- a/control/recovery_test.go
+++ b/control/recovery_test.go
@@ -386,7 +386,7 @@
 	for _, n := range []*fleetNode{f.nodes[7], f.nodes[1]} {
 		n.do(func() []any { return n.node.Leave(f.now) })
 		record := func(at *fleetNode) NodeRecord {
-			found, _ := at.node.cell.nodes.Get(n.identity.Address)
+			found, _ := at.node.directory.nodes.Get(n.identity.Address)
 			return found
 		}
 		all := func(isMet func(NodeRecord) bool) func() bool {
@@ -423,11 +423,11 @@
 		{"it fell silent before the other spoke", word(9, 40, timing.nodeSilent()+1), word(5, 1, 0), 5},
 	} {
 		for _, order := range [][]NodeRecord{{each.a, each.b}, {each.b, each.a}, {each.b, each.a, each.b, each.a}} {
-			cell := NewCell("i", timing, func(string, string, string) {})
+			directory := NewDirectory("i", timing, func(string, string, string) {})
 			for _, record := range order {
-				cell.TakeNode(now, record, false)
+				directory.TakeNode(now, record, false)
 			}
-			kept, _ := cell.nodes.Get("n")
+			kept, _ := directory.nodes.Get("n")
 			c.Assert(kept.Start, qt.Equals, each.winner, qt.Commentf("%s", each.what))
 		}
 	}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -61,7 +61,7 @@
 }
 
 func (n *Node) snapshotMark() snapshotMark {
-	return snapshotMark{n.lease.applied, n.cell.engineRev, min(n.cell.nodes.Len(), snapshotNodes)}
+	return snapshotMark{n.lease.applied, n.directory.engineRev, min(n.directory.nodes.Len(), snapshotNodes)}
 }
 
 // restore begins with what the disk held. Only where a router may serve without the core's
@@ -85,7 +85,7 @@
 		// calls them gone unless they beat, and any real word on them is fresher. Not so
 		// long, though, that the word of their end would be too old to be taken.
 		record.Age, record.Idle = engineGone, engineGone/2
-		n.cell.takeEngine(n.now, record.placed(n.now), false)
+		n.directory.takeEngine(n.now, record.placed(n.now), false)
 	}
 	for _, address := range from.Nodes {
 		if address != n.self() {
@@ -115,10 +115,10 @@
 	}
 	s.isWriting, s.writing, s.nextAt = true, mark, n.now+snapshotEvery
 	snapshot := &Snapshot{Format: snapshotFormat, Fleet: n.settings.Identity.Fleet, Document: n.lease.applied}
-	for _, engine := range n.cell.Engines() {
+	for _, engine := range n.directory.Engines() {
 		snapshot.Engines = append(snapshot.Engines, engine.aged(n.now))
 	}
-	for _, node := range n.cell.Nodes() {
+	for _, node := range n.directory.Nodes() {
 		if node.Address != n.self() && len(snapshot.Nodes) < snapshotNodes {
 			snapshot.Nodes = append(snapshot.Nodes, node.Address)
 		}
