--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -2,162 +2,14 @@
 
 import (
 	"fmt"
-	"maps"
-	"math"
-	"slices"
 	"sort"
-	"strings"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"dunlinloom/fleetconfig"
 	"dunlinloom/kernel"
+	"github.com/cespare/xxhash/v2"
 )
 
-// RunState says whether an engine may have started on a request.
-type RunState string
-
-// What a decline can promise. NotRun is final: nothing will run it later.
-const (
-	NotRun     RunState = "not_run"
-	MayHaveRun RunState = "may_have_run"
-)
-
-// Rejection is the final answer to a request that is not served.
-type Rejection struct {
-	Reason     string // a word for programs
-	Detail     string // a sentence for people
-	Status     int
-	Run        RunState
-	RetryAfter kernel.Micros // when to come back; zero: no use
-}
-
-func (d *Rejection) Error() string { return fmt.Sprintf("%s: %s (%s)", d.Reason, d.Detail, d.Run) }
-
-// Engine is what the data plane needs to know of one engine.
-type Engine struct {
-	ID, Address, Zone, Pool string
-	Start                   uint64
-	IsLeaving               bool
-	IsUnlisted              bool
-	IsDark                  bool
-	HasReport               bool
-	Load                    int64
-	AsOf                    kernel.Micros
-	StartedAt               kernel.Micros
-	IsStartKnown            bool
-}
-
-// RoutingTable is all that the control plane has told this router, as one snapshot.
-type RoutingTable struct {
-	Revision uint64
-	Config   *fleetconfig.Config
-	Drained  map[string]bool
-	Engines  []Engine
-	Routers  []string // the registered routers, in order
-	Until    kernel.Micros
-	Lapse    string // why there is no lease
-}
-
-// Request is what the policy needs to know of a request.
-type Request struct {
-	ID           string
-	Kind, Model  string
-	Prefix       []uint32 // at least as many tokens as any prefix length asks for, or all
-	PromptTokens int
-	MaxTokens    int
-}
-
-// Round is one try at one engine.
-type Round struct {
-	Number  int
-	Engine  Engine
-	Binding string
-	// Revision is the configuration's under which the round was picked.
-	Revision uint64
-	opened   kernel.Micros
-	load     float64 // of the engine when the round was opened, the request included
-	placed   int64   // tokens still on the ledger
-	prompt   int64
-	isFirst  bool // the first token has come
-	isOver   bool
-}
-
-// Call is the request owner's state of one request.
-type Call struct {
-	Request Request
-	Round   *Round
-	tried   map[string]bool
-	rounds  int
-}
-
-// Ending is how a round ended.
-type Ending int
-
-// The endings of a round.
-const (
-	Served     Ending = iota // to its closing mark
-	NotSent                  // not one byte was written to the engine
-	Withdrawn                // the round was called off before a byte was written
-	SaidNotRun               // the engine said that it did not run it
-	Lost                     // after bytes were written, without the engine's word
-	CallerGone               // the caller hung up
-)
-
-func (e Ending) String() string {
-	return [...]string{"served", "not sent", "withdrawn", "engine said not run", "lost", "caller gone"}[e]
-}
-
-// unseenShare is how far other nodes are taken to do as this one does.
-const unseenShare = 0.25
-
-const (
-	maxRounds       = 4
-	errorFirst      = 500 * kernel.Millisecond
-	errorLast       = 5 * kernel.Second
-	paceFade        = 5 * kernel.Second // an estimate that old counts half
-	defaultRetryDue = kernel.Second
-)
-
-type engineState struct {
-	ledger     ledger
-	start      uint64
-	errors     int
-	brokenTill kernel.Micros
-	isProbing  bool // one request is trying an engine that was broken
-	// opening are our rounds that wait for their first token, oldest first. The oldest
-	// is taken for the request that the engine is working on.
-	opening []*Round
-	// pace is the learned time to the first token per token of load.
-	pace   float64
-	paceAt kernel.Micros
-}
-
-// Counts are the dispatcher's running figures.
-type Counts struct {
-	Requests, FirstRounds, Retries, Diverts, AdmissionDiverts uint64
-	Served, CallersGone, Resumes                              uint64
-	Rejected                                                  map[string]uint64
-	Broken                                                    map[string]uint64
-}
-
-// Since tells what was not served since an earlier count; nothing when all was.
-func (c Counts) Since(before Counts) string {
-	parts := []string{}
-	for _, sort := range []struct{ now, before map[string]uint64 }{{c.Rejected, before.Rejected}, {c.Broken, before.Broken}} {
-		for _, reason := range slices.Sorted(maps.Keys(sort.now)) {
-			if more := sort.now[reason] - sort.before[reason]; more > 0 {
-				parts = append(parts, fmt.Sprintf("%s %d", reason, more))
-			}
-		}
-	}
-	if len(parts) == 0 {
-		return ""
-	}
-	return fmt.Sprintf("%s; %d of %d served", strings.Join(parts, ", "), c.Served-before.Served, c.Requests-before.Requests)
-}
-
 // Trial puts other rules in the policy's place, to measure against. Daemons have none.
 type Trial struct {
 	HasNoCurrent bool // the prompt that an engine is working on counts once only
@@ -435,78 +287,6 @@
 	return candidates, engines, fmt.Sprint(reasons)
 }
 
-// current is the prompt of the request that an engine is working on, which the source
-// adds to the load once more: a prompt in work holds up all that came after it.
-func (d *Dispatcher) current(state *engineState) int64 {
-	if len(state.opening) == 0 || d.Trial.HasNoCurrent {
-		return 0
-	}
-	return state.opening[0].prompt
-}
-
-// begun takes a round out of those that wait for their first token.
-func (s *engineState) begun(round *Round) {
-	s.opening = slices.DeleteFunc(s.opening, func(waiting *Round) bool { return waiting == round })
-}
-
-// foreign reckons what other nodes have on an engine: what is left of the late
-// report, and what they will have placed since, for which our own placing stands.
-func (d *Dispatcher) foreign(now kernel.Micros, state *engineState, engine Engine) float64 {
-	fade := d.routingTable.Config.Policy.ReportFade
-	seen := state.ledger.foreign(now, engine.AsOf, engine.Load, fade, d.drain)
-	share := unseenShare
-	if d.Trial.Unseen != nil {
-		share = *d.Trial.Unseen
-	}
-	others := float64(max(len(d.routingTable.Routers)-1, 0))
-	return seen + share*others*state.ledger.since(now, engine.AsOf, fade, d.drain)
-}
-
-// rampShare is how many streams this router may hold on an engine that started
-// lately. The cap is one for the fleet; each registered router computes the same
-// split of it, so the parts add up to the cap without a word between them.
-func (d *Dispatcher) rampShare(now kernel.Micros, engine Engine) int {
-	policy := d.routingTable.Config.Policy
-	age := now - engine.StartedAt
-	if !engine.IsStartKnown || age >= policy.RampTotal {
-		return math.MaxInt
-	}
-	whole := int(float64(policy.RampStreams) * math.Pow(2, float64(max(age, 0))/float64(policy.RampDouble)))
-	routers := max(len(d.routingTable.Routers), 1)
-	share := whole / routers
-	rank := rankOf(d.self, d.routingTable.Routers, engine)
-	if rank < whole%routers {
-		share++
-	}
-	return share
-}
-
-// rankOf orders the routers differently for each engine and start, so that the
-// odd streams of a small cap do not always fall to the same routers.
-func rankOf(self string, routers []string, engine Engine) int {
-	score := func(router string) uint64 {
-		return xxhash.Sum64String(fmt.Sprintf("%s|%s|%d", router, engine.ID, engine.Start))
-	}
-	own, rank := score(self), 0
-	for _, router := range routers {
-		if router != self && score(router) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
-// foresee estimates the time to the first token on an engine.
-func (d *Dispatcher) foresee(now kernel.Micros, engine Engine, load float64, call *Call) kernel.Micros {
-	state := d.state(engine.ID)
-	if state.pace == 0 {
-		return 0
-	}
-	// An old estimate loses weight, or an engine once slow would never be tried again.
-	faded := state.pace * math.Pow(0.5, float64(now-state.paceAt)/float64(paceFade))
-	return kernel.Micros(faded * (load + float64(call.Request.PromptTokens)))
-}
-
 // MayWrite is asked at the last moment before the first byte goes to an engine:
 // a router that was frozen since it picked must not act on what it knew then.
 func (d *Dispatcher) MayWrite(now kernel.Micros, call *Call) string {
@@ -606,33 +386,6 @@
 	return true, nil
 }
 
-// judge keeps the engine's record of errors.
-func (d *Dispatcher) judge(now kernel.Micros, state *engineState, round *Round, ending Ending, why string) {
-	if state.start != round.Engine.Start {
-		return
-	}
-	state.isProbing = false
-	switch ending {
-	case NotSent, Lost:
-		state.errors++
-		pause := min(errorFirst<<min(state.errors-1, 8), errorLast)
-		state.brokenTill = now + pause
-		d.note(now, "engine "+round.Engine.ID, "broken", fmt.Sprintf("%s; left alone for %d us", why, pause))
-	case Served, SaidNotRun:
-		if state.errors > 0 {
-			d.note(now, "engine "+round.Engine.ID, "mended", "it answered again")
-		}
-		state.errors = 0
-	}
-}
-
-func (d *Dispatcher) learnDrain(lasted float64) {
-	if d.drain == 0 {
-		d.drain = lasted
-	}
-	d.drain += 0.05 * (lasted - d.drain)
-}
-
 // Responded tells that an engine has begun to answer, which ends its error.
 func (d *Dispatcher) Responded(call *Call) {
 	d.lock.Lock()
@@ -662,39 +415,3 @@
 	defer d.lock.Unlock()
 	return len(d.routingTable.Engines) > 0
 }
-
-// EngineView is one engine as this router sees it, for operators.
-type EngineView struct {
-	ID      string  `json:"id"`
-	Zone    string  `json:"zone"`
-	Address string  `json:"address"`
-	Start   uint64  `json:"start"`
-	Own     int64   `json:"own_burden"`
-	Foreign float64 `json:"foreign_burden"`
-	Streams int     `json:"own_streams"`
-	Bar     string  `json:"barred,omitempty"`
-}
-
-// View pictures the engines for operators.
-func (d *Dispatcher) View(now kernel.Micros) []EngineView {
-	d.lock.Lock()
-	defer d.lock.Unlock()
-	views := []EngineView{}
-	for _, engine := range d.routingTable.Engines {
-		view := EngineView{ID: engine.ID, Zone: engine.Zone, Address: engine.Address, Start: engine.Start, Bar: d.bar(now, engine)}
-		if state := d.states[engine.ID]; state != nil {
-			view.Own, view.Streams = state.ledger.own, state.ledger.streams
-			if engine.HasReport && d.routingTable.Config != nil {
-				view.Foreign = d.foreign(now, state, engine)
-			}
-		}
-		views = append(views, view)
-	}
-	slices.SortFunc(views, func(a, b EngineView) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return views
-}
