--- /dev/null
+++ b/router/answer.go
@@ -0,0 +1,147 @@
+package router
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+)
+
+// answer is what a caller gets, from one engine or from several.
+type answer struct {
+	router   *Router
+	w        http.ResponseWriter
+	r        *http.Request
+	control  *http.ResponseController
+	call     *Call
+	events   eventSplitter
+	hasBegun bool // the head went out
+	silence  *time.Timer
+	span     kernel.Micros
+	buffer   []byte
+}
+
+// stray says that a stream went on with an event that the caller has had.
+type strayEvent struct{ last, next string }
+
+func (b strayEvent) Error() string {
+	return fmt.Sprintf("the stream goes on with event %q after %q", b.next, b.last)
+}
+
+// relay passes an engine's answer on as it comes. An error is the engine's failure.
+func (a *answer) relay(response *http.Response) (Ending, string, error) {
+	call := a.call
+	isStream := isEventStream(response)
+	ending := Served
+	if response.StatusCode >= 500 {
+		ending = Failed
+	}
+	isClosing := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+	if !a.hasBegun {
+		dropped := relay.ConnectionHeaders(response.Header)
+		header := a.w.Header()
+		for name, lines := range response.Header {
+			if !dropped[name] {
+				header[name] = lines
+			}
+		}
+		if response.ContentLength >= 0 {
+			header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+		}
+		a.w.WriteHeader(response.StatusCode)
+		a.hasBegun = true
+		call.IsBound = !(isStream && call.Request.Route.IsResumable)
+		if isStream {
+			if err := a.control.Flush(); err != nil {
+				return CallerGone, err.Error(), nil
+			}
+		}
+	}
+	config := a.router.Chooser.Config()
+	stride := 1
+	if config != nil {
+		stride = max(config.Services[call.Request.Service].Stride, 1)
+	}
+	a.events.pending = a.events.pending[:0]
+	last, isResumed := a.events.lastID, call.sent > 1 && a.events.lastID != ""
+	if a.buffer == nil {
+		a.buffer = make([]byte, 4096)
+	}
+	for {
+		count, err := response.Body.Read(a.buffer)
+		if count > 0 {
+			now := a.router.Env.Clock.Now()
+			if a.silence != nil {
+				a.silence.Reset(max(a.span, patience(call, true)).Duration())
+			}
+			chunk := a.buffer[:count]
+			if isStream {
+				whole, events := a.events.take(chunk)
+				if events > 0 {
+					a.router.Chooser.Produced(now, call, events*stride)
+				}
+				if isResumed && events > 0 {
+					if next := firstID(whole); !isAfter(last, next) {
+						// The splitter has read its ids already; the caller got none of them.
+						a.events.lastID = last
+						return 0, "", Broken{"go on with the stream", strayEvent{last, next}}
+					}
+					isResumed = false
+				}
+				chunk = whole
+			}
+			if len(chunk) > 0 {
+				if gone := a.pass(chunk); gone != nil {
+					return CallerGone, gone.Error(), nil
+				}
+			}
+			if isStream {
+				a.events.done(len(chunk))
+			}
+		}
+		switch {
+		case err == io.EOF && isClosing:
+			// Nothing told how long it is, so a crash looks like its end.
+			return 0, "", Broken{"read the body", io.ErrUnexpectedEOF}
+		case err == io.EOF:
+			if len(a.events.pending) > 0 {
+				if gone := a.pass(a.events.pending); gone != nil {
+					return CallerGone, gone.Error(), nil
+				}
+			}
+			return ending, "", nil
+		case err != nil:
+			return 0, "", Broken{"read the body", err}
+		}
+	}
+}
+
+func (a *answer) pass(chunk []byte) error {
+	if _, err := a.w.Write(chunk); err != nil {
+		return err
+	}
+	return a.control.Flush()
+}
+
+// firstID reads the id of the first event.
+func firstID(events []byte) string {
+	for line := range bytes.SplitSeq(events, []byte{'\n'}) {
+		if bytes.HasPrefix(line, idField) {
+			return string(bytes.TrimSpace(line[len(idField):]))
+		}
+	}
+	return ""
+}
+
+// isAfter tells whether an event may follow another; ids that are no numbers can't be held
+// against each other.
+func isAfter(last, next string) bool {
+	before, errBefore := strconv.ParseInt(last, 10, 64)
+	after, errAfter := strconv.ParseInt(next, 10, 64)
+	return errBefore != nil || errAfter != nil || after > before
+}
--- /dev/null
+++ b/router/body.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+)
+
+func (u *Router) readBody(w http.ResponseWriter, r *http.Request, config *fleetconfig.Config, route *fleetconfig.Route) ([]byte, *Refusal) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	bound := config.Caps.BodyBytes
+	if bound <= 0 {
+		bound = max(u.MaxBody, defaultBody)
+	}
+	if r.ContentLength > bound {
+		w.Header().Set("Connection", "close")
+		return nil, &Refusal{"too_large", fmt.Sprintf("a body has at most %d bytes", bound), http.StatusRequestEntityTooLarge, 0}
+	}
+	var body []byte
+	var err error
+	limited := io.Reader(http.MaxBytesReader(w, r.Body, bound))
+	if idle := config.Caps.IdleTime; idle > 0 {
+		control := http.NewResponseController(w)
+		limited = newPacedBody(limited, control, idle, route)
+		defer control.SetReadDeadline(time.Time{})
+	}
+	if r.ContentLength > 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(limited, body)
+	} else {
+		body, err = io.ReadAll(limited)
+	}
+	u.held.Add(int64(len(body)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return body, &Refusal{"too_large", fmt.Sprintf("a body has at most %d bytes", bound), http.StatusRequestEntityTooLarge, 0}
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return body, &Refusal{"bad_body", "the body did not arrive whole: " + err.Error(), http.StatusRequestTimeout, 0}
+	}
+	return body, nil
+}
+
+// pacedBody is a caller's body that may rest for so long between two reads, and may take no
+// longer as a whole than its route allows: who trickles must not hold a place for ever.
+type pacedBody struct {
+	io.Reader
+	control *http.ResponseController
+	rest    time.Duration
+	until   time.Time
+}
+
+func newPacedBody(body io.Reader, control *http.ResponseController, rest kernel.Micros, route *fleetconfig.Route) *pacedBody {
+	whole := longest
+	if route.Timeout > 0 {
+		whole = max(route.Timeout, rest)
+	}
+	return &pacedBody{body, control, rest.Duration(), time.Now().Add(whole.Duration())}
+}
+
+func (b *pacedBody) Read(to []byte) (int, error) {
+	deadline := time.Now().Add(b.rest)
+	if deadline.After(b.until) {
+		deadline = b.until
+	}
+	if err := b.control.SetReadDeadline(deadline); err != nil {
+		return 0, fmt.Errorf("bound the time of a read: %w", err)
+	}
+	return b.Reader.Read(to)
+}
+
+func (u *Router) readRequest(r *http.Request, route *fleetconfig.Route, arrived kernel.Micros) (Request, *Refusal) {
+	bad := func(err error) *Refusal { return &Refusal{"bad_request", err.Error(), http.StatusBadRequest, 0} }
+	request := Request{ID: r.Header.Get(u.Wire.RequestID), Arrived: arrived, Route: route, LastEvent: r.Header.Get(u.Wire.LastEvent)}
+	var err error
+	if request.PromptTokens, request.MaxTokens, err = ParseTokens(u.Wire.Tokens, r.Header.Get(u.Wire.Tokens)); err != nil {
+		return request, bad(err)
+	}
+	if request.Parts, err = ParseParts(u.Wire.Prefix, r.Header.Get(u.Wire.Prefix)); err != nil {
+		return request, bad(err)
+	}
+	request.Deadline = arrived + longest
+	if text := r.Header.Get(u.Wire.Deadline); text != "" {
+		left, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(left >= 0 && left < 1e9) {
+			return request, bad(BadHeader{u.Wire.Deadline, "it is not a number of milliseconds"})
+		}
+		request.Deadline = min(request.Deadline, arrived+kernel.Micros(left*float64(kernel.Millisecond)))
+	}
+	if route.Timeout > 0 {
+		request.Deadline = min(request.Deadline, arrived+route.Timeout)
+	}
+	request.Service = route.Pick(pickHash(request))
+	return request, nil
+}
+
+// pickHash spreads a route's requests over its services, the same prompt always alike.
+func pickHash(request Request) uint64 {
+	if request.Route.IsPinned && len(request.Parts) > 0 {
+		return sharedHash(request.Parts)
+	}
+	return PrefixHash([]Part{{ID: request.ID, Tokens: 1}}, 1)
+}
