--- /dev/null
+++ b/server/routing_table.go
@@ -0,0 +1,103 @@
+package server
+
+import (
+	"slices"
+
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+)
+
+// TableBuilder turns states of the control plane into routing tables for the data plane.
+type TableBuilder struct {
+	Compiler       *fleetconfig.Compiler
+	config         *fleetconfig.Config
+	configRevision uint64
+	shown          routingTableMark
+}
+
+type routingTableMark struct {
+	revision, engineRev uint64
+	until               kernel.Micros
+	why                 string
+}
+
+// RoutingTable gives the next routing table, or nil when nothing changed that routing depends on.
+func (h *TableBuilder) RoutingTable(state *control.State) (*relay.RoutingTable, error) {
+	mark := routingTableMark{0, state.EngineRev, state.Until, state.Why}
+	var failed error
+	if state.Document != nil {
+		mark.revision = state.Document.Revision
+		// A large configuration is compiled once, not at every change of something else.
+		if state.Document.ConfigRevision != h.configRevision {
+			h.configRevision = state.Document.ConfigRevision
+			h.config, failed = h.Compiler.Read(state.Document.Config)
+		}
+	}
+	if mark == h.shown {
+		return nil, failed
+	}
+	h.shown = mark
+	routingTable := &relay.RoutingTable{Config: h.config, Drained: map[string]bool{}, Until: state.Until, Lapse: state.Why}
+	if state.Document != nil {
+		routingTable.Revision, routingTable.Routers = state.Document.Revision, state.Document.Register
+		for zone := range state.Document.Drained {
+			routingTable.Drained[zone] = true
+		}
+	}
+	routingTable.Engines = MergeEngines(h.config, state.Engines)
+	if state.Document != nil {
+		for i, engine := range routingTable.Engines {
+			mark, isMarked := state.Document.Leaving[engine.ID]
+			routingTable.Engines[i].IsLeaving = engine.IsLeaving || isMarked && engine.Start <= mark.Start
+		}
+	}
+	return routingTable, failed
+}
+
+// MergeEngines joins the engines that the configuration names with those that the control plane knows.
+func MergeEngines(config *fleetconfig.Config, records []control.EngineRecord) []relay.Engine {
+	engines, known := []relay.Engine{}, map[string]bool{}
+	for _, record := range records {
+		known[record.ID] = true
+		engine := relay.Engine{
+			ID: record.ID, Address: record.Address, Zone: record.Zone, Pool: record.Pool, Start: record.Start,
+			IsLeaving: record.IsLeaving, IsUnlisted: record.IsUnlisted, IsDark: record.IsDark,
+			HasReport: record.Seq > 0, Load: record.Load, AsOf: record.AsOf, StartedAt: record.StartedAt, IsStartKnown: true,
+		}
+		if record.IsUnsure() {
+			engine.StartedAt = record.BackAt
+		}
+		if config != nil {
+			named := config.Engines[record.ID]
+			if named.Pool != "" {
+				engine.Pool = named.Pool
+			}
+			if named.Zone != "" {
+				engine.Zone = named.Zone
+			}
+			if named.Address != "" && record.ListRevision == 0 {
+				engine.Address = named.Address
+			}
+			// An engine named by hand serves even where the platform's list lacks it.
+			engine.IsUnlisted = engine.IsUnlisted && named.Address == ""
+		}
+		engines = append(engines, engine)
+	}
+	if config != nil {
+		for id, named := range config.Engines {
+			if !known[id] && named.Address != "" {
+				engines = append(engines, relay.Engine{ID: id, Address: named.Address, Zone: named.Zone, Pool: named.Pool})
+			}
+		}
+	}
+	// One order on every node: ties in the policy are broken by it.
+	slices.SortFunc(engines, func(a, b relay.Engine) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return engines
+}
--- /dev/null
+++ b/server/runner_calls.go
@@ -0,0 +1,153 @@
+package server
+
+import (
+	"context"
+	"fmt"
+
+	"dunlinloom/control"
+	"dunlinloom/relay"
+)
+
+// Submit hands an order in and waits for its reply.
+func (r *Runner) Submit(ctx context.Context, submit *control.Submit) (control.SubmitReply, error) {
+	waiter, isTaken := r.await(submit)
+	if !isTaken {
+		return control.SubmitReply{ID: submit.ID, Outcome: control.Unproved, Reason: "id_busy",
+			Detail: "another submission with this id is under way at this node; ask again once it has ended"}, nil
+	}
+	if state := r.State(); state.IsLeader && len(submit.Config) > 0 {
+		// As in Deliver: the leader is to have its verdict at hand.
+		if err := r.node.Validate(submit, state.Document); err != nil {
+			r.env.Log.V(2).Info("a configuration with faults was handed in", "error", err.Error())
+		}
+	}
+	r.post(func() []any { return r.node.Submit(r.env.Clock.Now(), submit) })
+	select {
+	case reply := <-waiter:
+		return reply, nil
+	case <-ctx.Done():
+		return control.SubmitReply{}, fmt.Errorf("wait for submission %s: %w", submit.ID, ctx.Err())
+	case <-r.env.Done():
+		return control.SubmitReply{ID: submit.ID, Outcome: control.Unproved, Reason: "stopping"}, nil
+	}
+}
+
+// Register takes an engine's word on itself; Seq numbers its words. The word that it is
+// leaving (IsLeaving) or gone (IsUnlisted) is given back only when the routers know; an
+// error says that this could not be shown. beatTo is the public address for the engine's
+// later words; empty: no better one is known.
+func (r *Runner) Register(ctx context.Context, record control.EngineRecord) (beatTo string, err error) {
+	waiter := make(chan control.Registered, 1)
+	r.lock.Lock()
+	r.nextToken++
+	token := r.nextToken
+	r.registers[token] = waiter
+	r.lock.Unlock()
+	defer func() {
+		r.lock.Lock()
+		delete(r.registers, token)
+		r.lock.Unlock()
+	}()
+	r.post(func() []any { return r.node.Register(r.env.Clock.Now(), token, record) })
+	select {
+	case answer := <-waiter:
+		return answer.BeatTo, answer.Err
+	case <-ctx.Done():
+		return "", fmt.Errorf("register engine %s: %w", record.ID, ctx.Err())
+	case <-r.env.Done():
+		return "", fmt.Errorf("register engine %s: %w", record.ID, Stopping{})
+	}
+}
+
+// NotShown says that a document could not be shown to be the newest one in time.
+type NotShown struct{ Cause error }
+
+func (b NotShown) Error() string {
+	return "no document could be shown to be the newest: " + b.Cause.Error()
+}
+
+// Unwrap gives the cause.
+func (b NotShown) Unwrap() error { return b.Cause }
+
+// Stopping says that this process ends before it could answer.
+type Stopping struct{}
+
+func (Stopping) Error() string { return "this process is stopping" }
+
+// Newest gives a committed document that is at least as new as every one that was
+// acknowledged before the call. The error is a NotShown.
+func (r *Runner) Newest(ctx context.Context) (*control.Document, error) {
+	waiter := make(chan *control.Document, 1)
+	r.lock.Lock()
+	r.nextToken++
+	token := r.nextToken
+	r.reads[token] = waiter
+	r.lock.Unlock()
+	r.post(func() []any { return r.node.Newest(r.env.Clock.Now(), token) })
+	var cause error = Stopping{}
+	select {
+	case document := <-waiter:
+		return document, nil
+	case <-ctx.Done():
+		cause = ctx.Err()
+	case <-r.env.Done():
+	}
+	r.lock.Lock()
+	delete(r.reads, token)
+	r.lock.Unlock()
+	r.post(func() []any { return r.node.EndNewest(r.env.Clock.Now(), token) })
+	return nil, NotShown{cause}
+}
+
+// Hear brings engine records learned first-hand.
+func (r *Runner) Hear(records []control.EngineRecord) {
+	r.post(func() []any { return r.node.Hear(r.env.Clock.Now(), records) })
+}
+
+// Suspect tells the control plane of an engine that could not be reached.
+func (r *Runner) Suspect(engine relay.Engine) {
+	r.post(func() []any { return r.node.Suspect(r.env.Clock.Now(), engine.ID, engine.Start) })
+}
+
+// SuspectEngine tells the control plane of an engine, by its id alone, that could not be reached.
+func (r *Runner) SuspectEngine(id string) {
+	for _, engine := range r.State().Engines {
+		if engine.ID == id {
+			r.post(func() []any { return r.node.Suspect(r.env.Clock.Now(), engine.ID, engine.Start) })
+		}
+	}
+}
+
+// Restarted tells the control plane of an engine that answered under a later start.
+func (r *Runner) Restarted(engine relay.Engine, start uint64) {
+	r.post(func() []any { return r.node.Restarted(r.env.Clock.Now(), engine.ID, start) })
+}
+
+// Leave begins a planned stop.
+func (r *Runner) Leave() {
+	r.post(func() []any { return r.node.Leave(r.env.Clock.Now()) })
+}
+
+// HasDuties asks the owners whether duties are still held.
+func (r *Runner) HasDuties() bool {
+	reply := make(chan bool, 1)
+	r.post(func() []any { reply <- r.node.HasDuties(); return nil })
+	select {
+	case hasDuties := <-reply:
+		return hasDuties
+	case <-r.env.Done():
+		return false
+	}
+}
+
+// Recall reads an older configuration from this node's data folder.
+func (r *Runner) Recall(ask RecallAsk) (*RecallReply, error) {
+	if r.store == nil {
+		return nil, control.MissingRevision{Revision: ask.Mark.Revision}
+	}
+	document, err := r.store.ConfigAt(ask.Mark)
+	if err != nil {
+		return nil, err
+	}
+	return &RecallReply{Config: document.Config, ConfigRevision: document.ConfigRevision}, nil
+}
