--- /dev/null
+++ b/server/api_config.go
@@ -0,0 +1,190 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/history"
+	"dunlinloom/relay"
+)
+
+// readConfig reads and checks a configuration from a request's body; false when it answered.
+func (f *API) readConfig(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(30 * time.Second)); err != nil {
+		f.fail(w, http.StatusInternalServerError, "channel", err.Error())
+		return nil, false
+	}
+	// One that says it is too large is not even begun to be read.
+	if r.ContentLength > fleetconfig.MaxBytes {
+		w.Header().Set("Connection", "close")
+		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a configuration has at most %d bytes", fleetconfig.MaxBytes))
+		return nil, false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, fleetconfig.MaxBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a configuration has at most %d bytes", fleetconfig.MaxBytes))
+		return nil, false
+	}
+	if err != nil {
+		f.fail(w, http.StatusBadRequest, "bad_request", err.Error())
+		return nil, false
+	}
+	_, err = f.compiler.Read(body)
+	var faults *fleetconfig.Faults
+	var above fleetconfig.TooLarge
+	switch {
+	case errors.As(err, &faults):
+		f.reply(w, http.StatusUnprocessableEntity, faceError{faceErrorFields{"invalid_spec", "the configuration has faults", faults.List, faults.More}})
+		return nil, false
+	case errors.As(err, &above):
+		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", err.Error())
+		return nil, false
+	case err != nil:
+		f.fail(w, http.StatusUnprocessableEntity, "invalid_spec", err.Error())
+		return nil, false
+	}
+	return body, true
+}
+
+func (f *API) checkConfig(w http.ResponseWriter, r *http.Request) {
+	if _, isGood := f.readConfig(w, r); isGood {
+		f.reply(w, http.StatusOK, map[string]bool{"ok": true})
+	}
+}
+
+func (f *API) putConfig(w http.ResponseWriter, r *http.Request) {
+	id, err := submissionID(r)
+	if err != nil {
+		f.fail(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	submit := &control.Submit{ID: id, Order: control.PutConfig}
+	if text := r.URL.Query().Get("base"); text != "" {
+		base, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			f.fail(w, http.StatusBadRequest, "bad_request", "base is not a revision")
+			return
+		}
+		submit.Base = &base
+	}
+	body, isGood := f.readConfig(w, r)
+	if !isGood {
+		return
+	}
+	submit.Config = body
+	f.submit(w, r, submit)
+}
+
+func (f *API) getConfig(w http.ResponseWriter, r *http.Request) {
+	state := f.runner.State()
+	if !f.isCurrent(state) && !r.URL.Query().Has("stale") {
+		w.Header().Set("Retry-After", "1")
+		f.fail(w, http.StatusServiceUnavailable, "not_current", "this node can't tell whether its copy is the newest; ?stale=1 gives it all the same")
+		return
+	}
+	document := state.Document
+	if document == nil {
+		f.fail(w, http.StatusNotFound, "no_spec", "no document has reached this node")
+		return
+	}
+	wanted := document.Revision
+	if text := r.URL.Query().Get("generation"); text != "" {
+		var err error
+		if wanted, err = strconv.ParseUint(text, 10, 64); err != nil || wanted == 0 {
+			f.fail(w, http.StatusBadRequest, "bad_request", "generation is not a number above zero")
+			return
+		}
+	}
+	if wanted > document.Revision {
+		f.fail(w, http.StatusNotFound, "no_generation", fmt.Sprintf("the fleet is at revision %d", document.Revision))
+		return
+	}
+	reply := &RecallReply{Config: document.Config, ConfigRevision: document.ConfigRevision}
+	if wanted < document.ConfigRevision {
+		mark, isKnown := document.ConfigAt(wanted)
+		reply = nil
+		if isKnown {
+			reply = f.recall(r, document, RecallAsk{Mark: mark})
+		}
+		if reply == nil {
+			reply = f.fromArchive(wanted, mark)
+		}
+	}
+	if reply == nil || reply.ConfigRevision == 0 {
+		f.fail(w, http.StatusNotFound, "no_spec", fmt.Sprintf("no configuration of revision %d is kept", wanted))
+		return
+	}
+	w.Header().Set(relay.HeaderRevision, strconv.FormatUint(reply.ConfigRevision, 10))
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(reply.Config); err != nil {
+		f.env.Log.V(2).Info("a configuration could not be delivered", "error", err.Error())
+	}
+}
+
+// fromArchive reads a configuration that the core has let go of. What the chain still names has
+// to be the same.
+func (f *API) fromArchive(wanted uint64, mark control.ConfigMark) *RecallReply {
+	if f.archive == nil {
+		return nil
+	}
+	newest := uint64(0)
+	for _, facts := range f.archive.History() {
+		if facts.Revision <= wanted {
+			newest = facts.Revision
+		}
+	}
+	config, facts, err := f.archive.Config(newest)
+	if err != nil || mark.Revision > 0 && (facts.Revision != mark.Revision || facts.Digest != mark.Digest) {
+		return nil
+	}
+	return &RecallReply{Config: config, ConfigRevision: facts.Revision}
+}
+
+// recall looks for an older configuration here and then at the voters.
+func (f *API) recall(r *http.Request, document *control.Document, ask RecallAsk) *RecallReply {
+	if reply, err := f.runner.Recall(ask); err == nil {
+		return reply
+	}
+	for _, member := range document.Voters {
+		if member.Address == f.env.Self.Address {
+			continue
+		}
+		reply, err := f.connections.Recall(r.Context(), member.Address, ask)
+		if err == nil {
+			return reply
+		}
+		f.env.Log.V(2).Info("no copy there", "error", err.Error())
+	}
+	return nil
+}
+
+func (f *API) history(w http.ResponseWriter, _ *http.Request) {
+	document := f.runner.State().Document
+	if document == nil {
+		f.fail(w, http.StatusNotFound, "no_spec", "no document has reached this node")
+		return
+	}
+	history := History{Revisions: []uint64{}, Current: document.ConfigRevision}
+	for _, mark := range document.Chain {
+		history.Revisions = append(history.Revisions, mark.Revision)
+	}
+	if f.archive != nil {
+		history.Kept = f.archive.History()
+	}
+	f.reply(w, http.StatusOK, history)
+}
+
+// History tells which configurations can be read: those that the core names, and those that this
+// node's object store holds.
+type History struct {
+	Revisions []uint64        `json:"generations"`
+	Current   uint64          `json:"current"`
+	Kept      []history.Facts `json:"kept,omitempty"`
+}
--- /dev/null
+++ b/server/api_fleet.go
@@ -0,0 +1,122 @@
+package server
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+)
+
+// NodeView is one node in the picture of the fleet.
+type NodeView struct {
+	control.NodeRecord
+	AgeUS kernel.Micros `json:"age_us"`
+}
+
+// FleetView is the fleet as one node sees it.
+type FleetView struct {
+	Self           kernel.Identity    `json:"self"`
+	Revision       uint64             `json:"generation"`
+	ConfigRevision uint64             `json:"spec_generation"`
+	Founding       string             `json:"founding"`
+	Leader         string             `json:"leader"`
+	Role           string             `json:"role,omitempty"`
+	Term           uint64             `json:"term,omitempty"`
+	Ailment        string             `json:"ailment,omitempty"`
+	Core           *CoreView          `json:"core,omitempty"` // only at the leader
+	LeaseLeft      kernel.Micros      `json:"licence_left_us"`
+	Why            string             `json:"why,omitempty"`
+	Voters         []control.Member   `json:"voters"`
+	Register       []string           `json:"register"`
+	Homes          map[string]string  `json:"homes"`
+	Drained        map[string]uint64  `json:"evacuated"`
+	Nodes          []NodeView         `json:"nodes"`
+	Engines        []relay.EngineView `json:"engines"`
+	Neighbours     []string           `json:"neighbours"`
+	Traffic        []Traffic          `json:"traffic"`
+}
+
+func (f *API) fleet(w http.ResponseWriter, _ *http.Request) {
+	state, now := f.runner.State(), f.env.Clock.Now()
+	view := FleetView{
+		Self: f.env.Self, Founding: state.Founding, Leader: state.Leader, Role: state.Role, Term: state.Term,
+		Ailment: state.Ailment, LeaseLeft: max(state.Until-now, 0), Why: state.Why, Neighbours: state.Neighbours, Traffic: f.traffic(state),
+	}
+	if state.Health != nil {
+		view.Core = &CoreView{state.Leader, state.Health, max(now-state.Health.Since, 0)}
+	}
+	if document := state.Document; document != nil {
+		view.Revision, view.ConfigRevision = document.Revision, document.ConfigRevision
+		view.Voters, view.Register, view.Homes, view.Drained = document.Voters, document.Register, document.Homes, document.Drained
+	}
+	for _, node := range state.Nodes {
+		view.Nodes = append(view.Nodes, NodeView{node, max(now-node.AsOf, 0)})
+	}
+	if f.forwarder != nil {
+		view.Engines = f.forwarder.Dispatcher.View(now)
+	} else {
+		for _, engine := range state.Engines {
+			view.Engines = append(view.Engines, relay.EngineView{ID: engine.ID, Zone: engine.Zone, Address: engine.Address, Start: engine.Start, Foreign: float64(engine.Load)})
+		}
+	}
+	f.reply(w, http.StatusOK, view)
+}
+
+func (f *API) explain(w http.ResponseWriter, r *http.Request) {
+	entries := f.env.Journal.Read("", r.PathValue("request"), 0)
+	if f.journalFile != nil {
+		entries = kernel.Join(f.journalFile.Read(0, func(entry kernel.Entry) bool { return entry.Subject == r.PathValue("request") }), entries)
+	}
+	f.reply(w, http.StatusOK, map[string]any{"node": f.env.Self, "entries": entries})
+}
+
+func (f *API) journal(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	most, err := strconv.Atoi(query.Get("last"))
+	if err != nil {
+		most = 100
+	}
+	entries := f.env.Journal.Read(query.Get("part"), query.Get("subject"), most)
+	if text := query.Get("since_us"); text != "" {
+		since, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || since < 0 {
+			f.fail(w, http.StatusBadRequest, "bad_request", "since_us is not a moment in microseconds")
+			return
+		}
+		isWanted := func(entry kernel.Entry) bool {
+			return entry.Wall >= kernel.Micros(since) && (query.Get("part") == "" || entry.Part == query.Get("part")) &&
+				(query.Get("subject") == "" || entry.Subject == query.Get("subject")) && (query.Get("requests") != "0" || !entry.IsRequest)
+		}
+		entries = slices.DeleteFunc(f.env.Journal.Read("", "", 0), func(entry kernel.Entry) bool { return !isWanted(entry) })
+		if f.journalFile != nil {
+			entries = kernel.Join(f.journalFile.Read(kernel.Micros(since), isWanted), entries)
+		}
+	}
+	f.reply(w, http.StatusOK, map[string]any{"node": f.env.Self, "now_us": f.env.Clock.Now(), "entries": entries})
+}
+
+func (f *API) health(w http.ResponseWriter, _ *http.Request) {
+	f.reply(w, http.StatusOK, map[string]bool{"ok": true})
+}
+
+// ready tells the platform whether to hand this node callers.
+func (f *API) ready(w http.ResponseWriter, _ *http.Request) {
+	state := f.runner.State()
+	switch {
+	case f.stopping():
+		f.fail(w, http.StatusServiceUnavailable, "stopping", "this node is stopping")
+	case !f.isCurrent(state):
+		f.fail(w, http.StatusServiceUnavailable, "no_licence", state.Why)
+	case state.Document.ConfigRevision == 0:
+		f.fail(w, http.StatusServiceUnavailable, "no_spec", "no configuration has been put yet")
+	case f.forwarder != nil && !f.forwarder.Dispatcher.KnowsEngines():
+		// Only while none is known at all: with engines known but down the node stays
+		// ready, and tells callers when to come back.
+		f.fail(w, http.StatusServiceUnavailable, "no_engines", "no engine is known here yet")
+	default:
+		f.reply(w, http.StatusOK, map[string]bool{"ok": true})
+	}
+}
