--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -39,7 +39,7 @@
 	drain float64
 }
 
-// NewDispatcher makes a dispatcher that rejects until it is shown a scene.
+// NewDispatcher makes a dispatcher that rejects until it is shown a routing table.
 func NewDispatcher(self, zone string, note func(now kernel.Micros, subject, decision, why string)) *Dispatcher {
 	return &Dispatcher{
 		self: self, zone: zone, salt: xxhash.Sum64String(self), note: note, routingTable: &RoutingTable{Lapse: "no document has reached this router yet"},
@@ -48,7 +48,7 @@
 	}
 }
 
-// Show puts a new scene in force.
+// Show puts a new routing table in force.
 func (d *Dispatcher) Show(routingTable *RoutingTable) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
@@ -409,7 +409,7 @@
 	return true
 }
 
-// KnowsEngines tells whether there is any engine in the scene, barred or not.
+// KnowsEngines tells whether there is any engine in the routing table, barred or not.
 func (d *Dispatcher) KnowsEngines() bool {
 	d.lock.Lock()
 	defer d.lock.Unlock()
