--- a/router/router_test.go
+++ b/router/router_test.go
@@ -1,185 +1,19 @@
 package router
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	qt "github.com/frankban/quicktest"
-	"k8s.io/klog/v2"
-
 	"dunlinloom/fleetconfig"
 	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
 )
 
-// bubbleClock reads the virtual time of a test.
-type bubbleClock struct{ start time.Time }
-
-func (c bubbleClock) Now() kernel.Micros { return kernel.MicrosOf(time.Since(c.start)) + kernel.Second }
-
-// harness is a router with engines that a test scripts.
-type harness struct {
-	t            *testing.T
-	lock         sync.Mutex
-	engines      map[string]func(connection int, r *http.Request, to net.Conn) bool // by address; false: close
-	runs         map[string]int                                                     // arrivals by engine
-	dials        map[string]int
-	router       *Router
-	chooser      *Chooser
-	routingTable *RoutingTable
-	suspect      []string
-	callers      context.Context
-}
-
-func newHarness(t *testing.T, route fleetconfig.Route, engines ...string) *harness {
-	h := &harness{t: t, callers: t.Context(), engines: map[string]func(int, *http.Request, net.Conn) bool{}, runs: map[string]int{}, dials: map[string]int{}}
-	route.Name, route.Host, route.Prefix = "r", "h.example", "/p/"
-	if len(route.Splits) == 0 {
-		route.Splits = []fleetconfig.Split{{Service: "svc", Weight: 1}}
-	}
-	config := fleetconfig.NewRouteConfig([]fleetconfig.Route{route}, []fleetconfig.Service{{Name: "svc", Slots: 8, Stride: 2, MaxConnections: 100}})
-	h.routingTable = &RoutingTable{Config: config, Routers: 1}
-	for _, id := range engines {
-		h.routingTable.Engines = append(h.routingTable.Engines, Engine{ID: id, Address: id + ":1", Zone: "z", Service: "svc", Slots: 8})
-	}
-	clock := bubbleClock{time.Now()}
-	h.chooser = NewChooser("router", "z", Retry{Ratio: 0.2, Window: 10 * kernel.Second, Slack: 50})
-	h.chooser.Show(h.routingTable)
-	pool := NewPool(clock, h.dial, 300*kernel.Millisecond, 5*kernel.Second)
-	t.Cleanup(func() { pool.Sweep(func(string) bool { return false }) })
-	env := kernel.Env{Context: t.Context(), Clock: clock, Log: klog.Background(), Journal: kernel.NewJournal(64)}
-	h.router = NewRouter(Settings{Env: env, Wire: DefaultWire(), Chooser: h.chooser, Pool: pool,
-		Suspect: func(engine Engine) { h.suspect = append(h.suspect, engine.ID) }})
-	return h
-}
-
-func (h *harness) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	h.lock.Lock()
-	h.dials[address]++
-	number := h.dials[address]
-	serve := h.engines[address]
-	h.lock.Unlock()
-	if serve == nil {
-		return nil, io.ErrClosedPipe
-	}
-	near, far := net.Pipe()
-	go func() {
-		defer far.Close()
-		reader := bufio.NewReader(far)
-		for {
-			request, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			if _, err := io.Copy(io.Discard, request.Body); err != nil {
-				return
-			}
-			h.lock.Lock()
-			h.runs[strings.TrimSuffix(address, ":1")]++
-			h.lock.Unlock()
-			if !serve(number, request, far) {
-				return
-			}
-		}
-	}()
-	return near, nil
-}
-
-// call sends one request; isTorn tells that the answer was cut off.
-func (h *harness) call(method, id string, more http.Header) (recorder *httptest.ResponseRecorder, isTorn bool) {
-	r := httptest.NewRequestWithContext(h.callers, method, "http://h.example/p/x?q=1", strings.NewReader("body"))
-	r.RequestURI, r.Host = "/p/x?q=1", "h.example"
-	wire := DefaultWire()
-	r.Header.Set(wire.RequestID, id)
-	r.Header.Set(wire.Deadline, "3000")
-	r.Header.Set(wire.Tokens, "100,20")
-	r.Header.Set(wire.Prefix, "a:80,b:20")
-	for name, lines := range more {
-		r.Header[name] = lines
-	}
-	recorder = httptest.NewRecorder()
-	defer func() {
-		if cause := recover(); cause != nil {
-			if cause != http.ErrAbortHandler {
-				panic(cause)
-			}
-			isTorn = true
-		}
-	}()
-	h.router.ServeHTTP(recorder, r)
-	return recorder, false
-}
-
-func head(id, more string) string {
-	wire := DefaultWire()
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s-%s\r\n%s", wire.RequestID, id, wire.Stamp, id, more)
-}
-
-func plainAnswer(body string) func(int, *http.Request, net.Conn) bool {
-	return func(_ int, r *http.Request, to net.Conn) bool {
-		fmt.Fprintf(to, "%sContent-Length: %d\r\n\r\n%s", head(r.Header.Get(DefaultWire().RequestID), ""), len(body), body)
-		return true
-	}
-}
-
-const streamHead = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-
-func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
-
-func event(id int) string { return fmt.Sprintf("id: %d\ndata: w%d\n\n", id, id) }
-
-// streamFrom answers with events after the one named, and breaks off after so many; below
-// zero it ends the stream as it should.
-func streamFrom(last, breakAfter int) func(int, *http.Request, net.Conn) bool {
-	return func(_ int, r *http.Request, to net.Conn) bool {
-		io.WriteString(to, head(r.Header.Get(DefaultWire().RequestID), streamHead))
-		next := 1
-		fmt.Sscan(r.Header.Get("Last-Event-Id"), &next)
-		if r.Header.Get("Last-Event-Id") != "" {
-			next++
-		}
-		for sent := 0; next <= last; next++ {
-			if sent == breakAfter {
-				io.WriteString(to, chunk("id: 9"))
-				return false
-			}
-			io.WriteString(to, chunk(event(next)))
-			sent++
-		}
-		io.WriteString(to, "0\r\n\r\n")
-		return true
-	}
-}
-
-// preferredOf gives the engine that the harness's prompt prefers, and the others.
-func (h *harness) preferredOf() (first string, rest []string) {
-	call, refusal := h.chooser.Arrive(kernel.Second, Request{ID: "probe", PromptTokens: 1, Parts: []Part{{"a", 80}, {"b", 20}},
-		Deadline: 1 << 60, Route: &h.routingTable.Config.Routes[0], Service: "svc"})
-	qt.Assert(h.t, refusal == nil, qt.IsTrue)
-	h.chooser.Close(kernel.Second, call, CallerGone, "")
-	for _, engine := range h.routingTable.Engines {
-		if engine.ID != call.Attempt.Engine.ID {
-			rest = append(rest, engine.ID)
-		}
-	}
-	return call.Attempt.Engine.ID, rest
-}
-
-func (h *harness) script(id string, serve func(int, *http.Request, net.Conn) bool) {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	h.engines[id+":1"] = serve
-}
-
 func TestAnswerIsTheEnginesOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
