--- a/control/node.go
+++ b/control/node.go
@@ -68,15 +68,15 @@
 
 // Node joins the owners of one process and carries messages between them.
 type Node struct {
-	settings NodeSettings
-	now      kernel.Micros
-	random   *rand.Rand
-	core     *Core
-	lease    *Lease
-	cell     *Cell
-	views    *Views
-	out      []any
-	loop     []Envelope
+	settings  NodeSettings
+	now       kernel.Micros
+	random    *rand.Rand
+	core      *Core
+	lease     *Lease
+	directory *Directory
+	views     *Views
+	out       []any
+	loop      []Envelope
 
 	leaderHint   string
 	leaderWord   kernel.Micros // when the hint last proved good
@@ -143,7 +143,7 @@
 	n.lease = NewLease(self.Address, settings.IsRouter, settings.Timing, n.note)
 	n.lease.seq = tokens.first()
 	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
-	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
+	n.directory = NewDirectory(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
 	if settings.Founding == FoundersAnnounce {
 		n.founder = newFounder(settings, random, now)
@@ -170,10 +170,10 @@
 	}
 }
 
-// Rehearse judges an order against a document and changes nothing. It may be called beside
+// Validate checks an order against a document and changes nothing. It may be called beside
 // the owners: what is slow about a large configuration is remembered by the functions of the
 // settings, so that the leader has its verdict at hand.
-func (n *Node) Rehearse(submit *Submit, current *Document) error {
+func (n *Node) Validate(submit *Submit, current *Document) error {
 	if submit.Order != PutConfig && submit.Order != ChangeConfig {
 		return nil
 	}
@@ -262,7 +262,7 @@
 		return
 	}
 	n.settings.Journal.SetEra(n.lease.Revision())
-	n.note("spec", "apply", fmt.Sprintf("generation %d", n.lease.Revision()))
+	n.note("spec", "apply", fmt.Sprintf("revision %d", n.lease.Revision()))
 	// The leader counts who has applied what, so it should hear at once.
 	n.askTimer = n.now
 	if n.settings.AckRule == Spread {
@@ -301,7 +301,7 @@
 
 func (n *Node) zoneNodes() []string {
 	found := []string{}
-	for _, node := range n.cell.Nodes() {
+	for _, node := range n.directory.Nodes() {
 		if node.Zone == n.settings.Identity.Zone && node.Address != n.self() {
 			found = append(found, node.Address)
 		}
@@ -377,7 +377,7 @@
 func (n *Node) Kept(now kernel.Micros, revision uint64) []any {
 	n.now = now
 	if n.core != nil {
-		n.note("history", "mend", fmt.Sprintf("the spec of generation %d was fetched from another member", revision))
+		n.note("history", "mend", fmt.Sprintf("the configuration of revision %d was fetched from another member", revision))
 		n.core.Kept(now, revision)
 	}
 	return n.finish()
@@ -387,7 +387,7 @@
 func (n *Node) NotKept(now kernel.Micros, revision uint64, err error) []any {
 	n.now = now
 	if n.core != nil {
-		n.note("history", "leave out", fmt.Sprintf("the spec of generation %d: %v", revision, err))
+		n.note("history", "leave out", fmt.Sprintf("the configuration of revision %d: %v", revision, err))
 		n.core.NotKept(now, revision, errors.As(err, new(NoRoom)))
 	}
 	return n.finish()
@@ -545,10 +545,10 @@
 	}
 	if now >= n.sweep {
 		n.sweep = now + 500*kernel.Millisecond
-		n.cell.Sweep(now)
+		n.directory.Sweep(now)
 		// Of a node that is gone it is as well not to know what it held.
 		for address := range n.zoneHeld {
-			if _, isThere := n.cell.nodes.Get(address); !isThere {
+			if _, isThere := n.directory.nodes.Get(address); !isThere {
 				delete(n.zoneHeld, address)
 				delete(n.zoneApplied, address)
 				delete(n.zoneHeard, address)
