--- a/control/store.go
+++ b/control/store.go
@@ -328,12 +328,12 @@
 	}
 	// Room is made before the write, so that a full disk can recover by itself.
 	if err := s.prune(); err != nil {
-		return fmt.Errorf("save generation %d: %w", save.Document.Revision, err)
+		return fmt.Errorf("save revision %d: %w", save.Document.Revision, err)
 	}
 	name := fileName(save.Document.stamp())
 	size, err := s.put(name, save.Document)
 	if err != nil {
-		return fmt.Errorf("save generation %d: %w", save.Document.Revision, err)
+		return fmt.Errorf("save revision %d: %w", save.Document.Revision, err)
 	}
 	s.files = append(s.files, keptOf(save.Document, name, size))
 	return nil
--- a/control/store_past.go
+++ b/control/store_past.go
@@ -25,7 +25,7 @@
 type MissingRevision struct{ Revision uint64 }
 
 func (b MissingRevision) Error() string {
-	return fmt.Sprintf("generation %d is not kept here", b.Revision)
+	return fmt.Sprintf("revision %d is not kept here", b.Revision)
 }
 
 // NoRoom says that the folder's bound leaves no room for a configuration of the past.
@@ -105,7 +105,7 @@
 		}
 		document, err := s.read(file)
 		if err != nil {
-			return nil, fmt.Errorf("read the spec of generation %d: %w", mark.Revision, err)
+			return nil, fmt.Errorf("read the configuration of revision %d: %w", mark.Revision, err)
 		}
 		if digestOf(document.Config) == mark.Digest {
 			return document, nil
@@ -149,7 +149,7 @@
 	for _, document := range documents {
 		if !s.holds(document.stamp()) {
 			if err := s.mayAdd(document, bytes); err != nil {
-				outcome.Refused, outcome.Err = document.ConfigRevision, fmt.Errorf("keep generation %d: %w", document.Revision, err)
+				outcome.Refused, outcome.Err = document.ConfigRevision, fmt.Errorf("keep revision %d: %w", document.Revision, err)
 				break
 			}
 			added = append(added, document)
@@ -158,7 +158,7 @@
 		outcome.Kept = append(outcome.Kept, document.ConfigRevision)
 	}
 	if err := s.addPast(added); err != nil {
-		return KeepOutcome{Refused: documents[0].ConfigRevision, Err: fmt.Errorf("keep %d generations: %w", len(added), err)}
+		return KeepOutcome{Refused: documents[0].ConfigRevision, Err: fmt.Errorf("keep %d revisions: %w", len(added), err)}
 	}
 	return outcome
 }
