A leaver's release ends with the next document that it accepts

Cause: a release is given for what is committed; the heartbeat that brings it, or one after it, may bring a newer document, which the leaver acknowledged before it ended. It could be committed by the leader's disk and one that goes. Before: TestAReleaseEndsWithTheNextDocument fails.

--- a/control/replication.go
+++ b/control/replication.go
@@ -122,7 +122,10 @@
 	if c.leaderMember.ID != m.Leader.ID || isNewTerm {
 		c.note("core", "follow", "%s leads term %d", m.Leader.Address, m.Term)
 	}
-	c.leaderMember, c.lastHeartbeat, c.isReleased = m.Leader, c.now, m.IsReleased
+	c.leaderMember, c.lastHeartbeat = m.Leader, c.now
+	// The word is on what was committed when it was said. A newer document may be committed by this
+	// member's acknowledgement.
+	c.isReleased = m.IsReleased && !m.Committed.before(c.doc.stamp())
 	c.timer = c.now + c.electionSpan()
 	reply.Term = c.term
 	c.checkPromise(m.Promised)
@@ -136,7 +139,7 @@
 	switch {
 	case isNews:
 		c.save(document, respond)
-		c.doc = document
+		c.doc, c.isReleased = document, false
 	case isNewTerm:
 		c.save(nil, respond)
 	default:
