control tests: one set-up of a settled fleet, one leaving engine

23 places began with the same three lines (lay out, start all in 500 ms, settle in 6 s) and five made a leaving engine by hand.

--- a/control/fleet_engines_test.go
+++ b/control/fleet_engines_test.go
@@ -9,14 +9,11 @@
 
 func TestALateUpDoesNotUndoALeaving(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 6, 3, 9, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 6, 3, 9, firstHaveFolders(3))
 	f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
 	f.pass(300 * ms)
 	c.Assert(f.allKnow("e", func(e EngineRecord) bool { return e.Address == "10.9.0.1:80" && e.Slots == 4 }), qt.IsTrue)
-	leaving := engineAt("e", "z1", 5)
-	leaving.IsLeaving = true
+	leaving := leavingEngineAt("e", "z1", 5)
 	f.register(f.nodes[5], 2, leaving)
 	f.await("the answer", 900*ms, func() bool { return f.answers[2].Token == 2 })
 	c.Assert(f.answers[2].Err, qt.IsNil)
@@ -39,13 +36,10 @@
 func TestADrainIsConfirmedByAllBeforeItsAnswer(t *testing.T) {
 	for seed := range uint64(8) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 3, 12, firstHaveFolders(4))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 3, 12, firstHaveFolders(4))
 		f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
 		f.pass(kernel.Second)
-		leaving := engineAt("e", "z1", 2)
-		leaving.IsLeaving = true
+		leaving := leavingEngineAt("e", "z1", 2)
 		begun := f.now
 		f.register(f.nodes[int(seed)%12], 2, leaving)
 		f.await("the answer", 900*ms, func() bool { return f.answers[2].Token == 2 })
@@ -58,16 +52,13 @@
 func TestADrainIsConfirmedInTimeBesideDeadHomesAndOutlivesItsTaker(t *testing.T) {
 	for seed := range uint64(8) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 3, 12, firstHaveFolders(4))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 3, 12, firstHaveFolders(4))
 		f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
 		f.pass(kernel.Second)
 		homes := f.leader().state().Document.Homes
 		f.byAddress(homes["z2"]).kill()
 		taker := f.nodes[11]
-		leaving := engineAt("e", "z1", 2)
-		leaving.IsLeaving = true
+		leaving := leavingEngineAt("e", "z1", 2)
 		f.register(taker, 2, leaving)
 		f.await("the answer", 900*ms, func() bool { return f.answers[2].Token == 2 })
 		c.Assert(f.answers[2].Err, qt.IsNil)
@@ -82,9 +73,7 @@
 func TestAZoneBehindAHomeThatIsCutOffFromTheCoreIsNotLeftBehind(t *testing.T) {
 	for seed := range uint64(8) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 4, 9, firstHaveFolders(4))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 4, 9, firstHaveFolders(4))
 		f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
 		f.pass(kernel.Second)
 		leader := f.leader()
@@ -101,8 +90,7 @@
 			}
 		}
 		f.pass(2500 * ms)
-		leaving := engineAt("e", "z1", 2)
-		leaving.IsLeaving = true
+		leaving := leavingEngineAt("e", "z1", 2)
 		f.register(f.leader(), 2, leaving)
 		f.await("the answer", 900*ms, func() bool { return f.answers[2].Token == 2 })
 		c.Assert(f.answers[2].Err, qt.IsNil)
@@ -125,9 +113,7 @@
 
 func TestADrainAtANodeThatIsCutOffIsNotConfirmed(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 8, 3, 9, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 8, 3, 9, firstHaveFolders(3))
 	f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
 	f.pass(kernel.Second)
 	for token, passed := range []kernel.Micros{0, 10 * kernel.Second} {
@@ -136,8 +122,7 @@
 			alone.cut[n.identity.Address] = true
 		}
 		f.pass(passed)
-		leaving := engineAt("e", "z1", 2)
-		leaving.IsLeaving = true
+		leaving := leavingEngineAt("e", "z1", 2)
 		f.register(alone, uint64(10+token), leaving)
 		f.await("the answer", 900*ms, func() bool { return f.answers[uint64(10+token)].Token != 0 })
 		c.Assert(f.answers[uint64(10+token)].Err, qt.ErrorAs, new(NotConfirmed))
@@ -146,9 +131,7 @@
 
 func TestBeatsThatChangeNothingGoToTheHomeAlone(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 9, 3, 9, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 9, 3, 9, firstHaveFolders(3))
 	// Until a home is known to live nobody is sent there.
 	f.pass(2 * kernel.Second)
 	f.register(f.nodes[4], 1, engineAt("e", "z1", 1))
@@ -176,9 +159,7 @@
 
 func TestASilentEngineIsDarkAndComesBackWithItsNextBeat(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 10, 3, 9, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 10, 3, 9, firstHaveFolders(3))
 	seq := uint64(0)
 	beat := func(at *fleetNode) {
 		seq++
@@ -221,9 +202,7 @@
 
 func TestANewEngineAtAnAddressEndsTheOldOne(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 11, 3, 9, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 11, 3, 9, firstHaveFolders(3))
 	f.register(f.nodes[4], 1, engineAt("old", "z1", 7))
 	f.pass(kernel.Second)
 	moved := engineAt("new", "z2", 1)
@@ -244,9 +223,7 @@
 func TestEnginesAreKnownAgainSoonAfterATotalLoss(t *testing.T) {
 	for seed := range uint64(5) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 3, 9, firstHaveFolders(3))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 3, 9, firstHaveFolders(3))
 		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[6])
 		for _, n := range f.nodes {
 			n.kill()
--- a/control/fleet_harness_test.go
+++ b/control/fleet_harness_test.go
@@ -135,6 +135,14 @@
 	return f
 }
 
+// newSettledFleet is newFleet with every node started within half a second and the core settled.
+func newSettledFleet(c *qt.C, seed uint64, zones, nodes int, hasFolder func(int) bool) *fleet {
+	f := newFleet(c, seed, zones, nodes, hasFolder)
+	f.bootAll(500 * ms)
+	f.settled(6 * kernel.Second)
+	return f
+}
+
 func (f *fleet) seeds() []string {
 	if f.named != nil {
 		return f.named()
@@ -488,6 +496,13 @@
 	return EngineRecord{ID: id, Address: "10.9.0.1:80", Zone: zone, Pool: "p", Slots: 4, Seq: seq}
 }
 
+// leavingEngineAt is engineAt of an engine that says that it leaves.
+func leavingEngineAt(id, zone string, seq uint64) EngineRecord {
+	record := engineAt(id, zone, seq)
+	record.IsLeaving = true
+	return record
+}
+
 func (n *fleetNode) engine(id string) EngineRecord {
 	found, _ := n.node.directory.engines.Get(id)
 	return found
--- a/control/fleet_orders_test.go
+++ b/control/fleet_orders_test.go
@@ -12,9 +12,7 @@
 	worst := kernel.Micros(0)
 	for seed := range uint64(8) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 3, 12, firstHaveFolders(4))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 3, 12, firstHaveFolders(4))
 		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[9])
 		f.pass(kernel.Second)
 		lead := f.leader()
@@ -47,9 +45,7 @@
 
 func TestUnreachableRoutersNeverBlockAYes(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 5, 3, 12, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 5, 3, 12, firstHaveFolders(3))
 	f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[9])
 	// More than half of the register, at once.
 	for _, n := range f.nodes[4:] {
@@ -63,9 +59,7 @@
 func TestOneOfTwoRacersOnAVersionWins(t *testing.T) {
 	for seed := range uint64(8) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 3, 6, firstHaveFolders(3))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 3, 6, firstHaveFolders(3))
 		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[3])
 		f.nodes[4].submit("left", 1, configOf(5, "left"))
 		f.nodes[5].submit("right", 1, configOf(7, "right"))
@@ -83,9 +77,7 @@
 
 func TestVersionsRiseAndChangesBuildOnWhatIsInForce(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 2, 3, 6, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 2, 3, 6, firstHaveFolders(3))
 	f.acknowledge("one", 0, configOf(4, "a"), 4*kernel.Second, f.nodes[3])
 	reason := func(id string, submit Submit) string {
 		submit.ID = id
@@ -110,9 +102,7 @@
 func TestAnOrderSentAgainAtAnotherNodeIsAYes(t *testing.T) {
 	for seed := range uint64(8) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 3, 8, firstHaveFolders(4))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 3, 8, firstHaveFolders(4))
 		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[6])
 		f.nodes[6].submit("two", 1, configOf(2, "b"))
 		f.pass(kernel.Micros(f.random.Int64N(int64(60 * ms))))
@@ -131,9 +121,7 @@
 
 func TestAnOrderWithoutAnAcknowledgementIsUnprovedAndNotFenced(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 4, 3, 6, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 4, 3, 6, firstHaveFolders(3))
 	f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[3])
 	f.nodes[1].freeze(3 * kernel.Second)
 	f.nodes[2].freeze(3 * kernel.Second)
@@ -148,9 +136,7 @@
 func TestNewestIsNoOlderThanWhatWasAcknowledged(t *testing.T) {
 	for seed := range uint64(8) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 3, 8, firstHaveFolders(4))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 3, 8, firstHaveFolders(4))
 		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[6])
 		old := f.leader()
 		// The leader is cut off from the core and does not know it; node 7 hears nobody else.
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -58,9 +58,7 @@
 func TestAWipedVoterIsSwappedFast(t *testing.T) {
 	for seed := range uint64(5) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 4, 8, firstHaveFolders(4))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 4, 8, firstHaveFolders(4))
 		f.votersAre(3*kernel.Second, f.nodes[:4]...)
 		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[5])
 		for turn := range 4 {
@@ -80,9 +78,7 @@
 func TestFourVotersBearOneWipedAndThenAnotherLost(t *testing.T) {
 	for seed := range uint64(5) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 4, 8, firstHaveFolders(4))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 4, 8, firstHaveFolders(4))
 		f.votersAre(3*kernel.Second, f.nodes[:4]...)
 		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[4])
 		f.nodes[1].wipe()
@@ -161,9 +157,7 @@
 
 func TestServingCountsLivingRouters(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 12, 3, 9, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 12, 3, 9, firstHaveFolders(3))
 	f.pass(3 * kernel.Second)
 	for _, n := range f.nodes {
 		c.Assert(n.state().Serving, qt.Equals, 9)
@@ -178,9 +172,7 @@
 
 func TestNothingIsAttestedWhereRoutersOutliveTheCore(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(c, 13, 3, 9, firstHaveFolders(3))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, 13, 3, 9, firstHaveFolders(3))
 	for _, n := range f.nodes[:3] {
 		n.kill()
 	}
@@ -208,9 +200,7 @@
 func TestNodesKnowEachOtherAgainAfterACutInWhichTheyWereDropped(t *testing.T) {
 	for seed := range uint64(4) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 3, 9, firstHaveFolders(3))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 3, 9, firstHaveFolders(3))
 		areAllKnown := func() bool {
 			return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool { return len(n.node.State(nil).Nodes) < len(f.nodes) })
 		}
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -239,9 +239,7 @@
 func TestAnOldProcessWhoseAddressWasTakenOverDecidesNothing(t *testing.T) {
 	for seed := range uint64(6) {
 		c := qt.New(t)
-		f := newFleet(c, seed, 3, 6, firstHaveFolders(3))
-		f.bootAll(500 * ms)
-		f.settled(6 * kernel.Second)
+		f := newSettledFleet(c, seed, 3, 6, firstHaveFolders(3))
 		f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[4])
 		old := f.nodes[seed%3]
 		// The frozen machine keeps its folder; another takes over the address with an empty one.
--- a/control/recovery_test.go
+++ b/control/recovery_test.go
@@ -13,9 +13,7 @@
 
 // settledFleet is a fleet of voters and routers with a configuration in force and two engines that beat.
 func settledFleet(c *qt.C, seed uint64, nodes int) *fleet {
-	f := newFleet(c, seed, 4, nodes, firstHaveFolders(4))
-	f.bootAll(500 * ms)
-	f.settled(6 * kernel.Second)
+	f := newSettledFleet(c, seed, 4, nodes, firstHaveFolders(4))
 	f.votersAre(3*kernel.Second, f.nodes[:4]...)
 	f.acknowledge("one", 0, configOf(1, "a"), 4*kernel.Second, f.nodes[5])
 	for i, id := range []string{"e1", "e2"} {
