One check of ranges and one of unique names for configurations, settings and scenarios

fleetconfig/config.go and server/settings.go wrote the same range check five times, config.go and routes.go the check of a unique name five times. fleetconfig.CheckRange and checkUniqueName replace them; texts and order of the faults are as before. The fault list is in a file of its own, fleetconfig/faults.go. server/runner.go: removeWaiter replaces the same four lines three times.

--- a/fleetconfig/config.go
+++ b/fleetconfig/config.go
@@ -3,17 +3,16 @@
 package fleetconfig
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
 	"strings"
 	"sync/atomic"
-	"unicode/utf8"
-
-	"google.golang.org/protobuf/encoding/protojson"
 
 	"dunlinloom/fleetconfig/fleetconfigpb"
 	"dunlinloom/kernel"
+	"google.golang.org/protobuf/encoding/protojson"
 )
 
 //go:generate go run dunlinloom/tools/protogen config.proto fleetconfigpb
@@ -36,86 +35,6 @@
 	maxFaultText = 500
 )
 
-// Fault is one thing wrong with a document, with its path in it.
-type Fault struct {
-	Path string `json:"path"`
-	Why  string `json:"why"`
-}
-
-func (f Fault) Error() string { return f.Path + ": " + f.Why }
-
-// Faults is every fault of a document at once.
-type Faults struct {
-	List []Fault `json:"faults"`
-	More int     `json:"more,omitempty"` // how many were left out of the list
-}
-
-func (f *Faults) Error() string {
-	lines := make([]string, 0, len(f.List))
-	for _, fault := range f.List {
-		lines = append(lines, fault.Error())
-	}
-	if f.More > 0 {
-		lines = append(lines, fmt.Sprintf("and %d more", f.More))
-	}
-	return strings.Join(lines, "; ")
-}
-
-// Add enters a fault, or only counts it when the list is long enough already.
-func (f *Faults) Add(path, why string, args ...any) {
-	if len(f.List) >= maxFaults {
-		f.More++
-		return
-	}
-	// Documents may hold names of megabytes; a reply must not.
-	f.List = append(f.List, Fault{clip(path, maxFaultText), clip(fmt.Sprintf(why, args...), maxFaultText)})
-}
-
-// clip shortens a text, never inside a sign.
-func clip(text string, most int) string {
-	if len(text) <= most {
-		return text
-	}
-	for most > 0 && !utf8.RuneStart(text[most]) {
-		most--
-	}
-	return text[:most] + "..."
-}
-
-// Err gives the faults as an error when there are any.
-func (f *Faults) Err() error {
-	if len(f.List) == 0 {
-		return nil
-	}
-	return f
-}
-
-// rename puts every name in the paths into a form's own words.
-func (f *Faults) rename(name func(field string) string) {
-	for i := range f.List {
-		steps := strings.Split(f.List[i].Path, ".")
-		for j, step := range steps {
-			field, index, isElement := strings.Cut(step, "[")
-			steps[j] = name(field)
-			if isElement {
-				steps[j] += "[" + index
-			}
-		}
-		f.List[i].Path = strings.Join(steps, ".")
-	}
-}
-
-// TooLarge says that a document is above the stated bound.
-type TooLarge struct {
-	What  string
-	Size  int
-	Bound int
-}
-
-func (err TooLarge) Error() string {
-	return fmt.Sprintf("%s: %d is above the bound of %d", err.What, err.Size, err.Bound)
-}
-
 // Policy is the compiled policy with every default filled in.
 type Policy struct {
 	PrefixLength int
@@ -243,12 +162,7 @@
 	}
 	zones := map[string]bool{}
 	for i, zone := range message.Zones {
-		path := fmt.Sprintf("zones[%d].name", i)
-		checkName(faults, path, zone.Name)
-		if zones[zone.Name] {
-			faults.Add(path, "zone %q is named twice", zone.Name)
-		}
-		zones[zone.Name] = true
+		checkUniqueName(faults, func() string { return fmt.Sprintf("zones[%d].name", i) }, "zone", zone.Name, zones)
 	}
 	checkZone := func(path, name string) {
 		if name != "" && len(zones) > 0 && !zones[name] {
@@ -258,11 +172,7 @@
 	engines := map[string]bool{}
 	for i, engine := range message.Engines {
 		path := fmt.Sprintf("engines[%d]", i)
-		checkName(faults, path+".id", engine.Id)
-		if engines[engine.Id] {
-			faults.Add(path+".id", "engine %q is named twice", engine.Id)
-		}
-		engines[engine.Id] = true
+		checkUniqueName(faults, func() string { return path + ".id" }, "engine", engine.Id, engines)
 		if engine.Address != "" {
 			if _, err := netip.ParseAddrPort(engine.Address); err != nil {
 				faults.Add(path+".address", "%q is not an IP and port", engine.Address)
@@ -278,11 +188,7 @@
 	names, matches, shareCount := map[string]bool{}, map[[2]string]int{}, 0
 	for i, binding := range message.Bindings {
 		path := fmt.Sprintf("bindings[%d]", i)
-		checkName(faults, path+".name", binding.Name)
-		if names[binding.Name] {
-			faults.Add(path+".name", "binding %q is named twice", binding.Name)
-		}
-		names[binding.Name] = true
+		checkUniqueName(faults, func() string { return path + ".name" }, "binding", binding.Name, names)
 		pair := [2]string{binding.Match.GetKind(), binding.Match.GetModel()}
 		if earlier, isThere := matches[pair]; isThere {
 			faults.Add(path+".match", "never reached: bindings[%d] has the same match", earlier)
@@ -295,9 +201,7 @@
 		shareCount += len(binding.Shares)
 		for j, share := range binding.Shares {
 			path := fmt.Sprintf("%s.shares[%d]", path, j)
-			if share.Weight < 1 || share.Weight > MaxWeight {
-				faults.Add(path+".weight", "%d is not from 1 to %d", share.Weight, MaxWeight)
-			}
+			CheckRange(faults, path+".weight", share.Weight, 1, MaxWeight)
 			checkZone(path+".zone", share.Zone)
 		}
 	}
@@ -309,10 +213,16 @@
 	return faults.Err()
 }
 
-func checkName(faults *Faults, path, name string) {
+// checkUniqueName checks a name, and that no earlier item of its kind has it. The path is made
+// only for a fault: there may be many thousand items.
+func checkUniqueName(faults *Faults, path func() string, kind, name string, known map[string]bool) {
 	if why := faultOfName(name); why != "" {
-		faults.Add(path, "%s", why)
+		faults.Add(path(), "%s", why)
 	}
+	if known[name] {
+		faults.Add(path(), "%s %q is named twice", kind, name)
+	}
+	known[name] = true
 }
 
 // faultOfName tells what is wrong with a name; empty: nothing.
@@ -334,25 +244,22 @@
 	if policy == nil {
 		return
 	}
-	checkCount := func(name string, value *uint32, low, high uint32) {
-		if value != nil && (*value < low || *value > high) {
-			faults.Add("policy."+name, "%d is not from %d to %d", *value, low, high)
-		}
-	}
-	checkRatio := func(name string, value *float64, low, high float64) {
-		if value != nil && !(*value >= low && *value <= high) {
-			faults.Add("policy."+name, "%v is not from %v to %v", *value, low, high)
-		}
-	}
-	checkCount("prefixLength", policy.PrefixLength, 1, 4096)
-	checkRatio("maxImbalance", policy.MaxImbalance, 1, 100)
-	checkRatio("nearTie", policy.NearTie, 0, 0.5)
+	checkPolicyRange(faults, "prefixLength", policy.PrefixLength, 1, 4096)
+	checkPolicyRange(faults, "maxImbalance", policy.MaxImbalance, 1, 100)
+	checkPolicyRange(faults, "nearTie", policy.NearTie, 0, 0.5)
 	// Retries have to stay a small share of real traffic whatever is asked for.
-	checkRatio("retryRatio", policy.RetryRatio, 0, 0.1)
-	checkCount("rampStreams", policy.RampStreams, 1, 10000)
-	checkCount("rampDoubleUs", policy.RampDoubleUs, 100_000, 600_000_000)
-	checkCount("rampTotalUs", policy.RampTotalUs, 0, 3_600_000_000)
-	checkCount("reportFadeUs", policy.ReportFadeUs, 100_000, 600_000_000)
+	checkPolicyRange(faults, "retryRatio", policy.RetryRatio, 0, 0.1)
+	checkPolicyRange(faults, "rampStreams", policy.RampStreams, 1, 10000)
+	checkPolicyRange(faults, "rampDoubleUs", policy.RampDoubleUs, 100_000, 600_000_000)
+	checkPolicyRange(faults, "rampTotalUs", policy.RampTotalUs, 0, 3_600_000_000)
+	checkPolicyRange(faults, "reportFadeUs", policy.ReportFadeUs, 100_000, 600_000_000)
+}
+
+// checkPolicyRange holds a field of the policy, if it is set, against its bounds.
+func checkPolicyRange[T cmp.Ordered](faults *Faults, field string, value *T, low, high T) {
+	if value != nil {
+		CheckRange(faults, "policy."+field, *value, low, high)
+	}
 }
 
 func compile(message *fleetconfigpb.Spec) *Config {
--- a/fleetconfig/routes.go
+++ b/fleetconfig/routes.go
@@ -207,14 +207,7 @@
 	services := make(map[string]bool, len(message.Services))
 	for i, service := range message.Services {
 		at := func(field string) string { return fmt.Sprintf("services[%d].%s", i, field) }
-		// Paths are made only for faults: there may be many thousand entries.
-		if why := faultOfName(service.Name); why != "" {
-			faults.Add(at("name"), "%s", why)
-		}
-		if services[service.Name] {
-			faults.Add(at("name"), "service %q is named twice", service.Name)
-		}
-		services[service.Name] = true
+		checkUniqueName(faults, func() string { return at("name") }, "service", service.Name, services)
 		if why := faultOfPath(service.HealthPath); service.HealthPath != "" && why != "" {
 			faults.Add(at("healthPath"), "%q %s", service.HealthPath, why)
 		}
@@ -225,13 +218,7 @@
 	names, places := make(map[string]bool, len(message.Routes)), make(map[[2]string]string, len(message.Routes))
 	for i, route := range message.Routes {
 		at := func(field string) string { return fmt.Sprintf("routes[%d].%s", i, field) }
-		if why := faultOfName(route.Name); why != "" {
-			faults.Add(at("name"), "%s", why)
-		}
-		if names[route.Name] {
-			faults.Add(at("name"), "route %q is named twice", route.Name)
-		}
-		names[route.Name] = true
+		checkUniqueName(faults, func() string { return at("name") }, "route", route.Name, names)
 		host := bareHost(route.Host)
 		if !isPlainHost(host) {
 			faults.Add(at("host"), "%q is not a host's name", route.Host)
--- a/localfleet/scenario.go
+++ b/localfleet/scenario.go
@@ -128,9 +128,7 @@
 	if !(scenario.Rate > 0 && scenario.Rate <= 1000) {
 		faults.Add("rate", "%v is not above 0 and up to 1000", scenario.Rate)
 	}
-	if !(scenario.Hot >= 0 && scenario.Hot <= 1) {
-		faults.Add("hot", "%v is not from 0 to 1", scenario.Hot)
-	}
+	fleetconfig.CheckRange(faults, "hot", scenario.Hot, 0, 1)
 	for i, step := range scenario.Steps {
 		path := fmt.Sprintf("steps[%d]", i)
 		if step.AtMS < 0 || step.AtMS > scenario.SpanMS {
--- a/server/rules.go
+++ b/server/rules.go
@@ -42,9 +42,7 @@
 }
 
 func (r Rules) check(faults *fleetconfig.Faults) {
-	if r.Voters < 0 || r.Voters > 9 {
-		faults.Add("voters", "%d is not from 0 to 9", r.Voters)
-	}
+	fleetconfig.CheckRange(faults, "voters", r.Voters, 0, 9)
 	if r.Acknowledgements != "strict" && r.Acknowledgements != "spread" {
 		faults.Add("acknowledgements", "%q is neither strict nor spread", r.Acknowledgements)
 	}
@@ -54,15 +52,8 @@
 	if r.Bootstrap && r.Founders != "announce" {
 		faults.Add("bootstrap", "is only for founders that announce themselves")
 	}
-	for _, span := range []struct {
-		name             string
-		value, low, high int64
-	}{
-		{"serve_on_us", r.ServeOnUS, alwaysUS, 3_600_000_000}, {"spread_wait_us", r.SpreadWaitUS, 50_000, 10_000_000},
-		{"submit_try_us", r.SubmitTryUS, 200_000, 60_000_000}, {"engine_gone_us", r.EngineGoneUS, 0, 600_000_000},
-	} {
-		if span.value < span.low || span.value > span.high {
-			faults.Add(span.name, "%d is not from %d to %d", span.value, span.low, span.high)
-		}
-	}
+	fleetconfig.CheckRange(faults, "serve_on_us", r.ServeOnUS, alwaysUS, 3_600_000_000)
+	fleetconfig.CheckRange(faults, "spread_wait_us", r.SpreadWaitUS, 50_000, 10_000_000)
+	fleetconfig.CheckRange(faults, "submit_try_us", r.SubmitTryUS, 200_000, 60_000_000)
+	fleetconfig.CheckRange(faults, "engine_gone_us", r.EngineGoneUS, 0, 600_000_000)
 }
--- a/server/runner.go
+++ b/server/runner.go
@@ -190,26 +190,15 @@
 			}
 		}()
 	case control.Registered:
-		r.lock.Lock()
-		waiter := r.registers[command.Token]
-		delete(r.registers, command.Token)
-		r.lock.Unlock()
-		if waiter != nil {
+		if waiter := removeWaiter(r, r.registers, command.Token); waiter != nil {
 			waiter <- command
 		}
 	case control.Newest:
-		r.lock.Lock()
-		waiter := r.reads[command.Token]
-		delete(r.reads, command.Token)
-		r.lock.Unlock()
-		if waiter != nil {
+		if waiter := removeWaiter(r, r.reads, command.Token); waiter != nil {
 			waiter <- command.Document
 		}
 	case control.Reply:
-		r.lock.Lock()
-		open := r.open[command.SubmitReply.ID]
-		delete(r.open, command.SubmitReply.ID)
-		r.lock.Unlock()
+		open := removeWaiter(r, r.open, command.SubmitReply.ID)
 		if open == nil {
 			return
 		}
@@ -219,6 +208,15 @@
 	}
 }
 
+// removeWaiter takes what waits under a key out of its map; the zero value: nothing waits any more.
+func removeWaiter[K comparable, W any](r *Runner, waiting map[K]W, key K) W {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	waiter := waiting[key]
+	delete(waiting, key)
+	return waiter
+}
+
 // runSaves syncs to disk beside the owners, so that a stalled disk stalls nothing else.
 func (r *Runner) runSaves() {
 	for {
--- a/server/settings.go
+++ b/server/settings.go
@@ -204,17 +204,12 @@
 			faults.Add("platform", "%q is not an http URL", s.Platform)
 		}
 	}
-	for _, bound := range []struct {
-		name             string
-		value, low, high int
-	}{{"connections", s.Connections, 16, 1 << 20}, {"live", s.Live, 1, 1 << 20}, {"bodies_mb", s.BodiesMB, 8, 1 << 20}, {"journal_mb", s.JournalMB, 0, 1 << 14}, {"archive_mb", s.ArchiveMB, 0, 1 << 16}} {
-		if bound.value < bound.low || bound.value > bound.high {
-			faults.Add(bound.name, "%d is not from %d to %d", bound.value, bound.low, bound.high)
-		}
-	}
-	if s.Journal < 16 || s.Journal > 1<<20 {
-		faults.Add("journal", "%d is not from 16 to %d", s.Journal, 1<<20)
-	}
+	fleetconfig.CheckRange(faults, "connections", s.Connections, 16, 1<<20)
+	fleetconfig.CheckRange(faults, "live", s.Live, 1, 1<<20)
+	fleetconfig.CheckRange(faults, "bodies_mb", s.BodiesMB, 8, 1<<20)
+	fleetconfig.CheckRange(faults, "journal_mb", s.JournalMB, 0, 1<<14)
+	fleetconfig.CheckRange(faults, "archive_mb", s.ArchiveMB, 0, 1<<16)
+	fleetconfig.CheckRange(faults, "journal", s.Journal, 16, 1<<20)
 	s.Rules.check(faults)
 	s.checkSpans(faults)
 	return faults.Err()
@@ -222,32 +217,27 @@
 
 // checkSpans holds the spans against the rules that they keep together.
 func (s Settings) checkSpans(faults *fleetconfig.Faults) {
-	checkRange := func(name string, value, low, high int64) {
-		if value < low || value > high {
-			faults.Add(name, "%d is not from %d to %d", value, low, high)
-		}
-	}
 	// A lease of two seconds would leave no margin under the rule's two seconds.
-	checkRange("lease_us", s.LeaseUS, 300_000, 1_900_000)
-	checkRange("heartbeat_us", s.HeartbeatUS, 20_000, 1_000_000)
-	checkRange("election_high_us", s.ElectionHighUS, 100_000, 3_000_000)
-	checkRange("disk_stall_us", s.DiskStallUS, 100_000, 3_000_000)
+	fleetconfig.CheckRange(faults, "lease_us", s.LeaseUS, 300_000, 1_900_000)
+	fleetconfig.CheckRange(faults, "heartbeat_us", s.HeartbeatUS, 20_000, 1_000_000)
+	fleetconfig.CheckRange(faults, "election_high_us", s.ElectionHighUS, 100_000, 3_000_000)
+	fleetconfig.CheckRange(faults, "disk_stall_us", s.DiskStallUS, 100_000, 3_000_000)
 	// Where members come back empty and soon, a lost one is better replaced early: what is
 	// dropped in error comes back as a standby, at the cost of two revisions.
 	lowReplace, elections := int64(3_000_000), int64(3)
 	if s.Voters > 0 {
 		lowReplace, elections = 2_000_000, 2
 	}
-	checkRange("replace_us", s.ReplaceUS, lowReplace, 3_600_000_000)
-	checkRange("home_silent_us", s.HomeSilentUS, 500_000, 2_000_000)
-	checkRange("router_gone_us", s.RouterGoneUS, 5_000_000, 3_600_000_000)
-	checkRange("shuffle_us", s.ShuffleUS, 100_000, 60_000_000)
-	checkRange("anti_entropy_us", s.AntiEntropyUS, 200_000, 60_000_000)
-	checkRange("node_gone_us", s.NodeGoneUS, 3_000_000, 60_000_000)
-	checkRange("tick_us", s.TickUS, 5_000, 100_000)
-	checkRange("engine_silence_us", s.EngineSilenceUS, 100_000, 600_000_000)
-	checkRange("drain_us", s.DrainUS, 0, 3_600_000_000)
-	checkRange("lame_duck_us", s.LameDuckUS, 0, 60_000_000)
+	fleetconfig.CheckRange(faults, "replace_us", s.ReplaceUS, lowReplace, 3_600_000_000)
+	fleetconfig.CheckRange(faults, "home_silent_us", s.HomeSilentUS, 500_000, 2_000_000)
+	fleetconfig.CheckRange(faults, "router_gone_us", s.RouterGoneUS, 5_000_000, 3_600_000_000)
+	fleetconfig.CheckRange(faults, "shuffle_us", s.ShuffleUS, 100_000, 60_000_000)
+	fleetconfig.CheckRange(faults, "anti_entropy_us", s.AntiEntropyUS, 200_000, 60_000_000)
+	fleetconfig.CheckRange(faults, "node_gone_us", s.NodeGoneUS, 3_000_000, 60_000_000)
+	fleetconfig.CheckRange(faults, "tick_us", s.TickUS, 5_000, 100_000)
+	fleetconfig.CheckRange(faults, "engine_silence_us", s.EngineSilenceUS, 100_000, 600_000_000)
+	fleetconfig.CheckRange(faults, "drain_us", s.DrainUS, 0, 3_600_000_000)
+	fleetconfig.CheckRange(faults, "lame_duck_us", s.LameDuckUS, 0, 60_000_000)
 	if s.RenewUS < 50_000 || s.RenewUS*4 > s.LeaseUS && s.ServeOnUS != alwaysUS || s.RenewUS > 1_000_000 {
 		faults.Add("renew_us", "%d has to be at least 50000 and four renewals have to fit into the lease of %d", s.RenewUS, s.LeaseUS)
 	}
