The retry budget's slack is used once by restarted and cut-off routers

Cause: each life of a router began with its part of the slack unspent, and a router that was cut off took the parts of those it forgot for its own.

Ruled out: the ratio's part, which counts own requests of one life.

Conclusion: no slack in a life's first window; the divisor is the most routers ever known, at least the document's voters.

--- a/router/budget.go
+++ b/router/budget.go
@@ -8,15 +8,36 @@
 	Ratio  float64
 	Window kernel.Micros
 	Slack  float64
+	// SlackFrom is the moment from which this router uses its part of the slack; see StartingAt.
+	SlackFrom kernel.Micros
 }
 
+// StartingAt bounds the attempts of a router that starts at a moment. An earlier life of it may
+// have used its part of the slack just before, so none is used until a whole window has passed.
+func (r Retry) StartingAt(now kernel.Micros) Retry {
+	r.SlackFrom = now + r.Window + windowEnds
+	return r
+}
+
+// slackAt is the slack that the fleet may use at a moment, as far as this router knows.
+func (r Retry) slackAt(now kernel.Micros) float64 {
+	if now < r.SlackFrom {
+		return 0
+	}
+	return r.Slack
+}
+
+// windowEnds is how much longer than the window attempts count: its ends fall into a second each.
+const windowEnds = 2 * kernel.Second
+
 // safety is the part of the fleet's allowance that is used: windows of the one that
 // judges begin elsewhere, and another node may count the routers differently.
 const safety = 0.7
 
 // budget is this router's part of a service's allowance. The ratio counts its own
 // requests; of the slack it takes its share. Nobody asks anybody, so the parts add up
-// to less than the whole as long as no router takes the fleet for too small.
+// to less than the whole as long as no router takes the fleet for too small and no router
+// begins with a part that its earlier life has used.
 type budget struct {
 	seconds []budgetSecond
 }
@@ -27,8 +48,7 @@
 }
 
 func (b *budget) second(now kernel.Micros, retry Retry) *budgetSecond {
-	// Two more than the window: the ends of a sliding window fall into a second each.
-	size := int64(retry.Window/kernel.Second) + 2
+	size := int64((retry.Window + windowEnds) / kernel.Second)
 	if int64(len(b.seconds)) != size {
 		b.seconds = make([]budgetSecond, size)
 	}
@@ -57,7 +77,7 @@
 			firsts += slot.firsts
 		}
 	}
-	allowed := safety * (retry.Ratio*float64(firsts) + retry.Slack/float64(max(routers, 1)))
+	allowed := safety * (retry.Ratio*float64(firsts) + retry.slackAt(now)/float64(max(routers, 1)))
 	if float64(extras+1) > allowed {
 		return false
 	}
--- /dev/null
+++ b/router/budget_test.go
@@ -0,0 +1,151 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+)
+
+// retryFleet is a fleet of routers whose engines lose every attempt, so that each router retries
+// whenever its budget lets it.
+type retryFleet struct {
+	retry    Retry
+	tables   []*RoutingTable
+	choosers []*Chooser
+	requests []kernel.Micros
+	retries  []kernel.Micros
+}
+
+const retryFleetSize = 6
+
+func newRetryFleet() *retryFleet {
+	f := &retryFleet{retry: Retry{Ratio: 0.2, Window: 10 * kernel.Second, Slack: 60}}
+	route := fleetconfig.Route{Name: "r", Host: "h.example", Prefix: "/p/", Kind: fleetconfig.Safe, Tries: 2, Splits: []fleetconfig.Split{{Service: "svc", Weight: 1}}}
+	config := fleetconfig.NewRouteConfig([]fleetconfig.Route{route}, []fleetconfig.Service{{Name: "svc"}})
+	for range retryFleetSize {
+		table := &RoutingTable{Config: config, Routers: retryFleetSize}
+		for engine := range 3 {
+			table.Engines = append(table.Engines, Engine{ID: fmt.Sprint("e", engine), Address: fmt.Sprint("e", engine, ":1"), Service: "svc"})
+		}
+		f.tables, f.choosers = append(f.tables, table), append(f.choosers, nil)
+	}
+	for router := range f.choosers {
+		f.start(0, router)
+	}
+	return f
+}
+
+// start begins a new life of a router.
+func (f *retryFleet) start(now kernel.Micros, router int) {
+	f.choosers[router] = NewChooser(fmt.Sprint("router", router), "z", f.retry.StartingAt(now))
+	f.choosers[router].Show(f.tables[router])
+}
+
+// sees has a router count so many routers.
+func (f *retryFleet) sees(router, routers int) {
+	changed := *f.tables[router]
+	changed.Routers = routers
+	f.tables[router] = &changed
+	f.choosers[router].Show(&changed)
+}
+
+// request has a router lose the first attempt of a request, and counts a second one.
+func (f *retryFleet) request(now kernel.Micros, router int) {
+	f.requests = append(f.requests, now)
+	chooser := f.choosers[router]
+	route := &f.tables[router].Config.Routes[0]
+	call, refusal := chooser.Arrive(now, Request{ID: fmt.Sprint("r", len(f.requests)), Deadline: now + kernel.Second, Route: route, Service: "svc"})
+	if refusal != nil {
+		return
+	}
+	chooser.Sent(now, call)
+	if isAgain, _ := chooser.Close(now, call, Lost, "reset"); isAgain {
+		chooser.Sent(now, call)
+		f.retries = append(f.retries, now)
+		chooser.Close(now, call, Lost, "reset")
+	}
+}
+
+// check slides the window over the retries.
+func (f *retryFleet) check(c *qt.C) {
+	within := func(times []kernel.Micros, from kernel.Micros) int {
+		count := 0
+		for _, at := range times {
+			if at >= from && at <= from+f.retry.Window {
+				count++
+			}
+		}
+		return count
+	}
+	for _, from := range f.retries {
+		requests := max(within(f.requests, from), within(f.requests, from-f.retry.Window/2), within(f.requests, from-f.retry.Window))
+		allowed := f.retry.Ratio*float64(requests) + f.retry.Slack
+		if retries := within(f.retries, from); float64(retries) > allowed {
+			c.Fatalf("from %d us on %d retries, allowed are %.1f for %d requests", from, retries, allowed, requests)
+		}
+	}
+}
+
+// play sends ten requests a second to each router in turn; each second begins with an event.
+func (f *retryFleet) play(seconds int, event func(now kernel.Micros, second int)) {
+	const perSecond = 10
+	for second := range seconds {
+		now := kernel.Micros(second) * kernel.Second
+		event(now, second)
+		for turn := range perSecond * retryFleetSize {
+			f.request(now+kernel.Micros(turn)*kernel.Second/(perSecond*retryFleetSize), turn%retryFleetSize)
+		}
+	}
+}
+
+// A router that starts again may have used its part of the slack just before.
+func TestRestartedRoutersAddNothingToTheRetryBudget(t *testing.T) {
+	for _, every := range []int{1, 2, 5, 11, 13} {
+		t.Run(fmt.Sprint("restarted every ", every, " s"), func(t *testing.T) {
+			f := newRetryFleet()
+			f.play(60, func(now kernel.Micros, second int) {
+				for router := range retryFleetSize {
+					if second >= 20 && (second+router%2)%every == 0 {
+						f.start(now, router)
+					}
+				}
+			})
+			f.check(qt.New(t))
+		})
+	}
+}
+
+// Routers that are cut off from each other forget each other, and go on all the same.
+func TestRoutersThatAreCutOffAddNothingToTheRetryBudget(t *testing.T) {
+	for _, known := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint("each sees ", known), func(t *testing.T) {
+			f := newRetryFleet()
+			f.play(60, func(_ kernel.Micros, second int) {
+				switch second {
+				case 20:
+					for router := range retryFleetSize {
+						f.sees(router, known)
+					}
+				case 45:
+					for router := range retryFleetSize {
+						f.sees(router, retryFleetSize)
+					}
+				}
+			})
+			f.check(qt.New(t))
+		})
+	}
+}
+
+// What is kept back at the start is used once the window has passed.
+func TestARouterUsesItsPartOfTheSlackAfterAWindow(t *testing.T) {
+	c := qt.New(t)
+	retry := Retry{Window: 10 * kernel.Second, Slack: 10}.StartingAt(5 * kernel.Second)
+	spent := &budget{}
+	c.Assert(spent.spend(16*kernel.Second, retry, 1), qt.IsFalse)
+	c.Assert(spent.spend(17*kernel.Second, retry, 1), qt.IsTrue)
+}
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -122,6 +122,7 @@
 	zone         string
 	retry        Retry
 	routingTable *RoutingTable
+	mostRouters  int // that were ever known to serve at once
 	engines      map[string]*engineState
 	services     map[string][]*engineState // in order of ids
 	budgets      map[string]*budget
@@ -146,6 +147,8 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.routingTable = routingTable
+	// Routers that are cut off are forgotten, here as there, and go on with their part.
+	c.mostRouters = max(c.mostRouters, routingTable.Routers)
 	c.services = map[string][]*engineState{}
 	known := make(map[string]bool, len(routingTable.Engines))
 	for _, engine := range routingTable.Engines {
@@ -507,7 +510,7 @@
 	if len(candidates) == 0 || now >= call.Request.Deadline || call.IsBound || call.sent >= max(call.Request.Route.Tries, 1) {
 		return false
 	}
-	call.isPaid = c.budget(call.Request.Service).spend(now, c.retry, c.routingTable.Routers)
+	call.isPaid = c.budget(call.Request.Service).spend(now, c.retry, c.mostRouters)
 	return call.isPaid
 }
 
@@ -559,7 +562,7 @@
 	}
 	isPaid := call.isPaid
 	call.isPaid = false
-	if !isPaid && !c.budget(call.Request.Service).spend(now, c.retry, c.routingTable.Routers) {
+	if !isPaid && !c.budget(call.Request.Service).spend(now, c.retry, c.mostRouters) {
 		fail.Detail += "; the retry budget is spent"
 		return false, c.refuse(fail)
 	}
--- a/server/callers.go
+++ b/server/callers.go
@@ -21,7 +21,8 @@
 func NewCallers(s *Services, wire router.Wire) (http.Handler, error) {
 	deployment := s.Deployment()
 	budget := deployment.Bounds.Budget
-	chooser := router.NewChooser(s.Env.Self.Address, s.Env.Self.Zone, router.Retry{Ratio: budget.Ratio, Window: budget.Window, Slack: budget.Slack})
+	retry := router.Retry{Ratio: budget.Ratio, Window: budget.Window, Slack: budget.Slack}.StartingAt(s.Env.Clock.Now())
+	chooser := router.NewChooser(s.Env.Self.Address, s.Env.Self.Zone, retry)
 	router := router.NewRouter(router.Settings{
 		Env: s.Env, Wire: wire, Chooser: chooser,
 		Pool:    router.NewPool(s.Env.Clock, router.PlainDialer(engineSilence), engineDial, engineRest),
@@ -73,6 +74,9 @@
 	}
 	revision := uint64(0)
 	if state.Document != nil {
+		// One that was restarted while it is cut off knows no other router, but by the document
+		// on its disk the other members.
+		routers = max(routers, len(state.Document.Voters))
 		revision = state.Document.ConfigRevision
 	}
 	if r.isShown && revision == r.configRevision && state.EngineRev == r.engineRev && routers == r.routers {
