Streams are joined at numbered events alone; heads and events are bounded

Cause: tests with hostile engines found that a stream that goes on could end with half an event that the caller had had, that events without ids were sent again, that a head or an event without an end was held without a bound, and that an engine's word was not read when it came before the whole request.

Ruled out by the same tests: 33 other answers, 11 requests that hide others, pipelining, half a body.

--- a/router/chooser.go
+++ b/router/chooser.go
@@ -43,8 +43,8 @@
 	Request Request
 	Attempt *Attempt
 	sent    int // attempts of which bytes may have reached an engine
-	// IsBound tells that a part of an answer went out which only the same engine can end.
-	IsBound bool
+	// isBound tells that a part of an answer went out which only the same engine can end.
+	isBound bool
 	tried   map[string]bool
 	prefix  uint64
 	// isCounted tells that the retry budget knows of the request. Bytes that did not go out
@@ -498,6 +498,13 @@
 	state.tokens -= worked
 }
 
+// Bind tells that a part of the answer goes out which only the same engine can end.
+func (c *Chooser) Bind(call *Call) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	call.isBound = true
+}
+
 // MayLeave asks whether an attempt at a silent engine may be given up for one at another:
 // whether there is such an engine, and a retry to be had, which it takes.
 func (c *Chooser) MayLeave(now kernel.Micros, call *Call) bool {
@@ -507,7 +514,7 @@
 		return true
 	}
 	candidates, _, _ := c.candidates(now, call)
-	if len(candidates) == 0 || now >= call.Request.Deadline || call.IsBound || call.sent >= max(call.Request.Route.Tries, 1) {
+	if len(candidates) == 0 || now >= call.Request.Deadline || call.isBound || call.sent >= max(call.Request.Route.Tries, 1) {
 		return false
 	}
 	call.isPaid = c.budget(call.Request.Service).spend(now, c.retry, c.mostRouters)
@@ -549,7 +556,7 @@
 	} else if !route.IsRepeatable() {
 		return false, c.refuse(fail)
 	}
-	if now >= call.Request.Deadline || call.IsBound {
+	if now >= call.Request.Deadline || call.isBound {
 		return false, c.refuse(fail)
 	}
 	// What was never sent has reached no engine, so it counts neither as one of the route's
--- a/router/connection.go
+++ b/router/connection.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,6 +30,7 @@
 // answer of the next request.
 type connection struct {
 	net     net.Conn
+	input   *io.LimitedReader // what the reader may still take off the connection
 	reader  *bufio.Reader
 	address string
 	idleAt  kernel.Micros
@@ -36,8 +38,19 @@
 	uses    int
 }
 
-// maxStray is how many answers to other requests may come before the own one.
-const maxStray = 4
+const (
+	// maxStray is how many answers to other requests may come before the own one.
+	maxStray = 4
+	// headBytes is the most that an answer's head may hold, interim ones before it included.
+	headBytes = 64 << 10
+	// readerBytes is the size of a connection's buffer.
+	readerBytes = 2048
+)
+
+func newConnection(made net.Conn, address string) *connection {
+	input := &io.LimitedReader{R: made, N: math.MaxInt64}
+	return &connection{net: made, input: input, reader: bufio.NewReaderSize(input, readerBytes), address: address}
+}
 
 // NotWritten says that not one byte of a request went out.
 type NotWritten struct{ Cause error }
@@ -112,17 +125,30 @@
 	return id, true
 }
 
-// exchange writes a request and reads the head of its answer. Answers to other requests
-// that come first are read and dropped: an engine may answer twice, late.
+// exchange writes a request and reads the head of its answer.
 func (c *connection) exchange(message []byte, method, id, idHeader string) (*http.Response, error) {
-	written, err := c.net.Write(message)
+	written, errWrite := c.net.Write(message)
+	if errWrite != nil && written == 0 {
+		return nil, NotWritten{errWrite}
+	}
+	response, err := c.readHead(method, id, idHeader)
+	if errWrite == nil {
+		return response, err
+	}
+	// An engine may turn a request away, and close, before it has read the whole of it.
 	if err != nil {
-		if written == 0 {
-			return nil, NotWritten{err}
-		}
-		return nil, Broken{"write", err}
+		return nil, Broken{"write", errWrite}
 	}
+	response.Close = true
+	return response, nil
+}
+
+// readHead reads the head of a request's answer. Answers to other requests that come first
+// are read and dropped: an engine may answer twice, late.
+func (c *connection) readHead(method, id, idHeader string) (*http.Response, error) {
 	request := &http.Request{Method: method}
+	c.input.N = headBytes
+	defer func() { c.input.N = math.MaxInt64 }()
 	for stray := 0; ; stray++ {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -142,9 +168,11 @@
 		if answered == "" || stray >= maxStray || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, Broken{"read the head", strayAnswer{answered}}
 		}
+		c.input.N = math.MaxInt64
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, Broken{"read a stray answer", err}
 		}
+		c.input.N = headBytes
 	}
 }
 
@@ -203,7 +231,7 @@
 		p.lock.Unlock()
 		return nil, NotWritten{err}
 	}
-	return &connection{net: made, reader: bufio.NewReaderSize(made, 2048), address: address}, nil
+	return newConnection(made, address), nil
 }
 
 func (p *Pool) pop(address string) *connection {
--- a/router/events.go
+++ b/router/events.go
@@ -1,15 +1,34 @@
 package router
 
-import "bytes"
+import (
+	"bytes"
+	"fmt"
+)
+
+// eventBytes is the most that one event may hold.
+const eventBytes = 1 << 20
+
+// eventTooLong says that an event has not ended within its bound.
+type eventTooLong struct{ size int }
+
+func (b eventTooLong) Error() string {
+	return fmt.Sprintf("%d bytes came without the end of an event", b.size)
+}
 
 // eventSplitter finds the ends of whole events in a stream's bytes, so that a stream
 // that breaks off can go on elsewhere at an event's border.
 type eventSplitter struct {
 	pending []byte // bytes of an event that has not ended yet
 	lastID  string
+	// isUnnumbered tells that an event with data but without an id ended: where the stream goes
+	// on after it can't be said.
+	isUnnumbered bool
 }
 
-var idField = []byte("id:")
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data")
+)
 
 // take adds bytes and gives those that make whole events, with how many events they are.
 // What it gives is valid until the next call.
@@ -40,9 +59,15 @@
 }
 
 func (s *eventSplitter) readID(event []byte) {
+	hasData, hasID := false, false
 	for line := range bytes.SplitSeq(event, []byte{'\n'}) {
-		if bytes.HasPrefix(line, idField) {
+		switch {
+		case bytes.HasPrefix(line, idField):
 			s.lastID = string(bytes.TrimSpace(line[len(idField):]))
+			hasID = true
+		case bytes.HasPrefix(line, dataField):
+			hasData = true
 		}
 	}
+	s.isUnnumbered = s.isUnnumbered || hasData && !hasID
 }
--- /dev/null
+++ b/router/hostile_engine_test.go
@@ -0,0 +1,348 @@
+package router
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+)
+
+// forgedAnswer is a whole answer to a request, which only an engine that confuses callers sends.
+func forgedAnswer(id string) string { return head(id, "Content-Length: 6\r\n\r\nforged") }
+
+// Whatever an engine answers one request with, the next request on that router gets its own answer.
+// At the first request the caller gets what the engine answered, or no success.
+func TestWhateverAnEngineAnswersTheNextAnswerIsTheOwn(t *testing.T) {
+	wire := DefaultWire()
+	const torn = 0
+	for _, test := range []struct {
+		name, method, answer string
+		isOpen               bool // the engine goes on with the connection
+		status               int
+		body                 string
+	}{
+		{"a closing connection", "POST", head("r1", "Connection: close\r\nContent-Length: 2\r\n\r\nhi"), true, 200, "hi"},
+		{"trailers", "POST", head("r1", "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nhi\r\n0\r\nX-Sum: 1\r\n\r\n"), true, 200, "hi"},
+		{"trailers that forge an id", "POST", head("r1", "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"+wire.RequestID+": r2\r\n\r\n"), true, 200, "hi"},
+		{"a body longer than told", "POST", head("r1", "Content-Length: 2\r\n\r\nhi") + forgedAnswer("r2"), true, 200, "hi"},
+		{"a body shorter than told", "POST", head("r1", "Content-Length: 20\r\n\r\nhi"), false, torn, ""},
+		{"a chunk shorter than told", "POST", head("r1", "Transfer-Encoding: chunked\r\n\r\n9\r\nhi"), false, torn, ""},
+		{"no last chunk", "POST", head("r1", "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"), false, torn, ""},
+		{"a chunk that is none", "POST", head("r1", "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\nzz\r\n"), true, torn, ""},
+		{"no length", "POST", head("r1", "\r\nhi"), false, torn, ""},
+		{"two lengths that differ", "POST", head("r1", "Content-Length: 2\r\nContent-Length: 4\r\n\r\nhi"), true, 502, ""},
+		{"one length twice", "POST", head("r1", "Content-Length: 2\r\nContent-Length: 2\r\n\r\nhi"), true, 200, "hi"},
+		{"a negative length", "POST", head("r1", "Content-Length: -2\r\n\r\nhi"), true, 502, ""},
+		{"a length that is no number", "POST", head("r1", "Content-Length: 2, 3\r\n\r\nhi"), true, 502, ""},
+		{"a length beside chunks", "POST", head("r1", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"), true, 200, "hi"},
+		{"a coding that is unknown", "POST", head("r1", "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"), true, 502, ""},
+		{"two codings", "POST", head("r1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n2\r\nhi\r\n0\r\n\r\n"), true, 502, ""},
+		{"an older protocol with chunks", "POST", strings.Replace(head("r1", "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"), "1.1", "1.0", 1), false, torn, ""},
+		{"bytes that are no answer", "POST", "\x00\x01\x02 garbage\r\n\r\n", true, 502, ""},
+		{"half a head", "POST", "HTTP/1.1 200 OK\r\n" + wire.RequestID + ": r1\r\n", false, 502, ""},
+		{"an endless head", "POST", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Fill: "+strings.Repeat("x", 1000)+"\r\n", 2000), false, 502, ""},
+		{"bytes before the answer", "POST", "junk\r\n" + head("r1", "Content-Length: 2\r\n\r\nhi"), true, 502, ""},
+		{"two ids", "POST", head("r1", wire.RequestID+": r2\r\nContent-Length: 2\r\n\r\nhi"), false, 502, ""},
+		{"the id of another", "POST", forgedAnswer("r2"), false, 502, ""},
+		{"an answer to another first", "POST", forgedAnswer("r2") + head("r1", "Content-Length: 2\r\n\r\nhi"), true, 200, "hi"},
+		{"an answer without length to another first", "POST", head("r0", "\r\n") + head("r1", "Content-Length: 2\r\n\r\nhi"), false, 502, ""},
+		{"interim answers", "POST", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 5) + head("r1", "Content-Length: 2\r\n\r\nhi"), true, 200, "hi"},
+		{"no body at 204", "POST", strings.Replace(head("r1", "\r\n"), "200 OK", "204 No Content", 1), true, 204, ""},
+		{"a body at 204", "POST", strings.Replace(head("r1", "Content-Length: 2\r\n\r\n"), "200 OK", "204 No Content", 1) + forgedAnswer("r2"), true, 204, ""},
+		{"no body at 304", "POST", strings.Replace(head("r1", "Content-Length: 9\r\n\r\n"), "200 OK", "304 Not Modified", 1), true, 304, ""},
+		{"no body at HEAD", "HEAD", head("r1", "Content-Length: 9\r\n\r\n"), true, 200, ""},
+		{"no length at HEAD", "HEAD", head("r1", "\r\n"), true, 200, ""},
+		{"a body at HEAD", "HEAD", head("r1", "Content-Length: 6\r\n\r\n") + forgedAnswer("r2"), true, 200, ""},
+		{"another protocol", "POST", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + forgedAnswer("r2"), true, 502, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 3, Goal: kernel.Second}, "e1", "e2")
+				for _, id := range []string{"e1", "e2"} {
+					h.script(id, func(number int, r *http.Request, to net.Conn) bool {
+						if r.Header.Get(wire.RequestID) == "r1" {
+							io.WriteString(to, test.answer)
+							return test.isOpen
+						}
+						return plainAnswer("own")(number, r, to)
+					})
+				}
+				recorder, isTorn := h.call(test.method, "r1", nil)
+				c.Assert(isTorn, qt.Equals, test.status == torn)
+				if !isTorn {
+					c.Assert(recorder.Code, qt.Equals, test.status)
+				}
+				if recorder.Code < 300 && !isTorn {
+					c.Assert(recorder.Body.String(), qt.Equals, test.body)
+					c.Assert(recorder.Header().Get(wire.Stamp), qt.Equals, "s-r1")
+				}
+				for _, id := range []string{"r2", "r3"} {
+					recorder, isTorn = h.call("POST", id, nil)
+					c.Assert(isTorn, qt.IsFalse)
+					c.Assert(recorder.Body.String(), qt.Equals, "own")
+					c.Assert(recorder.Header().Get(wire.Stamp), qt.Equals, "s-"+id)
+				}
+				c.Assert(h.runs["e1"]+h.runs["e2"], qt.Equals, 3)
+			})
+		})
+	}
+}
+
+// answerTwice answers every request, and sends more bytes a while after each answer.
+func answerTwice(far net.Conn, more string, after time.Duration) {
+	defer far.Close()
+	// One goroutine writes, so that none waits for another within the pipe.
+	output := make(chan string, 64)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case text := <-output:
+				io.WriteString(far, text)
+			case <-ended:
+				return
+			}
+		}
+	}()
+	reader := bufio.NewReader(far)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		output <- head(r.Header.Get(DefaultWire().RequestID), "Content-Length: 3\r\n\r\nown")
+		if after == 0 {
+			output <- more
+			continue
+		}
+		time.AfterFunc(after, func() { output <- more })
+	}
+}
+
+// An answer too many may come while the connection rests, and while the next request is under way.
+func TestAnAnswerTooManyReachesNobodyWheneverItComes(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Millisecond, 500 * time.Millisecond, 4 * time.Second} {
+		for _, forged := range []string{forgedAnswer("r1"), forgedAnswer("r0"), "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged"} {
+			t.Run(fmt.Sprint(after, " ", len(forged)), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 2, Goal: kernel.Second}, "e1", "e2")
+					h.dialed = func(far net.Conn) { answerTwice(far, forged, after) }
+					for turn := range 8 {
+						id := fmt.Sprint("r", turn)
+						recorder, isTorn := h.call("POST", id, nil)
+						c.Assert(isTorn, qt.IsFalse)
+						if recorder.Code == http.StatusOK {
+							c.Assert(recorder.Body.String(), qt.Equals, "own")
+							c.Assert(recorder.Header().Get(DefaultWire().Stamp), qt.Equals, "s-"+id)
+						}
+						time.Sleep(time.Duration(turn) * 300 * time.Millisecond)
+					}
+					h.router.Pool.Sweep(func(string) bool { return false })
+					time.Sleep(10 * time.Second)
+				})
+			})
+		}
+	}
+}
+
+// serveOverPipe serves one caller's connection, which the test writes by hand.
+func serveOverPipe(h *harness) (near net.Conn, end func()) {
+	near, far := net.Pipe()
+	listener := pipeListener{conns: make(chan net.Conn, 1)}
+	listener.conns <- far
+	server := &http.Server{Handler: h.router}
+	go server.Serve(listener)
+	return near, func() {
+		near.Close()
+		close(listener.conns)
+		server.Close()
+	}
+}
+
+// What a caller hides in a request reaches no engine as a request of its own.
+func TestNothingIsSmuggledInsideARequest(t *testing.T) {
+	wire := DefaultWire()
+	hidden := fmt.Sprintf("POST /p/hidden HTTP/1.1\r\nHost: h.example\r\n%s: hidden\r\nContent-Length: 0\r\n\r\n", wire.RequestID)
+	start := fmt.Sprintf("POST /p/x HTTP/1.1\r\nHost: h.example\r\n%s: r1\r\nConnection: close\r\n", wire.RequestID)
+	for _, test := range []struct {
+		name, request string
+		runs          int
+		body          string
+	}{
+		{"a length beside chunks", start + fmt.Sprintf("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden), 1, hidden},
+		{"two lengths", start + fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n\r\n%s", len(hidden), hidden), 0, ""},
+		{"a coding that is unknown", start + "Transfer-Encoding: xchunked\r\nContent-Length: 0\r\n\r\n" + hidden, 0, ""},
+		{"a coding with a space", start + "Transfer-Encoding : chunked\r\nContent-Length: 0\r\n\r\n" + hidden, 0, ""},
+		{"a body that holds a request", start + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(hidden), hidden), 1, hidden},
+		{"a header that holds a line", start + "X-Other: a\rb\r\nContent-Length: 0\r\n\r\n", 0, ""},
+		{"a folded header", start + "X-Other: a\r\n Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n", 1, ""},
+		{"headers named by its connection", strings.Replace(start, "close", "close, Content-Length, Host, "+wire.WantInstance, 1) + "Content-Length: 2\r\n\r\nhi", 1, "hi"},
+		{"trailers", start + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nhi\r\n0\r\nX-Sum: 9\r\n" + wire.RequestID + ": r9\r\n\r\n", 1, "hi"},
+		{"a length among the trailers", start + "Transfer-Encoding: chunked\r\nTrailer: Content-Length\r\n\r\n2\r\nhi\r\n0\r\nContent-Length: 9\r\n\r\n", 0, ""},
+		{"an engine of its choice", start + wire.WantInstance + ": other\r\n" + wire.Priority + ": 0\r\nContent-Length: 2\r\n\r\nhi", 1, "hi"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+				var bodies, ids, wanted []string
+				h.dialed = func(far net.Conn) {
+					reader := bufio.NewReader(far)
+					for {
+						r, err := http.ReadRequest(reader)
+						if err != nil {
+							return
+						}
+						body, _ := io.ReadAll(r.Body)
+						bodies = append(bodies, string(body))
+						ids = append(ids, r.Header.Get(wire.RequestID))
+						wanted = append(wanted, r.Header.Values(wire.WantInstance)...)
+						plainAnswer("own")(0, r, far)
+					}
+				}
+				near, end := serveOverPipe(h)
+				go io.WriteString(near, test.request)
+				io.Copy(io.Discard, near)
+				end()
+				h.router.Pool.Sweep(func(string) bool { return false })
+				synctest.Wait()
+				c.Assert(bodies, qt.HasLen, test.runs)
+				for i := range bodies {
+					c.Assert(bodies[i], qt.Equals, test.body)
+					c.Assert(ids[i], qt.Equals, "r1")
+					c.Assert(wanted[i], qt.Equals, "e1")
+				}
+			})
+		})
+	}
+}
+
+// Requests sent without waiting are answered one by one, each with its own answer, also when one
+// of them can't be.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		wire := DefaultWire()
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+		h.script("e1", func(number int, r *http.Request, to net.Conn) bool {
+			id := r.Header.Get(wire.RequestID)
+			if id == "r2" {
+				io.WriteString(to, head(id, "Content-Length: 9\r\n\r\nhalf"))
+				return false
+			}
+			return plainAnswer("own "+id)(number, r, to)
+		})
+		near, end := serveOverPipe(h)
+		go func() {
+			for _, id := range []string{"r1", "r2", "r3"} {
+				fmt.Fprintf(near, "POST /p/x HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\nContent-Length: 2\r\n\r\nhi", wire.RequestID, id)
+			}
+		}()
+		reader := bufio.NewReader(near)
+		first, err := http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(first.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(body), qt.Equals, "own r1")
+		// The second breaks off: its connection is torn, and nothing follows on it.
+		second, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			_, err = io.ReadAll(second.Body)
+		}
+		c.Assert(err, qt.IsNotNil)
+		_, err = reader.ReadByte()
+		c.Assert(err, qt.IsNotNil)
+		end()
+		synctest.Wait()
+		c.Assert(h.runs["e1"], qt.Equals, 2)
+	})
+}
+
+// A caller that goes before its body is whole has run nothing.
+func TestHalfABodyRunsNothing(t *testing.T) {
+	for _, test := range []struct{ name, more string }{
+		{"with a length", "Content-Length: 9\r\n\r\nhalf"},
+		{"in chunks", "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf"},
+		{"before it is asked on", "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n"},
+		{"after it was asked on", "Expect: 100-continue\r\nContent-Length: 9\r\n\r\nhalf"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+				h.script("e1", plainAnswer("own"))
+				near, end := serveOverPipe(h)
+				go io.Copy(io.Discard, near)
+				fmt.Fprintf(near, "POST /p/x HTTP/1.1\r\nHost: h.example\r\n%s: r1\r\n%s", DefaultWire().RequestID, test.more)
+				synctest.Wait()
+				end()
+				synctest.Wait()
+				qt.Assert(t, h.runs["e1"], qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// shortWriteConn takes a part of what is written, fails, and holds what the engine had answered.
+type shortWriteConn struct {
+	net.Conn
+	taken  int
+	answer io.Reader
+}
+
+func (c shortWriteConn) Write([]byte) (int, error)   { return c.taken, syscall.ECONNRESET }
+func (c shortWriteConn) Read(to []byte) (int, error) { return c.answer.Read(to) }
+func (shortWriteConn) SetDeadline(time.Time) error   { return nil }
+func (shortWriteConn) Close() error                  { return nil }
+
+// An engine may answer and close before it has read a long request; its word counts, and nothing
+// else does.
+func TestAnEnginesWordCountsThoughTheRequestWasNotReadWhole(t *testing.T) {
+	wire := DefaultWire()
+	word := func(id string) string {
+		return fmt.Sprintf("HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", wire.RequestID, id, wire.NotRun)
+	}
+	for _, test := range []struct {
+		name, answer string
+		taken        int
+		isAnswered   bool
+	}{
+		{"its word", word("r1"), 5, true},
+		{"its word on another request", word("r2"), 5, false},
+		{"nothing", "", 5, false},
+		{"half of its word", word("r1")[:20], 5, false},
+		{"bytes that are no answer", "junk\r\n\r\n", 5, false},
+		{"its word, and nothing was written", word("r1"), 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			held := newConnection(shortWriteConn{taken: test.taken, answer: strings.NewReader(test.answer)}, "e1:1")
+			held.uses = 1
+			response, err := held.exchange([]byte("a long request"), "POST", "r1", wire.RequestID)
+			c.Assert(err == nil, qt.Equals, test.isAnswered)
+			c.Assert(errors.As(err, new(NotWritten)), qt.Equals, test.taken == 0)
+			if test.isAnswered {
+				c.Assert(response.Header.Get(wire.NotRun), qt.Equals, "1")
+				// The rest of the request would be read as the next one.
+				c.Assert(response.Close, qt.IsTrue)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/router/hostile_stream_test.go
@@ -0,0 +1,199 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+)
+
+// resumableRoute may be tried at three engines.
+func resumableRoute() fleetconfig.Route {
+	return fleetconfig.Route{Kind: fleetconfig.Stream, IsResumable: true, Tries: 3, Goal: kernel.Second, IsPinned: true}
+}
+
+// rawAnswer answers with bytes as they are, and goes on with the connection or not.
+func rawAnswer(isOpen bool, header string, chunks ...string) func(int, *http.Request, net.Conn) bool {
+	return func(_ int, r *http.Request, to net.Conn) bool {
+		io.WriteString(to, head(r.Header.Get(DefaultWire().RequestID), header))
+		for _, text := range chunks {
+			io.WriteString(to, chunk(text))
+		}
+		if isOpen {
+			io.WriteString(to, "0\r\n\r\n")
+		}
+		return isOpen
+	}
+}
+
+// What goes on with a stream joins it at an event, once, or the stream is torn after whole events.
+func TestAStreamGoesOnAtAnEventOrIsTorn(t *testing.T) {
+	begun := event(1) + event(2)
+	whole := begun + event(3) + event(4)
+	rest := event(3) + event(4)
+	plain := strings.Replace(streamHead, "text/event-stream", "text/plain", 1)
+	for _, test := range []struct {
+		name   string
+		first  []string // chunks, after which the first engine breaks off
+		second func(int, *http.Request, net.Conn) bool
+		body   string
+		isTorn bool
+	}{
+		{"in the middle of an event", []string{begun + "id: 3\nda"}, rawAnswer(true, streamHead, rest), whole, false},
+		{"before the empty line", []string{begun + "id: 3\ndata: w3\n"}, rawAnswer(true, streamHead, rest), whole, false},
+		{"within the first line", []string{begun, "i"}, rawAnswer(true, streamHead, rest), whole, false},
+		{"at an event", []string{begun}, rawAnswer(true, streamHead, rest), whole, false},
+		{"before any event", []string{"id: 1\nda"}, rawAnswer(true, streamHead, whole), whole, false},
+		{"the end alone is missing", []string{whole}, rawAnswer(true, streamHead), whole, false},
+		{"from the start", []string{begun}, rawAnswer(true, streamHead, whole), begun, true},
+		{"with the event that went out last", []string{begun}, rawAnswer(true, streamHead, event(2)+rest), begun, true},
+		{"with half an event from the start", []string{begun}, rawAnswer(true, streamHead, "id: 1\ndata: w1\n"), begun, true},
+		{"as plain text", []string{begun}, rawAnswer(true, plain, rest), begun, true},
+		{"with a failure", []string{begun}, func(_ int, r *http.Request, to net.Conn) bool {
+			io.WriteString(to, strings.Replace(head(r.Header.Get(DefaultWire().RequestID), "Content-Length: 0\r\n\r\n"), "200 OK", "500 Failed", 1))
+			return true
+		}, begun, true},
+		{"with no content", []string{begun}, func(_ int, r *http.Request, to net.Conn) bool {
+			io.WriteString(to, strings.Replace(head(r.Header.Get(DefaultWire().RequestID), "\r\n"), "200 OK", "204 No Content", 1))
+			return true
+		}, begun, true},
+		{"without a stamp", []string{begun}, func(_ int, r *http.Request, to net.Conn) bool {
+			fmt.Fprintf(to, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s%s0\r\n\r\n", DefaultWire().RequestID, r.Header.Get(DefaultWire().RequestID), streamHead, chunk(rest))
+			return true
+		}, begun, true},
+		{"a version line first", []string{"x-versions: 1\n" + event(1) + event(2), "x-versions: 2\nid: 3"}, rawAnswer(true, streamHead, "x-versions: 2\n"+event(3)+event(4)),
+			"x-versions: 1\n" + begun + "x-versions: 2\n" + rest, false},
+		{"lines that end with two bytes", []string{"id: 1\r\ndata: w1\r\n\r\n", "id: 2\r\ndata: w2\r\n\r\nid: 3\r\n"}, rawAnswer(true, streamHead, rest),
+			"id: 1\r\ndata: w1\r\n\r\nid: 2\r\ndata: w2\r\n\r\n" + rest, false},
+		{"an event without an id went out", []string{event(1) + "data: nameless\n\n"}, rawAnswer(true, streamHead, event(2)+rest), event(1) + "data: nameless\n\n", true},
+		{"no event has an id", []string{"data: a\n\n"}, rawAnswer(true, streamHead, "data: a\n\ndata: b\n\n"), "data: a\n\n", true},
+		{"a comment went out", []string{event(1) + ": busy\n\n" + event(2)}, rawAnswer(true, streamHead, rest), event(1) + ": busy\n\n" + event(2) + rest, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(t, resumableRoute(), "e1", "e2", "e3")
+				first, others := h.preferredOf()
+				h.script(first, rawAnswer(false, streamHead, test.first...))
+				for _, id := range others {
+					h.script(id, test.second)
+				}
+				recorder, isTorn := h.call("POST", "r1", nil)
+				c.Assert(recorder.Body.String(), qt.Equals, test.body)
+				c.Assert(isTorn, qt.Equals, test.isTorn)
+				c.Assert(recorder.Header().Get(DefaultWire().Stamp), qt.Equals, "s-r1")
+			})
+		})
+	}
+}
+
+// A caller's own place to go on goes to every engine until an event went out; then that one's.
+func TestTheCallersPlaceToGoOnIsKept(t *testing.T) {
+	for _, test := range []struct {
+		passed int
+		places []string
+	}{{0, []string{"4", "4"}}, {2, []string{"4", "6"}}} {
+		t.Run(fmt.Sprint(test.passed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(t, resumableRoute(), "e1", "e2")
+				first, others := h.preferredOf()
+				var places []string
+				noting := func(serve func(int, *http.Request, net.Conn) bool) func(int, *http.Request, net.Conn) bool {
+					return func(number int, r *http.Request, to net.Conn) bool {
+						places = append(places, r.Header.Values(DefaultWire().LastEvent)...)
+						return serve(number, r, to)
+					}
+				}
+				h.script(first, noting(streamFrom(8, test.passed)))
+				h.script(others[0], noting(streamFrom(8, -1)))
+				recorder, isTorn := h.call("POST", "r1", http.Header{DefaultWire().LastEvent: {"4"}})
+				c.Assert(isTorn, qt.IsFalse)
+				c.Assert(recorder.Body.String(), qt.Equals, event(5)+event(6)+event(7)+event(8))
+				c.Assert(places, qt.DeepEquals, test.places)
+			})
+		})
+	}
+}
+
+// Of a head that does not end, or an event, only so much is held.
+func TestEndlessHeadsAndEventsAreBrokenOff(t *testing.T) {
+	endless := func(start, line string) func(int, *http.Request, net.Conn) bool {
+		return func(_ int, r *http.Request, to net.Conn) bool {
+			io.WriteString(to, start)
+			for sent := 0; sent < 16<<20; sent += len(line) {
+				if _, err := io.WriteString(to, line); err != nil {
+					return false
+				}
+			}
+			t.Error("all of it was read")
+			return false
+		}
+	}
+	filler := strings.Repeat("x", 8000)
+	for _, test := range []struct {
+		name  string
+		serve func(int, *http.Request, net.Conn) bool
+	}{
+		{"head", endless("HTTP/1.1 200 OK\r\n", "X-Fill: "+filler+"\r\n")},
+		{"interim answers", endless("", "HTTP/1.1 102 Processing\r\nX-Fill: "+filler+"\r\n\r\n")},
+		{"event", endless(head("r1", streamHead), chunk("data: "+filler+"\n"))},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Stream, Tries: 1, Goal: kernel.Second}, "e1")
+				h.script("e1", test.serve)
+				recorder, _ := h.call("POST", "r1", nil)
+				qt.Assert(t, recorder.Body.Len() < 1000, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// A silence within the body of an answer that has begun, and that no other engine can end, is
+// waited out; what looks whether to leave the engine reads the call while the answer is relayed.
+func TestAPauseWithinAnAnswerThatBeganIsWaitedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 2, Goal: kernel.Second}, "e1", "e2")
+		for _, id := range []string{"e1", "e2"} {
+			h.script(id, func(_ int, r *http.Request, to net.Conn) bool {
+				io.WriteString(to, head(r.Header.Get(DefaultWire().RequestID), "Content-Length: 4\r\n\r\n"))
+				time.Sleep(2 * time.Second)
+				io.WriteString(to, "slow")
+				return true
+			})
+		}
+		recorder, isTorn := h.call("POST", "r1", nil)
+		c.Assert(isTorn, qt.IsFalse)
+		c.Assert(recorder.Body.String(), qt.Equals, "slow")
+		c.Assert(h.runs["e1"]+h.runs["e2"], qt.Equals, 1)
+	})
+}
+
+// Each engine is told what is left of the caller's time, never more.
+func TestEveryAttemptIsToldWhatIsLeftOfTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 3, Goal: kernel.Second, Timeout: 2500 * kernel.Millisecond}, "e1", "e2", "e3")
+		var left []string
+		for _, id := range []string{"e1", "e2", "e3"} {
+			h.script(id, func(number int, r *http.Request, to net.Conn) bool {
+				left = append(left, r.Header.Values(DefaultWire().Deadline)...)
+				time.Sleep(100 * time.Millisecond)
+				return false
+			})
+		}
+		h.call("POST", "r1", nil)
+		c.Assert(left, qt.DeepEquals, []string{"2500", "2400", "2300"})
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -530,7 +530,9 @@
 		}
 		a.w.WriteHeader(response.StatusCode)
 		a.hasBegun = true
-		call.IsBound = !(isStream && call.Request.Route.IsResumable)
+		if !isStream || !call.Request.Route.IsResumable {
+			a.router.Chooser.Bind(call)
+		}
 		if isStream {
 			if err := a.control.Flush(); err != nil {
 				return CallerGone, err.Error(), nil
@@ -568,6 +570,12 @@
 					}
 					isResumed = false
 				}
+				if a.events.isUnnumbered {
+					a.router.Chooser.Bind(call)
+				}
+				if size := len(a.events.pending) - len(whole); size > eventBytes {
+					return 0, "", Broken{"read the body", eventTooLong{size}}
+				}
 				chunk = whole
 			}
 			if len(chunk) > 0 {
@@ -585,6 +593,10 @@
 			return 0, "", Broken{"read the body", io.ErrUnexpectedEOF}
 		case err == io.EOF:
 			if len(a.events.pending) > 0 {
+				if isResumed {
+					// It may be the start of what the caller has had.
+					return 0, "", Broken{"go on with the stream", strayEvent{last, ""}}
+				}
 				if gone := a.pass(a.events.pending); gone != nil {
 					return CallerGone, gone.Error(), nil
 				}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -38,6 +38,7 @@
 	routingTable *RoutingTable
 	suspect      []string
 	callers      context.Context
+	dialed       func(far net.Conn) // serves every connection instead of engines; nil: they do
 }
 
 func newHarness(t *testing.T, route fleetconfig.Route, engines ...string) *harness {
@@ -68,10 +69,14 @@
 	number := h.dials[address]
 	serve := h.engines[address]
 	h.lock.Unlock()
-	if serve == nil {
+	if serve == nil && h.dialed == nil {
 		return nil, io.ErrClosedPipe
 	}
 	near, far := net.Pipe()
+	if h.dialed != nil {
+		go h.dialed(far)
+		return near, nil
+	}
 	go func() {
 		defer far.Close()
 		reader := bufio.NewReader(far)
