503 promises that nothing ran only if no earlier attempt may have run

Cause: the status of a request's end went by its last attempt. A repeatable request that was lost at one engine and turned away by the next ended with 503, which promises what nobody knows.

Ruled out: requests that may not be repeated are tried again after proof alone.

--- a/router/chooser.go
+++ b/router/chooser.go
@@ -51,6 +51,8 @@
 	// after all take back an attempt, not the request.
 	isCounted bool
 	isPaid    bool // the budget has been charged for the next attempt
+	// mayHaveRun tells that an attempt ended without proof that its engine did not run it.
+	mayHaveRun bool
 }
 
 // Ending is how an attempt ended.
@@ -551,7 +553,8 @@
 	}
 	route := call.Request.Route
 	fail := &Refusal{"engine_lost", fmt.Sprintf("attempt %d at %s: %s", attempt.Number, attempt.Engine.ID, why), http.StatusBadGateway, 0}
-	if ending.isProven() {
+	call.mayHaveRun = call.mayHaveRun || !ending.isProven()
+	if !call.mayHaveRun {
 		fail.Reason, fail.Status, fail.RetryAfter = "engines_failed", http.StatusServiceUnavailable, soon
 	} else if !route.IsRepeatable() {
 		return false, c.refuse(fail)
--- a/router/hostile_engine_test.go
+++ b/router/hostile_engine_test.go
@@ -346,3 +346,47 @@
 		})
 	}
 }
+
+// A status that promises that nothing ran is given only if that holds of every attempt: the last
+// engine's word says nothing about an earlier one that fell silent or was lost.
+func TestNothingIsPromisedAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	wire := DefaultWire()
+	lost := func(int, *http.Request, net.Conn) bool { return false }
+	silent := func(_ int, _ *http.Request, to net.Conn) bool {
+		io.Copy(io.Discard, to)
+		return false
+	}
+	full := func(_ int, r *http.Request, to net.Conn) bool {
+		fmt.Fprintf(to, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", wire.RequestID, r.Header.Get(wire.RequestID), wire.NotRun)
+		return true
+	}
+	for _, test := range []struct {
+		name   string
+		first  func(int, *http.Request, net.Conn) bool
+		second func(int, *http.Request, net.Conn) bool // nil: it can't be reached
+		status int
+	}{
+		{"lost, then turned away", lost, full, http.StatusBadGateway},
+		{"silent, then turned away", silent, full, http.StatusBadGateway},
+		{"lost, then out of reach", lost, nil, http.StatusBadGateway},
+		{"turned away twice", full, full, http.StatusServiceUnavailable},
+		{"turned away, then out of reach", full, nil, http.StatusServiceUnavailable},
+		{"turned away, then lost", full, lost, http.StatusBadGateway},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 2, Goal: kernel.Second, IsPinned: true}, "e1", "e2")
+				first, others := h.preferredOf()
+				h.script(first, test.first)
+				if test.second != nil {
+					h.script(others[0], test.second)
+				}
+				recorder, isTorn := h.call("POST", "r1", nil)
+				c.Assert(isTorn, qt.IsFalse)
+				c.Assert(recorder.Code, qt.Equals, test.status)
+				c.Assert(recorder.Header().Get("Retry-After") != "", qt.Equals, test.status == http.StatusServiceUnavailable)
+			})
+		})
+	}
+}
