--- a/control/core_test.go
+++ b/control/core_test.go
@@ -9,84 +9,12 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// bench holds one core and plays its shell by hand.
-type bench struct {
-	c     *qt.C
-	core  *Core
-	now   kernel.Micros
-	saves []Save
-	sent  []Send
-}
-
 var (
 	memberA = Member{"a", "10.0.0.1:1", "z1"}
 	memberB = Member{"b", "10.0.0.2:1", "z2"}
 	memberC = Member{"c", "10.0.0.3:1", "z3"}
 )
 
-func document(term, revision uint64) *Document {
-	return &Document{Founding: "f", Term: term, Revision: revision, Voters: []Member{memberA, memberB, memberC},
-		Homes: map[string]string{}, Drained: map[string]uint64{}}
-}
-
-func newBench(c *qt.C, ballot Ballot, newest *Document) *bench {
-	b := &bench{c: c, now: 100 * kernel.Second}
-	b.core = NewCore(CoreSettings{
-		Self: memberB, HasFolder: true, Timing: DefaultTiming(), Random: rand.New(rand.NewPCG(1, 1)), Ballot: ballot, Document: newest,
-		Founders: []string{memberA.Address, memberB.Address, memberC.Address},
-	}, b.now)
-	return b
-}
-
-func (b *bench) drain() {
-	for _, command := range b.core.take() {
-		switch command := command.(type) {
-		case Send:
-			b.sent = append(b.sent, command)
-		case Save:
-			b.saves = append(b.saves, command)
-		}
-	}
-}
-
-func (b *bench) receive(from Member, message Message) {
-	b.core.Receive(b.now, from.Address, message)
-	b.drain()
-}
-
-// sync lets all writes go through.
-func (b *bench) sync() {
-	for len(b.saves) > 0 {
-		save := b.saves[0]
-		b.saves = b.saves[1:]
-		b.core.Saved(b.now, save.Token, nil)
-		b.drain()
-	}
-}
-
-func (b *bench) pass(span kernel.Micros) {
-	for end := b.now + span; b.now < end; {
-		b.now += 20 * kernel.Millisecond
-		b.core.Tick(b.now)
-		b.drain()
-		b.sync()
-	}
-}
-
-func (b *bench) votes() []Vote {
-	found := []Vote{}
-	for _, send := range b.sent {
-		if send.Message.Vote != nil {
-			found = append(found, *send.Message.Vote)
-		}
-	}
-	return found
-}
-
-func ask(candidate Member, term uint64, newest Stamp) Message {
-	return Message{VoteAsk: &VoteAsk{Term: term, Candidate: candidate, Voter: memberB.ID, Newest: newest}}
-}
-
 func TestAVoteIsGivenOnceATermAndOnlyOnceItIsOnDisk(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, Ballot{Term: 4}, document(4, 9))
@@ -174,29 +102,6 @@
 	c.Assert(last.Round, qt.Equals, uint64(0))
 }
 
-// elect makes the bench's core the leader of a new term.
-func (b *bench) elect() {
-	for range 200 {
-		b.pass(20 * kernel.Millisecond)
-		for _, send := range b.sent {
-			if ask := send.Message.VoteAsk; ask != nil && ask.Voter == memberA.ID {
-				b.core.Receive(b.now, memberA.Address, Message{Vote: &Vote{Term: ask.Term, IsPre: ask.IsPre, IsGranted: true, Voter: memberA.ID}})
-				b.drain()
-				b.sync()
-			}
-		}
-		if b.core.role == leader {
-			b.sent = nil
-			return
-		}
-	}
-	b.c.Fatal("no lead")
-}
-
-func (b *bench) confirm(from Member, synced Stamp) {
-	b.receive(from, Message{HeartbeatReply: &HeartbeatReply{Term: b.core.term, Round: b.core.round, Member: from, Synced: synced}})
-}
-
 func TestANewLeaderSettlesWhatItFoundBeforeAnythingElse(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, Ballot{Term: 4}, document(4, 9))
@@ -356,11 +261,11 @@
 	var wanted string
 	for round := range 200 {
 		order := random.Perm(len(records))
-		cell := NewCell("x", DefaultTiming(), func(string, string, string) {})
+		directory := NewDirectory("x", DefaultTiming(), func(string, string, string) {})
 		for _, index := range append(order, order[0]) {
-			cell.TakeEngine(40, records[index], true)
+			directory.TakeEngine(40, records[index], true)
 		}
-		got := cell.Engines()[0]
+		got := directory.Engines()[0]
 		text := got.standing()
 		if round == 0 {
 			wanted = text
@@ -372,7 +277,7 @@
 	}
 	// A list says nothing of how old the last report is, or whether who came back from
 	// the dark is who went there.
-	listed := NewCell("x", DefaultTiming(), func(string, string, string) {})
+	listed := NewDirectory("x", DefaultTiming(), func(string, string, string) {})
 	listed.TakeEngine(40, records[1], true)
 	listed.TakeListing(60, Listing{Revision: 9, Engines: []ListingEngine{{ID: "e", Address: "1", Zone: "z", Start: 1, State: "serving"}}})
 	c.Assert(listed.Engines()[0].AsOf, qt.Equals, kernel.Micros(20))
@@ -385,15 +290,15 @@
 	listed.TakeEngine(80, EngineRecord{ID: "e", Start: 1, Seq: 5, Load: 1, AsOf: 75, Seen: 80}, true)
 	c.Assert(listed.Engines()[0].IsUnsure(), qt.IsFalse)
 	// Within one start a leaving mark stays, whatever comes later.
-	cell := NewCell("x", DefaultTiming(), func(string, string, string) {})
+	directory := NewDirectory("x", DefaultTiming(), func(string, string, string) {})
 	for _, record := range []EngineRecord{records[2], records[1], records[0]} {
-		cell.TakeEngine(40, record, true)
+		directory.TakeEngine(40, record, true)
 	}
-	c.Assert(cell.Engines()[0].IsLeaving, qt.IsTrue)
-	c.Assert(cell.Engines()[0].Load, qt.Equals, int64(70))
+	c.Assert(directory.Engines()[0].IsLeaving, qt.IsTrue)
+	c.Assert(directory.Engines()[0].Load, qt.Equals, int64(70))
 }
 
-func TestALicenceCountsFromTheAskAndStandsForItsRevision(t *testing.T) {
+func TestALeaseCountsFromTheAskAndStandsForItsRevision(t *testing.T) {
 	c := qt.New(t)
 	l := NewLease("r", true, DefaultTiming(), func(string, string, string) {})
 	span := DefaultTiming().Lease
@@ -465,7 +370,7 @@
 
 // A configuration that a member has already is not sent to it again. One that does not hold it
 // answers for nothing, says so, and gets the whole.
-func TestASpecIsLeftOutOnlyForWhoHoldsIt(t *testing.T) {
+func TestAConfigIsLeftOutOnlyForWhoHoldsIt(t *testing.T) {
 	c := qt.New(t)
 	first := document(4, 9)
 	first.putConfig([]byte(`{"large":"one"}`))
@@ -484,7 +389,7 @@
 	// Another configuration under the same revision, as a leader that lost its lead may have left it.
 	other := document(4, 9)
 	other.putConfig([]byte(`{"large":"two"}`))
-	for name, held := range map[string]*Document{"nothing": nil, "another spec": other, "no spec": document(4, 9)} {
+	for name, held := range map[string]*Document{"nothing": nil, "another configuration": other, "no configuration": document(4, 9)} {
 		bare := newBench(c, Ballot{Term: 4}, held)
 		bare.receive(memberA, heartbeat)
 		bare.sync()
@@ -536,7 +441,7 @@
 	c := qt.New(t)
 	node := NewNode(NodeSettings{Timing: DefaultTiming(), Journal: kernel.NewJournal(16)}, 0)
 	for i := range 2 * keptLeaving {
-		node.cell.TakeEngine(0, EngineRecord{ID: fmt.Sprintf("e%03d", i), Address: "10.0.0.1:1", Start: 1, IsLeaving: true}, true)
+		node.directory.TakeEngine(0, EngineRecord{ID: fmt.Sprintf("e%03d", i), Address: "10.0.0.1:1", Start: 1, IsLeaving: true}, true)
 	}
 	marks := node.learnedMarks()
 	c.Assert(marks, qt.HasLen, keptLeaving/2)
