What goes on with a stream is looked at until an event with an id

Cause: a comment, or an event without an id, at the start of what goes on ended the look at whether it begins anew, so that its first event could come twice; ids that are no numbers were not compared.

--- a/router/answer.go
+++ b/router/answer.go
@@ -88,12 +88,14 @@
 					a.router.Chooser.Produced(now, call, events*stride)
 				}
 				if isResumed && events > 0 {
-					if next := firstID(whole); !isAfter(last, next) {
+					next := firstID(whole)
+					if a.events.isUnnumbered || next != "" && !isAfter(last, next) {
 						// The splitter has read its ids already; the caller got none of them.
-						a.events.lastID = last
+						a.events.lastID, a.events.isUnnumbered = last, false
 						return 0, "", Broken{"go on with the stream", strayEvent{last, next}}
 					}
-					isResumed = false
+					// Comments say nothing of where the stream goes on.
+					isResumed = next == ""
 				}
 				if a.events.isUnnumbered {
 					a.router.Chooser.Bind(call)
@@ -150,10 +152,13 @@
 	return ""
 }
 
-// isAfter tells whether an event may follow another; ids that are no numbers can't be held
-// against each other.
+// isAfter tells whether an event may follow another; of ids that are no numbers no more can be
+// said than that they differ.
 func isAfter(last, next string) bool {
 	before, errBefore := strconv.ParseInt(last, 10, 64)
 	after, errAfter := strconv.ParseInt(next, 10, 64)
-	return errBefore != nil || errAfter != nil || after > before
+	if errBefore != nil || errAfter != nil {
+		return next != last
+	}
+	return after > before
 }
--- a/router/hostile_stream_test.go
+++ b/router/hostile_stream_test.go
@@ -57,6 +57,10 @@
 		{"from the start", []string{begun}, rawAnswer(true, streamHead, whole), begun, true},
 		{"with the event that went out last", []string{begun}, rawAnswer(true, streamHead, event(2)+rest), begun, true},
 		{"with half an event from the start", []string{begun}, rawAnswer(true, streamHead, "id: 1\ndata: w1\n"), begun, true},
+		{"with a comment, then from the start", []string{begun}, rawAnswer(true, streamHead, ": busy\n\n", whole), begun + strings.Repeat(": busy\n\n", 2), true},
+		{"with a comment, then rightly", []string{begun}, rawAnswer(true, streamHead, ": busy\n\n", rest), begun + ": busy\n\n" + rest, false},
+		{"without ids", []string{begun}, rawAnswer(true, streamHead, "data: w1\n\n", rest), begun, true},
+		{"again, with ids that are no numbers", []string{"id: a\ndata: a\n\n"}, rawAnswer(true, streamHead, "id: a\ndata: a\n\n"), "id: a\ndata: a\n\n", true},
 		{"as plain text", []string{begun}, rawAnswer(true, plain, rest), begun, true},
 		{"with a failure", []string{begun}, func(_ int, r *http.Request, to net.Conn) bool {
 			io.WriteString(to, strings.Replace(head(r.Header.Get(DefaultWire().RequestID), "Content-Length: 0\r\n\r\n"), "200 OK", "500 Failed", 1))
