--- a/checker/checker.go
+++ b/checker/checker.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"sort"
+	"time"
 
 	"dunlinloom/kernel"
 )
@@ -28,6 +29,10 @@
 	AckLost       Rule = "an acknowledged order was lost"
 	NoTookEffect  Rule = "a rejected order took effect"
 	BrokenLong    Rule = "service stayed broken after repair"
+	NotLinear     Rule = "the operators' history is not linearizable"
+	// NotDecided is no violation that was seen, but a run with it isn't shown to be good either.
+	NotDecided    Rule = "the operators' history was not judged in time: undecided"
+	RepeatRefused Rule = "a repeat of an acknowledged order was refused"
 )
 
 // Bounds are the figures of the rules.
@@ -44,6 +49,8 @@
 	OrderDue kernel.Micros
 	// LoadShare is how many rejects for load alone are taken after a repair.
 	LoadShare float64
+	// HistoryPatience is how long the judge of the operators' history may take.
+	HistoryPatience time.Duration
 }
 
 // RetryWindow is a bound on retries over a sliding span.
@@ -60,6 +67,7 @@
 		// What is promised is a small share, of no stated span: these two are ours, in docs/design.md.
 		RetryWindows: []RetryWindow{{10 * kernel.Second, 0.2}, {60 * kernel.Second, 0.1}},
 		History:      64, Stalled: 25 * kernel.Second, OrderDue: 10 * kernel.Second, LoadShare: 0.1,
+		HistoryPatience: historyPatience,
 	}
 }
 
@@ -94,6 +102,8 @@
 	j.calls(ordered)
 	j.marks(ordered)
 	j.configs(ordered)
+	j.register(ordered)
+	j.repeats(ordered)
 	j.permitted(ordered)
 	j.history(ordered)
 	j.stops(ordered)
--- a/checker/event.go
+++ b/checker/event.go
@@ -30,6 +30,9 @@
 	FaultStruck   Happening = "fault_struck"  // a fault was caused, for the telling of what was not served
 	Repaired      Happening = "repaired"      // every machine is back; Roster says which, and which kinds are asked for
 	ConfigCurrent Happening = "spec_current"  // an operator read the configuration in force
+	NewestRead    Happening = "newest_read"   // an operator read the newest configuration, asked for at Began
+	RepeatYes     Happening = "repeat_yes"    // an acknowledged order was sent again and acknowledged again
+	RepeatNo      Happening = "repeat_no"     // an acknowledged order was sent again and rejected
 	ZonesRead     Happening = "zones_read"    // an operator read which zones are emptied
 	Totals        Happening = "totals"        // the fleet's own counts at the end
 )
@@ -46,15 +49,18 @@
 	IsKept bool   `json:"kept,omitempty"` // a leaving mark with a reply
 	Zone   string `json:"zone,omitempty"`
 	Kind   string `json:"kind,omitempty"`
-	// Began is when the caller sent its request.
+	// Began is when the caller sent its request, or the operator its read.
 	Began    kernel.Micros `json:"began_us,omitempty"`
 	Outcome  Outcome       `json:"outcome,omitempty"`
 	Reason   string        `json:"reason,omitempty"`
 	Revision uint64        `json:"generation,omitempty"`
 	ID       string        `json:"id,omitempty"`
-	Digest   string        `json:"digest,omitempty"`
-	First    uint64        `json:"first,omitempty"`
-	Retries  uint64        `json:"retries,omitempty"`
+	// Base is the revision that a configuration builds on, if HasBase.
+	HasBase bool   `json:"has_base,omitempty"`
+	Base    uint64 `json:"base,omitempty"`
+	Digest  string `json:"digest,omitempty"`
+	First   uint64 `json:"first,omitempty"`
+	Retries uint64 `json:"retries,omitempty"`
 	// Pool is the engine's; Pools are those that a configuration lets requests go to.
 	Pool  string   `json:"pool,omitempty"`
 	Pools []string `json:"pools,omitempty"`
--- /dev/null
+++ b/checker/judge_register.go
@@ -0,0 +1,87 @@
+package checker
+
+// The rules of operators' whole histories: linearizability, and repeats of confirmed orders.
+
+import (
+	"errors"
+	"time"
+)
+
+// historyPatience bounds the time that the judge of a history may take.
+const historyPatience = 20 * time.Second
+
+// register judges the configuration as a register with compare-and-set on its revision.
+func (j *judge) register(events []Event) {
+	history := registerHistory(events)
+	if len(history) == 0 {
+		return
+	}
+	err := CheckLinearizable(history, j.bounds.HistoryPatience)
+	last := events[len(events)-1].At
+	switch {
+	case errors.As(err, new(NotLinearizable)):
+		j.violation(NotLinear, last, "%v", err)
+	case err != nil:
+		j.violation(NotDecided, last, "%v", err)
+	}
+}
+
+// registerHistory makes the operations of the operators from what they saw. A put that was never
+// answered for good is one of unknown outcome.
+func registerHistory(events []Event) []RegisterOperation {
+	history := []RegisterOperation{}
+	places := map[string]int{} // of the puts, by their ids
+	for _, event := range events {
+		switch event.What {
+		case ConfigSent:
+			if _, isKnown := places[event.ID]; isKnown {
+				continue
+			}
+			places[event.ID] = len(history)
+			history = append(history, RegisterOperation{
+				Client: len(history), Call: int64(event.At), Version: event.Base, Value: event.Digest, IsUnconditional: !event.HasBase,
+			})
+		case ConfigYes, ConfigNo:
+			if place, isKnown := places[event.ID]; isKnown {
+				history[place].endPut(event)
+			}
+		case NewestRead:
+			history = append(history, RegisterOperation{
+				Client: len(history), Call: int64(event.Began), Return: int64(event.At), IsRead: true, Version: event.Revision, Value: event.Digest,
+			})
+		}
+	}
+	return history
+}
+
+// endPut takes the first final answer to a put.
+func (o *RegisterOperation) endPut(event Event) {
+	if o.Outcome != PutUnknown {
+		return
+	}
+	o.Return = int64(event.At)
+	o.Outcome = PutRejected
+	if event.What == ConfigYes {
+		o.Outcome, o.Sets = PutDone, event.Revision
+	}
+}
+
+// repeats checks that an order which was acknowledged is acknowledged again, under the same
+// revision, or left without a clear answer, but never refused.
+func (j *judge) repeats(events []Event) {
+	acked := map[string]uint64{}
+	for _, event := range events {
+		switch event.What {
+		case ConfigYes:
+			acked[event.ID] = event.Revision
+		case RepeatNo:
+			if revision, isAcked := acked[event.ID]; isAcked {
+				j.violation(RepeatRefused, event.At, "%s was acknowledged as revision %d, and its repeat was refused (%s)", event.ID, revision, event.Reason)
+			}
+		case RepeatYes:
+			if revision, isAcked := acked[event.ID]; isAcked && revision != event.Revision {
+				j.violation(RepeatRefused, event.At, "%s was acknowledged as revision %d, and its repeat as %d", event.ID, revision, event.Revision)
+			}
+		}
+	}
+}
--- a/simulator/day.go
+++ b/simulator/day.go
@@ -93,6 +93,7 @@
 		w.wrong("the fleet did not found itself in 20 s")
 	}
 	w.isBiased = true
+	w.operator.readAndRepeat()
 	w.Traffic(plan.Rate, kernel.Micros(1<<60), 0.1)
 	for end := w.now + plan.Span; w.now < end; {
 		w.Run(w.between(300*ms, 4*sec))
--- a/simulator/machine.go
+++ b/simulator/machine.go
@@ -50,6 +50,7 @@
 	looked       *control.Document // checked already
 	top          uint64            // the highest revision that this process has applied
 	replies      map[string]func(control.SubmitReply)
+	newestReads  map[uint64]func(*control.Document) // by the token of the read
 	// deliver takes what the network brings; tests of the network put their own here.
 	deliver func(control.Envelope)
 }
@@ -65,6 +66,7 @@
 	m.powerTrap, m.isLeaving = 0, false
 	m.compiled = map[string]bool{}
 	m.calls, m.replies = map[string]*call{}, map[string]func(control.SubmitReply){}
+	m.newestReads = map[uint64]func(*control.Document){}
 	m.tableBuilder = server.TableBuilder{Compiler: &w.compiler}
 	m.journal = kernel.NewJournal(4096)
 	m.journal.Watch = func(entry kernel.Entry) { w.watch(m, entry) }
@@ -255,6 +257,11 @@
 				}
 				m.carry(m.node.Kept(m.clock(), command.Document.ConfigRevision))
 			})
+		case control.Newest:
+			if take := m.newestReads[command.Token]; take != nil {
+				delete(m.newestReads, command.Token)
+				take(command.Document)
+			}
 		case control.Reply:
 			if take := m.replies[command.SubmitReply.ID]; take != nil {
 				delete(m.replies, command.SubmitReply.ID)
--- /dev/null
+++ b/simulator/operator_register.go
@@ -0,0 +1,94 @@
+package simulator
+
+// The simulated operator as a client of a register: it reads the newest configuration at any node,
+// and sends acknowledged orders again, as if their answer had been lost on its way.
+
+import (
+	"math/rand/v2"
+
+	"dunlinloom/checker"
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+const (
+	readPatience = 5 * sec
+	// registerStream is of the operator's own random source, so that it draws nothing from the faults'.
+	registerStream = 0x0b5
+)
+
+// registerClient reads and repeats; nil: the operator does neither.
+type registerClient struct {
+	operator  *operator
+	random    *rand.Rand
+	lastToken uint64
+}
+
+// readAndRepeat begins the reads and the repeats; they go on to the end of the run.
+func (o *operator) readAndRepeat() {
+	o.register = &registerClient{operator: o, random: rand.New(rand.NewPCG(o.world.Seed, registerStream))}
+	o.register.readOnAndOn()
+}
+
+func (r *registerClient) between(low, high kernel.Micros) kernel.Micros {
+	return low + kernel.Micros(r.random.Int64N(int64(high-low)+1))
+}
+
+func (r *registerClient) anyMachine() *machine {
+	machines := r.operator.world.machines
+	return machines[r.random.IntN(len(machines))]
+}
+
+func (r *registerClient) readOnAndOn() {
+	r.read(r.anyMachine())
+	r.operator.world.in(r.between(400*ms, 1600*ms), r.readOnAndOn)
+}
+
+// read asks one machine for the newest configuration, and gives up after its patience.
+func (r *registerClient) read(m *machine) {
+	w, began := r.operator.world, r.operator.world.now
+	r.lastToken++
+	token := r.lastToken
+	m.do(func() {
+		m.newestReads[token] = func(document *control.Document) {
+			w.Tally["newest reads"]++
+			w.take(checker.Event{
+				What: checker.NewestRead, Node: m.name, Began: began, Revision: document.ConfigRevision, Digest: string(document.Config),
+			})
+		}
+		m.later(readPatience, func() {
+			if m.newestReads[token] != nil {
+				delete(m.newestReads, token)
+				m.carry(m.node.EndNewest(m.clock(), token))
+			}
+		})
+		m.carry(m.node.Newest(m.clock(), token))
+	})
+}
+
+// acknowledged hears of an order that was acknowledged, and sends it again some time later.
+func (r *registerClient) acknowledged(submit control.Submit) {
+	if r == nil {
+		return
+	}
+	r.operator.world.in(r.between(50*ms, 4*sec), func() { r.repeat(r.anyMachine(), submit) })
+}
+
+// repeat sends an acknowledged order again, once. No clear answer is one that it may get.
+func (r *registerClient) repeat(m *machine, submit control.Submit) {
+	w := r.operator.world
+	m.do(func() {
+		m.replies[submit.ID] = func(reply control.SubmitReply) {
+			event := checker.Event{What: checker.RepeatYes, Node: m.name, ID: reply.ID, Revision: reply.Revision}
+			switch reply.Outcome {
+			case control.No:
+				event.What, event.Reason = checker.RepeatNo, reply.Reason
+			case control.Unproved:
+				return
+			}
+			w.Tally["orders repeated"]++
+			w.take(event)
+		}
+		m.carry(m.node.Submit(m.clock(), &submit))
+	})
+}
--- a/simulator/simulator_test.go
+++ b/simulator/simulator_test.go
@@ -34,6 +34,9 @@
 			served := outcome.Review.Outcomes[string(checker.Served)]
 			reached := outcome.Review.Calls - outcome.Review.Outcomes[string(checker.Unreached)]
 			c.Assert(served*2 > reached, qt.IsTrue, qt.Commentf("%d of %d served", served, reached))
+			// Nor would a history without reads and repeats.
+			c.Assert(outcome.Tally["newest reads"] > 5, qt.IsTrue, qt.Commentf("%v", outcome.Tally))
+			c.Assert(outcome.Tally["orders repeated"] > 0, qt.IsTrue, qt.Commentf("%v", outcome.Tally))
 		})
 	}
 }
--- a/simulator/storm.go
+++ b/simulator/storm.go
@@ -98,6 +98,7 @@
 		w.wrong("the fleet did not found itself in 20 s")
 	}
 	w.isBiased = true
+	w.operator.readAndRepeat()
 	w.Traffic(plan.Rate, kernel.Micros(1<<60), 0)
 	for end := w.now + plan.Span; w.now < end; {
 		w.Run(w.between(20*ms, 700*ms))
