Operators' histories of local fleet runs are judged for linearizability

GET /v1/spec?newest gives a configuration that a majority has confirmed to be the newest, as the daemons' other reads rest on a lease and may be two seconds old. The operator of a local fleet run reads it at any node, twice a second, and sends each acknowledged order once more; the report holds both against the checker's rules.

--- a/checker/judge_register.go
+++ b/checker/judge_register.go
@@ -75,9 +75,7 @@
 		case ConfigYes:
 			acked[event.ID] = event.Revision
 		case RepeatNo:
-			if revision, isAcked := acked[event.ID]; isAcked {
-				j.violation(RepeatRefused, event.At, "%s was acknowledged as revision %d, and its repeat was refused (%s)", event.ID, revision, event.Reason)
-			}
+			j.violation(RepeatRefused, event.At, "%s was acknowledged, and its repeat was refused (%s)", event.ID, event.Reason)
 		case RepeatYes:
 			if revision, isAcked := acked[event.ID]; isAcked && revision != event.Revision {
 				j.violation(RepeatRefused, event.At, "%s was acknowledged as revision %d, and its repeat as %d", event.ID, revision, event.Revision)
--- a/checker/linearizable.go
+++ b/checker/linearizable.go
@@ -74,8 +74,9 @@
 	return registerState{put.Sets, put.Value, false}
 }
 
-// registerModel is a register with compare-and-set by version. A rejected put needs no
-// particular version: a leader may reject it for an order that is committed just after.
+// registerModel is a register with compare-and-set by version. Rejected puts are left out: they have
+// no effect and need no particular version, as a leader may reject one for an order that is committed
+// just after; and each would multiply the orders to try.
 var registerModel = porcupine.Model{
 	Init: func() any { return registerState{} },
 	Step: func(state, input, _ any) (bool, any) {
@@ -85,12 +86,9 @@
 }
 
 func stepRegister(state registerState, operation RegisterOperation) (bool, any) {
-	switch {
-	case operation.IsRead:
+	if operation.IsRead {
 		isShown := state.value == operation.Value && state.mayBeAt(operation.Version)
 		return isShown, registerState{operation.Version, operation.Value, false}
-	case operation.Outcome == PutRejected:
-		return true, state
 	}
 	isBase := operation.IsUnconditional || state.mayBeAt(operation.Version)
 	isRising := operation.Sets == 0 || operation.Sets > state.version
@@ -106,6 +104,9 @@
 func CheckLinearizable(history []RegisterOperation, patience time.Duration) error {
 	operations := make([]porcupine.Operation, 0, len(history))
 	for _, operation := range history {
+		if !operation.IsRead && operation.Outcome == PutRejected {
+			continue
+		}
 		returned := operation.Return
 		if !operation.IsRead && operation.Outcome == PutUnknown {
 			returned = math.MaxInt64
--- a/localfleet/fleet_steps.go
+++ b/localfleet/fleet_steps.go
@@ -21,19 +21,19 @@
 )
 
 func (run stepRun) putConfig(ctx context.Context) error {
-	run.operator.putConfig(ctx, run.number, "")
+	run.operator.putConfig(ctx, run.number, noBase)
 	return nil
 }
 
 func (run stepRun) putManyConfigs(ctx context.Context) error {
 	for i := range max(run.step.Count, 1) {
-		run.operator.putConfig(ctx, run.number+i, "")
+		run.operator.putConfig(ctx, run.number+i, noBase)
 	}
 	return nil
 }
 
 func (run stepRun) putLargeConfig(ctx context.Context) error {
-	run.operator.putConfigOfSize(ctx, run.number, run.step.Count, "")
+	run.operator.putConfigOfSize(ctx, run.number, run.step.Count, noBase)
 	return nil
 }
 
--- a/localfleet/localfleet_test.go
+++ b/localfleet/localfleet_test.go
@@ -20,6 +20,7 @@
 var atAnySpeed = map[checker.Rule]bool{
 	checker.RunTwice: true, checker.RunAfterNo: true, checker.BodyWrong: true, checker.EndFalse: true,
 	checker.AckLost: true, checker.NoTookEffect: true, checker.RetriesMany: true,
+	checker.NotLinear: true, checker.NotDecided: true, checker.RepeatRefused: true,
 }
 
 func TestAShortLocalfleetOfRealProcesses(t *testing.T) {
@@ -45,6 +46,8 @@
 	}
 	c.Assert(report.Review.Outcomes[string(checker.Served)] > 0, qt.IsTrue)
 	c.Assert(report.Orders["spec yes "] > 0, qt.IsTrue, qt.Commentf("%v", report.Orders))
+	c.Assert(report.Orders["newest read"] > 0, qt.IsTrue, qt.Commentf("%v", report.Orders))
+	c.Assert(report.Orders["repeat yes"] > 0, qt.IsTrue, qt.Commentf("%v", report.Orders))
 }
 
 func TestEachVerbOfScenariosIsCarriedOut(t *testing.T) {
--- a/localfleet/node_steps.go
+++ b/localfleet/node_steps.go
@@ -38,7 +38,7 @@
 }
 
 func (run stepRun) cutPowerAfterConfig(ctx context.Context, node *process) error {
-	run.operator.putConfig(ctx, run.number, "")
+	run.operator.putConfig(ctx, run.number, noBase)
 	return run.cutPower(ctx, node)
 }
 
--- a/localfleet/operator.go
+++ b/localfleet/operator.go
@@ -8,7 +8,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -28,7 +27,8 @@
 	cluster *Cluster
 	lock    sync.Mutex
 	random  *rand.Rand
-	count   int
+	lastID  int
+	repeats sync.WaitGroup
 	acked   map[uint64]string // revision to the digest of its configuration
 	orders  map[string]int
 }
@@ -72,54 +72,58 @@
 }
 
 // submit sends one order until it is answered for good, as an operator would: the
-// same id again at another node.
+// same id again at another node. What was acknowledged is sent once more later.
 func (operator *Operator) submit(ctx context.Context, name, method, path string, body []byte, onSent func(id string), onEnd func(control.SubmitReply)) {
-	operator.lock.Lock()
-	operator.count++
-	id := fmt.Sprintf("%s-%d", name, operator.count)
-	operator.lock.Unlock()
-	onSent(id)
+	sent := order{operator.nextID(name), method, path, body}
+	onSent(sent.id)
 	for try := 0; try < 12 && ctx.Err() == nil; try++ {
-		node := operator.node()
-		status, _, got, err := request(ctx, method, "http://"+node.public+path, body, map[string]string{server.HeaderSubmission: id})
-		var reply control.SubmitReply
-		if err == nil {
-			err = json.Unmarshal(got, &reply)
-		}
+		reply, err := sent.send(ctx, operator.node())
 		isFinal := err == nil && (reply.Outcome == control.Yes || reply.Outcome == control.No)
 		if !isFinal {
-			select {
-			case <-ctx.Done():
-			case <-time.After(300 * time.Millisecond):
-			}
+			pause(ctx, resendPauseMS)
 			continue
 		}
-		operator.lock.Lock()
-		operator.orders[name+" "+string(reply.Outcome)+" "+reply.Reason]++
-		operator.lock.Unlock()
-		_ = status
+		operator.count(name + " " + string(reply.Outcome) + " " + reply.Reason)
 		onEnd(reply)
+		if reply.Outcome == control.Yes {
+			operator.repeats.Go(func() { operator.repeat(ctx, sent) })
+		}
 		return
 	}
+	operator.count(name + " unanswered")
+}
+
+func (operator *Operator) nextID(name string) string {
 	operator.lock.Lock()
-	operator.orders[name+" unanswered"]++
-	operator.lock.Unlock()
+	defer operator.lock.Unlock()
+	operator.lastID++
+	return fmt.Sprintf("%s-%d", name, operator.lastID)
+}
+
+// count counts what became of an order or a read.
+func (operator *Operator) count(what string) {
+	operator.lock.Lock()
+	defer operator.lock.Unlock()
+	operator.orders[what]++
 }
 
-func (operator *Operator) putConfig(ctx context.Context, number int, base string) {
+// noBase is of an order that builds on no revision; all revisions are above it.
+const noBase = 0
+
+func (operator *Operator) putConfig(ctx context.Context, number int, base uint64) {
 	operator.putConfigOfSize(ctx, number, 0, base)
 }
 
 // putConfigOfSize puts a configuration with so many bindings more than the kinds need.
-func (operator *Operator) putConfigOfSize(ctx context.Context, number, more int, base string) (isYes bool) {
+func (operator *Operator) putConfigOfSize(ctx context.Context, number, more int, base uint64) (isYes bool) {
 	config, pools := operator.cluster.config(number, more)
 	path := "/v1/spec"
-	if base != "" {
-		path += "?base=" + url.QueryEscape(base)
+	if base != noBase {
+		path += fmt.Sprint("?base=", base)
 	}
 	operator.submit(ctx, "spec", http.MethodPut, path, config,
 		func(id string) {
-			operator.cluster.record(checker.Event{At: now(), What: checker.ConfigSent, ID: id, Digest: digest(config), Pools: pools})
+			operator.cluster.record(checker.Event{At: now(), What: checker.ConfigSent, ID: id, Digest: digest(config), Pools: pools, HasBase: base != noBase, Base: base})
 		},
 		func(reply control.SubmitReply) {
 			isYes = reply.Outcome == control.Yes
@@ -230,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	base := strconv.FormatUint(view.ConfigRevision, 10)
+	base := view.ConfigRevision
 	var both sync.WaitGroup
 	both.Go(func() { operator.putConfig(ctx, number, base) })
 	both.Go(func() { operator.putConfig(ctx, number+1, base) })
--- a/localfleet/run.go
+++ b/localfleet/run.go
@@ -28,7 +28,7 @@
 		return nil, err
 	}
 	operator := &Operator{cluster: cluster, random: rand.New(rand.NewPCG(scenario.Seed, 7)), acked: map[uint64]string{}, orders: map[string]int{}}
-	operator.putConfig(ctx, 0, "")
+	operator.putConfig(ctx, 0, noBase)
 	opening, cancel := context.WithTimeout(ctx, 60*time.Second)
 	err := cluster.Ready(opening)
 	cancel()
@@ -50,6 +50,7 @@
 			}
 		}
 	})
+	workers.Go(func() { operator.readNewest(routingTable) })
 	callsLog := filepath.Join(cluster.folder, "calls.jsonl")
 	callers, err := cluster.startLoadgen(scenario, callsLog, "c", scenario.Rate, scenario.Hot, scenario.SpanMS)
 	if err != nil {
@@ -64,6 +65,7 @@
 		callers.halt()
 	}
 	say("the callers are done")
+	operator.repeats.Wait()
 	operator.readBack(ctx)
 	operator.readCurrent(ctx)
 	cluster.scrape(ctx)
--- a/server/api.go
+++ b/server/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"crypto/rand"
 	"encoding/json"
 	"errors"
@@ -262,7 +263,40 @@
 	f.submit(w, r, &control.Submit{ID: r.PathValue("id"), Order: control.Fence})
 }
 
+// newestReadPatience is how long a read of the newest configuration waits for a majority.
+const newestReadPatience = 5 * time.Second
+
+// getNewestConfig gives the configuration of a document that is at least as new as every one that was
+// acknowledged before the read (a linearizable read).
+func (f *API) getNewestConfig(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), newestReadPatience)
+	defer cancel()
+	document, err := f.runner.Newest(ctx)
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		f.fail(w, http.StatusServiceUnavailable, "not_shown", err.Error())
+		return
+	}
+	if document.ConfigRevision == 0 {
+		f.fail(w, http.StatusNotFound, "no_spec", "no spec was put yet")
+		return
+	}
+	f.writeConfig(w, document.ConfigRevision, document.Config)
+}
+
+func (f *API) writeConfig(w http.ResponseWriter, revision uint64, config []byte) {
+	w.Header().Set(relay.HeaderRevision, strconv.FormatUint(revision, 10))
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(config); err != nil {
+		f.env.Log.V(2).Info("a spec could not be delivered", "error", err.Error())
+	}
+}
+
 func (f *API) getConfig(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("newest") {
+		f.getNewestConfig(w, r)
+		return
+	}
 	state := f.runner.State()
 	if !f.isCurrent(state) && !r.URL.Query().Has("stale") {
 		w.Header().Set("Retry-After", "1")
@@ -301,11 +335,7 @@
 		f.fail(w, http.StatusNotFound, "no_spec", fmt.Sprintf("no spec of generation %d is kept", wanted))
 		return
 	}
-	w.Header().Set(relay.HeaderRevision, strconv.FormatUint(reply.ConfigRevision, 10))
-	w.Header().Set("Content-Type", "application/json")
-	if _, err := w.Write(reply.Config); err != nil {
-		f.env.Log.V(2).Info("a spec could not be delivered", "error", err.Error())
-	}
+	f.writeConfig(w, reply.ConfigRevision, reply.Config)
 }
 
 // fromArchive reads a configuration that the core has let go of. What the chain still names has
