The judge of histories puts dozens of overlapping orders in order at once

The versions of acknowledged orders are known and only rise, so that an operation is now tried only once every known version below its own has been current; orders whose outcome nobody learned get the version under which they were read, or are left out where nobody read them or built on them.

--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -108,7 +108,12 @@
 
 // manyUnknown is more orders without an answer than can be put in order, and a read of none of them.
 func manyUnknown() []Event {
-	events := []Event{{At: 51 * s, What: NewestRead, Began: 50 * s, Revision: 9, Digest: "of nobody"}}
+	events := []Event{
+		{At: 47 * s, What: ConfigSent, ID: "o", Digest: "O", HasBase: true, Base: 7},
+		{At: 48 * s, What: ConfigYes, ID: "o", Revision: 8, Digest: "O"},
+		{At: 51 * s, What: ConfigRead, Revision: 8, Digest: "O"},
+		{At: 51 * s, What: NewestRead, Began: 50 * s, Revision: 9, Digest: "of nobody"},
+	}
 	for i := range 40 {
 		events = append(events, Event{At: 47 * s, What: ConfigSent, ID: fmt.Sprint("u", i), Digest: fmt.Sprint("U", i)})
 	}
--- a/checker/judge_register.go
+++ b/checker/judge_register.go
@@ -51,9 +51,33 @@
 			})
 		}
 	}
+	learnVersions(history, events)
 	return history
 }
 
+// learnVersions finds the versions of puts that were never acknowledged by what was read of them.
+func learnVersions(history []RegisterOperation, events []Event) {
+	versions := map[string]uint64{}
+	for _, event := range events {
+		if event.What == ConfigRead || event.What == NewestRead {
+			versions[event.Digest] = event.Revision
+		}
+	}
+	puts := map[string]int{}
+	for _, operation := range history {
+		if !operation.IsRead {
+			puts[operation.Value]++
+		}
+	}
+	for i := range history {
+		operation := &history[i]
+		// Of two orders with the same contents nobody can tell whose was read.
+		if operation.isUnknown() && puts[operation.Value] == 1 {
+			operation.Sets = versions[operation.Value]
+		}
+	}
+}
+
 // endPut takes the first final answer to a put.
 func (o *RegisterOperation) endPut(event Event) {
 	if o.Outcome != PutUnknown {
--- a/checker/linearizable.go
+++ b/checker/linearizable.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -23,6 +24,8 @@
 	Outcome         PutOutcome
 	IsUnconditional bool   // it builds on whatever version is current
 	Sets            uint64 // the version that it makes, above the one before; zero: not known
+
+	floor uint64 // see setFloors
 }
 
 // PutOutcome is how a compare-and-set ended, as its caller knows.
@@ -87,11 +90,11 @@
 
 func stepRegister(state registerState, operation RegisterOperation) (bool, any) {
 	if operation.IsRead {
-		isShown := state.value == operation.Value && state.mayBeAt(operation.Version)
+		isShown := state.value == operation.Value && state.mayBeAt(operation.Version) && state.version >= operation.floor
 		return isShown, registerState{operation.Version, operation.Value, false}
 	}
 	isBase := operation.IsUnconditional || state.mayBeAt(operation.Version)
-	isRising := operation.Sets == 0 || operation.Sets > state.version
+	isRising := operation.Sets == 0 || operation.Sets > state.version && state.version >= operation.floor
 	if isBase && isRising {
 		return true, state.after(operation)
 	}
@@ -102,13 +105,10 @@
 // CheckLinearizable judges a history of a register that begins empty at version zero; nil:
 // it is linearizable.
 func CheckLinearizable(history []RegisterOperation, patience time.Duration) error {
-	operations := make([]porcupine.Operation, 0, len(history))
-	for _, operation := range history {
-		if !operation.IsRead && operation.Outcome == PutRejected {
-			continue
-		}
+	operations := []porcupine.Operation{}
+	for _, operation := range decisive(history) {
 		returned := operation.Return
-		if !operation.IsRead && operation.Outcome == PutUnknown {
+		if operation.isUnknown() {
 			returned = math.MaxInt64
 		}
 		operations = append(operations, porcupine.Operation{
@@ -123,3 +123,73 @@
 	}
 	return nil
 }
+
+func (o RegisterOperation) isUnknown() bool { return !o.IsRead && o.Outcome == PutUnknown }
+
+// decisive gives the operations that decide whether a history is linearizable. Each that is left out
+// halves the orders to try, and there may be dozens of puts at the same time.
+func decisive(history []RegisterOperation) []RegisterOperation {
+	known := knownVersions(history)
+	mayLeaveOut := areBasesKnown(history, known)
+	values := map[string]bool{}
+	for _, operation := range history {
+		if operation.IsRead {
+			values[operation.Value] = true
+		}
+	}
+	kept := []RegisterOperation{}
+	for _, operation := range history {
+		isRejected := !operation.IsRead && operation.Outcome == PutRejected
+		// Nobody saw it or built on it, so it may as well come last.
+		isUnseen := operation.isUnknown() && operation.Sets == 0 && !values[operation.Value]
+		if isRejected || isUnseen && mayLeaveOut {
+			continue
+		}
+		kept = append(kept, operation)
+	}
+	setFloors(kept, known)
+	return kept
+}
+
+// knownVersions are those that surely were current once, in their order.
+func knownVersions(history []RegisterOperation) []uint64 {
+	known := []uint64{}
+	for _, operation := range history {
+		switch {
+		case operation.IsRead:
+			known = append(known, operation.Version)
+		case operation.Outcome == PutDone && operation.Sets > 0:
+			known = append(known, operation.Sets)
+		}
+	}
+	slices.Sort(known)
+	return slices.Compact(known)
+}
+
+// areBasesKnown tells whether every put that was done on a version was done on a known one, or on none.
+func areBasesKnown(history []RegisterOperation, known []uint64) bool {
+	for _, operation := range history {
+		if operation.IsRead || operation.Outcome == PutRejected || operation.IsUnconditional || operation.Version == 0 {
+			continue
+		}
+		if _, isKnown := slices.BinarySearch(known, operation.Version); !isKnown {
+			return false
+		}
+	}
+	return true
+}
+
+// setFloors gives each operation the newest known version below its own. As versions only rise, that
+// one was current before, so that an order which has not come to it yet need not be tried further.
+func setFloors(operations []RegisterOperation, known []uint64) {
+	for i := range operations {
+		operation := &operations[i]
+		version := operation.Sets
+		if operation.IsRead {
+			version = operation.Version
+		}
+		if place, _ := slices.BinarySearch(known, version); version > 0 && place > 0 {
+			operation.floor = known[place-1]
+		}
+	}
+}
--- a/checker/linearizable_test.go
+++ b/checker/linearizable_test.go
@@ -95,13 +95,29 @@
 	}
 }
 
+// Dozens of orders at the same time, whose versions are known, are put in order at once.
+func TestManyOverlappingPutsAreJudgedSoon(t *testing.T) {
+	const count = 60
+	history := []RegisterOperation{}
+	for i := range count {
+		history = append(history, overwrite(i, int64(i), count+int64(i), fmt.Sprint("value ", i), PutDone, uint64(count-i)))
+		history = append(history, overwrite(i, int64(i), 0, fmt.Sprint("unseen ", i), PutUnknown, 0))
+	}
+	last := read(count, 3*count, 4*count, count, "value 0")
+	qt.Assert(t, CheckLinearizable(append(history, last), time.Minute), qt.IsNil)
+	last.Version = 1
+	last.Value = fmt.Sprint("value ", count-1)
+	qt.Assert(t, CheckLinearizable(append(history, last), time.Minute), qt.ErrorAs, new(NotLinearizable))
+}
+
 // hardToJudge is a history whose puts of unknown outcome can be ordered in more ways than can be tried.
 func hardToJudge() []RegisterOperation {
 	history := []RegisterOperation{}
 	for i := range 40 {
 		history = append(history, overwrite(i, 1, 0, fmt.Sprint("value ", i), PutUnknown, 0))
 	}
-	return append(history, read(40, 2, 3, 1, "a value that nobody put"))
+	// The last put builds on a version that only one of them can have made.
+	return append(history, put(40, 2, 3, 7, "z", PutDone), read(40, 4, 5, 1, "a value that nobody put"))
 }
 
 func TestAHistoryThatIsNotJudgedInTimeIsNeitherGoodNorBad(t *testing.T) {
