Model checker: failing disks, losses of power, and swaps and leaves under way

Explored besides: a disk whose writes stall for a short or a long while, one that refuses writes with or without room for the ballot, a crash that leaves the newest document damaged (its name is kept as the promise), and a loss of power of all members with part of their writes kept. Three scenarios have them: three members, a voter that is replaced and one that leaves, so that these faults fall into the swap with one deviation. The older scenarios and traces are as before.

--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -27,6 +27,15 @@
 		{"three wanted and a standby", Settings{Voters: 3, Founders: 3, Standbys: 1, Timing: timing}, 6, 32},
 		{"four members", Settings{Voters: 3, Founders: 4, Timing: timing}, 6, 26},
 		{"five members", Settings{Voters: 3, Founders: 5, Timing: timing}, 6, 20},
+		{"three members, failing disks", Settings{Founders: 3, Timing: timing, FailingDisks: true}, 6, 18},
+		{"a voter is replaced, failing disks", Settings{
+			Voters: 3, Founders: 3, Standbys: 1, Timing: timing, FailingDisks: true,
+			Planned: []Planned{{7, Choice{LoseDisk, 1, 0}}},
+		}, 6, 20},
+		{"a voter leaves, failing disks", Settings{
+			Founders: 3, Standbys: 1, Timing: timing, FailingDisks: true,
+			Planned: []Planned{{7, Choice{Leave, 1, 0}}},
+		}, 6, 20},
 	}
 }
 
@@ -230,6 +239,7 @@
 
 func (k *walk) play(scenario Scenario) (*Found, int) {
 	w := NewWorld(scenario.Settings)
+	w.isWithoutFingerprints = !k.isCounting
 	every := rareness(k.random)
 	steps := 0
 	var err error
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -26,10 +26,20 @@
 	Founders int // voters of the first document
 	Standbys int
 	Timing   control.Timing
+	// FailingDisks adds disks that stall, refuse writes or damage a document, and losses of power.
+	FailingDisks bool
+	// Planned happens in each run, besides what is explored.
+	Planned []Planned
 	// Lifted are assumptions that the explored faults need not keep to.
 	Lifted Assumptions
 }
 
+// Planned is a fault or a stop that comes at a turn of each run.
+type Planned struct {
+	Turn   int
+	Choice Choice
+}
+
 // Assumptions are those of docs/control-safety.md that bound the explored faults.
 type Assumptions struct {
 	// OneAddressOneMachine: no second process shares the address of a member. The core leans on it
@@ -66,7 +76,7 @@
 	from    int // a process; -1: an operator
 	to      string
 	message control.Message
-	digest  uint64
+	digest  uint64 // zero in a world without fingerprints
 }
 
 // World is one state of a modelled fleet.
@@ -75,9 +85,9 @@
 	founders  []string
 	now       kernel.Micros
 	processes []*process
-	flying    []envelope // oldest first
-	held      []envelope // late until they are released, or lost
-	turn      int        // steps of time until now
+	flying    []*envelope // oldest first
+	held      []*envelope // late until they are released, or lost
+	turn      int         // steps of time until now
 	operators operators
 	observer  *observer
 	documents map[*control.Document]uint64 // their fingerprints
@@ -86,6 +96,8 @@
 	freshIDs  int
 	lostDisks int
 	emptied   map[string]bool // addresses that were answered from an empty folder after the founding
+	// isWithoutFingerprints: no state is compared with another, so that messages need not be hashed.
+	isWithoutFingerprints bool
 	// Trace takes a line on each step; nil: none are wanted.
 	Trace func(text string)
 }
@@ -102,7 +114,7 @@
 	}
 	for i := range settings.Founders + settings.Standbys {
 		p := &process{index: i, address: fmt.Sprintf("m%d", i+1), zone: fmt.Sprintf("z%d", i%3+1), clock: w.now}
-		p.disk = disk{member: w.freshID(), documents: map[uint64]*control.Document{}}
+		p.disk = w.emptyDisk()
 		w.processes = append(w.processes, p)
 		if i < settings.Founders {
 			first.Voters = append(first.Voters, w.memberOf(p))
@@ -134,11 +146,11 @@
 }
 
 func (w *World) fly(from int, to string, message control.Message) {
-	d := &digester{documents: w.documents}
-	d.number(uint64(from))
-	d.text(to)
-	d.number(d.message(message))
-	w.flying = append(w.flying, envelope{from, to, message, d.sum()})
+	e := &envelope{from: from, to: to, message: message}
+	if !w.isWithoutFingerprints {
+		e.digest = w.digestOf(e)
+	}
+	w.flying = append(w.flying, e)
 }
 
 // receivers are the processes that a message to an address can reach, the newest first.
@@ -154,7 +166,7 @@
 }
 
 // deliver hands a message to one of the processes at its address.
-func (w *World) deliver(e envelope, to *process) error {
+func (w *World) deliver(e *envelope, to *process) error {
 	// A cut lies between the members; there are operators on each side of it.
 	if e.from >= 0 && (to.cut == cutBoth || to.cut == cutIncoming) {
 		w.trace("lost in a cut: %s to m%d: %s", w.senderOf(e), to.index+1, describe(e.message))
@@ -165,7 +177,7 @@
 	return w.handle(to, e.digest, func(core *control.Core) { core.Receive(to.clock, w.senderOf(e), e.message) })
 }
 
-func (w *World) senderOf(e envelope) string {
+func (w *World) senderOf(e *envelope) string {
 	if e.from < 0 {
 		return operatorAddress
 	}
@@ -173,7 +185,7 @@
 }
 
 // noteContact remembers when a leader last had a word of each member.
-func (w *World) noteContact(e envelope, to *process) {
+func (w *World) noteContact(e *envelope, to *process) {
 	if to.heard == nil {
 		return
 	}
@@ -202,5 +214,23 @@
 		}
 	}
 	w.operate()
+	return w.carryOutPlan()
+}
+
+// carryOutPlan does what is planned for this turn.
+func (w *World) carryOutPlan() error {
+	for _, planned := range w.settings.Planned {
+		if planned.Turn != w.turn {
+			continue
+		}
+		p := w.processes[planned.Choice.A]
+		w.trace("planned: %s m%d", planned.Choice.Kind, p.index+1)
+		if !p.isUp {
+			continue
+		}
+		if err := w.applyTo(p, planned.Choice); err != nil {
+			return err
+		}
+	}
 	return nil
 }
