A late reply of a member's earlier life no longer counts as a copy

A leader took a reply with another start number than the last for a restart, whichever was larger. With the newest document damaged at a restart, a reply that the earlier life had sent made the leader commit what lay on too few disks. Found by the model checker's failing disks and a new invariant (a leader counts what the present lives of the voters have synced); three deviations, in TestKnownTraces. Ruled out: wrong votes, as the damaged file's name is kept as a promise.

Messages with a smaller start number are passed over until the larger has been silent for the span after which a member counts as lost.

--- a/control/membership.go
+++ b/control/membership.go
@@ -23,6 +23,9 @@
 		c.note("core", "take standby", "%s in zone %s asked to join", m.Member.Address, m.Member.Zone)
 		c.isRoundWanted = true
 	}
+	if c.isOfEarlierLife(p, m.Life) {
+		return
+	}
 	// It repeats itself until a heartbeat comes through, so its word alone is no reason to send a
 	// large document once more.
 	p.hear(c.now, m.Life, m.Synced, c.settings.Timing.ElectionLow)
--- a/control/replication.go
+++ b/control/replication.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// isOfEarlierLife tells of a message that a member sent before its last restart and that comes late: what
+// it says to hold may be lost since. Start numbers rise with each start unless the clock was put back and
+// the folder could not keep the last number; so a smaller one is believed once the larger is long silent.
+func (c *Core) isOfEarlierLife(p *peer, life uint64) bool {
+	return life < p.life && c.now-p.lastHeard <= c.settings.Timing.Replace
+}
+
 func (p *peer) took(synced Stamp) {
 	p.synced = synced
 	if p.promised.before(synced) {
@@ -156,7 +163,7 @@
 		return
 	}
 	p := c.peers[m.Member.ID]
-	if p == nil {
+	if p == nil || c.isOfEarlierLife(p, m.Life) {
 		return
 	}
 	p.hear(c.now, m.Life, m.Synced, c.settings.Timing.ElectionLow)
--- a/modelcheck/fingerprint.go
+++ b/modelcheck/fingerprint.go
@@ -197,6 +197,7 @@
 		d.number(p.causes[token])
 	}
 	d.value(reflect.ValueOf(p.heard))
+	d.value(reflect.ValueOf(p.told))
 	d.moment(p.ledSince)
 	d.moment(p.quorumAt)
 	if p.pending != nil {
--- a/modelcheck/invariants.go
+++ b/modelcheck/invariants.go
@@ -25,6 +25,7 @@
 	LeaderHoldsCommitted   Invariant = "only who holds what is committed leads"
 	HistoryIsLinearizable  Invariant = "operators' histories are linearizable"
 	RejectedTakesNoEffect  Invariant = "what was rejected takes no effect"
+	CountsPresentLives     Invariant = "a leader counts what the present lives of the voters have synced"
 	LeaderWrites           Invariant = "a leader whose disk takes no writes steps down in time"
 )
 
@@ -119,9 +120,10 @@
 func (o *observer) observe(w *World, p *process) error {
 	state := p.core.Inspect()
 	if !state.IsLeader {
-		p.heard, p.heardFor = nil, 0
+		p.heard, p.heardFor, p.told = nil, 0, nil
 	} else if p.heard == nil || p.heardFor != state.Term {
 		p.heard, p.heardFor, p.ledSince, p.quorumAt = map[control.MemberID]kernel.Micros{}, state.Term, p.clock, p.clock
+		p.told = map[control.MemberID]syncedWord{}
 		w.trace("m%d leads term %d", p.index+1, state.Term)
 		if err := oneLeaderATerm(o, state); err != nil {
 			return err
@@ -136,6 +138,9 @@
 	if state.Committed == nil {
 		return nil
 	}
+	if err := countsPresentLives(p, state); err != nil {
+		return err
+	}
 	return o.observeCommitted(w, state)
 }
 
@@ -203,6 +208,28 @@
 		document.Revision, document.Term, count, len(document.Voters))
 }
 
+// countsPresentLives: when a leader commits a document of its term, a quorum of the voters has said to
+// have synced it in the newest life that the leader has heard of.
+func countsPresentLives(p *process, state control.CoreState) error {
+	committed := state.Committed.Stamp()
+	if !state.IsLeader || committed.Term != state.Term || !p.countedUpTo.Before(committed) {
+		return nil
+	}
+	p.countedUpTo = committed
+	isCounted := state.Committed.IsQuorum(func(id control.MemberID) bool {
+		if id == state.Member.ID {
+			return !state.Synced.Before(committed)
+		}
+		word, isKnown := p.told[id]
+		return isKnown && !word.Synced.Before(committed)
+	})
+	if isCounted {
+		return nil
+	}
+	return violated(CountsPresentLives, "%s commits %v, and of its voters too few have said in their present lives to hold it",
+		state.Member.ID, committed)
+}
+
 // acknowledgedIsKept: a document committed at or after an acknowledged revision remembers the
 // submission that was acknowledged.
 func acknowledgedIsKept(o *observer, document *control.Document) error {
--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -31,6 +31,12 @@
 	cutOutgoing
 )
 
+// syncedWord is what one life of a member says to have synced.
+type syncedWord struct {
+	Life   uint64
+	Synced control.Stamp
+}
+
 // process is one member's life on a disk, at an address that may also belong to another process.
 type process struct {
 	index     int
@@ -50,9 +56,12 @@
 	startedAt int // order of starts, so that the newest process at an address gets its messages
 	// heard holds, in this life as a leader, when a word of each member came.
 	heard    map[control.MemberID]kernel.Micros
-	heardFor uint64        // the term that heard belongs to
-	ledSince kernel.Micros // when that lead began
-	quorumAt kernel.Micros // when its timers last went off with a quorum heard
+	heardFor uint64 // the term that heard belongs to
+	// told holds, in this life as a leader, what the newest life of each member said to have synced.
+	told        map[control.MemberID]syncedWord
+	countedUpTo control.Stamp // the newest document that it committed as a leader
+	ledSince    kernel.Micros // when that lead began
+	quorumAt    kernel.Micros // when its timers last went off with a quorum heard
 	// digest is the fingerprint of this process alone, unless it is dirty.
 	digest  uint64
 	isDirty bool
@@ -68,7 +77,8 @@
 	p.isDirty = true
 	p.lives++
 	p.startedAt, p.isUp, p.isFrozen = w.starts, true, false
-	p.pending, p.causes, p.lastToken, p.heard, p.heardFor = nil, map[uint64]uint64{}, 0, nil, 0
+	p.pending, p.causes, p.lastToken, p.heard, p.heardFor, p.told = nil, map[uint64]uint64{}, 0, nil, 0, nil
+	p.countedUpTo = control.Stamp{}
 	p.core = control.NewCore(control.CoreSettings{
 		Self: w.memberOf(p), HasFolder: true, Founders: w.founders, Timing: w.settings.Timing,
 		Random: rand.New(sourceOf(p.index)),
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -28,6 +28,9 @@
 		{"four members", Settings{Voters: 3, Founders: 4, Timing: timing}, 6, 26},
 		{"five members", Settings{Voters: 3, Founders: 5, Timing: timing}, 6, 20},
 		{"three members, failing disks", Settings{Founders: 3, Timing: timing, FailingDisks: true}, 6, 18},
+		{"two of three members, failing disks", Settings{
+			Founders: 3, Timing: timing, FailingDisks: true, Planned: []Planned{{7, Choice{Kill, 2, 0}}},
+		}, 6, 18},
 		{"a voter is replaced, failing disks", Settings{
 			Voters: 3, Founders: 3, Standbys: 1, Timing: timing, FailingDisks: true,
 			Planned: []Planned{{7, Choice{LoseDisk, 1, 0}}},
--- a/modelcheck/search_test.go
+++ b/modelcheck/search_test.go
@@ -47,6 +47,7 @@
 		{"a leader cut off answers without a confirmed round", "three wanted and a standby", "123:cut/0/1"},
 		{"a leader cut off answers without a confirmed round", "three members and a standby", "85:cut/0/1,87:crash/1/0,91:jump/2/0"},
 		{"a vote is given before it is on disk", "three members, led", "53:crash/2/0"},
+		{"a late reply of an earlier life counts", "two of three members, failing disks", "91:hold/0/0,92:damage-document/1/0,101:release/0/0"},
 		{"a spec left out is taken for whole", "three members and a standby", "60:cut/0/1,94:jump/1/0,216:heal/0/0"},
 	} {
 		t.Run(known.breaks+" with "+known.scenario, func(t *testing.T) {
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -184,16 +184,32 @@
 	return w.processes[e.from].address
 }
 
-// noteContact remembers when a leader last had a word of each member.
+// noteContact remembers when a leader last had a word of each member, and what it said to have synced.
 func (w *World) noteContact(e *envelope, to *process) {
 	if to.heard == nil {
 		return
 	}
 	switch {
 	case e.message.HeartbeatReply != nil && e.message.HeartbeatReply.Term == to.heardFor:
-		to.heard[e.message.HeartbeatReply.Member.ID] = to.clock
+		reply := e.message.HeartbeatReply
+		w.noteWord(to, reply.Member.ID, syncedWord{reply.Life, reply.Synced})
 	case e.message.Join != nil:
-		to.heard[e.message.Join.Member.ID] = to.clock
+		join := e.message.Join
+		w.noteWord(to, join.Member.ID, syncedWord{join.Life, join.Synced})
+	}
+}
+
+// noteWord takes a word of the newest life of a member. One of an earlier life is late, unless the newer
+// one has been silent for so long that it counts as lost (the assumption Late-messages-end).
+func (w *World) noteWord(to *process, id control.MemberID, word syncedWord) {
+	known := to.told[id]
+	isSilent := to.clock-to.heard[id] > w.settings.Timing.Replace
+	if word.Life < known.Life && !isSilent {
+		return
+	}
+	to.heard[id] = to.clock
+	if word.Life != known.Life || known.Synced.Before(word.Synced) {
+		to.told[id] = word
 	}
 }
 
