A leaving voter is released for what is committed, and for nothing newer

A heartbeat releases a leaver by what is committed when it is sent, and may bring a newer document. With the third voter down that one is committed by the leader and the leaver alone; the leaver then ended, with its disk, and a confirmed order was on one disk. Found by the model checker with leavers that end (one deviation); the trace is in TestKnownTraces. Ruled out: not counting released leavers, which would stop orders for the rest of the grace.

A release now covers the documents up to the committed one that its heartbeat names.

--- a/control/core.go
+++ b/control/core.go
@@ -92,8 +92,9 @@
 	health      *Health       // the last picture of the voters
 	holdSince   kernel.Micros // when orders last began to wait for a newcomer
 
-	// isReleased: the leader says that this member holds nothing alone, so that it may end.
-	isReleased bool
+	// releasedAt is the newest document of which the leader says that enough others hold it without this
+	// member, so that it may end unless it has accepted a newer one.
+	releasedAt Stamp
 
 	past past
 	// pushed paces the large documents that go out without a heartbeat.
--- a/control/inspect.go
+++ b/control/inspect.go
@@ -11,11 +11,17 @@
 	Document  *Document // the newest accepted
 	Synced    Stamp     // the newest on disk
 	Committed *Document
+	// IsLeaving: a planned stop was asked for. IsNeeded: it must not end yet.
+	IsLeaving, IsNeeded bool
 }
 
 // Inspect tells a core's state.
 func (c *Core) Inspect() CoreState {
-	return CoreState{c.settings.Self, c.role.String(), c.role == leader, c.term, c.doc, c.synced, c.committed}
+	return CoreState{
+		Member: c.settings.Self, Role: c.role.String(), IsLeader: c.role == leader, Term: c.term,
+		Document: c.doc, Synced: c.synced, Committed: c.committed,
+		IsLeaving: c.isLeaving, IsNeeded: c.isNeeded(),
+	}
 }
 
 // Take hands over the commands that have gathered.
--- a/control/leave.go
+++ b/control/leave.go
@@ -6,7 +6,7 @@
 
 // Leave begins a planned stop: the lead and the vote go to others.
 func (c *Core) Leave(now kernel.Micros) {
-	c.now, c.isLeaving, c.isReleased = now, true, false
+	c.now, c.isLeaving, c.releasedAt = now, true, Stamp{}
 	c.note("core", "leave", "a planned stop was asked for")
 }
 
@@ -14,7 +14,13 @@
 // knows what the others have synced, so it is the leader that releases a leaving member.
 func (c *Core) isNeeded() bool {
 	_, votes := c.committed.voter(c.settings.Self.ID)
-	return (votes || c.isVoter()) && !c.isReleased
+	return (votes || c.isVoter()) && !c.isReleased()
+}
+
+// isReleased tells whether the leader's release covers all that this member has accepted. A newer
+// document may be committed by this member's word on it, and then too few others may hold that one.
+func (c *Core) isReleased() bool {
+	return c.releasedAt != Stamp{} && !c.releasedAt.before(c.doc.stamp())
 }
 
 // mayEnd tells whether a leaving member may end: it votes no more, or it will go on voting for
--- a/control/replication.go
+++ b/control/replication.go
@@ -128,7 +128,10 @@
 	if c.leaderMember.ID != m.Leader.ID || isNewTerm {
 		c.note("core", "follow", "%s leads term %d", m.Leader.Address, m.Term)
 	}
-	c.leaderMember, c.lastHeartbeat, c.isReleased = m.Leader, c.now, m.IsReleased
+	c.leaderMember, c.lastHeartbeat, c.releasedAt = m.Leader, c.now, Stamp{}
+	if m.IsReleased {
+		c.releasedAt = m.Committed
+	}
 	c.timer = c.now + c.electionSpan()
 	reply.Term = c.term
 	c.checkPromise(m.Promised)
--- a/modelcheck/choices.go
+++ b/modelcheck/choices.go
@@ -175,6 +175,9 @@
 }
 
 func (w *World) addFaults(p *process, add func(kind Kind, a, b int)) {
+	if p.hasEnded {
+		return
+	}
 	if !p.isUp {
 		add(Start, p.index, 0)
 		return
--- a/modelcheck/fingerprint.go
+++ b/modelcheck/fingerprint.go
@@ -187,7 +187,7 @@
 func (d *digester) process(p *process) {
 	d.now = p.clock
 	d.disk(&p.disk)
-	d.value(reflect.ValueOf([]bool{p.isUp, p.isFrozen, p.pending != nil}))
+	d.value(reflect.ValueOf([]bool{p.isUp, p.isFrozen, p.hasEnded, p.pending != nil}))
 	d.number(uint64(p.cut))
 	if !p.isUp {
 		return
--- a/modelcheck/invariants.go
+++ b/modelcheck/invariants.go
@@ -26,6 +26,7 @@
 	HistoryIsLinearizable  Invariant = "operators' histories are linearizable"
 	RejectedTakesNoEffect  Invariant = "what was rejected takes no effect"
 	CountsPresentLives     Invariant = "a leader counts what the present lives of the voters have synced"
+	LeaverHoldsNothing     Invariant = "a member that leaves holds nothing that too few others hold"
 	LeaderWrites           Invariant = "a leader whose disk takes no writes steps down in time"
 )
 
@@ -230,6 +231,40 @@
 		state.Member.ID, committed)
 }
 
+// leaverHoldsNothingAlone: when a member ends as planned, a majority of the voters, or all others where
+// these are fewer, has the newest committed document on disk without counting it.
+func leaverHoldsNothingAlone(o *observer, leaver *process) error {
+	newest := o.newestCommit()
+	if newest == nil {
+		return nil
+	}
+	if _, isVoter := newest.Voter(leaver.disk.member); !isVoter {
+		return nil
+	}
+	count, voters := 0, len(newest.Voters)
+	for _, voter := range newest.Voters {
+		if voter.ID != leaver.disk.member && !o.held[voter.ID].Before(newest.Stamp()) {
+			count++
+		}
+	}
+	if count >= min(voters/2+1, voters-1) {
+		return nil
+	}
+	return violated(LeaverHoldsNothing, "%s ends, and %v is on the disks of %d other voters of %d",
+		leaver.disk.member, newest.Stamp(), count, voters)
+}
+
+// newestCommit is the newest document that was committed; nil: none was.
+func (o *observer) newestCommit() *control.Document {
+	var newest *control.Document
+	for _, commit := range o.commits {
+		if newest.Stamp().Before(commit.document.Stamp()) {
+			newest = commit.document
+		}
+	}
+	return newest
+}
+
 // acknowledgedIsKept: a document committed at or after an acknowledged revision remembers the
 // submission that was acknowledged.
 func acknowledgedIsKept(o *observer, document *control.Document) error {
--- a/modelcheck/operators.go
+++ b/modelcheck/operators.go
@@ -53,7 +53,7 @@
 	}
 	switch w.turn % resendEvery {
 	case 0:
-		if w.isAnswered() && len(w.operators.Puts) < mostPuts {
+		if w.turn >= w.settings.OrdersFrom && w.isAnswered() && len(w.operators.Puts) < mostPuts {
 			base := w.observer.newestVersion
 			w.beginPut(leaders[0], base)
 			w.beginPut(leaders[len(leaders)-1], base)
--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -51,6 +51,7 @@
 	lastToken uint64
 	isUp      bool
 	isFrozen  bool
+	hasEnded  bool // as planned, and for good
 	cut       cutMode
 	lives     uint64
 	startedAt int // order of starts, so that the newest process at an address gets its messages
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -36,9 +36,14 @@
 			Planned: []Planned{{7, Choice{LoseDisk, 1, 0}}},
 		}, 6, 20},
 		{"a voter leaves, failing disks", Settings{
-			Founders: 3, Standbys: 1, Timing: timing, FailingDisks: true,
+			Founders: 3, Standbys: 1, Timing: timing, FailingDisks: true, LeaversEnd: true,
 			Planned: []Planned{{7, Choice{Leave, 1, 0}}},
 		}, 6, 20},
+		{"a voter leaves and nobody takes its place, failing disks", Settings{
+			// The leader releases a leaver once it has led for long enough to know the standbys.
+			Founders: 3, Timing: timing, FailingDisks: true, LeaversEnd: true,
+			OrdersFrom: 12, Planned: []Planned{{20, Choice{Leave, 1, 0}}},
+		}, 18, 25},
 	}
 }
 
--- a/modelcheck/search_test.go
+++ b/modelcheck/search_test.go
@@ -48,6 +48,10 @@
 		{"a leader cut off answers without a confirmed round", "three members and a standby", "85:cut/0/1,87:crash/1/0,91:jump/2/0"},
 		{"a vote is given before it is on disk", "three members, led", "53:crash/2/0"},
 		{"a late reply of an earlier life counts", "two of three members, failing disks", "91:hold/0/0,92:damage-document/1/0,101:release/0/0"},
+		{"a restarted member counts for what it held before", "two of three members, failing disks", "74:stall-disk/0/0,90:damage-document/1/0"},
+		{"a member forgets what it acknowledged", "three members, failing disks", "56:leave/0/0,57:leave/1/0,62:twin/2/0,68:crash/2/0,90:damage-document/0/0"},
+		{"a leaver ends on a release for an older document", "a voter leaves and nobody takes its place, failing disks", "178:kill/2/0"},
+		{"a leaver ends on a release for an older document", "a voter leaves and nobody takes its place, failing disks", "178:fill-disk/2/0"},
 		{"a spec left out is taken for whole", "three members and a standby", "60:cut/0/1,94:jump/1/0,216:heal/0/0"},
 	} {
 		t.Run(known.breaks+" with "+known.scenario, func(t *testing.T) {
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -28,6 +28,9 @@
 	Timing   control.Timing
 	// FailingDisks adds disks that stall, refuse writes or damage a document, and losses of power.
 	FailingDisks bool
+	OrdersFrom   int // the first turn in which operators put anything
+	// LeaversEnd: a member that leaves ends once it may, and its disk with it.
+	LeaversEnd bool
 	// Planned happens in each run, besides what is explored.
 	Planned []Planned
 	// Lifted are assumptions that the explored faults need not keep to.
@@ -230,9 +233,35 @@
 		}
 	}
 	w.operate()
+	if err := w.endLeavers(); err != nil {
+		return err
+	}
 	return w.carryOutPlan()
 }
 
+// endLeavers ends the members whose planned stop is done, as their daemons would.
+func (w *World) endLeavers() error {
+	if !w.settings.LeaversEnd {
+		return nil
+	}
+	for _, p := range w.processes {
+		if !p.isUp || p.isFrozen {
+			continue
+		}
+		if state := p.core.Inspect(); !state.IsLeaving || state.IsLeader || state.IsNeeded {
+			continue
+		}
+		w.trace("m%d ends", p.index+1)
+		p.stop()
+		p.hasEnded = true
+		w.observer.gone[p.disk.member] = true
+		if err := leaverHoldsNothingAlone(w.observer, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // carryOutPlan does what is planned for this turn.
 func (w *World) carryOutPlan() error {
 	for _, planned := range w.settings.Planned {
