--- a/modelcheck/invariants.go
+++ b/modelcheck/invariants.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 
 	"dunlinloom/control"
 	"dunlinloom/kernel"
@@ -42,145 +41,6 @@
 	return Violation{invariant, fmt.Sprintf(form, args...)}
 }
 
-// commit is a document that some leader has committed.
-type commit struct {
-	document *control.Document
-	content  uint64 // of all but the term, under which a later leader may propose it again
-}
-
-// observer remembers of the past what the invariants speak of.
-type observer struct {
-	commits       map[uint64]commit // by revision
-	newest        []control.Stamp   // of all commits
-	newestVersion uint64
-	leaderOf      map[uint64]control.MemberID
-	held          map[control.MemberID]control.Stamp // the newest ever on a member's disk
-	gone          map[control.MemberID]bool          // members whose disk was lost
-	acknowledged  uint64                             // the newest revision that an operator was told
-	confirmed     map[string]control.SubmitReply
-	rejected      map[string]bool
-	byBase        map[uint64]string
-	clock         int // numbers the calls and returns of operations
-	history       []operation
-}
-
-func newObserver() *observer {
-	return &observer{
-		commits: map[uint64]commit{}, leaderOf: map[uint64]control.MemberID{},
-		held: map[control.MemberID]control.Stamp{}, gone: map[control.MemberID]bool{},
-		confirmed: map[string]control.SubmitReply{}, rejected: map[string]bool{}, byBase: map[uint64]string{},
-	}
-}
-
-// tick numbers a call or a return.
-func (o *observer) tick() int {
-	o.clock++
-	return o.clock
-}
-
-// digest adds what the invariants remember to a fingerprint.
-func (o *observer) digest(d *digester) {
-	for _, revision := range sortedKeys(o.commits) {
-		d.number(revision)
-		d.number(o.commits[revision].content)
-	}
-	newest := control.Stamp{}
-	for _, stamp := range o.newest {
-		if newest.Before(stamp) {
-			newest = stamp
-		}
-	}
-	d.number(newest.Term)
-	d.number(newest.Revision)
-	d.number(o.acknowledged)
-	for _, id := range sortedKeys(o.confirmed) {
-		d.text(id)
-	}
-	for _, id := range sortedKeys(o.rejected) {
-		d.text(id)
-	}
-	for _, term := range sortedKeys(o.leaderOf) {
-		d.number(term)
-		d.text(string(o.leaderOf[term]))
-	}
-	for _, id := range sortedKeys(o.held) {
-		d.text(string(id))
-		d.number(o.held[id].Term)
-		d.number(o.held[id].Revision)
-	}
-}
-
-// synced remembers what a disk holds.
-func (o *observer) synced(p *process) {
-	if stamp := p.disk.document.Stamp(); o.held[p.disk.member].Before(stamp) {
-		o.held[p.disk.member] = stamp
-	}
-}
-
-// observe holds a process against the invariants after it took an event.
-func (o *observer) observe(w *World, p *process) error {
-	state := p.core.Inspect()
-	if !state.IsLeader {
-		p.heard, p.heardFor, p.told = nil, 0, nil
-	} else if p.heard == nil || p.heardFor != state.Term {
-		p.heard, p.heardFor, p.ledSince, p.quorumAt = map[control.MemberID]kernel.Micros{}, state.Term, p.clock, p.clock
-		p.told = map[control.MemberID]syncedWord{}
-		w.trace("m%d leads term %d", p.index+1, state.Term)
-		if err := oneLeaderATerm(o, state); err != nil {
-			return err
-		}
-		if err := leaderHoldsCommitted(o, state); err != nil {
-			return err
-		}
-	}
-	if err := oneFounding(state); err != nil {
-		return err
-	}
-	if state.Committed == nil {
-		return nil
-	}
-	if err := countsPresentLives(p, state); err != nil {
-		return err
-	}
-	return o.observeCommitted(w, state)
-}
-
-func (o *observer) observeCommitted(w *World, state control.CoreState) error {
-	document := state.Committed
-	content := contentOf(w, document)
-	if known, isThere := o.commits[document.Revision]; isThere {
-		if err := oneDocumentARevision(known, document, content); err != nil {
-			return err
-		}
-		if !known.document.Stamp().Before(document.Stamp()) {
-			return nil
-		}
-	}
-	w.trace("committed: revision %d of term %d, version %d, %d voters", document.Revision, document.Term, document.ConfigVersion, len(document.Voters))
-	o.commits[document.Revision] = commit{document, content}
-	o.newest = append(o.newest, document.Stamp())
-	o.newestVersion = max(o.newestVersion, document.ConfigVersion)
-	if err := majorityHoldsCommitted(o, document); err != nil {
-		return err
-	}
-	if err := acknowledgedIsKept(o, document); err != nil {
-		return err
-	}
-	return rejectedTakesNoEffect(o, document)
-}
-
-// contentOf hashes a document without its term.
-func contentOf(w *World, document *control.Document) uint64 {
-	if known, isThere := w.contents[document]; isThere {
-		return known
-	}
-	copied := *document
-	copied.Term = 0
-	d := &digester{documents: map[*control.Document]uint64{}}
-	w.contents[document] = d.document(&copied)
-	return w.contents[document]
-}
-
 // oneDocumentARevision: two documents committed under one revision differ at most in the term.
 func oneDocumentARevision(known commit, document *control.Document, content uint64) error {
 	if known.content == content {
@@ -254,17 +114,6 @@
 		leaver.disk.member, newest.Stamp(), count, voters)
 }
 
-// newestCommit is the newest document that was committed; nil: none was.
-func (o *observer) newestCommit() *control.Document {
-	var newest *control.Document
-	for _, commit := range o.commits {
-		if newest.Stamp().Before(commit.document.Stamp()) {
-			newest = commit.document
-		}
-	}
-	return newest
-}
-
 // acknowledgedIsKept: a document committed at or after an acknowledged revision remembers the
 // submission that was acknowledged.
 func acknowledgedIsKept(o *observer, document *control.Document) error {
@@ -366,122 +215,6 @@
 		state.Member.ID, state.Term, p.clock-p.pendingAt)
 }
 
-// majoritiesIntersect: of the documents on the disks, any two under which a member could still
-// win an election have no two disjoint majorities that could elect.
-func majoritiesIntersect(w *World) error {
-	electable := []electorate{}
-	for _, p := range w.processes {
-		if found, isElectable := w.electorateOf(p); isElectable {
-			electable = append(electable, found)
-		}
-	}
-	for i, one := range electable {
-		for _, other := range electable[i+1:] {
-			if one.isDisjointFrom(other) {
-				return violated(MajoritiesIntersect, "disjoint majorities could elect m%d under %v with %d voters and m%d under %v with %d voters",
-					one.candidate+1, one.stamp, one.size, other.candidate+1, other.stamp, other.size)
-			}
-		}
-	}
-	return nil
-}
-
-// electorate is who could vote for one member under the document on its disk.
-type electorate struct {
-	candidate int
-	stamp     control.Stamp
-	size      int
-	quorums   []uint // each with one bit a process, the candidate among them
-}
-
-// electorateOf collects the quorums of a member's document among those that are not ahead of it.
-func (w *World) electorateOf(p *process) (electorate, bool) {
-	document := p.disk.document
-	found := electorate{candidate: p.index, stamp: document.Stamp()}
-	if _, isVoter := document.Voter(p.disk.member); !isVoter {
-		return found, false
-	}
-	if found.stamp.Before(p.disk.promise()) {
-		return found, false
-	}
-	found.size = len(document.Voters)
-	willing := uint(0)
-	places := map[control.MemberID]uint{}
-	for _, other := range w.processes {
-		places[other.disk.member] = 1 << other.index
-		if !found.stamp.Before(other.disk.promise()) {
-			willing |= 1 << other.index
-		}
-	}
-	for quorum := range uint(1) << len(w.processes) {
-		isAble := quorum&^willing == 0 && quorum&(1<<p.index) != 0
-		if isAble && document.IsQuorum(func(id control.MemberID) bool { return quorum&places[id] != 0 }) {
-			found.quorums = append(found.quorums, quorum)
-		}
-	}
-	return found, len(found.quorums) > 0
-}
-
-// isDisjointFrom tells whether some quorum of each shares no voter with the other's.
-func (e electorate) isDisjointFrom(other electorate) bool {
-	for _, one := range e.quorums {
-		for _, two := range other.quorums {
-			if one&two == 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// reply takes an answer to an operator and holds it against the invariants.
-func (o *observer) reply(w *World, p *process, m control.Message) error {
-	switch {
-	case m.SubmitReply != nil:
-		return o.submitReply(w, m.SubmitReply)
-	case m.ReadReply != nil:
-		return o.readReply(w, m.ReadReply.Token, m.ReadReply.Document.Revision, m.ReadReply.Document, "read")
-	case m.GrantBatch != nil:
-		ask := w.operators.Reads[m.GrantBatch.Asks[0].Seq-1]
-		return readsAreNewest(ask.Floor, m.GrantBatch.Revision, "grant")
-	}
-	return nil
-}
-
-func (o *observer) submitReply(w *World, reply *control.SubmitReply) error {
-	w.trace("operators are told: %s %s at revision %d %s", reply.ID, reply.Outcome, reply.Revision, reply.Reason)
-	index, err := strconv.Atoi(reply.ID[len("put-"):])
-	if err != nil {
-		panic(fmt.Sprintf("modelcheck: a reply to no put: %v", err))
-	}
-	order := &w.operators.Puts[index]
-	switch reply.Outcome {
-	case control.Yes:
-		o.confirmed[reply.ID] = *reply
-		o.acknowledged = max(o.acknowledged, reply.Revision)
-		if err := oneConfirmedAVersion(o, order.Base, reply.ID); err != nil {
-			return err
-		}
-		if err := confirmedIsCommitted(o, reply); err != nil {
-			return err
-		}
-	case control.No:
-		o.rejected[reply.ID] = true
-		for _, revision := range sortedKeys(o.commits) {
-			if err := rejectedTakesNoEffect(o, o.commits[revision].document); err != nil {
-				return err
-			}
-		}
-	default:
-		return nil
-	}
-	if !order.Ended {
-		order.Ended, order.Outcome = true, reply.Outcome
-		o.history = append(o.history, operation{Index: index, Call: order.Began, Return: o.tick()})
-	}
-	return nil
-}
-
 // oneConfirmedAVersion: of all orders that build on one version at most one is confirmed.
 func oneConfirmedAVersion(o *observer, base uint64, id string) error {
 	known, isThere := o.byBase[base]
@@ -504,18 +237,6 @@
 	return violated(AcknowledgedIsKept, "%s is confirmed at revision %d, and no committed document has it", reply.ID, reply.Revision)
 }
 
-func (o *observer) readReply(w *World, token, revision uint64, document *control.Document, what string) error {
-	read := &w.operators.Reads[token-1]
-	if err := readsAreNewest(read.Floor, revision, what); err != nil {
-		return err
-	}
-	if !read.Ended {
-		read.Ended, read.Version = true, document.ConfigVersion
-		o.history = append(o.history, operation{Index: -1, Call: read.Began, Return: o.tick(), Config: string(document.Config), Version: document.ConfigVersion})
-	}
-	return nil
-}
-
 // readsAreNewest: a read, or a grant, shows a revision at least as new as every one that was
 // acknowledged before it began.
 func readsAreNewest(floor, revision uint64, what string) error {
--- /dev/null
+++ b/modelcheck/majorities.go
@@ -0,0 +1,75 @@
+package modelcheck
+
+import (
+	"dunlinloom/control"
+)
+
+// The invariant on majorities: who could still be elected, and by whom.
+
+// majoritiesIntersect: of the documents on the disks, any two under which a member could still
+// win an election have no two disjoint majorities that could elect.
+func majoritiesIntersect(w *World) error {
+	electable := []electorate{}
+	for _, p := range w.processes {
+		if found, isElectable := w.electorateOf(p); isElectable {
+			electable = append(electable, found)
+		}
+	}
+	for i, one := range electable {
+		for _, other := range electable[i+1:] {
+			if one.isDisjointFrom(other) {
+				return violated(MajoritiesIntersect, "disjoint majorities could elect m%d under %v with %d voters and m%d under %v with %d voters",
+					one.candidate+1, one.stamp, one.size, other.candidate+1, other.stamp, other.size)
+			}
+		}
+	}
+	return nil
+}
+
+// electorate is who could vote for one member under the document on its disk.
+type electorate struct {
+	candidate int
+	stamp     control.Stamp
+	size      int
+	quorums   []uint // each with one bit a process, the candidate among them
+}
+
+// electorateOf collects the quorums of a member's document among those that are not ahead of it.
+func (w *World) electorateOf(p *process) (electorate, bool) {
+	document := p.disk.document
+	found := electorate{candidate: p.index, stamp: document.Stamp()}
+	if _, isVoter := document.Voter(p.disk.member); !isVoter {
+		return found, false
+	}
+	if found.stamp.Before(p.disk.promise()) {
+		return found, false
+	}
+	found.size = len(document.Voters)
+	willing := uint(0)
+	places := map[control.MemberID]uint{}
+	for _, other := range w.processes {
+		places[other.disk.member] = 1 << other.index
+		if !found.stamp.Before(other.disk.promise()) {
+			willing |= 1 << other.index
+		}
+	}
+	for quorum := range uint(1) << len(w.processes) {
+		isAble := quorum&^willing == 0 && quorum&(1<<p.index) != 0
+		if isAble && document.IsQuorum(func(id control.MemberID) bool { return quorum&places[id] != 0 }) {
+			found.quorums = append(found.quorums, quorum)
+		}
+	}
+	return found, len(found.quorums) > 0
+}
+
+// isDisjointFrom tells whether some quorum of each shares no voter with the other's.
+func (e electorate) isDisjointFrom(other electorate) bool {
+	for _, one := range e.quorums {
+		for _, two := range other.quorums {
+			if one&two == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/modelcheck/trace.go
@@ -0,0 +1,100 @@
+package modelcheck
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dunlinloom/control"
+)
+
+// Traces: runs that are written down by their deviations, and what a reader is told of a step.
+
+// Deviation is a choice at a step of a run; all steps between deviations are default ones.
+type Deviation struct {
+	Step   int
+	Choice Choice
+}
+
+func (d Deviation) String() string {
+	return fmt.Sprintf("%d:%s/%d/%d", d.Step, d.Choice.Kind, d.Choice.A, d.Choice.B)
+}
+
+// Trace is a whole run, given by its deviations in the order of their steps.
+type Trace []Deviation
+
+func (t Trace) String() string {
+	parts := []string{}
+	for _, deviation := range t {
+		parts = append(parts, deviation.String())
+	}
+	return strings.Join(parts, ",")
+}
+
+// BadTrace says what of a written trace can't be read.
+type BadTrace struct{ Part string }
+
+func (b BadTrace) Error() string {
+	return fmt.Sprintf("%q is no deviation of the form STEP:KIND/A/B", b.Part)
+}
+
+// ParseTrace reads what String wrote.
+func ParseTrace(text string) (Trace, error) {
+	trace := Trace{}
+	if text == "" {
+		return trace, nil
+	}
+	for _, part := range strings.Split(text, ",") {
+		deviation, err := parseDeviation(part)
+		if err != nil {
+			return nil, fmt.Errorf("read the trace: %w", err)
+		}
+		trace = append(trace, deviation)
+	}
+	return trace, nil
+}
+
+func parseDeviation(part string) (Deviation, error) {
+	step, rest, _ := strings.Cut(part, ":")
+	words := strings.Split(rest, "/")
+	if len(words) != 3 {
+		return Deviation{}, BadTrace{part}
+	}
+	kind := slices.Index(kindNames[:], words[0])
+	numbers := []int{}
+	for _, word := range []string{step, words[1], words[2]} {
+		number, err := strconv.Atoi(word)
+		if err != nil {
+			return Deviation{}, BadTrace{part}
+		}
+		numbers = append(numbers, number)
+	}
+	if kind < 0 {
+		return Deviation{}, BadTrace{part}
+	}
+	return Deviation{numbers[0], Choice{Kind(kind), numbers[1], numbers[2]}}, nil
+}
+
+// describe tells what of a message a reader of a trace looks for.
+func describe(m control.Message) string {
+	stampOf := func(document *control.Document) string {
+		if document == nil {
+			return "none"
+		}
+		return fmt.Sprintf("%d/%d", document.Term, document.Revision)
+	}
+	switch {
+	case m.VoteAsk != nil:
+		return fmt.Sprintf("VoteAsk term %d pre %v named %v newest %v", m.VoteAsk.Term, m.VoteAsk.IsPre, m.VoteAsk.IsNamed, m.VoteAsk.Newest)
+	case m.Vote != nil:
+		return fmt.Sprintf("Vote term %d pre %v granted %v", m.Vote.Term, m.Vote.IsPre, m.Vote.IsGranted)
+	case m.Heartbeat != nil:
+		return fmt.Sprintf("Heartbeat term %d round %d committed %v document %s", m.Heartbeat.Term, m.Heartbeat.Round, m.Heartbeat.Committed, stampOf(m.Heartbeat.Document))
+	case m.HeartbeatReply != nil:
+		return fmt.Sprintf("HeartbeatReply term %d round %d synced %v", m.HeartbeatReply.Term, m.HeartbeatReply.Round, m.HeartbeatReply.Synced)
+	case m.Submit != nil:
+		return fmt.Sprintf("Submit %s on version %d", m.Submit.ID, *m.Submit.BaseVersion)
+	}
+	return m.Kind()
+}
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -43,17 +43,6 @@
 	Choice Choice
 }
 
-// Assumptions are those of docs/control-safety.md that bound the explored faults.
-type Assumptions struct {
-	// OneAddressOneMachine: no second process shares the address of a member. The core leans on it
-	// only where the number of voters is a setting, as there a voter whose folder is gone is
-	// replaced in one step.
-	OneAddressOneMachine bool
-	// SeedsKeepTheirFolders: under the strict founding no majority of the seeds' addresses is
-	// ever answered from an empty folder after the founding.
-	SeedsKeepTheirFolders bool
-}
-
 // foundingRule is the founding that goes with the rule of voters.
 func (s Settings) foundingRule() control.FoundingRule {
 	if s.Voters > 0 {
