--- a/cmd/simulator/main.go
+++ b/cmd/simulator/main.go
@@ -32,7 +32,7 @@
 	B          string  `arg:"--b" help:"with --mix: the other"`
 	Out        string  `arg:"--out" default:"experiment" help:"with --mix: the folder of the report"`
 	Storm      bool    `arg:"--storm" help:"quick faults on a core of four instead of a day of a whole fleet"`
-	Measure    string  `arg:"--measure" help:"compare ways of routing instead; \"all\", \"rebuild\" or one of admission, crash, current, divert, licence, policy, ramp, reports, reports-long, salt, traffic, zones"`
+	Measure    string  `arg:"--measure" help:"compare ways of routing instead; \"all\", \"rebuild\" or one of admission, crash, current, divert, lease, policy, ramp, reports, reports-long, salt, traffic, zones"`
 	Stop       bool    `arg:"--stop" help:"stop at the first seed that breaks a rule"`
 	Counts     bool    `arg:"--counts" help:"tell which faults struck, what protections did, and what was not served and why"`
 	Trace      bool    `arg:"--trace" help:"print what happens; best with one seed"`
--- /dev/null
+++ b/simulator/measurements.go
@@ -0,0 +1,260 @@
+package simulator
+
+import (
+	"fmt"
+	"math"
+
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+	"dunlinloom/relay"
+)
+
+// The measurements by name, and the settings that they compare.
+
+func choosing(choose func(candidates []relay.Candidate, preferred int, turn uint64) int) func(*Options) {
+	return func(k *Options) {
+		k.Trial = func(*machine) relay.Trial { return relay.Trial{Choose: choose} }
+	}
+}
+
+func roundRobin(candidates []relay.Candidate, _ int, turn uint64) int {
+	return int(turn % uint64(len(candidates)))
+}
+
+func leastLoad(candidates []relay.Candidate, _ int, _ uint64) int {
+	best := 0
+	for i, candidate := range candidates {
+		if candidate.Load < candidates[best].Load {
+			best = i
+		}
+	}
+	return best
+}
+
+func policyOf(name string, value any) func(*Options) {
+	return func(k *Options) { k.Policy = map[string]any{name: value} }
+}
+
+// heavyPrompts make a shared prefix worth having: most of a prompt is its prefix,
+// and the caches hold a third of all prefixes.
+func heavyPrompts(k *Options) {
+	k.Prefixes, k.PrefixLen, k.TailLow, k.TailHigh = 24, 512, 16, 64
+	k.OutLow, k.OutHigh, k.Prefill, k.Decode, k.Cache, k.Slots = 8, 48, 500, 6*ms, 8, 4
+}
+
+// loadBy sets how the load of other nodes enters; the error against the truth
+// is recorded either way.
+func loadBy(name string) func(*Options) {
+	return func(k *Options) {
+		k.Trial = func(m *machine) relay.Trial {
+			var unseen *float64
+			if share, isShare := map[string]float64{"inferred 0": 0, "inferred 0.25": 0.25, "inferred 0.5": 0.5}[name]; isShare {
+				unseen = &share
+			}
+			return relay.Trial{Unseen: unseen, Load: func(own int64, engine relay.Engine, foreign float64) float64 {
+				load := float64(max(own, 0))
+				switch name {
+				case "own":
+				case "report":
+					load = float64(engine.Load)
+				default:
+					load += foreign
+				}
+				for _, e := range m.world.engines {
+					if e.id == engine.ID && m.world.now%7 == 0 {
+						truth := float64(e.tokens)
+						m.world.figures.errors = append(m.world.figures.errors, math.Abs(load-truth)/math.Max(truth, 200))
+					}
+				}
+				return load
+			}}
+		}
+	}
+}
+
+// longStreams keep engines busy for seconds with each request.
+func longStreams(k *Options) {
+	heavyPrompts(k)
+	k.OutLow, k.OutHigh, k.Decode, k.Slots = 100, 400, 20*ms, 24
+}
+
+func withLag(lag kernel.Micros, load string) variant {
+	return variant{fmt.Sprintf("%s, reports %.1f s late", load, float64(lag)/1e6), func(k *Options) {
+		k.ReportLag = lag
+		loadBy(load)(k)
+	}}
+}
+
+func waiting(wait kernel.Micros) variant {
+	return variant{fmt.Sprintf("wait %d ms", wait/ms), func(k *Options) { k.AdmissionWait = wait }}
+}
+
+var measurements = map[string]measurement{
+	"policy": {
+		title: "The paper's policy against its baselines", deployment: "qurum", rate: 60, hot: 0, span: 40 * sec, shape: heavyPrompts,
+		variants: []variant{
+			{"round robin", choosing(roundRobin)}, {"least load", choosing(leastLoad)}, {"prefix with divert above 2.0 x mean", func(*Options) {}},
+		},
+		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "served %"},
+	},
+	"current": {
+		title: "The prompt that an engine is working on, counted once more or not, under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.3, span: 40 * sec, shape: heavyPrompts,
+		variants: []variant{
+			{"once", func(k *Options) {
+				k.Trial = func(*machine) relay.Trial { return relay.Trial{HasNoCurrent: true} }
+			}},
+			{"once more, as the source has it", func(*Options) {}},
+		},
+		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "served %"},
+	},
+	"lease": {
+		title: "Leases while the core is in trouble: one fault every 10 s, callers dealt by readiness", deployment: "cronometro", rate: 30, hot: 0, span: 60 * sec,
+		shape: func(k *Options) { k.Kinds, k.Pools = dayKinds, 6 },
+		variants: []variant{
+			{"the leader is killed for 3 s", func(k *Options) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) { bounce(w.leader(), 3*sec) }}
+			}},
+			{"the leader freezes for 3 s", func(k *Options) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) { w.leader().freeze(3 * sec) }}
+			}},
+			{"the leader's disk stalls for 3 s", func(k *Options) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) {
+					d := w.leader().disk
+					d.isStall = true
+					w.in(3*sec, func() { d.isStall = false })
+				}}
+			}},
+			{"a home is killed for 3 s", func(k *Options) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) { bounce(w.byPeer[w.newest().Homes[w.anyZone()]], 3*sec) }}
+			}},
+			{"any node is killed for 3 s", func(k *Options) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) { bounce(w.any(), 3*sec) }}
+			}},
+			{"all of the core is killed for 3 s", func(k *Options) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) {
+					for _, m := range w.core() {
+						bounce(m, 3*sec)
+					}
+				}}
+			}},
+			{"the whole fleet is killed for 3 s", func(k *Options) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) {
+					for _, m := range w.machines {
+						bounce(m, 3*sec)
+					}
+				}}
+			}},
+		},
+		columns: []string{"callers served %", "served %", "no_licence", "unreached", "torn or may have run"},
+		faults:  func(w *World) { w.giveOrders() },
+	},
+	"traffic": {
+		title: "The control plane's bytes between zones", deployment: "qurum", rate: 20, hot: 0, span: 60 * sec,
+		variants: []variant{
+			{"at rest", func(*Options) {}},
+			{"a configuration of 0.3 KB every 5 s", func(k *Options) { k.Orders = orders{configs: 5 * sec} }},
+			{"a configuration of 200 KB, a zone emptied or refilled every 5 s", func(k *Options) { k.Orders = orders{zones: 5 * sec, large: 2000} }},
+			{"a configuration of 200 KB every 10 s, which half of the nodes take 2 s to compile", func(k *Options) {
+				k.Orders = orders{every: 10 * sec, strike: func(w *World) {
+					for _, m := range w.machines[:len(w.machines)/2] {
+						m.compileSlow = 2 * sec
+					}
+					w.configCount++
+					w.operator.order(control.Submit{Order: control.PutConfig, Config: largeConfig(2000+w.configCount, "main")}, func(control.SubmitReply) {})
+				}}
+			}},
+			{"a configuration of 200 KB, and the leader killed every 10 s", func(k *Options) { k.Orders = orders{kills: 10 * sec, large: 2000} }},
+		},
+		columns: append([]string{"KB/s"}, trafficKinds...),
+		faults:  func(w *World) { w.giveOrders() },
+	},
+	"divert": {
+		title: "The divert factor under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.6, span: 40 * sec, shape: heavyPrompts,
+		variants: []variant{
+			{"1.2", policyOf("maxImbalance", 1.2)}, {"1.5", policyOf("maxImbalance", 1.5)}, {"2.0", policyOf("maxImbalance", 2.0)},
+			{"3.0", policyOf("maxImbalance", 3.0)}, {"6.0", policyOf("maxImbalance", 6.0)}, {"never", policyOf("maxImbalance", 100)},
+		},
+		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "TTFT p99 ms"},
+	},
+	"salt": {
+		title: "Near ties salted or not, under a hot prefix", deployment: "cronometro", rate: 60, hot: 0.6, span: 40 * sec, shape: heavyPrompts,
+		variants: []variant{
+			{"always the first of the least", choosing(func(candidates []relay.Candidate, preferred int, _ uint64) int {
+				total := 0.0
+				for _, candidate := range candidates {
+					total += candidate.Load
+				}
+				if mean := total / float64(len(candidates)); mean == 0 || candidates[preferred].Load <= 2*mean {
+					return preferred
+				}
+				return leastLoad(candidates, preferred, 0)
+			})},
+			{"salted, ties within 0", policyOf("nearTie", 0.0)}, {"salted, ties within 0.05", policyOf("nearTie", 0.05)},
+			{"salted, ties within 0.2", policyOf("nearTie", 0.2)}, {"salted, ties within 0.5", policyOf("nearTie", 0.5)},
+		},
+		columns: []string{"prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms", "TTFT p99 ms"},
+	},
+	"reports": {
+		title: "How the load of other nodes is estimated, by the lag of reports", deployment: "cronometro", rate: 60, hot: 0.3, span: 30 * sec, shape: heavyPrompts,
+		variants: []variant{
+			withLag(200*ms, "own"), withLag(200*ms, "report"), withLag(200*ms, "inferred 0"), withLag(200*ms, "inferred 0.25"), withLag(200*ms, "inferred 0.5"),
+			withLag(sec, "own"), withLag(sec, "report"), withLag(sec, "inferred 0"), withLag(sec, "inferred 0.25"), withLag(sec, "inferred 0.5"),
+			withLag(4*sec, "own"), withLag(4*sec, "report"), withLag(4*sec, "inferred 0"), withLag(4*sec, "inferred 0.25"), withLag(4*sec, "inferred 0.5"),
+		},
+		columns: []string{"estimate off by %", "prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms"},
+	},
+	"reports-long": {
+		title: "The same with streams of seconds", deployment: "cronometro", rate: 45, hot: 0.3, span: 30 * sec, shape: longStreams,
+		variants: []variant{
+			withLag(200*ms, "own"), withLag(200*ms, "report"), withLag(200*ms, "inferred 0"), withLag(200*ms, "inferred 0.25"), withLag(200*ms, "inferred 0.5"),
+			withLag(sec, "own"), withLag(sec, "report"), withLag(sec, "inferred 0"), withLag(sec, "inferred 0.25"), withLag(sec, "inferred 0.5"),
+			withLag(4*sec, "own"), withLag(4*sec, "report"), withLag(4*sec, "inferred 0"), withLag(4*sec, "inferred 0.25"), withLag(4*sec, "inferred 0.5"),
+		},
+		columns: []string{"estimate off by %", "prefix reuse %", "imbalance max/mean", "diverts %", "TTFT p50 ms", "TTFT p95 ms"},
+	},
+	"ramp": {
+		title: "The ramp of fresh engines under a crowd", deployment: "qurum", rate: 90, hot: 0, span: 20 * sec,
+		shape: func(k *Options) { heavyPrompts(k); k.ColdSlow = 4 },
+		variants: []variant{
+			{"no ramp", policyOf("rampTotalUs", 0)}, {"8 streams, doubled every 2 s", policyOf("rampStreams", 8)},
+			{"2 streams, doubled every 2 s", policyOf("rampStreams", 2)}, {"1 stream, doubled every 2 s", policyOf("rampStreams", 1)},
+		},
+		columns: []string{"cold engine's peak", "TTFT p50 ms", "TTFT p95 ms", "TTFT p99 ms", "served %"},
+		faults: func(w *World) {
+			for _, e := range w.engines[:6] {
+				e.halt()
+				w.in(2*sec, e.boot)
+			}
+		},
+	},
+	"zones": {
+		title: "Engines of the own zone only, against all", deployment: "qurum", rate: 60, hot: 0, span: 40 * sec,
+		shape: func(k *Options) { heavyPrompts(k); k.DataBytes = true },
+		variants: []variant{
+			{"all engines", func(*Options) {}}, {"the own zone first", policyOf("ownZoneFirst", true)},
+		},
+		columns: []string{"crossing KB/request", "prefix reuse %", "imbalance max/mean", "TTFT p50 ms", "TTFT p95 ms", "served %"},
+	},
+	"crash": {
+		title: "Engines crash one after another and stay away for 5 s, right after the start", deployment: "qurum", rate: 25, hot: 0, span: 30 * sec,
+		variants: []variant{
+			{"retry ratio 0.02", policyOf("retryRatio", 0.02)}, {"retry ratio 0.05", policyOf("retryRatio", 0.05)},
+			{"retry ratio 0.08", policyOf("retryRatio", 0.08)}, {"retry ratio 0.1", policyOf("retryRatio", 0.1)},
+		},
+		columns: []string{"served %", "retries %", "rejected", "torn or may have run"},
+		faults: func(w *World) {
+			for i, e := range w.engines {
+				w.in(kernel.Micros(i)*1500*ms, func() {
+					e.halt()
+					w.in(5*sec, e.boot)
+				})
+			}
+		},
+	},
+	"admission": {
+		title: "Waiting before a late rejection, under more load than there is room for", deployment: "cronometro", rate: 360, hot: 0, span: 15 * sec,
+		shape:    func(k *Options) { heavyPrompts(k); k.TTFTLimit = sec },
+		variants: []variant{waiting(0), waiting(300 * ms), waiting(sec), waiting(3 * sec)},
+		columns:  []string{"served %", "rejected late %", "rejected after p95 ms", "TTFT p50 ms", "TTFT p95 ms"},
+	},
+}
