modelcheck: the bounded search is cheaper under the race detector

Messages are described only for a trace that is wanted, the field that numbers saves is looked up once, and garbage is collected less often in the tests.

--- a/modelcheck/fingerprint.go
+++ b/modelcheck/fingerprint.go
@@ -52,8 +52,17 @@
 	return places
 }
 
+// tokenField is the place of the field that numbers a core's saves.
+var tokenField = func() []int {
+	field, isThere := reflect.TypeFor[control.Core]().FieldByName("nextToken")
+	if !isThere {
+		panic("modelcheck: a core no longer numbers its saves in nextToken")
+	}
+	return field.Index
+}()
+
 func newestToken(core *control.Core) uint64 {
-	return reflect.ValueOf(core).Elem().FieldByName("nextToken").Uint()
+	return reflect.ValueOf(core).Elem().FieldByIndex(tokenField).Uint()
 }
 
 // digester hashes values by reflection, with moments relative to a clock.
--- a/modelcheck/search_test.go
+++ b/modelcheck/search_test.go
@@ -1,6 +1,8 @@
 package modelcheck
 
 import (
+	"os"
+	"runtime/debug"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -14,6 +16,15 @@
 	boundedSeed   = 1
 )
 
+// TestMain lets more garbage gather between collections: a search keeps little, and throws a world away
+// with each run.
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(garbagePercent)
+	os.Exit(m.Run())
+}
+
+const garbagePercent = 500
+
 func requireNone(c *qt.C, result Result) {
 	c.Helper()
 	if result.Found != nil {
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -161,10 +161,14 @@
 func (w *World) deliver(e *envelope, to *process) error {
 	// A cut lies between the members; there are operators on each side of it.
 	if e.from >= 0 && (to.cut == cutBoth || to.cut == cutIncoming) {
-		w.trace("lost in a cut: %s to m%d: %s", w.senderOf(e), to.index+1, describe(e.message))
+		if w.Trace != nil {
+			w.trace("lost in a cut: %s to m%d: %s", w.senderOf(e), to.index+1, describe(e.message))
+		}
 		return nil
 	}
-	w.trace("m%d gets from %s: %s", to.index+1, w.senderOf(e), describe(e.message))
+	if w.Trace != nil {
+		w.trace("m%d gets from %s: %s", to.index+1, w.senderOf(e), describe(e.message))
+	}
 	w.noteContact(e, to)
 	return w.handle(to, e.digest, func(core *control.Core) { core.Receive(to.clock, w.senderOf(e), e.message) })
 }
