--- a/control/core.go
+++ b/control/core.go
@@ -89,7 +89,7 @@
 	isLeaving   bool
 	sentRounds  []sentRound
 	refusals    []waitingRefusal
-	health      *Health       // the last picture of the voters
+	health      *Health       // the last view of the voters
 	holdSince   kernel.Micros // when orders last began to wait for a newcomer
 
 	// isReleased: the leader says that this member holds nothing alone, so that it may end.
--- a/control/health.go
+++ b/control/health.go
@@ -9,7 +9,7 @@
 )
 
 // Health is what the leader of the core knows of its voters: whether the core is whole, and
-// how many more voters it can lose now. It is the leader's own picture and no linearizable
+// how many more voters it can lose now. It is the leader's own view and no linearizable
 // read: a leader that has just lost its majority shows the losses before it steps down.
 type Health struct {
 	Term     uint64        `json:"term"`
@@ -81,12 +81,12 @@
 	return fmt.Sprintf("not whole: %d of %d voters, %d may be lost; %s", len(h.Voters), h.Wanted, h.SpareLosses, strings.Join(missing, ", "))
 }
 
-// isLike tells whether another picture shows nothing else.
+// isLike tells whether another view shows nothing else.
 func (h *Health) isLike(other *Health) bool {
 	return h.saysLike(other) && h.Revision == other.Revision && slices.Equal(h.Voters, other.Voters)
 }
 
-// saysLike tells whether another picture of the same term lacks just the same.
+// saysLike tells whether another view of the same term lacks just the same.
 func (h *Health) saysLike(other *Health) bool {
 	return h != nil && h.Term == other.Term && h.IsWhole == other.IsWhole && h.Wanted == other.Wanted &&
 		h.SpareLosses == other.SpareLosses && len(h.Voters) == len(other.Voters) && slices.Equal(h.Shortfalls, other.Shortfalls)
@@ -96,7 +96,7 @@
 // counts as behind: each commit reaches the slowest voter a little later.
 const behindAllowed = kernel.Second
 
-// Health gives the leader's picture of its voters; nil on every other member.
+// Health gives the leader's view of its voters; nil on every other member.
 func (c *Core) Health() *Health {
 	if c.role != leader {
 		return nil
@@ -104,9 +104,9 @@
 	return c.health
 }
 
-// lookAtHealth renews the leader's picture of its voters and tells the shell of a change.
+// lookAtHealth renews the leader's view of its voters and tells the shell of a change.
 func (c *Core) lookAtHealth() {
-	next := c.picture()
+	next := c.currentHealth()
 	last := c.health
 	if last.isLike(next) {
 		return
@@ -121,7 +121,7 @@
 	c.health = next
 }
 
-func (c *Core) picture() *Health {
+func (c *Core) currentHealth() *Health {
 	health := &Health{Term: c.term, Wanted: voterCount}
 	if !c.isOwnTerm {
 		health.Shortfalls = []Shortfall{{Kind: TermNotSettled}}
--- a/control/node.go
+++ b/control/node.go
@@ -477,7 +477,7 @@
 		n.takeHeard(records)
 		n.pushOut(n.takeWords(said))
 	case m.Suspect != nil:
-		// Passed on no further: where the picture of the homes differs, the next one mends it.
+		// Passed on no further: where the view of the homes differs, the next one mends it.
 		if n.isHome() {
 			n.suspect(m.Suspect)
 		}
--- a/control/node_state.go
+++ b/control/node_state.go
@@ -8,7 +8,7 @@
 
 // What a node shows to the process around it.
 
-// State is a picture of a node at one moment; nothing in it is changed later.
+// State is a view of a node at one moment; nothing in it is changed later.
 type State struct {
 	Document   *Document
 	Until      kernel.Micros
@@ -32,7 +32,7 @@
 	cellRev uint64
 }
 
-// State pictures the node; it gives the earlier picture where nothing has changed, and
+// State gives a view of the node; it gives the earlier view where nothing has changed, and
 // keeps its parts that have not.
 func (n *Node) State(earlier *State) *State {
 	state := State{
@@ -69,7 +69,7 @@
 	return &state
 }
 
-// isLike tells whether two pictures are the same, where their parts are the same ones.
+// isLike tells whether two views are the same, where their parts are the same ones.
 func (s *State) isLike(other *State) bool {
 	return s.Document == other.Document && s.Until == other.Until && s.Why == other.Why && s.Leader == other.Leader &&
 		s.Home == other.Home && s.IsHome == other.IsHome && s.IsHomeless == other.IsHomeless && s.IsLeader == other.IsLeader &&
--- a/relay/engine_state.go
+++ b/relay/engine_state.go
@@ -145,7 +145,7 @@
 	Bar     string  `json:"barred,omitempty"`
 }
 
-// View pictures the engines for operators.
+// View gives what operators see of the engines.
 func (d *Dispatcher) View(now kernel.Micros) []EngineView {
 	d.lock.Lock()
 	defer d.lock.Unlock()
--- a/relay/policy.go
+++ b/relay/policy.go
@@ -56,7 +56,7 @@
 // Choose is the paper's rule: the preferred engine, unless its load exceeds
 // maxImbalance times the mean; then the engine with the fewest outstanding
 // tokens. Engines within nearTie of the mean above the fewest count as tied and
-// salt decides between them, so that nodes with the same late picture do not all
+// salt decides between them, so that nodes with the same late view do not all
 // pick one.
 func Choose(candidates []Candidate, preferred int, maxImbalance, nearTie float64, salt uint64) Choice {
 	total := 0.0
--- a/server/api_fleet.go
+++ b/server/api_fleet.go
@@ -10,7 +10,7 @@
 	"dunlinloom/relay"
 )
 
-// NodeView is one node in the picture of the fleet.
+// NodeView is one node in the view of the fleet.
 type NodeView struct {
 	control.NodeRecord
 	AgeUS kernel.Micros `json:"age_us"`
--- a/server/process.go
+++ b/server/process.go
@@ -63,7 +63,7 @@
 	return 0
 }
 
-// Names of the services in a house.
+// Names of the services in a process.
 const (
 	ServiceRunner          = "runner"
 	ServiceConnections     = "connections"
--- a/server/routing_table.go
+++ b/server/routing_table.go
@@ -24,29 +24,29 @@
 }
 
 // RoutingTable gives the next routing table, or nil when nothing changed that routing depends on.
-func (h *TableBuilder) RoutingTable(state *control.State) (*relay.RoutingTable, error) {
+func (b *TableBuilder) RoutingTable(state *control.State) (*relay.RoutingTable, error) {
 	mark := routingTableMark{0, state.EngineRev, state.Until, state.Why}
 	var failed error
 	if state.Document != nil {
 		mark.revision = state.Document.Revision
 		// A large configuration is compiled once, not at every change of something else.
-		if state.Document.ConfigRevision != h.configRevision {
-			h.configRevision = state.Document.ConfigRevision
-			h.config, failed = h.Compiler.Read(state.Document.Config)
+		if state.Document.ConfigRevision != b.configRevision {
+			b.configRevision = state.Document.ConfigRevision
+			b.config, failed = b.Compiler.Read(state.Document.Config)
 		}
 	}
-	if mark == h.shown {
+	if mark == b.shown {
 		return nil, failed
 	}
-	h.shown = mark
-	routingTable := &relay.RoutingTable{Config: h.config, Drained: map[string]bool{}, Until: state.Until, Lapse: state.Why}
+	b.shown = mark
+	routingTable := &relay.RoutingTable{Config: b.config, Drained: map[string]bool{}, Until: state.Until, Lapse: state.Why}
 	if state.Document != nil {
 		routingTable.Revision, routingTable.Routers = state.Document.Revision, state.Document.Register
 		for zone := range state.Document.Drained {
 			routingTable.Drained[zone] = true
 		}
 	}
-	routingTable.Engines = MergeEngines(h.config, state.Engines)
+	routingTable.Engines = MergeEngines(b.config, state.Engines)
 	if state.Document != nil {
 		for i, engine := range routingTable.Engines {
 			mark, isMarked := state.Document.Leaving[engine.ID]
--- a/server/runner.go
+++ b/server/runner.go
@@ -14,7 +14,7 @@
 )
 
 // Runner is the shell round a node's owners: it alone touches them, carries out
-// their commands and publishes a picture of their state.
+// their commands and publishes a view of their state.
 type Runner struct {
 	env         kernel.Env
 	node        *control.Node
@@ -41,17 +41,17 @@
 
 	// longest is the longest that one event has held the owners up, in microseconds.
 	longest atomic.Int64
-	hand    TableBuilder
+	tables  TableBuilder
 	prober  *http.Client
 	// NoProbes is set where engines register themselves: their words tell how they are,
 	// and a look at one would cost it a place.
 	NoProbes bool
 	dial     Dialer // for looks
-	// watch is shown each picture as it is published; nil: nobody watches.
+	// watch is shown each view as it is published; nil: nobody watches.
 	watch atomic.Pointer[func(*control.State)]
 }
 
-// Watch has a function shown the present picture and each that follows. It is called by
+// Watch has a function shown the present view and each that follows. It is called by
 // the owners' loop and must not wait for anything.
 func (r *Runner) Watch(show func(*control.State)) {
 	r.watch.Store(&show)
@@ -67,7 +67,7 @@
 		registers: map[uint64]chan control.Registered{}, reads: map[uint64]chan *control.Document{},
 		// At random, so that an answer to an earlier life is nobody's here; the time of day
 		// may have jumped back since that.
-		nextToken: rand.Uint64() >> 1, hand: TableBuilder{Compiler: compiler}, dial: plainDialer(),
+		nextToken: rand.Uint64() >> 1, tables: TableBuilder{Compiler: compiler}, dial: plainDialer(),
 		prober: &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: plainDialer(), MaxIdleConnsPerHost: 1}},
 	}
 	r.state.Store(node.State(nil))
@@ -77,7 +77,7 @@
 // reservedSaves are the places that others' asks for the past leave to the core's own writes.
 const reservedSaves = 8
 
-// State is the newest picture.
+// State is the newest view.
 func (r *Runner) State() *control.State { return r.state.Load() }
 
 // Witness tells who this node is, for an operator who would rebuild a core.
@@ -176,7 +176,7 @@
 		r.env.Log.Info("the core's health", "whole", command.Health.IsWhole, "spare_losses", command.Health.SpareLosses, "says", command.Health.String())
 	case control.Prepare:
 		go func() {
-			_, err := r.hand.Compiler.Read(command.Document.Config)
+			_, err := r.tables.Compiler.Read(command.Document.Config)
 			if err != nil {
 				r.env.Log.Error(err, "a committed configuration can't be read here")
 			}
@@ -280,7 +280,7 @@
 	if show := r.watch.Load(); show != nil {
 		(*show)(state)
 	}
-	routingTable, err := r.hand.RoutingTable(state)
+	routingTable, err := r.tables.RoutingTable(state)
 	if err != nil {
 		// The leader checked it; only a node of another build can get here. Serving
 		// by a configuration that is no longer in force would be worse than not serving.
--- a/tools/mutationtest/main.go
+++ b/tools/mutationtest/main.go
@@ -155,8 +155,8 @@
 	return "", nil
 }
 
-// heckle applies one patch to a copy and tells what found it.
-func heckle(p patch) (string, error) {
+// tryPatch applies one patch to a copy and tells what found it.
+func tryPatch(p patch) (string, error) {
 	folder, err := copyTree()
 	defer os.RemoveAll(folder)
 	if err != nil {
@@ -204,12 +204,12 @@
 		os.Exit(sound(patches))
 	}
 	var lock sync.Mutex
-	var hands sync.WaitGroup
+	var workers sync.WaitGroup
 	queue, bad := make(chan patch), 0
 	for range max(arguments.Workers, 1) {
-		hands.Go(func() {
+		workers.Go(func() {
 			for p := range queue {
-				found, err := heckle(p)
+				found, err := tryPatch(p)
 				lock.Lock()
 				switch {
 				case err != nil:
@@ -229,7 +229,7 @@
 		queue <- p
 	}
 	close(queue)
-	hands.Wait()
+	workers.Wait()
 	fmt.Printf("%d builds broken, %d not found or at fault\n", len(patches), bad)
 	if bad > 0 {
 		os.Exit(3)
