A router out of touch answers an unknown route with 503 instead of 404

Ruled out: a router without a configuration, which answered 503 for every host and path already.

A node is in touch for five spans between asks (2.5 s) after it sent the newest ask that a leader answered. TestANodeKnowsWhetherItIsInTouch: in touch at each of 400 looks in 20 calm seconds at nine nodes, not in touch 4 s after a cut of each direction, after a start, and without a core.

--- a/control/node.go
+++ b/control/node.go
@@ -111,6 +111,7 @@
 	urgent    []urgentNews
 	probedAt  map[string]kernel.Micros
 	errands   map[string]*errand
+	rehearsal CoreSettings             // what Rehearse judges by; never changed, since that runs beside the owners
 	rejected  map[string]kernel.Micros // foreign senders noted lately
 	founder   *founder                 // nil unless members announce themselves
 	reads     map[uint64]*reading
@@ -138,7 +139,7 @@
 	if settings.Bootstrap {
 		settings.Founding = FoundersAnnounce
 	}
-	n.settings = settings
+	n.settings, n.rehearsal = settings, settings.core(nil)
 	self := settings.Identity
 	n.lease = NewLease(self.Address, settings.IsRouter, settings.Timing, n.note)
 	n.lease.seq = tokens.first()
@@ -183,7 +184,7 @@
 	// A clash now need not be one when the order's turn comes.
 	alone := *submit
 	alone.Base, alone.BaseVersion = nil, nil
-	_, _, err := n.settings.core(nil).judgeConfig(&alone, current)
+	_, _, err := n.rehearsal.judgeConfig(&alone, current)
 	return err
 }
 
--- a/control/node_state.go
+++ b/control/node_state.go
@@ -8,6 +8,16 @@
 
 // What a node shows to the process around it.
 
+// touchAsks is how many spans between two asks may pass without an answer by the leader. Where a
+// home speaks for its zone, a node asks the leader itself at every third or fourth ask.
+const touchAsks = 5
+
+// TouchSpan is for how long a leader's answer shows that this node is in touch with it.
+func (n *Node) TouchSpan() kernel.Micros { return touchAsks * n.settings.Timing.Ask }
+
+// GrantedAt is when the newest ask of this life was sent that a leader has answered; zero: none was.
+func (n *Node) GrantedAt() kernel.Micros { return n.lease.grantedAsk }
+
 // State is a picture of a node at one moment; nothing in it is changed later.
 type State struct {
 	Document   *Document
--- /dev/null
+++ b/control/touch_test.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"encoding/json"
+	"sync"
+	"testing"
+
+	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
+)
+
+func (n *fleetNode) isInTouch() bool {
+	at := n.node.GrantedAt()
+	return at > 0 && n.f.now-at < n.node.TouchSpan()
+}
+
+// In calm times every node knows that it is in touch with the leader; one that is cut off, and one
+// that has just been started, knows that it may be behind, and so does everyone where nobody leads.
+func TestANodeKnowsWhetherItIsInTouch(t *testing.T) {
+	t.Parallel()
+	for _, way := range []direction{bothWays, outward, inward} {
+		c := qt.New(t)
+		f := settledCore(c, 11)
+		f.pass(2 * kernel.Second)
+		for range 400 {
+			f.pass(50 * ms)
+			for _, n := range f.nodes {
+				c.Assert(n.isInTouch(), qt.IsTrue, qt.Commentf("%s in calm", n.identity.Address))
+			}
+		}
+		router := f.nodes[7]
+		router.cutFrom(way, f.nodes...)
+		f.pass(4 * kernel.Second)
+		c.Check(router.isInTouch(), qt.IsFalse, qt.Commentf("cut %v", way))
+		f.heal()
+		f.await("the router is in touch", 3*kernel.Second, router.isInTouch)
+		router.kill()
+		router.boot()
+		c.Check(router.isInTouch(), qt.IsFalse)
+		f.await("its next life is in touch", 3*kernel.Second, router.isInTouch)
+		old := f.leader()
+		old.cutFrom(way, f.nodes[:4]...)
+		f.pass(4 * kernel.Second)
+		c.Check(old.isInTouch(), qt.IsFalse, qt.Commentf("the old leader, cut off from the core %v", way))
+		f.heal()
+		f.await("the old leader is in touch", 3*kernel.Second, old.isInTouch)
+		for _, n := range f.nodes[:4] {
+			n.kill()
+		}
+		f.pass(4 * kernel.Second)
+		for _, n := range f.nodes[4:] {
+			c.Check(n.isInTouch(), qt.IsFalse, qt.Commentf("%s without a core", n.identity.Address))
+		}
+	}
+}
+
+// Rehearse runs beside the owners, also while they learn that an earlier life of this node was
+// numbered higher; the race detector finds what they share.
+func TestARehearsalSharesNothingWithTheOwners(t *testing.T) {
+	c := qt.New(t)
+	f := settledCore(c, 4)
+	n := f.nodes[6]
+	later := n.node.record()
+	later.Start += 1000
+	news, err := json.Marshal(Message{News: &News{Home: "elsewhere", Nodes: []NodeRecord{later}}})
+	c.Assert(err, qt.IsNil)
+	var message Message
+	c.Assert(json.Unmarshal(news, &message), qt.IsNil)
+	current, submit := n.node.lease.Applied(), &Submit{ID: "x", Order: PutConfig, Config: configOf(5, "x"), BaseVersion: version(1)}
+	var beside sync.WaitGroup
+	beside.Go(func() {
+		for range 200 {
+			c.Check(n.node.Rehearse(submit, current), qt.IsNil)
+		}
+	})
+	before := n.node.settings.Start
+	n.node.Deliver(f.now, Envelope{Fleet: "f", Founding: n.node.founding(), From: f.nodes[1].identity.Address, To: n.identity.Address, Message: message})
+	beside.Wait()
+	c.Assert(n.node.settings.Start > before, qt.IsTrue)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -31,6 +31,9 @@
 	MaxBody int64
 	// Suspect hears of engines that could not be reached or fell silent; nil: nobody does.
 	Suspect func(Engine)
+	// IsInTouch tells whether the routes known here are the newest ones, as far as a router can
+	// know; nil: they always are.
+	IsInTouch func() bool
 }
 
 // Router serves the callers of a configuration's routes.
@@ -85,7 +88,7 @@
 	}
 	route := config.RouteOf(r.Host, r.URL.Path)
 	if route == nil {
-		u.refuse(w, &Refusal{"no_route", "no route takes this host and path", http.StatusNotFound, 0})
+		u.refuse(w, u.refuseRoute())
 		return
 	}
 	body, refusal := u.readBody(w, r, config, route)
@@ -102,6 +105,15 @@
 	u.serve(w, r, request, body)
 }
 
+// refuseRoute refuses a request that no route takes here. A router that is out of touch may lack
+// routes that were added since, and 404 would end what another router serves.
+func (u *Router) refuseRoute() *Refusal {
+	if u.IsInTouch != nil && !u.IsInTouch() {
+		return &Refusal{"unsure_route", "no route known here takes this host and path, and newer ones may exist", http.StatusServiceUnavailable, settled}
+	}
+	return &Refusal{"no_route", "no route takes this host and path", http.StatusNotFound, 0}
+}
+
 func (u *Router) readBody(w http.ResponseWriter, r *http.Request, config *fleetconfig.Config, route *fleetconfig.Route) ([]byte, *Refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -632,3 +632,31 @@
 		c.Assert([]uint64{counts.Spared, counts.Diverts}, qt.DeepEquals, map[bool][]uint64{true: {1, 0}, false: {0, 1}}[test.isSpared])
 	}
 }
+
+// A router that knows no configuration, or that may lack newer routes, never says that there is no
+// such route: another router may serve it.
+func TestOnlyARouterInTouchSaysThatThereIsNoRoute(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, fleetconfig.Route{Timeout: kernel.Second, Tries: 1})
+	status := func(host, path string) int {
+		request := httptest.NewRequest(http.MethodPost, "http://"+host+path, strings.NewReader("body"))
+		answer := httptest.NewRecorder()
+		h.router.ServeHTTP(answer, request)
+		return answer.Code
+	}
+	strangers := [][2]string{{"h.example", "/later/"}, {"later.example", "/p/x"}, {"later.example", "/"}}
+	isInTouch := true
+	h.router.IsInTouch = func() bool { return isInTouch }
+	for _, stranger := range strangers {
+		isInTouch = true
+		c.Check(status(stranger[0], stranger[1]), qt.Equals, http.StatusNotFound)
+		isInTouch = false
+		c.Check(status(stranger[0], stranger[1]), qt.Equals, http.StatusServiceUnavailable)
+	}
+	h.chooser.Show(&RoutingTable{})
+	for _, isInTouch = range []bool{true, false} {
+		for _, stranger := range strangers {
+			c.Check(status(stranger[0], stranger[1]), qt.Equals, http.StatusServiceUnavailable)
+		}
+	}
+}
--- a/server/callers.go
+++ b/server/callers.go
@@ -26,7 +26,8 @@
 		Env: s.Env, Wire: wire, Chooser: chooser,
 		Pool:    router.NewPool(s.Env.Clock, router.PlainDialer(engineSilence), engineDial, engineRest),
 		MaxLive: int64(deployment.Settings.Live), MaxBodies: deployment.Limits.BodiesBytes,
-		Suspect: func(engine router.Engine) { s.Runner.SuspectEngine(engine.ID) },
+		Suspect:   func(engine router.Engine) { s.Runner.SuspectEngine(engine.ID) },
+		IsInTouch: s.Runner.IsInTouch,
 	})
 	shown := &routeRoutingTables{compiler: s.Compiler}
 	s.Runner.Watch(func(state *control.State) {
--- a/server/runner.go
+++ b/server/runner.go
@@ -46,8 +46,10 @@
 
 	// longest is the longest that one event has held the owners up, in microseconds.
 	longest atomic.Int64
-	hand    TableBuilder
-	prober  *http.Client
+	// grantedAt is control.Node.GrantedAt after the last event.
+	grantedAt atomic.Int64
+	hand      TableBuilder
+	prober    *http.Client
 	// NoProbes is set where engines register themselves: their words tell how they are,
 	// and a look at one would cost it a place.
 	NoProbes bool
@@ -155,6 +157,7 @@
 			r.carryOut(command)
 		}
 		r.publish()
+		r.grantedAt.Store(int64(r.node.GrantedAt()))
 		r.longest.Store(max(r.longest.Load(), int64(r.env.Clock.Now()-begun)))
 	}
 }
@@ -162,6 +165,13 @@
 // Longest is the longest that one event has held the owners up so far.
 func (r *Runner) Longest() kernel.Micros { return kernel.Micros(r.longest.Load()) }
 
+// IsInTouch tells whether a leader has answered one of this node's recent asks. What was committed
+// since may still be unknown here.
+func (r *Runner) IsInTouch() bool {
+	grantedAt := kernel.Micros(r.grantedAt.Load())
+	return grantedAt > 0 && r.env.Clock.Now()-grantedAt < r.node.TouchSpan()
+}
+
 func (r *Runner) carryOut(command any) {
 	switch command := command.(type) {
 	case control.Outgoing:
