--- a/server/channel.go
+++ b/server/channel.go
@@ -317,10 +317,11 @@
 		if timer.Stop() && err == nil {
 			return nil
 		}
-		if errors.Is(err, io.EOF) {
-			_, err = way.stream.CloseAndReceive()
-		}
 		way.end()
+		// Closed as well: until then the transport waits for the rest of the stream.
+		if _, closeErr := way.stream.CloseAndReceive(); errors.Is(err, io.EOF) {
+			err = closeErr
+		}
 		way.stream = nil
 		if isLast || isFresh {
 			return fmt.Errorf("send to %s: %w", way.peer.address, errors.Join(err, BrokenStream{}))
--- a/server/channel_test.go
+++ b/server/channel_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -101,3 +102,29 @@
 	c.Assert(faults[0], qt.ErrorAs, new(control.MalformedMessage))
 	c.Assert(faults[1], qt.ErrorAs, new(control.NewerMessage))
 }
+
+// A stream that broke, here since its receiver takes no more bytes, leaves neither a goroutine nor a
+// buffer behind: a node that is cut off for long breaks many. The bubble ends only when all have.
+func TestABrokenStreamLeavesNothingBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, end := context.WithCancel(context.Background())
+		dials := 0
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			near, far := net.Pipe()
+			// The head and the first parcel arrive, and nothing after them.
+			go func() { _, _ = far.Read(make([]byte, 4<<10)) }()
+			return near, nil
+		}
+		connections := NewConnections(kernel.Env{Context: ctx, Clock: kernel.BootClock{}, Log: klog.Logger{}}, dial)
+		envelope := control.Envelope{Fleet: "f", From: "10.0.0.1:1", To: "10.0.0.2:1", Message: control.Message{ReadAsk: &control.ReadAsk{Token: 1}}}
+		for range 10 {
+			connections.Send(envelope)
+			time.Sleep(2 * connectionSpan.Duration())
+		}
+		c.Check(dials > 1, qt.IsTrue)
+		c.Check(connections.Dropped.Load() > 0, qt.IsTrue)
+		end()
+	})
+}
