--- a/control/node.go
+++ b/control/node.go
@@ -139,13 +139,14 @@
 	if settings.Bootstrap {
 		settings.Founding = FoundersAnnounce
 	}
-	n.settings, n.rehearsal = settings, settings.core(nil)
+	n.settings = settings
 	self := settings.Identity
 	n.lease = NewLease(self.Address, settings.IsRouter, settings.Timing, n.note)
 	n.lease.seq = tokens.first()
 	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
 	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
+	n.rehearsal = settings.core(nil)
 	if settings.Founding == FoundersAnnounce {
 		n.founder = newFounder(settings, random, now)
 	}
