A home that is cut off sends its engines on instead of acknowledging their beats

Cause: engines beat at the home of their zone, which acknowledged them although it was cut off from all other nodes.

A node that no leader has answered for as long as an engine may be silent takes a plain beat and answers 503, so that the engine goes on.

--- a/control/node.go
+++ b/control/node.go
@@ -69,6 +69,7 @@
 // Node joins the owners of one process and carries messages between them.
 type Node struct {
 	settings NodeSettings
+	bornAt   kernel.Micros
 	now      kernel.Micros
 	random   *rand.Rand
 	core     *Core
@@ -146,7 +147,7 @@
 	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
 	n.cell = NewCell(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
-	n.rehearsal = settings.core(nil)
+	n.rehearsal, n.bornAt = settings.core(nil), now
 	if settings.Founding == FoundersAnnounce {
 		n.founder = newFounder(settings, random, now)
 	}
--- a/control/node_state.go
+++ b/control/node_state.go
@@ -15,6 +15,12 @@
 // TouchSpan is for how long a leader's answer shows that this node is in touch with it.
 func (n *Node) TouchSpan() kernel.Micros { return touchAsks * n.settings.Timing.Ask }
 
+// isIsolated tells that no leader has answered for as long as an engine may be silent, in this life
+// or since its start: longer than a change of leader takes, so that this node is most likely cut off.
+func (n *Node) isIsolated() bool {
+	return n.now-max(n.lease.grantedAsk, n.bornAt) >= max(n.TouchSpan(), n.settings.Timing.BeatGone)
+}
+
 // GrantedAt is when the newest ask of this life was sent that a leader has answered; zero: none was.
 func (n *Node) GrantedAt() kernel.Micros { return n.lease.grantedAsk }
 
--- a/control/words.go
+++ b/control/words.go
@@ -26,6 +26,12 @@
 	return fmt.Sprintf("the end of engine %s was not confirmed: %s", b.Engine, b.Why)
 }
 
+// Isolated says that a node has heard from no leader lately, so that the fleet may not hear of an
+// engine by it. The engine is to beat at another node as well.
+type Isolated struct{ Node string }
+
+func (b Isolated) Error() string { return b.Node + " has heard from no leader lately" }
+
 // Spans of a push that has to be confirmed. An engine waits a second for its answer.
 const (
 	pushResend  = 150 * kernel.Millisecond
@@ -118,7 +124,7 @@
 }
 
 // Register takes an engine's word on itself. Seq numbers its words. The command Registered
-// answers it: at once, or, where it says that the engine is leaving or gone, once the
+// answers it: at once (with an error by a node that is isolated), or, where it says that the engine is leaving or gone, once the
 // fleet's routers know.
 func (n *Node) Register(now kernel.Micros, token uint64, record EngineRecord) []any {
 	n.now = now
@@ -144,7 +150,11 @@
 	if !record.IsLeaving && !record.IsUnlisted {
 		n.pushOut(fresh)
 		n.passOn(record.ID, len(fresh) > 0)
-		n.out = append(n.out, Registered{Token: token, BeatTo: n.beatTo(zone)})
+		answer := Registered{Token: token, BeatTo: n.beatTo(zone)}
+		if n.isIsolated() {
+			answer = Registered{Token: token, Err: Isolated{n.self()}}
+		}
+		n.out = append(n.out, answer)
 		return n.finish()
 	}
 	if len(fresh) == 0 {
