--- a/control/isolation_test.go
+++ b/control/isolation_test.go
@@ -33,7 +33,7 @@
 			f.register(f.nodes[1], 2+beat, engineAt("e", home.identity.Zone, 2+beat))
 			f.pass(kernel.Second)
 			for _, n := range f.nodes {
-				engine, isThere := n.node.cell.engines.Get("e")
+				engine, isThere := n.node.directory.engines.Get("e")
 				c.Assert(isThere, qt.IsTrue)
 				c.Assert(engine.IsDark, qt.IsFalse, qt.Commentf("seed %d, at %s after %d s", seed, n.identity.Address, beat+1))
 			}
--- a/control/touch_test.go
+++ b/control/touch_test.go
@@ -54,9 +54,9 @@
 	}
 }
 
-// Rehearse runs beside the owners, also while they learn that an earlier life of this node was
+// Validate runs beside the owners, also while they learn that an earlier life of this node was
 // numbered higher; the race detector finds what they share.
-func TestARehearsalSharesNothingWithTheOwners(t *testing.T) {
+func TestValidationSharesNothingWithTheOwners(t *testing.T) {
 	c := qt.New(t)
 	f := settledCore(c, 4)
 	n := f.nodes[6]
@@ -70,7 +70,7 @@
 	var beside sync.WaitGroup
 	beside.Go(func() {
 		for range 200 {
-			c.Check(n.node.Rehearse(submit, current), qt.IsNil)
+			c.Check(n.node.Validate(submit, current), qt.IsNil)
 		}
 	})
 	before := n.node.settings.Start
