--- a/control/node.go
+++ b/control/node.go
@@ -68,15 +68,18 @@
 
 // Node joins the owners of one process and carries messages between them.
 type Node struct {
-	settings  NodeSettings
-	now       kernel.Micros
-	random    *rand.Rand
-	core      *Core
-	lease     *Lease
-	directory *Directory
-	views     *Views
-	out       []any
-	loop      []Envelope
+	settings NodeSettings
+	// validation is what Validate judges by; never changed, since that runs beside the owners.
+	validation CoreSettings
+	bornAt     kernel.Micros
+	now        kernel.Micros
+	random     *rand.Rand
+	core       *Core
+	lease      *Lease
+	directory  *Directory
+	views      *Views
+	out        []any
+	loop       []Envelope
 
 	leaderHint   string
 	leaderWord   kernel.Micros // when the hint last proved good
@@ -145,6 +148,7 @@
 	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
 	n.directory = NewDirectory(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
+	n.validation, n.bornAt = settings.core(nil), now
 	if settings.Founding == FoundersAnnounce {
 		n.founder = newFounder(settings, random, now)
 	}
@@ -183,7 +187,7 @@
 	// A clash now need not be one when the order's turn comes.
 	alone := *submit
 	alone.Base, alone.BaseVersion = nil, nil
-	_, _, err := n.settings.core(nil).judgeConfig(&alone, current)
+	_, _, err := n.validation.judgeConfig(&alone, current)
 	return err
 }
 
