--- a/server/runner.go
+++ b/server/runner.go
@@ -43,8 +43,8 @@
 	longest atomic.Int64
 	// grantedAt is control.Node.GrantedAt after the last event.
 	grantedAt atomic.Int64
-	tables  TableBuilder
-	prober  *http.Client
+	tables    TableBuilder
+	prober    *http.Client
 	// NoProbes is set where engines register themselves: their words tell how they are,
 	// and a look at one would cost it a place.
 	NoProbes bool
