--- a/control/core.go
+++ b/control/core.go
@@ -60,6 +60,7 @@
 	joinTimer     kernel.Micros
 	hintTurn      int
 	hints         []string
+	fleetVoters   []string // of the document that the process applied as a router
 
 	saves     []*pendingSave
 	nextToken uint64
@@ -89,12 +90,14 @@
 	isLeaving   bool
 	sentRounds  []sentRound
 	refusals    []waitingRefusal
-	health      *Health       // the last picture of the voters
+	health      *Health       // the last view of the voters
 	holdSince   kernel.Micros // when orders last began to wait for a newcomer
 
 	// releasedAt is the newest document of which the leader says that enough others hold it without this
 	// member, so that it may end unless it has accepted a newer one.
 	releasedAt Stamp
+	// voterAt is the newest document that this life has accepted as one of its voters.
+	voterAt Stamp
 
 	past past
 	// pushed paces the large documents that go out without a heartbeat.
--- a/control/leave.go
+++ b/control/leave.go
@@ -14,7 +14,9 @@
 // knows what the others have synced, so it is the leader that releases a leaving member.
 func (c *Core) isNeeded() bool {
 	_, votes := c.committed.voter(c.settings.Self.ID)
-	return (votes || c.isVoter()) && !c.isReleased()
+	// A document that makes it a voter may be committed without its knowing, and one that drops it not yet.
+	mayVote := c.committed.stamp().before(c.voterAt)
+	return (votes || mayVote || c.isVoter()) && !c.isReleased()
 }
 
 // isReleased tells whether the leader's release covers all that this member has accepted. A newer
--- a/control/leave_test.go
+++ b/control/leave_test.go
@@ -27,3 +27,33 @@
 	heartbeat(3, 10, nil)
 	c.Assert(b.core.isNeeded(), qt.IsFalse)
 }
+
+// A leaver that is made a voter and dropped again is needed until the document that drops it is committed:
+// the one that made it a voter may be the newest committed one, though it was passed over here.
+func TestALeaverIsNeededUntilItsDropIsCommitted(t *testing.T) {
+	c := qt.New(t)
+	others := []Member{memberA, memberC, {"d", "10.0.0.4:1", "z1"}}
+	without := func(revision uint64) *Document {
+		dropped := document(4, revision)
+		dropped.Voters = others
+		return dropped
+	}
+	b := newBench(c, Ballot{Term: 4}, without(9))
+	heartbeat := func(round, committed uint64, document *Document) {
+		b.receive(memberA, Message{Heartbeat: &Heartbeat{
+			Term: 4, Leader: memberA, Target: memberB.ID, Round: round, Committed: Stamp{4, committed}, Document: document,
+		}})
+		b.sync()
+	}
+	heartbeat(1, 9, nil)
+	b.core.Leave(b.now)
+	c.Assert(b.core.isNeeded(), qt.IsFalse)
+	added := document(4, 10)
+	added.Voters = append([]Member{memberB}, others...)
+	heartbeat(2, 9, added)
+	c.Assert(b.core.isNeeded(), qt.IsTrue)
+	heartbeat(3, 10, without(11))
+	c.Assert(b.core.isNeeded(), qt.IsTrue)
+	heartbeat(4, 11, nil)
+	c.Assert(b.core.isNeeded(), qt.IsFalse)
+}
--- a/control/replication.go
+++ b/control/replication.go
@@ -109,6 +109,7 @@
 
 func (c *Core) onHeartbeat(from string, m *Heartbeat) {
 	if m.Target != c.settings.Self.ID {
+		c.succeedAt(m.Leader.Address)
 		return
 	}
 	reply := &HeartbeatReply{
@@ -146,6 +147,9 @@
 	case isNews:
 		c.save(document, respond)
 		c.doc = document
+		if c.isVoter() {
+			c.voterAt = document.stamp()
+		}
 	case isNewTerm:
 		c.save(nil, respond)
 	default:
--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -150,11 +150,15 @@
 		}
 	case control.Keep:
 		if p.disk.isFull(w.turn) {
-			p.core.NotKept(p.clock, command.Document.ConfigRevision, false)
+			p.core.Kept(p.clock, control.KeepOutcome{Refused: command.Documents[0].ConfigRevision, Err: DiskFull{}})
 			break
 		}
-		p.disk.documents[command.Document.ConfigRevision] = command.Document
-		p.core.Kept(p.clock, command.Document.ConfigRevision)
+		outcome := control.KeepOutcome{}
+		for _, document := range command.Documents {
+			p.disk.documents[document.ConfigRevision] = document
+			outcome.Kept = append(outcome.Kept, document.ConfigRevision)
+		}
+		p.core.Kept(p.clock, outcome)
 	}
 	return nil
 }
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -43,6 +43,7 @@
 	zone         string
 	retry        Retry
 	routingTable *RoutingTable
+	mostRouters  int // that were ever known to serve at once
 	engines      map[string]*engineState
 	services     map[string][]*engineState // in order of ids
 	budgets      map[string]*budget
@@ -67,6 +68,8 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.routingTable = routingTable
+	// Routers that are cut off are forgotten, here as there, and go on with their part.
+	c.mostRouters = max(c.mostRouters, routingTable.Routers)
 	c.services = map[string][]*engineState{}
 	known := make(map[string]bool, len(routingTable.Engines))
 	for _, engine := range routingTable.Engines {
@@ -314,6 +317,13 @@
 	state.tokens -= worked
 }
 
+// Bind tells that a part of the answer goes out which only the same engine can end.
+func (c *Chooser) Bind(call *Call) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	call.isBound = true
+}
+
 // MayLeave asks whether an attempt at a silent engine may be given up for one at another:
 // whether there is such an engine, and a retry to be had, which it takes.
 func (c *Chooser) MayLeave(now kernel.Micros, call *Call) bool {
@@ -323,10 +333,10 @@
 		return true
 	}
 	candidates, _, _ := c.candidates(now, call)
-	if len(candidates) == 0 || now >= call.Request.Deadline || call.IsBound || call.sent >= max(call.Request.Route.Tries, 1) {
+	if len(candidates) == 0 || now >= call.Request.Deadline || call.isBound || call.sent >= max(call.Request.Route.Tries, 1) {
 		return false
 	}
-	call.isPaid = c.budget(call.Request.Service).spend(now, c.retry, c.routingTable.Routers)
+	call.isPaid = c.budget(call.Request.Service).spend(now, c.retry, c.mostRouters)
 	return call.isPaid
 }
 
@@ -352,12 +362,13 @@
 	}
 	route := call.Request.Route
 	fail := &Refusal{"engine_lost", fmt.Sprintf("attempt %d at %s: %s", attempt.Number, attempt.Engine.ID, why), http.StatusBadGateway, 0}
-	if ending.isProven() {
+	call.mayHaveRun = call.mayHaveRun || !ending.isProven()
+	if !call.mayHaveRun {
 		fail.Reason, fail.Status, fail.RetryAfter = "engines_failed", http.StatusServiceUnavailable, soon
 	} else if !route.IsRepeatable() {
 		return false, c.refuse(fail)
 	}
-	if now >= call.Request.Deadline || call.IsBound {
+	if now >= call.Request.Deadline || call.isBound {
 		return false, c.refuse(fail)
 	}
 	// What was never sent has reached no engine, so it counts neither as one of the route's
@@ -370,7 +381,7 @@
 	}
 	isPaid := call.isPaid
 	call.isPaid = false
-	if !isPaid && !c.budget(call.Request.Service).spend(now, c.retry, c.routingTable.Routers) {
+	if !isPaid && !c.budget(call.Request.Service).spend(now, c.retry, c.mostRouters) {
 		fail.Detail += "; the retry budget is spent"
 		return false, c.refuse(fail)
 	}
