--- a/router/call.go
+++ b/router/call.go
@@ -32,14 +32,16 @@
 	Request Request
 	Attempt *Attempt
 	sent    int // attempts of which bytes may have reached an engine
-	// IsBound tells that a part of an answer went out which only the same engine can end.
-	IsBound bool
+	// isBound tells that a part of an answer went out which only the same engine can end.
+	isBound bool
 	tried   map[string]bool
 	prefix  uint64
 	// isCounted tells that the retry budget knows of the request. Bytes that did not go out
 	// after all take back an attempt, not the request.
 	isCounted bool
 	isPaid    bool // the budget has been charged for the next attempt
+	// mayHaveRun tells that an attempt ended without proof that its engine did not run it.
+	mayHaveRun bool
 }
 
 // Ending is how an attempt ended.
