A test's counter of dials is atomic

TestABrokenStreamLeavesNothingBehind counted dials in the transport's goroutines without a lock, which the race detector showed after the merge; it had been run without -race before.

--- a/server/channel_test.go
+++ b/server/channel_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -109,9 +110,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		ctx, end := context.WithCancel(context.Background())
-		dials := 0
+		var dials atomic.Int64
 		dial := func(context.Context, string, string) (net.Conn, error) {
-			dials++
+			dials.Add(1)
 			near, far := net.Pipe()
 			// The head and the first parcel arrive, and nothing after them.
 			go func() { _, _ = far.Read(make([]byte, 4<<10)) }()
@@ -123,7 +124,7 @@
 			connections.Send(envelope)
 			time.Sleep(2 * connectionSpan.Duration())
 		}
-		c.Check(dials > 1, qt.IsTrue)
+		c.Check(dials.Load() > 1, qt.IsTrue)
 		c.Check(connections.Dropped.Load() > 0, qt.IsTrue)
 		end()
 	})
