--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -26,19 +26,21 @@
 	Founders int // voters of the first document
 	Standbys int
 	Timing   control.Timing
+	// FailingDisks adds disks that stall, refuse writes or damage a document, and losses of power.
+	FailingDisks bool
+	OrdersFrom   int // the first turn in which operators put anything
+	// LeaversEnd: a member that leaves ends once it may, and its disk with it.
+	LeaversEnd bool
+	// Planned happens in each run, besides what is explored.
+	Planned []Planned
 	// Lifted are assumptions that the explored faults need not keep to.
 	Lifted Assumptions
 }
 
-// Assumptions are those of docs/control-safety.md that bound the explored faults.
-type Assumptions struct {
-	// OneAddressOneMachine: no second process shares the address of a member. The core leans on it
-	// only where the number of voters is a setting, as there a voter whose folder is gone is
-	// replaced in one step.
-	OneAddressOneMachine bool
-	// SeedsKeepTheirFolders: under the strict founding no majority of the seeds' addresses is
-	// ever answered from an empty folder after the founding.
-	SeedsKeepTheirFolders bool
+// Planned is a fault or a stop that comes at a turn of each run.
+type Planned struct {
+	Turn   int
+	Choice Choice
 }
 
 // foundingRule is the founding that goes with the rule of voters.
@@ -66,7 +68,7 @@
 	from    int // a process; -1: an operator
 	to      string
 	message control.Message
-	digest  uint64
+	digest  uint64 // zero in a world without fingerprints
 }
 
 // World is one state of a modelled fleet.
@@ -75,9 +77,9 @@
 	founders  []string
 	now       kernel.Micros
 	processes []*process
-	flying    []envelope // oldest first
-	held      []envelope // late until they are released, or lost
-	turn      int        // steps of time until now
+	flying    []*envelope // oldest first
+	held      []*envelope // late until they are released, or lost
+	turn      int         // steps of time until now
 	operators operators
 	observer  *observer
 	documents map[*control.Document]uint64 // their fingerprints
@@ -86,6 +88,8 @@
 	freshIDs  int
 	lostDisks int
 	emptied   map[string]bool // addresses that were answered from an empty folder after the founding
+	// isWithoutFingerprints: no state is compared with another, so that messages need not be hashed.
+	isWithoutFingerprints bool
 	// Trace takes a line on each step; nil: none are wanted.
 	Trace func(text string)
 }
@@ -102,7 +106,7 @@
 	}
 	for i := range settings.Founders + settings.Standbys {
 		p := &process{index: i, address: fmt.Sprintf("m%d", i+1), zone: fmt.Sprintf("z%d", i%3+1), clock: w.now}
-		p.disk = disk{member: w.freshID(), documents: map[uint64]*control.Document{}}
+		p.disk = w.emptyDisk()
 		w.processes = append(w.processes, p)
 		if i < settings.Founders {
 			first.Voters = append(first.Voters, w.memberOf(p))
@@ -134,11 +138,11 @@
 }
 
 func (w *World) fly(from int, to string, message control.Message) {
-	d := &digester{documents: w.documents}
-	d.number(uint64(from))
-	d.text(to)
-	d.number(d.message(message))
-	w.flying = append(w.flying, envelope{from, to, message, d.sum()})
+	e := &envelope{from: from, to: to, message: message}
+	if !w.isWithoutFingerprints {
+		e.digest = w.digestOf(e)
+	}
+	w.flying = append(w.flying, e)
 }
 
 // receivers are the processes that a message to an address can reach, the newest first.
@@ -154,34 +158,54 @@
 }
 
 // deliver hands a message to one of the processes at its address.
-func (w *World) deliver(e envelope, to *process) error {
+func (w *World) deliver(e *envelope, to *process) error {
 	// A cut lies between the members; there are operators on each side of it.
 	if e.from >= 0 && (to.cut == cutBoth || to.cut == cutIncoming) {
-		w.trace("lost in a cut: %s to m%d: %s", w.senderOf(e), to.index+1, describe(e.message))
+		if w.Trace != nil {
+			w.trace("lost in a cut: %s to m%d: %s", w.senderOf(e), to.index+1, describe(e.message))
+		}
 		return nil
 	}
-	w.trace("m%d gets from %s: %s", to.index+1, w.senderOf(e), describe(e.message))
+	if w.Trace != nil {
+		w.trace("m%d gets from %s: %s", to.index+1, w.senderOf(e), describe(e.message))
+	}
 	w.noteContact(e, to)
 	return w.handle(to, e.digest, func(core *control.Core) { core.Receive(to.clock, w.senderOf(e), e.message) })
 }
 
-func (w *World) senderOf(e envelope) string {
+func (w *World) senderOf(e *envelope) string {
 	if e.from < 0 {
 		return operatorAddress
 	}
 	return w.processes[e.from].address
 }
 
-// noteContact remembers when a leader last had a word of each member.
-func (w *World) noteContact(e envelope, to *process) {
+// noteContact remembers when a leader last had a word of each member, and what it said to have synced.
+func (w *World) noteContact(e *envelope, to *process) {
 	if to.heard == nil {
 		return
 	}
 	switch {
 	case e.message.HeartbeatReply != nil && e.message.HeartbeatReply.Term == to.heardFor:
-		to.heard[e.message.HeartbeatReply.Member.ID] = to.clock
+		reply := e.message.HeartbeatReply
+		w.noteWord(to, reply.Member.ID, syncedWord{reply.Life, reply.Synced})
 	case e.message.Join != nil:
-		to.heard[e.message.Join.Member.ID] = to.clock
+		join := e.message.Join
+		w.noteWord(to, join.Member.ID, syncedWord{join.Life, join.Synced})
+	}
+}
+
+// noteWord takes a word of the newest life of a member. One of an earlier life is late, unless the newer
+// one has been silent for so long that it counts as lost (the assumption Late-messages-end).
+func (w *World) noteWord(to *process, id control.MemberID, word syncedWord) {
+	known := to.told[id]
+	isSilent := to.clock-to.heard[id] > w.settings.Timing.Replace
+	if word.Life < known.Life && !isSilent {
+		return
+	}
+	to.heard[id] = to.clock
+	if word.Life != known.Life || known.Synced.Before(word.Synced) {
+		to.told[id] = word
 	}
 }
 
@@ -202,5 +226,49 @@
 		}
 	}
 	w.operate()
+	if err := w.endLeavers(); err != nil {
+		return err
+	}
+	return w.carryOutPlan()
+}
+
+// endLeavers ends the members whose planned stop is done, as their daemons would.
+func (w *World) endLeavers() error {
+	if !w.settings.LeaversEnd {
+		return nil
+	}
+	for _, p := range w.processes {
+		if !p.isUp || p.isFrozen {
+			continue
+		}
+		if state := p.core.Inspect(); !state.IsLeaving || state.IsLeader || state.IsNeeded {
+			continue
+		}
+		w.trace("m%d ends", p.index+1)
+		p.stop()
+		p.hasEnded = true
+		w.observer.gone[p.disk.member] = true
+		if err := leaverHoldsNothingAlone(w.observer, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// carryOutPlan does what is planned for this turn.
+func (w *World) carryOutPlan() error {
+	for _, planned := range w.settings.Planned {
+		if planned.Turn != w.turn {
+			continue
+		}
+		p := w.processes[planned.Choice.A]
+		w.trace("planned: %s m%d", planned.Choice.Kind, p.index+1)
+		if !p.isUp {
+			continue
+		}
+		if err := w.applyTo(p, planned.Choice); err != nil {
+			return err
+		}
+	}
 	return nil
 }
