--- a/control/node_state.go
+++ b/control/node_state.go
@@ -8,7 +8,7 @@
 
 // What a node shows to the process around it.
 
-// State is a view of a node at one moment; nothing in it is changed later.
+// State is a picture of a node at one moment; nothing in it is changed later.
 type State struct {
 	Document   *Document
 	Until      kernel.Micros
--- a/server/runner.go
+++ b/server/runner.go
@@ -41,7 +41,7 @@
 
 	// longest is the longest that one event has held the owners up, in microseconds.
 	longest atomic.Int64
-	tables  TableBuilder
+	hand    TableBuilder
 	prober  *http.Client
 	// NoProbes is set where engines register themselves: their words tell how they are,
 	// and a look at one would cost it a place.
@@ -67,7 +67,7 @@
 		registers: map[uint64]chan control.Registered{}, reads: map[uint64]chan *control.Document{},
 		// At random, so that an answer to an earlier life is nobody's here; the time of day
 		// may have jumped back since that.
-		nextToken: rand.Uint64() >> 1, tables: TableBuilder{Compiler: compiler}, dial: plainDialer(),
+		nextToken: rand.Uint64() >> 1, hand: TableBuilder{Compiler: compiler}, dial: plainDialer(),
 		prober: &http.Client{Timeout: probeSpan, Transport: &http.Transport{DialContext: plainDialer(), MaxIdleConnsPerHost: 1}},
 	}
 	r.state.Store(node.State(nil))
@@ -176,7 +176,7 @@
 		r.env.Log.Info("the core's health", "whole", command.Health.IsWhole, "spare_losses", command.Health.SpareLosses, "says", command.Health.String())
 	case control.Prepare:
 		go func() {
-			_, err := r.tables.Compiler.Read(command.Document.Config)
+			_, err := r.hand.Compiler.Read(command.Document.Config)
 			if err != nil {
 				r.env.Log.Error(err, "a committed configuration can't be read here")
 			}
@@ -280,7 +280,7 @@
 	if show := r.watch.Load(); show != nil {
 		(*show)(state)
 	}
-	routingTable, err := r.tables.RoutingTable(state)
+	routingTable, err := r.hand.RoutingTable(state)
 	if err != nil {
 		// The leader checked it; only a node of another build can get here. Serving
 		// by a configuration that is no longer in force would be worse than not serving.
