--- a/router/answer.go
+++ b/router/answer.go
@@ -55,7 +55,9 @@
 		}
 		a.w.WriteHeader(response.StatusCode)
 		a.hasBegun = true
-		call.IsBound = !(isStream && call.Request.Route.IsResumable)
+		if !isStream || !call.Request.Route.IsResumable {
+			a.router.Chooser.Bind(call)
+		}
 		if isStream {
 			if err := a.control.Flush(); err != nil {
 				return CallerGone, err.Error(), nil
@@ -86,12 +88,20 @@
 					a.router.Chooser.Produced(now, call, events*stride)
 				}
 				if isResumed && events > 0 {
-					if next := firstID(whole); !isAfter(last, next) {
+					next := firstID(whole)
+					if a.events.isUnnumbered || next != "" && !isAfter(last, next) {
 						// The splitter has read its ids already; the caller got none of them.
-						a.events.lastID = last
+						a.events.lastID, a.events.isUnnumbered = last, false
 						return 0, "", Broken{"go on with the stream", strayEvent{last, next}}
 					}
-					isResumed = false
+					// Comments say nothing of where the stream goes on.
+					isResumed = next == ""
+				}
+				if a.events.isUnnumbered {
+					a.router.Chooser.Bind(call)
+				}
+				if size := len(a.events.pending) - len(whole); size > eventBytes {
+					return 0, "", Broken{"read the body", eventTooLong{size}}
 				}
 				chunk = whole
 			}
@@ -110,6 +120,10 @@
 			return 0, "", Broken{"read the body", io.ErrUnexpectedEOF}
 		case err == io.EOF:
 			if len(a.events.pending) > 0 {
+				if isResumed {
+					// It may be the start of what the caller has had.
+					return 0, "", Broken{"go on with the stream", strayEvent{last, ""}}
+				}
 				if gone := a.pass(a.events.pending); gone != nil {
 					return CallerGone, gone.Error(), nil
 				}
@@ -138,10 +152,13 @@
 	return ""
 }
 
-// isAfter tells whether an event may follow another; ids that are no numbers can't be held
-// against each other.
+// isAfter tells whether an event may follow another; of ids that are no numbers no more can be
+// said than that they differ.
 func isAfter(last, next string) bool {
 	before, errBefore := strconv.ParseInt(last, 10, 64)
 	after, errAfter := strconv.ParseInt(next, 10, 64)
-	return errBefore != nil || errAfter != nil || after > before
+	if errBefore != nil || errAfter != nil {
+		return next != last
+	}
+	return after > before
 }
