--- a/tools/daygen/daygen_test.go
+++ b/tools/daygen/daygen_test.go
@@ -176,6 +176,21 @@
 	}
 }
 
+func TestStartDaysTakeThePowerOfTheCoreInItsFirstMoments(t *testing.T) {
+	site, err := LoadSite(exampleSite)
+	qt.Assert(t, err, qt.IsNil)
+	generator := newGenerator(t, "start")
+	struck := map[string]bool{}
+	for index := range seriesSize {
+		for _, fault := range generator.Day(1, index).Faults {
+			if fault.How == "power" && fault.On == "core" && fault.At <= firstMoments-site.LeadSeconds {
+				struck[fault.Kind] = true
+			}
+		}
+	}
+	qt.Assert(t, struck, qt.DeepEquals, map[string]bool{"node_kill": true, "herd_kill": true})
+}
+
 func TestCutDaysHoldCutsOfTwentySeconds(t *testing.T) {
 	generator := newGenerator(t, "cut")
 	for index := range seriesSize {
--- a/tools/daygen/themes.go
+++ b/tools/daygen/themes.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	startWindow        = 2.0 // seconds of traffic that still belong to the start
-	firstContact       = 1.5 // seconds in which machines find each other for the first time
-	quietTail          = 8.0 // seconds at the end of a day in which nothing new begins
+	startWindow        = 2.0  // seconds of traffic that still belong to the start
+	firstMoments       = 0.05 // seconds in which processes make their first writes
+	firstContact       = 1.5  // seconds in which machines find each other for the first time
+	quietTail          = 8.0  // seconds at the end of a day in which nothing new begins
 	closingProbability = 0.6
 	secondProbability  = 0.5
 )
@@ -59,6 +60,29 @@
 	}
 	b.add(Range{3, 6}, nil, "config_change")
 	b.maybeClose()
+	if b.chance(secondProbability) {
+		b.loseCoreInFirstMoments()
+	}
+}
+
+// loseCoreInFirstMoments takes the power of core machines, or of all of them, before
+// their first writes are on disk, and once more soon after they are back.
+func (b *builder) loseCoreInFirstMoments() {
+	begin := -b.site.LeadSeconds
+	end := b.add(Range{begin, begin + firstMoments}, b.losePower, "node_kill", "herd_kill")
+	if b.chance(secondProbability) {
+		b.add(Range{end, end + firstContact}, b.losePower, "node_kill", "herd_kill")
+	}
+}
+
+// losePower makes an entry a short loss of power of core machines.
+func (b *builder) losePower(trouble *Trouble) {
+	trouble.On, trouble.Zone, trouble.Share, trouble.How = "core", "", 0, "power"
+	trouble.Duration = b.within(Range{0.3, 1})
+	trouble.Count = 0
+	if trouble.Kind == "node_kill" {
+		trouble.Count = b.whole(Range{1, float64(len(b.site.CoreZones()))})
+	}
 }
 
 // inCoreZoneOfTurn makes an entry strike the core machine of the zone whose turn it is,
