The first start survives the loss of the whole core in its first moments

Cause: a machine killed before its vote was on disk comes back empty and with bootstrap false, like one whose disk was lost, and had no vote. With most seeds like that nobody ever founded.

Ruled out: counting such machines as acceptors that never voted, or counting them as soon as all seeds promise a ballot. With one folder lost, a promise that was lost with it can complete a higher ballot, and two documents are chosen (docs/control-safety/first-start.md).

Now they are amnesiac acceptors. They count where all seeds (3t + 1 members, t > 1) promise a ballot that names their incarnations, and a node in its first life vouches that this still is the first start; acceptors keep the incarnations of the ballots that they promised and refuse ballots that lack one. An acceptor accepts only the very ballot that it promised last. A vote is bound to the seeds of its first start, so a restart that is told others makes no second quorum system; amnesiac members are told the first ones by a node in its first life.

The founding is split by jobs: proposer, acceptor, members, quorums, recovery.

--- a/contracts/contracts.go
+++ b/contracts/contracts.go
@@ -83,25 +83,26 @@
 		store, _, _, err := control.OpenStore(folder, "fleet", fresh)
 		c.Assert(err, qt.IsNil)
 		// Of a member that was not there at the first start nothing is known.
-		vote, err := store.FoundingVote(false)
+		seeds := []string{"b", "a"}
+		vote, err := store.FoundingVote(false, seeds)
 		c.Assert(err, qt.IsNil)
 		c.Assert(vote, qt.IsNil)
-		vote, err = store.FoundingVote(true)
+		vote, err = store.FoundingVote(true, seeds)
 		c.Assert(err, qt.IsNil)
-		c.Assert(vote, qt.DeepEquals, &control.FoundingVote{Acceptor: "fresh"})
+		c.Assert(vote, qt.DeepEquals, &control.FoundingVote{Acceptor: "fresh", Seeds: []string{"a", "b"}})
 		vote.Promised = control.FoundingBallot{Round: 3, Proposer: "p"}
 		vote.Accepted, vote.Document = vote.Promised, Document(1, 1, 0)
 		c.Assert(store.Save(control.Save{FoundingVote: vote}), qt.IsNil)
 		for _, isFirstStart := range []bool{false, true} {
 			again, _, _, err := control.OpenStore(folder, "fleet", fresh)
 			c.Assert(err, qt.IsNil)
-			kept, err := again.FoundingVote(isFirstStart)
+			kept, err := again.FoundingVote(isFirstStart, []string{"another"})
 			c.Assert(err, qt.IsNil)
 			c.Assert(kept, qt.DeepEquals, vote)
 		}
 		// What can't be read may have promised anything.
 		c.Assert(folder.Put("founding.json", []byte("torn")), qt.IsNil)
-		damaged, err := store.FoundingVote(true)
+		damaged, err := store.FoundingVote(true, seeds)
 		c.Assert(err, qt.IsNil)
 		c.Assert(damaged, qt.IsNil)
 	})
--- a/control/fleet_harness_test.go
+++ b/control/fleet_harness_test.go
@@ -205,7 +205,7 @@
 			n.member = MemberID(fmt.Sprintf("m-%d", f.start))
 		}
 		if n.vote == nil && n.bootstrap && n.document == nil {
-			n.vote = &FoundingVote{Acceptor: n.member} // as the store does before a first life begins
+			n.vote = &FoundingVote{Acceptor: n.member, Seeds: f.seeds()} // as the store does before a first life begins
 		}
 		settings.Member, settings.Ballot, settings.Document, settings.FoundingVote = n.member, n.ballot, n.document, n.vote
 		settings.Kept = slices.Sorted(maps.Keys(n.history))
--- a/control/founding.go
+++ b/control/founding.go
@@ -3,150 +3,46 @@
 import (
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 
 	"dunlinloom/kernel"
 )
 
-// The proposer's half of the founding, and the announcements that it goes by. The safety
-// argument stands in docs/control-safety/first-start.md.
+// The proposer's half of the founding. The safety argument stands in
+// docs/control-safety/first-start.md.
 
-// Spans of a founding.
-const (
-	announceEvery  = 100 * kernel.Millisecond
-	announceFresh  = kernel.Second
-	announceQuiet  = 400 * kernel.Millisecond // since the last newcomer, or another's ballot
-	announceMissed = 800 * kernel.Millisecond // more, while fewer are known than are to vote
-	proposerPause  = 300 * kernel.Millisecond // by which each seed gives way to the one before it
-	// firstContact is how long a proposer waits for members that it has never heard before it takes
-	// them for lost.
-	firstContact = 3 * kernel.Second
-)
-
-type announced struct {
-	member Member
-	at     kernel.Micros
-}
-
-// founder is a node's part in founding a fleet whose seeds need no folder.
-type founder struct {
-	seeds []string // sorted: the proposers, in the order in which they come forward
-	rank  int      // the own place among them, or -1
-	// tolerance is how many members may be lost at once. Up to one, a majority of the seeds
-	// accepts; beyond that seeds alone are too few, and the members do.
-	tolerance int
-	startedAt kernel.Micros
-	vote      *FoundingVote // nil: no acceptor
-	// firstLives pins each seed to the acceptor that was first seen there: a life that came
-	// later has forgotten what the first one promised.
-	firstLives map[string]MemberID
-
-	timer     kernel.Micros
-	members   map[MemberID]announced
-	grownAt   kernel.Micros
-	highest   FoundingBallot // of any that was seen
-	highestAt kernel.Micros
-	proposal  *foundingProposal
-	chosen    *Document
-}
+// proposerPause is by how much each seed gives way to the one before it.
+const proposerPause = 300 * kernel.Millisecond
 
 // foundingProposal is one ballot of this node's own.
 type foundingProposal struct {
-	ballot   FoundingBallot
-	promised map[MemberID]string // acceptors to their addresses
-	accepted map[MemberID]bool
-	adopted  FoundingBallot // under which the document was accepted before, if it was
-	document *Document      // what acceptors had accepted; then what is proposed
-	isAsking bool           // enough have promised, so acceptance is asked for
+	ballot FoundingBallot
+	// incarnations are the amnesiac acceptors that the ballot names: all that were known when it was opened.
+	incarnations []IncarnationID
+	promised     map[MemberID]elector
+	accepted     map[MemberID]bool
+	adopted      FoundingBallot // under which the document was accepted before, if it was
+	document     *Document      // what acceptors had accepted; then what is proposed
+	isAsking     bool           // enough have promised, so acceptance is asked for
+	isRecovery   bool           // amnesiac acceptors were needed for that, so they are asked as well
+	isWitnessed  bool           // some node has said that this still is the first start
 }
 
-func newFounder(settings NodeSettings, random *rand.Rand, now kernel.Micros) *founder {
-	self := settings.Identity.Address
-	f := &founder{
-		seeds: sorted(slices.Clone(settings.Seeds)), tolerance: (settings.Voters - 1) / 2, startedAt: now,
-		firstLives: map[string]MemberID{}, members: map[MemberID]announced{},
-	}
-	if len(f.seeds) == 0 {
-		f.seeds = []string{self}
-	}
-	f.rank = slices.Index(f.seeds, self)
-	f.vote = settings.firstVote(MemberID(fmt.Sprintf("life-%d-%x", settings.Start, random.Uint64())))
-	return f
-}
-
-// areMembersAcceptors tells that so many may be lost that most of the seeds may be among them.
-func (f *founder) areMembersAcceptors() bool { return f.tolerance > 1 }
-
-// isQuorum tells whether any two sets of so many acceptors share one.
-func (f *founder) isQuorum(now kernel.Micros, count int) bool {
-	if !f.areMembersAcceptors() {
-		return 2*count > len(f.seeds)
-	}
-	// Assumption Core-bound: a first start has at most 4*tolerance+1 members.
-	isWide := count >= 2*f.tolerance+1 && 2*count > len(f.members)
-	return isWide || f.isSmallCoreQuorum(now, count)
-}
-
-// isSmallCoreQuorum serves a core of so few members that, with the tolerated number lost, no
-// wide quorum is left. All members that are heard have to accept, more than may be lost at once and a
-// majority of all that are known. Assumption First-contact: whoever was not heard for so long is lost.
-func (f *founder) isSmallCoreQuorum(now kernel.Micros, count int) bool {
-	heard := len(f.fresh(now))
-	if now-f.startedAt < firstContact || heard > 2*f.tolerance {
-		return false
-	}
-	return count >= heard && count > f.tolerance && 2*count > len(f.targets())
-}
-
-// isFirstLife tells whether a seed is the acceptor that was first seen at its address. Nodes
-// that are no acceptors name none, and have nothing to forget.
-func (f *founder) isFirstLife(address string, acceptor MemberID) bool {
-	if acceptor == "" || !slices.Contains(f.seeds, address) {
-		return true
-	}
-	known, isKnown := f.firstLives[address]
-	if !isKnown {
-		f.firstLives[address] = acceptor
-		return true
-	}
-	return known == acceptor
-}
-
-func (f *founder) sawBallot(now kernel.Micros, ballot FoundingBallot) {
-	if f.highest.before(ballot) {
-		f.highest, f.highestAt = ballot, now
-	}
-}
-
-// hear takes the word of an empty member.
-func (f *founder) hear(now kernel.Micros, member Member) {
-	if _, isKnown := f.members[member.ID]; !isKnown {
-		f.grownAt = now
-	}
-	f.members[member.ID] = announced{member, now}
+// elector is an acceptor that has promised a ballot.
+type elector struct {
+	address    string
+	isAmnesiac bool
 }
 
-// fresh gives the members that were heard lately, in order of their ids.
-func (f *founder) fresh(now kernel.Micros) []Member {
-	found := []Member{}
-	for _, id := range slices.Sorted(maps.Keys(f.members)) {
-		if now-f.members[id].at <= announceFresh {
-			found = append(found, f.members[id].member)
+// remembering is how many have promised that know all they ever promised.
+func (p *foundingProposal) remembering() int {
+	count := 0
+	for _, elector := range p.promised {
+		if !elector.isAmnesiac {
+			count++
 		}
 	}
-	return found
-}
-
-// targets are the addresses of acceptors, and of the other proposers, which give way then.
-func (f *founder) targets() []string {
-	found := slices.Clone(f.seeds)
-	if f.areMembersAcceptors() {
-		for _, known := range f.members {
-			found = append(found, known.member.Address)
-		}
-	}
-	return slices.Compact(sorted(found))
+	return count
 }
 
 // mayFound tells of an empty member that knows all it ever promised.
@@ -162,6 +58,14 @@
 	switch {
 	case m.Announce != nil:
 		f.hear(n.now, m.Announce.Member)
+	case m.AnnounceAmnesiac != nil:
+		n.onAnnounceAmnesiac(from, m.AnnounceAmnesiac)
+	case m.FirstSeeds != nil:
+		n.onFirstSeeds(m.FirstSeeds)
+	case m.FoundWitnessAsk != nil:
+		n.onWitnessAsk(from, m.FoundWitnessAsk)
+	case m.FoundWitness != nil:
+		n.onWitness(m.FoundWitness)
 	case m.FoundPrepare != nil:
 		n.onPrepare(from, m.FoundPrepare)
 	case m.FoundPromise != nil:
@@ -210,9 +114,7 @@
 	}
 	f.timer = n.now + announceEvery
 	if n.mayFound() {
-		for _, seed := range f.seeds {
-			n.send(seed, Message{Announce: &Announce{n.core.settings.Self}})
-		}
+		n.announceMember()
 	}
 	switch {
 	case f.rank < 0:
@@ -225,25 +127,34 @@
 	}
 }
 
+// announceMember tells the seeds of this empty member.
+func (n *Node) announceMember() {
+	if n.founder.vote.IsAmnesiac {
+		n.announceAmnesiac()
+		return
+	}
+	for _, seed := range n.founder.seeds {
+		n.send(seed, Message{Announce: &Announce{n.core.settings.Self}})
+	}
+}
+
 // propose opens a ballot when the announcements have come to rest and no other seed is at it.
 func (n *Node) propose() {
 	f := n.founder
 	quiet := announceQuiet + kernel.Micros(f.rank)*proposerPause
-	if len(f.members) < n.leastVoters() {
+	if len(f.known()) < n.settings.leastVoters() {
 		quiet += announceMissed
 	}
-	if n.now-max(f.grownAt, f.highestAt) < quiet {
-		return
-	}
-	fresh := f.fresh(n.now)
-	if len(fresh) == 0 || f.areMembersAcceptors() && !f.isQuorum(n.now, len(fresh)) {
+	if n.now-max(f.grownAt, f.highestAt) < quiet || !f.isBallotDue(n.now) {
 		return
 	}
 	life := fmt.Sprintf("%s/%d/%x", n.self(), n.settings.Start, n.random.Uint64())
 	ballot := FoundingBallot{f.highest.Round + 1, life}
-	f.proposal = &foundingProposal{ballot: ballot, promised: map[MemberID]string{}, accepted: map[MemberID]bool{}}
+	f.proposal = &foundingProposal{
+		ballot: ballot, incarnations: slices.Clone(f.incarnations), promised: map[MemberID]elector{}, accepted: map[MemberID]bool{},
+	}
 	f.sawBallot(n.now, ballot)
-	n.note("core", "propose founding", fmt.Sprintf("ballot %d, %d announced", ballot.Round, len(fresh)))
+	n.note("core", "propose founding", fmt.Sprintf("ballot %d, %d announced, %d of them amnesiac", ballot.Round, len(f.known()), len(f.amnesiacs)))
 	n.sendProposal()
 }
 
@@ -254,23 +165,28 @@
 	if n.askAcceptance() && n.countAccepted() {
 		return
 	}
-	acceptor := MemberID("")
+	prepare := &FoundPrepare{Ballot: p.ballot, Seeds: f.seeds, Incarnations: p.incarnations}
 	if f.vote != nil {
-		acceptor = f.vote.Acceptor
-		f.isFirstLife(n.self(), acceptor)
+		prepare.Acceptor, prepare.Incarnation = f.vote.Acceptor, f.vote.Incarnation
+		f.isSameAcceptor(n.self(), prepare.Acceptor, prepare.Incarnation)
 	}
 	answered := map[string]bool{}
 	for _, id := range slices.Sorted(maps.Keys(p.promised)) {
-		answered[p.promised[id]] = true
-		if p.isAsking && !p.accepted[id] {
-			n.send(p.promised[id], Message{FoundAccept: &FoundAccept{Ballot: p.ballot, Acceptor: id, Document: p.document}})
+		elector := p.promised[id]
+		answered[elector.address] = true
+		isAsked := p.isAsking && (p.isRecovery || !elector.isAmnesiac)
+		if isAsked && !p.accepted[id] {
+			n.send(elector.address, Message{FoundAccept: &FoundAccept{Ballot: p.ballot, Acceptor: id, Document: p.document}})
 		}
 	}
 	for _, address := range f.targets() {
 		if !answered[address] {
-			n.send(address, Message{FoundPrepare: &FoundPrepare{Ballot: p.ballot, Acceptor: acceptor}})
+			n.send(address, Message{FoundPrepare: prepare})
 		}
 	}
+	if !p.isAsking && !p.isWitnessed && f.isRecoveryQuorum(len(p.promised)) {
+		n.askWitnesses()
+	}
 }
 
 // giveWay drops the own ballot for a higher one.
@@ -286,13 +202,15 @@
 		return
 	}
 	if m.IsRefused {
+		f.learnIncarnations(m.Incarnations)
 		n.giveWay(m.Promised)
 		return
 	}
-	if !f.isElector(from, m.Acceptor) {
+	if !f.isElector(from, m) {
 		return
 	}
-	p.promised[m.Acceptor] = from
+	p.promised[m.Acceptor] = elector{from, m.IsAmnesiac}
+	p.isWitnessed = p.isWitnessed || m.IsFirstStart
 	if !p.isAsking && m.Document != nil && p.adopted.before(m.Accepted) {
 		// It may have been chosen already, so nothing else may be proposed.
 		p.adopted, p.document = m.Accepted, m.Document
@@ -306,9 +224,14 @@
 func (n *Node) askAcceptance() bool {
 	f := n.founder
 	p := f.proposal
-	if p.isAsking || !f.isQuorum(n.now, len(p.promised)) {
-		return p.isAsking
+	if p.isAsking {
+		return true
+	}
+	isOrdinary := f.isQuorum(n.now, p.remembering())
+	if !isOrdinary && !n.mayRecover() {
+		return false
 	}
+	p.isRecovery = !isOrdinary
 	if p.document == nil {
 		p.document = n.firstDocument()
 	}
@@ -316,51 +239,42 @@
 	return p.isAsking
 }
 
-// isElector tells whether an acceptor's word counts.
-func (f *founder) isElector(address string, acceptor MemberID) bool {
+// isElector tells whether an acceptor's promise counts.
+func (f *founder) isElector(address string, m *FoundPromise) bool {
 	if f.areMembersAcceptors() {
-		_, isMember := f.members[acceptor]
-		return isMember
+		_, isKnown := f.known()[m.Acceptor]
+		return isKnown
 	}
-	return slices.Contains(f.seeds, address) && f.isFirstLife(address, acceptor)
+	return slices.Contains(f.seeds, address) && f.isSameAcceptor(address, m.Acceptor, m.Incarnation)
 }
 
 // leastVoters is how many voters there should be at the least.
-func (n *Node) leastVoters() int {
-	if n.settings.Voters > 0 {
-		return n.settings.Voters
+func (s NodeSettings) leastVoters() int {
+	if s.Voters > 0 {
+		return s.Voters
 	}
 	return voterCount
 }
 
 // firstDocument names the founders among the members that are there now; nil if none is.
 func (n *Node) firstDocument() *Document {
-	fresh := n.founder.fresh(n.now)
+	f := n.founder
+	members := f.members
+	if f.proposal != nil && f.proposal.isRecovery {
+		members = f.known()
+	}
+	fresh := freshOf(members, n.now)
 	if len(fresh) == 0 {
 		return nil
 	}
-	founders := n.founder.withSilent(fresh, n.leastVoters())
+	founders := withSilent(members, fresh, n.settings.leastVoters())
 	return &Document{
 		Founding: digestOf([]byte(fmt.Sprint(n.random.Uint64(), n.random.Uint64(), n.settings.Start))),
-		Revision: 1, Term: 1, Voters: chooseVoters(founders, wantedVoters(n.leastVoters(), founders)),
+		Revision: 1, Term: 1, Voters: chooseVoters(founders, wantedVoters(n.settings.leastVoters(), founders)),
 		Homes: map[string]string{}, Drained: map[string]uint64{},
 	}
 }
 
-// withSilent adds members that have fallen silent, as long as fewer are there than are to vote.
-// One that comes back votes at once then, and the others are a majority without it.
-func (f *founder) withSilent(fresh []Member, least int) []Member {
-	found := slices.Clone(fresh)
-	for _, id := range slices.Sorted(maps.Keys(f.members)) {
-		member := f.members[id].member
-		isThere := slices.ContainsFunc(found, func(other Member) bool { return other.Address == member.Address })
-		if len(found) < least && len(found) < 2*len(fresh)-1 && !isThere {
-			found = append(found, member)
-		}
-	}
-	return found
-}
-
 func (n *Node) onAccepted(m *FoundAccepted) {
 	f := n.founder
 	p := f.proposal
--- a/control/founding_test.go
+++ b/control/founding_test.go
@@ -258,7 +258,8 @@
 }
 
 func prepareOf(round uint64, from Member) Message {
-	return Message{FoundPrepare: &FoundPrepare{Ballot: FoundingBallot{round, string(from.ID)}, Acceptor: from.ID}}
+	seeds := []string{memberA.Address, memberB.Address, memberC.Address}
+	return Message{FoundPrepare: &FoundPrepare{Ballot: FoundingBallot{round, string(from.ID)}, Acceptor: from.ID, Seeds: seeds}}
 }
 
 func acceptOf(round uint64, from Member, first *Document) Message {
--- a/control/messages.go
+++ b/control/messages.go
@@ -20,43 +20,47 @@
 
 // Message holds exactly one of its fields.
 type Message struct {
-	VoteAsk        *VoteAsk        `json:"vote_ask,omitempty"`
-	Vote           *Vote           `json:"vote,omitempty"`
-	Heartbeat      *Heartbeat      `json:"pulse,omitempty"`
-	HeartbeatReply *HeartbeatReply `json:"pulse_receipt,omitempty"`
-	Inherit        *Inherit        `json:"inherit,omitempty"`
-	Join           *Join           `json:"join,omitempty"`
-	Muster         *Muster         `json:"muster,omitempty"`
-	MusterReply    *MusterReply    `json:"muster_receipt,omitempty"`
-	Submit         *Submit         `json:"submit,omitempty"`
-	SubmitReply    *SubmitReply    `json:"submit_receipt,omitempty"`
-	AskBatch       *AskBatch       `json:"ask_batch,omitempty"`
-	GrantBatch     *GrantBatch     `json:"grant_batch,omitempty"`
-	Succeed        *Succeed        `json:"succeed,omitempty"`
-	Elsewhere      *Elsewhere      `json:"elsewhere,omitempty"`
-	Ask            *Ask            `json:"ask,omitempty"`
-	Grant          *Grant          `json:"grant,omitempty"`
-	Nudge          *Nudge          `json:"nudge,omitempty"`
-	Attest         *Attest         `json:"attest,omitempty"`
-	AttestReply    *AttestReply    `json:"attest_receipt,omitempty"`
-	News           *News           `json:"news,omitempty"`
-	Heard          *Heard          `json:"heard,omitempty"`
-	Mend           *Mend           `json:"mend,omitempty"`
-	Shuffle        *Shuffle        `json:"shuffle,omitempty"`
-	Recall         *Recall         `json:"recall,omitempty"`
-	Recalled       *Recalled       `json:"recalled,omitempty"`
-	Suspect        *Suspect        `json:"suspect,omitempty"`
-	ReadAsk        *ReadAsk        `json:"read_ask,omitempty"`
-	ReadReply      *ReadReply      `json:"read_receipt,omitempty"`
-	Announce       *Announce       `json:"announce,omitempty"`
-	FoundPrepare   *FoundPrepare   `json:"found_prepare,omitempty"`
-	FoundPromise   *FoundPromise   `json:"found_promise,omitempty"`
-	FoundAccept    *FoundAccept    `json:"found_accept,omitempty"`
-	FoundAccepted  *FoundAccepted  `json:"found_accepted,omitempty"`
-	Found          *Found          `json:"found,omitempty"`
-	Push           *Push           `json:"push,omitempty"`
-	PushReply      *PushReply      `json:"push_receipt,omitempty"`
-	Hello          *Hello          `json:"hello,omitempty"`
+	VoteAsk          *VoteAsk          `json:"vote_ask,omitempty"`
+	Vote             *Vote             `json:"vote,omitempty"`
+	Heartbeat        *Heartbeat        `json:"pulse,omitempty"`
+	HeartbeatReply   *HeartbeatReply   `json:"pulse_receipt,omitempty"`
+	Inherit          *Inherit          `json:"inherit,omitempty"`
+	Join             *Join             `json:"join,omitempty"`
+	Muster           *Muster           `json:"muster,omitempty"`
+	MusterReply      *MusterReply      `json:"muster_receipt,omitempty"`
+	Submit           *Submit           `json:"submit,omitempty"`
+	SubmitReply      *SubmitReply      `json:"submit_receipt,omitempty"`
+	AskBatch         *AskBatch         `json:"ask_batch,omitempty"`
+	GrantBatch       *GrantBatch       `json:"grant_batch,omitempty"`
+	Succeed          *Succeed          `json:"succeed,omitempty"`
+	Elsewhere        *Elsewhere        `json:"elsewhere,omitempty"`
+	Ask              *Ask              `json:"ask,omitempty"`
+	Grant            *Grant            `json:"grant,omitempty"`
+	Nudge            *Nudge            `json:"nudge,omitempty"`
+	Attest           *Attest           `json:"attest,omitempty"`
+	AttestReply      *AttestReply      `json:"attest_receipt,omitempty"`
+	News             *News             `json:"news,omitempty"`
+	Heard            *Heard            `json:"heard,omitempty"`
+	Mend             *Mend             `json:"mend,omitempty"`
+	Shuffle          *Shuffle          `json:"shuffle,omitempty"`
+	Recall           *Recall           `json:"recall,omitempty"`
+	Recalled         *Recalled         `json:"recalled,omitempty"`
+	Suspect          *Suspect          `json:"suspect,omitempty"`
+	ReadAsk          *ReadAsk          `json:"read_ask,omitempty"`
+	ReadReply        *ReadReply        `json:"read_receipt,omitempty"`
+	Announce         *Announce         `json:"announce,omitempty"`
+	AnnounceAmnesiac *AnnounceAmnesiac `json:"announce_amnesiac,omitempty"`
+	FirstSeeds       *FirstSeeds       `json:"first_seeds,omitempty"`
+	FoundWitnessAsk  *FoundWitnessAsk  `json:"found_witness_ask,omitempty"`
+	FoundWitness     *FoundWitness     `json:"found_witness,omitempty"`
+	FoundPrepare     *FoundPrepare     `json:"found_prepare,omitempty"`
+	FoundPromise     *FoundPromise     `json:"found_promise,omitempty"`
+	FoundAccept      *FoundAccept      `json:"found_accept,omitempty"`
+	FoundAccepted    *FoundAccepted    `json:"found_accepted,omitempty"`
+	Found            *Found            `json:"found,omitempty"`
+	Push             *Push             `json:"push,omitempty"`
+	PushReply        *PushReply        `json:"push_receipt,omitempty"`
+	Hello            *Hello            `json:"hello,omitempty"`
 }
 
 // Kind names the one field that is set.
@@ -70,6 +74,14 @@
 	return "none"
 }
 
+// isFounding tells of the messages of a first start with announced founders.
+func (m Message) isFounding() bool {
+	isAnnouncement := m.Announce != nil || m.AnnounceAmnesiac != nil
+	isWitness := m.FoundWitnessAsk != nil || m.FoundWitness != nil || m.FirstSeeds != nil
+	isBallot := m.FoundPrepare != nil || m.FoundPromise != nil || m.FoundAccept != nil || m.FoundAccepted != nil
+	return isAnnouncement || isWitness || isBallot || m.Found != nil
+}
+
 // count is how many fields are set.
 func (m Message) count() int {
 	fields, count := reflect.ValueOf(m), 0
--- a/control/node.go
+++ b/control/node.go
@@ -432,6 +432,9 @@
 
 func (n *Node) receive(envelope Envelope) {
 	from, m := envelope.From, envelope.Message
+	if n.founder != nil && envelope.Founding != "" {
+		n.founder.isFleetHeard = true
+	}
 	// Before anything else is known, whoever writes is somebody to ask.
 	if n.lease.applied == nil && from != n.self() && !slices.Contains(n.otherHints, from) {
 		n.otherHints = append(n.otherHints, from)
@@ -495,7 +498,7 @@
 		n.onSubmitReply(m.SubmitReply)
 	case m.ReadReply != nil:
 		n.onReadReply(m.ReadReply)
-	case m.Announce != nil, m.FoundPrepare != nil, m.FoundPromise != nil, m.FoundAccept != nil, m.FoundAccepted != nil, m.Found != nil:
+	case m.isFounding():
 		n.onFounding(from, m)
 	case m.Push != nil:
 		n.onPush(from, m.Push)
--- a/control/store_founding.go
+++ b/control/store_founding.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"dunlinloom/kernel"
 )
@@ -12,9 +13,9 @@
 const foundingVoteName = "founding.json"
 
 // FoundingVote gives the vote on the founding that this folder holds. On the first start of
-// the whole fleet an empty one is synced first. Nil: this folder's member has no vote, since
-// nothing shows what it may have promised before.
-func (s *Store) FoundingVote(isFirstStart bool) (*FoundingVote, error) {
+// the whole fleet an empty one is synced first, which binds the member to the seeds that it is
+// told. Nil: this folder's member has no vote, since nothing shows what it may have promised before.
+func (s *Store) FoundingVote(isFirstStart bool, seeds []string) (*FoundingVote, error) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	var vote FoundingVote
@@ -27,7 +28,7 @@
 	case !isFirstStart || !errors.As(err, new(kernel.MissingFile)) || len(s.files) > 0:
 		return nil, nil
 	}
-	vote = FoundingVote{Acceptor: s.member}
+	vote = FoundingVote{Acceptor: s.member, Seeds: sorted(slices.Clone(seeds))}
 	if err := s.putFoundingVote(&vote); err != nil {
 		return nil, fmt.Errorf("write the founding vote: %w", err)
 	}
--- a/server/process.go
+++ b/server/process.go
@@ -160,7 +160,7 @@
 	node.Member, node.Kept, node.Promised = a.store.Member(), a.store.ConfigRevisions(), a.store.Promised()
 	if node.Founding == control.FoundersAnnounce && node.IsController {
 		// Before anything is said: a later life knows by it that this one voted here.
-		if node.FoundingVote, err = a.store.FoundingVote(node.Bootstrap); err != nil {
+		if node.FoundingVote, err = a.store.FoundingVote(node.Bootstrap, node.Seeds); err != nil {
 			return err
 		}
 	}
--- a/simulator/founding_test.go
+++ b/simulator/founding_test.go
@@ -75,3 +75,47 @@
 		}
 	}
 }
+
+// diskMoment is how far the first writes of a member had come when its power was lost.
+type diskMoment int
+
+const (
+	nothingWritten diskMoment = iota
+	memberWritten
+	voteWritten
+	diskMoments
+)
+
+// cutFirstWrites takes a machine's power in its first moments.
+func (m *machine) cutFirstWrites(at diskMoment) {
+	m.halt()
+	if at < voteWritten {
+		delete(m.disk.files, "founding.json")
+	}
+	if at < memberWritten {
+		m.disk.files = map[string][]byte{}
+	}
+}
+
+// The whole core loses its power at the instant of the first start, each machine between two
+// other writes, and comes back with the settings of a restart.
+func TestAnAnnouncedFirstStartBearsTheLossOfItsWholeCoreAtTheInstantOfTheStart(t *testing.T) {
+	t.Parallel()
+	// Every eighth mix of the moments of three machines: the others take long under the race detector.
+	const members, mixes = 3, diskMoments * diskMoments * diskMoments
+	for mix := diskMoment(0); mix < mixes; mix += 8 {
+		c := qt.New(t)
+		w := announcedWorld(uint64(mix), members)
+		for i, moments := 0, mix; i < members; i, moments = i+1, moments/diskMoments {
+			w.machines[i].cutFirstWrites(moments % diskMoments)
+			w.machines[i].restart(500 * ms)
+		}
+		w.await(c, "a founding", 5*sec, func() bool { return w.newest() != nil })
+		w.operator.putConfig(nil)
+		w.await(c, "every router serves", 6*sec, func() bool { return w.ready() == len(w.machines) })
+		for _, m := range w.machines {
+			c.Assert(m.node.State(nil).Founding, qt.Equals, w.newest().Founding)
+		}
+		finish(c, w)
+	}
+}
--- a/simulator/machine.go
+++ b/simulator/machine.go
@@ -121,7 +121,7 @@
 	}
 	settings.Member, settings.Kept, settings.Promised = m.store.Member(), m.store.ConfigRevisions(), m.store.Promised()
 	if settings.Founding == control.FoundersAnnounce {
-		settings.FoundingVote, err = m.store.FoundingVote(settings.Bootstrap)
+		settings.FoundingVote, err = m.store.FoundingVote(settings.Bootstrap, settings.Seeds)
 	}
 	return err
 }
