--- a/modelcheck/choices.go
+++ b/modelcheck/choices.go
@@ -1,10 +1,7 @@
 package modelcheck
 
 import (
-	"fmt"
 	"slices"
-	"strconv"
-	"strings"
 
 	"dunlinloom/control"
 )
@@ -16,30 +13,35 @@
 const (
 	// Default goes on as a well-behaved fleet would: the first outstanding write is synced, else
 	// the oldest message is delivered, else time passes.
-	Default    Kind = iota
-	Deliver         // the message at place A overtakes the others, before writes that are outstanding
-	DeliverOld      // the oldest message goes to the older of two processes at its address
-	Hold            // the oldest message is late, or lost if it is never released
-	Double          // the oldest message is delivered, and a copy of it comes late
-	Release         // the late message at place A is delivered
-	Sync            // the outstanding write of process A is synced
-	PassTime        // time passes although messages and writes are outstanding
-	Jump            // a span passes for process A alone: all else was slow meanwhile
-	Crash           // process A crashes and starts again; B says what of its outstanding write is kept
-	Kill            // process A crashes and stays down
-	Start           // process A starts again
-	Freeze          // process A neither takes messages nor ticks
-	Wake            // process A goes on
-	Cut             // process A is cut off in mode B
-	Heal            // process A is in touch again
-	LoseDisk        // process A crashes, and its disk is empty when it starts again
-	Twin            // a second process with an empty disk starts at the address of process A
-	Leave           // process A is asked to stop as planned
+	Default        Kind = iota
+	Deliver             // the message at place A overtakes the others, before writes that are outstanding
+	DeliverOld          // the oldest message goes to the older of two processes at its address
+	Hold                // the oldest message is late, or lost if it is never released
+	Double              // the oldest message is delivered, and a copy of it comes late
+	Release             // the late message at place A is delivered
+	Sync                // the outstanding write of process A is synced
+	PassTime            // time passes although messages and writes are outstanding
+	Jump                // a span passes for process A alone: all else was slow meanwhile
+	Crash               // process A crashes and starts again; B says what of its outstanding write is kept
+	Kill                // process A crashes and stays down
+	Start               // process A starts again
+	Freeze              // process A neither takes messages nor ticks
+	Wake                // process A goes on
+	Cut                 // process A is cut off in mode B
+	Heal                // process A is in touch again
+	LoseDisk            // process A crashes, and its disk is empty when it starts again
+	Twin                // a second process with an empty disk starts at the address of process A
+	Leave               // process A is asked to stop as planned
+	StallDisk           // writes of process A stay outstanding; B says for how long
+	FillDisk            // the disk of process A refuses writes for a while; B says what it still takes
+	DamageDocument      // process A crashes, and the newest document on its disk is damaged
+	PowerLoss           // all crash and start again; B says what of their outstanding writes is kept
 	kindCount
 )
 
 var kindNames = [kindCount]string{"default", "deliver", "deliver-old", "hold", "double", "release", "sync", "pass-time", "jump",
-	"crash", "kill", "start", "freeze", "wake", "cut", "heal", "lose-disk", "twin", "leave"}
+	"crash", "kill", "start", "freeze", "wake", "cut", "heal", "lose-disk", "twin", "leave",
+	"stall-disk", "fill-disk", "damage-document", "power-loss"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -57,71 +59,6 @@
 	A, B int
 }
 
-// Deviation is a choice at a step of a run; all steps between deviations are default ones.
-type Deviation struct {
-	Step   int
-	Choice Choice
-}
-
-func (d Deviation) String() string {
-	return fmt.Sprintf("%d:%s/%d/%d", d.Step, d.Choice.Kind, d.Choice.A, d.Choice.B)
-}
-
-// Trace is a whole run, given by its deviations in the order of their steps.
-type Trace []Deviation
-
-func (t Trace) String() string {
-	parts := []string{}
-	for _, deviation := range t {
-		parts = append(parts, deviation.String())
-	}
-	return strings.Join(parts, ",")
-}
-
-// BadTrace says what of a written trace can't be read.
-type BadTrace struct{ Part string }
-
-func (b BadTrace) Error() string {
-	return fmt.Sprintf("%q is no deviation of the form STEP:KIND/A/B", b.Part)
-}
-
-// ParseTrace reads what String wrote.
-func ParseTrace(text string) (Trace, error) {
-	trace := Trace{}
-	if text == "" {
-		return trace, nil
-	}
-	for _, part := range strings.Split(text, ",") {
-		deviation, err := parseDeviation(part)
-		if err != nil {
-			return nil, fmt.Errorf("read the trace: %w", err)
-		}
-		trace = append(trace, deviation)
-	}
-	return trace, nil
-}
-
-func parseDeviation(part string) (Deviation, error) {
-	step, rest, _ := strings.Cut(part, ":")
-	words := strings.Split(rest, "/")
-	if len(words) != 3 {
-		return Deviation{}, BadTrace{part}
-	}
-	kind := slices.Index(kindNames[:], words[0])
-	numbers := []int{}
-	for _, word := range []string{step, words[1], words[2]} {
-		number, err := strconv.Atoi(word)
-		if err != nil {
-			return Deviation{}, BadTrace{part}
-		}
-		numbers = append(numbers, number)
-	}
-	if kind < 0 {
-		return Deviation{}, BadTrace{part}
-	}
-	return Deviation{numbers[0], Choice{Kind(kind), numbers[1], numbers[2]}}, nil
-}
-
 // mostOvertaking bounds how many of the messages on their way may overtake all others.
 const mostOvertaking = 6
 
@@ -132,7 +69,7 @@
 func (w *World) Choices() []Choice {
 	found := []Choice{}
 	add := func(kind Kind, a, b int) { found = append(found, Choice{kind, a, b}) }
-	isWriting := slices.ContainsFunc(w.processes, func(p *process) bool { return p.pending != nil && !p.isFrozen })
+	isWriting := slices.ContainsFunc(w.processes, w.isWriting)
 	for place := range min(len(w.flying), mostOvertaking) {
 		if (place > 0 || isWriting) && w.receiverOf(w.flying[place]) != nil {
 			add(Deliver, place, 0)
@@ -153,7 +90,7 @@
 	}
 	isFirst := true
 	for _, p := range w.processes {
-		if p.pending != nil && !p.isFrozen {
+		if w.isWriting(p) {
 			if !isFirst {
 				add(Sync, p.index, 0)
 			}
@@ -161,10 +98,18 @@
 		}
 		w.addFaults(p, add)
 	}
+	if w.settings.FailingDisks {
+		for part := range keepCount {
+			add(PowerLoss, 0, part)
+		}
+	}
 	return found
 }
 
 func (w *World) addFaults(p *process, add func(kind Kind, a, b int)) {
+	if p.hasEnded {
+		return
+	}
 	if !p.isUp {
 		add(Start, p.index, 0)
 		return
@@ -197,67 +142,13 @@
 		add(Twin, p.index, 0)
 	}
 	add(Leave, p.index, 0)
-}
-
-// mayBeEmptied holds to the assumption SeedsKeepTheirFolders.
-func (w *World) mayBeEmptied(p *process) bool {
-	if w.settings.foundingRule() != control.FoundersAreSeeds || w.settings.Lifted.SeedsKeepTheirFolders {
-		return true
-	}
-	emptied := 0
-	for _, address := range w.founders {
-		if w.emptied[address] || address == p.address {
-			emptied++
-		}
-	}
-	return emptied <= (len(w.founders)-1)/2
-}
-
-// mayShare holds to the assumption OneAddressOneMachine where the core leans on it. Any member
-// may come to vote, so no address is shared then.
-func (w *World) mayShare() bool {
-	return w.settings.Voters == 0 || w.settings.Lifted.OneAddressOneMachine
-}
-
-// mayLose tells whether the loss of a disk stays within the assumption that the fleet makes:
-// of the voters of the newest committed document, and of any newer one on a disk, a minority.
-func (w *World) mayLose(p *process) bool {
-	newest := control.Stamp{}
-	for _, stamp := range w.observer.newest {
-		if newest.Before(stamp) {
-			newest = stamp
-		}
-	}
-	documents := []*control.Document{}
-	for _, revision := range sortedKeys(w.observer.commits) {
-		if document := w.observer.commits[revision].document; document.Stamp() == newest {
-			documents = append(documents, document)
-		}
-	}
-	for _, other := range w.processes {
-		if document := other.disk.document; document != nil && !document.Stamp().Before(newest) {
-			documents = append(documents, document)
-		}
-		if other.pending != nil && other.pending.Document != nil {
-			documents = append(documents, other.pending.Document)
-		}
+	if w.settings.FailingDisks {
+		w.addDiskFaults(p, add)
 	}
-	for _, document := range documents {
-		lost := 0
-		for _, voter := range document.Voters {
-			if w.observer.gone[voter.ID] || voter.ID == p.disk.member {
-				lost++
-			}
-		}
-		if lost > (len(document.Voters)-1)/2 {
-			return false
-		}
-	}
-	return true
 }
 
 // receiverOf is the process that a message goes to by default, if any can take it now.
-func (w *World) receiverOf(e envelope) *process {
+func (w *World) receiverOf(e *envelope) *process {
 	receivers := w.receivers(e.to)
 	if len(receivers) == 0 || receivers[0].isFrozen {
 		return nil
@@ -268,7 +159,7 @@
 // StepDefault takes the default step.
 func (w *World) StepDefault() error {
 	for _, p := range w.processes {
-		if p.pending != nil && !p.isFrozen {
+		if w.isWriting(p) {
 			return w.sync(p)
 		}
 	}
@@ -331,6 +222,8 @@
 		}
 	case PassTime:
 		return w.passTime()
+	case PowerLoss:
+		w.losePower(choice.B)
 	default:
 		return w.applyTo(w.processes[choice.A], choice)
 	}
@@ -346,9 +239,7 @@
 		p.clock += w.settings.Timing.ElectionHigh
 		return w.tick(p)
 	case Crash:
-		w.keepPart(p, choice.B)
-		p.stop()
-		w.start(p)
+		w.restart(p, choice.B)
 	case Kill:
 		p.stop()
 	case Start:
@@ -368,6 +259,8 @@
 		w.start(p)
 	case Twin:
 		w.startTwin(p)
+	case StallDisk, FillDisk, DamageDocument:
+		w.failDisk(p, choice)
 	case Leave:
 		return w.handle(p, causeTick, func(core *control.Core) { core.Leave(p.clock) })
 	}
@@ -391,7 +284,7 @@
 func (w *World) startTwin(p *process) {
 	twin := &process{index: len(w.processes), address: p.address, zone: p.zone, clock: w.now}
 	w.emptied[p.address] = true
-	twin.disk = disk{member: w.freshID(), documents: map[uint64]*control.Document{}}
+	twin.disk = w.emptyDisk()
 	w.processes = append(w.processes, twin)
 	w.start(twin)
 }
@@ -417,26 +310,3 @@
 
 // mostSteps bounds a run, should its messages breed without end.
 const mostSteps = 5000
-
-// describe tells what of a message a reader of a trace looks for.
-func describe(m control.Message) string {
-	stampOf := func(document *control.Document) string {
-		if document == nil {
-			return "none"
-		}
-		return fmt.Sprintf("%d/%d", document.Term, document.Revision)
-	}
-	switch {
-	case m.VoteAsk != nil:
-		return fmt.Sprintf("VoteAsk term %d pre %v named %v newest %v", m.VoteAsk.Term, m.VoteAsk.IsPre, m.VoteAsk.IsNamed, m.VoteAsk.Newest)
-	case m.Vote != nil:
-		return fmt.Sprintf("Vote term %d pre %v granted %v", m.Vote.Term, m.Vote.IsPre, m.Vote.IsGranted)
-	case m.Heartbeat != nil:
-		return fmt.Sprintf("Heartbeat term %d round %d committed %v document %s", m.Heartbeat.Term, m.Heartbeat.Round, m.Heartbeat.Committed, stampOf(m.Heartbeat.Document))
-	case m.HeartbeatReply != nil:
-		return fmt.Sprintf("HeartbeatReply term %d round %d synced %v", m.HeartbeatReply.Term, m.HeartbeatReply.Round, m.HeartbeatReply.Synced)
-	case m.Submit != nil:
-		return fmt.Sprintf("Submit %s on version %d", m.Submit.ID, *m.Submit.BaseVersion)
-	}
-	return m.Kind()
-}
--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -21,38 +21,6 @@
 
 func (s constantSource) Uint64() uint64 { return uint64(s) }
 
-// disk is what a data folder holds after its last sync.
-type disk struct {
-	member    control.MemberID
-	ballot    control.Ballot
-	document  *control.Document
-	documents map[uint64]*control.Document // by the revision of their configuration
-}
-
-// write applies a save, as a store does: the ballot first, then the document.
-func (d *disk) write(save control.Save) {
-	if save.Ballot != nil {
-		d.ballot = *save.Ballot
-	}
-	if save.Document == nil {
-		return
-	}
-	d.documents[save.Document.ConfigRevision] = save.Document
-	if d.document.Stamp().Before(save.Document.Stamp()) {
-		d.document = save.Document
-	}
-}
-
-func (d *disk) keptRevisions() []uint64 {
-	kept := []uint64{}
-	for _, revision := range sortedKeys(d.documents) {
-		if revision > 0 {
-			kept = append(kept, revision)
-		}
-	}
-	return kept
-}
-
 // cutMode says which way a process is cut off from all others.
 type cutMode int
 
@@ -63,6 +31,12 @@
 	cutOutgoing
 )
 
+// syncedWord is what one life of a member says to have synced.
+type syncedWord struct {
+	Life   uint64
+	Synced control.Stamp
+}
+
 // process is one member's life on a disk, at an address that may also belong to another process.
 type process struct {
 	index     int
@@ -72,17 +46,23 @@
 	disk      disk
 	clock     kernel.Micros
 	pending   *control.Save
+	pendingAt kernel.Micros     // when the outstanding write began
 	causes    map[uint64]uint64 // token of a save still to be synced: fingerprint of what caused it
 	lastToken uint64
 	isUp      bool
 	isFrozen  bool
+	hasEnded  bool // as planned, and for good
 	cut       cutMode
+	lives     uint64
 	startedAt int // order of starts, so that the newest process at an address gets its messages
 	// heard holds, in this life as a leader, when a word of each member came.
 	heard    map[control.MemberID]kernel.Micros
-	heardFor uint64        // the term that heard belongs to
-	ledSince kernel.Micros // when that lead began
-	quorumAt kernel.Micros // when its timers last went off with a quorum heard
+	heardFor uint64 // the term that heard belongs to
+	// told holds, in this life as a leader, what the newest life of each member said to have synced.
+	told        map[control.MemberID]syncedWord
+	countedUpTo control.Stamp // the newest document that it committed as a leader
+	ledSince    kernel.Micros // when that lead began
+	quorumAt    kernel.Micros // when its timers last went off with a quorum heard
 	// digest is the fingerprint of this process alone, unless it is dirty.
 	digest  uint64
 	isDirty bool
@@ -96,13 +76,16 @@
 func (w *World) start(p *process) {
 	w.starts++
 	p.isDirty = true
+	p.lives++
 	p.startedAt, p.isUp, p.isFrozen = w.starts, true, false
-	p.pending, p.causes, p.lastToken, p.heard, p.heardFor = nil, map[uint64]uint64{}, 0, nil, 0
+	p.pending, p.causes, p.lastToken, p.heard, p.heardFor, p.told = nil, map[uint64]uint64{}, 0, nil, 0, nil
+	p.countedUpTo = control.Stamp{}
 	p.core = control.NewCore(control.CoreSettings{
 		Self: w.memberOf(p), HasFolder: true, Founders: w.founders, Timing: w.settings.Timing,
 		Random: rand.New(sourceOf(p.index)),
 		Voters: w.settings.Voters, AckRule: control.Strict, Founding: w.settings.foundingRule(),
 		Ballot: p.disk.ballot, Document: p.disk.document, Kept: p.disk.keptRevisions(),
+		Promised: p.disk.promise(), Life: p.lives,
 	}, p.clock)
 }
 
@@ -117,7 +100,7 @@
 	w.lostDisks++
 	w.emptied[p.address] = true
 	w.observer.gone[p.disk.member] = true
-	p.disk = disk{member: w.freshID(), documents: map[uint64]*control.Document{}}
+	p.disk = w.emptyDisk()
 }
 
 func (w *World) freshID() control.MemberID {
@@ -160,12 +143,16 @@
 		}
 		w.post(p, command)
 	case control.Save:
-		p.pending = &command
+		p.pending, p.pendingAt = &command, p.clock
 	case control.Fetch:
 		if document := p.disk.documents[command.Mark.Revision]; document != nil {
 			w.post(p, control.Send{To: command.To, Message: control.Message{Recalled: &control.Recalled{Document: document}}})
 		}
 	case control.Keep:
+		if p.disk.isFull(w.turn) {
+			p.core.Kept(p.clock, control.KeepOutcome{Refused: command.Documents[0].ConfigRevision, Err: diskFull{}})
+			break
+		}
 		outcome := control.KeepOutcome{}
 		for _, document := range command.Documents {
 			p.disk.documents[document.ConfigRevision] = document
@@ -176,13 +163,18 @@
 	return nil
 }
 
-// sync lets the outstanding write of a process reach its disk, and tells its core.
+// sync lets the outstanding write of a process reach its disk, or be refused, and tells its core.
 func (w *World) sync(p *process) error {
 	save := *p.pending
 	p.pending = nil
+	cause := p.causes[save.Token]
+	if p.disk.isFull(w.turn) {
+		p.disk.writeWhatFits(save)
+		w.trace("m%d: a write is refused", p.index+1)
+		return w.handle(p, cause, func(core *control.Core) { core.Saved(p.clock, save.Token, DiskFull{}) })
+	}
 	p.disk.write(save)
 	w.observer.synced(p)
-	cause := p.causes[save.Token]
 	delete(p.causes, save.Token)
 	return w.handle(p, cause, func(core *control.Core) { core.Saved(p.clock, save.Token, nil) })
 }
@@ -193,5 +185,8 @@
 	if err := w.handle(p, causeTick, func(core *control.Core) { core.Tick(p.clock) }); err != nil {
 		return err
 	}
+	if err := leaderWrites(w.settings.Timing, p); err != nil {
+		return err
+	}
 	return leaderKeepsContact(p)
 }
--- a/modelcheck/search.go
+++ b/modelcheck/search.go
@@ -7,29 +7,6 @@
 	"slices"
 )
 
-// Scenario is where a search begins: a fleet, and how many turns it is played for. The first
-// turns are played without deviations; by symmetry of the members it does not matter which
-// of them leads then.
-type Scenario struct {
-	Name     string
-	Settings Settings
-	Prologue int // turns before the first deviation
-	Turns    int // turns in all
-}
-
-// Scenarios are the fleets that the bounded run explores.
-func Scenarios() []Scenario {
-	timing := ModelTiming()
-	return []Scenario{
-		{"three members, first election", Settings{Founders: 3, Timing: timing}, 0, 14},
-		{"three members, led", Settings{Founders: 3, Timing: timing}, 6, 18},
-		{"three members and a standby", Settings{Founders: 3, Standbys: 1, Timing: timing}, 6, 32},
-		{"three wanted and a standby", Settings{Voters: 3, Founders: 3, Standbys: 1, Timing: timing}, 6, 32},
-		{"four members", Settings{Voters: 3, Founders: 4, Timing: timing}, 6, 26},
-		{"five members", Settings{Voters: 3, Founders: 5, Timing: timing}, 6, 20},
-	}
-}
-
 // Found is a violation with the trace that leads to it.
 type Found struct {
 	Scenario  Scenario
@@ -230,6 +207,7 @@
 
 func (k *walk) play(scenario Scenario) (*Found, int) {
 	w := NewWorld(scenario.Settings)
+	w.isWithoutFingerprints = !k.isCounting
 	every := rareness(k.random)
 	steps := 0
 	var err error
