--- a/control/node.go
+++ b/control/node.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -68,15 +67,18 @@
 
 // Node joins the owners of one process and carries messages between them.
 type Node struct {
-	settings  NodeSettings
-	now       kernel.Micros
-	random    *rand.Rand
-	core      *Core
-	lease     *Lease
-	directory *Directory
-	views     *Views
-	out       []any
-	loop      []Envelope
+	settings NodeSettings
+	// validation is what Validate judges by; never changed, since that runs beside the owners.
+	validation CoreSettings
+	bornAt     kernel.Micros
+	now        kernel.Micros
+	random     *rand.Rand
+	core       *Core
+	lease      *Lease
+	directory  *Directory
+	views      *Views
+	out        []any
+	loop       []Envelope
 
 	leaderHint   string
 	leaderWord   kernel.Micros // when the hint last proved good
@@ -145,6 +147,7 @@
 	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
 	n.directory = NewDirectory(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
+	n.validation, n.bornAt = settings.core(nil), now
 	if settings.Founding == FoundersAnnounce {
 		n.founder = newFounder(settings, random, now)
 	}
@@ -183,7 +186,7 @@
 	// A clash now need not be one when the order's turn comes.
 	alone := *submit
 	alone.Base, alone.BaseVersion = nil, nil
-	_, _, err := n.settings.core(nil).judgeConfig(&alone, current)
+	_, _, err := n.validation.judgeConfig(&alone, current)
 	return err
 }
 
@@ -263,6 +266,9 @@
 	}
 	n.settings.Journal.SetEra(n.lease.Revision())
 	n.note("spec", "apply", fmt.Sprintf("revision %d", n.lease.Revision()))
+	if n.core != nil {
+		n.core.learnVoters(n.lease.applied.voterAddresses())
+	}
 	// The leader counts who has applied what, so it should hear at once.
 	n.askTimer = n.now
 	if n.settings.AckRule == Spread {
@@ -373,23 +379,19 @@
 	return n.finish()
 }
 
-// Kept tells that a configuration of the past is in the folder now.
-func (n *Node) Kept(now kernel.Micros, revision uint64) []any {
+// Kept tells what became of configurations of the past that the folder was to keep.
+func (n *Node) Kept(now kernel.Micros, outcome KeepOutcome) []any {
 	n.now = now
-	if n.core != nil {
-		n.note("history", "mend", fmt.Sprintf("the configuration of revision %d was fetched from another member", revision))
-		n.core.Kept(now, revision)
+	if n.core == nil {
+		return n.finish()
 	}
-	return n.finish()
-}
-
-// NotKept tells that the folder could not keep a configuration of the past.
-func (n *Node) NotKept(now kernel.Micros, revision uint64, err error) []any {
-	n.now = now
-	if n.core != nil {
-		n.note("history", "leave out", fmt.Sprintf("the configuration of revision %d: %v", revision, err))
-		n.core.NotKept(now, revision, errors.As(err, new(NoRoom)))
+	if len(outcome.Kept) > 0 {
+		n.note("history", "mend", fmt.Sprintf("the configurations of revisions %v were fetched from other members", outcome.Kept))
 	}
+	if outcome.Err != nil {
+		n.note("history", "leave out", fmt.Sprintf("the configuration of revision %d: %v", outcome.Refused, outcome.Err))
+	}
+	n.core.Kept(now, outcome)
 	return n.finish()
 }
 
@@ -430,6 +432,9 @@
 
 func (n *Node) receive(envelope Envelope) {
 	from, m := envelope.From, envelope.Message
+	if n.founder != nil && envelope.Founding != "" {
+		n.founder.isFleetHeard = true
+	}
 	// Before anything else is known, whoever writes is somebody to ask.
 	if n.lease.applied == nil && from != n.self() && !slices.Contains(n.otherHints, from) {
 		n.otherHints = append(n.otherHints, from)
@@ -477,7 +482,7 @@
 		n.takeHeard(records)
 		n.pushOut(n.takeWords(said))
 	case m.Suspect != nil:
-		// Passed on no further: where the picture of the homes differs, the next one mends it.
+		// Passed on no further: where the view of the homes differs, the next one mends it.
 		if n.isHome() {
 			n.suspect(m.Suspect)
 		}
@@ -493,7 +498,7 @@
 		n.onSubmitReply(m.SubmitReply)
 	case m.ReadReply != nil:
 		n.onReadReply(m.ReadReply)
-	case m.Announce != nil, m.FoundPrepare != nil, m.FoundPromise != nil, m.FoundAccept != nil, m.FoundAccepted != nil, m.Found != nil:
+	case m.isFounding():
 		n.onFounding(from, m)
 	case m.Push != nil:
 		n.onPush(from, m.Push)
--- a/control/node_state.go
+++ b/control/node_state.go
@@ -8,7 +8,23 @@
 
 // What a node shows to the process around it.
 
-// State is a picture of a node at one moment; nothing in it is changed later.
+// touchAsks is how many spans between two asks may pass without an answer by the leader. Where a
+// home speaks for its zone, a node asks the leader itself at every third or fourth ask.
+const touchAsks = 5
+
+// TouchSpan is for how long a leader's answer shows that this node is in touch with it.
+func (n *Node) TouchSpan() kernel.Micros { return touchAsks * n.settings.Timing.Ask }
+
+// isIsolated tells that no leader has answered for as long as an engine may be silent, in this life
+// or since its start: longer than a change of leader takes, so that this node is most likely cut off.
+func (n *Node) isIsolated() bool {
+	return n.now-max(n.lease.grantedAsk, n.bornAt) >= max(n.TouchSpan(), n.settings.Timing.BeatGone)
+}
+
+// GrantedAt is when the newest ask of this life was sent that a leader has answered; zero: none was.
+func (n *Node) GrantedAt() kernel.Micros { return n.lease.grantedAsk }
+
+// State is a view of a node at one moment; nothing in it is changed later.
 type State struct {
 	Document   *Document
 	Until      kernel.Micros
@@ -32,7 +48,7 @@
 	cellRev uint64
 }
 
-// State pictures the node; it gives the earlier picture where nothing has changed, and
+// State gives a view of the node; it gives the earlier view where nothing has changed, and
 // keeps its parts that have not.
 func (n *Node) State(earlier *State) *State {
 	state := State{
@@ -69,7 +85,7 @@
 	return &state
 }
 
-// isLike tells whether two pictures are the same, where their parts are the same ones.
+// isLike tells whether two views are the same, where their parts are the same ones.
 func (s *State) isLike(other *State) bool {
 	return s.Document == other.Document && s.Until == other.Until && s.Why == other.Why && s.Leader == other.Leader &&
 		s.Home == other.Home && s.IsHome == other.IsHome && s.IsHomeless == other.IsHomeless && s.IsLeader == other.IsLeader &&
--- a/control/replication.go
+++ b/control/replication.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// isOfEarlierLife tells of a message that a member sent before its last restart and that comes late: what
+// it says to hold may be lost since. Start numbers rise with each start unless the clock was put back and
+// the folder could not keep the last number; so a smaller one is believed once the larger is long silent.
+func (c *Core) isOfEarlierLife(p *peer, life uint64) bool {
+	return life < p.life && c.now-p.lastHeard <= c.settings.Timing.Replace
+}
+
 func (p *peer) took(synced Stamp) {
 	p.synced = synced
 	if p.promised.before(synced) {
@@ -102,6 +109,7 @@
 
 func (c *Core) onHeartbeat(from string, m *Heartbeat) {
 	if m.Target != c.settings.Self.ID {
+		c.succeedAt(m.Leader.Address)
 		return
 	}
 	reply := &HeartbeatReply{
@@ -121,7 +129,10 @@
 	if c.leaderMember.ID != m.Leader.ID || isNewTerm {
 		c.note("core", "follow", "%s leads term %d", m.Leader.Address, m.Term)
 	}
-	c.leaderMember, c.lastHeartbeat, c.isReleased = m.Leader, c.now, m.IsReleased
+	c.leaderMember, c.lastHeartbeat, c.releasedAt = m.Leader, c.now, Stamp{}
+	if m.IsReleased {
+		c.releasedAt = m.Committed
+	}
 	c.timer = c.now + c.electionSpan()
 	reply.Term = c.term
 	c.checkPromise(m.Promised)
@@ -136,6 +147,9 @@
 	case isNews:
 		c.save(document, respond)
 		c.doc = document
+		if c.isVoter() {
+			c.voterAt = document.stamp()
+		}
 	case isNewTerm:
 		c.save(nil, respond)
 	default:
@@ -156,7 +170,7 @@
 		return
 	}
 	p := c.peers[m.Member.ID]
-	if p == nil {
+	if p == nil || c.isOfEarlierLife(p, m.Life) {
 		return
 	}
 	p.hear(c.now, m.Life, m.Synced, c.settings.Timing.ElectionLow)
