--- a/control/replication.go
+++ b/control/replication.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// isOfEarlierLife tells of a message that a member sent before its last restart and that comes late: what
+// it says to hold may be lost since. Start numbers rise with each start unless the clock was put back and
+// the folder could not keep the last number; so a smaller one is believed once the larger is long silent.
+func (c *Core) isOfEarlierLife(p *peer, life uint64) bool {
+	return life < p.life && c.now-p.lastHeard <= c.settings.Timing.Replace
+}
+
 func (p *peer) took(synced Stamp) {
 	p.synced = synced
 	if p.promised.before(synced) {
@@ -122,10 +129,10 @@
 	if c.leaderMember.ID != m.Leader.ID || isNewTerm {
 		c.note("core", "follow", "%s leads term %d", m.Leader.Address, m.Term)
 	}
-	c.leaderMember, c.lastHeartbeat = m.Leader, c.now
-	// The word is on what was committed when it was said. A newer document may be committed by this
-	// member's acknowledgement.
-	c.isReleased = m.IsReleased && !m.Committed.before(c.doc.stamp())
+	c.leaderMember, c.lastHeartbeat, c.releasedAt = m.Leader, c.now, Stamp{}
+	if m.IsReleased {
+		c.releasedAt = m.Committed
+	}
 	c.timer = c.now + c.electionSpan()
 	reply.Term = c.term
 	c.checkPromise(m.Promised)
@@ -139,7 +146,10 @@
 	switch {
 	case isNews:
 		c.save(document, respond)
-		c.doc, c.isReleased = document, false
+		c.doc = document
+		if c.isVoter() {
+			c.voterAt = document.stamp()
+		}
 	case isNewTerm:
 		c.save(nil, respond)
 	default:
@@ -160,7 +170,7 @@
 		return
 	}
 	p := c.peers[m.Member.ID]
-	if p == nil {
+	if p == nil || c.isOfEarlierLife(p, m.Life) {
 		return
 	}
 	p.hear(c.now, m.Life, m.Synced, c.settings.Timing.ElectionLow)
