The model checker finds a vote that forgets the document being written

A short stall is over before an election, a long one outlasts the leader's lease, a jump makes the writer's disk count as stalled, and a frozen leader always let its timers go off before it read the acknowledgement that waited for it.

Changed: a frozen member goes on with its timers first, or reads what one sender has sent first. A twelfth scenario begins where the vote waits behind the document. A planned start is carried out.

Conclusion: silence, a write and a waking leader have to be free of each other in the model.

--- a/modelcheck/choices.go
+++ b/modelcheck/choices.go
@@ -26,7 +26,7 @@
 	Kill                // process A crashes and stays down
 	Start               // process A starts again
 	Freeze              // process A neither takes messages nor ticks
-	Wake                // process A goes on
+	Wake                // process A goes on; B says what comes first
 	Cut                 // process A is cut off in mode B
 	Heal                // process A is in touch again
 	LoseDisk            // process A crashes, and its disk is empty when it starts again
@@ -53,6 +53,14 @@
 	keepCount
 )
 
+// timersFirst: a process that goes on after it was frozen lets its timers go off before it reads
+// anything. The other orders are those of readsFirst.
+const timersFirst = 0
+
+// readsFirst is the order in which a process that goes on reads the connection of one sender before
+// all others, and before its timers go off.
+func readsFirst(sender *process) int { return sender.index + 1 }
+
 // Choice is one step that is not the default one.
 type Choice struct {
 	Kind Kind
@@ -115,7 +123,12 @@
 		return
 	}
 	if p.isFrozen {
-		add(Wake, p.index, 0)
+		add(Wake, p.index, timersFirst)
+		for _, sender := range w.processes {
+			if slices.ContainsFunc(w.flying, isBetween(sender, p)) {
+				add(Wake, p.index, readsFirst(sender))
+			}
+		}
 		return
 	}
 	add(Jump, p.index, 0)
@@ -247,8 +260,7 @@
 	case Freeze:
 		p.isFrozen = true
 	case Wake:
-		p.isFrozen = false
-		return w.tick(p)
+		return w.wake(p, choice.B)
 	case Cut:
 		p.cut = cutMode(choice.B)
 	case Heal:
@@ -280,6 +292,38 @@
 	w.observer.synced(p)
 }
 
+// wake lets a frozen process go on, in one of the orders timersFirst and readsFirst.
+func (w *World) wake(p *process, order int) error {
+	p.isFrozen = false
+	if order == timersFirst {
+		return w.tick(p)
+	}
+	for _, sender := range w.processes {
+		if order == readsFirst(sender) {
+			w.moveToFront(isBetween(sender, p))
+		}
+	}
+	return nil
+}
+
+// isBetween selects the messages from one process to the address of another.
+func isBetween(sender, receiver *process) func(*envelope) bool {
+	return func(e *envelope) bool { return e.from == sender.index && e.to == receiver.address }
+}
+
+// moveToFront lets some of the messages on their way overtake all others, in their own order.
+func (w *World) moveToFront(isChosen func(*envelope) bool) {
+	slices.SortStableFunc(w.flying, func(a, b *envelope) int {
+		switch {
+		case isChosen(a) == isChosen(b):
+			return 0
+		case isChosen(a):
+			return -1
+		}
+		return 1
+	})
+}
+
 // startTwin starts a second process with an empty disk at the address of another.
 func (w *World) startTwin(p *process) {
 	twin := &process{index: len(w.processes), address: p.address, zone: p.zone, clock: w.now}
--- a/modelcheck/disk.go
+++ b/modelcheck/disk.go
@@ -111,8 +111,13 @@
 	fullTurns  = 4
 )
 
-// stallSpans are the stalls that a choice can begin.
-var stallSpans = []int{shortStall, longStall}
+// stallSpans are the stalls that a choice can begin, by their place.
+var stallSpans = [...]int{shortStallPlace: shortStall, longStallPlace: longStall}
+
+const (
+	shortStallPlace = iota
+	longStallPlace
+)
 
 // addDiskFaults lists the ways in which the disk of a process can fail now.
 func (w *World) addDiskFaults(p *process, add func(kind Kind, a, b int)) {
--- a/modelcheck/scenarios.go
+++ b/modelcheck/scenarios.go
@@ -39,5 +39,15 @@
 			Founders: 3, Timing: timing, FailingDisks: true, LeaversEnd: true,
 			OrdersFrom: 12, Planned: []Planned{{20, Choice{Leave, 1, 0}}},
 		}, 18, 25},
+		{"a leader is frozen while a voter writes slowly, failing disks", Settings{
+			// The order of turn 9 reaches the slow voter alone. The third member asks for its vote in turn 13,
+			// before the write is done, and what is explored begins there.
+			Founders: 3, Timing: timing, FailingDisks: true, Planned: []Planned{
+				{7, Choice{Kill, 2, 0}},
+				{7, Choice{StallDisk, 1, longStallPlace}},
+				{10, Choice{Freeze, 0, 0}},
+				{11, Choice{Start, 2, 0}},
+			},
+		}, 14, 18},
 	}
 }
--- a/modelcheck/search_test.go
+++ b/modelcheck/search_test.go
@@ -63,6 +63,8 @@
 		{"a member forgets what it acknowledged", "three members, failing disks", "56:leave/0/0,57:leave/1/0,62:twin/2/0,68:crash/2/0,90:damage-document/0/0"},
 		{"a leaver ends on a release for an older document", "a voter leaves and nobody takes its place, failing disks", "178:kill/2/0"},
 		{"a leaver ends on a release for an older document", "a voter leaves and nobody takes its place, failing disks", "178:fill-disk/2/0"},
+		{"a vote forgets the document that is being written", "a leader is frozen while a voter writes slowly, failing disks", "105:wake/0/2"},
+		{"a vote forgets the document that is being written", "three members, failing disks", "67:stall-disk/2/1,92:hold/0/0,93:freeze/0/0,105:wake/0/3"},
 		{"a spec left out is taken for whole", "three members and a standby", "60:cut/0/1,94:jump/1/0,216:heal/0/0"},
 	} {
 		t.Run(known.breaks+" with "+known.scenario, func(t *testing.T) {
--- a/modelcheck/world.go
+++ b/modelcheck/world.go
@@ -263,7 +263,7 @@
 		}
 		p := w.processes[planned.Choice.A]
 		w.trace("planned: %s m%d", planned.Choice.Kind, p.index+1)
-		if !p.isUp {
+		if p.isUp == (planned.Choice.Kind == Start) || p.hasEnded {
 			continue
 		}
 		if err := w.applyTo(p, planned.Choice); err != nil {
