--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -161,7 +161,7 @@
 		took := spans{}
 		for seed := range *lossSeeds {
 			c := qt.New(t)
-			d := startingCore(c, seed, shape)
+			d := startCoreDay(c, seed, shape, 300*ms)
 			d.await("the founding", 6*kernel.Second, func() bool { return len(d.founded) > 0 })
 			d.pass(kernel.Micros(d.deal.Int64N(int64(3 * kernel.Second))))
 			d.named = d.living
@@ -183,26 +183,6 @@
 	}
 }
 
-// startingCore is a core whose processes start now.
-func startingCore(c *qt.C, seed uint64, shape coreShape) *coreDay {
-	routers := shape.folders + 4
-	f := newFleet(c, seed, shape.zones, routers+coreSpares, func(i int) bool { return i < shape.folders || i >= routers })
-	f.adapt = func(settings *NodeSettings) {
-		platformLike(settings)
-		settings.Voters = shape.voters
-	}
-	d := &coreDay{day: &day{
-		fleet: f, deal: f.random, truths: map[uint64]string{}, tops: map[string]uint64{}, sent: map[uint64]string{}, bases: map[uint64]string{},
-	}, shape: shape, spares: f.nodes[routers:]}
-	for _, n := range f.nodes[:routers] {
-		f.in(kernel.Micros(f.random.Int64N(int64(300*ms))), n.boot)
-	}
-	for _, n := range d.spares {
-		n.bootstrap = false
-	}
-	return d
-}
-
 // A repairTrouble comes beside a loss and takes no machine away.
 type repairTrouble struct {
 	name  string
--- a/control/membership_harness_test.go
+++ b/control/membership_harness_test.go
@@ -29,7 +29,8 @@
 
 const coreSpares = 12
 
-func newCoreDay(c *qt.C, seed uint64, shape coreShape) *coreDay {
+// startCoreDay makes a core whose processes start now, each at a moment of the span.
+func startCoreDay(c *qt.C, seed uint64, shape coreShape, span kernel.Micros) *coreDay {
 	routers := shape.folders + 4
 	f := newFleet(c, seed, shape.zones, routers+coreSpares, func(i int) bool { return i < shape.folders || i >= routers })
 	f.adapt = func(settings *NodeSettings) {
@@ -40,14 +41,20 @@
 		fleet: f, deal: f.random, truths: map[uint64]string{}, tops: map[string]uint64{}, sent: map[uint64]string{}, bases: map[uint64]string{},
 	}, shape: shape, spares: f.nodes[routers:]}
 	for _, n := range f.nodes[:routers] {
-		f.in(kernel.Micros(f.random.Int64N(int64(500*ms))), n.boot)
+		f.in(kernel.Micros(f.random.Int64N(int64(span))), n.boot)
 	}
 	for _, n := range d.spares {
 		n.bootstrap = false
 	}
-	f.settled(8 * kernel.Second)
+	return d
+}
+
+// newCoreDay makes a core that is whole, and is judged from now on.
+func newCoreDay(c *qt.C, seed uint64, shape coreShape) *coreDay {
+	d := startCoreDay(c, seed, shape, 500*ms)
+	d.settled(8 * kernel.Second)
 	d.awaitWhole(4 * kernel.Second)
-	d.isJudged, f.named = true, d.living
+	d.isJudged, d.named = true, d.living
 	d.judge()
 	return d
 }
