The planned stop's test holds a stream that outlasts the time in which callers are still taken

Cause: 200 tokens of 5 ms ended within the second in which a stopping node still takes callers, so the broken build stop-not-drained, which waits for nothing after it, passed. Ruled out: load; it was not found alone either.

--- a/server/server_test.go
+++ b/server/server_test.go
@@ -316,14 +316,16 @@
 	short := post(1)
 	_, err := io.ReadAll(short.Body)
 	c.Assert(err, qt.IsNil)
-	held := post(200)
+	// It lasts longer than a stopping node still takes callers, and than handing its duties on takes.
+	const tokens = 900
+	held := post(tokens)
 	first := make([]byte, 64)
 	_, err = io.ReadFull(held.Body, first)
 	c.Assert(err, qt.IsNil)
 	f.stop[2]()
 	rest, err := io.ReadAll(held.Body)
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(first)+string(rest), qt.Equals, string(emulator.Script(held.Header.Get(emulator.HeaderRun), 200, true)))
+	c.Assert(string(first)+string(rest), qt.Equals, string(emulator.Script(held.Header.Get(emulator.HeaderRun), tokens, true)))
 }
 
 // The process's end waits for the object store's writer, but not for ever: a write that
