--- a/checker/routed.go
+++ b/checker/routed.go
@@ -16,6 +16,7 @@
 	RouteStrayed     Rule = "a service ran a request that no spec leads to it"
 	StreamDisordered Rule = "a stream's pieces are missing, doubled or joined of two runs"
 	DeniedProper     Rule = "proper requests were denied"
+	InvariantFailed  Rule = "an invariant was violated within a process"
 	TriesExceeded    Rule = "requests ran on more engines than their route's tries"
 )
 
@@ -36,6 +37,8 @@
 	RouterLeaving RoutedHappening = "router_leaving" // a planned stop was asked for
 	TroubleStruck RoutedHappening = "trouble_struck" // something unplanned
 	TroubleOver   RoutedHappening = "trouble_over"
+	// InvariantBroken is a violation that a process counted itself; Why says which.
+	InvariantBroken RoutedHappening = "invariant_broken"
 )
 
 // Piece is one event of a stream as a caller got it.
@@ -156,6 +159,9 @@
 		}
 	}
 	for i, event := range events {
+		if event.What == InvariantBroken {
+			j.violation(InvariantFailed, event.At, "%s", event.Why)
+		}
 		try := j.tries[event.ID]
 		if event.What == Began {
 			j.review.Runs++
--- a/cmd/dunlinloom/main.go
+++ b/cmd/dunlinloom/main.go
@@ -43,7 +43,7 @@
 		"router":     daemon("router", true, false),
 		"controller": daemon("controller", false, true),
 		"node":       daemon("node", true, true),
-		"platform":   func([]string) int { return platform.Main() },
+		"platform":   platform.Main,
 	}
 }
 
--- a/control/catchup_test.go
+++ b/control/catchup_test.go
@@ -101,7 +101,10 @@
 	b := newBench(c, Ballot{Term: 4}, document(4, 9))
 	done := []int{}
 	for i := range 4 {
-		b.core.save(document(4, uint64(10+i)), func() { done = append(done, i) })
+		// As a heartbeat does: what is saved has been accepted.
+		accepted := document(4, uint64(10+i))
+		b.core.save(accepted, func() { done = append(done, i) })
+		b.core.doc = accepted
 	}
 	b.drain()
 	c.Assert(b.saves, qt.HasLen, 1)
--- a/control/core.go
+++ b/control/core.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 )
 
@@ -32,7 +33,9 @@
 	Kept     []uint64 // revisions of the configurations in the folder
 	Promised Stamp    // the newest document that the folder ever held, though it may be damaged now
 	Life     uint64   // the start identity of the process
-	Pushed   transfers
+	// Invariants counts violations; nil: nobody does.
+	Invariants *invariant.Monitor
+	Pushed     transfers
 }
 
 // Core agrees on the document. A nil document is a member that knows no fleet yet.
@@ -99,6 +102,8 @@
 	// voterAt is the newest document that this life has accepted as one of its voters.
 	voterAt Stamp
 
+	watch coreWatch
+
 	past past
 	// pushed paces the large documents that go out without a heartbeat.
 	pushed transfers
@@ -147,6 +152,7 @@
 
 // take hands over the commands that have gathered.
 func (c *Core) take() []any {
+	c.checkInvariants()
 	out := c.out
 	c.out = nil
 	return out
--- a/control/core_harness_test.go
+++ b/control/core_harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	qt "github.com/frankban/quicktest"
 )
@@ -25,7 +26,8 @@
 	b := &bench{c: c, now: 100 * kernel.Second}
 	b.core = NewCore(CoreSettings{
 		Self: memberB, HasFolder: true, Timing: DefaultTiming(), Random: rand.New(rand.NewPCG(1, 1)), Ballot: ballot, Document: newest,
-		Founders: []string{memberA.Address, memberB.Address, memberC.Address},
+		Invariants: invariant.NewMonitor(func(violation invariant.Violation) { c.Error(violation) }),
+		Founders:   []string{memberA.Address, memberB.Address, memberC.Address},
 	}, b.now)
 	return b
 }
--- /dev/null
+++ b/control/core_invariants.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"bytes"
+
+	"dunlinloom/invariant"
+)
+
+// coreWatch is what a core's invariants compare its present state with.
+type coreWatch struct {
+	term      uint64
+	committed *Document
+	// leaders names who led the newest term in which this member heard a leader.
+	leaderTerm uint64
+	leader     MemberID
+}
+
+// checkInvariants holds the state of the core after an event against the one before.
+func (c *Core) checkInvariants() {
+	monitor, watch := c.settings.Invariants, &c.watch
+	monitor.Check(invariant.TermNeverFalls, c.term >= watch.term, "term %d follows %d", c.term, watch.term)
+	monitor.Check(invariant.CommittedNeverFalls, isCommitSuccessor(watch.committed, c.committed), "%v follows %v as committed",
+		c.committed.stamp(), watch.committed.stamp())
+	monitor.Check(invariant.SyncedIsAccepted, !c.doc.stamp().before(c.synced), "%v is on the disk, and %v is the newest that was accepted",
+		c.synced, c.doc.stamp())
+	watch.term, watch.committed = c.term, c.committed
+	if c.role == leader {
+		c.checkLeader(c.term, c.settings.Self.ID)
+	}
+}
+
+// checkLeader takes that a member leads a term.
+func (c *Core) checkLeader(term uint64, member MemberID) {
+	watch := &c.watch
+	if term > watch.leaderTerm {
+		watch.leaderTerm, watch.leader = term, member
+		return
+	}
+	isSame := term < watch.leaderTerm || member == watch.leader
+	c.settings.Invariants.Check(invariant.OneLeaderPerTerm, isSame, "%s and %s lead term %d", watch.leader, member, term)
+}
+
+// isCommitSuccessor tells whether a committed document may follow another: one of the same revision
+// has the same configuration, and no revision is taken back.
+func isCommitSuccessor(before, after *Document) bool {
+	if before == nil || before == after {
+		return true
+	}
+	if after == nil || after.Revision < before.Revision {
+		return false
+	}
+	return after.Revision > before.Revision ||
+		after.ConfigRevision == before.ConfigRevision && bytes.Equal(after.Config, before.Config)
+}
+
+// checkAcknowledged takes that an order is about to be acknowledged under a revision.
+func (c *Core) checkAcknowledged(id string, revision uint64) {
+	known, isThere := c.committed.submission(id)
+	isForgotten := !isThere && c.committed.Revision > revision
+	c.settings.Invariants.Check(invariant.AckIsCommitted, isForgotten || isThere && known.Revision == revision && !known.IsFenced,
+		"submission %s is acknowledged at revision %d, and the committed revision %d does not have it", id, revision, c.committed.Revision)
+}
--- a/control/engine_announcements.go
+++ b/control/engine_announcements.go
@@ -62,7 +62,7 @@
 // promise is an engine's word of its end that waits for the fleet to know it.
 type promise struct {
 	tokens  []uint64 // of the calls that wait for it
-	key     string
+	key     endKey
 	records []EngineRecord
 	zone    string
 	zones   map[string]bool // that have spoken; true: wholly
@@ -72,13 +72,19 @@
 	resend  kernel.Micros
 }
 
+// endKey names an engine and which of its ends: that it leaves, or that it is gone.
+type endKey struct {
+	engine     string
+	isUnlisted bool
+}
+
 // words is a node's part in what engines say of themselves.
 type words struct {
 	nextToken uint64
 	pushes    map[uint64]*pushing
 	carried   map[string]uint64 // sender and its token to the own
 	promises  map[uint64]*promise
-	kept      map[string]kernel.Micros // ends confirmed by this node
+	kept      map[endKey]kernel.Micros // ends confirmed by this node
 	passedAt  map[string]kernel.Micros // when a plain beat last went to the engine's home
 	// judgeSince is the moment from which silence of an engine counts here.
 	judgeSince kernel.Micros
@@ -91,7 +97,7 @@
 func newWords(firstToken uint64) words {
 	return words{
 		nextToken: firstToken, pushes: map[uint64]*pushing{}, carried: map[string]uint64{}, promises: map[uint64]*promise{},
-		kept: map[string]kernel.Micros{}, passedAt: map[string]kernel.Micros{},
+		kept: map[endKey]kernel.Micros{}, passedAt: map[string]kernel.Micros{},
 	}
 }
 
@@ -321,7 +327,7 @@
 
 // promise has an engine's end go round, and answers once it did.
 func (n *Node) promise(token uint64, record EngineRecord, zone string, records []EngineRecord) {
-	key := fmt.Sprint(record.ID, record.IsUnlisted)
+	key := endKey{record.ID, record.IsUnlisted}
 	if _, isKept := n.words.kept[key]; isKept {
 		n.out = append(n.out, Registered{Token: token, BeatTo: n.beatTo(zone)})
 		return
@@ -440,12 +446,17 @@
 	n.judgeBeats(isAwake)
 	if n.now >= w.sweepAt {
 		w.sweepAt = n.now + 5*kernel.Second
-		for _, noted := range []map[string]kernel.Micros{w.passedAt, w.kept} {
-			for id, at := range noted {
-				if n.now-at > engineGone {
-					delete(noted, id)
-				}
-			}
+		n.checkConfirmedEnds()
+		dropOld(w.passedAt, n.now-engineGone)
+		dropOld(w.kept, n.now-engineGone)
+	}
+}
+
+// dropOld forgets what was noted before a moment.
+func dropOld[K comparable](noted map[K]kernel.Micros, before kernel.Micros) {
+	for key, at := range noted {
+		if at < before {
+			delete(noted, key)
 		}
 	}
 }
--- a/control/fleet_harness_test.go
+++ b/control/fleet_harness_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	qt "github.com/frankban/quicktest"
 )
@@ -215,6 +216,7 @@
 		}
 	}
 	f.adapt(&settings)
+	settings.Invariants = invariant.NewMonitor(func(violation invariant.Violation) { f.c.Error(violation) })
 	n.node = NewNode(settings, f.now)
 	n.tick(n.epoch)
 }
--- a/control/founding_test.go
+++ b/control/founding_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	qt "github.com/frankban/quicktest"
 )
@@ -218,6 +219,7 @@
 	}
 	platformLike(&settings)
 	adapt(&settings)
+	settings.Invariants = invariant.NewMonitor(func(violation invariant.Violation) { c.Error(violation) })
 	return &voter{c: c, node: NewNode(settings, 100*kernel.Second), now: 100 * kernel.Second}
 }
 
--- a/control/newest.go
+++ b/control/newest.go
@@ -17,7 +17,8 @@
 type reading struct {
 	sentAt   kernel.Micros
 	resendAt kernel.Micros
-	isBare   bool // the document came without its configuration, and that is not held here
+	floor    uint64 // the oldest revision that may be shown; see checkRead
+	isBare   bool   // the document came without its configuration, and that is not held here
 }
 
 const readResend = 250 * kernel.Millisecond
@@ -25,7 +26,7 @@
 // Newest opens a read; a Newest command answers it, and EndNewest gives it up.
 func (n *Node) Newest(now kernel.Micros, token uint64) []any {
 	n.now = now
-	n.reads[token] = &reading{}
+	n.reads[token] = &reading{floor: n.readFloor()}
 	n.tickReads()
 	return n.finish()
 }
@@ -67,6 +68,7 @@
 		return
 	}
 	delete(n.reads, m.Token)
+	n.checkRead(read, document)
 	n.out = append(n.out, Newest{m.Token, document})
 	n.applied(n.lease.Apply(document))
 }
--- a/control/node.go
+++ b/control/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 )
 
@@ -50,6 +51,8 @@
 	Promised     Stamp
 	// Snapshot is what an earlier life kept for a quick start; nil: there is none.
 	Snapshot *Snapshot
+	// Invariants counts violations; nil: nobody does.
+	Invariants *invariant.Monitor
 }
 
 // Outgoing is a message for the shell to carry.
@@ -65,6 +68,9 @@
 	submitResend = 500 * kernel.Millisecond
 )
 
+// notedSpan is for how long a node remembers whom it probed, rejected and answered.
+const notedSpan = 10 * kernel.Second
+
 // Node joins the owners of one process and carries messages between them.
 type Node struct {
 	settings NodeSettings
@@ -119,6 +125,7 @@
 	words     words
 	snapshots snapshots
 	greeting  greeting
+	watch     nodeWatch
 }
 
 // NewNode makes a node.
@@ -170,6 +177,7 @@
 		CheckConfig: s.CheckConfig, ChangeConfig: s.ChangeConfig, VersionOf: s.VersionOf,
 		Voters: s.Voters, AckRule: s.AckRule, SpreadWait: s.SpreadWait, ServeOn: s.ServeOn, Founding: s.Founding,
 		Ballot: s.Ballot, Document: s.Document, Kept: s.Kept, Promised: s.Promised, Life: s.Start,
+		Invariants: s.Invariants,
 	}
 }
 
@@ -254,6 +262,7 @@
 			return n.finish()
 		}
 	}
+	n.checkInvariants()
 	out := n.out
 	n.out = nil
 	return out
@@ -564,11 +573,7 @@
 			n.core.Learn(n.learnedMarks())
 		}
 		for _, noted := range []map[string]kernel.Micros{n.probedAt, n.rejected, n.greeting.answered} {
-			for name, at := range noted {
-				if now-at > 10*kernel.Second {
-					delete(noted, name)
-				}
-			}
+			dropOld(noted, now-notedSpan)
 		}
 	}
 	n.tickMend()
--- a/control/node_submit.go
+++ b/control/node_submit.go
@@ -82,6 +82,9 @@
 }
 
 func (n *Node) finishErrand(reply SubmitReply) {
+	if reply.Outcome == Yes {
+		n.watch.acknowledged = max(n.watch.acknowledged, reply.Revision)
+	}
 	delete(n.errands, reply.ID)
 	n.note("submission "+reply.ID, "acknowledgement "+string(reply.Outcome), reply.Reason)
 	n.out = append(n.out, Reply{reply})
--- a/control/replication.go
+++ b/control/replication.go
@@ -126,6 +126,7 @@
 	if c.role != follower {
 		c.stepDown("another leads this term")
 	}
+	c.checkLeader(m.Term, m.Leader.ID)
 	if c.leaderMember.ID != m.Leader.ID || isNewTerm {
 		c.note("core", "follow", "%s leads term %d", m.Leader.Address, m.Term)
 	}
--- a/control/submissions.go
+++ b/control/submissions.go
@@ -179,14 +179,19 @@
 			c.send(waiting.from, Message{SubmitReply: &SubmitReply{
 				ID: waiting.id, Outcome: No, Reason: ReasonFenced, Detail: "given up on; it will never take effect"}})
 		case isDone && c.settings.AckRule == Spread && c.isSpread(waiting.revision):
-			c.note("submission "+waiting.id, "yes", "revision %d is kept by the voters and has gone round", waiting.revision)
-			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Yes, Revision: waiting.revision}})
+			c.acknowledge(waiting, "has gone round")
 		case isDone && c.settings.AckRule != Spread && c.isApplied(waiting.revision):
-			c.note("submission "+waiting.id, "yes", "revision %d is kept by the voters and applied by a majority of routers", waiting.revision)
-			c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Yes, Revision: waiting.revision}})
+			c.acknowledge(waiting, "applied by a majority of routers")
 		default:
 			kept = append(kept, waiting)
 		}
 	}
 	c.replies = kept
 }
+
+// acknowledge says yes to an order whose document is committed and known as its rule asks for.
+func (c *Core) acknowledge(waiting waitingSubmit, how string) {
+	c.checkAcknowledged(waiting.id, waiting.revision)
+	c.note("submission "+waiting.id, "yes", "revision %d is kept by the voters and %s", waiting.revision, how)
+	c.send(waiting.from, Message{SubmitReply: &SubmitReply{ID: waiting.id, Outcome: Yes, Revision: waiting.revision}})
+}
--- a/modelcheck/observer.go
+++ b/modelcheck/observer.go
@@ -87,6 +87,9 @@
 
 // observe holds a process against the invariants after it took an event.
 func (o *observer) observe(w *World, p *process) error {
+	if p.violation != nil {
+		return p.violation
+	}
 	state := p.core.Inspect()
 	if !state.IsLeader {
 		p.heard, p.heardFor, p.told = nil, 0, nil
--- a/modelcheck/process.go
+++ b/modelcheck/process.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"dunlinloom/control"
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 )
 
@@ -60,6 +61,7 @@
 	heardFor uint64 // the term that heard belongs to
 	// told holds, in this life as a leader, what the newest life of each member said to have synced.
 	told        map[control.MemberID]syncedWord
+	violation   error         // of an invariant that the core itself checks; nil: there was none
 	countedUpTo control.Stamp // the newest document that it committed as a leader
 	ledSince    kernel.Micros // when that lead began
 	quorumAt    kernel.Micros // when its timers last went off with a quorum heard
@@ -79,13 +81,14 @@
 	p.lives++
 	p.startedAt, p.isUp, p.isFrozen = w.starts, true, false
 	p.pending, p.causes, p.lastToken, p.heard, p.heardFor, p.told = nil, map[uint64]uint64{}, 0, nil, 0, nil
-	p.countedUpTo = control.Stamp{}
+	p.countedUpTo, p.violation = control.Stamp{}, nil
 	p.core = control.NewCore(control.CoreSettings{
 		Self: w.memberOf(p), HasFolder: true, Founders: w.founders, Timing: w.settings.Timing,
 		Random: rand.New(sourceOf(p.index)),
 		Voters: w.settings.Voters, AckRule: control.Strict, Founding: w.settings.foundingRule(),
 		Ballot: p.disk.ballot, Document: p.disk.document, Kept: p.disk.keptRevisions(),
 		Promised: p.disk.promise(), Life: p.lives,
+		Invariants: invariant.NewMonitor(func(violation invariant.Violation) { p.violation = violation }),
 	}, p.clock)
 }
 
--- /dev/null
+++ b/routedcaller/request.go
@@ -0,0 +1,114 @@
+// Package routedcaller is one caller of a routed fleet as simulator and soak runs play it: the requests
+// of a kind, one try of a request over a connection, and what came of it in the checker's terms.
+package routedcaller
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+
+	"dunlinloom/checker"
+	"dunlinloom/emulator"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/router"
+)
+
+// Kind is a shape of requests on one route.
+type Kind struct {
+	Route       fleetconfig.Route
+	Rate        float64 // requests a second
+	Common      int     // tokens with which every prompt of the kind begins
+	Prefixes    int     // different shared beginnings after these
+	Shared, Own int     // tokens of a prompt, on the mean
+	Out         int     // tokens put out, on the mean
+	Deadline    kernel.Micros
+	Further     int // further tries of a caller
+	Body        int // bytes
+}
+
+// Request is one request that a caller wants answered.
+type Request struct {
+	Kind *Kind
+	// ID names one try. Every further try has one of its own.
+	ID        string
+	Prompt    int
+	Out       int
+	Parts     string
+	Body      []byte
+	IsChunked bool
+	// From is the event after which the stream is to go on; zero: it begins.
+	From int
+	// OpensAnew asks for a new connection, though an idle one may be there.
+	OpensAnew  bool
+	RouterTurn int
+	Until      kernel.Micros
+}
+
+// One request in so many of a kind.
+const (
+	chunkedOneIn = 4
+	anewOneIn    = 3
+	resumeOneIn  = 10
+)
+
+// spread draws about a mean.
+func spread(random *rand.Rand, mean int) int { return max(mean/2+random.IntN(mean+1), 1) }
+
+// NewRequest draws a request of a kind. The stride is how many tokens an event of its service holds.
+func NewRequest(random *rand.Rand, kind *Kind, stride int, id string) Request {
+	prefix := int(float64(kind.Prefixes) * random.Float64() * random.Float64()) // some are asked for more
+	shared := kind.Shared/2 + kind.Shared*(prefix%7)/7
+	own := spread(random, kind.Own)
+	request := Request{Kind: kind, ID: id, Prompt: kind.Common + shared + own, Out: spread(random, kind.Out), IsChunked: random.IntN(chunkedOneIn) == 0,
+		OpensAnew: random.IntN(anewOneIn) == 0, RouterTurn: random.IntN(1 << 20), Body: make([]byte, spread(random, kind.Body))}
+	if shared > 0 {
+		request.Parts = fmt.Sprintf("%s%d:%d,%s:%d", kind.Route.Name, prefix, shared, id, own)
+	} else {
+		request.Parts = fmt.Sprintf("%s:%d", id, own)
+	}
+	if kind.Common > 0 {
+		request.Parts = fmt.Sprintf("%s:%d,", kind.Route.Name, kind.Common) + request.Parts
+	}
+	for i := range request.Body {
+		request.Body[i] = 'a' + byte(random.IntN(26))
+	}
+	if kind.Route.IsResumable && random.IntN(resumeOneIn) == 0 && request.Out > 3*stride {
+		request.From = 1 + random.IntN(2) // a stream that was cut before
+	}
+	return request
+}
+
+// target is the path and query of a request.
+func (r *Request) target() string { return r.Kind.Route.Prefix + "x?q=" + r.ID }
+
+// Sent describes a try of the request for the checker, with the services that any configuration
+// ever led its route to.
+func (r *Request) Sent(routerName string, services []string) checker.RoutedEvent {
+	route := r.Kind.Route
+	return checker.RoutedEvent{
+		What: checker.TrySent, ID: r.ID, Kind: route.Name, Router: routerName, Digest: emulator.Digest("POST", r.target(), r.Body),
+		IsRepeatable: route.IsRepeatable(), IsResumable: route.IsResumable, IsStream: route.Kind == fleetconfig.Stream, Services: services,
+		From: r.From, Until: r.Until, Tries: max(route.Tries, 1),
+	}
+}
+
+// Message puts the request on the wire, with so much time left to its caller.
+func (r *Request) Message(wire router.Wire, left kernel.Micros) []byte {
+	route := r.Kind.Route
+	var message bytes.Buffer
+	fmt.Fprintf(&message, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %d,%d\r\n%s: %s\r\n", r.target(), route.Host,
+		wire.RequestID, r.ID, wire.Deadline, max(left/kernel.Millisecond, 1), wire.Tokens, r.Prompt, r.Out, wire.Prefix, r.Parts)
+	if route.Kind == fleetconfig.Stream {
+		message.WriteString("Accept: text/event-stream\r\n")
+	}
+	if r.From > 0 {
+		fmt.Fprintf(&message, "%s: %d\r\n", wire.LastEvent, r.From)
+	}
+	if half := len(r.Body) / 2; r.IsChunked && half > 0 {
+		fmt.Fprintf(&message, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, r.Body[:half], len(r.Body)-half, r.Body[half:])
+	} else {
+		fmt.Fprintf(&message, "Content-Length: %d\r\n\r\n%s", len(r.Body), r.Body)
+	}
+	return message.Bytes()
+}
--- a/router/answer.go
+++ b/router/answer.go
@@ -20,7 +20,8 @@
 	control  *http.ResponseController
 	call     *Call
 	events   eventSplitter
-	hasBegun bool // the head went out
+	hasBegun bool   // the head went out
+	passedID string // the id of the last event that went out
 	silence  *time.Timer
 	span     kernel.Micros
 	buffer   []byte
@@ -36,6 +37,7 @@
 // relay passes an engine's answer on as it comes. An error is the engine's failure.
 func (a *answer) relay(response *http.Response) (Ending, string, error) {
 	call := a.call
+	a.router.checkAnswer(call, response.Header)
 	isStream := isEventStream(response)
 	ending := Served
 	if response.StatusCode >= 500 {
@@ -105,6 +107,10 @@
 				}
 				chunk = whole
 			}
+			if isStream && len(chunk) > 0 {
+				a.router.checkRise(call, a.passedID, firstID(chunk))
+				a.passedID = a.events.lastID
+			}
 			if len(chunk) > 0 {
 				if gone := a.pass(chunk); gone != nil {
 					return CallerGone, gone.Error(), nil
--- a/router/budget.go
+++ b/router/budget.go
@@ -64,9 +64,20 @@
 
 // spend takes one attempt more, if it is within this router's part.
 func (b *budget) spend(now kernel.Micros, retry Retry, routers int) bool {
+	firsts, extras := b.window(now, retry)
+	allowed := safety * (retry.Ratio*float64(firsts) + retry.slackAt(now)/float64(max(routers, 1)))
+	if float64(extras+1) > allowed {
+		return false
+	}
+	b.second(now, retry).extras++
+	return true
+}
+
+// window counts the requests that surely fall into the window that ends now, and the attempts
+// beyond the first of each that may.
+func (b *budget) window(now kernel.Micros, retry Retry) (firsts, extras int) {
 	current := b.second(now, retry)
 	oldest := current.number - int64(len(b.seconds)) + 1
-	firsts, extras := 0, 0
 	for _, slot := range b.seconds {
 		if slot.number < oldest {
 			continue
@@ -77,10 +88,5 @@
 			firsts += slot.firsts
 		}
 	}
-	allowed := safety * (retry.Ratio*float64(firsts) + retry.slackAt(now)/float64(max(routers, 1)))
-	if float64(extras+1) > allowed {
-		return false
-	}
-	current.extras++
-	return true
+	return firsts, extras
 }
--- a/router/call.go
+++ b/router/call.go
@@ -42,6 +42,7 @@
 	isPaid    bool // the budget has been charged for the next attempt
 	// mayHaveRun tells that an attempt ended without proof that its engine did not run it.
 	mayHaveRun bool
+	ends       []attemptEnd // of the attempts that did not serve it
 }
 
 // Ending is how an attempt ended.
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"dunlinloom/fleetconfig"
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	"dunlinloom/relay"
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +52,7 @@
 	meanPrompt   float64
 	meanSize     float64 // tokens outstanding of an attempt, on the mean
 	isShut       bool
+	invariants   *invariant.Monitor
 	counts       Counts
 }
 
@@ -168,6 +170,13 @@
 	return call, nil
 }
 
+// countRefusal counts a request that was refused before it arrived here.
+func (c *Chooser) countRefusal(refusal *Refusal) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.refuse(refusal)
+}
+
 func (c *Chooser) refuse(refusal *Refusal) *Refusal {
 	c.counts.Refused[refusal.Reason]++
 	return refusal
@@ -269,6 +278,7 @@
 		c.budget(call.Request.Service).first(now, c.retry)
 	}
 	call.sent++
+	c.checkSent(call)
 	return true
 }
 
@@ -281,6 +291,15 @@
 	return kept
 }
 
+// spend takes a retry of a service from this router's part of the budget, if there is one left.
+func (c *Chooser) spend(now kernel.Micros, service string) bool {
+	isSpent := c.budget(service).spend(now, c.retry, c.mostRouters)
+	if isSpent {
+		c.checkRetries(now, service)
+	}
+	return isSpent
+}
+
 // Answered tells that the engine's answer has begun, with its word on its load, if any.
 func (c *Chooser) Answered(now kernel.Micros, call *Call, load Load, hasLoad bool) {
 	c.lock.Lock()
@@ -336,7 +355,7 @@
 	if len(candidates) == 0 || now >= call.Request.Deadline || call.isBound || call.sent >= max(call.Request.Route.Tries, 1) {
 		return false
 	}
-	call.isPaid = c.budget(call.Request.Service).spend(now, c.retry, c.mostRouters)
+	call.isPaid = c.spend(now, call.Request.Service)
 	return call.isPaid
 }
 
@@ -345,6 +364,14 @@
 func (c *Chooser) Close(now kernel.Micros, call *Call, ending Ending, why string) (isAgain bool, refusal *Refusal) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	isAgain, refusal = c.close(now, call, ending, why)
+	if refusal != nil {
+		c.checkPromise(call, refusal)
+	}
+	return isAgain, refusal
+}
+
+func (c *Chooser) close(now kernel.Micros, call *Call, ending Ending, why string) (isAgain bool, refusal *Refusal) {
 	attempt := call.Attempt
 	if attempt.isOver {
 		return false, nil
@@ -354,10 +381,14 @@
 	if state := c.engines[attempt.Engine.ID]; state != nil {
 		delete(state.attempts, attempt)
 		state.tokens -= attempt.left
+		c.checkLoad(state)
 		c.judge(now, state, ending)
 	}
-	switch ending {
-	case Served, Failed, CallerGone:
+	if ending == Served || ending == Failed {
+		return false, nil
+	}
+	call.ends = append(call.ends, attemptEnd{attempt.Engine.ID, ending, why, now - call.Request.Arrived})
+	if ending == CallerGone {
 		return false, nil
 	}
 	route := call.Request.Route
@@ -381,7 +412,7 @@
 	}
 	isPaid := call.isPaid
 	call.isPaid = false
-	if !isPaid && !c.budget(call.Request.Service).spend(now, c.retry, c.mostRouters) {
+	if !isPaid && !c.spend(now, call.Request.Service) {
 		fail.Detail += "; the retry budget is spent"
 		return false, c.refuse(fail)
 	}
--- a/router/connection.go
+++ b/router/connection.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	"dunlinloom/relay"
 )
@@ -187,7 +188,8 @@
 	idle  map[string][]*connection
 	open  map[string]int // idle and busy
 	// Opened counts the connections made.
-	opened uint64
+	opened     uint64
+	invariants *invariant.Monitor
 }
 
 // NewPool makes an empty pool.
@@ -247,7 +249,10 @@
 	return kept
 }
 
+// forget counts a connection as closed.
 func (p *Pool) forget(address string) {
+	p.invariants.Check(invariant.ConnectionsBalanced, p.open[address] > len(p.idle[address]), "%d connections to %s are open and %d idle, and one more is closed",
+		p.open[address], address, len(p.idle[address]))
 	if p.open[address]--; p.open[address] <= 0 {
 		delete(p.open, address)
 	}
@@ -306,7 +311,6 @@
 		for _, c := range list {
 			if now >= c.until || !isWanted(address) || !c.isAlive() {
 				over = append(over, c)
-				p.forget(address)
 				continue
 			}
 			kept = append(kept, c)
@@ -317,6 +321,9 @@
 			delete(p.idle, address)
 		}
 	}
+	for _, c := range over {
+		p.forget(c.address)
+	}
 	p.lock.Unlock()
 	for _, c := range over {
 		c.net.Close()
--- a/router/router.go
+++ b/router/router.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 )
 
@@ -26,6 +27,8 @@
 	// IsInTouch tells whether the routes known here are the newest ones, as far as a router can
 	// know; nil: they always are.
 	IsInTouch func() bool
+	// Invariants counts violations, here, in the chooser and in the pool; nil: nobody does.
+	Invariants *invariant.Monitor
 }
 
 // Router serves the callers of a configuration's routes.
@@ -33,18 +36,27 @@
 	Settings
 	live     atomic.Int64
 	held     atomic.Int64
+	torn     atomic.Uint64
 	stopping atomic.Bool
+	failures failureLog
 	buffers  sync.Pool
 }
 
 // NewRouter makes a router.
 func NewRouter(settings Settings) *Router {
+	settings.Chooser.invariants, settings.Pool.invariants = settings.Invariants, settings.Invariants
 	return &Router{Settings: settings, buffers: sync.Pool{New: func() any { return new(bytes.Buffer) }}}
 }
 
 // Live is how many requests are being served.
 func (u *Router) Live() int64 { return u.live.Load() }
 
+// Held is how many bytes of bodies are held.
+func (u *Router) Held() int64 { return u.held.Load() }
+
+// Torn is how many answers were cut off after they had begun.
+func (u *Router) Torn() uint64 { return u.torn.Load() }
+
 // Stop has every answer from now on close its connection.
 func (u *Router) Stop() { u.stopping.Store(true) }
 
@@ -70,28 +82,28 @@
 	}
 	config := u.Chooser.Config()
 	if config == nil {
-		u.refuse(w, &Refusal{"no_spec", "no configuration has reached this router yet", http.StatusServiceUnavailable, settled})
+		u.refuseEarly(w, r, &Refusal{"no_spec", "no configuration has reached this router yet", http.StatusServiceUnavailable, settled})
 		return
 	}
 	if u.MaxLive > 0 && live > u.MaxLive || u.MaxBodies > 0 && u.held.Load()+max(r.ContentLength, 0) > u.MaxBodies {
 		w.Header().Set("Connection", "close")
-		u.refuse(w, &Refusal{"crowded", "this process serves as many requests as it may", http.StatusServiceUnavailable, soon})
+		u.refuseEarly(w, r, &Refusal{"crowded", "this process serves as many requests as it may", http.StatusServiceUnavailable, soon})
 		return
 	}
 	route := config.RouteOf(r.Host, r.URL.Path)
 	if route == nil {
-		u.refuse(w, u.refuseRoute())
+		u.refuseEarly(w, r, u.refuseRoute())
 		return
 	}
 	body, refusal := u.readBody(w, r, config, route)
-	defer func() { u.held.Add(-int64(len(body))) }()
+	defer func() { u.giveBack(int64(len(body))) }()
 	if refusal != nil {
-		u.refuse(w, refusal)
+		u.refuseEarly(w, r, refusal)
 		return
 	}
 	request, refusal := u.readRequest(r, route, arrived)
 	if refusal != nil {
-		u.refuse(w, refusal)
+		u.refuseEarly(w, r, refusal)
 		return
 	}
 	u.serve(w, r, request, body)
@@ -112,6 +124,13 @@
 	Why   string `json:"why"`
 }
 
+// refuseEarly refuses a request for which no engine has been looked for.
+func (u *Router) refuseEarly(w http.ResponseWriter, r *http.Request, refusal *Refusal) {
+	u.Chooser.countRefusal(refusal)
+	u.tellRefused(r.Header.Get(u.Wire.RequestID), refusal)
+	u.refuse(w, refusal)
+}
+
 // refuse answers at once, with when to come back.
 func (u *Router) refuse(w http.ResponseWriter, refusal *Refusal) {
 	if refusal.RetryAfter > 0 {
@@ -129,6 +148,7 @@
 func (u *Router) serve(w http.ResponseWriter, r *http.Request, request Request, body []byte) {
 	call, refusal := u.Chooser.Arrive(u.Env.Clock.Now(), request)
 	if refusal != nil {
+		u.tellRefused(request.ID, refusal)
 		u.refuse(w, refusal)
 		return
 	}
@@ -146,10 +166,16 @@
 			continue
 		case ending == Served || ending == Failed:
 			return
-		case answer.hasBegun || ending == CallerGone:
+		case ending == CallerGone:
+			u.tellFailed(call, "caller gone")
+			panic(http.ErrAbortHandler)
+		case answer.hasBegun:
+			u.torn.Add(1)
+			u.tellFailed(call, "torn")
 			// The caller has part of an answer; only a torn connection tells it so.
 			panic(http.ErrAbortHandler)
 		default:
+			u.tellFailed(call, refusal.Reason)
 			u.refuse(w, refusal)
 			return
 		}
--- a/router/router_harness_test.go
+++ b/router/router_harness_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"dunlinloom/fleetconfig"
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	qt "github.com/frankban/quicktest"
 	"k8s.io/klog/v2"
@@ -56,7 +57,8 @@
 	pool := NewPool(clock, h.dial, 300*kernel.Millisecond, 5*kernel.Second)
 	t.Cleanup(func() { pool.Sweep(func(string) bool { return false }) })
 	env := kernel.Env{Context: t.Context(), Clock: clock, Log: klog.Background(), Journal: kernel.NewJournal(64)}
-	h.router = NewRouter(Settings{Env: env, Wire: DefaultWire(), Chooser: h.chooser, Pool: pool,
+	monitor := invariant.NewMonitor(func(violation invariant.Violation) { t.Error(violation) })
+	h.router = NewRouter(Settings{Env: env, Invariants: monitor, Wire: DefaultWire(), Chooser: h.chooser, Pool: pool,
 		Suspect: func(engine Engine) { h.suspect = append(h.suspect, engine.ID) }})
 	return h
 }
--- a/server/api.go
+++ b/server/api.go
@@ -12,8 +12,10 @@
 	"dunlinloom/control"
 	"dunlinloom/fleetconfig"
 	"dunlinloom/history"
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	"dunlinloom/relay"
+	"dunlinloom/router"
 )
 
 // HeaderSubmission names an operator's order, so that a repeated send gets the same reply.
@@ -32,11 +34,13 @@
 	archiver    *Archiver
 	journalFile *kernel.JournalFile
 	stopping    func() bool
+	routed      *router.Router // nil unless routes of a deployment are served
+	invariants  *invariant.Monitor
 }
 
 // NewAPI builds the handler of a node's public address out of the services that
 // the kernel holds.
-func NewAPI(env kernel.Env, stage *kernel.Kernel, stopping func() bool) (http.Handler, error) {
+func NewAPI(env kernel.Env, stage *kernel.Kernel, invariants *invariant.Monitor, stopping func() bool) (http.Handler, error) {
 	runner, runnerErr := kernel.Find[*Runner](stage, ServiceRunner)
 	connections, connectionsErr := kernel.Find[*Connections](stage, ServiceConnections)
 	compiler, compilerErr := kernel.Find[*fleetconfig.Compiler](stage, ServiceCompiler)
@@ -62,7 +66,10 @@
 	if err != nil {
 		forwarder = nil
 	}
-	f := &API{env, runner, forwarder, connections, compiler, limitedListener, kept, archiver, journalFile, stopping}
+	f := &API{
+		env: env, runner: runner, forwarder: forwarder, connections: connections, compiler: compiler, limitedListener: limitedListener,
+		archive: kept, archiver: archiver, journalFile: journalFile, stopping: stopping, invariants: invariants,
+	}
 	mux := http.NewServeMux()
 	if forwarder != nil {
 		mux.Handle("POST /v1/completions", forwarder)
--- a/server/callers.go
+++ b/server/callers.go
@@ -23,13 +23,14 @@
 	budget := deployment.Bounds.Budget
 	retry := router.Retry{Ratio: budget.Ratio, Window: budget.Window, Slack: budget.Slack}.StartingAt(s.Env.Clock.Now())
 	chooser := router.NewChooser(s.Env.Self.Address, s.Env.Self.Zone, retry)
-	router := router.NewRouter(router.Settings{
+	served := router.NewRouter(router.Settings{
 		Env: s.Env, Wire: wire, Chooser: chooser,
 		Pool:    router.NewPool(s.Env.Clock, router.PlainDialer(engineSilence), engineDial, engineRest),
 		MaxLive: int64(deployment.Settings.Live), MaxBodies: deployment.Limits.BodiesBytes,
 		Suspect:   func(engine router.Engine) { s.Runner.SuspectEngine(engine.ID) },
-		IsInTouch: s.Runner.IsInTouch,
+		IsInTouch: s.Runner.IsInTouch, Invariants: s.Invariants,
 	})
+	s.Router = served
 	shown := &routeRoutingTables{compiler: s.Compiler}
 	s.Runner.Watch(func(state *control.State) {
 		if routingTable := shown.routingTable(state); routingTable != nil {
@@ -45,14 +46,14 @@
 			case <-s.Env.Done():
 				return
 			case <-ticker.C:
-				router.Sweep()
+				served.Sweep()
 				if turn++; turn%10 == 0 {
-					s.Env.Log.Info("counts", "counts", chooser.Counts(), "live", router.Live())
+					s.Env.Log.Info("counts", "counts", chooser.Counts(), "live", served.Live())
 				}
 			}
 		}
 	}()
-	return router, nil
+	return served, nil
 }
 
 // routeRoutingTables turns states of the control plane into routing tables of routed requests.
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -20,7 +20,9 @@
 
 	"dunlinloom/control"
 	"dunlinloom/fleetconfig"
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
+	"dunlinloom/router"
 )
 
 // RetryBudget bounds what goes to a service beyond the first try of each request, summed
@@ -51,7 +53,9 @@
 	Settings Settings
 	// Where it listens; empty: this node does not serve it.
 	Callers, Control, Readiness string
-	Region                      string
+	// Metrics is where it tells its figures, its journal and its view of the fleet; empty: nowhere.
+	Metrics string
+	Region  string
 	// CanVote: the disk outlives the process and counts among those that may be lost.
 	CanVote bool
 	// Bootstrap: this is the first start of the whole fleet, on empty disks.
@@ -93,6 +97,9 @@
 	Runner          *Runner
 	Compiler        *fleetconfig.Compiler
 	LimitedListener *LimitedListener // nil where callers are not served
+	// Router is the data plane, from when the callers' handler is made.
+	Router     *router.Router
+	Invariants *invariant.Monitor
 	// Deployment gives the settings of this moment.
 	Deployment func() *Deployment
 	IsStopping func() bool
@@ -125,7 +132,7 @@
 		listened[address] = name
 	}
 	check("peer", d.Settings.Peer)
-	for _, served := range [][2]string{{"callers", d.Callers}, {"control", d.Control}, {"readiness", d.Readiness}} {
+	for _, served := range [][2]string{{"callers", d.Callers}, {"control", d.Control}, {"readiness", d.Readiness}, {"metrics", d.Metrics}} {
 		if served[1] != "" {
 			check(served[0], served[1])
 		}
@@ -215,11 +222,13 @@
 		// Without a disk of its own a node votes for nothing, and needs no core.
 		parts: Parts{Program: adapter.Program, IsRouter: deployment.Callers != "", IsController: deployment.CanVote},
 	}}
+	d.invariants = newMonitor(d.env)
 	d.current.Store(deployment)
 	defer func() { err = errors.Join(err, d.stage.Cleanup.Run()) }()
 	d.stage.Cleanup.Defer(func() error { end(); return nil })
 	node := deployment.node(self, d.parts)
 	node.Journal, node.CheckConfig, node.IsCompiled = d.env.Journal, d.compiler.Check, d.compiler.Has
+	node.Invariants = d.invariants
 	node.ChangeConfig, node.VersionOf = d.compiler.Change, d.compiler.Version
 	d.openClock(node.Start)
 	for _, step := range []func() error{
@@ -286,6 +295,9 @@
 	return server, nil
 }
 
+// plainListener leaves a listener as it is.
+func plainListener(listener net.Listener) net.Listener { return listener }
+
 // serveAll sets everything going.
 func (d *deployed) serveAll(member control.MemberID) error {
 	deployment := d.deployment
@@ -295,11 +307,11 @@
 	}
 	d.services = &Services{
 		Env: d.env, Runner: d.runner, Compiler: d.compiler, Deployment: d.current.Load, IsStopping: d.isStopping.Load,
+		Invariants: d.invariants,
 	}
-	plain := func(listener net.Listener) net.Listener { return listener }
 	// Nodes first: the callers' handler may need what they tell.
 	peers := NewPeerHandler(d.runner.Deliver, d.runner.Unreadable, d.runner.Recall, func() control.Witness { return d.runner.Witness(member) })
-	if _, err := d.listen("nodes", d.settings.Peer, peers, plain); err != nil {
+	if _, err := d.listen("nodes", d.settings.Peer, peers, plainListener); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
@@ -314,7 +326,7 @@
 		if err != nil {
 			return fmt.Errorf("open control: %w", err)
 		}
-		if d.control, err = d.listen("control", deployment.Control, d.winding(handler), plain); err != nil {
+		if d.control, err = d.listen("control", deployment.Control, d.winding(handler), plainListener); err != nil {
 			return err
 		}
 	}
@@ -334,10 +346,11 @@
 		}
 	}
 	if deployment.Readiness != "" {
-		if _, err := d.listen("readiness", deployment.Readiness, d.readiness(), plain); err != nil {
+		if _, err := d.listen("readiness", deployment.Readiness, d.readiness(), plainListener); err != nil {
 			return err
 		}
 	}
+	d.serveMetrics()
 	d.env.Log.Info("serving", "callers", deployment.Callers, "control", deployment.Control, "peer", d.settings.Peer, "member", string(member),
 		"seeds", d.settings.Seeds, "votes", deployment.CanVote, "bootstrap", deployment.Bootstrap)
 	return nil
--- a/server/process.go
+++ b/server/process.go
@@ -23,6 +23,7 @@
 	"dunlinloom/control"
 	"dunlinloom/fleetconfig"
 	"dunlinloom/history"
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	"dunlinloom/relay"
 )
@@ -63,6 +64,15 @@
 	return 0
 }
 
+// newMonitor makes the monitor of a process's invariants: it counts, and each violation is told in the
+// log and in the journal.
+func newMonitor(env kernel.Env) *invariant.Monitor {
+	return invariant.NewMonitor(func(violation invariant.Violation) {
+		env.Log.Error(violation, "an invariant is violated")
+		env.Note("invariant", string(violation.Invariant), "violated", violation.Detail)
+	})
+}
+
 // Names of the services in a process.
 const (
 	ServiceRunner          = "runner"
@@ -93,6 +103,8 @@
 	archiver   *Archiver
 	public     *LimitedListener
 	isStopping atomic.Bool
+	// invariants counts violations in all parts of the process.
+	invariants *invariant.Monitor
 	// Nil unless it is run as a deployment; then callers are served by what that brings.
 	deployment *Deployment
 }
@@ -105,6 +117,7 @@
 		env:   kernel.Env{Context: life, Clock: kernel.BootClock{}, Log: log, Self: self, Journal: kernel.NewJournal(settings.Journal)},
 		stage: kernel.Open(), settings: settings, parts: parts, end: end, compiler: &fleetconfig.Compiler{},
 	}
+	a.invariants = newMonitor(a.env)
 	defer func() { err = errors.Join(err, a.stage.Cleanup.Run()) }()
 	a.stage.Cleanup.Defer(func() error { end(); return nil })
 	node := control.NodeSettings{
@@ -112,7 +125,7 @@
 		// Of the address, so that the elections of two nodes do not collide.
 		Seeds: settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: mathrand.Uint64(),
 		Timing: settings.Timing(), Journal: a.env.Journal, CheckConfig: a.compiler.Check, IsCompiled: a.compiler.Has,
-		Member: control.MemberID("no-folder-" + self.Address),
+		Member: control.MemberID("no-folder-" + self.Address), Invariants: a.invariants,
 	}
 	settings.Rules.Put(&node)
 	a.openClock(node.Start)
@@ -294,7 +307,7 @@
 
 // serve sets everything going; what it gives back tells when a server ends by itself.
 func (a *assembly) serve(member control.MemberID) (<-chan error, error) {
-	handler, err := NewAPI(a.env, a.stage, a.isStopping.Load)
+	handler, err := NewAPI(a.env, a.stage, a.invariants, a.isStopping.Load)
 	if err != nil {
 		return nil, err
 	}
--- a/simulator/machine.go
+++ b/simulator/machine.go
@@ -9,6 +9,7 @@
 
 	"dunlinloom/checker"
 	"dunlinloom/control"
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	"dunlinloom/relay"
 	"dunlinloom/server"
@@ -77,6 +78,7 @@
 		CheckConfig: w.compiler.Check,
 		IsCompiled:  func(config []byte) bool { return m.compiled[string(config)] },
 		Member:      control.MemberID("none-" + m.name),
+		Invariants:  invariant.NewMonitor(func(violation invariant.Violation) { w.wrong("%s: %v", m.name, violation) }),
 	}
 	if w.isTight {
 		settings.Timing.ElectionHigh = settings.Timing.ElectionLow + 30*ms
--- a/simulator/routed.go
+++ b/simulator/routed.go
@@ -16,6 +16,7 @@
 	"dunlinloom/checker"
 	"dunlinloom/emulator"
 	"dunlinloom/fleetconfig"
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 	"dunlinloom/router"
 )
@@ -98,6 +99,7 @@
 	kept     map[string][]*callerConn // idle, by router
 	figures  map[string]emulator.ModelFigures
 	opened   uint64
+	monitor  *invariant.Monitor
 }
 
 // leaveWait is an engine whose leaving is acknowledged once all routers know.
@@ -142,6 +144,9 @@
 		context: ctx, random: rand.New(rand.NewPCG(plan.Seed, 5)), factor: 1, services: map[string][]string{},
 		kept: map[string][]*callerConn{}, figures: map[string]emulator.ModelFigures{},
 	}
+	f.monitor = invariant.NewMonitor(func(violation invariant.Violation) {
+		f.note(checker.RoutedEvent{What: checker.InvariantBroken, Why: violation.Error()})
+	})
 	routes := []fleetconfig.Route{}
 	for _, kind := range f.deal.Kinds {
 		routes = append(routes, kind.Route)
@@ -246,7 +251,7 @@
 	zone := f.deal.Zones[f.lives%len(f.deal.Zones)]
 	f.lock.Unlock()
 	model := emulator.NewModel(emulator.ModelSettings{
-		ID: id, Service: service, Wire: router.DefaultWire(), HealthPath: "/health", InstanceHeader: "Engine-Id",
+		ID: id, Service: service, Wire: routedWire, HealthPath: "/health", InstanceHeader: "Engine-Id",
 		Slots: said.Slots, Queue: f.deal.Queue, Chunk: f.deal.Chunk, Step: f.deal.Step, StepEach: f.deal.StepEach, ReadPerMs: f.deal.Reads,
 		Memory: int(said.MemoryTokens), Stride: said.Stride, Idle: f.deal.Idle, MaxConns: said.MaxConnections, CloseOneIn: 50,
 		TellsLoad: f.deal.TellLoad, Note: f.note,
@@ -295,7 +300,7 @@
 	served := &routedRouter{name: name, zone: zone, chooser: chooser, pool: pool}
 	served.router = router.NewRouter(router.Settings{
 		Env:  kernel.Env{Context: f.context, Clock: clock, Log: klog.Background(), Journal: kernel.NewJournal(64)},
-		Wire: router.DefaultWire(), Chooser: chooser, Pool: pool, MaxLive: 2000, MaxBodies: 64 << 20,
+		Wire: routedWire, Chooser: chooser, Pool: pool, Invariants: f.monitor, MaxLive: 2000, MaxBodies: 64 << 20,
 	})
 	listener, err := f.network.Listen(name)
 	if err != nil {
--- a/simulator/routed_deal.go
+++ b/simulator/routed_deal.go
@@ -7,20 +7,11 @@
 	"dunlinloom/checker"
 	"dunlinloom/fleetconfig"
 	"dunlinloom/kernel"
+	"dunlinloom/routedcaller"
 )
 
 // RoutedKind is a shape of requests on one route.
-type RoutedKind struct {
-	Route       fleetconfig.Route
-	Rate        float64 // requests a second
-	Common      int     // tokens with which every prompt of the kind begins
-	Prefixes    int     // different shared beginnings after these
-	Shared, Own int     // tokens of a prompt, on the mean
-	Out         int     // tokens put out, on the mean
-	Deadline    kernel.Micros
-	Further     int // further tries of a caller
-	Body        int // bytes
-}
+type RoutedKind = routedcaller.Kind
 
 // RoutedDeployment is a fleet of routers before engines that register themselves.
 type RoutedDeployment struct {
--- a/simulator/routed_troubles.go
+++ b/simulator/routed_troubles.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
-	"syscall"
 
 	"dunlinloom/checker"
 	"dunlinloom/emulator"
@@ -13,8 +11,6 @@
 	"dunlinloom/kernel"
 )
 
-func isErrno(err error) bool { return errors.As(err, new(syscall.Errno)) }
-
 // RoutedTroubles names what can be caused.
 func RoutedTroubles() []string { return slices.Sorted(maps.Keys(routedTroubles)) }
 
