--- a/checker/routed.go
+++ b/checker/routed.go
@@ -17,6 +17,8 @@
 	StreamDisordered Rule = "a stream's pieces are missing, doubled or joined of two runs"
 	DeniedProper     Rule = "proper requests were denied"
 	InvariantFailed  Rule = "an invariant was violated within a process"
+	KeptDropped      Rule = "requests on kept connections went to a sound engine and got no answer"
+	WorkedOnGone     Rule = "engines got requests whose callers had left"
 	TriesExceeded    Rule = "requests ran on more engines than their route's tries"
 )
 
@@ -37,6 +39,10 @@
 	RouterLeaving RoutedHappening = "router_leaving" // a planned stop was asked for
 	TroubleStruck RoutedHappening = "trouble_struck" // something unplanned
 	TroubleOver   RoutedHappening = "trouble_over"
+	// TouchLost and TouchBack bound a time in which a router, or all of them where none is named, was not
+	// in touch: rules about what a router has to know do not bind it until RoutedBounds.Contact later.
+	TouchLost RoutedHappening = "touch_lost"
+	TouchBack RoutedHappening = "touch_back"
 	// InvariantBroken is a violation that a process counted itself; Why says which.
 	InvariantBroken RoutedHappening = "invariant_broken"
 )
@@ -84,6 +90,7 @@
 	Services     []string      `json:"services,omitempty"` // that any configuration ever led it to
 	Until        kernel.Micros `json:"until_us,omitempty"`
 	Tries        int           `json:"tries,omitempty"` // of its route: the engines that one try may run on
+	IsKept       bool          `json:"kept,omitempty"`  // its connection had served a request before
 	// What it got.
 	Ended   Ended         `json:"ended,omitempty"`
 	Pieces  []Piece       `json:"pieces,omitempty"`
@@ -125,6 +132,7 @@
 	tries  map[string]*routedTry
 	order  []string
 	review RoutedReview
+	touch  outOfTouch
 }
 
 // JudgeRouted holds the history of a routed fleet against every rule.
@@ -133,6 +141,7 @@
 	sort.SliceStable(ordered, func(a, b int) bool { return ordered[a].At < ordered[b].At })
 	j := &routedJudge{bounds: bounds, tries: map[string]*routedTry{}, review: RoutedReview{Endings: map[string]int{}}}
 	j.gather(ordered)
+	j.touch = outOfTouchOf(ordered)
 	for _, id := range j.order {
 		j.judgeTry(j.tries[id])
 	}
@@ -141,6 +150,8 @@
 	j.budget(ordered)
 	j.leaving(ordered)
 	j.stops(ordered)
+	j.kept(ordered)
+	j.gone()
 	sort.SliceStable(j.review.Violations, func(a, b int) bool { return j.review.Violations[a].At < j.review.Violations[b].At })
 	return j.review
 }
@@ -418,13 +429,19 @@
 			}
 		case Arrived:
 			since, isKnown := known[event.Engine]
-			if isKnown && event.At-since > j.bounds.Drain && !turned[event.Engine+" "+event.ID] {
+			if isKnown && event.At-since > j.bounds.Drain && !turned[event.Engine+" "+event.ID] && !j.isOutOfTouch(event.ID, event.At) {
 				j.violation(LeavingUsed, event.At, "%s at %s, %d us after it was known to leave", event.ID, event.Engine, event.At-since)
 			}
 		}
 	}
 }
 
+// A stop's engine may be cut off in the last sixth of the grace, on requests of its first seconds.
+const (
+	stopLastPart = 5
+	stopTakes    = 3 * kernel.Second
+)
+
 // stops looks for requests that a planned stop dropped. What an engine broke off, what ran
 // out of time, and what was near something unplanned is not the stop's doing.
 func (j *routedJudge) stops(events []RoutedEvent) {
@@ -461,8 +478,9 @@
 		if len(try.arrivals) == 0 && over.At <= try.sent.At+j.bounds.Slack {
 			continue
 		}
-		if over.At > stop+j.bounds.Grace/2 && len(try.runs) > 0 {
-			continue // the engine was still at work in the second half
+		isInTime := try.sent.At <= stop+stopTakes
+		if isInTime && over.At > stop+j.bounds.Grace*stopLastPart/(stopLastPart+1) && len(try.runs) > 0 {
+			continue // the engine was still at work in the last part
 		}
 		isNear := false
 		for _, trouble := range troubles {
--- a/checker/routed_test.go
+++ b/checker/routed_test.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -127,6 +128,25 @@
 		{"dropped, but an engine crashed", func(e []RoutedEvent) []RoutedEvent {
 			return append(nothing(e), RoutedEvent{At: 500 * msec, What: TroubleStruck, Why: "crash"})
 		}, ""},
+		{"dropped in the second half, before the last sixth", func(e []RoutedEvent) []RoutedEvent {
+			e[4] = RoutedEvent{At: 7500 * msec, What: TryOver, ID: "a", Ended: Broken, Run: "e1.a", GotID: "a", Status: 200, IsOwn: true}
+			return append(append(e[:3], e[4]), RoutedEvent{At: 1003 * msec, What: RouterLeaving, Router: "r1"})
+		}, StopDropped},
+		{"dropped in the last sixth", func(e []RoutedEvent) []RoutedEvent {
+			e[4] = RoutedEvent{At: 8000 * msec, What: TryOver, ID: "a", Ended: Broken, Run: "e1.a", GotID: "a", Status: 200, IsOwn: true}
+			return append(append(e[:3], e[4]), RoutedEvent{At: 1003 * msec, What: RouterLeaving, Router: "r1"})
+		}, ""},
+		{"known to leave, through a router that was out of touch", func(e []RoutedEvent) []RoutedEvent {
+			return append(e, RoutedEvent{At: 1001*msec - 5*kernel.Second, What: LeaveKnown, Engine: "e1"},
+				RoutedEvent{At: 1001*msec - 8*kernel.Second, What: TouchLost, Router: "r1"}, RoutedEvent{At: 1001*msec - 3*kernel.Second, What: TouchBack, Router: "r1"})
+		}, ""},
+		{"known to leave, through a router that was out of touch long ago", func(e []RoutedEvent) []RoutedEvent {
+			return append(e, RoutedEvent{At: 1001*msec - 5*kernel.Second, What: LeaveKnown, Engine: "e1"},
+				RoutedEvent{At: 1001*msec - 8*kernel.Second, What: TouchLost}, RoutedEvent{At: 1001*msec - 4*kernel.Second - 1, What: TouchBack})
+		}, LeavingUsed},
+		{"a violation that a process counted", func(e []RoutedEvent) []RoutedEvent {
+			return append(e, RoutedEvent{At: 1100 * msec, What: InvariantBroken, Why: "it is"})
+		}, InvariantFailed},
 		{"no end at all", func(e []RoutedEvent) []RoutedEvent { return e[:4] }, StopDropped},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -235,3 +255,40 @@
 		c.Assert(len(review.Violations) > 0, qt.Equals, test.isFound)
 	}
 }
+
+// droppedOnKept is so many requests on kept connections that a sound engine got and nobody answered.
+func droppedOnKept(count int) []RoutedEvent {
+	events := []RoutedEvent{}
+	for i := range count {
+		id, at := fmt.Sprint("k", i), kernel.Micros(i+1)*kernel.Second
+		try := cleanTry(id, at)
+		try[0].IsKept = true
+		events = append(append(events, try[:3]...), RoutedEvent{At: at + 10*msec, What: TryOver, ID: id, Ended: Nothing})
+	}
+	return events
+}
+
+func TestRequestsDroppedOnKeptConnectionsAreCounted(t *testing.T) {
+	c := qt.New(t)
+	few, many := droppedOnKept(keptForgiven), droppedOnKept(keptForgiven+1)
+	c.Assert(JudgeRouted(few, routedBounds()).Violations, qt.HasLen, 0)
+	c.Assert(rulesOf(JudgeRouted(many, routedBounds()).Violations), qt.DeepEquals, []Rule{KeptDropped})
+	crashed := append(droppedOnKept(keptForgiven+1), RoutedEvent{At: 1, What: EngineCrashed, Engine: "e1"})
+	c.Assert(JudgeRouted(crashed, routedBounds()).Violations, qt.HasLen, 0)
+}
+
+func TestRequestsOfCallersThatLeftAreCounted(t *testing.T) {
+	c := qt.New(t)
+	left := func(count int, after kernel.Micros) []RoutedEvent {
+		events := []RoutedEvent{}
+		for i := range count {
+			id, at := fmt.Sprint("g", i), kernel.Micros(i+1)*kernel.Second
+			events = append(events, cleanTry(id, at)[0], RoutedEvent{At: at + msec, What: TryOver, ID: id, Ended: LeftIt},
+				RoutedEvent{At: at + msec + after, What: Arrived, ID: id, Engine: "e1", Service: "text"})
+		}
+		return events
+	}
+	c.Assert(JudgeRouted(left(goneForgiven, goneTakes+1), routedBounds()).Violations, qt.HasLen, 0)
+	c.Assert(JudgeRouted(left(goneForgiven+1, goneTakes), routedBounds()).Violations, qt.HasLen, 0)
+	c.Assert(rulesOf(JudgeRouted(left(goneForgiven+1, goneTakes+1), routedBounds()).Violations), qt.DeepEquals, []Rule{WorkedOnGone})
+}
