--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,147 @@
+// Soak plays seeded runs of a fleet of deployed nodes, real processes on loopback addresses, under
+// troubles that overlap, and judges what callers, engines and operators saw.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"dunlinloom/kernel"
+	"dunlinloom/soak"
+)
+
+type arguments struct {
+	First   uint64  `arg:"--first" default:"1" help:"the first seed"`
+	Count   uint64  `arg:"--count" default:"1" help:"how many seeds"`
+	SpanS   float64 `arg:"--span-s" default:"40" help:"seconds of troubles, before the closing fault"`
+	Load    float64 `arg:"--load" default:"1" help:"times the usual rates of callers"`
+	Workers int     `arg:"--workers" default:"1" help:"runs side by side, each with eight processes or so"`
+	Network int     `arg:"--network" default:"20" help:"second byte of the loopback addresses of the first worker"`
+	Program string  `arg:"--program" help:"the daemon, built with -tags faults; beside this program if not given"`
+	Folder  string  `arg:"--folder" help:"where logs and reports go; a temporary folder if not given"`
+	Quiet   bool    `arg:"--quiet" help:"tell the outcome of each seed alone"`
+}
+
+// Exit statuses.
+const (
+	exitClean     = 0
+	exitFailed    = 1
+	exitViolation = 3
+)
+
+func main() {
+	status, err := run()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+	}
+	os.Exit(status)
+}
+
+func run() (int, error) {
+	var flags arguments
+	arg.MustParse(&flags)
+	if flags.Program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return exitFailed, fmt.Errorf("find the daemon: %w", err)
+		}
+		flags.Program = filepath.Join(filepath.Dir(self), "dunlinloom")
+	}
+	if flags.Folder == "" {
+		folder, err := os.MkdirTemp("", "soak-")
+		if err != nil {
+			return exitFailed, fmt.Errorf("make a folder: %w", err)
+		}
+		flags.Folder = folder
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return playAll(ctx, flags)
+}
+
+// playAll plays every seed, several at a time.
+func playAll(ctx context.Context, flags arguments) (int, error) {
+	seeds := make(chan uint64)
+	var workers sync.WaitGroup
+	var broken atomic.Int64
+	var lock sync.Mutex
+	var failed error
+	for i := range max(flags.Workers, 1) {
+		workers.Go(func() {
+			for seed := range seeds {
+				report, err := play(ctx, flags, seed, flags.Network+i)
+				lock.Lock()
+				failed = errors.Join(failed, err)
+				if report != nil {
+					tell(report)
+					broken.Add(int64(report.Violations))
+				}
+				lock.Unlock()
+			}
+		})
+	}
+	for seed := flags.First; seed < flags.First+flags.Count && ctx.Err() == nil; seed++ {
+		seeds <- seed
+	}
+	close(seeds)
+	workers.Wait()
+	switch {
+	case failed != nil:
+		return exitFailed, failed
+	case broken.Load() > 0:
+		return exitViolation, nil
+	}
+	return exitClean, nil
+}
+
+// play plays one seed and leaves its report beside its logs.
+func play(ctx context.Context, flags arguments, seed uint64, network int) (*soak.Report, error) {
+	folder := filepath.Join(flags.Folder, fmt.Sprint("seed-", seed))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, fmt.Errorf("make a folder: %w", err)
+	}
+	report, err := soak.Play(ctx, soak.Settings{
+		Program: flags.Program, Folder: folder, Seed: seed, Network: network, Span: kernel.Micros(flags.SpanS * float64(kernel.Second)), Load: flags.Load,
+		Say: func(format string, words ...any) {
+			if !flags.Quiet {
+				fmt.Fprintf(os.Stderr, "seed %d: %s\n", seed, fmt.Sprintf(format, words...))
+			}
+		},
+	})
+	if err != nil {
+		return nil, fmt.Errorf("seed %d: %w", seed, err)
+	}
+	content, err := json.MarshalIndent(report, "", "  ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(folder, "report.json"), content, 0o644)
+	}
+	if err != nil {
+		return report, fmt.Errorf("write the report of seed %d: %w", seed, err)
+	}
+	return report, nil
+}
+
+// tell writes the outcome of a seed, a line for each violation.
+func tell(report *soak.Report) {
+	fmt.Printf("seed %d: %d violations; %d of %d tries served, %d of %d orders acknowledged, %d reads; closing: %s\n",
+		report.Seed, report.Violations, report.Review.Served, report.Review.Tries, report.Answered, report.Sent, report.Reads, report.Closing)
+	for _, violation := range report.Review.Violations {
+		fmt.Printf("  seed %d, %.3f s: %s: %s\n", report.Seed, float64(violation.At)/float64(kernel.Second), violation.Rule, violation.Detail)
+	}
+	for _, violation := range report.Orders {
+		fmt.Printf("  seed %d, %.3f s: %s: %s\n", report.Seed, float64(violation.At)/float64(kernel.Second), violation.Rule, violation.Detail)
+	}
+	for _, problem := range report.Problems {
+		fmt.Printf("  seed %d: %s\n", report.Seed, problem)
+	}
+}
--- a/emulator/model.go
+++ b/emulator/model.go
@@ -45,6 +45,11 @@
 	TwiceShare float64 // answered a second time, after the whole answer
 	LateShare  float64 // the same, a while later
 	IsNameless bool    // these further answers name no request
+	// UnframedShare is answered without a length, up to the end of the connection; half of these are
+	// reset before that.
+	UnframedShare float64
+	// EarlyShare of the requests with a body is turned away before it is read; the connection goes on.
+	EarlyShare float64
 	FullShare  float64 // turned away though there is room
 	IsLying    bool    // a health answer that is the wrong way round
 	IsDeaf     bool    // begins a stream anew that should go on
--- a/emulator/model_wire.go
+++ b/emulator/model_wire.go
@@ -131,6 +131,9 @@
 		if err != nil {
 			return
 		}
+		if c.turnsAwayEarly(request) {
+			continue
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
@@ -143,6 +146,20 @@
 	}
 }
 
+// turnsAwayEarly turns a request away before its body is in, if that is the trouble, and reads on later.
+func (c *modelConn) turnsAwayEarly(request *http.Request) bool {
+	m := c.model
+	troubles, _, _ := m.troublesNow()
+	id := request.Header.Get(m.settings.Wire.RequestID)
+	if request.ContentLength <= 0 || !m.draws(troubles.EarlyShare, "early", id) {
+		return false
+	}
+	m.note(checker.RoutedEvent{What: checker.TurnedAway, ID: id, Status: http.StatusServiceUnavailable, Why: "early"})
+	c.plain(id, http.StatusServiceUnavailable, http.Header{m.settings.Wire.NotRun: {"1"}}, []byte("early\n"))
+	_, err := io.Copy(io.Discard, request.Body)
+	return err == nil
+}
+
 func (c *modelConn) serve() {
 	m := c.model
 	requests := make(chan taken)
@@ -336,6 +353,13 @@
 			brokeOff()
 			return false
 		}
+		if m.draws(troubles.UnframedShare, "unframed", j.id) {
+			if !now.isDone {
+				continue
+			}
+			c.answerUnframed(j, now.run, isStream, total)
+			return false
+		}
 		if !isStream {
 			if !now.isDone {
 				continue
@@ -376,6 +400,28 @@
 	}
 }
 
+// answerUnframed sends an answer whose end is that of the connection, or resets it midway.
+func (c *modelConn) answerUnframed(j *job, run string, isStream bool, total int) {
+	m := c.model
+	header, body := http.Header{}, ModelBody(run, j.most)
+	if isStream {
+		header.Set("Content-Type", "text/event-stream")
+		body = nil
+		for id := j.from + 1; id <= total; id++ {
+			body = append(body, ModelEvent(run, id, id == total)...)
+		}
+	}
+	message := c.head(j.id, run, http.StatusOK, header)
+	if m.draws(0.5, "unframed-reset", j.id) {
+		m.note(checker.RoutedEvent{What: checker.BrokeOff, ID: j.id, Run: run})
+		c.write(append(message, body[:len(body)/2]...))
+		c.abort()
+		return
+	}
+	m.note(checker.RoutedEvent{What: checker.Finished, ID: j.id, Run: run, Status: http.StatusOK})
+	c.write(append(message, body...))
+}
+
 // finish sends a whole answer with a length.
 func (c *modelConn) finish(j *job, run string, status int, body []byte) bool {
 	c.model.note(checker.RoutedEvent{What: checker.Finished, ID: j.id, Run: run, Status: status})
--- a/localfleet/cluster.go
+++ b/localfleet/cluster.go
@@ -35,15 +35,13 @@
 	nodes       []*process
 	replaced    []*process // machines whose places others took
 	engines     []*process
+	faults      *FaultTable
 
 	lock         sync.Mutex // guards everything below
 	events       []checker.Event
 	counters     map[string]map[string]float64 // by node and start of process
 	starts       map[string]int
 	problems     []string
-	cuts         map[string]int // "FROM>TO" to how many cuts hold it
-	lossy        server.LinkFault
-	disks        map[string]server.DiskFault
 	replacements int // addresses given away to machines that came later
 	address      func(offset int) string
 }
@@ -65,7 +63,7 @@
 func NewCluster(bin, folder string, deployment Deployment, basePort int) *Cluster {
 	s := &Cluster{
 		bin: bin, folder: folder, deployment: deployment,
-		counters: map[string]map[string]float64{}, starts: map[string]int{}, cuts: map[string]int{}, disks: map[string]server.DiskFault{},
+		counters: map[string]map[string]float64{}, starts: map[string]int{},
 	}
 	taken := map[string]bool{}
 	address := func(offset int) string {
@@ -87,6 +85,7 @@
 		}
 	}
 	s.address = address
+	s.faults = NewFaultTable(s.faultsFile())
 	listing := address(0)
 	s.platform = &process{name: "platform", program: "emulator", public: listing, arguments: []string{"--list", "--listen", listing}}
 	seeds, peers := []string{}, []string{}
@@ -158,7 +157,7 @@
 			continue
 		}
 		// Who sets a machine up names three that are there by then.
-		if other.command != nil && named < 3 {
+		if other.IsRunning() && named < 3 {
 			fresh.arguments = append(fresh.arguments, "--seed", other.peer)
 			named++
 		}
@@ -316,7 +315,7 @@
 		wanted = view.Homes[zone]
 	}
 	for _, node := range cluster.members() {
-		isPlain := node.data == "" && node.command != nil
+		isPlain := node.data == "" && node.IsRunning()
 		for _, home := range view.Homes {
 			isPlain = isPlain && home != node.peer
 		}
--- a/localfleet/faults.go
+++ b/localfleet/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -14,25 +13,24 @@
 
 // Faults that programs built with -tags faults inject: cut ways, failing disks, lost power.
 
-func (cluster *Cluster) cutFor(ctx context.Context, ms int64, ways int, chosen, others []*process) error {
-	if err := cluster.cut(chosen, others, ways, 1); err != nil {
+// failFor has something fail on purpose for a while.
+func failFor(ctx context.Context, ms int64, begin, end func() error) error {
+	if err := begin(); err != nil {
 		return err
 	}
 	pause(ctx, ms)
-	return cluster.cut(chosen, others, ways, -1)
+	return end()
 }
 
-// injectFor has something fail on purpose for a while.
-func (cluster *Cluster) injectFor(ctx context.Context, ms int64, begin, end func()) error {
-	if err := cluster.inject(begin); err != nil {
-		return err
-	}
-	pause(ctx, ms)
-	return cluster.inject(end)
+func (cluster *Cluster) cutFor(ctx context.Context, ms int64, directions int, chosen, others []*process) error {
+	ways := waysBetween(chosen, others, directions)
+	return failFor(ctx, ms, func() error { return cluster.faults.Cut(ways) }, func() error { return cluster.faults.Join(ways) })
 }
 
 func (cluster *Cluster) diskFails(ctx context.Context, node *process, ms int64, how server.DiskFault) error {
-	return cluster.injectFor(ctx, ms, func() { cluster.disks[node.peer] = how }, func() { delete(cluster.disks, node.peer) })
+	return failFor(ctx, ms, func() error { return cluster.faults.SetDisk(node.peer, how) }, func() error {
+		return cluster.faults.SetDisk(node.peer, server.DiskFault{})
+	})
 }
 
 func (cluster *Cluster) faultsFile() string { return filepath.Join(cluster.folder, "faults.json") }
@@ -43,41 +41,23 @@
 	wayIn
 )
 
-// cut edits the list of cut ways between some nodes and others.
-func (cluster *Cluster) cut(chosen, others []*process, ways, by int) error {
-	return cluster.inject(func() {
-		for _, one := range chosen {
-			for _, other := range others {
-				if slices.Contains(chosen, other) {
-					continue
-				}
-				if ways&wayOut != 0 {
-					cluster.cuts[one.peer+">"+other.peer] += by
-				}
-				if ways&wayIn != 0 {
-					cluster.cuts[other.peer+">"+one.peer] += by
-				}
+// waysBetween gives the ways out of some nodes to others, and in.
+func waysBetween(chosen, others []*process, directions int) []Way {
+	ways := []Way{}
+	for _, one := range chosen {
+		for _, other := range others {
+			if slices.Contains(chosen, other) {
+				continue
+			}
+			if directions&wayOut != 0 {
+				ways = append(ways, Way{one.peer, other.peer})
+			}
+			if directions&wayIn != 0 {
+				ways = append(ways, Way{other.peer, one.peer})
 			}
-		}
-	})
-}
-
-// inject changes what fails on purpose and tells all processes.
-func (cluster *Cluster) inject(edit func()) error {
-	cluster.lock.Lock()
-	defer cluster.lock.Unlock()
-	edit()
-	list := server.FaultInjection{Ways: map[string]server.LinkFault{"*": cluster.lossy}, Disks: cluster.disks}
-	for way, count := range cluster.cuts {
-		if count > 0 {
-			list.Ways[way] = server.LinkFault{IsCut: true}
 		}
 	}
-	content, err := json.Marshal(list)
-	if err != nil {
-		return ClusterError{"encode the faults", err}
-	}
-	return replaceFile(cluster.faultsFile(), content)
+	return ways
 }
 
 // replaceFile writes a file aside and renames it into place, so that no process reads half of it.
@@ -97,16 +77,22 @@
 	if node.data == "" {
 		return nil
 	}
-	undo, err := os.ReadDir(node.data + server.UndoSuffix)
+	return TakeBackUnsynced(node.data)
+}
+
+// TakeBackUnsynced puts a data folder into the state that a loss of power leaves: what a write that had
+// not returned replaced is there again.
+func TakeBackUnsynced(data string) error {
+	undo, err := os.ReadDir(data + server.UndoSuffix)
 	if err != nil {
 		return ClusterError{"cut the power", err}
 	}
 	for _, entry := range undo {
-		kept := filepath.Join(node.data+server.UndoSuffix, entry.Name())
+		kept := filepath.Join(data+server.UndoSuffix, entry.Name())
 		if name, wasAbsent := strings.CutSuffix(entry.Name(), server.UndoAbsent); wasAbsent {
-			err = errors.Join(os.RemoveAll(filepath.Join(node.data, name)), os.Remove(kept))
+			err = errors.Join(os.RemoveAll(filepath.Join(data, name)), os.Remove(kept))
 		} else {
-			err = os.Rename(kept, filepath.Join(node.data, entry.Name()))
+			err = os.Rename(kept, filepath.Join(data, entry.Name()))
 		}
 		if err != nil {
 			return ClusterError{"cut the power", err}
--- a/localfleet/fleet_steps.go
+++ b/localfleet/fleet_steps.go
@@ -72,9 +72,10 @@
 }
 
 func (run stepRun) loseMessages(ctx context.Context) error {
-	begin := func() { run.cluster.lossy = server.LinkFault{Loss: 0.2, Double: 0.1, DelayUS: 50_000} }
-	end := func() { run.cluster.lossy = server.LinkFault{} }
-	return run.cluster.injectFor(ctx, run.step.ForMS, begin, end)
+	set := func(fault server.LinkFault) func() error {
+		return func() error { return run.cluster.faults.SetLinks(fault) }
+	}
+	return failFor(ctx, run.step.ForMS, set(server.LinkFault{Loss: 0.2, Double: 0.1, DelayUS: 50_000}), set(server.LinkFault{}))
 }
 
 func (run stepRun) replaceCore(ctx context.Context) error {
@@ -125,7 +126,7 @@
 		return err
 	}
 	select {
-	case <-loadgen.ended:
+	case <-loadgen.Ended():
 	case <-ctx.Done():
 		loadgen.halt()
 	}
--- a/localfleet/node_steps.go
+++ b/localfleet/node_steps.go
@@ -71,9 +71,7 @@
 }
 
 func (run stepRun) stopNode(ctx context.Context, node *process) error {
-	node.lock.Lock()
-	ended := node.ended
-	node.lock.Unlock()
+	ended := node.Ended()
 	run.cluster.record(checker.Event{At: now(), What: checker.NodeStopping, Node: node.public})
 	node.signal(syscall.SIGTERM)
 	select {
--- a/localfleet/process.go
+++ b/localfleet/process.go
@@ -1,22 +1,22 @@
 package localfleet
 
 import (
-	"errors"
 	"fmt"
-	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
+
+	"dunlinloom/childprocess"
+	"dunlinloom/server"
 )
 
 // The processes of a run: how each is started, signalled and ended.
 
 // process is one program of the fleet or of its surroundings, over all its starts.
 type process struct {
+	childprocess.Process
 	name      string
 	program   string
 	zone      string
@@ -24,53 +24,26 @@
 	public    string
 	peer      string
 	data      string
-	lock      sync.Mutex
-	command   *exec.Cmd
-	ended     chan struct{}
 	start     uint64 // engines
 	pool      string
 }
 
 // start launches a process unless it runs.
 func (cluster *Cluster) start(a *process) error {
-	a.lock.Lock()
-	defer a.lock.Unlock()
-	if a.command != nil {
+	if a.IsRunning() {
 		return nil
 	}
-	arguments := a.arguments
+	a.Name, a.Path, a.Arguments = a.name, cluster.executable(a.program), append(subcommand(a.program), a.arguments...)
+	a.Env = []string{server.EnvFaults + "=" + cluster.faultsFile(), server.EnvSelf + "=" + a.peer}
+	a.LogPath = filepath.Join(cluster.folder, a.name+".log")
+	more := []string{}
 	if strings.HasPrefix(a.name, "e") {
 		a.start = uint64(time.Now().UnixMicro())
-		arguments = append(slices.Clone(arguments), "--start", fmt.Sprint(a.start))
-	}
-	log, err := os.OpenFile(filepath.Join(cluster.folder, a.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return ClusterError{"open a log", err}
+		more = append(more, "--start", fmt.Sprint(a.start))
 	}
-	command := exec.Command(cluster.executable(a.program), append(subcommand(a.program), arguments...)...)
-	command.Stdout, command.Stderr = log, log
-	command.Env = append(os.Environ(), "DUNLINLOOM_FAULTS="+cluster.faultsFile(), "DUNLINLOOM_SELF="+a.peer)
-	// A local fleet run that dies must not leave a fleet behind.
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
-		log.Close()
-		return ClusterError{"start " + a.name, err}
+	if err := a.Start(more...); err != nil {
+		return ClusterError{"run a process", err}
 	}
-	ended := make(chan struct{})
-	a.command, a.ended = command, ended
-	go func() {
-		// How it ended is seen in its log; what matters here is that it did.
-		if err := command.Wait(); err != nil {
-			fmt.Fprintln(log, "ended:", err)
-		}
-		log.Close()
-		a.lock.Lock()
-		if a.command == command {
-			a.command = nil
-		}
-		a.lock.Unlock()
-		close(ended)
-	}()
 	cluster.lock.Lock()
 	cluster.starts[a.name]++
 	cluster.lock.Unlock()
@@ -78,13 +51,8 @@
 }
 
 func (process *process) signal(signal syscall.Signal) {
-	process.lock.Lock()
-	defer process.lock.Unlock()
-	if process.command != nil {
-		// It may have ended by itself just now, which is as good.
-		if err := process.command.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
-			panic(ClusterError{"signal " + process.name, err})
-		}
+	if err := process.Signal(signal); err != nil {
+		panic(ClusterError{"signal a process", err})
 	}
 }
 
@@ -132,11 +100,7 @@
 
 // halt kills a process and waits for its end.
 func (process *process) halt() {
-	process.lock.Lock()
-	ended := process.ended
-	process.lock.Unlock()
-	process.signal(syscall.SIGKILL)
-	if ended != nil {
-		<-ended
+	if err := process.Halt(); err != nil {
+		panic(ClusterError{"halt a process", err})
 	}
 }
--- a/localfleet/recovery.go
+++ b/localfleet/recovery.go
@@ -10,7 +10,6 @@
 
 	"dunlinloom/checker"
 	"dunlinloom/loadgen"
-	"dunlinloom/server"
 )
 
 // What the steps of a scenario have in common: failures, repair, replacement and restarts.
@@ -57,9 +56,7 @@
 		repaired.Kinds = append(repaired.Kinds, kind.Name)
 	}
 	cluster.record(repaired)
-	return cluster.inject(func() {
-		cluster.cuts, cluster.lossy, cluster.disks = map[string]int{}, server.LinkFault{}, map[string]server.DiskFault{}
-	})
+	return cluster.faults.Clear()
 }
 
 // noteFailure notes that a fault takes a process.
--- a/localfleet/run.go
+++ b/localfleet/run.go
@@ -59,7 +59,7 @@
 	cluster.carryOut(routingTable, scenario, operator, say)
 	// Callers end by themselves: the span, and then their patience with open streams.
 	select {
-	case <-callers.ended:
+	case <-callers.Ended():
 	case <-time.After(span.Duration() + 60*time.Second):
 		cluster.addProblem("the callers did not come to an end")
 		callers.halt()
--- a/server/fault_injection_faults.go
+++ b/server/fault_injection_faults.go
@@ -17,13 +17,6 @@
 	"dunlinloom/kernel"
 )
 
-// Builds for local fleet runs can fail on purpose: EnvFaults names a file with Mishaps,
-// EnvSelf is the peer address of this process in it.
-const (
-	EnvFaults = "DUNLINLOOM_FAULTS"
-	EnvSelf   = "DUNLINLOOM_SELF"
-)
-
 // BuildNote marks such a build where it prints its version.
 const BuildNote = " (with faults)"
 
--- a/server/fault_injection_list.go
+++ b/server/fault_injection_list.go
@@ -28,3 +28,10 @@
 	UndoSuffix = ".undo"
 	UndoAbsent = ".absent"
 )
+
+// A build with faults is told by its environment: EnvFaults names the file, EnvSelf is the peer address
+// of the process in it.
+const (
+	EnvFaults = "DUNLINLOOM_FAULTS"
+	EnvSelf   = "DUNLINLOOM_SELF"
+)
--- /dev/null
+++ b/soak/engine.go
@@ -0,0 +1,278 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"dunlinloom/checker"
+	"dunlinloom/emulator"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/platform"
+)
+
+// Services, and how many engines each has.
+const (
+	serviceText  = "text"
+	servicePlain = "plain"
+)
+
+var enginesOf = map[string]int{serviceText: 4, servicePlain: 3}
+
+const (
+	healthPath     = "/healthz"
+	instanceHeader = "X-Instance"
+	engineSlots    = 12
+	engineQueue    = 6
+	eventTokens    = 4
+)
+
+func services() []fleetconfig.Service {
+	return []fleetconfig.Service{
+		{Name: serviceText, HealthPath: healthPath, Slots: engineSlots, Stride: eventTokens, MaxConnections: 200, MemoryTokens: 90_000},
+		{Name: servicePlain, HealthPath: healthPath, Slots: engineSlots, Stride: 1, MaxConnections: 200, MemoryTokens: 40_000},
+	}
+}
+
+// engine is one life of an engine: its model, its listener and its beats.
+type engine struct {
+	fleet    *fleet
+	id       string
+	service  string
+	zone     string
+	address  string
+	model    *emulator.Model
+	listener net.Listener
+	stop     context.CancelFunc // of its beats
+	living   context.Context
+
+	lock      sync.Mutex // guards all that follows
+	seq       uint64
+	beatTo    string
+	state     string
+	isSilent  bool // sends no beats
+	isTrouble bool
+	isGone    bool
+}
+
+// engineAddress gives an address that no engine has had.
+func (f *fleet) engineAddress() string {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.lives++
+	return fmt.Sprintf("127.%d.2.%d:%d", f.settings.Network, f.lives%250+1, portEngine+f.lives/250)
+}
+
+// startEngine begins a life of an engine at an address.
+func (f *fleet) startEngine(service, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return RunError{"start an engine", err}
+	}
+	said := services()[slices.IndexFunc(services(), func(s fleetconfig.Service) bool { return s.Name == service })]
+	f.lock.Lock()
+	f.lives++
+	id := fmt.Sprintf("i-%d", f.lives)
+	zone := fmt.Sprint("z", f.lives%zoneCount)
+	f.lock.Unlock()
+	e := &engine{fleet: f, id: id, service: service, zone: zone, address: address, listener: listener, state: platform.StateUp}
+	e.model = emulator.NewModel(emulator.ModelSettings{
+		ID: id, Service: service, Wire: platform.Wire(), HealthPath: healthPath, InstanceHeader: instanceHeader,
+		Slots: said.Slots, Queue: engineQueue, Chunk: 512, Step: 4 * kernel.Millisecond, StepEach: 100, ReadPerMs: 60,
+		Memory: int(said.MemoryTokens), Stride: said.Stride, Idle: 5 * kernel.Second, MaxConns: said.MaxConnections, CloseOneIn: 50,
+		TellsLoad: true, Note: f.note,
+	})
+	e.living, e.stop = context.WithCancel(f.context)
+	f.lock.Lock()
+	f.engines = append(f.engines, e)
+	f.lock.Unlock()
+	f.work.Go(func() { e.model.Serve(listener) })
+	f.work.Go(e.keepBeating)
+	return nil
+}
+
+// end ends the engine as a crash does: without a word, every connection reset.
+func (e *engine) end() {
+	e.lock.Lock()
+	if e.isGone {
+		e.lock.Unlock()
+		return
+	}
+	e.isGone = true
+	e.lock.Unlock()
+	e.stop()
+	e.listener.Close()
+	e.model.Close()
+}
+
+// keepBeating sends beats until the engine ends.
+func (e *engine) keepBeating() {
+	for {
+		e.lock.Lock()
+		isSilent := e.isSilent || e.state != platform.StateUp
+		e.lock.Unlock()
+		if !isSilent {
+			e.tellUp()
+		}
+		if !pause(e.living, beatSpan) {
+			return
+		}
+	}
+}
+
+func (e *engine) nextBeat(state string) platform.Beat {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.seq++
+	return platform.Beat{Service: e.service, Address: e.address, Zone: e.zone, Release: "v1", Slots: engineSlots, State: state, Seq: e.seq}
+}
+
+// beatTries is how many nodes an engine asks in a row.
+const beatTries = 5
+
+// lateOneIn of the beats come a second time, seconds later.
+const lateOneIn = 40
+
+func (e *engine) tellUp() {
+	beat := e.nextBeat(platform.StateUp)
+	for range beatTries {
+		if e.sendBeat(beat) || e.living.Err() != nil {
+			break
+		}
+	}
+	if e.fleet.draw(lateOneIn) == 0 {
+		late := kernel.Micros(1+e.fleet.draw(4)) * kernel.Second
+		e.fleet.work.Go(func() {
+			// On its way it may outlive the engine that sent it.
+			if pause(e.fleet.context, late) {
+				e.fleet.sendBeat(e.fleet.context, e.fleet.anyNode().address(portControl), e.id, beat)
+			}
+		})
+	}
+}
+
+// sendBeat sends a beat to where the last answer led, or to any node; true: it was acknowledged.
+func (e *engine) sendBeat(beat platform.Beat) bool {
+	e.lock.Lock()
+	address := e.beatTo
+	e.lock.Unlock()
+	if address == "" {
+		address = e.fleet.anyNode().address(portControl)
+	}
+	isTaken, beatTo := e.fleet.sendBeat(e.living, address, e.id, beat)
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	switch {
+	case !isTaken:
+		e.beatTo = ""
+	case beatTo != "":
+		e.beatTo = beatTo
+	}
+	return isTaken
+}
+
+func (f *fleet) sendBeat(ctx context.Context, address, id string, beat platform.Beat) (isTaken bool, beatTo string) {
+	limit, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	answer, beatTo, err := f.client.Beat(limit, address, id, beat)
+	if err != nil {
+		return false, ""
+	}
+	if answer.Status >= 400 && answer.Status < 500 {
+		f.problem("a beat of %s was refused with %d by %s: %s", id, answer.Status, address, answer.Body)
+	}
+	return answer.IsYes(), beatTo
+}
+
+// leaveSpan is how long an engine tries to have its leaving acknowledged.
+const leaveSpan = 6 * kernel.Second
+
+// leave ends an engine in order: with a drain before the end, or with the word of its end first.
+func (e *engine) leave(saysDrain bool) {
+	e.lock.Lock()
+	e.state = platform.StateDraining
+	e.lock.Unlock()
+	e.model.Leave()
+	tell := func() bool { return e.remove() }
+	if saysDrain {
+		tell = func() bool { return e.sendBeat(e.nextBeat(platform.StateDraining)) }
+	}
+	isKnown := e.insist(tell)
+	if !isKnown {
+		e.fleet.note(checker.RoutedEvent{What: checker.EngineCrashed, Engine: e.id})
+	}
+	// It serves on for as long as it promised, and a little longer.
+	if !pause(e.living, drainSpan+kernel.Second/2) {
+		return
+	}
+	if saysDrain {
+		e.insist(e.remove)
+	}
+	e.end()
+}
+
+// insist repeats a word until it is acknowledged, and notes that the end of the engine is known.
+func (e *engine) insist(tell func() bool) bool {
+	until := e.fleet.clock.Now() + leaveSpan
+	for e.fleet.clock.Now() < until && e.living.Err() == nil {
+		if tell() {
+			e.fleet.note(checker.RoutedEvent{What: checker.LeaveKnown, Engine: e.id})
+			return true
+		}
+		pause(e.living, 100*kernel.Millisecond)
+	}
+	return false
+}
+
+// remove says that the engine is gone; true: that was acknowledged.
+func (e *engine) remove() bool {
+	limit, cancel := context.WithTimeout(e.living, time.Second)
+	defer cancel()
+	answer, err := e.fleet.client.Remove(limit, e.fleet.anyNode().address(portControl), e.id)
+	return err == nil && answer.IsYes()
+}
+
+// anEngine draws an engine that is well and not the last one of its service, and marks it as in trouble.
+func (f *fleet) anEngine() *engine {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	well := []*engine{}
+	for _, e := range f.engines {
+		e.lock.Lock()
+		if !e.isGone && !e.isTrouble && e.state == platform.StateUp {
+			well = append(well, e)
+		}
+		e.lock.Unlock()
+	}
+	well = slices.DeleteFunc(well, func(e *engine) bool {
+		return !slices.ContainsFunc(well, func(other *engine) bool { return other != e && other.service == e.service })
+	})
+	if len(well) == 0 {
+		return nil
+	}
+	chosen := well[f.random.IntN(len(well))]
+	chosen.lock.Lock()
+	chosen.isTrouble = true
+	chosen.lock.Unlock()
+	return chosen
+}
+
+func (e *engine) setTrouble(isTrouble, isSilent bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.isTrouble, e.isSilent = isTrouble, isSilent
+}
+
+// endEngines ends every engine that is left.
+func (f *fleet) endEngines() {
+	f.lock.Lock()
+	engines := slices.Clone(f.engines)
+	f.lock.Unlock()
+	for _, e := range engines {
+		e.end()
+	}
+}
--- /dev/null
+++ b/soak/node.go
@@ -0,0 +1,329 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunlinloom/checker"
+	"dunlinloom/childprocess"
+	"dunlinloom/kernel"
+	"dunlinloom/localfleet"
+	"dunlinloom/platform"
+	"dunlinloom/server"
+)
+
+// The layout of the fleet: the first nodes have a disk and vote.
+const (
+	nodeCount = 5
+	diskCount = 3
+	zoneCount = 3
+)
+
+// Ports, the same on all nodes.
+const (
+	portPeers     = 7300
+	portControl   = 8262
+	portCallers   = 8263
+	portReadiness = 8268
+	portMetrics   = 9464
+	portEngine    = 8080
+)
+
+// Promises of the deployment.
+const (
+	beatSpan    = 500 * kernel.Millisecond
+	graceSpan   = 5 * kernel.Second
+	drainSpan   = 2 * kernel.Second
+	contactSpan = 3 * kernel.Second
+	syncSpan    = 4 * kernel.Second
+	slackSpan   = 200 * kernel.Millisecond
+	recoverSpan = 12 * kernel.Second
+	retryRatio  = 0.2
+	retryWindow = 10 * kernel.Second
+	retrySlack  = 40
+)
+
+// node is a machine with its one process.
+type node struct {
+	name    string
+	zone    string
+	hasDisk bool
+	process *childprocess.Process
+	file    string // of its settings
+	data    string
+	busy    sync.Mutex // held by whoever starts, stops or freezes it
+
+	lock      sync.Mutex // guards all that follows
+	ip        string
+	seeds     []string
+	bootstrap bool
+	isWanted  bool // its process should be running
+}
+
+func (n *node) address(port int) string {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	return fmt.Sprintf("%s:%d", n.ip, port)
+}
+
+func (n *node) setWanted(isWanted bool) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.isWanted = isWanted
+}
+
+// open plans the nodes and engines and starts them.
+func (f *fleet) open() error {
+	if err := f.faults.Clear(); err != nil {
+		return RunError{"write the faults", err}
+	}
+	seeds := []string{}
+	for i := range diskCount {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", f.nodeIP(i), portControl))
+	}
+	for i := range nodeCount {
+		n := f.newNode(fmt.Sprintf("node%d", i), f.nodeIP(i), fmt.Sprint("z", i%zoneCount), i < diskCount)
+		n.seeds, n.bootstrap = seeds, true
+		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
+		if err := f.startNode(n); err != nil {
+			return err
+		}
+	}
+	for _, service := range services() {
+		for range enginesOf[service.Name] {
+			if err := f.startEngine(service.Name, f.engineAddress()); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) nodeIP(number int) string {
+	return fmt.Sprintf("127.%d.1.%d", f.settings.Network, number+1)
+}
+
+func (f *fleet) newNode(name, ip, zone string, hasDisk bool) *node {
+	n := &node{name: name, ip: ip, zone: zone, hasDisk: hasDisk, file: filepath.Join(f.settings.Folder, name+".toml")}
+	if hasDisk {
+		n.data = filepath.Join(f.settings.Folder, name+"-data")
+	}
+	n.process = &childprocess.Process{
+		Name: name, Path: f.settings.Program, Arguments: []string{"platform", "--metrics-port", fmt.Sprint(portMetrics)},
+		LogPath: filepath.Join(f.settings.Folder, name+".log"),
+		Env: []string{
+			platform.SettingsVariable + "=" + n.file, server.EnvFaults + "=" + filepath.Join(f.settings.Folder, "faults.json"),
+			server.EnvSelf + "=" + n.address(portPeers),
+		},
+	}
+	n.process.OnEnd = func(err error) { f.processEnded(n, err) }
+	return n
+}
+
+// processEnded takes the end of a node's process; one that nobody asked for is a problem.
+func (f *fleet) processEnded(n *node, err error) {
+	n.lock.Lock()
+	isWanted := n.isWanted
+	n.lock.Unlock()
+	if isWanted {
+		f.problem("%s ended by itself: %v", n.name, err)
+	}
+}
+
+// writeSettings writes a node's settings file.
+func (f *fleet) writeSettings(n *node) error {
+	n.lock.Lock()
+	file := platform.NodeFile{
+		Serves: platform.ServesAll(), IP: n.ip, Zone: n.zone, Region: "region", PortRange: [2]int{portPeers, portPeers + 15}, Seeds: n.seeds,
+		Bootstrap: n.bootstrap, Quorum: n.hasDisk, DataDir: n.data, BeatMS: int(beatSpan / kernel.Millisecond),
+		Bind: platform.NodeBind{
+			Callers: fmt.Sprintf("%s:%d", n.ip, portCallers), Readiness: fmt.Sprintf("%s:%d", n.ip, portReadiness), Control: fmt.Sprintf("%s:%d", n.ip, portControl),
+		},
+		Caps:     map[string]float64{"cpu_frac": 1, "ncpu": 2, "ram_mb": 240, "nofile": 4000, "link_mbps": 1000, "disk_mb": 64},
+		Tolerate: map[string]int{"machines": 1, "zones": 0, "regions": 0},
+		Bounds: map[string]float64{
+			"seed_lag_s": 3, "reuse_s": 2, "contact_ms": float64(contactSpan / kernel.Millisecond), "ack_ms": 4000, "sync_s": float64(syncSpan / kernel.Second),
+			"drain_ms": float64(drainSpan / kernel.Millisecond), "grace_s": float64(graceSpan / kernel.Second), "slack_ms": float64(slackSpan / kernel.Millisecond),
+			"apply_ms": 2000, "revert_ms": 250, "stretch_ms": 5000, "retry_ratio": retryRatio, "retry_win_s": float64(retryWindow / kernel.Second),
+			"retry_slack": retrySlack, "recover_s": float64(recoverSpan / kernel.Second), "relay_ms": 120,
+		},
+	}
+	n.lock.Unlock()
+	content, err := file.Encode()
+	if err != nil {
+		return RunError{"write settings", err}
+	}
+	if err := os.WriteFile(n.file+".new", content, 0o644); err != nil {
+		return RunError{"write settings", err}
+	}
+	if err := os.Rename(n.file+".new", n.file); err != nil {
+		return RunError{"write settings", err}
+	}
+	return nil
+}
+
+// startNode starts a node's process with the settings of this moment.
+func (f *fleet) startNode(n *node) error {
+	if n.hasDisk {
+		if err := os.MkdirAll(n.data, 0o755); err != nil {
+			return RunError{"make a data folder", err}
+		}
+	}
+	if err := f.writeSettings(n); err != nil {
+		return err
+	}
+	n.setWanted(true)
+	if err := n.process.Start(); err != nil {
+		return RunError{"start a node", err}
+	}
+	return nil
+}
+
+// killNode ends a node's process at once.
+func (f *fleet) killNode(n *node) error {
+	n.setWanted(false)
+	if err := n.process.Signal(syscall.SIGCONT); err != nil {
+		return RunError{"wake a node", err}
+	}
+	if err := n.process.Halt(); err != nil {
+		return RunError{"kill a node", err}
+	}
+	n.lock.Lock()
+	n.bootstrap = false
+	n.lock.Unlock()
+	return nil
+}
+
+// powerOff ends a node's process and takes back what its disk had not synced.
+func (f *fleet) powerOff(n *node) error {
+	if err := f.killNode(n); err != nil || !n.hasDisk {
+		return err
+	}
+	return localfleet.TakeBackUnsynced(n.data)
+}
+
+// wipe empties a node's disk; its process has ended.
+func (f *fleet) wipe(n *node) error {
+	for _, folder := range []string{n.data, n.data + server.UndoSuffix} {
+		if err := os.RemoveAll(folder); err != nil {
+			return RunError{"empty a disk", err}
+		}
+	}
+	return nil
+}
+
+// members gives the nodes of now.
+func (f *fleet) members() []*node {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return slices.Clone(f.nodes)
+}
+
+// anyNode draws a node.
+func (f *fleet) anyNode() *node {
+	nodes := f.members()
+	return nodes[f.draw(len(nodes))]
+}
+
+// readyPolls is how many looks in a row a node has to miss to get no callers.
+const readyPolls = 2
+
+// watchReadiness asks every node once a second whether it takes callers, as a load balancer does.
+func (f *fleet) watchReadiness(ctx context.Context) {
+	for {
+		var looks sync.WaitGroup
+		for _, n := range f.members() {
+			looks.Go(func() { f.lookAt(ctx, n) })
+		}
+		looks.Wait()
+		if !pause(ctx, kernel.Second) {
+			return
+		}
+	}
+}
+
+func (f *fleet) lookAt(ctx context.Context, n *node) {
+	limit, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	answer, err := f.client.Ready(limit, n.address(portReadiness))
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if err == nil && answer.Status == http.StatusOK {
+		f.ready[n.name] = 0
+		return
+	}
+	f.ready[n.name]++
+}
+
+// openingSpan is how long a fleet may take to be ready.
+const openingSpan = 30 * kernel.Second
+
+// awaitReady waits until every node takes callers.
+func (f *fleet) awaitReady() error {
+	end := f.clock.Now() + openingSpan
+	for f.clock.Now() < end {
+		count := 0
+		for _, n := range f.members() {
+			f.lookAt(f.context, n)
+			f.lock.Lock()
+			if f.ready[n.name] == 0 {
+				count++
+			}
+			f.lock.Unlock()
+		}
+		if count == nodeCount {
+			return nil
+		}
+		if !pause(f.context, 100*kernel.Millisecond) {
+			break
+		}
+	}
+	return RunError{"open the fleet", NeverReady{}}
+}
+
+// NeverReady says that not all nodes became ready.
+type NeverReady struct{}
+
+func (NeverReady) Error() string { return "not all nodes became ready" }
+
+// loseTouch notes that a node, or for one with a disk the whole core, is in trouble.
+func (f *fleet) loseTouch(n *node) {
+	f.note(checker.RoutedEvent{What: checker.TouchLost, Router: touchName(n)})
+}
+
+func (f *fleet) regainTouch(n *node) {
+	f.note(checker.RoutedEvent{What: checker.TouchBack, Router: touchName(n)})
+}
+
+func touchName(n *node) string {
+	if n.hasDisk {
+		return ""
+	}
+	return n.name
+}
+
+// close ends every process and engine.
+func (f *fleet) close() {
+	f.endEngines()
+	for _, n := range f.members() {
+		if err := f.killNode(n); err != nil {
+			f.settings.Say("%v", err)
+		}
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for _, connections := range f.kept {
+		for _, connection := range connections {
+			connection.Close()
+		}
+	}
+}
--- /dev/null
+++ b/soak/operator.go
@@ -0,0 +1,345 @@
+package soak
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dunlinloom/checker"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/platform"
+)
+
+// Caps of the configurations.
+const (
+	configIdle = 15 * kernel.Second
+	configBody = 1 << 20
+)
+
+// operator changes the configuration and reads it.
+type operator struct {
+	fleet *fleet
+	calls atomic.Int64
+
+	lock    sync.Mutex // guards all that follows
+	random  *rand.Rand
+	number  int
+	version uint64 // in force, as far as known
+	content map[uint64][]byte
+	routes  []fleetconfig.Route
+	highest uint64 // that was ever sent
+}
+
+func newOperator(f *fleet) *operator {
+	o := &operator{fleet: f, random: rand.New(rand.NewPCG(f.settings.Seed, 7)), content: map[uint64][]byte{}}
+	for _, kind := range kinds() {
+		o.routes = append(o.routes, kind.Route)
+	}
+	return o
+}
+
+// order is one change, sent until it is answered clearly.
+type order struct {
+	name      string
+	base      uint64
+	version   uint64
+	body      []byte
+	isChange  bool
+	isInvalid bool
+	leadsTo   []byte // the whole configuration that follows
+}
+
+func digestOf(content []byte) string {
+	return fmt.Sprintf("%x", sha256.Sum256(content))[:16]
+}
+
+// Spans of an operator's calls.
+const (
+	answerSpan  = kernel.Second // after which it goes on to another node
+	orderSpan   = 12 * kernel.Second
+	longestWait = kernel.Second
+	readEvery   = 150 * ms
+	lostOneIn   = 5 // answers that are lost on their way
+	repeatOneIn = 3 // orders that are sent again after their acknowledgement
+)
+
+// begin puts the first configuration.
+func (o *operator) begin() error {
+	until := o.fleet.clock.Now() + openingSpan
+	first := o.newOrder(0, o.nextVersion(), o.routes, false)
+	for o.fleet.clock.Now() < until {
+		if o.insist(o.fleet.context, first) == orderAcknowledged {
+			return nil
+		}
+	}
+	return RunError{"put the first configuration", NeverReady{}}
+}
+
+// nextVersion draws a version that nobody has used; they rise by uneven steps.
+func (o *operator) nextVersion() uint64 {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.highest += 1 + uint64(o.random.IntN(3))
+	return o.highest
+}
+
+// newOrder makes an order on top of a version: a whole configuration, or a change of one route.
+func (o *operator) newOrder(base, version uint64, routes []fleetconfig.Route, isChange bool) *order {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.number++
+	made := &order{name: fmt.Sprint("order-", o.number), base: base, version: version, isChange: isChange}
+	var err error
+	if isChange {
+		changed := routes[o.random.IntN(len(routes))]
+		changed.Goal += kernel.Micros(o.random.IntN(50)) * ms
+		made.body, err = platform.EncodeRouteChange(version, []fleetconfig.Route{changed}, nil)
+		if err == nil {
+			made.leadsTo, err = platform.ApplyChange(o.content[base], made.body)
+		}
+	} else {
+		made.body, err = platform.EncodeConfig(version, routes, services(), fleetconfig.Caps{BodyBytes: configBody, HeaderBytes: 16 << 10, HeaderTime: 3 * kernel.Second, IdleTime: configIdle})
+		made.leadsTo = made.body
+	}
+	if err != nil {
+		panic(RunError{"make an order", err}) // the stand-in writes what it reads
+	}
+	return made
+}
+
+// vary gives routes as the next configuration has them: other times, and a safe route that moves.
+func (o *operator) vary() []fleetconfig.Route {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	routes := slices.Clone(o.routes)
+	for i := range routes {
+		routes[i].Goal += kernel.Micros(o.random.IntN(100)) * ms
+		if routes[i].Name == routeSafe {
+			routes[i].Splits = leadTo([]string{servicePlain, serviceText}[o.random.IntN(2)])
+		}
+	}
+	if o.random.IntN(2) == 0 {
+		extra := routes[len(routes)-1]
+		extra.Name, extra.Host = fmt.Sprint("extra-", o.number), "extra.example"
+		routes = append(routes, extra)
+	}
+	return routes
+}
+
+// orderEnd is what an order came to.
+type orderEnd int
+
+const (
+	orderUnclear orderEnd = iota
+	orderAcknowledged
+	orderRefused
+)
+
+// insist sends an order to one node after another until an answer is clear.
+func (o *operator) insist(ctx context.Context, sent *order) orderEnd {
+	o.allowServices(sent)
+	until, wait := o.fleet.clock.Now()+orderSpan, 50*ms
+	for o.fleet.clock.Now() < until && ctx.Err() == nil {
+		status := o.send(ctx, sent, o.fleet.anyNode())
+		switch {
+		case status >= 200 && status < 300:
+			o.take(sent)
+			return orderAcknowledged
+		case status >= 400 && status < 500 && status != 408 && status != 429:
+			return orderRefused
+		}
+		if !pause(ctx, wait) {
+			break
+		}
+		wait = min(wait*2, longestWait)
+	}
+	return orderUnclear
+}
+
+// allowServices notes to which services an order would lead each route, before it is sent.
+func (o *operator) allowServices(sent *order) {
+	routes, err := platform.RoutesOf(sent.leadsTo)
+	if err != nil {
+		return // it is invalid, and leads nothing anywhere
+	}
+	o.fleet.lock.Lock()
+	defer o.fleet.lock.Unlock()
+	for _, route := range routes {
+		for _, split := range route.Splits {
+			if known := o.fleet.services[route.Name]; !slices.Contains(known, split.Service) {
+				o.fleet.services[route.Name] = append(known, split.Service)
+			}
+		}
+	}
+}
+
+// take notes that an order's configuration is in force.
+func (o *operator) take(sent *order) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.content[sent.version] = sent.leadsTo
+	o.version = max(o.version, sent.version)
+}
+
+// send sends an order once and gives the status of its answer; zero: none came, or it was lost.
+func (o *operator) send(ctx context.Context, sent *order, n *node) int {
+	call := int(o.calls.Add(1))
+	o.lock.Lock()
+	isLost := o.random.IntN(lostOneIn) == 0
+	lostAfter := kernel.Micros(o.random.Int64N(int64(40 * ms)))
+	o.lock.Unlock()
+	span := answerSpan
+	if isLost {
+		span = lostAfter
+	}
+	limit, cancel := context.WithTimeout(ctx, span.Duration())
+	defer cancel()
+	o.fleet.noteOrder(checker.OrderEvent{What: checker.OrderSent, Call: call, Node: n.name, Order: sent.name, Base: sent.base, Version: sent.version,
+		Digest: digestOf(sent.leadsTo), IsInvalid: sent.isInvalid})
+	put := o.fleet.client.PutConfig
+	if sent.isChange {
+		put = o.fleet.client.PatchConfig
+	}
+	answer, err := put(limit, n.address(portControl), sent.base, sent.body)
+	status := answer.Status
+	if err != nil {
+		status = 0
+	}
+	o.fleet.noteOrder(checker.OrderEvent{What: checker.OrderEnded, Call: call, Node: n.name, Order: sent.name, Status: status})
+	return status
+}
+
+// run makes one change after another until the context ends.
+func (o *operator) run(ctx context.Context) {
+	for pause(ctx, kernel.Micros(500+o.drawInt(2000))*ms) {
+		base, isKnown := o.current(ctx)
+		if !isKnown {
+			continue
+		}
+		switch o.drawInt(8) {
+		case 0:
+			o.race(ctx, base)
+		case 1:
+			o.sendInvalid(ctx, base)
+		case 2, 3:
+			o.change(ctx, o.newOrder(base, o.nextVersion(), o.routesNow(base), true))
+		default:
+			o.change(ctx, o.newOrder(base, o.nextVersion(), o.vary(), false))
+		}
+	}
+}
+
+func (o *operator) drawInt(bound int) int {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.random.IntN(bound)
+}
+
+func (o *operator) routesNow(version uint64) []fleetconfig.Route {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	routes, err := platform.RoutesOf(o.content[version])
+	if err != nil {
+		panic(RunError{"read a configuration in force", err})
+	}
+	return routes
+}
+
+// current reads which version is in force.
+func (o *operator) current(ctx context.Context) (version uint64, isKnown bool) {
+	for range beatTries {
+		if version, content := o.readOnce(ctx, o.fleet.anyNode(), false); version > 0 {
+			o.lock.Lock()
+			o.content[version], o.version = content, max(o.version, version)
+			o.highest = max(o.highest, version)
+			o.lock.Unlock()
+			return version, true
+		}
+	}
+	return 0, false
+}
+
+// change sends an order; now and then it sends it again after the acknowledgement.
+func (o *operator) change(ctx context.Context, made *order) {
+	if o.insist(ctx, made) != orderAcknowledged || o.drawInt(repeatOneIn) > 0 {
+		return
+	}
+	pause(ctx, kernel.Micros(o.drawInt(1500))*ms)
+	o.send(ctx, made, o.fleet.anyNode())
+}
+
+// race sends two changes on the same version, under one number, at once.
+func (o *operator) race(ctx context.Context, base uint64) {
+	version := o.nextVersion()
+	first, second := o.newOrder(base, version, o.vary(), false), o.newOrder(base, version, o.vary(), false)
+	var both sync.WaitGroup
+	for _, made := range []*order{first, second} {
+		both.Go(func() { o.insist(ctx, made) })
+	}
+	both.Wait()
+}
+
+// sendInvalid sends an order that no node may take.
+func (o *operator) sendInvalid(ctx context.Context, base uint64) {
+	routes := o.vary()
+	switch o.drawInt(3) {
+	case 0:
+		routes[0].Timeout = 0
+	case 1:
+		routes[1].Splits = leadTo("nowhere")
+	default:
+		routes[2].Host, routes[2].Prefix = routes[3].Host, routes[3].Prefix
+	}
+	made := o.newOrder(base, o.nextVersion(), routes, false)
+	made.isInvalid = true
+	o.insist(ctx, made)
+}
+
+// read reads the configuration again and again, at any node.
+func (o *operator) read(ctx context.Context) {
+	for pause(ctx, readEvery) {
+		o.readOnce(ctx, o.fleet.anyNode(), false)
+	}
+}
+
+// readOnce reads the configuration at one node; version zero: there was no answer.
+func (o *operator) readOnce(ctx context.Context, n *node, isLast bool) (version uint64, content []byte) {
+	call := int(o.calls.Add(1))
+	limit, cancel := context.WithTimeout(ctx, answerSpan.Duration())
+	defer cancel()
+	o.fleet.noteOrder(checker.OrderEvent{What: checker.ReadSent, Call: call, Node: n.name})
+	answer, err := o.fleet.client.GetConfig(limit, n.address(portControl))
+	if err != nil || !answer.IsYes() {
+		return 0, nil
+	}
+	version, err = platform.VersionOf(answer.Body)
+	if err != nil {
+		o.fleet.problem("%s shows a configuration that can't be read: %v", n.name, err)
+		return 0, nil
+	}
+	o.fleet.noteOrder(checker.OrderEvent{What: checker.ReadAnswered, Call: call, Node: n.name, Version: version, Digest: digestOf(answer.Body), Status: answer.Status, IsLast: isLast})
+	return version, answer.Body
+}
+
+// readBackSpan is for how long every node is asked at the end.
+const readBackSpan = 5 * kernel.Second
+
+// readBack reads the configuration at every node when all is well again.
+func (o *operator) readBack() {
+	for _, n := range o.fleet.members() {
+		isRead := false
+		for until := time.Now().Add(readBackSpan.Duration()); !isRead && time.Now().Before(until); {
+			version, _ := o.readOnce(context.Background(), n, true)
+			isRead = version > 0
+		}
+		if !isRead {
+			o.fleet.problem("%s does not show the configuration at the end", n.name)
+		}
+	}
+}
--- /dev/null
+++ b/soak/report.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+)
+
+// Report is what came of a run.
+type Report struct {
+	Seed       uint64               `json:"seed"`
+	SpanS      float64              `json:"span_s"`
+	Closing    string               `json:"closing"`
+	Steps      []string             `json:"steps"`
+	Review     checker.RoutedReview `json:"review"`
+	Orders     []checker.Violation  `json:"orders"`
+	Problems   []string             `json:"problems"`
+	Sent       int                  `json:"orders_sent"`
+	Answered   int                  `json:"orders_acknowledged"`
+	Reads      int                  `json:"reads_answered"`
+	Violations int                  `json:"violations"`
+}
+
+// report judges all that was seen.
+func (f *fleet) report() *Report {
+	f.readLogs()
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	drawn := draw(f.settings.Seed, f.settings.Span)
+	report := &Report{Seed: f.settings.Seed, SpanS: seconds(f.settings.Span), Closing: drawn.closing}
+	for _, s := range drawn.steps {
+		report.Steps = append(report.Steps, s.String())
+	}
+	report.Review = checker.JudgeRouted(f.routed, checker.RoutedBounds{
+		Drain: drainSpan, Grace: graceSpan, Slack: slackSpan, Contact: contactSpan, RetryRatio: retryRatio, RetrySlack: retrySlack,
+		RetryWindow: retryWindow, DeniedFew: 5, DeniedOneIn: 500,
+	})
+	report.Orders, report.Problems = checker.JudgeOrders(f.orders), f.problems
+	for _, event := range f.orders {
+		switch {
+		case event.What == checker.OrderSent:
+			report.Sent++
+		case event.What == checker.OrderEnded && event.Status == http.StatusOK:
+			report.Answered++
+		case event.What == checker.ReadAnswered:
+			report.Reads++
+		}
+	}
+	sort.Strings(report.Problems)
+	report.Violations = len(report.Review.Violations) + len(report.Orders) + len(report.Problems)
+	return report
+}
+
+// Marks in a node's log that must not be there.
+var logMarks = []string{"an invariant is violated", "panic:", "DATA RACE", "fatal error:"}
+
+// readLogs looks for what a node's log must not hold.
+func (f *fleet) readLogs() {
+	logs, err := filepath.Glob(filepath.Join(f.settings.Folder, "*.log"))
+	if err != nil {
+		f.problem("find the logs: %v", err)
+	}
+	for _, path := range logs {
+		if err := f.readLog(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			f.problem("read %s: %v", path, err)
+		}
+	}
+}
+
+func (f *fleet) readLog(path string) error {
+	log, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	lines := bufio.NewScanner(log)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		for _, mark := range logMarks {
+			if strings.Contains(lines.Text(), mark) {
+				f.problem("%s: %.400s", filepath.Base(path), lines.Text())
+			}
+		}
+	}
+	return lines.Err()
+}
+
+// restSpan is how long requests and bodies may be held after the last caller has left.
+const restSpan = 12 * kernel.Second
+
+// atRest are the figures that have to be zero when nobody calls any more.
+var atRest = []string{"dunlinloom_requests_live", "dunlinloom_bodies_held_bytes"}
+
+// inspectNodes holds the figures of the nodes, once there is no traffic, against what they have to be.
+func (f *fleet) inspectNodes() {
+	for _, n := range f.members() {
+		until := f.clock.Now() + restSpan
+		left := f.notAtRest(n)
+		for len(left) > 0 && f.clock.Now() < until {
+			pause(f.context, 200*ms)
+			left = f.notAtRest(n)
+		}
+		for _, why := range left {
+			f.problem("%s: %s", n.name, why)
+		}
+	}
+}
+
+// notAtRest tells what of a node's figures is not as it has to be.
+func (f *fleet) notAtRest(n *node) []string {
+	figures, err := f.figuresOf(n)
+	if err != nil {
+		return []string{fmt.Sprintf("it tells no figures: %v", err)}
+	}
+	wrong := []string{}
+	for name, value := range figures {
+		isViolation := strings.HasPrefix(name, "dunlinloom_invariant_violations_total") && value > 0
+		if isViolation {
+			wrong = append(wrong, fmt.Sprintf("%s is %v", name, value))
+		}
+	}
+	for _, name := range atRest {
+		if value, isThere := figures[name]; !isThere || value != 0 {
+			wrong = append(wrong, fmt.Sprintf("%s is %v and told: %v", name, value, isThere))
+		}
+	}
+	sort.Strings(wrong)
+	return wrong
+}
+
+// figuresOf reads a node's figures.
+func (f *fleet) figuresOf(n *node) (map[string]float64, error) {
+	limit, cancel := context.WithTimeout(f.context, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(limit, http.MethodGet, "http://"+n.address(portMetrics)+"/metrics", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := f.client.HTTP.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	figures := map[string]float64{}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		name, text, _ := strings.Cut(lines.Text(), " ")
+		if value, err := strconv.ParseFloat(text, 64); err == nil {
+			figures[name] = value
+		}
+	}
+	return figures, lines.Err()
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,189 @@
+// Package soak plays a fleet of deployed nodes, real processes on loopback addresses, under troubles that
+// overlap in time, and judges what callers, engines and operators saw. A seed draws the plan; how
+// goroutines and processes are scheduled is the machine's, so that a replay is close and not exact.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+	"dunlinloom/localfleet"
+	"dunlinloom/platform"
+)
+
+// Settings say what is played, and where.
+type Settings struct {
+	Program string // the daemon, built with -tags faults
+	Folder  string // for logs, settings files and data; it has to be empty
+	Seed    uint64
+	// Network is the second byte of the loopback addresses that are used, from 1 to 254: runs side by side
+	// need networks of their own.
+	Network int
+	Span    kernel.Micros // of troubles, before the closing fault
+	Load    float64       // times the usual rates of callers
+	Say     func(format string, words ...any)
+}
+
+// Check names every fault of the settings.
+func (s Settings) Check() error {
+	switch {
+	case s.Network < 1 || s.Network > 254:
+		return BadSetting{"network", "has to be from 1 to 254"}
+	case s.Span < minSpan:
+		return BadSetting{"span", fmt.Sprintf("has to be %d s at least", minSpan/kernel.Second)}
+	case !(s.Load > 0 && s.Load <= 100):
+		return BadSetting{"load", "has to be above 0 and at most 100"}
+	}
+	if left, err := os.ReadDir(s.Folder); err != nil || len(left) > 0 {
+		return BadSetting{"folder", "has to be there and empty"}
+	}
+	return nil
+}
+
+// BadSetting says which setting can't be used.
+type BadSetting struct{ Name, Why string }
+
+func (b BadSetting) Error() string { return b.Name + " " + b.Why }
+
+// RunError says what of the run itself went wrong, as opposed to the fleet.
+type RunError struct {
+	Step  string
+	Cause error
+}
+
+func (b RunError) Error() string { return b.Step + ": " + b.Cause.Error() }
+
+// Unwrap gives the cause.
+func (b RunError) Unwrap() error { return b.Cause }
+
+// fleet is a run.
+type fleet struct {
+	settings Settings
+	clock    kernel.Clock
+	client   platform.Client
+	faults   *localfleet.FaultTable
+	context  context.Context
+
+	lock     sync.Mutex // guards all that follows
+	random   *rand.Rand
+	nodes    []*node
+	engines  []*engine
+	lives    int // of engines
+	replaced int // machines that took others' places
+	lostDisk kernel.Micros
+	routed   []checker.RoutedEvent
+	orders   []checker.OrderEvent
+	problems []string
+	services map[string][]string // by route: those that any configuration ever led it to
+	kept     map[string][]*callerConnection
+	ready    map[string]int // by node: how many looks in a row it missed
+	factor   float64        // of the callers' rates
+	work     sync.WaitGroup // of troubles, engines and misbehaving callers
+	calls    sync.WaitGroup
+}
+
+// Play plays a run and judges it.
+func Play(ctx context.Context, settings Settings) (*Report, error) {
+	if err := settings.Check(); err != nil {
+		return nil, err
+	}
+	living, end := context.WithCancel(ctx)
+	defer end()
+	f := &fleet{
+		settings: settings, clock: kernel.NewSteadyClock(), context: living,
+		client:   platform.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
+		faults:   localfleet.NewFaultTable(filepath.Join(settings.Folder, "faults.json")),
+		random:   rand.New(rand.NewPCG(settings.Seed, 1)),
+		services: map[string][]string{}, kept: map[string][]*callerConnection{}, ready: map[string]int{}, factor: 1,
+	}
+	defer f.close()
+	if err := f.open(); err != nil {
+		return nil, err
+	}
+	operator := newOperator(f)
+	if err := operator.begin(); err != nil {
+		return nil, err
+	}
+	if err := f.awaitReady(); err != nil {
+		return nil, err
+	}
+	f.settings.Say("all nodes are ready")
+	f.playTraffic(operator)
+	end()
+	f.endEngines()
+	f.work.Wait()
+	return f.report(), nil
+}
+
+// playTraffic plays the span with its troubles, the closing fault and the time after it.
+func (f *fleet) playTraffic(operator *operator) {
+	traffic, endTraffic := context.WithCancel(f.context)
+	defer endTraffic()
+	var chores sync.WaitGroup
+	chores.Go(func() { f.watchReadiness(traffic) })
+	for i := range kinds() {
+		f.calls.Go(func() { f.keepCalling(traffic, i) })
+	}
+	f.calls.Go(func() { f.misbehave(traffic) })
+	chores.Go(func() { operator.read(traffic) })
+	ordering, endOrders := context.WithCancel(traffic)
+	var orders sync.WaitGroup
+	orders.Go(func() { operator.run(ordering) })
+	f.carryOut(draw(f.settings.Seed, f.settings.Span))
+	endOrders()
+	orders.Wait()
+	f.playClosing(operator)
+	endTraffic()
+	f.calls.Wait()
+	chores.Wait()
+	operator.readBack()
+	f.inspectNodes()
+}
+
+func (f *fleet) note(event checker.RoutedEvent) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	event.At = f.clock.Now()
+	f.routed = append(f.routed, event)
+}
+
+func (f *fleet) noteOrder(event checker.OrderEvent) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	event.At = f.clock.Now()
+	f.orders = append(f.orders, event)
+}
+
+// problem notes what no judge looks at.
+func (f *fleet) problem(format string, words ...any) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.problems = append(f.problems, fmt.Sprintf(format, words...))
+}
+
+// draw gives a whole number below a bound.
+func (f *fleet) draw(bound int) int {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.random.IntN(bound)
+}
+
+// pause waits for a span, or until the context ends; it tells whether the span is over.
+func pause(ctx context.Context, span kernel.Micros) bool {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
