--- a/router/router_harness_test.go
+++ b/router/router_harness_test.go
@@ -37,6 +37,7 @@
 	routingTable *RoutingTable
 	suspect      []string
 	callers      context.Context
+	isReset      bool               // engines that close a connection reset it
 	dialed       func(far net.Conn) // serves every connection instead of engines; nil: they do
 }
 
@@ -96,6 +97,9 @@
 			}
 		}
 	}()
+	if h.isReset {
+		return resetConnection{near}, nil
+	}
 	return near, nil
 }
 
--- /dev/null
+++ b/server/head_guard_test.go
@@ -0,0 +1,106 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// hits counts the requests that a handler got, by path.
+type hits struct {
+	lock  sync.Mutex
+	paths []string
+}
+
+func (h *hits) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	h.lock.Lock()
+	h.paths = append(h.paths, r.URL.Path)
+	h.lock.Unlock()
+	fmt.Fprint(w, len(body), err)
+}
+
+func (h *hits) seen() []string {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return append([]string{}, h.paths...)
+}
+
+// talk sends bytes over one connection and reads answers until it is closed; it gives their statuses.
+func talk(c *qt.C, address, text string) (statuses []int) {
+	connection, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer connection.Close()
+	_, err = io.WriteString(connection, text)
+	c.Assert(err, qt.IsNil)
+	c.Assert(connection.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	reader := bufio.NewReader(connection)
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return statuses
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		c.Assert(err, qt.IsNil)
+		statuses = append(statuses, response.StatusCode)
+	}
+}
+
+// A request with a length and chunks says two things of where it ends, and what one reader takes for a
+// part of its body is another request to the other.
+func TestNoRequestIsTakenOutOfAnothersBody(t *testing.T) {
+	c := qt.New(t)
+	handler := &hits{}
+	node := startDeployed(c, goodDeployment(c, []string{free(c)}, free(c)), handler)
+	<-node.seen
+	awaitStatus(node.Callers, "/first", http.StatusOK)
+	hidden := "POST /hidden HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+	inner := "0\r\n\r\n" + hidden
+	both := "POST /outer HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%s\r\n\r\n%s"
+	for _, chunked := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "TRANSFER-ENCODING: \tchunked"} {
+		statuses := talk(c, node.Callers, fmt.Sprintf(both, len(inner), chunked, inner))
+		c.Check(statuses, qt.DeepEquals, []int{http.StatusBadRequest}, qt.Commentf("%s", chunked))
+	}
+	for _, path := range handler.seen() {
+		c.Check(path, qt.Equals, "/first")
+	}
+	node.stop()
+	c.Assert(<-node.ended, qt.IsNil)
+}
+
+// What callers properly send is served as before, one request after another on a connection.
+func TestProperRequestsAreServedOnOneConnection(t *testing.T) {
+	c := qt.New(t)
+	handler := &hits{}
+	node := startDeployed(c, goodDeployment(c, []string{free(c)}, free(c)), handler)
+	<-node.seen
+	awaitStatus(node.Callers, "/first", http.StatusOK)
+	connection, err := net.Dial("tcp", node.Callers)
+	c.Assert(err, qt.IsNil)
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for i, text := range []string{
+		"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 31\r\n\r\nContent-Length: 3\r\n\r\nbody text..",
+		"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n13\r\nContent-Length: 1\r\n\r\n\r\n0\r\n\r\n",
+		"POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi",
+		"GET /e HTTP/1.1\r\nHost: h\r\n\r\n",
+	} {
+		_, err := io.WriteString(connection, text)
+		c.Assert(err, qt.IsNil)
+		response, err := http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("request %d", i))
+		c.Assert(response.Close, qt.IsFalse)
+	}
+	node.stop()
+	c.Assert(<-node.ended, qt.IsNil)
+}
