A request hidden in another one's body is not served

Cause: net/http goes by the chunks of a request that has a length as well, keeps the connection and takes what follows for the next request; RFC 9112 has it closed. Class: two readers of one message that find its end in different places. Ruled out: engines get a length alone, so nothing is hidden on that side; the control address takes no request whose end matters to another reader, and answers each by itself. Change: the callers' connections are watched. A head with both is 400 and the connection closes; a request that came before the one in front was answered is 503 and closes; so is what follows a body that was not read. Refusals before the body is read close the connection themselves. TestNoRequestIsTakenOutOfAnothersBody failed and passes; its neighbour's stand-in counted wrong bytes and is corrected.

--- a/router/router.go
+++ b/router/router.go
@@ -82,17 +82,17 @@
 	}
 	config := u.Chooser.Config()
 	if config == nil {
-		u.refuseEarly(w, r, &Refusal{"no_spec", "no configuration has reached this router yet", http.StatusServiceUnavailable, settled})
+		u.refuseUnread(w, r, &Refusal{"no_spec", "no configuration has reached this router yet", http.StatusServiceUnavailable, settled})
 		return
 	}
 	if u.MaxLive > 0 && live > u.MaxLive || u.MaxBodies > 0 && u.held.Load()+max(r.ContentLength, 0) > u.MaxBodies {
 		w.Header().Set("Connection", "close")
-		u.refuseEarly(w, r, &Refusal{"crowded", "this process serves as many requests as it may", http.StatusServiceUnavailable, soon})
+		u.refuseUnread(w, r, &Refusal{"crowded", "this process serves as many requests as it may", http.StatusServiceUnavailable, soon})
 		return
 	}
 	route := config.RouteOf(r.Host, r.URL.Path)
 	if route == nil {
-		u.refuseEarly(w, r, u.refuseRoute())
+		u.refuseUnread(w, r, u.refuseRoute())
 		return
 	}
 	body, refusal := u.readBody(w, r, config, route)
@@ -124,6 +124,15 @@
 	Why   string `json:"why"`
 }
 
+// refuseUnread refuses a request whose body has not been read. What is left of it must not be taken for
+// the next request.
+func (u *Router) refuseUnread(w http.ResponseWriter, r *http.Request, refusal *Refusal) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	u.refuseEarly(w, r, refusal)
+}
+
 // refuseEarly refuses a request for which no engine has been looked for.
 func (u *Router) refuseEarly(w http.ResponseWriter, r *http.Request, refusal *Refusal) {
 	u.Chooser.countRefusal(refusal)
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -284,6 +284,7 @@
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeader, IdleTimeout: idleConnection, MaxHeaderBytes: headerBytes,
+		ConnContext: withHeadGuard,
 	}
 	d.servers = append(d.servers, server)
 	d.stage.Cleanup.Defer(func() error { return ignoreClosed(server.Close()) })
@@ -337,9 +338,9 @@
 		if err != nil {
 			return fmt.Errorf("open the callers' side: %w", err)
 		}
-		d.callers, err = d.listen("callers", deployment.Callers, d.winding(d.counting(handler)), func(listener net.Listener) net.Listener {
+		d.callers, err = d.listen("callers", deployment.Callers, guardHeads(d.winding(d.counting(handler))), func(listener net.Listener) net.Listener {
 			limitedListener.Listener = listener
-			return limitedListener
+			return guardedListener{limitedListener}
 		})
 		if err != nil {
 			return err
--- a/server/head_guard_test.go
+++ b/server/head_guard_test.go
@@ -87,8 +87,8 @@
 	reader := bufio.NewReader(connection)
 	for i, text := range []string{
 		"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
-		"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 31\r\n\r\nContent-Length: 3\r\n\r\nbody text..",
-		"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n13\r\nContent-Length: 1\r\n\r\n\r\n0\r\n\r\n",
+		"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 32\r\n\r\nContent-Length: 3\r\n\r\nbody text..",
+		"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n15\r\nContent-Length: 1\r\n\r\n\r\n0\r\n\r\n",
 		"POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi",
 		"GET /e HTTP/1.1\r\nHost: h\r\n\r\n",
 	} {
