An answer without a length is whole when its connection is closed, and torn when it is reset

Cause: such an answer was always taken for broken, so a request that had run whole was torn, or run again where it may. Kept torn: the end in the middle of an event, and the older protocol, where chunks would be taken for the body.

--- a/router/answer.go
+++ b/router/answer.go
@@ -43,6 +43,7 @@
 	if response.StatusCode >= 500 {
 		ending = Failed
 	}
+	// Without a length the answer ends with its connection: closed it is whole, reset it is not.
 	isClosing := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 	if !a.hasBegun {
 		dropped := relay.ConnectionHeaders(response.Header)
@@ -121,8 +122,9 @@
 			}
 		}
 		switch {
-		case err == io.EOF && isClosing:
-			// Nothing told how long it is, so a crash looks like its end.
+		case err == io.EOF && isClosing && (len(a.events.pending) > 0 || !response.ProtoAtLeast(1, 1)):
+			// Nothing but the close tells its end, and that came in the middle of an event; or the older
+			// protocol was spoken, in which chunks would have been taken for the body.
 			return 0, "", Broken{"read the body", io.ErrUnexpectedEOF}
 		case err == io.EOF:
 			if len(a.events.pending) > 0 {
