--- /dev/null
+++ b/router/slow_caller_test.go
@@ -0,0 +1,136 @@
+package router
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+)
+
+// oneListener takes the connections that a test hands in.
+type oneListener struct {
+	made chan net.Conn
+	once sync.Once
+	over chan struct{}
+}
+
+func newOneListener() *oneListener {
+	return &oneListener{made: make(chan net.Conn), over: make(chan struct{})}
+}
+
+func (l *oneListener) Accept() (net.Conn, error) {
+	select {
+	case made := <-l.made:
+		return made, nil
+	case <-l.over:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *oneListener) Close() error   { l.once.Do(func() { close(l.over) }); return nil }
+func (l *oneListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// serveOver serves the harness's router over connections and gives a function that opens one.
+func (h *harness) serveOver(t *testing.T) (open func() net.Conn) {
+	listener := newOneListener()
+	server := &http.Server{Handler: h.router}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return func() net.Conn {
+		near, far := net.Pipe()
+		listener.made <- far
+		t.Cleanup(func() { near.Close() })
+		return near
+	}
+}
+
+func post(id string, length int, more string) string {
+	wire := DefaultWire()
+	return fmt.Sprintf("POST /p/x HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: 3000\r\n%sContent-Length: %d\r\n\r\n", wire.RequestID, id, wire.Deadline, more, length)
+}
+
+// A caller that reads nothing must not hold a place, nor an engine's, for longer than its time.
+func TestACallerThatReadsNothingIsLetGoAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Timeout: 3 * kernel.Second, Goal: kernel.Second}, "e1")
+		h.script("e1", plainAnswer(strings.Repeat("long ", 100_000)))
+		open := h.serveOver(t)
+		callers := []net.Conn{}
+		for i := range 3 {
+			connection := open()
+			_, err := io.WriteString(connection, post(fmt.Sprint("r", i), 0, ""))
+			c.Assert(err, qt.IsNil)
+			callers = append(callers, connection)
+		}
+		time.Sleep(time.Second)
+		c.Assert(h.router.Live(), qt.Equals, int64(3))
+		time.Sleep(3 * time.Second)
+		c.Assert(h.router.Live(), qt.Equals, int64(0))
+		// What they get is seen to be cut off.
+		for _, connection := range callers {
+			content, err := io.ReadAll(connection)
+			c.Assert(err, qt.IsNil)
+			c.Assert(len(content) < 100_000, qt.IsTrue)
+		}
+		// One that reads is served on the same connection again and again, also after a rest.
+		connection := open()
+		for i := range 3 {
+			_, err := io.WriteString(connection, post(fmt.Sprint("s", i), 0, ""))
+			c.Assert(err, qt.IsNil)
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			c.Assert(err, qt.IsNil)
+			content, err := io.ReadAll(response.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(content, qt.HasLen, 500_000)
+			time.Sleep(20 * time.Second)
+		}
+	})
+}
+
+// Bodies that are on their way take room as well as those that are there.
+func TestBodiesOnTheirWayAreBounded(t *testing.T) {
+	const room, part = 100_000, 60_000
+	for _, test := range []struct{ name, head, chunk string }{
+		{"with a length", post("r%d", part, ""), strings.Repeat("b", part/2)},
+		{"in chunks", strings.Replace(post("r%d", 0, ""), "Content-Length: 0", "Transfer-Encoding: chunked", 1),
+			fmt.Sprintf("%x\r\n%s\r\n", part, strings.Repeat("b", part))},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Timeout: 30 * kernel.Second, Goal: kernel.Second}, "e1")
+				h.script("e1", plainAnswer("own"))
+				h.router.MaxBodies = room
+				open := h.serveOver(t)
+				first, second := open(), open()
+				for i, connection := range []net.Conn{first, second} {
+					go io.WriteString(connection, fmt.Sprintf(test.head, i)+test.chunk)
+					time.Sleep(100 * time.Millisecond)
+				}
+				c.Assert(second.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+				response, err := http.ReadResponse(bufio.NewReader(second), nil)
+				c.Assert(err, qt.IsNil)
+				c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+				c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				c.Assert(h.router.Held() <= room, qt.IsTrue)
+				// Once the first caller has gone there is room again.
+				first.Close()
+				time.Sleep(time.Second)
+				c.Assert(h.router.Held(), qt.Equals, int64(0))
+				c.Assert(h.runs["e1"], qt.Equals, 0)
+			})
+		})
+	}
+}
