A confirmed end outlives a stop of the whole fleet, and an inferred one can be taken back

Where every process ends in between, all come back with the engine as up and use it until its home misses its beats: 5 to 6 s after the start, while nodes count as in touch after 3 s. Class: what was acknowledged lives in memory alone, and the disk shows an older state as if it were known. Ruled out as a mend: syncing ends before the answer, which a slow disk would hold up, and which does not help nodes whose disk lags; waiting for beats after a stop, which would serve nothing for a second. Change: engines from the disk are marked as such, in news as well, until a word of them is heard. They serve at once, and after two beats' time (at most four fifths of the contact span) only once heard.

Cause of the second: an unknown engine's first word at a used address ended the engine that had it, for ever. A beat may come seconds late, so that other one may be the newer: it beat on, was acknowledged, and was never used again. Class: an inference stored like a statement. Change: it is called dark, and its next word takes that back. Looked for elsewhere: engines are unlisted by their own word or the platform's list alone, marks by their own word or an operator's. TestANewEngineAtAnAddressEndsTheOldOne asks that no node uses the old one and that it is dark, in place of its mark as gone for ever, which was the fault. mutationtest: a patch may name what its tests have to say.

--- a/control/directory.go
+++ b/control/directory.go
@@ -31,6 +31,8 @@
 	// Word numbers what an engine that registers itself has said; zero: it does not. Such
 	// an engine has another id in each life, so what its end says holds for ever.
 	Word uint64 `json:"word,omitempty"`
+	// IsRestored: it came from a disk after a stop, and nobody is known to have heard it since.
+	IsRestored bool `json:"restored,omitempty"`
 	// On the wire times are ages, since clocks differ between machines.
 	Age  kernel.Micros `json:"age_us,omitempty"`  // of the report's figures
 	Up   kernel.Micros `json:"up_us,omitempty"`   // since the start
@@ -149,6 +151,7 @@
 		return merged
 	}
 	merged.IsLeaving = old.IsLeaving || brought.IsLeaving
+	merged.IsRestored = old.IsRestored && brought.IsRestored
 	if old.Word > 0 || brought.Word > 0 {
 		newest := old
 		if brought.Word > old.Word {
@@ -184,7 +187,7 @@
 
 // standing is the part of a record on which routing depends, apart from load.
 func (e EngineRecord) standing() string {
-	standing := fmt.Sprint(e.Address, "|", e.Zone, "|", e.Pool, "|", e.Start, e.IsLeaving, e.IsUnlisted, e.IsDark)
+	standing := fmt.Sprint(e.Address, "|", e.Zone, "|", e.Pool, "|", e.Start, e.IsLeaving, e.IsUnlisted, e.IsDark, e.IsRestored)
 	if e.Word > 0 {
 		standing += fmt.Sprint("|", e.Slots, "|", e.Release)
 	}
@@ -245,6 +248,12 @@
 	return isLeavingNews, isNews
 }
 
+// touchEngines has the data plane look at the engines anew.
+func (c *Directory) touchEngines() {
+	c.rev++
+	c.engineRev = c.rev
+}
+
 // TakeListing merges the platform's list; engines that it no longer has are unlisted.
 func (c *Directory) TakeListing(now kernel.Micros, listing Listing) bool {
 	isLeavingNews := false
--- a/control/engine_announcements.go
+++ b/control/engine_announcements.go
@@ -142,17 +142,10 @@
 	if isKnown && zone == "" {
 		zone = known.Zone
 	}
-	heard := []EngineRecord{record}
+	fresh := n.takeWords([]EngineRecord{record})
 	if !isKnown && !record.IsUnlisted && record.Address != "" {
-		// An address is given to another engine only after its last one ended.
-		for _, other := range n.directory.Engines() {
-			if other.Word > 0 && other.Address == record.Address && other.ID != record.ID && !other.IsUnlisted {
-				other.IsUnlisted = true
-				heard = append(heard, other)
-			}
-		}
+		fresh = append(fresh, n.doubtOthersAt(record)...)
 	}
-	fresh := n.takeWords(heard)
 	if !record.IsLeaving && !record.IsUnlisted {
 		n.pushOut(fresh)
 		n.passOn(record.ID, len(fresh) > 0)
@@ -170,6 +163,24 @@
 	return n.finish()
 }
 
+// doubtOthersAt calls engines dark whose address another one now names for the first time, and gives what
+// is news. An address is given away only after its last engine ended; but this first word may be a late one,
+// of an engine that ended before the other began. So the doubt ends with the other's next word.
+func (n *Node) doubtOthersAt(newcomer EngineRecord) []EngineRecord {
+	fresh := []EngineRecord{}
+	for _, other := range n.directory.Engines() {
+		if !other.isBeating() || other.Address != newcomer.Address || other.ID == newcomer.ID {
+			continue
+		}
+		other.IsDark, other.BackAt = true, n.now
+		other.DarkSeq++
+		if _, isNews := n.directory.takeEngine(n.now, other, true); isNews {
+			fresh = append(fresh, other.aged(n.now))
+		}
+	}
+	return fresh
+}
+
 // takeWords takes what engines said first-hand, here or at a node that passed it on, and
 // gives what is news.
 func (n *Node) takeWords(records []EngineRecord) []EngineRecord {
@@ -444,9 +455,9 @@
 		n.tickPromise(token, w.promises[token])
 	}
 	n.judgeBeats(isAwake)
+	n.checkConfirmedEnds()
 	if n.now >= w.sweepAt {
 		w.sweepAt = n.now + 5*kernel.Second
-		n.checkConfirmedEnds()
 		dropOld(w.passedAt, n.now-engineGone)
 		dropOld(w.kept, n.now-engineGone)
 	}
--- a/control/fleet_engines_test.go
+++ b/control/fleet_engines_test.go
@@ -209,7 +209,9 @@
 	moved.Pool = "q"
 	f.register(f.nodes[5], 2, moved)
 	f.pass(300 * ms)
-	c.Assert(f.allKnow("old", func(e EngineRecord) bool { return e.IsUnlisted }), qt.IsTrue)
+	c.Assert(f.allKnow("old", func(e EngineRecord) bool { return e.IsDark }), qt.IsTrue)
+	c.Assert(f.countUsable("old"), qt.Equals, 0)
+	c.Assert(f.countUsable("new"), qt.Equals, len(f.nodes))
 	c.Assert(f.allKnow("new", func(e EngineRecord) bool { return e.Pool == "q" && e.isBeating() }), qt.IsTrue)
 	// An engine's newer word moves it.
 	moved.Seq, moved.Address, moved.Pool = 3, "10.9.0.3:80", "r"
--- a/control/node.go
+++ b/control/node.go
@@ -49,8 +49,10 @@
 	Document     *Document
 	Kept         []uint64
 	Promised     Stamp
-	// Snapshot is what an earlier life kept for a quick start; nil: there is none.
-	Snapshot *Snapshot
+	// Snapshot is what an earlier life kept for a quick start; nil: there is none. RestoredSpan bounds for
+	// how long engines are used that are known from it alone; zero: two of their beats.
+	Snapshot     *Snapshot
+	RestoredSpan kernel.Micros
 	// Invariants counts violations; nil: nobody does.
 	Invariants *invariant.Monitor
 }
@@ -585,5 +587,6 @@
 	n.tickHello()
 	n.tickWords()
 	n.tickSnapshot()
+	n.tickRestored()
 	return n.finish()
 }
--- a/control/node_state.go
+++ b/control/node_state.go
@@ -66,7 +66,7 @@
 	if earlier != nil && earlier.EngineRev == state.EngineRev {
 		state.Engines = earlier.Engines
 	} else {
-		state.Engines = n.directory.Engines()
+		state.Engines = n.usableEngines()
 	}
 	if earlier != nil && earlier.cellRev == state.cellRev {
 		state.Nodes = earlier.Nodes
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -51,6 +51,8 @@
 	writing   snapshotMark
 	// restored is the document that came from the disk, until the fleet has shown another.
 	restored *Document
+	// isLeftAside: engines that are known from the disk alone are not used any more.
+	isLeftAside bool
 }
 
 // snapshotMark tells whether anything that a snapshot holds has changed.
@@ -84,7 +86,7 @@
 		// Nobody has heard them in this life: they count as long silent, so that their home
 		// calls them gone unless they beat, and any real word on them is fresher. Not so
 		// long, though, that the word of their end would be too old to be taken.
-		record.Age, record.Idle = engineGone, engineGone/2
+		record.Age, record.Idle, record.IsRestored = engineGone, engineGone/2, true
 		n.directory.takeEngine(n.now, record.placed(n.now), false)
 	}
 	for _, address := range from.Nodes {
@@ -95,6 +97,51 @@
 	n.applied(n.lease.Apply(from.Document))
 }
 
+// An engine that is known from the disk alone is used for two beats' time without a word of it, of the three
+// and a half whose silence ends an engine. Its end may have been confirmed just before this node stopped,
+// and no disk have heard of it.
+const (
+	restoredHalfBeats = 4
+	goneHalfBeats     = 7
+)
+
+// restoredSpan is for how long after the start engines are used that are known from the disk alone: as long
+// as they may need to be heard, and less than after which this node counts as in touch with the fleet.
+func (n *Node) restoredSpan() kernel.Micros {
+	span := n.settings.Timing.BeatGone * restoredHalfBeats / goneHalfBeats
+	if n.settings.RestoredSpan > 0 {
+		span = min(span, n.settings.RestoredSpan)
+	}
+	return span
+}
+
+// isRestoredOver tells that engines which are known from the disk alone are not used any more.
+func (n *Node) isRestoredOver() bool {
+	return n.settings.Timing.BeatGone > 0 && n.now-n.bornAt >= n.restoredSpan()
+}
+
+// tickRestored has the data plane look again once engines that nobody has heard are left aside.
+func (n *Node) tickRestored() {
+	if n.snapshots.isLeftAside || !n.isRestoredOver() {
+		return
+	}
+	n.snapshots.isLeftAside = true
+	n.directory.touchEngines()
+}
+
+// usableEngines gives the engines as the data plane is to see them: those that are known from the disk alone,
+// and were not heard in time, are not listed.
+func (n *Node) usableEngines() []EngineRecord {
+	engines := n.directory.Engines()
+	if !n.snapshots.isLeftAside {
+		return engines
+	}
+	for i := range engines {
+		engines[i].IsUnlisted = engines[i].IsUnlisted || engines[i].IsRestored
+	}
+	return engines
+}
+
 // isRestored tells that the document in force is still the one of the disk.
 func (n *Node) isRestored() bool {
 	return n.snapshots.restored != nil && n.lease.applied == n.snapshots.restored
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -465,7 +465,7 @@
 		// A router that the core can't reach is not bound by what the core acknowledges
 		// meanwhile, and one in touch hears of it within Apply: see docs/design.md.
 		Voters: d.Voters, ServeOn: control.ServeOnAlways, AckRule: control.Spread, NoFence: true, SubmitTry: d.SubmitTry,
-		Founding: control.FoundersAnnounce, Bootstrap: d.Bootstrap,
+		Founding: control.FoundersAnnounce, Bootstrap: d.Bootstrap, RestoredSpan: d.Bounds.Contact * 4 / 5,
 	}
 }
 
--- a/tools/mutationtest/main.go
+++ b/tools/mutationtest/main.go
@@ -30,6 +30,8 @@
 	name, file    string
 	point, breaks string
 	finds         []string
+	// says is what the output of the tests that find it has to hold; empty: that they fail is enough.
+	says string
 }
 
 // badPatch says what of a patch file is wrong.
@@ -64,6 +66,8 @@
 			plane = value
 		case "Breaks":
 			read.breaks = value
+		case "Says":
+			read.says = value
 		case "Find":
 			read.finds = append(read.finds, value)
 			if kind, _, _ := strings.Cut(value, " "); !slices.Contains([]string{"test", "days", "storms"}, kind) {
@@ -122,7 +126,7 @@
 )
 
 // find runs one line of a heading: what it found, or nothing.
-func find(folder, line string) (found string, err error) {
+func find(folder, line, says string) (found string, err error) {
 	kind, rest, _ := strings.Cut(line, " ")
 	args := strings.Fields(rest)
 	if kind == "test" {
@@ -136,6 +140,9 @@
 		if failed == nil {
 			return "", nil
 		}
+		if !strings.Contains(content, says) {
+			return "", badPatch{line, fmt.Sprintf("it failed without saying %q: %s", says, content)}
+		}
 		if match := failedTest.FindStringSubmatch(content); match != nil {
 			return match[1], nil
 		}
@@ -173,7 +180,7 @@
 		return "", badPatch{p.name, "the broken build is no build: " + content}
 	}
 	for _, line := range p.finds {
-		found, err := find(folder, line)
+		found, err := find(folder, line, p.says)
 		if err != nil || found != "" {
 			return found, err
 		}
@@ -245,7 +252,7 @@
 	slices.Sort(lines)
 	lines, bad := slices.Compact(lines), 0
 	for _, line := range lines {
-		if found, err := find(".", line); err != nil || found != "" {
+		if found, err := find(".", line, ""); err != nil || found != "" {
 			bad++
 			fmt.Printf("FAULT  %s: %s %v\n", line, found, err)
 		}
