Callers that read nothing are let go, and bodies count from their first byte

Cause of the first: a write to a caller had no bound, so one that reads nothing held its place and its engine's for ever, past every deadline. Cause of the second: the bound on bodies was held against what had been read whole, so any number could be on their way. Class of both: a bound that is looked at before the thing it bounds. Looked for elsewhere: places of requests, channels and engines' connections are counted as they are taken; the control address has no such bound, which is listed as open. Change: writes end with the request's time, and 5 s after a refusal or the end of an answer; room for a body is taken before it is read, for the whole of it or piece by piece, and 503 tells when to come back.

--- a/router/body.go
+++ b/router/body.go
@@ -13,9 +13,58 @@
 	"dunlinloom/kernel"
 )
 
-func (u *Router) readBody(w http.ResponseWriter, r *http.Request, config *fleetconfig.Config, route *fleetconfig.Route) ([]byte, *Refusal) {
+// heldBody is a request's body, with how many bytes of the process's room it takes.
+type heldBody struct {
+	content  []byte
+	reserved int64
+}
+
+// reserve takes room for a part of a body, if there is some left.
+func (u *Router) reserve(body *heldBody, count int64) bool {
+	if held := u.held.Add(count); u.MaxBodies > 0 && held > u.MaxBodies {
+		u.held.Add(-count)
+		return false
+	}
+	body.reserved += count
+	return true
+}
+
+// release gives a body's room back.
+func (u *Router) release(body *heldBody) {
+	u.giveBack(body.reserved)
+	body.reserved = 0
+}
+
+// noRoom says that there is no room for another part of a body.
+type noRoom struct{}
+
+func (noRoom) Error() string { return "this process holds as many bytes of bodies as it may" }
+
+// reservingReader takes room for what comes in before it is kept.
+type reservingReader struct {
+	io.Reader
+	router *Router
+	body   *heldBody
+}
+
+func (b reservingReader) Read(to []byte) (int, error) {
+	count, err := b.Reader.Read(to)
+	if count > 0 && !b.router.reserve(b.body, int64(count)) {
+		return 0, noRoom{}
+	}
+	return count, err
+}
+
+// refuseForRoom refuses a request for whose body there is no room.
+func refuseForRoom() *Refusal {
+	return &Refusal{"crowded", noRoom{}.Error(), http.StatusServiceUnavailable, soon}
+}
+
+// readBody reads a request's body. Its room is taken before it is there: for the whole of it where its
+// length is told, and piece by piece where it is not.
+func (u *Router) readBody(w http.ResponseWriter, r *http.Request, body *heldBody, config *fleetconfig.Config, route *fleetconfig.Route) *Refusal {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
+		return nil
 	}
 	bound := config.Caps.BodyBytes
 	if bound <= 0 {
@@ -23,9 +72,8 @@
 	}
 	if r.ContentLength > bound {
 		w.Header().Set("Connection", "close")
-		return nil, &Refusal{"too_large", fmt.Sprintf("a body has at most %d bytes", bound), http.StatusRequestEntityTooLarge, 0}
+		return &Refusal{"too_large", fmt.Sprintf("a body has at most %d bytes", bound), http.StatusRequestEntityTooLarge, 0}
 	}
-	var body []byte
 	var err error
 	limited := io.Reader(http.MaxBytesReader(w, r.Body, bound))
 	if idle := config.Caps.IdleTime; idle > 0 {
@@ -34,21 +82,27 @@
 		defer control.SetReadDeadline(time.Time{})
 	}
 	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(limited, body)
+		if !u.reserve(body, r.ContentLength) {
+			w.Header().Set("Connection", "close")
+			return refuseForRoom()
+		}
+		body.content = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(limited, body.content)
 	} else {
-		body, err = io.ReadAll(limited)
+		body.content, err = io.ReadAll(reservingReader{limited, u, body})
 	}
-	u.held.Add(int64(len(body)))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.As(err, new(noRoom)):
+		w.Header().Set("Connection", "close")
+		return refuseForRoom()
 	case errors.As(err, &tooLarge):
-		return body, &Refusal{"too_large", fmt.Sprintf("a body has at most %d bytes", bound), http.StatusRequestEntityTooLarge, 0}
+		return &Refusal{"too_large", fmt.Sprintf("a body has at most %d bytes", bound), http.StatusRequestEntityTooLarge, 0}
 	case err != nil:
 		w.Header().Set("Connection", "close")
-		return body, &Refusal{"bad_body", "the body did not arrive whole: " + err.Error(), http.StatusRequestTimeout, 0}
+		return &Refusal{"bad_body", "the body did not arrive whole: " + err.Error(), http.StatusRequestTimeout, 0}
 	}
-	return body, nil
+	return nil
 }
 
 // pacedBody is a caller's body that may rest for so long between two reads, and may take no
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"dunlinloom/invariant"
 	"dunlinloom/kernel"
@@ -75,6 +76,9 @@
 // ServeHTTP takes a caller's request to an engine and the answer back.
 func (u *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := u.Env.Clock.Now()
+	u.boundWrites(w, lastWrite)
+	// What the server still writes when this has returned is bounded as well.
+	defer u.boundWrites(w, lastWrite)
 	live := u.live.Add(1)
 	defer u.live.Add(-1)
 	if u.stopping.Load() {
@@ -85,7 +89,7 @@
 		u.refuseUnread(w, r, &Refusal{"no_spec", "no configuration has reached this router yet", http.StatusServiceUnavailable, settled})
 		return
 	}
-	if u.MaxLive > 0 && live > u.MaxLive || u.MaxBodies > 0 && u.held.Load()+max(r.ContentLength, 0) > u.MaxBodies {
+	if u.MaxLive > 0 && live > u.MaxLive {
 		w.Header().Set("Connection", "close")
 		u.refuseUnread(w, r, &Refusal{"crowded", "this process serves as many requests as it may", http.StatusServiceUnavailable, soon})
 		return
@@ -95,9 +99,9 @@
 		u.refuseUnread(w, r, u.refuseRoute())
 		return
 	}
-	body, refusal := u.readBody(w, r, config, route)
-	defer func() { u.giveBack(int64(len(body))) }()
-	if refusal != nil {
+	body := &heldBody{}
+	defer u.release(body)
+	if refusal := u.readBody(w, r, body, config, route); refusal != nil {
 		u.refuseEarly(w, r, refusal)
 		return
 	}
@@ -106,7 +110,17 @@
 		u.refuseEarly(w, r, refusal)
 		return
 	}
-	u.serve(w, r, request, body)
+	u.serve(w, r, request, body.content)
+}
+
+// lastWrite is how long a caller may take to read a refusal, or the end of an answer.
+const lastWrite = 5 * kernel.Second
+
+// boundWrites bounds for how long a caller may leave what it is sent unread: one that reads nothing would
+// hold its place, and an engine's, for ever.
+func (u *Router) boundWrites(w http.ResponseWriter, span kernel.Micros) {
+	// Where connections have no deadlines, as in some tests, nothing can be bounded.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(span.Duration()))
 }
 
 // refuseRoute refuses a request that no route takes here. A router that is out of touch may lack
@@ -142,6 +156,7 @@
 
 // refuse answers at once, with when to come back.
 func (u *Router) refuse(w http.ResponseWriter, refusal *Refusal) {
+	u.boundWrites(w, lastWrite)
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(refusal.RetryAfter)/float64(kernel.Second), 'f', 3, 64))
 	}
@@ -161,6 +176,7 @@
 		u.refuse(w, refusal)
 		return
 	}
+	u.boundWrites(w, request.Deadline+overtime-u.Env.Clock.Now())
 	answer := &answer{router: u, w: w, r: r, control: http.NewResponseController(w), call: call}
 	answer.events.lastID = request.LastEvent
 	for {
--- a/router/slow_caller_test.go
+++ b/router/slow_caller_test.go
@@ -84,6 +84,16 @@
 			c.Assert(err, qt.IsNil)
 			c.Assert(len(content) < 100_000, qt.IsTrue)
 		}
+		// A body may take longer than an answer may stay unread; its refusal arrives.
+		slow := open()
+		_, err := io.WriteString(slow, strings.Replace(post("slow", 4, ""), "3000", "x", 1))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(8 * time.Second)
+		_, err = io.WriteString(slow, "body")
+		c.Assert(err, qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(slow), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusBadRequest)
 		// One that reads is served on the same connection again and again, also after a rest.
 		connection := open()
 		for i := range 3 {
