--- a/server/api_metrics.go
+++ b/server/api_metrics.go
@@ -103,12 +103,8 @@
 // controlMetrics tells how the control plane stands and what it has sent.
 func (f *API) controlMetrics(m metricsWriter) {
 	state, now := f.runner.State(), f.env.Clock.Now()
-	isLeader := 0
-	if state.IsLeader {
-		isLeader = 1
-	}
 	m.line("licence_left_us", max(state.Until-now, 0))
-	m.line("leads", isLeader)
+	m.line("leads", asNumber(state.IsLeader))
 	m.line("term", state.Term)
 	if state.Document != nil {
 		m.line("generation", state.Document.Revision)
@@ -116,6 +112,10 @@
 	}
 	m.line("owners_longest_us", f.runner.Longest())
 	m.line("engines_known", len(state.Engines))
+	m.line("engines_usable", countUsable(state.Engines))
+	if state.Health != nil {
+		m.line("core_whole", asNumber(state.Health.IsWhole))
+	}
 	m.line("nodes_known", len(state.Nodes))
 	bytes := map[string]uint64{}
 	for address, sent := range f.connections.BytesTo() {
@@ -129,6 +129,25 @@
 	m.line("peer_messages_dropped_total", f.connections.Dropped.Load())
 }
 
+// asNumber is how a yes is told as a figure.
+func asNumber(isYes bool) int {
+	if isYes {
+		return 1
+	}
+	return 0
+}
+
+// countUsable counts the engines that routers may send requests to.
+func countUsable(engines []control.EngineRecord) int {
+	count := 0
+	for _, engine := range engines {
+		if !engine.IsUnlisted && !engine.IsLeaving && !engine.IsDark {
+			count++
+		}
+	}
+	return count
+}
+
 // forwarderMetrics tells of the requests of the product's own data plane.
 func (f *API) forwarderMetrics(m metricsWriter) {
 	counts := f.forwarder.Dispatcher.Counts()
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -385,12 +385,10 @@
 	case state.Document == nil || state.Document.ConfigRevision == 0:
 		return "no configuration has reached this node"
 	}
-	for _, engine := range state.Engines {
-		if !engine.IsUnlisted && !engine.IsLeaving && !engine.IsDark {
-			return ""
-		}
+	if countUsable(state.Engines) == 0 {
+		return "no engine that is up is known here"
 	}
-	return "no engine that is up is known here"
+	return ""
 }
 
 func (d *deployed) readiness() http.Handler {
--- a/soak/report.go
+++ b/soak/report.go
@@ -16,6 +16,7 @@
 
 	"dunlinloom/checker"
 	"dunlinloom/kernel"
+	"dunlinloom/platform"
 )
 
 // Report is what came of a run.
@@ -105,6 +106,7 @@
 
 // inspectNodes holds the figures of the nodes, once there is no traffic, against what they have to be.
 func (f *fleet) inspectNodes() {
+	f.inspectCore()
 	for _, n := range f.members() {
 		until := f.clock.Now() + restSpan
 		left := f.notAtRest(n)
@@ -136,10 +138,62 @@
 			wrong = append(wrong, fmt.Sprintf("%s is %v and told: %v", name, value, isThere))
 		}
 	}
+	if up := f.countUp(); figures["dunlinloom_engines_usable"] != float64(up) {
+		wrong = append(wrong, fmt.Sprintf("it would use %v engines, and %d are up", figures["dunlinloom_engines_usable"], up))
+	}
 	sort.Strings(wrong)
 	return wrong
 }
 
+// countUp counts the engines that are up.
+func (f *fleet) countUp() int {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	count := 0
+	for _, e := range f.engines {
+		e.lock.Lock()
+		if !e.isGone && e.state == platform.StateUp {
+			count++
+		}
+		e.lock.Unlock()
+	}
+	return count
+}
+
+// wholeSpan is how long the core may take to be whole again after the last trouble.
+const wholeSpan = 20 * kernel.Second
+
+// inspectCore waits until one node leads a core that is whole, and all have applied the same document.
+func (f *fleet) inspectCore() {
+	until := f.clock.Now() + wholeSpan
+	why := f.coreFault()
+	for why != "" && f.clock.Now() < until {
+		pause(f.context, 200*ms)
+		why = f.coreFault()
+	}
+	if why != "" {
+		f.problem("the core at the end: %s", why)
+	}
+}
+
+// coreFault tells what is wrong with the core, as the nodes' figures show it; empty: nothing is.
+func (f *fleet) coreFault() string {
+	leaders, whole, generations := 0, 0, map[float64]bool{}
+	for _, n := range f.members() {
+		figures, err := f.figuresOf(n)
+		if err != nil {
+			return fmt.Sprintf("%s tells no figures: %v", n.name, err)
+		}
+		leaders += int(figures["dunlinloom_leads"])
+		whole += int(figures["dunlinloom_core_whole"])
+		generations[figures["dunlinloom_generation"]] = true
+	}
+	if leaders != 1 || whole != 1 || len(generations) != 1 {
+		return fmt.Sprintf("%d nodes lead, %d of them a core that is whole; %d different documents are in force", leaders, whole, len(generations))
+	}
+	return ""
+}
+
 // figuresOf reads a node's figures.
 func (f *fleet) figuresOf(n *node) (map[string]float64, error) {
 	limit, cancel := context.WithTimeout(f.context, time.Second)
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/checker"
+	"dunlinloom/kernel"
+)
+
+// Whether a span was kept depends on how busy this machine is, and is judged by longer soaks. These rules
+// hold at any speed, and so do all rules of orders.
+var atAnySpeed = []checker.Rule{
+	checker.RunTwice, checker.RunAfterNo, checker.AnswerMixed, checker.RunUnasked, checker.RouteStrayed, checker.StreamDisordered,
+	checker.TriesExceeded, checker.InvariantFailed,
+}
+
+// Problems that are none of a busy machine's making.
+var hardProblems = append([]string{"ended by itself", "invariant_violations", "was refused with", "can't be read"}, logMarks...)
+
+func TestAShortSoakOfDeployedNodes(t *testing.T) {
+	c := qt.New(t)
+	program := filepath.Join(t.TempDir(), "dunlinloom")
+	out, err := exec.Command("go", "build", "-race", "-tags", "faults", "-o", program, "dunlinloom/cmd/dunlinloom").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	report, err := Play(context.Background(), Settings{
+		Program: program, Folder: t.TempDir(), Seed: 7, Network: 200, Span: minSpan, Load: 0.5, Say: t.Logf,
+	})
+	c.Assert(err, qt.IsNil)
+	for _, violation := range report.Review.Violations {
+		c.Check(slices.Contains(atAnySpeed, violation.Rule), qt.IsFalse, qt.Commentf("%s: %s", violation.Rule, violation.Detail))
+	}
+	for _, violation := range report.Orders {
+		c.Check(violation.Rule, qt.Equals, checker.NeverReadBack, qt.Commentf("%s", violation.Detail))
+	}
+	for _, problem := range report.Problems {
+		isHard := slices.ContainsFunc(hardProblems, func(mark string) bool { return strings.Contains(problem, mark) })
+		c.Check(isHard, qt.IsFalse, qt.Commentf("%s", problem))
+	}
+	c.Assert(report.Review.Served > 0, qt.IsTrue)
+	c.Assert(report.Answered > 0, qt.IsTrue)
+	c.Assert(report.Reads > 0, qt.IsTrue)
+}
+
+// A seed draws the same plan again; planned work comes alone before anything unplanned, and troubles overlap.
+func TestPlansAreDrawnOfTheirSeeds(t *testing.T) {
+	c := qt.New(t)
+	const span = 60 * kernel.Second
+	kinds, closing, together := map[string]bool{}, map[string]bool{}, 0
+	for seed := range uint64(60) {
+		drawn := draw(seed, span)
+		c.Assert(fmt.Sprint(draw(seed, span)), qt.Equals, fmt.Sprint(drawn))
+		closing[drawn.closing] = true
+		firstUnplanned := span
+		for _, s := range drawn.steps {
+			kinds[s.kind] = true
+			if _, isPlanned := plannedWork[s.kind]; !isPlanned {
+				firstUnplanned = min(firstUnplanned, s.at)
+			}
+			overlapping := 0
+			for _, other := range drawn.steps {
+				if other.at <= s.at && s.at < other.at+other.span {
+					overlapping++
+				}
+			}
+			together = max(together, overlapping)
+		}
+		c.Assert(float64(firstUnplanned) >= plannedPart*float64(span), qt.IsTrue)
+	}
+	c.Assert(kinds, qt.HasLen, len(troubles)+len(plannedWork))
+	c.Assert(closing, qt.HasLen, len(closings))
+	c.Assert(together >= 3, qt.IsTrue)
+}
+
+func TestSettingsThatCannotBeUsedAreNamed(t *testing.T) {
+	c := qt.New(t)
+	good := Settings{Folder: t.TempDir(), Network: 20, Span: minSpan, Load: 1}
+	c.Assert(good.Check(), qt.IsNil)
+	for name, change := range map[string]func(*Settings){
+		"network": func(s *Settings) { s.Network = 255 },
+		"span":    func(s *Settings) { s.Span = minSpan - 1 },
+		"load":    func(s *Settings) { s.Load = 0 },
+		"folder":  func(s *Settings) { s.Folder = filepath.Join(s.Folder, "nowhere") },
+	} {
+		bad := good
+		change(&bad)
+		c.Check(bad.Check(), qt.ErrorMatches, name+" .*")
+	}
+}
