--- /dev/null
+++ b/server/stalled_stop_test.go
@@ -0,0 +1,63 @@
+package server
+
+import (
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/control"
+	"dunlinloom/kernel"
+)
+
+// isWithin tells whether some goroutine is in a function.
+func isWithin(function string) bool {
+	stacks := make([]byte, 1<<20)
+	return strings.Contains(string(stacks[:runtime.Stack(stacks, true)]), function)
+}
+
+// A write to a disk that has stalled does not return. A planned stop must not wait for it: the platform
+// would kill the process when its grace is over.
+func TestAStopEndsWithinItsGraceThoughTheDiskHasStalled(t *testing.T) {
+	c := qt.New(t)
+	seeds := []string{free(c), free(c), free(c)}
+	nodes, services := []*deployedNode{}, []*Services{}
+	for _, seed := range seeds {
+		nodes = append(nodes, startDeployed(c, goodDeployment(c, seeds, seed), &hits{}))
+	}
+	for _, node := range nodes {
+		services = append(services, <-node.seen)
+	}
+	// A pipe that nobody reads stands in for the disk: opening it for writing waits.
+	pipe := filepath.Join(nodes[0].Settings.Data, "snapshot.json.aside")
+	c.Assert(syscall.Mkfifo(pipe, 0o600), qt.IsNil)
+	for seq := uint64(1); !isWithin("control.(*Store).SaveSnapshot"); seq++ {
+		services[0].Runner.Hear([]control.EngineRecord{{ID: "e", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Start: seq, Seq: seq}})
+		runtime.Gosched()
+	}
+	nodes[0].stop()
+	// Far longer than its grace, so that a busy machine makes no difference.
+	patience := time.NewTimer(15 * nodes[0].Bounds.Grace.Duration())
+	defer patience.Stop()
+	select {
+	case err := <-nodes[0].ended:
+		c.Check(err, qt.IsNil)
+	case <-patience.C:
+		c.Error("the stop did not end")
+	}
+	reader, err := os.OpenFile(pipe, os.O_RDONLY|syscall.O_NONBLOCK, 0)
+	c.Assert(err, qt.IsNil)
+	defer reader.Close()
+	for _, node := range nodes[1:] {
+		node.stop()
+	}
+	for _, node := range nodes[1:] {
+		c.Assert(<-node.ended, qt.IsNil)
+	}
+	c.Assert(nodes[0].Bounds.Grace, qt.Equals, 2*kernel.Second)
+}
