A planned stop ends within its grace though its disk has stalled

Cause: the end of a stop waited for the workers that write, and a write to a stalled disk does not return; the platform killed the process. Change: the whole clean-up is bounded by what is left of the grace, less 0.1 s. Files are written aside, so that ending in the middle of a write is as safe as a kill. A start that fails cleans up for 3 s at most.

--- a/server/deployment.go
+++ b/server/deployment.go
@@ -110,6 +110,8 @@
 	reloadEvery    = 3 * time.Second
 	lameDuckSpan   = 2500 * kernel.Millisecond // the platform's looks are a second apart, and it needs two
 	graceMargin    = 400 * kernel.Millisecond
+	cleanUpMargin  = 100 * kernel.Millisecond // left of the grace when the process ends
+	cleanUpSpan    = 3 * kernel.Second        // for the clean-up where nobody has asked for the end
 	readHeader     = 5 * time.Second
 	idleConnection = 60 * time.Second
 	headerBytes    = 64 << 10
@@ -209,6 +211,8 @@
 	control  *http.Server
 	servers  []*http.Server
 	failed   chan error
+	// endBy is when the process has to end; zero: nobody has asked it to.
+	endBy kernel.Micros
 }
 
 // RunDeployment puts a node together and serves until stop ends, then drains it.
@@ -224,7 +228,7 @@
 	}}
 	d.invariants = newMonitor(d.env)
 	d.current.Store(deployment)
-	defer func() { err = errors.Join(err, d.stage.Cleanup.Run()) }()
+	defer func() { err = errors.Join(err, d.cleanUp()) }()
 	d.stage.Cleanup.Defer(func() error { end(); return nil })
 	node := deployment.node(self, d.parts)
 	node.Journal, node.CheckConfig, node.IsCompiled = d.env.Journal, d.compiler.Check, d.compiler.Has
@@ -249,6 +253,26 @@
 	return nil
 }
 
+// cleanUp ends what was opened, and waits no longer than the process may take. A write to a disk that has
+// stalled does not return; ending in the middle of one is as safe as a kill, since files are written aside.
+func (d *deployed) cleanUp() error {
+	ended := make(chan error, 1)
+	go func() { ended <- d.stage.Cleanup.Run() }()
+	left := cleanUpSpan
+	if d.endBy > 0 {
+		left = max(d.endBy-d.env.Clock.Now(), cleanUpMargin)
+	}
+	patience := time.NewTimer(left.Duration())
+	defer patience.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-patience.C:
+		d.env.Log.Info("the process ends before all that it had opened has ended")
+		return nil
+	}
+}
+
 // Tries of a folder whose disk fails at the start, and the pause between two.
 const (
 	folderTries = 3
@@ -432,6 +456,7 @@
 // the platform learns of it, then finish what was accepted.
 func (d *deployed) leave() {
 	begun := d.env.Clock.Now()
+	d.endBy = begun + max(d.current.Load().Bounds.Grace-cleanUpMargin, kernel.Second)
 	d.env.Log.Info("stopping")
 	d.isStopping.Store(true)
 	d.runner.Leave()
