--- /dev/null
+++ b/router/no_id_test.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+)
+
+// An engine says of a request without an id that it did not run it, as it does when it is full. Callers
+// that name none must not make engines look full, nor use up retries.
+func TestARequestWithoutAnIDReachesNoEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Safe, Tries: 3, Goal: kernel.Second}, "e1", "e2", "e3")
+		for _, id := range []string{"e1", "e2", "e3"} {
+			h.script(id, plainAnswer("own"))
+		}
+		for range 20 {
+			recorder, isTorn := h.call("POST", "", nil)
+			c.Assert(isTorn, qt.IsFalse)
+			c.Assert(recorder.Code, qt.Equals, http.StatusBadRequest)
+		}
+		c.Assert(h.runs["e1"]+h.runs["e2"]+h.runs["e3"], qt.Equals, 0)
+		c.Assert(h.chooser.Counts().Extras, qt.Equals, uint64(0))
+		recorder, isTorn := h.call("POST", "r1", nil)
+		c.Assert(isTorn, qt.IsFalse)
+		c.Assert(recorder.Body.String(), qt.Equals, "own")
+	})
+}
