A request without an id is refused, and reaches no engine

Cause: an engine answers it with 400 and its word that it did not run it, which the router takes like the word of a full engine: it left that engine alone for a while, asked the next one and paid from the retry budget. Class: a caller's fault counted against an engine. Change: 400 before an engine is chosen. Looked for elsewhere: heads that can't be read are refused as early; an engine's 400 with its word for anything else still counts as its refusal. The soak sends such requests now.

--- a/router/body.go
+++ b/router/body.go
@@ -136,6 +136,9 @@
 func (u *Router) readRequest(r *http.Request, route *fleetconfig.Route, arrived kernel.Micros) (Request, *Refusal) {
 	bad := func(err error) *Refusal { return &Refusal{"bad_request", err.Error(), http.StatusBadRequest, 0} }
 	request := Request{ID: r.Header.Get(u.Wire.RequestID), Arrived: arrived, Route: route, LastEvent: r.Header.Get(u.Wire.LastEvent)}
+	if request.ID == "" {
+		return request, bad(BadHeader{u.Wire.RequestID, "a request has to name itself"})
+	}
 	var err error
 	if request.PromptTokens, request.MaxTokens, err = ParseTokens(u.Wire.Tokens, r.Header.Get(u.Wire.Tokens)); err != nil {
 		return request, bad(err)
--- a/soak/misbehaviour.go
+++ b/soak/misbehaviour.go
@@ -19,7 +19,7 @@
 // misbehaviours are what such callers do with a new connection. What they send is no whole request, so
 // no engine may run it.
 var misbehaviours = []func(ctx context.Context, connection net.Conn, request routedcaller.Request){
-	sendHalfABody, trickleAHead, sendGarbage, openAndRest, neverRead, sendTwoLengths,
+	sendHalfABody, trickleAHead, sendGarbage, openAndRest, neverRead, sendTwoLengths, nameNothing,
 }
 
 // misbehave has callers do what they should not, one after another.
@@ -91,6 +91,14 @@
 	pause(ctx, 5*kernel.Second)
 }
 
+// nameNothing sends a request without an id, which no engine may get.
+func nameNothing(ctx context.Context, connection net.Conn, request routedcaller.Request) {
+	message := strings.Replace(string(request.Message(platform.Wire(), 4*kernel.Second)), platform.Wire().RequestID, "X-Nothing", 1)
+	if write(connection, message) {
+		pause(ctx, kernel.Second)
+	}
+}
+
 // sendTwoLengths hides a request in another one's body: by the length it is a part of it, by the chunks
 // a request that follows.
 func sendTwoLengths(ctx context.Context, connection net.Conn, request routedcaller.Request) {
--- a/soak/report.go
+++ b/soak/report.go
@@ -65,7 +65,7 @@
 }
 
 // Marks in a node's log that must not be there.
-var logMarks = []string{"an invariant is violated", "panic:", "DATA RACE", "fatal error:"}
+var logMarks = []string{"an invariant is violated", "panic:", "panic serving", "superfluous", "DATA RACE", "fatal error:"}
 
 // readLogs looks for what a node's log must not hold.
 func (f *fleet) readLogs() {
