--- a/control/core.go
+++ b/control/core.go
@@ -129,6 +129,7 @@
 	if c.doc != nil && c.doc.Term > c.term {
 		c.term = c.doc.Term
 	}
+	c.watch.term = c.term
 	// A first election soon after the start: a fleet started cold must serve quickly. Where
 	// a leader lives, its heartbeats come first, and a pre-vote against it gets nothing.
 	c.timer = now + c.electionSpan()/firstElection
--- a/control/node.go
+++ b/control/node.go
@@ -113,21 +113,21 @@
 	pushed      transfers // documents on their way to the zone's nodes
 	preparing   *Document
 
-	peerNews  map[string]newsMark
-	mendTimer kernel.Micros
-	mendTurn  int
-	sweep     kernel.Micros
-	askTurn   int
-	urgent    []urgentNews
-	probedAt  map[string]kernel.Micros
-	errands   map[string]*errand
-	rejected  map[string]kernel.Micros // foreign senders noted lately
-	founder   *founder                 // nil unless members announce themselves
-	reads     map[uint64]*reading
-	words     words
-	snapshots snapshots
-	greeting  greeting
-	watch     nodeWatch
+	peerNews      map[string]newsMark
+	mendTimer     kernel.Micros
+	mendTurn      int
+	sweep         kernel.Micros
+	askTurn       int
+	urgent        []urgentNews
+	probedAt      map[string]kernel.Micros
+	errands       map[string]*errand
+	rejected      map[string]kernel.Micros // foreign senders noted lately
+	founder       *founder                 // nil unless members announce themselves
+	reads         map[uint64]*reading
+	announcements announcements
+	snapshots     snapshots
+	greeting      greeting
+	watch         nodeWatch
 }
 
 // NewNode makes a node.
@@ -138,7 +138,7 @@
 		settings: settings, now: now, random: random,
 		batch: map[string]RouterAsk{}, zoneApplied: map[string]uint64{}, zoneHeld: map[string]uint64{}, zoneHeard: map[string]kernel.Micros{}, pushed: transfers{},
 		peerNews: map[string]newsMark{}, errands: map[string]*errand{}, rejected: map[string]kernel.Micros{},
-		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*reading{}, words: newWords(tokens.first()),
+		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*reading{}, announcements: newAnnouncements(tokens.first()),
 	}
 	if settings.SpreadWait == 0 {
 		settings.SpreadWait = defaultSpreadWait
@@ -491,7 +491,7 @@
 			records = append(records, record.placed(n.now))
 		}
 		n.takeHeard(records)
-		n.pushOut(n.takeWords(said))
+		n.pushOut(n.takeAnnounced(said))
 	case m.Suspect != nil:
 		// Passed on no further: where the view of the homes differs, the next one mends it.
 		if n.isHome() {
@@ -585,7 +585,7 @@
 	n.tickLeave()
 	n.tickFounding()
 	n.tickHello()
-	n.tickWords()
+	n.tickAnnouncements()
 	n.tickSnapshot()
 	n.tickRestored()
 	return n.finish()
--- a/control/node_invariants.go
+++ b/control/node_invariants.go
@@ -32,7 +32,7 @@
 
 // checkConfirmedEnds looks whether the engines whose end was confirmed here are still leaving.
 func (n *Node) checkConfirmedEnds() {
-	for key := range n.words.kept {
+	for key := range n.announcements.kept {
 		engine, isThere := n.directory.engines.Get(key.engine)
 		n.settings.Invariants.Check(invariant.ConfirmedEndIsForever, !isThere || engine.IsLeaving && (engine.IsUnlisted || !key.isUnlisted),
 			"the end of engine %s was confirmed, and it counts as leaving: %v, gone: %v", key.engine, engine.IsLeaving, engine.IsUnlisted)
--- a/control/tokens_test.go
+++ b/control/tokens_test.go
@@ -51,16 +51,16 @@
 		c := qt.New(t)
 		earlier, later := twoLives(seed)
 		// Each is about another engine.
-		waiting := map[uint64]*promise{}
+		waiting := map[uint64]*endConfirmation{}
 		later.lease.Apply(document(4, 9))
 		for range promises {
-			later.words.nextToken++
-			waiting[later.words.nextToken] = &promise{zones: map[string]bool{}, nodes: map[string]bool{}}
+			later.announcements.nextToken++
+			waiting[later.announcements.nextToken] = &endConfirmation{zones: map[string]bool{}, nodes: map[string]bool{}}
 		}
-		later.words.promises = waiting
+		later.announcements.confirmations = waiting
 		for range promises {
-			earlier.words.nextToken++
-			later.onPushReply("10.0.0.1:1", &PushReply{Token: earlier.words.nextToken, Zone: "a", IsWhole: true})
+			earlier.announcements.nextToken++
+			later.onPushReply("10.0.0.1:1", &PushReply{Token: earlier.announcements.nextToken, Zone: "a", IsWhole: true})
 		}
 		for _, promise := range waiting {
 			c.Assert(promise.zones, qt.HasLen, 0)
--- a/soak/node.go
+++ b/soak/node.go
@@ -123,6 +123,8 @@
 		Env: []string{
 			platform.SettingsVariable + "=" + n.file, server.EnvFaults + "=" + filepath.Join(f.settings.Folder, "faults.json"),
 			server.EnvSelf + "=" + n.address(portPeers),
+			// A build with the race detector sleeps a second at its end otherwise, which is no part of a stop.
+			"GORACE=atexit_sleep_ms=0",
 		},
 	}
 	n.process.OnEnd = func(err error) { f.processEnded(n, err) }
--- a/soak/troubles.go
+++ b/soak/troubles.go
@@ -109,22 +109,42 @@
 	return n
 }
 
+// whom says which nodes a trouble may strike.
+type whom int
+
+const (
+	anyone      whom = iota
+	losingADisk      // one that has a disk, and loses it
+)
+
+// disturb has an unplanned trouble strike a node; whatever it is, the node is held meanwhile, and its
+// beginning and end are noted for the judge. Nothing happens where somebody else holds the node, or a
+// disk may not be lost yet.
+func (f *fleet) disturb(s step, random *rand.Rand, chosen whom, act func(n *node) error) error {
+	n := f.pick(random, chosen != anyone)
+	if n == nil {
+		return nil
+	}
+	defer n.busy.Unlock()
+	if chosen == losingADisk && !f.mayLoseADisk() {
+		return nil
+	}
+	defer f.unplannedAt(s, "", n.name)()
+	f.loseTouch(n)
+	defer f.regainTouch(n)
+	return act(n)
+}
+
 // strike ends a node's process in some way and starts it again after the span.
 func strike(end func(*fleet, *node) error) trouble {
 	return func(f *fleet, s step, random *rand.Rand) error {
-		n := f.pick(random, false)
-		if n == nil {
-			return nil
-		}
-		defer n.busy.Unlock()
-		defer f.unplannedAt(s, "", n.name)()
-		f.loseTouch(n)
-		defer f.regainTouch(n)
-		if err := end(f, n); err != nil {
-			return err
-		}
-		pause(f.context, s.span)
-		return f.startNode(n)
+		return f.disturb(s, random, anyone, func(n *node) error {
+			if err := end(f, n); err != nil {
+				return err
+			}
+			pause(f.context, s.span)
+			return f.startNode(n)
+		})
 	}
 }
 
@@ -145,44 +165,31 @@
 
 // wipeNode has a node come back with an empty disk.
 func wipeNode(f *fleet, s step, random *rand.Rand) error {
-	n := f.pick(random, true)
-	if n == nil {
-		return nil
-	}
-	defer n.busy.Unlock()
-	if !f.mayLoseADisk() {
-		return nil
-	}
-	defer f.unplannedAt(s, "", n.name)()
-	f.loseTouch(n)
-	defer f.regainTouch(n)
-	if err := f.killNode(n); err != nil {
-		return err
-	}
-	if err := f.wipe(n); err != nil {
-		return err
-	}
-	pause(f.context, s.span)
-	return f.startNode(n)
+	return f.disturb(s, random, losingADisk, func(n *node) error {
+		if err := f.killNode(n); err != nil {
+			return err
+		}
+		if err := f.wipe(n); err != nil {
+			return err
+		}
+		pause(f.context, s.span)
+		return f.startNode(n)
+	})
 }
 
 // replaceNode takes a machine away for good; an empty one comes at another address.
 func replaceNode(f *fleet, s step, random *rand.Rand) error {
-	n := f.pick(random, true)
-	if n == nil {
-		return nil
-	}
-	defer n.busy.Unlock()
-	if !f.mayLoseADisk() {
-		return nil
-	}
-	defer f.unplannedAt(s, "", n.name)()
-	f.loseTouch(n)
-	defer f.regainTouch(n)
-	if err := f.killNode(n); err != nil {
-		return err
-	}
-	pause(f.context, s.span)
+	return f.disturb(s, random, losingADisk, func(n *node) error {
+		if err := f.killNode(n); err != nil {
+			return err
+		}
+		pause(f.context, s.span)
+		return f.startNode(f.takePlaceOf(n, random))
+	})
+}
+
+// takePlaceOf puts an empty machine at a new address in the place of a node.
+func (f *fleet) takePlaceOf(n *node, random *rand.Rand) *node {
 	f.lock.Lock()
 	f.replaced++
 	number := f.replaced
@@ -190,9 +197,9 @@
 	fresh := f.newNode(fmt.Sprintf("%s-again%d", strings.Split(n.name, "-")[0], number), f.nodeIP(50+number), n.zone, true)
 	fresh.seeds = f.seedsOf(random)
 	f.lock.Lock()
+	defer f.lock.Unlock()
 	f.nodes[slices.Index(f.nodes, n)] = fresh
-	f.lock.Unlock()
-	return f.startNode(fresh)
+	return fresh
 }
 
 // seedsOf draws three nodes as the operator's list may name them.
@@ -255,19 +262,13 @@
 
 // freezeNode has a node stand still.
 func freezeNode(f *fleet, s step, random *rand.Rand) error {
-	n := f.pick(random, false)
-	if n == nil {
-		return nil
-	}
-	defer n.busy.Unlock()
-	defer f.unplannedAt(s, "", n.name)()
-	f.loseTouch(n)
-	defer f.regainTouch(n)
-	if err := n.process.Signal(syscall.SIGSTOP); err != nil {
-		return err
-	}
-	pause(f.context, s.span)
-	return n.process.Signal(syscall.SIGCONT)
+	return f.disturb(s, random, anyone, func(n *node) error {
+		if err := n.process.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		pause(f.context, s.span)
+		return n.process.Signal(syscall.SIGCONT)
+	})
 }
 
 // cutFor cuts ways for the span of a step.
