--- a/control/invariants_test.go
+++ b/control/invariants_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"dunlinloom/kernel"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -23,10 +24,32 @@
 
 func TestANodeNeverAppliesAnOlderDocument(t *testing.T) {
 	c := qt.New(t)
-	v := newVoter(c, func(settings *NodeSettings) { settings.IsController, settings.HasFolder, settings.Bootstrap = false, false, false })
+	v := newVoter(c, func(settings *NodeSettings) {
+		settings.IsController, settings.HasFolder, settings.Bootstrap = false, false, false
+	})
 	for _, step := range []struct{ revision, applied uint64 }{{5, 5}, {4, 5}, {1, 5}, {6, 6}} {
 		grant := &Grant{Revision: step.revision, Document: document(4, step.revision)}
 		v.node.Deliver(v.now, Envelope{Fleet: "f", Founding: "f", From: memberA.Address, To: memberB.Address, Message: Message{Grant: grant}})
 		c.Assert(v.node.lease.Revision(), qt.Equals, step.applied)
 	}
 }
+
+// Where all members start within moments of each other, and again where the leader is lost, several stand
+// at once; one of them leads a term.
+func TestOneMemberLeadsATermHoweverManyStand(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(30) {
+		c := qt.New(t)
+		f := newFleet(c, seed, 3, 7, firstHaveFolders(5))
+		f.bootAll(ms)
+		f.settled(8 * kernel.Second)
+		for range 3 {
+			leader := f.leader()
+			c.Assert(leader, qt.IsNotNil)
+			leader.kill()
+			f.pass(3 * kernel.Second)
+			leader.boot()
+			f.pass(2 * kernel.Second)
+		}
+	}
+}
--- a/router/budget_test.go
+++ b/router/budget_test.go
@@ -7,12 +7,14 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/fleetconfig"
+	"dunlinloom/invariant"
 	"dunlinloom/kernel"
 )
 
 // retryFleet is a fleet of routers whose engines lose every attempt, so that each router retries
 // whenever its budget lets it.
 type retryFleet struct {
+	monitor  *invariant.Monitor
 	retry    Retry
 	tables   []*RoutingTable
 	choosers []*Chooser
@@ -22,8 +24,8 @@
 
 const retryFleetSize = 6
 
-func newRetryFleet() *retryFleet {
-	f := &retryFleet{retry: Retry{Ratio: 0.2, Window: 10 * kernel.Second, Slack: 60}}
+func newRetryFleet(t *testing.T) *retryFleet {
+	f := &retryFleet{monitor: invariant.NewMonitor(func(violation invariant.Violation) { t.Error(violation) }), retry: Retry{Ratio: 0.2, Window: 10 * kernel.Second, Slack: 60}}
 	route := fleetconfig.Route{Name: "r", Host: "h.example", Prefix: "/p/", Kind: fleetconfig.Safe, Tries: 2, Splits: []fleetconfig.Split{{Service: "svc", Weight: 1}}}
 	config := fleetconfig.NewRouteConfig([]fleetconfig.Route{route}, []fleetconfig.Service{{Name: "svc"}})
 	for range retryFleetSize {
@@ -42,6 +44,7 @@
 // start begins a new life of a router.
 func (f *retryFleet) start(now kernel.Micros, router int) {
 	f.choosers[router] = NewChooser(fmt.Sprint("router", router), "z", f.retry.StartingAt(now))
+	f.choosers[router].invariants = f.monitor
 	f.choosers[router].Show(f.tables[router])
 }
 
@@ -106,7 +109,7 @@
 func TestRestartedRoutersAddNothingToTheRetryBudget(t *testing.T) {
 	for _, every := range []int{1, 2, 5, 11, 13} {
 		t.Run(fmt.Sprint("restarted every ", every, " s"), func(t *testing.T) {
-			f := newRetryFleet()
+			f := newRetryFleet(t)
 			f.play(60, func(now kernel.Micros, second int) {
 				for router := range retryFleetSize {
 					if second >= 20 && (second+router%2)%every == 0 {
@@ -123,7 +126,7 @@
 func TestRoutersThatAreCutOffAddNothingToTheRetryBudget(t *testing.T) {
 	for _, known := range []int{1, 2, 3} {
 		t.Run(fmt.Sprint("each sees ", known), func(t *testing.T) {
-			f := newRetryFleet()
+			f := newRetryFleet(t)
 			f.play(60, func(_ kernel.Micros, second int) {
 				switch second {
 				case 20:
--- a/tools/mutationtest/mutationtest_test.go
+++ b/tools/mutationtest/mutationtest_test.go
@@ -14,7 +14,7 @@
 
 // The twelve points of "What must never happen", as the patches' names begin, and the three
 // that routed requests add; then points of the control plane's worst days.
-var points = []string{"twice", "notrun", "founded", "body", "pieces", "leaving", "emptied", "old", "retries", "cold", "stop", "lost", "broken", "unasked", "route", "denied", "cut", "orders", "catchup"}
+var points = []string{"twice", "notrun", "founded", "body", "pieces", "leaving", "emptied", "old", "retries", "cold", "stop", "lost", "broken", "unasked", "route", "denied", "cut", "orders", "catchup", "crowd", "invariant"}
 
 func testsOf(c *qt.C, root string) map[string]bool {
 	found := map[string]bool{}
