--- a/childprocess/childprocess.go
+++ b/childprocess/childprocess.go
@@ -127,6 +127,24 @@
 	return p.command != nil
 }
 
+// MemoryBytes is how much memory the running process holds; zero: it does not run, or can't be asked.
+func (p *Process) MemoryBytes() int64 {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	if count, err := fmt.Sscan(string(content), &size, &resident); err != nil || count != 2 {
+		return 0
+	}
+	return resident * int64(os.Getpagesize())
+}
+
 // Starts is how often it has been started.
 func (p *Process) Starts() int {
 	p.lock.Lock()
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -133,8 +133,8 @@
 
 // tell writes the outcome of a seed, a line for each violation.
 func tell(report *soak.Report) {
-	fmt.Printf("seed %d: %d violations; %d of %d tries served, %d of %d orders acknowledged, %d reads; closing: %s\n",
-		report.Seed, report.Violations, report.Review.Served, report.Review.Tries, report.Answered, report.Sent, report.Reads, report.Closing)
+	fmt.Printf("seed %d: %d violations; %d of %d tries served, %d of %d orders acknowledged, %d reads, %d MB; closing: %s\n",
+		report.Seed, report.Violations, report.Review.Served, report.Review.Tries, report.Answered, report.Sent, report.Reads, report.MemoryMB, report.Closing)
 	for _, violation := range report.Review.Violations {
 		fmt.Printf("  seed %d, %.3f s: %s: %s\n", report.Seed, float64(violation.At)/float64(kernel.Second), violation.Rule, violation.Detail)
 	}
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -193,9 +193,7 @@
 
 // leave ends an engine in order: with a drain before the end, or with the word of its end first.
 func (e *engine) leave(saysDrain bool) {
-	e.lock.Lock()
-	e.state = platform.StateDraining
-	e.lock.Unlock()
+	e.setState(platform.StateDraining)
 	e.model.Leave()
 	tell := func() bool { return e.remove() }
 	if saysDrain {
@@ -261,6 +259,12 @@
 	return chosen
 }
 
+func (e *engine) setState(state string) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.state = state
+}
+
 func (e *engine) setTrouble(isTrouble, isSilent bool) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
--- a/soak/report.go
+++ b/soak/report.go
@@ -32,6 +32,8 @@
 	Answered   int                  `json:"orders_acknowledged"`
 	Reads      int                  `json:"reads_answered"`
 	Violations int                  `json:"violations"`
+	// MemoryMB is the most that a node's process held at the end.
+	MemoryMB int64 `json:"memory_mb"`
 }
 
 // report judges all that was seen.
@@ -48,6 +50,7 @@
 		Drain: drainSpan, Grace: graceSpan, Slack: slackSpan, Contact: contactSpan, RetryRatio: retryRatio, RetrySlack: retrySlack,
 		RetryWindow: retryWindow, DeniedFew: 5, DeniedOneIn: 500,
 	})
+	report.MemoryMB = f.memoryMB
 	report.Orders, report.Problems = checker.JudgeOrders(f.orders), f.problems
 	for _, event := range f.orders {
 		switch {
@@ -107,6 +110,7 @@
 // inspectNodes holds the figures of the nodes, once there is no traffic, against what they have to be.
 func (f *fleet) inspectNodes() {
 	f.inspectCore()
+	f.weighNodes()
 	for _, n := range f.members() {
 		until := f.clock.Now() + restSpan
 		left := f.notAtRest(n)
@@ -120,6 +124,16 @@
 	}
 }
 
+// weighNodes notes the most memory that a node's process holds.
+func (f *fleet) weighNodes() {
+	for _, n := range f.members() {
+		held := n.process.MemoryBytes() >> 20
+		f.lock.Lock()
+		f.memoryMB = max(f.memoryMB, held)
+		f.lock.Unlock()
+	}
+}
+
 // notAtRest tells what of a node's figures is not as it has to be.
 func (f *fleet) notAtRest(n *node) []string {
 	figures, err := f.figuresOf(n)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -86,6 +86,7 @@
 	kept     map[string][]*callerConnection
 	ready    map[string]int // by node: how many looks in a row it missed
 	factor   float64        // of the callers' rates
+	memoryMB int64
 	work     sync.WaitGroup // of troubles, engines and misbehaving callers
 	calls    sync.WaitGroup
 }
--- a/soak/troubles.go
+++ b/soak/troubles.go
@@ -14,6 +14,7 @@
 	"dunlinloom/emulator"
 	"dunlinloom/kernel"
 	"dunlinloom/localfleet"
+	"dunlinloom/platform"
 	"dunlinloom/server"
 )
 
@@ -45,6 +46,9 @@
 	"disk-stall":     failDisk(server.DiskFault{IsStalled: true}),
 	"disk-full":      failDisk(server.DiskFault{IsFull: true}),
 	"kill-core":      killCore,
+	"kill-all":       endEverything(func(f *fleet, n *node) error { return f.killNode(n) }),
+	"power-all":      endEverything(func(f *fleet, n *node) error { return f.powerOff(n) }),
+	"leave-power":    losePowerAtAnEnd,
 	"burst":          burst,
 	"engine-crash":   crashEngine,
 	"engine-reuse":   reuseAddress,
@@ -384,6 +388,43 @@
 	return f.endAll(core, s.span/2, f.killNode)
 }
 
+// endEverything ends the processes of all nodes at once.
+func endEverything(end func(*fleet, *node) error) trouble {
+	return func(f *fleet, s step, _ *rand.Rand) error {
+		defer f.unplannedAt(s, "", "")()
+		return f.endAll(f.members(), s.span/4, func(n *node) error { return end(f, n) })
+	}
+}
+
+// losePowerAtAnEnd has all nodes lose power at the moment at which an engine's end is acknowledged. The
+// engine goes on serving.
+func losePowerAtAnEnd(f *fleet, s step, _ *rand.Rand) error {
+	e := f.anEngine()
+	if e == nil {
+		return nil
+	}
+	if err := f.startEngine(e.service, f.engineAddress()); err != nil {
+		return err
+	}
+	pause(f.context, kernel.Second)
+	tell := e.remove
+	if s.index%2 == 0 {
+		tell = func() bool { return e.sendBeat(e.nextBeat(platform.StateDraining)) }
+	}
+	e.setState(platform.StateDraining)
+	if !e.insist(tell) {
+		e.end()
+		return nil
+	}
+	over := f.unplannedAt(s, "", "")
+	err := f.endAll(f.members(), kernel.Second, f.powerOff)
+	over()
+	// Until long after the nodes are in touch again.
+	pause(f.context, 3*contactSpan)
+	e.end()
+	return err
+}
+
 // burstFactor is how many times the usual requests come in a burst.
 const burstFactor = 4
 
