--- a/soak/soak.go
+++ b/soak/soak.go
@@ -121,6 +121,10 @@
 	end()
 	f.endEngines()
 	f.work.Wait()
+	if err := ctx.Err(); err != nil {
+		// Ended by hand: what was seen until then says nothing of the rest.
+		return nil, RunError{"play to the end", err}
+	}
 	return f.report(), nil
 }
 
