Soak: beats as far apart as on the platform

With beats of 500 ms an engine whose end was forgotten is called dark before the nodes count as in touch again, so the fault of confirmed ends could not show.

--- a/soak/node.go
+++ b/soak/node.go
@@ -38,7 +38,7 @@
 
 // Promises of the deployment.
 const (
-	beatSpan    = 500 * kernel.Millisecond
+	beatSpan    = 1200 * kernel.Millisecond
 	graceSpan   = 5 * kernel.Second
 	drainSpan   = 2 * kernel.Second
 	contactSpan = 3 * kernel.Second
