--- a/server/api.go
+++ b/server/api.go
@@ -46,7 +46,7 @@
 	compiler, compilerErr := kernel.Find[*fleetconfig.Compiler](stage, ServiceCompiler)
 	limitedListener, limitedListenerErr := kernel.Find[*LimitedListener](stage, ServiceLimitedListener)
 	if err := errors.Join(runnerErr, connectionsErr, compilerErr, limitedListenerErr); err != nil {
-		return nil, fmt.Errorf("open the face: %w", err)
+		return nil, fmt.Errorf("open the API: %w", err)
 	}
 	// Only a node with a data folder keeps the past.
 	kept, err := kernel.Find[*history.Archive](stage, ServiceArchive)
@@ -100,11 +100,11 @@
 	}), nil
 }
 
-type faceError struct {
-	Error faceErrorFields `json:"error"`
+type apiError struct {
+	Error apiErrorFields `json:"error"`
 }
 
-type faceErrorFields struct {
+type apiErrorFields struct {
 	Type    string              `json:"type"`
 	Message string              `json:"message"`
 	Faults  []fleetconfig.Fault `json:"faults,omitempty"`
@@ -120,7 +120,7 @@
 }
 
 func (f *API) fail(w http.ResponseWriter, status int, kind, message string) {
-	f.reply(w, status, faceError{faceErrorFields{Type: kind, Message: message}})
+	f.reply(w, status, apiError{apiErrorFields{Type: kind, Message: message}})
 }
 
 func submissionID(r *http.Request) (string, error) {
--- a/server/api_config.go
+++ b/server/api_config.go
@@ -42,7 +42,7 @@
 	var above fleetconfig.TooLarge
 	switch {
 	case errors.As(err, &faults):
-		f.reply(w, http.StatusUnprocessableEntity, faceError{faceErrorFields{"invalid_spec", "the configuration has faults", faults.List, faults.More}})
+		f.reply(w, http.StatusUnprocessableEntity, apiError{apiErrorFields{"invalid_spec", "the configuration has faults", faults.List, faults.More}})
 		return nil, false
 	case errors.As(err, &above):
 		f.fail(w, http.StatusRequestEntityTooLarge, "too_large", err.Error())
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -289,7 +289,7 @@
 		}
 		d.env.Log.Error(err, "the data folder can't be opened", "try", try)
 		if try == folderTries {
-			d.env.Note("house", "disk", "go on without", err.Error())
+			d.env.Note("process", "disk", "go on without", err.Error())
 			break
 		}
 		waitUntil(int64(folderPause), func() bool { return false })
@@ -351,7 +351,7 @@
 		if err != nil {
 			return fmt.Errorf("open control: %w", err)
 		}
-		if d.control, err = d.listen("control", deployment.Control, d.winding(handler), plainListener); err != nil {
+		if d.control, err = d.listen("control", deployment.Control, d.closeWhenStopping(handler), plainListener); err != nil {
 			return err
 		}
 	}
@@ -362,7 +362,7 @@
 		if err != nil {
 			return fmt.Errorf("open the callers' side: %w", err)
 		}
-		d.callers, err = d.listen("callers", deployment.Callers, guardHeads(d.winding(d.counting(handler))), func(listener net.Listener) net.Listener {
+		d.callers, err = d.listen("callers", deployment.Callers, guardHeads(d.closeWhenStopping(d.countLive(handler))), func(listener net.Listener) net.Listener {
 			limitedListener.Listener = listener
 			return guardedListener{limitedListener}
 		})
@@ -381,8 +381,8 @@
 	return nil
 }
 
-// winding has a stopping node's channels close after their next answer.
-func (d *deployed) winding(handler http.Handler) http.Handler {
+// closeWhenStopping has a stopping node's channels close after their next answer.
+func (d *deployed) closeWhenStopping(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.isStopping.Load() {
 			w.Header().Set("Connection", "close")
@@ -391,8 +391,8 @@
 	})
 }
 
-// counting knows how many requests are being served.
-func (d *deployed) counting(handler http.Handler) http.Handler {
+// countLive knows how many requests are being served.
+func (d *deployed) countLive(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.live.Add(1)
 		defer d.live.Add(-1)
--- a/server/overload.go
+++ b/server/overload.go
@@ -50,10 +50,10 @@
 			return nil, err
 		}
 		if d.open.Add(1) <= d.bound+connectionReserve {
-			return &countedLimitedListener{Conn: connection, limitedListener: d}, nil
+			return &limitedConnection{Conn: connection, limitedListener: d}, nil
 		}
 		d.Turned.Add(1)
-		// Neither a slow nor a silent one may hold up the door.
+		// Neither a slow nor a silent one may hold up the others.
 		go func() {
 			defer d.open.Add(-1)
 			defer connection.Close()
@@ -78,13 +78,13 @@
 	}
 }
 
-type countedLimitedListener struct {
+type limitedConnection struct {
 	net.Conn
 	limitedListener *LimitedListener
 	once            sync.Once
 }
 
-func (c *countedLimitedListener) Close() error {
+func (c *limitedConnection) Close() error {
 	c.once.Do(func() { c.limitedListener.open.Add(-1) })
 	return c.Conn.Close()
 }
--- a/server/process.go
+++ b/server/process.go
@@ -180,7 +180,7 @@
 	if node.Snapshot, err = a.store.Snapshot(a.settings.Fleet); err != nil {
 		// It only makes a start quicker; without it the fleet is asked.
 		a.env.Log.Error(err, "the snapshot is not used")
-		a.env.Note("house", "snapshot", "leave aside", err.Error())
+		a.env.Note("process", "snapshot", "leave aside", err.Error())
 	}
 	var keep func() error
 	node.Start, keep = a.store.NextStart(node.Start)
@@ -211,7 +211,7 @@
 
 // openJournal has the journal written to the data folder.
 func (a *assembly) openJournal() error {
-	defer a.env.Note("house", "process", "start", a.parts.Program+" "+a.settings.Version())
+	defer a.env.Note("process", "process", "start", a.parts.Program+" "+a.settings.Version())
 	if a.settings.Data == "" || a.settings.JournalMB == 0 {
 		return nil
 	}
@@ -227,7 +227,7 @@
 	written := make(chan struct{})
 	go func() { journalFile.Run(pages); close(written) }()
 	a.stage.Cleanup.Defer(func() error {
-		a.env.Note("house", "process", "stop", "its work is done")
+		a.env.Note("process", "process", "stop", "its work is done")
 		endPages()
 		// A stalled disk may keep the last entries; it must not keep the process.
 		waitClosed(written, lastWrites)
@@ -364,7 +364,7 @@
 }
 
 // drain is a planned stop: say so and hand duties on, take callers a little longer while
-// the platform learns of it, then close the door and finish what was accepted.
+// the platform learns of it, then close the listener and finish what was accepted.
 func (a *assembly) drain() {
 	log := a.env.Log
 	log.Info("stopping")
@@ -372,7 +372,7 @@
 	a.runner.Leave()
 	waitUntil(a.settings.LameDuckUS, func() bool { return false })
 	if err := ignoreClosed(a.public.Close()); err != nil {
-		log.Error(err, "close the door")
+		log.Error(err, "close the listener")
 	}
 	if a.dispatcher != nil {
 		a.dispatcher.Shut()
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -429,7 +429,7 @@
 	c.Assert(held, qt.DeepEquals, []uint64{1, 3, 4})
 }
 
-// Beyond its bound and the reserve the door answers at once and closes; within the
+// Beyond its bound and the reserve the listener answers at once and closes; within the
 // reserve it lets in, and tells that callers get no more room.
 func TestTheLimitedListenerTurnsAwayWithAnAnswer(t *testing.T) {
 	c := qt.New(t)
