--- a/checker/routed.go
+++ b/checker/routed.go
@@ -18,6 +18,7 @@
 	DeniedProper     Rule = "proper requests were denied"
 	InvariantFailed  Rule = "an invariant was violated within a process"
 	KeptDropped      Rule = "requests on kept connections went to a sound engine and got no answer"
+	SplitStrayed     Rule = "a service of a split got another share than its weight's"
 	WorkedOnGone     Rule = "engines got requests whose callers had left"
 	TriesExceeded    Rule = "requests ran on more engines than their route's tries"
 )
@@ -106,6 +107,8 @@
 	RetryWindow                  kernel.Micros
 	// DeniedFew and DeniedOneIn bound the proper requests that may be denied.
 	DeniedFew, DeniedOneIn int
+	// Splits are the weights of services by route, for routes that are split the same way all the time.
+	Splits map[string]map[string]float64
 }
 
 // RoutedReview is the checker's word on a routed fleet.
@@ -152,6 +155,7 @@
 	j.stops(ordered)
 	j.kept(ordered)
 	j.gone()
+	j.splits(ordered)
 	sort.SliceStable(j.review.Violations, func(a, b int) bool { return j.review.Violations[a].At < j.review.Violations[b].At })
 	return j.review
 }
--- a/checker/routed_test.go
+++ b/checker/routed_test.go
@@ -292,3 +292,31 @@
 	c.Assert(JudgeRouted(left(goneForgiven+1, goneTakes), routedBounds()).Violations, qt.HasLen, 0)
 	c.Assert(rulesOf(JudgeRouted(left(goneForgiven+1, goneTakes+1), routedBounds()).Violations), qt.DeepEquals, []Rule{WorkedOnGone})
 }
+
+func TestSharesOfSplitsAreJudgedInCalmTimes(t *testing.T) {
+	c := qt.New(t)
+	bounds := routedBounds()
+	bounds.Splits = map[string]map[string]float64{"r": {"text": 3, "plain": 1}}
+	// played has so many of each four requests go to the first service.
+	played := func(requests, firsts int, more ...RoutedEvent) []Rule {
+		events := more
+		for i := range requests {
+			id, at := fmt.Sprint("s", i), kernel.Second+kernel.Micros(i)*100*msec
+			try := cleanTry(id, at)
+			try[0].Kind, try[0].Services = "r", []string{"text", "plain"}
+			if i%4 >= firsts {
+				try[1].Service, try[2].Service = "plain", "plain"
+			}
+			events = append(events, try...)
+		}
+		return rulesOf(JudgeRouted(events, bounds).Violations)
+	}
+	c.Check(played(splitRequests, 3), qt.HasLen, 0)
+	c.Check(played(splitRequests, 2), qt.DeepEquals, []Rule{SplitStrayed})
+	c.Check(played(splitRequests-1, 2), qt.HasLen, 0)
+	c.Check(played(splitRequests, 4), qt.DeepEquals, []Rule{SplitStrayed})
+	trouble := []RoutedEvent{{At: 10 * kernel.Second, What: TroubleStruck, Why: "x"}, {At: 11 * kernel.Second, What: TroubleOver, Why: "x"}}
+	c.Check(played(splitRequests, 2, trouble...), qt.HasLen, 0)
+	c.Check(played(2*splitRequests, 2, trouble...), qt.DeepEquals, []Rule{SplitStrayed})
+	c.Check(played(splitRequests, 2, RoutedEvent{At: 9 * kernel.Second, What: TurnedAway, ID: "s50", Engine: "e1", Status: 503}), qt.HasLen, 0)
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -21,6 +21,7 @@
 	routeShort = "short"
 	routePlain = "plain"
 	routeSafe  = "safe"
+	routeSplit = "split"
 )
 
 func leadTo(service string) []fleetconfig.Split {
@@ -45,9 +46,18 @@
 		{Rate: 6, Prefixes: 3, Shared: 100, Own: 60, Out: 16, Deadline: 4 * kernel.Second, Further: 1, Body: 20_000, Route: fleetconfig.Route{
 			Name: routeSafe, Host: "plain.example", Prefix: "/p/safe/", Kind: fleetconfig.Safe, Timeout: 4 * kernel.Second, Goal: 500 * ms, Priority: 2, Tries: 2,
 			Splits: leadTo(servicePlain)}},
+		// Few prompts and sessions, so that these and not chance would decide over the shares.
+		{Rate: 14, Prefixes: 2, Shared: 100, Own: 40, Out: 8, Deadline: 3 * kernel.Second, Further: 1, Body: 100, Route: fleetconfig.Route{
+			Name: routeSplit, Host: "split.example", Prefix: "/t/", Kind: fleetconfig.Safe, Timeout: 3 * kernel.Second, Goal: 500 * ms, Priority: 3, Tries: 2, IsPinned: true,
+			Splits: []fleetconfig.Split{{Service: serviceText, Weight: 50}, {Service: servicePlain, Weight: 50}}}},
 	}
 }
 
+// splitWeights are the weights of the routes that no configuration splits otherwise.
+func splitWeights() map[string]map[string]float64 {
+	return map[string]map[string]float64{routeSplit: {serviceText: 50, servicePlain: 50}}
+}
+
 // idleSpan is for how long callers keep a connection, four fifths of what the configuration says.
 const idleSpan = configIdle * 4 / 5
 
--- a/soak/report.go
+++ b/soak/report.go
@@ -48,7 +48,7 @@
 	}
 	report.Review = checker.JudgeRouted(f.routed, checker.RoutedBounds{
 		Drain: drainSpan, Grace: graceSpan, Slack: slackSpan, Contact: contactSpan, RetryRatio: retryRatio, RetrySlack: retrySlack,
-		RetryWindow: retryWindow, DeniedFew: 5, DeniedOneIn: 500,
+		RetryWindow: retryWindow, DeniedFew: 5, DeniedOneIn: 500, Splits: splitWeights(),
 	})
 	report.MemoryMB = f.memoryMB
 	report.Orders, report.Problems = checker.JudgeOrders(f.orders), f.problems
