--- a/soak/engine.go
+++ b/soak/engine.go
@@ -24,11 +24,10 @@
 var enginesOf = map[string]int{serviceText: 4, servicePlain: 3}
 
 const (
-	healthPath     = "/healthz"
-	instanceHeader = "X-Instance"
-	engineSlots    = 12
-	engineQueue    = 6
-	eventTokens    = 4
+	healthPath  = "/healthz"
+	engineSlots = 12
+	engineQueue = 6
+	eventTokens = 4
 )
 
 func services() []fleetconfig.Service {
@@ -81,7 +80,7 @@
 	f.lock.Unlock()
 	e := &engine{fleet: f, id: id, service: service, zone: zone, address: address, listener: listener, state: platform.StateUp}
 	e.model = emulator.NewModel(emulator.ModelSettings{
-		ID: id, Service: service, Wire: platform.Wire(), HealthPath: healthPath, InstanceHeader: instanceHeader,
+		ID: id, Service: service, Wire: platform.Wire(), HealthPath: healthPath, InstanceHeader: platform.InstanceHeader,
 		Slots: said.Slots, Queue: engineQueue, Chunk: 512, Step: 4 * kernel.Millisecond, StepEach: 100, ReadPerMs: 60,
 		Memory: int(said.MemoryTokens), Stride: said.Stride, Idle: 5 * kernel.Second, MaxConns: said.MaxConnections, CloseOneIn: 50,
 		TellsLoad: true, Note: f.note,
--- a/soak/node.go
+++ b/soak/node.go
@@ -146,17 +146,17 @@
 	n.lock.Lock()
 	file := platform.NodeFile{
 		Serves: platform.ServesAll(), IP: n.ip, Zone: n.zone, Region: "region", PortRange: [2]int{portPeers, portPeers + 15}, Seeds: n.seeds,
-		Bootstrap: n.bootstrap, Quorum: n.hasDisk, DataDir: n.data, BeatMS: int(beatSpan / kernel.Millisecond),
+		Bootstrap: n.bootstrap, Quorum: n.hasDisk, DataDir: n.data, BeatMS: int64(beatSpan / ms),
 		Bind: platform.NodeBind{
 			Callers: fmt.Sprintf("%s:%d", n.ip, portCallers), Readiness: fmt.Sprintf("%s:%d", n.ip, portReadiness), Control: fmt.Sprintf("%s:%d", n.ip, portControl),
 		},
-		Caps:     map[string]float64{"cpu_frac": 1, "ncpu": 2, "ram_mb": 240, "nofile": 4000, "link_mbps": 1000, "disk_mb": 64},
-		Tolerate: map[string]int{"machines": 1, "zones": 0, "regions": 0},
-		Bounds: map[string]float64{
-			"seed_lag_s": 3, "reuse_s": 2, "contact_ms": float64(contactSpan / kernel.Millisecond), "ack_ms": 4000, "sync_s": float64(syncSpan / kernel.Second),
-			"drain_ms": float64(drainSpan / kernel.Millisecond), "grace_s": float64(graceSpan / kernel.Second), "slack_ms": float64(slackSpan / kernel.Millisecond),
-			"apply_ms": 2000, "revert_ms": 250, "stretch_ms": 5000, "retry_ratio": retryRatio, "retry_win_s": float64(retryWindow / kernel.Second),
-			"retry_slack": retrySlack, "recover_s": float64(recoverSpan / kernel.Second), "relay_ms": 120,
+		Caps:     platform.NodeCaps{CoreShare: 1, Processors: 2, MemoryMB: 240, Files: 4000, LinkMbps: 1000, DiskMB: 64},
+		Tolerate: platform.NodeTolerate{Machines: 1},
+		Bounds: platform.NodeBounds{
+			SeedLagS: 3, ReuseS: int(reuseSpan / kernel.Second), ContactMS: int64(contactSpan / ms), AckMS: 4000, SyncS: int64(syncSpan / kernel.Second),
+			DrainMS: int64(drainSpan / ms), GraceS: int64(graceSpan / kernel.Second), SlackMS: int64(slackSpan / ms), ApplyMS: 2000, RevertMS: 250, StretchMS: 5000,
+			RetryRatio: retryRatio, RetryWindowS: int64(retryWindow / kernel.Second), RetrySlack: retrySlack,
+			RecoverS: int64(recoverSpan / kernel.Second), RelayMS: 120,
 		},
 	}
 	n.lock.Unlock()
