Tenants: keys, their withdrawal, and quotas over all routers

Cause: configurations with tenants were refused, callers' keys went on to engines, keys that nobody holds ran, and nothing held a tenant to its quota.

Change: fleetconfig and platform read tenants (name, keys, priority, unit, rate, burst) and open routes. The router finds the tenant of a key, answers 401 where no tenant has it and 503 where it may have missed a change, takes the key away and names the tenant to engines. Withdrawn keys: each grant says since when its revision was surely the newest; homes hand that on to their zones. A node trusts its keys for 0.95 of the time in which a withdrawn key may still be used, counted from then. Quotas: package quota. A tenant's bucket lies at the leader and as credits at the routers; both together never exceed its capacity. A new leader begins with empty buckets once the lease of the one before has ended.

Ruled out: shares fixed in advance (a request is larger than a ninetieth of the slack), random drops by a measured rate (nothing bounds a router that is cut off), an ask for each request.

--- a/control/leader_lease.go
+++ b/control/leader_lease.go
@@ -1,6 +1,10 @@
 package control
 
-import "dunlinloom/kernel"
+import (
+	"slices"
+
+	"dunlinloom/kernel"
+)
 
 // Check-quorum: a leader acts only while a majority of voters has confirmed one of its recent
 // heartbeat rounds. The lease counts from the sending of that round, on the leader's own steady
@@ -51,3 +55,43 @@
 	lease := c.settings.Timing.leaderLease()
 	return c.hasVoters(true, func(p *peer) bool { return c.now-p.confirmedAt < lease })
 }
+
+// newestSince is the latest moment at which surely no document was committed that this leader does
+// not know: when a round was sent that a majority of the voters has confirmed. A later leader needs
+// the vote of one of them, after its confirmation.
+func (c *Core) newestSince() (since kernel.Micros, isKnown bool) {
+	if c.role != leader || !c.isOwnTerm {
+		return 0, false
+	}
+	moments := []kernel.Micros{}
+	for _, member := range c.doc.Voters {
+		if member.ID == c.settings.Self.ID {
+			moments = append(moments, c.now)
+		} else if p := c.peers[member.ID]; p != nil && p.confirmedAt > 0 {
+			moments = append(moments, p.confirmedAt)
+		}
+	}
+	majority := len(c.doc.Voters)/2 + 1
+	if len(moments) < majority {
+		return 0, false
+	}
+	slices.Sort(moments)
+	return moments[len(moments)-majority], true
+}
+
+// freshness tells how long ago the committed document was surely the newest.
+func (c *Core) freshness() Freshness {
+	since, isKnown := c.newestSince()
+	if !isKnown {
+		return Freshness{}
+	}
+	return Freshness{IsFresh: true, Age: max(c.now-since, 0)}
+}
+
+// mayAllot tells whether this member may deal quotas out: it leads, and an earlier leader's lease has
+// ended, so that no two do so at the same time. The margin is for clocks that run apart.
+func (c *Core) mayAllot(now kernel.Micros) bool {
+	c.now = now
+	wait := c.settings.Timing.leaderLease() * 11 / 10
+	return c.role == leader && c.isOwnTerm && c.hasLeaderLease() && now-c.leadSince >= wait
+}
--- a/control/lease.go
+++ b/control/lease.go
@@ -31,6 +31,9 @@
 	// towards its own: it may have served under what none of them ever had.
 	isProven bool
 
+	// freshAt is the latest moment at which the document in force here was surely the newest one.
+	freshAt kernel.Micros
+
 	seq         uint64
 	askedAt     map[uint64]kernel.Micros
 	grantedAsk  kernel.Micros // when the newest granted ask was sent
@@ -120,6 +123,24 @@
 	return isNews
 }
 
+// TakeFreshness takes the word that a revision was the newest some time before an ask was answered.
+// The span is counted back from when the ask was sent, so that no clock but the own one matters.
+func (l *Lease) TakeFreshness(ask, revision uint64, word Freshness) {
+	askedAt, isMine := l.askedAt[ask]
+	if !word.IsFresh || !isMine || l.Revision() < revision {
+		return
+	}
+	l.freshAt = max(l.freshAt, askedAt-word.Age)
+}
+
+// Freshness tells how long ago the document in force here was surely the newest one.
+func (l *Lease) Freshness(now kernel.Micros) Freshness {
+	if l.freshAt <= 0 {
+		return Freshness{}
+	}
+	return Freshness{IsFresh: true, Age: now - l.freshAt}
+}
+
 func (l *Lease) extend(askedAt kernel.Micros) {
 	if l.serveOn < ServeOnAlways {
 		l.until = max(l.until, askedAt+max(l.timing.Lease, l.serveOn))
--- a/control/messages.go
+++ b/control/messages.go
@@ -5,6 +5,7 @@
 	"reflect"
 
 	"dunlinloom/kernel"
+	"dunlinloom/quota"
 )
 
 // Envelope is one message between two nodes. Messages may be lost, doubled,
@@ -61,6 +62,8 @@
 	Push             *Push             `json:"push,omitempty"`
 	PushReply        *PushReply        `json:"push_receipt,omitempty"`
 	Hello            *Hello            `json:"hello,omitempty"`
+	QuotaAsk         *quota.Ask        `json:"quota_ask,omitempty"`
+	QuotaGrant       *quota.Grant      `json:"quota_grant,omitempty"`
 }
 
 // Kind names the one field that is set.
@@ -303,6 +306,14 @@
 	Leader   string      `json:"leader"`
 	Asks     []RouterAsk `json:"asks"`
 	Document *Document   `json:"document,omitempty"`
+	Freshness
+}
+
+// Freshness says since when a revision was the newest that is committed.
+type Freshness struct {
+	IsFresh bool `json:"fresh,omitempty"` // false: nothing is known of that
+	// Age is how long ago, by the sender's clock, no newer one was committed for sure.
+	Age kernel.Micros `json:"age,omitempty"`
 }
 
 // Succeed is a home's own naming of its successor.
@@ -333,6 +344,9 @@
 	Leader   string    `json:"leader,omitempty"`
 	Document *Document `json:"document,omitempty"`
 	News     *News     `json:"news,omitempty"` // of the home, where its answer is one message
+	// Ask is the number of the ask that the home's own word on the freshness of Revision answers.
+	Ask uint64 `json:"ask,omitempty"`
+	Freshness
 }
 
 // Nudge says that there is a newer revision to ask for.
--- a/control/node.go
+++ b/control/node.go
@@ -8,6 +8,7 @@
 
 	"dunlinloom/invariant"
 	"dunlinloom/kernel"
+	"dunlinloom/quota"
 )
 
 // NodeSettings is what a node's control plane is told at its start.
@@ -44,11 +45,16 @@
 	Bootstrap bool // under FoundersAnnounce: this is the first start of the whole fleet
 	// FoundingVote is what the folder kept of an earlier life; nil: it kept none.
 	FoundingVote *FoundingVote
-	Journal      *kernel.Journal
-	Ballot       Ballot
-	Document     *Document
-	Kept         []uint64
-	Promised     Stamp
+	// Quota is the account of this node's router, LimitsOf reads the quotas of a configuration. Nil:
+	// no quotas are kept here.
+	Quota       *quota.Account
+	QuotaBounds quota.Bounds
+	LimitsOf    func(config []byte) []quota.Limit
+	Journal     *kernel.Journal
+	Ballot      Ballot
+	Document    *Document
+	Kept        []uint64
+	Promised    Stamp
 	// Snapshot is what an earlier life kept for a quick start; nil: there is none. RestoredSpan bounds for
 	// how long engines are used that are known from it alone; zero: two of their beats.
 	Snapshot     *Snapshot
@@ -128,6 +134,7 @@
 	snapshots     snapshots
 	greeting      greeting
 	watch         nodeWatch
+	quotas        quotas
 }
 
 // NewNode makes a node.
@@ -463,12 +470,17 @@
 		grant := *m.Grant
 		grant.Document = n.filled(grant.Document)
 		n.applied(n.lease.TakeGrant(n.now, &grant))
+		n.lease.TakeFreshness(grant.Ask, grant.Revision, grant.Freshness)
 		if m.Grant.News != nil {
 			n.onNews(from, m.Grant.News)
 		}
 		n.greeted(from, m.Grant)
 	case m.Hello != nil:
 		n.onHello(from, m.Hello)
+	case m.QuotaAsk != nil:
+		n.onQuotaAsk(from, m.QuotaAsk)
+	case m.QuotaGrant != nil:
+		n.onQuotaGrant(m.QuotaGrant)
 	case m.GrantBatch != nil:
 		n.onGrantBatch(m.GrantBatch)
 	case m.Nudge != nil:
@@ -588,5 +600,6 @@
 	n.tickAnnouncements()
 	n.tickSnapshot()
 	n.tickRestored()
+	n.tickQuota()
 	return n.finish()
 }
--- a/control/node_news.go
+++ b/control/node_news.go
@@ -52,6 +52,7 @@
 		grant.Leader = n.leaderHint
 	}
 	grant.Document = n.pushed.offer(n.now, from, n.lease.applied, n.zoneHeld[m.Address], n.isVoterAt(from))
+	grant.Ask, grant.Freshness = m.Seq, n.lease.Freshness(n.now)
 	n.send(from, Message{Grant: grant})
 	if differing := n.directory.Differing(n.now, m.Digests); len(differing) > 0 {
 		n.send(from, Message{News: &News{Home: n.directory.incarnation, Engines: differing}})
@@ -70,6 +71,7 @@
 	for _, ask := range m.Asks {
 		grant := &Grant{Seq: ask.Seq, Revision: m.Revision, Leader: m.Leader}
 		if ask.Address == n.self() {
+			n.lease.TakeFreshness(ask.Seq, m.Revision, m.Freshness)
 			n.applied(n.lease.TakeGrant(n.now, grant))
 			continue
 		}
--- /dev/null
+++ b/control/node_quota.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"dunlinloom/kernel"
+	"dunlinloom/quota"
+)
+
+// Quotas: the leader's node deals them out, every node's router spends them.
+
+// quotas is a node's part in that.
+type quotas struct {
+	// allocator is that of the term in which this node leads; nil: it does not.
+	allocator      *quota.Allocator
+	term           uint64
+	configRevision uint64 // by whose limits it deals
+	sweepAt        kernel.Micros
+}
+
+// AskQuota sends what the router's account has to ask for, if anything.
+func (n *Node) AskQuota(now kernel.Micros) []any {
+	n.now = now
+	n.tickQuota()
+	return n.finish()
+}
+
+func (n *Node) tickQuota() {
+	n.tendAllocator()
+	if n.settings.Quota == nil || n.lease.applied == nil {
+		return
+	}
+	if ask := n.settings.Quota.Ask(n.now); ask != nil {
+		n.send(n.leaderTarget(), Message{QuotaAsk: ask})
+	}
+}
+
+// tendAllocator sees to it that there is an allocator exactly while this node may deal quotas out,
+// a new one for each term, and that it goes by the newest limits.
+func (n *Node) tendAllocator() {
+	if n.settings.LimitsOf == nil || n.core == nil || n.lease.applied == nil || !n.core.mayAllot(n.now) {
+		n.quotas.allocator = nil
+		return
+	}
+	if n.quotas.allocator == nil || n.quotas.term != n.core.term {
+		n.quotas = quotas{allocator: quota.NewAllocator(n.settings.QuotaBounds), term: n.core.term}
+	}
+	if revision := n.lease.applied.ConfigRevision; revision != n.quotas.configRevision {
+		n.quotas.configRevision = revision
+		n.quotas.allocator.SetLimits(n.now, n.settings.LimitsOf(n.lease.applied.Config))
+	}
+	if n.now >= n.quotas.sweepAt {
+		n.quotas.sweepAt = n.now + kernel.Second/2
+		n.quotas.allocator.Sweep(n.now)
+	}
+}
+
+func (n *Node) onQuotaAsk(from string, m *quota.Ask) {
+	n.tendAllocator()
+	if n.quotas.allocator == nil {
+		leader := n.leaderHint
+		if n.core != nil {
+			leader = n.core.Leader()
+		}
+		// One that leads but may not deal yet has no better one to name.
+		if leader != "" && leader != n.self() {
+			n.send(from, Message{Elsewhere: &Elsewhere{leader, n.lease.applied.voterAddresses()}})
+		}
+		return
+	}
+	if grant := n.quotas.allocator.Take(n.now, from, m); grant != nil {
+		n.send(from, Message{QuotaGrant: grant})
+	}
+}
+
+func (n *Node) onQuotaGrant(m *quota.Grant) {
+	if n.settings.Quota != nil {
+		n.settings.Quota.Take(n.now, m)
+	}
+}
--- a/control/node_state.go
+++ b/control/node_state.go
@@ -24,6 +24,10 @@
 // GrantedAt is when the newest ask of this life was sent that a leader has answered; zero: none was.
 func (n *Node) GrantedAt() kernel.Micros { return n.lease.grantedAsk }
 
+// FreshAt is the latest moment at which the document in force here was surely the newest one; zero:
+// none is known.
+func (n *Node) FreshAt() kernel.Micros { return n.lease.freshAt }
+
 // State is a view of a node at one moment; nothing in it is changed later.
 type State struct {
 	Document   *Document
--- a/control/reads.go
+++ b/control/reads.go
@@ -51,7 +51,7 @@
 }
 
 func (c *Core) grant(waiting waitingBatch) {
-	grant := &GrantBatch{Revision: c.committed.Revision, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks}
+	grant := &GrantBatch{Revision: c.committed.Revision, Leader: c.settings.Self.Address, Asks: waiting.batch.Asks, Freshness: c.freshness()}
 	if waiting.batch.IsHome || !c.isLeftToHome(waiting.batch.Revision) {
 		grant.Document = c.pushed.offer(c.now, waiting.from, c.committed, waiting.batch.Revision, c.isMemberAt(waiting.from))
 	}
--- a/fleetconfig/change.go
+++ b/fleetconfig/change.go
@@ -22,7 +22,7 @@
 func OwnFieldNames() FieldNames {
 	return FieldNames{
 		Version: "version", Upsert: "upsert", Remove: "remove",
-		Lists: map[string]string{"engines": "id", "bindings": "name", "zones": "name", "routes": "name", "services": "name"},
+		Lists: map[string]string{"engines": "id", "bindings": "name", "zones": "name", "routes": "name", "services": "name", "tenants": "name"},
 		Whole: []string{"policy", "caps"},
 	}
 }
--- a/fleetconfig/config.go
+++ b/fleetconfig/config.go
@@ -27,6 +27,9 @@
 	MaxSplits   = 200000
 	MaxServices = 10000
 	MaxPrefix   = 2048
+	MaxTenants  = 20000
+	MaxKeys     = 200000
+	MaxKey      = 512
 	// Above any span and size that makes sense, and far below where sums overflow.
 	MaxSpan   = 366 * 86_400 * kernel.Second
 	MaxSize   = 1 << 40
@@ -88,10 +91,14 @@
 	Routes   []Route
 	Services map[string]Service
 	Caps     Caps
+	Tenants  []Tenant
 	Zones    map[string]bool
 	Policy   Policy
 	byPair   map[[2]string]int
 	byHost   atomic.Pointer[map[string]*hostRoutes]
+	byKey    map[string]*Tenant
+	// areKeysRequired: requests need a key although no tenant is listed.
+	areKeysRequired bool
 }
 
 // Bind finds the first binding that fits a request.
@@ -160,6 +167,9 @@
 	if err := checkRouteCounts(message); err != nil {
 		return err
 	}
+	if err := checkTenantCounts(message); err != nil {
+		return err
+	}
 	zones := map[string]bool{}
 	for i, zone := range message.Zones {
 		checkUniqueName(faults, func() string { return fmt.Sprintf("zones[%d].name", i) }, "zone", zone.Name, zones)
@@ -209,6 +219,7 @@
 		return TooLarge{"shares", shareCount, MaxShares}
 	}
 	checkRoutes(faults, message)
+	checkTenants(faults, message)
 	checkPolicy(faults, message.Policy)
 	return faults.Err()
 }
@@ -268,6 +279,7 @@
 		Policy: DefaultPolicy(), byPair: map[[2]string]int{},
 	}
 	compileRoutes(config, message)
+	compileTenants(config, message)
 	for _, zone := range message.Zones {
 		config.Zones[zone.Name] = true
 	}
--- a/fleetconfig/routes.go
+++ b/fleetconfig/routes.go
@@ -36,6 +36,7 @@
 	Tries              int           // engines that one request may be sent to
 	IsPinned           bool          // placed by its prompt's prefix
 	IsResumable        bool          // a stream may go on at another engine after its last event
+	IsOpen             bool          // needs no key
 	Splits             []Split       // at least one
 }
 
@@ -333,7 +334,7 @@
 		*route = Route{
 			Name: from.Name, Host: bareHost(from.Host), Prefix: from.Prefix, Kind: kinds[from.Kind],
 			Timeout: kernel.Micros(from.TimeoutUs), Goal: kernel.Micros(from.GoalUs), GapGoal: kernel.Micros(from.GapGoalUs),
-			Priority: int(from.Priority), Tries: max(1, int(from.Tries)), IsPinned: from.Pinned, IsResumable: from.Resumable,
+			Priority: int(from.Priority), Tries: max(1, int(from.Tries)), IsPinned: from.Pinned, IsResumable: from.Resumable, IsOpen: from.Open,
 		}
 		if len(from.Splits) == 0 {
 			route.Splits = []Split{{from.Service, 1}}
--- /dev/null
+++ b/quota/allocator.go
@@ -0,0 +1,190 @@
+package quota
+
+import (
+	"math"
+
+	"dunlinloom/kernel"
+)
+
+// Spans after which a router that got too little asks again.
+const (
+	shortestRetry = 80 * kernel.Millisecond
+	longestRetry  = kernel.Second
+)
+
+// reservePart of a bucket is kept for requests that wait; only what is above goes out in advance.
+const reservePart = 0.25
+
+// Allocator deals tenants' quotas out to routers. It is the leader's, for one term of its lead: it
+// begins with empty buckets, and what routers hold of an earlier leader's credits is counted as
+// they ask.
+type Allocator struct {
+	bounds  Bounds
+	tenants map[string]*tenantBucket
+	routers map[string]*routerCredits
+}
+
+// tenantBucket is a tenant's bucket. Level and out together are at most the capacity.
+type tenantBucket struct {
+	limit          Limit
+	capacity, debt float64
+	level          float64
+	out            float64 // credits of all routers
+	filledAt       kernel.Micros
+}
+
+// routerCredits is what is known of one router.
+type routerCredits struct {
+	life, seq uint64
+	heardAt   kernel.Micros
+	tenants   map[string]*credit
+}
+
+type credit struct{ out, used float64 }
+
+// NewAllocator makes an allocator without limits.
+func NewAllocator(bounds Bounds) *Allocator {
+	return &Allocator{bounds: bounds, tenants: map[string]*tenantBucket{}, routers: map[string]*routerCredits{}}
+}
+
+// SetLimits puts limits in force. A bucket that is new begins empty: whether the tenant has spent
+// something under an earlier configuration is not known here.
+func (a *Allocator) SetLimits(now kernel.Micros, limits []Limit) {
+	next := make(map[string]*tenantBucket, len(limits))
+	for _, limit := range limits {
+		if limit.Rate <= 0 {
+			continue
+		}
+		bucket := a.tenants[limit.Tenant]
+		if bucket == nil {
+			bucket = &tenantBucket{filledAt: now}
+		}
+		bucket.fill(now)
+		bucket.limit = limit
+		bucket.capacity, bucket.debt = a.bounds.bucket(limit)
+		bucket.level = math.Min(bucket.level, bucket.capacity)
+		next[limit.Tenant] = bucket
+	}
+	a.tenants = next
+	for _, router := range a.routers {
+		for tenant := range router.tenants {
+			if next[tenant] == nil {
+				delete(router.tenants, tenant)
+			}
+		}
+	}
+}
+
+// fill lets in what has come since the last time, as far as there is room beside the credits.
+func (b *tenantBucket) fill(now kernel.Micros) {
+	inflow := b.limit.Rate * float64(now-b.filledAt) / float64(kernel.Second)
+	b.filledAt = now
+	room := b.capacity - b.out - b.level
+	b.level += math.Max(math.Min(inflow, room), 0)
+}
+
+// Take answers a router's ask; nil: it is an old one.
+func (a *Allocator) Take(now kernel.Micros, router string, ask *Ask) *Grant {
+	known := a.routers[router]
+	if known != nil && known.life == ask.Life && ask.Seq <= known.seq {
+		return nil
+	}
+	if known != nil && known.life != ask.Life {
+		// The earlier life spent what it had, or took it with it.
+		a.forget(router)
+		known = nil
+	}
+	if known == nil {
+		known = &routerCredits{life: ask.Life, tenants: map[string]*credit{}}
+		a.routers[router] = known
+	}
+	known.seq, known.heardAt = ask.Seq, now
+	grant := &Grant{Seq: ask.Seq}
+	told := make(map[string]bool, len(ask.Items))
+	for _, item := range ask.Items {
+		told[item.Tenant] = true
+		if bucket := a.tenants[item.Tenant]; bucket != nil {
+			grant.Items = append(grant.Items, bucket.take(now, known, item))
+		} else if item.Need > 0 {
+			// The newest configuration holds it to nothing.
+			grant.Items = append(grant.Items, GrantItem{Tenant: item.Tenant, Amount: item.Need})
+		}
+	}
+	for tenant, credit := range known.tenants {
+		if !told[tenant] {
+			a.drop(tenant, credit)
+			delete(known.tenants, tenant)
+		}
+	}
+	return grant
+}
+
+// take settles a router's account with a tenant's bucket and grants what there is.
+func (b *tenantBucket) take(now kernel.Micros, router *routerCredits, item AskItem) GrantItem {
+	b.fill(now)
+	known := router.tenants[item.Tenant]
+	if known == nil {
+		known = &credit{}
+		router.tenants[item.Tenant] = known
+	} else {
+		// What it was given and has neither spent nor holds came back: a grant that it did not
+		// take, or credits that it has no use for.
+		returned := known.out - (item.Used - known.used) - item.Held
+		b.level += math.Max(returned, 0)
+	}
+	b.out += item.Held - known.out
+	known.out, known.used = item.Held, item.Used
+	amount, retry := b.amount(item)
+	b.level -= amount
+	b.out += amount
+	known.out += amount
+	return GrantItem{Tenant: item.Tenant, Amount: amount, RetryAfter: retry}
+}
+
+// amount tells how much of an ask is granted, and when to ask for the rest.
+func (b *tenantBucket) amount(item AskItem) (amount float64, retry kernel.Micros) {
+	if item.Need > 0 && b.level > 0 {
+		// The first one may overdraw: by what is left alone, large requests would never get through.
+		if first := math.Min(item.First, item.Need); first <= b.level+b.debt {
+			amount = math.Min(item.Need, math.Max(b.level, first))
+		}
+	}
+	if amount < item.Need {
+		wait := (math.Max(item.First, 1) - b.level) / math.Max(b.limit.Rate, 1e-6)
+		return amount, min(max(kernel.Micros(math.Min(wait, 60)*float64(kernel.Second)), shortestRetry), longestRetry)
+	}
+	if spare := b.level - amount - reservePart*b.capacity; spare > 0 {
+		amount += math.Min(item.Want, spare)
+	}
+	return amount, 0
+}
+
+// drop takes credits out of circulation that are spent or will never be.
+func (a *Allocator) drop(tenant string, credit *credit) {
+	if bucket := a.tenants[tenant]; bucket != nil {
+		bucket.out -= credit.out
+	}
+}
+
+// forget drops a router and its credits.
+func (a *Allocator) forget(router string) {
+	for tenant, credit := range a.routers[router].tenants {
+		a.drop(tenant, credit)
+	}
+	delete(a.routers, router)
+}
+
+// Sweep forgets routers that have been silent for longer than their credits live.
+func (a *Allocator) Sweep(now kernel.Micros) {
+	for router, known := range a.routers {
+		if now-known.heardAt > a.bounds.reclaimAfter() {
+			for tenant := range known.tenants {
+				if bucket := a.tenants[tenant]; bucket != nil {
+					// What comes in while a credit may still be spent has no room.
+					bucket.fill(now)
+				}
+			}
+			a.forget(router)
+		}
+	}
+}
--- a/router/body.go
+++ b/router/body.go
@@ -135,11 +135,12 @@
 
 func (u *Router) readRequest(r *http.Request, route *fleetconfig.Route, arrived kernel.Micros) (Request, *Refusal) {
 	bad := func(err error) *Refusal { return &Refusal{"bad_request", err.Error(), http.StatusBadRequest, 0} }
-	request := Request{ID: r.Header.Get(u.Wire.RequestID), Arrived: arrived, Route: route, LastEvent: r.Header.Get(u.Wire.LastEvent)}
+	request := Request{ID: r.Header.Get(u.Wire.RequestID), Arrived: arrived, Route: route, LastEvent: r.Header.Get(u.Wire.LastEvent), Priority: route.Priority}
 	if request.ID == "" {
 		return request, bad(BadHeader{u.Wire.RequestID, "a request has to name itself"})
 	}
 	var err error
+	request.HasTokens = r.Header.Get(u.Wire.Tokens) != ""
 	if request.PromptTokens, request.MaxTokens, err = ParseTokens(u.Wire.Tokens, r.Header.Get(u.Wire.Tokens)); err != nil {
 		return request, bad(err)
 	}
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -135,6 +135,12 @@
 	return c.routingTable.Config
 }
 
+// NeedsKeys tells whether requests need the key of a tenant now.
+func (c *Chooser) NeedsKeys() bool {
+	config := c.Config()
+	return config != nil && config.NeedsKeys()
+}
+
 // IsWanted tells whether an engine of the routing table has an address.
 func (c *Chooser) IsWanted(address string) bool {
 	c.lock.Lock()
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -96,7 +96,14 @@
 	left := max((call.Request.Deadline-now)/kernel.Millisecond, 1)
 	set(u.Wire.Deadline, strconv.FormatInt(int64(left), 10))
 	set(u.Wire.WantInstance, call.Attempt.Engine.ID)
-	set(u.Wire.Priority, strconv.Itoa(min(max(call.Request.Route.Priority, 0), 9)))
+	set(u.Wire.Priority, strconv.Itoa(min(max(call.Request.Priority, 0), 9)))
+	if call.Request.IsKeyHidden {
+		// Without lines a header is left out, whatever the caller sent.
+		anew[http.CanonicalHeaderKey(u.Wire.Key)], anew[http.CanonicalHeaderKey(u.Wire.Tenant)] = nil, nil
+	}
+	if call.Request.Tenant != nil {
+		set(u.Wire.Tenant, call.Request.Tenant.Name)
+	}
 	if answer.events.lastID != "" && answer.events.lastID != call.Request.LastEvent {
 		set(u.Wire.LastEvent, answer.events.lastID)
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -27,6 +27,9 @@
 	Load         string // running, waiting, slots of the answering engine
 	NotRun       string // an engine's word that it did not run the request
 	Priority     string // 0 is first
+	Key          string // a tenant's key, after the scheme
+	KeyScheme    string
+	Tenant       string // whose key a request came with
 }
 
 // DefaultWire is the product's own.
@@ -35,6 +38,7 @@
 		RequestID: "Dunlinloom-Request", Deadline: "Dunlinloom-Deadline", Tokens: "Dunlinloom-Tokens", Prefix: "Dunlinloom-Prefix",
 		LastEvent: "Last-Event-Id", Stamp: "Dunlinloom-Stamp", WantInstance: "Dunlinloom-Want-Engine", Load: "Dunlinloom-Load",
 		NotRun: "Dunlinloom-Not-Run", Priority: "Dunlinloom-Priority",
+		Key: "Authorization", KeyScheme: "Bearer", Tenant: "Dunlinloom-Tenant",
 	}
 }
 
@@ -68,6 +72,11 @@
 	Route                   *fleetconfig.Route
 	Service                 string
 	LastEvent               string
+	Priority                int                 // 0 is first
+	Tenant                  *fleetconfig.Tenant // whose key it came with; nil: it needed none
+	HasTokens               bool                // it tells its tokens
+	// IsKeyHidden: engines are told the tenant, and not the key.
+	IsKeyHidden bool
 }
 
 // BadHeader says which header can't be read.
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 
 	"dunlinloom/invariant"
 	"dunlinloom/kernel"
+	"dunlinloom/quota"
 )
 
 // Settings are what a router is told at its start.
@@ -28,6 +29,13 @@
 	// IsInTouch tells whether the routes known here are the newest ones, as far as a router can
 	// know; nil: they always are.
 	IsInTouch func() bool
+	// MayTrustKeys tells whether no key that is held here can have been withdrawn for longer than
+	// the deployment allows; nil: that is not bounded.
+	MayTrustKeys func() bool
+	// Quota holds this router's part of the tenants' quotas, AskQuota has it ask for more; nil: no
+	// quotas are kept.
+	Quota    *quota.Account
+	AskQuota func()
 	// Invariants counts violations, here, in the chooser and in the pool; nil: nobody does.
 	Invariants *invariant.Monitor
 }
@@ -99,18 +107,34 @@
 		u.refuseUnread(w, r, u.refuseRoute())
 		return
 	}
+	if _, refusal := u.authorize(r, route); refusal != nil {
+		u.refuseUnread(w, r, refusal)
+		return
+	}
 	body := &heldBody{}
 	defer u.release(body)
 	if refusal := u.readBody(w, r, body, config, route); refusal != nil {
 		u.refuseEarly(w, r, refusal)
 		return
 	}
+	// Once more: the body may have taken its time, and keys may be withdrawn meanwhile.
+	sender, refusal := u.authorize(r, route)
+	if refusal != nil {
+		u.refuseEarly(w, r, refusal)
+		return
+	}
 	request, refusal := u.readRequest(r, route, arrived)
 	if refusal != nil {
 		u.refuseEarly(w, r, refusal)
 		return
 	}
-	u.serve(w, r, request, body.content)
+	request.setSender(sender)
+	claim, refusal := u.claimQuota(r.Context(), &request)
+	if refusal != nil {
+		u.refuseEarly(w, r, refusal)
+		return
+	}
+	u.serve(w, r, request, claim, body.content)
 }
 
 // lastWrite is how long a caller may take to read a refusal, or the end of an answer.
@@ -160,6 +184,9 @@
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(refusal.RetryAfter)/float64(kernel.Second), 'f', 3, 64))
 	}
+	if refusal.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", u.Wire.KeyScheme)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(refusal.Status)
 	// A caller that is gone can't be told; there is nobody else to tell.
@@ -169,9 +196,10 @@
 }
 
 // serve makes attempts until one ends the request.
-func (u *Router) serve(w http.ResponseWriter, r *http.Request, request Request, body []byte) {
+func (u *Router) serve(w http.ResponseWriter, r *http.Request, request Request, claim *quota.Ticket, body []byte) {
 	call, refusal := u.Chooser.Arrive(u.Env.Clock.Now(), request)
 	if refusal != nil {
+		u.returnQuota(claim)
 		u.tellRefused(request.ID, refusal)
 		u.refuse(w, refusal)
 		return
@@ -188,6 +216,9 @@
 		isAgain, refusal := u.Chooser.Close(u.Env.Clock.Now(), call, ending, why)
 		switch {
 		case isAgain:
+			if call.mayHaveRun {
+				u.chargeAgain(claim)
+			}
 			continue
 		case ending == Served || ending == Failed:
 			return
@@ -200,6 +231,9 @@
 			// The caller has part of an answer; only a torn connection tells it so.
 			panic(http.ErrAbortHandler)
 		default:
+			if !call.mayHaveRun {
+				u.returnQuota(claim)
+			}
 			u.tellFailed(call, refusal.Reason)
 			u.refuse(w, refusal)
 			return
--- a/server/callers.go
+++ b/server/callers.go
@@ -29,6 +29,7 @@
 		MaxLive: int64(deployment.Settings.Live), MaxBodies: deployment.Limits.BodiesBytes,
 		Suspect:   func(engine router.Engine) { s.Runner.SuspectEngine(engine.ID) },
 		IsInTouch: s.Runner.IsInTouch, Invariants: s.Invariants,
+		MayTrustKeys: s.MayTrustKeys, Quota: s.Quota, AskQuota: s.Runner.AskQuota,
 	})
 	s.Router = served
 	shown := &routeRoutingTables{compiler: s.Compiler}
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -22,6 +22,7 @@
 	"dunlinloom/fleetconfig"
 	"dunlinloom/invariant"
 	"dunlinloom/kernel"
+	"dunlinloom/quota"
 	"dunlinloom/router"
 )
 
@@ -45,6 +46,10 @@
 	Contact kernel.Micros // of calm, after which a node counts as in touch
 	Reuse   kernel.Micros // after which an engine's address may be another's
 	Stretch kernel.Micros // by which an unsettled core may stretch Apply
+	// Revoke is how long after the acknowledgement a key that was withdrawn may still be used by
+	// whoever has not heard of it; zero: by nodes that are out of touch for as long as they are.
+	Revoke kernel.Micros
+	Quota  quota.Bounds
 }
 
 // Deployment is a fleet whose callers, engines and operators each have an address of
@@ -100,6 +105,8 @@
 	// Router is the data plane, from when the callers' handler is made.
 	Router     *router.Router
 	Invariants *invariant.Monitor
+	// Quota is this node's part of the tenants' quotas.
+	Quota *quota.Account
 	// Deployment gives the settings of this moment.
 	Deployment func() *Deployment
 	IsStopping func() bool
@@ -211,6 +218,7 @@
 	control  *http.Server
 	servers  []*http.Server
 	failed   chan error
+	quota    *quota.Account
 	// endBy is when the process has to end; zero: nobody has asked it to.
 	endBy kernel.Micros
 }
@@ -234,6 +242,7 @@
 	node.Journal, node.CheckConfig, node.IsCompiled = d.env.Journal, d.compiler.Check, d.compiler.Has
 	node.Invariants = d.invariants
 	node.ChangeConfig, node.VersionOf = d.compiler.Change, d.compiler.Version
+	d.keepQuotas(&node)
 	d.openClock(node.Start)
 	for _, step := range []func() error{
 		func() error { return d.openFolderOrNone(&node) }, d.openJournal, func() error { return d.openNode(node) }, d.openPast,
@@ -332,7 +341,7 @@
 	}
 	d.services = &Services{
 		Env: d.env, Runner: d.runner, Compiler: d.compiler, Deployment: d.current.Load, IsStopping: d.isStopping.Load,
-		Invariants: d.invariants,
+		Invariants: d.invariants, Quota: d.quota,
 	}
 	// Nodes first: the callers' handler may need what they tell.
 	peers := NewPeerHandler(d.runner.Deliver, d.runner.Unreadable, d.runner.Recall, func() control.Witness { return d.runner.Witness(member) })
@@ -412,6 +421,9 @@
 	if countUsable(state.Engines) == 0 {
 		return "no engine that is up is known here"
 	}
+	if s.Router != nil && !s.MayTrustKeys() && s.Router.Chooser.NeedsKeys() {
+		return "keys may have been withdrawn of which this node has not heard"
+	}
 	return ""
 }
 
--- /dev/null
+++ b/server/quota.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"math/rand/v2"
+
+	"dunlinloom/control"
+	"dunlinloom/fleetconfig"
+	"dunlinloom/quota"
+)
+
+// keyTrust is the part of the time that a withdrawn key may still be used for which a node trusts
+// its keys. The rest is for steady clocks that run at different rates.
+const (
+	keyTrustNumerator   = 19
+	keyTrustDenominator = 20
+)
+
+// MayTrustKeys tells whether no key that this node holds can have been withdrawn for longer than
+// the deployment allows. See docs/control-safety/keys.md.
+func (s *Services) MayTrustKeys() bool {
+	span := s.Deployment().Bounds.Revoke
+	return span == 0 || s.Runner.IsFresher(span*keyTrustNumerator/keyTrustDenominator)
+}
+
+// keepQuotas gives a node its account, and what it deals out by if it leads.
+func (d *deployed) keepQuotas(node *control.NodeSettings) {
+	bounds := d.deployment.Bounds.Quota
+	if bounds.Window <= 0 {
+		bounds = quota.DefaultBounds()
+	}
+	// Another number for each life, so that no grant to an earlier one is taken for this one's.
+	d.quota = quota.NewAccount(bounds, rand.Uint64()>>16)
+	node.Quota, node.QuotaBounds, node.LimitsOf = d.quota, bounds, func(config []byte) []quota.Limit {
+		return limitsOf(d.compiler, config)
+	}
+}
+
+// limitsOf reads the quotas of a configuration that was compiled before.
+func limitsOf(compiler *fleetconfig.Compiler, document []byte) []quota.Limit {
+	config, err := compiler.Read(document)
+	if err != nil {
+		// It was checked before it was committed; without limits nothing is dealt out.
+		return nil
+	}
+	limits := make([]quota.Limit, 0, len(config.Tenants))
+	for _, tenant := range config.Tenants {
+		if tenant.Rate > 0 {
+			limits = append(limits, quota.Limit{Tenant: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst})
+		}
+	}
+	return limits
+}
--- a/server/runner.go
+++ b/server/runner.go
@@ -41,8 +41,9 @@
 
 	// longest is the longest that one event has held the owners up, in microseconds.
 	longest atomic.Int64
-	// grantedAt is control.Node.GrantedAt after the last event.
+	// grantedAt is control.Node.GrantedAt after the last event, freshAt control.Node.FreshAt.
 	grantedAt atomic.Int64
+	freshAt   atomic.Int64
 	tables    TableBuilder
 	prober    *http.Client
 	// NoProbes is set where engines register themselves: their words tell how they are,
@@ -153,6 +154,8 @@
 		}
 		r.publish()
 		r.grantedAt.Store(int64(r.node.GrantedAt()))
+		// After what it speaks of has been published.
+		r.freshAt.Store(int64(r.node.FreshAt()))
 		r.longest.Store(max(r.longest.Load(), int64(r.env.Clock.Now()-begun)))
 	}
 }
@@ -167,6 +170,12 @@
 	return grantedAt > 0 && r.env.Clock.Now()-grantedAt < r.node.TouchSpan()
 }
 
+// IsFresher tells whether the document in force here was surely the newest one within a span.
+func (r *Runner) IsFresher(span kernel.Micros) bool {
+	freshAt := kernel.Micros(r.freshAt.Load())
+	return freshAt > 0 && r.env.Clock.Now()-freshAt < span
+}
+
 func (r *Runner) carryOut(command any) {
 	switch command := command.(type) {
 	case control.Outgoing:
--- a/server/runner_calls.go
+++ b/server/runner_calls.go
@@ -123,6 +123,11 @@
 	r.post(func() []any { return r.node.Restarted(r.env.Clock.Now(), engine.ID, start) })
 }
 
+// AskQuota has the router's account ask for what it lacks.
+func (r *Runner) AskQuota() {
+	r.post(func() []any { return r.node.AskQuota(r.env.Clock.Now()) })
+}
+
 // Leave begins a planned stop.
 func (r *Runner) Leave() {
 	r.post(func() []any { return r.node.Leave(r.env.Clock.Now()) })
