--- /dev/null
+++ b/control/freshness_test.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
+)
+
+// keySpan is how long a withdrawn key may still be used, and trustSpan how long a node trusts its keys.
+const (
+	keySpan   = 5 * kernel.Second
+	trustSpan = keySpan * 19 / 20
+)
+
+func (n *fleetNode) mayTrustKeys() bool {
+	at := n.node.FreshAt()
+	return n.isUp && !n.isFrozen && at > 0 && n.f.now-at < trustSpan
+}
+
+// acknowledgement is a configuration that was acknowledged at a moment.
+type acknowledgement struct {
+	version uint64
+	at      kernel.Micros
+}
+
+// withdrawals is a fleet to which an operator sends one change after another, under troubles.
+type withdrawals struct {
+	*fleet
+	version uint64
+	acked   []acknowledgement
+	failed  string
+}
+
+// check tells whether a node that trusts its keys lacks a change that it has to know by now.
+func (w *withdrawals) check() {
+	for _, n := range w.nodes {
+		if !n.mayTrustKeys() {
+			continue
+		}
+		for _, ack := range w.acked {
+			if w.now-ack.at > keySpan && n.inForce().ConfigVersion < ack.version && w.failed == "" {
+				w.failed = fmt.Sprintf("%s trusts its keys under version %d, %d ms after %d was acknowledged",
+					n.identity.Address, n.inForce().ConfigVersion, (w.now-ack.at)/ms, ack.version)
+			}
+		}
+	}
+}
+
+// watch checks every 20 ms.
+func (w *withdrawals) watch() {
+	w.check()
+	w.in(20*ms, w.watch)
+}
+
+// change sends changes again and again, at a node drawn by lot, until the moment given.
+func (w *withdrawals) change(until kernel.Micros) {
+	if w.now > until {
+		return
+	}
+	id := fmt.Sprint("change-", w.version+1)
+	if reply, isThere := w.reply[id]; isThere && reply.Outcome == Yes {
+		w.version++
+		w.acked = append(w.acked, acknowledgement{w.version, w.heardAt[id]})
+		w.in(700*ms, func() { w.change(until) })
+		return
+	}
+	if n := w.nodes[w.random.IntN(len(w.nodes))]; n.isUp && !n.isFrozen {
+		n.submit(id, w.version, configOf(w.version+1, "keys"))
+	}
+	w.in(kernel.Second, func() { w.change(until) })
+}
+
+// trouble does one thing to the fleet.
+func (w *withdrawals) trouble() {
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	if lead := w.leader(); lead != nil && w.random.IntN(2) == 0 {
+		n = lead
+	}
+	span := kernel.Micros(1+w.random.IntN(9)) * kernel.Second
+	switch w.random.IntN(5) {
+	case 0:
+		if n.isUp {
+			n.kill()
+			w.in(span/2, n.boot)
+		}
+	case 1:
+		if n.isUp && !n.isFrozen {
+			n.freeze(span)
+		}
+	case 2:
+		n.cutFrom(direction(w.random.IntN(3)), w.nodes...)
+		w.in(span, w.heal)
+	case 3:
+		// From some: homes and leaders go on speaking to others.
+		n.cutFrom(direction(w.random.IntN(3)), w.nodes[:1+w.random.IntN(len(w.nodes))]...)
+		w.in(span, w.heal)
+	default:
+		w.badLinks = int64(w.random.IntN(3)) * 5
+	}
+}
+
+// A node that has missed a change for longer than withdrawn keys may be used does not trust its
+// keys, in touch or not, whatever else happens.
+func TestNobodyTrustsAWithdrawnKeyForTooLong(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(30) {
+		c := qt.New(t)
+		w := &withdrawals{fleet: settledCore(c, 100+seed), version: 1}
+		w.acked = []acknowledgement{{1, w.now}}
+		w.watch()
+		w.change(w.now + 60*kernel.Second)
+		for range 20 {
+			w.trouble()
+			w.pass(kernel.Micros(500+w.random.IntN(4000)) * ms)
+		}
+		c.Check(w.failed, qt.Equals, "", qt.Commentf("seed %d", seed))
+		c.Check(len(w.acked) > 5, qt.IsTrue, qt.Commentf("seed %d: only %d changes were acknowledged", seed, len(w.acked)))
+	}
+}
+
+// In calm times all nodes trust their keys, with seconds to spare; through a change of leader as well.
+func TestKeysAreTrustedInCalmTimesAndThroughAnElection(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := settledCore(c, 7)
+	f.pass(2 * kernel.Second)
+	for range 100 {
+		f.pass(50 * ms)
+		for _, n := range f.nodes {
+			c.Assert(f.now-n.node.FreshAt() < 2500*ms, qt.IsTrue, qt.Commentf("%s: %d ms", n.identity.Address, (f.now-n.node.FreshAt())/ms))
+		}
+	}
+	old := f.leader()
+	old.kill()
+	for range 100 {
+		f.pass(50 * ms)
+		for _, n := range f.nodes {
+			if n != old {
+				c.Assert(n.mayTrustKeys(), qt.IsTrue, qt.Commentf("%s, %d ms", n.identity.Address, (f.now-n.node.FreshAt())/ms))
+			}
+		}
+	}
+}
+
+// A node that has just started trusts no key before it has heard of the leader, whatever its disk kept.
+func TestANewLifeTrustsNoKeysByItsDisk(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := settledCore(c, 8)
+	f.pass(2 * kernel.Second)
+	for _, n := range f.nodes {
+		n.kill()
+	}
+	member := f.nodes[0]
+	member.boot()
+	f.pass(8 * kernel.Second)
+	c.Check(member.inForce() != nil, qt.IsTrue)
+	c.Check(member.mayTrustKeys(), qt.IsFalse)
+}
--- /dev/null
+++ b/control/node_quota_test.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"testing"
+
+	"dunlinloom/kernel"
+	"dunlinloom/quota"
+	qt "github.com/frankban/quicktest"
+)
+
+// quotaFleet is a settled fleet with one tenant of so many requests a second.
+type quotaFleet struct {
+	*fleet
+	bounds   quota.Bounds
+	limit    quota.Limit
+	accounts map[*fleetNode]*quota.Account
+	open     []openTicket
+	spent    []kernel.Micros
+	refused  int
+	lives    uint64
+}
+
+type openTicket struct {
+	account *quota.Account
+	ticket  *quota.Ticket
+	until   kernel.Micros
+}
+
+func newQuotaFleet(c *qt.C, seed uint64, rate float64) *quotaFleet {
+	q := &quotaFleet{limit: quota.Limit{Tenant: "ann", Rate: rate, Burst: rate}, accounts: map[*fleetNode]*quota.Account{},
+		bounds: quota.Bounds{Window: 5 * kernel.Second, Over: 0.1, Slack: 20}}
+	q.fleet = newFleet(c, seed, 3, 9, firstHaveFolders(4))
+	q.adapt = func(settings *NodeSettings) {
+		platformLike(settings)
+		q.lives++
+		account := quota.NewAccount(q.bounds, q.lives)
+		q.accounts[q.byAddress(settings.Identity.Address)] = account
+		settings.Quota, settings.QuotaBounds = account, q.bounds
+		settings.LimitsOf = func([]byte) []quota.Limit { return []quota.Limit{q.limit} }
+	}
+	q.bootAll(300 * ms)
+	q.settled(8 * kernel.Second)
+	q.acknowledge("first", 0, configOf(1, "first"), 4*kernel.Second, q.nodes[5])
+	q.pass(2 * kernel.Second)
+	return q
+}
+
+// request is one request at a node.
+func (q *quotaFleet) request(n *fleetNode) {
+	if !n.isUp || n.isFrozen {
+		return
+	}
+	account := q.accounts[n]
+	ticket, isUrgent := account.Claim(q.now, q.limit.Tenant, 1)
+	q.open = append(q.open, openTicket{account, ticket, q.now + 100*ms})
+	if isUrgent {
+		n.do(func() []any { return n.node.AskQuota(q.now) })
+	}
+}
+
+// traffic passes a span in which so many times the rate is asked for.
+func (q *quotaFleet) traffic(span kernel.Micros, times float64) {
+	for end := q.now + span; q.now < end; {
+		wait := kernel.Micros(q.random.ExpFloat64() / (q.limit.Rate * times) * float64(kernel.Second))
+		q.pass(max(wait, 1))
+		q.request(q.nodes[q.random.IntN(len(q.nodes))])
+		q.settle()
+	}
+}
+
+func (q *quotaFleet) settle() {
+	kept := q.open[:0]
+	for _, open := range q.open {
+		outcome, _ := open.account.Outcome(open.ticket)
+		if outcome == quota.Waiting && q.now >= open.until {
+			open.account.Abandon(open.ticket)
+			outcome = quota.NoAllocator
+		}
+		switch outcome {
+		case quota.Waiting:
+			kept = append(kept, open)
+		case quota.Granted:
+			q.spent = append(q.spent, q.now)
+		default:
+			q.refused++
+		}
+	}
+	q.open = kept
+}
+
+// mostInWindow is the most requests that were let through within a window.
+func (q *quotaFleet) mostInWindow() int {
+	most, first := 0, 0
+	for i, at := range q.spent {
+		for q.spent[first] < at-q.bounds.Window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (q *quotaFleet) tolerated() float64 {
+	return (q.limit.Rate*float64(q.bounds.Window)/float64(kernel.Second)+q.limit.Burst)*(1+q.bounds.Over) + q.bounds.Slack
+}
+
+// Leaders die and are cut off, nodes are cut off and restarted, and a tenant asks for far too much:
+// no window lets more through than is tolerated.
+func TestQuotasHoldThroughChangesOfLeader(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		c := qt.New(t)
+		q := newQuotaFleet(c, 300+seed, 40)
+		for range 10 {
+			n := q.nodes[q.random.IntN(len(q.nodes))]
+			if lead := q.leader(); lead != nil && q.random.IntN(2) == 0 {
+				n = lead
+			}
+			switch q.random.IntN(4) {
+			case 0:
+				if n.isUp {
+					n.kill()
+					q.in(kernel.Second, n.boot)
+				}
+			case 1:
+				n.cutFrom(direction(q.random.IntN(3)), q.nodes[:1+q.random.IntN(len(q.nodes))]...)
+				q.in(3*kernel.Second, q.heal)
+			case 2:
+				if n.isUp && !n.isFrozen {
+					n.freeze(2 * kernel.Second)
+				}
+			}
+			q.traffic(2*kernel.Second, []float64{0.7, 4}[q.random.IntN(2)])
+		}
+		c.Check(float64(q.mostInWindow()) <= q.tolerated(), qt.IsTrue, qt.Commentf("seed %d: %d requests of %.0f tolerated", seed, q.mostInWindow(), q.tolerated()))
+	}
+}
+
+// Who stays within its quota is served, also while the leader changes; who asks for too much gets
+// its quota.
+func TestQuotasAreServedThroughAChangeOfLeader(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	q := newQuotaFleet(c, 5, 40)
+	q.traffic(10*kernel.Second, 0.7)
+	c.Check(q.refused*100 < len(q.spent), qt.IsTrue, qt.Commentf("%d refused, %d let through in calm", q.refused, len(q.spent)))
+	q.spent, q.refused = nil, 0
+	q.leader().kill()
+	q.traffic(6*kernel.Second, 0.7)
+	c.Check(q.refused*4 < len(q.spent), qt.IsTrue, qt.Commentf("%d refused, %d let through in an election", q.refused, len(q.spent)))
+	q.spent = nil
+	q.traffic(10*kernel.Second, 5)
+	c.Check(float64(len(q.spent)) > 0.9*q.limit.Rate*10, qt.IsTrue, qt.Commentf("%d let through of %.0f", len(q.spent), q.limit.Rate*10))
+}
--- /dev/null
+++ b/router/tenants_test.go
@@ -0,0 +1,217 @@
+package router
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
+	"dunlinloom/quota"
+	qt "github.com/frankban/quicktest"
+)
+
+// withTenants gives the harness's configuration tenants, in a table of its own.
+func (h *harness) withTenants(tenants ...fleetconfig.Tenant) {
+	routes := append([]fleetconfig.Route{}, h.routingTable.Config.Routes...)
+	config := fleetconfig.NewRouteConfig(routes, []fleetconfig.Service{h.routingTable.Config.Services["svc"]})
+	config.SetTenants(tenants)
+	next := *h.routingTable
+	next.Config = config
+	h.routingTable = &next
+	h.chooser.Show(h.routingTable)
+}
+
+func bearer(key string) http.Header { return http.Header{"Authorization": {"Bearer " + key}} }
+
+// keepSeen answers every request and keeps the last one.
+func keepSeen(seen **http.Request) func(int, *http.Request, net.Conn) bool {
+	return func(number int, r *http.Request, to net.Conn) bool {
+		*seen = r
+		return plainAnswer("ok")(number, r, to)
+	}
+}
+
+// Engines are told the tenant and never the key, whatever the caller says.
+func TestEnginesAreToldTheTenantAndNotTheKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, Priority: 4}, "e1")
+		var seen *http.Request
+		h.script("e1", keepSeen(&seen))
+		h.withTenants(fleetconfig.Tenant{Name: "ann", Keys: []string{"k1", "k2"}}, fleetconfig.Tenant{Name: "bob", Keys: []string{"k3"}, HasPriority: true, Priority: 1})
+		tenantHeader := DefaultWire().Tenant
+		for key, tenant := range map[string]string{"k1": "ann", "k2": "ann", "k3": "bob"} {
+			header := bearer(key)
+			header.Set(tenantHeader, "mallory")
+			recorder, _ := h.call("POST", "r-"+key, header)
+			c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+			c.Check(seen.Header.Values(tenantHeader), qt.DeepEquals, []string{tenant})
+			c.Check(seen.Header.Values("Authorization"), qt.HasLen, 0)
+			priority := map[string]string{"ann": "4", "bob": "1"}[tenant]
+			c.Check(seen.Header.Get(DefaultWire().Priority), qt.Equals, priority)
+		}
+	})
+}
+
+// Whoever has no key, or one that no tenant has, is refused for good, and reaches no engine. A router
+// that may have missed a change says so instead.
+func TestARequestNeedsTheKeyOfATenant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+		h.script("e1", plainAnswer("ok"))
+		h.withTenants(fleetconfig.Tenant{Name: "ann", Keys: []string{"k1"}})
+		isInTouch := true
+		h.router.IsInTouch = func() bool { return isInTouch }
+		strangers := []http.Header{{}, bearer("other"), bearer(""), bearer("k1 k1"), {"Authorization": {"Basic k1"}}, {"Authorization": {"Bearer k1", "Bearer k1"}}}
+		for _, header := range strangers {
+			isInTouch = true
+			recorder, _ := h.call("POST", "r1", header)
+			c.Check(recorder.Code, qt.Equals, http.StatusUnauthorized, qt.Commentf("%v", header))
+			c.Check(recorder.Header().Get("WWW-Authenticate"), qt.Equals, "Bearer")
+			isInTouch = false
+			recorder, _ = h.call("POST", "r1", header)
+			c.Check(recorder.Code, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%v", header))
+		}
+		c.Check(h.runs["e1"], qt.Equals, 0)
+		recorder, _ := h.call("POST", "r2", bearer("k1"))
+		c.Check(recorder.Code, qt.Equals, http.StatusOK)
+	})
+}
+
+// An open route takes requests without a key; a key that is known is named all the same.
+func TestAnOpenRouteNeedsNoKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second, IsOpen: true}, "e1")
+		var seen *http.Request
+		h.script("e1", keepSeen(&seen))
+		h.withTenants(fleetconfig.Tenant{Name: "ann", Keys: []string{"k1"}})
+		isTrusted := true
+		h.router.MayTrustKeys = func() bool { return isTrusted }
+		for _, test := range []struct {
+			header    http.Header
+			isTrusted bool
+			tenants   []string
+		}{{bearer("k1"), true, []string{"ann"}}, {bearer("other"), true, nil}, {http.Header{}, true, nil}, {bearer("k1"), false, nil}} {
+			isTrusted = test.isTrusted
+			test.header.Set(DefaultWire().Tenant, "mallory")
+			recorder, _ := h.call("POST", "r1", test.header)
+			c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+			c.Check(seen.Header.Values(DefaultWire().Tenant), qt.DeepEquals, test.tenants)
+			c.Check(seen.Header.Values("Authorization"), qt.HasLen, 0)
+		}
+	})
+}
+
+// A router that may have missed the withdrawal of a key runs nothing under any; and a key that is
+// withdrawn while a request's body comes in is looked at again.
+func TestAWithdrawnKeyRunsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+		h.script("e1", plainAnswer("ok"))
+		h.withTenants(fleetconfig.Tenant{Name: "ann", Keys: []string{"k1"}})
+		isTrusted := false
+		h.router.MayTrustKeys = func() bool { return isTrusted }
+		recorder, _ := h.call("POST", "r1", bearer("k1"))
+		c.Check(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(recorder.Header().Get("Retry-After") != "", qt.IsTrue)
+		isTrusted = true
+		looks := 0
+		h.router.MayTrustKeys = func() bool {
+			if looks++; looks == 2 {
+				h.withTenants(fleetconfig.Tenant{Name: "ann"})
+			}
+			return true
+		}
+		recorder, _ = h.call("POST", "r2", bearer("k1"))
+		c.Check(recorder.Code, qt.Equals, http.StatusUnauthorized)
+		c.Check(h.runs["e1"], qt.Equals, 0)
+	})
+}
+
+// Without tenants in the configuration nothing of a request is touched.
+func TestWithoutTenantsKeysAreTheEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+		var seen *http.Request
+		h.script("e1", keepSeen(&seen))
+		h.router.MayTrustKeys = func() bool { return false }
+		recorder, _ := h.call("POST", "r1", bearer("theirs"))
+		c.Assert(recorder.Code, qt.Equals, http.StatusOK)
+		c.Check(seen.Header.Get("Authorization"), qt.Equals, "Bearer theirs")
+	})
+}
+
+// quotaHarness is a router whose tenant has a quota, with an allocator beside it.
+func quotaHarness(t *testing.T, rate, burst float64) *harness {
+	h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
+	h.withTenants(fleetconfig.Tenant{Name: "ann", Keys: []string{"k1"}, Unit: fleetconfig.CountTokens, PlainTokens: 20, Rate: rate, Burst: burst})
+	bounds := quota.DefaultBounds()
+	allocator := quota.NewAllocator(bounds)
+	h.router.Quota = quota.NewAccount(bounds, 1)
+	h.router.AskQuota = func() {
+		now := h.router.Env.Clock.Now()
+		if ask := h.router.Quota.Ask(now); ask != nil {
+			if grant := allocator.Take(now, "router", ask); grant != nil {
+				h.router.Quota.Take(now, grant)
+			}
+		}
+	}
+	// As long ago as it takes to fill the bucket.
+	allocator.SetLimits(-kernel.Micros(burst/rate)*kernel.Second, []quota.Limit{{Tenant: "ann", Rate: rate, Burst: burst}})
+	return h
+}
+
+// Requests beyond the quota are refused with when to come back; what provably did not run is given back.
+func TestRequestsBeyondTheQuotaAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		// A request of the harness counts 120 tokens.
+		h := quotaHarness(t, 100, 700)
+		h.script("e1", func(_ int, r *http.Request, to net.Conn) bool {
+			wire := DefaultWire()
+			_, err := fmt.Fprintf(to, "HTTP/1.1 503 Full\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wire.NotRun, wire.RequestID, r.Header.Get(wire.RequestID))
+			return err == nil
+		})
+		statuses := map[int]int{}
+		for range 30 {
+			recorder, _ := h.call("POST", "r1", bearer("k1"))
+			statuses[recorder.Code]++
+		}
+		c.Check(statuses[http.StatusServiceUnavailable], qt.Equals, 30)
+		h.script("e1", plainAnswer("ok"))
+		h.router.Pool.Sweep(func(string) bool { return false })
+		clear(statuses)
+		for range 30 {
+			recorder, _ := h.call("POST", "r1", bearer("k1"))
+			statuses[recorder.Code]++
+			if recorder.Code == http.StatusTooManyRequests {
+				c.Check(recorder.Header().Get("Retry-After") != "", qt.IsTrue)
+			}
+		}
+		c.Check(statuses[http.StatusOK], qt.Equals, 5)
+		c.Check(statuses[http.StatusTooManyRequests], qt.Equals, 25)
+	})
+}
+
+// Where nobody answers who deals out quotas, a request is refused soon, with when to come back.
+func TestNobodyWaitsLongForAQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := quotaHarness(t, 100, 700)
+		h.script("e1", plainAnswer("ok"))
+		h.router.AskQuota = func() { h.router.Quota.Ask(h.router.Env.Clock.Now()) }
+		begun := h.router.Env.Clock.Now()
+		recorder, _ := h.call("POST", "r1", bearer("k1"))
+		c.Check(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(recorder.Header().Get("Retry-After") != "", qt.IsTrue)
+		c.Check(h.router.Env.Clock.Now()-begun <= longestClaim, qt.IsTrue)
+		c.Check(h.runs["e1"], qt.Equals, 0)
+	})
+}
