--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -33,16 +33,20 @@
 	failed  string
 }
 
-// check tells whether a node that trusts its keys lacks a change that it has to know by now.
+// check tells whether a node takes its document for the newest at a moment by which it was not, or
+// trusts its keys for too long. The first is what the second rests on, and is sharper.
 func (w *withdrawals) check() {
 	for _, n := range w.nodes {
-		if !n.mayTrustKeys() {
+		document := n.inForce()
+		if document == nil {
 			continue
 		}
 		for _, ack := range w.acked {
-			if w.now-ack.at > keySpan && n.inForce().ConfigVersion < ack.version && w.failed == "" {
-				w.failed = fmt.Sprintf("%s trusts its keys under version %d, %d ms after %d was acknowledged",
-					n.identity.Address, n.inForce().ConfigVersion, (w.now-ack.at)/ms, ack.version)
+			isLate := n.mayTrustKeys() && w.now-ack.at > keySpan
+			isFalse := n.node.FreshAt() > ack.at
+			if (isLate || isFalse) && document.ConfigVersion < ack.version && w.failed == "" {
+				w.failed = fmt.Sprintf("%s is at version %d, takes that for the newest %d ms ago, and %d was acknowledged %d ms ago",
+					n.identity.Address, document.ConfigVersion, (w.now-n.node.FreshAt())/ms, ack.version, (w.now-ack.at)/ms)
 			}
 		}
 	}
@@ -159,3 +163,35 @@
 	c.Check(member.inForce() != nil, qt.IsTrue)
 	c.Check(member.mayTrustKeys(), qt.IsFalse)
 }
+
+// A leader knows for how long it may have been led by another: since the last round that a majority
+// has confirmed.
+func TestALeaderThatIsCutOffDoesNotVouchForItsDocument(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := settledCore(c, 9)
+	f.pass(2 * kernel.Second)
+	lead := f.leader()
+	word := lead.node.core.freshness()
+	c.Check(word.IsFresh && word.Age < 300*ms, qt.IsTrue, qt.Commentf("%+v", word))
+	lead.cutFrom(bothWays, f.nodes[:4]...)
+	f.pass(500 * ms)
+	word = lead.node.core.freshness()
+	c.Check(!word.IsFresh || word.Age > 350*ms, qt.IsTrue, qt.Commentf("%+v", word))
+}
+
+// The word on a document that a node has not applied says nothing of the one that it has.
+func TestFreshnessOfANewerDocumentIsNotTaken(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	lease := NewLease("n", true, SparseTiming(), func(_, _, _ string) {})
+	lease.Apply(&Document{Founding: "f", Revision: 5, Term: 1})
+	now := 100 * kernel.Second
+	ask := lease.NewAsk(now)
+	lease.TakeFreshness(ask, 6, Freshness{IsFresh: true})
+	c.Check(lease.Freshness(now).IsFresh, qt.IsFalse)
+	lease.TakeFreshness(ask+1, 5, Freshness{IsFresh: true})
+	c.Check(lease.Freshness(now).IsFresh, qt.IsFalse)
+	lease.TakeFreshness(ask, 5, Freshness{IsFresh: true, Age: 200 * ms})
+	c.Check(lease.Freshness(now), qt.Equals, Freshness{IsFresh: true, Age: 200 * ms})
+}
--- a/control/node_quota_test.go
+++ b/control/node_quota_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 
 	"dunlinloom/kernel"
@@ -18,6 +19,21 @@
 	spent    []kernel.Micros
 	refused  int
 	lives    uint64
+	failed   string
+}
+
+// watch looks every 10 ms whether more than one node may deal quotas out.
+func (q *quotaFleet) watch() {
+	dealers := []string{}
+	for _, n := range q.nodes {
+		if n.isUp && !n.isFrozen && n.node.core != nil && n.node.core.mayAllot(q.now) {
+			dealers = append(dealers, n.identity.Address)
+		}
+	}
+	if len(dealers) > 1 && q.failed == "" {
+		q.failed = fmt.Sprintf("at %d ms all of %v may deal", q.now/ms, dealers)
+	}
+	q.in(10*ms, q.watch)
 }
 
 type openTicket struct {
@@ -111,6 +127,7 @@
 	for seed := range uint64(12) {
 		c := qt.New(t)
 		q := newQuotaFleet(c, 300+seed, 40)
+		q.watch()
 		for range 10 {
 			n := q.nodes[q.random.IntN(len(q.nodes))]
 			if lead := q.leader(); lead != nil && q.random.IntN(2) == 0 {
@@ -132,6 +149,7 @@
 			}
 			q.traffic(2*kernel.Second, []float64{0.7, 4}[q.random.IntN(2)])
 		}
+		c.Check(q.failed, qt.Equals, "", qt.Commentf("seed %d", seed))
 		c.Check(float64(q.mostInWindow()) <= q.tolerated(), qt.IsTrue, qt.Commentf("seed %d: %d requests of %.0f tolerated", seed, q.mostInWindow(), q.tolerated()))
 	}
 }
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -91,7 +91,7 @@
 	}
 	if known != nil && known.life != ask.Life {
 		// The earlier life spent what it had, or took it with it.
-		a.forget(router)
+		a.forget(now, router)
 		known = nil
 	}
 	if known == nil {
@@ -112,7 +112,7 @@
 	}
 	for tenant, credit := range known.tenants {
 		if !told[tenant] {
-			a.drop(tenant, credit)
+			a.drop(now, tenant, credit)
 			delete(known.tenants, tenant)
 		}
 	}
@@ -160,16 +160,18 @@
 }
 
 // drop takes credits out of circulation that are spent or will never be.
-func (a *Allocator) drop(tenant string, credit *credit) {
+func (a *Allocator) drop(now kernel.Micros, tenant string, credit *credit) {
 	if bucket := a.tenants[tenant]; bucket != nil {
+		// What came in while they could be spent had no room beside them.
+		bucket.fill(now)
 		bucket.out -= credit.out
 	}
 }
 
 // forget drops a router and its credits.
-func (a *Allocator) forget(router string) {
+func (a *Allocator) forget(now kernel.Micros, router string) {
 	for tenant, credit := range a.routers[router].tenants {
-		a.drop(tenant, credit)
+		a.drop(now, tenant, credit)
 	}
 	delete(a.routers, router)
 }
@@ -178,13 +180,7 @@
 func (a *Allocator) Sweep(now kernel.Micros) {
 	for router, known := range a.routers {
 		if now-known.heardAt > a.bounds.reclaimAfter() {
-			for tenant := range known.tenants {
-				if bucket := a.tenants[tenant]; bucket != nil {
-					// What comes in while a credit may still be spent has no room.
-					bucket.fill(now)
-				}
-			}
-			a.forget(router)
+			a.forget(now, router)
 		}
 	}
 }
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,112 @@
+package quota
+
+import (
+	"testing"
+
+	"dunlinloom/kernel"
+	qt "github.com/frankban/quicktest"
+)
+
+// plainBounds tolerate nothing, so that a bucket holds its burst and no more.
+var plainBounds = DefaultBounds()
+
+// fullAllocator has a tenant "ann" with a full bucket of 100, and 10 a second.
+func fullAllocator(now kernel.Micros) *Allocator {
+	allocator := NewAllocator(plainBounds)
+	allocator.SetLimits(now-20*kernel.Second, []Limit{{"ann", 10, 100}})
+	return allocator
+}
+
+func askFor(life, seq uint64, used, held, need float64) *Ask {
+	return &Ask{Life: life, Seq: seq, Items: []AskItem{{Tenant: "ann", Used: used, Held: held, First: need, Need: need}}}
+}
+
+// granted gives what an ask is answered with.
+func granted(c *qt.C, allocator *Allocator, now kernel.Micros, router string, ask *Ask) float64 {
+	grant := allocator.Take(now, router, ask)
+	c.Assert(grant, qt.IsNotNil)
+	c.Assert(grant.Items, qt.HasLen, 1)
+	return grant.Items[0].Amount
+}
+
+// Nobody knows what an earlier leader has dealt out, so a new one begins with nothing.
+func TestANewAllocatorBeginsEmpty(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	allocator := NewAllocator(plainBounds)
+	allocator.SetLimits(now, []Limit{{"ann", 10, 100}})
+	c.Check(granted(c, allocator, now, "r", askFor(1, 1, 0, 0, 1)), qt.Equals, 0.0)
+	c.Check(granted(c, allocator, now+kernel.Second, "r", askFor(1, 2, 0, 0, 10)), qt.Equals, 10.0)
+}
+
+// What a router holds leaves no room in the bucket, and what did not reach it comes back.
+func TestCreditsAreCountedOnce(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	allocator := fullAllocator(now)
+	c.Check(granted(c, allocator, now, "r", askFor(1, 1, 0, 0, 60)), qt.Equals, 60.0)
+	// It did not take that: the grant was lost.
+	c.Check(granted(c, allocator, now, "r", askFor(1, 2, 0, 0, 90)), qt.Equals, 90.0)
+	// An ask that comes late, or twice, is no news.
+	c.Check(allocator.Take(now, "r", askFor(1, 1, 0, 0, 60)), qt.IsNil)
+	c.Check(allocator.Take(now, "r", askFor(1, 2, 0, 0, 90)), qt.IsNil)
+	// It holds 90, so that 10 are left however long it takes.
+	now += 4 * kernel.Second
+	c.Check(granted(c, allocator, now, "other", askFor(1, 1, 0, 0, 10)), qt.Equals, 10.0)
+	c.Check(granted(c, allocator, now, "other", askFor(1, 2, 10, 0, 5)), qt.Equals, 0.0)
+	// Spent credits make room.
+	c.Check(granted(c, allocator, now, "r", askFor(1, 3, 90, 0, 1)), qt.Equals, 0.0)
+	c.Check(granted(c, allocator, now+kernel.Second, "r", askFor(1, 4, 90, 0, 10)), qt.Equals, 10.0)
+}
+
+// The credits of a silent router, or of an earlier life of one, are taken for spent.
+func TestCreditsOfTheSilentAreSpent(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	for _, isRestarted := range []bool{false, true} {
+		allocator := fullAllocator(now)
+		c.Check(granted(c, allocator, now, "r", askFor(1, 1, 0, 0, 100)), qt.Equals, 100.0)
+		later := now + plainBounds.CreditLife()/2
+		if isRestarted {
+			c.Check(granted(c, allocator, later, "r", askFor(2, 1, 0, 0, 1)), qt.Equals, 0.0)
+		} else {
+			later = now + plainBounds.reclaimAfter() + 1
+			allocator.Sweep(later)
+		}
+		c.Check(granted(c, allocator, later, "other", askFor(1, 1, 0, 0, 1)), qt.Equals, 0.0)
+		c.Check(granted(c, allocator, later+kernel.Second, "other", askFor(1, 2, 0, 0, 10)), qt.Equals, 10.0)
+	}
+}
+
+// A grant counts once, and only for the newest ask.
+func TestAGrantCountsOnceAndForTheNewestAsk(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	account := NewAccount(plainBounds, 1)
+	spendable := func() (count int) {
+		for {
+			ticket, _ := account.Claim(now, "ann", 1)
+			if outcome, _ := account.Outcome(ticket); outcome != Granted {
+				account.Abandon(ticket)
+				return count
+			}
+			count++
+		}
+	}
+	_, isUrgent := account.Claim(now, "ann", 1)
+	c.Assert(isUrgent, qt.IsTrue)
+	first := account.Ask(now)
+	c.Assert(first, qt.IsNotNil)
+	// One is under way.
+	c.Check(account.Ask(now+ms), qt.IsNil)
+	now += 200 * ms
+	second := account.Ask(now)
+	c.Assert(second.Seq, qt.Equals, first.Seq+1)
+	account.Take(now, &Grant{Seq: first.Seq, Items: []GrantItem{{Tenant: "ann", Amount: 50}}})
+	c.Check(spendable(), qt.Equals, 0)
+	grant := &Grant{Seq: second.Seq, Items: []GrantItem{{Tenant: "ann", Amount: 5}}}
+	account.Take(now, grant)
+	account.Take(now, grant)
+	// One of five went to the claim that waited.
+	c.Check(spendable(), qt.Equals, 4)
+}
