Configurations cross as their changes; quotas are dealt sooner after an election

After a loss of the leader nobody dealt quotas for 1.7 s, and requests that came while an ask was under way waited for a tick. Change: a document carries the newest changes; a receiver that holds an earlier configuration gets those, puts the newest together and holds it against the digest in the chain; one that can't says so and gets the whole. Documents above 4 KiB go to a node one at a time. A leader deals quotas by a confirmed round of 375 ms, so that a new one waits 0.41 s and not 0.99 s; buckets take 0.6 of the tolerance (0.3), except for the part of routers that a new leader has not heard; grants are whole units; asks are redirected at once. Ruled out: homes on larger machines only (they are what troubles aim at); compressing, which is there.

--- a/control/core_test.go
+++ b/control/core_test.go
@@ -373,7 +373,7 @@
 func TestAConfigIsLeftOutOnlyForWhoHoldsIt(t *testing.T) {
 	c := qt.New(t)
 	first := document(4, 9)
-	first.putConfig([]byte(`{"large":"one"}`))
+	first.putConfig([]byte(`{"large":"one"}`), nil)
 	next := first.next(4)
 	next.Drained["z1"] = next.Revision
 	heartbeat := Message{Heartbeat: &Heartbeat{Term: 4, Leader: memberA, Target: memberB.ID, Round: 7, Document: next.light()}}
@@ -388,7 +388,7 @@
 
 	// Another configuration under the same revision, as a leader that lost its lead may have left it.
 	other := document(4, 9)
-	other.putConfig([]byte(`{"large":"two"}`))
+	other.putConfig([]byte(`{"large":"two"}`), nil)
 	for name, held := range map[string]*Document{"nothing": nil, "another configuration": other, "no configuration": document(4, 9)} {
 		bare := newBench(c, Ballot{Term: 4}, held)
 		bare.receive(memberA, heartbeat)
@@ -423,7 +423,7 @@
 func TestALightDocumentIsAppliedOnlyWithItsConfig(t *testing.T) {
 	c := qt.New(t)
 	first := document(4, 9)
-	first.putConfig([]byte(`{"large":"one"}`))
+	first.putConfig([]byte(`{"large":"one"}`), nil)
 	next := first.next(4)
 	lease := NewLease("10.0.0.9:1", true, DefaultTiming(), func(string, string, string) {})
 	c.Assert(lease.Apply(next.light()), qt.IsFalse)
--- a/control/document.go
+++ b/control/document.go
@@ -68,6 +68,8 @@
 	// Chain names the newest configurations, oldest first. By it a copy of an older configuration
 	// proves itself, wherever it was kept, and a member knows what it lacks.
 	Chain []ConfigMark `json:"chain,omitempty"`
+	// Changes are the newest changes of the configuration, oldest first; see ConfigChange.
+	Changes []ConfigChange `json:"spec_changes,omitempty"`
 	// Leaving holds the marks of leaving engines. One given by hand is said once, and
 	// one that an engine reported may still be ahead of the platform's list, so both
 	// must outlive the processes that heard them.
@@ -97,39 +99,50 @@
 // light leaves the configuration out, for a receiver that is taken to hold it. Whether it does
 // shows by the digest in the chain: see whole.
 func (d *Document) light() *Document {
-	copied := *d
-	copied.Config = nil
-	return &copied
+	return d.changed(nil)
 }
 
-// lightFor is the document as it goes to one that has applied a committed revision:
-// from the configuration's own revision on it holds that configuration.
+// lightFor is the document as it goes to one that has applied a committed revision: from the
+// configuration's own revision on it holds that configuration, and before it an earlier one.
 func (d *Document) lightFor(applied uint64) *Document {
-	if d == nil || applied < d.ConfigRevision {
-		return d
+	if d == nil {
+		return nil
 	}
-	return d.light()
+	if applied >= d.ConfigRevision {
+		return d.light()
+	}
+	if changes, isKnown := d.changesSince(applied); isKnown {
+		return d.changed(changes)
+	}
+	return d
 }
 
 // whole puts back the configuration that a sender left out, from a document held here. A receiver
 // goes by the digest alone, never by what the sender took it to hold; without the configuration
 // there is no document, and it can be neither kept nor applied.
-func (d *Document) whole(held ...*Document) *Document {
+func (d *Document) whole(change changer, held ...*Document) *Document {
 	if d == nil || len(d.Chain) == 0 || len(d.Config) > 0 {
 		return d
 	}
 	for _, known := range held {
 		if known != nil && len(known.Chain) > 0 && known.Chain[len(known.Chain)-1] == d.Chain[len(d.Chain)-1] {
 			copied := *d
-			copied.Config = known.Config
+			copied.Config, copied.Changes = known.Config, known.Changes
 			return &copied
 		}
 	}
+	for _, known := range held {
+		if made, isMade := d.rebuilt(change, known); isMade {
+			return made
+		}
+	}
 	return nil
 }
 
-func (d *Document) putConfig(config []byte) {
+// putConfig puts a configuration in force that came of the one before by a change; nil: it was put whole.
+func (d *Document) putConfig(config, change []byte) {
 	d.Config, d.ConfigRevision = config, d.Revision
+	d.keepChange(change)
 	d.Chain = append(slices.Clone(d.Chain), MarkOf(d))
 	if surplus := len(d.Chain) - keptConfigs; surplus > 0 {
 		d.Chain = d.Chain[surplus:]
--- a/control/fuzz_test.go
+++ b/control/fuzz_test.go
@@ -19,7 +19,7 @@
 	made.Register = []string{memberA.Address, memberB.Address}
 	made.Homes["z1"] = memberA.Address
 	made.remember(Submission{ID: "s", Digest: "d", Revision: 9})
-	made.putConfig([]byte(`{"ver":1}`))
+	made.putConfig([]byte(`{"ver":1}`), nil)
 	return made
 }
 
--- a/control/hello.go
+++ b/control/hello.go
@@ -71,7 +71,7 @@
 	record := n.record().aged(n.now)
 	for _, target := range slices.Compact(targets) {
 		if target != n.self() {
-			n.send(target, Message{Hello: &Hello{Held: n.lease.Held(), IsKeen: target == keenOn, Node: record}})
+			n.send(target, Message{Hello: &Hello{Held: n.lease.holds(), IsKeen: target == keenOn, Node: record}})
 		}
 	}
 }
--- a/control/leader_lease.go
+++ b/control/leader_lease.go
@@ -88,10 +88,16 @@
 	return Freshness{IsFresh: true, Age: max(c.now-since, 0)}
 }
 
-// mayAllot tells whether this member may deal quotas out: it leads, and an earlier leader's lease has
-// ended, so that no two do so at the same time. The margin is for clocks that run apart.
+// allotLease is how long a confirmed round lets a leader deal quotas out, counted from its sending. It
+// is shorter than the leader's lease, since a new leader has to wait for as long.
+func (t Timing) allotLease() kernel.Micros { return 5 * t.Heartbeat / 2 }
+
+// mayAllot tells whether this member may deal quotas out: a majority has confirmed a round just now,
+// and since this member leads the allot lease of the leader before has ended, so that no two deal at
+// the same time. The margin is for clocks that run apart.
 func (c *Core) mayAllot(now kernel.Micros) bool {
 	c.now = now
-	wait := c.settings.Timing.leaderLease() * 11 / 10
-	return c.role == leader && c.isOwnTerm && c.hasLeaderLease() && now-c.leadSince >= wait
+	lease := c.settings.Timing.allotLease()
+	since, isKnown := c.newestSince()
+	return isKnown && now-since < lease && now-c.leadSince >= lease*11/10
 }
--- a/control/lease.go
+++ b/control/lease.go
@@ -22,6 +22,10 @@
 	wanted *Document
 	// isPrepared tells whether a document's configuration is compiled, and sees to it if not; nil: all are.
 	isPrepared func(*Document) bool
+	// change puts a configuration together that came as changes; nil: none can be.
+	change changer
+	// isBare: changes came that lead to no configuration here, so that it has to be sent whole.
+	isBare bool
 	// serveOn is how long a word of the core lasts beyond the strict span; see NodeSettings.
 	serveOn kernel.Micros
 	until   kernel.Micros
@@ -71,13 +75,23 @@
 	return l.Revision()
 }
 
+// holds is the newest revision whose configuration this node can go on from; zero: it needs the whole.
+func (l *Lease) holds() uint64 {
+	if l.isBare {
+		return 0
+	}
+	return l.Held()
+}
+
 // Until is the moment up to which the router may serve.
 func (l *Lease) Until() kernel.Micros { return l.until }
 
 // Apply takes a committed document; older ones are passed over, and so are those whose
 // configuration was left out and is not held here: the next ask says so and brings it.
 func (l *Lease) Apply(document *Document) bool {
-	document = document.whole(l.applied, l.wanted)
+	sent := document
+	document = document.whole(l.change, l.applied, l.wanted)
+	l.isBare = l.isBare || document == nil && sent != nil && len(sent.Changes) > 0
 	if document == nil || document.Revision <= l.Revision() || l.wanted != nil && document.Revision < l.wanted.Revision {
 		return false
 	}
@@ -85,7 +99,7 @@
 		l.wanted = document
 		return false
 	}
-	l.applied, l.wanted = document, nil
+	l.applied, l.wanted, l.isBare = document, nil, false
 	if l.serveOn >= ServeOnAlways {
 		l.until = ServeOnAlways
 	}
--- a/control/messages.go
+++ b/control/messages.go
@@ -290,6 +290,16 @@
 	Applied  uint64 `json:"applied"`
 	Held     uint64 `json:"held,omitempty"` // the document it holds, if that is not yet applied
 	IsRouter bool   `json:"router,omitempty"`
+	// IsBare: it could not put a configuration together from the changes that it was sent.
+	IsBare bool `json:"bare,omitempty"`
+}
+
+// holds is the newest revision whose configuration the asker can go on from; zero: it needs the whole.
+func (a *RouterAsk) holds() uint64 {
+	if a.IsBare {
+		return 0
+	}
+	return max(a.Applied, a.Held)
 }
 
 // AskBatch carries a zone's asks from its home, or one node's own.
--- a/control/newest.go
+++ b/control/newest.go
@@ -62,7 +62,7 @@
 	if n.core != nil {
 		held = append(held, n.core.Committed())
 	}
-	document := m.Document.whole(held...)
+	document := m.Document.whole(n.settings.ChangeConfig, held...)
 	if document == nil {
 		read.isBare, read.resendAt = true, n.now
 		return
--- a/control/node.go
+++ b/control/node.go
@@ -160,7 +160,7 @@
 	self := settings.Identity
 	n.lease = NewLease(self.Address, settings.IsRouter, settings.Timing, n.note)
 	n.lease.seq = tokens.first()
-	n.lease.isPrepared, n.lease.serveOn = n.prepare, settings.ServeOn
+	n.lease.isPrepared, n.lease.serveOn, n.lease.change = n.prepare, settings.ServeOn, settings.ChangeConfig
 	n.directory = NewDirectory(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = NewViews(Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.Shuffle, random.IntN)
 	n.validation, n.bornAt = settings.core(nil), now
@@ -536,6 +536,7 @@
 				n.askTimer = min(n.askTimer, n.now+50*kernel.Millisecond)
 			}
 			n.leaderHint, n.leaderWord = m.Elsewhere.Leader, n.now
+			n.redirectQuota()
 		}
 		if len(m.Elsewhere.Voters) > 0 {
 			n.otherHints = append([]string{from}, m.Elsewhere.Voters...)
--- a/control/node_news.go
+++ b/control/node_news.go
@@ -31,7 +31,7 @@
 		n.send(from, Message{Mend: &Mend{Digests: n.directory.Digests()}})
 	}
 	// A node that is behind need not wait for the leader's word to get the document.
-	n.zoneHeld[m.Address] = max(m.Applied, m.Held)
+	n.zoneHeld[m.Address] = m.holds()
 	if n.zoneHeld[m.Address] < n.lease.Revision() {
 		document := n.pushed.offer(n.now, from, n.lease.applied, n.zoneHeld[m.Address], n.isVoterAt(from))
 		n.send(from, Message{Grant: &Grant{Revision: n.lease.Revision(), Document: document}})
@@ -46,7 +46,7 @@
 // answerAsk answers in one message. Nobody serves by the leader's word here, so the home
 // need not wait for it: it tells what it holds itself, and who leads if it knows.
 func (n *Node) answerAsk(from string, m *Ask) {
-	n.zoneHeld[m.Address] = max(m.Applied, m.Held)
+	n.zoneHeld[m.Address] = m.holds()
 	grant := &Grant{Revision: n.lease.Revision(), News: n.directory.NewsSince(n.now, m.SeenHome, m.SeenNews, false)}
 	if n.now-n.leaderWord < kernel.Second {
 		grant.Leader = n.leaderHint
@@ -172,7 +172,7 @@
 	n.directory.TakeNode(n.now, record, true)
 	own := RouterAsk{
 		Address: n.self(), Zone: n.settings.Identity.Zone, Seq: n.lease.NewAsk(n.now),
-		Applied: n.lease.Revision(), IsRouter: n.settings.IsRouter && !n.isLeaving,
+		Applied: n.lease.Revision(), IsRouter: n.settings.IsRouter && !n.isLeaving, IsBare: n.lease.isBare,
 	}
 	if held := n.lease.Held(); held > own.Applied {
 		own.Held = held
@@ -198,7 +198,7 @@
 	}
 	// A silent home must not cost the lease: the leader is asked directly as well.
 	if n.isHomeless() {
-		n.send(n.leaderTarget(), Message{AskBatch: &AskBatch{Zone: own.Zone, Revision: n.lease.Held(), Asks: []RouterAsk{own}}})
+		n.send(n.leaderTarget(), Message{AskBatch: &AskBatch{Zone: own.Zone, Revision: n.lease.holds(), Asks: []RouterAsk{own}}})
 	}
 }
 
@@ -212,7 +212,7 @@
 		// No lease hangs on it.
 		n.batchTimer = n.now + max(100*kernel.Millisecond, n.settings.Timing.Ask/2)
 	}
-	batch := &AskBatch{Zone: n.settings.Identity.Zone, IsHome: n.isHome(), Revision: n.lease.Held()}
+	batch := &AskBatch{Zone: n.settings.Identity.Zone, IsHome: n.isHome(), Revision: n.lease.holds()}
 	for _, address := range slices.Sorted(maps.Keys(n.batch)) {
 		batch.Asks = append(batch.Asks, n.batch[address])
 	}
--- a/control/node_quota.go
+++ b/control/node_quota.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if n.quotas.allocator == nil || n.quotas.term != n.core.term {
-		n.quotas = quotas{allocator: quota.NewAllocator(n.settings.QuotaBounds), term: n.core.term}
+		n.quotas = quotas{allocator: quota.NewAllocator(n.now, n.settings.QuotaBounds), term: n.core.term}
 	}
 	if revision := n.lease.applied.ConfigRevision; revision != n.quotas.configRevision {
 		n.quotas.configRevision = revision
@@ -49,6 +49,7 @@
 	}
 	if n.now >= n.quotas.sweepAt {
 		n.quotas.sweepAt = n.now + kernel.Second/2
+		n.quotas.allocator.SetServing(n.knownRouters())
 		n.quotas.allocator.Sweep(n.now)
 	}
 }
@@ -74,5 +75,27 @@
 func (n *Node) onQuotaGrant(m *quota.Grant) {
 	if n.settings.Quota != nil {
 		n.settings.Quota.Take(n.now, m)
+		// Requests that came while the ask was under way need another one, and can't wait for a tick.
+		n.tickQuota()
 	}
 }
+
+// redirectQuota asks anew where another node was named as the leader.
+func (n *Node) redirectQuota() {
+	if n.settings.Quota != nil {
+		n.settings.Quota.Redirect()
+		n.tickQuota()
+	}
+}
+
+// knownRouters counts the routers that are known here, those that were silent lately included: they
+// may still spend what they hold.
+func (n *Node) knownRouters() int {
+	count := 0
+	for _, node := range n.directory.Nodes() {
+		if node.IsRouter {
+			count++
+		}
+	}
+	return count
+}
--- a/control/reads.go
+++ b/control/reads.go
@@ -84,7 +84,7 @@
 	for _, ask := range m.Asks {
 		old := c.seen[ask.Address]
 		if old == nil || ask.Applied >= old.applied || ask.Applied == 0 {
-			c.seen[ask.Address] = &sighting{c.now, ask.Applied, max(ask.Applied, ask.Held), ask.Zone, ask.IsRouter}
+			c.seen[ask.Address] = &sighting{c.now, ask.Applied, ask.holds(), ask.Zone, ask.IsRouter}
 		} else {
 			old.at = c.now
 		}
--- a/control/recovery_test.go
+++ b/control/recovery_test.go
@@ -251,7 +251,7 @@
 	store, _, _, err := OpenStore(folder, "f", func() string { return "m" })
 	c.Assert(err, qt.IsNil)
 	first := &Document{Founding: "x", Revision: 1, Term: 1}
-	first.putConfig([]byte("spec"))
+	first.putConfig([]byte("spec"), nil)
 	second := first.next(1)
 	for _, document := range []*Document{first, second} {
 		c.Assert(store.Save(Save{Ballot: &Ballot{Term: 1}, Document: document}), qt.IsNil)
@@ -290,7 +290,7 @@
 	c.Assert(found.Document.stamp(), qt.Equals, document.stamp())
 	// One whose configuration no file has holds it itself.
 	other := document.next(1)
-	other.putConfig([]byte("other"))
+	other.putConfig([]byte("other"), nil)
 	c.Assert(store.SaveSnapshot(&Snapshot{Format: snapshotFormat, Fleet: "f", Document: other}), qt.IsNil)
 	found, err = reopened(c, path).Snapshot("f")
 	c.Assert(err, qt.IsNil)
@@ -313,7 +313,7 @@
 	last := document
 	for i := range 6 {
 		last = last.next(1)
-		last.putConfig(fmt.Append(nil, "proposed ", i))
+		last.putConfig(fmt.Append(nil, "proposed ", i), nil)
 		c.Assert(store.Save(Save{Document: last}), qt.IsNil)
 	}
 	found, err := reopened(c, path).Snapshot("f")
--- a/control/replication.go
+++ b/control/replication.go
@@ -141,7 +141,7 @@
 		reply.Synced = c.synced
 		c.send(from, Message{HeartbeatReply: reply})
 	}
-	document := m.Document.whole(c.doc, c.committed)
+	document := m.Document.whole(c.settings.ChangeConfig, c.doc, c.committed)
 	reply.IsBare = document == nil && m.Document != nil
 	isNews := document != nil && document.Term == m.Term && c.doc.stamp().before(document.stamp())
 	switch {
--- a/control/store_past_test.go
+++ b/control/store_past_test.go
@@ -17,7 +17,7 @@
 	for range count {
 		past = append(past, newest)
 		newest = newest.next(2)
-		newest.putConfig([]byte(strings.Repeat("x", size-8) + fmt.Sprintf("%08d", newest.Revision)))
+		newest.putConfig([]byte(strings.Repeat("x", size-8)+fmt.Sprintf("%08d", newest.Revision)), nil)
 	}
 	return newest, past[1:]
 }
@@ -104,7 +104,7 @@
 	c.Assert(store.bytes() <= 700<<10, qt.IsTrue)
 	// A newer document goes before the past, which goes as a whole file.
 	next := newest.next(2)
-	next.putConfig(slices.Clone(newest.Config[1:]))
+	next.putConfig(slices.Clone(newest.Config[1:]), nil)
 	for range 3 {
 		c.Assert(store.Save(Save{Document: next}), qt.IsNil)
 		next = next.next(2)
--- a/control/submissions.go
+++ b/control/submissions.go
@@ -120,7 +120,11 @@
 			c.refuse(held.from, m, refused.Reason, "%v", refused.Cause)
 			return false
 		}
-		next.putConfig(config)
+		var change []byte
+		if m.Order == ChangeConfig {
+			change = m.Config
+		}
+		next.putConfig(config, change)
 		next.ConfigVersion = version
 	case EmptyZone:
 		next.Drained[m.Zone] = next.Revision
--- a/control/transfer.go
+++ b/control/transfer.go
@@ -14,6 +14,8 @@
 const (
 	// smallDocument is the size up to which documents go as they come.
 	smallDocument = 32 << 10
+	// pacedDocument is the size up to which a document goes to a node although another is on its way.
+	pacedDocument = 4 << 10
 	// transferWindow is how much may be under way to a member in small documents.
 	transferWindow = 128 << 10
 	// transferFloor is the slowest pace that a receiver nothing is known of is taken to have,
@@ -35,7 +37,7 @@
 		return 0
 	}
 	addresses := len(d.Register) + len(d.PriorRegister) + len(d.Homes) + len(d.Drained) + len(d.Leaving)
-	return len(d.Config) + len(d.Submissions)*wireSubmission + len(d.Chain)*wireMark + addresses*wireAddress
+	return len(d.Config) + changeBytes(d.Changes)*4/3 + len(d.Submissions)*wireSubmission + len(d.Chain)*wireMark + addresses*wireAddress
 }
 
 // Size is about how many bytes the documents and configurations of a message take. Messages of
@@ -140,8 +142,12 @@
 	// again under another term is known to most. A member that has it not says so, and is sent
 	// the whole.
 	isRepeat := c.doc.ConfigRevision < c.doc.Revision || !c.isOwnTerm
-	if isRepeat && !p.isBare {
+	switch {
+	case p.isBare:
+	case isRepeat:
 		document = c.doc.light()
+	default:
+		document = c.doc.lightFor(p.synced.Revision)
 	}
 	bytes := document.wireSize()
 	if p.transfer.isUnderWay(c.now) {
@@ -157,8 +163,12 @@
 // transfers paces the large documents that go to nodes, by address.
 type transfers map[string]*transfer
 
-// transferWait is how long a small document may take to a node, and to say so.
-const transferWait = kernel.Second
+const (
+	// transferWait is how long a large document may take to a node beyond its bytes, and to say so;
+	// pacedWait is that of a small one.
+	transferWait = kernel.Second
+	pacedWait    = 300 * kernel.Millisecond
+)
 
 // offer gives the committed document as it is to go to a node that holds a revision; nil: it
 // holds it, or a large one is on its way to it. A member of the core gets the configuration by a
@@ -167,11 +177,6 @@
 	if document == nil || held >= document.Revision {
 		return nil
 	}
-	document = document.lightFor(held)
-	bytes := document.wireSize()
-	if bytes <= smallDocument {
-		return document
-	}
 	known := t[address]
 	if known == nil {
 		known = &transfer{}
@@ -183,10 +188,19 @@
 	if known.isUnderWay(now) {
 		return nil
 	}
+	document = document.lightFor(held)
+	bytes := document.wireSize()
+	if bytes <= pacedDocument && len(document.Changes) == 0 {
+		return document
+	}
 	if isMember && known.stamp != document.stamp() {
 		document = document.light()
 	}
-	known.begin(now, document.stamp(), bytes, transferWait)
+	wait := transferWait
+	if bytes <= smallDocument {
+		wait = pacedWait
+	}
+	known.begin(now, document.stamp(), bytes, wait)
 	return document
 }
 
@@ -210,7 +224,7 @@
 	if n.core == nil {
 		return document
 	}
-	if whole := document.whole(n.core.doc, n.core.committed); whole != nil {
+	if whole := document.whole(n.settings.ChangeConfig, n.core.doc, n.core.committed); whole != nil {
 		return whole
 	}
 	return document
--- a/quota/account.go
+++ b/quota/account.go
@@ -55,6 +55,8 @@
 	grantedAt kernel.Micros // the sending of the newest ask that was granted
 	grantSeq  uint64
 	advanceAt kernel.Micros
+	isTurned  bool   // the newest ask went to one who does not deal
+	redirects int    // of asks since the last answer, or for a while
 	epoch     uint64 // counts up as credits expire
 }
 
@@ -155,9 +157,14 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.expire(now)
-	if a.silentAt > 0 && now-a.askedAt < answerSpan || !a.isDue(now) {
+	isUnderWay := a.silentAt > 0 && now-a.askedAt < answerSpan && !a.isTurned
+	if isUnderWay || !a.isDue(now) {
 		return nil
 	}
+	if !a.isTurned {
+		a.redirects = 0
+	}
+	a.isTurned = false
 	a.seq++
 	a.askedAt, a.advanceAt = now, now+advanceEvery
 	if a.silentAt == 0 {
@@ -181,6 +188,19 @@
 	return ask
 }
 
+// mostRedirects bounds how often an ask is sent on at once: two nodes may each take the other for the leader.
+const mostRedirects = 3
+
+// Redirect tells that the newest ask reached a node that does not deal, and named another.
+func (a *Account) Redirect() {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if a.silentAt > 0 && a.redirects < mostRedirects {
+		a.isTurned = true
+		a.redirects++
+	}
+}
+
 // isDue tells whether there is something to ask for.
 func (a *Account) isDue(now kernel.Micros) bool {
 	isHolding := false
@@ -262,7 +282,7 @@
 func (h *holding) item(now kernel.Micros, tenant string, seq uint64) AskItem {
 	target := h.target(now)
 	if h.held > 2*target {
-		h.held = target
+		h.held = math.Floor(target)
 	}
 	item := AskItem{Tenant: tenant, Used: h.used, Held: h.held}
 	for _, ticket := range h.waiting {
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -20,6 +20,8 @@
 // they ask.
 type Allocator struct {
 	bounds  Bounds
+	beganAt kernel.Micros
+	serving int // routers that are known to live
 	tenants map[string]*tenantBucket
 	routers map[string]*routerCredits
 }
@@ -42,9 +44,21 @@
 
 type credit struct{ out, used float64 }
 
-// NewAllocator makes an allocator without limits.
-func NewAllocator(bounds Bounds) *Allocator {
-	return &Allocator{bounds: bounds, tenants: map[string]*tenantBucket{}, routers: map[string]*routerCredits{}}
+// NewAllocator makes an allocator without limits, that begins to deal now.
+func NewAllocator(now kernel.Micros, bounds Bounds) *Allocator {
+	return &Allocator{bounds: bounds, beganAt: now, tenants: map[string]*tenantBucket{}, routers: map[string]*routerCredits{}}
+}
+
+// SetServing tells how many routers are known to live.
+func (a *Allocator) SetServing(count int) { a.serving = count }
+
+// usable is the part of the buckets that is used now. Until the credits of an earlier leader have
+// expired, routers that have not asked yet are taken to hold their share of full buckets.
+func (a *Allocator) usable(now kernel.Micros) float64 {
+	if a.serving == 0 || now-a.beganAt >= a.bounds.reclaimAfter() {
+		return 1
+	}
+	return math.Min(float64(len(a.routers))/float64(a.serving), 1)
 }
 
 // SetLimits puts limits in force. A bucket that is new begins empty: whether the tenant has spent
@@ -59,7 +73,7 @@
 		if bucket == nil {
 			bucket = &tenantBucket{filledAt: now}
 		}
-		bucket.fill(now)
+		bucket.fill(now, a.usable(now))
 		bucket.limit = limit
 		bucket.capacity, bucket.debt = a.bounds.bucket(limit)
 		bucket.level = math.Min(bucket.level, bucket.capacity)
@@ -76,10 +90,10 @@
 }
 
 // fill lets in what has come since the last time, as far as there is room beside the credits.
-func (b *tenantBucket) fill(now kernel.Micros) {
+func (b *tenantBucket) fill(now kernel.Micros, usable float64) {
 	inflow := b.limit.Rate * float64(now-b.filledAt) / float64(kernel.Second)
 	b.filledAt = now
-	room := b.capacity - b.out - b.level
+	room := b.capacity*usable - b.out - b.level
 	b.level += math.Max(math.Min(inflow, room), 0)
 }
 
@@ -104,7 +118,8 @@
 	for _, item := range ask.Items {
 		told[item.Tenant] = true
 		if bucket := a.tenants[item.Tenant]; bucket != nil {
-			grant.Items = append(grant.Items, bucket.take(now, known, item))
+			bucket.fill(now, a.usable(now))
+			grant.Items = append(grant.Items, bucket.take(known, item))
 		} else if item.Need > 0 {
 			// The newest configuration holds it to nothing.
 			grant.Items = append(grant.Items, GrantItem{Tenant: item.Tenant, Amount: item.Need})
@@ -120,8 +135,7 @@
 }
 
 // take settles a router's account with a tenant's bucket and grants what there is.
-func (b *tenantBucket) take(now kernel.Micros, router *routerCredits, item AskItem) GrantItem {
-	b.fill(now)
+func (b *tenantBucket) take(router *routerCredits, item AskItem) GrantItem {
 	known := router.tenants[item.Tenant]
 	if known == nil {
 		known = &credit{}
@@ -135,6 +149,8 @@
 	b.out += item.Held - known.out
 	known.out, known.used = item.Held, item.Used
 	amount, retry := b.amount(item)
+	// Whole units, so that what waits is served to the last one whatever fractions have come in.
+	amount = math.Floor(amount)
 	b.level -= amount
 	b.out += amount
 	known.out += amount
@@ -163,7 +179,7 @@
 func (a *Allocator) drop(now kernel.Micros, tenant string, credit *credit) {
 	if bucket := a.tenants[tenant]; bucket != nil {
 		// What came in while they could be spent had no room beside them.
-		bucket.fill(now)
+		bucket.fill(now, a.usable(now))
 		bucket.out -= credit.out
 	}
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -39,11 +39,10 @@
 	Rate, Burst float64
 }
 
-// How the tolerance is used. The rest is for credits that are not known to a new leader, and for
-// the time between a router's look and an engine's.
+// How the tolerance is used. The rest is for the time between a router's look and an engine's.
 const (
-	capacityPart = 0.3 // makes the bucket deeper than the burst
-	debtPart     = 0.4 // lets a request through that is larger than what is left
+	capacityPart = 0.6 // makes the bucket deeper than the burst
+	debtPart     = 0.3 // lets a request through that is larger than what is left
 	leastSpan    = 0.2 // seconds of the rate that a bucket holds at least
 )
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"testing"
 
 	"dunlinloom/kernel"
@@ -12,7 +13,7 @@
 
 // fullAllocator has a tenant "ann" with a full bucket of 100, and 10 a second.
 func fullAllocator(now kernel.Micros) *Allocator {
-	allocator := NewAllocator(plainBounds)
+	allocator := NewAllocator(now-20*kernel.Second, plainBounds)
 	allocator.SetLimits(now-20*kernel.Second, []Limit{{"ann", 10, 100}})
 	return allocator
 }
@@ -33,7 +34,7 @@
 func TestANewAllocatorBeginsEmpty(t *testing.T) {
 	c := qt.New(t)
 	now := 100 * kernel.Second
-	allocator := NewAllocator(plainBounds)
+	allocator := NewAllocator(now, plainBounds)
 	allocator.SetLimits(now, []Limit{{"ann", 10, 100}})
 	c.Check(granted(c, allocator, now, "r", askFor(1, 1, 0, 0, 1)), qt.Equals, 0.0)
 	c.Check(granted(c, allocator, now+kernel.Second, "r", askFor(1, 2, 0, 0, 10)), qt.Equals, 10.0)
@@ -110,3 +111,36 @@
 	// One of five went to the claim that waited.
 	c.Check(spendable(), qt.Equals, 4)
 }
+
+// Grants are whole units, so that sums of them come out exactly and what waits is served to the last one.
+func TestGrantsAreWhole(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	allocator := NewAllocator(now-20*kernel.Second, testBounds)
+	allocator.SetLimits(now-20*kernel.Second, []Limit{{"ann", 123_456.789, 200_000.5}})
+	for i := range uint64(50) {
+		now += kernel.Micros(i) * 1237
+		ask := &Ask{Life: 1, Seq: i + 1, Items: []AskItem{{Tenant: "ann", Need: 9000, First: 3000, Want: 2222.2, Used: float64(i) * 13_000}}}
+		amount := allocator.Take(now, "r", ask).Items[0].Amount
+		c.Check(amount, qt.Equals, math.Trunc(amount))
+	}
+}
+
+// An answer that names another leader is followed at once, but not round and round.
+func TestAnAskIsRedirectedAFewTimes(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	account := NewAccount(plainBounds, 1)
+	account.Claim(now, "ann", 1)
+	count := 0
+	for range 20 {
+		if account.Ask(now) != nil {
+			count++
+		}
+		account.Redirect()
+		now += ms
+	}
+	c.Check(count, qt.Equals, 1+mostRedirects)
+	now += answerSpan
+	c.Check(account.Ask(now), qt.IsNotNil)
+}
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -78,7 +79,8 @@
 
 // lead has a new leader deal, which knows nothing of the one before.
 func (w *world) lead() {
-	w.leader = NewAllocator(w.bounds)
+	w.leader = NewAllocator(w.now, w.bounds)
+	w.leader.SetServing(len(w.routers))
 	w.leader.SetLimits(w.now, w.limits)
 }
 
@@ -182,7 +184,7 @@
 			for _, r := range w.routers {
 				wanted := limit.Rate * times(tenant) * r.shares[tenant] / total / meanCost * float64(step) / float64(kernel.Second)
 				for wanted > 0 && w.random.Float64() < wanted {
-					cost := min(meanCost*0.3*(1+w.random.ExpFloat64()*2.3), 70_000)
+					cost := math.Round(min(meanCost*0.3*(1+w.random.ExpFloat64()*2.3), 70_000))
 					r.claim(tenant, cost)
 					wanted--
 				}
--- a/router/tenants_test.go
+++ b/router/tenants_test.go
@@ -153,7 +153,7 @@
 	h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, Tries: 1, Goal: kernel.Second}, "e1")
 	h.withTenants(fleetconfig.Tenant{Name: "ann", Keys: []string{"k1"}, Unit: fleetconfig.CountTokens, PlainTokens: 20, Rate: rate, Burst: burst})
 	bounds := quota.DefaultBounds()
-	allocator := quota.NewAllocator(bounds)
+	allocator := quota.NewAllocator(0, bounds)
 	h.router.Quota = quota.NewAccount(bounds, 1)
 	h.router.AskQuota = func() {
 		now := h.router.Env.Clock.Now()
