--- a/control/node_quota_test.go
+++ b/control/node_quota_test.go
@@ -170,3 +170,25 @@
 	q.traffic(10*kernel.Second, 5)
 	c.Check(float64(len(q.spent)) > 0.9*q.limit.Rate*10, qt.IsTrue, qt.Commentf("%d let through of %.0f", len(q.spent), q.limit.Rate*10))
 }
+
+// Members that were restarted elect a new leader at once, sooner than the one that they no longer hear
+// stops dealing; the new one waits for that.
+func TestANewLeaderWaitsUntilTheOldOneDealsNoMore(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		c := qt.New(t)
+		q := newQuotaFleet(c, 400+seed, 40)
+		q.watch()
+		lead := q.leader()
+		lead.cutFrom(bothWays, q.nodes...)
+		for _, n := range q.nodes[:4] {
+			if n != lead {
+				n.kill()
+				n.boot()
+			}
+		}
+		q.traffic(3*kernel.Second, 2)
+		c.Check(q.failed, qt.Equals, "", qt.Commentf("seed %d", seed))
+		c.Check(q.leader() != nil && q.leader() != lead, qt.IsTrue)
+	}
+}
