--- /dev/null
+++ b/control/document_packing_test.go
@@ -0,0 +1,51 @@
+package control
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A document reads back as it was written, packed or not, and from a build that packs nothing.
+func TestAPackedDocumentReadsBackAsItWas(t *testing.T) {
+	c := qt.New(t)
+	for _, size := range []int{0, 10, packFrom - 1, packFrom, 300_000} {
+		document := &Document{Founding: "f", Revision: 3, Term: 2, Voters: []Member{{"m", "a", "z"}}, Homes: map[string]string{"z": "a"}}
+		document.putConfig([]byte(strings.Repeat("route ", size)[:size]), nil)
+		written, err := json.Marshal(Message{Found: &Found{document}})
+		c.Assert(err, qt.IsNil)
+		c.Check(len(written) < 2*packFrom, qt.IsTrue, qt.Commentf("%d bytes take %d", size, len(written)))
+		var read Message
+		c.Assert(json.Unmarshal(written, &read), qt.IsNil)
+		c.Check(string(read.Found.Document.Config), qt.Equals, string(document.Config))
+		read.Found.Document.Config = document.Config
+		c.Check(read.Found.Document, qt.DeepEquals, document)
+		plain, err := json.Marshal((*plainDocument)(document))
+		c.Assert(err, qt.IsNil)
+		var older Document
+		c.Assert(json.Unmarshal(plain, &older), qt.IsNil)
+		c.Check(string(older.Config), qt.Equals, string(document.Config))
+	}
+}
+
+// What can't be unpacked, or unpacks to more than a node sends, is an error.
+func TestADamagedPackedDocumentIsRefused(t *testing.T) {
+	c := qt.New(t)
+	var large bytes.Buffer
+	writer := gzip.NewWriter(&large)
+	for range mostUnpacked/(1<<20) + 1 {
+		_, err := writer.Write(make([]byte, 1<<20))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(writer.Close(), qt.IsNil)
+	for _, packed := range [][]byte{[]byte("no gzip"), large.Bytes(), large.Bytes()[:1000]} {
+		written, err := json.Marshal(map[string]any{"generation": 1, "spec_gzip": packed})
+		c.Assert(err, qt.IsNil)
+		var read Document
+		c.Check(json.Unmarshal(written, &read), qt.ErrorMatches, ".*packed configuration.*")
+	}
+}
--- a/fleetconfig/change.go
+++ b/fleetconfig/change.go
@@ -153,18 +153,10 @@
 			faults.Add(at(), "has to be an object")
 			continue
 		}
-		name, isNamed := "", false
-		for _, part := range members(raw) {
-			if part.key != key {
-				continue
-			}
+		name, isTwice := nameOf(raw, key)
+		if isTwice {
 			// Readers differ in which of two they take.
-			if isNamed {
-				faults.Add(at()+"."+key, "is there twice")
-			}
-			if part.value[0] == '"' {
-				name, isNamed = text(part.value), true
-			}
+			faults.Add(at()+"."+key, "is there twice")
 		}
 		switch {
 		case name == "":
@@ -178,6 +170,21 @@
 	return items
 }
 
+// nameOf finds an item's name without taking the item apart: most of a large list are only passed by.
+func nameOf(object json.RawMessage, key string) (name string, isTwice bool) {
+	isNamed := false
+	eachMember(object, func(rawKey, value json.RawMessage) {
+		if !isText(rawKey, key) {
+			return
+		}
+		isTwice = isTwice || isNamed
+		if value[0] == '"' {
+			name, isNamed = text(value), true
+		}
+	})
+	return name, isTwice
+}
+
 // readNames reads the names to remove.
 func readNames(faults *Faults, path string, list json.RawMessage) map[string]bool {
 	names := map[string]bool{}
@@ -218,16 +225,17 @@
 // topMembers reads a whole document. The scanner behind it trusts its input, so here the
 // input is proved to be JSON first; and text, as names are compared when decoded.
 func topMembers(faults *Faults, path string, document []byte) []member {
-	var raw json.RawMessage
 	if !utf8.Valid(document) {
 		faults.Add(path, "not JSON: not in UTF-8")
 		return nil
 	}
-	if err := json.Unmarshal(document, &raw); err != nil {
-		faults.Add(path, "not JSON: %v", err)
+	if !json.Valid(document) {
+		// Read again for what is wrong with it.
+		var nothing json.RawMessage
+		faults.Add(path, "not JSON: %v", json.Unmarshal(document, &nothing))
 		return nil
 	}
-	raw = raw[skipSpace(raw, 0):]
+	raw := json.RawMessage(document[skipSpace(document, 0):])
 	if raw[0] != '{' {
 		faults.Add(path, "has to be an object")
 		return nil
--- a/fleetconfig/scan.go
+++ b/fleetconfig/scan.go
@@ -1,6 +1,7 @@
 package fleetconfig
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 )
@@ -18,16 +19,30 @@
 // members cuts an object.
 func members(object json.RawMessage) []member {
 	list := []member{}
+	eachMember(object, func(rawKey, value json.RawMessage) {
+		list = append(list, member{text(rawKey), rawKey, value})
+	})
+	return list
+}
+
+// eachMember goes over an object's members as they stand.
+func eachMember(object json.RawMessage, each func(rawKey, value json.RawMessage)) {
 	for at := skipSpace(object, 1); object[at] != '}'; {
 		keyEnd := skipValue(object, at)
-		rawKey := object[at:keyEnd]
 		// The colon stands between.
 		start := skipSpace(object, skipSpace(object, keyEnd)+1)
 		end := skipValue(object, start)
-		list = append(list, member{text(rawKey), rawKey, object[start:end:end]})
+		each(object[at:keyEnd], object[start:end:end])
 		at = skipComma(object, end)
 	}
-	return list
+}
+
+// isText tells whether a string says something, and decodes it only where it has to.
+func isText(raw json.RawMessage, said string) bool {
+	if bytes.IndexByte(raw, '\\') >= 0 {
+		return text(raw) == said
+	}
+	return string(raw[1:len(raw)-1]) == said
 }
 
 // elements cuts a list.
