Who can't be told of its quota comes back when a dealer is there

Hypothesis: after a loss of the leader requests are refused with 0.2 s to come back, and their one further try finds no dealer either; with the usual length of the gap as the answer it is served, if late. Change: Retry-After of a claim that nobody answers is what is left of 1.2 s; a claim that is covered passes larger ones that wait. Ruled out: holding requests back until a dealer is there (the users rule it out).

--- a/control/node_quota_test.go
+++ b/control/node_quota_test.go
@@ -89,7 +89,7 @@
 	for _, open := range q.open {
 		outcome, _ := open.account.Outcome(open.ticket)
 		if outcome == quota.Waiting && q.now >= open.until {
-			open.account.Abandon(open.ticket)
+			open.account.Abandon(q.now, open.ticket)
 			outcome = quota.NoAllocator
 		}
 		switch outcome {
--- a/quota/account.go
+++ b/quota/account.go
@@ -14,10 +14,13 @@
 	silentSpan   = 400 * kernel.Millisecond // after which nobody waits for an answer any more
 	advanceEvery = 250 * kernel.Millisecond // between two asks for what is foreseen
 	keepEvery    = kernel.Second            // between two asks that only keep credits alive
-	comeBack     = 200 * kernel.Millisecond
-	demandFade   = 2 * kernel.Second // in which a request loses most of its weight in the demand
-	ahead        = 1.5               // seconds of the demand that a router seeks to hold
-	forgetAfter  = 30 * kernel.Second
+	// usualGap is how long it takes, most of the time, until another leader deals; who comes back
+	// sooner is refused again.
+	usualGap    = 1200 * kernel.Millisecond
+	soonestBack = 200 * kernel.Millisecond
+	demandFade  = 2 * kernel.Second // in which a request loses most of its weight in the demand
+	ahead       = 1.5               // seconds of the demand that a router seeks to hold
+	forgetAfter = 30 * kernel.Second
 )
 
 // Outcome is what became of a request's claim on its tenant's quota.
@@ -88,13 +91,14 @@
 	h.learn(now, cost)
 	ticket = &Ticket{tenant: tenant, cost: cost, epoch: a.epoch, Settled: make(chan struct{})}
 	switch {
-	case len(h.waiting) == 0 && h.held >= cost:
+	case h.held >= cost:
+		// Also past larger ones that wait: what is held is too little for them in any case.
 		h.spend(ticket)
 	case now < h.dryUntil:
 		ticket.settle(OverQuota, h.dryUntil-now)
 	case a.silentAt > 0 && now-a.silentAt > silentSpan:
 		// Waiting would hold the request back for nothing; the next ask goes out all the same.
-		ticket.settle(NoAllocator, comeBack)
+		ticket.settle(NoAllocator, a.comeBack(now))
 	default:
 		h.waiting = append(h.waiting, ticket)
 		return ticket, true
@@ -110,18 +114,26 @@
 }
 
 // Abandon gives a waiting ticket up; false: it was settled before.
-func (a *Account) Abandon(ticket *Ticket) bool {
+func (a *Account) Abandon(now kernel.Micros, ticket *Ticket) bool {
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	if ticket.outcome != Waiting {
 		return false
 	}
-	ticket.settle(NoAllocator, comeBack)
+	ticket.settle(NoAllocator, a.comeBack(now))
 	h := a.holdings[ticket.tenant]
 	h.waiting = slices.DeleteFunc(h.waiting, func(other *Ticket) bool { return other == ticket })
 	return true
 }
 
+// comeBack is when a request should come back that nobody could answer for.
+func (a *Account) comeBack(now kernel.Micros) kernel.Micros {
+	if a.silentAt == 0 {
+		return soonestBack
+	}
+	return max(usualGap-(now-a.silentAt), soonestBack)
+}
+
 // Return gives back what a granted ticket cost. The request provably did not run and never will.
 func (a *Account) Return(now kernel.Micros, ticket *Ticket) {
 	a.lock.Lock()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -88,7 +88,7 @@
 		for {
 			ticket, _ := account.Claim(now, "ann", 1)
 			if outcome, _ := account.Outcome(ticket); outcome != Granted {
-				account.Abandon(ticket)
+				account.Abandon(now, ticket)
 				return count
 			}
 			count++
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -141,7 +141,7 @@
 			if w.now < open.until {
 				return false
 			}
-			r.account.Abandon(open.ticket)
+			r.account.Abandon(w.now, open.ticket)
 			outcome = NoAllocator
 		}
 		w.outcomes[outcome]++
--- a/router/tenants.go
+++ b/router/tenants.go
@@ -87,13 +87,14 @@
 		u.AskQuota()
 		u.awaitQuota(ctx, request, ticket)
 	}
-	switch outcome, retryAfter := u.Quota.Outcome(ticket); outcome {
+	outcome, retryAfter := u.Quota.Outcome(ticket)
+	switch outcome {
 	case quota.Granted:
 		return ticket, nil
 	case quota.OverQuota:
 		return nil, &Refusal{"over_quota", "tenant " + tenant.Name + " is beyond its quota", http.StatusTooManyRequests, retryAfter}
 	}
-	return nil, &Refusal{"unsure_quota", "nobody who deals out quotas can be reached", http.StatusServiceUnavailable, soon}
+	return nil, &Refusal{"unsure_quota", "nobody who deals out quotas can be reached", http.StatusServiceUnavailable, retryAfter}
 }
 
 // awaitQuota waits until a ticket is settled, and gives it up if that takes too long.
@@ -110,7 +111,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	u.Quota.Abandon(ticket)
+	u.Quota.Abandon(u.Env.Clock.Now(), ticket)
 }
 
 // returnQuota gives a claim back whose request did not run and never will.
