--- a/control/node.go
+++ b/control/node.go
@@ -50,11 +50,14 @@
 	Quota       *quota.Account
 	QuotaBounds quota.Bounds
 	LimitsOf    func(config []byte) []quota.Limit
-	Journal     *kernel.Journal
-	Ballot      Ballot
-	Document    *Document
-	Kept        []uint64
-	Promised    Stamp
+	// TrustSpan is how long this node goes by the word that its document is the newest; zero: it needs
+	// no such word.
+	TrustSpan kernel.Micros
+	Journal   *kernel.Journal
+	Ballot    Ballot
+	Document  *Document
+	Kept      []uint64
+	Promised  Stamp
 	// Snapshot is what an earlier life kept for a quick start; nil: there is none. RestoredSpan bounds for
 	// how long engines are used that are known from it alone; zero: two of their beats.
 	Snapshot     *Snapshot
--- a/quota/account.go
+++ b/quota/account.go
@@ -17,6 +17,8 @@
 	// usualGap is how long it takes, most of the time, until another leader deals; who comes back
 	// sooner is refused again.
 	usualGap    = 1200 * kernel.Millisecond
+	backTurns   = 8
+	backSpread  = 40 * kernel.Millisecond
 	soonestBack = 200 * kernel.Millisecond
 	demandFade  = 2 * kernel.Second // in which a request loses most of its weight in the demand
 	ahead       = 1.5               // seconds of the demand that a router seeks to hold
@@ -59,6 +61,7 @@
 	grantSeq  uint64
 	advanceAt kernel.Micros
 	isTurned  bool   // the newest ask went to one who does not deal
+	turn      uint64 // of requests that are told to come back
 	redirects int    // of asks since the last answer, or for a while
 	epoch     uint64 // counts up as credits expire
 }
@@ -131,7 +134,9 @@
 	if a.silentAt == 0 {
 		return soonestBack
 	}
-	return max(usualGap-(now-a.silentAt), soonestBack)
+	// Not all at the same moment.
+	a.turn++
+	return max(usualGap-(now-a.silentAt), soonestBack) + kernel.Micros(a.turn%backTurns)*backSpread
 }
 
 // Return gives back what a granted ticket cost. The request provably did not run and never will.
--- a/server/quota.go
+++ b/server/quota.go
@@ -5,6 +5,7 @@
 
 	"dunlinloom/control"
 	"dunlinloom/fleetconfig"
+	"dunlinloom/kernel"
 	"dunlinloom/quota"
 )
 
@@ -18,8 +19,13 @@
 // MayTrustKeys tells whether no key that this node holds can have been withdrawn for longer than
 // the deployment allows. See docs/control-safety/keys.md.
 func (s *Services) MayTrustKeys() bool {
-	span := s.Deployment().Bounds.Revoke
-	return span == 0 || s.Runner.IsFresher(span*keyTrustNumerator/keyTrustDenominator)
+	span := keyTrust(s.Deployment().Bounds)
+	return span == 0 || s.Runner.IsFresher(span)
+}
+
+// keyTrust is how long a node trusts its keys without a word; zero: for ever.
+func keyTrust(bounds DeploymentBounds) kernel.Micros {
+	return bounds.Revoke * keyTrustNumerator / keyTrustDenominator
 }
 
 // keepQuotas gives a node its account, and what it deals out by if it leads.
@@ -29,6 +35,7 @@
 		bounds = quota.DefaultBounds()
 	}
 	// Another number for each life, so that no grant to an earlier one is taken for this one's.
+	node.TrustSpan = keyTrust(d.deployment.Bounds)
 	d.quota = quota.NewAccount(bounds, rand.Uint64()>>16)
 	node.Quota, node.QuotaBounds, node.LimitsOf = d.quota, bounds, func(config []byte) []quota.Limit {
 		return limitsOf(d.compiler, config)
