Callers leave a router that does not know enough to serve them

Change: a refusal for what this router alone does not know closes its connection; a node that nobody has dealt quotas to for 1.8 s says that it is not ready. Ruled out: not ready at the first silent ask (every change of leader would turn all nodes away).

--- a/quota/account.go
+++ b/quota/account.go
@@ -109,6 +109,17 @@
 	return ticket, false
 }
 
+// longSilence is how long nobody may answer before callers are better served by another router: longer
+// than a change of leader takes.
+const longSilence = 1800 * kernel.Millisecond
+
+// IsServed tells whether an allocator answers this account, as far as it has asked.
+func (a *Account) IsServed(now kernel.Micros) bool {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	return a.silentAt == 0 || now-a.silentAt < longSilence
+}
+
 // Outcome tells what became of a ticket, and when to come back if it was refused.
 func (a *Account) Outcome(ticket *Ticket) (outcome Outcome, retryAfter kernel.Micros) {
 	a.lock.Lock()
--- a/router/call.go
+++ b/router/call.go
@@ -12,6 +12,18 @@
 	RetryAfter kernel.Micros // when to come back; zero: no use
 }
 
+// Reasons of refusals for what this router does not know and another one may.
+const (
+	reasonUnsureRoute = "unsure_route"
+	reasonUnsureKey   = "unsure_key"
+	reasonUnsureQuota = "unsure_quota"
+)
+
+// isOurs tells that the refusal is for what this router alone does not know.
+func (r *Refusal) isOurs() bool {
+	return r.Reason == reasonUnsureRoute || r.Reason == reasonUnsureKey || r.Reason == reasonUnsureQuota
+}
+
 func (r *Refusal) Error() string { return r.Reason + ": " + r.Detail }
 
 // Attempt is one request at one engine.
--- a/router/router.go
+++ b/router/router.go
@@ -151,7 +151,7 @@
 // routes that were added since, and 404 would end what another router serves.
 func (u *Router) refuseRoute() *Refusal {
 	if u.IsInTouch != nil && !u.IsInTouch() {
-		return &Refusal{"unsure_route", "no route known here takes this host and path, and newer ones may exist", http.StatusServiceUnavailable, settled}
+		return &Refusal{reasonUnsureRoute, "no route known here takes this host and path, and newer ones may exist", http.StatusServiceUnavailable, settled}
 	}
 	return &Refusal{"no_route", "no route takes this host and path", http.StatusNotFound, 0}
 }
@@ -181,6 +181,10 @@
 // refuse answers at once, with when to come back.
 func (u *Router) refuse(w http.ResponseWriter, refusal *Refusal) {
 	u.boundWrites(w, lastWrite)
+	if refusal.isOurs() {
+		// Another router may know more: the caller is not to stay with this one.
+		w.Header().Set("Connection", "close")
+	}
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(refusal.RetryAfter)/float64(kernel.Second), 'f', 3, 64))
 	}
--- a/router/tenants.go
+++ b/router/tenants.go
@@ -50,9 +50,9 @@
 	case route.IsOpen:
 		return found, nil
 	case !isTrusted:
-		return sender{}, &Refusal{"unsure_key", "keys may have been withdrawn of which this router has not heard", http.StatusServiceUnavailable, settled}
+		return sender{}, &Refusal{reasonUnsureKey, "keys may have been withdrawn of which this router has not heard", http.StatusServiceUnavailable, settled}
 	case found.tenant == nil && u.IsInTouch != nil && !u.IsInTouch():
-		return sender{}, &Refusal{"unsure_key", "no tenant known here has this key, and newer ones may exist", http.StatusServiceUnavailable, settled}
+		return sender{}, &Refusal{reasonUnsureKey, "no tenant known here has this key, and newer ones may exist", http.StatusServiceUnavailable, settled}
 	case found.tenant == nil:
 		return sender{}, &Refusal{"no_key", "the request needs the key of a tenant", http.StatusUnauthorized, 0}
 	}
@@ -94,7 +94,7 @@
 	case quota.OverQuota:
 		return nil, &Refusal{"over_quota", "tenant " + tenant.Name + " is beyond its quota", http.StatusTooManyRequests, retryAfter}
 	}
-	return nil, &Refusal{"unsure_quota", "nobody who deals out quotas can be reached", http.StatusServiceUnavailable, retryAfter}
+	return nil, &Refusal{reasonUnsureQuota, "nobody who deals out quotas can be reached", http.StatusServiceUnavailable, retryAfter}
 }
 
 // awaitQuota waits until a ticket is settled, and gives it up if that takes too long.
--- a/router/tenants_test.go
+++ b/router/tenants_test.go
@@ -215,3 +215,25 @@
 		c.Check(h.runs["e1"], qt.Equals, 0)
 	})
 }
+
+// A caller does not stay on a connection to a router that does not know enough to serve it, and stays
+// where its tenant is over the quota.
+func TestACallerIsSentAwayByARouterThatDoesNotKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := quotaHarness(t, 100, 200)
+		h.script("e1", plainAnswer("ok"))
+		answered := h.router.AskQuota
+		h.router.AskQuota = func() {}
+		recorder, _ := h.call("POST", "r1", bearer("k1"))
+		c.Check(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(recorder.Header().Get("Connection"), qt.Equals, "close")
+		h.router.AskQuota = answered
+		recorder, _ = h.call("POST", "r2", bearer("k1"))
+		c.Check(recorder.Code, qt.Equals, http.StatusOK)
+		c.Check(recorder.Header().Get("Connection"), qt.Equals, "")
+		recorder, _ = h.call("POST", "r3", bearer("k1"))
+		c.Check(recorder.Code, qt.Equals, http.StatusTooManyRequests)
+		c.Check(recorder.Header().Get("Connection"), qt.Equals, "")
+	})
+}
--- a/server/deployment.go
+++ b/server/deployment.go
@@ -424,6 +424,9 @@
 	if s.Router != nil && !s.MayTrustKeys() && s.Router.Chooser.NeedsKeys() {
 		return "keys may have been withdrawn of which this node has not heard"
 	}
+	if s.Quota != nil && !s.Quota.IsServed(s.Env.Clock.Now()) {
+		return "nobody deals out quotas to this node"
+	}
 	return ""
 }
 
