Figures of quotas in the log: units let through and refused by tenant

Cause: nothing told what a tenant got and what it was refused. Change: each router's regular line of counts has them. Ruled out: a line for each refusal (bounded already).

--- a/quota/account.go
+++ b/quota/account.go
@@ -74,6 +74,14 @@
 	demandAt   kernel.Micros
 	usual      float64 // units of a request
 	dryUntil   kernel.Micros
+	counts     Counts
+}
+
+// Counts are what became of a tenant's claims at this router: units let through and refused, and
+// claims that nobody answered.
+type Counts struct {
+	Granted, Over float64
+	Unanswered    uint64
 }
 
 // NewAccount makes the account of one life of a router.
@@ -98,10 +106,10 @@
 		// Also past larger ones that wait: what is held is too little for them in any case.
 		h.spend(ticket)
 	case now < h.dryUntil:
-		ticket.settle(OverQuota, h.dryUntil-now)
+		h.settle(ticket, OverQuota, h.dryUntil-now)
 	case a.silentAt > 0 && now-a.silentAt > silentSpan:
 		// Waiting would hold the request back for nothing; the next ask goes out all the same.
-		ticket.settle(NoAllocator, a.comeBack(now))
+		h.settle(ticket, NoAllocator, a.comeBack(now))
 	default:
 		h.waiting = append(h.waiting, ticket)
 		return ticket, true
@@ -134,8 +142,8 @@
 	if ticket.outcome != Waiting {
 		return false
 	}
-	ticket.settle(NoAllocator, a.comeBack(now))
 	h := a.holdings[ticket.tenant]
+	h.settle(ticket, NoAllocator, a.comeBack(now))
 	h.waiting = slices.DeleteFunc(h.waiting, func(other *Ticket) bool { return other == ticket })
 	return true
 }
@@ -331,7 +339,7 @@
 func (h *holding) spend(ticket *Ticket) {
 	h.held -= ticket.cost
 	h.used += ticket.cost
-	ticket.settle(Granted, 0)
+	h.settle(ticket, Granted, 0)
 }
 
 // serve settles waiting tickets, the first ones first, as far as the credits go.
@@ -350,12 +358,35 @@
 		if ticket.ask > seq || ticket.ask == 0 {
 			return false
 		}
-		ticket.settle(OverQuota, retryAfter)
+		h.settle(ticket, OverQuota, retryAfter)
 		return true
 	})
 }
 
-func (t *Ticket) settle(outcome Outcome, retryAfter kernel.Micros) {
-	t.outcome, t.retryAfter = outcome, retryAfter
-	close(t.Settled)
+// Counts gives the figures of each tenant that sent something lately.
+func (a *Account) Counts() map[string]Counts {
+	if a == nil {
+		return nil
+	}
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	counts := make(map[string]Counts, len(a.holdings))
+	for tenant, h := range a.holdings {
+		counts[tenant] = h.counts
+	}
+	return counts
+}
+
+// settle tells a waiting ticket what became of it, and counts that.
+func (h *holding) settle(ticket *Ticket, outcome Outcome, retryAfter kernel.Micros) {
+	ticket.outcome, ticket.retryAfter = outcome, retryAfter
+	close(ticket.Settled)
+	switch outcome {
+	case Granted:
+		h.counts.Granted += ticket.cost
+	case OverQuota:
+		h.counts.Over += ticket.cost
+	case NoAllocator:
+		h.counts.Unanswered++
+	}
 }
--- a/server/callers.go
+++ b/server/callers.go
@@ -49,7 +49,7 @@
 			case <-ticker.C:
 				served.Sweep()
 				if turn++; turn%10 == 0 {
-					s.Env.Log.Info("counts", "counts", chooser.Counts(), "live", served.Live())
+					s.Env.Log.Info("counts", "counts", chooser.Counts(), "live", served.Live(), "quotas", s.Quota.Counts())
 				}
 			}
 		}
