Under a spent quota small requests go first, and large ones keep a part

Change: below a fifth of its capacity a bucket counts as spent; a quarter of what comes in is then for requests of more than twice the tenant's usual cost, the rest for the others; credits of the two are held apart and lent in calm. Ruled out: by priority (a tenant's goes before the routes', so it tells its own requests apart seldom); by the level alone (large requests were refused in calm, 17 to 32 in two seconds).

--- a/quota/account.go
+++ b/quota/account.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -23,6 +24,7 @@
 	demandFade  = 2 * kernel.Second // in which a request loses most of its weight in the demand
 	ahead       = 1.5               // seconds of the demand that a router seeks to hold
 	forgetAfter = 30 * kernel.Second
+	usualWeight = 0.05 // of a new request in the usual cost
 )
 
 // Outcome is what became of a request's claim on its tenant's quota.
@@ -38,10 +40,10 @@
 
 // Ticket is a request's claim.
 type Ticket struct {
-	tenant string
-	cost   float64
-	ask    uint64 // the ask that told of it; zero: none yet
-	epoch  uint64
+	key   creditKey
+	cost  float64
+	ask   uint64 // the ask that told of it; zero: none yet
+	epoch uint64
 	// Settled is closed when the outcome is no longer Waiting.
 	Settled    chan struct{}
 	outcome    Outcome
@@ -54,10 +56,11 @@
 	bounds    Bounds
 	life      uint64
 	seq       uint64
-	holdings  map[string]*holding
-	askedAt   kernel.Micros // the newest ask
-	silentAt  kernel.Micros // the oldest ask since the last answer; zero: all are answered
-	grantedAt kernel.Micros // the sending of the newest ask that was granted
+	holdings  map[creditKey]*holding
+	usual     map[string]float64 // units of a tenant's request
+	askedAt   kernel.Micros      // the newest ask
+	silentAt  kernel.Micros      // the oldest ask since the last answer; zero: all are answered
+	grantedAt kernel.Micros      // the sending of the newest ask that was granted
 	grantSeq  uint64
 	advanceAt kernel.Micros
 	isTurned  bool   // the newest ask went to one who does not deal
@@ -86,7 +89,7 @@
 
 // NewAccount makes the account of one life of a router.
 func NewAccount(bounds Bounds, life uint64) *Account {
-	return &Account{bounds: bounds, life: life, holdings: map[string]*holding{}}
+	return &Account{bounds: bounds, life: life, holdings: map[creditKey]*holding{}, usual: map[string]float64{}}
 }
 
 // Claim asks for a request's cost. IsUrgent tells that the allocator is to be asked at once.
@@ -94,13 +97,13 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.expire(now)
-	h := a.holdings[tenant]
-	if h == nil {
-		h = &holding{demandAt: now, usual: cost}
-		a.holdings[tenant] = h
-	}
+	key := creditKey{tenant, a.isLarge(tenant, cost)}
+	h := a.holding(now, key, cost)
 	h.learn(now, cost)
-	ticket = &Ticket{tenant: tenant, cost: cost, epoch: a.epoch, Settled: make(chan struct{})}
+	if other := a.holdings[creditKey{tenant, !key.isLarge}]; other != nil && now-max(h.dryUntil, other.dryUntil) > pressedSpan {
+		h.borrow(other, cost-h.held)
+	}
+	ticket = &Ticket{key: key, cost: cost, epoch: a.epoch, Settled: make(chan struct{})}
 	switch {
 	case h.held >= cost:
 		// Also past larger ones that wait: what is held is too little for them in any case.
@@ -128,6 +131,26 @@
 	return a.silentAt == 0 || now-a.silentAt < longSilence
 }
 
+// holding gives the credits of a tenant's small or large requests.
+func (a *Account) holding(now kernel.Micros, key creditKey, cost float64) *holding {
+	h := a.holdings[key]
+	if h == nil {
+		h = &holding{demandAt: now, usual: cost}
+		a.holdings[key] = h
+	}
+	return h
+}
+
+// isLarge tells whether a request costs far more than its tenant's usual one, which it is counted to.
+func (a *Account) isLarge(tenant string, cost float64) bool {
+	usual, isKnown := a.usual[tenant]
+	if !isKnown {
+		usual = cost
+	}
+	a.usual[tenant] = usual + usualWeight*(cost-usual)
+	return cost > largeFrom*usual
+}
+
 // Outcome tells what became of a ticket, and when to come back if it was refused.
 func (a *Account) Outcome(ticket *Ticket) (outcome Outcome, retryAfter kernel.Micros) {
 	a.lock.Lock()
@@ -142,7 +165,7 @@
 	if ticket.outcome != Waiting {
 		return false
 	}
-	h := a.holdings[ticket.tenant]
+	h := a.holdings[ticket.key]
 	h.settle(ticket, NoAllocator, a.comeBack(now))
 	h.waiting = slices.DeleteFunc(h.waiting, func(other *Ticket) bool { return other == ticket })
 	return true
@@ -163,7 +186,7 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.expire(now)
-	h := a.holdings[ticket.tenant]
+	h := a.holdings[ticket.key]
 	if ticket.outcome != Granted || ticket.epoch != a.epoch || h == nil {
 		return
 	}
@@ -179,11 +202,7 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.expire(now)
-	h := a.holdings[ticket.tenant]
-	if h == nil {
-		h = &holding{demandAt: now, usual: ticket.cost}
-		a.holdings[ticket.tenant] = h
-	}
+	h := a.holding(now, ticket.key, ticket.cost)
 	h.held -= ticket.cost
 	h.used += ticket.cost
 }
@@ -207,19 +226,22 @@
 		a.silentAt = now
 	}
 	ask := &Ask{Life: a.life, Seq: a.seq}
-	for tenant, h := range a.holdings {
+	for key, h := range a.holdings {
 		if len(h.waiting) == 0 && now-h.demandAt > forgetAfter {
 			// Told nowhere any more, it counts as given back.
-			delete(a.holdings, tenant)
+			delete(a.holdings, key)
 			continue
 		}
-		ask.Items = append(ask.Items, h.item(now, tenant, a.seq))
+		ask.Items = append(ask.Items, h.item(now, key, a.seq))
 	}
 	slices.SortFunc(ask.Items, func(x, y AskItem) int {
-		if x.Tenant < y.Tenant {
-			return -1
+		if order := cmp.Compare(x.Tenant, y.Tenant); order != 0 {
+			return order
+		}
+		if x.IsLarge {
+			return 1
 		}
-		return 1
+		return -1
 	})
 	return ask
 }
@@ -264,7 +286,7 @@
 	}
 	a.grantSeq, a.grantedAt, a.silentAt = grant.Seq, a.askedAt, 0
 	for _, item := range grant.Items {
-		h := a.holdings[item.Tenant]
+		h := a.holdings[creditKey{item.Tenant, item.IsLarge}]
 		if h == nil {
 			continue
 		}
@@ -297,7 +319,7 @@
 func (h *holding) learn(now kernel.Micros, cost float64) {
 	h.demand = h.demandNow(now) + cost*float64(kernel.Second)/float64(demandFade)
 	h.demandAt = now
-	h.usual += 0.1 * (cost - h.usual)
+	h.usual += usualWeight * (cost - h.usual)
 }
 
 func (h *holding) demandNow(now kernel.Micros) float64 {
@@ -315,12 +337,12 @@
 }
 
 // item tells of a tenant in an ask, and gives back what is held for nothing.
-func (h *holding) item(now kernel.Micros, tenant string, seq uint64) AskItem {
+func (h *holding) item(now kernel.Micros, key creditKey, seq uint64) AskItem {
 	target := h.target(now)
 	if h.held > 2*target {
 		h.held = math.Floor(target)
 	}
-	item := AskItem{Tenant: tenant, Used: h.used, Held: h.held}
+	item := AskItem{Tenant: key.tenant, IsLarge: key.isLarge, Used: h.used, Held: h.held}
 	for _, ticket := range h.waiting {
 		ticket.ask = seq
 		item.Need += ticket.cost
@@ -335,6 +357,22 @@
 	return item
 }
 
+// pressedSpan is how long after a refusal a tenant counts as pressed: its small requests and its large
+// ones then keep to what was granted for them.
+const pressedSpan = kernel.Second
+
+// borrow moves credits that the other kind of the tenant's requests holds. To the allocator it looks as if
+// that one had spent them and this one given as many back, so that its accounts stay whole.
+func (h *holding) borrow(other *holding, lack float64) {
+	if lack <= 0 || len(other.waiting) > 0 || other.held < lack {
+		return
+	}
+	other.held -= lack
+	other.used += lack
+	h.held += lack
+	h.used -= lack
+}
+
 // spend takes a ticket's cost out of the credits.
 func (h *holding) spend(ticket *Ticket) {
 	h.held -= ticket.cost
@@ -371,8 +409,12 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	counts := make(map[string]Counts, len(a.holdings))
-	for tenant, h := range a.holdings {
-		counts[tenant] = h.counts
+	for key, h := range a.holdings {
+		sum := counts[key.tenant]
+		sum.Granted += h.counts.Granted
+		sum.Over += h.counts.Over
+		sum.Unanswered += h.counts.Unanswered
+		counts[key.tenant] = sum
 	}
 	return counts
 }
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -31,6 +31,7 @@
 	limit          Limit
 	capacity, debt float64
 	level          float64
+	large          float64 // of the level, what only large requests may take while the bucket is spent
 	out            float64 // credits of all routers
 	filledAt       kernel.Micros
 }
@@ -39,7 +40,13 @@
 type routerCredits struct {
 	life, seq uint64
 	heardAt   kernel.Micros
-	tenants   map[string]*credit
+	tenants   map[creditKey]*credit
+}
+
+// creditKey names a tenant's credits for its small or its large requests.
+type creditKey struct {
+	tenant  string
+	isLarge bool
 }
 
 type credit struct{ out, used float64 }
@@ -81,9 +88,9 @@
 	}
 	a.tenants = next
 	for _, router := range a.routers {
-		for tenant := range router.tenants {
-			if next[tenant] == nil {
-				delete(router.tenants, tenant)
+		for key := range router.tenants {
+			if next[key.tenant] == nil {
+				delete(router.tenants, key)
 			}
 		}
 	}
@@ -94,7 +101,9 @@
 	inflow := b.limit.Rate * float64(now-b.filledAt) / float64(kernel.Second)
 	b.filledAt = now
 	room := b.capacity*usable - b.out - b.level
-	b.level += math.Max(math.Min(inflow, room), 0)
+	inflow = math.Max(math.Min(inflow, room), 0)
+	b.level += inflow
+	b.large = math.Min(b.large+largePart*inflow, spentPart*b.capacity)
 }
 
 // Take answers a router's ask; nil: it is an old one.
@@ -109,37 +118,39 @@
 		known = nil
 	}
 	if known == nil {
-		known = &routerCredits{life: ask.Life, tenants: map[string]*credit{}}
+		known = &routerCredits{life: ask.Life, tenants: map[creditKey]*credit{}}
 		a.routers[router] = known
 	}
 	known.seq, known.heardAt = ask.Seq, now
 	grant := &Grant{Seq: ask.Seq}
-	told := make(map[string]bool, len(ask.Items))
+	told := make(map[creditKey]bool, len(ask.Items))
 	for _, item := range ask.Items {
-		told[item.Tenant] = true
+		told[item.key()] = true
 		if bucket := a.tenants[item.Tenant]; bucket != nil {
 			bucket.fill(now, a.usable(now))
 			grant.Items = append(grant.Items, bucket.take(known, item))
 		} else if item.Need > 0 {
 			// The newest configuration holds it to nothing.
-			grant.Items = append(grant.Items, GrantItem{Tenant: item.Tenant, Amount: item.Need})
+			grant.Items = append(grant.Items, GrantItem{Tenant: item.Tenant, IsLarge: item.IsLarge, Amount: item.Need})
 		}
 	}
-	for tenant, credit := range known.tenants {
-		if !told[tenant] {
-			a.drop(now, tenant, credit)
-			delete(known.tenants, tenant)
+	for key, credit := range known.tenants {
+		if !told[key] {
+			a.drop(now, key.tenant, credit)
+			delete(known.tenants, key)
 		}
 	}
 	return grant
 }
 
+func (i *AskItem) key() creditKey { return creditKey{i.Tenant, i.IsLarge} }
+
 // take settles a router's account with a tenant's bucket and grants what there is.
 func (b *tenantBucket) take(router *routerCredits, item AskItem) GrantItem {
-	known := router.tenants[item.Tenant]
+	known := router.tenants[item.key()]
 	if known == nil {
 		known = &credit{}
-		router.tenants[item.Tenant] = known
+		router.tenants[item.key()] = known
 	} else {
 		// What it was given and has neither spent nor holds came back: a grant that it did not
 		// take, or credits that it has no use for.
@@ -152,21 +163,38 @@
 	// Whole units, so that what waits is served to the last one whatever fractions have come in.
 	amount = math.Floor(amount)
 	b.level -= amount
+	if item.IsLarge {
+		b.large -= amount
+	}
+	b.large = math.Min(math.Max(b.large, -b.debt), math.Max(b.level, 0))
 	b.out += amount
 	known.out += amount
-	return GrantItem{Tenant: item.Tenant, Amount: amount, RetryAfter: retry}
+	return GrantItem{Tenant: item.Tenant, IsLarge: item.IsLarge, Amount: amount, RetryAfter: retry}
+}
+
+// available is what an ask may take of the level. While the bucket is spent small requests leave the
+// part of large ones, and large ones take no more than that.
+func (b *tenantBucket) available(item AskItem) float64 {
+	switch {
+	case b.level+b.out >= spentPart*b.capacity:
+		return b.level
+	case item.IsLarge:
+		return math.Min(b.level, b.large)
+	}
+	return b.level - math.Max(b.large, 0)
 }
 
 // amount tells how much of an ask is granted, and when to ask for the rest.
 func (b *tenantBucket) amount(item AskItem) (amount float64, retry kernel.Micros) {
-	if item.Need > 0 && b.level > 0 {
-		// The first one may overdraw: by what is left alone, large requests would never get through.
+	available := b.available(item)
+	if item.Need > 0 && available > 0 {
+		// The first one may overdraw: by what is left alone, the largest would never get through.
 		if first := math.Min(item.First, item.Need); first <= b.level+b.debt {
-			amount = math.Min(item.Need, math.Max(b.level, first))
+			amount = math.Min(item.Need, math.Max(available, first))
 		}
 	}
 	if amount < item.Need {
-		wait := (math.Max(item.First, 1) - b.level) / math.Max(b.limit.Rate, 1e-6)
+		wait := (math.Max(item.First, 1) - available) / math.Max(b.limit.Rate, 1e-6)
 		return amount, min(max(kernel.Micros(math.Min(wait, 60)*float64(kernel.Second)), shortestRetry), longestRetry)
 	}
 	if spare := b.level - amount - reservePart*b.capacity; spare > 0 {
@@ -186,8 +214,8 @@
 
 // forget drops a router and its credits.
 func (a *Allocator) forget(now kernel.Micros, router string) {
-	for tenant, credit := range a.routers[router].tenants {
-		a.drop(now, tenant, credit)
+	for key, credit := range a.routers[router].tenants {
+		a.drop(now, key.tenant, credit)
 	}
 	delete(a.routers, router)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -53,6 +53,14 @@
 	return math.Max(limit.Burst+capacityPart*tolerance, math.Max(leastSpan*limit.Rate, 1)), debtPart * tolerance
 }
 
+// Where a quota is spent, what is left serves many small requests or few large ones. Small ones go
+// first; large ones keep a part of what comes in, so that none of them waits for ever.
+const (
+	largeFrom = 2.0  // times a tenant's usual cost
+	largePart = 0.25 // of what comes in is for large requests alone, while a bucket is spent
+	spentPart = 0.2  // of its capacity: with less than that, credits included, a bucket counts as spent
+)
+
 // Ask is a router's word on its credits, and what it wants more.
 type Ask struct {
 	Life  uint64    `json:"life"` // of the router's process
@@ -60,14 +68,15 @@
 	Items []AskItem `json:"items,omitempty"`
 }
 
-// AskItem is a router's word on one tenant.
+// AskItem is a router's word on one tenant's requests, the small or the large ones.
 type AskItem struct {
-	Tenant string  `json:"tenant"`
-	Used   float64 `json:"used"`            // in this life
-	Held   float64 `json:"held,omitempty"`  // credits that may still be spent
-	First  float64 `json:"first,omitempty"` // what the first waiting request needs
-	Need   float64 `json:"need,omitempty"`  // what all waiting requests need
-	Want   float64 `json:"want,omitempty"`  // what is foreseen to be needed beyond that
+	Tenant  string  `json:"tenant"`
+	IsLarge bool    `json:"large,omitempty"`
+	Used    float64 `json:"used"`            // in this life
+	Held    float64 `json:"held,omitempty"`  // credits that may still be spent
+	First   float64 `json:"first,omitempty"` // what the first waiting request needs
+	Need    float64 `json:"need,omitempty"`  // what all waiting requests need
+	Want    float64 `json:"want,omitempty"`  // what is foreseen to be needed beyond that
 }
 
 // Grant answers the ask of its number. A router takes it only while that is its newest ask.
@@ -78,8 +87,9 @@
 
 // GrantItem brings credits of one tenant.
 type GrantItem struct {
-	Tenant string  `json:"tenant"`
-	Amount float64 `json:"amount,omitempty"`
+	Tenant  string  `json:"tenant"`
+	IsLarge bool    `json:"large,omitempty"`
+	Amount  float64 `json:"amount,omitempty"`
 	// RetryAfter is when there may be more; zero: all that was needed is granted.
 	RetryAfter kernel.Micros `json:"retry_after,omitempty"`
 }
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -19,17 +19,19 @@
 // world plays routers and leaders in steps of virtual time. Messages take a while, and may be lost,
 // come twice or late; routers are cut off and restarted; leaders change.
 type world struct {
-	random   *rand.Rand
-	now      kernel.Micros
-	bounds   Bounds
-	limits   []Limit
-	routers  []*testRouter
-	leader   *Allocator // nil: there is none now
-	due      []delivery
-	loss     float64
-	lives    uint64
-	spent    map[string][]spending // by tenant, in order of time
-	outcomes map[Outcome]int
+	random    *rand.Rand
+	now       kernel.Micros
+	bounds    Bounds
+	limits    []Limit
+	routers   []*testRouter
+	leader    *Allocator // nil: there is none now
+	due       []delivery
+	loss      float64
+	lives     uint64
+	spent     map[string][]spending // by tenant, in order of time
+	outcomes  map[Outcome]int
+	costOf    func() float64                      // nil: costs are drawn round their mean
+	onSettled func(cost float64, outcome Outcome) // nil: nobody wants to know
 }
 
 type spending struct {
@@ -145,8 +147,11 @@
 			outcome = NoAllocator
 		}
 		w.outcomes[outcome]++
+		if w.onSettled != nil {
+			w.onSettled(open.ticket.cost, outcome)
+		}
 		if outcome == Granted {
-			w.spent[open.ticket.tenant] = append(w.spent[open.ticket.tenant], spending{w.now, open.ticket.cost})
+			w.spent[open.ticket.key.tenant] = append(w.spent[open.ticket.key.tenant], spending{w.now, open.ticket.cost})
 			if w.random.IntN(20) == 0 {
 				w.giveBack(r, open.ticket)
 			}
@@ -159,9 +164,17 @@
 func (w *world) giveBack(r *testRouter, ticket *Ticket) {
 	r.account.Return(w.now, ticket)
 	if outcome, _ := r.account.Outcome(ticket); outcome != Granted {
-		list := w.spent[ticket.tenant]
-		w.spent[ticket.tenant] = list[:len(list)-1]
+		list := w.spent[ticket.key.tenant]
+		w.spent[ticket.key.tenant] = list[:len(list)-1]
+	}
+}
+
+// cost draws what a request costs.
+func (w *world) cost(mean float64) float64 {
+	if w.costOf != nil {
+		return w.costOf()
 	}
+	return math.Round(min(mean*0.3*(1+w.random.ExpFloat64()*2.3), 70_000))
 }
 
 const step = 2 * ms
@@ -184,8 +197,7 @@
 			for _, r := range w.routers {
 				wanted := limit.Rate * times(tenant) * r.shares[tenant] / total / meanCost * float64(step) / float64(kernel.Second)
 				for wanted > 0 && w.random.Float64() < wanted {
-					cost := math.Round(min(meanCost*0.3*(1+w.random.ExpFloat64()*2.3), 70_000))
-					r.claim(tenant, cost)
+					r.claim(tenant, w.cost(meanCost))
 					wanted--
 				}
 			}
@@ -313,3 +325,34 @@
 	w.pass(kernel.Second, always(0.7), 9000)
 	c.Check(w.outcomes[Granted], qt.Equals, 0)
 }
+
+// A tenant that asks for many times its quota gets more requests served if small ones go first; large
+// ones still get a part. While it stays within its quota size makes no difference.
+func TestUnderPressureSmallRequestsGoFirst(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newWorld(3, 20, testBounds, tokensLimits())
+	w.costOf = func() float64 {
+		if w.random.IntN(4) == 0 {
+			return 12_000
+		}
+		return 2_000
+	}
+	served := func(times float64) (small, large float64) {
+		asked, granted := map[float64]float64{}, map[float64]float64{}
+		w.onSettled = func(cost float64, outcome Outcome) {
+			asked[cost]++
+			if outcome == Granted {
+				granted[cost]++
+			}
+		}
+		w.pass(8*kernel.Second, always(times), 4500)
+		return granted[2_000] / asked[2_000], granted[12_000] / asked[12_000]
+	}
+	small, large := served(0.6)
+	c.Check(small > 0.98 && large > 0.96, qt.IsTrue, qt.Commentf("within the quota: %.3f and %.3f", small, large))
+	served(3)
+	small, large = served(3)
+	c.Check(small > 0.45, qt.IsTrue, qt.Commentf("pressed: %.3f of the small ones", small))
+	c.Check(large > 0.08 && large < 0.3, qt.IsTrue, qt.Commentf("pressed: %.3f of the large ones", large))
+}
