--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -144,3 +144,27 @@
 	now += answerSpan
 	c.Check(account.Ask(now), qt.IsNotNil)
 }
+
+// Credits end with their span, counted from the sending of the ask that was granted, however late the
+// grant came.
+func TestCreditsEndWithTheirSpan(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		after kernel.Micros
+		count int
+	}{{plainBounds.CreditLife(), 4}, {plainBounds.CreditLife() + 1, 0}} {
+		now := 100 * kernel.Second
+		account := NewAccount(plainBounds, 1)
+		account.Claim(now, "ann", 1)
+		ask := account.Ask(now)
+		account.Take(now+100*ms, &Grant{Seq: ask.Seq, Items: []GrantItem{{Tenant: "ann", Amount: 5}}})
+		count := 0
+		for range 10 {
+			ticket, _ := account.Claim(now+test.after, "ann", 1)
+			if outcome, _ := account.Outcome(ticket); outcome == Granted {
+				count++
+			}
+		}
+		c.Check(count, qt.Equals, test.count)
+	}
+}
