A router asks until somebody answers who deals quotas out

Change: an unanswered ask is due again. Test: fails without it. Ruled out: forgetting the silence after a while (then nobody knows whether somebody deals).

--- a/quota/account.go
+++ b/quota/account.go
@@ -261,6 +261,10 @@
 
 // isDue tells whether there is something to ask for.
 func (a *Account) isDue(now kernel.Micros) bool {
+	// One that never answered is asked until it does: whether somebody deals is to be known here.
+	if a.silentAt > 0 && now-a.askedAt >= answerSpan {
+		return true
+	}
 	isHolding := false
 	for _, h := range a.holdings {
 		if len(h.waiting) > 0 {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -168,3 +168,22 @@
 		c.Check(count, qt.Equals, test.count)
 	}
 }
+
+// A router whose ask was not answered asks on, also when nobody needs credits any more; else it would take
+// quotas for not dealt out for good, and not be ready.
+func TestASilentAllocatorIsAskedUntilItAnswers(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	account := NewAccount(plainBounds, 1)
+	ticket, _ := account.Claim(now, "ann", 1)
+	c.Assert(account.Ask(now), qt.IsNotNil)
+	account.Abandon(now, ticket)
+	c.Check(account.IsServed(now), qt.IsTrue)
+	now += 60 * kernel.Second
+	c.Check(account.IsServed(now), qt.IsFalse)
+	ask := account.Ask(now)
+	c.Assert(ask, qt.IsNotNil)
+	account.Take(now, &Grant{Seq: ask.Seq})
+	c.Check(account.IsServed(now), qt.IsTrue)
+	c.Check(account.Ask(now+10*kernel.Second), qt.IsNil)
+}
