--- a/control/node.go
+++ b/control/node.go
@@ -50,14 +50,11 @@
 	Quota       *quota.Account
 	QuotaBounds quota.Bounds
 	LimitsOf    func(config []byte) []quota.Limit
-	// TrustSpan is how long this node goes by the word that its document is the newest; zero: it needs
-	// no such word.
-	TrustSpan kernel.Micros
-	Journal   *kernel.Journal
-	Ballot    Ballot
-	Document  *Document
-	Kept      []uint64
-	Promised  Stamp
+	Journal     *kernel.Journal
+	Ballot      Ballot
+	Document    *Document
+	Kept        []uint64
+	Promised    Stamp
 	// Snapshot is what an earlier life kept for a quick start; nil: there is none. RestoredSpan bounds for
 	// how long engines are used that are known from it alone; zero: two of their beats.
 	Snapshot     *Snapshot
@@ -348,14 +345,22 @@
 	return found
 }
 
-// leaderTarget is whom to take for the leader now.
-func (n *Node) leaderTarget() string {
+// knownLeader is who leads as far as is known here; empty: nobody is known to.
+func (n *Node) knownLeader() string {
 	if n.core != nil && n.core.Leader() != "" {
 		return n.core.Leader()
 	}
 	if n.leaderHint != "" && n.now-n.leaderWord < max(700*kernel.Millisecond, 2*n.settings.Timing.Ask) {
 		return n.leaderHint
 	}
+	return ""
+}
+
+// leaderTarget is whom to take for the leader now.
+func (n *Node) leaderTarget() string {
+	if known := n.knownLeader(); known != "" {
+		return known
+	}
 	// Whoever may know, one after another: voters first, then seeds and neighbours.
 	candidates := append(n.lease.applied.voterAddresses(), n.otherHints...)
 	candidates = append(candidates, n.settings.Seeds...)
--- a/control/node_news.go
+++ b/control/node_news.go
@@ -162,25 +162,12 @@
 // nodeRefresh is how often a node says anew that it lives.
 func (n *Node) nodeRefresh() kernel.Micros { return n.settings.Timing.NodeGone / 5 }
 
-// staleAsk is between two asks of a node that needs to hear soon whether its document is the newest.
-const staleAsk = 150 * kernel.Millisecond
-
-// isStale tells that this node has not heard for half of the time that it may go without whether its
-// document is the newest.
-func (n *Node) isStale() bool {
-	span := n.settings.TrustSpan
-	return span > 0 && (n.lease.freshAt <= 0 || n.now-n.lease.freshAt > span/2)
-}
-
 func (n *Node) ask() {
 	n.askTimer = n.now + n.settings.Timing.Ask
 	if n.lease.applied == nil {
 		// Until it serves at all it asks round more often; the home is not loaded by that.
 		n.askTimer = n.now + min(n.settings.Timing.Ask, 250*kernel.Millisecond)
 	}
-	if n.isStale() {
-		n.askTimer = min(n.askTimer, n.now+staleAsk)
-	}
 	record := n.record()
 	n.directory.TakeNode(n.now, record, true)
 	own := RouterAsk{
@@ -210,7 +197,7 @@
 		n.send(home, Message{Ask: ask})
 	}
 	// A silent home must not cost the lease: the leader is asked directly as well.
-	if n.isHomeless() || n.isStale() {
+	if n.isHomeless() {
 		n.send(n.leaderTarget(), Message{AskBatch: &AskBatch{Zone: own.Zone, Revision: n.lease.holds(), Asks: []RouterAsk{own}}})
 	}
 }
--- a/control/node_quota.go
+++ b/control/node_quota.go
@@ -28,8 +28,9 @@
 	if n.settings.Quota == nil || n.lease.applied == nil {
 		return
 	}
+	// An ask that nobody is sent counts as unanswered all the same.
 	if ask := n.settings.Quota.Ask(n.now); ask != nil {
-		n.send(n.leaderTarget(), Message{QuotaAsk: ask})
+		n.send(n.knownLeader(), Message{QuotaAsk: ask})
 	}
 }
 
--- a/server/quota.go
+++ b/server/quota.go
@@ -35,7 +35,6 @@
 		bounds = quota.DefaultBounds()
 	}
 	// Another number for each life, so that no grant to an earlier one is taken for this one's.
-	node.TrustSpan = keyTrust(d.deployment.Bounds)
 	d.quota = quota.NewAccount(bounds, rand.Uint64()>>16)
 	node.Quota, node.QuotaBounds, node.LimitsOf = d.quota, bounds, func(config []byte) []quota.Limit {
 		return limitsOf(d.compiler, config)
