--- a/server/quota.go
+++ b/server/quota.go
@@ -45,7 +45,7 @@
 func limitsOf(compiler *fleetconfig.Compiler, document []byte) []quota.Limit {
 	config, err := compiler.Read(document)
 	if err != nil {
-		// It was checked before it was committed; without limits nothing is dealt out.
+		// It was read before it was committed; one that can't be read is never applied.
 		return nil
 	}
 	limits := make([]quota.Limit, 0, len(config.Tenants))
