Model checker: no failed run is swallowed

Cause: a run whose core reported a violation of its own ended with an error that Explore and Walk did not take for a finding, so the search went on as if nothing had been seen. The same held for a history that came to no verdict, for a run whose messages caused more without end (it stopped at the bound of steps), and a panic ended the program. Change: Result.take makes every error of a run a finding or an UnjudgedRunError that ends the search; the core's own violations are the model's (also those of a start, or while configurations of the past are stored); a panic of a core and a run without an end are invariants; an exhaustive run that comes back to one of its own states is a livelock. cmd/modelcheck ends with 3 for a violation, with 1 for a run without a verdict. TestNoFailureOfARunIsSwallowed plants each kind.

--- a/cmd/modelcheck/main.go
+++ b/cmd/modelcheck/main.go
@@ -49,18 +49,36 @@
 	trace, err := modelcheck.ParseTrace(text)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "modelcheck:", err)
-		return 1
+		return exitFailed
 	}
 	steps, err := modelcheck.Replay(scenario, trace, func(line string) { fmt.Println(line) })
 	if err == nil {
 		fmt.Println("nothing is violated")
-		return 0
+		return exitOK
 	}
 	fmt.Printf("after %d steps: %v\n", steps, err)
 	if errors.As(err, new(modelcheck.ViolationError)) {
-		return 3
+		return exitViolation
 	}
-	return 1
+	return exitFailed
+}
+
+// Exit statuses. The worst of several searches, which is the largest, is the program's.
+const (
+	exitOK        = 0
+	exitFailed    = 1 // a trace can't be replayed, or a run came to no verdict
+	exitViolation = 3
+)
+
+// statusOf is the exit status that belongs to the result of a search.
+func statusOf(result modelcheck.Result) int {
+	switch {
+	case result.Found != nil:
+		return exitViolation
+	case result.Err != nil:
+		return exitFailed
+	}
+	return exitOK
 }
 
 // report tells what a search came to.
@@ -75,23 +93,26 @@
 	if result.Found != nil {
 		fmt.Printf("VIOLATED after %d states: %s\n", result.Found.States, result.Found)
 	}
+	if result.Err != nil {
+		fmt.Println("NO VERDICT:", result.Err)
+	}
 }
 
-// search explores a scenario and walks on in it until the time is over.
-func search(words arguments, scenario modelcheck.Scenario, index int, deadline time.Time) bool {
+// search explores a scenario and walks on in it until the time is over. It returns an exit status.
+func search(words arguments, scenario modelcheck.Scenario, index int, deadline time.Time) int {
 	isOver := func() bool { return time.Now().After(deadline) }
 	if words.Depth > 0 {
 		begun := time.Now()
 		result := modelcheck.Explore(scenario, modelcheck.Bounds{Deviations: words.Depth, States: words.States, IsOver: isOver})
 		report("exhaustive", scenario, begun, result)
-		if result.Found != nil {
-			return true
+		if status := statusOf(result); status != exitOK {
+			return status
 		}
 	}
 	begun := time.Now()
 	result := modelcheck.Walk(scenario, words.Seed+uint64(index)*seedsApart, modelcheck.Bounds{IsOver: isOver})
 	report("walks", scenario, begun, result)
-	return result.Found != nil
+	return statusOf(result)
 }
 
 func main() {
@@ -107,13 +128,11 @@
 		}
 		os.Exit(replay(scenarios[0], words.Trace))
 	}
-	if searchAll(words, scenarios) {
-		os.Exit(3)
-	}
+	os.Exit(searchAll(words, scenarios))
 }
 
-// searchAll gives each scenario its part of the time.
-func searchAll(words arguments, scenarios []modelcheck.Scenario) (isFound bool) {
+// searchAll gives each scenario its part of the time, and returns the worst exit status.
+func searchAll(words arguments, scenarios []modelcheck.Scenario) (worst int) {
 	workers := max(min(words.Workers, len(scenarios)), 1)
 	part := words.For * time.Duration(workers) / time.Duration(len(scenarios))
 	var lock sync.Mutex
@@ -122,7 +141,7 @@
 	take := func() (index int, isThere bool) {
 		lock.Lock()
 		defer lock.Unlock()
-		if next >= len(scenarios) || isFound && !words.ContinuesAfterViolation {
+		if next >= len(scenarios) || worst != exitOK && !words.ContinuesAfterViolation {
 			return 0, false
 		}
 		next++
@@ -131,14 +150,13 @@
 	for range workers {
 		hands.Go(func() {
 			for index, isThere := take(); isThere; index, isThere = take() {
-				if search(words, scenarios[index], index, time.Now().Add(part)) {
-					lock.Lock()
-					isFound = true
-					lock.Unlock()
-				}
+				status := search(words, scenarios[index], index, time.Now().Add(part))
+				lock.Lock()
+				worst = max(worst, status)
+				lock.Unlock()
 			}
 		})
 	}
 	hands.Wait()
-	return isFound
+	return worst
 }
--- a/test/modelcheck/choices.go
+++ b/test/modelcheck/choices.go
@@ -169,8 +169,7 @@
 	return receivers[0]
 }
 
-// StepDefault takes the default step. Its error is a ViolationError or, if the core itself found the violation,
-// an invariant.ViolationError.
+// StepDefault takes the default step. Its error is a ViolationError.
 func (w *World) StepDefault() error {
 	for _, p := range w.processes {
 		if w.isWriting(p) {
@@ -199,6 +198,16 @@
 // Step takes a choice; one that is not possible in this state does nothing, so that traces
 // with a deviation left out can be played. Its errors are those of StepDefault.
 func (w *World) Step(choice Choice) error {
+	if w.settings.plant != nil {
+		w.settings.plant(w)
+	}
+	if err := w.takeStep(choice); err != nil {
+		return err
+	}
+	return w.coreViolation
+}
+
+func (w *World) takeStep(choice Choice) error {
 	if choice.Action == Default {
 		return w.StepDefault()
 	}
@@ -351,7 +360,7 @@
 			return steps + 1, nil
 		}
 	}
-	return steps, nil
+	return steps, runEnds(w, maxTimeSteps)
 }
 
 // maxSteps bounds a run whose messages cause more messages without end.
--- a/test/modelcheck/history.go
+++ b/test/modelcheck/history.go
@@ -54,7 +54,7 @@
 // checkHistory checks that what the operators saw in a run is linearizable. The error is a
 // ViolationError, or one of the checker that came to no verdict.
 func (w *World) checkHistory() error {
-	err := checker.CheckLinearizable(w.History(), linearizabilityTimeout)
+	err := w.judgeHistory(w.History(), linearizabilityTimeout)
 	if errors.As(err, new(checker.NotLinearizableError)) {
 		return violated(HistoryIsLinearizable, "%v", err)
 	}
--- a/test/modelcheck/invariants.go
+++ b/test/modelcheck/invariants.go
@@ -5,6 +5,7 @@
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/invariant"
 	"dunlinloom/internal/kernel"
 )
 
@@ -28,8 +29,15 @@
 	CountsCurrentIncarnations Invariant = "a leader counts what the present lives of the voters have synced"
 	LeaverIsReleased          Invariant = "a member that leaves holds nothing that too few others hold"
 	LeaderDiskIsHealthy       Invariant = "a leader whose disk takes no writes steps down in time"
+	CoreDoesNotPanic          Invariant = "a core handles every event without a panic"
+	RunsEnd                   Invariant = "messages do not cause more messages without end"
 )
 
+// ofCore is the invariant of the model for one that the core checks itself.
+func ofCore(violation invariant.ViolationError) ViolationError {
+	return ViolationError{Invariant("the core's own: " + string(violation.Invariant)), violation.Error()}
+}
+
 // ViolationError says that an invariant did not hold, and why.
 type ViolationError struct {
 	Invariant Invariant
@@ -42,6 +50,14 @@
 	return ViolationError{invariant, fmt.Sprintf(form, args...)}
 }
 
+// runEnds checks that a run reached its last time step within the bound of steps.
+func runEnds(w *World, maxTimeSteps int) error {
+	if w.timeStep >= maxTimeSteps {
+		return nil
+	}
+	return violated(RunsEnd, "after %d steps the run is at time step %d of %d", maxSteps, w.timeStep, maxTimeSteps)
+}
+
 // oneDocumentARevision checks that two documents committed under one revision differ at most in the term.
 func oneDocumentARevision(known commit, document *cluster.Document, content uint64) error {
 	if known.content == content {
--- a/test/modelcheck/observer.go
+++ b/test/modelcheck/observer.go
@@ -95,8 +95,8 @@
 
 // observe checks a process against the invariants after it handled an event.
 func (o *observer) observe(w *World, p *process) error {
-	if p.violation != nil {
-		return p.violation
+	if w.coreViolation != nil {
+		return w.coreViolation
 	}
 	state := p.core.Inspect()
 	if !state.IsLeader {
--- a/test/modelcheck/process.go
+++ b/test/modelcheck/process.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
@@ -64,7 +65,6 @@
 	contactTerm uint64 // the term that lastContact belongs to
 	// syncReports holds, while it leads, what the newest incarnation of each member has acknowledged.
 	syncReports map[cluster.MemberID]syncReport
-	violation   error            // of an invariant that the core itself checks; nil: there was none
 	countedUpTo cluster.Position // the newest document that it committed as a leader
 	ledSince    kernel.Micros    // when it became the leader
 	quorumAt    kernel.Micros    // when its timers last fired while a quorum had contacted it
@@ -84,17 +84,24 @@
 	p.incarnations++
 	p.startedAt, p.isUp, p.isFrozen = w.starts, true, false
 	p.pending, p.causes, p.lastToken, p.lastContact, p.contactTerm, p.syncReports = nil, map[uint64]uint64{}, 0, nil, 0, nil
-	p.countedUpTo, p.violation = cluster.Position{}, nil
+	p.countedUpTo = cluster.Position{}
 	p.core = control.NewCore(control.CoreSettings{
 		Self: w.memberOf(p), HasFolder: true, Seeds: w.bootstrapMembers, Timing: w.settings.Timing,
 		Random: rand.New(sourceOf(p.index)),
 		Voters: w.settings.Voters, AckRule: control.Strict, BootstrapRule: w.settings.bootstrapRule(),
 		HardState: p.disk.hardState, Document: p.disk.document, StoredConfigs: p.disk.revisions(),
 		Acknowledged: p.disk.newestWritten(), Incarnation: p.incarnations,
-		Invariants: invariant.NewMonitor(func(violation invariant.ViolationError) { p.violation = violation }),
+		Invariants: invariant.NewMonitor(w.takeCoreViolation),
 	}, p.clock)
 }
 
+// takeCoreViolation records the first violation that a core reports.
+func (w *World) takeCoreViolation(violation invariant.ViolationError) {
+	if w.coreViolation == nil {
+		w.coreViolation = ofCore(violation)
+	}
+}
+
 // stop ends an incarnation; what was not synced is lost.
 func (p *process) stop() {
 	p.isDirty = true
@@ -118,7 +125,9 @@
 // errors are those of StepDefault.
 func (w *World) handle(p *process, cause uint64, event func(core *control.Core)) error {
 	p.isDirty = true
-	event(p.core)
+	if err := passEvent(p.core, event); err != nil {
+		return err
+	}
 	commands := p.core.TakeCommands()
 	w.recordSaves(p, cause)
 	if err := w.observer.observe(w, p); err != nil {
@@ -132,6 +141,17 @@
 	return nil
 }
 
+// passEvent passes an event to a core; a panic is a violation.
+func passEvent(core *control.Core, event func(core *control.Core)) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = violated(CoreDoesNotPanic, "%v\n%s", cause, debug.Stack())
+		}
+	}()
+	event(core)
+	return nil
+}
+
 // recordSaves records the cause of the saves that an event queued: the continuation of a save is a
 // closure, which no fingerprint can read, but the event that queued it determines it.
 func (w *World) recordSaves(p *process, cause uint64) {
@@ -158,19 +178,24 @@
 		}
 	case commands.SaveHistory:
 		if p.disk.isFull(w.timeStep) {
-			p.core.HistoryStored(p.clock, commands.SaveHistoryResult{Rejected: command.Documents[0].ConfigRevision, Err: DiskFullError{}})
-			break
+			return w.historyStored(p, commands.SaveHistoryResult{Rejected: command.Documents[0].ConfigRevision, Err: DiskFullError{}})
 		}
 		outcome := commands.SaveHistoryResult{}
 		for _, document := range command.Documents {
 			p.disk.documents[document.ConfigRevision] = document
 			outcome.Saved = append(outcome.Saved, document.ConfigRevision)
 		}
-		p.core.HistoryStored(p.clock, outcome)
+		return w.historyStored(p, outcome)
 	}
 	return nil
 }
 
+// historyStored reports stored configurations of the past to a core. What it commands in turn is executed
+// with its next event.
+func (w *World) historyStored(p *process, outcome commands.SaveHistoryResult) error {
+	return passEvent(p.core, func(core *control.Core) { core.HistoryStored(p.clock, outcome) })
+}
+
 // sync completes the outstanding write of a process, or lets a full disk refuse it, and reports the
 // result to its core.
 func (w *World) sync(p *process) error {
--- a/test/modelcheck/search.go
+++ b/test/modelcheck/search.go
@@ -24,8 +24,24 @@
 	Steps    int // of all random runs
 	Complete int // all runs with so many deviations were explored
 	Found    *Found
+	Err      error // an UnjudgedRunError: a run came to no verdict, and the search ended there
 }
 
+// UnjudgedRunError says that a run came to no verdict: it neither broke an invariant nor was shown to
+// keep all of them.
+type UnjudgedRunError struct {
+	Scenario string
+	Trace    Trace
+	Cause    error
+}
+
+func (err UnjudgedRunError) Error() string {
+	return fmt.Sprintf("a run of %q with the trace %s came to no verdict: %v", err.Scenario, err.Trace, err.Cause)
+}
+
+// Unwrap gives the cause.
+func (err UnjudgedRunError) Unwrap() error { return err.Cause }
+
 // Bounds end a search.
 type Bounds struct {
 	Deviations int         // in the exhaustive part
@@ -68,7 +84,7 @@
 // Explore searches a scenario exhaustively up to a number of deviations.
 func Explore(scenario Scenario, bounds Bounds) Result {
 	e := &explorer{scenario: scenario, bounds: bounds, visited: map[uint64]struct{}{}, queue: []*path{{}}}
-	for len(e.queue) > 0 && e.result.Found == nil {
+	for len(e.queue) > 0 && !e.result.isOver() {
 		next := e.queue[0]
 		e.queue[0] = nil
 		e.queue = e.queue[1:]
@@ -78,12 +94,29 @@
 		}
 		e.follow(next)
 	}
-	if e.result.Found == nil {
+	if !e.result.isOver() {
 		e.result.Complete = bounds.Deviations
 	}
 	return e.end()
 }
 
+// isOver reports whether a run has ended the search: by a violation, or without a verdict.
+func (r Result) isOver() bool { return r.Found != nil || r.Err != nil }
+
+// take records how a run ended. Every error is a finding or ends the search as an UnjudgedRunError.
+func (r *Result) take(run Found, err error) {
+	if err == nil {
+		return
+	}
+	var violation ViolationError
+	if !errors.As(err, &violation) {
+		r.Err = UnjudgedRunError{Scenario: run.Scenario.Name, Trace: run.Trace, Cause: err}
+		return
+	}
+	run.Violation = violation
+	r.Found = shorten(run)
+}
+
 func (e *explorer) end() Result {
 	e.result.States = len(e.visited)
 	return e.result
@@ -98,16 +131,23 @@
 		last = trace[len(trace)-1].Step
 	}
 	w := NewWorld(e.scenario.Settings)
+	var livelock error
+	ownStates := map[uint64]bool{} // visited for the first time by this run
 	visit := func(step int) bool {
 		e.result.Depth = max(e.result.Depth, step+1)
 		if step < last || w.timeStep < e.scenario.Prologue {
 			return true
 		}
 		state := w.Fingerprint()
+		if ownStates[state] {
+			// All steps after the last deviation follow from the state alone.
+			livelock = violated(RunsEnd, "after step %d the run is in a state that it was in before", step)
+			return false
+		}
 		if _, isKnown := e.visited[state]; isKnown {
 			return false
 		}
-		e.visited[state] = struct{}{}
+		e.visited[state], ownStates[state] = struct{}{}, true
 		if from.length < e.bounds.Deviations {
 			for _, choice := range w.Choices() {
 				e.queue = append(e.queue, &path{from, Deviation{step + 1, choice}, from.length + 1})
@@ -116,18 +156,13 @@
 		return true
 	}
 	steps, err := w.Run(trace, e.scenario.MaxTimeSteps, visit)
+	if err == nil {
+		err = livelock
+	}
 	if err == nil && w.timeStep >= e.scenario.MaxTimeSteps {
 		err = w.checkHistory()
 	}
-	e.result.Found = e.found(err, trace, steps)
-}
-
-func (e *explorer) found(err error, trace Trace, steps int) *Found {
-	var violation ViolationError
-	if !errors.As(err, &violation) {
-		return nil
-	}
-	return shorten(Found{e.scenario, violation, trace, steps, len(e.visited)})
+	e.result.take(Found{Scenario: e.scenario, Trace: trace, Steps: steps, States: len(e.visited)}, err)
 }
 
 // Replay plays a trace and returns the number of steps taken and the violation, if there is one.
@@ -192,27 +227,26 @@
 // Walk plays random runs of a scenario, each replayed by its seed, until the bounds are met.
 func Walk(scenario Scenario, seed uint64, bounds Bounds) Result {
 	result, visited := Result{}, map[uint64]struct{}{}
-	for ; !bounds.isOver(len(visited)) && result.Found == nil; seed++ {
+	for ; !bounds.isOver(len(visited)) && !result.isOver(); seed++ {
 		if bounds.Runs > 0 && result.Runs >= bounds.Runs {
 			break
 		}
 		run := &walk{random: rand.New(rand.NewPCG(seed, 17)), visited: visited, isCounting: bounds.Runs == 0}
-		found, depth := run.play(scenario)
+		depth, err := run.play(scenario)
 		result.Runs++
 		result.Depth = max(result.Depth, depth)
 		result.Steps += depth
-		result.Found = found
+		result.take(Found{Scenario: scenario, Trace: run.trace, Steps: depth, States: len(visited)}, err)
 	}
 	result.States = len(visited)
 	return result
 }
 
-func (r *walk) play(scenario Scenario) (*Found, int) {
+// play plays one random run and records its trace. Its errors are those of Replay.
+func (r *walk) play(scenario Scenario) (steps int, err error) {
 	w := NewWorld(scenario.Settings)
 	w.isWithoutFingerprints = !r.isCounting
 	every := drawDeviationInterval(r.random)
-	steps := 0
-	var err error
 	for ; w.timeStep < scenario.MaxTimeSteps && steps < maxSteps && err == nil; steps++ {
 		choice := Choice{}
 		if w.timeStep >= scenario.Prologue && r.random.IntN(every) == 0 {
@@ -224,13 +258,12 @@
 		}
 	}
 	if err == nil {
-		err = w.checkHistory()
+		err = runEnds(w, scenario.MaxTimeSteps)
 	}
-	var violation ViolationError
-	if errors.As(err, &violation) {
-		return shorten(Found{scenario, violation, r.trace, steps, len(r.visited)}), steps
+	if err == nil {
+		err = w.checkHistory()
 	}
-	return nil, steps
+	return steps, err
 }
 
 func (f Found) String() string {
--- a/test/modelcheck/search_test.go
+++ b/test/modelcheck/search_test.go
@@ -4,8 +4,13 @@
 	"os"
 	"runtime/debug"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/control/wire"
+	"dunlinloom/internal/invariant"
+	"dunlinloom/test/checker"
 )
 
 // The bounds of the search that every build goes through. They count states and runs, never
@@ -27,6 +32,7 @@
 
 func requireNone(c *qt.C, result Result) {
 	c.Helper()
+	c.Assert(result.Err, qt.IsNil)
 	if result.Found != nil {
 		c.Fatalf("after %d states and %d runs: %s", result.States, result.Runs, result.Found)
 	}
@@ -121,3 +127,55 @@
 		c.Assert(prints[0], qt.DeepEquals, prints[1])
 	}
 }
+
+// TestNoFailureOfARunIsSwallowed plants each way in which a run can fail, other than by an invariant of the model,
+// and requires that walks and exhaustive searches end with it.
+func TestNoFailureOfARunIsSwallowed(t *testing.T) {
+	const plantedAt = 10 // time step
+	flood := func(w *World) { w.enqueue(-1, operatorAddress, wire.Message{}) }
+	for _, test := range []struct {
+		name      string
+		plant     func(w *World)
+		invariant Invariant // empty: the run comes to no verdict
+	}{
+		{"a violation that the core reports", func(w *World) {
+			w.takeCoreViolation(invariant.ViolationError{Invariant: invariant.TermIsMonotonic, Detail: "planted"})
+		}, "the core's own: term_never_falls"},
+		{"a panic of the core", func(w *World) {
+			if p := w.processes[0]; p.isUp {
+				p.core = nil
+			}
+		}, CoreDoesNotPanic},
+		{"messages without end", flood, RunsEnd},
+		{"a history that nobody judged", func(w *World) {
+			w.judgeHistory = func(history []checker.RegisterOperation, _ time.Duration) error {
+				return checker.UndecidedError{Operations: len(history)}
+			}
+		}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			scenario := scenarioNamed(c, "three members, led")
+			scenario.Settings.plant = func(w *World) {
+				if w.timeStep >= plantedAt {
+					test.plant(w)
+				}
+			}
+			_, err := Replay(scenario, nil, nil)
+			c.Check(err, qt.IsNotNil)
+			walked := Walk(scenario, boundedSeed, Bounds{Runs: 20})
+			explored := Explore(scenario, Bounds{Deviations: 0})
+			for _, result := range []Result{walked, explored} {
+				if test.invariant == "" {
+					c.Assert(result.Err, qt.ErrorAs, new(UnjudgedRunError))
+					c.Assert(result.Err, qt.ErrorAs, new(checker.UndecidedError))
+					c.Assert(result.Found, qt.IsNil)
+					continue
+				}
+				c.Assert(result.Err, qt.IsNil)
+				c.Assert(result.Found, qt.IsNotNil)
+				c.Assert(result.Found.Violation.Invariant, qt.Equals, test.invariant)
+			}
+		})
+	}
+}
--- a/test/modelcheck/world.go
+++ b/test/modelcheck/world.go
@@ -9,12 +9,14 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
+	"dunlinloom/test/checker"
 )
 
 // operatorAddress is the address to which all operators' responses are sent.
@@ -36,6 +38,8 @@
 	StopsReleasedLeavers bool
 	// PlannedActions happens in each run, besides what is explored.
 	PlannedActions []PlannedAction
+	// plant is called with each step, to plant what the search has to find; nil: nothing is planted.
+	plant func(w *World)
 	// LiftedAssumptions are assumptions that the explored faults need not keep to.
 	LiftedAssumptions Assumptions
 }
@@ -93,6 +97,10 @@
 	wiped            map[string]bool // addresses that were served from an empty folder after the bootstrap
 	// isWithoutFingerprints: no state is compared with another, so that messages need not be hashed.
 	isWithoutFingerprints bool
+	// coreViolation is the first violation that a core itself reported, a ViolationError; nil: there was none.
+	coreViolation error
+	// judgeHistory judges the operators' history, as checker.CheckLinearizable does.
+	judgeHistory func(history []checker.RegisterOperation, timeout time.Duration) error
 	// Trace takes a line on each step; nil: none are wanted.
 	Trace func(text string)
 }
@@ -102,7 +110,7 @@
 // NewWorld returns a fleet that has just been bootstrapped and has no leader yet.
 func NewWorld(settings Settings) *World {
 	w := &World{settings: settings, now: 100 * kernel.Second, documents: map[*cluster.Document]uint64{}, contents: map[*cluster.Document]uint64{}, wiped: map[string]bool{}}
-	w.observer = newObserver()
+	w.observer, w.judgeHistory = newObserver(), checker.CheckLinearizable
 	first := &cluster.Document{
 		ClusterID: clusterID, Revision: 1, Term: 1,
 		Coordinators: map[string]string{}, DrainedZones: map[string]uint64{}, Draining: map[string]cluster.DrainingMark{},
