Means of proof: ends, refusals, panics and empty runs no longer count as passes

Cause: a walk through localfleet, loadgen, soak, checker and simulator for what is swallowed. Change: localfleet reports processes that end by themselves, callers that fail, control calls that a stand-in refuses, logs with panics or violated invariants, counts of invariants, runs in which a kind of event was never seen, and a run that was ended by hand is no result. loadgen takes no empty list of nodes (a division by zero ended it), and an answer that came whole is judged though its caller left. soak reports steps that struck nothing, runs without service, nodes that don't tell their invariants, and seeds that were left out. checker: a served request without a revision, and a repaired fleet of which nothing is read back, are violations. simulator: a panic of a router (net/http recovers from it and the log was discarded), a store that fails other than by a full disk, a command that nobody carries out, and a run in which nothing was served are violations. Ruled out: no run of the tests shows any of it on the sound build.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -95,6 +95,10 @@
 	}
 	close(seeds)
 	workers.Wait()
+	if failed == nil {
+		// Seeds that were left out say nothing.
+		failed = ctx.Err()
+	}
 	switch {
 	case failed != nil:
 		return exitFailed, failed
--- a/test/checker/checker_test.go
+++ b/test/checker/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,6 +58,15 @@
 	c.Assert(report.Calls, qt.Equals, 8)
 }
 
+// A run in which nothing was read back at the end shows nothing of what was acknowledged.
+func TestARunThatIsNotReadBackIsNoGoodOne(t *testing.T) {
+	c := qt.New(t)
+	unread := slices.DeleteFunc(good(), func(event Event) bool { return event.EventKind == ConfigRead })
+	report := Check(unread, DefaultBounds())
+	c.Assert(report.Violations, qt.HasLen, 1)
+	c.Assert(report.Violations[0].Rule, qt.Equals, AcknowledgedLost)
+}
+
 func repairedWith(nodes, kinds []string) []Event {
 	return []Event{{At: 40*s + 1, EventKind: Repaired, Roster: nodes, Kinds: kinds}}
 }
@@ -171,6 +181,7 @@
 		{RetryBudgetExceeded, []Event{{At: 52 * s, EventKind: Totals, First: 1000, Retries: 101}}, ""},
 		{SlowStartOverloaded, []Event{{At: 9 * s, EventKind: RunOverloaded, Engine: "e9"}}, ""},
 		{ShutdownDroppedRequest, []Event{{At: 31 * s, EventKind: CallEnded, Tag: "x", Node: "n2", StartedAt: 30 * s, Outcome: NoResponse}}, ""},
+		{StaleConfigUsed, []Event{{At: 5 * s, EventKind: CallEnded, Tag: "x", Node: "n3", StartedAt: 4*s + 1, Outcome: Served}}, ""},
 		{AcknowledgedLost, []Event{{At: 51 * s, EventKind: ConfigRead, Revision: 5, Digest: "(unreadable)"}}, ""},
 		{RejectedTookEffect, []Event{{At: 2 * s, EventKind: ConfigSent, ID: "b", Digest: "B"}, {At: 3 * s, EventKind: ConfigRejected, ID: "b"}, {At: 51 * s, EventKind: ConfigRead, Revision: 9, Digest: "B"}}, ""},
 		{RecoveryTooSlow, []Event{{At: 53 * s, EventKind: CallEnded, Tag: "x", Node: "n1", StartedAt: 52*s + 1, Outcome: Served, Revision: 6}}, "r6"},
--- a/test/checker/configs.go
+++ b/test/checker/configs.go
@@ -46,6 +46,9 @@
 	case ConfigRead:
 		c.checkRead(event, c.accepted, c.sent, c.rejected)
 	case CallEnded:
+		if event.Outcome == Served && event.Revision == 0 && len(c.accepted) > 0 {
+			c.violation(StaleConfigUsed, event.At, "%s by %s does not say under which revision it was served", event.Tag, event.Node)
+		}
 		if event.Revision > 0 && event.Outcome != Unreached && event.Outcome != NoResponse {
 			c.checkServedRevision(event)
 		}
@@ -124,7 +127,7 @@
 func (c *historyChecker) checkFinalReads(events []Event) {
 	var accepted []Event
 	zones := newDrainedZones()
-	read, isReading := map[uint64]bool{}, false
+	read, isReading, isRepaired := map[uint64]bool{}, false, false
 	for _, event := range events {
 		zones.apply(event)
 		switch event.EventKind {
@@ -132,6 +135,8 @@
 			accepted = append(accepted, event)
 		case ConfigRead:
 			read[event.Revision], isReading = true, true
+		case Repaired:
+			isRepaired = true
 		case ConfigCurrent:
 			c.checkCurrent(event, accepted)
 		case ZonesRead:
@@ -139,6 +144,9 @@
 		}
 	}
 	if !isReading {
+		if isRepaired && len(accepted) > 0 {
+			c.violation(AcknowledgedLost, events[len(events)-1].At, "%d acknowledged revisions, and none was read back", len(accepted))
+		}
 		return
 	}
 	sort.Slice(accepted, func(a, b int) bool { return accepted[a].Revision > accepted[b].Revision })
--- a/test/loadgen/caller.go
+++ b/test/loadgen/caller.go
@@ -40,12 +40,18 @@
 	event := checker.Event{EventKind: checker.CallEnded, Tag: request.Tag, Node: node, Kind: request.Kind, StartedAt: now()}
 	event.Outcome, event.Reason = c.call(ctx, node, request, &event)
 	event.At = now()
-	if ctx.Err() != nil && event.Outcome != checker.Corrupted && event.Outcome != checker.FalseEnd {
+	if ctx.Err() != nil && isUnfinished(event.Outcome) {
 		event.Outcome, event.Reason = checker.Abandoned, "the caller left"
 	}
 	return event
 }
 
+// isUnfinished reports whether a call ended before its answer was complete. What an answer that came whole promises
+// holds, whenever its caller left.
+func isUnfinished(outcome checker.Outcome) bool {
+	return outcome == checker.Truncated || outcome == checker.NoResponse || outcome == checker.Unreached
+}
+
 // body is the JSON body of a request.
 type body struct {
 	Model     string   `json:"model"`
--- a/test/loadgen/platform.go
+++ b/test/loadgen/platform.go
@@ -45,7 +45,7 @@
 // Unwrap gives the cause.
 func (err FileError) Unwrap() error { return err.Cause }
 
-// NoNodesError says that there is no node to assign callers to.
+// NoNodesError says that there is no node to assign callers to. A file that lists none is not taken.
 type NoNodesError struct{}
 
 func (NoNodesError) Error() string { return "there is no node" }
@@ -75,6 +75,9 @@
 	if err := json.Unmarshal(content, &nodes); err != nil {
 		return FileError{p.file, err}
 	}
+	if len(nodes) == 0 {
+		return FileError{p.file, NoNodesError{}}
+	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.nodes = nodes
--- a/test/localfleet/cluster.go
+++ b/test/localfleet/cluster.go
@@ -252,14 +252,34 @@
 	return response.StatusCode, response.Header, got, nil
 }
 
+// StatusError says that a stand-in refused what a scenario needs.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+func (err StatusError) Error() string { return fmt.Sprintf("status %d: %.200s", err.Status, err.Body) }
+
+// control has a stand-in do something. Unlike request it fails for any status but a success, since a fault that was
+// not injected would be judged as one that did no harm.
+func control(ctx context.Context, method, url string, body []byte) error {
+	status, _, got, err := request(ctx, method, url, body, nil)
+	if err != nil {
+		return err
+	}
+	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+		return ClusterError{method + " " + url, StatusError{status, string(got)}}
+	}
+	return nil
+}
+
 // setListing tells the platform of an engine's state.
 func (cluster *Cluster) setListing(engine *process, state string) error {
 	content, err := json.Marshal(registry.ListingEngine{ID: engine.name, Address: engine.public, Zone: engine.zone, Pool: engine.pool, Start: engine.start, State: state})
 	if err != nil {
 		return ClusterError{"encode a listing", err}
 	}
-	_, _, _, err = request(context.Background(), http.MethodPut, "http://"+cluster.platform.public+"/control/engines", content, nil)
-	return err
+	return control(context.Background(), http.MethodPut, "http://"+cluster.platform.public+"/control/engines", content)
 }
 
 // Fleet asks one node after another for its view of the fleet.
--- a/test/localfleet/engine_steps.go
+++ b/test/localfleet/engine_steps.go
@@ -31,8 +31,7 @@
 
 // setFaults has an emulator fail on purpose, as its control address takes it.
 func setFaults(ctx context.Context, engine *process, faults string) error {
-	_, _, _, err := request(ctx, http.MethodPut, "http://"+engine.public+"/control/faults", []byte(faults), nil)
-	return err
+	return control(ctx, http.MethodPut, "http://"+engine.public+"/control/faults", []byte(faults))
 }
 
 func (cluster *Cluster) recordRecovered(engine *process) {
@@ -50,7 +49,7 @@
 	run.cluster.recordFailure(engine)
 	engine.halt()
 	url := "http://" + run.cluster.platform.public + "/control/engines/" + engine.name
-	if _, _, _, err := request(ctx, http.MethodDelete, url, nil, nil); err != nil {
+	if err := control(ctx, http.MethodDelete, url, nil); err != nil {
 		return err
 	}
 	return run.cluster.restartAfter(ctx, run.step.ForMS, engine)
@@ -87,7 +86,7 @@
 
 // retireEngine has an engine say in its reports that it leaves, and ends it later.
 func (run stepRun) retireEngine(ctx context.Context, engine *process) error {
-	if _, _, _, err := request(ctx, http.MethodPut, "http://"+engine.public+"/control/leave", nil, nil); err != nil {
+	if err := control(ctx, http.MethodPut, "http://"+engine.public+"/control/leave", nil); err != nil {
 		return err
 	}
 	// Some node learns of it with the next report, which is half a second late.
--- a/test/localfleet/process.go
+++ b/test/localfleet/process.go
@@ -1,10 +1,12 @@
 package localfleet
 
 import (
+	"errors"
 	"fmt"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +28,24 @@
 	data      string
 	start     uint64 // engines
 	pool      string
+	// isEndExpected: this run ended the process, or it is one that ends by itself.
+	isEndExpected atomic.Bool
+}
+
+// exitViolation is the status with which the load generator says that a response broke a rule; the checker judges
+// the same events once more.
+const exitViolation = 3
+
+// checkEnd records the end of a process that nobody asked for, and of one that ended by itself with an error.
+func (cluster *Cluster) checkEnd(a *process, err error) {
+	var exit *exec.ExitError
+	isVerdict := a.program == programLoadgen && errors.As(err, &exit) && exit.ExitCode() == exitViolation
+	switch {
+	case a.isEndExpected.Load() || isVerdict:
+	case a.program == programLoadgen && err == nil:
+	default:
+		cluster.addFailure("%s ended by itself: %v", a.name, err)
+	}
 }
 
 // start launches a process unless it runs.
@@ -36,6 +56,8 @@
 	a.Name, a.Path, a.Arguments = a.name, cluster.executable(a.program), append(subcommand(a.program), a.arguments...)
 	a.Env = []string{server.EnvFaults + "=" + cluster.faultsFile(), server.EnvSelf + "=" + a.peer}
 	a.LogPath = filepath.Join(cluster.folder, a.name+".log")
+	a.isEndExpected.Store(false)
+	a.OnEnd = func(err error) { cluster.checkEnd(a, err) }
 	more := []string{}
 	if strings.HasPrefix(a.name, "e") {
 		a.start = uint64(time.Now().UnixMicro())
@@ -50,7 +72,11 @@
 	return nil
 }
 
+// signal sends a signal to a process; nothing happens unless it runs.
 func (process *process) signal(signal syscall.Signal) {
+	if signal == syscall.SIGTERM || signal == syscall.SIGKILL {
+		process.isEndExpected.Store(true)
+	}
 	if err := process.Signal(signal); err != nil {
 		panic(ClusterError{"signal a process", err})
 	}
@@ -58,9 +84,10 @@
 
 // Kinds of process that the daemon's subcommands start.
 const (
-	programNode   = "node"
-	programRouter = "router"
-	daemon        = "dunlinloom"
+	programNode    = "node"
+	programRouter  = "router"
+	programLoadgen = "loadgen"
+	daemon         = "dunlinloom"
 )
 
 // executable gives the path of the file that a program is in.
@@ -100,6 +127,7 @@
 
 // halt kills a process and waits for its end.
 func (process *process) halt() {
+	process.isEndExpected.Store(true)
 	if err := process.Halt(); err != nil {
 		panic(ClusterError{"halt a process", err})
 	}
--- a/test/localfleet/recovery.go
+++ b/test/localfleet/recovery.go
@@ -102,6 +102,5 @@
 }
 
 func (cluster *Cluster) setListLag(ctx context.Context, us int64) error {
-	_, _, _, err := request(ctx, http.MethodPut, "http://"+cluster.platform.public+"/control/lag", []byte(fmt.Sprint(us)), nil)
-	return err
+	return control(ctx, http.MethodPut, "http://"+cluster.platform.public+"/control/lag", []byte(fmt.Sprint(us)))
 }
--- a/test/localfleet/report.go
+++ b/test/localfleet/report.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 
 	"dunlinloom/test/checker"
+	"dunlinloom/test/childprocess"
 )
 
 // What a run ends with: counters, the checker's review and the share served.
@@ -94,8 +96,58 @@
 	if len(callers) > 0 {
 		report.CallersServed = float64(len(served)) / float64(len(callers))
 	}
+	cluster.checkActivity(report, events)
+	cluster.checkNodes()
 	cluster.lock.Lock()
 	report.Problems = cluster.failures
 	cluster.lock.Unlock()
 	return report, nil
 }
+
+// checkActivity records what has to be seen in every run, and without which the rules hold of nothing.
+func (cluster *Cluster) checkActivity(report *Report, events []checker.Event) {
+	seen := map[checker.EventKind]bool{}
+	for _, event := range events {
+		seen[event.EventKind] = true
+	}
+	required := []checker.EventKind{
+		checker.CallEnded, checker.RunStarted, checker.ConfigAccepted, checker.ConfigRead, checker.ConfigCurrent, checker.ZonesRead, checker.NewestRead,
+	}
+	for _, kind := range required {
+		if !seen[kind] {
+			cluster.addFailure("nothing was seen of %q", kind)
+		}
+	}
+	if report.Review.Outcomes[string(checker.Served)] == 0 {
+		cluster.addFailure("no request was served")
+	}
+}
+
+// invariantMetric counts the violations that a node finds itself, with the invariant as its label.
+const invariantMetric = "dunlinloom_invariant_violations_total"
+
+// checkNodes records what the nodes tell of faults within themselves: in their metrics and in their logs.
+func (cluster *Cluster) checkNodes() {
+	isCounted := false
+	cluster.lock.Lock()
+	for _, counters := range cluster.counters {
+		for name, value := range counters {
+			isInvariant := strings.HasPrefix(name, invariantMetric)
+			isCounted = isCounted || isInvariant
+			if isInvariant && value > 0 {
+				cluster.failures = append(cluster.failures, fmt.Sprintf("%s is %v", name, value))
+			}
+		}
+	}
+	cluster.lock.Unlock()
+	if !isCounted {
+		cluster.addFailure("no node tells its %s", invariantMetric)
+	}
+	faults, err := childprocess.ScanLogs(cluster.folder)
+	if err != nil {
+		cluster.addFailure("%v", err)
+	}
+	for _, fault := range faults {
+		cluster.addFailure("%s", fault)
+	}
+}
--- a/test/localfleet/run.go
+++ b/test/localfleet/run.go
@@ -71,8 +71,11 @@
 	cluster.scrape(ctx)
 	end()
 	workers.Wait()
-	report, err := cluster.report(scenario, operator, callsLog)
-	return report, err
+	if err := ctx.Err(); err != nil {
+		// What was seen until then says nothing of the rest.
+		return nil, ClusterError{"play to the end", err}
+	}
+	return cluster.report(scenario, operator, callsLog)
 }
 
 func (cluster *Cluster) startLoadgen(scenario *Scenario, log, name string, rate, hot float64, spanMS int64) (*process, error) {
@@ -81,7 +84,7 @@
 	if err := cluster.writeNodes(); err != nil {
 		return nil, err
 	}
-	loadgen := &process{name: "loadgen-" + name, program: "loadgen", arguments: arguments}
+	loadgen := &process{name: "loadgen-" + name, program: programLoadgen, arguments: arguments}
 	return loadgen, cluster.start(loadgen)
 }
 
--- a/test/simulator/day.go
+++ b/test/simulator/day.go
@@ -37,7 +37,7 @@
 
 // IsClean tells that nothing was broken.
 func (o Outcome) IsClean() bool {
-	return len(o.Review.Violations) == 0 && len(o.InsideViolations) == 0 && o.Repaired
+	return len(o.Lines()) == 0
 }
 
 // Lines tells of every violation.
@@ -50,6 +50,9 @@
 	if !o.Repaired {
 		lines = append(lines, "after the repair no order was acknowledged")
 	}
+	if o.Review.Outcomes[string(checker.Served)] == 0 {
+		lines = append(lines, "no request was served, so that the rules hold of nothing")
+	}
 	return lines
 }
 
--- a/test/simulator/machine.go
+++ b/test/simulator/machine.go
@@ -3,6 +3,7 @@
 // One simulated machine: a node's owners with a clock, a disk and a supervisor, in virtual time.
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -93,7 +94,11 @@
 	m.store = nil
 	if m.disk != nil {
 		if err := m.openStore(&settings); err != nil {
-			// A start on a full disk fails, as the daemon's would; the supervisor tries again.
+			// A start on a full disk fails, as the daemon's would; the supervisor tries again. Nothing else that
+			// happens to a disk here may keep a process from starting.
+			if !errors.As(err, new(diskFullError)) {
+				w.addInsideViolation("%s can't start: %v", m.name, err)
+			}
 			m.isUp = false
 			w.trace("%s can't start: %v", m.name, err)
 			epoch := m.epoch
@@ -267,6 +272,10 @@
 				delete(m.replies, command.SubmitResponse.ID)
 				take(command.SubmitResponse)
 			}
+		case control.HealthChanged:
+			// It is for the log of a process.
+		default:
+			w.addInsideViolation("%s gives a command that nobody carries out: %T", m.name, command)
 		}
 	}
 	state := m.node.State(nil)
@@ -306,6 +315,9 @@
 			return
 		}
 		err := m.store.Save(save)
+		if err != nil && !errors.As(err, new(diskFullError)) {
+			m.world.addInsideViolation("%s can't write: %v", m.name, err)
+		}
 		m.saving = nil
 		if err == nil && m.powerLossCountdown > 0 {
 			if m.powerLossCountdown--; m.powerLossCountdown == 0 {
--- a/test/simulator/routed.go
+++ b/test/simulator/routed.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -306,7 +307,7 @@
 	if err != nil {
 		panic(fmt.Errorf("start a router: %w", err))
 	}
-	served.server = &http.Server{Handler: served.router, ErrorLog: log.New(io.Discard, "", 0), IdleTimeout: 60 * time.Second}
+	served.server = &http.Server{Handler: served.router, ErrorLog: log.New(panicWatch{f, name}, "", 0), IdleTimeout: 60 * time.Second}
 	f.serving.Go(func() {
 		// It ends with its listener, which is how every router here ends.
 		served.server.Serve(listener)
@@ -326,6 +327,20 @@
 	f.routers = append(f.routers, served)
 }
 
+// panicWatch takes what net/http logs of a router. The package recovers from a panic of a handler and closes the
+// connection, so that callers alone can't tell it from a fault that was injected.
+type panicWatch struct {
+	fleet  *routedFleet
+	router string
+}
+
+func (p panicWatch) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("panic")) {
+		p.fleet.note(checker.RoutedEvent{EventKind: checker.InvariantBroken, Router: p.router, Why: string(line)})
+	}
+	return len(line), nil
+}
+
 // endRouter ends a router's process at once.
 func (f *routedFleet) endRouter(router *routedRouter) {
 	f.lock.Lock()
--- a/test/simulator/routed_test.go
+++ b/test/simulator/routed_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"fmt"
+	"log"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/kernel"
+	"dunlinloom/test/checker"
 )
 
 // runInBubble plays a plan in virtual time.
@@ -32,6 +37,22 @@
 	c.Check(outcome.LateServed*4 > outcome.LateSent*3, qt.IsTrue, qt.Commentf("at the end %d of %d served", outcome.LateServed, outcome.LateSent))
 }
 
+// net/http recovers from a handler's panic and closes the connection, which callers take for any other fault.
+func TestAPanicOfARouterIsAViolation(t *testing.T) {
+	c := qt.New(t)
+	fleet := &routedFleet{clock: fleetClock{time.Now()}}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("planted") }))
+	server.Config.ErrorLog = log.New(panicWatch{fleet, "router-1"}, "", 0)
+	server.Start()
+	_, err := server.Client().Get(server.URL)
+	c.Assert(err, qt.IsNotNil)
+	server.Close()
+	report := checker.CheckRouted(fleet.events, checker.RoutedBounds{})
+	c.Assert(report.Violations, qt.HasLen, 1)
+	c.Assert(report.Violations[0].Rule, qt.Equals, checker.InvariantFailed)
+	c.Assert(report.Violations[0].Detail, qt.Contains, "planted")
+}
+
 const routedSpan = 10 * kernel.Second
 
 func TestRoutedCalm(t *testing.T) {
--- a/test/simulator/virtual.go
+++ b/test/simulator/virtual.go
@@ -125,6 +125,9 @@
 				for ending, count := range outcome.Review.Endings {
 					faulty[ending] += count
 				}
+				if outcome.Review.Served == 0 {
+					line.Violations = append(line.Violations, "no request was served, so that the rules hold of nothing")
+				}
 				if len(line.Violations) > 0 {
 					unclean++
 					isOver = isOver || s.Stop
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -3,12 +3,8 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
-	"io/fs"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
@@ -17,6 +13,7 @@
 	"dunlinloom/internal/kernel"
 	"dunlinloom/platform"
 	"dunlinloom/test/checker"
+	"dunlinloom/test/childprocess"
 )
 
 // Report is what came of a run.
@@ -44,7 +41,11 @@
 	drawn := draw(f.settings.Seed, f.settings.Span)
 	report := &Report{Seed: f.settings.Seed, SpanS: seconds(f.settings.Span), Closing: drawn.closing}
 	for _, s := range drawn.steps {
-		report.Steps = append(report.Steps, s.String())
+		line := s.String()
+		if why, isSkipped := f.skipped[s.index]; isSkipped {
+			line += ": not carried out, " + why
+		}
+		report.Steps = append(report.Steps, line)
 	}
 	report.Review = checker.CheckRouted(f.routed, checker.RoutedBounds{
 		DrainTimeout: drainTimeout, GracePeriod: gracePeriod, Slack: slackSpan, ContactTimeout: contactTimeout, RetryRatio: retryRatio, RetrySlack: retrySlack,
@@ -62,43 +63,36 @@
 			report.Reads++
 		}
 	}
+	report.checkActivity()
 	sort.Strings(report.Problems)
 	report.Violations = len(report.Review.Violations) + len(report.Orders) + len(report.Problems)
 	return report
 }
 
-// Marks in a node's log that must not be there.
-var logMarks = []string{"an invariant is violated", "panic:", "panic serving", "superfluous", "DATA RACE", "fatal error:"}
-
 // readLogs looks for what a node's log must not hold.
 func (f *fleet) readLogs() {
-	logs, err := filepath.Glob(filepath.Join(f.settings.Folder, "*.log"))
+	faults, err := childprocess.ScanLogs(f.settings.Folder)
 	if err != nil {
-		f.problem("find the logs: %v", err)
+		f.problem("%v", err)
 	}
-	for _, path := range logs {
-		if err := f.readLog(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
-			f.problem("read %s: %v", path, err)
-		}
+	for _, fault := range faults {
+		f.problem("%s", fault)
 	}
 }
 
-func (f *fleet) readLog(path string) error {
-	log, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	lines := bufio.NewScanner(log)
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
-		for _, mark := range logMarks {
-			if strings.Contains(lines.Text(), mark) {
-				f.problem("%s: %.400s", filepath.Base(path), lines.Text())
-			}
+// checkActivity records what every run has to show, and without which the rules hold of nothing.
+func (r *Report) checkActivity() {
+	for _, activity := range []struct {
+		name  string
+		count int
+	}{
+		{"request was served", r.Review.Served}, {"run was seen by an engine", r.Review.Runs},
+		{"order was acknowledged", r.Answered}, {"read was answered", r.Reads},
+	} {
+		if activity.count == 0 {
+			r.Problems = append(r.Problems, "no "+activity.name)
 		}
 	}
-	return lines.Err()
 }
 
 // restSpan is how long requests and bodies may be held after the last caller has left.
@@ -134,19 +128,26 @@
 	}
 }
 
+// invariantMetric counts the violations that a node finds itself, with the invariant as its label.
+const invariantMetric = "dunlinloom_invariant_violations_total"
+
 // notAtRest tells what of a node's figures is not as it has to be.
 func (f *fleet) notAtRest(n *node) []string {
 	figures, err := f.figuresOf(n)
 	if err != nil {
 		return []string{fmt.Sprintf("it tells no figures: %v", err)}
 	}
-	wrong := []string{}
+	wrong, isCounted := []string{}, false
 	for name, value := range figures {
-		isViolation := strings.HasPrefix(name, "dunlinloom_invariant_violations_total") && value > 0
-		if isViolation {
+		isInvariant := strings.HasPrefix(name, invariantMetric)
+		isCounted = isCounted || isInvariant
+		if isInvariant && value > 0 {
 			wrong = append(wrong, fmt.Sprintf("%s is %v", name, value))
 		}
 	}
+	if !isCounted {
+		wrong = append(wrong, "it does not tell its "+invariantMetric)
+	}
 	for _, name := range atRest {
 		if value, isThere := figures[name]; !isThere || value != 0 {
 			wrong = append(wrong, fmt.Sprintf("%s is %v and told: %v", name, value, isThere))
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -82,6 +82,7 @@
 	routed         []checker.RoutedEvent
 	orders         []checker.OperationEvent
 	problems       []string
+	skipped        map[int]string      // why a step of the plan was not carried out, by its index
 	services       map[string][]string // by route: those that any configuration ever led it to
 	idleConns      map[string][]*callerConnection
 	ready          map[string]int // by node: how many looks in a row it missed
@@ -100,10 +101,10 @@
 	defer end()
 	f := &fleet{
 		settings: settings, clock: kernel.NewSteadyClock(), context: living,
-		client:   platform.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
-		faults:   localfleet.NewFaultTable(filepath.Join(settings.Folder, "faults.json")),
-		random:   rand.New(rand.NewPCG(settings.Seed, 1)),
-		services: map[string][]string{}, idleConns: map[string][]*callerConnection{}, ready: map[string]int{}, factor: 1,
+		client:  platform.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
+		faults:  localfleet.NewFaultTable(filepath.Join(settings.Folder, "faults.json")),
+		random:  rand.New(rand.NewPCG(settings.Seed, 1)),
+		skipped: map[int]string{}, services: map[string][]string{}, idleConns: map[string][]*callerConnection{}, ready: map[string]int{}, factor: 1,
 	}
 	defer f.close()
 	if err := f.open(); err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -13,6 +13,7 @@
 
 	"dunlinloom/internal/kernel"
 	"dunlinloom/test/checker"
+	"dunlinloom/test/childprocess"
 )
 
 // Whether a span was kept depends on how busy this machine is, and is judged by longer soaks. These rules
@@ -23,7 +24,7 @@
 }
 
 // Problems that are none of a busy machine's making.
-var hardProblems = append([]string{"ended by itself", "invariant_violations", "was refused with", "can't be read"}, logMarks...)
+var hardProblems = append([]string{"ended by itself", "invariant_violations", "was refused with", "can't be read", "does not tell"}, childprocess.LogMarks()...)
 
 func TestAShortSoakOfDeployedNodes(t *testing.T) {
 	c := qt.New(t)
--- a/test/soak/troubles.go
+++ b/test/soak/troubles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -82,7 +83,12 @@
 			if act == nil {
 				act = plannedWork[s.faultName]
 			}
-			if err := act(f, s, rand.New(rand.NewPCG(f.settings.Seed, uint64(1000+s.index)))); err != nil {
+			err := act(f, s, rand.New(rand.NewPCG(f.settings.Seed, uint64(1000+s.index))))
+			var skipped SkippedError
+			switch {
+			case errors.As(err, &skipped):
+				f.skip(s, skipped)
+			case err != nil:
 				f.problem("%s: %v", s, err)
 			}
 		})
@@ -91,6 +97,24 @@
 	steps.Wait()
 }
 
+// SkippedError says why a step found nothing that it could strike. The run goes on, and its report says so.
+type SkippedError struct{ Why string }
+
+func (err SkippedError) Error() string { return err.Why }
+
+var (
+	errNodeBusy   = SkippedError{"another step holds the node"}
+	errDiskNeeded = SkippedError{"a disk was lost just before"}
+	errNoEngine   = SkippedError{"no engine is well that can be spared"}
+)
+
+func (f *fleet) skip(s step, why SkippedError) {
+	f.settings.Logf("%s: not carried out, %s", s, why)
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.skipped[s.index] = why.Why
+}
+
 // recordFault brackets an unplanned trouble for the judge.
 func (f *fleet) recordFault(s step, engine, router string) (over func()) {
 	why := fmt.Sprint(s.faultName, "-", s.index)
@@ -127,11 +151,11 @@
 func (f *fleet) injectFault(s step, random *rand.Rand, chosen faultTarget, act func(n *node) error) error {
 	n := f.pick(random, chosen != anyone)
 	if n == nil {
-		return nil
+		return errNodeBusy
 	}
 	defer n.busy.Unlock()
 	if chosen == losingADisk && !f.canLoseDisk() {
-		return nil
+		return errDiskNeeded
 	}
 	defer f.recordFault(s, "", n.name)()
 	f.loseContact(n)
@@ -220,7 +244,7 @@
 func stopNode(f *fleet, _ step, random *rand.Rand) error {
 	n := f.pick(random, false)
 	if n == nil {
-		return nil
+		return errNodeBusy
 	}
 	defer n.busy.Unlock()
 	f.recordEvent(checker.RoutedEvent{EventKind: checker.RouterStopping, Router: n.name})
@@ -248,7 +272,7 @@
 func reloadSettings(f *fleet, s step, random *rand.Rand) error {
 	n := f.pick(random, false)
 	if n == nil {
-		return nil
+		return errNodeBusy
 	}
 	defer n.busy.Unlock()
 	seeds := f.seedsOf(random)
@@ -401,7 +425,7 @@
 func losePowerAtShutdown(f *fleet, s step, _ *rand.Rand) error {
 	e := f.anEngine()
 	if e == nil {
-		return nil
+		return errNoEngine
 	}
 	if err := f.startEngine(e.service, f.engineAddress()); err != nil {
 		return err
@@ -414,7 +438,7 @@
 	e.setState(platform.StateDraining)
 	if !e.retryUntilAcknowledged(tell) {
 		e.end()
-		return nil
+		return SkippedError{"the engine's end was not acknowledged"}
 	}
 	over := f.recordFault(s, "", "")
 	err := f.endAll(f.members(), kernel.Second, f.powerOff)
@@ -453,7 +477,7 @@
 	return func(f *fleet, s step, _ *rand.Rand) error {
 		e := f.anEngine()
 		if e == nil {
-			return nil
+			return errNoEngine
 		}
 		s.faultName = why
 		defer f.recordFault(s, e.id, "")()
@@ -477,7 +501,7 @@
 func crashEngine(f *fleet, s step, _ *rand.Rand) error {
 	e := f.anEngine()
 	if e == nil {
-		return nil
+		return errNoEngine
 	}
 	defer f.crash(s, e)()
 	pause(f.context, s.span)
@@ -491,7 +515,7 @@
 func reuseAddress(f *fleet, s step, _ *rand.Rand) error {
 	e := f.anEngine()
 	if e == nil {
-		return nil
+		return errNoEngine
 	}
 	defer f.crash(s, e)()
 	pause(f.context, reuseSpan)
@@ -510,7 +534,7 @@
 func drainEngine(f *fleet, s step, _ *rand.Rand) error {
 	e := f.anEngine()
 	if e == nil {
-		return nil
+		return errNoEngine
 	}
 	if err := f.startEngine(e.service, f.engineAddress()); err != nil {
 		return err
