Routed runs keep a record that replays: events and every decision of the routers

Two things ordered a run outside its seed: one random source was drawn from by whichever goroutine came first (moments at which routers learn of a change, engines that a trouble strikes), and Go schedules goroutines whose timers ring in the same instant on all cores. Change: each trouble, and each showing of a revision to a router, has a random source of its own. Chooser can record its decisions (what went in, what was decided); ReplayDecisions makes them again and fails at the first that differs. The oldest attempt at an engine is told by order, so that two of one microsecond no longer depend on the order of a map. The search is split into short functions.

--- a/cmd/simulator/main.go
+++ b/cmd/simulator/main.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"maps"
 	"os"
+	"runtime"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -26,6 +28,9 @@
 	Rate       float64 `arg:"--rate" default:"20" help:"requests a second"`
 	Workers    int     `arg:"--workers" default:"6"`
 	Routed     bool    `arg:"--routed" help:"routers before model engines instead, each seed another deployment with up to three troubles; --span-us is its whole length"`
+	Record     string  `arg:"--record" help:"with --routed: a folder for the record of each seed that is told"`
+	Replay     string  `arg:"--replay" help:"judge the events of this record anew, and make the routers' decisions again"`
+	OneCore    bool    `arg:"--one-core" help:"with --routed: run on one processor, one seed after another, so that a seed mostly gives the same run again"`
 	Faults     string  `arg:"--troubles" help:"with --routed: these troubles, separated by commas, instead of drawn ones"`
 	Mix        string  `arg:"--mix" help:"replay this mix of requests under two settings instead, and write a report with plots"`
 	A          string  `arg:"--a" help:"with --mix: one setting, as NAME=VALUE,NAME=VALUE"`
@@ -56,6 +61,8 @@
 	var arguments arguments
 	parser := arg.MustParse(&arguments)
 	switch {
+	case arguments.Replay != "":
+		os.Exit(replay(arguments.Replay))
 	case arguments.Measure == "rebuild":
 		simulator.MeasureRebuild(os.Stdout, arguments.First, arguments.Count)
 	case arguments.Measure != "":
@@ -94,11 +101,52 @@
 	}
 }
 
+// replay judges a record of a routed run anew, and returns the exit status.
+func replay(path string) int {
+	file, err := os.Open(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "simulator:", err)
+		return exitFailed
+	}
+	// It was opened for reading alone.
+	defer func() { _ = file.Close() }()
+	record, err := simulator.ReadRoutedRecord(file)
+	if err == nil {
+		err = record.Replay()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "simulator:", err)
+		return exitFailed
+	}
+	fmt.Printf("seed %d: %d events, decisions of %d routers made again as they were, %d violations\n",
+		record.Seed, len(record.Events), len(record.Decisions), len(record.Violations))
+	for _, violation := range record.Violations {
+		fmt.Printf("%d us: %s: %s\n", violation.At, violation.Rule, violation.Detail)
+	}
+	if len(record.Violations) > 0 {
+		return exitViolation
+	}
+	return exitOK
+}
+
+// useOneCore has goroutines take turns in an order that depends on little but the run. A collection of garbage would
+// stop them at other points; within its limit of memory there is none.
+func useOneCore() {
+	const memoryLimit = 4 << 30
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(-1)
+	debug.SetMemoryLimit(memoryLimit)
+}
+
 // searchRouted searches seeds of routers before model engines. It ends the process.
 func searchRouted(arguments arguments) {
 	search := simulator.RoutedSearch{
 		First: arguments.First, Count: arguments.Count, Span: kernel.Micros(arguments.SpanUS),
-		Workers: arguments.Workers, Stop: arguments.Stop, Counts: arguments.Counts,
+		Workers: arguments.Workers, Stop: arguments.Stop, Counts: arguments.Counts, RecordFolder: arguments.Record,
+	}
+	if arguments.OneCore {
+		search.Workers = 1
+		useOneCore()
 	}
 	if arguments.Faults != "" {
 		search.Faults = strings.Split(arguments.Faults, ",")
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -11,8 +11,20 @@
 func (c *Chooser) Admit(now kernel.Micros, request Request) (*Call, *Rejection) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	call, rejection := c.admit(now, request)
+	if c.recorder != nil {
+		c.recorder.write(Decision{
+			At: now, Kind: DecisionAdmit, Call: c.counts.Requests, Request: c.recorder.request(&request),
+			Chosen: engineOf(call), Rejection: reasonOf(rejection),
+		})
+	}
+	return call, rejection
+}
+
+// admit is Admit under the lock.
+func (c *Chooser) admit(now kernel.Micros, request Request) (*Call, *Rejection) {
 	c.counts.Requests++
-	call := &Call{Request: request, triedEngines: map[string]bool{}}
+	call := &Call{Request: request, number: c.counts.Requests, triedEngines: map[string]bool{}}
 	if c.isShutdown {
 		return nil, c.reject(&Rejection{"stopping", "this router is stopping; another one serves", http.StatusServiceUnavailable, shortRetryAfter})
 	}
@@ -27,6 +39,15 @@
 func (c *Chooser) Sent(now kernel.Micros, call *Call) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	isAllowed := c.sent(now, call)
+	if c.recorder != nil {
+		c.recorder.write(Decision{At: now, Kind: DecisionSent, Call: call.number, IsAllowed: isAllowed})
+	}
+	return isAllowed
+}
+
+// sent is Sent under the lock.
+func (c *Chooser) sent(now kernel.Micros, call *Call) bool {
 	state := c.engines[call.Attempt.Engine.ID]
 	if state == nil || state.engine.IsDraining || state.engine.Address != call.Attempt.Engine.Address {
 		return false
@@ -45,12 +66,22 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	call.sentAttempts--
+	if c.recorder != nil {
+		c.recorder.write(Decision{Kind: DecisionUnsent, Call: call.number})
+	}
 }
 
 // Answered records that the engine's answer has begun, with its report on its load, if any.
 func (c *Chooser) Answered(now kernel.Micros, call *Call, load Load, hasLoad bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	if c.recorder != nil {
+		recorded := Decision{At: now, Kind: DecisionAnswered, Call: call.number}
+		if hasLoad {
+			recorded.Load = &load
+		}
+		c.recorder.write(recorded)
+	}
 	attempt := call.Attempt
 	state := c.engines[attempt.Engine.ID]
 	if state == nil {
@@ -70,6 +101,9 @@
 func (c *Chooser) Produced(now kernel.Micros, call *Call, tokens int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	if c.recorder != nil {
+		c.recorder.write(Decision{At: now, Kind: DecisionProduced, Call: call.number, Tokens: tokens})
+	}
 	attempt := call.Attempt
 	state := c.engines[attempt.Engine.ID]
 	if state == nil || attempt.isClosed {
@@ -88,6 +122,9 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	call.isBoundToEngine = true
+	if c.recorder != nil {
+		c.recorder.write(Decision{Kind: DecisionBind, Call: call.number})
+	}
 }
 
 // MayAbandon asks whether an attempt at an unresponsive engine may be given up for one at another:
@@ -95,6 +132,15 @@
 func (c *Chooser) MayAbandon(now kernel.Micros, call *Call) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	isAllowed := c.mayAbandon(now, call)
+	if c.recorder != nil {
+		c.recorder.write(Decision{At: now, Kind: DecisionAbandon, Call: call.number, IsAllowed: isAllowed})
+	}
+	return isAllowed
+}
+
+// mayAbandon is MayAbandon under the lock.
+func (c *Chooser) mayAbandon(now kernel.Micros, call *Call) bool {
 	if call.isRetryCharged {
 		return true
 	}
@@ -115,6 +161,13 @@
 	if rejection != nil {
 		c.checkRejection(call, rejection)
 	}
+	if c.recorder != nil {
+		recorded := Decision{At: now, Kind: DecisionClose, Call: call.number, Outcome: outcome, Reason: reason, IsAllowed: isRetry, Rejection: reasonOf(rejection)}
+		if isRetry {
+			recorded.Chosen = engineOf(call)
+		}
+		c.recorder.write(recorded)
+	}
 	return isRetry, rejection
 }
 
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -9,6 +9,7 @@
 	Engine          Engine
 	Number          int
 	Reason          string
+	order           uint64 // of all attempts of its Chooser
 	startedAt       kernel.Micros
 	remainingTokens int64 // outstanding tokens still counted
 	promptTokens    int64
@@ -17,11 +18,15 @@
 	isClosed        bool
 }
 
+// isBefore reports whether an attempt began before another one.
+func (a *Attempt) isBefore(other *Attempt) bool { return a.order < other.order }
+
 // Call is the state of one request. But for MayAbandon, its owner's goroutine alone hands it to the Chooser.
 type Call struct {
 	Request      Request
 	Attempt      *Attempt
-	sentAttempts int // attempts of which bytes may have reached an engine
+	number       uint64 // by the order of admissions at its Chooser
+	sentAttempts int    // attempts of which bytes may have reached an engine
 	// isBoundToEngine: a part of an answer went out which only the same engine can complete.
 	isBoundToEngine bool
 	triedEngines    map[string]bool
--- a/internal/router/chooser.go
+++ b/internal/router/chooser.go
@@ -26,6 +26,7 @@
 	isShutdown   bool
 	invariants   *invariant.Monitor
 	counts       Counts
+	recorder     *decisionRecorder // nil: decisions are not recorded
 }
 
 // NewChooser makes a chooser that rejects every request until it is shown a routing table. The router's own
@@ -43,6 +44,9 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.isShutdown = true
+	if c.recorder != nil {
+		c.recorder.write(Decision{Kind: DecisionShutdown})
+	}
 }
 
 // Counts are the chooser's running figures.
--- /dev/null
+++ b/internal/router/decision_log.go
@@ -0,0 +1,287 @@
+package router
+
+import (
+	"fmt"
+
+	"dunlinloom/internal/fleetconfig"
+	"dunlinloom/internal/kernel"
+)
+
+// DecisionKind names the method of a Chooser that made a decision.
+type DecisionKind string
+
+// The kinds of decisions: all methods that change a Chooser's state.
+const (
+	DecisionTable      DecisionKind = "table"       // SetRoutingTable
+	DecisionService    DecisionKind = "service"     // the choice of a service of a split
+	DecisionAdmit      DecisionKind = "admit"       // Admit
+	DecisionSent       DecisionKind = "sent"        // Sent
+	DecisionUnsent     DecisionKind = "unsent"      // Unsent
+	DecisionAnswered   DecisionKind = "answered"    // Answered
+	DecisionProduced   DecisionKind = "produced"    // Produced
+	DecisionBind       DecisionKind = "bind"        // Bind
+	DecisionAbandon    DecisionKind = "may_abandon" // MayAbandon
+	DecisionClose      DecisionKind = "close"       // Close
+	DecisionReportLoad DecisionKind = "load"        // ReportLoad
+	DecisionShutdown   DecisionKind = "shutdown"    // Shutdown
+)
+
+// RouteRef names a route: a configuration, by the order in which the Chooser saw it, and the route's index there.
+type RouteRef struct {
+	Config int `json:"config"`
+	Index  int `json:"index"`
+}
+
+// RecordedRequest is a request as far as a Chooser's decisions depend on it.
+type RecordedRequest struct {
+	ID           string        `json:"id"`
+	PromptTokens int           `json:"prompt"`
+	MaxTokens    int           `json:"out"`
+	Segments     []Segment     `json:"segments,omitempty"`
+	ArrivedAt    kernel.Micros `json:"arrived_us"`
+	Deadline     kernel.Micros `json:"until_us"`
+	Route        RouteRef      `json:"route"`
+	Service      string        `json:"service"`
+	Priority     int           `json:"prio"`
+}
+
+// RecordedTable is a routing table. Routes are given where the Chooser sees their configuration for the first time.
+type RecordedTable struct {
+	Config   int                   `json:"config"` // -1: there is none yet
+	Routes   []fleetconfig.Route   `json:"routes,omitempty"`
+	Services []fleetconfig.Service `json:"services,omitempty"`
+	Engines  []Engine              `json:"engines,omitempty"`
+	Routers  int                   `json:"routers"`
+}
+
+// Decision is one call of a Chooser's method: what went in, and what was decided. The decisions of a Chooser in
+// their order determine each other, so ReplayDecisions can make them again.
+type Decision struct {
+	At   kernel.Micros `json:"at_us"`
+	Kind DecisionKind  `json:"kind"`
+	Call uint64        `json:"call,omitempty"` // number of the request, by the order of admissions
+	// What went in, as the kind needs it.
+	Request *RecordedRequest `json:"request,omitempty"`
+	Table   *RecordedTable   `json:"table,omitempty"`
+	Route   *RouteRef        `json:"route,omitempty"`
+	Hash    uint64           `json:"hash,omitempty"`
+	Outcome Outcome          `json:"outcome,omitempty"`
+	Reason  string           `json:"reason,omitempty"`
+	Load    *Load            `json:"load,omitempty"`
+	Tokens  int              `json:"tokens,omitempty"`
+	Engine  string           `json:"engine,omitempty"`
+	// What was decided.
+	Chosen    string `json:"chosen,omitempty"`   // an engine, or a service
+	IsAllowed bool   `json:"allowed,omitempty"`  // Sent, MayAbandon; of Close: that another attempt follows
+	Rejection string `json:"rejected,omitempty"` // the reason of the rejection
+}
+
+// decisionRecorder passes each decision of a Chooser on. The Chooser's lock guards it.
+type decisionRecorder struct {
+	write   func(Decision)
+	configs map[*fleetconfig.Config]int
+	routes  map[*fleetconfig.Route]RouteRef
+}
+
+// RecordDecisions has every further decision passed to write, one at a time, with the lock held. It is called before
+// the Chooser is used.
+func (c *Chooser) RecordDecisions(write func(Decision)) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.recorder = &decisionRecorder{write: write, configs: map[*fleetconfig.Config]int{}, routes: map[*fleetconfig.Route]RouteRef{}}
+}
+
+// table makes the record of a routing table, and numbers its configuration.
+func (r *decisionRecorder) table(routingTable *RoutingTable) *RecordedTable {
+	config := routingTable.Config
+	recorded := &RecordedTable{Config: -1, Engines: routingTable.Engines, Routers: routingTable.Routers}
+	if config == nil {
+		return recorded
+	}
+	number, isKnown := r.configs[config]
+	if !isKnown {
+		number = len(r.configs)
+		r.configs[config] = number
+		recorded.Routes = config.Routes
+		for _, service := range config.Services {
+			recorded.Services = append(recorded.Services, service)
+		}
+		for index := range config.Routes {
+			r.routes[&config.Routes[index]] = RouteRef{number, index}
+		}
+	}
+	recorded.Config = number
+	return recorded
+}
+
+// request makes the record of a request.
+func (r *decisionRecorder) request(request *Request) *RecordedRequest {
+	return &RecordedRequest{
+		ID: request.ID, PromptTokens: request.PromptTokens, MaxTokens: request.MaxTokens, Segments: request.Segments,
+		ArrivedAt: request.ArrivedAt, Deadline: request.Deadline, Route: r.routes[request.Route], Service: request.Service, Priority: request.Priority,
+	}
+}
+
+// reasonOf gives the reason of a rejection; empty: there is none.
+func reasonOf(rejection *Rejection) string {
+	if rejection == nil {
+		return ""
+	}
+	return rejection.Reason
+}
+
+// engineOf gives the engine of a call's attempt; empty: there is no call.
+func engineOf(call *Call) string {
+	if call == nil || call.Attempt == nil {
+		return ""
+	}
+	return call.Attempt.Engine.ID
+}
+
+// UnknownCallError says that a decision is about a request or route that no decision before it introduced.
+type UnknownCallError struct{ Index int }
+
+func (err UnknownCallError) Error() string {
+	return fmt.Sprintf("decision %d is about what none before it introduced", err.Index)
+}
+
+// DivergedError says that a decision that was made again differs from the recorded one.
+type DivergedError struct {
+	Index              int
+	Recorded, Replayed Decision
+}
+
+func (err DivergedError) Error() string {
+	return fmt.Sprintf("decision %d was %+v, and is %+v when it is made again", err.Index, err.Recorded, err.Replayed)
+}
+
+// replay makes the decisions of a Chooser again.
+type replay struct {
+	chooser *Chooser
+	configs map[int]*fleetconfig.Config
+	calls   map[uint64]*Call
+	made    []Decision // by the method under way
+}
+
+// ReplayDecisions makes all recorded decisions of a Chooser with a retry budget again, in their order. It fails with a
+// DivergedError at the first one that comes out otherwise, and with an UnknownCallError if one is missing.
+func ReplayDecisions(decisions []Decision, retry RetryBudget) error {
+	r := &replay{chooser: NewChooser("", "", retry), configs: map[int]*fleetconfig.Config{}, calls: map[uint64]*Call{}}
+	r.chooser.RecordDecisions(func(decision Decision) { r.made = append(r.made, decision) })
+	for index, recorded := range decisions {
+		r.made = r.made[:0]
+		if !r.step(recorded) || len(r.made) != 1 {
+			return UnknownCallError{index}
+		}
+		if replayed := r.made[0]; !isSameDecision(recorded, replayed) {
+			return DivergedError{index, recorded, replayed}
+		}
+	}
+	return nil
+}
+
+// isSameDecision compares what was decided; what went in is the same.
+func isSameDecision(one, other Decision) bool {
+	return one.Kind == other.Kind && one.Call == other.Call && one.Chosen == other.Chosen &&
+		one.IsAllowed == other.IsAllowed && one.Rejection == other.Rejection
+}
+
+// step calls the method that made a decision. It reports false if the decision refers to something unknown.
+func (r *replay) step(d Decision) bool {
+	switch d.Kind {
+	case DecisionTable:
+		return r.setTable(d.Table)
+	case DecisionService:
+		route := r.route(d.Route)
+		if route == nil {
+			return false
+		}
+		r.chooser.pickService(d.At, route, d.Hash)
+	case DecisionAdmit:
+		return r.admit(d)
+	case DecisionReportLoad:
+		if d.Load == nil {
+			return false
+		}
+		r.chooser.ReportLoad(d.At, d.Engine, *d.Load)
+	case DecisionShutdown:
+		r.chooser.Shutdown()
+	default:
+		call := r.calls[d.Call]
+		return call != nil && r.stepOfCall(d, call)
+	}
+	return true
+}
+
+func (r *replay) stepOfCall(d Decision, call *Call) bool {
+	switch d.Kind {
+	case DecisionSent:
+		r.chooser.Sent(d.At, call)
+	case DecisionUnsent:
+		r.chooser.Unsent(call)
+	case DecisionAnswered:
+		load := Load{}
+		if d.Load != nil {
+			load = *d.Load
+		}
+		r.chooser.Answered(d.At, call, load, d.Load != nil)
+	case DecisionProduced:
+		r.chooser.Produced(d.At, call, d.Tokens)
+	case DecisionBind:
+		r.chooser.Bind(call)
+	case DecisionAbandon:
+		r.chooser.MayAbandon(d.At, call)
+	case DecisionClose:
+		r.chooser.Close(d.At, call, d.Outcome, d.Reason)
+	default:
+		return false
+	}
+	return true
+}
+
+// setTable puts a recorded routing table in force.
+func (r *replay) setTable(recorded *RecordedTable) bool {
+	if recorded == nil {
+		return false
+	}
+	if recorded.Routes != nil {
+		r.configs[recorded.Config] = fleetconfig.NewRouteConfig(recorded.Routes, recorded.Services)
+	}
+	config := r.configs[recorded.Config]
+	if config == nil && recorded.Config >= 0 {
+		return false
+	}
+	r.chooser.SetRoutingTable(&RoutingTable{Config: config, Engines: recorded.Engines, Routers: recorded.Routers})
+	return true
+}
+
+// admit admits a recorded request.
+func (r *replay) admit(d Decision) bool {
+	if d.Request == nil {
+		return false
+	}
+	route := r.route(&d.Request.Route)
+	if route == nil {
+		return false
+	}
+	request := Request{
+		ID: d.Request.ID, PromptTokens: d.Request.PromptTokens, MaxTokens: d.Request.MaxTokens, Segments: d.Request.Segments,
+		ArrivedAt: d.Request.ArrivedAt, Deadline: d.Request.Deadline, Route: route, Service: d.Request.Service, Priority: d.Request.Priority,
+	}
+	if call, rejection := r.chooser.Admit(d.At, request); rejection == nil {
+		r.calls[d.Call] = call
+	}
+	return true
+}
+
+// route finds a recorded route; nil: it was not recorded.
+func (r *replay) route(ref *RouteRef) *fleetconfig.Route {
+	if ref == nil {
+		return nil
+	}
+	config := r.configs[ref.Config]
+	if config == nil || ref.Index < 0 || ref.Index >= len(config.Routes) {
+		return nil
+	}
+	return &config.Routes[ref.Index]
+}
--- a/internal/router/load.go
+++ b/internal/router/load.go
@@ -20,7 +20,7 @@
 func (s *engineState) current() int64 {
 	var oldest *Attempt
 	for attempt := range s.attempts {
-		if !attempt.hasHead && (oldest == nil || attempt.startedAt < oldest.startedAt) {
+		if !attempt.hasHead && (oldest == nil || attempt.isBefore(oldest)) {
 			oldest = attempt
 		}
 	}
@@ -72,6 +72,9 @@
 func (c *Chooser) ReportLoad(now kernel.Micros, id string, load Load) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	if c.recorder != nil {
+		c.recorder.write(Decision{At: now, Kind: DecisionReportLoad, Engine: id, Load: &load})
+	}
 	if state := c.engines[id]; state != nil {
 		state.lastSeenAt = now
 		state.learnLoad(now, load)
--- a/internal/router/routing_table.go
+++ b/internal/router/routing_table.go
@@ -26,6 +26,9 @@
 func (c *Chooser) SetRoutingTable(routingTable *RoutingTable) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	if c.recorder != nil {
+		c.recorder.write(Decision{Kind: DecisionTable, Table: c.recorder.table(routingTable)})
+	}
 	if c.routingTable.Config != routingTable.Config {
 		clear(c.splits)
 	}
--- a/internal/router/selection.go
+++ b/internal/router/selection.go
@@ -59,7 +59,7 @@
 func (c *Chooser) startAttempt(now kernel.Micros, call *Call, state *engineState, reason string) {
 	request := &call.Request
 	attempt := &Attempt{
-		Engine: state.engine, Number: len(call.triedEngines) + 1, Reason: reason, startedAt: now,
+		Engine: state.engine, Number: len(call.triedEngines) + 1, Reason: reason, startedAt: now, order: c.counts.Attempts,
 		remainingTokens: int64(request.PromptTokens + request.MaxTokens),
 		promptTokens:    int64(request.PromptTokens),
 		queuedTokens:    c.unread(now, state) + float64(request.PromptTokens),
--- a/internal/router/split.go
+++ b/internal/router/split.go
@@ -45,6 +45,10 @@
 	}
 	shares.byService[picked]++
 	shares.total++
+	if c.recorder != nil {
+		ref := c.recorder.routes[route]
+		c.recorder.write(Decision{At: now, Kind: DecisionService, Route: &ref, Hash: hash, Chosen: picked})
+	}
 	return picked
 }
 
--- a/test/simulator/routed.go
+++ b/test/simulator/routed.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"dunlinloom/internal/fleetconfig"
@@ -35,6 +36,8 @@
 	Load func(part float64) float64
 	// IsYielding has routers give up the processor at random wherever they hand over.
 	IsYielding bool
+	// IsRecorded keeps every decision of the routers, for RoutedOutcome.Record.
+	IsRecorded bool
 }
 
 // RoutedOutcome is what came of it.
@@ -48,6 +51,8 @@
 	Opened   uint64
 	Rejected map[string]uint64
 	Diverts  uint64
+	// Record is what is needed to judge the run anew; without decisions unless the plan has them recorded.
+	Record *RoutedRecord
 }
 
 // fleetClock counts from the start of the run.
@@ -84,8 +89,8 @@
 	network      *emulator.Network
 	context      context.Context
 	lock         sync.Mutex // guards all that follows
-	random       *rand.Rand
 	events       []checker.RoutedEvent
+	decisions    map[string][]router.Decision // by router
 	config       *fleetconfig.Config
 	revision     int
 	engines      []*routedEngine
@@ -117,10 +122,15 @@
 	f.events = append(f.events, event)
 }
 
-func (f *routedFleet) between(low, high kernel.Micros) kernel.Micros {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	return low + kernel.Micros(f.random.Int64N(int64(high-low+1)))
+// randomOf gives a random source of its own for each purpose and number, so that no draw depends on which goroutine
+// comes first.
+func (f *routedFleet) randomOf(purpose string, number uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(f.plan.Seed, xxhash.Sum64String(fmt.Sprint(purpose, "/", number))))
+}
+
+// between draws a span.
+func between(random *rand.Rand, low, high kernel.Micros) kernel.Micros {
+	return low + kernel.Micros(random.Int64N(int64(high-low+1)))
 }
 
 // after does something later, unless the run is over.
@@ -142,7 +152,7 @@
 	defer cancel()
 	f := &routedFleet{
 		plan: plan, deployment: plan.Deployment, clock: fleetClock{time.Now()}, network: emulator.NewNetwork(plan.Deployment.Delay.Duration()),
-		context: ctx, random: rand.New(rand.NewPCG(plan.Seed, 5)), factor: 1, services: map[string][]string{},
+		context: ctx, decisions: map[string][]router.Decision{}, factor: 1, services: map[string][]string{},
 		idleConns: map[string][]*callerConn{}, figures: map[string]emulator.ModelStats{},
 	}
 	f.monitor = invariant.NewMonitor(func(violation invariant.ViolationError) {
@@ -169,11 +179,13 @@
 	for i := range f.deployment.Kinds {
 		f.calls.Go(func() { f.keepCalling(i, end) })
 	}
-	for _, name := range plan.Faults {
+	for index, name := range plan.Faults {
 		fault := routedFaults[name]
+		random := f.randomOf("fault", uint64(index))
 		// In the first half, so that all is well for a while at the end.
-		at := f.between(plan.Span/8, plan.Span*3/8)
-		f.after(at, func() { fault(f, f.between(sec, plan.Span/4)) })
+		at := between(random, plan.Span/8, plan.Span*3/8)
+		span := between(random, sec, plan.Span/4)
+		f.after(at, func() { fault(&struckFleet{f, random}, span) })
 	}
 	f.calls.Wait()
 	cancel()
@@ -207,6 +219,10 @@
 		}
 	}
 	outcome.Review = checker.CheckRouted(f.events, f.deployment.Bounds)
+	outcome.Record = &RoutedRecord{
+		Seed: f.plan.Seed, Bounds: f.deployment.Bounds, Budget: f.retryBudget(), Events: f.events, Decisions: f.decisions,
+		Violations: outcome.Review.Violations,
+	}
 	sent := map[string]kernel.Micros{}
 	for _, event := range f.events {
 		switch event.EventKind {
@@ -287,11 +303,26 @@
 	f.figures[engine.record.ID] = engine.model.Stats()
 }
 
+// retryBudget is what each router gets as its part of.
+func (f *routedFleet) retryBudget() router.RetryBudget {
+	bounds := f.deployment.Bounds
+	return router.RetryBudget{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack}
+}
+
+// recordDecision is called by a chooser with its lock held, and takes the fleet's.
+func (f *routedFleet) recordDecision(name string, decision router.Decision) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.decisions[name] = append(f.decisions[name], decision)
+}
+
 func (f *routedFleet) startRouter(number int) {
 	name := fmt.Sprintf("router-%d", number)
 	zone := f.deployment.Zones[number%len(f.deployment.Zones)]
-	bounds := f.deployment.Bounds
-	chooser := router.NewChooser(name, zone, router.RetryBudget{Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack})
+	chooser := router.NewChooser(name, zone, f.retryBudget())
+	if f.plan.IsRecorded {
+		chooser.RecordDecisions(func(decision router.Decision) { f.recordDecision(name, decision) })
+	}
 	var clock kernel.Clock = f.clock
 	dial := router.Dialer(f.network.Dial)
 	if f.plan.IsYielding {
@@ -376,6 +407,9 @@
 
 // reveal shows the present to every router, each within so long.
 func (f *routedFleet) reveal(within kernel.Micros) {
+	f.lock.Lock()
+	revision := f.revision
+	f.lock.Unlock()
 	for _, router := range f.routers {
 		show := func() {
 			routingTable, revision := f.routingTable()
@@ -389,7 +423,7 @@
 			show()
 			continue
 		}
-		f.after(f.between(0, within), show)
+		f.after(between(f.randomOf(router.name, uint64(revision)), 0, within), show)
 	}
 }
 
--- a/test/simulator/routed_troubles.go
+++ b/test/simulator/routed_troubles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 
 	"dunlinloom/internal/fleetconfig"
@@ -14,8 +15,17 @@
 // RoutedFaults names what can be caused.
 func RoutedFaults() []string { return slices.Sorted(maps.Keys(routedFaults)) }
 
+// struckFleet is a fleet as one trouble strikes it, with the trouble's own draws.
+type struckFleet struct {
+	*routedFleet
+	random *rand.Rand
+}
+
+// routedFault causes a trouble that lasts for a span.
+type routedFault func(f *struckFleet, span kernel.Micros)
+
 // anEngine draws one that is up and well.
-func (f *routedFleet) anEngine() *routedEngine {
+func (f *struckFleet) anEngine() *routedEngine {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	well := []*routedEngine{}
@@ -37,8 +47,8 @@
 }
 
 // makeFaulty makes something wrong with an engine for a while.
-func makeFaulty(why string, wrong func(*emulator.ModelFaults)) func(*routedFleet, kernel.Micros) {
-	return func(f *routedFleet, span kernel.Micros) {
+func makeFaulty(why string, wrong func(*emulator.ModelFaults)) routedFault {
+	return func(f *struckFleet, span kernel.Micros) {
 		engine := f.anEngine()
 		if engine == nil {
 			return
@@ -92,7 +102,7 @@
 }
 
 // leave has an engine leave in order, and another one come.
-func leave(f *routedFleet, span kernel.Micros) {
+func leave(f *struckFleet, span kernel.Micros) {
 	engine := f.anEngine()
 	if engine == nil {
 		return
@@ -112,7 +122,7 @@
 }
 
 // stopRouter is a planned stop, in the order in which wings does it.
-func stopRouter(f *routedFleet, _ kernel.Micros) {
+func stopRouter(f *struckFleet, _ kernel.Micros) {
 	f.lock.Lock()
 	up := slices.DeleteFunc(slices.Clone(f.routers), func(r *routedRouter) bool { return r.isDown || r.isLeaving })
 	if len(up) < 2 {
@@ -136,7 +146,7 @@
 	})
 }
 
-var routedFaults = map[string]func(*routedFleet, kernel.Micros){
+var routedFaults = map[string]routedFault{
 	"dark":  makeFaulty("dark", func(t *emulator.ModelFaults) { t.IsUnresponsive = true }),
 	"slow":  makeFaulty("slow", func(t *emulator.ModelFaults) { t.SlowFactor = 6 }),
 	"grey":  makeFaulty("grey", func(t *emulator.ModelFaults) { t.ErrorShare = 0.5 }),
@@ -154,13 +164,13 @@
 	"full":      makeFaulty("full", func(t *emulator.ModelFaults) { t.OverloadShare = 0.6 }),
 	"deaf":      makeFaulty("deaf", func(t *emulator.ModelFaults) { t.IgnoresResume = true }),
 	"idle-drop": makeFaulty("idle-drop", func(t *emulator.ModelFaults) { t.IdleDropTimeout = 300 * ms }),
-	"crash": func(f *routedFleet, span kernel.Micros) {
+	"crash": func(f *struckFleet, span kernel.Micros) {
 		if engine := f.anEngine(); engine != nil {
 			f.crash(engine, span, engine.record.Service)
 		}
 	},
 	// Another service's engine takes the address before the routers know.
-	"reuse": func(f *routedFleet, span kernel.Micros) {
+	"reuse": func(f *struckFleet, span kernel.Micros) {
 		if engine := f.anEngine(); engine != nil {
 			other := f.deployment.Services[0].Name
 			if other == engine.record.Service {
@@ -180,7 +190,7 @@
 			})
 		}
 	},
-	"flap": func(f *routedFleet, span kernel.Micros) {
+	"flap": func(f *struckFleet, span kernel.Micros) {
 		for i := range kernel.Micros(3) {
 			f.after(i*span/2, func() {
 				if engine := f.anEngine(); engine != nil {
@@ -189,7 +199,7 @@
 			})
 		}
 	},
-	"all-crash": func(f *routedFleet, span kernel.Micros) {
+	"all-crash": func(f *struckFleet, span kernel.Micros) {
 		f.lock.Lock()
 		up := slices.DeleteFunc(slices.Clone(f.engines), func(e *routedEngine) bool { return e.hasEnded || e.isFaulty })
 		f.lock.Unlock()
@@ -197,7 +207,7 @@
 			f.crash(engine, span, engine.record.Service)
 		}
 	},
-	"unreachable": func(f *routedFleet, span kernel.Micros) {
+	"unreachable": func(f *struckFleet, span kernel.Micros) {
 		engine := f.anEngine()
 		if engine == nil {
 			return
@@ -215,7 +225,7 @@
 	},
 	"leave": leave,
 	"stop":  stopRouter,
-	"router-crash": func(f *routedFleet, span kernel.Micros) {
+	"router-crash": func(f *struckFleet, span kernel.Micros) {
 		f.lock.Lock()
 		up := slices.DeleteFunc(slices.Clone(f.routers), func(r *routedRouter) bool { return r.isDown || r.isLeaving })
 		if len(up) < 2 {
@@ -228,7 +238,7 @@
 		f.endRouter(router)
 		f.change(func() {})
 	},
-	"burst": func(f *routedFleet, span kernel.Micros) {
+	"burst": func(f *struckFleet, span kernel.Micros) {
 		f.lock.Lock()
 		f.factor *= 4
 		f.lock.Unlock()
@@ -241,7 +251,7 @@
 		})
 	},
 	// A configuration moves a route to another service and back.
-	"spec": func(f *routedFleet, span kernel.Micros) {
+	"spec": func(f *struckFleet, span kernel.Micros) {
 		move := func(service string) {
 			f.lock.Lock()
 			routes := slices.Clone(f.config.Routes)
--- a/test/simulator/virtual.go
+++ b/test/simulator/virtual.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -61,6 +63,8 @@
 	Workers int
 	Stop    bool // at the first violation
 	Counts  bool
+	// RecordFolder is where the records of told seeds go; empty: nowhere.
+	RecordFolder string
 }
 
 // unknownFaultError names a word that is none.
@@ -89,76 +93,125 @@
 	Extras     int      `json:"extras"`
 	LateServed int      `json:"late_served"`
 	LateSent   int      `json:"late"`
+	Events     string   `json:"events"` // digest of everything that was seen: runs with one digest are the same
 	Violations []string `json:"breaches,omitempty"`
 }
 
-// Run plays the seeds and tells how many broke a rule.
+// Run plays the seeds, writes a line for each that broke a rule, or for each of a few, and tells how many broke one.
 func (s RoutedSearch) Run(virtual VirtualTime, to io.Writer) (unclean int, err error) {
 	for _, name := range s.Faults {
 		if routedFaults[name] == nil {
 			return 0, unknownFaultError{name}
 		}
 	}
-	var lock sync.Mutex
-	attempts, served, faulty, isOver := 0, 0, map[string]int{}, false
+	tally := &routedTally{search: s, to: to, endings: map[string]int{}}
 	seeds := make(chan uint64)
 	var workers sync.WaitGroup
-	var failed error
 	for range max(s.Workers, 1) {
 		workers.Go(func() {
 			for seed := range seeds {
-				plan := RoutedPlan{Seed: seed, Deployment: DrawDeployment(seed), Span: s.Span, Faults: s.Faults}
-				if len(plan.Faults) == 0 {
-					plan.Faults = drawFaults(seed)
-				}
 				var outcome RoutedOutcome
+				plan := s.plan(seed)
 				err := virtual.Run(fmt.Sprint("seed ", seed), func() { outcome = RunRouted(plan) })
-				lock.Lock()
-				if err != nil {
-					failed, isOver = err, true
-				}
-				line := routedLine{seed, plan.Faults, outcome.Review.Attempts, outcome.Review.Served, outcome.Review.ExtraArrivals, outcome.LateServed, outcome.LateSent, nil}
-				for _, violation := range outcome.Review.Violations {
-					line.Violations = append(line.Violations, fmt.Sprintf("%d us: %s: %s", violation.At, violation.Rule, violation.Detail))
-				}
-				attempts, served = attempts+line.Attempts, served+line.Served
-				for ending, count := range outcome.Review.Endings {
-					faulty[ending] += count
-				}
-				if outcome.Review.Served == 0 {
-					line.Violations = append(line.Violations, "no request was served, so that the rules hold of nothing")
-				}
-				if len(line.Violations) > 0 {
-					unclean++
-					isOver = isOver || s.Stop
-				}
-				if len(line.Violations) > 0 || s.Count <= 5 {
-					content, err := json.Marshal(line)
-					if err != nil {
-						failed = err
-					}
-					fmt.Fprintln(to, string(content))
-				}
-				lock.Unlock()
+				tally.add(plan, outcome, err)
 			}
 		})
 	}
 	for i := range s.Count {
-		lock.Lock()
-		isDone := isOver
-		lock.Unlock()
-		if isDone {
+		if tally.hasEnded() {
 			break
 		}
 		seeds <- s.First + uint64(i)
 	}
 	close(seeds)
 	workers.Wait()
-	fmt.Fprintf(to, "%d seeds from %d: %d with a breach; %d of %d tries served\n", s.Count, s.First, unclean, served, attempts)
-	if s.Counts {
-		for _, ending := range slices.Sorted(maps.Keys(faulty)) {
-			fmt.Fprintf(to, "%9d  %s\n", faulty[ending], ending)
-		}
+	tally.print()
+	return tally.unclean, tally.err
+}
+
+// plan is the run that belongs to a seed.
+func (s RoutedSearch) plan(seed uint64) RoutedPlan {
+	plan := RoutedPlan{Seed: seed, Deployment: DrawDeployment(seed), Span: s.Span, Faults: s.Faults, IsRecorded: s.RecordFolder != ""}
+	if len(plan.Faults) == 0 {
+		plan.Faults = drawFaults(seed)
+	}
+	return plan
+}
+
+// fewSeeds is up to how many seeds each one's result is told.
+const fewSeeds = 5
+
+// routedTally adds up the outcomes of a search. Its workers share it.
+type routedTally struct {
+	search RoutedSearch
+	to     io.Writer
+
+	lock                      sync.Mutex // guards all that follows
+	attempts, served, unclean int
+	endings                   map[string]int
+	isOver                    bool
+	err                       error
+}
+
+func (t *routedTally) hasEnded() bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.isOver
+}
+
+// add adds the outcome of a seed; failed is the error of a run that did not come to its end.
+func (t *routedTally) add(plan RoutedPlan, outcome RoutedOutcome, failed error) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if failed != nil {
+		t.err, t.isOver = failed, true
+		return
+	}
+	review := outcome.Review
+	line := routedLine{
+		Seed: plan.Seed, Faults: plan.Faults, Attempts: review.Attempts, Served: review.Served, Extras: review.ExtraArrivals,
+		LateServed: outcome.LateServed, LateSent: outcome.LateSent, Events: outcome.Record.digest(),
+	}
+	for _, violation := range review.Violations {
+		line.Violations = append(line.Violations, fmt.Sprintf("%d us: %s: %s", violation.At, violation.Rule, violation.Detail))
+	}
+	if review.Served == 0 {
+		line.Violations = append(line.Violations, "no request was served, so that the rules hold of nothing")
+	}
+	t.attempts, t.served = t.attempts+review.Attempts, t.served+review.Served
+	for ending, count := range review.Endings {
+		t.endings[ending] += count
+	}
+	if len(line.Violations) > 0 {
+		t.unclean++
+		t.isOver = t.isOver || t.search.Stop
+	}
+	if len(line.Violations) > 0 || t.search.Count <= fewSeeds {
+		t.err = errors.Join(t.err, t.tell(line, outcome.Record))
+	}
+}
+
+// tell writes the line of a seed, and its record where records are kept.
+func (t *routedTally) tell(line routedLine, record *RoutedRecord) error {
+	content, err := json.Marshal(line)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(t.to, string(content))
+	if t.search.RecordFolder == "" {
+		return nil
+	}
+	return record.writeFile(filepath.Join(t.search.RecordFolder, fmt.Sprintf("routed-%d.jsonl", line.Seed)))
+}
+
+func (t *routedTally) print() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	fmt.Fprintf(t.to, "%d seeds from %d: %d with a breach; %d of %d tries served\n", t.search.Count, t.search.First, t.unclean, t.served, t.attempts)
+	if !t.search.Counts {
+		return
+	}
+	for _, ending := range slices.Sorted(maps.Keys(t.endings)) {
+		fmt.Fprintf(t.to, "%9d  %s\n", t.endings[ending], ending)
 	}
-	return unclean, failed
 }
