--- a/internal/history/open.go
+++ b/internal/history/open.go
@@ -108,13 +108,14 @@
 
 // removeLeftovers removes incomplete files that a crash left; no reference leads to them.
 func (archive *Archive) removeLeftovers() {
-	leftovers, err := filepath.Glob(filepath.Join(archive.path, "objects", "pack", "tmp_*"))
+	folder := filepath.Join(archive.path, "objects", "pack")
+	leftovers, err := kernel.ListFiles(folder, "tmp_", "")
 	if err != nil {
-		return // the pattern is malformed, which only the path of the store can cause
+		return // a folder that is not there, or can't be read, has none that could be removed
 	}
 	for _, name := range leftovers {
 		// A file that stays takes space and does no other harm; the next start tries again.
-		_ = os.Remove(name)
+		_ = os.Remove(filepath.Join(folder, name))
 	}
 }
 
--- a/internal/kernel/folder.go
+++ b/internal/kernel/folder.go
@@ -6,7 +6,8 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"sort"
+	"slices"
+	"strings"
 )
 
 // temporarySuffix ends the name of a file that is not complete yet.
@@ -41,19 +42,35 @@
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return nil, fmt.Errorf("open the data folder: %w", DiskError{"make", path, err})
 	}
-	leftovers, err := filepath.Glob(filepath.Join(path, "*"+temporarySuffix))
+	leftovers, err := ListFiles(path, "", temporarySuffix)
 	if err != nil {
-		return nil, fmt.Errorf("open the data folder: %w", DiskError{"list", path, err})
+		return nil, fmt.Errorf("open the data folder: %w", err)
 	}
 	// Nobody was given an acknowledgement for a file that still has its temporary name.
 	for _, name := range leftovers {
-		if err := os.Remove(name); err != nil {
+		if err := os.Remove(filepath.Join(path, name)); err != nil {
 			return nil, fmt.Errorf("open the data folder: %w", DiskError{"remove", name, err})
 		}
 	}
 	return &DiskFolder{path}, SyncFolder(path)
 }
 
+// ListFiles returns the names in a folder that start with a prefix and end with a suffix, sorted. Nothing in the path
+// or in these is a pattern, as it would be to filepath.Glob. An error is a [DiskError].
+func ListFiles(path, prefix, suffix string) ([]string, error) {
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, DiskError{"list", path, err}
+	}
+	names := []string{}
+	for _, entry := range entries {
+		if name := entry.Name(); strings.HasPrefix(name, prefix) && strings.HasSuffix(name, suffix) {
+			names = append(names, name)
+		}
+	}
+	return names, nil
+}
+
 // SyncFolder syncs a directory, so that names that were made, renamed or removed in it survive a power
 // failure. An error is a [DiskError].
 func SyncFolder(path string) error {
@@ -120,18 +137,12 @@
 
 // List returns the names that start with a prefix, sorted, without temporary files.
 func (f *DiskFolder) List(prefix string) ([]string, error) {
-	paths, err := filepath.Glob(filepath.Join(f.path, prefix+"*"))
+	names, err := ListFiles(f.path, prefix, "")
 	if err != nil {
-		return nil, DiskError{"list", prefix, err}
-	}
-	names := []string{}
-	for _, path := range paths {
-		if filepath.Ext(path) != temporarySuffix {
-			names = append(names, filepath.Base(path))
-		}
+		return nil, err
 	}
-	sort.Strings(names)
-	return names, nil
+	isTemporary := func(name string) bool { return strings.HasSuffix(name, temporarySuffix) }
+	return slices.DeleteFunc(names, isTemporary), nil
 }
 
 // Remove removes a file; one that does not exist is no error.
--- a/internal/kernel/journal_file.go
+++ b/internal/kernel/journal_file.go
@@ -10,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -217,12 +216,14 @@
 
 // files returns the paths of a stream's files, the oldest first.
 func (f *JournalFile) files(stream string) []string {
-	files, err := filepath.Glob(filepath.Join(f.path, stream+"-"+journalFormat+"-*.jsonl"))
+	names, err := ListFiles(f.path, stream+"-"+journalFormat+"-", ".jsonl")
 	if err != nil {
-		return nil // the pattern is malformed, which only the path of the folder can cause
+		return nil // a folder that can't be read has no files that can be
 	}
-	sort.Strings(files)
-	return files
+	for i := range names {
+		names[i] = filepath.Join(f.path, names[i])
+	}
+	return names
 }
 
 // prune removes the oldest files of a stream, until one more file fits within the bound.
--- a/internal/quota/account_test.go
+++ b/internal/quota/account_test.go
@@ -107,3 +107,82 @@
 	c.Check(account.HasAllocator(now), qt.IsTrue)
 	c.Check(account.NextRequest(now+10*kernel.Second), qt.IsNil)
 }
+
+// fundedAccount holds so many credits of "ann", granted now.
+func fundedAccount(now kernel.Micros, amount float64) *Account {
+	account := NewAccount(plainBounds, 1)
+	account.Claim(now, "ann", 1)
+	request := account.NextRequest(now)
+	account.ApplyGrant(now, &Grant{Seq: request.Seq, Items: []GrantItem{{Tenant: "ann", Amount: amount + 1}}})
+	return account
+}
+
+// spendAll claims one credit after another and counts those that are granted.
+func spendAll(account *Account, now kernel.Micros) (count int) {
+	for {
+		ticket, _ := account.Claim(now, "ann", 1)
+		if outcome, _ := account.Outcome(ticket); outcome != Granted {
+			account.Abandon(now, ticket)
+			return count
+		}
+		count++
+	}
+}
+
+// What provably did not run is given back once, and only while its credits would still be valid; what may have run is
+// charged again for each further attempt.
+func TestRefundsAndFurtherCharges(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		act  func(account *Account, now kernel.Micros, ticket *Ticket) kernel.Micros // gives the time at which the rest is spent
+		left int
+	}{
+		{"spent", func(_ *Account, now kernel.Micros, _ *Ticket) kernel.Micros { return now }, 4},
+		{"given back", func(a *Account, now kernel.Micros, ticket *Ticket) kernel.Micros { a.Refund(now, ticket); return now }, 5},
+		{"given back twice", func(a *Account, now kernel.Micros, ticket *Ticket) kernel.Micros {
+			a.Refund(now, ticket)
+			a.Refund(now, ticket)
+			return now
+		}, 5},
+		{"charged again", func(a *Account, now kernel.Micros, ticket *Ticket) kernel.Micros { a.Charge(now, ticket); return now }, 3},
+		{"given back after the credits expired", func(a *Account, now kernel.Micros, ticket *Ticket) kernel.Micros {
+			now += plainBounds.CreditLifetime() + 1
+			a.Refund(now, ticket)
+			return now
+		}, 0},
+		{"given back after new credits came", func(a *Account, now kernel.Micros, ticket *Ticket) kernel.Micros {
+			now += plainBounds.CreditLifetime() + 1
+			a.Claim(now, "ann", 1)
+			a.ApplyGrant(now, &Grant{Seq: a.NextRequest(now).Seq, Items: []GrantItem{{Tenant: "ann", Amount: 3}}})
+			a.Refund(now, ticket)
+			return now
+		}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := 100 * kernel.Second
+			account := fundedAccount(now, 5)
+			ticket, _ := account.Claim(now, "ann", 1)
+			outcome, _ := account.Outcome(ticket)
+			c.Assert(outcome, qt.Equals, Granted)
+			c.Check(spendAll(account, test.act(account, now, ticket)), qt.Equals, test.left)
+		})
+	}
+}
+
+// Where nobody allocates, a request is rejected at once rather than after a wait, with when to come back.
+func TestNoClaimWaitsForAnAllocatorThatIsAway(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	account := NewAccount(plainBounds, 1)
+	first, isUrgent := account.Claim(now, "ann", 1)
+	c.Assert(isUrgent, qt.IsTrue)
+	c.Assert(account.NextRequest(now), qt.IsNotNil)
+	account.Abandon(now, first)
+	now += unavailableTimeout + 1
+	ticket, isUrgent := account.Claim(now, "ann", 1)
+	outcome, retryAfter := account.Outcome(ticket)
+	c.Assert(isUrgent, qt.IsFalse)
+	c.Assert(outcome, qt.Equals, NoAllocator)
+	c.Assert(retryAfter >= minBackoff, qt.IsTrue)
+}
--- a/internal/quota/allocator_test.go
+++ b/internal/quota/allocator_test.go
@@ -101,3 +101,27 @@
 		c.Check(amount, qt.Equals, math.Trunc(amount))
 	}
 }
+
+// manySmall requests credits for claims of one unit each.
+func manySmall(incarnation uint64, need float64) *Request {
+	return &Request{Incarnation: incarnation, Seq: 1, Items: []RequestItem{{Tenant: "ann", FirstNeed: 1, Need: need}}}
+}
+
+// A router that was started anew holds none of the credits of its earlier incarnation: they count as spent, and what it
+// reports of its own use is none of what that one used.
+func TestCreditsOfAnEarlierIncarnationAreSpent(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	allocator := fullAllocator(now)
+	c.Assert(granted(c, allocator, now, "r", requestFor(1, 1, 0, 60)), qt.Equals, 60.0)
+	c.Check(granted(c, allocator, now, "r", manySmall(2, 60)), qt.Equals, 40.0)
+}
+
+// A lower limit binds what a bucket holds already.
+func TestALowerLimitLowersTheLevel(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	allocator := fullAllocator(now)
+	allocator.SetLimits(now, []Limit{{"ann", 10, 30}})
+	c.Check(granted(c, allocator, now, "r", manySmall(1, 90)), qt.Equals, 30.0)
+}
--- /dev/null
+++ b/internal/server/quota_test.go
@@ -0,0 +1,50 @@
+package server
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/control"
+	"dunlinloom/internal/kernel"
+	"dunlinloom/internal/quota"
+)
+
+// A node trusts its keys for less than the time for which a withdrawn one may be used, as its clock may run slower; where
+// nothing bounds that time, for ever.
+func TestKeysAreTrustedForLessThanAWithdrawnOneMayBeUsed(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(keyTrust(DeploymentBounds{}), qt.Equals, kernel.Micros(0))
+	for _, timeout := range []kernel.Micros{kernel.Second, 5 * kernel.Second, 60 * kernel.Second} {
+		trust := keyTrust(DeploymentBounds{KeyRevocationTimeout: timeout})
+		c.Check(trust <= timeout*95/100, qt.IsTrue)
+		c.Check(trust > timeout/2, qt.IsTrue)
+	}
+}
+
+// Each incarnation of a node has an account of its own number, and the deployment's bounds.
+func TestEachIncarnationHasAnAccountOfItsOwn(t *testing.T) {
+	c := qt.New(t)
+	bounds := quota.DefaultBounds()
+	bounds.Window = 7 * kernel.Second
+	seen := map[uint64]bool{}
+	for range 20 {
+		process := &deploymentProcess{assembly: &assembly{deployment: &Deployment{Bounds: DeploymentBounds{Quota: bounds}}}}
+		var settings control.NodeSettings
+		process.configureQuotas(&settings)
+		c.Assert(settings.QuotaBounds, qt.Equals, bounds)
+		c.Assert(settings.Quota, qt.Equals, process.quota)
+		settings.Quota.Claim(kernel.Second, "ann", 1)
+		seen[settings.Quota.NextRequest(kernel.Second).Incarnation] = true
+	}
+	c.Assert(seen, qt.HasLen, 20)
+}
+
+// A deployment without a window of quotas has the default one.
+func TestWithoutAWindowQuotasHaveTheDefault(t *testing.T) {
+	c := qt.New(t)
+	var settings control.NodeSettings
+	process := &deploymentProcess{assembly: &assembly{deployment: &Deployment{}}}
+	process.configureQuotas(&settings)
+	c.Assert(settings.QuotaBounds, qt.Equals, quota.DefaultBounds())
+}
--- a/test/localfleet/report.go
+++ b/test/localfleet/report.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 
+	"dunlinloom/internal/kernel"
 	"dunlinloom/test/checker"
 	"dunlinloom/test/childprocess"
 )
@@ -54,12 +55,15 @@
 }
 
 func (cluster *Cluster) report(scenario *Scenario, operator *Operator, callsLog string) (*Report, error) {
-	paths, err := filepath.Glob(filepath.Join(cluster.folder, "engine-*.jsonl"))
-	bursts, overloadErr := filepath.Glob(filepath.Join(cluster.folder, "calls-*.jsonl"))
+	engines, err := kernel.ListFiles(cluster.folder, "engine-", ".jsonl")
+	bursts, overloadErr := kernel.ListFiles(cluster.folder, "calls-", ".jsonl")
 	if err := errors.Join(err, overloadErr); err != nil {
 		return nil, ClusterError{"list events", err}
 	}
-	paths = append(paths, bursts...)
+	paths := []string{}
+	for _, name := range append(engines, bursts...) {
+		paths = append(paths, filepath.Join(cluster.folder, name))
+	}
 	cluster.lock.Lock()
 	events := append([]checker.Event(nil), cluster.events...)
 	cluster.lock.Unlock()
