Tests hold on to the ports they use; a new allocator's unused share has a test

Cause: TestEveryNodeReportsWhetherTheCoreIsComplete got a 404 once. Server tests and local fleet runs took a free port, gave it back and had a node listen on it later; another process that gets it meanwhile answers in the node's place. Change: test/localport keeps a socket bound without listening until the test's end: the system gives the port to nobody else, connections are refused until the node listens, and a node may listen there again and again. The allocator's rule has a test, which the patch names. Ruled out: passing listeners to nodes; a node that is down would take connections, as its listener would have to live on. Conclusion: traced and mended.

--- a/internal/quota/allocator_test.go
+++ b/internal/quota/allocator_test.go
@@ -125,3 +125,24 @@
 	allocator.SetLimits(now, []Limit{{"ann", 10, 30}})
 	c.Check(granted(c, allocator, now, "r", manySmall(1, 90)), qt.Equals, 30.0)
 }
+
+// A new leader doesn't know what routers hold of an earlier one's grants: until such credits have expired, each router
+// that has not sent a request yet has its share of the capacity left unused.
+func TestANewAllocatorLeavesTheShareOfRoutersUnheard(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	// Long enough to fill the bucket, and shorter than credits are valid.
+	allocator := NewAllocator(now, plainBounds)
+	allocator.SetRouterCount(4)
+	allocator.SetLimits(now, []Limit{{"ann", 400, 100}})
+	ask := func(at kernel.Micros, router string, seq uint64) float64 {
+		return granted(c, allocator, at, router, &Request{Incarnation: 1, Seq: seq, Items: []RequestItem{{Tenant: "ann", FirstNeed: 1, Need: 500}}})
+	}
+	soon := now + plainBounds.CreditLifetime()/2
+	c.Check(ask(now, "r1", 1), qt.Equals, 0.0)
+	c.Check(ask(soon, "r1", 2), qt.Equals, 25.0)
+	c.Check(ask(soon, "r2", 1), qt.Equals, 0.0)
+	c.Check(ask(soon+kernel.Second/2, "r2", 2), qt.Equals, 25.0)
+	later := now + plainBounds.reclaimTimeout()
+	c.Check(ask(later, "r3", 1), qt.Equals, 50.0)
+}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -31,6 +31,7 @@
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/relay"
 	"dunlinloom/test/emulator"
+	"dunlinloom/test/localport"
 )
 
 func goodSettings() Settings {
@@ -81,11 +82,13 @@
 	}
 }
 
-// free gives an address that nobody listens on just now.
+// free gives an address that nobody listens on, and that nobody else gets until the test's end.
 func free(c *qt.C) string {
-	listener := listenLocal(c)
-	defer checkClose(c, listener)
-	return listener.Addr().String()
+	c.Helper()
+	reservation, err := localport.Reserve()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(reservation.Close(), qt.IsNil) })
+	return reservation.Address()
 }
 
 // fleet runs three whole nodes and two engines in this process, over real channels.
--- a/test/localfleet/cluster.go
+++ b/test/localfleet/cluster.go
@@ -21,6 +21,7 @@
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/server"
 	"dunlinloom/test/checker"
+	"dunlinloom/test/localport"
 )
 
 // poolCount is how many pools engines are spread over; each configuration leaves one out, so that
@@ -44,6 +45,7 @@
 	failures     []string
 	replacements int // addresses given away to machines that came later
 	address      func(offset int) string
+	ports        []*localport.Reservation
 }
 
 // ClusterError says what of a local fleet run itself went wrong, as opposed to the fleet.
@@ -65,24 +67,17 @@
 		bin: bin, folder: folder, deployment: deployment,
 		counters: map[string]map[string]float64{}, starts: map[string]int{},
 	}
-	taken := map[string]bool{}
 	address := func(offset int) string {
 		if basePort > 0 {
 			return fmt.Sprintf("127.0.0.1:%d", basePort+offset)
 		}
-		// Without a base every process gets a port that is free now.
-		for {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				panic(ClusterError{"find a port", err})
-			}
-			free := listener.Addr().String()
-			listener.Close()
-			if !taken[free] {
-				taken[free] = true
-				return free
-			}
+		// Without a base every process has a port that is reserved until Close.
+		reservation, err := localport.Reserve()
+		if err != nil {
+			panic(ClusterError{"find a port", err})
 		}
+		s.ports = append(s.ports, reservation)
+		return reservation.Address()
 	}
 	s.address = address
 	s.faults = NewFaultTable(s.faultsFile())
@@ -214,6 +209,12 @@
 		a.signal(syscall.SIGCONT)
 		a.halt()
 	}
+	for _, port := range cluster.ports {
+		if err := port.Close(); err != nil {
+			panic(ClusterError{"give a port back", err})
+		}
+	}
+	cluster.ports = nil
 }
 
 func (cluster *Cluster) await(ctx context.Context, address string) error {
--- /dev/null
+++ b/test/localport/localport_test.go
@@ -0,0 +1,55 @@
+package localport
+
+import (
+	"net"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func reserve(c *qt.C) *Reservation {
+	c.Helper()
+	reservation, err := Reserve()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(reservation.Close(), qt.IsNil) })
+	return reservation
+}
+
+// A reserved port refuses connections until somebody listens there, again and again.
+func TestAReservedPortCanBeListenedOnAgainAndAgain(t *testing.T) {
+	c := qt.New(t)
+	address := reserve(c).Address()
+	for range 3 {
+		_, err := net.Dial("tcp", address)
+		c.Assert(err, qt.ErrorIs, syscall.ECONNREFUSED)
+		listener, err := net.Listen("tcp", address)
+		c.Assert(err, qt.IsNil)
+		connection, err := net.Dial("tcp", address)
+		c.Assert(err, qt.IsNil)
+		accepted, err := listener.Accept()
+		c.Assert(err, qt.IsNil)
+		c.Assert(accepted.Close(), qt.IsNil)
+		c.Assert(connection.Close(), qt.IsNil)
+		c.Assert(listener.Close(), qt.IsNil)
+	}
+}
+
+// Nobody who asks for any port gets a reserved one, whether somebody listens there or not: neither another reservation
+// nor a listener.
+func TestAReservedPortIsGivenToNobodyElse(t *testing.T) {
+	c := qt.New(t)
+	const count = 400
+	taken := map[string]bool{}
+	for range count {
+		address := reserve(c).Address()
+		c.Assert(taken[address], qt.IsFalse, qt.Commentf("%s", address))
+		taken[address] = true
+	}
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { c.Check(listener.Close(), qt.IsNil) })
+		c.Assert(taken[listener.Addr().String()], qt.IsFalse, qt.Commentf("%s", listener.Addr()))
+	}
+}
