--- a/internal/history/archive_test.go
+++ b/internal/history/archive_test.go
@@ -109,6 +109,71 @@
 	}
 }
 
+// Objects of Git carry digests of their own; that of the configuration ties it to what the core has agreed on.
+func TestAConfigurationOfAnotherDigestIsNeitherStoredNorShown(t *testing.T) {
+	c := qt.New(t)
+	archive := open(c, filepath.Join(c.TempDir(), "specs.git"))
+	metadata := testMetadata(7, `{"a":1}`)
+	c.Assert(errors.As(archive.Store(metadata, []byte(`{"a":2}`)), new(DamagedRevisionError)), qt.IsTrue)
+	c.Assert(revisions(archive), qt.HasLen, 0)
+	metadata.StoredAt = "2026-01-02T03:04:05Z"
+	c.Assert(archive.commit(metadata, []byte(`{"a":2}`)), qt.IsNil)
+	_, _, err := archive.Config(7)
+	c.Assert(errors.As(err, new(DamagedRevisionError)), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(archive.Contains(7, metadata.Digest), qt.IsFalse)
+}
+
+// syncWatch is a disk that counts written files which are closed without having been synced.
+type syncWatch struct {
+	billy.Filesystem
+	written, unsynced *int
+}
+
+type watchedFile struct {
+	billy.File
+	watch    syncWatch
+	isSynced bool
+}
+
+func (f *watchedFile) Sync() error {
+	f.isSynced = true
+	return nil
+}
+
+func (f *watchedFile) Close() error {
+	*f.watch.written++
+	if !f.isSynced {
+		*f.watch.unsynced++
+	}
+	return f.File.Close()
+}
+
+func (s syncWatch) TempFile(dir, prefix string) (billy.File, error) {
+	file, err := s.Filesystem.TempFile(dir, prefix)
+	return &watchedFile{File: file, watch: s}, err
+}
+
+func (s syncWatch) OpenFile(name string, flag int, perm os.FileMode) (billy.File, error) {
+	file, err := s.Filesystem.OpenFile(name, flag, perm)
+	if err != nil || flag&(os.O_WRONLY|os.O_RDWR) == 0 {
+		return file, err
+	}
+	return &watchedFile{File: file, watch: s}, nil
+}
+
+// A revision counts as stored once nothing of it can be lost with the power.
+func TestEachFileOfARevisionIsSynced(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "specs.git")
+	var written, unsynced int
+	archive := &Archive{path: path, fleet: "here", bound: testBound}
+	c.Assert(archive.open(syncWatch{osfs.New(path), &written, &unsynced}), qt.IsNil)
+	archive.storeTest(c, 3, `{"first":true}`)
+	// Two contents, a tree, a commit and two references at least.
+	c.Assert(written >= 6, qt.IsTrue, qt.Commentf("%d", written))
+	c.Assert(unsynced, qt.Equals, 0)
+}
+
 func TestWhatIsNoStoreIsSetAsideAndForeignOnesAreLeft(t *testing.T) {
 	c := qt.New(t)
 	path := filepath.Join(c.TempDir(), "specs.git")
@@ -178,8 +243,11 @@
 			failed++
 			c.Assert(errors.Is(err, syscall.ENOSPC), qt.IsTrue, qt.Commentf("%v", err))
 			// Not there, or there completely: its reference may be written when the disk is full.
-			if config, _, err := archive.Config(4); err == nil {
+			config, _, err := archive.Config(4)
+			if err == nil {
 				c.Assert(string(config), qt.Equals, `{"second":true}`)
+			} else {
+				c.Assert(errors.As(err, new(MissingRevisionError)), qt.IsTrue, qt.Commentf("%v", err))
 			}
 		}
 		remaining = 1 << 20
