Control address of a deployment: bounded connections and bodies; requests in a lane of their own

Cause: the address at which engines and operators call bounded neither connections nor bodies under way, and what they asked waited in one queue with the messages of other nodes. Bodies of unknown length count as they are read. The owners' loop takes requests of engines, operators and callers from a queue of their own, in turn with messages of nodes. Ruled out: deciding by what is asked (a flood is no better by its contents); a bound on bodies alone.

--- a/internal/server/api.go
+++ b/internal/server/api.go
@@ -32,6 +32,7 @@
 	connections     *Connections
 	compiler        *fleetconfig.Compiler
 	limitedListener *LimitedListener
+	controlGuard    *ControlGuard // nil but at a deployment that serves control
 	// Nil where nothing of the past is kept.
 	archive     *history.Archive
 	archiver    *Archiver
--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -88,6 +88,12 @@
 		m.sample("channels_open", f.limitedListener.Open())
 		m.sample("channels_turned_away_total", f.limitedListener.Rejected.Load())
 	}
+	if f.controlGuard != nil {
+		m.sample("control_connections_open", f.controlGuard.OpenConnections())
+		m.sample("control_connections_rejected_total", f.controlGuard.RejectedConnections.Load())
+		m.sample("control_body_bytes", f.controlGuard.HeldBodyBytes())
+		m.sample("control_bodies_rejected_total", f.controlGuard.RejectedBodies.Load())
+	}
 	if f.journalFile != nil {
 		m.sample("journal_written_total", f.journalFile.Written.Load())
 		m.sample("journal_dropped_total", f.journalFile.Dropped.Load())
--- /dev/null
+++ b/internal/server/control_limits_test.go
@@ -0,0 +1,325 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/registry"
+	"dunlinloom/internal/fleetconfig"
+)
+
+func TestLimitsOfControlFollowTheProcess(t *testing.T) {
+	for _, test := range []struct {
+		files       int
+		bodies      int64
+		connections int
+	}{
+		{0, 0, maxControlConnections}, {4100, 15 << 20, 256}, {100, 0, minControlConnections}, {1 << 20, 1 << 30, maxControlConnections},
+	} {
+		t.Run(fmt.Sprint(test.files), func(t *testing.T) {
+			c := qt.New(t)
+			limits := ProcessLimits{Files: test.files, BodiesBytes: test.bodies}.controlLimits()
+			c.Assert(limits.Connections, qt.Equals, test.connections)
+			c.Assert(limits.ConnectionsPerPeer < limits.Connections, qt.IsTrue)
+			c.Assert(limits.BodyBytes >= limits.BodyBytesPerPeer+fleetconfig.MaxBytes, qt.IsTrue)
+			c.Assert(limits.BodyBytesPerPeer >= fleetconfig.MaxBytes, qt.IsTrue)
+		})
+	}
+}
+
+// peerAt is a connection whose remote address is of another machine.
+type peerAt struct {
+	net.Conn
+	address net.Addr
+}
+
+func (p peerAt) RemoteAddr() net.Addr { return p.address }
+
+// namedListener gives connections to a listener remote addresses, by the order in which they come.
+type namedListener struct {
+	net.Listener
+	hosts []string
+}
+
+func (l *namedListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil || len(l.hosts) == 0 {
+		return connection, err
+	}
+	host := l.hosts[0]
+	l.hosts = l.hosts[1:]
+	return peerAt{connection, &net.TCPAddr{IP: net.ParseIP(host), Port: 1}}, nil
+}
+
+// A connection beyond the bounds, in total or of one peer, is answered and closed; one that ends makes room.
+func TestConnectionsOfControlAreBounded(t *testing.T) {
+	c := qt.New(t)
+	guard := NewControlGuard(ControlLimits{Connections: 3, ConnectionsPerPeer: 2})
+	named := &namedListener{Listener: listenLocal(c), hosts: []string{"10.0.0.1", "10.0.0.1", "10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.3"}}
+	listener := guard.Listener(named)
+	defer checkClose(c, listener)
+	accepted := make(chan net.Conn, 10)
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			accepted <- connection
+		}
+	}()
+	dial := func() net.Conn { return dialLocal(c, named.Addr().String()) }
+	isRejected := func(connection net.Conn) {
+		c.Helper()
+		// One that is taken instead is answered by nobody.
+		c.Assert(connection.SetReadDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
+		body, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(body), qt.Equals, controlRejectionBody)
+		c.Assert(connection.Close(), qt.IsNil)
+	}
+	first, second := dial(), dial()
+	defer checkClose(c, second)
+	held := []net.Conn{<-accepted, <-accepted}
+	isRejected(dial()) // the peer has two
+	third := dial()
+	defer checkClose(c, third)
+	held = append(held, <-accepted)
+	isRejected(dial()) // there are three
+	c.Assert(first.Close(), qt.IsNil)
+	c.Assert(held[0].Close(), qt.IsNil)
+	c.Check(ignoreClosed(held[0].Close()), qt.IsNil, qt.Commentf("released once, however often it is closed"))
+	c.Assert(guard.OpenConnections(), qt.Equals, int64(2))
+	last := dial()
+	defer checkClose(c, last)
+	held = append(held, <-accepted)
+	c.Assert(guard.RejectedConnections.Load(), qt.Equals, uint64(2))
+	for _, connection := range held[1:] {
+		c.Assert(connection.Close(), qt.IsNil)
+	}
+	c.Assert(guard.OpenConnections(), qt.Equals, int64(0))
+	c.Assert(guard.connections.byPeer, qt.HasLen, 0)
+}
+
+// A body beyond the bound is rejected before it is read, and what is held is given back with the answer.
+func TestBodiesOfControlAreBounded(t *testing.T) {
+	c := qt.New(t)
+	guard := NewControlGuard(ControlLimits{BodyBytes: 100, BodyBytesPerPeer: 60})
+	var inner func(r *http.Request)
+	read := 0
+	handler := guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if inner != nil {
+			inner(r)
+		}
+		body, err := io.ReadAll(r.Body)
+		read = len(body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	}))
+	send := func(host string, length int, isKnown bool) int {
+		request := httptest.NewRequest(http.MethodPut, "/", strings.NewReader(strings.Repeat("x", length)))
+		request.RemoteAddr = host + ":1"
+		if !isKnown {
+			request.ContentLength = -1
+		}
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		return recorder.Code
+	}
+	c.Check(send("10.0.0.1", 60, true), qt.Equals, http.StatusOK)
+	c.Check(read, qt.Equals, 60)
+	read = 0
+	c.Check(send("10.0.0.1", 61, true), qt.Equals, http.StatusServiceUnavailable)
+	c.Check(read, qt.Equals, 0)
+	c.Check(send("10.0.0.1", 60, false), qt.Equals, http.StatusOK)
+	c.Check(send("10.0.0.1", 61, false), qt.Equals, http.StatusServiceUnavailable)
+	c.Check(guard.RejectedBodies.Load(), qt.Equals, uint64(2))
+	// While one peer holds its share, another one has room, and a third has none.
+	statuses := []int{}
+	inner = func(r *http.Request) {
+		inner = func(*http.Request) {
+			inner = nil
+			c.Check(guard.HeldBodyBytes(), qt.Equals, int64(100))
+			statuses = append(statuses, send("10.0.0.3", 1, true))
+		}
+		statuses = append(statuses, send("10.0.0.1", 1, true), send("10.0.0.2", 40, true))
+	}
+	c.Check(send("10.0.0.1", 60, true), qt.Equals, http.StatusOK)
+	c.Check(statuses, qt.DeepEquals, []int{http.StatusServiceUnavailable, http.StatusServiceUnavailable, http.StatusOK})
+	c.Check(guard.HeldBodyBytes(), qt.Equals, int64(0))
+	c.Check(guard.bodies.byPeer, qt.HasLen, 0)
+}
+
+// flood keeps a control address busy until the context ends: connections that send half of a large body and rest, and
+// heartbeats without end.
+func flood(ctx context.Context, address string, connections int) *sync.WaitGroup {
+	var work sync.WaitGroup
+	for range connections {
+		work.Go(func() {
+			for ctx.Err() == nil {
+				connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				if err != nil {
+					continue
+				}
+				if _, err := fmt.Fprintf(connection, "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", fleetconfig.MaxBytes, strings.Repeat("x", 4000)); err == nil {
+					// Until it is rejected, or the flood is over.
+					stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+					_, _ = io.Copy(io.Discard, connection)
+					stop()
+				}
+				_ = connection.Close()
+			}
+		})
+	}
+	client := &http.Client{Transport: &http.Transport{}}
+	for range connections / 8 {
+		work.Go(func() {
+			for ctx.Err() == nil {
+				request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/heartbeat", strings.NewReader("x"))
+				if err != nil {
+					return
+				}
+				if response, err := client.Do(request); err == nil {
+					_, _ = io.Copy(io.Discard, response.Body)
+					_ = response.Body.Close()
+				}
+			}
+		})
+	}
+	return &work
+}
+
+// floodedControl is a control address whose heartbeats go to the owners, as an engine's do.
+func floodedControl(services *Services) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /heartbeat", func(w http.ResponseWriter, r *http.Request) {
+		record := registry.EngineRecord{ID: "e", Address: "10.9.9.9:1", Zone: "z0", Pool: "p", Start: 1, Seq: 1}
+		if _, err := services.Runner.Register(r.Context(), record); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("PUT /config", func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Under a flood of the control addresses of all nodes a core elects a new leader and takes an order, what the flood holds
+// stays within the bounds, and what goes beyond is rejected and counted.
+func TestTheCoreElectsUnderAFloodOfControl(t *testing.T) {
+	c := qt.New(t)
+	seeds := []string{free(c), free(c), free(c)}
+	nodes, services := []*deployedNode{}, []*Services{}
+	for _, seed := range seeds {
+		deployment := goodDeployment(c, seeds, seed)
+		deployment.Limits.Files = 100
+		nodes = append(nodes, startDeployedWith(c, deployment, http.NotFoundHandler(), floodedControl))
+	}
+	for _, node := range nodes {
+		services = append(services, <-node.seen)
+	}
+	submit := func(node, version int) {
+		// A deployment's configurations carry versions that rise.
+		config := strings.Replace(configOne, "{", fmt.Sprintf(`{"version":"%d",`, version), 1)
+		for try := 0; ; try++ {
+			order := &cluster.Submit{ID: fmt.Sprint("order-", version, "-", try), Operation: cluster.PutConfig, Config: []byte(config)}
+			reply, err := services[node].Runner.Submit(context.Background(), order)
+			c.Assert(err, qt.IsNil)
+			c.Assert(reply.Outcome, qt.Not(qt.Equals), cluster.Rejected, qt.Commentf("%v", reply))
+			if reply.Outcome == cluster.Accepted {
+				return
+			}
+		}
+	}
+	submit(0, 1)
+	ctx, endFlood := context.WithCancel(context.Background())
+	var floods []*sync.WaitGroup
+	for _, node := range nodes {
+		floods = append(floods, flood(ctx, node.Control, 2*minControlConnections))
+	}
+	// Once the flood has reached the bounds the leader goes.
+	for _, service := range services {
+		for service.ControlGuard.RejectedConnections.Load() == 0 || service.ControlGuard.RejectedBodies.Load() == 0 {
+			c.Check(service.ControlGuard.OpenConnections() <= minControlConnections, qt.IsTrue)
+		}
+	}
+	leader := 0
+	for leader = range services {
+		if services[leader].Runner.State().IsLeader {
+			break
+		}
+	}
+	nodes[leader].stop()
+	c.Assert(<-nodes[leader].ended, qt.IsNil)
+	submit((leader+1)%len(nodes), 2)
+	limits := ProcessLimits{Files: 100}.controlLimits()
+	for i, service := range services {
+		if i != leader {
+			c.Check(service.ControlGuard.HeldBodyBytes() <= limits.BodyBytes, qt.IsTrue)
+			c.Check(service.ControlGuard.OpenConnections() <= int64(limits.Connections), qt.IsTrue)
+		}
+	}
+	endFlood()
+	for _, work := range floods {
+		work.Wait()
+	}
+	for i, node := range nodes {
+		if i != leader {
+			node.stop()
+			c.Assert(<-node.ended, qt.IsNil)
+		}
+	}
+}
+
+// However many requests of engines and operators wait, a message of another node waits for a few of them at the most.
+func TestMessagesOfNodesDoNotWaitBehindRequests(t *testing.T) {
+	c := qt.New(t)
+	seed := free(c)
+	node := startDeployed(c, goodDeployment(c, []string{seed}, seed), http.NotFoundHandler())
+	runner := (<-node.seen).Runner
+	var handled atomic.Int64
+	ctx, end := context.WithCancel(context.Background())
+	var askers sync.WaitGroup
+	for range 4 {
+		askers.Go(func() {
+			for ctx.Err() == nil {
+				runner.postRequest(func() []any { handled.Add(1); return nil })
+			}
+		})
+	}
+	for len(runner.requests)+len(runner.queue) < cap(runner.requests)/2 {
+		runtime.Gosched()
+	}
+	const mostBetween = 60 // each turn is drawn, so that more come with a chance of one in 2^60
+	for range 20 {
+		before, seen := handled.Load(), make(chan int64)
+		runner.post(func() []any { seen <- handled.Load(); return nil })
+		c.Check(<-seen-before < mostBetween+int64(cap(runner.requests))/16, qt.IsTrue)
+	}
+	end()
+	askers.Wait()
+	node.stop()
+	c.Assert(<-node.ended, qt.IsNil)
+}
--- a/internal/server/deployment_metrics.go
+++ b/internal/server/deployment_metrics.go
@@ -18,6 +18,7 @@
 	view := &API{
 		env: d.env, runner: d.runner, compiler: d.compiler, limitedListener: d.services.LimitedListener, archiver: d.archiver,
 		isStopping: d.isStopping.Load, router: d.services.Router, invariants: d.invariants,
+		controlGuard: d.services.ControlGuard,
 	}
 	var err error
 	if view.connections, err = kernel.Find[*Connections](d.stage, ServiceConnections); err != nil {
--- a/internal/server/deployment_serve.go
+++ b/internal/server/deployment_serve.go
@@ -62,7 +62,8 @@
 		if err != nil {
 			return fmt.Errorf("open control: %w", err)
 		}
-		if d.control, err = d.listen(ctx, "control", deployment.Control, d.closeWhenStopping(handler), plainListener); err != nil {
+		d.services.ControlGuard = NewControlGuard(deployment.Limits.controlLimits())
+		if d.control, err = d.listen(ctx, "control", deployment.Control, d.closeWhenStopping(d.services.ControlGuard.Handler(handler)), d.services.ControlGuard.Listener); err != nil {
 			return err
 		}
 	}
--- a/internal/server/deployment_test.go
+++ b/internal/server/deployment_test.go
@@ -72,6 +72,11 @@
 }
 
 func startDeployed(c *qt.C, d *Deployment, callers http.Handler) *deployedNode {
+	return startDeployedWith(c, d, callers, func(*Services) http.Handler { return http.NotFoundHandler() })
+}
+
+// startDeployedWith starts a node whose control address is served by what control makes.
+func startDeployedWith(c *qt.C, d *Deployment, callers http.Handler, control func(*Services) http.Handler) *deployedNode {
 	n := &deployedNode{Deployment: d, ended: make(chan error, 1), hangup: make(chan os.Signal), seen: make(chan *Services, 1)}
 	n.next.Store(d)
 	ctx, stop := context.WithCancel(context.Background())
@@ -81,7 +86,7 @@
 		Callers: func(*Services) (http.Handler, error) { return callers, nil },
 		Control: func(services *Services) (http.Handler, error) {
 			n.seen <- services
-			return http.NotFoundHandler(), nil
+			return control(services), nil
 		},
 	}
 	c.Assert(d.Check(), qt.IsNil)
--- a/internal/server/overload.go
+++ b/internal/server/overload.go
@@ -68,12 +68,17 @@
 // reject answers a connection that there is no room for, and closes it.
 func (d *LimitedListener) reject(connection net.Conn) {
 	defer d.open.Add(-1)
+	rejectConnection(connection, rejectionResponse)
+}
+
+// rejectConnection writes a complete response to a connection of which nothing was read, and closes it.
+func rejectConnection(connection net.Conn, response []byte) {
 	// The answer has been written or could not be: a close that fails changes neither.
 	defer func() { _ = connection.Close() }()
 	if err := connection.SetDeadline(time.Now().Add(rejectTimeout)); err != nil {
 		return
 	}
-	if _, err := connection.Write(rejectionResponse); err != nil {
+	if _, err := connection.Write(response); err != nil {
 		return
 	}
 	// Closed with unread bytes a connection is reset, and the answer lost with it.
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -27,7 +27,9 @@
 	dispatcher *relay.Dispatcher // nil without a router
 	platform   string
 
-	queue chan func() []any
+	// queue holds messages of other nodes and what this node's own work led to; requests holds what engines, operators
+	// and callers ask for. The loop takes from both in turn, so that a flood of requests leaves the core its share.
+	queue, requests chan func() []any
 	// What goes to the disk, in order: commands.Save, LoadConfig or SaveHistory.
 	saves chan any
 	// Snapshots go to the disk beside those: nothing waits for one.
@@ -72,7 +74,7 @@
 func NewRunner(env kernel.Env, node *control.Node, store *storage.Store, connections *Connections, dispatcher *relay.Dispatcher, compiler *fleetconfig.Compiler, platform string) *Runner {
 	r := &Runner{
 		env: env, node: node, store: store, sender: connections, dispatcher: dispatcher, platform: platform,
-		queue: make(chan func() []any, 1024), saves: make(chan any, 256), snapshots: make(chan control.SaveSnapshot, 1),
+		queue: make(chan func() []any, 1024), requests: make(chan func() []any, 1024), saves: make(chan any, 256), snapshots: make(chan control.SaveSnapshot, 1),
 		openSubmissions: map[string]*openSubmission{},
 		registrations:   map[uint64]chan control.Registered{}, reads: map[uint64]chan *cluster.Document{},
 		// At random, so that an answer to an earlier incarnation is nobody's here; the time of day
@@ -118,9 +120,15 @@
 	r.post(func() []any { return r.node.Unreadable(r.env.Clock.Now(), from, err) })
 }
 
-func (r *Runner) post(event func() []any) {
+func (r *Runner) post(event func() []any) { r.postTo(r.queue, event) }
+
+// postRequest posts what an engine, an operator or a caller asks for. Those that belong together, as a read and its
+// cancelation, keep their order.
+func (r *Runner) postRequest(event func() []any) { r.postTo(r.requests, event) }
+
+func (r *Runner) postTo(queue chan func() []any, event func() []any) {
 	select {
-	case r.queue <- event:
+	case queue <- event:
 	case <-r.env.Done():
 	}
 }
@@ -152,6 +160,9 @@
 		case event := <-r.queue:
 			startedAt = r.env.Clock.Now()
 			out = event()
+		case event := <-r.requests:
+			startedAt = r.env.Clock.Now()
+			out = event()
 		case <-ticker.C:
 			startedAt = r.env.Clock.Now()
 			out = r.node.Tick(startedAt)
--- a/internal/server/runner_calls.go
+++ b/internal/server/runner_calls.go
@@ -24,7 +24,7 @@
 			r.env.Log.V(2).Info("a configuration with faults was handed in", "error", err.Error())
 		}
 	}
-	r.post(func() []any { return r.node.Submit(r.env.Clock.Now(), submit) })
+	r.postRequest(func() []any { return r.node.Submit(r.env.Clock.Now(), submit) })
 	select {
 	case reply := <-waiter:
 		return reply, nil
@@ -51,7 +51,7 @@
 		delete(r.registrations, token)
 		r.lock.Unlock()
 	}()
-	r.post(func() []any { return r.node.Register(r.env.Clock.Now(), token, record) })
+	r.postRequest(func() []any { return r.node.Register(r.env.Clock.Now(), token, record) })
 	select {
 	case answer := <-waiter:
 		return answer.HeartbeatTo, answer.Err
@@ -86,7 +86,7 @@
 	token := r.nextToken
 	r.reads[token] = waiter
 	r.lock.Unlock()
-	r.post(func() []any { return r.node.Read(r.env.Clock.Now(), token) })
+	r.postRequest(func() []any { return r.node.Read(r.env.Clock.Now(), token) })
 	var cause error = StoppingError{}
 	select {
 	case document := <-waiter:
@@ -98,7 +98,7 @@
 	r.lock.Lock()
 	delete(r.reads, token)
 	r.lock.Unlock()
-	r.post(func() []any { return r.node.CancelRead(r.env.Clock.Now(), token) })
+	r.postRequest(func() []any { return r.node.CancelRead(r.env.Clock.Now(), token) })
 	return nil, UnconfirmedReadError{cause}
 }
 
@@ -128,7 +128,7 @@
 
 // RequestQuota has the router's account ask for what it lacks.
 func (r *Runner) RequestQuota() {
-	r.post(func() []any { return r.node.RequestQuota(r.env.Clock.Now()) })
+	r.postRequest(func() []any { return r.node.RequestQuota(r.env.Clock.Now()) })
 }
 
 // Leave begins a planned stop.
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -14,6 +14,7 @@
 	Runner          *Runner
 	Compiler        *fleetconfig.Compiler
 	LimitedListener *LimitedListener // nil where callers are not served
+	ControlGuard    *ControlGuard    // nil until the control address is served, and where it is not
 	// Router is the data plane, from when the callers' handler is made.
 	Router     *router.Router
 	Invariants *invariant.Monitor
