--- a/internal/server/control_limits_test.go
+++ b/internal/server/control_limits_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -91,11 +92,11 @@
 		c.Assert(connection.SetReadDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
 		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 		c.Assert(err, qt.IsNil)
+		defer checkClose(c, response.Body)
 		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 		c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
 		body, err := io.ReadAll(response.Body)
 		c.Assert(err, qt.IsNil)
-		c.Assert(response.Body.Close(), qt.IsNil)
 		c.Assert(string(body), qt.Equals, controlRejectionBody)
 		c.Assert(connection.Close(), qt.IsNil)
 	}
@@ -176,41 +177,49 @@
 // heartbeats without end.
 func flood(ctx context.Context, address string, connections int) *sync.WaitGroup {
 	var work sync.WaitGroup
-	for range connections {
+	again := func(act func()) {
 		work.Go(func() {
 			for ctx.Err() == nil {
-				connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-				if err != nil {
-					continue
-				}
-				if _, err := fmt.Fprintf(connection, "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", fleetconfig.MaxBytes, strings.Repeat("x", 4000)); err == nil {
-					// Until it is rejected, or the flood is over.
-					stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
-					_, _ = io.Copy(io.Discard, connection)
-					stop()
-				}
-				_ = connection.Close()
+				act()
 			}
 		})
 	}
+	for range connections {
+		again(func() { sendHalfAConfig(ctx, address) })
+	}
 	client := &http.Client{Transport: &http.Transport{}}
 	for range connections / 8 {
-		work.Go(func() {
-			for ctx.Err() == nil {
-				request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/heartbeat", strings.NewReader("x"))
-				if err != nil {
-					return
-				}
-				if response, err := client.Do(request); err == nil {
-					_, _ = io.Copy(io.Discard, response.Body)
-					_ = response.Body.Close()
-				}
-			}
-		})
+		again(func() { sendHeartbeat(ctx, client, address) })
 	}
 	return &work
 }
 
+// sendHalfAConfig rests with half a body until it is rejected, or the flood is over.
+func sendHalfAConfig(ctx context.Context, address string) {
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer stop()
+	defer func() { _ = connection.Close() }()
+	head := fmt.Sprintf("PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", fleetconfig.MaxBytes)
+	if _, err := io.WriteString(connection, head+strings.Repeat("x", 4000)); err == nil {
+		_, _ = io.Copy(io.Discard, connection)
+	}
+}
+
+func sendHeartbeat(ctx context.Context, client *http.Client, address string) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/heartbeat", strings.NewReader("x"))
+	if err != nil {
+		return
+	}
+	if response, err := client.Do(request); err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+}
+
 // floodedControl is a control address whose heartbeats go to the owners, as an engine's do.
 func floodedControl(services *Services) http.Handler {
 	mux := http.NewServeMux()
@@ -228,70 +237,92 @@
 	return mux
 }
 
-// Under a flood of the control addresses of all nodes a core elects a new leader and takes an order, what the flood holds
-// stays within the bounds, and what goes beyond is rejected and counted.
-func TestTheCoreElectsUnderAFloodOfControl(t *testing.T) {
-	c := qt.New(t)
+// floodedCore is three nodes whose control addresses are flooded.
+type floodedCore struct {
+	nodes    []*deployedNode
+	services []*Services
+}
+
+func startFloodedCore(c *qt.C) *floodedCore {
+	f := &floodedCore{}
 	seeds := []string{free(c), free(c), free(c)}
-	nodes, services := []*deployedNode{}, []*Services{}
 	for _, seed := range seeds {
 		deployment := goodDeployment(c, seeds, seed)
 		deployment.Limits.Files = 100
-		nodes = append(nodes, startDeployedWith(c, deployment, http.NotFoundHandler(), floodedControl))
+		f.nodes = append(f.nodes, startDeployedWith(c, deployment, http.NotFoundHandler(), floodedControl))
 	}
-	for _, node := range nodes {
-		services = append(services, <-node.seen)
+	for _, node := range f.nodes {
+		f.services = append(f.services, <-node.seen)
 	}
-	submit := func(node, version int) {
-		// A deployment's configurations carry versions that rise.
-		config := strings.Replace(configOne, "{", fmt.Sprintf(`{"version":"%d",`, version), 1)
-		for try := 0; ; try++ {
-			order := &cluster.Submit{ID: fmt.Sprint("order-", version, "-", try), Operation: cluster.PutConfig, Config: []byte(config)}
-			reply, err := services[node].Runner.Submit(context.Background(), order)
-			c.Assert(err, qt.IsNil)
-			c.Assert(reply.Outcome, qt.Not(qt.Equals), cluster.Rejected, qt.Commentf("%v", reply))
-			if reply.Outcome == cluster.Accepted {
-				return
-			}
+	return f
+}
+
+// submit hands an order in at a node until it is acknowledged. A deployment's configurations carry versions that rise.
+func (f *floodedCore) submit(c *qt.C, node, version int) {
+	c.Helper()
+	config := strings.Replace(configOne, "{", fmt.Sprintf(`{"version":"%d",`, version), 1)
+	for try := 0; ; try++ {
+		order := &cluster.Submit{ID: fmt.Sprint("order-", version, "-", try), Operation: cluster.PutConfig, Config: []byte(config)}
+		reply, err := f.services[node].Runner.Submit(context.Background(), order)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.Outcome, qt.Not(qt.Equals), cluster.Rejected, qt.Commentf("%v", reply))
+		if reply.Outcome == cluster.Accepted {
+			return
 		}
 	}
-	submit(0, 1)
+}
+
+// checkBounds holds what a node's control address has taken against its limits.
+func (f *floodedCore) checkBounds(c *qt.C, node int) {
+	c.Helper()
+	guard, limits := f.services[node].ControlGuard, ProcessLimits{Files: 100}.controlLimits()
+	c.Check(guard.HeldBodyBytes() <= limits.BodyBytes, qt.IsTrue)
+	c.Check(guard.OpenConnections() <= int64(limits.Connections), qt.IsTrue)
+}
+
+// awaitRejections waits until a node has rejected connections and bodies.
+func (f *floodedCore) awaitRejections(c *qt.C, node int) {
+	c.Helper()
+	guard := f.services[node].ControlGuard
+	for guard.RejectedConnections.Load() == 0 || guard.RejectedBodies.Load() == 0 {
+		f.checkBounds(c, node)
+		runtime.Gosched()
+	}
+}
+
+func (f *floodedCore) stop(c *qt.C, node int) {
+	c.Helper()
+	f.nodes[node].stop()
+	c.Assert(<-f.nodes[node].ended, qt.IsNil)
+}
+
+// Under a flood of the control addresses of all nodes a core elects a new leader and takes an order, what the flood holds
+// stays within the bounds, and what goes beyond is rejected and counted.
+func TestTheCoreElectsUnderAFloodOfControl(t *testing.T) {
+	c := qt.New(t)
+	f := startFloodedCore(c)
+	f.submit(c, 0, 1)
 	ctx, endFlood := context.WithCancel(context.Background())
 	var floods []*sync.WaitGroup
-	for _, node := range nodes {
+	for _, node := range f.nodes {
 		floods = append(floods, flood(ctx, node.Control, 2*minControlConnections))
 	}
-	// Once the flood has reached the bounds the leader goes.
-	for _, service := range services {
-		for service.ControlGuard.RejectedConnections.Load() == 0 || service.ControlGuard.RejectedBodies.Load() == 0 {
-			c.Check(service.ControlGuard.OpenConnections() <= minControlConnections, qt.IsTrue)
-		}
+	for node := range f.nodes {
+		f.awaitRejections(c, node)
 	}
-	leader := 0
-	for leader = range services {
-		if services[leader].Runner.State().IsLeader {
-			break
-		}
-	}
-	nodes[leader].stop()
-	c.Assert(<-nodes[leader].ended, qt.IsNil)
-	submit((leader+1)%len(nodes), 2)
-	limits := ProcessLimits{Files: 100}.controlLimits()
-	for i, service := range services {
-		if i != leader {
-			c.Check(service.ControlGuard.HeldBodyBytes() <= limits.BodyBytes, qt.IsTrue)
-			c.Check(service.ControlGuard.OpenConnections() <= int64(limits.Connections), qt.IsTrue)
-		}
+	leader := max(slices.IndexFunc(f.services, func(s *Services) bool { return s.Runner.State().IsLeader }), 0)
+	f.stop(c, leader)
+	left := []int{(leader + 1) % 3, (leader + 2) % 3}
+	f.submit(c, left[0], 2)
+	for _, node := range left {
+		f.checkBounds(c, node)
 	}
 	endFlood()
 	for _, work := range floods {
 		work.Wait()
 	}
-	for i, node := range nodes {
-		if i != leader {
-			node.stop()
-			c.Assert(<-node.ended, qt.IsNil)
-		}
+	for _, node := range left {
+		f.stop(c, node)
 	}
 }
 
