Requests one behind another on a connection are answered in order

Cause: a request that came behind another one before that was answered got 503 and a closed connection: the guard against hidden requests could not tell where the body in front ended. Change: requestFollower follows the requests of a connection by length and chunks, as net/http does, and gives up at whatever could be understood in another way. The guard takes the next head only for the request line that net/http serves, so that one which the library answers itself can't lend its head to another. A request whose end is not sure is served and its connection closes. Ruled out: parsing beside net/http with a parser of our own that serves; resetting the follower after an answer, as before, since bytes of the next request may have been read by then. Conclusion: mended; hidden requests are refused as before.

--- a/internal/server/head_guard.go
+++ b/internal/server/head_guard.go
@@ -1,113 +1,60 @@
 package server
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // A request with both a length and chunks says two things of where its body ends. net/http goes by the
 // chunks and takes what follows for the next request on the connection; whoever goes by the length takes
-// it for a part of the body. The head guard looks at the heads as they come over a connection, refuses
-// such a request, and serves nothing that came behind a request before that was answered.
-
-// headGuard is a caller's connection whose heads are looked at.
+// it for a part of the body. The head guard follows the requests as they come over a connection, refuses
+// such a request, and serves nothing whose head it has not seen.
+//
+// A request may come behind another one before that is answered. The guard follows bodies by their length or chunks
+// and so sees the head behind one. Where it is not sure of a body's end it follows no further: that request is served,
+// and its connection closes.
+
+// headGuard is a caller's connection whose requests are followed.
 type headGuard struct {
 	net.Conn
-	lock sync.Mutex // guards all that follows
-	// isExpected: the next bytes belong to a head.
-	isExpected bool
-	line       []byte // the first bytes of the line that is coming in
-	hasLine    bool   // a line of the head has come in
-	head       headFields
+	lock     sync.Mutex // guards all that follows
+	follower requestFollower
 }
 
-// headFields is what a head says of its body's end.
-type headFields struct{ isSeen, hasLength, hasChunks bool }
-
 func newHeadGuard(connection net.Conn) *headGuard {
-	return &headGuard{Conn: connection, isExpected: true}
+	return &headGuard{Conn: connection}
 }
 
-// maxFieldNameBytes is how much of a line is kept: enough for the names that are looked for.
-const maxFieldNameBytes = len("transfer-encoding:")
-
-// Read reads from the connection and looks at what belongs to a head.
+// Read reads from the connection and follows what it reads.
 func (g *headGuard) Read(to []byte) (int, error) {
 	count, err := g.Conn.Read(to)
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	if g.isExpected {
-		g.scan(to[:count])
-	}
+	g.follower.follow(to[:count])
 	return count, err
 }
 
-func (g *headGuard) scan(chunk []byte) {
-	for len(chunk) > 0 && g.isExpected {
-		end := bytes.IndexByte(chunk, '\n')
-		part := chunk
-		if end >= 0 {
-			part = chunk[:end]
-		}
-		g.line = append(g.line, part[:min(len(part), max(maxFieldNameBytes+1-len(g.line), 0))]...)
-		if end < 0 {
-			return
-		}
-		g.endLine()
-		chunk = chunk[end+1:]
-	}
-}
-
-// endLine takes a whole line of a head. An empty one ends it, unless nothing came before.
-func (g *headGuard) endLine() {
-	line := strings.TrimSuffix(string(g.line), "\r")
-	g.line = g.line[:0]
-	if line == "" {
-		if g.hasLine {
-			g.head.isSeen, g.isExpected = true, false
-		}
-		return
-	}
-	g.hasLine = true
-	name, _, isField := strings.Cut(line, ":")
-	if !isField {
-		return
-	}
-	switch strings.ToLower(strings.TrimSpace(name)) {
-	case "content-length":
-		g.head.hasLength = true
-	case "transfer-encoding":
-		g.head.hasChunks = true
-	}
-}
-
-// currentHead gives what the head of the request said that is now served.
-func (g *headGuard) currentHead() headFields {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	return g.head
-}
-
-// expectHead tells that the request was answered and read whole, so that a head follows.
-func (g *headGuard) expectHead() {
-	g.lock.Lock()
-	defer g.lock.Unlock()
-	g.isExpected, g.hasLine, g.line, g.head = true, false, g.line[:0], headFields{}
-}
-
-// stopScanning tells that what follows on the connection can't be told from what is left of a body.
-func (g *headGuard) stopScanning() {
+// takeHead returns what the head of the request said that is served now. It was not seen if the head that is due is of
+// another request line: net/http answers some requests itself.
+func (g *headGuard) takeHead(r *http.Request) (head requestHead, isSeen bool) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
-	g.isExpected, g.head = false, headFields{}
+	if len(g.follower.heads) == 0 {
+		return requestHead{}, false
+	}
+	head = g.follower.heads[0]
+	g.follower.heads = g.follower.heads[1:]
+	// Of requests below HTTP/1.1 net/http passes over chunks, so that it may see another end than the guard.
+	isSameFraming := r.ProtoAtLeast(1, 1) || !head.hasChunks
+	return head, isSameFraming && head.requestLine == xxhash.Sum64String(r.Method+" "+r.RequestURI+" "+r.Proto)
 }
 
-// guardedListener takes connections whose heads are looked at.
+// guardedListener takes connections whose requests are followed.
 type guardedListener struct{ net.Listener }
 
 // Accept gives the next connection.
@@ -129,18 +76,6 @@
 	return ctx
 }
 
-// trackedBody knows whether it was read to its end.
-type trackedBody struct {
-	io.ReadCloser
-	isComplete bool
-}
-
-func (b *trackedBody) Read(to []byte) (int, error) {
-	count, err := b.ReadCloser.Read(to)
-	b.isComplete = b.isComplete || err == io.EOF
-	return count, err
-}
-
 // Answers of the guard.
 const (
 	ambiguousLengthBody = `{"error":"bad_request","why":"a request has a length or chunks, not both"}` + "\n"
@@ -155,23 +90,17 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		switch head := guard.currentHead(); {
-		case !head.isSeen:
+		switch head, isSeen := guard.takeHead(r); {
+		case !isSeen:
 			w.Header().Set("Retry-After", "0.05")
 			refuseAndClose(w, http.StatusServiceUnavailable, pipelinedBody)
 		case head.hasLength && head.hasChunks:
 			refuseAndClose(w, http.StatusBadRequest, ambiguousLengthBody)
 		default:
-			body := &trackedBody{ReadCloser: r.Body, isComplete: r.Body == nil || r.Body == http.NoBody}
-			if !body.isComplete {
-				r.Body = body
+			if head.isOdd {
+				w.Header().Set("Connection", "close")
 			}
 			next.ServeHTTP(w, r)
-			if body.isComplete {
-				guard.expectHead()
-			} else {
-				guard.stopScanning()
-			}
 		}
 	})
 }
--- a/internal/server/head_guard_test.go
+++ b/internal/server/head_guard_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -107,3 +109,42 @@
 	node.stop()
 	c.Assert(<-node.ended, qt.IsNil)
 }
+
+// Requests that come behind others before these are answered are answered in their order; behind one whose end is not
+// sure, and behind one that net/http answers itself, nothing is.
+func TestRequestsBehindAnotherAreAnsweredInOrder(t *testing.T) {
+	c := qt.New(t)
+	handler := &recordedRequests{}
+	node := startDeployed(c, goodDeployment(c, []string{free(c)}, free(c)), handler)
+	<-node.seen
+	awaitStatus(node.Callers, "/first", http.StatusOK)
+	const (
+		plain     = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+		length    = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 33\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+		chunked   = "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n21\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n\r\n0\r\n\r\n"
+		ambiguous = "POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		odd       = "POST /e HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nhi"
+		options   = "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n"
+	)
+	for _, test := range []struct {
+		name, text string
+		statuses   []int
+		paths      []string
+	}{
+		{"all kinds", plain + length + chunked + plain, []int{200, 200, 200, 200}, []string{"/a", "/b", "/c", "/a"}},
+		{"many", strings.Repeat(plain+chunked+length, 60), slices.Repeat([]int{200}, 180), slices.Repeat([]string{"/a", "/c", "/b"}, 60)},
+		{"an ambiguous one", plain + ambiguous + plain, []int{200, 400}, []string{"/a"}},
+		{"an odd one", plain + odd + plain, []int{200, 200}, []string{"/a", "/e"}},
+		{"one that the library answers", plain + options + ambiguous, []int{200, 200, 503}, []string{"/a"}},
+		{"one that the library answers, again", options + plain, []int{200, 503}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			before := len(handler.seen())
+			c.Assert(exchange(c, node.Callers, test.text), qt.DeepEquals, test.statuses)
+			c.Assert(handler.seen()[before:], qt.DeepEquals, append([]string{}, test.paths...))
+		})
+	}
+	node.stop()
+	c.Assert(<-node.ended, qt.IsNil)
+}
