Tenants in the routed simulator: keys, withdrawals and quotas, with the checker's rules

Change: engines of the emulator note the tenant header and a key that is passed on; callers come with keys and claim to be somebody else; the checker has rules on shown keys, told tenants, strangers' and withdrawn keys, quotas over any window, rejections within a quota and starved tenants; the routed simulator plays tenants with quotas, keys given and withdrawn, hot tenants, routers that are cut off and allocators without a leader (--tenants). Requests that no key allows are no proper ones for the rule on denials. Ruled out: the strict rules' relay, which has no tenants. The control plane's side is a stand-in here; its own is proved by TestNobodyTrustsAWithdrawnKeyForTooLong and TestQuotasHoldThroughChangesOfLeader. Conclusion: soak, local fleet runs and loadgen still lack tenants.

--- a/cmd/simulator/main.go
+++ b/cmd/simulator/main.go
@@ -28,6 +28,7 @@
 	Rate       float64 `arg:"--rate" default:"20" help:"requests a second"`
 	Workers    int     `arg:"--workers" default:"6"`
 	Routed     bool    `arg:"--routed" help:"routers before model engines instead, each seed another deployment with up to three troubles; --span-us is its whole length"`
+	Tenants    bool    `arg:"--tenants" help:"with --routed: fleets whose requests need keys and have quotas, with troubles of their own"`
 	Record     string  `arg:"--record" help:"with --routed: a folder for the record of each seed that is told"`
 	Replay     string  `arg:"--replay" help:"judge the events of this record anew, and make the routers' decisions again"`
 	OneCore    bool    `arg:"--one-core" help:"with --routed: run on one processor, one seed after another, so that a seed mostly gives the same run again"`
@@ -143,6 +144,7 @@
 	search := simulator.RoutedSearch{
 		First: arguments.First, Count: arguments.Count, Span: kernel.Micros(arguments.SpanUS),
 		Workers: arguments.Workers, Stop: arguments.Stop, Counts: arguments.Counts, RecordFolder: arguments.Record,
+		HasTenants: arguments.Tenants,
 	}
 	if arguments.OneCore {
 		search.Workers = 1
--- a/internal/server/request_follower_test.go
+++ b/internal/server/request_follower_test.go
@@ -137,7 +137,7 @@
 
 // isTakenFor reports whether the guard takes a head for that of the request.
 func (l libraryRequest) isTakenFor(head requestHead) bool {
-	return head.requestLine == xxhash.Sum64String(l.line) && !(l.isOld && head.hasChunks)
+	return head.requestLine == xxhash.Sum64String(l.line) && (!l.isOld || !head.hasChunks)
 }
 
 // drawConnection draws what comes over a connection: a few requests, mostly with some bytes changed.
--- a/test/checker/routed.go
+++ b/test/checker/routed.go
@@ -31,6 +31,7 @@
 	RetryWindow                                      kernel.Micros
 	// MaxRejected and RejectedOneIn bound the valid requests that may be rejected: so many, and one in so many.
 	MaxRejected, RejectedOneIn int
+	Tenants                    TenantBounds
 	// Splits are the weights of services by route, for routes whose split does not change.
 	Splits map[string]map[string]float64
 }
@@ -61,6 +62,7 @@
 	order          []string // ids of the attempts, as they were sent
 	report         RoutedReport
 	disconnections disconnections
+	keys           map[string]*keyHistory
 }
 
 // CheckRouted checks the history of a routed fleet against every rule. The events may come in any order;
@@ -70,7 +72,7 @@
 	sort.SliceStable(ordered, func(a, b int) bool { return ordered[a].At < ordered[b].At })
 	c := &routedChecker{bounds: bounds, attempts: map[string]*routedAttempt{}, report: RoutedReport{Endings: map[string]int{}}}
 	c.gather(ordered)
-	c.disconnections = disconnectionsOf(ordered)
+	c.disconnections, c.keys = disconnectionsOf(ordered), keyHistories(ordered)
 	for _, id := range c.order {
 		c.checkAttempt(c.attempts[id])
 	}
@@ -82,6 +84,7 @@
 	c.checkKeepAlive(ordered)
 	c.checkAbandoned()
 	c.checkSplits(ordered)
+	c.checkTenants()
 	sortByTime(c.report.Violations)
 	return c.report
 }
@@ -163,7 +166,8 @@
 	count := 0
 	var last RoutedEvent
 	for _, id := range c.order {
-		if end := c.attempts[id].ended; end != nil && end.Run == "" && isRejectionOfValid(end.Status) {
+		attempt := c.attempts[id]
+		if end := attempt.ended; end != nil && end.Run == "" && isRejectionOfValid(end.Status) && !c.isKeyRejected(attempt) {
 			count++
 			last = *end
 		}
--- a/test/checker/routed_event.go
+++ b/test/checker/routed_event.go
@@ -27,6 +27,10 @@
 	ContactRestored RoutedEventKind = "touch_back"
 	// InvariantBroken is a violation that a process counted itself; Why names it.
 	InvariantBroken RoutedEventKind = "invariant_broken"
+	// KeyHeld says that a configuration was sent which gives Key to Tenant, KeyWithdrawn that one was acknowledged
+	// which no longer does.
+	KeyHeld      RoutedEventKind = "key_held"
+	KeyWithdrawn RoutedEventKind = "key_withdrawn"
 )
 
 // Chunk is one event of a stream as a caller got it.
@@ -73,6 +77,14 @@
 	Deadline     kernel.Micros `json:"until_us,omitempty"`
 	MaxAttempts  int           `json:"tries,omitempty"` // of its route: the engines that one attempt may run on
 	IsKeepAlive  bool          `json:"kept,omitempty"`  // its connection had served a request before
+	// Of fleets with tenants: the key that a request came with, what it counts under a quota, and whether its route takes
+	// requests without a key.
+	Key    string  `json:"key,omitempty"`
+	Cost   float64 `json:"cost,omitempty"`
+	IsOpen bool    `json:"open,omitempty"`
+	// What an engine was told: the tenant, and whether it was shown a key. Of a key: who holds it.
+	Tenant   string `json:"tenant,omitempty"`
+	ShowsKey bool   `json:"shows_key,omitempty"`
 	// What the caller got.
 	Ending  Ending        `json:"ended,omitempty"`
 	Chunks  []Chunk       `json:"pieces,omitempty"`
--- a/test/checker/routed_test.go
+++ b/test/checker/routed_test.go
@@ -322,3 +322,109 @@
 	c.Check(played(2*splitRequests, 2, fault...), qt.DeepEquals, []Rule{SplitDeviated})
 	c.Check(played(splitRequests, 2, RoutedEvent{At: 9 * kernel.Second, EventKind: Rejected, ID: "s50", Engine: "e1", Status: 503}), qt.HasLen, 0)
 }
+
+// tenantHistory is a request under a key that was held all the time, and one under a key that was withdrawn.
+func tenantHistory() []RoutedEvent {
+	events := []RoutedEvent{
+		{At: msec, EventKind: KeyHeld, Key: "k1", Tenant: "ann"},
+		{At: msec, EventKind: KeyHeld, Key: "k2", Tenant: "bob"},
+		{At: 3 * kernel.Second, EventKind: KeyWithdrawn, Key: "k2"},
+	}
+	first, second := cleanAttempt("a", kernel.Second), cleanAttempt("b", 4*kernel.Second)
+	first[0].Key, first[0].Cost, first[1].Tenant = "k1", 100, "ann"
+	second[0].Key, second[0].Cost, second[1].Tenant = "k2", 100, "bob"
+	return append(append(events, first...), second...)
+}
+
+func tenantBounds() RoutedBounds {
+	bounds := routedBounds()
+	bounds.Tenants = TenantBounds{
+		RevocationTimeout: 2 * kernel.Second, QuotaWindow: 4 * kernel.Second, QuotaOver: 0.1, QuotaSlack: 10,
+		Quotas: map[string]TenantQuota{"ann": {Rate: 50, Burst: 50}},
+	}
+	return bounds
+}
+
+// asksOf is requests of "ann", one each so often, that end with a status; those that are served ran.
+func asksOf(count int, interval kernel.Micros, status int) (events []RoutedEvent) {
+	for i := range count {
+		at := 5*kernel.Second + kernel.Micros(i)*interval
+		attempt := cleanAttempt(fmt.Sprint("more", i), at)
+		attempt[0].Key, attempt[0].Cost, attempt[1].Tenant = "k1", 10, "ann"
+		if status != 200 {
+			attempt = []RoutedEvent{attempt[0], {At: at + msec, EventKind: AttemptEnded, ID: attempt[0].ID, Status: status, Ending: Complete}}
+		}
+		events = append(events, attempt...)
+	}
+	return events
+}
+
+func TestEveryPlantedViolationOfTenantsIsFound(t *testing.T) {
+	const a = 3 // where the first request begins in the history
+	for _, test := range []struct {
+		name   string
+		change func([]RoutedEvent) []RoutedEvent
+		rule   Rule // empty: a near miss, in which nothing is broken
+	}{
+		{"clean", func(e []RoutedEvent) []RoutedEvent { return e }, ""},
+		{"a key passed on", func(e []RoutedEvent) []RoutedEvent { e[a+1].ShowsKey = true; return e }, KeyShown},
+		{"no tenant", func(e []RoutedEvent) []RoutedEvent { e[a+1].Tenant = ""; return e }, TenantMismatch},
+		{"the caller's word for the tenant", func(e []RoutedEvent) []RoutedEvent { e[a+1].Tenant = "mallory"; return e }, TenantMismatch},
+		{"two tenants", func(e []RoutedEvent) []RoutedEvent { e[a+1].Tenant = "ann,mallory"; return e }, TenantMismatch},
+		{"a key that moved", func(e []RoutedEvent) []RoutedEvent {
+			e[a+1].Tenant = "bob"
+			return append(e, RoutedEvent{At: 900 * msec, EventKind: KeyHeld, Key: "k1", Tenant: "bob"})
+		}, ""},
+		{"no key", func(e []RoutedEvent) []RoutedEvent { e[a].Key, e[a+1].Tenant = "", ""; return e }, UnknownKeyRan},
+		{"no key on an open route", func(e []RoutedEvent) []RoutedEvent {
+			e[a].Key, e[a].IsOpen, e[a+1].Tenant = "", true, ""
+			return e
+		}, ""},
+		{"a stranger's key", func(e []RoutedEvent) []RoutedEvent { e[a].Key, e[a+1].Tenant = "k9", ""; return e }, UnknownKeyRan},
+		{"a key before it was held", func(e []RoutedEvent) []RoutedEvent { e[0].At = 1500 * msec; return e }, UnknownKeyRan},
+		{"a withdrawn key in its time", func(e []RoutedEvent) []RoutedEvent { e[2].At = 2 * kernel.Second; return e }, ""},
+		{"a withdrawn key", func(e []RoutedEvent) []RoutedEvent { e[2].At = 2*kernel.Second - 1; return e }, WithdrawnKeyRan},
+		{"a withdrawn key that is held again", func(e []RoutedEvent) []RoutedEvent {
+			e[2].At = kernel.Second
+			return append(e, RoutedEvent{At: 3 * kernel.Second, EventKind: KeyHeld, Key: "k2", Tenant: "bob"})
+		}, ""},
+		// 50 a second over four seconds and the burst, a tenth more and the slack: 285.
+		{"up to the quota", func(e []RoutedEvent) []RoutedEvent { return append(e, asksOf(28, 50*msec, 200)...) }, ""},
+		{"beyond the quota", func(e []RoutedEvent) []RoutedEvent { return append(e, asksOf(29, 50*msec, 200)...) }, QuotaExceeded},
+		{"as much over more time", func(e []RoutedEvent) []RoutedEvent { return append(e, asksOf(60, 300*msec, 200)...) }, ""},
+		{"rejected beyond the quota", func(e []RoutedEvent) []RoutedEvent { return append(e, asksOf(400, 20*msec, 429)...) }, ""},
+		{"rejected within the quota", func(e []RoutedEvent) []RoutedEvent { return append(e, asksOf(60, 500*msec, 429)...) }, RejectedWithinQuota},
+		{"a stranger is denied", func(e []RoutedEvent) []RoutedEvent {
+			more := asksOf(60, 500*msec, 401)
+			for i := range more {
+				more[i].Key = ""
+			}
+			return append(e, more...)
+		}, ""},
+		{"a tenant is denied", func(e []RoutedEvent) []RoutedEvent { return append(e, asksOf(60, 500*msec, 401)...) }, ValidRequestsRejected},
+		{"a tenant is starved", func(e []RoutedEvent) []RoutedEvent {
+			starved := asksOf(60, 500*msec, 503)
+			for i := range starved {
+				starved[i].ID += "-starved"
+				if starved[i].Key != "" {
+					starved[i].Key = "k3"
+				}
+			}
+			return append(append(append(e, RoutedEvent{EventKind: KeyHeld, Key: "k3", Tenant: "eve"}), asksOf(200, 300*msec, 200)...), starved...)
+		}, TenantStarved},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			report := CheckRouted(test.change(tenantHistory()), tenantBounds())
+			found := map[Rule]bool{}
+			for _, violation := range report.Violations {
+				found[violation.Rule] = true
+			}
+			want := map[Rule]bool{}
+			if test.rule != "" {
+				want[test.rule] = true
+			}
+			c.Assert(found, qt.DeepEquals, want, qt.Commentf("%v", report.Violations))
+		})
+	}
+}
--- a/test/emulator/model_wire.go
+++ b/test/emulator/model_wire.go
@@ -236,7 +236,10 @@
 	}
 	id := r.Header.Get(wire.RequestID)
 	digest := Digest(r.Method, r.RequestURI, r.body)
-	m.note(checker.RoutedEvent{EventKind: checker.Arrived, ID: id, Digest: digest})
+	m.note(checker.RoutedEvent{
+		EventKind: checker.Arrived, ID: id, Digest: digest,
+		Tenant: strings.Join(r.Header.Values(wire.Tenant), ","), ShowsKey: r.Header.Get(wire.Key) != "",
+	})
 	reject := func(status int, why string, header http.Header) bool {
 		m.note(checker.RoutedEvent{EventKind: checker.Rejected, ID: id, Status: status, Why: why})
 		return c.plain(id, status, header, []byte(why+"\n"))
--- a/test/routedcaller/request.go
+++ b/test/routedcaller/request.go
@@ -49,8 +49,14 @@
 	WantsNewConnection bool
 	RouterIndex        int
 	Deadline           kernel.Micros
+	// Key is the tenant's that the request is sent under; empty: none. A caller with a key claims to be somebody else as
+	// well, which no engine may be told.
+	Key string
 }
 
+// ForgedTenant is the tenant that callers with a key claim to be.
+const ForgedTenant = "mallory"
+
 // One request of a kind in so many is chunked, wants a new connection, or resumes a stream.
 const (
 	chunkedOneIn       = 4
@@ -103,6 +109,7 @@
 		EventKind: checker.AttemptSentByCaller, ID: r.ID, Kind: route.Name, Router: routerName, Digest: emulator.Digest(http.MethodPost, r.target(), r.Body),
 		IsIdempotent: route.IsRepeatable(), IsResumable: route.IsResumable, IsStream: route.Kind == fleetconfig.Stream, Services: services,
 		From: r.From, Deadline: r.Deadline, MaxAttempts: max(route.MaxAttempts, 1),
+		Key: r.Key, Cost: float64(r.Prompt + r.Out), IsOpen: route.IsOpen,
 	}
 }
 
@@ -118,6 +125,9 @@
 	if r.From > 0 {
 		fmt.Fprintf(&message, "%s: %d\r\n", wire.LastEvent, r.From)
 	}
+	if r.Key != "" {
+		fmt.Fprintf(&message, "%s: %s %s\r\n%s: %s\r\n", wire.Key, wire.KeyScheme, r.Key, wire.Tenant, ForgedTenant)
+	}
 	if half := len(r.Body) / 2; r.IsChunked && half > 0 {
 		fmt.Fprintf(&message, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, r.Body[:half], len(r.Body)-half, r.Body[half:])
 	} else {
--- a/test/simulator/routed.go
+++ b/test/simulator/routed.go
@@ -36,6 +36,8 @@
 	Load func(part float64) float64
 	// IsYielding has routers give up the processor at random wherever they hand over.
 	IsYielding bool
+	// Tenants are those of the fleet's configurations; nil: requests need no keys.
+	Tenants *TenantPlan
 	// IsRecorded keeps every decision of the routers, for RoutedOutcome.Record.
 	IsRecorded bool
 }
@@ -106,12 +108,14 @@
 	figures      map[string]emulator.ModelStats
 	opened       uint64
 	monitor      *invariant.Monitor
+	tenancy      *tenancy // nil: the fleet has no tenants
+	keyRevision  int      // of the newest configuration that changed keys
 }
 
-// drainWait is an engine whose leaving is acknowledged once all routers know.
+// drainWait is what is acknowledged once all routers know: an engine's leaving, or the withdrawal of a key.
 type drainWait struct {
 	revision int
-	engine   string
+	event    checker.RoutedEvent
 	then     func()
 }
 
@@ -155,6 +159,11 @@
 		context: ctx, decisions: map[string][]router.Decision{}, factor: 1, services: map[string][]string{},
 		idleConns: map[string][]*callerConn{}, figures: map[string]emulator.ModelStats{},
 	}
+	if plan.Tenants != nil {
+		f.tenancy = newTenancy(f, plan.Tenants)
+		f.deployment.Bounds.Tenants = plan.Tenants.Bounds
+		f.tenancy.every(freshnessInterval, f.tenancy.refresh)
+	}
 	f.monitor = invariant.NewMonitor(func(violation invariant.ViolationError) {
 		f.note(checker.RoutedEvent{EventKind: checker.InvariantBroken, Why: violation.Error()})
 	})
@@ -181,6 +190,9 @@
 	}
 	for index, name := range plan.Faults {
 		fault := routedFaults[name]
+		if fault == nil {
+			fault = tenantFaults[name]
+		}
 		random := f.randomOf("fault", uint64(index))
 		// In the first half, so that all is well for a while at the end.
 		at := between(random, plan.Span/8, plan.Span*3/8)
@@ -242,10 +254,17 @@
 
 // setConfig makes a configuration of routes; the callers' rules count every service it ever named.
 func (f *routedFleet) setConfig(routes []fleetconfig.Route) {
+	config := fleetconfig.NewRouteConfig(routes, f.deployment.Services)
+	if f.tenancy != nil {
+		tenants := f.tenancy.configured()
+		f.tenancy.noteHeld(tenants)
+		config.SetTenants(tenants)
+	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	f.config = fleetconfig.NewRouteConfig(routes, f.deployment.Services)
+	f.config = config
 	f.revision++
+	f.keyRevision = f.revision
 	for _, route := range routes {
 		for _, split := range route.Splits {
 			if !slices.Contains(f.services[route.Name], split.Service) {
@@ -330,10 +349,14 @@
 	}
 	pool := router.NewPool(clock, dial, 300*ms, 10*sec)
 	served := &routedRouter{name: name, zone: zone, chooser: chooser, pool: pool}
-	served.router = router.NewRouter(router.Settings{
+	settings := router.Settings{
 		Env:  kernel.Env{Context: f.context, Clock: clock, Log: klog.Background(), Journal: kernel.NewJournal(64)},
 		Wire: routedWire, Chooser: chooser, Pool: pool, Invariants: f.monitor, MaxInFlight: 2000, MaxBodyBytesTotal: 64 << 20,
-	})
+	}
+	if f.tenancy != nil {
+		f.tenancy.join(name, &settings)
+	}
+	served.router = router.NewRouter(settings)
 	listener, err := f.network.Listen(name)
 	if err != nil {
 		panic(fmt.Errorf("start a router: %w", err))
@@ -412,6 +435,9 @@
 	f.lock.Unlock()
 	for _, router := range f.routers {
 		show := func() {
+			if f.tenancy.isCutOff(router.name) {
+				return
+			}
 			routingTable, revision := f.routingTable()
 			router.chooser.SetRoutingTable(routingTable)
 			f.lock.Lock()
@@ -432,7 +458,7 @@
 	f.lock.Lock()
 	least := f.revision
 	for _, router := range f.routers {
-		if !router.isDown {
+		if !router.isDown && !f.tenancy.isCutOff(router.name) {
 			least = min(least, router.shownRev)
 		}
 	}
@@ -446,7 +472,7 @@
 	})
 	f.lock.Unlock()
 	for _, wait := range known {
-		f.note(checker.RoutedEvent{EventKind: checker.DrainAcknowledged, Engine: wait.engine})
+		f.note(wait.event)
 		wait.then()
 	}
 }
--- a/test/simulator/routed_callers.go
+++ b/test/simulator/routed_callers.go
@@ -43,6 +43,9 @@
 		timer := time.NewTimer(pause.Duration())
 		<-timer.C
 		request := routedcaller.NewRequest(random, kind, f.strideOf(kind), fmt.Sprintf("%s-%d", kind.Route.Name, count))
+		if f.tenancy != nil {
+			request.Key = f.tenancy.drawKey(random)
+		}
 		f.calls.Go(func() { f.retryUntilAnswered(request) })
 	}
 }
--- /dev/null
+++ b/test/simulator/routed_tenants.go
@@ -0,0 +1,426 @@
+package simulator
+
+// Tenants of a routed fleet: their keys, which configurations give and take away, and their quotas. The control plane's
+// side is a stand-in: it tells each router when its configuration is the newest, and an allocator deals quotas out.
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"dunlinloom/internal/fleetconfig"
+	"dunlinloom/internal/kernel"
+	"dunlinloom/internal/quota"
+	"dunlinloom/internal/router"
+	"dunlinloom/test/checker"
+)
+
+// RoutedTenant is a tenant of a routed fleet.
+type RoutedTenant struct {
+	Name   string
+	Weight float64 // its part of the callers
+	Rate   float64 // tokens a second; zero: no quota
+	Burst  float64
+}
+
+// TenantPlan is what a run with tenants is like.
+type TenantPlan struct {
+	Tenants []RoutedTenant
+	Bounds  checker.TenantBounds
+}
+
+// Spans of the stand-in for the control plane.
+const (
+	freshnessInterval = 250 * ms
+	quotaTick         = 20 * ms
+	keyTrustShare     = 0.95 // of the time that a withdrawn key may be used
+	strangerOneIn     = 50   // of the requests come with a key that nobody holds, and as many with none
+)
+
+// DrawTenants deals tenants to a deployment: a few large ones and some small ones, with quotas above what they usually ask
+// for but for one that has none.
+func DrawTenants(seed uint64, deployment RoutedDeployment) *TenantPlan {
+	random := rand.New(rand.NewPCG(seed, 78))
+	plan := &TenantPlan{Bounds: checker.TenantBounds{
+		RevocationTimeout: 2*sec + kernel.Micros(random.Int64N(int64(3*sec))), QuotaWindow: kernel.Micros(4+random.IntN(5)) * sec,
+		QuotaOver: 0.1, QuotaSlack: 4 * meanCost(deployment), Quotas: map[string]checker.TenantQuota{},
+	}}
+	sum := 0.0
+	for i := range 3 + random.IntN(4) {
+		tenant := RoutedTenant{Name: fmt.Sprint("tenant-", i), Weight: 0.2 + random.ExpFloat64()}
+		sum += tenant.Weight
+		plan.Tenants = append(plan.Tenants, tenant)
+	}
+	for i := range plan.Tenants {
+		tenant := &plan.Tenants[i]
+		tenant.Weight /= sum
+		if i == 0 {
+			continue
+		}
+		tenant.Rate = (1.5 + random.Float64()) * tenant.Weight * usualTokens(deployment)
+		tenant.Burst = tenant.Rate
+		plan.Bounds.Quotas[tenant.Name] = checker.TenantQuota{Rate: tenant.Rate, Burst: tenant.Burst}
+	}
+	return plan
+}
+
+// usualTokens is what all callers of a deployment ask for in a second.
+func usualTokens(deployment RoutedDeployment) (tokens float64) {
+	for _, kind := range deployment.Kinds {
+		tokens += kind.Rate * costOf(kind)
+	}
+	return tokens
+}
+
+func costOf(kind RoutedKind) float64 { return float64(kind.Shared + kind.Own + kind.Out) }
+
+// meanCost is what a request of the costliest kind counts.
+func meanCost(deployment RoutedDeployment) (cost float64) {
+	for _, kind := range deployment.Kinds {
+		cost = max(cost, costOf(kind))
+	}
+	return cost
+}
+
+// tenancy is the tenants of a run. Its lock guards all but what is set at the start.
+type tenancy struct {
+	fleet  *routedFleet
+	plan   *TenantPlan
+	bounds quota.Bounds
+
+	lock      sync.Mutex
+	held      map[string][]string // keys by tenant, of the newest configuration
+	used      map[string]string   // the key that each tenant's callers use
+	weights   []float64
+	keyCount  int
+	allocator *quota.Allocator // nil: nobody leads
+	routers   map[string]*tenancyRouter
+}
+
+// tenancyRouter is what the stand-in knows of a router.
+type tenancyRouter struct {
+	account *quota.Account
+	freshAt kernel.Micros // when its configuration was surely the newest
+	isCut   bool
+}
+
+func newTenancy(f *routedFleet, plan *TenantPlan) *tenancy {
+	t := &tenancy{
+		fleet: f, plan: plan, held: map[string][]string{}, used: map[string]string{}, routers: map[string]*tenancyRouter{},
+		bounds: quota.Bounds{Window: plan.Bounds.QuotaWindow, Over: plan.Bounds.QuotaOver, Slack: plan.Bounds.QuotaSlack},
+	}
+	for _, tenant := range plan.Tenants {
+		t.weights = append(t.weights, tenant.Weight)
+		t.used[tenant.Name] = t.giveKey(tenant.Name)
+	}
+	t.elect()
+	return t
+}
+
+// giveKey adds a key of a tenant to the next configuration.
+func (t *tenancy) giveKey(tenant string) string {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.keyCount++
+	key := fmt.Sprintf("key-%d-of-%s", t.keyCount, tenant)
+	t.held[tenant] = append(t.held[tenant], key)
+	return key
+}
+
+// configured gives the tenants as the next configuration has them, and notes the keys that it holds.
+func (t *tenancy) configured() []fleetconfig.Tenant {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	tenants := []fleetconfig.Tenant{}
+	for _, tenant := range t.plan.Tenants {
+		keys := slices.Clone(t.held[tenant.Name])
+		tenants = append(tenants, fleetconfig.Tenant{Name: tenant.Name, Keys: keys, Unit: fleetconfig.CountTokens, Rate: tenant.Rate, Burst: tenant.Burst})
+	}
+	return tenants
+}
+
+// noteHeld tells the judge which keys a configuration holds that is about to be shown. It is called without the fleet's lock.
+func (t *tenancy) noteHeld(tenants []fleetconfig.Tenant) {
+	for _, tenant := range tenants {
+		for _, key := range tenant.Keys {
+			t.fleet.note(checker.RoutedEvent{EventKind: checker.KeyHeld, Key: key, Tenant: tenant.Name})
+		}
+	}
+}
+
+// elect has a new leader allocate, which knows nothing of the grants of the one before.
+func (t *tenancy) elect() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	now := t.fleet.clock.Now()
+	t.allocator = quota.NewAllocator(now, t.bounds)
+	t.allocator.SetRouterCount(t.fleet.deployment.Routers)
+	limits := []quota.Limit{}
+	for _, tenant := range t.plan.Tenants {
+		limits = append(limits, quota.Limit{Tenant: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst})
+	}
+	t.allocator.SetLimits(now, limits)
+}
+
+// loseLeader leaves the routers without an allocator.
+func (t *tenancy) loseLeader() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.allocator = nil
+}
+
+// join gives a router its settings, and serves it until the run ends.
+func (t *tenancy) join(name string, settings *router.Settings) {
+	state := &tenancyRouter{account: quota.NewAccount(t.bounds, uint64(len(t.routers)+1)), freshAt: t.fleet.clock.Now()}
+	t.lock.Lock()
+	t.routers[name] = state
+	t.lock.Unlock()
+	settings.Quota = state.account
+	settings.MayTrustKeys = func() bool { return t.mayTrust(state) }
+	settings.IsInTouch = func() bool { return !t.isCut(state) }
+	settings.RequestQuota = func() { t.fleet.chores.Go(func() { t.requestQuota(name, state) }) }
+	t.every(quotaTick, func() { t.requestQuota(name, state); t.sweep() })
+}
+
+// every does something again and again until the run ends.
+func (t *tenancy) every(interval kernel.Micros, do func()) {
+	t.fleet.chores.Go(func() {
+		ticker := time.NewTicker(interval.Duration())
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				do()
+			case <-t.fleet.context.Done():
+				return
+			}
+		}
+	})
+}
+
+func (t *tenancy) isCut(state *tenancyRouter) bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return state.isCut
+}
+
+func (t *tenancy) mayTrust(state *tenancyRouter) bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	trust := kernel.Micros(keyTrustShare * float64(t.plan.Bounds.RevocationTimeout))
+	return t.fleet.clock.Now()-state.freshAt < trust
+}
+
+// sweep has the allocator write off what silent routers hold.
+func (t *tenancy) sweep() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if t.allocator != nil {
+		t.allocator.Sweep(t.fleet.clock.Now())
+	}
+}
+
+// requestQuota carries a router's request to the allocator and the grant back, each over the network's delay.
+func (t *tenancy) requestQuota(name string, state *tenancyRouter) {
+	request := state.account.NextRequest(t.fleet.clock.Now())
+	if request == nil {
+		return
+	}
+	t.fleet.after(t.fleet.deployment.Delay, func() {
+		grant := t.allocate(name, state, request)
+		if grant == nil {
+			return
+		}
+		t.fleet.after(t.fleet.deployment.Delay, func() {
+			if !t.isCut(state) {
+				state.account.ApplyGrant(t.fleet.clock.Now(), grant)
+			}
+		})
+	})
+}
+
+func (t *tenancy) allocate(name string, state *tenancyRouter, request *quota.Request) *quota.Grant {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if t.allocator == nil || state.isCut {
+		return nil
+	}
+	return t.allocator.Allocate(t.fleet.clock.Now(), name, request)
+}
+
+// refresh tells the routers that have the newest configuration that it is the newest.
+func (t *tenancy) refresh() {
+	f := t.fleet
+	f.lock.Lock()
+	sentAt, revision := f.clock.Now(), f.keyRevision
+	shown := map[string]int{}
+	for _, router := range f.routers {
+		shown[router.name] = router.shownRev
+	}
+	f.lock.Unlock()
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	for name, state := range t.routers {
+		if !state.isCut && shown[name] >= revision {
+			state.freshAt = sentAt
+		}
+	}
+}
+
+// setCut cuts a router off from the control plane, or back on. It tells whether that changed anything.
+func (t *tenancy) setCut(name string, isCut bool) bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	state := t.routers[name]
+	if state == nil || state.isCut == isCut {
+		return false
+	}
+	state.isCut = isCut
+	return true
+}
+
+// isCutOff tells whether a router is cut off from the control plane.
+func (t *tenancy) isCutOff(name string) bool {
+	if t == nil {
+		return false
+	}
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	state := t.routers[name]
+	return state != nil && state.isCut
+}
+
+// drawKey draws the key of a request: a tenant's, a stranger's or none.
+func (t *tenancy) drawKey(random *rand.Rand) string {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	switch random.IntN(strangerOneIn) {
+	case 0:
+		return "key-of-a-stranger"
+	case 1:
+		return ""
+	}
+	sum := 0.0
+	for _, weight := range t.weights {
+		sum += weight
+	}
+	drawn := random.Float64() * sum
+	for i, weight := range t.weights {
+		if drawn -= weight; drawn < 0 {
+			return t.used[t.plan.Tenants[i].Name]
+		}
+	}
+	return ""
+}
+
+// scaleTenant changes how much of the traffic is a tenant's, the others' staying as it is. It gives the factor of all.
+func (t *tenancy) scaleTenant(index int, by float64) (all float64) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	before, after := 0.0, 0.0
+	for i := range t.weights {
+		before += t.weights[i]
+		if i == index {
+			t.weights[i] *= by
+		}
+		after += t.weights[i]
+	}
+	return after / before
+}
+
+// TenantFaults names what can be caused in fleets with tenants beside RoutedFaults.
+func TenantFaults() []string { return slices.Sorted(maps.Keys(tenantFaults)) }
+
+// tenantFaults are the troubles of fleets with tenants.
+var tenantFaults = map[string]routedFault{
+	"revoke":     revokeKey,
+	"cut-router": cutRouter,
+	"leader": func(f *struckFleet, span kernel.Micros) {
+		f.note(checker.RoutedEvent{EventKind: checker.ContactLost})
+		f.tenancy.loseLeader()
+		f.after(span/2, func() {
+			f.tenancy.elect()
+			f.note(checker.RoutedEvent{EventKind: checker.ContactRestored})
+		})
+	},
+	"hot-tenant": func(f *struckFleet, span kernel.Micros) {
+		const factor = 12
+		index := f.random.IntN(len(f.tenancy.plan.Tenants))
+		scale := func(by float64) {
+			all := f.tenancy.scaleTenant(index, by)
+			f.lock.Lock()
+			f.factor *= all
+			f.lock.Unlock()
+		}
+		f.note(checker.RoutedEvent{EventKind: checker.FaultStarted, Why: "hot-tenant"})
+		scale(factor)
+		f.after(2*span, func() {
+			scale(1.0 / factor)
+			f.note(checker.RoutedEvent{EventKind: checker.FaultEnded, Why: "hot-tenant"})
+		})
+	},
+}
+
+// revokeKey gives a tenant another key and takes the one away that its callers use, who go on using it for long.
+func revokeKey(f *struckFleet, span kernel.Micros) {
+	t := f.tenancy
+	tenant := t.plan.Tenants[f.random.IntN(len(t.plan.Tenants))].Name
+	fresh := t.giveKey(tenant)
+	f.reconfigure()
+	f.after(span/4, func() {
+		old := t.takeKey(tenant)
+		revision := f.reconfigure()
+		f.lock.Lock()
+		f.waiting = append(f.waiting, drainWait{revision: revision, event: checker.RoutedEvent{EventKind: checker.KeyWithdrawn, Key: old}, then: func() {}})
+		f.lock.Unlock()
+		f.acknowledge()
+		// Longer than a router may take a withdrawn key.
+		f.after(2*t.plan.Bounds.RevocationTimeout, func() {
+			t.lock.Lock()
+			t.used[tenant] = fresh
+			t.lock.Unlock()
+		})
+	})
+}
+
+// takeKey takes the oldest key of a tenant out of the next configuration.
+func (t *tenancy) takeKey(tenant string) string {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	old := t.held[tenant][0]
+	t.held[tenant] = t.held[tenant][1:]
+	return old
+}
+
+// reconfigure shows the present tenants to all routers, and gives the revision.
+func (f *routedFleet) reconfigure() (revision int) {
+	f.lock.Lock()
+	routes := slices.Clone(f.config.Routes)
+	f.lock.Unlock()
+	f.setConfig(routes)
+	f.lock.Lock()
+	revision = f.revision
+	f.lock.Unlock()
+	f.reveal(f.deployment.Reveal)
+	return revision
+}
+
+// cutRouter cuts a router off from the control plane; it goes on serving.
+func cutRouter(f *struckFleet, span kernel.Micros) {
+	router := f.routers[f.random.IntN(len(f.routers))]
+	if !f.tenancy.setCut(router.name, true) {
+		return
+	}
+	f.note(checker.RoutedEvent{EventKind: checker.FaultStarted, Why: "cut-router", Router: router.name})
+	f.note(checker.RoutedEvent{EventKind: checker.ContactLost, Router: router.name})
+	// Longer than it may trust its keys.
+	f.after(max(span, 2*f.tenancy.plan.Bounds.RevocationTimeout), func() {
+		f.tenancy.setCut(router.name, false)
+		f.note(checker.RoutedEvent{EventKind: checker.ContactRestored, Router: router.name})
+		f.note(checker.RoutedEvent{EventKind: checker.FaultEnded, Why: "cut-router", Router: router.name})
+		f.reveal(f.deployment.Reveal)
+	})
+}
--- /dev/null
+++ b/test/simulator/routed_tenants_test.go
@@ -0,0 +1,41 @@
+package simulator
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/test/checker"
+)
+
+// tenantTroubles are the troubles of tenants alone and in pairs, and beside troubles of engines and routers.
+var tenantTroubles = [][]string{
+	{}, {"revoke"}, {"hot-tenant"}, {"cut-router"}, {"leader"},
+	{"revoke", "cut-router"}, {"revoke", "revoke"}, {"hot-tenant", "cut-router"}, {"hot-tenant", "leader"}, {"leader", "cut-router"},
+	{"revoke", "stop"}, {"revoke", "crash"}, {"hot-tenant", "lost"}, {"hot-tenant", "router-crash"}, {"leader", "full"},
+}
+
+const tenantSeeds = 4 // of each set of troubles
+
+// Keys and quotas hold in routed fleets under their own troubles and others.
+func TestRoutedTenants(t *testing.T) {
+	for i, troubles := range tenantTroubles {
+		for seed := range uint64(tenantSeeds) {
+			seed += uint64(100 * i)
+			t.Run(fmt.Sprint(troubles, " ", seed), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				deployment := DrawDeployment(seed)
+				outcome := runInBubble(t, RoutedPlan{
+					Seed: seed, Deployment: deployment, Span: routedSpan, Faults: troubles, Tenants: DrawTenants(seed, deployment),
+				})
+				for _, violation := range outcome.Review.Violations {
+					c.Check(violation.Rule, qt.Equals, checker.Rule(""), qt.Commentf("at %d us: %s", violation.At, violation.Detail))
+				}
+				c.Check(outcome.Review.Served > 0, qt.IsTrue)
+				t.Log(outcome.Review.Served, outcome.Review.Attempts, outcome.Review.Endings)
+			})
+		}
+	}
+}
--- a/test/simulator/routed_troubles.go
+++ b/test/simulator/routed_troubles.go
@@ -109,7 +109,7 @@
 	}
 	engine.model.Leave()
 	f.lock.Lock()
-	f.waiting = append(f.waiting, drainWait{f.revision + 1, engine.record.ID, func() {
+	f.waiting = append(f.waiting, drainWait{f.revision + 1, checker.RoutedEvent{EventKind: checker.DrainAcknowledged, Engine: engine.record.ID}, func() {
 		f.after(f.deployment.Bounds.DrainTimeout+kernel.Second/2, func() {
 			f.change(func() { engine.record.IsUnresponsive = false })
 			f.endEngine(engine)
--- a/test/simulator/virtual.go
+++ b/test/simulator/virtual.go
@@ -63,21 +63,33 @@
 	Workers int
 	Stop    bool // at the first violation
 	Counts  bool
+	// HasTenants gives the fleets tenants, and draws of their troubles as well.
+	HasTenants bool
 	// RecordFolder is where the records of told seeds go; empty: nowhere.
 	RecordFolder string
 }
 
 // unknownFaultError names a word that is none.
-type unknownFaultError struct{ name string }
+type unknownFaultError struct {
+	name  string
+	known []string
+}
 
 func (err unknownFaultError) Error() string {
-	return fmt.Sprintf("there is no trouble %q; known are %s", err.name, strings.Join(RoutedFaults(), ", "))
+	return fmt.Sprintf("there is no trouble %q; known are %s", err.name, strings.Join(err.known, ", "))
+}
+
+// faultNames are the troubles that may strike a seed's fleet.
+func (s RoutedSearch) faultNames() []string {
+	if s.HasTenants {
+		return append(RoutedFaults(), TenantFaults()...)
+	}
+	return RoutedFaults()
 }
 
 // drawFaults draws up to three troubles of a seed.
-func drawFaults(seed uint64) []string {
+func drawFaults(seed uint64, names []string) []string {
 	random := rand.New(rand.NewPCG(seed, 9))
-	names := RoutedFaults()
 	drawn := []string{}
 	for range 1 + random.IntN(3) {
 		drawn = append(drawn, names[random.IntN(len(names))])
@@ -100,8 +112,8 @@
 // Run plays the seeds, writes a line for each that broke a rule, or for each of a few, and tells how many broke one.
 func (s RoutedSearch) Run(virtual VirtualTime, to io.Writer) (unclean int, err error) {
 	for _, name := range s.Faults {
-		if routedFaults[name] == nil {
-			return 0, unknownFaultError{name}
+		if !slices.Contains(s.faultNames(), name) {
+			return 0, unknownFaultError{name, s.faultNames()}
 		}
 	}
 	tally := &routedTally{search: s, to: to, endings: map[string]int{}}
@@ -133,7 +145,10 @@
 func (s RoutedSearch) plan(seed uint64) RoutedPlan {
 	plan := RoutedPlan{Seed: seed, Deployment: DrawDeployment(seed), Span: s.Span, Faults: s.Faults, IsRecorded: s.RecordFolder != ""}
 	if len(plan.Faults) == 0 {
-		plan.Faults = drawFaults(seed)
+		plan.Faults = drawFaults(seed, s.faultNames())
+	}
+	if s.HasTenants {
+		plan.Tenants = DrawTenants(seed, plan.Deployment)
 	}
 	return plan
 }
