--- a/test/simulator/routed_deal.go
+++ b/test/simulator/routed_deal.go
@@ -33,6 +33,20 @@
 	ReportsLoad      bool
 }
 
+// Of the slots of the text engines, the shares that long and short requests hold at their rates at most.
+const (
+	longSlotShare  = 0.3
+	shortSlotShare = 0.2
+)
+
+// slotTime is how many seconds a request of a kind holds a slot of an engine whose slots are all in use: its prompt, half
+// of the shared part from the cache, and then its output, a step each token.
+func (d *RoutedDeployment) slotTime(kind *RoutedKind, slots int) float64 {
+	prompt := float64(kind.Own+kind.Shared/2) / d.Reads * float64(ms)
+	step := d.Step + d.StepEach*kernel.Micros(slots)
+	return (prompt + float64(step)*float64(kind.Out)) / float64(sec)
+}
+
 // DrawDeployment deals a deployment of the kinds that users have described: long prompts that
 // may not be resumed beside short ones that may, on the same engines, and another service.
 func DrawDeployment(seed uint64) RoutedDeployment {
@@ -70,6 +84,9 @@
 	tokens := perEngine * float64(d.Engines["text"])
 	long.Rate = min(tokens*0.3/float64(long.Own+long.Shared/2), 12)
 	short.Rate = min(tokens*0.2/float64(short.Own+short.Shared/2), 40)
+	places := float64(slots * d.Engines["text"])
+	long.Rate = min(long.Rate, places*longSlotShare/d.slotTime(&long, slots))
+	short.Rate = min(short.Rate, places*shortSlotShare/d.slotTime(&short, slots))
 	plain.Rate, safe.Rate = 4, 4
 	lead := func(service string) []fleetconfig.Split { return []fleetconfig.Split{{Service: service, Weight: 1}} }
 	long.Route = fleetconfig.Route{Name: "long", Host: "long.example", Prefix: "/l/", Kind: fleetconfig.Stream, Timeout: long.Deadline, LatencyTarget: span(500*ms, 1500*ms),
--- /dev/null
+++ b/test/simulator/routed_deal_test.go
@@ -0,0 +1,50 @@
+package simulator
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Runs judge what a fleet serves once every fault is over, so its engines must have room for all callers: a drawn
+// deployment whose callers held nearly every slot served 0.71 of the last requests where only time had been short.
+func TestDrawnDeploymentsHaveRoomForTheirCallers(t *testing.T) {
+	const seeds = 2000
+	for seed := range uint64(seeds) {
+		deployment := DrawDeployment(seed)
+		var slots int
+		for _, service := range deployment.Services {
+			if service.Name == "text" {
+				slots = service.Slots
+			}
+		}
+		held := 0.0
+		for i := range deployment.Kinds {
+			kind := &deployment.Kinds[i]
+			if kind.Route.Splits[0].Service == "text" {
+				held += kind.Rate * deployment.slotTime(kind, slots)
+			}
+		}
+		places := float64(slots * deployment.Engines["text"])
+		qt.Check(t, held <= places*(longSlotShare+shortSlotShare)*1.0001, qt.IsTrue, qt.Commentf("seed %d: %.1f of %.0f slots", seed, held, places))
+	}
+}
+
+// The deployment above, under the same faults, and without one: without faults nothing is rejected.
+func TestFewSlotsServeWithoutFaults(t *testing.T) {
+	const fewSlots = 10 // the seed of 4 engines with 4 slots each
+	for _, faults := range [][]string{nil, {"all-crash", "idle-drop"}} {
+		for run := range 4 {
+			t.Run(fmt.Sprint(faults, run), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				outcome := runInBubble(t, RoutedPlan{Seed: fewSlots, Deployment: DrawDeployment(fewSlots), Span: routedSpan, Faults: faults})
+				checkRouted(c, outcome, faults...)
+				if len(faults) == 0 {
+					c.Check(outcome.Review.Served, qt.Equals, outcome.Review.Attempts)
+				}
+			})
+		}
+	}
+}
