--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -218,6 +218,8 @@
 		c.onBootstrapProbeResponse(from, m.BootstrapProbeResponse)
 	case m.Submit != nil:
 		c.onSubmit(from, m.Submit)
+	case m.SubmitRetry != nil:
+		c.onSubmitRetry(from, m.SubmitRetry)
 	case m.LeaseRequestBatch != nil:
 		c.onLeaseRequestBatch(from, m.LeaseRequestBatch)
 	case m.ReadRequest != nil:
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -413,6 +413,8 @@
 		n.onShuffle(from, m.Shuffle)
 	case m.SubmitResponse != nil:
 		n.onSubmitResponse(m.SubmitResponse)
+	case m.SubmitRetryResponse != nil:
+		n.onSubmitRetryResponse(from, m.SubmitRetryResponse)
 	case m.ReadResponse != nil:
 		n.onReadResponse(m.ReadResponse)
 	case m.IsBootstrap():
@@ -425,7 +427,7 @@
 		n.onRedirect(from, m)
 	case n.core != nil:
 		n.core.Receive(n.now, from, m)
-	case m.LeaseRequestBatch != nil, m.Submit != nil, m.Join != nil, m.ReadRequest != nil:
+	case m.LeaseRequestBatch != nil, m.Submit != nil, m.SubmitRetry != nil, m.Join != nil, m.ReadRequest != nil:
 		n.redirectToLeader(from)
 	}
 }
--- a/internal/control/node_submissions.go
+++ b/internal/control/node_submissions.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/flowcontrol"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -17,6 +18,23 @@
 	sentAt   kernel.Micros
 	resendAt kernel.Micros
 	isAbort  bool // it only asks for the outcome of an earlier submission
+	// Of a large submission, which is repeated by its id:
+	digest        string // computed with the first retry
+	wholeSentTo   string // whom it was sent whole last; empty: nobody yet
+	wholeSentAt   kernel.Micros
+	isRetryUnread bool // the last retry by id was not answered: its receiver may be of a build without such retries
+}
+
+// assumedTransferRate is how many bytes a second a large submission is assumed to travel at least: for so long it is not
+// sent to the same node again.
+const assumedTransferRate = 2 << 20
+
+func (p *pendingSubmission) isLarge() bool { return len(p.submit.Config) > flowcontrol.SmallDocument }
+
+// isInTransit tells whether a submission that was sent whole to a node may still be on its way there.
+func (p *pendingSubmission) isInTransit(now kernel.Micros, to string) bool {
+	transfer := kernel.Micros(len(p.submit.Config)) * kernel.Second / assumedTransferRate
+	return p.wholeSentTo == to && now < p.wholeSentAt+transfer
 }
 
 // Submit takes an operator's submission made at this node.
@@ -55,12 +73,47 @@
 			pending.deadline, pending.resendAt = n.now+abortTimeout, n.now
 		}
 		if n.now >= pending.resendAt {
-			pending.sentAt, pending.resendAt = n.now, n.now+submitResendInterval
-			n.send(n.leaderTarget(), wire.Message{Submit: pending.submit})
+			n.sendSubmission(pending)
 		}
 	}
 }
 
+// sendSubmission sends a submission for the first time, or once more: a large one by its id, unless the last such retry
+// was not answered.
+func (n *Node) sendSubmission(pending *pendingSubmission) {
+	pending.sentAt, pending.resendAt = n.now, n.now+submitResendInterval
+	target := n.leaderTarget()
+	isRepeated := pending.isLarge() && pending.wholeSentTo != ""
+	if isRepeated && (!pending.isRetryUnread || pending.isInTransit(n.now, target)) {
+		pending.isRetryUnread = true
+		if pending.digest == "" {
+			pending.digest = pending.submit.Digest()
+		}
+		n.send(target, wire.Message{SubmitRetry: &wire.SubmitRetry{ID: pending.submit.ID, Operation: pending.submit.Operation, Digest: pending.digest}})
+		return
+	}
+	n.sendWholeSubmission(pending, target)
+}
+
+func (n *Node) sendWholeSubmission(pending *pendingSubmission, target string) {
+	pending.wholeSentTo, pending.wholeSentAt, pending.isRetryUnread = target, n.now, false
+	n.send(target, wire.Message{Submit: pending.submit})
+}
+
+// onSubmitRetryResponse sends a submission whole to a leader that does not hold it.
+func (n *Node) onSubmitRetryResponse(from string, m *wire.SubmitRetryResponse) {
+	pending := n.pendingSubmissions[m.ID]
+	if pending == nil || !pending.isRetryUnread {
+		return
+	}
+	pending.isRetryUnread = false
+	if m.IsHeld || pending.isInTransit(n.now, from) {
+		return
+	}
+	pending.sentAt, pending.resendAt = n.now, n.now+submitResendInterval
+	n.sendWholeSubmission(pending, from)
+}
+
 func (n *Node) onSubmitResponse(m *cluster.SubmitResponse) {
 	pending := n.pendingSubmissions[m.ID]
 	// An unknown outcome from a leader that stepped down is not final: the next one is asked. What
@@ -77,6 +130,8 @@
 func (n *Node) resendSoon() {
 	for _, pending := range n.pendingSubmissions {
 		pending.resendAt = min(pending.resendAt, max(n.now, pending.sentAt+100*kernel.Millisecond))
+		// Whoever redirects has read the retry.
+		pending.isRetryUnread = false
 	}
 	for _, read := range n.reads {
 		read.resendAt = min(read.resendAt, max(n.now, read.sentAt+100*kernel.Millisecond))
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -11,9 +11,14 @@
 // buildInterval is how often a leader without operations looks for something to reconcile.
 const buildInterval = 100 * kernel.Millisecond
 
+// isReadyToBuild tells whether this member leads and its newest document is committed, in its own term.
+func (c *Core) isReadyToBuild() bool {
+	return c.role == leader && c.hasCommittedInTerm && c.committed.Position() == c.doc.Position()
+}
+
 // build makes the next document out of what is due, if none is in flight.
 func (c *Core) build() {
-	if c.role != leader || !c.hasCommittedInTerm || c.committed.Position() != c.doc.Position() {
+	if !c.isReadyToBuild() {
 		return
 	}
 	next := c.doc.Next(c.term)
--- a/internal/control/submissions.go
+++ b/internal/control/submissions.go
@@ -49,31 +49,58 @@
 		return
 	}
 	// The sender repeats itself until it hears; one copy in the queue is enough.
+	if c.isHeld(from, m.ID, m.Operation) {
+		return
+	}
+	c.queue = append(c.queue, queuedSubmit{from, m})
+	c.build()
+}
+
+// isHeld tells whether a submission of a sender is queued here or waits for its answer.
+func (c *Core) isHeld(from, id string, operation cluster.Operation) bool {
 	for _, queued := range c.queue {
-		if queued.submit.ID == m.ID && queued.submit.Operation == m.Operation && queued.from == from {
-			return
+		if queued.submit.ID == id && queued.submit.Operation == operation && queued.from == from {
+			return true
 		}
 	}
 	for _, pending := range c.pendingReplies {
-		if pending.id == m.ID && pending.from == from && pending.isAbort == (m.Operation == cluster.AbortSubmission) {
-			return
+		if pending.id == id && pending.from == from && pending.isAbort == (operation == cluster.AbortSubmission) {
+			return true
 		}
 	}
 	for _, pending := range c.pendingRejections {
-		if pending.reply.ID == m.ID && pending.from == from {
-			return
+		if pending.reply.ID == id && pending.from == from {
+			return true
 		}
 	}
-	c.queue = append(c.queue, queuedSubmit{from, m})
-	c.build()
+	return false
+}
+
+// onSubmitRetry answers a sender that repeats a large submission by its id: it is held here, or the document knows it,
+// or the sender is to send it whole.
+func (c *Core) onSubmitRetry(from string, m *wire.SubmitRetry) {
+	if c.role != leader {
+		c.redirect(from)
+		return
+	}
+	isHeld := c.isHeld(from, m.ID, m.Operation)
+	if entry, isKnown := c.doc.Submission(m.ID); isKnown && !isHeld {
+		isHeld = true
+		// As in build, nothing is answered out of a document that is not committed; the sender asks again.
+		if c.isReadyToBuild() {
+			c.answerKnown(from, m, entry)
+			c.sendDueReplies()
+		}
+	}
+	c.send(from, wire.Message{SubmitRetryResponse: &wire.SubmitRetryResponse{ID: m.ID, IsHeld: isHeld}})
 }
 
 // reject prepares a final rejection. It was decided on the document committed here, and another member may
 // be the leader and have committed a newer one, so it goes out only once a majority has confirmed a
 // heartbeat round that is sent later; see confirmRounds.
-func (c *Core) reject(to string, m *cluster.Submit, reason, why string, args ...any) {
+func (c *Core) reject(to, id, reason, why string, args ...any) {
 	detail := fmt.Sprintf(why, args...)
-	reply := cluster.SubmitResponse{ID: m.ID, Outcome: cluster.Rejected, Reason: reason, Detail: detail}
+	reply := cluster.SubmitResponse{ID: id, Outcome: cluster.Rejected, Reason: reason, Detail: detail}
 	c.pendingRejections = append(c.pendingRejections, pendingRejection{to, reply, c.round + 1})
 	c.isRoundWanted = true
 }
@@ -97,17 +124,10 @@
 func (c *Core) applyOperation(next *cluster.Document, queued queuedSubmit) bool {
 	m := queued.submit
 	wait := func(revision uint64, isAborted bool) {
-		c.pendingReplies = append(c.pendingReplies, pendingReply{queued.from, m.ID, revision, m.Operation == cluster.AbortSubmission, isAborted})
+		c.awaitReply(queued.from, m.ID, m.Operation, revision, isAborted)
 	}
 	if entry, isKnown := c.doc.Submission(m.ID); isKnown {
-		switch {
-		case entry.IsAborted:
-			c.reject(queued.from, m, cluster.ReasonAborted, "this submission was given up on and will never take effect")
-		case m.Operation != cluster.AbortSubmission && entry.Digest != m.Digest():
-			c.reject(queued.from, m, cluster.ReasonIDReused, "another submission had this id at revision %d", entry.Revision)
-		default:
-			wait(entry.Revision, false)
-		}
+		c.answerKnown(queued.from, &wire.SubmitRetry{ID: m.ID, Operation: m.Operation, Digest: m.Digest()}, entry)
 		c.sendDueReplies()
 		return false
 	}
@@ -133,7 +153,7 @@
 	case cluster.MarkDraining:
 		next.MarkDraining(m.Engine, m.Start)
 	default:
-		c.reject(queued.from, m, cluster.ReasonUnknownOperation, "%q", m.Operation)
+		c.reject(queued.from, m.ID, cluster.ReasonUnknownOperation, "%q", m.Operation)
 		return false
 	}
 	next.AddSubmission(cluster.Submission{ID: m.ID, Digest: m.Digest(), Revision: next.Revision})
@@ -141,6 +161,23 @@
 	return true
 }
 
+// answerKnown answers a submission, whole or by its id alone, that the document remembers.
+func (c *Core) answerKnown(from string, m *wire.SubmitRetry, entry cluster.Submission) {
+	switch {
+	case entry.IsAborted:
+		c.reject(from, m.ID, cluster.ReasonAborted, "this submission was given up on and will never take effect")
+	case m.Operation != cluster.AbortSubmission && entry.Digest != m.Digest:
+		c.reject(from, m.ID, cluster.ReasonIDReused, "another submission had this id at revision %d", entry.Revision)
+	default:
+		c.awaitReply(from, m.ID, m.Operation, entry.Revision, false)
+	}
+}
+
+// awaitReply has a submission answered once a revision is committed and applied.
+func (c *Core) awaitReply(from, id string, operation cluster.Operation, revision uint64, isAborted bool) {
+	c.pendingReplies = append(c.pendingReplies, pendingReply{from, id, revision, operation == cluster.AbortSubmission, isAborted})
+}
+
 // applyConfig puts the configuration that a submission leads to into the next document; false when the
 // submission was rejected and the document is unchanged.
 func (c *Core) applyConfig(next *cluster.Document, queued queuedSubmit) bool {
@@ -148,7 +185,7 @@
 	config, version, err := c.settings.evaluateConfig(m, next)
 	var rejected ConfigRejectedError
 	if errors.As(err, &rejected) {
-		c.reject(queued.from, m, rejected.Reason, "%v", rejected.Cause)
+		c.reject(queued.from, m.ID, rejected.Reason, "%v", rejected.Cause)
 		return false
 	}
 	var change []byte
--- /dev/null
+++ b/internal/control/submit_retry_test.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/wire"
+	"dunlinloom/internal/kernel"
+)
+
+const largeSubmission = 1 << 20
+
+// submitTraffic counts what submissions take on the wire, and may drop messages.
+type submitTraffic struct {
+	whole, retries, answers int
+	isLost                  func(m wire.Message) bool
+}
+
+func (s *submitTraffic) carry(n *fleetNode, command any) bool {
+	outgoing, isOutgoing := command.(Outgoing)
+	if !isOutgoing || outgoing.Envelope.To == n.identity.Address {
+		return false
+	}
+	m := outgoing.Envelope.Message
+	switch {
+	case m.Submit != nil:
+		s.whole++
+	case m.SubmitRetry != nil:
+		s.retries++
+	case m.SubmitRetryResponse != nil:
+		s.answers++
+	}
+	return s.isLost(m)
+}
+
+// A submission that waits for its answer is repeated by its id; it is sent whole once more only to a leader that says
+// that it lacks it, or to one that does not answer such a retry.
+func TestALargeSubmissionIsRepeatedByItsID(t *testing.T) {
+	isResponse := func(m wire.Message) bool { return m.SubmitResponse != nil }
+	for _, test := range []struct {
+		name string
+		// lose gives what loses messages, by the time since the submission and by their content.
+		lose                  func() func(since kernel.Micros, m wire.Message) bool
+		killsLeader           bool
+		leastWhole, mostWhole int
+	}{
+		{"the leader answers late", func() func(kernel.Micros, wire.Message) bool {
+			return func(since kernel.Micros, m wire.Message) bool { return isResponse(m) && since < 3*kernel.Second }
+		}, false, 1, 1},
+		{"the first copy is lost", func() func(kernel.Micros, wire.Message) bool {
+			copies := 0
+			return func(_ kernel.Micros, m wire.Message) bool {
+				if m.Submit != nil {
+					copies++
+				}
+				return m.Submit != nil && copies == 1
+			}
+		}, false, 2, 2},
+		{"every second retry is lost", func() func(kernel.Micros, wire.Message) bool {
+			retries := 0
+			return func(since kernel.Micros, m wire.Message) bool {
+				if m.SubmitRetry != nil {
+					retries++
+				}
+				return m.SubmitRetry != nil && retries%2 == 0 || isResponse(m) && since < 3*kernel.Second
+			}
+		}, false, 2, 3},
+		{"the leader is of a build without such retries", func() func(kernel.Micros, wire.Message) bool {
+			return func(since kernel.Micros, m wire.Message) bool {
+				return m.SubmitRetry != nil || isResponse(m) && since < 3*kernel.Second
+			}
+		}, false, 2, 4},
+		{"the leader dies before it answers", func() func(kernel.Micros, wire.Message) bool {
+			return func(kernel.Micros, wire.Message) bool { return false }
+		}, true, 1, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(8) {
+				c := qt.New(t)
+				f := newFleet(c, seed, 3, 9, firstHaveFolders(4))
+				f.adapt = func(settings *NodeSettings) {
+					platformLike(settings)
+					settings.SubmitTimeout = 20 * kernel.Second
+				}
+				f.bootAll(500 * ms)
+				f.stabilized(6 * kernel.Second)
+				traffic, sentAt := &submitTraffic{}, f.now
+				isLost := test.lose()
+				traffic.isLost = func(m wire.Message) bool { return isLost(f.now-sentAt, m) }
+				f.carrier = traffic.carry
+				f.nodes[8].submit("large", 0, configOf(1, strings.Repeat("a", largeSubmission)))
+				if test.killsLeader {
+					f.in(20*ms, f.leader().kill)
+				}
+				f.await("the acceptance", 19*kernel.Second, func() bool { return f.reply["large"].ID != "" })
+				c.Assert(f.reply["large"].Outcome, qt.Equals, cluster.Accepted)
+				c.Assert(traffic.whole >= test.leastWhole, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, traffic))
+				c.Assert(traffic.whole <= test.mostWhole, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, traffic))
+			}
+		})
+	}
+}
--- a/internal/control/wire/messages.go
+++ b/internal/control/wire/messages.go
@@ -42,6 +42,8 @@
 	BootstrapProbeResponse *BootstrapProbeResponse   `json:"muster_receipt,omitempty" kind:"MusterReply"`
 	Submit                 *cluster.Submit           `json:"submit,omitempty" kind:"Submit"`
 	SubmitResponse         *cluster.SubmitResponse   `json:"submit_receipt,omitempty" kind:"SubmitReply"`
+	SubmitRetry            *SubmitRetry              `json:"submit_retry,omitempty" kind:"SubmitRetry"`
+	SubmitRetryResponse    *SubmitRetryResponse      `json:"submit_retry_receipt,omitempty" kind:"SubmitRetryReply"`
 	LeaseRequestBatch      *LeaseRequestBatch        `json:"ask_batch,omitempty" kind:"AskBatch"`
 	LeaseGrantBatch        *LeaseGrantBatch          `json:"grant_batch,omitempty" kind:"GrantBatch"`
 	CoordinatorHandover    *CoordinatorHandover      `json:"succeed,omitempty" kind:"Succeed"`
@@ -108,6 +110,20 @@
 	return count
 }
 
+// SubmitRetry repeats a large submission without its configuration: it asks the leader whether it holds the one with this
+// id. It never adds an operation; only a Submit does.
+type SubmitRetry struct {
+	ID        string            `json:"id"`
+	Operation cluster.Operation `json:"order"`
+	Digest    string            `json:"digest"` // of the submission that the sender holds
+}
+
+// SubmitRetryResponse tells whether a leader holds a submission. If it does not, it wants the whole one.
+type SubmitRetryResponse struct {
+	ID     string `json:"id"`
+	IsHeld bool   `json:"held,omitempty"`
+}
+
 // ReadRequest asks the leader for the newest committed document.
 type ReadRequest struct {
 	Token    uint64 `json:"token"`
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -22,8 +22,15 @@
 	lastID  string
 	// isUnnumbered: an event with data but without an id ended. After it the stream can't be resumed.
 	isUnnumbered bool
+	// hasEndMark: the last event that ended is the mark with which a stream says that it is complete.
+	hasEndMark bool
+	// hasEvents: an event with data has ended, in the response under way.
+	hasEvents bool
 }
 
+// endMark is the data of the event with which the streams of many engines say that they are complete.
+const endMark = "[DONE]"
+
 var (
 	idField   = []byte("id:")
 	dataField = []byte("data")
@@ -59,7 +66,7 @@
 
 // readID notes the id of an event that has ended.
 func (s *eventSplitter) readID(event []byte) {
-	hasData, hasID := false, false
+	hasData, hasID, isEndMark := false, false, false
 	for line := range bytes.SplitSeq(event, []byte{'\n'}) {
 		switch {
 		case bytes.HasPrefix(line, idField):
@@ -67,7 +74,17 @@
 			hasID = true
 		case bytes.HasPrefix(line, dataField):
 			hasData = true
+			isEndMark = isEndMarkLine(line)
 		}
 	}
+	if hasData {
+		s.hasEndMark, s.hasEvents = isEndMark, true
+	}
 	s.isUnnumbered = s.isUnnumbered || hasData && !hasID
 }
+
+// isEndMarkLine tells whether a data line holds the end mark alone.
+func isEndMarkLine(line []byte) bool {
+	_, value, _ := bytes.Cut(line, []byte{':'})
+	return string(bytes.TrimSpace(value)) == endMark
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,7 @@
 	isStopping    atomic.Bool
 	failures      failureLog
 	buffers       sync.Pool
+	endMarks      endMarks
 }
 
 // NewRouter makes a router. It hands its monitor of invariants to the chooser and the pool, so it has to be
--- a/internal/router/streaming.go
+++ b/internal/router/streaming.go
@@ -34,6 +34,13 @@
 	return fmt.Sprintf("the stream goes on with event %q after %q", e.next, e.last)
 }
 
+// missingEndMarkError says that a close came where the service's streams have an end mark, and this one has none.
+type missingEndMarkError struct{}
+
+func (missingEndMarkError) Error() string {
+	return "the connection was closed before the event that ends the streams of this service"
+}
+
 // callerDisconnectedError says that a part of an answer could not be written to the caller.
 type callerDisconnectedError struct{ cause error }
 
@@ -126,7 +133,7 @@
 	if config := a.router.Chooser.Config(); config != nil {
 		tokensPerEvent = max(config.Services[a.call.Request.Service].Stride, 1)
 	}
-	a.events.pending = a.events.pending[:0]
+	a.events.pending, a.events.hasEndMark, a.events.hasEvents = a.events.pending[:0], false, false
 	if a.buffer == nil {
 		a.buffer = make([]byte, copyBufferBytes)
 	}
@@ -218,6 +225,9 @@
 		// protocol was spoken, in which chunks would have been taken for the body.
 		return ExchangeError{"read the body", io.ErrUnexpectedEOF}
 	}
+	if c.isStream && !c.isEndCredible() {
+		return ExchangeError{"read the body", missingEndMarkError{}}
+	}
 	if len(pending) == 0 {
 		return nil
 	}
@@ -228,6 +238,20 @@
 	return c.write(pending)
 }
 
+// isEndCredible tells whether a stream may have ended where its body did. An engine that is killed between two events of a
+// stream without a length closes its connection as one that is done. Only the stream's own form tells these apart: where
+// the service's streams of a certain end close with an end mark, one that a close ends must have it as well.
+func (c *responseCopy) isEndCredible() bool {
+	service := c.call.Request.Service
+	if isDelimitedByClose(c.response) {
+		return c.events.hasEndMark || !c.router.endMarks.isExpected(service)
+	}
+	if c.events.hasEvents {
+		c.router.endMarks.observe(service, c.events.hasEndMark)
+	}
+	return true
+}
+
 // isDelimitedByClose tells that a body has no length and ends with its connection: a close ends it, a reset
 // breaks it off.
 func isDelimitedByClose(response *http.Response) bool {
--- a/internal/router/unframed_test.go
+++ b/internal/router/unframed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -69,3 +70,59 @@
 		})
 	}
 }
+
+// An engine that is killed between two events closes its connection as one that is done. Where the service's streams have
+// an end mark, a close before it breaks the stream off.
+func TestAStreamThatIsClosedBeforeItsEndMarkIsBrokenOff(t *testing.T) {
+	const mark = "data: [DONE]\n\n"
+	unframed := "Content-Type: text/event-stream\r\n\r\n"
+	for _, test := range []struct {
+		name string
+		// complete are the bodies of earlier streams of the service, in chunks.
+		complete []string
+		body     string
+		isTorn   bool
+	}{
+		{"no stream was seen", nil, event(1), false},
+		{"streams have no mark", []string{event(1)}, event(1), false},
+		{"streams have a mark, this one as well", []string{event(1) + mark}, event(1) + mark, false},
+		{"streams have a mark, this one has none", []string{event(1) + mark}, event(1), true},
+		{"streams have a mark, this one has no event", []string{event(1) + mark}, "", true},
+		{"the mark is followed by a comment", []string{event(1) + mark}, event(1) + mark + ": bye\n\n", false},
+		{"the mark is in the middle", []string{event(1) + mark}, mark + event(1), true},
+		{"the mark is a part of a text", []string{event(1) + "data: not [DONE]\n\n"}, event(1), false},
+		{"a mark with an id", []string{"id: 2\ndata: [DONE]\n\n"}, event(1), true},
+		{"a mark without a space", []string{"data:[DONE]\r\n\r\n"}, event(1), true},
+		{"streams have a mark no more", []string{event(1) + mark, event(1)}, event(1), false},
+		{"streams without events say nothing", []string{event(1) + mark, ""}, event(1), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Unsafe, MaxAttempts: 3, LatencyTarget: kernel.Second}, "e1")
+				h.script("e1", func(_ int, r *http.Request, to net.Conn) bool {
+					id := r.Header.Get(DefaultWire().RequestID)
+					number, err := strconv.Atoi(id)
+					if err != nil {
+						writeRaw(to, head(id, unframed+test.body))
+						return false
+					}
+					writeRaw(to, head(id, streamHead))
+					if text := test.complete[number]; text != "" {
+						writeRaw(to, chunk(text))
+					}
+					writeRaw(to, "0\r\n\r\n")
+					return true
+				})
+				for number, body := range test.complete {
+					recorder, isTorn := h.call("POST", strconv.Itoa(number), nil)
+					c.Assert(isTorn, qt.IsFalse)
+					c.Assert(recorder.Body.String(), qt.Equals, body)
+				}
+				recorder, isTorn := h.call("POST", "unframed", nil)
+				c.Assert(isTorn, qt.Equals, test.isTorn)
+				c.Assert(recorder.Body.String(), qt.Equals, test.body)
+			})
+		})
+	}
+}
