--- a/cmd/modelcheck/main.go
+++ b/cmd/modelcheck/main.go
@@ -27,6 +27,7 @@
 	Trace                   string        `arg:"--trace" help:"replay this trace of the one scenario named, and tell what happens"`
 	LiftTwins               bool          `arg:"--lift-one-address" help:"explore without the assumption One-address-one-machine"`
 	LiftSeeds               bool          `arg:"--lift-seeds" help:"explore without the assumption that the seeds keep their folders"`
+	LiftRollback            bool          `arg:"--lift-rollback" help:"explore without the assumption Folder-is-never-rolled-back"`
 	ContinuesAfterViolation bool          `arg:"--all" help:"go on with the other scenarios after a violation"`
 }
 
@@ -34,7 +35,7 @@
 const seedsApart = 1 << 32
 
 func chosen(words arguments) []modelcheck.Scenario {
-	lifted := modelcheck.Assumptions{OneAddressOneMachine: words.LiftTwins, SeedsKeepTheirFolders: words.LiftSeeds}
+	lifted := modelcheck.Assumptions{OneAddressOneMachine: words.LiftTwins, SeedsKeepTheirFolders: words.LiftSeeds, FolderIsNeverRolledBack: words.LiftRollback}
 	scenarios := modelcheck.Scenarios()
 	for i := range scenarios {
 		scenarios[i].Settings.LiftedAssumptions = lifted
--- a/internal/control/replace_timeout_test.go
+++ b/internal/control/replace_timeout_test.go
@@ -14,6 +14,7 @@
 // On the strict way a voter that is silent for good is replaced after the time that is set (--replace-us), not before,
 // and the core is complete within 1.5 s after it. A fleet that has to tolerate its next loss sooner than that sets less.
 func TestASilentVoterIsReplacedAfterTheTimeThatIsSet(t *testing.T) {
+	t.Parallel()
 	const (
 		settle = 1500 * ms // to notice, to add a learner and to drop the voter
 		early  = 200 * ms  // the leader heard the voter a heartbeat and a delay before it was killed
--- a/internal/control/submit_retry_test.go
+++ b/internal/control/submit_retry_test.go
@@ -13,29 +13,6 @@
 
 const largeSubmission = 1 << 20
 
-// submitTraffic counts what submissions take on the wire, and may drop messages.
-type submitTraffic struct {
-	whole, retries, answers int
-	isLost                  func(m wire.Message) bool
-}
-
-func (s *submitTraffic) carry(n *fleetNode, command any) bool {
-	outgoing, isOutgoing := command.(Outgoing)
-	if !isOutgoing || outgoing.Envelope.To == n.identity.Address {
-		return false
-	}
-	m := outgoing.Envelope.Message
-	switch {
-	case m.Submit != nil:
-		s.whole++
-	case m.SubmitRetry != nil:
-		s.retries++
-	case m.SubmitRetryResponse != nil:
-		s.answers++
-	}
-	return s.isLost(m)
-}
-
 // A submission that waits for its answer is repeated by its id; it is sent whole once more only to a leader that says
 // that it lacks it, or to one that does not answer such a retry.
 func TestALargeSubmissionIsRepeatedByItsID(t *testing.T) {
@@ -80,26 +57,38 @@
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range uint64(8) {
 				c := qt.New(t)
-				f := newFleet(c, seed, 3, 9, firstHaveFolders(4))
-				f.adapt = func(settings *NodeSettings) {
-					platformLike(settings)
-					settings.SubmitTimeout = 20 * kernel.Second
-				}
-				f.bootAll(500 * ms)
-				f.stabilized(6 * kernel.Second)
-				traffic, sentAt := &submitTraffic{}, f.now
-				isLost := test.lose()
-				traffic.isLost = func(m wire.Message) bool { return isLost(f.now-sentAt, m) }
-				f.carrier = traffic.carry
-				f.nodes[8].submit("large", 0, configOf(1, strings.Repeat("a", largeSubmission)))
-				if test.killsLeader {
-					f.in(20*ms, f.leader().kill)
-				}
-				f.await("the acceptance", 19*kernel.Second, func() bool { return f.reply["large"].ID != "" })
-				c.Assert(f.reply["large"].Outcome, qt.Equals, cluster.Accepted)
-				c.Assert(traffic.whole >= test.leastWhole, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, traffic))
-				c.Assert(traffic.whole <= test.mostWhole, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, traffic))
+				whole := submitLarge(c, seed, test.killsLeader, test.lose())
+				c.Assert(whole >= test.leastWhole && whole <= test.mostWhole, qt.IsTrue, qt.Commentf("seed %d: %d whole copies", seed, whole))
 			}
 		})
 	}
 }
+
+// submitLarge submits a large configuration, which has to be accepted, and tells how many whole copies were sent.
+func submitLarge(c *qt.C, seed uint64, killsLeader bool, isLost func(since kernel.Micros, m wire.Message) bool) (wholeCopies int) {
+	f := newFleet(c, seed, 3, 9, firstHaveFolders(4))
+	f.adapt = func(settings *NodeSettings) {
+		platformLike(settings)
+		settings.SubmitTimeout = 20 * kernel.Second
+	}
+	f.bootAll(500 * ms)
+	f.stabilized(6 * kernel.Second)
+	sentAt := f.now
+	f.carrier = func(n *fleetNode, command any) bool {
+		outgoing, isOutgoing := command.(Outgoing)
+		if !isOutgoing || outgoing.Envelope.To == n.identity.Address {
+			return false
+		}
+		if outgoing.Envelope.Message.Submit != nil {
+			wholeCopies++
+		}
+		return isLost(f.now-sentAt, outgoing.Envelope.Message)
+	}
+	f.nodes[8].submit("large", 0, configOf(1, strings.Repeat("a", largeSubmission)))
+	if killsLeader {
+		f.in(20*ms, f.leader().kill)
+	}
+	f.await("the acceptance", 19*kernel.Second, func() bool { return f.reply["large"].ID != "" })
+	c.Assert(f.reply["large"].Outcome, qt.Equals, cluster.Accepted)
+	return wholeCopies
+}
--- a/test/modelcheck/assumptions.go
+++ b/test/modelcheck/assumptions.go
@@ -74,4 +74,6 @@
 	// SeedsKeepTheirFolders: under the bootstrap from seeds no majority of the seeds' addresses is
 	// ever served from an empty folder after the bootstrap.
 	SeedsKeepTheirFolders bool
+	// FolderIsNeverRolledBack: no folder is put back from an older copy.
+	FolderIsNeverRolledBack bool
 }
--- a/test/modelcheck/choices.go
+++ b/test/modelcheck/choices.go
@@ -35,13 +35,14 @@
 	StallDisk             // writes of process A stay outstanding; B says for how long
 	FillDisk              // the disk of process A refuses writes for a while; B says what it still takes
 	DamageDocument        // process A crashes, and the newest document on its disk is damaged
+	PutBackFolder         // process A crashes, and its folder is put back from a copy without its newest document
 	PowerLoss             // all crash and start again; B says what of their outstanding writes is kept
 	actionCount
 )
 
 var actionNames = [actionCount]string{"default", "deliver", "deliver-old", "hold", "double", "release", "sync", "pass-time", "jump",
 	"crash", "kill", "start", "freeze", "wake", "cut", "heal", "lose-disk", "twin", "leave",
-	"stall-disk", "fill-disk", "damage-document", "power-loss"}
+	"stall-disk", "fill-disk", "damage-document", "put-back-folder", "power-loss"}
 
 func (a Action) String() string { return actionNames[a] }
 
@@ -158,6 +159,7 @@
 	if w.settings.FailingDisks {
 		w.addDiskFaults(p, add)
 	}
+	w.addRollback(p, add)
 }
 
 // receiverOf returns the process that receives a message by default; nil: none can now.
@@ -283,6 +285,10 @@
 		w.startTwin(p)
 	case StallDisk, FillDisk, DamageDocument:
 		w.failDisk(p, choice)
+	case PutBackFolder:
+		p.stop()
+		p.disk.putBack()
+		w.start(p)
 	case Leave:
 		return w.handle(p, causeTick, func(core *control.Core) { core.Leave(p.clock) })
 	}
--- a/test/modelcheck/disk.go
+++ b/test/modelcheck/disk.go
@@ -15,6 +15,9 @@
 	// where disks fail, so that elsewhere states that differ in it alone are one.
 	previous      *cluster.Document
 	keepsPrevious bool
+	// previousHardState is the hard state from before the newest document. It is kept only where folders are put back.
+	previousHardState cluster.HardState
+	isPutBack         bool
 	// damaged is the newest document that was lost to damage: the name of its file is left.
 	damaged cluster.Position
 	// Until these time steps writes stay outstanding, or are refused.
@@ -37,11 +40,16 @@
 func (DiskFullError) Error() string { return "no space is left on the disk" }
 
 func (w *World) emptyDisk() disk {
-	return disk{member: w.newMemberID(), documents: map[uint64]*cluster.Document{}, keepsPrevious: w.settings.FailingDisks}
+	isPutBack := w.settings.LiftedAssumptions.FolderIsNeverRolledBack
+	return disk{
+		member: w.newMemberID(), documents: map[uint64]*cluster.Document{},
+		keepsPrevious: w.settings.FailingDisks || isPutBack, isPutBack: isPutBack,
+	}
 }
 
 // write applies a save, as a store does: the hard state first, then the document.
 func (d *disk) write(save commands.Save) {
+	earlier := d.hardState
 	if save.HardState != nil {
 		d.hardState = *save.HardState
 	}
@@ -55,6 +63,9 @@
 	if d.keepsPrevious {
 		d.previous = d.document
 	}
+	if d.isPutBack {
+		d.previousHardState = earlier
+	}
 	d.document = save.Document
 }
 
@@ -82,6 +93,14 @@
 	}
 }
 
+// putBack makes the folder the copy from before its newest document: nothing in it tells that there was a newer one.
+func (d *disk) putBack() {
+	if revision := d.document.ConfigRevision; d.documents[revision] == d.document {
+		delete(d.documents, revision)
+	}
+	d.document, d.hardState, d.previous = d.previous, d.previousHardState, nil
+}
+
 // newestWritten returns the position of the newest document that the folder is known to have had.
 func (d *disk) newestWritten() cluster.Position {
 	if d.damaged.Before(d.document.Position()) {
@@ -136,6 +155,13 @@
 	}
 }
 
+// addRollback lists that the folder of a process is put back from an older copy, outside FolderIsNeverRolledBack.
+func (w *World) addRollback(p *process, add func(kind Action, a, b int)) {
+	if w.settings.LiftedAssumptions.FolderIsNeverRolledBack && p.disk.previous != nil {
+		add(PutBackFolder, p.index, 0)
+	}
+}
+
 // failDisk begins one of the faults of a disk.
 func (w *World) failDisk(p *process, choice Choice) {
 	switch choice.Action {
--- a/test/modelcheck/fingerprint.go
+++ b/test/modelcheck/fingerprint.go
@@ -225,6 +225,7 @@
 	d.number(d.document(of.document))
 	d.value(reflect.ValueOf(of.documents))
 	d.number(d.document(of.previous))
+	d.value(reflect.ValueOf(of.previousHardState))
 	d.value(reflect.ValueOf(of.damaged))
 	d.value(reflect.ValueOf([]int{of.stalledUntil, of.fullUntil, int(of.fullness)}))
 }
