Goldens of node messages: two kinds added at the end, no old line changes

Cause: internal/server's golden of one message with every field failed after the new kinds, since values are numbered by the order of fields.

--- a/internal/control/wire/messages.go
+++ b/internal/control/wire/messages.go
@@ -42,8 +42,6 @@
 	BootstrapProbeResponse *BootstrapProbeResponse   `json:"muster_receipt,omitempty" kind:"MusterReply"`
 	Submit                 *cluster.Submit           `json:"submit,omitempty" kind:"Submit"`
 	SubmitResponse         *cluster.SubmitResponse   `json:"submit_receipt,omitempty" kind:"SubmitReply"`
-	SubmitRetry            *SubmitRetry              `json:"submit_retry,omitempty" kind:"SubmitRetry"`
-	SubmitRetryResponse    *SubmitRetryResponse      `json:"submit_retry_receipt,omitempty" kind:"SubmitRetryReply"`
 	LeaseRequestBatch      *LeaseRequestBatch        `json:"ask_batch,omitempty" kind:"AskBatch"`
 	LeaseGrantBatch        *LeaseGrantBatch          `json:"grant_batch,omitempty" kind:"GrantBatch"`
 	CoordinatorHandover    *CoordinatorHandover      `json:"succeed,omitempty" kind:"Succeed"`
@@ -77,6 +75,8 @@
 	StartupQuery           *StartupQuery             `json:"hello,omitempty" kind:"Hello"`
 	QuotaRequest           *quota.Request            `json:"quota_ask,omitempty" kind:"QuotaAsk"`
 	QuotaGrant             *quota.Grant              `json:"quota_grant,omitempty" kind:"QuotaGrant"`
+	SubmitRetry            *SubmitRetry              `json:"submit_retry,omitempty" kind:"SubmitRetry"`
+	SubmitRetryResponse    *SubmitRetryResponse      `json:"submit_retry_receipt,omitempty" kind:"SubmitRetryReply"`
 }
 
 // Kind names the one field that is set, by the name under which its bytes are counted in the
