--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,6 +29,7 @@
 	Network int     `arg:"--network" default:"20" help:"second byte of the loopback addresses of the first worker"`
 	Program string  `arg:"--program" help:"the daemon, built with -tags faults; beside this program if not given"`
 	Folder  string  `arg:"--folder" help:"where logs and reports go; a temporary folder if not given"`
+	Tenants bool    `arg:"--tenants" help:"requests need keys, which are given and withdrawn, and tenants have quotas"`
 	Quiet   bool    `arg:"--quiet" help:"tell the outcome of each seed alone"`
 }
 
@@ -115,7 +116,7 @@
 		return nil, fmt.Errorf("make a folder: %w", err)
 	}
 	report, err := soak.Play(ctx, soak.Settings{
-		Program: flags.Program, Folder: folder, Seed: seed, Network: network, Span: kernel.Micros(flags.SpanS * float64(kernel.Second)), Load: flags.Load,
+		Program: flags.Program, Folder: folder, Seed: seed, Network: network, Span: kernel.Micros(flags.SpanS * float64(kernel.Second)), Load: flags.Load, HasTenants: flags.Tenants,
 		Logf: func(format string, words ...any) {
 			if !flags.Quiet {
 				fmt.Fprintf(os.Stderr, "seed %d: %s\n", seed, fmt.Sprintf(format, words...))
--- /dev/null
+++ b/internal/quota/handover_test.go
@@ -0,0 +1,145 @@
+package quota
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/kernel"
+)
+
+// handover is a change of leader through which one router, which has most of a tenant's traffic, is cut off.
+type handover struct {
+	bounds    Bounds
+	limit     Limit
+	routers   int
+	now       kernel.Micros
+	accounts  []*Account
+	allocator *Allocator
+	isCut     bool // the first router reaches no leader
+	spent     float64
+}
+
+func newHandover(bounds Bounds, limit Limit, routers int) *handover {
+	h := &handover{bounds: bounds, limit: limit, routers: routers, now: 100 * kernel.Second}
+	for i := range routers {
+		h.accounts = append(h.accounts, NewAccount(bounds, uint64(i+1)))
+	}
+	h.elect()
+	return h
+}
+
+func (h *handover) elect() {
+	h.allocator = NewAllocator(h.now, h.bounds)
+	h.allocator.SetRouterCount(h.routers)
+	h.allocator.SetLimits(h.now, []Limit{h.limit})
+}
+
+// exchange has a router request what it is due for, and its leader, if there is one, answer.
+func (h *handover) exchange(index int) {
+	request := h.accounts[index].NextRequest(h.now)
+	if request == nil || h.allocator == nil || h.isCut && index == 0 {
+		return
+	}
+	if grant := h.allocator.Allocate(h.now, string(rune('a'+index)), request); grant != nil {
+		h.accounts[index].ApplyGrant(h.now, grant)
+	}
+}
+
+// claim has a router make claims, of which some are granted.
+func (h *handover) claim(index int, cost float64, count int) (granted int) {
+	for range count {
+		ticket, isUrgent := h.accounts[index].Claim(h.now, h.limit.Tenant, cost)
+		if isUrgent {
+			h.exchange(index)
+		}
+		if outcome, _ := h.accounts[index].Outcome(ticket); outcome == Granted {
+			granted++
+		} else {
+			h.accounts[index].Abandon(h.now, ticket)
+		}
+	}
+	h.spent += float64(granted) * cost
+	return granted
+}
+
+// drain has a router make claims until one is not granted.
+func (h *handover) drain(index int, cost float64) {
+	for h.claim(index, cost, 1) == 1 {
+	}
+}
+
+// pass lets time pass in steps; each router requests what it is due for.
+func (h *handover) pass(span kernel.Micros, during func()) {
+	const step = 10 * ms
+	for end := h.now + span; h.now < end; h.now += step {
+		for i := range h.accounts {
+			h.exchange(i)
+		}
+		if during != nil {
+			during()
+		}
+	}
+}
+
+// balanceOf is what a router may still spend of all its credits.
+func balanceOf(a *Account) (sum float64) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	for _, credits := range a.credits {
+		sum += credits.balance
+	}
+	return sum
+}
+
+// The least times of a change of leader: the old one allocates last, the new one first.
+const leastHandover = 640 * ms
+
+// A router that holds most of a tenant's capacity is cut off as the leader is lost, and the tenant pauses until the new
+// leader's bucket is full again. Then it floods all routers.
+func TestARouterCutOffThroughAChangeOfLeaderOverspendsNothing(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		bounds  Bounds
+		limit   Limit
+		routers int
+		cost    float64
+		pause   kernel.Micros // of the tenant, from the loss of the leader
+	}{
+		{"nothing tolerated", Bounds{Window: 8 * kernel.Second}, Limit{"t", 1000, 1000}, 10, 10, 2 * kernel.Second},
+		{"a tenth tolerated", Bounds{Window: 8 * kernel.Second, Over: 0.1}, Limit{"t", 1000, 1000}, 10, 10, 2500 * ms},
+		{"a tenth tolerated, three routers", Bounds{Window: 8 * kernel.Second, Over: 0.1}, Limit{"t", 1000, 1000}, 3, 10, 2500 * ms},
+		{"a long burst", Bounds{Window: 8 * kernel.Second, Over: 0.05}, Limit{"t", 1000, 1500}, 10, 50, 3 * kernel.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHandover(test.bounds, test.limit, test.routers)
+			// The first router is asked for many times the rate, so that it expects much; then it collects.
+			h.pass(8*kernel.Second, func() { h.claim(0, test.cost, int(0.1*test.limit.Rate/test.cost)) })
+			h.pass(1500*ms, nil)
+			h.isCut, h.allocator = true, nil
+			h.pass(leastHandover, nil)
+			h.elect()
+			// The other routers have a request now and then, so that the new leader hears all but the first.
+			h.pass(test.pause-leastHandover, func() {
+				if h.now%(500*ms) < 10*ms {
+					for i := range h.accounts[1:] {
+						h.claim(i+1, 1, 1)
+					}
+				}
+			})
+			t.Logf("the first router holds %.0f", balanceOf(h.accounts[0]))
+			h.spent = 0
+			flood := func() {
+				for i := range h.accounts {
+					h.drain(i, test.cost)
+				}
+			}
+			h.pass(test.bounds.Window, flood)
+			window := float64(test.bounds.Window) / float64(kernel.Second)
+			allowed := (window*test.limit.Rate + test.limit.Burst) * (1 + test.bounds.Over)
+			t.Logf("%.3f of what is tolerated", h.spent/allowed)
+			c.Assert(h.spent <= allowed+test.cost, qt.IsTrue, qt.Commentf("%.0f spent, %.0f are tolerated", h.spent, allowed))
+		})
+	}
+}
--- a/test/routedcaller/request.go
+++ b/test/routedcaller/request.go
@@ -52,6 +52,8 @@
 	// Key is the tenant's that the request is sent under; empty: none. A caller with a key claims to be somebody else as
 	// well, which no engine may be told.
 	Key string
+	// Cost is what the request counts under the tenant's quota.
+	Cost float64
 }
 
 // ForgedTenant is the tenant that callers with a key claim to be.
@@ -81,6 +83,7 @@
 		RouterIndex:        random.IntN(1 << 20),
 		Body:               make([]byte, uniform(random, kind.Body)),
 	}
+	request.Cost = float64(request.Prompt + request.Out)
 	if shared > 0 {
 		request.Parts = fmt.Sprintf("%s%d:%d,%s:%d", kind.Route.Name, prefix, shared, id, own)
 	} else {
@@ -109,7 +112,7 @@
 		EventKind: checker.AttemptSentByCaller, ID: r.ID, Kind: route.Name, Router: routerName, Digest: emulator.Digest(http.MethodPost, r.target(), r.Body),
 		IsIdempotent: route.IsRepeatable(), IsResumable: route.IsResumable, IsStream: route.Kind == fleetconfig.Stream, Services: services,
 		From: r.From, Deadline: r.Deadline, MaxAttempts: max(route.MaxAttempts, 1),
-		Key: r.Key, Cost: float64(r.Prompt + r.Out), IsOpen: route.IsOpen,
+		Key: r.Key, Cost: r.Cost, IsOpen: route.IsOpen,
 	}
 }
 
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -85,6 +85,7 @@
 			return
 		}
 		request := routedcaller.NewRequest(random, kind, stride, fmt.Sprintf("%s-%d", kind.Route.Name, count))
+		request.Key, request.Cost = f.tenancy.draw(random, request.Prompt+request.Out)
 		leaves := kernel.Micros(0)
 		if random.IntN(leaveOneIn) == 0 {
 			leaves = kernel.Micros(random.Int64N(int64(500 * ms)))
--- a/test/soak/node.go
+++ b/test/soak/node.go
@@ -160,6 +160,11 @@
 		},
 	}
 	n.lock.Unlock()
+	if f.tenancy != nil {
+		b := &file.Bounds
+		b.Revoked, b.RevokeMS = true, int64(revocationTimeout/ms)
+		b.QuotaWindowS, b.QuotaOver, b.QuotaSlack = int64(quotaWindow/kernel.Second), quotaOver, quotaSlack
+	}
 	content, err := file.Encode()
 	if err != nil {
 		return RunError{"write settings", err}
--- a/test/soak/operator.go
+++ b/test/soak/operator.go
@@ -104,7 +104,8 @@
 			made.leadsTo, err = platform.ApplyChange(o.content[base], made.body)
 		}
 	} else {
-		made.body, err = platform.EncodeConfig(version, routes, services(), fleetconfig.Caps{BodyBytes: configBody, HeaderBytes: 16 << 10, HeaderTimeout: 3 * kernel.Second, IdleTimeout: configIdle})
+		caps := fleetconfig.Caps{BodyBytes: configBody, HeaderBytes: 16 << 10, HeaderTimeout: 3 * kernel.Second, IdleTimeout: configIdle}
+		made.body, err = platform.EncodeConfig(version, routes, services(), caps, o.fleet.tenancy.configured())
 		made.leadsTo = made.body
 	}
 	if err != nil {
@@ -113,6 +114,41 @@
 	return made
 }
 
+// newTenantOrder makes a change on top of a version that brings the tenants as they are to be.
+func (o *operator) newTenantOrder(base, version uint64) (made *operation, err error) {
+	tenants := o.fleet.tenancy.configured()
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.number++
+	made = &operation{name: fmt.Sprint("order-", o.number), base: base, version: version, isChange: true}
+	if made.body, err = platform.EncodeTenantChange(version, tenants, nil); err != nil {
+		return nil, err
+	}
+	made.leadsTo, err = platform.ApplyChange(o.content[base], made.body)
+	return made, err
+}
+
+// putTenants brings the tenants as they are to be, until that is so or the span of an order is over. It tells whether it is.
+func (o *operator) putTenants(ctx context.Context, isDone func() bool) bool {
+	until := o.fleet.clock.Now() + operationInterval
+	for o.fleet.clock.Now() < until && ctx.Err() == nil {
+		base, isKnown := o.current(ctx)
+		if isDone() {
+			return true
+		}
+		if isKnown {
+			made, err := o.newTenantOrder(base, o.nextVersion())
+			if err != nil {
+				o.fleet.problem("make an order of tenants: %v", err)
+				return false
+			}
+			o.retryUntilAnswered(ctx, made)
+		}
+		pause(ctx, 50*ms)
+	}
+	return isDone()
+}
+
 // vary gives routes as the next configuration has them: other times, and a safe route that moves.
 func (o *operator) vary() []fleetconfig.Route {
 	o.lock.Lock()
@@ -144,6 +180,7 @@
 // retryUntilAnswered sends an order to one node after another until an answer is clear.
 func (o *operator) retryUntilAnswered(ctx context.Context, sent *operation) operationOutcome {
 	o.allowServices(sent)
+	o.fleet.tenancy.noteSent(sent.leadsTo)
 	until, wait := o.fleet.clock.Now()+operationInterval, 50*ms
 	for o.fleet.clock.Now() < until && ctx.Err() == nil {
 		status := o.send(ctx, sent, o.fleet.anyNode())
@@ -181,6 +218,7 @@
 
 // take notes that an order's configuration is in force.
 func (o *operator) take(sent *operation) {
+	o.fleet.tenancy.noteInForce(sent.version, sent.leadsTo)
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	o.content[sent.version] = sent.leadsTo
@@ -323,6 +361,7 @@
 		o.fleet.problem("%s shows a configuration that can't be read: %v", n.name, err)
 		return 0, nil
 	}
+	o.fleet.tenancy.noteInForce(version, answer.Body)
 	o.fleet.recordOperation(checker.OperationEvent{EventKind: checker.ReadAnswered, Call: call, Node: n.name, Version: version, Digest: digestOf(answer.Body), Status: answer.Status, IsLast: isLast})
 	return version, answer.Body
 }
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -49,7 +49,7 @@
 	}
 	report.Review = checker.CheckRouted(f.routed, checker.RoutedBounds{
 		DrainTimeout: drainTimeout, GracePeriod: gracePeriod, Slack: slackSpan, ContactTimeout: contactTimeout, RetryRatio: retryRatio, RetrySlack: retrySlack,
-		RetryWindow: retryWindow, MaxRejected: 5, RejectedOneIn: 500, Splits: splitWeights(),
+		RetryWindow: retryWindow, MaxRejected: 5, RejectedOneIn: 500, Splits: splitWeights(), Tenants: f.tenancy.bounds(),
 	})
 	report.MemoryMB = f.memoryMB
 	report.Orders, report.Problems = checker.CheckOperations(f.orders), f.problems
--- /dev/null
+++ b/test/soak/secrets.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"dunlinloom/platform"
+)
+
+// Keys are secrets: configurations hold them, and nothing else may. Every key of a run contains a mark, which is looked for
+// in logs and journals on disk, in what nodes tell of themselves, and in the answers that they give themselves.
+
+// secretMark is the beginning of every key that a tenant holds.
+const secretMark = "s3cr3t-"
+
+// toldPaths are what a node tells to whoever asks.
+var toldPaths = []string{"/metrics", "/v1/journal", "/v1/fleet", "/v1/core", "/v1/explain/"}
+
+// checkSecrets looks for keys wherever none may be.
+func (f *fleet) checkSecrets() {
+	if f.tenancy == nil {
+		return
+	}
+	f.checkFiles()
+	for _, n := range f.members() {
+		for _, path := range toldPaths {
+			f.checkTold(n, path)
+		}
+		f.checkRejections(n)
+	}
+}
+
+// isKeyless tells of the files that may hold no key: logs and journals. All others hold configurations.
+func isKeyless(path string) bool {
+	return strings.HasSuffix(path, ".log") || filepath.Base(filepath.Dir(path)) == "journal"
+}
+
+// checkFiles looks into logs and journals.
+func (f *fleet) checkFiles() {
+	logs, journals := 0, 0
+	err := filepath.WalkDir(f.settings.Folder, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !isKeyless(path) {
+			return err
+		}
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if strings.HasSuffix(path, ".log") {
+			logs++
+		} else {
+			journals++
+		}
+		if bytes.Contains(content, []byte(secretMark)) {
+			f.problem("%s holds a key", entry.Name())
+		}
+		return nil
+	})
+	if err != nil {
+		f.problem("look for keys in logs and journals: %v", err)
+	}
+	if logs == 0 || journals == 0 {
+		f.problem("look for keys: there are %d logs and %d journals", logs, journals)
+	}
+}
+
+// checkTold looks at what a node tells of itself.
+func (f *fleet) checkTold(n *node, path string) {
+	if path == "/v1/explain/" {
+		path += f.aRequest()
+	}
+	limit, cancel := context.WithTimeout(f.context, 2*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(limit, http.MethodGet, "http://"+n.address(portMetrics)+path, http.NoBody)
+	if err != nil {
+		f.problem("ask for %s: %v", path, err)
+		return
+	}
+	response, err := f.client.HTTP.Do(request)
+	if err != nil {
+		f.problem("%s does not tell %s: %v", n.name, path, err)
+		return
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil || len(content) == 0 {
+		f.problem("%s does not tell %s: %d bytes, %v", n.name, path, len(content), err)
+	}
+	if bytes.Contains(content, []byte(secretMark)) {
+		f.problem("%s tells a key at %s", n.name, path)
+	}
+}
+
+// aRequest is the id of a request that was sent; empty: none was.
+func (f *fleet) aRequest() string {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for _, event := range f.routed {
+		if event.ID != "" && event.Key != "" {
+			return event.ID
+		}
+	}
+	return ""
+}
+
+// checkRejections sends requests that a node rejects itself, under a key that is in force and under one that is not.
+func (f *fleet) checkRejections(n *node) {
+	f.tenancy.lock.Lock()
+	held := f.tenancy.tenants[0].used
+	f.tenancy.lock.Unlock()
+	wire := platform.Wire()
+	for _, key := range []string{held, secretMark + "of-nobody"} {
+		line := fmt.Sprintf("%s: %s %s\r\n", wire.Key, wire.KeyScheme, key)
+		for _, head := range []string{
+			"GET /nowhere HTTP/1.1\r\nHost: nowhere.example\r\n" + line,
+			"POST /p/x HTTP/1.1\r\nHost: plain.example\r\n" + line,
+			"POST /p/x HTTP/1.1\r\nHost: plain.example\r\n" + line + wire.RequestID + ": a b\r\n" + wire.Prefix + ": x\r\n",
+			"POST /p/x HTTP/1.1\r\nHost: plain.example\r\n" + line + line + wire.RequestID + ": twice\r\n",
+			"POST /p/x HTTP/1.1\r\nHost: plain.example\r\n" + line + wire.RequestID + ": far\r\n" + wire.Deadline + ": never\r\n",
+			"nothing\r\n" + line,
+		} {
+			f.checkRejection(n, head+"Connection: close\r\n\r\n")
+		}
+	}
+}
+
+// checkRejection sends a message and looks at all that comes back. That nothing does is no fault here.
+func (f *fleet) checkRejection(n *node, message string) {
+	connection, err := net.DialTimeout("tcp", n.address(portCallers), time.Second)
+	if err != nil {
+		f.problem("%s takes no connection: %v", n.name, err)
+		return
+	}
+	defer connection.Close()
+	if !write(connection, message) || connection.SetReadDeadline(time.Now().Add(2*time.Second)) != nil {
+		return
+	}
+	// What came before an error counts as well.
+	content, _ := io.ReadAll(connection)
+	if bytes.Contains(content, []byte(secretMark)) {
+		f.problem("%s answers %.40q with a key", n.name, message)
+	}
+}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -29,7 +29,9 @@
 	Network int
 	Span    kernel.Micros // of troubles, before the closing fault
 	Load    float64       // times the usual rates of callers
-	Logf    func(format string, words ...any)
+	// HasTenants has requests need keys, and tenants have quotas.
+	HasTenants bool
+	Logf       func(format string, words ...any)
 }
 
 // Check names every fault of the settings.
@@ -71,6 +73,8 @@
 	client   platform.Client
 	faults   *localfleet.FaultTable
 	context  context.Context
+	tenancy  *tenancy // nil: requests need no keys
+	operator *operator
 
 	lock           sync.Mutex // guards all that follows
 	random         *rand.Rand
@@ -110,15 +114,18 @@
 	if err := f.open(); err != nil {
 		return nil, err
 	}
-	operator := newOperator(f)
-	if err := operator.begin(); err != nil {
+	if settings.HasTenants {
+		f.tenancy = newTenancy(f)
+	}
+	f.operator = newOperator(f)
+	if err := f.operator.begin(); err != nil {
 		return nil, err
 	}
 	if err := f.awaitReady(); err != nil {
 		return nil, err
 	}
 	f.settings.Logf("all nodes are ready")
-	f.playTraffic(operator)
+	f.playTraffic(f.operator)
 	end()
 	f.endEngines()
 	f.work.Wait()
@@ -152,6 +159,7 @@
 	chores.Wait()
 	operator.readBack()
 	f.inspectNodes()
+	f.checkSecrets()
 }
 
 func (f *fleet) recordEvent(event checker.RoutedEvent) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,19 +21,29 @@
 var atAnySpeed = []checker.Rule{
 	checker.RunTwice, checker.RunAfterRejection, checker.AnswerMixed, checker.UnsolicitedRun, checker.Misrouted, checker.StreamDisordered,
 	checker.AttemptsExceeded, checker.InvariantFailed,
+	checker.KeyShown, checker.TenantMismatch, checker.UnknownKeyRan,
 }
 
 // Problems that are none of a busy machine's making.
-var hardProblems = append([]string{"ended by itself", "invariant_violations", "was refused with", "can't be read", "does not tell"}, childprocess.LogMarks()...)
+var hardProblems = append([]string{"ended by itself", "invariant_violations", "was refused with", "can't be read", "does not tell", "a key"}, childprocess.LogMarks()...)
 
 func TestAShortSoakOfDeployedNodes(t *testing.T) {
 	c := qt.New(t)
 	program := filepath.Join(t.TempDir(), "dunlinloom")
 	out, err := exec.Command("go", "build", "-race", "-tags", "faults", "-o", program, "dunlinloom/cmd/dunlinloom").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
-	report, err := Play(context.Background(), Settings{
-		Program: program, Folder: t.TempDir(), Seed: 7, Network: 200, Span: minSpan, Load: 0.5, Logf: t.Logf,
-	})
+	for i, name := range []string{"without tenants", "with tenants"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkShortSoak(qt.New(t), Settings{
+				Program: program, Folder: t.TempDir(), Seed: 7, Network: 200 + i, Span: minSpan, Load: 0.5, Logf: t.Logf, HasTenants: i == 1,
+			})
+		})
+	}
+}
+
+func checkShortSoak(c *qt.C, settings Settings) {
+	report, err := Play(context.Background(), settings)
 	c.Assert(err, qt.IsNil)
 	for _, violation := range report.Review.Violations {
 		c.Check(slices.Contains(atAnySpeed, violation.Rule), qt.IsFalse, qt.Commentf("%s: %s", violation.Rule, violation.Detail))
--- /dev/null
+++ b/test/soak/tenants_test.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/fleetconfig"
+	"dunlinloom/internal/kernel"
+	"dunlinloom/platform"
+	"dunlinloom/test/checker"
+)
+
+func emptyFleet(c *qt.C) *fleet {
+	f := &fleet{settings: Settings{Folder: c.TempDir(), Load: 1, HasTenants: true}, clock: kernel.NewSteadyClock()}
+	f.tenancy = newTenancy(f)
+	return f
+}
+
+// A key in a log or a journal is found, one in a configuration is in its place.
+func TestAKeyInALogOrAJournalIsFound(t *testing.T) {
+	for _, test := range []struct {
+		name, file, content string
+		isFound             bool
+	}{
+		{"nothing", "node0.log", "served", false},
+		{"a log", "node0.log", "refused " + secretMark + "1", true},
+		{"a journal", "node0-data/journal/requests-v1-1.jsonl", `{"why":"` + secretMark + `1"}`, true},
+		{"a configuration", "node0-data/generation-1.json", secretMark + "1", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := emptyFleet(c)
+			for _, file := range []string{"other.log", "other-data/journal/decisions-v1-1.jsonl", test.file} {
+				path := filepath.Join(f.settings.Folder, file)
+				c.Assert(os.MkdirAll(filepath.Dir(path), 0o755), qt.IsNil)
+				content := ""
+				if file == test.file {
+					content = test.content
+				}
+				c.Assert(os.WriteFile(path, []byte(content), 0o644), qt.IsNil)
+			}
+			f.checkFiles()
+			c.Assert(len(f.problems) > 0, qt.Equals, test.isFound, qt.Commentf("%v", f.problems))
+		})
+	}
+}
+
+// A run without logs or journals has looked at nothing.
+func TestNoLogsAreNoProofOfSecrecy(t *testing.T) {
+	c := qt.New(t)
+	f := emptyFleet(c)
+	f.checkFiles()
+	c.Assert(strings.Join(f.problems, ""), qt.Contains, "0 logs and 0 journals")
+}
+
+// keyEvents gives the kinds and keys that the judge was told.
+func keyEvents(f *fleet) (told []string) {
+	for _, event := range f.routed {
+		told = append(told, string(event.EventKind)+" "+event.Key)
+	}
+	return told
+}
+
+// The judge is told of a key before a configuration with it is sent, and of its withdrawal once a newer one without it is
+// seen in force; a key of an order that never took effect is not withdrawn.
+func TestTheJudgeIsToldOfKeys(t *testing.T) {
+	c := qt.New(t)
+	f := emptyFleet(c)
+	content := func(version uint64, keys ...string) []byte {
+		body, err := platform.EncodeConfig(version, []fleetconfig.Route{kinds()[2].Route}, services(), fleetconfig.Caps{}, []fleetconfig.Tenant{{Name: "t", Keys: keys}})
+		c.Assert(err, qt.IsNil)
+		return body
+	}
+	f.tenancy.noteSent(content(1, "a"))
+	f.tenancy.noteInForce(1, content(1, "a"))
+	f.tenancy.noteSent(content(2, "a", "b")) // is never in force
+	f.tenancy.noteSent(content(3, "a", "c"))
+	f.tenancy.noteInForce(3, content(3, "a", "c"))
+	f.tenancy.noteSent(content(4, "c"))
+	c.Assert(f.tenancy.isInForce("a"), qt.IsTrue)
+	f.tenancy.noteInForce(4, content(4, "c"))
+	f.tenancy.noteInForce(3, content(3, "a", "c")) // a late answer
+	c.Assert(f.tenancy.isInForce("a"), qt.IsFalse)
+	c.Assert(f.problems, qt.HasLen, 0)
+	c.Assert(keyEvents(f), qt.DeepEquals, []string{
+		string(checker.KeyHeld) + " a", string(checker.KeyHeld) + " b", string(checker.KeyHeld) + " c", string(checker.KeyWithdrawn) + " a",
+	})
+}
+
+// A hot tenant sends many times as much, and the others as before.
+func TestAHotTenantLeavesTheOthersAsTheyAre(t *testing.T) {
+	c := qt.New(t)
+	f := emptyFleet(c)
+	random := rand.New(rand.NewPCG(1, 1))
+	const draws = 200_000
+	count := func(factor float64) map[string]float64 {
+		counts := map[string]float64{}
+		for range draws {
+			key, _ := f.tenancy.draw(random, 100)
+			counts[key] += factor / draws
+		}
+		return counts
+	}
+	usual := count(1)
+	hot := f.tenancy.tenants[2]
+	during := count(f.tenancy.heat(hot, hotFactor))
+	for _, tenant := range f.tenancy.tenants {
+		wanted := 1.0
+		if tenant == hot {
+			wanted = hotFactor
+		}
+		ratio := during[tenant.used] / usual[tenant.used]
+		c.Check(ratio > 0.95*wanted && ratio < 1.05*wanted, qt.IsTrue, qt.Commentf("%s: %.2f times", tenant.name, ratio))
+	}
+	c.Assert(usual[strangersKey] > 0 && usual[""] > 0, qt.IsTrue)
+	f.tenancy.heat(hot, 1.0/hotFactor)
+	c.Assert(f.tenancy.tenants[2].hot, qt.Equals, 1.0)
+}
--- a/test/soak/troubles.go
+++ b/test/soak/troubles.go
@@ -51,6 +51,8 @@
 	"power-all":      restartAll(func(f *fleet, n *node) error { return f.powerOff(n) }),
 	"leave-power":    losePowerAtShutdown,
 	"burst":          burst,
+	"tenant-hot":     heatTenant,
+	"tenant-revoke":  revokeKey,
 	"engine-crash":   crashEngine,
 	"engine-reuse":   reuseAddress,
 	"engine-dark":    makeEngineFaulty("dark", true, emulator.ModelFaults{IsUnresponsive: true}),
