Quotas hold through a change of leader: credits beyond a share expire before it

Change: a grant tells a router's share; what it holds beyond expires 0.9 allocation leases after the sending of the request that was granted, a new leader allocates 1.1 leases after the last grant of the old one at the soonest. Refunds and late grants bring none back. A leader of an earlier build tells none, an earlier router ignores it. Routed tests of single rules send three times as much, since the lower rates of drawn fleets no longer met twice-routed-lost-goes-on. Ruled out: leaving all that unheard routers might hold unused (a tenant would get nothing for half a window after each election with one router down); two allocation rounds.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 
@@ -54,12 +55,15 @@
 	retryIndex   uint64             // of callers that are to retry
 	redirects    int                // consecutive ones
 	epoch        uint64             // rises as credits expire
+	shares       map[string]float64 // of the capacities, by tenant, as the newest grants say
+	// isWithinShares: since the newest grant, the credits beyond the shares have expired.
+	isWithinShares bool
 }
 
 // NewAccount makes the account of one incarnation of a router. The incarnation differs from those of
 // all earlier processes of that router.
 func NewAccount(bounds Bounds, incarnation uint64) *Account {
-	return &Account{bounds: bounds, incarnation: incarnation, credits: map[creditKey]*tenantCredits{}, typicalCosts: map[string]float64{}}
+	return &Account{bounds: bounds, incarnation: incarnation, credits: map[creditKey]*tenantCredits{}, typicalCosts: map[string]float64{}, shares: map[string]float64{}}
 }
 
 // Claim claims a request's cost, in units. If isUrgent, the caller sends NextRequest at once.
@@ -159,6 +163,9 @@
 	}
 	ticket.outcome = NoAllocator
 	credits.charge(-ticket.cost)
+	if a.isWithinShares {
+		a.trim(ticket.key.tenant)
+	}
 	credits.grantPending(a.epoch)
 }
 
@@ -251,13 +258,26 @@
 	if grant.Seq != a.seq || grant.Seq == a.grantSeq {
 		return
 	}
-	a.grantSeq, a.grantedAt, a.unansweredAt = grant.Seq, a.requestedAt, 0
+	a.grantSeq, a.grantedAt, a.unansweredAt, a.isWithinShares = grant.Seq, a.requestedAt, 0, false
 	for _, item := range grant.Items {
 		credits := a.credits[creditKey{item.Tenant, item.IsLarge}]
 		if credits == nil {
 			continue
 		}
 		credits.balance += item.Amount
+		if item.Share > 0 {
+			a.shares[item.Tenant] = item.Share
+		} else {
+			delete(a.shares, item.Tenant)
+		}
+	}
+	// A grant that comes late may bring what has expired already.
+	a.expire(now)
+	for _, item := range grant.Items {
+		credits := a.credits[creditKey{item.Tenant, item.IsLarge}]
+		if credits == nil {
+			continue
+		}
 		credits.grantPending(a.epoch)
 		if item.RetryAfter > 0 {
 			credits.exhaustedUntil = now + item.RetryAfter
@@ -269,6 +289,7 @@
 // expire drops the credits once their lifetime has passed since the newest grant: the allocator
 // counts them as spent.
 func (a *Account) expire(now kernel.Micros) {
+	a.expireSurplus(now)
 	if now-a.grantedAt <= a.bounds.CreditLifetime() {
 		return
 	}
@@ -282,6 +303,33 @@
 	}
 }
 
+// expireSurplus drops the credits beyond the router's shares once their lifetime has passed. The leader that granted them
+// learns of it by the next request; another one has left no more than the shares unused.
+func (a *Account) expireSurplus(now kernel.Micros) {
+	if a.bounds.SurplusLifetime == 0 || a.isWithinShares || now-a.grantedAt <= a.bounds.SurplusLifetime {
+		return
+	}
+	a.isWithinShares = true
+	for tenant := range a.shares {
+		a.trim(tenant)
+	}
+}
+
+// trim drops what a tenant's credits are beyond the share, those for large requests first.
+func (a *Account) trim(tenant string) {
+	share, isKnown := a.shares[tenant]
+	if !isKnown {
+		return
+	}
+	left := share
+	for _, isLarge := range []bool{false, true} {
+		if credits := a.credits[creditKey{tenant, isLarge}]; credits != nil {
+			credits.balance = math.Min(credits.balance, math.Floor(left))
+			left = math.Max(left-math.Max(credits.balance, 0), 0)
+		}
+	}
+}
+
 // Counts returns the counts of each tenant that sent something lately; nil for a nil account.
 func (a *Account) Counts() map[string]Counts {
 	if a == nil {
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -71,6 +71,14 @@
 	return math.Min(float64(len(a.routers))/float64(a.routerCount), 1)
 }
 
+// share is a router's equal part of a bucket's capacity; zero: the number of routers is unknown.
+func (a *Allocator) share(bucket *tenantBucket) float64 {
+	if a.routerCount == 0 {
+		return 0
+	}
+	return bucket.capacity / float64(a.routerCount)
+}
+
 // SetLimits puts limits in force, in place of all earlier ones. A bucket that is new starts empty:
 // whether the tenant has spent something under an earlier configuration is not known here.
 func (a *Allocator) SetLimits(now kernel.Micros, limits []Limit) {
@@ -113,7 +121,9 @@
 		reported[item.key()] = true
 		if bucket := a.tenants[item.Tenant]; bucket != nil {
 			bucket.refill(now, a.usable(now))
-			grant.Items = append(grant.Items, bucket.allocate(known, item))
+			granted := bucket.allocate(known, item)
+			granted.Share = a.share(bucket)
+			grant.Items = append(grant.Items, granted)
 		} else if item.Need > 0 {
 			// The newest configuration sets no limit for it.
 			grant.Items = append(grant.Items, GrantItem{Tenant: item.Tenant, IsLarge: item.IsLarge, Amount: item.Need})
--- a/internal/quota/bounds.go
+++ b/internal/quota/bounds.go
@@ -11,6 +11,10 @@
 	Window kernel.Micros // length of the window
 	Over   float64       // tolerated share of what the window allows
 	Slack  float64       // tolerated units, on top of the share
+	// SurplusLifetime is how long a router may spend credits beyond its share of a capacity, counted as CreditLifetime is.
+	// It has to be shorter than the least time between the last grant of one leader and the first of the next, which leaves
+	// a router that it has not heard its share and no more. Zero: as long as all credits.
+	SurplusLifetime kernel.Micros
 }
 
 // DefaultBounds tolerate nothing beyond the quota within ten seconds.
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -36,6 +36,9 @@
 	Amount  float64 `json:"amount,omitempty"` // units
 	// RetryAfter is when more may be available; zero: all that was needed is granted.
 	RetryAfter kernel.Micros `json:"retry_after,omitempty"`
+	// Share is a router's equal part of the tenant's capacity, small and large requests together; zero: unknown, as from a
+	// leader of an earlier build.
+	Share float64 `json:"share,omitempty"`
 }
 
 // creditKey identifies a tenant's credits for its small or its large requests.
--- a/internal/server/quota.go
+++ b/internal/server/quota.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"dunlinloom/internal/control"
+	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/quota"
@@ -28,12 +29,17 @@
 	return bounds.KeyRevocationTimeout * keyTrustNumerator / keyTrustDenominator
 }
 
+// surplusLifetime is how long a router may spend more than its share of a quota. A new leader allocates no sooner than 1.1
+// allocation leases after the one before did last; the rest is for steady clocks that run at different rates.
+func surplusLifetime(timing cluster.Timing) kernel.Micros { return timing.AllocationLease() * 9 / 10 }
+
 // configureQuotas gives a node its account, and what it deals out by if it leads.
 func (d *deploymentProcess) configureQuotas(node *control.NodeSettings) {
 	bounds := d.deployment.Bounds.Quota
 	if bounds.Window <= 0 {
 		bounds = quota.DefaultBounds()
 	}
+	bounds.SurplusLifetime = surplusLifetime(node.Timing)
 	// Another number for each incarnation, so that no grant to an earlier one is taken for this one's.
 	d.quota = quota.NewAccount(bounds, rand.Uint64()>>16)
 	node.Quota, node.QuotaBounds, node.LimitsOf = d.quota, bounds, func(config []byte) []quota.Limit {
--- a/test/simulator/routed_test.go
+++ b/test/simulator/routed_test.go
@@ -85,6 +85,9 @@
 	}
 }
 
+// thickRate is how many times the usual requests come where a rule's troubles are to be met often.
+const thickRate = 3
+
 // Each of the following causes one rule's troubles thickly; the broken builds name them.
 func runRule(t *testing.T, shape func(*RoutedDeployment), faults ...string) {
 	for seed := range uint64(3) {
@@ -93,6 +96,10 @@
 			deployment := DrawDeployment(seed + 50)
 			deployment.Engines = map[string]int{"text": 6, "plain": 4}
 			deployment.Routers = 3
+			// More requests than there is room for: what is served is not judged here.
+			for i := range deployment.Kinds {
+				deployment.Kinds[i].Rate *= thickRate
+			}
 			if shape != nil {
 				shape(&deployment)
 			}
--- /dev/null
+++ b/test/soak/node_test.go
@@ -0,0 +1,24 @@
+package soak
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A step that waits for a node while its machine is taken away must not start it again: the process would lead the core
+// from an address that is nobody's, and outlive the run.
+func TestAMachineThatWasTakenAwayStaysAway(t *testing.T) {
+	c := qt.New(t)
+	f := emptyFleet(c)
+	gone := &node{name: "node0"}
+	f.retired = []*node{gone}
+	ended := 0
+	err := f.endAll([]*node{gone}, 0, func(*node) error {
+		ended++
+		return nil
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(ended, qt.Equals, 0)
+	c.Assert(gone.busy.TryLock(), qt.IsTrue, qt.Commentf("the node is held no longer"))
+}
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -105,6 +105,11 @@
 func (f *fleet) inspectNodes() {
 	f.inspectCore()
 	f.measureMemory()
+	for _, n := range f.retiredNodes() {
+		if n.process.IsRunning() {
+			f.problem("%s runs, though its machine was taken away", n.name)
+		}
+	}
 	for _, n := range f.members() {
 		until := f.clock.Now() + restSpan
 		left := f.notAtRest(n)
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -79,6 +79,7 @@
 	lock           sync.Mutex // guards all that follows
 	random         *rand.Rand
 	nodes          []*node
+	retired        []*node // whose machines were taken away for good
 	engines        []*engine
 	incarnations   int // of engines
 	replaced       int // machines that took others' places
