--- a/cmd/dunlinctl/main_test.go
+++ b/cmd/dunlinctl/main_test.go
@@ -171,7 +171,7 @@
 }
 
 // Clocks differ by an hour, yet what was done under a revision comes after its
-// proposal; and a node that does not answer is named.
+// proposal; and a node that does not answer is named. Most entries are of a build with former names.
 func TestTheTimelineIsInCausalOrder(t *testing.T) {
 	c := qt.New(t)
 	entry := func(seq, era uint64, wall kernel.Micros, subject, decision, why string) kernel.Entry {
@@ -185,7 +185,7 @@
 		}},
 		"b": {kernel.Identity{Address: "10.0.0.2:7000", Zone: "z2"}, []kernel.Entry{
 			entry(1, 4, 3590, "licence", "core dark", "no grant"), entry(2, 5, 3602, "licence", "core back", "under 5"),
-			entry(3, 6, 3605, "engine e1", "leaving", "marked"), entry(4, 6, 3660, "declines", "count", "no_licence 3; 5 of 8 served"),
+			entry(3, 6, 3605, "engine e1", "draining", "marked"), entry(4, 6, 3660, "declines", "count", "no_licence 3; 5 of 8 served"),
 		}},
 	}
 	handler := func(name string) http.HandlerFunc {
@@ -208,7 +208,7 @@
 	c.Assert(status, qt.Equals, exitAccepted)
 	at := -1
 	for _, want := range []string{"NO ANSWER from 10.0.0.7:7000", "NO ANSWER from 127.0.0.1:1", "hears no core", "leads: term 3", "generation 5: [submission s1]",
-		"hears the core again", "order acknowledged s1", "voter dropped", "engine leaves e1", "declined within a minute: no_licence 3"} {
+		"hears the core again", "operation accepted s1", "voter dropped", "engine leaves e1", "declined within a minute: no_licence 3"} {
 		next := strings.Index(out.String(), want)
 		c.Assert(next > at, qt.IsTrue, qt.Commentf("%q is not where it should be in\n%s", want, out.String()))
 		at = next
--- a/cmd/dunlinctl/timeline.go
+++ b/cmd/dunlinctl/timeline.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dunlinloom/internal/control"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/server"
 )
@@ -90,22 +91,26 @@
 }
 
 // timelineLines are the decisions that the timeline shows, and how an operator reads them.
-var timelineLines = []struct{ subject, decision, line string }{
-	{"core", "lead", "leads"}, {"core", "step down", "no longer leads"}, {"core", "name successor", "names a successor"},
-	{"core", "found", "founded the fleet"}, {"core", "leave", "is asked to stop"},
-	{"core", "propose", "the core changes"},
-	{"submission ", "yes", "order acknowledged"}, {"submission ", "decline", "order declined"}, {"submission ", "fence", "order without an answer"},
-	{"licence", "core dark", "hears no core"}, {"licence", "core back", "hears the core again"},
-	{"home", "name successor", "hands its zone on"},
-	{"disk", "ail", "disk trouble"}, {"disk", "mend", "disk well again"}, {"history", "lag", "the object store lags"},
-	{"engine ", "leaving", "engine leaves"}, {"engine ", "reach", "engine's reach"}, {"engine ", "listing", "engine's listing"}, {"engine ", "restarted", "engine restarted"},
-	{"node ", "dropped", "lost sight of"}, {"list", "unreadable", "platform's list unreadable"},
+var timelineLines = []struct {
+	subject  string // a beginning
+	decision decision.Decision
+	line     string
+}{
+	{"core", decision.BecomeLeader, "leads"}, {"core", decision.StepDown, "no longer leads"}, {"core", decision.TransferLeadership, "names a successor"},
+	{"core", decision.Bootstrap, "bootstrapped the fleet"}, {"core", decision.Leave, "is asked to stop"},
+	{"core", decision.Propose, "the core changes"},
+	{"submission ", decision.Accept, "operation accepted"}, {"submission ", decision.Reject, "operation rejected"}, {"submission ", decision.Abort, "operation without an answer"},
+	{"lease", decision.NoQuorum, "hears no core"}, {"lease", decision.QuorumBack, "hears the core again"},
+	{"coordinator", decision.HandOver, "hands its zone on"},
+	{"disk", decision.Unhealthy, "disk trouble"}, {"disk", decision.Healthy, "disk well again"}, {"history", "lag", "the object store lags"},
+	{"engine ", decision.Draining, "engine leaves"}, {"engine ", decision.Responsiveness, "engine's responsiveness"}, {"engine ", decision.Listing, "engine's listing"}, {"engine ", decision.Restarted, "engine restarted"},
+	{"node ", decision.Dropped, "lost sight of"}, {"list", "unreadable", "platform's list unreadable"},
 	{"process", "start", "started"}, {"process", "stop", "stopped"}, {"declines", "count", "declined within a minute"},
 }
 
 func lineOf(entry kernel.Entry) string {
 	for _, shown := range timelineLines {
-		if strings.HasPrefix(entry.Subject, shown.subject) && entry.Decision == shown.decision {
+		if strings.HasPrefix(entry.Subject, shown.subject) && entry.Decision == string(shown.decision) {
 			_, name, _ := strings.Cut(entry.Subject, " ")
 			return strings.TrimSpace(shown.line + " " + name)
 		}
@@ -196,6 +201,10 @@
 			unresponsive = append(unresponsive, public)
 			continue
 		}
+		// A node's journal goes back to builds before its own.
+		for i := range page.Entries {
+			page.Entries[i] = decision.Current(page.Entries[i])
+		}
 		if len(page.Entries) > 0 {
 			pages = append(pages, page)
 		}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -6,6 +6,7 @@
 
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/commands"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/flowcontrol"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/invariant"
@@ -24,7 +25,7 @@
 	PatchConfig func(current, change []byte) ([]byte, error)
 	// VersionOf reads the operator's own version of a configuration; nil: configurations carry none.
 	VersionOf func(config []byte) (uint64, error)
-	Note      func(subject, decision, why string)
+	Note      func(subject decision.Subject, what decision.Decision, why string)
 	// See NodeSettings.
 	Voters               int
 	AckRule              AckRule
@@ -149,9 +150,9 @@
 	return c
 }
 
-func (c *Core) note(subject, decision, why string, args ...any) {
+func (c *Core) note(subject decision.Subject, what decision.Decision, why string, args ...any) {
 	if c.settings.Note != nil {
-		c.settings.Note(subject, decision, fmt.Sprintf(why, args...))
+		c.settings.Note(subject, what, fmt.Sprintf(why, args...))
 	}
 }
 
--- a/internal/control/core_acknowledged.go
+++ b/internal/control/core_acknowledged.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 )
 
 // A member must not vote as if it held less than it has acknowledged: a candidate that lacks a
@@ -27,5 +28,5 @@
 		return
 	}
 	c.acknowledged = acknowledged
-	c.note("disk", "fence", "%v", FolderRolledBackError{acknowledged, c.synced})
+	c.note(decision.Disk, decision.Fence, "%v", FolderRolledBackError{acknowledged, c.synced})
 }
--- a/internal/control/core_bootstrap.go
+++ b/internal/control/core_bootstrap.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -58,7 +59,7 @@
 		ClusterID: cluster.DigestOf([]byte(fmt.Sprint(c.settings.Random.Uint64(), c.settings.Random.Uint64()))),
 		Revision:  1, Term: 1, Voters: voters, Coordinators: map[string]string{}, DrainedZones: map[string]uint64{},
 	}
-	c.note("core", "found", "all %d founders are there and empty", len(members))
+	c.note(decision.Core, decision.Bootstrap, "all %d founders are there and empty", len(members))
 	c.term = max(c.term, 1)
 	c.save(first, func() { c.startElection(true, false) })
 	c.doc = first
--- a/internal/control/core_disk.go
+++ b/internal/control/core_disk.go
@@ -3,6 +3,7 @@
 import (
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/commands"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/kernel"
 )
 
@@ -78,7 +79,7 @@
 	if err != nil {
 		head.hasFailed, head.retryAt = true, now+c.settings.Timing.DiskRetryInterval
 		if c.diskWhy == "" {
-			c.note("disk", "ail", "a write failed: %v", err)
+			c.note(decision.Disk, decision.Unhealthy, "a write failed: %v", err)
 		}
 		c.diskWhy = err.Error()
 		if c.role == leader {
@@ -87,7 +88,7 @@
 		return
 	}
 	if c.diskWhy != "" {
-		c.note("disk", "mend", "a write went through again")
+		c.note(decision.Disk, decision.Healthy, "a write went through again")
 		c.diskWhy = ""
 	}
 	c.saves = c.saves[1:]
--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/serving"
 	"dunlinloom/internal/control/wire"
@@ -266,7 +267,7 @@
 	var wanted string
 	for round := range 200 {
 		order := random.Perm(len(records))
-		directory := registry.NewDirectory("x", cluster.DefaultTiming(), func(string, string, string) {})
+		directory := registry.NewDirectory("x", cluster.DefaultTiming(), func(decision.Subject, decision.Decision, string) {})
 		for _, index := range append(order, order[0]) {
 			directory.TakeEngine(40, records[index], true)
 		}
@@ -282,7 +283,7 @@
 	}
 	// A list says nothing of how old the last report is, or whether who came back from
 	// the dark is who went there.
-	listed := registry.NewDirectory("x", cluster.DefaultTiming(), func(string, string, string) {})
+	listed := registry.NewDirectory("x", cluster.DefaultTiming(), func(decision.Subject, decision.Decision, string) {})
 	listed.TakeEngine(40, records[1], true)
 	listed.TakeListing(60, registry.Listing{Revision: 9, Engines: []registry.ListingEngine{{ID: "e", Address: "1", Zone: "z", Start: 1, State: "serving"}}})
 	c.Assert(listed.Engines()[0].ReportedAt, qt.Equals, kernel.Micros(20))
@@ -295,7 +296,7 @@
 	listed.TakeEngine(80, registry.EngineRecord{ID: "e", Start: 1, Seq: 5, Load: 1, ReportedAt: 75, SeenAt: 80}, true)
 	c.Assert(listed.Engines()[0].IsUnconfirmed(), qt.IsFalse)
 	// Within one start a leaving mark stays, whatever comes later.
-	directory := registry.NewDirectory("x", cluster.DefaultTiming(), func(string, string, string) {})
+	directory := registry.NewDirectory("x", cluster.DefaultTiming(), func(decision.Subject, decision.Decision, string) {})
 	for _, record := range []registry.EngineRecord{records[2], records[1], records[0]} {
 		directory.TakeEngine(40, record, true)
 	}
@@ -305,7 +306,7 @@
 
 func TestALeaseCountsFromTheRequestAndCoversItsRevision(t *testing.T) {
 	c := qt.New(t)
-	l := serving.NewLease(serving.LeaseSettings{Self: "r", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(string, string, string) {}})
+	l := serving.NewLease(serving.LeaseSettings{Self: "r", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(decision.Subject, decision.Decision, string) {}})
 	span := cluster.DefaultTiming().LeaseSpan
 	first := l.NewRequest(1000)
 	c.Assert(l.TakeGrant(500_000, &wire.LeaseGrant{Seq: first, Revision: 9, Document: document(4, 9)}), qt.IsTrue)
@@ -328,7 +329,7 @@
 	c := qt.New(t)
 	held := document(4, 9)
 	held.Routers = []string{"r", "s", "t", "u", "v"}
-	l := serving.NewLease(serving.LeaseSettings{Self: "r", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(string, string, string) {}})
+	l := serving.NewLease(serving.LeaseSettings{Self: "r", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(decision.Subject, decision.Decision, string) {}})
 	l.TakeGrant(0, &wire.LeaseGrant{Seq: l.NewRequest(0), Revision: 9, Document: held})
 	begun := 10 * kernel.Second
 	_, ask, _ := l.TickNoQuorum(begun)
@@ -341,7 +342,7 @@
 	c.Assert(l.Until(), qt.Equals, begun+cluster.DefaultTiming().LeaseSpan)
 	// A router to which the leader has not spoken since its start gets nothing so: it
 	// may have served under a newer revision that none of the others had.
-	restarted := serving.NewLease(serving.LeaseSettings{Self: "v", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(string, string, string) {}})
+	restarted := serving.NewLease(serving.LeaseSettings{Self: "v", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(decision.Subject, decision.Decision, string) {}})
 	restarted.Apply(held)
 	_, none, _ := restarted.TickNoQuorum(begun)
 	c.Assert(none, qt.IsNil)
@@ -354,7 +355,7 @@
 	newer := document(4, 10)
 	newer.Routers = held.Routers
 	// Every other router may hold it; one of them is asked for it, and soon.
-	other := serving.NewLease(serving.LeaseSettings{Self: "s", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(string, string, string) {}})
+	other := serving.NewLease(serving.LeaseSettings{Self: "s", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(decision.Subject, decision.Decision, string) {}})
 	other.Apply(newer)
 	for _, router := range []string{"s", "t", "u"} {
 		c.Assert(other.Attest(ask).Document, qt.IsNil)
@@ -430,7 +431,7 @@
 	first := document(4, 9)
 	first.PutConfig([]byte(`{"large":"one"}`), nil)
 	next := first.Next(4)
-	lease := serving.NewLease(serving.LeaseSettings{Self: "10.0.0.9:1", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(string, string, string) {}})
+	lease := serving.NewLease(serving.LeaseSettings{Self: "10.0.0.9:1", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(decision.Subject, decision.Decision, string) {}})
 	c.Assert(lease.Apply(next.WithoutConfig()), qt.IsFalse)
 	c.Assert(lease.Revision(), qt.Equals, uint64(0))
 	c.Assert(lease.Apply(first), qt.IsTrue)
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -70,7 +71,7 @@
 // them; queued submissions, reads and lease requests get no answer, and their senders retry.
 func (c *Core) stepDown(why string) {
 	if c.role == leader {
-		c.note("core", "step down", "term %d: %s", c.term, why)
+		c.note(decision.Core, decision.StepDown, "term %d: %s", c.term, why)
 		// A member that no longer leads can give no final answer.
 		for _, pending := range c.pendingReplies {
 			c.send(pending.from, wire.Message{SubmitResponse: &cluster.SubmitResponse{ID: pending.id, Outcome: cluster.Unknown, Reason: cluster.ReasonLeaderChanged}})
@@ -100,7 +101,7 @@
 		}
 	}
 	if best != nil {
-		c.note("core", "name successor", "%s, because %s", best.member.Address, why)
+		c.note(decision.Core, decision.TransferLeadership, "%s, because %s", best.member.Address, why)
 		c.send(best.member.Address, wire.Message{TransferLeadership: &wire.TransferLeadership{Term: c.term, Target: best.member.ID}})
 	}
 	c.stepDown(why)
@@ -112,7 +113,7 @@
 // term chose this member as its successor.
 func (c *Core) onTransferLeadership(m *wire.TransferLeadership) {
 	if m.Target == c.settings.Self.ID && m.Term == c.term && c.role == follower {
-		c.note("core", "take over", "the leader named this member")
+		c.note(decision.Core, decision.AcceptLeadership, "the leader named this member")
 		c.startElection(false, true)
 	}
 }
@@ -155,7 +156,7 @@
 	c.votedFor = c.settings.Self.ID
 	c.role = candidate
 	term := c.term
-	c.note("core", "stand", "term %d, holding revision %d", term, c.doc.Revision)
+	c.note(decision.Core, decision.StartElection, "term %d, holding revision %d", term, c.doc.Revision)
 	// The own vote counts only once it is on disk.
 	c.save(nil, func() {
 		if c.role == candidate && c.term == term {
@@ -256,7 +257,7 @@
 			c.peers[member.ID] = &peer{member: member, lastContact: lastContact, confirmedAt: c.now, hasFolder: true}
 		}
 	}
-	c.note("core", "lead", "term %d, elected by a majority of %d voters", c.term, len(c.doc.Voters))
+	c.note(decision.Core, decision.BecomeLeader, "term %d, elected by a majority of %d voters", c.term, len(c.doc.Voters))
 	// What an earlier leader left may or may not be committed. Proposing it again
 	// under this term commits it before anything new is built on it.
 	again := *c.doc
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/serving"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
@@ -191,7 +192,7 @@
 
 func TestAFiniteServeOnReachesBeyondTheLease(t *testing.T) {
 	c := qt.New(t)
-	l := serving.NewLease(serving.LeaseSettings{Self: "r", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(string, string, string) {}, ServeExtension: 5 * kernel.Second})
+	l := serving.NewLease(serving.LeaseSettings{Self: "r", IsRouter: true, Timing: cluster.DefaultTiming(), Note: func(decision.Subject, decision.Decision, string) {}, ServeExtension: 5 * kernel.Second})
 	seq := l.NewRequest(kernel.Second)
 	l.TakeGrant(kernel.Second+100, &wire.LeaseGrant{Seq: seq, Revision: 1, Document: document(1, 1)})
 	c.Assert(l.Until(), qt.Equals, 6*kernel.Second)
--- a/internal/control/freshness_test.go
+++ b/internal/control/freshness_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/serving"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
@@ -188,7 +189,7 @@
 func TestFreshnessOfANewerDocumentIsNotTaken(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	lease := serving.NewLease(serving.LeaseSettings{Self: "n", IsRouter: true, Timing: cluster.SparseTiming(), Note: func(_, _, _ string) {}})
+	lease := serving.NewLease(serving.LeaseSettings{Self: "n", IsRouter: true, Timing: cluster.SparseTiming(), Note: func(decision.Subject, decision.Decision, string) {}})
 	lease.Apply(&cluster.Document{ClusterID: "f", Revision: 5, Term: 1})
 	now := 100 * kernel.Second
 	requestSeq := lease.NewRequest(now)
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/kernel"
 )
 
@@ -118,7 +119,7 @@
 	if last.hasSameStatus(next) {
 		next.ChangedAt = last.ChangedAt
 	} else {
-		c.note("core", "health", "%s", next.String())
+		c.note(decision.Core, decision.Health, "%s", next.String())
 		c.out = append(c.out, HealthChanged{next})
 	}
 	c.health = next
--- a/internal/control/learner.go
+++ b/internal/control/learner.go
@@ -2,6 +2,7 @@
 
 import (
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/kernel"
 )
 
@@ -23,7 +24,7 @@
 	}
 	if c.now-c.delayStartedAt > operationDelaySpan+operationDelayPause {
 		c.delayStartedAt = c.now
-		c.note("core", "hold orders", "a member that should vote is catching up")
+		c.note(decision.Core, decision.DelayOperations, "a member that should vote is catching up")
 	}
 	return c.now-c.delayStartedAt < operationDelaySpan
 }
--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/kernel"
 )
 
@@ -11,7 +12,7 @@
 // a voter where another member can take its place. isNeeded tells when the process may end.
 func (c *Core) Leave(now kernel.Micros) {
 	c.now, c.isLeaving, c.releasedPosition = now, true, cluster.Position{}
-	c.note("core", "leave", "a planned stop was asked for")
+	c.note(decision.Core, decision.Leave, "a planned stop was asked for")
 }
 
 // isNeeded tells whether this member may still hold what too few others hold. Only the leader
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -31,7 +32,7 @@
 	if p == nil {
 		p = &peer{joinedAt: c.now, isHistoryIncomplete: true}
 		c.peers[m.Member.ID] = p
-		c.note("core", "take standby", "%s in zone %s asked to join", m.Member.Address, m.Member.Zone)
+		c.note(decision.Core, decision.AddLearner, "%s in zone %s asked to join", m.Member.Address, m.Member.Zone)
 		c.isRoundWanted = true
 	}
 	if c.isOfEarlierIncarnation(p, m.Incarnation) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -6,6 +6,7 @@
 
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/commands"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/flowcontrol"
 	"dunlinloom/internal/control/gossip"
 	"dunlinloom/internal/control/registry"
@@ -171,7 +172,7 @@
 }
 
 // core gives the settings of the core of a node.
-func (s NodeSettings) core(note func(subject, decision, why string)) CoreSettings {
+func (s NodeSettings) core(note func(subject decision.Subject, what decision.Decision, why string)) CoreSettings {
 	return CoreSettings{
 		Self:      cluster.Member{ID: s.Member, Address: s.Identity.Address, Zone: s.Identity.Zone},
 		HasFolder: s.HasFolder, Seeds: s.Seeds, Timing: s.Timing, Note: note,
@@ -199,8 +200,8 @@
 	return err
 }
 
-func (n *Node) note(subject, decision, why string) {
-	n.settings.Journal.Record(n.now, "control", subject, decision, why)
+func (n *Node) note(subject decision.Subject, what decision.Decision, why string) {
+	n.settings.Journal.Record(n.now, "control", string(subject), string(what), why)
 }
 
 // TickInterval is how often Tick is to be called.
@@ -275,7 +276,7 @@
 		return
 	}
 	n.settings.Journal.SetRevision(n.lease.Revision())
-	n.note("spec", "apply", fmt.Sprintf("revision %d", n.lease.Revision()))
+	n.note(decision.Configuration, decision.Apply, fmt.Sprintf("revision %d", n.lease.Revision()))
 	if n.core != nil {
 		n.core.setFleetVoters(n.lease.Applied().VoterAddresses())
 	}
@@ -333,10 +334,10 @@
 		return n.finish()
 	}
 	if len(outcome.Saved) > 0 {
-		n.note("history", "mend", fmt.Sprintf("the configurations of revisions %v were fetched from other members", outcome.Saved))
+		n.note(decision.History, decision.Fetch, fmt.Sprintf("the configurations of revisions %v were fetched from other members", outcome.Saved))
 	}
 	if outcome.Err != nil {
-		n.note("history", "leave out", fmt.Sprintf("the configuration of revision %d: %v", outcome.Rejected, outcome.Err))
+		n.note(decision.History, decision.Skip, fmt.Sprintf("the configuration of revision %d: %v", outcome.Rejected, outcome.Err))
 	}
 	n.core.HistoryStored(now, outcome)
 	return n.finish()
@@ -365,7 +366,7 @@
 func (n *Node) ConfigCompiled(now kernel.Micros, document *cluster.Document, err error) []any {
 	n.now = now
 	if err != nil {
-		n.note("spec", "unreadable", err.Error())
+		n.note(decision.Configuration, decision.Unreadable, err.Error())
 		return n.finish()
 	}
 	if n.compiling == document {
--- a/internal/control/node_bootstrap.go
+++ b/internal/control/node_bootstrap.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -97,7 +98,7 @@
 		return
 	}
 	c.term = max(c.term, first.Term)
-	c.note("core", "found", "among %d founders", len(first.Voters))
+	c.note(decision.Core, decision.Bootstrap, "among %d founders", len(first.Voters))
 	c.doc = first
 	c.save(first, func() {
 		// One stands at once, so that they need not split their votes.
@@ -156,7 +157,7 @@
 		number: number, incarnations: slices.Clone(f.incarnations), promised: map[cluster.MemberID]promisedAcceptor{}, accepted: map[cluster.MemberID]bool{},
 	}
 	f.observeNumber(n.now, number)
-	n.note("core", "propose founding", fmt.Sprintf("ballot %d, %d announced, %d of them amnesiac", number.Round, len(f.allMembers()), len(f.stateLossMembers)))
+	n.note(decision.Core, decision.ProposeBootstrap, fmt.Sprintf("ballot %d, %d announced, %d of them amnesiac", number.Round, len(f.allMembers()), len(f.stateLossMembers)))
 	n.sendProposal()
 }
 
@@ -303,7 +304,7 @@
 		return false
 	}
 	f.chosen = p.document
-	n.note("core", "name founders", fmt.Sprintf("%v, accepted by %d", f.chosen.VoterAddresses(), len(p.accepted)))
+	n.note(decision.Core, decision.ChooseBootstrapMembers, fmt.Sprintf("%v, accepted by %d", f.chosen.VoterAddresses(), len(p.accepted)))
 	n.sendBootstrapCommit()
 	return true
 }
--- a/internal/control/node_leave.go
+++ b/internal/control/node_leave.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -39,7 +40,7 @@
 	n.handoverTimer = n.now + handoverInterval
 	for _, node := range n.directory.Nodes() {
 		if node.Zone == n.settings.Identity.Zone && node.Address != n.self() && !node.IsLeaving {
-			n.note("home", "name successor", node.Address)
+			n.note(decision.Coordinator, decision.HandOver, node.Address)
 			n.send(n.leaderTarget(), wire.Message{CoordinatorHandover: &wire.CoordinatorHandover{Zone: n.settings.Identity.Zone, To: node.Address}})
 			return
 		}
--- a/internal/control/node_rejection.go
+++ b/internal/control/node_rejection.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -24,7 +25,7 @@
 		return
 	}
 	n.rejected[from] = n.now
-	n.note("node "+from, "decline message", err.Error())
+	n.note(decision.Node(from), decision.RejectMessage, err.Error())
 }
 
 // Unreadable notes a message that could not be read.
--- a/internal/control/node_snapshot.go
+++ b/internal/control/node_snapshot.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/storage"
 	"dunlinloom/internal/kernel"
@@ -56,11 +57,11 @@
 	}
 	// A folder that was rebuilt belongs to another founding than its snapshot.
 	if n.core != nil && n.core.doc != nil && n.core.doc.ClusterID != from.Document.ClusterID {
-		n.note("snapshot", "pass over", "it belongs to another founding of the fleet")
+		n.note(decision.Snapshot, decision.Ignore, "it belongs to another founding of the fleet")
 		return
 	}
 	s.restored = from.Document
-	n.note("snapshot", "begin with", fmt.Sprintf("revision %d, %d engines, %d nodes to ask", from.Document.Revision, len(from.Engines), len(from.Nodes)))
+	n.note(decision.Snapshot, decision.Load, fmt.Sprintf("revision %d, %d engines, %d nodes to ask", from.Document.Revision, len(from.Engines), len(from.Nodes)))
 	for _, record := range from.Engines {
 		// Nobody has heard them in this life: they count as long silent, so that their home
 		// calls them gone unless they beat, and any real word on them is fresher. Not so
@@ -159,7 +160,7 @@
 	s.isWriting = false
 	if err != nil {
 		s.nextAt = now + snapshotRetryInterval
-		n.note("snapshot", "leave out", err.Error())
+		n.note(decision.Snapshot, decision.Skip, err.Error())
 		return n.finish()
 	}
 	s.written = s.writing
--- a/internal/control/node_submissions.go
+++ b/internal/control/node_submissions.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/flowcontrol"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
@@ -68,7 +69,7 @@
 				continue
 			}
 			// The time for tries is over. An abort makes a rejection final, or finds that it was accepted.
-			n.note("submission "+id, "fence", "no acknowledgement in time")
+			n.note(decision.Submission(id), decision.Abort, "no acknowledgement in time")
 			pending.submit = &cluster.Submit{ID: id, Operation: cluster.AbortSubmission, Base: pending.submit.Base, BaseVersion: pending.submit.BaseVersion}
 			pending.deadline, pending.resendAt = n.now+abortTimeout, n.now
 		}
@@ -143,6 +144,6 @@
 		n.watch.acknowledged = max(n.watch.acknowledged, reply.Revision)
 	}
 	delete(n.pendingSubmissions, reply.ID)
-	n.note("submission "+reply.ID, "acknowledgement "+string(reply.Outcome), reply.Reason)
+	n.note(decision.Submission(reply.ID), decision.Answer(string(reply.Outcome)), reply.Reason)
 	n.out = append(n.out, Reply{reply})
 }
--- a/internal/control/node_updates.go
+++ b/internal/control/node_updates.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
@@ -139,7 +140,7 @@
 	// The sender goes by what was taken once, and can't know what was dropped here since:
 	// it is asked for all again.
 	if isIncomplete {
-		n.note("cell", "ask for all", from+" was brief on a node that is not known here")
+		n.note(decision.AntiEntropy, decision.RequestAll, from+" was brief on a node that is not known here")
 		delete(n.antiEntropy.watermarks, from)
 		if from == n.coordinator() {
 			n.contact.seen = watermark{}
@@ -153,7 +154,7 @@
 	for _, record := range records {
 		isOther := record.Start > n.settings.Start || record.Start == n.settings.Start && record.Seq > n.ownRecord.seq
 		if record.Address == n.self() && isOther {
-			n.note("node "+n.self(), "count as later", fmt.Sprintf("the fleet remembers start %d, this one began as %d", record.Start, n.settings.Start))
+			n.note(decision.Node(n.self()), decision.RaiseIncarnation, fmt.Sprintf("the fleet remembers start %d, this one began as %d", record.Start, n.settings.Start))
 			n.settings.Start, n.ownRecord.timer, n.requests.timer = record.Start+1, n.now, n.now
 		}
 	}
@@ -167,7 +168,7 @@
 	}
 	if m.Digests != nil {
 		if differing := n.directory.Differing(n.now, m.Digests); len(differing) > 0 {
-			n.note("cell", "mend", fmt.Sprintf("%d records of differing ranges go to %s", len(differing), from))
+			n.note(decision.AntiEntropy, decision.Repair, fmt.Sprintf("%d records of differing ranges go to %s", len(differing), from))
 			n.send(from, wire.Message{DirectoryUpdate: &registry.DirectoryUpdate{Incarnation: n.directory.Incarnation(), Engines: differing}})
 		}
 	}
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/kernel"
 )
 
@@ -39,21 +40,20 @@
 	if len(reasons) == 0 {
 		return
 	}
-	c.note("core", decisionPropose, proposeFormat+"%v", next.Revision, reasons)
+	c.note(decision.Core, decision.Propose, proposeFormat+"%v", next.Revision, reasons)
 	c.propose(next)
 }
 
 // How a proposal stands in the journal, to be written and read by the same form.
 const (
-	decisionPropose = "propose"
-	proposeFormat   = "revision %d: "
+	proposeFormat = "revision %d: "
 	// formerProposeFormat is what journals on disk from before the rename hold.
 	formerProposeFormat = "generation %d: "
 )
 
 // ProposedRevision tells which revision an entry of a journal proposes; zero for none.
 func ProposedRevision(entry kernel.Entry) (revision uint64) {
-	if entry.Subject != "core" || entry.Decision != decisionPropose {
+	if entry.Subject != string(decision.Core) || entry.Decision != string(decision.Propose) {
 		return 0
 	}
 	for _, format := range []string{proposeFormat, formerProposeFormat} {
--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/storage"
 	"dunlinloom/internal/kernel"
@@ -291,7 +292,7 @@
 		{"it fell silent before the other spoke", word(9, 40, timing.NodeTimeout()+1), word(5, 1, 0), 5},
 	} {
 		for _, order := range [][]registry.NodeRecord{{each.a, each.b}, {each.b, each.a}, {each.b, each.a, each.b, each.a}} {
-			directory := registry.NewDirectory("i", timing, func(string, string, string) {})
+			directory := registry.NewDirectory("i", timing, func(decision.Subject, decision.Decision, string) {})
 			for _, record := range order {
 				directory.TakeNode(now, record, false)
 			}
--- a/internal/control/registry/directory.go
+++ b/internal/control/registry/directory.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/kernel"
 )
 
@@ -128,11 +129,11 @@
 	nodeVersions   map[string]recordVersion
 	rev            uint64
 	engineRev      uint64 // the last change that the data plane has to see
-	note           func(subject, decision, why string)
+	note           func(subject decision.Subject, what decision.Decision, why string)
 }
 
 // NewDirectory makes an empty directory; the incarnation tells its numbering from an earlier one's.
-func NewDirectory(incarnation string, timing cluster.Timing, note func(subject, decision, why string)) *Directory {
+func NewDirectory(incarnation string, timing cluster.Timing, note func(subject decision.Subject, what decision.Decision, why string)) *Directory {
 	return &Directory{
 		incarnation: incarnation, timing: timing, note: note,
 		engines:        immutable.NewSortedMap[string, EngineRecord](nil),
@@ -252,15 +253,15 @@
 	isNewlyDraining = merged.IsDraining && (!isThere || !old.IsDraining || old.Start != merged.Start)
 	switch {
 	case isNewlyDraining:
-		d.note("engine "+merged.ID, "leaving", fmt.Sprintf("marked at start %d", merged.Start))
+		d.note(decision.Engine(merged.ID), decision.Draining, fmt.Sprintf("marked at start %d", merged.Start))
 	case !isThere:
-		d.note("engine "+merged.ID, "known", fmt.Sprintf("at %s in zone %s", merged.Address, merged.Zone))
+		d.note(decision.Engine(merged.ID), decision.Known, fmt.Sprintf("at %s in zone %s", merged.Address, merged.Zone))
 	case merged.Start != old.Start:
-		d.note("engine "+merged.ID, "restarted", fmt.Sprintf("start %d after %d", merged.Start, old.Start))
+		d.note(decision.Engine(merged.ID), decision.Restarted, fmt.Sprintf("start %d after %d", merged.Start, old.Start))
 	case merged.IsUnlisted != old.IsUnlisted:
-		d.note("engine "+merged.ID, "listing", fmt.Sprintf("unlisted: %v, at revision %d", merged.IsUnlisted, merged.ListRevision))
+		d.note(decision.Engine(merged.ID), decision.Listing, fmt.Sprintf("unlisted: %v, at revision %d", merged.IsUnlisted, merged.ListRevision))
 	case merged.IsUnresponsive != old.IsUnresponsive:
-		d.note("engine "+merged.ID, "reach", fmt.Sprintf("dark: %v, by its home", merged.IsUnresponsive))
+		d.note(decision.Engine(merged.ID), decision.Responsiveness, fmt.Sprintf("unresponsive: %v, by its zone coordinator", merged.IsUnresponsive))
 	}
 	return isNewlyDraining, isChanged
 }
@@ -323,7 +324,7 @@
 	}
 	d.nodeVersions[received.Address] = recordVersion{d.rev, stableRev, isOwn}
 	if !isThere {
-		d.note("node "+received.Address, "known", "in zone "+received.Zone)
+		d.note(decision.Node(received.Address), decision.Known, "in zone "+received.Zone)
 	}
 	return false
 }
@@ -359,7 +360,7 @@
 			d.nodes = d.nodes.Delete(node.Address)
 			delete(d.nodeVersions, node.Address)
 			d.rev++
-			d.note("node "+node.Address, "dropped", "not heard of any more")
+			d.note(decision.Node(node.Address), decision.Dropped, "not heard of any more")
 		}
 	}
 	for _, engine := range d.Engines() {
--- a/internal/control/replication.go
+++ b/internal/control/replication.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/flowcontrol"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
@@ -138,7 +139,7 @@
 	}
 	c.checkLeader(m.Term, m.Leader.ID)
 	if c.leaderMember.ID != m.Leader.ID || isNewTerm {
-		c.note("core", "follow", "%s leads term %d", m.Leader.Address, m.Term)
+		c.note(decision.Core, decision.Follow, "%s leads term %d", m.Leader.Address, m.Term)
 	}
 	c.leaderMember, c.lastHeartbeatAt, c.releasedPosition = m.Leader, c.now, cluster.Position{}
 	if m.IsReleased {
--- a/internal/control/serving/lease.go
+++ b/internal/control/serving/lease.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -15,7 +16,7 @@
 	self     string
 	isRouter bool
 	timing   cluster.Timing
-	note     func(subject, decision, why string)
+	note     func(subject decision.Subject, what decision.Decision, why string)
 
 	applied *cluster.Document
 	// received is the newest committed document whose configuration is still being compiled. It is
@@ -57,7 +58,7 @@
 	Self     string // the node's address between nodes
 	IsRouter bool
 	Timing   cluster.Timing
-	Note     func(subject, decision, why string) // tells a decision to the journal
+	Note     func(subject decision.Subject, what decision.Decision, why string) // tells a decision to the journal
 	// FirstSeq is the number before that of the first request of this incarnation.
 	FirstSeq uint64
 	// IsCompiled tells whether a document's configuration is compiled, and sees to it if not; nil: all are.
@@ -167,7 +168,7 @@
 	}
 	delete(l.requestedAt, grant.Seq)
 	if l.hasNoQuorum {
-		l.note("licence", "core back", "the leader grants again")
+		l.note(decision.Lease, decision.QuorumBack, "the leader grants again")
 		l.hasNoQuorum = false
 	}
 	l.isProven = true
@@ -217,7 +218,7 @@
 	}
 	l.attestTimer = now + 300*kernel.Millisecond
 	if !l.hasNoQuorum {
-		l.note("licence", "core dark", "no grant for 700 ms; asking the registered routers")
+		l.note(decision.Lease, decision.NoQuorum, "no grant for 700 ms; asking the registered routers")
 		l.hasNoQuorum = true
 	}
 	l.attestSeq = l.NewRequest(now)
--- a/internal/control/submissions.go
+++ b/internal/control/submissions.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 )
 
@@ -108,14 +109,14 @@
 // sendRejection sends a rejection whose round is confirmed.
 func (c *Core) sendRejection(rejection pendingRejection) {
 	reply := rejection.reply
-	c.note("submission "+reply.ID, "decline", "%s: %s", reply.Reason, reply.Detail)
+	c.note(decision.Submission(reply.ID), decision.Reject, "%s: %s", reply.Reason, reply.Detail)
 	c.send(rejection.from, wire.Message{SubmitResponse: &reply})
 }
 
 // replyUnknown answers a submission that may be one of those pruned from the document: it may have been
 // applied long ago, so it is neither acknowledged nor rejected.
 func (c *Core) replyUnknown(to string, m *cluster.Submit) {
-	c.note("submission "+m.ID, "leave unclear", "it builds on a state older than the oldest submission remembered")
+	c.note(decision.Submission(m.ID), decision.LeaveUnknown, "it builds on a state older than the oldest submission remembered")
 	c.send(to, wire.Message{SubmitResponse: &cluster.SubmitResponse{ID: m.ID, Outcome: cluster.Unknown, Reason: cluster.ReasonExpired,
 		Detail: "it builds on a state so old that the core can't tell any more whether it was taken"}})
 }
@@ -258,6 +259,6 @@
 // operation is never lost.
 func (c *Core) acknowledge(pending pendingReply, how string) {
 	c.checkAcknowledged(pending.id, pending.revision)
-	c.note("submission "+pending.id, "yes", "revision %d is kept by the voters and %s", pending.revision, how)
+	c.note(decision.Submission(pending.id), decision.Accept, "revision %d is kept by the voters and %s", pending.revision, how)
 	c.send(pending.from, wire.Message{SubmitResponse: &cluster.SubmitResponse{ID: pending.id, Outcome: cluster.Accepted, Revision: pending.revision}})
 }
--- a/internal/quota/handover_test.go
+++ b/internal/quota/handover_test.go
@@ -65,7 +65,8 @@
 
 // drain has a router make claims until one is not granted.
 func (h *handover) drain(index int, cost float64) {
-	for h.claim(index, cost, 1) == 1 {
+	for isGranted := true; isGranted; {
+		isGranted = h.claim(index, cost, 1) == 1
 	}
 }
 
--- a/test/capacity/node.go
+++ b/test/capacity/node.go
@@ -9,6 +9,7 @@
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/commands"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/storage"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/fleetconfig"
@@ -75,7 +76,7 @@
 	h.isUp, h.compiled, h.state, h.tableBuilder = true, map[string]bool{}, nil, server.TableBuilder{Compiler: &f.compiler}
 	journal := kernel.NewJournal(1)
 	journal.OnEntry = func(entry kernel.Entry) {
-		if entry.Subject == "spec" && entry.Decision == "apply" {
+		if entry.Subject == string(decision.Configuration) && entry.Decision == string(decision.Apply) {
 			h.applied = append(h.applied, application{f.now, entry.Revision})
 		}
 	}
--- a/test/simulator/membership_test.go
+++ b/test/simulator/membership_test.go
@@ -134,7 +134,7 @@
 	}
 	entries := target.journal.Read("control", "node 10.9.9.9:1", 0)
 	c.Assert(entries, qt.HasLen, 1) // the second comes within the span in which one note is enough
-	c.Assert(entries[0].Decision, qt.Equals, "decline message")
+	c.Assert(entries[0].Decision, qt.Equals, "reject message")
 	c.Assert(target.node.State(nil).IsLeader, qt.IsTrue)
 	w.Run(2 * sec)
 	c.Assert(w.newest().Voters, qt.HasLen, before)
--- a/test/simulator/moments.go
+++ b/test/simulator/moments.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/kernel"
 	"dunlinloom/test/checker"
 )
@@ -16,46 +17,50 @@
 	inject                 func(w *World, m *machine)
 }
 
+const core = string(decision.Core)
+
 var faultTriggers []faultTrigger
 
 // Set here since what strikes leads to what is watched, and that to these.
 func init() {
 	faultTriggers = []faultTrigger{
-		{"core", "stand", "", 15, "a candidate dies as it stands", func(w *World, m *machine) { bounce(m, w.between(50*ms, sec)) }},
-		{"core", "stand", "", 10, "a candidate freezes as it stands", func(_ *World, m *machine) { m.freeze(2 * sec) }},
-		{"core", "lead", "", 10, "a new leader dies", func(w *World, m *machine) { bounce(m, w.between(50*ms, sec)) }},
-		{"core", "lead", "", 10, "a new leader is cut off", func(w *World, m *machine) {
+		{core, string(decision.StartElection), "", 15, "a candidate dies as it stands", func(w *World, m *machine) { bounce(m, w.between(50*ms, sec)) }},
+		{core, string(decision.StartElection), "", 10, "a candidate freezes as it stands", func(_ *World, m *machine) { m.freeze(2 * sec) }},
+		{core, string(decision.BecomeLeader), "", 10, "a new leader dies", func(w *World, m *machine) { bounce(m, w.between(50*ms, sec)) }},
+		{core, string(decision.BecomeLeader), "", 10, "a new leader is cut off", func(w *World, m *machine) {
 			one := []*machine{m}
 			w.cut(one, w.others(one), w.random.IntN(2) == 0, w.between(500*ms, 3*sec))
 		}},
-		{"core", "propose", "voter", 25, "the leader dies in a change of voters", func(w *World, m *machine) { bounce(m, w.between(50*ms, 2*sec)) }},
-		{"core", "propose", "voter", 25, "the core splits in a change of voters", func(w *World, m *machine) {
+		{core, string(decision.Propose), "voter", 25, "the leader dies in a change of voters", func(w *World, m *machine) { bounce(m, w.between(50*ms, 2*sec)) }},
+		{core, string(decision.Propose), "voter", 25, "the core splits in a change of voters", func(w *World, m *machine) {
 			core := w.core()
 			w.random.Shuffle(len(core), func(i, j int) { core[i], core[j] = core[j], core[i] })
 			w.cut(core[:len(core)/2], core[len(core)/2:], w.random.IntN(2) == 0, w.between(500*ms, 4*sec))
 		}},
-		{"core", "propose", "router", 10, "the leader dies in a change of the register", func(w *World, m *machine) { bounce(m, w.between(50*ms, sec)) }},
-		{"core", "propose", "submission", 3, "the leader dies over an order", func(w *World, m *machine) { bounce(m, w.between(50*ms, 2*sec)) }},
-		{"core", "propose", "submission", 3, "the leader is cut off over an order", func(w *World, m *machine) {
+		{core, string(decision.Propose), "router", 10, "the leader dies in a change of the register", func(w *World, m *machine) { bounce(m, w.between(50*ms, sec)) }},
+		{core, string(decision.Propose), "submission", 3, "the leader dies over an order", func(w *World, m *machine) { bounce(m, w.between(50*ms, 2*sec)) }},
+		{core, string(decision.Propose), "submission", 3, "the leader is cut off over an order", func(w *World, m *machine) {
 			one := []*machine{m}
 			w.cut(one, w.others(one), w.random.IntN(2) == 0, w.between(500*ms, 3*sec))
 		}},
-		{"licence", "core dark", "", 0.7, "a router restarts as the core goes dark", func(w *World, m *machine) { bounce(m, w.between(20*ms, sec)) }},
-		{"home", "name successor", "", 20, "a stopping home dies as it names its successor", func(w *World, m *machine) { bounce(m, w.between(200*ms, 2*sec)) }},
+		{string(decision.Lease), string(decision.NoQuorum), "", 0.7, "a router restarts as the core goes dark", func(w *World, m *machine) { bounce(m, w.between(20*ms, sec)) }},
+		{string(decision.Coordinator), string(decision.HandOver), "", 20, "a stopping home dies as it names its successor", func(w *World, m *machine) { bounce(m, w.between(200*ms, 2*sec)) }},
 		{"c", "round ", "", 0.08, "a router freezes between pick and first byte", func(w *World, m *machine) { m.freeze(w.between(2500*ms, 7*sec)) }},
-		{"engine e", "leaving", "", 1, "who learns of a leaving engine dies", func(w *World, m *machine) { bounce(m, w.between(200*ms, 3*sec)) }},
+		{"engine e", string(decision.Draining), "", 1, "who learns of a leaving engine dies", func(w *World, m *machine) { bounce(m, w.between(200*ms, 3*sec)) }},
 	}
 }
 
 // protections are counted by the entries in which they show.
 var protections = []faultTrigger{
-	{subject: "core", decision: "step down"}, {subject: "core", decision: "name successor"}, {subject: "core", decision: "take over"},
-	{subject: "core", decision: "lead"}, {subject: "core", decision: "propose", why: "voter added"}, {subject: "core", decision: "propose", why: "voter dropped"},
-	{subject: "core", decision: "propose", why: "router struck off"}, {subject: "core", decision: "propose", why: "home of"},
-	{subject: "submission", decision: "fence"}, {subject: "submission", decision: "decline"},
-	{subject: "licence", decision: "core dark"}, {subject: "licence", decision: "core back"}, {subject: "home", decision: "name successor"},
-	{subject: "history", decision: "mend"}, {subject: "cell", decision: "mend"}, {subject: "disk", decision: "ail"},
-	{subject: "engine e", decision: "leaving"}, {subject: "engine e", decision: "reach"}, {subject: "engine e", decision: "restarted"}, {subject: "engine e", decision: "broken"},
+	{subject: core, decision: string(decision.StepDown)}, {subject: core, decision: string(decision.TransferLeadership)}, {subject: core, decision: string(decision.AcceptLeadership)},
+	{subject: core, decision: string(decision.BecomeLeader)}, {subject: core, decision: string(decision.Propose), why: "voter added"}, {subject: core, decision: string(decision.Propose), why: "voter dropped"},
+	{subject: core, decision: string(decision.Propose), why: "router struck off"}, {subject: core, decision: string(decision.Propose), why: "home of"},
+	{subject: "submission", decision: string(decision.Abort)}, {subject: "submission", decision: string(decision.Reject)},
+	{subject: string(decision.Lease), decision: string(decision.NoQuorum)}, {subject: string(decision.Lease), decision: string(decision.QuorumBack)},
+	{subject: string(decision.Coordinator), decision: string(decision.HandOver)},
+	{subject: string(decision.History), decision: string(decision.Fetch)}, {subject: string(decision.AntiEntropy), decision: string(decision.Repair)},
+	{subject: string(decision.Disk), decision: string(decision.Unhealthy)},
+	{subject: "engine e", decision: string(decision.Draining)}, {subject: "engine e", decision: string(decision.Responsiveness)}, {subject: "engine e", decision: string(decision.Restarted)}, {subject: "engine e", decision: "broken"},
 	{subject: "c", decision: "round over: withdrawn"}, {subject: "c", decision: "round over: not sent"}, {subject: "c", decision: "round over: engine said not run"},
 	{subject: "c", decision: "round 2"}, {subject: "c", decision: "decline no_licence"}, {subject: "c", decision: "decline retry_budget"},
 	{subject: "c", decision: "decline ramping"}, {subject: "c", decision: "decline stopping"}, {subject: "c", decision: "round ", why: "ramping up and full"},
@@ -77,9 +82,9 @@
 			w.ProtectionCounts[name]++
 		}
 	}
-	if entry.Subject == "core" && entry.Decision == "lead" {
+	if entry.Subject == core && entry.Decision == string(decision.BecomeLeader) {
 		m.isLeader = true
-	} else if entry.Subject == "core" && entry.Decision == "step down" {
+	} else if entry.Subject == core && entry.Decision == string(decision.StepDown) {
 		w.recordLostLeader(m)
 	}
 	if !w.isBiased || w.isCalm {
