--- a/internal/control/bootstrap_search_test.go
+++ b/internal/control/bootstrap_search_test.go
@@ -43,7 +43,7 @@
 }
 
 // execute stands in for links and disks.
-func (s *bootstrapSearch) execute(n *fleetNode, command any) bool {
+func (s *bootstrapSearch) execute(n *fleetNode, command commands.Command) bool {
 	switch command := command.(type) {
 	case Outgoing:
 		// No node learns what was chosen, so that the proposals go on.
@@ -81,7 +81,7 @@
 			}
 			var arrived wire.Envelope
 			s.c.Assert(json.Unmarshal(content, &arrived), qt.IsNil)
-			to.do(func() []any { return to.node.Deliver(s.now, arrived) })
+			to.do(func() []commands.Command { return to.node.Deliver(s.now, arrived) })
 		})
 	}
 }
@@ -94,7 +94,7 @@
 	save := s.pendingWrites[n][0]
 	s.pendingWrites[n] = s.pendingWrites[n][1:]
 	s.sync(n, save)
-	n.do(func() []any { return n.node.Saved(s.now, save.Token, nil) })
+	n.do(func() []commands.Command { return n.node.Saved(s.now, save.Token, nil) })
 }
 
 // sync completes a write to the disk.
--- a/internal/control/bootstrap_test.go
+++ b/internal/control/bootstrap_test.go
@@ -234,7 +234,7 @@
 	return &testAcceptor{c: c, node: NewNode(settings, 100*kernel.Second), now: 100 * kernel.Second}
 }
 
-func (v *testAcceptor) collect(outputs []any) {
+func (v *testAcceptor) collect(outputs []commands.Command) {
 	for _, command := range outputs {
 		switch command := command.(type) {
 		case Outgoing:
--- a/internal/control/catchup_harness_test.go
+++ b/internal/control/catchup_harness_test.go
@@ -210,7 +210,7 @@
 	return found
 }
 
-func (s *storm) carryOut(n *fleetNode, command any) bool {
+func (s *storm) carryOut(n *fleetNode, command commands.Command) bool {
 	switch command := command.(type) {
 	case Outgoing:
 		s.transmit(n, command.Envelope)
@@ -219,18 +219,18 @@
 		if command.Document != nil {
 			bytes = len(command.Document.Config)*4/3 + 60<<10
 		}
-		s.write(n, bytes, func() []any {
+		s.write(n, bytes, func() []commands.Command {
 			return n.node.Saved(s.now, command.Token, s.has[n].store.Save(command))
 		})
 		if command.Document != nil {
 			s.bootstrapped[command.Document.ClusterID] = true
 		}
 	case SaveSnapshot:
-		s.write(n, 100<<10, func() []any {
+		s.write(n, 100<<10, func() []commands.Command {
 			return n.node.SnapshotSaved(s.now, s.has[n].store.SaveSnapshot(command.Snapshot))
 		})
 	case commands.LoadConfig:
-		s.write(n, 0, func() []any {
+		s.write(n, 0, func() []commands.Command {
 			// Without a document where there is none any more.
 			document, _ := s.has[n].store.ConfigAt(command.Config)
 			return n.node.ConfigLoaded(s.now, command.To, command.Config, document)
@@ -240,7 +240,9 @@
 		for _, document := range command.Documents {
 			bytes += len(document.Config)*4/3 + 60<<10
 		}
-		s.write(n, bytes, func() []any { return n.node.HistoryStored(s.now, s.has[n].store.SaveHistory(command.Documents)) })
+		s.write(n, bytes, func() []commands.Command {
+			return n.node.HistoryStored(s.now, s.has[n].store.SaveHistory(command.Documents))
+		})
 	default:
 		return false
 	}
@@ -248,7 +250,7 @@
 }
 
 // write takes its turn at the disk.
-func (s *storm) write(n *fleetNode, bytes int, done func() []any) {
+func (s *storm) write(n *fleetNode, bytes int, done func() []commands.Command) {
 	e, epoch := s.has[n], n.epoch
 	if e.stalled != nil {
 		e.stalled = append(e.stalled, func() {
@@ -338,7 +340,7 @@
 		if kind == 1 || size >= bulkFrom {
 			receiver.largeDocuments += size
 		}
-		to.do(func() []any { return to.node.Deliver(s.now, envelope) })
+		to.do(func() []commands.Command { return to.node.Deliver(s.now, envelope) })
 	})
 }
 
@@ -388,7 +390,7 @@
 				s.rejected++
 				s.c.Fatalf("%s: %+v", id, reply)
 			}
-			leaderNode.do(func() []any {
+			leaderNode.do(func() []commands.Command {
 				return leaderNode.node.Submit(s.now, &cluster.Submit{ID: id, Operation: cluster.PutConfig, Config: config})
 			})
 		}
--- a/internal/control/commands/commands.go
+++ b/internal/control/commands/commands.go
@@ -8,6 +8,13 @@
 	"dunlinloom/internal/control/wire"
 )
 
+// Command is what a node asks its shell to carry out, or answers it. The commands of this package are those of a core; those of
+// a node stand beside the calls that lead to them.
+type Command interface {
+	// IsCommand marks the types that are commands.
+	IsCommand()
+}
+
 // Send asks the shell to carry a message; it may get lost.
 type Send struct {
 	To      string
@@ -54,3 +61,21 @@
 	Rejected uint64
 	Err      error
 }
+
+// IsCommand marks a command.
+func (Send) IsCommand() {}
+
+// IsCommand marks a command.
+func (Save) IsCommand() {}
+
+// IsCommand marks a command.
+func (CompileConfig) IsCommand() {}
+
+// IsCommand marks a command.
+func (LoadConfig) IsCommand() {}
+
+// IsCommand marks a command.
+func (Probe) IsCommand() {}
+
+// IsCommand marks a command.
+func (SaveHistory) IsCommand() {}
--- a/internal/control/config_changes_test.go
+++ b/internal/control/config_changes_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/kernel"
 )
 
@@ -31,7 +32,7 @@
 		}
 	}
 	whole = new(int)
-	f.carrier = func(_ *fleetNode, command any) bool {
+	f.carrier = func(_ *fleetNode, command commands.Command) bool {
 		if outgoing, isOutgoing := command.(Outgoing); isOutgoing {
 			for _, document := range outgoing.Envelope.Message.Documents() {
 				if document != nil && len(document.Config) > 0 {
@@ -55,7 +56,7 @@
 	for turn := 0; f.reply[id].Outcome != cluster.Accepted; turn++ {
 		f.c.Assert(turn < 10, qt.IsTrue)
 		n := f.nodes[(int(to)+turn)%len(f.nodes)]
-		n.do(func() []any {
+		n.do(func() []commands.Command {
 			return n.node.Submit(f.now, &cluster.Submit{ID: id, Operation: cluster.PatchConfig, Config: body, BaseVersion: version(to - 1)})
 		})
 		f.pass(700 * ms)
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -53,7 +53,7 @@
 type Core struct {
 	settings CoreSettings
 	now      kernel.Micros
-	out      []any
+	out      []commands.Command
 
 	role     role
 	term     uint64
@@ -164,7 +164,7 @@
 
 // takeCommands checks the invariants and returns the commands that have gathered, to be carried out in
 // their order.
-func (c *Core) takeCommands() []any {
+func (c *Core) takeCommands() []commands.Command {
 	c.checkInvariants()
 	commands := c.out
 	c.out = nil
--- a/internal/control/engine_announcements.go
+++ b/internal/control/engine_announcements.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
@@ -19,6 +20,9 @@
 	Err         error
 }
 
+// IsCommand marks a command.
+func (Registered) IsCommand() {}
+
 // NotConfirmedError says that an engine's word of its end could not be shown to have gone round.
 type NotConfirmedError struct {
 	Engine string
@@ -103,7 +107,7 @@
 // Register takes an engine's word on itself. Seq numbers its words. The command Registered
 // answers it: at once (with an error by a node that is isolated), or, where it says that the engine is leaving or gone, once the
 // fleet's routers know.
-func (n *Node) Register(now kernel.Micros, token uint64, record registry.EngineRecord) []any {
+func (n *Node) Register(now kernel.Micros, token uint64, record registry.EngineRecord) []commands.Command {
 	n.now = now
 	record = record.WithTimes(now)
 	record.AnnouncementSeq, record.Seq = max(record.Seq, 1), 0
--- a/internal/control/failures_test.go
+++ b/internal/control/failures_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/kernel"
 )
 
@@ -49,7 +50,7 @@
 	id := fmt.Sprintf("wipe %d", version)
 	d.sent[version] = string(configOf(version, id))
 	base, result := d.acked, wiped{}
-	d.carrier = func(_ *fleetNode, command any) bool {
+	d.carrier = func(_ *fleetNode, command commands.Command) bool {
 		reply, isReply := command.(Reply)
 		if isReply && reply.SubmitResponse.ID == id && reply.SubmitResponse.Outcome == cluster.Accepted && result.at == 0 {
 			result.at, d.acked = d.now, version
@@ -212,7 +213,7 @@
 	if lead := d.leader(); lead != nil {
 		d.submissions++
 		id, config := fmt.Sprintf("storm %d", d.submissions), configOf(1000+uint64(d.submissions), "storm")
-		lead.do(func() []any {
+		lead.do(func() []commands.Command {
 			return lead.node.Submit(d.now, &cluster.Submit{ID: id, Operation: cluster.PutConfig, Config: config})
 		})
 	}
--- a/internal/control/fault_storm_test.go
+++ b/internal/control/fault_storm_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/kernel"
 )
 
@@ -183,7 +184,7 @@
 		d.pass(8 * kernel.Second)
 		acked := d.acked
 		reader := d.nodes[d.randomSource.IntN(len(d.nodes))]
-		reader.do(func() []any { return reader.node.Read(d.now, 77) })
+		reader.do(func() []commands.Command { return reader.node.Read(d.now, 77) })
 		d.await("the newest", 3*kernel.Second, func() bool { return d.reads[77] != nil })
 		document := d.reads[77]
 		c.Assert(document.ConfigVersion >= acked, qt.IsTrue, qt.Commentf("seed %d: version %d, %d was acknowledged", seed, document.ConfigVersion, acked))
--- a/internal/control/fleet_harness_test.go
+++ b/internal/control/fleet_harness_test.go
@@ -49,7 +49,7 @@
 	// by up to 300 ms.
 	badLinks int64
 	// carrier may execute a command instead, for instance over a slow link or a real store; nil: none.
-	carrier func(n *fleetNode, command any) (isTaken bool)
+	carrier func(n *fleetNode, command commands.Command) (isTaken bool)
 }
 
 type dueEvent struct {
@@ -249,11 +249,11 @@
 	if n.epoch != epoch || !n.isUp {
 		return
 	}
-	n.do(func() []any { return n.node.Tick(n.f.now) })
+	n.do(func() []commands.Command { return n.node.Tick(n.f.now) })
 	n.f.in(n.node.TickInterval(), func() { n.tick(epoch) })
 }
 
-func (n *fleetNode) do(event func() []any) {
+func (n *fleetNode) do(event func() []commands.Command) {
 	if n.isFrozen {
 		n.pausedEvents = append(n.pausedEvents, func() { n.carry(event()) })
 		return
@@ -320,7 +320,7 @@
 
 // carry executes the commands that an event gave, in their order. What takes a while ends with the
 // process that began it: the epoch is that of the process as the event came.
-func (n *fleetNode) carry(outputs []any) {
+func (n *fleetNode) carry(outputs []commands.Command) {
 	f, epoch := n.f, n.epoch
 	for _, command := range outputs {
 		if f.carrier != nil && f.carrier(n, command) {
@@ -376,7 +376,7 @@
 	f := n.f
 	n.inEpoch(epoch, max(n.diskTimes, 1)*(2*ms+kernel.Micros(f.random.Int64N(int64(4*ms)))), func() {
 		if n.isFull {
-			n.do(func() []any { return n.node.Saved(f.now, command.Token, writeError()) })
+			n.do(func() []commands.Command { return n.node.Saved(f.now, command.Token, writeError()) })
 			return
 		}
 		if command.HardState != nil {
@@ -390,7 +390,7 @@
 			n.addHistory(command.Document)
 			f.bootstrapped[command.Document.ClusterID] = true
 		}
-		n.do(func() []any { return n.node.Saved(f.now, command.Token, nil) })
+		n.do(func() []commands.Command { return n.node.Saved(f.now, command.Token, nil) })
 	})
 }
 
@@ -398,7 +398,7 @@
 func (n *fleetNode) loadConfig(epoch int, command commands.LoadConfig) {
 	saved := n.history[command.Config.Revision]
 	n.inEpoch(epoch, 2*ms, func() {
-		n.do(func() []any { return n.node.ConfigLoaded(n.f.now, command.To, command.Config, saved) })
+		n.do(func() []commands.Command { return n.node.ConfigLoaded(n.f.now, command.To, command.Config, saved) })
 	})
 }
 
@@ -407,7 +407,7 @@
 	f := n.f
 	n.inEpoch(epoch, max(n.diskTimes, 1)*kernel.Micros(3+len(command.Documents))*ms, func() {
 		if n.isFull {
-			n.do(func() []any {
+			n.do(func() []commands.Command {
 				return n.node.HistoryStored(f.now, commands.SaveHistoryResult{Rejected: command.Documents[0].ConfigRevision, Err: writeError()})
 			})
 			return
@@ -417,7 +417,7 @@
 			n.addHistory(document)
 			outcome.Saved = append(outcome.Saved, document.ConfigRevision)
 		}
-		n.do(func() []any { return n.node.HistoryStored(f.now, outcome) })
+		n.do(func() []commands.Command { return n.node.HistoryStored(f.now, outcome) })
 	})
 }
 
@@ -428,11 +428,11 @@
 	f.c.Assert(err, qt.IsNil)
 	n.inEpoch(epoch, 2*ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
 		if n.isFull {
-			n.do(func() []any { return n.node.SnapshotSaved(f.now, writeError()) })
+			n.do(func() []commands.Command { return n.node.SnapshotSaved(f.now, writeError()) })
 			return
 		}
 		n.snapshot = content
-		n.do(func() []any { return n.node.SnapshotSaved(f.now, nil) })
+		n.do(func() []commands.Command { return n.node.SnapshotSaved(f.now, nil) })
 	})
 }
 
@@ -456,7 +456,7 @@
 			}
 			var envelope wire.Envelope
 			f.c.Assert(json.Unmarshal(content, &envelope), qt.IsNil)
-			to.do(func() []any { return to.node.Deliver(f.now, envelope) })
+			to.do(func() []commands.Command { return to.node.Deliver(f.now, envelope) })
 		})
 	}
 }
@@ -522,7 +522,7 @@
 
 func (n *fleetNode) submit(id string, base uint64, config []byte) {
 	delete(n.f.reply, id)
-	n.do(func() []any {
+	n.do(func() []commands.Command {
 		return n.node.Submit(n.f.now, &cluster.Submit{ID: id, Operation: cluster.PutConfig, Config: config, BaseVersion: version(base)})
 	})
 }
@@ -547,7 +547,7 @@
 }
 
 func (f *fleet) register(at *fleetNode, token uint64, record registry.EngineRecord) {
-	at.do(func() []any { return at.node.Register(f.now, token, record) })
+	at.do(func() []commands.Command { return at.node.Register(f.now, token, record) })
 }
 
 func engineAt(id, zone string, seq uint64) registry.EngineRecord {
--- a/internal/control/fleet_operations_test.go
+++ b/internal/control/fleet_operations_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/kernel"
 )
 
@@ -84,7 +85,7 @@
 	reason := func(id string, submit cluster.Submit) string {
 		submit.ID = id
 		delete(f.reply, id)
-		f.nodes[4].do(func() []any { return f.nodes[4].node.Submit(f.now, &submit) })
+		f.nodes[4].do(func() []commands.Command { return f.nodes[4].node.Submit(f.now, &submit) })
 		f.await(id, 2*kernel.Second, func() bool { _, isThere := f.reply[id]; return isThere })
 		return string(f.reply[id].Outcome) + " " + f.reply[id].Reason
 	}
@@ -148,13 +149,13 @@
 				f.nodes[7].cut[n.identity.Address] = true
 			}
 		}
-		f.nodes[7].do(func() []any { return f.nodes[7].node.Read(f.now, 1) })
+		f.nodes[7].do(func() []commands.Command { return f.nodes[7].node.Read(f.now, 1) })
 		f.pass(4 * kernel.Second)
 		c.Assert(f.reads[1], qt.IsNil)
 		f.acknowledge("two", 1, configOf(2, "b"), 4*kernel.Second, f.nodes[6], f.nodes[5])
 		// Healed, the old read hears of the new version too, and so does a new one.
 		old.cut, f.nodes[7].cut = map[string]bool{}, map[string]bool{}
-		f.nodes[7].do(func() []any { return f.nodes[7].node.Read(f.now, 2) })
+		f.nodes[7].do(func() []commands.Command { return f.nodes[7].node.Read(f.now, 2) })
 		f.await("the newest", 3*kernel.Second, func() bool { return f.reads[1] != nil && f.reads[2] != nil })
 		c.Assert(f.reads[1].ConfigVersion, qt.Equals, uint64(2))
 		c.Assert(f.reads[2].ConfigVersion, qt.Equals, uint64(2))
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -73,6 +73,9 @@
 // HealthChanged is the command that reports that the core became healthy, or lacks something else than before.
 type HealthChanged struct{ Health *Health }
 
+// IsCommand marks a command.
+func (HealthChanged) IsCommand() {}
+
 // String is the health in one line.
 func (h *Health) String() string {
 	if h.IsHealthy {
--- a/internal/control/inspect.go
+++ b/internal/control/inspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 )
 
 // What a host of a core other than a Node, such as the model checker, needs to see.
@@ -29,4 +30,4 @@
 }
 
 // TakeCommands returns the commands that have gathered since the last call, to be carried out in their order.
-func (c *Core) TakeCommands() []any { return c.takeCommands() }
+func (c *Core) TakeCommands() []commands.Command { return c.takeCommands() }
--- a/internal/control/membership_harness_test.go
+++ b/internal/control/membership_harness_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/kernel"
 )
 
@@ -153,7 +154,7 @@
 
 // stop is a planned stop: the process ends as soon as it may, or at the end of its grace.
 func (d *coreRun) stop(n *fleetNode, ended func()) {
-	n.do(func() []any { return n.node.Leave(d.now) })
+	n.do(func() []commands.Command { return n.node.Leave(d.now) })
 	epoch, last := n.epoch, d.now+8*kernel.Second
 	var look func()
 	look = func() {
@@ -199,7 +200,7 @@
 	for reader == nil {
 		reader = d.up()
 	}
-	reader.do(func() []any { return reader.node.Read(d.now, token) })
+	reader.do(func() []commands.Command { return reader.node.Read(d.now, token) })
 	d.await("the newest", 3*kernel.Second, func() bool { return d.reads[token] != nil })
 	document := d.reads[token]
 	d.c.Assert(document.ConfigVersion >= acked, qt.IsTrue, qt.Commentf("version %d is read, %d was acknowledged", document.ConfigVersion, acked))
@@ -231,7 +232,7 @@
 			ver++
 			config := configOf(ver, "flood")
 			id := fmt.Sprintf("flood-%d", ver)
-			lead.do(func() []any {
+			lead.do(func() []commands.Command {
 				return lead.node.Submit(d.now, &cluster.Submit{ID: id, Operation: cluster.PutConfig, Config: config})
 			})
 		}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -74,9 +74,15 @@
 // Outgoing is a message for the shell to carry.
 type Outgoing struct{ Envelope wire.Envelope }
 
+// IsCommand marks a command.
+func (Outgoing) IsCommand() {}
+
 // Reply is the final answer to a submission made at this node.
 type Reply struct{ SubmitResponse cluster.SubmitResponse }
 
+// IsCommand marks a command.
+func (Reply) IsCommand() {}
+
 // Spans of a submission made here: how long to try, how long to try to abort it after that, and the
 // pause between two tries.
 const (
@@ -100,7 +106,7 @@
 	lease      *serving.Lease
 	directory  *registry.Directory
 	views      *gossip.Views
-	out        []any
+	out        []commands.Command
 	loop       []wire.Envelope
 
 	hints         leaderHints
@@ -238,7 +244,7 @@
 }
 
 // finish drains the core's commands and the messages to oneself, then hands all over.
-func (n *Node) finish() []any {
+func (n *Node) finish() []commands.Command {
 	for {
 		if n.core != nil {
 			for _, command := range n.core.takeCommands() {
@@ -295,7 +301,7 @@
 }
 
 // Deliver takes a message from another node.
-func (n *Node) Deliver(now kernel.Micros, envelope wire.Envelope) []any {
+func (n *Node) Deliver(now kernel.Micros, envelope wire.Envelope) []commands.Command {
 	n.now = now
 	rejection := n.rejection(envelope)
 	if r := n.snapshots.restored; r != nil && rejection == nil && envelope.ClusterID == r.ClusterID {
@@ -311,7 +317,7 @@
 }
 
 // Saved reports on a write.
-func (n *Node) Saved(now kernel.Micros, token uint64, err error) []any {
+func (n *Node) Saved(now kernel.Micros, token uint64, err error) []commands.Command {
 	n.now = now
 	if n.core != nil {
 		n.core.Saved(now, token, err)
@@ -321,14 +327,14 @@
 
 // ConfigLoaded brings a configuration of the past that another member asked for.
 // The document is nil where the folder does not hold it any more.
-func (n *Node) ConfigLoaded(now kernel.Micros, to string, config cluster.ConfigRef, document *cluster.Document) []any {
+func (n *Node) ConfigLoaded(now kernel.Micros, to string, config cluster.ConfigRef, document *cluster.Document) []commands.Command {
 	n.now = now
 	n.send(to, wire.Message{FetchConfigResponse: &wire.FetchConfigResponse{Config: config, Document: document}})
 	return n.finish()
 }
 
 // HistoryStored tells what became of configurations of the past that the folder was to keep.
-func (n *Node) HistoryStored(now kernel.Micros, outcome commands.SaveHistoryResult) []any {
+func (n *Node) HistoryStored(now kernel.Micros, outcome commands.SaveHistoryResult) []commands.Command {
 	n.now = now
 	if n.core == nil {
 		return n.finish()
@@ -363,7 +369,7 @@
 
 // ConfigCompiled tells that the shell is done with a document's configuration. One that it can't read
 // is never applied: serving under an older one would be worse than not serving.
-func (n *Node) ConfigCompiled(now kernel.Micros, document *cluster.Document, err error) []any {
+func (n *Node) ConfigCompiled(now kernel.Micros, document *cluster.Document, err error) []commands.Command {
 	n.now = now
 	if err != nil {
 		n.note(decision.Configuration, decision.Unreadable, err.Error())
@@ -435,7 +441,7 @@
 
 // Tick runs the timers that are due at now, in microseconds of the node's clock. It is called every
 // TickInterval by the goroutine that owns the node. The order of the steps shows in the messages.
-func (n *Node) Tick(now kernel.Micros) []any {
+func (n *Node) Tick(now kernel.Micros) []commands.Command {
 	n.now = now
 	if n.core != nil {
 		n.core.Tick(now)
--- a/internal/control/node_engines.go
+++ b/internal/control/node_engines.go
@@ -21,7 +21,7 @@
 }
 
 // ReportEngines takes engine records that this node learned first-hand.
-func (n *Node) ReportEngines(now kernel.Micros, records []registry.EngineRecord) []any {
+func (n *Node) ReportEngines(now kernel.Micros, records []registry.EngineRecord) []commands.Command {
 	n.now = now
 	for i := range records {
 		records[i] = records[i].WithTimes(now)
@@ -31,7 +31,7 @@
 }
 
 // TakeListing takes the platform's list as this node polled it.
-func (n *Node) TakeListing(now kernel.Micros, listing registry.Listing) []any {
+func (n *Node) TakeListing(now kernel.Micros, listing registry.Listing) []commands.Command {
 	n.now = now
 	if n.directory.TakeListing(now, listing) {
 		n.announceDraining(n.drainingRecords())
@@ -40,7 +40,7 @@
 }
 
 // Probed takes what this node found when it tried to reach an engine.
-func (n *Node) Probed(now kernel.Micros, id string, start uint64, isUnresponsive bool) []any {
+func (n *Node) Probed(now kernel.Micros, id string, start uint64, isUnresponsive bool) []commands.Command {
 	n.now = now
 	if engine, isThere := n.directory.Engine(id); isThere && engine.Start == start && engine.IsUnresponsive != isUnresponsive {
 		engine.IsUnresponsive, engine.ReachabilityChangedAt = isUnresponsive, now
@@ -54,7 +54,7 @@
 
 // Restarted takes that an engine answered a router here under a later start than
 // was known: its own answer counts before any report or list.
-func (n *Node) Restarted(now kernel.Micros, id string, start uint64) []any {
+func (n *Node) Restarted(now kernel.Micros, id string, start uint64) []commands.Command {
 	n.now = now
 	if engine, isThere := n.directory.Engine(id); isThere && engine.Start < start {
 		n.reportEngines([]registry.EngineRecord{{ID: id, Address: engine.Address, Zone: engine.Zone, Pool: engine.Pool, Start: start, StartedAt: now, SeenAt: now, ReportedAt: now}})
@@ -64,7 +64,7 @@
 
 // Suspect takes that a router here could not reach an engine. One failure may be
 // the router's own, so the coordinator of the engine's zone probes it before it tells the others.
-func (n *Node) Suspect(now kernel.Micros, id string, start uint64) []any {
+func (n *Node) Suspect(now kernel.Micros, id string, start uint64) []commands.Command {
 	n.now = now
 	n.suspect(&wire.Suspect{Engine: id, Start: start})
 	return n.finish()
--- a/internal/control/node_leave.go
+++ b/internal/control/node_leave.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
@@ -13,7 +14,7 @@
 const handoverInterval = 200 * kernel.Millisecond
 
 // Leave begins a planned stop.
-func (n *Node) Leave(now kernel.Micros) []any {
+func (n *Node) Leave(now kernel.Micros) []commands.Command {
 	n.now, n.isLeaving = now, true
 	if n.core != nil {
 		n.core.Leave(now)
--- a/internal/control/node_quota.go
+++ b/internal/control/node_quota.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/quota"
@@ -18,7 +19,7 @@
 }
 
 // RequestQuota sends what the router's account has to ask for, if anything.
-func (n *Node) RequestQuota(now kernel.Micros) []any {
+func (n *Node) RequestQuota(now kernel.Micros) []commands.Command {
 	n.now = now
 	n.tickQuota()
 	return n.finish()
--- a/internal/control/node_quota_test.go
+++ b/internal/control/node_quota_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/quota"
 )
@@ -71,7 +72,7 @@
 	ticket, isUrgent := account.Claim(q.now, q.limit.Tenant, 1)
 	q.open = append(q.open, openTicket{account, ticket, q.now + 100*ms})
 	if isUrgent {
-		n.do(func() []any { return n.node.RequestQuota(q.now) })
+		n.do(func() []commands.Command { return n.node.RequestQuota(q.now) })
 	}
 }
 
--- a/internal/control/node_read.go
+++ b/internal/control/node_read.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -16,6 +17,9 @@
 	Document *cluster.Document
 }
 
+// IsCommand marks a command.
+func (ReadResult) IsCommand() {}
+
 type linearizableRead struct {
 	sentAt      kernel.Micros
 	resendAt    kernel.Micros
@@ -26,7 +30,7 @@
 const readResendInterval = 250 * kernel.Millisecond
 
 // Read opens a read; a Newest command answers it, and CancelRead gives it up.
-func (n *Node) Read(now kernel.Micros, token uint64) []any {
+func (n *Node) Read(now kernel.Micros, token uint64) []commands.Command {
 	n.now = now
 	n.reads[token] = &linearizableRead{floor: n.readFloor()}
 	n.tickReads()
@@ -34,7 +38,7 @@
 }
 
 // CancelRead gives up a read.
-func (n *Node) CancelRead(now kernel.Micros, token uint64) []any {
+func (n *Node) CancelRead(now kernel.Micros, token uint64) []commands.Command {
 	n.now = now
 	delete(n.reads, token)
 	return n.finish()
--- a/internal/control/node_rejection.go
+++ b/internal/control/node_rejection.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
@@ -29,7 +30,7 @@
 }
 
 // Unreadable notes a message that could not be read.
-func (n *Node) Unreadable(now kernel.Micros, from string, err error) []any {
+func (n *Node) Unreadable(now kernel.Micros, from string, err error) []commands.Command {
 	n.now = now
 	n.noteRejection(from, err)
 	return n.finish()
--- a/internal/control/node_snapshot.go
+++ b/internal/control/node_snapshot.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/storage"
@@ -14,6 +15,9 @@
 // SnapshotSaved event back. Nothing waits for it.
 type SaveSnapshot struct{ Snapshot *storage.Snapshot }
 
+// IsCommand marks a command.
+func (SaveSnapshot) IsCommand() {}
+
 const (
 	snapshotInterval = 500 * kernel.Millisecond
 	// After a failure the disk is left alone for so long; one that is full needs its room
@@ -154,7 +158,7 @@
 }
 
 // SnapshotSaved reports on the last snapshot.
-func (n *Node) SnapshotSaved(now kernel.Micros, err error) []any {
+func (n *Node) SnapshotSaved(now kernel.Micros, err error) []commands.Command {
 	n.now = now
 	s := &n.snapshots
 	s.isWriting = false
--- a/internal/control/node_submissions.go
+++ b/internal/control/node_submissions.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/flowcontrol"
 	"dunlinloom/internal/control/wire"
@@ -39,7 +40,7 @@
 }
 
 // Submit takes an operator's submission made at this node.
-func (n *Node) Submit(now kernel.Micros, submit *cluster.Submit) []any {
+func (n *Node) Submit(now kernel.Micros, submit *cluster.Submit) []commands.Command {
 	n.now = now
 	if n.pendingSubmissions[submit.ID] == nil {
 		n.pendingSubmissions[submit.ID] = &pendingSubmission{submit: submit, deadline: now + n.settings.SubmitTimeout, isAbort: submit.Operation == cluster.AbortSubmission}
--- a/internal/control/operations_test.go
+++ b/internal/control/operations_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -174,7 +175,7 @@
 	a.turn++
 	delete(f.reply, a.id)
 	if n.isUp {
-		n.do(func() []any {
+		n.do(func() []commands.Command {
 			return n.node.Submit(f.now, &cluster.Submit{ID: a.id, Operation: a.order, Config: a.config, BaseVersion: version(a.base)})
 		})
 	}
@@ -256,7 +257,7 @@
 		}
 		f.pass(5 * kernel.Second)
 		reader := f.nodes[5]
-		reader.do(func() []any { return reader.node.Read(f.now, 5) })
+		reader.do(func() []commands.Command { return reader.node.Read(f.now, 5) })
 		f.await("the newest", 3*kernel.Second, func() bool { return f.reads[5] != nil })
 		for _, a := range attempts {
 			if a.yes == 0 {
--- a/internal/control/partition_test.go
+++ b/internal/control/partition_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -238,7 +239,7 @@
 		}
 		token := uint64(1_000_000 + m.count)
 		m.tokens[token] = true
-		n.do(func() []any { return n.node.Read(m.now, token) })
+		n.do(func() []commands.Command { return n.node.Read(m.now, token) })
 		drain := token + 1_000_000
 		m.drains[drain] = true
 		leaving := drainingEngine(uint64(1 + m.count))
--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/storage"
@@ -253,7 +254,7 @@
 	c := qt.New(t)
 	f := steadyFleet(c, 4, 9)
 	for _, n := range []*fleetNode{f.nodes[7], f.nodes[1]} {
-		n.do(func() []any { return n.node.Leave(f.now) })
+		n.do(func() []commands.Command { return n.node.Leave(f.now) })
 		record := func(at *fleetNode) registry.NodeRecord {
 			found, _ := at.node.directory.Node(n.identity.Address)
 			return found
--- a/internal/control/restart_storm_test.go
+++ b/internal/control/restart_storm_test.go
@@ -5,13 +5,14 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/kernel"
 )
 
 // countCopies counts the large messages that are sent to a node from now on.
 func (s *storm) countCopies(to *fleetNode) *int {
 	copies, carrier := 0, s.carrier
-	s.carrier = func(n *fleetNode, command any) bool {
+	s.carrier = func(n *fleetNode, command commands.Command) bool {
 		outgoing, isOutgoing := command.(Outgoing)
 		if isOutgoing && outgoing.Envelope.To == to.identity.Address && outgoing.Envelope.Message.IsLarge() {
 			copies++
--- a/internal/control/submit_retry_test.go
+++ b/internal/control/submit_retry_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -74,7 +75,7 @@
 	f.bootAll(500 * ms)
 	f.stabilized(6 * kernel.Second)
 	sentAt := f.now
-	f.carrier = func(n *fleetNode, command any) bool {
+	f.carrier = func(n *fleetNode, command commands.Command) bool {
 		outgoing, isOutgoing := command.(Outgoing)
 		if !isOutgoing || outgoing.Envelope.To == n.identity.Address {
 			return false
--- a/internal/control/vote_unsynced_test.go
+++ b/internal/control/vote_unsynced_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -69,7 +70,7 @@
 		f.await("the document to be under way", 300*ms, func() bool { return slow.node.core.doc.ConfigVersion == 2 })
 		// A process that wakes may take what waits in its sockets before its timers go off.
 		waiting := []wire.Envelope{}
-		f.carrier = func(n *fleetNode, command any) bool {
+		f.carrier = func(n *fleetNode, command commands.Command) bool {
 			outgoing, isOutgoing := command.(Outgoing)
 			isForLead := isOutgoing && n == slow && outgoing.Envelope.To == lead.identity.Address
 			if isForLead && outgoing.Envelope.Message.HeartbeatResponse != nil {
@@ -81,7 +82,7 @@
 		f.pass(1600 * ms)
 		f.carrier, lead.isFrozen = nil, false
 		for _, envelope := range waiting {
-			lead.do(func() []any { return lead.node.Deliver(f.now, envelope) })
+			lead.do(func() []commands.Command { return lead.node.Deliver(f.now, envelope) })
 		}
 		held := lead.pausedEvents
 		lead.pausedEvents = nil
--- a/internal/server/control_limits_test.go
+++ b/internal/server/control_limits_test.go
@@ -20,6 +20,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/fleetconfig"
 )
@@ -338,7 +339,7 @@
 	for range 4 {
 		askers.Go(func() {
 			for ctx.Err() == nil {
-				runner.postRequest(func() []any { handled.Add(1); return nil })
+				runner.postRequest(func() []commands.Command { handled.Add(1); return nil })
 			}
 		})
 	}
@@ -349,14 +350,14 @@
 	for range 20 {
 		// While the first message holds the loop up, the second one is posted, behind as many requests as fit.
 		held, release, seen := make(chan int64), make(chan bool), make(chan int64)
-		runner.post(func() []any { held <- handled.Load(); <-release; return nil })
+		runner.post(func() []commands.Command { held <- handled.Load(); <-release; return nil })
 		before := <-held
 		for len(runner.requests)+len(runner.queue) < cap(runner.requests) {
 			runtime.Gosched()
 		}
 		var isPosted atomic.Bool
 		go func() {
-			runner.post(func() []any { seen <- handled.Load(); return nil })
+			runner.post(func() []commands.Command { seen <- handled.Load(); return nil })
 			isPosted.Store(true)
 		}()
 		// It waits for the loop only where the queue of messages is full, of what is not a message.
--- a/internal/server/engine_probe.go
+++ b/internal/server/engine_probe.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/kernel"
 )
@@ -55,7 +56,9 @@
 				missed[engine.ID]++
 			}
 			if isUnresponsive := missed[engine.ID] >= maxMissedProbes; isUnresponsive != engine.IsUnresponsive && (isUnresponsive || isResponsive) {
-				r.post(func() []any { return r.node.Probed(r.env.Clock.Now(), engine.ID, engine.Start, isUnresponsive) })
+				r.post(func() []commands.Command {
+					return r.node.Probed(r.env.Clock.Now(), engine.ID, engine.Start, isUnresponsive)
+				})
 			}
 		})
 	}
--- a/internal/server/platform_list.go
+++ b/internal/server/platform_list.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/registry"
 )
 
@@ -31,7 +32,7 @@
 				r.env.Log.Error(err, "the platform's list can't be read")
 				r.env.Record("platform", "list", "unreadable", err.Error())
 			case err == nil:
-				r.post(func() []any { return r.node.TakeListing(r.env.Clock.Now(), listing) })
+				r.post(func() []commands.Command { return r.node.TakeListing(r.env.Clock.Now(), listing) })
 			}
 			isFailing = err != nil
 		}
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -29,9 +29,9 @@
 
 	// queue holds messages of other nodes and what this node's own work led to; requests holds what engines, operators
 	// and callers ask for. The loop takes from both in turn, so that a flood of requests leaves the core its share.
-	queue, requests chan func() []any
+	queue, requests chan func() []commands.Command
 	// What goes to the disk, in order: commands.Save, LoadConfig or SaveHistory.
-	saves chan any
+	saves chan commands.Command
 	// Snapshots go to the disk beside those: nothing waits for one.
 	snapshots chan control.SaveSnapshot
 	state     atomic.Pointer[control.State]
@@ -67,14 +67,14 @@
 // the owners' loop and must not wait for anything.
 func (r *Runner) Watch(show func(*control.State)) {
 	r.watcher.Store(&show)
-	r.post(func() []any { show(r.State()); return nil })
+	r.post(func() []commands.Command { show(r.State()); return nil })
 }
 
 // NewRunner makes a shell; Run starts it.
 func NewRunner(env kernel.Env, node *control.Node, store *storage.Store, connections *Connections, dispatcher *relay.Dispatcher, compiler *fleetconfig.Compiler, platform string) *Runner {
 	r := &Runner{
 		env: env, node: node, store: store, sender: connections, dispatcher: dispatcher, platform: platform,
-		queue: make(chan func() []any, 1024), requests: make(chan func() []any, 1024), saves: make(chan any, 256), snapshots: make(chan control.SaveSnapshot, 1),
+		queue: make(chan func() []commands.Command, 1024), requests: make(chan func() []commands.Command, 1024), saves: make(chan commands.Command, 256), snapshots: make(chan control.SaveSnapshot, 1),
 		openSubmissions: map[string]*openSubmission{},
 		registrations:   map[uint64]chan control.Registered{}, reads: map[uint64]chan *cluster.Document{},
 		// At random, so that an answer to an earlier incarnation is nobody's here; the time of day
@@ -111,22 +111,22 @@
 			r.env.Log.V(2).Info("a configuration with faults came from another node", "error", err.Error())
 		}
 	}
-	r.post(func() []any { return r.node.Deliver(r.env.Clock.Now(), envelope) })
+	r.post(func() []commands.Command { return r.node.Deliver(r.env.Clock.Now(), envelope) })
 }
 
 // Unreadable takes the news of a message that could not be read.
 func (r *Runner) Unreadable(from string, err error) {
 	r.env.Log.V(1).Info("a message can't be read", "from", from, "error", err.Error())
-	r.post(func() []any { return r.node.Unreadable(r.env.Clock.Now(), from, err) })
+	r.post(func() []commands.Command { return r.node.Unreadable(r.env.Clock.Now(), from, err) })
 }
 
-func (r *Runner) post(event func() []any) { r.postTo(r.queue, event) }
+func (r *Runner) post(event func() []commands.Command) { r.postTo(r.queue, event) }
 
 // postRequest posts what an engine, an operator or a caller asks for. Those that belong together, as a read and its
 // cancelation, keep their order.
-func (r *Runner) postRequest(event func() []any) { r.postTo(r.requests, event) }
+func (r *Runner) postRequest(event func() []commands.Command) { r.postTo(r.requests, event) }
 
-func (r *Runner) postTo(queue chan func() []any, event func() []any) {
+func (r *Runner) postTo(queue chan func() []commands.Command, event func() []commands.Command) {
 	select {
 	case queue <- event:
 	case <-r.env.Done():
@@ -150,9 +150,9 @@
 	ticker := time.NewTicker(r.node.TickInterval().Duration())
 	defer ticker.Stop()
 	// The first turn comes at once: the fleet is to hear that this node is there.
-	go r.post(func() []any { return r.node.Tick(r.env.Clock.Now()) })
+	go r.post(func() []commands.Command { return r.node.Tick(r.env.Clock.Now()) })
 	for {
-		var out []any
+		var out []commands.Command
 		var startedAt kernel.Micros
 		select {
 		case <-r.env.Done():
@@ -194,7 +194,7 @@
 	return freshAt > 0 && r.env.Clock.Now()-freshAt < maxAge
 }
 
-func (r *Runner) carryOut(command any) {
+func (r *Runner) carryOut(command commands.Command) {
 	switch command := command.(type) {
 	case control.Outgoing:
 		r.sender.Send(command.Envelope)
@@ -217,13 +217,15 @@
 			if err != nil {
 				r.env.Log.Error(err, "a committed configuration can't be read here")
 			}
-			r.post(func() []any { return r.node.ConfigCompiled(r.env.Clock.Now(), command.Document, err) })
+			r.post(func() []commands.Command { return r.node.ConfigCompiled(r.env.Clock.Now(), command.Document, err) })
 		}()
 	case commands.Probe:
 		go func() {
 			// One look is enough here: a router has failed to get through already.
 			if !r.canReach(command.Engine.Address) {
-				r.post(func() []any { return r.node.Probed(r.env.Clock.Now(), command.Engine.ID, command.Engine.Start, true) })
+				r.post(func() []commands.Command {
+					return r.node.Probed(r.env.Clock.Now(), command.Engine.ID, command.Engine.Start, true)
+				})
 			}
 		}()
 	case control.Registered:
@@ -277,7 +279,7 @@
 			if err != nil {
 				r.env.Log.Error(err, "a snapshot was left out")
 			}
-			r.post(func() []any { return r.node.SnapshotSaved(r.env.Clock.Now(), err) })
+			r.post(func() []commands.Command { return r.node.SnapshotSaved(r.env.Clock.Now(), err) })
 		}
 	}
 }
@@ -289,19 +291,21 @@
 		if err != nil {
 			r.env.Log.Error(err, "a write failed")
 		}
-		r.post(func() []any { return r.node.Saved(r.env.Clock.Now(), work.Token, err) })
+		r.post(func() []commands.Command { return r.node.Saved(r.env.Clock.Now(), work.Token, err) })
 	case commands.LoadConfig:
 		document, err := r.store.ConfigAt(work.Config)
 		if err != nil {
 			r.env.Log.V(1).Info("a configuration of the past is not held here", "error", err.Error())
 		}
-		r.post(func() []any { return r.node.ConfigLoaded(r.env.Clock.Now(), work.To, work.Config, document) })
+		r.post(func() []commands.Command {
+			return r.node.ConfigLoaded(r.env.Clock.Now(), work.To, work.Config, document)
+		})
 	case commands.SaveHistory:
 		outcome := r.store.SaveHistory(work.Documents)
 		if outcome.Err != nil {
 			r.env.Log.Error(outcome.Err, "a configuration of the past could not be kept")
 		}
-		r.post(func() []any { return r.node.HistoryStored(r.env.Clock.Now(), outcome) })
+		r.post(func() []commands.Command { return r.node.HistoryStored(r.env.Clock.Now(), outcome) })
 	}
 }
 
--- a/internal/server/runner_calls.go
+++ b/internal/server/runner_calls.go
@@ -6,6 +6,7 @@
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/storage"
 	"dunlinloom/internal/relay"
@@ -24,7 +25,7 @@
 			r.env.Log.V(2).Info("a configuration with faults was handed in", "error", err.Error())
 		}
 	}
-	r.postRequest(func() []any { return r.node.Submit(r.env.Clock.Now(), submit) })
+	r.postRequest(func() []commands.Command { return r.node.Submit(r.env.Clock.Now(), submit) })
 	select {
 	case reply := <-waiter:
 		return reply, nil
@@ -51,7 +52,7 @@
 		delete(r.registrations, token)
 		r.lock.Unlock()
 	}()
-	r.postRequest(func() []any { return r.node.Register(r.env.Clock.Now(), token, record) })
+	r.postRequest(func() []commands.Command { return r.node.Register(r.env.Clock.Now(), token, record) })
 	select {
 	case answer := <-waiter:
 		return answer.HeartbeatTo, answer.Err
@@ -86,7 +87,7 @@
 	token := r.nextToken
 	r.reads[token] = waiter
 	r.lock.Unlock()
-	r.postRequest(func() []any { return r.node.Read(r.env.Clock.Now(), token) })
+	r.postRequest(func() []commands.Command { return r.node.Read(r.env.Clock.Now(), token) })
 	var cause error = StoppingError{}
 	select {
 	case document := <-waiter:
@@ -98,48 +99,48 @@
 	r.lock.Lock()
 	delete(r.reads, token)
 	r.lock.Unlock()
-	r.postRequest(func() []any { return r.node.CancelRead(r.env.Clock.Now(), token) })
+	r.postRequest(func() []commands.Command { return r.node.CancelRead(r.env.Clock.Now(), token) })
 	return nil, UnconfirmedReadError{cause}
 }
 
 // ReportEngines brings engine records learned first-hand.
 func (r *Runner) ReportEngines(records []registry.EngineRecord) {
-	r.post(func() []any { return r.node.ReportEngines(r.env.Clock.Now(), records) })
+	r.post(func() []commands.Command { return r.node.ReportEngines(r.env.Clock.Now(), records) })
 }
 
 // Suspect reports an engine to the control plane that could not be reached.
 func (r *Runner) Suspect(engine relay.Engine) {
-	r.post(func() []any { return r.node.Suspect(r.env.Clock.Now(), engine.ID, engine.Start) })
+	r.post(func() []commands.Command { return r.node.Suspect(r.env.Clock.Now(), engine.ID, engine.Start) })
 }
 
 // SuspectEngine reports an engine to the control plane, by its id alone, that could not be reached.
 func (r *Runner) SuspectEngine(id string) {
 	for _, engine := range r.State().Engines {
 		if engine.ID == id {
-			r.post(func() []any { return r.node.Suspect(r.env.Clock.Now(), engine.ID, engine.Start) })
+			r.post(func() []commands.Command { return r.node.Suspect(r.env.Clock.Now(), engine.ID, engine.Start) })
 		}
 	}
 }
 
 // Restarted reports an engine to the control plane that answered under a later start.
 func (r *Runner) Restarted(engine relay.Engine, start uint64) {
-	r.post(func() []any { return r.node.Restarted(r.env.Clock.Now(), engine.ID, start) })
+	r.post(func() []commands.Command { return r.node.Restarted(r.env.Clock.Now(), engine.ID, start) })
 }
 
 // RequestQuota has the router's account ask for what it lacks.
 func (r *Runner) RequestQuota() {
-	r.postRequest(func() []any { return r.node.RequestQuota(r.env.Clock.Now()) })
+	r.postRequest(func() []commands.Command { return r.node.RequestQuota(r.env.Clock.Now()) })
 }
 
 // Leave begins a planned stop.
 func (r *Runner) Leave() {
-	r.post(func() []any { return r.node.Leave(r.env.Clock.Now()) })
+	r.post(func() []commands.Command { return r.node.Leave(r.env.Clock.Now()) })
 }
 
 // HasDuties asks the owners whether duties are still held.
 func (r *Runner) HasDuties() bool {
 	reply := make(chan bool, 1)
-	r.post(func() []any { reply <- r.node.HasDuties(); return nil })
+	r.post(func() []commands.Command { reply <- r.node.HasDuties(); return nil })
 	select {
 	case hasDuties := <-reply:
 		return hasDuties
--- a/test/capacity/fleet.go
+++ b/test/capacity/fleet.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/kernel"
@@ -198,7 +199,7 @@
 	f.orders++
 	submit := &cluster.Submit{ID: fmt.Sprintf("order-%06d", f.orders), Operation: order, Config: config}
 	at.replies[submit.ID] = take
-	at.event(func() []any { return at.node.Submit(f.now, submit) })
+	at.event(func() []commands.Command { return at.node.Submit(f.now, submit) })
 }
 
 // report lets a simulated engine report for ever: under strict rules its figures, each time at
@@ -220,11 +221,11 @@
 		switch {
 		case !h.isUp:
 		case f.sizes.Rules == Deployment:
-			h.event(func() []any { return h.node.Register(f.now, 0, record) })
+			h.event(func() []commands.Command { return h.node.Register(f.now, 0, record) })
 		default:
 			record.Uptime += f.sizes.Report
 			record.Load, record.Streams = f.random.Int64N(60000), f.random.Int64N(64)
-			h.event(func() []any { return h.node.ReportEngines(f.now, []registry.EngineRecord{record}) })
+			h.event(func() []commands.Command { return h.node.ReportEngines(f.now, []registry.EngineRecord{record}) })
 		}
 		f.in(f.sizes.Report, again)
 	}
--- a/test/capacity/fleet_open.go
+++ b/test/capacity/fleet_open.go
@@ -9,6 +9,7 @@
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
 	"dunlinloom/internal/control/wire"
 )
 
@@ -73,7 +74,7 @@
 					why = "control machines keep zones"
 					envelope := wire.Envelope{Fleet: "capacity", From: address, To: leader.identity.Address,
 						Message: wire.Message{CoordinatorHandover: &wire.CoordinatorHandover{Zone: zone, To: h.identity.Address}}}
-					leader.event(func() []any { return leader.node.Deliver(f.now, envelope) })
+					leader.event(func() []commands.Command { return leader.node.Deliver(f.now, envelope) })
 					break
 				}
 			}
--- a/test/capacity/node.go
+++ b/test/capacity/node.go
@@ -107,7 +107,7 @@
 	var again func()
 	again = func() {
 		if h.epoch == epoch && h.isUp {
-			h.event(func() []any { return h.node.Tick(f.now) })
+			h.event(func() []commands.Command { return h.node.Tick(f.now) })
 			f.in(tick+f.jitter(ms), again)
 		}
 	}
@@ -130,10 +130,10 @@
 }
 
 // event lets the owners work, carries out what they say and publishes, as the shell does.
-func (h *node) event(work func() []any) {
-	var commands []any
-	h.time(Events, func() { commands = work() })
-	for _, command := range commands {
+func (h *node) event(work func() []commands.Command) {
+	var issued []commands.Command
+	h.time(Events, func() { issued = work() })
+	for _, command := range issued {
 		h.carryOut(command)
 	}
 	if h.isShown {
@@ -152,7 +152,7 @@
 	}
 }
 
-func (h *node) carryOut(command any) {
+func (h *node) carryOut(command commands.Command) {
 	f := h.fleet
 	switch command := command.(type) {
 	case control.Outgoing:
@@ -161,7 +161,7 @@
 		var err error
 		h.time(Disk, func() { err = h.store.Save(command) })
 		h.later(writeTakes, func() {
-			h.event(func() []any { return h.node.Saved(f.now, command.Token, err) })
+			h.event(func() []commands.Command { return h.node.Saved(f.now, command.Token, err) })
 		})
 	case commands.CompileConfig:
 		config := string(command.Document.Config)
@@ -179,21 +179,21 @@
 		// Virtual time may not hang on this machine's speed, or no seed would play twice alike.
 		h.later(kernel.Micros(len(config)/compileBytes), func() {
 			h.compiled[config] = true
-			h.event(func() []any { return h.node.ConfigCompiled(f.now, command.Document, nil) })
+			h.event(func() []commands.Command { return h.node.ConfigCompiled(f.now, command.Document, nil) })
 		})
 	case commands.LoadConfig:
 		// Without a document where there is none any more.
 		document, _ := h.store.ConfigAt(command.Config)
 		h.later(writeTakes, func() {
-			h.event(func() []any { return h.node.ConfigLoaded(f.now, command.To, command.Config, document) })
+			h.event(func() []commands.Command { return h.node.ConfigLoaded(f.now, command.To, command.Config, document) })
 		})
 	case commands.SaveHistory:
 		outcome := h.store.SaveHistory(command.Documents)
-		h.later(writeTakes, func() { h.event(func() []any { return h.node.HistoryStored(f.now, outcome) }) })
+		h.later(writeTakes, func() { h.event(func() []commands.Command { return h.node.HistoryStored(f.now, outcome) }) })
 	case control.SaveSnapshot:
 		var err error
 		h.time(Disk, func() { err = h.store.SaveSnapshot(command.Snapshot) })
-		h.later(writeTakes, func() { h.event(func() []any { return h.node.SnapshotSaved(f.now, err) }) })
+		h.later(writeTakes, func() { h.event(func() []commands.Command { return h.node.SnapshotSaved(f.now, err) }) })
 	case control.Reply:
 		if take := h.replies[command.SubmitResponse.ID]; take != nil {
 			delete(h.replies, command.SubmitResponse.ID)
@@ -233,7 +233,7 @@
 			f.failed = fmt.Errorf("decode at %s: %w", to.identity.Address, err)
 			return
 		}
-		to.event(func() []any { return to.node.Deliver(f.now, arrived) })
+		to.event(func() []commands.Command { return to.node.Deliver(f.now, arrived) })
 	})
 }
 
--- a/test/modelcheck/process.go
+++ b/test/modelcheck/process.go
@@ -163,7 +163,7 @@
 }
 
 // execute performs one command of a core; a message to an operator is checked at once.
-func (w *World) execute(p *process, command any) error {
+func (w *World) execute(p *process, command commands.Command) error {
 	switch command := command.(type) {
 	case commands.Send:
 		if command.To == operatorAddress {
--- a/test/simulator/machine.go
+++ b/test/simulator/machine.go
@@ -231,7 +231,7 @@
 	})
 }
 
-func (m *machine) carry(outputs []any) {
+func (m *machine) carry(outputs []commands.Command) {
 	w := m.world
 	for _, command := range outputs {
 		switch command := command.(type) {
