--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -55,81 +55,30 @@
 	now      kernel.Micros
 	out      []commands.Command
 
-	role     role
-	term     uint64
-	votedFor cluster.MemberID
-	votes    map[cluster.MemberID]bool
-	doc      *cluster.Document // the newest accepted, maybe still being written; never behind synced
-	synced   cluster.Position  // the newest that is known to be on disk
-	// acknowledged is the newest document that this member has ever acknowledged, as far as known; later
-	// than synced only where its folder has lost that document.
-	acknowledged cluster.Position
-	// committed is the newest document known to be synced by a majority; its position never falls.
-	committed *cluster.Document
-
-	leaderMember    cluster.Member
-	lastHeartbeatAt kernel.Micros // when the last heartbeat of a leader came; zero: none since the start
-	startedAt       kernel.Micros
-	electionTimer   kernel.Micros // the next election
-	joinTimer       kernel.Micros
-	nextJoinTarget  int
-	leaderHints     []string
-	fleetVoters     []string // of the document that the process applied as a router
-
-	saves     []*pendingSave
-	nextToken uint64
-	diskWhy   string
-
-	// Leading only.
-	leaderSince           kernel.Micros
-	peers                 map[cluster.MemberID]*peer
-	round                 uint64
-	roundTimer            kernel.Micros
-	isRoundWanted         bool
-	noticeTimer           kernel.Micros
-	hasCommittedInTerm    bool // a document of this term is committed
-	pendingBatches        []pendingBatch
-	nodeReports           map[string]*nodeReport
-	coordinatorSeenAt     map[string]kernel.Micros
-	coordinatorSuccessors map[string]string
-	drainingReports       []DrainingReport // draining engines that the document does not name yet
-	queue                 []queuedSubmit
-	pendingReplies        []pendingReply
-	pendingReads          []pendingRead
-	// committedAt is when the newest revisions were committed under this leadership.
-	committedAt       map[uint64]kernel.Micros
-	buildTimer        kernel.Micros
-	pushTimer         kernel.Micros
-	pushUntil         kernel.Micros
-	isLeaving         bool
-	sentRounds        []sentRound
-	pendingRejections []pendingRejection
-	health            *Health       // the last view of the voters
-	delayStartedAt    kernel.Micros // when operations last began to wait for a learner
-
-	// releasedPosition is the newest document of which the leader says that enough others hold it without this
-	// member, so that it may end unless it has accepted a newer one.
-	releasedPosition cluster.Position
-	// voterPosition is the newest document that this incarnation has accepted as one of its voters.
-	voterPosition cluster.Position
-
+	electionState
+	replicatedState
+	joinState
+	diskState
+	leaderState
+	operationState
+	nodeState
+	pushState
+	bootstrapState
+
+	isLeaving      bool // a planned stop was asked for
+	history        history
 	invariantState coreInvariantState
-
-	history history
-	// pushTransfers paces the large documents that go out without a heartbeat.
-	pushTransfers flowcontrol.Transfers
-
-	bootstrapProbes map[string]probeResult
-	bootstrapTimer  kernel.Micros
 }
 
 // NewCore makes a core from what the data folder held. Times are steady microseconds of the process.
 func NewCore(settings CoreSettings, now kernel.Micros) *Core {
 	c := &Core{
-		settings: settings, now: now, startedAt: now,
-		term: settings.HardState.Term, votedFor: settings.HardState.VotedFor,
-		doc: settings.Document, synced: settings.Document.Position(), acknowledged: settings.Acknowledged,
-		bootstrapProbes: map[string]probeResult{}, history: newHistory(settings.StoredConfigs), pushTransfers: settings.PushTransfers,
+		settings: settings, now: now,
+		electionState:   electionState{startedAt: now, term: settings.HardState.Term, votedFor: settings.HardState.VotedFor},
+		replicatedState: replicatedState{doc: settings.Document, synced: settings.Document.Position(), acknowledged: settings.Acknowledged},
+		pushState:       pushState{pushTransfers: settings.PushTransfers},
+		bootstrapState:  bootstrapState{bootstrapProbes: map[string]probeResult{}},
+		history:         newHistory(settings.StoredConfigs),
 	}
 	if c.pushTransfers == nil {
 		c.pushTransfers = flowcontrol.Transfers{}
