--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -15,6 +15,7 @@
 	"dunlinloom/internal/kernel"
 	"dunlinloom/test/checker"
 	"dunlinloom/test/loadgen"
+	"dunlinloom/test/summary"
 )
 
 type arguments struct {
@@ -28,7 +29,9 @@
 	Retries   int      `arg:"--retries" default:"2" help:"times a rejected caller comes again"`
 	Hot       float64  `arg:"--hot" help:"share of each kind that its first prefix draws"`
 	Prefix    string   `arg:"--prefix" default:"c"`
-	Log       string   `arg:"--log" help:"file for the events; a summary goes to standard output"`
+	Log       string   `arg:"--log" help:"file for the events; a page goes to standard output"`
+	Report    string   `arg:"--report" help:"file for the whole summary, as JSON"`
+	JSON      bool     `arg:"--json" help:"print the summary as JSON instead of a page"`
 }
 
 // kindsError says that no deployment has that name.
@@ -41,9 +44,9 @@
 func main() {
 	var arguments arguments
 	arg.MustParse(&arguments)
-	report, err := run(arguments)
+	report, events, err := run(arguments)
 	if err == nil {
-		err = printReport(report)
+		err = summary.Print(os.Stdout, pageOf(report, events), report, summary.Output{IsJSON: arguments.JSON, File: arguments.Report})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "loadgen:", err)
@@ -61,10 +64,10 @@
 )
 
 // run generates the load until it ends or a signal stops it, and checks the responses.
-func run(arguments arguments) (report checker.Report, err error) {
+func run(arguments arguments) (report checker.Report, events []checker.Event, err error) {
 	known, isKnown := loadgen.KindsOf(arguments.Kinds)
 	if !isKnown {
-		return report, kindsError{arguments.Kinds}
+		return report, nil, kindsError{arguments.Kinds}
 	}
 	kinds := append([]loadgen.Kind(nil), known...)
 	for i := range kinds {
@@ -73,12 +76,11 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	var lock sync.Mutex
-	events := []checker.Event{}
 	var lines *json.Encoder
 	if arguments.Log != "" {
 		file, err := os.OpenFile(arguments.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
-			return report, fmt.Errorf("open the log: %w", err)
+			return report, nil, fmt.Errorf("open the log: %w", err)
 		}
 		// The log is not buffered: an error of a write is returned by its encoder.
 		defer func() { _ = file.Close() }()
@@ -90,7 +92,7 @@
 	}
 	platform, err := loadgen.NewPlatform(nodes, arguments.NodesFile)
 	if err != nil {
-		return report, err
+		return report, nil, err
 	}
 	go platform.Watch(ctx)
 	var failed error
@@ -106,17 +108,16 @@
 		}
 	})
 	if failed != nil {
-		return report, fmt.Errorf("write the log: %w", failed)
+		return report, nil, fmt.Errorf("write the log: %w", failed)
 	}
-	return checker.Check(events, checker.DefaultBounds()), nil
+	return checker.Check(events, checker.DefaultBounds()), events, nil
 }
 
-// printReport prints the summary as indented JSON.
-func printReport(report checker.Report) error {
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(report); err != nil {
-		return fmt.Errorf("write the summary: %w", err)
-	}
-	return nil
+// pageOf is the summary for people. Of the rules only those are judged that callers can see.
+func pageOf(report checker.Report, events []checker.Event) *summary.Page {
+	page := &summary.Page{Run: "load generated", Rules: len(checker.FleetRules()), Violations: report.Violations}
+	page.Add("requests served", "%s", summary.Share(report.Outcomes[string(checker.Served)], report.Calls))
+	page.Add("not served", "%s", summary.Counts(summary.Unserved(report.Outcomes)))
+	page.Add("first byte", "%s", summary.Latency(checker.FirstByteLatency(events)))
+	return page
 }
--- a/cmd/localfleet/main.go
+++ b/cmd/localfleet/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -16,6 +15,7 @@
 
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/test/localfleet"
+	"dunlinloom/test/summary"
 )
 
 type arguments struct {
@@ -24,7 +24,8 @@
 	Folder   string `arg:"--folder" help:"where logs and data go; a temporary folder if not given"`
 	Port     int    `arg:"--port" help:"first of 400 ports on 127.0.0.1; free ones if not given"`
 	Seed     uint64 `arg:"--seed" help:"instead of the scenario's"`
-	Report   string `arg:"--report" help:"file for the report; standard output if not given"`
+	Report   string `arg:"--report" help:"file for the whole report, as JSON"`
+	JSON     bool   `arg:"--json" help:"print the whole report as JSON instead of a page"`
 }
 
 // folderInUseError says that a local fleet run's folder is not empty.
@@ -87,17 +88,8 @@
 	if err != nil {
 		return 1, err
 	}
-	to := os.Stdout
-	if arguments.Report != "" {
-		if to, err = os.Create(arguments.Report); err != nil {
-			return 1, fmt.Errorf("write the report: %w", err)
-		}
-		defer to.Close()
-	}
-	encoder := json.NewEncoder(to)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(report); err != nil {
-		return 1, fmt.Errorf("write the report: %w", err)
+	if err := summary.Print(os.Stdout, report.Page(), report, summary.Output{IsJSON: arguments.JSON, File: arguments.Report}); err != nil {
+		return 1, err
 	}
 	if len(report.Review.Violations) > 0 || len(report.Problems) > 0 {
 		return 3, nil
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -18,6 +19,7 @@
 
 	"dunlinloom/internal/kernel"
 	"dunlinloom/test/soak"
+	"dunlinloom/test/summary"
 )
 
 type arguments struct {
@@ -30,7 +32,8 @@
 	Program string  `arg:"--program" help:"the daemon, built with -tags faults; beside this program if not given"`
 	Folder  string  `arg:"--folder" help:"where logs and reports go; a temporary folder if not given"`
 	Tenants bool    `arg:"--tenants" help:"requests need keys, which are given and withdrawn, and tenants have quotas"`
-	Quiet   bool    `arg:"--quiet" help:"tell the outcome of each seed alone"`
+	Quiet   bool    `arg:"--quiet" help:"tell the outcome of each seed alone, in a line"`
+	JSON    bool    `arg:"--json" help:"print the whole report of each seed as JSON instead of a page; report.json in its folder has it as well"`
 }
 
 // Exit statuses.
@@ -84,7 +87,7 @@
 				lock.Lock()
 				failed = errors.Join(failed, err)
 				if report != nil {
-					printReport(report)
+					failed = errors.Join(failed, printReport(report, flags))
 					broken.Add(int64(report.Violations))
 				}
 				lock.Unlock()
@@ -136,17 +139,18 @@
 	return report, nil
 }
 
-// printReport writes the outcome of a seed, a line for each violation.
-func printReport(report *soak.Report) {
+// printReport prints the outcome of a seed: a page, its whole report, or a line and one more for each violation.
+func printReport(report *soak.Report, flags arguments) error {
+	if !flags.Quiet || flags.JSON {
+		return summary.Print(os.Stdout, report.Page(), report, summary.Output{IsJSON: flags.JSON})
+	}
 	fmt.Printf("seed %d: %d violations; %d of %d tries served, %d of %d orders acknowledged, %d reads, %d MB; closing: %s\n",
 		report.Seed, report.Violations, report.Review.Served, report.Review.Attempts, report.Answered, report.Sent, report.Reads, report.MemoryMB, report.Closing)
-	for _, violation := range report.Review.Violations {
-		fmt.Printf("  seed %d, %.3f s: %s: %s\n", report.Seed, float64(violation.At)/float64(kernel.Second), violation.Rule, violation.Detail)
-	}
-	for _, violation := range report.Orders {
+	for _, violation := range slices.Concat(report.Review.Violations, report.Orders) {
 		fmt.Printf("  seed %d, %.3f s: %s: %s\n", report.Seed, float64(violation.At)/float64(kernel.Second), violation.Rule, violation.Detail)
 	}
 	for _, problem := range report.Problems {
 		fmt.Printf("  seed %d: %s\n", report.Seed, problem)
 	}
+	return nil
 }
--- a/test/checker/event.go
+++ b/test/checker/event.go
@@ -51,6 +51,7 @@
 	Kind           string `json:"kind,omitempty"`
 	// StartedAt is when the caller sent its request, or the operator its read.
 	StartedAt kernel.Micros `json:"began_us,omitempty"`
+	FirstAt   kernel.Micros `json:"first_at_us,omitempty"` // when the first byte of the body came
 	Outcome   Outcome       `json:"outcome,omitempty"`
 	Reason    string        `json:"reason,omitempty"`
 	Revision  uint64        `json:"generation,omitempty"`
--- a/test/loadgen/caller.go
+++ b/test/loadgen/caller.go
@@ -90,10 +90,24 @@
 			return checker.Corrupted, "revision " + text
 		}
 	}
-	got, readErr := io.ReadAll(response.Body)
+	got, readErr := readBody(response.Body, event)
 	return Compare(response, got, readErr, request)
 }
 
+// readBody reads a body to its end, and notes when its first byte came.
+func readBody(body io.Reader, event *checker.Event) ([]byte, error) {
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(body, first); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, nil // it is empty
+		}
+		return nil, err
+	}
+	event.FirstAt = now()
+	rest, err := io.ReadAll(body)
+	return append(first, rest...), err
+}
+
 // Compare gives the outcome of a response to a request, and the reason unless it was served: got are the
 // bytes of its body that were read, and readErr, if any, is the error that ended the reading.
 func Compare(response *http.Response, got []byte, readErr error, request Request) (checker.Outcome, string) {
--- a/test/localfleet/report.go
+++ b/test/localfleet/report.go
@@ -12,6 +12,7 @@
 	"dunlinloom/internal/kernel"
 	"dunlinloom/test/checker"
 	"dunlinloom/test/childprocess"
+	"dunlinloom/test/summary"
 )
 
 // What a run ends with: counters, the checker's review and the share served.
@@ -30,6 +31,27 @@
 	Crossing map[string]float64 `json:"crossing_bytes_by_kind"`
 	Orders   map[string]int     `json:"orders"`
 	Problems []string           `json:"problems,omitempty"`
+
+	firstByte checker.Latency
+	faults    []checker.FaultCost
+}
+
+// Page is the report for people.
+func (r *Report) Page() *summary.Page {
+	page := &summary.Page{
+		Run:   fmt.Sprintf("local fleet run of %s (deployment %s, seed %d)", r.Scenario, r.Deployment, r.Seed),
+		Rules: len(checker.FleetRules()), Violations: r.Review.Violations, Problems: r.Problems, Faults: r.faults,
+	}
+	page.Add("requests served", "%s; of callers, who retry, %.2f %%", summary.Share(r.Review.Outcomes[string(checker.Served)], r.Review.Calls), 100*r.CallersServed)
+	page.Add("not served", "%s", summary.Counts(summary.Unserved(r.Review.Outcomes)))
+	page.Add("first byte", "%s", summary.Latency(r.firstByte))
+	if r.Review.RecoverySpan > 0 {
+		page.Add("after the repair", "first request served after %s", summary.Span(r.Review.RecoverySpan))
+	}
+	page.Add("retries by routers", "%.0f of %.0f requests", r.Counters["retries_total"], r.Counters["requests_total"])
+	page.Add("operations", "%s", summary.Counts(summary.Operations(r.Orders)))
+	page.Add("between zones", "%s: %s", summary.Bytes(r.Counters["peer_bytes_between_zones"]), summary.LargestBytes(summary.Crossing(r.Crossing)))
+	return page
 }
 
 func readEvents(path string) ([]checker.Event, error) {
@@ -84,6 +106,7 @@
 	events = append(events, checker.Event{At: now(), EventKind: checker.Totals,
 		First: uint64(report.Counters["rounds_first_total"]), Retries: uint64(report.Counters["retries_total"])})
 	report.Review = checker.Check(events, checker.DefaultBounds())
+	report.firstByte, report.faults = checker.FirstByteLatency(events), checker.FaultCosts(events)
 	if report.Review.Calls > 0 {
 		report.ServedShare = float64(report.Review.Outcomes[string(checker.Served)]) / float64(report.Review.Calls)
 	}
--- a/test/localfleet/run.go
+++ b/test/localfleet/run.go
@@ -8,10 +8,12 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
 	"dunlinloom/internal/kernel"
+	"dunlinloom/test/checker"
 	"dunlinloom/test/loadgen"
 )
 
@@ -119,6 +121,9 @@
 		number += max(step.Count, 2)
 		steps.Go(func() {
 			say("%6d ms  %s %s", step.AtMS, step.Do, step.Target)
+			if isFaultVerb(step.Do) {
+				cluster.record(checker.Event{At: now(), EventKind: checker.FaultInjected, Reason: strings.TrimSpace(step.Do + " " + step.Target)})
+			}
 			run := stepRun{cluster: cluster, operator: operator, step: step, number: first}
 			if err := run.apply(ctx); err != nil {
 				cluster.addFailure("step at %d ms, %s %s: %v", step.AtMS, step.Do, step.Target, err)
--- a/test/localfleet/scenario.go
+++ b/test/localfleet/scenario.go
@@ -77,6 +77,14 @@
 	"repaired":      "",       // every process is started, every fault lifted; from here on the fleet has to recover
 }
 
+// plannedVerbs are operators' work, and no faults.
+var plannedVerbs = map[string]bool{
+	"stop": true, "spec": true, "clash": true, "storm": true, "empty": true, "engine-leave": true, "engine-retire": true, "roll": true, "large-spec": true,
+	"repaired": true,
+}
+
+func isFaultVerb(verb string) bool { return !plannedVerbs[verb] }
+
 // maxCounts are the verbs that can't do without a count.
 var maxCounts = map[string]int{"stop-short": 60_000, "disk-slow": 5000, "list-lag": 120_000, "crowd": 500, "hot-crowd": 500, "large-spec": fleetconfig.MaxBindings}
 
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -14,6 +14,7 @@
 	"dunlinloom/platform"
 	"dunlinloom/test/checker"
 	"dunlinloom/test/childprocess"
+	"dunlinloom/test/summary"
 )
 
 // Report is what came of a run.
@@ -31,6 +32,25 @@
 	Violations int                  `json:"violations"`
 	// MemoryMB is the most that a node's process held at the end.
 	MemoryMB int64 `json:"memory_mb"`
+
+	rules      int
+	firstChunk checker.Latency
+	faults     []checker.FaultCost
+}
+
+// Page is the report for people.
+func (r *Report) Page() *summary.Page {
+	page := &summary.Page{
+		Run:   fmt.Sprintf("soak of deployed nodes (seed %d, %.0f s of faults, then %s)", r.Seed, r.SpanS, r.Closing),
+		Rules: r.rules, Violations: append(append([]checker.Violation(nil), r.Review.Violations...), r.Orders...), Problems: r.Problems, Faults: r.faults,
+	}
+	page.Add("attempts served", "%s", summary.Share(r.Review.Served, r.Review.Attempts))
+	page.Add("not served", "%s", summary.Counts(summary.Endings(r.Review.Endings)))
+	page.Add("first event of streams", "%s", summary.Latency(r.firstChunk))
+	page.Add("retries", "%d arrivals at engines beyond the first of their attempt", r.Review.ExtraArrivals)
+	page.Add("operations", "%s acknowledged, %d reads answered", summary.Share(r.Answered, r.Sent), r.Reads)
+	page.Add("memory of a node", "%d MB at the most", r.MemoryMB)
+	return page
 }
 
 // report judges all that was seen.
@@ -51,6 +71,11 @@
 		DrainTimeout: drainTimeout, GracePeriod: gracePeriod, Slack: slackSpan, ContactTimeout: contactTimeout, RetryRatio: retryRatio, RetrySlack: retrySlack,
 		RetryWindow: retryWindow, MaxRejected: 5, RejectedOneIn: 500, Splits: splitWeights(), Tenants: f.tenancy.bounds(),
 	})
+	report.rules = len(checker.RoutedRules()) + len(checker.OperationRules())
+	if f.tenancy != nil {
+		report.rules += len(checker.TenantRules())
+	}
+	report.firstChunk, report.faults = checker.RoutedFirstChunkLatency(f.routed), checker.RoutedFaultCosts(f.routed)
 	report.MemoryMB = f.memoryMB
 	report.Orders, report.Problems = checker.CheckOperations(f.orders), f.problems
 	for _, event := range f.orders {
--- /dev/null
+++ b/test/summary/page.go
@@ -0,0 +1,199 @@
+// Package summary writes the short page with which a run ends: for people, in the terms of the field. The whole report, as
+// JSON, is for programs.
+package summary
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"dunlinloom/internal/kernel"
+	"dunlinloom/test/checker"
+)
+
+// Page is what a run came to.
+type Page struct {
+	Run        string // what was played
+	Rules      int    // how many rules were judged
+	Violations []checker.Violation
+	Problems   []string // of the run itself
+	Facts      []Fact
+	Faults     []checker.FaultCost
+}
+
+// Fact is one line of a page.
+type Fact struct{ Name, Text string }
+
+// maxShown bounds the violations, problems and faults that a page lists.
+const maxShown = 12
+
+// IsClean tells that no rule was broken and nothing went wrong.
+func (p *Page) IsClean() bool { return len(p.Violations) == 0 && len(p.Problems) == 0 }
+
+// Add appends a fact.
+func (p *Page) Add(name, form string, values ...any) {
+	p.Facts = append(p.Facts, Fact{name, fmt.Sprintf(form, values...)})
+}
+
+// Verdict is the run in one line.
+func (p *Page) Verdict() string {
+	if p.IsClean() {
+		return fmt.Sprintf("PASSED: none of the %d rules that were checked was broken", p.Rules)
+	}
+	return fmt.Sprintf("FAILED: %s of the %d rules that were checked, %s of the run", count(len(p.Violations), "violation"), p.Rules, count(len(p.Problems), "problem"))
+}
+
+// Write writes the page.
+func (p *Page) Write(to io.Writer) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s\n%s\n", p.Run, p.Verdict())
+	for i, violation := range p.Violations {
+		if i == maxShown {
+			fmt.Fprintf(&text, "  and %d more\n", len(p.Violations)-i)
+			break
+		}
+		fmt.Fprintf(&text, "  %s: %s: %s\n", Span(violation.At), violation.Rule, violation.Detail)
+	}
+	for i, problem := range p.Problems {
+		if i == maxShown {
+			fmt.Fprintf(&text, "  and %d more\n", len(p.Problems)-i)
+			break
+		}
+		fmt.Fprintf(&text, "  %s\n", problem)
+	}
+	text.WriteByte('\n')
+	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	for _, fact := range p.Facts {
+		fmt.Fprintf(table, "%s\t%s\n", fact.Name, fact.Text)
+	}
+	p.writeFaults(table)
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write the page: %w", err)
+	}
+	if _, err := io.WriteString(to, text.String()); err != nil {
+		return fmt.Errorf("write the page: %w", err)
+	}
+	return nil
+}
+
+// writeFaults writes what each fault cost, the costliest first.
+func (p *Page) writeFaults(to io.Writer) {
+	if len(p.Faults) == 0 {
+		return
+	}
+	faults := append([]checker.FaultCost(nil), p.Faults...)
+	sort.SliceStable(faults, func(a, b int) bool { return faults[a].Unserved > faults[b].Unserved })
+	fmt.Fprint(to, "\nfault\tstruck at\tnot served after it\tlast one not served after\n")
+	for i, fault := range faults {
+		if i == maxShown {
+			fmt.Fprintf(to, "and %d more\n", len(faults)-i)
+			return
+		}
+		after := "-"
+		if fault.Unserved > 0 {
+			after = Span(fault.LastAfter)
+		}
+		fmt.Fprintf(to, "%s\t%s\t%d\t%s\n", fault.Fault, Span(fault.At), fault.Unserved, after)
+	}
+}
+
+// Span writes a time with its unit.
+func Span(span kernel.Micros) string {
+	switch {
+	case span < kernel.Millisecond:
+		return fmt.Sprintf("%d us", span)
+	case span < kernel.Second:
+		return fmt.Sprintf("%d ms", span/kernel.Millisecond)
+	}
+	return fmt.Sprintf("%.1f s", float64(span)/float64(kernel.Second))
+}
+
+// Bytes writes a number of bytes with its unit.
+func Bytes(bytes float64) string {
+	switch {
+	case bytes < 1e3:
+		return fmt.Sprintf("%.0f B", bytes)
+	case bytes < 1e6:
+		return fmt.Sprintf("%.1f kB", bytes/1e3)
+	}
+	return fmt.Sprintf("%.1f MB", bytes/1e6)
+}
+
+// Share writes a part of a whole.
+func Share(part, whole int) string {
+	if whole == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%d of %d (%.2f %%)", part, whole, 100*float64(part)/float64(whole))
+}
+
+// Counts writes named counts, the largest first.
+func Counts(counts map[string]int) string {
+	names := []string{}
+	for name, number := range counts {
+		if number > 0 {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return "none"
+	}
+	sort.Slice(names, func(a, b int) bool {
+		if counts[names[a]] != counts[names[b]] {
+			return counts[names[a]] > counts[names[b]]
+		}
+		return names[a] < names[b]
+	})
+	texts := []string{}
+	for _, name := range names {
+		texts = append(texts, fmt.Sprintf("%d %s", counts[name], name))
+	}
+	return strings.Join(texts, ", ")
+}
+
+// LargestBytes writes the largest of named numbers of bytes, and the rest as one.
+func LargestBytes(bytes map[string]float64) string {
+	const shown = 4
+	names := []string{}
+	for name := range bytes {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(a, b int) bool {
+		if bytes[names[a]] != bytes[names[b]] {
+			return bytes[names[a]] > bytes[names[b]]
+		}
+		return names[a] < names[b]
+	})
+	texts, rest := []string{}, 0.0
+	for i, name := range names {
+		if i < shown {
+			texts = append(texts, name+" "+Bytes(bytes[name]))
+		} else {
+			rest += bytes[name]
+		}
+	}
+	if rest > 0 {
+		texts = append(texts, "all else "+Bytes(rest))
+	}
+	if len(texts) == 0 {
+		return "none"
+	}
+	return strings.Join(texts, ", ")
+}
+
+// Latency writes the latency to the first part of answers.
+func Latency(latency checker.Latency) string {
+	if latency.Count == 0 {
+		return "none was served"
+	}
+	return fmt.Sprintf("median %s, 99 in 100 within %s", Span(latency.Median), Span(latency.P99))
+}
+
+func count(number int, what string) string {
+	if number == 1 {
+		return "1 " + what
+	}
+	return fmt.Sprintf("%d %ss", number, what)
+}
--- /dev/null
+++ b/test/summary/print.go
@@ -0,0 +1,35 @@
+package summary
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+)
+
+// Output says where a report goes.
+type Output struct {
+	IsJSON bool   // print the whole report instead of the page
+	File   string // also write the whole report there; empty: nowhere
+}
+
+// Print prints a run's page or its report, and writes the report to a file if that is wanted.
+func Print(to io.Writer, page *Page, report any, output Output) error {
+	content, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode the report: %w", err)
+	}
+	content = append(content, '\n')
+	if output.File != "" {
+		if err := os.WriteFile(output.File, content, 0o644); err != nil {
+			return fmt.Errorf("write the report: %w", err)
+		}
+	}
+	if !output.IsJSON {
+		return page.Write(to)
+	}
+	if _, err := to.Write(content); err != nil {
+		return fmt.Errorf("print the report: %w", err)
+	}
+	return nil
+}
