--- a/test/checker/costs.go
+++ b/test/checker/costs.go
@@ -90,7 +90,7 @@
 		switch {
 		case event.EventKind == FaultStarted:
 			faults = append(faults, struck{event.Why, event.At})
-		case event.EventKind == AttemptEnded && event.Ending != Canceled && !(event.Ending == Complete && isSuccess(event.Status)):
+		case event.EventKind == AttemptEnded && event.Ending != Canceled && (event.Ending != Complete || !isSuccess(event.Status)):
 			unserved = append(unserved, event.At)
 		}
 	}
--- a/test/childprocess/childprocess.go
+++ b/test/childprocess/childprocess.go
@@ -55,8 +55,8 @@
 	if err != nil {
 		return StartError{p.Name, "open the log of", err}
 	}
-	// It runs until Halt or its own end, so no context ends it.
-	command := exec.Command(p.Path, slices.Concat(p.Arguments, arguments)...)
+	// It runs until Halt or its own end: no context ends it.
+	command := &exec.Cmd{Path: p.Path, Args: slices.Concat([]string{p.Path}, p.Arguments, arguments)}
 	command.Stdout, command.Stderr = log, log
 	command.Env = append(os.Environ(), p.Env...)
 	// The processes must not outlive the run that started them.
--- a/test/simulator/experiment/experiment.go
+++ b/test/simulator/experiment/experiment.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gonum.org/v1/plot"
@@ -78,27 +79,9 @@
 
 // Add counts one seed's run.
 func (s *Side) Add(outcome simulator.RoutedOutcome) error {
-	begun, sent, inTime := map[string]kernel.Micros{}, map[string]int{}, map[string]int{}
-	for _, event := range outcome.Events {
-		switch event.EventKind {
-		case checker.AttemptSentByCaller:
-			begun[event.ID] = event.At
-			sent[event.Kind]++
-		case checker.AttemptEnded:
-			if event.Ending != checker.Complete || event.FirstAt == 0 {
-				continue
-			}
-			first := event.FirstAt - begun[event.ID]
-			if first <= s.goals[event.Kind] {
-				inTime[event.Kind]++
-			}
-			part := min(int(int64(begun[event.ID]-kernel.Second)*windows/int64(s.span)), windows-1)
-			for _, histogram := range []*hdrhistogram.Histogram{s.whole[event.Kind], s.over[event.Kind][part]} {
-				if err := histogram.RecordValue(int64(first)); err != nil {
-					return latencyError{err}
-				}
-			}
-		}
+	sent, inTime, err := s.addAnswers(outcome.Events)
+	if err != nil {
+		return err
 	}
 	for _, kind := range s.kinds {
 		s.sent[kind] += sent[kind]
@@ -127,6 +110,34 @@
 	return nil
 }
 
+// addAnswers counts the latencies of one seed's answers, and gives how many attempts of each kind were sent and in time.
+func (s *Side) addAnswers(events []checker.RoutedEvent) (sent, inTime map[string]int, err error) {
+	begun := map[string]kernel.Micros{}
+	sent, inTime = map[string]int{}, map[string]int{}
+	for _, event := range events {
+		switch event.EventKind {
+		case checker.AttemptSentByCaller:
+			begun[event.ID] = event.At
+			sent[event.Kind]++
+		case checker.AttemptEnded:
+			if event.Ending != checker.Complete || event.FirstAt == 0 {
+				continue
+			}
+			first := event.FirstAt - begun[event.ID]
+			if first <= s.goals[event.Kind] {
+				inTime[event.Kind]++
+			}
+			part := min(int(int64(begun[event.ID]-kernel.Second)*windows/int64(s.span)), windows-1)
+			for _, histogram := range []*hdrhistogram.Histogram{s.whole[event.Kind], s.over[event.Kind][part]} {
+				if err := histogram.RecordValue(int64(first)); err != nil {
+					return nil, nil, latencyError{err}
+				}
+			}
+		}
+	}
+	return sent, inTime, nil
+}
+
 // Write writes the report and its plots into a folder.
 func Write(folder, title, command string, sides [2]*Side) error {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
@@ -175,7 +186,7 @@
 		fmt.Fprintf(&to, "| %s | %s | %s |\n", name, value(sides[0]), value(sides[1]))
 	}
 	for _, kind := range sides[0].kinds {
-		row(kind+": tries", func(s *Side) string { return fmt.Sprint(s.sent[kind]) })
+		row(kind+": tries", func(s *Side) string { return strconv.Itoa(s.sent[kind]) })
 		row(kind+": first piece within its aim (least to most of a seed)", func(s *Side) string {
 			return fmt.Sprintf("%.2f %% (%.2f to %.2f)", 100*float64(s.inTime[kind])/float64(max(s.sent[kind], 1)), slices.Min(s.shares[kind]), slices.Max(s.shares[kind]))
 		})
@@ -195,15 +206,15 @@
 		}
 		return fmt.Sprintf("%.2f", s.engines[0]*float64(len(s.engines))/max(sum, 1))
 	})
-	row("diverts", func(s *Side) string { return fmt.Sprint(s.diverts) })
-	row("arrivals beyond the first", func(s *Side) string { return fmt.Sprint(s.extraArrivals) })
-	row("new connections to engines", func(s *Side) string { return fmt.Sprint(s.opened) })
+	row("diverts", func(s *Side) string { return strconv.FormatUint(s.diverts, 10) })
+	row("arrivals beyond the first", func(s *Side) string { return strconv.Itoa(s.extraArrivals) })
+	row("new connections to engines", func(s *Side) string { return strconv.FormatUint(s.opened, 10) })
 	for _, cause := range causesOf(sides) {
 		if cause != "none" {
-			row("refused: "+cause, func(s *Side) string { return fmt.Sprint(s.rejections[cause]) })
+			row("refused: "+cause, func(s *Side) string { return strconv.Itoa(s.rejections[cause]) })
 		}
 	}
-	row("rules broken", func(s *Side) string { return fmt.Sprint(s.violations) })
+	row("rules broken", func(s *Side) string { return strconv.Itoa(s.violations) })
 	to.WriteString("\n")
 	for _, kind := range sides[0].kinds {
 		fmt.Fprintf(&to, "![latency of %s over the day](latency-%s.svg)\n", kind, kind)
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -156,15 +157,24 @@
 			connection.isReused = true
 			return connection, nil
 		}
-		connection.Close()
+		closeQuietly(connection)
 	}
-	made, err := net.DialTimeout("tcp", n.address(portCallers), time.Second)
+	made, err := f.dial(n.address(portCallers))
 	if err != nil {
 		return nil, err
 	}
 	return &callerConnection{Conn: made, reader: bufio.NewReader(made)}, nil
 }
 
+// dial opens a connection to a node, as callers do.
+func (f *fleet) dial(address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: time.Second}
+	return dialer.DialContext(f.context, "tcp", address)
+}
+
+// closeQuietly closes what is done with. An error is one of a connection that the other side has closed.
+func closeQuietly(closer io.Closer) { _ = closer.Close() }
+
 // Pauses of callers after failures that name none.
 const (
 	unreachedPause = 100 * ms
@@ -189,11 +199,11 @@
 	sent.IsKeepAlive = connection.isReused
 	f.recordEvent(sent)
 	if leaves > 0 {
-		timer := time.AfterFunc(leaves.Duration(), func() { connection.Close() })
+		timer := time.AfterFunc(leaves.Duration(), func() { closeQuietly(connection) })
 		defer timer.Stop()
 	}
 	if _, err := connection.Write(request.Message(platform.Wire(), request.Deadline-f.clock.Now())); err != nil {
-		connection.Close()
+		closeQuietly(connection)
 		over.Ending, over.Why = checker.NoAnswer, err.Error()
 		return over, brokenPause
 	}
@@ -211,7 +221,7 @@
 		f.keep(n, connection)
 		return over, pauseSpan
 	}
-	connection.Close()
+	closeQuietly(connection)
 	return over, pauseSpan
 }
 
--- a/test/soak/closing.go
+++ b/test/soak/closing.go
@@ -27,25 +27,25 @@
 
 // playClosing strikes at the end, right after an acknowledgement, and goes on with traffic until the
 // fleet has to have recovered.
-func (f *fleet) playClosing(operator *operator) {
+func (f *fleet) playClosing(ctx context.Context, operator *operator) {
 	drawn := draw(f.settings.Seed, f.settings.Span)
 	if err := f.faults.Clear(); err != nil {
 		f.problem("lift the faults: %v", err)
 	}
 	random := rand.New(rand.NewPCG(f.settings.Seed, 3))
 	if f.canLoseDiskSoon(drawn.closing) {
-		pause(f.context, diskSpan)
+		pause(ctx, diskSpan)
 	}
-	f.acknowledgeOne(operator)
+	f.acknowledgeOne(ctx, operator)
 	f.settings.Logf("closing: %s", drawn.closing)
 	over := f.recordFault(step{faultName: "closing"}, "", "")
 	if err := f.faultAll(drawn.closing, random); err != nil {
 		f.problem("closing fault: %v", err)
 	}
 	over()
-	pause(f.context, recoverSpan)
+	pause(ctx, recoverSpan)
 	from := f.clock.Now()
-	pause(f.context, checkedSpan)
+	pause(ctx, checkedSpan)
 	f.checkRecovery(from)
 }
 
@@ -60,10 +60,10 @@
 }
 
 // acknowledgeOne has one more order acknowledged.
-func (f *fleet) acknowledgeOne(operator *operator) {
+func (f *fleet) acknowledgeOne(ctx context.Context, operator *operator) {
 	until := f.clock.Now() + openingSpan
 	for f.clock.Now() < until {
-		limit, cancel := context.WithTimeout(f.context, openingSpan.Duration())
+		limit, cancel := context.WithTimeout(ctx, openingSpan.Duration())
 		base, isKnown := operator.current(limit)
 		isDone := isKnown && operator.retryUntilAnswered(limit, operator.newOrder(base, operator.nextVersion(), operator.vary(), false)) == operationAccepted
 		cancel()
--- a/test/soak/engine.go
+++ b/test/soak/engine.go
@@ -68,7 +68,7 @@
 
 // startEngine begins a life of an engine at an address.
 func (f *fleet) startEngine(service, address string) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := new(net.ListenConfig).Listen(f.context, "tcp", address)
 	if err != nil {
 		return RunError{"start an engine", err}
 	}
@@ -104,7 +104,7 @@
 	e.hasEnded = true
 	e.lock.Unlock()
 	e.stop()
-	e.listener.Close()
+	closeQuietly(e.listener)
 	e.model.Close()
 }
 
--- a/test/soak/misbehaviour.go
+++ b/test/soak/misbehaviour.go
@@ -34,11 +34,11 @@
 		act := misbehaviours[random.IntN(len(misbehaviours))]
 		n := f.anyNode()
 		f.work.Go(func() {
-			connection, err := net.DialTimeout("tcp", n.address(portCallers), time.Second)
+			connection, err := f.dial(n.address(portCallers))
 			if err != nil {
 				return
 			}
-			defer connection.Close()
+			defer closeQuietly(connection)
 			act(ctx, connection, request)
 		})
 	}
--- a/test/soak/node.go
+++ b/test/soak/node.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -118,7 +119,7 @@
 		n.data = filepath.Join(f.settings.Folder, name+"-data")
 	}
 	n.process = &childprocess.Process{
-		Name: name, Path: f.settings.Program, Arguments: []string{"platform", "--metrics-port", fmt.Sprint(portMetrics)},
+		Name: name, Path: f.settings.Program, Arguments: []string{"platform", "--metrics-port", strconv.Itoa(portMetrics)},
 		LogPath: filepath.Join(f.settings.Folder, name+".log"),
 		Env: []string{
 			platform.SettingsVariable + "=" + n.file, server.EnvFaults + "=" + filepath.Join(f.settings.Folder, "faults.json"),
@@ -344,7 +345,7 @@
 	defer f.lock.Unlock()
 	for _, connections := range f.idleConns {
 		for _, connection := range connections {
-			connection.Close()
+			closeQuietly(connection)
 		}
 	}
 }
--- a/test/soak/operator.go
+++ b/test/soak/operator.go
@@ -370,11 +370,11 @@
 const readBackSpan = 5 * kernel.Second
 
 // readBack reads the configuration at every node when all is well again.
-func (o *operator) readBack() {
+func (o *operator) readBack(ctx context.Context) {
 	for _, n := range o.fleet.members() {
 		isRead := false
 		for until := time.Now().Add(readBackSpan.Duration()); !isRead && time.Now().Before(until); {
-			version, _ := o.readOnce(context.Background(), n, true)
+			version, _ := o.readOnce(ctx, n, true)
 			isRead = version > 0
 		}
 		if !isRead {
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -127,8 +127,8 @@
 var atRest = []string{"dunlinloom_requests_live", "dunlinloom_bodies_held_bytes"}
 
 // inspectNodes holds the figures of the nodes, once there is no traffic, against what they have to be.
-func (f *fleet) inspectNodes() {
-	f.inspectCore()
+func (f *fleet) inspectNodes(ctx context.Context) {
+	f.inspectCore(ctx)
 	f.measureMemory()
 	for _, n := range f.retiredNodes() {
 		if n.process.IsRunning() {
@@ -137,10 +137,10 @@
 	}
 	for _, n := range f.members() {
 		until := f.clock.Now() + restSpan
-		left := f.notAtRest(n)
+		left := f.notAtRest(ctx, n)
 		for len(left) > 0 && f.clock.Now() < until {
-			pause(f.context, 200*ms)
-			left = f.notAtRest(n)
+			pause(ctx, 200*ms)
+			left = f.notAtRest(ctx, n)
 		}
 		for _, why := range left {
 			f.problem("%s: %s", n.name, why)
@@ -162,8 +162,8 @@
 const invariantMetric = "dunlinloom_invariant_violations_total"
 
 // notAtRest tells what of a node's figures is not as it has to be.
-func (f *fleet) notAtRest(n *node) []string {
-	figures, err := f.figuresOf(n)
+func (f *fleet) notAtRest(ctx context.Context, n *node) []string {
+	figures, err := f.figuresOf(ctx, n)
 	if err != nil {
 		return []string{fmt.Sprintf("it tells no figures: %v", err)}
 	}
@@ -209,12 +209,12 @@
 const wholeSpan = 20 * kernel.Second
 
 // inspectCore waits until one node leads a core that is whole, and all have applied the same document.
-func (f *fleet) inspectCore() {
+func (f *fleet) inspectCore(ctx context.Context) {
 	until := f.clock.Now() + wholeSpan
-	why := f.coreFault()
+	why := f.coreFault(ctx)
 	for why != "" && f.clock.Now() < until {
-		pause(f.context, 200*ms)
-		why = f.coreFault()
+		pause(ctx, 200*ms)
+		why = f.coreFault(ctx)
 	}
 	if why != "" {
 		f.problem("the core at the end: %s", why)
@@ -222,10 +222,10 @@
 }
 
 // coreFault tells what is wrong with the core, as the nodes' figures show it; empty: nothing is.
-func (f *fleet) coreFault() string {
+func (f *fleet) coreFault(ctx context.Context) string {
 	leaders, whole, generations := 0, 0, map[float64]bool{}
 	for _, n := range f.members() {
-		figures, err := f.figuresOf(n)
+		figures, err := f.figuresOf(ctx, n)
 		if err != nil {
 			return fmt.Sprintf("%s tells no figures: %v", n.name, err)
 		}
@@ -240,8 +240,8 @@
 }
 
 // figuresOf reads a node's figures.
-func (f *fleet) figuresOf(n *node) (map[string]float64, error) {
-	limit, cancel := context.WithTimeout(f.context, time.Second)
+func (f *fleet) figuresOf(ctx context.Context, n *node) (map[string]float64, error) {
+	limit, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(limit, http.MethodGet, "http://"+n.address(portMetrics)+"/metrics", nil)
 	if err != nil {
@@ -251,7 +251,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer response.Body.Close()
+	defer closeQuietly(response.Body)
 	figures := map[string]float64{}
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
--- a/test/soak/secrets.go
+++ b/test/soak/secrets.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"io/fs"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -26,14 +25,14 @@
 var toldPaths = []string{"/metrics", "/v1/journal", "/v1/fleet", "/v1/core", "/v1/explain/"}
 
 // checkSecrets looks for keys wherever none may be.
-func (f *fleet) checkSecrets() {
+func (f *fleet) checkSecrets(ctx context.Context) {
 	if f.tenancy == nil {
 		return
 	}
 	f.checkFiles()
 	for _, n := range f.members() {
 		for _, path := range toldPaths {
-			f.checkTold(n, path)
+			f.checkTold(ctx, n, path)
 		}
 		f.checkRejections(n)
 	}
@@ -74,11 +73,11 @@
 }
 
 // checkTold looks at what a node tells of itself.
-func (f *fleet) checkTold(n *node, path string) {
+func (f *fleet) checkTold(ctx context.Context, n *node, path string) {
 	if path == "/v1/explain/" {
 		path += f.aRequest()
 	}
-	limit, cancel := context.WithTimeout(f.context, 2*time.Second)
+	limit, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(limit, http.MethodGet, "http://"+n.address(portMetrics)+path, http.NoBody)
 	if err != nil {
@@ -90,7 +89,7 @@
 		f.problem("%s does not tell %s: %v", n.name, path, err)
 		return
 	}
-	defer response.Body.Close()
+	defer closeQuietly(response.Body)
 	content, err := io.ReadAll(response.Body)
 	if err != nil || len(content) == 0 {
 		f.problem("%s does not tell %s: %d bytes, %v", n.name, path, len(content), err)
@@ -135,12 +134,12 @@
 
 // checkRejection sends a message and looks at all that comes back. That nothing does is no fault here.
 func (f *fleet) checkRejection(n *node, message string) {
-	connection, err := net.DialTimeout("tcp", n.address(portCallers), time.Second)
+	connection, err := f.dial(n.address(portCallers))
 	if err != nil {
 		f.problem("%s takes no connection: %v", n.name, err)
 		return
 	}
-	defer connection.Close()
+	defer closeQuietly(connection)
 	if !write(connection, message) || connection.SetReadDeadline(time.Now().Add(2*time.Second)) != nil {
 		return
 	}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -126,7 +126,7 @@
 		return nil, err
 	}
 	f.settings.Logf("all nodes are ready")
-	f.playTraffic(f.operator)
+	f.playTraffic(living, f.operator)
 	end()
 	f.endEngines()
 	f.work.Wait()
@@ -138,8 +138,8 @@
 }
 
 // playTraffic plays the span with its troubles, the closing fault and the time after it.
-func (f *fleet) playTraffic(operator *operator) {
-	traffic, endTraffic := context.WithCancel(f.context)
+func (f *fleet) playTraffic(ctx context.Context, operator *operator) {
+	traffic, endTraffic := context.WithCancel(ctx)
 	defer endTraffic()
 	var chores sync.WaitGroup
 	chores.Go(func() { f.watchReadiness(traffic) })
@@ -154,13 +154,13 @@
 	f.runPlan(draw(f.settings.Seed, f.settings.Span))
 	endOrders()
 	orders.Wait()
-	f.playClosing(operator)
+	f.playClosing(ctx, operator)
 	endTraffic()
 	f.calls.Wait()
 	chores.Wait()
-	operator.readBack()
-	f.inspectNodes()
-	f.checkSecrets()
+	operator.readBack(ctx)
+	f.inspectNodes(ctx)
+	f.checkSecrets(ctx)
 }
 
 func (f *fleet) recordEvent(event checker.RoutedEvent) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -28,9 +28,10 @@
 var hardProblems = append([]string{"ended by itself", "invariant_violations", "was refused with", "can't be read", "does not tell", "a key"}, childprocess.LogMarks()...)
 
 func TestAShortSoakOfDeployedNodes(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	program := filepath.Join(t.TempDir(), "dunlinloom")
-	out, err := exec.Command("go", "build", "-race", "-tags", "faults", "-o", program, "dunlinloom/cmd/dunlinloom").CombinedOutput()
+	out, err := exec.CommandContext(context.Background(), "go", "build", "-race", "-tags", "faults", "-o", program, "dunlinloom/cmd/dunlinloom").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
 	for i, name := range []string{"without tenants", "with tenants"} {
 		t.Run(name, func(t *testing.T) {
--- a/test/summary/page.go
+++ b/test/summary/page.go
@@ -64,39 +64,51 @@
 		fmt.Fprintf(&text, "  %s\n", problem)
 	}
 	text.WriteByte('\n')
-	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
-	for _, fact := range p.Facts {
-		fmt.Fprintf(table, "%s\t%s\n", fact.Name, fact.Text)
+	if err := writeTable(&text, p.rows()); err != nil {
+		return err
 	}
-	p.writeFaults(table)
-	if err := table.Flush(); err != nil {
+	if _, err := io.WriteString(to, text.String()); err != nil {
 		return fmt.Errorf("write the page: %w", err)
 	}
-	if _, err := io.WriteString(to, text.String()); err != nil {
+	return nil
+}
+
+// writeTable writes rows whose cells stand apart by tabs, in columns.
+func writeTable(to io.Writer, rows string) error {
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(table, rows); err != nil {
+		return fmt.Errorf("write the page: %w", err)
+	}
+	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write the page: %w", err)
 	}
 	return nil
 }
 
-// writeFaults writes what each fault cost, the costliest first.
-func (p *Page) writeFaults(to io.Writer) {
+// rows gives the facts, and what each fault cost, the costliest first.
+func (p *Page) rows() string {
+	var rows strings.Builder
+	for _, fact := range p.Facts {
+		fmt.Fprintf(&rows, "%s\t%s\n", fact.Name, fact.Text)
+	}
 	if len(p.Faults) == 0 {
-		return
+		return rows.String()
 	}
 	faults := append([]checker.FaultCost(nil), p.Faults...)
 	sort.SliceStable(faults, func(a, b int) bool { return faults[a].Unserved > faults[b].Unserved })
-	fmt.Fprint(to, "\nfault\tstruck at\tnot served after it\tlast one not served after\n")
+	rows.WriteString("\nfault\tstruck at\tnot served after it\tlast one not served after\n")
 	for i, fault := range faults {
 		if i == maxShown {
-			fmt.Fprintf(to, "and %d more\n", len(faults)-i)
-			return
+			fmt.Fprintf(&rows, "and %d more\n", len(faults)-i)
+			break
 		}
 		after := "-"
 		if fault.Unserved > 0 {
 			after = Span(fault.LastAfter)
 		}
-		fmt.Fprintf(to, "%s\t%s\t%d\t%s\n", fault.Fault, Span(fault.At), fault.Unserved, after)
+		fmt.Fprintf(&rows, "%s\t%s\t%d\t%s\n", fault.Fault, Span(fault.At), fault.Unserved, after)
 	}
+	return rows.String()
 }
 
 // Span writes a time with its unit.
