--- a/test/checker/rules.go
+++ b/test/checker/rules.go
@@ -1,5 +1,8 @@
 package checker
 
+// InvariantMetric counts the violations that a node finds itself, with the invariant as its label.
+const InvariantMetric = "dunlinloom_invariant_violations_total"
+
 // FleetRules are the rules that Check judges, but for HistoryUndecided, which is no rule of the fleet.
 func FleetRules() []Rule {
 	return []Rule{
--- a/test/localfleet/report.go
+++ b/test/localfleet/report.go
@@ -150,16 +150,13 @@
 	}
 }
 
-// invariantMetric counts the violations that a node finds itself, with the invariant as its label.
-const invariantMetric = "dunlinloom_invariant_violations_total"
-
 // checkNodes records what the nodes tell of faults within themselves: in their metrics and in their logs.
 func (cluster *Cluster) checkNodes() {
 	isCounted := false
 	cluster.lock.Lock()
 	for _, counters := range cluster.counters {
 		for name, value := range counters {
-			isInvariant := strings.HasPrefix(name, invariantMetric)
+			isInvariant := strings.HasPrefix(name, checker.InvariantMetric)
 			isCounted = isCounted || isInvariant
 			if isInvariant && value > 0 {
 				cluster.failures = append(cluster.failures, fmt.Sprintf("%s is %v", name, value))
@@ -168,7 +165,7 @@
 	}
 	cluster.lock.Unlock()
 	if !isCounted {
-		cluster.addFailure("no node tells its %s", invariantMetric)
+		cluster.addFailure("no node tells its %s", checker.InvariantMetric)
 	}
 	faults, err := childprocess.ScanLogs(cluster.folder)
 	if err != nil {
--- a/test/localfleet/verdict_test.go
+++ b/test/localfleet/verdict_test.go
@@ -79,7 +79,7 @@
 }
 
 func TestFaultsThatNodesTellOfThemselvesAreProblems(t *testing.T) {
-	const counted = invariantMetric + `{invariant="runs_once"}`
+	const counted = checker.InvariantMetric + `{invariant="runs_once"}`
 	for _, example := range []struct {
 		name     string
 		counters map[string]float64
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -158,9 +158,6 @@
 	}
 }
 
-// invariantMetric counts the violations that a node finds itself, with the invariant as its label.
-const invariantMetric = "dunlinloom_invariant_violations_total"
-
 // notAtRest tells what of a node's figures is not as it has to be.
 func (f *fleet) notAtRest(ctx context.Context, n *node) []string {
 	figures, err := f.figuresOf(ctx, n)
@@ -169,14 +166,14 @@
 	}
 	wrong, isCounted := []string{}, false
 	for name, value := range figures {
-		isInvariant := strings.HasPrefix(name, invariantMetric)
+		isInvariant := strings.HasPrefix(name, checker.InvariantMetric)
 		isCounted = isCounted || isInvariant
 		if isInvariant && value > 0 {
 			wrong = append(wrong, fmt.Sprintf("%s is %v", name, value))
 		}
 	}
 	if !isCounted {
-		wrong = append(wrong, "it does not tell its "+invariantMetric)
+		wrong = append(wrong, "it does not tell its "+checker.InvariantMetric)
 	}
 	for _, name := range atRest {
 		if value, isThere := figures[name]; !isThere || value != 0 {
