Quota given back late returns to the bucket: it was spent beside the refill

What a router gave back after its spending had been reported was added to its credits, while the allocator had refilled the bucket in its place. Change: before the next quota request it goes to the credits as before; later it returns with that request to the bucket, whose level takes no more than there is room for. No message changes.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -77,7 +77,7 @@
 	if other := a.credits[creditKey{tenant, !key.isLarge}]; other != nil && now-max(credits.exhaustedUntil, other.exhaustedUntil) > pressureSpan {
 		credits.borrow(other, cost-credits.balance)
 	}
-	ticket = &Ticket{key: key, cost: cost, epoch: a.epoch, Done: make(chan struct{})}
+	ticket = &Ticket{key: key, cost: cost, epoch: a.epoch, grantedSeq: a.seq, Done: make(chan struct{})}
 	switch {
 	case credits.balance >= cost:
 		// It may overtake larger pending claims: the balance does not suffice for them in any case.
@@ -151,7 +151,7 @@
 	return max(failoverSpan-(now-a.unansweredAt), minBackoff) + kernel.Micros(a.retryIndex%retrySlots)*retrySlotInterval
 }
 
-// Refund returns the cost of a granted ticket to the balance. The caller has proof that the request did
+// Refund returns the cost of a granted ticket: to the balance, or to the bucket once its spending was reported. The caller has proof that the request did
 // not run and never will. Credits that have expired since the grant are not refunded.
 func (a *Account) Refund(now kernel.Micros, ticket *Ticket) {
 	a.lock.Lock()
@@ -162,11 +162,17 @@
 		return
 	}
 	ticket.outcome = NoAllocator
+	if ticket.grantedSeq != a.seq {
+		// The allocator was told that it is spent, and may have refilled the bucket since. It returns to the level with the
+		// next quota request, as far as there is room; here it could be spent beside the refill.
+		credits.used -= ticket.cost
+		return
+	}
 	credits.charge(-ticket.cost)
 	if a.isWithinShares {
 		a.trim(ticket.key.tenant)
 	}
-	credits.grantPending(a.epoch)
+	credits.grantPending(a.epoch, a.seq)
 }
 
 // Charge takes the cost of a granted ticket once more, even beyond the balance: a request that may have
@@ -278,7 +284,7 @@
 		if credits == nil {
 			continue
 		}
-		credits.grantPending(a.epoch)
+		credits.grantPending(a.epoch, a.seq)
 		if item.RetryAfter > 0 {
 			credits.exhaustedUntil = now + item.RetryAfter
 			credits.rejectPending(grant.Seq, item.RetryAfter)
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -220,6 +220,8 @@
 	}
 	b.outstanding += item.Balance - known.outstanding
 	known.outstanding, known.used = item.Balance, item.Used
+	// What returns was counted as spent, and its room may be filled: the level takes no more than there is room for.
+	b.level = math.Min(b.level, math.Max(b.capacity-b.outstanding, 0))
 	return known
 }
 
--- a/internal/quota/handover_test.go
+++ b/internal/quota/handover_test.go
@@ -18,6 +18,47 @@
 	allocator *Allocator
 	isCut     bool // the first router reaches no leader
 	spent     float64
+	held      []heldTicket
+}
+
+// heldTicket is a granted claim whose request waits for an engine.
+type heldTicket struct {
+	account int
+	ticket  *Ticket
+	since   kernel.Micros
+}
+
+// hold has every router make claims until one is not granted, holds those that are, and gives back what is held for long.
+func (h *handover) hold(cost float64, longest kernel.Micros) {
+	h.giveBack(longest)
+	for i := range h.accounts {
+		for isGranted := true; isGranted; {
+			ticket, isUrgent := h.accounts[i].Claim(h.now, h.limit.Tenant, cost)
+			if isUrgent {
+				h.exchange(i)
+			}
+			outcome, _ := h.accounts[i].Outcome(ticket)
+			isGranted = outcome == Granted
+			if isGranted {
+				h.held = append(h.held, heldTicket{i, ticket, h.now})
+			} else {
+				h.accounts[i].Abandon(h.now, ticket)
+			}
+		}
+	}
+}
+
+// giveBack refunds the claims that have been held for so long.
+func (h *handover) giveBack(longest kernel.Micros) {
+	kept := h.held[:0]
+	for _, held := range h.held {
+		if h.now-held.since < longest {
+			kept = append(kept, held)
+			continue
+		}
+		h.accounts[held.account].Refund(h.now, held.ticket)
+	}
+	h.held = kept
 }
 
 func newHandover(bounds Bounds, limit Limit, routers int) *handover {
@@ -193,3 +234,39 @@
 		})
 	}
 }
+
+// All engines of a service are gone: requests are granted, held for a while, and given back, while the bucket fills up
+// in their place. When the engines are back, what is granted within a window is no more than ever.
+func TestWhatIsGivenBackLateIsNotSpentBesideARefill(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		bounds  Bounds
+		routers int
+		held    kernel.Micros
+	}{
+		{"held for long", Bounds{Window: 8 * kernel.Second}, 3, 1500 * ms},
+		{"a tenth tolerated", Bounds{Window: 8 * kernel.Second, Over: 0.1}, 3, 1500 * ms},
+		{"many routers", Bounds{Window: 6 * kernel.Second, Over: 0.1}, 12, 2 * kernel.Second},
+		{"held shortly", Bounds{Window: 6 * kernel.Second}, 3, 50 * ms},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			test.bounds.SurplusLifetime = surplusLifetime
+			limit := Limit{"t", 1000, 1000}
+			h := newHandover(test.bounds, limit, test.routers)
+			h.pass(6*kernel.Second, func() { h.hold(10, test.held) })
+			// The engines are back: what is held fails at once, and all else is served.
+			h.giveBack(0)
+			h.spent = 0
+			h.pass(test.bounds.Window, func() {
+				for i := range h.accounts {
+					h.drain(i, 10)
+				}
+			})
+			window := float64(test.bounds.Window) / float64(kernel.Second)
+			allowed := (window*limit.Rate + limit.Burst) * (1 + test.bounds.Over)
+			t.Logf("%.3f of what is tolerated", h.spent/allowed)
+			c.Assert(h.spent <= allowed+10, qt.IsTrue, qt.Commentf("%.0f spent, %.0f are tolerated", h.spent, allowed))
+		})
+	}
+}
--- a/internal/quota/tenant_credits.go
+++ b/internal/quota/tenant_credits.go
@@ -110,11 +110,11 @@
 }
 
 // grantPending grants pending tickets in order of arrival, as far as the credits suffice.
-func (c *tenantCredits) grantPending(epoch uint64) {
+func (c *tenantCredits) grantPending(epoch, seq uint64) {
 	for len(c.pending) > 0 && c.balance >= c.pending[0].cost {
 		ticket := c.pending[0]
 		c.pending = c.pending[1:]
-		ticket.epoch = epoch
+		ticket.epoch, ticket.grantedSeq = epoch, seq
 		c.grant(ticket)
 	}
 }
--- a/internal/quota/ticket.go
+++ b/internal/quota/ticket.go
@@ -20,6 +20,7 @@
 	cost       float64
 	requestSeq uint64 // the newest quota request that reported the claim; zero: none yet
 	epoch      uint64 // of the account when the claim was granted
+	grantedSeq uint64 // the newest quota request when the claim was granted
 	// Done is closed when the outcome is no longer Pending.
 	Done       chan struct{}
 	outcome    Outcome
--- a/test/simulator/routed_tenants_test.go
+++ b/test/simulator/routed_tenants_test.go
@@ -14,6 +14,7 @@
 	{}, {"revoke"}, {"hot-tenant"}, {"cut-router"}, {"leader"},
 	{"revoke", "cut-router"}, {"revoke", "revoke"}, {"hot-tenant", "cut-router"}, {"hot-tenant", "leader"}, {"leader", "cut-router"},
 	{"revoke", "stop"}, {"revoke", "crash"}, {"hot-tenant", "lost"}, {"hot-tenant", "router-crash"}, {"leader", "full"},
+	{"hot-tenant", "all-crash"},
 }
 
 const tenantSeeds = 4 // of each set of troubles
