--- a/test/checker/costs.go
+++ b/test/checker/costs.go
@@ -47,20 +47,12 @@
 
 // FaultCosts gives each fault with what it cost.
 func FaultCosts(events []Event) []FaultCost {
-	faults, unserved := []struck{}, []kernel.Micros{}
-	start := kernel.Micros(0)
+	found := costs{}
 	for _, event := range events {
-		if start == 0 || event.At < start {
-			start = event.At
-		}
-		switch {
-		case event.EventKind == FaultInjected:
-			faults = append(faults, struck{event.Reason, event.At})
-		case event.EventKind == CallEnded && event.Outcome != Served && event.Outcome != Abandoned:
-			unserved = append(unserved, event.At)
-		}
+		found.note(event.At, event.EventKind == FaultInjected, event.Reason,
+			event.EventKind == CallEnded && event.Outcome != Served && event.Outcome != Abandoned)
 	}
-	return costsOf(faults, unserved, start)
+	return found.ofFaults()
 }
 
 // RoutedFirstChunkLatency is how long callers waited for the first event of streams that were served.
@@ -81,20 +73,20 @@
 
 // RoutedFaultCosts gives each fault with the attempts after it that were not served.
 func RoutedFaultCosts(events []RoutedEvent) []FaultCost {
-	faults, unserved := []struck{}, []kernel.Micros{}
-	start := kernel.Micros(0)
+	found := costs{}
 	for _, event := range events {
-		if start == 0 || event.At < start {
-			start = event.At
-		}
-		switch {
-		case event.EventKind == FaultStarted:
-			faults = append(faults, struck{event.Why, event.At})
-		case event.EventKind == AttemptEnded && event.Ending != Canceled && (event.Ending != Complete || !isSuccess(event.Status)):
-			unserved = append(unserved, event.At)
-		}
+		isServed := event.Ending == Complete && isSuccess(event.Status)
+		found.note(event.At, event.EventKind == FaultStarted, event.Why,
+			event.EventKind == AttemptEnded && event.Ending != Canceled && !isServed)
 	}
-	return costsOf(faults, unserved, start)
+	return found.ofFaults()
+}
+
+// costs gathers the faults of a run and when calls ended unserved.
+type costs struct {
+	start    kernel.Micros // of the first event
+	faults   []struck
+	unserved []kernel.Micros
 }
 
 // struck is a fault and when it began.
@@ -103,18 +95,31 @@
 	at   kernel.Micros
 }
 
-// costsOf counts what ended unserved within causeSpan after each fault.
-func costsOf(faults []struck, unserved []kernel.Micros, start kernel.Micros) []FaultCost {
-	costs := []FaultCost{}
-	for _, fault := range faults {
-		cost := FaultCost{Fault: fault.name, At: fault.at - start}
-		for _, at := range unserved {
+// note takes one event: a fault of that name, a call that ended unserved, or neither.
+func (c *costs) note(at kernel.Micros, isFault bool, name string, isUnserved bool) {
+	if c.start == 0 || at < c.start {
+		c.start = at
+	}
+	switch {
+	case isFault:
+		c.faults = append(c.faults, struck{name, at})
+	case isUnserved:
+		c.unserved = append(c.unserved, at)
+	}
+}
+
+// ofFaults counts what ended unserved within causeSpan after each fault.
+func (c *costs) ofFaults() []FaultCost {
+	found := []FaultCost{}
+	for _, fault := range c.faults {
+		cost := FaultCost{Fault: fault.name, At: fault.at - c.start}
+		for _, at := range c.unserved {
 			if after := at - fault.at; after >= 0 && after <= causeSpan {
 				cost.Unserved++
 				cost.LastAfter = max(cost.LastAfter, after)
 			}
 		}
-		costs = append(costs, cost)
+		found = append(found, cost)
 	}
-	return costs
+	return found
 }
