Routing tables are made only for news, and reuse what did not change

Cause: every report of an engine's load and every refreshed node record raises the directory's revision, and for each of them a router made its routing table anew, with maps and sorts over all engines, although neither is part of a routed table.

Change: the builder of routed tables compares what it has read with what it has published, counts the routers only of new node records, and shares its slice of engines between tables. The chooser keeps its slices by service and sorts only what is not in order; tables come in the order of ids. MergeEngines makes its set of known engines only where the configuration names engines, and sorts only where it has to.

Ruled out: to change decisions.

--- a/internal/router/chooser.go
+++ b/internal/router/chooser.go
@@ -15,7 +15,8 @@
 	lock         sync.Mutex
 	retry        RetryBudget
 	routingTable *RoutingTable
-	maxRouters   int // that were ever known to serve at once
+	tableNumber  uint64 // counts routing tables
+	maxRouters   int    // that were ever known to serve at once
 	engines      map[string]*engineState
 	services     map[string][]*engineState // in order of ids
 	budgets      map[string]*budget
--- a/internal/router/engine_state.go
+++ b/internal/router/engine_state.go
@@ -8,6 +8,7 @@
 // the engine, and its health.
 type engineState struct {
 	engine          Engine
+	tableNumber     uint64 // of the newest routing table that has it
 	attempts        map[*Attempt]bool
 	tokens          int64 // outstanding, of own attempts
 	failures        int
--- a/internal/router/routing_table.go
+++ b/internal/router/routing_table.go
@@ -35,23 +35,33 @@
 	c.routingTable = routingTable
 	// Routers that are partitioned are missing in each other's tables, and go on with their part of the budget.
 	c.maxRouters = max(c.maxRouters, routingTable.Routers)
-	c.services = map[string][]*engineState{}
-	known := make(map[string]bool, len(routingTable.Engines))
+	c.tableNumber++
+	for service, states := range c.services {
+		c.services[service] = states[:0]
+	}
 	for _, engine := range routingTable.Engines {
-		known[engine.ID] = true
 		c.services[engine.Service] = append(c.services[engine.Service], c.updateEngine(engine))
 	}
 	for id, state := range c.engines {
-		if !known[id] && len(state.attempts) == 0 {
+		if state.tableNumber != c.tableNumber && len(state.attempts) == 0 {
 			delete(c.engines, id)
 		}
 	}
-	for _, states := range c.services {
-		// One order on every router, so that they all have the same engine for a prefix.
-		slices.SortFunc(states, func(a, b *engineState) int { return strings.Compare(a.engine.ID, b.engine.ID) })
+	for service, states := range c.services {
+		// What the slice held before must not outlive its engine.
+		clear(states[len(states):cap(states)])
+		if len(states) == 0 {
+			delete(c.services, service)
+		}
+		// One order on every router, so that they all have the same engine for a prefix. Tables come in this order.
+		if !slices.IsSortedFunc(states, compareIDs) {
+			slices.SortFunc(states, compareIDs)
+		}
 	}
 }
 
+func compareIDs(one, other *engineState) int { return strings.Compare(one.engine.ID, other.engine.ID) }
+
 // updateEngine gives the state of an engine of a new routing table.
 func (c *Chooser) updateEngine(engine Engine) *engineState {
 	state := c.engines[engine.ID]
@@ -62,7 +72,7 @@
 	if state.engine.IsUnresponsive && !engine.IsUnresponsive {
 		state.failures, state.ejectedUntil = 0, 0
 	}
-	state.engine = engine
+	state.engine, state.tableNumber = engine, c.tableNumber
 	return state
 }
 
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"dunlinloom/internal/control"
+	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/router"
@@ -63,46 +66,76 @@
 	config         *fleetconfig.Config
 	configRevision uint64
 	engineRevision uint64
-	routers        int
-	isPublished    bool
+	engines        []router.Engine // of engineRevision; shared with the tables, so never changed
+	nodes          []registry.NodeRecord
+	routers        int // among nodes
+	published      *router.RoutingTable
 }
 
-// routingTable gives the next routing table, or nil when nothing changed that routing depends on.
+// routingTable gives the next routing table, or nil when nothing changed that routing depends on. Most changes of
+// engines are new reports on their load, which the data plane has from the engines themselves.
 func (r *routeTableBuilder) routingTable(state *control.State) *router.RoutingTable {
-	routers := 0
-	for _, node := range state.Nodes {
-		if node.IsRouter {
-			routers++
-		}
+	r.readConfig(state.Document)
+	r.readEngines(state)
+	next := &router.RoutingTable{Config: r.config, Engines: r.engines, Routers: max(r.countRouters(state), 1)}
+	if r.published != nil && next.Config == r.published.Config && next.Routers == r.published.Routers && slices.Equal(next.Engines, r.published.Engines) {
+		return nil
 	}
-	revision := uint64(0)
-	if state.Document != nil {
-		// One that was restarted while it is cut off knows no other router, but by the document
-		// on its disk the other members.
-		routers = max(routers, len(state.Document.Voters))
-		revision = state.Document.ConfigRevision
+	r.published = next
+	return next
+}
+
+// readConfig reads a document's configuration, unless it did so before.
+func (r *routeTableBuilder) readConfig(document *cluster.Document) {
+	if document == nil || document.ConfigRevision == r.configRevision {
+		return
 	}
-	if r.isPublished && revision == r.configRevision && state.EngineRev == r.engineRevision && routers == r.routers {
-		return nil
+	r.configRevision = document.ConfigRevision
+	config, err := r.compiler.Read(document.Config)
+	if err == nil {
+		// One that can't be read here was read by the leader; the older one must not
+		// outlive it, but there is nothing else to go by.
+		r.config = config
 	}
-	if revision != r.configRevision {
-		config, err := r.compiler.Read(state.Document.Config)
-		if err == nil {
-			// One that can't be read here was read by the leader; the older one must not
-			// outlive it, but there is nothing else to go by.
-			r.config = config
-		}
+}
+
+// readEngines takes a state's engines, unless they are those it has.
+func (r *routeTableBuilder) readEngines(state *control.State) {
+	if r.published != nil && state.EngineRev == r.engineRevision {
+		return
 	}
-	r.configRevision, r.engineRevision, r.routers, r.isPublished = revision, state.EngineRev, routers, true
-	routingTable := &router.RoutingTable{Config: r.config, Routers: max(routers, 1)}
+	r.engineRevision = state.EngineRev
+	engines := make([]router.Engine, 0, len(state.Engines))
 	for _, engine := range state.Engines {
 		if engine.IsUnlisted || engine.Address == "" {
 			continue
 		}
-		routingTable.Engines = append(routingTable.Engines, router.Engine{
+		engines = append(engines, router.Engine{
 			ID: engine.ID, Address: engine.Address, Zone: engine.Zone, Service: engine.Pool, Slots: engine.Slots,
 			IsDraining: engine.IsDraining, IsUnresponsive: engine.IsUnresponsive,
 		})
 	}
-	return routingTable
+	r.engines = engines
+}
+
+// countRouters counts the routers of a state's node records and, where there are more, the members of its document: a
+// node that was restarted while it is cut off knows no other router, but by the document on its disk the other members.
+func (r *routeTableBuilder) countRouters(state *control.State) int {
+	if !isSameSlice(state.Nodes, r.nodes) {
+		r.nodes, r.routers = state.Nodes, 0
+		for _, node := range state.Nodes {
+			if node.IsRouter {
+				r.routers++
+			}
+		}
+	}
+	if state.Document == nil {
+		return r.routers
+	}
+	return max(r.routers, len(state.Document.Voters))
+}
+
+// isSameSlice tells whether two slices are the same elements in memory. States share the parts that did not change.
+func isSameSlice[T any](one, other []T) bool {
+	return len(one) == len(other) && (len(one) == 0 || &one[0] == &other[0])
 }
--- a/internal/server/routing_table.go
+++ b/internal/server/routing_table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/registry"
@@ -25,20 +26,33 @@
 	lapseReason              string
 }
 
-// RoutingTable gives the next routing table, or nil when nothing changed that routing depends on.
+// RoutingTable gives the next routing table, or nil when nothing changed that routing depends on. The error says that
+// the configuration can't be read.
 func (b *TableBuilder) RoutingTable(state *control.State) (*relay.RoutingTable, error) {
+	err := b.readConfig(state)
+	return b.build(state), err
+}
+
+// readConfig reads the configuration of a state, unless it did so before: a large one is compiled once, not at every
+// change of something else.
+func (b *TableBuilder) readConfig(state *control.State) error {
+	if state.Document == nil || state.Document.ConfigRevision == b.configRevision {
+		return nil
+	}
+	b.configRevision = state.Document.ConfigRevision
+	var err error
+	b.config, err = b.Compiler.Read(state.Document.Config)
+	return err
+}
+
+// build gives the next routing table under the configuration that was read last, or nil when nothing changed.
+func (b *TableBuilder) build(state *control.State) *relay.RoutingTable {
 	mark := tableVersion{0, state.EngineRev, state.Until, state.LapseReason}
-	var failed error
 	if state.Document != nil {
 		mark.revision = state.Document.Revision
-		// A large configuration is compiled once, not at every change of something else.
-		if state.Document.ConfigRevision != b.configRevision {
-			b.configRevision = state.Document.ConfigRevision
-			b.config, failed = b.Compiler.Read(state.Document.Config)
-		}
 	}
 	if mark == b.published {
-		return nil, failed
+		return nil
 	}
 	b.published = mark
 	routingTable := &relay.RoutingTable{Config: b.config, Drained: map[string]bool{}, LeaseUntil: state.Until, LeaseLapseReason: state.LapseReason}
@@ -55,7 +69,7 @@
 			routingTable.Engines[i].IsDraining = engine.IsDraining || isMarked && engine.Start <= mark.Start
 		}
 	}
-	return routingTable, failed
+	return routingTable
 }
 
 // engineOf gives a record of the control plane as the data plane knows engines.
@@ -73,9 +87,8 @@
 
 // MergeEngines joins the engines that the configuration names with those that the control plane knows.
 func MergeEngines(config *fleetconfig.Config, records []registry.EngineRecord) []relay.Engine {
-	engines, known := []relay.Engine{}, map[string]bool{}
+	engines := make([]relay.Engine, 0, len(records))
 	for _, record := range records {
-		known[record.ID] = true
 		engine := engineOf(record)
 		if config != nil {
 			named := config.Engines[record.ID]
@@ -89,19 +102,29 @@
 		}
 		engines = append(engines, engine)
 	}
-	if config != nil {
-		for id, named := range config.Engines {
-			if !known[id] && named.Address != "" {
-				engines = append(engines, relay.Engine{ID: id, Address: named.Address, Zone: named.Zone, Pool: named.Pool})
-			}
-		}
+	if config != nil && len(config.Engines) > 0 {
+		engines = append(engines, unreportedEngines(config, records)...)
 	}
-	// One order on every node: ties in the policy are broken by it.
-	slices.SortFunc(engines, func(a, b relay.Engine) int {
-		if a.ID < b.ID {
-			return -1
+	// One order on every node: ties in the policy are broken by it. Records come in this order.
+	if !slices.IsSortedFunc(engines, compareIDs) {
+		slices.SortFunc(engines, compareIDs)
+	}
+	return engines
+}
+
+// unreportedEngines are the engines that the configuration names and the control plane does not know.
+func unreportedEngines(config *fleetconfig.Config, records []registry.EngineRecord) []relay.Engine {
+	known := make(map[string]bool, len(records))
+	for _, record := range records {
+		known[record.ID] = true
+	}
+	engines := []relay.Engine{}
+	for id, named := range config.Engines {
+		if !known[id] && named.Address != "" {
+			engines = append(engines, relay.Engine{ID: id, Address: named.Address, Zone: named.Zone, Pool: named.Pool})
 		}
-		return 1
-	})
+	}
 	return engines
 }
+
+func compareIDs(one, other relay.Engine) int { return strings.Compare(one.ID, other.ID) }
