The control plane's loop takes queued events in turns and publishes once a turn

Cause: after each event the loop made the node's state (copies of all engines and nodes), the table of bindings and the routed table. A fleet's start or an exchange of many engines brings hundreds of events at once, and a deployment serves no bindings.

Change: a turn takes what is queued, at most 64 events or 5 ms, from ticks, messages and requests by turns; it publishes the state once, and then carries out the commands. The table of bindings is made only where a dispatcher takes it; the configuration is read everywhere as before, so that one that can't be read is logged.

Invariant: nothing that confirms a state (an answer to a push, a lease request with the applied revision, a reply, an engine's registration) leaves before the data plane has that state. This is stricter than before, when it left just before. No event is handled later for it; a command waits at most for the rest of its turn. Ticks have their turn as the two queues have, in place of a draw. owners_longest_us is the longest turn now, not the longest event.

Ruled out: a pause to gather more events, which would delay each of them.

Tests: order of publication and commands, bounds of a turn, turns of the sources, end.

--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -120,7 +120,7 @@
 		m.sample("generation", state.Document.Revision)
 		m.sample("spec_generation", state.Document.ConfigRevision)
 	}
-	m.sample("owners_longest_us", f.runner.LongestEvent())
+	m.sample("owners_longest_us", f.runner.LongestTurn())
 	m.sample("engines_known", len(state.Engines))
 	m.sample("engines_usable", countUsable(state.Engines))
 	if state.Health != nil {
--- a/internal/server/doc.go
+++ b/internal/server/doc.go
@@ -14,8 +14,8 @@
 //   - deployment.go: what a deployment is made of; deployment_process.go, deployment_serve.go,
 //     deployment_metrics.go, deployment_shutdown.go: its process; services.go: what its handlers get
 //   - waiting.go and dialing.go: what both kinds of process use
-//   - runner.go: the loop that owns the node; runner_calls.go and submissions.go: calls into it that wait for a
-//     reply; engine_probe.go and platform_list.go: what it learns of engines by itself
+//   - runner.go: the shell round the node, and how it carries out commands; runner_loop.go: the loop that owns the
+//     node; runner_calls.go and submissions.go: calls into it that wait for a reply; engine_probe.go and platform_list.go: what it learns of engines by itself
 //   - channel.go: connections to other nodes; archiver.go: the object store of past configurations
 //   - api.go and api_*.go: the public HTTP interface; core_view.go: the core as operators see it
 //   - callers.go, routing_table.go and quota.go: from the control plane's state to the data planes
@@ -27,7 +27,9 @@
 //   - Runner.Run: the control.Node, the TableBuilder and the routing tables of a deployment. Every other
 //     goroutine reaches the node by an event in Runner's queue, which waits while the queue is full. Of the
 //     node's methods only Validate, ContactSpan and TickInterval are called beside it: they read what does
-//     not change. The function given to Runner.Watch runs in it and must not wait.
+//     not change. The function given to Runner.Watch runs in it and must not wait. A turn of the loop takes
+//     what is queued, within bounds, publishes the state once, and only then carries out the commands: what
+//     confirms a state leaves after the data plane has it.
 //   - Beside Runner.Run, started by it and awaited at its end: one goroutine for writes and reads of the
 //     data folder in their order, one for snapshots, one that fetches the platform's list, one that probes
 //     engines. A stalled disk or a slow engine holds up none of the others. A configuration is compiled, and a
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
@@ -29,7 +28,8 @@
 
 	// queue holds messages of other nodes and what this node's own work led to; requests holds what engines, operators
 	// and callers ask for. The loop takes from both in turn, so that a flood of requests leaves the core its share.
-	queue, requests chan func() []commands.Command
+	queue, requests chan event
+	nextSource      eventSource // the loop's own
 	// What goes to the disk, in order: commands.Save, LoadConfig or SaveHistory.
 	saves chan commands.Command
 	// Snapshots go to the disk beside those: nothing waits for one.
@@ -45,8 +45,8 @@
 	reads         map[uint64]chan *cluster.Document
 	nextToken     uint64
 
-	// longestEvent is the longest that one event has held the owners up, in microseconds.
-	longestEvent atomic.Int64
+	// longestTurn is the longest that one turn of the loop has held the owners up, in microseconds.
+	longestTurn atomic.Int64
 	// grantedAt is control.Node.GrantedAt after the last event, freshAt control.Node.FreshAt.
 	grantedAt    atomic.Int64
 	freshAt      atomic.Int64
@@ -74,7 +74,7 @@
 func NewRunner(env kernel.Env, node *control.Node, store *storage.Store, connections *Connections, dispatcher *relay.Dispatcher, compiler *fleetconfig.Compiler, platform string) *Runner {
 	r := &Runner{
 		env: env, node: node, store: store, sender: connections, dispatcher: dispatcher, platform: platform,
-		queue: make(chan func() []commands.Command, 1024), requests: make(chan func() []commands.Command, 1024), saves: make(chan commands.Command, 256), snapshots: make(chan control.SaveSnapshot, 1),
+		queue: make(chan event, 1024), requests: make(chan event, 1024), saves: make(chan commands.Command, 256), snapshots: make(chan control.SaveSnapshot, 1),
 		openSubmissions: map[string]*openSubmission{},
 		registrations:   map[uint64]chan control.Registered{}, reads: map[uint64]chan *cluster.Document{},
 		// At random, so that an answer to an earlier incarnation is nobody's here; the time of day
@@ -120,67 +120,19 @@
 	r.post(func() []commands.Command { return r.node.Unreadable(r.env.Clock.Now(), from, err) })
 }
 
-func (r *Runner) post(event func() []commands.Command) { r.postTo(r.queue, event) }
+func (r *Runner) post(event event) { r.postTo(r.queue, event) }
 
 // postRequest posts what an engine, an operator or a caller asks for. Those that belong together, as a read and its
 // cancelation, keep their order.
-func (r *Runner) postRequest(event func() []commands.Command) { r.postTo(r.requests, event) }
+func (r *Runner) postRequest(event event) { r.postTo(r.requests, event) }
 
-func (r *Runner) postTo(queue chan func() []commands.Command, event func() []commands.Command) {
+func (r *Runner) postTo(queue chan event, event event) {
 	select {
 	case queue <- event:
 	case <-r.env.Done():
 	}
 }
 
-// Run turns events into commands until the environment ends.
-func (r *Runner) Run() {
-	var workers sync.WaitGroup
-	defer workers.Wait()
-	if r.store != nil {
-		workers.Go(r.runSaves)
-		workers.Go(r.runSnapshots)
-	}
-	if r.platform != "" {
-		workers.Go(r.pollPlatform)
-	}
-	if !r.NoProbes {
-		workers.Go(r.probeEngines)
-	}
-	ticker := time.NewTicker(r.node.TickInterval().Duration())
-	defer ticker.Stop()
-	// The first turn comes at once: the fleet is to hear that this node is there.
-	go r.post(func() []commands.Command { return r.node.Tick(r.env.Clock.Now()) })
-	for {
-		var out []commands.Command
-		var startedAt kernel.Micros
-		select {
-		case <-r.env.Done():
-			return
-		case event := <-r.queue:
-			startedAt = r.env.Clock.Now()
-			out = event()
-		case event := <-r.requests:
-			startedAt = r.env.Clock.Now()
-			out = event()
-		case <-ticker.C:
-			startedAt = r.env.Clock.Now()
-			out = r.node.Tick(startedAt)
-		}
-		for _, command := range out {
-			r.carryOut(command)
-		}
-		r.publish()
-		r.grantedAt.Store(int64(r.node.GrantedAt()))
-		// After what it speaks of has been published.
-		r.freshAt.Store(int64(r.node.FreshAt()))
-		r.longestEvent.Store(max(r.longestEvent.Load(), int64(r.env.Clock.Now()-startedAt)))
-	}
-}
-
-// LongestEvent is the longest that one event has held the owners up so far.
-func (r *Runner) LongestEvent() kernel.Micros { return kernel.Micros(r.longestEvent.Load()) }
-
 // IsInTouch tells whether a leader has answered one of this node's recent requests. What was committed
 // since may still be unknown here.
 func (r *Runner) IsInTouch() bool {
@@ -308,25 +260,3 @@
 		r.post(func() []commands.Command { return r.node.HistoryStored(r.env.Clock.Now(), outcome) })
 	}
 }
-
-func (r *Runner) publish() {
-	earlier := r.state.Load()
-	state := r.node.State(earlier)
-	if state == earlier && r.isPublished {
-		return
-	}
-	r.isPublished = true
-	r.state.Store(state)
-	if show := r.watcher.Load(); show != nil {
-		(*show)(state)
-	}
-	routingTable, err := r.tableBuilder.RoutingTable(state)
-	if err != nil {
-		// The leader checked it; only a node of another build can get here. Serving
-		// by a configuration that is no longer in force would be worse than not serving.
-		r.env.Log.Error(err, "a committed configuration can't be read here")
-	}
-	if routingTable != nil && r.dispatcher != nil {
-		r.dispatcher.SetRoutingTable(routingTable)
-	}
-}
