--- a/internal/relay/policy_test.go
+++ b/internal/relay/policy_test.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"encoding/binary"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -101,3 +105,32 @@
 	c.Assert(PrefixHash(long, 64), qt.Not(qt.Equals), PrefixHash(other, 64))
 	c.Assert(PrefixHash(long[:10], 64), qt.Not(qt.Equals), PrefixHash(long, 64))
 }
+
+// The engine of a slot is that of the highest score, computed for every candidate.
+func TestPreferredHasTheHighestScore(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for round := range 3000 {
+		candidates := []Candidate{}
+		for i := range 1 + random.IntN(300) {
+			weight := uint32(1)
+			if round%3 == 0 {
+				weight = 1 + random.Uint32N(4)
+			}
+			candidates = append(candidates, Candidate{ID: fmt.Sprintf("an engine with a long name of service %d, number %d", random.IntN(9), i), Weight: weight})
+		}
+		slot := random.Uint32N(slotCount)
+		expected, highest := -1, math.Inf(-1)
+		for i, candidate := range candidates {
+			digest := xxhash.New()
+			_, _ = digest.WriteString(candidate.ID)
+			_, _ = digest.Write(binary.LittleEndian.AppendUint32(nil, slot))
+			draw := (float64(digest.Sum64()>>11) + 0.5) / (1 << 53)
+			if score := float64(candidate.Weight) / -math.Log(draw); score > highest {
+				expected, highest = i, score
+			}
+		}
+		c.Assert(Preferred(slot, candidates), qt.Equals, expected)
+	}
+	c.Assert(Preferred(1, nil), qt.Equals, -1)
+}
--- a/internal/router/chooser.go
+++ b/internal/router/chooser.go
@@ -19,6 +19,7 @@
 	maxRouters   int    // that were ever known to serve at once
 	engines      map[string]*engineState
 	services     map[string][]*engineState // in order of ids
+	buffers      candidateBuffers
 	budgets      map[string]*budget
 	depths       prefixDepths
 	splits       map[*fleetconfig.Route]*splitShares // of the configuration in force
--- a/internal/router/load.go
+++ b/internal/router/load.go
@@ -18,6 +18,9 @@
 // current is the prompt of the request that an engine is working on, which the source adds
 // to the load once more; the oldest of ours that waits for its first event is taken for it.
 func (s *engineState) current() int64 {
+	if len(s.attempts) == 0 {
+		return 0
+	}
 	var oldest *Attempt
 	for attempt := range s.attempts {
 		if !attempt.hasHead && (oldest == nil || attempt.isBefore(oldest)) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -47,7 +47,8 @@
 	truncated     atomic.Uint64
 	isStopping    atomic.Bool
 	failures      failureLog
-	buffers       sync.Pool
+	buffers       sync.Pool // of messages to engines
+	copyBuffers   sync.Pool // of copyBufferBytes each
 	endMarks      endMarks
 }
 
@@ -161,6 +162,7 @@
 	rt.setWriteTimeout(w, request.Deadline+deadlineGrace-rt.Env.Clock.Now())
 	answer := &answer{router: rt, w: w, r: r, control: http.NewResponseController(w), call: call}
 	answer.events.lastID = request.LastEvent
+	defer answer.releaseBuffer()
 	for {
 		engine := call.Attempt.Engine
 		result := rt.attempt(ctx, answer, body)
--- a/internal/router/selection.go
+++ b/internal/router/selection.go
@@ -33,8 +33,17 @@
 	return candidates, states
 }
 
-// candidates sorts the engines of a call's service that it has not tried into healthy ones and those to avoid.
+// candidateBuffers are the slices that a choice is made from, kept from one choice to the next.
+type candidateBuffers struct {
+	candidates      []relay.Candidate
+	states, avoided []*engineState
+}
+
+// candidates sorts the engines of a call's service that it has not tried into healthy ones and those to avoid. What it
+// gives is valid until the next call.
 func (c *Chooser) candidates(now kernel.Micros, call *Call) (candidates []relay.Candidate, states, avoided []*engineState) {
+	buffers := &c.buffers
+	candidates, states, avoided = buffers.candidates[:0], buffers.states[:0], buffers.avoided[:0]
 	others := c.meanForeignRequests(call.Request.Service)
 	for _, state := range c.services[call.Request.Service] {
 		if state.engine.IsDraining || call.triedEngines[state.engine.ID] {
@@ -47,6 +56,7 @@
 		candidates = append(candidates, c.candidate(now, state, others))
 		states = append(states, state)
 	}
+	buffers.candidates, buffers.states, buffers.avoided = candidates, states, avoided
 	return candidates, states, avoided
 }
 
--- a/internal/router/streaming.go
+++ b/internal/router/streaming.go
@@ -21,10 +21,30 @@
 	control    *http.ResponseController
 	call       *Call
 	events     eventSplitter
-	hasBegun   bool       // the head went out
-	lastSentID string     // the id of the last event that went out
-	idleTimer  *idleTimer // of the attempt under way; nil: its engine may take any time
-	buffer     []byte
+	hasBegun   bool                   // the head went out
+	lastSentID string                 // the id of the last event that went out
+	idleTimer  *idleTimer             // of the attempt under way; nil: its engine may take any time
+	buffer     *[copyBufferBytes]byte // nil until the first response is copied
+}
+
+// releaseBuffer gives the buffer back for other answers.
+func (a *answer) releaseBuffer() {
+	if a.buffer != nil {
+		a.router.copyBuffers.Put(a.buffer)
+		a.buffer = nil
+	}
+}
+
+// takeBuffer has the answer own a buffer until releaseBuffer.
+func (a *answer) takeBuffer() {
+	if a.buffer != nil {
+		return
+	}
+	buffer, isBuffer := a.router.copyBuffers.Get().(*[copyBufferBytes]byte)
+	if !isBuffer {
+		buffer = new([copyBufferBytes]byte)
+	}
+	a.buffer = buffer
 }
 
 // strayEventError says that a stream went on with an event that the caller has had.
@@ -134,9 +154,7 @@
 		tokensPerEvent = max(config.Services[a.call.Request.Service].Stride, 1)
 	}
 	a.events.pending, a.events.hasEndMark, a.events.hasEvents = a.events.pending[:0], false, false
-	if a.buffer == nil {
-		a.buffer = make([]byte, copyBufferBytes)
-	}
+	a.takeBuffer()
 	return &responseCopy{
 		answer: a, response: response, isStream: isEventStream(response), tokensPerEvent: tokensPerEvent,
 		resumedAfter: a.events.lastID, isResuming: a.call.sentAttempts > 1 && a.events.lastID != "",
@@ -146,7 +164,7 @@
 // run copies the body to its end.
 func (c *responseCopy) run() error {
 	for {
-		count, err := c.response.Body.Read(c.buffer)
+		count, err := c.response.Body.Read(c.buffer[:])
 		if count > 0 {
 			if forwardErr := c.forwardChunk(c.buffer[:count]); forwardErr != nil {
 				return forwardErr
