In a large fleet records of nodes stay in their zone, with a count of all routers

Cause: a coordinator told every node of its zone the records of all nodes, each anew every 2 s. At 300 nodes that were 7 KB in each answer, 691 KB/s from a coordinator with 49 nodes in its zone, and 98 % of what a router received.

Change, where routers outlive the core and a coordinator knows more than 48 nodes: a lease request says that its sender needs its own zone's nodes (zone_nodes). The coordinator then leaves out the nodes of other zones but for representatives: the coordinators, three living deputies of each zone and the voters, whose records are needed for confirming an engine's end beside a silent coordinator, for where engines send heartbeats and for the leader's public address. A grant tells how many routers are known in all (routers). That count divides the retry budget, the connections to engines and quotas, so the largest one holds for as long as a record without a refresh would. Coordinators go on exchanging all records, so their views stay complete. A record that begins to cross zones is sent entire (TouchNode).

On the wire only omitempty fields are new: zone_nodes, routers, and in GET /v1/fleet nodes_partial and routers_known. An earlier build does not send zone_nodes and is told of all nodes. What is given up while both run: a node of an earlier build that has just started may count too few routers for half a second, in which it uses no slack (docs/design.md).

Ruled out: the same without the bound of 48 nodes. Also ruled out: summaries between coordinators in place of records (12 KB/s each), rarer refreshes of all records, and judging a lost coordinator by the freshness that it passes on (docs/design.md).

--- a/cmd/dunlinctl/fleet.go
+++ b/cmd/dunlinctl/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"strings"
 
@@ -15,6 +16,7 @@
 	if err := json.Unmarshal(got, &view); err != nil {
 		return malformedResponseError{"the fleet", err}
 	}
+	view.Nodes, view.IsPartial = s.allNodes(&view)
 	fmt.Fprintf(s.out, "revision %d, configuration of %d, seen from %s in %s\n", view.Revision, view.ConfigRevision, view.Self.Address, view.Self.Zone)
 	if view.Reason != "" {
 		fmt.Fprintf(s.out, "NO LEASE: %s\n", view.Reason)
@@ -55,11 +57,7 @@
 		}
 		fmt.Fprintf(s.out, "%-22s %-22s %-8s %10d  %s\n", node.Address, node.Public, node.Zone, node.Applied, strings.Join(duties, " "))
 	}
-	for _, address := range view.Routers {
-		if !seen[address] {
-			fmt.Fprintf(s.out, "%-22s registered but not heard of\n", address)
-		}
-	}
+	s.printUnseenRouters(&view, seen)
 	for _, member := range view.Voters {
 		if !seen[member.Address] {
 			fmt.Fprintf(s.out, "%-22s votes but is not heard of\n", member.Address)
@@ -75,3 +73,35 @@
 	}
 	return nil
 }
+
+// allNodes gives the nodes of a view. Of one that shows other zones in part the nodes come from the coordinator of
+// its zone, which knows all; the view stays partial where that one can't be asked.
+func (s *session) allNodes(view *server.FleetView) (nodes []server.NodeView, isPartial bool) {
+	if !view.IsPartial {
+		return view.Nodes, false
+	}
+	coordinator := view.Coordinators[view.Self.Zone]
+	index := slices.IndexFunc(view.Nodes, func(node server.NodeView) bool { return node.Address == coordinator })
+	if index < 0 {
+		return view.Nodes, true
+	}
+	status, got, err := s.doAt(view.Nodes[index].Public, http.MethodGet, "/v1/fleet", nil, "")
+	var whole server.FleetView
+	if err != nil || status != http.StatusOK || json.Unmarshal(got, &whole) != nil || whole.IsPartial {
+		return view.Nodes, true
+	}
+	return whole.Nodes, false
+}
+
+// printUnseenRouters names the registered routers that are not heard of. In a partial view most of them are
+// merely in other zones.
+func (s *session) printUnseenRouters(view *server.FleetView, seen map[string]bool) {
+	unseen := slices.DeleteFunc(slices.Clone(view.Routers), func(address string) bool { return seen[address] })
+	if view.IsPartial {
+		fmt.Fprintf(s.out, "%d more registered routers, of other zones or not heard of: ask a node that is home; %d routers are known in all\n", len(unseen), view.KnownRouters)
+		return
+	}
+	for _, address := range unseen {
+		fmt.Fprintf(s.out, "%-22s registered but not heard of\n", address)
+	}
+}
--- a/cmd/dunlinctl/main_test.go
+++ b/cmd/dunlinctl/main_test.go
@@ -19,6 +19,7 @@
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/commands"
+	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/storage"
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/relay"
@@ -301,3 +302,50 @@
 	c.Assert(look(time.Minute), qt.Equals, exitAccepted)
 	c.Assert(paused, qt.Equals, 2200*time.Millisecond)
 }
+
+// A node that follows its own zone alone leaves the rest of the fleet to the coordinator of its zone.
+func TestAPartialViewOfTheFleetIsCompletedByTheCoordinator(t *testing.T) {
+	for _, example := range []struct {
+		name         string
+		isAnswering  bool // the coordinator tells its view
+		says, denies string
+	}{
+		{"the coordinator tells", true, "10.0.0.9:7             registered but not heard of", "more registered routers"},
+		{"the coordinator does not", false, "2 more registered routers", "not heard of\n"},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			c := qt.New(t)
+			nodeAt := func(address, public string) server.NodeView {
+				return server.NodeView{NodeRecord: registry.NodeRecord{Address: address, Public: public, Zone: "z1", IsRouter: true}}
+			}
+			serve := func(view *server.FleetView) *httptest.Server {
+				serving := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					if view == nil {
+						w.WriteHeader(http.StatusNotFound)
+						return
+					}
+					json.NewEncoder(w).Encode(view)
+				}))
+				t.Cleanup(serving.Close)
+				return serving
+			}
+			registered := []string{"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7", "10.0.0.9:7"}
+			whole := &server.FleetView{Routers: registered, Nodes: []server.NodeView{nodeAt("10.0.0.1:7", ""), nodeAt("10.0.0.2:7", ""), nodeAt("10.0.0.3:7", "")}}
+			if !example.isAnswering {
+				whole = nil
+			}
+			coordinator := strings.TrimPrefix(serve(whole).URL, "http://")
+			partial := serve(&server.FleetView{
+				Self: kernel.Identity{Zone: "z1"}, Coordinators: map[string]string{"z1": "10.0.0.1:7"}, Routers: registered, IsPartial: true, KnownRouters: 3,
+				Nodes: []server.NodeView{nodeAt("10.0.0.1:7", coordinator), nodeAt("10.0.0.2:7", "")},
+			})
+			out := &bytes.Buffer{}
+			asking := &session{arguments{Nodes: []string{strings.TrimPrefix(partial.URL, "http://")}}, http.DefaultClient, out}
+			_, err := asking.show(http.MethodGet, "/v1/fleet", nil, asking.printFleet)
+			c.Assert(err, qt.IsNil)
+			c.Assert(strings.Contains(out.String(), example.says), qt.IsTrue, qt.Commentf("%s", out))
+			c.Assert(strings.Contains(strings.ReplaceAll(out.String(), "or not heard of: ask", ""), example.denies), qt.IsFalse, qt.Commentf("%s", out))
+			c.Assert(strings.Contains(out.String(), "10.0.0.3:7"), qt.Equals, example.isAnswering, qt.Commentf("%s", out))
+		})
+	}
+}
--- a/cmd/dunlinctl/timeline.go
+++ b/cmd/dunlinctl/timeline.go
@@ -170,6 +170,7 @@
 	if err := json.Unmarshal(got, &view); err != nil {
 		return nil, nil, malformedResponseError{"the fleet", err}
 	}
+	view.Nodes, view.IsPartial = s.allNodes(&view)
 	publics, known := slices.Clone(s.arguments.Nodes), map[string]bool{}
 	for _, node := range view.Nodes {
 		publics = append(publics, node.Public)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -474,8 +474,9 @@
 		return
 	}
 	n.sweepAt = n.now + sweepInterval
-	n.directory.Sweep(n.now)
+	n.noteDropped(n.directory.Sweep(n.now))
 	n.sweepZone()
+	n.chooseRepresentatives()
 	n.pushTransfers.Sweep(n.now)
 	if n.core != nil {
 		n.core.ReportDraining(n.drainingReports())
--- a/internal/control/node_parts.go
+++ b/internal/control/node_parts.go
@@ -43,6 +43,10 @@
 	batchTimer    kernel.Micros                      // when the batch is due
 	isBatchUrgent bool                               // it is due at once
 	nodes         map[string]zoneNode                // by address
+	// representatives are the nodes of all zones whose records go to this zone's nodes too; set at its coordinator.
+	representatives map[string]bool
+	// routers is the number of routers in the fleet that this node was told.
+	routers routerCount
 }
 
 // zoneNode is what the coordinator knows of one node of its zone by that node's lease requests.
--- a/internal/control/node_quota.go
+++ b/internal/control/node_quota.go
@@ -90,15 +90,3 @@
 		n.tickQuota()
 	}
 }
-
-// knownRouters counts the routers that are known here, those that were silent lately included: they
-// may still spend what they hold.
-func (n *Node) knownRouters() int {
-	count := 0
-	for node := range n.directory.AllNodes() {
-		if node.IsRouter {
-			count++
-		}
-	}
-	return count
-}
--- a/internal/control/node_startup.go
+++ b/internal/control/node_startup.go
@@ -82,7 +82,7 @@
 	}
 	maps.DeleteFunc(n.startup.answeredAt, func(_ string, at kernel.Micros) bool { return n.now-at >= startupAnswerInterval })
 	n.startup.answeredAt[key] = n.now
-	grant := &wire.LeaseGrant{Revision: n.lease.Revision(), Update: n.directory.UpdateSince(n.now, "", 0, false)}
+	grant := &wire.LeaseGrant{Revision: n.lease.Revision(), Update: n.directory.UpdateSince(n.now, "", 0, false), KnownRouters: n.routersToTell()}
 	if n.now-n.hints.seenAt < kernel.Second {
 		grant.Leader = n.hints.leader
 	}
--- a/internal/control/node_state.go
+++ b/internal/control/node_state.go
@@ -52,11 +52,27 @@
 	Nodes             []registry.NodeRecord
 	Neighbours        []string
 	ClusterID         string
-	ServingRouters    int // router nodes known to live, this one among them
+	ServingRouters    int // router nodes of those in Nodes that live, this one among them
+	ToldRouters       int // routers of the fleet as the zone's coordinator counts them; zero: Nodes has them all
 
 	directoryRev uint64
 }
 
+// KnownRouters counts the routers of the fleet as far as they are known here.
+func (s *State) KnownRouters() int {
+	count := 0
+	for _, node := range s.Nodes {
+		if node.IsRouter {
+			count++
+		}
+	}
+	return max(count, s.ToldRouters)
+}
+
+// HasAllNodes tells that Nodes has every node that the zone's coordinator knows, not only those of this zone
+// and the representatives of others.
+func (s *State) HasAllNodes() bool { return s.IsCoordinator || s.ToldRouters == 0 }
+
 // State gives a view of the node; it gives the earlier view where nothing has changed, and
 // keeps its parts that have not.
 func (n *Node) State(earlier *State) *State {
@@ -87,7 +103,7 @@
 	} else {
 		state.Neighbours = n.views.Neighbours()
 	}
-	state.ServingRouters = n.serving(state.Nodes)
+	state.ServingRouters, state.ToldRouters = n.serving(state.Nodes), n.toldRouters()
 	if earlier != nil && earlier.isLike(&state) {
 		return earlier
 	}
@@ -99,5 +115,5 @@
 	return s.Document == other.Document && s.Until == other.Until && s.LapseReason == other.LapseReason && s.Leader == other.Leader &&
 		s.Coordinator == other.Coordinator && s.IsCoordinator == other.IsCoordinator && s.IsCoordinatorLost == other.IsCoordinatorLost && s.IsLeader == other.IsLeader &&
 		s.Role == other.Role && s.Term == other.Term && s.DiskFault == other.DiskFault && s.Health == other.Health && s.EngineRev == other.EngineRev &&
-		s.directoryRev == other.directoryRev && s.ClusterID == other.ClusterID && s.ServingRouters == other.ServingRouters && slices.Equal(s.Neighbours, other.Neighbours)
+		s.directoryRev == other.directoryRev && s.ClusterID == other.ClusterID && s.ServingRouters == other.ServingRouters && s.ToldRouters == other.ToldRouters && slices.Equal(s.Neighbours, other.Neighbours)
 }
--- a/internal/control/node_updates.go
+++ b/internal/control/node_updates.go
@@ -40,7 +40,7 @@
 // answerLeaseRequest answers in one message. With ServeWithoutLimit no router depends on a grant of
 // the leader, so the coordinator answers at once from its own state, and names the leader if known.
 func (n *Node) answerLeaseRequest(from string, m *wire.LeaseRequest) {
-	grant := &wire.LeaseGrant{Revision: n.lease.Revision(), Update: n.directory.UpdateSince(n.now, m.SeenIncarnation, m.SeenWatermark, false)}
+	grant := &wire.LeaseGrant{Revision: n.lease.Revision(), Update: n.updateFor(m), KnownRouters: n.routersToTell()}
 	if n.now-n.hints.seenAt < kernel.Second {
 		grant.Leader = n.hints.leader
 	}
@@ -65,6 +65,7 @@
 	grant.Document = n.withConfig(grant.Document)
 	n.applied(n.lease.TakeGrant(n.now, &grant))
 	n.lease.TakeFreshness(grant.RequestSeq, grant.Revision, grant.Freshness)
+	n.zone.routers.take(n.now, m.KnownRouters, n.settings.Timing.NodeExpiryTimeout)
 	if m.Update != nil {
 		n.onDirectoryUpdate(from, m.Update)
 	}
@@ -216,7 +217,7 @@
 		return
 	}
 	if coordinator := n.coordinator(); coordinator != "" {
-		request := &wire.LeaseRequest{RouterLeaseRequest: ownRequest, SeenIncarnation: n.contact.seen.incarnation, SeenWatermark: n.contact.seen.revision}
+		request := &wire.LeaseRequest{RouterLeaseRequest: ownRequest, SeenIncarnation: n.contact.seen.incarnation, SeenWatermark: n.contact.seen.revision, WantsZoneNodes: n.wantsZoneNodes()}
 		// Sent twice, since one message may be lost, and at once to a new coordinator.
 		if n.requests.recordCoordinator != coordinator || n.requests.recordSeq != record.Seq {
 			n.requests.recordCoordinator, n.requests.recordSeq, n.requests.recordSends = coordinator, record.Seq, 0
--- a/internal/control/registry/directory.go
+++ b/internal/control/registry/directory.go
@@ -365,18 +365,17 @@
 	return n
 }
 
-// Sweep drops what nobody has refreshed.
-func (d *Directory) Sweep(now kernel.Micros) {
-	expiredNodes := []string{}
+// Sweep drops what nobody has refreshed, and gives the nodes among it.
+func (d *Directory) Sweep(now kernel.Micros) []NodeRecord {
+	expiredNodes := []NodeRecord{}
 	for node := range d.nodes.all() {
 		if now-node.UpdatedAt > d.timing.NodeExpiryTimeout {
-			expiredNodes = append(expiredNodes, node.Address)
+			expiredNodes = append(expiredNodes, node)
 		}
 	}
-	for _, address := range expiredNodes {
-		d.nodes.remove(address)
+	for _, node := range expiredNodes {
+		d.nodes.remove(node.Address)
 		d.rev++
-		d.note(decision.Node(address), decision.Dropped, "not heard of any more")
 	}
 	expiredEngines := []EngineRecord{}
 	for engine := range d.engines.all() {
@@ -392,6 +391,17 @@
 		d.rev++
 		d.engineRev = d.rev
 	}
+	return expiredNodes
+}
+
+// TouchNode has the next update of everyone bring a node's entire record, where some got none of it before.
+func (d *Directory) TouchNode(address string) {
+	record, isThere := d.nodes.get(address)
+	if !isThere {
+		return
+	}
+	d.rev++
+	d.nodes.set(address, record, recordVersion{d.rev, d.rev, d.nodes.version(address).isLocal})
 }
 
 // Engine is the record of an engine by its id.
@@ -431,11 +441,25 @@
 
 // UpdateSince gives what changed since a revision; isOwnOnly keeps to what this zone learned itself.
 func (d *Directory) UpdateSince(now kernel.Micros, seenIncarnation string, seen uint64, isOwnOnly bool) *DirectoryUpdate {
+	return d.updateSince(now, seenIncarnation, seen,
+		func(engine *entry[EngineRecord]) bool { return engine.version.isLocal || !isOwnOnly },
+		func(node *entry[NodeRecord]) bool { return node.version.isLocal || !isOwnOnly })
+}
+
+// UpdateWithin is UpdateSince with all engines, and of the nodes with those that are wanted. One that becomes
+// wanted later is to be touched, see TouchNode.
+func (d *Directory) UpdateWithin(now kernel.Micros, seenIncarnation string, seen uint64, isWanted func(*NodeRecord) bool) *DirectoryUpdate {
+	return d.updateSince(now, seenIncarnation, seen,
+		func(*entry[EngineRecord]) bool { return true },
+		func(node *entry[NodeRecord]) bool { return isWanted(&node.record) })
+}
+
+func (d *Directory) updateSince(now kernel.Micros, seenIncarnation string, seen uint64, isEngineWanted func(*entry[EngineRecord]) bool, isNodeWanted func(*entry[NodeRecord]) bool) *DirectoryUpdate {
 	update := &DirectoryUpdate{Incarnation: d.incarnation, Watermark: d.rev}
 	if seenIncarnation != d.incarnation {
 		seen, update.IsComplete = 0, true
 	}
-	for _, changed := range d.engines.changedSince(seen, isOwnOnly) {
+	for _, changed := range d.engines.changedSince(seen, isEngineWanted) {
 		record := changed.record.WithAges(now)
 		// Who has the rest of it needs only the new figures, which are most of the news.
 		if changed.version.stableRev <= seen {
@@ -443,7 +467,7 @@
 		}
 		update.Engines = append(update.Engines, record)
 	}
-	for _, changed := range d.nodes.changedSince(seen, isOwnOnly) {
+	for _, changed := range d.nodes.changedSince(seen, isNodeWanted) {
 		record := changed.record.WithAges(now)
 		if changed.version.stableRev <= seen {
 			record = NodeRecord{Address: record.Address, Start: record.Start, Seq: record.Seq, Applied: record.Applied, Age: record.Age}
--- a/internal/control/registry/table.go
+++ b/internal/control/registry/table.go
@@ -115,11 +115,11 @@
 	}
 }
 
-// changedSince gives the entries that changed after a revision, in order of their keys.
-func (t *table[R]) changedSince(revision uint64, isOwnOnly bool) []*entry[R] {
+// changedSince gives the entries that changed after a revision and are wanted, in order of their keys.
+func (t *table[R]) changedSince(revision uint64, isWanted func(*entry[R]) bool) []*entry[R] {
 	changed := []*entry[R]{}
 	for each := t.newest; each != nil && each.version.rev > revision; each = each.older {
-		if each.version.isLocal || !isOwnOnly {
+		if isWanted(each) {
 			changed = append(changed, each)
 		}
 	}
--- a/internal/control/wire/messages.go
+++ b/internal/control/wire/messages.go
@@ -292,6 +292,9 @@
 	SeenIncarnation string              `json:"seen_home,omitempty"`
 	SeenWatermark   uint64              `json:"seen_news,omitempty"`
 	Digests         []uint64            `json:"digests,omitempty"` // now and then, to mend what was lost
+	// WantsZoneNodes: the sender needs the records of its own zone's nodes, of other zones those of a few, and the
+	// count of all routers. Earlier builds do not say so and are sent the records of all nodes.
+	WantsZoneNodes bool `json:"zone_nodes,omitempty"`
 }
 
 // LeaseGrant lets a router serve under a revision for a while from its ask on.
@@ -304,6 +307,9 @@
 	// RequestSeq is the number of the ask that the home's own word on the freshness of Revision answers.
 	RequestSeq uint64 `json:"ask,omitempty"`
 	Freshness
+	// KnownRouters is how many routers the sender knows in the entire fleet, where Update leaves nodes of other
+	// zones out; zero: not said.
+	KnownRouters int `json:"routers,omitempty"`
 }
 
 // RevisionNotice says that there is a newer revision to ask for.
--- a/internal/server/api_fleet.go
+++ b/internal/server/api_fleet.go
@@ -38,6 +38,9 @@
 	Engines        []relay.EngineView `json:"engines"`
 	Neighbours     []string           `json:"neighbours"`
 	Traffic        []Traffic          `json:"traffic"`
+	// IsPartial: Nodes are those of this node's zone and a few of each other zone; the coordinators know all.
+	IsPartial    bool `json:"nodes_partial,omitempty"`
+	KnownRouters int  `json:"routers_known,omitempty"` // in the entire fleet
 }
 
 func (f *API) getFleet(w http.ResponseWriter, _ *http.Request) {
@@ -45,6 +48,7 @@
 	view := FleetView{
 		Self: f.env.Self, ClusterID: state.ClusterID, Leader: state.Leader, Role: state.Role, Term: state.Term,
 		DiskFault: state.DiskFault, LeaseRemaining: max(state.Until-now, 0), Reason: state.LapseReason, Neighbours: state.Neighbours, Traffic: f.traffic(state),
+		IsPartial: !state.HasAllNodes(), KnownRouters: state.KnownRouters(),
 	}
 	if state.Health != nil {
 		view.Core = &CoreView{state.Leader, state.Health, max(now-state.Health.ChangedAt, 0)}
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -69,12 +69,7 @@
 
 // routingTable gives the next routing table, or nil when nothing changed that routing depends on.
 func (r *routeTableBuilder) routingTable(state *control.State) *router.RoutingTable {
-	routers := 0
-	for _, node := range state.Nodes {
-		if node.IsRouter {
-			routers++
-		}
-	}
+	routers := state.KnownRouters()
 	revision := uint64(0)
 	if state.Document != nil {
 		// One that was restarted while it is cut off knows no other router, but by the document
