--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -118,21 +118,28 @@
 	r.engines = engines
 }
 
-// countRouters counts the routers of a state's node records and, where there are more, the members of its document: a
-// node that was restarted while it is cut off knows no other router, but by the document on its disk the other members.
+// countRouters counts the routers that a state knows and, where there are more, the members of its document: a node that
+// was restarted while it is cut off knows no other router, but by the document on its disk the other members.
 func (r *routeTableBuilder) countRouters(state *control.State) int {
 	if !isSameSlice(state.Nodes, r.nodes) {
-		r.nodes, r.routers = state.Nodes, 0
-		for _, node := range state.Nodes {
-			if node.IsRouter {
-				r.routers++
-			}
-		}
+		r.nodes, r.routers = state.Nodes, countRouterNodes(state.Nodes)
 	}
+	routers := max(r.routers, state.ToldRouters)
 	if state.Document == nil {
-		return r.routers
+		return routers
+	}
+	return max(routers, len(state.Document.Voters))
+}
+
+// countRouterNodes counts the routers among node records.
+func countRouterNodes(nodes []registry.NodeRecord) int {
+	count := 0
+	for _, node := range nodes {
+		if node.IsRouter {
+			count++
+		}
 	}
-	return max(r.routers, len(state.Document.Voters))
+	return count
 }
 
 // isSameSlice tells whether two slices are the same elements in memory. States share the parts that did not change.
