--- a/internal/control/decision/decision.go
+++ b/internal/control/decision/decision.go
@@ -78,6 +78,10 @@
 	Known                  Decision = "known"
 	Restarted              Decision = "restarted"
 	Draining               Decision = "draining"
+	ConfirmEnd             Decision = "confirm end"           // of an engine, known to everyone who was waited for
+	ConfirmEndPartially    Decision = "confirm end partially" // known to most
+	LeaveUnconfirmed       Decision = "leave end unconfirmed" // the engine asks another node
+	LearnEndLate           Decision = "learn end late"        // this node may have used the engine for too long
 	Listing                Decision = "listing"
 	Responsiveness         Decision = "responsiveness"
 	Accept                 Decision = "accept" // a submission
--- a/internal/control/engine_announcements.go
+++ b/internal/control/engine_announcements.go
@@ -60,6 +60,7 @@
 	forwardedTokens map[string]uint64 // sender and its token to the own
 	confirmations   map[uint64]*endConfirmation
 	confirmedEnds   map[endKey]kernel.Micros // ends confirmed by this node
+	counts          ConfirmationCounts
 	forwardedAt     map[string]kernel.Micros // when a plain beat last went to the engine's home
 	// checkSince is the moment from which silence of an engine counts here.
 	checkSince     kernel.Micros
--- a/internal/control/engine_pushes.go
+++ b/internal/control/engine_pushes.go
@@ -61,7 +61,10 @@
 	isChanged := false
 	for _, record := range m.Engines {
 		record = record.WithTimes(n.now)
-		_, isRecordChanged := n.directory.MergeRecord(n.now, record, n.engineMonitor(record.Zone) == n.self())
+		isNewlyDraining, isRecordChanged := n.directory.MergeRecord(n.now, record, n.engineMonitor(record.Zone) == n.self())
+		if isNewlyDraining {
+			n.noteLateEnd(record.ID)
+		}
 		isChanged = isChanged || isRecordChanged
 	}
 	w, zone := &n.announcements, n.settings.Identity.Zone
@@ -133,12 +136,12 @@
 	}
 	if p := n.announcements.confirmations[m.Token]; p != nil {
 		if !m.IsSingle {
-			p.zones[m.Zone] = p.zones[m.Zone] || m.IsComplete
+			known := p.zones[m.Zone]
+			p.zones[m.Zone] = zoneConfirmation{isComplete: known.isComplete || m.IsComplete, others: max(known.others, m.Others)}
 		}
 		if from != n.self() {
 			p.nodes[from] = true
 		}
-		p.others = max(p.others, m.Others)
 		n.evaluateConfirmation(m.Token, p)
 	}
 }
--- a/internal/control/engine_removals.go
+++ b/internal/control/engine_removals.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
@@ -17,13 +19,25 @@
 	key       endKey
 	records   []registry.EngineRecord
 	zone      string
-	zones     map[string]bool // that have spoken; true: wholly
-	nodes     map[string]bool // other than this one that have spoken for themselves or a zone
-	others    int             // nodes that have confirmed within the zones
+	zones     map[string]zoneConfirmation // that have answered
+	nodes     map[string]bool             // other than this one that have answered for themselves or a zone
 	startedAt kernel.Micros
 	resendAt  kernel.Micros
 }
 
+// zoneConfirmation is what a zone has answered.
+type zoneConfirmation struct {
+	isComplete bool // every node of the zone that may be running has confirmed
+	others     int  // nodes that have confirmed to the one that answered for the zone
+}
+
+// ConfirmationCounts counts the ends of engines that a node was asked to confirm.
+type ConfirmationCounts struct {
+	Complete    uint64 // confirmed by every zone and node that was waited for
+	Partial     uint64 // confirmed by most, while some zones or nodes had not answered
+	Unconfirmed uint64 // given up: the engine asks another node
+}
+
 // endKey names an engine and which of its ends: that it leaves, or that it is gone.
 type endKey struct {
 	engine     string
@@ -48,7 +62,7 @@
 		}
 	}
 	n.announcements.nextToken++
-	p := &endConfirmation{tokens: []uint64{token}, key: key, records: records, zone: zone, zones: map[string]bool{}, nodes: map[string]bool{}, startedAt: n.now}
+	p := &endConfirmation{tokens: []uint64{token}, key: key, records: records, zone: zone, zones: map[string]zoneConfirmation{}, nodes: map[string]bool{}, startedAt: n.now}
 	n.announcements.confirmations[n.announcements.nextToken] = p
 	n.tickConfirmation(n.announcements.nextToken, p)
 }
@@ -59,8 +73,8 @@
 		push := wire.Message{Push: &wire.Push{Token: token, IsForwarded: true, Engines: p.records}}
 		coordinators := n.lease.Applied().Coordinators
 		for _, zone := range slices.Sorted(maps.Keys(coordinators)) {
-			isComplete, hasConfirmed := p.zones[zone]
-			if isComplete {
+			confirmation, hasConfirmed := p.zones[zone]
+			if confirmation.isComplete {
 				continue
 			}
 			n.send(coordinators[zone], push)
@@ -89,7 +103,7 @@
 func (n *Node) notifyVoters(token uint64, p *endConfirmation) {
 	asked := map[string]bool{n.self(): true}
 	for zone, coordinator := range n.lease.Applied().Coordinators {
-		asked[coordinator] = asked[coordinator] || !p.zones[zone]
+		asked[coordinator] = asked[coordinator] || !p.zones[zone].isComplete
 	}
 	targets := append(n.lease.Applied().VoterAddresses(), n.leaderTarget())
 	slices.Sort(targets)
@@ -109,26 +123,29 @@
 	coordinators := n.lease.Applied().Coordinators
 	confirmedZones, isAll := 0, true
 	for zone := range coordinators {
-		isComplete, hasConfirmed := p.zones[zone]
+		confirmation, hasConfirmed := p.zones[zone]
 		if hasConfirmed {
 			confirmedZones++
 		}
 		// A zone without a living node has nobody to wait for.
-		isAll = isAll && (isComplete || !hasConfirmed && zone != n.settings.Identity.Zone && len(n.aliveNodes(zone)) == 0)
+		isAll = isAll && (confirmation.isComplete || !hasConfirmed && zone != n.settings.Identity.Zone && len(n.aliveNodes(zone)) == 0)
 	}
 	hasMostZones := confirmedZones*2 > len(coordinators) || p.nodes[n.leaderTarget()]
 	// Without a majority of the voters this may be a minority's side of a cut.
 	hasVoterMajority := cluster.Majority(n.lease.Applied().VoterAddresses(), func(voter string) bool { return voter == n.self() || p.nodes[voter] })
 	// A mark that only this node holds dies with it.
-	isShared := len(p.nodes) > 0 || p.others > 0 || len(n.lease.Applied().Routers) < 2 && len(n.directory.Nodes()) < 2
+	isShared := len(p.nodes) > 0 || p.confirmedOthers() > 0 || len(n.lease.Applied().Routers) < 2 && len(n.directory.Nodes()) < 2
 	age := n.now - p.startedAt
 	switch {
 	case hasVoterMajority && hasMostZones && isShared && (isAll || age >= pushMajorityTimeout):
 		n.announcements.confirmedEnds[p.key] = n.now
+		n.noteConfirmation(p, isAll)
 		for _, call := range p.tokens {
 			n.out = append(n.out, Registered{Token: call, HeartbeatTo: n.heartbeatTarget(p.zone)})
 		}
 	case age >= pushGiveUpTimeout:
+		n.announcements.counts.Unconfirmed++
+		n.note(decision.Engine(p.key.engine), decision.LeaveUnconfirmed, n.describeConfirmation(p))
 		for _, call := range p.tokens {
 			n.out = append(n.out, Registered{Token: call, Err: NotConfirmedError{p.records[0].ID, fmt.Sprintf("%d of %d zones answered", confirmedZones, len(coordinators))}})
 		}
@@ -137,3 +154,52 @@
 	}
 	delete(n.announcements.confirmations, token)
 }
+
+// confirmedOthers is how many nodes have confirmed to those that answered for their zones.
+func (p *endConfirmation) confirmedOthers() int {
+	count := 0
+	for _, zone := range p.zones {
+		count += zone.others
+	}
+	return count
+}
+
+// noteConfirmation records that an end is confirmed, and by whom.
+func (n *Node) noteConfirmation(p *endConfirmation, isAll bool) {
+	what := decision.ConfirmEnd
+	if isAll {
+		n.announcements.counts.Complete++
+	} else {
+		n.announcements.counts.Partial++
+		what = decision.ConfirmEndPartially
+	}
+	n.note(decision.Engine(p.key.engine), what, n.describeConfirmation(p))
+}
+
+// describeConfirmation says who has confirmed an end so far, who has not, and how long that took.
+func (n *Node) describeConfirmation(p *endConfirmation) string {
+	coordinators := n.lease.Applied().Coordinators
+	partial, silent := []string{}, []string{}
+	nodes := 0
+	for _, zone := range slices.Sorted(maps.Keys(coordinators)) {
+		confirmation, hasConfirmed := p.zones[zone]
+		if hasConfirmed {
+			nodes += 1 + confirmation.others
+		}
+		switch {
+		case !hasConfirmed:
+			silent = append(silent, zone)
+		case !confirmation.isComplete:
+			partial = append(partial, zone)
+		}
+	}
+	complete := len(coordinators) - len(partial) - len(silent)
+	text := fmt.Sprintf("%d of %d zones complete, %d of their nodes confirmed, after %d us", complete, len(coordinators), nodes, n.now-p.startedAt)
+	if len(partial) > 0 {
+		text += "; partial: " + strings.Join(partial, ", ")
+	}
+	if len(silent) > 0 {
+		text += "; silent: " + strings.Join(silent, ", ")
+	}
+	return text
+}
--- a/internal/control/fleet_harness_test.go
+++ b/internal/control/fleet_harness_test.go
@@ -95,6 +95,8 @@
 	node         *Node
 	cut          map[string]bool // addresses that can't be reached, nor reach it
 	cutOut       map[string]bool // addresses that can't be reached, but reach it
+	// lag is how long each message waits in the node's queue before it is handled; its timers run on time.
+	lag kernel.Micros
 	// The disk.
 	member        cluster.MemberID
 	hardState     cluster.HardState
@@ -450,7 +452,7 @@
 		}
 	}
 	for range copies {
-		f.in(span, func() {
+		f.in(span+to.lag, func() {
 			if !to.isUp {
 				return
 			}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -67,6 +67,9 @@
 	// bounds for how long engines are used that are known from it alone; zero: two of their heartbeats.
 	Snapshot     *storage.Snapshot
 	RestoredSpan kernel.Micros
+	// DrainTimeout is how long after its end was confirmed a request may still reach an engine; zero: no
+	// bound is known.
+	DrainTimeout kernel.Micros
 	// Invariants counts violations; nil: nobody does.
 	Invariants *invariant.Monitor
 }
@@ -133,6 +136,7 @@
 	startup            startupQueries
 	watch              nodeWatch
 	quotas             quotas
+	directoryFreshness directoryFreshness
 }
 
 // NewNode makes a node.
@@ -173,6 +177,7 @@
 		n.core = NewCore(coreSettings, now)
 	}
 	n.startup = startupQueries{until: now + startupQueryTimeout, isDone: settings.ServeExtension < cluster.ServeWithoutLimit, answeredAt: map[string]kernel.Micros{}}
+	n.directoryFreshness = newDirectoryFreshness()
 	n.restore(settings.Snapshot)
 	return n
 }
--- a/internal/control/node_state.go
+++ b/internal/control/node_state.go
@@ -53,6 +53,7 @@
 	Neighbours        []string
 	ClusterID         string
 	ServingRouters    int // router nodes known to live, this one among them
+	Confirmations     ConfirmationCounts
 
 	directoryRev uint64
 }
@@ -64,6 +65,7 @@
 		Document: n.lease.Applied(), Until: n.lease.Until(), LapseReason: n.lease.LapseReason(n.now),
 		Coordinator: n.coordinator(), IsCoordinator: n.isCoordinator(), IsCoordinatorLost: n.isCoordinatorLost(),
 		EngineRev: n.directory.EngineRev(), ClusterID: n.clusterID(), Leader: n.hints.leader, directoryRev: n.directory.Rev(),
+		Confirmations: n.announcements.counts,
 	}
 	if n.core != nil {
 		state.Health = n.core.Health()
@@ -99,5 +101,6 @@
 	return s.Document == other.Document && s.Until == other.Until && s.LapseReason == other.LapseReason && s.Leader == other.Leader &&
 		s.Coordinator == other.Coordinator && s.IsCoordinator == other.IsCoordinator && s.IsCoordinatorLost == other.IsCoordinatorLost && s.IsLeader == other.IsLeader &&
 		s.Role == other.Role && s.Term == other.Term && s.DiskFault == other.DiskFault && s.Health == other.Health && s.EngineRev == other.EngineRev &&
-		s.directoryRev == other.directoryRev && s.ClusterID == other.ClusterID && s.ServingRouters == other.ServingRouters && slices.Equal(s.Neighbours, other.Neighbours)
+		s.directoryRev == other.directoryRev && s.ClusterID == other.ClusterID && s.ServingRouters == other.ServingRouters &&
+		s.Confirmations == other.Confirmations && slices.Equal(s.Neighbours, other.Neighbours)
 }
--- a/internal/control/node_updates.go
+++ b/internal/control/node_updates.go
@@ -67,6 +67,7 @@
 	n.lease.TakeFreshness(grant.RequestSeq, grant.Revision, grant.Freshness)
 	if m.Update != nil {
 		n.onDirectoryUpdate(from, m.Update)
+		n.directoryFreshness.takeAnswer(from, m.RequestSeq, m.Freshness)
 	}
 	n.onStartupAnswer(from, m)
 }
@@ -108,6 +109,7 @@
 		grant := &wire.LeaseGrant{Seq: request.Seq, Revision: m.Revision, Leader: m.Leader}
 		if request.Address == n.self() {
 			n.lease.TakeFreshness(request.Seq, m.Revision, m.Freshness)
+			n.directoryFreshness.takeGrant(n.self(), request.Seq)
 			n.applied(n.lease.TakeGrant(n.now, grant))
 			continue
 		}
@@ -211,6 +213,7 @@
 	if received := n.lease.Received(); received > ownRequest.Applied {
 		ownRequest.Received = received
 	}
+	n.directoryFreshness.request(n.now, ownRequest.Seq, n.coordinator())
 	if n.isCoordinator() {
 		n.zone.batch[n.self()] = ownRequest
 		return
--- a/internal/control/tokens_test.go
+++ b/internal/control/tokens_test.go
@@ -57,7 +57,7 @@
 		later.lease.Apply(document(4, 9))
 		for range confirmationCount {
 			later.announcements.nextToken++
-			waiting[later.announcements.nextToken] = &endConfirmation{zones: map[string]bool{}, nodes: map[string]bool{}}
+			waiting[later.announcements.nextToken] = &endConfirmation{zones: map[string]zoneConfirmation{}, nodes: map[string]bool{}}
 		}
 		later.announcements.confirmations = waiting
 		for range confirmationCount {
--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -123,6 +123,10 @@
 	m.sample("owners_longest_us", f.runner.LongestEvent())
 	m.sample("engines_known", len(state.Engines))
 	m.sample("engines_usable", countUsable(state.Engines))
+	m.sample("engine_view_age_us", f.runner.DirectoryAge())
+	m.sample("ends_confirmed_total", state.Confirmations.Complete)
+	m.sample("ends_confirmed_partially_total", state.Confirmations.Partial)
+	m.sample("ends_unconfirmed_total", state.Confirmations.Unconfirmed)
 	if state.Health != nil {
 		m.sample("core_whole", boolMetric(state.Health.IsHealthy))
 	}
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -48,10 +48,12 @@
 	// longestEvent is the longest that one event has held the owners up, in microseconds.
 	longestEvent atomic.Int64
 	// grantedAt is control.Node.GrantedAt after the last event, freshAt control.Node.FreshAt.
-	grantedAt    atomic.Int64
-	freshAt      atomic.Int64
-	tableBuilder TableBuilder
-	prober       *http.Client
+	grantedAt atomic.Int64
+	freshAt   atomic.Int64
+	// directoryFreshAt is control.Node.DirectoryFreshAt after the last event.
+	directoryFreshAt atomic.Int64
+	tableBuilder     TableBuilder
+	prober           *http.Client
 	// NoProbes is set where engines register themselves: their heartbeats report their state,
 	// and a probe of one would take one of its slots.
 	NoProbes bool
@@ -174,6 +176,7 @@
 		r.grantedAt.Store(int64(r.node.GrantedAt()))
 		// After what it speaks of has been published.
 		r.freshAt.Store(int64(r.node.FreshAt()))
+		r.directoryFreshAt.Store(int64(r.node.DirectoryFreshAt()))
 		r.longestEvent.Store(max(r.longestEvent.Load(), int64(r.env.Clock.Now()-startedAt)))
 	}
 }
@@ -188,6 +191,12 @@
 	return grantedAt > 0 && r.env.Clock.Now()-grantedAt < r.node.ContactSpan()
 }
 
+// DirectoryAge is for how long this node may have missed ends of engines; it counts from the start of the
+// clock while none is known.
+func (r *Runner) DirectoryAge() kernel.Micros {
+	return r.env.Clock.Now() - kernel.Micros(r.directoryFreshAt.Load())
+}
+
 // IsFresher tells whether the document in force here was surely the newest one within a span.
 func (r *Runner) IsFresher(maxAge kernel.Micros) bool {
 	freshAt := kernel.Micros(r.freshAt.Load())
