Failing test: a lagging zone uses engines whose end was confirmed

Callers saw a request reach an engine 3,118 and 3,687 ms after its end was confirmed, with a drain time-out of 3,000 ms.

--- /dev/null
+++ b/internal/control/lagging_zone_test.go
@@ -0,0 +1,230 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/kernel"
+)
+
+// Bounds of a large deployment, which the fleets here keep.
+const (
+	deployedAckTimeout     = 6 * kernel.Second // within which an engine that leaves has to be answered
+	deployedContactTimeout = 5 * kernel.Second
+	deployedDrainTimeout   = 3 * kernel.Second
+)
+
+// deploymentLike applies the settings of a large deployment.
+func deploymentLike(settings *NodeSettings) {
+	platformLike(settings)
+	settings.DrainTimeout = deployedDrainTimeout
+}
+
+// newDeployedFleet is a stable fleet of four nodes in each of three zones, all of them in touch.
+func newDeployedFleet(c *qt.C, seed uint64) *fleet {
+	f := newFleet(c, seed, 3, 12, firstHaveFolders(3))
+	f.adapt = deploymentLike
+	f.bootAll(500 * ms)
+	f.stabilized(6 * kernel.Second)
+	f.pass(deployedContactTimeout)
+	return f
+}
+
+// leavingEngine says that it leaves, to one node after another until one acknowledges it.
+type leavingEngine struct {
+	*fleet
+	id, zone    string
+	address     string
+	index       int    // of the node to call next
+	words       uint64 // so far
+	isLeaving   bool
+	leftAt      kernel.Micros
+	confirmedAt kernel.Micros // zero: nobody has acknowledged it
+}
+
+// joinEngine has an engine register, which begins to call nodes from that index on when it leaves.
+func (f *fleet) joinEngine(number int, zone string, index int) *leavingEngine {
+	e := &leavingEngine{fleet: f, id: fmt.Sprint("e", number), zone: zone, index: index, address: fmt.Sprintf("10.9.1.%d:80", number)}
+	e.heartbeat()
+	return e
+}
+
+// heartbeat says once a second that the engine is up, at a node that is not late, until it leaves.
+func (e *leavingEngine) heartbeat() {
+	if e.isLeaving {
+		return
+	}
+	e.say(e.nodes[0])
+	e.in(heartbeatInterval, e.heartbeat)
+}
+
+// say has the engine say what it does, and gives the call's token.
+func (e *leavingEngine) say(at *fleetNode) uint64 {
+	e.words++
+	e.start++
+	token, record := e.start<<20, engineAt(e.id, e.zone, e.words)
+	record.Address, record.IsDraining = e.address, e.isLeaving
+	if at.isUp {
+		e.register(at, token, record)
+	}
+	return token
+}
+
+// leave calls the next node, and goes on to another one after a second, or sooner where it is refused.
+func (e *leavingEngine) leave() {
+	if !e.isLeaving {
+		e.isLeaving, e.leftAt = true, e.now
+	}
+	token := e.say(e.nodes[e.index%len(e.nodes)])
+	e.index++
+	e.awaitAnswer(token, e.now)
+}
+
+func (e *leavingEngine) awaitAnswer(token uint64, calledAt kernel.Micros) {
+	answer, isAnswered := e.answers[token]
+	switch {
+	case isAnswered && answer.Err == nil:
+		e.confirmedAt = e.now
+	case e.now-calledAt >= heartbeatInterval:
+		e.leave()
+	default:
+		e.in(10*ms, func() { e.awaitAnswer(token, calledAt) })
+	}
+}
+
+// mayUse tells whether a node's router would send a request to an engine.
+func (n *fleetNode) mayUse(id string) bool { return n.isUp && n.isUsable(id) }
+
+// checkLeaving advances the clock and checks at every moment that no node uses an engine for longer than
+// allowed; it gives for how long one was used after its end was confirmed.
+func (f *fleet) checkLeaving(span kernel.Micros, engines []*leavingEngine, note string) kernel.Micros {
+	longest := kernel.Micros(0)
+	for end := f.now + span; f.now < end; {
+		f.pass(20 * ms)
+		for _, e := range engines {
+			if e.confirmedAt == 0 {
+				continue
+			}
+			for _, n := range f.nodes {
+				if n.mayUse(e.id) {
+					longest = max(longest, f.now-e.confirmedAt)
+				}
+			}
+		}
+	}
+	f.c.Check(longest <= deployedDrainTimeout, qt.IsTrue, qt.Commentf("%s: used until %d ms after its end was confirmed", note, longest/ms))
+	return longest
+}
+
+// lateNodes gives the coordinator of a zone and another node of it, both without a folder.
+func (f *fleet) lateNodes(zone string) (coordinator, router *fleetNode) {
+	f.c.Helper()
+	coordinator = f.byAddress(f.leader().state().Document.Coordinators[zone])
+	for _, n := range zoneOf(f, zone) {
+		if n != coordinator && !n.hasFolder {
+			router = n
+		}
+	}
+	f.c.Assert(coordinator != nil && router != nil, qt.IsTrue)
+	return coordinator, router
+}
+
+// A node or the coordinator of a zone has a full processor: it handles every message seconds late, and
+// nothing is cut or lost. Its routers are bound by the ends of engines that were confirmed elsewhere.
+func TestALaggingZoneUsesNoEngineWhoseEndWasConfirmed(t *testing.T) {
+	t.Parallel()
+	const lag = 4 * kernel.Second
+	for name, slowDown := range map[string]func(coordinator, router *fleetNode){
+		"a node":                    func(_, router *fleetNode) { router.lag = lag },
+		"a coordinator":             func(coordinator, _ *fleetNode) { coordinator.lag = lag },
+		"a coordinator and a node":  func(coordinator, router *fleetNode) { coordinator.lag, router.lag = lag, lag },
+		"the node that is late now": func(_, router *fleetNode) { router.f.in(7500*ms, func() { router.lag = lag }) },
+	} {
+		longest, latest := kernel.Micros(0), kernel.Micros(0)
+		for seed := range uint64(6) {
+			c := qt.New(t)
+			f := newDeployedFleet(c, seed)
+			engines := []*leavingEngine{}
+			for i := range 3 {
+				engines = append(engines, f.joinEngine(i, fmt.Sprint("z", i+1), int(seed)+5*i))
+			}
+			slowDown(f.lateNodes("z3"))
+			f.pass(8 * kernel.Second)
+			for i, e := range engines {
+				f.in(kernel.Micros(i)*700*ms, e.leave)
+			}
+			longest = max(longest, f.checkLeaving(14*kernel.Second, engines, fmt.Sprintf("%s, seed %d", name, seed)))
+			for _, e := range engines {
+				c.Check(e.confirmedAt != 0, qt.IsTrue, qt.Commentf("%s, seed %d: the end of %s was never confirmed", name, seed, e.id))
+				latest = max(latest, e.confirmedAt-e.leftAt)
+			}
+		}
+		t.Logf("%s: used until %d ms after, confirmed within %d ms", name, longest/ms, latest/ms)
+	}
+}
+
+// Nodes that have just been killed, which nobody can know yet, hold up the end of an engine no longer than it
+// may wait.
+func TestAnEndIsConfirmedInTimeBesideFreshlyKilledNodes(t *testing.T) {
+	t.Parallel()
+	for name, kill := range map[string]func(f *fleet){
+		"a router of each zone": func(f *fleet) {
+			for _, zone := range []string{"z1", "z2", "z3"} {
+				_, router := f.lateNodes(zone)
+				router.kill()
+			}
+		},
+		"a coordinator": func(f *fleet) {
+			coordinator, _ := f.lateNodes("z2")
+			coordinator.kill()
+		},
+		"a coordinator and a router": func(f *fleet) {
+			coordinator, router := f.lateNodes("z2")
+			coordinator.kill()
+			router.kill()
+		},
+	} {
+		latest := kernel.Micros(0)
+		for seed := range uint64(6) {
+			c := qt.New(t)
+			f := newDeployedFleet(c, seed)
+			e := f.joinEngine(1, "z1", int(seed))
+			f.pass(kernel.Second)
+			kill(f)
+			e.leave()
+			f.checkLeaving(8*kernel.Second, []*leavingEngine{e}, fmt.Sprintf("%s, seed %d", name, seed))
+			c.Check(e.confirmedAt != 0 && e.confirmedAt-e.leftAt <= deployedAckTimeout, qt.IsTrue, qt.Commentf("%s, seed %d: after %d ms", name, seed, (e.confirmedAt-e.leftAt)/ms))
+			latest = max(latest, e.confirmedAt-e.leftAt)
+		}
+		t.Logf("%s: within %d ms", name, latest/ms)
+	}
+}
+
+// Many engines of a zone whose coordinator is late leave one after another, and all are answered in time.
+func TestManyEnginesLeaveAZoneWhoseCoordinatorIsLate(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		c := qt.New(t)
+		f := newDeployedFleet(c, seed)
+		coordinator, _ := f.lateNodes("z3")
+		engines := []*leavingEngine{}
+		for i := range 40 {
+			engines = append(engines, f.joinEngine(i, "z3", int(seed)+i))
+		}
+		f.pass(kernel.Second)
+		coordinator.lag = 3 * kernel.Second
+		f.pass(8 * kernel.Second)
+		for i, e := range engines {
+			f.in(kernel.Micros(i)*80*ms, e.leave)
+		}
+		longest := f.checkLeaving(14*kernel.Second, engines, fmt.Sprint("seed ", seed))
+		latest := kernel.Micros(0)
+		for _, e := range engines {
+			c.Check(e.confirmedAt != 0 && e.confirmedAt-e.leftAt <= deployedAckTimeout, qt.IsTrue, qt.Commentf("seed %d, %s: after %d ms", seed, e.id, (e.confirmedAt-e.leftAt)/ms))
+			latest = max(latest, e.confirmedAt-e.leftAt)
+		}
+		t.Logf("seed %d: used until %d ms after, confirmed within %d ms", seed, longest/ms, latest/ms)
+	}
+}
