--- a/internal/control/node_updates.go
+++ b/internal/control/node_updates.go
@@ -68,6 +68,7 @@
 	n.zone.routers.take(n.now, m.KnownRouters, n.settings.Timing.NodeExpiryTimeout)
 	if m.Update != nil {
 		n.onDirectoryUpdate(from, m.Update)
+		n.directoryFreshness.takeAnswer(from, m.RequestSeq, m.Freshness)
 	}
 	n.onStartupAnswer(from, m)
 }
@@ -109,6 +110,7 @@
 		grant := &wire.LeaseGrant{Seq: request.Seq, Revision: m.Revision, Leader: m.Leader}
 		if request.Address == n.self() {
 			n.lease.TakeFreshness(request.Seq, m.Revision, m.Freshness)
+			n.directoryFreshness.takeGrant(n.self(), request.Seq)
 			n.applied(n.lease.TakeGrant(n.now, grant))
 			continue
 		}
@@ -133,6 +135,7 @@
 	if m.Watermark > 0 && n.isCoordinator() {
 		n.antiEntropy.watermarks[from] = n.antiEntropy.watermarks[from].advance(m.Incarnation, m.Watermark)
 	}
+	n.hearEnds(m.Engines)
 	n.supersedeEarlier(m.Nodes)
 	isNewlyDraining, isIncomplete := n.directory.TakeUpdate(n.now, m, false)
 	if isNewlyDraining && n.isCoordinator() {
@@ -212,6 +215,7 @@
 	if received := n.lease.Received(); received > ownRequest.Applied {
 		ownRequest.Received = received
 	}
+	n.directoryFreshness.request(n.now, ownRequest.Seq, n.coordinator())
 	if n.isCoordinator() {
 		n.zone.batch[n.self()] = ownRequest
 		return
--- a/internal/server/runner_loop.go
+++ b/internal/server/runner_loop.go
@@ -156,6 +156,7 @@
 	// After what they speak of.
 	r.grantedAt.Store(int64(r.node.GrantedAt()))
 	r.freshAt.Store(int64(r.node.FreshAt()))
+	r.directoryFreshAt.Store(int64(r.node.DirectoryFreshAt()))
 }
 
 // publishBindings gives the dispatcher, if there is one, the routing table of a state.
