A batch of messages between nodes is encoded once and split by its brackets

Cause: each envelope is encoded by itself, since its bytes are counted by kind; then encoding/json checked and compacted all of them again as parts of their batch. On arrival the batch was checked, taken apart and copied, and then each envelope checked and decoded.

Change: the codec joins the encoded envelopes, and takes a batch of that form apart by its brackets and strings, with one copy. Any other form goes to encoding/json as before. Each envelope is still checked as it is read, so that one that can't be read costs none of the others; a batch that is no JSON as a whole may now bring the envelopes that are. The bytes on the wire are the same: TestABatchIsEncodedAsBefore, golden tests, and a fuzz test that compares what is read with what encoding/json reads.

Ruled out: one decoding pass for a whole batch, by which one unreadable envelope would cost the others.

--- a/internal/server/channel.go
+++ b/internal/server/channel.go
@@ -29,24 +29,9 @@
 	procedureIdentify    = "/dunlinloom.Peer/Who"
 )
 
-// jsonCodec lets connect carry the owners' own message types.
-type jsonCodec struct{}
-
-func (jsonCodec) Name() string                     { return "json" }
-func (jsonCodec) Marshal(from any) ([]byte, error) { return json.Marshal(from) }
-func (jsonCodec) Unmarshal(content []byte, to any) error {
-	return json.Unmarshal(content, to)
-}
-
 // emptyMessage is a request or an answer without content.
 type emptyMessage struct{}
 
-// envelopeBatch is what goes over a stream at once. Its envelopes are encoded one by one: they are counted
-// by kind as they go, and one that can't be read costs none of the others.
-type envelopeBatch struct {
-	Envelopes []json.RawMessage `json:"envelopes"`
-}
-
 // FetchConfigRequest asks a controller for the configuration of an older revision.
 type FetchConfigRequest struct {
 	Ref cluster.ConfigRef `json:"mark"`
@@ -385,18 +370,6 @@
 	return reply.Msg, nil
 }
 
-// dispatch gives a batch's envelopes to the owners, and what can't be read to reject.
-func (p *envelopeBatch) dispatch(deliver func(wire.Envelope), reject func(from string, err error)) {
-	for _, content := range p.Envelopes {
-		envelope, err := wire.ReadEnvelope(content)
-		if err != nil {
-			reject(envelope.From, err)
-			continue
-		}
-		deliver(envelope)
-	}
-}
-
 // NewPeerHandler serves the procedures to the other nodes.
 func NewPeerHandler(deliver func(wire.Envelope), reject func(from string, err error), fetchConfig func(FetchConfigRequest) (*FetchConfigResponse, error), identify func() storage.Witness) http.Handler {
 	// The bound holds for answers as well: connect compresses every one of them otherwise.
