The lateness of the control plane's loop is measured, shown and journalled

Cause: when a node's processor is full with callers' requests, configurations and engines' ends take effect late on it, and nothing showed by how much. owners_longest_us is how long a turn took, not how long its events had waited.

Change: each message of another node, and each tick, is measured from when it was posted or due to when it is handled. The loop counts as late once that was above 300 ms for 100 ms with nothing in time between, until nothing was above 100 ms for 500 ms. The golden list of metrics has the four new names.

Ruled out: to count requests of engines and operators, by which a flood of them would pass for a lack of processor time; and a single late tick, by which every process that was frozen for a moment would.

Tests, by a clock of their own: late messages, late ticks, both bounds, a frozen process, a flood of requests.

--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -121,6 +121,7 @@
 		m.sample("spec_generation", state.Document.ConfigRevision)
 	}
 	m.sample("owners_longest_us", f.runner.LongestTurn())
+	f.runner.lateness.metrics(m)
 	m.sample("engines_known", len(state.Engines))
 	m.sample("engines_usable", countUsable(state.Engines))
 	if state.Health != nil {
--- a/internal/server/doc.go
+++ b/internal/server/doc.go
@@ -15,8 +15,10 @@
 //     deployment_metrics.go, deployment_shutdown.go: its process; services.go: what its handlers get
 //   - waiting.go and dialing.go: what both kinds of process use
 //   - runner.go: the shell round the node, and how it carries out commands; runner_loop.go: the loop that owns the
-//     node; runner_calls.go and submissions.go: calls into it that wait for a reply; engine_probe.go and platform_list.go: what it learns of engines by itself
-//   - channel.go: connections to other nodes; envelope_batch.go: how messages are encoded for them; archiver.go: the object store of past configurations
+//     node; lateness.go: how late the loop is; runner_calls.go and submissions.go: calls into it that wait for a
+//     reply; engine_probe.go and platform_list.go: what it learns of engines by itself
+//   - channel.go: connections to other nodes; envelope_batch.go: how messages are encoded for them; archiver.go: the
+//     object store of past configurations
 //   - api.go and api_*.go: the public HTTP interface; core_view.go: the core as operators see it
 //   - callers.go, routing_table.go and quota.go: from the control plane's state to the data planes
 //   - overload.go and head_guard.go: what protects the listeners of callers
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -47,6 +47,7 @@
 
 	// longestTurn is the longest that one turn of the loop has held the owners up, in microseconds.
 	longestTurn atomic.Int64
+	lateness    latenessMonitor
 	// grantedAt is control.Node.GrantedAt after the last event, freshAt control.Node.FreshAt.
 	grantedAt    atomic.Int64
 	freshAt      atomic.Int64
@@ -82,6 +83,7 @@
 		nextToken: rand.Uint64() >> 1, tableBuilder: TableBuilder{Compiler: compiler}, dial: plainDialer(),
 		prober: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DialContext: plainDialer(), MaxIdleConnsPerHost: 1}},
 	}
+	r.lateness.env, r.lateness.tickInterval = env, node.TickInterval()
 	r.state.Store(node.State(nil))
 	return r
 }
@@ -120,7 +122,15 @@
 	r.post(func() []commands.Command { return r.node.Unreadable(r.env.Clock.Now(), from, err) })
 }
 
-func (r *Runner) post(event event) { r.postTo(r.queue, event) }
+// post posts a message of another node, or what this node's own work led to.
+func (r *Runner) post(event event) {
+	postedAt := r.env.Clock.Now()
+	r.postTo(r.queue, func() []commands.Command {
+		now := r.env.Clock.Now()
+		r.lateness.observe(now, now-postedAt)
+		return event()
+	})
+}
 
 // postRequest posts what an engine, an operator or a caller asks for. Those that belong together, as a read and its
 // cancelation, keep their order.
--- a/internal/server/runner_loop.go
+++ b/internal/server/runner_loop.go
@@ -136,7 +136,11 @@
 	return nil
 }
 
-func (r *Runner) tick() []commands.Command { return r.node.Tick(r.env.Clock.Now()) }
+func (r *Runner) tick() []commands.Command {
+	now := r.env.Clock.Now()
+	r.lateness.observeTick(now)
+	return r.node.Tick(now)
+}
 
 // LongestTurn is the longest that one turn has held the owners up so far.
 func (r *Runner) LongestTurn() kernel.Micros { return kernel.Micros(r.longestTurn.Load()) }
