A split vote right after a whole stop is retried soon

What callers saw: after a stop of the whole fleet now and then no leader for about a second, so that reads and changes waited twice as long as promised for a start (500 ms).

Cause: two members that stand at once share the votes. Each then waited the election time-out that is to spare a working leader (600 to 1200 ms), although in a process that has heard no leader yet there is none to spare, and pre-votes are retried there after 100 to 250 ms.

Change: a candidate counts refusals. Once a majority can't be reached any more, in the first 2 s of a process that has heard no leader, it tries again after the same short span as its pre-votes, with a pre-vote first. While a vote may still come it waits as before, so slow links cost no further terms. Terms, votes and what is synced before what are as they were: only the timer of a candidate that has lost is shorter.

Ruled out: the short span for every candidate of that time; with votes on the way for longer than that none would ever be elected.

--- a/internal/control/core_state.go
+++ b/internal/control/core_state.go
@@ -13,7 +13,8 @@
 	role     role
 	term     uint64
 	votedFor cluster.MemberID
-	votes    map[cluster.MemberID]bool
+	votes    map[cluster.MemberID]bool // granted in the present election
+	refusals map[cluster.MemberID]bool // in the present election
 
 	leaderMember    cluster.Member
 	lastHeartbeatAt kernel.Micros // when the last heartbeat of a leader came; zero: none since the start
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -131,7 +131,7 @@
 		// The other voters may not have started yet.
 		c.electionTimer = c.now + c.leaderlessElectionTimeout()
 	}
-	c.votes = map[cluster.MemberID]bool{c.settings.Self.ID: true}
+	c.votes, c.refusals = map[cluster.MemberID]bool{c.settings.Self.ID: true}, map[cluster.MemberID]bool{}
 	requestVotes := func() {
 		for _, member := range c.doc.Voters {
 			if member.ID == c.settings.Self.ID {
@@ -212,13 +212,35 @@
 		return
 	}
 	isCurrent := m.IsPreVote && c.role == preCandidate && m.Term == c.term+1 || !m.IsPreVote && c.role == candidate && m.Term == c.term
-	if !isCurrent || !m.IsGranted {
+	if !isCurrent {
+		return
+	}
+	if !m.IsGranted {
+		c.refusals[m.Voter] = true
+		c.retryLostElection()
 		return
 	}
 	c.votes[m.Voter] = true
 	c.countVotes()
 }
 
+// retryLostElection has a candidate stand again soon where too many voters have refused their vote for it to
+// be elected, as after a split vote. While it may still be elected, it waits for votes that come late.
+func (c *Core) retryLostElection() {
+	if c.role != candidate || !c.isLeaderless() {
+		return
+	}
+	refused := 0
+	for _, member := range c.doc.Voters {
+		if c.refusals[member.ID] {
+			refused++
+		}
+	}
+	if len(c.doc.Voters)-refused <= len(c.doc.Voters)/2 {
+		c.electionTimer = min(c.electionTimer, c.now+c.leaderlessElectionTimeout())
+	}
+}
+
 // countVotes goes on to the election, or to the leadership, once a majority of the voters of the newest
 // accepted document has voted for this member.
 func (c *Core) countVotes() {
