What a node answers to others that start is bounded

In virtual time: no leader, read or change within 10 s.

Cause: a node without a document asked all seeds and six others every 100 ms, and each of these answered up to four times a second with the document, all engines and all nodes, 100 KB. 294 askers so owed each member over a thousand such answers a second, of which its half core encodes some 300. The members' votes and writes waited behind thousands of events.

Who starts asks the seeds in three rounds (0, 50, 100 ms) and then four of all it knows, after pauses that double up to 1.6 s; with a document it asks routers of that document at random, for 2 s after the document at the longest. Nothing depends on the number of nodes.

An older build ignores the new field and answers as before; a query of an older build lacks it and gets the directory along with a document that it lacks, and otherwise from its coordinator, as it asks that anyway.

Ruled out, each taken out of the untouched code by itself: retryPush (the same run to the message, since there is no leader to push) and the engines' heartbeats (no leader within 10 s either). Tried: documents without a directory for all, which left 95 % serving only after 3.6 to 3.9 s, since coordinators start as empty.

--- /dev/null
+++ b/internal/control/flowcontrol/budget_test.go
@@ -0,0 +1,35 @@
+package flowcontrol
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/kernel"
+)
+
+func TestABudgetBoundsBytesInAnySpan(t *testing.T) {
+	for _, example := range []struct {
+		name     string
+		spend    []int // one each 100 ms
+		wantLeft int   // right after the last
+	}{
+		{"full at first", nil, 1000},
+		{"spent", []int{600}, 400},
+		{"refilled in part", []int{600, 100}, 500},
+		{"never above the burst", []int{10, 0, 0}, 1000},
+		{"overdrawn by one message", []int{3000}, -2000},
+		{"the debt is paid first", []int{3000, 0, 0}, -1600},
+	} {
+		c := qt.New(t)
+		b := Budget{Rate: 2000, Burst: 1000}
+		now := 50 * kernel.Second
+		for i, bytes := range example.spend {
+			if i > 0 {
+				now += kernel.Second / 10
+			}
+			b.Spend(now, bytes)
+		}
+		c.Check(b.Available(now), qt.Equals, example.wantLeft, qt.Commentf("%s", example.name))
+	}
+}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -172,7 +172,7 @@
 		coreSettings.Random, coreSettings.PushTransfers = random, n.pushTransfers
 		n.core = NewCore(coreSettings, now)
 	}
-	n.startup = startupQueries{until: now + startupQueryTimeout, isDone: settings.ServeExtension < cluster.ServeWithoutLimit, answeredAt: map[string]kernel.Micros{}}
+	n.startup = newStartupQueries(settings, now)
 	n.restore(settings.Snapshot)
 	return n
 }
--- a/internal/control/node_snapshot.go
+++ b/internal/control/node_snapshot.go
@@ -29,6 +29,7 @@
 // snapshots is a node's part in keeping its snapshot.
 type snapshots struct {
 	isOn      bool
+	isLoaded  bool // this incarnation began with one
 	isWriting bool
 	nextAt    kernel.Micros
 	written   snapshotVersion
@@ -64,7 +65,7 @@
 		n.note(decision.Snapshot, decision.Ignore, "it belongs to another founding of the fleet")
 		return
 	}
-	s.restored = from.Document
+	s.restored, s.isLoaded = from.Document, true
 	n.note(decision.Snapshot, decision.Load, fmt.Sprintf("revision %d, %d engines, %d nodes to ask", from.Document.Revision, len(from.Engines), len(from.Nodes)))
 	for _, record := range from.Engines {
 		// Nobody has heard them in this life: they count as long silent, so that their home
--- /dev/null
+++ b/internal/control/startup_answers_test.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/control/registry"
+	"dunlinloom/internal/control/wire"
+	"dunlinloom/internal/kernel"
+)
+
+// startupQueryFrom is what an empty node asks that has just started.
+func startupQueryFrom(to *fleetNode, address string) wire.Envelope {
+	record := registry.NodeRecord{Address: address, Public: address, Zone: "z1", IsRouter: true, Start: 5, Seq: 1}
+	return wire.Envelope{Fleet: "f", From: address, To: to.identity.Address, Message: wire.Message{
+		StartupQuery: &wire.StartupQuery{LacksDirectory: true, Node: record},
+	}}
+}
+
+// startupAnswers counts what a node answers to those that start.
+type startupAnswers struct{ asked, documents, directories, bytes int }
+
+// ask has empty nodes with different addresses ask a node at one moment.
+func (a *startupAnswers) ask(c *qt.C, n *fleetNode, askers int) {
+	for range askers {
+		a.asked++
+		address := fmt.Sprintf("10.1.%d.%d:1", a.asked/200, a.asked%200)
+		for _, command := range n.node.Deliver(n.f.now, startupQueryFrom(n, address)) {
+			if outgoing, isOutgoing := command.(Outgoing); isOutgoing && outgoing.Envelope.Message.LeaseGrant != nil {
+				a.count(c, outgoing.Envelope)
+			}
+		}
+	}
+}
+
+func (a *startupAnswers) count(c *qt.C, envelope wire.Envelope) {
+	grant := envelope.Message.LeaseGrant
+	c.Assert(grant.Document, qt.IsNotNil)
+	a.documents++
+	if grant.Update != nil {
+		a.directories++
+	}
+	content, err := json.Marshal(envelope)
+	c.Assert(err, qt.IsNil)
+	a.bytes += len(content)
+}
+
+// However many nodes ask at once, what a node sends them stays within the budget of its answers, and the documents
+// come before the directories.
+func TestWhatIsAnsweredToNodesThatStartIsBounded(t *testing.T) {
+	const span = 2 * kernel.Second
+	allowed := startupAnswerBurst + startupAnswerRate*int(span/kernel.Second)
+	for _, askersInATick := range []int{1, 10, 100} {
+		c := qt.New(t)
+		f := newLargeFleet(c, 1, 12, 204)
+		n := f.nodes[0]
+		n.boot()
+		answers := startupAnswers{}
+		for begun := f.now; f.now-begun < span; f.pass(50 * ms) {
+			answers.ask(c, n, askersInATick)
+		}
+		c.Logf("%+v, of %d bytes", answers, allowed)
+		c.Check(answers.bytes <= allowed, qt.IsTrue)
+		c.Check(answers.directories > 0, qt.IsTrue)
+		c.Check(answers.documents >= min(answers.asked, allowed/(16<<10)), qt.IsTrue)
+	}
+}
--- a/internal/control/whole_restart_load_test.go
+++ b/internal/control/whole_restart_load_test.go
@@ -17,6 +17,8 @@
 	// operatorBegins is when the operator first asks, after the machines have their power back.
 	operatorBegins = kernel.Second
 	readsAtOnce    = 8
+	// leaderAfterWholeStop is when a large fleet has to have a leader again.
+	leaderAfterWholeStop = kernel.Second
 )
 
 // wholeRestart is how long after the power came back something was there; zero: not yet.
@@ -108,6 +110,7 @@
 	f := newLargeFleet(c, 1, 300, 204)
 	took := f.restartWholly(contactAfterWholeStop)
 	c.Assert(took.isOver(), qt.IsTrue, qt.Commentf("%+v", took))
+	c.Assert(took.led <= leaderAfterWholeStop, qt.IsTrue, qt.Commentf("%+v", took))
 	c.Logf("a leader after %d ms, 95 of 100 nodes serve after %d ms, reads are answered after %d ms, a change after %d ms",
 		took.led/ms, took.served/ms, took.read/ms, took.changed/ms)
 }
--- a/internal/control/wire/messages.go
+++ b/internal/control/wire/messages.go
@@ -17,6 +17,9 @@
 	Received      uint64              `json:"held,omitempty"` // the revision it holds
 	WantsDocument bool                `json:"keen,omitempty"` // it wants the document, however large
 	Node          registry.NodeRecord `json:"node"`
+	// LacksDirectory: nobody has sent it the directory in this incarnation, whatever document it holds. Older builds
+	// do not say so, and answer as if all did.
+	LacksDirectory bool `json:"lacks_directory,omitempty"`
 }
 
 // Envelope is one message between two nodes. Messages may be lost, doubled,
