A router that is late by its requests rejects new ones until it is in time again

Cause: all goroutines of a deployed process share one thread. What kept messages of nodes timely was the scheduler's order alone, and the bound on requests in flight, which is far above what a fifth of a core can do. So a node that was full with requests took ever more of them, and configurations and engines' ends took effect late on it.

Ruled out: to reject all, since a node that is late with eight requests or fewer is not late by them, and a fault of the control plane must not take the data plane down; and a bound by processor time, which a process that is throttled can't see.

--- a/internal/router/rejection.go
+++ b/internal/router/rejection.go
@@ -43,6 +43,21 @@
 	return false
 }
 
+// minInFlightWhenLate is how many requests are served at once however late the control plane is: so few are not what
+// fills the processor, and to reject them would not help.
+const minInFlightWhenLate = 8
+
+// rejectCrowd rejects a request that would be one too many of those in flight; nil: there is room for it.
+func (rt *Router) rejectCrowd(inFlight int64) *Rejection {
+	switch {
+	case rt.MaxInFlight > 0 && inFlight > rt.MaxInFlight:
+		return &Rejection{"crowded", "this process serves as many requests as it may", http.StatusServiceUnavailable, shortRetryAfter}
+	case inFlight > minInFlightWhenLate && rt.IsLate != nil && rt.IsLate():
+		return &Rejection{"crowded", "this process has more work than it can do in time", http.StatusServiceUnavailable, shortRetryAfter}
+	}
+	return nil
+}
+
 // rejectForMemory rejects a request whose body exceeds MaxBodyBytesTotal.
 func rejectForMemory() *Rejection {
 	return &Rejection{"crowded", bodyMemoryError{}.Error(), http.StatusServiceUnavailable, shortRetryAfter}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,6 +35,9 @@
 	// are no quotas.
 	Quota        *quota.Account
 	RequestQuota func()
+	// IsLate reports whether the process has so much work that news of the control plane takes effect late; nil: it
+	// never has.
+	IsLate func() bool
 	// Invariants counts violations, here, in the chooser and in the pool; nil: none are counted.
 	Invariants *invariant.Monitor
 }
@@ -100,9 +103,9 @@
 		rt.rejectUnread(w, r, &Rejection{"no_spec", "no configuration has reached this router yet", http.StatusServiceUnavailable, startupRetryAfter})
 		return
 	}
-	if rt.MaxInFlight > 0 && live > rt.MaxInFlight {
+	if rejection := rt.rejectCrowd(live); rejection != nil {
 		w.Header().Set("Connection", "close")
-		rt.rejectUnread(w, r, &Rejection{"crowded", "this process serves as many requests as it may", http.StatusServiceUnavailable, shortRetryAfter})
+		rt.rejectUnread(w, r, rejection)
 		return
 	}
 	route := config.RouteOf(r.Host, r.URL.Path)
