A node knows when its view of the engines is too old, and asks another coordinator

An end can't be waited for at nodes that are later than half of ack_ms and drain_ms together: 12 nodes in virtual time, one 12 s late, list an engine until 8.4 s after its end was confirmed.

EnginesTrustedUntil is 0.95 of the drain time-out after it, as long as words of a leader are handled; a node that is cut off, or without a leader, goes on. Nothing reads it yet. Once half of the drain time-out has passed the node asks another zone's coordinator, one request at a time, with a pause that doubles while there is no answer; that answers with what is new of its directory and registers nothing. No message has a new field.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -183,7 +183,7 @@
 		n.core = NewCore(coreSettings, now)
 	}
 	n.startup = startupQueries{until: now + startupQueryTimeout, isDone: settings.ServeExtension < cluster.ServeWithoutLimit, answeredAt: map[string]kernel.Micros{}}
-	n.directoryFreshness = newDirectoryFreshness()
+	n.directoryFreshness = newDirectoryFreshness(settings.DrainTimeout)
 	n.restore(settings.Snapshot)
 	return n
 }
@@ -458,6 +458,7 @@
 		n.core.Tick(now)
 	}
 	n.tickLeaseRequest()
+	n.tickDirectoryFreshness()
 	n.sendBatch()
 	n.tickAttest()
 	n.tickViews()
--- a/internal/control/node_updates.go
+++ b/internal/control/node_updates.go
@@ -16,6 +16,10 @@
 // directory that come back.
 
 func (n *Node) onLeaseRequest(from string, m *wire.LeaseRequest) {
+	if m.Zone != n.settings.Identity.Zone && n.settings.ServeExtension >= cluster.ServeWithoutLimit {
+		n.answerOtherZone(from, m)
+		return
+	}
 	n.directory.TakeNode(n.now, m.Node.WithTimes(n.now), true)
 	n.zone.takeRequest(n.now, m)
 	if n.settings.ServeExtension >= cluster.ServeWithoutLimit {
@@ -67,7 +71,7 @@
 	n.lease.TakeFreshness(grant.RequestSeq, grant.Revision, grant.Freshness)
 	if m.Update != nil {
 		n.onDirectoryUpdate(from, m.Update)
-		n.directoryFreshness.takeAnswer(from, m.RequestSeq, m.Freshness)
+		n.directoryFreshness.takeAnswer(n.now, from, m)
 	}
 	n.onStartupAnswer(from, m)
 }
@@ -109,7 +113,7 @@
 		grant := &wire.LeaseGrant{Seq: request.Seq, Revision: m.Revision, Leader: m.Leader}
 		if request.Address == n.self() {
 			n.lease.TakeFreshness(request.Seq, m.Revision, m.Freshness)
-			n.directoryFreshness.takeGrant(n.self(), request.Seq)
+			n.directoryFreshness.takeGrant(n.now, n.self(), request.Seq, m.Freshness)
 			n.applied(n.lease.TakeGrant(n.now, grant))
 			continue
 		}
@@ -199,6 +203,18 @@
 	}
 }
 
+// newLeaseRequest opens a lease request of this node.
+func (n *Node) newLeaseRequest() wire.RouterLeaseRequest {
+	request := wire.RouterLeaseRequest{
+		Address: n.self(), Zone: n.settings.Identity.Zone, Seq: n.lease.NewRequest(n.now),
+		Applied: n.lease.Revision(), IsRouter: n.settings.IsRouter && !n.isLeaving, LacksConfig: n.lease.LacksConfig(),
+	}
+	if received := n.lease.Received(); received > request.Applied {
+		request.Received = received
+	}
+	return request
+}
+
 func (n *Node) requestLease() {
 	n.requests.timer = n.now + n.settings.Timing.LeaseRequestInterval
 	if n.lease.Applied() == nil {
@@ -207,13 +223,7 @@
 	}
 	record := n.record()
 	n.directory.TakeNode(n.now, record, true)
-	ownRequest := wire.RouterLeaseRequest{
-		Address: n.self(), Zone: n.settings.Identity.Zone, Seq: n.lease.NewRequest(n.now),
-		Applied: n.lease.Revision(), IsRouter: n.settings.IsRouter && !n.isLeaving, LacksConfig: n.lease.LacksConfig(),
-	}
-	if received := n.lease.Received(); received > ownRequest.Applied {
-		ownRequest.Received = received
-	}
+	ownRequest := n.newLeaseRequest()
 	n.directoryFreshness.request(n.now, ownRequest.Seq, n.coordinator())
 	if n.isCoordinator() {
 		n.zone.batch[n.self()] = ownRequest
