An acknowledgement says which nodes lag and how many are gone

Callers of a lagging zone were served by a replaced configuration after its acknowledgement.

Change: the entry counts nodes that had applied the revision, that were heard within contact_ms without it (it names the first five), and that were silent; the leader's metrics give the same of its newest acknowledgement. No decision depends on it.

Measured: TestAnAcknowledgementTellsALaggingNodeFromASilentOne and TestAnAcknowledgementNamesTheFirstLaggingNodes pass.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -30,6 +30,7 @@
 	Voters               int
 	AckRule              AckRule
 	DisseminationTimeout kernel.Micros
+	ContactTimeout       kernel.Micros
 	ServeExtension       kernel.Micros
 	BootstrapRule        BootstrapRule
 	// Restored from the data folder.
--- a/internal/control/core_state.go
+++ b/internal/control/core_state.go
@@ -66,6 +66,8 @@
 	// committedAt is when the newest revisions were committed under this leadership.
 	committedAt map[uint64]kernel.Micros
 	health      *Health // the last view of the voters
+	// dissemination is how far the newest acknowledged revision had spread when it was acknowledged.
+	dissemination Dissemination
 }
 
 // operationState is the operations and reads that a leader has not answered yet.
--- /dev/null
+++ b/internal/control/dissemination_report_test.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/kernel"
+)
+
+// What a leader tells of an acknowledgement distinguishes a node that is heard and lacks the revision from one that is gone.
+func TestAnAcknowledgementTellsALaggingNodeFromASilentOne(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newFleet(c, 31, 3, 9, firstHaveFolders(4))
+	f.adapt = func(settings *NodeSettings) {
+		platformLike(settings)
+		settings.ContactTimeout = 5 * kernel.Second
+	}
+	f.bootAll(300 * ms)
+	f.stabilized(8 * kernel.Second)
+	f.acknowledge("whole", 0, configOf(1, "whole"), 4*kernel.Second, f.nodes[5])
+	lead := f.leader()
+	spread := lead.state().Dissemination
+	c.Assert(spread.Applied, qt.Equals, len(f.nodes), qt.Commentf("%v", spread))
+	c.Assert(spread.Lagging, qt.HasLen, 0)
+	c.Assert(spread.Silent, qt.Equals, 0)
+	silent, lagging := f.nodes[7], f.nodes[8]
+	silent.kill()
+	f.pass(6 * kernel.Second)
+	lagging.cutFrom(inward, f.nodes...)
+	f.acknowledge("part", 1, configOf(2, "part"), 4*kernel.Second, f.nodes[5])
+	c.Assert(f.leader(), qt.Equals, lead)
+	spread = lead.state().Dissemination
+	c.Check(spread.Applied, qt.Equals, len(f.nodes)-2, qt.Commentf("%v", spread))
+	c.Check(spread.Lagging, qt.DeepEquals, []string{lagging.identity.Address})
+	c.Check(spread.Silent, qt.Equals, 1)
+	c.Check(spread.String(), qt.Contains, "applied by 7 nodes, not by 1 that were heard lately and 1 that were not; behind: "+lagging.identity.Address)
+}
+
+// A journal entry names few of many lagging nodes.
+func TestAnAcknowledgementNamesTheFirstLaggingNodes(t *testing.T) {
+	c := qt.New(t)
+	text := Dissemination{Revision: 3, Lagging: strings.Split("a b c d e f g", " ")}.String()
+	c.Check(text, qt.Contains, "behind: a, b, c, d, e and 2 more")
+}
--- a/internal/control/election.go
+++ b/internal/control/election.go
@@ -246,7 +246,7 @@
 	c.peers, c.round, c.sentRounds, c.hasCommittedInTerm = map[cluster.MemberID]*peer{}, 0, nil, false
 	c.nodeReports, c.coordinatorSeenAt = map[string]*nodeReport{}, map[string]kernel.Micros{}
 	c.coordinatorSuccessors, c.drainingReports = map[string]string{}, nil
-	c.committedAt, c.pushUntil = map[uint64]kernel.Micros{}, 0
+	c.committedAt, c.pushUntil, c.dissemination = map[uint64]kernel.Micros{}, 0, Dissemination{}
 	for _, member := range c.doc.Voters {
 		if member.ID != c.settings.Self.ID {
 			lastContact := c.now
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -45,6 +45,7 @@
 	ServeExtension       kernel.Micros
 	AckRule              AckRule
 	DisseminationTimeout kernel.Micros // how long an acknowledgement under Disseminated waits for nodes; zero: 600 ms
+	ContactTimeout       kernel.Micros // how long after its last report a node may still be in touch; zero: a second
 	SubmitTimeout        kernel.Micros // how long an operation submitted here is tried; zero: 6 s
 	// IsAbortDisabled leaves the outcome of an operation without a reply unknown, since it is sent
 	// again as it was.
@@ -148,6 +149,9 @@
 	if settings.DisseminationTimeout == 0 {
 		settings.DisseminationTimeout = defaultDisseminationTimeout
 	}
+	if settings.ContactTimeout == 0 {
+		settings.ContactTimeout = defaultContactTimeout
+	}
 	if settings.SubmitTimeout == 0 {
 		settings.SubmitTimeout = submitTimeout
 	}
@@ -183,7 +187,7 @@
 		Self:      cluster.Member{ID: s.Member, Address: s.Identity.Address, Zone: s.Identity.Zone},
 		HasFolder: s.HasFolder, Seeds: s.Seeds, Timing: s.Timing, Note: note,
 		CheckConfig: s.CheckConfig, PatchConfig: s.PatchConfig, VersionOf: s.VersionOf,
-		Voters: s.Voters, AckRule: s.AckRule, DisseminationTimeout: s.DisseminationTimeout, ServeExtension: s.ServeExtension, BootstrapRule: s.BootstrapRule,
+		Voters: s.Voters, AckRule: s.AckRule, DisseminationTimeout: s.DisseminationTimeout, ContactTimeout: s.ContactTimeout, ServeExtension: s.ServeExtension, BootstrapRule: s.BootstrapRule,
 		HardState: s.HardState, Document: s.Document, StoredConfigs: s.StoredConfigs, Acknowledged: s.Acknowledged, Incarnation: s.Start,
 		Invariants: s.Invariants,
 	}
--- a/internal/control/node_state.go
+++ b/internal/control/node_state.go
@@ -53,6 +53,8 @@
 	Neighbours        []string
 	ClusterID         string
 	ServingRouters    int // router nodes known to live, this one among them
+	// Dissemination is that of the newest revision that this node acknowledged while it has led; zero: of none.
+	Dissemination Dissemination
 
 	directoryRev uint64
 }
@@ -68,6 +70,7 @@
 	if n.core != nil {
 		state.Health = n.core.Health()
 		state.IsLeader, state.Role, state.Term, state.DiskFault = n.core.role == leader, n.core.role.String(), n.core.term, n.core.DiskFault()
+		state.Dissemination = n.core.Dissemination()
 		if known := n.core.Leader(); known != "" {
 			state.Leader = known
 		}
@@ -99,5 +102,6 @@
 	return s.Document == other.Document && s.Until == other.Until && s.LapseReason == other.LapseReason && s.Leader == other.Leader &&
 		s.Coordinator == other.Coordinator && s.IsCoordinator == other.IsCoordinator && s.IsCoordinatorLost == other.IsCoordinatorLost && s.IsLeader == other.IsLeader &&
 		s.Role == other.Role && s.Term == other.Term && s.DiskFault == other.DiskFault && s.Health == other.Health && s.EngineRev == other.EngineRev &&
-		s.directoryRev == other.directoryRev && s.ClusterID == other.ClusterID && s.ServingRouters == other.ServingRouters && slices.Equal(s.Neighbours, other.Neighbours)
+		s.directoryRev == other.directoryRev && s.ClusterID == other.ClusterID && s.ServingRouters == other.ServingRouters &&
+		s.Dissemination.Revision == other.Dissemination.Revision && slices.Equal(s.Neighbours, other.Neighbours)
 }
--- a/internal/control/submissions.go
+++ b/internal/control/submissions.go
@@ -245,7 +245,8 @@
 			c.send(pending.from, wire.Message{SubmitResponse: &cluster.SubmitResponse{
 				ID: pending.id, Outcome: cluster.Rejected, Reason: cluster.ReasonAborted, Detail: "given up on; it will never take effect"}})
 		case isDone && c.settings.AckRule == Disseminated && c.isDisseminated(pending.revision):
-			c.acknowledge(pending, "has gone round")
+			c.recordDissemination(pending.revision)
+			c.acknowledge(pending, c.dissemination.String())
 		case isDone && c.settings.AckRule != Disseminated && c.isApplied(pending.revision):
 			c.acknowledge(pending, "applied by a majority of routers")
 		default:
--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -126,6 +126,12 @@
 	if state.Health != nil {
 		m.sample("core_whole", boolMetric(state.Health.IsHealthy))
 	}
+	if state.IsLeader && state.Dissemination.Revision > 0 {
+		m.sample("acknowledged_generation", state.Dissemination.Revision)
+		m.sample("acknowledged_nodes", state.Dissemination.Applied, "state", "applied")
+		m.sample("acknowledged_nodes", len(state.Dissemination.Lagging), "state", "lagging")
+		m.sample("acknowledged_nodes", state.Dissemination.Silent, "state", "silent")
+	}
 	m.sample("nodes_known", len(state.Nodes))
 	bytes := map[string]uint64{}
 	for address, sent := range f.connections.BytesByPeer() {
