Failing test: nodes that lag serve by a replaced configuration

Callers were served by a configuration that had been replaced more than apply_ms before, at nodes that ran and were not cut off. The test has the queues of nodes, of a coordinator and of a zone grow, and loops stall, in 14 ways.

--- /dev/null
+++ b/internal/control/lagging_nodes_test.go
@@ -0,0 +1,238 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/control/commands"
+	"dunlinloom/internal/kernel"
+)
+
+// Bounds of the deployment that the fleets of this file play.
+const (
+	applyBound   = 3 * kernel.Second // from an acknowledgement to its effect at every node in touch
+	contactBound = 5 * kernel.Second // of calm, after which a node counts as in touch
+)
+
+// lateFleet is a fleet some of whose nodes handle and send each message late, because their processors or links are
+// full, though nothing is cut. An operator sends one configuration after another to a node that is on time.
+type lateFleet struct {
+	*fleet
+	operator *fleetNode
+	// lag is how long a message waits at a node that receives or sends it.
+	lag     map[*fleetNode]kernel.Micros
+	version uint64
+	acked   []acknowledgement
+	// padding is what each configuration holds beside its version.
+	padding string
+	// inTouchFrom is when each node counts as in touch by the users' rule.
+	inTouchFrom map[*fleetNode]kernel.Micros
+	violations  map[string]int // by the node's address
+	first       string         // what the first violation was
+	refused     map[*fleetNode]kernel.Micros
+	served      map[*fleetNode]kernel.Micros
+}
+
+// newLateFleet makes a fleet of four zones; the core lies in the first three of them.
+func newLateFleet(c *qt.C, seed uint64) *lateFleet {
+	f := newFleet(c, seed, 4, 16, firstHaveFolders(3))
+	f.adapt = func(settings *NodeSettings) {
+		platformLike(settings)
+		settings.ContactTimeout = contactBound
+	}
+	l := &lateFleet{
+		fleet: f, operator: f.nodes[4], lag: map[*fleetNode]kernel.Micros{}, version: 1,
+		violations:  map[string]int{},
+		inTouchFrom: map[*fleetNode]kernel.Micros{}, refused: map[*fleetNode]kernel.Micros{}, served: map[*fleetNode]kernel.Micros{},
+	}
+	f.carrier = l.carry
+	f.bootAll(300 * ms)
+	f.stabilized(8 * kernel.Second)
+	f.acknowledge("first", 0, configOf(1, "first"), 4*kernel.Second, l.operator)
+	l.acked = []acknowledgement{{1, f.now}}
+	f.pass(contactBound)
+	for _, n := range f.nodes {
+		l.inTouchFrom[n] = f.now
+	}
+	return l
+}
+
+// carry sends the messages of and to late nodes late.
+func (l *lateFleet) carry(n *fleetNode, command commands.Command) bool {
+	outgoing, isOutgoing := command.(Outgoing)
+	if !isOutgoing {
+		return false
+	}
+	to := l.byAddress(outgoing.Envelope.To)
+	if to == nil || l.lag[n]+l.lag[to] == 0 || n.cutOut[to.identity.Address] {
+		return false
+	}
+	content, err := json.Marshal(outgoing.Envelope)
+	l.c.Assert(err, qt.IsNil)
+	l.deliver(to, content, l.lag[n]+l.lag[to])
+	return true
+}
+
+// lateZone is the zone in which no member of the core lies.
+const lateZone = "z4"
+
+func (l *lateFleet) lateCoordinator() *fleetNode {
+	return l.byAddress(l.leader().node.core.committed.Coordinators[lateZone])
+}
+
+// lateNode is a node of lateZone that does not coordinate it.
+func (l *lateFleet) lateNode() *fleetNode {
+	for _, n := range zoneOf(l.fleet, lateZone) {
+		if n != l.lateCoordinator() {
+			return n
+		}
+	}
+	return nil
+}
+
+// stall has a node's loop handle nothing for a span, again and again; its callers are served meanwhile.
+func (l *lateFleet) stall(n *fleetNode, span, pause kernel.Micros) {
+	n.freeze(span)
+	l.in(span+pause, func() { l.stall(n, span, pause) })
+}
+
+// fill has the queue of a node grow at a pace, up to a length. Messages still come, so that it is not like a cut.
+func (l *lateFleet) fill(n *fleetNode, most kernel.Micros, pace float64) {
+	const step = 60 * ms
+	l.lag[n] = min(l.lag[n]+kernel.Micros(pace*float64(step)), most)
+	if l.lag[n] < most {
+		l.in(step, func() { l.fill(n, most, pace) })
+	}
+}
+
+// change sends one configuration after another, with pauses of up to four seconds.
+func (l *lateFleet) change(until kernel.Micros) {
+	if l.now > until {
+		return
+	}
+	id := fmt.Sprint("change-", l.version+1)
+	if reply, isThere := l.reply[id]; isThere && reply.Outcome == cluster.Accepted {
+		l.version++
+		l.acked = append(l.acked, acknowledgement{l.version, l.repliedAt[id]})
+		l.in(kernel.Micros(l.random.IntN(4000))*ms, func() { l.change(until) })
+		return
+	}
+	l.operator.submit(id, l.version, configOf(l.version+1, l.padding))
+	l.in(kernel.Second, func() { l.change(until) })
+}
+
+// serves tells whether a node's router takes requests now.
+func (n *fleetNode) serves() bool { return n.inForce() != nil }
+
+// replaced is the oldest version that should have replaced a node's configuration by now; zero: none.
+func (l *lateFleet) replaced(n *fleetNode) acknowledgement {
+	for _, acked := range l.acked {
+		if l.now-acked.at > applyBound && n.inForce().ConfigVersion < acked.version {
+			return acked
+		}
+	}
+	return acknowledgement{}
+}
+
+// largeConfigBytes is so much that a zone's nodes get a configuration from their coordinator alone for longer than the bound.
+const largeConfigBytes = 400 << 10
+
+const watchInterval = 20 * ms
+
+// watch checks at every moment that a node in touch has every configuration in force that was acknowledged longer ago
+// than the bound, or does not serve.
+func (l *lateFleet) watch() {
+	for _, n := range l.nodes {
+		if !n.isUp || n.inForce() == nil {
+			continue
+		}
+		if !n.serves() {
+			l.refused[n] += watchInterval
+			continue
+		}
+		l.served[n] += watchInterval
+		if since, isInTouch := l.inTouchFrom[n]; !isInTouch || l.now < since {
+			continue
+		}
+		acked := l.replaced(n)
+		if acked.version == 0 {
+			continue
+		}
+		l.violations[n.identity.Address]++
+		if l.first == "" {
+			l.first = fmt.Sprintf("%s serves by version %d, and %d was acknowledged %d ms ago",
+				n.identity.Address, n.inForce().ConfigVersion, acked.version, (l.now-acked.at)/ms)
+		}
+	}
+	l.in(watchInterval, l.watch)
+}
+
+// lateCase is one way in which nodes are late.
+type lateCase struct {
+	name string
+	lag  func(l *lateFleet)
+}
+
+// Paces at which a queue grows, in parts of the time that passes.
+const (
+	slowly = 0.33
+	fast   = 0.75
+)
+
+var lateCases = []lateCase{
+	{"a coordinator's queue fills to 2 s", func(l *lateFleet) { l.fill(l.lateCoordinator(), 2*kernel.Second, slowly) }},
+	{"a coordinator's queue fills to 4 s", func(l *lateFleet) { l.fill(l.lateCoordinator(), 4*kernel.Second, slowly) }},
+	{"a coordinator's queue fills fast", func(l *lateFleet) { l.fill(l.lateCoordinator(), 6*kernel.Second, fast) }},
+	{"a coordinator's queue fills to 4 s and the configurations are large", func(l *lateFleet) {
+		l.padding = strings.Repeat("x", largeConfigBytes)
+		l.fill(l.lateCoordinator(), 4*kernel.Second, slowly)
+	}},
+	{"a node's queue fills to 1 s", func(l *lateFleet) { l.fill(l.lateNode(), kernel.Second, slowly) }},
+	{"a node's queue fills to 2 s", func(l *lateFleet) { l.fill(l.lateNode(), 2*kernel.Second, slowly) }},
+	{"a node's queue fills to 4 s", func(l *lateFleet) { l.fill(l.lateNode(), 4*kernel.Second, slowly) }},
+	{"a node's queue fills to 8 s", func(l *lateFleet) { l.fill(l.lateNode(), 8*kernel.Second, slowly) }},
+	{"a node's queue fills fast", func(l *lateFleet) { l.fill(l.lateNode(), 6*kernel.Second, fast) }},
+	{"a node's queue fills to 6 s and is worked off", func(l *lateFleet) {
+		n := l.lateNode()
+		l.fill(n, 6*kernel.Second, slowly)
+		l.in(19*kernel.Second, func() { l.lag[n] = 0 })
+	}},
+	{"the queues of a zone fill to 4 s", func(l *lateFleet) {
+		for _, n := range zoneOf(l.fleet, lateZone) {
+			l.fill(n, 4*kernel.Second, slowly)
+		}
+	}},
+	{"the loop of a node stalls for 4 s", func(l *lateFleet) { l.stall(l.lateNode(), 4*kernel.Second, kernel.Second) }},
+	{"the loop of a coordinator stalls for 4 s", func(l *lateFleet) { l.stall(l.lateCoordinator(), 4*kernel.Second, 300*ms) }},
+	{"the loops of a zone stall for 4 s", func(l *lateFleet) {
+		for i, n := range zoneOf(l.fleet, lateZone) {
+			l.in(kernel.Micros(i)*700*ms, func() { l.stall(n, 4*kernel.Second, kernel.Second) })
+		}
+	}},
+}
+
+// An acknowledgement waits for 600 ms at most, and a node that lags for longer than the rest of the bound is still in touch
+// by the users' rule: nothing is cut, and it runs. It either has the newer configuration by then or does not serve.
+func TestANodeThatLagsServesNoReplacedConfiguration(t *testing.T) {
+	t.Parallel()
+	for _, late := range lateCases {
+		t.Run(late.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(6) {
+				c := qt.New(t)
+				l := newLateFleet(c, 300+seed)
+				late.lag(l)
+				l.watch()
+				l.change(l.now + 25*kernel.Second)
+				l.pass(30 * kernel.Second)
+				c.Check(l.first, qt.Equals, "", qt.Commentf("seed %d, violations %v", seed, l.violations))
+				c.Check(len(l.acked) > 4, qt.IsTrue, qt.Commentf("seed %d: only %d changes were acknowledged", seed, len(l.acked)))
+			}
+		})
+	}
+}
