A node that lags refuses callers instead of serving a replaced configuration

Callers at 300 machines were served by a configuration that had been replaced more than apply_ms before, by nodes that ran and were not cut off. Cause: the acknowledgement waits for 600 ms and for nodes heard within a second, and nothing on a node that lags for longer noticed that its configuration might be old.

Change: a router under a deployment's rules answers 503 (stale_config, not run, short Retry-After) while its document was last known to be the newest 0.95 x apply_ms ago or more, though fresh answers show that a leader leads. Time in which the node did not listen, because its loop stalled or messages waited in its queue, does not count as silence of the leader. Meanwhile it asks the leader and the voters each 250 ms; it says that it is not ready once this lasts for apply_ms. An answer counts for the age of a document for as long as the fence allows, not for a strict lease's span alone. A node whose coordinator falls silent asks the leader at once, and again 100 ms after news of who leads. Strict leases are as they were.

Ruled out: a longer wait (a frozen node would delay each order), the mere name of a leader as evidence (a node cut off from the leader alone would refuse), lateness alone (a busy node that is cut off would refuse).

--- a/internal/control/decision/decision.go
+++ b/internal/control/decision/decision.go
@@ -68,6 +68,8 @@
 	QuorumBack             Decision = "quorum back"
 	Apply                  Decision = "apply"
 	Unreadable             Decision = "unreadable"
+	Stale                  Decision = "stale" // of the configuration: it may have been replaced
+	Fresh                  Decision = "fresh"
 	Ignore                 Decision = "ignore"
 	Load                   Decision = "load"
 	Repair                 Decision = "repair" // records that differ are sent
--- a/internal/control/dissemination_report_test.go
+++ b/internal/control/dissemination_report_test.go
@@ -14,10 +14,6 @@
 	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(c, 31, 3, 9, firstHaveFolders(4))
-	f.adapt = func(settings *NodeSettings) {
-		platformLike(settings)
-		settings.ContactTimeout = 5 * kernel.Second
-	}
 	f.bootAll(300 * ms)
 	f.stabilized(8 * kernel.Second)
 	f.acknowledge("whole", 0, configOf(1, "whole"), 4*kernel.Second, f.nodes[5])
--- a/internal/control/fleet_harness_test.go
+++ b/internal/control/fleet_harness_test.go
@@ -124,6 +124,7 @@
 	settings.SubmitTimeout, settings.IsAbortDisabled, settings.BootstrapRule = 900*ms, true, BootstrapByAnnounce
 	settings.Timing = cluster.SparseTiming()
 	settings.Timing.EngineHeartbeatTimeout = 4200 * ms
+	settings.ApplyTimeout, settings.ContactTimeout = applyBound, contactBound
 	settings.VersionOf = func(config []byte) (uint64, error) {
 		var read struct {
 			Ver uint64 `json:"ver"`
--- a/internal/control/lagging_nodes_test.go
+++ b/internal/control/lagging_nodes_test.go
@@ -10,6 +10,7 @@
 
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/commands"
+	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
 
@@ -26,6 +27,7 @@
 	operator *fleetNode
 	// lag is how long a message waits at a node that receives or sends it.
 	lag     map[*fleetNode]kernel.Micros
+	isLate  map[*fleetNode]bool // it lags, or its loop stalls, at some time
 	version uint64
 	acked   []acknowledgement
 	// padding is what each configuration holds beside its version.
@@ -41,12 +43,8 @@
 // newLateFleet makes a fleet of four zones; the core lies in the first three of them.
 func newLateFleet(c *qt.C, seed uint64) *lateFleet {
 	f := newFleet(c, seed, 4, 16, firstHaveFolders(3))
-	f.adapt = func(settings *NodeSettings) {
-		platformLike(settings)
-		settings.ContactTimeout = contactBound
-	}
 	l := &lateFleet{
-		fleet: f, operator: f.nodes[4], lag: map[*fleetNode]kernel.Micros{}, version: 1,
+		fleet: f, operator: f.nodes[4], lag: map[*fleetNode]kernel.Micros{}, isLate: map[*fleetNode]bool{}, version: 1,
 		violations:  map[string]int{},
 		inTouchFrom: map[*fleetNode]kernel.Micros{}, refused: map[*fleetNode]kernel.Micros{}, served: map[*fleetNode]kernel.Micros{},
 	}
@@ -74,7 +72,18 @@
 	}
 	content, err := json.Marshal(outgoing.Envelope)
 	l.c.Assert(err, qt.IsNil)
-	l.deliver(to, content, l.lag[n]+l.lag[to])
+	waited := l.lag[to]
+	l.in(l.lag[n]+waited+ms+kernel.Micros(l.random.Int64N(int64(4*ms))), func() {
+		if !to.isUp {
+			return
+		}
+		var envelope wire.Envelope
+		l.c.Assert(json.Unmarshal(content, &envelope), qt.IsNil)
+		to.do(func() []commands.Command {
+			to.node.MessageWaited(waited)
+			return to.node.Deliver(l.now, envelope)
+		})
+	})
 	return true
 }
 
@@ -97,6 +106,7 @@
 
 // stall has a node's loop handle nothing for a span, again and again; its callers are served meanwhile.
 func (l *lateFleet) stall(n *fleetNode, span, pause kernel.Micros) {
+	l.isLate[n] = true
 	n.freeze(span)
 	l.in(span+pause, func() { l.stall(n, span, pause) })
 }
@@ -104,6 +114,7 @@
 // fill has the queue of a node grow at a pace, up to a length. Messages still come, so that it is not like a cut.
 func (l *lateFleet) fill(n *fleetNode, most kernel.Micros, pace float64) {
 	const step = 60 * ms
+	l.isLate[n] = true
 	l.lag[n] = min(l.lag[n]+kernel.Micros(pace*float64(step)), most)
 	if l.lag[n] < most {
 		l.in(step, func() { l.fill(n, most, pace) })
@@ -127,7 +138,10 @@
 }
 
 // serves tells whether a node's router takes requests now.
-func (n *fleetNode) serves() bool { return n.inForce() != nil }
+func (n *fleetNode) serves() bool {
+	isStale := n.node.IsLed() && n.f.now-n.node.FreshAt() >= n.node.ConfigMaxAge()
+	return n.inForce() != nil && !isStale
+}
 
 // replaced is the oldest version that should have replaced a node's configuration by now; zero: none.
 func (l *lateFleet) replaced(n *fleetNode) acknowledgement {
@@ -172,6 +186,27 @@
 	l.in(watchInterval, l.watch)
 }
 
+// checkOnTime checks that nodes that are not late themselves are not held back, unless a large document has not come
+// to them.
+func (l *lateFleet) checkOnTime(c *qt.C, seed uint64) {
+	c.Helper()
+	for _, n := range l.nodes {
+		isBehind := l.padding != "" && n.identity.Zone == lateZone
+		if !l.isLate[n] && !isBehind {
+			c.Check(l.refused[n] <= longestRefusal, qt.IsTrue, qt.Commentf("seed %d: %s refused for %d ms", seed, n.identity.Address, l.refused[n]/ms))
+		}
+	}
+}
+
+// lateShare is for how many hundredths of the time the late nodes served.
+func (l *lateFleet) lateShare() int {
+	served, refused := kernel.Micros(0), kernel.Micros(0)
+	for n := range l.isLate {
+		served, refused = served+l.served[n], refused+l.refused[n]
+	}
+	return int(100 * served / max(served+refused, 1))
+}
+
 // lateCase is one way in which nodes are late.
 type lateCase struct {
 	name string
@@ -223,6 +258,7 @@
 	for _, late := range lateCases {
 		t.Run(late.name, func(t *testing.T) {
 			t.Parallel()
+			shares := []int{}
 			for seed := range uint64(6) {
 				c := qt.New(t)
 				l := newLateFleet(c, 300+seed)
@@ -231,8 +267,107 @@
 				l.change(l.now + 25*kernel.Second)
 				l.pass(30 * kernel.Second)
 				c.Check(l.first, qt.Equals, "", qt.Commentf("seed %d, violations %v", seed, l.violations))
+				l.checkOnTime(c, seed)
+				shares = append(shares, l.lateShare())
 				c.Check(len(l.acked) > 4, qt.IsTrue, qt.Commentf("seed %d: only %d changes were acknowledged", seed, len(l.acked)))
 			}
+			t.Logf("the late nodes served for so many hundredths of the time, by seed: %v", shares)
+		})
+	}
+}
+
+// openCase is one way in which nodes are cut off or nobody leads, after which they go on serving.
+type openCase struct {
+	name  string
+	fault func(l *lateFleet)
+}
+
+// cutCases cuts a node off from others, each way.
+func cutCases() []openCase {
+	cases := []openCase{}
+	for _, way := range []direction{bothWays, outward, inward} {
+		cases = append(cases,
+			openCase{fmt.Sprint("a node is cut off from all, ", way), func(l *lateFleet) { l.lateNode().cutFrom(way, l.nodes...) }},
+			openCase{fmt.Sprint("a node is cut off from the core, ", way), func(l *lateFleet) { l.lateNode().cutFrom(way, l.nodes[:3]...) }},
+			openCase{fmt.Sprint("a node is cut off from the leader, ", way), func(l *lateFleet) { l.lateNode().cutFrom(way, l.leader()) }},
+			openCase{fmt.Sprint("a node is cut off from its coordinator, ", way), func(l *lateFleet) { l.lateNode().cutFrom(way, l.lateCoordinator()) }},
+			openCase{fmt.Sprint("a coordinator is cut off from the core, ", way), func(l *lateFleet) { l.lateCoordinator().cutFrom(way, l.nodes[:3]...) }},
+			openCase{fmt.Sprint("a zone is cut off from the core, ", way), func(l *lateFleet) {
+				for _, n := range zoneOf(l.fleet, lateZone) {
+					n.cutFrom(way, l.nodes[:3]...)
+				}
+			}},
+			openCase{fmt.Sprint("the leader is cut off from the core, ", way), func(l *lateFleet) { l.leader().cutFrom(way, l.nodes[:3]...) }},
+			openCase{fmt.Sprint("the leader is cut off from all, ", way), func(l *lateFleet) { l.leader().cutFrom(way, l.nodes...) }},
+		)
+	}
+	return cases
+}
+
+// coreCases takes the core away for a while.
+func coreCases() []openCase {
+	restart := func(l *lateFleet, nodes []*fleetNode, span kernel.Micros) {
+		for _, n := range nodes {
+			n.kill()
+			l.in(span+kernel.Micros(l.random.IntN(300))*ms, n.boot)
+		}
+	}
+	return []openCase{
+		{"the leader ends", func(l *lateFleet) { l.leader().kill() }},
+		{"the leader is frozen", func(l *lateFleet) { l.leader().freeze(6 * kernel.Second) }},
+		{"nobody leads for 6 s", func(l *lateFleet) { restart(l, l.nodes[:3], 6*kernel.Second) }},
+		{"the core is frozen for 6 s", func(l *lateFleet) {
+			for _, n := range l.nodes[:3] {
+				n.freeze(6 * kernel.Second)
+			}
+		}},
+		{"the whole fleet is restarted", func(l *lateFleet) { restart(l, l.nodes, 200*ms) }},
+		{"the whole fleet is off for 5 s", func(l *lateFleet) { restart(l, l.nodes, 5*kernel.Second) }},
+		{"a node is frozen for 20 s", func(l *lateFleet) { l.lateNode().freeze(20 * kernel.Second) }},
+		{"a coordinator is frozen for 20 s", func(l *lateFleet) { l.lateCoordinator().freeze(20 * kernel.Second) }},
+		{"a tenth of all messages is lost", func(l *lateFleet) { l.badLinks = 10 }},
+		{"nothing happens", func(*lateFleet) {}},
+	}
+}
+
+// countRefused adds up for how long each node that runs refuses its callers.
+func (l *lateFleet) countRefused() {
+	for _, n := range l.nodes {
+		if n.isUp && !n.isFrozen && n.inForce() != nil && !n.serves() {
+			l.refused[n] += watchInterval
+		}
+	}
+	l.in(watchInterval, l.countRefused)
+}
+
+// longestRefusal is for how long a node may refuse on account of the fence around a fault: a round trip or two after a
+// leader is known again.
+const longestRefusal = 300 * ms
+
+// A node that is cut off goes on serving, and so does every node while nobody leads, through elections and after a
+// restart of the whole fleet: nothing newer can be acknowledged there, or the users do not count such a node.
+func TestTheFenceStaysOpenOutOfTouchAndWithoutALeader(t *testing.T) {
+	t.Parallel()
+	for _, open := range append(cutCases(), coreCases()...) {
+		t.Run(open.name, func(t *testing.T) {
+			t.Parallel()
+			longest := kernel.Micros(0)
+			for seed := range uint64(2) {
+				c := qt.New(t)
+				l := newLateFleet(c, 400+seed)
+				l.countRefused()
+				l.change(l.now + 24*kernel.Second)
+				l.pass(kernel.Micros(1000+l.random.IntN(1500)) * ms)
+				open.fault(l)
+				l.pass(12 * kernel.Second)
+				l.heal()
+				l.pass(14 * kernel.Second)
+				for _, n := range l.nodes {
+					longest = max(longest, l.refused[n])
+					c.Check(l.refused[n] <= longestRefusal, qt.IsTrue, qt.Commentf("seed %d: %s refused for %d ms", seed, n.identity.Address, l.refused[n]/ms))
+				}
+			}
+			t.Logf("at most %d ms", longest/ms)
 		})
 	}
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -45,8 +45,11 @@
 	ServeExtension       kernel.Micros
 	AckRule              AckRule
 	DisseminationTimeout kernel.Micros // how long an acknowledgement under Disseminated waits for nodes; zero: 600 ms
-	ContactTimeout       kernel.Micros // how long after its last report a node may still be in touch; zero: a second
-	SubmitTimeout        kernel.Micros // how long an operation submitted here is tried; zero: 6 s
+	// ApplyTimeout is the deployment's bound from an acknowledgement to its effect on every node in touch. A node that is
+	// led and can't keep it does not serve, unless leases are strict. Zero: there is no such bound.
+	ApplyTimeout   kernel.Micros
+	ContactTimeout kernel.Micros // how long after its last report a node may still be in touch; zero: a second
+	SubmitTimeout  kernel.Micros // how long an operation submitted here is tried; zero: 6 s
 	// IsAbortDisabled leaves the outcome of an operation without a reply unknown, since it is sent
 	// again as it was.
 	IsAbortDisabled bool
@@ -113,6 +116,7 @@
 	hints         leaderHints
 	contact       coordinatorContact
 	requests      leaseRequests
+	fence         configFence
 	ownRecord     ownRecord
 	isLeaving     bool
 	handoverTimer kernel.Micros // when a leaving coordinator names its successor again
@@ -159,10 +163,12 @@
 		settings.BootstrapRule = BootstrapByAnnounce
 	}
 	n.settings = settings
+	n.fence = newConfigFence(settings, n.TickInterval(), now)
 	self := settings.Identity
 	n.lease = serving.NewLease(serving.LeaseSettings{
 		Self: self.Address, IsRouter: settings.IsRouter, Timing: settings.Timing, Note: n.note, FirstSeq: tokens.first(),
 		IsCompiled: n.ensureCompiled, PatchConfig: settings.PatchConfig, ServeExtension: settings.ServeExtension,
+		MaxAge: n.fence.maxAge,
 	})
 	n.directory = registry.NewDirectory(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = gossip.NewViews(gossip.Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.ShuffleInterval, random.IntN)
@@ -307,6 +313,7 @@
 // Deliver takes a message from another node.
 func (n *Node) Deliver(now kernel.Micros, envelope wire.Envelope) []commands.Command {
 	n.now = now
+	n.fence.listen(now)
 	rejection := n.rejection(envelope)
 	if r := n.snapshots.restored; r != nil && rejection == nil && envelope.ClusterID == r.ClusterID {
 		// A node of that cluster has written, so the restored document binds again.
@@ -447,9 +454,11 @@
 // TickInterval by the goroutine that owns the node. The order of the steps shows in the messages.
 func (n *Node) Tick(now kernel.Micros) []commands.Command {
 	n.now = now
+	n.fence.listen(now)
 	if n.core != nil {
 		n.core.Tick(now)
 	}
+	n.tickFence()
 	n.tickLeaseRequest()
 	n.sendBatch()
 	n.tickAttest()
--- a/internal/control/node_parts.go
+++ b/internal/control/node_parts.go
@@ -29,6 +29,8 @@
 	recordCoordinator string        // the coordinator that was last sent this node's record
 	recordSeq         uint64        // the sequence number of that record
 	recordSends       int           // how often it was sent
+	// isCoordinatorSilent: the coordinator was silent at the last tick. When it falls silent the leader is asked at once.
+	isCoordinatorSilent bool
 }
 
 // ownRecord numbers the records that a node gives of itself.
--- a/internal/control/node_peers.go
+++ b/internal/control/node_peers.go
@@ -25,15 +25,24 @@
 // isCoordinatorLost tells that the zone's coordinator has been silent, so that the leader and the
 // neighbours are asked instead.
 func (n *Node) isCoordinatorLost() bool {
-	timeout := max(600*kernel.Millisecond, n.settings.Timing.LeaseRequestInterval*12/5)
 	if n.isCoordinator() {
 		return false
 	}
 	// A coordinator that is cut off from the core still answers its zone. Where leases bound that,
 	// they lapse; without them a node has to notice by itself that no answer of the leader comes
 	// through, or its entire zone stays at an old revision.
-	isCutOff := n.settings.ServeExtension >= cluster.ServeWithoutLimit && n.now-n.lease.GrantedRequestAt() > timeout
-	return isCutOff || n.now-n.contact.seenAt > timeout
+	isCutOff := n.settings.ServeExtension >= cluster.ServeWithoutLimit && n.now-n.lease.GrantedRequestAt() > n.coordinatorSilence()
+	return isCutOff || n.isCoordinatorSilent()
+}
+
+// coordinatorSilence is how long a coordinator that is well never says nothing.
+func (n *Node) coordinatorSilence() kernel.Micros {
+	return max(600*kernel.Millisecond, n.settings.Timing.LeaseRequestInterval*12/5)
+}
+
+// isCoordinatorSilent tells that the coordinator of this node's zone, another one, has said nothing for too long.
+func (n *Node) isCoordinatorSilent() bool {
+	return !n.isCoordinator() && n.now-n.contact.seenAt > n.coordinatorSilence()
 }
 
 func (n *Node) zoneNodes() []string {
@@ -109,13 +118,21 @@
 	}
 }
 
+// redirectedRequestPause is how soon a node that lacks an answer asks a leader that it was redirected to.
+const redirectedRequestPause = 100 * kernel.Millisecond
+
 // followRedirect turns to another leader with what waits for one.
 func (n *Node) followRedirect(leader string) {
 	if leader != n.hints.leader {
 		n.resendSoon()
 	}
-	if n.lease.Applied() == nil {
+	isNews := n.knownLeader() != leader
+	switch {
+	case n.lease.Applied() == nil:
 		n.requests.timer = min(n.requests.timer, n.now+50*kernel.Millisecond)
+	case isNews && n.isCoordinatorLost():
+		// What is known here is as old as the last answer; the next one is not to take another interval.
+		n.requests.timer = min(n.requests.timer, n.now+redirectedRequestPause)
 	}
 	n.hints.leader, n.hints.seenAt = leader, n.now
 	n.redirectQuota()
--- a/internal/control/node_updates.go
+++ b/internal/control/node_updates.go
@@ -65,6 +65,7 @@
 	grant.Document = n.withConfig(grant.Document)
 	n.applied(n.lease.TakeGrant(n.now, &grant))
 	n.lease.TakeFreshness(grant.RequestSeq, grant.Revision, grant.Freshness)
+	n.fence.takeAnswer(n.now, grant.Freshness)
 	if m.Update != nil {
 		n.onDirectoryUpdate(from, m.Update)
 	}
@@ -104,6 +105,7 @@
 func (n *Node) onLeaseGrantBatch(m *wire.LeaseGrantBatch) {
 	n.hints.leader, n.hints.seenAt = m.Leader, n.now
 	n.applied(n.lease.Apply(n.withConfig(m.Document)))
+	n.fence.takeAnswer(n.now, m.Freshness)
 	for _, request := range m.Requests {
 		grant := &wire.LeaseGrant{Seq: request.Seq, Revision: m.Revision, Leader: m.Leader}
 		if request.Address == n.self() {
@@ -191,9 +193,11 @@
 func (n *Node) nodeRefreshInterval() kernel.Micros { return n.settings.Timing.NodeExpiryTimeout / 5 }
 
 func (n *Node) tickLeaseRequest() {
-	if n.now >= n.requests.timer {
+	isSilent := n.isCoordinatorSilent()
+	if n.now >= n.requests.timer || isSilent && !n.requests.isCoordinatorSilent {
 		n.requestLease()
 	}
+	n.requests.isCoordinatorSilent = isSilent
 }
 
 func (n *Node) requestLease() {
@@ -211,6 +215,9 @@
 	if received := n.lease.Received(); received > ownRequest.Applied {
 		ownRequest.Received = received
 	}
+	if n.isConfigStale() {
+		n.requestFreshness(ownRequest)
+	}
 	if n.isCoordinator() {
 		n.zone.batch[n.self()] = ownRequest
 		return
@@ -231,7 +238,7 @@
 		n.send(coordinator, wire.Message{LeaseRequest: request})
 	}
 	// The lease must not lapse because the coordinator has failed: the leader is asked directly as well.
-	if n.isCoordinatorLost() {
+	if n.isCoordinatorLost() && !n.isConfigStale() {
 		n.send(n.leaderTarget(), wire.Message{LeaseRequestBatch: &wire.LeaseRequestBatch{Zone: ownRequest.Zone, Revision: n.lease.BaseRevision(), Requests: []wire.RouterLeaseRequest{ownRequest}}})
 	}
 }
--- a/internal/control/serving/lease.go
+++ b/internal/control/serving/lease.go
@@ -30,6 +30,7 @@
 	lacksConfig bool
 	// serveExtension is how long a contact with the core lasts beyond the strict span; see LeaseSettings.
 	serveExtension kernel.Micros
+	requestSpan    kernel.Micros // for how long a request may be answered
 	until          kernel.Micros
 	// isProven: the leader itself has granted since this process started. A
 	// restarted router has forgotten what it once applied; until the leader has
@@ -68,6 +69,8 @@
 	// ServeExtension is how long, in microseconds, a contact with the core lasts beyond the strict span;
 	// zero: leases alone. See NodeSettings.
 	ServeExtension kernel.Micros
+	// MaxAge is for how long an answer to a request is of use to tell the age of the document; zero: for LeaseSpan.
+	MaxAge kernel.Micros
 }
 
 // NewLease makes a lease that has lapsed.
@@ -75,7 +78,7 @@
 	return &Lease{
 		self: settings.Self, isRouter: settings.IsRouter, timing: settings.Timing, note: settings.Note,
 		seq: settings.FirstSeq, isCompiled: settings.IsCompiled, patch: settings.PatchConfig,
-		serveExtension: settings.ServeExtension, requestedAt: map[uint64]kernel.Micros{},
+		serveExtension: settings.ServeExtension, requestSpan: max(settings.Timing.LeaseSpan, settings.MaxAge), requestedAt: map[uint64]kernel.Micros{},
 	}
 }
 
@@ -150,7 +153,7 @@
 	l.seq++
 	l.requestedAt[l.seq] = now
 	for seq, at := range l.requestedAt {
-		if now-at > l.timing.LeaseSpan {
+		if now-at > l.requestSpan {
 			delete(l.requestedAt, seq)
 		}
 	}
--- a/internal/router/rejection.go
+++ b/internal/router/rejection.go
@@ -21,11 +21,16 @@
 	reasonUnconfirmedRoute = "unsure_route"
 	reasonUnconfirmedKey   = "unsure_key"
 	reasonUnconfirmedQuota = "unsure_quota"
+	reasonStaleConfig      = "stale_config"
 )
 
 // isLocalOnly reports whether the rejection is for what this router alone may not know.
 func (r *Rejection) isLocalOnly() bool {
-	return r.Reason == reasonUnconfirmedRoute || r.Reason == reasonUnconfirmedKey || r.Reason == reasonUnconfirmedQuota
+	switch r.Reason {
+	case reasonUnconfirmedRoute, reasonUnconfirmedKey, reasonUnconfirmedQuota, reasonStaleConfig:
+		return true
+	}
+	return false
 }
 
 // Waits that a rejection asks for.
@@ -48,6 +53,11 @@
 	return &Rejection{"crowded", bodyMemoryError{}.Error(), http.StatusServiceUnavailable, shortRetryAfter}
 }
 
+// rejectStale rejects a request that arrives while the configuration known here may have been replaced for too long.
+func rejectStale() *Rejection {
+	return &Rejection{reasonStaleConfig, "a newer configuration may be in force that has not reached this router", http.StatusServiceUnavailable, shortRetryAfter}
+}
+
 // rejectRoute rejects a request that no route takes here. A router that is out of touch may lack
 // routes that were added since, and 404 would end what another router serves.
 func (rt *Router) rejectRoute() *Rejection {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,9 @@
 	// IsInTouch reports whether the routes known here are the newest ones, as far as a router can
 	// know; nil: they always are.
 	IsInTouch func() bool
+	// IsConfigStale reports whether the configuration known here may have been replaced for longer than the deployment
+	// allows, though this router is in touch; nil: it never is.
+	IsConfigStale func() bool
 	// MayTrustKeys reports whether no key that is known here can have been withdrawn for longer than
 	// the deployment allows; nil: that is not bounded.
 	MayTrustKeys func() bool
@@ -94,11 +97,18 @@
 	if rt.isStopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	// Before the configuration is read: one that was not stale then is not when it is used, whatever a retry of this
+	// request uses later.
+	isStale := rt.IsConfigStale != nil && rt.IsConfigStale()
 	config := rt.Chooser.Config()
 	if config == nil {
 		rt.rejectUnread(w, r, &Rejection{"no_spec", "no configuration has reached this router yet", http.StatusServiceUnavailable, startupRetryAfter})
 		return
 	}
+	if isStale {
+		rt.rejectUnread(w, r, rejectStale())
+		return
+	}
 	if rt.MaxInFlight > 0 && live > rt.MaxInFlight {
 		w.Header().Set("Connection", "close")
 		rt.rejectUnread(w, r, &Rejection{"crowded", "this process serves as many requests as it may", http.StatusServiceUnavailable, shortRetryAfter})
--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -126,6 +126,7 @@
 	if state.Health != nil {
 		m.sample("core_whole", boolMetric(state.Health.IsHealthy))
 	}
+	f.fenceMetrics(m)
 	if state.IsLeader && state.Dissemination.Revision > 0 {
 		m.sample("acknowledged_generation", state.Dissemination.Revision)
 		m.sample("acknowledged_nodes", state.Dissemination.Applied, "state", "applied")
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -28,7 +28,7 @@
 		Pool:        router.NewPool(s.Env.Clock, router.PlainDialer(engineUnackedTimeout), engineDialTimeout, engineIdleTimeout),
 		MaxInFlight: int64(deployment.Settings.MaxInFlight), MaxBodyBytesTotal: deployment.Limits.BodiesBytes,
 		Suspect:   func(engine router.Engine) { s.Runner.SuspectEngine(engine.ID) },
-		IsInTouch: s.Runner.IsInTouch, Invariants: s.Invariants,
+		IsInTouch: s.Runner.IsInTouch, IsConfigStale: s.Runner.IsConfigStale, Invariants: s.Invariants,
 		MayTrustKeys: s.MayTrustKeys, Quota: s.Quota, RequestQuota: s.Runner.RequestQuota,
 	})
 	s.Router = dataPlane
--- a/internal/server/deployment.go
+++ b/internal/server/deployment.go
@@ -150,7 +150,7 @@
 		// meanwhile, and one in touch hears of it within Apply: see docs/design.md.
 		Voters: d.Voters, ServeExtension: cluster.ServeWithoutLimit, AckRule: control.Disseminated, IsAbortDisabled: true, SubmitTimeout: d.SubmitTimeout,
 		BootstrapRule: control.BootstrapByAnnounce, IsBootstrap: d.Bootstrap, RestoredSpan: d.Bounds.ContactTimeout * 4 / 5,
-		ContactTimeout: d.Bounds.ContactTimeout,
+		ApplyTimeout: d.Bounds.ApplyTimeout, ContactTimeout: d.Bounds.ContactTimeout,
 	}
 }
 
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -50,6 +50,7 @@
 	// grantedAt is control.Node.GrantedAt after the last event, freshAt control.Node.FreshAt.
 	grantedAt    atomic.Int64
 	freshAt      atomic.Int64
+	fence        publishedFence
 	tableBuilder TableBuilder
 	prober       *http.Client
 	// NoProbes is set where engines register themselves: their heartbeats report their state,
@@ -111,7 +112,12 @@
 			r.env.Log.V(2).Info("a configuration with faults came from another node", "error", err.Error())
 		}
 	}
-	r.post(func() []commands.Command { return r.node.Deliver(r.env.Clock.Now(), envelope) })
+	arrivedAt := r.env.Clock.Now()
+	r.post(func() []commands.Command {
+		now := r.env.Clock.Now()
+		r.node.MessageWaited(now - arrivedAt)
+		return r.node.Deliver(now, envelope)
+	})
 }
 
 // Unreadable takes the news of a message that could not be read.
@@ -165,6 +171,9 @@
 			out = event()
 		case <-ticker.C:
 			startedAt = r.env.Clock.Now()
+			if len(r.queue) == 0 {
+				r.node.MessageWaited(0)
+			}
 			out = r.node.Tick(startedAt)
 		}
 		for _, command := range out {
@@ -174,6 +183,7 @@
 		r.grantedAt.Store(int64(r.node.GrantedAt()))
 		// After what it speaks of has been published.
 		r.freshAt.Store(int64(r.node.FreshAt()))
+		r.fence.publish(r.node)
 		r.longestEvent.Store(max(r.longestEvent.Load(), int64(r.env.Clock.Now()-startedAt)))
 	}
 }
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -34,6 +34,9 @@
 	case state.Document == nil || state.Document.ConfigRevision == 0:
 		return "no configuration has reached this node"
 	}
+	if s.Runner.IsConfigLastinglyStale() {
+		return "the configuration in force here may have been replaced"
+	}
 	if countUsable(state.Engines) == 0 {
 		return "no engine that is up is known here"
 	}
--- a/tools/mutationtest/mutationtest_test.go
+++ b/tools/mutationtest/mutationtest_test.go
@@ -18,7 +18,7 @@
 
 // The twelve points of "What must never happen", as the patches' names begin, and the three
 // that routed requests add; then points of the control plane's worst days, keys and quotas of tenants, the means of proof themselves and the past.
-var points = []string{"twice", "notrun", "founded", "body", "pieces", "leaving", "emptied", "old", "retries", "cold", "stop", "lost", "broken", "unasked", "route", "denied", "cut", "orders", "catchup", "crowd", "invariant", "key", "quota", "proof", "history"}
+var points = []string{"twice", "notrun", "founded", "body", "pieces", "leaving", "emptied", "fence", "old", "retries", "cold", "stop", "lost", "broken", "unasked", "route", "denied", "cut", "orders", "catchup", "crowd", "invariant", "key", "quota", "proof", "history"}
 
 func testsOf(c *qt.C, root string) map[string]bool {
 	found := map[string]bool{}
