--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 
@@ -45,7 +46,10 @@
 	ServeExtension       kernel.Micros
 	AckRule              AckRule
 	DisseminationTimeout kernel.Micros // how long an acknowledgement under Disseminated waits for nodes; zero: 600 ms
-	SubmitTimeout        kernel.Micros // how long an operation submitted here is tried; zero: 6 s
+	// ApplyTimeout is the deployment's bound from an acknowledgement to its effect on every node in touch. A node that is
+	// led and can't keep it does not serve, unless leases are strict. Zero: there is no such bound.
+	ApplyTimeout  kernel.Micros
+	SubmitTimeout kernel.Micros // how long an operation submitted here is tried; zero: 6 s
 	// IsAbortDisabled leaves the outcome of an operation without a reply unknown, since it is sent
 	// again as it was.
 	IsAbortDisabled bool
@@ -73,8 +77,8 @@
 	// EndConfirmationTimeout is for how long after an engine's end was first heard here only a complete
 	// confirmation counts; zero: that of most zones counts at once. See docs/control-safety/drains.md.
 	EndConfirmationTimeout kernel.Micros
-	// ContactTimeout is for how long after it was heard a node is bound by what is confirmed, and is waited
-	// for; zero: shorter spans of this package's own.
+	// ContactTimeout is for how long after it was heard a node may be in touch, and is bound by what is acknowledged
+	// and confirmed; zero: shorter spans of this package's own.
 	ContactTimeout kernel.Micros
 	// Invariants counts violations; nil: nobody does.
 	Invariants *invariant.Monitor
@@ -121,6 +125,7 @@
 	hints         leaderHints
 	contact       coordinatorContact
 	requests      leaseRequests
+	fence         configFence
 	ownRecord     ownRecord
 	isLeaving     bool
 	handoverTimer kernel.Micros // when a leaving coordinator names its successor again
@@ -165,10 +170,12 @@
 		settings.BootstrapRule = BootstrapByAnnounce
 	}
 	n.settings = settings
+	n.fence = newConfigFence(settings, n.TickInterval(), now)
 	self := settings.Identity
 	n.lease = serving.NewLease(serving.LeaseSettings{
 		Self: self.Address, IsRouter: settings.IsRouter, Timing: settings.Timing, Note: n.note, FirstSeq: tokens.first(),
 		IsCompiled: n.ensureCompiled, PatchConfig: settings.PatchConfig, ServeExtension: settings.ServeExtension,
+		MaxAge: n.fence.maxAge,
 	})
 	n.directory = registry.NewDirectory(fmt.Sprintf("%s/%d", self.Address, settings.Start), settings.Timing, n.note)
 	n.views = gossip.NewViews(gossip.Neighbour{Address: self.Address, Zone: self.Zone}, settings.Seeds, settings.Timing.ShuffleInterval, random.IntN)
@@ -194,7 +201,7 @@
 		Self:      cluster.Member{ID: s.Member, Address: s.Identity.Address, Zone: s.Identity.Zone},
 		HasFolder: s.HasFolder, Seeds: s.Seeds, Timing: s.Timing, Note: note,
 		CheckConfig: s.CheckConfig, PatchConfig: s.PatchConfig, VersionOf: s.VersionOf,
-		Voters: s.Voters, AckRule: s.AckRule, DisseminationTimeout: s.DisseminationTimeout, ServeExtension: s.ServeExtension, BootstrapRule: s.BootstrapRule,
+		Voters: s.Voters, AckRule: s.AckRule, DisseminationTimeout: s.DisseminationTimeout, ContactTimeout: cmp.Or(s.ContactTimeout, defaultContactTimeout), ServeExtension: s.ServeExtension, BootstrapRule: s.BootstrapRule,
 		HardState: s.HardState, Document: s.Document, StoredConfigs: s.StoredConfigs, Acknowledged: s.Acknowledged, Incarnation: s.Start,
 		Invariants: s.Invariants,
 	}
@@ -314,6 +321,7 @@
 // Deliver takes a message from another node.
 func (n *Node) Deliver(now kernel.Micros, envelope wire.Envelope) []commands.Command {
 	n.now = now
+	n.fence.listen(now)
 	rejection := n.rejection(envelope)
 	if r := n.snapshots.restored; r != nil && rejection == nil && envelope.ClusterID == r.ClusterID {
 		// A node of that cluster has written, so the restored document binds again.
@@ -454,9 +462,11 @@
 // TickInterval by the goroutine that owns the node. The order of the steps shows in the messages.
 func (n *Node) Tick(now kernel.Micros) []commands.Command {
 	n.now = now
+	n.fence.listen(now)
 	if n.core != nil {
 		n.core.Tick(now)
 	}
+	n.tickFence()
 	n.tickLeaseRequest()
 	n.tickDirectoryFreshness()
 	n.sendBatch()
--- a/internal/control/node_state.go
+++ b/internal/control/node_state.go
@@ -55,6 +55,8 @@
 	ServingRouters    int // router nodes of those in Nodes that live, this one among them
 	ToldRouters       int // routers of the fleet as the zone's coordinator counts them; zero: Nodes has them all
 	Confirmations     ConfirmationCounts
+	// Dissemination is that of the newest revision that this node acknowledged while it has led; zero: of none.
+	Dissemination Dissemination
 
 	directoryRev uint64
 }
@@ -86,6 +88,7 @@
 	if n.core != nil {
 		state.Health = n.core.Health()
 		state.IsLeader, state.Role, state.Term, state.DiskFault = n.core.role == leader, n.core.role.String(), n.core.term, n.core.DiskFault()
+		state.Dissemination = n.core.Dissemination()
 		if known := n.core.Leader(); known != "" {
 			state.Leader = known
 		}
@@ -118,5 +121,5 @@
 		s.Coordinator == other.Coordinator && s.IsCoordinator == other.IsCoordinator && s.IsCoordinatorLost == other.IsCoordinatorLost && s.IsLeader == other.IsLeader &&
 		s.Role == other.Role && s.Term == other.Term && s.DiskFault == other.DiskFault && s.Health == other.Health && s.EngineRev == other.EngineRev &&
 		s.directoryRev == other.directoryRev && s.ClusterID == other.ClusterID && s.ServingRouters == other.ServingRouters && s.ToldRouters == other.ToldRouters &&
-		s.Confirmations == other.Confirmations && slices.Equal(s.Neighbours, other.Neighbours)
+		s.Confirmations == other.Confirmations && s.Dissemination.Revision == other.Dissemination.Revision && slices.Equal(s.Neighbours, other.Neighbours)
 }
--- a/internal/control/node_updates.go
+++ b/internal/control/node_updates.go
@@ -70,6 +70,7 @@
 	n.applied(n.lease.TakeGrant(n.now, &grant))
 	n.lease.TakeFreshness(grant.RequestSeq, grant.Revision, grant.Freshness)
 	n.zone.routers.take(n.now, m.KnownRouters, n.settings.Timing.NodeExpiryTimeout)
+	n.fence.takeAnswer(n.now, grant.Freshness)
 	if m.Update != nil {
 		n.onDirectoryUpdate(from, m.Update)
 		n.directoryFreshness.takeAnswer(n.now, from, m)
@@ -110,6 +111,7 @@
 func (n *Node) onLeaseGrantBatch(m *wire.LeaseGrantBatch) {
 	n.hints.leader, n.hints.seenAt = m.Leader, n.now
 	n.applied(n.lease.Apply(n.withConfig(m.Document)))
+	n.fence.takeAnswer(n.now, m.Freshness)
 	for _, request := range m.Requests {
 		grant := &wire.LeaseGrant{Seq: request.Seq, Revision: m.Revision, Leader: m.Leader}
 		if request.Address == n.self() {
@@ -199,9 +201,11 @@
 func (n *Node) nodeRefreshInterval() kernel.Micros { return n.settings.Timing.NodeExpiryTimeout / 5 }
 
 func (n *Node) tickLeaseRequest() {
-	if n.now >= n.requests.timer {
+	isSilent := n.isCoordinatorSilent()
+	if n.now >= n.requests.timer || isSilent && !n.requests.isCoordinatorSilent {
 		n.requestLease()
 	}
+	n.requests.isCoordinatorSilent = isSilent
 }
 
 // newLeaseRequest opens a lease request of this node.
@@ -226,6 +230,9 @@
 	n.directory.TakeNode(n.now, record, true)
 	ownRequest := n.newLeaseRequest()
 	n.directoryFreshness.request(n.now, ownRequest.Seq, n.coordinator())
+	if n.isConfigStale() {
+		n.requestFreshness(ownRequest)
+	}
 	if n.isCoordinator() {
 		n.zone.batch[n.self()] = ownRequest
 		return
@@ -246,7 +253,7 @@
 		n.send(coordinator, wire.Message{LeaseRequest: request})
 	}
 	// The lease must not lapse because the coordinator has failed: the leader is asked directly as well.
-	if n.isCoordinatorLost() {
+	if n.isCoordinatorLost() && !n.isConfigStale() {
 		n.send(n.leaderTarget(), wire.Message{LeaseRequestBatch: &wire.LeaseRequestBatch{Zone: ownRequest.Zone, Revision: n.lease.BaseRevision(), Requests: []wire.RouterLeaseRequest{ownRequest}}})
 	}
 }
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -53,6 +53,7 @@
 	freshAt   atomic.Int64
 	// directoryFreshAt is control.Node.DirectoryFreshAt after the last event.
 	directoryFreshAt atomic.Int64
+	fence            publishedFence
 	tableBuilder     TableBuilder
 	prober           *http.Client
 	// NoProbes is set where engines register themselves: their heartbeats report their state,
@@ -115,7 +116,12 @@
 			r.env.Log.V(2).Info("a configuration with faults came from another node", "error", err.Error())
 		}
 	}
-	r.post(func() []commands.Command { return r.node.Deliver(r.env.Clock.Now(), envelope) })
+	arrivedAt := r.env.Clock.Now()
+	r.post(func() []commands.Command {
+		now := r.env.Clock.Now()
+		r.node.MessageWaited(now - arrivedAt)
+		return r.node.Deliver(now, envelope)
+	})
 }
 
 // Unreadable takes the news of a message that could not be read.
--- a/internal/server/runner_loop.go
+++ b/internal/server/runner_loop.go
@@ -139,6 +139,9 @@
 func (r *Runner) tick() []commands.Command {
 	now := r.env.Clock.Now()
 	r.lateness.observeTick(now)
+	if len(r.queue) == 0 {
+		r.node.MessageWaited(0)
+	}
 	return r.node.Tick(now)
 }
 
@@ -161,6 +164,7 @@
 	r.grantedAt.Store(int64(r.node.GrantedAt()))
 	r.freshAt.Store(int64(r.node.FreshAt()))
 	r.directoryFreshAt.Store(int64(r.node.DirectoryFreshAt()))
+	r.fence.publish(r.node)
 }
 
 // publishBindings gives the dispatcher, if there is one, the routing table of a state.
