A router sends nothing to engines by a view that is too old

Callers saw a request reach an engine 3.7 s after its end was confirmed, from a node that handled its messages late.

Change: the moment goes from the node to the router (Runner.MayTrustEngines), which looks before a request claims quota, and again before each attempt's first byte. Then it answers 503 unsure_engines with Retry-After and closes the connection, as for keys and routes that it may not know; the request has not run (502 where an earlier attempt may have). Such an attempt ends as withheld: it counts against no engine and starts no retry.

Not measured: how many 503 a full processor leads to on real processes.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -185,6 +185,9 @@
 	if outcome == CallerDisconnected {
 		return false, nil
 	}
+	if outcome == Withheld {
+		return false, c.reject(rejectWithheld(call))
+	}
 	return c.retryOrReject(now, call, outcome, reason)
 }
 
@@ -234,6 +237,16 @@
 	return c.retryElsewhere(now, call, fail)
 }
 
+// rejectWithheld rejects a request of which an attempt was withheld: no other engine would do. An earlier attempt may
+// have run it.
+func rejectWithheld(call *Call) *Rejection {
+	rejection := rejectForOldEngines()
+	if call.mayHaveRun {
+		rejection.Reason, rejection.Status, rejection.RetryAfter = "engine_lost", http.StatusBadGateway, 0
+	}
+	return rejection
+}
+
 // retryElsewhere selects the engine of another attempt; fail is the rejection if there is none.
 func (c *Chooser) retryElsewhere(now kernel.Micros, call *Call, fail *Rejection) (bool, *Rejection) {
 	if rejection := c.selectEngine(now, call); rejection != nil {
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -56,13 +56,14 @@
 	ConnectionLost                    // after bytes were written, without a proof that nothing ran
 	CallerDisconnected                // the caller hung up
 	Failed                            // the engine's own failure, a complete answer
+	Withheld                          // this router may not send now, to whichever engine
 )
 
 func (o Outcome) String() string {
-	return [...]string{"served", "not sent", "said not run", "moved", "silent", "lost", "caller gone", "failed"}[o]
+	return [...]string{"served", "not sent", "said not run", "moved", "silent", "lost", "caller gone", "failed", "withheld"}[o]
 }
 
 // isProvenNotRun reports whether the engine has not run and will not run the request.
 func (o Outcome) isProvenNotRun() bool {
-	return o == NotSent || o == RejectedByEngine || o == AddressReused
+	return o == NotSent || o == RejectedByEngine || o == AddressReused || o == Withheld
 }
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -55,6 +55,11 @@
 		return attemptResult{}, false, err
 	}
 	now := rt.Env.Clock.Now()
+	// Looked at last: the attempt may have waited for its connection.
+	if !rt.mayTrustEngines() {
+		rt.Pool.releaseUnused(connection)
+		return attemptResult{Withheld, rejectForOldEngines().Detail}, false, nil
+	}
 	if !rt.Chooser.Sent(now, call) {
 		rt.Pool.releaseUnused(connection)
 		return attemptResult{}, false, NotWrittenError{attemptCanceledError{}}
--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -40,7 +40,7 @@
 		s.ejectedUntil = max(s.ejectedUntil, now+overloadEjectionTime)
 	case Served, Failed:
 		s.recover()
-	case CallerDisconnected:
+	case CallerDisconnected, Withheld:
 		s.isProbing = false
 	}
 }
--- a/internal/router/rejection.go
+++ b/internal/router/rejection.go
@@ -18,14 +18,19 @@
 
 // Reasons of rejections for what this router does not know and another one may.
 const (
-	reasonUnconfirmedRoute = "unsure_route"
-	reasonUnconfirmedKey   = "unsure_key"
-	reasonUnconfirmedQuota = "unsure_quota"
+	reasonUnconfirmedRoute   = "unsure_route"
+	reasonUnconfirmedKey     = "unsure_key"
+	reasonUnconfirmedQuota   = "unsure_quota"
+	reasonUnconfirmedEngines = "unsure_engines"
 )
 
 // isLocalOnly reports whether the rejection is for what this router alone may not know.
 func (r *Rejection) isLocalOnly() bool {
-	return r.Reason == reasonUnconfirmedRoute || r.Reason == reasonUnconfirmedKey || r.Reason == reasonUnconfirmedQuota
+	switch r.Reason {
+	case reasonUnconfirmedRoute, reasonUnconfirmedKey, reasonUnconfirmedQuota, reasonUnconfirmedEngines:
+		return true
+	}
+	return false
 }
 
 // Waits that a rejection asks for.
@@ -48,6 +53,14 @@
 	return &Rejection{"crowded", bodyMemoryError{}.Error(), http.StatusServiceUnavailable, shortRetryAfter}
 }
 
+// mayTrustEngines reports whether requests may be sent by what is known here of the engines.
+func (rt *Router) mayTrustEngines() bool { return rt.MayTrustEngines == nil || rt.MayTrustEngines() }
+
+// rejectForOldEngines rejects a request since engines may have ended of which this router has not heard.
+func rejectForOldEngines() *Rejection {
+	return &Rejection{reasonUnconfirmedEngines, "engines may have ended of which this router has not heard", http.StatusServiceUnavailable, shortRetryAfter}
+}
+
 // rejectRoute rejects a request that no route takes here. A router that is out of touch may lack
 // routes that were added since, and 404 would end what another router serves.
 func (rt *Router) rejectRoute() *Rejection {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,6 +31,9 @@
 	// MayTrustKeys reports whether no key that is known here can have been withdrawn for longer than
 	// the deployment allows; nil: that is not bounded.
 	MayTrustKeys func() bool
+	// MayTrustEngines reports whether no engine that is known here can have ended for longer than requests may still
+	// reach it; nil: that is not bounded.
+	MayTrustEngines func() bool
 	// Quota has this router's part of the tenants' quotas, RequestQuota has it request more; nil: there
 	// are no quotas.
 	Quota        *quota.Account
@@ -131,6 +134,10 @@
 		return
 	}
 	request.setSender(sender)
+	if !rt.mayTrustEngines() {
+		rt.rejectEarly(w, r, rejectForOldEngines())
+		return
+	}
 	ticket, rejection := rt.claimQuota(r.Context(), &request)
 	if rejection != nil {
 		rt.rejectEarly(w, r, rejection)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -478,3 +479,30 @@
 		})
 	}
 }
+
+// A router that may have missed the end of an engine sends nothing to any: not a request that arrives, nor one that
+// has waited since it arrived, nor another attempt. Neither has run.
+func TestAnOldViewOfTheEnginesSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, trustedLooks := range []int{0, 1} {
+			c := qt.New(t)
+			h := newHarness(t, fleetconfig.Route{Kind: fleetconfig.Safe, MaxAttempts: 2, LatencyTarget: kernel.Second}, "e1", "e2")
+			h.script("e1", plainAnswer("ok"))
+			h.script("e2", plainAnswer("ok"))
+			looks := 0
+			h.router.MayTrustEngines = func() bool { looks++; return looks <= trustedLooks }
+			recorder, _ := h.call("GET", "r1", nil)
+			c.Check(recorder.Code, qt.Equals, http.StatusServiceUnavailable)
+			c.Check(recorder.Header().Get("Retry-After") != "", qt.IsTrue)
+			c.Check(h.runs["e1"]+h.runs["e2"], qt.Equals, 0)
+			c.Check(strings.Contains(recorder.Body.String(), reasonUnconfirmedEngines), qt.IsTrue, qt.Commentf("%s", recorder.Body))
+			// No engine is held to have failed.
+			for _, state := range h.chooser.engines {
+				c.Check(state.failures, qt.Equals, 0)
+			}
+			h.router.MayTrustEngines = func() bool { return true }
+			recorder, _ = h.call("GET", "r2", nil)
+			c.Check(recorder.Code, qt.Equals, http.StatusOK)
+		}
+	})
+}
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -29,7 +29,7 @@
 		MaxInFlight: int64(deployment.Settings.MaxInFlight), MaxBodyBytesTotal: deployment.Limits.BodiesBytes,
 		Suspect:   func(engine router.Engine) { s.Runner.SuspectEngine(engine.ID) },
 		IsInTouch: s.Runner.IsInTouch, Invariants: s.Invariants,
-		MayTrustKeys: s.MayTrustKeys, Quota: s.Quota, RequestQuota: s.Runner.RequestQuota,
+		MayTrustKeys: s.MayTrustKeys, MayTrustEngines: s.Runner.MayTrustEngines, Quota: s.Quota, RequestQuota: s.Runner.RequestQuota,
 	})
 	s.Router = dataPlane
 	tables := &routeTableBuilder{compiler: s.Compiler}
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -52,8 +52,10 @@
 	freshAt   atomic.Int64
 	// directoryFreshAt is control.Node.DirectoryFreshAt after the last event.
 	directoryFreshAt atomic.Int64
-	tableBuilder     TableBuilder
-	prober           *http.Client
+	// enginesTrustedUntil is control.Node.EnginesTrustedUntil after the last event.
+	enginesTrustedUntil atomic.Int64
+	tableBuilder        TableBuilder
+	prober              *http.Client
 	// NoProbes is set where engines register themselves: their heartbeats report their state,
 	// and a probe of one would take one of its slots.
 	NoProbes bool
@@ -177,6 +179,7 @@
 		// After what it speaks of has been published.
 		r.freshAt.Store(int64(r.node.FreshAt()))
 		r.directoryFreshAt.Store(int64(r.node.DirectoryFreshAt()))
+		r.enginesTrustedUntil.Store(int64(r.node.EnginesTrustedUntil()))
 		r.longestEvent.Store(max(r.longestEvent.Load(), int64(r.env.Clock.Now()-startedAt)))
 	}
 }
@@ -197,6 +200,13 @@
 	return r.env.Clock.Now() - kernel.Micros(r.directoryFreshAt.Load())
 }
 
+// MayTrustEngines tells whether no engine that is listed here can have ended for longer than requests may
+// still reach it. See docs/control-safety/drains.md.
+func (r *Runner) MayTrustEngines() bool {
+	until := kernel.Micros(r.enginesTrustedUntil.Load())
+	return until == 0 || r.env.Clock.Now() < until
+}
+
 // IsFresher tells whether the document in force here was surely the newest one within a span.
 func (r *Runner) IsFresher(maxAge kernel.Micros) bool {
 	freshAt := kernel.Micros(r.freshAt.Load())
