A mark is sent again after twice as long each time, and deputies stay the same

A node that is late has to handle each copy of a mark.

Change: within a zone the pause between two copies doubles (150, 300, 600 ms). The deputies of a silent zone follow from the engine, so that they remember who has confirmed from call to call; by itself that changed little here (11,180 and 10,914).

Measured: 6,253 and 6,168 pushes; ends confirmed within 4,500 ms, used until 0 ms after.

--- a/internal/control/engine_pushes.go
+++ b/internal/control/engine_pushes.go
@@ -18,6 +18,7 @@
 	unconfirmed map[string]bool
 	confirmers  confirmers // who has confirmed, also to an earlier push of the same end
 	resendAt    kernel.Micros
+	resends     int
 	resendUntil kernel.Micros
 	answerAt    kernel.Micros
 	endAt       kernel.Micros
@@ -122,7 +123,8 @@
 
 func (n *Node) tickPush(token uint64, p *pendingPush) {
 	if len(p.unconfirmed) > 0 && n.now >= p.resendAt && n.now < p.resendUntil {
-		p.resendAt = n.now + pushResendInterval
+		// Each time after twice as long: who does not answer may be late, and has to handle each copy.
+		p.resendAt, p.resends = n.now+pushResendInterval<<p.resends, p.resends+1
 		for _, target := range slices.Sorted(maps.Keys(p.unconfirmed)) {
 			n.send(target, wire.Message{Push: &wire.Push{Token: token, Engines: p.records}})
 		}
--- a/internal/control/engine_removals.go
+++ b/internal/control/engine_removals.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/decision"
 	"dunlinloom/internal/control/registry"
@@ -81,7 +83,7 @@
 			if hasConfirmed || n.now-p.startedAt < pushDeputyTimeout {
 				continue
 			}
-			n.askDeputies(zone, token, p, push)
+			n.askDeputies(zone, p, push)
 		}
 		n.notifyVoters(token, p)
 	}
@@ -90,7 +92,7 @@
 
 // askDeputies asks other nodes of a zone whose coordinator is silent: it may have died a moment ago and
 // nobody know it yet, or be late. The first deputy may be as well.
-func (n *Node) askDeputies(zone string, token uint64, p *endConfirmation, push wire.Message) {
+func (n *Node) askDeputies(zone string, p *endConfirmation, push wire.Message) {
 	if zone == n.settings.Identity.Zone {
 		n.send(n.self(), push)
 	}
@@ -105,8 +107,10 @@
 	if n.now-p.startedAt >= secondDeputyTimeout {
 		count = 2
 	}
+	// The same ones for each call of the engine: they remember who has confirmed.
+	first := xxhash.Sum64String(p.key.engine) % uint64(max(len(deputies), 1))
 	for i := range min(count, len(deputies)) {
-		n.send(deputies[(token+uint64(i))%uint64(len(deputies))], push)
+		n.send(deputies[(first+uint64(i))%uint64(len(deputies))], push)
 	}
 }
 
--- a/internal/control/lagging_zone_test.go
+++ b/internal/control/lagging_zone_test.go
@@ -316,6 +316,6 @@
 			c.Check(e.confirmedAt != 0 && e.confirmedAt-e.leftAt <= deployedAckTimeout, qt.IsTrue, qt.Commentf("seed %d, %s: after %d ms", seed, e.id, (e.confirmedAt-e.leftAt)/ms))
 			latest = max(latest, e.confirmedAt-e.leftAt)
 		}
-		t.Logf("seed %d: used until %d ms after, confirmed within %d ms", seed, longest/ms, latest/ms)
+		t.Logf("seed %d: used until %d ms after, confirmed within %d ms, %d pushes", seed, longest/ms, latest/ms, f.crossed["Push"])
 	}
 }
