--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -242,7 +242,7 @@
 func rejectWithheld(call *Call) *Rejection {
 	rejection := rejectForOldEngines()
 	if call.mayHaveRun {
-		rejection.Reason, rejection.Status, rejection.RetryAfter = "engine_lost", http.StatusBadGateway, 0
+		return &Rejection{"engine_lost", rejection.Detail, http.StatusBadGateway, 0}
 	}
 	return rejection
 }
