--- a/internal/router/rejection.go
+++ b/internal/router/rejection.go
@@ -18,16 +18,17 @@
 
 // Reasons of rejections for what this router does not know and another one may.
 const (
-	reasonUnconfirmedRoute = "unsure_route"
-	reasonUnconfirmedKey   = "unsure_key"
-	reasonUnconfirmedQuota = "unsure_quota"
-	reasonStaleConfig      = "stale_config"
+	reasonUnconfirmedRoute   = "unsure_route"
+	reasonUnconfirmedKey     = "unsure_key"
+	reasonUnconfirmedQuota   = "unsure_quota"
+	reasonUnconfirmedEngines = "unsure_engines"
+	reasonStaleConfig        = "stale_config"
 )
 
 // isLocalOnly reports whether the rejection is for what this router alone may not know.
 func (r *Rejection) isLocalOnly() bool {
 	switch r.Reason {
-	case reasonUnconfirmedRoute, reasonUnconfirmedKey, reasonUnconfirmedQuota, reasonStaleConfig:
+	case reasonUnconfirmedRoute, reasonUnconfirmedKey, reasonUnconfirmedQuota, reasonUnconfirmedEngines, reasonStaleConfig:
 		return true
 	}
 	return false
@@ -73,6 +74,14 @@
 	return &Rejection{reasonStaleConfig, "a newer configuration may be in force that has not reached this router", http.StatusServiceUnavailable, shortRetryAfter}
 }
 
+// mayTrustEngines reports whether requests may be sent by what is known here of the engines.
+func (rt *Router) mayTrustEngines() bool { return rt.MayTrustEngines == nil || rt.MayTrustEngines() }
+
+// rejectForOldEngines rejects a request since engines may have ended of which this router has not heard.
+func rejectForOldEngines() *Rejection {
+	return &Rejection{reasonUnconfirmedEngines, "engines may have ended of which this router has not heard", http.StatusServiceUnavailable, shortRetryAfter}
+}
+
 // rejectRoute rejects a request that no route takes here. A router that is out of touch may lack
 // routes that were added since, and 404 would end what another router serves.
 func (rt *Router) rejectRoute() *Rejection {
--- a/internal/server/runner_loop.go
+++ b/internal/server/runner_loop.go
@@ -164,6 +164,7 @@
 	r.grantedAt.Store(int64(r.node.GrantedAt()))
 	r.freshAt.Store(int64(r.node.FreshAt()))
 	r.directoryFreshAt.Store(int64(r.node.DirectoryFreshAt()))
+	r.enginesTrustedUntil.Store(int64(r.node.EnginesTrustedUntil()))
 	r.fence.publish(r.node)
 }
 
