An acknowledgement waits, within its 600 ms, for all nodes that may be in touch

A node that had been silent for a second or more was not waited for, though it counts as in touch by the users' rule and serves callers by what is replaced. Change: nodes that reported within contact_ms are waited for, still for 600 ms at the most. What remains beyond that is the fence's.

Price: after a node ends without a word, changes take 600 ms for contact_ms and not for one second.

--- a/internal/control/dissemination.go
+++ b/internal/control/dissemination.go
@@ -100,8 +100,8 @@
 }
 
 // isDisseminated tells whether a committed revision has spread as far as its acknowledgement waits for: every
-// node that reported within the last second has applied it, or DisseminationTimeout is over. A node that
-// can't be reached is not waited for; it gets the document when it is reachable again.
+// node that reported within ContactTimeout, and so may count as in touch, has applied it, or DisseminationTimeout is
+// over. A node that can't be reached is not waited for beyond that; it gets the document when it is reachable again.
 func (c *Core) isDisseminated(revision uint64) bool {
 	at, isKnown := c.committedAt[revision]
 	if !isKnown || c.now-at >= c.settings.DisseminationTimeout {
@@ -112,7 +112,7 @@
 		return false
 	}
 	for _, report := range c.nodeReports {
-		if c.now-report.reportedAt < kernel.Second && report.applied < revision {
+		if c.now-report.reportedAt < c.settings.ContactTimeout && report.applied < revision {
 			return false
 		}
 	}
--- a/internal/control/dissemination_report_test.go
+++ b/internal/control/dissemination_report_test.go
@@ -41,3 +41,19 @@
 	text := Dissemination{Revision: 3, Lagging: strings.Split("a b c d e f g", " ")}.String()
 	c.Check(text, qt.Contains, "behind: a, b, c, d, e and 2 more")
 }
+
+// An acknowledgement waits for a node that has been silent for a second or more and still counts as in touch, as long as
+// its bound allows: here the node wakes 300 ms after the change is sent.
+func TestAnAcknowledgementWaitsForANodeThatMayBeInTouch(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		c := qt.New(t)
+		f := steadyCore(c, 50+seed)
+		late := f.nodes[8]
+		late.freeze(2 * kernel.Second)
+		f.pass(1700 * ms)
+		f.acknowledge("late", 1, configOf(2, "late"), 4*kernel.Second, f.nodes[5])
+		c.Check(late.inForce().ConfigVersion, qt.Equals, uint64(2), qt.Commentf("seed %d: acknowledged before a node in touch has it", seed))
+		c.Check(f.leader().state().Dissemination.Lagging, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+	}
+}
