Old views of the engines are answered with ends alone, not with the whole directory

Cause: a node whose view of the engines is old asks another zone's coordinator, which answered with the complete directory, and again with each change of whom it asked. After a stop of 300 nodes all of them ask at once: 850 to 1,085 KB/s left each coordinator of 1,220 for 15 s, and marks and configurations wait behind that. Found by a review.

Change: the answer holds ends of engines alone and no nodes; the node's own coordinator brings the rest. That is all the view needs.

--- a/internal/control/directory_freshness.go
+++ b/internal/control/directory_freshness.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dunlinloom/internal/control/decision"
+	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/kernel"
 )
@@ -163,13 +164,13 @@
 	n.send(d.peer, wire.Message{LeaseRequest: request})
 }
 
-// answerOtherZone answers a lease request of a node whose own coordinator is late: with what is new of the
-// directory, and how new the document here is. The node goes on to belong to its own zone.
+// answerOtherZone answers a lease request of a node whose own coordinator is late: with the ends of engines that are new
+// to it, and how new the document here is. All else comes from its own coordinator: many nodes may ask at once.
 func (n *Node) answerOtherZone(from string, m *wire.LeaseRequest) {
-	grant := &wire.LeaseGrant{
-		Revision: n.lease.Revision(), RequestSeq: m.Seq, Freshness: n.lease.Freshness(n.now),
-		Update: n.directory.UpdateSince(n.now, m.SeenIncarnation, m.SeenWatermark, false),
-	}
+	update := n.directory.UpdateSince(n.now, m.SeenIncarnation, m.SeenWatermark, false)
+	update.IsComplete, update.Nodes = false, nil
+	update.Engines = slices.DeleteFunc(update.Engines, func(engine registry.EngineRecord) bool { return !engine.IsDraining && !engine.IsUnlisted })
+	grant := &wire.LeaseGrant{Revision: n.lease.Revision(), RequestSeq: m.Seq, Freshness: n.lease.Freshness(n.now), Update: update}
 	if n.now-n.hints.seenAt < kernel.Second {
 		grant.Leader = n.hints.leader
 	}
--- /dev/null
+++ b/internal/control/late_views_load_test.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"dunlinloom/internal/kernel"
+)
+
+// coordinatorBytes sums up what the coordinators have sent so far.
+func (f *largeFleet) coordinatorBytes() (bytes, coordinators int) {
+	for _, n := range f.nodes {
+		if !n.isUp || !n.node.isCoordinator() {
+			continue
+		}
+		coordinators++
+		for _, sent := range f.loads[n].sentBytes {
+			bytes += sent
+		}
+	}
+	return bytes, coordinators
+}
+
+// After a whole stop all nodes of a large fleet have old views of the engines at once. Their requests to other zones'
+// coordinators were answered with everything, and kept the coordinators' links full: a third is left for what is urgent.
+func TestOldViewsOfTheEnginesFillNoLinks(t *testing.T) {
+	t.Parallel()
+	const settled, span = 6 * kernel.Second, 3 * kernel.Second
+	c := qt.New(t)
+	f := newLargeFleet(c, 1, 300, 204)
+	adapt := f.adapt
+	f.adapt = func(settings *NodeSettings) {
+		adapt(settings)
+		deploymentLike(settings)
+		settings.EndConfirmationTimeout = deployedAckTimeout / 2
+	}
+	f.restart(300 * ms)
+	f.pass(settled)
+	before, _ := f.coordinatorBytes()
+	f.pass(span)
+	after, coordinators := f.coordinatorBytes()
+	c.Assert(coordinators, qt.Equals, largeFleetZones)
+	rate := float64(after-before) / float64(coordinators) / float64(span/kernel.Second)
+	link := f.loads[f.nodes[len(f.nodes)-1]].bytesPerSecond
+	c.Logf("%.0f KB/s leave a coordinator", rate/1024)
+	c.Assert(rate < link*2/3, qt.IsTrue, qt.Commentf("%.0f of %.0f bytes a second", rate, link))
+}
