Under a deployment's bounds no zone counts as empty because it is not heard

Cause: where nothing was heard of a zone for longer than records of nodes are kept, an end was confirmed after 20 ms as complete, and its nodes used the engine for up to 6,020 ms. Found by a review.

Change: such a zone is waited for like one that is silent, until the span of a complete confirmation is over.

TestALaggingZoneUsesNoEngineWhoseEndWasConfirmed has one way more, a coordinator that has just started, which held before as well. The tests' fleets take the span that a deployment sets.

--- a/internal/control/engine_removals.go
+++ b/internal/control/engine_removals.go
@@ -144,8 +144,7 @@
 		if hasConfirmed {
 			confirmedZones++
 		}
-		// A zone without a living node has nobody to wait for.
-		isAll = isAll && (confirmation.isComplete || !hasConfirmed && zone != n.settings.Identity.Zone && len(n.boundNodes(zone)) == 0)
+		isAll = isAll && (confirmation.isComplete || !hasConfirmed && n.isZoneEmpty(zone))
 	}
 	hasMostZones := confirmedZones*2 > len(coordinators) || p.nodes[n.leaderTarget()]
 	// Without a majority of the voters this may be a minority's side of a cut.
@@ -172,6 +171,12 @@
 	delete(n.announcements.confirmations, token)
 }
 
+// isZoneEmpty tells that another zone has no living node to wait for. Under a deployment's bounds nothing is
+// concluded from silence: its nodes may live and only not be heard of here, or this node may have just started.
+func (n *Node) isZoneEmpty(zone string) bool {
+	return n.settings.EndConfirmationTimeout == 0 && zone != n.settings.Identity.Zone && len(n.boundNodes(zone)) == 0
+}
+
 // confirmedOthers is how many nodes have confirmed to those that answered for their zones.
 func (p *endConfirmation) confirmedOthers() int {
 	count := 0
--- a/internal/control/lagging_zone_test.go
+++ b/internal/control/lagging_zone_test.go
@@ -33,7 +33,7 @@
 	f := newFleet(c, seed, 3, 12, firstHaveFolders(3))
 	f.adapt = func(settings *NodeSettings) {
 		deploymentLike(settings)
-		settings.EndConfirmationTimeout = ackTimeout / 2
+		settings.EndConfirmationTimeout = ackTimeout/2 - 250*ms
 	}
 	f.bootAll(500 * ms)
 	f.stabilized(6 * kernel.Second)
@@ -156,6 +156,12 @@
 		// Its timers are late as well, so its coordinator hears of it seldom.
 		"a node with its timers":    func(_, router *fleetNode) { router.lag, router.tickPause = lag, 2200*ms },
 		"the node that is late now": func(_, router *fleetNode) { router.f.in(7500*ms, func() { router.lag = lag }) },
+		// Which knows no node of its zone yet.
+		"a node whose coordinator has just started": func(coordinator, router *fleetNode) {
+			router.lag = lag
+			router.f.in(7700*ms, coordinator.kill)
+			router.f.in(7900*ms, coordinator.boot)
+		},
 	} {
 		longest, latest := kernel.Micros(0), kernel.Micros(0)
 		for seed := range uint64(6) {
@@ -230,6 +236,14 @@
 // hear of the leader: nobody knows there whether the zone's nodes live, and they are bound all the same.
 func TestAZoneOfWhichNothingIsHeardIsWaitedFor(t *testing.T) {
 	t.Parallel()
+	// The second is longer than the record of a node is kept.
+	for _, silence := range []kernel.Micros{6 * kernel.Second, 14 * kernel.Second} {
+		checkUnheardZone(t, silence)
+	}
+}
+
+func checkUnheardZone(t *testing.T, silence kernel.Micros) {
+	t.Helper()
 	for seed := range uint64(6) {
 		c := qt.New(t)
 		f := newDeployedFleet(c, seed)
@@ -244,7 +258,7 @@
 			isBetweenZones := to != nil && (n == coordinator || to == coordinator) && n.identity.Zone != to.identity.Zone
 			return isBetweenZones && (m.DirectoryUpdate != nil || m.AntiEntropy != nil || m.Push != nil || m.PushResponse != nil)
 		}
-		f.pass(6 * kernel.Second)
+		f.pass(silence)
 		e.leave()
 		longest := f.checkLeaving(12*kernel.Second, []*leavingEngine{e}, fmt.Sprint("seed ", seed))
 		c.Check(e.confirmedAt != 0 && e.confirmedAt-e.leftAt <= deployedAckTimeout, qt.IsTrue)
