A byte budget is full however long the machine has run

Cause: the refill was the whole time since boot times the rate, which overflows after 203 days at 512 KB/s; the budget was then empty for good, and the node answered nobody that starts. Found by a review.

Test: TestABudgetIsFullAtFirstHoweverLongTheMachineHasRun failed at 204 days and more.

--- a/internal/control/flowcontrol/budget.go
+++ b/internal/control/flowcontrol/budget.go
@@ -13,8 +13,12 @@
 
 // Available is how many bytes may be sent now; not above zero: none.
 func (b *Budget) Available(now kernel.Micros) int {
-	refilled := int64(b.Rate) * int64(max(now-b.at, 0)) / int64(kernel.Second)
-	return b.Burst - max(b.spent-int(min(refilled, int64(b.spent))), 0)
+	elapsed := now - b.at
+	if b.spent == 0 || elapsed >= kernel.Micros(b.spent/b.Rate+1)*kernel.Second {
+		return b.Burst
+	}
+	refilled := int64(b.Rate) * int64(max(elapsed, 0)) / int64(kernel.Second)
+	return b.Burst - max(b.spent-int(refilled), 0)
 }
 
 // Spend takes the bytes of a message that is sent.
