A directory larger than the budget of startup answers is told all the same

Cause: the directory had to fit into what is saved up beside the reserve for documents, 384 KB, or some 1,500 records; a larger fleet's nodes would never get it at their start. Found by a review.

Change: it takes all that is there, and the debt is paid before the next one.

Test: TestALargeDirectoryIsToldAtAStart, none of 8 answers had it with 1,600 and 3,400 engines before.

--- a/internal/control/node_startup.go
+++ b/internal/control/node_startup.go
@@ -163,7 +163,9 @@
 	}
 	canTell := n.hasDirectory() || n.snapshots.isLoaded
 	directoryBytes := startupEngineRecordBytes*len(n.directory.Engines()) + startupNodeRecordBytes*n.directory.NodeCount()
-	if canTell && (isBehind || m.LacksDirectory) && n.startup.answers.Available(n.now)-bytes-directoryBytes >= startupDocumentReserve {
+	// A directory that is larger than all that may be saved up takes all of it, and the debt is paid before the next one.
+	directoryShare := min(directoryBytes, startupAnswerBurst-startupDocumentReserve-bytes)
+	if canTell && (isBehind || m.LacksDirectory) && n.startup.answers.Available(n.now)-bytes-directoryShare >= startupDocumentReserve {
 		grant.Update = n.directory.UpdateSince(n.now, "", 0, false)
 		bytes += directoryBytes
 	}
--- a/internal/control/startup_answers_test.go
+++ b/internal/control/startup_answers_test.go
@@ -68,3 +68,19 @@
 		c.Check(answers.documents >= min(answers.asked, allowed/(16<<10)), qt.IsTrue)
 	}
 }
+
+// A directory that is larger than a node saves up for its answers is told all the same.
+func TestALargeDirectoryIsToldAtAStart(t *testing.T) {
+	t.Parallel()
+	for _, engines := range []int{204, 1600, 3400} {
+		c := qt.New(t)
+		f := newLargeFleet(c, 1, 12, engines)
+		n := f.nodes[0]
+		n.boot()
+		answers := startupAnswers{}
+		for begun := f.now; f.now-begun < 4*kernel.Second; f.pass(500 * ms) {
+			answers.ask(c, n, 1)
+		}
+		c.Check(answers.directories > 0, qt.IsTrue, qt.Commentf("%d engines: %+v", engines, answers))
+	}
+}
