--- a/internal/server/deployment.go
+++ b/internal/server/deployment.go
@@ -156,9 +156,15 @@
 	}
 }
 
+// endCallMargin is how long before its end the wait has to be over, so that a call of an engine that is under way then is
+// still answered.
+const endCallMargin = 250 * kernel.Millisecond
+
 // endConfirmationTimeout is for how long the end of an engine waits for nodes that are late or have just died.
-// The other half of the engine's time is for its next calls, about one a second.
-func (b DeploymentBounds) endConfirmationTimeout() kernel.Micros { return b.AckTimeout / 2 }
+// The rest of the engine's time is for its next calls, about one a second.
+func (b DeploymentBounds) endConfirmationTimeout() kernel.Micros {
+	return max(b.AckTimeout/2-endCallMargin, 0)
+}
 
 // compiler reads configurations of the deployment's form.
 func (d *Deployment) compiler() *fleetconfig.Compiler { return &fleetconfig.Compiler{Form: d.Form} }
