--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -312,6 +312,14 @@
 	return resp.StatusCode, b, err
 }
 
+// answerText describes the answer of a node to a call for the record.
+func answerText(n *Node, status int, body []byte, err error) string {
+	if err != nil {
+		return fmt.Sprintf("%s: no answer: %v", n.name, err)
+	}
+	return fmt.Sprintf("%s: %d %.110s", n.name, status, strings.TrimSpace(string(body)))
+}
+
 // order sends an order to one node after the other until it has a clear answer.
 func (f *Fleet) order(method string, base int, body []byte, within time.Duration, nodes ...*Node) (int, string) {
 	if len(nodes) == 0 {
@@ -323,7 +331,8 @@
 	for i := 0; time.Now().Before(end); i++ {
 		n := nodes[i%len(nodes)]
 		st, b, err := call(method, n.ctl(), "/v1/config", map[string]string{"If-Match": fmt.Sprint(base), "Content-Type": "application/json"}, body, time.Second)
-		last = fmt.Sprintf("%s: %d %s %v", n.name, st, strings.TrimSpace(string(b)), err)
+		last = answerText(n, st, b, err)
+		f.logf("%s /v1/config If-Match %d, %d bytes, to %s", method, base, len(body), last)
 		if err == nil && (st == 200 || st >= 400 && st < 500 && st != 408 && st != 429) {
 			return st, last
 		}
@@ -342,7 +351,8 @@
 	for i := 0; time.Now().Before(end); i++ {
 		n := nodes[i%len(nodes)]
 		st, b, err := call("GET", n.ctl(), "/v1/config", nil, nil, time.Second)
-		last = fmt.Sprintf("%s: %d %.60s %v", n.name, st, strings.TrimSpace(string(b)), err)
+		last = answerText(n, st, b, err)
+		f.logf("GET /v1/config to %s", last)
 		if err == nil && st == 200 {
 			var c struct{ Ver int }
 			json.Unmarshal(b, &c)
