--- a/review/standin/refused_disk.go
+++ b/review/standin/refused_disk.go
@@ -18,16 +18,28 @@
 	startSpan    = 30 * time.Second // within which the first configuration has to be taken
 )
 
-// refusedDisk plays a fleet of three machines with a disk and two without. The first machine loses its disk and starts
-// again, at its old address, while the empty disk takes no writes for fullSpan. Once that machine has been back for
-// restSpan, the second one loses its disk and starts again at once. The operator then reads back the configuration.
-func refusedDisk() int {
+// refusedDisk plays a fleet of three machines with a disk and two without. The empty disk of the first machine takes no
+// writes for fullSpan from a start on: with atFirstStart from the first start of the whole fleet, otherwise from the start
+// after that machine has lost its disk. Once the disk has taken writes again for restSpan, the second machine loses its
+// disk and starts again. The operator then reads back the configuration.
+func refusedDisk(atFirstStart bool) int {
 	trouble := env("TROUBLE", "1")
+	isFull := trouble != "0" && trouble != "wipe"
 	f := newFleet(3, 2, 3)
 	defer f.stop()
+	first, second := f.nodes[0], f.nodes[1]
+	if atFirstStart && isFull {
+		first.refuseWrites()
+	}
 	for _, n := range f.nodes {
 		n.start()
 	}
+	if atFirstStart {
+		time.Sleep(fullSpan)
+		if isFull {
+			first.takeWrites()
+		}
+	}
 	order := func(version int, within time.Duration) int {
 		route := strings.Replace(routesBase, `"tmo_ms":15000`, fmt.Sprintf(`"tmo_ms":%d`, 15000+version), 1)
 		status, last := f.order("PUT", version-1, config(version, route), within)
@@ -38,14 +50,15 @@
 		f.logf("the case could not run: no first configuration")
 		return 2
 	}
-	time.Sleep(time.Second)
-	first, second := f.nodes[0], f.nodes[1]
-	if trouble != "0" {
-		f.loseDisk(first, trouble != "wipe")
-	}
-	time.Sleep(fullSpan)
-	if trouble != "0" && trouble != "wipe" {
-		first.takeWrites()
+	if !atFirstStart {
+		time.Sleep(time.Second)
+		if trouble != "0" {
+			f.loseDisk(first, isFull)
+		}
+		time.Sleep(fullSpan)
+		if isFull {
+			first.takeWrites()
+		}
 	}
 	time.Sleep(restSpan)
 	for version := 2; version <= 3; version++ {
@@ -83,14 +96,20 @@
 	f.logf("platform: %s has no power and loses its disk", n.name)
 	time.Sleep(downSpan)
 	if isFull {
-		if err := os.WriteFile(n.data(), nil, 0o644); err != nil {
-			fatal(err)
-		}
+		n.refuseWrites()
 	}
 	n.start()
 	f.logf("platform: %s starts again with an empty disk, which takes no writes: %v", n.name, isFull)
 }
 
+// refuseWrites makes the empty disk of a node take no writes.
+func (n *Node) refuseWrites() {
+	if err := os.WriteFile(n.data(), nil, 0o644); err != nil {
+		fatal(err)
+	}
+	n.f.logf("platform: the disk of %s takes no writes", n.name)
+}
+
 // takeWrites ends the time in which the disk takes no writes. The process goes on.
 func (n *Node) takeWrites() {
 	if err := os.Remove(n.data()); err != nil {
