--- a/internal/control/bootstrap_members.go
+++ b/internal/control/bootstrap_members.go
@@ -58,18 +58,27 @@
 }
 
 func newBootstrapper(settings NodeSettings, random *rand.Rand, now kernel.Micros) *bootstrapper {
-	self := settings.Identity.Address
 	f := &bootstrapper{
-		seeds: firstSeeds(settings), tolerance: (settings.minVoters() - 1) / 2, startedAt: now,
+		tolerance: (settings.minVoters() - 1) / 2, startedAt: now,
 		firstAcceptors: map[string]cluster.MemberID{}, members: map[cluster.MemberID]announcedMember{}, stateLossMembers: map[cluster.MemberID]announcedMember{},
 	}
-	f.rank = slices.Index(f.seeds, self)
+	f.attachFolder(settings, random)
+	return f
+}
+
+// attachFolder makes the node the acceptor that the settings call for, and a proposer if it is one of the seeds. A
+// proposal that was opened under other seeds is dropped.
+func (f *bootstrapper) attachFolder(settings NodeSettings, random *rand.Rand) {
+	seeds := firstSeeds(settings)
+	if !slices.Equal(seeds, f.seeds) {
+		f.proposal = nil
+	}
+	f.seeds, f.rank = seeds, slices.Index(seeds, settings.Identity.Address)
 	f.acceptor = settings.initialAcceptorState(fmt.Sprintf("life-%d-%x", settings.Start, random.Uint64()))
 	if f.acceptor != nil {
 		f.acceptor.Seeds = f.seeds
 		f.learnIncarnations(f.acceptor.Incarnations)
 	}
-	return f
 }
 
 // firstSeeds returns the seeds of the first start: those in the stored acceptor state, or else those in
--- a/internal/control/bootstrap_search_test.go
+++ b/internal/control/bootstrap_search_test.go
@@ -26,6 +26,8 @@
 	pendingWrites map[*fleetNode][]commands.Save
 	accepted      map[cluster.ProposalNumber]map[string]bool // addresses of acceptors that ever synced their acceptance
 	chosen        map[string]bool
+	// hasLateFolders makes half of the folders fail to open for a while after each start.
+	hasLateFolders bool
 }
 
 func newBootstrapSearch(c *qt.C, seed uint64, members, tolerance, quorum int) *bootstrapSearch {
@@ -124,6 +126,15 @@
 	}
 }
 
+// boot starts a process.
+func (s *bootstrapSearch) boot(n *fleetNode) {
+	n.opensAfter = 0
+	if s.hasLateFolders && s.random.IntN(2) == 0 {
+		n.opensAfter = 1 + s.randomSpan(maxSearchLateness)
+	}
+	n.boot()
+}
+
 // crash kills a process. A random number of its pending writes, oldest first, are synced before it ends.
 func (s *bootstrapSearch) crash(n *fleetNode) {
 	if !n.isUp {
@@ -165,7 +176,7 @@
 		}
 	case 3, 4, 5:
 		if !n.isUp {
-			n.boot()
+			s.boot(n)
 		}
 	case 6, 7:
 		other := s.nodes[s.random.IntN(len(s.seeds()))].identity.Address
@@ -197,7 +208,7 @@
 		// On average, a quarter of the members start without the bootstrap setting, as if an earlier process of theirs
 		// had been killed before it wrote anything to disk or sent a message.
 		n.bootstrap = !n.hasFolder || s.random.IntN(4) > 0
-		n.boot()
+		s.boot(n)
 	}
 	for range steps {
 		s.advance(s.randomSpan(60 * ms))
@@ -217,15 +228,26 @@
 // fails under both code mutations that name this test as the one that detects them.
 const firstSearchSeed = 100
 
+// maxSearchLateness limits how long a late folder fails to open in the search, where events follow each other every 30 ms.
+const maxSearchLateness = kernel.Second
+
 func TestASearchFindsNoFirstStartWithTwoChosenDocuments(t *testing.T) {
 	t.Parallel()
-	for _, core := range []struct{ members, tolerance, quorum, fleets int }{{3, 1, 2, 100}, {4, 1, 2, 15}, {7, 2, 5, 10}, {9, 2, 5, 8}} {
-		t.Run(fmt.Sprintf("%d members, %d tolerated", core.members, core.tolerance), func(t *testing.T) {
+	for _, core := range []struct {
+		members, tolerance, quorum, fleets int
+		hasLateFolders                     bool
+	}{
+		{3, 1, 2, 100, false}, {4, 1, 2, 15, false}, {7, 2, 5, 10, false}, {9, 2, 5, 8, false},
+		{3, 1, 2, 100, true}, {4, 1, 2, 15, true}, {9, 2, 5, 8, true},
+	} {
+		t.Run(fmt.Sprintf("%d members, %d tolerated, late folders: %v", core.members, core.tolerance, core.hasLateFolders), func(t *testing.T) {
 			t.Parallel()
 			bootstrapped := 0
 			for seed := range uint64(core.fleets) {
 				c := qt.New(t)
-				bootstrapped += newBootstrapSearch(c, firstSearchSeed+seed, core.members, core.tolerance, core.quorum).run(80)
+				search := newBootstrapSearch(c, firstSearchSeed+seed, core.members, core.tolerance, core.quorum)
+				search.hasLateFolders = core.hasLateFolders
+				bootstrapped += search.run(80)
 			}
 			t.Logf("%d of %d fleets were bootstrapped", bootstrapped, core.fleets)
 			qt.New(t).Assert(bootstrapped > core.fleets/6, qt.IsTrue)
--- a/internal/control/bootstrap_test.go
+++ b/internal/control/bootstrap_test.go
@@ -229,7 +229,7 @@
 func newTestAcceptor(c *qt.C, adapt func(*NodeSettings)) *testAcceptor {
 	settings := NodeSettings{
 		Identity: kernel.Identity{Fleet: "f", Address: memberB.Address, Zone: memberB.Zone}, IsRouter: true, IsController: true,
-		HasFolder: true, Member: memberB.ID, Seeds: []string{memberA.Address, memberB.Address, memberC.Address}, Start: 7, RandomSeed: 7,
+		HasFolder: true, FolderState: FolderState{Member: memberB.ID}, Seeds: []string{memberA.Address, memberB.Address, memberC.Address}, Start: 7, RandomSeed: 7,
 		Journal: kernel.NewJournal(16), IsBootstrap: true,
 	}
 	platformSettings(&settings)
--- a/internal/control/fault_storm_test.go
+++ b/internal/control/fault_storm_test.go
@@ -26,8 +26,16 @@
 	faultsEndAt      kernel.Micros     // until then no other core member may fail
 	submissions      int
 	accepted         int
+	// hasLateFolders makes some folders of machines that start again fail to open for a while.
+	hasLateFolders bool
 }
 
+// toleratedFaultRuns is the number of runs of each kind, and maxLateness limits for how long a disk fails after a start.
+const (
+	toleratedFaultRuns = 6
+	maxLateness        = int64(4 * kernel.Second)
+)
+
 func newSimulatedRun(c *qt.C, seed uint64) *simulatedRun {
 	d := &simulatedRun{
 		fleet: newFleet(c, seed, 4, 10, firstHaveFolders(4)), randomSource: rand.New(rand.NewPCG(seed, 99)),
@@ -130,8 +138,8 @@
 		if d.now < d.faultsEndAt {
 			return
 		}
-		// A member counts as lost until four seconds after its return.
-		d.faultsEndAt = d.now + span + 4*kernel.Second
+		// A member counts as lost until four seconds after its return, and after its disk is sound.
+		d.faultsEndAt = d.now + span + d.drawLateness(n) + 4*kernel.Second
 	}
 	switch d.randomSource.IntN(4) {
 	case 0:
@@ -156,12 +164,21 @@
 	}
 }
 
+// drawLateness draws how long the disk of a member fails after its next start.
+func (d *simulatedRun) drawLateness(n *fleetNode) kernel.Micros {
+	n.opensAfter = 0
+	if d.hasLateFolders && d.randomSource.IntN(3) > 0 {
+		n.opensAfter = kernel.Micros(1 + d.randomSource.Int64N(maxLateness))
+	}
+	return n.opensAfter
+}
+
 // failAll kills all nodes, and wipes one member's disk if one may be lost at this time.
 func (d *simulatedRun) failAll() {
 	mayLose := d.now >= d.faultsEndAt
 	for _, n := range d.nodes {
 		n.kill()
-		n.bootstrap, n.cut = false, map[string]bool{}
+		n.bootstrap, n.cut, n.opensAfter = false, map[string]bool{}, 0
 	}
 	if mayLose {
 		d.nodes[d.randomSource.IntN(4)].wipe()
@@ -174,9 +191,24 @@
 
 func TestRunsOfToleratedFaults(t *testing.T) {
 	t.Parallel()
-	for seed := range uint64(6) {
+	for _, run := range []struct {
+		name           string
+		hasLateFolders bool
+	}{{"sound disks", false}, {"disks that fail at a start", true}} {
+		t.Run(run.name, func(t *testing.T) {
+			t.Parallel()
+			checkRunsOfToleratedFaults(t, run.hasLateFolders)
+		})
+	}
+}
+
+// checkRunsOfToleratedFaults plays runs, each of which ends with a stop of all nodes and a read of the configuration.
+func checkRunsOfToleratedFaults(t *testing.T, hasLateFolders bool) {
+	t.Helper()
+	for seed := range uint64(toleratedFaultRuns) {
 		c := qt.New(t)
 		d := newSimulatedRun(c, seed)
+		d.hasLateFolders = hasLateFolders
 		for range 25 {
 			d.advance(300*ms + kernel.Micros(d.randomSource.Int64N(int64(1500*ms))))
 			d.injectFault()
--- a/internal/control/fleet_harness_test.go
+++ b/internal/control/fleet_harness_test.go
@@ -110,6 +110,7 @@
 	snapshot      []byte
 	history       map[uint64]*cluster.Document // configuration history, by revision
 	isFull        bool                         // writes fail
+	opensAfter    kernel.Micros                // how long after each start the folder can be opened; zero: at once
 	diskSlowdown  kernel.Micros                // factor by which writes take longer than usual; zero: 1
 	bootstrap     bool
 }
@@ -233,19 +234,13 @@
 		Identity: n.identity, IsRouter: true, IsController: n.hasFolder, HasFolder: n.hasFolder,
 		Seeds: f.seeds(), Start: f.lastStart, RandomSeed: f.random.Uint64(), Timing: cluster.DefaultTiming(), Journal: kernel.NewJournal(256), IsBootstrap: n.bootstrap,
 	}
-	if n.hasFolder {
-		if n.member == "" {
-			n.member = cluster.MemberID(fmt.Sprintf("m-%d", f.lastStart))
-		}
-		if n.acceptorState == nil && n.bootstrap && n.document == nil {
-			n.acceptorState = &cluster.AcceptorState{Acceptor: n.member, Seeds: f.seeds()} // the store does the same before the first incarnation
-		}
-		settings.Member, settings.HardState, settings.Document, settings.AcceptorState = n.member, n.hardState, n.document, n.acceptorState
-		settings.StoredConfigs = slices.Sorted(maps.Keys(n.history))
-		if n.snapshot != nil {
-			settings.Snapshot = &storage.Snapshot{}
-			f.c.Assert(json.Unmarshal(n.snapshot, settings.Snapshot), qt.IsNil)
-		}
+	switch {
+	case n.hasFolder && n.opensAfter > 0:
+		settings.HasFolder, settings.IsController, settings.IsFolderPending = false, false, true
+		seeds := f.seeds()
+		n.scheduleInEpoch(n.epoch, n.opensAfter, func() { n.attachFolder(seeds) })
+	case n.hasFolder:
+		settings.FolderState = n.openFolder(f.seeds())
 	}
 	f.adapt(&settings)
 	settings.Invariants = invariant.NewMonitor(func(violation invariant.ViolationError) { f.c.Error(violation) })
@@ -253,6 +248,38 @@
 	n.tick(n.epoch)
 }
 
+// openFolder returns what the node's disk holds. As the store does, it writes the identity of a new member, and the
+// acceptor state of a first start.
+func (n *fleetNode) openFolder(seeds []string) FolderState {
+	if n.member == "" {
+		n.member = cluster.MemberID(fmt.Sprintf("m-%d", n.f.lastStart))
+		if n.opensAfter > 0 {
+			n.member += cluster.MemberID(fmt.Sprintf("-%d", n.f.now))
+		}
+	}
+	if n.acceptorState == nil && n.bootstrap && n.document == nil {
+		n.acceptorState = &cluster.AcceptorState{Acceptor: n.member, Seeds: seeds}
+	}
+	state := FolderState{
+		Member: n.member, HardState: n.hardState, Document: n.document, AcceptorState: n.acceptorState,
+		StoredConfigs: slices.Sorted(maps.Keys(n.history)),
+	}
+	if n.snapshot != nil {
+		state.Snapshot = &storage.Snapshot{}
+		n.f.c.Assert(json.Unmarshal(n.snapshot, state.Snapshot), qt.IsNil)
+	}
+	return state
+}
+
+// attachFolder opens the folder of a running node whose disk was in trouble at its start.
+func (n *fleetNode) attachFolder(seeds []string) {
+	n.do(func() []commands.Command {
+		out, err := n.node.AttachFolder(n.f.now, n.openFolder(seeds), 0)
+		n.f.c.Assert(err, qt.IsNil)
+		return out
+	})
+}
+
 func (n *fleetNode) tick(epoch int) {
 	if n.epoch != epoch || !n.isUp {
 		return
--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -33,8 +33,8 @@
 func fuzzNode(snapshot *storage.Snapshot) *Node {
 	settings := NodeSettings{
 		Identity: kernel.Identity{Fleet: "f", Address: memberB.Address, Zone: memberB.Zone}, IsRouter: true, IsController: true, HasFolder: true,
-		Member: memberB.ID, Seeds: []string{memberA.Address}, Start: 7, RandomSeed: 1, Journal: kernel.NewJournal(16),
-		HardState: cluster.HardState{Term: 4}, Document: fuzzDocument(), Snapshot: snapshot,
+		Seeds: []string{memberA.Address}, Start: 7, RandomSeed: 1, Journal: kernel.NewJournal(16),
+		FolderState: FolderState{Member: memberB.ID, HardState: cluster.HardState{Term: 4}, Document: fuzzDocument(), Snapshot: snapshot},
 	}
 	platformSettings(&settings)
 	return NewNode(settings, fuzzNow)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -12,7 +12,6 @@
 	"dunlinloom/internal/control/gossip"
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/control/serving"
-	"dunlinloom/internal/control/storage"
 	"dunlinloom/internal/control/wire"
 	"dunlinloom/internal/invariant"
 	"dunlinloom/internal/kernel"
@@ -25,12 +24,15 @@
 	IsRouter     bool
 	IsController bool
 	HasFolder    bool
-	Member       cluster.MemberID
-	Seeds        []string
-	Start        uint64 // start number of the process, larger at each start
-	RandomSeed   uint64 // different at each start, so that no two incarnations number their requests alike
-	Timing       cluster.Timing
-	CheckConfig  func([]byte) error
+	// IsFolderPending is set if the node has a data folder that could not be opened yet. It then starts without the
+	// folder, and AttachFolder follows. HasFolder and IsController are false meanwhile.
+	IsFolderPending bool
+	FolderState
+	Seeds       []string
+	Start       uint64 // start number of the process, larger at each start
+	RandomSeed  uint64 // different at each start, so that no two incarnations number their requests alike
+	Timing      cluster.Timing
+	CheckConfig func([]byte) error
 	// IsCompiled reports whether a configuration has been compiled to the form that the data plane needs. If nil, every
 	// configuration counts as compiled.
 	IsCompiled func([]byte) bool
@@ -59,22 +61,14 @@
 	IsAbortDisabled bool
 	BootstrapRule   BootstrapRule
 	IsBootstrap     bool // under BootstrapByAnnounce: this is the first start of the whole fleet
-	// AcceptorState is the bootstrap state that an earlier incarnation stored in the folder; nil: none.
-	AcceptorState *cluster.AcceptorState
 	// Quota is the account of this node's router. LimitsOf reads the quotas from a configuration. Nil means that this
 	// node keeps no quotas.
-	Quota         *quota.Account
-	QuotaBounds   quota.Bounds
-	LimitsOf      func(config []byte) []quota.Limit
-	Journal       *kernel.Journal
-	HardState     cluster.HardState
-	Document      *cluster.Document
-	StoredConfigs []uint64
-	Acknowledged  cluster.Position
-	// Snapshot is what an earlier incarnation stored for a fast start; nil: none. RestoredSpan limits how long after
-	// the start engines that are known only from the snapshot are used. It can only shorten the default of two of their
-	// heartbeat intervals; zero: the default.
-	Snapshot     *storage.Snapshot
+	Quota       *quota.Account
+	QuotaBounds quota.Bounds
+	LimitsOf    func(config []byte) []quota.Limit
+	Journal     *kernel.Journal
+	// RestoredSpan limits how long after the start engines that are known only from the snapshot are used. It can only
+	// shorten the default of two of their heartbeat intervals; zero: the default.
 	RestoredSpan kernel.Micros
 	// DrainTimeout is how long requests may still reach an engine after the fleet has confirmed the engine's end, that
 	// is, its drain or its removal. Zero means that no bound is known.
@@ -123,7 +117,8 @@
 	startedAt   kernel.Micros
 	now         kernel.Micros
 	random      *rand.Rand
-	core        *Core
+	core        *Core  // nil: this node is no controller, or its data folder is pending
+	folderFault string // why the pending data folder could not be opened; empty: no attempt has failed
 	lease       *serving.Lease
 	directory   *registry.Directory
 	partialView *gossip.PartialView
@@ -192,13 +187,7 @@
 	if settings.BootstrapRule == BootstrapByAnnounce {
 		n.bootstrapper = newBootstrapper(settings, random, now)
 	}
-	// A controller without a data folder can never vote. As a mere standby it is useful, and has a core, only where
-	// three voters are wanted however many members there are.
-	if settings.IsController && (settings.HasFolder || settings.Voters == 0) {
-		coreSettings := settings.core(n.note)
-		coreSettings.Random, coreSettings.PushTransfers = random, n.pushTransfers
-		n.core = NewCore(coreSettings, now)
-	}
+	n.openCore()
 	n.startup = newStartupQueries(settings, now)
 	n.directoryFreshness = newDirectoryFreshness(settings.DrainTimeout)
 	n.restore(settings.Snapshot)
--- a/internal/control/node_bootstrap_acceptor.go
+++ b/internal/control/node_bootstrap_acceptor.go
@@ -9,13 +9,14 @@
 
 // initialAcceptorState returns the acceptor state with which this process starts, or nil if this node is no acceptor. A
 // member that was restarted without a stored state cannot know what it promised before, so it counts as having lost its
-// state. The argument incarnation identifies this process.
+// state. A member whose folder is pending is no acceptor: it would forget what it promised, or promise anew what the
+// folder has promised. The argument incarnation identifies this process.
 func (s NodeSettings) initialAcceptorState(incarnation string) *cluster.AcceptorState {
 	switch {
 	case s.AcceptorState != nil:
 		acceptor := *s.AcceptorState
 		return &acceptor
-	case s.Document != nil || s.HardState.Term > 0:
+	case s.IsFolderPending || s.Document != nil || s.HardState.Term > 0:
 		return nil
 	case s.IsBootstrap && s.hasDurableVotes():
 		return &cluster.AcceptorState{Acceptor: s.Member}
--- a/internal/control/node_state.go
+++ b/internal/control/node_state.go
@@ -47,7 +47,9 @@
 	IsLeader          bool
 	Role              string
 	Term              uint64
-	DiskFault         string
+	Member            cluster.MemberID
+	IsFolderPending   bool    // the data folder could not be opened yet, so this node can't vote
+	DiskFault         string  // why the disk or the pending data folder fails; empty: it does not
 	Health            *Health // health of the core; nil unless this node is the leader
 	Engines           []registry.EngineRecord
 	EngineRev         uint64
@@ -86,7 +88,7 @@
 		Document: n.lease.Applied(), LeaseExpiresAt: n.lease.ExpiresAt(), LapseReason: n.lease.LapseReason(n.now),
 		Coordinator: n.coordinator(), IsCoordinator: n.isCoordinator(), IsCoordinatorLost: n.isCoordinatorLost(),
 		EngineRev: n.directory.EngineRev(), ClusterID: n.clusterID(), Leader: n.hints.leader, directoryRev: n.directory.Rev(),
-		Confirmations: n.announcements.counts,
+		Confirmations: n.announcements.counts, Member: n.settings.Member, IsFolderPending: n.settings.IsFolderPending, DiskFault: n.folderFault,
 	}
 	if n.core != nil {
 		state.Health = n.core.Health()
@@ -122,7 +124,7 @@
 func (s *State) equals(other *State) bool {
 	return s.Document == other.Document && s.LeaseExpiresAt == other.LeaseExpiresAt && s.LapseReason == other.LapseReason && s.Leader == other.Leader &&
 		s.Coordinator == other.Coordinator && s.IsCoordinator == other.IsCoordinator && s.IsCoordinatorLost == other.IsCoordinatorLost && s.IsLeader == other.IsLeader &&
-		s.Role == other.Role && s.Term == other.Term && s.DiskFault == other.DiskFault && s.Health == other.Health && s.EngineRev == other.EngineRev &&
+		s.Role == other.Role && s.Term == other.Term && s.Member == other.Member && s.IsFolderPending == other.IsFolderPending && s.DiskFault == other.DiskFault && s.Health == other.Health && s.EngineRev == other.EngineRev &&
 		s.directoryRev == other.directoryRev && s.ClusterID == other.ClusterID && s.ServingRouters == other.ServingRouters && s.ReportedRouters == other.ReportedRouters &&
 		s.Confirmations == other.Confirmations && s.Dissemination.Revision == other.Dissemination.Revision && slices.Equal(s.Neighbours, other.Neighbours)
 }
--- a/internal/kernel/journal.go
+++ b/internal/kernel/journal.go
@@ -16,9 +16,7 @@
 	start     uint64
 	revision  uint64
 	wallClock func() Micros
-	// OnEntry, if set, is called with each entry as it is recorded, in order. The journal's lock is held,
-	// so OnEntry must neither call the journal nor block. It is set before the first entry is recorded.
-	OnEntry func(Entry)
+	onEntry   func(Entry) // see Observe; nil: nobody observes
 }
 
 // ring is a ring buffer of the newest entries of a stream. Its size is the capacity of entries.
@@ -86,27 +84,47 @@
 	}
 	j.count++
 	j.rings[entry.stream()].add(entry)
-	if j.OnEntry != nil {
-		j.OnEntry(entry)
+	if j.onEntry != nil {
+		j.onEntry(entry)
 	}
 }
 
+// Observe calls onEntry with each entry that the journal has, and from then on with each entry as it is recorded, in
+// order. The journal's lock is held meanwhile, so onEntry must neither call the journal nor block. It takes the place of
+// an earlier observer.
+func (j *Journal) Observe(onEntry func(Entry)) {
+	j.lock.Lock()
+	defer j.lock.Unlock()
+	for _, entry := range j.read(func(Entry) bool { return true }) {
+		onEntry(entry)
+	}
+	j.onEntry = onEntry
+}
+
 // Read returns the newest entries in order, at most limit of them; a limit of zero or less means no limit.
 // A component or subject that is not empty selects the entries that have it.
 func (j *Journal) Read(component, subject string, limit int) []Entry {
 	j.lock.Lock()
 	defer j.lock.Unlock()
+	entries := j.read(func(entry Entry) bool {
+		return (component == "" || entry.Component == component) && (subject == "" || entry.Subject == subject)
+	})
+	if limit > 0 && len(entries) > limit {
+		entries = entries[len(entries)-limit:]
+	}
+	return entries
+}
+
+// read returns the entries that are wanted, in order. The lock is held.
+func (j *Journal) read(isWanted func(Entry) bool) []Entry {
 	entries := []Entry{}
 	for _, ring := range j.rings {
 		for _, entry := range ring.entries {
-			if (component == "" || entry.Component == component) && (subject == "" || entry.Subject == subject) {
+			if isWanted(entry) {
 				entries = append(entries, entry)
 			}
 		}
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Seq, b.Seq) })
-	if limit > 0 && len(entries) > limit {
-		entries = entries[len(entries)-limit:]
-	}
 	return entries
 }
--- a/internal/kernel/journal_file_test.go
+++ b/internal/kernel/journal_file_test.go
@@ -19,7 +19,7 @@
 	c.Assert(err, qt.IsNil)
 	journal := NewJournal(64)
 	journal.Open(start, func() Micros { return Micros(start * 1000) })
-	journal.OnEntry = journalFile.Enqueue
+	journal.Observe(journalFile.Enqueue)
 	ctx, end := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	record(journal)
--- a/internal/server/api.go
+++ b/internal/server/api.go
@@ -32,14 +32,12 @@
 	connections     *Connections
 	compiler        *fleetconfig.Compiler
 	limitedListener *LimitedListener
-	controlGuard    *ControlGuard // nil unless a deployment's control address is served
-	// Nil on a node without a data folder, which keeps no history.
-	archive     *history.Archive
-	archiver    *Archiver
-	journalFile *kernel.JournalFile
-	isStopping  func() bool
-	router      *router.Router // nil unless routes of a deployment are served
-	invariants  *invariant.Monitor
+	controlGuard    *ControlGuard    // nil unless a deployment's control address is served
+	archive         *history.Archive // nil where past configurations are not kept
+	services        *kernel.Kernel
+	isStopping      func() bool
+	router          *router.Router // nil unless routes of a deployment are served
+	invariants      *invariant.Monitor
 }
 
 // NewAPI builds the handler of a node's public address from the services registered with the kernel.
@@ -51,19 +49,6 @@
 	if err := errors.Join(runnerErr, connectionsErr, compilerErr, limitedListenerErr); err != nil {
 		return nil, fmt.Errorf("open the API: %w", err)
 	}
-	// Only a node with a data folder has an archive, an archiver and a journal file.
-	archive, err := kernel.Find[*history.Archive](services, ServiceArchive)
-	if err != nil {
-		archive = nil
-	}
-	archiver, err := kernel.Find[*Archiver](services, ServiceArchiver)
-	if err != nil {
-		archiver = nil
-	}
-	journalFile, err := kernel.Find[*kernel.JournalFile](services, ServiceJournalFile)
-	if err != nil {
-		journalFile = nil
-	}
 	// A controller routes no requests, so it has no forwarder and does not serve completions.
 	forwarder, err := kernel.Find[*relay.Forwarder](services, ServiceForwarder)
 	if err != nil {
@@ -71,7 +56,7 @@
 	}
 	api := &API{
 		env: env, runner: runner, forwarder: forwarder, connections: connections, compiler: compiler, limitedListener: limitedListener,
-		archive: archive, archiver: archiver, journalFile: journalFile, isStopping: stopping, invariants: invariants,
+		archive: findOptional[history.Archive](services, ServiceArchive), services: services, isStopping: stopping, invariants: invariants,
 	}
 	mux := http.NewServeMux()
 	if forwarder != nil {
@@ -103,6 +88,22 @@
 	}), nil
 }
 
+// journalFile and archiver return the services of the data folder; nil without a folder, and while it is pending.
+func (f *API) journalFile() *kernel.JournalFile {
+	return findOptional[kernel.JournalFile](f.services, ServiceJournalFile)
+}
+
+func (f *API) archiver() *Archiver { return findOptional[Archiver](f.services, ServiceArchiver) }
+
+// findOptional returns a service, or nil if it is not registered.
+func findOptional[T any](services *kernel.Kernel, name string) *T {
+	service, err := kernel.Find[*T](services, name)
+	if err != nil {
+		return nil
+	}
+	return service
+}
+
 type apiError struct {
 	Error apiErrorFields `json:"error"`
 }
--- a/internal/server/api_fleet.go
+++ b/internal/server/api_fleet.go
@@ -73,8 +73,8 @@
 
 func (f *API) explain(w http.ResponseWriter, r *http.Request) {
 	entries := f.env.Journal.Read("", r.PathValue("request"), 0)
-	if f.journalFile != nil {
-		entries = kernel.MergeEntries(f.journalFile.Read(0, func(entry kernel.Entry) bool { return entry.Subject == r.PathValue("request") }), entries)
+	if journalFile := f.journalFile(); journalFile != nil {
+		entries = kernel.MergeEntries(journalFile.Read(0, func(entry kernel.Entry) bool { return entry.Subject == r.PathValue("request") }), entries)
 	}
 	f.writeJSON(w, http.StatusOK, map[string]any{"node": f.env.Self, "entries": entries})
 }
@@ -97,8 +97,8 @@
 				(query.Get("subject") == "" || entry.Subject == query.Get("subject")) && (query.Get("requests") != "0" || !entry.IsRequest)
 		}
 		entries = slices.DeleteFunc(f.env.Journal.Read("", "", 0), func(entry kernel.Entry) bool { return !isWanted(entry) })
-		if f.journalFile != nil {
-			entries = kernel.MergeEntries(f.journalFile.Read(kernel.Micros(since), isWanted), entries)
+		if journalFile := f.journalFile(); journalFile != nil {
+			entries = kernel.MergeEntries(journalFile.Read(kernel.Micros(since), isWanted), entries)
 		}
 	}
 	f.writeJSON(w, http.StatusOK, map[string]any{"node": f.env.Self, "now_us": f.env.Clock.Now(), "entries": entries})
--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -94,13 +94,13 @@
 		m.sample("control_body_bytes", f.controlGuard.HeldBodyBytes())
 		m.sample("control_bodies_rejected_total", f.controlGuard.RejectedBodies.Load())
 	}
-	if f.journalFile != nil {
-		m.sample("journal_written_total", f.journalFile.Written.Load())
-		m.sample("journal_dropped_total", f.journalFile.Dropped.Load())
+	if journalFile := f.journalFile(); journalFile != nil {
+		m.sample("journal_written_total", journalFile.Written.Load())
+		m.sample("journal_dropped_total", journalFile.Dropped.Load())
 	}
-	if f.archiver != nil {
-		m.sample("history_filed_total", f.archiver.Archived.Load())
-		m.sample("history_failed_total", f.archiver.Failures.Load())
+	if archiver := f.archiver(); archiver != nil {
+		m.sample("history_filed_total", archiver.Archived.Load())
+		m.sample("history_failed_total", archiver.Failures.Load())
 	}
 	if f.forwarder != nil {
 		f.forwarderMetrics(m)
--- a/internal/server/deployment.go
+++ b/internal/server/deployment.go
@@ -147,7 +147,7 @@
 		Identity: self, IsRouter: roles.IsRouter, IsController: roles.IsController, HasFolder: d.Settings.Data != "",
 		// The seed is random, so that two nodes draw different election timeouts and their elections do not collide.
 		Seeds: d.Settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: rand.Uint64(),
-		Timing: timing, Member: cluster.MemberID("no-folder-" + self.Address),
+		Timing: timing, FolderState: control.FolderState{Member: memberWithoutFolder(self)},
 		// A router that the core can't reach is not bound by changes that the core acknowledges meanwhile. A connected
 		// router learns of them within ApplyTimeout. See docs/design.md.
 		Voters: d.Voters, ServeExtension: cluster.ServeWithoutLimit, AckRule: control.Disseminated, IsAbortDisabled: true, SubmitTimeout: d.SubmitTimeout,
--- a/internal/server/deployment_metrics.go
+++ b/internal/server/deployment_metrics.go
@@ -15,7 +15,7 @@
 		return
 	}
 	api := &API{
-		env: d.env, runner: d.runner, compiler: d.compiler, limitedListener: d.services.LimitedListener, archiver: d.archiver,
+		env: d.env, runner: d.runner, compiler: d.compiler, limitedListener: d.services.LimitedListener, services: d.kernel,
 		isStopping: d.isStopping.Load, router: d.services.Router, invariants: d.invariants,
 		controlGuard: d.services.ControlGuard,
 	}
@@ -24,9 +24,6 @@
 		d.env.Log.Error(err, "metrics endpoint is not served")
 		return
 	}
-	if journalFile, err := kernel.Find[*kernel.JournalFile](d.kernel, ServiceJournalFile); err == nil {
-		api.journalFile = journalFile
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", api.metrics)
 	mux.HandleFunc("GET /v1/journal", api.getJournal)
--- a/internal/server/deployment_process.go
+++ b/internal/server/deployment_process.go
@@ -13,7 +13,6 @@
 
 	"k8s.io/klog/v2"
 
-	"dunlinloom/internal/control"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/quota"
@@ -75,6 +74,7 @@
 	servers  []*http.Server
 	failed   chan error
 	quota    *quota.Account
+	opener   *folderOpener // of the data folder, if it was pending at the start
 	// exitDeadline is when the process has to exit; zero: no stop was requested.
 	exitDeadline kernel.Micros
 }
@@ -102,8 +102,8 @@
 	d.configureQuotas(&node)
 	d.openClock(node.Start)
 	for _, step := range []func() error{
-		func() error { return d.openFolderIfHealthy(&node) }, d.openJournal, func() error { return d.openNode(node) }, d.openArchive,
-		func() error { return d.serveAll(lifetime, node.Member) },
+		func() error { return d.openFolderInTime(&node) }, d.openJournal, d.recordStart, func() error { return d.openNode(node) }, d.openArchive,
+		func() error { return d.serveAll(lifetime, node.Member) }, d.awaitFolder,
 	} {
 		if err := step(); err != nil {
 			return fmt.Errorf("start: %w", err)
@@ -120,32 +120,6 @@
 	return nil
 }
 
-// Attempts to open the data folder when its disk fails at startup, and the pause between them.
-const (
-	maxFolderAttempts   = 3
-	folderRetryInterval = 200 * kernel.Millisecond
-)
-
-// openFolderIfHealthy opens the data folder. If the disk fails on every attempt, the node continues without the folder: it
-// does not vote until its next start, which is safe, and still serves callers. Other errors are returned at once.
-func (d *deploymentProcess) openFolderIfHealthy(node *control.NodeSettings) error {
-	for attempt := 1; ; attempt++ {
-		err := d.openFolder(node)
-		if err == nil || !errors.As(err, new(kernel.DiskError)) {
-			return err
-		}
-		d.env.Log.Error(err, "data folder can't be opened", "attempt", attempt)
-		if attempt == maxFolderAttempts {
-			d.env.Record("process", "disk", "go on without", err.Error())
-			break
-		}
-		waitUntil(int64(folderRetryInterval), func() bool { return false })
-	}
-	d.store, d.settings.Data, d.roles.IsController = nil, "", false
-	node.HasFolder, node.IsController = false, false
-	return nil
-}
-
 // watchSettings reloads the settings on SIGHUP and every reloadInterval.
 func (d *deploymentProcess) watchSettings(hangup <-chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
--- a/internal/server/deployment_serve.go
+++ b/internal/server/deployment_serve.go
@@ -8,7 +8,6 @@
 	"net/http"
 
 	"dunlinloom/internal/control/cluster"
-	"dunlinloom/internal/control/storage"
 )
 
 // listen opens one of the deployment's addresses and serves it until the cleanup. An error of the server is sent to
@@ -48,16 +47,13 @@
 		Invariants: d.invariants, Quota: d.quota,
 	}
 	// The peer address first: the callers' handler may need what other nodes report.
-	peers := NewPeerHandler(d.runner.Deliver, d.runner.Unreadable, d.runner.FetchConfig, func() storage.PeerStatus { return d.runner.PeerStatus(member) })
+	peers := NewPeerHandler(d.runner.Deliver, d.runner.Unreadable, d.runner.FetchConfig, d.runner.PeerStatus)
 	if _, err := d.listen(ctx, "nodes", d.settings.Peer, peers, plainListener); err != nil {
 		return err
 	}
 	ended := startWorker(d.runner.Run)
 	d.kernel.Cleanup.Defer(func() error { d.cancel(); <-ended; return nil })
-	if d.archiver != nil {
-		// The stop does not wait for the archiver, since a stalled disk must not delay it.
-		startWorker(d.archiver.Run)
-	}
+	d.startArchiver()
 	if deployment.Control != "" {
 		handler, err := d.adapter.Control(d.services)
 		if err != nil {
@@ -94,6 +90,14 @@
 	return nil
 }
 
+// startArchiver starts the archiver, if there is one. The stop does not wait for it, since a stalled disk must not delay
+// the stop.
+func (d *deploymentProcess) startArchiver() {
+	if d.archiver != nil {
+		startWorker(d.archiver.Run)
+	}
+}
+
 // closeWhenStopping makes a stopping node close each connection after its next response.
 func (d *deploymentProcess) closeWhenStopping(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/server/process.go
+++ b/internal/server/process.go
@@ -18,7 +18,6 @@
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
-	"dunlinloom/internal/control/storage"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/invariant"
 	"dunlinloom/internal/kernel"
@@ -91,7 +90,7 @@
 	roles    Roles
 	cancel   context.CancelFunc // cancels the environment's context
 	compiler *fleetconfig.Compiler
-	store    *storage.Store // nil without a data folder
+	folder   atomic.Pointer[dataFolder] // nil without a data folder, and while it is pending
 	runner   *Runner
 	// dispatcher and forwarder are nil on a node without a router.
 	dispatcher *relay.Dispatcher
@@ -123,13 +122,13 @@
 		// The seed is random, so that two nodes draw different election timeouts and their elections do not collide.
 		Seeds: settings.Seeds, Start: uint64(time.Now().UnixMicro()), RandomSeed: mathrand.Uint64(),
 		Timing: settings.Timing(), Journal: a.env.Journal, CheckConfig: a.compiler.Check, IsCompiled: a.compiler.Has,
-		Member: cluster.MemberID("no-folder-" + self.Address), Invariants: a.invariants,
+		FolderState: control.FolderState{Member: memberWithoutFolder(self)}, Invariants: a.invariants,
 	}
 	settings.Apply(&node)
 	a.openClock(node.Start)
 	// The folder is opened first: if another process holds its lock, nothing in it may be touched.
 	for _, step := range []func() error{
-		func() error { return a.openFolder(&node) }, a.openJournal, func() error { return a.openNode(node) }, a.openArchive, a.openLimitedListener,
+		func() error { return a.openFolder(&node) }, a.openJournal, a.recordStart, func() error { return a.openNode(node) }, a.openArchive, a.openLimitedListener,
 	} {
 		if err := step(); err != nil {
 			return fmt.Errorf("start: %w", err)
@@ -164,7 +163,7 @@
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 120 * time.Second, MaxHeaderBytes: 64 << 10,
 	}
 	peerServer := &http.Server{
-		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Unreadable, a.runner.FetchConfig, func() storage.PeerStatus { return a.runner.PeerStatus(member) }),
+		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Unreadable, a.runner.FetchConfig, a.runner.PeerStatus),
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second,
 	}
 	failed := make(chan error, 2)
--- a/internal/server/process_open.go
+++ b/internal/server/process_open.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"fmt"
 	"net"
@@ -17,57 +16,9 @@
 	"dunlinloom/internal/relay"
 )
 
-// openFolder locks the data folder, if there is one, and loads the node's initial state from it.
-func (a *assembly) openFolder(node *control.NodeSettings) error {
-	if a.settings.Data == "" {
-		return nil
-	}
-	release, err := kernel.LockFolder(a.settings.Data)
-	if err != nil {
-		return err
-	}
-	a.kernel.Cleanup.Defer(release)
-	folder, err := openData(a.settings.Data)
-	if err != nil {
-		return err
-	}
-	if a.store, node.HardState, node.Document, err = storage.OpenStore(folder, a.settings.Fleet, rand.Text); err != nil {
-		return err
-	}
-	if a.deployment != nil {
-		a.store.SetBounds(a.deployment.Limits.Store)
-	}
-	node.Member, node.StoredConfigs, node.Acknowledged = a.store.Member(), a.store.ConfigRevisions(), a.store.Acknowledged()
-	if node.BootstrapRule == control.BootstrapByAnnounce && node.IsController {
-		// Stored before any message is sent, so that a later incarnation knows that this one may have voted.
-		if node.AcceptorState, err = a.store.AcceptorState(node.IsBootstrap, node.Seeds); err != nil {
-			return err
-		}
-	}
-	if node.Snapshot, err = a.store.Snapshot(a.settings.Fleet); err != nil {
-		// The snapshot only makes startup faster; without it the node asks the other nodes.
-		a.env.Log.Error(err, "snapshot can't be read; starting without it")
-		a.env.Record("process", "snapshot", "leave aside", err.Error())
-	}
-	var persistStart func() error
-	node.Start, persistStart = a.store.NextStart(node.Start)
-	a.openClock(node.Start)
-	// Written in the background, so that a stalled disk does not delay startup. If the write is lost, the other nodes
-	// still tell this node its last start number.
-	persisted := make(chan struct{})
-	go func() {
-		defer close(persisted)
-		if err := persistStart(); err != nil {
-			a.env.Log.Error(err, "start number can't be stored")
-		}
-	}()
-	a.kernel.Cleanup.Defer(func() error {
-		waitClosed(persisted, finalWriteTimeout)
-		return nil
-	})
-	for _, name := range a.store.Quarantined() {
-		a.env.Log.Info("damaged file quarantined", "file", name)
-	}
+// recordStart records the start of the process.
+func (a *assembly) recordStart() error {
+	a.env.Record("process", "process", "start", a.roles.Program+" "+a.settings.Version())
 	return nil
 }
 
@@ -76,10 +27,9 @@
 	a.env.Journal.Open(start, func() kernel.Micros { return kernel.Micros(time.Now().UnixMicro()) })
 }
 
-// openJournal makes the journal write to the data folder, if both are configured.
+// openJournal makes the journal write to the data folder, if both are configured and the folder is open.
 func (a *assembly) openJournal() error {
-	defer a.env.Record("process", "process", "start", a.roles.Program+" "+a.settings.Version())
-	if a.settings.Data == "" || a.settings.JournalMB == 0 {
+	if a.folder.Load() == nil || a.settings.JournalMB == 0 {
 		return nil
 	}
 	journalFile, err := kernel.OpenJournalFile(filepath.Join(a.settings.Data, "journal"), int64(a.settings.JournalMB)<<20)
@@ -88,10 +38,10 @@
 		a.env.Log.Error(err, "journal file can't be opened; the journal is kept in memory only")
 		return nil
 	}
-	a.env.Journal.OnEntry = journalFile.Enqueue
 	// A context of its own, so that entries recorded during the cleanup are written too.
 	journalCtx, endJournal := context.WithCancel(context.Background())
 	written := startWorker(func() { journalFile.Run(journalCtx) })
+	a.env.Journal.Observe(journalFile.Enqueue)
 	a.kernel.Cleanup.Defer(func() error {
 		a.env.Record("process", "process", "stop", "the process is exiting")
 		endJournal()
@@ -118,7 +68,11 @@
 		a.forwarder = &relay.Forwarder{Env: a.env, Dispatcher: a.dispatcher, Timeouts: a.settings.Timeouts(), Dial: plainDialer()}
 		services[ServiceForwarder] = a.forwarder
 	}
-	a.runner = NewRunner(a.env, control.NewNode(node, a.env.Clock.Now()), a.store, connections, a.dispatcher, a.compiler, a.settings.Platform)
+	var store *storage.Store
+	if folder := a.folder.Load(); folder != nil {
+		store = folder.store
+	}
+	a.runner = NewRunner(a.env, control.NewNode(node, a.env.Clock.Now()), store, connections, a.dispatcher, a.compiler, a.settings.Platform)
 	a.runner.NoProbes = a.deployment != nil
 	services[ServiceRunner] = a.runner
 	if a.forwarder != nil {
@@ -132,9 +86,9 @@
 	return nil
 }
 
-// openArchive opens the object store of past configurations, if it is configured.
+// openArchive opens the object store of past configurations, if it is configured and the data folder is open.
 func (a *assembly) openArchive() error {
-	if a.settings.Data == "" || a.settings.ArchiveMB == 0 {
+	if a.folder.Load() == nil || a.settings.ArchiveMB == 0 {
 		return nil
 	}
 	archive, err := history.Open(filepath.Join(a.settings.Data, "specs.git"), a.settings.Fleet, int64(a.settings.ArchiveMB)<<20)
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -19,9 +19,12 @@
 // Runner connects a control.Node to the outside. Its loop is the only goroutine that changes the node; it executes the
 // node's commands and publishes snapshots of its state.
 type Runner struct {
-	env        kernel.Env
-	node       *control.Node
-	store      *storage.Store    // nil without a data folder
+	env  kernel.Env
+	node *control.Node
+	// store is nil without a data folder, and while it is pending.
+	store atomic.Pointer[storage.Store]
+	// workers are the goroutines that Run has started.
+	workers    sync.WaitGroup
 	sender     envelopeSender    // for messages to other nodes
 	dispatcher *relay.Dispatcher // nil without a router
 	platform   string
@@ -80,7 +83,7 @@
 // NewRunner returns a runner for node; Run starts it.
 func NewRunner(env kernel.Env, node *control.Node, store *storage.Store, connections *Connections, dispatcher *relay.Dispatcher, compiler *fleetconfig.Compiler, platform string) *Runner {
 	r := &Runner{
-		env: env, node: node, store: store, sender: connections, dispatcher: dispatcher, platform: platform,
+		env: env, node: node, sender: connections, dispatcher: dispatcher, platform: platform,
 		queue: make(chan event, 1024), requests: make(chan event, 1024), diskCommands: make(chan commands.Command, 256), snapshots: make(chan control.SaveSnapshot, 1),
 		openSubmissions: map[string]*openSubmission{},
 		registrations:   map[uint64]chan control.Registered{}, reads: map[uint64]chan *cluster.Document{},
@@ -89,6 +92,7 @@
 		nextToken: rand.Uint64() >> 1, tableBuilder: TableBuilder{Compiler: compiler}, dial: plainDialer(),
 		prober: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DialContext: plainDialer(), MaxIdleConnsPerHost: 1}},
 	}
+	r.store.Store(store)
 	r.lateness.env, r.lateness.tickInterval = env, node.TickInterval()
 	r.state.Store(node.State(nil))
 	return r
@@ -103,9 +107,9 @@
 
 // PeerStatus returns the identity of this node and the last revision that it knows, for an operator who rebuilds a
 // core.
-func (r *Runner) PeerStatus(member cluster.MemberID) storage.PeerStatus {
+func (r *Runner) PeerStatus() storage.PeerStatus {
 	state := r.State()
-	status := storage.PeerStatus{Address: r.env.Self.Address, Member: member, ClusterID: state.ClusterID}
+	status := storage.PeerStatus{Address: r.env.Self.Address, Member: state.Member, ClusterID: state.ClusterID}
 	if state.Document != nil {
 		status.Revision = state.Document.Revision
 	}
@@ -249,25 +253,25 @@
 
 // runDiskCommands executes disk commands in a goroutine of its own, so that a stalled disk blocks nothing else. It returns
 // when the environment ends.
-func (r *Runner) runDiskCommands() {
+func (r *Runner) runDiskCommands(store *storage.Store) {
 	for {
 		select {
 		case <-r.env.Done():
 			return
 		case work := <-r.diskCommands:
-			r.runDiskCommand(work)
+			r.runDiskCommand(store, work)
 		}
 	}
 }
 
 // runSnapshots writes snapshots in a goroutine of its own, until the environment ends.
-func (r *Runner) runSnapshots() {
+func (r *Runner) runSnapshots(store *storage.Store) {
 	for {
 		select {
 		case <-r.env.Done():
 			return
 		case work := <-r.snapshots:
-			err := r.store.SaveSnapshot(work.Snapshot)
+			err := store.SaveSnapshot(work.Snapshot)
 			if err != nil {
 				r.env.Log.Error(err, "snapshot can't be written; it is skipped")
 			}
@@ -277,16 +281,16 @@
 }
 
 // runDiskCommand executes one disk command and posts its result to the node.
-func (r *Runner) runDiskCommand(work any) {
+func (r *Runner) runDiskCommand(store *storage.Store, work any) {
 	switch work := work.(type) {
 	case commands.Save:
-		err := r.store.Save(work)
+		err := store.Save(work)
 		if err != nil {
 			r.env.Log.Error(err, "state can't be written to disk")
 		}
 		r.post(func() []commands.Command { return r.node.Saved(r.env.Clock.Now(), work.Token, err) })
 	case commands.LoadConfig:
-		document, err := r.store.ConfigAt(work.Config)
+		document, err := store.ConfigAt(work.Config)
 		if err != nil {
 			r.env.Log.V(1).Info("requested past configuration can't be read", "error", err.Error())
 		}
@@ -294,7 +298,7 @@
 			return r.node.ConfigLoaded(r.env.Clock.Now(), work.To, work.Config, document)
 		})
 	case commands.SaveHistory:
-		outcome := r.store.SaveHistory(work.Documents)
+		outcome := store.SaveHistory(work.Documents)
 		if outcome.Err != nil {
 			r.env.Log.Error(outcome.Err, "past configuration can't be stored")
 		}
--- a/internal/server/runner_calls.go
+++ b/internal/server/runner_calls.go
@@ -149,12 +149,39 @@
 	}
 }
 
+// FolderFailed reports to the control plane why the pending data folder is not open.
+func (r *Runner) FolderFailed(reason string) {
+	r.post(func() []commands.Command { return r.node.FolderFailed(r.env.Clock.Now(), reason) })
+}
+
+// AttachFolder gives the node its pending data folder; see control.Node.AttachFolder. From then on the runner writes to the
+// store.
+func (r *Runner) AttachFolder(store *storage.Store, folder control.FolderState, start uint64) error {
+	reply := make(chan error, 1)
+	r.post(func() []commands.Command {
+		out, err := r.node.AttachFolder(r.env.Clock.Now(), folder, start)
+		if err == nil {
+			r.store.Store(store)
+			r.startDiskWorkers(store)
+		}
+		reply <- err
+		return out
+	})
+	select {
+	case err := <-reply:
+		return err
+	case <-r.env.Done():
+		return StoppingError{}
+	}
+}
+
 // FetchConfig reads a past configuration from this node's data folder.
 func (r *Runner) FetchConfig(request FetchConfigRequest) (*FetchConfigResponse, error) {
-	if r.store == nil {
+	store := r.store.Load()
+	if store == nil {
 		return nil, storage.MissingRevisionError{Revision: request.Ref.Revision}
 	}
-	document, err := r.store.ConfigAt(request.Ref)
+	document, err := store.ConfigAt(request.Ref)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/server/runner_loop.go
+++ b/internal/server/runner_loop.go
@@ -1,11 +1,11 @@
 package server
 
 import (
-	"sync"
 	"time"
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/commands"
+	"dunlinloom/internal/control/storage"
 	"dunlinloom/internal/kernel"
 )
 
@@ -32,17 +32,15 @@
 
 // Run starts the runner's workers and runs its loop until the environment ends. It returns once the workers have ended.
 func (r *Runner) Run() {
-	var workers sync.WaitGroup
-	defer workers.Wait()
-	if r.store != nil {
-		workers.Go(r.runDiskCommands)
-		workers.Go(r.runSnapshots)
+	defer r.workers.Wait()
+	if store := r.store.Load(); store != nil {
+		r.startDiskWorkers(store)
 	}
 	if r.platform != "" {
-		workers.Go(r.pollPlatform)
+		r.workers.Go(r.pollPlatform)
 	}
 	if !r.NoProbes {
-		workers.Go(r.probeEngines)
+		r.workers.Go(r.probeEngines)
 	}
 	ticker := time.NewTicker(r.node.TickInterval().Duration())
 	defer ticker.Stop()
@@ -52,6 +50,12 @@
 	}
 }
 
+// startDiskWorkers starts the workers that write to the store. Only the loop's goroutine calls it.
+func (r *Runner) startDiskWorkers(store *storage.Store) {
+	r.workers.Go(func() { r.runDiskCommands(store) })
+	r.workers.Go(func() { r.runSnapshots(store) })
+}
+
 // runTurn waits for an event and handles it and the events queued behind it, within the limits of a turn. It publishes the
 // resulting state once, and only then executes the commands. It returns false if the environment has ended.
 //
--- a/test/capacity/node.go
+++ b/test/capacity/node.go
@@ -75,16 +75,16 @@
 	f.starts++
 	h.isUp, h.compiled, h.state, h.tableBuilder = true, map[string]bool{}, nil, server.TableBuilder{Compiler: &f.compiler}
 	journal := kernel.NewJournal(1)
-	journal.OnEntry = func(entry kernel.Entry) {
+	journal.Observe(func(entry kernel.Entry) {
 		if entry.Subject == string(decision.Configuration) && entry.Decision == string(decision.Apply) {
 			h.applied = append(h.applied, appliedRevision{f.now, entry.Revision})
 		}
-	}
+	})
 	settings := control.NodeSettings{
 		Identity: h.identity, IsRouter: !h.isController, IsController: h.isController, HasFolder: h.isController, Seeds: f.seeds,
 		Start: f.starts, RandomSeed: f.random.Uint64(), Timing: cluster.DefaultTiming(), Journal: journal,
 		CheckConfig: f.compiler.Check, IsCompiled: func(config []byte) bool { return h.compiled[string(config)] },
-		Member: cluster.MemberID("none-" + h.identity.Address),
+		FolderState: control.FolderState{Member: cluster.MemberID("none-" + h.identity.Address)},
 	}
 	if f.sizes.Rules == Deployment {
 		settings.Timing = cluster.SparseTiming()
@@ -95,12 +95,13 @@
 	}
 	if h.isController {
 		var err error
-		h.store, settings.HardState, settings.Document, err = storage.OpenStore(h.folder, "capacity", func() string { return fmt.Sprintf("member-%016x", f.random.Uint64()) })
+		h.store, settings.FolderState, err = control.OpenStore(h.folder, control.FolderSource{
+			Fleet: "capacity", FreshID: func() string { return fmt.Sprintf("member-%016x", f.random.Uint64()) },
+		})
 		if err != nil {
 			f.failed = fmt.Errorf("boot %s: %w", h.identity.Address, err)
 			return
 		}
-		settings.Member, settings.StoredConfigs, settings.Acknowledged = h.store.Member(), h.store.ConfigRevisions(), h.store.Acknowledged()
 	}
 	h.node = control.NewNode(settings, f.now)
 	epoch, tick := h.epoch, h.node.TickInterval()
--- a/test/capacity/parts.go
+++ b/test/capacity/parts.go
@@ -343,18 +343,18 @@
 		settings := control.NodeSettings{
 			Identity: env.Self, IsRouter: i >= sizes.Control, IsController: i < sizes.Control, HasFolder: i < sizes.Control, Seeds: seeds,
 			Start: seed + uint64(i) + 1, RandomSeed: seed*1000 + uint64(i), Timing: cluster.DefaultTiming(), Journal: env.Journal,
-			Member: cluster.MemberID("none-" + env.Self.Address),
+			FolderState: control.FolderState{Member: cluster.MemberID("none-" + env.Self.Address)},
 		}
 		var store *storage.Store
 		if i < sizes.Control {
-			if store, settings.HardState, settings.Document, err = storage.OpenStore(&memoryFolder{map[string][]byte{}}, "capacity", func() string { return fmt.Sprintf("member-%d-%d", seed, i) }); err != nil {
+			source := control.FolderSource{Fleet: "capacity", FreshID: func() string { return fmt.Sprintf("member-%d-%d", seed, i) }}
+			if store, settings.FolderState, err = control.OpenStore(&memoryFolder{map[string][]byte{}}, source); err != nil {
 				return nil, fmt.Errorf("open a store: %w", err)
 			}
-			settings.Member = store.Member()
 		}
 		out := server.NewConnections(env, (&net.Dialer{Timeout: time.Second}).DialContext)
 		runner := server.NewRunner(env, control.NewNode(settings, env.Clock.Now()), store, out, nil, &fleetconfig.Compiler{}, "")
-		server := &http.Server{Handler: server.NewPeerHandler(runner.Deliver, runner.Unreadable, runner.FetchConfig, func() storage.PeerStatus { return runner.PeerStatus(settings.Member) })}
+		server := &http.Server{Handler: server.NewPeerHandler(runner.Deliver, runner.Unreadable, runner.FetchConfig, runner.PeerStatus)}
 		defer server.Close()
 		go server.Serve(listener)
 		go runner.Run()
--- a/test/simulator/machine.go
+++ b/test/simulator/machine.go
@@ -77,14 +77,14 @@
 	m.newestReads = map[uint64]func(*cluster.Document){}
 	m.tableBuilder = server.TableBuilder{Compiler: &w.compiler}
 	m.journal = kernel.NewJournal(4096)
-	m.journal.OnEntry = func(entry kernel.Entry) { w.watch(m, entry) }
+	m.journal.Observe(func(entry kernel.Entry) { w.watch(m, entry) })
 	w.startTick++
 	settings := control.NodeSettings{
 		Identity: m.identity, IsRouter: m.isRouter, IsController: m.isCore, HasFolder: m.disk != nil,
 		Seeds: m.seeds, Start: w.startTick, RandomSeed: w.random.Uint64(), Timing: cluster.DefaultTiming(), Journal: m.journal,
 		CheckConfig: w.compiler.Check,
 		IsCompiled:  func(config []byte) bool { return m.compiled[string(config)] },
-		Member:      cluster.MemberID("none-" + m.name),
+		FolderState: control.FolderState{Member: cluster.MemberID("none-" + m.name)},
 		Invariants:  invariant.NewMonitor(func(violation invariant.ViolationError) { w.addInternalViolation("%s: %v", m.name, violation) }),
 	}
 	if w.hasTightElections {
@@ -130,14 +130,10 @@
 func (m *machine) openStore(settings *control.NodeSettings) error {
 	m.disk.stepsToFailure = -1
 	var err error
-	freshID := func() string { return fmt.Sprintf("member-%016x", m.world.random.Uint64()) }
-	if m.store, settings.HardState, settings.Document, err = storage.OpenStore(m.disk, "sim", freshID); err != nil {
-		return err
-	}
-	settings.Member, settings.StoredConfigs, settings.Acknowledged = m.store.Member(), m.store.ConfigRevisions(), m.store.Acknowledged()
-	if settings.BootstrapRule == control.BootstrapByAnnounce {
-		settings.AcceptorState, err = m.store.AcceptorState(settings.IsBootstrap, settings.Seeds)
-	}
+	m.store, settings.FolderState, err = control.OpenStore(m.disk, control.FolderSource{
+		Fleet: "sim", FreshID: func() string { return fmt.Sprintf("member-%016x", m.world.random.Uint64()) },
+		KeepsAcceptorState: settings.BootstrapRule == control.BootstrapByAnnounce, IsBootstrap: settings.IsBootstrap, Seeds: settings.Seeds,
+	})
 	return err
 }
 
