Handle the reload signal from the program's first initialization on

What callers saw: a node that got SIGHUP in the first moments of its process ended.

Cause: the handler was set only after the settings had been read and checked; until then SIGHUP has its default effect. Change: a package without dependencies of its own sets the handler in its initialization, before packages with more dependencies and before main; one signal that arrives early is kept. The product's own daemons, which do not reload, get the default effect back. A stop signal stops from the first instruction on, as before.

TestAReloadSignalInTheFirstMomentsEndsNoProcess failed before (the program, reading its settings, was ended by the signal) and passes now; TestAStopSignalInTheFirstMomentsStops passed before as well. While the program is being loaded, before the runtime's own start, a signal still ends it: nothing in it can run yet.

--- a/cmd/dunlinloom/main.go
+++ b/cmd/dunlinloom/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 
+	"dunlinloom/internal/earlysignal"
 	"dunlinloom/internal/server"
 	"dunlinloom/platform"
 )
@@ -36,7 +37,10 @@
 // daemon returns the command that runs a process with the given roles.
 func daemon(name string, isRouter, isController bool) command {
 	roles := server.Roles{Program: "dunlinloom " + name, IsRouter: isRouter, IsController: isController}
-	return func(arguments []string) int { return server.Main(roles, arguments) }
+	return func(arguments []string) int {
+		earlysignal.Release()
+		return server.Main(roles, arguments)
+	}
 }
 
 // commands returns all commands by name.
@@ -45,7 +49,7 @@
 		"router":     daemon("router", true, false),
 		"controller": daemon("controller", false, true),
 		"node":       daemon("node", true, true),
-		"platform":   platform.Main,
+		"platform":   func(arguments []string) int { return platform.Main(arguments, earlysignal.Reloads()) },
 	}
 }
 
--- a/internal/server/deployment_process.go
+++ b/internal/server/deployment_process.go
@@ -30,8 +30,9 @@
 	maxHeaderBytes    = 64 << 10
 )
 
-// MainDeployment runs a deployment and returns the process's exit status.
-func MainDeployment(adapter Adapter) int {
+// MainDeployment runs a deployment and returns the process's exit status. Each signal from reloads makes it read its
+// settings again.
+func MainDeployment(adapter Adapter, reloads <-chan os.Signal) int {
 	deployment, err := adapter.Reload()
 	if err == nil {
 		err = deployment.Check()
@@ -52,10 +53,8 @@
 	defer cancel()
 	// A write to a connection that the peer has closed has to return an error, not terminate the process.
 	signal.Ignore(syscall.SIGPIPE)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	log := kernel.LogJSON()
-	if err := RunDeployment(stop, hangup, log, deployment, adapter); err != nil {
+	if err := RunDeployment(stop, reloads, log, deployment, adapter); err != nil {
 		log.Error(err, "deployment failed; the process exits")
 		return 1
 	}
--- a/internal/server/doc.go
+++ b/internal/server/doc.go
@@ -13,6 +13,8 @@
 //   - process.go and process_open.go: a daemon from its start to its graceful shutdown
 //   - deployment.go: the description of a deployment; deployment_process.go, deployment_serve.go,
 //     deployment_metrics.go, deployment_shutdown.go: its process; services.go: the dependencies of its handlers
+//   - data_folder.go: opening and locking a data folder; pending_folder.go: a deployment's folder whose disk fails at the
+//     start
 //   - waiting.go and dialing.go: helpers that both kinds of process use
 //   - runner.go: the runner, which connects the node to the outside and executes its commands; runner_loop.go: the
 //     event loop that owns the node; lateness.go: how late the loop is; runner_calls.go and submissions.go: calls into
