Soak: disks that fail across a start, series of signals, callers that keep their connections

New steps end a core node's process and start it on a disk that refuses every operation, hangs, is slow or full, with the folder whole or lost, up to twice in a row, beside changed settings and reload signals; another restarts a node several times in a row with signals that overlap. Builds with faults refuse a disk for reading and opening as well.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,17 +23,19 @@
 )
 
 type arguments struct {
-	First   uint64  `arg:"--first" default:"1" help:"first seed"`
-	Count   uint64  `arg:"--count" default:"1" help:"number of seeds"`
-	SpanS   float64 `arg:"--span-s" default:"40" help:"duration of the faults before the final fault, in seconds"`
-	Load    float64 `arg:"--load" default:"1" help:"factor on the usual request rates of callers"`
-	Workers int     `arg:"--workers" default:"1" help:"number of concurrent runs, each with about eight processes"`
-	Network int     `arg:"--network" default:"20" help:"second byte of the loopback addresses of the first worker"`
-	Program string  `arg:"--program" help:"path of the daemon, built with -tags faults; default: dunlinloom in the folder of this program"`
-	Folder  string  `arg:"--folder" help:"folder for logs and reports; default: a temporary folder"`
-	Tenants bool    `arg:"--tenants" help:"require keys for requests, add and withdraw keys during the run, and give tenants quotas"`
-	Quiet   bool    `arg:"--quiet" help:"print only the outcome of each seed, in one line"`
-	JSON    bool    `arg:"--json" help:"print the complete report of each seed as JSON instead of a summary; it is also written to report.json in the seed's folder"`
+	First   uint64   `arg:"--first" default:"1" help:"first seed"`
+	Count   uint64   `arg:"--count" default:"1" help:"number of seeds"`
+	SpanS   float64  `arg:"--span-s" default:"40" help:"duration of the faults before the final fault, in seconds"`
+	Load    float64  `arg:"--load" default:"1" help:"factor on the usual request rates of callers"`
+	Workers int      `arg:"--workers" default:"1" help:"number of concurrent runs, each with about eight processes"`
+	Network int      `arg:"--network" default:"20" help:"second byte of the loopback addresses of the first worker"`
+	Program string   `arg:"--program" help:"path of the daemon, built with -tags faults; default: dunlinloom in the folder of this program"`
+	Folder  string   `arg:"--folder" help:"folder for logs and reports; default: a temporary folder"`
+	Tenants bool     `arg:"--tenants" help:"require keys for requests, add and withdraw keys during the run, and give tenants quotas"`
+	Nodes   int      `arg:"--nodes" default:"5" help:"number of nodes, three of them with a disk"`
+	Only    []string `arg:"--only,separate" help:"draw only this kind of fault; may be given several times"`
+	Quiet   bool     `arg:"--quiet" help:"print only the outcome of each seed, in one line"`
+	JSON    bool     `arg:"--json" help:"print the complete report of each seed as JSON instead of a summary; it is also written to report.json in the seed's folder"`
 }
 
 // Exit statuses.
@@ -119,7 +121,7 @@
 		return nil, fmt.Errorf("make a folder: %w", err)
 	}
 	report, err := soak.Play(ctx, soak.Settings{
-		Program: flags.Program, Folder: folder, Seed: seed, Network: network, Span: kernel.Micros(flags.SpanS * float64(kernel.Second)), Load: flags.Load, HasTenants: flags.Tenants,
+		Program: flags.Program, Folder: folder, Seed: seed, Network: network, Span: kernel.Micros(flags.SpanS * float64(kernel.Second)), Load: flags.Load, HasTenants: flags.Tenants, Nodes: flags.Nodes, Only: flags.Only,
 		Logf: func(format string, words ...any) {
 			if !flags.Quiet {
 				fmt.Fprintf(os.Stderr, "seed %d: %s\n", seed, fmt.Sprintf(format, words...))
--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -130,6 +130,7 @@
 	m.sample("ends_unconfirmed_total", state.Confirmations.Unconfirmed)
 	if state.Health != nil {
 		m.sample("core_whole", boolMetric(state.Health.IsHealthy))
+		m.sample("core_spare_losses", state.Health.FailureTolerance)
 	}
 	f.fenceMetrics(m)
 	if state.IsLeader && state.Dissemination.Revision > 0 {
--- a/internal/server/fault_injection_faults.go
+++ b/internal/server/fault_injection_faults.go
@@ -126,6 +126,9 @@
 }
 
 func openData(path string) (kernel.Folder, error) {
+	if _, err := awaitDisk("open", path); err != nil {
+		return nil, err
+	}
 	folder, err := kernel.OpenFolder(path)
 	if err != nil {
 		return nil, err
@@ -137,18 +140,58 @@
 	return &faultFolder{folder, undo}, nil
 }
 
-func (f *faultFolder) Put(name string, content []byte) error {
+// awaitDisk waits while this process's disk stalls or is slow, and returns its fault, or a DiskError if it is refused.
+func awaitDisk(operation, name string) (DiskFault, error) {
 	self := os.Getenv(EnvSelf)
 	for injected.current().Disks[self].IsStalled {
 		time.Sleep(10 * time.Millisecond)
 	}
 	disk := injected.current().Disks[self]
 	time.Sleep(time.Duration(disk.SlowUS) * time.Microsecond)
+	if disk.IsRefused {
+		return disk, kernel.DiskError{Op: operation, Name: name, Cause: syscall.EIO}
+	}
+	return disk, nil
+}
+
+func (f *faultFolder) Get(name string) ([]byte, error) {
+	if _, err := awaitDisk("read", name); err != nil {
+		return nil, err
+	}
+	return f.Folder.Get(name)
+}
+
+func (f *faultFolder) List(prefix string) ([]string, error) {
+	if _, err := awaitDisk("list", prefix); err != nil {
+		return nil, err
+	}
+	return f.Folder.List(prefix)
+}
+
+func (f *faultFolder) Rename(from, to string) error {
+	if _, err := awaitDisk("rename", from); err != nil {
+		return err
+	}
+	return f.Folder.Rename(from, to)
+}
+
+func (f *faultFolder) Remove(name string) error {
+	if _, err := awaitDisk("remove", name); err != nil {
+		return err
+	}
+	return f.Folder.Remove(name)
+}
+
+func (f *faultFolder) Put(name string, content []byte) error {
+	disk, err := awaitDisk("write", name)
+	if err != nil {
+		return err
+	}
 	if disk.IsFull {
 		return kernel.DiskError{Op: "write", Name: name, Cause: syscall.ENOSPC}
 	}
 	kept := filepath.Join(f.undo, name)
-	if old, err := f.Get(name); err == nil {
+	if old, err := f.Folder.Get(name); err == nil {
 		if err := os.WriteFile(kept, old, 0o644); err != nil {
 			return kernel.DiskError{Op: "back up", Name: name, Cause: err}
 		}
--- a/internal/server/fault_injection_list.go
+++ b/internal/server/fault_injection_list.go
@@ -21,6 +21,8 @@
 	SlowUS    int64 `json:"slow_us,omitempty"` // added to each write
 	IsStalled bool  `json:"stalled,omitempty"`
 	IsFull    bool  `json:"full,omitempty"`
+	// IsRefused makes opening, reading, listing and writing fail.
+	IsRefused bool `json:"refused,omitempty"`
 }
 
 // A build with the faults tag keeps what unsynced writes replace in a folder next to the data folder, named with
--- a/test/childprocess/childprocess.go
+++ b/test/childprocess/childprocess.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 )
@@ -159,3 +160,23 @@
 	defer p.lock.Unlock()
 	return p.starts
 }
+
+// HandlesSignal reports whether the process runs and has set a handler for the signal. Until its program is loaded it has
+// none, and a signal to end or reload it ends it.
+func (p *Process) HandlesSignal(signal syscall.Signal) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.command == nil {
+		return false
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return false
+	}
+	_, caught, _ := strings.Cut(string(status), "SigCgt:")
+	var handled uint64
+	if _, err := fmt.Sscanf(caught, "%x", &handled); err != nil {
+		return false
+	}
+	return handled&(1<<(signal-1)) != 0
+}
--- a/test/childprocess/childprocess_test.go
+++ b/test/childprocess/childprocess_test.go
@@ -63,3 +63,16 @@
 		})
 	}
 }
+
+func TestHandlersOfSignalsAreSeen(t *testing.T) {
+	c := qt.New(t)
+	process := &Process{Name: "shell", Path: "/bin/sh", Arguments: []string{"-c", "trap : HUP; while :; do sleep 0.01; done"}, LogPath: filepath.Join(t.TempDir(), "log")}
+	c.Assert(process.HandlesSignal(syscall.SIGHUP), qt.IsFalse)
+	c.Assert(process.Start(), qt.IsNil)
+	for !process.HandlesSignal(syscall.SIGHUP) {
+		c.Assert(process.IsRunning(), qt.IsTrue)
+	}
+	c.Assert(process.HandlesSignal(syscall.SIGUSR1), qt.IsFalse)
+	c.Assert(process.Halt(), qt.IsNil)
+	c.Assert(process.HandlesSignal(syscall.SIGHUP), qt.IsFalse)
+}
--- a/test/routedcaller/request.go
+++ b/test/routedcaller/request.go
@@ -47,8 +47,10 @@
 	ResumeAfter int
 	// WantsNewConnection requires a new connection even if an idle one is available.
 	WantsNewConnection bool
-	RouterIndex        int
-	Deadline           kernel.Micros
+	// IsSticky makes the caller use a connection that is open, also to a node that is no longer ready.
+	IsSticky    bool
+	RouterIndex int
+	Deadline    kernel.Micros
 	// Key is the tenant's key that the request is sent with, if any. A request with a key also claims to be from
 	// ForgedTenant, and that claim must never reach an engine.
 	Key string
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -86,6 +86,7 @@
 			return
 		}
 		request := routedcaller.NewRequest(random, kind, stride, fmt.Sprintf("%s-%d", kind.Route.Name, count))
+		request.IsSticky = random.IntN(stickyOneIn) == 0
 		request.Key, request.Cost = f.tenancy.draw(random, request.Prompt+request.Out)
 		cancelAfter := kernel.Micros(0)
 		if random.IntN(cancelOneIn) == 0 {
@@ -142,6 +143,34 @@
 	return all[routerIndex/zoneCount%len(all)]
 }
 
+// stickyOneIn is the inverse share of requests whose caller keeps using its open connections, to whichever node they lead,
+// until that node's process is gone. The others follow the platform's load balancer.
+const stickyOneIn = 3
+
+// nodeOfOpenConnection returns a node of the caller's zone to which an idle connection is open, whether it is ready or not;
+// nil: there is none.
+func (f *fleet) nodeOfOpenConnection(routerIndex int) *node {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for offset := range f.nodes {
+		n := f.nodes[(routerIndex+offset)%len(f.nodes)]
+		if n.zone == fmt.Sprint("z", routerIndex%zoneCount) && len(f.idleConns[n.name]) > 0 {
+			return n
+		}
+	}
+	return nil
+}
+
+// target returns the node to which a caller sends a request.
+func (f *fleet) target(request *routedcaller.Request) *node {
+	if request.IsSticky && !request.WantsNewConnection {
+		if n := f.nodeOfOpenConnection(request.RouterIndex); n != nil {
+			return n
+		}
+	}
+	return f.nodeFor(request.RouterIndex)
+}
+
 // connect returns an idle connection to a node or opens a new one. It always opens a new one if wantsNew is set.
 func (f *fleet) connect(n *node, wantsNew bool) (*callerConnection, error) {
 	for !wantsNew {
@@ -186,7 +215,7 @@
 
 // try sends one request and returns the event of its end and the delay before a retry.
 func (f *fleet) try(request routedcaller.Request, cancelAfter kernel.Micros) (checker.RoutedEvent, kernel.Micros) {
-	n := f.nodeFor(request.RouterIndex)
+	n := f.target(&request)
 	f.lock.Lock()
 	services := append([]string(nil), f.services[request.Kind.Route.Name]...)
 	f.lock.Unlock()
--- a/test/soak/closing.go
+++ b/test/soak/closing.go
@@ -28,7 +28,7 @@
 // runClosing injects the closing fault right after an operation was acknowledged, and checks that requests are served
 // again once the recovery time has passed.
 func (f *fleet) runClosing(ctx context.Context, operator *operator) {
-	drawn := draw(f.settings.Seed, f.settings.Span)
+	drawn := f.settings.drawPlan()
 	if err := f.faults.Clear(); err != nil {
 		f.problem("clear the injected faults: %v", err)
 	}
--- a/test/soak/node.go
+++ b/test/soak/node.go
@@ -20,11 +20,15 @@
 	"dunlinloom/test/localfleet"
 )
 
-// The layout of the fleet. The first diskCount nodes have a disk and are voters.
+// The layout of the fleet. The first diskCount nodes have a disk and are voters. Nodes that replace others have the
+// addresses from replacementOffset on.
 const (
-	nodeCount = 5
-	diskCount = 3
-	zoneCount = 3
+	DefaultNodes      = 5
+	minNodes          = DefaultNodes
+	maxNodes          = 150
+	diskCount         = 3
+	zoneCount         = 3
+	replacementOffset = maxNodes
 )
 
 // Ports, the same on all nodes.
@@ -89,7 +93,7 @@
 	for i := range diskCount {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", f.nodeIP(i), portControl))
 	}
-	for i := range nodeCount {
+	for i := range f.settings.Nodes {
 		n := f.newNode(fmt.Sprintf("node%d", i), f.nodeIP(i), fmt.Sprint("z", i%zoneCount), i < diskCount)
 		n.seeds, n.bootstrap = seeds, true
 		f.nodes = append(f.nodes, n)
@@ -302,7 +306,7 @@
 			}
 			f.lock.Unlock()
 		}
-		if count == nodeCount {
+		if count == f.settings.Nodes {
 			return nil
 		}
 		if !pause(f.context, 100*kernel.Millisecond) {
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -42,13 +42,13 @@
 // plannedShare is the share of the span at its start that contains only planned actions.
 const plannedShare = 0.3
 
-// draw returns the plan of a seed.
-func draw(seed uint64, span kernel.Micros) plan {
+// draw returns the plan of a seed. After the share of planned actions alone its steps are drawn from the named ones.
+func draw(seed uint64, span kernel.Micros, unplanned []string) plan {
 	random := rand.New(rand.NewPCG(seed, 2))
 	drawn := plan{closing: closings[random.IntN(len(closings))]}
 	plannedEnd := kernel.Micros(float64(span) * plannedShare)
 	for at := calmSpan; at < span; {
-		names := allActions
+		names := unplanned
 		if at < plannedEnd {
 			names = planned
 		}
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -58,7 +58,7 @@
 	f.readLogs()
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	drawn := draw(f.settings.Seed, f.settings.Span)
+	drawn := f.settings.drawPlan()
 	report := &Report{Seed: f.settings.Seed, SpanS: seconds(f.settings.Span), Closing: drawn.closing}
 	for _, s := range drawn.steps {
 		line := s.String()
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,7 +34,11 @@
 	Load    float64       // factor on the default request rates of callers
 	// HasTenants makes requests require keys and gives tenants quotas.
 	HasTenants bool
-	Logf       func(format string, words ...any)
+	// Nodes is the number of nodes, of which the first diskCount have a disk.
+	Nodes int
+	// Only limits the faults to these, by name. If it is empty, all kinds of faults are drawn.
+	Only []string
+	Logf func(format string, words ...any)
 }
 
 // Check returns a SettingError for the first invalid setting.
@@ -43,6 +50,13 @@
 		return SettingError{"span", fmt.Sprintf("must be at least %d s", minSpan/kernel.Second)}
 	case !(s.Load > 0 && s.Load <= 100):
 		return SettingError{"load", "must be above 0 and at most 100"}
+	case s.Nodes < minNodes || s.Nodes > maxNodes:
+		return SettingError{"nodes", fmt.Sprintf("must be from %d to %d", minNodes, maxNodes)}
+	}
+	for _, name := range s.Only {
+		if faultFuncs[name] == nil {
+			return SettingError{"only", fmt.Sprintf("names %q, which is none of the faults %s", name, strings.Join(slices.Sorted(maps.Keys(faultFuncs)), ", "))}
+		}
 	}
 	if left, err := os.ReadDir(s.Folder); err != nil || len(left) > 0 {
 		return SettingError{"folder", "must exist and be empty"}
@@ -50,6 +64,15 @@
 	return nil
 }
 
+// drawPlan draws the plan of the run.
+func (s Settings) drawPlan() plan {
+	unplanned := slices.Clone(s.Only)
+	if len(unplanned) == 0 {
+		unplanned = allActions
+	}
+	return draw(s.Seed, s.Span, unplanned)
+}
+
 // SettingError reports which setting is invalid and why.
 type SettingError struct{ Name, Why string }
 
@@ -151,9 +174,10 @@
 	operatorCtx, stopOperator := context.WithCancel(traffic)
 	var orders sync.WaitGroup
 	orders.Go(func() { operator.run(operatorCtx) })
-	f.runPlan(draw(f.settings.Seed, f.settings.Span))
+	f.runPlan(f.settings.drawPlan())
 	stopOperator()
 	orders.Wait()
+	f.checkReserve(ctx)
 	f.runClosing(ctx, operator)
 	endTraffic()
 	f.calls.Wait()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -33,11 +33,20 @@
 	program := filepath.Join(t.TempDir(), "dunlinloom")
 	out, err := exec.CommandContext(context.Background(), "go", "build", "-race", "-tags", "faults", "-o", program, "dunlinloom/cmd/dunlinloom").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
-	for i, name := range []string{"without tenants", "with tenants"} {
-		t.Run(name, func(t *testing.T) {
+	for i, run := range []struct {
+		name       string
+		hasTenants bool
+		only       []string
+	}{
+		{name: "without tenants"},
+		{name: "with tenants", hasTenants: true},
+		{name: "disks that fail at a start", only: []string{"start-refused", "start-stalled", "empty-refused", "empty-stalled", "signals"}},
+	} {
+		t.Run(run.name, func(t *testing.T) {
 			t.Parallel()
 			checkShortSoak(qt.New(t), Settings{
-				Program: program, Folder: t.TempDir(), Seed: 7, Network: 200 + i, Span: minSpan, Load: 0.5, Logf: t.Logf, HasTenants: i == 1,
+				Program: program, Folder: t.TempDir(), Seed: 7, Network: 200 + i, Span: minSpan, Load: 0.5, Logf: t.Logf,
+				HasTenants: run.hasTenants, Nodes: DefaultNodes, Only: run.only,
 			})
 		})
 	}
@@ -68,8 +77,8 @@
 	const span = 60 * kernel.Second
 	kinds, closing, together := map[string]bool{}, map[string]bool{}, 0
 	for seed := range uint64(60) {
-		drawn := draw(seed, span)
-		c.Assert(fmt.Sprint(draw(seed, span)), qt.Equals, fmt.Sprint(drawn))
+		drawn := draw(seed, span, allActions)
+		c.Assert(fmt.Sprint(draw(seed, span, allActions)), qt.Equals, fmt.Sprint(drawn))
 		closing[drawn.closing] = true
 		firstUnplanned := span
 		for _, s := range drawn.steps {
@@ -94,12 +103,14 @@
 
 func TestCheckNamesTheInvalidSetting(t *testing.T) {
 	c := qt.New(t)
-	good := Settings{Folder: t.TempDir(), Network: 20, Span: minSpan, Load: 1}
+	good := Settings{Folder: t.TempDir(), Network: 20, Span: minSpan, Load: 1, Nodes: DefaultNodes, Only: []string{"signals"}}
 	c.Assert(good.Check(), qt.IsNil)
 	for name, change := range map[string]func(*Settings){
 		"network": func(s *Settings) { s.Network = 255 },
 		"span":    func(s *Settings) { s.Span = minSpan - 1 },
 		"load":    func(s *Settings) { s.Load = 0 },
+		"nodes":   func(s *Settings) { s.Nodes = maxNodes + 1 },
+		"only":    func(s *Settings) { s.Only = []string{"kill", "stop"} },
 		"folder":  func(s *Settings) { s.Folder = filepath.Join(s.Folder, "nowhere") },
 	} {
 		bad := good
--- a/test/soak/troubles.go
+++ b/test/soak/troubles.go
@@ -46,6 +46,14 @@
 	"disk-slow":      failDisk(server.DiskFault{SlowUS: 150_000}),
 	"disk-stall":     failDisk(server.DiskFault{IsStalled: true}),
 	"disk-full":      failDisk(server.DiskFault{IsFull: true}),
+	"start-refused":  startOnFailingDisk(server.DiskFault{IsRefused: true}, false),
+	"start-stalled":  startOnFailingDisk(server.DiskFault{IsStalled: true}, false),
+	"start-slow":     startOnFailingDisk(server.DiskFault{SlowUS: 400_000}, false),
+	"start-full":     startOnFailingDisk(server.DiskFault{IsFull: true}, false),
+	"empty-refused":  startOnFailingDisk(server.DiskFault{IsRefused: true}, true),
+	"empty-stalled":  startOnFailingDisk(server.DiskFault{IsStalled: true}, true),
+	"empty-full":     startOnFailingDisk(server.DiskFault{IsFull: true}, true),
+	"signals":        signalSeries,
 	"kill-core":      killCore,
 	"kill-all":       restartAll(func(f *fleet, n *node) error { return f.killNode(n) }),
 	"power-all":      restartAll(func(f *fleet, n *node) error { return f.powerOff(n) }),
@@ -149,6 +157,7 @@
 
 const (
 	anyNodeTarget  faultTarget = iota
+	diskTarget                 // a node with a disk
 	diskLossTarget             // a node with a disk, which is lost
 )
 
@@ -230,7 +239,7 @@
 	f.replaced++
 	number := f.replaced
 	f.lock.Unlock()
-	fresh := f.newNode(fmt.Sprintf("%s-again%d", strings.Split(n.name, "-")[0], number), f.nodeIP(50+number), n.zone, true)
+	fresh := f.newNode(fmt.Sprintf("%s-again%d", strings.Split(n.name, "-")[0], number), f.nodeIP(replacementOffset+number), n.zone, true)
 	fresh.seeds = f.seedsOf(random)
 	f.lock.Lock()
 	defer f.lock.Unlock()
@@ -259,6 +268,16 @@
 	f.recordEvent(checker.RoutedEvent{EventKind: checker.RouterStopping, Router: n.name})
 	f.loseContact(n)
 	defer f.restoreContact(n)
+	if err := f.terminate(n); err != nil {
+		return err
+	}
+	pause(f.context, 300*ms)
+	return f.startNode(n)
+}
+
+// terminate asks a node's process to stop, and kills it once the grace period is over. It records a problem if that was
+// necessary.
+func (f *fleet) terminate(n *node) error {
 	n.setWanted(false)
 	if err := n.process.Signal(syscall.SIGTERM); err != nil {
 		return err
@@ -270,11 +289,7 @@
 	case <-grace.Done():
 		f.problem("%s did not exit within the grace period", n.name)
 	}
-	if err := f.killNode(n); err != nil {
-		return err
-	}
-	pause(f.context, 300*ms)
-	return f.startNode(n)
+	return f.killNode(n)
 }
 
 // reloadSettings changes the seeds in a node's settings file. Half of the steps also send SIGHUP.
@@ -284,11 +299,7 @@
 		return errNodeBusy
 	}
 	defer n.busy.Unlock()
-	seeds := f.seedsOf(random)
-	n.lock.Lock()
-	n.seeds = seeds
-	n.lock.Unlock()
-	if err := f.writeSettings(n); err != nil {
+	if err := f.changeSeeds(n, random); err != nil {
 		return err
 	}
 	if s.index%2 == 0 {
@@ -297,6 +308,15 @@
 	return n.process.Signal(syscall.SIGHUP)
 }
 
+// changeSeeds writes other seeds to a node's settings file.
+func (f *fleet) changeSeeds(n *node, random *rand.Rand) error {
+	seeds := f.seedsOf(random)
+	n.lock.Lock()
+	n.seeds = seeds
+	n.lock.Unlock()
+	return f.writeSettings(n)
+}
+
 // freezeNode suspends a node's process for the step's span.
 func freezeNode(f *fleet, s step, random *rand.Rand) error {
 	return f.injectFault(s, random, anyNodeTarget, func(n *node) error {
