--- a/internal/control/core_disk.go
+++ b/internal/control/core_disk.go
@@ -92,7 +92,6 @@
 		c.note(decision.Disk, decision.Healthy, "writes to the data folder succeed again")
 		c.saveError = ""
 	}
-	c.saveTime = now - head.startedAt
 	c.saves = c.saves[1:]
 	if document := head.save.Document; document != nil && c.synced.Before(document.Position()) {
 		c.synced = document.Position()
@@ -107,15 +106,6 @@
 	}
 }
 
-// saveDuration returns how long this member's disk takes for a write: as long as for the last one, or as the one in progress
-// has taken so far if that is longer.
-func (c *Core) saveDuration() kernel.Micros {
-	if len(c.saves) == 0 {
-		return c.saveTime
-	}
-	return max(c.saveTime, c.now-c.saves[0].startedAt)
-}
-
 // DiskFault returns why this member's disk fails or stalls, or an empty string if it works. While there is a fault,
 // the member neither votes nor stands for election.
 func (c *Core) DiskFault() string {
--- a/internal/control/core_state.go
+++ b/internal/control/core_state.go
@@ -51,8 +51,7 @@
 type diskState struct {
 	saves     []*pendingSave
 	nextToken uint64
-	saveError string        // the error of the last write; empty: it succeeded
-	saveTime  kernel.Micros // how long the last write that succeeded took
+	saveError string // the error of the last write; empty: it succeeded
 }
 
 // leaderState is what a leader knows of the voters and learners. It is meaningless while this member does not lead.
--- a/internal/control/node_bootstrap.go
+++ b/internal/control/node_bootstrap.go
@@ -18,10 +18,6 @@
 // the sorted list, so that the seeds do not keep outbidding each other's proposals (dueling proposers).
 const proposerBackoff = 300 * kernel.Millisecond
 
-// proposalWrites is how many writes of an acceptor a proposal may take: its promise and its acceptance, each behind another
-// write. A proposer gives others' proposals as much time.
-const proposalWrites = 4
-
 // bootstrapProposal is a proposal that this node has opened, with the answers of the acceptors so far.
 type bootstrapProposal struct {
 	number cluster.ProposalNumber
@@ -158,9 +154,6 @@
 	if len(f.allMembers()) < n.settings.minVoters() {
 		quietSpan += missingVotersSpan
 	}
-	if n.core != nil {
-		quietSpan += proposalWrites * n.core.saveDuration()
-	}
 	if n.now-max(f.lastJoinedAt, f.highestSeenAt) < quietSpan || !f.isProposalDue(n.now) {
 		return
 	}
