A deployed process whose folder is still in use serves and tries again

What callers would see: a process is killed while its disk hangs. It holds the folder's lock until its last call to the disk returns. Its successor found the folder in use and ended, was started again and ended again, and served nobody for as long as the disk hung.

Cause: the same as of the disk that fails at a start: a condition that passes decided over the whole process. The lock is now tried again like the disk; the process serves without its folder meanwhile. A second process on one machine by mistake is no member either way, and its addresses are taken.

TestADiskThatFailsAtAStartIsOpenedOnceItIsSound has a ninth way, red before (the node served no callers in 90 s) and green now with the eight others, with the race detector.

--- a/internal/server/pending_folder.go
+++ b/internal/server/pending_folder.go
@@ -40,13 +40,19 @@
 	return &folderOpener{env: env, open: open, results: make(chan folderResult), faults: make(chan string, 1)}
 }
 
-// run tries to open the folder until that succeeds, fails for another reason than the disk, or the environment ends.
+// mayPass reports whether a later attempt to open a folder may succeed after this error: the disk failed, or a process
+// that was killed holds the lock until its last call to the disk returns.
+func mayPass(err error) bool {
+	return errors.As(err, new(kernel.DiskError)) || errors.As(err, new(kernel.FolderInUseError))
+}
+
+// run tries to open the folder until that succeeds, fails with an error that does not pass, or the environment ends.
 func (o *folderOpener) run() {
 	last := ""
 	pause := folderRetryInterval
 	for attempt := 1; ; attempt++ {
 		folder, err := o.open()
-		if err == nil || !errors.As(err, new(kernel.DiskError)) {
+		if err == nil || !mayPass(err) {
 			o.finish(folderResult{folder, err})
 			return
 		}
@@ -86,7 +92,7 @@
 }
 
 // openFolderInTime opens the data folder, and waits for it for up to folderTimeout. If the disk fails or hangs for longer,
-// the node starts without the folder, and attachFolder gives it the folder later. Errors other than the disk's are returned.
+// the node starts without the folder, and attachFolder gives it the folder later. Errors that do not pass are returned.
 func (d *deploymentProcess) openFolderInTime(node *control.NodeSettings) error {
 	if d.settings.Data == "" {
 		return nil
--- a/internal/server/refused_disk_test.go
+++ b/internal/server/refused_disk_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/kernel"
 )
 
 // diskTrouble makes the disk of a stopped node fail from before its next start on. It returns the function that ends the
@@ -52,6 +53,13 @@
 	}
 }
 
+// staysLocked keeps the folder locked, as a process does that was killed but can't end before its disk answers.
+func staysLocked(c *qt.C, data string) func() {
+	release, err := kernel.LockFolder(data)
+	c.Assert(err, qt.IsNil)
+	return func() { c.Assert(release(), qt.IsNil) }
+}
+
 // coreUnderTrouble is a core of three deployed nodes whose disks fail.
 type coreUnderTrouble struct {
 	c        *qt.C
@@ -161,6 +169,7 @@
 		{name: "whole disk", troubles: []diskTrouble{replaceByFolder("lock")}, troubled: 1, lost: 0},
 		{name: "whole disk, files refused", troubles: []diskTrouble{replaceByFolder("ballot.json")}, lost: 2},
 		{name: "whole disk that hangs", troubles: []diskTrouble{hangOnRead("snapshot.json")}, lost: 1},
+		{name: "whole disk, still in use", troubles: []diskTrouble{staysLocked}, lost: 1},
 		{name: "twice in a row", troubles: []diskTrouble{replaceByFolder("lock"), replaceByFolder("member.json")}, isWiped: true, lost: 1},
 	} {
 		t.Run(each.name, func(t *testing.T) {
