Ignore reload signals from the program's first code on, before the runtime starts

Cause: the Go runtime handles the signal by ending the process until a package asks for it, and the packages that are initialized before ours take some milliseconds. Change: a constructor ignores the signal before the runtime starts, which leaves an ignored reload signal alone; the initialization of the package then keeps it. Needs the C compiler that the build needs anyway.

--- a/cmd/dunlinloom/signals_test.go
+++ b/cmd/dunlinloom/signals_test.go
@@ -5,12 +5,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"dunlinloom/platform"
+	"dunlinloom/test/childprocess"
 )
 
 // envRunsMain makes the test binary run the program instead of the tests.
@@ -59,3 +61,30 @@
 	c.Assert(isUnix, qt.IsTrue)
 	c.Assert(status.Signal(), qt.Equals, syscall.SIGTERM)
 }
+
+// earlyReloads is how many processes get a reload signal as soon as they ignore or handle it.
+const earlyReloads = 100
+
+// Guards against a reload signal that arrives between the start of the runtime and the initialization of the package that
+// handles it.
+func TestAReloadSignalEndsNoProcessFromItsFirstCodeOn(t *testing.T) {
+	c := qt.New(t)
+	settings := filepath.Join(c.TempDir(), "none")
+	self, err := os.Executable()
+	c.Assert(err, qt.IsNil)
+	for range earlyReloads {
+		ended := make(chan error, 1)
+		program := &childprocess.Process{
+			Name: "program", Path: self, Arguments: []string{"platform"}, LogPath: filepath.Join(c.TempDir(), "log"),
+			Env: []string{envRunsMain + "=1", platform.SettingsVariable + "=" + settings}, OnEnd: func(err error) { ended <- err },
+		}
+		c.Assert(program.Start(), qt.IsNil)
+		for program.IsRunning() && !program.HandlesSignal(syscall.SIGHUP) {
+			runtime.Gosched()
+		}
+		c.Assert(program.Signal(syscall.SIGHUP), qt.IsNil)
+		var exit *exec.ExitError
+		c.Assert(errors.As(<-ended, &exit), qt.IsTrue)
+		c.Assert(exit.ExitCode(), qt.Equals, exitUsage)
+	}
+}
--- a/internal/earlysignal/earlysignal.go
+++ b/internal/earlysignal/earlysignal.go
@@ -1,8 +1,14 @@
-// Package earlysignal keeps reload signals from ending a process before its handler is set. Its initialization runs
-// before that of packages with dependencies outside the standard library, and so before main. A signal that arrives
-// earlier than that, while the program is being loaded, ends the process: nothing in it can run yet.
+// Package earlysignal keeps reload signals from ending a process before its handler is set. They are ignored from the
+// first code of the program on, which runs before the Go runtime starts, and kept once this package is initialized.
+// Earlier, while the program is being loaded, a signal still ends the process.
 package earlysignal
 
+// #include <signal.h>
+// // Runs before the Go runtime starts, which leaves an ignored reload signal as it is.
+// __attribute__((constructor)) static void ignoreReloads(void) { signal(SIGHUP, SIG_IGN); }
+// static void endOnReload(void) { signal(SIGHUP, SIG_DFL); }
+import "C"
+
 import (
 	"os"
 	"os/signal"
@@ -19,4 +25,7 @@
 func Reloads() <-chan os.Signal { return reloads }
 
 // Release gives the reload signal its default effect again, for programs that do not reload.
-func Release() { signal.Reset(syscall.SIGHUP) }
+func Release() {
+	signal.Stop(reloads)
+	C.endOnReload()
+}
