--- a/internal/control/late_folder_test.go
+++ b/internal/control/late_folder_test.go
@@ -107,6 +107,39 @@
 	}
 }
 
+// Guards against a fleet that is not founded, or does not come back, because all folders open late.
+func TestAFleetIsFoundedAndRestartedThoughAllFoldersOpenLate(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(lateFolderSeeds) {
+		c := qt.New(t)
+		f := newFleet(c, seed, 3, 5, firstHaveFolders(3))
+		core := f.nodes[:3]
+		drawLateness := func() kernel.Micros {
+			latest := kernel.Micros(0)
+			for _, n := range core {
+				n.opensAfter = 1 + kernel.Micros(f.random.Int64N(int64(diskTroubleSpan)))
+				latest = max(latest, n.opensAfter)
+			}
+			return latest
+		}
+		latest := drawLateness()
+		f.bootAll(bootSpan)
+		f.advance(bootSpan + latest)
+		f.acknowledge("first", 0, configOf(1, "first"), syncSpan, f.nodes[3:]...)
+		f.awaitReserve("the core after the first start", syncSpan, core...)
+		for _, n := range f.nodes {
+			n.kill()
+			n.bootstrap = false
+		}
+		latest = drawLateness()
+		f.advance(kernel.Second)
+		f.bootAll(bootSpan)
+		f.advance(bootSpan + latest)
+		f.awaitReserve("the core after a stop of all", syncSpan, core...)
+		f.checkRead(f.nodes[4], 1, recoverySpan)
+	}
+}
+
 // Guards against a node that votes, or leads, by another state than its folder's.
 func TestANodeWithAPendingFolderTakesNoPartInTheCore(t *testing.T) {
 	c := qt.New(t)
