testreport: packages with known failures run beside the others

Its run now takes place beside that of the others, and its output follows theirs, as before. The verdict is the same: each package is run once, the listed test by itself.

--- a/tools/testreport/main.go
+++ b/tools/testreport/main.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/alexflint/go-arg"
 )
@@ -239,21 +240,43 @@
 	return listed, errs
 }
 
+// packageRun is the run of a package without its listed tests. Its output is printed once the run has ended.
+type packageRun struct {
+	pkg    string
+	output bytes.Buffer
+	err    error
+}
+
 // runUnlisted runs all tests except the listed ones. Each package with listed tests has a run of its own, which skips
-// them: a panic, race or hang in a listed test would otherwise hide other failures of its package.
+// them: a panic, race or hang in a listed test would otherwise hide other failures of its package. These runs take place
+// beside that of the other packages, so that the whole takes no longer than without listed tests.
 func runUnlisted(ctx context.Context, runner goRunner, testCommand, packages []string, listed map[string][]string) []error {
 	errs := []error{}
+	runs := []*packageRun{}
+	var pending sync.WaitGroup
+	for _, pkg := range packages {
+		if names := listed[pkg]; names != nil {
+			separate := &packageRun{pkg: pkg}
+			runs = append(runs, separate)
+			pending.Go(func() {
+				quiet := goRunner{runner.folder, &separate.output, &separate.output}
+				separate.err = quiet.stream(ctx, append(slices.Clone(testCommand), "-skip=^("+strings.Join(names, "|")+")$", pkg)...)
+			})
+		}
+	}
 	unaffected := slices.DeleteFunc(slices.Clone(packages), func(pkg string) bool { return listed[pkg] != nil })
 	if len(unaffected) > 0 {
 		if err := runner.stream(ctx, append(slices.Clone(testCommand), unaffected...)...); err != nil {
 			errs = append(errs, runError{"tests", err})
 		}
 	}
-	for _, pkg := range packages {
-		if names := listed[pkg]; names != nil {
-			if err := runner.stream(ctx, append(slices.Clone(testCommand), "-skip=^("+strings.Join(names, "|")+")$", pkg)...); err != nil {
-				errs = append(errs, runError{"tests of " + pkg, err})
-			}
+	pending.Wait()
+	for _, separate := range runs {
+		if _, err := separate.output.WriteTo(runner.out); err != nil {
+			errs = append(errs, fmt.Errorf("print the tests of %s: %w", separate.pkg, err))
+		}
+		if separate.err != nil {
+			errs = append(errs, runError{"tests of " + separate.pkg, separate.err})
 		}
 	}
 	return errs
