--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -186,7 +186,11 @@
 relay_ms = 120
 `, m.name, m.ip, m.zone, portPeers, portPeers+15, strings.Join(seeds, ","), bootstrap, m.hasDisk, disk, zones,
 		m.at(portCallers), m.at(portReady), m.at(portControl), share, diskMB)
-	if err := os.WriteFile(m.settings, []byte(text), 0o644); err != nil {
+	// The file is replaced as a whole, since its process may read it at any time.
+	if err := os.WriteFile(m.settings+".new", []byte(text), 0o644); err != nil {
+		r.cannotRun("%v", err)
+	}
+	if err := os.Rename(m.settings+".new", m.settings); err != nil {
 		r.cannotRun("%v", err)
 	}
 }
@@ -217,9 +221,6 @@
 	for _, m := range r.machines {
 		r.start(m)
 	}
-	for _, m := range r.machines {
-		r.writeSettings(m, false)
-	}
 	r.note("%d processes started on 127.%d.1.x", len(r.machines), r.network)
 }
 
@@ -300,6 +301,12 @@
 			map[string]string{"If-Match": fmt.Sprint(base), "Content-Type": "application/json"}, []byte(body))
 		if status == 200 {
 			r.note("configuration %d acknowledged by %s", version, m.name)
+			if base == 0 {
+				// The first start is over.
+				for _, m := range r.machines {
+					r.writeSettings(m, false)
+				}
+			}
 			return
 		}
 		if status >= 400 && status < 500 && status != 408 && status != 429 && status != 412 {
