A confirmed end of an engine is on a majority's disks before its answer

What callers saw: an engine's drain or removal was answered with 200, all processes stopped within half a second, and a heartbeat that the engine had sent before its end came late.

Cause: an end lived in memory alone. After the stop nobody could know that the heartbeat was late.

A voter answers a push twice: when it knows the end, as before, and when it has synced it. The node that an engine calls counts only the second for its majority of the voters. One write carries all ends that are known when it begins. Messages keep their form: an answer for one node alone (single) that is complete (whole) says so; earlier builds never send that combination.

--- a/internal/control/catchup_harness_test.go
+++ b/internal/control/catchup_harness_test.go
@@ -231,6 +231,10 @@
 		s.write(n, 100<<10, func() []commands.Command {
 			return n.node.SnapshotSaved(s.now, s.resources[n].store.SaveSnapshot(command.Snapshot))
 		})
+	case SaveEnds:
+		s.write(n, 0, func() []commands.Command {
+			return n.node.EndsSaved(s.now, s.resources[n].store.SaveEnds(command.Ends))
+		})
 	case commands.LoadConfig:
 		s.write(n, 0, func() []commands.Command {
 			// The document is nil if the store no longer holds it.
--- a/internal/control/engine_pushes.go
+++ b/internal/control/engine_pushes.go
@@ -66,8 +66,10 @@
 	switch {
 	case !m.IsForwarded && m.Token != 0:
 		n.send(from, wire.Message{PushResponse: &wire.PushResponse{Token: m.Token, Zone: n.settings.Identity.Zone, IsSingle: true}})
+		n.confirmStored(from, m.Token, m.Engines)
 	case m.IsForwarded && m.Token != 0:
 		n.forwardPush(from, m)
+		n.confirmStored(from, m.Token, m.Engines)
 	case m.IsForwarded && (isChanged || from == n.self()):
 		for _, target := range n.aliveNodes(n.settings.Identity.Zone) {
 			if target != from {
@@ -158,6 +160,7 @@
 		}
 		if from != n.self() {
 			p.nodes[from] = true
+			p.stored[from] = p.stored[from] || m.IsStored()
 		}
 		n.evaluateConfirmation(m.Token, p)
 	}
--- a/internal/control/engine_removals.go
+++ b/internal/control/engine_removals.go
@@ -23,6 +23,7 @@
 	zone      string
 	zones     map[string]zoneConfirmation // answers by zone
 	nodes     map[string]bool             // nodes other than this one that have answered for themselves or for a zone
+	stored    map[string]bool             // nodes other than this one that have the end on disk
 	startedAt kernel.Micros
 	resendAt  kernel.Micros
 }
@@ -66,8 +67,9 @@
 		}
 	}
 	n.announcements.nextToken++
-	p := &endConfirmation{tokens: []uint64{token}, key: key, records: records, zone: zone, zones: map[string]zoneConfirmation{}, nodes: map[string]bool{}, startedAt: n.now}
+	p := &endConfirmation{tokens: []uint64{token}, key: key, records: records, zone: zone, zones: map[string]zoneConfirmation{}, nodes: map[string]bool{}, stored: map[string]bool{}, startedAt: n.now}
 	n.announcements.confirmations[n.announcements.nextToken] = p
+	n.storeEnds()
 	n.tickConfirmation(n.announcements.nextToken, p)
 }
 
@@ -118,25 +120,35 @@
 	}
 }
 
-// notifyVoters sends an engine's drain or removal to the voters and the leader, except for those that have confirmed it
-// and for the coordinators that are still queried for their zones. What a majority of the voters knows survives the
-// failure of this node, and is known on the majority side of a partition.
+// notifyVoters sends an engine's drain or removal to the voters that have not stored it and to the leader unless it has
+// confirmed it, except for the coordinators that are still queried for their zones. What a majority of the voters has
+// stored survives a stop of the entire fleet, and is known on the majority side of a partition.
 func (n *Node) notifyVoters(token uint64, p *endConfirmation) {
 	asked := map[string]bool{n.self(): true}
 	for zone, coordinator := range n.lease.Applied().Coordinators {
 		asked[coordinator] = asked[coordinator] || !p.zones[zone].isComplete
 	}
-	targets := append(n.lease.Applied().VoterAddresses(), n.leaderTarget())
+	targets := slices.DeleteFunc(n.lease.Applied().VoterAddresses(), func(voter string) bool { return p.stored[voter] })
+	if leader := n.leaderTarget(); !p.nodes[leader] {
+		targets = append(targets, leader)
+	}
 	slices.Sort(targets)
 	for _, target := range slices.Compact(targets) {
-		if !asked[target] && !p.nodes[target] {
+		if !asked[target] {
 			n.send(target, wire.Message{Push: &wire.Push{Token: token, Engines: p.records}})
 		}
 	}
 }
 
+// evaluateConfirmations evaluates all pending confirmations.
+func (n *Node) evaluateConfirmations() {
+	for _, token := range slices.Sorted(maps.Keys(n.announcements.confirmations)) {
+		n.evaluateConfirmation(token, n.announcements.confirmations[token])
+	}
+}
+
 // evaluateConfirmation answers the pending calls once the engine's drain or removal is confirmed. That needs a majority
-// of the voters, a majority of the zones or else the leader, and at least one other node if there is one. It also needs
+// of the voters that has it on disk, a majority of the zones or else the leader, and at least one other node if there is one. It also needs
 // all nodes that are waited for in every zone, until mayConfirmPartially is true. A drain or removal that is confirmed
 // without them still survives the failure of this node and reaches every node in contact. After pushGiveUpTimeout the
 // calls get a NotConfirmedError.
@@ -154,8 +166,9 @@
 		isAll = isAll && (confirmation.isComplete || !hasConfirmed && n.isZoneEmpty(zone))
 	}
 	hasMostZones := confirmedZones*2 > len(coordinators) || p.nodes[n.leaderTarget()]
-	// Without a majority of the voters this node may be on the minority side of a partition.
-	hasVoterMajority := cluster.Majority(n.lease.Applied().VoterAddresses(), func(voter string) bool { return voter == n.self() || p.nodes[voter] })
+	// Without a majority of the voters this node may be on the minority side of a partition. What is on no disk is
+	// forgotten when all processes stop.
+	hasVoterMajority := cluster.Majority(n.lease.Applied().VoterAddresses(), func(voter string) bool { return n.hasStored(p, voter) })
 	// A drain or removal that only this node knows is lost if the node fails.
 	isShared := len(p.nodes) > 0 || p.confirmedOthers() > 0 || len(n.lease.Applied().Routers) < 2 && n.directory.NodeCount() < 2
 	age := n.now - p.startedAt
@@ -178,6 +191,14 @@
 	delete(n.announcements.confirmations, token)
 }
 
+// hasStored reports whether a voter has the engine's drain or removal on its disk.
+func (n *Node) hasStored(p *endConfirmation, voter string) bool {
+	if voter == n.self() {
+		return n.areEndsStored(p.records)
+	}
+	return p.stored[voter]
+}
+
 // isZoneEmpty reports whether another zone has no node to wait for. It is always false if an EndConfirmationTimeout is
 // set, because missing records then prove nothing: the zone's nodes may be alive while their records do not arrive, or
 // this node may have just started.
--- a/internal/control/fleet_harness_test.go
+++ b/internal/control/fleet_harness_test.go
@@ -108,8 +108,10 @@
 	document      *cluster.Document
 	acceptorState *cluster.AcceptorState
 	snapshot      []byte
+	ends          []byte
 	history       map[uint64]*cluster.Document // configuration history, by revision
 	isFull        bool                         // writes fail
+	endWrites     int                          // number of writes of ends that were executed
 	opensAfter    kernel.Micros                // how long after each start the folder can be opened; zero: at once
 	diskSlowdown  kernel.Micros                // factor by which writes take longer than usual; zero: 1
 	bootstrap     bool
@@ -268,6 +270,10 @@
 		state.Snapshot = &storage.Snapshot{}
 		n.f.c.Assert(json.Unmarshal(n.snapshot, state.Snapshot), qt.IsNil)
 	}
+	if n.ends != nil {
+		state.Ends = &storage.EngineEnds{}
+		n.f.c.Assert(json.Unmarshal(n.ends, state.Ends), qt.IsNil)
+	}
 	return state
 }
 
@@ -329,7 +335,7 @@
 // wipe kills a node and erases its disk.
 func (n *fleetNode) wipe() {
 	n.kill()
-	n.member, n.hardState, n.document, n.acceptorState, n.snapshot, n.history, n.bootstrap = "", cluster.HardState{}, nil, nil, nil, nil, false
+	n.member, n.hardState, n.document, n.acceptorState, n.snapshot, n.ends, n.history, n.bootstrap = "", cluster.HardState{}, nil, nil, nil, nil, nil, false
 }
 
 func (f *fleet) byAddress(address string) *fleetNode {
@@ -381,6 +387,8 @@
 			n.saveHistory(epoch, command)
 		case SaveSnapshot:
 			n.saveSnapshot(epoch, command)
+		case SaveEnds:
+			n.saveEnds(epoch, command)
 		case Reply:
 			f.replies[command.SubmitResponse.ID] = command.SubmitResponse
 			f.repliedAt[command.SubmitResponse.ID] = f.now
@@ -470,7 +478,7 @@
 	f := n.f
 	content, err := json.Marshal(command.Snapshot)
 	f.c.Assert(err, qt.IsNil)
-	n.scheduleInEpoch(epoch, 2*ms+kernel.Micros(f.random.Int64N(int64(4*ms))), func() {
+	n.scheduleInEpoch(epoch, max(n.diskSlowdown, 1)*(2*ms+kernel.Micros(f.random.Int64N(int64(4*ms)))), func() {
 		if n.isFull {
 			n.do(func() []commands.Command { return n.node.SnapshotSaved(f.now, writeError()) })
 			return
@@ -480,6 +488,22 @@
 	})
 }
 
+// saveEnds writes and syncs the ends of engines as they are when the command is issued.
+func (n *fleetNode) saveEnds(epoch int, command SaveEnds) {
+	f := n.f
+	content, err := json.Marshal(command.Ends)
+	f.c.Assert(err, qt.IsNil)
+	n.scheduleInEpoch(epoch, max(n.diskSlowdown, 1)*(2*ms+kernel.Micros(f.random.Int64N(int64(4*ms)))), func() {
+		n.endWrites++
+		if n.isFull {
+			n.do(func() []commands.Command { return n.node.EndsSaved(f.now, writeError()) })
+			return
+		}
+		n.ends = content
+		n.do(func() []commands.Command { return n.node.EndsSaved(f.now, nil) })
+	})
+}
+
 // deliver schedules the arrival of a message, 1 to 5 ms after it was sent. According to faultPercent, the message may
 // be lost, duplicated or delayed further.
 func (f *fleet) deliver(to *fleetNode, content []byte, sending kernel.Micros) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -146,6 +146,7 @@
 	bootstrapper       *bootstrapper            // nil unless members bootstrap by announcement
 	reads              map[uint64]*linearizableRead
 	announcements      announcements
+	storedEnds         storedEnds
 	snapshots          snapshots
 	startup            startupQueries
 	invariantState     nodeInvariantState
@@ -163,6 +164,7 @@
 		zone: newZoneState(), antiEntropy: antiEntropy{watermarks: map[string]watermark{}}, pushTransfers: flowcontrol.Transfers{},
 		pendingSubmissions: map[string]*pendingSubmission{}, rejected: map[string]kernel.Micros{},
 		probedAt: map[string]kernel.Micros{}, reads: map[uint64]*linearizableRead{}, announcements: newAnnouncements(tokens.first()),
+		storedEnds: newStoredEnds(),
 	}
 	if settings.DisseminationTimeout == 0 {
 		settings.DisseminationTimeout = defaultDisseminationTimeout
@@ -191,6 +193,7 @@
 	n.startup = newStartupQueries(settings, now)
 	n.directoryFreshness = newDirectoryFreshness(settings.DrainTimeout)
 	n.restore(settings.Snapshot)
+	n.restoreEnds(settings.Ends)
 	return n
 }
 
@@ -486,6 +489,7 @@
 	n.tickBootstrap()
 	n.tickStartupQuery()
 	n.tickAnnouncements()
+	n.tickStoredEnds()
 	n.tickSnapshot()
 	n.tickRestored()
 	n.tickQuota()
--- a/internal/control/node_folder.go
+++ b/internal/control/node_folder.go
@@ -24,6 +24,8 @@
 	AcceptorState *cluster.AcceptorState
 	// Snapshot is what an earlier incarnation stored for a fast start; nil: none.
 	Snapshot *storage.Snapshot
+	// Ends are the ends of engines that an earlier incarnation stored; nil: none.
+	Ends *storage.EngineEnds
 }
 
 // FolderSource says for whom a data folder is opened.
@@ -37,7 +39,7 @@
 	Seeds              []string
 }
 
-// OpenStore opens the store in a data folder and reads the member's state, without the snapshot. An empty folder gets a
+// OpenStore opens the store in a data folder and reads the member's state, without the snapshot and the ends. An empty folder gets a
 // new member. The acceptor state is stored before it is returned, so that a later incarnation knows that this one may
 // have voted.
 func OpenStore(folder kernel.Folder, source FolderSource) (*storage.Store, FolderState, error) {
@@ -111,6 +113,7 @@
 	}
 	n.openCore()
 	n.restoreLate(folder.Snapshot)
+	n.restoreEnds(folder.Ends)
 	// The other nodes learn at once that this node is a controller.
 	n.ownRecord.timer, n.requests.timer = now, now
 	return n.finish(), nil
--- a/internal/control/registry/directory.go
+++ b/internal/control/registry/directory.go
@@ -59,6 +59,17 @@
 	return e.AnnouncementSeq > 0 && !e.IsUnlisted && !e.IsUnresponsive
 }
 
+// HasAnnouncedEnd reports whether the engine registers itself and has announced that it drains or has ended.
+func (e EngineRecord) HasAnnouncedEnd() bool {
+	return e.AnnouncementSeq > 0 && (e.IsDraining || e.IsUnlisted)
+}
+
+// WithoutLoad returns the record without the engine's load report.
+func (e EngineRecord) WithoutLoad() EngineRecord {
+	e.Seq, e.Load, e.Streams, e.Age, e.ReportedAt = 0, 0, 0, 0, 0
+	return e
+}
+
 // NodeRecord is what a node reports about itself, as it is sent between nodes and kept in the directory. Start is the
 // start number of the node's process, Seq orders the records of one process, and Applied is the newest revision that
 // the node has applied. A record without a zone only refreshes an earlier record of the same process.
--- a/internal/control/restored_engines_test.go
+++ b/internal/control/restored_engines_test.go
@@ -33,11 +33,12 @@
 // contactSpan is the time after which restarted nodes count as in contact again.
 const contactSpan = 3 * kernel.Second
 
-// All processes are killed right after an engine's end was confirmed, before the end is on any disk. The disks still
-// list the engine as up, but once the nodes are in contact again, none of them may use it.
+// All processes are killed right after an engine's end was confirmed. The snapshots still list the engine as up, but once
+// the nodes are in contact again, none of them may use it. With odd seeds no end is on any disk, as if an earlier build had
+// confirmed it.
 func TestAConfirmedEndOutlivesAStopOfTheEntireFleet(t *testing.T) {
 	t.Parallel()
-	for seed := range uint64(6) {
+	for seed := range uint64(12) {
 		c := qt.New(t)
 		f := steadyCore(c, seed)
 		f.operateEngine("2", "z2", f.now+60*kernel.Second)
@@ -45,7 +46,7 @@
 		f.advance(2 * kernel.Second)
 		c.Assert(f.countUsable("e"), qt.Equals, len(f.nodes))
 		ending := drainingEngine(2)
-		if seed%2 == 1 {
+		if seed%4 >= 2 {
 			ending = registry.EngineRecord{ID: "e", IsUnlisted: true, IsDraining: true}
 		}
 		f.register(f.nodes[int(seed)%len(f.nodes)], 2, ending)
@@ -53,6 +54,9 @@
 		c.Assert(f.registerReplies[2].Err, qt.IsNil)
 		for _, n := range f.nodes {
 			n.kill()
+			if seed%2 == 1 {
+				n.ends = nil
+			}
 		}
 		f.advance(kernel.Second)
 		f.bootAll(100 * ms)
--- a/internal/control/storage/snapshot.go
+++ b/internal/control/storage/snapshot.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/registry"
-	"dunlinloom/internal/kernel"
 )
 
 // Snapshot is the state that a node stores on disk in order to start quickly: the newest
@@ -84,23 +82,14 @@
 // or one of a newer build, is quarantined, and the error states why.
 func (s *Store) Snapshot(fleet string) (*Snapshot, error) {
 	var found Snapshot
-	_, err := s.get(SnapshotName, &found)
-	if errors.As(err, new(kernel.MissingFileError)) {
-		return nil, nil
-	}
-	if err == nil {
-		err = s.verifySnapshot(&found, fleet)
-	}
-	if err == nil {
-		return &found, nil
-	}
-	if errors.As(err, new(kernel.DiskError)) {
+	isFound, err := s.getReplaceable(SnapshotName, &found, func() error { return s.verifySnapshot(&found, fleet) })
+	if err != nil {
 		return nil, fmt.Errorf("read the snapshot: %w", err)
 	}
-	if failed := s.quarantine(SnapshotName); failed != nil {
-		err = errors.Join(err, failed)
+	if !isFound {
+		return nil, nil
 	}
-	return nil, fmt.Errorf("read the snapshot: %w", err)
+	return &found, nil
 }
 
 // verifySnapshot checks a snapshot and restores the configuration of its document.
--- a/internal/control/wire/messages.go
+++ b/internal/control/wire/messages.go
@@ -152,14 +152,19 @@
 // PushResponse answers the Push with the same token. The sender confirms that it has the engine records. Unless
 // IsSingle is set, it also reports how far the nodes of its zone have confirmed them.
 type PushResponse struct {
-	Token      uint64 `json:"token"`
-	Zone       string `json:"zone"`  // the sender's zone
-	IsComplete bool   `json:"whole"` // every node of the zone that may still use the old records has confirmed as well
+	Token uint64 `json:"token"`
+	Zone  string `json:"zone"` // the sender's zone
+	// IsComplete: every node of the zone that may still use the old records has confirmed as well. If IsSingle is set, the
+	// records are synced to the sender's disk instead.
+	IsComplete bool `json:"whole"`
 	// IsSingle: the sender confirms for itself only, not for its zone.
 	IsSingle bool `json:"single,omitempty"`
 	Others   int  `json:"others,omitempty"` // how many other nodes have confirmed to the sender
 }
 
+// IsStored reports whether the sender has the records on its disk. Earlier builds never say so.
+func (m *PushResponse) IsStored() bool { return m.IsSingle && m.IsComplete }
+
 // Suspect tells the coordinator of an engine's zone that a router could not reach the engine. The coordinator probes
 // the engine before it informs other nodes. Start identifies the process of the engine; a suspicion of another process
 // is ignored.
--- a/internal/server/data_folder.go
+++ b/internal/server/data_folder.go
@@ -17,6 +17,7 @@
 	start        uint64       // the start number that the folder calls for
 	persistStart func() error // stores the start number
 	snapshotErr  error        // why the snapshot can't be read
+	endsErr      error        // why the stored ends of engines can't be used
 	release      func() error // unlocks the folder
 }
 
@@ -52,6 +53,11 @@
 	}
 	folder.store.SetBounds(bounds)
 	folder.state.Snapshot, folder.snapshotErr = folder.store.Snapshot(source.Fleet)
+	folder.state.Ends, folder.endsErr = folder.store.Ends(source.Fleet)
+	if errors.As(folder.endsErr, new(kernel.DiskError)) {
+		// Other members may not have these ends, and the next write would replace them.
+		return nil, folder.endsErr
+	}
 	folder.start, folder.persistStart = folder.store.NextStart(start)
 	return folder, nil
 }
@@ -93,6 +99,10 @@
 		a.env.Log.Error(folder.snapshotErr, "snapshot can't be read; starting without it")
 		a.env.Record("process", "snapshot", "leave aside", folder.snapshotErr.Error())
 	}
+	if folder.endsErr != nil {
+		a.env.Log.Error(folder.endsErr, "stored ends of engines can't be used; other members have to know them")
+		a.env.Record("process", "engine ends", "leave aside", folder.endsErr.Error())
+	}
 	// Written in the background, so that a stalled disk does not delay startup. If the write is lost, the other nodes
 	// still tell this node its last start number.
 	persisted := startWorker(func() {
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -38,6 +38,8 @@
 	diskCommands chan commands.Command
 	// snapshots are written independently of diskCommands, since nothing waits for one.
 	snapshots chan control.SaveSnapshot
+	// endWrites are executed independently of both, since engines that leave wait for them.
+	endWrites chan control.SaveEnds
 	state     atomic.Pointer[control.State]
 	// isPublished is set once the loop has published a state; no routing table was built from the initial one.
 	isPublished bool
@@ -84,7 +86,7 @@
 func NewRunner(env kernel.Env, node *control.Node, store *storage.Store, connections *Connections, dispatcher *relay.Dispatcher, compiler *fleetconfig.Compiler, platform string) *Runner {
 	r := &Runner{
 		env: env, node: node, sender: connections, dispatcher: dispatcher, platform: platform,
-		queue: make(chan event, 1024), requests: make(chan event, 1024), diskCommands: make(chan commands.Command, 256), snapshots: make(chan control.SaveSnapshot, 1),
+		queue: make(chan event, 1024), requests: make(chan event, 1024), diskCommands: make(chan commands.Command, 256), snapshots: make(chan control.SaveSnapshot, 1), endWrites: make(chan control.SaveEnds, 1),
 		openSubmissions: map[string]*openSubmission{},
 		registrations:   map[uint64]chan control.Registered{}, reads: map[uint64]chan *cluster.Document{},
 		// Random, so that a reply to an earlier incarnation matches no caller. The wall clock is not suitable, since it
@@ -204,6 +206,9 @@
 	case control.SaveSnapshot:
 		// The node has at most one pending, so this never blocks.
 		r.snapshots <- command
+	case control.SaveEnds:
+		// The node has at most one pending, so this never blocks.
+		r.endWrites <- command
 	case control.HealthChanged:
 		r.env.Log.Info("core health changed", "whole", command.Health.IsHealthy, "spare_losses", command.Health.FailureTolerance, "says", command.Health.String())
 	case commands.CompileConfig:
@@ -280,6 +285,22 @@
 	}
 }
 
+// runEndWrites stores the ends of engines in a goroutine of its own, until the environment ends.
+func (r *Runner) runEndWrites(store *storage.Store) {
+	for {
+		select {
+		case <-r.env.Done():
+			return
+		case work := <-r.endWrites:
+			err := store.SaveEnds(work.Ends)
+			if err != nil {
+				r.env.Log.Error(err, "ends of engines can't be stored")
+			}
+			r.post(func() []commands.Command { return r.node.EndsSaved(r.env.Clock.Now(), err) })
+		}
+	}
+}
+
 // runDiskCommand executes one disk command and posts its result to the node.
 func (r *Runner) runDiskCommand(store *storage.Store, work any) {
 	switch work := work.(type) {
--- a/internal/server/runner_loop.go
+++ b/internal/server/runner_loop.go
@@ -54,6 +54,7 @@
 func (r *Runner) startDiskWorkers(store *storage.Store) {
 	r.workers.Go(func() { r.runDiskCommands(store) })
 	r.workers.Go(func() { r.runSnapshots(store) })
+	r.workers.Go(func() { r.runEndWrites(store) })
 }
 
 // runTurn waits for an event and handles it and the events queued behind it, within the limits of a turn. It publishes the
--- a/test/capacity/node.go
+++ b/test/capacity/node.go
@@ -195,6 +195,10 @@
 		var err error
 		h.measure(Disk, func() { err = h.store.SaveSnapshot(command.Snapshot) })
 		h.after(writeDelay, func() { h.event(func() []commands.Command { return h.node.SnapshotSaved(f.now, err) }) })
+	case control.SaveEnds:
+		var err error
+		h.measure(Disk, func() { err = h.store.SaveEnds(command.Ends) })
+		h.after(writeDelay, func() { h.event(func() []commands.Command { return h.node.EndsSaved(f.now, err) }) })
 	case control.Reply:
 		if onReply := h.replies[command.SubmitResponse.ID]; onReply != nil {
 			delete(h.replies, command.SubmitResponse.ID)
