--- a/internal/control/confirmation_journal_test.go
+++ b/internal/control/confirmation_journal_test.go
@@ -35,6 +35,7 @@
 	entries := f.nodes[0].endEntries(decision.ConfirmEnd)
 	c.Assert(entries, qt.HasLen, 1)
 	c.Assert(strings.HasPrefix(entries[0], "3 of 3 zones complete"), qt.IsTrue, qt.Commentf("%s", entries[0]))
+	c.Assert(entries[0], qt.Matches, ".*, stored by [23] of 3 voters, after .*")
 
 	// The nodes of zone z3 without a folder, its coordinator among them, receive messages late.
 	for _, n := range nodesInZone(f, "z3") {
--- a/internal/control/engine_removals.go
+++ b/internal/control/engine_removals.go
@@ -183,7 +183,7 @@
 		n.announcements.counts.Unconfirmed++
 		n.note(decision.Engine(p.key.engine), decision.LeaveUnconfirmed, n.describeConfirmation(p))
 		for _, call := range p.tokens {
-			n.out = append(n.out, Registered{Token: call, Err: NotConfirmedError{p.records[0].ID, fmt.Sprintf("%d of %d zones answered", confirmedZones, len(coordinators))}})
+			n.out = append(n.out, Registered{Token: call, Err: NotConfirmedError{p.records[0].ID, fmt.Sprintf("%d of %d zones answered, %s", confirmedZones, len(coordinators), n.describeStored(p))}})
 		}
 	default:
 		return
@@ -199,6 +199,14 @@
 	return p.stored[voter]
 }
 
+// describeStored returns a text with the number of voters that have the engine's drain or removal on their disks.
+func (n *Node) describeStored(p *endConfirmation) string {
+	voters := n.lease.Applied().VoterAddresses()
+	total := len(voters)
+	stored := slices.DeleteFunc(voters, func(voter string) bool { return !n.hasStored(p, voter) })
+	return fmt.Sprintf("stored by %d of %d voters", len(stored), total)
+}
+
 // isZoneEmpty reports whether another zone has no node to wait for. It is always false if an EndConfirmationTimeout is
 // set, because missing records then prove nothing: the zone's nodes may be alive while their records do not arrive, or
 // this node may have just started.
@@ -246,7 +254,7 @@
 		}
 	}
 	complete := len(coordinators) - len(partial) - len(silent)
-	text := fmt.Sprintf("%d of %d zones complete, %d of their nodes confirmed, after %d us", complete, len(coordinators), nodes, n.now-p.startedAt)
+	text := fmt.Sprintf("%d of %d zones complete, %d of their nodes confirmed, %s, after %d us", complete, len(coordinators), nodes, n.describeStored(p), n.now-p.startedAt)
 	if len(partial) > 0 {
 		text += "; partial: " + strings.Join(partial, ", ")
 	}
--- a/internal/control/stored_ends.go
+++ b/internal/control/stored_ends.go
@@ -59,7 +59,7 @@
 	to      string
 	token   uint64 // the sender's token
 	records []registry.EngineRecord
-	until   kernel.Micros
+	until   kernel.Micros // when the sender no longer waits
 }
 
 func newStoredEnds() storedEnds { return storedEnds{synced: map[string]uint64{}} }
@@ -170,7 +170,7 @@
 		if isStored {
 			n.sendStored(waiter.to, waiter.token)
 		}
-		return isStored || n.now >= waiter.until
+		return isStored
 	})
 }
 
@@ -181,6 +181,7 @@
 	if s.isDue {
 		n.storeEnds()
 	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(waiter storedEndWaiter) bool { return n.now >= waiter.until })
 	n.sendRestoredEnds()
 	if !n.settings.HasFolder || n.now < s.checkAt {
 		return
--- a/internal/control/stored_ends_test.go
+++ b/internal/control/stored_ends_test.go
@@ -279,6 +279,20 @@
 	}
 }
 
+// Guards against a disk that hangs and nodes that are kept for ever as waiting for it.
+func TestNobodyWaitsForAHangingDiskForLong(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newStableFleet(c, 2, 3, 12, firstHaveFolders(3))
+	hanging := f.voters()[1]
+	hanging.diskSlowdown = 1_000_000
+	_, unconfirmed := f.leaveTogether(20, 10*ms)
+	c.Assert(unconfirmed, qt.Equals, 0)
+	c.Assert(len(hanging.node.storedEnds.waiting) > 0, qt.IsTrue)
+	f.advance(pushLifetime + 100*ms)
+	c.Assert(hanging.node.storedEnds.waiting, qt.HasLen, 0)
+}
+
 // The file of ends does not grow: ends that have expired leave it.
 func TestExpiredEndsLeaveTheDisk(t *testing.T) {
 	t.Parallel()
