--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,26 +37,28 @@
 		name       string
 		hasTenants bool
 		only       []string
+		rules      []checker.Rule // to be kept as well
 	}{
 		{name: "without tenants"},
 		{name: "with tenants", hasTenants: true},
 		{name: "disks that fail at a start", only: []string{"start-refused", "start-stalled", "empty-refused", "empty-stalled", "signals"}},
+		{name: "engines that leave beside stops of all", only: []string{"leave-kill", "leave-power"}, rules: []checker.Rule{checker.DrainingEngineUsed}},
 	} {
 		t.Run(run.name, func(t *testing.T) {
 			t.Parallel()
 			checkShortSoak(qt.New(t), Settings{
 				Program: program, Folder: t.TempDir(), Seed: 7, Network: 200 + i, Span: minSpan, Load: 0.5, Logf: t.Logf,
 				HasTenants: run.hasTenants, Nodes: DefaultNodes, Only: run.only,
-			})
+			}, slices.Concat(timingIndependentRules, run.rules))
 		})
 	}
 }
 
-func checkShortSoak(c *qt.C, settings Settings) {
+func checkShortSoak(c *qt.C, settings Settings, rules []checker.Rule) {
 	report, err := Play(context.Background(), settings)
 	c.Assert(err, qt.IsNil)
 	for _, violation := range report.Review.Violations {
-		c.Check(slices.Contains(timingIndependentRules, violation.Rule), qt.IsFalse, qt.Commentf("%s: %s", violation.Rule, violation.Detail))
+		c.Check(slices.Contains(rules, violation.Rule), qt.IsFalse, qt.Commentf("%s: %s", violation.Rule, violation.Detail))
 	}
 	for _, violation := range report.Orders {
 		c.Check(violation.Rule, qt.Equals, checker.FinalReadMissing, qt.Commentf("%s", violation.Detail))
--- a/test/soak/troubles.go
+++ b/test/soak/troubles.go
@@ -13,7 +13,6 @@
 
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/server"
-	"dunlinloom/platform"
 	"dunlinloom/test/checker"
 	"dunlinloom/test/emulator"
 	"dunlinloom/test/localfleet"
@@ -57,7 +56,8 @@
 	"kill-core":      killCore,
 	"kill-all":       restartAll(func(f *fleet, n *node) error { return f.killNode(n) }),
 	"power-all":      restartAll(func(f *fleet, n *node) error { return f.powerOff(n) }),
-	"leave-power":    losePowerAtShutdown,
+	"leave-power":    stopAtDeparture(func(f *fleet, n *node) error { return f.powerOff(n) }),
+	"leave-kill":     stopAtDeparture(func(f *fleet, n *node) error { return f.killNode(n) }),
 	"burst":          burst,
 	"tenant-hot":     overloadTenant,
 	"tenant-revoke":  revokeKey,
@@ -455,35 +455,6 @@
 	}
 }
 
-// losePowerAtShutdown cuts the power of all nodes as soon as the drain or removal of an engine is acknowledged. The
-// engine continues to serve.
-func losePowerAtShutdown(f *fleet, s step, _ *rand.Rand) error {
-	e := f.pickEngine()
-	if e == nil {
-		return errNoEngine
-	}
-	if err := f.startEngine(e.service, f.engineAddress()); err != nil {
-		return err
-	}
-	pause(f.context, kernel.Second)
-	announce := e.remove
-	if s.index%2 == 0 {
-		announce = func() bool { return e.sendHeartbeat(e.nextHeartbeat(platform.StateDraining)) }
-	}
-	e.setState(platform.StateDraining)
-	if !e.retryUntilAcknowledged(announce) {
-		e.end()
-		return SkippedError{"the drain of the engine was not acknowledged"}
-	}
-	endFault := f.recordFault(s, "", "")
-	err := f.endAll(f.members(), kernel.Second, f.powerOff)
-	endFault()
-	// The engine ends only long after the nodes are in contact again.
-	pause(f.context, 3*contactTimeout)
-	e.end()
-	return err
-}
-
 // burstFactor is the factor on the usual load during a burst.
 const burstFactor = 4
 
