One loop for each kind of write beside the core's; a golden file of stored ends

Change: runWrites takes the write and its report; replaceEngine serves engine-leave, leave-kill and leave-power; a golden folder of its own holds the file. The golden files that exist are unchanged.

--- a/internal/control/golden_store_test.go
+++ b/internal/control/golden_store_test.go
@@ -184,3 +184,17 @@
 	c.Assert(hardState, qt.Equals, cluster.HardState{Term: rebuilt.Term})
 	c.Assert(document, qt.DeepEquals, rebuilt)
 }
+
+// The file of engines' ends, which a member reads again at its next start, also as another build.
+func TestStoredEndsMatchTheirGoldenFolder(t *testing.T) {
+	c := qt.New(t)
+	ends, fresh := filled[storage.EngineEnds](c), c.TempDir()
+	ends.Format, ends.Fleet = storage.EndsFormat, goldenFleet
+	store, _, _, _ := openGolden(c, fresh)
+	c.Assert(store.SaveEnds(&ends), qt.IsNil)
+	store, _, _, _ = openGolden(c, checkGoldenFolder(c, "store_ends", fresh))
+	found, err := store.Ends(goldenFleet)
+	c.Assert(err, qt.IsNil)
+	c.Assert(store.Quarantined(), qt.HasLen, 0)
+	c.Assert(found, qt.DeepEquals, &ends)
+}
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -269,36 +269,33 @@
 	}
 }
 
-// runSnapshots writes snapshots in a goroutine of its own, until the environment ends.
-func (r *Runner) runSnapshots(store *storage.Store) {
+// runWrites executes writes of one kind in a goroutine of its own, and posts the result of each to the node. It returns
+// when the environment ends.
+func runWrites[W any](r *Runner, writes <-chan W, write func(W) error, failureMessage string, report func(now kernel.Micros, err error) []commands.Command) {
 	for {
 		select {
 		case <-r.env.Done():
 			return
-		case work := <-r.snapshots:
-			err := store.SaveSnapshot(work.Snapshot)
+		case next := <-writes:
+			err := write(next)
 			if err != nil {
-				r.env.Log.Error(err, "snapshot can't be written; it is skipped")
+				r.env.Log.Error(err, failureMessage)
 			}
-			r.post(func() []commands.Command { return r.node.SnapshotSaved(r.env.Clock.Now(), err) })
+			r.post(func() []commands.Command { return report(r.env.Clock.Now(), err) })
 		}
 	}
 }
 
-// runEndWrites stores the ends of engines in a goroutine of its own, until the environment ends.
+// runSnapshots writes snapshots.
+func (r *Runner) runSnapshots(store *storage.Store) {
+	write := func(work control.SaveSnapshot) error { return store.SaveSnapshot(work.Snapshot) }
+	runWrites(r, r.snapshots, write, "snapshot can't be written; it is skipped", r.node.SnapshotSaved)
+}
+
+// runEndWrites stores the ends of engines.
 func (r *Runner) runEndWrites(store *storage.Store) {
-	for {
-		select {
-		case <-r.env.Done():
-			return
-		case work := <-r.endWrites:
-			err := store.SaveEnds(work.Ends)
-			if err != nil {
-				r.env.Log.Error(err, "ends of engines can't be stored")
-			}
-			r.post(func() []commands.Command { return r.node.EndsSaved(r.env.Clock.Now(), err) })
-		}
-	}
+	write := func(work control.SaveEnds) error { return store.SaveEnds(work.Ends) }
+	runWrites(r, r.endWrites, write, "ends of engines can't be stored", r.node.EndsSaved)
 }
 
 // runDiskCommand executes one disk command and posts its result to the node.
--- a/test/soak/departures.go
+++ b/test/soak/departures.go
@@ -17,19 +17,28 @@
 	departureServeSpan = 3 * contactTimeout // how long the engine serves on after the last start
 )
 
+// replaceEngine picks an engine that is to leave, and starts its successor.
+func (f *fleet) replaceEngine() (*engine, error) {
+	leaving := f.pickEngine()
+	if leaving == nil {
+		return nil, errNoEngine
+	}
+	if err := f.startEngine(leaving.service, f.engineAddress()); err != nil {
+		return nil, err
+	}
+	pause(f.context, kernel.Second)
+	return leaving, nil
+}
+
 // stopAtDeparture returns a step in which all processes are ended, once or several times in a row, as soon as the drain or
 // removal of an engine is acknowledged. Heartbeats that the engine sent before arrive late, at any node and at any time
 // after that. The engine continues to serve.
 func stopAtDeparture(end func(*fleet, *node) error) faultFunc {
 	return func(f *fleet, s step, random *rand.Rand) error {
-		e := f.pickEngine()
-		if e == nil {
-			return errNoEngine
-		}
-		if err := f.startEngine(e.service, f.engineAddress()); err != nil {
+		e, err := f.replaceEngine()
+		if err != nil {
 			return err
 		}
-		pause(f.context, kernel.Second)
 		late := []platform.Heartbeat{}
 		for range 1 + random.IntN(maxLateHeartbeats) {
 			late = append(late, e.nextHeartbeat(platform.StateUp))
--- a/test/soak/troubles.go
+++ b/test/soak/troubles.go
@@ -539,14 +539,10 @@
 
 // drainEngine starts a replacement for an engine and then drains the engine.
 func drainEngine(f *fleet, s step, _ *rand.Rand) error {
-	e := f.pickEngine()
-	if e == nil {
-		return errNoEngine
-	}
-	if err := f.startEngine(e.service, f.engineAddress()); err != nil {
+	e, err := f.replaceEngine()
+	if err != nil {
 		return err
 	}
-	pause(f.context, kernel.Second)
 	e.drain(s.index%3 > 0)
 	return nil
 }
