Requests that were read and not answered are counted, and told at a stop

Change: connectionTracker follows the connections of each server of a deployment and counts those closed by this process after a part of a request was read and before a byte of its answer was written, unless the caller had gone. The callers' count is dunlinloom_requests_unanswered_total, and a stop logs the count of each server.

The golden list of metrics is of a fleet without a deployment and unchanged.

--- a/internal/server/api.go
+++ b/internal/server/api.go
@@ -32,12 +32,14 @@
 	connections     *Connections
 	compiler        *fleetconfig.Compiler
 	limitedListener *LimitedListener
-	controlGuard    *ControlGuard    // nil unless a deployment's control address is served
-	archive         *history.Archive // nil where past configurations are not kept
-	services        *kernel.Kernel
-	isStopping      func() bool
-	router          *router.Router // nil unless routes of a deployment are served
-	invariants      *invariant.Monitor
+	controlGuard    *ControlGuard // nil unless a deployment's control address is served
+	// callerConnections are the connections of a deployment's callers; nil where there are none.
+	callerConnections *connectionTracker
+	archive           *history.Archive // nil where past configurations are not kept
+	services          *kernel.Kernel
+	isStopping        func() bool
+	router            *router.Router // nil unless routes of a deployment are served
+	invariants        *invariant.Monitor
 }
 
 // NewAPI builds the handler of a node's public address from the services registered with the kernel.
--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -88,6 +88,9 @@
 		m.sample("channels_open", f.limitedListener.Open())
 		m.sample("channels_turned_away_total", f.limitedListener.Rejected.Load())
 	}
+	if f.callerConnections != nil {
+		m.sample("requests_unanswered_total", f.callerConnections.Unanswered())
+	}
 	if f.controlGuard != nil {
 		m.sample("control_connections_open", f.controlGuard.OpenConnections())
 		m.sample("control_connections_rejected_total", f.controlGuard.RejectedConnections.Load())
--- a/internal/server/deployment_metrics.go
+++ b/internal/server/deployment_metrics.go
@@ -19,6 +19,9 @@
 		isStopping: d.isStopping.Load, router: d.services.Router, invariants: d.invariants,
 		controlGuard: d.services.ControlGuard,
 	}
+	if d.callers != nil {
+		api.callerConnections = d.callers.connections
+	}
 	var err error
 	if api.connections, err = kernel.Find[*Connections](d.kernel, ServiceConnections); err != nil {
 		d.env.Log.Error(err, "metrics endpoint is not served")
--- a/internal/server/deployment_process.go
+++ b/internal/server/deployment_process.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -68,9 +67,8 @@
 	current  atomic.Pointer[Deployment]
 	inFlight atomic.Int64 // caller requests in progress
 	services *Services
-	callers  *http.Server
-	control  *http.Server
-	servers  []*http.Server
+	callers  *trackedServer // nil where callers are not served
+	control  *trackedServer // nil where the control address is not served
 	failed   chan error
 	quota    *quota.Account
 	opener   *folderOpener // of the data folder, if it was pending at the start
--- a/internal/server/deployment_serve.go
+++ b/internal/server/deployment_serve.go
@@ -10,26 +10,32 @@
 	"dunlinloom/internal/control/cluster"
 )
 
+// trackedServer is an HTTP server with the connections that it serves.
+type trackedServer struct {
+	*http.Server
+	connections *connectionTracker
+}
+
 // listen opens one of the deployment's addresses and serves it until the cleanup. An error of the server is sent to
 // d.failed.
-func (d *deploymentProcess) listen(ctx context.Context, what, address string, handler http.Handler, wrap func(net.Listener) net.Listener) (*http.Server, error) {
+func (d *deploymentProcess) listen(ctx context.Context, what, address string, handler http.Handler, wrap func(net.Listener) net.Listener) (*trackedServer, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", what, err)
 	}
+	tracker := newConnectionTracker(what, wrap(listener))
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: withHeadGuard,
+		ConnContext: withHeadGuard, ConnState: tracker.setState,
 	}
-	d.servers = append(d.servers, server)
 	d.kernel.Cleanup.Defer(func() error { return ignoreClosed(server.Close()) })
 	go func() {
-		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := server.Serve(tracker); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			d.failed <- fmt.Errorf("%s: %w", what, err)
 		}
 	}()
-	return server, nil
+	return &trackedServer{server, tracker}, nil
 }
 
 // plainListener returns the listener unchanged.
--- a/internal/server/deployment_shutdown.go
+++ b/internal/server/deployment_shutdown.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"dunlinloom/internal/kernel"
@@ -19,7 +18,7 @@
 	d.runner.Leave()
 	drainTimeout := max(d.current.Load().Bounds.GracePeriod-graceMargin, kernel.Second)
 	waitUntil(int64(min(shutdownDelay, drainTimeout/2)), func() bool { return false })
-	for _, server := range []*http.Server{d.callers, d.control} {
+	for _, server := range []*trackedServer{d.callers, d.control} {
 		if server == nil {
 			continue
 		}
@@ -28,6 +27,7 @@
 			d.env.Log.Error(err, "some connections were closed before their requests ended", "live", d.inFlight.Load())
 		}
 		done()
+		d.env.Log.Info("server is shut down", "server", server.connections.name, "unanswered", server.connections.Unanswered())
 	}
 	waitUntil(int64(min(2*kernel.Second, startedAt+drainTimeout-d.env.Clock.Now())), func() bool { return !d.runner.HasDuties() })
 	d.env.Log.Info("drained", "live", d.inFlight.Load())
--- a/internal/server/head_guard.go
+++ b/internal/server/head_guard.go
@@ -70,6 +70,9 @@
 
 // withHeadGuard adds a connection's guard to the context of its requests. It is an http.Server's ConnContext.
 func withHeadGuard(ctx context.Context, connection net.Conn) context.Context {
+	if tracked, isTracked := connection.(*trackedConnection); isTracked {
+		connection = tracked.Conn
+	}
 	if guard, isGuarded := connection.(*headGuard); isGuarded {
 		return context.WithValue(ctx, headGuardKey{}, guard)
 	}
