A stop answers every request that it has read

Callers saw: a request that a stopping node had read was not answered, its connection was closed; more of them the busier the node was.

Cause: http.Server.Shutdown closes connections that it takes for idle, and makes each other one return right after it has read a request's head.

Change: connectionTracker.Drain ends a connection between two requests only: one that waits is read for 100 ms more, one on which a byte of a request was read gets its answer, and Connection: close with it. Both kinds of process use it (deployments and the product's own daemons). The control address is drained a second before the end of the stop's time if callers still hold theirs, so that its last requests are answered too; it had what the callers left over, at times nothing.

Ruled out: SetKeepAlivesEnabled(false) closes idle connections in the same way. A later Shutdown moves the moment and keeps the gap.

--- a/internal/server/deployment_metrics.go
+++ b/internal/server/deployment_metrics.go
@@ -17,10 +17,7 @@
 	api := &API{
 		env: d.env, runner: d.runner, compiler: d.compiler, limitedListener: d.services.LimitedListener, services: d.kernel,
 		isStopping: d.isStopping.Load, router: d.services.Router, invariants: d.invariants,
-		controlGuard: d.services.ControlGuard,
-	}
-	if d.callers != nil {
-		api.callerConnections = d.callers.connections
+		controlGuard: d.services.ControlGuard, callerConnections: d.services.callerConnections,
 	}
 	var err error
 	if api.connections, err = kernel.Find[*Connections](d.kernel, ServiceConnections); err != nil {
--- a/internal/server/deployment_process.go
+++ b/internal/server/deployment_process.go
@@ -112,8 +112,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-stop.Done():
 	}
-	// The stop context is done; the shutdown keeps its values but not its cancellation.
-	d.shutdown(context.WithoutCancel(stop))
+	d.shutdown()
 	return nil
 }
 
--- a/internal/server/deployment_serve.go
+++ b/internal/server/deployment_serve.go
@@ -66,7 +66,7 @@
 			return fmt.Errorf("build the control handler: %w", err)
 		}
 		d.services.ControlGuard = NewControlGuard(deployment.Limits.controlLimits())
-		if d.control, err = d.listen(ctx, "control", deployment.Control, d.closeWhenStopping(d.services.ControlGuard.Handler(handler)), d.services.ControlGuard.Listener); err != nil {
+		if d.control, err = d.listen(ctx, "control", deployment.Control, closeWhenStopping(d.isStopping.Load, d.services.ControlGuard.Handler(handler)), d.services.ControlGuard.Listener); err != nil {
 			return err
 		}
 	}
@@ -77,13 +77,14 @@
 		if err != nil {
 			return fmt.Errorf("build the callers' handler: %w", err)
 		}
-		d.callers, err = d.listen(ctx, "callers", deployment.Callers, guardHeads(d.closeWhenStopping(d.countInFlight(handler))), func(listener net.Listener) net.Listener {
+		d.callers, err = d.listen(ctx, "callers", deployment.Callers, guardHeads(closeWhenStopping(d.isStopping.Load, d.countInFlight(handler))), func(listener net.Listener) net.Listener {
 			limitedListener.Listener = listener
 			return guardedListener{limitedListener}
 		})
 		if err != nil {
 			return err
 		}
+		d.services.callerConnections = d.callers.connections
 	}
 	if deployment.Readiness != "" {
 		if _, err := d.listen(ctx, "readiness", deployment.Readiness, d.readiness(), plainListener); err != nil {
@@ -104,16 +105,6 @@
 	}
 }
 
-// closeWhenStopping makes a stopping node close each connection after its next response.
-func (d *deploymentProcess) closeWhenStopping(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.isStopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
-
 // countInFlight counts the requests in progress in d.inFlight.
 func (d *deploymentProcess) countInFlight(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/server/deployment_shutdown.go
+++ b/internal/server/deployment_shutdown.go
@@ -1,16 +1,18 @@
 package server
 
 import (
-	"context"
 	"time"
 
 	"dunlinloom/internal/kernel"
 )
 
+// controlDrainTime is the part of the time for a stop that is left for the last requests at the control address.
+const controlDrainTime = kernel.Second
+
 // shutdown performs a planned stop within the grace period. The node reports that it is not ready and hands over its
 // duties, accepts callers for shutdownDelay while the platform takes it out of rotation, and then finishes the requests
-// in progress.
-func (d *deploymentProcess) shutdown(ctx context.Context) {
+// in progress. Engines and operators are served as long as callers are.
+func (d *deploymentProcess) shutdown() {
 	startedAt := d.env.Clock.Now()
 	d.exitDeadline = startedAt + max(d.current.Load().Bounds.GracePeriod-cleanUpMargin, kernel.Second)
 	d.env.Log.Info("stopping")
@@ -18,21 +20,36 @@
 	d.runner.Leave()
 	drainTimeout := max(d.current.Load().Bounds.GracePeriod-graceMargin, kernel.Second)
 	waitUntil(int64(min(shutdownDelay, drainTimeout/2)), func() bool { return false })
-	for _, server := range []*trackedServer{d.callers, d.control} {
-		if server == nil {
-			continue
-		}
-		shutdownCtx, done := context.WithTimeout(ctx, (startedAt + drainTimeout - d.env.Clock.Now()).Duration())
-		if err := server.Shutdown(shutdownCtx); err != nil {
-			d.env.Log.Error(err, "some connections were closed before their requests ended", "live", d.inFlight.Load())
-		}
-		done()
-		d.env.Log.Info("server is shut down", "server", server.connections.name, "unanswered", server.connections.Unanswered())
-	}
-	waitUntil(int64(min(2*kernel.Second, startedAt+drainTimeout-d.env.Clock.Now())), func() bool { return !d.runner.HasDuties() })
+	drainDeadline := startedAt + drainTimeout
+	d.drain(d.callers, drainDeadline-controlDrainTime)
+	d.drain(d.control, drainDeadline)
+	d.waitClosed(d.callers, drainDeadline)
+	waitUntil(int64(min(2*kernel.Second, drainDeadline-d.env.Clock.Now())), func() bool { return !d.runner.HasDuties() })
 	d.env.Log.Info("drained", "live", d.inFlight.Load())
 }
 
+// drain lets a server's connections end, and waits for that until a deadline. The server may be nil.
+func (d *deploymentProcess) drain(server *trackedServer, deadline kernel.Micros) {
+	if server == nil {
+		return
+	}
+	if err := ignoreClosed(server.connections.Drain()); err != nil {
+		d.env.Log.Error(err, "listener could not be closed", "server", server.connections.name)
+	}
+	waitUntil(int64(deadline-d.env.Clock.Now()), server.connections.isEmpty)
+}
+
+// waitClosed waits until a server has no connection any more or the deadline has passed, and logs what it has not
+// answered. The server may be nil.
+func (d *deploymentProcess) waitClosed(server *trackedServer, deadline kernel.Micros) {
+	if server == nil {
+		return
+	}
+	waitUntil(int64(deadline-d.env.Clock.Now()), server.connections.isEmpty)
+	d.env.Log.Info("connections have ended", "server", server.connections.name, "open", server.connections.Open(),
+		"unanswered", server.connections.Unanswered())
+}
+
 // cleanUp releases everything that was opened, but waits no longer than the exit deadline allows. A write to a stalled
 // disk does not return; exiting during one is as safe as a kill, since files are written under a temporary name.
 func (d *deploymentProcess) cleanUp() error {
--- a/internal/server/process.go
+++ b/internal/server/process.go
@@ -98,7 +98,9 @@
 	// archiver is nil where past configurations are not kept.
 	archiver       *Archiver
 	publicListener *LimitedListener
-	isStopping     atomic.Bool
+	// publicConnections are the connections of publicListener, once it is served.
+	publicConnections *connectionTracker
+	isStopping        atomic.Bool
 	// invariants counts violations in all parts of the process.
 	invariants *invariant.Monitor
 	// deployment is nil unless the process runs a deployment, whose Adapter then provides the callers' handler.
@@ -158,9 +160,11 @@
 		return nil, fmt.Errorf("listen for nodes: %w", err)
 	}
 	a.kernel.Cleanup.Defer(func() error { return ignoreClosed(peer.Close()) })
+	a.publicConnections = newConnectionTracker("public", a.publicListener)
 	publicServer := &http.Server{
-		Handler:           handler,
+		Handler:           closeWhenStopping(a.isStopping.Load, handler),
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 120 * time.Second, MaxHeaderBytes: 64 << 10,
+		ConnState: a.publicConnections.setState,
 	}
 	peerServer := &http.Server{
 		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Unreadable, a.runner.FetchConfig, a.runner.PeerStatus),
@@ -172,7 +176,7 @@
 			failed <- err
 		}
 	}
-	go serve(publicServer, a.publicListener)
+	go serve(publicServer, a.publicConnections)
 	go serve(peerServer, peer)
 	ended := startWorker(a.runner.Run)
 	if a.dispatcher != nil {
@@ -190,14 +194,11 @@
 		})
 	}
 	a.kernel.Cleanup.Defer(func() error { a.cancel(); <-ended; return ignoreClosed(peerServer.Close()) })
-	// Callers' connections are shut down before the runner stops, since cleanups run in reverse order.
+	// Callers' connections end before the runner stops, since cleanups run in reverse order.
 	a.kernel.Cleanup.Defer(func() error {
-		shutdownCtx, done := context.WithTimeout(context.WithoutCancel(ctx), 5*time.Second)
-		defer done()
-		if err := publicServer.Shutdown(shutdownCtx); err != nil {
-			a.env.Log.Error(err, "some connections were closed before their requests ended")
-		}
-		return nil
+		a.drainPublic()
+		waitUntil(int64(publicDrainTimeout), a.publicConnections.isEmpty)
+		return ignoreClosed(publicServer.Close())
 	})
 	a.env.Log.Info("serving", "public", a.env.Self.Public, "member", string(member))
 	return failed, nil
@@ -212,9 +213,7 @@
 	a.isStopping.Store(true)
 	a.runner.Leave()
 	waitUntil(a.settings.ShutdownDelayUS, func() bool { return false })
-	if err := ignoreClosed(a.publicListener.Close()); err != nil {
-		log.Error(err, "public listener could not be closed")
-	}
+	a.drainPublic()
 	if a.dispatcher != nil {
 		a.dispatcher.Shutdown()
 		waitUntil(a.settings.DrainTimeoutUS, func() bool { return a.forwarder.InFlight() == 0 })
@@ -223,6 +222,16 @@
 	waitUntil(int64(2*kernel.Second), func() bool { return !a.runner.HasDuties() })
 }
 
+// publicDrainTimeout is how long the cleanup waits for the connections of the public address to end.
+const publicDrainTimeout = 5 * kernel.Second
+
+// drainPublic closes the public listener and lets its connections end.
+func (a *assembly) drainPublic() {
+	if err := ignoreClosed(a.publicConnections.Drain()); err != nil {
+		a.env.Log.Error(err, "public listener could not be closed")
+	}
+}
+
 // journalRejections records once a minute how many requests were rejected during it. The journal drops the entries of
 // single requests soon, since there are so many; the counts are kept longer.
 func journalRejections(env kernel.Env, dispatcher *relay.Dispatcher) {
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -15,6 +15,8 @@
 	Compiler        *fleetconfig.Compiler
 	LimitedListener *LimitedListener // nil where callers are not served
 	ControlGuard    *ControlGuard    // nil until the control address is served, and where it is not
+	// callerConnections are the connections of callers; nil until callers are served, and where they are not.
+	callerConnections *connectionTracker
 	// Router is the data plane; nil until the callers' handler is built.
 	Router     *router.Router
 	Invariants *invariant.Monitor
