Model checker: disks are lost while all members lose power

Cause: the users' new term, that disks may be lost at the moment at which all other machines lose power, was no step of the model: disks were lost one at a time while the others ran on, and power was lost with all disks whole. How many disks may be lost followed from the voters in force, so a core that shrinks could not be found wanting.

Change: lose-disks-and-power restarts all members, one or two with empty disks. Where the number of voters is a setting, the tolerated losses follow from the setting alone. An invariant is checked after each such loss: a majority of the voters of the newest committed document keeps its disks, and the document is on one of them. Three scenarios of five voters.

--- a/test/modelcheck/assumptions.go
+++ b/test/modelcheck/assumptions.go
@@ -9,15 +9,16 @@
 
 // The assumptions that limit the explored faults.
 
-// canBeWiped reports whether the loss of a process's disk stays within the assumption
+// canBeWiped reports whether the loss of the disks of these processes stays within the assumption
 // SeedsKeepTheirFolders.
-func (w *World) canBeWiped(p *process) bool {
+func (w *World) canBeWiped(processes ...*process) bool {
 	if w.settings.bootstrapRule() != control.BootstrapFromSeeds || w.settings.LiftedAssumptions.SeedsKeepTheirFolders {
 		return true
 	}
 	emptied := 0
 	for _, address := range w.bootstrapMembers {
-		if w.wiped[address] || address == p.address {
+		isLost := slices.ContainsFunc(processes, func(p *process) bool { return p.address == address })
+		if isLost || w.wiped[address] {
 			emptied++
 		}
 	}
@@ -30,21 +31,31 @@
 	return w.settings.Voters == 0 || w.settings.LiftedAssumptions.OneAddressOneMachine
 }
 
-// canLoseDisk reports whether the loss of a disk stays within the assumption on lost disks: at most a
-// minority of the voters of the newest committed document, and of any newer document on a disk, lose
-// their disks.
-func (w *World) canLoseDisk(p *process) bool {
-	return !slices.ContainsFunc(w.survivingDocuments(), func(document *cluster.Document) bool {
+// canLoseDisks reports whether these processes may lose their disks at once: the loss stays within
+// SeedsKeepTheirFolders, and within what the core tolerates of the voters of the newest committed document and of any
+// newer document on a disk.
+func (w *World) canLoseDisks(processes ...*process) bool {
+	return w.canBeWiped(processes...) && !slices.ContainsFunc(w.survivingDocuments(), func(document *cluster.Document) bool {
 		lost := 0
 		for _, voter := range document.Voters {
-			if w.observer.lostMembers[voter.ID] || voter.ID == p.disk.member {
+			isLost := slices.ContainsFunc(processes, func(p *process) bool { return p.disk.member == voter.ID })
+			if isLost || w.observer.lostMembers[voter.ID] {
 				lost++
 			}
 		}
-		return lost > (len(document.Voters)-1)/2
+		return lost > w.toleratedLosses(document)
 	})
 }
 
+// toleratedLosses is how many disks of a document's voters may be lost. If the number of voters is a setting, it follows
+// from that alone: members that are merely down must not reduce it.
+func (w *World) toleratedLosses(document *cluster.Document) int {
+	if w.settings.Voters > 0 {
+		return (w.settings.Voters - 1) / 2
+	}
+	return (len(document.Voters) - 1) / 2
+}
+
 // survivingDocuments returns the newest committed document and the documents on disks, or being written,
 // that may replace it.
 func (w *World) survivingDocuments() []*cluster.Document {
--- a/test/modelcheck/choices.go
+++ b/test/modelcheck/choices.go
@@ -37,12 +37,14 @@
 	DamageDocument        // process A crashes and restarts with the newest document on its disk damaged
 	RollBackFolder        // process A crashes and restarts with its folder restored from a copy without the newest document
 	PowerLoss             // all processes crash and restart; B says which part of their outstanding writes is kept
+	// LoseDisksAndPower is PowerLoss, and process A, or two processes, restart with empty disks; see diskLoss.
+	LoseDisksAndPower
 	actionCount
 )
 
 var actionNames = [actionCount]string{"default", "deliver", "deliver-old", "hold", "double", "release", "sync", "pass-time", "jump",
 	"crash", "kill", "start", "freeze", "wake", "cut", "heal", "lose-disk", "twin", "leave",
-	"stall-disk", "fill-disk", "damage-document", "put-back-folder", "power-loss"}
+	"stall-disk", "fill-disk", "damage-document", "put-back-folder", "power-loss", "lose-disks-and-power"}
 
 func (a Action) String() string { return actionNames[a] }
 
@@ -111,6 +113,7 @@
 		for part := range keepCount {
 			add(PowerLoss, 0, part)
 		}
+		w.addDiskLosses(add)
 	}
 	return choices
 }
@@ -149,7 +152,7 @@
 	} else {
 		add(Heal, p.index, 0)
 	}
-	if w.canBeWiped(p) && w.canLoseDisk(p) {
+	if w.canLoseDisks(p) {
 		add(WipeDisk, p.index, 0)
 	}
 	if len(w.processes) < maxProcesses && len(w.receivers(p.address)) == 1 && w.canBeWiped(p) && w.canShareAddress() {
@@ -249,6 +252,9 @@
 		return w.advanceTime()
 	case PowerLoss:
 		w.losePower(choice.B)
+	case LoseDisksAndPower:
+		w.loseDisksAndPower(diskLossOf(choice))
+		return lossIsSurvived(w)
 	default:
 		return w.applyTo(w.processes[choice.A], choice)
 	}
--- a/test/modelcheck/disk.go
+++ b/test/modelcheck/disk.go
@@ -188,6 +188,53 @@
 	}
 }
 
+// diskLoss is the loss of one or two disks at the moment at which all processes lose power.
+type diskLoss struct {
+	first, second int // indexes of the processes whose disks are lost; equal if there is only one
+	part          int // what is kept of the outstanding writes of the others
+}
+
+// choice returns the choice that stands for the loss.
+func (l diskLoss) choice() Choice {
+	return Choice{LoseDisksAndPower, l.first, l.second*keepCount + l.part}
+}
+
+// diskLossOf returns the loss that a choice stands for.
+func diskLossOf(choice Choice) diskLoss {
+	return diskLoss{first: choice.A, second: choice.B / keepCount, part: choice.B % keepCount}
+}
+
+// addDiskLosses adds the losses of disks, together with all power, that the core has to survive.
+func (w *World) addDiskLosses(add func(action Action, a, b int)) {
+	for first, p := range w.processes {
+		for second, q := range w.processes[first:] {
+			if !p.isUp || !q.isUp || !w.canLoseDisks(p, q) {
+				continue
+			}
+			for part := range keepCount {
+				choice := diskLoss{first, first + second, part}.choice()
+				add(choice.Action, choice.A, choice.B)
+			}
+		}
+	}
+}
+
+// loseDisksAndPower restarts all running processes at once, those of the loss with empty disks.
+func (w *World) loseDisksAndPower(loss diskLoss) {
+	for _, p := range w.processes {
+		isLost := p.index == loss.first || p.index == loss.second
+		if !isLost {
+			if p.isUp {
+				w.restart(p, loss.part)
+			}
+			continue
+		}
+		p.stop()
+		w.wipeDisk(p)
+		w.start(p)
+	}
+}
+
 // restart ends an incarnation, keeps a part of its outstanding write, and starts another.
 func (w *World) restart(p *process, part int) {
 	p.isDirty = true
--- a/test/modelcheck/invariants.go
+++ b/test/modelcheck/invariants.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
@@ -31,6 +32,7 @@
 	LeaderDiskIsHealthy       Invariant = "a leader whose disk is stalled steps down in time"
 	CoreDoesNotPanic          Invariant = "a core handles every event without a panic"
 	RunsEnd                   Invariant = "messages do not cause further messages without end"
+	LossIsSurvived            Invariant = "a tolerated loss of disks and of all power leaves a majority of the voters and what is committed"
 )
 
 // ofCore converts a violation that the core reports itself.
@@ -147,6 +149,32 @@
 	return nil
 }
 
+// lossIsSurvived checks, after a tolerated loss of disks, that a majority of the voters of the newest committed document
+// still has its disks, and that the document is on one of them.
+func lossIsSurvived(w *World) error {
+	newest := w.observer.newestCommit()
+	if newest == nil {
+		return nil
+	}
+	left, isHeld := 0, false
+	isMajorityLeft := newest.IsQuorum(func(id cluster.MemberID) bool {
+		index := slices.IndexFunc(w.processes, func(p *process) bool { return p.disk.member == id && !w.observer.lostMembers[id] })
+		if index < 0 {
+			return false
+		}
+		left++
+		isHeld = isHeld || !w.processes[index].disk.newestWritten().Before(newest.Position())
+		return true
+	})
+	switch {
+	case !isMajorityLeft:
+		return violated(LossIsSurvived, "%d of the %d voters of %v still have their disks", left, len(newest.Voters), newest.Position())
+	case !isHeld:
+		return violated(LossIsSurvived, "%v is committed and on no disk of its voters any more", newest.Position())
+	}
+	return nil
+}
+
 // rejectedTakesNoEffect checks that a rejected submission is in no committed document.
 func rejectedTakesNoEffect(o *observer, document *cluster.Document) error {
 	for _, id := range sortedKeys(o.rejected) {
--- a/test/modelcheck/scenarios.go
+++ b/test/modelcheck/scenarios.go
@@ -48,5 +48,19 @@
 				{11, Choice{Start, 2, 0}},
 			},
 		}, 14, 18},
+		{"five voters, failing disks", Settings{Voters: 5, BootstrapMembers: 5, Timing: timing, FailingDisks: true}, 6, 16},
+		{"two of five voters are replaced, failing disks", Settings{
+			Voters: 5, BootstrapMembers: 5, Learners: 1, Timing: timing, FailingDisks: true,
+			PlannedActions: []PlannedAction{{7, diskLoss{first: 0, second: 1, part: keepAll}.choice()}},
+		}, 9, 18},
+		{"two of five voters are down, failing disks", Settings{
+			// The two miss what is acknowledged while they are down.
+			Voters: 5, BootstrapMembers: 5, Timing: timing, FailingDisks: true, OperationsFromStep: 12, PlannedActions: []PlannedAction{
+				{7, Choice{Kill, 3, 0}},
+				{7, Choice{Kill, 4, 0}},
+				{24, Choice{Start, 3, 0}},
+				{24, Choice{Start, 4, 0}},
+			},
+		}, 20, 34},
 	}
 }
--- a/test/modelcheck/world.go
+++ b/test/modelcheck/world.go
@@ -279,7 +279,7 @@
 		if p.isUp == (planned.Choice.Action == Start) || p.hasLeft {
 			continue
 		}
-		if err := w.applyTo(p, planned.Choice); err != nil {
+		if err := w.apply(planned.Choice); err != nil {
 			return err
 		}
 	}
