Simulator: disks are lost while all other machines lose power, two of eight too

Change: loseDisksAndPower takes as many disks as the fleet is set up to bear, of voters that hold the newest document, while all other machines go down, those without a disk too; at any time, right after an acknowledgement, in storms and as the last fault. The deployment two-losses has sixteen machines, eight with a disk, of which two may be lost. What has to be borne follows from the fleet's settings and the time since the last loss, not from the number of voters that the core has made.

--- a/cmd/simulator/main.go
+++ b/cmd/simulator/main.go
@@ -23,7 +23,7 @@
 type arguments struct {
 	First      uint64  `arg:"--first" default:"1" help:"first seed"`
 	Count      int     `arg:"--count" default:"50" help:"number of seeds"`
-	Deployment string  `arg:"--deployment" default:"qurum" help:"deployment to simulate: qurum or cronometro"`
+	Deployment string  `arg:"--deployment" default:"qurum" help:"deployment to simulate: qurum, cronometro or two-losses"`
 	SpanUS     int64   `arg:"--span-us" default:"60000000" help:"duration of the faults in microseconds of virtual time"`
 	Rate       float64 `arg:"--rate" default:"20" help:"requests per second"`
 	Workers    int     `arg:"--workers" default:"6"`
--- a/test/simulator/day.go
+++ b/test/simulator/day.go
@@ -57,14 +57,24 @@
 	return lines
 }
 
-// WorldOf returns the world of a named deployment: cronometro, or qurum for any other name.
+// WorldOf returns the world of a named deployment: cronometro, two-losses, or qurum for any other name.
 func WorldOf(seed uint64, deployment string) *World {
-	if deployment == "cronometro" {
+	switch deployment {
+	case "cronometro":
 		return NewWorld(seed, 3, 12, 3, 18)
+	case "two-losses":
+		return twoLossesWorld(seed)
 	}
 	return NewWorld(seed, 4, 11, 4, 18)
 }
 
+// twoLossesWorld returns a fleet of which two of the eight machines with a disk may be lost at once.
+func twoLossesWorld(seed uint64) *World {
+	options := defaultOptions()
+	options.Kinds, options.Pools, options.AnnouncedFounders, options.Voters = runCallKinds, 6, true, 5
+	return newWorld(seed, 4, 16, 8, 18, options)
+}
+
 // Open bootstraps the fleet and submits the first configuration. It reports whether the
 // configuration was accepted and every router serves within 20 s.
 func (w *World) Open() bool {
--- a/test/simulator/fault_actions.go
+++ b/test/simulator/fault_actions.go
@@ -36,19 +36,48 @@
 
 func (w *World) healNetwork() { w.loseMessages(0, 0, 0) }
 
-// loseDisk stops a machine and erases its disk, if the rest of the core tolerates the loss:
-// docs/limits.md guarantees safety for only one lost disk at a time.
+// loseDisk stops a machine and erases its disk, if the rest of the core tolerates the loss.
 func (w *World) loseDisk(m *machine) {
 	if !w.canLoseDisk() || !m.isUp {
 		return
 	}
-	w.trace("%s loses its disk", m.name)
+	m.eraseDisk()
+}
+
+// eraseDisk stops a machine and erases its disk.
+func (m *machine) eraseDisk() {
+	m.world.trace("%s loses its disk", m.name)
+	m.world.lastDiskLossAt = m.world.now
 	m.halt()
-	m.disk.files = map[string][]byte{}
+	m.disk.files, m.storedRevision = map[string][]byte{}, 0
+}
+
+// loseDisksAndPower takes as many disks as the core tolerates, of voters that hold the newest document, while all other
+// machines lose power, those without a disk too. It reports whether the core has to tolerate that now; otherwise it does
+// nothing.
+func (w *World) loseDisksAndPower() bool {
+	if !w.mustTolerateLosses() {
+		return false
+	}
+	for _, m := range w.holders(w.toleratedLosses()) {
+		m.eraseDisk()
+	}
+	for _, m := range w.machines {
+		m.halt()
+	}
+	return true
+}
+
+// restartAll starts all machines that are down again, each after a time within the span.
+func (w *World) restartAll(shortest, longest kernel.Micros) {
+	for _, m := range w.machines {
+		m.restart(w.between(shortest, longest))
+	}
 }
 
 // replace removes a machine and adds an empty one at a new address.
 func (w *World) replace(m *machine) {
+	w.lastDiskLossAt = w.now
 	m.halt()
 	m.isRemoved = true
 	fresh := w.addMachine(m.identity.Zone, true)
--- a/test/simulator/fault_plan.go
+++ b/test/simulator/fault_plan.go
@@ -86,6 +86,19 @@
 			killAndRestart(m, w.between(sec, 3*sec))
 		}
 	}},
+	{"disks are lost while all other machines lose power", 1, func(w *World) {
+		if w.loseDisksAndPower() {
+			w.restartAll(sec, 3*sec)
+		}
+	}},
+	{"disks are lost just after an acknowledgement while all other machines lose power", 1, func(w *World) {
+		w.afterAccepted = func(*machine) {
+			if w.loseDisksAndPower() {
+				w.restartAll(sec, 3*sec)
+			}
+		}
+		w.operator.putConfig(nil)
+	}},
 	{"an engine crashes", 4, func(w *World) {
 		e := w.anyEngine()
 		e.halt()
@@ -202,6 +215,7 @@
 			w.loseDisk(w.anyCore())
 		}
 	}},
+	{"disks are lost while all other machines lose power", 2, func(w *World) { w.loseDisksAndPower() }},
 	{"the leader freezes", 2, func(w *World) { w.leader().freeze(6 * sec) }},
 }
 
--- a/test/simulator/fault_targets.go
+++ b/test/simulator/fault_targets.go
@@ -3,6 +3,9 @@
 // Selection of the machines and engines that a fault is applied to.
 
 import (
+	"cmp"
+	"slices"
+
 	"dunlinloom/internal/control/cluster"
 )
 
@@ -74,14 +77,43 @@
 	return newest
 }
 
-// canLoseDisk reports whether the core tolerates the loss of one more disk: docs/limits.md
-// guarantees safety for only one at a time, and during a membership change there are four
-// voters.
+// toleratedLosses is how many machines of the core may be lost at once.
+func (w *World) toleratedLosses() int { return (max(w.options.Voters, voterCountWanted) - 1) / 2 }
+
+// canLoseDisk reports whether the core tolerates the loss of one more disk: it has no loss to repair, and a majority of
+// the voters is left. During a membership change there may be more voters than usual.
 func (w *World) canLoseDisk() bool {
 	running, all := w.voters()
 	return running >= voterCountWanted && running-1 > all/2
 }
 
+// repairTimeout is how long after a lost disk the core has to tolerate the next losses.
+const repairTimeout = 12 * sec
+
+// mustTolerateLosses reports whether the core has to tolerate as many losses as the fleet is set up for: all voters run
+// with their disks, and the last loss is long ago. How many voters there are does not matter; the core has to see to that.
+func (w *World) mustTolerateLosses() bool {
+	running, all := w.voters()
+	return running > 0 && running == all && w.now-w.lastDiskLossAt >= repairTimeout
+}
+
+// holders returns that many voters, those first that have the newest document on their disks.
+func (w *World) holders(count int) []*machine {
+	newest := w.newestDocument()
+	if newest == nil {
+		return nil
+	}
+	found := []*machine{}
+	for _, voter := range newest.Voters {
+		if m := w.byAddress[voter.Address]; m != nil && m.isUp && m.store != nil && m.store.Member() == voter.ID {
+			found = append(found, m)
+		}
+	}
+	w.random.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	slices.SortStableFunc(found, func(a, b *machine) int { return cmp.Compare(b.storedRevision, a.storedRevision) })
+	return found[:min(count, len(found))]
+}
+
 // voters counts the voters in the newest document, and those of them that are running with
 // their own disk contents.
 func (w *World) voters() (running, all int) {
--- a/test/simulator/machine.go
+++ b/test/simulator/machine.go
@@ -42,7 +42,9 @@
 	// powerLossCountdown is decremented by each synced write, and the power is lost when it reaches
 	// zero. A countdown that starts at zero has no effect.
 	powerLossCountdown int
-	isLeader           bool
+	// storedRevision is the revision of the newest document that was written to the disk.
+	storedRevision uint64
+	isLeader       bool
 	// compiled holds the configurations that this process has compiled; compileDelay is added to
 	// the duration of each compilation.
 	compiled        map[string]bool
@@ -90,6 +92,7 @@
 	if w.hasTightElections {
 		settings.Timing.MaxElectionTimeout = settings.Timing.MinElectionTimeout + 30*ms
 	}
+	settings.Voters = w.options.Voters
 	if w.options.AnnouncedFounders {
 		settings.BootstrapRule, settings.IsBootstrap = control.BootstrapByAnnounce, m.epoch == 1
 	}
@@ -318,6 +321,9 @@
 			m.world.addInternalViolation("%s failed to write to its disk: %v", m.name, err)
 		}
 		m.saving = nil
+		if err == nil && save.Document != nil {
+			m.storedRevision = save.Document.Revision
+		}
 		if err == nil && m.powerLossCountdown > 0 {
 			if m.powerLossCountdown--; m.powerLossCountdown == 0 {
 				// The write is synced, but the process dies before it can respond.
--- a/test/simulator/storm.go
+++ b/test/simulator/storm.go
@@ -58,6 +58,13 @@
 			m.restart(w.between(50*ms, sec))
 		}
 	}},
+	{"disks are lost just after an acknowledgement while all other machines lose power", 2, func(w *World) {
+		w.afterAccepted = func(*machine) {
+			if w.loseDisksAndPower() {
+				w.restartAll(50*ms, sec)
+			}
+		}
+	}},
 	{"power is lost between sync and response", 6, func(w *World) { w.anyMachine().powerLossCountdown = 1 + w.random.IntN(3) }},
 	{"power is lost between the leader's sync and response", 4, func(w *World) { w.leader().powerLossCountdown = 1 + w.random.IntN(2) }},
 	{"the accepting node crashes just after an acknowledgement", 3, func(w *World) {
--- a/test/simulator/world.go
+++ b/test/simulator/world.go
@@ -64,6 +64,7 @@
 	lastFault         string
 	lastFaultAt       kernel.Micros
 	lastLeaderAt      kernel.Micros
+	lastDiskLossAt    kernel.Micros
 	hasTightElections bool // election timeouts nearly coincide
 	options           Options
 	figures           measured
@@ -89,6 +90,7 @@
 	DataBytes           bool
 	Operations          operationMix
 	AnnouncedFounders   bool // the fleet is bootstrapped by members that announce themselves
+	Voters              int  // least number of voters; zero: three, by the strict rule
 }
 
 func defaultOptions() Options {
