Soak: two of eight disks are lost while all other nodes lose power

Cause: the soak lost one disk of three, in most runs one that did not hold the newest document alone, and only at the end together with the power of all others. No run tolerated two losses.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -32,7 +32,8 @@
 	Program string   `arg:"--program" help:"path of the daemon, built with -tags faults; default: dunlinloom in the folder of this program"`
 	Folder  string   `arg:"--folder" help:"folder for logs and reports; default: a temporary folder"`
 	Tenants bool     `arg:"--tenants" help:"require keys for requests, add and withdraw keys during the run, and give tenants quotas"`
-	Nodes   int      `arg:"--nodes" default:"5" help:"number of nodes, three of them with a disk"`
+	Nodes   int      `arg:"--nodes" default:"5" help:"number of nodes"`
+	Disks   int      `arg:"--disks" default:"3" help:"number of nodes with a disk, from 3 to 9; from 7 on, two of them may be lost at once"`
 	Only    []string `arg:"--only,separate" help:"draw only this kind of fault; may be given several times"`
 	Quiet   bool     `arg:"--quiet" help:"print only the outcome of each seed, in one line"`
 	JSON    bool     `arg:"--json" help:"print the complete report of each seed as JSON instead of a summary; it is also written to report.json in the seed's folder"`
@@ -121,7 +122,7 @@
 		return nil, fmt.Errorf("make a folder: %w", err)
 	}
 	report, err := soak.Play(ctx, soak.Settings{
-		Program: flags.Program, Folder: folder, Seed: seed, Network: network, Span: kernel.Micros(flags.SpanS * float64(kernel.Second)), Load: flags.Load, HasTenants: flags.Tenants, Nodes: flags.Nodes, Only: flags.Only,
+		Program: flags.Program, Folder: folder, Seed: seed, Network: network, Span: kernel.Micros(flags.SpanS * float64(kernel.Second)), Load: flags.Load, HasTenants: flags.Tenants, Nodes: flags.Nodes, Disks: flags.Disks, Only: flags.Only,
 		Logf: func(format string, words ...any) {
 			if !flags.Quiet {
 				fmt.Fprintf(os.Stderr, "seed %d: %s\n", seed, fmt.Sprintf(format, words...))
--- a/test/soak/closing.go
+++ b/test/soak/closing.go
@@ -13,8 +13,8 @@
 const (
 	closePowerAll  = "power lost everywhere"
 	closeKillAll   = "every process killed"
-	closeWipe      = "one disk lost"
-	closeWipePower = "one disk lost, power lost on all other machines"
+	closeWipe      = "disks lost"
+	closeWipePower = "disks lost, power lost on all other machines"
 )
 
 var closings = []string{closePowerAll, closeKillAll, closeWipe, closeWipePower}
@@ -75,28 +75,16 @@
 }
 
 func (f *fleet) injectClosingFault(closing string, random *rand.Rand) error {
-	nodes := f.members()
-	disks := []*node{}
-	for _, n := range nodes {
-		if n.hasDisk {
-			disks = append(disks, n)
-		}
-	}
-	victim := disks[random.IntN(len(disks))]
-	targets, end := nodes, f.killNode
+	targets, end := f.members(), f.killNode
 	switch closing {
 	case closePowerAll:
 		end = f.powerOff
 	case closeWipe, closeWipePower:
+		victims := f.pickDisks(f.context, random)
 		if closing == closeWipe {
-			targets = []*node{victim}
-		}
-		end = func(n *node) error {
-			if err := f.powerOff(n); err != nil || n != victim {
-				return err
-			}
-			return f.wipe(n)
+			targets = victims
 		}
+		end = f.losePowerAndDisks(victims)
 	}
 	return f.endAll(targets, downSpan, end)
 }
--- a/test/soak/node.go
+++ b/test/soak/node.go
@@ -20,13 +20,15 @@
 	"dunlinloom/test/localfleet"
 )
 
-// The layout of the fleet. The first diskCount nodes have a disk and are voters. Nodes that replace others have the
-// addresses from replacementOffset on.
+// The layout of the fleet. The first nodes have a disk. Nodes that replace others have the addresses from
+// replacementOffset on.
 const (
 	DefaultNodes      = 5
 	minNodes          = DefaultNodes
 	maxNodes          = 150
-	diskCount         = 3
+	DefaultDisks      = 3
+	maxDisks          = 9 // what a first start that tolerates two losses may have
+	seedCount         = 3
 	zoneCount         = 3
 	replacementOffset = maxNodes
 )
@@ -90,11 +92,11 @@
 		return RunError{"write the fault table", err}
 	}
 	seeds := []string{}
-	for i := range diskCount {
+	for i := range seedCount {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", f.nodeIP(i), portControl))
 	}
 	for i := range f.settings.Nodes {
-		n := f.newNode(fmt.Sprintf("node%d", i), f.nodeIP(i), fmt.Sprint("z", i%zoneCount), i < diskCount)
+		n := f.newNode(fmt.Sprintf("node%d", i), f.nodeIP(i), fmt.Sprint("z", i%zoneCount), i < f.settings.Disks)
 		n.seeds, n.bootstrap = seeds, true
 		f.nodes = append(f.nodes, n)
 	}
@@ -156,7 +158,7 @@
 			Callers: fmt.Sprintf("%s:%d", n.ip, portCallers), Readiness: fmt.Sprintf("%s:%d", n.ip, portReadiness), Control: fmt.Sprintf("%s:%d", n.ip, portControl),
 		},
 		Caps:     platform.NodeCaps{CoreShare: 1, Processors: 2, MemoryMB: 240, Files: 4000, LinkMbps: 1000, DiskMB: 64},
-		Tolerate: platform.NodeTolerance{Machines: 1},
+		Tolerate: platform.NodeTolerance{Machines: f.settings.toleratedLosses()},
 		Bounds: platform.NodeBounds{
 			SeedLagS: 3, AddressReuseS: int(reuseSpan / kernel.Second), ContactMS: int64(contactTimeout / ms), AckMS: 4000, SyncS: int64(syncSpan / kernel.Second),
 			DrainMS: int64(drainTimeout / ms), GracePeriodS: int64(gracePeriod / kernel.Second), ReadToleranceMS: int64(slackSpan / ms), ApplyMS: 2000, RevertMS: 250, ApplyExtensionMS: 5000,
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -34,8 +34,8 @@
 	Load    float64       // factor on the default request rates of callers
 	// HasTenants makes requests require keys and gives tenants quotas.
 	HasTenants bool
-	// Nodes is the number of nodes, of which the first diskCount have a disk.
-	Nodes int
+	// Nodes is the number of nodes, of which the first Disks have a disk.
+	Nodes, Disks int
 	// Only limits the faults to these, by name. If it is empty, all kinds of faults are drawn.
 	Only []string
 	Logf func(format string, words ...any)
@@ -53,6 +53,9 @@
 	case s.Nodes < minNodes || s.Nodes > maxNodes:
 		return SettingError{"nodes", fmt.Sprintf("must be from %d to %d", minNodes, maxNodes)}
 	}
+	if s.Disks < DefaultDisks || s.Disks > min(maxDisks, s.Nodes) {
+		return SettingError{"disks", fmt.Sprintf("must be from %d to %d, and at most one for each node", DefaultDisks, maxDisks)}
+	}
 	for _, name := range s.Only {
 		if faultFuncs[name] == nil {
 			return SettingError{"only", fmt.Sprintf("names %q, which is none of the faults %s", name, strings.Join(slices.Sorted(maps.Keys(faultFuncs)), ", "))}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,18 +37,21 @@
 		name       string
 		hasTenants bool
 		only       []string
+		nodes      int            // DefaultNodes unless more
+		disks      int            // DefaultDisks unless more
 		rules      []checker.Rule // to be kept as well
 	}{
 		{name: "without tenants"},
 		{name: "with tenants", hasTenants: true},
 		{name: "disks that fail at a start", only: []string{"start-refused", "start-stalled", "empty-refused", "empty-stalled", "signals"}},
+		{name: "two of eight disks lost with all power", only: []string{"wipe-power", "power-all"}, nodes: 10, disks: 8},
 		{name: "engines that leave beside stops of all", only: []string{"leave-kill", "leave-power"}, rules: []checker.Rule{checker.DrainingEngineUsed}},
 	} {
 		t.Run(run.name, func(t *testing.T) {
 			t.Parallel()
 			checkShortSoak(qt.New(t), Settings{
 				Program: program, Folder: t.TempDir(), Seed: 7, Network: 200 + i, Span: minSpan, Load: 0.5, Logf: t.Logf,
-				HasTenants: run.hasTenants, Nodes: DefaultNodes, Only: run.only,
+				HasTenants: run.hasTenants, Nodes: max(run.nodes, DefaultNodes), Disks: max(run.disks, DefaultDisks), Only: run.only,
 			}, slices.Concat(timingIndependentRules, run.rules))
 		})
 	}
@@ -105,13 +108,14 @@
 
 func TestCheckNamesTheInvalidSetting(t *testing.T) {
 	c := qt.New(t)
-	good := Settings{Folder: t.TempDir(), Network: 20, Span: minSpan, Load: 1, Nodes: DefaultNodes, Only: []string{"signals"}}
+	good := Settings{Folder: t.TempDir(), Network: 20, Span: minSpan, Load: 1, Nodes: DefaultNodes, Disks: DefaultDisks, Only: []string{"signals"}}
 	c.Assert(good.Check(), qt.IsNil)
 	for name, change := range map[string]func(*Settings){
 		"network": func(s *Settings) { s.Network = 255 },
 		"span":    func(s *Settings) { s.Span = minSpan - 1 },
 		"load":    func(s *Settings) { s.Load = 0 },
 		"nodes":   func(s *Settings) { s.Nodes = maxNodes + 1 },
+		"disks":   func(s *Settings) { s.Disks = s.Nodes + 1 },
 		"only":    func(s *Settings) { s.Only = []string{"kill", "stop"} },
 		"folder":  func(s *Settings) { s.Folder = filepath.Join(s.Folder, "nowhere") },
 	} {
--- a/test/soak/troubles.go
+++ b/test/soak/troubles.go
@@ -35,6 +35,7 @@
 	"kill":           restartAfter(func(f *fleet, n *node) error { return f.killNode(n) }),
 	"power":          restartAfter(func(f *fleet, n *node) error { return f.powerOff(n) }),
 	"wipe":           wipeNode,
+	"wipe-power":     wipeAndPowerOff,
 	"replace":        replaceNode,
 	"freeze":         freezeNode,
 	"cut":            cutNode(true, true),
@@ -248,11 +249,11 @@
 	return fresh
 }
 
-// seedsOf returns the control addresses of diskCount random nodes as seeds.
+// seedsOf returns the control addresses of seedCount random nodes as seeds.
 func (f *fleet) seedsOf(random *rand.Rand) []string {
 	seeds := []string{}
 	nodes := f.members()
-	for _, i := range random.Perm(len(nodes))[:diskCount] {
+	for _, i := range random.Perm(len(nodes))[:seedCount] {
 		seeds = append(seeds, nodes[i].address(portControl))
 	}
 	return seeds
