A request that a router has given up never reaches its engine later

Cause: an abandoned connection was closed gracefully, and the system goes on delivering what it holds once the link works again.

Change: connections to engines are set to be reset whenever they are closed, from their opening on, so that a panic, a kill or the end of the grace period resets them too; in the router and in the relay.

Ruled out: resets only where bytes are unacknowledged, which leaves out a process that ends; a shorter TCP_USER_TIMEOUT.

--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"dunlinloom/internal/kernel"
 )
 
 // maxResponseHeaderBytes is the maximum size of the headers of an engine's response.
@@ -50,6 +52,8 @@
 			if err != nil {
 				return nil, err
 			}
+			// An attempt that is given up must not reach its engine later.
+			kernel.ResetOnClose(connection)
 			return wrap(connection), nil
 		},
 	}
--- a/internal/router/connection.go
+++ b/internal/router/connection.go
@@ -37,7 +37,10 @@
 	readerBufferBytes = 2048
 )
 
+// newConnection takes over a connection that was just opened. Whenever it is closed, it is reset, so that a request that is
+// given up reaches its engine at once or never.
 func newConnection(dialed net.Conn, address string) *connection {
+	kernel.ResetOnClose(dialed)
 	input := &io.LimitedReader{R: dialed, N: math.MaxInt64}
 	return &connection{net: dialed, input: input, reader: bufio.NewReaderSize(input, readerBufferBytes), address: address}
 }
--- a/test/checker/routed_event.go
+++ b/test/checker/routed_event.go
@@ -26,6 +26,9 @@
 	// RoutedBounds.ContactTimeout after it.
 	ContactLost     RoutedEventKind = "touch_lost"
 	ContactRestored RoutedEventKind = "touch_back"
+	// EngineCutOff and EngineReachable delimit a period in which nothing got through between an engine and the routers.
+	EngineCutOff    RoutedEventKind = "engine_cut_off"
+	EngineReachable RoutedEventKind = "engine_reachable"
 	// InvariantBroken means that a process counted a violation of its own invariant, which Why names.
 	InvariantBroken RoutedEventKind = "invariant_broken"
 	// KeyHeld means that a configuration which gives Key to Tenant was sent. KeyWithdrawn means that one which no
--- a/test/checker/routed_test.go
+++ b/test/checker/routed_test.go
@@ -145,6 +145,21 @@
 			return append(e, RoutedEvent{At: 1001*msec - 5*kernel.Second, EventKind: DrainAcknowledged, Engine: "e1"},
 				RoutedEvent{At: 1001*msec - 8*kernel.Second, EventKind: ContactLost}, RoutedEvent{At: 1001*msec - 4*kernel.Second - 1, EventKind: ContactRestored})
 		}, DrainingEngineUsed},
+		{"arrived at a draining engine just after a cut", func(e []RoutedEvent) []RoutedEvent {
+			return append(e, RoutedEvent{At: 1001*msec - 5*kernel.Second, EventKind: DrainAcknowledged, Engine: "e1"},
+				RoutedEvent{At: 1001*msec - 6*kernel.Second, EventKind: EngineCutOff, Engine: "e1"}, RoutedEvent{At: 1001*msec - kernel.Second, EventKind: EngineReachable, Engine: "e1"})
+		}, ""},
+		{"arrived at a draining engine long after a cut", func(e []RoutedEvent) []RoutedEvent {
+			return append(e, RoutedEvent{At: 1001*msec - 5*kernel.Second, EventKind: DrainAcknowledged, Engine: "e1"},
+				RoutedEvent{At: 1001*msec - 6*kernel.Second, EventKind: EngineCutOff, Engine: "e1"}, RoutedEvent{At: 1001*msec - 4*kernel.Second - 1, EventKind: EngineReachable, Engine: "e1"})
+		}, DrainingEngineUsed},
+		{"arrived after a cut, though it was answered", func(e []RoutedEvent) []RoutedEvent {
+			return append(e, RoutedEvent{At: 900 * msec, EventKind: EngineCutOff, Engine: "e2"}, RoutedEvent{At: 2900 * msec, EventKind: EngineReachable, Engine: "e2"},
+				RoutedEvent{At: 2901 * msec, EventKind: Arrived, ID: "a", Engine: "e2", Service: "text"})
+		}, AnsweredRequestDelivered},
+		{"arrived without a cut after its answer", func(e []RoutedEvent) []RoutedEvent {
+			return append(e, RoutedEvent{At: 2901 * msec, EventKind: Arrived, ID: "a", Engine: "e2", Service: "text"})
+		}, ""},
 		{"a violation that a process counted", func(e []RoutedEvent) []RoutedEvent {
 			return append(e, RoutedEvent{At: 1100 * msec, EventKind: InvariantBroken, Why: "it is"})
 		}, InvariantFailed},
--- a/test/emulator/model_wire.go
+++ b/test/emulator/model_wire.go
@@ -209,12 +209,17 @@
 	return m.faults, m.responsive, m.isDraining
 }
 
-// waitResponsive blocks while the engine is unresponsive. It reports whether the connection is still open.
+// waitResponsive blocks while the engine is unresponsive, and reports whether the request may be handled. A request whose
+// client disconnected meanwhile may not.
 func (c *modelConn) waitResponsive() bool {
 	_, responsive, _ := c.model.currentFaults()
 	select {
 	case <-responsive:
-		// A request whose client disconnected while the engine was unresponsive is not started.
+		return true
+	default:
+	}
+	select {
+	case <-responsive:
 		return c.closed.Err() == nil
 	case <-c.closed.Done():
 		return false
--- a/test/simulator/routed_test.go
+++ b/test/simulator/routed_test.go
@@ -157,6 +157,20 @@
 
 func TestRoutedDrainingEnginesAreLeft(t *testing.T) { runRule(t, nil, "leave", "leave") }
 
+// Guards against a request that its router had given up, during a cut, and that reached its engine once the cut had ended:
+// seconds later, after the engine's drain.
+func TestRoutedRequestsGivenUpInACutNeverArrive(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			outcome := runInBubble(t, RoutedPlan{Seed: seed, Deployment: DrawDeployment(50 + seed), Span: routedSpan, Faults: []string{"cut-leave", "cut-leave"}})
+			for _, violation := range outcome.Report.Violations {
+				t.Errorf("%s: at %d us: %s", violation.Rule, violation.At, violation.Detail)
+			}
+		})
+	}
+}
+
 func TestRoutedAddressOfAnotherService(t *testing.T) { runRule(t, nil, "reuse", "reuse") }
 
 func TestRoutedStopsDropNothing(t *testing.T) { runRule(t, nil, "stop", "stop") }
