Routes are looked up by the path that the engine gets, not by the decoded one

Cause: the route was taken from r.URL.Path, which is decoded, while the engine gets the target of the request line.

A prefix with an encoded character matches as written.

Ruled out: decoding what is sent, refusing encoded slashes.

--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -15,7 +15,7 @@
 // headers of the same names.
 func writeMessage(to *bytes.Buffer, r *http.Request, body []byte, newHeaders http.Header) error {
 	to.Reset()
-	fmt.Fprintf(to, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
+	fmt.Fprintf(to, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, targetOf(r), r.Host)
 	skipped := map[string]bool{"Content-Length": true, "Expect": true, "Host": true}
 	for name := range relay.ConnectionHeaders(r.Header) {
 		skipped[name] = true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -127,7 +127,7 @@
 		rt.rejectUnread(w, r, rejection)
 		return
 	}
-	route := config.RouteOf(r.Host, r.URL.Path)
+	route := config.RouteOf(r.Host, targetOf(r).path())
 	if route == nil {
 		rt.rejectUnread(w, r, rt.rejectRoute())
 		return
