A response with a status below 100 is an error of its engine, not a panic

Cause: http.ReadResponse takes any status of three digits, and WriteHeader panics below 100, past the place where the attempt is closed.

Change: readHead takes such a head for a failed exchange, like a head that can't be read: 502, or another attempt where the route allows it.

Result: two cases of TestHostileResponseDoesNotAffectNextRequest panicked before and pass; tests of the router pass.

--- a/internal/router/connection.go
+++ b/internal/router/connection.go
@@ -83,6 +83,13 @@
 	return "the response belongs to request " + strconv.Quote(e.id)
 }
 
+// invalidStatusError says that a response has a status that HTTP does not know, and that can't be passed on.
+type invalidStatusError struct{ status int }
+
+func (e invalidStatusError) Error() string {
+	return fmt.Sprintf("the engine sent the invalid status %03d", e.status)
+}
+
 // protocolSwitchError says that an engine switched protocols although no request asks for that.
 type protocolSwitchError struct{}
 
@@ -146,7 +153,10 @@
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, ExchangeError{"read the response head", protocolSwitchError{}}
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode < http.StatusContinue {
+			return nil, ExchangeError{"read the response head", invalidStatusError{response.StatusCode}}
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		respondedID, isMatch := c.matchRequest(response, id, idHeader)
--- a/internal/router/hostile_engine_test.go
+++ b/internal/router/hostile_engine_test.go
@@ -56,6 +56,8 @@
 		{"two transfer codings", "POST", head("r1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n2\r\nhi\r\n0\r\n\r\n"), true, 502, ""},
 		{"chunks in HTTP/1.0", "POST", strings.Replace(head("r1", "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"), "1.1", "1.0", 1), false, truncated, ""},
 		{"bytes that are not a response", "POST", "\x00\x01\x02 garbage\r\n\r\n", true, 502, ""},
+		{"a status below 100", "POST", strings.Replace(head("r1", "Content-Length: 2\r\n\r\nhi"), "200", "099", 1), true, 502, ""},
+		{"a status of zero", "GET", strings.Replace(head("r1", "Content-Length: 2\r\n\r\nhi"), "200", "000", 1), true, 502, ""},
 		{"half a head", "POST", "HTTP/1.1 200 OK\r\n" + wire.RequestID + ": r1\r\n", false, 502, ""},
 		{"an endless head", "POST", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Fill: "+strings.Repeat("x", 1000)+"\r\n", 2000), false, 502, ""},
 		{"bytes before the response", "POST", "junk\r\n" + head("r1", "Content-Length: 2\r\n\r\nhi"), true, 502, ""},
