A late grant of quota to an earlier process is not taken for one's own

Cause: a grant names the number of the request alone, and each process counted its requests from one. A grant to the process before, on its way while that was restarted, answered the first request of the next one, and the grant that was meant was dropped as a duplicate.

Change: requests are counted from the incarnation's number, which is random, as lease requests are. The wire's form stays.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -63,7 +63,7 @@
 // NewAccount returns an empty account. The incarnation identifies the router's process: it has to differ
 // from the incarnations of all earlier processes of the same router.
 func NewAccount(bounds Bounds, incarnation uint64) *Account {
-	return &Account{bounds: bounds, incarnation: incarnation, credits: map[creditKey]*tenantCredits{}, typicalCosts: map[string]float64{}, shares: map[string]float64{}}
+	return &Account{bounds: bounds, incarnation: incarnation, seq: incarnation, credits: map[creditKey]*tenantCredits{}, typicalCosts: map[string]float64{}, shares: map[string]float64{}}
 }
 
 // Claim claims the cost of a request, in units, from the tenant's credits. If isUrgent is true, the ticket
--- a/internal/quota/account_test.go
+++ b/internal/quota/account_test.go
@@ -40,6 +40,31 @@
 	c.Check(spendable(), qt.Equals, 4)
 }
 
+// A late grant to an earlier process of the same address is not taken for one's own.
+func TestAGrantToAnEarlierIncarnationIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	now := 100 * kernel.Second
+	earlier, later := NewAccount(plainBounds, 1<<40), NewAccount(plainBounds, 1<<41)
+	for _, account := range []*Account{earlier, later} {
+		_, isUrgent := account.Claim(now, "ann", 1)
+		c.Assert(isUrgent, qt.IsTrue)
+	}
+	late := &Grant{Seq: earlier.NextRequest(now).Seq, Items: []GrantItem{{Tenant: "ann", Amount: 50}}}
+	own := &Grant{Seq: later.NextRequest(now).Seq, Items: []GrantItem{{Tenant: "ann", Amount: 2}}}
+	later.ApplyGrant(now, late)
+	later.ApplyGrant(now, own)
+	granted := 0
+	for {
+		ticket, _ := later.Claim(now, "ann", 1)
+		if outcome, _ := later.Outcome(ticket); outcome != Granted {
+			break
+		}
+		granted++
+	}
+	// One of the two credits went to the pending claim.
+	c.Assert(granted, qt.Equals, 1)
+}
+
 // A redirect to another leader is followed at once, but not in an endless loop.
 func TestARequestIsRedirectedAFewTimes(t *testing.T) {
 	c := qt.New(t)
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -5,7 +5,7 @@
 // Request reports a router's credits to the allocator, and what it needs beyond them.
 type Request struct {
 	Incarnation uint64        `json:"life"` // identifies the router's process
-	Seq         uint64        `json:"seq"`  // increases with each request of an incarnation
+	Seq         uint64        `json:"seq"`  // counts the requests of an incarnation, from its number on
 	Items       []RequestItem `json:"items,omitempty"`
 }
 
