Count requests read during a drain, and those that end after a silence

Cause: neither log nor metric told the hypotheses of the incident apart: on which connections requests begin while a node drains, and how many end without a whole answer after an engine was given up for its silence, with time left.

Change: dunlinloom_requests_while_draining_total{connection=}, in the log line of a stop too; dunlinloom_requests_ended_after_silence_total{ending=}, in the log's counts too.

--- a/internal/router/chooser.go
+++ b/internal/router/chooser.go
@@ -37,7 +37,7 @@
 	return &Chooser{
 		retry: retry, routingTable: &RoutingTable{}, engines: map[string]*engineState{},
 		services: map[string][]*engineState{}, budgets: map[string]*budget{}, splits: map[*fleetconfig.Route]*splitShares{},
-		counts: Counts{Refused: map[string]uint64{}, Endings: map[string]uint64{}},
+		counts: Counts{Refused: map[string]uint64{}, Endings: map[string]uint64{}, EndedAfterSilence: map[string]uint64{}},
 	}
 }
 
@@ -54,10 +54,13 @@
 // Counts are the totals of a Chooser since it was made. Extras are the retries charged to the retry budget. Diverts are
 // requests that were diverted from their preferred engine, and Spared those that were not, because that engine was
 // predicted to meet the latency target. Refused counts rejections by reason, Endings the ended attempts by outcome.
+// EndedAfterSilence counts the requests that got no complete answer although they had time left, after one of their
+// engines had sent nothing for its timeout; the key says what the caller got and how the last attempt ended.
 type Counts struct {
 	Requests, Attempts, Extras, Diverts, Spared uint64
 	Refused                                     map[string]uint64
 	Endings                                     map[string]uint64
+	EndedAfterSilence                           map[string]uint64
 }
 
 // Counts returns a copy of the totals.
@@ -66,5 +69,6 @@
 	defer c.lock.Unlock()
 	counts := c.counts
 	counts.Refused, counts.Endings = maps.Clone(c.counts.Refused), maps.Clone(c.counts.Endings)
+	counts.EndedAfterSilence = maps.Clone(c.counts.EndedAfterSilence)
 	return counts
 }
--- a/internal/router/failures.go
+++ b/internal/router/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 
@@ -20,6 +21,25 @@
 	return fmt.Sprintf("%s after %d ms: %s (%s)", f.engine, f.elapsed/kernel.Millisecond, f.outcome, f.reason)
 }
 
+// What a caller got in place of a complete answer, as Counts.EndedAfterSilence and the log name it.
+const (
+	endedTorn     = "torn"     // a part of an answer, and a closed connection
+	endedRejected = "rejected" // an answer of the router
+)
+
+// countEndAfterSilence counts a call that ends without a complete answer before its deadline, if one of its engines
+// was unresponsive before.
+func (c *Chooser) countEndAfterSilence(now kernel.Micros, call *Call, how string) {
+	isUnresponsive := func(attempt failedAttempt) bool { return attempt.outcome == Unresponsive }
+	if now >= call.Request.Deadline || !slices.ContainsFunc(call.failedAttempts, isUnresponsive) {
+		return
+	}
+	last := call.failedAttempts[len(call.failedAttempts)-1]
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.counts.EndedAfterSilence[how+", last "+last.outcome.String()]++
+}
+
 // maxLoggedFailures limits how many failed requests are logged in each second. The journal gets the same ones and keeps
 // the newest of them; the metrics count all failures.
 const maxLoggedFailures = 10
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -211,13 +211,15 @@
 			panic(http.ErrAbortHandler)
 		case answer.hasBegun:
 			rt.truncated.Add(1)
-			rt.logFailure(call, "torn")
+			rt.Chooser.countEndAfterSilence(rt.Env.Clock.Now(), call, endedTorn)
+			rt.logFailure(call, endedTorn)
 			// The caller has a part of an answer, and only closing its connection shows that the answer is incomplete.
 			panic(http.ErrAbortHandler)
 		default:
 			if !call.mayHaveRun {
 				rt.refundQuota(ticket)
 			}
+			rt.Chooser.countEndAfterSilence(rt.Env.Clock.Now(), call, endedRejected)
 			rt.logFailure(call, rejection.Reason)
 			rt.reject(w, rejection)
 			return
--- a/internal/server/api_metrics.go
+++ b/internal/server/api_metrics.go
@@ -90,6 +90,9 @@
 	}
 	if f.callerConnections != nil {
 		m.sample("requests_unanswered_total", f.callerConnections.Unanswered())
+		kept, first := f.callerConnections.DrainRequests()
+		m.sample("requests_while_draining_total", kept, "connection", "kept")
+		m.sample("requests_while_draining_total", first, "connection", "new")
 	}
 	if f.controlGuard != nil {
 		m.sample("control_connections_open", f.controlGuard.OpenConnections())
@@ -201,6 +204,7 @@
 	m.sample("diverts_spared_total", counts.Spared)
 	m.samples("declined_total", "reason", counts.Refused)
 	m.samples("attempts_ended_total", "ending", counts.Endings)
+	m.samples("requests_ended_after_silence_total", "ending", counts.EndedAfterSilence)
 	m.sample("answers_torn_total", f.router.Truncated())
 	m.sample("requests_live", f.router.InFlight())
 	m.sample("bodies_held_bytes", f.router.ReservedBytes())
--- a/internal/server/connection_tracker.go
+++ b/internal/server/connection_tracker.go
@@ -21,6 +21,9 @@
 	net.Listener
 	name       string // of the server, for logs
 	unanswered atomic.Uint64
+	// drainRequests counts the requests that were read while the server drains: the first ones of their connections,
+	// and those on connections that had carried others.
+	drainRequests struct{ kept, first atomic.Uint64 }
 
 	lock       sync.Mutex // guards the fields below; never held together with the lock of a connection
 	open       map[*trackedConnection]struct{}
@@ -36,6 +39,12 @@
 // still waited for one.
 func (t *connectionTracker) Unanswered() uint64 { return t.unanswered.Load() }
 
+// DrainRequests returns the number of requests of which the first byte was read while the server drained, on
+// connections that had carried other requests (kept) and on the others.
+func (t *connectionTracker) DrainRequests() (kept, first uint64) {
+	return t.drainRequests.kept.Load(), t.drainRequests.first.Load()
+}
+
 // Accept returns the next connection, as a *trackedConnection.
 func (t *connectionTracker) Accept() (net.Conn, error) {
 	connection, err := t.Listener.Accept()
@@ -119,6 +128,7 @@
 
 	lock       sync.Mutex // guards the fields below
 	phase      requestPhase
+	requests   int       // of which a byte was read
 	isDraining bool      // no further request is read
 	deadline   time.Time // for reads, as set by the server
 	isPeerGone bool      // a read or a write has failed for another reason than its deadline
@@ -131,10 +141,7 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if count > 0 && c.phase == phaseIdle {
-		c.phase = phaseUnanswered
-		if c.isDraining {
-			c.restoreDeadline()
-		}
+		c.startRequest()
 	}
 	if count == 0 && c.isDraining && c.phase == phaseIdle && errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, io.EOF
@@ -206,12 +213,26 @@
 		c.limitLastRead()
 	case http.StateActive:
 		if c.phase == phaseIdle {
-			c.phase = phaseUnanswered
-			c.restoreDeadline()
+			c.startRequest()
 		}
 	}
 }
 
+// startRequest begins the next request of the connection; the lock is held.
+func (c *trackedConnection) startRequest() {
+	c.phase = phaseUnanswered
+	c.requests++
+	if !c.isDraining {
+		return
+	}
+	c.restoreDeadline()
+	if c.requests > 1 {
+		c.tracker.drainRequests.kept.Add(1)
+	} else {
+		c.tracker.drainRequests.first.Add(1)
+	}
+}
+
 // Close closes the connection, and counts it if a request is left without an answer.
 func (c *trackedConnection) Close() error {
 	c.tracker.remove(c)
--- a/internal/server/deployment_shutdown.go
+++ b/internal/server/deployment_shutdown.go
@@ -46,8 +46,9 @@
 		return
 	}
 	waitUntil(int64(deadline-d.env.Clock.Now()), server.connections.isEmpty)
+	kept, first := server.connections.DrainRequests()
 	d.env.Log.Info("connections have ended", "server", server.connections.name, "open", server.connections.Open(),
-		"unanswered", server.connections.Unanswered())
+		"unanswered", server.connections.Unanswered(), "draining_kept", kept, "draining_new", first)
 }
 
 // cleanUp releases everything that was opened, but waits no longer than the exit deadline allows. A write to a stalled
