--- a/internal/server/deployment_test.go
+++ b/internal/server/deployment_test.go
@@ -20,6 +20,7 @@
 	"dunlinloom/internal/control/registry"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/kernel"
+	"dunlinloom/internal/router"
 )
 
 // defaultFormat is the product's own configuration format, used as the Format of a deployment.
@@ -79,13 +80,26 @@
 
 // startDeployedWith starts a node whose control address is served by the handler that control returns.
 func startDeployedWith(c *qt.C, d *Deployment, callers http.Handler, control func(*Services) http.Handler) *deployedNode {
+	return startAdapted(c, d, func(*Services) (http.Handler, error) { return callers, nil }, control)
+}
+
+// startDeployedRouter starts a node whose callers are served by the router.
+func startDeployedRouter(c *qt.C, d *Deployment) *deployedNode {
+	callers := func(services *Services) (http.Handler, error) {
+		return NewCallerHandler(services, router.DefaultWire())
+	}
+	return startAdapted(c, d, callers, func(*Services) http.Handler { return http.NotFoundHandler() })
+}
+
+// startAdapted starts a node whose callers and control address are served by the handlers that the functions return.
+func startAdapted(c *qt.C, d *Deployment, callers func(*Services) (http.Handler, error), control func(*Services) http.Handler) *deployedNode {
 	n := &deployedNode{Deployment: d, ended: make(chan error, 1), hangup: make(chan os.Signal), services: make(chan *Services, 1)}
 	n.next.Store(d)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	adapter := Adapter{
 		Program: "test", ReadinessPath: "/ready", Reload: func() (*Deployment, error) { return n.next.Load(), nil },
-		Callers: func(*Services) (http.Handler, error) { return callers, nil },
+		Callers: callers,
 		Control: func(services *Services) (http.Handler, error) {
 			n.services <- services
 			return control(services), nil
