A stop begins nothing that it would break off, and answers what it has read

Cause: since a connection that becomes idle during a drain is read on for 100 ms, and what arrived was begun whatever was left of the stop. The head of a stream that began before the stop says nothing of a close, so its caller goes on using the connection. Three relatives: the Connection header was decided when a request came, not when its answer began, so answers that waited for their engine through the SIGTERM left their connections open; a request read behind another one was dropped by the answer before it; a request that no engine had begun to answer was cut at the end.

Change: from the drain on the router begins only requests whose deadline lies before the end of the stop, and answers others with 503 (Chooser.Drain); at that end it answers what has no answer yet (Router.Stop). The tracked listener is a package, internal/drain; CloseWhenStopping decides when the head of an answer is written and keeps the connection of a request that was read behind. The simulator uses the same, its callers keep using connections of stopping routers, and no router is stopped twice at once.

Ruled out: the listener being open for too long. Closing at once, as http.Server.Shutdown does, would drop requests that were read. A 503 from the drain on for all requests would refuse short ones that can be finished.

--- a/internal/server/connection_tracker_test.go
+++ b/internal/drain/listener_test.go
@@ -1,15 +1,13 @@
-package server
+package drain
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
-	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -17,10 +15,10 @@
 )
 
 // serveTracked serves requests on loopback and returns the tracker and the address.
-func serveTracked(c *qt.C, handler http.Handler) (*connectionTracker, string) {
+func serveTracked(c *qt.C, handler http.Handler) (*Listener, string) {
 	listener := listenLocal(c)
-	tracker := newConnectionTracker("test", listener)
-	server := &http.Server{Handler: handler, ConnState: tracker.setState, ReadHeaderTimeout: readHeaderTimeout}
+	tracker := NewListener("test", listener)
+	server := &http.Server{Handler: handler, ConnState: tracker.SetState, ReadHeaderTimeout: testTimeout}
 	go func() {
 		err := server.Serve(tracker)
 		c.Check(errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed), qt.IsTrue, qt.Commentf("%v", err))
@@ -119,10 +117,10 @@
 		t.Run(fmt.Sprintf("after %d requests", earlierRequests), func(t *testing.T) {
 			c := qt.New(t)
 			listener := &heldListener{Listener: listenLocal(c), isHeld: make(chan bool), release: make(chan bool)}
-			connections := newConnectionTracker("test", listener)
+			connections := NewListener("test", listener)
 			server := &http.Server{
 				Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
-				ConnState: connections.setState, ReadHeaderTimeout: readHeaderTimeout,
+				ConnState: connections.SetState, ReadHeaderTimeout: testTimeout,
 			}
 			go func() { c.Check(server.Serve(connections), qt.ErrorIs, net.ErrClosed) }()
 			defer checkClose(c, server)
@@ -172,43 +170,7 @@
 	c.Assert(connections.Open(), qt.Equals, 1)
 	mayEnd <- true
 	c.Assert(readEmptyAnswer(bufio.NewReader(busy)), qt.IsNil)
-	for !connections.isEmpty() {
+	for !connections.IsEmpty() {
 		runtime.Gosched()
 	}
 }
-
-// Callers that send one request after another until the node is gone, on kept and on new connections.
-func TestAStopAnswersEveryRequestThatItHasRead(t *testing.T) {
-	c := qt.New(t)
-	seed := freeAddress(c)
-	deployment := validDeployment(c, []string{seed}, seed)
-	node := startDeployed(c, deployment, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
-	services := <-node.services
-	awaitStatus(deployment.Callers, "/", http.StatusNoContent)
-	const callers = 64
-	var calling sync.WaitGroup
-	for range callers {
-		calling.Go(func() { callUntilGone(c.Context(), deployment.Callers) })
-	}
-	node.stop()
-	c.Assert(<-node.ended, qt.IsNil)
-	calling.Wait()
-	c.Assert(services.callerConnections.Unanswered(), qt.Equals, uint64(0))
-}
-
-// callUntilGone sends requests to an address until no connection to it can be opened.
-func callUntilGone(ctx context.Context, address string) {
-	for {
-		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		if err != nil {
-			return
-		}
-		answers := bufio.NewReader(connection)
-		for err == nil {
-			if _, err = connection.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")); err == nil {
-				err = readEmptyAnswer(answers)
-			}
-		}
-		_ = connection.Close()
-	}
-}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -25,7 +25,7 @@
 func (c *Chooser) admit(now kernel.Micros, request Request) (*Call, *Rejection) {
 	c.counts.Requests++
 	call := &Call{Request: request, number: c.counts.Requests, triedEngines: map[string]bool{}}
-	if c.isShutdown {
+	if c.mayOutlast(&request) {
 		return nil, c.reject(&Rejection{"stopping", "this router is shutting down; retry at another one", http.StatusServiceUnavailable, shortRetryAfter})
 	}
 	if rejection := c.selectEngine(now, call); rejection != nil {
@@ -221,7 +221,7 @@
 	} else if !call.Request.Route.IsRepeatable() {
 		return false, c.reject(failure)
 	}
-	if now >= call.Request.Deadline || call.isBoundToEngine {
+	if now >= call.Request.Deadline || call.isBoundToEngine || c.hasStopped(now) {
 		return false, c.reject(failure)
 	}
 	// An attempt of which no byte was written has reached no engine. So it does not count as one of the route's
--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -100,12 +100,12 @@
 
 // rejectBody rejects a request whose body could not be read.
 func rejectBody(w http.ResponseWriter, err error) *Rejection {
+	// Without the close, the rest of the body would be parsed as the next request.
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return rejectTooLarge(tooLarge.Limit)
 	}
-	// Without the close, the rest of the body would be parsed as the next request.
-	w.Header().Set("Connection", "close")
 	if errors.As(err, new(bodyMemoryError)) {
 		return rejectForMemory()
 	}
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -47,9 +47,9 @@
 // Outcome is how an attempt ended.
 type Outcome int
 
-// Outcomes of attempts. Served and Failed end the call with the engine's response. CallerDisconnected and Withheld end
-// it as well; after the other outcomes another attempt may follow. Metrics and journals use the names that String
-// returns.
+// Outcomes of attempts. Served and Failed end the call with the engine's response. CallerDisconnected, Withheld and
+// RouterStopped end it as well; after the other outcomes another attempt may follow. Metrics and journals use the names
+// that String returns.
 const (
 	Served             Outcome = iota // the response was read to its end
 	NotSent                           // no byte was written
@@ -60,10 +60,11 @@
 	CallerDisconnected                // the caller closed its connection
 	Failed                            // the engine reported a failure in a complete response
 	Withheld                          // this router may not send to any engine now
+	RouterStopped                     // this router stopped during the attempt
 )
 
 func (o Outcome) String() string {
-	return [...]string{"served", "not sent", "said not run", "moved", "silent", "lost", "caller gone", "failed", "withheld"}[o]
+	return [...]string{"served", "not sent", "said not run", "moved", "silent", "lost", "caller gone", "failed", "withheld", "router stopped"}[o]
 }
 
 // isProvenNotRun reports whether the engine provably has not run the request and will not run it.
--- a/internal/router/chooser.go
+++ b/internal/router/chooser.go
@@ -6,6 +6,7 @@
 
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/invariant"
+	"dunlinloom/internal/kernel"
 )
 
 // Chooser owns the state of a router's requests and decides on it: which engine gets an attempt, and whether another
@@ -25,7 +26,8 @@
 	splits            map[*fleetconfig.Route]*splitShares // by the routes of the current configuration
 	meanPromptTokens  float64                             // running mean of the prompt tokens of a request
 	meanAttemptTokens float64                             // running mean of the outstanding tokens of an attempt
-	isShutdown        bool
+	isDraining        bool
+	drainUntil        kernel.Micros // set if isDraining: when the router stops
 	invariants        *invariant.Monitor
 	counts            Counts
 	recorder          *decisionRecorder // nil: decisions are not recorded
@@ -41,16 +43,25 @@
 	}
 }
 
-// Shutdown makes the Chooser reject new requests. Requests that were admitted before may still be retried.
-func (c *Chooser) Shutdown() {
+// Drain makes the Chooser reject new requests that may last beyond until, when the router stops; zero: all new requests.
+// Requests that were admitted before may still be retried until then.
+func (c *Chooser) Drain(until kernel.Micros) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.isShutdown = true
+	c.isDraining, c.drainUntil = true, until
 	if c.recorder != nil {
-		c.recorder.write(Decision{Kind: DecisionShutdown})
+		c.recorder.write(Decision{At: until, Kind: DecisionDrain})
 	}
 }
 
+// mayOutlast reports whether a request may last beyond the stop of a draining router; the lock is held.
+func (c *Chooser) mayOutlast(request *Request) bool {
+	return c.isDraining && request.Deadline+deadlineGrace > c.drainUntil
+}
+
+// hasStopped reports whether the router makes no further attempts; the lock is held.
+func (c *Chooser) hasStopped(now kernel.Micros) bool { return c.isDraining && now >= c.drainUntil }
+
 // Counts are the totals of a Chooser since it was made. Extras are the retries charged to the retry budget. Diverts are
 // requests that were diverted from their preferred engine, and Spared those that were not, because that engine was
 // predicted to meet the latency target. Refused counts rejections by reason, Endings the ended attempts by outcome.
--- a/internal/router/decision_log.go
+++ b/internal/router/decision_log.go
@@ -23,7 +23,7 @@
 	DecisionAbandon    DecisionKind = "may_abandon" // MayAbandon
 	DecisionClose      DecisionKind = "close"       // Close
 	DecisionReportLoad DecisionKind = "load"        // ReportLoad
-	DecisionShutdown   DecisionKind = "shutdown"    // Shutdown
+	DecisionDrain      DecisionKind = "shutdown"    // Drain; At is when the router stops
 )
 
 // RouteRef identifies a route. Config numbers the configurations in the order in which the Chooser received them, and
@@ -208,8 +208,8 @@
 			return false
 		}
 		r.chooser.ReportLoad(d.At, d.Engine, *d.Load)
-	case DecisionShutdown:
-		r.chooser.Shutdown()
+	case DecisionDrain:
+		r.chooser.Drain(d.At)
 	default:
 		call := r.calls[d.Call]
 		return call != nil && r.stepOfCall(d, call)
--- a/internal/router/decision_log_test.go
+++ b/internal/router/decision_log_test.go
@@ -104,7 +104,7 @@
 		}
 		r.step()
 	}
-	r.chooser.Shutdown()
+	r.chooser.Drain(r.now)
 	r.admit()
 	return decisions
 }
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -21,6 +21,11 @@
 
 func (deadlineExceededError) Error() string { return "the deadline of the request has passed" }
 
+// routerStoppedError is the cause with which an exchange is canceled when the router stops.
+type routerStoppedError struct{}
+
+func (routerStoppedError) Error() string { return "this router has stopped" }
+
 // attemptCanceledError says that an attempt was canceled before a byte was written, since Chooser.Sent did not allow
 // it.
 type attemptCanceledError struct{}
@@ -33,7 +38,10 @@
 func (rt *Router) attempt(ctx context.Context, answer *answer, body []byte) attemptResult {
 	call := answer.call
 	remaining := (call.Request.Deadline + deadlineGrace - rt.Env.Clock.Now()).Duration()
-	attemptCtx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(remaining), deadlineExceededError{})
+	stoppable, cancelStopped := context.WithCancelCause(ctx)
+	defer cancelStopped(nil)
+	defer context.AfterFunc(rt.lifetime, func() { cancelStopped(routerStoppedError{}) })()
+	attemptCtx, cancel := context.WithDeadlineCause(stoppable, time.Now().Add(remaining), deadlineExceededError{})
 	defer cancel()
 	for {
 		result, isReused, err := rt.attemptOnce(attemptCtx, answer, body)
@@ -45,7 +53,7 @@
 		if isReused && errors.As(err, new(NotWrittenError)) {
 			continue
 		}
-		return failedResult(ctx, err)
+		return failedResult(ctx, context.Cause(attemptCtx), err)
 	}
 }
 
@@ -89,13 +97,16 @@
 	return new(bytes.Buffer)
 }
 
-// failedResult returns the result of an attempt that failed with err. ctx ends when the caller disconnects.
-func failedResult(ctx context.Context, err error) attemptResult {
+// failedResult returns the result of an attempt that failed with err. ctx ends when the caller disconnects; cause is why
+// the attempt was canceled, or nil.
+func failedResult(ctx context.Context, cause, err error) attemptResult {
 	switch {
 	case ctx.Err() != nil:
 		return attemptResult{CallerDisconnected, "the caller disconnected"}
 	case errors.As(err, new(NotWrittenError)):
 		return attemptResult{NotSent, err.Error()}
+	case errors.As(cause, new(routerStoppedError)):
+		return attemptResult{RouterStopped, cause.Error()}
 	}
 	return attemptResult{ConnectionLost, err.Error()}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,7 +56,8 @@
 	inFlight      atomic.Int64
 	reservedBytes atomic.Int64
 	truncated     atomic.Uint64
-	isStopping    atomic.Bool
+	lifetime      context.Context // ends with Stop
+	stop          context.CancelFunc
 	failures      failureLog
 	buffers       sync.Pool // messages to engines
 	copyBuffers   sync.Pool // of copyBufferBytes each
@@ -67,7 +68,8 @@
 // used.
 func NewRouter(settings Settings) *Router {
 	settings.Chooser.invariants, settings.Pool.invariants = settings.Invariants, settings.Invariants
-	return &Router{Settings: settings, buffers: sync.Pool{New: func() any { return new(bytes.Buffer) }}}
+	lifetime, stop := context.WithCancel(context.Background())
+	return &Router{Settings: settings, lifetime: lifetime, stop: stop, buffers: sync.Pool{New: func() any { return new(bytes.Buffer) }}}
 }
 
 // InFlight is the number of requests being served.
@@ -80,9 +82,12 @@
 // disconnected are not counted.
 func (rt *Router) Truncated() uint64 { return rt.truncated.Load() }
 
-// Stop makes every further answer close its caller's connection. Requests are still served; Chooser.Shutdown rejects
-// them.
-func (rt *Router) Stop() { rt.isStopping.Store(true) }
+// Drain rejects new requests that may last beyond until, when Stop will be called. Those in progress go on.
+func (rt *Router) Drain(until kernel.Micros) { rt.Chooser.Drain(until) }
+
+// Stop ends all requests in progress. A request of which the caller has no part of an answer is rejected; the answers
+// that have begun are cut off.
+func (rt *Router) Stop() { rt.stop() }
 
 // Sweep closes idle connections to engines that can't be reused or are no longer needed. It has to be called about once
 // a second; see Pool.Sweep.
@@ -107,9 +112,6 @@
 	defer rt.setWriteTimeout(w, finalWriteTimeout)
 	active := rt.inFlight.Add(1)
 	defer rt.inFlight.Add(-1)
-	if rt.isStopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	// The check comes before the configuration is read, so that the configuration used is at least as recent as the one
 	// checked. A retry of this request is not checked again.
 	isStale := rt.IsConfigStale != nil && rt.IsConfigStale()
--- a/internal/server/api.go
+++ b/internal/server/api.go
@@ -12,6 +12,7 @@
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
 	"dunlinloom/internal/control/registry"
+	"dunlinloom/internal/drain"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/history"
 	"dunlinloom/internal/invariant"
@@ -34,7 +35,7 @@
 	limitedListener *LimitedListener
 	controlGuard    *ControlGuard // nil unless a deployment's control address is served
 	// callerConnections are the connections of a deployment's callers; nil where there are none.
-	callerConnections *connectionTracker
+	callerConnections *drain.Listener
 	archive           *history.Archive // nil where past configurations are not kept
 	services          *kernel.Kernel
 	isStopping        func() bool
--- a/internal/server/deployment_serve.go
+++ b/internal/server/deployment_serve.go
@@ -8,12 +8,13 @@
 	"net/http"
 
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/drain"
 )
 
 // trackedServer is an HTTP server with the connections that it serves.
 type trackedServer struct {
 	*http.Server
-	connections *connectionTracker
+	connections *drain.Listener
 }
 
 // listen opens one of the deployment's addresses and serves it until the cleanup. An error of the server is sent to
@@ -23,11 +24,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", what, err)
 	}
-	tracker := newConnectionTracker(what, wrap(listener))
+	tracker := drain.NewListener(what, wrap(listener))
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: withHeadGuard, ConnState: tracker.setState,
+		ConnContext: withConnection, ConnState: tracker.SetState,
 	}
 	d.kernel.Cleanup.Defer(func() error { return ignoreClosed(server.Close()) })
 	go func() {
@@ -38,6 +39,11 @@
 	return &trackedServer{server, tracker}, nil
 }
 
+// withConnection adds what handlers need to know of a connection to the context of its requests.
+func withConnection(ctx context.Context, connection net.Conn) context.Context {
+	return withHeadGuard(drain.ConnContext(ctx, connection), connection)
+}
+
 // plainListener returns the listener unchanged.
 func plainListener(listener net.Listener) net.Listener { return listener }
 
@@ -66,7 +72,7 @@
 			return fmt.Errorf("build the control handler: %w", err)
 		}
 		d.services.ControlGuard = NewControlGuard(deployment.Limits.controlLimits())
-		if d.control, err = d.listen(ctx, "control", deployment.Control, closeWhenStopping(d.isStopping.Load, d.services.ControlGuard.Handler(handler)), d.services.ControlGuard.Listener); err != nil {
+		if d.control, err = d.listen(ctx, "control", deployment.Control, drain.CloseWhenStopping(d.isStopping.Load, d.services.ControlGuard.Handler(handler)), d.services.ControlGuard.Listener); err != nil {
 			return err
 		}
 	}
@@ -77,7 +83,7 @@
 		if err != nil {
 			return fmt.Errorf("build the callers' handler: %w", err)
 		}
-		d.callers, err = d.listen(ctx, "callers", deployment.Callers, guardHeads(closeWhenStopping(d.isStopping.Load, d.countInFlight(handler))), func(listener net.Listener) net.Listener {
+		d.callers, err = d.listen(ctx, "callers", deployment.Callers, guardHeads(drain.CloseWhenStopping(d.isStopping.Load, d.countInFlight(handler))), func(listener net.Listener) net.Listener {
 			limitedListener.Listener = listener
 			return guardedListener{limitedListener}
 		})
--- a/internal/server/deployment_shutdown.go
+++ b/internal/server/deployment_shutdown.go
@@ -21,9 +21,13 @@
 	drainTimeout := max(d.current.Load().Bounds.GracePeriod-graceMargin, kernel.Second)
 	waitUntil(int64(min(shutdownDelay, drainTimeout/2)), func() bool { return false })
 	drainDeadline := startedAt + drainTimeout
+	if router := d.services.Router; router != nil {
+		router.Drain(drainDeadline)
+	}
 	d.drain(d.callers, drainDeadline-controlDrainTime)
 	d.drain(d.control, drainDeadline)
 	d.waitClosed(d.callers, drainDeadline)
+	d.rejectRemaining()
 	waitUntil(int64(min(2*kernel.Second, drainDeadline-d.env.Clock.Now())), func() bool { return !d.runner.HasDuties() })
 	d.env.Log.Info("drained", "live", d.inFlight.Load())
 }
@@ -34,9 +38,22 @@
 		return
 	}
 	if err := ignoreClosed(server.connections.Drain()); err != nil {
-		d.env.Log.Error(err, "listener could not be closed", "server", server.connections.name)
+		d.env.Log.Error(err, "listener could not be closed", "server", server.connections.Name())
+	}
+	waitUntil(int64(deadline-d.env.Clock.Now()), server.connections.IsEmpty)
+}
+
+// lastAnswersTimeout limits how long the answers to the requests that the end of a stop rejects may take.
+const lastAnswersTimeout = 100 * kernel.Millisecond
+
+// rejectRemaining rejects the requests that no engine has begun to answer. Answers that have begun can't be finished any
+// more.
+func (d *deploymentProcess) rejectRemaining() {
+	if d.services.Router == nil {
+		return
 	}
-	waitUntil(int64(deadline-d.env.Clock.Now()), server.connections.isEmpty)
+	d.services.Router.Stop()
+	waitUntil(int64(lastAnswersTimeout), d.callers.connections.IsEmpty)
 }
 
 // waitClosed waits until a server has no connection any more or the deadline has passed, and logs what it has not
@@ -45,9 +62,9 @@
 	if server == nil {
 		return
 	}
-	waitUntil(int64(deadline-d.env.Clock.Now()), server.connections.isEmpty)
+	waitUntil(int64(deadline-d.env.Clock.Now()), server.connections.IsEmpty)
 	kept, first := server.connections.DrainRequests()
-	d.env.Log.Info("connections have ended", "server", server.connections.name, "open", server.connections.Open(),
+	d.env.Log.Info("connections have ended", "server", server.connections.Name(), "open", server.connections.Open(),
 		"unanswered", server.connections.Unanswered(), "draining_kept", kept, "draining_new", first)
 }
 
--- a/internal/server/head_guard.go
+++ b/internal/server/head_guard.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dunlinloom/internal/drain"
 )
 
 // The head guard prevents request smuggling. A request with both Content-Length and Transfer-Encoding is ambiguous about
@@ -54,6 +56,13 @@
 	return head, isSameFraming && head.requestLine == xxhash.Sum64String(r.Method+" "+r.RequestURI+" "+r.Proto)
 }
 
+// HasRequestBehind reports whether a part of a request was read that is not being served yet.
+func (g *headGuard) HasRequestBehind() bool {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.follower.hasRequestBehind()
+}
+
 // guardedListener wraps each accepted connection in a headGuard.
 type guardedListener struct{ net.Listener }
 
@@ -68,9 +77,9 @@
 
 type headGuardKey struct{}
 
-// withHeadGuard adds a connection's guard to the context of its requests. It is an http.Server's ConnContext.
+// withHeadGuard adds a connection's guard to the context of its requests.
 func withHeadGuard(ctx context.Context, connection net.Conn) context.Context {
-	if tracked, isTracked := connection.(*trackedConnection); isTracked {
+	if tracked, isTracked := connection.(*drain.Connection); isTracked {
 		connection = tracked.Conn
 	}
 	if guard, isGuarded := connection.(*headGuard); isGuarded {
--- a/internal/server/planned_stop_test.go
+++ b/internal/server/planned_stop_test.go
@@ -135,27 +135,28 @@
 func TestNoRequestIsBegunLongAfterAStop(t *testing.T) {
 	refused := plannedAnswer{http.StatusServiceUnavailable, true, true, true}
 	for _, test := range []struct {
-		name string
+		name         string
+		isBegunLater bool // the first answer begins after the stop
 		// first is sent before the stop, second once the node drains; the first request ends in between.
 		first, second func(p *plannedStop) string
 	}{
 		{
-			"the next one of a connection whose answer began before the stop",
+			"the next one of a connection whose answer began before the stop", false,
 			func(p *plannedStop) string { return p.request("one", "streams", "") },
 			func(p *plannedStop) string { return p.request("two", "streams", "") },
 		},
 		{
-			"behind one whose answer began before the stop",
+			"behind one whose answer began before the stop", false,
 			func(p *plannedStop) string { return p.request("one", "streams", "") + p.request("two", "streams", "") },
 			func(*plannedStop) string { return "" },
 		},
 		{
-			"behind one whose answer begins while the node drains",
+			"behind one whose answer begins while the node drains", true,
 			func(p *plannedStop) string { return p.request("one", "waits", "x") + p.request("two", "streams", "") },
 			func(*plannedStop) string { return "" },
 		},
 		{
-			"a body that ends while the node drains, behind an answer that began before the stop",
+			"a body that ends while the node drains, behind an answer that began before the stop", false,
 			func(p *plannedStop) string {
 				return p.request("one", "streams", "") + strings.TrimSuffix(p.request("two", "streams", "body"), "dy")
 			},
@@ -171,6 +172,11 @@
 			_, err := io.WriteString(caller, test.first(p))
 			c.Assert(err, qt.IsNil)
 			c.Assert(<-p.engine.begun, qt.Equals, "one")
+			if !test.isBegunLater {
+				// The head of the first answer says nothing of a close.
+				_, err = answers.Peek(1)
+				c.Assert(err, qt.IsNil)
+			}
 			p.node.stop()
 			p.awaitDrain()
 			p.engine.end("one")
@@ -221,3 +227,39 @@
 	c.Assert(<-p.node.ended, qt.IsNil)
 	p.engine.end("one")
 }
+
+// Callers that send one request after another until the node is gone, on kept and on new connections.
+func TestAStopAnswersEveryRequestThatItHasRead(t *testing.T) {
+	c := qt.New(t)
+	seed := freeAddress(c)
+	deployment := validDeployment(c, []string{seed}, seed)
+	node := startDeployed(c, deployment, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	services := <-node.services
+	awaitStatus(deployment.Callers, "/", http.StatusNoContent)
+	const callers = 64
+	var calling sync.WaitGroup
+	for range callers {
+		calling.Go(func() { callUntilGone(c.Context(), deployment.Callers) })
+	}
+	node.stop()
+	c.Assert(<-node.ended, qt.IsNil)
+	calling.Wait()
+	c.Assert(services.callerConnections.Unanswered(), qt.Equals, uint64(0))
+}
+
+// callUntilGone sends requests to an address until no connection to it can be opened.
+func callUntilGone(ctx context.Context, address string) {
+	for {
+		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return
+		}
+		answers := bufio.NewReader(connection)
+		for isWhole := true; err == nil && isWhole; {
+			if _, err = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err == nil {
+				isWhole = readPlannedAnswer(answers).isWhole
+			}
+		}
+		_ = connection.Close()
+	}
+}
--- a/internal/server/process.go
+++ b/internal/server/process.go
@@ -18,6 +18,7 @@
 
 	"dunlinloom/internal/control"
 	"dunlinloom/internal/control/cluster"
+	"dunlinloom/internal/drain"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/invariant"
 	"dunlinloom/internal/kernel"
@@ -99,7 +100,7 @@
 	archiver       *Archiver
 	publicListener *LimitedListener
 	// publicConnections are the connections of publicListener, once it is served.
-	publicConnections *connectionTracker
+	publicConnections *drain.Listener
 	isStopping        atomic.Bool
 	// invariants counts violations in all parts of the process.
 	invariants *invariant.Monitor
@@ -160,11 +161,11 @@
 		return nil, fmt.Errorf("listen for nodes: %w", err)
 	}
 	a.kernel.Cleanup.Defer(func() error { return ignoreClosed(peer.Close()) })
-	a.publicConnections = newConnectionTracker("public", a.publicListener)
+	a.publicConnections = drain.NewListener("public", a.publicListener)
 	publicServer := &http.Server{
-		Handler:           closeWhenStopping(a.isStopping.Load, handler),
+		Handler:           drain.CloseWhenStopping(a.isStopping.Load, handler),
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 120 * time.Second, MaxHeaderBytes: 64 << 10,
-		ConnState: a.publicConnections.setState,
+		ConnState: a.publicConnections.SetState, ConnContext: drain.ConnContext,
 	}
 	peerServer := &http.Server{
 		Handler:           NewPeerHandler(a.runner.Deliver, a.runner.Unreadable, a.runner.FetchConfig, a.runner.PeerStatus),
@@ -197,7 +198,7 @@
 	// Callers' connections end before the runner stops, since cleanups run in reverse order.
 	a.kernel.Cleanup.Defer(func() error {
 		a.drainPublic()
-		waitUntil(int64(publicDrainTimeout), a.publicConnections.isEmpty)
+		waitUntil(int64(publicDrainTimeout), a.publicConnections.IsEmpty)
 		return ignoreClosed(publicServer.Close())
 	})
 	a.env.Log.Info("serving", "public", a.env.Self.Public, "member", string(member))
--- a/internal/server/request_follower.go
+++ b/internal/server/request_follower.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// hasRequestBehind reports whether a part of a request was seen that is not being served. The follower does not know it
+// of requests that it has stopped parsing.
+func (f *requestFollower) hasRequestBehind() bool {
+	isInHead := f.state == followHead && (f.hasLine || f.hash != nil)
+	return len(f.heads) > 0 || isInHead
+}
+
 // finishBytes moves to the next state if the body or chunk is complete.
 func (f *requestFollower) finishBytes() {
 	if f.remaining > 0 {
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"dunlinloom/internal/drain"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/invariant"
 	"dunlinloom/internal/kernel"
@@ -16,7 +17,7 @@
 	LimitedListener *LimitedListener // nil where callers are not served
 	ControlGuard    *ControlGuard    // nil until the control address is served, and where it is not
 	// callerConnections are the connections of callers; nil until callers are served, and where they are not.
-	callerConnections *connectionTracker
+	callerConnections *drain.Listener
 	// Router is the data plane; nil until the callers' handler is built.
 	Router     *router.Router
 	Invariants *invariant.Monitor
--- a/test/simulator/routed.go
+++ b/test/simulator/routed.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"dunlinloom/internal/drain"
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/invariant"
 	"dunlinloom/internal/kernel"
@@ -81,6 +83,8 @@
 	pool              *router.Pool
 	router            *router.Router
 	server            *http.Server
+	connections       *drain.Listener
+	isStopping        atomic.Bool
 	isLeaving         bool
 	isDown            bool
 	deliveredRevision int
@@ -367,10 +371,14 @@
 	if err != nil {
 		panic(fmt.Errorf("start a router: %w", err))
 	}
-	served.server = &http.Server{Handler: served.router, ErrorLog: log.New(panicWatch{f, name}, "", 0), IdleTimeout: 60 * time.Second}
+	served.connections = drain.NewListener(name, listener)
+	served.server = &http.Server{
+		Handler: drain.CloseWhenStopping(served.isStopping.Load, served.router), ErrorLog: log.New(panicWatch{f, name}, "", 0), IdleTimeout: 60 * time.Second,
+		ConnState: served.connections.SetState, ConnContext: drain.ConnContext,
+	}
 	f.serving.Go(func() {
 		// Serve returns when the listener is closed, so its error is ignored.
-		served.server.Serve(listener)
+		served.server.Serve(served.connections)
 	})
 	f.background.Go(func() {
 		ticker := time.NewTicker(time.Second)
--- a/test/simulator/routed_callers.go
+++ b/test/simulator/routed_callers.go
@@ -8,6 +8,8 @@
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dunlinloom/internal/kernel"
 	"dunlinloom/internal/router"
 	"dunlinloom/test/checker"
@@ -100,6 +102,25 @@
 	return ready[index%len(ready)]
 }
 
+// keptRouterOneIn is how many requests there are for each one that goes to a router with an open connection even if the
+// platform does not route to it any more.
+const keptRouterOneIn = 3
+
+// routeKept returns a stopping router to which a caller has an open connection, or nil.
+func (f *routedFleet) routeKept(request *routedcaller.Request) *routedRouter {
+	if request.WantsNewConnection || xxhash.Sum64String(request.ID)%keptRouterOneIn != 0 {
+		return nil
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for _, router := range f.routers {
+		if router.isLeaving && !router.isDown && len(f.idleConns[router.name]) > 0 {
+			return router
+		}
+	}
+	return nil
+}
+
 // connect returns an idle connection to a router, or a new one.
 func (f *routedFleet) connect(router *routedRouter, wantsNew bool) (*callerConn, error) {
 	if !wantsNew {
@@ -125,7 +146,10 @@
 // sendOnce sends one request and returns how it ended and the delay before a retry.
 func (f *routedFleet) sendOnce(request routedcaller.Request) (checker.RoutedEvent, kernel.Micros) {
 	route := request.Kind.Route
-	router := f.route(request.RouterIndex)
+	router := f.routeKept(&request)
+	if router == nil {
+		router = f.route(request.RouterIndex)
+	}
 	f.lock.Lock()
 	services := append([]string(nil), f.services[route.Name]...)
 	f.lock.Unlock()
--- a/test/simulator/routed_test.go
+++ b/test/simulator/routed_test.go
@@ -175,6 +175,25 @@
 
 func TestRoutedStopsDropNothing(t *testing.T) { runRule(t, nil, "stop", "stop") }
 
+// Guards against requests that a router began during its stop, on connections whose answers had begun before it, and that
+// the end of the stop broke off.
+func TestRoutedStopsBeginNothingThatTheyCut(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			d := DrawDeployment(90 + seed)
+			long := &d.Kinds[0]
+			long.Out = int(4 * sec / d.Step)
+			long.Deadline, long.Route.Timeout = 40*sec, 40*sec
+			long.Rate = 6
+			outcome := runInBubble(t, RoutedPlan{Seed: seed, Deployment: d, Span: 3 * routedSpan, Faults: []string{"stop", "stop", "stop"}})
+			for _, violation := range outcome.Report.Violations {
+				t.Errorf("%s: at %d us: %s", violation.Rule, violation.At, violation.Detail)
+			}
+		})
+	}
+}
+
 func TestRoutedBudgetHolds(t *testing.T) {
 	runRule(t, func(d *RoutedDeployment) {
 		d.Bounds.RetryRatio, d.Bounds.RetrySlack = 0.05, 2
--- a/test/simulator/routed_troubles.go
+++ b/test/simulator/routed_troubles.go
@@ -1,10 +1,10 @@
 package simulator
 
 import (
-	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"dunlinloom/internal/fleetconfig"
 	"dunlinloom/internal/kernel"
@@ -158,7 +158,7 @@
 // stopRouter shuts a router down in the order that the hosting platform, wings, uses.
 func stopRouter(f *faultInjector, _ kernel.Micros) {
 	f.lock.Lock()
-	up := slices.DeleteFunc(slices.Clone(f.routers), func(r *routedRouter) bool { return r.isDown || r.isLeaving })
+	up := slices.DeleteFunc(slices.Clone(f.routers), func(r *routedRouter) bool { return r.isDown || r.isStopping.Load() })
 	if len(up) < 2 {
 		f.lock.Unlock()
 		return
@@ -166,20 +166,39 @@
 	router := up[f.random.IntN(len(up))]
 	f.lock.Unlock()
 	f.note(checker.RoutedEvent{EventKind: checker.RouterStopping, Router: router.name})
-	router.router.Stop()
+	router.isStopping.Store(true)
+	stoppedAt := f.clock.Now()
 	// The platform notices after two health checks.
 	f.after(2*sec, func() { f.lock.Lock(); router.isLeaving = true; f.lock.Unlock() })
 	last := f.deployment.Bounds.GracePeriod - 400*ms
 	f.after(min(2500*ms, last/2), func() {
-		ctx, cancel := context.WithTimeout(f.context, (last - 2500*ms).Duration())
-		defer cancel()
-		// Requests cut off by the shutdown are checked by the events that callers recorded.
-		router.server.Shutdown(ctx)
+		router.router.Drain(stoppedAt + last)
+		// The listener's error is ignored: nothing else closes it before the router ends.
+		router.connections.Drain()
+		f.awaitConnections(router, stoppedAt+last)
+		router.router.Stop()
+		f.awaitConnections(router, stoppedAt+last+lastAnswersTimeout)
 		f.endRouter(router)
 		f.change(func() {})
 	})
 }
 
+// lastAnswersTimeout limits how long a stopping router's last answers may take.
+const lastAnswersTimeout = 100 * ms
+
+// awaitConnections waits until a router has no connections of callers, until a moment, or until the run ends.
+func (f *faultInjector) awaitConnections(router *routedRouter, until kernel.Micros) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for !router.connections.IsEmpty() && f.clock.Now() < until {
+		select {
+		case <-ticker.C:
+		case <-f.context.Done():
+			return
+		}
+	}
+}
+
 var routedFaults = map[string]routedFault{
 	"dark":  makeFaulty("dark", func(t *emulator.ModelFaults) { t.IsUnresponsive = true }),
 	"slow":  makeFaulty("slow", func(t *emulator.ModelFaults) { t.SlowFactor = 6 }),
@@ -262,7 +281,7 @@
 	"stop":      stopRouter,
 	"router-crash": func(f *faultInjector, span kernel.Micros) {
 		f.lock.Lock()
-		up := slices.DeleteFunc(slices.Clone(f.routers), func(r *routedRouter) bool { return r.isDown || r.isLeaving })
+		up := slices.DeleteFunc(slices.Clone(f.routers), func(r *routedRouter) bool { return r.isDown || r.isStopping.Load() })
 		if len(up) < 2 {
 			f.lock.Unlock()
 			return
