--- a/tools/daygen/day.go
+++ b/tools/daygen/day.go
@@ -14,6 +14,7 @@
 	Seed          int64       `toml:"seed"`
 	LengthSeconds float64     `toml:"length_s"`
 	FinalFault    *FinalFault `toml:"closing,omitempty"`
+	Traffic       []Traffic   `toml:"traffic,omitempty"` // in place of the site's own
 	Plan          []Event     `toml:"plan"`
 	Faults        []Event     `toml:"faults"`
 }
--- a/tools/daygen/daygen_test.go
+++ b/tools/daygen/daygen_test.go
@@ -285,3 +285,38 @@
 	qt.Assert(t, errors.As(err, &incomplete), qt.IsTrue)
 	qt.Assert(t, incomplete.Missing, qt.Equals, "lead_s")
 }
+
+// Each scenario of the theme has its own traffic, nearly all of the class that takes longest, and no fault beside the stops.
+func TestStopsAreScheduledUnderLongRequests(t *testing.T) {
+	c := qt.New(t)
+	generator := newGenerator(t, "stop")
+	for index := range scenariosPerTheme {
+		scenario := generator.Scenario(1, index)
+		c.Assert(scenario.Faults, qt.HasLen, 0)
+		c.Assert(scenario.Traffic, qt.HasLen, 2)
+		for _, traffic := range scenario.Traffic {
+			c.Assert(traffic.Mix, qt.DeepEquals, map[string]float64{"chat": 1 - longShare, "batch": longShare})
+		}
+		stops := 0
+		for _, event := range scenario.Plan {
+			if event.Kind == "roll_term" {
+				stops++
+				c.Assert([]any{event.Share, event.How}, qt.DeepEquals, []any{1.0, "busy"})
+			}
+		}
+		c.Assert(stops >= 2, qt.IsTrue)
+	}
+}
+
+// Each scenario of the theme sends more than the site does, beside changes and without a fault.
+func TestQueuesAreScheduledBesideChanges(t *testing.T) {
+	c := qt.New(t)
+	generator := newGenerator(t, "queue")
+	for index := range scenariosPerTheme {
+		scenario := generator.Scenario(1, index)
+		c.Assert(scenario.Faults, qt.HasLen, 0)
+		c.Assert(scenario.Traffic[0].PerSecond >= 10*queueTrafficScale.Low, qt.IsTrue)
+		c.Assert(scenario.Traffic[0].Mix, qt.DeepEquals, map[string]float64{"chat": 20, "batch": 4})
+		c.Assert(len(scenario.Plan) > 5, qt.IsTrue)
+	}
+}
--- a/tools/daygen/main.go
+++ b/tools/daygen/main.go
@@ -18,7 +18,7 @@
 // arguments are the command-line flags.
 type arguments struct {
 	Site  string   `arg:"--site,required" help:"TOML file of the site: contracts, machines, services, request classes and timing"`
-	Theme string   `arg:"--theme" default:"mixed" help:"what the scenarios stress: start, cut, race, repair, storm or mixed"`
+	Theme string   `arg:"--theme" default:"mixed" help:"what the scenarios stress: start, cut, race, repair, storm, stop, queue or mixed"`
 	Seed  uint64   `arg:"--seed" default:"1" help:"the same seed generates the same scenarios"`
 	Count int      `arg:"--count" default:"10" help:"number of scenarios"`
 	Out   string   `arg:"--out,required" help:"output folder; it is created if it doesn't exist"`
--- a/tools/daygen/site.go
+++ b/tools/daygen/site.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/BurntSushi/toml"
 )
@@ -14,7 +16,8 @@
 	LengthSeconds float64   `toml:"length_s"`
 	Machines      []Machine `toml:"machines"`
 	Services      []Named   `toml:"services"`
-	Classes       []Named   `toml:"classes"`
+	Classes       []Class   `toml:"classes"`
+	Traffic       []Traffic `toml:"traffic"`
 	Timing        Timing    `toml:"timing"`
 }
 
@@ -25,11 +28,27 @@
 	Counted bool   `toml:"counted"`
 }
 
-// Named is a service or a class of requests. The generator uses only its name.
+// Named is a service. The generator uses only its name.
 type Named struct {
 	Name string `toml:"name"`
 }
 
+// Class is a class of requests.
+type Class struct {
+	Name           string  `toml:"name"`
+	DeadlineMillis float64 `toml:"deadline_ms"`
+}
+
+// Traffic is what the clients of one zone send: requests a second, mixed from the classes by weight.
+type Traffic struct {
+	Zone      string             `toml:"zone"`
+	Mix       map[string]float64 `toml:"mix"`
+	PerSecond float64            `toml:"per_s"`
+	Clients   int                `toml:"clients"`
+	Users     int                `toml:"users,omitzero"`
+	Shape     map[string]any     `toml:"shape,omitempty"`
+}
+
 // Timing holds the site's time limits.
 type Timing struct {
 	CatchUpSeconds float64 `toml:"catch_up_s"`
@@ -76,6 +95,11 @@
 	return ""
 }
 
+// LongestClass returns the class of requests whose clients wait for the longest time.
+func (s Site) LongestClass() Class {
+	return slices.MaxFunc(s.Classes, func(x, y Class) int { return cmp.Compare(x.DeadlineMillis, y.DeadlineMillis) })
+}
+
 // CoreZones returns the zone of each group of core machines. A zone with several groups is listed several times.
 func (s Site) CoreZones() []string {
 	var zones []string
--- a/tools/daygen/themes.go
+++ b/tools/daygen/themes.go
@@ -1,5 +1,10 @@
 package main
 
+import (
+	"maps"
+	"math"
+)
+
 // themes maps the name of a theme to the function that draws its events.
 var themes = map[string]func(*builder){
 	"start":  startTheme,
@@ -7,6 +12,8 @@
 	"race":   raceTheme,
 	"repair": repairTheme,
 	"storm":  stormTheme,
+	"stop":   stopTheme,
+	"queue":  queueTheme,
 	"mixed":  mixedTheme,
 }
 
@@ -224,6 +231,64 @@
 	event.Gap = b.number(Range{0.08, 0.12})
 }
 
+// The traffic of the themes that replace the site's own.
+const (
+	longShare        = 0.95 // of the class with the longest deadline, while machines are stopped
+	longTrafficScale = 0.5  // of the site's requests, which are mostly shorter
+)
+
+// queueTrafficScale is by how much more is sent than usual, so that engines queue requests.
+var queueTrafficScale = Range{1.4, 2.4}
+
+// stopTheme stops all machines in turn, several times, while nearly all requests take long, with reloads and changes
+// meanwhile. Nothing else disturbs them.
+func stopTheme(b *builder) {
+	long := b.site.LongestClass().Name
+	b.setTraffic(longTrafficScale, func(mix map[string]float64) {
+		for class := range mix {
+			mix[class] = 1 - longShare
+		}
+		mix[long] = longShare
+	})
+	b.length = b.site.LengthSeconds
+	stops := b.integer(Range{2, 3})
+	for stop := range stops {
+		begin := b.length * float64(stop) / float64(stops)
+		b.add(Range{begin, begin + 4}, b.stopAllInTurn, "roll_term")
+	}
+	for b.chance(optionalEventProbability) {
+		b.add(Range{1, b.length - quietTail}, nil, "hup", "config_change")
+	}
+}
+
+// stopAllInTurn makes a series of stops affect all machines, each while it answers requests.
+func (b *builder) stopAllInTurn(event *Event) {
+	event.Zone, event.On, event.Count = "", "", 0
+	event.Share, event.Strength, event.How = 1, float64(b.integer(Range{1, 4})), "busy"
+	event.Gap = b.number(Range{0.6, 1.6})
+}
+
+// queueTheme sends more than usual, so that engines queue requests and turn some away, with changes all the time. No
+// engine or machine is in trouble.
+func queueTheme(b *builder) {
+	b.length = b.site.LengthSeconds
+	b.setTraffic(b.number(queueTrafficScale), func(map[string]float64) {})
+	for at := 0.2; at < b.length-quietTail; at += b.number(Range{0.8, 2}) {
+		b.add(Range{at, at + 0.1}, nil, "config_change")
+	}
+}
+
+// setTraffic replaces the site's traffic by scale times as much, with another mix of classes.
+func (b *builder) setTraffic(scale float64, mix func(map[string]float64)) {
+	for _, usual := range b.site.Traffic {
+		changed := usual
+		changed.PerSecond = math.Round(usual.PerSecond*scale*stepsPerUnit) / stepsPerUnit
+		changed.Mix = maps.Clone(usual.Mix)
+		mix(changed.Mix)
+		b.scenario.Traffic = append(b.scenario.Traffic, changed)
+	}
+}
+
 // mixedTheme draws events of all kinds at any time, including during the first start.
 func mixedTheme(b *builder) {
 	anyTime := Range{-b.site.LeadSeconds, b.length - quietTail}
