An engine's silence ends no answer: another engine is tried beside it

Cause: the idle timer gave the first attempt up as soon as another one was allowed, before anybody knew whether that engine would serve. The head of the given-up attempt could still reach the caller in that moment, and the answer was bound to nothing from then on. An engine that rejected the request used up one of its attempts, though nothing had run there.

Change: after a silence another attempt is made beside the first (Chooser.Hedge). The one that first has something for the caller supersedes the others, which write nothing any more (answer.take) and are reset; a rejection, a loss or a second silence leaves the first one its time. Once a request may have run, engines that reject it count against the retry budget alone, six engines at most. The decisions name their attempt. A Call has a list of attempts; the answer has a file. An engine counts as unresponsive only if another one served after its silence.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -37,20 +37,18 @@
 // Sent records that the bytes of the attempt are about to be written. It returns false if the attempt must not be sent
 // because its engine is draining or has changed its address. An engine that is no longer in the routing table keeps its
 // last state while it has attempts, so this check does not notice that it has left.
-func (c *Chooser) Sent(now kernel.Micros, call *Call) bool {
+func (c *Chooser) Sent(now kernel.Micros, attempt *Attempt) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	isAllowed := c.sent(now, call)
-	if c.recorder != nil {
-		c.recorder.write(Decision{At: now, Kind: DecisionSent, Call: call.number, IsAllowed: isAllowed})
-	}
+	isAllowed := c.sent(now, attempt)
+	c.record(attempt, Decision{At: now, Kind: DecisionSent, IsAllowed: isAllowed})
 	return isAllowed
 }
 
 // sent implements Sent; the lock is held.
-func (c *Chooser) sent(now kernel.Micros, call *Call) bool {
-	state := c.engines[call.Attempt.Engine.ID]
-	if state == nil || state.engine.IsDraining || state.engine.Address != call.Attempt.Engine.Address {
+func (c *Chooser) sent(now kernel.Micros, attempt *Attempt) bool {
+	call, state := attempt.call, c.engines[attempt.Engine.ID]
+	if state == nil || state.engine.IsDraining || state.engine.Address != attempt.Engine.Address {
 		return false
 	}
 	if !call.isCounted {
@@ -58,32 +56,29 @@
 		c.budget(call.Request.Service).countRequest(now, c.retry)
 	}
 	call.sentAttempts++
-	c.checkSent(call)
+	attempt.isSent, attempt.isRepeat = true, call.sentAttempts > 1
+	c.checkSent(attempt)
 	return true
 }
 
 // Unsent undoes Sent for an attempt of which no byte was written.
-func (c *Chooser) Unsent(call *Call) {
+func (c *Chooser) Unsent(attempt *Attempt) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	call.sentAttempts--
-	if c.recorder != nil {
-		c.recorder.write(Decision{Kind: DecisionUnsent, Call: call.number})
-	}
+	attempt.call.sentAttempts--
+	attempt.isSent = false
+	c.record(attempt, Decision{Kind: DecisionUnsent})
 }
 
 // Answered records that the engine's response has begun, and the load that the response reports, if any.
-func (c *Chooser) Answered(now kernel.Micros, call *Call, load Load, hasLoad bool) {
+func (c *Chooser) Answered(now kernel.Micros, attempt *Attempt, load Load, hasLoad bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if c.recorder != nil {
-		recorded := Decision{At: now, Kind: DecisionAnswered, Call: call.number}
-		if hasLoad {
-			recorded.Load = &load
-		}
-		c.recorder.write(recorded)
+	recorded := Decision{At: now, Kind: DecisionAnswered}
+	if hasLoad {
+		recorded.Load = &load
 	}
-	attempt := call.Attempt
+	c.record(attempt, recorded)
 	state := c.engines[attempt.Engine.ID]
 	if state == nil {
 		return
@@ -99,13 +94,10 @@
 }
 
 // Produced records that the engine has sent events that carry this many tokens.
-func (c *Chooser) Produced(now kernel.Micros, call *Call, tokens int) {
+func (c *Chooser) Produced(now kernel.Micros, attempt *Attempt, tokens int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if c.recorder != nil {
-		c.recorder.write(Decision{At: now, Kind: DecisionProduced, Call: call.number, Tokens: tokens})
-	}
-	attempt := call.Attempt
+	c.record(attempt, Decision{At: now, Kind: DecisionProduced, Tokens: tokens})
 	state := c.engines[attempt.Engine.ID]
 	if state == nil || attempt.isClosed {
 		return
@@ -113,85 +105,123 @@
 	state.lastSeenAt = now
 	attempt.hasHead = true
 	// A request counts at least its prompt tokens until it ends, however many tokens were produced.
-	produced := min(int64(tokens), max(attempt.remainingTokens-int64(call.Request.PromptTokens), 0))
+	produced := min(int64(tokens), max(attempt.remainingTokens-int64(attempt.call.Request.PromptTokens), 0))
 	attempt.remainingTokens -= produced
 	state.outstandingTokens -= produced
 }
 
-// Bind records that the caller is sent a part of an answer that only the same engine can complete. The call is not
-// retried after that.
-func (c *Chooser) Bind(call *Call) {
+// Bind records that the caller is sent a part of an answer that only the engine of this attempt can complete. The call
+// is not retried after that.
+func (c *Chooser) Bind(attempt *Attempt) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	call.isBoundToEngine = true
-	if c.recorder != nil {
-		c.recorder.write(Decision{Kind: DecisionBind, Call: call.number})
-	}
+	attempt.call.isBoundToEngine = true
+	c.record(attempt, Decision{Kind: DecisionBind})
 }
 
-// MayAbandon reports whether an attempt at an unresponsive engine may be abandoned for another attempt. It requires
-// another engine that can take the request and a retry within the budget; that retry is charged here.
-func (c *Chooser) MayAbandon(now kernel.Micros, call *Call) bool {
+// Hedge starts another attempt beside one whose engine is unresponsive, and returns it, or nil if there may be none. It
+// requires another engine that can take the request and a retry within the budget, which is charged here. Only the newest
+// attempt in progress leads to another one: an older one is unresponsive as well, or it would have ended the newer one.
+func (c *Chooser) Hedge(now kernel.Micros, attempt *Attempt) *Attempt {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	isAllowed := c.mayAbandon(now, call)
-	if c.recorder != nil {
-		c.recorder.write(Decision{At: now, Kind: DecisionAbandon, Call: call.number, IsAllowed: isAllowed})
+	next := c.hedge(now, attempt)
+	recorded := Decision{At: now, Kind: DecisionHedge, IsAllowed: next != nil}
+	if next != nil {
+		recorded.Chosen = next.Engine.ID
 	}
-	return isAllowed
+	c.record(attempt, recorded)
+	return next
+}
+
+// hedge implements Hedge; the lock is held.
+func (c *Chooser) hedge(now kernel.Micros, attempt *Attempt) *Attempt {
+	call := attempt.call
+	if attempt != call.newestOpenAttempt() || call.hasEnded || call.isBoundToEngine || !call.Request.Route.IsRepeatable() {
+		return nil
+	}
+	if now >= call.Request.Deadline || c.hasStopped(now) || !call.mayAttempt() {
+		return nil
+	}
+	candidates, _, _ := c.candidates(now, call)
+	if len(candidates) == 0 || !c.chargeRetry(now, call) {
+		return nil
+	}
+	if c.selectEngine(now, call) != nil {
+		return nil
+	}
+	call.Attempt.isCharged = true
+	return call.Attempt
 }
 
-// mayAbandon implements MayAbandon; the lock is held.
-func (c *Chooser) mayAbandon(now kernel.Micros, call *Call) bool {
+// chargeRetry charges a retry to the budget, unless one has been charged that reached no engine. It reports whether the
+// budget allows it.
+func (c *Chooser) chargeRetry(now kernel.Micros, call *Call) bool {
 	if call.isRetryCharged {
+		call.isRetryCharged = false
 		return true
 	}
-	candidates, _, _ := c.candidates(now, call)
-	if len(candidates) == 0 || now >= call.Request.Deadline || call.isBoundToEngine || call.sentAttempts >= call.maxAttempts() {
+	if !c.spend(now, call.Request.Service) {
 		return false
 	}
-	call.isRetryCharged = c.spend(now, call.Request.Service)
-	return call.isRetryCharged
+	c.counts.Extras++
+	return true
+}
+
+// Next says how a call goes on after one of its attempts has ended. The zero value says that the call has ended: with
+// the engine's response (Served or Failed), or because the caller has disconnected.
+type Next struct {
+	Attempt *Attempt // the attempt to make; nil: none
+	// IsPending is set if another attempt decides: it is in progress, or it has ended the call.
+	IsPending bool
+	Rejection *Rejection // for the caller; nil: none
 }
 
-// Close ends the call's attempt. If another attempt may follow, Close returns true and the call holds the next attempt.
-// Otherwise it returns the rejection for the caller. There is none if the engine's response was the answer (Served or
-// Failed) or the caller has disconnected. Closing an attempt a second time has no effect.
-func (c *Chooser) Close(now kernel.Micros, call *Call, outcome Outcome, reason string) (isRetry bool, rejection *Rejection) {
+// Close ends an attempt and returns how its call goes on. Closing an attempt a second time has no effect.
+func (c *Chooser) Close(now kernel.Micros, attempt *Attempt, outcome Outcome, reason string) Next {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	isRetry, rejection = c.close(now, call, outcome, reason)
-	if rejection != nil {
-		c.checkRejection(call, rejection)
+	next := c.close(now, attempt, outcome, reason)
+	if next.Rejection != nil {
+		c.checkRejection(attempt.call, next.Rejection)
 	}
-	if c.recorder != nil {
-		recorded := Decision{At: now, Kind: DecisionClose, Call: call.number, Outcome: outcome, Reason: reason, IsAllowed: isRetry, Rejection: reasonOf(rejection)}
-		if isRetry {
-			recorded.Chosen = engineOf(call)
-		}
-		c.recorder.write(recorded)
+	recorded := Decision{At: now, Kind: DecisionClose, Outcome: outcome, Reason: reason, IsAllowed: next.Attempt != nil, Rejection: reasonOf(next.Rejection)}
+	if next.Attempt != nil {
+		recorded.Chosen = next.Attempt.Engine.ID
 	}
-	return isRetry, rejection
+	c.record(attempt, recorded)
+	return next
 }
 
 // close implements Close; the lock is held.
-func (c *Chooser) close(now kernel.Micros, call *Call, outcome Outcome, reason string) (isRetry bool, rejection *Rejection) {
-	attempt := call.Attempt
+func (c *Chooser) close(now kernel.Micros, attempt *Attempt, outcome Outcome, reason string) Next {
+	call := attempt.call
 	if attempt.isClosed {
-		return false, nil
+		return Next{}
 	}
 	c.endAttempt(now, attempt, outcome)
-	if outcome == Served || outcome == Failed {
-		return false, nil
+	if outcome != Served && outcome != Failed {
+		call.failedAttempts = append(call.failedAttempts, failedAttempt{attempt.Engine.ID, outcome, reason, now - call.Request.ArrivedAt})
+	}
+	if call.hasEnded {
+		return Next{IsPending: true}
+	}
+	if outcome == Served || outcome == Failed || outcome == CallerDisconnected {
+		call.hasEnded = true
+		return Next{}
+	}
+	call.mayHaveRun = call.mayHaveRun || !outcome.isProvenNotRun()
+	if outcome == RejectedByEngine || outcome == AddressReused {
+		call.rejectedAttempts++
 	}
-	call.failedAttempts = append(call.failedAttempts, failedAttempt{attempt.Engine.ID, outcome, reason, now - call.Request.ArrivedAt})
-	if outcome == CallerDisconnected {
-		return false, nil
+	if call.newestOpenAttempt() != nil {
+		call.isRetryCharged = call.isRetryCharged || outcome == NotSent && attempt.isCharged
+		return Next{IsPending: true}
 	}
 	if outcome == Withheld {
-		return false, c.reject(rejectWithheld(call))
+		return Next{Rejection: c.reject(rejectWithheld(call))}
 	}
-	return c.retryOrReject(now, call, outcome, reason)
+	return c.retryOrReject(now, attempt, outcome, reason)
 }
 
 // endAttempt subtracts an attempt from its engine's load and records its outcome.
@@ -206,39 +236,31 @@
 	}
 }
 
-// maxUnsentEngines limits the engines that are tried for a request without being charged as retries, because no byte
-// could be written to them.
-const maxUnsentEngines = 6
-
 // retryOrReject selects the engine of the next attempt after a failed one, or rejects the request if no attempt may
 // follow.
-func (c *Chooser) retryOrReject(now kernel.Micros, call *Call, outcome Outcome, reason string) (isRetry bool, rejection *Rejection) {
-	attempt := call.Attempt
+func (c *Chooser) retryOrReject(now kernel.Micros, attempt *Attempt, outcome Outcome, reason string) Next {
+	call := attempt.call
 	failure := &Rejection{"engine_lost", fmt.Sprintf("attempt %d at %s: %s", attempt.Number, attempt.Engine.ID, reason), http.StatusBadGateway, 0}
-	call.mayHaveRun = call.mayHaveRun || !outcome.isProvenNotRun()
 	if !call.mayHaveRun {
 		failure.Reason, failure.Status, failure.RetryAfter = "engines_failed", http.StatusServiceUnavailable, shortRetryAfter
 	} else if !call.Request.Route.IsRepeatable() {
-		return false, c.reject(failure)
+		return Next{Rejection: c.reject(failure)}
 	}
-	if now >= call.Request.Deadline || call.isBoundToEngine || c.hasStopped(now) {
-		return false, c.reject(failure)
+	if now >= call.Request.Deadline || call.isBoundToEngine || c.hasStopped(now) || outcome == RouterStopped {
+		return Next{Rejection: c.reject(failure)}
 	}
 	// An attempt of which no byte was written has reached no engine. So it does not count as one of the route's
-	// attempts, and the next attempt does not count as a retry. maxUnsentEngines limits this.
-	if outcome == NotSent && len(call.triedEngines) < maxUnsentEngines {
+	// attempts, and the next attempt does not count as a retry. maxTriedEngines limits this.
+	if outcome == NotSent && len(call.triedEngines) < maxTriedEngines {
 		return c.retryElsewhere(now, call, failure)
 	}
-	if call.sentAttempts >= call.maxAttempts() {
-		return false, c.reject(failure)
+	if !call.mayAttempt() {
+		return Next{Rejection: c.reject(failure)}
 	}
-	isCharged := call.isRetryCharged
-	call.isRetryCharged = false
-	if !isCharged && !c.spend(now, call.Request.Service) {
+	if !c.chargeRetry(now, call) {
 		failure.Detail += "; the retry budget is spent"
-		return false, c.reject(failure)
+		return Next{Rejection: c.reject(failure)}
 	}
-	c.counts.Extras++
 	return c.retryElsewhere(now, call, failure)
 }
 
@@ -253,10 +275,10 @@
 }
 
 // retryElsewhere selects the engine of the next attempt. If there is none, it rejects the request with failure.
-func (c *Chooser) retryElsewhere(now kernel.Micros, call *Call, failure *Rejection) (bool, *Rejection) {
+func (c *Chooser) retryElsewhere(now kernel.Micros, call *Call, failure *Rejection) Next {
 	if rejection := c.selectEngine(now, call); rejection != nil {
 		failure.Detail += "; " + rejection.Detail
-		return false, c.reject(failure)
+		return Next{Rejection: c.reject(failure)}
 	}
-	return true, nil
+	return Next{Attempt: call.Attempt}
 }
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -1,33 +1,42 @@
 package router
 
 import (
+	"slices"
+
 	"dunlinloom/internal/kernel"
 )
 
-// Attempt is one attempt of a call at one engine. Number counts from 1.
+// Attempt is one attempt of a call at one engine. Number counts from 1. The unexported fields are guarded by the
+// Chooser's lock.
 type Attempt struct {
 	Engine          Engine
 	Number          int
 	Reason          string
+	call            *Call
 	sequence        uint64 // orders all attempts of a Chooser
 	startedAt       kernel.Micros
 	remainingTokens int64 // outstanding tokens that still count towards the engine's load
 	promptTokens    int64
 	queuedTokens    float64 // prompt tokens queued at the engine when the attempt started, its own included
 	hasHead         bool
+	isSent          bool // bytes may have reached the engine
+	isRepeat        bool // bytes of an earlier attempt may have reached an engine when it was sent
+	isCharged       bool // the retry budget was charged for the attempt
 	isClosed        bool
 }
 
 // isBefore reports whether an attempt started before another one.
 func (a *Attempt) isBefore(other *Attempt) bool { return a.sequence < other.sequence }
 
-// Call is the state of one request. Only the goroutine that serves the request passes it to the Chooser, except for
-// MayAbandon.
+// Call is the state of one request. Its fields, but for Request and Attempt, are guarded by the Chooser's lock.
 type Call struct {
-	Request      Request
-	Attempt      *Attempt
-	number       uint64 // in order of admission at its Chooser
-	sentAttempts int    // attempts of which bytes may have reached an engine
+	Request  Request
+	Attempt  *Attempt // the newest one
+	number   uint64   // in order of admission at its Chooser
+	attempts []*Attempt
+	// sentAttempts counts the attempts of which bytes may have reached an engine, and rejectedAttempts those of them that
+	// provably did not run the request.
+	sentAttempts, rejectedAttempts int
 	// isBoundToEngine is set once the caller was sent a part of an answer that only the same engine can complete.
 	isBoundToEngine bool
 	triedEngines    map[string]bool
@@ -38,12 +47,37 @@
 	isRetryCharged bool // the next attempt has already been charged to the retry budget
 	// mayHaveRun is set once an attempt has ended without proof that its engine did not run the request.
 	mayHaveRun     bool
+	hasEnded       bool            // with a response, or because the caller has disconnected
 	failedAttempts []failedAttempt // attempts that did not serve the request
 }
 
 // maxAttempts is the number of engines to which the request may be sent: MaxAttempts of its route, but at least one.
 func (c *Call) maxAttempts() int { return max(c.Request.Route.MaxAttempts, 1) }
 
+// newestOpenAttempt returns the newest attempt in progress, or nil.
+func (c *Call) newestOpenAttempt() *Attempt {
+	for _, attempt := range slices.Backward(c.attempts) {
+		if !attempt.isClosed {
+			return attempt
+		}
+	}
+	return nil
+}
+
+// maxTriedEngines limits the engines that are tried for a request beyond its route's attempts, since some of them
+// provably did not run it.
+const maxTriedEngines = 6
+
+// mayAttempt reports whether the limit of the route's attempts allows another one. A request that may have run can't be
+// refused any more, so then an engine that rejected it does not count.
+func (c *Call) mayAttempt() bool {
+	isOpen := func(attempt *Attempt) bool { return attempt.isSent && !attempt.isClosed }
+	if c.mayHaveRun || slices.ContainsFunc(c.attempts, isOpen) {
+		return c.sentAttempts-c.rejectedAttempts < c.maxAttempts() && len(c.triedEngines) < maxTriedEngines
+	}
+	return c.sentAttempts < c.maxAttempts()
+}
+
 // Outcome is how an attempt ended.
 type Outcome int
 
@@ -61,10 +95,11 @@
 	Failed                            // the engine reported a failure in a complete response
 	Withheld                          // this router may not send to any engine now
 	RouterStopped                     // this router stopped during the attempt
+	Superseded                        // the caller gets the response of another attempt
 )
 
 func (o Outcome) String() string {
-	return [...]string{"served", "not sent", "said not run", "moved", "silent", "lost", "caller gone", "failed", "withheld", "router stopped"}[o]
+	return [...]string{"served", "not sent", "said not run", "moved", "silent", "lost", "caller gone", "failed", "withheld", "router stopped", "superseded"}[o]
 }
 
 // isProvenNotRun reports whether the engine provably has not run the request and will not run it.
--- a/internal/router/decision_log.go
+++ b/internal/router/decision_log.go
@@ -12,18 +12,18 @@
 
 // Kinds of decisions: one for each method that changes the state of a Chooser.
 const (
-	DecisionTable      DecisionKind = "table"       // SetRoutingTable
-	DecisionService    DecisionKind = "service"     // the choice of a service of a split route
-	DecisionAdmit      DecisionKind = "admit"       // Admit
-	DecisionSent       DecisionKind = "sent"        // Sent
-	DecisionUnsent     DecisionKind = "unsent"      // Unsent
-	DecisionAnswered   DecisionKind = "answered"    // Answered
-	DecisionProduced   DecisionKind = "produced"    // Produced
-	DecisionBind       DecisionKind = "bind"        // Bind
-	DecisionAbandon    DecisionKind = "may_abandon" // MayAbandon
-	DecisionClose      DecisionKind = "close"       // Close
-	DecisionReportLoad DecisionKind = "load"        // ReportLoad
-	DecisionDrain      DecisionKind = "shutdown"    // Drain; At is when the router stops
+	DecisionTable      DecisionKind = "table"    // SetRoutingTable
+	DecisionService    DecisionKind = "service"  // the choice of a service of a split route
+	DecisionAdmit      DecisionKind = "admit"    // Admit
+	DecisionSent       DecisionKind = "sent"     // Sent
+	DecisionUnsent     DecisionKind = "unsent"   // Unsent
+	DecisionAnswered   DecisionKind = "answered" // Answered
+	DecisionProduced   DecisionKind = "produced" // Produced
+	DecisionBind       DecisionKind = "bind"     // Bind
+	DecisionHedge      DecisionKind = "hedge"    // Hedge
+	DecisionClose      DecisionKind = "close"    // Close
+	DecisionReportLoad DecisionKind = "load"     // ReportLoad
+	DecisionDrain      DecisionKind = "shutdown" // Drain; At is when the router stops
 )
 
 // RouteRef identifies a route. Config numbers the configurations in the order in which the Chooser received them, and
@@ -61,6 +61,8 @@
 	At   kernel.Micros `json:"at_us"`
 	Kind DecisionKind  `json:"kind"`
 	Call uint64        `json:"call,omitempty"` // number of the request, in order of admission
+	// Attempt is the number of the call's attempt.
+	Attempt int `json:"attempt,omitempty"`
 	// Inputs; which ones are set depends on the kind.
 	Request *RecordedRequest `json:"request,omitempty"`
 	Table   *RecordedTable   `json:"table,omitempty"`
@@ -73,7 +75,7 @@
 	Engine  string           `json:"engine,omitempty"`
 	// Results.
 	Chosen    string `json:"chosen,omitempty"`   // an engine, or a service
-	IsAllowed bool   `json:"allowed,omitempty"`  // of Sent and MayAbandon; for Close: another attempt follows
+	IsAllowed bool   `json:"allowed,omitempty"`  // of Sent and Hedge; for Close: another attempt follows
 	Rejection string `json:"rejected,omitempty"` // the reason of the rejection
 }
 
@@ -92,6 +94,15 @@
 	c.recorder = &decisionRecorder{write: write, configs: map[*fleetconfig.Config]int{}, routes: map[*fleetconfig.Route]RouteRef{}}
 }
 
+// record passes on a decision on an attempt; the Chooser's lock is held.
+func (c *Chooser) record(attempt *Attempt, decision Decision) {
+	if c.recorder == nil {
+		return
+	}
+	decision.Call, decision.Attempt = attempt.call.number, attempt.Number
+	c.recorder.write(decision)
+}
+
 // table returns the record of a routing table. It numbers the configuration, and includes its routes and services if it
 // is new.
 func (r *decisionRecorder) table(routingTable *RoutingTable) *RecordedTable {
@@ -211,32 +222,41 @@
 	case DecisionDrain:
 		r.chooser.Drain(d.At)
 	default:
-		call := r.calls[d.Call]
-		return call != nil && r.stepOfCall(d, call)
+		attempt := r.attempt(d)
+		return attempt != nil && r.stepOfAttempt(d, attempt)
 	}
 	return true
 }
 
-func (r *replay) stepOfCall(d Decision, call *Call) bool {
+// attempt returns the attempt that a decision refers to, or nil.
+func (r *replay) attempt(d Decision) *Attempt {
+	call := r.calls[d.Call]
+	if call == nil || d.Attempt < 1 || d.Attempt > len(call.attempts) {
+		return nil
+	}
+	return call.attempts[d.Attempt-1]
+}
+
+func (r *replay) stepOfAttempt(d Decision, attempt *Attempt) bool {
 	switch d.Kind {
 	case DecisionSent:
-		r.chooser.Sent(d.At, call)
+		r.chooser.Sent(d.At, attempt)
 	case DecisionUnsent:
-		r.chooser.Unsent(call)
+		r.chooser.Unsent(attempt)
 	case DecisionAnswered:
 		load := Load{}
 		if d.Load != nil {
 			load = *d.Load
 		}
-		r.chooser.Answered(d.At, call, load, d.Load != nil)
+		r.chooser.Answered(d.At, attempt, load, d.Load != nil)
 	case DecisionProduced:
-		r.chooser.Produced(d.At, call, d.Tokens)
+		r.chooser.Produced(d.At, attempt, d.Tokens)
 	case DecisionBind:
-		r.chooser.Bind(call)
-	case DecisionAbandon:
-		r.chooser.MayAbandon(d.At, call)
+		r.chooser.Bind(attempt)
+	case DecisionHedge:
+		r.chooser.Hedge(d.At, attempt)
 	case DecisionClose:
-		r.chooser.Close(d.At, call, d.Outcome, d.Reason)
+		r.chooser.Close(d.At, attempt, d.Outcome, d.Reason)
 	default:
 		return false
 	}
--- a/internal/router/doc.go
+++ b/internal/router/doc.go
@@ -8,7 +8,8 @@
 // answer is what the caller gets: one response, or several where a stream is resumed at another engine.
 //
 // Prompts that share a prefix go to the same engine, the preferred engine of that prefix. If that engine is
-// overloaded, a request is diverted to another one.
+// overloaded, a request is diverted to another one. While the engine of an attempt is unresponsive, the request is hedged:
+// another attempt is made beside the first.
 //
 // An attempt has provably not run if no byte of it was written, or if the engine has stated that it did not run the
 // request. After any other failed attempt the request may have run.
@@ -22,15 +23,17 @@
 //
 // A request passes through the files in this order: router.go (ServeHTTP), body.go, tenants.go, request.go,
 // split.go (choice of the service), attempts.go (state transitions of a request), selection.go, prefix_hash.go and
-// divert.go (choice of the engine), load.go and health.go (load and health of engines), exchange.go (one attempt),
-// pool.go and connection.go, streaming.go and events.go (the answer), retry_budget.go, rejection.go. docs/design.md
+// divert.go (choice of the engine), load.go and health.go (load and health of engines), answer.go (the attempts for one
+// answer), exchange.go (one attempt), pool.go and connection.go, streaming.go and events.go (a response),
+// retry_budget.go, rejection.go. docs/design.md
 // names the publication that the routing policy is taken from, and the changes made to it.
 //
 // # Goroutines
 //
 // The methods of Router, Chooser and Pool may be called from any goroutine. The fields of Settings must not be
-// changed once requests are served. A Call belongs to the goroutine that serves its request. The one exception is
-// Chooser.MayAbandon, which the attempt's idle timer calls concurrently.
+// changed once requests are served. A request has a goroutine for its first attempt and for those that follow a failed
+// one, and one for each attempt beside another. The lock of its answer orders their writes, the lock of the Chooser their
+// decisions. The request's goroutine returns after all others.
 //
 // # Units
 //
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -63,6 +63,8 @@
 		c.Check(isTruncated, qt.IsFalse)
 		c.Check(recorder.Code, qt.Equals, http.StatusBadGateway)
 		c.Check(time.Since(startedAt), qt.Equals, time.Second)
+		h.lock.Lock()
+		defer h.lock.Unlock()
 		c.Check(h.runs[rest[0]], qt.Equals, 0)
 		c.Check(h.suspects, qt.HasLen, 0)
 	})
--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -42,7 +42,7 @@
 		s.ejectedUntil = max(s.ejectedUntil, now+overloadEjectionTime)
 	case Served, Failed:
 		s.recover()
-	case CallerDisconnected, Withheld, RouterStopped:
+	case CallerDisconnected, Withheld, RouterStopped, Superseded:
 		s.isProbing = false
 	}
 }
--- a/internal/router/idle_timer.go
+++ b/internal/router/idle_timer.go
@@ -13,12 +13,12 @@
 	minNextEventTimeout  = kernel.Second
 )
 
-// engineTimeout is how long an engine may send nothing before another one is tried; zero: no limit. There is a limit
-// only if the request is repeatable and has an attempt left. Before the answer has begun, the limit is half of the
-// latency target, which leaves the other half for the second engine.
+// engineTimeout is how long an engine may send nothing before another one is tried beside it; zero: no limit. There is a
+// limit only if the request is repeatable and its route allows a second attempt. Before the answer has begun, the limit
+// is half of the latency target, which leaves the other half for the second engine.
 func engineTimeout(call *Call, hasBegun bool) kernel.Micros {
 	route := call.Request.Route
-	if !route.IsRepeatable() || call.sentAttempts >= call.maxAttempts() {
+	if !route.IsRepeatable() || call.maxAttempts() < 2 {
 		return 0
 	}
 	if hasBegun {
@@ -27,28 +27,30 @@
 	return max(route.LatencyTarget/2, minFirstEventTimeout)
 }
 
-// engineTimeoutError is the cause with which an exchange is canceled if the engine sent nothing within the timeout.
+// engineTimeoutError is the cause with which an attempt is canceled whose engine sent nothing within the timeout, once
+// another engine serves the request.
 type engineTimeoutError struct{ timeout kernel.Micros }
 
 func (e engineTimeoutError) Error() string {
 	return fmt.Sprintf("the engine sent nothing for %d us", e.timeout)
 }
 
-// idleTimer cancels an attempt if its engine sends nothing for a timeout and another attempt may follow. If none may
-// follow, it checks again after the same time. A nil timer never cancels.
+// idleTimer starts another attempt if the engine of this one sends nothing for a timeout. The attempt goes on meanwhile,
+// and the timer runs again after the same time. A nil timer does nothing.
 type idleTimer struct {
 	timer   *time.Timer
 	timeout kernel.Micros // until the first bytes of the response's body
 }
 
-// startIdleTimer starts the timer of an attempt. It returns nil if the engine may take any time.
-func (rt *Router) startIdleTimer(ctx context.Context, cancel context.CancelCauseFunc, answer *answer) *idleTimer {
-	call := answer.call
-	timeout := engineTimeout(call, answer.hasBegun)
+// startIdleTimer starts the timer of an attempt. It returns nil if the engine may take any time. ctx ends with the
+// attempt.
+func (a *answer) startIdleTimer(ctx context.Context, run *attemptRun) *idleTimer {
+	rt := a.router
+	timeout := engineTimeout(a.call, run.isContinuation)
 	if timeout <= 0 {
 		return nil
 	}
-	engineID, sentAt := call.Attempt.Engine.ID, rt.Env.Clock.Now()
+	engineID, sentAt := run.attempt.Engine.ID, rt.Env.Clock.Now()
 	idle := &idleTimer{timeout: timeout}
 	// The timer's function uses idle.timer, so the timer must not fire before this assignment. It is created with a
 	// long duration and gets its timeout below.
@@ -57,14 +59,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		now := rt.Env.Clock.Now()
-		// An engine whose other streams make progress is busy, not unresponsive. And since it may still respond, it is
-		// abandoned only if another attempt may follow.
-		if rt.Chooser.HasSeenSince(engineID, max(sentAt, now-timeout)) || !rt.Chooser.MayAbandon(now, call) {
-			idle.timer.Reset(timeout.Duration())
-			return
+		// An engine whose other streams make progress is busy, not unresponsive.
+		if !rt.Chooser.HasSeenSince(engineID, max(sentAt, rt.Env.Clock.Now()-timeout)) {
+			run.hedge(timeout)
 		}
-		cancel(engineTimeoutError{timeout})
+		idle.timer.Reset(timeout.Duration())
 	})
 	idle.timer.Reset(timeout.Duration())
 	return idle
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -41,13 +41,13 @@
 const maxPriority = 9
 
 // newHeaders returns the headers that the router sets on an attempt.
-func (rt *Router) newHeaders(call *Call, now kernel.Micros, answer *answer) http.Header {
+func (rt *Router) newHeaders(call *Call, run *attemptRun, now kernel.Micros) http.Header {
 	request := &call.Request
 	headers := http.Header{}
 	set := func(name, value string) { headers[http.CanonicalHeaderKey(name)] = []string{value} }
 	remaining := max((request.Deadline-now)/kernel.Millisecond, 1)
 	set(rt.Wire.Deadline, strconv.FormatInt(int64(remaining), 10))
-	set(rt.Wire.WantInstance, call.Attempt.Engine.ID)
+	set(rt.Wire.WantInstance, run.attempt.Engine.ID)
 	set(rt.Wire.Priority, strconv.Itoa(min(max(request.Priority, 0), maxPriority)))
 	if request.IsKeyHidden {
 		// A header with no values is omitted, and the caller's header of this name is dropped.
@@ -56,8 +56,8 @@
 	if request.Tenant != nil {
 		set(rt.Wire.Tenant, request.Tenant.Name)
 	}
-	if answer.events.lastID != "" && answer.events.lastID != request.LastEvent {
-		set(rt.Wire.LastEvent, answer.events.lastID)
+	if run.resumedAfter != "" && run.resumedAfter != request.LastEvent {
+		set(rt.Wire.LastEvent, run.resumedAfter)
 	}
 	return headers
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,8 +56,7 @@
 	inFlight      atomic.Int64
 	reservedBytes atomic.Int64
 	truncated     atomic.Uint64
-	lifetime      context.Context // ends with Stop
-	stop          context.CancelFunc
+	answers       answersInProgress
 	failures      failureLog
 	buffers       sync.Pool // messages to engines
 	copyBuffers   sync.Pool // of copyBufferBytes each
@@ -68,8 +67,7 @@
 // used.
 func NewRouter(settings Settings) *Router {
 	settings.Chooser.invariants, settings.Pool.invariants = settings.Invariants, settings.Invariants
-	lifetime, stop := context.WithCancel(context.Background())
-	return &Router{Settings: settings, lifetime: lifetime, stop: stop, buffers: sync.Pool{New: func() any { return new(bytes.Buffer) }}}
+	return &Router{Settings: settings, answers: answersInProgress{open: map[*answer]bool{}}, buffers: sync.Pool{New: func() any { return new(bytes.Buffer) }}}
 }
 
 // InFlight is the number of requests being served.
@@ -87,7 +85,39 @@
 
 // Stop ends all requests in progress. A request of which the caller has no part of an answer is rejected; the answers
 // that have begun are cut off.
-func (rt *Router) Stop() { rt.stop() }
+func (rt *Router) Stop() { rt.answers.stop() }
+
+// answersInProgress are the answers that Router.Stop ends.
+type answersInProgress struct {
+	lock      sync.Mutex // guards the fields below
+	open      map[*answer]bool
+	isStopped bool
+}
+
+// add adds an answer, and stops it if the router has stopped.
+func (s *answersInProgress) add(answer *answer) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.open[answer] = true
+	if s.isStopped {
+		answer.stop(routerStoppedError{})
+	}
+}
+
+func (s *answersInProgress) remove(answer *answer) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	delete(s.open, answer)
+}
+
+func (s *answersInProgress) stop() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.isStopped = true
+	for answer := range s.open {
+		answer.stop(routerStoppedError{})
+	}
+}
 
 // Sweep closes idle connections to engines that can't be reused or are no longer needed. It has to be called about once
 // a second; see Pool.Sweep.
@@ -178,9 +208,9 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout.Duration()))
 }
 
-// serve makes attempts until the Chooser allows no further one. It then has answered the caller, or it panics with
-// http.ErrAbortHandler if the caller has disconnected or the answer was cut off.
-func (rt *Router) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, request Request, ticket *quota.Ticket, body []byte) {
+// serve admits a request and answers it. It panics with http.ErrAbortHandler if the caller has disconnected or the answer
+// was cut off.
+func (rt *Router) serve(caller context.Context, w http.ResponseWriter, r *http.Request, request Request, ticket *quota.Ticket, body []byte) {
 	call, rejection := rt.Chooser.Admit(rt.Env.Clock.Now(), request)
 	if rejection != nil {
 		rt.refundQuota(ticket)
@@ -189,42 +219,8 @@
 		return
 	}
 	rt.setWriteTimeout(w, request.Deadline+deadlineGrace-rt.Env.Clock.Now())
-	answer := &answer{router: rt, w: w, r: r, control: http.NewResponseController(w), call: call}
-	answer.events.lastID = request.LastEvent
-	defer answer.releaseBuffer()
-	for {
-		engine := call.Attempt.Engine
-		result := rt.attempt(ctx, answer, body)
-		outcome := result.outcome
-		if (outcome == NotSent || outcome == Unresponsive || outcome == ConnectionLost) && rt.Suspect != nil {
-			rt.Suspect(engine)
-		}
-		isRetry, rejection := rt.Chooser.Close(rt.Env.Clock.Now(), call, outcome, result.reason)
-		switch {
-		case isRetry:
-			if call.mayHaveRun {
-				rt.chargeRetryQuota(ticket)
-			}
-			continue
-		case outcome == Served || outcome == Failed:
-			return
-		case outcome == CallerDisconnected:
-			rt.logFailure(call, "caller gone")
-			panic(http.ErrAbortHandler)
-		case answer.hasBegun:
-			rt.truncated.Add(1)
-			rt.Chooser.countEndAfterSilence(rt.Env.Clock.Now(), call, endedTorn)
-			rt.logFailure(call, endedTorn)
-			// The caller has a part of an answer, and only closing its connection shows that the answer is incomplete.
-			panic(http.ErrAbortHandler)
-		default:
-			if !call.mayHaveRun {
-				rt.refundQuota(ticket)
-			}
-			rt.Chooser.countEndAfterSilence(rt.Env.Clock.Now(), call, endedRejected)
-			rt.logFailure(call, rejection.Reason)
-			rt.reject(w, rejection)
-			return
-		}
-	}
+	answer := newAnswer(rt, w, r, call, ticket, body)
+	rt.answers.add(answer)
+	defer rt.answers.remove(answer)
+	answer.serve(caller)
 }
--- a/internal/router/selection.go
+++ b/internal/router/selection.go
@@ -71,12 +71,13 @@
 func (c *Chooser) startAttempt(now kernel.Micros, call *Call, state *engineState, reason string) {
 	request := &call.Request
 	attempt := &Attempt{
-		Engine: state.engine, Number: len(call.triedEngines) + 1, Reason: reason, startedAt: now, sequence: c.counts.Attempts,
+		Engine: state.engine, Number: len(call.attempts) + 1, Reason: reason, call: call, startedAt: now, sequence: c.counts.Attempts,
 		remainingTokens: int64(request.PromptTokens + request.MaxTokens),
 		promptTokens:    int64(request.PromptTokens),
 		queuedTokens:    c.queuedPromptTokens(now, state) + float64(request.PromptTokens),
 	}
 	call.Attempt = attempt
+	call.attempts = append(call.attempts, attempt)
 	call.triedEngines[state.engine.ID] = true
 	state.attempts[attempt] = true
 	state.outstandingTokens += attempt.remainingTokens
--- a/internal/router/streaming.go
+++ b/internal/router/streaming.go
@@ -10,43 +10,8 @@
 	"strings"
 
 	"dunlinloom/internal/kernel"
-	"dunlinloom/internal/relay"
 )
 
-// answer is what a caller gets: the response of one engine, or of several where a stream is resumed.
-type answer struct {
-	router     *Router
-	w          http.ResponseWriter
-	r          *http.Request
-	control    *http.ResponseController
-	call       *Call
-	events     eventSplitter
-	hasBegun   bool                   // the head was sent
-	lastSentID string                 // ID of the last event sent
-	idleTimer  *idleTimer             // of the current attempt; nil: its engine may take any time
-	buffer     *[copyBufferBytes]byte // nil until the first response is copied
-}
-
-// releaseBuffer returns the copy buffer to the router's pool, if the answer has one.
-func (a *answer) releaseBuffer() {
-	if a.buffer != nil {
-		a.router.copyBuffers.Put(a.buffer)
-		a.buffer = nil
-	}
-}
-
-// takeBuffer acquires a buffer, which the answer owns until releaseBuffer.
-func (a *answer) takeBuffer() {
-	if a.buffer != nil {
-		return
-	}
-	buffer, isBuffer := a.router.copyBuffers.Get().(*[copyBufferBytes]byte)
-	if !isBuffer {
-		buffer = new([copyBufferBytes]byte)
-	}
-	a.buffer = buffer
-}
-
 // eventOrderError says that a resumed stream does not continue after the last event that the caller has.
 type eventOrderError struct{ last, next string }
 
@@ -62,20 +27,15 @@
 	return "the connection was closed before the end mark of the stream"
 }
 
-// callerDisconnectedError says that a part of an answer could not be written to the caller.
-type callerDisconnectedError struct{ cause error }
-
-func (e callerDisconnectedError) Error() string { return e.cause.Error() }
-
-func (e callerDisconnectedError) Unwrap() error { return e.cause }
-
 // forward copies an engine's response to the caller as it arrives. It returns an error if the engine is at fault. If
 // the caller has disconnected, it returns the outcome CallerDisconnected and no error.
-func (a *answer) forward(response *http.Response) (attemptResult, error) {
+func (a *answer) forward(run *attemptRun, response *http.Response) (attemptResult, error) {
 	a.router.checkResponse(a.call, response.Header)
-	err := a.begin(response)
+	err := a.begin(run, response)
 	if err == nil {
-		err = newResponseCopy(a, response).run()
+		copying := newResponseCopy(a, run, response)
+		defer copying.releaseBuffer()
+		err = copying.copyAll()
 	}
 	var disconnected callerDisconnectedError
 	switch {
@@ -89,81 +49,47 @@
 	return attemptResult{Served, ""}, nil
 }
 
-// begin sends the head of the answer, unless an earlier attempt has sent it.
-func (a *answer) begin(response *http.Response) error {
-	if a.hasBegun {
-		return nil
-	}
-	a.copyHeaders(response)
-	a.w.WriteHeader(response.StatusCode)
-	a.hasBegun = true
-	isStream := isEventStream(response)
-	if !isStream || !a.call.Request.Route.IsResumable {
-		a.router.Chooser.Bind(a.call)
-	}
-	if !isStream {
-		return nil
-	}
-	if err := a.control.Flush(); err != nil {
-		return callerDisconnectedError{err}
-	}
-	return nil
-}
-
-func (a *answer) copyHeaders(response *http.Response) {
-	dropped := relay.ConnectionHeaders(response.Header)
-	header := a.w.Header()
-	for name, lines := range response.Header {
-		if !dropped[name] {
-			header[name] = lines
-		}
-	}
-	if response.ContentLength >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
-	}
-}
-
-// write sends a part of the body to the caller and flushes it.
-func (a *answer) write(chunk []byte) error {
-	if _, err := a.w.Write(chunk); err != nil {
-		return callerDisconnectedError{err}
-	}
-	if err := a.control.Flush(); err != nil {
-		return callerDisconnectedError{err}
-	}
-	return nil
-}
-
 // responseCopy copies the body of one engine's response to the caller. If the body is an event stream, it sends only
 // complete events, so that another engine can resume the stream after the last of them.
 type responseCopy struct {
 	*answer
+	run            *attemptRun
 	response       *http.Response
+	buffer         *[copyBufferBytes]byte
+	events         eventSplitter
 	isStream       bool
 	tokensPerEvent int
-	resumedAfter   string // ID of the last event of earlier attempts
-	// isResuming is set until an event has confirmed that the stream continues after resumedAfter.
+	// isResuming is set until an event has confirmed that the stream continues after run.resumedAfter.
 	isResuming bool
 }
 
 // copyBufferBytes limits a single read from an engine.
 const copyBufferBytes = 4096
 
-func newResponseCopy(a *answer, response *http.Response) *responseCopy {
+func newResponseCopy(a *answer, run *attemptRun, response *http.Response) *responseCopy {
 	tokensPerEvent := 1
 	if config := a.router.Chooser.Config(); config != nil {
 		tokensPerEvent = max(config.Services[a.call.Request.Service].Stride, 1)
 	}
-	a.events.pending, a.events.hasEndMark, a.events.hasEvents = a.events.pending[:0], false, false
-	a.takeBuffer()
 	return &responseCopy{
-		answer: a, response: response, isStream: isEventStream(response), tokensPerEvent: tokensPerEvent,
-		resumedAfter: a.events.lastID, isResuming: a.call.sentAttempts > 1 && a.events.lastID != "",
+		answer: a, run: run, response: response, buffer: a.router.takeCopyBuffer(), events: eventSplitter{lastID: run.resumedAfter},
+		isStream: isEventStream(response), tokensPerEvent: tokensPerEvent, isResuming: run.attempt.isRepeat && run.resumedAfter != "",
+	}
+}
+
+// takeCopyBuffer returns a buffer of the router's pool.
+func (rt *Router) takeCopyBuffer() *[copyBufferBytes]byte {
+	if buffer, isBuffer := rt.copyBuffers.Get().(*[copyBufferBytes]byte); isBuffer {
+		return buffer
 	}
+	return new([copyBufferBytes]byte)
 }
 
-// run copies the body to its end.
-func (c *responseCopy) run() error {
+// releaseBuffer returns the buffer to the router's pool.
+func (c *responseCopy) releaseBuffer() { c.router.copyBuffers.Put(c.buffer) }
+
+// copyAll copies the body to its end.
+func (c *responseCopy) copyAll() error {
 	for {
 		count, err := c.response.Body.Read(c.buffer[:])
 		if count > 0 {
@@ -183,18 +109,17 @@
 
 func (c *responseCopy) forwardChunk(chunk []byte) error {
 	now := c.router.Env.Clock.Now()
-	c.idleTimer.reset(c.call)
+	// The time that the caller takes to read is not the engine's.
+	defer c.run.idleTimer.reset(c.call)
 	if !c.isStream {
-		return c.write(chunk)
+		return c.write(c.run, chunk)
 	}
 	completeEvents, err := c.takeEvents(now, chunk)
 	if err != nil {
 		return err
 	}
 	if len(completeEvents) > 0 {
-		c.router.checkEventOrder(c.call, c.lastSentID, firstID(completeEvents))
-		c.lastSentID = c.events.lastID
-		if err := c.write(completeEvents); err != nil {
+		if err := c.writeEvents(c.run, completeEvents, c.events.lastID, c.events.hasEventWithoutID); err != nil {
 			return err
 		}
 	}
@@ -207,16 +132,13 @@
 func (c *responseCopy) takeEvents(now kernel.Micros, chunk []byte) ([]byte, error) {
 	completeEvents, events := c.events.feed(chunk)
 	if events > 0 {
-		c.router.Chooser.Produced(now, c.call, events*c.tokensPerEvent)
+		c.router.Chooser.Produced(now, c.run.attempt, events*c.tokensPerEvent)
 	}
 	if c.isResuming && events > 0 {
 		if err := c.checkResumed(completeEvents); err != nil {
 			return nil, err
 		}
 	}
-	if c.events.hasEventWithoutID {
-		c.router.Chooser.Bind(c.call)
-	}
 	if size := len(c.events.pending) - len(completeEvents); size > maxEventBytes {
 		return nil, ExchangeError{"read the response body", eventTooLongError{size}}
 	}
@@ -226,10 +148,8 @@
 // checkResumed checks that the first events of a resumed stream follow the last one that the caller has.
 func (c *responseCopy) checkResumed(completeEvents []byte) error {
 	next := firstID(completeEvents)
-	if c.events.hasEventWithoutID || next != "" && !isAfter(c.resumedAfter, next) {
-		// The splitter has parsed these events, but the caller got none of them, so its state is restored.
-		c.events.lastID, c.events.hasEventWithoutID = c.resumedAfter, false
-		return ExchangeError{"resume the stream", eventOrderError{c.resumedAfter, next}}
+	if c.events.hasEventWithoutID || next != "" && !isAfter(c.run.resumedAfter, next) {
+		return ExchangeError{"resume the stream", eventOrderError{c.run.resumedAfter, next}}
 	}
 	// Comments have no ID, so they do not show where the stream continues.
 	c.isResuming = next == ""
@@ -249,14 +169,14 @@
 		return ExchangeError{"read the response body", missingEndMarkError{}}
 	}
 	if len(pending) == 0 {
-		return nil
+		return c.end(c.run)
 	}
 	if c.isResuming {
 		// No event has confirmed yet where the stream continues, so these bytes may belong to an event that the caller
 		// has.
-		return ExchangeError{"resume the stream", eventOrderError{c.resumedAfter, ""}}
+		return ExchangeError{"resume the stream", eventOrderError{c.run.resumedAfter, ""}}
 	}
-	return c.write(pending)
+	return c.write(c.run, pending)
 }
 
 // isEndCredible reports whether a stream may have ended where its body did. An engine that is killed between two
