Soak: conversations of long streams, and disks lost right after an engine's end

Cause: the soak's callers stay on open connections, but its streams lasted half a second, so that a request begun during a drain was finished all the same. Confirmed ends of engines were not played under the loss of disks while all other nodes lose power.

--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -18,11 +18,12 @@
 
 // Names of the routes.
 const (
-	routeLong  = "long"
-	routeShort = "short"
-	routePlain = "plain"
-	routeSafe  = "safe"
-	routeSplit = "split"
+	routeLong         = "long"
+	routeShort        = "short"
+	routePlain        = "plain"
+	routeSafe         = "safe"
+	routeSplit        = "split"
+	routeConversation = "conversation"
 )
 
 func singleSplit(service string) []fleetconfig.Split {
@@ -32,7 +33,7 @@
 const ms = kernel.Millisecond
 
 // kinds returns the kinds of requests in the load: long prompts whose streams cannot be resumed, short prompts whose
-// streams can, plain calls that may run only once, and plain calls that may be repeated.
+// streams can, plain calls that may run only once, plain calls that may be repeated, and the streams of conversations.
 func kinds() []routedcaller.Kind {
 	return []routedcaller.Kind{
 		{Rate: 3, Prefixes: 4, Shared: 1500, Own: 1500, Out: 80, Deadline: 8 * kernel.Second, MaxRetries: 1, Body: 2000, Route: fleetconfig.Route{
@@ -51,6 +52,7 @@
 		{Rate: 14, Prefixes: 2, Shared: 100, Own: 40, Out: 8, Deadline: 3 * kernel.Second, MaxRetries: 1, Body: 100, Route: fleetconfig.Route{
 			Name: routeSplit, Host: "split.example", Prefix: "/t/", Kind: fleetconfig.Safe, Timeout: 3 * kernel.Second, LatencyTarget: 500 * ms, Priority: 3, MaxAttempts: 2, IsPinned: true,
 			Splits: []fleetconfig.Split{{Service: serviceText, Weight: 50}, {Service: servicePlain, Weight: 50}}}},
+		conversationKind(),
 	}
 }
 
@@ -229,6 +231,16 @@
 	}
 	sent.IsKeepAlive = connection.isReused
 	f.recordEvent(sent)
+	backoff, canKeep := f.exchange(connection, &request, cancelAfter, &end)
+	if canKeep {
+		f.keep(n, connection)
+	}
+	return end, backoff
+}
+
+// exchange sends a request on a connection and receives its answer. It fills in the event of the end, and returns the
+// delay before a retry. It closes the connection unless canKeep is true.
+func (f *fleet) exchange(connection *callerConnection, request *routedcaller.Request, cancelAfter kernel.Micros, end *checker.RoutedEvent) (backoff kernel.Micros, canKeep bool) {
 	if cancelAfter > 0 {
 		timer := time.AfterFunc(cancelAfter.Duration(), func() { closeQuietly(connection) })
 		defer timer.Stop()
@@ -236,12 +248,12 @@
 	if _, err := connection.Write(request.Message(platform.Wire(), request.Deadline-f.clock.Now())); err != nil {
 		closeQuietly(connection)
 		end.Ending, end.Why = checker.NoAnswer, err.Error()
-		return end, sendBackoff
+		return sendBackoff, false
 	}
 	if err := connection.SetReadDeadline(time.Now().Add((request.Deadline - f.clock.Now() + callerTimeout).Duration())); err != nil {
 		end.Why = err.Error() // the timer of a canceling caller has closed the connection
 	}
-	backoff, canKeep := routedcaller.ResponseReader{Wire: platform.Wire(), Clock: f.clock}.Receive(connection.reader, &request, &end)
+	backoff, canKeep = routedcaller.ResponseReader{Wire: platform.Wire(), Clock: f.clock}.Receive(connection.reader, request, end)
 	hasCanceled := cancelAfter > 0 && end.Ending != checker.Complete
 	switch {
 	case hasCanceled:
@@ -249,11 +261,10 @@
 	case canKeep && connection.reader.Buffered() > 0:
 		end.Ending, end.Why = checker.Malformed, "unexpected bytes after the response"
 	case canKeep && cancelAfter == 0:
-		f.keep(n, connection)
-		return end, backoff
+		return backoff, true
 	}
 	closeQuietly(connection)
-	return end, backoff
+	return backoff, false
 }
 
 func (f *fleet) keep(n *node, connection *callerConnection) {
--- a/test/soak/departures.go
+++ b/test/soak/departures.go
@@ -30,10 +30,13 @@
 	return leaving, nil
 }
 
-// stopAtDeparture returns a step in which all processes are ended, once or several times in a row, as soon as the drain or
-// removal of an engine is acknowledged. Heartbeats that the engine sent before arrive late, at any node and at any time
-// after that. The engine continues to serve.
-func stopAtDeparture(end func(*fleet, *node) error) faultFunc {
+// stopAll ends and starts all processes in a step, and calls afterStart after each start.
+type stopAll func(f *fleet, s step, random *rand.Rand, afterStart func()) error
+
+// stopAtDeparture returns a step in which all processes are ended as soon as the drain or removal of an engine is
+// acknowledged. Heartbeats that the engine sent before arrive late, at any node and at any time after that. The engine
+// continues to serve.
+func stopAtDeparture(stop stopAll) faultFunc {
 	return func(f *fleet, s step, random *rand.Rand) error {
 		e, err := f.replaceEngine()
 		if err != nil {
@@ -52,7 +55,7 @@
 			e.end()
 			return SkippedError{"the drain of the engine was not acknowledged"}
 		}
-		if err := f.stopSeveralTimes(s, random, end, func() { e.deliverLate(random, late) }); err != nil {
+		if err := stop(f, s, random, func() { e.deliverLate(random, late) }); err != nil {
 			return err
 		}
 		pause(f.context, departureServeSpan)
@@ -61,19 +64,34 @@
 	}
 }
 
-// stopSeveralTimes ends and restarts all processes, the first time at once or after a moment, and calls afterStart after
-// each start.
-func (f *fleet) stopSeveralTimes(s step, random *rand.Rand, end func(*fleet, *node) error, afterStart func()) error {
-	defer f.recordFault(s, "", "")()
-	for stop := range 1 + random.IntN(maxStops) {
-		if stop > 0 || random.IntN(2) == 0 {
-			pause(f.context, kernel.Micros(random.Int64N(int64(maxStopDelay))))
-		}
-		if err := f.endAll(f.members(), s.span/4, func(n *node) error { return end(f, n) }); err != nil {
-			return err
+// stopSeveralTimes returns a stop of all processes, once or several times in a row, the first time at once or after a
+// moment.
+func stopSeveralTimes(end func(*fleet, *node) error) stopAll {
+	return func(f *fleet, s step, random *rand.Rand, afterStart func()) error {
+		defer f.recordFault(s, "", "")()
+		for stop := range 1 + random.IntN(maxStops) {
+			if stop > 0 || random.IntN(2) == 0 {
+				pause(f.context, kernel.Micros(random.Int64N(int64(maxStopDelay))))
+			}
+			if err := f.endAll(f.members(), s.span/4, func(n *node) error { return end(f, n) }); err != nil {
+				return err
+			}
+			afterStart()
 		}
-		afterStart()
+		return nil
+	}
+}
+
+// loseDisksOnce loses as many disks as are tolerated while all other nodes lose power.
+func loseDisksOnce(f *fleet, s step, random *rand.Rand, afterStart func()) error {
+	if !f.canLoseDisk() {
+		return errDiskNeeded
+	}
+	defer f.recordFault(s, "", "")()
+	if err := f.endAll(f.members(), s.span/4, f.losePowerAndDisks(f.pickDisks(f.context, random))); err != nil {
+		return err
 	}
+	afterStart()
 	return nil
 }
 
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -169,8 +169,13 @@
 	defer endTraffic()
 	var background sync.WaitGroup
 	background.Go(func() { f.watchReadiness(traffic) })
-	for i := range kinds() {
-		f.calls.Go(func() { f.keepCalling(traffic, i) })
+	for i, kind := range kinds() {
+		if kind.Route.Name != routeConversation {
+			f.calls.Go(func() { f.keepCalling(traffic, i) })
+		}
+	}
+	for i := range conversations {
+		f.calls.Go(func() { f.keepConversing(traffic, i) })
 	}
 	f.calls.Go(func() { f.misbehave(traffic) })
 	background.Go(func() { operator.read(traffic) })
